Lay out the workspace and agree types, protocol and decision surfaces

Cause: the work goes side by side from here, so what crosses a crate border has to be fixed first. Change: types, protocol messages and log records, and for each decision crate its events and effects with an empty state machine behind them. Ruled out: traits between the crates, since each has one implementation and the simulator needs plain data that it can print and replay.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The elderworks command: processes, operator's verbs and the embedded demo.
--- /dev/null
+++ b/crates/control/src/body.rs
@@ -0,0 +1,43 @@
+//! Bodies of records on the control stream.
+
+use elderworks_types::resource::{Kind, Resource};
+use elderworks_types::{NodeId, Offset, ResourceName};
+use serde::{Deserialize, Serialize};
+
+/// One change of the control state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlBody {
+    /// Creates or replaces a resource if its revision is still the expected one (0: it must not
+    /// exist; `None`: whatever it is).
+    Put {
+        /// The resource; its metadata's revision is ignored.
+        resource: Resource,
+        /// Revision that the operator saw.
+        expected: Option<Offset>,
+    },
+    /// Deletes a resource under the same condition.
+    Delete {
+        /// Kind.
+        kind: Kind,
+        /// Name.
+        name: ResourceName,
+        /// Revision that the operator saw.
+        expected: Option<Offset>,
+    },
+    /// A node started; its incarnation is the offset of this record.
+    NodeStarted {
+        /// Which.
+        node: NodeId,
+        /// Random, to recognise its own record when read back.
+        nonce: u64,
+    },
+    /// State after all records before this one, in parts.
+    Snapshot {
+        /// Which part, from 0.
+        part: u32,
+        /// How many there are.
+        parts: u32,
+        /// Encoded state.
+        bytes: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/crates/engine-model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model of a batching inference engine with a prefix cache, on a virtual clock.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! The elderworks-lab command: comparison, simulation, load and scale experiments.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process: actix-rt driver around node-core.
--- /dev/null
+++ b/crates/protocol/src/journal.rs
@@ -0,0 +1,108 @@
+//! Bodies of records on a partition's stream.
+
+use elderworks_types::{
+    Attempt, CallId, CallSpec, Credits, EngineId, NodeId, Outcome, RunId, RunPhase, RunSpec,
+    Sequence, TenantId,
+};
+use serde::{Deserialize, Serialize};
+
+/// One step in the life of a partition. Replay in offset order rebuilds its state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JournalBody {
+    /// Claims ownership at the record's epoch, which must be one above the current.
+    Claim {
+        /// The claiming node.
+        owner: NodeId,
+    },
+    /// The owner lets go in order; the next claim needs no failure to be detected.
+    Release,
+    /// Starts a run.
+    RunStarted {
+        /// What the caller fixed.
+        spec: RunSpec,
+        /// Limits of the program as they stood, so that replay needs no other stream.
+        limits: RunLimits,
+    },
+    /// Accepts a call: its place in the order is fixed and the most that it can cost is reserved.
+    CallAccepted {
+        /// The run.
+        run: RunId,
+        /// The call as made.
+        spec: CallSpec,
+        /// Reserved from the run's budget.
+        reserved: Credits,
+    },
+    /// An attempt was given to a back end. A call that is not repeatable is sent only after this
+    /// record was read back accepted.
+    AttemptStarted {
+        /// The call.
+        call: CallId,
+        /// Which attempt.
+        attempt: Attempt,
+        /// The engine, for a model call.
+        engine: Option<EngineId>,
+    },
+    /// Ends a call and settles its reservation.
+    CallEnded {
+        /// The call.
+        call: CallId,
+        /// Its one outcome.
+        outcome: Outcome,
+    },
+    /// Ends a run. What engines hold for it is to be released.
+    RunEnded {
+        /// The run.
+        run: RunId,
+        /// How.
+        phase: RunPhase,
+    },
+    /// Every engine that held memory for an ended run has acknowledged its release.
+    MemoryReleased {
+        /// The run.
+        run: RunId,
+    },
+    /// A tenant's budget holder sets part of the budget aside for another partition.
+    AllotmentGranted {
+        /// Whose budget.
+        tenant: TenantId,
+        /// Asked for by this partition.
+        partition: elderworks_types::PartitionId,
+        /// Number of the request among that partition's, so that a repeat grants nothing more.
+        request: Sequence,
+        /// How much.
+        amount: Credits,
+    },
+    /// A partition takes a granted allotment into its books.
+    AllotmentReceived {
+        /// Whose budget.
+        tenant: TenantId,
+        /// Number of the request.
+        request: Sequence,
+        /// How much.
+        amount: Credits,
+    },
+    /// State of the partition after all records before this one, in parts.
+    Snapshot {
+        /// Which part, from 0.
+        part: u32,
+        /// How many there are.
+        parts: u32,
+        /// Encoded state.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Limits of one run, copied from its `Program` when it starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunLimits {
+    /// Most calls.
+    pub max_turns: u32,
+    /// Most tokens of history.
+    pub max_history: elderworks_types::Tokens,
+    /// Longest life.
+    pub max_duration: std::time::Duration,
+    /// Urgency; larger goes first.
+    pub priority: i32,
+    /// Whether the run draws on its tenant's budget beside its own.
+    pub tenant_budget: bool,
+}
--- /dev/null
+++ b/crates/sidecar-core/src/lib.rs
@@ -0,0 +1,12 @@
+//! The sidecar as a deterministic state machine: open calls, resume, whole answers.
+//!
+//! The driver in `elderworks-sidecar` turns callers' HTTP requests and connections to nodes into
+//! [`Event`]s and carries out [`Effect`]s; the simulator does the same on a virtual clock.
+
+pub mod core;
+pub mod effect;
+pub mod event;
+
+pub use crate::core::{SidecarCore, SidecarSettings};
+pub use effect::{CallerReply, Effect};
+pub use event::{Event, RequestId};
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,1 @@
+//! The sidecar process: callers' HTTP interface and the driver around sidecar-core.
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulation of many nodes, sidecars and stand-ins under faults, with checkers.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and back ends over HTTP, for tests and experiments.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,21 @@
+//! Identifiers, units, outcomes and resources shared by every elderworks crate.
+//!
+//! This crate is the ground floor: it depends on no other crate of the workspace and performs no
+//! I/O. Everything here is plain data with total, documented conversions.
+
+pub mod call;
+pub mod ids;
+pub mod outcome;
+pub mod resource;
+pub mod run;
+pub mod text;
+pub mod units;
+
+pub use call::{CallKind, CallRequest, CallSpec, Message, ModelRequest, Role, ToolRequest, Usage};
+pub use ids::{
+    Attempt, CallId, CallNumber, EngineId, Epoch, Incarnation, ModelName, NodeId, Offset,
+    PartitionId, ResourceName, RunId, Sequence, TenantId, ToolName, ZoneId,
+};
+pub use outcome::{Answer, Failure, FailureReason, Outcome, Refusal, RefusalReason, UnknownReason};
+pub use run::{RunPhase, RunSpec};
+pub use units::{Credits, Timestamp, Tokens};
