--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod effect;
 pub mod event;
+mod inspect;
 pub mod partition;
 
 pub use effect::{BackendRequest, Effect};
--- /dev/null
+++ b/crates/node-core/src/control_plane.rs
@@ -0,0 +1,273 @@
+//! The control state: joining through it, following it, relaying it and saying when it is current.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use elderworks_control::{self as control, Change, ControlBody};
+use elderworks_membership as membership;
+use elderworks_protocol::peer::PeerMessage;
+use elderworks_protocol::record::Record;
+use elderworks_protocol::sidecar::NodeAddress;
+use elderworks_types::resource::Kind;
+use elderworks_types::{Incarnation, Offset, Timestamp};
+
+use crate::core::NodeCore;
+use crate::effect::{Effect, OperatorReply};
+use crate::event::{NoAnswer, ReadRecords};
+use crate::services::Services;
+use crate::streams::{Delivery, StreamInput};
+
+/// Bytes of control records kept to be relayed to peers.
+pub const MAX_RELAY_BYTES: usize = 1024 * 1024;
+
+/// Bytes of control records in one message to a peer.
+pub const MAX_RELAY_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Time between requests to peers for control records.
+pub const RELAY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A node that hears from none of its seeds for this long takes itself to be alone.
+pub const JOIN_GRACE: Duration = Duration::from_secs(3);
+
+/// The most recent control records, as they stand on the log.
+#[derive(Debug, Default)]
+pub(crate) struct RelayBuffer {
+    records: VecDeque<(Offset, Vec<u8>)>,
+    bytes: usize,
+}
+
+impl RelayBuffer {
+    fn push(&mut self, offset: Offset, bytes: Vec<u8>) {
+        let known = self.records.back().is_some_and(|(last, _)| *last >= offset);
+        if known {
+            return;
+        }
+        self.bytes += bytes.len();
+        self.records.push_back((offset, bytes));
+        while self.bytes > MAX_RELAY_BYTES && self.records.len() > 1 {
+            if let Some((_, dropped)) = self.records.pop_front() {
+                self.bytes -= dropped.len();
+            }
+        }
+    }
+
+    /// Records from an offset on, as many as one message takes; `None` if the first is not kept.
+    fn from(&self, first: Offset) -> Option<Vec<(Offset, Vec<u8>)>> {
+        let oldest = self.records.front()?.0;
+        if first < oldest {
+            return None;
+        }
+        let mut size = 0;
+        let records = self.records.iter().filter(|(offset, _)| *offset >= first);
+        let taken = records.take_while(|(_, bytes)| {
+            let fits = size == 0 || size + bytes.len() <= MAX_RELAY_MESSAGE_BYTES;
+            size += bytes.len();
+            fits
+        });
+        Some(taken.cloned().collect())
+    }
+}
+
+/// How far this node has joined.
+#[derive(Debug, Default)]
+pub(crate) struct JoinState {
+    /// Its own start record was proposed.
+    pub(crate) start_proposed: bool,
+    /// When membership began.
+    pub(crate) joined_at: Option<Timestamp>,
+    /// The highest next offset that any peer has applied, as far as known.
+    pub(crate) peers_next: Offset,
+    /// The last state told to the driver.
+    pub(crate) ready: bool,
+    /// When control records were last asked of a peer.
+    pub(crate) relay_asked: Timestamp,
+}
+
+impl NodeCore {
+    /// Proposes this node's start record, once.
+    pub(crate) fn propose_start(&mut self) {
+        if self.join.start_proposed {
+            return;
+        }
+        self.join.start_proposed = true;
+        self.agenda.effect(Effect::Ready(false));
+        let body = ControlBody::NodeStarted {
+            node: self.settings.node.clone(),
+            nonce: self.nonce,
+        };
+        let epoch = elderworks_types::Epoch(0);
+        self.drive_control_stream(StreamInput::Propose { epoch, body });
+    }
+
+    /// Gives one input to the control stream's client and passes on what it delivers.
+    pub(crate) fn drive_control_stream(&mut self, input: StreamInput<ControlBody>) {
+        if let StreamInput::Read {
+            result: Ok(read), ..
+        } = &input
+        {
+            self.keep_for_relay(&read.records);
+        }
+        let deliveries = self
+            .streams
+            .handle_control(self.now, input, &mut self.agenda);
+        for delivery in deliveries {
+            match delivery {
+                Delivery::Record {
+                    offset,
+                    index,
+                    record,
+                } => {
+                    self.note_own_start(offset, &record);
+                    self.agenda.control(control::Event::RecordRead {
+                        offset,
+                        index,
+                        record,
+                    });
+                }
+                Delivery::Reachable(reachable) => {
+                    self.agenda.control(control::Event::LogReachable(reachable));
+                }
+            }
+        }
+    }
+
+    fn keep_for_relay(&mut self, records: &[(Offset, Vec<u8>)]) {
+        for (offset, bytes) in records {
+            self.relay.push(*offset, bytes.clone());
+        }
+    }
+
+    /// This node's start record, read back, gives it its incarnation.
+    fn note_own_start(&mut self, offset: Offset, record: &Record<ControlBody>) {
+        let ControlBody::NodeStarted { node, nonce } = &record.body else {
+            return;
+        };
+        let own = *node == self.settings.node && *nonce == self.nonce;
+        if !own || self.incarnation.is_some() {
+            return;
+        }
+        let incarnation = Incarnation(offset.0);
+        self.incarnation = Some(incarnation);
+        self.join.joined_at = Some(self.now);
+        self.start_membership(incarnation);
+    }
+
+    /// Gives one event to the control state and carries out its effects.
+    pub(crate) fn drive_control(&mut self, event: control::Event) {
+        let next_before = self.control.next();
+        for effect in self.control.handle(self.now, event) {
+            match effect {
+                control::Effect::Append(body) => {
+                    let epoch = elderworks_types::Epoch(0);
+                    self.drive_control_stream(StreamInput::Propose { epoch, body });
+                }
+                control::Effect::Reply { request, result } => {
+                    self.agenda.effect(Effect::OperatorReply {
+                        request,
+                        reply: OperatorReply::Changed(result),
+                    });
+                }
+                control::Effect::Changed(change) => self.control_changed(&change),
+            }
+        }
+        let next = self.control.next();
+        if next != next_before {
+            self.agenda
+                .membership(membership::Event::ControlApplied { next });
+        }
+    }
+
+    fn control_changed(&mut self, change: &Change) {
+        self.tell_watchers(change);
+        let limits_before = self.services.tenant_limits().clone();
+        self.services = Services::index(&self.control);
+        if change.kind == Kind::Service {
+            let changes = self.engines.configure(self.services.engines());
+            self.apply_engine_changes(changes);
+        }
+        if change.kind == Kind::Budget {
+            let limits = self.services.tenant_limits().clone();
+            let tenants = limits_before.keys().chain(limits.keys());
+            let tenants: std::collections::BTreeSet<_> = tenants.cloned().collect();
+            for tenant in tenants {
+                let limit = limits.get(&tenant).copied();
+                if limits_before.get(&tenant).copied() != limit {
+                    self.announce_tenant_limit(tenant, limit);
+                }
+            }
+        }
+    }
+
+    /// Control records for a peer, from `first` on.
+    pub(crate) fn control_records(&mut self, first: Offset) -> PeerMessage {
+        let records = self.relay.from(first);
+        if records.is_none() {
+            self.counters.relay_misses += 1;
+        }
+        PeerMessage::ControlRecords {
+            records: records.unwrap_or_default(),
+            next: self.control.next(),
+        }
+    }
+
+    /// A peer sent control records.
+    pub(crate) fn relayed_records(&mut self, records: Vec<(Offset, Vec<u8>)>, next: Offset) {
+        self.join.peers_next = self.join.peers_next.max(next);
+        let Some((from, _)) = records.first() else {
+            return;
+        };
+        let from = *from;
+        self.counters.relayed_records += records.len() as u64;
+        let end = self.streams.control.next_offset();
+        let result: Result<ReadRecords, NoAnswer> = Ok(ReadRecords { records, end });
+        self.drive_control_stream(StreamInput::Read { from, result });
+    }
+
+    /// A peer has applied control records that this node has not. The log is asked as always; the
+    /// peer is asked beside it while the log does not answer.
+    pub(crate) fn control_behind(&mut self, peer: NodeAddress, next: Offset) {
+        self.join.peers_next = self.join.peers_next.max(next);
+        let asked_lately = self.now.since(self.join.relay_asked) < RELAY_INTERVAL;
+        if self.streams.control.reachable() || asked_lately {
+            return;
+        }
+        self.join.relay_asked = self.now;
+        let from = self.control.next();
+        self.agenda.effect(Effect::SendPeer {
+            peer,
+            message: PeerMessage::ControlFetch { from },
+        });
+    }
+
+    /// Whether this node knows its peers, or has waited for them long enough.
+    pub(crate) fn settled(&self) -> bool {
+        let Some(joined_at) = self.join.joined_at else {
+            return false;
+        };
+        let peers_known = self
+            .membership
+            .as_ref()
+            .is_some_and(|membership| membership.members().count() > 1);
+        let alone = self
+            .settings
+            .seeds
+            .iter()
+            .all(|seed| *seed == self.settings.gossip_address);
+        alone || peers_known || self.now.since(joined_at) >= JOIN_GRACE
+    }
+
+    /// Whether the control state is as new as that of any peer known.
+    fn current(&self) -> bool {
+        self.streams.control.caught_up() && self.control.next() >= self.join.peers_next
+    }
+
+    /// Tells the driver when readiness changes. Once reached, it is lost only by leaving.
+    pub(crate) fn judge_readiness(&mut self) {
+        let reached = self.join.ready || (self.settled() && self.current());
+        let ready = reached && !self.draining();
+        if ready != self.join.ready {
+            self.join.ready = ready;
+            self.agenda.effect(Effect::Ready(ready));
+        }
+    }
+}
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -3,14 +3,43 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_execution::ExecutionSettings;
-use elderworks_types::{NodeId, Timestamp, ZoneId};
+use elderworks_control::Control;
+use elderworks_execution::{self as execution, ExecutionSettings};
+use elderworks_logstream::{LogStream, StreamSettings};
+use elderworks_membership::{self as membership, Membership, MembershipSettings};
+use elderworks_placement::{self as placement, Placement, PlacementSettings};
+use elderworks_protocol::record::{StreamName, Writer};
+use elderworks_protocol::sidecar::NodeAddress;
+use elderworks_types::{Incarnation, NodeId, Offset, PartitionId, Sequence, Timestamp, ZoneId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
+use crate::assignment::Assignment;
+use crate::control_plane::{JoinState, RelayBuffer};
+use crate::counters::Counters;
+use crate::dispatch::Attempts;
+use crate::drain::DrainState;
+use crate::engines::Engines;
+use crate::operator::Watches;
+use crate::ownership::Ownership;
+use crate::services::Services;
+use crate::sidecars::Requests;
+use crate::step::{Agenda, Step};
+use crate::streams::{StreamInput, Streams};
 use crate::{Effect, Event};
 
 /// How often a driver sends [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between probes of the failure detector.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A probe unanswered for this long is sent round by others.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A suspect that has not refuted for this long is dead.
+const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// What a node is given at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -26,7 +55,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Number of partitions; the same on every process of the system.
     pub partition_count: u32,
-    /// Seed of this process's random choices.
+    /// Seed of this process's random choices; different at each start of a process.
     pub seed: u64,
     /// Limits of execution.
     pub execution: ExecutionSettings,
@@ -34,19 +63,281 @@
 
 /// One node.
 pub struct NodeCore {
-    _settings: NodeSettings,
+    pub(crate) settings: NodeSettings,
+    pub(crate) now: Timestamp,
+    pub(crate) agenda: Agenda,
+    pub(crate) counters: Counters,
+    random: ChaCha8Rng,
+    pub(crate) nonce: u64,
+    pub(crate) incarnation: Option<Incarnation>,
+    pub(crate) join: JoinState,
+    pub(crate) drain: DrainState,
+    pub(crate) streams: Streams,
+    pub(crate) control: Control,
+    pub(crate) relay: RelayBuffer,
+    pub(crate) membership: Option<Membership>,
+    pub(crate) assignment: Assignment,
+    pub(crate) ownership: Ownership,
+    pub(crate) placement: Placement,
+    pub(crate) services: Services,
+    pub(crate) engines: Engines,
+    pub(crate) attempts: Attempts,
+    pub(crate) requests: Requests,
+    pub(crate) watches: Watches,
 }
 
 impl NodeCore {
     /// A node with empty memory.
     pub fn new(settings: NodeSettings) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let nonce = random.random();
+        // Until the log has given this start its incarnation, the nonce tells its control records
+        // from those of earlier starts.
+        let writer = Writer {
+            node: settings.node.clone(),
+            incarnation: Incarnation(nonce),
+        };
+        let control_stream = LogStream::new(
+            writer.clone(),
+            Sequence(1),
+            Offset(0),
+            Timestamp(0),
+            StreamSettings::default(),
+        );
+        let placement = Placement::new(PlacementSettings {
+            zone: settings.zone.clone(),
+            seed: random.random(),
+        });
         Self {
-            _settings: settings,
+            now: Timestamp(0),
+            agenda: Agenda::default(),
+            counters: Counters::default(),
+            random,
+            nonce,
+            incarnation: None,
+            join: JoinState::default(),
+            drain: DrainState::default(),
+            streams: Streams::new(control_stream),
+            control: Control::new(writer),
+            relay: RelayBuffer::default(),
+            membership: None,
+            assignment: Assignment::unknown(settings.partition_count),
+            ownership: Ownership::default(),
+            placement,
+            services: Services::default(),
+            engines: Engines::default(),
+            attempts: Attempts::default(),
+            requests: Requests::default(),
+            watches: Watches::default(),
+            settings,
         }
     }
 
+    /// What this node has done so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Partitions that this node owns now.
+    pub fn owned_partitions(&self) -> impl Iterator<Item = PartitionId> {
+        self.ownership.owned()
+    }
+
     /// Takes one event and returns what is to be done, in order.
-    pub fn handle(&mut self, _now: Timestamp, _event: Event) -> Vec<Effect> {
-        Vec::new()
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        self.now = now;
+        self.propose_start();
+        self.route(event);
+        while let Some(step) = self.agenda.next_step() {
+            self.take_step(step);
+        }
+        self.agenda.take_effects()
+    }
+
+    fn take_step(&mut self, step: Step) {
+        match step {
+            Step::Control(event) => self.drive_control(event),
+            Step::Membership(event) => self.drive_membership(event),
+            Step::Partition(partition, event) => self.drive_partition(partition, event),
+            Step::Placement(event) => self.drive_placement(event),
+        }
+    }
+
+    fn route(&mut self, event: Event) {
+        match event {
+            Event::LogAppended { token, result } => self.log_appended(token, result),
+            Event::LogRead {
+                stream,
+                from,
+                result,
+            } => match stream {
+                StreamName::Control => {
+                    self.drive_control_stream(StreamInput::Read { from, result });
+                }
+                StreamName::Partition(partition) => {
+                    self.drive_partition_stream(partition, StreamInput::Read { from, result });
+                }
+            },
+            Event::Datagram { from, datagram } => self
+                .agenda
+                .membership(membership::Event::Received { from, datagram }),
+            Event::MachineList {
+                live,
+                leaving,
+                leaving_engines,
+            } => {
+                self.agenda
+                    .membership(membership::Event::MachineList { live, leaving });
+                let changes = self.engines.list_leaving(leaving_engines);
+                self.apply_engine_changes(changes);
+            }
+            Event::Received {
+                connection,
+                message,
+            } => self.received(connection, message),
+            Event::PeerReply { node, message } => self.peer_message(&node, None, message),
+            Event::Closed { connection } => self.connection_closed(connection),
+            Event::Operator { request, question } => self.operator_request(request, question),
+            Event::Drain => self.start_drain(),
+            Event::Tick => self.tick(),
+            backend => self.route_backend(backend),
+        }
+    }
+
+    fn route_backend(&mut self, event: Event) {
+        match event {
+            Event::AttemptChunk {
+                ticket,
+                index,
+                text,
+            } => self.attempt_chunk(ticket, index, text),
+            Event::AttemptCompleted {
+                ticket,
+                content,
+                usage,
+            } => {
+                self.attempt_completed(ticket, content, usage);
+            }
+            Event::AttemptFailed { ticket, failure } => self.attempt_failed(ticket, failure),
+            Event::MemoryReleased { run, engine } => self.memory_released(run, engine),
+            Event::EngineHoldings { engine, runs } => self.compare_holdings(&engine, runs),
+            Event::EngineLoad { engine, report } => {
+                let changes = self.engines.answered(&engine);
+                self.apply_engine_changes(changes);
+                self.agenda
+                    .placement(placement::Event::Load { engine, report });
+            }
+            Event::EngineCache { engine, change } => self
+                .agenda
+                .placement(placement::Event::Cache { engine, change }),
+            Event::EngineLeaving { engine } => {
+                let changes = self.engines.said_leaving(self.now, &engine);
+                self.apply_engine_changes(changes);
+            }
+            Event::EngineSilent { engine, silent_for } => {
+                let changes = self.engines.silent(&engine, silent_for);
+                self.apply_engine_changes(changes);
+            }
+            other => unreachable!("routed before: {other:?}"),
+        }
+    }
+
+    fn log_appended(
+        &mut self,
+        token: crate::event::AppendToken,
+        result: Result<Offset, crate::event::NoAnswer>,
+    ) {
+        let Some((stream, token)) = self.streams.append_ended(token) else {
+            return;
+        };
+        match stream {
+            StreamName::Control => {
+                self.drive_control_stream(StreamInput::Appended { token, result });
+            }
+            StreamName::Partition(partition) => {
+                self.drive_partition_stream(partition, StreamInput::Appended { token, result });
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.drive_control_stream(StreamInput::Tick);
+        self.agenda.control(elderworks_control::Event::Tick);
+        self.agenda.membership(membership::Event::Tick);
+        self.agenda.placement(placement::Event::Tick);
+        let followed: Vec<PartitionId> = self.ownership.held.keys().copied().collect();
+        for partition in followed {
+            self.drive_partition_stream(partition, StreamInput::Tick);
+            self.agenda.partition(partition, execution::Event::Tick);
+        }
+        let changes = self.engines.tick(self.now);
+        self.apply_engine_changes(changes);
+        self.expire_requests();
+        self.judge_readiness();
+        self.reconcile_ownership();
+        self.judge_drain();
+    }
+
+    /// Membership begins with the incarnation that the log gave.
+    pub(crate) fn start_membership(&mut self, incarnation: Incarnation) {
+        let settings = MembershipSettings {
+            node: self.settings.node.clone(),
+            incarnation,
+            zone: self.settings.zone.clone(),
+            gossip_address: self.settings.gossip_address,
+            address: self.settings.address,
+            seeds: self.settings.seeds.clone(),
+            probe_interval: PROBE_INTERVAL,
+            probe_timeout: PROBE_TIMEOUT,
+            suspicion_timeout: SUSPICION_TIMEOUT,
+            seed: self.random.random(),
+        };
+        self.membership = Some(Membership::new(settings));
+        let next = self.control.next();
+        self.agenda
+            .membership(membership::Event::ControlApplied { next });
+        self.reassign();
+    }
+
+    fn drive_membership(&mut self, event: membership::Event) {
+        let Some(membership) = self.membership.as_mut() else {
+            return;
+        };
+        let mut changed = false;
+        for effect in membership.handle(self.now, event) {
+            match effect {
+                membership::Effect::Send { to, datagram } => {
+                    self.agenda.effect(Effect::SendDatagram { to, datagram });
+                }
+                membership::Effect::MemberChanged { .. } => changed = true,
+                membership::Effect::ControlBehind {
+                    peer,
+                    address,
+                    next,
+                } => {
+                    let peer = NodeAddress {
+                        node: peer,
+                        address,
+                    };
+                    self.control_behind(peer, next);
+                }
+            }
+        }
+        if changed {
+            self.reassign();
+        }
+    }
+
+    /// Assigns partitions anew after a change of the members.
+    pub(crate) fn reassign(&mut self) {
+        let leaving = self.draining().then_some(&self.settings.node);
+        if let Some(membership) = &self.membership {
+            self.assignment.recompute(membership, leaving);
+        }
+    }
+
+    /// Whether this node may claim partitions: it is current, knows its peers and stays.
+    pub(crate) fn may_take_over(&self) -> bool {
+        self.join.ready && !self.draining()
     }
 }
--- /dev/null
+++ b/crates/node-core/src/dispatch.rs
@@ -0,0 +1,444 @@
+//! Attempts on their way between execution, placement and back ends.
+
+use std::collections::BTreeMap;
+
+use elderworks_execution::effect::{BackendRequest, DispatchHints};
+use elderworks_execution::event::AttemptFailure;
+use elderworks_execution::{self as execution};
+use elderworks_placement::event::{FinishedResult, ReadyCall};
+use elderworks_placement::{self as placement, Ticket};
+use elderworks_protocol::journal::JournalBody;
+use elderworks_types::text::{block_hashes, render_prompt, token_count};
+use elderworks_types::{
+    EngineId, FailureReason, Message, ModelName, PartitionId, Refusal, RefusalReason, Tokens,
+    ToolName, Usage,
+};
+
+use crate::core::NodeCore;
+use crate::effect::{Effect, Generate};
+
+/// Attempts in progress at one node; further ones are refused at once.
+pub const MAX_ATTEMPTS: usize = 16_384;
+
+/// When a caller may try again after [`MAX_ATTEMPTS`] turned it away.
+pub const ATTEMPTS_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// What a model attempt needs once placement has chosen its engine.
+#[derive(Debug)]
+struct ModelWork {
+    model: ModelName,
+    messages: Vec<Message>,
+    continue_text: String,
+    continue_chunks: u32,
+    max_output: Tokens,
+    timeout: std::time::Duration,
+}
+
+#[derive(Debug)]
+enum AttemptState {
+    /// Placement has not chosen an engine yet.
+    Waiting(ModelWork),
+    /// At an engine that placement chose.
+    AtEngine { first_chunk_seen: bool },
+    /// At an engine that an earlier owner chose; placement does not count it.
+    Resumed,
+    /// At a tool.
+    AtTool,
+}
+
+#[derive(Debug)]
+struct AttemptRecord {
+    partition: PartitionId,
+    state: AttemptState,
+}
+
+/// Attempts in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    open: BTreeMap<Ticket, AttemptRecord>,
+}
+
+impl Attempts {
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    fn insert(&mut self, ticket: Ticket, partition: PartitionId, state: AttemptState) {
+        self.open.insert(ticket, AttemptRecord { partition, state });
+    }
+}
+
+/// An invocation of a tool.
+#[derive(Debug)]
+struct ToolWork {
+    tool: ToolName,
+    arguments: String,
+    idempotency_key: String,
+    timeout: std::time::Duration,
+}
+
+impl NodeCore {
+    /// Hands an attempt to placement, or straight to its tool.
+    pub(crate) fn dispatch(
+        &mut self,
+        partition: PartitionId,
+        ticket: Ticket,
+        request: BackendRequest,
+        hints: DispatchHints,
+    ) {
+        if self.attempts.len() >= MAX_ATTEMPTS {
+            self.counters.attempts_overflow += 1;
+            let refusal = Refusal {
+                reason: RefusalReason::Overloaded,
+                retry_after: Some(ATTEMPTS_RETRY_AFTER),
+            };
+            self.attempt_refused(partition, ticket, refusal);
+            return;
+        }
+        self.counters.attempts_started += 1;
+        match request {
+            BackendRequest::Model {
+                model,
+                messages,
+                continue_text,
+                continue_chunks,
+                max_output,
+            } => {
+                let work = ModelWork {
+                    model,
+                    messages,
+                    continue_text,
+                    continue_chunks,
+                    max_output,
+                    timeout: hints.timeout,
+                };
+                self.dispatch_model(partition, ticket, work, hints);
+            }
+            BackendRequest::Tool {
+                tool,
+                arguments,
+                idempotency_key,
+            } => {
+                let work = ToolWork {
+                    tool,
+                    arguments,
+                    idempotency_key,
+                    timeout: hints.timeout,
+                };
+                self.dispatch_tool(partition, ticket, work);
+            }
+        }
+    }
+
+    fn dispatch_model(
+        &mut self,
+        partition: PartitionId,
+        ticket: Ticket,
+        work: ModelWork,
+        hints: DispatchHints,
+    ) {
+        let mut prompt = render_prompt(&work.messages);
+        prompt.push_str(&work.continue_text);
+        let ready = ReadyCall {
+            ticket,
+            model: work.model.clone(),
+            blocks: block_hashes(&prompt),
+            prompt: token_count(&prompt),
+            max_output: work.max_output,
+            tenant: hints.tenant,
+            program: hints.program,
+            run_started: hints.run_started,
+            attained: hints.attained,
+            turns: hints.turns,
+            run_deadline: hints.run_deadline,
+            call_deadline: hints.call_deadline,
+            priority: hints.priority,
+            parent: hints.parent,
+        };
+        self.attempts
+            .insert(ticket, partition, AttemptState::Waiting(work));
+        self.agenda
+            .placement(placement::Event::CallReady(Box::new(ready)));
+    }
+
+    fn dispatch_tool(&mut self, partition: PartitionId, ticket: Ticket, work: ToolWork) {
+        let Some(service) = self.services.tool(&work.tool) else {
+            let refusal = Refusal {
+                reason: RefusalReason::NoBackend,
+                retry_after: None,
+            };
+            self.attempt_refused(partition, ticket, refusal);
+            return;
+        };
+        let url = service.url.clone();
+        let note = format!("tool {} at {url}", work.tool);
+        self.attempts
+            .insert(ticket, partition, AttemptState::AtTool);
+        self.agenda.partition(
+            partition,
+            execution::Event::AttemptPlaced {
+                call: ticket.call,
+                attempt: ticket.attempt,
+                engine: None,
+                note,
+            },
+        );
+        self.agenda.effect(Effect::InvokeTool {
+            ticket,
+            tool: work.tool,
+            url,
+            arguments: work.arguments,
+            idempotency_key: work.idempotency_key,
+            timeout: work.timeout,
+        });
+    }
+
+    /// Takes up an attempt of an earlier owner at its engine.
+    pub(crate) fn resume(
+        &mut self,
+        partition: PartitionId,
+        ticket: Ticket,
+        engine: EngineId,
+        from_chunk: u32,
+    ) {
+        let Some(url) = self.engines.url(&engine).map(str::to_owned) else {
+            self.fail_attempt(partition, ticket, AttemptFailure::NotSent);
+            return;
+        };
+        self.attempts
+            .insert(ticket, partition, AttemptState::Resumed);
+        self.agenda.effect(Effect::ResumeStream {
+            ticket,
+            engine,
+            url,
+            from_chunk,
+        });
+    }
+
+    /// Asks a tool about an invocation of an earlier owner.
+    pub(crate) fn query_tool(
+        &mut self,
+        partition: PartitionId,
+        ticket: Ticket,
+        tool: ToolName,
+        idempotency_key: String,
+    ) {
+        let Some(service) = self.services.tool(&tool) else {
+            let failure = AttemptFailure::Lost {
+                reason: FailureReason::BackendError,
+                usage: Usage::default(),
+            };
+            self.fail_attempt(partition, ticket, failure);
+            return;
+        };
+        let url = service.url.clone();
+        self.attempts
+            .insert(ticket, partition, AttemptState::AtTool);
+        self.agenda.effect(Effect::QueryTool {
+            ticket,
+            tool,
+            url,
+            idempotency_key,
+        });
+    }
+
+    /// Stops an attempt wherever it is.
+    pub(crate) fn cancel_attempt(&mut self, ticket: Ticket) {
+        let Some(record) = self.attempts.open.remove(&ticket) else {
+            return;
+        };
+        match record.state {
+            AttemptState::Waiting(_) => {
+                self.agenda
+                    .placement(placement::Event::Cancelled { ticket });
+            }
+            AttemptState::AtEngine { .. } => {
+                self.agenda
+                    .placement(placement::Event::Cancelled { ticket });
+                self.agenda.effect(Effect::CancelAttempt { ticket });
+            }
+            AttemptState::Resumed | AttemptState::AtTool => {
+                self.agenda.effect(Effect::CancelAttempt { ticket });
+            }
+        }
+    }
+
+    /// The partition is not this node's any more: its attempts go on at their engines, where the
+    /// next owner takes them up, and are forgotten here.
+    pub(crate) fn forget_attempts(&mut self, partition: PartitionId) {
+        let open = std::mem::take(&mut self.attempts.open);
+        let (forgotten, kept): (BTreeMap<_, _>, BTreeMap<_, _>) = open
+            .into_iter()
+            .partition(|(_, record)| record.partition == partition);
+        self.attempts.open = kept;
+        for (ticket, record) in forgotten {
+            match record.state {
+                AttemptState::Waiting(_) | AttemptState::AtEngine { .. } => {
+                    self.agenda
+                        .placement(placement::Event::Cancelled { ticket });
+                }
+                AttemptState::Resumed | AttemptState::AtTool => {}
+            }
+        }
+    }
+
+    /// Placement chose an engine.
+    pub(crate) fn attempt_placed(
+        &mut self,
+        ticket: Ticket,
+        engine: EngineId,
+        engine_priority: i64,
+        note: String,
+    ) {
+        let url = self.engines.url(&engine).map(str::to_owned);
+        let Some(record) = self.attempts.open.get_mut(&ticket) else {
+            self.agenda
+                .placement(placement::Event::Cancelled { ticket });
+            return;
+        };
+        let partition = record.partition;
+        let placed = AttemptState::AtEngine {
+            first_chunk_seen: false,
+        };
+        let AttemptState::Waiting(work) = std::mem::replace(&mut record.state, placed) else {
+            return;
+        };
+        self.agenda.partition(
+            partition,
+            execution::Event::AttemptPlaced {
+                call: ticket.call,
+                attempt: ticket.attempt,
+                engine: Some(engine.clone()),
+                note,
+            },
+        );
+        let Some(url) = url else {
+            self.attempt_failed(ticket, AttemptFailure::NotSent);
+            return;
+        };
+        self.agenda.effect(Effect::Generate(Box::new(Generate {
+            ticket,
+            engine,
+            url,
+            model: work.model,
+            messages: work.messages,
+            continue_text: work.continue_text,
+            first_chunk: work.continue_chunks,
+            max_output: work.max_output,
+            engine_priority,
+            timeout: work.timeout,
+        })));
+    }
+
+    /// Placement gave the attempt up.
+    pub(crate) fn placement_refused(&mut self, ticket: Ticket, refusal: Refusal) {
+        let Some(record) = self.attempts.open.remove(&ticket) else {
+            return;
+        };
+        self.attempt_refused(record.partition, ticket, refusal);
+    }
+
+    fn attempt_refused(&mut self, partition: PartitionId, ticket: Ticket, refusal: Refusal) {
+        self.agenda.partition(
+            partition,
+            execution::Event::AttemptRefused {
+                call: ticket.call,
+                attempt: ticket.attempt,
+                refusal,
+            },
+        );
+    }
+
+    /// A piece of an answer arrived.
+    pub(crate) fn attempt_chunk(&mut self, ticket: Ticket, index: u32, text: String) {
+        let Some(record) = self.attempts.open.get_mut(&ticket) else {
+            self.counters.stale_attempt_events += 1;
+            return;
+        };
+        let partition = record.partition;
+        if let AttemptState::AtEngine { first_chunk_seen } = &mut record.state
+            && !*first_chunk_seen {
+                *first_chunk_seen = true;
+                self.agenda
+                    .placement(placement::Event::FirstToken { ticket });
+            }
+        self.agenda.partition(
+            partition,
+            execution::Event::AttemptChunk {
+                call: ticket.call,
+                attempt: ticket.attempt,
+                index,
+                text,
+            },
+        );
+    }
+
+    /// An attempt ran to its end.
+    pub(crate) fn attempt_completed(&mut self, ticket: Ticket, content: String, usage: Usage) {
+        let Some(record) = self.attempts.open.remove(&ticket) else {
+            self.counters.stale_attempt_events += 1;
+            return;
+        };
+        self.counters.attempts_completed += 1;
+        if let AttemptState::AtEngine { .. } = record.state {
+            let result = FinishedResult::Completed {
+                cached: usage.cached,
+                output: usage.output,
+            };
+            self.agenda
+                .placement(placement::Event::Finished { ticket, result });
+        }
+        self.agenda.partition(
+            record.partition,
+            execution::Event::AttemptCompleted {
+                call: ticket.call,
+                attempt: ticket.attempt,
+                content,
+                usage,
+            },
+        );
+    }
+
+    /// An attempt ended without an answer.
+    pub(crate) fn attempt_failed(&mut self, ticket: Ticket, failure: AttemptFailure) {
+        let Some(record) = self.attempts.open.remove(&ticket) else {
+            self.counters.stale_attempt_events += 1;
+            return;
+        };
+        if let AttemptState::AtEngine { .. } = record.state {
+            let result = finished_result(&failure);
+            self.agenda
+                .placement(placement::Event::Finished { ticket, result });
+        }
+        self.fail_attempt(record.partition, ticket, failure);
+    }
+
+    fn fail_attempt(&mut self, partition: PartitionId, ticket: Ticket, failure: AttemptFailure) {
+        self.counters.attempts_failed += 1;
+        self.agenda.partition(
+            partition,
+            execution::Event::AttemptFailed {
+                call: ticket.call,
+                attempt: ticket.attempt,
+                failure,
+            },
+        );
+    }
+
+    /// Placement need not remember a run that has ended.
+    pub(crate) fn note_run_end(&mut self, partition: PartitionId, body: &JournalBody) {
+        if let JournalBody::RunEnded { run, .. } = body
+            && self.ownership.owns(partition) {
+                self.agenda
+                    .placement(placement::Event::RunEnded { run: *run });
+            }
+    }
+}
+
+fn finished_result(failure: &AttemptFailure) -> FinishedResult {
+    match failure {
+        AttemptFailure::Rejected { .. } => FinishedResult::Rejected,
+        AttemptFailure::NotSent | AttemptFailure::Lost { .. } => FinishedResult::Lost,
+        AttemptFailure::Errored { .. } => FinishedResult::Errored,
+    }
+}
--- /dev/null
+++ b/crates/node-core/src/drain.rs
@@ -0,0 +1,62 @@
+//! Leaving in order.
+
+use std::time::Duration;
+
+use elderworks_membership as membership;
+use elderworks_protocol::sidecar::NodeMessage;
+use elderworks_types::Timestamp;
+
+use crate::core::NodeCore;
+use crate::effect::Effect;
+use crate::event::Connection;
+
+/// A drain ends after this long, whatever is still open; the next owners take it up.
+pub const DRAIN_LIMIT: Duration = Duration::from_secs(60);
+
+/// How far this node has got with leaving.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum DrainState {
+    /// It is not leaving.
+    #[default]
+    Serving,
+    /// It lets its partitions go.
+    Draining { since: Timestamp },
+    /// It may exit.
+    Drained,
+}
+
+impl NodeCore {
+    /// Whether this node is leaving or has left.
+    pub(crate) fn draining(&self) -> bool {
+        self.drain != DrainState::Serving
+    }
+
+    /// Begins to leave: nothing new is taken over, and everything held is released.
+    pub(crate) fn start_drain(&mut self) {
+        if self.draining() {
+            return;
+        }
+        self.drain = DrainState::Draining { since: self.now };
+        self.agenda.membership(membership::Event::Drain);
+        self.reassign();
+        let sidecars: Vec<Connection> = self.requests.sidecars().collect();
+        for connection in sidecars {
+            self.send(connection, NodeMessage::Draining);
+        }
+        self.turn_away_held();
+        self.judge_readiness();
+    }
+
+    /// Ends the drain once nothing is left, or when its time is up.
+    pub(crate) fn judge_drain(&mut self) {
+        let DrainState::Draining { since } = self.drain else {
+            return;
+        };
+        let nothing_left = self.ownership.held.is_empty() && self.attempts.len() == 0;
+        let overdue = self.now.since(since) >= DRAIN_LIMIT;
+        if nothing_left || overdue {
+            self.drain = DrainState::Drained;
+            self.agenda.effect(Effect::Drained);
+        }
+    }
+}
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -4,10 +4,25 @@
 //! carries out [`Effect`]s; the simulator does the same on a virtual clock. No decision is made
 //! outside this crate and the ones that it composes.
 
+mod assignment;
+mod control_plane;
 pub mod core;
+pub mod counters;
+mod dispatch;
+mod drain;
 pub mod effect;
+mod engines;
 pub mod event;
+mod operator;
+mod ownership;
+mod partitions;
+mod peers;
+mod services;
+mod sidecars;
+mod step;
+mod streams;
 
 pub use crate::core::{NodeCore, NodeSettings};
+pub use counters::Counters;
 pub use effect::Effect;
 pub use event::Event;
--- /dev/null
+++ b/crates/node-core/src/ownership.rs
@@ -0,0 +1,278 @@
+//! Taking over partitions and letting them go, a bounded number at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use elderworks_execution::{self as execution, Partition};
+use elderworks_logstream::{LogStream, ReadMode, StreamSettings};
+use elderworks_protocol::gossip::MemberState;
+use elderworks_protocol::record::Writer;
+use elderworks_types::{Epoch, NodeId, Offset, PartitionId, Sequence, Timestamp};
+
+use crate::core::NodeCore;
+use crate::streams::{Delivery, StreamInput};
+
+/// Partitions that one node loads or claims at the same time. Bounds the reads that the loss of
+/// many nodes at once puts on the log.
+pub const TAKEOVERS_AT_ONCE: usize = 16;
+
+/// A claim that waited this long for the present owner's release goes ahead without it.
+pub const HANDOVER_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time between reads at the end of a partition's stream. An owner notices by them that it was
+/// fenced out; a successor notices the release.
+pub const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Where this node stands with one partition.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Reading the stream.
+    Loading,
+    /// Claim asked for, not yet in force.
+    Claiming { since: Timestamp, forced: bool },
+    /// In force.
+    Owned,
+    /// Release asked for, not yet in force.
+    Releasing,
+    /// Not owned any more; waiting for its last records to be read back.
+    Closing,
+}
+
+/// One partition that this node follows.
+pub(crate) struct Held {
+    pub(crate) machine: Partition,
+    pub(crate) phase: Phase,
+    pub(crate) epoch: Option<Epoch>,
+}
+
+impl Held {
+    fn is_taking_over(&self) -> bool {
+        matches!(self.phase, Phase::Loading | Phase::Claiming { .. })
+    }
+}
+
+/// Partitions that this node follows, and what must outlive following them.
+#[derive(Default)]
+pub(crate) struct Ownership {
+    pub(crate) held: BTreeMap<PartitionId, Held>,
+    /// Next sequence on streams that this incarnation has written and stopped following.
+    sequences: BTreeMap<PartitionId, Sequence>,
+}
+
+impl Ownership {
+    /// Whether this node owns the partition, be it while letting it go.
+    pub(crate) fn owns(&self, partition: PartitionId) -> bool {
+        self.held
+            .get(&partition)
+            .is_some_and(|held| held.epoch.is_some())
+    }
+
+    pub(crate) fn owned(&self) -> impl Iterator<Item = PartitionId> {
+        self.held
+            .iter()
+            .filter(|(_, held)| held.epoch.is_some())
+            .map(|(partition, _)| *partition)
+    }
+
+    fn takeovers(&self) -> usize {
+        let taking_over = self.held.values().filter(|held| held.is_taking_over());
+        taking_over.count()
+    }
+}
+
+impl NodeCore {
+    /// Brings what this node follows in line with what it should own.
+    pub(crate) fn reconcile_ownership(&mut self) {
+        let partitions: Vec<PartitionId> = self.ownership.held.keys().copied().collect();
+        for partition in partitions {
+            self.reconcile_partition(partition);
+        }
+        if self.may_take_over() {
+            self.open_partitions();
+        }
+    }
+
+    fn reconcile_partition(&mut self, partition: PartitionId) {
+        let wanted = self.assignment.owner(partition) == Some(&self.settings.node);
+        let caught_up = self
+            .streams
+            .partitions
+            .get(&partition)
+            .is_some_and(LogStream::caught_up);
+        let Some(held) = self.ownership.held.get_mut(&partition) else {
+            return;
+        };
+        match held.phase {
+            Phase::Loading | Phase::Claiming { .. } if !wanted => held.phase = Phase::Closing,
+            Phase::Loading if caught_up => self.claim(partition, self.now),
+            Phase::Claiming {
+                since,
+                forced: false,
+            } => self.claim(partition, since),
+            Phase::Owned if !wanted => {
+                held.phase = Phase::Releasing;
+                self.agenda.partition(partition, execution::Event::Release);
+            }
+            Phase::Closing => self.close_partition(partition),
+            Phase::Loading | Phase::Claiming { .. } | Phase::Owned | Phase::Releasing => {}
+        }
+    }
+
+    /// Asks the partition to claim, without waiting for a release where none can be expected.
+    fn claim(&mut self, partition: PartitionId, since: Timestamp) {
+        let overdue = self.now.since(since) >= HANDOVER_LIMIT;
+        let forced = overdue || self.owner_cannot_release(partition);
+        let Some(held) = self.ownership.held.get_mut(&partition) else {
+            return;
+        };
+        let first = held.phase == Phase::Loading;
+        held.phase = Phase::Claiming { since, forced };
+        if first || forced {
+            self.counters.forced_claims += u64::from(forced);
+            self.agenda
+                .partition(partition, execution::Event::Claim { forced });
+        }
+    }
+
+    /// Whether the owner by the stream is an earlier start of this node, dead, or unknown.
+    fn owner_cannot_release(&self, partition: PartitionId) -> bool {
+        let held = self.ownership.held.get(&partition);
+        let Some(owner) = held.and_then(|held| held.machine.owner()) else {
+            return false;
+        };
+        *owner == self.settings.node || !self.is_live(owner)
+    }
+
+    fn is_live(&self, node: &NodeId) -> bool {
+        let Some(membership) = &self.membership else {
+            return false;
+        };
+        membership
+            .members()
+            .any(|member| member.update.node == *node && member.update.state != MemberState::Dead)
+    }
+
+    /// Opens assigned partitions that are not followed yet, those that callers wait for first.
+    fn open_partitions(&mut self) {
+        let capacity = TAKEOVERS_AT_ONCE.saturating_sub(self.ownership.takeovers());
+        if capacity == 0 {
+            return;
+        }
+        let awaited = self.requests.awaited_partitions();
+        let missing: BTreeSet<(bool, PartitionId)> = self
+            .assignment
+            .assigned_to(&self.settings.node)
+            .filter(|partition| !self.ownership.held.contains_key(partition))
+            .map(|partition| (!awaited.contains(&partition), partition))
+            .collect();
+        for (_, partition) in missing.into_iter().take(capacity) {
+            self.open_partition(partition);
+        }
+    }
+
+    fn open_partition(&mut self, partition: PartitionId) {
+        let Some(incarnation) = self.incarnation else {
+            return;
+        };
+        let writer = Writer {
+            node: self.settings.node.clone(),
+            incarnation,
+        };
+        let first_sequence = self
+            .ownership
+            .sequences
+            .get(&partition)
+            .copied()
+            .unwrap_or(Sequence(1));
+        let settings = StreamSettings {
+            mode: ReadMode::Poll {
+                interval: PARTITION_POLL_INTERVAL,
+            },
+            ..StreamSettings::default()
+        };
+        let stream = LogStream::new(writer, first_sequence, Offset(0), self.now, settings);
+        let machine = Partition::new(
+            partition,
+            self.settings.node.clone(),
+            self.settings.execution.clone(),
+        );
+        let held = Held {
+            machine,
+            phase: Phase::Loading,
+            epoch: None,
+        };
+        self.streams.partitions.insert(partition, stream);
+        self.ownership.held.insert(partition, held);
+        self.drive_partition_stream(partition, StreamInput::Tick);
+    }
+
+    /// Stops following a partition once nothing of this node's is on its way to the stream.
+    fn close_partition(&mut self, partition: PartitionId) {
+        let Some(stream) = self.streams.partitions.get(&partition) else {
+            return;
+        };
+        if stream.outstanding() > 0 {
+            return;
+        }
+        let next_sequence = stream.next_sequence();
+        self.ownership.sequences.insert(partition, next_sequence);
+        self.streams.partitions.remove(&partition);
+        self.ownership.held.remove(&partition);
+    }
+
+    /// Gives one input to a partition's stream client and passes on what it delivers.
+    pub(crate) fn drive_partition_stream(
+        &mut self,
+        partition: PartitionId,
+        input: StreamInput<elderworks_protocol::journal::JournalBody>,
+    ) {
+        let deliveries =
+            self.streams
+                .handle_partition(self.now, partition, input, &mut self.agenda);
+        for delivery in deliveries {
+            let event = match delivery {
+                Delivery::Record { offset, record, .. } => {
+                    self.note_run_end(partition, &record.body);
+                    execution::Event::RecordRead { offset, record }
+                }
+                Delivery::Reachable(reachable) => execution::Event::LogReachable(reachable),
+            };
+            self.agenda.partition(partition, event);
+        }
+    }
+
+    /// The partition began or ceased to be this node's, as its stream shows.
+    pub(crate) fn ownership_changed(&mut self, partition: PartitionId, owned: Option<Epoch>) {
+        let wanted = self.assignment.owner(partition) == Some(&self.settings.node);
+        let Some(held) = self.ownership.held.get_mut(&partition) else {
+            return;
+        };
+        let owned_before = held.epoch.is_some();
+        held.epoch = owned;
+        held.phase = match owned {
+            Some(_) => Phase::Owned,
+            None if wanted => Phase::Claiming {
+                since: self.now,
+                forced: false,
+            },
+            None => Phase::Closing,
+        };
+        let claims_again = owned.is_none() && wanted;
+        match (owned_before, owned.is_some()) {
+            (false, true) => {
+                self.counters.partitions_gained += 1;
+                self.announce_tenant_limits(partition);
+                self.release_requests(partition);
+            }
+            (true, false) => {
+                self.counters.partitions_lost += 1;
+                self.forget_attempts(partition);
+            }
+            _ => {}
+        }
+        if claims_again {
+            self.agenda
+                .partition(partition, execution::Event::Claim { forced: false });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node-core/src/sidecars.rs
@@ -0,0 +1,292 @@
+//! Requests of sidecars: answered here, held back during a takeover, or pointed elsewhere.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use elderworks_execution as execution;
+use elderworks_protocol::peer::{FromNode, Hello, ToNode};
+use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage};
+use elderworks_types::{CallNumber, NodeId, PartitionId, RunId, Timestamp};
+
+use crate::core::NodeCore;
+use crate::effect::Effect;
+use crate::event::Connection;
+use crate::ownership::Phase;
+
+/// A request is held back at most this long while its partition is being taken over.
+pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
+
+/// Requests held back at the same time; further ones are pointed elsewhere.
+pub const MAX_HELD_REQUESTS: usize = 4096;
+
+/// Who speaks on a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Speaker {
+    Sidecar,
+    Peer(NodeId),
+}
+
+#[derive(Debug)]
+struct HeldRequest {
+    partition: PartitionId,
+    connection: Connection,
+    message: SidecarMessage,
+    until: Timestamp,
+}
+
+/// Connections and the requests that wait for a partition.
+#[derive(Debug, Default)]
+pub(crate) struct Requests {
+    speakers: BTreeMap<Connection, Speaker>,
+    /// In order of arrival, so that the first to expire stands first.
+    held: VecDeque<HeldRequest>,
+}
+
+impl Requests {
+    /// Partitions for which some request waits.
+    pub(crate) fn awaited_partitions(&self) -> BTreeSet<PartitionId> {
+        self.held.iter().map(|request| request.partition).collect()
+    }
+
+    /// Connections opened by sidecars.
+    pub(crate) fn sidecars(&self) -> impl Iterator<Item = Connection> {
+        self.speakers
+            .iter()
+            .filter(|(_, speaker)| **speaker == Speaker::Sidecar)
+            .map(|(connection, _)| *connection)
+    }
+
+    fn take_for(&mut self, partition: PartitionId) -> Vec<HeldRequest> {
+        let (taken, kept) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|request: &HeldRequest| request.partition == partition);
+        self.held = kept;
+        Vec::from_iter::<VecDeque<HeldRequest>>(taken)
+    }
+
+    fn take_expired(&mut self, now: Timestamp) -> Vec<HeldRequest> {
+        let mut expired = Vec::new();
+        while self
+            .held
+            .front()
+            .is_some_and(|request| request.until <= now)
+        {
+            expired.extend(self.held.pop_front());
+        }
+        expired
+    }
+}
+
+/// The run that a request is about, and the call if it makes one.
+fn subject(message: &SidecarMessage) -> Option<(RunId, Option<CallNumber>)> {
+    match message {
+        SidecarMessage::Locate { .. } => None,
+        SidecarMessage::StartRun { spec } => Some((spec.id, None)),
+        SidecarMessage::SubmitCall { run, spec, .. } => Some((*run, Some(spec.number))),
+        SidecarMessage::Acknowledge { call } => Some((call.run, None)),
+        SidecarMessage::ReadRun { run, .. } | SidecarMessage::EndRun { run, .. } => {
+            Some((*run, None))
+        }
+    }
+}
+
+impl NodeCore {
+    /// A message came in on a connection that the other side opened.
+    pub(crate) fn received(&mut self, connection: Connection, message: ToNode) {
+        let speaker = self.requests.speakers.get(&connection).cloned();
+        match (message, speaker) {
+            (ToNode::Hello(hello), None) => {
+                let speaker = match hello {
+                    Hello::Sidecar { .. } => Speaker::Sidecar,
+                    Hello::Peer { node } => Speaker::Peer(node),
+                };
+                self.requests.speakers.insert(connection, speaker);
+                if self.draining() {
+                    self.send(connection, NodeMessage::Draining);
+                }
+            }
+            (ToNode::Sidecar(message), Some(Speaker::Sidecar)) => {
+                self.counters.sidecar_requests += 1;
+                self.sidecar_request(connection, message);
+            }
+            (ToNode::Peer(message), Some(Speaker::Peer(node))) => {
+                self.peer_message(&node, Some(connection), message);
+            }
+            _ => self.counters.unintroduced_messages += 1,
+        }
+    }
+
+    /// The other side closed its connection.
+    pub(crate) fn connection_closed(&mut self, connection: Connection) {
+        self.requests.speakers.remove(&connection);
+        self.requests
+            .held
+            .retain(|request| request.connection != connection);
+        let owned: Vec<PartitionId> = self.ownership.owned().collect();
+        for partition in owned {
+            self.agenda
+                .partition(partition, execution::Event::ConnectionClosed { connection });
+        }
+    }
+
+    fn sidecar_request(&mut self, connection: Connection, message: SidecarMessage) {
+        let Some((run, number)) = subject(&message) else {
+            self.locate(connection, &message);
+            return;
+        };
+        let partition = run.partition(self.settings.partition_count);
+        let phase = self.ownership.held.get(&partition).map(|held| held.phase);
+        let owned = self.ownership.owns(partition);
+        let starts_run = matches!(message, SidecarMessage::StartRun { .. });
+        let leaving = phase == Some(Phase::Releasing) && starts_run;
+        if owned && !leaving {
+            self.serve(partition, connection, message);
+        } else if matches!(message, SidecarMessage::Acknowledge { .. }) {
+            // The chunks it would free are not here.
+        } else if !leaving && self.should_hold(partition) {
+            self.hold(partition, connection, message);
+        } else {
+            self.point_elsewhere(connection, run, number);
+        }
+    }
+
+    fn locate(&mut self, connection: Connection, message: &SidecarMessage) {
+        let SidecarMessage::Locate { partition } = message else {
+            return;
+        };
+        let located = NodeMessage::Located {
+            partition: *partition,
+            owner: self.owner_address(*partition),
+            partition_count: self.settings.partition_count,
+        };
+        self.send(connection, located);
+    }
+
+    /// Whether this node is about to own the partition, or does not know yet who should.
+    fn should_hold(&self, partition: PartitionId) -> bool {
+        if self.draining() {
+            return false;
+        }
+        match self.assignment.owner(partition) {
+            Some(owner) => *owner == self.settings.node,
+            None => true,
+        }
+    }
+
+    fn hold(&mut self, partition: PartitionId, connection: Connection, message: SidecarMessage) {
+        if self.requests.held.len() >= MAX_HELD_REQUESTS {
+            self.counters.held_overflow += 1;
+            self.turn_away(connection, &message);
+            return;
+        }
+        self.counters.requests_held += 1;
+        self.requests.held.push_back(HeldRequest {
+            partition,
+            connection,
+            message,
+            until: self.now + HOLD_LIMIT,
+        });
+    }
+
+    /// Serves what was held back for a partition that this node owns now.
+    pub(crate) fn release_requests(&mut self, partition: PartitionId) {
+        for request in self.requests.take_for(partition) {
+            self.serve(partition, request.connection, request.message);
+        }
+    }
+
+    /// Turns away what has been held back for too long.
+    pub(crate) fn expire_requests(&mut self) {
+        for request in self.requests.take_expired(self.now) {
+            self.turn_away(request.connection, &request.message);
+        }
+    }
+
+    /// Turns away everything that is held back: this node will own nothing more.
+    pub(crate) fn turn_away_held(&mut self) {
+        for request in std::mem::take(&mut self.requests.held) {
+            self.turn_away(request.connection, &request.message);
+        }
+    }
+
+    fn turn_away(&mut self, connection: Connection, message: &SidecarMessage) {
+        if let Some((run, number)) = subject(message) {
+            self.point_elsewhere(connection, run, number);
+        }
+    }
+
+    fn point_elsewhere(&mut self, connection: Connection, run: RunId, number: Option<CallNumber>) {
+        self.counters.not_owner += 1;
+        let partition = run.partition(self.settings.partition_count);
+        let owner = self
+            .owner_address(partition)
+            .filter(|owner| owner.node != self.settings.node);
+        self.send(connection, NodeMessage::NotOwner { run, number, owner });
+    }
+
+    fn serve(&mut self, partition: PartitionId, connection: Connection, message: SidecarMessage) {
+        let event = match message {
+            SidecarMessage::Locate { .. } => return,
+            SidecarMessage::StartRun { spec } => {
+                let limits = self.services.run_limits(&spec.program);
+                execution::Event::StartRun {
+                    connection,
+                    spec,
+                    limits,
+                }
+            }
+            SidecarMessage::SubmitCall {
+                tenant,
+                run,
+                spec,
+                delivered,
+            } => {
+                let program = self.program_of(partition, run);
+                let terms = self.services.call_terms(program.as_ref(), &spec.request);
+                execution::Event::SubmitCall {
+                    connection,
+                    tenant,
+                    run,
+                    spec,
+                    delivered,
+                    terms,
+                }
+            }
+            SidecarMessage::Acknowledge { call } => execution::Event::Acknowledge { call },
+            SidecarMessage::ReadRun { query, tenant, run } => execution::Event::ReadRun {
+                connection,
+                query,
+                tenant,
+                run,
+            },
+            SidecarMessage::EndRun { tenant, run } => execution::Event::EndRun {
+                connection,
+                tenant,
+                run,
+            },
+        };
+        self.agenda.partition(partition, event);
+    }
+
+    /// Where the wanted owner of a partition takes connections.
+    pub(crate) fn owner_address(&self, partition: PartitionId) -> Option<NodeAddress> {
+        let owner = self.assignment.owner(partition)?;
+        self.node_address(owner)
+    }
+
+    pub(crate) fn node_address(&self, node: &NodeId) -> Option<NodeAddress> {
+        let members = self.membership.as_ref()?.members();
+        let mut matching = members.filter(|member| member.update.node == *node);
+        matching.next().map(|member| NodeAddress {
+            node: node.clone(),
+            address: member.update.address,
+        })
+    }
+
+    pub(crate) fn send(&mut self, connection: Connection, message: NodeMessage) {
+        self.agenda.effect(Effect::Send {
+            connection,
+            message: FromNode::Node(message),
+        });
+    }
+}
--- /dev/null
+++ b/crates/node-core/src/streams.rs
@@ -0,0 +1,163 @@
+//! Clients of the log's streams, and the tokens by which their appends are told apart.
+
+use std::collections::BTreeMap;
+
+use elderworks_control::ControlBody;
+use elderworks_logstream::{self as logstream, LogStream};
+use elderworks_protocol::journal::JournalBody;
+use elderworks_protocol::record::{Record, StreamName};
+use elderworks_types::{Epoch, Offset, PartitionId, Timestamp};
+
+use crate::effect::Effect;
+use crate::event::{AppendToken, NoAnswer, ReadRecords};
+use crate::step::Agenda;
+
+/// A record delivered in the order of its stream, or news of the log.
+#[derive(Debug)]
+pub(crate) enum Delivery<B> {
+    Record {
+        offset: Offset,
+        index: u32,
+        record: Record<B>,
+    },
+    Reachable(bool),
+}
+
+/// What a stream client was told.
+#[derive(Debug)]
+pub(crate) enum StreamInput<B> {
+    Propose {
+        epoch: Epoch,
+        body: B,
+    },
+    Appended {
+        token: u64,
+        result: Result<Offset, NoAnswer>,
+    },
+    Read {
+        from: Offset,
+        result: Result<ReadRecords, NoAnswer>,
+    },
+    Tick,
+}
+
+impl<B> From<StreamInput<B>> for logstream::Event<B> {
+    fn from(input: StreamInput<B>) -> Self {
+        match input {
+            StreamInput::Propose { epoch, body } => logstream::Event::Propose { epoch, body },
+            StreamInput::Appended { token, result } => logstream::Event::Appended {
+                token,
+                result: result.map_err(|NoAnswer| logstream::NoAnswer),
+            },
+            StreamInput::Read { from, result } => logstream::Event::Read {
+                from,
+                result: result
+                    .map(|read| (read.records, read.end))
+                    .map_err(|NoAnswer| logstream::NoAnswer),
+            },
+            StreamInput::Tick => logstream::Event::Tick,
+        }
+    }
+}
+
+/// Every stream that this node follows.
+pub(crate) struct Streams {
+    pub(crate) control: LogStream<ControlBody>,
+    pub(crate) partitions: BTreeMap<PartitionId, LogStream<JournalBody>>,
+    appends: AppendTokens,
+}
+
+impl Streams {
+    pub(crate) fn new(control: LogStream<ControlBody>) -> Self {
+        Self {
+            control,
+            partitions: BTreeMap::new(),
+            appends: AppendTokens::default(),
+        }
+    }
+
+    /// Which stream an append was on, and its token there.
+    pub(crate) fn append_ended(&mut self, token: AppendToken) -> Option<(StreamName, u64)> {
+        self.appends.open.remove(&token)
+    }
+
+    pub(crate) fn handle_control(
+        &mut self,
+        now: Timestamp,
+        input: StreamInput<ControlBody>,
+        agenda: &mut Agenda,
+    ) -> Vec<Delivery<ControlBody>> {
+        let effects = self.control.handle(now, input.into());
+        self.appends.carry_out(StreamName::Control, effects, agenda)
+    }
+
+    pub(crate) fn handle_partition(
+        &mut self,
+        now: Timestamp,
+        partition: PartitionId,
+        input: StreamInput<JournalBody>,
+        agenda: &mut Agenda,
+    ) -> Vec<Delivery<JournalBody>> {
+        let Some(stream) = self.partitions.get_mut(&partition) else {
+            return Vec::new();
+        };
+        let effects = stream.handle(now, input.into());
+        let name = StreamName::Partition(partition);
+        self.appends.carry_out(name, effects, agenda)
+    }
+}
+
+/// Tokens of appends in flight. Each stream has at most a few.
+#[derive(Default)]
+struct AppendTokens {
+    next: AppendToken,
+    open: BTreeMap<AppendToken, (StreamName, u64)>,
+}
+
+impl AppendTokens {
+    fn carry_out<B>(
+        &mut self,
+        stream: StreamName,
+        effects: Vec<logstream::Effect<B>>,
+        agenda: &mut Agenda,
+    ) -> Vec<Delivery<B>> {
+        let mut deliveries = Vec::new();
+        for effect in effects {
+            match effect {
+                logstream::Effect::Append { token, bytes } => {
+                    let token = self.open(stream, token);
+                    agenda.effect(Effect::Append {
+                        stream,
+                        token,
+                        bytes,
+                    });
+                }
+                logstream::Effect::Read { from, wait } => {
+                    agenda.effect(Effect::Read { stream, from, wait });
+                }
+                logstream::Effect::Deliver {
+                    offset,
+                    index,
+                    record,
+                } => {
+                    deliveries.push(Delivery::Record {
+                        offset,
+                        index,
+                        record,
+                    });
+                }
+                logstream::Effect::Reachable(reachable) => {
+                    deliveries.push(Delivery::Reachable(reachable));
+                }
+            }
+        }
+        deliveries
+    }
+
+    fn open(&mut self, stream: StreamName, token_on_stream: u64) -> AppendToken {
+        let token = self.next;
+        self.next += 1;
+        self.open.insert(token, (stream, token_on_stream));
+        token
+    }
+}
