--- a/crates/lab/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The elderworks-lab command: comparison, simulation, load and scale experiments.
