Append and read one stream of the log through lost answers

Cause: the platform's log may take an append and lose the answer, so a writer cannot tell; every node and every stream needs the same care, in one place. Change: crate logstream: one append in flight, the same bytes retried until read back, records that become ready meanwhile grouped into the next append, and an answer that gives exactly the next offset taken as the read-back itself. Ruled out: reading after every append (one more round trip on the path of each call), and several appends in flight (a lost one would reorder a writer's records).

--- a/crates/node-core/src/event.rs
+++ b/crates/node-core/src/event.rs
@@ -5,6 +5,7 @@
 
 use elderworks_control::ControlBody;
 use elderworks_execution::event::AttemptFailure;
+pub use elderworks_logstream::{NoAnswer, ReadRecords};
 use elderworks_placement::Ticket;
 use elderworks_placement::event::{CacheChange, LoadReport};
 use elderworks_protocol::gossip::Datagram;
@@ -22,19 +23,6 @@
 /// Matches an operator's request to its reply.
 pub type RequestId = u64;
 
-/// The log did not answer; what was asked may have happened all the same.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NoAnswer;
-
-/// Records from one read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReadRecords {
-    /// `(offset, bytes)` in offset order, starting with the offset asked for.
-    pub records: Vec<(Offset, Vec<u8>)>,
-    /// The stream's end when it was read: the offset that the next append will get, or later.
-    pub end: Offset,
-}
-
 /// An input of [`crate::NodeCore::handle`].
 #[derive(Clone, Debug)]
 pub enum Event {
