--- a/crates/execution/src/event.rs
+++ b/crates/execution/src/event.rs
@@ -1,5 +1,6 @@
 //! What a partition is told.
 
+pub use elderworks_protocol::journal::CallTerms;
 use elderworks_protocol::journal::{JournalBody, RunLimits};
 use elderworks_protocol::record::Record;
 use elderworks_protocol::sidecar::Delivered;
@@ -124,7 +125,8 @@
         call: CallId,
         /// The attempt.
         attempt: Attempt,
-        /// The whole answer.
+        /// All that this attempt generated, from its own first chunk on. The text that a dispatch
+        /// asked to continue is no part of it.
         content: String,
         /// What was consumed.
         usage: Usage,
@@ -177,23 +179,12 @@
         /// The limit in force.
         limit: Option<Credits>,
     },
+    /// Enough records followed the last snapshot: append another.
+    TakeSnapshot,
     /// Time passed; sent at least every 100 ms while anything is open.
     Tick,
 }
 
-/// Prices and limits of one call, from its service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallTerms {
-    /// Price of one prompt token; 0 for a tool.
-    pub per_prompt_token: Credits,
-    /// Price of one generated token; 0 for a tool.
-    pub per_output_token: Credits,
-    /// Price of one invocation; 0 for a model.
-    pub per_invocation: Credits,
-    /// Longest time for one attempt.
-    pub timeout: std::time::Duration,
-}
-
 /// How an attempt failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -1,6 +1,7 @@
 //! The state machine of one partition.
 
-use elderworks_types::{NodeId, PartitionId, Timestamp};
+use elderworks_protocol::record::Writer;
+use elderworks_types::{PartitionId, Timestamp};
 
 use crate::{Effect, Event};
 
@@ -23,8 +24,9 @@
 }
 
 impl Partition {
-    /// A partition of which nothing is known yet.
-    pub fn new(id: PartitionId, _node: NodeId, _settings: ExecutionSettings) -> Self {
+    /// A partition of which nothing is known yet, on the node incarnation that `writer` names. Its
+    /// records must be stamped with the same writer.
+    pub fn new(id: PartitionId, _writer: Writer, _settings: ExecutionSettings) -> Self {
         Self { id }
     }
 
--- a/crates/protocol/src/journal.rs
+++ b/crates/protocol/src/journal.rs
@@ -2,7 +2,7 @@
 
 use elderworks_types::{
     Attempt, CallId, CallSpec, Credits, EngineId, NodeId, Outcome, RunId, RunPhase, RunSpec,
-    Sequence, TenantId,
+    Sequence, TenantId, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,8 @@
         spec: RunSpec,
         /// Limits of the program as they stood, so that replay needs no other stream.
         limits: RunLimits,
+        /// When, by the owner's clock; the run's longest life counts from here.
+        started: Timestamp,
     },
     /// Accepts a call: its place in the order is fixed and the most that it can cost is reserved.
     CallAccepted {
@@ -29,7 +31,21 @@
         run: RunId,
         /// The call as made.
         spec: CallSpec,
-        /// Reserved from the run's budget.
+        /// Reserved from the run's budget for the first attempt.
+        reserved: Credits,
+        /// Prices and limits as they stood, so that another owner can go on with the call.
+        terms: CallTerms,
+    },
+    /// Settles a lost attempt and reserves what the next one can cost. The next attempt is
+    /// dispatched only after this record was read back accepted.
+    AttemptReserved {
+        /// The call.
+        call: CallId,
+        /// The attempt that is to follow.
+        attempt: Attempt,
+        /// What the attempts before it cost, or may have cost where that is not known.
+        spent: Credits,
+        /// Reserved for the attempt that is to follow.
         reserved: Credits,
     },
     /// An attempt was given to a back end. A call that is not repeatable is sent only after this
@@ -46,8 +62,10 @@
     CallEnded {
         /// The call.
         call: CallId,
-        /// Its one outcome.
+        /// Its one outcome. After a refusal the call's number may be used again.
         outcome: Outcome,
+        /// How many chunks the answer had.
+        chunks: u32,
     },
     /// Ends a run. What engines hold for it is to be released.
     RunEnded {
@@ -55,6 +73,13 @@
         run: RunId,
         /// How.
         phase: RunPhase,
+        /// When, by the owner's clock; the run is kept for reading for some time from here.
+        at: Timestamp,
+    },
+    /// Forgets ended runs whose time for reading is over.
+    RunsForgotten {
+        /// Which; each has ended and its memory is released.
+        runs: Vec<RunId>,
     },
     /// Every engine that held memory for an ended run has acknowledged its release.
     MemoryReleased {
@@ -106,3 +131,16 @@
     /// Whether the run draws on its tenant's budget beside its own.
     pub tenant_budget: bool,
 }
+
+/// Prices and limits of one call, from its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallTerms {
+    /// Price of one prompt token; 0 for a tool.
+    pub per_prompt_token: Credits,
+    /// Price of one generated token; 0 for a tool.
+    pub per_output_token: Credits,
+    /// Price of one invocation; 0 for a model.
+    pub per_invocation: Credits,
+    /// Longest time for one attempt.
+    pub timeout: std::time::Duration,
+}
