--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use elderworks_protocol::gossip::{Datagram, MemberState, MemberUpdate};
-use elderworks_types::{Incarnation, NodeId, Offset, Timestamp, ZoneId};
+use elderworks_types::{CellId, Incarnation, NodeId, Offset, Timestamp, ZoneId};
 
 /// Intervals and sizes of the failure detector.
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     pub incarnation: Incarnation,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its cell; the empty name puts every node in one cell.
+    pub cell: CellId,
     /// Where it takes gossip.
     pub gossip_address: SocketAddr,
     /// Where it takes connections.
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -80,6 +80,11 @@
     /// A zone: machines that share power and network and may fail together.
     ZoneId
 );
+name_type!(
+    /// A cell: nodes that know each other in detail and keep only digests of other cells. Unique in
+    /// the fleet; the empty name is the single cell of a small fleet.
+    CellId
+);
 name_type!(
     /// A customer on whose behalf runs are made. Runs of different tenants never see each other.
     TenantId
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use call::{CallKind, CallRequest, CallSpec, Message, ModelRequest, Role, ToolRequest, Usage};
 pub use ids::{
-    Attempt, CallId, CallNumber, EngineId, Epoch, Incarnation, ModelName, NodeId, Offset,
+    Attempt, CallId, CallNumber, CellId, EngineId, Epoch, Incarnation, ModelName, NodeId, Offset,
     PartitionId, ResourceName, RunId, Sequence, TenantId, ToolName, ZoneId,
 };
 pub use outcome::{Answer, Failure, FailureReason, Outcome, Refusal, RefusalReason, UnknownReason};
