Read settings files with lines and nearest keys in their errors

Cause: every process needs addresses, zone and limits from a file or flags before it can run. Change: one table per process, checked ranges and addresses, tokens that are never printed, text or JSON logging by env_logger with key-values. Conclusion: node, sidecar and stand-ins can load their settings from here.

--- /dev/null
+++ b/crates/settings/src/sidecar.rs
@@ -0,0 +1,129 @@
+//! Settings of `elderworks sidecar`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use elderworks_types::{TenantId, ZoneId};
+use serde::Deserialize;
+
+use crate::error::Problem;
+use crate::file::{ProcessSettings, SettingsFile};
+use crate::logging::LoggingSettings;
+use crate::node::{check_not_empty, check_positive};
+
+/// A secret that a caller shows to prove on whose behalf it speaks. Never printed.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(transparent)]
+pub struct BearerToken(String);
+
+impl BearerToken {
+    /// Wraps the secret.
+    pub fn new(secret: impl Into<String>) -> Self {
+        Self(secret.into())
+    }
+
+    /// The secret itself, for comparison with what a caller shows.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for BearerToken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("BearerToken(hidden)")
+    }
+}
+
+/// The `[sidecar]` table.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SidecarProcessSettings {
+    /// Where it serves callers (HTTP).
+    pub listen: SocketAddr,
+    /// Internal listeners of some nodes, best in its own zone; the rest is learnt from them.
+    pub nodes: Vec<SocketAddr>,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Program under which a call without a run is made.
+    #[serde(default)]
+    pub default_program: Option<String>,
+    /// Bearer token of each tenant.
+    pub tenants: BTreeMap<TenantId, BearerToken>,
+    /// Limits.
+    #[serde(default)]
+    pub limits: SidecarLimits,
+    /// Logging.
+    #[serde(default)]
+    pub logging: LoggingSettings,
+}
+
+/// The `[sidecar.limits]` table.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SidecarLimits {
+    /// Most calls open at once; more are refused.
+    pub max_open_calls: usize,
+    /// Largest body of a caller's request, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time that a call without a deadline is kept open.
+    #[serde(with = "humantime_serde")]
+    pub call_timeout: Duration,
+    /// How long a call waits for a node to take it before it is refused as not run.
+    #[serde(with = "humantime_serde")]
+    pub hand_over_timeout: Duration,
+}
+
+impl Default for SidecarLimits {
+    fn default() -> Self {
+        Self {
+            max_open_calls: 1024,
+            max_body_bytes: 1024 * 1024,
+            call_timeout: Duration::from_secs(600),
+            hand_over_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+impl ProcessSettings for SidecarProcessSettings {
+    const PROCESS: &'static str = "sidecar";
+
+    fn from_file(file: SettingsFile) -> Result<Self, &'static str> {
+        match file {
+            SettingsFile::Sidecar(settings) => Ok(settings),
+            other => Err(other.process()),
+        }
+    }
+
+    fn check(&self) -> Result<(), Problem> {
+        check_not_empty("zone", self.zone.as_str())?;
+        if self.nodes.is_empty() {
+            return Err(Problem::new("nodes", "at least one node is needed"));
+        }
+        check_tenants(&self.tenants)?;
+        check_positive("limits.max_open_calls", self.limits.max_open_calls as u64)?;
+        check_positive("limits.max_body_bytes", self.limits.max_body_bytes as u64)?;
+        check_duration("limits.call_timeout", self.limits.call_timeout)?;
+        check_duration("limits.hand_over_timeout", self.limits.hand_over_timeout)
+    }
+}
+
+fn check_tenants(tenants: &BTreeMap<TenantId, BearerToken>) -> Result<(), Problem> {
+    let mut seen = BTreeSet::new();
+    for (tenant, token) in tenants {
+        let key = format!("tenants.{tenant}");
+        check_not_empty(&key, token.expose())?;
+        if !seen.insert(token) {
+            return Err(Problem::new(key, "another tenant has the same token"));
+        }
+    }
+    Ok(())
+}
+
+fn check_duration(key: &str, duration: Duration) -> Result<(), Problem> {
+    if duration.is_zero() {
+        return Err(Problem::new(key, "must be longer than zero"));
+    }
+    Ok(())
+}
