Give a node its cell and take records in the log client's own types

Cause: membership now groups nodes into cells and the log client defines its answers, so the composition has to follow both. Ruled out a second copy of the log's answer types in node-core: they are re-exported. Change: NodeSettings has a cell (the empty name is one cell for all); a partition is opened with its writer.

--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use elderworks_control::{self as control, Change, ControlBody};
+use elderworks_logstream as logstream;
 use elderworks_membership as membership;
 use elderworks_protocol::peer::PeerMessage;
 use elderworks_protocol::record::Record;
@@ -15,7 +16,7 @@
 use crate::effect::{Effect, OperatorReply};
 use crate::event::{NoAnswer, ReadRecords};
 use crate::services::Services;
-use crate::streams::{Delivery, StreamInput};
+use crate::streams::Delivery;
 
 /// Bytes of control records kept to be relayed to peers.
 pub const MAX_RELAY_BYTES: usize = 1024 * 1024;
@@ -96,12 +97,12 @@
             nonce: self.nonce,
         };
         let epoch = elderworks_types::Epoch(0);
-        self.drive_control_stream(StreamInput::Propose { epoch, body });
+        self.drive_control_stream(logstream::Event::Propose { epoch, body });
     }
 
     /// Gives one input to the control stream's client and passes on what it delivers.
-    pub(crate) fn drive_control_stream(&mut self, input: StreamInput<ControlBody>) {
-        if let StreamInput::Read {
+    pub(crate) fn drive_control_stream(&mut self, input: logstream::Event<ControlBody>) {
+        if let logstream::Event::Read {
             result: Ok(read), ..
         } = &input
         {
@@ -159,7 +160,7 @@
             match effect {
                 control::Effect::Append(body) => {
                     let epoch = elderworks_types::Epoch(0);
-                    self.drive_control_stream(StreamInput::Propose { epoch, body });
+                    self.drive_control_stream(logstream::Event::Propose { epoch, body });
                 }
                 control::Effect::Reply { request, result } => {
                     self.agenda.effect(Effect::OperatorReply {
@@ -220,7 +221,7 @@
         self.counters.relayed_records += records.len() as u64;
         let end = self.streams.control.next_offset();
         let result: Result<ReadRecords, NoAnswer> = Ok(ReadRecords { records, end });
-        self.drive_control_stream(StreamInput::Read { from, result });
+        self.drive_control_stream(logstream::Event::Read { from, result });
     }
 
     /// A peer has applied control records that this node has not. The log is asked as always; the
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -5,12 +5,14 @@
 
 use elderworks_control::Control;
 use elderworks_execution::{self as execution, ExecutionSettings};
-use elderworks_logstream::{LogStream, StreamSettings};
+use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
 use elderworks_placement::{self as placement, Placement, PlacementSettings};
 use elderworks_protocol::record::{StreamName, Writer};
 use elderworks_protocol::sidecar::NodeAddress;
-use elderworks_types::{Incarnation, NodeId, Offset, PartitionId, Sequence, Timestamp, ZoneId};
+use elderworks_types::{
+    CellId, Incarnation, NodeId, Offset, PartitionId, Sequence, Timestamp, ZoneId,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -25,7 +27,7 @@
 use crate::services::Services;
 use crate::sidecars::Requests;
 use crate::step::{Agenda, Step};
-use crate::streams::{StreamInput, Streams};
+use crate::streams::Streams;
 use crate::{Effect, Event};
 
 /// How often a driver sends [`Event::Tick`].
@@ -47,6 +49,8 @@
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its cell; the empty name puts every node in one cell.
+    pub cell: CellId,
     /// Where it takes gossip.
     pub gossip_address: SocketAddr,
     /// Where it takes connections from sidecars and peers.
@@ -172,10 +176,10 @@
                 result,
             } => match stream {
                 StreamName::Control => {
-                    self.drive_control_stream(StreamInput::Read { from, result });
+                    self.drive_control_stream(logstream::Event::Read { from, result });
                 }
                 StreamName::Partition(partition) => {
-                    self.drive_partition_stream(partition, StreamInput::Read { from, result });
+                    self.drive_partition_stream(partition, logstream::Event::Read { from, result });
                 }
             },
             Event::Datagram { from, datagram } => self
@@ -252,22 +256,25 @@
         };
         match stream {
             StreamName::Control => {
-                self.drive_control_stream(StreamInput::Appended { token, result });
+                self.drive_control_stream(logstream::Event::Appended { token, result });
             }
             StreamName::Partition(partition) => {
-                self.drive_partition_stream(partition, StreamInput::Appended { token, result });
+                self.drive_partition_stream(
+                    partition,
+                    logstream::Event::Appended { token, result },
+                );
             }
         }
     }
 
     fn tick(&mut self) {
-        self.drive_control_stream(StreamInput::Tick);
+        self.drive_control_stream(logstream::Event::Tick);
         self.agenda.control(elderworks_control::Event::Tick);
         self.agenda.membership(membership::Event::Tick);
         self.agenda.placement(placement::Event::Tick);
         let followed: Vec<PartitionId> = self.ownership.held.keys().copied().collect();
         for partition in followed {
-            self.drive_partition_stream(partition, StreamInput::Tick);
+            self.drive_partition_stream(partition, logstream::Event::Tick);
             self.agenda.partition(partition, execution::Event::Tick);
         }
         let changes = self.engines.tick(self.now);
@@ -284,6 +291,7 @@
             node: self.settings.node.clone(),
             incarnation,
             zone: self.settings.zone.clone(),
+            cell: self.settings.cell.clone(),
             gossip_address: self.settings.gossip_address,
             address: self.settings.address,
             seeds: self.settings.seeds.clone(),
--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -357,11 +357,12 @@
         };
         let partition = record.partition;
         if let AttemptState::AtEngine { first_chunk_seen } = &mut record.state
-            && !*first_chunk_seen {
-                *first_chunk_seen = true;
-                self.agenda
-                    .placement(placement::Event::FirstToken { ticket });
-            }
+            && !*first_chunk_seen
+        {
+            *first_chunk_seen = true;
+            self.agenda
+                .placement(placement::Event::FirstToken { ticket });
+        }
         self.agenda.partition(
             partition,
             execution::Event::AttemptChunk {
@@ -428,10 +429,11 @@
     /// Placement need not remember a run that has ended.
     pub(crate) fn note_run_end(&mut self, partition: PartitionId, body: &JournalBody) {
         if let JournalBody::RunEnded { run, .. } = body
-            && self.ownership.owns(partition) {
-                self.agenda
-                    .placement(placement::Event::RunEnded { run: *run });
-            }
+            && self.ownership.owns(partition)
+        {
+            self.agenda
+                .placement(placement::Event::RunEnded { run: *run });
+        }
     }
 }
 
--- a/crates/node-core/src/engines.rs
+++ b/crates/node-core/src/engines.rs
@@ -174,10 +174,12 @@
             engine.silent = engine.silent || silent_for >= SILENCE_LIMIT;
         });
         if let Some(engine) = self.engines.get_mut(id)
-            && silent_for >= GONE_LIMIT && !engine.gone {
-                engine.gone = true;
-                changes.push(EngineChange::Gone(id.clone()));
-            }
+            && silent_for >= GONE_LIMIT
+            && !engine.gone
+        {
+            engine.gone = true;
+            changes.push(EngineChange::Gone(id.clone()));
+        }
         changes
     }
 
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use elderworks_execution::{self as execution, Partition};
-use elderworks_logstream::{LogStream, ReadMode, StreamSettings};
+use elderworks_logstream::{self as logstream, LogStream, ReadMode, StreamSettings};
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::record::Writer;
 use elderworks_types::{Epoch, NodeId, Offset, PartitionId, Sequence, Timestamp};
 
 use crate::core::NodeCore;
-use crate::streams::{Delivery, StreamInput};
+use crate::streams::Delivery;
 
 /// Partitions that one node loads or claims at the same time. Bounds the reads that the loss of
 /// many nodes at once puts on the log.
@@ -190,12 +190,14 @@
             },
             ..StreamSettings::default()
         };
-        let stream = LogStream::new(writer, first_sequence, Offset(0), self.now, settings);
-        let machine = Partition::new(
-            partition,
-            self.settings.node.clone(),
-            self.settings.execution.clone(),
+        let stream = LogStream::new(
+            writer.clone(),
+            first_sequence,
+            Offset(0),
+            self.now,
+            settings,
         );
+        let machine = Partition::new(partition, writer, self.settings.execution.clone());
         let held = Held {
             machine,
             phase: Phase::Loading,
@@ -203,7 +205,7 @@
         };
         self.streams.partitions.insert(partition, stream);
         self.ownership.held.insert(partition, held);
-        self.drive_partition_stream(partition, StreamInput::Tick);
+        self.drive_partition_stream(partition, logstream::Event::Tick);
     }
 
     /// Stops following a partition once nothing of this node's is on its way to the stream.
@@ -224,7 +226,7 @@
     pub(crate) fn drive_partition_stream(
         &mut self,
         partition: PartitionId,
-        input: StreamInput<elderworks_protocol::journal::JournalBody>,
+        input: logstream::Event<elderworks_protocol::journal::JournalBody>,
     ) {
         let deliveries =
             self.streams
--- a/crates/node-core/src/partitions.rs
+++ b/crates/node-core/src/partitions.rs
@@ -1,13 +1,13 @@
 //! Carrying out what partitions and placement decide.
 
 use elderworks_execution as execution;
+use elderworks_logstream as logstream;
 use elderworks_placement::{self as placement, Ticket};
 use elderworks_types::{EngineId, PartitionId, ResourceName, RunId};
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::engines::EngineChange;
-use crate::streams::StreamInput;
 
 impl NodeCore {
     /// Gives one event to a partition and carries out its effects.
@@ -23,7 +23,7 @@
     fn carry_out_partition(&mut self, partition: PartitionId, effect: execution::Effect) {
         match effect {
             execution::Effect::Append { epoch, body } => {
-                self.drive_partition_stream(partition, StreamInput::Propose { epoch, body });
+                self.drive_partition_stream(partition, logstream::Event::Propose { epoch, body });
             }
             execution::Effect::Send {
                 connection,
--- a/crates/node-core/src/streams.rs
+++ b/crates/node-core/src/streams.rs
@@ -6,10 +6,10 @@
 use elderworks_logstream::{self as logstream, LogStream};
 use elderworks_protocol::journal::JournalBody;
 use elderworks_protocol::record::{Record, StreamName};
-use elderworks_types::{Epoch, Offset, PartitionId, Timestamp};
+use elderworks_types::{Offset, PartitionId, Timestamp};
 
 use crate::effect::Effect;
-use crate::event::{AppendToken, NoAnswer, ReadRecords};
+use crate::event::AppendToken;
 use crate::step::Agenda;
 
 /// A record delivered in the order of its stream, or news of the log.
@@ -23,43 +23,6 @@
     Reachable(bool),
 }
 
-/// What a stream client was told.
-#[derive(Debug)]
-pub(crate) enum StreamInput<B> {
-    Propose {
-        epoch: Epoch,
-        body: B,
-    },
-    Appended {
-        token: u64,
-        result: Result<Offset, NoAnswer>,
-    },
-    Read {
-        from: Offset,
-        result: Result<ReadRecords, NoAnswer>,
-    },
-    Tick,
-}
-
-impl<B> From<StreamInput<B>> for logstream::Event<B> {
-    fn from(input: StreamInput<B>) -> Self {
-        match input {
-            StreamInput::Propose { epoch, body } => logstream::Event::Propose { epoch, body },
-            StreamInput::Appended { token, result } => logstream::Event::Appended {
-                token,
-                result: result.map_err(|NoAnswer| logstream::NoAnswer),
-            },
-            StreamInput::Read { from, result } => logstream::Event::Read {
-                from,
-                result: result
-                    .map(|read| (read.records, read.end))
-                    .map_err(|NoAnswer| logstream::NoAnswer),
-            },
-            StreamInput::Tick => logstream::Event::Tick,
-        }
-    }
-}
-
 /// Every stream that this node follows.
 pub(crate) struct Streams {
     pub(crate) control: LogStream<ControlBody>,
@@ -84,10 +47,10 @@
     pub(crate) fn handle_control(
         &mut self,
         now: Timestamp,
-        input: StreamInput<ControlBody>,
+        input: logstream::Event<ControlBody>,
         agenda: &mut Agenda,
     ) -> Vec<Delivery<ControlBody>> {
-        let effects = self.control.handle(now, input.into());
+        let effects = self.control.handle(now, input);
         self.appends.carry_out(StreamName::Control, effects, agenda)
     }
 
@@ -95,13 +58,13 @@
         &mut self,
         now: Timestamp,
         partition: PartitionId,
-        input: StreamInput<JournalBody>,
+        input: logstream::Event<JournalBody>,
         agenda: &mut Agenda,
     ) -> Vec<Delivery<JournalBody>> {
         let Some(stream) = self.partitions.get_mut(&partition) else {
             return Vec::new();
         };
-        let effects = stream.handle(now, input.into());
+        let effects = stream.handle(now, input);
         let name = StreamName::Partition(partition);
         self.appends.carry_out(name, effects, agenda)
     }
