Add the engine model: batching, prefix cache, leases, feeds, fenced commands

Ruled out: stepping in closed form between completions, because priorities, preemption and memory pressure change the batch inside such a span. Parameters are assumed, and said so in docs/ENGINE-MODEL.md.

--- /dev/null
+++ b/crates/engine-model/src/batch.rs
@@ -0,0 +1,300 @@
+//! Continuous batching: which sequences a step works on, and what it does to each.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use elderworks_types::text::{BlockHash, TOKENS_PER_BLOCK};
+use elderworks_types::{RunId, Timestamp};
+
+use crate::cache::PrefixCache;
+use crate::request::Plan;
+use crate::{EngineParameters, RequestId};
+
+const BLOCK_TOKENS: u64 = TOKENS_PER_BLOCK as u64;
+
+/// Order of sequences: priority, then arrival. Smaller goes first.
+pub(crate) type Rank = (i64, u64);
+
+/// A request on its way through the engine.
+#[derive(Debug)]
+pub(crate) struct Sequence {
+    pub(crate) id: RequestId,
+    pub(crate) run: RunId,
+    pub(crate) plan: Plan,
+    /// References held in the cache, from the start of the chain on.
+    held: Vec<BlockHash>,
+    has_partial: bool,
+    /// Tokens whose keys and values are in memory.
+    computed: u64,
+    pub(crate) generated: u64,
+    /// Prompt tokens found in the cache when it first ran.
+    pub(crate) cached: Option<u64>,
+    pub(crate) prefilled: u64,
+}
+
+impl Sequence {
+    pub(crate) fn new(id: RequestId, run: RunId, plan: Plan) -> Self {
+        Self {
+            id,
+            run,
+            plan,
+            held: Vec::new(),
+            has_partial: false,
+            computed: 0,
+            generated: 0,
+            cached: None,
+            prefilled: 0,
+        }
+    }
+
+    fn sequence_tokens(&self) -> u64 {
+        self.plan.prompt + self.generated
+    }
+
+    /// Tokens to prefill before the next one can be generated.
+    fn missing(&self) -> u64 {
+        self.sequence_tokens() - self.computed
+    }
+
+    fn is_decoding(&self) -> bool {
+        self.generated > 0 && self.missing() <= 1
+    }
+}
+
+/// What a step did for one sequence.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Progress {
+    pub(crate) rank: Rank,
+    pub(crate) first: bool,
+    pub(crate) ended: bool,
+}
+
+/// A step that is under way.
+#[derive(Debug)]
+struct Step {
+    ends: Timestamp,
+    work: Vec<(Rank, u64)>,
+}
+
+/// Waiting and running sequences.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    pub(crate) waiting: BTreeMap<Rank, Sequence>,
+    pub(crate) running: BTreeMap<Rank, Sequence>,
+    step: Option<Step>,
+    pub(crate) preemptions: u64,
+}
+
+impl Batch {
+    pub(crate) fn step_ends(&self) -> Option<Timestamp> {
+        self.step.as_ref().map(|step| step.ends)
+    }
+
+    pub(crate) fn unprefilled(&self) -> u64 {
+        let waiting = self.waiting.values().map(Sequence::missing).sum::<u64>();
+        let running = self.running.values().map(Sequence::missing).sum::<u64>();
+        waiting + running
+    }
+
+    /// Starts a step if there is work and none is under way.
+    pub(crate) fn start_step(
+        &mut self,
+        now: Timestamp,
+        parameters: &EngineParameters,
+        cache: &mut PrefixCache,
+    ) {
+        if self.step.is_some() {
+            return;
+        }
+        self.admit(now, parameters, cache);
+        if self.running.is_empty() {
+            return;
+        }
+        let (work, duration) = self.plan_step(parameters);
+        self.step = Some(Step {
+            ends: now + duration,
+            work,
+        });
+    }
+
+    /// Ends the step that is due and returns what it did.
+    pub(crate) fn end_step(&mut self, now: Timestamp, cache: &mut PrefixCache) -> Vec<Progress> {
+        let Some(step) = self.step.take_if(|step| step.ends <= now) else {
+            return Vec::new();
+        };
+        let mut progress = Vec::new();
+        for (rank, tokens) in step.work {
+            if !self.compute(now, rank, tokens, cache) {
+                continue;
+            }
+            progress.extend(self.generate(rank));
+        }
+        progress
+    }
+
+    /// Takes a sequence out wherever it is, its blocks staying cached.
+    pub(crate) fn remove(
+        &mut self,
+        now: Timestamp,
+        rank: Rank,
+        cache: &mut PrefixCache,
+    ) -> Option<Sequence> {
+        if let Some(sequence) = self.waiting.remove(&rank) {
+            return Some(sequence);
+        }
+        let mut sequence = self.running.remove(&rank)?;
+        give_back(now, &mut sequence, cache);
+        Some(sequence)
+    }
+
+    fn admit(&mut self, now: Timestamp, parameters: &EngineParameters, cache: &mut PrefixCache) {
+        while let Some((rank, sequence)) = self.waiting.first_key_value() {
+            let rank = *rank;
+            if self.running.len() >= parameters.max_batch
+                && !self.can_displace(rank, parameters.preemption_gap)
+            {
+                return;
+            }
+            let blocks = sequence.sequence_tokens().div_ceil(BLOCK_TOKENS) as usize;
+            let full = (sequence.sequence_tokens() / BLOCK_TOKENS) as usize;
+            let matched =
+                cache.matched(&sequence.plan.chain[..full.min(sequence.plan.chain.len())]);
+            // Matched blocks may be idle and then count as available, so they are asked for too.
+            if !self.running.is_empty() && cache.available() <= blocks {
+                return;
+            }
+            if self.running.len() >= parameters.max_batch {
+                self.preempt_worst(now, cache);
+            }
+            let mut sequence = self.waiting.remove(&rank).expect("rank was just read");
+            start(now, &mut sequence, matched, cache);
+            self.running.insert(rank, sequence);
+        }
+    }
+
+    fn can_displace(&self, rank: Rank, gap: i64) -> bool {
+        let worst = self.running.last_key_value();
+        worst.is_some_and(|(worst, _)| rank.0.saturating_add(gap) <= worst.0)
+    }
+
+    fn preempt_worst(&mut self, now: Timestamp, cache: &mut PrefixCache) {
+        if let Some((worst, _)) = self.running.last_key_value() {
+            self.preempt(now, *worst, cache);
+        }
+    }
+
+    fn preempt(&mut self, now: Timestamp, rank: Rank, cache: &mut PrefixCache) {
+        if let Some(mut sequence) = self.running.remove(&rank) {
+            give_back(now, &mut sequence, cache);
+            self.waiting.insert(rank, sequence);
+            self.preemptions += 1;
+        }
+    }
+
+    fn plan_step(&self, parameters: &EngineParameters) -> (Vec<(Rank, u64)>, Duration) {
+        let mut work = Vec::with_capacity(self.running.len());
+        let mut decoding = 0;
+        let mut context = 0;
+        for (rank, sequence) in &self.running {
+            if sequence.is_decoding() {
+                decoding += 1;
+                context += sequence.computed;
+                work.push((*rank, 1));
+            }
+        }
+        let mut budget = parameters.step_tokens.saturating_sub(decoding).max(1);
+        let mut prefill = 0;
+        for (rank, sequence) in &self.running {
+            if sequence.is_decoding() || budget == 0 {
+                continue;
+            }
+            let chunk = sequence.missing().min(budget);
+            budget -= chunk;
+            prefill += chunk;
+            work.push((*rank, chunk));
+        }
+        let duration = parameters.step_duration(decoding, context, prefill);
+        (work, duration)
+    }
+
+    /// Adds computed tokens to a sequence; false if it was cancelled or had to give way.
+    fn compute(
+        &mut self,
+        now: Timestamp,
+        rank: Rank,
+        tokens: u64,
+        cache: &mut PrefixCache,
+    ) -> bool {
+        loop {
+            let Some(sequence) = self.running.get_mut(&rank) else {
+                return false;
+            };
+            if grow(now, sequence, sequence.computed + tokens, cache) {
+                if !sequence.is_decoding() {
+                    sequence.prefilled += tokens;
+                }
+                sequence.computed += tokens;
+                return true;
+            }
+            self.preempt_worst(now, cache);
+        }
+    }
+
+    fn generate(&mut self, rank: Rank) -> Option<Progress> {
+        let sequence = self.running.get_mut(&rank)?;
+        if sequence.missing() > 0 {
+            return None;
+        }
+        sequence.generated += 1;
+        Some(Progress {
+            rank,
+            first: sequence.generated == 1,
+            ended: sequence.generated >= sequence.plan.output,
+        })
+    }
+}
+
+/// Takes the cached prefix of a sequence that enters the batch.
+fn start(now: Timestamp, sequence: &mut Sequence, matched: usize, cache: &mut PrefixCache) {
+    for hash in &sequence.plan.chain[..matched] {
+        let acquired = cache.acquire(now, *hash, sequence.run);
+        debug_assert!(acquired, "a matched block is cached");
+        sequence.held.push(*hash);
+    }
+    let computed = matched as u64 * BLOCK_TOKENS;
+    sequence.computed = computed.min(sequence.sequence_tokens() - 1);
+    let in_prompt = sequence.computed.min(sequence.plan.prompt);
+    sequence.cached.get_or_insert(in_prompt);
+}
+
+/// Takes memory for `tokens` computed tokens; false if there is none, keeping what was taken.
+fn grow(now: Timestamp, sequence: &mut Sequence, tokens: u64, cache: &mut PrefixCache) -> bool {
+    let full = ((tokens / BLOCK_TOKENS) as usize).min(sequence.plan.chain.len());
+    if sequence.held.len() < full && sequence.has_partial {
+        cache.free_partial();
+        sequence.has_partial = false;
+    }
+    while sequence.held.len() < full {
+        let hash = sequence.plan.chain[sequence.held.len()];
+        if !cache.acquire(now, hash, sequence.run) {
+            return false;
+        }
+        sequence.held.push(hash);
+    }
+    let needs_partial = tokens > sequence.held.len() as u64 * BLOCK_TOKENS;
+    if needs_partial && !sequence.has_partial {
+        sequence.has_partial = cache.take_partial(now);
+        return sequence.has_partial;
+    }
+    true
+}
+
+fn give_back(now: Timestamp, sequence: &mut Sequence, cache: &mut PrefixCache) {
+    cache.release_references(now, &sequence.held);
+    sequence.held.clear();
+    if sequence.has_partial {
+        cache.free_partial();
+        sequence.has_partial = false;
+    }
+    sequence.computed = 0;
+}
--- /dev/null
+++ b/crates/engine-model/src/cache.rs
@@ -0,0 +1,328 @@
+//! Block-wise prefix cache with leases and least-recently-used eviction.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use elderworks_types::text::BlockHash;
+use elderworks_types::{RunId, Timestamp};
+
+/// What a run holds in an engine's cache.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// Which run.
+    pub run: RunId,
+    /// Blocks that it used and that are still cached.
+    pub blocks: u32,
+    /// Until when they are kept above ordinary eviction order.
+    pub lease_until: Option<Timestamp>,
+}
+
+/// Sums over the life of a cache.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CacheStatistics {
+    /// Block-seconds between the last use of a block and its removal.
+    pub unused_block_seconds: f64,
+    /// Blocks removed to make room.
+    pub evicted_blocks: u64,
+}
+
+/// Changes since they were last taken.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PendingChanges {
+    pub(crate) stored: Vec<BlockHash>,
+    pub(crate) evicted: Vec<BlockHash>,
+}
+
+#[derive(Debug)]
+struct Block {
+    /// Running sequences that use it.
+    references: u32,
+    /// Runs with an unexpired lease on it.
+    leases: u32,
+    /// Position in eviction order, smallest first.
+    order: u64,
+    last_used: Timestamp,
+    owners: Vec<RunId>,
+    /// Used by several trees of runs at some time; then no run's release removes it.
+    shared: bool,
+}
+
+#[derive(Debug, Default)]
+struct RunBlocks {
+    blocks: BTreeSet<BlockHash>,
+    lease_until: Option<Timestamp>,
+}
+
+/// The cache of one engine. Working memory of running sequences counts against the same limit.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    blocks: HashMap<BlockHash, Block>,
+    /// Blocks that no sequence uses, by (leased, order).
+    evictable: BTreeSet<(bool, u64, BlockHash)>,
+    runs: BTreeMap<RunId, RunBlocks>,
+    lease_ends: BTreeSet<(Timestamp, RunId)>,
+    /// Partly filled blocks of running sequences.
+    partial_blocks: usize,
+    next_order: u64,
+    changes: PendingChanges,
+    statistics: CacheStatistics,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            blocks: HashMap::new(),
+            evictable: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            lease_ends: BTreeSet::new(),
+            partial_blocks: 0,
+            next_order: 0,
+            changes: PendingChanges::default(),
+            statistics: CacheStatistics::default(),
+        }
+    }
+
+    pub(crate) fn used(&self) -> usize {
+        self.blocks.len() + self.partial_blocks
+    }
+
+    /// Blocks that can be had without touching a running sequence.
+    pub(crate) fn available(&self) -> usize {
+        self.capacity.saturating_sub(self.used()) + self.evictable.len()
+    }
+
+    pub(crate) fn matched(&self, chain: &[BlockHash]) -> usize {
+        chain
+            .iter()
+            .take_while(|hash| self.blocks.contains_key(hash))
+            .count()
+    }
+
+    /// Reserves memory for a sequence's partly filled block; false if there is none.
+    pub(crate) fn take_partial(&mut self, now: Timestamp) -> bool {
+        if !self.make_room(now) {
+            return false;
+        }
+        self.partial_blocks += 1;
+        true
+    }
+
+    pub(crate) fn free_partial(&mut self) {
+        self.partial_blocks -= 1;
+    }
+
+    /// Takes a reference to a block for a run, storing it if it is new; false if there is no room.
+    pub(crate) fn acquire(&mut self, now: Timestamp, hash: BlockHash, run: RunId) -> bool {
+        if !self.blocks.contains_key(&hash) {
+            if !self.make_room(now) {
+                return false;
+            }
+            self.insert(now, hash);
+        }
+        let block = self.blocks.get_mut(&hash).expect("block was just inserted");
+        if block.references == 0 {
+            self.evictable
+                .remove(&(block.leases > 0, block.order, hash));
+        }
+        block.references += 1;
+        block.last_used = now;
+        self.own(hash, run);
+        true
+    }
+
+    /// Gives back references, the deepest block becoming first in eviction order.
+    pub(crate) fn release_references(&mut self, now: Timestamp, held: &[BlockHash]) {
+        for hash in held.iter().rev() {
+            let order = self.next_order;
+            let Some(block) = self.blocks.get_mut(hash) else {
+                continue;
+            };
+            block.references -= 1;
+            block.last_used = now;
+            if block.references == 0 {
+                block.order = order;
+                self.next_order += 1;
+                self.evictable.insert((block.leases > 0, order, *hash));
+            }
+        }
+    }
+
+    /// Stores blocks that no sequence uses yet; stops where there is no room.
+    pub(crate) fn import(&mut self, now: Timestamp, run: RunId, chain: &[BlockHash]) {
+        let mut held = Vec::new();
+        for hash in chain {
+            if !self.acquire(now, *hash, run) {
+                break;
+            }
+            held.push(*hash);
+        }
+        self.release_references(now, &held);
+    }
+
+    /// Keeps a run's present blocks above ordinary eviction order until `until`.
+    pub(crate) fn retain(&mut self, run: RunId, until: Timestamp) {
+        self.end_lease(run);
+        let Some(holding) = self.runs.get_mut(&run) else {
+            return;
+        };
+        holding.lease_until = Some(until);
+        self.lease_ends.insert((until, run));
+        let blocks: Vec<BlockHash> = holding.blocks.iter().copied().collect();
+        for hash in blocks {
+            self.change_leases(hash, 1);
+        }
+    }
+
+    /// Ends the leases that have run out.
+    pub(crate) fn expire_leases(&mut self, now: Timestamp) {
+        while let Some((_, run)) = self.lease_ends.first().copied().filter(|end| end.0 <= now) {
+            self.end_lease(run);
+        }
+    }
+
+    /// Ends a run's ownership and removes the idle blocks that only it ever used.
+    pub(crate) fn release_run(&mut self, now: Timestamp, run: RunId) -> u32 {
+        self.end_lease(run);
+        let Some(holding) = self.runs.remove(&run) else {
+            return 0;
+        };
+        let mut freed = 0;
+        for hash in holding.blocks {
+            let block = self.blocks.get_mut(&hash).expect("owned blocks are cached");
+            block.owners.retain(|owner| *owner != run);
+            if block.references == 0 && block.owners.is_empty() && !block.shared {
+                self.remove(now, hash);
+                freed += 1;
+            }
+        }
+        freed
+    }
+
+    pub(crate) fn holdings(&self) -> Vec<Holding> {
+        self.runs
+            .iter()
+            .map(|(run, holding)| Holding {
+                run: *run,
+                blocks: holding.blocks.len() as u32,
+                lease_until: holding.lease_until,
+            })
+            .collect()
+    }
+
+    pub(crate) fn take_changes(&mut self) -> PendingChanges {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Sums so far, counting idle blocks as if they were removed now.
+    pub(crate) fn statistics(&self, now: Timestamp) -> CacheStatistics {
+        let mut statistics = self.statistics;
+        for (_, _, hash) in &self.evictable {
+            statistics.unused_block_seconds += idle_seconds(&self.blocks[hash], now);
+        }
+        statistics
+    }
+
+    fn insert(&mut self, now: Timestamp, hash: BlockHash) {
+        let order = self.next_order;
+        self.next_order += 1;
+        let block = Block {
+            references: 0,
+            leases: 0,
+            order,
+            last_used: now,
+            owners: Vec::new(),
+            shared: false,
+        };
+        self.blocks.insert(hash, block);
+        self.evictable.insert((false, order, hash));
+        self.changes.stored.push(hash);
+    }
+
+    fn own(&mut self, hash: BlockHash, run: RunId) {
+        let block = self
+            .blocks
+            .get_mut(&hash)
+            .expect("only cached blocks are owned");
+        if block.owners.contains(&run) {
+            return;
+        }
+        block.shared |= block.owners.iter().any(|owner| owner.root != run.root);
+        block.owners.push(run);
+        let holding = self.runs.entry(run).or_default();
+        holding.blocks.insert(hash);
+        if holding.lease_until.is_some() {
+            self.change_leases(hash, 1);
+        }
+    }
+
+    fn make_room(&mut self, now: Timestamp) -> bool {
+        if self.used() < self.capacity {
+            return true;
+        }
+        let Some((_, _, hash)) = self.evictable.first().copied() else {
+            return false;
+        };
+        self.remove(now, hash);
+        self.statistics.evicted_blocks += 1;
+        true
+    }
+
+    fn remove(&mut self, now: Timestamp, hash: BlockHash) {
+        let block = self
+            .blocks
+            .remove(&hash)
+            .expect("only cached blocks are removed");
+        self.evictable
+            .remove(&(block.leases > 0, block.order, hash));
+        self.statistics.unused_block_seconds += idle_seconds(&block, now);
+        for run in &block.owners {
+            self.disown(*run, hash);
+        }
+        self.changes.evicted.push(hash);
+    }
+
+    fn disown(&mut self, run: RunId, hash: BlockHash) {
+        let Some(holding) = self.runs.get_mut(&run) else {
+            return;
+        };
+        holding.blocks.remove(&hash);
+        if holding.blocks.is_empty() {
+            if let Some(until) = holding.lease_until {
+                self.lease_ends.remove(&(until, run));
+            }
+            self.runs.remove(&run);
+        }
+    }
+
+    fn end_lease(&mut self, run: RunId) {
+        let Some(holding) = self.runs.get_mut(&run) else {
+            return;
+        };
+        let Some(until) = holding.lease_until.take() else {
+            return;
+        };
+        self.lease_ends.remove(&(until, run));
+        let blocks: Vec<BlockHash> = holding.blocks.iter().copied().collect();
+        for hash in blocks {
+            self.change_leases(hash, -1);
+        }
+    }
+
+    fn change_leases(&mut self, hash: BlockHash, change: i32) {
+        let block = self
+            .blocks
+            .get_mut(&hash)
+            .expect("leased blocks are cached");
+        let before = (block.leases > 0, block.order, hash);
+        block.leases = block.leases.saturating_add_signed(change);
+        if block.references == 0 {
+            self.evictable.remove(&before);
+            self.evictable.insert((block.leases > 0, block.order, hash));
+        }
+    }
+}
+
+fn idle_seconds(block: &Block, now: Timestamp) -> f64 {
+    now.since(block.last_used).as_secs_f64()
+}
--- /dev/null
+++ b/crates/engine-model/src/stream.rs
@@ -0,0 +1,121 @@
+//! Chunks of answers that were sent, kept for resuming.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use elderworks_types::text::BYTES_PER_TOKEN;
+
+use crate::{Completion, NumberedChunk, RequestId, Resumed};
+
+/// The answer of one request as far as it was sent.
+#[derive(Debug, Default)]
+struct Stream {
+    text: String,
+    first_chunk: u32,
+    sent_tokens: u64,
+    chunks: Vec<NumberedChunk>,
+    completion: Option<Completion>,
+}
+
+/// Answers of open and of recently ended requests.
+#[derive(Debug)]
+pub(crate) struct Streams {
+    streams: BTreeMap<RequestId, Stream>,
+    ended: VecDeque<RequestId>,
+    remembered: usize,
+    tokens_per_chunk: u64,
+}
+
+impl Streams {
+    pub(crate) fn new(remembered: usize, tokens_per_chunk: u64) -> Self {
+        Self {
+            streams: BTreeMap::new(),
+            ended: VecDeque::new(),
+            remembered,
+            tokens_per_chunk: tokens_per_chunk.max(1),
+        }
+    }
+
+    pub(crate) fn contains(&self, id: &RequestId) -> bool {
+        self.streams.contains_key(id)
+    }
+
+    pub(crate) fn open(&mut self, id: RequestId, first_chunk: u32, text: String) {
+        let stream = Stream {
+            text,
+            first_chunk,
+            ..Stream::default()
+        };
+        self.streams.insert(id, stream);
+    }
+
+    /// Chunks that are complete once `generated` tokens exist; the last may be short.
+    pub(crate) fn advance(
+        &mut self,
+        id: &RequestId,
+        generated: u64,
+        ended: bool,
+    ) -> Vec<NumberedChunk> {
+        let Some(stream) = self.streams.get_mut(id) else {
+            return Vec::new();
+        };
+        let mut fresh = Vec::new();
+        while stream.sent_tokens < generated {
+            let step = self.tokens_per_chunk.min(generated - stream.sent_tokens);
+            if step < self.tokens_per_chunk && !ended {
+                break;
+            }
+            fresh.push(stream.next_chunk(step));
+        }
+        fresh
+    }
+
+    /// Records the end; the oldest ended requests beyond the limit are forgotten.
+    pub(crate) fn complete(&mut self, mut completion: Completion) -> Completion {
+        if let Some(stream) = self.streams.get_mut(&completion.id) {
+            completion.chunks = stream.chunks.len() as u32;
+            stream.completion = Some(completion.clone());
+            self.ended.push_back(completion.id.clone());
+        }
+        while self.ended.len() > self.remembered {
+            if let Some(oldest) = self.ended.pop_front() {
+                self.streams.remove(&oldest);
+            }
+        }
+        completion
+    }
+
+    pub(crate) fn forget(&mut self, id: &RequestId) {
+        self.streams.remove(id);
+        self.ended.retain(|ended| ended != id);
+    }
+
+    pub(crate) fn resume(&self, id: &RequestId, from_chunk: u32) -> Option<Resumed> {
+        let stream = self.streams.get(id)?;
+        let chunks = stream
+            .chunks
+            .iter()
+            .filter(|chunk| chunk.index >= from_chunk)
+            .cloned()
+            .collect();
+        Some(Resumed {
+            chunks,
+            completion: stream.completion.clone(),
+        })
+    }
+}
+
+impl Stream {
+    fn next_chunk(&mut self, tokens: u64) -> NumberedChunk {
+        let start = self.sent_tokens as usize * BYTES_PER_TOKEN;
+        self.sent_tokens += tokens;
+        let end = self.sent_tokens as usize * BYTES_PER_TOKEN;
+        let end = end.min(self.text.len());
+        let text = self.text.get(start..end).unwrap_or_default().to_owned();
+        let chunk = NumberedChunk {
+            index: self.first_chunk + self.chunks.len() as u32,
+            text,
+        };
+        self.chunks.push(chunk.clone());
+        chunk
+    }
+}
