Tell placement of gaps in cache events apart from a cleared cache

With one percent of events lost a gap comes every few seconds, so reporting each as Cleared would throw a nearly right index away.

--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -73,8 +73,13 @@
     Stored(Vec<BlockHash>),
     /// Blocks are no longer held.
     Evicted(Vec<BlockHash>),
-    /// Everything was dropped (restart, or a gap in the events that cannot be filled).
+    /// Everything was dropped, as after a restart.
     Cleared,
+    /// So many events of the engine were lost; what they said is unknown.
+    Gap {
+        /// How many.
+        missed: u64,
+    },
 }
 
 /// An input of [`crate::Placement::handle`].
