Replay the control stream and answer what nodes look up

Cause: the control crate had only its agreed surface; the node needs limits, prices, endpoints and settings from it, and operators need one answer per change.

Ruled out: matching a read-back by sequence alone (the append machinery assigns it, not this crate); voiding older incarnations of a node (a late announcement of a dead process would silence the living one); several changes in one batch (they would share a revision, so a watch could not resume between them).

Change: replay with repeats dropped by writer, incarnation and sequence; one change in flight per node, answered when read back; validation by path with the nearest known name; indexes and lookups; the table of known configuration keys; watches.

--- a/crates/control/src/body.rs
+++ b/crates/control/src/body.rs
@@ -31,13 +31,15 @@
         /// Random, to recognise its own record when read back.
         nonce: u64,
     },
-    /// State after all records before this one, in parts.
+    /// The state after a given record, in parts.
     Snapshot {
+        /// Offset of the last record that the state includes; a reader goes on from here.
+        covers: Offset,
         /// Which part, from 0.
         part: u32,
         /// How many there are.
         parts: u32,
-        /// Encoded state.
+        /// A piece of the encoded state; the pieces joined in order form the whole.
         bytes: Vec<u8>,
     },
 }
--- /dev/null
+++ b/crates/control/src/configuration/keys.rs
@@ -0,0 +1,124 @@
+//! The table of known keys.
+
+use std::time::Duration;
+
+use super::Settings;
+
+/// One key of a `Configuration` resource.
+pub struct KnownKey {
+    /// Its name, `group.key`.
+    pub key: &'static str,
+    /// What it decides.
+    pub meaning: &'static str,
+    /// Unit, range and where the value is kept.
+    pub unit: Unit,
+}
+
+/// Unit and range of a key.
+pub enum Unit {
+    /// Written as a number with its unit, for example `30s` or `1m 30s`.
+    Duration {
+        /// Smallest.
+        min: Duration,
+        /// Largest.
+        max: Duration,
+        /// The field.
+        field: fn(&mut Settings) -> &mut Duration,
+    },
+    /// A whole number.
+    Count {
+        /// Smallest.
+        min: u32,
+        /// Largest.
+        max: u32,
+        /// The field.
+        field: fn(&mut Settings) -> &mut u32,
+    },
+    /// A whole number of percent, written without a sign.
+    Percent {
+        /// Largest; the smallest is 0.
+        max: u32,
+        /// The field.
+        field: fn(&mut Settings) -> &mut u32,
+    },
+}
+
+/// Every key that a `Configuration` may set, in order of name.
+pub const KNOWN_KEYS: &[KnownKey] = &[
+    KnownKey {
+        key: "admission.maxWait",
+        meaning: "longest time that a call waits for an engine before it is refused",
+        unit: Unit::Duration {
+            min: Duration::from_millis(100),
+            max: Duration::from_secs(600),
+            field: |settings| &mut settings.max_wait,
+        },
+    },
+    KnownKey {
+        key: "admission.maxWaitingCalls",
+        meaning: "calls that may wait on one node; more are refused",
+        unit: Unit::Count {
+            min: 1,
+            max: 1_000_000,
+            field: |settings| &mut settings.max_waiting_calls,
+        },
+    },
+    KnownKey {
+        key: "call.maxAttempts",
+        meaning: "attempts of a repeatable call, the first included",
+        unit: Unit::Count {
+            min: 1,
+            max: 10,
+            field: |settings| &mut settings.max_attempts,
+        },
+    },
+    KnownKey {
+        key: "call.modelTimeout",
+        meaning: "longest time for one attempt of a model call",
+        unit: Unit::Duration {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(3_600),
+            field: |settings| &mut settings.model_call_timeout,
+        },
+    },
+    KnownKey {
+        key: "control.snapshotInterval",
+        meaning: "records of the control stream between two snapshots",
+        unit: Unit::Count {
+            min: 64,
+            max: 1_000_000,
+            field: |settings| &mut settings.snapshot_interval,
+        },
+    },
+    KnownKey {
+        key: "engine.silentAfter",
+        meaning: "an engine that has not answered for this long gets no new work",
+        unit: Unit::Duration {
+            min: Duration::from_millis(500),
+            max: Duration::from_secs(60),
+            field: |settings| &mut settings.engine_silent_after,
+        },
+    },
+    KnownKey {
+        key: "memory.retentionLease",
+        meaning: "how long an engine keeps a paused run's blocks without renewal",
+        unit: Unit::Duration {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(3_600),
+            field: |settings| &mut settings.retention_lease,
+        },
+    },
+    KnownKey {
+        key: "retry.budgetPercent",
+        meaning: "retries allowed in percent of first attempts",
+        unit: Unit::Percent {
+            max: 100,
+            field: |settings| &mut settings.retry_budget_percent,
+        },
+    },
+];
+
+/// Finds a key by its exact name.
+pub fn known_key(key: &str) -> Option<&'static KnownKey> {
+    KNOWN_KEYS.iter().find(|known| known.key == key)
+}
--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,298 @@
+//! The control state machine.
+
+use elderworks_protocol::record::{Record, Writer};
+use elderworks_types::resource::{Kind, Resource};
+use elderworks_types::{Incarnation, NodeId, Offset, ResourceName, Timestamp};
+
+use crate::changes::ChangeLog;
+use crate::index::Index;
+use crate::proposals::{Proposal, Proposals};
+use crate::resources::{Applied, Resources};
+use crate::writers::Writers;
+use crate::{Change, ControlBody, ControlError, Effect, Event, RequestId, validate_syntax};
+
+/// A position on the control stream: a record within a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Position {
+    /// Offset of the batch.
+    pub(crate) offset: Offset,
+    /// Position within it.
+    pub(crate) index: u32,
+}
+
+/// The control state of one node.
+pub struct Control {
+    node: NodeId,
+    /// Recognises this node's own announcement.
+    nonce: u64,
+    announced: bool,
+    incarnation: Option<Incarnation>,
+    log_reachable: bool,
+    /// The last record applied.
+    applied: Option<Position>,
+    /// The highest next offset that a peer has reported.
+    peer_next: Offset,
+    resources: Resources,
+    writers: Writers,
+    changes: ChangeLog,
+    proposals: Proposals,
+}
+
+impl Control {
+    /// Empty; `nonce` is random and differs at every start of the process.
+    pub fn new(node: NodeId, nonce: u64) -> Self {
+        Self {
+            node,
+            nonce,
+            announced: false,
+            incarnation: None,
+            log_reachable: true,
+            applied: None,
+            peer_next: Offset(0),
+            resources: Resources::default(),
+            writers: Writers::default(),
+            changes: ChangeLog::default(),
+            proposals: Proposals::default(),
+        }
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn handle(&mut self, _now: Timestamp, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Start => self.announce(),
+            Event::RecordRead {
+                offset,
+                index,
+                record,
+            } => self.read(Position { offset, index }, record),
+            Event::Propose { request, body } => self.propose(request, body),
+            Event::PeerApplied(next) => self.note_peer(next),
+            Event::LogReachable(reachable) => self.set_log_reachable(reachable),
+            Event::TakeSnapshot | Event::Tick => Vec::new(),
+        }
+    }
+
+    /// The next offset to be applied.
+    pub fn next(&self) -> Offset {
+        self.applied
+            .map_or(Offset(0), |position| position.offset.next())
+    }
+
+    /// The revision up to which the state is complete: offset of the last applied record.
+    pub fn revision(&self) -> Offset {
+        self.applied.map_or(Offset(0), |position| position.offset)
+    }
+
+    /// This node's incarnation, once its announcement was read back.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
+    /// Whether this node has started and has applied all that any peer is known to have applied.
+    pub fn is_caught_up(&self) -> bool {
+        self.incarnation.is_some() && self.next() >= self.peer_next
+    }
+
+    /// One resource.
+    pub fn get(&self, kind: Kind, name: &ResourceName) -> Option<&Resource> {
+        self.resources.get(kind, name)
+    }
+
+    /// All resources of a kind, in order of name.
+    pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
+        self.resources.list(kind)
+    }
+
+    /// Changes after `revision`, or `None` if they are no longer remembered and the watcher has to
+    /// list anew.
+    pub fn changes_since(&self, revision: Offset) -> Option<Vec<Change>> {
+        self.changes.since(revision)
+    }
+
+    pub(crate) fn resources(&self) -> &Resources {
+        &self.resources
+    }
+
+    pub(crate) fn index(&self) -> &Index {
+        self.resources.index()
+    }
+
+    fn announce(&mut self) -> Vec<Effect> {
+        if self.announced {
+            return Vec::new();
+        }
+        self.announced = true;
+        vec![Effect::Append(ControlBody::NodeStarted {
+            node: self.node.clone(),
+            nonce: self.nonce,
+        })]
+    }
+
+    fn note_peer(&mut self, next: Offset) -> Vec<Effect> {
+        self.peer_next = self.peer_next.max(next);
+        Vec::new()
+    }
+
+    fn propose(&mut self, request: RequestId, body: ControlBody) -> Vec<Effect> {
+        if let Err(error) = self.check_proposal(&body) {
+            return vec![refusal(request, error)];
+        }
+        let proposal = Proposal { request, body };
+        if !self.proposals.push(proposal) {
+            return vec![refusal(request, ControlError::Unavailable)];
+        }
+        self.send_next()
+    }
+
+    /// Refuses at once what can be judged before the record has its place in the log.
+    fn check_proposal(&self, body: &ControlBody) -> Result<(), ControlError> {
+        match body {
+            ControlBody::Put { resource, .. } => validate_syntax(resource)?,
+            ControlBody::Delete { .. } => {}
+            ControlBody::NodeStarted { .. } | ControlBody::Snapshot { .. } => {
+                return Err(ControlError::invalid("", "not a change of a resource"));
+            }
+        }
+        if self.incarnation.is_none() || !self.log_reachable {
+            return Err(ControlError::Unavailable);
+        }
+        Ok(())
+    }
+
+    fn send_next(&mut self) -> Vec<Effect> {
+        let body = self.proposals.send_next();
+        body.map(Effect::Append).into_iter().collect()
+    }
+
+    fn set_log_reachable(&mut self, reachable: bool) -> Vec<Effect> {
+        self.log_reachable = reachable;
+        if reachable {
+            return Vec::new();
+        }
+        self.proposals
+            .take_waiting()
+            .map(|proposal| refusal(proposal.request, ControlError::Unavailable))
+            .collect()
+    }
+
+    fn read(&mut self, position: Position, record: Record<ControlBody>) -> Vec<Effect> {
+        if self.applied.is_some_and(|applied| position <= applied) {
+            return Vec::new();
+        }
+        let revision_is_free = self.revision() < position.offset;
+        self.applied = Some(position);
+        match record.body {
+            ControlBody::NodeStarted { node, nonce } => {
+                self.read_node_started(&node, nonce, position.offset)
+            }
+            ControlBody::Snapshot { .. } => Vec::new(),
+            ControlBody::Put { .. } | ControlBody::Delete { .. } => {
+                self.read_change(position.offset, revision_is_free, record)
+            }
+        }
+    }
+
+    fn read_node_started(&mut self, node: &NodeId, nonce: u64, offset: Offset) -> Vec<Effect> {
+        let Some(incarnation) = self.writers.announce(node, nonce, offset) else {
+            return Vec::new();
+        };
+        if *node == self.node && nonce == self.nonce {
+            self.incarnation = Some(incarnation);
+            return vec![Effect::Started(incarnation)];
+        }
+        self.announce_again_if_forgotten()
+    }
+
+    /// A node that has written nothing for very long may be forgotten as a writer, by all readers
+    /// at the same record. What it has in flight is void then, and it takes a new incarnation.
+    fn announce_again_if_forgotten(&mut self) -> Vec<Effect> {
+        let forgotten = self.writer().is_some_and(|own| !self.writers.knows(&own));
+        if !forgotten {
+            return Vec::new();
+        }
+        self.incarnation = None;
+        self.announced = false;
+        self.nonce = self.nonce.wrapping_add(1);
+        let mut effects: Vec<Effect> = self
+            .proposals
+            .take_all()
+            .map(|proposal| refusal(proposal.request, ControlError::Unavailable))
+            .collect();
+        effects.extend(self.announce());
+        effects
+    }
+
+    fn read_change(
+        &mut self,
+        offset: Offset,
+        revision_is_free: bool,
+        record: Record<ControlBody>,
+    ) -> Vec<Effect> {
+        if !self.writers.admit(&record.writer, record.sequence, offset) {
+            return Vec::new();
+        }
+        let request = self.own_request(&record);
+        if !revision_is_free {
+            return self.finish(request, Err(ControlError::Unavailable));
+        }
+        let result = match record.body {
+            ControlBody::Put { resource, expected } => {
+                self.resources.put(resource, expected, offset)
+            }
+            ControlBody::Delete {
+                kind,
+                name,
+                expected,
+            } => self.resources.delete(kind, name, expected, offset),
+            ControlBody::NodeStarted { .. } | ControlBody::Snapshot { .. } => return Vec::new(),
+        };
+        let mut effects = Vec::new();
+        if let Ok(Applied::Changed(change)) = &result {
+            self.changes.push(change.clone());
+            effects.push(Effect::Changed(change.clone()));
+        }
+        let answer = result.map(|applied| match applied {
+            Applied::Changed(change) | Applied::Unchanged(change) => change,
+        });
+        effects.extend(self.finish(request, answer));
+        effects
+    }
+
+    /// The request that this record answers, if this node wrote it.
+    fn own_request(&mut self, record: &Record<ControlBody>) -> Option<RequestId> {
+        let own = self.writer().is_some_and(|own| own == record.writer);
+        if !own {
+            return None;
+        }
+        self.proposals.take_read_back(&record.body)
+    }
+
+    fn writer(&self) -> Option<Writer> {
+        let incarnation = self.incarnation?;
+        Some(Writer {
+            node: self.node.clone(),
+            incarnation,
+        })
+    }
+
+    /// Answers a request, if there is one, and sends the next.
+    fn finish(
+        &mut self,
+        request: Option<RequestId>,
+        result: Result<Change, ControlError>,
+    ) -> Vec<Effect> {
+        let Some(request) = request else {
+            return Vec::new();
+        };
+        let mut effects = vec![Effect::Reply { request, result }];
+        effects.extend(self.send_next());
+        effects
+    }
+}
+
+fn refusal(request: RequestId, error: ControlError) -> Effect {
+    Effect::Reply {
+        request,
+        result: Err(error),
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,26 @@
 //! by the order of the log, alike on every node; a revision is the log offset of the change.
 
 pub mod body;
-pub mod store;
+pub mod changes;
+pub mod configuration;
+pub mod control;
+pub mod effect;
+pub mod error;
+pub mod event;
+mod index;
+pub mod lookup;
+mod proposals;
+mod resources;
+mod validation;
+pub mod watch;
+mod writers;
 
 pub use body::ControlBody;
-pub use store::{Change, Control, ControlError, Effect, Event, RequestId};
+pub use configuration::Settings;
+pub use control::Control;
+pub use effect::{Change, Effect};
+pub use error::ControlError;
+pub use event::{Event, RequestId};
+pub use lookup::{ModelTerms, ToolTerms};
+pub use validation::{nearest, validate_syntax};
+pub use watch::Watches;
--- /dev/null
+++ b/crates/control/tests/replay.rs
@@ -0,0 +1,309 @@
+//! Replay of the control stream: who wins, what is answered, what is dropped.
+
+mod support;
+
+use elderworks_control::{ControlError, Effect, Event};
+use elderworks_types::resource::Kind;
+use elderworks_types::{Credits, Incarnation, Offset};
+use support::{NOW, TestLog, budget, configuration, delete, put, started, tool_service};
+
+/// Proposes, appends what the machine asks for and returns the effects of reading it back.
+fn propose(
+    log: &mut TestLog,
+    control: &mut elderworks_control::Control,
+    sequence: u64,
+    body: elderworks_control::ControlBody,
+) -> Vec<Effect> {
+    let effects = control.handle(NOW, Event::Propose { request: 7, body });
+    let [Effect::Append(body)] = effects.as_slice() else {
+        panic!("expected one append, found {effects:?}");
+    };
+    log.append("a", 0, sequence, body.clone());
+    log.feed(control)
+}
+
+#[test]
+fn accepted_change_is_answered_when_read_back() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    assert_eq!(log.feed(&mut control), [Effect::Started(Incarnation(0))]);
+
+    let effects = propose(&mut log, &mut control, 1, put(budget("b", "t", 10), None));
+
+    let [
+        Effect::Changed(change),
+        Effect::Reply { request: 7, result },
+    ] = effects.as_slice()
+    else {
+        panic!("unexpected effects {effects:?}");
+    };
+    assert_eq!(result.as_ref(), Ok(change));
+    assert_eq!(change.revision, Offset(1));
+    assert_eq!(control.tenant_limit(&"t".into()), Some(Credits(10)));
+}
+
+#[test]
+fn expectation_is_judged_in_log_order() {
+    struct Case {
+        name: &'static str,
+        expected: Option<u64>,
+        accepted: bool,
+    }
+    let cases = [
+        Case {
+            name: "unconditional",
+            expected: None,
+            accepted: true,
+        },
+        Case {
+            name: "current",
+            expected: Some(1),
+            accepted: true,
+        },
+        Case {
+            name: "must not exist",
+            expected: Some(0),
+            accepted: false,
+        },
+        Case {
+            name: "stale",
+            expected: Some(9),
+            accepted: false,
+        },
+    ];
+    for case in cases {
+        let mut log = TestLog::with_nodes(&["a"]);
+        let mut control = started("a", 0);
+        log.feed(&mut control);
+        propose(
+            &mut log,
+            &mut control,
+            1,
+            put(budget("b", "t", 10), Some(0)),
+        );
+        let second = put(budget("b", "t", 20), case.expected);
+        let effects = propose(&mut log, &mut control, 2, second);
+        let Some(Effect::Reply { result, .. }) = effects.last() else {
+            panic!("{}: no reply in {effects:?}", case.name);
+        };
+        match case.accepted {
+            true => assert!(result.is_ok(), "{}: {result:?}", case.name),
+            false => assert_eq!(
+                *result,
+                Err(ControlError::Conflict {
+                    expected: Offset(case.expected.unwrap_or(0)),
+                    found: Offset(1),
+                }),
+                "{}",
+                case.name
+            ),
+        }
+    }
+}
+
+#[test]
+fn loser_of_a_race_learns_what_it_lost_to() {
+    let mut log = TestLog::with_nodes(&["a", "b"]);
+    let mut control = started("a", 0);
+    log.feed(&mut control);
+    log.append("b", 1, 1, put(budget("b", "t", 99), Some(0)));
+
+    let effects = propose(
+        &mut log,
+        &mut control,
+        1,
+        put(budget("b", "t", 10), Some(0)),
+    );
+
+    let conflict = ControlError::Conflict {
+        expected: Offset(0),
+        found: Offset(2),
+    };
+    let last = effects.last();
+    assert_eq!(
+        last,
+        Some(&Effect::Reply {
+            request: 7,
+            result: Err(conflict)
+        })
+    );
+    assert_eq!(control.tenant_limit(&"t".into()), Some(Credits(99)));
+}
+
+#[test]
+fn repeated_record_takes_effect_once() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    log.feed(&mut control);
+    propose(&mut log, &mut control, 1, put(budget("b", "t", 10), None));
+    propose(&mut log, &mut control, 2, delete(Kind::Budget, "b", None));
+
+    log.append("a", 0, 1, put(budget("b", "t", 10), None));
+
+    assert_eq!(log.feed(&mut control), []);
+    assert_eq!(control.get(Kind::Budget, &"b".into()), None);
+}
+
+#[test]
+fn repeat_of_an_equal_change_does_not_answer_the_next_one() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    log.feed(&mut control);
+    let body = put(budget("b", "t", 10), Some(0));
+    propose(&mut log, &mut control, 1, body.clone());
+    let effects = control.handle(
+        NOW,
+        Event::Propose {
+            request: 8,
+            body: body.clone(),
+        },
+    );
+    assert_eq!(effects.len(), 1);
+
+    log.append("a", 0, 1, body.clone());
+    assert_eq!(
+        log.feed(&mut control),
+        [],
+        "a late copy of the first answers nothing"
+    );
+
+    log.append("a", 0, 2, body);
+    let effects = log.feed(&mut control);
+    assert!(
+        matches!(
+            effects.as_slice(),
+            [Effect::Reply {
+                request: 8,
+                result: Err(ControlError::Conflict { .. })
+            }]
+        ),
+        "{effects:?}"
+    );
+}
+
+#[test]
+fn record_of_an_unknown_writer_is_void() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    log.append("stranger", 4, 1, put(budget("b", "t", 10), None));
+    log.feed(&mut control);
+    assert_eq!(control.get(Kind::Budget, &"b".into()), None);
+}
+
+#[test]
+fn unchanged_put_keeps_its_revision() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    log.feed(&mut control);
+    propose(
+        &mut log,
+        &mut control,
+        1,
+        put(tool_service("s", "tool"), None),
+    );
+
+    let effects = propose(
+        &mut log,
+        &mut control,
+        2,
+        put(tool_service("s", "tool"), None),
+    );
+
+    let [
+        Effect::Reply {
+            result: Ok(change), ..
+        },
+    ] = effects.as_slice()
+    else {
+        panic!("unexpected effects {effects:?}");
+    };
+    assert_eq!(change.revision, Offset(1));
+    assert_eq!(control.revision(), Offset(2));
+}
+
+#[test]
+fn what_was_surely_not_appended_is_refused_when_the_log_is_down() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    let early = control.handle(
+        NOW,
+        Event::Propose {
+            request: 1,
+            body: put(budget("b", "t", 1), None),
+        },
+    );
+    let unavailable = |request| Effect::Reply {
+        request,
+        result: Err(ControlError::Unavailable),
+    };
+    assert_eq!(early, [unavailable(1)], "before the node has started");
+    log.feed(&mut control);
+    let in_flight = put(budget("b", "t", 2), None);
+    control.handle(
+        NOW,
+        Event::Propose {
+            request: 2,
+            body: in_flight.clone(),
+        },
+    );
+    let waiting = put(budget("b", "t", 3), None);
+    control.handle(
+        NOW,
+        Event::Propose {
+            request: 3,
+            body: waiting.clone(),
+        },
+    );
+
+    let down = control.handle(NOW, Event::LogReachable(false));
+    assert_eq!(
+        down,
+        [unavailable(3)],
+        "the one in flight may have been appended"
+    );
+    let late = control.handle(
+        NOW,
+        Event::Propose {
+            request: 4,
+            body: waiting,
+        },
+    );
+    assert_eq!(late, [unavailable(4)]);
+
+    log.append("a", 0, 1, in_flight);
+    let effects = log.feed(&mut control);
+    assert!(
+        matches!(
+            effects.last(),
+            Some(Effect::Reply {
+                request: 2,
+                result: Ok(_)
+            })
+        ),
+        "{effects:?}"
+    );
+}
+
+#[test]
+fn configuration_applies_and_reverts_to_the_default() {
+    let mut log = TestLog::with_nodes(&["a"]);
+    let mut control = started("a", 0);
+    log.feed(&mut control);
+    let values = [("call.modelTimeout", "45s"), ("call.maxAttempts", "2")];
+    propose(
+        &mut log,
+        &mut control,
+        1,
+        put(configuration("c", &values), None),
+    );
+    assert_eq!(control.settings().model_call_timeout.as_secs(), 45);
+    assert_eq!(control.settings().max_attempts, 2);
+
+    propose(
+        &mut log,
+        &mut control,
+        2,
+        delete(Kind::Configuration, "c", Some(1)),
+    );
+    assert_eq!(control.settings(), &elderworks_control::Settings::default());
+}
--- /dev/null
+++ b/crates/control/tests/support/mod.rs
@@ -0,0 +1,157 @@
+//! Records, resources and readers shared by the tests of this crate.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use elderworks_control::{Control, ControlBody, Effect, Event};
+use elderworks_protocol::record::{Record, Writer};
+use elderworks_types::resource::{
+    BudgetSpec, ConfigurationSpec, EngineEndpoint, Kind, Metadata, ModelServiceSpec, ProgramSpec,
+    Resource, ServiceSpec, Spec, ToolServiceSpec,
+};
+use elderworks_types::{Credits, Epoch, Incarnation, NodeId, Offset, Sequence, Timestamp, Tokens};
+use std::time::Duration;
+
+/// The time in tests that need none.
+pub const NOW: Timestamp = Timestamp(0);
+
+/// A log of one stream, with the readers that follow it.
+pub struct TestLog {
+    pub records: Vec<Record<ControlBody>>,
+}
+
+impl TestLog {
+    /// Begins with the announcement of each node; the incarnation is the position.
+    pub fn with_nodes(nodes: &[&str]) -> Self {
+        let mut log = Self {
+            records: Vec::new(),
+        };
+        for (nonce, node) in nodes.iter().enumerate() {
+            let body = ControlBody::NodeStarted {
+                node: NodeId::new(node),
+                nonce: nonce as u64,
+            };
+            log.append(node, 0, 1, body);
+        }
+        log
+    }
+
+    pub fn append(&mut self, node: &str, incarnation: u64, sequence: u64, body: ControlBody) {
+        self.records.push(Record {
+            writer: Writer {
+                node: NodeId::new(node),
+                incarnation: Incarnation(incarnation),
+            },
+            sequence: Sequence(sequence),
+            epoch: Epoch(0),
+            body,
+        });
+    }
+
+    /// Feeds every record that `control` has not applied; returns all effects.
+    pub fn feed(&self, control: &mut Control) -> Vec<Effect> {
+        let first = control.next().0 as usize;
+        let mut effects = Vec::new();
+        for offset in first..self.records.len() {
+            effects.extend(self.feed_one(control, offset));
+        }
+        effects
+    }
+
+    /// Feeds the record at one offset.
+    pub fn feed_one(&self, control: &mut Control, offset: usize) -> Vec<Effect> {
+        let event = Event::RecordRead {
+            offset: Offset(offset as u64),
+            index: 0,
+            record: self.records[offset].clone(),
+        };
+        control.handle(NOW, event)
+    }
+}
+
+/// A reader that has announced itself under `nonce`.
+pub fn started(node: &str, nonce: u64) -> Control {
+    let mut control = Control::new(NodeId::new(node), nonce);
+    control.handle(NOW, Event::Start);
+    control
+}
+
+pub fn resource(name: &str, spec: Spec) -> Resource {
+    Resource {
+        metadata: Metadata {
+            name: name.into(),
+            revision: Offset(0),
+        },
+        spec,
+    }
+}
+
+pub fn put(resource: Resource, expected: Option<u64>) -> ControlBody {
+    ControlBody::Put {
+        resource,
+        expected: expected.map(Offset),
+    }
+}
+
+pub fn delete(kind: Kind, name: &str, expected: Option<u64>) -> ControlBody {
+    ControlBody::Delete {
+        kind,
+        name: name.into(),
+        expected: expected.map(Offset),
+    }
+}
+
+pub fn budget(name: &str, tenant: &str, limit: u64) -> Resource {
+    let spec = BudgetSpec {
+        tenant: tenant.into(),
+        limit: Credits(limit),
+    };
+    resource(name, Spec::Budget(spec))
+}
+
+pub fn model_service(name: &str, model: &str, engines: &[&str]) -> Resource {
+    let engines = engines.iter().map(|id| EngineEndpoint {
+        id: (*id).into(),
+        url: "http://127.0.0.1:9000".into(),
+        zone: "zone-a".into(),
+    });
+    let spec = ModelServiceSpec {
+        model: model.into(),
+        engines: engines.collect(),
+        credits_per_prompt_token: Credits(1),
+        credits_per_output_token: Credits(3),
+    };
+    resource(name, Spec::Service(ServiceSpec::Model(spec)))
+}
+
+pub fn tool_service(name: &str, tool: &str) -> Resource {
+    let spec = ToolServiceSpec {
+        tool: tool.into(),
+        url: "http://127.0.0.1:9100".into(),
+        credits_per_invocation: Credits(5),
+        timeout: Duration::from_secs(20),
+    };
+    resource(name, Spec::Service(ServiceSpec::Tool(spec)))
+}
+
+pub fn program(name: &str, services: &[&str], budget: Option<&str>) -> Resource {
+    let spec = ProgramSpec {
+        services: services.iter().map(|name| (*name).into()).collect(),
+        budget: budget.map(Into::into),
+        run_budget: Credits(1_000),
+        max_turns: 50,
+        max_history: Tokens(100_000),
+        max_duration: Duration::from_secs(3_600),
+        deadline: None,
+        priority: 0,
+    };
+    resource(name, Spec::Program(spec))
+}
+
+pub fn configuration(name: &str, values: &[(&str, &str)]) -> Resource {
+    let values = values
+        .iter()
+        .map(|(key, value)| ((*key).to_owned(), (*value).to_owned()));
+    let spec = ConfigurationSpec {
+        values: values.collect(),
+    };
+    resource(name, Spec::Configuration(spec))
+}
