Tell writers of the control stream apart by the nonce of their start

Cause: a record's writer has to be fixed before the log has given the start an offset, and the append machinery keeps one writer for life, so an incarnation by offset cannot stand in records of the control stream.

Ruled out: changing the writer after the announcement was read back (the append machinery would need a second numbering); accepting writers that never announced themselves (a repeat from a forgotten writer would count again).

Change: Control::new takes the writer, as agreed at first; its incarnation is the nonce of NodeStarted, and other records of a writer count only after that one.

--- a/crates/control/src/body.rs
+++ b/crates/control/src/body.rs
@@ -24,7 +24,10 @@
         /// Revision that the operator saw.
         expected: Option<Offset>,
     },
-    /// A node started; its incarnation is the offset of this record.
+    /// A node started; its incarnation is the offset of the first such record. On the control
+    /// stream itself, where no record can know its offset beforehand, writers are told apart by
+    /// the nonce: it stands as the incarnation of every record that this start writes there. Other
+    /// records of a writer count only after this one.
     NodeStarted {
         /// Which.
         node: NodeId,
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -2,7 +2,7 @@
 
 use elderworks_protocol::record::{Record, Writer};
 use elderworks_types::resource::{Kind, Resource};
-use elderworks_types::{Incarnation, NodeId, Offset, ResourceName, Timestamp};
+use elderworks_types::{Offset, ResourceName, Timestamp};
 
 use crate::changes::ChangeLog;
 use crate::index::Index;
@@ -22,16 +22,10 @@
 
 /// The control state of one node.
 pub struct Control {
-    node: NodeId,
-    /// Recognises this node's own announcement.
-    nonce: u64,
-    announced: bool,
-    incarnation: Option<Incarnation>,
+    writer: Writer,
     log_reachable: bool,
     /// The last record applied.
     applied: Option<Position>,
-    /// The highest next offset that a peer has reported.
-    peer_next: Offset,
     resources: Resources,
     writers: Writers,
     changes: ChangeLog,
@@ -39,16 +33,13 @@
 }
 
 impl Control {
-    /// Empty; `nonce` is random and differs at every start of the process.
-    pub fn new(node: NodeId, nonce: u64) -> Self {
+    /// Empty. `writer` is the one under which this node appends to the control stream: its
+    /// incarnation is the nonce of its [`ControlBody::NodeStarted`].
+    pub fn new(writer: Writer) -> Self {
         Self {
-            node,
-            nonce,
-            announced: false,
-            incarnation: None,
+            writer,
             log_reachable: true,
             applied: None,
-            peer_next: Offset(0),
             resources: Resources::default(),
             writers: Writers::default(),
             changes: ChangeLog::default(),
@@ -59,14 +50,12 @@
     /// Takes one event and returns what is to be done, in order.
     pub fn handle(&mut self, _now: Timestamp, event: Event) -> Vec<Effect> {
         match event {
-            Event::Start => self.announce(),
             Event::RecordRead {
                 offset,
                 index,
                 record,
             } => self.read(Position { offset, index }, record),
             Event::Propose { request, body } => self.propose(request, body),
-            Event::PeerApplied(next) => self.note_peer(next),
             Event::LogReachable(reachable) => self.set_log_reachable(reachable),
             Event::TakeSnapshot | Event::Tick => Vec::new(),
         }
@@ -83,14 +72,9 @@
         self.applied.map_or(Offset(0), |position| position.offset)
     }
 
-    /// This node's incarnation, once its announcement was read back.
-    pub fn incarnation(&self) -> Option<Incarnation> {
-        self.incarnation
-    }
-
-    /// Whether this node has started and has applied all that any peer is known to have applied.
-    pub fn is_caught_up(&self) -> bool {
-        self.incarnation.is_some() && self.next() >= self.peer_next
+    /// Whether this node's announcement was read back, so that its changes can count.
+    pub fn has_started(&self) -> bool {
+        self.writers.knows(&self.writer)
     }
 
     /// One resource.
@@ -117,22 +101,6 @@
         self.resources.index()
     }
 
-    fn announce(&mut self) -> Vec<Effect> {
-        if self.announced {
-            return Vec::new();
-        }
-        self.announced = true;
-        vec![Effect::Append(ControlBody::NodeStarted {
-            node: self.node.clone(),
-            nonce: self.nonce,
-        })]
-    }
-
-    fn note_peer(&mut self, next: Offset) -> Vec<Effect> {
-        self.peer_next = self.peer_next.max(next);
-        Vec::new()
-    }
-
     fn propose(&mut self, request: RequestId, body: ControlBody) -> Vec<Effect> {
         if let Err(error) = self.check_proposal(&body) {
             return vec![refusal(request, error)];
@@ -153,7 +121,7 @@
                 return Err(ControlError::invalid("", "not a change of a resource"));
             }
         }
-        if self.incarnation.is_none() || !self.log_reachable {
+        if !self.has_started() || !self.log_reachable {
             return Err(ControlError::Unavailable);
         }
         Ok(())
@@ -181,10 +149,8 @@
         }
         let revision_is_free = self.revision() < position.offset;
         self.applied = Some(position);
-        match record.body {
-            ControlBody::NodeStarted { node, nonce } => {
-                self.read_node_started(&node, nonce, position.offset)
-            }
+        match &record.body {
+            ControlBody::NodeStarted { .. } => self.read_node_started(&record, position.offset),
             ControlBody::Snapshot { .. } => Vec::new(),
             ControlBody::Put { .. } | ControlBody::Delete { .. } => {
                 self.read_change(position.offset, revision_is_free, record)
@@ -192,33 +158,28 @@
         }
     }
 
-    fn read_node_started(&mut self, node: &NodeId, nonce: u64, offset: Offset) -> Vec<Effect> {
-        let Some(incarnation) = self.writers.announce(node, nonce, offset) else {
-            return Vec::new();
-        };
-        if *node == self.node && nonce == self.nonce {
-            self.incarnation = Some(incarnation);
-            return vec![Effect::Started(incarnation)];
+    fn read_node_started(&mut self, record: &Record<ControlBody>, offset: Offset) -> Vec<Effect> {
+        let had_started = self.has_started();
+        self.writers
+            .announce(&record.writer, record.sequence, offset);
+        if had_started && !self.has_started() {
+            return self.announce_again();
         }
-        self.announce_again_if_forgotten()
+        Vec::new()
     }
 
     /// A node that has written nothing for very long may be forgotten as a writer, by all readers
-    /// at the same record. What it has in flight is void then, and it takes a new incarnation.
-    fn announce_again_if_forgotten(&mut self) -> Vec<Effect> {
-        let forgotten = self.writer().is_some_and(|own| !self.writers.knows(&own));
-        if !forgotten {
-            return Vec::new();
-        }
-        self.incarnation = None;
-        self.announced = false;
-        self.nonce = self.nonce.wrapping_add(1);
+    /// at the same record. What it has in flight is void then.
+    fn announce_again(&mut self) -> Vec<Effect> {
         let mut effects: Vec<Effect> = self
             .proposals
             .take_all()
             .map(|proposal| refusal(proposal.request, ControlError::Unavailable))
             .collect();
-        effects.extend(self.announce());
+        effects.push(Effect::Append(ControlBody::NodeStarted {
+            node: self.writer.node.clone(),
+            nonce: self.writer.incarnation.0,
+        }));
         effects
     }
 
@@ -260,21 +221,12 @@
 
     /// The request that this record answers, if this node wrote it.
     fn own_request(&mut self, record: &Record<ControlBody>) -> Option<RequestId> {
-        let own = self.writer().is_some_and(|own| own == record.writer);
-        if !own {
+        if record.writer != self.writer {
             return None;
         }
         self.proposals.take_read_back(&record.body)
     }
 
-    fn writer(&self) -> Option<Writer> {
-        let incarnation = self.incarnation?;
-        Some(Writer {
-            node: self.node.clone(),
-            incarnation,
-        })
-    }
-
     /// Answers a request, if there is one, and sends the next.
     fn finish(
         &mut self,
--- a/crates/control/src/effect.rs
+++ b/crates/control/src/effect.rs
@@ -1,7 +1,7 @@
 //! What the control state machine asks for.
 
 use elderworks_types::resource::{Kind, Resource};
-use elderworks_types::{Incarnation, Offset, ResourceName};
+use elderworks_types::{Offset, ResourceName};
 
 use crate::{ControlBody, ControlError, RequestId};
 
@@ -24,9 +24,6 @@
     /// Append a record; its read-back returns as [`crate::Event::RecordRead`]. A retry after a lost
     /// answer must repeat the record's sequence.
     Append(ControlBody),
-    /// This node's announcement was read back: records that it appends from now on carry this
-    /// incarnation.
-    Started(Incarnation),
     /// Answer a proposal.
     Reply {
         /// Which.
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -11,9 +11,6 @@
 /// An input of [`crate::Control::handle`].
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// Announce this node on the control stream. Its incarnation comes back as
-    /// [`crate::Effect::Started`]; until then every proposal is refused.
-    Start,
     /// The next record of the control stream, in offset order. Records at or before the position
     /// already applied are ignored, so a relayed record may be offered again.
     RecordRead {
@@ -31,8 +28,6 @@
         /// The change.
         body: ControlBody,
     },
-    /// A peer says that it has applied everything before this offset.
-    PeerApplied(Offset),
     /// This node is the one to write a snapshot, if one is due.
     TakeSnapshot,
     /// The log has not answered for some time (`false`), or answers again (`true`).
--- a/crates/control/src/writers.rs
+++ b/crates/control/src/writers.rs
@@ -11,20 +11,20 @@
 use elderworks_types::{Incarnation, NodeId, Offset, Sequence};
 use serde::{Deserialize, Serialize};
 
-/// Incarnations remembered of one node; records of older ones are void.
-const INCARNATIONS_PER_NODE: usize = 4;
+/// Starts remembered of one node; records of earlier ones are void.
+const STARTS_PER_NODE: usize = 4;
 
 /// Writers remembered in all; the one that has been silent the longest is forgotten first.
 const MAX_WRITERS: usize = 16_384;
 
-/// What is known of one writer incarnation.
+/// What is known of one writer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct WriterEntry {
-    /// Announced with this number.
-    nonce: u64,
     /// The last sequence that counted.
     sequence: Sequence,
-    /// Offset of that record.
+    /// Offset of its announcement.
+    announced: Offset,
+    /// Offset of its last record that counted.
     last_seen: Offset,
 }
 
@@ -35,30 +35,20 @@
 }
 
 impl Writers {
-    /// Records an announcement; returns the new incarnation, or `None` if it is a repeat.
-    pub(crate) fn announce(
-        &mut self,
-        node: &NodeId,
-        nonce: u64,
-        offset: Offset,
-    ) -> Option<Incarnation> {
-        if self.of_node(node).any(|(_, entry)| entry.nonce == nonce) {
-            return None;
+    /// Enters a writer that announces itself; a repeat changes nothing.
+    pub(crate) fn announce(&mut self, writer: &Writer, sequence: Sequence, offset: Offset) {
+        if self.knows(writer) {
+            self.admit(writer, sequence, offset);
+            return;
         }
-        let incarnation = Incarnation(offset.0);
-        let writer = Writer {
-            node: node.clone(),
-            incarnation,
-        };
         let entry = WriterEntry {
-            nonce,
-            sequence: Sequence::default(),
+            sequence,
+            announced: offset,
             last_seen: offset,
         };
-        self.entries.insert(writer, entry);
-        self.forget_old_incarnations(node);
+        self.entries.insert(writer.clone(), entry);
+        self.forget_earliest_start(&writer.node);
         self.forget_silent_writer();
-        Some(incarnation)
     }
 
     /// Whether a record counts: its writer is known and its sequence is new.
@@ -80,28 +70,22 @@
     }
 
     fn of_node(&self, node: &NodeId) -> impl Iterator<Item = (&Writer, &WriterEntry)> {
-        let first = Writer {
+        let bound = |incarnation| Writer {
             node: node.clone(),
-            incarnation: Incarnation(0),
+            incarnation: Incarnation(incarnation),
         };
-        let last = Writer {
-            node: node.clone(),
-            incarnation: Incarnation(u64::MAX),
-        };
-        self.entries.range(first..=last)
+        self.entries.range(bound(0)..=bound(u64::MAX))
     }
 
-    fn forget_old_incarnations(&mut self, node: &NodeId) {
-        let known = self.of_node(node).count();
-        let excess = known.saturating_sub(INCARNATIONS_PER_NODE);
-        let oldest: Vec<Writer> = self
-            .of_node(node)
-            .take(excess)
-            .map(|(writer, _)| writer.clone())
-            .collect();
-        for writer in oldest {
-            self.entries.remove(&writer);
+    fn forget_earliest_start(&mut self, node: &NodeId) {
+        if self.of_node(node).count() <= STARTS_PER_NODE {
+            return;
         }
+        let earliest = self
+            .of_node(node)
+            .min_by_key(|(_, entry)| entry.announced)
+            .map(|(writer, _)| writer.clone());
+        self.forget(earliest);
     }
 
     fn forget_silent_writer(&mut self) {
@@ -113,7 +97,11 @@
             .iter()
             .min_by_key(|(_, entry)| entry.last_seen)
             .map(|(writer, _)| writer.clone());
-        if let Some(writer) = silent {
+        self.forget(silent);
+    }
+
+    fn forget(&mut self, writer: Option<Writer>) {
+        if let Some(writer) = writer {
             self.entries.remove(&writer);
         }
     }
