Add HTTP clients for engines, tools and the platform

Cause: the node needs to speak to back ends, and to know of each failure whether the request surely did not run. Ruled out: awc errors passed through (awc reports a connection closed before the answer as a ConnectError, which would count a request that may have run as not sent) and an event-stream parser of our own.

--- /dev/null
+++ b/crates/backend/src/engine/http.rs
@@ -0,0 +1,149 @@
+//! [`EngineClient`] over HTTP.
+
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use awc::http::Method;
+use elderworks_platform_api::engine::{
+    CacheEventsQuery, CacheEventsResponse, CancelResponse, ChatRequest, CommandResponse,
+    EngineLoad, EngineState, FencedCommand, Holding, HoldingsResponse, ImportResponse, KvExport,
+    ReleaseResponse, ResumeQuery, RetentionRequest,
+};
+use elderworks_platform_api::{headers, paths};
+use elderworks_types::RunId;
+use futures_util::{FutureExt, StreamExt, TryFutureExt};
+
+use super::{AnswerStream, EngineClient, EngineFuture, GenerateRequest, decode_answer};
+use crate::http::{self, Body};
+use crate::{BackendError, Endpoint};
+
+/// [`EngineClient`] over HTTP.
+#[derive(Clone)]
+pub struct HttpEngineClient {
+    endpoint: Endpoint,
+}
+
+impl HttpEngineClient {
+    /// The engine at this endpoint.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint }
+    }
+
+    fn get<T: serde::de::DeserializeOwned + 'static>(&self, path: &'static str) -> EngineFuture<T> {
+        let endpoint = self.endpoint.clone();
+        async move { endpoint.get(path).await }.boxed_local()
+    }
+
+    fn empty<T: serde::de::DeserializeOwned + 'static>(
+        &self,
+        method: Method,
+        path: String,
+    ) -> EngineFuture<T> {
+        let deadline = self.endpoint.deadline();
+        let request = self.endpoint.request(method, &path);
+        http::json(request, Body::Empty, deadline).boxed_local()
+    }
+
+    fn send<T: serde::de::DeserializeOwned + 'static>(
+        &self,
+        method: Method,
+        path: String,
+        body: impl serde::Serialize + 'static,
+    ) -> EngineFuture<T> {
+        let endpoint = self.endpoint.clone();
+        async move { endpoint.send(method, &path, &body).await }.boxed_local()
+    }
+}
+
+impl EngineClient for HttpEngineClient {
+    fn generate(&self, request: GenerateRequest) -> AnswerStream {
+        let deadline = Instant::now() + request.timeout;
+        let http_request = self
+            .endpoint
+            .request(Method::POST, paths::CHAT_COMPLETIONS)
+            .insert_header((headers::REQUEST_ID, request.request_id.as_str()))
+            .insert_header((headers::RUN_ID, request.run.to_string()));
+        let body = ChatRequest {
+            model: request.model,
+            messages: request.messages,
+            max_tokens: Some(request.max_output),
+            stream: true,
+            priority: request.priority,
+            continue_text: request.continue_text,
+        };
+        let answer = async move { http::open(http_request, Body::json(&body)?, deadline).await };
+        read_answer(answer, 0, deadline)
+    }
+
+    fn resume(&self, request_id: &str, from: u32, timeout: Duration) -> AnswerStream {
+        let deadline = Instant::now() + timeout;
+        let request = self
+            .endpoint
+            .request(Method::GET, &paths::answer_stream(request_id));
+        let answer = async move {
+            let request = http::with_query(request, &ResumeQuery { from })?;
+            http::open(request, Body::Empty, deadline).await
+        };
+        read_answer(answer, from, deadline)
+    }
+
+    fn cancel(&self, request_id: &str) -> EngineFuture<bool> {
+        let path = paths::answer_stream(request_id);
+        self.empty(Method::DELETE, path)
+            .map_ok(|answer: CancelResponse| answer.cancelled)
+            .boxed_local()
+    }
+
+    fn load(&self) -> EngineFuture<EngineLoad> {
+        self.get(paths::LOAD)
+    }
+
+    fn cache_events(&self, after: u64) -> EngineFuture<CacheEventsResponse> {
+        let deadline = self.endpoint.deadline();
+        let request = self.endpoint.request(Method::GET, paths::CACHE_EVENTS);
+        async move {
+            let request = http::with_query(request, &CacheEventsQuery { after })?;
+            http::json(request, Body::Empty, deadline).await
+        }
+        .boxed_local()
+    }
+
+    fn holdings(&self) -> EngineFuture<HoldingsResponse> {
+        self.get(paths::RUNS)
+    }
+
+    fn retain(&self, run: RunId, lease: Duration) -> EngineFuture<Holding> {
+        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        let body = RetentionRequest { lease_ms };
+        self.send(Method::PUT, paths::retention(run), body)
+    }
+
+    fn release(&self, run: RunId) -> EngineFuture<ReleaseResponse> {
+        self.empty(Method::DELETE, paths::run(run))
+    }
+
+    fn export(&self, run: RunId) -> EngineFuture<KvExport> {
+        self.empty(Method::POST, paths::export(run))
+    }
+
+    fn import(&self, run: RunId, blocks: KvExport) -> EngineFuture<ImportResponse> {
+        self.send(Method::POST, paths::import(run), blocks)
+    }
+
+    fn command(&self, command: FencedCommand) -> EngineFuture<CommandResponse> {
+        self.send(Method::POST, paths::COMMANDS.to_owned(), command)
+    }
+
+    fn state(&self) -> EngineFuture<EngineState> {
+        self.get(paths::STATE)
+    }
+}
+
+fn read_answer(
+    answer: impl Future<Output = Result<http::Answer, BackendError>> + 'static,
+    from: u32,
+    deadline: Instant,
+) -> AnswerStream {
+    let opened = answer.map_ok(move |answer| decode_answer(answer, from, deadline));
+    opened.try_flatten_stream().boxed_local()
+}
--- /dev/null
+++ b/crates/backend/src/log.rs
@@ -0,0 +1,101 @@
+//! Client of the platform's log.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use bytes::Bytes;
+use elderworks_platform_api::log::{AppendResponse, ReadQuery, ReadResponse};
+use elderworks_platform_api::paths;
+use elderworks_types::Offset;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use crate::http::{self, Body};
+use crate::{BackendError, Endpoint, LostReason};
+
+/// The append-only log service.
+pub trait LogClient {
+    /// Appends one record. After [`BackendError::Lost`] it may be in the stream all the same.
+    fn append(
+        &self,
+        stream: &str,
+        data: Bytes,
+    ) -> LocalBoxFuture<'static, Result<Offset, BackendError>>;
+
+    /// Reads records from `from` on, of about `max_bytes` in all, waiting up to `wait` for the first.
+    fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, Result<ReadResponse, BackendError>>;
+}
+
+/// [`LogClient`] over HTTP.
+#[derive(Clone)]
+pub struct HttpLogClient {
+    endpoint: Endpoint,
+}
+
+impl HttpLogClient {
+    /// The log at this endpoint.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint }
+    }
+}
+
+impl LogClient for HttpLogClient {
+    fn append(
+        &self,
+        stream: &str,
+        data: Bytes,
+    ) -> LocalBoxFuture<'static, Result<Offset, BackendError>> {
+        let deadline = self.endpoint.deadline();
+        let request = self.endpoint.request(Method::POST, &paths::records(stream));
+        async move {
+            let answer: AppendResponse = http::json(request, Body::Raw(data), deadline).await?;
+            Ok(answer.offset)
+        }
+        .boxed_local()
+    }
+
+    fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, Result<ReadResponse, BackendError>> {
+        let deadline = self.endpoint.deadline_after(wait);
+        let request = self.endpoint.request(Method::GET, &paths::records(stream));
+        let query = ReadQuery {
+            from,
+            max_bytes,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        async move {
+            let request = http::with_query(request, &query)?;
+            let answer: ReadResponse = http::json(request, Body::Empty, deadline).await?;
+            check_offsets(from, &answer)?;
+            Ok(answer)
+        }
+        .boxed_local()
+    }
+}
+
+/// Holds an answer against what the interface promises: offsets dense from the one asked for.
+fn check_offsets(from: Offset, answer: &ReadResponse) -> Result<(), BackendError> {
+    let mut expected = from;
+    for record in &answer.records {
+        if record.offset != expected || expected >= answer.end {
+            let detail = format!(
+                "record at offset {} where {expected} was due",
+                record.offset
+            );
+            return Err(BackendError::lost(LostReason::Malformed, detail));
+        }
+        expected = expected.next();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/backend/src/tool.rs
@@ -0,0 +1,82 @@
+//! Client of a tool service.
+
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use awc::http::Method;
+use bytes::Bytes;
+use elderworks_platform_api::tool::{InvocationResponse, InvocationStatus};
+use elderworks_platform_api::{headers, paths};
+use elderworks_types::ToolName;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use crate::http::{self, Body};
+use crate::{BackendError, Endpoint};
+
+/// One invocation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToolInvocation {
+    /// The tool.
+    pub tool: ToolName,
+    /// Key under which the tool recognises a repeat.
+    pub idempotency_key: String,
+    /// Arguments as JSON text.
+    pub arguments: String,
+    /// Longest time to wait for the result.
+    pub timeout: Duration,
+}
+
+/// A tool service.
+pub trait ToolClient {
+    /// Invokes the tool.
+    fn invoke(
+        &self,
+        invocation: ToolInvocation,
+    ) -> LocalBoxFuture<'static, Result<InvocationResponse, BackendError>>;
+
+    /// Asks what became of an invocation.
+    fn status(
+        &self,
+        idempotency_key: &str,
+    ) -> LocalBoxFuture<'static, Result<InvocationStatus, BackendError>>;
+}
+
+/// [`ToolClient`] over HTTP.
+#[derive(Clone)]
+pub struct HttpToolClient {
+    endpoint: Endpoint,
+}
+
+impl HttpToolClient {
+    /// The tool service at this endpoint.
+    pub fn new(endpoint: Endpoint) -> Self {
+        Self { endpoint }
+    }
+}
+
+impl ToolClient for HttpToolClient {
+    fn invoke(
+        &self,
+        invocation: ToolInvocation,
+    ) -> LocalBoxFuture<'static, Result<InvocationResponse, BackendError>> {
+        let deadline = Instant::now() + invocation.timeout;
+        let request = self
+            .endpoint
+            .request(Method::POST, paths::INVOCATIONS)
+            .insert_header((headers::IDEMPOTENCY_KEY, invocation.idempotency_key))
+            .insert_header((headers::TOOL, invocation.tool.as_str()))
+            .content_type("application/json");
+        let body = Body::Raw(Bytes::from(invocation.arguments));
+        async move { http::json(request, body, deadline).await }.boxed_local()
+    }
+
+    fn status(
+        &self,
+        idempotency_key: &str,
+    ) -> LocalBoxFuture<'static, Result<InvocationStatus, BackendError>> {
+        let endpoint = self.endpoint.clone();
+        let path = paths::invocation(idempotency_key);
+        async move { endpoint.get(&path).await }.boxed_local()
+    }
+}
--- a/crates/platform-api/src/headers.rs
+++ b/crates/platform-api/src/headers.rs
@@ -11,3 +11,6 @@
 
 /// Seconds after which a refused request may be accepted.
 pub const RETRY_AFTER: &str = "retry-after";
+
+/// The tool that an invocation is for, where one service hosts several.
+pub const TOOL: &str = "x-tool";
