Number an answer's chunks as the caller asks

Cause: a call continued on another engine numbers its chunks on from those already delivered, and a later owner resumes by that number; with numbers from 0 it would have to know how far each earlier attempt came. Ruled out: the node translating numbers, as the translation is lost with the node. Change: first_chunk in the request; engine roles and load as the engine model has them; fields that no engine here can fill are dropped.

--- a/crates/backend/src/engine/answer.rs
+++ b/crates/backend/src/engine/answer.rs
@@ -7,7 +7,7 @@
 use actix_http::error::PayloadError;
 use actix_rt::time::Instant;
 use bytes::Bytes;
-use elderworks_platform_api::engine::{ChatChunk, DONE, FinishReason};
+use elderworks_platform_api::engine::{ChatChunk, DONE};
 use elderworks_types::{Tokens, Usage, text};
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures_util::stream::{LocalBoxStream, try_unfold};
@@ -167,10 +167,6 @@
     }
     let usage = chunk.usage.map(Usage::from);
     let usage = usage.ok_or_else(|| malformed("an end without usage"))?;
-    if reason == FinishReason::Cancelled {
-        let detail = "the engine cancelled the request";
-        return Err(BackendError::lost(LostReason::Broken, detail).with_usage(usage));
-    }
     Ok(Decoded::Finish(Finish { reason, usage }))
 }
 
--- a/crates/backend/src/engine/http.rs
+++ b/crates/backend/src/engine/http.rs
@@ -58,6 +58,7 @@
 impl EngineClient for HttpEngineClient {
     fn generate(&self, request: GenerateRequest) -> AnswerStream {
         let deadline = Instant::now() + request.timeout;
+        let first_chunk = request.first_chunk;
         let http_request = self
             .endpoint
             .request(Method::POST, paths::CHAT_COMPLETIONS)
@@ -70,9 +71,10 @@
             stream: true,
             priority: request.priority,
             continue_text: request.continue_text,
+            first_chunk,
         };
         let answer = async move { http::open(http_request, Body::json(&body)?, deadline).await };
-        read_answer(answer, 0, deadline)
+        read_answer(answer, first_chunk, deadline)
     }
 
     fn resume(&self, request_id: &str, from: u32, timeout: Duration) -> AnswerStream {
--- a/crates/backend/src/engine/mod.rs
+++ b/crates/backend/src/engine/mod.rs
@@ -29,12 +29,14 @@
     pub model: ModelName,
     /// The whole prompt.
     pub messages: Vec<Message>,
-    /// Most tokens to generate.
+    /// Most tokens of the whole answer, continued text included.
     pub max_output: Tokens,
     /// Place in the engine's queue; smaller goes first.
     pub priority: i64,
     /// Beginning of the answer, already generated elsewhere; the answer continues it.
     pub continue_text: String,
+    /// Number of the first chunk of this request's answer.
+    pub first_chunk: u32,
     /// Longest time from now to the end of the answer.
     pub timeout: Duration,
 }
@@ -53,7 +55,7 @@
 pub enum AnswerItem {
     /// Text.
     Chunk {
-        /// Position in the request's answer, from 0 without gaps.
+        /// Its number, from the request's `first_chunk` on without gaps.
         index: u32,
         /// The text.
         text: String,
--- a/crates/platform-api/src/engine.rs
+++ b/crates/platform-api/src/engine.rs
@@ -1,11 +1,11 @@
 //! A model engine: chat completions in the OpenAI form, with extensions, and the engine's own
 //! resources.
 //!
-//! A streamed answer is a server-sent event stream. Each event's `id` is the chunk's number, from
-//! 0, and its data a [`ChatChunk`]; the last chunk carries the finish reason and usage, and the
-//! event after it is `[DONE]`. A broken stream is resumed at any chunk by
-//! `GET /v1/streams/{request_id}?from=N`. A request that nobody reads is cancelled after
-//! [`RESUME_GRACE_MS`].
+//! A streamed answer is a server-sent event stream. Each event's `id` is the chunk's number, counted
+//! from the request's `first_chunk`, and its data a [`ChatChunk`]; the last chunk carries no text but
+//! the finish reason and usage, and the event after it is `[DONE]`. A broken stream is resumed at any
+//! chunk by `GET /v1/streams/{request_id}?from=N`. A request that nobody reads is cancelled after
+//! [`RESUME_GRACE_MS`]; the stream of a cancelled request ends without a finish reason.
 
 use elderworks_types::text::BlockHash;
 use elderworks_types::{EngineId, Message, ModelName, Role, RunId, Timestamp, Tokens, Usage};
@@ -25,7 +25,7 @@
     pub model: ModelName,
     /// The whole prompt.
     pub messages: Vec<Message>,
-    /// Most tokens to generate.
+    /// Most tokens of the whole answer, text that it continues included.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub max_tokens: Option<Tokens>,
     /// Whether to answer by a stream.
@@ -38,6 +38,9 @@
     /// and does not repeat it.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub continue_text: String,
+    /// Extension: number of the answer's first chunk.
+    #[serde(default)]
+    pub first_chunk: u32,
 }
 
 /// Why an answer ended.
@@ -48,8 +51,6 @@
     Stop,
     /// The most tokens allowed were generated.
     Length,
-    /// The request was cancelled; the answer is not whole.
-    Cancelled,
 }
 
 /// Details of the prompt's tokens.
@@ -206,8 +207,6 @@
     pub blocks_used: u32,
     /// Cache blocks in all.
     pub blocks_total: u32,
-    /// Cache blocks held under a retention lease.
-    pub blocks_retained: u32,
 }
 
 /// A change in an engine's prefix cache.
@@ -222,6 +221,9 @@
     Cleared,
 }
 
+/// Most cache events in one answer.
+pub const MAX_CACHE_EVENTS: usize = 1_024;
+
 /// One published cache event.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
@@ -244,20 +246,18 @@
 pub struct CacheEventsResponse {
     /// Changes with the engine's every start; numbers of different starts do not compare.
     pub instance: u64,
-    /// Published events in order.
+    /// Published events in order, at most [`MAX_CACHE_EVENTS`].
     pub events: Vec<CacheEvent>,
-    /// Number of the latest published event; 0 before the first.
-    pub latest: u64,
 }
 
-/// A run for which an engine holds memory under a lease.
+/// A run of which an engine holds blocks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// The run.
     pub run: RunId,
     /// Blocks held.
     pub blocks: u32,
-    /// Time left of the lease, in milliseconds.
+    /// Time left of the retention lease, in milliseconds; 0 without one.
     pub lease_ms: u64,
 }
 
@@ -271,10 +271,13 @@
 /// Body of `PUT /v1/runs/{run}/retention`; answered by the [`Holding`] that results.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RetentionRequest {
-    /// Keep the run's blocks for so long from now, in milliseconds.
+    /// Keep the run's blocks for so long from now, in milliseconds; at most [`MAX_LEASE_MS`].
     pub lease_ms: u64,
 }
 
+/// Longest retention lease, in milliseconds. A longer one is cut to it.
+pub const MAX_LEASE_MS: u64 = 3_600_000;
+
 /// Answer to `DELETE /v1/runs/{run}`: the engine holds nothing for the run, and its requests are
 /// cancelled. Succeeds for unknown runs as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -300,17 +303,15 @@
     pub blocks: u32,
 }
 
-/// What an engine does in a deployment that separates the phases of inference.
+/// What an engine does with requests, as the operators of the platform order it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EngineRole {
-    /// Prefill and decode.
+    /// Takes requests.
     #[default]
-    Mixed,
-    /// Prefill only.
-    Prefill,
-    /// Decode only.
-    Decode,
+    Serving,
+    /// Takes none; finishes those it has.
+    Draining,
 }
 
 /// What an engine can be ordered to do.
@@ -383,9 +384,9 @@
 pub struct EngineState {
     /// The engine's own name.
     pub engine: EngineId,
-    /// Whether it takes new work.
+    /// Whether it takes new work: not where it is being taken away or was ordered to drain.
     pub state: ServingState,
-    /// What it does.
+    /// The role that it was ordered into.
     pub role: EngineRole,
     /// Models loaded.
     pub models: Vec<ModelName>,
--- a/crates/platform-api/src/error.rs
+++ b/crates/platform-api/src/error.rs
@@ -22,7 +22,9 @@
     Leaving,
     /// The engine has not loaded the model.
     ModelNotLoaded,
-    /// A request of the same id is known already.
+    /// Prompt and answer do not fit into the engine's memory.
+    TooLong,
+    /// A request of the same id is known already; nothing is said of whether that one ran.
     RequestIdInUse,
     /// A command carried a lower fence than an earlier one.
     StaleFence,
