Drive a node over TCP, UDP and HTTP

Cause: the state machine needs sockets, timers and back end clients around it. Ruled out decisions in tasks: one task owns the state machine and drains a bounded queue, all others only turn bytes into inputs or effects into bytes. Change: framed listener, peer connections, gossip socket, log appends and reads, attempts, engine and machine polls, admin listener with health and metrics, drain on SIGTERM. Adds DetachAttempt, so that losing a partition leaves its streams to the next owner.

--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -273,11 +273,17 @@
         self.attempts.open = kept;
         for (ticket, record) in forgotten {
             match record.state {
-                AttemptState::Waiting(_) | AttemptState::AtEngine { .. } => {
+                AttemptState::Waiting(_) => self
+                    .agenda
+                    .placement(placement::Event::Cancelled { ticket }),
+                AttemptState::AtEngine { .. } => {
                     self.agenda
                         .placement(placement::Event::Cancelled { ticket });
+                    self.agenda.effect(Effect::DetachAttempt { ticket });
+                }
+                AttemptState::Resumed | AttemptState::AtTool => {
+                    self.agenda.effect(Effect::DetachAttempt { ticket });
                 }
-                AttemptState::Resumed | AttemptState::AtTool => {}
             }
         }
     }
--- a/crates/node-core/src/effect.rs
+++ b/crates/node-core/src/effect.rs
@@ -87,6 +87,11 @@
         /// Which attempt.
         ticket: Ticket,
     },
+    /// Stop reading an attempt without stopping it: the partition's next owner takes it up.
+    DetachAttempt {
+        /// Which attempt.
+        ticket: Ticket,
+    },
     /// Invoke a tool.
     InvokeTool {
         /// Which attempt.
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,84 @@
+//! The admin listener: health, metrics and the operators' interface.
+
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+
+use actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody};
+use actix_server::{Server, ServerHandle};
+use tokio::sync::watch;
+
+use crate::driver::NodeStatus;
+use crate::operator_client::OperatorClient;
+
+/// Connections open at the same time.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// What the handlers of one connection share.
+#[derive(Clone)]
+struct Admin {
+    operator: OperatorClient,
+    status: watch::Receiver<NodeStatus>,
+}
+
+/// Serves on a bound socket until the handle is told to stop.
+pub(crate) fn serve(
+    listener: TcpListener,
+    operator: OperatorClient,
+    status: watch::Receiver<NodeStatus>,
+) -> std::io::Result<ServerHandle> {
+    let admin = Admin { operator, status };
+    let server = Server::build()
+        .workers(1)
+        .max_concurrent_connections(MAX_CONNECTIONS)
+        .disable_signals()
+        .shutdown_timeout(1)
+        .listen("admin", listener, move || {
+            let admin = admin.clone();
+            HttpService::build()
+                .finish(move |request| answer(admin.clone(), request))
+                .tcp()
+        })?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+/// The address that a socket got.
+pub(crate) fn bound_address(listener: &TcpListener) -> std::io::Result<SocketAddr> {
+    listener.local_addr()
+}
+
+async fn answer(admin: Admin, request: Request) -> Result<Response<BoxBody>, Infallible> {
+    let path = request.path().to_owned();
+    let response = match (request.method(), path.as_str()) {
+        (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n".to_owned()),
+        (&Method::GET, "/readyz") => admin.readiness(),
+        (&Method::GET, "/metrics") => admin.metrics().await,
+        _ => text(StatusCode::NOT_FOUND, "not found\n".to_owned()),
+    };
+    Ok(response)
+}
+
+impl Admin {
+    fn readiness(&self) -> Response<BoxBody> {
+        match self.status.borrow().ready {
+            true => text(StatusCode::OK, "ready\n".to_owned()),
+            false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        }
+    }
+
+    async fn metrics(&self) -> Response<BoxBody> {
+        match self.operator.metrics().await {
+            Ok(snapshot) => text(StatusCode::OK, snapshot.encode()),
+            Err(stopped) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{stopped}\n")),
+        }
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<BoxBody> {
+    Response::build(status)
+        .insert_header(("content-type", "text/plain; charset=utf-8"))
+        .body(body)
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/node/src/driver.rs
@@ -0,0 +1,312 @@
+//! The task that owns the node's state machine: inputs in, effects out, nothing decided.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use actix_rt::net::UdpSocket;
+use actix_rt::time::interval;
+use elderworks_backend::{HttpClient, ToolInvocation};
+use elderworks_control::Change;
+use elderworks_node_core::core::TICK_INTERVAL;
+use elderworks_node_core::effect::OperatorReply;
+use elderworks_node_core::event::{Connection, OperatorRequest, RequestId};
+use elderworks_node_core::{Effect, Event, NodeCore};
+use elderworks_protocol::peer::FromNode;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::MissedTickBehavior;
+
+use crate::attempts::AttemptTasks;
+use crate::clock::Clock;
+use crate::counters::SharedCounters;
+use crate::engine_polls::EnginePolls;
+use crate::gossip::send_datagram;
+use crate::input::{Input, InputSender};
+use crate::listener::Outgoing;
+use crate::log_io::LogIo;
+use crate::memory::MemoryOrders;
+use crate::metrics::MetricsSnapshot;
+use crate::peers::PeerConnections;
+
+/// What a node tells those that started it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NodeStatus {
+    /// Whether it serves.
+    pub ready: bool,
+    /// Whether it has left in order.
+    pub drained: bool,
+}
+
+/// Where the driver's parts reach the outside.
+pub(crate) struct Outside {
+    pub(crate) http: HttpClient,
+    pub(crate) log_url: String,
+    pub(crate) gossip: Rc<UdpSocket>,
+    pub(crate) clock: Clock,
+    pub(crate) counters: SharedCounters,
+}
+
+/// The owning task's state.
+pub(crate) struct Driver {
+    core: NodeCore,
+    clock: Clock,
+    counters: SharedCounters,
+    inputs: InputSender,
+    connections: BTreeMap<Connection, Outgoing>,
+    gossip: Rc<UdpSocket>,
+    log: LogIo,
+    peers: PeerConnections,
+    attempts: AttemptTasks,
+    engines: EnginePolls,
+    memory: MemoryOrders,
+    next_request: RequestId,
+    questions: BTreeMap<RequestId, oneshot::Sender<OperatorReply>>,
+    watches: BTreeMap<RequestId, mpsc::Sender<Change>>,
+    status: watch::Sender<NodeStatus>,
+}
+
+impl Driver {
+    pub(crate) fn new(
+        core: NodeCore,
+        node: elderworks_types::NodeId,
+        outside: Outside,
+        inputs: InputSender,
+        status: watch::Sender<NodeStatus>,
+    ) -> Self {
+        let Outside {
+            http,
+            log_url,
+            gossip,
+            clock,
+            counters,
+        } = outside;
+        Self {
+            core,
+            clock,
+            counters: counters.clone(),
+            connections: BTreeMap::new(),
+            gossip,
+            log: LogIo::new(http.clone(), &log_url, inputs.clone(), counters.clone()),
+            peers: PeerConnections::new(node, inputs.clone(), counters),
+            attempts: AttemptTasks::new(http.clone(), inputs.clone()),
+            engines: EnginePolls::new(http.clone(), inputs.clone(), clock),
+            memory: MemoryOrders::new(http, inputs.clone()),
+            inputs,
+            next_request: 1,
+            questions: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            status,
+        }
+    }
+
+    /// Runs until the node has left in order.
+    pub(crate) async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+        let mut ticks = interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !self.status.borrow().drained {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => self.tick(),
+                input = queue.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.attempts.sweep();
+        self.end_closed_watches();
+        self.handle(Event::Tick);
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(Event::Closed { connection }) => {
+                self.connections.remove(&connection);
+                self.handle(Event::Closed { connection });
+            }
+            Input::Event(event) => self.handle(event),
+            Input::Accepted {
+                connection,
+                outgoing,
+            } => {
+                self.connections.insert(connection, outgoing);
+            }
+            Input::Operator { question, reply } => {
+                let request = self.take_request();
+                self.questions.insert(request, reply);
+                self.handle(Event::Operator { request, question });
+            }
+            Input::Watch {
+                kind,
+                after,
+                reply,
+                changes,
+            } => {
+                let request = self.take_request();
+                self.questions.insert(request, reply);
+                self.watches.insert(request, changes);
+                let question = OperatorRequest::Watch { kind, after };
+                self.handle(Event::Operator { request, question });
+            }
+            Input::Metrics { reply } => {
+                let _ = reply.send(self.metrics());
+            }
+        }
+    }
+
+    fn take_request(&mut self) -> RequestId {
+        let request = self.next_request;
+        self.next_request += 1;
+        request
+    }
+
+    fn metrics(&self) -> MetricsSnapshot {
+        MetricsSnapshot {
+            core: *self.core.counters(),
+            driver: self.counters.get(),
+            owned_partitions: self.core.owned_partitions().count() as u64,
+            open_connections: self.connections.len() as u64,
+            open_attempts: self.attempts.len() as u64,
+            ready: self.status.borrow().ready,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        for effect in self.core.handle(self.clock.now(), event) {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Append {
+                stream,
+                token,
+                bytes,
+            } => self.log.append(stream, token, bytes),
+            Effect::Read { stream, from, wait } => self.log.read(stream, from, wait),
+            Effect::SendDatagram { to, datagram } => send_datagram(&self.gossip, to, &datagram),
+            Effect::Send {
+                connection,
+                message,
+            } => self.send(connection, message),
+            Effect::SendPeer { peer, message } => self.peers.send(peer, message),
+            Effect::WatchEngine { engine, url } => self.engines.watch(engine, &url),
+            Effect::ForgetEngine { engine } => self.engines.forget(&engine),
+            Effect::OperatorReply { request, reply } => self.reply(request, reply),
+            Effect::WatchEvent { watch, change } => self.tell_watcher(watch, change),
+            Effect::Ready(ready) => self.set_ready(ready),
+            Effect::Drained => {
+                self.status.send_modify(|status| status.drained = true);
+            }
+            backend => self.carry_out_backend(backend),
+        }
+    }
+
+    fn carry_out_backend(&mut self, effect: Effect) {
+        match effect {
+            Effect::Generate(generate) => self.attempts.generate(*generate),
+            Effect::ResumeStream {
+                ticket,
+                url,
+                from_chunk,
+                ..
+            } => self.attempts.resume(ticket, url, from_chunk),
+            Effect::CancelAttempt { ticket } => self.attempts.cancel(ticket),
+            Effect::DetachAttempt { ticket } => self.attempts.detach(ticket),
+            Effect::InvokeTool {
+                ticket,
+                tool,
+                url,
+                arguments,
+                idempotency_key,
+                timeout,
+            } => {
+                let invocation = ToolInvocation {
+                    tool,
+                    idempotency_key,
+                    arguments,
+                    timeout,
+                };
+                self.attempts.invoke(ticket, &url, invocation);
+            }
+            Effect::QueryTool {
+                ticket,
+                tool,
+                url,
+                idempotency_key,
+            } => self.attempts.query(ticket, &url, tool, idempotency_key),
+            Effect::ReleaseMemory { run, engine, url } => self.memory.release(run, engine, &url),
+            Effect::RetainMemory {
+                run, url, lease, ..
+            } => self.memory.retain(run, &url, lease),
+            Effect::TransferMemory {
+                run,
+                from_url,
+                to_url,
+            } => self.memory.transfer(run, &from_url, &to_url),
+            other => unreachable!("carried out before: {other:?}"),
+        }
+    }
+
+    /// Queues a message; a connection whose queue is full is cut off.
+    fn send(&mut self, connection: Connection, message: FromNode) {
+        let Some(outgoing) = self.connections.get(&connection) else {
+            return;
+        };
+        if let Err(mpsc::error::TrySendError::Full(_)) = outgoing.try_send(message) {
+            // Closing the queue ends the connection's writer, and with it the connection.
+            self.connections.remove(&connection);
+            self.counters.add(|counters| &mut counters.connections_cut);
+        }
+    }
+
+    fn reply(&mut self, request: RequestId, reply: OperatorReply) {
+        if let OperatorReply::Watching { accepted: false } = reply {
+            self.watches.remove(&request);
+        }
+        if let Some(question) = self.questions.remove(&request) {
+            // An operator that hung up does not need the answer.
+            let _ = question.send(reply);
+        }
+    }
+
+    fn tell_watcher(&mut self, watch: RequestId, change: Change) {
+        let Some(changes) = self.watches.get(&watch) else {
+            return;
+        };
+        if changes.try_send(change).is_err() {
+            self.counters.add(|counters| &mut counters.watches_cut);
+            self.end_watch(watch);
+        }
+    }
+
+    fn end_closed_watches(&mut self) {
+        let closed: Vec<RequestId> = self
+            .watches
+            .iter()
+            .filter(|(_, changes)| changes.is_closed())
+            .map(|(watch, _)| *watch)
+            .collect();
+        for watch in closed {
+            self.end_watch(watch);
+        }
+    }
+
+    fn end_watch(&mut self, watch: RequestId) {
+        self.watches.remove(&watch);
+        let unwatch = Event::Operator {
+            request: watch,
+            question: OperatorRequest::Unwatch { watch },
+        };
+        // Queued rather than handled, since effects of another event may be under way.
+        let _ = self.inputs.try_send(Input::Event(unwatch));
+    }
+
+    fn set_ready(&mut self, ready: bool) {
+        self.status.send_modify(|status| status.ready = ready);
+        log::info!(ready; "readiness changed");
+    }
+}
--- /dev/null
+++ b/crates/node/src/engine_polls.rs
@@ -0,0 +1,162 @@
+//! Polling of engines: state, load, cache events and holdings.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use actix_rt::task::JoinHandle;
+use elderworks_backend::{BackendError, EngineClient, HttpClient, HttpEngineClient};
+use elderworks_node_core::Event;
+use elderworks_placement::event::{CacheChange, LoadReport};
+use elderworks_platform_api::engine::{self as api, ServingState};
+use elderworks_types::{EngineId, Timestamp, Tokens};
+
+use crate::attempts::engine_client;
+use crate::clock::Clock;
+use crate::input::{Input, InputSender};
+
+/// Time between polls of one engine.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Polls between two questions after an engine's holdings.
+const POLLS_PER_HOLDINGS: u32 = 8;
+
+/// Engines being polled.
+pub(crate) struct EnginePolls {
+    http: HttpClient,
+    inputs: InputSender,
+    clock: Clock,
+    polls: BTreeMap<EngineId, JoinHandle<()>>,
+}
+
+impl EnginePolls {
+    pub(crate) fn new(http: HttpClient, inputs: InputSender, clock: Clock) -> Self {
+        Self {
+            http,
+            inputs,
+            clock,
+            polls: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn watch(&mut self, engine: EngineId, url: &str) {
+        let poll = EnginePoll {
+            engine: engine.clone(),
+            client: engine_client(&self.http, url),
+            inputs: self.inputs.clone(),
+            clock: self.clock,
+            last_answer: Instant::now(),
+            instance: None,
+            last_event: 0,
+        };
+        let task = actix_rt::spawn(poll.run());
+        if let Some(earlier) = self.polls.insert(engine, task) {
+            earlier.abort();
+        }
+    }
+
+    pub(crate) fn forget(&mut self, engine: &EngineId) {
+        if let Some(task) = self.polls.remove(engine) {
+            task.abort();
+        }
+    }
+}
+
+struct EnginePoll {
+    engine: EngineId,
+    client: HttpEngineClient,
+    inputs: InputSender,
+    clock: Clock,
+    last_answer: Instant,
+    instance: Option<u64>,
+    last_event: u64,
+}
+
+impl EnginePoll {
+    async fn run(mut self) {
+        for round in 0_u32.. {
+            let with_holdings = round.is_multiple_of(POLLS_PER_HOLDINGS);
+            match self.poll(with_holdings).await {
+                Ok(()) => self.last_answer = Instant::now(),
+                Err(_) => {
+                    let silent = Event::EngineSilent {
+                        engine: self.engine.clone(),
+                        silent_for: self.last_answer.elapsed(),
+                    };
+                    self.report(silent).await;
+                }
+            }
+            if self.inputs.is_closed() {
+                return;
+            }
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn poll(&mut self, with_holdings: bool) -> Result<(), BackendError> {
+        let state = self.client.state().await?;
+        if state.state == ServingState::Leaving {
+            let engine = self.engine.clone();
+            self.report(Event::EngineLeaving { engine }).await;
+        }
+        let load = self.client.load().await?;
+        let report = load_report(&load, self.clock.now());
+        let engine = self.engine.clone();
+        self.report(Event::EngineLoad { engine, report }).await;
+        self.poll_cache().await?;
+        if with_holdings {
+            let holdings = self.client.holdings().await?;
+            let holdings = Event::EngineHoldings {
+                engine: self.engine.clone(),
+                runs: holdings.runs.iter().map(|holding| holding.run).collect(),
+            };
+            self.report(holdings).await;
+        }
+        Ok(())
+    }
+
+    async fn poll_cache(&mut self) -> Result<(), BackendError> {
+        let answer = self.client.cache_events(self.last_event).await?;
+        let restarted = self.instance.is_some_and(|known| known != answer.instance);
+        self.instance = Some(answer.instance);
+        if restarted {
+            self.last_event = 0;
+            self.report_cache(CacheChange::Cleared).await;
+            return Ok(());
+        }
+        for event in answer.events {
+            self.last_event = self.last_event.max(event.sequence);
+            self.report_cache(cache_change(event.change)).await;
+        }
+        Ok(())
+    }
+
+    async fn report_cache(&self, change: CacheChange) {
+        let engine = self.engine.clone();
+        self.report(Event::EngineCache { engine, change }).await;
+    }
+
+    async fn report(&self, event: Event) {
+        // The node has stopped if nobody takes it.
+        let _ = self.inputs.send(Input::Event(event)).await;
+    }
+}
+
+fn load_report(load: &api::EngineLoad, now: Timestamp) -> LoadReport {
+    let age_micros = load.age_ms.saturating_mul(1_000);
+    LoadReport {
+        measured: Timestamp(now.0.saturating_sub(age_micros)),
+        running: load.running,
+        waiting: load.waiting,
+        waiting_prefill: Tokens(load.waiting_prefill_tokens),
+        blocks_used: load.blocks_used,
+        blocks_total: load.blocks_total,
+    }
+}
+
+fn cache_change(change: api::CacheChange) -> CacheChange {
+    match change {
+        api::CacheChange::Stored(blocks) => CacheChange::Stored(blocks),
+        api::CacheChange::Evicted(blocks) => CacheChange::Evicted(blocks),
+        api::CacheChange::Cleared => CacheChange::Cleared,
+    }
+}
--- /dev/null
+++ b/crates/node/src/listener.rs
@@ -0,0 +1,143 @@
+//! Connections of sidecars and peers: framed messages over TCP.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::net::{TcpListener, TcpStream};
+use bytes::BytesMut;
+use elderworks_node_core::Event;
+use elderworks_node_core::event::Connection;
+use elderworks_protocol::peer::{FromNode, ToNode};
+use elderworks_protocol::{DecodeError, frame, split_frame};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::counters::SharedCounters;
+use crate::input::{Input, InputSender};
+
+/// Connections open at the same time; further ones are closed at once.
+pub const MAX_CONNECTIONS: usize = 16_384;
+
+/// Messages waiting for one connection; a reader that falls further behind is cut off.
+pub const OUTGOING_QUEUE: usize = 4_096;
+
+/// A connection that takes no bytes for this long is cut off.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Bytes written to a connection at once while more messages wait.
+const WRITE_CHUNK_BYTES: usize = 64 * 1024;
+
+/// Pause after a failed accept, for example while no file descriptor is free.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Accepts connections until the node stops.
+pub(crate) async fn accept_connections(
+    listener: TcpListener,
+    inputs: InputSender,
+    counters: SharedCounters,
+) {
+    let open = Rc::new(Cell::new(0_usize));
+    let mut next_connection: Connection = 1;
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_BACKOFF).await;
+            continue;
+        };
+        if open.get() >= MAX_CONNECTIONS {
+            counters.add(|counters| &mut counters.connections_refused);
+            continue;
+        }
+        counters.add(|counters| &mut counters.connections_accepted);
+        let connection = next_connection;
+        next_connection += 1;
+        let served = serve_connection(stream, connection, inputs.clone(), counters.clone());
+        let open = open.clone();
+        open.set(open.get() + 1);
+        actix_rt::spawn(async move {
+            served.await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Carries one connection's messages both ways until either side ends it.
+async fn serve_connection(
+    stream: TcpStream,
+    connection: Connection,
+    inputs: InputSender,
+    counters: SharedCounters,
+) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let (outgoing, queue) = mpsc::channel(OUTGOING_QUEUE);
+    let accepted = Input::Accepted {
+        connection,
+        outgoing,
+    };
+    if inputs.send(accepted).await.is_err() {
+        return;
+    }
+    let reading = read_messages(reader, connection, &inputs);
+    let writing = write_messages(writer, queue);
+    let ended = tokio::select! {
+        ended = reading => ended,
+        () = writing => Ok(()),
+    };
+    if ended.is_err() {
+        counters.add(|counters| &mut counters.malformed_streams);
+    }
+    let _ = inputs
+        .send(Input::Event(Event::Closed { connection }))
+        .await;
+}
+
+async fn read_messages(
+    mut reader: OwnedReadHalf,
+    connection: Connection,
+    inputs: &InputSender,
+) -> Result<(), DecodeError> {
+    let mut buffer = BytesMut::new();
+    loop {
+        while let Some(message) = split_frame::<ToNode>(&mut buffer)? {
+            let received = Event::Received {
+                connection,
+                message,
+            };
+            if inputs.send(Input::Event(received)).await.is_err() {
+                return Ok(());
+            }
+        }
+        match reader.read_buf(&mut buffer).await {
+            Ok(0) | Err(_) => return Ok(()),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Writes queued messages, those that wait together in one go.
+pub(crate) async fn write_messages<T: serde::Serialize>(
+    mut writer: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<T>,
+) {
+    let mut buffer = BytesMut::new();
+    while let Some(message) = queue.recv().await {
+        buffer.extend_from_slice(&frame(&message));
+        while buffer.len() < WRITE_CHUNK_BYTES {
+            let Ok(message) = queue.try_recv() else {
+                break;
+            };
+            buffer.extend_from_slice(&frame(&message));
+        }
+        let written = timeout(WRITE_TIMEOUT, writer.write_all_buf(&mut buffer)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return;
+        }
+    }
+    let _ = writer.shutdown().await;
+}
+
+/// A connection's queue as the owning task sees it.
+pub(crate) type Outgoing = mpsc::Sender<FromNode>;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,158 @@
+//! Counters in the usual text form.
+
+use elderworks_node_core::Counters;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::Registry;
+
+/// What the driver counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DriverCounters {
+    /// Connections accepted from sidecars and peers.
+    pub connections_accepted: u64,
+    /// Connections refused because too many were open.
+    pub connections_refused: u64,
+    /// Connections cut because the other side read too slowly.
+    pub connections_cut: u64,
+    /// Connections closed because of bytes that are no message.
+    pub malformed_streams: u64,
+    /// Datagrams that are no message.
+    pub malformed_datagrams: u64,
+    /// Messages to peers that were dropped.
+    pub peer_messages_dropped: u64,
+    /// Watches cut because the watcher read too slowly.
+    pub watches_cut: u64,
+    /// Appends and reads without an answer.
+    pub log_failures: u64,
+}
+
+/// Everything that `/metrics` shows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MetricsSnapshot {
+    /// Of the state machine.
+    pub core: Counters,
+    /// Of the driver.
+    pub driver: DriverCounters,
+    /// Partitions owned now.
+    pub owned_partitions: u64,
+    /// Connections open now.
+    pub open_connections: u64,
+    /// Attempts being read from back ends now.
+    pub open_attempts: u64,
+    /// Whether the node is ready.
+    pub ready: bool,
+}
+
+/// One line of the table that maps counters to names.
+struct NamedCounter {
+    name: &'static str,
+    help: &'static str,
+    value: u64,
+}
+
+macro_rules! counter_table {
+    ($counters:expr, { $($field:ident => $help:literal),+ $(,)? }) => {
+        vec![$(NamedCounter {
+            name: concat!("elderworks_node_", stringify!($field)),
+            help: $help,
+            value: $counters.$field,
+        }),+]
+    };
+}
+
+impl MetricsSnapshot {
+    /// The text exposed at `/metrics`.
+    pub fn encode(self) -> String {
+        let mut registry = Registry::default();
+        registry.register_collector(Box::new(SnapshotCollector(self)));
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &registry);
+        text
+    }
+
+    fn core_counters(&self) -> Vec<NamedCounter> {
+        counter_table!(self.core, {
+            sidecar_requests => "Requests received from sidecars",
+            not_owner => "Requests answered with a pointer to another node",
+            requests_held => "Requests held back during a takeover",
+            held_overflow => "Requests turned away because too many were held back",
+            attempts_overflow => "Attempts refused because too many were in progress",
+            attempts_started => "Attempts handed to placement or to a tool",
+            attempts_completed => "Attempts that ran to their end",
+            attempts_failed => "Attempts that ended without an answer",
+            stale_attempt_events => "Backend events that nobody waited for any more",
+            partitions_gained => "Partitions that this node began to own",
+            partitions_lost => "Partitions that this node ceased to own",
+            forced_claims => "Claims made without waiting for a release",
+            relayed_records => "Control records received from peers",
+            relay_misses => "Control records asked for by peers and not kept here",
+            leftover_releases => "Releases asked of engines for leftovers of ended runs",
+            watch_overflow => "Watches refused because too many were open",
+            allotments_undeliverable => "Allotment messages without a known receiver",
+            unintroduced_messages => "Messages from connections of the wrong kind",
+        })
+    }
+
+    fn driver_counters(&self) -> Vec<NamedCounter> {
+        counter_table!(self.driver, {
+            connections_accepted => "Connections accepted from sidecars and peers",
+            connections_refused => "Connections refused because too many were open",
+            connections_cut => "Connections cut because the other side read too slowly",
+            malformed_streams => "Connections closed because of malformed bytes",
+            malformed_datagrams => "Malformed datagrams",
+            peer_messages_dropped => "Messages to peers that were dropped",
+            watches_cut => "Watches cut because the watcher read too slowly",
+            log_failures => "Appends and reads without an answer from the log",
+        })
+    }
+
+    fn gauges(&self) -> Vec<NamedCounter> {
+        vec![
+            NamedCounter {
+                name: "elderworks_node_owned_partitions",
+                help: "Partitions owned now",
+                value: self.owned_partitions,
+            },
+            NamedCounter {
+                name: "elderworks_node_open_connections",
+                help: "Connections open now",
+                value: self.open_connections,
+            },
+            NamedCounter {
+                name: "elderworks_node_open_attempts",
+                help: "Attempts being read from back ends now",
+                value: self.open_attempts,
+            },
+            NamedCounter {
+                name: "elderworks_node_ready",
+                help: "Whether the node is ready",
+                value: u64::from(self.ready),
+            },
+        ]
+    }
+}
+
+#[derive(Debug)]
+struct SnapshotCollector(MetricsSnapshot);
+
+impl Collector for SnapshotCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let counters = self.0.core_counters();
+        for named in counters.into_iter().chain(self.0.driver_counters()) {
+            let metric = ConstCounter::new(named.value);
+            let metric_encoder =
+                encoder.encode_descriptor(named.name, named.help, None, metric.metric_type())?;
+            metric.encode(metric_encoder)?;
+        }
+        for named in self.0.gauges() {
+            let metric = ConstGauge::new(i64::try_from(named.value).unwrap_or(i64::MAX));
+            let metric_encoder =
+                encoder.encode_descriptor(named.name, named.help, None, metric.metric_type())?;
+            metric.encode(metric_encoder)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,226 @@
+//! Starting and stopping a node.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::net::{TcpListener, UdpSocket};
+use actix_rt::task::JoinHandle;
+use actix_server::ServerHandle;
+use elderworks_backend::HttpClient;
+use elderworks_execution::ExecutionSettings;
+use elderworks_node_core::{Event, NodeCore, NodeSettings};
+use elderworks_settings::NodeProcessSettings;
+use elderworks_types::CellId;
+use rand::TryRngCore;
+use rand::rngs::OsRng;
+use tokio::sync::{mpsc, watch};
+
+use crate::admin;
+use crate::clock::Clock;
+use crate::counters::SharedCounters;
+use crate::driver::{Driver, NodeStatus, Outside};
+use crate::gossip::receive_datagrams;
+use crate::input::{INPUT_QUEUE, Input, InputSender};
+use crate::listener::accept_connections;
+use crate::machine_polls::poll_machines;
+use crate::operator_client::OperatorClient;
+
+/// Time for queued messages to leave after the drain, before the process exits.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen on {address}: {error}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The system gave no random bytes to tell this start from others.
+    #[error("no random bytes: {0}")]
+    Random(String),
+}
+
+/// A running node. Dropping it stops the node at once, without draining.
+pub struct NodeHandle {
+    /// Where it takes connections from sidecars and peers.
+    pub address: SocketAddr,
+    /// Where it takes gossip.
+    pub gossip_address: SocketAddr,
+    /// Where it serves operators, metrics and health.
+    pub admin_address: SocketAddr,
+    inputs: InputSender,
+    status: watch::Receiver<NodeStatus>,
+    admin: ServerHandle,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl NodeHandle {
+    /// Asks the node on behalf of operators.
+    pub fn operator(&self) -> OperatorClient {
+        OperatorClient::new(self.inputs.clone())
+    }
+
+    /// Waits until the node serves; `false` if it stopped first.
+    pub async fn ready(&self) -> bool {
+        let mut status = self.status.clone();
+        status.wait_for(|status| status.ready).await.is_ok()
+    }
+
+    /// Tells the node to leave in order, and waits until it has.
+    pub async fn drain(self) {
+        let _ = self.inputs.send(Input::Event(Event::Drain)).await;
+        let mut status = self.status.clone();
+        let _ = status.wait_for(|status| status.drained).await;
+        actix_rt::time::sleep(FLUSH_TIME).await;
+        self.admin.stop(true).await;
+    }
+}
+
+impl Drop for NodeHandle {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        // The request to stop is sent by the call; the future only waits for the end.
+        drop(self.admin.stop(false));
+    }
+}
+
+/// Binds the node's addresses and starts its tasks on the present actix system. Port 0 lets the
+/// system choose; the handle tells what it chose.
+pub async fn start(settings: &NodeProcessSettings) -> Result<NodeHandle, StartError> {
+    let clock = Clock::start();
+    let counters = SharedCounters::default();
+    let http = HttpClient::new();
+    let sockets = Sockets::bind(settings).await?;
+    let (inputs, queue) = mpsc::channel(INPUT_QUEUE);
+    let (status, status_receiver) = watch::channel(NodeStatus::default());
+    let operator = OperatorClient::new(inputs.clone());
+    let admin_address = sockets.admin_address;
+    let admin = admin::serve(sockets.admin, operator, status_receiver.clone())
+        .map_err(bind_error(admin_address))?;
+    let core = NodeCore::new(core_settings(settings, &sockets.addresses)?);
+    let outside = Outside {
+        http: http.clone(),
+        log_url: settings.log_url.clone(),
+        gossip: sockets.gossip.clone(),
+        clock,
+        counters: counters.clone(),
+    };
+    let driver = Driver::new(core, settings.name.clone(), outside, inputs.clone(), status);
+    let accepting = accept_connections(sockets.listener, inputs.clone(), counters.clone());
+    let mut tasks = vec![
+        actix_rt::spawn(driver.run(queue)),
+        actix_rt::spawn(accepting),
+        actix_rt::spawn(receive_datagrams(sockets.gossip, inputs.clone(), counters)),
+    ];
+    if let Some(url) = settings.machines_url.clone() {
+        tasks.push(actix_rt::spawn(poll_machines(http, url, inputs.clone())));
+    }
+    log::info!(node = settings.name.as_str(), address:% = sockets.addresses.listen; "node started");
+    Ok(NodeHandle {
+        address: sockets.addresses.listen,
+        gossip_address: sockets.addresses.gossip,
+        admin_address,
+        inputs,
+        status: status_receiver,
+        admin,
+        tasks,
+    })
+}
+
+/// Runs a node until SIGTERM or SIGINT has drained it.
+pub async fn run(settings: &NodeProcessSettings) -> Result<(), StartError> {
+    let node = start(settings).await?;
+    wait_for_stop_signal().await;
+    log::info!("draining");
+    node.drain().await;
+    log::info!("drained");
+    Ok(())
+}
+
+async fn wait_for_stop_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        // Without signals the process can only be killed.
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Addresses as bound.
+struct BoundAddresses {
+    listen: SocketAddr,
+    gossip: SocketAddr,
+}
+
+struct Sockets {
+    listener: TcpListener,
+    gossip: Rc<UdpSocket>,
+    admin: std::net::TcpListener,
+    admin_address: SocketAddr,
+    addresses: BoundAddresses,
+}
+
+impl Sockets {
+    async fn bind(settings: &NodeProcessSettings) -> Result<Self, StartError> {
+        let listener = TcpListener::bind(settings.listen)
+            .await
+            .map_err(bind_error(settings.listen))?;
+        let listen = listener.local_addr().map_err(bind_error(settings.listen))?;
+        let gossip = UdpSocket::bind(settings.gossip)
+            .await
+            .map_err(bind_error(settings.gossip))?;
+        let gossip_address = gossip.local_addr().map_err(bind_error(settings.gossip))?;
+        let admin =
+            std::net::TcpListener::bind(settings.admin).map_err(bind_error(settings.admin))?;
+        let admin_address = admin::bound_address(&admin).map_err(bind_error(settings.admin))?;
+        Ok(Self {
+            listener,
+            gossip: Rc::new(gossip),
+            admin,
+            admin_address,
+            addresses: BoundAddresses {
+                listen,
+                gossip: gossip_address,
+            },
+        })
+    }
+}
+
+fn bind_error(address: SocketAddr) -> impl Fn(std::io::Error) -> StartError {
+    move |error| StartError::Bind { address, error }
+}
+
+fn core_settings(
+    settings: &NodeProcessSettings,
+    addresses: &BoundAddresses,
+) -> Result<NodeSettings, StartError> {
+    let seed = OsRng
+        .try_next_u64()
+        .map_err(|error| StartError::Random(error.to_string()))?;
+    Ok(NodeSettings {
+        node: settings.name.clone(),
+        zone: settings.zone.clone(),
+        cell: CellId::new(settings.cell.as_deref().unwrap_or_default()),
+        gossip_address: addresses.gossip,
+        address: addresses.listen,
+        seeds: settings.seeds.clone(),
+        partition_count: settings.partition_count,
+        seed,
+        execution: ExecutionSettings {
+            max_attempts: settings.limits.max_attempts,
+            ..ExecutionSettings::default()
+        },
+    })
+}
