--- /dev/null
+++ b/crates/execution/src/partition/allotments.rs
@@ -0,0 +1,195 @@
+//! Tenants' budgets: allotments asked of their holder, and granted as holder.
+
+use elderworks_protocol::journal::JournalBody;
+use elderworks_types::{Credits, PartitionId, RunId, Sequence, TenantId, Timestamp};
+
+use super::Partition;
+use crate::Effect;
+use crate::soft::AllotmentRequest;
+
+impl Partition {
+    /// What may still be reserved of a tenant's allotment.
+    pub(super) fn allotment_available(&self, tenant: &TenantId) -> Credits {
+        let allotment = self.journal.allotments.get(tenant);
+        allotment.map_or(Credits::ZERO, |allotment| allotment.available())
+    }
+
+    /// Asks the holder for at least `missing`; returns whether it has just said that nothing is
+    /// left.
+    pub(super) fn request_allotment(
+        &mut self,
+        now: Timestamp,
+        tenant: &TenantId,
+        missing: Credits,
+    ) -> bool {
+        let allotment = self.journal.allotments.get(tenant);
+        let last = allotment.map_or(Sequence(0), |allotment| allotment.last_request);
+        let interval = self.settings.allotment_interval;
+        let amount = missing.max(self.settings.allotment_size);
+        let request = self
+            .soft
+            .requests
+            .entry(tenant.clone())
+            .or_insert(AllotmentRequest {
+                request: last.next(),
+                amount,
+                repeat_at: now,
+                receiving: false,
+                denied: false,
+            });
+        if std::mem::take(&mut request.denied) {
+            return true;
+        }
+        if request.receiving || now < request.repeat_at {
+            return false;
+        }
+        request.amount = request.amount.max(amount);
+        request.repeat_at = now + interval;
+        let effect = Effect::RequestAllotment {
+            tenant: tenant.clone(),
+            request: request.request,
+            amount: request.amount,
+        };
+        self.emit(effect);
+        false
+    }
+
+    pub(super) fn on_allotment_granted(
+        &mut self,
+        now: Timestamp,
+        tenant: &TenantId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        let Some(pending) = self.soft.requests.get_mut(tenant) else {
+            return;
+        };
+        if pending.request != request || pending.receiving {
+            return;
+        }
+        if amount == Credits::ZERO {
+            pending.denied = true;
+            return self.advance_tenant(now, tenant);
+        }
+        pending.receiving = true;
+        self.append(JournalBody::AllotmentReceived {
+            tenant: tenant.clone(),
+            request,
+            amount,
+        });
+    }
+
+    pub(super) fn on_allotment_journalled(&mut self, now: Timestamp, tenant: &TenantId) {
+        self.soft.requests.remove(tenant);
+        self.advance_tenant(now, tenant);
+    }
+
+    /// Tries again the runs of a tenant that wait for its allotment.
+    fn advance_tenant(&mut self, now: Timestamp, tenant: &TenantId) {
+        let waiting: Vec<RunId> = self
+            .soft
+            .runs
+            .iter()
+            .filter(|(_, work)| {
+                let mut submissions = work.waiting.values();
+                submissions.any(|submission| submission.short_since.is_some())
+            })
+            .map(|(run, _)| *run)
+            .filter(|run| self.journal.run_of(tenant, *run).is_some())
+            .collect();
+        for run in waiting {
+            self.advance(now, run);
+        }
+    }
+
+    pub(super) fn on_allotment_requested(
+        &mut self,
+        tenant: TenantId,
+        partition: PartitionId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        if !self.is_serving() {
+            return;
+        }
+        let key = (tenant.clone(), partition);
+        if self.soft.granting.contains_key(&key) {
+            return;
+        }
+        let grants = self.journal.grants.get(&tenant);
+        let granted = grants.map_or(Credits::ZERO, |grants| grants.total);
+        let last = grants.and_then(|grants| grants.partitions.get(&partition));
+        let (last, last_amount) = last.copied().unwrap_or_default();
+        if request == last {
+            return self.emit_grant(tenant, partition, request, last_amount);
+        }
+        if request != last.next() {
+            return;
+        }
+        let Some(limit) = self.tenant_limits.get(&tenant) else {
+            return self.emit_grant(tenant, partition, request, Credits::ZERO);
+        };
+        let pending = self.pending_grants(&tenant);
+        let left = limit.saturating_sub(granted + pending);
+        let grant = left.min(amount);
+        if grant == Credits::ZERO {
+            return self.emit_grant(tenant, partition, request, Credits::ZERO);
+        }
+        self.soft.granting.insert(key, request);
+        self.append(JournalBody::AllotmentGranted {
+            tenant,
+            partition,
+            request,
+            amount: grant,
+        });
+    }
+
+    /// Grants of a tenant's budget that were appended and not read back.
+    fn pending_grants(&self, tenant: &TenantId) -> Credits {
+        self.soft
+            .in_flight
+            .iter()
+            .map(|body| match body {
+                JournalBody::AllotmentGranted {
+                    tenant: other,
+                    amount,
+                    ..
+                } if other == tenant => *amount,
+                _ => Credits::ZERO,
+            })
+            .sum()
+    }
+
+    fn emit_grant(
+        &mut self,
+        tenant: TenantId,
+        partition: PartitionId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        self.emit(Effect::GrantAllotment {
+            tenant,
+            partition,
+            request,
+            amount,
+        });
+    }
+
+    pub(super) fn on_grant_journalled(
+        &mut self,
+        tenant: TenantId,
+        partition: PartitionId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        self.soft.granting.remove(&(tenant.clone(), partition));
+        self.emit_grant(tenant, partition, request, amount);
+    }
+
+    pub(super) fn on_tenant_limit(&mut self, tenant: TenantId, limit: Option<Credits>) {
+        match limit {
+            Some(limit) => self.tenant_limits.insert(tenant, limit),
+            None => self.tenant_limits.remove(&tenant),
+        };
+    }
+}
--- /dev/null
+++ b/crates/execution/src/partition/attempts.rs
@@ -0,0 +1,278 @@
+//! Attempts: sending calls to back ends and taking in their answers.
+
+use elderworks_protocol::journal::JournalBody;
+use elderworks_protocol::sidecar::{Chunk, NodeMessage};
+use elderworks_types::{
+    Answer, Attempt, CallId, CallRequest, Credits, EngineId, Message, Outcome, RefusalReason,
+    Timestamp, Usage,
+};
+
+use super::Partition;
+use super::intake::refusal;
+use crate::effect::DispatchHints;
+use crate::soft::{AnswerBuffer, Running, Source, Stage, Taken};
+use crate::state::{CallState, attempt_cost, remaining_output};
+use crate::{BackendRequest, Effect};
+
+impl Partition {
+    /// Begins the attempt that the journal permits.
+    pub(super) fn begin_attempt(&mut self, now: Timestamp, id: CallId) {
+        if self.is_ending(id.run) {
+            return self.cancel_open_call(now, id.run);
+        }
+        let Some(call) = self.journal.open_call(id) else {
+            return;
+        };
+        let attempt = call.permitted;
+        let repeatable = call.spec.repeatable;
+        let late = call.spec.deadline.is_some_and(|deadline| deadline < now);
+        let answer = AnswerBuffer::continuing(call.continue_text.clone(), call.continue_chunks);
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        if late && !open.ran_before {
+            let refusal = refusal(RefusalReason::DeadlinePassed, None);
+            return self.end_call(now, id, Outcome::Refused(refusal));
+        }
+        if open.answer.next_index() < answer.next_index() {
+            open.answer = answer;
+        }
+        if repeatable {
+            return self.dispatch(now, id, attempt);
+        }
+        open.stage = Stage::Intent(attempt);
+        self.append(JournalBody::AttemptStarted {
+            call: id,
+            attempt,
+            engine: None,
+        });
+    }
+
+    /// The start of an attempt counts; one that must not be repeated goes out only now.
+    pub(super) fn on_attempt_started(&mut self, now: Timestamp, id: CallId, attempt: Attempt) {
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        if open.stage != Stage::Intent(attempt) {
+            return;
+        }
+        if self.is_ending(id.run) {
+            return self.cancel_open_call(now, id.run);
+        }
+        self.dispatch(now, id, attempt);
+    }
+
+    pub(super) fn dispatch(&mut self, now: Timestamp, id: CallId, attempt: Attempt) {
+        let Some((request, hints)) = self.backend_request(id) else {
+            return;
+        };
+        let is_tool = matches!(request, BackendRequest::Tool { .. });
+        let limit = hints.timeout + self.settings.timeout_grace;
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        open.stage = Stage::Running(Running {
+            attempt,
+            source: Source::Dispatched,
+            sent: is_tool.then_some(now),
+        });
+        if is_tool {
+            self.soft.notes.attempt(id, attempt, None, now);
+            self.wake_at(now + limit, id.run);
+        }
+        self.count_attempt(attempt);
+        self.emit(Effect::Dispatch {
+            call: id,
+            attempt,
+            request,
+            hints,
+        });
+    }
+
+    fn count_attempt(&mut self, attempt: Attempt) {
+        if attempt == Attempt(1) {
+            self.counters.first_attempts += 1;
+            self.soft.retry.earn();
+        } else {
+            self.counters.retries += 1;
+        }
+    }
+
+    fn backend_request(&self, id: CallId) -> Option<(BackendRequest, DispatchHints)> {
+        let run = self.journal.runs.get(&id.run)?;
+        let call = self.journal.open_call(id)?;
+        let hints = DispatchHints {
+            tenant: run.spec.tenant.clone(),
+            program: run.spec.program.clone(),
+            run_started: run.started,
+            attained: run.attained,
+            turns: run.calls.len() as u32,
+            run_deadline: run.spec.deadline,
+            call_deadline: call.spec.deadline,
+            priority: run.limits.priority,
+            parent: run.spec.parent,
+            timeout: call.terms.timeout,
+        };
+        let request = match &call.spec.request {
+            CallRequest::Model(model) => BackendRequest::Model {
+                model: model.model.clone(),
+                messages: self.prompt_of(id)?,
+                continue_text: call.continue_text.clone(),
+                continue_chunks: call.continue_chunks,
+                max_output: remaining_output(model.max_output, &call.continue_text),
+            },
+            CallRequest::Tool(tool) => BackendRequest::Tool {
+                tool: tool.tool.clone(),
+                arguments: tool.arguments.clone(),
+                idempotency_key: idempotency_key(id, call),
+            },
+        };
+        Some((request, hints))
+    }
+
+    /// The prompt of an open model call: its own messages are the end of its run's history.
+    pub(super) fn prompt_of(&self, id: CallId) -> Option<Vec<Message>> {
+        if self.settings.faults.mix_histories() {
+            return Some(self.journal.runs.values().next()?.history());
+        }
+        Some(self.journal.runs.get(&id.run)?.history())
+    }
+
+    pub(super) fn on_attempt_placed(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        attempt: Attempt,
+        engine: Option<EngineId>,
+        note: String,
+    ) {
+        let timeout = self.journal.open_call(id).map(|call| call.terms.timeout);
+        let running = self.running(id, attempt);
+        let (Some(timeout), Some(running)) = (timeout, running) else {
+            return self.refuse_placement(id, attempt, engine);
+        };
+        let first = running.sent.is_none();
+        running.sent = Some(now);
+        let Some(engine) = engine else {
+            return;
+        };
+        if !first {
+            return;
+        }
+        self.soft
+            .notes
+            .attempt(id, attempt, Some(engine.clone()), now);
+        self.soft.notes.line(id, note);
+        self.wake_at(now + timeout + self.settings.timeout_grace, id.run);
+        self.append(JournalBody::AttemptStarted {
+            call: id,
+            attempt,
+            engine: Some(engine),
+        });
+    }
+
+    /// An attempt was placed that is no longer wanted.
+    fn refuse_placement(&mut self, call: CallId, attempt: Attempt, engine: Option<EngineId>) {
+        self.emit(Effect::Cancel { call, attempt });
+        let run = call.run;
+        if self.owned.is_some()
+            && !self.is_live(run)
+            && let Some(engine) = engine
+        {
+            self.emit(Effect::ReleaseMemory { run, engine });
+        }
+    }
+
+    /// The attempt, if it is the one that is out.
+    pub(super) fn running(&mut self, id: CallId, attempt: Attempt) -> Option<&mut Running> {
+        let open = self.soft.open(id.run, id.number)?;
+        match &mut open.stage {
+            Stage::Running(running) if running.attempt == attempt => Some(running),
+            _ => None,
+        }
+    }
+
+    pub(super) fn on_attempt_chunk(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        attempt: Attempt,
+        index: u32,
+        text: &str,
+    ) {
+        if self.running(id, attempt).is_none() {
+            return;
+        }
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        let taken = open.answer.take(attempt, index, text);
+        match taken {
+            Taken::Repeated => return,
+            Taken::Gap => {
+                self.counters.chunk_gaps += 1;
+                return;
+            }
+            Taken::Next => {}
+        }
+        let due = open.callers.due(index);
+        self.soft.notes.chunk(id, attempt, now);
+        for connection in due {
+            let chunk = Chunk {
+                call: id,
+                attempt,
+                index,
+                text: text.to_owned(),
+            };
+            self.send(connection, NodeMessage::Chunk(chunk));
+        }
+    }
+
+    pub(super) fn on_attempt_completed(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        attempt: Attempt,
+        content: String,
+        usage: Usage,
+    ) {
+        if self.running(id, attempt).is_none() {
+            return;
+        }
+        let Some(call) = self.journal.open_call(id) else {
+            return;
+        };
+        let cost = self.cost_so_far(call, &usage);
+        let whole = format!("{}{content}", call.continue_text);
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        let streamed = open.answer.text();
+        let content = if streamed.len() > whole.len() {
+            streamed
+        } else {
+            whole
+        };
+        let answer = Answer {
+            content,
+            usage,
+            cost,
+        };
+        self.end_call(now, id, Outcome::Completed(answer));
+    }
+
+    /// Cost of a call whose present attempt consumed `usage`, never more than was set aside.
+    pub(super) fn cost_so_far(&self, call: &CallState, usage: &Usage) -> Credits {
+        let cost = attempt_cost(&call.terms, &call.spec.request, usage);
+        if self.settings.faults.no_reservation() {
+            return call.spent + cost;
+        }
+        call.spent + cost.min(call.reserved)
+    }
+}
+
+/// The key by which a tool recognises a repeat: the caller's, or one made from the call's id.
+pub(super) fn idempotency_key(id: CallId, call: &CallState) -> String {
+    let given = call.spec.idempotency_key.clone();
+    given.unwrap_or_else(|| id.to_string())
+}
--- /dev/null
+++ b/crates/execution/src/partition/intake.rs
@@ -0,0 +1,390 @@
+//! What callers ask for: starting runs and making calls.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use elderworks_protocol::journal::{CallTerms, JournalBody, RunLimits};
+use elderworks_protocol::sidecar::{Delivered, NodeMessage, answer_digest};
+use elderworks_types::{
+    Attempt, CallId, CallNumber, CallSpec, Outcome, Refusal, RefusalReason, RunId, RunPhase,
+    RunSpec, TenantId, Timestamp,
+};
+
+use super::Partition;
+use crate::event::Connection;
+use crate::soft::{Callers, PendingStart, Stage, Submission};
+use crate::state::Inconsistency;
+
+/// When to come back after a refusal that a little time may cure.
+pub(super) const SHORT_RETRY: Duration = Duration::from_millis(500);
+
+/// When to come back while the log does not answer.
+const LOG_RETRY: Duration = Duration::from_secs(5);
+
+/// A call as it arrived.
+pub(super) struct CallRequested {
+    pub connection: Connection,
+    pub tenant: TenantId,
+    pub run: RunId,
+    pub spec: CallSpec,
+    pub delivered: Delivered,
+    pub terms: Result<CallTerms, Refusal>,
+}
+
+/// A refusal for `reason`, to be asked again after `retry_after`.
+pub(super) fn refusal(reason: RefusalReason, retry_after: Option<Duration>) -> Refusal {
+    Refusal {
+        reason,
+        retry_after,
+    }
+}
+
+impl Partition {
+    pub(super) fn on_start_run(
+        &mut self,
+        now: Timestamp,
+        connection: Connection,
+        spec: RunSpec,
+        limits: Option<RunLimits>,
+    ) {
+        let run = spec.id;
+        if !self.is_serving() {
+            return self.turn_away([connection], run, None);
+        }
+        if let Some(known) = self.journal.runs.get(&run) {
+            let message = if known.spec == spec {
+                NodeMessage::RunStarted { run }
+            } else {
+                let refusal = refusal(RefusalReason::RunNotFound, None);
+                NodeMessage::RunRefused { run, refusal }
+            };
+            return self.send(connection, message);
+        }
+        if let Some(pending) = self.soft.starting.get_mut(&run) {
+            if pending.spec == spec {
+                pending.connections.insert(connection);
+                return;
+            }
+            return self.refuse_start(connection, run, RefusalReason::RunNotFound, None);
+        }
+        if self.soft.release.is_some() {
+            return self.turn_away([connection], run, None);
+        }
+        let Some(limits) = limits else {
+            return self.refuse_start(connection, run, RefusalReason::UnknownService, None);
+        };
+        if !self.log_reachable {
+            let reason = RefusalReason::LogUnavailable;
+            return self.refuse_start(connection, run, reason, Some(LOG_RETRY));
+        }
+        if self.soft.starting.len() >= self.settings.max_open_calls {
+            let reason = RefusalReason::Overloaded;
+            return self.refuse_start(connection, run, reason, Some(SHORT_RETRY));
+        }
+        let body = JournalBody::RunStarted {
+            spec: spec.clone(),
+            limits,
+            started: now,
+        };
+        let connections = BTreeSet::from([connection]);
+        let pending = PendingStart { spec, connections };
+        self.soft.starting.insert(run, pending);
+        self.append(body);
+    }
+
+    fn refuse_start(
+        &mut self,
+        connection: Connection,
+        run: RunId,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) {
+        let refusal = refusal(reason, retry_after);
+        self.send(connection, NodeMessage::RunRefused { run, refusal });
+    }
+
+    pub(super) fn on_run_started(&mut self, now: Timestamp, run: RunId) {
+        if let Some(state) = self.journal.runs.get(&run) {
+            let due = state.started.max(now) + state.limits.max_duration;
+            self.wake_at(due, run);
+        }
+        let Some(pending) = self.soft.starting.remove(&run) else {
+            return;
+        };
+        for connection in pending.connections {
+            self.send(connection, NodeMessage::RunStarted { run });
+        }
+    }
+
+    pub(super) fn on_start_rejected(&mut self, run: RunId, why: Inconsistency) {
+        let Some(pending) = self.soft.starting.remove(&run) else {
+            return;
+        };
+        let reason = match why {
+            Inconsistency::RunBudget => RefusalReason::RunBudgetExhausted,
+            _ => RefusalReason::RunNotFound,
+        };
+        for connection in pending.connections {
+            self.refuse_start(connection, run, reason, None);
+        }
+    }
+
+    pub(super) fn on_submit_call(&mut self, now: Timestamp, request: CallRequested) {
+        let id = CallId {
+            run: request.run,
+            number: request.spec.number,
+        };
+        if !self.is_serving() {
+            return self.turn_away([request.connection], id.run, Some(id.number));
+        }
+        if self.soft.starting.contains_key(&id.run) {
+            let refusal = refusal(RefusalReason::RunNotFound, Some(SHORT_RETRY));
+            return self.refuse(request.connection, id, refusal);
+        }
+        if self.journal.run_of(&request.tenant, id.run).is_none() {
+            let refusal = refusal(RefusalReason::RunNotFound, None);
+            return self.refuse(request.connection, id, refusal);
+        }
+        if self.answer_known_call(id, &request) {
+            return;
+        }
+        if self.soft.release.is_some() {
+            return self.turn_away([request.connection], id.run, Some(id.number));
+        }
+        match self.admit(now, id, &request) {
+            Ok(terms) => self.enqueue(now, id, request, terms),
+            Err(refusal) => self.refuse(request.connection, id, refusal),
+        }
+    }
+
+    /// Serves a call whose number was used before: its outcome, its stream, or a refusal if it is a
+    /// different call. Returns whether that was so.
+    fn answer_known_call(&mut self, id: CallId, request: &CallRequested) -> bool {
+        let known = self.known_spec(id);
+        let Some(known) = known else {
+            return false;
+        };
+        if known != request.spec {
+            let refusal = refusal(RefusalReason::CallNumberReused, None);
+            self.refuse(request.connection, id, refusal);
+            return true;
+        }
+        let ended = self.journal.call(id).and_then(|call| {
+            let end = call.end.clone()?;
+            let attempt = call.last_attempt().map(|attempt| attempt.attempt);
+            Some((end, attempt))
+        });
+        match ended {
+            Some((end, attempt)) => {
+                self.send_end(request.connection, id, attempt, end.chunks, end.outcome);
+            }
+            None => self.attach(id, request),
+        }
+        true
+    }
+
+    /// The call known under a number, wherever it stands.
+    fn known_spec(&self, id: CallId) -> Option<CallSpec> {
+        if let Some(call) = self.journal.call(id) {
+            return Some(call.spec.clone());
+        }
+        let work = self.soft.runs.get(&id.run)?;
+        if let Some(waiting) = work.waiting.get(&id.number) {
+            return Some(waiting.spec.clone());
+        }
+        work.accepting
+            .as_ref()
+            .map(|accepting| &accepting.submission.spec)
+            .filter(|spec| spec.number == id.number)
+            .cloned()
+    }
+
+    /// Adds a connection to a call that has not ended.
+    fn attach(&mut self, id: CallId, request: &CallRequested) {
+        let connection = request.connection;
+        let Some(work) = self.soft.runs.get_mut(&id.run) else {
+            return;
+        };
+        if let Some(waiting) = work.waiting.get_mut(&id.number) {
+            return waiting.callers.attach(connection, Some(0));
+        }
+        if let Some(accepting) = &mut work.accepting
+            && accepting.submission.spec.number == id.number
+        {
+            return accepting.submission.callers.attach(connection, Some(0));
+        }
+        let Some(open) = &mut work.open else {
+            return;
+        };
+        let attempt = match &open.stage {
+            Stage::Running(running) => Some(running.attempt),
+            _ => None,
+        };
+        let next = open.answer.resume_index(&request.delivered, attempt);
+        if open.delivered.chunks < request.delivered.chunks {
+            open.delivered = request.delivered.clone();
+        }
+        let held = next.map(|next| open.answer.chunks_from(id, next));
+        let held = held.unwrap_or_default();
+        let next = next.map(|next| next + held.len() as u32);
+        open.callers.attach(connection, next);
+        for chunk in held {
+            self.send(connection, NodeMessage::Chunk(chunk));
+        }
+        self.on_caller_returned(id);
+    }
+
+    /// Whether a call may wait for its turn.
+    fn admit(
+        &self,
+        now: Timestamp,
+        id: CallId,
+        request: &CallRequested,
+    ) -> Result<CallTerms, Refusal> {
+        if let Some(reason) = self.closed_reason(id.run) {
+            return Err(refusal(reason, None));
+        }
+        if !self.log_reachable {
+            return Err(refusal(RefusalReason::LogUnavailable, Some(LOG_RETRY)));
+        }
+        if id.number == CallNumber(0) {
+            return Err(refusal(RefusalReason::CallNumberReused, None));
+        }
+        let terms = request.terms.clone()?;
+        if request.spec.deadline.is_some_and(|deadline| deadline < now) {
+            return Err(refusal(RefusalReason::DeadlinePassed, None));
+        }
+        let waiting = self
+            .soft
+            .runs
+            .get(&id.run)
+            .map_or(0, |work| work.waiting.len());
+        let run_full = waiting >= self.settings.max_waiting_per_run;
+        let full = self.soft.call_count() >= self.settings.max_open_calls;
+        if run_full || full {
+            return Err(refusal(RefusalReason::Overloaded, Some(SHORT_RETRY)));
+        }
+        Ok(terms)
+    }
+
+    /// Why the run takes no more calls, if it does not.
+    pub(super) fn closed_reason(&self, run: RunId) -> Option<RefusalReason> {
+        let phase = self.journal.runs.get(&run)?.phase;
+        let ending = self.soft.runs.get(&run).and_then(|work| {
+            let ending = work.ending.as_ref()?;
+            Some(ending.phase)
+        });
+        match ending.unwrap_or(phase) {
+            RunPhase::Active => None,
+            RunPhase::LimitReached => Some(RefusalReason::RunLimitReached),
+            RunPhase::Ended | RunPhase::Cancelled => Some(RefusalReason::RunEnded),
+        }
+    }
+
+    fn enqueue(&mut self, now: Timestamp, id: CallId, request: CallRequested, terms: CallTerms) {
+        let mut callers = Callers::default();
+        callers.attach(request.connection, Some(0));
+        self.soft.notes.begin(id, now);
+        let submission = Submission {
+            spec: request.spec,
+            terms,
+            callers,
+            received: now,
+            short_since: None,
+        };
+        let work = self.soft.work(id.run, now);
+        work.waiting.insert(id.number, submission);
+        self.advance(now, id.run);
+        let still_waiting = self
+            .soft
+            .runs
+            .get(&id.run)
+            .is_some_and(|work| work.waiting.contains_key(&id.number));
+        if still_waiting {
+            self.soft.notes.line(id, "waits for its turn");
+            self.wake_at(now + self.settings.earlier_call_wait, id.run);
+        }
+    }
+
+    /// Refuses a call that was not accepted.
+    pub(super) fn refuse(&mut self, connection: Connection, id: CallId, refusal: Refusal) {
+        self.counters.calls_refused += 1;
+        self.send_end(connection, id, None, 0, Outcome::Refused(refusal));
+    }
+
+    pub(super) fn send_end(
+        &mut self,
+        connection: Connection,
+        call: CallId,
+        attempt: Option<Attempt>,
+        chunks: u32,
+        outcome: Outcome,
+    ) {
+        let text = match &outcome {
+            Outcome::Completed(answer) => answer.content.as_str(),
+            _ => "",
+        };
+        let message = NodeMessage::CallEnded {
+            call,
+            attempt,
+            chunks,
+            digest: answer_digest(text),
+            outcome,
+        };
+        self.send(connection, message);
+    }
+
+    pub(super) fn on_connection_closed(&mut self, connection: Connection) {
+        for start in self.soft.starting.values_mut() {
+            start.connections.remove(&connection);
+        }
+        for work in self.soft.runs.values_mut() {
+            for waiting in work.waiting.values_mut() {
+                waiting.callers.detach(connection);
+            }
+            work.waiting
+                .retain(|_, submission| !submission.callers.is_empty());
+            if let Some(accepting) = &mut work.accepting {
+                accepting.submission.callers.detach(connection);
+            }
+            if let Some(open) = &mut work.open {
+                open.callers.detach(connection);
+            }
+            if let Some(ending) = &mut work.ending {
+                ending.connections.remove(&connection);
+            }
+        }
+    }
+
+    /// Refuses at once what is not in the journal yet while the log does not answer; what is in
+    /// flight to it stays, since it may have been taken.
+    pub(super) fn on_log_reachable(&mut self, now: Timestamp, reachable: bool) {
+        self.log_reachable = reachable;
+        if reachable {
+            self.try_release(now);
+            return;
+        }
+        let mut waiting = Vec::new();
+        for (run, work) in &mut self.soft.runs {
+            for (number, submission) in std::mem::take(&mut work.waiting) {
+                let id = CallId { run: *run, number };
+                waiting.push((id, submission));
+            }
+        }
+        for (id, submission) in waiting {
+            let reason = RefusalReason::LogUnavailable;
+            self.refuse_submission(id, &submission, refusal(reason, Some(LOG_RETRY)));
+        }
+    }
+
+    pub(super) fn refuse_submission(
+        &mut self,
+        id: CallId,
+        submission: &Submission,
+        refusal: Refusal,
+    ) {
+        for connection in submission.callers.connections() {
+            self.refuse(connection, id, refusal.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/execution/src/partition/memory.rs
@@ -0,0 +1,128 @@
+//! Engine memory of ended runs, and the forgetting of the runs themselves.
+
+use elderworks_protocol::journal::JournalBody;
+use elderworks_types::{EngineId, RunId, Timestamp};
+
+use super::Partition;
+use crate::Effect;
+use crate::soft::MemoryRelease;
+
+/// Most runs forgotten by one record.
+const MAX_FORGOTTEN: usize = 256;
+
+impl Partition {
+    /// Begins to free what engines hold for an ended run.
+    pub(super) fn begin_memory_release(&mut self, now: Timestamp, run: RunId) {
+        if !self.journal.unreleased.contains(&run) {
+            return;
+        }
+        let Some(state) = self.journal.runs.get(&run) else {
+            return;
+        };
+        let release = MemoryRelease {
+            engines: state.engines.clone(),
+            repeat_at: now,
+            backoff: self.settings.memory_backoff,
+            appended: false,
+        };
+        self.soft.memory.insert(run, release);
+        self.send_release(now, run);
+    }
+
+    /// Sends the releases whose time has come.
+    pub(super) fn repeat_releases(&mut self, now: Timestamp) {
+        let due: Vec<RunId> = self
+            .soft
+            .memory
+            .iter()
+            .filter(|(_, release)| !release.appended && release.repeat_at <= now)
+            .map(|(run, _)| *run)
+            .collect();
+        for run in due {
+            self.send_release(now, run);
+        }
+    }
+
+    fn send_release(&mut self, now: Timestamp, run: RunId) {
+        let limit = self.settings.memory_backoff_limit;
+        let believed = self.settings.faults.release_not_retried();
+        let Some(release) = self.soft.memory.get_mut(&run) else {
+            return;
+        };
+        release.repeat_at = now + release.backoff;
+        release.backoff = (release.backoff * 2).min(limit);
+        let engines: Vec<EngineId> = release.engines.iter().cloned().collect();
+        for engine in engines {
+            self.counters.memory_releases_sent += 1;
+            self.emit(Effect::ReleaseMemory {
+                run,
+                engine: engine.clone(),
+            });
+            if believed {
+                self.on_memory_released(run, &engine);
+            }
+        }
+    }
+
+    pub(super) fn on_memory_released(&mut self, run: RunId, engine: &EngineId) {
+        let Some(release) = self.soft.memory.get_mut(&run) else {
+            return;
+        };
+        release.engines.remove(engine);
+        if release.engines.is_empty() && !release.appended {
+            release.appended = true;
+            self.append(JournalBody::MemoryReleased { run });
+        }
+    }
+
+    pub(super) fn on_engine_gone(&mut self, engine: &EngineId) {
+        let holding: Vec<RunId> = self
+            .soft
+            .memory
+            .iter()
+            .filter(|(_, release)| release.engines.contains(engine))
+            .map(|(run, _)| *run)
+            .collect();
+        for run in holding {
+            self.on_memory_released(run, engine);
+        }
+    }
+
+    pub(super) fn on_release_journalled(&mut self, run: RunId) {
+        self.soft.memory.remove(&run);
+    }
+
+    /// Forgets ended runs that are too many or too old, once their memory is free.
+    pub(super) fn forget_ended(&mut self, now: Timestamp) {
+        if !self.is_serving() || self.soft.forgetting || !self.log_reachable {
+            return;
+        }
+        let surplus = self
+            .journal
+            .ended
+            .len()
+            .saturating_sub(self.settings.max_ended_runs);
+        let runs: Vec<RunId> = self
+            .journal
+            .ended
+            .iter()
+            .enumerate()
+            .take_while(|(position, (at, _))| {
+                *position < surplus || now.since(*at) >= self.settings.retain_ended
+            })
+            .map(|(_, (_, run))| *run)
+            .filter(|run| !self.journal.unreleased.contains(run))
+            .take(MAX_FORGOTTEN)
+            .collect();
+        if runs.is_empty() {
+            return;
+        }
+        self.soft.forgetting = true;
+        self.append(JournalBody::RunsForgotten { runs });
+    }
+
+    pub(super) fn on_runs_forgotten(&mut self, count: usize) {
+        self.soft.forgetting = false;
+        self.counters.runs_forgotten += count as u64;
+    }
+}
--- /dev/null
+++ b/crates/execution/src/partition/ownership.rs
@@ -0,0 +1,231 @@
+//! Claiming, releasing and losing the partition.
+
+use elderworks_protocol::journal::JournalBody;
+use elderworks_protocol::sidecar::NodeMessage;
+use elderworks_types::{CallId, CallNumber, Epoch, RunId, Timestamp};
+
+use super::Partition;
+use crate::Effect;
+use crate::event::Connection;
+use crate::soft::{OpenCall, ReleaseProgress, Soft, Stage};
+
+impl Partition {
+    pub(super) fn on_claim(&mut self, forced: bool) {
+        if self.owned.is_some() {
+            return;
+        }
+        self.claim = Some(forced);
+        self.try_claim();
+    }
+
+    /// Appends the wished-for claim once it may be made.
+    pub(super) fn try_claim(&mut self) {
+        let Some(forced) = self.claim else {
+            return;
+        };
+        let ownership = &self.journal.ownership;
+        let free = ownership.owner.is_none();
+        let next_epoch = ownership.epoch.next();
+        let loaded = self.is_loaded() || ownership.epoch == Epoch(0);
+        let claimed_already = self.claimed == Some(next_epoch);
+        if !loaded || claimed_already || !(forced || free) {
+            return;
+        }
+        self.claimed = Some(next_epoch);
+        self.emit(Effect::Append {
+            epoch: next_epoch,
+            body: JournalBody::Claim {
+                owner: self.writer.node.clone(),
+            },
+        });
+    }
+
+    /// A claim was read back as the winner of its epoch.
+    pub(super) fn on_claim_won(&mut self, now: Timestamp, own: bool, epoch: Epoch) {
+        if self.owned.is_some() {
+            self.counters.fenced += 1;
+            self.lose_ownership();
+        }
+        self.claimed = None;
+        self.claim = None;
+        if own {
+            self.become_owner(now, epoch);
+        }
+    }
+
+    fn become_owner(&mut self, now: Timestamp, epoch: Epoch) {
+        log::info!("partition {} owned at epoch {epoch}", self.id);
+        self.counters.takeovers += 1;
+        self.owned = Some(epoch);
+        self.soft = Soft::new(&self.settings);
+        self.emit(Effect::OwnershipChanged { owned: Some(epoch) });
+        self.recover(now, epoch);
+    }
+
+    /// Forgets all that only an owner knows and sends waiting callers elsewhere.
+    pub(super) fn lose_ownership(&mut self) {
+        log::info!("partition {} no longer owned", self.id);
+        self.owned = None;
+        let soft = std::mem::replace(&mut self.soft, Soft::new(&self.settings));
+        self.emit(Effect::OwnershipChanged { owned: None });
+        for (run, start) in soft.starting {
+            self.turn_away(start.connections, run, None);
+        }
+        for (run, work) in soft.runs {
+            for (number, submission) in work.waiting {
+                let callers = submission.callers.connections();
+                self.turn_away(callers, run, Some(number));
+            }
+            if let Some(accepting) = work.accepting {
+                let submission = accepting.submission;
+                let callers = submission.callers.connections();
+                self.turn_away(callers, run, Some(submission.spec.number));
+            }
+            if let Some(open) = work.open {
+                self.abandon(run, &open);
+            }
+            if let Some(ending) = work.ending {
+                self.turn_away(ending.connections, run, None);
+            }
+        }
+    }
+
+    /// Lets go of an open call. An attempt that placement still holds is withdrawn; one that a back
+    /// end has is left to the next owner.
+    fn abandon(&mut self, run: RunId, open: &OpenCall) {
+        let call = CallId {
+            run,
+            number: open.number,
+        };
+        if let Stage::Running(running) = &open.stage
+            && running.sent.is_none()
+        {
+            let attempt = running.attempt;
+            self.emit(Effect::Cancel { call, attempt });
+        }
+        self.turn_away(open.callers.connections(), run, Some(open.number));
+    }
+
+    /// Tells connections to ask another node.
+    pub(super) fn turn_away(
+        &mut self,
+        connections: impl IntoIterator<Item = Connection>,
+        run: RunId,
+        number: Option<CallNumber>,
+    ) {
+        for connection in connections {
+            let message = NodeMessage::NotOwner {
+                run,
+                number,
+                owner: None,
+            };
+            self.send(connection, message);
+        }
+    }
+
+    pub(super) fn on_release(&mut self, now: Timestamp) {
+        self.claim = None;
+        if self.owned.is_none() || self.soft.release.is_some() {
+            return;
+        }
+        self.soft.release = Some(ReleaseProgress {
+            since: now,
+            appended: false,
+        });
+        self.turn_waiting_away();
+        self.try_release(now);
+    }
+
+    fn turn_waiting_away(&mut self) {
+        let mut waiting = Vec::new();
+        for (run, work) in &mut self.soft.runs {
+            let submissions = std::mem::take(&mut work.waiting);
+            for (number, submission) in submissions {
+                waiting.push((*run, number, submission.callers.connections()));
+            }
+        }
+        for (run, number, connections) in waiting {
+            self.turn_away(connections, run, Some(number));
+        }
+    }
+
+    /// Appends the release once nothing speaks against it: calls that another owner could not take
+    /// up have ended, or have had their time.
+    pub(super) fn try_release(&mut self, now: Timestamp) {
+        let Some(release) = self.soft.release else {
+            return;
+        };
+        if release.appended || !self.log_reachable {
+            return;
+        }
+        let overdue = now.since(release.since) >= self.settings.release_wait;
+        if self.is_release_blocked() && !overdue {
+            return;
+        }
+        let unsent = self.withdraw_unsent();
+        for work in self.soft.runs.values_mut() {
+            if let Some(open) = &mut work.open {
+                open.stage = Stage::Closing;
+            }
+        }
+        self.append(JournalBody::Release { unsent });
+        self.soft.release = Some(ReleaseProgress {
+            appended: true,
+            ..release
+        });
+    }
+
+    fn is_release_blocked(&self) -> bool {
+        let own_records = !self.soft.in_flight.is_empty();
+        own_records
+            || self.soft.runs.iter().any(|(run, work)| {
+                let open = work.open.as_ref();
+                open.is_some_and(|open| self.must_finish_here(*run, open))
+            })
+    }
+
+    /// Whether another owner could not take the call up where it is: everything that is out and is
+    /// not a stream of an engine.
+    fn must_finish_here(&self, run: RunId, open: &OpenCall) -> bool {
+        let Stage::Running(running) = &open.stage else {
+            return false;
+        };
+        let call = CallId {
+            run,
+            number: open.number,
+        };
+        let engine = self
+            .journal
+            .open_call(call)
+            .and_then(|state| state.last_attempt())
+            .and_then(|attempt| attempt.engine.as_ref());
+        running.sent.is_some() && engine.is_none()
+    }
+
+    /// Withdraws from placement what no back end has, and names every call so left.
+    fn withdraw_unsent(&mut self) -> Vec<CallId> {
+        let mut unsent = Vec::new();
+        let mut cancelled = Vec::new();
+        for (run, work) in &self.soft.runs {
+            let Some(open) = &work.open else {
+                continue;
+            };
+            let call = CallId {
+                run: *run,
+                number: open.number,
+            };
+            match &open.stage {
+                Stage::Idle => unsent.push(call),
+                Stage::Running(running) if running.sent.is_none() => {
+                    unsent.push(call);
+                    cancelled.push((call, running.attempt));
+                }
+                _ => {}
+            }
+        }
+        for (call, attempt) in cancelled {
+            self.emit(Effect::Cancel { call, attempt });
+        }
+        unsent
+    }
+}
--- /dev/null
+++ b/crates/execution/src/partition/records.rs
@@ -0,0 +1,172 @@
+//! Reading records back.
+
+use elderworks_protocol::journal::JournalBody;
+use elderworks_protocol::record::Record;
+use elderworks_types::{Offset, Timestamp};
+
+use super::Partition;
+use crate::state::{Inconsistency, Loading, Verdict, snapshot_records};
+
+impl Partition {
+    pub(super) fn on_record_read(
+        &mut self,
+        now: Timestamp,
+        offset: Offset,
+        record: Record<JournalBody>,
+    ) {
+        match self.loader.take(offset, &record) {
+            Loading::Wait => {}
+            Loading::Apply => self.apply_record(now, offset, record),
+            Loading::Loaded(state, following) => {
+                self.journal = *state;
+                for (offset, record) in following {
+                    self.apply_record(now, offset, record);
+                }
+                self.try_claim();
+            }
+        }
+    }
+
+    fn apply_record(&mut self, now: Timestamp, offset: Offset, record: Record<JournalBody>) {
+        let verdict = self.journal.apply(&record, &self.settings.faults);
+        self.count(verdict);
+        let own = record.writer == self.writer;
+        match verdict {
+            Verdict::Accepted => self.on_accepted(now, offset, own, record),
+            Verdict::Inconsistent(inconsistency) => {
+                if own && self.owned == Some(record.epoch) {
+                    self.soft.in_flight.pop_front();
+                    self.on_own_rejected(now, record.body, inconsistency);
+                }
+            }
+            Verdict::Repeated | Verdict::Fenced => {}
+        }
+    }
+
+    fn count(&mut self, verdict: Verdict) {
+        let counter = match verdict {
+            Verdict::Accepted => &mut self.counters.records_accepted,
+            Verdict::Repeated => &mut self.counters.records_repeated,
+            Verdict::Fenced => &mut self.counters.records_fenced,
+            Verdict::Inconsistent(_) => &mut self.counters.records_inconsistent,
+        };
+        *counter += 1;
+    }
+
+    fn on_accepted(
+        &mut self,
+        now: Timestamp,
+        offset: Offset,
+        own: bool,
+        record: Record<JournalBody>,
+    ) {
+        if let JournalBody::Claim { .. } = record.body {
+            self.on_claim_won(now, own, record.epoch);
+            return;
+        }
+        if let JournalBody::Snapshot { part, parts, .. } = record.body {
+            self.note_snapshot(offset, part, parts);
+        }
+        let by_owner = own && self.owned == Some(record.epoch);
+        if by_owner {
+            self.soft.in_flight.pop_front();
+        }
+        if let JournalBody::Release { .. } = record.body {
+            if by_owner {
+                self.lose_ownership();
+            }
+            self.try_claim();
+            return;
+        }
+        if by_owner {
+            self.on_own_record(now, record.body);
+        }
+    }
+
+    fn note_snapshot(&mut self, offset: Offset, part: u32, parts: u32) {
+        if part == 0 {
+            self.pending_snapshot = Some(offset);
+        }
+        if part + 1 == parts
+            && let Some(first) = self.pending_snapshot.take()
+        {
+            self.snapshot_offset = Some(first);
+        }
+    }
+
+    /// A record of this owner now counts.
+    fn on_own_record(&mut self, now: Timestamp, body: JournalBody) {
+        match body {
+            JournalBody::RunStarted { spec, .. } => self.on_run_started(now, spec.id),
+            JournalBody::CallAccepted { run, .. } => self.on_call_accepted(now, run),
+            JournalBody::AttemptReserved { call, .. } => self.on_attempt_reserved(now, call),
+            JournalBody::AttemptStarted { call, attempt, .. } => {
+                self.on_attempt_started(now, call, attempt);
+            }
+            JournalBody::CallEnded {
+                call,
+                outcome,
+                chunks,
+            } => self.on_call_ended(now, call, outcome, chunks),
+            JournalBody::RunEnded { run, phase, .. } => self.on_run_ended(now, run, phase),
+            JournalBody::MemoryReleased { run } => self.on_release_journalled(run),
+            JournalBody::RunsForgotten { runs } => self.on_runs_forgotten(runs.len()),
+            JournalBody::AllotmentGranted {
+                tenant,
+                partition,
+                request,
+                amount,
+            } => self.on_grant_journalled(tenant, partition, request, amount),
+            JournalBody::AllotmentReceived { tenant, .. } => {
+                self.on_allotment_journalled(now, &tenant);
+            }
+            JournalBody::Claim { .. }
+            | JournalBody::Release { .. }
+            | JournalBody::Snapshot { .. } => {}
+        }
+    }
+
+    /// A record of this owner contradicted the state it met; it will never count.
+    fn on_own_rejected(&mut self, now: Timestamp, body: JournalBody, why: Inconsistency) {
+        match body {
+            JournalBody::RunStarted { spec, .. } => self.on_start_rejected(spec.id, why),
+            JournalBody::CallAccepted { run, .. } => self.on_acceptance_rejected(now, run, why),
+            JournalBody::AttemptReserved { call, .. } => {
+                self.on_reservation_rejected(now, call, why);
+            }
+            JournalBody::RunEnded { run, .. } => self.on_end_rejected(now, run),
+            JournalBody::RunsForgotten { .. } => self.on_runs_forgotten(0),
+            JournalBody::MemoryReleased { run } => self.on_release_journalled(run),
+            JournalBody::AllotmentGranted {
+                tenant, partition, ..
+            } => {
+                self.soft.granting.remove(&(tenant, partition));
+            }
+            JournalBody::AllotmentReceived { tenant, .. } => {
+                self.on_allotment_journalled(now, &tenant);
+            }
+            _ => {}
+        }
+    }
+
+    /// Appends the state as it will be once all records now in flight are read back; the parts
+    /// follow those records directly, since one writer's records keep their order.
+    pub(super) fn on_take_snapshot(&mut self) {
+        if !self.is_serving() {
+            return;
+        }
+        let mut state = self.journal.clone();
+        for body in &self.soft.in_flight {
+            let record = Record {
+                writer: self.writer.clone(),
+                sequence: state.ownership.last_sequence.next(),
+                epoch: state.ownership.epoch,
+                body: body.clone(),
+            };
+            state.apply(&record, &self.settings.faults);
+        }
+        for body in snapshot_records(&state) {
+            self.append(body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/execution/src/partition/recovery.rs
@@ -0,0 +1,189 @@
+//! Taking over: what becomes of the calls that an earlier owner left open.
+
+use elderworks_types::{
+    Attempt, CallId, CallRequest, EngineId, Epoch, FailureReason, RunId, Timestamp, UnknownReason,
+};
+
+use super::Partition;
+use super::intake::SHORT_RETRY;
+use crate::Effect;
+use crate::event::AttemptFailure;
+use crate::soft::{AnswerBuffer, Backoff, Callers, OpenCall, Running, Source, Stage};
+
+/// What is known of a call that an earlier owner left open.
+enum Leftover {
+    /// No back end has seen the permitted attempt.
+    Unsent,
+    /// An engine was given it.
+    OnEngine(Attempt, EngineId),
+    /// It may be out, to a tool or to an engine that is not known.
+    MaybeSent(Attempt),
+}
+
+impl Partition {
+    /// Takes up everything open: runs with open calls first, then what engines still hold.
+    pub(super) fn recover(&mut self, now: Timestamp, epoch: Epoch) {
+        let open: Vec<RunId> = self.journal.open.iter().copied().collect();
+        for run in open {
+            self.recover_call(now, epoch, run);
+        }
+        let unreleased: Vec<RunId> = self.journal.unreleased.iter().copied().collect();
+        for run in unreleased {
+            self.begin_memory_release(now, run);
+        }
+        let due: Vec<(Timestamp, RunId)> = self
+            .journal
+            .runs
+            .iter()
+            .filter(|(_, state)| state.is_active())
+            .map(|(run, state)| (state.started + state.limits.max_duration, *run))
+            .collect();
+        self.soft.timers.extend(due);
+    }
+
+    fn recover_call(&mut self, now: Timestamp, epoch: Epoch, run: RunId) {
+        let Some(call) = self.journal.runs.get(&run).and_then(|run| run.open_call()) else {
+            return;
+        };
+        let id = CallId {
+            run,
+            number: call.spec.number,
+        };
+        let repeatable = call.spec.repeatable;
+        let attempt = call.permitted;
+        let started = call
+            .last_attempt()
+            .filter(|started| started.attempt == attempt);
+        let leftover = match started {
+            _ if call.unsent_at == Some(epoch) => Leftover::Unsent,
+            Some(started) => match &started.engine {
+                Some(engine) => Leftover::OnEngine(attempt, engine.clone()),
+                None => Leftover::MaybeSent(attempt),
+            },
+            None if repeatable => Leftover::MaybeSent(attempt),
+            None => Leftover::Unsent,
+        };
+        let charged = call.spent.0 > 0;
+        let mut open = OpenCall::new(id.number, Callers::default());
+        open.answer = AnswerBuffer::continuing(call.continue_text.clone(), call.continue_chunks);
+        open.recovered = true;
+        open.ran_before = charged || !matches!(leftover, Leftover::Unsent);
+        self.soft.work(run, now).open = Some(open);
+        self.soft.notes.begin(id, now);
+        self.soft.notes.line(id, "taken over from an earlier owner");
+        self.take_up(now, id, repeatable, leftover);
+    }
+
+    fn take_up(&mut self, now: Timestamp, id: CallId, repeatable: bool, leftover: Leftover) {
+        match leftover {
+            Leftover::Unsent => self.begin_attempt(now, id),
+            Leftover::MaybeSent(attempt) if self.settings.faults.resend_after_takeover() => {
+                self.dispatch(now, id, attempt);
+            }
+            Leftover::OnEngine(attempt, engine) => self.resume(now, id, attempt, engine),
+            Leftover::MaybeSent(_) if repeatable => {
+                let plan = self.recovery_plan(now, id);
+                self.plan_retry(id, plan);
+            }
+            Leftover::MaybeSent(attempt) => {
+                self.query_or_unknown(now, id, attempt, UnknownReason::OwnerLost);
+            }
+        }
+    }
+
+    fn resume(&mut self, now: Timestamp, id: CallId, attempt: Attempt, engine: EngineId) {
+        let Some(call) = self.journal.open_call(id) else {
+            return;
+        };
+        let from_chunk = call.continue_chunks;
+        let limit = call.terms.timeout + self.settings.timeout_grace;
+        if let Some(open) = self.soft.open(id.run, id.number) {
+            open.stage = Stage::Running(Running {
+                attempt,
+                source: Source::Resumed,
+                sent: Some(now),
+            });
+        }
+        self.counters.resumed += 1;
+        self.soft
+            .notes
+            .attempt(id, attempt, Some(engine.clone()), now);
+        self.wake_at(now + limit, id.run);
+        self.emit(Effect::Resume {
+            call: id,
+            attempt,
+            engine,
+            from_chunk,
+        });
+    }
+
+    /// The next attempt of a call of which an earlier owner may have sent one: its reservation is
+    /// charged in full, since nobody can say what it consumed.
+    fn recovery_plan(&self, now: Timestamp, id: CallId) -> Backoff {
+        let spent = self
+            .journal
+            .open_call(id)
+            .map_or_else(Default::default, |call| call.held());
+        Backoff {
+            until: now,
+            since: now,
+            spent,
+            reason: FailureReason::AttemptsExhausted,
+            retry_after: Some(SHORT_RETRY),
+            for_recovery: true,
+        }
+    }
+
+    /// The engine could not go on with an attempt of an earlier owner. Before the call is run anew
+    /// its caller has a while to say what it holds of the answer, so that it can be continued.
+    pub(super) fn on_resume_failed(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        attempt: Attempt,
+        failure: AttemptFailure,
+    ) {
+        if let AttemptFailure::Errored { .. } = failure {
+            self.treat_as_dispatched(id, attempt);
+            return self.on_attempt_failed(now, id, attempt, failure);
+        }
+        let Some(call) = self.journal.open_call(id) else {
+            return;
+        };
+        let is_model = matches!(call.spec.request, CallRequest::Model(_));
+        if !call.spec.repeatable {
+            return self.query_or_unknown(now, id, attempt, UnknownReason::OwnerLost);
+        }
+        self.soft
+            .notes
+            .line(id, format!("attempt {attempt} could not be resumed"));
+        let plan = self.recovery_plan(now, id);
+        let wait = self.settings.resubmission_wait;
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        if !is_model || !open.callers.is_empty() {
+            return self.plan_retry(id, plan);
+        }
+        let until = now + wait;
+        open.stage = Stage::AwaitingCaller { until, then: plan };
+        self.wake_at(until, id.run);
+    }
+
+    fn treat_as_dispatched(&mut self, id: CallId, attempt: Attempt) {
+        if let Some(running) = self.running(id, attempt) {
+            running.source = Source::Dispatched;
+        }
+    }
+
+    /// A caller is back, and has said what it holds.
+    pub(super) fn on_caller_returned(&mut self, id: CallId) {
+        let Some(open) = self.soft.open(id.run, id.number) else {
+            return;
+        };
+        if let Stage::AwaitingCaller { then, .. } = &open.stage {
+            let plan = then.clone();
+            self.plan_retry(id, plan);
+        }
+    }
+}
--- /dev/null
+++ b/crates/execution/src/partition/timers.rs
@@ -0,0 +1,103 @@
+//! What the passing of time brings about.
+
+use elderworks_types::{CallId, FailureReason, RunId, RunPhase, Timestamp};
+
+use super::Partition;
+use crate::event::AttemptFailure;
+use crate::soft::{Running, Stage};
+
+/// What is due for an open call.
+enum Due {
+    Retry,
+    GiveUpWaiting,
+    TimeOut(Running),
+}
+
+impl Partition {
+    pub(super) fn on_tick(&mut self, now: Timestamp) {
+        if self.owned.is_none() {
+            return self.try_claim();
+        }
+        while let Some((at, run)) = self.soft.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            self.soft.timers.pop_first();
+            self.on_timer(now, run);
+        }
+        self.repeat_releases(now);
+        self.forget_ended(now);
+        self.try_release(now);
+    }
+
+    fn on_timer(&mut self, now: Timestamp, run: RunId) {
+        if !self.is_serving() {
+            return;
+        }
+        self.end_overlong_run(now, run);
+        self.on_call_due(now, run);
+        self.refuse_overdue(now, run);
+        self.advance(now, run);
+    }
+
+    fn end_overlong_run(&mut self, now: Timestamp, run: RunId) {
+        let overlong = self.journal.runs.get(&run).is_some_and(|state| {
+            state.is_active() && now.since(state.started) >= state.limits.max_duration
+        });
+        if overlong && !self.is_ending(run) {
+            self.counters.limits_reached += 1;
+            self.begin_ending(now, run, RunPhase::LimitReached, None);
+        }
+    }
+
+    fn on_call_due(&mut self, now: Timestamp, run: RunId) {
+        let Some((id, due)) = self.due_of(now, run) else {
+            return;
+        };
+        let stage = self
+            .soft
+            .open(run, id.number)
+            .map(|open| open.stage.clone());
+        match (due, stage) {
+            (Due::Retry, Some(Stage::Backoff(plan))) => self.try_retry(now, id, plan),
+            (Due::GiveUpWaiting, Some(Stage::AwaitingCaller { then, .. })) => {
+                self.try_retry(now, id, then);
+            }
+            (Due::TimeOut(running), _) => self.time_out(now, id, &running),
+            _ => {}
+        }
+    }
+
+    fn due_of(&self, now: Timestamp, run: RunId) -> Option<(CallId, Due)> {
+        let open = self.soft.runs.get(&run)?.open.as_ref()?;
+        let id = CallId {
+            run,
+            number: open.number,
+        };
+        let due = match &open.stage {
+            Stage::Backoff(plan) if plan.until <= now => Due::Retry,
+            Stage::AwaitingCaller { until, .. } if *until <= now => Due::GiveUpWaiting,
+            Stage::Running(running) if self.is_overdue(now, id, running) => {
+                Due::TimeOut(running.clone())
+            }
+            _ => return None,
+        };
+        Some((id, due))
+    }
+
+    fn is_overdue(&self, now: Timestamp, id: CallId, running: &Running) -> bool {
+        let (Some(call), Some(sent)) = (self.journal.open_call(id), running.sent) else {
+            return false;
+        };
+        now.since(sent) >= call.terms.timeout + self.settings.timeout_grace
+    }
+
+    /// The back end, or the node's own driver, has kept silent for too long.
+    fn time_out(&mut self, now: Timestamp, id: CallId, running: &Running) {
+        let failure = AttemptFailure::Lost {
+            reason: FailureReason::TimedOut,
+            usage: Default::default(),
+        };
+        self.on_attempt_failed(now, id, running.attempt, failure);
+    }
+}
--- /dev/null
+++ b/crates/execution/src/soft.rs
@@ -0,0 +1,314 @@
+//! What only the present owner knows and a takeover may forget.
+
+mod answer;
+mod callers;
+mod notes;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use elderworks_protocol::journal::{CallTerms, JournalBody};
+use elderworks_protocol::sidecar::Delivered;
+use elderworks_types::{
+    Attempt, CallNumber, CallSpec, Credits, EngineId, FailureReason, PartitionId, RunId, RunPhase,
+    RunSpec, Sequence, TenantId, Timestamp,
+};
+
+use crate::ExecutionSettings;
+use crate::event::Connection;
+use crate::retry::RetryBudget;
+
+pub(crate) use answer::{AnswerBuffer, Taken};
+pub(crate) use callers::Callers;
+pub(crate) use notes::Notebook;
+
+/// The owner's working state.
+#[derive(Debug)]
+pub(crate) struct Soft {
+    /// Own records appended at the present epoch and not yet read back, in order.
+    pub in_flight: VecDeque<JournalBody>,
+    /// The release in progress, if this node is handing the partition over.
+    pub release: Option<ReleaseProgress>,
+    /// Runs whose start was appended.
+    pub starting: BTreeMap<RunId, PendingStart>,
+    /// Work of runs that have any.
+    pub runs: BTreeMap<RunId, RunWork>,
+    /// When to look at a run again.
+    pub timers: BTreeSet<(Timestamp, RunId)>,
+    /// Allotments asked for.
+    pub requests: BTreeMap<TenantId, AllotmentRequest>,
+    /// Grants appended and not yet read back.
+    pub granting: BTreeMap<(TenantId, PartitionId), Sequence>,
+    /// Memory of ended runs being released.
+    pub memory: BTreeMap<RunId, MemoryRelease>,
+    /// Bounds retries.
+    pub retry: RetryBudget,
+    /// Whether a forgetting of runs is on its way.
+    pub forgetting: bool,
+    /// What `explain` shows beyond the journal.
+    pub notes: Notebook,
+}
+
+impl Soft {
+    /// An owner that has just begun.
+    pub fn new(settings: &ExecutionSettings) -> Self {
+        Self {
+            in_flight: VecDeque::new(),
+            release: None,
+            starting: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            requests: BTreeMap::new(),
+            granting: BTreeMap::new(),
+            memory: BTreeMap::new(),
+            retry: RetryBudget::new(settings),
+            forgetting: false,
+            notes: Notebook::new(settings.max_call_notes),
+        }
+    }
+
+    /// The work of a run, begun if there was none.
+    pub fn work(&mut self, run: RunId, now: Timestamp) -> &mut RunWork {
+        self.runs.entry(run).or_insert_with(|| RunWork::new(now))
+    }
+
+    /// The open call, if it has this number.
+    pub fn open(&mut self, run: RunId, number: CallNumber) -> Option<&mut OpenCall> {
+        let open = self.runs.get_mut(&run)?.open.as_mut()?;
+        (open.number == number).then_some(open)
+    }
+
+    /// Calls waiting, being accepted or open.
+    pub fn call_count(&self) -> usize {
+        self.runs.values().map(RunWork::call_count).sum()
+    }
+
+    /// What calls on their way into the journal are about to reserve of a tenant's allotment.
+    pub fn accepting_reservations(&self, tenant: &TenantId) -> Credits {
+        self.runs
+            .values()
+            .filter_map(|work| work.accepting.as_ref())
+            .filter(|accepting| accepting.tenant.as_ref() == Some(tenant))
+            .map(|accepting| accepting.reserved)
+            .sum()
+    }
+}
+
+/// A release under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReleaseProgress {
+    /// When it was asked for.
+    pub since: Timestamp,
+    /// Whether its record was appended.
+    pub appended: bool,
+}
+
+/// A run whose start was appended.
+#[derive(Debug)]
+pub(crate) struct PendingStart {
+    /// What it starts.
+    pub spec: RunSpec,
+    /// Who asked.
+    pub connections: BTreeSet<Connection>,
+}
+
+/// Work of one run.
+#[derive(Debug)]
+pub(crate) struct RunWork {
+    /// Calls that arrived and were not accepted yet.
+    pub waiting: BTreeMap<CallNumber, Submission>,
+    /// The call whose acceptance was appended.
+    pub accepting: Option<Accepting>,
+    /// The call that is open in the journal.
+    pub open: Option<OpenCall>,
+    /// How the run is to end.
+    pub ending: Option<Ending>,
+    /// Since when no call is open.
+    pub idle_since: Timestamp,
+}
+
+impl RunWork {
+    fn new(now: Timestamp) -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            accepting: None,
+            open: None,
+            ending: None,
+            idle_since: now,
+        }
+    }
+
+    fn call_count(&self) -> usize {
+        let accepting = usize::from(self.accepting.is_some());
+        let open = usize::from(self.open.is_some());
+        self.waiting.len() + accepting + open
+    }
+
+    /// Whether there is nothing to remember.
+    pub fn is_idle(&self) -> bool {
+        self.call_count() == 0 && self.ending.is_none()
+    }
+}
+
+/// A call that arrived.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    /// The call as made.
+    pub spec: CallSpec,
+    /// Prices and limits.
+    pub terms: CallTerms,
+    /// Who waits for it.
+    pub callers: Callers,
+    /// When it arrived.
+    pub received: Timestamp,
+    /// Since when its tenant's allotment keeps it waiting.
+    pub short_since: Option<Timestamp>,
+}
+
+/// A call whose acceptance was appended.
+#[derive(Debug)]
+pub(crate) struct Accepting {
+    /// The call.
+    pub submission: Submission,
+    /// What it is about to reserve.
+    pub reserved: Credits,
+    /// The tenant, where its budget is drawn on.
+    pub tenant: Option<TenantId>,
+}
+
+/// A call that is open in the journal.
+#[derive(Debug)]
+pub(crate) struct OpenCall {
+    /// Its number within the run.
+    pub number: CallNumber,
+    /// Where it stands.
+    pub stage: Stage,
+    /// Who waits for it.
+    pub callers: Callers,
+    /// What of the answer has come.
+    pub answer: AnswerBuffer,
+    /// What a caller said it holds, before anything was dispatched here.
+    pub delivered: Delivered,
+    /// Whether an attempt before the present one may have run.
+    pub ran_before: bool,
+    /// Whether an earlier owner left it behind.
+    pub recovered: bool,
+}
+
+impl OpenCall {
+    /// A call at the beginning of its work here.
+    pub fn new(number: CallNumber, callers: Callers) -> Self {
+        Self {
+            number,
+            stage: Stage::Idle,
+            callers,
+            answer: AnswerBuffer::default(),
+            delivered: Delivered::default(),
+            ran_before: false,
+            recovered: false,
+        }
+    }
+}
+
+/// Where an open call stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Nothing was begun.
+    Idle,
+    /// The start of an attempt was appended; it goes out once that is read back.
+    Intent(Attempt),
+    /// An attempt is out.
+    Running(Running),
+    /// The next attempt waits for its time.
+    Backoff(Backoff),
+    /// The reservation of the next attempt was appended.
+    Reserving,
+    /// The caller is given time to say what it holds of the answer.
+    AwaitingCaller {
+        /// Until when.
+        until: Timestamp,
+        /// The retry to make then.
+        then: Backoff,
+    },
+    /// The end was appended, or the partition is being handed over.
+    Closing,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Running {
+    /// Which.
+    pub attempt: Attempt,
+    /// How it came about.
+    pub source: Source,
+    /// When its back end got it; `None` while placement holds it.
+    pub sent: Option<Timestamp>,
+}
+
+/// How an attempt came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// It was dispatched here.
+    Dispatched,
+    /// It was taken up from an earlier owner.
+    Resumed,
+    /// A tool was asked what became of it.
+    Queried,
+}
+
+/// A retry that waits for its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Backoff {
+    /// When to try.
+    pub until: Timestamp,
+    /// Since when it waits.
+    pub since: Timestamp,
+    /// Cost of all attempts so far.
+    pub spent: Credits,
+    /// How the last attempt failed.
+    pub reason: FailureReason,
+    /// What to tell the caller if this is given up.
+    pub retry_after: Option<Duration>,
+    /// Whether the retry is owed to a lost owner rather than to a back end, and so is free of the
+    /// limits on retries.
+    pub for_recovery: bool,
+}
+
+/// How a run is to end.
+#[derive(Debug)]
+pub(crate) struct Ending {
+    /// The phase to reach.
+    pub phase: RunPhase,
+    /// Who asked.
+    pub connections: BTreeSet<Connection>,
+    /// Whether the record was appended.
+    pub appended: bool,
+}
+
+/// An allotment asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AllotmentRequest {
+    /// Its number.
+    pub request: Sequence,
+    /// How much was asked for.
+    pub amount: Credits,
+    /// When to ask again.
+    pub repeat_at: Timestamp,
+    /// Whether the grant was appended.
+    pub receiving: bool,
+    /// Whether the holder had nothing to give.
+    pub denied: bool,
+}
+
+/// Release of an ended run's memory.
+#[derive(Debug)]
+pub(crate) struct MemoryRelease {
+    /// Engines that have not acknowledged.
+    pub engines: BTreeSet<EngineId>,
+    /// When to send again.
+    pub repeat_at: Timestamp,
+    /// The wait after that.
+    pub backoff: Duration,
+    /// Whether the end of the release was appended.
+    pub appended: bool,
+}
--- /dev/null
+++ b/crates/execution/src/state/apply.rs
@@ -0,0 +1,375 @@
+//! Applying records. Every reader accepts and rejects the same ones.
+
+use elderworks_protocol::journal::{JournalBody, RunLimits};
+use elderworks_protocol::record::Record;
+use elderworks_types::{
+    Attempt, CallId, Credits, EngineId, Outcome, PartitionId, RunId, RunPhase, RunSpec, Sequence,
+    TenantId, Timestamp,
+};
+
+use super::JournalState;
+use super::budget::{TenantAllotment, settled_cost};
+use super::ownership::Fenced;
+use super::run::{AttemptState, CallEnd, CallState, RunState};
+use crate::Faults;
+
+/// What became of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// It counts.
+    Accepted,
+    /// It was read before.
+    Repeated,
+    /// Its writer did not own the partition at its epoch.
+    Fenced,
+    /// It contradicts the state it met, and changes nothing.
+    Inconsistent(Inconsistency),
+}
+
+/// How a record contradicts the state it met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Inconsistency {
+    /// It names a run that is not there, or one that is there already.
+    Run,
+    /// It is about a call or attempt whose turn it is not.
+    Order,
+    /// The run's budget does not cover it.
+    RunBudget,
+    /// The tenant's allotment does not cover it.
+    TenantBudget,
+    /// It repeats a settled request.
+    Request,
+}
+
+type Applied = Result<(), Inconsistency>;
+
+impl JournalState {
+    /// Judges the next record of the stream and, where it counts, applies it.
+    pub fn apply(&mut self, record: &Record<JournalBody>, faults: &Faults) -> Verdict {
+        match self.ownership.admit(record, faults) {
+            Err(Fenced::Repeated) => return Verdict::Repeated,
+            Err(Fenced::NotOwner) => return Verdict::Fenced,
+            Ok(()) => {}
+        }
+        match self.apply_body(&record.body, faults) {
+            Ok(()) => Verdict::Accepted,
+            Err(inconsistency) => Verdict::Inconsistent(inconsistency),
+        }
+    }
+
+    fn apply_body(&mut self, body: &JournalBody, faults: &Faults) -> Applied {
+        match body {
+            JournalBody::Claim { .. } | JournalBody::Snapshot { .. } => Ok(()),
+            JournalBody::Release { unsent } => {
+                self.release(unsent);
+                Ok(())
+            }
+            JournalBody::RunStarted {
+                spec,
+                limits,
+                started,
+            } => self.start_run(spec, limits, *started),
+            JournalBody::CallAccepted {
+                run,
+                spec,
+                reserved,
+                terms,
+            } => {
+                let call = CallState {
+                    spec: spec.clone(),
+                    terms: *terms,
+                    reserved: *reserved,
+                    spent: Credits::ZERO,
+                    permitted: Attempt(1),
+                    unsent_at: None,
+                    attempts: Vec::new(),
+                    continue_text: String::new(),
+                    continue_chunks: 0,
+                    dropped: Vec::new(),
+                    end: None,
+                };
+                self.accept_call(*run, call, faults)
+            }
+            JournalBody::AttemptReserved {
+                call,
+                attempt,
+                spent,
+                reserved,
+                continue_text,
+                continue_chunks,
+            } => {
+                self.reserve_attempt(*call, *attempt, (*spent, *reserved), faults)?;
+                self.continue_answer(*call, continue_text, *continue_chunks)
+            }
+            JournalBody::AttemptStarted {
+                call,
+                attempt,
+                engine,
+            } => self.start_attempt(*call, *attempt, engine.as_ref()),
+            JournalBody::CallEnded {
+                call,
+                outcome,
+                chunks,
+            } => self.end_call(*call, outcome, *chunks),
+            JournalBody::RunEnded { run, phase, at } => self.end_run(*run, *phase, *at),
+            JournalBody::RunsForgotten { runs } => self.forget_runs(runs),
+            JournalBody::MemoryReleased { run } => self.release_memory(*run),
+            JournalBody::AllotmentGranted {
+                tenant,
+                partition,
+                request,
+                amount,
+            } => self.grant_allotment(tenant, *partition, *request, *amount),
+            JournalBody::AllotmentReceived {
+                tenant,
+                request,
+                amount,
+            } => self.receive_allotment(tenant, *request, *amount),
+        }
+    }
+
+    fn release(&mut self, unsent: &[CallId]) {
+        self.ownership.owner = None;
+        let next_epoch = self.ownership.epoch.next();
+        for id in unsent {
+            let run = self.runs.get_mut(&id.run);
+            if let Some(call) = run.and_then(|run| run.open_call_mut(id.number)) {
+                call.unsent_at = Some(next_epoch);
+            }
+        }
+    }
+
+    fn start_run(&mut self, spec: &RunSpec, limits: &RunLimits, started: Timestamp) -> Applied {
+        if self.runs.contains_key(&spec.id) {
+            return Err(Inconsistency::Run);
+        }
+        if let Some(parent) = spec.parent {
+            self.carve_budget(parent, spec)?;
+        }
+        let run = RunState::new(spec.clone(), *limits, started);
+        self.runs.insert(spec.id, run);
+        Ok(())
+    }
+
+    fn carve_budget(&mut self, parent: RunId, spec: &RunSpec) -> Applied {
+        let same_tree = parent.root == spec.id.root;
+        let parent = self
+            .runs
+            .get_mut(&parent)
+            .filter(|run| same_tree && run.is_active() && run.spec.tenant == spec.tenant)
+            .ok_or(Inconsistency::Run)?;
+        if parent.available() < spec.budget {
+            return Err(Inconsistency::RunBudget);
+        }
+        parent.carved += spec.budget;
+        parent.children.insert(spec.id);
+        Ok(())
+    }
+
+    fn accept_call(&mut self, id: RunId, mut call: CallState, faults: &Faults) -> Applied {
+        let run = self.runs.get_mut(&id).ok_or(Inconsistency::Run)?;
+        if !run.is_active() {
+            return Err(Inconsistency::Run);
+        }
+        if run.open_call().is_some() || call.spec.number != run.next_number() {
+            return Err(Inconsistency::Order);
+        }
+        if run.available() < call.reserved && !faults.no_reservation() {
+            return Err(Inconsistency::RunBudget);
+        }
+        if run.limits.tenant_budget {
+            let allotment = self.allotments.entry(run.spec.tenant.clone()).or_default();
+            if allotment.available() < call.reserved {
+                return Err(Inconsistency::TenantBudget);
+            }
+            allotment.adjust(Credits::ZERO, call.reserved);
+        }
+        call.dropped = run.extend_context(&call.spec.request);
+        run.calls.push(call);
+        self.open.insert(id);
+        Ok(())
+    }
+
+    fn reserve_attempt(
+        &mut self,
+        id: CallId,
+        attempt: Attempt,
+        (spent, reserved): (Credits, Credits),
+        faults: &Faults,
+    ) -> Applied {
+        let run = self.runs.get_mut(&id.run).ok_or(Inconsistency::Run)?;
+        let available = run.available();
+        let tenant = run.spec.tenant.clone();
+        let tenant_budget = run.limits.tenant_budget;
+        let call = run.open_call_mut(id.number).ok_or(Inconsistency::Order)?;
+        if attempt != call.permitted.next() {
+            return Err(Inconsistency::Order);
+        }
+        let held = call.held();
+        let needed = spent + reserved;
+        if available + held < needed && !faults.no_reservation() {
+            return Err(Inconsistency::RunBudget);
+        }
+        if tenant_budget {
+            let allotment = self.allotments.entry(tenant).or_default();
+            if allotment.available() + held < needed {
+                return Err(Inconsistency::TenantBudget);
+            }
+            allotment.adjust(held, needed);
+        }
+        call.spent = spent;
+        call.reserved = reserved;
+        call.permitted = attempt;
+        Ok(())
+    }
+
+    fn continue_answer(&mut self, id: CallId, text: &str, chunks: u32) -> Applied {
+        let run = self.runs.get_mut(&id.run).ok_or(Inconsistency::Run)?;
+        let call = run.open_call_mut(id.number).ok_or(Inconsistency::Order)?;
+        call.continue_text = text.to_owned();
+        call.continue_chunks = chunks;
+        Ok(())
+    }
+
+    fn start_attempt(
+        &mut self,
+        id: CallId,
+        attempt: Attempt,
+        engine: Option<&EngineId>,
+    ) -> Applied {
+        let run = self.runs.get_mut(&id.run).ok_or(Inconsistency::Run)?;
+        let call = run.open_call_mut(id.number).ok_or(Inconsistency::Order)?;
+        if attempt != call.permitted {
+            return Err(Inconsistency::Order);
+        }
+        let state = AttemptState {
+            attempt,
+            engine: engine.cloned(),
+        };
+        match call.attempts.last_mut() {
+            Some(last) if last.attempt == attempt => {
+                if last.engine.is_some() || state.engine.is_none() {
+                    return Err(Inconsistency::Order);
+                }
+                *last = state;
+            }
+            _ => call.attempts.push(state),
+        }
+        run.engines.extend(engine.cloned());
+        Ok(())
+    }
+
+    fn end_call(&mut self, id: CallId, outcome: &Outcome, chunks: u32) -> Applied {
+        let run = self.runs.get_mut(&id.run).ok_or(Inconsistency::Run)?;
+        let call = run.open_call_mut(id.number).ok_or(Inconsistency::Order)?;
+        let held = call.held();
+        let cost = settled_cost(call, outcome);
+        call.end = Some(CallEnd {
+            outcome: outcome.clone(),
+            chunks,
+        });
+        run.spent += cost;
+        run.settle_history(outcome);
+        if run.limits.tenant_budget {
+            let allotment = self.allotments.entry(run.spec.tenant.clone()).or_default();
+            allotment.adjust(held, Credits::ZERO);
+            allotment.spent += cost;
+        }
+        self.open.remove(&id.run);
+        Ok(())
+    }
+
+    fn end_run(&mut self, id: RunId, phase: RunPhase, at: Timestamp) -> Applied {
+        let run = self.runs.get_mut(&id).ok_or(Inconsistency::Run)?;
+        let closed = run.open_call().is_none() && run.children.is_empty();
+        if !run.is_active() || !closed || phase == RunPhase::Active {
+            return Err(Inconsistency::Order);
+        }
+        run.phase = phase;
+        if !run.engines.is_empty() {
+            self.unreleased.insert(id);
+        }
+        self.ended.insert((at, id));
+        let (parent, budget, spent) = (run.spec.parent, run.spec.budget, run.spent);
+        if let Some(parent) = parent.and_then(|parent| self.runs.get_mut(&parent)) {
+            parent.children.remove(&id);
+            parent.carved = parent.carved.saturating_sub(budget);
+            parent.spent += spent;
+        }
+        Ok(())
+    }
+
+    fn forget_runs(&mut self, runs: &[RunId]) -> Applied {
+        for id in runs {
+            let ended = self.runs.get(id).is_some_and(|run| !run.is_active());
+            if ended && !self.unreleased.contains(id) {
+                self.runs.remove(id);
+            }
+        }
+        let kept = &self.runs;
+        self.ended.retain(|(_, id)| kept.contains_key(id));
+        Ok(())
+    }
+
+    fn release_memory(&mut self, id: RunId) -> Applied {
+        if self.unreleased.remove(&id) {
+            Ok(())
+        } else {
+            Err(Inconsistency::Request)
+        }
+    }
+
+    fn grant_allotment(
+        &mut self,
+        tenant: &TenantId,
+        partition: PartitionId,
+        request: Sequence,
+        amount: Credits,
+    ) -> Applied {
+        let grants = self.grants.entry(tenant.clone()).or_default();
+        if request != grants.last_request(partition).next() {
+            return Err(Inconsistency::Request);
+        }
+        grants.partitions.insert(partition, (request, amount));
+        grants.total += amount;
+        Ok(())
+    }
+
+    fn receive_allotment(
+        &mut self,
+        tenant: &TenantId,
+        request: Sequence,
+        amount: Credits,
+    ) -> Applied {
+        let allotment: &mut TenantAllotment = self.allotments.entry(tenant.clone()).or_default();
+        if request != allotment.last_request.next() {
+            return Err(Inconsistency::Request);
+        }
+        allotment.last_request = request;
+        allotment.received += amount;
+        Ok(())
+    }
+}
+
+impl RunState {
+    /// Takes the call that has just ended into the history, or out of it if it was refused.
+    fn settle_history(&mut self, outcome: &Outcome) {
+        if let Outcome::Refused(_) = outcome {
+            if let Some(call) = self.calls.pop() {
+                self.restore_context(call);
+            }
+            return;
+        }
+        let index = self.calls.len().saturating_sub(1);
+        if let Some(call) = self.calls.last_mut() {
+            call.dropped.clear();
+            call.continue_text.clear();
+        }
+        if let Outcome::Completed(answer) = outcome {
+            self.attained += answer.usage.prompt.saturating_sub(answer.usage.cached);
+            self.attained += answer.usage.output;
+            self.context
+                .push(super::history::ContextEntry::Answer { call: index as u32 });
+        }
+    }
+}
--- /dev/null
+++ b/crates/execution/src/state/budget.rs
@@ -0,0 +1,102 @@
+//! What calls cost, and the books of tenants.
+
+use std::collections::BTreeMap;
+
+use elderworks_protocol::journal::CallTerms;
+use elderworks_types::{
+    CallRequest, Credits, Message, Outcome, PartitionId, Sequence, Tokens, Usage, text,
+};
+use serde::{Deserialize, Serialize};
+
+use super::run::CallState;
+
+/// What this partition may spend of a tenant's budget.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TenantAllotment {
+    /// Received in all.
+    pub received: Credits,
+    /// Set aside for open calls.
+    pub reserved: Credits,
+    /// Settled.
+    pub spent: Credits,
+    /// Number of the last request that was answered with a grant.
+    pub last_request: Sequence,
+}
+
+impl TenantAllotment {
+    /// What can still be reserved.
+    pub fn available(&self) -> Credits {
+        self.received.saturating_sub(self.reserved + self.spent)
+    }
+
+    /// Replaces one reservation by another.
+    pub fn adjust(&mut self, released: Credits, reserved: Credits) {
+        self.reserved = self.reserved.saturating_sub(released) + reserved;
+    }
+}
+
+/// What the holder of a tenant's budget has granted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TenantGrants {
+    /// Granted in all.
+    pub total: Credits,
+    /// Last request of each partition, and what it was granted.
+    pub partitions: BTreeMap<PartitionId, (Sequence, Credits)>,
+}
+
+impl TenantGrants {
+    /// Number of the last request granted to a partition; 0 before the first.
+    pub fn last_request(&self, partition: PartitionId) -> Sequence {
+        self.partitions
+            .get(&partition)
+            .map_or(Sequence(0), |(request, _)| *request)
+    }
+}
+
+/// The most that one attempt can cost.
+pub(crate) fn reservation(
+    terms: &CallTerms,
+    request: &CallRequest,
+    prompt: &[Message],
+    continue_text: &str,
+) -> Credits {
+    let CallRequest::Model(model) = request else {
+        return terms.per_invocation;
+    };
+    let rendered = text::render_prompt(prompt);
+    let continued = text::token_count(continue_text);
+    let usage = Usage {
+        prompt: text::token_count(&rendered) + continued,
+        cached: Tokens::ZERO,
+        output: remaining_output(model.max_output, continue_text),
+    };
+    attempt_cost(terms, request, &usage)
+}
+
+/// Tokens that may still be generated once part of an answer was delivered; at least one.
+pub(crate) fn remaining_output(max_output: Tokens, continue_text: &str) -> Tokens {
+    let rest = max_output.saturating_sub(text::token_count(continue_text));
+    rest.max(Tokens(1))
+}
+
+/// What one attempt cost by its usage.
+pub(crate) fn attempt_cost(terms: &CallTerms, request: &CallRequest, usage: &Usage) -> Credits {
+    match request {
+        CallRequest::Model(_) => {
+            let prompt = usage.prompt.0.saturating_mul(terms.per_prompt_token.0);
+            let output = usage.output.0.saturating_mul(terms.per_output_token.0);
+            Credits(prompt.saturating_add(output))
+        }
+        CallRequest::Tool(_) => terms.per_invocation,
+    }
+}
+
+/// What a call costs its run once it has ended so.
+pub(crate) fn settled_cost(call: &CallState, outcome: &Outcome) -> Credits {
+    match outcome {
+        Outcome::Completed(answer) => answer.cost,
+        Outcome::Failed(failure) => failure.cost,
+        Outcome::Refused(_) => Credits::ZERO,
+        Outcome::Unknown(_) => call.held(),
+    }
+}
--- /dev/null
+++ b/crates/execution/tests/common/mod.rs
@@ -0,0 +1,300 @@
+//! A log in memory, nodes that follow it, and a back end that answers what a test tells it to.
+#![allow(dead_code)]
+
+pub mod build;
+
+use std::time::Duration;
+
+use elderworks_execution::event::AttemptFailure;
+use elderworks_execution::{BackendRequest, Effect, Event, ExecutionSettings, Partition};
+use elderworks_protocol::journal::JournalBody;
+use elderworks_protocol::record::{Record, Writer};
+use elderworks_protocol::sidecar::NodeMessage;
+use elderworks_types::{
+    Attempt, CallId, EngineId, Epoch, Incarnation, NodeId, Offset, Outcome, PartitionId, Sequence,
+    Timestamp, Usage,
+};
+
+/// Which node of the world.
+pub type Node = usize;
+
+/// One node's view of the partition.
+pub struct Follower {
+    pub partition: Partition,
+    pub writer: Writer,
+    /// Records stamped and not yet appended.
+    pub outbox: Vec<Record<JournalBody>>,
+    sequence: Sequence,
+    read: usize,
+    /// A paused node handles nothing.
+    pub paused: bool,
+    /// Effects other than appends, in order, since the test last took them.
+    pub effects: Vec<Effect>,
+}
+
+/// The log and its followers.
+pub struct World {
+    pub now: Timestamp,
+    pub log: Vec<Record<JournalBody>>,
+    pub nodes: Vec<Follower>,
+    settings: ExecutionSettings,
+    /// Whether appends reach the log.
+    pub log_up: bool,
+    /// How often each append lands.
+    pub copies: usize,
+}
+
+impl World {
+    pub fn new(count: usize) -> Self {
+        Self::with(count, ExecutionSettings::default())
+    }
+
+    pub fn with(count: usize, settings: ExecutionSettings) -> Self {
+        let mut world = Self {
+            now: Timestamp(1_000_000),
+            log: Vec::new(),
+            nodes: Vec::new(),
+            settings,
+            log_up: true,
+            copies: 1,
+        };
+        for _ in 0..count {
+            world.add_node();
+        }
+        world
+    }
+
+    /// A world whose node 0 owns the partition.
+    pub fn owned() -> Self {
+        Self::owned_with(ExecutionSettings::default())
+    }
+
+    pub fn owned_with(settings: ExecutionSettings) -> Self {
+        let mut world = Self::with(2, settings);
+        world.event(0, Event::Claim { forced: true });
+        world.take_effects(0);
+        world
+    }
+
+    pub fn add_node(&mut self) -> Node {
+        let index = self.nodes.len();
+        let name = NodeId::new(format!("node-{index}"));
+        let follower = self.follower(name, Incarnation(1));
+        self.nodes.push(follower);
+        self.settle();
+        index
+    }
+
+    fn follower(&self, node: NodeId, incarnation: Incarnation) -> Follower {
+        let writer = Writer { node, incarnation };
+        Follower {
+            partition: Partition::new(PartitionId(0), writer.clone(), self.settings.clone()),
+            writer,
+            outbox: Vec::new(),
+            sequence: Sequence(0),
+            read: 0,
+            paused: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// The node loses its memory; what it had not appended is gone.
+    pub fn restart(&mut self, node: Node) {
+        let old = &self.nodes[node].writer;
+        let fresh = self.follower(old.node.clone(), old.incarnation.next());
+        self.nodes[node] = fresh;
+        self.settle();
+    }
+
+    /// Feeds an event and lets everything that follows happen.
+    pub fn event(&mut self, node: Node, event: Event) {
+        self.feed(node, event);
+        self.settle();
+    }
+
+    /// Feeds an event; its appends stay in the outbox.
+    pub fn feed(&mut self, node: Node, event: Event) {
+        let now = self.now;
+        let follower = &mut self.nodes[node];
+        let effects = follower.partition.handle(now, event);
+        for effect in effects {
+            match effect {
+                Effect::Append { epoch, body } => follower.stamp(epoch, body),
+                other => follower.effects.push(other),
+            }
+        }
+    }
+
+    /// Moves outboxes to the log and the log to its readers until nothing moves.
+    pub fn settle(&mut self) {
+        loop {
+            let appended = self.flush();
+            let delivered = self.deliver();
+            if !appended && !delivered {
+                return;
+            }
+        }
+    }
+
+    pub fn flush(&mut self) -> bool {
+        if !self.log_up {
+            return false;
+        }
+        let mut moved = false;
+        for node in &mut self.nodes {
+            if node.paused || node.outbox.is_empty() {
+                continue;
+            }
+            let batch = std::mem::take(&mut node.outbox);
+            for _ in 0..self.copies {
+                self.log.extend(batch.iter().cloned());
+            }
+            moved = true;
+        }
+        moved
+    }
+
+    fn deliver(&mut self) -> bool {
+        let mut moved = false;
+        for index in 0..self.nodes.len() {
+            while !self.nodes[index].paused && self.nodes[index].read < self.log.len() {
+                let position = self.nodes[index].read;
+                self.nodes[index].read += 1;
+                let event = Event::RecordRead {
+                    offset: Offset(position as u64),
+                    record: self.log[position].clone(),
+                };
+                self.feed(index, event);
+                moved = true;
+            }
+        }
+        moved
+    }
+
+    /// Lets time pass in small steps, with ticks.
+    pub fn pass(&mut self, duration: Duration) {
+        const STEP: Duration = Duration::from_millis(100);
+        let end = self.now + duration;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for index in 0..self.nodes.len() {
+                if !self.nodes[index].paused {
+                    self.feed(index, Event::Tick);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    pub fn take_effects(&mut self, node: Node) -> Vec<Effect> {
+        std::mem::take(&mut self.nodes[node].effects)
+    }
+
+    /// Messages sent by a node since the effects were last taken; other effects stay.
+    pub fn take_messages(&mut self, node: Node) -> Vec<NodeMessage> {
+        let effects = self.take_effects(node);
+        let mut messages = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { message, .. } => messages.push(message),
+                other => self.nodes[node].effects.push(other),
+            }
+        }
+        messages
+    }
+
+    /// Outcomes sent by a node since the effects were last taken.
+    pub fn take_outcomes(&mut self, node: Node) -> Vec<(CallId, Outcome)> {
+        let messages = self.take_messages(node);
+        messages
+            .into_iter()
+            .filter_map(|message| match message {
+                NodeMessage::CallEnded { call, outcome, .. } => Some((call, outcome)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// The dispatches of a node since the effects were last taken; other effects stay.
+    pub fn take_dispatches(&mut self, node: Node) -> Vec<(CallId, Attempt, BackendRequest)> {
+        let effects = self.take_effects(node);
+        let mut dispatches = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Dispatch {
+                    call,
+                    attempt,
+                    request,
+                    ..
+                } => dispatches.push((call, attempt, request)),
+                other => self.nodes[node].effects.push(other),
+            }
+        }
+        dispatches
+    }
+
+    pub fn place(&mut self, node: Node, call: CallId, attempt: u32, engine: &str) {
+        let event = Event::AttemptPlaced {
+            call,
+            attempt: Attempt(attempt),
+            engine: Some(EngineId::new(engine)),
+            note: "chosen by the test".to_owned(),
+        };
+        self.event(node, event);
+    }
+
+    pub fn chunk(&mut self, node: Node, call: CallId, attempt: u32, index: u32, text: &str) {
+        let event = Event::AttemptChunk {
+            call,
+            attempt: Attempt(attempt),
+            index,
+            text: text.to_owned(),
+        };
+        self.event(node, event);
+    }
+
+    pub fn complete(&mut self, node: Node, call: CallId, attempt: u32, content: &str) {
+        let event = Event::AttemptCompleted {
+            call,
+            attempt: Attempt(attempt),
+            content: content.to_owned(),
+            usage: Usage {
+                prompt: elderworks_types::Tokens(4),
+                cached: elderworks_types::Tokens(0),
+                output: elderworks_types::Tokens(2),
+            },
+        };
+        self.event(node, event);
+    }
+
+    pub fn fail(&mut self, node: Node, call: CallId, attempt: u32, failure: AttemptFailure) {
+        let event = Event::AttemptFailed {
+            call,
+            attempt: Attempt(attempt),
+            failure,
+        };
+        self.event(node, event);
+    }
+
+    /// Node `node` takes the partition from whoever has it.
+    pub fn take_over(&mut self, node: Node) {
+        self.event(node, Event::Claim { forced: true });
+    }
+
+    pub fn digests(&self) -> Vec<u64> {
+        let readers = self.nodes.iter().filter(|node| !node.paused);
+        readers.map(|node| node.partition.state_digest()).collect()
+    }
+}
+
+impl Follower {
+    fn stamp(&mut self, epoch: Epoch, body: JournalBody) {
+        self.sequence = self.sequence.next();
+        self.outbox.push(Record {
+            writer: self.writer.clone(),
+            sequence: self.sequence,
+            epoch,
+            body,
+        });
+    }
+}
--- a/crates/protocol/src/journal.rs
+++ b/crates/protocol/src/journal.rs
@@ -15,7 +15,11 @@
         owner: NodeId,
     },
     /// The owner lets go in order; the next claim needs no failure to be detected.
-    Release,
+    Release {
+        /// Open calls of which surely no back end has seen the present attempt, so that the next
+        /// owner need not charge it.
+        unsent: Vec<CallId>,
+    },
     /// Starts a run.
     RunStarted {
         /// What the caller fixed.
@@ -47,6 +51,10 @@
         spent: Credits,
         /// Reserved for the attempt that is to follow.
         reserved: Credits,
+        /// Text of the answer that earlier attempts delivered and the next one continues.
+        continue_text: String,
+        /// How many chunks that text came in.
+        continue_chunks: u32,
     },
     /// An attempt was given to a back end. A call that is not repeatable is sent only after this
     /// record was read back accepted.
