Detect failures by gossip within cells and exchange digests between them

Cause: ownership needs to know who seems alive, at a cost per node that does not grow with the fleet. Change: a SWIM-style detector (random round-robin probes, indirect probes, suspicion with refutation, bounded piggybacking, joins retried through seeds, bounded exchanges, draining, pause awareness), digests of other cells kept by two relays per cell, and the choice of who reads the control stream. Now every node asks its suspects itself before it believes them dead. Conclusion: usable by node-core; costs at scale are measured next.

--- /dev/null
+++ b/crates/membership/src/detector/receive.rs
@@ -0,0 +1,161 @@
+//! Datagrams received.
+
+use std::net::SocketAddr;
+
+use elderworks_protocol::gossip::{Datagram, DatagramKind, MemberState, MemberUpdate};
+use elderworks_types::{NodeId, Offset, Timestamp};
+
+use super::Membership;
+use crate::event::Effect;
+use crate::table::{Merged, precedence};
+
+impl Membership {
+    pub(super) fn receive(&mut self, now: Timestamp, from: SocketAddr, datagram: Datagram) {
+        if datagram.from == self.settings.node {
+            return;
+        }
+        if datagram.cell == self.settings.cell {
+            self.receive_from_member(now, from, datagram);
+        } else {
+            self.receive_from_other_cell(now, from, datagram);
+        }
+    }
+
+    fn receive_from_member(&mut self, now: Timestamp, from: SocketAddr, datagram: Datagram) {
+        for update in datagram.updates {
+            self.merge_update(now, update);
+        }
+        for digest in datagram.digests {
+            self.merge_digest(now, digest);
+        }
+        self.note_control_next(now, &datagram.from, datagram.control_next);
+        match datagram.kind {
+            DatagramKind::Ping { nonce } => self.answer_ping(from, &datagram.from, nonce),
+            DatagramKind::PingRequest { nonce, target } => {
+                self.probe_for_other(now, from, nonce, target);
+            }
+            DatagramKind::Acknowledge { nonce } => self.note_answer(&datagram.from, nonce),
+            DatagramKind::Join => self.answer_join(now, from),
+            DatagramKind::Members => self.answered = true,
+        }
+    }
+
+    fn answer_ping(&mut self, to: SocketAddr, asker: &NodeId, nonce: u64) {
+        let first = self.accusation_of(asker);
+        let answer = self.compose(DatagramKind::Acknowledge { nonce }, first);
+        self.send(to, answer);
+    }
+
+    /// What a member must hear about itself to be able to refute it, unless it is held alive.
+    pub(super) fn accusation_of(&self, node: &NodeId) -> Vec<MemberUpdate> {
+        self.table
+            .get(node)
+            .filter(|member| member.update.state != MemberState::Alive)
+            .map(|member| member.update.clone())
+            .into_iter()
+            .collect()
+    }
+
+    fn probe_for_other(
+        &mut self,
+        now: Timestamp,
+        origin: SocketAddr,
+        origin_nonce: u64,
+        target: NodeId,
+    ) {
+        let Some(member) = self.table.get(&target) else {
+            return;
+        };
+        let to = member.update.gossip_address;
+        let begun = self
+            .prober
+            .begin_forwarded(now, target, origin, origin_nonce);
+        if let Some(nonce) = begun {
+            let ping = self.compose(DatagramKind::Ping { nonce }, Vec::new());
+            self.send(to, ping);
+        }
+    }
+
+    fn note_answer(&mut self, from: &NodeId, nonce: u64) {
+        if self.prober.acknowledge(nonce, from) {
+            self.answered = true;
+            self.health.note_answer();
+            return;
+        }
+        if let Some((origin, nonce)) = self.prober.acknowledge_forwarded(nonce, from) {
+            let answer = self.compose(DatagramKind::Acknowledge { nonce }, Vec::new());
+            self.send(origin, answer);
+        }
+    }
+
+    pub(super) fn note_control_next(&mut self, now: Timestamp, peer: &NodeId, next: Offset) {
+        let Some(member) = self.table.get(peer) else {
+            return;
+        };
+        let address = member.update.address;
+        if self.control.note_peer(now, next) {
+            let peer = peer.clone();
+            self.effects.push(Effect::ControlBehind {
+                peer,
+                address,
+                next,
+            });
+        }
+    }
+
+    /// Takes news of a member, passes it on if it is new, and refutes it if it is wrong and about
+    /// this node.
+    pub(super) fn merge_update(&mut self, now: Timestamp, update: MemberUpdate) {
+        if update.node == self.settings.node {
+            self.hear_of_self(now, &update);
+            return;
+        }
+        let unknown_and_gone =
+            self.table.get(&update.node).is_none() && update.state == MemberState::Dead;
+        if unknown_and_gone {
+            return;
+        }
+        let merged = self.table.merge(now, update.clone());
+        if merged == Merged::Stale {
+            return;
+        }
+        if merged == Merged::Changed {
+            self.effects.push(Effect::MemberChanged {
+                node: update.node.clone(),
+                state: update.state,
+            });
+        }
+        self.updates.push(update.node.clone(), update);
+    }
+
+    fn hear_of_self(&mut self, now: Timestamp, heard: &MemberUpdate) {
+        let own = self.own_update();
+        let about_this_process = heard.incarnation == own.incarnation;
+        if !about_this_process || precedence(heard) <= precedence(own) {
+            return;
+        }
+        if heard.state == MemberState::Draining {
+            self.drain(now);
+            return;
+        }
+        let mut refutation = own.clone();
+        refutation.refutation = heard.refutation.saturating_add(1);
+        self.table.merge(now, refutation.clone());
+        self.updates.push(refutation.node.clone(), refutation);
+    }
+
+    /// Marks this node as draining and tells so.
+    pub(super) fn drain(&mut self, now: Timestamp) {
+        if self.own_state() == MemberState::Draining {
+            return;
+        }
+        let mut update = self.own_update().clone();
+        update.state = MemberState::Draining;
+        self.table.merge(now, update.clone());
+        self.effects.push(Effect::MemberChanged {
+            node: update.node.clone(),
+            state: update.state,
+        });
+        self.updates.push(update.node.clone(), update);
+    }
+}
