Keep open calls in the sidecar until their whole answer is passed on

Cause: the agreed surface had an empty core; callers need whole answers through breaks and moves. Ruled out: trusting a refusal after a break, since another node may have taken the call before; resending on a live connection on a short timer, since a refusal of the first copy could then be said while the second one runs. Change: partitions are located by asking known nodes, calls resume where delivery stopped, chunks of a later attempt continue or repeat the text, and a call that may have been taken is never reported as refused. Conclusion: the driver and the simulator can drive the same object.

--- /dev/null
+++ b/crates/sidecar-core/src/backoff.rs
@@ -0,0 +1,19 @@
+//! Exponential backoff with jitter.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+/// Delay after the first failure.
+pub const INITIAL_DELAY: Duration = Duration::from_millis(50);
+
+/// Longest delay.
+pub const MAX_DELAY: Duration = Duration::from_secs(1);
+
+/// Delay after `failures` failures in a row: doubled each time, then shortened at random by up to
+/// a half so that many sidecars do not return together.
+pub fn delay(failures: u32, random: &mut impl Rng) -> Duration {
+    let doublings = failures.saturating_sub(1).min(16);
+    let full = INITIAL_DELAY.saturating_mul(1 << doublings).min(MAX_DELAY);
+    full.mul_f64(random.random_range(0.5..=1.0))
+}
--- a/crates/sidecar-core/src/effect.rs
+++ b/crates/sidecar-core/src/effect.rs
@@ -49,6 +49,9 @@
         /// The text.
         text: String,
     },
+    /// The answer was made anew and does not begin with the pieces passed on so far: they are
+    /// void, and the pieces that follow join to the whole.
+    Restarted,
     /// The call's one outcome.
     CallEnded {
         /// The attempt it is of, if one was made.
@@ -66,6 +69,7 @@
         /// How.
         phase: RunPhase,
     },
-    /// No node could be reached in time to read or end the run; nothing is known to have happened.
+    /// No node answered in time; whether the run was started, read or ended is not known. The
+    /// request may be repeated.
     Unreachable,
 }
--- a/crates/sidecar-core/src/lib.rs
+++ b/crates/sidecar-core/src/lib.rs
@@ -3,10 +3,17 @@
 //! The driver in `elderworks-sidecar` turns callers' HTTP requests and connections to nodes into
 //! [`Event`]s and carries out [`Effect`]s; the simulator does the same on a virtual clock.
 
+pub mod backoff;
 pub mod core;
+pub mod delivery;
+pub mod directory;
 pub mod effect;
 pub mod event;
+pub mod finished;
+pub mod links;
+mod messages;
+pub mod request;
 
-pub use crate::core::{SidecarCore, SidecarSettings};
+pub use crate::core::{SidecarCore, SidecarSettings, TICK_INTERVAL};
 pub use effect::{CallerReply, Effect};
 pub use event::{Event, RequestId};
--- /dev/null
+++ b/crates/sidecar-core/src/request.rs
@@ -0,0 +1,142 @@
+//! One open request and where it stands.
+
+use std::net::SocketAddr;
+
+use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_types::{CallId, CallSpec, RunId, RunSpec, TenantId, Timestamp};
+
+use crate::delivery::Delivery;
+use crate::event::RequestId;
+
+/// Names an open request. Calls are named by their call id, which is what answers carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RequestKey {
+    /// A call.
+    Call(CallId),
+    /// Anything else.
+    Other(RequestId),
+}
+
+/// What was asked.
+#[derive(Debug)]
+pub enum Body {
+    /// Make a call.
+    Call(Box<OpenCall>),
+    /// Start a run.
+    StartRun(RunSpec),
+    /// Read a run.
+    ReadRun {
+        /// On whose behalf.
+        tenant: TenantId,
+    },
+    /// End a run.
+    EndRun {
+        /// On whose behalf.
+        tenant: TenantId,
+    },
+}
+
+/// An open call.
+#[derive(Debug)]
+pub struct OpenCall {
+    /// On whose behalf.
+    pub tenant: TenantId,
+    /// The call.
+    pub spec: CallSpec,
+    /// What was passed on of its answer.
+    pub delivery: Delivery,
+    /// The callers that wait for it.
+    pub listeners: Vec<RequestId>,
+}
+
+/// Where the request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Position {
+    /// Here, until it is sent at `retry_at` or later.
+    Waiting {
+        /// Earliest time to send it.
+        retry_at: Timestamp,
+    },
+    /// With a node.
+    Sent {
+        /// The node.
+        to: SocketAddr,
+        /// When it was sent, or last heard of.
+        heard: Timestamp,
+    },
+}
+
+/// One open request.
+#[derive(Debug)]
+pub struct OpenRequest {
+    /// The run that it is about.
+    pub run: RunId,
+    /// What was asked.
+    pub body: Body,
+    /// Where it is.
+    pub position: Position,
+    /// Whether a node that was given the request went silent, so that it may have been taken.
+    pub maybe_taken: bool,
+    /// Failures in a row.
+    pub failures: u32,
+    /// When it is refused unless a node has it by then.
+    pub hand_over_by: Timestamp,
+    /// When it is given up in any case.
+    pub give_up_at: Timestamp,
+}
+
+impl OpenRequest {
+    /// Whether it should be sent now.
+    pub fn is_due(&self, now: Timestamp) -> bool {
+        matches!(self.position, Position::Waiting { retry_at } if retry_at <= now)
+    }
+
+    /// Whether it is with the node at `address`.
+    pub fn is_with(&self, address: SocketAddr) -> bool {
+        matches!(self.position, Position::Sent { to, .. } if to == address)
+    }
+
+    /// Whether no node can have taken it.
+    pub fn surely_not_taken(&self) -> bool {
+        let is_here = matches!(self.position, Position::Waiting { .. });
+        is_here && !self.maybe_taken
+    }
+
+    /// Takes it back from a node that may have taken it.
+    pub fn recall(&mut self, now: Timestamp) {
+        self.maybe_taken = true;
+        self.position = Position::Waiting { retry_at: now };
+    }
+
+    /// The message that carries it.
+    pub fn message(&self, key: RequestKey) -> SidecarMessage {
+        let run = self.run;
+        match &self.body {
+            Body::Call(call) => SidecarMessage::SubmitCall {
+                tenant: call.tenant.clone(),
+                run,
+                spec: call.spec.clone(),
+                delivered: call.delivery.progress(),
+            },
+            Body::StartRun(spec) => SidecarMessage::StartRun { spec: spec.clone() },
+            Body::ReadRun { tenant } => SidecarMessage::ReadRun {
+                query: key.query(),
+                tenant: tenant.clone(),
+                run,
+            },
+            Body::EndRun { tenant } => SidecarMessage::EndRun {
+                tenant: tenant.clone(),
+                run,
+            },
+        }
+    }
+}
+
+impl RequestKey {
+    fn query(self) -> u64 {
+        match self {
+            RequestKey::Other(request) => request,
+            RequestKey::Call(_) => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar-core/tests/core/calls.rs
@@ -0,0 +1,282 @@
+//! Calls through breaks, moves, repeats and silence.
+
+use std::time::Duration;
+
+use crate::bench::{
+    Bench, FIRST_PARTITION, RUN, call_id, call_spec, chunk, completed, ended, node_a, node_b,
+};
+use elderworks_protocol::sidecar::{Delivered, NodeAddress, NodeMessage, SidecarMessage};
+use elderworks_sidecar_core::{CallerReply, Event};
+use elderworks_types::{
+    Attempt, CallNumber, FailureReason, NodeId, Outcome, Refusal, RefusalReason, TenantId,
+    UnknownReason,
+};
+
+fn refused(reason: RefusalReason) -> Outcome {
+    Outcome::Refused(Refusal {
+        reason,
+        retry_after: None,
+    })
+}
+
+fn reason_of(outcome: &Outcome) -> Option<RefusalReason> {
+    match outcome {
+        Outcome::Refused(refusal) => Some(refusal.reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_call_finds_its_owner_and_is_acknowledged_once_whole() {
+    let mut bench = Bench::new();
+    bench.event(Event::Tick);
+    assert_eq!(bench.connects, [node_a(), node_b()]);
+    bench.call(1, call_spec(true, None));
+    bench.event(Event::Connected { address: node_a() });
+    assert!(matches!(
+        bench.sent[0].1,
+        SidecarMessage::Locate { partition } if partition == FIRST_PARTITION
+    ));
+    bench.event(Event::Connected { address: node_b() });
+    bench.say_located(node_a(), node_b());
+    assert_eq!(bench.submissions(), [node_b()]);
+    bench.receive(node_b(), chunk(1, 0, "who"));
+    bench.receive(node_b(), ended(completed("whole")));
+    assert_eq!(bench.text(1), "whole");
+    assert_eq!(bench.outcomes(1), [completed("whole")]);
+    let last = bench.sent.last().expect("an acknowledgement");
+    assert_eq!(
+        *last,
+        (node_b(), SidecarMessage::Acknowledge { call: call_id() })
+    );
+    assert_eq!(bench.core.open_requests(), 0);
+}
+
+#[test]
+fn chunks_join_to_the_whole_whatever_comes_between() {
+    type Steps = &'static [(u32, u32, &'static str)];
+    let cases: &[(&str, Steps)] = &[
+        ("in order", &[(1, 0, "ab"), (1, 1, "cd"), (1, 2, "ef")]),
+        (
+            "repeated",
+            &[(1, 0, "ab"), (1, 0, "ab"), (1, 1, "cd"), (1, 0, "ab")],
+        ),
+        ("with a gap", &[(1, 0, "ab"), (1, 2, "ef")]),
+        (
+            "continued by another attempt",
+            &[(1, 0, "ab"), (2, 1, "cd"), (2, 2, "ef")],
+        ),
+        (
+            "restarted in other pieces",
+            &[(1, 0, "abc"), (2, 0, "ab"), (2, 1, "cd"), (2, 2, "ef")],
+        ),
+        (
+            "restarted otherwise",
+            &[(1, 0, "xyz"), (2, 0, "ab"), (2, 1, "cd")],
+        ),
+        (
+            "late pieces of an older attempt",
+            &[(2, 0, "ab"), (1, 0, "zz"), (1, 1, "yy")],
+        ),
+        (
+            "restarted twice",
+            &[(1, 0, "abcd"), (2, 0, "a"), (3, 0, "abcde")],
+        ),
+        ("nothing but the end", &[]),
+    ];
+    for (name, steps) in cases {
+        let mut bench = Bench::located(node_a());
+        bench.call(1, call_spec(true, None));
+        for (attempt, index, text) in *steps {
+            bench.receive(node_a(), chunk(*attempt, *index, text));
+        }
+        bench.receive(node_a(), ended(completed("abcdef")));
+        assert_eq!(bench.text(1), "abcdef", "{name}");
+        assert_eq!(bench.outcomes(1), [completed("abcdef")], "{name}");
+    }
+}
+
+#[test]
+fn what_follows_a_restart_is_announced() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(true, None));
+    bench.receive(node_a(), chunk(1, 0, "other"));
+    bench.receive(node_a(), ended(completed("answer")));
+    assert!(bench.replies.contains(&(1, CallerReply::Restarted)));
+}
+
+#[test]
+fn answers_of_other_calls_are_ignored() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(true, None));
+    let mut crossed = ended(completed("not yours"));
+    if let NodeMessage::CallEnded { call, .. } = &mut crossed {
+        call.number = CallNumber(2);
+    }
+    bench.receive(node_a(), crossed);
+    assert!(bench.replies.is_empty());
+}
+
+#[test]
+fn an_end_that_does_not_match_its_digest_is_asked_for_again() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(true, None));
+    let mut broken = ended(completed("abc"));
+    if let NodeMessage::CallEnded { digest, .. } = &mut broken {
+        *digest += 1;
+    }
+    bench.receive(node_a(), broken);
+    assert!(bench.outcomes(1).is_empty());
+    assert_eq!(bench.submissions(), [node_a(), node_a()]);
+    bench.receive(node_a(), ended(completed("abc")));
+    assert_eq!(bench.text(1), "abc");
+}
+
+#[test]
+fn after_a_break_the_new_owner_is_told_what_was_delivered() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(true, None));
+    bench.receive(node_a(), chunk(3, 0, "ab"));
+    bench.event(Event::Disconnected { address: node_a() });
+    bench.pass(Duration::from_secs(1));
+    bench.say_located(node_b(), node_b());
+    assert_eq!(bench.submissions(), [node_a(), node_b()]);
+    let (_, last) = bench.sent.last().expect("the second submission");
+    let expected = Delivered {
+        attempt: Some(Attempt(3)),
+        chunks: 1,
+        text: "ab".to_owned(),
+    };
+    assert!(matches!(last, SidecarMessage::SubmitCall { delivered, .. } if *delivered == expected));
+    bench.receive(node_b(), chunk(4, 1, "cd"));
+    bench.receive(node_b(), ended(completed("abcd")));
+    assert_eq!(bench.text(1), "abcd");
+}
+
+#[test]
+fn a_hint_of_a_better_owner_is_followed() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(false, None));
+    bench.receive(
+        node_a(),
+        NodeMessage::NotOwner {
+            run: RUN,
+            number: Some(CallNumber(1)),
+            owner: Some(NodeAddress {
+                node: NodeId::new("b"),
+                address: node_b(),
+            }),
+        },
+    );
+    bench.pass(Duration::from_secs(1));
+    assert_eq!(bench.submissions(), [node_a(), node_b()]);
+    // The first node declined it, so the second one's refusal speaks for all.
+    bench.receive(node_b(), ended(refused(RefusalReason::Overloaded)));
+    assert_eq!(bench.outcomes(1), [refused(RefusalReason::Overloaded)]);
+}
+
+#[test]
+fn a_call_that_no_node_was_given_is_refused_as_not_run() {
+    for repeatable in [true, false] {
+        let mut bench = Bench::new();
+        bench.call(1, call_spec(repeatable, None));
+        bench.pass(Duration::from_secs(31));
+        let outcomes = bench.outcomes(1);
+        assert_eq!(outcomes.len(), 1);
+        assert_eq!(
+            reason_of(&outcomes[0]),
+            Some(RefusalReason::NoNodeReachable)
+        );
+        assert!(bench.submissions().is_empty());
+    }
+}
+
+#[test]
+fn a_call_that_a_lost_node_may_have_taken_is_never_refused() {
+    let reasons = [
+        RefusalReason::Overloaded,
+        RefusalReason::RunEnded,
+        RefusalReason::RunNotFound,
+        RefusalReason::NoNodeReachable,
+    ];
+    for repeatable in [true, false] {
+        for reason in reasons {
+            let mut bench = Bench::located(node_a());
+            let deadline = bench.now + Duration::from_secs(20);
+            bench.call(1, call_spec(repeatable, Some(deadline)));
+            bench.event(Event::Disconnected { address: node_a() });
+            bench.pass(Duration::from_secs(1));
+            bench.say_located(node_b(), node_b());
+            bench.receive(node_b(), ended(refused(reason)));
+            bench.event(Event::Disconnected { address: node_b() });
+            bench.pass(Duration::from_secs(60));
+            let outcomes = bench.outcomes(1);
+            assert_eq!(outcomes.len(), 1, "{reason:?}");
+            match &outcomes[0] {
+                Outcome::Unknown(UnknownReason::OwnerLost) => assert!(!repeatable),
+                Outcome::Failed(failure) => {
+                    assert!(repeatable);
+                    assert_eq!(failure.reason, FailureReason::AttemptsExhausted);
+                }
+                other => panic!("{reason:?} ended as {other:?}"),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_late_refusal_of_a_left_node_is_ignored() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(false, None));
+    bench.pass(Duration::from_secs(6));
+    bench.say_located(node_b(), node_b());
+    assert_eq!(bench.submissions(), [node_a(), node_b()]);
+    bench.receive(node_a(), ended(refused(RefusalReason::Overloaded)));
+    assert!(bench.outcomes(1).is_empty());
+    bench.receive(node_b(), ended(completed("done")));
+    assert_eq!(bench.outcomes(1), [completed("done")]);
+}
+
+#[test]
+fn a_full_sidecar_refuses_at_once() {
+    let mut bench = Bench::with(|settings| settings.max_open_calls = 1);
+    bench.call(1, call_spec(true, None));
+    let mut second = call_spec(true, None);
+    second.number = CallNumber(2);
+    bench.call(2, second);
+    let outcomes = bench.outcomes(2);
+    assert_eq!(reason_of(&outcomes[0]), Some(RefusalReason::Overloaded));
+}
+
+#[test]
+fn a_repeated_request_shares_the_answer_and_a_different_one_is_refused() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(true, None));
+    bench.receive(node_a(), chunk(1, 0, "ab"));
+    bench.call(2, call_spec(true, None));
+    bench.call(3, call_spec(false, None));
+    bench.event(Event::Call {
+        request: 4,
+        tenant: TenantId::new("stranger"),
+        run: RUN,
+        spec: call_spec(true, None),
+    });
+    bench.event(Event::CallerGone { request: 1 });
+    bench.receive(node_a(), ended(completed("abc")));
+    assert_eq!(bench.submissions().len(), 1);
+    assert_eq!(bench.text(2), "abc");
+    assert!(bench.outcomes(1).is_empty());
+    assert_eq!(
+        reason_of(&bench.outcomes(3)[0]),
+        Some(RefusalReason::CallNumberReused)
+    );
+    assert_eq!(
+        reason_of(&bench.outcomes(4)[0]),
+        Some(RefusalReason::RunNotFound)
+    );
+    bench.call(5, call_spec(false, None));
+    assert_eq!(
+        reason_of(&bench.outcomes(5)[0]),
+        Some(RefusalReason::CallNumberReused)
+    );
+}
--- /dev/null
+++ b/crates/sidecar-core/tests/core/main.rs
@@ -0,0 +1,5 @@
+//! The sidecar's state machine against scripted nodes.
+
+mod bench;
+mod calls;
+mod runs;
