Test order, budgets and takeovers of a partition by tables

Ruled out: keeping max_output as what is left of a continued answer, since engines take the length of the whole answer and would cut the text elsewhere.

--- a/crates/execution/src/effect.rs
+++ b/crates/execution/src/effect.rs
@@ -123,7 +123,7 @@
         continue_text: String,
         /// Chunks of the answer already delivered.
         continue_chunks: u32,
-        /// Most tokens to generate.
+        /// Most tokens of the whole answer, the continued text included.
         max_output: Tokens,
     },
     /// Invoke a tool.
--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -11,7 +11,7 @@
 use super::intake::refusal;
 use crate::effect::DispatchHints;
 use crate::soft::{AnswerBuffer, Running, Source, Stage, Taken};
-use crate::state::{CallState, attempt_cost, remaining_output};
+use crate::state::{CallState, attempt_cost};
 use crate::{BackendRequest, Effect};
 
 impl Partition {
@@ -119,7 +119,7 @@
                 messages: self.prompt_of(id)?,
                 continue_text: call.continue_text.clone(),
                 continue_chunks: call.continue_chunks,
-                max_output: remaining_output(model.max_output, &call.continue_text),
+                max_output: model.max_output,
             },
             CallRequest::Tool(tool) => BackendRequest::Tool {
                 tool: tool.tool.clone(),
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -145,7 +145,7 @@
             let refusal = refusal(RefusalReason::RunNotFound, None);
             return self.refuse(request.connection, id, refusal);
         }
-        if self.answer_known_call(id, &request) {
+        if self.answer_known_call(now, id, &request) {
             return;
         }
         if self.soft.release.is_some() {
@@ -159,7 +159,7 @@
 
     /// Serves a call whose number was used before: its outcome, its stream, or a refusal if it is a
     /// different call. Returns whether that was so.
-    fn answer_known_call(&mut self, id: CallId, request: &CallRequested) -> bool {
+    fn answer_known_call(&mut self, now: Timestamp, id: CallId, request: &CallRequested) -> bool {
         let known = self.known_spec(id);
         let Some(known) = known else {
             return false;
@@ -178,7 +178,7 @@
             Some((end, attempt)) => {
                 self.send_end(request.connection, id, attempt, end.chunks, end.outcome);
             }
-            None => self.attach(id, request),
+            None => self.attach(now, id, request),
         }
         true
     }
@@ -200,7 +200,7 @@
     }
 
     /// Adds a connection to a call that has not ended.
-    fn attach(&mut self, id: CallId, request: &CallRequested) {
+    fn attach(&mut self, now: Timestamp, id: CallId, request: &CallRequested) {
         let connection = request.connection;
         let Some(work) = self.soft.runs.get_mut(&id.run) else {
             return;
@@ -231,7 +231,7 @@
         for chunk in held {
             self.send(connection, NodeMessage::Chunk(chunk));
         }
-        self.on_caller_returned(id);
+        self.on_caller_returned(now, id);
     }
 
     /// Whether a call may wait for its turn.
--- a/crates/execution/src/partition/recovery.rs
+++ b/crates/execution/src/partition/recovery.rs
@@ -83,7 +83,7 @@
             Leftover::OnEngine(attempt, engine) => self.resume(now, id, attempt, engine),
             Leftover::MaybeSent(_) if repeatable => {
                 let plan = self.recovery_plan(now, id);
-                self.plan_retry(id, plan);
+                self.try_retry(now, id, plan);
             }
             Leftover::MaybeSent(attempt) => {
                 self.query_or_unknown(now, id, attempt, UnknownReason::OwnerLost);
@@ -163,7 +163,7 @@
             return;
         };
         if !is_model || !open.callers.is_empty() {
-            return self.plan_retry(id, plan);
+            return self.try_retry(now, id, plan);
         }
         let until = now + wait;
         open.stage = Stage::AwaitingCaller { until, then: plan };
@@ -177,13 +177,13 @@
     }
 
     /// A caller is back, and has said what it holds.
-    pub(super) fn on_caller_returned(&mut self, id: CallId) {
+    pub(super) fn on_caller_returned(&mut self, now: Timestamp, id: CallId) {
         let Some(open) = self.soft.open(id.run, id.number) else {
             return;
         };
         if let Stage::AwaitingCaller { then, .. } = &open.stage {
             let plan = then.clone();
-            self.plan_retry(id, plan);
+            self.try_retry(now, id, plan);
         }
     }
 }
--- a/crates/execution/src/soft/answer.rs
+++ b/crates/execution/src/soft/answer.rs
@@ -78,21 +78,28 @@
             .collect()
     }
 
-    /// The number of the first chunk that a caller holding `delivered` still needs; `None` if what
-    /// it holds is not the beginning of this answer, so that no chunk may be joined to it.
+    /// The number of the first chunk that a caller holding `delivered` still needs; `None` if the
+    /// chunks held here could not be joined to what it holds.
+    ///
+    /// `current` is the attempt that is out. A caller that holds chunks of an earlier attempt,
+    /// which this answer does not continue, gets the answer from its start: it compares the
+    /// repetition with what it has.
     pub fn resume_index(&self, delivered: &Delivered, current: Option<Attempt>) -> Option<u32> {
+        let from_start = (self.base_chunks == 0).then_some(0);
         if delivered.chunks == 0 {
-            let complete = self.base_chunks == 0;
-            return complete.then_some(0);
+            return from_start;
         }
         let text = self.text();
-        let same_text = text.starts_with(&delivered.text);
-        let within = delivered.chunks <= self.next_index();
-        if within && same_text && delivered.chunks >= self.base_chunks {
+        let is_held = delivered.chunks <= self.next_index() && text.starts_with(&delivered.text);
+        if is_held && delivered.chunks >= self.base_chunks {
             return Some(delivered.chunks);
         }
-        let ahead = delivered.chunks > self.next_index() && delivered.text.starts_with(&text);
-        let same_attempt = delivered.attempt.is_some() && delivered.attempt == current;
-        (ahead && same_attempt).then_some(delivered.chunks)
+        let is_ahead = delivered.chunks > self.next_index() && delivered.text.starts_with(&text);
+        if is_ahead && delivered.attempt == current {
+            return Some(delivered.chunks);
+        }
+        let first_attempt = self.chunks.first().map(|(attempt, _)| *attempt);
+        let repeats = first_attempt.or(current) > delivered.attempt;
+        from_start.filter(|_| repeats)
     }
 }
--- a/crates/execution/src/state.rs
+++ b/crates/execution/src/state.rs
@@ -13,9 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use apply::{Inconsistency, Verdict};
-pub(crate) use budget::{
-    TenantAllotment, TenantGrants, attempt_cost, remaining_output, reservation,
-};
+pub(crate) use budget::{TenantAllotment, TenantGrants, attempt_cost, reservation};
 pub(crate) use ownership::Ownership;
 pub(crate) use run::{CallState, RunState};
 pub(crate) use snapshot::{Loader, Loading, snapshot_records};
--- a/crates/execution/src/state/budget.rs
+++ b/crates/execution/src/state/budget.rs
@@ -74,7 +74,7 @@
 }
 
 /// Tokens that may still be generated once part of an answer was delivered; at least one.
-pub(crate) fn remaining_output(max_output: Tokens, continue_text: &str) -> Tokens {
+fn remaining_output(max_output: Tokens, continue_text: &str) -> Tokens {
     let rest = max_output.saturating_sub(text::token_count(continue_text));
     rest.max(Tokens(1))
 }
--- /dev/null
+++ b/crates/execution/tests/takeover.rs
@@ -0,0 +1,272 @@
+//! What becomes of open calls when their owner is lost, paused or released.
+
+mod common;
+
+use std::time::Duration;
+
+use common::build::*;
+use common::{Node, World};
+use elderworks_execution::event::AttemptFailure;
+use elderworks_execution::{BackendRequest, Effect, Event};
+use elderworks_protocol::sidecar::{Delivered, NodeMessage};
+use elderworks_types::{Attempt, CallId, CallSpec, Outcome, UnknownReason};
+
+/// How far the first owner came before it was lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Progress {
+    Accepted,
+    Placed,
+    Streaming,
+}
+
+fn world_with(spec: CallSpec, progress: Progress) -> (World, CallId) {
+    let mut world = World::owned();
+    world.event(0, start(RUN, 1_000));
+    let id = call(RUN, spec.number.0);
+    world.event(0, submit(RUN, spec));
+    if progress != Progress::Accepted {
+        world.place(0, id, 1, "engine-a");
+    }
+    if progress == Progress::Streaming {
+        world.chunk(0, id, 1, 0, "one ");
+        world.chunk(0, id, 1, 1, "two ");
+    }
+    (world, id)
+}
+
+fn effects_after_takeover(world: &mut World) -> Vec<Effect> {
+    world.nodes[0].paused = true;
+    world.take_over(1);
+    world.take_effects(1)
+}
+
+#[test]
+fn a_stream_on_an_engine_is_resumed_not_recomputed() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Streaming);
+    let effects = effects_after_takeover(&mut world);
+    let resume = Effect::Resume {
+        call: id,
+        attempt: Attempt(1),
+        engine: "engine-a".into(),
+        from_chunk: 0,
+    };
+    assert!(effects.contains(&resume), "{effects:?}");
+
+    let delivered = Delivered {
+        attempt: Some(Attempt(1)),
+        chunks: 2,
+        text: "one two ".to_owned(),
+    };
+    world.event(1, submit_on(9, RUN, model_call(1, 0, "hello"), delivered));
+    for (index, text) in ["one ", "two ", "three"].into_iter().enumerate() {
+        world.chunk(1, id, 1, index as u32, text);
+    }
+    world.complete(1, id, 1, "one two three");
+    let messages = world.take_messages(1);
+    let [
+        NodeMessage::Chunk(chunk),
+        NodeMessage::CallEnded { outcome, .. },
+    ] = messages.as_slice()
+    else {
+        panic!("one chunk and the end expected: {messages:?}");
+    };
+    assert_eq!((chunk.index, chunk.text.as_str()), (2, "three"));
+    assert!(matches!(outcome, Outcome::Completed(answer) if answer.content == "one two three"));
+}
+
+#[test]
+fn an_answer_that_cannot_be_resumed_is_continued_from_what_the_caller_holds() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Streaming);
+    effects_after_takeover(&mut world);
+    world.fail(1, id, 1, AttemptFailure::NotSent);
+    assert!(world.take_dispatches(1).is_empty(), "waits for the caller");
+    let delivered = Delivered {
+        attempt: Some(Attempt(1)),
+        chunks: 2,
+        text: "one two ".to_owned(),
+    };
+    world.event(1, submit_on(9, RUN, model_call(1, 0, "hello"), delivered));
+    let dispatches = world.take_dispatches(1);
+    let [(_, Attempt(2), request)] = dispatches.as_slice() else {
+        panic!("a second attempt expected: {dispatches:?}");
+    };
+    let BackendRequest::Model {
+        continue_text,
+        continue_chunks,
+        ..
+    } = request
+    else {
+        panic!("not a model request");
+    };
+    assert_eq!((continue_text.as_str(), *continue_chunks), ("one two ", 2));
+    world.place(1, id, 2, "engine-b");
+    world.chunk(1, id, 2, 2, "three");
+    world.complete(1, id, 2, "three");
+    let outcomes = world.take_outcomes(1);
+    assert!(
+        matches!(outcomes.as_slice(), [(_, Outcome::Completed(answer))]
+            if answer.content == "one two three"),
+        "{outcomes:?}"
+    );
+}
+
+#[test]
+fn a_repeatable_call_that_may_be_out_is_charged_before_it_is_sent_again() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Accepted);
+    let before = world.nodes[0]
+        .partition
+        .view(RUN)
+        .expect("the run")
+        .reserved;
+    world.nodes[0].paused = true;
+    world.take_over(1);
+    let dispatches = world.take_dispatches(1);
+    assert!(matches!(dispatches.as_slice(), [(sent, Attempt(2), _)] if *sent == id));
+    let view = world.nodes[1].partition.view(RUN).expect("the run");
+    assert!(view.reserved.0 >= 2 * before.0, "both attempts are covered");
+}
+
+#[test]
+fn what_must_not_be_repeated_is_never_sent_again() {
+    let failures = [
+        AttemptFailure::NotSent,
+        AttemptFailure::Rejected { retry_after: None },
+        lost(),
+    ];
+    for failure in failures {
+        let (mut world, id) = world_with(tool_call(1), Progress::Accepted);
+        assert_eq!(world.take_dispatches(0).len(), 1);
+        let effects = effects_after_takeover(&mut world);
+        let queried = effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::QueryTool { call, .. } if *call == id));
+        assert!(queried, "{effects:?}");
+        world.event(1, submit_on(9, RUN, tool_call(1), Delivered::default()));
+        world.fail(1, id, 1, failure);
+        let expected = Outcome::Unknown(UnknownReason::OwnerLost);
+        assert_eq!(world.take_outcomes(1), [(id, expected)]);
+        world.pass(Duration::from_secs(60));
+        assert!(world.take_dispatches(1).is_empty());
+    }
+}
+
+#[test]
+fn a_tool_that_remembers_answers_for_a_lost_owner() {
+    let (mut world, id) = world_with(tool_call(1), Progress::Accepted);
+    effects_after_takeover(&mut world);
+    world.event(1, submit_on(9, RUN, tool_call(1), Delivered::default()));
+    world.complete(1, id, 1, "declared");
+    let outcomes = world.take_outcomes(1);
+    assert!(
+        matches!(outcomes.as_slice(), [(_, Outcome::Completed(answer))]
+            if answer.content == "declared")
+    );
+}
+
+#[test]
+fn an_intent_that_never_counted_lets_the_new_owner_send() {
+    let mut world = World::owned();
+    world.event(0, start(RUN, 1_000));
+    world.log_up = false;
+    world.event(0, submit(RUN, tool_call(1)));
+    world.log_up = true;
+    world.flush();
+    world.nodes[0].paused = true;
+    world.settle();
+    world.take_over(1);
+    assert_eq!(world.take_dispatches(1).len(), 1, "accepted, not started");
+    world.nodes[0].paused = false;
+    world.settle();
+    assert!(
+        world.take_dispatches(0).is_empty(),
+        "the old owner is fenced"
+    );
+}
+
+#[test]
+fn a_paused_owner_that_wakes_is_fenced() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Placed);
+    world.take_effects(0);
+    effects_after_takeover(&mut world);
+    let late = Event::AttemptCompleted {
+        call: id,
+        attempt: Attempt(1),
+        content: "too late".to_owned(),
+        usage: Default::default(),
+    };
+    world.feed(0, late);
+    world.nodes[0].paused = false;
+    world.settle();
+    let effects = world.take_effects(0);
+    let lost = Effect::OwnershipChanged { owned: None };
+    let turned_away = Effect::Send {
+        connection: 1,
+        message: NodeMessage::NotOwner {
+            run: RUN,
+            number: Some(id.number),
+            owner: None,
+        },
+    };
+    assert_eq!(effects, [lost, turned_away]);
+    assert_eq!(world.digests()[0], world.digests()[1]);
+    assert!(
+        world.nodes[1].partition.view(RUN).expect("the run").calls[0]
+            .outcome
+            .is_none()
+    );
+}
+
+#[test]
+fn of_two_claims_at_one_epoch_the_first_read_wins_everywhere() {
+    let mut world = World::new(3);
+    for node in 0..3 {
+        world.feed(node, Event::Claim { forced: true });
+    }
+    world.settle();
+    let owners = |world: &World| -> Vec<Node> {
+        (0..3)
+            .filter(|node| world.nodes[*node].partition.owned().is_some())
+            .collect()
+    };
+    assert_eq!(owners(&world), [0]);
+    world.restart(0);
+    assert!(
+        owners(&world).is_empty(),
+        "a restarted node is another writer"
+    );
+}
+
+#[test]
+fn a_release_waits_for_what_cannot_be_handed_over_and_for_nothing_else() {
+    let (mut world, id) = world_with(tool_call(1), Progress::Accepted);
+    world.event(1, Event::Claim { forced: false });
+    world.event(0, Event::Release);
+    assert!(world.nodes[0].partition.owned().is_some(), "a tool is out");
+    world.complete(0, id, 1, "declared");
+    assert!(world.nodes[0].partition.owned().is_none());
+    assert!(world.nodes[1].partition.owned().is_some());
+
+    let (mut world, _) = world_with(model_call(1, 0, "hello"), Progress::Streaming);
+    world.event(1, Event::Claim { forced: false });
+    world.event(0, Event::Release);
+    assert!(world.nodes[1].partition.owned().is_some());
+    let effects = world.take_effects(1);
+    let resumed = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Resume { .. }));
+    assert!(resumed, "{effects:?}");
+}
+
+#[test]
+fn an_unsent_call_handed_over_in_order_is_sent_once_and_charged_once() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Accepted);
+    world.event(1, Event::Claim { forced: false });
+    world.event(0, Event::Release);
+    let cancel = Effect::Cancel {
+        call: id,
+        attempt: Attempt(1),
+    };
+    assert!(world.take_effects(0).contains(&cancel));
+    let dispatches = world.take_dispatches(1);
+    assert!(matches!(dispatches.as_slice(), [(_, Attempt(1), _)]));
+}
