Let settings describe the stand-ins' machines, weights and tools

Cause: the stand-ins have more to set up than the settings could say (the machine list's lag and addresses, stored weights, a tool's latency), and a test wants to start one from flags alone. Ruled out: settings types inside the stand-in, as check would not know them. Change: these fields, and from_flags.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,12 +15,12 @@
 
 pub use error::SettingsError;
 pub use file::{ProcessSettings, SettingsFile};
-pub use load::{check_file, load, load_with};
+pub use load::{check_file, from_flags, load, load_with};
 pub use logging::{LogFormat, LoggingSettings, init_logging};
 pub use node::{NodeLimits, NodeProcessSettings};
 pub use overrides::Override;
 pub use sidecar::{BearerToken, SidecarLimits, SidecarProcessSettings};
 pub use standin::{
-    EngineStandinSettings, LogStandinSettings, MachinesStandinSettings, ToolStandinSettings,
-    WeightsStandinSettings,
+    EngineStandinSettings, ListedEngine, ListedNode, LogStandinSettings, MachinesStandinSettings,
+    StoredWeights, ToolStandinSettings, WeightsStandinSettings,
 };
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -42,6 +42,26 @@
     Ok(settings)
 }
 
+/// Builds and checks the settings of one process from flags alone.
+pub fn from_flags<T: ProcessSettings>(overrides: &[Override]) -> Result<T, SettingsError> {
+    let mut table = Table::new();
+    for change in overrides {
+        apply(&mut table, T::PROCESS, change)?;
+    }
+    let flag_error = |problem: String| SettingsError::Flag {
+        flag: join_flags(overrides),
+        problem,
+    };
+    let file =
+        SettingsFile::deserialize(table).map_err(|error| flag_error(describe(error.message())))?;
+    let settings = T::from_file(file)
+        .map_err(|found| flag_error(format!("these settings are for `{found}`")))?;
+    settings
+        .check()
+        .map_err(|problem| flag_error(problem.to_string()))?;
+    Ok(settings)
+}
+
 /// Reads and checks a file of any process; returns which process it is for.
 pub fn check_file(path: &Path) -> Result<&'static str, SettingsError> {
     let file = parse(path, &read(path)?)?;
--- a/crates/settings/src/standin.rs
+++ b/crates/settings/src/standin.rs
@@ -1,6 +1,7 @@
 //! Settings of `elderworks-standin`: small services that take the platform's place in tests.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use elderworks_types::{EngineId, ModelName, NodeId, ToolName, ZoneId};
 use serde::Deserialize;
@@ -55,6 +56,12 @@
     pub listen: SocketAddr,
     /// Tools that it answers for.
     pub tools: Vec<ToolName>,
+    /// Time of one execution.
+    #[serde(default = "default_tool_latency", with = "humantime_serde")]
+    pub latency: Duration,
+    /// Whether a repeated idempotency key gives the first result without running again.
+    #[serde(default = "default_keeps_keys")]
+    pub keeps_keys: bool,
     /// Logging.
     #[serde(default)]
     pub logging: LoggingSettings,
@@ -66,28 +73,79 @@
 pub struct MachinesStandinSettings {
     /// Where it listens (HTTP).
     pub listen: SocketAddr,
-    /// Machines listed as live at the start.
+    /// Time after which a change shows.
+    #[serde(default = "default_machines_lag", with = "humantime_serde")]
+    pub lag: Duration,
+    /// Machines for nodes, listed as live at the start.
     #[serde(default)]
-    pub live: Vec<NodeId>,
+    pub nodes: Vec<ListedNode>,
+    /// Machines for engines, listed as live at the start.
+    #[serde(default)]
+    pub engines: Vec<ListedEngine>,
     /// Logging.
     #[serde(default)]
     pub logging: LoggingSettings,
 }
 
+/// One of `[[machines.nodes]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListedNode {
+    /// The node's name.
+    pub id: NodeId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+}
+
+/// One of `[[machines.engines]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListedEngine {
+    /// The engine's name.
+    pub id: EngineId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Base URL, `http://IP:port`.
+    pub url: String,
+    /// Models that it can serve.
+    #[serde(default)]
+    pub models: Vec<ModelName>,
+}
+
 /// The `[weights]` table.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WeightsStandinSettings {
     /// Where it listens (HTTP).
     pub listen: SocketAddr,
-    /// Bytes that it hands out per second, over all readers.
-    #[serde(default = "default_bytes_per_second")]
-    pub bytes_per_second: u64,
+    /// Requests that may be made at once.
+    #[serde(default = "default_weights_burst")]
+    pub burst: u32,
+    /// Time after which one more request may be made.
+    #[serde(default = "default_weights_interval", with = "humantime_serde")]
+    pub interval: Duration,
+    /// What it holds.
+    #[serde(default)]
+    pub models: Vec<StoredWeights>,
     /// Logging.
     #[serde(default)]
     pub logging: LoggingSettings,
 }
 
+/// One of `[[weights.models]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoredWeights {
+    /// The model.
+    pub model: ModelName,
+    /// Its newest version.
+    pub version: String,
+    /// Size in bytes.
+    pub bytes: u64,
+}
+
 fn default_memory_blocks() -> u64 {
     4096
 }
@@ -100,8 +158,24 @@
     1.0
 }
 
-fn default_bytes_per_second() -> u64 {
-    100 * 1024 * 1024
+fn default_tool_latency() -> Duration {
+    Duration::from_millis(20)
+}
+
+fn default_keeps_keys() -> bool {
+    true
+}
+
+fn default_machines_lag() -> Duration {
+    Duration::from_secs(3)
+}
+
+fn default_weights_burst() -> u32 {
+    4
+}
+
+fn default_weights_interval() -> Duration {
+    Duration::from_secs(1)
 }
 
 macro_rules! process_settings {
@@ -131,7 +205,8 @@
 });
 process_settings!(MachinesStandinSettings, Machines, "machines", |_| Ok(()));
 process_settings!(WeightsStandinSettings, Weights, "weights", |settings| {
-    check_positive("bytes_per_second", settings.bytes_per_second)
+    check_positive("burst", u64::from(settings.burst))?;
+    check_positive("interval", settings.interval.as_millis() as u64)
 });
 
 fn check_engine(settings: &EngineStandinSettings) -> Result<(), Problem> {
