Follow the partition's own account of its owner when claiming

Cause: execution now tells who owns a partition and at which epoch, and forgets the wish to claim when another node's claim wins. Ruled out claiming once: a node that lost a race would wait for ever. Change: the claim is asked for again until it is in force, and the time waited for a release counts per epoch, so that a lost race does not turn into a forced claim. The stub of read access goes; a partition tells a run's program.

--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod counters;
 pub mod effect;
 pub mod event;
-mod inspect;
 pub mod partition;
 pub mod settings;
 
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -18,7 +18,9 @@
 use elderworks_protocol::journal::JournalBody;
 use elderworks_protocol::record::Writer;
 use elderworks_protocol::sidecar::NodeMessage;
-use elderworks_types::{Credits, EngineId, Epoch, Offset, PartitionId, RunId, TenantId, Timestamp};
+use elderworks_types::{
+    Credits, EngineId, Epoch, Offset, PartitionId, ResourceName, RunId, TenantId, Timestamp,
+};
 
 use crate::event::Connection;
 use crate::soft::Soft;
@@ -123,6 +125,11 @@
             .is_some_and(|state| state.is_active())
     }
 
+    /// The program of a run.
+    pub fn program(&self, run: RunId) -> Option<&ResourceName> {
+        self.journal.runs.get(&run).map(|state| &state.spec.program)
+    }
+
     /// Whether the engine rightly holds memory for the run: the run is active and was given to it.
     pub fn holds_memory(&self, run: RunId, engine: &EngineId) -> bool {
         self.journal
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -318,6 +318,8 @@
                     self.agenda.effect(Effect::SendDatagram { to, datagram });
                 }
                 membership::Effect::MemberChanged { .. } => changed = true,
+                // Partitions are assigned within the cell; other cells are reached by their digests.
+                membership::Effect::CellChanged { .. } => {}
                 membership::Effect::ControlBehind {
                     peer,
                     address,
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -29,7 +29,7 @@
     /// Reading the stream.
     Loading,
     /// Claim asked for, not yet in force.
-    Claiming { since: Timestamp, forced: bool },
+    Claiming(Claiming),
     /// In force.
     Owned,
     /// Release asked for, not yet in force.
@@ -38,6 +38,17 @@
     Closing,
 }
 
+/// A claim that is not yet in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Claiming {
+    /// Since when the present owner's release has been waited for.
+    since: Timestamp,
+    /// That owner's epoch.
+    epoch: Epoch,
+    /// Whether the release is not waited for any more.
+    forced: bool,
+}
+
 /// One partition that this node follows.
 pub(crate) struct Held {
     pub(crate) machine: Partition,
@@ -47,7 +58,7 @@
 
 impl Held {
     fn is_taking_over(&self) -> bool {
-        matches!(self.phase, Phase::Loading | Phase::Claiming { .. })
+        matches!(self.phase, Phase::Loading | Phase::Claiming(_))
     }
 }
 
@@ -103,44 +114,54 @@
             return;
         };
         match held.phase {
-            Phase::Loading | Phase::Claiming { .. } if !wanted => held.phase = Phase::Closing,
-            Phase::Loading if caught_up => self.claim(partition, self.now),
-            Phase::Claiming {
-                since,
-                forced: false,
-            } => self.claim(partition, since),
+            Phase::Loading | Phase::Claiming(_) if !wanted => {
+                held.phase = Phase::Closing;
+                // Withdraws the wish to claim.
+                self.agenda.partition(partition, execution::Event::Release);
+            }
+            Phase::Loading if caught_up => self.claim(partition, None),
+            Phase::Claiming(claiming) => self.claim(partition, Some(claiming)),
             Phase::Owned if !wanted => {
                 held.phase = Phase::Releasing;
                 self.agenda.partition(partition, execution::Event::Release);
             }
+            Phase::Closing if wanted => self.claim(partition, None),
             Phase::Closing => self.close_partition(partition),
-            Phase::Loading | Phase::Claiming { .. } | Phase::Owned | Phase::Releasing => {}
+            Phase::Loading | Phase::Owned | Phase::Releasing => {}
         }
     }
 
-    /// Asks the partition to claim, without waiting for a release where none can be expected.
-    fn claim(&mut self, partition: PartitionId, since: Timestamp) {
-        let overdue = self.now.since(since) >= HANDOVER_LIMIT;
-        let forced = overdue || self.owner_cannot_release(partition);
+    /// Asks the partition to claim, without waiting for a release where none can be expected. Asked
+    /// again until the claim is in force: one that lost a race is forgotten by the partition.
+    fn claim(&mut self, partition: PartitionId, earlier: Option<Claiming>) {
+        let cannot_release = self.owner_cannot_release(partition);
         let Some(held) = self.ownership.held.get_mut(&partition) else {
             return;
         };
-        let first = held.phase == Phase::Loading;
-        held.phase = Phase::Claiming { since, forced };
-        if first || forced {
-            self.counters.forced_claims += u64::from(forced);
-            self.agenda
-                .partition(partition, execution::Event::Claim { forced });
-        }
+        let (epoch, _) = held.machine.owner();
+        let waiting = earlier.filter(|earlier| earlier.epoch == epoch);
+        let since = waiting.map_or(self.now, |waiting| waiting.since);
+        let forced = cannot_release || self.now.since(since) >= HANDOVER_LIMIT;
+        let forced_before = waiting.is_some_and(|waiting| waiting.forced);
+        self.counters.forced_claims += u64::from(forced && !forced_before);
+        held.phase = Phase::Claiming(Claiming {
+            since,
+            epoch,
+            forced,
+        });
+        self.agenda
+            .partition(partition, execution::Event::Claim { forced });
     }
 
     /// Whether the owner by the stream is an earlier start of this node, dead, or unknown.
     fn owner_cannot_release(&self, partition: PartitionId) -> bool {
-        let held = self.ownership.held.get(&partition);
-        let Some(owner) = held.and_then(|held| held.machine.owner()) else {
+        let Some(held) = self.ownership.held.get(&partition) else {
             return false;
         };
-        *owner == self.settings.node || !self.is_live(owner)
+        match held.machine.owner() {
+            (_, Some(owner)) => owner.node == self.settings.node || !self.is_live(&owner.node),
+            (_, None) => false,
+        }
     }
 
     fn is_live(&self, node: &NodeId) -> bool {
@@ -251,15 +272,16 @@
         };
         let owned_before = held.epoch.is_some();
         held.epoch = owned;
+        let (seen, _) = held.machine.owner();
         held.phase = match owned {
             Some(_) => Phase::Owned,
-            None if wanted => Phase::Claiming {
+            None if wanted => Phase::Claiming(Claiming {
                 since: self.now,
+                epoch: seen,
                 forced: false,
-            },
+            }),
             None => Phase::Closing,
         };
-        let claims_again = owned.is_none() && wanted;
         match (owned_before, owned.is_some()) {
             (false, true) => {
                 self.counters.partitions_gained += 1;
@@ -272,9 +294,5 @@
             }
             _ => {}
         }
-        if claims_again {
-            self.agenda
-                .partition(partition, execution::Event::Claim { forced: false });
-        }
     }
 }
--- a/crates/node-core/src/peers.rs
+++ b/crates/node-core/src/peers.rs
@@ -1,20 +1,13 @@
 //! Messages between nodes: budget allotments and the relay of control records.
 
-use elderworks_execution as execution;
+use elderworks_execution::{self as execution, tenant_holder};
 use elderworks_protocol::peer::{FromNode, PeerMessage};
 use elderworks_types::{Credits, NodeId, PartitionId, Sequence, TenantId};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::event::Connection;
 
-/// The partition whose owner holds a tenant's budget.
-pub fn budget_holder(tenant: &TenantId, partition_count: u32) -> PartitionId {
-    let hash = xxh3_64(tenant.as_str().as_bytes());
-    PartitionId((hash % u64::from(partition_count.max(1))) as u32)
-}
-
 impl NodeCore {
     /// A peer's message, on the connection it opened or on the one that this node opened to it.
     pub(crate) fn peer_message(
@@ -77,7 +70,7 @@
         request: Sequence,
         amount: Credits,
     ) {
-        let holder = budget_holder(&tenant, self.settings.partition_count);
+        let holder = tenant_holder(&tenant, self.settings.partition_count);
         if self.ownership.owns(holder) {
             self.allotment_requested(tenant, partition, request, amount);
             return;
@@ -98,7 +91,7 @@
         request: Sequence,
         amount: Credits,
     ) {
-        let holder = budget_holder(&tenant, self.settings.partition_count);
+        let holder = tenant_holder(&tenant, self.settings.partition_count);
         self.agenda.partition(
             holder,
             execution::Event::AllotmentRequested {
@@ -152,7 +145,7 @@
     /// Tells a partition gained just now the limits of the tenants whose budgets it holds.
     pub(crate) fn announce_tenant_limits(&mut self, partition: PartitionId) {
         for (tenant, limit) in self.services.tenant_limits() {
-            if budget_holder(tenant, self.settings.partition_count) == partition {
+            if tenant_holder(tenant, self.settings.partition_count) == partition {
                 self.agenda.partition(
                     partition,
                     execution::Event::TenantLimit {
@@ -166,7 +159,7 @@
 
     /// Tells the holders of a tenant's budget that its limit changed.
     pub(crate) fn announce_tenant_limit(&mut self, tenant: TenantId, limit: Option<Credits>) {
-        let holder = budget_holder(&tenant, self.settings.partition_count);
+        let holder = tenant_holder(&tenant, self.settings.partition_count);
         if self.ownership.owns(holder) {
             self.agenda
                 .partition(holder, execution::Event::TenantLimit { tenant, limit });
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -11,7 +11,6 @@
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::event::Connection;
-use crate::ownership::Phase;
 
 /// A request is held back at most this long while its partition is being taken over.
 pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
@@ -135,15 +134,11 @@
             return;
         };
         let partition = run.partition(self.settings.partition_count);
-        let phase = self.ownership.held.get(&partition).map(|held| held.phase);
-        let owned = self.ownership.owns(partition);
-        let starts_run = matches!(message, SidecarMessage::StartRun { .. });
-        let leaving = phase == Some(Phase::Releasing) && starts_run;
-        if owned && !leaving {
+        if self.ownership.owns(partition) {
             self.serve(partition, connection, message);
         } else if matches!(message, SidecarMessage::Acknowledge { .. }) {
             // The chunks it would free are not here.
-        } else if !leaving && self.should_hold(partition) {
+        } else if self.should_hold(partition) {
             self.hold(partition, connection, message);
         } else {
             self.point_elsewhere(connection, run, number);
