--- /dev/null
+++ b/crates/control/src/api/list.rs
@@ -0,0 +1,34 @@
+//! Lists.
+
+use serde::{Deserialize, Serialize};
+
+use super::Collection;
+use crate::manifest::{API_VERSION, Document};
+
+/// All resources of a collection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ListDocument {
+    /// Always [`API_VERSION`].
+    pub api_version: String,
+    /// The kind of the items followed by `List`.
+    pub kind: String,
+    /// The revision up to which the list is complete: a watch from here misses nothing. Absent for
+    /// collections that cannot be watched.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+    /// In order of name.
+    pub items: Vec<Document>,
+}
+
+impl ListDocument {
+    /// A list of a collection.
+    pub fn new(collection: Collection, revision: Option<u64>, items: Vec<Document>) -> Self {
+        Self {
+            api_version: API_VERSION.to_owned(),
+            kind: format!("{}List", collection.kind_name()),
+            revision,
+            items,
+        }
+    }
+}
--- a/crates/control/src/changes.rs
+++ b/crates/control/src/changes.rs
@@ -18,6 +18,14 @@
 }
 
 impl ChangeLog {
+    /// Remembers nothing at or before `forgotten`.
+    pub(crate) fn starting_after(forgotten: Offset) -> Self {
+        Self {
+            changes: VecDeque::new(),
+            forgotten,
+        }
+    }
+
     /// Adds the latest change, dropping the oldest one if there are too many.
     pub(crate) fn push(&mut self, change: Change) {
         self.changes.push_back(change);
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -3,16 +3,18 @@
 use elderworks_protocol::record::{Record, Writer};
 use elderworks_types::resource::{Kind, Resource};
 use elderworks_types::{Offset, ResourceName, Timestamp};
+use serde::{Deserialize, Serialize};
 
 use crate::changes::ChangeLog;
 use crate::index::Index;
 use crate::proposals::{Proposal, Proposals};
 use crate::resources::{Applied, Resources};
+use crate::snapshot::SnapshotProgress;
 use crate::writers::Writers;
 use crate::{Change, ControlBody, ControlError, Effect, Event, RequestId, validate_syntax};
 
 /// A position on the control stream: a record within a batch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct Position {
     /// Offset of the batch.
     pub(crate) offset: Offset,
@@ -30,6 +32,7 @@
     writers: Writers,
     changes: ChangeLog,
     proposals: Proposals,
+    snapshots: SnapshotProgress,
 }
 
 impl Control {
@@ -44,6 +47,25 @@
             writers: Writers::default(),
             changes: ChangeLog::default(),
             proposals: Proposals::default(),
+            snapshots: SnapshotProgress::default(),
+        }
+    }
+
+    /// With the state that a snapshot holds.
+    pub(crate) fn restored(
+        writer: Writer,
+        applied: Option<Position>,
+        resources: Resources,
+        writers: Writers,
+    ) -> Self {
+        let covers = applied.map_or(Offset(0), |position| position.offset);
+        Self {
+            applied,
+            resources,
+            writers,
+            changes: ChangeLog::starting_after(covers),
+            snapshots: SnapshotProgress::loaded(covers),
+            ..Self::new(writer)
         }
     }
 
@@ -57,7 +79,8 @@
             } => self.read(Position { offset, index }, record),
             Event::Propose { request, body } => self.propose(request, body),
             Event::LogReachable(reachable) => self.set_log_reachable(reachable),
-            Event::TakeSnapshot | Event::Tick => Vec::new(),
+            Event::TakeSnapshot => self.take_snapshot(),
+            Event::Tick => Vec::new(),
         }
     }
 
@@ -97,6 +120,14 @@
         &self.resources
     }
 
+    pub(crate) fn writers(&self) -> &Writers {
+        &self.writers
+    }
+
+    pub(crate) fn applied(&self) -> Option<Position> {
+        self.applied
+    }
+
     pub(crate) fn index(&self) -> &Index {
         self.resources.index()
     }
@@ -143,6 +174,15 @@
             .collect()
     }
 
+    fn take_snapshot(&mut self) -> Vec<Effect> {
+        let interval = self.settings().snapshot_interval;
+        if !self.has_started() || !self.snapshots.is_due(self.next(), interval) {
+            return Vec::new();
+        }
+        self.snapshots.begin(self.revision());
+        self.snapshot_records()
+    }
+
     fn read(&mut self, position: Position, record: Record<ControlBody>) -> Vec<Effect> {
         if self.applied.is_some_and(|applied| position <= applied) {
             return Vec::new();
@@ -151,7 +191,17 @@
         self.applied = Some(position);
         match &record.body {
             ControlBody::NodeStarted { .. } => self.read_node_started(&record, position.offset),
-            ControlBody::Snapshot { .. } => Vec::new(),
+            ControlBody::Snapshot {
+                covers,
+                part,
+                parts,
+                ..
+            } => {
+                if part.saturating_add(1) == *parts {
+                    self.snapshots.completed(*covers);
+                }
+                Vec::new()
+            }
             ControlBody::Put { .. } | ControlBody::Delete { .. } => {
                 self.read_change(position.offset, revision_is_free, record)
             }
--- a/crates/control/src/resources.rs
+++ b/crates/control/src/resources.rs
@@ -42,6 +42,11 @@
             .map(|(_, resource)| resource)
     }
 
+    /// All of every kind.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Resource> {
+        self.by_key.values()
+    }
+
     /// The secondary indexes.
     pub(crate) fn index(&self) -> &Index {
         &self.index
--- a/crates/control/src/validation/mod.rs
+++ b/crates/control/src/validation/mod.rs
@@ -15,6 +15,7 @@
 use crate::ControlError;
 use crate::resources::Resources;
 
+pub(crate) use suggestion::hint;
 pub use suggestion::nearest;
 pub use syntax::validate_syntax;
 
