Operators' HTTP interface as a module of the node

Cause: operators read, change and watch resources over HTTP on any node, while the decisions stay in the node core.

Ruled out: answering a change before it was read back; holding an open request for ever while the log is down (after a bounded wait the answer is outcome_unknown, and a refusal is said only where surely nothing was appended); queueing changes for a slow watcher without bound (it is cut off and resumes from its last revision).

Change: OperatorHandle and OperatorBridge carry questions and replies between HTTP workers and the driver; list, get, put, delete, watch as JSON lines, nodes, engines and runs; one error shape with stable codes.

Conclusion: the node can mount respond() on its admin listener.

--- a/crates/control/src/api/error.rs
+++ b/crates/control/src/api/error.rs
@@ -28,6 +28,8 @@
     Conflict,
     /// The revision is too old to watch from: list anew.
     WatchTooOld,
+    /// Another node owns the run; ask there.
+    RunElsewhere,
     /// The body is over the limit.
     BodyTooLarge,
     /// The change was not made: the log does not answer, or too much waits.
--- /dev/null
+++ b/crates/node/src/operator/report.rs
@@ -0,0 +1,74 @@
+//! Documents of the read-only kinds.
+
+use elderworks_control::api::RunReport;
+use elderworks_control::manifest::Document;
+use elderworks_membership::Member;
+use elderworks_node_core::effect::{EngineState, EngineView};
+use elderworks_protocol::gossip::MemberState;
+use elderworks_protocol::sidecar::RunView;
+use elderworks_types::RunId;
+use serde::Serialize;
+use serde_json::Value;
+
+/// Status of a `Node`.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct NodeStatus<'a> {
+    state: &'static str,
+    zone: &'a str,
+    incarnation: u64,
+    address: String,
+    gossip_address: String,
+}
+
+/// Status of an `Engine`.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct EngineStatus<'a> {
+    state: EngineState,
+    zone: &'a str,
+    url: &'a str,
+    models: Vec<&'a str>,
+}
+
+/// A member of the fleet as a `Node`.
+pub(super) fn node_document(member: &Member) -> Document {
+    let update = &member.update;
+    let status = NodeStatus {
+        state: state_name(update.state),
+        zone: update.zone.as_str(),
+        incarnation: update.incarnation.0,
+        address: update.address.to_string(),
+        gossip_address: update.gossip_address.to_string(),
+    };
+    Document::report("Node", update.node.to_string(), value(&status))
+}
+
+/// An engine as an `Engine`.
+pub(super) fn engine_document(engine: &EngineView) -> Document {
+    let status = EngineStatus {
+        state: engine.state,
+        zone: engine.zone.as_str(),
+        url: &engine.url,
+        models: engine.models.iter().map(|model| model.as_str()).collect(),
+    };
+    Document::report("Engine", engine.id.to_string(), value(&status))
+}
+
+/// A run as a `Run`.
+pub(super) fn run_document(run: RunId, view: &RunView) -> Document {
+    Document::report("Run", run.to_string(), value(&RunReport::from(view)))
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Draining => "draining",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+    }
+}
+
+fn value(status: &impl Serialize) -> Value {
+    serde_json::to_value(status).expect("a status is plain data with text keys")
+}
--- /dev/null
+++ b/crates/node/src/operator/watch.rs
@@ -0,0 +1,97 @@
+//! A watch as a stream of JSON lines.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use elderworks_control::Change;
+use elderworks_control::api::{ApiError, ErrorCode, WatchLine};
+use elderworks_types::Offset;
+use futures_util::{Stream, stream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::WatchMessage;
+
+/// An idle watch carries an empty line this often, so that either side notices a dead connection.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Which changes a watcher wants to see.
+#[derive(Clone, Debug)]
+pub(super) struct WatchFilter {
+    /// Only later revisions.
+    pub(super) after: Offset,
+    /// Only this resource.
+    pub(super) name: Option<String>,
+}
+
+impl WatchFilter {
+    fn wants(&self, change: &Change) -> bool {
+        let name_matches = self
+            .name
+            .as_ref()
+            .is_none_or(|name| change.name.as_str() == name);
+        name_matches && change.revision > self.after
+    }
+}
+
+/// Waits until the watch has begun and streams it; `reply_timeout` bounds the wait.
+pub(super) async fn watch_response(
+    mut messages: mpsc::Receiver<WatchMessage>,
+    filter: WatchFilter,
+    reply_timeout: Duration,
+) -> Result<Response<BoxBody>, ApiError> {
+    match timeout(reply_timeout, messages.recv()).await {
+        Ok(Some(WatchMessage::Begun(true))) => {}
+        Ok(Some(WatchMessage::Begun(false))) => {
+            let message = "the changes after that revision are no longer remembered: list anew";
+            return Err(ApiError::new(ErrorCode::WatchTooOld, message));
+        }
+        Ok(Some(WatchMessage::Change(_)) | None) | Err(_) => {
+            return Err(ApiError::unavailable("the watch did not begin"));
+        }
+    }
+    let body = BodyStream::new(lines(messages, filter));
+    let mut response = Response::with_body(StatusCode::OK, body.boxed());
+    let json_lines = HeaderValue::from_static("application/x-ndjson");
+    response.headers_mut().insert(CONTENT_TYPE, json_lines);
+    Ok(response)
+}
+
+fn lines(
+    messages: mpsc::Receiver<WatchMessage>,
+    filter: WatchFilter,
+) -> impl Stream<Item = Result<Bytes, Infallible>> {
+    stream::unfold((messages, filter), |(mut messages, filter)| async move {
+        let line = next_line(&mut messages, &filter).await?;
+        Some((Ok(line), (messages, filter)))
+    })
+}
+
+/// The next line, an empty one after a time without any; `None` at the end of the watch.
+async fn next_line(
+    messages: &mut mpsc::Receiver<WatchMessage>,
+    filter: &WatchFilter,
+) -> Option<Bytes> {
+    loop {
+        let Ok(message) = timeout(KEEP_ALIVE_INTERVAL, messages.recv()).await else {
+            return Some(Bytes::from_static(b"\n"));
+        };
+        match message? {
+            WatchMessage::Change(change) if filter.wants(&change) => {
+                return Some(encode_line(&change));
+            }
+            WatchMessage::Change(_) | WatchMessage::Begun(_) => {}
+        }
+    }
+}
+
+fn encode_line(change: &Change) -> Bytes {
+    let line = WatchLine::from(change);
+    let mut bytes = serde_json::to_vec(&line).expect("API types are plain data with text keys");
+    bytes.push(b'\n');
+    Bytes::from(bytes)
+}
