--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -5,28 +5,28 @@
 
 use actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody};
 use actix_server::{Server, ServerHandle};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use crate::driver::NodeStatus;
-use crate::operator_client::OperatorClient;
+use crate::input::{Input, InputSender};
+use crate::operator::{OperatorContext, respond};
 
 /// Connections open at the same time.
 const MAX_CONNECTIONS: usize = 1_024;
 
+/// Paths of the operators' interface.
+const OPERATOR_PREFIX: &str = "/apis";
+
 /// What the handlers of one connection share.
 #[derive(Clone)]
-struct Admin {
-    operator: OperatorClient,
-    status: watch::Receiver<NodeStatus>,
+pub(crate) struct Admin {
+    pub(crate) operator: OperatorContext,
+    pub(crate) inputs: InputSender,
+    pub(crate) status: watch::Receiver<NodeStatus>,
 }
 
 /// Serves on a bound socket until the handle is told to stop.
-pub(crate) fn serve(
-    listener: TcpListener,
-    operator: OperatorClient,
-    status: watch::Receiver<NodeStatus>,
-) -> std::io::Result<ServerHandle> {
-    let admin = Admin { operator, status };
+pub(crate) fn serve(listener: TcpListener, admin: Admin) -> std::io::Result<ServerHandle> {
     let server = Server::build()
         .workers(1)
         .max_concurrent_connections(MAX_CONNECTIONS)
@@ -55,6 +55,7 @@
         (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n".to_owned()),
         (&Method::GET, "/readyz") => admin.readiness(),
         (&Method::GET, "/metrics") => admin.metrics().await,
+        (_, path) if path.starts_with(OPERATOR_PREFIX) => respond(&admin.operator, request).await,
         _ => text(StatusCode::NOT_FOUND, "not found\n".to_owned()),
     };
     Ok(response)
@@ -69,9 +70,11 @@
     }
 
     async fn metrics(&self) -> Response<BoxBody> {
-        match self.operator.metrics().await {
-            Ok(snapshot) => text(StatusCode::OK, snapshot.encode()),
-            Err(stopped) => text(StatusCode::SERVICE_UNAVAILABLE, format!("{stopped}\n")),
+        let (reply, answer) = oneshot::channel();
+        let asked = self.inputs.send(Input::Metrics { reply }).await;
+        match (asked, answer.await) {
+            (Ok(()), Ok(snapshot)) => text(StatusCode::OK, snapshot.encode()),
+            _ => text(StatusCode::SERVICE_UNAVAILABLE, "stopped\n".to_owned()),
         }
     }
 }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -6,13 +6,11 @@
 use actix_rt::net::UdpSocket;
 use actix_rt::time::interval;
 use elderworks_backend::{HttpClient, ToolInvocation};
-use elderworks_control::Change;
 use elderworks_node_core::core::TICK_INTERVAL;
-use elderworks_node_core::effect::OperatorReply;
-use elderworks_node_core::event::{Connection, OperatorRequest, RequestId};
+use elderworks_node_core::event::Connection;
 use elderworks_node_core::{Effect, Event, NodeCore};
 use elderworks_protocol::peer::FromNode;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::attempts::AttemptTasks;
@@ -25,6 +23,7 @@
 use crate::log_io::LogIo;
 use crate::memory::MemoryOrders;
 use crate::metrics::MetricsSnapshot;
+use crate::operator::{OperatorBridge, OperatorCommand};
 use crate::peers::PeerConnections;
 
 /// What a node tells those that started it.
@@ -50,7 +49,6 @@
     core: NodeCore,
     clock: Clock,
     counters: SharedCounters,
-    inputs: InputSender,
     connections: BTreeMap<Connection, Outgoing>,
     gossip: Rc<UdpSocket>,
     log: LogIo,
@@ -58,9 +56,7 @@
     attempts: AttemptTasks,
     engines: EnginePolls,
     memory: MemoryOrders,
-    next_request: RequestId,
-    questions: BTreeMap<RequestId, oneshot::Sender<OperatorReply>>,
-    watches: BTreeMap<RequestId, mpsc::Sender<Change>>,
+    operators: OperatorBridge,
     status: watch::Sender<NodeStatus>,
 }
 
@@ -89,23 +85,28 @@
             peers: PeerConnections::new(node, inputs.clone(), counters),
             attempts: AttemptTasks::new(http.clone(), inputs.clone()),
             engines: EnginePolls::new(http.clone(), inputs.clone(), clock),
-            memory: MemoryOrders::new(http, inputs.clone()),
-            inputs,
-            next_request: 1,
-            questions: BTreeMap::new(),
-            watches: BTreeMap::new(),
+            memory: MemoryOrders::new(http, inputs),
+            operators: OperatorBridge::default(),
             status,
         }
     }
 
     /// Runs until the node has left in order.
-    pub(crate) async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+    pub(crate) async fn run(
+        mut self,
+        mut queue: mpsc::Receiver<Input>,
+        mut commands: mpsc::Receiver<OperatorCommand>,
+    ) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.status.borrow().drained {
             tokio::select! {
                 biased;
                 _ = ticks.tick() => self.tick(),
+                Some(command) = commands.recv() => {
+                    let event = self.operators.accept(command);
+                    self.handle(event);
+                }
                 input = queue.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
@@ -116,7 +117,9 @@
 
     fn tick(&mut self) {
         self.attempts.sweep();
-        self.end_closed_watches();
+        for event in self.operators.sweep() {
+            self.handle(event);
+        }
         self.handle(Event::Tick);
     }
 
@@ -133,35 +136,12 @@
             } => {
                 self.connections.insert(connection, outgoing);
             }
-            Input::Operator { question, reply } => {
-                let request = self.take_request();
-                self.questions.insert(request, reply);
-                self.handle(Event::Operator { request, question });
-            }
-            Input::Watch {
-                kind,
-                after,
-                reply,
-                changes,
-            } => {
-                let request = self.take_request();
-                self.questions.insert(request, reply);
-                self.watches.insert(request, changes);
-                let question = OperatorRequest::Watch { kind, after };
-                self.handle(Event::Operator { request, question });
-            }
             Input::Metrics { reply } => {
                 let _ = reply.send(self.metrics());
             }
         }
     }
 
-    fn take_request(&mut self) -> RequestId {
-        let request = self.next_request;
-        self.next_request += 1;
-        request
-    }
-
     fn metrics(&self) -> MetricsSnapshot {
         MetricsSnapshot {
             core: *self.core.counters(),
@@ -195,8 +175,13 @@
             Effect::SendPeer { peer, message } => self.peers.send(peer, message),
             Effect::WatchEngine { engine, url } => self.engines.watch(engine, &url),
             Effect::ForgetEngine { engine } => self.engines.forget(&engine),
-            Effect::OperatorReply { request, reply } => self.reply(request, reply),
-            Effect::WatchEvent { watch, change } => self.tell_watcher(watch, change),
+            Effect::OperatorReply { request, reply } => self.operators.reply(request, reply),
+            Effect::WatchEvent { watch, change } => {
+                if let Some(unwatch) = self.operators.change(watch, change) {
+                    self.counters.add(|counters| &mut counters.watches_cut);
+                    self.handle(unwatch);
+                }
+            }
             Effect::Ready(ready) => self.set_ready(ready),
             Effect::Drained => {
                 self.status.send_modify(|status| status.drained = true);
@@ -263,48 +248,6 @@
         }
     }
 
-    fn reply(&mut self, request: RequestId, reply: OperatorReply) {
-        if let OperatorReply::Watching { accepted: false } = reply {
-            self.watches.remove(&request);
-        }
-        if let Some(question) = self.questions.remove(&request) {
-            // An operator that hung up does not need the answer.
-            let _ = question.send(reply);
-        }
-    }
-
-    fn tell_watcher(&mut self, watch: RequestId, change: Change) {
-        let Some(changes) = self.watches.get(&watch) else {
-            return;
-        };
-        if changes.try_send(change).is_err() {
-            self.counters.add(|counters| &mut counters.watches_cut);
-            self.end_watch(watch);
-        }
-    }
-
-    fn end_closed_watches(&mut self) {
-        let closed: Vec<RequestId> = self
-            .watches
-            .iter()
-            .filter(|(_, changes)| changes.is_closed())
-            .map(|(watch, _)| *watch)
-            .collect();
-        for watch in closed {
-            self.end_watch(watch);
-        }
-    }
-
-    fn end_watch(&mut self, watch: RequestId) {
-        self.watches.remove(&watch);
-        let unwatch = Event::Operator {
-            request: watch,
-            question: OperatorRequest::Unwatch { watch },
-        };
-        // Queued rather than handled, since effects of another event may be under way.
-        let _ = self.inputs.try_send(Input::Event(unwatch));
-    }
-
     fn set_ready(&mut self, ready: bool) {
         self.status.send_modify(|status| status.ready = ready);
         log::info!(ready; "readiness changed");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,9 +17,8 @@
 mod memory;
 pub mod metrics;
 mod node;
-pub mod operator_client;
+pub mod operator;
 mod peers;
 
 pub use driver::NodeStatus;
 pub use node::{NodeHandle, StartError, run, start};
-pub use operator_client::{NodeStopped, OperatorClient};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,7 @@
 use rand::rngs::OsRng;
 use tokio::sync::{mpsc, watch};
 
-use crate::admin;
+use crate::admin::{self, Admin};
 use crate::clock::Clock;
 use crate::counters::SharedCounters;
 use crate::driver::{Driver, NodeStatus, Outside};
@@ -24,11 +24,14 @@
 use crate::input::{INPUT_QUEUE, Input, InputSender};
 use crate::listener::accept_connections;
 use crate::machine_polls::poll_machines;
-use crate::operator_client::OperatorClient;
+use crate::operator::{OperatorContext, OperatorHandle, operator_channel};
 
 /// Time for queued messages to leave after the drain, before the process exits.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
+/// Longest wait of an operator's request for the state machine, and for the log behind it.
+const OPERATOR_REPLY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -54,6 +57,7 @@
     /// Where it serves operators, metrics and health.
     pub admin_address: SocketAddr,
     inputs: InputSender,
+    operator: OperatorHandle,
     status: watch::Receiver<NodeStatus>,
     admin: ServerHandle,
     tasks: Vec<JoinHandle<()>>,
@@ -61,8 +65,8 @@
 
 impl NodeHandle {
     /// Asks the node on behalf of operators.
-    pub fn operator(&self) -> OperatorClient {
-        OperatorClient::new(self.inputs.clone())
+    pub fn operator(&self) -> OperatorHandle {
+        self.operator.clone()
     }
 
     /// Waits until the node serves; `false` if it stopped first.
@@ -100,10 +104,14 @@
     let sockets = Sockets::bind(settings).await?;
     let (inputs, queue) = mpsc::channel(INPUT_QUEUE);
     let (status, status_receiver) = watch::channel(NodeStatus::default());
-    let operator = OperatorClient::new(inputs.clone());
+    let (operator, commands) = operator_channel();
     let admin_address = sockets.admin_address;
-    let admin = admin::serve(sockets.admin, operator, status_receiver.clone())
-        .map_err(bind_error(admin_address))?;
+    let admin = Admin {
+        operator: operator_context(settings, operator.clone()),
+        inputs: inputs.clone(),
+        status: status_receiver.clone(),
+    };
+    let admin = admin::serve(sockets.admin, admin).map_err(bind_error(admin_address))?;
     let core = NodeCore::new(core_settings(settings, &sockets.addresses)?);
     let outside = Outside {
         http: http.clone(),
@@ -115,7 +123,7 @@
     let driver = Driver::new(core, settings.name.clone(), outside, inputs.clone(), status);
     let accepting = accept_connections(sockets.listener, inputs.clone(), counters.clone());
     let mut tasks = vec![
-        actix_rt::spawn(driver.run(queue)),
+        actix_rt::spawn(driver.run(queue, commands)),
         actix_rt::spawn(accepting),
         actix_rt::spawn(receive_datagrams(sockets.gossip, inputs.clone(), counters)),
     ];
@@ -128,6 +136,7 @@
         gossip_address: sockets.addresses.gossip,
         admin_address,
         inputs,
+        operator,
         status: status_receiver,
         admin,
         tasks,
@@ -158,6 +167,15 @@
     }
 }
 
+fn operator_context(settings: &NodeProcessSettings, handle: OperatorHandle) -> OperatorContext {
+    OperatorContext {
+        handle,
+        token: settings.operator_token.clone(),
+        max_body_bytes: settings.limits.max_body_bytes,
+        reply_timeout: OPERATOR_REPLY_TIMEOUT,
+    }
+}
+
 /// Addresses as bound.
 struct BoundAddresses {
     listen: SocketAddr,
