Ask control for terms, limits, engines and watches

Cause: control answers these itself now, and node-core had its own index beside it. Ruled out keeping both: two places would judge which service a program may use. Change: the index and the table of watches go; tenants' limits are compared with what was last told to the holders.

--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -15,7 +15,7 @@
 use crate::core::NodeCore;
 use crate::effect::{Effect, OperatorReply};
 use crate::event::{NoAnswer, ReadRecords};
-use crate::services::Services;
+use crate::services::known_engines;
 use crate::streams::Delivery;
 
 /// Bytes of control records kept to be relayed to peers.
@@ -180,22 +180,13 @@
 
     fn control_changed(&mut self, change: &Change) {
         self.tell_watchers(change);
-        let limits_before = self.services.tenant_limits().clone();
-        self.services = Services::index(&self.control);
-        if change.kind == Kind::Service {
-            let changes = self.engines.configure(self.services.engines());
-            self.apply_engine_changes(changes);
-        }
-        if change.kind == Kind::Budget {
-            let limits = self.services.tenant_limits().clone();
-            let tenants = limits_before.keys().chain(limits.keys());
-            let tenants: std::collections::BTreeSet<_> = tenants.cloned().collect();
-            for tenant in tenants {
-                let limit = limits.get(&tenant).copied();
-                if limits_before.get(&tenant).copied() != limit {
-                    self.announce_tenant_limit(tenant, limit);
-                }
+        match change.kind {
+            Kind::Service => {
+                let changes = self.engines.configure(known_engines(&self.control));
+                self.apply_engine_changes(changes);
             }
+            Kind::Budget => self.tenant_limits_changed(),
+            Kind::Program | Kind::Configuration => {}
         }
     }
 
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -1,9 +1,10 @@
 //! The composition.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_control::Control;
+use elderworks_control::{Control, Watches};
 use elderworks_execution::{self as execution, ExecutionSettings};
 use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
@@ -11,7 +12,8 @@
 use elderworks_protocol::record::{StreamName, Writer};
 use elderworks_protocol::sidecar::NodeAddress;
 use elderworks_types::{
-    CellId, Incarnation, NodeId, Offset, PartitionId, Sequence, Timestamp, ZoneId,
+    CellId, Credits, Incarnation, NodeId, Offset, PartitionId, Sequence, TenantId, Timestamp,
+    ZoneId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,9 +24,7 @@
 use crate::dispatch::Attempts;
 use crate::drain::DrainState;
 use crate::engines::Engines;
-use crate::operator::Watches;
 use crate::ownership::Ownership;
-use crate::services::Services;
 use crate::sidecars::Requests;
 use crate::step::{Agenda, Step};
 use crate::streams::Streams;
@@ -83,7 +83,8 @@
     pub(crate) assignment: Assignment,
     pub(crate) ownership: Ownership,
     pub(crate) placement: Placement,
-    pub(crate) services: Services,
+    /// Tenants' limits as last told to the partitions that hold their budgets.
+    pub(crate) tenant_limits: BTreeMap<TenantId, Credits>,
     pub(crate) engines: Engines,
     pub(crate) attempts: Attempts,
     pub(crate) requests: Requests,
@@ -128,7 +129,7 @@
             assignment: Assignment::unknown(settings.partition_count),
             ownership: Ownership::default(),
             placement,
-            services: Services::default(),
+            tenant_limits: BTreeMap::new(),
             engines: Engines::default(),
             attempts: Attempts::default(),
             requests: Requests::default(),
--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -162,7 +162,7 @@
     }
 
     fn dispatch_tool(&mut self, partition: PartitionId, ticket: Ticket, work: ToolWork) {
-        let Some(service) = self.services.tool(&work.tool) else {
+        let Some(service) = self.control.tool_terms(&work.tool) else {
             let refusal = Refusal {
                 reason: RefusalReason::NoBackend,
                 retry_after: None,
@@ -170,7 +170,7 @@
             self.attempt_refused(partition, ticket, refusal);
             return;
         };
-        let url = service.url.clone();
+        let url = service.url.to_owned();
         let note = format!("tool {} at {url}", work.tool);
         self.attempts
             .insert(ticket, partition, AttemptState::AtTool);
@@ -223,7 +223,7 @@
         tool: ToolName,
         idempotency_key: String,
     ) {
-        let Some(service) = self.services.tool(&tool) else {
+        let Some(service) = self.control.tool_terms(&tool) else {
             let failure = AttemptFailure::Lost {
                 reason: FailureReason::BackendError,
                 usage: Usage::default(),
@@ -231,7 +231,7 @@
             self.fail_attempt(partition, ticket, failure);
             return;
         };
-        let url = service.url.clone();
+        let url = service.url.to_owned();
         self.attempts
             .insert(ticket, partition, AttemptState::AtTool);
         self.agenda.effect(Effect::QueryTool {
--- a/crates/node-core/src/operator.rs
+++ b/crates/node-core/src/operator.rs
@@ -1,7 +1,6 @@
 //! Requests of operators.
 
-use std::collections::BTreeMap;
-
+use elderworks_control::watch::WatchError;
 use elderworks_control::{self as control, Change};
 use elderworks_types::resource::Kind;
 use elderworks_types::{Offset, RunId};
@@ -10,12 +9,6 @@
 use crate::effect::{Effect, OperatorReply};
 use crate::event::{OperatorRequest, RequestId};
 
-/// Watches open at the same time at one node.
-pub const MAX_WATCHES: usize = 1024;
-
-/// Open watches; each sees one kind, or all.
-pub(crate) type Watches = BTreeMap<RequestId, Option<Kind>>;
-
 impl NodeCore {
     /// Answers an operator, at once or when the log has decided.
     pub(crate) fn operator_request(&mut self, request: RequestId, question: OperatorRequest) {
@@ -30,7 +23,7 @@
                 return;
             }
             OperatorRequest::Unwatch { watch } => {
-                self.watches.remove(&watch);
+                self.watches.end(watch);
                 return;
             }
             OperatorRequest::Get { kind, name } => {
@@ -65,36 +58,25 @@
     }
 
     fn open_watch(&mut self, watch: RequestId, kind: Option<Kind>, after: Offset) {
-        let full = self.watches.len() >= MAX_WATCHES;
+        let begun = self.watches.begin(&self.control, watch, kind, after);
+        let full = begun == Err(WatchError::TooMany);
         self.counters.watch_overflow += u64::from(full);
-        let missed = self.control.changes_since(after).filter(|_| !full);
-        let accepted = missed.is_some();
         self.agenda.effect(Effect::OperatorReply {
             request: watch,
-            reply: OperatorReply::Watching { accepted },
+            reply: OperatorReply::Watching {
+                accepted: begun.is_ok(),
+            },
         });
-        for change in missed.into_iter().flatten() {
-            self.tell_watcher(watch, kind, &change);
-        }
-        if accepted {
-            self.watches.insert(watch, kind);
+        for change in begun.into_iter().flatten() {
+            self.agenda.effect(Effect::WatchEvent { watch, change });
         }
     }
 
-    /// Tells every watcher of its kind about a change.
+    /// Tells every watcher that is interested in a change.
     pub(crate) fn tell_watchers(&mut self, change: &Change) {
-        let watches = self.watches.clone();
-        for (watch, kind) in watches {
-            self.tell_watcher(watch, kind, change);
-        }
-    }
-
-    fn tell_watcher(&mut self, watch: RequestId, kind: Option<Kind>, change: &Change) {
-        if kind.is_none_or(|kind| kind == change.kind) {
-            self.agenda.effect(Effect::WatchEvent {
-                watch,
-                change: change.clone(),
-            });
+        for watch in self.watches.interested(change) {
+            let change = change.clone();
+            self.agenda.effect(Effect::WatchEvent { watch, change });
         }
     }
 }
--- a/crates/node-core/src/peers.rs
+++ b/crates/node-core/src/peers.rs
@@ -1,5 +1,7 @@
 //! Messages between nodes: budget allotments and the relay of control records.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use elderworks_execution::{self as execution, tenant_holder};
 use elderworks_protocol::peer::{FromNode, PeerMessage};
 use elderworks_types::{Credits, NodeId, PartitionId, Sequence, TenantId};
@@ -144,21 +146,35 @@
 
     /// Tells a partition gained just now the limits of the tenants whose budgets it holds.
     pub(crate) fn announce_tenant_limits(&mut self, partition: PartitionId) {
-        for (tenant, limit) in self.services.tenant_limits() {
+        for (tenant, limit) in &self.tenant_limits {
             if tenant_holder(tenant, self.settings.partition_count) == partition {
-                self.agenda.partition(
-                    partition,
-                    execution::Event::TenantLimit {
-                        tenant: tenant.clone(),
-                        limit: Some(*limit),
-                    },
-                );
+                let event = execution::Event::TenantLimit {
+                    tenant: tenant.clone(),
+                    limit: Some(*limit),
+                };
+                self.agenda.partition(partition, event);
+            }
+        }
+    }
+
+    /// Tells the holders of tenants' budgets which limits changed.
+    pub(crate) fn tenant_limits_changed(&mut self) {
+        let limits: BTreeMap<TenantId, Credits> = self
+            .control
+            .tenant_limits()
+            .map(|(tenant, limit)| (tenant.clone(), limit))
+            .collect();
+        let before = std::mem::replace(&mut self.tenant_limits, limits.clone());
+        let tenants: BTreeSet<&TenantId> = before.keys().chain(limits.keys()).collect();
+        for tenant in tenants {
+            let limit = limits.get(tenant).copied();
+            if before.get(tenant).copied() != limit {
+                self.announce_tenant_limit(tenant.clone(), limit);
             }
         }
     }
 
-    /// Tells the holders of a tenant's budget that its limit changed.
-    pub(crate) fn announce_tenant_limit(&mut self, tenant: TenantId, limit: Option<Credits>) {
+    fn announce_tenant_limit(&mut self, tenant: TenantId, limit: Option<Credits>) {
         let holder = tenant_holder(&tenant, self.settings.partition_count);
         if self.ownership.owns(holder) {
             self.agenda
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -11,6 +11,7 @@
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::event::Connection;
+use crate::services::call_terms;
 
 /// A request is held back at most this long while its partition is being taken over.
 pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
@@ -223,7 +224,7 @@
         let event = match message {
             SidecarMessage::Locate { .. } => return,
             SidecarMessage::StartRun { spec } => {
-                let limits = self.services.run_limits(&spec.program);
+                let limits = self.control.run_limits(&spec.program);
                 execution::Event::StartRun {
                     connection,
                     spec,
@@ -237,7 +238,7 @@
                 delivered,
             } => {
                 let program = self.program_of(partition, run);
-                let terms = self.services.call_terms(program.as_ref(), &spec.request);
+                let terms = call_terms(&self.control, program.as_ref(), &spec.request);
                 execution::Event::SubmitCall {
                     connection,
                     tenant,
