Serve the platform and back ends in small over HTTP

Cause: node, sidecar, demo and the proofs need something that speaks the platform's interfaces, with faults on demand. Ruled out: one server per interface written apart (server, errors and faults would stand five times) and an engine of its own (the engine model exists). Change: one small HTTP layer on actix-http; log, tool, machine list and weight store over platform-model; the engine over engine-model, driven by the real clock; a lost answer or a service that is down closes the connection without an answer; a client that goes away ends its request. Binary elderworks-standin.

--- /dev/null
+++ b/crates/standin/src/engine/answer.rs
@@ -0,0 +1,159 @@
+//! Answers on their way to a client.
+
+use std::io;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use elderworks_engine_model::{Completion, NumberedChunk, RequestId, Resumed};
+use elderworks_platform_api::engine::{
+    ChatChunk, ChatCompletion, ChatUsage, ChunkChoice, CompletionChoice, DONE, Delta,
+};
+use elderworks_types::{Message, Role};
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use tokio::sync::watch;
+
+use super::state::{EngineService, RequestInfo};
+use crate::clock::now;
+use crate::shared::{Shared, next_change};
+
+/// Reads one request's answer from a chunk on. The request is not abandoned while this exists.
+pub(super) struct AnswerReader {
+    service: Arc<Shared<EngineService>>,
+    changes: watch::Receiver<()>,
+    id: RequestId,
+    info: RequestInfo,
+    next: u32,
+}
+
+impl AnswerReader {
+    /// Starts at chunk `next`; `None` if the request is unknown.
+    pub(super) fn new(
+        service: &Arc<Shared<EngineService>>,
+        id: RequestId,
+        next: u32,
+    ) -> Option<Self> {
+        let changes = service.subscribe();
+        let info = service.lock().add_reader(&id)?;
+        Some(Self {
+            service: service.clone(),
+            changes,
+            id,
+            info,
+            next,
+        })
+    }
+
+    /// The answer as server-sent events.
+    pub(super) fn into_events(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
+        unfold(Some(self), |reader| async move {
+            let mut reader = reader?;
+            let news = reader.next_news().await?;
+            let events = reader.encode(&news);
+            let reader = news.completion.is_none().then_some(reader);
+            Some((Ok(events), reader))
+        })
+    }
+
+    /// The whole answer; `None` if the request is cancelled.
+    pub(super) async fn into_completion(mut self) -> Option<ChatCompletion> {
+        let mut content = String::new();
+        loop {
+            let news = self.next_news().await?;
+            content.extend(news.chunks.iter().map(|chunk| chunk.text.as_str()));
+            if let Some(completion) = news.completion {
+                return Some(self.completion(content, &completion));
+            }
+        }
+    }
+
+    /// Waits for more of the answer; `None` once the request is no longer known.
+    async fn next_news(&mut self) -> Option<Resumed> {
+        loop {
+            let news = self.service.lock().resume(&self.id, self.next)?;
+            if let Some(last) = news.chunks.last() {
+                self.next = last.index + 1;
+            }
+            if !news.chunks.is_empty() || news.completion.is_some() {
+                return Some(news);
+            }
+            next_change(&mut self.changes).await;
+        }
+    }
+
+    fn encode(&self, news: &Resumed) -> Bytes {
+        let mut events = String::new();
+        for chunk in &news.chunks {
+            push_event(&mut events, chunk.index, &self.text_chunk(chunk));
+        }
+        if let Some(completion) = &news.completion {
+            push_event(&mut events, self.next, &self.last_chunk(completion));
+            events.push_str(&format!("data: {DONE}\n\n"));
+        }
+        Bytes::from(events)
+    }
+
+    fn text_chunk(&self, chunk: &NumberedChunk) -> ChatChunk {
+        let is_first = chunk.index == self.info.first_chunk;
+        let delta = Delta {
+            role: is_first.then_some(Role::Assistant),
+            content: Some(chunk.text.clone()),
+        };
+        self.chunk(ChunkChoice {
+            index: 0,
+            delta,
+            finish_reason: None,
+        })
+    }
+
+    fn last_chunk(&self, completion: &Completion) -> ChatChunk {
+        let choice = ChunkChoice {
+            index: 0,
+            delta: Delta::default(),
+            finish_reason: Some(self.info.finish_reason(completion.usage.output)),
+        };
+        ChatChunk {
+            usage: Some(ChatUsage::from(completion.usage)),
+            ..self.chunk(choice)
+        }
+    }
+
+    fn chunk(&self, choice: ChunkChoice) -> ChatChunk {
+        ChatChunk {
+            id: self.id.to_string(),
+            object: ChatChunk::OBJECT.to_owned(),
+            created: self.info.created_seconds(),
+            model: self.info.model.clone(),
+            choices: vec![choice],
+            usage: None,
+        }
+    }
+
+    fn completion(&self, content: String, completion: &Completion) -> ChatCompletion {
+        let choice = CompletionChoice {
+            index: 0,
+            message: Message::new(Role::Assistant, content),
+            finish_reason: self.info.finish_reason(completion.usage.output),
+        };
+        ChatCompletion {
+            id: self.id.to_string(),
+            object: ChatCompletion::OBJECT.to_owned(),
+            created: self.info.created_seconds(),
+            model: self.info.model.clone(),
+            choices: vec![choice],
+            usage: ChatUsage::from(completion.usage),
+        }
+    }
+}
+
+impl Drop for AnswerReader {
+    fn drop(&mut self) {
+        self.service.lock().remove_reader(now(), &self.id);
+    }
+}
+
+fn push_event(events: &mut String, index: u32, chunk: &ChatChunk) {
+    // The wire types hold no map with keys that JSON lacks, so encoding them cannot fail.
+    let data = serde_json::to_string(chunk).expect("wire types encode as JSON");
+    events.push_str(&format!("id: {index}\ndata: {data}\n\n"));
+}
--- /dev/null
+++ b/crates/standin/src/flags.rs
@@ -0,0 +1,54 @@
+//! Command line of `elderworks-standin`.
+
+// The macro's types carry their text as help, not as doc comments.
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use elderworks_settings::Override;
+
+xflags::xflags! {
+    /// Stand-ins for the platform and back ends, for tests and experiments.
+    cmd elderworks-standin {
+        /// What to serve: log, engine, tool, machines or weights.
+        required service: Service
+        /// Settings file; flags alone suffice without one.
+        optional --settings file: PathBuf
+        /// Listen here (IP:port); port 0 takes a free one.
+        optional --listen address: SocketAddr
+        /// Set key=value over the file; may be repeated.
+        repeated --set change: Override
+    }
+}
+
+/// One of the interfaces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    Log,
+    Engine,
+    Tool,
+    Machines,
+    Weights,
+}
+
+/// A name that is no service's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("expected log, engine, tool, machines or weights")]
+pub struct UnknownService;
+
+impl FromStr for Service {
+    type Err = UnknownService;
+
+    fn from_str(name: &str) -> Result<Self, UnknownService> {
+        match name {
+            "log" => Ok(Service::Log),
+            "engine" => Ok(Service::Engine),
+            "tool" => Ok(Service::Tool),
+            "machines" => Ok(Service::Machines),
+            "weights" => Ok(Service::Weights),
+            _ => Err(UnknownService),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/tool.rs
@@ -0,0 +1,215 @@
+//! A tool service. `GET /v1/invocations` lists every execution, for checkers.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::{Method, StatusCode};
+use elderworks_platform_api::tool::{InvocationResponse, MAX_KEY_BYTES};
+use elderworks_platform_api::{ErrorCode, headers};
+use elderworks_platform_model::{
+    Execution, ExecutionId, ExecutionOutcome, Invocation, ToolFaults, ToolModel, ToolSettings,
+};
+use elderworks_types::ToolName;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::clock::{now, sleep_until};
+use crate::http::{Handled, Incoming, Refusal, Reply};
+use crate::server::{self, Application, ServerHandle};
+use crate::shared::Shared;
+
+/// When a rejected invocation may be accepted.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Most executions in one answer.
+const MAX_LISTED: usize = 10_000;
+
+/// Name of the tool where a request names none.
+const UNNAMED: &str = "tool";
+
+/// Which tools a service hosts, and how they behave.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ToolServiceSettings {
+    /// Tools that may be invoked; any where empty.
+    pub tools: BTreeSet<ToolName>,
+    /// Their behaviour.
+    pub behaviour: ToolSettings,
+    /// Seed of the choices of which answers are lost.
+    pub seed: u64,
+}
+
+/// Query of `GET /v1/invocations`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct ExecutionsQuery {
+    /// Number of the last execution that the reader has.
+    #[serde(default)]
+    pub after: u64,
+}
+
+/// Answer to `GET /v1/invocations`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExecutionsResponse {
+    /// Executions in order of start.
+    pub executions: Vec<Execution>,
+}
+
+/// Serves tools that have run nothing; must be called within an actix runtime.
+pub fn serve(listener: TcpListener, settings: ToolServiceSettings) -> io::Result<ServerHandle> {
+    let state = ToolState {
+        model: ToolModel::new(settings.behaviour),
+        rng: ChaCha8Rng::seed_from_u64(settings.seed),
+    };
+    let application = ToolApplication {
+        tools: settings.tools,
+        state: Shared::new(state),
+    };
+    server::serve("tool", listener, Arc::new(application))
+}
+
+struct ToolState {
+    model: ToolModel,
+    rng: ChaCha8Rng,
+}
+
+struct ToolApplication {
+    tools: BTreeSet<ToolName>,
+    state: Shared<ToolState>,
+}
+
+enum Resource<'a> {
+    Invocations,
+    Invocation(&'a str),
+    Faults,
+}
+
+fn resource<'a>(path: &[&'a str]) -> Option<Resource<'a>> {
+    match path {
+        ["v1", "invocations"] => Some(Resource::Invocations),
+        ["v1", "invocations", key] if !key.is_empty() => Some(Resource::Invocation(key)),
+        ["v1", "faults"] => Some(Resource::Faults),
+        _ => None,
+    }
+}
+
+impl Application for ToolApplication {
+    async fn respond(&self, request: Incoming) -> Handled {
+        let path = request.path();
+        let resource = resource(&path).ok_or_else(Refusal::not_found)?;
+        match (resource, &request.method) {
+            (Resource::Invocations, &Method::POST) => self.invoke(&request).await,
+            (Resource::Invocations, &Method::GET) => self.executions(&request),
+            (Resource::Invocation(key), &Method::GET) => Ok(self.status(key)),
+            (Resource::Faults, &Method::GET) => Ok(Reply::json(&self.state.lock().model.faults)),
+            (Resource::Faults, &Method::PUT) => self.set_faults(&request),
+            _ => Err(Refusal::method_not_allowed()),
+        }
+    }
+}
+
+impl ToolApplication {
+    async fn invoke(&self, request: &Incoming) -> Handled {
+        let key = idempotency_key(request)?;
+        let tool = self.tool(request)?;
+        let arguments: Value = request.json()?;
+        let (invocation, answer_lost) = self.take(&tool, key, arguments);
+        let Some(id) = invocation.execution() else {
+            return not_run(invocation);
+        };
+        let outcome = self.outcome(id).await;
+        if answer_lost {
+            return Ok(Reply::Disconnect);
+        }
+        match outcome {
+            ExecutionOutcome::Completed(result) => Ok(Reply::json(&InvocationResponse {
+                result,
+                repeated: matches!(invocation, Invocation::Joined(_)),
+            })),
+            ExecutionOutcome::Failed(message) => Err(Refusal::failed(message)),
+        }
+    }
+
+    /// Starts the invocation. It runs to its end even if the client goes away.
+    fn take(&self, tool: &ToolName, key: &str, arguments: Value) -> (Invocation, bool) {
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        let invocation = state.model.invoke(now(), tool, key, arguments);
+        let runs = invocation.execution().is_some();
+        let answer_lost = runs && state.model.loses_answer(&mut state.rng);
+        (invocation, answer_lost)
+    }
+
+    /// Waits for an execution's end; for ever where it hangs.
+    async fn outcome(&self, id: ExecutionId) -> ExecutionOutcome {
+        loop {
+            let due = {
+                let mut state = self.state.lock();
+                if let Some(outcome) = state.model.poll(now(), id) {
+                    return outcome.clone();
+                }
+                state.model.due(id)
+            };
+            match due {
+                Some(due) => sleep_until(due).await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    fn status(&self, key: &str) -> Reply {
+        let mut state = self.state.lock();
+        if state.model.faults.down {
+            return Reply::Disconnect;
+        }
+        Reply::json(&state.model.status(now(), key))
+    }
+
+    fn executions(&self, request: &Incoming) -> Handled {
+        let query: ExecutionsQuery = request.query()?;
+        let state = self.state.lock();
+        let executions = state
+            .model
+            .executions()
+            .filter(|execution| execution.id.0 > query.after)
+            .take(MAX_LISTED)
+            .cloned()
+            .collect();
+        Ok(Reply::json(&ExecutionsResponse { executions }))
+    }
+
+    fn tool(&self, request: &Incoming) -> Result<ToolName, Refusal> {
+        let tool = ToolName::new(request.header(headers::TOOL).unwrap_or(UNNAMED));
+        if self.tools.is_empty() || self.tools.contains(&tool) {
+            return Ok(tool);
+        }
+        Err(Refusal::not_found())
+    }
+
+    fn set_faults(&self, request: &Incoming) -> Handled {
+        let faults: ToolFaults = request.json()?;
+        ::log::info!("tool faults: {faults:?}");
+        self.state.lock().model.faults = faults.clone();
+        Ok(Reply::json(&faults))
+    }
+}
+
+fn idempotency_key(request: &Incoming) -> Result<&str, Refusal> {
+    let key = request.required_header(headers::IDEMPOTENCY_KEY)?;
+    if key.len() > MAX_KEY_BYTES {
+        return Err(Refusal::invalid("the idempotency key is too long"));
+    }
+    Ok(key)
+}
+
+fn not_run(invocation: Invocation) -> Handled {
+    if invocation == Invocation::Down {
+        return Ok(Reply::Disconnect);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let refusal = Refusal::not_run(status, ErrorCode::QueueFull, "too many invocations");
+    Err(refusal.retry_after(RETRY_AFTER))
+}
