Place calls by the fewest own attempts until placement decides

Cause: the placement crate's policy has not landed, and without one no model call leaves a node. Ruled out waiting: sidecar, demo and simulation need calls to flow. Change: a small policy inside node-core, to be removed when the crate's own lands.

--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -8,7 +8,7 @@
 use elderworks_execution::{self as execution, ExecutionSettings};
 use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
-use elderworks_placement::{self as placement, Placement, PlacementSettings};
+use elderworks_placement as placement;
 use elderworks_protocol::record::{StreamName, Writer};
 use elderworks_protocol::sidecar::NodeAddress;
 use elderworks_types::{
@@ -24,6 +24,7 @@
 use crate::dispatch::Attempts;
 use crate::drain::DrainState;
 use crate::engines::Engines;
+use crate::least_loaded::LeastLoaded;
 use crate::ownership::Ownership;
 use crate::sidecars::Requests;
 use crate::step::{Agenda, Step};
@@ -82,7 +83,7 @@
     pub(crate) membership: Option<Membership>,
     pub(crate) assignment: Assignment,
     pub(crate) ownership: Ownership,
-    pub(crate) placement: Placement,
+    pub(crate) placement: LeastLoaded,
     /// Tenants' limits as last told to the partitions that hold their budgets.
     pub(crate) tenant_limits: BTreeMap<TenantId, Credits>,
     pub(crate) engines: Engines,
@@ -109,10 +110,6 @@
             Timestamp(0),
             StreamSettings::default(),
         );
-        let placement = Placement::new(PlacementSettings {
-            zone: settings.zone.clone(),
-            seed: random.random(),
-        });
         Self {
             now: Timestamp(0),
             agenda: Agenda::default(),
@@ -128,7 +125,7 @@
             membership: None,
             assignment: Assignment::unknown(settings.partition_count),
             ownership: Ownership::default(),
-            placement,
+            placement: LeastLoaded::default(),
             tenant_limits: BTreeMap::new(),
             engines: Engines::default(),
             attempts: Attempts::default(),
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod effect;
 mod engines;
 pub mod event;
+mod least_loaded;
 mod operator;
 mod ownership;
 mod partitions;
