Test the node end to end over its sockets

Cause: the thin path from a sidecar through a node to engine and tool had never run. Ruled out a mocked back end: the stand-ins speak the real interfaces over HTTP.

--- /dev/null
+++ b/crates/node/tests/driver/support.rs
@@ -0,0 +1,278 @@
+//! A node on free ports with stand-ins around it, and a sidecar's end of a connection.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use actix_rt::net::TcpStream;
+use bytes::BytesMut;
+use elderworks_control::ControlBody;
+use elderworks_node::{NodeHandle, start};
+use elderworks_node_core::effect::OperatorReply;
+use elderworks_node_core::event::OperatorRequest;
+use elderworks_protocol::peer::{FromNode, Hello, ToNode};
+use elderworks_protocol::sidecar::{Delivered, NodeMessage, SidecarMessage};
+use elderworks_protocol::{frame, split_frame};
+use elderworks_settings::{LoggingSettings, NodeLimits, NodeProcessSettings};
+use elderworks_standin::engine::EngineSettings;
+use elderworks_standin::{ServerHandle, engine, listen, log, tool};
+use elderworks_types::resource::{
+    EngineEndpoint, Metadata, ModelServiceSpec, ProgramSpec, Resource, ServiceSpec, Spec,
+    ToolServiceSpec,
+};
+use elderworks_types::{
+    CallId, CallNumber, CallRequest, CallSpec, Credits, EngineId, Message, ModelName, ModelRequest,
+    NodeId, Offset, Outcome, ResourceName, Role, RunId, RunSpec, TenantId, Tokens, ToolName,
+    ToolRequest, ZoneId,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
+
+/// Far longer than anything here takes.
+pub const GENEROUS: Duration = Duration::from_secs(60);
+
+const MODEL: &str = "clerk";
+const TOOL: &str = "cadastre";
+const PROGRAM: &str = "correction";
+
+pub fn tenant() -> TenantId {
+    TenantId::new("tenant")
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn free_port() -> TcpListener {
+    listen(loopback()).expect("loopback has a free port")
+}
+
+/// Log, engine and tool.
+pub struct StandIns {
+    pub log: ServerHandle,
+    pub engine: ServerHandle,
+    pub tool: ServerHandle,
+}
+
+impl StandIns {
+    pub fn start() -> Self {
+        let mut settings = EngineSettings::new(EngineId::new("engine-1"));
+        settings.models = vec![ModelName::new(MODEL)];
+        Self {
+            log: log::serve(free_port(), log::LogSettings::default()).expect("the log starts"),
+            engine: engine::serve(free_port(), settings).expect("the engine starts"),
+            tool: tool::serve(free_port(), tool::ToolServiceSettings::default())
+                .expect("the tool starts"),
+        }
+    }
+
+    fn resources(&self) -> Vec<Resource> {
+        let model = ModelServiceSpec {
+            model: ModelName::new(MODEL),
+            engines: vec![EngineEndpoint {
+                id: EngineId::new("engine-1"),
+                url: self.engine.url(),
+                zone: ZoneId::new("zone-a"),
+            }],
+            credits_per_prompt_token: Credits(1),
+            credits_per_output_token: Credits(2),
+        };
+        let tool = ToolServiceSpec {
+            tool: ToolName::new(TOOL),
+            url: self.tool.url(),
+            credits_per_invocation: Credits(5),
+            timeout: Duration::from_secs(5),
+        };
+        let program = ProgramSpec {
+            services: vec![ResourceName::new("model"), ResourceName::new("tool")],
+            budget: None,
+            run_budget: Credits(100_000),
+            max_turns: 10,
+            max_history: Tokens(100_000),
+            max_duration: Duration::from_secs(600),
+            deadline: None,
+            priority: 0,
+        };
+        vec![
+            resource("model", Spec::Service(ServiceSpec::Model(model))),
+            resource("tool", Spec::Service(ServiceSpec::Tool(tool))),
+            resource(PROGRAM, Spec::Program(program)),
+        ]
+    }
+}
+
+fn resource(name: &str, spec: Spec) -> Resource {
+    Resource {
+        metadata: Metadata {
+            name: ResourceName::new(name),
+            revision: Offset(0),
+        },
+        spec,
+    }
+}
+
+/// A node that uses these stand-ins, ready to serve.
+pub async fn node(name: &str, stand_ins: &StandIns, seeds: Vec<SocketAddr>) -> NodeHandle {
+    let settings = NodeProcessSettings {
+        name: NodeId::new(name),
+        zone: ZoneId::new("zone-a"),
+        cell: None,
+        listen: loopback(),
+        gossip: loopback(),
+        admin: loopback(),
+        seeds,
+        log_url: stand_ins.log.url(),
+        machines_url: None,
+        partition_count: 4,
+        operator_token: None,
+        limits: NodeLimits::default(),
+        logging: LoggingSettings::default(),
+    };
+    let node = start(&settings).await.expect("the node starts");
+    let ready = timeout(GENEROUS, node.ready()).await;
+    assert_eq!(ready, Ok(true), "the node becomes ready");
+    node
+}
+
+/// Puts the resources that the runs of these tests need.
+pub async fn apply_resources(node: &NodeHandle, stand_ins: &StandIns) {
+    for resource in stand_ins.resources() {
+        let change = OperatorRequest::Change(ControlBody::Put {
+            resource,
+            expected: None,
+        });
+        let reply = node.operator().ask(change).expect("the node takes it");
+        let reply = timeout(GENEROUS, reply).await.expect("a reply in time");
+        assert!(
+            matches!(reply, Ok(OperatorReply::Changed(Ok(_)))),
+            "{reply:?}"
+        );
+    }
+}
+
+/// A sidecar's end of a connection.
+pub struct Sidecar {
+    stream: TcpStream,
+    buffer: BytesMut,
+}
+
+impl Sidecar {
+    pub async fn connect(node: &NodeHandle) -> Self {
+        let stream = TcpStream::connect(node.address).await.expect("it connects");
+        let mut sidecar = Self {
+            stream,
+            buffer: BytesMut::new(),
+        };
+        sidecar
+            .write(&ToNode::Hello(Hello::Sidecar { sidecar: 7 }))
+            .await;
+        sidecar
+    }
+
+    pub async fn send(&mut self, message: SidecarMessage) {
+        self.write(&ToNode::Sidecar(message)).await;
+    }
+
+    async fn write(&mut self, message: &ToNode) {
+        let written = self.stream.write_all(&frame(message)).await;
+        written.expect("the node takes it");
+    }
+
+    pub async fn receive(&mut self) -> NodeMessage {
+        let receiving = timeout(GENEROUS, self.receive_unbounded()).await;
+        receiving.expect("a message in time")
+    }
+
+    async fn receive_unbounded(&mut self) -> NodeMessage {
+        loop {
+            let message = split_frame::<FromNode>(&mut self.buffer).expect("well formed");
+            if let Some(FromNode::Node(message)) = message {
+                return message;
+            }
+            let read = self.stream.read_buf(&mut self.buffer).await;
+            assert!(read.expect("the node is up") > 0, "the node hung up");
+        }
+    }
+
+    /// Starts a run, as often as it is turned away.
+    pub async fn start_run(&mut self, run: RunId) {
+        let spec = RunSpec {
+            id: run,
+            tenant: tenant(),
+            program: ResourceName::new(PROGRAM),
+            parent: None,
+            budget: Credits(50_000),
+            deadline: None,
+        };
+        let since = Instant::now();
+        loop {
+            self.send(SidecarMessage::StartRun { spec: spec.clone() })
+                .await;
+            match self.receive().await {
+                NodeMessage::RunStarted { run: started } => return assert_eq!(started, run),
+                NodeMessage::NotOwner { .. } => {
+                    assert!(since.elapsed() < GENEROUS, "no node owns the run");
+                }
+                other => panic!("the run was not started: {other:?}"),
+            }
+        }
+    }
+
+    /// Makes a call and gathers its whole answer: its chunks joined, and its outcome.
+    pub async fn call(&mut self, run: RunId, spec: CallSpec) -> (String, Outcome) {
+        let call = CallId {
+            run,
+            number: spec.number,
+        };
+        self.send(submit(run, spec)).await;
+        let mut text = String::new();
+        loop {
+            match self.receive().await {
+                NodeMessage::Chunk(chunk) if chunk.call == call => text.push_str(&chunk.text),
+                NodeMessage::CallEnded {
+                    call: ended,
+                    outcome,
+                    ..
+                } if ended == call => return (text, outcome),
+                other => panic!("unexpected: {other:?}"),
+            }
+        }
+    }
+}
+
+pub fn submit(run: RunId, spec: CallSpec) -> SidecarMessage {
+    SidecarMessage::SubmitCall {
+        tenant: tenant(),
+        run,
+        spec,
+        delivered: Delivered::default(),
+    }
+}
+
+fn call_spec(number: u32, request: CallRequest, repeatable: bool) -> CallSpec {
+    CallSpec {
+        number: CallNumber(number),
+        request,
+        repeatable,
+        idempotency_key: None,
+        deadline: None,
+        expected_reuse: None,
+    }
+}
+
+pub fn model_call(number: u32, history_prefix: u32) -> CallSpec {
+    let request = ModelRequest {
+        model: ModelName::new(MODEL),
+        history_prefix,
+        messages: vec![Message::new(Role::User, "Where does the boundary run?")],
+        max_output: Tokens(32),
+    };
+    call_spec(number, CallRequest::Model(request), true)
+}
+
+pub fn tool_call(number: u32) -> CallSpec {
+    let request = ToolRequest {
+        tool: ToolName::new(TOOL),
+        arguments: r#"{"parcel":"17/4"}"#.to_owned(),
+    };
+    call_spec(number, CallRequest::Tool(request), false)
+}
