Keep the channel that the node already mounts

Ruled out: keeping the trait beside them (two ways to the same node); changing the node's driver again for no gain.

Change: the operator module stands as the node mounts it; the tests' fake node now runs through the channel and the bridge too, so both are tested.

Conclusion: one way from HTTP to the node core, used by driver and tests.

--- a/crates/node/src/operator/respond.rs
+++ b/crates/node/src/operator/respond.rs
@@ -15,20 +15,20 @@
 use elderworks_types::{Offset, ResourceName, RunId};
 use tokio::time::timeout;
 
-use super::OperatorBackend;
+use super::OperatorHandle;
 use super::body::{json_response, read_body};
 use super::error::error_response;
 use super::report::{engine_document, node_document, run_document};
 use super::request::{
     Query, Target, expected_revision, method_not_allowed, parse_path, parse_query,
 };
-use super::watch::{WatchFilter, too_old, watch_response};
+use super::watch::{WatchFilter, watch_response};
 
 /// What the interface needs to answer.
 #[derive(Clone, Debug)]
-pub struct OperatorContext<B> {
+pub struct OperatorContext {
     /// The way to the node core.
-    pub backend: B,
+    pub handle: OperatorHandle,
     /// What operators must show as `Authorization: Bearer`; `None` lets everyone in.
     pub token: Option<BearerToken>,
     /// Largest body taken, in bytes.
@@ -41,17 +41,14 @@
 type Answer = Result<Response<BoxBody>, ApiError>;
 
 /// Answers one request whose path is below `/apis`.
-pub async fn respond<B: OperatorBackend>(
-    context: &OperatorContext<B>,
-    request: Request,
-) -> Response<BoxBody> {
+pub async fn respond(context: &OperatorContext, request: Request) -> Response<BoxBody> {
     match context.route(request).await {
         Ok(response) => response,
         Err(error) => error_response(&error),
     }
 }
 
-impl<B: OperatorBackend> OperatorContext<B> {
+impl OperatorContext {
     async fn route(&self, mut request: Request) -> Answer {
         self.check_token(&request)?;
         let target = parse_path(request.path())?;
@@ -187,17 +184,16 @@
             Some(after) => Offset(after),
             None => self.list_written(kind.unwrap_or(Kind::Program)).await?.1,
         };
-        let watch = self.backend.watch(kind, after);
-        let changes = match timeout(self.reply_timeout, watch).await {
-            Ok(Ok(changes)) => changes.ok_or_else(too_old)?,
-            Ok(Err(_)) | Err(_) => return Err(no_answer()),
-        };
-        Ok(watch_response(changes, WatchFilter { after, name }))
+        let messages = self.handle.watch(kind, after).map_err(|_| not_taken())?;
+        let filter = WatchFilter { after, name };
+        watch_response(messages, filter, self.reply_timeout).await
     }
 
-    /// Asks for a change. Silence means that its outcome is not known.
+    /// Asks for a change. Once the node core has taken it, silence means that its outcome is not
+    /// known.
     async fn change(&self, body: ControlBody) -> Result<Change, ApiError> {
-        let reply = self.backend.ask(OperatorRequest::Change(body));
+        let question = OperatorRequest::Change(body);
+        let reply = self.handle.ask(question).map_err(|_| not_taken())?;
         match timeout(self.reply_timeout, reply).await {
             Ok(Ok(OperatorReply::Changed(result))) => Ok(result?),
             Ok(Ok(_)) => Err(unexpected_reply()),
@@ -207,9 +203,10 @@
 
     /// Asks a question that changes nothing.
     async fn read(&self, question: OperatorRequest) -> Result<OperatorReply, ApiError> {
-        match timeout(self.reply_timeout, self.backend.ask(question)).await {
+        let reply = self.handle.ask(question).map_err(|_| not_taken())?;
+        match timeout(self.reply_timeout, reply).await {
             Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(_)) | Err(_) => Err(no_answer()),
+            Ok(Err(_)) | Err(_) => Err(ApiError::unavailable("the node did not answer in time")),
         }
     }
 
@@ -285,8 +282,8 @@
     ApiError::new(ErrorCode::NotFound, format!("there is no {name:?}"))
 }
 
-fn no_answer() -> ApiError {
-    ApiError::unavailable("the node did not answer in time")
+fn not_taken() -> ApiError {
+    ApiError::unavailable("the node is too busy or stopping")
 }
 
 fn unexpected_reply() -> ApiError {
--- a/crates/node/src/operator/watch.rs
+++ b/crates/node/src/operator/watch.rs
@@ -14,6 +14,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::WatchMessage;
+
 /// An idle watch carries an empty line this often, so that either side notices a dead connection.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -36,43 +38,53 @@
     }
 }
 
-/// The error for a watch from a revision that is no longer remembered.
-pub(super) fn too_old() -> ApiError {
-    let message = "the changes after that revision are no longer remembered: list anew";
-    ApiError::new(ErrorCode::WatchTooOld, message)
-}
-
-/// Streams the changes that a watcher wants.
-pub(super) fn watch_response(
-    changes: mpsc::Receiver<Change>,
+/// Waits until the watch has begun and streams it; `reply_timeout` bounds the wait.
+pub(super) async fn watch_response(
+    mut messages: mpsc::Receiver<WatchMessage>,
     filter: WatchFilter,
-) -> Response<BoxBody> {
-    let body = BodyStream::new(lines(changes, filter));
+    reply_timeout: Duration,
+) -> Result<Response<BoxBody>, ApiError> {
+    match timeout(reply_timeout, messages.recv()).await {
+        Ok(Some(WatchMessage::Begun(true))) => {}
+        Ok(Some(WatchMessage::Begun(false))) => {
+            let message = "the changes after that revision are no longer remembered: list anew";
+            return Err(ApiError::new(ErrorCode::WatchTooOld, message));
+        }
+        Ok(Some(WatchMessage::Change(_)) | None) | Err(_) => {
+            return Err(ApiError::unavailable("the watch did not begin"));
+        }
+    }
+    let body = BodyStream::new(lines(messages, filter));
     let mut response = Response::with_body(StatusCode::OK, body.boxed());
     let json_lines = HeaderValue::from_static("application/x-ndjson");
     response.headers_mut().insert(CONTENT_TYPE, json_lines);
-    response
+    Ok(response)
 }
 
 fn lines(
-    changes: mpsc::Receiver<Change>,
+    messages: mpsc::Receiver<WatchMessage>,
     filter: WatchFilter,
 ) -> impl Stream<Item = Result<Bytes, Infallible>> {
-    stream::unfold((changes, filter), |(mut changes, filter)| async move {
-        let line = next_line(&mut changes, &filter).await?;
-        Some((Ok(line), (changes, filter)))
+    stream::unfold((messages, filter), |(mut messages, filter)| async move {
+        let line = next_line(&mut messages, &filter).await?;
+        Some((Ok(line), (messages, filter)))
     })
 }
 
 /// The next line, an empty one after a time without any; `None` at the end of the watch.
-async fn next_line(changes: &mut mpsc::Receiver<Change>, filter: &WatchFilter) -> Option<Bytes> {
+async fn next_line(
+    messages: &mut mpsc::Receiver<WatchMessage>,
+    filter: &WatchFilter,
+) -> Option<Bytes> {
     loop {
-        let Ok(change) = timeout(KEEP_ALIVE_INTERVAL, changes.recv()).await else {
+        let Ok(message) = timeout(KEEP_ALIVE_INTERVAL, messages.recv()).await else {
             return Some(Bytes::from_static(b"\n"));
         };
-        let change = change?;
-        if filter.wants(&change) {
-            return Some(encode_line(&change));
+        match message? {
+            WatchMessage::Change(change) if filter.wants(&change) => {
+                return Some(encode_line(&change));
+            }
+            WatchMessage::Change(_) | WatchMessage::Begun(_) => {}
         }
     }
 }
--- a/crates/node/tests/operator_api.rs
+++ b/crates/node/tests/operator_api.rs
@@ -234,7 +234,7 @@
 #[actix_rt::test]
 async fn log_outage_is_told_apart_from_an_unknown_outcome() {
     let server = TestServer::with_reply_timeout(Duration::from_millis(300));
-    server.backend.set_log(LogState::Silent).await;
+    server.set_log(LogState::Silent).await;
     let (status, body) = put_budget(&server, "lublin", 1, None).await;
     assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
     assert_eq!(
@@ -242,7 +242,7 @@
         (ErrorCode::OutcomeUnknown, None)
     );
 
-    server.backend.set_log(LogState::Down).await;
+    server.set_log(LogState::Down).await;
     let (status, body) = put_budget(&server, "other", 1, None).await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     let refused = error(&body);
--- a/crates/node/tests/operator_support/mod.rs
+++ b/crates/node/tests/operator_support/mod.rs
@@ -1,18 +1,17 @@
 //! The operator interface on a loopback port, over a node that is only a control store.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
-use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{HttpService, Request};
 use actix_server::{Server, ServerHandle};
 use elderworks_control::{Change, Control, ControlBody, Effect, Event, Watches};
-use elderworks_node::operator::{NoAnswer, OperatorBackend, OperatorContext, respond};
+use elderworks_node::operator::{
+    OperatorBridge, OperatorCommand, OperatorContext, operator_channel, respond,
+};
 use elderworks_node_core::effect::{EngineState, EngineView, OperatorReply};
-use elderworks_node_core::event::OperatorRequest;
+use elderworks_node_core::event::{Event as NodeEvent, OperatorRequest, RequestId};
 use elderworks_protocol::record::{Record, Writer};
 use elderworks_protocol::sidecar::{NodeAddress, RunView};
 use elderworks_settings::BearerToken;
@@ -45,64 +44,20 @@
     Down,
 }
 
-enum Command {
-    Ask(OperatorRequest, oneshot::Sender<OperatorReply>),
-    Watch(
-        Option<Kind>,
-        Offset,
-        oneshot::Sender<Option<mpsc::Receiver<Change>>>,
-    ),
+/// What the fake node is told: by the interface, or by the test itself.
+enum Input {
+    Command(OperatorCommand),
     SetLog(LogState, oneshot::Sender<()>),
 }
 
-/// Reaches the fake node from any thread.
-#[derive(Clone)]
-pub struct FakeBackend {
-    commands: mpsc::UnboundedSender<Command>,
-}
-
-impl OperatorBackend for FakeBackend {
-    async fn ask(&self, question: OperatorRequest) -> Result<OperatorReply, NoAnswer> {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Ask(question, reply);
-        self.commands.send(command).map_err(|_| NoAnswer)?;
-        answer.await.map_err(|_| NoAnswer)
-    }
-
-    async fn watch(
-        &self,
-        kind: Option<Kind>,
-        after: Offset,
-    ) -> Result<Option<mpsc::Receiver<Change>>, NoAnswer> {
-        let (reply, answer) = oneshot::channel();
-        let command = Command::Watch(kind, after, reply);
-        self.commands.send(command).map_err(|_| NoAnswer)?;
-        answer.await.map_err(|_| NoAnswer)
-    }
-}
-
-impl FakeBackend {
-    /// Changes how the log behaves.
-    pub async fn set_log(&self, state: LogState) {
-        let (done, answer) = oneshot::channel();
-        let sent = self.commands.send(Command::SetLog(state, done));
-        assert!(
-            sent.is_ok() && answer.await.is_ok(),
-            "the fake node stopped"
-        );
-    }
-}
-
 /// A control store with a log of its own.
 struct FakeNode {
     control: Control,
     writer: Writer,
     next_offset: u64,
     log: LogState,
-    last_request: u64,
+    bridge: OperatorBridge,
     watches: Watches,
-    watchers: BTreeMap<u64, mpsc::Sender<Change>>,
-    waiting: BTreeMap<u64, oneshot::Sender<OperatorReply>>,
 }
 
 impl FakeNode {
@@ -116,10 +71,8 @@
             writer,
             next_offset: 0,
             log: LogState::Up,
-            last_request: 0,
+            bridge: OperatorBridge::default(),
             watches: Watches::default(),
-            watchers: BTreeMap::new(),
-            waiting: BTreeMap::new(),
         };
         node.append(ControlBody::NodeStarted {
             node: NodeId::new("a"),
@@ -152,9 +105,7 @@
             match effect {
                 Effect::Append(body) => self.append(body),
                 Effect::Reply { request, result } => {
-                    if let Some(waiting) = self.waiting.remove(&request) {
-                        let _ = waiting.send(OperatorReply::Changed(result));
-                    }
+                    self.bridge.reply(request, OperatorReply::Changed(result));
                 }
                 Effect::Changed(change) => self.tell_watchers(&change),
             }
@@ -163,29 +114,18 @@
 
     fn tell_watchers(&mut self, change: &Change) {
         for watch in self.watches.interested(change) {
-            if let Some(watcher) = self.watchers.get(&watch) {
-                let _ = watcher.try_send(change.clone());
-            }
+            self.bridge.change(watch, change.clone());
         }
     }
 
-    fn take(&mut self, command: Command) {
-        self.last_request += 1;
-        match command {
-            Command::Ask(OperatorRequest::Change(body), reply) => {
-                self.waiting.insert(self.last_request, reply);
-                self.handle(Event::Propose {
-                    request: self.last_request,
-                    body,
-                });
-            }
-            Command::Ask(question, reply) => {
-                let _ = reply.send(self.answer(question));
-            }
-            Command::Watch(kind, after, reply) => {
-                let _ = reply.send(self.begin_watch(kind, after));
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Command(command) => {
+                if let NodeEvent::Operator { request, question } = self.bridge.accept(command) {
+                    self.ask(request, question);
+                }
             }
-            Command::SetLog(state, done) => {
+            Input::SetLog(state, done) => {
                 self.log = state;
                 self.handle(Event::LogReachable(state != LogState::Down));
                 let _ = done.send(());
@@ -193,18 +133,25 @@
         }
     }
 
-    fn begin_watch(&mut self, kind: Option<Kind>, after: Offset) -> Option<mpsc::Receiver<Change>> {
-        let request = self.last_request;
-        let missed = self
-            .watches
-            .begin(&self.control, request, kind, after)
-            .ok()?;
-        let (sender, receiver) = mpsc::channel(4_096);
-        for change in missed {
-            sender.try_send(change).ok()?;
+    fn ask(&mut self, request: RequestId, question: OperatorRequest) {
+        match question {
+            OperatorRequest::Change(body) => self.handle(Event::Propose { request, body }),
+            OperatorRequest::Watch { kind, after } => self.begin_watch(request, kind, after),
+            question => {
+                let reply = self.answer(question);
+                self.bridge.reply(request, reply);
+            }
+        }
+    }
+
+    fn begin_watch(&mut self, request: RequestId, kind: Option<Kind>, after: Offset) {
+        let missed = self.watches.begin(&self.control, request, kind, after);
+        let accepted = missed.is_ok();
+        self.bridge
+            .reply(request, OperatorReply::Watching { accepted });
+        for change in missed.into_iter().flatten() {
+            self.bridge.change(request, change);
         }
-        self.watchers.insert(request, sender);
-        Some(receiver)
     }
 
     fn answer(&self, question: OperatorRequest) -> OperatorReply {
@@ -260,10 +207,29 @@
     }
 }
 
+/// Runs a fake node until the interface and the test are gone.
+fn start_fake_node(mut commands: mpsc::Receiver<OperatorCommand>) -> mpsc::UnboundedSender<Input> {
+    let (inputs, mut receiver) = mpsc::unbounded_channel();
+    actix_rt::spawn(async move {
+        let mut node = FakeNode::new();
+        loop {
+            let input = tokio::select! {
+                command = commands.recv() => command.map(Input::Command),
+                input = receiver.recv() => input,
+            };
+            match input {
+                Some(input) => node.take(input),
+                None => return,
+            }
+        }
+    });
+    inputs
+}
+
 /// The interface under test.
 pub struct TestServer {
     pub url: String,
-    pub backend: FakeBackend,
+    inputs: mpsc::UnboundedSender<Input>,
     server: ServerHandle,
 }
 
@@ -275,16 +241,10 @@
 
     /// Starts with another bound on the wait for the node's reply.
     pub fn with_reply_timeout(reply_timeout: Duration) -> Self {
-        let (commands, mut receiver) = mpsc::unbounded_channel();
-        let node = Rc::new(RefCell::new(FakeNode::new()));
-        actix_rt::spawn(async move {
-            while let Some(command) = receiver.recv().await {
-                node.borrow_mut().take(command);
-            }
-        });
-        let backend = FakeBackend { commands };
+        let (handle, commands) = operator_channel();
+        let inputs = start_fake_node(commands);
         let context = OperatorContext {
-            backend: backend.clone(),
+            handle,
             token: Some(BearerToken::new(TOKEN)),
             max_body_bytes: MAX_BODY_BYTES,
             reply_timeout,
@@ -310,11 +270,21 @@
         actix_rt::spawn(server);
         Self {
             url: format!("http://{address}"),
-            backend,
+            inputs,
             server: handle,
         }
     }
 
+    /// Changes how the log behaves.
+    pub async fn set_log(&self, state: LogState) {
+        let (done, answer) = oneshot::channel();
+        let sent = self.inputs.send(Input::SetLog(state, done));
+        assert!(
+            sent.is_ok() && answer.await.is_ok(),
+            "the fake node stopped"
+        );
+    }
+
     /// Stops the interface.
     pub async fn stop(self) {
         self.server.stop(false).await;
