--- /dev/null
+++ b/crates/cli/src/verbs/client.rs
@@ -0,0 +1,183 @@
+//! HTTP client of the operators' interface.
+
+use std::time::Duration;
+
+use actix_http::Method;
+use awc::error::{ConnectError, SendRequestError};
+use awc::{Client, ClientRequest, ClientResponse};
+use elderworks_control::api::{API_PREFIX, ApiError, Collection, ErrorCode, ListDocument};
+use elderworks_control::manifest::Document;
+use serde::de::DeserializeOwned;
+
+use super::VerbError;
+
+/// Server asked when none is named; the first node of the examples.
+pub const DEFAULT_SERVER: &str = "http://127.0.0.1:7301";
+
+/// Longest wait for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Largest answer taken, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Asks nodes on behalf of an operator.
+#[derive(Clone)]
+pub struct ApiClient {
+    servers: Vec<String>,
+    token: Option<String>,
+    http: Client,
+}
+
+impl ApiClient {
+    /// `servers` are base URLs separated by commas; each is tried in turn until one can be reached.
+    pub fn new(servers: &str, token: Option<String>) -> Self {
+        let servers = servers
+            .split(',')
+            .map(|server| server.trim().trim_end_matches('/').to_owned())
+            .filter(|server| !server.is_empty())
+            .collect();
+        Self {
+            servers,
+            token,
+            http: Client::builder().timeout(ANSWER_TIMEOUT).finish(),
+        }
+    }
+
+    /// All resources of a collection.
+    pub async fn list(&self, collection: Collection) -> Result<ListDocument, VerbError> {
+        let path = format!("{API_PREFIX}/{collection}");
+        self.call(Method::GET, &path, None, Vec::new()).await
+    }
+
+    /// One resource. A run is looked for on every server, as only its owner knows it.
+    pub async fn get(&self, collection: Collection, name: &str) -> Result<Document, VerbError> {
+        let path = format!("{API_PREFIX}/{collection}/{name}");
+        self.call(Method::GET, &path, None, Vec::new()).await
+    }
+
+    /// Creates or replaces a resource; the document's revision, if any, is expected.
+    pub async fn put(
+        &self,
+        collection: Collection,
+        document: &Document,
+    ) -> Result<Document, VerbError> {
+        let name = &document.metadata.name;
+        let path = format!("{API_PREFIX}/{collection}/{name}");
+        let body = serde_json::to_vec(document)
+            .map_err(|error| VerbError::Unexpected(error.to_string()))?;
+        self.call(Method::PUT, &path, None, body).await
+    }
+
+    /// Deletes a resource, if it still has the expected revision.
+    pub async fn delete(
+        &self,
+        collection: Collection,
+        name: &str,
+        expected: Option<u64>,
+    ) -> Result<(), VerbError> {
+        let path = format!("{API_PREFIX}/{collection}/{name}");
+        let call = self.call(Method::DELETE, &path, expected, Vec::new());
+        let _deleted: serde_json::Value = call.await?;
+        Ok(())
+    }
+
+    /// Begins to read a path whose answer does not end.
+    pub(super) async fn stream(&self, path: &str) -> Result<ClientResponse, VerbError> {
+        let mut last = no_server();
+        for server in &self.servers {
+            let request = self.request(Method::GET, server, path, None);
+            match request.send().await {
+                Ok(response) if response.status().is_success() => return Ok(response),
+                Ok(mut response) => {
+                    return Err(read_error(&response.body().await.unwrap_or_default()));
+                }
+                Err(error) => last = VerbError::Unreachable(format!("{server}: {error}")),
+            }
+        }
+        Err(last)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        body: Vec<u8>,
+    ) -> Result<T, VerbError> {
+        let mut last = no_server();
+        for server in &self.servers {
+            let request = self.request(method.clone(), server, path, expected);
+            match send(request, server, body.clone()).await {
+                Ok(answer) => {
+                    return serde_json::from_slice(&answer)
+                        .map_err(|error| VerbError::Unexpected(format!("{server}: {error}")));
+                }
+                Err(error) if is_for_next_server(&error) => last = error,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(last)
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        server: &str,
+        path: &str,
+        expected: Option<u64>,
+    ) -> ClientRequest {
+        let mut request = self.http.request(method, format!("{server}{path}"));
+        if let Some(token) = &self.token {
+            request = request.bearer_auth(token);
+        }
+        if let Some(expected) = expected {
+            request = request.insert_header(("if-match", format!("\"{expected}\"")));
+        }
+        request
+    }
+}
+
+/// Sends a request whole and reads its answer whole.
+async fn send(request: ClientRequest, server: &str, body: Vec<u8>) -> Result<Vec<u8>, VerbError> {
+    let mut response = request
+        .content_type("application/json")
+        .send_body(body)
+        .await
+        .map_err(|error| send_error(server, &error))?;
+    let answer = response
+        .body()
+        .limit(MAX_ANSWER_BYTES)
+        .await
+        .map_err(|error| VerbError::Broken(format!("{server}: {error}")))?;
+    if response.status().is_success() {
+        return Ok(answer.to_vec());
+    }
+    Err(read_error(&answer))
+}
+
+fn send_error(server: &str, error: &SendRequestError) -> VerbError {
+    let message = format!("{server}: {error}");
+    match error {
+        SendRequestError::Url(_) => VerbError::Usage(message),
+        // The connection was never made, so the request was not sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => VerbError::Broken(message),
+        SendRequestError::Connect(_) => VerbError::Unreachable(message),
+        _ => VerbError::Broken(message),
+    }
+}
+
+fn read_error(body: &[u8]) -> VerbError {
+    match serde_json::from_slice::<ApiError>(body) {
+        Ok(error) => VerbError::from(error),
+        Err(_) => VerbError::Unexpected(String::from_utf8_lossy(body).into_owned()),
+    }
+}
+
+/// Whether another server may do better: this one was not reached, or does not own the run.
+fn is_for_next_server(error: &VerbError) -> bool {
+    matches!(error, VerbError::Unreachable(_)) || error.code() == Some(ErrorCode::RunElsewhere)
+}
+
+fn no_server() -> VerbError {
+    VerbError::Usage("no server is named: use --server or ELDERWORKS_SERVER".to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/verbs/delete.rs
@@ -0,0 +1,16 @@
+//! `delete`: removes a resource.
+
+use elderworks_control::api::Collection;
+
+use super::{ApiClient, VerbError};
+
+/// Deletes a resource, if it still has the expected revision.
+pub async fn delete(
+    client: &ApiClient,
+    collection: Collection,
+    name: &str,
+    expected: Option<u64>,
+) -> Result<String, VerbError> {
+    client.delete(collection, name, expected).await?;
+    Ok(format!("{collection}/{name} deleted"))
+}
--- /dev/null
+++ b/crates/cli/src/verbs/get.rs
@@ -0,0 +1,72 @@
+//! `get` and `describe`: read resources.
+
+use elderworks_control::api::Collection;
+use elderworks_control::manifest::Document;
+
+use super::{ApiClient, OutputFormat, VerbError, table};
+
+/// One resource, or all of a collection.
+pub async fn get(
+    client: &ApiClient,
+    collection: Collection,
+    name: Option<&str>,
+    format: OutputFormat,
+) -> Result<String, VerbError> {
+    match name {
+        Some(name) => {
+            let document = client.get(collection, name).await?;
+            format.print(&document, |document| {
+                table::documents(collection, std::slice::from_ref(document))
+            })
+        }
+        None => {
+            let list = client.list(collection).await?;
+            format.print(&list, |list| table::documents(collection, &list.items))
+        }
+    }
+}
+
+/// Every field of one resource, and who uses it.
+pub async fn describe(
+    client: &ApiClient,
+    collection: Collection,
+    name: &str,
+) -> Result<String, VerbError> {
+    let document = client.get(collection, name).await?;
+    let mut text = OutputFormat::Yaml.print(&document, |_| String::new())?;
+    let users = users(client, collection, name).await?;
+    if !users.is_empty() {
+        text.push_str(&format!("usedByPrograms: {}\n", users.join(", ")));
+    }
+    Ok(text)
+}
+
+/// Programs that refer to a service or budget.
+async fn users(
+    client: &ApiClient,
+    collection: Collection,
+    name: &str,
+) -> Result<Vec<String>, VerbError> {
+    use elderworks_types::resource::Kind;
+    let Collection::Written(Kind::Service | Kind::Budget) = collection else {
+        return Ok(Vec::new());
+    };
+    let programs = client.list(Collection::Written(Kind::Program)).await?;
+    let users = programs.items.into_iter();
+    Ok(users
+        .filter(|program| refers_to(program, collection, name))
+        .map(|program| program.metadata.name)
+        .collect())
+}
+
+fn refers_to(program: &Document, collection: Collection, name: &str) -> bool {
+    use elderworks_types::resource::Kind;
+    let Some(spec) = &program.spec else {
+        return false;
+    };
+    if collection == Collection::Written(Kind::Budget) {
+        return spec["budget"] == name;
+    }
+    let services = spec["services"].as_array();
+    services.is_some_and(|services| services.iter().any(|service| service == name))
+}
--- /dev/null
+++ b/crates/cli/src/verbs/watch.rs
@@ -0,0 +1,235 @@
+//! `watch`: follows changes, over broken connections and restarted nodes.
+
+use std::ops::ControlFlow;
+use std::time::Duration;
+
+use awc::ClientResponse;
+use bytes::{Buf, Bytes, BytesMut};
+use elderworks_control::api::{API_PREFIX, Collection, ErrorCode, WatchAction, WatchLine};
+use elderworks_types::resource::Kind;
+use futures_util::StreamExt;
+use tokio::time::{sleep, timeout};
+
+use super::{ApiClient, OutputFormat, VerbError};
+
+/// A node sends something at least every five seconds; silence for this long is a dead connection.
+const SILENCE_LIMIT: Duration = Duration::from_secs(15);
+
+/// First pause before reconnecting; doubles up to [`MAX_BACKOFF`].
+const MIN_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Longest pause before reconnecting.
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
+
+/// Longest line taken, in bytes.
+const MAX_LINE_BYTES: usize = 16 * 1024 * 1024;
+
+/// What is watched.
+#[derive(Clone, Debug)]
+pub struct WatchTarget {
+    /// One kind, or all.
+    pub kind: Option<Kind>,
+    /// One resource of that kind.
+    pub name: Option<String>,
+    /// Last revision seen; `None` begins with what is there now.
+    pub after: Option<u64>,
+}
+
+impl WatchTarget {
+    /// Watches a collection that operators write.
+    pub fn new(
+        collection: Option<Collection>,
+        name: Option<String>,
+        after: Option<u64>,
+    ) -> Result<Self, VerbError> {
+        let kind = match collection {
+            None => None,
+            Some(Collection::Written(kind)) => Some(kind),
+            Some(other) => {
+                return Err(VerbError::Usage(format!("{other} cannot be watched")));
+            }
+        };
+        Ok(Self { kind, name, after })
+    }
+
+    fn path(&self, after: u64) -> String {
+        let collection = match self.kind {
+            Some(kind) => Collection::Written(kind).plural(),
+            None => "changes",
+        };
+        let name = self.name.iter().map(|name| format!("/{name}"));
+        let name: String = name.collect();
+        format!("{API_PREFIX}/{collection}{name}?watch=true&after={after}")
+    }
+
+    fn kinds(&self) -> Vec<Kind> {
+        match self.kind {
+            Some(kind) => vec![kind],
+            None => vec![
+                Kind::Configuration,
+                Kind::Service,
+                Kind::Budget,
+                Kind::Program,
+            ],
+        }
+    }
+}
+
+/// Passes every change to `sink` until it breaks off. A broken connection is taken up again after
+/// the last revision seen; where that is too old, everything is listed anew.
+pub async fn watch(
+    client: &ApiClient,
+    target: &WatchTarget,
+    mut sink: impl FnMut(&WatchLine) -> ControlFlow<()>,
+) -> Result<(), VerbError> {
+    let mut after = target.after;
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        match follow(client, target, &mut after, &mut sink).await {
+            Ok(ControlFlow::Break(())) => return Ok(()),
+            Ok(ControlFlow::Continue(())) => backoff = MIN_BACKOFF,
+            Err(error) if error.code() == Some(ErrorCode::WatchTooOld) => after = None,
+            Err(error) if is_passing(&error) => log::warn!("watch: {error}; trying again"),
+            Err(error) => return Err(error),
+        }
+        sleep(backoff).await;
+        backoff = MAX_BACKOFF.min(backoff * 2);
+    }
+}
+
+/// Follows one connection to its end.
+async fn follow(
+    client: &ApiClient,
+    target: &WatchTarget,
+    after: &mut Option<u64>,
+    sink: &mut impl FnMut(&WatchLine) -> ControlFlow<()>,
+) -> Result<ControlFlow<()>, VerbError> {
+    let from = match *after {
+        Some(revision) => revision,
+        None => {
+            let (revision, flow) = list_anew(client, target, sink).await?;
+            *after = Some(revision);
+            if flow.is_break() {
+                return Ok(flow);
+            }
+            revision
+        }
+    };
+    let response = client.stream(&target.path(from)).await?;
+    let mut lines = Lines::new(response);
+    while let Some(line) = lines.next().await? {
+        *after = Some(line.revision);
+        if sink(&line).is_break() {
+            return Ok(ControlFlow::Break(()));
+        }
+    }
+    Ok(ControlFlow::Continue(()))
+}
+
+/// Passes on everything that is there; returns the revision to watch from.
+async fn list_anew(
+    client: &ApiClient,
+    target: &WatchTarget,
+    sink: &mut impl FnMut(&WatchLine) -> ControlFlow<()>,
+) -> Result<(u64, ControlFlow<()>), VerbError> {
+    // With several lists, only what all of them cover is sure to be seen.
+    let mut revision = None;
+    for kind in target.kinds() {
+        let list = client.list(Collection::Written(kind)).await?;
+        let listed = list.revision.unwrap_or_default();
+        revision = Some(revision.map_or(listed, |least: u64| least.min(listed)));
+        for document in list.items {
+            let is_wanted = target
+                .name
+                .as_ref()
+                .is_none_or(|name| *name == document.metadata.name);
+            if !is_wanted {
+                continue;
+            }
+            let line = WatchLine {
+                action: WatchAction::Put,
+                revision: document.metadata.revision.unwrap_or_default(),
+                kind: document.kind.clone(),
+                name: document.metadata.name.clone(),
+                object: Some(document),
+            };
+            if sink(&line).is_break() {
+                return Ok((listed, ControlFlow::Break(())));
+            }
+        }
+    }
+    Ok((revision.unwrap_or_default(), ControlFlow::Continue(())))
+}
+
+fn is_passing(error: &VerbError) -> bool {
+    matches!(error, VerbError::Broken(_)) || error.may_be_tried_again()
+}
+
+/// The lines of a streamed response.
+struct Lines {
+    response: ClientResponse,
+    buffer: BytesMut,
+}
+
+impl Lines {
+    fn new(response: ClientResponse) -> Self {
+        Self {
+            response,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The next change; `None` where the node ended the watch.
+    async fn next(&mut self) -> Result<Option<WatchLine>, VerbError> {
+        loop {
+            if let Some(line) = self.take_line() {
+                if line.is_empty() {
+                    continue;
+                }
+                return serde_json::from_slice(&line)
+                    .map(Some)
+                    .map_err(|error| VerbError::Unexpected(error.to_string()));
+            }
+            match timeout(SILENCE_LIMIT, self.response.next()).await {
+                Err(_) => return Err(VerbError::Broken("nothing was heard in time".to_owned())),
+                Ok(None) => return Ok(None),
+                Ok(Some(Err(error))) => return Err(VerbError::Broken(error.to_string())),
+                Ok(Some(Ok(piece))) => self.extend(&piece)?,
+            }
+        }
+    }
+
+    fn extend(&mut self, piece: &Bytes) -> Result<(), VerbError> {
+        if self.buffer.len() + piece.len() > MAX_LINE_BYTES {
+            return Err(VerbError::Unexpected("a line is too long".to_owned()));
+        }
+        self.buffer.extend_from_slice(piece);
+        Ok(())
+    }
+
+    fn take_line(&mut self) -> Option<BytesMut> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let line = self.buffer.split_to(end);
+        self.buffer.advance(1);
+        Some(line)
+    }
+}
+
+/// One change as a line of text.
+pub fn print_line(line: &WatchLine, format: OutputFormat) -> Result<String, VerbError> {
+    if format == OutputFormat::Json {
+        // One line each, so that programs can read them as they come.
+        return serde_json::to_string(line)
+            .map_err(|error| VerbError::Unexpected(error.to_string()));
+    }
+    format.print(line, |line| {
+        let action = match line.action {
+            WatchAction::Put => "put",
+            WatchAction::Deleted => "deleted",
+        };
+        format!(
+            "{:>8}  {action:<8}  {}/{}",
+            line.revision, line.kind, line.name
+        )
+    })
+}
