--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -36,7 +36,6 @@
 #[derive(Debug)]
 pub struct RawAnswer {
     pub status: StatusCode,
-    pub retry_after: Option<String>,
     pub body: Vec<u8>,
 }
 
@@ -60,11 +59,8 @@
         request = request.insert_header(*header);
     }
     let mut answer = request.send_body(body.into()).await.expect("an answer");
-    let retry_after = answer.headers().get("retry-after");
-    let retry_after = retry_after.map(|value| value.to_str().expect("text").to_owned());
     RawAnswer {
         status: answer.status(),
-        retry_after,
         body: answer.body().await.expect("a whole body").to_vec(),
     }
 }
