Serve callers over HTTP and carry their calls to nodes

Cause: callers need a usual interface, OpenAI's chat completions beside the run's own resource. Ruled out: assigning call numbers in the state machine, since a renumbering after a reused number is a matter of this interface; trusting a caller's run id, which is checked with its owner first so that another tenant's run looks unknown. Change: actix-http routes, one error shape with stable codes and whether the call was run, SSE, framed postcard connections to nodes, counters, health, graceful stop. Conclusion: the sidecar can run as soon as a node speaks the agreed messages.

--- /dev/null
+++ b/crates/sidecar/src/driver.rs
@@ -0,0 +1,172 @@
+//! Moves events into the state machine and carries out its effects.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_sidecar_core::{
+    CallerReply, Effect, Event, RequestId, SidecarCore, SidecarSettings, TICK_INTERVAL,
+};
+use elderworks_types::Timestamp;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use crate::connection::{Connection, ConnectionEvent, ConnectionId, ConnectionReport};
+use crate::core_client::Command;
+use crate::metrics::Metrics;
+
+/// The wall clock.
+pub fn now() -> Timestamp {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Timestamp::default() + since_epoch
+}
+
+/// The driver's state.
+pub struct Driver {
+    core: SidecarCore,
+    sidecar: u64,
+    commands: mpsc::UnboundedReceiver<Command>,
+    reports: mpsc::UnboundedReceiver<ConnectionReport>,
+    report_sender: mpsc::UnboundedSender<ConnectionReport>,
+    connections: BTreeMap<SocketAddr, Connection>,
+    next_connection: ConnectionId,
+    callers: BTreeMap<RequestId, mpsc::UnboundedSender<CallerReply>>,
+    metrics: Arc<Metrics>,
+}
+
+impl Driver {
+    /// A driver that is not running yet.
+    pub fn new(
+        settings: SidecarSettings,
+        commands: mpsc::UnboundedReceiver<Command>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let (report_sender, reports) = mpsc::unbounded_channel();
+        Self {
+            sidecar: settings.seed,
+            core: SidecarCore::new(settings),
+            commands,
+            reports,
+            report_sender,
+            connections: BTreeMap::new(),
+            next_connection: 0,
+            callers: BTreeMap::new(),
+            metrics,
+        }
+    }
+
+    /// Runs until every client of it is gone.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+                Some(report) = self.reports.recv() => self.report(report),
+                _ = ticks.tick() => self.event(Event::Tick),
+            }
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Request {
+                request,
+                event,
+                replies,
+            } => {
+                self.callers.insert(request, replies);
+                self.event(*event);
+            }
+            Command::Gone { request } => {
+                if self.callers.remove(&request).is_some() {
+                    self.event(Event::CallerGone { request });
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, report: ConnectionReport) {
+        let address = report.address;
+        let is_current = self
+            .connections
+            .get(&address)
+            .is_some_and(|connection| connection.id == report.connection);
+        if !is_current {
+            return;
+        }
+        match report.event {
+            ConnectionEvent::Ready => {
+                log::info!(node:% = address; "connected to node");
+                self.event(Event::Connected { address });
+            }
+            ConnectionEvent::Received(message) => self.event(Event::Received { address, message }),
+            ConnectionEvent::Closed => self.closed(address),
+        }
+    }
+
+    fn closed(&mut self, address: SocketAddr) {
+        if self.connections.remove(&address).is_some() {
+            self.metrics.connections_lost.inc();
+            self.event(Event::Disconnected { address });
+        }
+    }
+
+    /// Gives the core one event and carries out what it asks for. A connection that breaks while
+    /// doing so is one more event, handled after the present one's effects.
+    fn event(&mut self, event: Event) {
+        let effects = self.core.handle(now(), event);
+        let mut broken = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Connect { address } => self.connect(address),
+                Effect::Send { address, message } => {
+                    if !self.send(address, message) {
+                        broken.push(address);
+                    }
+                }
+                Effect::Reply { request, reply } => self.reply(request, reply),
+            }
+        }
+        self.metrics
+            .observe_core(self.core.open_requests(), self.core.ready_nodes());
+        for address in broken {
+            self.closed(address);
+        }
+    }
+
+    fn connect(&mut self, address: SocketAddr) {
+        self.next_connection += 1;
+        let reports = self.report_sender.clone();
+        let connection = Connection::open(self.next_connection, address, self.sidecar, reports);
+        self.connections.insert(address, connection);
+    }
+
+    fn send(&mut self, address: SocketAddr, message: SidecarMessage) -> bool {
+        match self.connections.get(&address) {
+            Some(connection) => connection.send(message),
+            None => false,
+        }
+    }
+
+    fn reply(&mut self, request: RequestId, reply: CallerReply) {
+        if matches!(reply, CallerReply::Restarted) {
+            self.metrics.answers_restarted.inc();
+        }
+        let is_last = !matches!(reply, CallerReply::Chunk { .. } | CallerReply::Restarted);
+        if let Some(caller) = self.callers.get(&request) {
+            // A caller that hung up is removed by its own command.
+            let _ = caller.send(reply);
+        }
+        if is_last {
+            self.callers.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/http/calls.rs
@@ -0,0 +1,121 @@
+//! `POST /v1/runs/{id}/calls`.
+
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use elderworks_types::{CallRequest, Message, ModelRequest, RunId, TenantId, Tokens, ToolRequest};
+use futures_util::{Stream, stream};
+
+use super::call_request::{CallDraft, OpenCall, Step, check_run, submit};
+use super::error::ApiError;
+use super::run_wire::{CallBody, CompletedCall, ModelBody, Piece, ToolBody};
+use super::{ApiResult, App, auth, body, json, runs, sse};
+
+/// Most tokens generated where a caller sets no limit.
+pub const DEFAULT_MAX_OUTPUT: Tokens = Tokens(1024);
+
+/// Makes a call and answers with its whole answer or a stream of it.
+pub async fn make(app: App, mut request: Request, run: RunId) -> ApiResult {
+    let tenant = auth::tenant(&app.settings, &request.head().headers)?;
+    let limit = app.settings.limits.max_body_bytes;
+    let body: CallBody = body::json(&mut request, limit).await?;
+    check_run(&app, &tenant, run).await?;
+    let is_streamed = body.stream;
+    let draft = draft(&app, &tenant, run, body).await?;
+    let call = submit(&app, &tenant, run, draft).await?;
+    if is_streamed {
+        streamed(call)
+    } else {
+        whole(call).await
+    }
+}
+
+async fn draft(
+    app: &App,
+    tenant: &TenantId,
+    run: RunId,
+    body: CallBody,
+) -> Result<CallDraft, ApiError> {
+    let (request, is_repeatable) = match (body.model, body.tool) {
+        (Some(model), None) => (model_request(app, tenant, run, model).await?, true),
+        (None, Some(tool)) => (tool_request(tool), false),
+        _ => return Err(ApiError::invalid("give either `model` or `tool`")),
+    };
+    Ok(CallDraft {
+        number: body.number,
+        request,
+        repeatable: body.repeatable.unwrap_or(is_repeatable),
+        idempotency_key: body.idempotency_key,
+        deadline: body.deadline_ms.map(runs::from_now),
+        expected_reuse: body.expected_reuse_ms.map(Duration::from_millis),
+    })
+}
+
+async fn model_request(
+    app: &App,
+    tenant: &TenantId,
+    run: RunId,
+    body: ModelBody,
+) -> Result<CallRequest, ApiError> {
+    let history_prefix = match body.history_prefix {
+        Some(prefix) => prefix,
+        None => runs::view(app, tenant, run).await?.history.len() as u32,
+    };
+    Ok(CallRequest::Model(ModelRequest {
+        model: body.name,
+        history_prefix,
+        messages: body.messages.into_iter().map(Message::from).collect(),
+        max_output: body.max_output.unwrap_or(DEFAULT_MAX_OUTPUT),
+    }))
+}
+
+fn tool_request(body: ToolBody) -> CallRequest {
+    CallRequest::Tool(ToolRequest {
+        tool: body.name,
+        arguments: body.arguments.to_string(),
+    })
+}
+
+async fn whole(call: OpenCall) -> ApiResult {
+    let (run, number) = (call.run, call.number);
+    let answer = call.whole().await?;
+    let completed = CompletedCall::new(run, number, answer);
+    Ok(json(StatusCode::OK, &completed))
+}
+
+fn streamed(call: OpenCall) -> Result<Response<BoxBody>, ApiError> {
+    if let Some(error) = call.error_at_once() {
+        return Err(error);
+    }
+    Ok(sse::response(&[], events(call)))
+}
+
+fn events(call: OpenCall) -> impl Stream<Item = Bytes> {
+    stream::unfold(Some(call), |call| async move {
+        let mut call = call?;
+        let step = call.next().await;
+        let is_last = matches!(step, Step::Ended(_));
+        let event = event(&call, step);
+        Some((event, (!is_last).then_some(call)))
+    })
+}
+
+fn event(call: &OpenCall, step: Step) -> Bytes {
+    match step {
+        Step::Piece(text) => sse::event("chunk", &to_json(&Piece { text: &text })),
+        Step::Restarted => sse::event("restarted", "{}"),
+        Step::Ended(result) => match result {
+            Ok(answer) => {
+                let completed = CompletedCall::new(call.run, call.number, answer);
+                sse::event("completed", &to_json(&completed))
+            }
+            Err(error) => sse::event("error", &error.body()),
+        },
+    }
+}
+
+fn to_json(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).expect("responses are plain data")
+}
--- /dev/null
+++ b/crates/sidecar/src/http/error.rs
@@ -0,0 +1,302 @@
+//! The one shape of errors, and its stable codes.
+
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
+use actix_http::{Response, StatusCode};
+use elderworks_types::{FailureReason, Outcome, Refusal, RefusalReason, UnknownReason};
+use serde::Serialize;
+
+use crate::core_client::{StartError, Unreachable};
+
+/// Tells OpenAI's own clients not to repeat a request by themselves.
+const SHOULD_RETRY: &str = "x-should-retry";
+
+/// Whether what was asked for was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WasRun {
+    /// Surely not, now or later.
+    No,
+    /// Yes.
+    Yes,
+    /// It cannot be known.
+    Unknown,
+}
+
+/// An error as callers see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApiError {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+    run: WasRun,
+    retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'a> {
+    code: &'static str,
+    message: &'a str,
+    run: WasRun,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl ApiError {
+    /// A mistake in the request itself: nothing was run.
+    pub fn request(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            run: WasRun::No,
+            retry_after: None,
+        }
+    }
+
+    /// A field is missing, of the wrong type or out of range.
+    pub fn invalid(message: impl Into<String>) -> Self {
+        Self::request(StatusCode::BAD_REQUEST, "invalid_request", message)
+    }
+
+    /// The run does not exist, or belongs to another tenant.
+    pub fn run_not_found() -> Self {
+        Self::refused(&Refusal {
+            reason: RefusalReason::RunNotFound,
+            retry_after: None,
+        })
+    }
+
+    /// A refusal.
+    pub fn refused(refusal: &Refusal) -> Self {
+        let (status, code, message) = describe_refusal(refusal.reason);
+        Self {
+            status,
+            code,
+            message: message.to_owned(),
+            run: WasRun::No,
+            retry_after: refusal.retry_after,
+        }
+    }
+
+    /// The answer was made anew while part of another had been streamed.
+    pub fn answer_restarted() -> Self {
+        Self {
+            status: StatusCode::CONFLICT,
+            code: "answer_restarted",
+            message: "the answer was made anew; ask again with the same number for the whole of it"
+                .to_owned(),
+            run: WasRun::Yes,
+            retry_after: Some(Duration::ZERO),
+        }
+    }
+
+    /// The error of an outcome that is none of a completed call.
+    pub fn of_outcome(outcome: &Outcome) -> Option<Self> {
+        match outcome {
+            Outcome::Completed(_) => None,
+            Outcome::Refused(refusal) => Some(Self::refused(refusal)),
+            Outcome::Failed(failure) => {
+                let (status, code, message, run) = describe_failure(failure.reason);
+                Some(Self {
+                    status,
+                    code,
+                    message: join_detail(message, &failure.detail),
+                    run,
+                    retry_after: None,
+                })
+            }
+            Outcome::Unknown(reason) => {
+                let (code, message) = describe_unknown(*reason);
+                Some(Self {
+                    status: StatusCode::BAD_GATEWAY,
+                    code,
+                    message: message.to_owned(),
+                    run: WasRun::Unknown,
+                    retry_after: None,
+                })
+            }
+        }
+    }
+
+    /// The stable code.
+    pub fn code(&self) -> &'static str {
+        self.code
+    }
+
+    /// The JSON form.
+    pub fn body(&self) -> String {
+        let retry_after_ms = self.retry_after.map(|wait| wait.as_millis() as u64);
+        let body = ErrorBody {
+            error: ErrorFields {
+                code: self.code,
+                message: &self.message,
+                run: self.run,
+                retry_after_ms,
+            },
+        };
+        serde_json::to_string(&body).expect("errors are plain data")
+    }
+
+    /// The whole response.
+    pub fn into_response(self) -> Response<BoxBody> {
+        let mut builder = Response::build(self.status);
+        builder.insert_header((CONTENT_TYPE, "application/json"));
+        if let Some(wait) = self.retry_after {
+            builder.insert_header((RETRY_AFTER, whole_seconds(wait).to_string()));
+        }
+        if self.run != WasRun::No {
+            builder.insert_header((SHOULD_RETRY, "false"));
+        }
+        builder.body(self.body()).map_into_boxed_body()
+    }
+}
+
+fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_millis().div_ceil(1000) as u64
+}
+
+fn join_detail(message: &str, detail: &str) -> String {
+    if detail.is_empty() {
+        message.to_owned()
+    } else {
+        format!("{message}: {detail}")
+    }
+}
+
+impl From<Unreachable> for ApiError {
+    fn from(_: Unreachable) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            code: "no_answer_from_node",
+            message: "no node answered in time; the request may be repeated".to_owned(),
+            run: WasRun::Unknown,
+            retry_after: Some(elderworks_sidecar_core::core::RETRY_AFTER),
+        }
+    }
+}
+
+impl From<StartError> for ApiError {
+    fn from(error: StartError) -> Self {
+        match error {
+            StartError::Refused(refusal) => Self::refused(&refusal),
+            StartError::Unreachable => Unreachable.into(),
+        }
+    }
+}
+
+fn describe_refusal(reason: RefusalReason) -> (StatusCode, &'static str, &'static str) {
+    use RefusalReason as R;
+    match reason {
+        R::LogUnavailable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "log_unavailable",
+            "the platform's log does not answer",
+        ),
+        R::Overloaded => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "overloaded",
+            "queues are full, or the call could not be answered by its deadline",
+        ),
+        R::RunBudgetExhausted => (
+            StatusCode::PAYMENT_REQUIRED,
+            "run_budget_exhausted",
+            "the run's budget cannot cover this call",
+        ),
+        R::TenantBudgetExhausted => (
+            StatusCode::PAYMENT_REQUIRED,
+            "tenant_budget_exhausted",
+            "the tenant's budget cannot cover this call",
+        ),
+        R::RunLimitReached => (
+            StatusCode::CONFLICT,
+            "run_limit_reached",
+            "the run has reached a limit of its program",
+        ),
+        R::RunEnded => (StatusCode::CONFLICT, "run_ended", "the run has ended"),
+        R::RunNotFound => (StatusCode::NOT_FOUND, "run_not_found", "no such run"),
+        R::NoBackend => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_backend",
+            "no live service offers the model or tool",
+        ),
+        R::UnknownService => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "unknown_service",
+            "no service offers the model, tool or program",
+        ),
+        R::CallNumberReused => (
+            StatusCode::CONFLICT,
+            "call_number_reused",
+            "the call's number was used by a different call",
+        ),
+        R::DeadlinePassed => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "deadline_passed",
+            "the deadline passed before the call could start",
+        ),
+        R::EarlierCallMissing => (
+            StatusCode::CONFLICT,
+            "earlier_call_missing",
+            "earlier calls of the run did not arrive in time",
+        ),
+        R::NoNodeReachable => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_node_reachable",
+            "no node could be reached",
+        ),
+    }
+}
+
+fn describe_failure(reason: FailureReason) -> (StatusCode, &'static str, &'static str, WasRun) {
+    match reason {
+        FailureReason::BackendError => (
+            StatusCode::BAD_GATEWAY,
+            "backend_error",
+            "the back end answered with an error",
+            WasRun::Yes,
+        ),
+        FailureReason::AttemptsExhausted => (
+            StatusCode::BAD_GATEWAY,
+            "attempts_exhausted",
+            "every permitted attempt was lost",
+            WasRun::Unknown,
+        ),
+        FailureReason::TimedOut => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "timed_out",
+            "the call ran longer than its limit",
+            WasRun::Unknown,
+        ),
+        FailureReason::Cancelled => (
+            StatusCode::CONFLICT,
+            "cancelled",
+            "the run was ended while the call was open",
+            WasRun::Unknown,
+        ),
+    }
+}
+
+fn describe_unknown(reason: UnknownReason) -> (&'static str, &'static str) {
+    match reason {
+        UnknownReason::OwnerLost => (
+            "owner_lost",
+            "the node was lost after it may have run the call, which will not be run again",
+        ),
+        UnknownReason::ConnectionLost => (
+            "connection_lost",
+            "the connection to the back end broke after the call was sent; it will not be run again",
+        ),
+        UnknownReason::NoAnswer => (
+            "no_answer",
+            "the back end did not answer in time; the call will not be run again",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/http/route.rs
@@ -0,0 +1,87 @@
+//! Which resource a request is for.
+
+use actix_http::{Method, StatusCode};
+use elderworks_types::RunId;
+
+use super::error::ApiError;
+
+/// The resources of the callers' interface.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// `GET /metrics`.
+    Metrics,
+    /// `GET /healthz`.
+    Healthz,
+    /// `GET /readyz`.
+    Readyz,
+    /// `POST /v1/chat/completions`.
+    ChatCompletions,
+    /// `POST /v1/runs`.
+    StartRun,
+    /// `GET /v1/runs/{id}`.
+    ReadRun(RunId),
+    /// `DELETE /v1/runs/{id}`.
+    EndRun(RunId),
+    /// `GET /v1/runs/{id}/history`.
+    History(RunId),
+    /// `GET /v1/runs/{id}/watch`.
+    Watch(RunId),
+    /// `POST /v1/runs/{id}/calls`.
+    Call(RunId),
+}
+
+impl Route {
+    /// Finds the resource; a run id that is none is treated like an unknown run.
+    pub fn of(method: &Method, path: &str) -> Result<Self, ApiError> {
+        let segments: Vec<&str> = path.split('/').skip(1).collect();
+        match segments.as_slice() {
+            ["metrics"] => only(method, Method::GET, Route::Metrics),
+            ["healthz"] => only(method, Method::GET, Route::Healthz),
+            ["readyz"] => only(method, Method::GET, Route::Readyz),
+            ["v1", "chat", "completions"] => only(method, Method::POST, Route::ChatCompletions),
+            ["v1", "runs"] => only(method, Method::POST, Route::StartRun),
+            ["v1", "runs", id] if *method == Method::DELETE => Ok(Route::EndRun(parse(id)?)),
+            ["v1", "runs", id] => only(method, Method::GET, Route::ReadRun(parse(id)?)),
+            ["v1", "runs", id, "calls"] => only(method, Method::POST, Route::Call(parse(id)?)),
+            ["v1", "runs", id, "history"] => only(method, Method::GET, Route::History(parse(id)?)),
+            ["v1", "runs", id, "watch"] => only(method, Method::GET, Route::Watch(parse(id)?)),
+            _ => {
+                let message = format!("no resource at {path}");
+                Err(ApiError::request(
+                    StatusCode::NOT_FOUND,
+                    "not_found",
+                    message,
+                ))
+            }
+        }
+    }
+
+    /// The resource's name, for counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Route::Metrics => "metrics",
+            Route::Healthz => "healthz",
+            Route::Readyz => "readyz",
+            Route::ChatCompletions => "chat_completions",
+            Route::StartRun => "start_run",
+            Route::ReadRun(_) => "read_run",
+            Route::EndRun(_) => "end_run",
+            Route::History(_) => "history",
+            Route::Watch(_) => "watch",
+            Route::Call(_) => "call",
+        }
+    }
+}
+
+fn only(method: &Method, allowed: Method, route: Route) -> Result<Route, ApiError> {
+    if *method == allowed {
+        return Ok(route);
+    }
+    let message = format!("only {allowed} is possible here");
+    let status = StatusCode::METHOD_NOT_ALLOWED;
+    Err(ApiError::request(status, "method_not_allowed", message))
+}
+
+fn parse(id: &str) -> Result<RunId, ApiError> {
+    id.parse().map_err(|_| ApiError::run_not_found())
+}
--- /dev/null
+++ b/crates/sidecar/tests/callers/client.rs
@@ -0,0 +1,128 @@
+//! A caller.
+
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use elderworks_settings::{BearerToken, SidecarLimits, SidecarProcessSettings};
+use elderworks_sidecar::{SidecarHandle, start};
+use elderworks_types::{TenantId, ZoneId};
+use serde_json::Value;
+
+use crate::node::ScriptedNode;
+
+/// Token of the first tenant.
+pub const OFFICE: &str = "office-token";
+/// Token of the second tenant.
+pub const KITCHEN: &str = "kitchen-token";
+/// Largest body taken by the sidecar under test.
+pub const MAX_BODY_BYTES: usize = 4096;
+
+const READY_ATTEMPTS: u32 = 600;
+const READY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A sidecar, its node and a client.
+pub struct Setup {
+    pub node: ScriptedNode,
+    pub sidecar: SidecarHandle,
+    client: awc::Client,
+}
+
+/// A response, read whole.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: awc::http::header::HeaderMap,
+    pub body: String,
+}
+
+impl Reply {
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|_| panic!("not JSON: {}", self.body))
+    }
+
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// The data of every server-sent event.
+    pub fn events(&self) -> Vec<String> {
+        self.body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+/// Starts everything and waits until the sidecar is ready.
+pub async fn setup() -> Setup {
+    let node = ScriptedNode::start().await;
+    let settings = SidecarProcessSettings {
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        nodes: vec![node.address],
+        zone: ZoneId::new("zone-a"),
+        default_program: None,
+        tenants: [("office", OFFICE), ("kitchen", KITCHEN)]
+            .map(|(tenant, token)| (TenantId::new(tenant), BearerToken::new(token)))
+            .into(),
+        limits: SidecarLimits {
+            max_body_bytes: MAX_BODY_BYTES,
+            ..SidecarLimits::default()
+        },
+        logging: Default::default(),
+    };
+    let sidecar = start(settings).expect("a free port");
+    let setup = Setup {
+        node,
+        sidecar,
+        client: awc::Client::default(),
+    };
+    for _ in 0..READY_ATTEMPTS {
+        if setup.send(Method::GET, "/readyz", &[], "").await.status == StatusCode::OK {
+            return setup;
+        }
+        actix_rt::time::sleep(READY_INTERVAL).await;
+    }
+    panic!("the sidecar did not become ready");
+}
+
+impl Setup {
+    /// Sends a request with the given headers.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let url = format!("http://{}{path}", self.sidecar.address());
+        let mut request = self.client.request(method, url);
+        for (name, value) in headers {
+            request = request.insert_header((*name, *value));
+        }
+        let mut response = request.send_body(body.to_owned()).await.expect("an answer");
+        let bytes = response.body().await.expect("a whole body");
+        Reply {
+            status: response.status(),
+            headers: response.headers().clone(),
+            body: String::from_utf8(bytes.to_vec()).expect("text"),
+        }
+    }
+
+    /// Sends a request as a tenant.
+    pub async fn send_as(&self, token: &str, method: Method, path: &str, body: &str) -> Reply {
+        let bearer = format!("Bearer {token}");
+        self.send(method, path, &[("authorization", &bearer)], body)
+            .await
+    }
+
+    /// Starts a run as a tenant; returns its id.
+    pub async fn start_run(&self, token: &str) -> String {
+        let body = r#"{"program":"boundary"}"#;
+        let reply = self.send_as(token, Method::POST, "/v1/runs", body).await;
+        assert_eq!(reply.status, StatusCode::CREATED, "{}", reply.body);
+        reply.json()["id"].as_str().expect("an id").to_owned()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/callers/main.rs
@@ -0,0 +1,6 @@
+//! The callers' interface over HTTP, against a scripted node.
+
+mod bad_input;
+mod client;
+mod node;
+mod programs;
