--- a/crates/control/src/body.rs
+++ b/crates/control/src/body.rs
@@ -24,20 +24,25 @@
         /// Revision that the operator saw.
         expected: Option<Offset>,
     },
-    /// A node started; its incarnation is the offset of this record.
+    /// A node started; its incarnation is the offset of the first such record. On the control
+    /// stream itself, where no record can know its offset beforehand, writers are told apart by
+    /// the nonce: it stands as the incarnation of every record that this start writes there. Other
+    /// records of a writer count only after this one.
     NodeStarted {
         /// Which.
         node: NodeId,
         /// Random, to recognise its own record when read back.
         nonce: u64,
     },
-    /// State after all records before this one, in parts.
+    /// The state after a given record, in parts.
     Snapshot {
+        /// Offset of the last record that the state includes; a reader goes on from here.
+        covers: Offset,
         /// Which part, from 0.
         part: u32,
         /// How many there are.
         parts: u32,
-        /// Encoded state.
+        /// A piece of the encoded state; the pieces joined in order form the whole.
         bytes: Vec<u8>,
     },
 }
