--- a/crates/cli/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The elderworks command: processes, operator's verbs and the embedded demo.
