Keep waiting calls in one queue and withdraw what the log held too long

Cause: admission counted open calls by walking all runs, and a call accepted just before a log outage would have been sent whenever the log came back, hours late. Ruled out: refusing it at once, since its acceptance may have landed and another owner would send it.

--- a/crates/execution/src/partition/allotments.rs
+++ b/crates/execution/src/partition/allotments.rs
@@ -1,7 +1,7 @@
 //! Tenants' budgets: allotments asked of their holder, and granted as holder.
 
 use elderworks_protocol::journal::JournalBody;
-use elderworks_types::{Credits, PartitionId, RunId, Sequence, TenantId, Timestamp};
+use elderworks_types::{Credits, PartitionId, Sequence, TenantId, Timestamp};
 
 use super::Partition;
 use crate::Effect;
@@ -86,19 +86,10 @@
 
     /// Tries again the runs of a tenant that wait for its allotment.
     fn advance_tenant(&mut self, now: Timestamp, tenant: &TenantId) {
-        let waiting: Vec<RunId> = self
-            .soft
-            .runs
-            .iter()
-            .filter(|(_, work)| {
-                let mut submissions = work.waiting.values();
-                submissions.any(|submission| submission.short_since.is_some())
-            })
-            .map(|(run, _)| *run)
-            .filter(|run| self.journal.run_of(tenant, *run).is_some())
-            .collect();
-        for run in waiting {
-            self.advance(now, run);
+        for run in self.soft.queue.runs_short_of_allotment() {
+            if self.journal.run_of(tenant, run).is_some() {
+                self.advance(now, run);
+            }
         }
     }
 
--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -40,7 +40,10 @@
         if repeatable {
             return self.dispatch(now, id, attempt);
         }
-        open.stage = Stage::Intent(attempt);
+        open.stage = Stage::Intent {
+            attempt,
+            since: now,
+        };
         self.append(JournalBody::AttemptStarted {
             call: id,
             attempt,
@@ -50,12 +53,23 @@
 
     /// The start of an attempt counts; one that must not be repeated goes out only now.
     pub(super) fn on_attempt_started(&mut self, now: Timestamp, id: CallId, attempt: Attempt) {
-        let Some(open) = self.soft.open(id.run, id.number) else {
+        let stage = self
+            .soft
+            .open(id.run, id.number)
+            .map(|open| open.stage.clone());
+        let Some(Stage::Intent {
+            attempt: intended,
+            since,
+        }) = stage
+        else {
             return;
         };
-        if open.stage != Stage::Intent(attempt) {
+        if intended != attempt {
             return;
         }
+        if self.is_overdue_record(now, since) {
+            return self.withdraw(now, id);
+        }
         if self.is_ending(id.run) {
             return self.cancel_open_call(now, id.run);
         }
--- a/crates/execution/src/partition/ending.rs
+++ b/crates/execution/src/partition/ending.rs
@@ -157,15 +157,11 @@
     }
 
     fn refuse_all_waiting(&mut self, run: RunId, phase: RunPhase) {
-        let Some(work) = self.soft.runs.get_mut(&run) else {
-            return;
-        };
         let reason = match phase {
             RunPhase::LimitReached => RefusalReason::RunLimitReached,
             _ => RefusalReason::RunEnded,
         };
-        for (number, submission) in std::mem::take(&mut work.waiting) {
-            let id = CallId { run, number };
+        for (id, submission) in self.soft.queue.take_run(run) {
             self.refuse_submission(id, &submission, refusal(reason, None));
         }
     }
--- a/crates/execution/src/partition/failures.rs
+++ b/crates/execution/src/partition/failures.rs
@@ -88,8 +88,10 @@
         let Some(call) = self.journal.open_call(id) else {
             return;
         };
+        let asked = retry_after.unwrap_or_default();
+        let wait = backoff(&self.settings, id, attempt).max(asked);
         let plan = Backoff {
-            until: now + backoff(&self.settings, id, attempt),
+            until: now + wait.min(self.settings.retry_backoff_limit),
             since: now,
             spent: call.spent,
             reason: FailureReason::AttemptsExhausted,
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -70,6 +70,10 @@
         if self.soft.release.is_some() {
             return self.turn_away([connection], run, None);
         }
+        let parent_closed = spec.parent.and_then(|parent| self.closed_reason(parent));
+        if let Some(reason) = parent_closed {
+            return self.refuse_start(connection, run, reason, None);
+        }
         let Some(limits) = limits else {
             return self.refuse_start(connection, run, RefusalReason::UnknownService, None);
         };
@@ -188,10 +192,10 @@
         if let Some(call) = self.journal.call(id) {
             return Some(call.spec.clone());
         }
-        let work = self.soft.runs.get(&id.run)?;
-        if let Some(waiting) = work.waiting.get(&id.number) {
+        if let Some(waiting) = self.soft.queue.get(id) {
             return Some(waiting.spec.clone());
         }
+        let work = self.soft.runs.get(&id.run)?;
         work.accepting
             .as_ref()
             .map(|accepting| &accepting.submission.spec)
@@ -202,12 +206,12 @@
     /// Adds a connection to a call that has not ended.
     fn attach(&mut self, now: Timestamp, id: CallId, request: &CallRequested) {
         let connection = request.connection;
+        if let Some(waiting) = self.soft.queue.get_mut(id) {
+            return waiting.callers.attach(connection, Some(0));
+        }
         let Some(work) = self.soft.runs.get_mut(&id.run) else {
             return;
         };
-        if let Some(waiting) = work.waiting.get_mut(&id.number) {
-            return waiting.callers.attach(connection, Some(0));
-        }
         if let Some(accepting) = &mut work.accepting
             && accepting.submission.spec.number == id.number
         {
@@ -254,11 +258,7 @@
         if request.spec.deadline.is_some_and(|deadline| deadline < now) {
             return Err(refusal(RefusalReason::DeadlinePassed, None));
         }
-        let waiting = self
-            .soft
-            .runs
-            .get(&id.run)
-            .map_or(0, |work| work.waiting.len());
+        let waiting = self.soft.queue.of_run(id.run).count();
         let run_full = waiting >= self.settings.max_waiting_per_run;
         let full = self.soft.call_count() >= self.settings.max_open_calls;
         if run_full || full {
@@ -292,17 +292,17 @@
             received: now,
             short_since: None,
         };
-        let work = self.soft.work(id.run, now);
-        work.waiting.insert(id.number, submission);
+        let deadline = submission.spec.deadline;
+        self.soft.work(id.run, now);
+        self.soft.queue.insert(id, submission);
         self.advance(now, id.run);
-        let still_waiting = self
-            .soft
-            .runs
-            .get(&id.run)
-            .is_some_and(|work| work.waiting.contains_key(&id.number));
-        if still_waiting {
-            self.soft.notes.line(id, "waits for its turn");
-            self.wake_at(now + self.settings.earlier_call_wait, id.run);
+        if self.soft.queue.get(id).is_none() {
+            return;
+        }
+        self.soft.notes.line(id, "waits for its turn");
+        self.wake_at(now + self.settings.earlier_call_wait, id.run);
+        if let Some(deadline) = deadline {
+            self.wake_at(deadline + Duration::from_micros(1), id.run);
         }
     }
 
@@ -338,12 +338,8 @@
         for start in self.soft.starting.values_mut() {
             start.connections.remove(&connection);
         }
+        self.soft.queue.detach(connection);
         for work in self.soft.runs.values_mut() {
-            for waiting in work.waiting.values_mut() {
-                waiting.callers.detach(connection);
-            }
-            work.waiting
-                .retain(|_, submission| !submission.callers.is_empty());
             if let Some(accepting) = &mut work.accepting {
                 accepting.submission.callers.detach(connection);
             }
@@ -364,16 +360,10 @@
             self.try_release(now);
             return;
         }
-        let mut waiting = Vec::new();
-        for (run, work) in &mut self.soft.runs {
-            for (number, submission) in std::mem::take(&mut work.waiting) {
-                let id = CallId { run: *run, number };
-                waiting.push((id, submission));
-            }
-        }
-        for (id, submission) in waiting {
+        for (id, submission) in self.soft.queue.take_all() {
             let reason = RefusalReason::LogUnavailable;
             self.refuse_submission(id, &submission, refusal(reason, Some(LOG_RETRY)));
+            self.drop_idle_work(id.run);
         }
     }
 
--- a/crates/execution/src/partition/ordering.rs
+++ b/crates/execution/src/partition/ordering.rs
@@ -2,7 +2,7 @@
 
 use elderworks_protocol::journal::JournalBody;
 use elderworks_types::{
-    CallId, CallNumber, CallRequest, Credits, Refusal, RefusalReason, RunId, RunPhase, TenantId,
+    CallId, CallRequest, Credits, Outcome, Refusal, RefusalReason, RunId, RunPhase, TenantId,
     Timestamp, Tokens, text,
 };
 
@@ -28,7 +28,7 @@
     pub(super) fn advance(&mut self, now: Timestamp, run: RunId) {
         while let Some((id, turn)) = self.next_turn(now, run) {
             match turn {
-                Turn::Accept(reserved) => return self.accept(id, reserved),
+                Turn::Accept(reserved) => return self.accept(now, id, reserved),
                 Turn::Short(tenant, missing) => {
                     return self.wait_for_allotment(now, id, tenant, missing);
                 }
@@ -50,8 +50,8 @@
             return None;
         }
         let number = state.next_number();
-        let submission = work.waiting.get(&number)?;
         let id = CallId { run, number };
+        let submission = self.soft.queue.get(id)?;
         Some((id, self.judge_turn(now, state, submission)))
     }
 
@@ -103,15 +103,12 @@
         Turn::Accept(reserved)
     }
 
-    fn accept(&mut self, id: CallId, reserved: Credits) {
+    fn accept(&mut self, now: Timestamp, id: CallId, reserved: Credits) {
         let tenant = self.journal.runs.get(&id.run).and_then(|state| {
             let draws = state.limits.tenant_budget;
             draws.then(|| state.spec.tenant.clone())
         });
-        let Some(work) = self.soft.runs.get_mut(&id.run) else {
-            return;
-        };
-        let Some(submission) = work.waiting.remove(&id.number) else {
+        let Some(submission) = self.soft.queue.remove(id) else {
             return;
         };
         let body = JournalBody::CallAccepted {
@@ -120,18 +117,18 @@
             reserved,
             terms: submission.terms,
         };
-        work.accepting = Some(Accepting {
+        let accepting = Accepting {
             submission,
             reserved,
+            since: now,
             tenant,
-        });
+        };
+        self.soft.begin_accepting(id.run, accepting);
         self.append(body);
     }
 
     fn refuse_waiting(&mut self, id: CallId, refusal: Refusal) {
-        let work = self.soft.runs.get_mut(&id.run);
-        let submission = work.and_then(|work| work.waiting.remove(&id.number));
-        if let Some(submission) = submission {
+        if let Some(submission) = self.soft.queue.remove(id) {
             self.refuse_submission(id, &submission, refusal);
         }
     }
@@ -145,8 +142,7 @@
     ) {
         let denied = self.request_allotment(now, &tenant, missing);
         let wait = self.settings.allotment_wait;
-        let work = self.soft.work(id.run, now);
-        let Some(submission) = work.waiting.get_mut(&id.number) else {
+        let Some(submission) = self.soft.queue.get_mut(id) else {
             return;
         };
         let since = *submission.short_since.get_or_insert(now);
@@ -161,20 +157,35 @@
 
     /// The acceptance counts: the call is open.
     pub(super) fn on_call_accepted(&mut self, now: Timestamp, run: RunId) {
-        let work = self.soft.work(run, now);
-        let Some(accepting) = work.accepting.take() else {
+        let Some(accepting) = self.soft.finish_accepting(run) else {
             return;
         };
         let number = accepting.submission.spec.number;
+        let work = self.soft.work(run, now);
         work.open = Some(OpenCall::new(number, accepting.submission.callers));
         self.counters.calls_accepted += 1;
         let id = CallId { run, number };
         self.soft
             .notes
             .line(id, format!("accepted, {} reserved", accepting.reserved));
+        if self.is_overdue_record(now, accepting.since) {
+            return self.withdraw(now, id);
+        }
         self.begin_attempt(now, id);
     }
 
+    /// Whether a record took so long to be read back that what it permits is no longer wanted.
+    pub(super) fn is_overdue_record(&self, now: Timestamp, appended: Timestamp) -> bool {
+        now.since(appended) >= self.settings.withdraw_after
+    }
+
+    /// Ends an accepted call that was not sent, and will not be, as refused.
+    pub(super) fn withdraw(&mut self, now: Timestamp, id: CallId) {
+        let reason = RefusalReason::LogUnavailable;
+        let refusal = refusal(reason, Some(SHORT_RETRY));
+        self.end_call(now, id, Outcome::Refused(refusal));
+    }
+
     /// The acceptance will never count: nothing was run and nothing can follow.
     pub(super) fn on_acceptance_rejected(
         &mut self,
@@ -182,14 +193,13 @@
         run: RunId,
         why: Inconsistency,
     ) {
-        let work = self.soft.work(run, now);
-        let Some(accepting) = work.accepting.take() else {
+        let Some(accepting) = self.soft.finish_accepting(run) else {
             return;
         };
         let submission = accepting.submission;
         let number = submission.spec.number;
         if why == Inconsistency::TenantBudget {
-            work.waiting.insert(number, submission);
+            self.soft.queue.insert(CallId { run, number }, submission);
             return self.advance(now, run);
         }
         let reason = match why {
@@ -207,6 +217,18 @@
         self.begin_ending(now, run, RunPhase::LimitReached, None);
     }
 
+    /// Refuses waiting calls whose answer would come too late.
+    pub(super) fn refuse_late(&mut self, now: Timestamp, run: RunId) {
+        let waiting = self.soft.queue.of_run(run);
+        let late: Vec<CallId> = waiting
+            .filter(|(_, submission)| submission.spec.deadline.is_some_and(|at| at < now))
+            .map(|(id, _)| id)
+            .collect();
+        for id in late {
+            self.refuse_waiting(id, refusal(RefusalReason::DeadlinePassed, None));
+        }
+    }
+
     /// Refuses calls that waited too long for one that has not arrived.
     pub(super) fn refuse_overdue(&mut self, now: Timestamp, run: RunId) {
         let Some(state) = self.journal.runs.get(&run) else {
@@ -217,22 +239,22 @@
         let Some(work) = self.soft.runs.get(&run) else {
             return;
         };
+        let next = CallId { run, number: next };
         let idle = work.open.is_none() && work.accepting.is_none();
-        if !idle || work.waiting.is_empty() || work.waiting.contains_key(&next) {
+        if !idle || self.soft.queue.get(next).is_some() {
             return;
         }
-        let mut overdue: Vec<CallNumber> = Vec::new();
+        let mut overdue: Vec<CallId> = Vec::new();
         let mut due = None;
-        for (number, submission) in &work.waiting {
+        for (id, submission) in self.soft.queue.of_run(run) {
             let since = submission.received.max(work.idle_since);
             if now.since(since) >= wait {
-                overdue.push(*number);
+                overdue.push(id);
             } else {
                 due = due.max(Some(since + wait));
             }
         }
-        for number in overdue {
-            let id = CallId { run, number };
+        for id in overdue {
             let reason = RefusalReason::EarlierCallMissing;
             self.refuse_waiting(id, refusal(reason, Some(SHORT_RETRY)));
         }
@@ -244,7 +266,7 @@
     /// Forgets the work of a run that has none.
     pub(super) fn drop_idle_work(&mut self, run: RunId) {
         let idle = self.soft.runs.get(&run).is_some_and(|work| work.is_idle());
-        if idle {
+        if idle && self.soft.queue.of_run(run).next().is_none() {
             self.soft.runs.remove(&run);
         }
     }
--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -71,11 +71,12 @@
         for (run, start) in soft.starting {
             self.turn_away(start.connections, run, None);
         }
+        let mut queue = soft.queue;
+        for (id, submission) in queue.take_all() {
+            let callers = submission.callers.connections();
+            self.turn_away(callers, id.run, Some(id.number));
+        }
         for (run, work) in soft.runs {
-            for (number, submission) in work.waiting {
-                let callers = submission.callers.connections();
-                self.turn_away(callers, run, Some(number));
-            }
             if let Some(accepting) = work.accepting {
                 let submission = accepting.submission;
                 let callers = submission.callers.connections();
@@ -137,15 +138,9 @@
     }
 
     fn turn_waiting_away(&mut self) {
-        let mut waiting = Vec::new();
-        for (run, work) in &mut self.soft.runs {
-            let submissions = std::mem::take(&mut work.waiting);
-            for (number, submission) in submissions {
-                waiting.push((*run, number, submission.callers.connections()));
-            }
-        }
-        for (run, number, connections) in waiting {
-            self.turn_away(connections, run, Some(number));
+        for (id, submission) in self.soft.queue.take_all() {
+            let connections = submission.callers.connections();
+            self.turn_away(connections, id.run, Some(id.number));
         }
     }
 
--- a/crates/execution/src/partition/timers.rs
+++ b/crates/execution/src/partition/timers.rs
@@ -36,6 +36,7 @@
         }
         self.end_overlong_run(now, run);
         self.on_call_due(now, run);
+        self.refuse_late(now, run);
         self.refuse_overdue(now, run);
         self.advance(now, run);
     }
--- a/crates/execution/src/settings.rs
+++ b/crates/execution/src/settings.rs
@@ -25,6 +25,8 @@
     pub max_open_calls: usize,
     /// Longest that a call waits for an earlier one that has not arrived.
     pub earlier_call_wait: Duration,
+    /// Time after which a call whose acceptance was slow to be read back is no longer sent.
+    pub withdraw_after: Duration,
     /// Longest that a call waits for its tenant's allotment.
     pub allotment_wait: Duration,
     /// Smallest allotment asked for, so that most calls find one ready.
@@ -64,6 +66,7 @@
             max_waiting_per_run: 32,
             max_open_calls: 4096,
             earlier_call_wait: Duration::from_secs(5),
+            withdraw_after: Duration::from_secs(30),
             allotment_wait: Duration::from_secs(5),
             allotment_size: Credits(10_000),
             allotment_interval: Duration::from_millis(500),
--- a/crates/execution/src/soft.rs
+++ b/crates/execution/src/soft.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod callers;
 mod notes;
+mod queue;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -21,6 +22,7 @@
 pub(crate) use answer::{AnswerBuffer, Taken};
 pub(crate) use callers::Callers;
 pub(crate) use notes::Notebook;
+pub(crate) use queue::CallQueue;
 
 /// The owner's working state.
 #[derive(Debug)]
@@ -31,8 +33,12 @@
     pub release: Option<ReleaseProgress>,
     /// Runs whose start was appended.
     pub starting: BTreeMap<RunId, PendingStart>,
+    /// Calls that arrived and were not accepted yet.
+    pub queue: CallQueue,
     /// Work of runs that have any.
     pub runs: BTreeMap<RunId, RunWork>,
+    /// What calls on their way into the journal are about to reserve of each tenant's allotment.
+    pub accepting: BTreeMap<TenantId, Credits>,
     /// When to look at a run again.
     pub timers: BTreeSet<(Timestamp, RunId)>,
     /// Allotments asked for.
@@ -56,7 +62,9 @@
             in_flight: VecDeque::new(),
             release: None,
             starting: BTreeMap::new(),
+            queue: CallQueue::default(),
             runs: BTreeMap::new(),
+            accepting: BTreeMap::new(),
             timers: BTreeSet::new(),
             requests: BTreeMap::new(),
             granting: BTreeMap::new(),
@@ -78,19 +86,37 @@
         (open.number == number).then_some(open)
     }
 
-    /// Calls waiting, being accepted or open.
+    /// At most how many calls are waiting, being accepted or open.
     pub fn call_count(&self) -> usize {
-        self.runs.values().map(RunWork::call_count).sum()
+        self.queue.len() + self.runs.len()
     }
 
     /// What calls on their way into the journal are about to reserve of a tenant's allotment.
     pub fn accepting_reservations(&self, tenant: &TenantId) -> Credits {
-        self.runs
-            .values()
-            .filter_map(|work| work.accepting.as_ref())
-            .filter(|accepting| accepting.tenant.as_ref() == Some(tenant))
-            .map(|accepting| accepting.reserved)
-            .sum()
+        self.accepting.get(tenant).copied().unwrap_or_default()
+    }
+
+    /// Notes a call whose acceptance was appended.
+    pub fn begin_accepting(&mut self, run: RunId, accepting: Accepting) {
+        if let Some(tenant) = &accepting.tenant {
+            *self.accepting.entry(tenant.clone()).or_default() += accepting.reserved;
+        }
+        if let Some(work) = self.runs.get_mut(&run) {
+            work.accepting = Some(accepting);
+        }
+    }
+
+    /// The run's call whose acceptance was read back.
+    pub fn finish_accepting(&mut self, run: RunId) -> Option<Accepting> {
+        let accepting = self.runs.get_mut(&run)?.accepting.take()?;
+        if let Some(tenant) = &accepting.tenant {
+            let total = self.accepting.entry(tenant.clone()).or_default();
+            *total = total.saturating_sub(accepting.reserved);
+            if *total == Credits::ZERO {
+                self.accepting.remove(tenant);
+            }
+        }
+        Some(accepting)
     }
 }
 
@@ -115,8 +141,6 @@
 /// Work of one run.
 #[derive(Debug)]
 pub(crate) struct RunWork {
-    /// Calls that arrived and were not accepted yet.
-    pub waiting: BTreeMap<CallNumber, Submission>,
     /// The call whose acceptance was appended.
     pub accepting: Option<Accepting>,
     /// The call that is open in the journal.
@@ -130,7 +154,6 @@
 impl RunWork {
     fn new(now: Timestamp) -> Self {
         Self {
-            waiting: BTreeMap::new(),
             accepting: None,
             open: None,
             ending: None,
@@ -138,15 +161,9 @@
         }
     }
 
-    fn call_count(&self) -> usize {
-        let accepting = usize::from(self.accepting.is_some());
-        let open = usize::from(self.open.is_some());
-        self.waiting.len() + accepting + open
-    }
-
     /// Whether there is nothing to remember.
     pub fn is_idle(&self) -> bool {
-        self.call_count() == 0 && self.ending.is_none()
+        self.accepting.is_none() && self.open.is_none() && self.ending.is_none()
     }
 }
 
@@ -172,6 +189,8 @@
     pub submission: Submission,
     /// What it is about to reserve.
     pub reserved: Credits,
+    /// When it was appended.
+    pub since: Timestamp,
     /// The tenant, where its budget is drawn on.
     pub tenant: Option<TenantId>,
 }
@@ -216,7 +235,12 @@
     /// Nothing was begun.
     Idle,
     /// The start of an attempt was appended; it goes out once that is read back.
-    Intent(Attempt),
+    Intent {
+        /// Which attempt.
+        attempt: Attempt,
+        /// When it was appended.
+        since: Timestamp,
+    },
     /// An attempt is out.
     Running(Running),
     /// The next attempt waits for its time.
--- /dev/null
+++ b/crates/execution/src/soft/queue.rs
@@ -0,0 +1,89 @@
+//! Calls that arrived and were not accepted yet.
+
+use std::collections::BTreeMap;
+
+use elderworks_types::{CallId, CallNumber, RunId};
+
+use super::Submission;
+use crate::event::Connection;
+
+/// Waiting calls of all runs, by run and number.
+#[derive(Debug, Default)]
+pub(crate) struct CallQueue {
+    calls: BTreeMap<CallId, Submission>,
+}
+
+impl CallQueue {
+    /// How many calls wait.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Adds a call.
+    pub fn insert(&mut self, call: CallId, submission: Submission) {
+        self.calls.insert(call, submission);
+    }
+
+    /// A waiting call.
+    pub fn get(&self, call: CallId) -> Option<&Submission> {
+        self.calls.get(&call)
+    }
+
+    /// A waiting call.
+    pub fn get_mut(&mut self, call: CallId) -> Option<&mut Submission> {
+        self.calls.get_mut(&call)
+    }
+
+    /// Takes a call out.
+    pub fn remove(&mut self, call: CallId) -> Option<Submission> {
+        self.calls.remove(&call)
+    }
+
+    /// The waiting calls of one run in order.
+    pub fn of_run(&self, run: RunId) -> impl Iterator<Item = (CallId, &Submission)> {
+        let first = CallId {
+            run,
+            number: CallNumber(0),
+        };
+        let last = CallId {
+            run,
+            number: CallNumber(u32::MAX),
+        };
+        let range = self.calls.range(first..=last);
+        range.map(|(call, submission)| (*call, submission))
+    }
+
+    /// Takes all calls of one run out.
+    pub fn take_run(&mut self, run: RunId) -> Vec<(CallId, Submission)> {
+        let calls: Vec<CallId> = self.of_run(run).map(|(call, _)| call).collect();
+        calls
+            .into_iter()
+            .filter_map(|call| Some((call, self.calls.remove(&call)?)))
+            .collect()
+    }
+
+    /// Takes all calls out.
+    pub fn take_all(&mut self) -> BTreeMap<CallId, Submission> {
+        std::mem::take(&mut self.calls)
+    }
+
+    /// Removes a connection; calls for which nobody waits any more go with it.
+    pub fn detach(&mut self, connection: Connection) {
+        for submission in self.calls.values_mut() {
+            submission.callers.detach(connection);
+        }
+        self.calls
+            .retain(|_, submission| !submission.callers.is_empty());
+    }
+
+    /// Runs of which a call waits for its tenant's allotment.
+    pub fn runs_short_of_allotment(&self) -> Vec<RunId> {
+        let short = self
+            .calls
+            .iter()
+            .filter(|(_, submission)| submission.short_since.is_some());
+        let mut runs: Vec<RunId> = short.map(|(call, _)| call.run).collect();
+        runs.dedup();
+        runs
+    }
+}
