Tell a sidecar when a call it handed over was taken and then moved

Cause: a fenced owner answered NotOwner also for calls whose acceptance it had appended; a stale owner could then refuse the same call at once while the new owner ran it, and the sidecar would have told its caller that it was not run. Ruled out: silence until the sidecar probes, which costs its probe interval at every takeover. Change: NodeMessage::CallMoved, after which the sidecar treats refusals as doubtful. Conclusion: one more variant on the sidecar surface.

--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -79,8 +79,9 @@
         for (run, work) in soft.runs {
             if let Some(accepting) = work.accepting {
                 let submission = accepting.submission;
+                let number = submission.spec.number;
                 let callers = submission.callers.connections();
-                self.turn_away(callers, run, Some(submission.spec.number));
+                self.send_on(callers, CallId { run, number });
             }
             if let Some(open) = work.open {
                 self.abandon(run, &open);
@@ -104,7 +105,14 @@
             let attempt = running.attempt;
             self.emit(Effect::Cancel { call, attempt });
         }
-        self.turn_away(open.callers.connections(), run, Some(open.number));
+        self.send_on(open.callers.connections(), call);
+    }
+
+    /// Tells connections that a call taken here may go on at another node.
+    fn send_on(&mut self, connections: Vec<Connection>, call: CallId) {
+        for connection in connections {
+            self.send(connection, NodeMessage::CallMoved { call });
+        }
     }
 
     /// Tells connections to ask another node.
--- a/crates/protocol/src/sidecar.rs
+++ b/crates/protocol/src/sidecar.rs
@@ -85,6 +85,13 @@
         /// A better address, if one is known.
         owner: Option<NodeAddress>,
     },
+    /// The node no longer owns the partition of a call that it had taken: locate again and ask the
+    /// new owner. The call may be in the journal already, so a refusal by a node that has not read
+    /// it there does not show that it was not run.
+    CallMoved {
+        /// The call.
+        call: CallId,
+    },
     /// The run is started (or was, by an earlier request).
     RunStarted {
         /// The run.
--- a/crates/sidecar-core/src/messages.rs
+++ b/crates/sidecar-core/src/messages.rs
@@ -35,6 +35,7 @@
             NodeMessage::NotOwner { run, number, owner } => {
                 self.not_owner(now, from, run, number, owner);
             }
+            NodeMessage::CallMoved { call } => self.call_moved(now, from, call),
             NodeMessage::RunStarted { run } => {
                 let reply = CallerReply::RunStarted { run };
                 self.end_matching(reply, |request| is_start(request, run));
@@ -71,6 +72,15 @@
         }
     }
 
+    /// The node had taken the call and then lost its partition.
+    fn call_moved(&mut self, now: Timestamp, from: SocketAddr, call: CallId) {
+        let request = self.open.get_mut(&RequestKey::Call(call));
+        if let Some(request) = request.filter(|request| request.is_with(from)) {
+            request.maybe_taken = true;
+        }
+        self.not_owner(now, from, call.run, Some(call.number), None);
+    }
+
     fn not_owner(
         &mut self,
         now: Timestamp,
--- a/crates/sidecar-core/tests/core/calls.rs
+++ b/crates/sidecar-core/tests/core/calls.rs
@@ -175,6 +175,19 @@
     assert_eq!(bench.outcomes(1), [refused(RefusalReason::Overloaded)]);
 }
 
+#[test]
+fn a_call_that_moved_after_it_was_taken_is_not_refused_by_another_node() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(false, None));
+    let call = call_id();
+    bench.receive(node_a(), NodeMessage::CallMoved { call });
+    bench.pass(Duration::from_secs(1));
+    bench.say_located(node_b(), node_b());
+    assert_eq!(bench.submissions(), [node_a(), node_b()]);
+    bench.receive(node_b(), ended(refused(RefusalReason::Overloaded)));
+    assert!(bench.outcomes(1).is_empty());
+}
+
 #[test]
 fn a_call_that_no_node_was_given_is_refused_as_not_run() {
     for repeatable in [true, false] {
