Simulate nodes, sidecars and platform on one virtual clock

Ruled out: turmoil and madsim, which the registry does not serve. Change: seeded event queue, process slots with kill, pause and clock drift, network with cuts and datagram loss, small models of log, engines and tools, seeded callers and operators, one checker an invariant, schedules and their shrinking.

--- /dev/null
+++ b/crates/simulation/src/check/departure.rs
@@ -0,0 +1,32 @@
+//! An engine that has said that it is leaving gets no new work after a few seconds.
+
+use std::time::Duration;
+
+use super::{Invariant, Violation};
+use crate::observation::Observations;
+
+/// News of a departure must have come round by then.
+const NOTICE: Duration = Duration::from_secs(4);
+
+pub(super) fn check(observations: &Observations) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for departure in &observations.departures {
+        let from = departure.at.after(NOTICE);
+        let late = observations.generations.iter().find(|generation| {
+            let stays = generation.at > from && generation.at < departure.until;
+            stays && generation.engine == departure.engine
+        });
+        if let Some(generation) = late {
+            let detail = format!(
+                "{} took {} though leaving since {}",
+                departure.engine, generation.ticket.call, departure.at
+            );
+            violations.push(Violation::new(
+                Invariant::LeavingBackend,
+                generation.at,
+                detail,
+            ));
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/crates/simulation/src/check/planned_stop.rs
@@ -0,0 +1,37 @@
+//! Planned stops cut off no request, and come to their end.
+
+use std::time::Duration;
+
+use elderworks_types::Outcome;
+
+use super::{Invariant, Violation};
+use crate::observation::Observations;
+
+/// A node asked to stop has exited by then, where nothing else is wrong.
+const DRAIN_LIMIT: Duration = Duration::from_secs(60);
+
+pub(super) fn check(observations: &Observations) -> Vec<Violation> {
+    if observations.disturbed {
+        return Vec::new();
+    }
+    let cut = observations
+        .outcomes
+        .iter()
+        .filter(|ended| matches!(ended.outcome, Outcome::Failed(_) | Outcome::Unknown(_)))
+        .map(|ended| {
+            let detail = format!("{} was cut off: {:?}", ended.call, ended.outcome);
+            Violation::new(Invariant::PlannedStop, ended.at, detail)
+        });
+    let stuck = observations
+        .planned_stops
+        .iter()
+        .filter(|stop| {
+            let latest = stop.at.after(DRAIN_LIMIT);
+            latest < observations.ended && stop.exited.is_none_or(|exited| exited > latest)
+        })
+        .map(|stop| {
+            let detail = format!("node-{} is still draining", stop.node);
+            Violation::new(Invariant::PlannedStop, stop.at, detail)
+        });
+    cut.chain(stuck).collect()
+}
--- /dev/null
+++ b/crates/simulation/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! Small models of the platform and of back ends, without I/O.
+
+pub mod engine;
+pub mod log;
+pub mod tool;
+
+pub use engine::{Engine, EngineStep, Subscriber};
+pub use log::{Log, LogTrouble};
+pub use tool::{Tool, ToolAnswer};
--- /dev/null
+++ b/crates/simulation/src/world/log_service.rs
@@ -0,0 +1,206 @@
+//! Requests to the log and their answers.
+
+use std::time::Duration;
+
+use elderworks_node_core::Event as NodeEvent;
+use elderworks_node_core::event::{NoAnswer, ReadRecords};
+use elderworks_protocol::record::StreamName;
+use elderworks_types::Offset;
+
+use super::World;
+use super::event::{Event, NodeStart};
+use crate::fault::CallPoint;
+use crate::kernel::{Direction, Endpoint};
+use crate::platform::LogTrouble;
+use crate::platform::log::SLOW_DELAY;
+
+/// How long a node waits for the log beyond the wait it asked for.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A refused connection is noticed after this time.
+const REFUSED_DELAY: Duration = Duration::from_millis(5);
+
+/// A read that waits for records.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiter {
+    from: NodeStart,
+    stream: StreamName,
+    offset: Offset,
+}
+
+impl World {
+    /// A node asks for an append.
+    pub(super) fn request_append(
+        &mut self,
+        from: NodeStart,
+        stream: StreamName,
+        token: u64,
+        bytes: Vec<u8>,
+    ) {
+        if self.is_cut_from_log(from) {
+            self.append_unanswered(from, token, CLIENT_TIMEOUT);
+            return;
+        }
+        let delay = self.delay_to_log(from) + self.log_slowness();
+        let event = Event::LogAppend {
+            from,
+            stream,
+            token,
+            bytes,
+        };
+        self.schedule(delay, event);
+        if delay > CLIENT_TIMEOUT {
+            self.append_unanswered(from, token, CLIENT_TIMEOUT);
+        }
+    }
+
+    fn append_unanswered(&mut self, from: NodeStart, token: u64, after: Duration) {
+        let result = Err(NoAnswer);
+        self.deliver_to_node_later(from, after, NodeEvent::LogAppended { token, result });
+    }
+
+    /// An append reaches the log.
+    pub(super) fn on_log_append(
+        &mut self,
+        from: NodeStart,
+        stream: StreamName,
+        token: u64,
+        bytes: Vec<u8>,
+    ) {
+        if self.log.has(LogTrouble::Down, self.now) {
+            self.append_unanswered(from, token, REFUSED_DELAY);
+            return;
+        }
+        let offset = self.log.append(stream, bytes);
+        self.trace.line(
+            self.now,
+            format_args!("log: node-{} appends {stream}@{offset}", from.node),
+        );
+        self.answer_waiters(stream);
+        if self.log.has(LogTrouble::LosesAnswers, self.now) {
+            self.append_unanswered(from, token, CLIENT_TIMEOUT);
+        } else {
+            let delay = self.delay_to_log(from);
+            let result = Ok(offset);
+            self.deliver_to_node_later(from, delay, NodeEvent::LogAppended { token, result });
+        }
+        if matches!(stream, StreamName::Partition(_)) {
+            self.reach(CallPoint::Journalled, from.node);
+        }
+    }
+
+    /// A node asks for a read.
+    pub(super) fn request_read(
+        &mut self,
+        from: NodeStart,
+        stream: StreamName,
+        offset: Offset,
+        wait: Duration,
+    ) {
+        if self.is_cut_from_log(from) {
+            let no_answer = read_event(stream, offset, Err(NoAnswer));
+            self.deliver_to_node_later(from, wait + CLIENT_TIMEOUT, no_answer);
+            return;
+        }
+        let delay = self.delay_to_log(from) + self.log_slowness();
+        let event = Event::LogRead {
+            from,
+            stream,
+            offset,
+            wait,
+        };
+        self.schedule(delay, event);
+    }
+
+    /// A read reaches the log.
+    pub(super) fn on_log_read(
+        &mut self,
+        from: NodeStart,
+        stream: StreamName,
+        offset: Offset,
+        wait: Duration,
+    ) {
+        if self.log.has(LogTrouble::Down, self.now) {
+            let no_answer = read_event(stream, offset, Err(NoAnswer));
+            self.deliver_to_node_later(from, REFUSED_DELAY, no_answer);
+            return;
+        }
+        if self.log.has_records(stream, offset) || wait.is_zero() {
+            self.answer_read(from, stream, offset);
+            return;
+        }
+        self.log_reads += 1;
+        let waiter = Waiter {
+            from,
+            stream,
+            offset,
+        };
+        self.log_waiters.insert(self.log_reads, waiter);
+        let waiter = self.log_reads;
+        self.schedule(wait, Event::LogReadTimeout { waiter });
+    }
+
+    /// A waiting read has waited long enough.
+    pub(super) fn on_log_read_timeout(&mut self, waiter: u64) {
+        if let Some(waiter) = self.log_waiters.remove(&waiter) {
+            self.answer_read(waiter.from, waiter.stream, waiter.offset);
+        }
+    }
+
+    fn answer_waiters(&mut self, stream: StreamName) {
+        let ready: Vec<u64> = self
+            .log_waiters
+            .iter()
+            .filter(|(_, waiter)| waiter.stream == stream)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ready {
+            self.on_log_read_timeout(id);
+        }
+    }
+
+    fn answer_read(&mut self, from: NodeStart, stream: StreamName, offset: Offset) {
+        let result = if self.log.has(LogTrouble::Down, self.now) || self.is_cut_from_log(from) {
+            Err(NoAnswer)
+        } else {
+            Ok(self.log.read(stream, offset))
+        };
+        let delay = self.delay_to_log(from);
+        self.deliver_to_node_later(from, delay, read_event(stream, offset, result));
+    }
+
+    fn log_slowness(&mut self) -> Duration {
+        if self.log.has(LogTrouble::Slow, self.now) {
+            return self.platform_random.duration(Duration::ZERO, SLOW_DELAY);
+        }
+        Duration::ZERO
+    }
+
+    fn is_cut_from_log(&self, from: NodeStart) -> bool {
+        let direction = Direction {
+            from: Endpoint::Node(from.node),
+            to: Endpoint::Log,
+        };
+        self.network.cut_until(direction, self.now).is_some()
+    }
+
+    fn delay_to_log(&mut self, from: NodeStart) -> Duration {
+        let direction = Direction {
+            from: Endpoint::Node(from.node),
+            to: Endpoint::Log,
+        };
+        self.network.delay(false, direction)
+    }
+}
+
+fn read_event(
+    stream: StreamName,
+    from: Offset,
+    result: Result<ReadRecords, NoAnswer>,
+) -> NodeEvent {
+    NodeEvent::LogRead {
+        stream,
+        from,
+        result,
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/operators.rs
@@ -0,0 +1,305 @@
+//! Operators: one creates the resources, two race over a configuration, one reads every node.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use elderworks_control::ControlBody;
+use elderworks_node_core::Event as NodeEvent;
+use elderworks_node_core::effect::OperatorReply;
+use elderworks_node_core::event::{OperatorRequest, RequestId};
+use elderworks_types::resource::{Kind, Resource};
+use elderworks_types::{Offset, ResourceName};
+
+use super::World;
+use super::event::{Event, NodeStart, OperatorEvent};
+use super::setup::{RACED_CONFIGURATION, raced_configuration};
+use crate::kernel::Instant;
+use crate::observation::{OperatorChange, OperatorRead};
+
+const REPLY_DELAY: Duration = Duration::from_millis(2);
+const REPLY_TIMEOUT: Duration = Duration::from_secs(8);
+const SETUP_RETRY: Duration = Duration::from_millis(500);
+const SHORTEST_RACE: Duration = Duration::from_millis(200);
+const LONGEST_RACE: Duration = Duration::from_millis(1_500);
+const READ_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What an operator is for.
+#[derive(Debug)]
+enum Role {
+    /// Creates the resources in order, then is done.
+    Setup(VecDeque<Resource>),
+    /// Changes the raced configuration, building on what it last saw.
+    Racer { seen: Option<Offset> },
+    /// Reads the raced configuration from every node in turn.
+    Reader,
+}
+
+/// One operator.
+#[derive(Debug)]
+pub(crate) struct Operator {
+    role: Role,
+}
+
+impl Operator {
+    /// Those of every simulation.
+    pub(super) fn all() -> Vec<Operator> {
+        let roles = [
+            Role::Setup(VecDeque::new()),
+            Role::Racer { seen: None },
+            Role::Racer { seen: None },
+            Role::Reader,
+        ];
+        roles.into_iter().map(|role| Operator { role }).collect()
+    }
+}
+
+/// An operator's request that no node has answered.
+#[derive(Clone, Debug)]
+pub(crate) struct OperatorRequestPending {
+    operator: usize,
+    to: NodeStart,
+    submitted: Instant,
+    change: Option<(Resource, Option<Offset>)>,
+}
+
+impl World {
+    /// Something happens to an operator.
+    pub(super) fn on_operator(&mut self, operator: usize, event: OperatorEvent) {
+        match event {
+            OperatorEvent::Continue => self.continue_operator(operator),
+            OperatorEvent::Reply { request, reply } => self.on_operator_reply(request, *reply),
+            OperatorEvent::Timeout { request } => {
+                if let Some(pending) = self.operator_requests.remove(&request) {
+                    self.after_reply(pending.operator);
+                }
+            }
+        }
+    }
+
+    fn wake_operator(&mut self, operator: usize, after: Duration) {
+        let event = OperatorEvent::Continue;
+        self.schedule(after, Event::Operator { operator, event });
+    }
+
+    fn continue_operator(&mut self, operator: usize) {
+        match &self.operators[operator].role {
+            Role::Setup(_) => self.continue_setup(operator),
+            Role::Racer { .. } => self.continue_race(operator),
+            Role::Reader => self.read_everywhere(operator),
+        }
+    }
+
+    fn continue_setup(&mut self, operator: usize) {
+        if self.configured_at.is_some() {
+            return;
+        }
+        let initial = self.initial_resources();
+        let Role::Setup(left) = &mut self.operators[operator].role else {
+            return;
+        };
+        if left.is_empty() {
+            left.extend(initial);
+        }
+        let next = left.front().cloned();
+        match (next, self.ready_node()) {
+            (Some(resource), Some(node)) => self.propose(operator, node, resource, None),
+            _ => self.wake_operator(operator, SETUP_RETRY),
+        }
+    }
+
+    fn continue_race(&mut self, operator: usize) {
+        let node = self.ready_node();
+        let (Some(node), Some(_)) = (node, self.configured_at) else {
+            self.wake_operator(operator, LONGEST_RACE);
+            return;
+        };
+        let Role::Racer { seen } = self.operators[operator].role else {
+            return;
+        };
+        match seen {
+            Some(revision) => {
+                let serial = self.observations.changes.len() as u64;
+                let resource = raced_configuration(serial);
+                self.propose(operator, node, resource, Some(revision));
+            }
+            None => self.read_raced(operator, node),
+        }
+    }
+
+    fn ready_node(&mut self) -> Option<usize> {
+        let ready: Vec<usize> = (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].ready && self.nodes[*index].slot.is_running())
+            .collect();
+        let choice = self.workload_random.index(ready.len());
+        ready.get(choice).copied()
+    }
+
+    fn propose(
+        &mut self,
+        operator: usize,
+        node: usize,
+        resource: Resource,
+        expected: Option<Offset>,
+    ) {
+        let body = ControlBody::Put {
+            resource: resource.clone(),
+            expected,
+        };
+        let question = OperatorRequest::Change(body);
+        self.ask_node(operator, node, question, Some((resource, expected)));
+    }
+
+    fn read_raced(&mut self, operator: usize, node: usize) {
+        let question = OperatorRequest::Get {
+            kind: Kind::Configuration,
+            name: ResourceName::new(RACED_CONFIGURATION),
+        };
+        self.ask_node(operator, node, question, None);
+    }
+
+    fn read_everywhere(&mut self, operator: usize) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].ready && self.nodes[node].slot.is_running() {
+                self.read_raced(operator, node);
+            }
+        }
+        self.wake_operator(operator, READ_INTERVAL);
+    }
+
+    fn ask_node(
+        &mut self,
+        operator: usize,
+        node: usize,
+        question: OperatorRequest,
+        change: Option<(Resource, Option<Offset>)>,
+    ) {
+        self.requests_made += 1;
+        let request = self.requests_made;
+        let to = self.node_start(node);
+        let pending = OperatorRequestPending {
+            operator,
+            to,
+            submitted: self.now,
+            change,
+        };
+        self.operator_requests.insert(request, pending);
+        let event = Event::OperatorRequest {
+            to,
+            request,
+            question: Box::new(question),
+        };
+        self.schedule(REPLY_DELAY, event);
+        let event = OperatorEvent::Timeout { request };
+        self.schedule(REPLY_TIMEOUT, Event::Operator { operator, event });
+    }
+
+    /// An operator's request reaches its node.
+    pub(super) fn on_operator_request(
+        &mut self,
+        to: NodeStart,
+        request: RequestId,
+        question: OperatorRequest,
+    ) {
+        self.deliver_to_node(to, NodeEvent::Operator { request, question });
+    }
+
+    /// A node replies to an operator.
+    pub(super) fn reply_to_operator(&mut self, request: RequestId, reply: OperatorReply) {
+        if let Some(pending) = self.operator_requests.get(&request) {
+            let event = OperatorEvent::Reply {
+                request,
+                reply: Box::new(reply),
+            };
+            let operator = pending.operator;
+            self.schedule(REPLY_DELAY, Event::Operator { operator, event });
+        }
+    }
+
+    fn on_operator_reply(&mut self, request: RequestId, reply: OperatorReply) {
+        let Some(pending) = self.operator_requests.remove(&request) else {
+            return;
+        };
+        match (reply, pending.change.clone()) {
+            (OperatorReply::Changed(result), Some((resource, expected))) => {
+                self.trace.line(
+                    self.now,
+                    format_args!(
+                        "operator {}: {} on node-{}: {:?}",
+                        pending.operator,
+                        resource.metadata.name,
+                        pending.to.node,
+                        result.as_ref().map(|change| change.revision)
+                    ),
+                );
+                let change = OperatorChange {
+                    at: self.now,
+                    submitted: pending.submitted,
+                    operator: pending.operator,
+                    node: pending.to.node,
+                    resource,
+                    expected,
+                    result,
+                };
+                self.learn_change(&change);
+                self.observations.changes.push(change);
+            }
+            (OperatorReply::Resource(resource), None) => self.learn_resource(&pending, resource),
+            _ => {}
+        }
+        self.after_reply(pending.operator);
+    }
+
+    fn learn_change(&mut self, change: &OperatorChange) {
+        let already_exists = matches!(
+            change.result,
+            Err(elderworks_control::ControlError::Conflict { .. })
+        );
+        match &mut self.operators[change.operator].role {
+            Role::Setup(left) if change.result.is_ok() || already_exists => {
+                left.pop_front();
+            }
+            Role::Racer { seen } => {
+                *seen = change
+                    .result
+                    .as_ref()
+                    .ok()
+                    .map(|accepted| accepted.revision);
+            }
+            Role::Setup(_) | Role::Reader => {}
+        }
+    }
+
+    fn learn_resource(&mut self, pending: &OperatorRequestPending, resource: Option<Resource>) {
+        let revision = resource
+            .as_ref()
+            .map_or(Offset(0), |resource| resource.metadata.revision);
+        if let Role::Racer { seen } = &mut self.operators[pending.operator].role {
+            *seen = Some(revision);
+        }
+        self.observations.reads.push(OperatorRead {
+            at: self.now,
+            submitted: pending.submitted,
+            node: pending.to.node,
+            generation: pending.to.generation,
+            kind: Kind::Configuration,
+            name: ResourceName::new(RACED_CONFIGURATION),
+            resource,
+        });
+    }
+
+    fn after_reply(&mut self, operator: usize) {
+        match &self.operators[operator].role {
+            Role::Setup(left) if left.is_empty() => {
+                if self.configured_at.is_none() {
+                    self.on_configured();
+                }
+            }
+            Role::Setup(_) => self.wake_operator(operator, REPLY_DELAY),
+            Role::Racer { .. } => {
+                let pause = self.workload_random.duration(SHORTEST_RACE, LONGEST_RACE);
+                self.wake_operator(operator, pause);
+            }
+            Role::Reader => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/world/tool_service.rs
@@ -0,0 +1,150 @@
+//! Requests to tools and their answers.
+
+use std::time::Duration;
+
+use elderworks_execution::event::AttemptFailure;
+use elderworks_node_core::Event as NodeEvent;
+use elderworks_placement::Ticket;
+use elderworks_types::{FailureReason, ToolName, Usage};
+
+use super::World;
+use super::event::{Event, NodeStart, ToolRequest};
+use crate::fault::CallPoint;
+use crate::kernel::{Direction, Endpoint};
+use crate::observation::Invocation;
+use crate::platform::ToolAnswer;
+
+const SHORTEST_ANSWER: Duration = Duration::from_millis(30);
+const LONGEST_ANSWER: Duration = Duration::from_millis(400);
+
+impl World {
+    /// A node sends a request to a tool.
+    pub(super) fn request_tool(
+        &mut self,
+        from: NodeStart,
+        ticket: Ticket,
+        tool: ToolName,
+        request: ToolRequest,
+    ) {
+        let direction = Direction {
+            from: Endpoint::Node(from.node),
+            to: Endpoint::Tool(0),
+        };
+        let delay = self.network.delay(false, direction);
+        let event = Event::ToTool {
+            from,
+            ticket,
+            tool,
+            request,
+        };
+        self.schedule(delay, event);
+    }
+
+    /// A request reaches a tool.
+    pub(super) fn on_tool_request(
+        &mut self,
+        from: NodeStart,
+        ticket: Ticket,
+        name: ToolName,
+        request: ToolRequest,
+    ) {
+        let Some(tool) = self.tools.iter().position(|tool| tool.name == name) else {
+            self.fail_attempt(from, ticket, SHORTEST_ANSWER, AttemptFailure::NotSent);
+            return;
+        };
+        match request {
+            ToolRequest::Invoke {
+                arguments,
+                key,
+                timeout,
+            } => self.invoke(from, ticket, tool, arguments, key, timeout),
+            ToolRequest::Query { key } => self.answer_query(from, ticket, tool, &key),
+        }
+    }
+
+    fn invoke(
+        &mut self,
+        from: NodeStart,
+        ticket: Ticket,
+        tool: usize,
+        arguments: String,
+        key: String,
+        timeout: Duration,
+    ) {
+        let repeated = self.tools[tool].repeated(&key).cloned();
+        let result = repeated.unwrap_or_else(|| self.run_tool(from, ticket, tool, arguments, key));
+        self.reach(CallPoint::Taken, from.node);
+        if self.tools[tool].hung_until > self.now {
+            self.fail_attempt(from, ticket, timeout, no_answer());
+            return;
+        }
+        let delay = self
+            .platform_random
+            .duration(SHORTEST_ANSWER, LONGEST_ANSWER);
+        let input = NodeEvent::AttemptCompleted {
+            ticket,
+            content: result,
+            usage: Usage::default(),
+        };
+        self.deliver_to_node_later(from, delay, input);
+        self.reach(CallPoint::Answered, from.node);
+    }
+
+    fn run_tool(
+        &mut self,
+        from: NodeStart,
+        ticket: Ticket,
+        tool: usize,
+        arguments: String,
+        key: String,
+    ) -> String {
+        let serial = self.observations.invocations.len();
+        let name = self.tools[tool].name.clone();
+        let result = format!("{{\"call\":\"{}\",\"serial\":{serial}}}", ticket.call);
+        self.trace.line(
+            self.now,
+            format_args!(
+                "tool {name}: runs {}#{} from node-{}",
+                ticket.call, ticket.attempt, from.node
+            ),
+        );
+        self.tools[tool].remember(&key, &result);
+        self.observations.invocations.push(Invocation {
+            at: self.now,
+            tool: name,
+            ticket,
+            arguments,
+            key,
+            result: result.clone(),
+        });
+        result
+    }
+
+    fn answer_query(&mut self, from: NodeStart, ticket: Ticket, tool: usize, key: &str) {
+        if self.tools[tool].hung_until > self.now {
+            self.fail_attempt(from, ticket, LONGEST_ANSWER, no_answer());
+            return;
+        }
+        match self.tools[tool].query(key) {
+            ToolAnswer::Completed(content) => {
+                let usage = Usage::default();
+                let input = NodeEvent::AttemptCompleted {
+                    ticket,
+                    content,
+                    usage,
+                };
+                self.deliver_to_node_later(from, SHORTEST_ANSWER, input);
+            }
+            ToolAnswer::Unknown => {
+                self.fail_attempt(from, ticket, SHORTEST_ANSWER, no_answer());
+            }
+        }
+    }
+}
+
+fn no_answer() -> AttemptFailure {
+    AttemptFailure::Lost {
+        reason: FailureReason::TimedOut,
+        usage: Usage::default(),
+    }
+}
