Add the fault table and the simulate subcommand

Cause: the simulator could only be run from tests. Ruled out: a table of its own binary; the experiment tool already has the flags. Conclusion: command only.

--- a/crates/lab/src/simulate/mod.rs
+++ b/crates/lab/src/simulate/mod.rs
@@ -1,10 +1,88 @@
 //! Simulation of the whole system under faults.
 
+mod report;
+
 use std::process::ExitCode;
 
+use elderworks_simulation::broken::Broken;
+use elderworks_simulation::shrink::shrink;
+use elderworks_simulation::table::fault_table;
+use elderworks_simulation::{FaultKind, Plan, Preset, Report, run as simulate};
+use eyre::{WrapErr, eyre};
+
 use crate::command_line::Simulate;
+use report::{Summary, print_failure, print_table};
+
+/// Failing runs that are shrunk and printed; further ones are only counted.
+const MAX_FAILURES_SHOWN: usize = 3;
+
+/// Runs the experiment and prints its report; exits 1 on a violation.
+pub fn run(options: Simulate) -> eyre::Result<ExitCode> {
+    let preset = parse_preset(options.preset.as_deref())?;
+    let broken = parse_broken(options.broken.as_deref())?;
+    let mut summary = Summary::default();
+    for seed in options.seeds.0 {
+        for plan in plans(seed, preset, options.faults.as_deref(), broken)? {
+            run_plan(&plan, &mut summary);
+        }
+    }
+    print_table(&summary);
+    if let Some(file) = options.json {
+        let json = serde_json::to_string_pretty(&summary)?;
+        std::fs::write(&file, json).wrap_err_with(|| format!("writing {}", file.display()))?;
+    }
+    println!("{} runs, {} violations", summary.runs, summary.violations);
+    if summary.violations > 0 {
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_plan(plan: &Plan, summary: &mut Summary) {
+    let report = simulate(plan);
+    summary.add(&report);
+    if !report.violations.is_empty() && summary.failures.len() < MAX_FAILURES_SHOWN {
+        let shortest: Report = shrink(plan, &report);
+        print_failure(&report, &shortest);
+        summary.failures.push(shortest);
+    }
+}
+
+fn parse_preset(name: Option<&str>) -> eyre::Result<Preset> {
+    Ok(name.unwrap_or("lublin").parse()?)
+}
+
+fn parse_broken(name: Option<&str>) -> eyre::Result<Option<Broken>> {
+    name.map(|name| name.parse().map_err(|problem| eyre!("{problem}")))
+        .transpose()
+}
+
+/// The plans of one seed: one with faults drawn, or every row of the fault table.
+fn plans(
+    seed: u64,
+    preset: Preset,
+    faults: Option<&str>,
+    broken: Option<Broken>,
+) -> eyre::Result<Vec<Plan>> {
+    let mut plans = match faults {
+        Some("table") => fault_table(seed, preset),
+        names => vec![Plan::drawn(seed, preset, &parse_faults(names)?)],
+    };
+    if let Some(broken) = broken {
+        for plan in &mut plans {
+            broken.apply(plan);
+        }
+    }
+    Ok(plans)
+}
 
-/// Runs the experiment and prints its report.
-pub fn run(_options: Simulate) -> eyre::Result<ExitCode> {
-    eyre::bail!("not built yet")
+fn parse_faults(names: Option<&str>) -> eyre::Result<Vec<FaultKind>> {
+    match names.unwrap_or("all") {
+        "all" => Ok(FaultKind::all().collect()),
+        "none" => Ok(Vec::new()),
+        names => names
+            .split(',')
+            .map(|name| Ok(name.trim().parse()?))
+            .collect(),
+    }
 }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 //! models of the platform. Every choice comes from one seed: the same seed gives the same trace to
 //! the byte. What callers, back ends and operators saw is judged by the checkers of [`check`].
 
+pub mod broken;
 pub mod check;
 pub mod fault;
 mod kernel;
@@ -12,6 +13,7 @@
 pub mod run;
 pub mod scenario;
 pub mod shrink;
+pub mod table;
 mod trace;
 mod world;
 
--- a/crates/simulation/src/run.rs
+++ b/crates/simulation/src/run.rs
@@ -109,6 +109,17 @@
 }
 
 impl Totals {
+    /// Adds another run's.
+    pub fn add(&mut self, other: &Totals) {
+        self.completed += other.completed;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.unknown += other.unknown;
+        self.generations += other.generations;
+        self.invocations += other.invocations;
+        self.changes += other.changes;
+    }
+
     fn of(observations: &Observations) -> Self {
         use elderworks_types::Outcome;
         let mut totals = Totals {
--- /dev/null
+++ b/crates/simulation/src/table.rs
@@ -0,0 +1,51 @@
+//! The fault table: every fault at every point of a call's life, and every pair of faults.
+
+use std::time::Duration;
+
+use crate::fault::{CallPoint, Fault, FaultKind, When};
+use crate::kernel::{Purpose, Random};
+use crate::run::Plan;
+use crate::scenario::Preset;
+
+const SHORT: Duration = Duration::from_millis(500);
+const LONG: Duration = Duration::from_secs(6);
+const LATEST_COUNT: u64 = 20;
+
+/// The plans of one seed over the whole table. Each fault strikes at each point of a call's life;
+/// of each pair, the first strikes at a point drawn by the seed and the second soon after.
+pub fn fault_table(seed: u64, preset: Preset) -> Vec<Plan> {
+    let mut random = Random::new(seed, Purpose::Faults);
+    let mut plans = Vec::new();
+    for kind in FaultKind::all() {
+        for point in CallPoint::ALL {
+            let fault = fault_at(kind, point, &mut random);
+            plans.push(Plan::scheduled(seed, preset, vec![fault]));
+        }
+    }
+    for (first, second) in pairs() {
+        let point = CallPoint::ALL[random.index(CallPoint::ALL.len())];
+        let schedule = vec![
+            fault_at(first, point, &mut random),
+            fault_at(second, point, &mut random),
+        ];
+        plans.push(Plan::scheduled(seed, preset, schedule));
+    }
+    plans
+}
+
+fn pairs() -> impl Iterator<Item = (FaultKind, FaultKind)> {
+    FaultKind::all().flat_map(|first| {
+        FaultKind::all()
+            .filter(move |second| *second >= first)
+            .map(move |second| (first, second))
+    })
+}
+
+fn fault_at(kind: FaultKind, point: CallPoint, random: &mut Random) -> Fault {
+    Fault {
+        kind,
+        when: When::Reached(point, random.below(1, LATEST_COUNT) as u32),
+        lasts: random.duration(SHORT, LONG),
+        victim: random.number() as u32,
+    }
+}
