--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -12,7 +12,7 @@
     Resource, ServiceSpec, Spec, ToolServiceSpec,
 };
 use elderworks_types::{
-    CallNumber, CallRequest, CallSpec, Credits, EngineId, Message, ModelName, ModelRequest, NodeId,
+    CallNumber, CallRequest, CallSpec, CellId, Credits, EngineId, Message, ModelName, ModelRequest, NodeId,
     Offset, ResourceName, Role, RunId, RunSpec, TenantId, Tokens, ToolName, ToolRequest, ZoneId,
 };
 
@@ -217,6 +217,7 @@
     let settings = NodeSettings {
         node: NodeId::new(format!("node-{index}")),
         zone: zone_name(zone),
+        cell: CellId::new(""),
         gossip_address: node_socket(index, GOSSIP_PORT),
         address: node_socket(index, NODE_PORT),
         seeds: seeds.collect(),
