--- a/crates/lab/src/simulate/report.rs
+++ b/crates/lab/src/simulate/report.rs
@@ -77,7 +77,11 @@
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN);
     let mut header = vec!["faults".to_owned(), "runs".to_owned()];
-    header.extend(Invariant::ALL.iter().map(|invariant| format!("{invariant:?}")));
+    header.extend(
+        Invariant::ALL
+            .iter()
+            .map(|invariant| format!("{invariant:?}")),
+    );
     table.set_header(header);
     for (name, row) in &summary.rows {
         let mut cells = vec![name.clone(), row.runs.to_string()];
