Trace what nodes tell sidecars and let attempts be detached

Cause: the node core gained DetachAttempt, and a failing read could not be followed in the trace. Change: the simulated driver forgets a detached attempt; replies that end a request are traced. Conclusion: driver only.

--- a/crates/simulation/src/world/connection.rs
+++ b/crates/simulation/src/world/connection.rs
@@ -6,7 +6,7 @@
 use elderworks_node_core::Event as NodeEvent;
 use elderworks_protocol::gossip::Datagram;
 use elderworks_protocol::peer::{FromNode, Hello, PeerMessage, ToNode};
-use elderworks_protocol::sidecar::{NodeAddress, SidecarMessage};
+use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage};
 use elderworks_sidecar_core::Event as SidecarEvent;
 
 use super::World;
@@ -219,6 +219,7 @@
         let acceptor = connection.acceptor.node;
         match (connection.opener, message) {
             (Opener::Sidecar(start), FromNode::Node(message)) => {
+                self.trace_reply(acceptor, start, &message);
                 let address = self.nodes[acceptor].settings.address;
                 self.deliver_to_sidecar(start, SidecarEvent::Received { address, message });
             }
@@ -235,6 +236,23 @@
         }
     }
 
+    fn trace_reply(&mut self, node: usize, to: SidecarStart, message: &NodeMessage) {
+        let what = match message {
+            NodeMessage::RunView { view, .. } => {
+                let messages = view.as_ref().map(|view| view.history.len());
+                format!("run with {messages:?} messages")
+            }
+            NodeMessage::NotOwner { run, number, .. } => format!("does not own {run} {number:?}"),
+            NodeMessage::CallEnded { call, .. } => format!("{call} has ended"),
+            NodeMessage::RunRefused { run, refusal } => format!("{run}: {refusal:?}"),
+            NodeMessage::RunEnded { run, phase } => format!("{run} is {phase:?}"),
+            _ => return,
+        };
+        let sidecar = to.sidecar;
+        self.trace
+            .line(self.now, format_args!("node-{node} tells sidecar-{sidecar}: {what}"));
+    }
+
     /// Breaks a connection; both ends are told.
     pub(super) fn on_break(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.remove(&id) else {
--- a/crates/simulation/src/world/node_effects.rs
+++ b/crates/simulation/src/world/node_effects.rs
@@ -43,6 +43,9 @@
                 from_chunk,
                 ..
             } => self.resume_stream(from, ticket, engine, from_chunk),
+            Effect::DetachAttempt { ticket } => {
+                self.nodes[from.node].attempts.remove(&ticket);
+            }
             Effect::CancelAttempt { ticket } => self.cancel_attempt(from, ticket),
             Effect::InvokeTool {
                 ticket,
