Own a partition only by a claim that this machine awaits

Ruled out: reading only whole streams before serving, since a stream may be read in any number of answers; and a new incarnation for each opening, since incarnations belong to processes. Change: a claim makes an owner only where this machine appended it for that epoch. Conclusion: what a machine replays is history, what it awaits is ownership.

--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -40,15 +40,17 @@
         });
     }
 
-    /// A claim was read back as the winner of its epoch.
+    /// A claim was read back as the winner of its epoch. A claim that an earlier machine of the same
+    /// node made and has since released is only history: this machine owns nothing by it.
     pub(super) fn on_claim_won(&mut self, now: Timestamp, own: bool, epoch: Epoch) {
+        let awaited = self.claimed == Some(epoch);
         if self.owned.is_some() {
             self.counters.fenced += 1;
             self.lose_ownership();
         }
         self.claimed = None;
         self.claim = None;
-        if own {
+        if own && awaited {
             self.become_owner(now, epoch);
         }
     }
--- a/crates/execution/tests/common/mod.rs
+++ b/crates/execution/tests/common/mod.rs
@@ -106,6 +106,18 @@
         self.settle();
     }
 
+    /// The node stops following the partition and follows it again: the same writer goes on with its
+    /// sequence, and reads the stream from its beginning.
+    pub fn reopen(&mut self, node: Node) {
+        let old = &self.nodes[node];
+        let fresh = Follower {
+            sequence: old.sequence,
+            ..self.follower(old.writer.node.clone(), old.writer.incarnation)
+        };
+        self.nodes[node] = fresh;
+        self.settle();
+    }
+
     /// Feeds an event and lets everything that follows happen.
     pub fn event(&mut self, node: Node, event: Event) {
         self.feed(node, event);
--- a/crates/execution/tests/takeover.rs
+++ b/crates/execution/tests/takeover.rs
@@ -266,3 +266,20 @@
     let dispatches = world.take_dispatches(1);
     assert!(matches!(dispatches.as_slice(), [(_, Attempt(1), _)]));
 }
+
+/// Simulation seed 63 found it: a node that had released a partition followed it again, owned it
+/// while it read its own old claim back, and answered a read from half the history.
+#[test]
+fn an_old_claim_read_again_makes_no_owner() {
+    let (mut world, _) = world_with(model_call(1, 0, "hello"), Progress::Streaming);
+    world.take_over(1);
+    world.take_effects(0);
+    world.reopen(0);
+    assert_eq!(world.nodes[0].partition.owned(), None);
+    let effects = world.take_effects(0);
+    assert!(effects.is_empty(), "{effects:?}");
+
+    world.take_over(0);
+    assert!(world.nodes[0].partition.owned().is_some());
+    assert_eq!(world.nodes[1].partition.owned(), None);
+}
