--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -7,6 +7,7 @@
 use elderworks_control::{Control, Watches};
 use elderworks_execution::{self as execution, ExecutionSettings};
 use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
+use elderworks_membership::settings::{PROBE_INTERVAL, PROBE_TIMEOUT, SUSPICION_TIMEOUT};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
 use elderworks_placement as placement;
 use elderworks_protocol::record::{StreamName, Writer};
@@ -34,15 +35,6 @@
 /// How often a driver sends [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time between probes of the failure detector.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// A probe unanswered for this long is sent round by others.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// A suspect that has not refuted for this long is dead.
-const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// What a node is given at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
