--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -22,8 +22,9 @@
 /// Most connections open at once; each streamed answer holds one.
 const MAX_CONNECTIONS: usize = 4_096;
 
-/// Longest time to establish a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time to establish a connection. Shorter than the limits of requests, so that a request
+/// to a machine that is gone counts as not sent rather than as perhaps run.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An answer whose body has yet to be read.
 pub(crate) type Answer = ClientResponse<LocalBoxStream<'static, Result<Bytes, PayloadError>>>;
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -13,14 +13,15 @@
 use futures_util::stream::unfold;
 use tokio::sync::watch;
 
-use super::state::{EngineService, RequestInfo};
+use super::requests::RequestInfo;
+use super::state::EngineService;
 use crate::clock::now;
-use crate::shared::{Shared, next_change};
+use crate::shared::Shared;
 
 /// Reads one request's answer from a chunk on. The request is not abandoned while this exists.
 pub(super) struct AnswerReader {
     service: Arc<Shared<EngineService>>,
-    changes: watch::Receiver<()>,
+    progress: watch::Receiver<()>,
     id: RequestId,
     info: RequestInfo,
     next: u32,
@@ -33,11 +34,10 @@
         id: RequestId,
         next: u32,
     ) -> Option<Self> {
-        let changes = service.subscribe();
-        let info = service.lock().add_reader(&id)?;
+        let (info, progress) = service.lock().requests().add_reader(&id)?;
         Some(Self {
             service: service.clone(),
-            changes,
+            progress,
             id,
             info,
             next,
@@ -77,7 +77,7 @@
             if !news.chunks.is_empty() || news.completion.is_some() {
                 return Some(news);
             }
-            next_change(&mut self.changes).await;
+            self.progress.changed().await.ok()?;
         }
     }
 
@@ -148,7 +148,8 @@
 
 impl Drop for AnswerReader {
     fn drop(&mut self) {
-        self.service.lock().remove_reader(now(), &self.id);
+        let mut state = self.service.lock();
+        state.requests().remove_reader(now(), &self.id);
     }
 }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod application;
+mod requests;
 mod state;
 
 use std::io;
@@ -110,11 +111,7 @@
 fn advance(service: &Shared<EngineService>) -> Duration {
     let now = now();
     let mut state = service.lock();
-    let progressed = state.advance(now);
+    state.advance(now);
     let next = state.next_due().map_or(MAX_STEP, |due| due.since(now));
-    drop(state);
-    if progressed {
-        service.update(|_| {});
-    }
     next.min(MAX_STEP)
 }
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -1,4 +1,4 @@
-//! The engine model together with what its HTTP front must know: who reads which answer.
+//! The engine model together with what its HTTP front must know.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -8,10 +8,11 @@
     CommandError, Engine, EngineRole, ExportedBlocks, FencedAction, FencedCommand, Holding, Output,
     Rejected, Request, RequestId, Resumed, WeightStore, Work,
 };
-use elderworks_platform_api::engine::{FinishReason, ServingState};
-use elderworks_types::text::{BlockHash, block_hashes, token_count};
-use elderworks_types::{ModelName, RunId, Timestamp, Tokens};
+use elderworks_platform_api::engine::ServingState;
+use elderworks_types::text::{BlockHash, block_hashes};
+use elderworks_types::{RunId, Timestamp};
 
+use super::requests::{RequestInfo, Requests};
 use super::{EngineFaults, EngineSettings};
 
 /// Runs whose prompts are remembered for export.
@@ -20,55 +21,6 @@
 /// Requests that are remembered beyond those which the engine itself remembers.
 const MAX_FORGOTTEN_REQUESTS: usize = 4_096;
 
-const MICROS_PER_SECOND: u64 = 1_000_000;
-
-/// What the front must know of a request to answer in the OpenAI form.
-#[derive(Clone, Debug)]
-pub(super) struct RequestInfo {
-    pub(super) model: ModelName,
-    pub(super) first_chunk: u32,
-    created: Timestamp,
-    /// Most tokens that it may generate itself.
-    limit: Tokens,
-}
-
-impl RequestInfo {
-    fn of(now: Timestamp, request: &Request) -> Self {
-        let continued = match &request.work {
-            Work::Text { continue_text, .. } => token_count(continue_text),
-            Work::Counted { .. } => Tokens::ZERO,
-        };
-        Self {
-            model: request.model.clone(),
-            first_chunk: request.first_chunk,
-            created: now,
-            limit: request.max_output.saturating_sub(continued),
-        }
-    }
-
-    /// Seconds since the Unix epoch.
-    pub(super) fn created_seconds(&self) -> u64 {
-        self.created.0 / MICROS_PER_SECOND
-    }
-
-    /// Why an answer of this length ended.
-    pub(super) fn finish_reason(&self, output: Tokens) -> FinishReason {
-        if output >= self.limit {
-            FinishReason::Length
-        } else {
-            FinishReason::Stop
-        }
-    }
-}
-
-/// A request that waits or runs.
-struct Open {
-    run: RunId,
-    readers: usize,
-    /// Since when nobody reads it.
-    unread_since: Timestamp,
-}
-
 /// An engine as it is served.
 pub(super) struct EngineService {
     pub(super) faults: EngineFaults,
@@ -78,8 +30,7 @@
     pub(super) fence: u64,
     engine: Engine,
     weights: WeightStore,
-    open: BTreeMap<RequestId, Open>,
-    infos: BTreeMap<RequestId, RequestInfo>,
+    requests: Requests,
     chains: BTreeMap<RunId, Vec<BlockHash>>,
 }
 
@@ -91,8 +42,7 @@
             fence: 0,
             engine: new_engine(&settings, now),
             weights: WeightStore::new(settings.weights_bytes_per_second),
-            open: BTreeMap::new(),
-            infos: BTreeMap::new(),
+            requests: Requests::default(),
             chains: BTreeMap::new(),
             settings,
         }
@@ -102,24 +52,26 @@
     pub(super) fn restart(&mut self, now: Timestamp) {
         self.instance = now.0.max(self.instance + 1);
         self.engine = new_engine(&self.settings, now);
-        self.open.clear();
-        self.infos.clear();
+        self.requests = Requests::default();
         self.chains.clear();
     }
 
-    /// Does all that is due by `now`; tells whether anything happened.
-    pub(super) fn advance(&mut self, now: Timestamp) -> bool {
+    /// Does all that is due by `now`, and wakes the readers of answers that went on.
+    pub(super) fn advance(&mut self, now: Timestamp) {
         if self.faults.hang {
-            return false;
-        }
-        let abandoned = self.cancel_abandoned(now);
-        let outputs = self.engine.advance(now);
-        for output in &outputs {
-            if let Output::Completed(completion) = output {
-                self.open.remove(&completion.id);
+            return;
+        }
+        let abandoned = self.requests.abandoned(now, self.settings.resume_grace);
+        self.cancel_all(now, &abandoned);
+        for output in self.engine.advance(now) {
+            match output {
+                Output::Chunk { id, .. } => self.requests.progressed(&id),
+                Output::Completed(completion) => self.requests.ended(&completion.id),
+                Output::FirstToken { .. }
+                | Output::Imported { .. }
+                | Output::CommandDone { .. } => {}
             }
         }
-        abandoned || !outputs.is_empty()
     }
 
     pub(super) fn next_due(&self) -> Option<Timestamp> {
@@ -156,13 +108,8 @@
         let info = RequestInfo::of(now, &request);
         self.engine.submit(now, request)?;
         self.remember_chain(run, chain);
-        self.remember_info(id.clone(), info);
-        let open = Open {
-            run,
-            readers: 0,
-            unread_since: now,
-        };
-        self.open.insert(id, open);
+        self.requests.insert(now, id, run, info);
+        self.forget_requests();
         Ok(())
     }
 
@@ -171,33 +118,24 @@
         self.engine.resume(id, from)
     }
 
-    /// Someone begins to read an answer; `None` if the request is unknown.
-    pub(super) fn add_reader(&mut self, id: &RequestId) -> Option<RequestInfo> {
-        self.engine.resume(id, u32::MAX)?;
-        let info = self.infos.get(id)?.clone();
-        if let Some(open) = self.open.get_mut(id) {
-            open.readers += 1;
-        }
-        Some(info)
-    }
-
-    /// Someone no longer reads an answer.
-    pub(super) fn remove_reader(&mut self, now: Timestamp, id: &RequestId) {
-        if let Some(open) = self.open.get_mut(id) {
-            open.readers = open.readers.saturating_sub(1);
-            open.unread_since = now;
-        }
+    /// Who reads what.
+    pub(super) fn requests(&mut self) -> &mut Requests {
+        &mut self.requests
     }
 
     /// Stops a request; false if it neither waited nor ran.
     pub(super) fn cancel(&mut self, now: Timestamp, id: &RequestId) -> bool {
-        self.open.remove(id);
-        self.engine.cancel(now, id)
+        let cancelled = self.engine.cancel(now, id);
+        if cancelled {
+            self.requests.forget(id);
+        }
+        cancelled
     }
 
     /// Cancels a run's requests and frees what it holds.
     pub(super) fn release(&mut self, now: Timestamp, run: RunId) -> u32 {
-        self.cancel_where(now, |open| open.run == run);
+        let open = self.requests.open_of(run);
+        self.cancel_all(now, &open);
         self.chains.remove(&run);
         self.engine.release(now, run)
     }
@@ -252,32 +190,20 @@
         Ok(())
     }
 
-    fn cancel_abandoned(&mut self, now: Timestamp) -> bool {
-        let grace = self.settings.resume_grace;
-        let abandoned = |open: &Open| open.readers == 0 && open.unread_since + grace <= now;
-        self.cancel_where(now, abandoned)
-    }
-
-    fn cancel_where(&mut self, now: Timestamp, cancelled: impl Fn(&Open) -> bool) -> bool {
-        let matching: Vec<RequestId> = self
-            .open
-            .iter()
-            .filter(|(_, open)| cancelled(open))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &matching {
+    fn cancel_all(&mut self, now: Timestamp, ids: &[RequestId]) {
+        for id in ids {
             self.cancel(now, id);
         }
-        !matching.is_empty()
     }
 
-    fn remember_info(&mut self, id: RequestId, info: RequestInfo) {
-        self.infos.insert(id, info);
-        let known = self.settings.parameters.remembered_requests + self.open.len();
-        if self.infos.len() > known + MAX_FORGOTTEN_REQUESTS {
+    /// Forgets requests that the engine has forgotten, once there are many.
+    fn forget_requests(&mut self) {
+        let limits = &self.settings.parameters;
+        let known = limits.remembered_requests + limits.max_waiting + limits.max_batch;
+        if self.requests.len() > known + MAX_FORGOTTEN_REQUESTS {
             let engine = &self.engine;
-            self.infos
-                .retain(|id, _| engine.resume(id, u32::MAX).is_some());
+            self.requests
+                .retain(|id| engine.resume(id, u32::MAX).is_some());
         }
     }
 
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -15,11 +15,16 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::select;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::http::{Handled, Incoming, Refusal, Reply};
 use crate::server::{self, Application, ServerHandle};
 use crate::shared::{Shared, next_change};
 
+/// Signals that all streams share.
+const SIGNAL_BUCKETS: usize = 256;
+
 /// How a log stand-in is set up.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogSettings {
@@ -46,6 +51,7 @@
     };
     let application = LogApplication {
         state: Shared::new(state),
+        signals: Signals::default(),
     };
     server::serve("log", listener, Arc::new(application))
 }
@@ -55,8 +61,40 @@
     rng: ChaCha8Rng,
 }
 
+/// Wakes readers that wait for records. Streams share a bounded number of signals, so that an
+/// append wakes few readers of other streams.
+struct Signals {
+    buckets: [watch::Sender<()>; SIGNAL_BUCKETS],
+}
+
+impl Default for Signals {
+    fn default() -> Self {
+        Self {
+            buckets: std::array::from_fn(|_| watch::Sender::new(())),
+        }
+    }
+}
+
+impl Signals {
+    fn of(&self, stream: &str) -> &watch::Sender<()> {
+        let bucket = xxh3_64(stream.as_bytes()) % SIGNAL_BUCKETS as u64;
+        &self.buckets[bucket as usize]
+    }
+
+    fn wake(&self, stream: &str) {
+        self.of(stream).send_replace(());
+    }
+
+    fn wake_all(&self) {
+        for bucket in &self.buckets {
+            bucket.send_replace(());
+        }
+    }
+}
+
 struct LogApplication {
     state: Shared<LogState>,
+    signals: Signals,
 }
 
 enum Resource<'a> {
@@ -92,9 +130,8 @@
     /// Takes effect first and is slow afterwards: a client that gives up waiting cannot know.
     async fn append(&self, stream: &str, request: &Incoming) -> Handled {
         let data = request.body.to_vec();
-        let outcome = self
-            .state
-            .update(|state| state.model.request_append(stream, data, &mut state.rng));
+        let outcome = self.append_now(stream, data);
+        self.signals.wake(stream);
         self.delay().await;
         match outcome {
             AppendOutcome::Appended(offset) => Ok(Reply::json(&AppendResponse { offset })),
@@ -107,11 +144,17 @@
         }
     }
 
+    fn append_now(&self, stream: &str, data: Vec<u8>) -> AppendOutcome {
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        state.model.request_append(stream, data, &mut state.rng)
+    }
+
     async fn read(&self, stream: &str, request: &Incoming) -> Handled {
         let query: ReadQuery = request.query()?;
         self.delay().await;
         let deadline = Instant::now() + Duration::from_millis(query.wait_ms.min(MAX_WAIT_MS));
-        let mut changes = self.state.subscribe();
+        let mut changes = self.signals.of(stream).subscribe();
         loop {
             let Some(response) = self.read_now(stream, &query) else {
                 return Ok(Reply::Disconnect);
@@ -137,14 +180,17 @@
 
     async fn delay(&self) {
         let delay = self.state.lock().model.faults.delay();
-        sleep(delay).await;
+        // Even a sleep of no length costs a tick of the timer.
+        if !delay.is_zero() {
+            sleep(delay).await;
+        }
     }
 
     fn set_faults(&self, request: &Incoming) -> Handled {
         let faults: LogFaults = request.json()?;
         ::log::info!("log faults: {faults:?}");
-        self.state
-            .update(|state| state.model.faults = faults.clone());
+        self.state.lock().model.faults = faults.clone();
+        self.signals.wake_all();
         Ok(Reply::json(&faults))
     }
 }
