--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -4,11 +4,18 @@
 
 use std::path::PathBuf;
 
+use elderworks_cli::verbs::OutputFormat;
+use elderworks_control::api::Collection;
 use elderworks_settings::Override;
 
 xflags::xflags! {
     /// A scheduler for agent programs.
     cmd elderworks {
+        /// Base URLs of nodes for operators' commands, separated by commas; the first that can be
+        /// reached is asked. Otherwise ELDERWORKS_SERVER, or the first node of the examples.
+        optional --server urls: String
+        /// Token that operators show. Otherwise ELDERWORKS_TOKEN, or none.
+        optional --token token: String
         /// Run a node.
         cmd node {
             /// Settings file.
@@ -30,6 +37,58 @@
             /// Further settings files.
             repeated files: PathBuf
         }
+        /// Create or change the resources of a file.
+        cmd apply {
+            /// YAML or JSON file; - for standard input.
+            required -f, --file file: String
+            /// How long to try again while no node takes changes, in seconds.
+            optional --wait seconds: u64
+        }
+        /// List resources of a kind, or show one.
+        cmd get {
+            /// programs, services, budgets, configurations, nodes, engines, or runs with a name.
+            required kind: Collection
+            /// Name of one resource.
+            optional name: String
+            /// table, json or yaml.
+            optional -o, --output format: OutputFormat
+        }
+        /// Show every field of a resource, and which programs use it.
+        cmd describe {
+            /// Kind.
+            required kind: Collection
+            /// Name.
+            required name: String
+        }
+        /// Follow changes, over broken connections too.
+        cmd watch {
+            /// Kind; every kind that operators write if left out.
+            optional kind: Collection
+            /// Name of one resource.
+            optional name: String
+            /// Last revision seen; what is there now is shown first if left out.
+            optional --after revision: u64
+            /// table, json (one line for each change) or yaml.
+            optional -o, --output format: OutputFormat
+        }
+        /// Delete a resource.
+        cmd delete {
+            /// Kind.
+            required kind: Collection
+            /// Name.
+            required name: String
+            /// Delete only if this is still the revision.
+            optional --revision revision: u64
+        }
+        /// Explain a run (explain run ID) or the configuration keys (explain configuration).
+        cmd explain {
+            /// run or configuration.
+            required subject: Collection
+            /// Id of the run.
+            optional id: String
+            /// table, json or yaml.
+            optional -o, --output format: OutputFormat
+        }
         /// Run a sample program of each deployment in one process.
         cmd demo {}
     }
