--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -11,7 +11,8 @@
 
 impl Partition {
     pub(super) fn on_claim(&mut self, forced: bool) {
-        if self.owned.is_some() {
+        if self.is_serving() {
+            self.soft.release = None;
             return;
         }
         self.claim = Some(forced);
@@ -20,7 +21,7 @@
 
     /// Appends the wished-for claim once it may be made.
     pub(super) fn try_claim(&mut self) {
-        let Some(forced) = self.claim else {
+        let Some(forced) = self.claim.filter(|_| self.owned.is_none()) else {
             return;
         };
         let ownership = &self.journal.ownership;
--- a/crates/execution/tests/common/mod.rs
+++ b/crates/execution/tests/common/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code)]
 
 pub mod build;
+pub mod chaos;
+pub mod machines;
 
 use std::time::Duration;
 
@@ -100,10 +102,15 @@
 
     /// The node loses its memory; what it had not appended is gone.
     pub fn restart(&mut self, node: Node) {
+        self.restart_unread(node);
+        self.settle();
+    }
+
+    /// As [`Self::restart`], with the log still to be read.
+    pub fn restart_unread(&mut self, node: Node) {
         let old = &self.nodes[node].writer;
         let fresh = self.follower(old.node.clone(), old.incarnation.next());
         self.nodes[node] = fresh;
-        self.settle();
     }
 
     /// Feeds an event and lets everything that follows happen.
@@ -154,23 +161,55 @@
         moved
     }
 
+    /// Appends what one node has ready, `copies` times; 0 leaves it for another try.
+    pub fn flush_node(&mut self, node: Node, copies: usize) {
+        if !self.log_up || copies == 0 || self.nodes[node].paused {
+            return;
+        }
+        let batch = std::mem::take(&mut self.nodes[node].outbox);
+        for _ in 0..copies {
+            self.log.extend(batch.iter().cloned());
+        }
+    }
+
     fn deliver(&mut self) -> bool {
         let mut moved = false;
         for index in 0..self.nodes.len() {
-            while !self.nodes[index].paused && self.nodes[index].read < self.log.len() {
-                let position = self.nodes[index].read;
-                self.nodes[index].read += 1;
-                let event = Event::RecordRead {
-                    offset: Offset(position as u64),
-                    record: self.log[position].clone(),
-                };
-                self.feed(index, event);
+            while self.deliver_one(index) {
                 moved = true;
             }
         }
         moved
     }
 
+    /// Feeds a node the next record of the log, if there is one.
+    pub fn deliver_one(&mut self, node: Node) -> bool {
+        let position = self.nodes[node].read;
+        if self.nodes[node].paused || position >= self.log.len() {
+            return false;
+        }
+        self.nodes[node].read += 1;
+        let event = Event::RecordRead {
+            offset: Offset(position as u64),
+            record: self.log[position].clone(),
+        };
+        self.feed(node, event);
+        true
+    }
+
+    /// A new reader fed from an offset on.
+    pub fn reader_from(&self, offset: usize) -> Partition {
+        let mut reader = self.follower(NodeId::new("reader"), Incarnation(1));
+        for (position, record) in self.log.iter().enumerate().skip(offset) {
+            let event = Event::RecordRead {
+                offset: Offset(position as u64),
+                record: record.clone(),
+            };
+            reader.partition.handle(self.now, event);
+        }
+        reader.partition
+    }
+
     /// Lets time pass in small steps, with ticks.
     pub fn pass(&mut self, duration: Duration) {
         const STEP: Duration = Duration::from_millis(100);
