--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -8,6 +8,7 @@
 use crate::Effect;
 use crate::event::Connection;
 use crate::soft::{OpenCall, ReleaseProgress, Soft, Stage};
+use crate::state::Loader;
 
 impl Partition {
     pub(super) fn on_claim(&mut self, forced: bool) {
@@ -27,9 +28,9 @@
         let ownership = &self.journal.ownership;
         let free = ownership.owner.is_none();
         let next_epoch = ownership.epoch.next();
-        let loaded = self.is_loaded() || ownership.epoch == Epoch(0);
+        let readable = matches!(self.loader, Loader::Done | Loader::Empty);
         let claimed_already = self.claimed == Some(next_epoch);
-        if !loaded || claimed_already || !(forced || free) {
+        if !readable || claimed_already || !(forced || free) {
             return;
         }
         self.claimed = Some(next_epoch);
