--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -10,6 +10,7 @@
 mod ownership;
 mod records;
 mod recovery;
+mod release;
 mod timers;
 mod view;
 
@@ -39,6 +40,8 @@
     claim: Option<bool>,
     /// The epoch that this node's last claim asked for.
     claimed: Option<Epoch>,
+    /// Records that counted since the last whole snapshot.
+    records_since_snapshot: u64,
     log_reachable: bool,
     /// Limits of the tenants whose budget this partition holds.
     tenant_limits: BTreeMap<TenantId, Credits>,
@@ -64,6 +67,7 @@
             owned: None,
             claim: None,
             claimed: None,
+            records_since_snapshot: 0,
             log_reachable: true,
             tenant_limits: BTreeMap::new(),
             snapshot_offset: None,
@@ -146,7 +150,7 @@
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
         match event {
             Event::RecordRead { offset, record } => self.on_record_read(now, offset, record),
-            Event::Claim { forced } => self.on_claim(forced),
+            Event::Claim { forced } => self.on_claim(now, forced),
             Event::Release => self.on_release(now),
             Event::LogReachable(reachable) => self.on_log_reachable(now, reachable),
             Event::StartRun {
--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -25,6 +25,10 @@
         };
         let attempt = call.permitted;
         let repeatable = call.spec.repeatable;
+        // True of an attempt that its earlier owner journalled and surely did not send.
+        let already_started = call
+            .last_attempt()
+            .is_some_and(|started| started.attempt == attempt);
         let late = call.spec.deadline.is_some_and(|deadline| deadline < now);
         let answer = AnswerBuffer::continuing(call.continue_text.clone(), call.continue_chunks);
         let Some(open) = self.soft.open(id.run, id.number) else {
@@ -37,7 +41,7 @@
         if open.answer.next_index() < answer.next_index() {
             open.answer = answer;
         }
-        if repeatable {
+        if repeatable || already_started {
             return self.dispatch(now, id, attempt);
         }
         open.stage = Stage::Intent {
@@ -160,6 +164,7 @@
         engine: Option<EngineId>,
         note: String,
     ) {
+        self.restore_withdrawn(id, attempt);
         let timeout = self.journal.open_call(id).map(|call| call.terms.timeout);
         let running = self.running(id, attempt);
         let (Some(timeout), Some(running)) = (timeout, running) else {
--- a/crates/execution/src/partition/ending.rs
+++ b/crates/execution/src/partition/ending.rs
@@ -80,7 +80,7 @@
         }
         let gap_due = now + self.settings.earlier_call_wait;
         self.wake_at(gap_due, id.run);
-        self.try_release(now);
+        self.prepare_release(now);
     }
 
     fn last_attempt_of(&self, id: CallId) -> Option<Attempt> {
@@ -236,6 +236,7 @@
         };
         let out = match &open.stage {
             Stage::Running(running) => Some(running.attempt),
+            Stage::Withdrawn(attempt) => Some(*attempt),
             Stage::Closing => return,
             _ => None,
         };
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -357,7 +357,7 @@
     pub(super) fn on_log_reachable(&mut self, now: Timestamp, reachable: bool) {
         self.log_reachable = reachable;
         if reachable {
-            self.try_release(now);
+            self.prepare_release(now);
             return;
         }
         for (id, submission) in self.soft.queue.take_all() {
--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -7,14 +7,13 @@
 use super::Partition;
 use crate::Effect;
 use crate::event::Connection;
-use crate::soft::{OpenCall, ReleaseProgress, Soft, Stage};
+use crate::soft::{OpenCall, Soft, Stage};
 use crate::state::Loader;
 
 impl Partition {
-    pub(super) fn on_claim(&mut self, forced: bool) {
+    pub(super) fn on_claim(&mut self, now: Timestamp, forced: bool) {
         if self.is_serving() {
-            self.soft.release = None;
-            return;
+            return self.cancel_release(now);
         }
         self.claim = Some(forced);
         self.try_claim();
@@ -133,104 +132,4 @@
             self.send(connection, message);
         }
     }
-
-    pub(super) fn on_release(&mut self, now: Timestamp) {
-        self.claim = None;
-        if self.owned.is_none() || self.soft.release.is_some() {
-            return;
-        }
-        self.soft.release = Some(ReleaseProgress {
-            since: now,
-            appended: false,
-        });
-        self.turn_waiting_away();
-        self.try_release(now);
-    }
-
-    fn turn_waiting_away(&mut self) {
-        for (id, submission) in self.soft.queue.take_all() {
-            let connections = submission.callers.connections();
-            self.turn_away(connections, id.run, Some(id.number));
-        }
-    }
-
-    /// Appends the release once nothing speaks against it: calls that another owner could not take
-    /// up have ended, or have had their time.
-    pub(super) fn try_release(&mut self, now: Timestamp) {
-        let Some(release) = self.soft.release else {
-            return;
-        };
-        if release.appended || !self.log_reachable {
-            return;
-        }
-        let overdue = now.since(release.since) >= self.settings.release_wait;
-        if self.is_release_blocked() && !overdue {
-            return;
-        }
-        let unsent = self.withdraw_unsent();
-        for work in self.soft.runs.values_mut() {
-            if let Some(open) = &mut work.open {
-                open.stage = Stage::Closing;
-            }
-        }
-        self.append(JournalBody::Release { unsent });
-        self.soft.release = Some(ReleaseProgress {
-            appended: true,
-            ..release
-        });
-    }
-
-    fn is_release_blocked(&self) -> bool {
-        let own_records = !self.soft.in_flight.is_empty();
-        own_records
-            || self.soft.runs.iter().any(|(run, work)| {
-                let open = work.open.as_ref();
-                open.is_some_and(|open| self.must_finish_here(*run, open))
-            })
-    }
-
-    /// Whether another owner could not take the call up where it is: everything that is out and is
-    /// not a stream of an engine.
-    fn must_finish_here(&self, run: RunId, open: &OpenCall) -> bool {
-        let Stage::Running(running) = &open.stage else {
-            return false;
-        };
-        let call = CallId {
-            run,
-            number: open.number,
-        };
-        let engine = self
-            .journal
-            .open_call(call)
-            .and_then(|state| state.last_attempt())
-            .and_then(|attempt| attempt.engine.as_ref());
-        running.sent.is_some() && engine.is_none()
-    }
-
-    /// Withdraws from placement what no back end has, and names every call so left.
-    fn withdraw_unsent(&mut self) -> Vec<CallId> {
-        let mut unsent = Vec::new();
-        let mut cancelled = Vec::new();
-        for (run, work) in &self.soft.runs {
-            let Some(open) = &work.open else {
-                continue;
-            };
-            let call = CallId {
-                run: *run,
-                number: open.number,
-            };
-            match &open.stage {
-                Stage::Idle => unsent.push(call),
-                Stage::Running(running) if running.sent.is_none() => {
-                    unsent.push(call);
-                    cancelled.push((call, running.attempt));
-                }
-                _ => {}
-            }
-        }
-        for (call, attempt) in cancelled {
-            self.emit(Effect::Cancel { call, attempt });
-        }
-        unsent
-    }
 }
--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -64,6 +64,7 @@
             self.on_claim_won(now, own, record.epoch);
             return;
         }
+        self.records_since_snapshot += 1;
         if let JournalBody::Snapshot { part, parts, .. } = record.body {
             self.note_snapshot(offset, part, parts);
         }
@@ -91,6 +92,16 @@
             && let Some(first) = self.pending_snapshot.take()
         {
             self.snapshot_offset = Some(first);
+            self.records_since_snapshot = 0;
+        }
+    }
+
+    /// Takes a snapshot once enough records followed the last.
+    pub(super) fn snapshot_if_due(&mut self) {
+        let due = self.records_since_snapshot >= self.settings.snapshot_interval;
+        if due && self.log_reachable && self.is_serving() {
+            self.records_since_snapshot = 0;
+            self.on_take_snapshot();
         }
     }
 
--- /dev/null
+++ b/crates/execution/src/partition/release.rs
@@ -0,0 +1,175 @@
+//! Handing the partition over in order.
+
+use elderworks_protocol::journal::JournalBody;
+use elderworks_types::{Attempt, CallId, RunId, Timestamp};
+
+use super::Partition;
+use crate::Effect;
+use crate::soft::{OpenCall, ReleaseProgress, Running, Source, Stage};
+
+impl Partition {
+    pub(super) fn on_release(&mut self, now: Timestamp) {
+        self.claim = None;
+        if self.owned.is_none() || self.soft.release.is_some() {
+            return;
+        }
+        self.soft.release = Some(ReleaseProgress {
+            since: now,
+            appended: false,
+        });
+        self.turn_waiting_away();
+        self.prepare_release(now);
+    }
+
+    fn turn_waiting_away(&mut self) {
+        for (id, submission) in self.soft.queue.take_all() {
+            let connections = submission.callers.connections();
+            self.turn_away(connections, id.run, Some(id.number));
+        }
+    }
+
+    /// Takes back from placement what no back end has, once nothing else speaks against the
+    /// release. It is appended at a later tick, when word of an attempt that was sent in the same
+    /// moment has arrived.
+    pub(super) fn prepare_release(&mut self, now: Timestamp) {
+        if !self.is_release_due(now) {
+            return;
+        }
+        let mut taken_back = Vec::new();
+        for (run, work) in &mut self.soft.runs {
+            let Some(open) = &mut work.open else {
+                continue;
+            };
+            let call = CallId {
+                run: *run,
+                number: open.number,
+            };
+            if let Stage::Running(running) = &open.stage
+                && running.sent.is_none()
+            {
+                taken_back.push((call, running.attempt));
+                open.stage = Stage::Withdrawn(running.attempt);
+            }
+        }
+        for (call, attempt) in taken_back {
+            self.emit(Effect::Cancel { call, attempt });
+        }
+    }
+
+    /// Appends the release if it is due and everything unsent was taken back before.
+    pub(super) fn finish_release(&mut self, now: Timestamp) {
+        if !self.is_release_due(now) {
+            return;
+        }
+        let waiting = self.soft.runs.values().any(|work| {
+            let open = work.open.as_ref();
+            open.is_some_and(is_unsent)
+        });
+        if waiting {
+            return self.prepare_release(now);
+        }
+        self.append_release();
+    }
+
+    /// Whether nothing stands in the way of the release, or has had its time: records on their way,
+    /// and calls that another owner could not take up.
+    fn is_release_due(&self, now: Timestamp) -> bool {
+        let Some(release) = self.soft.release else {
+            return false;
+        };
+        if release.appended || !self.log_reachable {
+            return false;
+        }
+        let overdue = now.since(release.since) >= self.settings.release_wait;
+        overdue || !self.is_release_blocked()
+    }
+
+    fn is_release_blocked(&self) -> bool {
+        if !self.soft.in_flight.is_empty() {
+            return true;
+        }
+        self.soft.runs.iter().any(|(run, work)| {
+            let open = work.open.as_ref();
+            open.is_some_and(|open| self.must_finish_here(*run, open))
+        })
+    }
+
+    /// Whether another owner could not take the call up where it is: everything that is out and is
+    /// not a stream of an engine.
+    fn must_finish_here(&self, run: RunId, open: &OpenCall) -> bool {
+        let Stage::Running(running) = &open.stage else {
+            return false;
+        };
+        let call = CallId {
+            run,
+            number: open.number,
+        };
+        let engine = self
+            .journal
+            .open_call(call)
+            .and_then(|state| state.last_attempt())
+            .and_then(|attempt| attempt.engine.as_ref());
+        running.sent.is_some() && engine.is_none()
+    }
+
+    fn append_release(&mut self) {
+        let mut unsent = Vec::new();
+        for (run, work) in &mut self.soft.runs {
+            let Some(open) = &mut work.open else {
+                continue;
+            };
+            if let Stage::Withdrawn(_) | Stage::Idle = open.stage {
+                unsent.push(CallId {
+                    run: *run,
+                    number: open.number,
+                });
+            }
+            open.stage = Stage::Closing;
+        }
+        self.append(JournalBody::Release { unsent });
+        if let Some(release) = &mut self.soft.release {
+            release.appended = true;
+        }
+    }
+
+    /// The partition is to stay here after all: what was taken back is dispatched again.
+    pub(super) fn cancel_release(&mut self, now: Timestamp) {
+        if self.soft.release.take().is_none() {
+            return;
+        }
+        let withdrawn: Vec<CallId> = self
+            .soft
+            .runs
+            .iter()
+            .filter_map(|(run, work)| {
+                let open = work.open.as_ref()?;
+                let is_withdrawn = matches!(open.stage, Stage::Withdrawn(_));
+                is_withdrawn.then_some(CallId {
+                    run: *run,
+                    number: open.number,
+                })
+            })
+            .collect();
+        for call in withdrawn {
+            self.begin_attempt(now, call);
+        }
+    }
+
+    /// An attempt that was taken back had been sent all the same.
+    pub(super) fn restore_withdrawn(&mut self, id: CallId, attempt: Attempt) {
+        if let Some(open) = self.soft.open(id.run, id.number)
+            && open.stage == Stage::Withdrawn(attempt)
+        {
+            open.stage = Stage::Running(Running {
+                attempt,
+                source: Source::Dispatched,
+                sent: None,
+            });
+        }
+    }
+}
+
+/// Whether placement holds the call's attempt.
+fn is_unsent(open: &OpenCall) -> bool {
+    matches!(&open.stage, Stage::Running(running) if running.sent.is_none())
+}
--- a/crates/execution/src/partition/timers.rs
+++ b/crates/execution/src/partition/timers.rs
@@ -27,7 +27,8 @@
         }
         self.repeat_releases(now);
         self.forget_ended(now);
-        self.try_release(now);
+        self.finish_release(now);
+        self.snapshot_if_due();
     }
 
     fn on_timer(&mut self, now: Timestamp, run: RunId) {
--- a/crates/execution/src/settings.rs
+++ b/crates/execution/src/settings.rs
@@ -50,6 +50,8 @@
     pub max_ended_runs: usize,
     /// Calls whose notes are kept for `explain`.
     pub max_call_notes: usize,
+    /// Records after which the owner takes a snapshot by itself.
+    pub snapshot_interval: u64,
     /// Ways to break the partition on purpose; all off.
     pub faults: Faults,
 }
@@ -78,6 +80,7 @@
             retain_ended: Duration::from_secs(600),
             max_ended_runs: 2_000,
             max_call_notes: 4_096,
+            snapshot_interval: 20_000,
             faults: Faults::default(),
         }
     }
--- a/crates/execution/src/soft.rs
+++ b/crates/execution/src/soft.rs
@@ -241,6 +241,8 @@
         /// When it was appended.
         since: Timestamp,
     },
+    /// An attempt was taken back from placement, which may just have sent it.
+    Withdrawn(Attempt),
     /// An attempt is out.
     Running(Running),
     /// The next attempt waits for its time.
--- a/crates/execution/tests/crashes.rs
+++ b/crates/execution/tests/crashes.rs
@@ -113,8 +113,11 @@
 
 #[test]
 fn invariants_survive_random_histories() {
-    let coverage = run_histories(&ExecutionSettings::default(), 1_500)
-        .unwrap_or_else(|error| panic!("{error}"));
+    let settings = ExecutionSettings {
+        snapshot_interval: 25,
+        ..ExecutionSettings::default()
+    };
+    let coverage = run_histories(&settings, 1_500).unwrap_or_else(|error| panic!("{error}"));
     assert!(coverage.least() > 10, "histories that went through little");
 }
 
--- a/crates/execution/tests/takeover.rs
+++ b/crates/execution/tests/takeover.rs
@@ -239,12 +239,14 @@
     world.event(0, Event::Release);
     assert!(world.nodes[0].partition.owned().is_some(), "a tool is out");
     world.complete(0, id, 1, "declared");
+    world.pass(Duration::from_millis(100));
     assert!(world.nodes[0].partition.owned().is_none());
     assert!(world.nodes[1].partition.owned().is_some());
 
     let (mut world, _) = world_with(model_call(1, 0, "hello"), Progress::Streaming);
     world.event(1, Event::Claim { forced: false });
     world.event(0, Event::Release);
+    world.pass(Duration::from_millis(100));
     assert!(world.nodes[1].partition.owned().is_some());
     let effects = world.take_effects(1);
     let resumed = effects
@@ -263,6 +265,47 @@
         attempt: Attempt(1),
     };
     assert!(world.take_effects(0).contains(&cancel));
+    world.pass(Duration::from_millis(100));
     let dispatches = world.take_dispatches(1);
     assert!(matches!(dispatches.as_slice(), [(_, Attempt(1), _)]));
 }
+
+#[test]
+fn an_attempt_sent_while_the_partition_was_released_is_not_called_unsent() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Accepted);
+    world.event(1, Event::Claim { forced: false });
+    world.event(0, Event::Release);
+    world.place(0, id, 1, "engine-a");
+    world.pass(Duration::from_millis(100));
+    assert!(world.nodes[1].partition.owned().is_some());
+    let effects = world.take_effects(1);
+    let resumed = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Resume { .. }));
+    assert!(resumed, "{effects:?}");
+}
+
+#[test]
+fn an_unsent_call_that_must_not_be_repeated_is_sent_by_the_next_owner() {
+    let spec = CallSpec {
+        repeatable: false,
+        ..model_call(1, 0, "hello")
+    };
+    let (mut world, id) = world_with(spec, Progress::Accepted);
+    world.event(1, Event::Claim { forced: false });
+    world.event(0, Event::Release);
+    world.pass(Duration::from_millis(100));
+    let dispatches = world.take_dispatches(1);
+    assert!(matches!(dispatches.as_slice(), [(sent, Attempt(1), _)] if *sent == id));
+}
+
+#[test]
+fn a_release_that_is_called_off_dispatches_again() {
+    let (mut world, _) = world_with(model_call(1, 0, "hello"), Progress::Accepted);
+    world.take_dispatches(0);
+    world.event(0, Event::Release);
+    world.event(0, Event::Claim { forced: true });
+    world.pass(Duration::from_secs(1));
+    assert_eq!(world.take_dispatches(0).len(), 1);
+    assert!(world.nodes[0].partition.owned().is_some());
+}
