--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,3 @@
-//! The elderworks command: processes, operator's verbs and the embedded demo.
+//! The operators' verbs of the elderworks command, as a library.
+
+pub mod verbs;
--- a/crates/execution/tests/takeover.rs
+++ b/crates/execution/tests/takeover.rs
@@ -309,3 +309,20 @@
     assert_eq!(world.take_dispatches(0).len(), 1);
     assert!(world.nodes[0].partition.owned().is_some());
 }
+
+/// Simulation seed 63 found it: a node that had released a partition followed it again, owned it
+/// while it read its own old claim back, and answered a read from half the history.
+#[test]
+fn an_old_claim_read_again_makes_no_owner() {
+    let (mut world, _) = world_with(model_call(1, 0, "hello"), Progress::Streaming);
+    world.take_over(1);
+    world.take_effects(0);
+    world.reopen(0);
+    assert_eq!(world.nodes[0].partition.owned(), None);
+    let effects = world.take_effects(0);
+    assert!(effects.is_empty(), "{effects:?}");
+
+    world.take_over(0);
+    assert!(world.nodes[0].partition.owned().is_some());
+    assert_eq!(world.nodes[1].partition.owned(), None);
+}
--- /dev/null
+++ b/crates/node-core/src/operator.rs
@@ -0,0 +1,82 @@
+//! Requests of operators.
+
+use elderworks_control::watch::WatchError;
+use elderworks_control::{self as control, Change};
+use elderworks_types::resource::Kind;
+use elderworks_types::{Offset, RunId};
+
+use crate::core::NodeCore;
+use crate::effect::{Effect, OperatorReply};
+use crate::event::{OperatorRequest, RequestId};
+
+impl NodeCore {
+    /// Answers an operator, at once or when the log has decided.
+    pub(crate) fn operator_request(&mut self, request: RequestId, question: OperatorRequest) {
+        let reply = match question {
+            OperatorRequest::Change(body) => {
+                self.agenda
+                    .control(control::Event::Propose { request, body });
+                return;
+            }
+            OperatorRequest::Watch { kind, after } => {
+                self.open_watch(request, kind, after);
+                return;
+            }
+            OperatorRequest::Unwatch { watch } => {
+                self.watches.end(watch);
+                return;
+            }
+            OperatorRequest::Get { kind, name } => {
+                OperatorReply::Resource(self.control.get(kind, &name).cloned())
+            }
+            OperatorRequest::List { kind } => OperatorReply::Resources {
+                items: self.control.list(kind).cloned().collect(),
+                revision: Offset(self.control.next().0.saturating_sub(1)),
+            },
+            OperatorRequest::Nodes => OperatorReply::Nodes(self.member_list()),
+            OperatorRequest::Engines => OperatorReply::Engines(self.engines.views()),
+            OperatorRequest::Run { run } => self.run_reply(run),
+        };
+        self.agenda.effect(Effect::OperatorReply { request, reply });
+    }
+
+    fn member_list(&self) -> Vec<elderworks_membership::Member> {
+        let members = self.membership.iter().flat_map(|known| known.members());
+        members.cloned().collect()
+    }
+
+    fn run_reply(&self, run: RunId) -> OperatorReply {
+        let partition = run.partition(self.settings.partition_count);
+        let held = self.ownership.held.get(&partition);
+        match held.filter(|held| held.epoch.is_some()) {
+            Some(held) => OperatorReply::Run(held.machine.view(run).map(Box::new)),
+            None => OperatorReply::RunElsewhere(
+                self.owner_address(partition)
+                    .filter(|owner| owner.node != self.settings.node),
+            ),
+        }
+    }
+
+    fn open_watch(&mut self, watch: RequestId, kind: Option<Kind>, after: Offset) {
+        let begun = self.watches.begin(&self.control, watch, kind, after);
+        let full = begun == Err(WatchError::TooMany);
+        self.counters.watch_overflow += u64::from(full);
+        self.agenda.effect(Effect::OperatorReply {
+            request: watch,
+            reply: OperatorReply::Watching {
+                accepted: begun.is_ok(),
+            },
+        });
+        for change in begun.into_iter().flatten() {
+            self.agenda.effect(Effect::WatchEvent { watch, change });
+        }
+    }
+
+    /// Tells every watcher that is interested in a change.
+    pub(crate) fn tell_watchers(&mut self, change: &Change) {
+        for watch in self.watches.interested(change) {
+            let change = change.clone();
+            self.agenda.effect(Effect::WatchEvent { watch, change });
+        }
+    }
+}
