Compare placement baselines on a simulated fleet

Programs are drawn from seeded presets, several nodes place calls with the engines' lagging reports, refused callers come back. Ruled out: counting latency of answered programs only, which would reward refusals.

--- a/crates/lab/src/command_line.rs
+++ b/crates/lab/src/command_line.rs
@@ -17,6 +17,8 @@
             required --load shares: String
             /// Seeds A..B, B excluded.
             required --seeds range: SeedRange
+            /// Only these policies, separated by commas.
+            optional --policies names: String
             /// Write the rows as JSON.
             optional --json file: PathBuf
             /// Write plots (SVG) into this folder.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod scale;
 mod seeds;
 mod simulate;
+mod workload;
 
 use command_line::{LabCommand, LabCommandCmd};
 
--- /dev/null
+++ b/crates/lab/src/workload/capacity.rs
@@ -0,0 +1,87 @@
+//! How many programs a fleet can finish per second.
+//!
+//! Capacity is the highest rate that the engines could sustain if no prefix that a run or its
+//! tenant's handbook already had were ever prefilled twice and every batch were as full as memory
+//! allows: `workers / mean engine time of a program`. A load of 0.9 therefore leaves a policy
+//! little room for recomputation.
+
+use std::time::Duration;
+
+use elderworks_engine_model::EngineParameters;
+use elderworks_types::text::TOKENS_PER_BLOCK;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::generate::program;
+use super::{Preset, RunPlan, Segment, Then};
+
+/// Programs drawn to estimate the mean.
+const SAMPLE: usize = 4_000;
+/// Seed of that sample; capacity is a property of the preset, not of one experiment.
+const SAMPLE_SEED: u64 = 0x00ca_9ac1;
+
+/// Work of some runs in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Prompt tokens that nobody has prefilled before.
+    pub prefill: f64,
+    /// Generated tokens.
+    pub output: f64,
+    /// Sum over generated tokens of the context that each attends to.
+    pub context: f64,
+}
+
+/// The rate that a load of 1 means.
+pub fn programs_per_second(preset: &Preset) -> f64 {
+    let mut random = ChaCha8Rng::seed_from_u64(SAMPLE_SEED);
+    let mut total = Work::default();
+    for _ in 0..SAMPLE {
+        let plan = program(preset, Duration::ZERO, &mut random);
+        add_run(&mut total, &plan.root, true);
+    }
+    let parameters = EngineParameters::default();
+    let mean_seconds = engine_seconds(&parameters, total) / SAMPLE as f64;
+    preset.workers as f64 / mean_seconds
+}
+
+/// Engine time of some work in batches as full as memory allows.
+pub fn engine_seconds(parameters: &EngineParameters, work: Work) -> f64 {
+    let mean_context = work.context / work.output.max(1.0);
+    let memory = (parameters.cache_blocks * TOKENS_PER_BLOCK) as f64;
+    let batch = (memory / mean_context)
+        .min(parameters.max_batch as f64)
+        .max(1.0);
+    let step = parameters.step_duration(batch as u64, (batch * mean_context) as u64, 0);
+    let prefill = work.prefill * parameters.step_nanos_per_prefill_token as f64 / 1e9;
+    work.output * step.as_secs_f64() / batch + prefill
+}
+
+fn add_run(total: &mut Work, run: &RunPlan, is_root: bool) {
+    let mut context = run
+        .segments
+        .iter()
+        .map(|segment| segment.tokens)
+        .sum::<u64>() as f64;
+    if is_root {
+        total.prefill += unshared(&run.segments) as f64;
+    }
+    for turn in &run.turns {
+        context += turn.prompt as f64;
+        total.prefill += turn.prompt as f64;
+        total.output += turn.output as f64;
+        total.context += turn.output as f64 * (context + turn.output as f64 / 2.0);
+        context += turn.output as f64;
+        if let Then::Spawn(children) = &turn.then {
+            for child in children {
+                add_run(total, child, false);
+            }
+        }
+    }
+}
+
+/// The document and what follows it; system prompt and handbook are taken as always cached.
+fn unshared(segments: &[Segment]) -> u64 {
+    const DOCUMENT_AND_UNIQUE: usize = 2;
+    let first = segments.len().saturating_sub(DOCUMENT_AND_UNIQUE);
+    segments[first..].iter().map(|segment| segment.tokens).sum()
+}
--- /dev/null
+++ b/crates/lab/src/workload/tests.rs
@@ -0,0 +1,76 @@
+//! Workloads are seeded, and chains share what their plans share.
+
+use super::chain::{BLOCK_TOKENS, block_chain};
+use super::{Preset, ProgramPlan, RunPlan, Segment, Then, Turn, capacity, generate};
+
+const PRESETS: [&str; 3] = ["lublin", "ulaanbaatar", "target"];
+
+fn describe(programs: &[ProgramPlan]) -> String {
+    format!("{programs:?}")
+}
+
+#[test]
+fn equal_seeds_give_equal_programs() {
+    let preset = Preset::named("lublin").unwrap();
+    let first = generate::programs(&preset, 0.05, 3);
+    let second = generate::programs(&preset, 0.05, 3);
+    let other = generate::programs(&preset, 0.05, 4);
+    assert_eq!(describe(&first), describe(&second));
+    assert_ne!(describe(&first), describe(&other));
+}
+
+#[test]
+fn arrivals_meet_the_load_and_peak_in_the_middle() {
+    for name in PRESETS {
+        let preset = Preset::named(name).unwrap();
+        let programs = generate::programs(&preset, 0.5, 1);
+        let horizon = preset.horizon.as_secs_f64();
+        let expected = capacity::programs_per_second(&preset) * 0.5 * horizon;
+        let ratio = programs.len() as f64 / expected;
+        assert!((0.9..1.1).contains(&ratio), "{name}: {ratio}");
+        let in_rush = programs
+            .iter()
+            .filter(|plan| (plan.arrival.as_secs_f64() / horizon - 0.5).abs() < 0.2)
+            .count() as f64;
+        let expected_in_rush = programs.len() as f64 * 0.4 * preset.rush_peak;
+        let ratio = in_rush / expected_in_rush;
+        assert!((0.9..1.1).contains(&ratio), "{name} in the rush: {ratio}");
+    }
+}
+
+#[test]
+fn class_shares_add_up() {
+    for name in PRESETS {
+        let preset = Preset::named(name).unwrap();
+        let sum: f64 = preset.classes.iter().map(|class| class.share).sum();
+        assert!((sum - 1.0).abs() < 1e-9, "{name}: {sum}");
+    }
+}
+
+#[test]
+fn chains_share_exactly_the_common_segments() {
+    let segment = |identity, blocks| Segment {
+        identity,
+        tokens: blocks * BLOCK_TOKENS,
+    };
+    let run = |segments: &[Segment]| RunPlan {
+        segments: segments.to_vec(),
+        turns: vec![Turn {
+            prompt: 40,
+            output: 24,
+            then: Then::End,
+        }],
+    };
+    let first = block_chain(&run(&[segment(1, 4), segment(2, 3)]), 100);
+    let second = block_chain(&run(&[segment(1, 4), segment(3, 3)]), 101);
+    let same_segments = block_chain(&run(&[segment(1, 4), segment(2, 3)]), 102);
+    let common = |left: &[u64], right: &[u64]| {
+        left.iter()
+            .zip(right)
+            .take_while(|(left, right)| left == right)
+            .count()
+    };
+    assert_eq!(first.len(), 11);
+    assert_eq!(common(&first, &second), 4);
+    assert_eq!(common(&first, &same_segments), 7);
+}
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -13,6 +13,13 @@
     pub seed: u64,
 }
 
+impl PlacementSettings {
+    /// Default limits and weights.
+    pub fn new(zone: ZoneId, seed: u64) -> Self {
+        Self { zone, seed }
+    }
+}
+
 /// Decides for the calls of one node.
 pub struct Placement {
     _settings: PlacementSettings,
