Measure hollow fleets at growing sizes

Change: elderworks-lab scale runs real detectors of up to thousands of nodes on a virtual clock over a network that loses, delays and cuts, and reports bytes by cause, processor time by event, memory, detection, false accusations, replacements and failures of racks, zones and regions. Ruled out: dropping seeds after the first join, which leaves a cell that forgot its lost half alone for good.

--- /dev/null
+++ b/crates/lab/src/scale/report.rs
@@ -0,0 +1,223 @@
+//! The report of a scale run.
+
+use comfy_table::Table;
+use serde::Serialize;
+
+use super::fit::LinearFit;
+use super::fleet::experiment::{
+    Churn, Detection, FalseAccusations, MassFailure, RoleTraffic, Steady, cause_names,
+};
+
+/// Everything that a run measured.
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    /// Fleets at rest.
+    pub steady: Vec<Steady>,
+    /// Deaths detected.
+    pub detection: Vec<Detection>,
+    /// Living nodes accused under loss.
+    pub accusations: Vec<FalseAccusations>,
+    /// Replacements of single nodes.
+    pub churn: Vec<Churn>,
+    /// Failures of many nodes at once.
+    pub failures: Vec<MassFailure>,
+}
+
+impl Report {
+    /// Prints every table.
+    pub fn print(&self) {
+        self.print_steady();
+        self.print_traffic();
+        self.print_detection();
+        self.print_accusations();
+        self.print_churn();
+        self.print_failures();
+    }
+
+    fn print_churn(&self) {
+        let header = ["nodes", "x target", "replaced", "B/s", "max B/s"];
+        let rows = self.churn.iter().map(|one| {
+            vec![
+                one.nodes.to_string(),
+                one.multiple.to_string(),
+                one.replaced.to_string(),
+                rounded(one.bytes_per_second),
+                rounded(one.max_bytes_per_second),
+            ]
+        });
+        print_table("Replacements of single nodes", &header, rows);
+    }
+
+    fn print_steady(&self) {
+        let header = [
+            "nodes",
+            "cells",
+            "settled s",
+            "B/node",
+            "tick us",
+            "datagram us",
+            "codec us",
+            "core %",
+            "change median s",
+            "worst s",
+            "changes",
+            "in force",
+            "log reads/s",
+        ];
+        let rows = self.steady.iter().map(|one| {
+            let (median, worst) = one.change_seconds.unzip();
+            vec![
+                one.nodes.to_string(),
+                one.cells.to_string(),
+                optional(one.settle_seconds),
+                rounded(one.bytes_per_node),
+                rounded(one.tick_micros),
+                rounded(one.datagram_micros),
+                rounded(one.codec_micros),
+                format!("{:.4}", one.core_percent),
+                optional(median),
+                optional(worst),
+                one.changes.0.to_string(),
+                one.changes.1.to_string(),
+                rounded(one.log_reads_per_second),
+            ]
+        });
+        print_table("Fleet at rest, 20,000 changes a day", &header, rows);
+        self.print_fit("bytes of detector per node over nodes", |one| {
+            one.bytes_per_node
+        });
+        self.print_fit("percent of a core per node over nodes", |one| {
+            one.core_percent
+        });
+    }
+
+    fn print_fit(&self, what: &str, value: impl Fn(&Steady) -> f64) {
+        let points: Vec<(f64, f64)> = self
+            .steady
+            .iter()
+            .map(|one| (one.nodes as f64, value(one)))
+            .collect();
+        if let Some(fit) = LinearFit::through(&points) {
+            println!(
+                "{what}: {:.4} + {:.6} x nodes (R2 {:.3}, worst residual {:.0} %)",
+                fit.intercept,
+                fit.slope,
+                fit.r_squared,
+                fit.worst_residual * 100.0
+            );
+        }
+    }
+
+    fn print_traffic(&self) {
+        let mut header = vec!["nodes", "role", "of role", "mean B/s", "max B/s"];
+        let names = cause_names();
+        header.extend(names.iter().map(String::as_str));
+        let rows = self
+            .steady
+            .iter()
+            .flat_map(|one| one.roles.iter().map(|role| traffic_row(one.nodes, role)));
+        print_table(
+            "Bytes a second per node, both directions, by cause",
+            &header,
+            rows,
+        );
+    }
+
+    fn print_detection(&self) {
+        let header = [
+            "nodes",
+            "killed",
+            "first s",
+            "all mean s",
+            "all worst s",
+            "missed",
+        ];
+        let rows = self.detection.iter().map(|one| {
+            vec![
+                one.nodes.to_string(),
+                one.killed.to_string(),
+                rounded(one.first_mean_seconds),
+                rounded(one.all_mean_seconds),
+                rounded(one.all_worst_seconds),
+                one.missed.to_string(),
+            ]
+        });
+        print_table("Death of single nodes known in their cell", &header, rows);
+    }
+
+    fn print_accusations(&self) {
+        let header = [
+            "nodes",
+            "loss %",
+            "s",
+            "suspicions",
+            "deaths",
+            "cell deaths",
+            "B/s",
+        ];
+        let rows = self.accusations.iter().map(|one| {
+            vec![
+                one.nodes.to_string(),
+                one.loss_percent.to_string(),
+                rounded(one.seconds),
+                one.suspicions.to_string(),
+                one.deaths.to_string(),
+                one.cell_deaths.to_string(),
+                rounded(one.bytes_per_second),
+            ]
+        });
+        print_table("Living nodes accused under loss", &header, rows);
+    }
+
+    fn print_failures(&self) {
+        let header = [
+            "what", "nodes", "failed", "known s", "B/s", "max B/s", "healed s", "heal B/s",
+        ];
+        let rows = self.failures.iter().map(|one| {
+            vec![
+                one.what.clone(),
+                one.nodes.to_string(),
+                one.failed.to_string(),
+                optional(one.known_seconds),
+                rounded(one.bytes_per_second),
+                rounded(one.max_bytes_per_second),
+                optional(one.healed_seconds),
+                rounded(one.heal_bytes_per_second),
+            ]
+        });
+        print_table("Failures of many nodes at once", &header, rows);
+    }
+}
+
+fn traffic_row(nodes: usize, role: &RoleTraffic) -> Vec<String> {
+    let mut row = vec![
+        nodes.to_string(),
+        format!("{:?}", role.role),
+        role.nodes.to_string(),
+        rounded(role.mean_bytes_per_second),
+        rounded(role.max_bytes_per_second),
+    ];
+    row.extend(role.by_cause.iter().map(|bytes| rounded(*bytes)));
+    row
+}
+
+fn rounded(value: f64) -> String {
+    if value.abs() >= 100.0 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.2}")
+    }
+}
+
+fn optional(value: Option<f64>) -> String {
+    value.map_or("not reached".to_string(), rounded)
+}
+
+fn print_table(title: &str, header: &[&str], rows: impl Iterator<Item = Vec<String>>) {
+    let mut table = Table::new();
+    table.set_header(header);
+    for row in rows {
+        table.add_row(row);
+    }
+    println!("\n{title}\n{table}");
+}
--- a/crates/membership/src/detector/periodic.rs
+++ b/crates/membership/src/detector/periodic.rs
@@ -9,11 +9,12 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 
 use super::Membership;
+use crate::assignment::Duty;
 use crate::event::Member;
 use crate::probe::Overdue;
 use crate::settings::{
     EXCHANGE_INTERVAL, FORGET_AFTER, FORGET_LISTED_AFTER, INDIRECT_PROBES, JOIN_ANSWERS_PER_SECOND,
-    JOIN_INTERVAL, MACHINE_LIST_LAG, RECONNECT_INTERVAL,
+    JOIN_INTERVAL, MACHINE_LIST_LAG, RECONNECT_INTERVAL, SEED_JOIN_INTERVAL,
 };
 use crate::table::is_reachable;
 
@@ -25,6 +26,7 @@
     probe: Timestamp,
     join: Timestamp,
     reconnect: Timestamp,
+    seed_join: Timestamp,
     exchange: Timestamp,
     pub(super) cell_probe: Timestamp,
     pub(super) digest_exchange: Timestamp,
@@ -67,12 +69,12 @@
             self.forget_dead(now);
             self.probe_next(now);
             self.probe_suspect(now);
+            self.relay_tick(now);
         }
         self.seek_peers(now);
         if is_due(&mut self.schedule.exchange, now, EXCHANGE_INTERVAL) {
             self.exchange();
         }
-        self.relay_tick(now);
     }
 
     /// After a pause, answers may have come and gone unheard: nobody may be judged by their absence.
@@ -200,15 +202,39 @@
         self.send(to, ping);
     }
 
-    /// Joins through seeds while alone; otherwise now and then tries a dead member or a seed, so that
-    /// two halves that lost each other find together again.
+    /// Joins through seeds while alone; otherwise now and then tries a dead member, so that two halves
+    /// that lost each other find together again.
     fn seek_peers(&mut self, now: Timestamp) {
         if self.other_reachable().next().is_none() {
             if is_due(&mut self.schedule.join, now, JOIN_INTERVAL) {
                 self.join_some_seeds();
             }
         } else if is_due(&mut self.schedule.reconnect, now, RECONNECT_INTERVAL) {
-            self.reconnect();
+            self.rejoin_dead_member();
+        }
+    }
+
+    /// One member of each cell tries the seeds, for a cell that forgot those it lost; seldom while
+    /// other cells are known, because the seeds hear this from every cell of the fleet.
+    pub(super) fn rejoin_seed(&mut self, now: Timestamp) {
+        let interval = if self.knows_other_cell() {
+            SEED_JOIN_INTERVAL
+        } else {
+            RECONNECT_INTERVAL
+        };
+        if !self.bears(Duty::Relay, 1) || !is_due(&mut self.schedule.seed_join, now, interval) {
+            return;
+        }
+        let reachable: BTreeSet<SocketAddr> = self
+            .other_reachable()
+            .map(|member| member.update.gossip_address)
+            .collect();
+        let lost: Vec<SocketAddr> = self
+            .other_seeds()
+            .filter(|seed| !reachable.contains(seed))
+            .collect();
+        if let Some(&address) = lost.choose(&mut self.random) {
+            self.send_join(address);
         }
     }
 
@@ -220,19 +246,14 @@
         }
     }
 
-    fn reconnect(&mut self) {
-        let reachable: BTreeSet<SocketAddr> = self
-            .other_reachable()
-            .map(|member| member.update.gossip_address)
-            .collect();
-        let dead = self
+    fn rejoin_dead_member(&mut self) {
+        let dead: Vec<SocketAddr> = self
             .table
             .iter()
             .filter(|member| member.update.state == MemberState::Dead)
-            .map(|member| member.update.gossip_address);
-        let lost_seeds = self.other_seeds().filter(|seed| !reachable.contains(seed));
-        let lost: Vec<SocketAddr> = dead.chain(lost_seeds).collect();
-        if let Some(&address) = lost.choose(&mut self.random) {
+            .map(|member| member.update.gossip_address)
+            .collect();
+        if let Some(&address) = dead.choose(&mut self.random) {
             self.send_join(address);
         }
     }
--- a/crates/membership/src/detector/relay.rs
+++ b/crates/membership/src/detector/relay.rs
@@ -29,6 +29,7 @@
         if !self.is_relay() {
             return;
         }
+        self.rejoin_seed(now);
         if is_due(
             &mut self.schedule.digest_renewal,
             now,
@@ -88,6 +89,13 @@
         }
     }
 
+    pub(super) fn knows_other_cell(&self) -> bool {
+        self.cells
+            .iter()
+            .filter(|known| known.digest.state == CellState::Alive)
+            .any(|known| known.digest.cell != self.settings.cell)
+    }
+
     fn follow_up_cell_probes(&mut self, now: Timestamp) {
         let timeout = self.health.stretch(self.settings.probe_timeout * 2);
         for overdue in self.cell_prober.take_overdue(now, timeout) {
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -29,9 +29,12 @@
 /// Interval of the full exchange with a random member of the cell.
 pub const EXCHANGE_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Interval of the attempts to reach dead members and seeds again.
+/// Interval of the attempts to reach dead members again, and seeds while no other cell is known.
 pub const RECONNECT_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Interval at which one member of a cell tries a seed while other cells are known.
+pub const SEED_JOIN_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Interval of the attempts to join while this node knows no living peer.
 pub const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 
