--- /dev/null
+++ b/crates/node-core/src/peers.rs
@@ -0,0 +1,184 @@
+//! Messages between nodes: budget allotments and the relay of control records.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use elderworks_execution::{self as execution, tenant_holder};
+use elderworks_protocol::peer::{FromNode, PeerMessage};
+use elderworks_types::{Credits, NodeId, PartitionId, Sequence, TenantId};
+
+use crate::core::NodeCore;
+use crate::effect::Effect;
+use crate::event::Connection;
+
+impl NodeCore {
+    /// A peer's message, on the connection it opened or on the one that this node opened to it.
+    pub(crate) fn peer_message(
+        &mut self,
+        node: &NodeId,
+        connection: Option<Connection>,
+        message: PeerMessage,
+    ) {
+        match message {
+            PeerMessage::ControlFetch { from } => {
+                let reply = self.control_records(from);
+                match connection {
+                    Some(connection) => self.agenda.effect(Effect::Send {
+                        connection,
+                        message: FromNode::Peer(reply),
+                    }),
+                    None => self.send_to_node(node, reply),
+                }
+            }
+            PeerMessage::ControlRecords { records, next } => {
+                self.relayed_records(records, next);
+            }
+            PeerMessage::AllotmentRequest {
+                tenant,
+                partition,
+                request,
+                amount,
+            } => {
+                self.allotment_requested(tenant, partition, request, amount);
+            }
+            PeerMessage::AllotmentGrant {
+                tenant,
+                partition,
+                request,
+                amount,
+            } => {
+                self.agenda.partition(
+                    partition,
+                    execution::Event::AllotmentGranted {
+                        tenant,
+                        request,
+                        amount,
+                    },
+                );
+            }
+        }
+    }
+
+    fn send_to_node(&mut self, node: &NodeId, message: PeerMessage) {
+        if let Some(peer) = self.node_address(node) {
+            self.agenda.effect(Effect::SendPeer { peer, message });
+        }
+    }
+
+    /// A partition of this node wants part of a tenant's budget.
+    pub(crate) fn request_allotment(
+        &mut self,
+        partition: PartitionId,
+        tenant: TenantId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        let holder = tenant_holder(&tenant, self.settings.partition_count);
+        if self.ownership.owns(holder) {
+            self.allotment_requested(tenant, partition, request, amount);
+            return;
+        }
+        let message = PeerMessage::AllotmentRequest {
+            tenant,
+            partition,
+            request,
+            amount,
+        };
+        self.send_to_owner(holder, message);
+    }
+
+    fn allotment_requested(
+        &mut self,
+        tenant: TenantId,
+        partition: PartitionId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        let holder = tenant_holder(&tenant, self.settings.partition_count);
+        self.agenda.partition(
+            holder,
+            execution::Event::AllotmentRequested {
+                tenant,
+                partition,
+                request,
+                amount,
+            },
+        );
+    }
+
+    /// The holder of a tenant's budget answers a partition, here or elsewhere.
+    pub(crate) fn grant_allotment(
+        &mut self,
+        tenant: TenantId,
+        partition: PartitionId,
+        request: Sequence,
+        amount: Credits,
+    ) {
+        if self.ownership.owns(partition) {
+            self.agenda.partition(
+                partition,
+                execution::Event::AllotmentGranted {
+                    tenant,
+                    request,
+                    amount,
+                },
+            );
+            return;
+        }
+        let message = PeerMessage::AllotmentGrant {
+            tenant,
+            partition,
+            request,
+            amount,
+        };
+        self.send_to_owner(partition, message);
+    }
+
+    /// Sends to the wanted owner of a partition; lost messages are asked for again by execution.
+    fn send_to_owner(&mut self, partition: PartitionId, message: PeerMessage) {
+        let owner = self
+            .owner_address(partition)
+            .filter(|owner| owner.node != self.settings.node);
+        match owner {
+            Some(peer) => self.agenda.effect(Effect::SendPeer { peer, message }),
+            None => self.counters.allotments_undeliverable += 1,
+        }
+    }
+
+    /// Tells a partition gained just now the limits of the tenants whose budgets it holds.
+    pub(crate) fn announce_tenant_limits(&mut self, partition: PartitionId) {
+        for (tenant, limit) in &self.tenant_limits {
+            if tenant_holder(tenant, self.settings.partition_count) == partition {
+                let event = execution::Event::TenantLimit {
+                    tenant: tenant.clone(),
+                    limit: Some(*limit),
+                };
+                self.agenda.partition(partition, event);
+            }
+        }
+    }
+
+    /// Tells the holders of tenants' budgets which limits changed.
+    pub(crate) fn tenant_limits_changed(&mut self) {
+        let limits: BTreeMap<TenantId, Credits> = self
+            .control
+            .tenant_limits()
+            .map(|(tenant, limit)| (tenant.clone(), limit))
+            .collect();
+        let before = std::mem::replace(&mut self.tenant_limits, limits.clone());
+        let tenants: BTreeSet<&TenantId> = before.keys().chain(limits.keys()).collect();
+        for tenant in tenants {
+            let limit = limits.get(tenant).copied();
+            if before.get(tenant).copied() != limit {
+                self.announce_tenant_limit(tenant.clone(), limit);
+            }
+        }
+    }
+
+    fn announce_tenant_limit(&mut self, tenant: TenantId, limit: Option<Credits>) {
+        let holder = tenant_holder(&tenant, self.settings.partition_count);
+        if self.ownership.owns(holder) {
+            self.agenda
+                .partition(holder, execution::Event::TenantLimit { tenant, limit });
+        }
+    }
+}
