Relay control records exactly as they stand on the log

Cause: a node passed on only what it had read; what its own appends had confirmed was missing, so a cut-off peer stuck at the gap, and relayed records were fed in as though the log had answered. Ruled out encoding records anew: bytes that are no batch would leave gaps. Change: the log client can give each batch's bytes and takes relayed ones; a node that stays behind a peer for 1 s asks it, whether or not the log counts as reachable.

--- a/crates/logstream/src/stream.rs
+++ b/crates/logstream/src/stream.rs
@@ -50,6 +50,8 @@
     /// With an append unconfirmed, or a due read unanswered, for this long, the log counts as
     /// unreachable.
     pub unreachable_after: Duration,
+    /// Whether to give each batch's bytes beside its records, to be relayed to other readers.
+    pub give_batches: bool,
 }
 
 impl Default for StreamSettings {
@@ -60,6 +62,7 @@
             retry_backoff: Duration::from_millis(50),
             max_group_bytes: 256 * 1024,
             unreachable_after: Duration::from_secs(3),
+            give_batches: false,
         }
     }
 }
@@ -88,6 +91,12 @@
         /// What was read.
         result: Result<ReadRecords, NoAnswer>,
     },
+    /// Another reader of the same stream passes on what it has read, as [`Effect::Batch`] gave it
+    /// there. Says nothing about whether the log answers.
+    Relayed {
+        /// `(offset, bytes)` in offset order.
+        records: Vec<(Offset, Vec<u8>)>,
+    },
     /// Time passed.
     Tick,
 }
@@ -109,6 +118,14 @@
         /// How long the log may hold the read while there is nothing new.
         wait: Duration,
     },
+    /// The next batch of the stream as its bytes stand there; its records follow. Only with
+    /// [`StreamSettings::give_batches`].
+    Batch {
+        /// Its offset.
+        offset: Offset,
+        /// Its bytes, which need not be a batch.
+        bytes: Vec<u8>,
+    },
     /// The next record of the stream.
     Deliver {
         /// Its offset.
@@ -184,6 +201,7 @@
             Event::Propose { epoch, body } => self.appender.push(epoch, body),
             Event::Appended { token, result } => self.on_appended(now, token, result, &mut effects),
             Event::Read { from, result } => self.on_read(now, from, result, &mut effects),
+            Event::Relayed { records } => self.deliver_contiguous(records, &mut effects),
             Event::Tick => {}
         }
         self.judge_reachability(now, &mut effects);
@@ -231,6 +249,14 @@
         if from > self.reader.next() {
             return;
         }
+        self.deliver_contiguous(records, effects);
+    }
+
+    fn deliver_contiguous(
+        &mut self,
+        records: Vec<(Offset, Vec<u8>)>,
+        effects: &mut Vec<Effect<B>>,
+    ) {
         for (offset, bytes) in records {
             if offset == self.reader.next() {
                 self.deliver(offset, &bytes, effects);
@@ -242,6 +268,10 @@
     /// every reader alike and only move the position.
     fn deliver(&mut self, offset: Offset, bytes: &[u8], effects: &mut Vec<Effect<B>>) {
         self.reader.advance();
+        if self.settings.give_batches {
+            let bytes = bytes.to_vec();
+            effects.push(Effect::Batch { offset, bytes });
+        }
         let Ok(batch) = decode::<RecordBatch<B>>(bytes) else {
             return;
         };
--- a/crates/logstream/tests/lost_answers.rs
+++ b/crates/logstream/tests/lost_answers.rs
@@ -113,7 +113,7 @@
                 self.clients[writer].delivered.push(record);
                 None
             }
-            Effect::Reachable(_) => None,
+            Effect::Batch { .. } | Effect::Reachable(_) => None,
         }
     }
 
--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -14,7 +14,6 @@
 
 use crate::core::NodeCore;
 use crate::effect::{Effect, OperatorReply};
-use crate::event::{NoAnswer, ReadRecords};
 use crate::services::known_engines;
 use crate::streams::Delivery;
 
@@ -24,6 +23,9 @@
 /// Bytes of control records in one message to a peer.
 pub const MAX_RELAY_MESSAGE_BYTES: usize = 256 * 1024;
 
+/// A node that stays behind a peer for this long asks it for what the log has not brought.
+pub const RELAY_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Time between requests to peers for control records.
 pub const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -80,6 +82,8 @@
     pub(crate) peers_next: Offset,
     /// The last state told to the driver.
     pub(crate) ready: bool,
+    /// Since when a peer has been ahead of this node.
+    pub(crate) behind_since: Option<Timestamp>,
     /// When control records were last asked of a peer.
     pub(crate) relay_asked: Timestamp,
 }
@@ -102,12 +106,6 @@
 
     /// Gives one input to the control stream's client and passes on what it delivers.
     pub(crate) fn drive_control_stream(&mut self, input: logstream::Event<ControlBody>) {
-        if let logstream::Event::Read {
-            result: Ok(read), ..
-        } = &input
-        {
-            self.keep_for_relay(&read.records);
-        }
         let deliveries = self
             .streams
             .handle_control(self.now, input, &mut self.agenda);
@@ -125,6 +123,7 @@
                         record,
                     });
                 }
+                Delivery::Batch { offset, bytes } => self.relay.push(offset, bytes),
                 Delivery::Reachable(reachable) => {
                     self.agenda.control(control::Event::LogReachable(reachable));
                 }
@@ -132,12 +131,6 @@
         }
     }
 
-    fn keep_for_relay(&mut self, records: &[(Offset, Vec<u8>)]) {
-        for (offset, bytes) in records {
-            self.relay.push(*offset, bytes.clone());
-        }
-    }
-
     /// This node's start record, read back, gives it its incarnation.
     fn note_own_start(&mut self, offset: Offset, record: &Record<ControlBody>) {
         let ControlBody::NodeStarted { node, nonce } = &record.body else {
@@ -172,6 +165,9 @@
             }
         }
         let next = self.control.next();
+        if next >= self.join.peers_next {
+            self.join.behind_since = None;
+        }
         if next != next_before {
             self.agenda
                 .membership(membership::Event::ControlApplied { next });
@@ -205,22 +201,18 @@
     /// A peer sent control records.
     pub(crate) fn relayed_records(&mut self, records: Vec<(Offset, Vec<u8>)>, next: Offset) {
         self.join.peers_next = self.join.peers_next.max(next);
-        let Some((from, _)) = records.first() else {
-            return;
-        };
-        let from = *from;
         self.counters.relayed_records += records.len() as u64;
-        let end = self.streams.control.next_offset();
-        let result: Result<ReadRecords, NoAnswer> = Ok(ReadRecords { records, end });
-        self.drive_control_stream(logstream::Event::Read { from, result });
+        self.drive_control_stream(logstream::Event::Relayed { records });
     }
 
-    /// A peer has applied control records that this node has not. The log is asked as always; the
-    /// peer is asked beside it while the log does not answer.
+    /// A peer has applied control records that this node has not. The log brings them as a rule; a
+    /// node that stays behind asks the peer.
     pub(crate) fn control_behind(&mut self, peer: NodeAddress, next: Offset) {
         self.join.peers_next = self.join.peers_next.max(next);
+        let behind_since = *self.join.behind_since.get_or_insert(self.now);
+        let patient = self.now.since(behind_since) < RELAY_PATIENCE;
         let asked_lately = self.now.since(self.join.relay_asked) < RELAY_INTERVAL;
-        if self.streams.control.reachable() || asked_lately {
+        if patient || asked_lately {
             return;
         }
         self.join.relay_asked = self.now;
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -100,7 +100,10 @@
             Sequence(1),
             Offset(0),
             Timestamp(0),
-            StreamSettings::default(),
+            StreamSettings {
+                give_batches: true,
+                ..StreamSettings::default()
+            },
         );
         Self {
             now: Timestamp(0),
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -258,6 +258,7 @@
                     self.note_run_end(partition, &record.body);
                     execution::Event::RecordRead { offset, record }
                 }
+                Delivery::Batch { .. } => continue,
                 Delivery::Reachable(reachable) => execution::Event::LogReachable(reachable),
             };
             self.agenda.partition(partition, event);
--- a/crates/node-core/src/streams.rs
+++ b/crates/node-core/src/streams.rs
@@ -20,6 +20,10 @@
         index: u32,
         record: Record<B>,
     },
+    Batch {
+        offset: Offset,
+        bytes: Vec<u8>,
+    },
     Reachable(bool),
 }
 
@@ -109,6 +113,9 @@
                         record,
                     });
                 }
+                logstream::Effect::Batch { offset, bytes } => {
+                    deliveries.push(Delivery::Batch { offset, bytes });
+                }
                 logstream::Effect::Reachable(reachable) => {
                     deliveries.push(Delivery::Reachable(reachable));
                 }
--- a/crates/node-core/tests/node/control.rs
+++ b/crates/node-core/tests/node/control.rs
@@ -47,15 +47,19 @@
 
 #[test]
 fn a_node_that_lost_the_log_hears_of_changes_from_its_peers() {
-    let mut world = settled(3);
-    world.cut_from_log.insert(name(2));
-    world.pass(Duration::from_secs(10));
-    world.apply(0, program(&[], false));
-    world.until("the cut-off node has it", |world| has_program(world, 2));
-    assert!(world.counters(2).relayed_records > 0);
-    world.cut_from_log.clear();
-    world.pass(Duration::from_secs(10));
-    assert!(has_program(&mut world, 2));
+    // With two nodes the only peer is the one whose append made the change.
+    for nodes in [2, 3] {
+        let last = nodes - 1;
+        let mut world = settled(nodes);
+        world.cut_from_log.insert(name(last));
+        world.pass(Duration::from_secs(10));
+        world.apply(0, program(&[], false));
+        world.until("the cut-off node has it", |world| has_program(world, last));
+        assert!(world.counters(last).relayed_records > 0);
+        world.cut_from_log.clear();
+        world.pass(Duration::from_secs(10));
+        assert!(has_program(&mut world, last));
+    }
 }
 
 #[test]
