--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -65,9 +65,10 @@
             return;
         }
         self.records_since_snapshot += 1;
-        if let JournalBody::Snapshot { part, parts, .. } = record.body {
-            self.note_snapshot(offset, part, parts);
-        }
+        let completed = match record.body {
+            JournalBody::Snapshot { part, parts, .. } => self.note_snapshot(offset, part, parts),
+            _ => None,
+        };
         let by_owner = own && self.owned == Some(record.epoch);
         if by_owner {
             self.soft.in_flight.pop_front();
@@ -80,20 +81,25 @@
             return;
         }
         if by_owner {
+            if let Some(first) = completed {
+                self.append(JournalBody::SnapshotConfirmed { first });
+            }
             self.on_own_record(now, record.body);
         }
     }
 
-    fn note_snapshot(&mut self, offset: Offset, part: u32, parts: u32) {
+    /// Returns where a snapshot begins once its last part is there.
+    fn note_snapshot(&mut self, offset: Offset, part: u32, parts: u32) -> Option<Offset> {
         if part == 0 {
             self.pending_snapshot = Some(offset);
         }
-        if part + 1 == parts
-            && let Some(first) = self.pending_snapshot.take()
-        {
-            self.snapshot_offset = Some(first);
-            self.records_since_snapshot = 0;
+        if part.checked_add(1) != Some(parts) {
+            return None;
         }
+        let first = self.pending_snapshot.take()?;
+        self.snapshot_offset = Some(first);
+        self.records_since_snapshot = 0;
+        Some(first)
     }
 
     /// Takes a snapshot once enough records followed the last.
@@ -133,7 +139,8 @@
             }
             JournalBody::Claim { .. }
             | JournalBody::Release { .. }
-            | JournalBody::Snapshot { .. } => {}
+            | JournalBody::Snapshot { .. }
+            | JournalBody::SnapshotConfirmed { .. } => {}
         }
     }
 
--- a/crates/execution/src/state/apply.rs
+++ b/crates/execution/src/state/apply.rs
@@ -59,7 +59,9 @@
 
     fn apply_body(&mut self, body: &JournalBody, faults: &Faults) -> Applied {
         match body {
-            JournalBody::Claim { .. } | JournalBody::Snapshot { .. } => Ok(()),
+            JournalBody::Claim { .. }
+            | JournalBody::Snapshot { .. }
+            | JournalBody::SnapshotConfirmed { .. } => Ok(()),
             JournalBody::Release { unsent } => {
                 self.release(unsent);
                 Ok(())
--- a/crates/execution/tests/snapshots.rs
+++ b/crates/execution/tests/snapshots.rs
@@ -66,6 +66,11 @@
     world.event(0, start(RunId::root(101), 500));
     let parts = parts(&world);
     assert!(parts.len() > 1, "several parts");
+    let first = Offset(parts[0] as u64);
+    let confirmed = world.log.iter().any(|record| {
+        matches!(record.body, JournalBody::SnapshotConfirmed { first: begins } if begins == first)
+    });
+    assert!(confirmed, "the owner confirms what it has read back");
     let owner = &world.nodes[0].partition;
     assert_eq!(owner.snapshot_offset(), Some(Offset(parts[0] as u64)));
     let restored = world.reader_from(parts[0]);
@@ -98,6 +103,11 @@
         feed(&mut reader, *position, &world.log[*position]);
     }
     assert!(reader.is_loaded());
+    // The owner's confirmation of its snapshot follows.
+    let last = parts[parts.len() - 1];
+    for (position, record) in world.log.iter().enumerate().skip(last + 1) {
+        feed(&mut reader, position, record);
+    }
     let owner = &world.nodes[0].partition;
     assert_eq!(reader.state_digest(), owner.state_digest());
 }
--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -74,8 +74,8 @@
 /// How far this node has joined.
 #[derive(Debug, Default)]
 pub(crate) struct JoinState {
-    /// Its own start record was proposed.
-    pub(crate) start_proposed: bool,
+    /// The first event was taken.
+    pub(crate) begun: bool,
     /// When membership began.
     pub(crate) joined_at: Option<Timestamp>,
     /// The highest next offset that any peer has applied, as far as known.
@@ -89,19 +89,13 @@
 }
 
 impl NodeCore {
-    /// Proposes this node's start record, once.
-    pub(crate) fn propose_start(&mut self) {
-        if self.join.start_proposed {
-            return;
+    /// Tells the driver, with the first event, that this node does not serve yet.
+    pub(crate) fn begin(&mut self) {
+        if !self.join.begun {
+            self.join.begun = true;
+            self.agenda.effect(Effect::Ready(false));
+            self.continue_control_loading();
         }
-        self.join.start_proposed = true;
-        self.agenda.effect(Effect::Ready(false));
-        let body = ControlBody::NodeStarted {
-            node: self.settings.node.clone(),
-            nonce: self.nonce,
-        };
-        let epoch = elderworks_types::Epoch(0);
-        self.drive_control_stream(logstream::Event::Propose { epoch, body });
     }
 
     /// Gives one input to the control stream's client and passes on what it delivers.
@@ -177,15 +171,29 @@
     fn control_changed(&mut self, change: &Change) {
         self.tell_watchers(change);
         match change.kind {
-            Kind::Service => {
-                let changes = self.engines.configure(known_engines(&self.control));
-                self.apply_engine_changes(changes);
-            }
+            Kind::Service => self.apply_services(),
             Kind::Budget => self.tenant_limits_changed(),
             Kind::Program | Kind::Configuration => {}
         }
     }
 
+    /// Takes over the engines that services name now.
+    pub(crate) fn apply_services(&mut self) {
+        let changes = self.engines.configure(known_engines(&self.control));
+        self.apply_engine_changes(changes);
+    }
+
+    /// Lets one node of the fleet write a snapshot where one is due: the first by name.
+    pub(crate) fn offer_control_snapshot(&mut self) {
+        let Some(membership) = &self.membership else {
+            return;
+        };
+        let writes = membership.eligible_owners().min() == Some(&self.settings.node);
+        if writes && self.join.ready {
+            self.agenda.control(control::Event::TakeSnapshot);
+        }
+    }
+
     /// Control records for a peer, from `first` on.
     pub(crate) fn control_records(&mut self, first: Offset) -> PeerMessage {
         let records = self.relay.from(first);
@@ -242,7 +250,8 @@
 
     /// Whether the control state is as new as that of any peer known.
     fn current(&self) -> bool {
-        self.streams.control.caught_up() && self.control.next() >= self.join.peers_next
+        let caught_up = self.control_loading.is_none() && self.streams.control.caught_up();
+        caught_up && self.control.next() >= self.join.peers_next
     }
 
     /// Tells the driver when readiness changes. Once reached, it is lost only by leaving.
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -6,15 +6,14 @@
 
 use elderworks_control::{Control, Watches};
 use elderworks_execution::{self as execution, ExecutionSettings};
-use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
+use elderworks_logstream as logstream;
 use elderworks_membership::settings::{PROBE_INTERVAL, PROBE_TIMEOUT, SUSPICION_TIMEOUT};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
 use elderworks_placement as placement;
 use elderworks_protocol::record::{StreamName, Writer};
 use elderworks_protocol::sidecar::NodeAddress;
 use elderworks_types::{
-    CellId, Credits, Incarnation, NodeId, Offset, PartitionId, Sequence, TenantId, Timestamp,
-    ZoneId,
+    CellId, Credits, Incarnation, NodeId, Offset, PartitionId, TenantId, Timestamp, ZoneId,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -26,10 +25,11 @@
 use crate::drain::DrainState;
 use crate::engines::Engines;
 use crate::least_loaded::LeastLoaded;
+use crate::loading::ControlLoading;
 use crate::ownership::Ownership;
 use crate::sidecars::Requests;
 use crate::step::{Agenda, Step};
-use crate::streams::Streams;
+use crate::streams::{Streams, control_stream};
 use crate::{Effect, Event};
 
 /// How often a driver sends [`Event::Tick`].
@@ -71,6 +71,7 @@
     pub(crate) drain: DrainState,
     pub(crate) streams: Streams,
     pub(crate) control: Control,
+    pub(crate) control_loading: Option<ControlLoading>,
     pub(crate) relay: RelayBuffer,
     pub(crate) membership: Option<Membership>,
     pub(crate) assignment: Assignment,
@@ -89,22 +90,11 @@
     pub fn new(settings: NodeSettings) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
         let nonce = random.random();
-        // Until the log has given this start its incarnation, the nonce tells its control records
-        // from those of earlier starts.
         let writer = Writer {
             node: settings.node.clone(),
             incarnation: Incarnation(nonce),
         };
-        let control_stream = LogStream::new(
-            writer.clone(),
-            Sequence(1),
-            Offset(0),
-            Timestamp(0),
-            StreamSettings {
-                give_batches: true,
-                ..StreamSettings::default()
-            },
-        );
+        let control_stream = control_stream(writer.clone(), Offset(0), Timestamp(0));
         Self {
             now: Timestamp(0),
             agenda: Agenda::default(),
@@ -115,7 +105,8 @@
             join: JoinState::default(),
             drain: DrainState::default(),
             streams: Streams::new(control_stream),
-            control: Control::new(writer),
+            control: Control::new(writer.clone()),
+            control_loading: Some(ControlLoading::new(writer)),
             relay: RelayBuffer::default(),
             membership: None,
             assignment: Assignment::unknown(settings.partition_count),
@@ -143,7 +134,7 @@
     /// Takes one event and returns what is to be done, in order.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
         self.now = now;
-        self.propose_start();
+        self.begin();
         self.route(event);
         while let Some(step) = self.agenda.next_step() {
             self.take_step(step);
@@ -169,10 +160,15 @@
                 result,
             } => match stream {
                 StreamName::Control => {
-                    self.drive_control_stream(logstream::Event::Read { from, result });
+                    if !self.control_loading_read(&result) {
+                        self.drive_control_stream(logstream::Event::Read { from, result });
+                    }
                 }
                 StreamName::Partition(partition) => {
-                    self.drive_partition_stream(partition, logstream::Event::Read { from, result });
+                    if !self.search_read(partition, from, &result) {
+                        let read = logstream::Event::Read { from, result };
+                        self.drive_partition_stream(partition, read);
+                    }
                 }
             },
             Event::Datagram { from, datagram } => self
@@ -261,8 +257,14 @@
     }
 
     fn tick(&mut self) {
+        if self.control_loading.is_some() {
+            self.continue_control_loading();
+            self.judge_drain();
+            return;
+        }
         self.drive_control_stream(logstream::Event::Tick);
         self.agenda.control(elderworks_control::Event::Tick);
+        self.offer_control_snapshot();
         self.agenda.membership(membership::Event::Tick);
         self.agenda.placement(placement::Event::Tick);
         let followed: Vec<PartitionId> = self.ownership.held.keys().copied().collect();
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -14,12 +14,14 @@
 mod engines;
 pub mod event;
 mod least_loaded;
+mod loading;
 mod operator;
 mod ownership;
 mod partitions;
 mod peers;
 mod services;
 mod sidecars;
+mod snapshot_search;
 mod step;
 mod streams;
 
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use elderworks_execution::{self as execution, Partition};
-use elderworks_logstream::{self as logstream, LogStream, ReadMode, StreamSettings};
+use elderworks_logstream::{self as logstream, LogStream};
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::record::Writer;
 use elderworks_types::{Epoch, NodeId, Offset, PartitionId, Sequence, Timestamp};
 
 use crate::core::NodeCore;
+use crate::snapshot_search::SnapshotSearch;
 use crate::streams::Delivery;
 
 /// Partitions that one node loads or claims at the same time. Bounds the reads that the loss of
@@ -54,9 +55,17 @@
     pub(crate) machine: Partition,
     pub(crate) phase: Phase,
     pub(crate) epoch: Option<Epoch>,
+    /// Where the replay of its stream began.
+    pub(crate) start: Offset,
 }
 
 impl Held {
+    /// Whether the state is that of the whole stream. A replay that began in the middle, at a
+    /// snapshot, is not if the snapshot turned out to be broken.
+    fn is_whole(&self) -> bool {
+        self.start == Offset(0) || self.machine.is_loaded()
+    }
+
     fn is_taking_over(&self) -> bool {
         matches!(self.phase, Phase::Loading | Phase::Claiming(_))
     }
@@ -66,8 +75,10 @@
 #[derive(Default)]
 pub(crate) struct Ownership {
     pub(crate) held: BTreeMap<PartitionId, Held>,
+    /// Searches for the latest snapshot of partitions that are being loaded.
+    pub(crate) searches: BTreeMap<PartitionId, SnapshotSearch>,
     /// Next sequence on streams that this incarnation has written and stopped following.
-    sequences: BTreeMap<PartitionId, Sequence>,
+    pub(crate) sequences: BTreeMap<PartitionId, Sequence>,
 }
 
 impl Ownership {
@@ -119,15 +130,20 @@
                 // Withdraws the wish to claim.
                 self.agenda.partition(partition, execution::Event::Release);
             }
-            Phase::Loading if caught_up => self.claim(partition, None),
+            Phase::Loading if caught_up && held.is_whole() => self.claim(partition, None),
+            Phase::Loading if caught_up => self.follow_partition(partition, Offset(0)),
+            Phase::Loading => self.continue_search(partition),
             Phase::Claiming(claiming) => self.claim(partition, Some(claiming)),
             Phase::Owned if !wanted => {
                 held.phase = Phase::Releasing;
                 self.agenda.partition(partition, execution::Event::Release);
             }
-            Phase::Closing if wanted => self.claim(partition, None),
+            Phase::Closing if wanted && caught_up && held.is_whole() => {
+                self.claim(partition, None);
+            }
+            Phase::Closing if wanted => held.phase = Phase::Loading,
             Phase::Closing => self.close_partition(partition),
-            Phase::Loading | Phase::Owned | Phase::Releasing => {}
+            Phase::Owned | Phase::Releasing => {}
         }
     }
 
@@ -199,47 +215,27 @@
             node: self.settings.node.clone(),
             incarnation,
         };
-        let first_sequence = self
-            .ownership
-            .sequences
-            .get(&partition)
-            .copied()
-            .unwrap_or(Sequence(1));
-        let settings = StreamSettings {
-            mode: ReadMode::Poll {
-                interval: PARTITION_POLL_INTERVAL,
-            },
-            ..StreamSettings::default()
-        };
-        let stream = LogStream::new(
-            writer.clone(),
-            first_sequence,
-            Offset(0),
-            self.now,
-            settings,
-        );
-        let machine = Partition::new(partition, writer, self.settings.execution.clone());
         let held = Held {
-            machine,
+            machine: Partition::new(partition, writer, self.settings.execution.clone()),
             phase: Phase::Loading,
             epoch: None,
+            start: Offset(0),
         };
-        self.streams.partitions.insert(partition, stream);
         self.ownership.held.insert(partition, held);
-        self.drive_partition_stream(partition, logstream::Event::Tick);
+        self.begin_search(partition);
     }
 
     /// Stops following a partition once nothing of this node's is on its way to the stream.
     fn close_partition(&mut self, partition: PartitionId) {
-        let Some(stream) = self.streams.partitions.get(&partition) else {
-            return;
-        };
-        if stream.outstanding() > 0 {
-            return;
+        if let Some(stream) = self.streams.partitions.get(&partition) {
+            if stream.outstanding() > 0 {
+                return;
+            }
+            let next_sequence = stream.next_sequence();
+            self.ownership.sequences.insert(partition, next_sequence);
         }
-        let next_sequence = stream.next_sequence();
-        self.ownership.sequences.insert(partition, next_sequence);
         self.streams.partitions.remove(&partition);
+        self.ownership.searches.remove(&partition);
         self.ownership.held.remove(&partition);
     }
 
--- a/crates/node-core/src/streams.rs
+++ b/crates/node-core/src/streams.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use elderworks_control::ControlBody;
-use elderworks_logstream::{self as logstream, LogStream};
+use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
 use elderworks_protocol::journal::JournalBody;
-use elderworks_protocol::record::{Record, StreamName};
-use elderworks_types::{Offset, PartitionId, Timestamp};
+use elderworks_protocol::record::{Record, StreamName, Writer};
+use elderworks_types::{Offset, PartitionId, Sequence, Timestamp};
 
 use crate::effect::Effect;
 use crate::event::AppendToken;
@@ -27,6 +27,19 @@
     Reachable(bool),
 }
 
+/// Client of the control stream.
+pub(crate) fn control_stream(
+    writer: Writer,
+    start: Offset,
+    now: Timestamp,
+) -> LogStream<ControlBody> {
+    let settings = StreamSettings {
+        give_batches: true,
+        ..StreamSettings::default()
+    };
+    LogStream::new(writer, Sequence(1), start, now, settings)
+}
+
 /// Every stream that this node follows.
 pub(crate) struct Streams {
     pub(crate) control: LogStream<ControlBody>,
--- a/crates/node-core/tests/node/main.rs
+++ b/crates/node-core/tests/node/main.rs
@@ -5,4 +5,5 @@
 mod engines;
 mod fixtures;
 mod ownership;
+mod snapshots;
 mod world;
--- a/crates/node-core/tests/node/world.rs
+++ b/crates/node-core/tests/node/world.rs
@@ -24,6 +24,9 @@
 /// The connection on which a test speaks to each node as a sidecar.
 pub const SIDECAR: Connection = 1;
 
+/// Records of a partition between two snapshots.
+const SNAPSHOT_INTERVAL: u64 = 100;
+
 /// Longest virtual time for anything to come true.
 const PATIENCE: Duration = Duration::from_secs(120);
 
@@ -101,7 +104,10 @@
             seeds: vec![address(0), address(1)],
             partition_count: PARTITIONS,
             seed: self.starts,
-            execution: ExecutionSettings::default(),
+            execution: ExecutionSettings {
+                snapshot_interval: SNAPSHOT_INTERVAL,
+                ..ExecutionSettings::default()
+            },
         };
         let node = TestNode {
             core: NodeCore::new(settings),
--- a/crates/protocol/src/journal.rs
+++ b/crates/protocol/src/journal.rs
@@ -123,6 +123,13 @@
         /// Encoded state.
         bytes: Vec<u8>,
     },
+    /// The snapshot whose first part stands at an offset was read back accepted by its writer. A
+    /// reader that begins in the middle of the stream trusts only snapshots confirmed so: one
+    /// written by an owner that had been fenced out is void, and cannot be told by itself.
+    SnapshotConfirmed {
+        /// Where the first part stands.
+        first: elderworks_types::Offset,
+    },
 }
 
 /// Limits of one run, copied from its `Program` when it starts.
