--- a/crates/lab/src/scale/fit.rs
+++ b/crates/lab/src/scale/fit.rs
@@ -49,9 +49,17 @@
             worst_residual,
         })
     }
+}
 
-    /// The line's value at `x`.
-    pub fn at(&self, x: f64) -> f64 {
-        self.intercept + self.slope * x
+impl std::fmt::Display for LinearFit {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            formatter,
+            "{:.6} + {:.6} x count (R2 {:.4}, worst residual {:.1} %)",
+            self.intercept,
+            self.slope,
+            self.r_squared,
+            self.worst_residual * 100.0
+        )
     }
 }
