--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -1,11 +1,13 @@
 //! Reading records back.
 
+use std::borrow::Cow;
+
 use elderworks_protocol::journal::JournalBody;
 use elderworks_protocol::record::Record;
 use elderworks_types::{Offset, Timestamp};
 
 use super::Partition;
-use crate::state::{Inconsistency, Loading, Verdict, snapshot_records};
+use crate::state::{Inconsistency, JournalState, Loading, Verdict, snapshot_records};
 
 impl Partition {
     pub(super) fn on_record_read(
@@ -166,6 +168,15 @@
         if !self.is_serving() {
             return;
         }
+        for body in snapshot_records(&self.state_after_in_flight()) {
+            self.append(body);
+        }
+    }
+
+    fn state_after_in_flight(&self) -> Cow<'_, JournalState> {
+        if self.soft.in_flight.is_empty() {
+            return Cow::Borrowed(&self.journal);
+        }
         let mut state = self.journal.clone();
         for body in &self.soft.in_flight {
             let record = Record {
@@ -176,8 +187,6 @@
             };
             state.apply(&record, &self.settings.faults);
         }
-        for body in snapshot_records(&state) {
-            self.append(body);
-        }
+        Cow::Owned(state)
     }
 }
