Run programs through separate processes and kill a node between turns

Cause: the embedded demo shows one process; the deployment is many, and nodes die between turns. Ruled out: fixed ports in the test, since several checkouts share a machine; processes now announce their addresses on one line of standard output and the test starts them on port 0. Change: a test starts log, machines, tool, three engines, three nodes and two sidecars from the example files, runs twelve programs, kills the owner of one by SIGKILL after two turns, and compares every history through both sidecars and every submission at the tool.

--- a/crates/cli/src/process.rs
+++ b/crates/cli/src/process.rs
@@ -1,5 +1,7 @@
 //! Subcommands that run a process or check its settings.
 
+use std::io::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -7,21 +9,60 @@
     LoggingSettings, NodeProcessSettings, Override, ProcessSettings, SidecarProcessSettings,
     check_file, from_flags, init_logging, load_with,
 };
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs a node until it is told to stop.
 pub fn node(file: Option<&Path>, overrides: &[Override]) -> eyre::Result<()> {
     let settings: NodeProcessSettings = read(file, overrides)?;
     init(&settings.logging);
-    let system = actix_rt::System::new();
-    system.block_on(elderworks_node::run(&settings))?;
-    Ok(())
+    actix_rt::System::new().block_on(async move {
+        let node = elderworks_node::start(&settings).await?;
+        announce(&[
+            ("listening", node.address),
+            ("gossip", node.gossip_address),
+            ("admin", node.admin_address),
+        ])?;
+        stop_signal().await?;
+        log::info!("draining");
+        node.drain().await;
+        Ok(())
+    })
 }
 
 /// Runs a sidecar until it is told to stop.
 pub fn sidecar(file: Option<&Path>, overrides: &[Override]) -> eyre::Result<()> {
     let settings: SidecarProcessSettings = read(file, overrides)?;
     init(&settings.logging);
-    actix_rt::System::new().block_on(elderworks_sidecar::run(settings))
+    actix_rt::System::new().block_on(async move {
+        let sidecar = elderworks_sidecar::start(settings)?;
+        announce(&[("listening", sidecar.address())])?;
+        stop_signal().await?;
+        log::info!("finishing open requests");
+        sidecar.stop().await;
+        Ok(())
+    })
+}
+
+/// Prints where the process listens, for whoever started it with port 0.
+fn announce(addresses: &[(&str, SocketAddr)]) -> eyre::Result<()> {
+    let words: Vec<String> = addresses
+        .iter()
+        .map(|(name, address)| format!("{name} {address}"))
+        .collect();
+    println!("{}", words.join(" "));
+    std::io::stdout().flush()?;
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
 }
 
 /// Checks settings files of any process and prints what is wrong with each.
--- /dev/null
+++ b/crates/cli/tests/processes/child.rs
@@ -0,0 +1,91 @@
+//! One process of the system.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// A running process; killed when dropped.
+pub struct Process {
+    child: Child,
+    addresses: Vec<(String, SocketAddr)>,
+}
+
+impl Process {
+    /// Starts a program and waits for the line in which it says where it listens.
+    pub fn start(program: &Path, arguments: &[String]) -> Self {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{}: {error}", program.display()));
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("stdout is text");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let addresses = words
+            .chunks_exact(2)
+            .map(|pair| (pair[0].to_owned(), pair[1].parse().expect("an address")))
+            .collect();
+        Self { child, addresses }
+    }
+
+    /// The address that the process announced under a name.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let found = self.addresses.iter().find(|(known, _)| known == name);
+        found.unwrap_or_else(|| panic!("no {name} address")).1
+    }
+
+    /// Where it listens.
+    pub fn listening(&self) -> SocketAddr {
+        self.address("listening")
+    }
+
+    /// Ends it by SIGKILL.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process was running");
+        self.child.wait().expect("the process is our child");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have been killed already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The `elderworks` binary.
+pub fn elderworks() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_elderworks"))
+}
+
+/// The `elderworks-standin` binary, which stands beside `elderworks`. It is there when the whole
+/// workspace is tested; otherwise it is built now.
+pub fn standin() -> PathBuf {
+    let path = elderworks().with_file_name("elderworks-standin");
+    if !path.exists() {
+        build_standin();
+    }
+    path
+}
+
+fn build_standin() {
+    let mut command = Command::new(env!("CARGO"));
+    command.args(["build", "--package", "elderworks-standin"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status().expect("cargo runs");
+    assert!(status.success(), "elderworks-standin does not build");
+}
+
+/// A file under `examples/`.
+pub fn example(path: &str) -> PathBuf {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    examples.join(path)
+}
--- /dev/null
+++ b/crates/cli/tests/processes/fleet.rs
@@ -0,0 +1,263 @@
+//! Log, machine list, tool, three engines, three nodes in three zones and two sidecars.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use elderworks_platform_api::machines::{MachineList, MachineState, NodeMachine};
+use elderworks_types::{NodeId, ZoneId};
+use serde::Deserialize;
+
+use crate::child::{Process, elderworks, example, standin};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Generous bound of every wait.
+pub const PATIENCE: Duration = Duration::from_secs(120);
+
+/// Time between two looks at a condition.
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Any free port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Both tenants with the tokens of the example settings.
+const TENANTS: &str =
+    r#"tenants={ lublin = "lublin-example-token", ulaanbaatar = "ulaanbaatar-example-token" }"#;
+
+/// Every process of the system.
+pub struct Fleet {
+    nodes: BTreeMap<String, Process>,
+    sidecars: Vec<Process>,
+    tool: Process,
+    engines: Vec<Process>,
+    machines: Process,
+    _log: Process,
+    client: awc::Client,
+}
+
+impl Fleet {
+    /// Starts all processes, applies the example resources and waits until callers can be served.
+    pub async fn start() -> Self {
+        let log = start_standin("log", "platform/log.toml", &[]);
+        let machines = start_standin("machines", "platform/machines.toml", &["nodes=[]"]);
+        let tool = start_standin("tool", "platform/tool.toml", &[]);
+        let engines = ZONES
+            .map(|zone| start_standin("engine", &format!("platform/engine-{zone}.toml"), &[]))
+            .into();
+        let nodes = start_nodes(&log, &machines);
+        let sidecars = vec![
+            start_sidecar("sidecars/lublin.toml", &nodes),
+            start_sidecar("sidecars/ulaanbaatar.toml", &nodes),
+        ];
+        let fleet = Self {
+            nodes,
+            sidecars,
+            tool,
+            engines,
+            machines,
+            _log: log,
+            client: awc::Client::default(),
+        };
+        fleet.list_machines().await;
+        fleet.wait_until_ready().await;
+        fleet.apply_resources();
+        fleet.wait_for_programs().await;
+        fleet
+    }
+
+    /// Base URL of a sidecar.
+    pub fn sidecar_url(&self, index: usize) -> String {
+        format!("http://{}", self.sidecars[index].listening())
+    }
+
+    /// Names of the nodes that are running.
+    pub fn node_names(&self) -> Vec<String> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    /// Ends a node by SIGKILL.
+    pub fn kill_node(&mut self, name: &str) {
+        let mut node = self.nodes.remove(name).expect("the node was running");
+        node.kill();
+    }
+
+    /// The node that owns a run, as the nodes themselves say.
+    pub async fn owner(&self, run: &str) -> String {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            for (name, node) in &self.nodes {
+                let url = format!(
+                    "http://{}/apis/v1/runs/{run}",
+                    node.address("admin")
+                );
+                if self.is_ok(&url).await {
+                    return name.clone();
+                }
+            }
+            actix_rt::time::sleep(LOOK_INTERVAL).await;
+        }
+        panic!("no node owns {run}");
+    }
+
+    /// How often the tool ran for each `(tool, key)`.
+    pub async fn executions(&self) -> BTreeMap<(String, String), usize> {
+        let url = format!("http://{}/v1/invocations", self.tool.listening());
+        let mut response = self.client.get(url).send().await.expect("the tool answers");
+        let body = response.body().await.expect("a whole body");
+        let listed: Executions = serde_json::from_slice(&body).expect("as documented");
+        let mut counts = BTreeMap::new();
+        for execution in listed.executions {
+            *counts.entry((execution.tool, execution.key)).or_default() += 1;
+        }
+        counts
+    }
+
+    async fn list_machines(&self) {
+        let machine = |(name, node): (&String, &Process)| NodeMachine {
+            id: NodeId::new(name),
+            zone: ZoneId::new(name.replace("node", "zone")),
+            address: node.listening().to_string(),
+            state: MachineState::Live,
+        };
+        let list = MachineList {
+            nodes: self.nodes.iter().map(machine).collect(),
+            ..MachineList::default()
+        };
+        let url = format!("http://{}/v1/machines", self.machines.listening());
+        let response = self.client.put(url).send_json(&list).await;
+        assert!(response.expect("the list answers").status().is_success());
+    }
+
+    async fn wait_until_ready(&self) {
+        let mut urls: Vec<String> = self
+            .nodes
+            .values()
+            .map(|node| format!("http://{}/readyz", node.address("admin")))
+            .collect();
+        urls.extend((0..self.sidecars.len()).map(|index| self.sidecar_url(index) + "/readyz"));
+        for url in urls {
+            self.wait_for(&url).await;
+        }
+    }
+
+    async fn wait_for_programs(&self) {
+        for node in self.nodes.values() {
+            for program in ["boundary-correction", "weekly-menu"] {
+                let admin = node.address("admin");
+                let url = format!("http://{admin}/apis/v1/programs/{program}");
+                self.wait_for(&url).await;
+            }
+        }
+    }
+
+    async fn wait_for(&self, url: &str) {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if self.is_ok(url).await {
+                return;
+            }
+            actix_rt::time::sleep(LOOK_INTERVAL).await;
+        }
+        panic!("{url} did not become ready");
+    }
+
+    async fn is_ok(&self, url: &str) -> bool {
+        let response = self.client.get(url).send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
+    fn apply_resources(&self) {
+        let admin = self.nodes["node-a"].address("admin");
+        for name in ["services", "boundary-correction", "weekly-menu"] {
+            let file = self.with_real_addresses(name);
+            let status = Command::new(elderworks())
+                .args(["--server", &format!("http://{admin}"), "apply", "-f"])
+                .arg(&file)
+                .status()
+                .expect("elderworks runs");
+            assert!(status.success(), "{name} was not applied");
+        }
+    }
+
+    /// A copy of an example resource file with the present addresses of the back ends.
+    fn with_real_addresses(&self, name: &str) -> PathBuf {
+        let path = example(&format!("resources/{name}.yaml"));
+        let mut text = std::fs::read_to_string(path).expect("the example is there");
+        for (engine, port) in self.engines.iter().zip(7501..) {
+            let example: SocketAddr = ([127, 0, 0, 1], port).into();
+            text = text.replace(&example.to_string(), &engine.listening().to_string());
+        }
+        text = text.replace("127.0.0.1:7600", &self.tool.listening().to_string());
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let copy = directory.join(format!("{name}-{}.yaml", std::process::id()));
+        std::fs::write(&copy, text).expect("the directory is writable");
+        copy
+    }
+}
+
+fn set(arguments: &mut Vec<String>, changes: &[&str]) {
+    for change in changes {
+        arguments.extend(["--set".to_owned(), (*change).to_owned()]);
+    }
+}
+
+fn start_standin(service: &str, file: &str, changes: &[&str]) -> Process {
+    let file = example(file).display().to_string();
+    let mut arguments: Vec<String> = [service, "--settings", &file, "--listen", ANY_PORT]
+        .map(str::to_owned)
+        .into();
+    set(&mut arguments, changes);
+    Process::start(&standin(), &arguments)
+}
+
+fn start_nodes(log: &Process, machines: &Process) -> BTreeMap<String, Process> {
+    let mut nodes: BTreeMap<String, Process> = BTreeMap::new();
+    for zone in ZONES {
+        let seeds: Vec<String> = nodes
+            .values()
+            .map(|node| format!("{:?}", node.address("gossip").to_string()))
+            .collect();
+        let mut arguments = vec!["node".to_owned()];
+        let changes = [
+            format!("listen={ANY_PORT}"),
+            format!("gossip={ANY_PORT}"),
+            format!("admin={ANY_PORT}"),
+            format!("seeds=[{}]", seeds.join(",")),
+            format!("log_url=http://{}", log.listening()),
+            format!("machines_url=http://{}", machines.listening()),
+        ];
+        set(&mut arguments, &changes.each_ref().map(String::as_str));
+        let file = example(&format!("nodes/node-{zone}.toml"));
+        arguments.push(file.display().to_string());
+        let node = Process::start(&elderworks(), &arguments);
+        nodes.insert(format!("node-{zone}"), node);
+    }
+    nodes
+}
+
+fn start_sidecar(file: &str, nodes: &BTreeMap<String, Process>) -> Process {
+    let known: Vec<String> = nodes
+        .values()
+        .map(|node| format!("{:?}", node.listening().to_string()))
+        .collect();
+    let mut arguments = vec!["sidecar".to_owned()];
+    let listen = format!("listen={ANY_PORT}");
+    let known = format!("nodes=[{}]", known.join(","));
+    set(&mut arguments, &[&listen, &known, TENANTS]);
+    arguments.push(example(file).display().to_string());
+    Process::start(&elderworks(), &arguments)
+}
+
+#[derive(Deserialize)]
+struct Executions {
+    executions: Vec<Execution>,
+}
+
+#[derive(Deserialize)]
+struct Execution {
+    tool: String,
+    key: String,
+}
--- /dev/null
+++ b/crates/cli/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! The whole system as separate processes, started from the files under `examples/`.
+
+mod caller;
+mod child;
+mod fleet;
+mod programs;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,4 +8,4 @@
 mod metrics;
 mod process;
 
-pub use process::{SidecarHandle, run, start};
+pub use process::{SidecarHandle, start};
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -8,7 +8,6 @@
 use elderworks_settings::SidecarProcessSettings;
 use elderworks_sidecar_core::SidecarSettings;
 use eyre::WrapErr;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
 use crate::core_client::CoreClient;
@@ -79,17 +78,3 @@
         server: handle,
     })
 }
-
-/// Runs a sidecar until it is told to stop (SIGTERM or SIGINT).
-pub async fn run(settings: SidecarProcessSettings) -> eyre::Result<()> {
-    let handle = start(settings)?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    log::info!("sidecar is stopping");
-    handle.stop().await;
-    Ok(())
-}
