--- a/crates/simulation/src/world/connection.rs
+++ b/crates/simulation/src/world/connection.rs
@@ -249,8 +249,10 @@
             _ => return,
         };
         let sidecar = to.sidecar;
-        self.trace
-            .line(self.now, format_args!("node-{node} tells sidecar-{sidecar}: {what}"));
+        self.trace.line(
+            self.now,
+            format_args!("node-{node} tells sidecar-{sidecar}: {what}"),
+        );
     }
 
     /// Breaks a connection; both ends are told.
--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -12,8 +12,9 @@
     Resource, ServiceSpec, Spec, ToolServiceSpec,
 };
 use elderworks_types::{
-    CallNumber, CallRequest, CallSpec, CellId, Credits, EngineId, Message, ModelName, ModelRequest, NodeId,
-    Offset, ResourceName, Role, RunId, RunSpec, TenantId, Tokens, ToolName, ToolRequest, ZoneId,
+    CallNumber, CallRequest, CallSpec, CellId, Credits, EngineId, Message, ModelName, ModelRequest,
+    NodeId, Offset, ResourceName, Role, RunId, RunSpec, TenantId, Tokens, ToolName, ToolRequest,
+    ZoneId,
 };
 
 use super::callers::Caller;
