Give every raced change a value of its own

Ruled out: a fault of control, whose log shows one winner. Change: the value counts requests, which are unique. Conclusion: a false alarm of the harness.

--- a/crates/simulation/src/world/operators.rs
+++ b/crates/simulation/src/world/operators.rs
@@ -118,7 +118,7 @@
         };
         match seen {
             Some(revision) => {
-                let serial = self.observations.changes.len() as u64;
+                let serial = self.requests_made;
                 let resource = raced_configuration(serial);
                 self.propose(operator, node, resource, Some(revision));
             }
