--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -8,10 +8,12 @@
 use crate::Effect;
 use crate::event::Connection;
 use crate::soft::{OpenCall, ReleaseProgress, Soft, Stage};
+use crate::state::Loader;
 
 impl Partition {
     pub(super) fn on_claim(&mut self, forced: bool) {
-        if self.owned.is_some() {
+        if self.is_serving() {
+            self.soft.release = None;
             return;
         }
         self.claim = Some(forced);
@@ -20,15 +22,15 @@
 
     /// Appends the wished-for claim once it may be made.
     pub(super) fn try_claim(&mut self) {
-        let Some(forced) = self.claim else {
+        let Some(forced) = self.claim.filter(|_| self.owned.is_none()) else {
             return;
         };
         let ownership = &self.journal.ownership;
         let free = ownership.owner.is_none();
         let next_epoch = ownership.epoch.next();
-        let loaded = self.is_loaded() || ownership.epoch == Epoch(0);
+        let readable = matches!(self.loader, Loader::Done | Loader::Empty);
         let claimed_already = self.claimed == Some(next_epoch);
-        if !loaded || claimed_already || !(forced || free) {
+        if !readable || claimed_already || !(forced || free) {
             return;
         }
         self.claimed = Some(next_epoch);
