--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,3 @@
+//! The operators' verbs of the elderworks command, as a library.
+
+pub mod verbs;
