--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -89,10 +89,7 @@
         let started = Instant::now();
         while started.elapsed() < PATIENCE {
             for (name, node) in &self.nodes {
-                let url = format!(
-                    "http://{}/apis/v1/runs/{run}",
-                    node.address("admin")
-                );
+                let url = format!("http://{}/apis/v1/runs/{run}", node.address("admin"));
                 if self.is_ok(&url).await {
                     return name.clone();
                 }
