--- /dev/null
+++ b/crates/cli/examples/added_latency.rs
@@ -0,0 +1,348 @@
+//! What sidecar and node add to a streamed call, against the stand-in engine asked directly.
+//!
+//! Log, engine, node, sidecar and callers run on threads of their own in one process and speak real
+//! HTTP and TCP over loopback. For each number of calls in flight the callers make the same calls
+//! once directly and once through the sidecar, and the table shows percentiles of both. Run with
+//! `cargo run --release -p elderworks-cli --example added_latency`.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use comfy_table::Table;
+use elderworks_control::ControlBody;
+use elderworks_engine_model::EngineParameters;
+use elderworks_node::operator::OperatorHandle;
+use elderworks_node_core::event::OperatorRequest;
+use elderworks_settings::{
+    BearerToken, LoggingSettings, NodeLimits, NodeProcessSettings, SidecarLimits,
+    SidecarProcessSettings,
+};
+use elderworks_standin::engine::{EngineSettings, with_speed};
+use elderworks_standin::log::LogSettings;
+use elderworks_standin::{engine, listen, log};
+use elderworks_types::resource::{
+    EngineEndpoint, Metadata, ModelServiceSpec, ProgramSpec, Resource, ServiceSpec, Spec,
+};
+use elderworks_types::{
+    Credits, EngineId, ModelName, NodeId, Offset, ResourceName, TenantId, Tokens, ZoneId,
+};
+use eyre::{OptionExt, WrapErr, eyre};
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use serde_json::json;
+
+const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const TOKEN: &str = "measuring";
+const MODEL: &str = "model";
+const IN_FLIGHT: [usize; 3] = [1, 100, 1_000];
+const CALLS_PER_CALLER: usize = 5;
+/// Calls of a single caller, so that its percentiles rest on more than a few.
+const CALLS_OF_ONE: usize = 100;
+const OUTPUT_TOKENS: u64 = 32;
+const ENGINE_SPEED: f64 = 4.0;
+const CALL_TIMEOUT: Duration = Duration::from_secs(120);
+const PERCENTILES: [f64; 3] = [0.5, 0.9, 0.99];
+
+/// Times of one call from its start.
+#[derive(Clone, Copy)]
+struct Times {
+    first_chunk: Duration,
+    whole: Duration,
+}
+
+/// One of a call's times.
+type Part = fn(&Times) -> Duration;
+
+/// Runs one part of the system on a thread of its own, for as long as the process lives, and returns
+/// what its start gave.
+fn on_thread<T, S, F>(start: S) -> eyre::Result<T>
+where
+    T: Send + 'static,
+    S: FnOnce() -> F + Send + 'static,
+    F: Future<Output = eyre::Result<(T, Box<dyn std::any::Any>)>>,
+{
+    let (started, result) = mpsc::channel();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            match start().await {
+                Ok((value, _kept)) => {
+                    let _ = started.send(Ok(value));
+                    std::future::pending::<()>().await;
+                }
+                Err(error) => {
+                    let _ = started.send(Err(error));
+                }
+            }
+        });
+    });
+    result.recv().wrap_err("a part of the system died")?
+}
+
+fn start_log() -> eyre::Result<String> {
+    on_thread(|| async {
+        let server = log::serve(listen(LOOPBACK)?, LogSettings::default())?;
+        Ok((server.url(), Box::new(server) as _))
+    })
+}
+
+fn start_engine() -> eyre::Result<String> {
+    on_thread(|| async {
+        let mut settings = EngineSettings::new(EngineId::new("engine"));
+        settings.models = vec![ModelName::new(MODEL)];
+        settings.parameters = EngineParameters {
+            max_batch: 2_048,
+            step_tokens: 65_536,
+            max_waiting: 4_096,
+            cache_blocks: 262_144,
+            ..with_speed(EngineParameters::default(), ENGINE_SPEED)
+        };
+        let server = engine::serve(listen(LOOPBACK)?, settings)?;
+        Ok((server.url(), Box::new(server) as _))
+    })
+}
+
+fn start_node(log_url: String) -> eyre::Result<(SocketAddr, OperatorHandle)> {
+    on_thread(move || async move {
+        let settings = NodeProcessSettings {
+            name: NodeId::new("node"),
+            zone: ZoneId::new("zone"),
+            cell: None,
+            listen: LOOPBACK,
+            gossip: LOOPBACK,
+            admin: LOOPBACK,
+            seeds: Vec::new(),
+            log_url,
+            machines_url: None,
+            partition_count: 16,
+            operator_token: None,
+            limits: NodeLimits::default(),
+            logging: LoggingSettings::default(),
+        };
+        let node = elderworks_node::start(&settings).await?;
+        if !node.ready().await {
+            return Err(eyre!("the node stopped while starting"));
+        }
+        Ok(((node.address, node.operator()), Box::new(node) as _))
+    })
+}
+
+fn start_sidecar(node: SocketAddr) -> eyre::Result<String> {
+    on_thread(move || async move {
+        let settings = SidecarProcessSettings {
+            listen: LOOPBACK,
+            nodes: vec![node],
+            zone: ZoneId::new("zone"),
+            default_program: None,
+            tenants: [(TenantId::new("tenant"), BearerToken::new(TOKEN))].into(),
+            limits: SidecarLimits {
+                max_open_calls: 4_096,
+                ..SidecarLimits::default()
+            },
+            logging: LoggingSettings::default(),
+        };
+        let sidecar = elderworks_sidecar::start(settings)?;
+        let url = format!("http://{}", sidecar.address());
+        Ok((url, Box::new(sidecar) as _))
+    })
+}
+
+fn resources(engine_url: &str) -> [Resource; 2] {
+    let model = ModelServiceSpec {
+        model: ModelName::new(MODEL),
+        engines: vec![EngineEndpoint {
+            id: EngineId::new("engine"),
+            url: engine_url.to_owned(),
+            zone: ZoneId::new("zone"),
+        }],
+        credits_per_prompt_token: Credits(1),
+        credits_per_output_token: Credits(1),
+    };
+    let program = ProgramSpec {
+        services: vec![ResourceName::new("service")],
+        budget: None,
+        run_budget: Credits(1_000_000_000),
+        max_turns: 10_000,
+        max_history: Tokens(10_000_000),
+        max_duration: Duration::from_secs(3_600),
+        deadline: None,
+        priority: 0,
+    };
+    let resource = |name, spec| Resource {
+        metadata: Metadata {
+            name: ResourceName::new(name),
+            revision: Offset(0),
+        },
+        spec,
+    };
+    [
+        resource("service", Spec::Service(ServiceSpec::Model(model))),
+        resource("program", Spec::Program(program)),
+    ]
+}
+
+async fn apply(operator: &OperatorHandle, engine_url: &str) -> eyre::Result<()> {
+    for resource in resources(engine_url) {
+        let change = ControlBody::Put {
+            resource,
+            expected: None,
+        };
+        let reply = operator.ask(OperatorRequest::Change(change));
+        let reply = reply.map_err(|_| eyre!("the node is busy"))?;
+        reply.await.map_err(|_| eyre!("the node has stopped"))?;
+    }
+    Ok(())
+}
+
+/// Where and how calls are made.
+#[derive(Clone)]
+struct Target {
+    client: awc::Client,
+    url: String,
+    through_sidecar: bool,
+}
+
+impl Target {
+    /// Starts a run where calls need one.
+    async fn run(&self) -> eyre::Result<Option<String>> {
+        if !self.through_sidecar {
+            return Ok(None);
+        }
+        let request = self.client.post(format!("{}/v1/runs", self.url));
+        let request = request.bearer_auth(TOKEN);
+        let sent = request.send_json(&json!({ "program": "program" })).await;
+        let mut answer = sent.map_err(|error| eyre!("{error}"))?;
+        let run: serde_json::Value = answer.json().await?;
+        let id = run["id"].as_str().ok_or_eyre("a run was not started")?;
+        Ok(Some(id.to_owned()))
+    }
+
+    async fn call(&self, caller: usize, call: usize, run: Option<&str>) -> eyre::Result<Times> {
+        let prompt = format!("caller {caller}, call {call}: {}", "word ".repeat(40));
+        let body = json!({
+            "model": MODEL,
+            "stream": true,
+            "max_tokens": OUTPUT_TOKENS,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        let url = format!("{}/v1/chat/completions", self.url);
+        let mut request = self.client.post(url).bearer_auth(TOKEN);
+        let direct_id = format!("{caller}-{call}-{}", std::process::id());
+        request = match run {
+            Some(run) => request.insert_header(("x-elderworks-run", run)),
+            None => request.insert_header(("x-request-id", direct_id)),
+        };
+        let start = Instant::now();
+        let sent = request.send_json(&body).await;
+        let mut answer = sent.map_err(|error| eyre!("{error}"))?;
+        if !answer.status().is_success() {
+            let body = answer.body().await?;
+            return Err(eyre!(
+                "{}: {}",
+                answer.status(),
+                String::from_utf8_lossy(&body)
+            ));
+        }
+        let mut first_chunk = None;
+        while let Some(bytes) = answer.next().await {
+            let has_text = find(&bytes?, b"\"content\":\"");
+            if has_text && first_chunk.is_none() {
+                first_chunk = Some(start.elapsed());
+            }
+        }
+        Ok(Times {
+            first_chunk: first_chunk.ok_or_eyre("an answer without text")?,
+            whole: start.elapsed(),
+        })
+    }
+}
+
+fn find(bytes: &[u8], text: &[u8]) -> bool {
+    bytes.windows(text.len()).any(|window| window == text)
+}
+
+async fn measure(target: &Target, in_flight: usize) -> eyre::Result<Vec<Times>> {
+    let calls = if in_flight == 1 {
+        CALLS_OF_ONE
+    } else {
+        CALLS_PER_CALLER
+    };
+    let callers = (0..in_flight).map(|caller| async move {
+        let run = target.run().await?;
+        let mut times = Vec::new();
+        for call in 0..calls {
+            times.push(target.call(caller, call, run.as_deref()).await?);
+        }
+        Ok::<_, eyre::Report>(times)
+    });
+    let results: eyre::Result<Vec<_>> = join_all(callers).await.into_iter().collect();
+    Ok(results?.into_iter().flatten().collect())
+}
+
+fn percentile(times: &[Times], share: f64, part: Part) -> f64 {
+    let mut sorted: Vec<Duration> = times.iter().map(part).collect();
+    sorted.sort();
+    let index = ((sorted.len() - 1) as f64 * share).round() as usize;
+    sorted[index].as_secs_f64() * 1_000.0
+}
+
+fn client() -> awc::Client {
+    let connector = awc::Connector::new().limit(4_096);
+    awc::Client::builder()
+        .connector(connector)
+        .timeout(CALL_TIMEOUT)
+        .finish()
+}
+
+#[actix_rt::main]
+async fn main() -> eyre::Result<()> {
+    let engine_url = start_engine()?;
+    let (node, operator) = start_node(start_log()?)?;
+    apply(&operator, &engine_url).await?;
+    let target = |url: String, through_sidecar| Target {
+        client: client(),
+        url,
+        through_sidecar,
+    };
+    let direct = target(engine_url, false);
+    let through = target(start_sidecar(node)?, true);
+    measure(&through, 1).await.wrap_err("warming up")?;
+
+    let mut table = Table::new();
+    table.set_header([
+        "in flight",
+        "calls",
+        "what",
+        "share",
+        "direct ms",
+        "through ms",
+        "added ms",
+    ]);
+    for in_flight in IN_FLIGHT {
+        let plain = measure(&direct, in_flight).await.wrap_err("direct")?;
+        let routed = measure(&through, in_flight)
+            .await
+            .wrap_err("through the sidecar")?;
+        let parts: [(&str, Part); 2] = [
+            ("first chunk", |times| times.first_chunk),
+            ("whole answer", |times| times.whole),
+        ];
+        for (what, part) in parts {
+            for share in PERCENTILES {
+                let direct = percentile(&plain, share, part);
+                let through = percentile(&routed, share, part);
+                table.add_row([
+                    in_flight.to_string(),
+                    plain.len().to_string(),
+                    what.to_owned(),
+                    format!("p{:.0}", share * 100.0),
+                    format!("{direct:.2}"),
+                    format!("{through:.2}"),
+                    format!("{:.2}", through - direct),
+                ]);
+            }
+        }
+    }
+    println!("{table}");
+    Ok(())
+}
--- a/crates/node-core/src/least_loaded.rs
+++ b/crates/node-core/src/least_loaded.rs
@@ -8,7 +8,7 @@
 use elderworks_types::{EngineId, ModelName, Refusal, RefusalReason, Timestamp};
 
 /// Attempts in progress at one engine; further calls wait.
-const MAX_PER_ENGINE: usize = 256;
+const MAX_PER_ENGINE: usize = 4_096;
 
 /// Longest time that a call waits for an engine.
 const MAX_WAIT: Duration = Duration::from_secs(10);
