--- a/crates/lab/src/compare/baseline/affinity.rs
+++ b/crates/lab/src/compare/baseline/affinity.rs
@@ -1,10 +1,10 @@
 //! Prefix affinity, as in common cache-aware routers.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 
 use elderworks_placement::event::{CacheChange, ReadyCall};
 use elderworks_types::EngineId;
-use elderworks_types::text::BlockHash;
+use elderworks_types::text::{BlockHash, BlockSet};
 
 use super::simple::least_loaded;
 use super::{EngineView, Strategy};
@@ -20,7 +20,7 @@
 /// it, or if load has become uneven.
 #[derive(Default)]
 pub struct PrefixAffinity {
-    cached: BTreeMap<EngineId, HashSet<BlockHash>>,
+    cached: BTreeMap<EngineId, BlockSet>,
 }
 
 impl PrefixAffinity {
--- a/crates/lab/src/compare/metrics.rs
+++ b/crates/lab/src/compare/metrics.rs
@@ -1,10 +1,10 @@
 //! What is measured in one experiment.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use elderworks_engine_model::Completion;
-use elderworks_types::text::BlockHash;
+use elderworks_types::text::{BlockHash, BlockSet};
 use elderworks_types::{ResourceName, TenantId};
 
 use super::statistics::percentile;
@@ -76,7 +76,7 @@
 pub struct Recorder {
     outcomes: Vec<ProgramOutcome>,
     first_tokens: Vec<f64>,
-    computed: HashSet<BlockHash>,
+    computed: BlockSet,
     recomputed_tokens: u64,
     wasted_block_seconds: f64,
     refusals: u64,
--- a/crates/types/src/text.rs
+++ b/crates/types/src/text.rs
@@ -5,6 +5,9 @@
 //! [`BYTES_PER_TOKEN`] bytes of rendered prompt; a real deployment replaces this module by the
 //! model's tokenizer.
 
+use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasherDefault, Hasher};
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{Message, Role, Tokens};
@@ -56,3 +59,27 @@
         })
         .collect()
 }
+
+/// A map by block hash.
+pub type BlockMap<V> = HashMap<BlockHash, V, BuildHasherDefault<BlockHasher>>;
+
+/// A set of block hashes.
+pub type BlockSet = HashSet<BlockHash, BuildHasherDefault<BlockHasher>>;
+
+/// Passes a block hash through: it is a hash already.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BlockHasher(u64);
+
+impl Hasher for BlockHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = xxh3_64_with_seed(bytes, self.0);
+    }
+
+    fn write_u64(&mut self, hash: u64) {
+        self.0 = hash;
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
