Place calls by predicted completion and hold new runs while memory is full

First whole policy: one-pass cache index over all engines, predicted wait plus weighted recomputation plus distance, node-side holding of new runs, urgency by expected remaining time with ageing, blocks dropped at a run's end, leases by expected pause, ejection of failing engines. Ruled out: one index per engine, which matches a prompt 64 times.

--- a/crates/engine-model/src/cache.rs
+++ b/crates/engine-model/src/cache.rs
@@ -95,6 +95,11 @@
         self.blocks.len() + self.partial_blocks
     }
 
+    /// Blocks that running sequences use.
+    pub(crate) fn referenced(&self) -> usize {
+        self.used() - self.evictable.len()
+    }
+
     /// Blocks that can be had without touching a running sequence.
     pub(crate) fn available(&self) -> usize {
         self.capacity.saturating_sub(self.used()) + self.evictable.len()
--- a/crates/engine-model/src/engine.rs
+++ b/crates/engine-model/src/engine.rs
@@ -280,7 +280,7 @@
             running: self.batch.running.len() as u32,
             waiting: self.batch.waiting.len() as u32,
             waiting_prefill: Tokens(self.batch.unprefilled()),
-            blocks_used: self.cache.used() as u32,
+            blocks_used: self.cache.referenced() as u32,
             blocks_total: self.parameters.cache_blocks as u32,
         });
     }
--- a/crates/engine-model/src/feed.rs
+++ b/crates/engine-model/src/feed.rs
@@ -44,7 +44,7 @@
     pub waiting: u32,
     /// Prompt tokens not yet prefilled, of waiting and running requests.
     pub waiting_prefill: Tokens,
-    /// Blocks in use, idle cached ones included.
+    /// Blocks that running sequences use; idle cached ones do not count.
     pub blocks_used: u32,
     /// Blocks in all.
     pub blocks_total: u32,
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -60,7 +60,7 @@
     pub waiting: u32,
     /// Prompt tokens waiting to be prefilled.
     pub waiting_prefill: Tokens,
-    /// Cache blocks in use.
+    /// Cache blocks that running sequences use; idle cached ones do not count.
     pub blocks_used: u32,
     /// Cache blocks in all.
     pub blocks_total: u32,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,10 +4,19 @@
 //! seeded generator. It sees engines through lagging load reports and gappy cache events and counts
 //! its own dispatches in between.
 
+pub mod cost;
+pub mod counters;
 pub mod effect;
+mod engines;
+mod estimates;
 pub mod event;
+mod health;
+mod index;
 pub mod policy;
+mod queue;
+mod runs;
 
+pub use counters::Counters;
 pub use effect::Effect;
 pub use event::{Event, Ticket};
 pub use policy::{Placement, PlacementSettings};
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -1,8 +1,52 @@
 //! The placement policy.
 
-use elderworks_types::{Timestamp, ZoneId};
+use std::time::Duration;
 
-use crate::{Effect, Event};
+use elderworks_types::{
+    EngineId, Refusal, RefusalReason, RunId, TenantId, Timestamp, Tokens, ZoneId,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::cost;
+use crate::counters::Counters;
+use crate::engines::{Engine, EngineTable, OpenCall};
+use crate::estimates::Estimates;
+use crate::event::{CacheChange, FinishedResult, ReadyCall};
+use crate::index::CacheIndex;
+use crate::queue::{QueueKey, WaitQueue};
+use crate::runs::{KnownRun, RunTable};
+use crate::{Effect, Event, Ticket};
+
+/// Calls that may wait for room; further ones are refused.
+const MAX_WAITING: usize = 8_192;
+/// Held calls that are tried each time something changes.
+const TRIES_PER_CHANGE: usize = 4;
+/// When a call refused for overload may come back.
+const OVERLOAD_RETRY: Duration = Duration::from_secs(5);
+/// When a call that no engine serves may come back.
+const NO_BACKEND_RETRY: Duration = Duration::from_secs(2);
+
+/// A run starts on an engine only while the engine's memory is less used than this.
+const MEMORY_LIMIT: f64 = 0.95;
+/// How much a paused run's blocks count towards that limit.
+const PAUSED_WEIGHT: f64 = 0.5;
+/// A run starts on an engine only while it has fewer requests than this.
+const START_LIMIT: u32 = cost::ENGINE_BATCH;
+/// Engine time spent on recomputation delays all that the engine serves, not only this call.
+const RECOMPUTE_WEIGHT: u32 = 4;
+/// Output that a choice assumes, in decoding steps.
+const ASSUMED_OUTPUT: u32 = 180;
+/// How much of a run's age counts against its expected remaining time.
+const AGEING: f64 = 0.25;
+/// Urgencies closer than this are the same to engines, so that they preempt seldom.
+const URGENCY_STEP: f64 = 4.0;
+/// Calls of one tenant that wait make its next ones this many seconds less urgent each.
+const TENANT_PENALTY: f64 = 0.1;
+/// Paused blocks are kept for this many expected pauses.
+const LEASE_PAUSES: u32 = 4;
+const SHORTEST_LEASE: Duration = Duration::from_secs(2);
+const LONGEST_LEASE: Duration = Duration::from_secs(60);
 
 /// Limits and weights of placement.
 #[derive(Clone, Debug)]
@@ -22,19 +66,413 @@
 
 /// Decides for the calls of one node.
 pub struct Placement {
-    _settings: PlacementSettings,
+    settings: PlacementSettings,
+    random: ChaCha8Rng,
+    engines: EngineTable,
+    index: CacheIndex,
+    runs: RunTable,
+    estimates: Estimates,
+    queue: WaitQueue,
+    counters: Counters,
+}
+
+/// Where a call should go.
+struct Choice {
+    slot: usize,
+    missing: Tokens,
 }
 
 impl Placement {
     /// Knows no engine yet.
     pub fn new(settings: PlacementSettings) -> Self {
         Self {
-            _settings: settings,
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings,
+            engines: EngineTable::default(),
+            index: CacheIndex::default(),
+            runs: RunTable::default(),
+            estimates: Estimates::default(),
+            queue: WaitQueue::default(),
+            counters: Counters::default(),
         }
     }
 
     /// Takes one event and returns what is to be done, in order.
-    pub fn handle(&mut self, _now: Timestamp, _event: Event) -> Vec<Effect> {
-        Vec::new()
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::EngineAdded {
+                engine,
+                zone,
+                models,
+            } => self.engines.add(engine, zone, models),
+            Event::EngineLeaving { engine } => self.engine_leaving(&engine),
+            Event::EngineRemoved { engine } => self.engine_removed(&engine),
+            Event::Load { engine, report } => {
+                if let Some(slot) = self.engines.slot(&engine) {
+                    self.engines.take_report(slot, report);
+                }
+            }
+            Event::Cache { engine, change } => self.cache_changed(&engine, change),
+            Event::CallReady(call) => self.call_ready(now, call, &mut effects),
+            Event::FirstToken { ticket } => self.first_token(ticket),
+            Event::Finished { ticket, result } => {
+                self.finished(now, ticket, result);
+                self.release_held(now, &mut effects);
+            }
+            Event::Cancelled { ticket } => {
+                self.queue.cancel(ticket);
+                self.close(now, ticket);
+            }
+            Event::RunPaused {
+                run,
+                expected_reuse,
+            } => self.run_paused(now, run, expected_reuse, &mut effects),
+            Event::RunEnded { run } => self.run_ended(run, &mut effects),
+            Event::Tick => self.release_held(now, &mut effects),
+        }
+        effects
+    }
+
+    /// What was counted so far.
+    pub fn counters(&self) -> Counters {
+        Counters {
+            waiting: self.queue.len(),
+            runs: self.runs.len(),
+            indexed_blocks: self.index.len(),
+            ..self.counters
+        }
+    }
+
+    fn engine_leaving(&mut self, engine: &EngineId) {
+        if let Some(slot) = self.engines.slot(engine) {
+            self.engines.get_mut(slot).is_leaving = true;
+        }
+    }
+
+    fn engine_removed(&mut self, engine: &EngineId) {
+        if let Some(slot) = self.engines.remove(engine) {
+            self.index.clear(slot);
+        }
+    }
+
+    fn cache_changed(&mut self, engine: &EngineId, change: CacheChange) {
+        let Some(slot) = self.engines.slot(engine) else {
+            return;
+        };
+        match change {
+            CacheChange::Stored(blocks) => self.index.store(slot, &blocks),
+            CacheChange::Evicted(blocks) => self.index.evict(slot, &blocks),
+            CacheChange::Cleared => self.index.clear(slot),
+            CacheChange::Gap { missed } => self.counters.missed_cache_events += missed,
+        }
+    }
+
+    fn call_ready(&mut self, now: Timestamp, call: Box<ReadyCall>, effects: &mut Vec<Effect>) {
+        self.note_call(now, &call, effects);
+        if self.is_too_late(now, &call) {
+            self.counters.refused_deadline += 1;
+            effects.push(refuse(call.ticket, RefusalReason::DeadlinePassed, None));
+            return;
+        }
+        match self.choose(now, &call) {
+            Some(choice) => self.dispatch(now, &call, &choice, Duration::ZERO, effects),
+            None => self.hold(now, call, effects),
+        }
+    }
+
+    fn note_call(&mut self, now: Timestamp, call: &ReadyCall, effects: &mut Vec<Effect>) {
+        let run = call.ticket.call.run;
+        if let Some((forgotten, known)) = self.runs.seen(now, run, &call.program) {
+            self.counters.forgotten_runs += 1;
+            self.drop_blocks(forgotten, &known, effects);
+        }
+        self.end_pause(now, run);
+        if let Some(known) = self.runs.get_mut(run) {
+            known.turns = call.turns;
+        }
+    }
+
+    fn end_pause(&mut self, now: Timestamp, run: RunId) {
+        let Some(known) = self.runs.get_mut(run) else {
+            return;
+        };
+        let Some(paused_at) = known.paused_at.take() else {
+            return;
+        };
+        self.estimates
+            .pause_took(&known.program, now.since(paused_at));
+        if let Some(home) = known.home {
+            let engine = self.engines.get_mut(home);
+            engine.paused_blocks = engine.paused_blocks.saturating_sub(known.blocks);
+        }
+    }
+
+    fn is_too_late(&self, now: Timestamp, call: &ReadyCall) -> bool {
+        call.call_deadline.is_some_and(|deadline| deadline <= now)
+    }
+
+    /// The best engine, or `None` if the call has to wait for room.
+    fn choose(&mut self, now: Timestamp, call: &ReadyCall) -> Option<Choice> {
+        let home = self.runs.get(call.ticket.call.run).and_then(|run| run.home);
+        let matches = self.index.matches(&call.blocks, self.engines.len());
+        let mut best: Option<(Duration, Choice)> = None;
+        for (slot, engine) in self.engines.iter() {
+            let is_home = home == Some(slot);
+            if !engine.accepts(now, call) || !(is_home || self.has_room(now, engine, call)) {
+                continue;
+            }
+            let matched = Tokens(u64::from(matches[slot]) * BLOCK_TOKENS);
+            let missing = call.prompt.saturating_sub(matched);
+            let cost = self.predicted(now, engine, missing);
+            let cost = cost + Duration::from_micros(self.random.random_range(0..TIE_MICROS));
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, Choice { slot, missing }));
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    fn has_room(&self, now: Timestamp, engine: &Engine, call: &ReadyCall) -> bool {
+        let own_share = self.engines.own_share;
+        let requests = engine.requests(now, own_share);
+        if requests == 0 {
+            return true;
+        }
+        if requests >= START_LIMIT {
+            return false;
+        }
+        let memory = engine.memory_share(now, own_share, PAUSED_WEIGHT);
+        // A run that is under way has been admitted; only its engine changes.
+        call.turns > 0 || memory < MEMORY_LIMIT
+    }
+
+    /// Time until the whole answer, and what the call costs others.
+    fn predicted(&self, now: Timestamp, engine: &Engine, missing: Tokens) -> Duration {
+        let requests = engine.requests(now, self.engines.own_share);
+        let wait = engine.expected_wait(now, requests, missing);
+        let decoding = cost::step(requests) * ASSUMED_OUTPUT;
+        let recompute = cost::prefill(missing) * RECOMPUTE_WEIGHT;
+        let distance = cost::distance(engine.zone == self.settings.zone);
+        wait + decoding + recompute + distance
+    }
+
+    /// Smaller is more urgent: expected remaining time of the run, less its age by weight.
+    fn urgency(&self, call: &ReadyCall) -> f64 {
+        let remaining = self.estimates.remaining(&call.program, call.turns);
+        let started = call.run_started.0 as f64 / 1e6;
+        remaining.as_secs_f64() + AGEING * started - f64::from(call.priority) * URGENCY_STEP
+    }
+
+    fn hold(&mut self, now: Timestamp, call: Box<ReadyCall>, effects: &mut Vec<Effect>) {
+        if !self.is_served(&call) {
+            self.counters.refused_no_backend += 1;
+            let retry = Some(NO_BACKEND_RETRY);
+            effects.push(refuse(call.ticket, RefusalReason::NoBackend, retry));
+            return;
+        }
+        if self.queue.len() >= MAX_WAITING {
+            self.counters.refused_overloaded += 1;
+            let retry = Some(OVERLOAD_RETRY);
+            effects.push(refuse(call.ticket, RefusalReason::Overloaded, retry));
+            return;
+        }
+        self.counters.held += 1;
+        let penalty = self.tenant_penalty(&call.tenant);
+        let urgency = (self.urgency(&call) + penalty) * MICROS;
+        self.queue.push(now, urgency as i64, call);
+    }
+
+    fn tenant_penalty(&self, tenant: &TenantId) -> f64 {
+        self.queue.of_tenant(tenant) as f64 * TENANT_PENALTY
+    }
+
+    fn is_served(&self, call: &ReadyCall) -> bool {
+        let mut engines = self.engines.iter();
+        engines.any(|(_, engine)| !engine.is_leaving && engine.models.contains(&call.model))
+    }
+
+    /// Dispatches held calls for which there is room now.
+    fn release_held(&mut self, now: Timestamp, effects: &mut Vec<Effect>) {
+        loop {
+            let keys = self.queue.first_keys(TRIES_PER_CHANGE);
+            let Some(released) = keys
+                .into_iter()
+                .find(|key| self.try_held(now, *key, effects))
+            else {
+                return;
+            };
+            self.queue.remove(released);
+        }
+    }
+
+    /// Dispatches or refuses one held call; false if it has to wait on.
+    fn try_held(&mut self, now: Timestamp, key: QueueKey, effects: &mut Vec<Effect>) -> bool {
+        let Some(waiting) = self.queue.get(key) else {
+            return false;
+        };
+        let call = waiting.call.clone();
+        let waited = now.since(waiting.since);
+        if self.is_too_late(now, &call) {
+            self.counters.refused_deadline += 1;
+            effects.push(refuse(call.ticket, RefusalReason::DeadlinePassed, None));
+            return true;
+        }
+        let Some(choice) = self.choose(now, &call) else {
+            return false;
+        };
+        self.dispatch(now, &call, &choice, waited, effects);
+        true
+    }
+
+    fn dispatch(
+        &mut self,
+        now: Timestamp,
+        call: &ReadyCall,
+        choice: &Choice,
+        waited: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let run = call.ticket.call.run;
+        let urgency = (self.urgency(call) / URGENCY_STEP).floor() as i64;
+        let engine = self.engines.get_mut(choice.slot);
+        let open = OpenCall {
+            run,
+            sent: now,
+            blocks: call.blocks.len() as u32 + 1,
+            missing: choice.missing,
+            has_begun: false,
+        };
+        engine.open.insert(call.ticket, open);
+        let engine = engine.id.clone();
+        self.index.store(choice.slot, &call.blocks);
+        self.counters.dispatched += 1;
+        self.settle_run(run, choice.slot, call.blocks.len() as u32);
+        effects.push(Effect::Dispatch {
+            ticket: call.ticket,
+            engine,
+            engine_priority: urgency,
+            note: format!(
+                "waited {} ms, prefill of {}",
+                waited.as_millis(),
+                choice.missing
+            ),
+        });
+    }
+
+    fn settle_run(&mut self, run: RunId, slot: usize, blocks: u32) {
+        let Some(known) = self.runs.get_mut(run) else {
+            return;
+        };
+        if known.home.is_some_and(|home| home != slot) {
+            self.counters.moved += 1;
+        }
+        known.home = Some(slot);
+        known.holders.insert(slot);
+        known.blocks = blocks;
+    }
+
+    fn first_token(&mut self, ticket: Ticket) {
+        let home = self.runs.get(ticket.call.run).and_then(|run| run.home);
+        if let Some(slot) = home
+            && let Some(call) = self.engines.get_mut(slot).open.get_mut(&ticket)
+        {
+            call.has_begun = true;
+        }
+    }
+
+    fn finished(&mut self, now: Timestamp, ticket: Ticket, result: FinishedResult) {
+        let Some((slot, call)) = self.close(now, ticket) else {
+            return;
+        };
+        let health = &mut self.engines.get_mut(slot).health;
+        match result {
+            FinishedResult::Completed { .. } => {
+                health.succeeded();
+                self.turn_completed(now, &call);
+            }
+            FinishedResult::Lost | FinishedResult::Errored => {
+                if health.failed(now) {
+                    self.counters.ejections += 1;
+                }
+            }
+            FinishedResult::Rejected => {}
+        }
+    }
+
+    fn close(&mut self, now: Timestamp, ticket: Ticket) -> Option<(usize, OpenCall)> {
+        let home = self.runs.get(ticket.call.run).and_then(|run| run.home)?;
+        let call = self.engines.get_mut(home).close(now, ticket)?;
+        Some((home, call))
+    }
+
+    fn turn_completed(&mut self, now: Timestamp, call: &OpenCall) {
+        if let Some(known) = self.runs.get_mut(call.run) {
+            known.turns += 1;
+            let took = now.since(call.sent);
+            self.estimates.turn_took(&known.program, took);
+        }
+    }
+
+    fn run_paused(
+        &mut self,
+        now: Timestamp,
+        run: RunId,
+        expected_reuse: Option<Duration>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(known) = self.runs.get_mut(run) else {
+            return;
+        };
+        let Some(home) = known.home else {
+            return;
+        };
+        if known.paused_at.replace(now).is_none() {
+            self.engines.get_mut(home).paused_blocks += known.blocks;
+        }
+        let pause = expected_reuse.unwrap_or_else(|| self.estimates.pause(&known.program));
+        effects.push(Effect::Retain {
+            run,
+            engine: self.engines.get(home).id.clone(),
+            lease: (pause * LEASE_PAUSES).clamp(SHORTEST_LEASE, LONGEST_LEASE),
+        });
+    }
+
+    fn run_ended(&mut self, run: RunId, effects: &mut Vec<Effect>) {
+        let Some(known) = self.runs.remove(run) else {
+            return;
+        };
+        if known.paused_at.is_some()
+            && let Some(home) = known.home
+        {
+            let engine = self.engines.get_mut(home);
+            engine.paused_blocks = engine.paused_blocks.saturating_sub(known.blocks);
+        }
+        self.estimates.run_ended(&known.program, known.turns);
+        self.drop_blocks(run, &known, effects);
+    }
+
+    fn drop_blocks(&self, run: RunId, known: &KnownRun, effects: &mut Vec<Effect>) {
+        for slot in &known.holders {
+            effects.push(Effect::Drop {
+                run,
+                engine: self.engines.get(*slot).id.clone(),
+            });
+        }
+    }
+}
+
+const BLOCK_TOKENS: u64 = elderworks_types::text::TOKENS_PER_BLOCK as u64;
+const MICROS: f64 = 1e6;
+/// Choices whose costs differ by less than this are as good as equal, and chance decides.
+const TIE_MICROS: u64 = 2_000;
+
+fn refuse(ticket: Ticket, reason: RefusalReason, retry_after: Option<Duration>) -> Effect {
+    Effect::Refuse {
+        ticket,
+        refusal: Refusal {
+            reason,
+            retry_after,
+        },
     }
 }
