--- a/crates/standin/src/engine/application.rs
+++ b/crates/standin/src/engine/application.rs
@@ -5,21 +5,18 @@
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
-use elderworks_engine_model::{
-    CacheChange as ModelCacheChange, CommandError, EngineRole as ModelRole, FencedAction,
-    Holding as ModelHolding, Rejected, Request, RequestId, Work,
-};
+use elderworks_engine_model::{CommandError, Rejected, Request, RequestId, Work};
 use elderworks_platform_api::engine::{
-    CacheChange, CacheEvent, CacheEventsQuery, CacheEventsResponse, CancelResponse, ChatRequest,
-    Command, CommandResponse, EngineLoad, EngineRole, EngineState, FencedCommand, Holding,
-    HoldingsResponse, ImportResponse, KvExport, MAX_CACHE_EVENTS, MAX_LEASE_MS, ReleaseResponse,
-    ResumeQuery, RetentionRequest,
+    CacheEvent, CacheEventsQuery, CacheEventsResponse, CancelResponse, ChatRequest,
+    CommandResponse, EngineLoad, EngineState, FencedCommand, HoldingsResponse, ImportResponse,
+    KvExport, MAX_CACHE_EVENTS, MAX_LEASE_MS, ReleaseResponse, ResumeQuery, RetentionRequest,
 };
 use elderworks_platform_api::{ErrorCode, headers};
-use elderworks_types::{ModelName, RunId, Timestamp, Tokens};
+use elderworks_types::{RunId, Tokens};
 
 use super::EngineFaults;
 use super::answer::AnswerReader;
+use super::convert::{fenced_action, published_change, published_holding, published_role};
 use super::state::EngineService;
 use crate::clock::{now, sleep_until};
 use crate::http::{Handled, Incoming, Refusal, Reply};
@@ -256,10 +253,7 @@
 
     fn state(&self) -> Reply {
         let mut state = self.service.lock();
-        let role = match state.engine().role() {
-            ModelRole::Serving => EngineRole::Serving,
-            ModelRole::Draining => EngineRole::Draining,
-        };
+        let role = published_role(state.engine().role());
         Reply::json(&EngineState {
             engine: state.settings.id.clone(),
             state: state.serving_state(),
@@ -327,53 +321,3 @@
         ),
     }
 }
-
-fn published_change(change: ModelCacheChange) -> CacheChange {
-    match change {
-        ModelCacheChange::Stored(blocks) => CacheChange::Stored(blocks),
-        ModelCacheChange::Evicted(blocks) => CacheChange::Evicted(blocks),
-        ModelCacheChange::Cleared => CacheChange::Cleared,
-    }
-}
-
-fn published_holding(now: Timestamp, held: ModelHolding) -> Holding {
-    let lease = held.lease_until.map(|until| until.since(now));
-    Holding {
-        run: held.run,
-        blocks: held.blocks,
-        lease_ms: lease.unwrap_or_default().as_millis() as u64,
-    }
-}
-
-/// The engine model keeps versions and adapters each under a name of its own.
-fn fenced_action(command: Command) -> FencedAction {
-    match command {
-        Command::LoadModel { model, version } => FencedAction::Load {
-            model: versioned(model, version),
-        },
-        Command::UnloadModel { model } => FencedAction::Unload { model },
-        Command::LoadAdapter { model, adapter } => FencedAction::Load {
-            model: with_adapter(&model, &adapter),
-        },
-        Command::UnloadAdapter { model, adapter } => FencedAction::Unload {
-            model: with_adapter(&model, &adapter),
-        },
-        Command::ChangeRole { role } => FencedAction::SetRole {
-            role: match role {
-                EngineRole::Serving => ModelRole::Serving,
-                EngineRole::Draining => ModelRole::Draining,
-            },
-        },
-    }
-}
-
-fn versioned(model: ModelName, version: Option<String>) -> ModelName {
-    match version {
-        Some(version) => ModelName::new(format!("{model}@{version}")),
-        None => model,
-    }
-}
-
-fn with_adapter(model: &ModelName, adapter: &str) -> ModelName {
-    ModelName::new(format!("{model}+{adapter}"))
-}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod application;
+mod convert;
 mod requests;
 mod state;
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -81,7 +81,7 @@
             .h1_allow_half_closed(false)
             .on_connect_ext(remember_connection)
             .finish(move |request: Request| handle(application.clone(), request))
-            .tcp_auto_h2c()
+            .tcp()
     };
     let server = Server::build()
         .workers(WORKERS)
