--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -1,11 +1,13 @@
 //! Reading records back.
 
+use std::borrow::Cow;
+
 use elderworks_protocol::journal::JournalBody;
 use elderworks_protocol::record::Record;
 use elderworks_types::{Offset, Timestamp};
 
 use super::Partition;
-use crate::state::{Inconsistency, Loading, Verdict, snapshot_records};
+use crate::state::{Inconsistency, JournalState, Loading, Verdict, snapshot_records};
 
 impl Partition {
     pub(super) fn on_record_read(
@@ -64,6 +66,7 @@
             self.on_claim_won(now, own, record.epoch);
             return;
         }
+        self.records_since_snapshot += 1;
         if let JournalBody::Snapshot { part, parts, .. } = record.body {
             self.note_snapshot(offset, part, parts);
         }
@@ -91,6 +94,16 @@
             && let Some(first) = self.pending_snapshot.take()
         {
             self.snapshot_offset = Some(first);
+            self.records_since_snapshot = 0;
+        }
+    }
+
+    /// Takes a snapshot once enough records followed the last.
+    pub(super) fn snapshot_if_due(&mut self) {
+        let due = self.records_since_snapshot >= self.settings.snapshot_interval;
+        if due && self.log_reachable && self.is_serving() {
+            self.records_since_snapshot = 0;
+            self.on_take_snapshot();
         }
     }
 
@@ -155,6 +168,15 @@
         if !self.is_serving() {
             return;
         }
+        for body in snapshot_records(&self.state_after_in_flight()) {
+            self.append(body);
+        }
+    }
+
+    fn state_after_in_flight(&self) -> Cow<'_, JournalState> {
+        if self.soft.in_flight.is_empty() {
+            return Cow::Borrowed(&self.journal);
+        }
         let mut state = self.journal.clone();
         for body in &self.soft.in_flight {
             let record = Record {
@@ -165,8 +187,6 @@
             };
             state.apply(&record, &self.settings.faults);
         }
-        for body in snapshot_records(&state) {
-            self.append(body);
-        }
+        Cow::Owned(state)
     }
 }
