Keep runs within their program's budget and drive sidecars with open-loop load

Cause: a program's runBudget was read by nobody, so a run could spend whatever its caller asked for; and the sidecars had no load experiment. Ruled out: lowering the budget in the sidecar, which does not hold the resources. Change: the owner lowers a started run's budget to its program's, held by a separate-process test; elderworks-lab load starts seeded programs at exponential gaps, counts latency from the intended start, compares every stream with its whole, and reports a table and JSON.

--- a/crates/cli/tests/processes/caller.rs
+++ b/crates/cli/tests/processes/caller.rs
@@ -25,9 +25,9 @@
         }
     }
 
-    /// Starts a run.
-    pub async fn start_run(&self, program: &str) -> String {
-        let body = json!({ "program": program, "budget": 20_000 });
+    /// Starts a run with a budget in credits, or with its program's.
+    pub async fn start_run(&self, program: &str, budget: Value) -> String {
+        let body = json!({ "program": program, "budget": budget });
         let reply = self.send(Method::POST, "/v1/runs", Some(body)).await;
         reply["id"].as_str().expect("an id").to_owned()
     }
@@ -80,6 +80,13 @@
             .collect()
     }
 
+    /// Reads the budget of a run.
+    pub async fn budget(&self, run: &str) -> u64 {
+        let path = format!("/v1/runs/{run}");
+        let reply = self.send(Method::GET, &path, None).await;
+        reply["budget"].as_u64().expect("a budget")
+    }
+
     /// Ends a run; returns its phase.
     pub async fn end_run(&self, run: &str) -> String {
         let path = format!("/v1/runs/{run}");
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -3,4 +3,5 @@
 mod caller;
 mod child;
 mod fleet;
+mod limits;
 mod programs;
--- a/crates/cli/tests/processes/programs.rs
+++ b/crates/cli/tests/processes/programs.rs
@@ -13,6 +13,9 @@
 /// Programs of each deployment.
 const PROGRAMS: usize = 6;
 
+/// Credits that one run may spend.
+const RUN_BUDGET: u64 = 20_000;
+
 /// One program under way and what its history must be.
 struct Program {
     caller: Caller,
@@ -25,7 +28,9 @@
 
 impl Program {
     async fn start(caller: Caller, deployment: &Deployment, index: usize) -> Self {
-        let run = caller.start_run(deployment.program).await;
+        let run = caller
+            .start_run(deployment.program, RUN_BUDGET.into())
+            .await;
         Self {
             caller,
             run,
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -1,10 +1,89 @@
 //! Open-loop load on real sidecars.
+//!
+//! Programs arrive at random times that do not depend on how the system copes. Latency counts from
+//! the intended start, so that a system that falls behind cannot hide it.
+
+mod client;
+mod figures;
+mod plan;
+mod program;
+mod report;
+#[cfg(test)]
+mod tests;
 
 use std::process::ExitCode;
+use std::time::Instant;
+
+use eyre::WrapErr;
+use futures_util::future::join_all;
 
 use crate::command_line::Load;
+use client::CallerClient;
+use figures::Figures;
+use plan::{LoadPlan, PlannedProgram};
+
+const DEFAULT_TARGET: &str = "http://127.0.0.1:8001";
+const DEFAULT_TOKEN: &str = "lublin-example-token";
+const DEFAULT_PROGRAM: &str = "boundary-correction";
+const DEFAULT_RATE: f64 = 5.0;
+const DEFAULT_RUNS: usize = 200;
+const DEFAULT_SEED: u64 = 1;
+
+/// Runs the experiment and prints its report. The exit code is 1 if any answer was not whole.
+pub fn run(options: Load) -> eyre::Result<ExitCode> {
+    let rate = options.rate.unwrap_or(DEFAULT_RATE);
+    if !rate.is_finite() || rate <= 0.0 {
+        eyre::bail!("--rate: must be above 0");
+    }
+    let runs = options.runs.unwrap_or(DEFAULT_RUNS);
+    let seed = options.seed.unwrap_or(DEFAULT_SEED);
+    let plan = LoadPlan::new(rate, runs, seed);
+    let clients = clients(&options);
+    let figures = actix_rt::System::new().block_on(drive(plan, clients));
+    report::print(&figures, rate, seed);
+    if let Some(file) = &options.json {
+        let json = report::to_json(&figures, rate, seed)?;
+        std::fs::write(file, json).wrap_err_with(|| format!("cannot write {}", file.display()))?;
+    }
+    Ok(match figures.broken_answers {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    })
+}
+
+fn clients(options: &Load) -> Vec<CallerClient> {
+    let token = options.token.as_deref().unwrap_or(DEFAULT_TOKEN);
+    let program = options.program.as_deref().unwrap_or(DEFAULT_PROGRAM);
+    let default_targets = [DEFAULT_TARGET.to_owned()];
+    let targets = match options.target.as_slice() {
+        [] => default_targets.as_slice(),
+        targets => targets,
+    };
+    targets
+        .iter()
+        .map(|target| CallerClient::new(target, token, program))
+        .collect()
+}
+
+/// Starts every program at its time and waits for all of them.
+async fn drive(plan: LoadPlan, clients: Vec<CallerClient>) -> Figures {
+    let started = Instant::now();
+    let programs = plan.programs.into_iter().zip(clients.iter().cycle());
+    let running = programs.map(|(program, client)| play_at(started, program, client));
+    let mut figures = Figures::new();
+    for record in join_all(running).await {
+        figures.add(record);
+    }
+    figures.elapsed = started.elapsed();
+    figures
+}
 
-/// Runs the experiment and prints its report.
-pub fn run(_options: Load) -> eyre::Result<ExitCode> {
-    eyre::bail!("not built yet")
+async fn play_at(
+    started: Instant,
+    program: PlannedProgram,
+    client: &CallerClient,
+) -> program::ProgramRecord {
+    let intended = started + program.start;
+    actix_rt::time::sleep_until(intended.into()).await;
+    program::play(client, &program, intended).await
 }
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -6,7 +6,7 @@
 use elderworks_execution as execution;
 use elderworks_protocol::peer::{FromNode, Hello, ToNode};
 use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage};
-use elderworks_types::{CallNumber, NodeId, PartitionId, RunId, Timestamp};
+use elderworks_types::{CallNumber, NodeId, PartitionId, RunId, RunSpec, Timestamp};
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
@@ -220,6 +220,14 @@
         self.send(connection, NodeMessage::NotOwner { run, number, owner });
     }
 
+    /// A run may spend no more than its program allows, whatever its caller asks for.
+    fn within_program(&self, mut spec: RunSpec) -> RunSpec {
+        if let Some(program) = self.control.program(&spec.program) {
+            spec.budget = spec.budget.min(program.run_budget);
+        }
+        spec
+    }
+
     fn serve(&mut self, partition: PartitionId, connection: Connection, message: SidecarMessage) {
         let event = match message {
             SidecarMessage::Locate { .. } => return,
@@ -227,7 +235,7 @@
                 let limits = self.control.run_limits(&spec.program);
                 execution::Event::StartRun {
                     connection,
-                    spec,
+                    spec: self.within_program(spec),
                     limits,
                 }
             }
--- a/crates/types/src/run.rs
+++ b/crates/types/src/run.rs
@@ -16,7 +16,7 @@
     /// The run that spawned this one, of the same tree; `None` for a root run.
     pub parent: Option<RunId>,
     /// Most that the run may spend, its sub-agents included. For a sub-agent this is carved from
-    /// the parent's budget.
+    /// the parent's budget. The owner lowers it to what the program allows.
     pub budget: Credits,
     /// When the whole run should be done, if the caller said so.
     pub deadline: Option<Timestamp>,
