Let the placement crate decide

Cause: placement has landed; the stopgap by fewest attempts goes. Ruled out keeping it as a fallback: two policies would have to be proved. Change: node-core holds Placement, and the engine poll reports how many cache events were missed.

--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -9,7 +9,7 @@
 use elderworks_logstream as logstream;
 use elderworks_membership::settings::{PROBE_INTERVAL, PROBE_TIMEOUT, SUSPICION_TIMEOUT};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
-use elderworks_placement as placement;
+use elderworks_placement::{self as placement, Placement, PlacementSettings};
 use elderworks_protocol::record::{StreamName, Writer};
 use elderworks_protocol::sidecar::NodeAddress;
 use elderworks_types::{
@@ -24,7 +24,6 @@
 use crate::dispatch::Attempts;
 use crate::drain::DrainState;
 use crate::engines::Engines;
-use crate::least_loaded::LeastLoaded;
 use crate::loading::ControlLoading;
 use crate::ownership::Ownership;
 use crate::sidecars::Requests;
@@ -76,7 +75,7 @@
     pub(crate) membership: Option<Membership>,
     pub(crate) assignment: Assignment,
     pub(crate) ownership: Ownership,
-    pub(crate) placement: LeastLoaded,
+    pub(crate) placement: Placement,
     /// Tenants' limits as last told to the partitions that hold their budgets.
     pub(crate) tenant_limits: BTreeMap<TenantId, Credits>,
     pub(crate) engines: Engines,
@@ -95,6 +94,11 @@
             incarnation: Incarnation(nonce),
         };
         let control_stream = control_stream(writer.clone(), Offset(0), Timestamp(0));
+        let placement_seed = random.random();
+        let placement = Placement::new(PlacementSettings::new(
+            settings.zone.clone(),
+            placement_seed,
+        ));
         Self {
             now: Timestamp(0),
             agenda: Agenda::default(),
@@ -111,7 +115,7 @@
             membership: None,
             assignment: Assignment::unknown(settings.partition_count),
             ownership: Ownership::default(),
-            placement: LeastLoaded::default(),
+            placement,
             tenant_limits: BTreeMap::new(),
             engines: Engines::default(),
             attempts: Attempts::default(),
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod effect;
 mod engines;
 pub mod event;
-mod least_loaded;
 mod loading;
 mod operator;
 mod ownership;
--- a/crates/node/src/engine_polls.rs
+++ b/crates/node/src/engine_polls.rs
@@ -124,6 +124,10 @@
             return Ok(());
         }
         for event in answer.events {
+            let missed = event.sequence.saturating_sub(self.last_event + 1);
+            if missed > 0 {
+                self.report_cache(CacheChange::Gap { missed }).await;
+            }
             self.last_event = self.last_event.max(event.sequence);
             self.report_cache(cache_change(event.change)).await;
         }
