Assign partitions by cell and show what partitions and placement count

Ruled out a second settling time in node-core: membership has one, 5 s, which outlasted the 5 s for which requests were held, as a test showed by failing. Change: membership's own choice of home, cells included; requests are held for 8 s; counts of partitions no longer held are kept, so that sums never fall.

--- a/crates/execution/src/counters.rs
+++ b/crates/execution/src/counters.rs
@@ -52,3 +52,46 @@
     /// Own records appended and not yet read back.
     pub records_in_flight: u64,
 }
+
+impl Counters {
+    /// The counts alone, for a partition that is no longer held.
+    #[must_use]
+    pub fn without_sizes(self) -> Self {
+        Self {
+            runs: 0,
+            open_calls: 0,
+            unreleased_runs: 0,
+            records_in_flight: 0,
+            ..self
+        }
+    }
+}
+
+impl std::ops::AddAssign for Counters {
+    fn add_assign(&mut self, other: Self) {
+        self.records_accepted += other.records_accepted;
+        self.records_fenced += other.records_fenced;
+        self.records_repeated += other.records_repeated;
+        self.records_inconsistent += other.records_inconsistent;
+        self.takeovers += other.takeovers;
+        self.fenced += other.fenced;
+        self.calls_accepted += other.calls_accepted;
+        self.calls_completed += other.calls_completed;
+        self.calls_refused += other.calls_refused;
+        self.calls_failed += other.calls_failed;
+        self.calls_unknown += other.calls_unknown;
+        self.first_attempts += other.first_attempts;
+        self.retries += other.retries;
+        self.retries_delayed += other.retries_delayed;
+        self.resumed += other.resumed;
+        self.tool_queries += other.tool_queries;
+        self.chunk_gaps += other.chunk_gaps;
+        self.memory_releases_sent += other.memory_releases_sent;
+        self.limits_reached += other.limits_reached;
+        self.runs_forgotten += other.runs_forgotten;
+        self.runs += other.runs;
+        self.open_calls += other.open_calls;
+        self.unreleased_runs += other.unreleased_runs;
+        self.records_in_flight += other.records_in_flight;
+    }
+}
--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -29,9 +29,6 @@
 /// Time between requests to peers for control records.
 pub const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A node that hears from none of its seeds for this long takes itself to be alone.
-pub const JOIN_GRACE: Duration = Duration::from_secs(3);
-
 /// The most recent control records, as they stand on the log.
 #[derive(Debug, Default)]
 pub(crate) struct RelayBuffer {
@@ -76,10 +73,6 @@
 pub(crate) struct JoinState {
     /// The first event was taken.
     pub(crate) begun: bool,
-    /// When membership began.
-    pub(crate) joined_at: Option<Timestamp>,
-    /// The highest next offset that any peer has applied, as far as known.
-    pub(crate) peers_next: Offset,
     /// The last state told to the driver.
     pub(crate) ready: bool,
     /// Since when a peer has been ahead of this node.
@@ -136,7 +129,6 @@
         }
         let incarnation = Incarnation(offset.0);
         self.incarnation = Some(incarnation);
-        self.join.joined_at = Some(self.now);
         self.start_membership(incarnation);
     }
 
@@ -159,7 +151,7 @@
             }
         }
         let next = self.control.next();
-        if next >= self.join.peers_next {
+        if next >= self.peers_next() {
             self.join.behind_since = None;
         }
         if next != next_before {
@@ -207,16 +199,14 @@
     }
 
     /// A peer sent control records.
-    pub(crate) fn relayed_records(&mut self, records: Vec<(Offset, Vec<u8>)>, next: Offset) {
-        self.join.peers_next = self.join.peers_next.max(next);
+    pub(crate) fn relayed_records(&mut self, records: Vec<(Offset, Vec<u8>)>) {
         self.counters.relayed_records += records.len() as u64;
         self.drive_control_stream(logstream::Event::Relayed { records });
     }
 
     /// A peer has applied control records that this node has not. The log brings them as a rule; a
     /// node that stays behind asks the peer.
-    pub(crate) fn control_behind(&mut self, peer: NodeAddress, next: Offset) {
-        self.join.peers_next = self.join.peers_next.max(next);
+    pub(crate) fn control_behind(&mut self, peer: NodeAddress) {
         let behind_since = *self.join.behind_since.get_or_insert(self.now);
         let patient = self.now.since(behind_since) < RELAY_PATIENCE;
         let asked_lately = self.now.since(self.join.relay_asked) < RELAY_INTERVAL;
@@ -232,31 +222,26 @@
     }
 
     /// Whether this node knows its peers, or has waited for them long enough.
-    pub(crate) fn settled(&self) -> bool {
-        let Some(joined_at) = self.join.joined_at else {
-            return false;
-        };
-        let peers_known = self
-            .membership
-            .as_ref()
-            .is_some_and(|membership| membership.members().count() > 1);
-        let alone = self
-            .settings
-            .seeds
-            .iter()
-            .all(|seed| *seed == self.settings.gossip_address);
-        alone || peers_known || self.now.since(joined_at) >= JOIN_GRACE
+    fn is_settled(&self) -> bool {
+        let membership = self.membership.as_ref();
+        membership.is_some_and(|membership| membership.is_settled(self.now))
+    }
+
+    /// The highest next offset of the control stream that any peer has told of.
+    fn peers_next(&self) -> Offset {
+        let membership = self.membership.as_ref();
+        membership.map_or(Offset(0), |membership| membership.highest_control_next())
     }
 
     /// Whether the control state is as new as that of any peer known.
-    fn current(&self) -> bool {
+    fn is_current(&self) -> bool {
         let caught_up = self.control_loading.is_none() && self.streams.control.caught_up();
-        caught_up && self.control.next() >= self.join.peers_next
+        caught_up && self.control.next() >= self.peers_next()
     }
 
     /// Tells the driver when readiness changes. Once reached, it is lost only by leaving.
     pub(crate) fn judge_readiness(&mut self) {
-        let reached = self.join.ready || (self.settled() && self.current());
+        let reached = self.join.ready || (self.is_settled() && self.is_current());
         let ready = reached && !self.draining();
         if ready != self.join.ready {
             self.join.ready = ready;
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -130,6 +130,16 @@
         &self.counters
     }
 
+    /// What its partitions have counted so far, and their sizes as of now.
+    pub fn execution_counters(&self) -> execution::Counters {
+        self.ownership.execution_counters()
+    }
+
+    /// What placement has counted so far, and its sizes as of now.
+    pub fn placement_counters(&self) -> placement::Counters {
+        self.placement.counters()
+    }
+
     /// Partitions that this node owns now.
     pub fn owned_partitions(&self) -> impl Iterator<Item = PartitionId> {
         self.ownership.owned()
@@ -306,7 +316,7 @@
         self.reassign();
     }
 
-    fn drive_membership(&mut self, event: membership::Event) {
+    pub(crate) fn drive_membership(&mut self, event: membership::Event) {
         let Some(membership) = self.membership.as_mut() else {
             return;
         };
@@ -316,19 +326,14 @@
                 membership::Effect::Send { to, datagram } => {
                     self.agenda.effect(Effect::SendDatagram { to, datagram });
                 }
-                membership::Effect::MemberChanged { .. } => changed = true,
-                // Partitions are assigned within the cell; other cells are reached by their digests.
-                membership::Effect::CellChanged { .. } => {}
-                membership::Effect::ControlBehind {
-                    peer,
-                    address,
-                    next,
-                } => {
+                membership::Effect::MemberChanged { .. }
+                | membership::Effect::CellChanged { .. } => changed = true,
+                membership::Effect::ControlBehind { peer, address, .. } => {
                     let peer = NodeAddress {
                         node: peer,
                         address,
                     };
-                    self.control_behind(peer, next);
+                    self.control_behind(peer);
                 }
             }
         }
@@ -337,11 +342,10 @@
         }
     }
 
-    /// Assigns partitions anew after a change of the members.
+    /// Assigns partitions anew after a change of members or cells.
     pub(crate) fn reassign(&mut self) {
-        let leaving = self.draining().then_some(&self.settings.node);
         if let Some(membership) = &self.membership {
-            self.assignment.recompute(membership, leaving);
+            self.assignment.recompute(membership);
         }
     }
 
--- a/crates/node-core/src/counters.rs
+++ b/crates/node-core/src/counters.rs
@@ -27,8 +27,6 @@
     pub partitions_lost: u64,
     /// Claims made without waiting for a release.
     pub forced_claims: u64,
-    /// Records of streams that could not be decoded.
-    pub undecodable_batches: u64,
     /// Control records received from peers instead of from the log.
     pub relayed_records: u64,
     /// Control records asked for by peers and no longer kept here.
--- a/crates/node-core/src/drain.rs
+++ b/crates/node-core/src/drain.rs
@@ -37,7 +37,7 @@
             return;
         }
         self.drain = DrainState::Draining { since: self.now };
-        self.agenda.membership(membership::Event::Drain);
+        self.drive_membership(membership::Event::Drain);
         self.reassign();
         let sidecars: Vec<Connection> = self.requests.sidecars().collect();
         for connection in sidecars {
--- a/crates/node-core/src/loading.rs
+++ b/crates/node-core/src/loading.rs
@@ -171,7 +171,8 @@
         let Some(held) = self.ownership.held.get_mut(&partition) else {
             return;
         };
-        held.machine = machine;
+        let replaced = std::mem::replace(&mut held.machine, machine);
+        self.ownership.retired += replaced.counters().without_sizes();
         held.start = start;
         self.streams.partitions.insert(partition, stream);
         self.drive_partition_stream(partition, logstream::Event::Tick);
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -79,6 +79,8 @@
     pub(crate) searches: BTreeMap<PartitionId, SnapshotSearch>,
     /// Next sequence on streams that this incarnation has written and stopped following.
     pub(crate) sequences: BTreeMap<PartitionId, Sequence>,
+    /// What partitions counted that are no longer held.
+    pub(crate) retired: execution::Counters,
 }
 
 impl Ownership {
@@ -96,6 +98,15 @@
             .map(|(partition, _)| *partition)
     }
 
+    /// What all partitions counted since the start, and their sizes as of now.
+    pub(crate) fn execution_counters(&self) -> execution::Counters {
+        let mut total = self.retired;
+        for held in self.held.values() {
+            total += held.machine.counters();
+        }
+        total
+    }
+
     fn takeovers(&self) -> usize {
         let taking_over = self.held.values().filter(|held| held.is_taking_over());
         taking_over.count()
@@ -236,7 +247,9 @@
         }
         self.streams.partitions.remove(&partition);
         self.ownership.searches.remove(&partition);
-        self.ownership.held.remove(&partition);
+        if let Some(held) = self.ownership.held.remove(&partition) {
+            self.ownership.retired += held.machine.counters().without_sizes();
+        }
     }
 
     /// Gives one input to a partition's stream client and passes on what it delivers.
--- a/crates/node-core/src/peers.rs
+++ b/crates/node-core/src/peers.rs
@@ -29,9 +29,7 @@
                     None => self.send_to_node(node, reply),
                 }
             }
-            PeerMessage::ControlRecords { records, next } => {
-                self.relayed_records(records, next);
-            }
+            PeerMessage::ControlRecords { records, .. } => self.relayed_records(records),
             PeerMessage::AllotmentRequest {
                 tenant,
                 partition,
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -6,15 +6,16 @@
 use elderworks_execution as execution;
 use elderworks_protocol::peer::{FromNode, Hello, ToNode};
 use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage};
-use elderworks_types::{CallNumber, NodeId, PartitionId, RunId, RunSpec, Timestamp};
+use elderworks_types::{CallNumber, CellId, NodeId, PartitionId, RunId, RunSpec, Timestamp};
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::event::Connection;
 use crate::services::call_terms;
 
-/// A request is held back at most this long while its partition is being taken over.
-pub const HOLD_LIMIT: Duration = Duration::from_secs(5);
+/// A request is held back at most this long while its partition is being taken over. Longer than a
+/// starting node waits for its seeds, so that what comes meanwhile is not turned away just before.
+pub const HOLD_LIMIT: Duration = Duration::from_secs(8);
 
 /// Requests held back at the same time; further ones are pointed elsewhere.
 pub const MAX_HELD_REQUESTS: usize = 4096;
@@ -163,10 +164,8 @@
         if self.draining() {
             return false;
         }
-        match self.assignment.owner(partition) {
-            Some(owner) => *owner == self.settings.node,
-            None => true,
-        }
+        let is_own = self.assignment.owner(partition) == Some(&self.settings.node);
+        is_own || !self.assignment.is_known(partition)
     }
 
     fn hold(&mut self, partition: PartitionId, connection: Connection, message: SidecarMessage) {
@@ -272,12 +271,25 @@
         self.agenda.partition(partition, event);
     }
 
-    /// Where the wanted owner of a partition takes connections.
+    /// Where the wanted owner of a partition takes connections, or a node of its cell that knows.
     pub(crate) fn owner_address(&self, partition: PartitionId) -> Option<NodeAddress> {
+        if let Some(cell) = self.assignment.other_cell(partition) {
+            return self.cell_address(cell);
+        }
         let owner = self.assignment.owner(partition)?;
         self.node_address(owner)
     }
 
+    fn cell_address(&self, cell: &CellId) -> Option<NodeAddress> {
+        let mut cells = self.membership.as_ref()?.cells();
+        let known = cells.find(|known| known.digest.cell == *cell)?;
+        let representative = known.digest.representatives.first()?;
+        Some(NodeAddress {
+            node: representative.node.clone(),
+            address: representative.address,
+        })
+    }
+
     pub(crate) fn node_address(&self, node: &NodeId) -> Option<NodeAddress> {
         let members = self.membership.as_ref()?.members();
         let mut matching = members.filter(|member| member.update.node == *node);
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -145,6 +145,8 @@
     fn metrics(&self) -> MetricsSnapshot {
         MetricsSnapshot {
             core: *self.core.counters(),
+            execution: self.core.execution_counters(),
+            placement: self.core.placement_counters(),
             driver: self.counters.get(),
             owned_partitions: self.core.owned_partitions().count() as u64,
             open_connections: self.connections.len() as u64,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters in the usual text form.
 
+use elderworks_execution as execution;
 use elderworks_node_core::Counters;
+use elderworks_placement as placement;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
@@ -33,6 +35,10 @@
 pub struct MetricsSnapshot {
     /// Of the state machine.
     pub core: Counters,
+    /// Of its partitions.
+    pub execution: execution::Counters,
+    /// Of its placement.
+    pub placement: placement::Counters,
     /// Of the driver.
     pub driver: DriverCounters,
     /// Partitions owned now.
@@ -96,6 +102,43 @@
         })
     }
 
+    fn execution_counters(&self) -> Vec<NamedCounter> {
+        counter_table!(self.execution, {
+            records_accepted => "Journal records that counted",
+            records_fenced => "Journal records of writers that did not own the partition",
+            records_repeated => "Journal records appended again after a lost answer",
+            records_inconsistent => "Journal records that contradicted the state they met",
+            fenced => "Partitions found claimed by another node",
+            calls_accepted => "Calls accepted",
+            calls_completed => "Calls that ended with an answer",
+            calls_refused => "Calls refused",
+            calls_failed => "Calls that failed",
+            calls_unknown => "Calls whose fate cannot be known",
+            first_attempts => "First attempts dispatched",
+            retries => "Further attempts dispatched",
+            retries_delayed => "Retries that waited for the retry budget",
+            resumed => "Attempts of an earlier owner taken up again",
+            tool_queries => "Tools asked what became of an invocation",
+            chunk_gaps => "Chunks that did not follow the one before",
+            memory_releases_sent => "Releases of engine memory sent, repeats included",
+            limits_reached => "Runs ended by a limit",
+            runs_forgotten => "Ended runs forgotten",
+        })
+    }
+
+    fn placement_counters(&self) -> Vec<NamedCounter> {
+        counter_table!(self.placement, {
+            dispatched => "Calls sent to an engine",
+            moved => "Calls sent to another engine than their run's last one",
+            held => "First calls of runs that had to wait for room",
+            refused_overloaded => "Calls refused because too many wait",
+            refused_deadline => "Calls refused because their deadline cannot be met",
+            refused_no_backend => "Calls refused because no engine serves their model",
+            ejections => "Times that an engine was ejected",
+            missed_cache_events => "Cache events reported as lost",
+        })
+    }
+
     fn driver_counters(&self) -> Vec<NamedCounter> {
         counter_table!(self.driver, {
             connections_accepted => "Connections accepted from sidecars and peers",
@@ -110,27 +153,49 @@
     }
 
     fn gauges(&self) -> Vec<NamedCounter> {
+        let gauge = |name, help, value| NamedCounter { name, help, value };
         vec![
-            NamedCounter {
-                name: "elderworks_node_owned_partitions",
-                help: "Partitions owned now",
-                value: self.owned_partitions,
-            },
-            NamedCounter {
-                name: "elderworks_node_open_connections",
-                help: "Connections open now",
-                value: self.open_connections,
-            },
-            NamedCounter {
-                name: "elderworks_node_open_attempts",
-                help: "Attempts being read from back ends now",
-                value: self.open_attempts,
-            },
-            NamedCounter {
-                name: "elderworks_node_ready",
-                help: "Whether the node is ready",
-                value: u64::from(self.ready),
-            },
+            gauge(
+                "elderworks_node_owned_partitions",
+                "Partitions owned now",
+                self.owned_partitions,
+            ),
+            gauge(
+                "elderworks_node_open_connections",
+                "Connections open now",
+                self.open_connections,
+            ),
+            gauge(
+                "elderworks_node_open_attempts",
+                "Attempts being read from back ends now",
+                self.open_attempts,
+            ),
+            gauge(
+                "elderworks_node_ready",
+                "Whether the node is ready",
+                u64::from(self.ready),
+            ),
+            gauge("elderworks_node_runs", "Runs held now", self.execution.runs),
+            gauge(
+                "elderworks_node_open_calls",
+                "Calls waiting or open now",
+                self.execution.open_calls,
+            ),
+            gauge(
+                "elderworks_node_unreleased_runs",
+                "Ended runs whose engine memory is not known to be free",
+                self.execution.unreleased_runs,
+            ),
+            gauge(
+                "elderworks_node_records_in_flight",
+                "Journal records appended and not yet read back",
+                self.execution.records_in_flight,
+            ),
+            gauge(
+                "elderworks_node_calls_waiting_for_engines",
+                "Calls that wait for an engine now",
+                self.placement.waiting as u64,
+            ),
         ]
     }
 }
@@ -140,8 +205,13 @@
 
 impl Collector for SnapshotCollector {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
-        let counters = self.0.core_counters();
-        for named in counters.into_iter().chain(self.0.driver_counters()) {
+        let counters = [
+            self.0.core_counters(),
+            self.0.execution_counters(),
+            self.0.placement_counters(),
+            self.0.driver_counters(),
+        ];
+        for named in counters.into_iter().flatten() {
             let metric = ConstCounter::new(named.value);
             let metric_encoder =
                 encoder.encode_descriptor(named.name, named.help, None, metric.metric_type())?;
