Answer sooner when the retry budget is empty, and let a quiet partition retry

Ruled out: a larger burst, which every partition would add to a full outage. Change: a call that surely did not run waits 3 s, one that may have run 10 s; a partition with fewer than ten first attempts a minute may retry every 5 s.

--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -98,7 +98,7 @@
             self.soft.notes.attempt(id, attempt, None, now);
             self.wake_at(now + limit, id.run);
         }
-        self.count_attempt(attempt);
+        self.count_attempt(now, attempt);
         self.emit(Effect::Dispatch {
             call: id,
             attempt,
@@ -107,10 +107,10 @@
         });
     }
 
-    fn count_attempt(&mut self, attempt: Attempt) {
+    fn count_attempt(&mut self, now: Timestamp, attempt: Attempt) {
         if attempt == Attempt(1) {
             self.counters.first_attempts += 1;
-            self.soft.retry.earn();
+            self.soft.retry.earn(now);
         } else {
             self.counters.retries += 1;
         }
--- a/crates/execution/src/partition/failures.rs
+++ b/crates/execution/src/partition/failures.rs
@@ -231,7 +231,7 @@
         if !self.tenant_covers(now, id, plan.spent + reserved) {
             return self.delay_retry(now, id, plan);
         }
-        if !plan.for_recovery && !self.soft.retry.spend() {
+        if !plan.for_recovery && !self.soft.retry.spend(now) {
             self.counters.retries_delayed += 1;
             return self.delay_retry(now, id, plan);
         }
@@ -239,7 +239,16 @@
     }
 
     fn delay_retry(&mut self, now: Timestamp, id: CallId, plan: Backoff) {
-        if now.since(plan.since) >= self.settings.retry_wait {
+        let ran_before = self
+            .soft
+            .open(id.run, id.number)
+            .is_some_and(|open| open.ran_before);
+        let limit = if ran_before {
+            self.settings.retry_wait
+        } else {
+            self.settings.unrun_retry_wait
+        };
+        if now.since(plan.since) >= limit {
             return self.give_up(now, id, &plan);
         }
         let until = now + RETRY_POLL;
--- a/crates/execution/src/retry.rs
+++ b/crates/execution/src/retry.rs
@@ -1,8 +1,9 @@
 //! When an attempt may be repeated.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use elderworks_types::{Attempt, CallId};
+use elderworks_types::{Attempt, CallId, Timestamp};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ExecutionSettings;
@@ -16,12 +17,24 @@
 /// Doublings after which the wait has long reached its limit.
 const MAX_DOUBLINGS: u32 = 16;
 
+/// First attempts within [`QUIET_PERIOD`] below which a partition is quiet.
+const QUIET_ATTEMPTS: usize = 10;
+
+/// Time over which a partition is judged to be quiet or not.
+const QUIET_PERIOD: Duration = Duration::from_secs(60);
+
+/// A quiet partition may make one retry in this time even if its first attempts earned none.
+const QUIET_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Bounds the retries of a partition to a share of its first attempts, so that an outage is not
-/// answered by a storm.
+/// answered by a storm. A partition with so few calls that they earn no retry gets a trickle.
 #[derive(Debug)]
 pub(crate) struct RetryBudget {
     saved: u64,
     earned_by_first_attempt: u64,
+    /// Times of the last few first attempts.
+    recent: VecDeque<Timestamp>,
+    last_trickle: Option<Timestamp>,
 }
 
 impl RetryBudget {
@@ -30,21 +43,40 @@
         Self {
             saved: u64::from(settings.retry_burst) * ONE_RETRY,
             earned_by_first_attempt: u64::from(settings.retry_percent),
+            recent: VecDeque::with_capacity(QUIET_ATTEMPTS),
+            last_trickle: None,
         }
     }
 
     /// A first attempt was dispatched.
-    pub fn earn(&mut self) {
+    pub fn earn(&mut self, now: Timestamp) {
         self.saved = (self.saved + self.earned_by_first_attempt).min(MAX_SAVED);
+        if self.recent.len() == QUIET_ATTEMPTS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(now);
     }
 
     /// Takes one retry, if there is one.
-    pub fn spend(&mut self) -> bool {
-        let Some(rest) = self.saved.checked_sub(ONE_RETRY) else {
-            return false;
-        };
-        self.saved = rest;
-        true
+    pub fn spend(&mut self, now: Timestamp) -> bool {
+        if let Some(rest) = self.saved.checked_sub(ONE_RETRY) {
+            self.saved = rest;
+            return true;
+        }
+        let waited = self
+            .last_trickle
+            .is_none_or(|last| now.since(last) >= QUIET_RETRY_INTERVAL);
+        let permitted = waited && self.is_quiet(now);
+        if permitted {
+            self.last_trickle = Some(now);
+        }
+        permitted
+    }
+
+    fn is_quiet(&self, now: Timestamp) -> bool {
+        let oldest = self.recent.front();
+        let few = self.recent.len() < QUIET_ATTEMPTS;
+        few || oldest.is_some_and(|oldest| now.since(*oldest) >= QUIET_PERIOD)
     }
 }
 
--- a/crates/execution/src/settings.rs
+++ b/crates/execution/src/settings.rs
@@ -17,8 +17,11 @@
     pub retry_backoff: Duration,
     /// Longest wait between two attempts.
     pub retry_backoff_limit: Duration,
-    /// Longest that a call waits for the retry budget, for its turn to be retried.
+    /// Longest that a call that may have run waits to be retried; it can only fail after that.
     pub retry_wait: Duration,
+    /// Longest that a call that surely did not run waits to be retried; its caller is better served
+    /// by a refusal.
+    pub unrun_retry_wait: Duration,
     /// Calls of one run that may wait for earlier ones.
     pub max_waiting_per_run: usize,
     /// Calls that may be waiting or open in the whole partition.
@@ -64,7 +67,8 @@
             retry_burst: 2,
             retry_backoff: Duration::from_millis(50),
             retry_backoff_limit: Duration::from_secs(2),
-            retry_wait: Duration::from_secs(20),
+            retry_wait: Duration::from_secs(10),
+            unrun_retry_wait: Duration::from_secs(3),
             max_waiting_per_run: 32,
             max_open_calls: 4096,
             earlier_call_wait: Duration::from_secs(5),
