Sort answers that break off by what the connection showed

Cause: a table of answers given byte for byte showed that a connection reset within the head of an answer counted as malformed rather than broken, and that awc ends a body without an error where its connection ends. Both were already sorted as perhaps run, so no request was wrongly called not run. Ruled out: leaving it to the JSON decoder alone, which tells a cut answer from a wrong one only by luck. Change: read errors count as broken, and a body is held against its content length.

--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use actix_http::error::PayloadError;
+use actix_http::error::{ParseError, PayloadError};
 use actix_rt::time::Instant;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::Method;
+use awc::http::header::CONTENT_LENGTH;
 use awc::{ClientRequest, ClientResponse, Connector};
 use bytes::Bytes;
 use elderworks_platform_api::headers;
@@ -178,11 +179,21 @@
 }
 
 async fn whole_body(mut answer: Answer, deadline: Instant) -> Result<Bytes, BackendError> {
+    let expected_bytes = content_length(&answer);
     let body = answer.body().limit(MAX_ANSWER_BYTES);
-    match timeout_at(deadline, body).await {
-        Ok(result) => result.map_err(payload_failure),
-        Err(_) => Err(timed_out()),
+    let body = timeout_at(deadline, body).await.map_err(|_| timed_out())?;
+    let body = body.map_err(payload_failure)?;
+    // awc ends a body without an error where the connection does.
+    if expected_bytes.is_some_and(|expected| expected != body.len()) {
+        let detail = "connection closed within the answer";
+        return Err(BackendError::lost(LostReason::Broken, detail));
     }
+    Ok(body)
+}
+
+fn content_length(answer: &Answer) -> Option<usize> {
+    let value = answer.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
 }
 
 /// The failure of an answer that did not come, or did not end, in time.
@@ -213,6 +224,9 @@
         // Raised while the request is put together, as for a header value that is not allowed.
         SendRequestError::Http(error) => BackendError::not_sent(error),
         SendRequestError::Timeout => timed_out(),
+        SendRequestError::Response(ParseError::Io(error)) => {
+            BackendError::lost(LostReason::Broken, error)
+        }
         SendRequestError::Response(error) => BackendError::lost(LostReason::Malformed, error),
         error => BackendError::lost(LostReason::Broken, error),
     }
--- /dev/null
+++ b/crates/backend/tests/answers.rs
@@ -0,0 +1,176 @@
+//! How clients sort what a server does after it has taken a request: a table of answers, given byte
+//! for byte over a socket.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use elderworks_backend::{
+    BackendError, Endpoint, HttpClient, HttpLogClient, LogClient, LostReason,
+};
+use elderworks_platform_api::ErrorCode;
+use elderworks_types::Offset;
+
+const GENEROUS: Duration = Duration::from_secs(20);
+const PAGE_BYTES: usize = 1 << 20;
+
+/// Answers the first request by these bytes and closes the connection; with `hang`, only once the
+/// client has closed it.
+fn serve_once(answer: Vec<u8>, hang: bool) -> String {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a client");
+        read_head(&mut stream);
+        stream.write_all(&answer).expect("the client reads");
+        if hang {
+            // Ends with the client's side of the connection.
+            let _ = stream.read(&mut [0]);
+        }
+    });
+    format!("http://{address}")
+}
+
+fn read_head(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("a request");
+        head.push(byte[0]);
+    }
+}
+
+async fn read(url: &str, timeout: Duration) -> Result<Vec<Vec<u8>>, BackendError> {
+    let client = HttpLogClient::new(Endpoint::new(HttpClient::new(), url, timeout));
+    let page = client
+        .read("stream", Offset(0), PAGE_BYTES, Duration::ZERO)
+        .await?;
+    Ok(page.records.into_iter().map(|record| record.data).collect())
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Sorted {
+    Rejected(ErrorCode, Option<Duration>),
+    Lost(LostReason),
+    Errored(ErrorCode),
+}
+
+fn sorted(error: BackendError) -> Sorted {
+    match error {
+        BackendError::NotSent { detail } => panic!("the server had the request: {detail}"),
+        BackendError::Rejected {
+            code, retry_after, ..
+        } => Sorted::Rejected(code, retry_after),
+        BackendError::Lost { reason, .. } => Sorted::Lost(reason),
+        BackendError::Errored { code, .. } => Sorted::Errored(code),
+    }
+}
+
+/// An answer whose body has the length that its head says.
+fn whole(head: &str, body: &str) -> Vec<u8> {
+    with_length(head, body, body.len())
+}
+
+/// An answer whose connection closes before the end of its body.
+fn cut(head: &str, body: &str) -> Vec<u8> {
+    with_length(head, body, body.len() + 1)
+}
+
+fn with_length(head: &str, body: &str, length: usize) -> Vec<u8> {
+    format!("HTTP/1.1 {head}\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
+}
+
+const PAGE: &str = r#"{"records":[{"offset":0,"data":"b25l"}],"end":1}"#;
+const OTHER_PAGE: &str = r#"{"records":[{"offset":7,"data":"b25l"}],"end":8}"#;
+const REFUSAL: &str = r#"{"error":{"code":"queue_full","message":"full"},"run":false}"#;
+const UNAVAILABLE: &str = "503 Service Unavailable\r\nretry-after: 2";
+
+#[actix_rt::test]
+async fn a_right_answer_is_taken() {
+    let url = serve_once(whole("200 OK", PAGE), false);
+    assert_eq!(read(&url, GENEROUS).await, Ok(vec![b"one".to_vec()]));
+}
+
+#[actix_rt::test]
+async fn other_answers_are_sorted_by_what_may_have_run() {
+    let broken = Sorted::Lost(LostReason::Broken);
+    let malformed = Sorted::Lost(LostReason::Malformed);
+    let errored = Sorted::Errored(ErrorCode::Other);
+    let rejected = Sorted::Rejected(ErrorCode::QueueFull, Some(Duration::from_secs(2)));
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\n{\"records\r\n";
+    let redirect = "307 Temporary Redirect\r\nlocation: http://127.0.0.1:1/";
+    let table = [
+        ("closed at once", Vec::new(), broken),
+        ("cut in the status line", b"HTTP/1.1 20".to_vec(), broken),
+        (
+            "cut in the headers",
+            b"HTTP/1.1 200 OK\r\nco".to_vec(),
+            broken,
+        ),
+        (
+            "another protocol",
+            b"220 mail ready\r\n\r\n".to_vec(),
+            malformed,
+        ),
+        ("cut before the body", cut("200 OK", ""), broken),
+        ("cut in the body", cut("200 OK", PAGE), broken),
+        // awc ends a body without an error where the connection does; what is left is no JSON.
+        ("cut between chunks", chunked.into(), malformed),
+        (
+            "beyond the limit",
+            with_length("200 OK", "", 99_999_999),
+            malformed,
+        ),
+        (
+            "no body",
+            b"HTTP/1.1 204 No Content\r\n\r\n".to_vec(),
+            malformed,
+        ),
+        ("not JSON", whole("200 OK", "well"), malformed),
+        ("other records", whole("200 OK", OTHER_PAGE), malformed),
+        ("a redirect", whole(redirect, ""), errored),
+        (
+            "an error without a claim",
+            whole("502 Bad Gateway", "html"),
+            errored,
+        ),
+        ("a refusal", whole(UNAVAILABLE, REFUSAL), rejected),
+        ("a refusal cut short", cut(UNAVAILABLE, REFUSAL), broken),
+    ];
+    for (name, answer, expected) in table {
+        let url = serve_once(answer, false);
+        let error = read(&url, GENEROUS).await.expect_err(name);
+        assert_eq!(sorted(error), expected, "{name}");
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_that_stops_coming_times_out() {
+    for answer in [Vec::new(), cut("200 OK", "{")] {
+        let url = serve_once(answer, true);
+        let error = read(&url, Duration::from_millis(100)).await;
+        let error = error.expect_err("no whole answer");
+        assert_eq!(sorted(error), Sorted::Lost(LostReason::TimedOut));
+    }
+}
+
+#[actix_rt::test]
+async fn what_never_left_is_not_sent() {
+    let unused = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let refusing = format!("http://{}", unused.local_addr().expect("bound"));
+    drop(unused);
+    let table = [
+        refusing.as_str(),
+        "http://",
+        "127.0.0.1:1",
+        "ftp://127.0.0.1:1",
+        "",
+    ];
+    for url in table {
+        let error = read(url, GENEROUS).await.expect_err(url);
+        assert!(
+            matches!(error, BackendError::NotSent { .. }),
+            "{url}: {error:?}"
+        );
+    }
+}
