--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -1,6 +1,6 @@
 //! The engine model together with what its HTTP front must know.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use elderworks_engine_model::answer::{answer_text, rendered_sequence};
@@ -15,8 +15,8 @@
 use super::requests::{RequestInfo, Requests};
 use super::{EngineFaults, EngineSettings};
 
-/// Runs whose prompts are remembered for export.
-const MAX_CHAINS: usize = 4_096;
+/// Runs whose prompts are remembered for export. Beyond it, those that hold nothing are forgotten.
+const MAX_CHAINS: usize = 16_384;
 
 /// Requests that are remembered beyond those which the engine itself remembers.
 const MAX_FORGOTTEN_REQUESTS: usize = 4_096;
@@ -208,8 +208,17 @@
     }
 
     fn remember_chain(&mut self, run: RunId, chain: Vec<BlockHash>) {
+        if self.chains.len() >= MAX_CHAINS {
+            self.forget_chains();
+        }
         self.chains.insert(run, chain);
-        if self.chains.len() > MAX_CHAINS {
+    }
+
+    fn forget_chains(&mut self) {
+        let holdings = self.engine.holdings();
+        let holding: BTreeSet<RunId> = holdings.iter().map(|held| held.run).collect();
+        self.chains.retain(|run, _| holding.contains(run));
+        while self.chains.len() >= MAX_CHAINS {
             self.chains.pop_first();
         }
     }
