Count paused runs in full and start runs below 80 percent of memory

Hypothesis: thrashing, not queueing, makes the time at load 0.9, because runs start while paused ones still need their blocks. Change: a paused run's blocks count fully, the limit falls from 0.95 to 0.8, sub-agents of admitted programs are never held.

--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -28,9 +28,9 @@
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(2);
 
 /// A run starts on an engine only while the engine's memory is less used than this.
-const MEMORY_LIMIT: f64 = 0.95;
+const MEMORY_LIMIT: f64 = 0.8;
 /// How much a paused run's blocks count towards that limit.
-const PAUSED_WEIGHT: f64 = 0.5;
+const PAUSED_WEIGHT: f64 = 1.0;
 /// A run starts on an engine only while it has fewer requests than this.
 const START_LIMIT: u32 = cost::ENGINE_BATCH;
 /// Engine time spent on recomputation delays all that the engine serves, not only this call.
@@ -243,8 +243,9 @@
             return false;
         }
         let memory = engine.memory_share(now, own_share, PAUSED_WEIGHT);
-        // A run that is under way has been admitted; only its engine changes.
-        call.turns > 0 || memory < MEMORY_LIMIT
+        // A program that is under way has been admitted; only its engine changes.
+        let is_under_way = call.turns > 0 || call.parent.is_some();
+        is_under_way || memory < MEMORY_LIMIT
     }
 
     /// Time until the whole answer, and what the call costs others.
