--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -39,8 +39,8 @@
         }
         /// Create or change the resources of a file.
         cmd apply {
-            /// YAML or JSON file; - for standard input.
-            required -f, --file file: String
+            /// YAML or JSON file; - for standard input; may be repeated.
+            repeated -f, --file file: String
             /// How long to try again while no node takes changes, in seconds.
             optional --wait seconds: u64
         }
--- a/crates/cli/src/operator.rs
+++ b/crates/cli/src/operator.rs
@@ -55,7 +55,7 @@
 
 async fn carry_out(client: &ApiClient, command: Command) -> Result<(), VerbError> {
     match command {
-        Command::Apply(options) => apply_file(client, &options).await,
+        Command::Apply(options) => apply_files(client, &options).await,
         Command::Get(options) => {
             let format = options.output.unwrap_or_default();
             let name = options.name.as_deref();
@@ -78,9 +78,9 @@
     }
 }
 
-async fn apply_file(client: &ApiClient, options: &Apply) -> Result<(), VerbError> {
+async fn apply_files(client: &ApiClient, options: &Apply) -> Result<(), VerbError> {
     let wait = Duration::from_secs(options.wait.unwrap_or_default());
-    for manifest in apply::read_file(&options.file)? {
+    for manifest in apply::read_files(&options.file)? {
         println!("{}", apply::apply(client, &manifest, wait).await?);
     }
     Ok(())
--- a/crates/cli/src/verbs/apply.rs
+++ b/crates/cli/src/verbs/apply.rs
@@ -1,4 +1,4 @@
-//! `apply`: creates and changes the resources of a file.
+//! `apply`: creates and changes the resources of files.
 
 use std::io::Read;
 use std::time::Duration;
@@ -27,21 +27,31 @@
     Unchanged,
 }
 
-/// Reads every document of a file, in an order in which what is referred to comes first.
-pub fn read_file(file: &str) -> Result<Vec<Manifest>, VerbError> {
+/// Reads every document of every file, in an order in which what is referred to comes first.
+/// Nothing is applied unless all of them are sound.
+pub fn read_files(files: &[String]) -> Result<Vec<Manifest>, VerbError> {
+    let mut manifests = Vec::new();
+    for file in files {
+        manifests.extend(read_file(file)?);
+    }
+    if manifests.is_empty() {
+        return Err(VerbError::Usage(
+            "nothing to apply: name a file by -f".to_owned(),
+        ));
+    }
+    manifests.sort_by_key(|manifest| rank(manifest.resource.spec.kind()));
+    Ok(manifests)
+}
+
+fn read_file(file: &str) -> Result<Vec<Manifest>, VerbError> {
     let text = read_text(file).map_err(|source| VerbError::Unreadable {
         file: file.to_owned(),
         source,
     })?;
-    let mut manifests = from_yaml(&text).map_err(|source| VerbError::Manifest {
+    from_yaml(&text).map_err(|source| VerbError::Manifest {
         file: file.to_owned(),
         source,
-    })?;
-    if manifests.is_empty() {
-        return Err(VerbError::Usage(format!("{file}: no documents")));
-    }
-    manifests.sort_by_key(|manifest| rank(manifest.resource.spec.kind()));
-    Ok(manifests)
+    })
 }
 
 fn read_text(file: &str) -> std::io::Result<String> {
