Bring the configuration in force to partitions and engines

Cause: a Configuration was accepted, stored and watched, and most of its keys moved nothing: the node kept the limits of its settings file and a constant for silent engines.

Ruled out: keys that no part reads (two were dropped until placement has its own limits: a key without effect misleads); overriding the settings file by defaults that no operator asked for (only keys that some Configuration sets count).

Change: Partition::configure and RetryBudget::configure in execution; the node core hands limits to every partition on a change and to new partitions, and judges silence by the configured limit. Keys now: admission.maxOpenCalls, call.earlierCallWait, call.maxAttempts, call.modelTimeout, control.snapshotInterval, engine.silentAfter, retry.budgetPercent.

Conclusion: an accepted configuration is in force on every node that follows the stream, and its deletion restores what was before.

--- a/crates/control/src/configuration/keys.rs
+++ b/crates/control/src/configuration/keys.rs
@@ -46,26 +46,26 @@
 /// Every key that a `Configuration` may set, in order of name.
 pub const KNOWN_KEYS: &[KnownKey] = &[
     KnownKey {
-        key: "admission.maxWait",
-        meaning: "longest time that a call waits for an engine before it is refused",
-        unit: Unit::Duration {
-            min: Duration::from_millis(100),
-            max: Duration::from_secs(600),
-            field: |settings| &mut settings.max_wait,
-        },
-    },
-    KnownKey {
-        key: "admission.maxWaitingCalls",
-        meaning: "calls that may wait on one node; more are refused",
+        key: "admission.maxOpenCalls",
+        meaning: "calls that may be waiting or open in one partition; more are refused",
         unit: Unit::Count {
             min: 1,
             max: 1_000_000,
-            field: |settings| &mut settings.max_waiting_calls,
+            field: |settings| &mut settings.max_open_calls,
+        },
+    },
+    KnownKey {
+        key: "call.earlierCallWait",
+        meaning: "longest time that a call waits for an earlier one of its run to arrive",
+        unit: Unit::Duration {
+            min: Duration::from_millis(100),
+            max: Duration::from_secs(60),
+            field: |settings| &mut settings.earlier_call_wait,
         },
     },
     KnownKey {
         key: "call.maxAttempts",
-        meaning: "attempts of a repeatable call, the first included",
+        meaning: "attempts of one call, the first included; only repeatable calls get more than one",
         unit: Unit::Count {
             min: 1,
             max: 10,
@@ -95,19 +95,10 @@
         meaning: "an engine that has not answered for this long gets no new work",
         unit: Unit::Duration {
             min: Duration::from_millis(500),
-            max: Duration::from_secs(60),
+            max: Duration::from_secs(10),
             field: |settings| &mut settings.engine_silent_after,
         },
     },
-    KnownKey {
-        key: "memory.retentionLease",
-        meaning: "how long an engine keeps a paused run's blocks without renewal",
-        unit: Unit::Duration {
-            min: Duration::from_secs(1),
-            max: Duration::from_secs(3_600),
-            field: |settings| &mut settings.retention_lease,
-        },
-    },
     KnownKey {
         key: "retry.budgetPercent",
         meaning: "retries allowed in percent of first attempts",
--- a/crates/control/src/configuration/mod.rs
+++ b/crates/control/src/configuration/mod.rs
@@ -14,18 +14,16 @@
 pub struct Settings {
     /// Longest time for one attempt of a model call.
     pub model_call_timeout: Duration,
-    /// Attempts of a repeatable call, the first included.
+    /// Attempts of one call, the first included.
     pub max_attempts: u32,
-    /// Longest time that a call waits for an engine before it is refused.
-    pub max_wait: Duration,
-    /// Calls that may wait on one node.
-    pub max_waiting_calls: u32,
+    /// Longest time that a call waits for an earlier one of its run to arrive.
+    pub earlier_call_wait: Duration,
+    /// Calls that may be waiting or open in one partition.
+    pub max_open_calls: u32,
     /// Retries allowed in percent of first attempts.
     pub retry_budget_percent: u32,
     /// An engine that has not answered for this long gets no new work.
     pub engine_silent_after: Duration,
-    /// How long an engine keeps a paused run's blocks without renewal.
-    pub retention_lease: Duration,
     /// Records of the control stream between two snapshots.
     pub snapshot_interval: u32,
 }
@@ -35,11 +33,10 @@
         Self {
             model_call_timeout: Duration::from_secs(120),
             max_attempts: 4,
-            max_wait: Duration::from_secs(30),
-            max_waiting_calls: 4_096,
+            earlier_call_wait: Duration::from_secs(5),
+            max_open_calls: 4_096,
             retry_budget_percent: 10,
             engine_silent_after: Duration::from_secs(2),
-            retention_lease: Duration::from_secs(60),
             snapshot_interval: 4_096,
         }
     }
--- a/crates/control/src/lookup.rs
+++ b/crates/control/src/lookup.rs
@@ -123,6 +123,11 @@
         self.resources().settings()
     }
 
+    /// Whether some `Configuration` sets this key, so that its value is not the default.
+    pub fn is_configured(&self, key: &str) -> bool {
+        self.index().keys.contains_key(key)
+    }
+
     fn model_service(&self, name: &ResourceName) -> Option<&ModelServiceSpec> {
         match &self.get(Kind::Service, name)?.spec {
             Spec::Service(ServiceSpec::Model(service)) => Some(service),
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Changes limits and intervals; open calls meet them at their next step.
+    pub fn configure(&mut self, settings: ExecutionSettings) {
+        self.soft.retry.configure(&settings);
+        self.settings = settings;
+    }
+
     /// Which partition it is.
     pub fn id(&self) -> PartitionId {
         self.id
--- a/crates/execution/src/retry.rs
+++ b/crates/execution/src/retry.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// Changes what first attempts earn from now on.
+    pub fn configure(&mut self, settings: &ExecutionSettings) {
+        self.earned_by_first_attempt = u64::from(settings.retry_percent);
+    }
+
     /// A first attempt was dispatched.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.earned_by_first_attempt).min(MAX_SAVED);
--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -173,7 +173,8 @@
         match change.kind {
             Kind::Service => self.apply_services(),
             Kind::Budget => self.tenant_limits_changed(),
-            Kind::Program | Kind::Configuration => {}
+            Kind::Configuration => self.configure_partitions(),
+            Kind::Program => {}
         }
     }
 
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -228,7 +228,8 @@
                 self.apply_engine_changes(changes);
             }
             Event::EngineSilent { engine, silent_for } => {
-                let changes = self.engines.silent(&engine, silent_for);
+                let limit = self.control.settings().engine_silent_after;
+                let changes = self.engines.silent(&engine, silent_for, limit);
                 self.apply_engine_changes(changes);
             }
             other => unreachable!("routed before: {other:?}"),
--- a/crates/node-core/src/engines.rs
+++ b/crates/node-core/src/engines.rs
@@ -9,9 +9,6 @@
 use crate::effect::{Effect, EngineState, EngineView};
 use crate::services::KnownEngine;
 
-/// An engine that has not answered for this long gets no new work.
-pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
-
 /// An engine that has not answered for this long is taken to have lost what it held.
 pub const GONE_LIMIT: Duration = Duration::from_secs(60);
 
@@ -168,10 +165,15 @@
         })
     }
 
-    /// The engine has not answered for `silent_for`.
-    pub fn silent(&mut self, id: &EngineId, silent_for: Duration) -> Vec<EngineChange> {
+    /// The engine has not answered for `silent_for`; from `limit` on it gets no new work.
+    pub fn silent(
+        &mut self,
+        id: &EngineId,
+        silent_for: Duration,
+        limit: Duration,
+    ) -> Vec<EngineChange> {
         let mut changes = self.update_one(id, |engine| {
-            engine.silent = engine.silent || silent_for >= SILENCE_LIMIT;
+            engine.silent = engine.silent || silent_for >= limit;
         });
         if let Some(engine) = self.engines.get_mut(id)
             && silent_for >= GONE_LIMIT
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod assignment;
 mod attempt_reports;
+mod configuration;
 mod control_plane;
 pub mod core;
 pub mod counters;
--- a/crates/node-core/tests/node/main.rs
+++ b/crates/node-core/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! The composed node against a log in memory.
 
 mod calls;
+mod configuration;
 mod control;
 mod engines;
 mod fixtures;
