--- a/crates/membership/src/detector/relay.rs
+++ b/crates/membership/src/detector/relay.rs
@@ -7,7 +7,7 @@
     Representative,
 };
 use elderworks_types::{CellId, NodeId, Offset, Timestamp};
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::IndexedRandom;
 
 use super::exchange::take_fitting;
 use super::periodic::is_due;
@@ -41,6 +41,7 @@
         if is_due(&mut self.schedule.cell_probe, now, CELL_PROBE_INTERVAL) {
             self.declare_cells_dead(now);
             self.probe_next_cell(now);
+            self.probe_suspect_cell(now);
         }
         if is_due(
             &mut self.schedule.digest_exchange,
@@ -166,10 +167,28 @@
         let target = self
             .cell_prober
             .next_target(&mut self.random, candidates, is_candidate);
-        let Some(target) = target else { return };
-        let mut addresses = self.representatives_of(&target);
-        addresses.shuffle(&mut self.random);
-        let Some(&address) = addresses.first() else {
+        if let Some(target) = target {
+            self.probe_cell(now, target);
+        }
+    }
+
+    /// A relay asks a suspect cell itself before it believes it dead, so that the cell hears of the
+    /// suspicion and its refutation comes with the answer.
+    fn probe_suspect_cell(&mut self, now: Timestamp) {
+        let suspects: Vec<CellId> = self
+            .cells
+            .iter()
+            .filter(|known| known.digest.state == CellState::Suspect)
+            .map(|known| known.digest.cell.clone())
+            .collect();
+        if let Some(target) = suspects.choose(&mut self.random) {
+            self.probe_cell(now, target.clone());
+        }
+    }
+
+    fn probe_cell(&mut self, now: Timestamp, target: CellId) {
+        let addresses = self.representatives_of(&target);
+        let Some(&address) = addresses.choose(&mut self.random) else {
             return;
         };
         let accusation = self.accusation_of_cell(&target);
