--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -7,8 +7,9 @@
 use elderworks_control::{Control, Watches};
 use elderworks_execution::{self as execution, ExecutionSettings};
 use elderworks_logstream::{self as logstream, LogStream, StreamSettings};
+use elderworks_membership::settings::{PROBE_INTERVAL, PROBE_TIMEOUT, SUSPICION_TIMEOUT};
 use elderworks_membership::{self as membership, Membership, MembershipSettings};
-use elderworks_placement::{self as placement, Placement, PlacementSettings};
+use elderworks_placement as placement;
 use elderworks_protocol::record::{StreamName, Writer};
 use elderworks_protocol::sidecar::NodeAddress;
 use elderworks_types::{
@@ -24,6 +25,7 @@
 use crate::dispatch::Attempts;
 use crate::drain::DrainState;
 use crate::engines::Engines;
+use crate::least_loaded::LeastLoaded;
 use crate::ownership::Ownership;
 use crate::sidecars::Requests;
 use crate::step::{Agenda, Step};
@@ -33,15 +35,6 @@
 /// How often a driver sends [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time between probes of the failure detector.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// A probe unanswered for this long is sent round by others.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// A suspect that has not refuted for this long is dead.
-const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1000);
-
 /// What a node is given at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -82,7 +75,7 @@
     pub(crate) membership: Option<Membership>,
     pub(crate) assignment: Assignment,
     pub(crate) ownership: Ownership,
-    pub(crate) placement: Placement,
+    pub(crate) placement: LeastLoaded,
     /// Tenants' limits as last told to the partitions that hold their budgets.
     pub(crate) tenant_limits: BTreeMap<TenantId, Credits>,
     pub(crate) engines: Engines,
@@ -107,12 +100,11 @@
             Sequence(1),
             Offset(0),
             Timestamp(0),
-            StreamSettings::default(),
+            StreamSettings {
+                give_batches: true,
+                ..StreamSettings::default()
+            },
         );
-        let placement = Placement::new(PlacementSettings {
-            zone: settings.zone.clone(),
-            seed: random.random(),
-        });
         Self {
             now: Timestamp(0),
             agenda: Agenda::default(),
@@ -128,7 +120,7 @@
             membership: None,
             assignment: Assignment::unknown(settings.partition_count),
             ownership: Ownership::default(),
-            placement,
+            placement: LeastLoaded::default(),
             tenant_limits: BTreeMap::new(),
             engines: Engines::default(),
             attempts: Attempts::default(),
