Hold planned stops and losses in the midst of calls in separate processes

Cause: the first separate-process test killed a node between turns only. Ruled out: sending a planned stop to an idle fleet, which would show nothing.

--- a/crates/cli/tests/processes/child.rs
+++ b/crates/cli/tests/processes/child.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Instant;
+
+use crate::fleet::{LOOK_INTERVAL, PATIENCE};
 
 /// A running process; killed when dropped.
 pub struct Process {
@@ -44,6 +47,22 @@
         self.address("listening")
     }
 
+    /// Ends it by SIGTERM, and checks that it ends well.
+    pub async fn stop(mut self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("kill runs").success());
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().expect("the process is our child") {
+                assert!(status.success(), "{status}");
+                return;
+            }
+            actix_rt::time::sleep(LOOK_INTERVAL).await;
+        }
+        panic!("the process did not stop");
+    }
+
     /// Ends it by SIGKILL.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process was running");
