--- a/crates/simulation/src/world/engine_service.rs
+++ b/crates/simulation/src/world/engine_service.rs
@@ -328,6 +328,7 @@
         }
         let generations = &mut self.observations.generations;
         let readers = self.engines[engine].crash(self.now, generations);
+        self.end_departure(engine);
         self.engines[engine].up = false;
         for (ticket, reader) in readers {
             let start = NodeStart {
@@ -358,6 +359,15 @@
         });
     }
 
+    /// A leaving engine is gone before its time; what starts in its place is not leaving.
+    fn end_departure(&mut self, engine: usize) {
+        let id = &self.engines[engine].id;
+        let departures = self.observations.departures.iter_mut();
+        if let Some(departure) = departures.rev().find(|departure| departure.engine == *id) {
+            departure.until = departure.until.min(self.now);
+        }
+    }
+
     /// How long a leaving engine stays to finish its streams.
     pub(super) fn leave_grace() -> Duration {
         LEAVE_GRACE
--- a/crates/simulation/src/world/processes.rs
+++ b/crates/simulation/src/world/processes.rs
@@ -14,12 +14,16 @@
 impl World {
     /// Hands an event to a node and carries out what it asks for.
     pub(super) fn deliver_to_node(&mut self, to: NodeStart, input: NodeEvent) {
-        let now = self.now;
         let node = &mut self.nodes[to.node];
-        if to.generation != node.slot.generation() || !node.accepts(&input) {
-            return;
+        if to.generation == node.slot.generation() && node.accepts(&input) {
+            self.hand_to_node(to, input);
         }
-        let time = node.slot.clock.read(now);
+    }
+
+    /// Hands over what the driver has passed on, now or before a pause.
+    fn hand_to_node(&mut self, to: NodeStart, input: NodeEvent) {
+        let node = &mut self.nodes[to.node];
+        let time = node.slot.clock.read(self.now);
         let Some((core, input)) = node.slot.deliver(to.generation, input) else {
             return;
         };
@@ -179,7 +183,7 @@
             ProcessId::Node(node) => {
                 let start = self.node_start(node);
                 for input in self.nodes[node].slot.resume(self.now) {
-                    self.deliver_to_node(start, input);
+                    self.hand_to_node(start, input);
                 }
             }
             ProcessId::Sidecar(sidecar) => {
