Trace outcomes as nodes tell them

Cause: a refusal that a sidecar turned into a failure could not be told from the trace. Change: the reply's outcome is traced without its answer. Conclusion: tracing only.

--- a/crates/simulation/src/world/callers.rs
+++ b/crates/simulation/src/world/callers.rs
@@ -508,7 +508,8 @@
     }
 }
 
-fn summary(outcome: &Outcome) -> String {
+/// An outcome without its answer.
+pub(super) fn summary(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Completed(answer) => format!("completed, {} bytes", answer.content.len()),
         Outcome::Refused(refusal) => format!("{refusal:?}"),
--- a/crates/simulation/src/world/connection.rs
+++ b/crates/simulation/src/world/connection.rs
@@ -10,6 +10,7 @@
 use elderworks_sidecar_core::Event as SidecarEvent;
 
 use super::World;
+use super::callers::summary;
 use super::event::{Event, NodeStart, Payload, SidecarStart};
 use crate::kernel::{Direction, Endpoint, Instant, ProcessId};
 
@@ -243,7 +244,9 @@
                 format!("run with {messages:?} messages")
             }
             NodeMessage::NotOwner { run, number, .. } => format!("does not own {run} {number:?}"),
-            NodeMessage::CallEnded { call, .. } => format!("{call} has ended"),
+            NodeMessage::CallEnded { call, outcome, .. } => {
+                format!("{call} has ended {}", summary(outcome))
+            }
             NodeMessage::RunRefused { run, refusal } => format!("{run}: {refusal:?}"),
             NodeMessage::RunEnded { run, phase } => format!("{run} is {phase:?}"),
             _ => return,
