Drain a node under load over real sockets and share partitions between cells

Cause: no run had shown that a planned stop cuts off no call, nor that cells share the run space. Ruled out timing assertions: the test waits for outcomes. Change: 24 runs call a model while their node drains; each answer must come whole, with no chunk twice and none missing, wherever it ends. Four nodes in two cells own each partition once and point to the other cell's relay. The latency example uses 32 ordinary engines, since placement holds calls back once an engine's batch is full.

--- a/crates/cli/examples/added_latency.rs
+++ b/crates/cli/examples/added_latency.rs
@@ -1,6 +1,6 @@
-//! What sidecar and node add to a streamed call, against the stand-in engine asked directly.
+//! What sidecar and node add to a streamed call, against stand-in engines asked directly.
 //!
-//! Log, engine, node, sidecar and callers run on threads of their own in one process and speak real
+//! Log, engines, node, sidecar and callers run on threads of their own in one process and speak real
 //! HTTP and TCP over loopback. For each number of calls in flight the callers make the same calls
 //! once directly and once through the sidecar, and the table shows percentiles of both. Run with
 //! `cargo run --release -p elderworks-cli --example added_latency`.
@@ -20,12 +20,12 @@
 };
 use elderworks_standin::engine::{EngineSettings, with_speed};
 use elderworks_standin::log::LogSettings;
-use elderworks_standin::{engine, listen, log};
+use elderworks_standin::{ServerHandle, engine, listen, log};
 use elderworks_types::resource::{
     EngineEndpoint, Metadata, ModelServiceSpec, ProgramSpec, Resource, ServiceSpec, Spec,
 };
 use elderworks_types::{
-    Credits, EngineId, ModelName, NodeId, Offset, ResourceName, TenantId, Tokens, ZoneId,
+    Credits, EngineId, ModelName, NodeId, Offset, ResourceName, RunId, TenantId, Tokens, ZoneId,
 };
 use eyre::{OptionExt, WrapErr, eyre};
 use futures_util::StreamExt;
@@ -35,6 +35,9 @@
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const TOKEN: &str = "measuring";
 const MODEL: &str = "model";
+/// Together they batch 1,024 calls, so that calls do not wait for an engine.
+const ENGINE_THREADS: usize = 4;
+const ENGINES_PER_THREAD: usize = 8;
 const IN_FLIGHT: [usize; 3] = [1, 100, 1_000];
 const CALLS_PER_CALLER: usize = 5;
 /// Calls of a single caller, so that its percentiles rest on more than a few.
@@ -86,20 +89,31 @@
     })
 }
 
-fn start_engine() -> eyre::Result<String> {
-    on_thread(|| async {
-        let mut settings = EngineSettings::new(EngineId::new("engine"));
-        settings.models = vec![ModelName::new(MODEL)];
-        settings.parameters = EngineParameters {
-            max_batch: 2_048,
-            step_tokens: 65_536,
-            max_waiting: 4_096,
-            cache_blocks: 262_144,
-            ..with_speed(EngineParameters::default(), ENGINE_SPEED)
-        };
-        let server = engine::serve(listen(LOOPBACK)?, settings)?;
-        Ok((server.url(), Box::new(server) as _))
-    })
+/// Starts engines, several to a thread; returns their names and addresses.
+fn start_engines() -> eyre::Result<Vec<(EngineId, String)>> {
+    let mut engines = Vec::new();
+    for thread in 0..ENGINE_THREADS {
+        let started = on_thread(move || async move {
+            let names = (0..ENGINES_PER_THREAD).map(|index| format!("engine-{thread}-{index}"));
+            let servers: eyre::Result<Vec<_>> = names.map(start_engine).collect();
+            let servers = servers?;
+            let addresses: Vec<_> = servers
+                .iter()
+                .map(|(id, server)| (id.clone(), server.url()))
+                .collect();
+            Ok((addresses, Box::new(servers) as _))
+        })?;
+        engines.extend(started);
+    }
+    Ok(engines)
+}
+
+fn start_engine(name: String) -> eyre::Result<(EngineId, ServerHandle)> {
+    let id = EngineId::new(name);
+    let mut settings = EngineSettings::new(id.clone());
+    settings.models = vec![ModelName::new(MODEL)];
+    settings.parameters = with_speed(EngineParameters::default(), ENGINE_SPEED);
+    Ok((id, engine::serve(listen(LOOPBACK)?, settings)?))
 }
 
 fn start_node(log_url: String) -> eyre::Result<(SocketAddr, OperatorHandle)> {
@@ -147,14 +161,15 @@
     })
 }
 
-fn resources(engine_url: &str) -> [Resource; 2] {
+fn resources(engines: &[(EngineId, String)]) -> [Resource; 2] {
+    let endpoint = |(id, url): &(EngineId, String)| EngineEndpoint {
+        id: id.clone(),
+        url: url.clone(),
+        zone: ZoneId::new("zone"),
+    };
     let model = ModelServiceSpec {
         model: ModelName::new(MODEL),
-        engines: vec![EngineEndpoint {
-            id: EngineId::new("engine"),
-            url: engine_url.to_owned(),
-            zone: ZoneId::new("zone"),
-        }],
+        engines: engines.iter().map(endpoint).collect(),
         credits_per_prompt_token: Credits(1),
         credits_per_output_token: Credits(1),
     };
@@ -181,8 +196,8 @@
     ]
 }
 
-async fn apply(operator: &OperatorHandle, engine_url: &str) -> eyre::Result<()> {
-    for resource in resources(engine_url) {
+async fn apply(operator: &OperatorHandle, engines: &[(EngineId, String)]) -> eyre::Result<()> {
+    for resource in resources(engines) {
         let change = ControlBody::Put {
             resource,
             expected: None,
@@ -198,7 +213,8 @@
 #[derive(Clone)]
 struct Target {
     client: awc::Client,
-    url: String,
+    /// Callers are dealt over these.
+    urls: Vec<String>,
     through_sidecar: bool,
 }
 
@@ -208,7 +224,7 @@
         if !self.through_sidecar {
             return Ok(None);
         }
-        let request = self.client.post(format!("{}/v1/runs", self.url));
+        let request = self.client.post(format!("{}/v1/runs", self.urls[0]));
         let request = request.bearer_auth(TOKEN);
         let sent = request.send_json(&json!({ "program": "program" })).await;
         let mut answer = sent.map_err(|error| eyre!("{error}"))?;
@@ -217,7 +233,13 @@
         Ok(Some(id.to_owned()))
     }
 
-    async fn call(&self, caller: usize, call: usize, run: Option<&str>) -> eyre::Result<Times> {
+    async fn call(
+        &self,
+        in_flight: usize,
+        caller: usize,
+        call: usize,
+        run: Option<&str>,
+    ) -> eyre::Result<Times> {
         let prompt = format!("caller {caller}, call {call}: {}", "word ".repeat(40));
         let body = json!({
             "model": MODEL,
@@ -225,12 +247,15 @@
             "max_tokens": OUTPUT_TOKENS,
             "messages": [{ "role": "user", "content": prompt }],
         });
-        let url = format!("{}/v1/chat/completions", self.url);
+        let base = &self.urls[caller % self.urls.len()];
+        let url = format!("{base}/v1/chat/completions");
         let mut request = self.client.post(url).bearer_auth(TOKEN);
-        let direct_id = format!("{caller}-{call}-{}", std::process::id());
+        let direct_id = format!("{in_flight}-{caller}-{call}");
         request = match run {
             Some(run) => request.insert_header(("x-elderworks-run", run)),
-            None => request.insert_header(("x-request-id", direct_id)),
+            None => request
+                .insert_header(("x-request-id", direct_id))
+                .insert_header(("x-run-id", RunId::root(caller as u64 + 1).to_string())),
         };
         let start = Instant::now();
         let sent = request.send_json(&body).await;
@@ -271,7 +296,7 @@
         let run = target.run().await?;
         let mut times = Vec::new();
         for call in 0..calls {
-            times.push(target.call(caller, call, run.as_deref()).await?);
+            times.push(target.call(in_flight, caller, call, run.as_deref()).await?);
         }
         Ok::<_, eyre::Report>(times)
     });
@@ -296,16 +321,16 @@
 
 #[actix_rt::main]
 async fn main() -> eyre::Result<()> {
-    let engine_url = start_engine()?;
+    let engines = start_engines()?;
     let (node, operator) = start_node(start_log()?)?;
-    apply(&operator, &engine_url).await?;
-    let target = |url: String, through_sidecar| Target {
+    apply(&operator, &engines).await?;
+    let target = |urls: Vec<String>, through_sidecar| Target {
         client: client(),
-        url,
+        urls,
         through_sidecar,
     };
-    let direct = target(engine_url, false);
-    let through = target(start_sidecar(node)?, true);
+    let direct = target(engines.into_iter().map(|(_, url)| url).collect(), false);
+    let through = target(vec![start_sidecar(node)?], true);
     measure(&through, 1).await.wrap_err("warming up")?;
 
     let mut table = Table::new();
--- a/crates/node-core/tests/node/ownership.rs
+++ b/crates/node-core/tests/node/ownership.rs
@@ -24,6 +24,24 @@
     }
 }
 
+#[test]
+fn cells_share_the_partitions_and_point_to_each_other() {
+    let mut world = World::with_cells(4, 2);
+    world.until("one owner each", |world| {
+        world.settled() && (0..4).all(|index| !world.owned(index).is_empty())
+    });
+    let partition = *world.owned(1).first().expect("it owns some");
+    // Node 0 is of the other cell; it names some node of the right one.
+    world.node(0).sent.clear();
+    world.say(0, SidecarMessage::Locate { partition });
+    let (_, located) = world.node(0).sent.pop().expect("an answer at once");
+    let NodeMessage::Located { owner, .. } = located else {
+        panic!("not located: {located:?}");
+    };
+    let owner = owner.expect("a node of the other cell").node;
+    assert!([name(1), name(3)].contains(&owner), "{owner}");
+}
+
 #[test]
 fn a_joining_node_receives_its_share_by_release() {
     let mut world = World::new(1);
--- a/crates/node-core/tests/node/world.rs
+++ b/crates/node-core/tests/node/world.rs
@@ -62,6 +62,7 @@
     addresses: BTreeMap<SocketAddr, NodeId>,
     queue: VecDeque<(NodeId, Event)>,
     starts: u64,
+    cells: usize,
 }
 
 fn address(index: usize) -> SocketAddr {
@@ -75,6 +76,11 @@
 impl World {
     /// A world with this many nodes, all started at once.
     pub fn new(nodes: usize) -> Self {
+        Self::with_cells(nodes, 1)
+    }
+
+    /// The same, with the nodes dealt over this many cells.
+    pub fn with_cells(nodes: usize, cells: usize) -> Self {
         let mut world = Self {
             now: Timestamp(1_000_000),
             log: BTreeMap::new(),
@@ -85,6 +91,7 @@
             addresses: BTreeMap::new(),
             queue: VecDeque::new(),
             starts: 0,
+            cells,
         };
         for index in 0..nodes {
             world.start(index);
@@ -98,7 +105,7 @@
         let settings = NodeSettings {
             node: name(index),
             zone: ZoneId::new(format!("zone-{}", index % 3)),
-            cell: CellId::new(""),
+            cell: CellId::new(format!("cell-{}", index % self.cells)),
             gossip_address: address(index),
             address: address(index),
             seeds: vec![address(0), address(1)],
--- a/crates/node/tests/driver/runs.rs
+++ b/crates/node/tests/driver/runs.rs
@@ -5,9 +5,11 @@
 use awc::http::StatusCode;
 use elderworks_protocol::sidecar::{NodeMessage, SidecarMessage};
 use elderworks_types::{Outcome, RunId, RunPhase};
+use futures_util::future::{join, join_all};
 
 use crate::support::{
-    GENEROUS, Sidecar, StandIns, apply_resources, model_call, node, tenant, tool_call,
+    GENEROUS, Sidecar, StandIns, apply_resources, call_anywhere, model_call, node, tenant,
+    tool_call,
 };
 
 #[actix_rt::test]
@@ -97,6 +99,32 @@
     assert!(matches!(after, Outcome::Completed(_)), "{after:?}");
 }
 
+#[actix_rt::test]
+async fn a_drain_under_load_cuts_off_no_call() {
+    const RUNS: u64 = 24;
+    let stand_ins = StandIns::start();
+    let first = node("node-1", &stand_ins, Vec::new()).await;
+    apply_resources(&first, &stand_ins).await;
+    let runs: Vec<RunId> = (100..100 + RUNS).map(RunId::root).collect();
+    let mut sidecar = Sidecar::connect(&first).await;
+    for run in &runs {
+        sidecar.start_run(*run).await;
+    }
+    let second = node("node-2", &stand_ins, vec![first.gossip_address]).await;
+    let nodes = [first.address, second.address];
+    let calls = runs
+        .iter()
+        .map(|run| call_anywhere(nodes, *run, model_call(1, 0)));
+    let (answers, ()) = join(join_all(calls), first.drain()).await;
+    for (text, outcome) in answers {
+        let Outcome::Completed(answer) = outcome else {
+            panic!("a call was cut off: {outcome:?}");
+        };
+        assert_eq!(text, answer.content);
+        assert!(!text.is_empty());
+    }
+}
+
 #[actix_rt::test]
 async fn health_readiness_and_metrics_are_served() {
     let stand_ins = StandIns::start();
--- a/crates/node/tests/driver/support.rs
+++ b/crates/node/tests/driver/support.rs
@@ -157,39 +157,73 @@
 
 impl Sidecar {
     pub async fn connect(node: &NodeHandle) -> Self {
-        let stream = TcpStream::connect(node.address).await.expect("it connects");
+        let connecting = Self::connect_to(node.address).await;
+        connecting.expect("it connects")
+    }
+
+    async fn connect_to(node: SocketAddr) -> std::io::Result<Self> {
+        let stream = TcpStream::connect(node).await?;
         let mut sidecar = Self {
             stream,
             buffer: BytesMut::new(),
         };
-        sidecar
-            .write(&ToNode::Hello(Hello::Sidecar { sidecar: 7 }))
-            .await;
-        sidecar
+        let hello = ToNode::Hello(Hello::Sidecar { sidecar: 7 });
+        sidecar.write(&hello).await?;
+        Ok(sidecar)
     }
 
     pub async fn send(&mut self, message: SidecarMessage) {
-        self.write(&ToNode::Sidecar(message)).await;
+        let written = self.write(&ToNode::Sidecar(message)).await;
+        written.expect("the node takes it");
     }
 
-    async fn write(&mut self, message: &ToNode) {
-        let written = self.stream.write_all(&frame(message)).await;
-        written.expect("the node takes it");
+    async fn write(&mut self, message: &ToNode) -> std::io::Result<()> {
+        self.stream.write_all(&frame(message)).await
     }
 
     pub async fn receive(&mut self) -> NodeMessage {
+        let message = self.try_receive().await;
+        message.expect("the node is up")
+    }
+
+    /// The next message; `None` once the node has hung up.
+    async fn try_receive(&mut self) -> Option<NodeMessage> {
         let receiving = timeout(GENEROUS, self.receive_unbounded()).await;
         receiving.expect("a message in time")
     }
 
-    async fn receive_unbounded(&mut self) -> NodeMessage {
+    async fn receive_unbounded(&mut self) -> Option<NodeMessage> {
         loop {
             let message = split_frame::<FromNode>(&mut self.buffer).expect("well formed");
             if let Some(FromNode::Node(message)) = message {
-                return message;
+                return Some(message);
+            }
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(read) if read > 0 => {}
+                _ => return None,
+            }
+        }
+    }
+
+    /// Takes the chunks of a call until its outcome, or until this node has nothing more to say.
+    async fn follow(&mut self, run: RunId, delivered: &mut Delivered) -> Option<Outcome> {
+        loop {
+            match self.try_receive().await? {
+                NodeMessage::Chunk(chunk) => {
+                    assert_eq!(chunk.call.run, run);
+                    assert_eq!(
+                        chunk.index, delivered.chunks,
+                        "no chunk twice, none missing"
+                    );
+                    delivered.attempt = Some(chunk.attempt);
+                    delivered.chunks += 1;
+                    delivered.text.push_str(&chunk.text);
+                }
+                NodeMessage::CallEnded { outcome, .. } => return Some(outcome),
+                NodeMessage::NotOwner { .. } | NodeMessage::CallMoved { .. } => return None,
+                NodeMessage::Draining => {}
+                other => panic!("unexpected: {other:?}"),
             }
-            let read = self.stream.read_buf(&mut self.buffer).await;
-            assert!(read.expect("the node is up") > 0, "the node hung up");
         }
     }
 
@@ -223,7 +257,7 @@
             run,
             number: spec.number,
         };
-        self.send(submit(run, spec)).await;
+        self.send(submit(run, spec, Delivered::default())).await;
         let mut text = String::new();
         loop {
             match self.receive().await {
@@ -239,13 +273,38 @@
     }
 }
 
-pub fn submit(run: RunId, spec: CallSpec) -> SidecarMessage {
+pub fn submit(run: RunId, spec: CallSpec, delivered: Delivered) -> SidecarMessage {
     SidecarMessage::SubmitCall {
         tenant: tenant(),
         run,
         spec,
-        delivered: Delivered::default(),
+        delivered,
+    }
+}
+
+/// Makes one call as a sidecar does: at each node in turn for as long as it is sent elsewhere, and
+/// each time from the next chunk on. Returns the joined chunks and the outcome.
+pub async fn call_anywhere(
+    nodes: [SocketAddr; 2],
+    run: RunId,
+    spec: CallSpec,
+) -> (String, Outcome) {
+    let since = Instant::now();
+    let mut delivered = Delivered::default();
+    for node in nodes.into_iter().cycle() {
+        assert!(since.elapsed() < GENEROUS, "no node took the call");
+        let Ok(mut sidecar) = Sidecar::connect_to(node).await else {
+            continue;
+        };
+        let submission = submit(run, spec.clone(), delivered.clone());
+        if sidecar.write(&ToNode::Sidecar(submission)).await.is_err() {
+            continue;
+        }
+        if let Some(outcome) = sidecar.follow(run, &mut delivered).await {
+            return (delivered.text, outcome);
+        }
     }
+    unreachable!("the nodes repeat for ever")
 }
 
 fn call_spec(number: u32, request: CallRequest, repeatable: bool) -> CallSpec {
