Let the longest programs of a comparison end

Cause: an experiment stopped at six times its horizon. With a short horizon one program with long tool pauses had no time to end, so the test that every policy finishes every program failed for the random policy. Ruled out: a request lost in the engine model (the program ends once it is given the time). Change: experiments go on for an hour of virtual time after the last arrival, whatever the horizon. Measured: before, 1 of 12 tests of the lab failed; after, the comparison's 4 tests pass.

--- a/crates/lab/src/compare/experiment.rs
+++ b/crates/lab/src/compare/experiment.rs
@@ -21,8 +21,9 @@
 const REJECTION_BACKOFF: Duration = Duration::from_millis(500);
 /// When a refused caller comes back if it was not told when.
 const DEFAULT_RETRY: Duration = Duration::from_secs(2);
-/// Experiments end at this multiple of the horizon even with programs unfinished.
-const LONGEST_RUN: u32 = 6;
+/// Experiments end this long after the last arrival even with programs unfinished. Longer than any
+/// program takes on a fleet that is not overloaded, tool pauses included.
+const LONGEST_DRAIN: Duration = Duration::from_secs(60 * 60);
 
 /// What one experiment is of.
 #[derive(Clone, Debug)]
@@ -93,7 +94,7 @@
 /// Runs one experiment to its end.
 pub fn run(setting: &Setting) -> Metrics {
     let programs = generate::programs(&setting.preset, setting.load, setting.seed);
-    let end = Timestamp(0) + setting.preset.horizon * LONGEST_RUN;
+    let end = Timestamp(0) + setting.preset.horizon + LONGEST_DRAIN;
     let horizon = Timestamp(0) + setting.preset.horizon;
     let mut experiment = Experiment::new(setting, RunTable::new(programs, setting.preset.nodes));
     let mut measured_cache = false;
