--- a/crates/standin/tests/engine_contract.rs
+++ b/crates/standin/tests/engine_contract.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use awc::http::Method;
 use common::{GENEROUS, endpoint, eventually, free_port, put_faults};
 use elderworks_backend::{
     AnswerItem, BackendError, EngineClient, Finish, GenerateRequest, HttpEngineClient, transfer,
@@ -396,7 +397,7 @@
 
 #[actix_rt::test]
 async fn lower_fences_are_refused() {
-    let (_server, client) = start();
+    let (server, client) = start();
     let order = |fence, command| client.command(FencedCommand { fence, command });
     let unload = Command::UnloadModel {
         model: ModelName::new("menu"),
@@ -405,11 +406,8 @@
         role: EngineRole::Draining,
     };
     assert_eq!(order(5, drain.clone()).await.expect("accepted").fence, 5);
-    let stale = order(4, unload).await.expect_err("stale");
-    let BackendError::Rejected { code, .. } = stale else {
-        panic!("{stale:?}");
-    };
-    assert_eq!(code, ErrorCode::StaleFence);
+    let stale = order(4, unload.clone()).await.expect_err("stale");
+    assert!(is_stale(&stale), "{stale:?}");
     order(5, drain).await.expect("the same fence again");
     eventually("draining", || async {
         client.state().await.expect("state").role == EngineRole::Draining
@@ -419,6 +417,26 @@
     assert_eq!(state.state, ServingState::Leaving);
     assert_eq!(state.models, [ModelName::new("menu")]);
     assert_eq!(state.fence, 5);
+    restart(&server).await;
+    let stale = order(4, unload)
+        .await
+        .expect_err("stale after a restart as well");
+    assert!(is_stale(&stale), "{stale:?}");
+}
+
+fn is_stale(error: &BackendError) -> bool {
+    matches!(
+        error,
+        BackendError::Rejected {
+            code: ErrorCode::StaleFence,
+            ..
+        }
+    )
+}
+
+async fn restart(server: &ServerHandle) {
+    let answer = common::raw(server, Method::POST, "/v1/restart", &[], "").await;
+    assert!(answer.status.is_success(), "{answer:?}");
 }
 
 #[actix_rt::test]
@@ -432,8 +450,7 @@
     let last = events.events.last().expect("an event").sequence;
     let after = client.cache_events(last).await.expect("events");
     assert!(after.events.is_empty());
-    let restart = common::raw(&server, awc::http::Method::POST, "/v1/restart", &[], "").await;
-    assert!(restart.status.is_success());
+    restart(&server).await;
     let restarted = client.cache_events(0).await.expect("events");
     assert_ne!(restarted.instance, events.instance);
     assert!(restarted.events.is_empty());
