--- a/crates/backend/src/log.rs
+++ b/crates/backend/src/log.rs
@@ -22,7 +22,8 @@
         data: Bytes,
     ) -> LocalBoxFuture<'static, Result<Offset, BackendError>>;
 
-    /// Reads records from `from` on, of about `max_bytes` in all, waiting up to `wait` for the first.
+    /// Reads records from `from` on, of about `max_bytes` in all, waiting up to `wait` for the
+    /// first.
     fn read(
         &self,
         stream: &str,
