--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -46,7 +46,7 @@
         }
         /// List resources of a kind, or show one.
         cmd get {
-            /// programs, services, budgets, configurations, nodes, engines, or runs with a name.
+            /// programs, services, budgets, configurations, nodes, engines or runs.
             required kind: Collection
             /// Name of one resource.
             optional name: String
--- a/crates/cli/src/verbs/client.rs
+++ b/crates/cli/src/verbs/client.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the operators' interface.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -43,10 +44,36 @@
         }
     }
 
-    /// All resources of a collection.
+    /// All resources of a collection. Each node lists the runs that it owns, so that runs are
+    /// gathered from every server that can be reached.
     pub async fn list(&self, collection: Collection) -> Result<ListDocument, VerbError> {
         let path = format!("{API_PREFIX}/{collection}");
-        self.call(Method::GET, &path, None, Vec::new()).await
+        if collection != Collection::Runs {
+            return self.call(Method::GET, &path, None, Vec::new()).await;
+        }
+        let mut runs = BTreeMap::new();
+        let mut last = Some(no_server());
+        for server in &self.servers {
+            let request = self.request(Method::GET, server, &path, None);
+            match send(request, server, Vec::new()).await {
+                Ok(answer) => {
+                    let list: ListDocument = parse(server, &answer)?;
+                    let items = list.items.into_iter();
+                    runs.extend(items.map(|run| (run.metadata.name.clone(), run)));
+                    last = None;
+                }
+                Err(error) if is_for_next_server(&error) => last = last.and(Some(error)),
+                Err(error) => return Err(error),
+            }
+        }
+        match last {
+            Some(error) => Err(error),
+            None => Ok(ListDocument::new(
+                collection,
+                None,
+                runs.into_values().collect(),
+            )),
+        }
     }
 
     /// One resource. A run is looked for on every server, as only its owner knows it.
@@ -108,10 +135,7 @@
         for server in &self.servers {
             let request = self.request(method.clone(), server, path, expected);
             match send(request, server, body.clone()).await {
-                Ok(answer) => {
-                    return serde_json::from_slice(&answer)
-                        .map_err(|error| VerbError::Unexpected(format!("{server}: {error}")));
-                }
+                Ok(answer) => return parse(server, &answer),
                 Err(error) if is_for_next_server(&error) => last = error,
                 Err(error) => return Err(error),
             }
@@ -155,6 +179,11 @@
     Err(read_error(&answer))
 }
 
+fn parse<T: DeserializeOwned>(server: &str, answer: &[u8]) -> Result<T, VerbError> {
+    serde_json::from_slice(answer)
+        .map_err(|error| VerbError::Unexpected(format!("{server}: {error}")))
+}
+
 fn send_error(server: &str, error: &SendRequestError) -> VerbError {
     let message = format!("{server}: {error}");
     match error {
--- a/crates/cli/src/verbs/table.rs
+++ b/crates/cli/src/verbs/table.rs
@@ -36,6 +36,7 @@
     ("TENANT", "/status/tenant"),
     ("SPENT", "/status/spent"),
     ("BUDGET", "/status/budget"),
+    ("CALLS", "/status/callCount"),
 ];
 
 const NODE_COLUMNS: &[Column] = &[
--- a/crates/control/src/api/run.rs
+++ b/crates/control/src/api/run.rs
@@ -25,6 +25,8 @@
     pub reserved: u64,
     /// Messages in its history.
     pub history_messages: usize,
+    /// Calls made so far.
+    pub call_count: usize,
     /// Every call in order.
     pub calls: Vec<CallReport>,
 }
@@ -93,6 +95,7 @@
             spent: view.spent.0,
             reserved: view.reserved.0,
             history_messages: view.history.len(),
+            call_count: view.calls.len(),
             calls: view.calls.iter().map(CallReport::from).collect(),
         }
     }
--- a/crates/control/src/manifest/read.rs
+++ b/crates/control/src/manifest/read.rs
@@ -75,7 +75,7 @@
         "Program" => typed(spec, "spec").map(Spec::Program),
         "Service" => typed(spec, "spec").map(Spec::Service),
         "Budget" => typed(spec, "spec").map(Spec::Budget),
-        "Configuration" => typed(spec, "spec").map(Spec::Configuration),
+        "Configuration" => typed(with_text_values(spec), "spec").map(Spec::Configuration),
         other => {
             let hint = hint(other, WRITABLE_KINDS);
             let problem = format!(
@@ -87,6 +87,17 @@
     }
 }
 
+/// Values of a configuration are text; YAML makes numbers of some, so that they are written back.
+fn with_text_values(mut spec: Value) -> Value {
+    let values = spec.get_mut("values").and_then(Value::as_object_mut);
+    for value in values.into_iter().flat_map(|values| values.values_mut()) {
+        if value.is_number() {
+            *value = Value::String(value.to_string());
+        }
+    }
+    spec
+}
+
 /// Reads a value as a type; an error names the field's path below `root`.
 fn typed<T: DeserializeOwned>(value: Value, root: &str) -> Result<T, ManifestError> {
     serde_path_to_error::deserialize(value).map_err(|error| {
--- a/crates/control/tests/manifest.rs
+++ b/crates/control/tests/manifest.rs
@@ -69,6 +69,15 @@
     }
 }
 
+#[test]
+fn numbers_in_a_configuration_are_taken_as_text() {
+    let text = "{apiVersion: elderworks/v1, kind: Configuration, metadata: {name: global}, \
+                spec: {values: {call.maxAttempts: 2, call.modelTimeout: 45s}}}";
+    let manifests = from_yaml(text).expect("it is sound");
+    let wanted = [("call.maxAttempts", "2"), ("call.modelTimeout", "45s")];
+    assert_eq!(manifests[0].resource, configuration("global", &wanted));
+}
+
 #[test]
 fn mistakes_are_named_by_path() {
     struct Case {
--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -18,5 +18,5 @@
 pub use counters::Counters;
 pub use effect::{BackendRequest, Effect};
 pub use event::Event;
-pub use partition::{Partition, tenant_holder};
+pub use partition::{Partition, RunSummary, tenant_holder};
 pub use settings::{ExecutionSettings, Faults};
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -14,6 +14,8 @@
 mod timers;
 mod view;
 
+pub use view::RunSummary;
+
 use std::collections::BTreeMap;
 
 use elderworks_protocol::journal::JournalBody;
--- a/crates/execution/src/partition/view.rs
+++ b/crates/execution/src/partition/view.rs
@@ -1,13 +1,39 @@
 //! A run as its caller may read it.
 
 use elderworks_protocol::sidecar::{AttemptView, CallView, NodeMessage, RunView};
-use elderworks_types::{CallId, RunId, TenantId, Timestamp};
+use elderworks_types::{CallId, Credits, RunId, RunPhase, RunSpec, TenantId, Timestamp};
 
 use super::Partition;
 use crate::event::Connection;
 use crate::state::{CallState, RunState};
 
+/// A run in a list, without its history and calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunSummary {
+    /// What its caller fixed.
+    pub spec: RunSpec,
+    /// Where it stands.
+    pub phase: RunPhase,
+    /// When it started.
+    pub started: Timestamp,
+    /// Spent so far.
+    pub spent: Credits,
+    /// Calls made so far.
+    pub calls: usize,
+}
+
 impl Partition {
+    /// Every run that this node has read, in order of id; for operators.
+    pub fn summaries(&self) -> impl Iterator<Item = RunSummary> {
+        self.journal.runs.values().map(|state| RunSummary {
+            spec: state.spec.clone(),
+            phase: state.phase,
+            started: state.started,
+            spent: state.spent,
+            calls: state.calls.len(),
+        })
+    }
+
     /// The run as this node has read it, whoever asks; for operators.
     pub fn view(&self, run: RunId) -> Option<RunView> {
         Some(self.run_view(self.journal.runs.get(&run)?))
--- a/crates/node-core/src/effect.rs
+++ b/crates/node-core/src/effect.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use elderworks_control::{Change, ControlError};
+use elderworks_execution::RunSummary;
 use elderworks_membership::Member;
 use elderworks_placement::Ticket;
 use elderworks_protocol::gossip::Datagram;
@@ -215,6 +216,8 @@
     Nodes(Vec<Member>),
     /// Engines.
     Engines(Vec<EngineView>),
+    /// Runs that this node owns, the latest first.
+    Runs(Vec<RunSummary>),
     /// A run.
     Run(Option<Box<RunView>>),
     /// This node does not own the run; ask there.
--- a/crates/node-core/src/event.rs
+++ b/crates/node-core/src/event.rs
@@ -188,6 +188,8 @@
     Nodes,
     /// What this node knows of engines.
     Engines,
+    /// The runs of the partitions that this node owns.
+    Runs,
     /// A run as its owner sees it; answered only by the owner.
     Run {
         /// Which.
--- a/crates/node-core/src/operator.rs
+++ b/crates/node-core/src/operator.rs
@@ -1,7 +1,10 @@
 //! Requests of operators.
 
+use std::cmp::Reverse;
+
 use elderworks_control::watch::WatchError;
 use elderworks_control::{self as control, Change};
+use elderworks_execution::RunSummary;
 use elderworks_types::resource::Kind;
 use elderworks_types::{Offset, RunId};
 
@@ -9,6 +12,9 @@
 use crate::effect::{Effect, OperatorReply};
 use crate::event::{OperatorRequest, RequestId};
 
+/// Most runs in one list.
+pub const MAX_LISTED_RUNS: usize = 1_000;
+
 impl NodeCore {
     /// Answers an operator, at once or when the log has decided.
     pub(crate) fn operator_request(&mut self, request: RequestId, question: OperatorRequest) {
@@ -35,6 +41,7 @@
             },
             OperatorRequest::Nodes => OperatorReply::Nodes(self.member_list()),
             OperatorRequest::Engines => OperatorReply::Engines(self.engines.views()),
+            OperatorRequest::Runs => OperatorReply::Runs(self.own_runs()),
             OperatorRequest::Run { run } => self.run_reply(run),
         };
         self.agenda.effect(Effect::OperatorReply { request, reply });
@@ -45,6 +52,16 @@
         members.cloned().collect()
     }
 
+    /// The latest runs of the partitions that this node owns.
+    fn own_runs(&self) -> Vec<RunSummary> {
+        let held = self.ownership.held.values();
+        let owned = held.filter(|held| held.epoch.is_some());
+        let mut runs: Vec<RunSummary> = owned.flat_map(|held| held.machine.summaries()).collect();
+        runs.sort_by_key(|run| (Reverse(run.started), run.spec.id));
+        runs.truncate(MAX_LISTED_RUNS);
+        runs
+    }
+
     fn run_reply(&self, run: RunId) -> OperatorReply {
         let partition = run.partition(self.settings.partition_count);
         let held = self.ownership.held.get(&partition);
--- a/crates/node-core/tests/node/main.rs
+++ b/crates/node-core/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod engines;
 mod fixtures;
+mod operators;
 mod ownership;
 mod snapshots;
 mod world;
--- a/crates/node/src/operator/report.rs
+++ b/crates/node/src/operator/report.rs
@@ -2,11 +2,12 @@
 
 use elderworks_control::api::RunReport;
 use elderworks_control::manifest::Document;
+use elderworks_execution::RunSummary;
 use elderworks_membership::Member;
 use elderworks_node_core::effect::{EngineState, EngineView};
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::sidecar::RunView;
-use elderworks_types::RunId;
+use elderworks_types::{RunId, RunPhase};
 use serde::Serialize;
 use serde_json::Value;
 
@@ -31,6 +32,18 @@
     models: Vec<&'a str>,
 }
 
+/// Status of a `Run` in a list; amounts in credits.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct RunStatus<'a> {
+    phase: RunPhase,
+    tenant: &'a str,
+    program: &'a str,
+    budget: u64,
+    spent: u64,
+    call_count: usize,
+}
+
 /// A member of the fleet as a `Node`.
 pub(super) fn node_document(member: &Member) -> Document {
     let update = &member.update;
@@ -55,6 +68,19 @@
     Document::report("Engine", engine.id.to_string(), value(&status))
 }
 
+/// A run in a list as a `Run`, without its calls.
+pub(super) fn run_summary_document(run: &RunSummary) -> Document {
+    let status = RunStatus {
+        phase: run.phase,
+        tenant: run.spec.tenant.as_str(),
+        program: run.spec.program.as_str(),
+        budget: run.spec.budget.0,
+        spent: run.spent.0,
+        call_count: run.calls,
+    };
+    Document::report("Run", run.spec.id.to_string(), value(&status))
+}
+
 /// A run as a `Run`.
 pub(super) fn run_document(run: RunId, view: &RunView) -> Document {
     Document::report("Run", run.to_string(), value(&RunReport::from(view)))
--- a/crates/node/src/operator/respond.rs
+++ b/crates/node/src/operator/respond.rs
@@ -18,7 +18,7 @@
 use super::OperatorHandle;
 use super::body::{json_response, read_body};
 use super::error::error_response;
-use super::report::{engine_document, node_document, run_document};
+use super::report::{engine_document, node_document, run_document, run_summary_document};
 use super::request::{
     Query, Target, expected_revision, method_not_allowed, parse_path, parse_query,
 };
@@ -104,10 +104,7 @@
             }
             Collection::Nodes => ListDocument::new(collection, None, self.nodes().await?),
             Collection::Engines => ListDocument::new(collection, None, self.engines().await?),
-            Collection::Runs => {
-                let message = "runs are read one at a time, by id";
-                return Err(ApiError::new(ErrorCode::MethodNotAllowed, message));
-            }
+            Collection::Runs => ListDocument::new(collection, None, self.runs().await?),
         };
         Ok(json_response(StatusCode::OK, &list))
     }
@@ -243,6 +240,13 @@
         }
     }
 
+    async fn runs(&self) -> Result<Vec<Document>, ApiError> {
+        match self.read(OperatorRequest::Runs).await? {
+            OperatorReply::Runs(runs) => Ok(runs.iter().map(run_summary_document).collect()),
+            _ => Err(unexpected_reply()),
+        }
+    }
+
     async fn run(&self, name: &str) -> Result<Document, ApiError> {
         let run: RunId = name.parse().map_err(|_| not_found(name))?;
         match self.read(OperatorRequest::Run { run }).await? {
--- a/crates/node/tests/operator_api.rs
+++ b/crates/node/tests/operator_api.rs
@@ -344,5 +344,13 @@
     let run: Value = serde_json::from_slice(&body).expect("a document");
     assert_eq!(run["status"]["spent"], 7);
     assert_eq!(run["status"]["phase"], "active");
+
+    let (_, body) = get(&server, "/apis/v1/runs").await;
+    let list: ListDocument = serde_json::from_slice(&body).expect("a list");
+    let status = list.items[0].status.as_ref().expect("it has a status");
+    assert_eq!(
+        (&status["callCount"], &status["tenant"]),
+        (&json!(2), &json!("tenant-1"))
+    );
     server.stop().await;
 }
--- a/crates/node/tests/operator_support/mod.rs
+++ b/crates/node/tests/operator_support/mod.rs
@@ -7,6 +7,7 @@
 use actix_http::{HttpService, Request};
 use actix_server::{Server, ServerHandle};
 use elderworks_control::{Change, Control, ControlBody, Effect, Event, Watches};
+use elderworks_execution::RunSummary;
 use elderworks_node::operator::{
     OperatorBridge, OperatorCommand, OperatorContext, operator_channel, respond,
 };
@@ -165,6 +166,13 @@
             },
             OperatorRequest::Nodes => OperatorReply::Nodes(Vec::new()),
             OperatorRequest::Engines => OperatorReply::Engines(vec![engine()]),
+            OperatorRequest::Runs => OperatorReply::Runs(vec![RunSummary {
+                spec: run_view().spec,
+                phase: RunPhase::Active,
+                started: Timestamp(1),
+                spent: Credits(7),
+                calls: 2,
+            }]),
             OperatorRequest::Run { run } if run == OWN_RUN => {
                 OperatorReply::Run(Some(Box::new(run_view())))
             }
