Pass over call numbers that their sidecar gave up

Ruled out: passing over a missing number after a wait, since a call delayed in the network would be overtaken. Change: SubmitCall carries abandoned_before; the owner accepts the call and refuses the passed-over numbers should they still arrive.

--- a/crates/execution/examples/slopes.rs
+++ b/crates/execution/examples/slopes.rs
@@ -152,6 +152,7 @@
             expected_reuse: None,
         },
         delivered: Delivered::default(),
+        abandoned_before: 0,
         terms: Ok(CallTerms {
             per_prompt_token: Credits(1),
             per_output_token: Credits(2),
--- a/crates/execution/src/event.rs
+++ b/crates/execution/src/event.rs
@@ -54,6 +54,9 @@
         spec: CallSpec,
         /// What the caller already has of the answer.
         delivered: Delivered,
+        /// How many calls directly before it will not be made (any more); those that are not in
+        /// the journal are passed over.
+        abandoned_before: u32,
         /// What the call can cost and how its service behaves; the refusal where no service
         /// offers what it asks for.
         terms: Result<CallTerms, Refusal>,
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -171,6 +171,7 @@
                 run,
                 spec,
                 delivered,
+                abandoned_before,
                 terms,
             } => {
                 let request = intake::CallRequested {
@@ -179,6 +180,7 @@
                     run,
                     spec,
                     delivered,
+                    abandoned_before,
                     terms,
                 };
                 self.on_submit_call(now, request);
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -28,6 +28,7 @@
     pub run: RunId,
     pub spec: CallSpec,
     pub delivered: Delivered,
+    pub abandoned_before: u32,
     pub terms: Result<CallTerms, Refusal>,
 }
 
@@ -207,7 +208,9 @@
     fn attach(&mut self, now: Timestamp, id: CallId, request: &CallRequested) {
         let connection = request.connection;
         if let Some(waiting) = self.soft.queue.get_mut(id) {
-            return waiting.callers.attach(connection, Some(0));
+            waiting.callers.attach(connection, Some(0));
+            waiting.abandoned_before = waiting.abandoned_before.max(request.abandoned_before);
+            return self.advance(now, id.run);
         }
         let Some(work) = self.soft.runs.get_mut(&id.run) else {
             return;
@@ -251,7 +254,7 @@
         if !self.log_reachable {
             return Err(refusal(RefusalReason::LogUnavailable, Some(LOG_RETRY)));
         }
-        if id.number == CallNumber(0) {
+        if id.number < self.next_number(id.run) {
             return Err(refusal(RefusalReason::CallNumberReused, None));
         }
         let terms = request.terms.clone()?;
@@ -267,6 +270,12 @@
         Ok(terms)
     }
 
+    /// The first number of a run that is not used or passed over.
+    fn next_number(&self, run: RunId) -> CallNumber {
+        let state = self.journal.runs.get(&run);
+        state.map_or(CallNumber(1), |state| state.next_number())
+    }
+
     /// Why the run takes no more calls, if it does not.
     pub(super) fn closed_reason(&self, run: RunId) -> Option<RefusalReason> {
         let phase = self.journal.runs.get(&run)?.phase;
@@ -290,6 +299,7 @@
             terms,
             callers,
             received: now,
+            abandoned_before: request.abandoned_before,
             short_since: None,
         };
         let deadline = submission.spec.deadline;
--- a/crates/execution/src/partition/ordering.rs
+++ b/crates/execution/src/partition/ordering.rs
@@ -49,8 +49,7 @@
         if busy || !state.is_active() || state.open_call().is_some() {
             return None;
         }
-        let number = state.next_number();
-        let id = CallId { run, number };
+        let id = self.soft.queue.call_in_turn(run, state.next_number())?;
         let submission = self.soft.queue.get(id)?;
         Some((id, self.judge_turn(now, state, submission)))
     }
@@ -239,9 +238,8 @@
         let Some(work) = self.soft.runs.get(&run) else {
             return;
         };
-        let next = CallId { run, number: next };
         let idle = work.open.is_none() && work.accepting.is_none();
-        if !idle || self.soft.queue.get(next).is_some() {
+        if !idle || self.soft.queue.call_in_turn(run, next).is_some() {
             return;
         }
         let mut overdue: Vec<CallId> = Vec::new();
--- a/crates/execution/src/soft.rs
+++ b/crates/execution/src/soft.rs
@@ -178,6 +178,8 @@
     pub callers: Callers,
     /// When it arrived.
     pub received: Timestamp,
+    /// How many calls directly before it will not be made.
+    pub abandoned_before: u32,
     /// Since when its tenant's allotment keeps it waiting.
     pub short_since: Option<Timestamp>,
 }
--- a/crates/execution/src/soft/queue.rs
+++ b/crates/execution/src/soft/queue.rs
@@ -53,6 +53,14 @@
         range.map(|(call, submission)| (*call, submission))
     }
 
+    /// The call of a run whose turn it is when `next` is the first number not used: that number, or
+    /// one before which all unused numbers are abandoned.
+    pub fn call_in_turn(&self, run: RunId, next: CallNumber) -> Option<CallId> {
+        let (call, submission) = self.of_run(run).find(|(call, _)| call.number >= next)?;
+        let missing = call.number.0 - next.0;
+        (missing <= submission.abandoned_before).then_some(call)
+    }
+
     /// Takes all calls of one run out.
     pub fn take_run(&mut self, run: RunId) -> Vec<(CallId, Submission)> {
         let calls: Vec<CallId> = self.of_run(run).map(|(call, _)| call).collect();
--- a/crates/execution/src/state/apply.rs
+++ b/crates/execution/src/state/apply.rs
@@ -171,7 +171,7 @@
         if !run.is_active() {
             return Err(Inconsistency::Run);
         }
-        let out_of_turn = run.open_call().is_some() || call.spec.number != run.next_number();
+        let out_of_turn = run.open_call().is_some() || call.spec.number < run.next_number();
         if out_of_turn && !faults.no_dedup() {
             return Err(Inconsistency::Order);
         }
--- a/crates/execution/src/state/run.rs
+++ b/crates/execution/src/state/run.rs
@@ -28,7 +28,8 @@
     pub carved: Credits,
     /// Its active sub-agents.
     pub children: BTreeSet<RunId>,
-    /// Its calls in order; only the last can be open.
+    /// Its calls in order of their numbers, some of which may be passed over; only the last can be
+    /// open.
     pub calls: Vec<CallState>,
     /// The messages with which the next prompt may begin.
     pub context: Vec<ContextEntry>,
@@ -61,15 +62,18 @@
         self.phase == RunPhase::Active
     }
 
-    /// The number that its next call must have.
+    /// The smallest number that its next call can have.
     pub fn next_number(&self) -> CallNumber {
-        CallNumber(self.calls.len() as u32 + 1)
+        let last = self.calls.last().map(|call| call.spec.number);
+        last.unwrap_or_default().next()
     }
 
     /// A call by its number.
     pub fn call(&self, number: CallNumber) -> Option<&CallState> {
-        let index = number.0.checked_sub(1)?;
-        self.calls.get(index as usize)
+        let found = self
+            .calls
+            .binary_search_by_key(&number, |call| call.spec.number);
+        self.calls.get(found.ok()?)
     }
 
     /// The open call, if there is one.
--- a/crates/execution/tests/common/build.rs
+++ b/crates/execution/tests/common/build.rs
@@ -115,6 +115,7 @@
         run,
         spec,
         delivered,
+        abandoned_before: 0,
         terms: Ok(terms),
     }
 }
--- a/crates/execution/tests/order.rs
+++ b/crates/execution/tests/order.rs
@@ -67,6 +67,32 @@
     assert_eq!(only_refusal(&mut world), RefusalReason::EarlierCallMissing);
 }
 
+#[test]
+fn numbers_that_their_sidecar_gave_up_are_passed_over() {
+    let mut world = started();
+    let mut third = submit(RUN, model_call(3, 0, "third"));
+    if let Event::SubmitCall {
+        abandoned_before, ..
+    } = &mut third
+    {
+        *abandoned_before = 1;
+    }
+    world.event(0, third.clone());
+    assert!(world.take_dispatches(0).is_empty(), "1 is still awaited");
+    world.event(0, submit(RUN, model_call(1, 0, "first")));
+    finish(&mut world, 1, "ok");
+    world.take_effects(0);
+    let view = world.nodes[0].partition.view(RUN).expect("the run");
+    assert_eq!(view.calls.len(), 2, "2 is passed over");
+    finish(&mut world, 3, "ok");
+    world.take_effects(0);
+    world.event(0, submit(RUN, model_call(2, 0, "late")));
+    assert_eq!(only_refusal(&mut world), RefusalReason::CallNumberReused);
+    world.event(0, third);
+    let outcomes = world.take_outcomes(0);
+    assert!(matches!(outcomes.as_slice(), [(_, Outcome::Completed(_))]));
+}
+
 #[test]
 fn calls_that_wait_are_bounded() {
     let mut world = started();
--- a/crates/lab/src/scale/roles/owner.rs
+++ b/crates/lab/src/scale/roles/owner.rs
@@ -225,6 +225,7 @@
         run,
         spec,
         delivered: Delivered::default(),
+        abandoned_before: 0,
         terms: Ok(terms),
     }
 }
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -244,6 +244,7 @@
                 run,
                 spec,
                 delivered,
+                abandoned_before,
             } => {
                 let program = self.program_of(partition, run);
                 let terms = call_terms(&self.control, program.as_ref(), &spec.request);
@@ -253,6 +254,7 @@
                     run,
                     spec,
                     delivered,
+                    abandoned_before,
                     terms,
                 }
             }
--- a/crates/node-core/tests/node/fixtures.rs
+++ b/crates/node-core/tests/node/fixtures.rs
@@ -128,5 +128,6 @@
             expected_reuse: None,
         },
         delivered: Delivered::default(),
+        abandoned_before: 0,
     }
 }
--- a/crates/node/tests/driver/support.rs
+++ b/crates/node/tests/driver/support.rs
@@ -245,6 +245,7 @@
         run,
         spec,
         delivered: Delivered::default(),
+        abandoned_before: 0,
     }
 }
 
--- a/crates/protocol/src/sidecar.rs
+++ b/crates/protocol/src/sidecar.rs
@@ -29,6 +29,10 @@
         spec: CallSpec,
         /// What of the answer was already delivered to the caller.
         delivered: Delivered,
+        /// How many calls directly before this one the sidecar has given up: it told their callers
+        /// that it cannot know what became of them, and will not ask for them again. Those that
+        /// are not in the journal are passed over.
+        abandoned_before: u32,
     },
     /// The whole answer has reached the caller; its chunks may be forgotten.
     Acknowledge {
--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -301,11 +301,12 @@
         let not_taken = request.surely_not_taken();
         match (key, &request.body) {
             (RequestKey::Call(id), Body::Call(call)) => {
-                let outcome = match not_taken {
-                    true => Outcome::Refused(refusal(RefusalReason::NoNodeReachable)),
-                    false => unresolved(call.spec.repeatable),
-                };
-                self.end_call(id, None, outcome);
+                if not_taken {
+                    let refusal = refusal(RefusalReason::NoNodeReachable);
+                    return self.end_call(id, None, Outcome::Refused(refusal));
+                }
+                let outcome = unresolved(call.spec.repeatable);
+                self.abandon_call(id, outcome);
             }
             (RequestKey::Other(request), Body::StartRun(_)) if not_taken => {
                 let refusal = refusal(RefusalReason::NoNodeReachable);
@@ -370,11 +371,15 @@
     }
 
     fn send_request(&mut self, now: Timestamp, key: RequestKey, to: SocketAddr) {
+        let abandoned_before = match key {
+            RequestKey::Call(call) => self.finished.abandoned_before(call),
+            RequestKey::Other(_) => 0,
+        };
         let Some(request) = self.open.get_mut(&key) else {
             return;
         };
         request.position = Position::Sent { to, heard: now };
-        let message = request.message(key);
+        let message = request.message(key, abandoned_before);
         self.send(to, message);
     }
 
--- a/crates/sidecar-core/src/finished.rs
+++ b/crates/sidecar-core/src/finished.rs
@@ -1,9 +1,9 @@
 //! Calls that ended a short time ago.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hasher};
 
-use elderworks_types::{CallId, CallSpec};
+use elderworks_types::{CallId, CallNumber, CallSpec};
 
 /// Most ended calls remembered.
 pub const REMEMBERED_CALLS: usize = 4096;
@@ -15,6 +15,8 @@
 pub struct FinishedCalls {
     digests: BTreeMap<CallId, u64>,
     order: VecDeque<CallId>,
+    /// Those of them that were given up, their fate unknown.
+    abandoned: BTreeSet<CallId>,
 }
 
 impl FinishedCalls {
@@ -27,9 +29,28 @@
             && let Some(oldest) = self.order.pop_front()
         {
             self.digests.remove(&oldest);
+            self.abandoned.remove(&oldest);
         }
     }
 
+    /// Notes that an ended call was given up.
+    pub fn abandon(&mut self, call: CallId) {
+        if self.digests.contains_key(&call) {
+            self.abandoned.insert(call);
+        }
+    }
+
+    /// How many calls directly before this one were given up.
+    pub fn abandoned_before(&self, call: CallId) -> u32 {
+        let earlier = (1..call.number.0).rev().map(|number| CallId {
+            run: call.run,
+            number: CallNumber(number),
+        });
+        earlier
+            .take_while(|earlier| self.abandoned.contains(earlier))
+            .count() as u32
+    }
+
     /// Whether the call's number was used for something else.
     pub fn conflicts(&self, call: CallId, spec: &CallSpec) -> bool {
         self.digests
--- a/crates/sidecar-core/src/messages.rs
+++ b/crates/sidecar-core/src/messages.rs
@@ -220,7 +220,13 @@
         };
         let outcome = unresolved(open.spec.repeatable);
         self.send(from, SidecarMessage::Acknowledge { call });
-        self.end_call(call, None, outcome);
+        self.abandon_call(call, outcome);
+    }
+
+    /// Ends a call of which nobody could say what became of it.
+    pub(crate) fn abandon_call(&mut self, id: CallId, outcome: Outcome) {
+        self.end_call(id, None, outcome);
+        self.finished.abandon(id);
     }
 
     fn pass_on_rest(&mut self, id: CallId, content: &str) {
--- a/crates/sidecar-core/src/request.rs
+++ b/crates/sidecar-core/src/request.rs
@@ -108,8 +108,9 @@
         self.position = Position::Waiting { retry_at: now };
     }
 
-    /// The message that carries it.
-    pub fn message(&self, key: RequestKey) -> SidecarMessage {
+    /// The message that carries it; `abandoned_before` is how many calls directly before it were
+    /// given up.
+    pub fn message(&self, key: RequestKey, abandoned_before: u32) -> SidecarMessage {
         let run = self.run;
         match &self.body {
             Body::Call(call) => SidecarMessage::SubmitCall {
@@ -117,6 +118,7 @@
                 run,
                 spec: call.spec.clone(),
                 delivered: call.delivery.progress(),
+                abandoned_before,
             },
             Body::StartRun(spec) => SidecarMessage::StartRun { spec: spec.clone() },
             Body::ReadRun { tenant } => SidecarMessage::ReadRun {
--- a/crates/sidecar-core/tests/core/calls.rs
+++ b/crates/sidecar-core/tests/core/calls.rs
@@ -237,6 +237,28 @@
     }
 }
 
+#[test]
+fn the_next_call_says_that_the_one_before_was_given_up() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(false, None));
+    bench.event(Event::Disconnected { address: node_a() });
+    bench.pass(Duration::from_secs(1));
+    bench.say_located(node_b(), node_b());
+    bench.receive(node_b(), ended(refused(RefusalReason::DeadlinePassed)));
+    assert_eq!(bench.outcomes(1).len(), 1, "nobody could say");
+    let mut second = call_spec(false, None);
+    second.number = CallNumber(2);
+    bench.call(2, second);
+    let (_, last) = bench.sent.last().expect("the second call");
+    assert!(matches!(
+        last,
+        SidecarMessage::SubmitCall {
+            abandoned_before: 1,
+            ..
+        }
+    ));
+}
+
 #[test]
 fn a_late_refusal_of_a_left_node_is_ignored() {
     let mut bench = Bench::located(node_a());
