--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -5,6 +5,8 @@
 //! outside this crate and the ones that it composes.
 
 mod assignment;
+mod attempt_reports;
+mod configuration;
 mod control_plane;
 pub mod core;
 pub mod counters;
@@ -13,13 +15,14 @@
 pub mod effect;
 mod engines;
 pub mod event;
-mod least_loaded;
+mod loading;
 mod operator;
 mod ownership;
 mod partitions;
 mod peers;
 mod services;
 mod sidecars;
+mod snapshot_search;
 mod step;
 mod streams;
 
