--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -179,6 +179,7 @@
                 run,
                 spec,
                 delivered,
+                abandoned_before,
                 terms,
             } => {
                 let request = intake::CallRequested {
@@ -187,6 +188,7 @@
                     run,
                     spec,
                     delivered,
+                    abandoned_before,
                     terms,
                 };
                 self.on_submit_call(now, request);
