--- a/crates/lab/src/scale/fleet/mod.rs
+++ b/crates/lab/src/scale/fleet/mod.rs
@@ -134,6 +134,7 @@
     pub log_reads: u64,
     queue: BinaryHeap<Reverse<Scheduled>>,
     scheduled: u64,
+    restarts: u64,
     random: ChaCha8Rng,
 }
 
@@ -154,6 +155,7 @@
             log_reads: 0,
             queue: BinaryHeap::new(),
             scheduled: 0,
+            restarts: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
         };
         for node in 0..nodes {
@@ -182,6 +184,14 @@
         }
     }
 
+    /// Starts a node anew if it was killed.
+    pub fn restart_if_dead(&mut self, node: usize) {
+        if self.nodes[node].is_none() {
+            self.restarts += 1;
+            self.start(node, 1 + self.restarts);
+        }
+    }
+
     fn settings(&self, node: usize, incarnation: u64) -> MembershipSettings {
         let layout = self.layout;
         MembershipSettings {
@@ -282,7 +292,9 @@
         let Ok(datagram) = decoded else {
             return;
         };
-        let within_cell = datagram.cell == self.layout.cell_name(node);
+        let sender = self.layout.node_at(from);
+        let within_cell =
+            sender.is_some_and(|from| self.layout.cell(from) == self.layout.cell(node));
         let parts = DatagramParts::of(&datagram, bytes.len(), within_cell);
         if let Some(hollow) = &mut self.nodes[node] {
             hollow.traffic.count_parts(&parts);
--- a/crates/lab/src/scale/roles/mod.rs
+++ b/crates/lab/src/scale/roles/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod owner;
+pub mod placement;
 pub mod sidecar;
 
 use serde::Serialize;
--- a/crates/membership/src/detector/mod.rs
+++ b/crates/membership/src/detector/mod.rs
@@ -160,7 +160,7 @@
 
     /// Where this node should take control records from now.
     pub fn control_source(&self, now: Timestamp) -> ControlSource {
-        let is_reader = self.bears(Duty::ControlReader, CONTROL_READERS_PER_CELL);
+        let is_reader = self.reads_control_for_cell();
         let failed_by_peers = self.control.behind_for(now) >= CONTROL_PATIENCE;
         let alone = self.other_reachable().next().is_none();
         if is_reader || failed_by_peers || alone {
@@ -185,6 +185,22 @@
         self.table.refused() + self.cells.refused()
     }
 
+    /// Relays have enough to do: the readers are chosen among the other members where there are any.
+    fn reads_control_for_cell(&self) -> bool {
+        let relays = bearers_of(Duty::Relay, RELAYS_PER_CELL, self.eligible_owners());
+        let others: Vec<&NodeId> = self
+            .eligible_owners()
+            .filter(|node| !relays.contains(node))
+            .collect();
+        let candidates = if others.is_empty() { relays } else { others };
+        let readers = bearers_of(
+            Duty::ControlReader,
+            CONTROL_READERS_PER_CELL,
+            candidates.into_iter(),
+        );
+        readers.contains(&&self.settings.node)
+    }
+
     fn bears(&self, duty: Duty, count: usize) -> bool {
         bearers_of(duty, count, self.eligible_owners()).contains(&&self.settings.node)
     }
