--- /dev/null
+++ b/crates/lab/benches/decisions/main.rs
@@ -0,0 +1,25 @@
+//! Hot decisions over growing sizes.
+
+mod gossip;
+mod journal;
+mod place;
+
+use std::time::Duration;
+
+use criterion::Criterion;
+
+const SAMPLES: usize = 20;
+const MEASUREMENT: Duration = Duration::from_secs(2);
+const WARM_UP: Duration = Duration::from_millis(500);
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .sample_size(SAMPLES)
+        .measurement_time(MEASUREMENT)
+        .warm_up_time(WARM_UP)
+        .configure_from_args();
+    gossip::gossip_tick(&mut criterion);
+    place::place(&mut criterion);
+    journal::admit_and_journal(&mut criterion);
+    criterion.final_summary();
+}
