Share one client of the callers' interface between demo, load and tests

Cause: the demo and the load experiment each read the interface in their own way, and the demo's calls were not streamed. Ruled out: a crate of its own for the client, as long as only workspace members use it. Change: wire types and a streaming client in elderworks-sidecar, used on both sides; the demo streams its drafts; the copies of resource files are named after their fleet; property tests of the delivery with a fixed seed.

--- a/crates/cli/src/demo/caller.rs
+++ b/crates/cli/src/demo/caller.rs
@@ -1,103 +1,29 @@
-//! A caller of the sidecar's HTTP interface.
+//! A caller that reports each of its calls.
 
-use std::time::Duration;
-
-use awc::http::Method;
-use elderworks_types::{CallNumber, Credits, Message, Role, RunId, Tokens};
-use eyre::{WrapErr, eyre};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use elderworks_sidecar::client::{AnswerEvent, CallerClient};
+use elderworks_sidecar::wire::{CallBody, CompletedCall, StartRunBody, WireMessage, WireRun};
+use elderworks_types::{Credits, Message, ResourceName, Role, RunId};
+use eyre::eyre;
+use serde_json::Value;
 
 use super::report::Report;
 use super::system::MODEL;
 
-/// Longest wait for one answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(120);
-
 /// Most tokens of one draft.
 const MAX_OUTPUT: u64 = 160;
 
 /// A caller with the token of its tenant.
 #[derive(Clone)]
 pub struct Caller {
-    base_url: String,
-    bearer: String,
-    client: awc::Client,
+    client: CallerClient,
     report: Report,
 }
 
-#[derive(Deserialize)]
-struct Started {
-    id: RunId,
-}
-
-/// A whole answer.
-#[derive(Debug, Deserialize)]
-pub struct Answered {
-    /// The call's place in its run.
-    pub number: CallNumber,
-    /// Its text.
-    pub content: String,
-}
-
-/// A run as its caller reads it.
-#[derive(Debug, Deserialize)]
-pub struct RunState {
-    /// Where it stands.
-    pub phase: String,
-    /// Most that it may spend.
-    pub budget: Credits,
-    /// What it has spent, its sub-agents included.
-    pub spent: Credits,
-    /// What open calls may still cost.
-    pub reserved: Credits,
-    /// Its calls in order.
-    pub calls: Vec<CallState>,
-}
-
-/// A call as its caller reads it.
-#[derive(Debug, Deserialize)]
-pub struct CallState {
-    /// Its place in the run.
-    pub number: CallNumber,
-    /// Model or tool.
-    pub target: String,
-    /// `completed`, or what became of it.
-    pub state: String,
-    /// What it cost.
-    pub cost: Option<Credits>,
-    /// Tokens of its prompt.
-    pub prompt_tokens: Option<Tokens>,
-    /// Of those, tokens found in the engine's cache.
-    pub cached_tokens: Option<Tokens>,
-    /// Each attempt.
-    pub attempts: Vec<AttemptState>,
-    /// Time from its arrival to its first attempt.
-    pub waited_ms: Option<u64>,
-    /// Time from its arrival to its end.
-    pub took_ms: Option<u64>,
-}
-
-/// An attempt as its caller reads it.
-#[derive(Debug, Deserialize)]
-pub struct AttemptState {
-    /// Where it ran, for a model call.
-    pub engine: Option<String>,
-}
-
-#[derive(Deserialize)]
-struct History {
-    messages: Vec<Message>,
-}
-
 impl Caller {
     /// A caller of the sidecar at `base_url`.
-    pub fn new(base_url: String, token: &str, report: Report) -> Self {
+    pub fn new(base_url: &str, token: &str, report: Report) -> Self {
         Self {
-            base_url,
-            bearer: format!("Bearer {token}"),
-            client: awc::Client::builder().timeout(ANSWER_TIMEOUT).finish(),
+            client: CallerClient::new(base_url, token),
             report,
         }
     }
@@ -109,31 +35,48 @@
         budget: u64,
         parent: Option<RunId>,
     ) -> eyre::Result<RunId> {
-        let body = json!({ "program": program, "budget": budget, "parent": parent });
-        let started: Started = self.send(Method::POST, "/v1/runs", Some(&body)).await?;
-        self.report.run_started(started.id, program, budget);
-        Ok(started.id)
+        let body = StartRunBody {
+            program: ResourceName::new(program),
+            budget: Some(Credits(budget)),
+            deadline_ms: None,
+            parent,
+        };
+        let run = self.client.start_run(&body).await?;
+        self.report.run_started(run, program, budget);
+        Ok(run)
     }
 
-    /// Asks the model.
-    pub async fn ask(&self, run: RunId, messages: &[(Role, &str)]) -> eyre::Result<Answered> {
-        let messages: Vec<Message> = messages
+    /// Asks the model; the answer is streamed, and its pieces must join to the whole.
+    pub async fn ask(&self, run: RunId, messages: &[(Role, &str)]) -> eyre::Result<String> {
+        let messages = messages
             .iter()
-            .map(|(role, content)| Message::new(*role, *content))
+            .map(|(role, content)| WireMessage::new(*role, *content))
             .collect();
-        let model = json!({ "name": MODEL, "messages": messages, "max_output": MAX_OUTPUT });
-        self.call(run, json!({ "model": model })).await
+        let mut body = CallBody::ask(MODEL, messages, MAX_OUTPUT);
+        body.stream = true;
+        let mut pieces = 0;
+        let mut streamed = String::new();
+        let take = |event: AnswerEvent<'_>| match event {
+            AnswerEvent::Piece(text) => {
+                pieces += 1;
+                streamed.push_str(text);
+            }
+            AnswerEvent::Restarted => streamed.clear(),
+        };
+        let answer = self.client.stream(run, &body, take).await?;
+        if streamed != answer.content {
+            return Err(eyre!(
+                "the pieces of call {} are not the whole",
+                answer.number
+            ));
+        }
+        self.ended(&answer, pieces).await?;
+        Ok(answer.content)
     }
 
     /// Uses a tool that may be asked twice.
-    pub async fn look_up(
-        &self,
-        run: RunId,
-        tool: &str,
-        arguments: Value,
-    ) -> eyre::Result<Answered> {
-        let tool = json!({ "name": tool, "arguments": arguments });
-        self.call(run, json!({ "tool": tool, "repeatable": true }))
+    pub async fn look_up(&self, run: RunId, tool: &str, arguments: Value) -> eyre::Result<String> {
+        self.use_tool(run, &CallBody::invoke(tool, arguments, true))
             .await
     }
 
@@ -144,70 +87,40 @@
         tool: &str,
         arguments: Value,
         idempotency_key: &str,
-    ) -> eyre::Result<Answered> {
-        let tool = json!({ "name": tool, "arguments": arguments });
-        let body = json!({
-            "tool": tool,
-            "repeatable": false,
-            "idempotency_key": idempotency_key,
-        });
-        self.call(run, body).await
+    ) -> eyre::Result<String> {
+        let mut body = CallBody::invoke(tool, arguments, false);
+        body.idempotency_key = Some(idempotency_key.to_owned());
+        self.use_tool(run, &body).await
     }
 
-    async fn call(&self, run: RunId, body: Value) -> eyre::Result<Answered> {
-        let path = format!("/v1/runs/{run}/calls");
-        let answered: Answered = self.send(Method::POST, &path, Some(&body)).await?;
-        let state = self.read(run).await?;
-        let call = state
-            .calls
-            .iter()
-            .find(|call| call.number == answered.number);
-        let call = call.ok_or_else(|| eyre!("call {} is not in its run", answered.number))?;
-        self.report.call(run, call);
-        Ok(answered)
+    async fn use_tool(&self, run: RunId, body: &CallBody) -> eyre::Result<String> {
+        let answer = self.client.call(run, body).await?;
+        self.ended(&answer, 0).await?;
+        Ok(answer.content)
+    }
+
+    async fn ended(&self, answer: &CompletedCall, pieces: u32) -> eyre::Result<()> {
+        let number = answer.number;
+        let state = self.client.read_run(answer.run).await?;
+        let call = state.calls.iter().find(|call| call.number == number);
+        let call = call.ok_or_else(|| eyre!("call {number} is not in its run"))?;
+        self.report.call(answer.run, call, pieces);
+        Ok(())
     }
 
     /// Reads a run.
-    pub async fn read(&self, run: RunId) -> eyre::Result<RunState> {
-        self.send(Method::GET, &format!("/v1/runs/{run}"), None::<&Value>)
-            .await
+    pub async fn read(&self, run: RunId) -> eyre::Result<WireRun> {
+        Ok(self.client.read_run(run).await?)
     }
 
     /// Reads a run's history.
     pub async fn history(&self, run: RunId) -> eyre::Result<Vec<Message>> {
-        let path = format!("/v1/runs/{run}/history");
-        let history: History = self.send(Method::GET, &path, None::<&Value>).await?;
-        Ok(history.messages)
+        Ok(self.client.history(run).await?)
     }
 
     /// Ends a run.
     pub async fn end_run(&self, run: RunId) -> eyre::Result<()> {
-        let path = format!("/v1/runs/{run}");
-        let _: Value = self.send(Method::DELETE, &path, None::<&Value>).await?;
+        self.client.end_run(run).await?;
         Ok(())
     }
-
-    async fn send<T: DeserializeOwned>(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<&impl Serialize>,
-    ) -> eyre::Result<T> {
-        let url = format!("{}{path}", self.base_url);
-        let request = self
-            .client
-            .request(method, url)
-            .insert_header(("authorization", self.bearer.as_str()));
-        let sending = match body {
-            Some(body) => request.send_json(body),
-            None => request.send(),
-        };
-        let mut response = sending.await.map_err(|error| eyre!("{path}: {error}"))?;
-        let bytes = response.body().await.wrap_err("the answer broke off")?;
-        if !response.status().is_success() {
-            let text = String::from_utf8_lossy(&bytes);
-            eyre::bail!("{path}: {}: {text}", response.status());
-        }
-        serde_json::from_slice(&bytes).wrap_err_with(|| format!("{path}: not as documented"))
-    }
 }
--- a/crates/cli/src/demo/checks.rs
+++ b/crates/cli/src/demo/checks.rs
@@ -1,6 +1,6 @@
 //! Whether everything was as expected.
 
-use elderworks_types::Role;
+use elderworks_types::{Role, RunPhase};
 use eyre::eyre;
 use serde::Deserialize;
 
@@ -50,7 +50,7 @@
         );
         self.expect(
             format!("{program}: the run has ended"),
-            state.phase == "ended",
+            state.phase == RunPhase::Ended,
         );
         self.expect(
             format!("{program}: spent within its budget, nothing left reserved"),
@@ -70,7 +70,7 @@
             let state = caller.read(*child).await?;
             self.expect(
                 format!("{child}: the run has ended"),
-                state.phase == "ended",
+                state.phase == RunPhase::Ended,
             );
         }
         Ok(())
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -38,10 +38,10 @@
     for name in operator::apply_examples(&system).await? {
         report.applied(&name);
     }
-    let lublin = Caller::new(system.sidecar_url(), LUBLIN_TOKEN, report.clone());
+    let lublin = Caller::new(&system.sidecar_url(), LUBLIN_TOKEN, report.clone());
     report.heading("Boundary correction (lublin)");
     let correction = programs::boundary_correction(&lublin).await?;
-    let ulaanbaatar = Caller::new(system.sidecar_url(), ULAANBAATAR_TOKEN, report.clone());
+    let ulaanbaatar = Caller::new(&system.sidecar_url(), ULAANBAATAR_TOKEN, report.clone());
     report.heading("Weekly menu (ulaanbaatar)");
     let menu = programs::weekly_menu(&ulaanbaatar).await?;
     let mut checks = Checks::new(system.tool_url());
--- a/crates/cli/src/demo/programs.rs
+++ b/crates/cli/src/demo/programs.rs
@@ -57,13 +57,13 @@
     let review = caller
         .ask(run, &[(Role::User, "Shorten it to what the agency needs.")])
         .await?;
-    let correction = json!({ "parcel": "061802_2.0007.114/3", "text": review.content });
+    let correction = json!({ "parcel": "061802_2.0007.114/3", "text": review });
     let key = format!("{run}-submission");
     let receipt = caller
         .submit(run, "claim-submission", correction, &key)
         .await?;
     caller.end_run(run).await?;
-    let answers = [extract, draft, review, receipt].map(|answered| answered.content);
+    let answers = [extract, draft, review, receipt];
     Ok(Played {
         program,
         run,
@@ -87,7 +87,7 @@
             ],
         )
         .await?;
-    let days = DAYS.map(|day| plan_day(caller, run, day, &sheet.content));
+    let days = DAYS.map(|day| plan_day(caller, run, day, &sheet));
     let days = try_join_all(days).await?;
     let (children, plans): (Vec<RunId>, Vec<String>) = days.into_iter().unzip();
     let joined = plans.join("\n");
@@ -97,11 +97,11 @@
             &[(Role::User, &format!("Check the week as a whole:\n{joined}"))],
         )
         .await?;
-    let order = json!({ "ward": "east", "week": 49, "menu": summary.content });
+    let order = json!({ "ward": "east", "week": 49, "menu": summary });
     let key = format!("{run}-order");
     let receipt = caller.submit(run, "diet-order", order, &key).await?;
     caller.end_run(run).await?;
-    let answers = [sheet, outline, summary, receipt].map(|answered| answered.content);
+    let answers = [sheet, outline, summary, receipt];
     Ok(Played {
         program,
         run,
@@ -127,9 +127,9 @@
             &[(Role::System, &instructions), (Role::User, &question)],
         )
         .await?;
-    if plan.content.is_empty() {
+    if plan.is_empty() {
         return Err(eyre!("the plan for {day} is empty"));
     }
     caller.end_run(run).await?;
-    Ok((run, plan.content))
+    Ok((run, plan))
 }
--- a/crates/cli/src/demo/report.rs
+++ b/crates/cli/src/demo/report.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use elderworks_sidecar::wire::WireCall;
 use elderworks_types::{Credits, RunId, Tokens};
 
-use super::caller::CallState;
 use super::checks::CheckResult;
 use super::programs::Played;
 
@@ -61,7 +61,7 @@
     }
 
     /// A call ended.
-    pub fn call(&self, run: RunId, call: &CallState) {
+    pub fn call(&self, run: RunId, call: &WireCall, pieces: u32) {
         let mut totals = self.totals.borrow_mut();
         let total = totals.entry(run.root).or_default();
         total.calls += 1;
@@ -77,7 +77,7 @@
             place(call),
             call.waited_ms.unwrap_or_default(),
             call.took_ms.unwrap_or_default(),
-            reuse(call),
+            reuse(call, pieces),
             call.cost.unwrap_or_default(),
         );
     }
@@ -111,19 +111,22 @@
     format!("{:04x}", id >> 48)
 }
 
-fn place(call: &CallState) -> &str {
+fn place(call: &WireCall) -> &str {
     let engine = call
         .attempts
         .last()
-        .and_then(|attempt| attempt.engine.as_deref());
-    engine.unwrap_or("tool")
+        .and_then(|attempt| attempt.engine.as_ref());
+    engine.map_or("tool", |engine| engine.as_str())
 }
 
-fn reuse(call: &CallState) -> String {
+fn reuse(call: &WireCall, pieces: u32) -> String {
     match (call.cached_tokens, call.prompt_tokens) {
         (Some(cached), Some(prompt)) if prompt.0 > 0 => {
-            format!("reused {:>4} of {:>4} tokens", cached.0, prompt.0)
+            format!(
+                "{pieces:>3} pieces, reused {:>4} of {:>4} tokens",
+                cached.0, prompt.0
+            )
         }
-        _ => "no prompt                 ".to_owned(),
+        _ => "not streamed, no prompt".to_owned(),
     }
 }
--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -34,7 +34,7 @@
     tool: Process,
     engines: Vec<Process>,
     machines: Process,
-    _log: Process,
+    log: Process,
     client: awc::Client,
 }
 
@@ -58,7 +58,7 @@
             tool,
             engines,
             machines,
-            _log: log,
+            log,
             client: awc::Client::default(),
         };
         fleet.list_machines().await;
@@ -221,7 +221,9 @@
         }
         text = text.replace("127.0.0.1:7600", &self.tool.listening().to_string());
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let copy = directory.join(format!("{name}-{}.yaml", std::process::id()));
+        // Fleets of several tests run at the same time; the log's port tells them apart.
+        let fleet = self.log.listening().port();
+        let copy = directory.join(format!("{name}-{fleet}.yaml"));
         std::fs::write(&copy, text).expect("the directory is writable");
         copy
     }
--- a/crates/lab/src/load/figures.rs
+++ b/crates/lab/src/load/figures.rs
@@ -84,7 +84,7 @@
     pub fn add(&mut self, record: ProgramRecord) {
         match record.error {
             None => self.programs.add(record.duration),
-            Some(error) => *self.errors.entry(error.0).or_default() += 1,
+            Some(error) => *self.errors.entry(error.code().to_owned()).or_default() += 1,
         }
         for call in record.calls {
             self.calls.add(call.duration);
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -3,7 +3,6 @@
 //! Programs arrive at random times that do not depend on how the system copes. Latency counts from
 //! the intended start, so that a system that falls behind cannot hide it.
 
-mod client;
 mod figures;
 mod plan;
 mod program;
@@ -14,11 +13,12 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+use elderworks_sidecar::client::CallerClient;
+use elderworks_types::ResourceName;
 use eyre::WrapErr;
 use futures_util::future::join_all;
 
 use crate::command_line::Load;
-use client::CallerClient;
 use figures::Figures;
 use plan::{LoadPlan, PlannedProgram};
 
@@ -39,7 +39,8 @@
     let seed = options.seed.unwrap_or(DEFAULT_SEED);
     let plan = LoadPlan::new(rate, runs, seed);
     let clients = clients(&options);
-    let figures = actix_rt::System::new().block_on(drive(plan, clients));
+    let program = ResourceName::new(options.program.as_deref().unwrap_or(DEFAULT_PROGRAM));
+    let figures = actix_rt::System::new().block_on(drive(plan, clients, &program));
     report::print(&figures, rate, seed);
     if let Some(file) = &options.json {
         let json = report::to_json(&figures, rate, seed)?;
@@ -53,7 +54,6 @@
 
 fn clients(options: &Load) -> Vec<CallerClient> {
     let token = options.token.as_deref().unwrap_or(DEFAULT_TOKEN);
-    let program = options.program.as_deref().unwrap_or(DEFAULT_PROGRAM);
     let default_targets = [DEFAULT_TARGET.to_owned()];
     let targets = match options.target.as_slice() {
         [] => default_targets.as_slice(),
@@ -61,15 +61,15 @@
     };
     targets
         .iter()
-        .map(|target| CallerClient::new(target, token, program))
+        .map(|target| CallerClient::new(target, token))
         .collect()
 }
 
 /// Starts every program at its time and waits for all of them.
-async fn drive(plan: LoadPlan, clients: Vec<CallerClient>) -> Figures {
+async fn drive(plan: LoadPlan, clients: Vec<CallerClient>, program: &ResourceName) -> Figures {
     let started = Instant::now();
-    let programs = plan.programs.into_iter().zip(clients.iter().cycle());
-    let running = programs.map(|(program, client)| play_at(started, program, client));
+    let arrivals = plan.programs.into_iter().zip(clients.iter().cycle());
+    let running = arrivals.map(|(planned, client)| play_at(started, client, program, planned));
     let mut figures = Figures::new();
     for record in join_all(running).await {
         figures.add(record);
@@ -80,10 +80,11 @@
 
 async fn play_at(
     started: Instant,
-    program: PlannedProgram,
     client: &CallerClient,
+    program: &ResourceName,
+    planned: PlannedProgram,
 ) -> program::ProgramRecord {
-    let intended = started + program.start;
+    let intended = started + planned.start;
     actix_rt::time::sleep_until(intended.into()).await;
-    program::play(client, &program, intended).await
+    program::play(client, program, &planned, intended).await
 }
--- a/crates/lab/src/load/program.rs
+++ b/crates/lab/src/load/program.rs
@@ -2,9 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use super::client::{CallError, CallerClient};
+use elderworks_sidecar::client::{AnswerEvent, CallerClient, ClientError};
+use elderworks_sidecar::wire::{CallBody, StartRunBody, WireMessage};
+use elderworks_types::{ResourceName, Role, RunId};
+
 use super::plan::{PlannedProgram, PlannedTurn};
 
+/// The model of the example resources.
+const MODEL: &str = "drafting-8b";
+
 /// What became of one call.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
@@ -28,17 +34,18 @@
     /// Calls that were answered.
     pub calls: Vec<CallRecord>,
     /// Why it broke off, if it did.
-    pub error: Option<CallError>,
+    pub error: Option<ClientError>,
 }
 
 /// Runs a program that should have started at `intended`.
 pub async fn play(
     client: &CallerClient,
-    program: &PlannedProgram,
+    program: &ResourceName,
+    plan: &PlannedProgram,
     intended: Instant,
 ) -> ProgramRecord {
-    let mut calls = Vec::with_capacity(program.turns.len());
-    let result = play_turns(client, program, &mut calls).await;
+    let mut calls = Vec::with_capacity(plan.turns.len());
+    let result = play_turns(client, program, plan, &mut calls).await;
     ProgramRecord {
         duration: intended.elapsed(),
         calls,
@@ -48,28 +55,61 @@
 
 async fn play_turns(
     client: &CallerClient,
-    program: &PlannedProgram,
+    program: &ResourceName,
+    plan: &PlannedProgram,
     calls: &mut Vec<CallRecord>,
-) -> Result<(), CallError> {
-    let run = client.start_run().await?;
-    for turn in &program.turns {
-        calls.push(play_turn(client, &run, turn).await?);
+) -> Result<(), ClientError> {
+    let start = StartRunBody {
+        program: program.clone(),
+        budget: None,
+        deadline_ms: None,
+        parent: None,
+    };
+    let run = client.start_run(&start).await?;
+    for turn in &plan.turns {
+        calls.push(play_turn(client, run, turn).await?);
     }
-    client.end_run(&run).await
+    client.end_run(run).await?;
+    Ok(())
 }
 
 async fn play_turn(
     client: &CallerClient,
-    run: &str,
+    run: RunId,
     turn: &PlannedTurn,
-) -> Result<CallRecord, CallError> {
+) -> Result<CallRecord, ClientError> {
+    let message = WireMessage::new(Role::User, turn.prompt.as_str());
+    let mut body = CallBody::ask(MODEL, vec![message], turn.max_output);
+    body.stream = true;
     let sent = Instant::now();
-    let answer = client.ask(run, &turn.prompt, turn.max_output).await?;
+    let mut received = Received::default();
+    let answer = client
+        .stream(run, &body, |event| received.take(event))
+        .await?;
     Ok(CallRecord {
-        first_piece: answer.first_piece.map(|first| first.duration_since(sent)),
+        first_piece: received.first.map(|first| first.duration_since(sent)),
         duration: sent.elapsed(),
-        is_whole: answer.is_whole,
-        prompt_tokens: answer.prompt_tokens,
-        cached_tokens: answer.cached_tokens,
+        is_whole: received.text == answer.content,
+        prompt_tokens: answer.usage.prompt_tokens.0,
+        cached_tokens: answer.usage.cached_tokens.0,
     })
 }
+
+/// The pieces of one answer.
+#[derive(Debug, Default)]
+struct Received {
+    first: Option<Instant>,
+    text: String,
+}
+
+impl Received {
+    fn take(&mut self, event: AnswerEvent<'_>) {
+        match event {
+            AnswerEvent::Piece(text) => {
+                self.first.get_or_insert_with(Instant::now);
+                self.text.push_str(text);
+            }
+            AnswerEvent::Restarted => self.text.clear(),
+        }
+    }
+}
--- a/crates/sidecar-core/tests/core/main.rs
+++ b/crates/sidecar-core/tests/core/main.rs
@@ -2,4 +2,5 @@
 
 mod bench;
 mod calls;
+mod delivery;
 mod runs;
--- a/crates/sidecar/src/http/calls.rs
+++ b/crates/sidecar/src/http/calls.rs
@@ -10,8 +10,8 @@
 
 use super::call_request::{CallDraft, OpenCall, Step, check_run, submit};
 use super::error::ApiError;
-use super::run_wire::{CallBody, CompletedCall, ModelBody, Piece, ToolBody};
 use super::{ApiResult, App, auth, body, json, runs, sse};
+use crate::wire::{CallBody, CompletedCall, ModelBody, Piece, ToolBody};
 
 /// Most tokens generated where a caller sets no limit.
 pub const DEFAULT_MAX_OUTPUT: Tokens = Tokens(1024);
@@ -104,7 +104,7 @@
 
 fn event(call: &OpenCall, step: Step) -> Bytes {
     match step {
-        Step::Piece(text) => sse::event("chunk", &to_json(&Piece { text: &text })),
+        Step::Piece(text) => sse::event("chunk", &to_json(&Piece { text })),
         Step::Restarted => sse::event("restarted", "{}"),
         Step::Ended(result) => match result {
             Ok(answer) => {
--- a/crates/sidecar/src/http/error.rs
+++ b/crates/sidecar/src/http/error.rs
@@ -6,25 +6,13 @@
 use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{Response, StatusCode};
 use elderworks_types::{FailureReason, Outcome, Refusal, RefusalReason, UnknownReason};
-use serde::Serialize;
 
 use crate::core_client::{StartError, Unreachable};
+use crate::wire::{ErrorBody, ErrorFields, WasRun};
 
 /// Tells OpenAI's own clients not to repeat a request by themselves.
 const SHOULD_RETRY: &str = "x-should-retry";
 
-/// Whether what was asked for was run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum WasRun {
-    /// Surely not, now or later.
-    No,
-    /// Yes.
-    Yes,
-    /// It cannot be known.
-    Unknown,
-}
-
 /// An error as callers see it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ApiError {
@@ -35,20 +23,6 @@
     retry_after: Option<Duration>,
 }
 
-#[derive(Serialize)]
-struct ErrorBody<'a> {
-    error: ErrorFields<'a>,
-}
-
-#[derive(Serialize)]
-struct ErrorFields<'a> {
-    code: &'static str,
-    message: &'a str,
-    run: WasRun,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    retry_after_ms: Option<u64>,
-}
-
 impl ApiError {
     /// A mistake in the request itself: nothing was run.
     pub fn request(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
@@ -136,8 +110,8 @@
         let retry_after_ms = self.retry_after.map(|wait| wait.as_millis() as u64);
         let body = ErrorBody {
             error: ErrorFields {
-                code: self.code,
-                message: &self.message,
+                code: self.code.to_owned(),
+                message: self.message.clone(),
                 run: self.run,
                 retry_after_ms,
             },
--- a/crates/sidecar/src/http/runs.rs
+++ b/crates/sidecar/src/http/runs.rs
@@ -8,9 +8,9 @@
 
 use super::call_request::check_run;
 use super::error::ApiError;
-use super::run_wire::{EndedRun, StartRunBody, StartedRun, WireHistory, WireRun};
 use super::{ApiResult, App, auth, body, json};
 use crate::driver::now;
+use crate::wire::{EndedRun, StartRunBody, StartedRun, WireHistory, WireRun};
 
 /// Stands for "as much as the program allows".
 const PROGRAM_BUDGET: Credits = Credits(u64::MAX);
--- a/crates/sidecar/src/http/watch.rs
+++ b/crates/sidecar/src/http/watch.rs
@@ -7,8 +7,8 @@
 use elderworks_types::{RunId, RunPhase, TenantId};
 use futures_util::{Stream, stream};
 
-use super::run_wire::WireRun;
 use super::{ApiResult, App, auth, runs, sse};
+use crate::wire::WireRun;
 
 /// How often the owner is asked.
 const READ_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,5 +1,7 @@
-//! The sidecar process: callers' HTTP interface and the driver around sidecar-core.
+//! The sidecar process: callers' HTTP interface and the driver around sidecar-core; and a client of
+//! that interface.
 
+pub mod client;
 mod connection;
 mod core_client;
 mod driver;
@@ -7,5 +9,6 @@
 mod known_runs;
 mod metrics;
 mod process;
+pub mod wire;
 
 pub use process::{SidecarHandle, start};
--- a/crates/sidecar/src/http/run_wire.rs
+++ b/crates/sidecar/src/wire.rs
@@ -1,4 +1,4 @@
-//! JSON forms of runs and calls.
+//! JSON forms of the run resource and of errors, shared by the interface and its client.
 
 use std::time::Duration;
 
@@ -9,10 +9,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::error::ApiError;
+use crate::http::error::ApiError;
 
 /// Body of `POST /v1/runs`.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StartRunBody {
     /// Name of the `Program` resource.
@@ -26,14 +26,14 @@
 }
 
 /// Answer to `POST /v1/runs`.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StartedRun {
     /// The run's id.
     pub id: RunId,
 }
 
 /// Body of `POST /v1/runs/{id}/calls`: either `model` or `tool`.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CallBody {
     /// A call to a model.
@@ -56,7 +56,7 @@
 }
 
 /// A call to a model.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelBody {
     /// The model.
@@ -70,7 +70,7 @@
 }
 
 /// A call to a tool.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ToolBody {
     /// The tool.
@@ -80,7 +80,7 @@
 }
 
 /// One message.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WireMessage {
     /// Who said it.
@@ -89,6 +89,16 @@
     pub content: String,
 }
 
+impl WireMessage {
+    /// A message.
+    pub fn new(role: Role, content: impl Into<String>) -> Self {
+        Self {
+            role,
+            content: content.into(),
+        }
+    }
+}
+
 impl From<WireMessage> for Message {
     fn from(message: WireMessage) -> Self {
         Message::new(message.role, message.content)
@@ -96,22 +106,56 @@
 }
 
 /// Tokens consumed.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct WireUsage {
-    prompt_tokens: Tokens,
-    cached_tokens: Tokens,
-    output_tokens: Tokens,
+    /// Tokens in the prompt.
+    pub prompt_tokens: Tokens,
+    /// Of those, how many were found in the engine's prefix cache.
+    pub cached_tokens: Tokens,
+    /// Tokens generated.
+    pub output_tokens: Tokens,
 }
 
 /// A completed call.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CompletedCall {
-    run: RunId,
-    number: CallNumber,
+    /// The run.
+    pub run: RunId,
+    /// The call's position in it.
+    pub number: CallNumber,
     /// Text of a model, or the tool's result as JSON text.
-    content: String,
-    usage: WireUsage,
-    cost: Credits,
+    pub content: String,
+    /// What was consumed.
+    pub usage: WireUsage,
+    /// What it cost.
+    pub cost: Credits,
+}
+
+impl CallBody {
+    /// A call to a model that goes on from the whole history.
+    pub fn ask(model: &str, messages: Vec<WireMessage>, max_output: u64) -> Self {
+        Self {
+            model: Some(ModelBody {
+                name: ModelName::new(model),
+                messages,
+                max_output: Some(Tokens(max_output)),
+                history_prefix: None,
+            }),
+            ..Self::default()
+        }
+    }
+
+    /// A call to a tool.
+    pub fn invoke(tool: &str, arguments: serde_json::Value, repeatable: bool) -> Self {
+        Self {
+            tool: Some(ToolBody {
+                name: ToolName::new(tool),
+                arguments,
+            }),
+            repeatable: Some(repeatable),
+            ..Self::default()
+        }
+    }
 }
 
 impl CompletedCall {
@@ -132,57 +176,115 @@
 }
 
 /// One streamed piece.
-#[derive(Debug, Serialize)]
-pub struct Piece<'a> {
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Piece {
     /// Its text.
-    pub text: &'a str,
+    pub text: String,
 }
 
 /// A run, without its history.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireRun {
-    id: RunId,
-    program: ResourceName,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    parent: Option<RunId>,
-    phase: RunPhase,
-    budget: Credits,
-    spent: Credits,
-    reserved: Credits,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    deadline_unix_ms: Option<u64>,
-    calls: Vec<WireCall>,
+    /// Its id.
+    pub id: RunId,
+    /// Its program.
+    pub program: ResourceName,
+    /// The run that spawned it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<RunId>,
+    /// Where it stands.
+    pub phase: RunPhase,
+    /// Most that it may spend.
+    pub budget: Credits,
+    /// What it has spent, its sub-agents included.
+    pub spent: Credits,
+    /// What open calls and sub-agents may still cost.
+    pub reserved: Credits,
+    /// When it should be done, in milliseconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_unix_ms: Option<u64>,
+    /// Its calls in order.
+    pub calls: Vec<WireCall>,
 }
 
 /// One call of a run.
-#[derive(Debug, Serialize)]
-struct WireCall {
-    number: CallNumber,
-    kind: CallKind,
-    target: String,
-    repeatable: bool,
-    state: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    cost: Option<Credits>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    cached_tokens: Option<Tokens>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    prompt_tokens: Option<Tokens>,
-    attempts: Vec<WireAttempt>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    waited_ms: Option<u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    took_ms: Option<u64>,
-    notes: Vec<String>,
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireCall {
+    /// Its position in the run.
+    pub number: CallNumber,
+    /// Model or tool.
+    pub kind: CallKind,
+    /// Which model or tool.
+    pub target: String,
+    /// Whether running it twice is harmless.
+    pub repeatable: bool,
+    /// `open`, `completed`, or the code of the error that it ended with.
+    pub state: String,
+    /// What it cost.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cost: Option<Credits>,
+    /// Tokens of its prompt that were found in the engine's cache.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cached_tokens: Option<Tokens>,
+    /// Tokens of its prompt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prompt_tokens: Option<Tokens>,
+    /// Each attempt in order.
+    pub attempts: Vec<WireAttempt>,
+    /// Time from its arrival to its first attempt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waited_ms: Option<u64>,
+    /// Time from its arrival to its end.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub took_ms: Option<u64>,
+    /// What it waited for and what was decided.
+    pub notes: Vec<String>,
+}
+
+/// One attempt of a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireAttempt {
+    /// Which, from 1.
+    pub number: u32,
+    /// Where it ran, for a model call.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<EngineId>,
+    /// Time from its start to its first piece.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first_chunk_ms: Option<u64>,
+}
+
+/// Whether what was asked for was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WasRun {
+    /// Surely not, now or later.
+    No,
+    /// Yes.
+    Yes,
+    /// It cannot be known.
+    Unknown,
+}
+
+/// The one shape of errors.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorFields,
 }
 
-#[derive(Debug, Serialize)]
-struct WireAttempt {
-    number: u32,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    engine: Option<EngineId>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    first_chunk_ms: Option<u64>,
+/// What an error says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorFields {
+    /// The stable code.
+    pub code: String,
+    /// For people.
+    pub message: String,
+    /// Whether what was asked for was run.
+    pub run: WasRun,
+    /// When asking again may succeed, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
 }
 
 impl From<&RunView> for WireRun {
@@ -213,7 +315,7 @@
             kind: call.spec.request.kind(),
             target: target(&call.spec.request),
             repeatable: call.spec.repeatable,
-            state: state(call.outcome.as_ref()),
+            state: state(call.outcome.as_ref()).to_owned(),
             cost: answer.map(|answer| answer.cost),
             cached_tokens: answer.map(|answer| answer.usage.cached),
             prompt_tokens: answer.map(|answer| answer.usage.prompt),
@@ -258,14 +360,14 @@
 }
 
 /// Answer to `GET /v1/runs/{id}/history`.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WireHistory {
     /// Every message in order.
     pub messages: Vec<Message>,
 }
 
 /// Answer to `DELETE /v1/runs/{id}`.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EndedRun {
     /// The run.
     pub id: RunId,
--- a/crates/sidecar/tests/callers/main.rs
+++ b/crates/sidecar/tests/callers/main.rs
@@ -4,3 +4,4 @@
 mod client;
 mod node;
 mod programs;
+mod stream;
