Add broken variants for every invariant

Cause: checkers had not been shown to fail for order, lost history, whole answers, leaving back ends, planned stops, configuration and liveness. Ruled out: breaking the simulated driver, which would show nothing of the product.

--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -10,7 +10,7 @@
 use super::Partition;
 use super::intake::refusal;
 use crate::effect::DispatchHints;
-use crate::soft::{AnswerBuffer, Running, Source, Stage, Taken};
+use crate::soft::{AnswerBuffer, Running, Source, Stage, Submission, Taken};
 use crate::state::{CallState, attempt_cost};
 use crate::{BackendRequest, Effect};
 
@@ -107,6 +107,37 @@
         });
     }
 
+    /// Sends a tool call that the journal has not accepted: only ever done on purpose, to be caught.
+    pub(super) fn dispatch_unaccepted(&mut self, id: CallId, submission: &Submission) {
+        let (CallRequest::Tool(tool), Some(run)) =
+            (&submission.spec.request, self.journal.runs.get(&id.run))
+        else {
+            return;
+        };
+        let hints = DispatchHints {
+            tenant: run.spec.tenant.clone(),
+            program: run.spec.program.clone(),
+            run_started: run.started,
+            attained: run.attained,
+            turns: run.calls.len() as u32,
+            run_deadline: run.spec.deadline,
+            call_deadline: submission.spec.deadline,
+            priority: run.limits.priority,
+            parent: run.spec.parent,
+            timeout: submission.terms.timeout,
+        };
+        self.emit(Effect::Dispatch {
+            call: id,
+            attempt: Attempt(1),
+            request: BackendRequest::Tool {
+                tool: tool.tool.clone(),
+                arguments: tool.arguments.clone(),
+                idempotency_key: id.to_string(),
+            },
+            hints,
+        });
+    }
+
     fn count_attempt(&mut self, attempt: Attempt) {
         if attempt == Attempt(1) {
             self.counters.first_attempts += 1;
@@ -153,6 +184,13 @@
         if self.settings.faults.mix_histories() {
             return Some(self.journal.runs.values().next()?.history());
         }
+        if self.settings.faults.forget_history() {
+            let request = &self.journal.open_call(id)?.spec.request;
+            return match request {
+                CallRequest::Model(model) => Some(model.messages.clone()),
+                CallRequest::Tool(_) => None,
+            };
+        }
         Some(self.journal.runs.get(&id.run)?.history())
     }
 
@@ -267,7 +305,9 @@
             return;
         };
         let streamed = open.answer.text();
-        let content = if streamed.len() > whole.len() {
+        let content = if self.settings.faults.forget_beginning() {
+            content
+        } else if streamed.len() > whole.len() {
             streamed
         } else {
             whole
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -293,6 +293,9 @@
             short_since: None,
         };
         let deadline = submission.spec.deadline;
+        if self.settings.faults.dispatch_before_turn() {
+            self.dispatch_unaccepted(id, &submission);
+        }
         self.soft.work(id.run, now);
         self.soft.queue.insert(id, submission);
         self.advance(now, id.run);
@@ -307,8 +310,11 @@
     }
 
     /// Refuses a call that was not accepted.
-    pub(super) fn refuse(&mut self, connection: Connection, id: CallId, refusal: Refusal) {
+    pub(super) fn refuse(&mut self, connection: Connection, id: CallId, mut refusal: Refusal) {
         self.counters.calls_refused += 1;
+        if self.settings.faults.no_retry_after() {
+            refusal.retry_after = None;
+        }
         self.send_end(connection, id, None, 0, Outcome::Refused(refusal));
     }
 
--- a/crates/execution/src/partition/recovery.rs
+++ b/crates/execution/src/partition/recovery.rs
@@ -42,6 +42,9 @@
     }
 
     fn recover_call(&mut self, now: Timestamp, epoch: Epoch, run: RunId) {
+        if self.settings.faults.abandon_open_calls() {
+            return;
+        }
         let Some(call) = self.journal.runs.get(&run).and_then(|run| run.open_call()) else {
             return;
         };
--- a/crates/execution/src/settings.rs
+++ b/crates/execution/src/settings.rs
@@ -88,7 +88,7 @@
 
 macro_rules! faults {
     ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {
-        /// Ways to break the partition on purpose, so that checkers can be shown to notice. They
+        /// Ways to break a partition, or its node, on purpose, so that checkers can be shown to notice. They
         /// exist only under the cargo feature `broken`.
         #[derive(Clone, Copy, Debug, Default)]
         pub struct Faults {
@@ -101,13 +101,15 @@
 
         impl Faults {
             $(
+                $(#[$doc])*
                 #[cfg(feature = "broken")]
-                pub(crate) fn $name(&self) -> bool {
+                pub fn $name(&self) -> bool {
                     self.$name
                 }
 
+                $(#[$doc])*
                 #[cfg(not(feature = "broken"))]
-                pub(crate) fn $name(&self) -> bool {
+                pub fn $name(&self) -> bool {
                     false
                 }
             )+
@@ -130,4 +132,20 @@
     refuse_after_dispatch,
     /// A prompt is built from the history of the first run of the partition.
     mix_histories,
+    /// A prompt is built from the call's own messages alone.
+    forget_history,
+    /// A tool call is sent as soon as it arrives, whether or not its turn has come.
+    dispatch_before_turn,
+    /// An answer continued after a lost attempt is reported without its beginning.
+    forget_beginning,
+    /// A new owner does not take up the open calls that it finds.
+    abandon_open_calls,
+    /// A refusal does not say when to come back.
+    no_retry_after,
+    /// The node gives work to engines that are leaving.
+    ignore_leaving,
+    /// The node exits as soon as it is told to drain.
+    drain_at_once,
+    /// The node tells an operator that a change is accepted before it has read it back.
+    accept_unread,
 }
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -185,6 +185,8 @@
             } => {
                 self.agenda
                     .membership(membership::Event::MachineList { live, leaving });
+                let ignored = self.settings.execution.faults.ignore_leaving();
+                let leaving_engines = if ignored { Vec::new() } else { leaving_engines };
                 let changes = self.engines.list_leaving(leaving_engines);
                 self.apply_engine_changes(changes);
             }
@@ -227,6 +229,7 @@
             Event::EngineCache { engine, change } => self
                 .agenda
                 .placement(placement::Event::Cache { engine, change }),
+            Event::EngineLeaving { .. } if self.settings.execution.faults.ignore_leaving() => {}
             Event::EngineLeaving { engine } => {
                 let changes = self.engines.said_leaving(self.now, &engine);
                 self.apply_engine_changes(changes);
--- a/crates/node-core/src/drain.rs
+++ b/crates/node-core/src/drain.rs
@@ -54,7 +54,8 @@
         };
         let nothing_left = self.ownership.held.is_empty() && self.attempts.len() == 0;
         let overdue = self.now.since(since) >= DRAIN_LIMIT;
-        if nothing_left || overdue {
+        let impatient = self.settings.execution.faults.drain_at_once();
+        if nothing_left || overdue || impatient {
             self.drain = DrainState::Drained;
             self.agenda.effect(Effect::Drained);
         }
--- a/crates/simulation/src/broken.rs
+++ b/crates/simulation/src/broken.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use elderworks_execution::Faults;
+
 use crate::check::Invariant;
 use crate::run::Plan;
 
@@ -13,7 +15,7 @@
     pub name: &'static str,
     /// The invariant whose checker must notice.
     pub invariant: Invariant,
-    switch: fn(&mut Plan),
+    switch: fn(&mut Faults),
 }
 
 impl Broken {
@@ -24,7 +26,7 @@
 
     /// Breaks a plan.
     pub fn apply(&self, plan: &mut Plan) {
-        (self.switch)(plan);
+        (self.switch)(&mut plan.execution.faults);
     }
 }
 
@@ -63,4 +65,63 @@
 const VARIANTS: &[Broken] = &[];
 
 #[cfg(feature = "broken")]
-const VARIANTS: &[Broken] = &[];
+const VARIANTS: &[Broken] = &[
+    variant("dispatch-before-turn", Invariant::Order, |faults| {
+        faults.dispatch_before_turn = true;
+    }),
+    variant("forget-history", Invariant::HistoryLost, |faults| {
+        faults.forget_history = true;
+    }),
+    variant("mix-histories", Invariant::HistoryMixed, |faults| {
+        faults.mix_histories = true;
+    }),
+    variant("no-reservation", Invariant::Budget, |faults| {
+        faults.no_reservation = true;
+    }),
+    variant("release-not-retried", Invariant::MemoryFreed, |faults| {
+        faults.release_not_retried = true;
+    }),
+    variant("forget-beginning", Invariant::WholeAnswer, |faults| {
+        faults.forget_beginning = true;
+    }),
+    variant("no-fencing", Invariant::WholeAnswer, |faults| {
+        faults.no_fencing = true;
+    }),
+    variant("no-dedup", Invariant::HistoryLost, |faults| {
+        faults.no_dedup = true;
+    }),
+    variant(
+        "refuse-after-dispatch",
+        Invariant::RefusedNotRun,
+        |faults| {
+            faults.refuse_after_dispatch = true;
+        },
+    ),
+    variant("resend-after-takeover", Invariant::AtMostOnce, |faults| {
+        faults.resend_after_takeover = true;
+    }),
+    variant("ignore-leaving", Invariant::LeavingBackend, |faults| {
+        faults.ignore_leaving = true;
+    }),
+    variant("drain-at-once", Invariant::PlannedStop, |faults| {
+        faults.drain_at_once = true;
+    }),
+    variant("accept-unread", Invariant::Configuration, |faults| {
+        faults.accept_unread = true;
+    }),
+    variant("abandon-open-calls", Invariant::FinalOutcome, |faults| {
+        faults.abandon_open_calls = true;
+    }),
+    variant("no-retry-after", Invariant::PromptRefusal, |faults| {
+        faults.no_retry_after = true;
+    }),
+];
+
+#[cfg(feature = "broken")]
+const fn variant(name: &'static str, invariant: Invariant, switch: fn(&mut Faults)) -> Broken {
+    Broken {
+        name,
+        invariant,
+        switch,
+    }
+}
