Send nothing for a partition lost in the same step

Ruled out: the age of the intent, which would only narrow the window by a clock. Change: losing a partition takes back requests decided in the same step.

--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -264,7 +264,9 @@
     }
 
     /// The partition is not this node's any more: its attempts go on at their engines, where the
-    /// next owner takes them up, and are forgotten here.
+    /// next owner takes them up, and are forgotten here. One that was to be sent in this same step is
+    /// not sent: after a pause, the record that permits it and the claim that voids it are read
+    /// together.
     pub(crate) fn forget_attempts(&mut self, partition: PartitionId) {
         let open = std::mem::take(&mut self.attempts.open);
         let (forgotten, kept): (BTreeMap<_, _>, BTreeMap<_, _>) = open
@@ -272,6 +274,7 @@
             .partition(|(_, record)| record.partition == partition);
         self.attempts.open = kept;
         for (ticket, record) in forgotten {
+            let unsent = self.agenda.withdraw_request(ticket);
             match record.state {
                 AttemptState::Waiting(_) => self
                     .agenda
@@ -281,6 +284,7 @@
                         .placement(placement::Event::Cancelled { ticket });
                     self.agenda.effect(Effect::DetachAttempt { ticket });
                 }
+                AttemptState::AtTool if unsent => {}
                 AttemptState::Resumed | AttemptState::AtTool => {
                     self.agenda.effect(Effect::DetachAttempt { ticket });
                 }
--- a/crates/node-core/src/step.rs
+++ b/crates/node-core/src/step.rs
@@ -5,7 +5,7 @@
 use elderworks_control as control;
 use elderworks_execution as execution;
 use elderworks_membership as membership;
-use elderworks_placement as placement;
+use elderworks_placement::{self as placement, Ticket};
 use elderworks_types::PartitionId;
 
 use crate::effect::Effect;
@@ -50,6 +50,18 @@
         self.effects.push(effect);
     }
 
+    /// Takes back a request to a back end that was decided and is not carried out yet; whether there
+    /// was one.
+    pub(crate) fn withdraw_request(&mut self, withdrawn: Ticket) -> bool {
+        let before = self.effects.len();
+        self.effects.retain(|effect| match effect {
+            Effect::Generate(request) => request.ticket != withdrawn,
+            Effect::InvokeTool { ticket, .. } => *ticket != withdrawn,
+            _ => true,
+        });
+        self.effects.len() < before
+    }
+
     pub(crate) fn next_step(&mut self) -> Option<Step> {
         self.steps.pop_front()
     }
--- a/crates/simulation/src/check/planned_stop.rs
+++ b/crates/simulation/src/check/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use elderworks_types::Outcome;
+use elderworks_types::{FailureReason, Outcome};
 
 use super::{Invariant, Violation};
 use crate::observation::Observations;
@@ -10,6 +10,16 @@
 /// A node asked to stop has exited by then, where nothing else is wrong.
 const DRAIN_LIMIT: Duration = Duration::from_secs(60);
 
+/// A call cancelled by the end of its run, or of its parent's run, was cut off by its own caller or
+/// limit, not by a stop.
+fn is_cut_off(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Failed(failure) => failure.reason != FailureReason::Cancelled,
+        Outcome::Unknown(_) => true,
+        Outcome::Completed(_) | Outcome::Refused(_) => false,
+    }
+}
+
 pub(super) fn check(observations: &Observations) -> Vec<Violation> {
     if observations.disturbed {
         return Vec::new();
@@ -17,7 +27,7 @@
     let cut = observations
         .outcomes
         .iter()
-        .filter(|ended| matches!(ended.outcome, Outcome::Failed(_) | Outcome::Unknown(_)))
+        .filter(|ended| is_cut_off(&ended.outcome))
         .map(|ended| {
             let detail = format!("{} was cut off: {:?}", ended.call, ended.outcome);
             Violation::new(Invariant::PlannedStop, ended.at, detail)
