--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -14,6 +14,8 @@
 mod timers;
 mod view;
 
+pub use view::RunSummary;
+
 use std::collections::BTreeMap;
 
 use elderworks_protocol::journal::JournalBody;
@@ -177,6 +179,7 @@
                 run,
                 spec,
                 delivered,
+                abandoned_before,
                 terms,
             } => {
                 let request = intake::CallRequested {
@@ -185,6 +188,7 @@
                     run,
                     spec,
                     delivered,
+                    abandoned_before,
                     terms,
                 };
                 self.on_submit_call(now, request);
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -243,6 +243,7 @@
                 run,
                 spec,
                 delivered,
+                abandoned_before,
             } => {
                 let program = self.program_of(partition, run);
                 let terms = call_terms(&self.control, program.as_ref(), &spec.request);
@@ -252,6 +253,7 @@
                     run,
                     spec,
                     delivered,
+                    abandoned_before,
                     terms,
                 }
             }
--- a/crates/node/tests/driver/support.rs
+++ b/crates/node/tests/driver/support.rs
@@ -279,6 +279,7 @@
         run,
         spec,
         delivered,
+        abandoned_before: 0,
     }
 }
 
