Send nothing to back ends before the partition's stream is read to its end

Ruled out the age of the record, which would trust a clock. Change: requests to engines and tools wait while the stream is known to hold more records than were read, and go, or are dropped with the partition, once it is caught up. What stays open is a page asked for before the pause.

--- a/crates/cli/examples/added_latency.rs
+++ b/crates/cli/examples/added_latency.rs
@@ -269,14 +269,19 @@
             ));
         }
         let mut first_chunk = None;
+        let mut received = Vec::new();
         while let Some(bytes) = answer.next().await {
-            let has_text = find(&bytes?, b"\"content\":\"");
-            if has_text && first_chunk.is_none() {
+            received.extend_from_slice(&bytes?);
+            if first_chunk.is_none() && find(&received, b"\"content\":\"") {
                 first_chunk = Some(start.elapsed());
             }
         }
+        let Some(first_chunk) = first_chunk else {
+            let received = String::from_utf8_lossy(&received);
+            return Err(eyre!("an answer without text: {received}"));
+        };
         Ok(Times {
-            first_chunk: first_chunk.ok_or_eyre("an answer without text")?,
+            first_chunk,
             whole: start.elapsed(),
         })
     }
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -27,7 +27,7 @@
 use crate::loading::ControlLoading;
 use crate::ownership::Ownership;
 use crate::sidecars::Requests;
-use crate::step::{Agenda, Step};
+use crate::step::{Agenda, Request, Step};
 use crate::streams::{Streams, control_stream};
 use crate::{Effect, Event};
 
@@ -80,6 +80,8 @@
     pub(crate) tenant_limits: BTreeMap<TenantId, Credits>,
     pub(crate) engines: Engines,
     pub(crate) attempts: Attempts,
+    /// Requests to back ends of partitions whose stream has not been read to its end.
+    pub(crate) withheld: Vec<Request>,
     pub(crate) requests: Requests,
     pub(crate) watches: Watches,
 }
@@ -119,6 +121,7 @@
             tenant_limits: BTreeMap::new(),
             engines: Engines::default(),
             attempts: Attempts::default(),
+            withheld: Vec::new(),
             requests: Requests::default(),
             watches: Watches::default(),
             settings,
@@ -153,6 +156,7 @@
         while let Some(step) = self.agenda.next_step() {
             self.take_step(step);
         }
+        self.release_requests_to_back_ends();
         self.agenda.take_effects()
     }
 
--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -241,6 +241,37 @@
         });
     }
 
+    /// Lets requests to back ends go, except those of partitions whose stream shows more records than
+    /// were read: one of them may be the claim that takes the partition away. A node that wakes from a
+    /// pause reads the record that permits a request before it reads that claim.
+    pub(crate) fn release_requests_to_back_ends(&mut self) {
+        let mut requests = std::mem::take(&mut self.withheld);
+        requests.extend(self.agenda.take_requests());
+        for request in requests {
+            let attempt = self.attempts.open.get(&request.ticket);
+            match attempt.map(|attempt| attempt.partition) {
+                Some(partition) if self.is_behind(partition) => self.withheld.push(request),
+                Some(_) => self.agenda.effect(request.effect),
+                // Cancelled, or lost with its partition, before it was sent.
+                None => {}
+            }
+        }
+    }
+
+    fn is_behind(&self, partition: PartitionId) -> bool {
+        let stream = self.streams.partitions.get(&partition);
+        stream.is_some_and(|stream| !stream.caught_up())
+    }
+
+    /// Takes back a request that was decided and not sent yet; whether there was one.
+    fn withdraw_request(&mut self, ticket: Ticket) -> bool {
+        let decided = self.agenda.take_requests();
+        self.withheld.extend(decided);
+        let before = self.withheld.len();
+        self.withheld.retain(|request| request.ticket != ticket);
+        self.withheld.len() < before
+    }
+
     /// Stops an attempt wherever it is.
     pub(crate) fn cancel_attempt(&mut self, ticket: Ticket) {
         let Some(record) = self.attempts.open.remove(&ticket) else {
@@ -273,7 +304,7 @@
             .partition(|(_, record)| record.partition == partition);
         self.attempts.open = kept;
         for (ticket, record) in forgotten {
-            let unsent = self.agenda.withdraw_request(ticket);
+            let unsent = self.withdraw_request(ticket);
             match record.state {
                 AttemptState::Waiting(_) => self
                     .agenda
--- a/crates/node-core/src/step.rs
+++ b/crates/node-core/src/step.rs
@@ -19,6 +19,21 @@
     Placement(placement::Event),
 }
 
+/// An attempt that is about to be sent to a back end.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) ticket: Ticket,
+    pub(crate) effect: Effect,
+}
+
+fn request_ticket(effect: &Effect) -> Option<Ticket> {
+    match effect {
+        Effect::Generate(generate) => Some(generate.ticket),
+        Effect::InvokeTool { ticket, .. } => Some(*ticket),
+        _ => None,
+    }
+}
+
 /// Steps still to be taken and effects already decided, both in order.
 ///
 /// State machines answer each other through this queue instead of calling each other, so that no
@@ -50,16 +65,16 @@
         self.effects.push(effect);
     }
 
-    /// Takes back a request to a back end that was decided and is not carried out yet; whether there
-    /// was one.
-    pub(crate) fn withdraw_request(&mut self, withdrawn: Ticket) -> bool {
-        let before = self.effects.len();
-        self.effects.retain(|effect| match effect {
-            Effect::Generate(request) => request.ticket != withdrawn,
-            Effect::InvokeTool { ticket, .. } => *ticket != withdrawn,
-            _ => true,
-        });
-        self.effects.len() < before
+    /// Takes out the requests to back ends that were decided so far, in order.
+    pub(crate) fn take_requests(&mut self) -> Vec<Request> {
+        let mut requests = Vec::new();
+        for effect in std::mem::take(&mut self.effects) {
+            match request_ticket(&effect) {
+                Some(ticket) => requests.push(Request { ticket, effect }),
+                None => self.effects.push(effect),
+            }
+        }
+        requests
     }
 
     pub(crate) fn next_step(&mut self) -> Option<Step> {
