Read streams anew after a pause before anything goes to back ends

Cause: an owner paused between the append of an attempt's start and its answer woke, took the answer for proof and sent the request, long after another node had claimed the partition. Ruled out the record's age as a safety rule: clocks decide when to look, never who may. Change: after a gap of 1 s between events every followed stream is in doubt until a read that was opened afterwards is answered, and requests wait for it.

--- a/crates/logstream/src/reader.rs
+++ b/crates/logstream/src/reader.rs
@@ -4,6 +4,17 @@
 
 use crate::stream::{ReadMode, StreamSettings};
 
+/// Whether what was heard of the stream's end may be out of date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doubt {
+    /// It is as good as the last answer.
+    None,
+    /// It is, and the read that is open was opened before.
+    StaleReadOpen,
+    /// It is, until the next read is answered.
+    Unread,
+}
+
 /// Position on the stream.
 pub(crate) struct Reader {
     next: Offset,
@@ -11,6 +22,7 @@
     known_end: Offset,
     /// Whether any read has been answered.
     end_seen: bool,
+    doubt: Doubt,
     read_open: bool,
     read_after: Timestamp,
 }
@@ -21,6 +33,7 @@
             next: start,
             known_end: start,
             end_seen: false,
+            doubt: Doubt::None,
             read_open: false,
             read_after: Timestamp(0),
         }
@@ -31,7 +44,17 @@
     }
 
     pub(crate) fn caught_up(&self) -> bool {
-        self.end_seen && self.next >= self.known_end
+        self.doubt == Doubt::None && self.end_seen && self.next >= self.known_end
+    }
+
+    /// Holds what is known of the stream's end for out of date until a read that is opened from now
+    /// on is answered.
+    pub(crate) fn doubt(&mut self, now: Timestamp) {
+        self.doubt = match self.read_open {
+            true => Doubt::StaleReadOpen,
+            false => Doubt::Unread,
+        };
+        self.read_soon(now);
     }
 
     /// Marks the record at the next offset as delivered.
@@ -51,11 +74,21 @@
             ReadMode::Follow => now,
             ReadMode::Poll { interval } => now + interval,
         };
+        self.doubt = match self.doubt {
+            Doubt::StaleReadOpen => Doubt::Unread,
+            Doubt::None | Doubt::Unread => Doubt::None,
+        };
+        if self.doubt != Doubt::None {
+            self.read_soon(now);
+        }
     }
 
     pub(crate) fn read_unanswered(&mut self, now: Timestamp, settings: &StreamSettings) {
         self.read_open = false;
         self.read_after = now + settings.retry_backoff;
+        if self.doubt == Doubt::StaleReadOpen {
+            self.doubt = Doubt::Unread;
+        }
     }
 
     /// Brings the next read forward: an append without an answer may have taken effect.
--- a/crates/logstream/src/stream.rs
+++ b/crates/logstream/src/stream.rs
@@ -189,6 +189,12 @@
         self.appender.outstanding()
     }
 
+    /// Calls in question what is known of the stream's end, as after a pause of the process:
+    /// [`Self::caught_up`] is false until a read that is opened from now on is answered.
+    pub fn doubt(&mut self, now: Timestamp) {
+        self.reader.doubt(now);
+    }
+
     /// Whether the log answers.
     pub fn reachable(&self) -> bool {
         self.reachable
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -34,6 +34,9 @@
 /// How often a driver sends [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// A driver that sent no tick for this long was paused.
+const PAUSE_SUSPECTED: Duration = Duration::from_secs(1);
+
 /// What a node is given at its start.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -150,6 +153,7 @@
 
     /// Takes one event and returns what is to be done, in order.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        self.doubt_after_pause(now);
         self.now = now;
         self.begin();
         self.route(event);
@@ -160,6 +164,18 @@
         self.agenda.take_effects()
     }
 
+    /// After a pause others may have claimed this node's partitions. Answers that arrived meanwhile
+    /// do not show it, so that streams are read anew before anything goes to back ends. No safety
+    /// rests on the clock here: it only narrows the time in which a late request can leave.
+    fn doubt_after_pause(&mut self, now: Timestamp) {
+        if now.since(self.now) < PAUSE_SUSPECTED {
+            return;
+        }
+        for stream in self.streams.partitions.values_mut() {
+            stream.doubt(now);
+        }
+    }
+
     fn take_step(&mut self, step: Step) {
         match step {
             Step::Control(event) => self.drive_control(event),
--- a/crates/node-core/tests/node/calls.rs
+++ b/crates/node-core/tests/node/calls.rs
@@ -129,6 +129,21 @@
     assert!(queried, "the tool is asked what became of it");
 }
 
+#[test]
+fn an_owner_paused_before_it_sends_does_not_send_after_it_wakes() {
+    let mut world = world(false);
+    let run = started(&mut world, 0);
+    world.pause_at_attempt = Some(name(0));
+    world.say(0, tool_call(run, 1, false));
+    assert!(world.node(0).paused, "the intent is in the log");
+    world.until("the other owns all", |world| world.owned(1).len() == 8);
+    // The first thing that it learns is that its record was taken.
+    world.wake(0);
+    world.pass(std::time::Duration::from_secs(5));
+    assert_eq!(invocations(&mut world, 0, run), 0);
+    assert_eq!(invocations(&mut world, 1, run), 0);
+}
+
 fn invocations(world: &mut World, index: usize, run: RunId) -> usize {
     let effects = &world.node(index).effects;
     effects
--- a/crates/node-core/tests/node/world.rs
+++ b/crates/node-core/tests/node/world.rs
@@ -13,8 +13,10 @@
 use elderworks_node_core::effect::OperatorReply;
 use elderworks_node_core::event::{Connection, NoAnswer, OperatorRequest, ReadRecords};
 use elderworks_node_core::{Effect, Event, NodeCore, NodeSettings};
+use elderworks_protocol::decode;
+use elderworks_protocol::journal::JournalBody;
 use elderworks_protocol::peer::{FromNode, Hello, ToNode};
-use elderworks_protocol::record::StreamName;
+use elderworks_protocol::record::{RecordBatch, StreamName};
 use elderworks_protocol::sidecar::{NodeMessage, SidecarMessage};
 use elderworks_types::resource::Resource;
 use elderworks_types::{CellId, NodeId, Offset, PartitionId, Timestamp, Usage, ZoneId};
@@ -58,6 +60,8 @@
     /// Nodes that the log does not answer.
     pub cut_from_log: BTreeSet<NodeId>,
     pub back_ends: BackEnds,
+    /// A node that is paused in the moment in which the log takes the start of an attempt from it.
+    pub pause_at_attempt: Option<NodeId>,
     pub nodes: BTreeMap<NodeId, TestNode>,
     addresses: BTreeMap<SocketAddr, NodeId>,
     queue: VecDeque<(NodeId, Event)>,
@@ -87,6 +91,7 @@
             log_up: true,
             cut_from_log: BTreeSet::new(),
             back_ends: BackEnds::Answer,
+            pause_at_attempt: None,
             nodes: BTreeMap::new(),
             addresses: BTreeMap::new(),
             queue: VecDeque::new(),
@@ -380,6 +385,10 @@
         if !self.answers(id) {
             return Err(NoAnswer);
         }
+        if self.pause_at_attempt.as_ref() == Some(id) && starts_attempt(&bytes) {
+            self.pause_at_attempt = None;
+            self.record(id, |node| node.paused = true);
+        }
         let records = self.log.entry(stream).or_default();
         records.push(bytes);
         Ok(Offset(records.len() as u64 - 1))
@@ -422,5 +431,12 @@
     }
 }
 
+fn starts_attempt(bytes: &[u8]) -> bool {
+    let batch = decode::<RecordBatch<JournalBody>>(bytes);
+    let records = batch.map(|batch| batch.records).unwrap_or_default();
+    let mut bodies = records.iter().map(|record| &record.body);
+    bodies.any(|body| matches!(body, JournalBody::AttemptStarted { .. }))
+}
+
 /// Connections above this number are peers'.
 const PEER_CONNECTIONS: Connection = 1_000;
