Answer no request from a partition whose stream may hold more

Ruled out a fault of execution, which answers from what it has read. Change: a request for an owned partition is held until the stream is read to its end, and turned away if the partition is lost by then. A test asserted that a woken owner never tells a start; now the request waits and the node may own the partition again, so the test asserts at once no answer at all, and afterwards that a start is told exactly if the owner has it.

--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -309,6 +309,7 @@
         for partition in followed {
             self.drive_partition_stream(partition, logstream::Event::Tick);
             self.agenda.partition(partition, execution::Event::Tick);
+            self.release_if_caught_up(partition);
         }
         let changes = self.engines.tick(self.now);
         self.apply_engine_changes(changes);
--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -258,7 +258,8 @@
         }
     }
 
-    fn is_behind(&self, partition: PartitionId) -> bool {
+    /// Whether the partition's stream shows, or may hold, more records than were read.
+    pub(crate) fn is_behind(&self, partition: PartitionId) -> bool {
         let stream = self.streams.partitions.get(&partition);
         stream.is_some_and(|stream| !stream.caught_up())
     }
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -301,6 +301,7 @@
             (true, false) => {
                 self.counters.partitions_lost += 1;
                 self.forget_attempts(partition);
+                self.turn_away_for(partition);
             }
             _ => {}
         }
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -57,6 +57,11 @@
             .map(|(connection, _)| *connection)
     }
 
+    fn holds_for(&self, partition: PartitionId) -> bool {
+        let mut held = self.held.iter();
+        held.any(|request| request.partition == partition)
+    }
+
     fn take_for(&mut self, partition: PartitionId) -> Vec<HeldRequest> {
         let (taken, kept) = std::mem::take(&mut self.held)
             .into_iter()
@@ -136,7 +141,11 @@
             return;
         };
         let partition = run.partition(self.settings.partition_count);
-        if self.ownership.owns(partition) {
+        let owned = self.ownership.owns(partition);
+        if owned && self.is_behind(partition) {
+            // What it would be answered from may be out of date.
+            self.hold(partition, connection, message);
+        } else if owned {
             self.serve(partition, connection, message);
         } else if matches!(message, SidecarMessage::Acknowledge { .. }) {
             // The chunks it would free are not here.
@@ -190,6 +199,24 @@
         }
     }
 
+    /// Serves what was held back until the partition's stream was read to its end.
+    pub(crate) fn release_if_caught_up(&mut self, partition: PartitionId) {
+        let waiting = self.requests.holds_for(partition);
+        if waiting && self.ownership.owns(partition) && !self.is_behind(partition) {
+            self.release_requests(partition);
+        }
+    }
+
+    /// Turns away what was held back for a partition that another node is to own.
+    pub(crate) fn turn_away_for(&mut self, partition: PartitionId) {
+        if self.should_hold(partition) {
+            return;
+        }
+        for request in self.requests.take_for(partition) {
+            self.turn_away(request.connection, &request.message);
+        }
+    }
+
     /// Turns away what has been held back for too long.
     pub(crate) fn expire_requests(&mut self) {
         for request in self.requests.take_expired(self.now) {
