Say why a watch did not begin; report engine states with services

Ruled out: a second boolean beside the first (the error type of the store's watches already says which); engine states joined by the command (every client would have to do it).

--- a/crates/cli/src/verbs/get.rs
+++ b/crates/cli/src/verbs/get.rs
@@ -3,7 +3,6 @@
 use elderworks_control::api::Collection;
 use elderworks_control::manifest::Document;
 use elderworks_types::resource::Kind;
-use serde_json::Value;
 
 use super::{ApiClient, OutputFormat, VerbError, table};
 
@@ -40,39 +39,9 @@
     if !users.is_empty() {
         text.push_str(&format!("usedByPrograms: {}\n", users.join(", ")));
     }
-    let engines = engine_states(client, &document).await?;
-    if !engines.is_empty() {
-        text.push_str(&format!("engineStates: {}\n", engines.join(", ")));
-    }
     Ok(text)
 }
 
-/// The engines that a model service lists, each with its state as the asked node sees it.
-async fn engine_states(client: &ApiClient, service: &Document) -> Result<Vec<String>, VerbError> {
-    let listed = service
-        .spec
-        .as_ref()
-        .and_then(|spec| spec.pointer("/model/engines"))
-        .and_then(Value::as_array);
-    let Some(listed) = listed else {
-        return Ok(Vec::new());
-    };
-    let engines = client.list(Collection::Engines).await?;
-    let known = engines.items.iter().filter(|engine| {
-        let name = &engine.metadata.name;
-        listed.iter().any(|entry| entry["id"] == name.as_str())
-    });
-    Ok(known
-        .map(|engine| {
-            let state = engine
-                .status
-                .as_ref()
-                .and_then(|status| status["state"].as_str());
-            format!("{} {}", engine.metadata.name, state.unwrap_or("unknown"))
-        })
-        .collect())
-}
-
 /// Programs that refer to a service or budget.
 async fn users(
     client: &ApiClient,
--- a/crates/node-core/src/effect.rs
+++ b/crates/node-core/src/effect.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use elderworks_control::watch::WatchError;
 use elderworks_control::{Change, ControlError};
 use elderworks_execution::RunSummary;
 use elderworks_membership::Member;
@@ -207,11 +208,8 @@
         /// Watch from here to miss nothing.
         revision: Offset,
     },
-    /// The watch has begun, or its revision is too old and the watcher must list anew.
-    Watching {
-        /// Whether it began.
-        accepted: bool,
-    },
+    /// The watch has begun, or why not.
+    Watching(Result<(), WatchError>),
     /// Members of the fleet.
     Nodes(Vec<Member>),
     /// Engines.
--- a/crates/node-core/src/operator.rs
+++ b/crates/node-core/src/operator.rs
@@ -78,13 +78,15 @@
         let begun = self.watches.begin(&self.control, watch, kind, after);
         let full = begun == Err(WatchError::TooMany);
         self.counters.watch_overflow += u64::from(full);
+        let (reply, missed) = match begun {
+            Ok(missed) => (Ok(()), missed),
+            Err(error) => (Err(error), Vec::new()),
+        };
         self.agenda.effect(Effect::OperatorReply {
             request: watch,
-            reply: OperatorReply::Watching {
-                accepted: begun.is_ok(),
-            },
+            reply: OperatorReply::Watching(reply),
         });
-        for change in begun.into_iter().flatten() {
+        for change in missed {
             self.agenda.effect(Effect::WatchEvent { watch, change });
         }
     }
--- a/crates/node/src/operator/bridge.rs
+++ b/crates/node/src/operator/bridge.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use elderworks_control::Change;
+use elderworks_control::watch::WatchError;
 use elderworks_node_core::effect::OperatorReply;
 use elderworks_node_core::event::{Event, OperatorRequest, RequestId};
 use tokio::sync::{mpsc, oneshot};
@@ -41,8 +42,8 @@
 
     /// Passes on a reply.
     pub fn reply(&mut self, request: RequestId, reply: OperatorReply) {
-        if let OperatorReply::Watching { accepted } = reply {
-            self.begin_watch(request, accepted);
+        if let OperatorReply::Watching(begun) = reply {
+            self.begin_watch(request, begun);
             return;
         }
         if let Some(waiting) = self.asked.remove(&request) {
@@ -84,13 +85,13 @@
         self.watches.len()
     }
 
-    fn begin_watch(&mut self, watch: RequestId, accepted: bool) {
+    fn begin_watch(&mut self, watch: RequestId, begun: Result<(), WatchError>) {
         let Some(changes) = self.watches.get(&watch) else {
             return;
         };
         // The first message always finds room; if the watcher is gone, a sweep removes it.
-        let _ = changes.try_send(WatchMessage::Begun(accepted));
-        if !accepted {
+        let _ = changes.try_send(WatchMessage::Begun(begun));
+        if begun.is_err() {
             self.watches.remove(&watch);
         }
     }
--- a/crates/node/src/operator/handle.rs
+++ b/crates/node/src/operator/handle.rs
@@ -1,6 +1,7 @@
 //! The channel between HTTP requests and the driver of the node core.
 
 use elderworks_control::Change;
+use elderworks_control::watch::WatchError;
 use elderworks_node_core::effect::OperatorReply;
 use elderworks_node_core::event::OperatorRequest;
 use elderworks_types::Offset;
@@ -38,8 +39,8 @@
 /// What a watcher is sent.
 #[derive(Debug)]
 pub enum WatchMessage {
-    /// The first message: whether the watch began, or its revision is too old.
-    Begun(bool),
+    /// The first message: the watch began, or why not.
+    Begun(Result<(), WatchError>),
     /// A change.
     Change(Box<Change>),
 }
--- a/crates/node/src/operator/mod.rs
+++ b/crates/node/src/operator/mod.rs
@@ -8,6 +8,7 @@
 mod bridge;
 mod error;
 mod handle;
+mod questions;
 mod report;
 mod request;
 mod respond;
--- a/crates/node/src/operator/report.rs
+++ b/crates/node/src/operator/report.rs
@@ -1,5 +1,7 @@
 //! Documents of the read-only kinds.
 
+use std::collections::BTreeMap;
+
 use elderworks_control::api::RunReport;
 use elderworks_control::manifest::Document;
 use elderworks_execution::RunSummary;
@@ -7,6 +9,7 @@
 use elderworks_node_core::effect::{EngineState, EngineView};
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::sidecar::RunView;
+use elderworks_types::resource::{Resource, ServiceSpec, Spec};
 use elderworks_types::{RunId, RunPhase};
 use serde::Serialize;
 use serde_json::Value;
@@ -57,6 +60,30 @@
     Document::report("Node", update.node.to_string(), value(&status))
 }
 
+/// Status of a model service.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceStatus<'a> {
+    engines: BTreeMap<&'a str, EngineState>,
+}
+
+/// A service, with the states of its engines if it has any.
+pub(super) fn service_document(resource: &Resource, engines: &[EngineView]) -> Document {
+    let mut document = Document::from(resource);
+    let Spec::Service(ServiceSpec::Model(service)) = &resource.spec else {
+        return document;
+    };
+    let listed = |view: &&EngineView| service.engines.iter().any(|engine| engine.id == view.id);
+    let states = engines
+        .iter()
+        .filter(listed)
+        .map(|view| (view.id.as_str(), view.state));
+    document.status = Some(value(&ServiceStatus {
+        engines: states.collect(),
+    }));
+    document
+}
+
 /// An engine as an `Engine`.
 pub(super) fn engine_document(engine: &EngineView) -> Document {
     let status = EngineStatus {
--- a/crates/node/src/operator/respond.rs
+++ b/crates/node/src/operator/respond.rs
@@ -5,20 +5,18 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{AUTHORIZATION, ETAG, HeaderValue};
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use elderworks_control::ControlBody;
 use elderworks_control::api::{ApiError, Collection, ErrorCode, ListDocument, WatchLine};
 use elderworks_control::manifest::{Document, Manifest, from_json};
-use elderworks_control::{Change, ControlBody};
-use elderworks_node_core::effect::OperatorReply;
-use elderworks_node_core::event::OperatorRequest;
 use elderworks_settings::BearerToken;
 use elderworks_types::resource::{Kind, Resource};
-use elderworks_types::{Offset, ResourceName, RunId};
-use tokio::time::timeout;
+use elderworks_types::{Offset, ResourceName};
 
 use super::OperatorHandle;
 use super::body::{json_response, read_body};
 use super::error::error_response;
-use super::report::{engine_document, node_document, run_document, run_summary_document};
+use super::questions::{find, not_taken};
+use super::report::{engine_document, service_document};
 use super::request::{
     Query, Target, expected_revision, method_not_allowed, parse_path, parse_query,
 };
@@ -99,16 +97,36 @@
         let list = match collection {
             Collection::Written(kind) => {
                 let (items, revision) = self.list_written(kind).await?;
-                let items = items.iter().map(Document::from).collect();
+                let items = self.with_status(kind, &items).await?;
                 ListDocument::new(collection, Some(revision.0), items)
             }
             Collection::Nodes => ListDocument::new(collection, None, self.nodes().await?),
-            Collection::Engines => ListDocument::new(collection, None, self.engines().await?),
+            Collection::Engines => {
+                let engines = self.engines().await?;
+                let items = engines.iter().map(engine_document).collect();
+                ListDocument::new(collection, None, items)
+            }
             Collection::Runs => ListDocument::new(collection, None, self.runs().await?),
         };
         Ok(json_response(StatusCode::OK, &list))
     }
 
+    /// Documents of resources; model services come with the states of their engines.
+    async fn with_status(
+        &self,
+        kind: Kind,
+        resources: &[Resource],
+    ) -> Result<Vec<Document>, ApiError> {
+        if kind != Kind::Service {
+            return Ok(resources.iter().map(Document::from).collect());
+        }
+        let engines = self.engines().await?;
+        let documents = resources.iter();
+        Ok(documents
+            .map(|resource| service_document(resource, &engines))
+            .collect())
+    }
+
     async fn get(&self, collection: Collection, name: String, query: Query) -> Answer {
         if query.watch {
             return self.watch_collection(collection, Some(name), query).await;
@@ -116,11 +134,15 @@
         let document = match collection {
             Collection::Written(kind) => {
                 let resource = self.get_written(kind, &name).await?;
-                return Ok(resource_response(&resource));
+                let documents = self.with_status(kind, &[resource]).await?;
+                return Ok(resource_response(&find(documents, &name)?));
             }
             Collection::Runs => self.run(&name).await?,
             Collection::Nodes => find(self.nodes().await?, &name)?,
-            Collection::Engines => find(self.engines().await?, &name)?,
+            Collection::Engines => {
+                let engines = self.engines().await?;
+                find(engines.iter().map(engine_document).collect(), &name)?
+            }
         };
         Ok(json_response(StatusCode::OK, &document))
     }
@@ -146,7 +168,7 @@
         };
         let change = self.change(change).await?;
         match &change.resource {
-            Some(resource) => Ok(resource_response(resource)),
+            Some(resource) => Ok(resource_response(&Document::from(resource))),
             None => Err(ApiError::unavailable("the node answered another question")),
         }
     }
@@ -185,95 +207,17 @@
         let filter = WatchFilter { after, name };
         watch_response(messages, filter, self.reply_timeout).await
     }
-
-    /// Asks for a change. Once the node core has taken it, silence means that its outcome is not
-    /// known.
-    async fn change(&self, body: ControlBody) -> Result<Change, ApiError> {
-        let question = OperatorRequest::Change(body);
-        let reply = self.handle.ask(question).map_err(|_| not_taken())?;
-        match timeout(self.reply_timeout, reply).await {
-            Ok(Ok(OperatorReply::Changed(result))) => Ok(result?),
-            Ok(Ok(_)) => Err(unexpected_reply()),
-            Ok(Err(_)) | Err(_) => Err(ApiError::outcome_unknown()),
-        }
-    }
-
-    /// Asks a question that changes nothing.
-    async fn read(&self, question: OperatorRequest) -> Result<OperatorReply, ApiError> {
-        let reply = self.handle.ask(question).map_err(|_| not_taken())?;
-        match timeout(self.reply_timeout, reply).await {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(_)) | Err(_) => Err(ApiError::unavailable("the node did not answer in time")),
-        }
-    }
-
-    async fn list_written(&self, kind: Kind) -> Result<(Vec<Resource>, Offset), ApiError> {
-        match self.read(OperatorRequest::List { kind }).await? {
-            OperatorReply::Resources { items, revision } => Ok((items, revision)),
-            _ => Err(unexpected_reply()),
-        }
-    }
-
-    async fn get_written(&self, kind: Kind, name: &str) -> Result<Resource, ApiError> {
-        let question = OperatorRequest::Get {
-            kind,
-            name: ResourceName::new(name),
-        };
-        match self.read(question).await? {
-            OperatorReply::Resource(Some(resource)) => Ok(resource),
-            OperatorReply::Resource(None) => Err(not_found(name)),
-            _ => Err(unexpected_reply()),
-        }
-    }
-
-    async fn nodes(&self) -> Result<Vec<Document>, ApiError> {
-        match self.read(OperatorRequest::Nodes).await? {
-            OperatorReply::Nodes(members) => Ok(members.iter().map(node_document).collect()),
-            _ => Err(unexpected_reply()),
-        }
-    }
-
-    async fn engines(&self) -> Result<Vec<Document>, ApiError> {
-        match self.read(OperatorRequest::Engines).await? {
-            OperatorReply::Engines(engines) => Ok(engines.iter().map(engine_document).collect()),
-            _ => Err(unexpected_reply()),
-        }
-    }
-
-    async fn runs(&self) -> Result<Vec<Document>, ApiError> {
-        match self.read(OperatorRequest::Runs).await? {
-            OperatorReply::Runs(runs) => Ok(runs.iter().map(run_summary_document).collect()),
-            _ => Err(unexpected_reply()),
-        }
-    }
-
-    async fn run(&self, name: &str) -> Result<Document, ApiError> {
-        let run: RunId = name.parse().map_err(|_| not_found(name))?;
-        match self.read(OperatorRequest::Run { run }).await? {
-            OperatorReply::Run(Some(view)) => Ok(run_document(run, &view)),
-            OperatorReply::Run(None) => Err(not_found(name)),
-            OperatorReply::RunElsewhere(owner) => Err(run_elsewhere(owner.map(|owner| owner.node))),
-            _ => Err(unexpected_reply()),
-        }
-    }
 }
 
-fn resource_response(resource: &Resource) -> Response<BoxBody> {
-    let mut response = json_response(StatusCode::OK, &Document::from(resource));
-    let revision = format!("\"{}\"", resource.metadata.revision);
+fn resource_response(document: &Document) -> Response<BoxBody> {
+    let mut response = json_response(StatusCode::OK, document);
+    let revision = format!("\"{}\"", document.metadata.revision.unwrap_or_default());
     if let Ok(revision) = HeaderValue::from_str(&revision) {
         response.headers_mut().insert(ETAG, revision);
     }
     response
 }
 
-fn find(documents: Vec<Document>, name: &str) -> Result<Document, ApiError> {
-    documents
-        .into_iter()
-        .find(|document| document.metadata.name == name)
-        .ok_or_else(|| not_found(name))
-}
-
 fn check_same(path: &str, expected: &str, found: &str) -> Result<(), ApiError> {
     if expected == found {
         return Ok(());
@@ -282,26 +226,6 @@
     Err(ApiError::new(ErrorCode::Invalid, message).at(path))
 }
 
-fn not_found(name: &str) -> ApiError {
-    ApiError::new(ErrorCode::NotFound, format!("there is no {name:?}"))
-}
-
-fn not_taken() -> ApiError {
-    ApiError::unavailable("the node is too busy or stopping")
-}
-
-fn unexpected_reply() -> ApiError {
-    ApiError::unavailable("the node answered another question")
-}
-
-fn run_elsewhere(owner: Option<elderworks_types::NodeId>) -> ApiError {
-    let message = match owner {
-        Some(node) => format!("the run is owned by node {node}: ask there"),
-        None => "the run's owner is not known yet".to_owned(),
-    };
-    ApiError::new(ErrorCode::RunElsewhere, message)
-}
-
 /// Compares without telling by its duration where the texts differ.
 fn equal_in_constant_time(left: &str, right: &str) -> bool {
     let differences = left
--- a/crates/node/src/operator/watch.rs
+++ b/crates/node/src/operator/watch.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use elderworks_control::Change;
 use elderworks_control::api::{ApiError, ErrorCode, WatchLine};
+use elderworks_control::watch::WatchError;
 use elderworks_types::Offset;
 use futures_util::{Stream, stream};
 use tokio::sync::mpsc;
@@ -45,11 +46,8 @@
     reply_timeout: Duration,
 ) -> Result<Response<BoxBody>, ApiError> {
     match timeout(reply_timeout, messages.recv()).await {
-        Ok(Some(WatchMessage::Begun(true))) => {}
-        Ok(Some(WatchMessage::Begun(false))) => {
-            let message = "the changes after that revision are no longer remembered: list anew";
-            return Err(ApiError::new(ErrorCode::WatchTooOld, message));
-        }
+        Ok(Some(WatchMessage::Begun(Ok(())))) => {}
+        Ok(Some(WatchMessage::Begun(Err(error)))) => return Err(watch_error(error)),
         Ok(Some(WatchMessage::Change(_)) | None) | Err(_) => {
             return Err(ApiError::unavailable("the watch did not begin"));
         }
@@ -61,6 +59,14 @@
     Ok(response)
 }
 
+fn watch_error(error: WatchError) -> ApiError {
+    let message = error.to_string();
+    match error {
+        WatchError::TooOld => ApiError::new(ErrorCode::WatchTooOld, message),
+        WatchError::TooMany => ApiError::unavailable(message),
+    }
+}
+
 fn lines(
     messages: mpsc::Receiver<WatchMessage>,
     filter: WatchFilter,
