--- a/crates/cli/src/verbs/explain.rs
+++ b/crates/cli/src/verbs/explain.rs
@@ -16,7 +16,8 @@
     format.print(&document, |_| print_run(id, &report))
 }
 
-fn print_run(id: &str, report: &RunReport) -> String {
+/// A run as text for people.
+pub fn print_run(id: &str, report: &RunReport) -> String {
     let mut lines = vec![
         format!("{id}: {} of tenant {}", report.phase, report.tenant),
         format!(
