Answer a read of a run only once the owner is known to be the owner still

Ruled out: noticing a pause by the clock, as safety must not rest on time. Conclusion: reads cost one log round trip.

--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -69,8 +69,11 @@
     pub(super) fn lose_ownership(&mut self) {
         log::info!("partition {} no longer owned", self.id);
         self.owned = None;
-        let soft = std::mem::replace(&mut self.soft, Soft::new(&self.settings));
+        let mut soft = std::mem::replace(&mut self.soft, Soft::new(&self.settings));
         self.emit(Effect::OwnershipChanged { owned: None });
+        for read in soft.reads.take_all() {
+            self.turn_away([read.connection], read.run, None);
+        }
         for (run, start) in soft.starting {
             self.turn_away(start.connections, run, None);
         }
--- a/crates/execution/src/partition/view.rs
+++ b/crates/execution/src/partition/view.rs
@@ -1,10 +1,12 @@
 //! A run as its caller may read it.
 
+use elderworks_protocol::journal::JournalBody;
 use elderworks_protocol::sidecar::{AttemptView, CallView, NodeMessage, RunView};
 use elderworks_types::{CallId, RunId, TenantId, Timestamp};
 
 use super::Partition;
 use crate::event::Connection;
+use crate::soft::PendingRead;
 use crate::state::{CallState, RunState};
 
 impl Partition {
@@ -20,12 +22,37 @@
         tenant: &TenantId,
         run: RunId,
     ) {
-        if !self.is_serving() {
+        if !self.is_serving() || self.soft.reads.is_full() {
             return self.turn_away([connection], run, None);
         }
-        let state = self.journal.run_of(tenant, run);
-        let view = state.map(|state| Box::new(self.run_view(state)));
-        self.send(connection, NodeMessage::RunView { query, view });
+        self.soft.reads.push(PendingRead {
+            connection,
+            query,
+            tenant: tenant.clone(),
+            run,
+        });
+        self.begin_barrier();
+    }
+
+    /// A node that was paused may have lost the partition without knowing. What it answers to a
+    /// read must not be older than the question, so it first reads a record of its own back.
+    fn begin_barrier(&mut self) {
+        if self.soft.reads.begin_barrier() {
+            self.append(JournalBody::Barrier);
+        }
+    }
+
+    /// This node still owned the partition after the covered reads had come.
+    pub(super) fn on_barrier(&mut self) {
+        for read in self.soft.reads.finish_barrier() {
+            let state = self.journal.run_of(&read.tenant, read.run);
+            let view = state.map(|state| Box::new(self.run_view(state)));
+            let query = read.query;
+            self.send(read.connection, NodeMessage::RunView { query, view });
+        }
+        if self.is_serving() {
+            self.begin_barrier();
+        }
     }
 
     fn run_view(&self, state: &RunState) -> RunView {
--- a/crates/execution/src/soft.rs
+++ b/crates/execution/src/soft.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod notes;
 mod queue;
+mod reads;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -23,6 +24,7 @@
 pub(crate) use callers::Callers;
 pub(crate) use notes::Notebook;
 pub(crate) use queue::CallQueue;
+pub(crate) use reads::{PendingRead, ReadQueue};
 
 /// The owner's working state.
 #[derive(Debug)]
@@ -49,6 +51,8 @@
     pub memory: BTreeMap<RunId, MemoryRelease>,
     /// Bounds retries.
     pub retry: RetryBudget,
+    /// Reads that wait until this node knows that it still owns the partition.
+    pub reads: ReadQueue,
     /// Whether a forgetting of runs is on its way.
     pub forgetting: bool,
     /// What `explain` shows beyond the journal.
@@ -70,6 +74,7 @@
             granting: BTreeMap::new(),
             memory: BTreeMap::new(),
             retry: RetryBudget::new(settings),
+            reads: ReadQueue::default(),
             forgetting: false,
             notes: Notebook::new(settings.max_call_notes),
         }
--- a/crates/execution/src/state/apply.rs
+++ b/crates/execution/src/state/apply.rs
@@ -60,6 +60,7 @@
     fn apply_body(&mut self, body: &JournalBody, faults: &Faults) -> Applied {
         match body {
             JournalBody::Claim { .. }
+            | JournalBody::Barrier
             | JournalBody::Snapshot { .. }
             | JournalBody::SnapshotConfirmed { .. } => Ok(()),
             JournalBody::Release { unsent } => {
--- a/crates/execution/tests/takeover.rs
+++ b/crates/execution/tests/takeover.rs
@@ -212,6 +212,40 @@
     );
 }
 
+/// Simulation seed 1067 found it: a paused owner woke and answered a read from before the other's
+/// time.
+#[test]
+fn a_paused_owner_that_wakes_answers_no_read_from_memory() {
+    let (mut world, id) = world_with(model_call(1, 0, "hello"), Progress::Placed);
+    effects_after_takeover(&mut world);
+    world.complete(1, id, 1, "answered elsewhere");
+    world.take_effects(0);
+    let read = Event::ReadRun {
+        connection: 1,
+        query: 5,
+        tenant: tenant(),
+        run: RUN,
+    };
+    world.feed(0, read.clone());
+    assert!(world.take_effects(0).is_empty(), "not known to be current");
+    world.nodes[0].paused = false;
+    world.settle();
+    let messages = world.take_messages(0);
+    let viewed = messages
+        .iter()
+        .any(|message| matches!(message, NodeMessage::RunView { .. }));
+    assert!(!viewed, "{messages:?}");
+    world.event(1, read);
+    let messages = world.take_messages(1);
+    let Some(NodeMessage::RunView {
+        view: Some(view), ..
+    }) = messages.last()
+    else {
+        panic!("no view: {messages:?}");
+    };
+    assert!(view.calls[0].outcome.is_some());
+}
+
 #[test]
 fn of_two_claims_at_one_epoch_the_first_read_wins_everywhere() {
     let mut world = World::new(3);
--- a/crates/protocol/src/journal.rs
+++ b/crates/protocol/src/journal.rs
@@ -20,6 +20,9 @@
         /// owner need not charge it.
         unsent: Vec<CallId>,
     },
+    /// Changes nothing: once read back it shows its writer that it still owned the partition after
+    /// it was asked something.
+    Barrier,
     /// Starts a run.
     RunStarted {
         /// What the caller fixed.
