--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -130,6 +130,16 @@
         &self.counters
     }
 
+    /// What its partitions have counted so far, and their sizes as of now.
+    pub fn execution_counters(&self) -> execution::Counters {
+        self.ownership.execution_counters()
+    }
+
+    /// What placement has counted so far, and its sizes as of now.
+    pub fn placement_counters(&self) -> placement::Counters {
+        self.placement.counters()
+    }
+
     /// Partitions that this node owns now.
     pub fn owned_partitions(&self) -> impl Iterator<Item = PartitionId> {
         self.ownership.owned()
@@ -185,6 +195,8 @@
             } => {
                 self.agenda
                     .membership(membership::Event::MachineList { live, leaving });
+                let ignored = self.settings.execution.faults.ignore_leaving();
+                let leaving_engines = if ignored { Vec::new() } else { leaving_engines };
                 let changes = self.engines.list_leaving(leaving_engines);
                 self.apply_engine_changes(changes);
             }
@@ -227,6 +239,7 @@
             Event::EngineCache { engine, change } => self
                 .agenda
                 .placement(placement::Event::Cache { engine, change }),
+            Event::EngineLeaving { .. } if self.settings.execution.faults.ignore_leaving() => {}
             Event::EngineLeaving { engine } => {
                 let changes = self.engines.said_leaving(self.now, &engine);
                 self.apply_engine_changes(changes);
@@ -307,7 +320,7 @@
         self.reassign();
     }
 
-    fn drive_membership(&mut self, event: membership::Event) {
+    pub(crate) fn drive_membership(&mut self, event: membership::Event) {
         let Some(membership) = self.membership.as_mut() else {
             return;
         };
@@ -317,19 +330,14 @@
                 membership::Effect::Send { to, datagram } => {
                     self.agenda.effect(Effect::SendDatagram { to, datagram });
                 }
-                membership::Effect::MemberChanged { .. } => changed = true,
-                // Partitions are assigned within the cell; other cells are reached by their digests.
-                membership::Effect::CellChanged { .. } => {}
-                membership::Effect::ControlBehind {
-                    peer,
-                    address,
-                    next,
-                } => {
+                membership::Effect::MemberChanged { .. }
+                | membership::Effect::CellChanged { .. } => changed = true,
+                membership::Effect::ControlBehind { peer, address, .. } => {
                     let peer = NodeAddress {
                         node: peer,
                         address,
                     };
-                    self.control_behind(peer, next);
+                    self.control_behind(peer);
                 }
             }
         }
@@ -338,11 +346,10 @@
         }
     }
 
-    /// Assigns partitions anew after a change of the members.
+    /// Assigns partitions anew after a change of members or cells.
     pub(crate) fn reassign(&mut self) {
-        let leaving = self.draining().then_some(&self.settings.node);
         if let Some(membership) = &self.membership {
-            self.assignment.recompute(membership, leaving);
+            self.assignment.recompute(membership);
         }
     }
 
--- a/crates/node-core/src/operator.rs
+++ b/crates/node-core/src/operator.rs
@@ -1,7 +1,10 @@
 //! Requests of operators.
 
+use std::cmp::Reverse;
+
 use elderworks_control::watch::WatchError;
 use elderworks_control::{self as control, Change};
+use elderworks_execution::RunSummary;
 use elderworks_types::resource::Kind;
 use elderworks_types::{Offset, RunId};
 
@@ -9,11 +12,17 @@
 use crate::effect::{Effect, OperatorReply};
 use crate::event::{OperatorRequest, RequestId};
 
+/// Most runs in one list.
+pub const MAX_LISTED_RUNS: usize = 1_000;
+
 impl NodeCore {
     /// Answers an operator, at once or when the log has decided.
     pub(crate) fn operator_request(&mut self, request: RequestId, question: OperatorRequest) {
         let reply = match question {
             OperatorRequest::Change(body) => {
+                if self.settings.execution.faults.accept_unread() {
+                    self.accept_unread(request, &body);
+                }
                 self.agenda
                     .control(control::Event::Propose { request, body });
                 return;
@@ -35,16 +44,45 @@
             },
             OperatorRequest::Nodes => OperatorReply::Nodes(self.member_list()),
             OperatorRequest::Engines => OperatorReply::Engines(self.engines.views()),
+            OperatorRequest::Runs => OperatorReply::Runs(self.own_runs()),
             OperatorRequest::Run { run } => self.run_reply(run),
         };
         self.agenda.effect(Effect::OperatorReply { request, reply });
     }
 
+    /// Tells an operator that a change is accepted which may yet lose: only ever done on purpose, to
+    /// be caught.
+    fn accept_unread(&mut self, request: RequestId, body: &control::ControlBody) {
+        let control::ControlBody::Put { resource, .. } = body else {
+            return;
+        };
+        let change = Change {
+            revision: self.control.next(),
+            kind: resource.spec.kind(),
+            name: resource.metadata.name.clone(),
+            resource: Some(resource.clone()),
+        };
+        self.agenda.effect(Effect::OperatorReply {
+            request,
+            reply: OperatorReply::Changed(Ok(change)),
+        });
+    }
+
     fn member_list(&self) -> Vec<elderworks_membership::Member> {
         let members = self.membership.iter().flat_map(|known| known.members());
         members.cloned().collect()
     }
 
+    /// The latest runs of the partitions that this node owns.
+    fn own_runs(&self) -> Vec<RunSummary> {
+        let held = self.ownership.held.values();
+        let owned = held.filter(|held| held.epoch.is_some());
+        let mut runs: Vec<RunSummary> = owned.flat_map(|held| held.machine.summaries()).collect();
+        runs.sort_by_key(|run| (Reverse(run.started), run.spec.id));
+        runs.truncate(MAX_LISTED_RUNS);
+        runs
+    }
+
     fn run_reply(&self, run: RunId) -> OperatorReply {
         let partition = run.partition(self.settings.partition_count);
         let held = self.ownership.held.get(&partition);
