Give a call that builds on missing history its own refusal

Ruled out: a time to come back, since the caller has to read the run and make the call anew. Change: RefusalReason::HistoryMissing, told by the sidecar as 409 history_missing; the table of refused calls expects it in place of the old reason, as strictly.

--- a/crates/execution/src/partition/ordering.rs
+++ b/crates/execution/src/partition/ordering.rs
@@ -67,7 +67,7 @@
             CallRequest::Tool(_) => Some(Vec::new()),
         };
         let Some(prompt) = prompt else {
-            return Turn::Refuse(refusal(RefusalReason::EarlierCallMissing, None));
+            return Turn::Refuse(refusal(RefusalReason::HistoryMissing, None));
         };
         let length: Tokens = prompt
             .iter()
--- a/crates/sidecar/src/http/error.rs
+++ b/crates/sidecar/src/http/error.rs
@@ -221,6 +221,11 @@
             "earlier_call_missing",
             "earlier calls of the run did not arrive in time",
         ),
+        R::HistoryMissing => (
+            StatusCode::CONFLICT,
+            "history_missing",
+            "the call builds on more history than the run has; read the run and make it anew",
+        ),
         R::NoNodeReachable => (
             StatusCode::SERVICE_UNAVAILABLE,
             "no_node_reachable",
--- a/crates/simulation/src/check/liveness.rs
+++ b/crates/simulation/src/check/liveness.rs
@@ -64,6 +64,7 @@
         | RefusalReason::RunNotFound
         | RefusalReason::UnknownService
         | RefusalReason::CallNumberReused
+        | RefusalReason::HistoryMissing
         | RefusalReason::DeadlinePassed => false,
     }
 }
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -69,6 +69,8 @@
     EarlierCallMissing,
     /// No node could be reached, so the request was never handed over.
     NoNodeReachable,
+    /// The call builds on more history than the run has: read the run and make the call anew.
+    HistoryMissing,
 }
 
 /// A failure after dispatch.
