Recognise a repeated model call although its run's history has grown

Cause: the sidecar filled in the history prefix and the absolute deadline anew for a repeat, so a caller that asked again with its number after a lost answer was told call_number_reused. Ruled out: letting the owner ignore the prefix, which is part of what is asked. Change: a request that names a number or key is compared with the run first and takes over the earlier call's prefix and deadline; the state machine compares open and ended calls without their deadlines; tests repeat every kind of call, and the separate-process programs repeat each question. Conclusion: the documented way to repeat a request now holds for models as for tools.

--- a/crates/cli/tests/processes/programs.rs
+++ b/crates/cli/tests/processes/programs.rs
@@ -54,6 +54,8 @@
     async fn ask(&mut self, number: u32) {
         let question = format!("turn {number} of {}", self.marker);
         let answer = self.caller.ask(&self.run, number, &question).await;
+        let repeated = self.caller.ask(&self.run, number, &question).await;
+        assert_eq!(repeated, answer, "{} asked again", self.marker);
         self.note("user", question);
         self.note("assistant", answer);
     }
--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -18,7 +18,7 @@
 use crate::event::{Event, RequestId};
 use crate::finished::FinishedCalls;
 use crate::links::{LinkStatus, Links};
-use crate::request::{Body, OpenCall, OpenRequest, Position, RequestKey};
+use crate::request::{Body, OpenCall, OpenRequest, Position, RequestKey, without_deadline};
 
 /// How often a driver sends [`Event::Tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -202,7 +202,7 @@
         if call.tenant != *tenant {
             return self.refuse_call(request, RefusalReason::RunNotFound);
         }
-        if call.spec != *spec {
+        if without_deadline(&call.spec) != without_deadline(spec) {
             return self.refuse_call(request, RefusalReason::CallNumberReused);
         }
         call.listeners.push(request);
--- a/crates/sidecar-core/src/finished.rs
+++ b/crates/sidecar-core/src/finished.rs
@@ -5,6 +5,8 @@
 
 use elderworks_types::{CallId, CallSpec};
 
+use crate::request::without_deadline;
+
 /// Most ended calls remembered.
 pub const REMEMBERED_CALLS: usize = 4096;
 
@@ -40,6 +42,6 @@
 
 fn digest(spec: &CallSpec) -> u64 {
     let mut hasher = DefaultHasher::new();
-    hasher.write(&elderworks_protocol::encode(spec));
+    hasher.write(&elderworks_protocol::encode(&without_deadline(spec)));
     hasher.finish()
 }
--- a/crates/sidecar-core/src/request.rs
+++ b/crates/sidecar-core/src/request.rs
@@ -132,6 +132,14 @@
     }
 }
 
+/// What a call asks for, whenever it should be done: a repeated request may name another deadline.
+pub(crate) fn without_deadline(spec: &CallSpec) -> CallSpec {
+    CallSpec {
+        deadline: None,
+        ..spec.clone()
+    }
+}
+
 impl RequestKey {
     fn query(self) -> u64 {
         match self {
--- a/crates/sidecar/src/http/call_request.rs
+++ b/crates/sidecar/src/http/call_request.rs
@@ -4,8 +4,8 @@
 
 use elderworks_sidecar_core::CallerReply;
 use elderworks_types::{
-    Answer, CallNumber, CallRequest, CallSpec, Outcome, Refusal, RefusalReason, RunId, TenantId,
-    Timestamp,
+    Answer, CallNumber, CallRequest, CallSpec, Message, Outcome, Refusal, RefusalReason, RunId,
+    TenantId, Timestamp,
 };
 
 use super::App;
@@ -69,11 +69,9 @@
     draft: CallDraft,
 ) -> Result<OpenCall, ApiError> {
     let started = Instant::now();
-    let earlier = earlier_number(app, tenant, run, &draft).await?;
-    let fixed = draft.number.or(earlier);
     let mut renumberings = 0;
     loop {
-        let number = match fixed {
+        let number = match draft.number {
             Some(number) => number,
             None => take_number(app, tenant, run).await?,
         };
@@ -81,10 +79,10 @@
         let mut replies = app.core.call(tenant.clone(), run, spec);
         let first = replies.next().await;
         let refusal = refusal_of(first.as_ref());
-        if refusal.is_some() && fixed.is_none() {
+        if refusal.is_some() && draft.number.is_none() {
             app.known_runs.give_back(run, number);
         }
-        if fixed.is_none() && is_number_reused(refusal) && renumberings < RENUMBERINGS {
+        if draft.number.is_none() && is_number_reused(refusal) && renumberings < RENUMBERINGS {
             renumberings += 1;
             learn_run(app, tenant, run).await?;
             continue;
@@ -103,23 +101,56 @@
     }
 }
 
-/// The number under which the same idempotency key was used before in this run.
-async fn earlier_number(
+/// What a new request is compared with: the run, and the call that the request repeats.
+pub struct RunContext {
+    /// Messages that a prompt can begin with.
+    pub history: Vec<Message>,
+    /// The call of the same number or, without a number, of the same idempotency key.
+    pub earlier: Option<CallSpec>,
+}
+
+impl RunContext {
+    /// How many messages of the history the earlier call's prompt began with. A repeated request
+    /// has to say the same, although the history has grown since.
+    pub fn earlier_prefix(&self) -> Option<u32> {
+        match &self.earlier.as_ref()?.request {
+            CallRequest::Model(model) => Some(model.history_prefix),
+            CallRequest::Tool(_) => None,
+        }
+    }
+
+    /// The deadline to use. Callers give it from now, so a repeated request takes over the first
+    /// one's.
+    pub fn deadline(&self, given: Option<Timestamp>) -> Option<Timestamp> {
+        let earlier = self.earlier.as_ref().and_then(|earlier| earlier.deadline);
+        given.map(|given| earlier.unwrap_or(given))
+    }
+
+    /// The number to use: the caller's own, or that of the call that the request repeats.
+    pub fn number(&self, given: Option<CallNumber>) -> Option<CallNumber> {
+        given.or(self.earlier.as_ref().map(|earlier| earlier.number))
+    }
+}
+
+/// Reads what a request with this number and idempotency key is compared with.
+pub async fn read_context(
     app: &App,
     tenant: &TenantId,
     run: RunId,
-    draft: &CallDraft,
-) -> Result<Option<CallNumber>, ApiError> {
-    if draft.number.is_some() || draft.idempotency_key.is_none() {
-        return Ok(None);
-    }
+    number: Option<CallNumber>,
+    idempotency_key: Option<&str>,
+) -> Result<RunContext, ApiError> {
     let view = app.core.read_run(tenant.clone(), run).await?;
     let view = view.ok_or_else(ApiError::run_not_found)?;
-    let earlier = view
-        .calls
-        .iter()
-        .find(|call| call.spec.idempotency_key == draft.idempotency_key);
-    Ok(earlier.map(|call| call.spec.number))
+    let is_earlier = |spec: &CallSpec| match number {
+        Some(number) => spec.number == number,
+        None => idempotency_key.is_some() && spec.idempotency_key.as_deref() == idempotency_key,
+    };
+    let mut specs = view.calls.into_iter().map(|call| call.spec);
+    Ok(RunContext {
+        history: view.history,
+        earlier: specs.find(is_earlier),
+    })
 }
 
 async fn take_number(app: &App, tenant: &TenantId, run: RunId) -> Result<CallNumber, ApiError> {
--- a/crates/sidecar/src/http/calls.rs
+++ b/crates/sidecar/src/http/calls.rs
@@ -8,7 +8,7 @@
 use elderworks_types::{CallRequest, Message, ModelRequest, RunId, TenantId, Tokens, ToolRequest};
 use futures_util::{Stream, stream};
 
-use super::call_request::{CallDraft, OpenCall, Step, check_run, submit};
+use super::call_request::{CallDraft, OpenCall, RunContext, Step, check_run, read_context, submit};
 use super::error::ApiError;
 use super::{ApiResult, App, auth, body, json, runs, sse};
 use crate::wire::{CallBody, CompletedCall, ModelBody, Piece, ToolBody};
@@ -38,37 +38,44 @@
     run: RunId,
     body: CallBody,
 ) -> Result<CallDraft, ApiError> {
+    let key = body.idempotency_key.as_deref();
+    let may_repeat = key.is_some() || (body.number.is_some() && body.deadline_ms.is_some());
+    let needs_context = may_repeat || body.model.is_some();
+    let context = match needs_context {
+        true => Some(read_context(app, tenant, run, body.number, key).await?),
+        false => None,
+    };
+    let deadline = body.deadline_ms.map(runs::from_now);
+    let (number, deadline) = match &context {
+        Some(context) => (context.number(body.number), context.deadline(deadline)),
+        None => (body.number, deadline),
+    };
     let (request, is_repeatable) = match (body.model, body.tool) {
-        (Some(model), None) => (model_request(app, tenant, run, model).await?, true),
+        (Some(model), None) => (model_request(model, context.as_ref()), true),
         (None, Some(tool)) => (tool_request(tool), false),
         _ => return Err(ApiError::invalid("give either `model` or `tool`")),
     };
     Ok(CallDraft {
-        number: body.number,
+        number,
         request,
         repeatable: body.repeatable.unwrap_or(is_repeatable),
         idempotency_key: body.idempotency_key,
-        deadline: body.deadline_ms.map(runs::from_now),
+        deadline,
         expected_reuse: body.expected_reuse_ms.map(Duration::from_millis),
     })
 }
 
-async fn model_request(
-    app: &App,
-    tenant: &TenantId,
-    run: RunId,
-    body: ModelBody,
-) -> Result<CallRequest, ApiError> {
-    let history_prefix = match body.history_prefix {
-        Some(prefix) => prefix,
-        None => runs::view(app, tenant, run).await?.history.len() as u32,
-    };
-    Ok(CallRequest::Model(ModelRequest {
+/// Without a prefix of the caller's own, the prompt begins with the whole history as it is, or as
+/// it was for the call that this one repeats.
+fn model_request(body: ModelBody, context: Option<&RunContext>) -> CallRequest {
+    let present = context.map_or(0, |context| context.history.len() as u32);
+    let earlier = context.and_then(RunContext::earlier_prefix);
+    CallRequest::Model(ModelRequest {
         model: body.name,
-        history_prefix,
+        history_prefix: body.history_prefix.or(earlier).unwrap_or(present),
         messages: body.messages.into_iter().map(Message::from).collect(),
         max_output: body.max_output.unwrap_or(DEFAULT_MAX_OUTPUT),
-    }))
+    })
 }
 
 fn tool_request(body: ToolBody) -> CallRequest {
--- a/crates/sidecar/src/http/chat.rs
+++ b/crates/sidecar/src/http/chat.rs
@@ -11,11 +11,11 @@
 };
 use futures_util::{Stream, stream};
 
-use super::call_request::{CallDraft, OpenCall, Step, submit};
+use super::call_request::{CallDraft, OpenCall, Step, read_context, submit};
 use super::calls::DEFAULT_MAX_OUTPUT;
 use super::chat_wire::{ChatBody, Completion};
 use super::error::ApiError;
-use super::runs::{RunDraft, from_now, start_run, view};
+use super::runs::{RunDraft, from_now, start_run};
 use super::{ApiResult, App, auth, body, sse};
 use crate::driver::now;
 
@@ -160,17 +160,22 @@
     body: ChatBody,
 ) -> Result<CallDraft, ApiError> {
     let mut messages: Vec<Message> = body.messages.into_iter().map(Message::from).collect();
-    let known = match place.is_single {
-        true => 0,
-        false => {
-            let history = view(app, tenant, place.run).await?.history;
-            common_prefix(&history, &messages)
-        }
-    };
+    let mut number = headers.number;
+    let mut deadline = headers.deadline;
+    let mut known = 0;
+    if !place.is_single {
+        let key = headers.idempotency_key.as_deref();
+        let context = read_context(app, tenant, place.run, number, key).await?;
+        number = context.number(number);
+        deadline = context.deadline(deadline);
+        let shared = common_prefix(&context.history, &messages);
+        let earlier = context.earlier_prefix().map(|prefix| prefix as usize);
+        known = earlier.unwrap_or(shared).min(shared);
+    }
     messages.drain(..known);
     let max_output = body.max_completion_tokens.or(body.max_tokens);
     Ok(CallDraft {
-        number: headers.number,
+        number,
         request: CallRequest::Model(ModelRequest {
             model: body.model,
             history_prefix: known as u32,
@@ -179,7 +184,7 @@
         }),
         repeatable: true,
         idempotency_key: headers.idempotency_key,
-        deadline: headers.deadline,
+        deadline,
         expected_reuse: headers.expected_reuse,
     })
 }
--- a/crates/sidecar/tests/callers/programs.rs
+++ b/crates/sidecar/tests/callers/programs.rs
@@ -166,6 +166,64 @@
     assert_eq!(view.json()["calls"].as_array().expect("a list").len(), 1);
 }
 
+#[actix_rt::test]
+async fn a_repeated_model_call_gets_the_first_answer_though_the_history_has_grown() {
+    let setup = setup().await;
+    let run = setup.start_run(OFFICE).await;
+    let path = format!("/v1/runs/{run}/calls");
+    let ask = |text: &str, number: Option<u32>, key: Option<&str>| {
+        let messages = json!([{"role": "user", "content": text}]);
+        let model = json!({"name": "m", "messages": messages});
+        let call = json!({"model": model, "number": number, "idempotency_key": key,
+            "deadline_ms": 60_000});
+        call.to_string()
+    };
+    let bodies = [
+        (ask("one", Some(1), None), 1),
+        (ask("two", None, Some("k")), 2),
+        (ask("three", Some(3), None), 3),
+    ];
+    for round in 0..2 {
+        for (body, number) in &bodies {
+            let reply = setup.send_as(OFFICE, Method::POST, &path, body).await;
+            assert_eq!(
+                reply.status,
+                StatusCode::OK,
+                "round {round}: {}",
+                reply.body
+            );
+            assert_eq!(reply.json()["number"], *number, "round {round}");
+        }
+    }
+    let path = format!("/v1/runs/{run}");
+    let view = setup.send_as(OFFICE, Method::GET, &path, "").await;
+    assert_eq!(view.json()["calls"].as_array().expect("a list").len(), 3);
+}
+
+#[actix_rt::test]
+async fn a_repeated_completion_gets_the_first_answer_though_the_history_has_grown() {
+    let setup = setup().await;
+    let run = setup.start_run(OFFICE).await;
+    let body = json!({"model": "m", "messages": [{"role": "user", "content": "one"}]});
+    for (name, value) in [("x-elderworks-call", "1"), ("idempotency-key", "k")] {
+        let headers = [
+            ("authorization", "Bearer office-token"),
+            ("x-elderworks-run", run.as_str()),
+            ("x-elderworks-deadline-ms", "60000"),
+            (name, value),
+        ];
+        let mut calls = Vec::new();
+        for _ in 0..2 {
+            let path = "/v1/chat/completions";
+            let body = body.to_string();
+            let reply = setup.send(Method::POST, path, &headers, &body).await;
+            assert_eq!(reply.status, StatusCode::OK, "{name}: {}", reply.body);
+            calls.push(reply.header("x-elderworks-call").map(str::to_owned));
+        }
+        assert_eq!(calls[0], calls[1], "{name}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_sub_agent_belongs_to_its_parents_tree() {
     let setup = setup().await;
