--- /dev/null
+++ b/crates/simulation/tests/broken.rs
@@ -0,0 +1,36 @@
+//! Every deliberately broken variant is caught by the checker of the invariant that it breaks.
+
+use elderworks_simulation::broken::Broken;
+use elderworks_simulation::{Plan, Preset, run};
+
+/// Seeds among which each variant must be caught.
+const SEEDS: u64 = 100;
+
+fn is_caught(variant: &Broken) -> bool {
+    (0..SEEDS).any(|seed| {
+        let mut plan = Plan::drawn(seed, Preset::Lublin, variant.faults);
+        let whole = run(&plan);
+        let noticed_anyway = whole
+            .violations
+            .iter()
+            .any(|violation| violation.invariant == variant.invariant);
+        variant.apply(&mut plan);
+        let broken = run(&plan);
+        let noticed = broken
+            .violations
+            .iter()
+            .any(|violation| violation.invariant == variant.invariant);
+        noticed && !noticed_anyway
+    })
+}
+
+#[test]
+fn every_variant_is_caught() {
+    let missed: Vec<&str> = Broken::all()
+        .iter()
+        .filter(|variant| !is_caught(variant))
+        .map(|variant| variant.name)
+        .collect();
+    assert!(missed.is_empty(), "not caught: {missed:?}");
+    assert!(!Broken::all().is_empty());
+}
