Test that runs are listed and explained whichever node owns them

Cause: the command's search for a run's owner over several servers was not exercised with a run that exists.

Ruled out: one node only (it owns everything, so nothing is sought).

Change: two nodes, a sidecar, six runs; every run is listed and explained through a client that names both nodes, within a bounded wait since a partition may still be moving.

Conclusion: get runs and explain run work on a fleet.

--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -5,7 +5,11 @@
 
 use elderworks_cli::verbs::ApiClient;
 use elderworks_node::NodeHandle;
-use elderworks_settings::{LoggingSettings, NodeLimits, NodeProcessSettings};
+use elderworks_settings::{
+    BearerToken, LoggingSettings, NodeLimits, NodeProcessSettings, SidecarLimits,
+    SidecarProcessSettings,
+};
+use elderworks_sidecar::SidecarHandle;
 use elderworks_standin::log::LogSettings;
 use elderworks_standin::{ServerHandle, listen, log};
 
@@ -56,6 +60,44 @@
     }
 }
 
+/// The token of the one tenant, `lublin`.
+const TENANT_TOKEN: &str = "lublin-token";
+
+/// Starts a sidecar that knows one node.
+pub fn sidecar(node: &NodeHandle) -> SidecarHandle {
+    let settings = SidecarProcessSettings {
+        listen: LOOPBACK,
+        nodes: vec![node.address],
+        zone: "zone-a".into(),
+        default_program: None,
+        tenants: [("lublin".into(), BearerToken::new(TENANT_TOKEN))].into(),
+        limits: SidecarLimits::default(),
+        logging: LoggingSettings::default(),
+    };
+    elderworks_sidecar::start(settings).expect("the sidecar starts")
+}
+
+/// Starts a run of a program, once the sidecar and the owner are ready for it; returns its id.
+pub async fn start_run(sidecar: &SidecarHandle, program: &str) -> String {
+    let url = format!("http://{}/v1/runs", sidecar.address());
+    let body = serde_json::json!({ "program": program });
+    let started = async {
+        loop {
+            let request = awc::Client::default().post(&url).bearer_auth(TENANT_TOKEN);
+            let response = request.send_json(&body).await;
+            if let Ok(mut response) = response
+                && response.status().is_success()
+            {
+                let reply: serde_json::Value = response.json().await.expect("JSON");
+                return reply["id"].as_str().expect("an id").to_owned();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let started = tokio::time::timeout(PATIENCE, started).await;
+    started.expect("the run is started")
+}
+
 /// Base URL of a node's operators' interface.
 pub fn url(node: &NodeHandle) -> String {
     format!("http://{}", node.admin_address)
--- a/crates/cli/tests/verbs.rs
+++ b/crates/cli/tests/verbs.rs
@@ -10,7 +10,7 @@
 use elderworks_control::api::Collection;
 use elderworks_control::manifest::from_yaml;
 use elderworks_types::resource::Kind;
-use support::{PATIENCE, Platform, client, url};
+use support::{PATIENCE, Platform, client, sidecar, start_run, url};
 
 const BUDGETS: Collection = Collection::Written(Kind::Budget);
 
@@ -118,6 +118,49 @@
     platform.stop().await;
 }
 
+/// Whether every run is listed and explained.
+async fn lists_and_explains(client: &ApiClient, runs: &[String]) -> bool {
+    let table = get::get(client, Collection::Runs, None, OutputFormat::Table).await;
+    let table = table.expect("some server lists runs");
+    let mut all = runs.iter().all(|run| table.contains(run.as_str()));
+    for run in runs {
+        let text = explain::run(client, run, OutputFormat::Table).await;
+        all &= text.is_ok_and(|text| text.contains("active of tenant lublin"));
+    }
+    all
+}
+
+#[actix_rt::test]
+async fn runs_are_listed_and_explained_whichever_node_owns_them() {
+    let platform = Platform::start();
+    let first = platform.node("a", Vec::new()).await;
+    let second = platform.node("b", vec![first.gossip_address]).await;
+    let both = client(&format!("{},{}", url(&first), url(&second)));
+    let program = "apiVersion: elderworks/v1\nkind: Program\nmetadata: {name: empty}\n\
+                   spec: {services: [], runBudget: 10, maxTurns: 1, maxHistory: 1, maxDuration: 1h}";
+    let manifests = from_yaml(program).expect("a sound program");
+    let applied = apply::apply(&both, &manifests[0], PATIENCE).await;
+    applied.expect("it is accepted");
+    let sidecar = sidecar(&first);
+    let mut runs = Vec::new();
+    for _ in 0..6 {
+        runs.push(start_run(&sidecar, "empty").await);
+    }
+
+    // A partition may still be on its way from one node to the other.
+    let all_are_told = async {
+        while !lists_and_explains(&both, &runs).await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let told = tokio::time::timeout(PATIENCE, all_are_told).await;
+    told.expect("every run has an owner that tells of it");
+    sidecar.stop().await;
+    second.drain().await;
+    first.drain().await;
+    platform.stop().await;
+}
+
 /// Watches until `count` lines were seen; returns their revisions.
 async fn watch_budgets(client: &ApiClient, count: usize) -> Vec<u64> {
     let target = WatchTarget::new(Some(BUDGETS), None, Some(0)).expect("budgets are watched");
