--- a/crates/execution/tests/common/mod.rs
+++ b/crates/execution/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod build;
 pub mod chaos;
+pub mod invariants;
 pub mod machines;
 
 use std::time::Duration;
