Drop the timer of a run that has ended

Ruled out: sweeping timers at each tick, which costs with their number. Change: the timer is removed when the run ends, and counters show how many there are, in sums over partitions too. Conclusion: timers are bounded by runs and calls under way.

--- a/crates/execution/src/counters.rs
+++ b/crates/execution/src/counters.rs
@@ -49,6 +49,8 @@
     pub open_calls: u64,
     /// Ended runs whose engine memory is not yet known to be free.
     pub unreleased_runs: u64,
+    /// Times at which some run is to be looked at again.
+    pub timers: u64,
     /// Own records appended and not yet read back.
     pub records_in_flight: u64,
 }
@@ -61,6 +63,7 @@
             runs: 0,
             open_calls: 0,
             unreleased_runs: 0,
+            timers: 0,
             records_in_flight: 0,
             ..self
         }
@@ -92,6 +95,7 @@
         self.runs += other.runs;
         self.open_calls += other.open_calls;
         self.unreleased_runs += other.unreleased_runs;
+        self.timers += other.timers;
         self.records_in_flight += other.records_in_flight;
     }
 }
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -156,6 +156,7 @@
             runs: self.journal.runs.len() as u64,
             open_calls: self.soft.call_count() as u64,
             unreleased_runs: self.journal.unreleased.len() as u64,
+            timers: self.soft.timers.len() as u64,
             records_in_flight: self.soft.in_flight.len() as u64,
             ..self.counters
         }
--- a/crates/execution/src/partition/ending.rs
+++ b/crates/execution/src/partition/ending.rs
@@ -200,6 +200,9 @@
             }
         }
         self.drop_idle_work(run);
+        if let Some(due) = self.longest_life_end(run) {
+            self.soft.timers.remove(&(due, run));
+        }
         self.begin_memory_release(now, run);
         let parent = self
             .journal
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -108,9 +108,8 @@
         self.send(connection, NodeMessage::RunRefused { run, refusal });
     }
 
-    pub(super) fn on_run_started(&mut self, now: Timestamp, run: RunId) {
-        if let Some(state) = self.journal.runs.get(&run) {
-            let due = state.started.max(now) + state.limits.max_duration;
+    pub(super) fn on_run_started(&mut self, run: RunId) {
+        if let Some(due) = self.longest_life_end(run) {
             self.wake_at(due, run);
         }
         let Some(pending) = self.soft.starting.remove(&run) else {
--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -116,7 +116,7 @@
     /// A record of this owner now counts.
     fn on_own_record(&mut self, now: Timestamp, body: JournalBody) {
         match body {
-            JournalBody::RunStarted { spec, .. } => self.on_run_started(now, spec.id),
+            JournalBody::RunStarted { spec, .. } => self.on_run_started(spec.id),
             JournalBody::CallAccepted { run, .. } => self.on_call_accepted(now, run),
             JournalBody::AttemptReserved { call, .. } => self.on_attempt_reserved(now, call),
             JournalBody::AttemptStarted { call, attempt, .. } => {
--- a/crates/execution/src/partition/timers.rs
+++ b/crates/execution/src/partition/timers.rs
@@ -42,6 +42,12 @@
         self.advance(now, run);
     }
 
+    /// When a run reaches the longest life that its program permits.
+    pub(super) fn longest_life_end(&self, run: RunId) -> Option<Timestamp> {
+        let state = self.journal.runs.get(&run)?;
+        Some(state.started + state.limits.max_duration)
+    }
+
     fn end_overlong_run(&mut self, now: Timestamp, run: RunId) {
         let overlong = self.journal.runs.get(&run).is_some_and(|state| {
             state.is_active() && now.since(state.started) >= state.limits.max_duration
--- a/crates/execution/tests/lifecycle.rs
+++ b/crates/execution/tests/lifecycle.rs
@@ -83,6 +83,26 @@
     assert_eq!(world.take_dispatches(0).len(), 1);
 }
 
+#[test]
+fn an_ended_run_leaves_no_timer_behind() {
+    let mut world = World::owned();
+    let mut long = limits();
+    long.max_duration = std::time::Duration::from_secs(86_400);
+    world.event(0, start_with(run_spec(RUN, 1_000), long));
+    world.event(0, submit(RUN, model_call(1, 0, "hello")));
+    world.place(0, call(RUN, 1), 1, "engine-a");
+    world.complete(0, call(RUN, 1), 1, "hi");
+    assert!(world.nodes[0].partition.counters().timers > 0);
+    let end = Event::EndRun {
+        connection: 1,
+        tenant: tenant(),
+        run: RUN,
+    };
+    world.event(0, end);
+    world.pass(std::time::Duration::from_secs(40));
+    assert_eq!(world.nodes[0].partition.counters().timers, 0);
+}
+
 #[test]
 fn ending_a_run_releases_its_memory_until_acknowledged() {
     let mut world = World::owned();
