Move finding and sending of requests out of the sidecar's core module

Change: sending.rs holds connecting, locating, probing and sending; no behaviour changes. Conclusion: each module of the crate has one job again.

--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -6,18 +6,18 @@
 
 use elderworks_protocol::sidecar::SidecarMessage;
 use elderworks_types::{
-    CallId, CallSpec, Failure, FailureReason, Outcome, PartitionId, Refusal, RefusalReason, RunId,
-    RunSpec, TenantId, Timestamp, UnknownReason,
+    CallId, CallSpec, Failure, FailureReason, Outcome, Refusal, RefusalReason, RunId, RunSpec,
+    TenantId, Timestamp, UnknownReason,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::delivery::Delivery;
-use crate::directory::{Directory, Route};
+use crate::directory::Directory;
 use crate::effect::{CallerReply, Effect};
 use crate::event::{Event, RequestId};
 use crate::finished::FinishedCalls;
-use crate::links::{LinkStatus, Links};
+use crate::links::Links;
 use crate::request::{Body, OpenCall, OpenRequest, Position, RequestKey, without_deadline};
 
 /// How often a driver sends [`Event::Tick`].
@@ -275,13 +275,6 @@
         }
     }
 
-    fn connect(&mut self, now: Timestamp, address: SocketAddr) {
-        if self.links.status(now, address) == LinkStatus::MayConnect {
-            self.links.connecting(address);
-            self.effects.push(Effect::Connect { address });
-        }
-    }
-
     fn give_up_overdue(&mut self, now: Timestamp) {
         let overdue: Vec<RequestKey> = self
             .open
@@ -317,88 +310,6 @@
         }
     }
 
-    /// Asks about the owner of requests whose node is silent, and sends again what got no answer.
-    fn probe_silent(&mut self, now: Timestamp) {
-        let mut questions: Vec<(PartitionId, SocketAddr)> = Vec::new();
-        for request in self.open.values_mut() {
-            let Position::Sent { to, heard } = request.position else {
-                continue;
-            };
-            let resend_after = match request.body {
-                Body::Call(_) => RESUBMIT_CALL_AFTER,
-                _ => RESEND_AFTER,
-            };
-            let silence = now.since(heard);
-            if silence >= resend_after {
-                request.recall(now);
-            }
-            if silence >= PROBE_AFTER
-                && let Some(partition) = self.directory.partition(request.run)
-            {
-                questions.push((partition, to));
-            }
-        }
-        for (partition, silent) in questions {
-            self.locate(now, partition, Some(silent));
-        }
-    }
-
-    /// Sends every request that is due and whose node is connected.
-    fn send_due(&mut self, now: Timestamp) {
-        let due: Vec<RequestKey> = self
-            .open
-            .iter()
-            .filter(|(_, request)| request.is_due(now))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in due {
-            self.try_send(now, key);
-        }
-    }
-
-    fn try_send(&mut self, now: Timestamp, key: RequestKey) {
-        let run = self.open[&key].run;
-        let owner = match self.directory.route(run) {
-            Route::Owner(owner) => owner,
-            Route::Unknown(partition) => return self.locate(now, partition, None),
-        };
-        match self.links.status(now, owner) {
-            LinkStatus::Ready => self.send_request(now, key, owner),
-            LinkStatus::Connecting => {}
-            LinkStatus::MayConnect => self.connect(now, owner),
-            LinkStatus::Down => self.relocate(now, run),
-        }
-    }
-
-    fn send_request(&mut self, now: Timestamp, key: RequestKey, to: SocketAddr) {
-        let abandoned_before = match key {
-            RequestKey::Call(call) => self.finished.abandoned_before(call),
-            RequestKey::Other(_) => 0,
-        };
-        let Some(request) = self.open.get_mut(&key) else {
-            return;
-        };
-        request.position = Position::Sent { to, heard: now };
-        let message = request.message(key, abandoned_before);
-        self.send(to, message);
-    }
-
-    pub(crate) fn relocate(&mut self, now: Timestamp, run: RunId) {
-        if let Some(partition) = self.directory.partition(run) {
-            self.directory
-                .forget_owner(now, partition, &mut self.random);
-        }
-    }
-
-    fn locate(&mut self, now: Timestamp, partition: PartitionId, avoided: Option<SocketAddr>) {
-        if self.links.ready_count() == 0 || !self.directory.begin_question(now, partition) {
-            return;
-        }
-        if let Some(address) = self.links.next_ready(avoided) {
-            self.send(address, SidecarMessage::Locate { partition });
-        }
-    }
-
     pub(crate) fn send(&mut self, address: SocketAddr, message: SidecarMessage) {
         self.effects.push(Effect::Send { address, message });
     }
--- a/crates/sidecar-core/src/lib.rs
+++ b/crates/sidecar-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod links;
 mod messages;
 pub mod request;
+mod sending;
 
 pub use crate::core::{SidecarCore, SidecarSettings, TICK_INTERVAL};
 pub use effect::{CallerReply, Effect};
--- /dev/null
+++ b/crates/sidecar-core/src/sending.rs
@@ -0,0 +1,103 @@
+//! Finding the node for each request and sending it there.
+
+use std::net::SocketAddr;
+
+use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_types::{PartitionId, RunId, Timestamp};
+
+use crate::core::{PROBE_AFTER, RESEND_AFTER, RESUBMIT_CALL_AFTER, SidecarCore};
+use crate::directory::Route;
+use crate::effect::Effect;
+use crate::links::LinkStatus;
+use crate::request::{Body, Position, RequestKey};
+
+impl SidecarCore {
+    pub(crate) fn connect(&mut self, now: Timestamp, address: SocketAddr) {
+        if self.links.status(now, address) == LinkStatus::MayConnect {
+            self.links.connecting(address);
+            self.effects.push(Effect::Connect { address });
+        }
+    }
+
+    /// Asks about the owner of requests whose node is silent, and sends again what got no answer.
+    pub(crate) fn probe_silent(&mut self, now: Timestamp) {
+        let mut questions: Vec<(PartitionId, SocketAddr)> = Vec::new();
+        for request in self.open.values_mut() {
+            let Position::Sent { to, heard } = request.position else {
+                continue;
+            };
+            let resend_after = match request.body {
+                Body::Call(_) => RESUBMIT_CALL_AFTER,
+                _ => RESEND_AFTER,
+            };
+            let silence = now.since(heard);
+            if silence >= resend_after {
+                request.recall(now);
+            }
+            if silence >= PROBE_AFTER
+                && let Some(partition) = self.directory.partition(request.run)
+            {
+                questions.push((partition, to));
+            }
+        }
+        for (partition, silent) in questions {
+            self.locate(now, partition, Some(silent));
+        }
+    }
+
+    /// Sends every request that is due and whose node is connected.
+    pub(crate) fn send_due(&mut self, now: Timestamp) {
+        let due: Vec<RequestKey> = self
+            .open
+            .iter()
+            .filter(|(_, request)| request.is_due(now))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            self.try_send(now, key);
+        }
+    }
+
+    fn try_send(&mut self, now: Timestamp, key: RequestKey) {
+        let run = self.open[&key].run;
+        let owner = match self.directory.route(run) {
+            Route::Owner(owner) => owner,
+            Route::Unknown(partition) => return self.locate(now, partition, None),
+        };
+        match self.links.status(now, owner) {
+            LinkStatus::Ready => self.send_request(now, key, owner),
+            LinkStatus::Connecting => {}
+            LinkStatus::MayConnect => self.connect(now, owner),
+            LinkStatus::Down => self.relocate(now, run),
+        }
+    }
+
+    fn send_request(&mut self, now: Timestamp, key: RequestKey, to: SocketAddr) {
+        let abandoned_before = match key {
+            RequestKey::Call(call) => self.finished.abandoned_before(call),
+            RequestKey::Other(_) => 0,
+        };
+        let Some(request) = self.open.get_mut(&key) else {
+            return;
+        };
+        request.position = Position::Sent { to, heard: now };
+        let message = request.message(key, abandoned_before);
+        self.send(to, message);
+    }
+
+    pub(crate) fn relocate(&mut self, now: Timestamp, run: RunId) {
+        if let Some(partition) = self.directory.partition(run) {
+            self.directory
+                .forget_owner(now, partition, &mut self.random);
+        }
+    }
+
+    fn locate(&mut self, now: Timestamp, partition: PartitionId, avoided: Option<SocketAddr>) {
+        if self.links.ready_count() == 0 || !self.directory.begin_question(now, partition) {
+            return;
+        }
+        if let Some(address) = self.links.next_ready(avoided) {
+            self.send(address, SidecarMessage::Locate { partition });
+        }
+    }
+}
