--- a/crates/lab/src/scale/fit.rs
+++ b/crates/lab/src/scale/fit.rs
@@ -63,3 +63,6 @@
         )
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/scale/fleet/layout.rs
+++ b/crates/lab/src/scale/fleet/layout.rs
@@ -102,3 +102,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/scale/fleet/mod.rs
+++ b/crates/lab/src/scale/fleet/mod.rs
@@ -41,6 +41,8 @@
     pub const ENCODE: &str = "encode";
     /// Datagrams decoded.
     pub const DECODE: &str = "decode";
+    /// The home of one partition.
+    pub const ASSIGN: &str = "assign one partition";
 }
 
 /// One hollow node.
--- a/crates/lab/src/scale/fleet/settling.rs
+++ b/crates/lab/src/scale/fleet/settling.rs
@@ -17,13 +17,16 @@
 pub const STEP: Duration = Duration::from_millis(250);
 
 /// How long a fleet rests once it is complete, so that the news of its start has died down.
+const FIRST_REST: Duration = Duration::from_secs(60);
+
+/// How long a fleet rests after an experiment.
 const REST: Duration = Duration::from_secs(20);
 
 /// Starts a fleet and waits until its cells and digests are complete.
 pub fn settle(nodes: usize, seed: u64) -> (HollowFleet, Option<Duration>) {
     let mut fleet = HollowFleet::new(nodes, seed);
     let settled = fleet.run_until(SETTLE_BOUND, Duration::from_secs(1), is_complete);
-    fleet.run(REST);
+    fleet.run(FIRST_REST);
     fleet.changes.clear();
     (fleet, settled)
 }
--- a/crates/lab/src/scale/fleet/steady.rs
+++ b/crates/lab/src/scale/fleet/steady.rs
@@ -3,19 +3,23 @@
 use std::time::Duration;
 
 use elderworks_membership::ControlSource;
+use elderworks_types::PartitionId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
 use super::settling::settle;
 use super::traffic::{CAUSES, Traffic};
-use super::{HollowFleet, HollowNode};
+use super::{HollowFleet, HollowNode, work};
 use crate::scale::memory::resident_bytes;
 use crate::scale::timing::EventTime;
 
 /// How long the steady state is measured.
 const STEADY: Duration = Duration::from_secs(60);
 
+/// Partitions whose assignment is timed.
+const ASSIGNED_PARTITIONS: u32 = 1_000;
+
 /// Changes of configuration a second at the target: 20,000 a day.
 const TARGET_CHANGES_PER_SECOND: f64 = 20_000.0 / 86_400.0;
 
@@ -80,8 +84,9 @@
     fleet.reset_counters();
     run_with_changes(&mut fleet, STEADY, seed);
     let seconds = STEADY.as_secs_f64();
-    let times = fleet.timer.means();
     let busy = fleet.timer.total();
+    assign_partitions(&mut fleet);
+    let times = fleet.timer.means();
     let roles = [Role::Member, Role::Relay];
     let log_reads_per_second = fleet.log_reads as f64 / seconds;
     let roles = roles
@@ -105,6 +110,17 @@
     Ok((steady, fleet))
 }
 
+/// Asks one node for the home of many partitions.
+fn assign_partitions(fleet: &mut HollowFleet) {
+    let node = fleet.nodes.iter().flatten().next();
+    let Some(node) = node else { return };
+    for partition in (0..ASSIGNED_PARTITIONS).map(PartitionId) {
+        fleet
+            .timer
+            .time(work::ASSIGN, || node.membership.home_of(partition));
+    }
+}
+
 /// Runs while changes of configuration are appended at the target's rate, at random times.
 fn run_with_changes(fleet: &mut HollowFleet, duration: Duration, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/lab/src/scale/fleet/traffic.rs
+++ b/crates/lab/src/scale/fleet/traffic.rs
@@ -123,3 +123,6 @@
         DatagramKind::PingRequest { .. } => Cause::IndirectProbe,
     }
 }
+
+#[cfg(test)]
+mod tests;
