--- a/crates/placement/src/cost.rs
+++ b/crates/placement/src/cost.rs
@@ -26,9 +26,14 @@
     PREFILL_PER_TOKEN * u32::try_from(tokens.0).unwrap_or(u32::MAX)
 }
 
-/// Time of one decoding step beside `others` sequences.
-pub fn step(others: u32) -> Duration {
-    STEP_ALONE + STEP_PER_SEQUENCE * others.min(ENGINE_BATCH)
+/// What so many sequences add to a decoding step of another one.
+pub fn added_to_step(sequences: u32) -> Duration {
+    STEP_PER_SEQUENCE * sequences.min(ENGINE_BATCH)
+}
+
+/// Time of one decoding step of a full batch.
+pub fn full_step() -> Duration {
+    STEP_ALONE + added_to_step(ENGINE_BATCH)
 }
 
 /// Round trip added by an engine's distance.
--- a/crates/placement/src/engines.rs
+++ b/crates/placement/src/engines.rs
@@ -134,7 +134,7 @@
     /// Expected time until a call would have its first token, beside the distance.
     pub(crate) fn expected_wait(&self, now: Timestamp, requests: u32, missing: Tokens) -> Duration {
         let queue = requests.saturating_sub(cost::ENGINE_BATCH);
-        let turnover = cost::step(cost::ENGINE_BATCH) * QUEUE_STEPS_PER_CALL;
+        let turnover = cost::full_step() * QUEUE_STEPS_PER_CALL;
         cost::prefill(self.prefill_backlog(now) + missing) + turnover * queue
     }
 
--- a/crates/placement/src/estimates.rs
+++ b/crates/placement/src/estimates.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use elderworks_types::ResourceName;
+use elderworks_types::{ResourceName, Tokens};
 
 /// Programs beyond this number share one estimate.
 const MAX_PROGRAMS: usize = 1_024;
@@ -20,6 +20,9 @@
 /// Pause before any was seen, in seconds.
 const PRIOR_PAUSE_SECONDS: f64 = 2.0;
 
+/// Tokens generated in one turn before any was seen.
+const PRIOR_OUTPUT_TOKENS: f64 = 150.0;
+
 /// Estimates for one program.
 #[derive(Clone, Debug)]
 struct ProgramEstimate {
@@ -27,6 +30,7 @@
     ended: [u32; MAX_TURNS + 1],
     turn_seconds: f64,
     pause_seconds: f64,
+    output_tokens: f64,
 }
 
 impl Default for ProgramEstimate {
@@ -35,6 +39,7 @@
             ended: [0; MAX_TURNS + 1],
             turn_seconds: PRIOR_TURN_SECONDS,
             pause_seconds: PRIOR_PAUSE_SECONDS,
+            output_tokens: PRIOR_OUTPUT_TOKENS,
         }
     }
 }
@@ -62,15 +67,23 @@
 impl Estimates {
     /// Expected time until a run of the program that has made so many turns ends.
     pub(crate) fn remaining(&self, program: &ResourceName, turns: u32) -> Duration {
-        let estimate = self.programs.get(program).unwrap_or(&self.others);
-        let seconds = estimate.remaining_turns(turns) * estimate.turn_seconds;
+        let seconds = self.remaining_turns(program, turns) * self.of(program).turn_seconds;
         Duration::from_secs_f64(seconds)
     }
 
+    /// Expected turns that a run of the program makes beside those it has made.
+    pub(crate) fn remaining_turns(&self, program: &ResourceName, turns: u32) -> f64 {
+        self.of(program).remaining_turns(turns)
+    }
+
+    /// Expected tokens generated in one turn.
+    pub(crate) fn output(&self, program: &ResourceName) -> f64 {
+        self.of(program).output_tokens
+    }
+
     /// Expected pause between two turns.
     pub(crate) fn pause(&self, program: &ResourceName) -> Duration {
-        let estimate = self.programs.get(program).unwrap_or(&self.others);
-        Duration::from_secs_f64(estimate.pause_seconds)
+        Duration::from_secs_f64(self.of(program).pause_seconds)
     }
 
     pub(crate) fn run_ended(&mut self, program: &ResourceName, turns: u32) {
@@ -78,12 +91,21 @@
         self.estimate(program).ended[turns] += 1;
     }
 
-    pub(crate) fn turn_took(&mut self, program: &ResourceName, duration: Duration) {
-        smooth(&mut self.estimate(program).turn_seconds, duration);
+    pub(crate) fn turn_took(&mut self, program: &ResourceName, took: Duration, output: Tokens) {
+        let estimate = self.estimate(program);
+        smooth(&mut estimate.turn_seconds, took.as_secs_f64());
+        smooth(&mut estimate.output_tokens, output.0 as f64);
     }
 
     pub(crate) fn pause_took(&mut self, program: &ResourceName, duration: Duration) {
-        smooth(&mut self.estimate(program).pause_seconds, duration);
+        smooth(
+            &mut self.estimate(program).pause_seconds,
+            duration.as_secs_f64(),
+        );
+    }
+
+    fn of(&self, program: &ResourceName) -> &ProgramEstimate {
+        self.programs.get(program).unwrap_or(&self.others)
     }
 
     fn estimate(&mut self, program: &ResourceName) -> &mut ProgramEstimate {
@@ -94,6 +116,6 @@
     }
 }
 
-fn smooth(seconds: &mut f64, observed: Duration) {
-    *seconds += (observed.as_secs_f64() - *seconds) * SMOOTHING;
+fn smooth(estimate: &mut f64, observed: f64) {
+    *estimate += (observed - *estimate) * SMOOTHING;
 }
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -28,15 +28,13 @@
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(2);
 
 /// A run starts on an engine only while the engine's memory is less used than this.
-const MEMORY_LIMIT: f64 = 0.8;
+const MEMORY_LIMIT: f64 = 0.7;
 /// How much a paused run's blocks count towards that limit.
 const PAUSED_WEIGHT: f64 = 1.0;
 /// A run starts on an engine only while it has fewer requests than this.
 const START_LIMIT: u32 = cost::ENGINE_BATCH;
 /// Engine time spent on recomputation delays all that the engine serves, not only this call.
-const RECOMPUTE_WEIGHT: u32 = 4;
-/// Output that a choice assumes, in decoding steps.
-const ASSUMED_OUTPUT: u32 = 180;
+const RECOMPUTE_WEIGHT: u32 = 20;
 /// How much of a run's age counts against its expected remaining time.
 const AGEING: f64 = 0.25;
 /// Urgencies closer than this are the same to engines, so that they preempt seldom.
@@ -216,6 +214,7 @@
     fn choose(&mut self, now: Timestamp, call: &ReadyCall) -> Option<Choice> {
         let home = self.runs.get(call.ticket.call.run).and_then(|run| run.home);
         let matches = self.index.matches(&call.blocks, self.engines.len());
+        let steps = self.expected_steps(call);
         let mut best: Option<(Duration, Choice)> = None;
         for (slot, engine) in self.engines.iter() {
             let is_home = home == Some(slot);
@@ -224,7 +223,7 @@
             }
             let matched = Tokens(u64::from(matches[slot]) * BLOCK_TOKENS);
             let missing = call.prompt.saturating_sub(matched);
-            let cost = self.predicted(now, engine, missing);
+            let cost = self.predicted(now, engine, missing, steps);
             let cost = cost + Duration::from_micros(self.random.random_range(0..TIE_MICROS));
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Choice { slot, missing }));
@@ -248,16 +247,27 @@
         is_under_way || memory < MEMORY_LIMIT
     }
 
-    /// Time until the whole answer, and what the call costs others.
-    fn predicted(&self, now: Timestamp, engine: &Engine, missing: Tokens) -> Duration {
+    /// Time until the whole answer, and what the call costs the others that the engine serves.
+    fn predicted(&self, now: Timestamp, engine: &Engine, missing: Tokens, steps: u32) -> Duration {
         let requests = engine.requests(now, self.engines.own_share);
         let wait = engine.expected_wait(now, requests, missing);
-        let decoding = cost::step(requests) * ASSUMED_OUTPUT;
+        let decoding = cost::added_to_step(requests) * steps;
         let recompute = cost::prefill(missing) * RECOMPUTE_WEIGHT;
         let distance = cost::distance(engine.zone == self.settings.zone);
         wait + decoding + recompute + distance
     }
 
+    /// Decoding steps for which the choice binds: those of this call, or of the whole run where
+    /// the run starts.
+    fn expected_steps(&self, call: &ReadyCall) -> u32 {
+        let output = self.estimates.output(&call.program);
+        if call.turns > 0 {
+            return output as u32;
+        }
+        let turns = self.estimates.remaining_turns(&call.program, call.turns);
+        (turns * output) as u32
+    }
+
     /// Smaller is more urgent: expected remaining time of the run, less its age by weight.
     fn urgency(&self, call: &ReadyCall) -> f64 {
         let remaining = self.estimates.remaining(&call.program, call.turns);
@@ -388,9 +398,9 @@
         };
         let health = &mut self.engines.get_mut(slot).health;
         match result {
-            FinishedResult::Completed { .. } => {
+            FinishedResult::Completed { output, .. } => {
                 health.succeeded();
-                self.turn_completed(now, &call);
+                self.turn_completed(now, &call, output);
             }
             FinishedResult::Lost | FinishedResult::Errored => {
                 if health.failed(now) {
@@ -407,11 +417,11 @@
         Some((home, call))
     }
 
-    fn turn_completed(&mut self, now: Timestamp, call: &OpenCall) {
+    fn turn_completed(&mut self, now: Timestamp, call: &OpenCall, output: Tokens) {
         if let Some(known) = self.runs.get_mut(call.run) {
             known.turns += 1;
             let took = now.since(call.sent);
-            self.estimates.turn_took(&known.program, took);
+            self.estimates.turn_took(&known.program, took, output);
         }
     }
 
