--- a/crates/cli/examples/added_latency.rs
+++ b/crates/cli/examples/added_latency.rs
@@ -304,7 +304,7 @@
             // A failed call is missing from the figures; the table shows how many there are.
             match target.call(in_flight, caller, call, run.as_deref()).await {
                 Ok(whole) => times.push(whole),
-                Err(error) => log::error!("a call failed: {error}"),
+                Err(error) => ::log::error!("a call failed: {error}"),
             }
         }
         Ok::<_, eyre::Report>(times)
