--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -116,7 +116,7 @@
     /// A record of this owner now counts.
     fn on_own_record(&mut self, now: Timestamp, body: JournalBody) {
         match body {
-            JournalBody::RunStarted { spec, .. } => self.on_run_started(now, spec.id),
+            JournalBody::RunStarted { spec, .. } => self.on_run_started(spec.id),
             JournalBody::CallAccepted { run, .. } => self.on_call_accepted(now, run),
             JournalBody::AttemptReserved { call, .. } => self.on_attempt_reserved(now, call),
             JournalBody::AttemptStarted { call, attempt, .. } => {
@@ -128,6 +128,7 @@
                 chunks,
             } => self.on_call_ended(now, call, outcome, chunks),
             JournalBody::RunEnded { run, phase, .. } => self.on_run_ended(now, run, phase),
+            JournalBody::Barrier => self.on_barrier(),
             JournalBody::MemoryReleased { run } => self.on_release_journalled(run),
             JournalBody::RunsForgotten { runs } => self.on_runs_forgotten(runs.len()),
             JournalBody::AllotmentGranted {
