Measure added latency against engines that the node does not know

Cause: 234 direct calls of the first run came back empty. Ruled out leaving them out of the figures.

--- a/crates/cli/examples/added_latency.rs
+++ b/crates/cli/examples/added_latency.rs
@@ -339,7 +339,10 @@
         urls,
         through_sidecar,
     };
-    let direct = target(engines.into_iter().map(|(_, url)| url).collect(), false);
+    // Engines that the node does not know: it frees what its own hold for runs that are not live, and
+    // the direct calls' runs are not.
+    let unknown = start_engines()?;
+    let direct = target(unknown.into_iter().map(|(_, url)| url).collect(), false);
     let through = target(vec![start_sidecar(node)?], true);
     measure(&through, 1).await.wrap_err("warming up")?;
 
