--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -1,22 +1,25 @@
 //! The placement policy.
 
+mod choice;
+mod retention;
+
 use std::time::Duration;
 
 use elderworks_types::{
     EngineId, Refusal, RefusalReason, RunId, TenantId, Timestamp, Tokens, ZoneId,
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::cost;
 use crate::counters::Counters;
-use crate::engines::{Engine, EngineTable, OpenCall};
+use crate::engines::{EngineTable, OpenCall};
 use crate::estimates::Estimates;
 use crate::event::{CacheChange, FinishedResult, ReadyCall};
 use crate::index::CacheIndex;
 use crate::queue::{QueueKey, WaitQueue};
-use crate::runs::{KnownRun, RunTable};
+use crate::runs::RunTable;
 use crate::{Effect, Event, Ticket};
+use choice::Choice;
 
 /// Calls that may wait for room; further ones are refused.
 const MAX_WAITING: usize = 8_192;
@@ -27,24 +30,10 @@
 /// When a call that no engine serves may come back.
 const NO_BACKEND_RETRY: Duration = Duration::from_secs(2);
 
-/// A run starts on an engine only while the engine's memory is less used than this.
-const MEMORY_LIMIT: f64 = 0.7;
-/// How much a paused run's blocks count towards that limit.
-const PAUSED_WEIGHT: f64 = 1.0;
-/// A run starts on an engine only while it has fewer requests than this.
-const START_LIMIT: u32 = cost::ENGINE_BATCH;
-/// Engine time spent on recomputation delays all that the engine serves, not only this call.
-const RECOMPUTE_WEIGHT: u32 = 20;
-/// How much of a run's age counts against its expected remaining time.
-const AGEING: f64 = 0.25;
 /// Urgencies closer than this are the same to engines, so that they preempt seldom.
 const URGENCY_STEP: f64 = 4.0;
 /// Calls of one tenant that wait make its next ones this many seconds less urgent each.
 const TENANT_PENALTY: f64 = 0.1;
-/// Paused blocks are kept for this many expected pauses.
-const LEASE_PAUSES: u32 = 4;
-const SHORTEST_LEASE: Duration = Duration::from_secs(2);
-const LONGEST_LEASE: Duration = Duration::from_secs(60);
 
 /// Limits and weights of placement.
 #[derive(Clone, Debug)]
@@ -74,12 +63,6 @@
     counters: Counters,
 }
 
-/// Where a call should go.
-struct Choice {
-    slot: usize,
-    missing: Tokens,
-}
-
 impl Placement {
     /// Knows no engine yet.
     pub fn new(settings: PlacementSettings) -> Self {
@@ -210,71 +193,6 @@
         call.call_deadline.is_some_and(|deadline| deadline <= now)
     }
 
-    /// The best engine, or `None` if the call has to wait for room.
-    fn choose(&mut self, now: Timestamp, call: &ReadyCall) -> Option<Choice> {
-        let home = self.runs.get(call.ticket.call.run).and_then(|run| run.home);
-        let matches = self.index.matches(&call.blocks, self.engines.len());
-        let steps = self.expected_steps(call);
-        let mut best: Option<(Duration, Choice)> = None;
-        for (slot, engine) in self.engines.iter() {
-            let is_home = home == Some(slot);
-            if !engine.accepts(now, call) || !(is_home || self.has_room(now, engine, call)) {
-                continue;
-            }
-            let matched = Tokens(u64::from(matches[slot]) * BLOCK_TOKENS);
-            let missing = call.prompt.saturating_sub(matched);
-            let cost = self.predicted(now, engine, missing, steps);
-            let cost = cost + Duration::from_micros(self.random.random_range(0..TIE_MICROS));
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Choice { slot, missing }));
-            }
-        }
-        best.map(|(_, choice)| choice)
-    }
-
-    fn has_room(&self, now: Timestamp, engine: &Engine, call: &ReadyCall) -> bool {
-        let own_share = self.engines.own_share;
-        let requests = engine.requests(now, own_share);
-        if requests == 0 {
-            return true;
-        }
-        if requests >= START_LIMIT {
-            return false;
-        }
-        let memory = engine.memory_share(now, own_share, PAUSED_WEIGHT);
-        // A program that is under way has been admitted; only its engine changes.
-        let is_under_way = call.turns > 0 || call.parent.is_some();
-        is_under_way || memory < MEMORY_LIMIT
-    }
-
-    /// Time until the whole answer, and what the call costs the others that the engine serves.
-    fn predicted(&self, now: Timestamp, engine: &Engine, missing: Tokens, steps: u32) -> Duration {
-        let requests = engine.requests(now, self.engines.own_share);
-        let wait = engine.expected_wait(now, requests, missing);
-        let decoding = cost::added_to_step(requests) * steps;
-        let recompute = cost::prefill(missing) * RECOMPUTE_WEIGHT;
-        let distance = cost::distance(engine.zone == self.settings.zone);
-        wait + decoding + recompute + distance
-    }
-
-    /// Decoding steps for which the choice binds: those of this call, or of the whole run where
-    /// the run starts.
-    fn expected_steps(&self, call: &ReadyCall) -> u32 {
-        let output = self.estimates.output(&call.program);
-        if call.turns > 0 {
-            return output as u32;
-        }
-        let turns = self.estimates.remaining_turns(&call.program, call.turns);
-        (turns * output) as u32
-    }
-
-    /// Smaller is more urgent: expected remaining time of the run, less its age by weight.
-    fn urgency(&self, call: &ReadyCall) -> f64 {
-        let remaining = self.estimates.remaining(&call.program, call.turns);
-        let started = call.run_started.0 as f64 / 1e6;
-        remaining.as_secs_f64() + AGEING * started - f64::from(call.priority) * URGENCY_STEP
-    }
-
     fn hold(&mut self, now: Timestamp, call: Box<ReadyCall>, effects: &mut Vec<Effect>) {
         if !self.is_served(&call) {
             self.counters.refused_no_backend += 1;
@@ -424,59 +342,9 @@
             self.estimates.turn_took(&known.program, took, output);
         }
     }
-
-    fn run_paused(
-        &mut self,
-        now: Timestamp,
-        run: RunId,
-        expected_reuse: Option<Duration>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(known) = self.runs.get_mut(run) else {
-            return;
-        };
-        let Some(home) = known.home else {
-            return;
-        };
-        if known.paused_at.replace(now).is_none() {
-            self.engines.get_mut(home).paused_blocks += known.blocks;
-        }
-        let pause = expected_reuse.unwrap_or_else(|| self.estimates.pause(&known.program));
-        effects.push(Effect::Retain {
-            run,
-            engine: self.engines.get(home).id.clone(),
-            lease: (pause * LEASE_PAUSES).clamp(SHORTEST_LEASE, LONGEST_LEASE),
-        });
-    }
-
-    fn run_ended(&mut self, run: RunId, effects: &mut Vec<Effect>) {
-        let Some(known) = self.runs.remove(run) else {
-            return;
-        };
-        if known.paused_at.is_some()
-            && let Some(home) = known.home
-        {
-            let engine = self.engines.get_mut(home);
-            engine.paused_blocks = engine.paused_blocks.saturating_sub(known.blocks);
-        }
-        self.estimates.run_ended(&known.program, known.turns);
-        self.drop_blocks(run, &known, effects);
-    }
-
-    fn drop_blocks(&self, run: RunId, known: &KnownRun, effects: &mut Vec<Effect>) {
-        for slot in &known.holders {
-            effects.push(Effect::Drop {
-                run,
-                engine: self.engines.get(*slot).id.clone(),
-            });
-        }
-    }
 }
 
-const BLOCK_TOKENS: u64 = elderworks_types::text::TOKENS_PER_BLOCK as u64;
 const MICROS: f64 = 1e6;
-/// Choices whose costs differ by less than this are as good as equal, and chance decides.
-const TIE_MICROS: u64 = 2_000;
 
 fn refuse(ticket: Ticket, reason: RefusalReason, retry_after: Option<Duration>) -> Effect {
     Effect::Refuse {
