Hold what roles hold while fleets are measured

Cause: in a run that filled the roles after fleets of 3,200, control states and sidecars took no new memory, because what the fleets had freed was used again; and a placement among 10,000 engines took over 2 ms each time, so that every sample was left out as interrupted. Change: roles are filled first and held to the end, their state encoded last; where more than one sample in twenty is that long, the event is taken as slow and all samples count. Ruled out: a higher threshold, which lets interruptions of a busy machine into the means of sub-microsecond events.

--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -13,7 +13,7 @@
 use fleet::mass_failure::Domain;
 use fleet::{HollowFleet, churn, detection, loss, mass_failure, steady};
 use report::Report;
-use roles::Filled;
+use roles::FilledRoles;
 
 /// Seed of every experiment, so that a run can be repeated.
 const SEED: u64 = 2;
@@ -39,25 +39,28 @@
 /// Most calls open on one sidecar.
 const SIDECAR_CALLS: usize = 16_000;
 
-/// Runs the experiment, printing each table as soon as it is known.
+/// Runs the experiment, printing each table as soon as it is known. What the roles hold is held to the
+/// end, and its state is encoded only then: freed memory would be used again and spoil the measure of
+/// what follows.
 pub fn run(options: Scale) -> eyre::Result<ExitCode> {
     let mut report = Report::default();
+    let roles = fill_roles(options.workers, options.runs)?;
+    report.filled = roles.filled();
+    report.print_roles();
     let mut fleets = measure_fleets(options.nodes, &mut report)?;
     report.print_steady();
     report.print_detection();
-    report.filled = fill_roles(options.workers, options.runs)?;
-    report.print_roles();
     if let Some(fleet) = fleets.last_mut() {
         measure_faults(fleet, &mut report);
     }
+    report.filled = roles.filled_and_encoded();
     if let Some(path) = options.json {
         std::fs::write(path, serde_json::to_string_pretty(&report)?)?;
     }
     Ok(ExitCode::SUCCESS)
 }
 
-/// Everything whose memory is measured is held until the end, and state is encoded only then: freed
-/// memory would be used again and spoil the measure of what follows.
+/// Fleets at rest, and deaths in them.
 fn measure_fleets(nodes: usize, report: &mut Report) -> eyre::Result<Vec<HollowFleet>> {
     let mut fleets = Vec::new();
     for size in sizes(nodes) {
@@ -85,49 +88,37 @@
 }
 
 /// Fills each role that carries runs.
-fn fill_roles(workers: usize, runs: usize) -> eyre::Result<Vec<Filled>> {
-    let mut filled = Vec::new();
-    let mut controls = Vec::new();
+fn fill_roles(workers: usize, runs: usize) -> eyre::Result<FilledRoles> {
+    let mut roles = FilledRoles::default();
     for count in eighths(BUDGETS) {
-        controls.push(roles::control::fill_budgets(count)?);
+        roles.controls.push(roles::control::fill_budgets(count)?);
     }
     for count in eighths(workers) {
-        controls.push(roles::control::fill_engines(count)?);
+        roles.controls.push(roles::control::fill_engines(count)?);
     }
-    let mut placements = Vec::new();
     for count in eighths(workers) {
-        placements.push(roles::placement::fill_engines(count)?);
+        let filled = roles::placement::fill_engines(count)?;
+        roles.placements.push(filled);
     }
     for count in eighths(BLOCKS) {
-        placements.push(roles::placement::fill_blocks(count)?);
+        let filled = roles::placement::fill_blocks(count)?;
+        roles.placements.push(filled);
     }
-    filled.extend(placements.iter().map(|(one, _)| one.clone()));
-    let mut sidecars = Vec::new();
     for count in eighths(SIDECAR_CALLS) {
-        let (one, sidecar) = roles::sidecar::fill(count)?;
-        filled.push(one);
-        sidecars.push(sidecar);
+        roles.sidecars.push(roles::sidecar::fill(count)?);
     }
-    filled.extend(controls.iter().map(|(one, _)| one.clone()));
-    let mut owners = Vec::new();
     for count in eighths(runs) {
-        owners.push(roles::owner::fill(
-            "owner: runs of 10 turns",
-            count,
-            count,
-            10,
-        )?);
+        let role = "owner: runs of 10 turns";
+        let filled = roles::owner::fill(role, count, count, 10)?;
+        roles.owners.push(filled);
     }
     for turns in TURNS {
         let count = RUNS_OF_MANY_TURNS * turns as usize;
         let role = "owner: turns of 50 runs";
-        owners.push(roles::owner::fill(role, count, RUNS_OF_MANY_TURNS, turns)?);
-    }
-    for (mut one, owner) in owners {
-        one.encoded_bytes = Some(owner.encoded_bytes());
-        filled.push(one);
+        let filled = roles::owner::fill(role, count, RUNS_OF_MANY_TURNS, turns)?;
+        roles.owners.push(filled);
     }
-    Ok(filled)
+    Ok(roles)
 }
 
 /// Four sizes, doubling up to `largest`.
--- a/crates/lab/src/scale/roles/mod.rs
+++ b/crates/lab/src/scale/roles/mod.rs
@@ -27,6 +27,41 @@
     pub flows: Flows,
 }
 
+/// Every role that was filled, with what it holds.
+#[derive(Default)]
+pub struct FilledRoles {
+    /// Control states.
+    pub controls: Vec<(Filled, elderworks_control::Control)>,
+    /// Placements.
+    pub placements: Vec<(Filled, elderworks_placement::Placement)>,
+    /// Sidecars.
+    pub sidecars: Vec<(Filled, sidecar::SidecarHarness)>,
+    /// Owners of runs.
+    pub owners: Vec<(Filled, owner::OwnerHarness)>,
+}
+
+impl FilledRoles {
+    /// What was measured while they were filled.
+    pub fn filled(&self) -> Vec<Filled> {
+        let controls = self.controls.iter().map(|(filled, _)| filled);
+        let placements = self.placements.iter().map(|(filled, _)| filled);
+        let sidecars = self.sidecars.iter().map(|(filled, _)| filled);
+        let owners = self.owners.iter().map(|(filled, _)| filled);
+        let all = controls.chain(placements).chain(sidecars).chain(owners);
+        all.cloned().collect()
+    }
+
+    /// The same, with the encoded size of the owners' state.
+    pub fn filled_and_encoded(&self) -> Vec<Filled> {
+        let mut all = self.filled();
+        let first_owner = all.len() - self.owners.len();
+        for (filled, (_, owner)) in all[first_owner..].iter_mut().zip(&self.owners) {
+            filled.encoded_bytes = Some(owner.encoded_bytes());
+        }
+        all
+    }
+}
+
 /// What a role sent while it was filled.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Flows {
--- a/crates/lab/src/scale/timing.rs
+++ b/crates/lab/src/scale/timing.rs
@@ -9,6 +9,9 @@
 /// mean and counted.
 const INTERRUPTED: Duration = Duration::from_millis(2);
 
+/// If more than one in so many samples are that long, the event itself is slow: all are counted.
+const SLOW_ONE_IN: u64 = 20;
+
 /// Collects samples by event.
 #[derive(Debug, Default)]
 pub struct EventTimer {
@@ -20,10 +23,33 @@
     count: u64,
     total: Duration,
     interrupted: u64,
+    interrupted_total: Duration,
 }
 
 impl Samples {
+    fn is_slow(&self) -> bool {
+        self.interrupted * SLOW_ONE_IN > self.count + self.interrupted
+    }
+
+    fn time_of(&self, event: &'static str) -> EventTime {
+        let (count, total, interrupted) = if self.is_slow() {
+            let count = self.count + self.interrupted;
+            (count, self.total + self.interrupted_total, 0)
+        } else {
+            (self.count, self.total, self.interrupted)
+        };
+        EventTime {
+            event,
+            count,
+            mean_micros: total.as_secs_f64() * 1e6 / (count.max(1) as f64),
+            interrupted,
+        }
+    }
+
     fn whole(&self) -> Duration {
+        if self.is_slow() {
+            return self.total + self.interrupted_total;
+        }
         let share = (self.count + self.interrupted) as f64 / (self.count.max(1) as f64);
         self.total.mul_f64(share)
     }
@@ -56,6 +82,7 @@
         let samples = self.samples.entry(event).or_default();
         if elapsed > INTERRUPTED {
             samples.interrupted += 1;
+            samples.interrupted_total += elapsed;
         } else {
             samples.count += 1;
             samples.total += elapsed;
@@ -67,12 +94,7 @@
     pub fn means(&self) -> Vec<EventTime> {
         self.samples
             .iter()
-            .map(|(event, samples)| EventTime {
-                event,
-                count: samples.count,
-                mean_micros: samples.total.as_secs_f64() * 1e6 / (samples.count.max(1) as f64),
-                interrupted: samples.interrupted,
-            })
+            .map(|(event, samples)| samples.time_of(event))
             .collect()
     }
 }
