--- a/crates/sidecar/src/connection.rs
+++ b/crates/sidecar/src/connection.rs
@@ -50,6 +50,8 @@
 pub struct Connection {
     /// Its name.
     pub id: ConnectionId,
+    /// Whether it was ever ready.
+    pub was_ready: bool,
     outbox: mpsc::Sender<SidecarMessage>,
 }
 
@@ -72,7 +74,11 @@
             let _ = carry(address, sidecar, messages, &reporter).await;
             reporter.report(ConnectionEvent::Closed);
         });
-        Self { id, outbox }
+        Self {
+            id,
+            was_ready: false,
+            outbox,
+        }
     }
 
     /// Queues a message; `false` if the queue is full or the connection is gone.
--- a/crates/sidecar/src/driver.rs
+++ b/crates/sidecar/src/driver.rs
@@ -95,15 +95,13 @@
 
     fn report(&mut self, report: ConnectionReport) {
         let address = report.address;
-        let is_current = self
-            .connections
-            .get(&address)
-            .is_some_and(|connection| connection.id == report.connection);
-        if !is_current {
+        let connection = self.connections.get_mut(&address);
+        let Some(connection) = connection.filter(|known| known.id == report.connection) else {
             return;
-        }
+        };
         match report.event {
             ConnectionEvent::Ready => {
+                connection.was_ready = true;
                 log::info!(node:% = address; "connected to node");
                 self.event(Event::Connected { address });
             }
@@ -113,10 +111,14 @@
     }
 
     fn closed(&mut self, address: SocketAddr) {
-        if self.connections.remove(&address).is_some() {
-            self.metrics.connections_lost.inc();
-            self.event(Event::Disconnected { address });
+        let Some(connection) = self.connections.remove(&address) else {
+            return;
+        };
+        if connection.was_ready {
+            log::warn!(node:% = address; "lost the connection to node");
         }
+        self.metrics.connections_lost.inc();
+        self.event(Event::Disconnected { address });
     }
 
     /// Gives the core one event and carries out what it asks for. A connection that breaks while
