--- a/crates/membership/src/detector/mod.rs
+++ b/crates/membership/src/detector/mod.rs
@@ -1,6 +1,7 @@
 //! The failure detector of one node.
 
 mod exchange;
+mod foreign;
 mod periodic;
 mod receive;
 mod relay;
