--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -230,6 +230,9 @@
 
     /// An attempt was placed that is no longer wanted.
     fn refuse_placement(&mut self, call: CallId, attempt: Attempt, engine: Option<EngineId>) {
+        if self.settings.faults.dispatch_before_turn() {
+            return;
+        }
         self.emit(Effect::Cancel { call, attempt });
         let run = call.run;
         if self.owned.is_some()
--- a/crates/simulation/src/world/setup.rs
+++ b/crates/simulation/src/world/setup.rs
@@ -342,7 +342,7 @@
 /// The configuration over which operators race, with a value that tells changes apart.
 pub(super) fn raced_configuration(serial: u64) -> Resource {
     let values = BTreeMap::from([(
-        "admission.maxWaitingCalls".to_owned(),
+        "admission.maxOpenCalls".to_owned(),
         (10_000 + serial).to_string(),
     )]);
     let spec = Spec::Configuration(ConfigurationSpec { values });
--- a/crates/simulation/tests/faults.rs
+++ b/crates/simulation/tests/faults.rs
@@ -3,6 +3,9 @@
 use elderworks_simulation::table::fault_table;
 use elderworks_simulation::{FaultKind, Plan, Preset, run};
 
+/// Resources that operators create before callers begin; changes beyond them are races.
+const INITIAL_RESOURCES: usize = 8;
+
 fn assert_holds(plan: &Plan) {
     let report = run(plan);
     assert!(
@@ -18,6 +21,11 @@
         "seed {} did nothing",
         plan.seed
     );
+    assert!(
+        report.totals.changes > INITIAL_RESOURCES,
+        "seed {}: no operator's change was accepted",
+        plan.seed
+    );
 }
 
 #[test]
