--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -45,6 +45,9 @@
     /// node made and has since released is only history: this machine owns nothing by it.
     pub(super) fn on_claim_won(&mut self, now: Timestamp, own: bool, epoch: Epoch) {
         let awaited = self.claimed == Some(epoch);
+        if self.owned.is_some() && !own && self.settings.faults.no_fencing() {
+            return;
+        }
         if self.owned.is_some() {
             self.counters.fenced += 1;
             self.lose_ownership();
@@ -69,8 +72,11 @@
     pub(super) fn lose_ownership(&mut self) {
         log::info!("partition {} no longer owned", self.id);
         self.owned = None;
-        let soft = std::mem::replace(&mut self.soft, Soft::new(&self.settings));
+        let mut soft = std::mem::replace(&mut self.soft, Soft::new(&self.settings));
         self.emit(Effect::OwnershipChanged { owned: None });
+        for read in soft.reads.take_all() {
+            self.turn_away([read.connection], read.run, None);
+        }
         for (run, start) in soft.starting {
             self.turn_away(start.connections, run, None);
         }
