Split the simulation's callers and engine service by job

Ruled out: splitting by length alone; each new file has one job that its first line names (steps, replies; streams, polling, lifecycle). No behaviour changes.

--- /dev/null
+++ b/crates/simulation/src/world/engine_service/polling.rs
@@ -0,0 +1,85 @@
+//! The polling of engines for their load, holdings and departure.
+
+use std::time::Duration;
+
+use elderworks_node_core::Event as NodeEvent;
+use elderworks_placement::event::LoadReport;
+use elderworks_types::{EngineId, Tokens};
+
+use super::engine_direction;
+use crate::world::World;
+use crate::world::event::{EngineRequest, Event, NodeStart};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+const BLOCKS_TOTAL: u32 = 4_096;
+
+impl World {
+    /// A node begins to poll an engine.
+    pub(in crate::world) fn watch_engine(&mut self, from: NodeStart, engine: &EngineId) {
+        let Some(engine) = self.engine_by_id(engine) else {
+            return;
+        };
+        if self.nodes[from.node]
+            .watched
+            .insert(engine, self.now)
+            .is_none()
+        {
+            self.schedule(Duration::ZERO, Event::EnginePoll { from, engine });
+        }
+    }
+
+    /// A node's next poll of an engine is due.
+    pub(in crate::world) fn on_engine_poll(&mut self, from: NodeStart, engine: usize) {
+        let is_current = self.nodes[from.node].slot.generation() == from.generation;
+        let Some(last) = self.nodes[from.node].watched.get(&engine).copied() else {
+            return;
+        };
+        if !is_current {
+            return;
+        }
+        self.schedule(POLL_INTERVAL, Event::EnginePoll { from, engine });
+        let id = self.engines[engine].id.clone();
+        let direction = engine_direction(from, engine);
+        let is_cut = self.network.cut_until(direction, self.now).is_some();
+        if is_cut || !self.engines[engine].up {
+            let silent_for = self.now.since(last);
+            let silent = NodeEvent::EngineSilent {
+                engine: id,
+                silent_for,
+            };
+            self.deliver_to_node(from, silent);
+            return;
+        }
+        self.nodes[from.node].watched.insert(engine, self.now);
+        self.request_engine(from, &id, EngineRequest::Poll);
+    }
+
+    pub(super) fn answer_poll(&mut self, from: NodeStart, index: usize) {
+        let measured = self.nodes[from.node].slot.clock.read(self.now);
+        let engine = &self.engines[index];
+        let id = engine.id.clone();
+        let runs = engine.holdings();
+        let is_leaving = engine.leaving;
+        let report = LoadReport {
+            measured,
+            running: engine.running() as u32,
+            waiting: 0,
+            waiting_prefill: Tokens::ZERO,
+            blocks_used: runs.len() as u32,
+            blocks_total: BLOCKS_TOTAL,
+        };
+        let load = NodeEvent::EngineLoad {
+            engine: id.clone(),
+            report,
+        };
+        self.deliver_from_engine(from, index, load);
+        let holdings = NodeEvent::EngineHoldings {
+            engine: id.clone(),
+            runs,
+        };
+        self.deliver_from_engine(from, index, holdings);
+        if is_leaving {
+            self.deliver_from_engine(from, index, NodeEvent::EngineLeaving { engine: id });
+        }
+    }
+}
