Drive the simulated log by platform-model's LogModel

Cause: the simulation kept a second log of its own, though decision 0061 asks for one model, so what a fault meant here was not shown for the stand-ins. Ruled out: setting the model's faults when a trouble begins and clearing them by an event at its end: troubles overlap, and the instants say when each ends. Change: platform::log keeps only the instants of troubles and sets the model's faults from them before each request: down, delay, and all answers lost (1,000 per mille). A slow log still delays a request before it takes effect, so an append can land after its writer gave up. Conclusion: a lost answer and a log that is down mean one thing in both places.

--- a/crates/simulation/src/kernel/random.rs
+++ b/crates/simulation/src/kernel/random.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, SeedableRng};
+use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 /// What a stream of random numbers is for. A change in one leaves the others as they were.
@@ -57,6 +57,11 @@
         Duration::from_micros(self.below(low, high))
     }
 
+    /// The generator itself, for models that draw their own numbers.
+    pub fn generator(&mut self) -> &mut dyn RngCore {
+        &mut self.0
+    }
+
     /// Any number.
     pub fn number(&mut self) -> u64 {
         self.0.random()
--- a/crates/simulation/src/platform/log.rs
+++ b/crates/simulation/src/platform/log.rs
@@ -1,16 +1,23 @@
-//! The append-only log: streams of records at dense offsets from 0, and its troubles.
+//! The platform's model of the log, with troubles that last until an instant.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use elderworks_node_core::event::ReadRecords;
+use elderworks_platform_model::{AppendOutcome, LogFaults, LogModel, ReadOutcome};
 use elderworks_protocol::record::StreamName;
 use elderworks_types::Offset;
 
-use crate::kernel::Instant;
+use crate::kernel::{Instant, Random};
 
-/// Most records in one answer; small, so that readers have to come again.
-const MAX_RECORDS_PER_READ: usize = 16;
+/// Most bytes in one answer; small, so that readers have to come again.
+const MAX_BYTES_PER_READ: usize = 4 * 1024;
+
+/// How much later, at most, requests take effect while the log is slow.
+const SLOW_DELAY_MS: u64 = 2_500;
+
+/// Every answer to an append.
+const ALL_PER_MILLE: u16 = 1_000;
 
 /// What can be wrong with the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,13 +33,10 @@
 /// The log.
 #[derive(Debug, Default)]
 pub struct Log {
-    streams: BTreeMap<StreamName, Vec<Vec<u8>>>,
+    model: LogModel,
     troubles: BTreeMap<LogTrouble, Instant>,
 }
 
-/// How much later requests take effect while the log is slow.
-pub const SLOW_DELAY: Duration = Duration::from_millis(2_500);
-
 impl Log {
     /// Begins a trouble that lasts until `until`.
     pub fn trouble(&mut self, trouble: LogTrouble, until: Instant) {
@@ -40,43 +44,67 @@
         *present = (*present).max(until);
     }
 
-    /// Whether a trouble lasts.
-    pub fn has(&self, trouble: LogTrouble, now: Instant) -> bool {
-        self.troubles
-            .get(&trouble)
-            .is_some_and(|until| *until > now)
+    /// The longest delay before a request made now takes effect.
+    pub fn longest_delay(&self, now: Instant) -> Duration {
+        self.faults(now).delay()
+    }
+
+    /// Takes an append.
+    pub fn append(
+        &mut self,
+        now: Instant,
+        stream: StreamName,
+        bytes: Vec<u8>,
+        random: &mut Random,
+    ) -> AppendOutcome {
+        self.model.faults = self.faults(now);
+        self.model
+            .request_append(&stream.to_string(), bytes, random.generator())
     }
 
-    /// Appends a record.
-    pub fn append(&mut self, stream: StreamName, bytes: Vec<u8>) -> Offset {
-        let records = self.streams.entry(stream).or_default();
-        records.push(bytes);
-        Offset(records.len() as u64 - 1)
+    /// Whether the log answers at all.
+    pub fn is_down(&self, now: Instant) -> bool {
+        self.faults(now).down
     }
 
     /// Whether a read from `from` would return at least one record.
     pub fn has_records(&self, stream: StreamName, from: Offset) -> bool {
-        self.records(stream).len() as u64 > from.0
+        self.model.end(&stream.to_string()) > from
     }
 
-    /// Records from `from` on, bounded.
-    pub fn read(&self, stream: StreamName, from: Offset) -> ReadRecords {
-        let all = self.records(stream);
-        let records = all
-            .iter()
-            .enumerate()
-            .skip(usize::try_from(from.0).unwrap_or(usize::MAX))
-            .take(MAX_RECORDS_PER_READ)
-            .map(|(offset, bytes)| (Offset(offset as u64), bytes.clone()))
-            .collect();
-        ReadRecords {
-            records,
-            end: Offset(all.len() as u64),
-        }
+    /// Records from `from` on, bounded; `None` where the log does not answer.
+    pub fn read(&mut self, now: Instant, stream: StreamName, from: Offset) -> Option<ReadRecords> {
+        self.model.faults = self.faults(now);
+        let outcome = self
+            .model
+            .request_read(&stream.to_string(), from, MAX_BYTES_PER_READ);
+        let ReadOutcome::Records(response) = outcome else {
+            return None;
+        };
+        let records = response.records.into_iter();
+        Some(ReadRecords {
+            records: records.map(|record| (record.offset, record.data)).collect(),
+            end: response.end,
+        })
     }
 
-    /// Every record of a stream.
-    pub fn records(&self, stream: StreamName) -> &[Vec<u8>] {
-        self.streams.get(&stream).map_or(&[], Vec::as_slice)
+    /// The model's faults for the troubles that last at `now`.
+    fn faults(&self, now: Instant) -> LogFaults {
+        let lasts = |trouble| {
+            self.troubles
+                .get(&trouble)
+                .is_some_and(|until| *until > now)
+        };
+        let mut faults = LogFaults {
+            down: lasts(LogTrouble::Down),
+            ..LogFaults::default()
+        };
+        if lasts(LogTrouble::Slow) {
+            faults.delay_ms = SLOW_DELAY_MS;
+        }
+        if lasts(LogTrouble::LosesAnswers) {
+            faults.lose_answers_per_mille = ALL_PER_MILLE;
+        }
+        faults
     }
 }
--- a/crates/simulation/src/world/log_service.rs
+++ b/crates/simulation/src/world/log_service.rs
@@ -4,6 +4,7 @@
 
 use elderworks_node_core::Event as NodeEvent;
 use elderworks_node_core::event::{NoAnswer, ReadRecords};
+use elderworks_platform_model::AppendOutcome;
 use elderworks_protocol::record::StreamName;
 use elderworks_types::Offset;
 
@@ -11,8 +12,6 @@
 use super::event::{Event, NodeStart};
 use crate::fault::CallPoint;
 use crate::kernel::{Direction, Endpoint};
-use crate::platform::LogTrouble;
-use crate::platform::log::SLOW_DELAY;
 
 /// How long a node waits for the log beyond the wait it asked for.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -67,26 +66,36 @@
         token: u64,
         bytes: Vec<u8>,
     ) {
-        if self.log.has(LogTrouble::Down, self.now) {
-            self.append_unanswered(from, token, REFUSED_DELAY);
-            return;
+        let outcome = self
+            .log
+            .append(self.now, stream, bytes, &mut self.platform_random);
+        match outcome {
+            AppendOutcome::Down | AppendOutcome::Full => {
+                self.append_unanswered(from, token, REFUSED_DELAY);
+                return;
+            }
+            AppendOutcome::AnswerLost(offset) => {
+                self.on_appended(from, stream, offset);
+                self.append_unanswered(from, token, CLIENT_TIMEOUT);
+            }
+            AppendOutcome::Appended(offset) => {
+                self.on_appended(from, stream, offset);
+                let delay = self.delay_to_log(from);
+                let result = Ok(offset);
+                self.deliver_to_node_later(from, delay, NodeEvent::LogAppended { token, result });
+            }
+        }
+        if matches!(stream, StreamName::Partition(_)) {
+            self.reach(CallPoint::Journalled, from.node);
         }
-        let offset = self.log.append(stream, bytes);
+    }
+
+    fn on_appended(&mut self, from: NodeStart, stream: StreamName, offset: Offset) {
         self.trace.line(
             self.now,
             format_args!("log: node-{} appends {stream}@{offset}", from.node),
         );
         self.answer_waiters(stream);
-        if self.log.has(LogTrouble::LosesAnswers, self.now) {
-            self.append_unanswered(from, token, CLIENT_TIMEOUT);
-        } else {
-            let delay = self.delay_to_log(from);
-            let result = Ok(offset);
-            self.deliver_to_node_later(from, delay, NodeEvent::LogAppended { token, result });
-        }
-        if matches!(stream, StreamName::Partition(_)) {
-            self.reach(CallPoint::Journalled, from.node);
-        }
     }
 
     /// A node asks for a read.
@@ -120,7 +129,7 @@
         offset: Offset,
         wait: Duration,
     ) {
-        if self.log.has(LogTrouble::Down, self.now) {
+        if self.log.is_down(self.now) {
             let no_answer = read_event(stream, offset, Err(NoAnswer));
             self.deliver_to_node_later(from, REFUSED_DELAY, no_answer);
             return;
@@ -160,20 +169,18 @@
     }
 
     fn answer_read(&mut self, from: NodeStart, stream: StreamName, offset: Offset) {
-        let result = if self.log.has(LogTrouble::Down, self.now) || self.is_cut_from_log(from) {
+        let result = if self.is_cut_from_log(from) {
             Err(NoAnswer)
         } else {
-            Ok(self.log.read(stream, offset))
+            self.log.read(self.now, stream, offset).ok_or(NoAnswer)
         };
         let delay = self.delay_to_log(from);
         self.deliver_to_node_later(from, delay, read_event(stream, offset, result));
     }
 
     fn log_slowness(&mut self) -> Duration {
-        if self.log.has(LogTrouble::Slow, self.now) {
-            return self.platform_random.duration(Duration::ZERO, SLOW_DELAY);
-        }
-        Duration::ZERO
+        let longest = self.log.longest_delay(self.now);
+        self.platform_random.duration(Duration::ZERO, longest)
     }
 
     fn is_cut_from_log(&self, from: NodeStart) -> bool {
