Drive the simulated tools by platform-model's ToolModel

Ruled out: the model's own hang for a hung tool: its executions never end, while here they run and only their answers are lost, which is the harder case for a call that may run once; the model's lost answers say exactly that. The model's latency is zero here, since the world draws the answer's time. Change: platform::tool keeps the instant until which a tool hangs and asks the model; the world notes an invocation when the model started one. A result is now a function of name and arguments (which name the call) and no longer carries a serial number; the checkers compare it per call and count executions by their records, as before.

--- a/crates/simulation/src/world/faults.rs
+++ b/crates/simulation/src/world/faults.rs
@@ -174,8 +174,7 @@
 
     fn hang_tool(&mut self, fault: Fault, until: Instant) {
         let tool = fault.victim as usize % self.tools.len();
-        let present = self.tools[tool].hung_until;
-        self.tools[tool].hung_until = present.max(until);
+        self.tools[tool].hang(until);
     }
 
     /// Asks a node to leave in order; its replacement starts some time after it has gone.
--- a/crates/simulation/src/world/tool_service.rs
+++ b/crates/simulation/src/world/tool_service.rs
@@ -71,10 +71,20 @@
         key: String,
         timeout: Duration,
     ) {
-        let repeated = self.tools[tool].repeated(&key).cloned();
-        let result = repeated.unwrap_or_else(|| self.run_tool(from, ticket, tool, arguments, key));
+        let answer = self.tools[tool].invoke(self.now, &key, &arguments);
+        let content = match answer {
+            ToolAnswer::Ran(result) => {
+                self.note_invocation(from, ticket, tool, arguments, key, result.clone());
+                result
+            }
+            ToolAnswer::Repeated(result) => result,
+            ToolAnswer::NotRun => {
+                self.fail_attempt(from, ticket, SHORTEST_ANSWER, AttemptFailure::NotSent);
+                return;
+            }
+        };
         self.reach(CallPoint::Taken, from.node);
-        if self.tools[tool].hung_until > self.now {
+        if self.tools[tool].loses_answer(self.now, &mut self.platform_random) {
             self.fail_attempt(from, ticket, timeout, no_answer());
             return;
         }
@@ -83,24 +93,23 @@
             .duration(SHORTEST_ANSWER, LONGEST_ANSWER);
         let input = NodeEvent::AttemptCompleted {
             ticket,
-            content: result,
+            content,
             usage: Usage::default(),
         };
         self.deliver_to_node_later(from, delay, input);
         self.reach(CallPoint::Answered, from.node);
     }
 
-    fn run_tool(
+    fn note_invocation(
         &mut self,
         from: NodeStart,
         ticket: Ticket,
         tool: usize,
         arguments: String,
         key: String,
-    ) -> String {
-        let serial = self.observations.invocations.len();
+        result: String,
+    ) {
         let name = self.tools[tool].name.clone();
-        let result = format!("{{\"call\":\"{}\",\"serial\":{serial}}}", ticket.call);
         self.trace.line(
             self.now,
             format_args!(
@@ -108,37 +117,31 @@
                 ticket.call, ticket.attempt, from.node
             ),
         );
-        self.tools[tool].remember(&key, &result);
         self.observations.invocations.push(Invocation {
             at: self.now,
             tool: name,
             ticket,
             arguments,
             key,
-            result: result.clone(),
+            result,
         });
-        result
     }
 
     fn answer_query(&mut self, from: NodeStart, ticket: Ticket, tool: usize, key: &str) {
-        if self.tools[tool].hung_until > self.now {
+        if self.tools[tool].is_hung(self.now) {
             self.fail_attempt(from, ticket, LONGEST_ANSWER, no_answer());
             return;
         }
-        match self.tools[tool].query(key) {
-            ToolAnswer::Completed(content) => {
-                let usage = Usage::default();
-                let input = NodeEvent::AttemptCompleted {
-                    ticket,
-                    content,
-                    usage,
-                };
-                self.deliver_to_node_later(from, SHORTEST_ANSWER, input);
-            }
-            ToolAnswer::Unknown => {
-                self.fail_attempt(from, ticket, SHORTEST_ANSWER, no_answer());
-            }
-        }
+        let Some(content) = self.tools[tool].query(self.now, key) else {
+            self.fail_attempt(from, ticket, SHORTEST_ANSWER, no_answer());
+            return;
+        };
+        let input = NodeEvent::AttemptCompleted {
+            ticket,
+            content,
+            usage: Usage::default(),
+        };
+        self.deliver_to_node_later(from, SHORTEST_ANSWER, input);
     }
 }
 
