--- a/crates/placement/benches/decision.rs
+++ b/crates/placement/benches/decision.rs
@@ -10,20 +10,29 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use elderworks_placement::event::{FinishedResult, ReadyCall};
 use elderworks_placement::{Event, Placement, PlacementSettings, Ticket};
+use elderworks_types::text::BlockHash;
 use elderworks_types::{
     Attempt, CallId, CallNumber, EngineId, ModelName, ResourceName, RunId, TenantId, Timestamp,
     Tokens, ZoneId,
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Blocks of a prompt of about 4 000 tokens.
 const PROMPT_BLOCKS: u64 = 250;
 const MODEL: &str = "agent";
 
+/// Spread like real block hashes; maps by block hash do not hash them again.
+fn block_hashes(run: u64) -> Vec<BlockHash> {
+    (0..PROMPT_BLOCKS)
+        .map(|block| xxh3_64_with_seed(&block.to_le_bytes(), run))
+        .collect()
+}
+
 fn ready(run: u64, number: u32) -> ReadyCall {
     ReadyCall {
         ticket: ticket(run, number),
         model: ModelName::new(MODEL),
-        blocks: (0..PROMPT_BLOCKS).map(|block| run << 32 | block).collect(),
+        blocks: block_hashes(run),
         prompt: Tokens(PROMPT_BLOCKS * 16),
         max_output: Tokens(200),
         tenant: TenantId::new("tenant"),
--- a/crates/placement/src/index.rs
+++ b/crates/placement/src/index.rs
@@ -46,9 +46,13 @@
             return;
         }
         for hash in blocks {
+            if let Some(holders) = self.young.get_mut(hash) {
+                *holders |= 1 << slot;
+                continue;
+            }
             self.make_room();
             let carried = self.old.remove(hash).unwrap_or(0);
-            *self.young.entry(*hash).or_insert(0) |= carried | (1 << slot);
+            self.young.insert(*hash, carried | (1 << slot));
         }
     }
 
