Test real processes under a log outage, lost log answers and dying engines

Cause: no test with real processes cut off the log or an engine; only the simulation did. Ruled out: timed outages, which would pass or fail with the machine's load; the outage now ends once every node has refused a call and twelve further calls and a new run were refused while it lasted. Change: tests of the log down, of answers lost after taking effect, of an engine killed and of one that leaves in the midst of streams; faults go through the stand-ins, answers are compared with the engine model's own text, executions with the tool's list.

--- a/crates/cli/tests/processes/caller.rs
+++ b/crates/cli/tests/processes/caller.rs
@@ -126,7 +126,7 @@
     }
 
     /// Sends a request until it is answered.
-    async fn send(&self, method: Method, path: &str, body: Option<Value>) -> Value {
+    pub async fn send(&self, method: Method, path: &str, body: Option<Value>) -> Value {
         let reply = self.try_send(method, path, body).await;
         reply.unwrap_or_else(|code| panic!("{path}: {code}"))
     }
@@ -162,7 +162,21 @@
         }
     }
 
-    async fn send_once(
+    /// Posts a call with a streamed answer; returns its events in order, by name.
+    pub async fn stream(&self, path: &str, body: &Value) -> Vec<(String, Value)> {
+        let request = self.client.post(format!("{}{path}", self.sidecar));
+        let sending = request
+            .insert_header(("authorization", format!("Bearer {}", self.token)))
+            .send_json(body);
+        let mut response = sending.await.expect("the sidecar answers");
+        let bytes = response.body().await.expect("a whole body");
+        let text = String::from_utf8(bytes.to_vec()).expect("text");
+        assert!(response.status().is_success(), "{path}: {text}");
+        text.split_terminator("\n\n").map(event).collect()
+    }
+
+    /// Sends a request once and gives its answer, whatever it says.
+    pub async fn send_once(
         &self,
         method: Method,
         path: &str,
@@ -182,3 +196,13 @@
         (response.status(), reply)
     }
 }
+
+/// Name and data of a server-sent event.
+fn event(text: &str) -> (String, Value) {
+    let field = |name: &str| {
+        let found = text.lines().find_map(|line| line.strip_prefix(name));
+        found.unwrap_or_else(|| panic!("no {name} in {text:?}"))
+    };
+    let data = serde_json::from_str(field("data: ")).expect("JSON");
+    (field("event: ").to_owned(), data)
+}
--- a/crates/cli/tests/processes/child.rs
+++ b/crates/cli/tests/processes/child.rs
@@ -49,9 +49,7 @@
 
     /// Ends it by SIGTERM, and checks that it ends well.
     pub async fn stop(mut self) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status();
-        assert!(sent.expect("kill runs").success());
+        self.signal("-TERM");
         let started = Instant::now();
         while started.elapsed() < PATIENCE {
             if let Some(status) = self.child.try_wait().expect("the process is our child") {
@@ -63,6 +61,13 @@
         panic!("the process did not stop");
     }
 
+    /// Sends it a signal, named as `kill` takes it.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
     /// Ends it by SIGKILL.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process was running");
--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -29,13 +29,13 @@
 
 /// Every process of the system.
 pub struct Fleet {
-    nodes: BTreeMap<String, Process>,
-    sidecars: Vec<Process>,
+    pub(super) nodes: BTreeMap<String, Process>,
+    pub(super) sidecars: Vec<Process>,
     tool: Process,
-    engines: Vec<Process>,
+    pub(super) engines: Vec<Process>,
     machines: Process,
-    log: Process,
-    client: awc::Client,
+    pub(super) log: Process,
+    pub(super) client: awc::Client,
 }
 
 impl Fleet {
@@ -124,7 +124,7 @@
         panic!("{run} has no open call");
     }
 
-    async fn get(&self, url: &str) -> Value {
+    pub(super) async fn get(&self, url: &str) -> Value {
         let mut response = self.client.get(url).send().await.expect("an answer");
         let body = response.body().await.expect("a whole body");
         serde_json::from_slice(&body).expect("JSON")
@@ -182,7 +182,7 @@
         }
     }
 
-    async fn wait_for(&self, url: &str) {
+    pub(super) async fn wait_for(&self, url: &str) {
         let started = Instant::now();
         while started.elapsed() < PATIENCE {
             if self.is_ok(url).await {
@@ -269,7 +269,7 @@
     nodes
 }
 
-fn start_sidecar(file: &str, nodes: &BTreeMap<String, Process>) -> Process {
+pub(super) fn start_sidecar(file: &str, nodes: &BTreeMap<String, Process>) -> Process {
     let known: Vec<String> = nodes
         .values()
         .map(|node| format!("{:?}", node.listening().to_string()))
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -2,6 +2,10 @@
 
 mod caller;
 mod child;
+mod engines;
+mod faults;
 mod fleet;
 mod limits;
+mod outages;
 mod programs;
+mod streams;
--- /dev/null
+++ b/crates/cli/tests/processes/outages.rs
@@ -0,0 +1,168 @@
+//! The platform's log is down for a while, or its answers are lost.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix_rt::task::JoinHandle;
+use awc::http::{Method, StatusCode};
+use futures_util::future::{join, join_all};
+use serde_json::{Value, json};
+
+use crate::caller::Caller;
+use crate::fleet::{Fleet, LOOK_INTERVAL, PATIENCE};
+use crate::programs::{
+    DEPLOYMENTS, LUBLIN_TOKEN, MIDST, Program, RUN_BUDGET, check_histories, check_submissions,
+    start_programs,
+};
+
+/// Runs that are used to find out whether the nodes have noticed the outage, one call each.
+const NOTICING_RUNS: usize = 48;
+
+/// Runs whose calls must be refused.
+const REFUSED_RUNS: usize = 12;
+
+/// A tool that no program submits by.
+const TOOL: &str = "cadastre-lookup";
+
+/// Of a thousand appends, so many take effect without an answer.
+const LOST_ANSWERS_PER_MILLE: u16 = 200;
+
+#[actix_rt::test]
+async fn an_outage_of_the_log_refuses_calls_at_once_and_loses_nothing() {
+    let fleet = Fleet::start().await;
+    let mut programs = start_programs(&fleet).await;
+    let caller = Caller::new(fleet.sidecar_url(0), LUBLIN_TOKEN);
+    let noticing = start_runs(&caller, NOTICING_RUNS).await;
+    let refused = start_runs(&caller, REFUSED_RUNS).await;
+    let playing = join_all(programs.iter_mut().map(Program::all_turns));
+    let outage = async {
+        actix_rt::time::sleep(MIDST).await;
+        fleet.set_log_faults(&json!({ "down": true })).await;
+        let early = call_until_noticed(&fleet, &caller, &noticing).await;
+        check_refusals(&caller, &refused).await;
+        fleet.set_log_faults(&json!({})).await;
+        early
+    };
+    let (_, early) = join(playing, outage).await;
+    check_early_calls(&fleet, early).await;
+    check_programs(&fleet, &programs).await;
+    check_refused_runs(&fleet, &caller, &refused).await;
+}
+
+#[actix_rt::test]
+async fn programs_complete_although_the_log_loses_answers() {
+    let fleet = Fleet::start().await;
+    let faults = json!({ "lose_answers_per_mille": LOST_ANSWERS_PER_MILLE });
+    fleet.set_log_faults(&faults).await;
+    let mut programs = start_programs(&fleet).await;
+    join_all(programs.iter_mut().map(Program::all_turns)).await;
+    check_programs(&fleet, &programs).await;
+}
+
+async fn check_programs(fleet: &Fleet, programs: &[Program]) {
+    check_histories(fleet, programs).await;
+    assert!(programs.iter().all(|program| program.is_submitted));
+    check_submissions(fleet, programs).await;
+}
+
+async fn start_runs(caller: &Caller, count: usize) -> Vec<String> {
+    let starting = (0..count).map(|_| caller.start_run(DEPLOYMENTS[0].program, RUN_BUDGET.into()));
+    join_all(starting).await
+}
+
+/// Uses a tool that must run at most once, as the first call of a run.
+async fn submit_once(caller: &Caller, run: &str) -> (StatusCode, Value) {
+    let tool = json!({ "name": TOOL, "arguments": { "marker": run } });
+    let body = json!({ "number": 1, "tool": tool });
+    let path = format!("/v1/runs/{run}/calls");
+    caller.send_once(Method::POST, &path, Some(&body)).await
+}
+
+/// A call that was made as the outage began.
+struct EarlyCall {
+    run: String,
+    answering: JoinHandle<(StatusCode, Value)>,
+}
+
+/// Calls until each node has refused one. A call made before its node noticed is not answered
+/// before the outage ends, so none is waited for here.
+async fn call_until_noticed(fleet: &Fleet, caller: &Caller, runs: &[String]) -> Vec<EarlyCall> {
+    let noticed = Rc::new(RefCell::new(BTreeSet::new()));
+    let mut calls = Vec::new();
+    for run in runs {
+        let owner = fleet.owner(run).await;
+        let (caller, called, by) = (caller.clone(), run.clone(), noticed.clone());
+        let answering = actix_rt::spawn(async move {
+            let (status, reply) = submit_once(&caller, &called).await;
+            if reply["error"]["code"] == "log_unavailable" {
+                by.borrow_mut().insert(owner);
+            }
+            (status, reply)
+        });
+        let run = run.clone();
+        calls.push(EarlyCall { run, answering });
+        actix_rt::time::sleep(LOOK_INTERVAL).await;
+        if noticed_by_all(fleet, &noticed) {
+            return calls;
+        }
+    }
+    let started = Instant::now();
+    while !noticed_by_all(fleet, &noticed) {
+        let noticed = noticed.borrow();
+        assert!(started.elapsed() < PATIENCE, "noticed only by {noticed:?}");
+        drop(noticed);
+        actix_rt::time::sleep(LOOK_INTERVAL).await;
+    }
+    calls
+}
+
+fn noticed_by_all(fleet: &Fleet, noticed: &RefCell<BTreeSet<String>>) -> bool {
+    noticed.borrow().len() == fleet.node_names().len()
+}
+
+/// Each early call is answered after the outage, and ran exactly if its answer says so.
+async fn check_early_calls(fleet: &Fleet, calls: Vec<EarlyCall>) {
+    for call in calls {
+        let (status, reply) = call.answering.await.expect("the call is answered");
+        let expected = usize::from(status.is_success());
+        if expected == 0 {
+            assert_eq!(reply["error"]["run"], "no", "{reply}");
+        }
+        assert_eq!(runs_of(fleet, &call.run).await, expected, "{status}");
+    }
+}
+
+/// How often the tool ran for a run.
+async fn runs_of(fleet: &Fleet, run: &str) -> usize {
+    let key = (TOOL.to_owned(), run.to_owned());
+    fleet.executions().await.remove(&key).unwrap_or_default()
+}
+
+/// Every call and every new run is refused while the log is down, and says when to come back.
+async fn check_refusals(caller: &Caller, runs: &[String]) {
+    let calls = join_all(runs.iter().map(|run| submit_once(caller, run))).await;
+    let body = json!({ "program": DEPLOYMENTS[0].program, "budget": RUN_BUDGET });
+    let start = caller
+        .send_once(Method::POST, "/v1/runs", Some(&body))
+        .await;
+    for (status, reply) in calls.into_iter().chain([start]) {
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{reply}");
+        let error = &reply["error"];
+        assert_eq!(error["code"], "log_unavailable", "{reply}");
+        assert_eq!(error["run"], "no", "{reply}");
+        let retry_after = error["retry_after_ms"].as_u64();
+        assert!(retry_after.is_some_and(|wait| wait > 0), "{reply}");
+    }
+}
+
+/// What was refused was not run then, and runs once when it is asked for again.
+async fn check_refused_runs(fleet: &Fleet, caller: &Caller, runs: &[String]) {
+    for run in runs {
+        assert_eq!(runs_of(fleet, run).await, 0, "{run} was refused");
+        let again = caller.submit(run, 1, TOOL, run).await;
+        again.expect("the call is made");
+        assert_eq!(runs_of(fleet, run).await, 1, "{run} was made again");
+    }
+}
--- a/crates/cli/tests/processes/programs.rs
+++ b/crates/cli/tests/processes/programs.rs
@@ -7,28 +7,29 @@
 use crate::caller::Caller;
 use crate::fleet::Fleet;
 
-const LUBLIN_TOKEN: &str = "lublin-example-token";
+/// Token of the first deployment's tenant.
+pub const LUBLIN_TOKEN: &str = "lublin-example-token";
 const ULAANBAATAR_TOKEN: &str = "ulaanbaatar-example-token";
 
 /// Programs of each deployment.
 const PROGRAMS: usize = 6;
 
 /// Time after which programs are in the midst of their calls.
-const MIDST: Duration = Duration::from_millis(700);
+pub const MIDST: Duration = Duration::from_millis(700);
 
 /// Credits that one run may spend.
-const RUN_BUDGET: u64 = 20_000;
+pub const RUN_BUDGET: u64 = 20_000;
 
 /// One program under way and what its history must be.
-struct Program {
+pub struct Program {
     caller: Caller,
-    run: String,
-    marker: String,
+    pub run: String,
+    pub marker: String,
     lookup: &'static str,
     submission: &'static str,
     /// Whether the caller was told that its submission was made.
-    is_submitted: bool,
-    history: Vec<(String, String)>,
+    pub is_submitted: bool,
+    pub history: Vec<(String, String)>,
 }
 
 impl Program {
@@ -82,20 +83,23 @@
         assert_eq!(self.caller.end_run(&self.run).await, "ended");
     }
 
-    async fn all_turns(&mut self) {
+    /// Plays the program to its end.
+    pub async fn all_turns(&mut self) {
         self.first_turns().await;
         self.last_turns().await;
     }
 }
 
-struct Deployment {
-    program: &'static str,
+/// What each deployment uses.
+pub struct Deployment {
+    pub program: &'static str,
     lookup: &'static str,
     submission: &'static str,
     token: &'static str,
 }
 
-const DEPLOYMENTS: [Deployment; 2] = [
+/// The deployments, in the order of their sidecars.
+pub const DEPLOYMENTS: [Deployment; 2] = [
     Deployment {
         program: "boundary-correction",
         lookup: "cadastre-lookup",
@@ -110,7 +114,8 @@
     },
 ];
 
-async fn start_programs(fleet: &Fleet) -> Vec<Program> {
+/// Starts the programs of both deployments.
+pub async fn start_programs(fleet: &Fleet) -> Vec<Program> {
     let mut starting = Vec::new();
     for (sidecar, deployment) in DEPLOYMENTS.iter().enumerate() {
         for index in 0..PROGRAMS {
@@ -191,7 +196,7 @@
 }
 
 /// Each history is whole and its own, read through either sidecar.
-async fn check_histories(fleet: &Fleet, programs: &[Program]) {
+pub async fn check_histories(fleet: &Fleet, programs: &[Program]) {
     for program in programs {
         for sidecar in 0..DEPLOYMENTS.len() {
             let reader = Caller::new(fleet.sidecar_url(sidecar), program.token());
@@ -202,7 +207,8 @@
 }
 
 impl Program {
-    fn token(&self) -> &'static str {
+    /// Token of its tenant.
+    pub fn token(&self) -> &'static str {
         let deployment = DEPLOYMENTS
             .iter()
             .find(|deployment| deployment.lookup == self.lookup);
@@ -212,7 +218,7 @@
 
 /// Each submission that its caller was told of ran once, no other ran twice, and nothing else was
 /// submitted.
-async fn check_submissions(fleet: &Fleet, programs: &[Program]) {
+pub async fn check_submissions(fleet: &Fleet, programs: &[Program]) {
     let mut executions = fleet.executions().await;
     for program in programs {
         let key = (program.submission.to_owned(), program.marker.clone());
