Ask for the owner of reads and starts whose node is silent

Cause: a real node paused by SIGSTOP keeps its connections. Reads, starts and ends are sent again after 2 s of silence, which begins a new silence, so the 5 s after which another node is asked for the owner never passed; reads of a run, and with them calls that first check their run, went to the paused node until they were given up, again and again. Ruled out: the nodes, which had taken the run over (the operator's interface named the new owner), and calls already submitted, which do ask after 5 s; where such a call was open, the reads were saved. Change: these requests ask another node for the owner whenever they are sent again. Conclusion: a silent owner no longer holds back reads for longer than it stays the owner.

--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -29,13 +29,14 @@
 /// How long past a call's deadline its node has to say what became of it.
 pub const DEADLINE_GRACE: Duration = Duration::from_secs(5);
 
-/// Silence of a node after which another is asked whether it still owns the partition.
+/// Silence of a call's node after which another is asked whether it still owns the partition.
 pub const PROBE_AFTER: Duration = Duration::from_secs(5);
 
 /// Silence of a call's node after which the call is submitted to it again.
 pub const RESUBMIT_CALL_AFTER: Duration = Duration::from_secs(60);
 
-/// Silence of a node after which any other request is sent again.
+/// Silence of a node after which any other request is sent again, and another node asked who owns
+/// the partition.
 pub const RESEND_AFTER: Duration = Duration::from_secs(2);
 
 /// What a sidecar is given at its start.
@@ -324,15 +325,16 @@
             let Position::Sent { to, heard } = request.position else {
                 continue;
             };
-            let resend_after = match request.body {
-                Body::Call(_) => RESUBMIT_CALL_AFTER,
-                _ => RESEND_AFTER,
+            // Sending again counts as a new silence, so the owner is asked for by then at last.
+            let (probe_after, resend_after) = match request.body {
+                Body::Call(_) => (PROBE_AFTER, RESUBMIT_CALL_AFTER),
+                _ => (RESEND_AFTER, RESEND_AFTER),
             };
             let silence = now.since(heard);
             if silence >= resend_after {
                 request.recall(now);
             }
-            if silence >= PROBE_AFTER
+            if silence >= probe_after
                 && let Some(partition) = self.directory.partition(request.run)
             {
                 questions.push((partition, to));
--- a/crates/sidecar-core/tests/core/runs.rs
+++ b/crates/sidecar-core/tests/core/runs.rs
@@ -114,6 +114,29 @@
     assert_eq!(bench.replies, [(3, CallerReply::RunEnded { phase })]);
 }
 
+/// A paused node keeps its connections, so that silence is all that a sidecar sees of it.
+#[test]
+fn a_request_leaves_a_silent_node_once_another_owns_its_partition() {
+    let mut bench = Bench::located(node_a());
+    bench.event(Event::ReadRun {
+        request: 3,
+        tenant: TenantId::new("office"),
+        run: RUN,
+    });
+    bench.sent.clear();
+    bench.pass(Duration::from_secs(10));
+    let asks_for_owner = |(to, message): &(_, SidecarMessage)| {
+        *to == node_b() && matches!(message, SidecarMessage::Locate { .. })
+    };
+    assert!(bench.sent.iter().any(asks_for_owner), "{:?}", bench.sent);
+    bench.say_located(node_b(), node_b());
+    bench.pass(Duration::from_secs(3));
+    let is_read_there = |(to, message): &(_, SidecarMessage)| {
+        *to == node_b() && matches!(message, SidecarMessage::ReadRun { .. })
+    };
+    assert!(bench.sent.iter().any(is_read_there), "{:?}", bench.sent);
+}
+
 #[test]
 fn a_view_reaches_only_the_request_that_asked_for_it() {
     let mut bench = Bench::located(node_a());
