Test a real node that is paused past its takeover and goes on

Cause: a paused process differs from a dead one, since its connections stay and it wakes with old beliefs; no test with real processes did this. Ruled out: a fixed pause, as the time of a takeover depends on load; the node is woken once another node says that it owns the run. Change: a test that stops the owner by SIGSTOP while programs run, wakes it after the takeover, reads what it says through a sidecar that knows only it, and checks histories and the tool's list.

--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -7,5 +7,6 @@
 mod fleet;
 mod limits;
 mod outages;
+mod pauses;
 mod programs;
 mod streams;
