Test a submission that is under way at a paused node

Cause: the test of programs around a pause meets a running submission only by chance. Ruled out: the tool's own hang fault, whose executions never end, so that nothing could be learnt of what the next owner does with them; the tool is slow instead. Change: the owner is paused once the tool lists the execution and woken after its takeover; the same submission is repeated, the history read through both sidecars and the tool's list compared.

--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -41,9 +41,14 @@
 impl Fleet {
     /// Starts all processes, applies the example resources and waits until callers can be served.
     pub async fn start() -> Self {
+        Self::start_with_tool(&[]).await
+    }
+
+    /// The same with changed settings of the tool.
+    pub async fn start_with_tool(changes: &[&str]) -> Self {
         let log = start_standin("log", "platform/log.toml", &[]);
         let machines = start_standin("machines", "platform/machines.toml", &["nodes=[]"]);
-        let tool = start_standin("tool", "platform/tool.toml", &[]);
+        let tool = start_standin("tool", "platform/tool.toml", changes);
         let engines = ZONES
             .map(|zone| start_standin("engine", &format!("platform/engine-{zone}.toml"), &[]))
             .into();
--- a/crates/cli/tests/processes/pauses.rs
+++ b/crates/cli/tests/processes/pauses.rs
@@ -1,13 +1,22 @@
 //! A node is paused for longer than it takes the others to replace it, and then goes on.
 
+use std::time::Instant;
+
 use futures_util::future::{join, join_all};
 
 use crate::caller::Caller;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, LOOK_INTERVAL, PATIENCE};
 use crate::programs::{
-    LUBLIN_TOKEN, MIDST, Program, check_histories, check_submissions, start_programs,
+    DEPLOYMENTS, LUBLIN_TOKEN, MIDST, Program, RUN_BUDGET, check_histories, check_submissions,
+    start_programs,
 };
 
+/// Setting of a tool that is at work for longer than a takeover takes on a quiet machine.
+const SLOW_TOOL: &str = "latency='8s'";
+
+/// A tool that must run at most once.
+const SUBMISSION: &str = "claim-submission";
+
 #[actix_rt::test]
 async fn programs_go_on_while_a_node_is_paused_and_after_it_wakes() {
     let mut fleet = Fleet::start().await;
@@ -33,6 +42,45 @@
     check_submissions(&fleet, &programs).await;
 }
 
+#[actix_rt::test]
+async fn a_submission_under_way_at_a_paused_node_is_made_once() {
+    let mut fleet = Fleet::start_with_tool(&[SLOW_TOOL]).await;
+    let caller = Caller::new(fleet.sidecar_url(0), LUBLIN_TOKEN);
+    let program = DEPLOYMENTS[0].program;
+    let run = caller.start_run(program, RUN_BUDGET.into()).await;
+    let paused = fleet.owner(&run).await;
+    let submitting = caller.submit(&run, 1, SUBMISSION, &run);
+    let pausing = async {
+        wait_for_execution(&fleet).await;
+        let node = fleet.pause_node(&paused);
+        let new_owner = fleet.owner(&run).await;
+        fleet.wake_node(node);
+        assert_ne!(new_owner, paused);
+    };
+    let (outcome, ()) = join(submitting, pausing).await;
+    println!("{outcome:?}");
+    let again = caller.submit(&run, 1, SUBMISSION, &run).await;
+    assert_eq!(again, outcome);
+    let answer = caller.ask(&run, 2, "and then?").await;
+    let mut expected = vec![("user".to_owned(), "and then?".to_owned())];
+    expected.push(("assistant".to_owned(), answer));
+    expected.splice(0..0, outcome.ok().map(|result| ("tool".to_owned(), result)));
+    for sidecar in 0..2 {
+        assert_eq!(history(&fleet, sidecar, &run).await, expected);
+    }
+    let executions = fleet.executions().await;
+    assert_eq!(executions, [((SUBMISSION.to_owned(), run), 1)].into());
+}
+
+/// Waits until the tool runs something.
+async fn wait_for_execution(fleet: &Fleet) {
+    let started = Instant::now();
+    while fleet.executions().await.is_empty() {
+        assert!(started.elapsed() < PATIENCE, "nothing was submitted");
+        actix_rt::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
 /// What a sidecar says of a run of the first deployment.
 async fn history(fleet: &Fleet, sidecar: usize, run: &str) -> Vec<(String, String)> {
     let reader = Caller::new(fleet.sidecar_url(sidecar), LUBLIN_TOKEN);
