Begin outages and pauses while programs are in the midst of their calls

Ruled out: a shorter fixed wait, which depends on the machine all the same. Change: outages and pauses begin once the tool lists its first execution, and the outage test demands that not all submissions were made when the outage ends. Conclusion: the faults now meet programs under way. The older tests of a killed or stopped node still use the fixed wait and should follow.

--- a/crates/cli/tests/processes/faults.rs
+++ b/crates/cli/tests/processes/faults.rs
@@ -1,9 +1,11 @@
 //! Faults that tests bring about in processes of the system.
 
+use std::time::Instant;
+
 use serde_json::{Value, json};
 
 use crate::child::Process;
-use crate::fleet::{Fleet, start_sidecar};
+use crate::fleet::{Fleet, PATIENCE, start_sidecar};
 
 /// A node that is stopped by SIGSTOP.
 pub struct PausedNode {
@@ -59,6 +61,14 @@
         }
     }
 
+    /// Waits until the tool has begun something, so that programs are in the midst of their calls.
+    pub async fn wait_for_execution(&self) {
+        let started = Instant::now();
+        while self.executions().await.is_empty() {
+            assert!(started.elapsed() < PATIENCE, "the tool was never used");
+        }
+    }
+
     /// Stops a node by SIGSTOP.
     pub fn pause_node(&mut self, name: &str) -> PausedNode {
         let process = self.nodes.remove(name).expect("the node was running");
--- a/crates/cli/tests/processes/outages.rs
+++ b/crates/cli/tests/processes/outages.rs
@@ -13,7 +13,7 @@
 use crate::caller::Caller;
 use crate::fleet::{Fleet, LOOK_INTERVAL, PATIENCE};
 use crate::programs::{
-    DEPLOYMENTS, LUBLIN_TOKEN, MIDST, Program, RUN_BUDGET, check_histories, check_submissions,
+    DEPLOYMENTS, LUBLIN_TOKEN, PROGRAMS, Program, RUN_BUDGET, check_histories, check_submissions,
     start_programs,
 };
 
@@ -38,10 +38,12 @@
     let refused = start_runs(&caller, REFUSED_RUNS).await;
     let playing = join_all(programs.iter_mut().map(Program::all_turns));
     let outage = async {
-        actix_rt::time::sleep(MIDST).await;
+        fleet.wait_for_execution().await;
         fleet.set_log_faults(&json!({ "down": true })).await;
         let early = call_until_noticed(&fleet, &caller, &noticing).await;
         check_refusals(&caller, &refused).await;
+        let submitted = submissions(&fleet).await;
+        assert!(submitted < 2 * PROGRAMS, "the outage came too late");
         fleet.set_log_faults(&json!({})).await;
         early
     };
@@ -134,6 +136,16 @@
     }
 }
 
+/// How many submissions of programs the tool ran.
+async fn submissions(fleet: &Fleet) -> usize {
+    let executions = fleet.executions().await;
+    let is_submission = |tool: &str| DEPLOYMENTS.iter().any(|used| used.submission == tool);
+    let counts = executions
+        .iter()
+        .filter(|((tool, _), _)| is_submission(tool));
+    counts.map(|(_, count)| count).sum()
+}
+
 /// How often the tool ran for a run.
 async fn runs_of(fleet: &Fleet, run: &str) -> usize {
     let key = (TOOL.to_owned(), run.to_owned());
--- a/crates/cli/tests/processes/pauses.rs
+++ b/crates/cli/tests/processes/pauses.rs
@@ -1,13 +1,11 @@
 //! A node is paused for longer than it takes the others to replace it, and then goes on.
 
-use std::time::Instant;
-
 use futures_util::future::{join, join_all};
 
 use crate::caller::Caller;
-use crate::fleet::{Fleet, LOOK_INTERVAL, PATIENCE};
+use crate::fleet::Fleet;
 use crate::programs::{
-    DEPLOYMENTS, LUBLIN_TOKEN, MIDST, Program, RUN_BUDGET, check_histories, check_submissions,
+    DEPLOYMENTS, LUBLIN_TOKEN, Program, RUN_BUDGET, check_histories, check_submissions,
     start_programs,
 };
 
@@ -25,7 +23,7 @@
     let paused = fleet.owner(&run).await;
     let playing = join_all(programs.iter_mut().map(Program::all_turns));
     let pausing = async {
-        actix_rt::time::sleep(MIDST).await;
+        fleet.wait_for_execution().await;
         let node = fleet.pause_node(&paused);
         let new_owner = fleet.owner(&run).await;
         assert_ne!(new_owner, paused);
@@ -51,7 +49,7 @@
     let paused = fleet.owner(&run).await;
     let submitting = caller.submit(&run, 1, SUBMISSION, &run);
     let pausing = async {
-        wait_for_execution(&fleet).await;
+        fleet.wait_for_execution().await;
         let node = fleet.pause_node(&paused);
         let new_owner = fleet.owner(&run).await;
         fleet.wake_node(node);
@@ -72,15 +70,6 @@
     assert_eq!(executions, [((SUBMISSION.to_owned(), run), 1)].into());
 }
 
-/// Waits until the tool runs something.
-async fn wait_for_execution(fleet: &Fleet) {
-    let started = Instant::now();
-    while fleet.executions().await.is_empty() {
-        assert!(started.elapsed() < PATIENCE, "nothing was submitted");
-        actix_rt::time::sleep(LOOK_INTERVAL).await;
-    }
-}
-
 /// What a sidecar says of a run of the first deployment.
 async fn history(fleet: &Fleet, sidecar: usize, run: &str) -> Vec<(String, String)> {
     let reader = Caller::new(fleet.sidecar_url(sidecar), LUBLIN_TOKEN);
--- a/crates/cli/tests/processes/programs.rs
+++ b/crates/cli/tests/processes/programs.rs
@@ -12,7 +12,7 @@
 const ULAANBAATAR_TOKEN: &str = "ulaanbaatar-example-token";
 
 /// Programs of each deployment.
-const PROGRAMS: usize = 6;
+pub const PROGRAMS: usize = 6;
 
 /// Time after which programs are in the midst of their calls.
 pub const MIDST: Duration = Duration::from_millis(700);
@@ -94,7 +94,7 @@
 pub struct Deployment {
     pub program: &'static str,
     lookup: &'static str,
-    submission: &'static str,
+    pub submission: &'static str,
     token: &'static str,
 }
 
