Kill and stop nodes when programs are surely under way

Cause: two tests of real processes waited a fixed 700 ms before they killed or stopped a node; on a fast start all programs may have ended by then, and on a slow one none begun, so what they tested was chance. Ruled out: a longer wait. Change: they wait until the tool lists its first execution; no assertion changed.

--- a/crates/cli/tests/processes/programs.rs
+++ b/crates/cli/tests/processes/programs.rs
@@ -1,7 +1,5 @@
 //! Programs through two sidecars, and a node that dies between their turns.
 
-use std::time::Duration;
-
 use futures_util::future::{join, join_all};
 
 use crate::caller::Caller;
@@ -14,9 +12,6 @@
 /// Programs of each deployment.
 pub const PROGRAMS: usize = 6;
 
-/// Time after which programs are in the midst of their calls.
-pub const MIDST: Duration = Duration::from_millis(700);
-
 /// Credits that one run may spend.
 pub const RUN_BUDGET: u64 = 20_000;
 
@@ -150,7 +145,7 @@
     let owner = fleet.owner(&programs[0].run).await;
     let playing = join_all(programs.iter_mut().map(Program::all_turns));
     let killing = async {
-        actix_rt::time::sleep(MIDST).await;
+        fleet.wait_for_execution().await;
         fleet.kill_node(&owner);
     };
     join(playing, killing).await;
@@ -165,7 +160,7 @@
     let owner = fleet.owner(&programs[0].run).await;
     let playing = join_all(programs.iter_mut().map(Program::all_turns));
     let stopping = async {
-        actix_rt::time::sleep(MIDST).await;
+        fleet.wait_for_execution().await;
         fleet.stop_node(&owner).await;
     };
     join(playing, stopping).await;
