--- a/crates/sidecar-core/src/sending.rs
+++ b/crates/sidecar-core/src/sending.rs
@@ -26,15 +26,16 @@
             let Position::Sent { to, heard } = request.position else {
                 continue;
             };
-            let resend_after = match request.body {
-                Body::Call(_) => RESUBMIT_CALL_AFTER,
-                _ => RESEND_AFTER,
+            // Sending again counts as a new silence, so the owner is asked for by then at last.
+            let (probe_after, resend_after) = match request.body {
+                Body::Call(_) => (PROBE_AFTER, RESUBMIT_CALL_AFTER),
+                _ => (RESEND_AFTER, RESEND_AFTER),
             };
             let silence = now.since(heard);
             if silence >= resend_after {
                 request.recall(now);
             }
-            if silence >= PROBE_AFTER
+            if silence >= probe_after
                 && let Some(partition) = self.directory.partition(request.run)
             {
                 questions.push((partition, to));
