--- a/crates/execution/examples/slopes.rs
+++ b/crates/execution/examples/slopes.rs
@@ -9,7 +9,7 @@
 use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
 use elderworks_protocol::journal::RunLimits;
 use elderworks_protocol::record::{Record, Writer};
-use elderworks_protocol::sidecar::Delivered;
+use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
 use elderworks_types::{
     Attempt, CallId, CallNumber, CallRequest, CallSpec, Credits, Incarnation, Message, ModelName,
     ModelRequest, NodeId, Offset, PartitionId, ResourceName, Role, RunId, RunSpec, Sequence,
@@ -153,6 +153,7 @@
         },
         delivered: Delivered::default(),
         abandoned_before: 0,
+        submission: SubmissionTag::default(),
         terms: Ok(CallTerms {
             per_prompt_token: Credits(1),
             per_output_token: Credits(2),
--- a/crates/execution/src/event.rs
+++ b/crates/execution/src/event.rs
@@ -3,7 +3,7 @@
 pub use elderworks_protocol::journal::CallTerms;
 use elderworks_protocol::journal::{JournalBody, RunLimits};
 use elderworks_protocol::record::Record;
-use elderworks_protocol::sidecar::Delivered;
+use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
 use elderworks_types::{
     Attempt, CallId, CallSpec, Credits, EngineId, FailureReason, Offset, PartitionId, Refusal,
     RunId, RunSpec, Sequence, TenantId, Usage,
@@ -57,6 +57,8 @@
         /// How many calls directly before it will not be made (any more); those that are not in
         /// the journal are passed over.
         abandoned_before: u32,
+        /// Which submission of the call this is a copy of.
+        submission: SubmissionTag,
         /// What the call can cost and how its service behaves; the refusal where no service
         /// offers what it asks for.
         terms: Result<CallTerms, Refusal>,
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -10,6 +10,7 @@
 mod ownership;
 mod records;
 mod recovery;
+mod refusals;
 mod release;
 mod timers;
 mod view;
@@ -181,6 +182,7 @@
                 spec,
                 delivered,
                 abandoned_before,
+                submission,
                 terms,
             } => {
                 let request = intake::CallRequested {
@@ -190,6 +192,7 @@
                     spec,
                     delivered,
                     abandoned_before,
+                    submission,
                     terms,
                 };
                 self.on_submit_call(now, request);
--- a/crates/execution/src/partition/ending.rs
+++ b/crates/execution/src/partition/ending.rs
@@ -52,7 +52,6 @@
     ) {
         self.count_outcome(&outcome);
         self.soft.notes.end(id, now);
-        let attempt = self.last_attempt_of(id);
         let expected_reuse = self
             .journal
             .call(id)
@@ -60,9 +59,7 @@
         let work = self.soft.work(id.run, now);
         work.idle_since = now;
         if let Some(open) = work.open.take() {
-            for connection in open.callers.connections() {
-                self.send_end(connection, id, attempt, chunks, outcome.clone());
-            }
+            self.tell_end(&open.callers, id, chunks, &outcome);
         }
         self.advance_ending(now, id.run);
         self.advance(now, id.run);
@@ -83,7 +80,7 @@
         self.prepare_release(now);
     }
 
-    fn last_attempt_of(&self, id: CallId) -> Option<Attempt> {
+    pub(super) fn last_attempt_of(&self, id: CallId) -> Option<Attempt> {
         let call = self.journal.call(id)?;
         Some(call.last_attempt()?.attempt)
     }
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use elderworks_protocol::journal::{CallTerms, JournalBody, RunLimits};
-use elderworks_protocol::sidecar::{Delivered, NodeMessage, answer_digest};
+use elderworks_protocol::sidecar::{Delivered, NodeMessage, SubmissionTag, answer_digest};
 use elderworks_types::{
     Attempt, CallId, CallNumber, CallSpec, Outcome, Refusal, RefusalReason, RunId, RunPhase,
     RunSpec, TenantId, Timestamp,
@@ -19,7 +19,7 @@
 pub(super) const SHORT_RETRY: Duration = Duration::from_millis(500);
 
 /// When to come back while the log does not answer.
-const LOG_RETRY: Duration = Duration::from_secs(5);
+pub(super) const LOG_RETRY: Duration = Duration::from_secs(5);
 
 /// A call as it arrived.
 pub(super) struct CallRequested {
@@ -29,6 +29,7 @@
     pub spec: CallSpec,
     pub delivered: Delivered,
     pub abandoned_before: u32,
+    pub submission: SubmissionTag,
     pub terms: Result<CallTerms, Refusal>,
 }
 
@@ -143,13 +144,23 @@
         }
         if self.soft.starting.contains_key(&id.run) {
             let refusal = refusal(RefusalReason::RunNotFound, Some(SHORT_RETRY));
-            return self.refuse(request.connection, id, refusal);
+            return self.refuse(
+                request.connection,
+                id,
+                request.submission.doubtful(),
+                refusal,
+            );
         }
         if self.journal.run_of(&request.tenant, id.run).is_none() {
             let refusal = refusal(RefusalReason::RunNotFound, None);
-            return self.refuse(request.connection, id, refusal);
-        }
-        if self.answer_known_call(now, id, &request) {
+            return self.refuse(
+                request.connection,
+                id,
+                request.submission.doubtful(),
+                refusal,
+            );
+        }
+        if self.answer_barred(id, &request) || self.answer_known_call(now, id, &request) {
             return;
         }
         if self.soft.release.is_some() {
@@ -157,7 +168,12 @@
         }
         match self.admit(now, id, &request) {
             Ok(terms) => self.enqueue(now, id, request, terms),
-            Err(refusal) => self.refuse(request.connection, id, refusal),
+            Err(refusal) => self.refuse(
+                request.connection,
+                id,
+                request.submission.doubtful(),
+                refusal,
+            ),
         }
     }
 
@@ -170,7 +186,12 @@
         };
         if known != request.spec {
             let refusal = refusal(RefusalReason::CallNumberReused, None);
-            self.refuse(request.connection, id, refusal);
+            self.refuse(
+                request.connection,
+                id,
+                request.submission.doubtful(),
+                refusal,
+            );
             return true;
         }
         let ended = self.journal.call(id).and_then(|call| {
@@ -208,6 +229,7 @@
         let connection = request.connection;
         if let Some(waiting) = self.soft.queue.get_mut(id) {
             waiting.callers.attach(connection, Some(0));
+            waiting.callers.tag(connection, request.submission);
             waiting.abandoned_before = waiting.abandoned_before.max(request.abandoned_before);
             return self.advance(now, id.run);
         }
@@ -217,7 +239,9 @@
         if let Some(accepting) = &mut work.accepting
             && accepting.submission.spec.number == id.number
         {
-            return accepting.submission.callers.attach(connection, Some(0));
+            let callers = &mut accepting.submission.callers;
+            callers.attach(connection, Some(0));
+            return callers.tag(connection, request.submission);
         }
         let Some(open) = &mut work.open else {
             return;
@@ -234,6 +258,7 @@
         let held = held.unwrap_or_default();
         let next = next.map(|next| next + held.len() as u32);
         open.callers.attach(connection, next);
+        open.callers.tag(connection, request.submission);
         for chunk in held {
             self.send(connection, NodeMessage::Chunk(chunk));
         }
@@ -292,6 +317,7 @@
     fn enqueue(&mut self, now: Timestamp, id: CallId, request: CallRequested, terms: CallTerms) {
         let mut callers = Callers::default();
         callers.attach(request.connection, Some(0));
+        callers.tag(request.connection, request.submission);
         self.soft.notes.begin(id, now);
         let submission = Submission {
             spec: request.spec,
@@ -318,15 +344,6 @@
         }
     }
 
-    /// Refuses a call that was not accepted.
-    pub(super) fn refuse(&mut self, connection: Connection, id: CallId, mut refusal: Refusal) {
-        self.counters.calls_refused += 1;
-        if self.settings.faults.no_retry_after() {
-            refusal.retry_after = None;
-        }
-        self.send_end(connection, id, None, 0, Outcome::Refused(refusal));
-    }
-
     pub(super) fn send_end(
         &mut self,
         connection: Connection,
@@ -345,6 +362,7 @@
             chunks,
             digest: answer_digest(text),
             outcome,
+            barred: None,
         };
         self.send(connection, message);
     }
@@ -353,6 +371,9 @@
         for start in self.soft.starting.values_mut() {
             start.connections.remove(&connection);
         }
+        for connections in self.soft.refusing.values_mut() {
+            connections.remove(&connection);
+        }
         self.soft.queue.detach(connection);
         for work in self.soft.runs.values_mut() {
             if let Some(accepting) = &mut work.accepting {
@@ -366,30 +387,4 @@
             }
         }
     }
-
-    /// Refuses at once what is not in the journal yet while the log does not answer; what is in
-    /// flight to it stays, since it may have been taken.
-    pub(super) fn on_log_reachable(&mut self, now: Timestamp, reachable: bool) {
-        self.log_reachable = reachable;
-        if reachable {
-            self.prepare_release(now);
-            return;
-        }
-        for (id, submission) in self.soft.queue.take_all() {
-            let reason = RefusalReason::LogUnavailable;
-            self.refuse_submission(id, &submission, refusal(reason, Some(LOG_RETRY)));
-            self.drop_idle_work(id.run);
-        }
-    }
-
-    pub(super) fn refuse_submission(
-        &mut self,
-        id: CallId,
-        submission: &Submission,
-        refusal: Refusal,
-    ) {
-        for connection in submission.callers.connections() {
-            self.refuse(connection, id, refusal.clone());
-        }
-    }
 }
--- a/crates/execution/src/partition/ownership.rs
+++ b/crates/execution/src/partition/ownership.rs
@@ -80,6 +80,9 @@
         for (run, start) in soft.starting {
             self.turn_away(start.connections, run, None);
         }
+        for ((call, _), connections) in soft.refusing {
+            self.send_on(connections, call);
+        }
         let mut queue = soft.queue;
         for (id, submission) in queue.take_all() {
             let callers = submission.callers.connections();
@@ -118,7 +121,7 @@
     }
 
     /// Tells connections that a call taken here may go on at another node.
-    fn send_on(&mut self, connections: Vec<Connection>, call: CallId) {
+    fn send_on(&mut self, connections: impl IntoIterator<Item = Connection>, call: CallId) {
         for connection in connections {
             self.send(connection, NodeMessage::CallMoved { call });
         }
--- a/crates/execution/src/partition/records.rs
+++ b/crates/execution/src/partition/records.rs
@@ -128,6 +128,11 @@
                 chunks,
             } => self.on_call_ended(now, call, outcome, chunks),
             JournalBody::RunEnded { run, phase, .. } => self.on_run_ended(now, run, phase),
+            JournalBody::SubmissionRefused {
+                call,
+                submission,
+                refusal,
+            } => self.on_submission_refused(call, submission, &refusal),
             JournalBody::Barrier => self.on_barrier(),
             JournalBody::MemoryReleased { run } => self.on_release_journalled(run),
             JournalBody::RunsForgotten { runs } => self.on_runs_forgotten(runs.len()),
--- a/crates/execution/src/soft.rs
+++ b/crates/execution/src/soft.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use elderworks_protocol::journal::{CallTerms, JournalBody};
-use elderworks_protocol::sidecar::Delivered;
+use elderworks_protocol::sidecar::{Delivered, SubmissionId};
 use elderworks_types::{
-    Attempt, CallNumber, CallSpec, Credits, EngineId, FailureReason, PartitionId, RunId, RunPhase,
-    RunSpec, Sequence, TenantId, Timestamp,
+    Attempt, CallId, CallNumber, CallSpec, Credits, EngineId, FailureReason, PartitionId, RunId,
+    RunPhase, RunSpec, Sequence, TenantId, Timestamp,
 };
 
 use crate::ExecutionSettings;
@@ -53,6 +53,8 @@
     pub retry: RetryBudget,
     /// Reads that wait until this node knows that it still owns the partition.
     pub reads: ReadQueue,
+    /// Refusals that are on their way into the journal.
+    pub refusing: BTreeMap<(CallId, SubmissionId), BTreeSet<Connection>>,
     /// Whether a forgetting of runs is on its way.
     pub forgetting: bool,
     /// What `explain` shows beyond the journal.
@@ -75,6 +77,7 @@
             memory: BTreeMap::new(),
             retry: RetryBudget::new(settings),
             reads: ReadQueue::default(),
+            refusing: BTreeMap::new(),
             forgetting: false,
             notes: Notebook::new(settings.max_call_notes),
         }
--- a/crates/execution/src/soft/callers.rs
+++ b/crates/execution/src/soft/callers.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use elderworks_protocol::sidecar::{SubmissionId, SubmissionTag};
+
 use crate::event::Connection;
 
 /// Connections that wait for one call, each with the number of the chunk that it needs next;
@@ -9,6 +11,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
     next_chunk: BTreeMap<Connection, Option<u32>>,
+    /// Connections of which another copy of the submission may have been taken.
+    resubmitted: BTreeMap<Connection, SubmissionId>,
 }
 
 impl Callers {
@@ -20,6 +24,22 @@
     /// Removes a connection.
     pub fn detach(&mut self, connection: Connection) {
         self.next_chunk.remove(&connection);
+        self.resubmitted.remove(&connection);
+    }
+
+    /// Notes which submission a connection waits for.
+    pub fn tag(&mut self, connection: Connection, submission: SubmissionTag) {
+        if let Some(id) = submission.doubtful() {
+            self.resubmitted.insert(connection, id);
+        }
+    }
+
+    /// Each connection, with its submission if a refusal must bind every owner.
+    pub fn tagged(&self) -> Vec<(Connection, Option<SubmissionId>)> {
+        let connections = self.next_chunk.keys();
+        connections
+            .map(|connection| (*connection, self.resubmitted.get(connection).copied()))
+            .collect()
     }
 
     /// Whether nobody waits.
--- a/crates/execution/src/state/apply.rs
+++ b/crates/execution/src/state/apply.rs
@@ -2,9 +2,10 @@
 
 use elderworks_protocol::journal::{JournalBody, RunLimits};
 use elderworks_protocol::record::Record;
+use elderworks_protocol::sidecar::SubmissionId;
 use elderworks_types::{
-    Attempt, CallId, Credits, EngineId, Outcome, PartitionId, RunId, RunPhase, RunSpec, Sequence,
-    TenantId, Timestamp,
+    Attempt, CallId, Credits, EngineId, Outcome, PartitionId, Refusal, RunId, RunPhase, RunSpec,
+    Sequence, TenantId, Timestamp,
 };
 
 use super::JournalState;
@@ -114,6 +115,14 @@
                 outcome,
                 chunks,
             } => self.end_call(*call, outcome, *chunks),
+            JournalBody::SubmissionRefused {
+                call,
+                submission,
+                refusal,
+            } => {
+                self.bar_submission(*call, *submission, refusal);
+                Ok(())
+            }
             JournalBody::RunEnded { run, phase, at } => self.end_run(*run, *phase, *at),
             JournalBody::RunsForgotten { runs } => self.forget_runs(runs),
             JournalBody::MemoryReleased { run } => self.release_memory(*run),
@@ -274,6 +283,7 @@
         });
         run.spent += cost;
         run.settle_history(outcome);
+        run.forget_barred(id.number, outcome);
         if run.limits.tenant_budget {
             let allotment = self.allotments.entry(run.spec.tenant.clone()).or_default();
             allotment.adjust(held, Credits::ZERO);
@@ -283,6 +293,14 @@
         Ok(())
     }
 
+    /// A run that has ended takes no call at all, so nothing need be remembered for it.
+    fn bar_submission(&mut self, id: CallId, submission: SubmissionId, refusal: &Refusal) {
+        let run = self.runs.get_mut(&id.run).filter(|run| run.is_active());
+        if let Some(run) = run {
+            run.barred.insert((id.number, submission), refusal.clone());
+        }
+    }
+
     fn end_run(&mut self, id: RunId, phase: RunPhase, at: Timestamp) -> Applied {
         let run = self.runs.get_mut(&id).ok_or(Inconsistency::Run)?;
         let closed = run.open_call().is_none() && run.children.is_empty();
@@ -290,6 +308,7 @@
             return Err(Inconsistency::Order);
         }
         run.phase = phase;
+        run.barred.clear();
         if !run.engines.is_empty() {
             self.unreleased.insert(id);
         }
--- a/crates/execution/src/state/run.rs
+++ b/crates/execution/src/state/run.rs
@@ -1,11 +1,12 @@
 //! One run and its calls.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use elderworks_protocol::journal::{CallTerms, RunLimits};
+use elderworks_protocol::sidecar::SubmissionId;
 use elderworks_types::{
-    Attempt, CallNumber, CallSpec, Credits, EngineId, Epoch, Outcome, RunId, RunPhase, RunSpec,
-    Timestamp, Tokens,
+    Attempt, CallNumber, CallSpec, Credits, EngineId, Epoch, Outcome, Refusal, RunId, RunPhase,
+    RunSpec, Timestamp, Tokens,
 };
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +34,8 @@
     pub calls: Vec<CallState>,
     /// The messages with which the next prompt may begin.
     pub context: Vec<ContextEntry>,
+    /// Submissions that no owner takes any more, by call, with the reason that was given.
+    pub barred: BTreeMap<(CallNumber, SubmissionId), Refusal>,
     /// Engines that were given a call of this run.
     pub engines: BTreeSet<EngineId>,
     /// Tokens prefilled and generated for it.
@@ -52,6 +55,7 @@
             children: BTreeSet::new(),
             calls: Vec::new(),
             context: Vec::new(),
+            barred: BTreeMap::new(),
             engines: BTreeSet::new(),
             attained: Tokens::ZERO,
         }
@@ -88,6 +92,14 @@
             .filter(|call| call.end.is_none() && call.spec.number == number)
     }
 
+    /// Forgets barred submissions whose number is used for good by a call that has ended: their
+    /// copies are turned away by the number alone. After a refusal the number is free again.
+    pub fn forget_barred(&mut self, ended: CallNumber, outcome: &Outcome) {
+        if !matches!(outcome, Outcome::Refused(_)) {
+            self.barred.retain(|(number, _), _| *number > ended);
+        }
+    }
+
     /// Set aside for the open call and for sub-agents.
     pub fn reserved(&self) -> Credits {
         let open = self.open_call().map_or(Credits::ZERO, CallState::held);
--- a/crates/execution/tests/common/build.rs
+++ b/crates/execution/tests/common/build.rs
@@ -5,7 +5,7 @@
 use elderworks_execution::Event;
 use elderworks_execution::event::{AttemptFailure, CallTerms};
 use elderworks_protocol::journal::RunLimits;
-use elderworks_protocol::sidecar::Delivered;
+use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
 use elderworks_types::{
     CallId, CallNumber, CallRequest, CallSpec, Credits, FailureReason, Message, ModelName,
     ModelRequest, ResourceName, Role, RunId, RunSpec, TenantId, Tokens, ToolName, ToolRequest,
@@ -116,6 +116,7 @@
         spec,
         delivered,
         abandoned_before: 0,
+        submission: SubmissionTag::default(),
         terms: Ok(terms),
     }
 }
--- a/crates/lab/benches/decisions/journal.rs
+++ b/crates/lab/benches/decisions/journal.rs
@@ -7,7 +7,7 @@
 use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
 use elderworks_protocol::journal::RunLimits;
 use elderworks_protocol::record::{Record, Writer};
-use elderworks_protocol::sidecar::Delivered;
+use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
 use elderworks_types::{
     Attempt, CallId, CallNumber, CallRequest, CallSpec, Credits, EngineId, Incarnation, Message,
     ModelName, ModelRequest, NodeId, Offset, PartitionId, ResourceName, Role, RunId, RunSpec,
@@ -144,6 +144,7 @@
         spec,
         delivered: Delivered::default(),
         abandoned_before: 0,
+        submission: SubmissionTag::default(),
         terms: Ok(terms),
     }
 }
--- a/crates/lab/src/scale/roles/owner.rs
+++ b/crates/lab/src/scale/roles/owner.rs
@@ -6,7 +6,7 @@
 use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
 use elderworks_protocol::journal::{JournalBody, RunLimits};
 use elderworks_protocol::record::{Record, RecordBatch, Writer};
-use elderworks_protocol::sidecar::Delivered;
+use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
 use elderworks_protocol::{encode, frame};
 use elderworks_types::{
     Attempt, CallId, CallNumber, CallRequest, CallSpec, Credits, EngineId, Epoch, Incarnation,
@@ -226,6 +226,7 @@
         spec,
         delivered: Delivered::default(),
         abandoned_before: 0,
+        submission: SubmissionTag::default(),
         terms: Ok(terms),
     }
 }
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -271,6 +271,7 @@
                 spec,
                 delivered,
                 abandoned_before,
+                submission,
             } => {
                 let program = self.program_of(partition, run);
                 let terms = call_terms(&self.control, program.as_ref(), &spec.request);
@@ -281,6 +282,7 @@
                     spec,
                     delivered,
                     abandoned_before,
+                    submission,
                     terms,
                 }
             }
--- a/crates/node-core/tests/node/fixtures.rs
+++ b/crates/node-core/tests/node/fixtures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use elderworks_protocol::sidecar::{Delivered, SidecarMessage};
+use elderworks_protocol::sidecar::{Delivered, SidecarMessage, SubmissionTag};
 use elderworks_types::resource::{
     BudgetSpec, EngineEndpoint, Metadata, ModelServiceSpec, ProgramSpec, Resource, ServiceSpec,
     Spec, ToolServiceSpec,
@@ -129,5 +129,6 @@
         },
         delivered: Delivered::default(),
         abandoned_before: 0,
+        submission: SubmissionTag::default(),
     }
 }
--- a/crates/node/tests/driver/support.rs
+++ b/crates/node/tests/driver/support.rs
@@ -10,7 +10,7 @@
 use elderworks_node_core::effect::OperatorReply;
 use elderworks_node_core::event::OperatorRequest;
 use elderworks_protocol::peer::{FromNode, Hello, ToNode};
-use elderworks_protocol::sidecar::{Delivered, NodeMessage, SidecarMessage};
+use elderworks_protocol::sidecar::{Delivered, NodeMessage, SidecarMessage, SubmissionTag};
 use elderworks_protocol::{frame, split_frame};
 use elderworks_settings::{LoggingSettings, NodeLimits, NodeProcessSettings};
 use elderworks_standin::engine::EngineSettings;
@@ -280,6 +280,7 @@
         spec,
         delivered,
         abandoned_before: 0,
+        submission: SubmissionTag::default(),
     }
 }
 
--- a/crates/protocol/src/journal.rs
+++ b/crates/protocol/src/journal.rs
@@ -1,11 +1,13 @@
 //! Bodies of records on a partition's stream.
 
 use elderworks_types::{
-    Attempt, CallId, CallSpec, Credits, EngineId, NodeId, Outcome, RunId, RunPhase, RunSpec,
-    Sequence, TenantId, Timestamp,
+    Attempt, CallId, CallSpec, Credits, EngineId, NodeId, Outcome, Refusal, RunId, RunPhase,
+    RunSpec, Sequence, TenantId, Timestamp,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::sidecar::SubmissionId;
+
 /// One step in the life of a partition. Replay in offset order rebuilds its state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JournalBody {
@@ -78,6 +80,15 @@
         /// How many chunks the answer had.
         chunks: u32,
     },
+    /// No owner takes a copy of this submission any more. Other submissions of the call may be.
+    SubmissionRefused {
+        /// The call; it is not in the journal.
+        call: CallId,
+        /// Which submission of it.
+        submission: SubmissionId,
+        /// Why; the caller is told so once this record was read back accepted.
+        refusal: Refusal,
+    },
     /// Ends a run. What engines hold for it is to be released.
     RunEnded {
         /// The run.
--- a/crates/protocol/src/sidecar.rs
+++ b/crates/protocol/src/sidecar.rs
@@ -33,6 +33,8 @@
         /// that it cannot know what became of them, and will not ask for them again. Those that
         /// are not in the journal are passed over.
         abandoned_before: u32,
+        /// Tells copies of one submission from other submissions of the same call.
+        submission: SubmissionTag,
     },
     /// The whole answer has reached the caller; its chunks may be forgotten.
     Acknowledge {
@@ -57,6 +59,34 @@
     },
 }
 
+/// Names one submission of a call by one sidecar; all copies of it carry the same.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct SubmissionId {
+    /// The sidecar's name on connections.
+    pub sidecar: u64,
+    /// Counts the sidecar's submissions, from 1.
+    pub number: u64,
+}
+
+/// What a copy of a submission says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmissionTag {
+    /// Which submission.
+    pub id: SubmissionId,
+    /// Whether another copy may have been taken: a refusal is then worth something only if it
+    /// binds every owner.
+    pub resubmitted: bool,
+}
+
+impl SubmissionTag {
+    /// The submission, if a refusal of it must bind every owner.
+    pub fn doubtful(self) -> Option<SubmissionId> {
+        self.resubmitted.then_some(self.id)
+    }
+}
+
 /// How far an answer has reached its caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delivered {
@@ -122,6 +152,9 @@
         digest: u64,
         /// The outcome; a completed one repeats the whole answer.
         outcome: Outcome,
+        /// For a refusal: the submission that no owner will run, as the journal shows; `None` if
+        /// the refusal speaks only for the node that sends it.
+        barred: Option<SubmissionId>,
     },
     /// Answers [`SidecarMessage::ReadRun`].
     RunView {
--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_protocol::sidecar::{SidecarMessage, SubmissionId};
 use elderworks_types::{
     CallId, CallSpec, Failure, FailureReason, Outcome, Refusal, RefusalReason, RunId, RunSpec,
     TenantId, Timestamp, UnknownReason,
@@ -74,6 +74,7 @@
     pub(crate) open: BTreeMap<RequestKey, OpenRequest>,
     pub(crate) finished: FinishedCalls,
     pub(crate) random: ChaCha8Rng,
+    submissions: u64,
     pub(crate) effects: Vec<Effect>,
 }
 
@@ -87,6 +88,7 @@
             directory: Directory::default(),
             open: BTreeMap::new(),
             finished: FinishedCalls::default(),
+            submissions: 0,
             effects: Vec::new(),
         }
     }
@@ -188,6 +190,7 @@
         let call = OpenCall {
             tenant,
             spec,
+            submission: self.next_submission(),
             delivery: Delivery::default(),
             listeners: vec![request],
         };
@@ -196,6 +199,14 @@
         self.insert(now, key, run, body, hand_over_by, give_up_at);
     }
 
+    fn next_submission(&mut self) -> SubmissionId {
+        self.submissions += 1;
+        SubmissionId {
+            sidecar: self.settings.seed,
+            number: self.submissions,
+        }
+    }
+
     /// A caller asks for the answer of a call that is open already.
     fn join_call(&mut self, request: RequestId, id: CallId, tenant: &TenantId, spec: &CallSpec) {
         let call = self.open_call(id).expect("the call was just found open");
--- a/crates/sidecar-core/src/messages.rs
+++ b/crates/sidecar-core/src/messages.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use elderworks_protocol::sidecar::{
-    Chunk, NodeAddress, NodeMessage, RunView, SidecarMessage, answer_digest,
-};
-use elderworks_types::{
-    Attempt, CallId, CallNumber, Outcome, Refusal, RefusalReason, RunId, RunPhase, Timestamp,
+    Chunk, NodeAddress, NodeMessage, RunView, SidecarMessage, SubmissionId, answer_digest,
 };
+use elderworks_types::{Attempt, CallId, CallNumber, Outcome, Refusal, RunId, RunPhase, Timestamp};
 
 use crate::backoff;
 use crate::core::{PROBE_AFTER, SidecarCore, unresolved};
@@ -18,6 +16,15 @@
 use crate::event::RequestId;
 use crate::request::{Body, OpenRequest, Position, RequestKey};
 
+/// What a node says of the end of a call.
+struct CallEnd {
+    attempt: Option<Attempt>,
+    digest: u64,
+    outcome: Outcome,
+    /// The submission that no owner will run.
+    barred: Option<SubmissionId>,
+}
+
 impl SidecarCore {
     pub(crate) fn received(&mut self, now: Timestamp, from: SocketAddr, message: NodeMessage) {
         match message {
@@ -47,8 +54,17 @@
                 attempt,
                 digest,
                 outcome,
+                barred,
                 chunks: _,
-            } => self.call_ended(now, from, call, attempt, digest, outcome),
+            } => {
+                let end = CallEnd {
+                    attempt,
+                    digest,
+                    outcome,
+                    barred,
+                };
+                self.call_ended(now, from, call, end);
+            }
             NodeMessage::RunView { query, view } => self.run_view(query, view),
             NodeMessage::RunEnded { run, phase } => self.run_ended(run, phase),
             NodeMessage::Draining => self.directory.forget_node(from),
@@ -156,15 +172,13 @@
         }
     }
 
-    fn call_ended(
-        &mut self,
-        now: Timestamp,
-        from: SocketAddr,
-        call: CallId,
-        attempt: Option<Attempt>,
-        digest: u64,
-        outcome: Outcome,
-    ) {
+    fn call_ended(&mut self, now: Timestamp, from: SocketAddr, call: CallId, end: CallEnd) {
+        let CallEnd {
+            attempt,
+            digest,
+            outcome,
+            barred,
+        } = end;
         let Some(request) = self.open.get_mut(&RequestKey::Call(call)) else {
             return;
         };
@@ -180,7 +194,7 @@
                 if !request.is_with(from) {
                     return;
                 }
-                if !is_surely_not_run(request) {
+                if !is_surely_not_run(request, barred) {
                     let refusal = refusal.clone();
                     return self.doubtful_refusal(now, from, call, &refusal);
                 }
@@ -207,7 +221,7 @@
         let Some(request) = self.open.get_mut(&RequestKey::Call(call)) else {
             return;
         };
-        if can_pass(refusal.reason) {
+        if refusal.reason.may_pass() {
             request.failures += 1;
             let delay = backoff::delay(request.failures, &mut self.random);
             let wait = refusal.retry_after.unwrap_or(Duration::ZERO).max(delay);
@@ -294,19 +308,12 @@
     request.run == run && matches!(request.body, Body::StartRun(_))
 }
 
-fn is_surely_not_run(request: &OpenRequest) -> bool {
-    let has_begun = matches!(&request.body, Body::Call(call) if call.delivery.has_begun());
-    !request.maybe_taken && !has_begun
-}
-
-/// Whether a refusal for this reason may turn into an answer later.
-fn can_pass(reason: RefusalReason) -> bool {
-    matches!(
-        reason,
-        RefusalReason::LogUnavailable
-            | RefusalReason::Overloaded
-            | RefusalReason::NoBackend
-            | RefusalReason::EarlierCallMissing
-            | RefusalReason::NoNodeReachable
-    )
+/// Whether a refusal means that the call was not run: no other node can have taken it, or the
+/// journal bars every copy of this submission (`barred`).
+fn is_surely_not_run(request: &OpenRequest, barred: Option<SubmissionId>) -> bool {
+    let Body::Call(call) = &request.body else {
+        return false;
+    };
+    let is_barred = barred == Some(call.submission);
+    (is_barred || !request.maybe_taken) && !call.delivery.has_begun()
 }
--- a/crates/sidecar-core/src/request.rs
+++ b/crates/sidecar-core/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_protocol::sidecar::{SidecarMessage, SubmissionId, SubmissionTag};
 use elderworks_types::{CallId, CallSpec, RunId, RunSpec, TenantId, Timestamp};
 
 use crate::delivery::Delivery;
@@ -43,6 +43,8 @@
     pub tenant: TenantId,
     /// The call.
     pub spec: CallSpec,
+    /// Names this submission to the nodes.
+    pub submission: SubmissionId,
     /// What was passed on of its answer.
     pub delivery: Delivery,
     /// The callers that wait for it.
@@ -119,6 +121,10 @@
                 spec: call.spec.clone(),
                 delivered: call.delivery.progress(),
                 abandoned_before,
+                submission: SubmissionTag {
+                    id: call.submission,
+                    resubmitted: self.maybe_taken,
+                },
             },
             Body::StartRun(spec) => SidecarMessage::StartRun { spec: spec.clone() },
             Body::ReadRun { tenant } => SidecarMessage::ReadRun {
--- a/crates/sidecar-core/tests/core/bench.rs
+++ b/crates/sidecar-core/tests/core/bench.rs
@@ -74,6 +74,7 @@
         chunks: 0,
         digest,
         outcome,
+        barred: None,
     }
 }
 
--- a/crates/sidecar-core/tests/core/calls.rs
+++ b/crates/sidecar-core/tests/core/calls.rs
@@ -5,7 +5,9 @@
 use crate::bench::{
     Bench, FIRST_PARTITION, RUN, call_id, call_spec, chunk, completed, ended, node_a, node_b,
 };
-use elderworks_protocol::sidecar::{Delivered, NodeAddress, NodeMessage, SidecarMessage};
+use elderworks_protocol::sidecar::{
+    Delivered, NodeAddress, NodeMessage, SidecarMessage, SubmissionId, SubmissionTag,
+};
 use elderworks_sidecar_core::{CallerReply, Event};
 use elderworks_types::{
     Attempt, CallNumber, FailureReason, NodeId, Outcome, Refusal, RefusalReason, TenantId,
@@ -237,6 +239,75 @@
     }
 }
 
+/// The submissions of call 1 as the nodes were told of them.
+fn tags(bench: &Bench) -> Vec<SubmissionTag> {
+    let sent = bench.sent.iter();
+    sent.filter_map(|(_, message)| match message {
+        SidecarMessage::SubmitCall { submission, .. } => Some(*submission),
+        _ => None,
+    })
+    .collect()
+}
+
+fn binding(outcome: Outcome, submission: Option<SubmissionId>) -> NodeMessage {
+    let mut message = ended(outcome);
+    if let NodeMessage::CallEnded { barred, .. } = &mut message {
+        *barred = submission;
+    }
+    message
+}
+
+#[test]
+fn copies_of_a_submission_are_told_apart_from_other_submissions() {
+    let mut bench = Bench::located(node_a());
+    bench.call(1, call_spec(true, None));
+    bench.event(Event::Disconnected { address: node_a() });
+    bench.pass(Duration::from_secs(1));
+    bench.say_located(node_b(), node_b());
+    let copies = tags(&bench);
+    let id = copies[0].id;
+    let expected = [false, true].map(|resubmitted| SubmissionTag { id, resubmitted });
+    assert_eq!(copies, expected);
+    let refusal = binding(refused(RefusalReason::RunBudgetExhausted), Some(id));
+    bench.receive(node_b(), refusal);
+    bench.call(2, call_spec(true, None));
+    let again = tags(&bench)[2];
+    assert!(!again.resubmitted);
+    assert_ne!(again.id, id);
+}
+
+#[test]
+fn a_refusal_that_binds_every_owner_ends_a_call_that_was_handed_over_before() {
+    let other = SubmissionId {
+        sidecar: 99,
+        number: 99,
+    };
+    let cases = [
+        ("binds this submission", true, false, true),
+        ("binds another submission", false, false, false),
+        ("comes after a piece of the answer", true, true, false),
+    ];
+    for (name, is_own, has_begun, is_believed) in cases {
+        for repeatable in [true, false] {
+            let mut bench = Bench::located(node_a());
+            bench.call(1, call_spec(repeatable, None));
+            if has_begun {
+                bench.receive(node_a(), chunk(1, 0, "ab"));
+            }
+            bench.event(Event::Disconnected { address: node_a() });
+            bench.pass(Duration::from_secs(1));
+            bench.say_located(node_b(), node_b());
+            let own = tags(&bench)[0].id;
+            let submission = if is_own { own } else { other };
+            let outcome = refused(RefusalReason::RunBudgetExhausted);
+            bench.receive(node_b(), binding(outcome.clone(), Some(submission)));
+            let outcomes = bench.outcomes(1);
+            assert_eq!(outcomes.len(), 1, "{name}");
+            assert_eq!(outcomes[0] == outcome, is_believed, "{name}");
+        }
+    }
+}
+
 #[test]
 fn the_next_call_says_that_the_one_before_was_given_up() {
     let mut bench = Bench::located(node_a());
--- a/crates/sidecar/tests/callers/node.rs
+++ b/crates/sidecar/tests/callers/node.rs
@@ -250,6 +250,7 @@
         chunks,
         digest,
         outcome,
+        barred: None,
     }
 }
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -73,6 +73,20 @@
     HistoryMissing,
 }
 
+impl RefusalReason {
+    /// Whether a refusal for this reason may turn into an answer if the same call is made later.
+    pub fn may_pass(self) -> bool {
+        matches!(
+            self,
+            Self::LogUnavailable
+                | Self::Overloaded
+                | Self::NoBackend
+                | Self::EarlierCallMissing
+                | Self::NoNodeReachable
+        )
+    }
+}
+
 /// A failure after dispatch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
