--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -2,6 +2,11 @@
 
 mod caller;
 mod child;
+mod engines;
+mod faults;
 mod fleet;
 mod limits;
+mod outages;
+mod pauses;
 mod programs;
+mod streams;
