--- a/crates/execution/src/partition/refusals.rs
+++ b/crates/execution/src/partition/refusals.rs
@@ -16,6 +16,9 @@
 use crate::event::Connection;
 use crate::soft::{Callers, Submission};
 
+/// Refused submissions that a run remembers; later refusals speak for their owner alone.
+const MAX_BARRED_PER_RUN: usize = 256;
+
 impl Partition {
     /// Refuses a call that was not accepted. `doubtful` names its submission if another copy of it
     /// may have been taken.
@@ -77,9 +80,10 @@
     }
 
     /// Whether a refusal is worth a record: one that may pass is waited out by the sidecar, and a
-    /// run that is not the caller's has no place for it.
+    /// run that is not the caller's, or holds many already, has no place for it.
     fn may_bar(&self, id: CallId, reason: RefusalReason) -> bool {
-        let has_place = self.journal.runs.contains_key(&id.run);
+        let run = self.journal.runs.get(&id.run);
+        let has_place = run.is_some_and(|run| run.barred.len() < MAX_BARRED_PER_RUN);
         has_place && !reason.may_pass() && reason != RefusalReason::RunNotFound
     }
 
--- a/crates/execution/tests/common/chaos.rs
+++ b/crates/execution/tests/common/chaos.rs
@@ -219,10 +219,11 @@
             self.callers.hand_to(id, node);
             let spec = self.callers.calls[&id].spec.clone();
             let connection = node as u64;
-            self.feed(
-                node,
-                submit_on(connection, id.run, spec, Delivered::default()),
-            );
+            let mut event = submit_on(connection, id.run, spec, Delivered::default());
+            if let Event::SubmitCall { submission, .. } = &mut event {
+                submission.resubmitted = self.callers.calls[&id].maybe_taken;
+            }
+            self.feed(node, event);
         }
     }
 
--- a/crates/execution/tests/common/machines.rs
+++ b/crates/execution/tests/common/machines.rs
@@ -159,7 +159,12 @@
                 ..
             } => self.leave(CallId { run, number }, from, false),
             NodeMessage::CallMoved { call } => self.leave(call, from, true),
-            NodeMessage::CallEnded { call, outcome, .. } => self.end(call, from, outcome),
+            NodeMessage::CallEnded {
+                call,
+                outcome,
+                barred,
+                ..
+            } => self.end(call, from, outcome, barred.is_some()),
             _ => {}
         }
     }
@@ -174,7 +179,7 @@
         }
     }
 
-    fn end(&mut self, call: CallId, from: Node, outcome: Outcome) {
+    fn end(&mut self, call: CallId, from: Node, outcome: Outcome, binds_all: bool) {
         let Some(held) = self.calls.get_mut(&call) else {
             return;
         };
@@ -191,7 +196,7 @@
             return;
         }
         held.outcome = match outcome {
-            Outcome::Refused(refusal) if held.maybe_taken => {
+            Outcome::Refused(refusal) if held.maybe_taken && !binds_all => {
                 held.at = None;
                 held.doubts += 1;
                 // A refusal that time may cure is asked again for a while; then, or if it is
--- a/crates/execution/tests/refusals.rs
+++ b/crates/execution/tests/refusals.rs
@@ -211,6 +211,19 @@
     }
 }
 
+#[test]
+fn a_run_remembers_a_bounded_number_of_refused_submissions() {
+    const KEPT: u64 = 256;
+    let mut world = poor_run();
+    for number in 1..=KEPT + 1 {
+        let id = SubmissionId { sidecar: 3, number };
+        world.event(0, copy(model_call(2, 2, "dear"), id, true));
+        let barred = (number <= KEPT).then_some(id);
+        let reason = RefusalReason::RunBudgetExhausted;
+        assert_eq!(told(&mut world, 0), [Told::Refused(reason, barred)]);
+    }
+}
+
 #[test]
 fn a_run_that_has_ended_refuses_for_every_owner() {
     let mut world = poor_run();
--- a/crates/simulation/tests/found.rs
+++ b/crates/simulation/tests/found.rs
@@ -55,6 +55,28 @@
                 4_093_903_365,
             ),
         },
+        Found {
+            name: "a call that the journal never held was told to have failed (a killed owner)",
+            seed: 1725,
+            fault: fault(
+                FaultKind::NodeKill,
+                CallPoint::Delivered,
+                7,
+                963_148,
+                2_097_522_144,
+            ),
+        },
+        Found {
+            name: "a call that the journal never held was told to have failed (a lost machine)",
+            seed: 41,
+            fault: fault(
+                FaultKind::NodeLoss,
+                CallPoint::Received,
+                9,
+                2_229_967,
+                3_859_017_519,
+            ),
+        },
     ];
     for found in table {
         let plan = Plan::scheduled(found.seed, Preset::Lublin, vec![found.fault]);
