Let an idle node leave although the log does not answer

Cause: judge_drain waited until every partition was released, and a release cannot be read back while the log is down, so every drain without a log lasted the whole DRAIN_LIMIT of 60 s, also with nothing open.

Ruled out: giving up on the release after a fixed time, which would also cut off open calls; and exiting whenever the log is unreachable, which would leave streams that the log's return within the minute hands over in order.

Change: a held partition does not stand in the way if its stream counts as unreachable and its machine has neither an open call nor a record in flight other than the release. Leaving so is safe: NodeCore::claim goes by force where owner_cannot_release says that the owner is dead, or after HANDOVER_LIMIT; Partition::try_claim then needs no release, and Ownership::admit_claim takes the next epoch and fences the old owner, so a release that lands late is void.

--- a/crates/cli/tests/processes/faults.rs
+++ b/crates/cli/tests/processes/faults.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Sends a node SIGTERM and does not wait for its end.
+    pub fn start_to_stop_node(&mut self, name: &str) -> Process {
+        let process = self.nodes.remove(name).expect("the node was running");
+        process.signal("-TERM");
+        process
+    }
+
     /// Stops a node by SIGSTOP.
     pub fn pause_node(&mut self, name: &str) -> PausedNode {
         let process = self.nodes.remove(name).expect("the node was running");
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod child;
+mod drains;
 mod engines;
 mod faults;
 mod fleet;
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -150,6 +150,15 @@
             .is_some_and(|state| state.is_active() && state.engines.contains(engine))
     }
 
+    /// Whether the end of this process now would leave something for the next owner to take up: an
+    /// open call, or a record that was not read back. A release does not count: without it the
+    /// next owner claims by force.
+    pub fn has_unfinished_work(&self) -> bool {
+        let mut in_flight = self.soft.in_flight.iter();
+        self.soft.call_count() > 0
+            || in_flight.any(|body| !matches!(body, JournalBody::Release { .. }))
+    }
+
     /// Counts and sizes as of now.
     pub fn counters(&self) -> Counters {
         Counters {
--- a/crates/node-core/src/drain.rs
+++ b/crates/node-core/src/drain.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
+use elderworks_logstream::LogStream;
 use elderworks_membership as membership;
 use elderworks_protocol::sidecar::NodeMessage;
-use elderworks_types::Timestamp;
+use elderworks_types::{PartitionId, Timestamp};
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::event::Connection;
+use crate::ownership::Held;
 
 /// A drain ends after this long, whatever is still open; the next owners take it up.
 pub const DRAIN_LIMIT: Duration = Duration::from_secs(60);
@@ -52,7 +54,7 @@
         let DrainState::Draining { since } = self.drain else {
             return;
         };
-        let nothing_left = self.ownership.held.is_empty() && self.attempts.len() == 0;
+        let nothing_left = self.attempts.len() == 0 && self.may_leave_all_partitions();
         let overdue = self.now.since(since) >= DRAIN_LIMIT;
         let impatient = self.settings.execution.faults.drain_at_once();
         if nothing_left || overdue || impatient {
@@ -60,4 +62,18 @@
             self.agenda.effect(Effect::Drained);
         }
     }
+
+    fn may_leave_all_partitions(&self) -> bool {
+        let mut held = self.ownership.held.iter();
+        held.all(|(partition, held)| self.may_leave(*partition, held))
+    }
+
+    /// Whether a partition that is still held need not be waited for: the log does not answer, so
+    /// its release may never be read back, and nothing is lost without one. Its next owner claims
+    /// it by force.
+    fn may_leave(&self, partition: PartitionId, held: &Held) -> bool {
+        let stream = self.streams.partitions.get(&partition);
+        let is_reachable = stream.is_none_or(LogStream::reachable);
+        !is_reachable && !held.machine.has_unfinished_work()
+    }
 }
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod core;
 pub mod counters;
 mod dispatch;
-mod drain;
+pub mod drain;
 pub mod effect;
 mod engines;
 pub mod event;
--- a/crates/node-core/tests/node/main.rs
+++ b/crates/node-core/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod configuration;
 mod control;
+mod drains;
 mod engines;
 mod fixtures;
 mod operators;
