Close a node's listener as soon as the node has drained

Cause: after the drain the accepting task went on for the 200 ms in which queued messages leave, took connections and ended each at once.

Ruled out: a backoff in the sidecar alone, which would still leave a socket open that nobody serves, and delay a reconnect that would succeed.

Change: accept_connections also ends when nobody takes inputs any more, which drops the listener; further connections are refused and back off.

All tests of crate node pass, with a new one for the refused connection.

Conclusion: a drained node costs its sidecars one refused connection each.

--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -1,5 +1,8 @@
 //! Connections of sidecars and peers: framed messages over TCP.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,7 +36,8 @@
 /// Pause after a failed accept, for example while no file descriptor is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Accepts connections until the node stops.
+/// Accepts connections until the node stops. Closing the listener then matters: a client whose
+/// connections are refused backs off, one whose connections end at once does not.
 pub(crate) async fn accept_connections(
     listener: TcpListener,
     inputs: InputSender,
@@ -42,7 +46,11 @@
     let open = Rc::new(Cell::new(0_usize));
     let mut next_connection: Connection = 1;
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = inputs.closed() => return,
+        };
+        let Ok((stream, _)) = accepted else {
             actix_rt::time::sleep(ACCEPT_BACKOFF).await;
             continue;
         };
