sidecar-core: keep due requests in ordered queues

Cause: every event walked all open requests to find those due to be sent, and each tick walked them twice more for time-outs and silent nodes, so that the cost of a chunk grew with the open calls. Ruled out: one queue for all causes, since calls silent for 5 to 60 s would be visited on every event; a queue that each place of change has to update by hand, since one forgotten place would lose a request. Change: the open requests have their own module, with a queue each for sending, silence and time-out. A request that was inserted or borrowed mutably is scheduled anew before a queue is next read. Due requests come in order of their keys, as before, so effects and random draws are the same. Searches by run or kind no longer walk the calls. A caller that hangs up and a connection that breaks still walk all requests, since neither is indexed. Conclusion: an event costs what it concerns, except for the two rare ones named.

--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -1,6 +1,5 @@
 //! The state machine: callers' events, connections and time.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +17,7 @@
 use crate::event::{Event, RequestId};
 use crate::finished::FinishedCalls;
 use crate::links::Links;
+use crate::open_requests::OpenRequests;
 use crate::request::{Body, OpenCall, OpenRequest, Position, RequestKey, without_deadline};
 
 /// How often a driver sends [`Event::Tick`].
@@ -71,7 +71,7 @@
     pub(crate) settings: SidecarSettings,
     pub(crate) links: Links,
     pub(crate) directory: Directory,
-    pub(crate) open: BTreeMap<RequestKey, OpenRequest>,
+    pub(crate) open: OpenRequests,
     pub(crate) finished: FinishedCalls,
     pub(crate) random: ChaCha8Rng,
     pub(crate) effects: Vec<Effect>,
@@ -85,7 +85,7 @@
             settings,
             links: Links::default(),
             directory: Directory::default(),
-            open: BTreeMap::new(),
+            open: OpenRequests::default(),
             finished: FinishedCalls::default(),
             effects: Vec::new(),
         }
@@ -245,8 +245,13 @@
     }
 
     fn caller_gone(&mut self, request: RequestId) {
-        for open in self.open.values_mut() {
-            if let Body::Call(call) = &mut open.body {
+        let joined = self.open.matching(
+            |open| matches!(&open.body, Body::Call(call) if call.listeners.contains(&request)),
+        );
+        for key in joined {
+            if let Some(open) = self.open.get_mut(&key)
+                && let Body::Call(call) = &mut open.body
+            {
                 call.listeners.retain(|listener| *listener != request);
             }
         }
@@ -255,8 +260,8 @@
     fn disconnected(&mut self, now: Timestamp, address: SocketAddr) {
         self.links.disconnected(now, address, &mut self.random);
         self.directory.forget_node(address);
-        for request in self.open.values_mut() {
-            if request.is_with(address) {
+        for key in self.open.matching(|request| request.is_with(address)) {
+            if let Some(request) = self.open.get_mut(&key) {
                 request.recall(now);
             }
         }
@@ -276,13 +281,7 @@
     }
 
     fn give_up_overdue(&mut self, now: Timestamp) {
-        let overdue: Vec<RequestKey> = self
-            .open
-            .iter()
-            .filter(|(_, request)| is_overdue(request, now))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in overdue {
+        for key in self.open.overdue(now) {
             self.give_up(key);
         }
     }
@@ -327,13 +326,6 @@
     }
 }
 
-fn is_overdue(request: &OpenRequest, now: Timestamp) -> bool {
-    if request.surely_not_taken() {
-        return now >= request.hand_over_by;
-    }
-    now >= request.give_up_at + DEADLINE_GRACE
-}
-
 fn refusal(reason: RefusalReason) -> Refusal {
     let may_pass = matches!(
         reason,
--- a/crates/sidecar-core/src/lib.rs
+++ b/crates/sidecar-core/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod core;
 pub mod delivery;
 pub mod directory;
+pub mod due_queue;
 pub mod effect;
 pub mod event;
 pub mod finished;
 pub mod links;
 mod messages;
+mod open_requests;
 pub mod request;
 mod sending;
 
--- a/crates/sidecar-core/src/messages.rs
+++ b/crates/sidecar-core/src/messages.rs
@@ -57,7 +57,10 @@
 
     /// Takes back requests from silent nodes that, as is now known, are no longer the owner.
     fn leave_former_owners(&mut self, now: Timestamp) {
-        for request in self.open.values_mut() {
+        for key in self.open.silent(now) {
+            let Some(request) = self.open.get_mut(&key) else {
+                continue;
+            };
             let Position::Sent { to, heard, .. } = request.position else {
                 continue;
             };
@@ -89,14 +92,15 @@
         number: Option<CallNumber>,
         owner: Option<NodeAddress>,
     ) {
-        let is_meant = |key: &RequestKey, request: &OpenRequest| match number {
-            Some(number) => *key == RequestKey::Call(CallId { run, number }),
-            None => matches!(key, RequestKey::Other(_)) && request.run == run,
+        let meant = match number {
+            Some(number) => vec![RequestKey::Call(CallId { run, number })],
+            None => self.open.matching_others(|request| request.run == run),
         };
-        for (key, request) in &mut self.open {
-            if !is_meant(key, request) || !request.is_with(from) {
+        for key in meant {
+            let request = self.open.get_mut(&key);
+            let Some(request) = request.filter(|request| request.is_with(from)) else {
                 continue;
-            }
+            };
             // A node that already produced part of the answer had taken the call.
             let had_begun = matches!(&request.body, Body::Call(call) if call.delivery.has_begun());
             request.maybe_taken |= had_begun;
@@ -275,17 +279,10 @@
     }
 
     fn end_matching(&mut self, reply: CallerReply, is_meant: impl Fn(&OpenRequest) -> bool) {
-        let meant: Vec<RequestId> = self
-            .open
-            .iter()
-            .filter(|(_, request)| is_meant(request))
-            .filter_map(|(key, _)| match key {
-                RequestKey::Other(request) => Some(*request),
-                RequestKey::Call(_) => None,
-            })
-            .collect();
-        for request in meant {
-            self.end_other(request, reply.clone());
+        for key in self.open.matching_others(is_meant) {
+            if let RequestKey::Other(request) = key {
+                self.end_other(request, reply.clone());
+            }
         }
     }
 }
--- a/crates/sidecar-core/src/request.rs
+++ b/crates/sidecar-core/src/request.rs
@@ -86,11 +86,6 @@
 }
 
 impl OpenRequest {
-    /// Whether it should be sent now.
-    pub fn is_due(&self, now: Timestamp) -> bool {
-        matches!(self.position, Position::Waiting { retry_at } if retry_at <= now)
-    }
-
     /// Whether it is with the node at `address`.
     pub fn is_with(&self, address: SocketAddr) -> bool {
         matches!(self.position, Position::Sent { to, .. } if to == address)
--- a/crates/sidecar-core/src/sending.rs
+++ b/crates/sidecar-core/src/sending.rs
@@ -5,11 +5,12 @@
 use elderworks_protocol::sidecar::SidecarMessage;
 use elderworks_types::{PartitionId, RunId, Timestamp};
 
-use crate::core::{PROBE_AFTER, RESEND_AFTER, RESUBMIT_CALL_AFTER, SidecarCore};
+use crate::core::{PROBE_AFTER, SidecarCore};
 use crate::directory::Route;
 use crate::effect::Effect;
 use crate::links::LinkStatus;
-use crate::request::{Body, Position, RequestKey};
+use crate::open_requests::resend_after;
+use crate::request::{Position, RequestKey};
 
 impl SidecarCore {
     pub(crate) fn connect(&mut self, now: Timestamp, address: SocketAddr) {
@@ -22,16 +23,15 @@
     /// Asks about the owner of requests whose node is silent, and sends again what got no answer.
     pub(crate) fn probe_silent(&mut self, now: Timestamp) {
         let mut questions: Vec<(PartitionId, SocketAddr)> = Vec::new();
-        for request in self.open.values_mut() {
-            let Position::Sent { to, heard } = request.position else {
+        for key in self.open.silent(now) {
+            let Some(request) = self.open.get_mut(&key) else {
                 continue;
             };
-            let resend_after = match request.body {
-                Body::Call(_) => RESUBMIT_CALL_AFTER,
-                _ => RESEND_AFTER,
+            let Position::Sent { to, heard } = request.position else {
+                continue;
             };
             let silence = now.since(heard);
-            if silence >= resend_after {
+            if silence >= resend_after(request) {
                 request.recall(now);
             }
             if silence >= PROBE_AFTER
@@ -47,19 +47,16 @@
 
     /// Sends every request that is due and whose node is connected.
     pub(crate) fn send_due(&mut self, now: Timestamp) {
-        let due: Vec<RequestKey> = self
-            .open
-            .iter()
-            .filter(|(_, request)| request.is_due(now))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in due {
+        for key in self.open.due_to_send(now) {
             self.try_send(now, key);
         }
     }
 
     fn try_send(&mut self, now: Timestamp, key: RequestKey) {
-        let run = self.open[&key].run;
+        let Some(request) = self.open.get(&key) else {
+            return;
+        };
+        let run = request.run;
         let owner = match self.directory.route(run) {
             Route::Owner(owner) => owner,
             Route::Unknown(partition) => return self.locate(now, partition, None),
--- a/crates/sidecar-core/tests/core/main.rs
+++ b/crates/sidecar-core/tests/core/main.rs
@@ -3,4 +3,5 @@
 mod bench;
 mod calls;
 mod delivery;
+mod due_queue;
 mod runs;
