settings: shared checks of single values in their own module

Cause: checks used by three processes' settings stood at the end of the node's settings, and the one for durations in the sidecar's, so that a reader of the sidecar had to look into the node. Ruled out: changing the stand-ins' check of an interval to the one for durations, since its message would change. Conclusion: node, sidecar and stand-in settings now use one module.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! the `--set` flags over it and checks the result; every problem names the file, the line and,
 //! where a key is unknown, the nearest known one.
 
+mod check;
 pub mod error;
 pub mod file;
 pub mod load;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -5,6 +5,7 @@
 use elderworks_types::{NodeId, ZoneId};
 use serde::Deserialize;
 
+use crate::check::{check_not_empty, check_positive, check_url};
 use crate::error::Problem;
 use crate::file::{ProcessSettings, SettingsFile};
 use crate::logging::LoggingSettings;
@@ -103,26 +104,3 @@
         check_positive("limits.max_body_bytes", self.limits.max_body_bytes as u64)
     }
 }
-
-pub(crate) fn check_not_empty(key: &str, value: &str) -> Result<(), Problem> {
-    if value.trim().is_empty() {
-        return Err(Problem::new(key, "must not be empty"));
-    }
-    Ok(())
-}
-
-pub(crate) fn check_positive(key: &str, value: u64) -> Result<(), Problem> {
-    if value == 0 {
-        return Err(Problem::new(key, "must be at least 1"));
-    }
-    Ok(())
-}
-
-/// Only `http://IP:port`, optionally with a path, is taken: processes talk by IP numbers.
-pub(crate) fn check_url(key: &str, url: &str) -> Result<(), Problem> {
-    let wrong = || Problem::new(key, format!("expected http://IP:port, found `{url}`"));
-    let rest = url.strip_prefix("http://").ok_or_else(wrong)?;
-    let authority = rest.split('/').next().unwrap_or_default();
-    authority.parse::<SocketAddr>().map_err(|_| wrong())?;
-    Ok(())
-}
--- a/crates/settings/src/sidecar.rs
+++ b/crates/settings/src/sidecar.rs
@@ -8,10 +8,10 @@
 use elderworks_types::{TenantId, ZoneId};
 use serde::Deserialize;
 
+use crate::check::{check_duration, check_not_empty, check_positive};
 use crate::error::Problem;
 use crate::file::{ProcessSettings, SettingsFile};
 use crate::logging::LoggingSettings;
-use crate::node::{check_not_empty, check_positive};
 
 /// A secret that a caller shows to prove on whose behalf it speaks. Never printed.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
@@ -120,10 +120,3 @@
     }
     Ok(())
 }
-
-fn check_duration(key: &str, duration: Duration) -> Result<(), Problem> {
-    if duration.is_zero() {
-        return Err(Problem::new(key, "must be longer than zero"));
-    }
-    Ok(())
-}
--- a/crates/settings/src/standin.rs
+++ b/crates/settings/src/standin.rs
@@ -6,10 +6,10 @@
 use elderworks_types::{EngineId, ModelName, NodeId, ToolName, ZoneId};
 use serde::Deserialize;
 
+use crate::check::check_positive;
 use crate::error::Problem;
 use crate::file::{ProcessSettings, SettingsFile};
 use crate::logging::LoggingSettings;
-use crate::node::check_positive;
 
 /// The `[log]` table.
 #[derive(Clone, Debug, Deserialize)]
