Compile broken variants' own code only under the feature

Cause: dispatch_unaccepted and the wrong prompts in the partition, and the node's accept_unread, were compiled into every build although only the simulation's deliberately broken variants reach them; a newcomer met them in product code. Ruled out: gating every one-line test of a fault as well: without the feature each is the constant false and gone from the build, and thirty attributes would read worse than the tests do. Conclusion: product builds carry no code of a broken variant beyond false tests.

--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -2,6 +2,8 @@
 
 mod allotments;
 mod attempts;
+#[cfg(feature = "broken")]
+mod broken;
 mod ending;
 mod failures;
 mod intake;
--- a/crates/execution/src/partition/attempts.rs
+++ b/crates/execution/src/partition/attempts.rs
@@ -10,7 +10,7 @@
 use super::Partition;
 use super::intake::refusal;
 use crate::effect::DispatchHints;
-use crate::soft::{AnswerBuffer, Running, Source, Stage, Submission, Taken};
+use crate::soft::{AnswerBuffer, Running, Source, Stage, Taken};
 use crate::state::{CallState, attempt_cost};
 use crate::{BackendRequest, Effect};
 
@@ -107,37 +107,6 @@
         });
     }
 
-    /// Sends a tool call that the journal has not accepted: only ever done on purpose, to be caught.
-    pub(super) fn dispatch_unaccepted(&mut self, id: CallId, submission: &Submission) {
-        let (CallRequest::Tool(tool), Some(run)) =
-            (&submission.spec.request, self.journal.runs.get(&id.run))
-        else {
-            return;
-        };
-        let hints = DispatchHints {
-            tenant: run.spec.tenant.clone(),
-            program: run.spec.program.clone(),
-            run_started: run.started,
-            attained: run.attained,
-            turns: run.calls.len() as u32,
-            run_deadline: run.spec.deadline,
-            call_deadline: submission.spec.deadline,
-            priority: run.limits.priority,
-            parent: run.spec.parent,
-            timeout: submission.terms.timeout,
-        };
-        self.emit(Effect::Dispatch {
-            call: id,
-            attempt: Attempt(1),
-            request: BackendRequest::Tool {
-                tool: tool.tool.clone(),
-                arguments: tool.arguments.clone(),
-                idempotency_key: id.to_string(),
-            },
-            hints,
-        });
-    }
-
     fn count_attempt(&mut self, now: Timestamp, attempt: Attempt) {
         if attempt == Attempt(1) {
             self.counters.first_attempts += 1;
@@ -181,15 +150,9 @@
 
     /// The prompt of an open model call: its own messages are the end of its run's history.
     pub(super) fn prompt_of(&self, id: CallId) -> Option<Vec<Message>> {
-        if self.settings.faults.mix_histories() {
-            return Some(self.journal.runs.values().next()?.history());
-        }
-        if self.settings.faults.forget_history() {
-            let request = &self.journal.open_call(id)?.spec.request;
-            return match request {
-                CallRequest::Model(model) => Some(model.messages.clone()),
-                CallRequest::Tool(_) => None,
-            };
+        #[cfg(feature = "broken")]
+        if let Some(wrong) = self.wrong_prompt(id) {
+            return Some(wrong);
         }
         Some(self.journal.runs.get(&id.run)?.history())
     }
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -302,9 +302,8 @@
             short_since: None,
         };
         let deadline = submission.spec.deadline;
-        if self.settings.faults.dispatch_before_turn() {
-            self.dispatch_unaccepted(id, &submission);
-        }
+        #[cfg(feature = "broken")]
+        self.dispatch_before_turn(id, &submission);
         self.soft.work(id.run, now);
         self.soft.queue.insert(id, submission);
         self.advance(now, id.run);
--- a/crates/node-core/src/operator.rs
+++ b/crates/node-core/src/operator.rs
@@ -1,5 +1,8 @@
 //! Requests of operators.
 
+#[cfg(feature = "broken")]
+mod broken;
+
 use std::cmp::Reverse;
 
 use elderworks_control::watch::WatchError;
@@ -20,9 +23,8 @@
     pub(crate) fn operator_request(&mut self, request: RequestId, question: OperatorRequest) {
         let reply = match question {
             OperatorRequest::Change(body) => {
-                if self.settings.execution.faults.accept_unread() {
-                    self.accept_unread(request, &body);
-                }
+                #[cfg(feature = "broken")]
+                self.accept_unread(request, &body);
                 self.agenda
                     .control(control::Event::Propose { request, body });
                 return;
@@ -50,24 +52,6 @@
         self.agenda.effect(Effect::OperatorReply { request, reply });
     }
 
-    /// Tells an operator that a change is accepted which may yet lose: only ever done on purpose, to
-    /// be caught.
-    fn accept_unread(&mut self, request: RequestId, body: &control::ControlBody) {
-        let control::ControlBody::Put { resource, .. } = body else {
-            return;
-        };
-        let change = Change {
-            revision: self.control.next(),
-            kind: resource.spec.kind(),
-            name: resource.metadata.name.clone(),
-            resource: Some(resource.clone()),
-        };
-        self.agenda.effect(Effect::OperatorReply {
-            request,
-            reply: OperatorReply::Changed(Ok(change)),
-        });
-    }
-
     fn member_list(&self) -> Vec<elderworks_membership::Member> {
         let members = self.membership.iter().flat_map(|known| known.members());
         members.cloned().collect()
--- /dev/null
+++ b/crates/node-core/src/operator/broken.rs
@@ -0,0 +1,31 @@
+//! What a node tells an operator wrongly on purpose, so that a checker can be shown to notice. Compiled
+//! only under the cargo feature `broken`.
+
+use elderworks_control as control;
+use elderworks_control::Change;
+
+use crate::core::NodeCore;
+use crate::effect::{Effect, OperatorReply};
+use crate::event::RequestId;
+
+impl NodeCore {
+    /// Tells an operator that a change is accepted which may yet lose.
+    pub(super) fn accept_unread(&mut self, request: RequestId, body: &control::ControlBody) {
+        if !self.settings.execution.faults.accept_unread {
+            return;
+        }
+        let control::ControlBody::Put { resource, .. } = body else {
+            return;
+        };
+        let change = Change {
+            revision: self.control.next(),
+            kind: resource.spec.kind(),
+            name: resource.metadata.name.clone(),
+            resource: Some(resource.clone()),
+        };
+        self.agenda.effect(Effect::OperatorReply {
+            request,
+            reply: OperatorReply::Changed(Ok(change)),
+        });
+    }
+}
