--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -249,7 +249,7 @@
 
 async fn report(event: Event, inputs: &InputSender) {
     // The node has stopped if nobody takes it.
-    let _ = inputs.send(Input::Event(event)).await;
+    let _ = inputs.send(Input::Event(Box::new(event))).await;
 }
 
 fn attempt_failure(error: BackendError) -> AttemptFailure {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -125,11 +125,7 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Event(Event::Closed { connection }) => {
-                self.connections.remove(&connection);
-                self.handle(Event::Closed { connection });
-            }
-            Input::Event(event) => self.handle(event),
+            Input::Event(event) => self.take_event(*event),
             Input::Accepted {
                 connection,
                 outgoing,
@@ -155,6 +151,13 @@
         }
     }
 
+    fn take_event(&mut self, event: Event) {
+        if let Event::Closed { connection } = &event {
+            self.connections.remove(connection);
+        }
+        self.handle(event);
+    }
+
     fn handle(&mut self, event: Event) {
         for effect in self.core.handle(self.clock.now(), event) {
             self.carry_out(effect);
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -35,7 +35,7 @@
             continue;
         };
         let event = Event::Datagram { from, datagram };
-        if inputs.send(Input::Event(event)).await.is_err() {
+        if inputs.send(Input::Event(Box::new(event))).await.is_err() {
             return;
         }
     }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(crate) enum Input {
     /// For the state machine as it is.
-    Event(Event),
+    Event(Box<Event>),
     /// A connection was accepted; messages for it go into `outgoing`.
     Accepted {
         /// Its name.
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -90,7 +90,7 @@
         counters.add(|counters| &mut counters.malformed_streams);
     }
     let _ = inputs
-        .send(Input::Event(Event::Closed { connection }))
+        .send(Input::Event(Box::new(Event::Closed { connection })))
         .await;
 }
 
@@ -106,7 +106,7 @@
                 connection,
                 message,
             };
-            if inputs.send(Input::Event(received)).await.is_err() {
+            if inputs.send(Input::Event(Box::new(received))).await.is_err() {
                 return Ok(());
             }
         }
--- a/crates/node/src/log_io.rs
+++ b/crates/node/src/log_io.rs
@@ -83,6 +83,6 @@
 
     async fn report(&self, event: Event) {
         // The node has stopped if nobody takes it.
-        let _ = self.inputs.send(Input::Event(event)).await;
+        let _ = self.inputs.send(Input::Event(Box::new(event))).await;
     }
 }
--- a/crates/node/src/machine_polls.rs
+++ b/crates/node/src/machine_polls.rs
@@ -18,7 +18,7 @@
     loop {
         if let Ok(list) = client.list().await {
             let event = machine_list(list);
-            if inputs.send(Input::Event(event)).await.is_err() {
+            if inputs.send(Input::Event(Box::new(event))).await.is_err() {
                 return;
             }
         }
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -28,7 +28,7 @@
         actix_rt::spawn(async move {
             if releasing.await.is_ok() {
                 let released = Event::MemoryReleased { run, engine };
-                let _ = inputs.send(Input::Event(released)).await;
+                let _ = inputs.send(Input::Event(Box::new(released))).await;
             }
         });
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -77,7 +77,7 @@
 
     /// Tells the node to leave in order, and waits until it has.
     pub async fn drain(self) {
-        let _ = self.inputs.send(Input::Event(Event::Drain)).await;
+        let _ = self.inputs.send(Input::Event(Box::new(Event::Drain))).await;
         let mut status = self.status.clone();
         let _ = status.wait_for(|status| status.drained).await;
         actix_rt::time::sleep(FLUSH_TIME).await;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -110,7 +110,7 @@
             };
             let node = node.clone();
             let reply = Event::PeerReply { node, message };
-            if inputs.send(Input::Event(reply)).await.is_err() {
+            if inputs.send(Input::Event(Box::new(reply))).await.is_err() {
                 return;
             }
         }
