--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -2,6 +2,12 @@
 
 mod caller;
 mod child;
+mod drains;
+mod engines;
+mod faults;
 mod fleet;
 mod limits;
+mod outages;
+mod pauses;
 mod programs;
+mod streams;
--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_protocol::sidecar::{SidecarMessage, SubmissionId};
 use elderworks_types::{
     CallId, CallSpec, Failure, FailureReason, Outcome, Refusal, RefusalReason, RunId, RunSpec,
     TenantId, Timestamp, UnknownReason,
@@ -29,13 +29,14 @@
 /// How long past a call's deadline its node has to say what became of it.
 pub const DEADLINE_GRACE: Duration = Duration::from_secs(5);
 
-/// Silence of a node after which another is asked whether it still owns the partition.
+/// Silence of a call's node after which another is asked whether it still owns the partition.
 pub const PROBE_AFTER: Duration = Duration::from_secs(5);
 
 /// Silence of a call's node after which the call is submitted to it again.
 pub const RESUBMIT_CALL_AFTER: Duration = Duration::from_secs(60);
 
-/// Silence of a node after which any other request is sent again.
+/// Silence of a node after which any other request is sent again, and another node asked who owns
+/// the partition.
 pub const RESEND_AFTER: Duration = Duration::from_secs(2);
 
 /// What a sidecar is given at its start.
@@ -74,6 +75,7 @@
     pub(crate) open: OpenRequests,
     pub(crate) finished: FinishedCalls,
     pub(crate) random: ChaCha8Rng,
+    submissions: u64,
     pub(crate) effects: Vec<Effect>,
 }
 
@@ -87,6 +89,7 @@
             directory: Directory::default(),
             open: OpenRequests::default(),
             finished: FinishedCalls::default(),
+            submissions: 0,
             effects: Vec::new(),
         }
     }
@@ -188,6 +191,7 @@
         let call = OpenCall {
             tenant,
             spec,
+            submission: self.next_submission(),
             delivery: Delivery::default(),
             listeners: vec![request],
         };
@@ -196,6 +200,14 @@
         self.insert(now, key, run, body, hand_over_by, give_up_at);
     }
 
+    fn next_submission(&mut self) -> SubmissionId {
+        self.submissions += 1;
+        SubmissionId {
+            sidecar: self.settings.seed,
+            number: self.submissions,
+        }
+    }
+
     /// A caller asks for the answer of a call that is open already.
     fn join_call(&mut self, request: RequestId, id: CallId, tenant: &TenantId, spec: &CallSpec) {
         let call = self.open_call(id).expect("the call was just found open");
--- a/crates/sidecar-core/src/open_requests.rs
+++ b/crates/sidecar-core/src/open_requests.rs
@@ -24,7 +24,9 @@
     fn of(request: &OpenRequest) -> Self {
         let (send, silence) = match request.position {
             Position::Waiting { retry_at } => (Some(retry_at), None),
-            Position::Sent { heard, .. } => (None, Some(heard + shortest_silence(request))),
+            Position::Sent { heard, .. } => {
+                (None, Some(heard + SilenceLimits::of(request).shortest()))
+            }
         };
         Self {
             send,
@@ -112,8 +114,8 @@
         self.to_send.due(now)
     }
 
-    /// Requests whose node has said nothing about them for [`PROBE_AFTER`] or, if that is shorter,
-    /// the time after which they are sent again; in order of their keys.
+    /// Requests whose node has been silent for the shortest of its [`SilenceLimits`], in order of
+    /// their keys.
     pub(crate) fn silent(&mut self, now: Timestamp) -> Vec<RequestKey> {
         self.schedule_changed();
         self.silent.due(now)
@@ -143,16 +145,30 @@
     }
 }
 
-/// Silence of a node after which the request is sent to it again.
-pub(crate) fn resend_after(request: &OpenRequest) -> Duration {
-    match request.body {
-        Body::Call(_) => RESUBMIT_CALL_AFTER,
-        _ => RESEND_AFTER,
-    }
+/// How long a request's node may be silent.
+pub(crate) struct SilenceLimits {
+    /// Silence after which another node is asked who owns the partition.
+    pub(crate) probe_after: Duration,
+    /// Silence after which the request is sent again. It counts as a new silence, so the owner is
+    /// asked for by then at last.
+    pub(crate) resend_after: Duration,
 }
 
-fn shortest_silence(request: &OpenRequest) -> Duration {
-    resend_after(request).min(PROBE_AFTER)
+impl SilenceLimits {
+    pub(crate) fn of(request: &OpenRequest) -> Self {
+        let (probe_after, resend_after) = match request.body {
+            Body::Call(_) => (PROBE_AFTER, RESUBMIT_CALL_AFTER),
+            _ => (RESEND_AFTER, RESEND_AFTER),
+        };
+        Self {
+            probe_after,
+            resend_after,
+        }
+    }
+
+    fn shortest(&self) -> Duration {
+        self.probe_after.min(self.resend_after)
+    }
 }
 
 fn expiry(request: &OpenRequest) -> Timestamp {
--- a/crates/sidecar-core/src/sending.rs
+++ b/crates/sidecar-core/src/sending.rs
@@ -5,11 +5,11 @@
 use elderworks_protocol::sidecar::SidecarMessage;
 use elderworks_types::{PartitionId, RunId, Timestamp};
 
-use crate::core::{PROBE_AFTER, SidecarCore};
+use crate::core::SidecarCore;
 use crate::directory::Route;
 use crate::effect::Effect;
 use crate::links::LinkStatus;
-use crate::open_requests::resend_after;
+use crate::open_requests::SilenceLimits;
 use crate::request::{Position, RequestKey};
 
 impl SidecarCore {
@@ -30,11 +30,12 @@
             let Position::Sent { to, heard } = request.position else {
                 continue;
             };
+            let limits = SilenceLimits::of(request);
             let silence = now.since(heard);
-            if silence >= resend_after(request) {
+            if silence >= limits.resend_after {
                 request.recall(now);
             }
-            if silence >= PROBE_AFTER
+            if silence >= limits.probe_after
                 && let Some(partition) = self.directory.partition(request.run)
             {
                 questions.push((partition, to));
