--- a/crates/sidecar-core/src/sending.rs
+++ b/crates/sidecar-core/src/sending.rs
@@ -9,7 +9,7 @@
 use crate::directory::Route;
 use crate::effect::Effect;
 use crate::links::LinkStatus;
-use crate::open_requests::SilenceLimits;
+use crate::open_requests::{probe_after, resend_after};
 use crate::request::{Position, RequestKey};
 
 impl SidecarCore {
@@ -30,14 +30,12 @@
             let Position::Sent { to, heard } = request.position else {
                 continue;
             };
-            let limits = SilenceLimits::of(request);
             let silence = now.since(heard);
-            if silence >= limits.resend_after {
+            let ask_for_owner = silence >= probe_after(request);
+            if silence >= resend_after(request) {
                 request.recall(now);
             }
-            if silence >= limits.probe_after
-                && let Some(partition) = self.directory.partition(request.run)
-            {
+            if ask_for_owner && let Some(partition) = self.directory.partition(request.run) {
                 questions.push((partition, to));
             }
         }
