Build elderworks-standin in the package whose tests run it

Cause: the process tests looked for an elderworks-standin beside elderworks and built one only if there was none. Under `cargo test -p elderworks-cli` nothing brings that file up to date, so an old stand-in was tested without notice.

Ruled out: always calling cargo from the tests, which resolves other features than the outer build, compiles shared crates twice and takes its lock; and a second program under another name, which a release build would carry along.

Change: the program's main and flags, and the tests of it, move from crate standin to crate cli, unchanged but for one constant of the tests and how cargo names their path; default-run keeps `cargo run -- demo`.

Conclusion: a stale stand-in cannot be run any more. The fresh clone and the whole workspace were not run here.

--- a/crates/cli/tests/processes/child.rs
+++ b/crates/cli/tests/processes/child.rs
@@ -102,24 +102,9 @@
     PathBuf::from(env!("CARGO_BIN_EXE_elderworks"))
 }
 
-/// The `elderworks-standin` binary, which stands beside `elderworks`. It is there when the whole
-/// workspace is tested; otherwise it is built now.
+/// The `elderworks-standin` binary.
 pub fn standin() -> PathBuf {
-    let path = elderworks().with_file_name("elderworks-standin");
-    if !path.exists() {
-        build_standin();
-    }
-    path
-}
-
-fn build_standin() {
-    let mut command = Command::new(env!("CARGO"));
-    command.args(["build", "--package", "elderworks-standin"]);
-    if !cfg!(debug_assertions) {
-        command.arg("--release");
-    }
-    let status = command.status().expect("cargo runs");
-    assert!(status.success(), "elderworks-standin does not build");
+    PathBuf::from(env!("CARGO_BIN_EXE_elderworks-standin"))
 }
 
 /// A file under `examples/`.
--- a/crates/standin/tests/process.rs
+++ b/crates/cli/tests/standin.rs
@@ -1,12 +1,14 @@
-//! The binary: from a settings file and from flags alone.
-
-mod common;
+//! The `elderworks-standin` binary: from a settings file and from flags alone.
 
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use awc::http::StatusCode;
 
+/// Far longer than any of these requests takes.
+const GENEROUS: Duration = Duration::from_secs(20);
+
 struct Process(Child);
 
 impl Drop for Process {
@@ -35,7 +37,7 @@
 }
 
 async fn status(url: &str) -> StatusCode {
-    let client = awc::Client::builder().timeout(common::GENEROUS).finish();
+    let client = awc::Client::builder().timeout(GENEROUS).finish();
     client.get(url).send().await.expect("an answer").status()
 }
 
