--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -2,6 +2,8 @@
 
 mod allotments;
 mod attempts;
+#[cfg(feature = "broken")]
+mod broken;
 mod ending;
 mod failures;
 mod intake;
@@ -10,6 +12,7 @@
 mod ownership;
 mod records;
 mod recovery;
+mod refusals;
 mod release;
 mod timers;
 mod view;
@@ -190,6 +193,7 @@
                 spec,
                 delivered,
                 abandoned_before,
+                submission,
                 terms,
             } => {
                 let request = intake::CallRequested {
@@ -199,6 +203,7 @@
                     spec,
                     delivered,
                     abandoned_before,
+                    submission,
                     terms,
                 };
                 self.on_submit_call(now, request);
--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -1,10 +1,9 @@
 //! The state machine: callers' events, connections and time.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_protocol::sidecar::SidecarMessage;
+use elderworks_protocol::sidecar::{SidecarMessage, SubmissionId};
 use elderworks_types::{
     CallId, CallSpec, Failure, FailureReason, Outcome, Refusal, RefusalReason, RunId, RunSpec,
     TenantId, Timestamp, UnknownReason,
@@ -18,6 +17,7 @@
 use crate::event::{Event, RequestId};
 use crate::finished::FinishedCalls;
 use crate::links::Links;
+use crate::open_requests::OpenRequests;
 use crate::request::{Body, OpenCall, OpenRequest, Position, RequestKey, without_deadline};
 
 /// How often a driver sends [`Event::Tick`].
@@ -72,9 +72,10 @@
     pub(crate) settings: SidecarSettings,
     pub(crate) links: Links,
     pub(crate) directory: Directory,
-    pub(crate) open: BTreeMap<RequestKey, OpenRequest>,
+    pub(crate) open: OpenRequests,
     pub(crate) finished: FinishedCalls,
     pub(crate) random: ChaCha8Rng,
+    submissions: u64,
     pub(crate) effects: Vec<Effect>,
 }
 
@@ -86,8 +87,9 @@
             settings,
             links: Links::default(),
             directory: Directory::default(),
-            open: BTreeMap::new(),
+            open: OpenRequests::default(),
             finished: FinishedCalls::default(),
+            submissions: 0,
             effects: Vec::new(),
         }
     }
@@ -189,6 +191,7 @@
         let call = OpenCall {
             tenant,
             spec,
+            submission: self.next_submission(),
             delivery: Delivery::default(),
             listeners: vec![request],
         };
@@ -197,6 +200,14 @@
         self.insert(now, key, run, body, hand_over_by, give_up_at);
     }
 
+    fn next_submission(&mut self) -> SubmissionId {
+        self.submissions += 1;
+        SubmissionId {
+            sidecar: self.settings.seed,
+            number: self.submissions,
+        }
+    }
+
     /// A caller asks for the answer of a call that is open already.
     fn join_call(&mut self, request: RequestId, id: CallId, tenant: &TenantId, spec: &CallSpec) {
         let call = self.open_call(id).expect("the call was just found open");
@@ -246,8 +257,13 @@
     }
 
     fn caller_gone(&mut self, request: RequestId) {
-        for open in self.open.values_mut() {
-            if let Body::Call(call) = &mut open.body {
+        let joined = self.open.matching(
+            |open| matches!(&open.body, Body::Call(call) if call.listeners.contains(&request)),
+        );
+        for key in joined {
+            if let Some(open) = self.open.get_mut(&key)
+                && let Body::Call(call) = &mut open.body
+            {
                 call.listeners.retain(|listener| *listener != request);
             }
         }
@@ -256,8 +272,8 @@
     fn disconnected(&mut self, now: Timestamp, address: SocketAddr) {
         self.links.disconnected(now, address, &mut self.random);
         self.directory.forget_node(address);
-        for request in self.open.values_mut() {
-            if request.is_with(address) {
+        for key in self.open.matching(|request| request.is_with(address)) {
+            if let Some(request) = self.open.get_mut(&key) {
                 request.recall(now);
             }
         }
@@ -277,13 +293,7 @@
     }
 
     fn give_up_overdue(&mut self, now: Timestamp) {
-        let overdue: Vec<RequestKey> = self
-            .open
-            .iter()
-            .filter(|(_, request)| is_overdue(request, now))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in overdue {
+        for key in self.open.overdue(now) {
             self.give_up(key);
         }
     }
@@ -328,13 +338,6 @@
     }
 }
 
-fn is_overdue(request: &OpenRequest, now: Timestamp) -> bool {
-    if request.surely_not_taken() {
-        return now >= request.hand_over_by;
-    }
-    now >= request.give_up_at + DEADLINE_GRACE
-}
-
 fn refusal(reason: RefusalReason) -> Refusal {
     let may_pass = matches!(
         reason,
