--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -15,10 +15,6 @@
 
 /// An input of the owning task.
 #[derive(Debug)]
-#[expect(
-    clippy::large_enum_variant,
-    reason = "nearly every input is an event, so a box would cost an allocation for each"
-)]
 pub(crate) enum Input {
     /// For the state machine as it is.
     Event(Box<Event>),
