Share the lab's events between its scale experiment and benches

Cause: the benches of decisions built the same runs, calls, engines and prompts as the scale experiment's roles, line for line; a change of one event had to be made twice. Ruled out: benching the scale harness itself: it times and encodes each event, so the benches' figures would no longer be of the decision alone. The benches feed the same events as before; only the crate's layout changes. Conclusion: execution's example slopes still sets up its own owner: its messages differ in size, so moving it needs its table measured again.

--- a/crates/lab/benches/decisions/journal.rs
+++ b/crates/lab/benches/decisions/journal.rs
@@ -3,18 +3,14 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion};
-use elderworks_execution::event::CallTerms;
 use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
-use elderworks_protocol::journal::RunLimits;
+use elderworks_lab::scale::roles::owner::{start_of_run, submission};
 use elderworks_protocol::record::{Record, Writer};
-use elderworks_protocol::sidecar::Delivered;
 use elderworks_types::{
-    Attempt, CallId, CallNumber, CallRequest, CallSpec, Credits, EngineId, Incarnation, Message,
-    ModelName, ModelRequest, NodeId, Offset, PartitionId, ResourceName, Role, RunId, RunSpec,
+    Attempt, CallId, CallNumber, EngineId, Incarnation, NodeId, Offset, PartitionId, RunId,
     Sequence, TenantId, Timestamp, Tokens, Usage,
 };
 
-const QUESTION_BYTES: usize = 400;
 const ANSWER_BYTES: usize = 1_932;
 
 /// A partition whose log answers at once.
@@ -69,30 +65,18 @@
     }
 
     fn start_run(&mut self, run: RunId) {
-        let spec = RunSpec {
-            id: run,
-            tenant: TenantId::new("tenant-0001"),
-            program: ResourceName::new("boundary-draft"),
-            parent: None,
-            budget: Credits(u64::MAX / 4),
-            deadline: None,
-        };
-        let limits = RunLimits {
-            max_turns: u32::MAX,
-            max_history: Tokens(u64::MAX),
-            max_duration: Duration::from_secs(86_400),
-            priority: 0,
-            tenant_budget: false,
-        };
-        self.feed(Event::StartRun {
-            connection: 1,
-            spec,
-            limits: Some(limits),
-        });
+        let event = start_of_run(run, tenant(), u32::MAX, Tokens(u64::MAX));
+        self.feed(event);
     }
 
     fn call(&mut self, run: RunId, number: u32) {
-        self.feed(submit(run, number));
+        let call = CallId {
+            run,
+            number: CallNumber(number),
+        };
+        // The prompt does not begin with the run's history, so that the cost of a call does not
+        // depend on how many came before.
+        self.feed(submission(tenant(), call, 0));
         for (call, attempt) in std::mem::take(&mut self.dispatched) {
             self.feed(Event::AttemptPlaced {
                 call,
@@ -115,37 +99,8 @@
     }
 }
 
-/// A call whose prompt does not begin with the run's history, so that its cost does not depend on
-/// how many calls came before.
-fn submit(run: RunId, number: u32) -> Event {
-    let spec = CallSpec {
-        number: CallNumber(number),
-        request: CallRequest::Model(ModelRequest {
-            model: ModelName::new("agent-large"),
-            history_prefix: 0,
-            messages: vec![Message::new(Role::User, "q".repeat(QUESTION_BYTES))],
-            max_output: Tokens(1_024),
-        }),
-        repeatable: true,
-        idempotency_key: None,
-        deadline: None,
-        expected_reuse: None,
-    };
-    let terms = CallTerms {
-        per_prompt_token: Credits(1),
-        per_output_token: Credits(2),
-        per_invocation: Credits::ZERO,
-        timeout: Duration::from_secs(60),
-    };
-    Event::SubmitCall {
-        connection: 1,
-        tenant: TenantId::new("tenant-0001"),
-        run,
-        spec,
-        delivered: Delivered::default(),
-        abandoned_before: 0,
-        terms: Ok(terms),
-    }
+fn tenant() -> TenantId {
+    TenantId::new("tenant-0001")
 }
 
 /// Measures a call from its submission to its acknowledgement, its records read back.
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -4,7 +4,7 @@
 mod fleet;
 mod memory;
 mod report;
-mod roles;
+pub mod roles;
 mod timing;
 
 use std::process::ExitCode;
@@ -42,7 +42,7 @@
 /// Runs the experiment, printing each table as soon as it is known. What the roles hold is held to the
 /// end, and its state is encoded only then: freed memory would be used again and spoil the measure of
 /// what follows.
-pub fn run(options: Scale) -> eyre::Result<ExitCode> {
+pub(crate) fn run(options: Scale) -> eyre::Result<ExitCode> {
     let mut report = Report::default();
     let roles = fill_roles(options.workers, options.runs)?;
     report.filled = roles.filled();
--- a/crates/lab/src/scale/roles/owner.rs
+++ b/crates/lab/src/scale/roles/owner.rs
@@ -75,40 +75,24 @@
 
     /// Starts a run.
     pub fn start_run(&mut self, run: RunId) {
-        let spec = RunSpec {
-            id: run,
-            tenant: tenant(run),
-            program: ResourceName::new("boundary-draft"),
-            parent: None,
-            budget: Credits(u64::MAX / 4),
-            deadline: None,
-        };
-        let limits = RunLimits {
-            max_turns: 560,
-            max_history: Tokens(1_000_000),
-            max_duration: Duration::from_secs(86_400),
-            priority: 0,
-            tenant_budget: false,
-        };
-        let event = Event::StartRun {
-            connection: 1,
-            spec,
-            limits: Some(limits),
-        };
+        let event = start_of_run(run, tenant(run), 560, Tokens(1_000_000));
         self.feed("start run", event);
     }
 
     /// Carries one model call of a run from its submission to its end.
     pub fn call(&mut self, run: RunId, number: u32) {
         self.flows.calls += 1;
-        self.feed("submit call", submit(run, number));
-        for (call, attempt) in std::mem::take(&mut self.dispatched) {
-            self.answer(call, attempt);
-        }
         let call = CallId {
             run,
             number: CallNumber(number),
         };
+        // Each earlier call left a question and an answer.
+        let history_prefix = (number - 1) * 2;
+        let submitted = submission(tenant(run), call, history_prefix);
+        self.feed("submit call", submitted);
+        for (call, attempt) in std::mem::take(&mut self.dispatched) {
+            self.answer(call, attempt);
+        }
         self.feed("acknowledge", Event::Acknowledge { call });
     }
 
@@ -198,13 +182,38 @@
     TenantId::new(format!("tenant-{:04}", run.root as usize % TENANTS))
 }
 
-fn submit(run: RunId, number: u32) -> Event {
+/// The start of a run that no budget ends.
+pub fn start_of_run(run: RunId, tenant: TenantId, max_turns: u32, max_history: Tokens) -> Event {
+    let spec = RunSpec {
+        id: run,
+        tenant,
+        program: ResourceName::new("boundary-draft"),
+        parent: None,
+        budget: Credits(u64::MAX / 4),
+        deadline: None,
+    };
+    let limits = RunLimits {
+        max_turns,
+        max_history,
+        max_duration: Duration::from_secs(86_400),
+        priority: 0,
+        tenant_budget: false,
+    };
+    Event::StartRun {
+        connection: 1,
+        spec,
+        limits: Some(limits),
+    }
+}
+
+/// The submission of a model call whose prompt begins with `history_prefix` messages of its run's
+/// history.
+pub fn submission(tenant: TenantId, call: CallId, history_prefix: u32) -> Event {
     let spec = CallSpec {
-        number: CallNumber(number),
+        number: call.number,
         request: CallRequest::Model(ModelRequest {
             model: ModelName::new("agent-large"),
-            // Each earlier call left a question and an answer.
-            history_prefix: (number - 1) * 2,
+            history_prefix,
             messages: vec![Message::new(Role::User, "q".repeat(QUESTION_BYTES))],
             max_output: Tokens(1_024),
         }),
@@ -221,8 +230,8 @@
     };
     Event::SubmitCall {
         connection: 1,
-        tenant: tenant(run),
-        run,
+        tenant,
+        run: call.run,
         spec,
         delivered: Delivered::default(),
         abandoned_before: 0,
--- a/crates/lab/src/scale/roles/placement.rs
+++ b/crates/lab/src/scale/roles/placement.rs
@@ -78,37 +78,52 @@
     let mut placement = Placement::new(settings);
     let now = Timestamp(1);
     for number in 0..count {
-        let added = Event::EngineAdded {
-            engine: engine(number),
-            zone: ZoneId::new(format!("zone-{:02}", number % 28)),
-            models: vec![model()],
-        };
-        placement.handle(now, added);
-        let load = Event::Load {
-            engine: engine(number),
-            report: LoadReport {
-                measured: now,
-                running: number as u32 % 30,
-                waiting: 0,
-                waiting_prefill: Tokens(0),
-                blocks_used: 10_000,
-                blocks_total: 50_000,
-            },
-        };
+        let zone = ZoneId::new(format!("zone-{:02}", number % 28));
+        placement.handle(now, engine_added(number, zone));
+        let load = load_of(number, now);
         timer.time("load report", || placement.handle(now, load));
     }
     placement
 }
 
-fn place_one(placement: &mut Placement, timer: &mut EventTimer, now: Timestamp, number: u64) {
-    let ticket = Ticket {
+/// An engine joins.
+pub fn engine_added(number: usize, zone: ZoneId) -> Event {
+    Event::EngineAdded {
+        engine: engine(number),
+        zone,
+        models: vec![model()],
+    }
+}
+
+/// An engine that is busy by its number reports its load.
+pub fn load_of(number: usize, now: Timestamp) -> Event {
+    Event::Load {
+        engine: engine(number),
+        report: LoadReport {
+            measured: now,
+            running: number as u32 % 30,
+            waiting: 0,
+            waiting_prefill: Tokens(0),
+            blocks_used: 10_000,
+            blocks_total: 50_000,
+        },
+    }
+}
+
+/// The first attempt of a run's first call.
+pub fn first_ticket(run: RunId) -> Ticket {
+    Ticket {
         call: CallId {
-            run: RunId::root(number + 1),
+            run,
             number: CallNumber(1),
         },
         attempt: Attempt(1),
-    };
-    let call = ReadyCall {
+    }
+}
+
+/// A call with a prompt of 30,000 tokens is ready to be placed.
+pub fn call_ready(ticket: Ticket, now: Timestamp) -> Event {
+    Event::CallReady(Box::new(ReadyCall {
         ticket,
         model: model(),
         blocks: (0..BLOCKS_PER_CALL).map(scattered).collect(),
@@ -123,8 +138,12 @@
         call_deadline: None,
         priority: 0,
         parent: None,
-    };
-    let ready = Event::CallReady(Box::new(call));
+    }))
+}
+
+fn place_one(placement: &mut Placement, timer: &mut EventTimer, now: Timestamp, number: u64) {
+    let ticket = first_ticket(RunId::root(number + 1));
+    let ready = call_ready(ticket, now);
     let effects = timer.time("place", || placement.handle(now, ready));
     let dispatched = effects
         .iter()
