Poll engines at a pace that the core sets

Ruled out: a combined request, since the platform's interface has one path for each of state, load, cache events and holdings.

Change: node-core decides a pace for each engine (busy while this node has attempts there, had one within 5 s, or suspects silence; else at rest) and tells it by the effect PaceEngine; driver and simulation obey. An answer is told by the event EngineAnswered, since not every poll brings a load report.

A load report may now be up to 2 s old at a first call.

--- a/crates/node-core/src/attempt_reports.rs
+++ b/crates/node-core/src/attempt_reports.rs
@@ -28,6 +28,7 @@
         };
         let partition = record.partition;
         let placed = AttemptState::AtEngine {
+            engine: engine.clone(),
             first_chunk_seen: false,
         };
         let AttemptState::Waiting(work) = std::mem::replace(&mut record.state, placed) else {
@@ -91,7 +92,9 @@
             return;
         };
         let partition = record.partition;
-        if let AttemptState::AtEngine { first_chunk_seen } = &mut record.state
+        if let AttemptState::AtEngine {
+            first_chunk_seen, ..
+        } = &mut record.state
             && !*first_chunk_seen
         {
             *first_chunk_seen = true;
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -250,6 +250,10 @@
             Event::AttemptFailed { ticket, failure } => self.attempt_failed(ticket, failure),
             Event::MemoryReleased { run, engine } => self.memory_released(run, engine),
             Event::EngineHoldings { engine, runs } => self.compare_holdings(&engine, runs),
+            Event::EngineAnswered { engine } => {
+                let changes = self.engines.answered(&engine);
+                self.apply_engine_changes(changes);
+            }
             Event::EngineLoad { engine, report } => {
                 let changes = self.engines.answered(&engine);
                 self.apply_engine_changes(changes);
@@ -311,7 +315,7 @@
             self.agenda.partition(partition, execution::Event::Tick);
             self.release_if_caught_up(partition);
         }
-        let changes = self.engines.tick(self.now);
+        let changes = self.engines.tick(self.now, &self.attempts.engines());
         self.apply_engine_changes(changes);
         self.expire_requests();
         self.judge_readiness();
--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Attempts on their way between execution, placement and back ends.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use elderworks_execution::effect::{BackendRequest, DispatchHints};
 use elderworks_execution::event::AttemptFailure;
@@ -38,9 +38,12 @@
     /// Placement has not chosen an engine yet.
     Waiting(ModelWork),
     /// At an engine that placement chose.
-    AtEngine { first_chunk_seen: bool },
+    AtEngine {
+        engine: EngineId,
+        first_chunk_seen: bool,
+    },
     /// At an engine that an earlier owner chose; placement does not count it.
-    Resumed,
+    Resumed { engine: EngineId },
     /// At a tool.
     AtTool,
 }
@@ -62,6 +65,17 @@
         self.open.len()
     }
 
+    /// Engines at which an attempt is open.
+    pub(crate) fn engines(&self) -> BTreeSet<EngineId> {
+        let engines = self.open.values().filter_map(|record| match &record.state {
+            AttemptState::AtEngine { engine, .. } | AttemptState::Resumed { engine } => {
+                Some(engine.clone())
+            }
+            AttemptState::Waiting(_) | AttemptState::AtTool => None,
+        });
+        engines.collect()
+    }
+
     fn insert(&mut self, ticket: Ticket, partition: PartitionId, state: AttemptState) {
         self.open.insert(ticket, AttemptRecord { partition, state });
     }
@@ -204,8 +218,10 @@
             self.fail_attempt(partition, ticket, AttemptFailure::NotSent);
             return;
         };
-        self.attempts
-            .insert(ticket, partition, AttemptState::Resumed);
+        let state = AttemptState::Resumed {
+            engine: engine.clone(),
+        };
+        self.attempts.insert(ticket, partition, state);
         self.agenda.effect(Effect::ResumeStream {
             ticket,
             engine,
@@ -288,7 +304,7 @@
                     .placement(placement::Event::Cancelled { ticket });
                 self.agenda.effect(Effect::CancelAttempt { ticket });
             }
-            AttemptState::Resumed | AttemptState::AtTool => {
+            AttemptState::Resumed { .. } | AttemptState::AtTool => {
                 self.agenda.effect(Effect::CancelAttempt { ticket });
             }
         }
@@ -316,7 +332,7 @@
                     self.agenda.effect(Effect::DetachAttempt { ticket });
                 }
                 AttemptState::AtTool if unsent => {}
-                AttemptState::Resumed | AttemptState::AtTool => {
+                AttemptState::Resumed { .. } | AttemptState::AtTool => {
                     self.agenda.effect(Effect::DetachAttempt { ticket });
                 }
             }
--- a/crates/node-core/src/effect.rs
+++ b/crates/node-core/src/effect.rs
@@ -16,6 +16,7 @@
 use elderworks_types::{EngineId, Message, ModelName, Offset, RunId, Tokens, ToolName, ZoneId};
 
 use crate::event::{AppendToken, Connection, RequestId};
+use crate::pace::EnginePace;
 
 /// An output of [`crate::NodeCore::handle`].
 #[derive(Clone, Debug)]
@@ -59,13 +60,21 @@
         /// The message.
         message: PeerMessage,
     },
-    /// Begin to poll an engine's load, cache events, holdings and state, until forgotten.
+    /// Begin to poll an engine's load, cache events, holdings and state, until forgotten; at the
+    /// pace of rest until told otherwise.
     WatchEngine {
         /// Which.
         engine: EngineId,
         /// Base URL.
         url: String,
     },
+    /// Poll a watched engine at another pace from now on.
+    PaceEngine {
+        /// Which.
+        engine: EngineId,
+        /// How often.
+        pace: EnginePace,
+    },
     /// Stop polling an engine.
     ForgetEngine {
         /// Which.
--- a/crates/node-core/src/engines.rs
+++ b/crates/node-core/src/engines.rs
@@ -7,6 +7,7 @@
 use elderworks_types::{EngineId, Timestamp};
 
 use crate::effect::{Effect, EngineState, EngineView};
+use crate::pace::{EnginePace, EngineUse};
 use crate::services::KnownEngine;
 
 /// An engine that has not answered for this long is taken to have lost what it held.
@@ -22,6 +23,8 @@
     said_leaving: Option<Timestamp>,
     silent: bool,
     gone: bool,
+    usage: EngineUse,
+    pace: EnginePace,
 }
 
 impl Engine {
@@ -32,6 +35,8 @@
             said_leaving: None,
             silent: false,
             gone: false,
+            usage: EngineUse::default(),
+            pace: EnginePace::Resting,
         }
     }
 
@@ -162,6 +167,7 @@
         self.update_one(id, |engine| {
             engine.silent = false;
             engine.gone = false;
+            engine.usage.suspected = false;
         })
     }
 
@@ -174,6 +180,7 @@
     ) -> Vec<EngineChange> {
         let mut changes = self.update_one(id, |engine| {
             engine.silent = engine.silent || silent_for >= limit;
+            engine.usage.suspected = !engine.silent;
         });
         if let Some(engine) = self.engines.get_mut(id)
             && silent_for >= GONE_LIMIT
@@ -185,8 +192,9 @@
         changes
     }
 
-    /// Time passed: an engine's word that it is leaving lapses unless repeated.
-    pub fn tick(&mut self, now: Timestamp) -> Vec<EngineChange> {
+    /// Time passed: an engine's word that it is leaving lapses unless repeated, and engines at which
+    /// no attempt is open come to rest.
+    pub fn tick(&mut self, now: Timestamp, in_use: &BTreeSet<EngineId>) -> Vec<EngineChange> {
         let mut changes = Vec::new();
         for (id, engine) in &mut self.engines {
             update(id, engine, &mut changes, |engine| {
@@ -194,6 +202,10 @@
                     .said_leaving
                     .filter(|said| now.since(*said) < LEAVING_WORD_LIFETIME);
             });
+            if in_use.contains(id) {
+                engine.usage.last_attempt = Some(now);
+            }
+            set_pace(id, engine, engine.usage.pace(now), &mut changes);
         }
         changes
     }
@@ -207,6 +219,17 @@
     }
 }
 
+fn set_pace(id: &EngineId, engine: &mut Engine, pace: EnginePace, changes: &mut Vec<EngineChange>) {
+    if engine.pace == pace {
+        return;
+    }
+    engine.pace = pace;
+    changes.push(EngineChange::Effect(Effect::PaceEngine {
+        engine: id.clone(),
+        pace,
+    }));
+}
+
 /// Applies a change and tells placement if the engine's state is another afterwards.
 fn update(
     id: &EngineId,
--- a/crates/node-core/src/event.rs
+++ b/crates/node-core/src/event.rs
@@ -116,6 +116,11 @@
         /// The runs.
         runs: Vec<RunId>,
     },
+    /// An engine answered a poll.
+    EngineAnswered {
+        /// Which.
+        engine: EngineId,
+    },
     /// A load report arrived.
     EngineLoad {
         /// From this engine.
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -18,6 +18,7 @@
 mod loading;
 mod operator;
 mod ownership;
+pub mod pace;
 mod partitions;
 mod peers;
 mod services;
--- a/crates/node-core/tests/node/main.rs
+++ b/crates/node-core/tests/node/main.rs
@@ -7,5 +7,6 @@
 mod fixtures;
 mod operators;
 mod ownership;
+mod pace;
 mod snapshots;
 mod world;
--- /dev/null
+++ b/crates/node-core/tests/node/pace.rs
@@ -0,0 +1,102 @@
+//! How often engines are polled.
+
+use std::time::Duration;
+
+use elderworks_node_core::pace::{EnginePace, EngineUse, REST_AFTER};
+use elderworks_node_core::{Effect, Event};
+use elderworks_types::{EngineId, RunId, Timestamp};
+
+use crate::fixtures::{model_call, model_service, program, start_run};
+use crate::world::{BackEnds, World};
+
+const NOW: Timestamp = Timestamp(100_000_000);
+
+/// Longest time in which an engine that leaves or falls silent must be noticed.
+const NOTICE_LIMIT: Duration = Duration::from_secs(3);
+
+fn ago(age: Duration) -> Timestamp {
+    Timestamp(NOW.0 - age.as_micros() as u64)
+}
+
+#[test]
+fn an_engine_is_polled_often_while_used_or_suspected() {
+    let just_under = REST_AFTER - Duration::from_micros(1);
+    let cases = [
+        (None, false, EnginePace::Resting),
+        (None, true, EnginePace::Busy),
+        (Some(Duration::ZERO), false, EnginePace::Busy),
+        (Some(just_under), false, EnginePace::Busy),
+        (Some(REST_AFTER), false, EnginePace::Resting),
+        (Some(REST_AFTER), true, EnginePace::Busy),
+    ];
+    for (last_attempt, suspected, expected) in cases {
+        let engine_use = EngineUse {
+            last_attempt: last_attempt.map(ago),
+            suspected,
+        };
+        assert_eq!(engine_use.pace(NOW), expected, "{engine_use:?}");
+    }
+    assert!(EnginePace::Busy.interval() < EnginePace::Resting.interval());
+    assert!(EnginePace::Resting.interval() * 2 < NOTICE_LIMIT);
+}
+
+fn engine() -> EngineId {
+    EngineId::new("engine-1")
+}
+
+fn paces(world: &mut World) -> Vec<EnginePace> {
+    let effects = std::mem::take(&mut world.node(0).effects);
+    let paces = effects.into_iter().filter_map(|effect| match effect {
+        Effect::PaceEngine { pace, .. } => Some(pace),
+        _ => None,
+    });
+    paces.collect()
+}
+
+fn silent(silent_for: Duration) -> Event {
+    Event::EngineSilent {
+        engine: engine(),
+        silent_for,
+    }
+}
+
+#[test]
+fn a_call_or_a_missed_poll_quickens_an_engines_polls_until_it_rests() {
+    let mut world = World::new(1);
+    world.until("it owns all", |world| world.settled());
+    world.apply(0, model_service());
+    world.apply(0, program(&["model"], false));
+    world.pass(Duration::from_secs(1));
+    assert_eq!(paces(&mut world), [], "it begins at rest");
+
+    world.back_ends = BackEnds::Hang;
+    let run = RunId::root(1);
+    world.say(0, start_run(run));
+    world.say(0, model_call(run, 1));
+    world.pass(2 * REST_AFTER);
+    assert_eq!(
+        paces(&mut world),
+        [EnginePace::Busy],
+        "while the call lasts"
+    );
+
+    let mut world = World::new(1);
+    world.until("it owns all", |world| world.settled());
+    world.apply(0, model_service());
+    world.node(0).effects.clear();
+    let cases = [
+        (silent(Duration::from_secs(1)), vec![EnginePace::Busy]),
+        (silent(Duration::from_secs(2)), vec![EnginePace::Resting]),
+        (Event::EngineAnswered { engine: engine() }, vec![]),
+        (silent(Duration::from_millis(500)), vec![EnginePace::Busy]),
+        (
+            Event::EngineAnswered { engine: engine() },
+            vec![EnginePace::Resting],
+        ),
+    ];
+    for (step, (event, expected)) in cases.into_iter().enumerate() {
+        world.give(0, event);
+        world.pass(Duration::from_millis(100));
+        assert_eq!(paces(&mut world), expected, "step {step}");
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -176,6 +176,7 @@
             } => self.send(connection, message),
             Effect::SendPeer { peer, message } => self.peers.send(peer, message),
             Effect::WatchEngine { engine, url } => self.engines.watch(engine, &url),
+            Effect::PaceEngine { engine, pace } => self.engines.pace(&engine, pace),
             Effect::ForgetEngine { engine } => self.engines.forget(&engine),
             Effect::OperatorReply { request, reply } => self.operators.reply(request, reply),
             Effect::WatchEvent { watch, change } => {
--- a/crates/node/src/engine_polls.rs
+++ b/crates/node/src/engine_polls.rs
@@ -1,4 +1,4 @@
-//! Polling of engines: state, load, cache events and holdings.
+//! Polling of engines: state, load, cache events and holdings, at the pace that the core sets.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -6,26 +6,27 @@
 use actix_rt::task::JoinHandle;
 use elderworks_backend::{BackendError, EngineClient, HttpClient, HttpEngineClient};
 use elderworks_node_core::Event;
+use elderworks_node_core::pace::EnginePace;
 use elderworks_placement::event::{CacheChange, LoadReport};
 use elderworks_platform_api::engine::{self as api, ServingState};
 use elderworks_types::{EngineId, Timestamp, Tokens};
+use tokio::sync::watch;
 
 use crate::attempts::engine_client;
 use crate::clock::Clock;
 use crate::input::{Input, InputSender};
 
-/// Time between polls of one engine.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Polls between two questions after an engine's holdings.
-const POLLS_PER_HOLDINGS: u32 = 8;
-
 /// Engines being polled.
 pub(crate) struct EnginePolls {
     http: HttpClient,
     inputs: InputSender,
     clock: Clock,
-    polls: BTreeMap<EngineId, JoinHandle<()>>,
+    polls: BTreeMap<EngineId, WatchedEngine>,
+}
+
+struct WatchedEngine {
+    task: JoinHandle<()>,
+    pace: watch::Sender<EnginePace>,
 }
 
 impl EnginePolls {
@@ -39,6 +40,7 @@
     }
 
     pub(crate) fn watch(&mut self, engine: EngineId, url: &str) {
+        let (pace, pace_changes) = watch::channel(EnginePace::Resting);
         let poll = EnginePoll {
             engine: engine.clone(),
             client: engine_client(&self.http, url),
@@ -47,16 +49,23 @@
             last_answer: Instant::now(),
             instance: None,
             last_event: 0,
+            pace: pace_changes,
         };
         let task = actix_rt::spawn(poll.run());
-        if let Some(earlier) = self.polls.insert(engine, task) {
-            earlier.abort();
+        if let Some(earlier) = self.polls.insert(engine, WatchedEngine { task, pace }) {
+            earlier.task.abort();
+        }
+    }
+
+    pub(crate) fn pace(&self, engine: &EngineId, pace: EnginePace) {
+        if let Some(watched) = self.polls.get(engine) {
+            watched.pace.send_replace(pace);
         }
     }
 
     pub(crate) fn forget(&mut self, engine: &EngineId) {
-        if let Some(task) = self.polls.remove(engine) {
-            task.abort();
+        if let Some(watched) = self.polls.remove(engine) {
+            watched.task.abort();
         }
     }
 }
@@ -69,13 +78,15 @@
     last_answer: Instant,
     instance: Option<u64>,
     last_event: u64,
+    pace: watch::Receiver<EnginePace>,
 }
 
 impl EnginePoll {
     async fn run(mut self) {
-        for round in 0_u32.. {
-            let with_holdings = round.is_multiple_of(POLLS_PER_HOLDINGS);
-            match self.poll(with_holdings).await {
+        let mut round = 0_u32;
+        loop {
+            let pace = *self.pace.borrow_and_update();
+            match self.poll(pace, round).await {
                 Ok(()) => self.last_answer = Instant::now(),
                 Err(_) => {
                     let silent = Event::EngineSilent {
@@ -88,22 +99,36 @@
             if self.inputs.is_closed() {
                 return;
             }
-            actix_rt::time::sleep(POLL_INTERVAL).await;
+            round = round.wrapping_add(1);
+            if self.pace_changed_within(pace.interval()).await {
+                // Everything is asked for at once.
+                round = 0;
+            }
         }
     }
 
-    async fn poll(&mut self, with_holdings: bool) -> Result<(), BackendError> {
+    /// Waits until the next poll is due; whether that is because of another pace.
+    async fn pace_changed_within(&mut self, interval: Duration) -> bool {
+        let changed = actix_rt::time::timeout(interval, self.pace.changed());
+        matches!(changed.await, Ok(Ok(())))
+    }
+
+    async fn poll(&mut self, pace: EnginePace, round: u32) -> Result<(), BackendError> {
         let state = self.client.state().await?;
         if state.state == ServingState::Leaving {
             let engine = self.engine.clone();
             self.report(Event::EngineLeaving { engine }).await;
         }
-        let load = self.client.load().await?;
-        let report = load_report(&load, self.clock.now());
-        let engine = self.engine.clone();
-        self.report(Event::EngineLoad { engine, report }).await;
-        self.poll_cache().await?;
-        if with_holdings {
+        if round.is_multiple_of(pace.polls_per_load()) {
+            let load = self.client.load().await?;
+            let report = load_report(&load, self.clock.now());
+            let engine = self.engine.clone();
+            self.report(Event::EngineLoad { engine, report }).await;
+        }
+        if round.is_multiple_of(pace.polls_per_cache_events()) {
+            self.poll_cache().await?;
+        }
+        if round.is_multiple_of(pace.polls_per_holdings()) {
             let holdings = self.client.holdings().await?;
             let holdings = Event::EngineHoldings {
                 engine: self.engine.clone(),
@@ -111,6 +136,8 @@
             };
             self.report(holdings).await;
         }
+        let engine = self.engine.clone();
+        self.report(Event::EngineAnswered { engine }).await;
         Ok(())
     }
 
--- a/crates/simulation/src/world/engine_service.rs
+++ b/crates/simulation/src/world/engine_service.rs
@@ -4,12 +4,13 @@
 
 use elderworks_execution::event::AttemptFailure;
 use elderworks_node_core::Event as NodeEvent;
+use elderworks_node_core::pace::EnginePace;
 use elderworks_placement::Ticket;
 use elderworks_placement::event::LoadReport;
 use elderworks_types::{EngineId, FailureReason, Tokens, Usage};
 
-use super::World;
 use super::event::{EngineRequest, Event, NodeStart};
+use super::{WatchedEngine, World};
 use crate::fault::CallPoint;
 use crate::kernel::{Direction, Endpoint};
 use crate::observation::Departure;
@@ -17,7 +18,6 @@
 
 const CHUNK_INTERVAL: Duration = Duration::from_millis(60);
 const FIRST_CHUNK_DELAY: Duration = Duration::from_millis(120);
-const POLL_INTERVAL: Duration = Duration::from_millis(500);
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(2);
 const LEAVE_GRACE: Duration = Duration::from_secs(12);
 const BLOCKS_TOTAL: u32 = 4_096;
@@ -257,9 +257,13 @@
         let Some(engine) = self.engine_by_id(engine) else {
             return;
         };
+        let watched = WatchedEngine {
+            last_answer: self.now,
+            pace: EnginePace::Resting,
+        };
         if self.nodes[from.node]
             .watched
-            .insert(engine, self.now)
+            .insert(engine, watched)
             .is_none()
         {
             self.schedule(Duration::ZERO, Event::EnginePoll { from, engine });
@@ -269,18 +273,20 @@
     /// A node's next poll of an engine is due.
     pub(super) fn on_engine_poll(&mut self, from: NodeStart, engine: usize) {
         let is_current = self.nodes[from.node].slot.generation() == from.generation;
-        let Some(last) = self.nodes[from.node].watched.get(&engine).copied() else {
+        let Some(watched) = self.nodes[from.node].watched.get_mut(&engine) else {
             return;
         };
         if !is_current {
             return;
         }
-        self.schedule(POLL_INTERVAL, Event::EnginePoll { from, engine });
+        let interval = watched.pace.interval();
+        let last_answer = watched.last_answer;
+        self.schedule(interval, Event::EnginePoll { from, engine });
         let id = self.engines[engine].id.clone();
         let direction = engine_direction(from, engine);
         let is_cut = self.network.cut_until(direction, self.now).is_some();
         if is_cut || !self.engines[engine].up {
-            let silent_for = self.now.since(last);
+            let silent_for = self.now.since(last_answer);
             let silent = NodeEvent::EngineSilent {
                 engine: id,
                 silent_for,
@@ -288,7 +294,9 @@
             self.deliver_to_node(from, silent);
             return;
         }
-        self.nodes[from.node].watched.insert(engine, self.now);
+        if let Some(watched) = self.nodes[from.node].watched.get_mut(&engine) {
+            watched.last_answer = self.now;
+        }
         self.request_engine(from, &id, EngineRequest::Poll);
     }
 
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use elderworks_node_core::pace::EnginePace;
 use elderworks_node_core::{Event as NodeEvent, NodeCore, NodeSettings};
 use elderworks_placement::Ticket;
 use elderworks_sidecar_core::{Event as SidecarEvent, RequestId, SidecarCore};
@@ -35,6 +36,12 @@
 use log_service::Waiter;
 use operators::{Operator, OperatorRequestPending};
 
+/// An engine that a node's driver polls.
+struct WatchedEngine {
+    last_answer: Instant,
+    pace: EnginePace,
+}
+
 /// A node's slot and the state of its driver.
 struct NodeSlot {
     slot: Slot<NodeCore, NodeEvent>,
@@ -44,7 +51,7 @@
     replacement_after: Duration,
     vanished: bool,
     zone: usize,
-    watched: BTreeMap<usize, Instant>,
+    watched: BTreeMap<usize, WatchedEngine>,
     attempts: BTreeMap<Ticket, Option<EngineId>>,
     appends: BTreeSet<u64>,
     peer_connections: BTreeMap<usize, ConnectionId>,
--- a/crates/simulation/src/world/node_effects.rs
+++ b/crates/simulation/src/world/node_effects.rs
@@ -1,6 +1,7 @@
 //! Carries out what a node asks for, as its driver would.
 
 use elderworks_node_core::effect::Generate;
+use elderworks_node_core::pace::EnginePace;
 use elderworks_node_core::{Effect, Event as NodeEvent};
 use elderworks_placement::Ticket;
 use elderworks_types::EngineId;
@@ -35,6 +36,7 @@
             } => self.carry(connection, Payload::FromNode(Box::new(message))),
             Effect::SendPeer { peer, message } => self.send_to_peer(from, &peer, message),
             Effect::WatchEngine { engine, .. } => self.watch_engine(from, &engine),
+            Effect::PaceEngine { engine, pace } => self.pace_engine(from, &engine, pace),
             Effect::ForgetEngine { engine } => self.forget_engine(from, &engine),
             Effect::Generate(request) => self.generate(from, *request),
             Effect::ResumeStream {
@@ -139,6 +141,14 @@
         }
     }
 
+    fn pace_engine(&mut self, from: NodeStart, engine: &EngineId, pace: EnginePace) {
+        let watched = self.engine_by_id(engine);
+        let watched = watched.and_then(|engine| self.nodes[from.node].watched.get_mut(&engine));
+        if let Some(watched) = watched {
+            watched.pace = pace;
+        }
+    }
+
     fn transfer(&mut self, from: NodeStart, run: elderworks_types::RunId, to_url: &str) {
         let urls = 0..self.engines.len();
         let found = urls
