Read the streams of partitions at rest every 5 s

Ruled out: reads held open by the log (one connection a partition) and one read for all streams (the log has none); see decision 0070.

Change: the interval is 500 ms while a hand-over is awaited, an attempt or append is open, or a record was read within 5 s; else 5 s. The pause allowed before the log counts as unreachable is the interval in force at the last answer, or a shortened interval would raise a false alarm.

--- a/crates/logstream/src/reader.rs
+++ b/crates/logstream/src/reader.rs
@@ -91,9 +91,14 @@
         }
     }
 
+    /// Brings the next read forward to `latest` if it is due later.
+    pub(crate) fn read_before(&mut self, latest: Timestamp) {
+        self.read_after = self.read_after.min(latest);
+    }
+
     /// Brings the next read forward: an append without an answer may have taken effect.
     pub(crate) fn read_soon(&mut self, now: Timestamp) {
-        self.read_after = self.read_after.min(now);
+        self.read_before(now);
     }
 
     /// Opens a read if one is due; the answer comes back for the offset returned.
--- a/crates/logstream/src/stream.rs
+++ b/crates/logstream/src/stream.rs
@@ -145,6 +145,8 @@
     appender: Appender<B>,
     reader: Reader,
     last_answer: Timestamp,
+    /// Longest pause that may follow the last answer of a healthy log.
+    longest_pause: Duration,
     reachable: bool,
 }
 
@@ -161,10 +163,11 @@
         settings: StreamSettings,
     ) -> Self {
         Self {
-            settings,
             appender: Appender::new(writer, first_sequence),
             reader: Reader::new(start),
             last_answer: now,
+            longest_pause: longest_pause(&settings),
+            settings,
             reachable: true,
         }
     }
@@ -195,6 +198,15 @@
         self.reader.doubt(now);
     }
 
+    /// Polls at another interval from now on; a shorter one also brings the next read forward.
+    /// Without effect in [`ReadMode::Follow`].
+    pub fn set_poll_interval(&mut self, now: Timestamp, interval: Duration) {
+        if let ReadMode::Poll { interval: present } = &mut self.settings.mode {
+            *present = interval;
+            self.reader.read_before(now + interval);
+        }
+    }
+
     /// Whether the log answers.
     pub fn reachable(&self) -> bool {
         self.reachable
@@ -227,7 +239,7 @@
             self.reader.read_soon(now);
             return;
         };
-        self.last_answer = now;
+        self.answered(now);
         self.reader.learn_end(offset.next());
         let Some(bytes) = self.appender.in_flight_bytes(token) else {
             return;
@@ -250,7 +262,7 @@
             self.reader.read_unanswered(now, &self.settings);
             return;
         };
-        self.last_answer = now;
+        self.answered(now);
         self.reader.read_answered(end, now, &self.settings);
         if from > self.reader.next() {
             return;
@@ -299,7 +311,7 @@
             Some(first_sent) => now.since(first_sent),
             None => now
                 .since(self.last_answer)
-                .saturating_sub(self.longest_pause()),
+                .saturating_sub(self.longest_pause),
         };
         let reachable = silent_for <= self.settings.unreachable_after;
         if reachable != self.reachable {
@@ -308,12 +320,11 @@
         }
     }
 
-    /// Longest time between answers of a healthy log with nothing to append.
-    fn longest_pause(&self) -> Duration {
-        match self.settings.mode {
-            ReadMode::Follow => self.settings.follow_wait,
-            ReadMode::Poll { interval } => interval,
-        }
+    /// The log answered. What pause is allowed until its next answer is decided now: the interval
+    /// may become shorter before the next read.
+    fn answered(&mut self, now: Timestamp) {
+        self.last_answer = now;
+        self.longest_pause = longest_pause(&self.settings);
     }
 
     fn start_work(&mut self, now: Timestamp, effects: &mut Vec<Effect<B>>) {
@@ -329,3 +340,11 @@
         }
     }
 }
+
+/// Longest time between answers of a healthy log with nothing to append.
+fn longest_pause(settings: &StreamSettings) -> Duration {
+    match settings.mode {
+        ReadMode::Follow => settings.follow_wait,
+        ReadMode::Poll { interval } => interval,
+    }
+}
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -309,6 +309,7 @@
         self.offer_control_snapshot();
         self.agenda.membership(membership::Event::Tick);
         self.agenda.placement(placement::Event::Tick);
+        self.pace_partitions();
         let followed: Vec<PartitionId> = self.ownership.held.keys().copied().collect();
         for partition in followed {
             self.drive_partition_stream(partition, logstream::Event::Tick);
--- a/crates/node-core/src/dispatch.rs
+++ b/crates/node-core/src/dispatch.rs
@@ -65,6 +65,11 @@
         self.open.len()
     }
 
+    /// Partitions with open attempts.
+    pub(crate) fn partitions(&self) -> BTreeSet<PartitionId> {
+        self.open.values().map(|record| record.partition).collect()
+    }
+
     /// Engines at which an attempt is open.
     pub(crate) fn engines(&self) -> BTreeSet<EngineId> {
         let engines = self.open.values().filter_map(|record| match &record.state {
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod operator;
 mod ownership;
 pub mod pace;
+mod partition_pace;
 mod partitions;
 mod peers;
 mod services;
--- a/crates/node-core/src/loading.rs
+++ b/crates/node-core/src/loading.rs
@@ -11,7 +11,7 @@
 use crate::core::NodeCore;
 use crate::effect::Effect;
 use crate::event::{NoAnswer, ReadRecords};
-use crate::ownership::PARTITION_POLL_INTERVAL;
+use crate::pace::BUSY_PARTITION_INTERVAL;
 use crate::snapshot_search::{SearchStep, SnapshotSearch};
 use crate::streams::control_stream;
 
@@ -161,7 +161,7 @@
         };
         let settings = StreamSettings {
             mode: ReadMode::Poll {
-                interval: PARTITION_POLL_INTERVAL,
+                interval: BUSY_PARTITION_INTERVAL,
             },
             ..StreamSettings::default()
         };
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -20,10 +20,6 @@
 /// A claim that waited this long for the present owner's release goes ahead without it.
 pub const HANDOVER_LIMIT: Duration = Duration::from_secs(10);
 
-/// Time between reads at the end of a partition's stream. An owner notices by them that it was
-/// fenced out; a successor notices the release.
-pub const PARTITION_POLL_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Where this node stands with one partition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -57,6 +53,10 @@
     pub(crate) epoch: Option<Epoch>,
     /// Where the replay of its stream began.
     pub(crate) start: Offset,
+    /// When a record was last read, or an attempt or append last open.
+    pub(crate) last_activity: Timestamp,
+    /// End of what had been read when activity was last looked for.
+    pub(crate) seen: Offset,
 }
 
 impl Held {
@@ -231,6 +231,8 @@
             phase: Phase::Loading,
             epoch: None,
             start: Offset(0),
+            last_activity: self.now,
+            seen: Offset(0),
         };
         self.ownership.held.insert(partition, held);
         self.begin_search(partition);
--- a/crates/node-core/src/pace.rs
+++ b/crates/node-core/src/pace.rs
@@ -1,12 +1,20 @@
-//! How often engines are polled: often while this node uses them, seldom at rest.
+//! How often engines and the streams of partitions are polled: often while something is going on
+//! there, seldom at rest. Nothing safe rests on it: records are judged by their place on the stream.
 
 use std::time::Duration;
 
 use elderworks_types::Timestamp;
 
-/// An engine counts as in use for this long after its last use.
+/// An engine or stream counts as in use for this long after its last use.
 pub const REST_AFTER: Duration = Duration::from_secs(5);
 
+/// Time between reads at the end of the stream of a partition in use. An owner notices by them that
+/// it was fenced out; a successor notices the release.
+pub const BUSY_PARTITION_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The same of a partition at rest. Its next append shows whether others wrote.
+pub const RESTING_PARTITION_INTERVAL: Duration = Duration::from_secs(5);
+
 /// How often an engine is polled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EnginePace {
@@ -71,3 +79,25 @@
         }
     }
 }
+
+/// What goes on with a partition that this node follows.
+#[derive(Clone, Copy, Debug)]
+pub struct PartitionUse {
+    /// Whether this node owns it and is to keep it; otherwise a hand-over is under way.
+    pub settled: bool,
+    /// Whether an attempt is open or an append is not read back.
+    pub working: bool,
+    /// When a record was last read, or an attempt or append last open.
+    pub last_activity: Timestamp,
+}
+
+impl PartitionUse {
+    /// Time between reads at the end of the partition's stream.
+    pub fn poll_interval(&self, now: Timestamp) -> Duration {
+        let recent = now.since(self.last_activity) < REST_AFTER;
+        match !self.settled || self.working || recent {
+            true => BUSY_PARTITION_INTERVAL,
+            false => RESTING_PARTITION_INTERVAL,
+        }
+    }
+}
--- a/crates/node-core/tests/node/pace.rs
+++ b/crates/node-core/tests/node/pace.rs
@@ -1,8 +1,9 @@
-//! How often engines are polled.
+//! How often engines and partitions are polled.
 
 use std::time::Duration;
 
-use elderworks_node_core::pace::{EnginePace, EngineUse, REST_AFTER};
+use elderworks_node_core::pace::{BUSY_PARTITION_INTERVAL, RESTING_PARTITION_INTERVAL};
+use elderworks_node_core::pace::{EnginePace, EngineUse, PartitionUse, REST_AFTER};
 use elderworks_node_core::{Effect, Event};
 use elderworks_types::{EngineId, RunId, Timestamp};
 
@@ -40,6 +41,30 @@
     assert!(EnginePace::Resting.interval() * 2 < NOTICE_LIMIT);
 }
 
+#[test]
+fn a_partition_is_read_often_while_handed_over_or_active() {
+    let busy = BUSY_PARTITION_INTERVAL;
+    let cases = [
+        (true, false, REST_AFTER, RESTING_PARTITION_INTERVAL),
+        (true, false, Duration::ZERO, busy),
+        (true, true, REST_AFTER, busy),
+        (false, false, REST_AFTER, busy),
+        (false, true, Duration::ZERO, busy),
+    ];
+    for (settled, working, quiet_for, expected) in cases {
+        let partition_use = PartitionUse {
+            settled,
+            working,
+            last_activity: ago(quiet_for),
+        };
+        assert_eq!(
+            partition_use.poll_interval(NOW),
+            expected,
+            "{partition_use:?}"
+        );
+    }
+}
+
 fn engine() -> EngineId {
     EngineId::new("engine-1")
 }
