--- a/crates/node/src/machine_polls.rs
+++ b/crates/node/src/machine_polls.rs
@@ -9,8 +9,8 @@
 use crate::attempts::REQUEST_TIMEOUT;
 use crate::input::{Input, InputSender};
 
-/// Time between polls.
-const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between polls: an engine or node listed as leaving must get no new work within 3 s.
+const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Polls until the node stops. An unanswered poll leaves the last list in force.
 pub(crate) async fn poll_machines(http: HttpClient, url: String, inputs: InputSender) {
