--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -18,6 +18,8 @@
 mod loading;
 mod operator;
 mod ownership;
+pub mod pace;
+mod partition_pace;
 mod partitions;
 mod peers;
 mod services;
