--- a/crates/backend/src/engine/mod.rs
+++ b/crates/backend/src/engine/mod.rs
@@ -65,8 +65,8 @@
 }
 
 /// Pieces of an answer in order. Ends after [`AnswerItem::Finished`] or the first error, one of
-/// which always comes. Dropping it closes the connection; the engine then cancels the request after a
-/// grace time unless it is resumed.
+/// which always comes. Dropping it closes the connection; the engine then cancels the request after
+/// a grace time unless it is resumed.
 pub type AnswerStream = LocalBoxStream<'static, Result<AnswerItem, BackendError>>;
 
 /// Result of a request to an engine.
