--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -30,6 +30,9 @@
             /// KEY=VALUE, laid over the file; may be repeated.
             repeated --set setting: Override
         }
+        /// Run a node on the platform whose settings file the environment names.
+        cmd gateway {
+        }
         /// Check settings files.
         cmd check {
             /// Settings file.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -21,6 +21,10 @@
             process::sidecar(options.file.as_deref(), &options.set)?;
             return Ok(ExitCode::SUCCESS);
         }
+        ElderworksCmd::Gateway(_) => {
+            process::gateway()?;
+            return Ok(ExitCode::SUCCESS);
+        }
         ElderworksCmd::Check(options) => {
             let files: Vec<_> = std::iter::once(options.file).chain(options.files).collect();
             return Ok(process::check(&files));
--- /dev/null
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -0,0 +1,24 @@
+//! The ledger of one partition: budgets of programs and kept turns of conversations.
+//!
+//! The log is the only truth. Any node may act for a partition: it replays the records it has not
+//! seen, decides, and appends under the condition that the log still ends where it read. An append
+//! that meets this condition proves that the decision rested on the whole history; one that fails
+//! it changed nothing. Nodes agree on one of them (the owner) only to spare conflicts.
+
+mod account;
+mod partition;
+mod state;
+
+pub use account::Account;
+pub use partition::{Batch, Evaluation, evaluate};
+pub use state::{LedgerState, RETENTION};
+
+use elderworks_types::PartitionId;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The partition that keeps a program's budget and turns.
+pub fn partition_of(program: &str, partitions: u32) -> PartitionId {
+    let hash = xxh3_64(program.as_bytes());
+    let number = hash % u64::from(partitions.max(1));
+    PartitionId(u32::try_from(number).expect("smaller than a partition count of 32 bits"))
+}
--- /dev/null
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -0,0 +1,178 @@
+//! What a partition's records add up to.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use elderworks_protocol::ledger::{KeptTurn, LedgerRecord};
+use elderworks_types::Timestamp;
+
+use super::Account;
+
+/// Accounts and turns are held this long after they were last touched, unless the configuration
+/// keeps turns for longer.
+pub const RETENTION: Duration = Duration::from_secs(75);
+
+/// Records older than this are written anew while what they say still counts. Well under the
+/// shortest history that the log keeps.
+const REWRITE_AFTER: Duration = Duration::from_secs(100);
+
+/// Most turns in one conversation; a longer chain is taken for a loop.
+const MAX_CHAIN: usize = 10_000;
+
+#[derive(Debug)]
+struct Dated<T> {
+    value: T,
+    touched: Timestamp,
+    written: Timestamp,
+}
+
+/// Accounts and kept turns of one partition.
+#[derive(Debug, Default)]
+pub struct LedgerState {
+    accounts: BTreeMap<String, Dated<Account>>,
+    turns: BTreeMap<String, Dated<KeptTurn>>,
+}
+
+impl LedgerState {
+    /// Applies the next record of the log.
+    pub fn apply(&mut self, now: Timestamp, record: LedgerRecord) {
+        match record {
+            LedgerRecord::Reserved {
+                program,
+                turn,
+                tokens,
+            } => {
+                self.account_entry(now, program).open.insert(turn, tokens);
+            }
+            LedgerRecord::Settled {
+                program,
+                turn,
+                used,
+            } => {
+                let account = self.account_entry(now, program);
+                if account.open.remove(&turn).is_some() {
+                    account.settled += used;
+                }
+            }
+            LedgerRecord::Kept { turn, content } => {
+                let dated = Dated {
+                    value: content,
+                    touched: now,
+                    written: now,
+                };
+                self.turns.insert(turn, dated);
+            }
+            LedgerRecord::Account {
+                program,
+                settled,
+                open,
+            } => {
+                let account = self.account_entry(now, program);
+                account.settled = settled;
+                account.open = open.into_iter().collect();
+            }
+        }
+    }
+
+    /// The account of a program, if it has one.
+    pub fn account(&self, program: &str) -> Option<&Account> {
+        self.accounts.get(program).map(|dated| &dated.value)
+    }
+
+    /// Whether a turn is kept.
+    pub fn has_turn(&self, turn: &str) -> bool {
+        self.turns.contains_key(turn)
+    }
+
+    /// Inputs and outputs of all turns up to the end of `turn`, in order; `None` if one is missing.
+    pub fn conversation(&self, turn: &str) -> Option<Bytes> {
+        let mut chain = Vec::new();
+        let mut next = Some(turn);
+        while let Some(name) = next {
+            let kept = &self.turns.get(name)?.value;
+            chain.push(kept);
+            if chain.len() > MAX_CHAIN {
+                return None;
+            }
+            next = kept.previous.as_deref();
+        }
+        let length = chain
+            .iter()
+            .map(|kept| kept.input.len() + kept.output.len())
+            .sum();
+        let mut text = BytesMut::with_capacity(length);
+        for kept in chain.iter().rev() {
+            text.extend_from_slice(&kept.input);
+            text.extend_from_slice(&kept.output);
+        }
+        Some(text.freeze())
+    }
+
+    /// Notes that a conversation went on from `turn`: the turns before it stay as long as it does.
+    pub fn touch_chain(&mut self, now: Timestamp, turn: &str) {
+        let mut next = Some(turn.to_owned());
+        let mut steps = 0;
+        while let Some(name) = next
+            && steps < MAX_CHAIN
+        {
+            let Some(dated) = self.turns.get_mut(&name) else {
+                return;
+            };
+            dated.touched = now;
+            next = dated.value.previous.clone();
+            steps += 1;
+        }
+    }
+
+    /// Drops what was last touched longer ago than `retention`.
+    pub fn expire(&mut self, now: Timestamp, retention: Duration) {
+        self.accounts
+            .retain(|_, dated| now.since(dated.touched) < retention);
+        self.turns
+            .retain(|_, dated| now.since(dated.touched) < retention);
+    }
+
+    /// Records to append anew, so that what they say outlasts the log's history.
+    pub fn rewrites(&self, now: Timestamp) -> Vec<LedgerRecord> {
+        let accounts = self
+            .accounts
+            .iter()
+            .filter(|(_, dated)| now.since(dated.written) >= REWRITE_AFTER)
+            .map(|(program, dated)| LedgerRecord::Account {
+                program: program.clone(),
+                settled: dated.value.settled,
+                open: dated.value.open.clone().into_iter().collect(),
+            });
+        let turns = self
+            .turns
+            .iter()
+            .filter(|(_, dated)| now.since(dated.written) >= REWRITE_AFTER)
+            .map(|(turn, dated)| LedgerRecord::Kept {
+                turn: turn.clone(),
+                content: dated.value.clone(),
+            });
+        accounts.chain(turns).collect()
+    }
+
+    /// How many accounts and turns are held.
+    pub fn len(&self) -> usize {
+        self.accounts.len() + self.turns.len()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn account_entry(&mut self, now: Timestamp, program: String) -> &mut Account {
+        let dated = self.accounts.entry(program).or_insert_with(|| Dated {
+            value: Account::default(),
+            touched: now,
+            written: now,
+        });
+        dated.touched = now;
+        dated.written = now;
+        &mut dated.value
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of the callers' gateway.
+//!
+//! Pure state machines and functions without I/O or clock: which route a request takes, which
+//! worker runs it, what becomes of an attempt that failed, whether a program's budget allows a
+//! turn, and which turns a conversation consists of. The driver is `elderworks-gateway`.
+
+pub mod attempt;
+pub mod balancer;
+pub mod call;
+pub mod config;
+pub mod directory;
+pub mod events;
+pub mod ledger;
+pub mod nodes;
+pub mod split;
+pub mod workers;
--- /dev/null
+++ b/crates/gateway-core/src/workers.rs
@@ -0,0 +1,227 @@
+//! What one node knows of the workers: their records, its own requests there, and their failures.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use elderworks_types::Timestamp;
+
+/// A worker's own entry in the directory of workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerRecord {
+    /// Names one start of a worker; never used twice.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes no new work.
+    pub draining: bool,
+}
+
+/// A worker that failed this often in a row is left alone for a while.
+const FAILURES_BEFORE_EJECTION: u32 = 2;
+
+/// First pause of a failing worker; doubled with each further failure.
+const FIRST_EJECTION: Duration = Duration::from_millis(300);
+
+/// Longest pause of a failing worker.
+const LONGEST_EJECTION: Duration = Duration::from_secs(3);
+
+/// A worker that refused for lack of room is avoided for this long.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// A worker whose record is gone is a last resort for this long: a store that was down drops
+/// records of workers that are well, and takes them up again with their next heartbeat.
+const MISSING_GRACE: Duration = Duration::from_millis(1_000);
+
+/// One worker as this node sees it.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its latest record.
+    pub record: WorkerRecord,
+    /// Requests that this node is running there.
+    pub in_flight: u32,
+    failures_in_a_row: u32,
+    ejected_until: Timestamp,
+    full_until: Timestamp,
+    missing_since: Option<Timestamp>,
+}
+
+impl Worker {
+    /// Whether recent failures speak against it.
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Whether it lately refused for lack of room.
+    pub fn is_full(&self, now: Timestamp) -> bool {
+        now < self.full_until
+    }
+}
+
+/// Every worker by id.
+#[derive(Debug, Default)]
+pub struct WorkerDirectory {
+    workers: BTreeMap<String, Worker>,
+}
+
+impl WorkerDirectory {
+    /// Takes a worker's record; tells whether it changes what is believed of it.
+    pub fn upsert(&mut self, record: WorkerRecord) -> bool {
+        if let Some(known) = self.workers.get_mut(&record.id) {
+            let changed = known.record != record || known.missing_since.is_some();
+            known.record = record;
+            known.missing_since = None;
+            return changed;
+        }
+        let worker = Worker {
+            record,
+            in_flight: 0,
+            failures_in_a_row: 0,
+            ejected_until: Timestamp::default(),
+            full_until: Timestamp::default(),
+            missing_since: None,
+        };
+        self.workers.insert(worker.record.id.clone(), worker);
+        true
+    }
+
+    /// Notes that a worker's record is gone; tells whether it was there.
+    pub fn mark_missing(&mut self, id: &str, now: Timestamp) -> bool {
+        match self.workers.get_mut(id) {
+            Some(worker) if worker.missing_since.is_none() => {
+                worker.missing_since = Some(now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes as missing all workers but those named, after the whole list was read anew; returns
+    /// those that were there.
+    pub fn mark_all_missing_but(
+        &mut self,
+        ids: &std::collections::BTreeSet<String>,
+        now: Timestamp,
+    ) -> Vec<String> {
+        let mut gone = Vec::new();
+        for (id, worker) in &mut self.workers {
+            if worker.missing_since.is_none() && !ids.contains(id) {
+                worker.missing_since = Some(now);
+                gone.push(id.clone());
+            }
+        }
+        gone
+    }
+
+    /// Forgets workers that have been missing for too long; returns them.
+    pub fn forget_missing(&mut self, now: Timestamp) -> Vec<String> {
+        let is_over = |worker: &Worker| {
+            worker
+                .missing_since
+                .is_some_and(|since| now.since(since) >= MISSING_GRACE)
+        };
+        let gone: Vec<String> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| is_over(worker))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.workers.remove(id);
+        }
+        gone
+    }
+
+    /// The worker of that id.
+    pub fn get(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// Workers of a service that take new work.
+    pub fn accepting<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
+        self.of_service(service)
+            .filter(|worker| worker.missing_since.is_none())
+    }
+
+    /// Workers of a service whose records went missing a moment ago.
+    pub fn last_resort<'a>(
+        &'a self,
+        service: &'a str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a Worker> {
+        self.of_service(service).filter(move |worker| {
+            worker
+                .missing_since
+                .is_some_and(|since| now.since(since) < MISSING_GRACE)
+        })
+    }
+
+    fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
+        self.workers
+            .values()
+            .filter(move |worker| worker.record.service == service && !worker.record.draining)
+    }
+
+    /// How many workers are known.
+    pub fn len(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Whether no worker is known.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    /// Notes that a request goes to a worker.
+    pub fn note_start(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.in_flight += 1;
+        }
+    }
+
+    /// Notes that a request no longer occupies a worker.
+    pub fn note_end(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.in_flight = worker.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes a valid answer.
+    pub fn note_success(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.failures_in_a_row = 0;
+            worker.ejected_until = Timestamp::default();
+        }
+    }
+
+    /// Notes that a worker refused for lack of room.
+    pub fn note_full(&mut self, id: &str, now: Timestamp) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.full_until = now + FULL_PAUSE;
+        }
+    }
+
+    /// Notes a failure. Failures in a row eject the worker for a pause that doubles; tells
+    /// whether it is ejected now.
+    pub fn note_failure(&mut self, id: &str, now: Timestamp) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        worker.failures_in_a_row += 1;
+        let Some(doublings) = worker
+            .failures_in_a_row
+            .checked_sub(FAILURES_BEFORE_EJECTION)
+        else {
+            return false;
+        };
+        let pause = FIRST_EJECTION * 2u32.pow(doublings.min(4));
+        worker.ejected_until = now + pause.min(LONGEST_EJECTION);
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,128 @@
+//! The gateway's own small calls: readiness, the registry's answer, counters.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use bytes::Bytes;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::caller::Caller;
+use crate::gateway::{Gateway, Stage};
+use crate::ports::EntryCall;
+use crate::reply::Refusal;
+use crate::server::{CallerRequest, RequestReader};
+use crate::socket;
+
+/// How long an answer of the registry is valid, unless the platform allows less.
+const ANSWER_TTL: Duration = Duration::from_secs(2);
+
+/// Pause after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// What is asked at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Entry {
+    /// Readiness and the registry's answer.
+    Platform,
+    /// Counters.
+    Metrics,
+}
+
+/// Accepts and answers until the node closes.
+pub(crate) async fn accept(gateway: Rc<Gateway>, listener: TcpListener, entry: Entry) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve(gateway.clone(), stream, entry));
+            }
+            Err(_) => actix_rt::time::sleep(ACCEPT_BACKOFF).await,
+        }
+    }
+}
+
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, entry: Entry) {
+    socket::prepare(&stream);
+    let mut reader = RequestReader::new(&gateway, stream);
+    while let Ok(request) = reader.next(&gateway).await {
+        let answer = match entry {
+            Entry::Platform => answer(&gateway, &request),
+            Entry::Metrics => metrics(&gateway),
+        };
+        let close = gateway.stage() == Stage::Closing;
+        let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, close);
+        let sent = caller
+            .send_whole(answer.status, &answer.headers(), &answer.body)
+            .await;
+        if sent.is_err() || close || !reader.codec.keep_alive() {
+            break;
+        }
+    }
+    reader.sender.shut_down().await;
+}
+
+struct EntryAnswer {
+    status: StatusCode,
+    media_type: &'static str,
+    body: Bytes,
+}
+
+impl EntryAnswer {
+    fn headers(&self) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(self.media_type));
+        headers
+    }
+}
+
+fn answer(gateway: &Gateway, request: &CallerRequest) -> EntryAnswer {
+    let call = gateway
+        .platform
+        .entry_call(&request.head.method, &request.head.uri);
+    match call {
+        EntryCall::Ready if gateway.is_ready() => text(StatusCode::OK, "ready"),
+        EntryCall::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        EntryCall::Resolve { zone } => resolve(gateway, zone.as_deref()),
+        EntryCall::Unknown => {
+            let refusal = Refusal::plain(StatusCode::NOT_FOUND, "no such call");
+            text(refusal.status, refusal.reason)
+        }
+    }
+}
+
+fn resolve(gateway: &Gateway, zone: Option<&str>) -> EntryAnswer {
+    let own = &gateway.settings.node;
+    let addresses = gateway.nodes.borrow().addresses_for(zone, |node| {
+        if node == own {
+            gateway.is_ready()
+        } else {
+            gateway.peers.is_alive(node)
+        }
+    });
+    if addresses.is_empty() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "no node is known to be ready");
+    }
+    let ttl = ANSWER_TTL.min(gateway.settings.longest_ttl);
+    EntryAnswer {
+        status: StatusCode::OK,
+        media_type: "application/json",
+        body: gateway.platform.resolve_answer(&addresses, ttl),
+    }
+}
+
+fn metrics(gateway: &Gateway) -> EntryAnswer {
+    EntryAnswer {
+        status: StatusCode::OK,
+        media_type: "text/plain",
+        body: Bytes::from(gateway.metrics.encode()),
+    }
+}
+
+fn text(status: StatusCode, words: &'static str) -> EntryAnswer {
+    EntryAnswer {
+        status,
+        media_type: "text/plain",
+        body: Bytes::from_static(words.as_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/attempts.rs
@@ -0,0 +1,289 @@
+//! Attempts of one call at workers.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix_http::RequestHead;
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
+use elderworks_gateway_core::balancer::{self, PlacementQuery};
+use elderworks_gateway_core::call::CallAttributes;
+use elderworks_gateway_core::config::{Route, ServingConfig};
+
+use super::turn::TurnLease;
+use super::{CallError, headers};
+use crate::caller::Caller;
+use crate::gateway::Gateway;
+use crate::ports::WorkerHeaders;
+use crate::reply::Refusal;
+use crate::server::CallerRequest;
+use crate::upstream::{Answer, ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
+
+/// Largest answer that is collected before it is passed on, in bytes.
+const MAX_WHOLE_ANSWER: usize = 16 * 1024 * 1024;
+
+/// One request on its way.
+pub(super) struct Call<'a> {
+    pub(super) gateway: &'a Rc<Gateway>,
+    pub(super) config: &'a ServingConfig,
+    pub(super) route: &'a Route,
+    pub(super) attributes: &'a CallAttributes,
+    pub(super) head: Rc<RequestHead>,
+    pub(super) body: Option<Bytes>,
+    pub(super) deadline: Instant,
+    pub(super) received: Instant,
+    pub(super) service: String,
+    pub(super) lease: Option<TurnLease>,
+    pub(super) history: AttemptHistory,
+    /// When the request came, until its first event was passed on.
+    pub(super) first_event_due: Option<Instant>,
+    tried: Vec<String>,
+    /// Set while an attempt is under way that may have run.
+    sending: bool,
+}
+
+/// A request that occupies a worker.
+pub(super) struct Occupied {
+    gateway: Rc<Gateway>,
+    pub(super) worker: String,
+}
+
+impl Occupied {
+    fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
+        gateway.workers.borrow_mut().note_start(worker);
+        Self {
+            gateway: gateway.clone(),
+            worker: worker.to_owned(),
+        }
+    }
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.gateway.workers.borrow_mut().note_end(&self.worker);
+    }
+}
+
+/// The answer of a worker with the worker that it occupies.
+pub(super) struct RunningAnswer {
+    pub(super) answer: Answer,
+    pub(super) occupied: Occupied,
+}
+
+impl<'a> Call<'a> {
+    pub(super) fn new(
+        gateway: &'a Rc<Gateway>,
+        config: &'a ServingConfig,
+        route: &'a Route,
+        attributes: &'a CallAttributes,
+        request: CallerRequest,
+        deadline: Instant,
+    ) -> Self {
+        let service = gateway.splits.borrow_mut().next_service(route);
+        Self {
+            gateway,
+            config,
+            route,
+            attributes,
+            head: Rc::new(headers::outgoing_head(&request.head)),
+            body: request.body,
+            deadline,
+            received: request.received,
+            service: service.unwrap_or_default(),
+            lease: None,
+            history: AttemptHistory::default(),
+            first_event_due: Some(request.received),
+            tried: Vec::new(),
+            sending: false,
+        }
+    }
+
+    pub(super) fn route(&self) -> &Route {
+        self.route
+    }
+
+    /// Whether an attempt so far may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.sending || self.history.possibly_run > 0
+    }
+
+    /// Workers tried so far, for the log.
+    pub(super) fn tried_workers(&self) -> String {
+        self.tried.join(",")
+    }
+
+    /// Runs a request whose answer is passed on whole.
+    pub(super) async fn run_whole(&mut self, caller: &mut Caller<'_>) -> Result<(), CallError> {
+        loop {
+            let mut running = self.next_answer(None, None).await?;
+            match running.answer.whole_body(MAX_WHOLE_ANSWER).await {
+                Ok(body) => {
+                    self.note_success(&running.occupied.worker);
+                    drop(running.occupied);
+                    let head = &running.answer.head;
+                    let passed = headers::end_to_end(&head.headers);
+                    caller.send_whole(head.status, &passed, &body).await?;
+                    return Ok(());
+                }
+                Err(broken) => {
+                    let worker = running.occupied.worker.clone();
+                    self.log_failure(&worker, &broken.to_string());
+                    self.after_failure(&worker, AttemptFailure::Unknown)?;
+                }
+            }
+        }
+    }
+
+    /// The head of a valid answer, from whichever worker gives one. `preferred` is tried first.
+    pub(super) async fn next_answer(
+        &mut self,
+        last_event_id: Option<&str>,
+        mut preferred: Option<Target>,
+    ) -> Result<RunningAnswer, CallError> {
+        loop {
+            let target = match preferred.take() {
+                Some(target) => target,
+                None => self.choose()?,
+            };
+            let (failure, reason) = match self.attempt(&target, last_event_id).await {
+                Ok(running) if self.gateway.platform.was_not_run(&running.answer.head) => {
+                    let status = running.answer.head.status;
+                    self.note_refusal(&target.worker, status);
+                    let reason = format!("refused with {}", status.as_u16());
+                    (AttemptFailure::RefusedByWorker, reason)
+                }
+                Ok(running) => return Ok(running),
+                Err(ExchangeError::NotSent(reason)) => (AttemptFailure::NotSent, reason),
+                Err(ExchangeError::NoAnswer(reason)) => (AttemptFailure::Unknown, reason),
+            };
+            self.log_failure(&target.worker, &reason);
+            self.after_failure(&target.worker, failure)?;
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        target: &Target,
+        last_event_id: Option<&str>,
+    ) -> Result<RunningAnswer, ExchangeError> {
+        let occupied = Occupied::start(self.gateway, &target.worker);
+        if !self.tried.contains(&target.worker) {
+            self.tried.push(target.worker.clone());
+        }
+        let request = OutgoingRequest {
+            head: self.head.clone(),
+            body: self.body.clone(),
+            request_id: self.attributes.request_id.clone(),
+        };
+        let extra = self.worker_headers(target, last_event_id);
+        let context = ExchangeContext {
+            pool: &self.gateway.pool,
+            http: &self.gateway.http,
+            platform: &*self.gateway.platform,
+            connections_made: &self.gateway.metrics.worker_connections,
+        };
+        self.gateway.metrics.attempts.inc();
+        self.sending = true;
+        let answer = exchange(&context, target, &request, extra).await?;
+        Ok(RunningAnswer { answer, occupied })
+    }
+
+    fn worker_headers(&self, target: &Target, last_event_id: Option<&str>) -> HeaderMap {
+        let mut extra = HeaderMap::new();
+        let values = WorkerHeaders {
+            worker_id: &target.worker,
+            time_left: self.deadline.saturating_duration_since(Instant::now()),
+            priority: self.engine_priority(),
+            last_event_id,
+        };
+        self.gateway.platform.set_worker_headers(&mut extra, &values);
+        extra
+    }
+
+    /// Requests for engines carry the rank of their route.
+    fn engine_priority(&self) -> Option<u8> {
+        let service = self.config.service(&self.service)?;
+        service.engine.as_ref().map(|_| self.route.priority.min(9))
+    }
+
+    fn choose(&self) -> Result<Target, CallError> {
+        let query = PlacementQuery {
+            service: &self.service,
+            key: self.route.sticky.then(|| self.attributes.placement_key()).flatten(),
+            zone: self.gateway.settings.zone.as_str(),
+            tried: &self.tried,
+            spread: self.gateway.next_sequence(),
+        };
+        let workers = self.gateway.workers.borrow();
+        let Some(worker) = balancer::choose(&workers, &query, self.gateway.now()) else {
+            let step = self.history.give_up(self.route.is_repeatable());
+            return Err(CallError::Refused(refusal_for(step)));
+        };
+        Ok(Target {
+            worker: worker.record.id.clone(),
+            address: worker.record.address,
+        })
+    }
+
+    /// Notes a failed attempt; an error is the answer if there is to be no other attempt.
+    pub(super) fn after_failure(
+        &mut self,
+        worker: &str,
+        failure: AttemptFailure,
+    ) -> Result<(), CallError> {
+        self.sending = false;
+        self.gateway.metrics.attempts_failed.inc();
+        if failure != AttemptFailure::RefusedByWorker {
+            self.note_worker_failure(worker);
+        }
+        let repeatable = self.route.is_repeatable();
+        let step = self
+            .history
+            .after_failure(failure, repeatable, self.route.attempts);
+        match step {
+            NextStep::TryAgain => Ok(()),
+            step => Err(CallError::Refused(refusal_for(step))),
+        }
+    }
+
+    pub(super) fn note_worker_failure(&self, worker: &str) {
+        let now = self.gateway.now();
+        let ejected = self.gateway.workers.borrow_mut().note_failure(worker, now);
+        self.gateway.pool.forget(worker);
+        if ejected {
+            log::warn!(worker = worker; "worker left alone after failures in a row");
+        }
+    }
+
+    pub(super) fn note_success(&self, worker: &str) {
+        self.gateway.workers.borrow_mut().note_success(worker);
+    }
+
+    fn note_refusal(&self, worker: &str, status: actix_http::StatusCode) {
+        let now = self.gateway.now();
+        if status == actix_http::StatusCode::MISDIRECTED_REQUEST {
+            self.note_worker_failure(worker);
+        } else {
+            self.gateway.workers.borrow_mut().note_full(worker, now);
+        }
+    }
+
+    pub(super) fn log_failure(&self, worker: &str, reason: &str) {
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            worker = worker, reason = reason,
+            ms = self.received.elapsed().as_millis();
+            "attempt failed"
+        );
+    }
+}
+
+fn refusal_for(step: NextStep) -> Refusal {
+    match step {
+        NextStep::AnswerUnknown => Refusal::unknown("the worker gave no valid answer"),
+        NextStep::TryAgain | NextStep::AnswerNotRun => {
+            Refusal::not_run("no worker takes the request now")
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/mod.rs
@@ -0,0 +1,215 @@
+//! The way of one request: its route, its turn's leave, attempts at workers, its answer.
+
+mod attempts;
+mod headers;
+mod stream;
+mod turn;
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::StatusCode;
+use elderworks_gateway_core::call::CallAttributes;
+use elderworks_gateway_core::config::{Route, RouteKind, ServingConfig};
+
+use crate::caller::{Caller, Progress};
+use crate::gateway::Gateway;
+use crate::metrics::AnswerLabel;
+use crate::reply::Refusal;
+use crate::server::CallerRequest;
+
+use attempts::Call;
+
+/// Answers one request. An error means that the connection is of no further use.
+pub(crate) async fn answer(
+    gateway: &Rc<Gateway>,
+    caller: &mut Caller<'_>,
+    request: CallerRequest,
+) -> io::Result<()> {
+    let received = request.received;
+    let attributes = gateway.platform.call_attributes(&request.head.headers);
+    let mut trace = Trace::new(gateway, &attributes, received);
+    let result = route_and_run(gateway, caller, request, &attributes, &mut trace).await;
+    trace.finish(caller, result.as_ref().err());
+    result
+}
+
+async fn route_and_run(
+    gateway: &Rc<Gateway>,
+    caller: &mut Caller<'_>,
+    request: CallerRequest,
+    attributes: &CallAttributes,
+    trace: &mut Trace,
+) -> io::Result<()> {
+    let Some(config) = gateway.current_config() else {
+        let refusal = Refusal::not_run("no configuration is known yet");
+        return refuse(caller, trace, &refusal).await;
+    };
+    trace.config_version = config.version;
+    let route = match find_route(&config, &request) {
+        Ok(route) => route,
+        Err(refusal) => return refuse(caller, trace, &refusal).await,
+    };
+    trace.route.clone_from(&route.name);
+    let left = attributes
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = request.received + left;
+    let mut call = Call::new(gateway, &config, route, attributes, request, deadline);
+    let running = run(&mut call, caller, trace);
+    let timed = tokio::time::timeout_at(deadline.into(), running).await;
+    let result = match timed {
+        Ok(result) => result,
+        Err(_) => expire(&call, caller, trace).await,
+    };
+    trace.workers = call.tried_workers();
+    result
+}
+
+async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
+    if let Err(refusal) = call.begin_turn().await {
+        return refuse(caller, trace, &refusal).await;
+    }
+    let result = match call.route().kind {
+        RouteKind::Streaming => call.run_stream(caller).await,
+        RouteKind::Idempotent | RouteKind::Mutating => call.run_whole(caller).await,
+    };
+    match result {
+        Ok(()) => Ok(()),
+        Err(CallError::Refused(refusal)) => refuse(caller, trace, &refusal).await,
+        Err(CallError::Broken(reason)) => {
+            trace.outcome = reason;
+            Err(io::Error::other(reason))
+        }
+        Err(CallError::Caller(error)) => Err(error),
+    }
+}
+
+/// The time of a request is over.
+async fn expire(call: &Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
+    if caller.progress() != Progress::None {
+        trace.outcome = "time is over within the answer";
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    let refusal = if call.may_have_run() {
+        Refusal::timed_out("the time of the request is over")
+    } else {
+        Refusal::not_run("the time of the request is over; it was not run")
+    };
+    refuse(caller, trace, &refusal).await
+}
+
+/// Why a call has no answer of a worker.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// This is the answer.
+    Refused(Refusal),
+    /// Part of an answer was sent that cannot be finished: the connection must be closed.
+    Broken(&'static str),
+    /// The caller cannot be reached.
+    Caller(io::Error),
+}
+
+impl From<io::Error> for CallError {
+    fn from(error: io::Error) -> Self {
+        Self::Caller(error)
+    }
+}
+
+async fn refuse(
+    caller: &mut Caller<'_>,
+    trace: &mut Trace,
+    refusal: &Refusal,
+) -> io::Result<()> {
+    trace.outcome = refusal.reason;
+    caller.send_refusal(refusal).await
+}
+
+fn find_route<'a>(
+    config: &'a ServingConfig,
+    request: &CallerRequest,
+) -> Result<&'a Route, Refusal> {
+    let host = headers::host(&request.head).ok_or(Refusal::plain(
+        StatusCode::BAD_REQUEST,
+        "the request names no host",
+    ))?;
+    config
+        .route_for(&host, request.head.uri.path())
+        .ok_or(Refusal::plain(StatusCode::NOT_FOUND, "no such route"))
+}
+
+/// Collects what the log line of a request says.
+pub(crate) struct Trace {
+    gateway: Rc<Gateway>,
+    received: Instant,
+    request_id: String,
+    program: String,
+    pub(crate) config_version: u64,
+    pub(crate) route: String,
+    pub(crate) workers: String,
+    pub(crate) outcome: &'static str,
+    finished: bool,
+}
+
+/// Requests slower than this are logged with a warning.
+const SLOW: Duration = Duration::from_secs(2);
+
+impl Trace {
+    fn new(gateway: &Rc<Gateway>, attributes: &CallAttributes, received: Instant) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            received,
+            request_id: attributes.request_id.clone().unwrap_or_default(),
+            program: attributes.program.clone().unwrap_or_default(),
+            config_version: 0,
+            route: String::new(),
+            workers: String::new(),
+            outcome: "answered",
+            finished: false,
+        }
+    }
+
+    fn finish(&mut self, caller: &Caller<'_>, error: Option<&io::Error>) {
+        self.finished = true;
+        if let Some(error) = error
+            && self.outcome == "answered"
+        {
+            log::info!(request = self.request_id.as_str(), error = error.to_string().as_str(); "caller lost");
+            self.outcome = "caller lost";
+        }
+        let whole = caller.progress() == Progress::Done;
+        let status = caller.status().map_or(0, |status| status.as_u16());
+        self.write(status, whole);
+    }
+
+    fn write(&self, status: u16, whole: bool) {
+        self.gateway
+            .metrics
+            .answers
+            .get_or_create(&AnswerLabel { status })
+            .inc();
+        let milliseconds = self.received.elapsed().as_millis();
+        let level = if self.received.elapsed() > SLOW || status >= 500 {
+            log::Level::Warn
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level,
+            request = self.request_id.as_str(), program = self.program.as_str(),
+            route = self.route.as_str(), config = self.config_version,
+            workers = self.workers.as_str(), status = status, whole = whole,
+            ms = milliseconds; "{}", self.outcome
+        );
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.outcome = "caller left";
+            self.write(0, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/stream.rs
@@ -0,0 +1,212 @@
+//! Passes a worker's stream of events on, and goes on with it at a worker if it breaks off.
+
+use actix_http::header::CONTENT_TYPE;
+use bytes::{BufMut, BytesMut};
+use elderworks_gateway_core::attempt::AttemptFailure;
+use elderworks_gateway_core::events::EventSplitter;
+use elderworks_protocol::ledger::KeptTurn;
+
+use super::attempts::{Call, RunningAnswer};
+use super::{CallError, headers};
+use crate::caller::{Caller, Progress};
+use crate::upstream::Target;
+
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// A stream is taken up again at most this often.
+const MAX_RESUMPTIONS: u32 = 3;
+
+/// Largest answer that is no stream, in bytes.
+const MAX_OTHER_ANSWER: usize = 1024 * 1024;
+
+/// What has been passed on of a stream.
+#[derive(Debug, Default)]
+struct Passed {
+    last_event_id: Option<String>,
+    resumptions: u32,
+    /// Data of the events so far with a line feed behind each, if the turn is to be kept.
+    output: BytesMut,
+}
+
+/// How a worker's part of a stream ended.
+enum PartEnd {
+    /// The stream is whole.
+    Whole,
+    /// It broke off.
+    Broken(String),
+}
+
+impl Call<'_> {
+    /// Runs a request whose answer is a stream.
+    pub(super) async fn run_stream(&mut self, caller: &mut Caller<'_>) -> Result<(), CallError> {
+        let mut passed = Passed {
+            last_event_id: self.attributes.last_event_id.clone(),
+            ..Passed::default()
+        };
+        let mut preferred = None;
+        loop {
+            let last_event_id = passed.last_event_id.clone();
+            let mut running = self
+                .next_answer(last_event_id.as_deref(), preferred.take())
+                .await
+                .map_err(|error| once_streaming(caller, error))?;
+            if !is_event_stream(&running) {
+                return self.pass_other_answer(caller, running).await;
+            }
+            if caller.progress() == Progress::None {
+                let head = &running.answer.head;
+                let passed_headers = headers::end_to_end(&head.headers);
+                caller.start_stream(head.status, &passed_headers).await?;
+            }
+            match self.pass_events(caller, &mut running, &mut passed).await? {
+                PartEnd::Whole => {
+                    self.note_success(&running.occupied.worker);
+                    drop(running);
+                    return self.end_stream(caller, passed).await;
+                }
+                PartEnd::Broken(reason) => {
+                    let worker = running.occupied.worker.clone();
+                    drop(running);
+                    self.log_failure(&worker, &reason);
+                    preferred = self.plan_resumption(&worker, &mut passed)?;
+                }
+            }
+        }
+    }
+
+    async fn pass_events(
+        &mut self,
+        caller: &mut Caller<'_>,
+        running: &mut RunningAnswer,
+        passed: &mut Passed,
+    ) -> Result<PartEnd, CallError> {
+        let keeps_output = self.route.keeps_turns;
+        let mut splitter = EventSplitter::default();
+        loop {
+            let piece = match running.answer.next_piece().await {
+                Ok(Some(piece)) => piece,
+                Ok(None) if splitter.pending_bytes() == 0 => return Ok(PartEnd::Whole),
+                Ok(None) => return Ok(PartEnd::Broken("stream ends within an event".to_owned())),
+                Err(broken) => return Ok(PartEnd::Broken(broken.to_string())),
+            };
+            splitter.push(&piece);
+            let mut any = false;
+            while let Some(event) = splitter.next_event() {
+                any = true;
+                if event.id.is_some() {
+                    passed.last_event_id = event.id;
+                }
+                if keeps_output {
+                    passed.output.extend_from_slice(&event.data);
+                    passed.output.put_u8(b'\n');
+                }
+                if let Some(lease) = &mut self.lease {
+                    lease.note_event();
+                }
+                caller.push_piece(event.raw)?;
+            }
+            if any {
+                self.note_first_event();
+                caller.flush().await?;
+            }
+        }
+    }
+
+    /// The worker at which a broken stream goes on: the same one, which holds the prompt and keeps
+    /// within the route's attempts, unless it is gone.
+    fn plan_resumption(
+        &mut self,
+        worker: &str,
+        passed: &mut Passed,
+    ) -> Result<Option<Target>, CallError> {
+        if !self.route.resumable || passed.resumptions >= MAX_RESUMPTIONS {
+            return Err(CallError::Broken("the worker's stream broke off"));
+        }
+        passed.resumptions += 1;
+        self.gateway.metrics.streams_resumed.inc();
+        self.gateway.pool.forget(worker);
+        let workers = self.gateway.workers.borrow();
+        let same = workers
+            .get(worker)
+            .filter(|known| !known.record.draining)
+            .map(|known| Target {
+                worker: worker.to_owned(),
+                address: known.record.address,
+            });
+        Ok(same)
+    }
+
+    async fn end_stream(
+        &mut self,
+        caller: &mut Caller<'_>,
+        passed: Passed,
+    ) -> Result<(), CallError> {
+        if let Some(lease) = &mut self.lease {
+            let kept = self.route.keeps_turns.then(|| KeptTurn {
+                previous: self.attributes.previous_turn.clone(),
+                input: lease.input(),
+                output: passed.output.freeze(),
+            });
+            if !lease.finish(kept).await {
+                return Err(CallError::Broken("the end of the turn is not durable"));
+            }
+        }
+        caller.end_stream().await?;
+        Ok(())
+    }
+
+    /// An answer that is no stream: a failure, as the worker gave it.
+    async fn pass_other_answer(
+        &mut self,
+        caller: &mut Caller<'_>,
+        mut running: RunningAnswer,
+    ) -> Result<(), CallError> {
+        if caller.progress() != Progress::None {
+            return Err(CallError::Broken("the stream could not be taken up again"));
+        }
+        let body = match running.answer.whole_body(MAX_OTHER_ANSWER).await {
+            Ok(body) => body,
+            Err(broken) => {
+                let worker = running.occupied.worker.clone();
+                self.log_failure(&worker, &broken.to_string());
+                self.history.after_failure(AttemptFailure::Unknown, false, 1);
+                let reason = "the worker's answer broke off";
+                return Err(CallError::Refused(crate::reply::Refusal::unknown(reason)));
+            }
+        };
+        let head = &running.answer.head;
+        let passed_headers = headers::end_to_end(&head.headers);
+        caller.send_whole(head.status, &passed_headers, &body).await?;
+        Ok(())
+    }
+
+    fn note_first_event(&mut self) {
+        if let Some(received) = self.first_event_due.take() {
+            self.gateway
+                .metrics
+                .first_event_seconds
+                .observe(received.elapsed().as_secs_f64());
+        }
+    }
+}
+
+/// Once the head of a stream was sent, no other answer can be given.
+fn once_streaming(caller: &Caller<'_>, error: CallError) -> CallError {
+    match error {
+        CallError::Refused(_) if caller.progress() != Progress::None => {
+            CallError::Broken("the stream could not be taken up again")
+        }
+        error => error,
+    }
+}
+
+fn is_event_stream(running: &RunningAnswer) -> bool {
+    let head = &running.answer.head;
+    let media_type = head
+        .headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    head.status.is_success() && media_type.starts_with(EVENT_STREAM)
+}
--- /dev/null
+++ b/crates/gateway/src/forward/turn.rs
@@ -0,0 +1,190 @@
+//! A turn's leave from the ledger, and its return.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use bytes::{Bytes, BytesMut};
+use elderworks_gateway_core::ledger::partition_of;
+use elderworks_protocol::ledger::{
+    BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest,
+};
+use elderworks_types::PartitionId;
+
+use super::attempts::Call;
+use crate::gateway::Gateway;
+use crate::ledger;
+use crate::reply::Refusal;
+
+/// Times that the end of a turn is reported before it is given up.
+const FINISH_TRIES: u32 = 12;
+
+/// Pause between two reports.
+const FINISH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Leave to run a turn. Dropped before its end, it settles what was generated so far.
+pub(super) struct TurnLease {
+    gateway: Rc<Gateway>,
+    partition: PartitionId,
+    program: String,
+    turn: String,
+    tokens_per_event: u64,
+    used: u64,
+    input: Bytes,
+    returned: bool,
+}
+
+impl TurnLease {
+    /// Notes that an event goes to the caller.
+    pub(super) fn note_event(&mut self) {
+        self.used += self.tokens_per_event;
+    }
+
+    /// The turn's own input.
+    pub(super) fn input(&self) -> Bytes {
+        self.input.clone()
+    }
+
+    /// Reports the end of a whole turn. A turn to be kept waits until that is durable; tells
+    /// whether it is.
+    pub(super) async fn finish(&mut self, kept: Option<KeptTurn>) -> bool {
+        let Some(content) = kept else {
+            return true;
+        };
+        let request = LedgerRequest::Finish(FinishTurn {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            used: self.used,
+            kept: Some(content),
+        });
+        let finished = report_end(&self.gateway, self.partition, request).await;
+        self.returned |= finished;
+        finished
+    }
+}
+
+impl Drop for TurnLease {
+    fn drop(&mut self) {
+        if self.returned {
+            return;
+        }
+        let request = LedgerRequest::Finish(FinishTurn {
+            program: std::mem::take(&mut self.program),
+            turn: std::mem::take(&mut self.turn),
+            used: self.used,
+            kept: None,
+        });
+        let gateway = self.gateway.clone();
+        let partition = self.partition;
+        actix_rt::spawn(async move {
+            // If it is never durable, the turn counts at its most.
+            report_end(&gateway, partition, request).await;
+        });
+    }
+}
+
+async fn report_end(gateway: &Rc<Gateway>, partition: PartitionId, request: LedgerRequest) -> bool {
+    for _ in 0..FINISH_TRIES {
+        let reply = ledger::request(gateway, partition, request.clone()).await;
+        if reply == LedgerReply::Finished {
+            return true;
+        }
+        actix_rt::time::sleep(FINISH_PAUSE).await;
+    }
+    false
+}
+
+impl Call<'_> {
+    /// Obtains leave for a turn of a program; other requests need none.
+    pub(super) async fn begin_turn(&mut self) -> Result<(), Refusal> {
+        let needs_leave = self.route.keeps_turns || self.attributes.token_budget.is_some();
+        let (Some(program), Some(turn)) =
+            (&self.attributes.program, &self.attributes.request_id)
+        else {
+            return Ok(());
+        };
+        if !needs_leave || !self.is_turn() {
+            return Ok(());
+        }
+        let partition = partition_of(program, self.gateway.settings.partitions);
+        let previous = self.attributes.previous_turn.clone();
+        let begin = BeginTurn {
+            program: program.clone(),
+            turn: turn.clone(),
+            budget: self.attributes.token_budget,
+            tokens: self.attributes.most_tokens,
+            previous: previous.filter(|_| self.route.keeps_turns),
+            imported: None,
+        };
+        let input = self.body.clone().unwrap_or_default();
+        let lease = TurnLease {
+            gateway: self.gateway.clone(),
+            partition,
+            program: program.clone(),
+            turn: turn.clone(),
+            tokens_per_event: self.tokens_per_event(),
+            used: 0,
+            input: input.clone(),
+            returned: false,
+        };
+        let conversation = self.obtain_leave(lease, partition, begin).await?;
+        if !conversation.is_empty() {
+            let mut whole = BytesMut::with_capacity(conversation.len() + input.len());
+            whole.extend_from_slice(&conversation);
+            whole.extend_from_slice(&input);
+            self.body = Some(whole.freeze());
+        }
+        Ok(())
+    }
+
+    fn is_turn(&self) -> bool {
+        self.route.kind == elderworks_gateway_core::config::RouteKind::Streaming
+    }
+
+    fn tokens_per_event(&self) -> u64 {
+        self.config
+            .service(&self.service)
+            .and_then(|service| service.engine.as_ref())
+            .map_or(1, |engine| u64::from(engine.tokens_per_event))
+    }
+
+    /// Asks the turn's partition, and, for a conversation that it does not keep, all others.
+    async fn obtain_leave(
+        &mut self,
+        mut lease: TurnLease,
+        partition: PartitionId,
+        mut begin: BeginTurn,
+    ) -> Result<Bytes, Refusal> {
+        let request = LedgerRequest::Begin(begin.clone());
+        let mut reply = ledger::request(self.gateway, partition, request).await;
+        if reply == LedgerReply::UnknownTurn
+            && let Some(previous) = begin.previous.clone()
+        {
+            match ledger::find_conversation(self.gateway, partition, &previous).await {
+                LedgerReply::Conversation { conversation } => {
+                    begin.imported = Some(conversation);
+                    let request = LedgerRequest::Begin(begin);
+                    reply = ledger::request(self.gateway, partition, request).await;
+                }
+                other => reply = other,
+            }
+        }
+        match reply {
+            LedgerReply::Granted { conversation } => {
+                self.lease = Some(lease);
+                Ok(conversation)
+            }
+            LedgerReply::BudgetSpent => {
+                lease.returned = true;
+                let status = StatusCode::PAYMENT_REQUIRED;
+                Err(Refusal::plain(status, "the program's budget is spent"))
+            }
+            LedgerReply::UnknownTurn => {
+                lease.returned = true;
+                Err(Refusal::plain(StatusCode::NOT_FOUND, "no such turn is kept"))
+            }
+            // The lease settles a reservation that was made nevertheless.
+            _ => Err(Refusal::not_run("the program's ledger cannot be asked now")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,111 @@
+//! What the tasks of one gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use actix_http::ServiceConfig;
+use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
+use elderworks_gateway_core::nodes::NodeDirectory;
+use elderworks_gateway_core::split::SplitState;
+use elderworks_gateway_core::workers::WorkerDirectory;
+use elderworks_types::Timestamp;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::ledger::Ledger;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::ports::Platform;
+use crate::settings::GatewaySettings;
+use crate::upstream::Pool;
+
+/// Stages of a process's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stage {
+    /// Takes requests.
+    Serving,
+    /// Leaving: finishes requests, keeps no connection.
+    Draining,
+    /// Takes no new connection and closes those at rest.
+    Closing,
+}
+
+/// Shared by all tasks of the process; they run on one thread.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) platform: Rc<dyn Platform>,
+    pub(crate) clock: Clock,
+    pub(crate) http: ServiceConfig,
+    pub(crate) config: RefCell<ActiveConfig>,
+    pub(crate) workers: RefCell<WorkerDirectory>,
+    pub(crate) nodes: RefCell<NodeDirectory>,
+    pub(crate) splits: RefCell<SplitState>,
+    pub(crate) peers: Peers,
+    pub(crate) pool: Rc<Pool>,
+    pub(crate) ledger: Ledger,
+    pub(crate) metrics: Metrics,
+    pub(crate) stage: watch::Sender<Stage>,
+    /// Requests under way.
+    pub(crate) in_flight: Cell<u32>,
+    /// Set once the list of workers was read.
+    pub(crate) workers_read: Cell<bool>,
+    /// Set once the node's own entry was written and peers were asked for theirs.
+    pub(crate) joined: Cell<bool>,
+    sequence: Cell<u64>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub(crate) fn new(settings: GatewaySettings, platform: Rc<dyn Platform>) -> Rc<Self> {
+        let (stage, _) = watch::channel(Stage::Serving);
+        Rc::new(Self {
+            peers: Peers::new(&settings),
+            ledger: Ledger::new(settings.partitions),
+            settings,
+            platform,
+            clock: Clock::start(),
+            http: ServiceConfig::default(),
+            config: RefCell::default(),
+            workers: RefCell::default(),
+            nodes: RefCell::default(),
+            splits: RefCell::new(SplitState::new(rand::random())),
+            pool: Rc::default(),
+            metrics: Metrics::new(),
+            stage,
+            in_flight: Cell::new(0),
+            workers_read: Cell::new(false),
+            joined: Cell::new(false),
+            sequence: Cell::new(0),
+        })
+    }
+
+    /// The present time.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn current_config(&self) -> Option<Rc<ServingConfig>> {
+        self.config.borrow().current().cloned()
+    }
+
+    /// The present stage.
+    pub(crate) fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving
+            && self.joined.get()
+            && self.workers_read.get()
+            && self.config.borrow().current().is_some()
+    }
+
+    /// A number that no other caller of this function gets.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        let number = self.sequence.get() + 1;
+        self.sequence.set(number);
+        number
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The callers' gateway: a driver around `elderworks-gateway-core`.
+//!
+//! Every task runs on one thread and shares one [`gateway::Gateway`]. Bytes become typed calls and
+//! decisions become bytes here; what the platform calls things is known only to the adapter behind
+//! [`ports::Platform`].
+
+mod buffered;
+mod caller;
+mod clock;
+mod entry;
+mod forward;
+mod gateway;
+mod ledger;
+mod log_output;
+mod metrics;
+mod peers;
+pub mod ports;
+mod process;
+mod reply;
+mod server;
+pub mod settings;
+mod socket;
+mod upstream;
+mod watch;
+
+pub use log_output::LogOutput;
+pub use process::{Reload, run};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Counters and histograms of a gateway, in the usual text form.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Label of answered requests.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct AnswerLabel {
+    /// Status of the answer; 0 if the connection was closed without one.
+    pub(crate) status: u16,
+}
+
+/// Label of calls to the platform's log.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct LogCallLabel {
+    /// What was called.
+    pub(crate) call: &'static str,
+    /// How it ended.
+    pub(crate) outcome: &'static str,
+}
+
+/// Everything that a gateway counts.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) answers: Family<AnswerLabel, Counter>,
+    pub(crate) request_seconds: Histogram,
+    pub(crate) first_event_seconds: Histogram,
+    pub(crate) attempts: Counter,
+    pub(crate) attempts_failed: Counter,
+    pub(crate) streams_resumed: Counter,
+    pub(crate) caller_left: Counter,
+    pub(crate) worker_connections: Counter,
+    pub(crate) ledger_conflicts: Counter,
+    pub(crate) ledger_forwarded: Counter,
+    pub(crate) log_calls: Family<LogCallLabel, Counter>,
+    pub(crate) log_lines_dropped: Gauge,
+    pub(crate) in_flight: Gauge,
+    pub(crate) workers: Gauge,
+    pub(crate) config_version: Gauge,
+}
+
+/// Upper bound of the first bucket in seconds; each further one is twice as large.
+const FIRST_BUCKET: f64 = 0.001;
+
+/// Buckets up to about 16 seconds.
+const BUCKETS: u16 = 15;
+
+impl Metrics {
+    /// Registers everything.
+    pub(crate) fn new() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("elderworks_gateway"),
+            answers: Family::default(),
+            request_seconds: histogram(),
+            first_event_seconds: histogram(),
+            attempts: Counter::default(),
+            attempts_failed: Counter::default(),
+            streams_resumed: Counter::default(),
+            caller_left: Counter::default(),
+            worker_connections: Counter::default(),
+            ledger_conflicts: Counter::default(),
+            ledger_forwarded: Counter::default(),
+            log_calls: Family::default(),
+            log_lines_dropped: Gauge::default(),
+            in_flight: Gauge::default(),
+            workers: Gauge::default(),
+            config_version: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// The text shown to whoever asks.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("answers", "Requests by status of their answer", self.answers.clone());
+        registry.register(
+            "request_seconds",
+            "Time from a request's head to the end of its answer",
+            self.request_seconds.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time from a request's head to the first event of its stream",
+            self.first_event_seconds.clone(),
+        );
+        registry.register("attempts", "Attempts at workers", self.attempts.clone());
+        registry.register(
+            "attempts_failed",
+            "Attempts without a valid answer",
+            self.attempts_failed.clone(),
+        );
+        registry.register(
+            "streams_resumed",
+            "Streams that a further attempt went on with",
+            self.streams_resumed.clone(),
+        );
+        registry.register(
+            "caller_left",
+            "Requests whose caller closed the connection first",
+            self.caller_left.clone(),
+        );
+        registry.register(
+            "worker_connections",
+            "Connections made to workers",
+            self.worker_connections.clone(),
+        );
+        registry.register(
+            "ledger_conflicts",
+            "Appends to a partition that another node had appended to",
+            self.ledger_conflicts.clone(),
+        );
+        registry.register(
+            "ledger_forwarded",
+            "Ledger requests sent to other nodes",
+            self.ledger_forwarded.clone(),
+        );
+        registry.register(
+            "log_calls",
+            "Calls to the platform's log by call and outcome",
+            self.log_calls.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped because the output was not read",
+            self.log_lines_dropped.clone(),
+        );
+        registry.register("in_flight", "Requests under way", self.in_flight.clone());
+        registry.register("workers", "Workers known", self.workers.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ports.rs
@@ -0,0 +1,145 @@
+//! What the gateway needs of the platform that it runs on. An adapter translates.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, ResponseHead, Uri};
+use bytes::Bytes;
+use elderworks_gateway_core::call::CallAttributes;
+use elderworks_gateway_core::config::ServingConfig;
+use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::workers::WorkerRecord;
+use elderworks_types::Offset;
+use futures_util::future::LocalBoxFuture;
+
+/// Why a call to the platform's log failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Nothing was done.
+    #[error("the log refused the call: {0}")]
+    Unavailable(String),
+    /// No answer came: the call may have been carried out, or may be later.
+    #[error("no answer from the log: {0}")]
+    Unknown(String),
+    /// The stream does not end where the caller said; nothing was done.
+    #[error("the stream ends at {end}")]
+    Conflict {
+        /// Where it ends.
+        end: Offset,
+    },
+    /// Records at the asked offset are no longer kept.
+    #[error("records before {first} are gone")]
+    Gone {
+        /// The first offset kept.
+        first: Offset,
+    },
+}
+
+/// Records read from one stream.
+#[derive(Clone, Debug, Default)]
+pub struct ReadBatch {
+    /// In order, from the asked offset on.
+    pub records: Vec<StreamRecord>,
+    /// Where the stream ended.
+    pub end: Offset,
+}
+
+/// One record of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// Its position.
+    pub offset: Offset,
+    /// Its key, in streams that have keys.
+    pub key: Option<String>,
+    /// Its content; empty in a keyed stream if the key was dropped.
+    pub value: Bytes,
+}
+
+/// A published entry that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct FormatError(pub String);
+
+/// Headers that the gateway adds to a request for a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerHeaders<'a> {
+    /// The worker that must be the one to answer.
+    pub worker_id: &'a str,
+    /// Time left to the request.
+    pub time_left: Duration,
+    /// Rank among the requests that wait at an engine; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Last event passed on, if the request goes on with a stream.
+    pub last_event_id: Option<&'a str>,
+}
+
+/// A call to the gateway's own addresses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryCall {
+    /// Is this node ready?
+    Ready,
+    /// Which nodes take requests?
+    Resolve {
+        /// Zone of the asker.
+        zone: Option<String>,
+    },
+    /// Nothing that this system answers.
+    Unknown,
+}
+
+/// The platform as the gateway sees it.
+pub trait Platform {
+    /// Appends records, all or none; with `at`, only if the stream ends there. Returns the offset
+    /// of the first.
+    fn append(
+        &self,
+        stream: Stream,
+        at: Option<Offset>,
+        records: Vec<Bytes>,
+    ) -> LocalBoxFuture<'_, Result<Offset, StoreError>>;
+
+    /// Writes the newest value of a key in a keyed stream. Returns the record's offset.
+    fn put<'a>(
+        &'a self,
+        stream: Stream,
+        key: &'a str,
+        value: Bytes,
+    ) -> LocalBoxFuture<'a, Result<Offset, StoreError>>;
+
+    /// Reads records from an offset on, waiting for one to come for up to `wait`.
+    fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>>;
+
+    /// Reads the newest record of each key, and where the stream ended before that.
+    fn newest(&self, stream: Stream) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>>;
+
+    /// The configuration that a record of [`Stream::Configuration`] publishes; `None` for records
+    /// of other things.
+    fn configuration(&self, record: &StreamRecord) -> Result<Option<ServingConfig>, FormatError>;
+
+    /// The worker that a record of [`Stream::Workers`] describes.
+    fn worker(&self, record: &StreamRecord) -> Result<WorkerRecord, FormatError>;
+
+    /// What a request's headers say of it.
+    fn call_attributes(&self, headers: &HeaderMap) -> CallAttributes;
+
+    /// Sets the headers that a request for a worker bears beyond those of the caller.
+    fn set_worker_headers(&self, headers: &mut HeaderMap, values: &WorkerHeaders<'_>);
+
+    /// Whether an answer says that the worker did not run the request.
+    fn was_not_run(&self, answer: &ResponseHead) -> bool;
+
+    /// The request id that an answer bears.
+    fn answered_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+
+    /// What a call to one of the gateway's own addresses asks.
+    fn entry_call(&self, method: &Method, uri: &Uri) -> EntryCall;
+
+    /// Body of the answer to [`EntryCall::Resolve`]; JSON.
+    fn resolve_answer(&self, addresses: &[SocketAddr], valid_for: Duration) -> Bytes;
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,178 @@
+//! A gateway process from its start to its end.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::nodes::NodeRecord;
+use elderworks_protocol::encode;
+use elderworks_types::Incarnation;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::entry::{self, Entry};
+use crate::gateway::{Gateway, Stage};
+use crate::ports::Platform;
+use crate::settings::GatewaySettings;
+use crate::{peers, server, socket, watch};
+
+/// Pause between attempts to write the node's entry.
+const JOIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Kept back from the time until the process is killed.
+const GRACE_RESERVE: Duration = Duration::from_millis(1_300);
+
+/// A draining node takes connections at least this long: callers hold on to their addresses.
+const SHORTEST_DRAIN: Duration = Duration::from_millis(4_500);
+
+/// Interval at which a draining node looks whether it is done.
+const DRAIN_CHECK: Duration = Duration::from_millis(100);
+
+/// Reads settings anew; what has changed is logged by its reader.
+pub type Reload = Box<dyn Fn() -> eyre::Result<GatewaySettings>>;
+
+/// Runs a gateway until it is told to stop and has finished.
+pub async fn run(
+    settings: GatewaySettings,
+    platform: Rc<dyn Platform>,
+    reload: Reload,
+) -> eyre::Result<()> {
+    log::info!(
+        node = settings.node.as_str(), zone = settings.zone.as_str(),
+        partitions = settings.partitions;
+        "starting"
+    );
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let gateway = Gateway::new(settings, platform);
+    let gossip_socket = start_tasks(&gateway)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hang_up.recv() => note_reload(&gateway, &reload),
+        }
+    }
+    drain(&gateway, &gossip_socket).await;
+    log::info!(in_flight = gateway.in_flight.get(); "stopped");
+    Ok(())
+}
+
+fn start_tasks(gateway: &Rc<Gateway>) -> eyre::Result<Rc<UdpSocket>> {
+    let settings = &gateway.settings;
+    let gossip_socket = std::net::UdpSocket::bind(settings.peers)?;
+    gossip_socket.set_nonblocking(true)?;
+    let gossip_socket = Rc::new(UdpSocket::from_std(gossip_socket)?);
+    let peer_listener = socket::listen(settings.peers)?;
+    actix_rt::spawn(peers::accept_peers(gateway.clone(), peer_listener));
+    for address in [settings.readiness, settings.registry].into_iter().flatten() {
+        let listener = socket::listen(address)?;
+        actix_rt::spawn(entry::accept(gateway.clone(), listener, Entry::Platform));
+    }
+    if let Some(address) = settings.metrics {
+        let listener = socket::listen(address)?;
+        actix_rt::spawn(entry::accept(gateway.clone(), listener, Entry::Metrics));
+    }
+    if let Some(address) = settings.callers {
+        let listener = socket::listen(address)?;
+        actix_rt::spawn(server::accept_callers(gateway.clone(), listener));
+    }
+    actix_rt::spawn(watch::follow_configuration(gateway.clone()));
+    actix_rt::spawn(watch::follow_workers(gateway.clone()));
+    actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
+    Ok(gossip_socket)
+}
+
+/// Writes the node's entry, whose position is its incarnation, and then follows the others.
+async fn join(gateway: Rc<Gateway>, gossip_socket: Rc<UdpSocket>) {
+    let incarnation = loop {
+        match put_entry(&gateway, false).await {
+            Ok(incarnation) => break incarnation,
+            Err(error) => {
+                log::warn!(error = error.as_str(); "the node's entry cannot be written yet");
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+            }
+        }
+    };
+    actix_rt::spawn(watch::follow_nodes(gateway.clone()));
+    let seeds = loop {
+        match gateway.platform.newest(Stream::Nodes).await {
+            Ok(newest) => break newest,
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+            }
+        }
+    };
+    let seeds = seeds
+        .records
+        .iter()
+        .filter_map(|record| elderworks_protocol::decode::<NodeRecord>(&record.value).ok())
+        .map(|record| record.peer_address)
+        .filter(|address| *address != gateway.settings.peers)
+        .collect();
+    gateway.peers.join(&gateway.settings, incarnation, seeds);
+    gateway.joined.set(true);
+    log::info!(incarnation = incarnation.0; "joined");
+    peers::gossip(gateway, gossip_socket).await;
+}
+
+async fn put_entry(gateway: &Gateway, draining: bool) -> Result<Incarnation, String> {
+    let settings = &gateway.settings;
+    let record = NodeRecord {
+        callers_address: settings.callers.unwrap_or(settings.peers),
+        peer_address: settings.peers,
+        zone: settings.zone.as_str().to_owned(),
+        region: settings.region.clone(),
+        draining,
+    };
+    let value = encode(&record).into();
+    let offset = gateway
+        .platform
+        .put(Stream::Nodes, settings.node.as_str(), value)
+        .await
+        .map_err(|error| error.to_string())?;
+    Ok(Incarnation(offset.0))
+}
+
+/// Finishes what is under way and lets callers move on to other nodes.
+async fn drain(gateway: &Rc<Gateway>, gossip_socket: &UdpSocket) {
+    let started = Instant::now();
+    log::info!(in_flight = gateway.in_flight.get(); "draining");
+    gateway.stage.send_replace(Stage::Draining);
+    gateway.peers.drain(gateway, gossip_socket);
+    let telling = gateway.clone();
+    actix_rt::spawn(async move {
+        if let Err(error) = put_entry(&telling, true).await {
+            log::warn!(error = error.as_str(); "the others were not told of the drain");
+        }
+    });
+    let longest = gateway.settings.grace.saturating_sub(GRACE_RESERVE);
+    let shortest = SHORTEST_DRAIN.min(longest);
+    while started.elapsed() < longest {
+        let idle = gateway.in_flight.get() == 0;
+        if idle && started.elapsed() >= shortest {
+            break;
+        }
+        actix_rt::time::sleep(DRAIN_CHECK).await;
+    }
+    gateway.stage.send_replace(Stage::Closing);
+    while started.elapsed() + DRAIN_CHECK * 2 < gateway.settings.grace
+        && gateway.in_flight.get() > 0
+    {
+        actix_rt::time::sleep(DRAIN_CHECK).await;
+    }
+}
+
+fn note_reload(gateway: &Gateway, reload: &Reload) {
+    match reload() {
+        Ok(settings) if settings == gateway.settings => {
+            log::info!("settings read anew: nothing has changed");
+        }
+        Ok(_) => log::warn!("settings have changed; they take effect at the next start"),
+        Err(error) => {
+            log::error!(error = error.to_string().as_str(); "settings cannot be read anew; the old ones stay");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,306 @@
+//! Callers' connections: reads requests, has each one answered, keeps the connection or closes it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::header::{EXPECT, HeaderMap};
+use actix_http::{RequestHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use elderworks_gateway_core::config::RequestLimits;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Decoder;
+
+use crate::buffered::{self, Receiver, Sender};
+use crate::caller::{Caller, Progress};
+use crate::forward;
+use crate::gateway::{Gateway, Stage};
+use crate::reply::Refusal;
+use crate::socket;
+
+/// Longest silence within a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long bytes of a refused request are read before the connection is closed.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// One request of a caller, read whole.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    /// Method, path and headers.
+    pub(crate) head: RequestHead,
+    /// The body; absent if the request has none.
+    pub(crate) body: Option<Bytes>,
+    /// When its head was read.
+    pub(crate) received: Instant,
+}
+
+/// Accepts callers until the node closes.
+pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    let mut stage = gateway.stage.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let gateway = gateway.clone();
+                actix_rt::spawn(async move { serve(&gateway, stream).await });
+            }
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "accepting a caller failed");
+                actix_rt::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+/// Why no further request is read from a connection.
+pub(crate) enum ReadEnd {
+    /// The caller closed, or the connection rested for too long.
+    Quiet,
+    /// The request cannot be taken; this is the answer.
+    Refuse(Refusal),
+}
+
+/// A connection from which requests are read one after the other.
+pub(crate) struct RequestReader {
+    pub(crate) codec: Codec,
+    pub(crate) receiver: Receiver,
+    pub(crate) sender: Sender,
+}
+
+impl RequestReader {
+    /// Takes a connection over.
+    pub(crate) fn new(gateway: &Gateway, stream: TcpStream) -> Self {
+        let (receiver, sender) = buffered::split(stream);
+        Self {
+            codec: Codec::new(gateway.http.clone()),
+            receiver,
+            sender,
+        }
+    }
+
+    /// The next request, read whole.
+    pub(crate) async fn next(&mut self, gateway: &Rc<Gateway>) -> Result<CallerRequest, ReadEnd> {
+        let limits = request_limits(gateway);
+        let Self {
+            codec,
+            receiver,
+            sender,
+        } = self;
+        read_request(gateway, codec, receiver, sender, &limits).await
+    }
+}
+
+async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) {
+    socket::prepare(&stream);
+    let mut reader = RequestReader::new(gateway, stream);
+    loop {
+        match reader.next(gateway).await {
+            Ok(request) => {
+                if !answer(gateway, &mut reader, request).await {
+                    break;
+                }
+            }
+            Err(ReadEnd::Quiet) => break,
+            Err(ReadEnd::Refuse(refusal)) => {
+                let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, true);
+                // The caller may be gone already.
+                let _ = caller.send_refusal(&refusal).await;
+                reader.sender.shut_down().await;
+                linger(&mut reader.receiver).await;
+                return;
+            }
+        }
+    }
+    reader.sender.shut_down().await;
+}
+
+fn request_limits(gateway: &Gateway) -> RequestLimits {
+    gateway
+        .current_config()
+        .map(|config| config.limits.clone())
+        .unwrap_or_default()
+}
+
+/// Has a request answered; tells whether the connection stays.
+async fn answer(
+    gateway: &Rc<Gateway>,
+    reader: &mut RequestReader,
+    request: CallerRequest,
+) -> bool {
+    let RequestReader {
+        codec,
+        receiver,
+        sender,
+    } = reader;
+    let closing = gateway.stage() != Stage::Serving;
+    let received = request.received;
+    gateway.in_flight.set(gateway.in_flight.get() + 1);
+    gateway.metrics.in_flight.inc();
+    let mut caller = Caller::new(codec, sender, closing);
+    let answered = tokio::select! {
+        biased;
+        answered = forward::answer(gateway, &mut caller, request) => answered.is_ok(),
+        () = receiver.closed() => {
+            gateway.metrics.caller_left.inc();
+            false
+        }
+    };
+    let whole = caller.progress() == Progress::Done;
+    gateway.in_flight.set(gateway.in_flight.get() - 1);
+    gateway.metrics.in_flight.dec();
+    gateway
+        .metrics
+        .request_seconds
+        .observe(received.elapsed().as_secs_f64());
+    answered && whole && codec.keep_alive() && !closing && gateway.stage() != Stage::Closing
+}
+
+async fn read_request(
+    gateway: &Rc<Gateway>,
+    codec: &mut Codec,
+    receiver: &mut Receiver,
+    sender: &mut Sender,
+    limits: &RequestLimits,
+) -> Result<CallerRequest, ReadEnd> {
+    wait_for_first_byte(gateway, receiver, limits.idle_timeout).await?;
+    let reading = read_head(codec, receiver, limits.head_bytes);
+    let head = actix_rt::time::timeout(limits.head_timeout, reading)
+        .await
+        .map_err(|_| {
+            let reason = "the head of the request took too long";
+            ReadEnd::Refuse(Refusal::plain(StatusCode::REQUEST_TIMEOUT, reason))
+        })??;
+    let received = Instant::now();
+    let body = match codec.message_type() {
+        MessageType::None if head.headers.contains_key("content-length") => Some(Bytes::new()),
+        MessageType::None => None,
+        MessageType::Payload | MessageType::Stream => {
+            confirm_expectation(&head.headers, sender).await?;
+            Some(read_body(codec, receiver, limits.body_bytes).await?)
+        }
+    };
+    Ok(CallerRequest {
+        head,
+        body,
+        received,
+    })
+}
+
+async fn wait_for_first_byte(
+    gateway: &Rc<Gateway>,
+    receiver: &mut Receiver,
+    idle_timeout: Duration,
+) -> Result<(), ReadEnd> {
+    if !receiver.buffer.is_empty() {
+        return Ok(());
+    }
+    // A connection at rest holds no buffer.
+    receiver.buffer = BytesMut::new();
+    let mut stage = gateway.stage.subscribe();
+    let received = tokio::select! {
+        biased;
+        received = actix_rt::time::timeout(idle_timeout, receiver.fill()) => received,
+        _ = stage.wait_for(|stage| *stage == Stage::Closing) => return Err(ReadEnd::Quiet),
+    };
+    match received {
+        Ok(Ok(count)) if count > 0 => Ok(()),
+        _ => Err(ReadEnd::Quiet),
+    }
+}
+
+async fn read_head(
+    codec: &mut Codec,
+    receiver: &mut Receiver,
+    most: usize,
+) -> Result<RequestHead, ReadEnd> {
+    loop {
+        let before = receiver.buffer.len();
+        match codec.decode(&mut receiver.buffer) {
+            Ok(Some(Message::Item(request))) => {
+                if before - receiver.buffer.len() > most {
+                    return Err(head_too_large());
+                }
+                return Ok(request.head().clone());
+            }
+            Ok(Some(Message::Chunk(_))) => continue,
+            Ok(None) if receiver.buffer.len() > most => return Err(head_too_large()),
+            Ok(None) => {}
+            Err(_) => {
+                let reason = "the request is not valid HTTP";
+                let refusal = Refusal::plain(StatusCode::BAD_REQUEST, reason);
+                return Err(ReadEnd::Refuse(refusal));
+            }
+        }
+        match receiver.fill().await {
+            Ok(count) if count > 0 => {}
+            _ => return Err(ReadEnd::Quiet),
+        }
+    }
+}
+
+fn head_too_large() -> ReadEnd {
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    ReadEnd::Refuse(Refusal::plain(status, "the head of the request is too large"))
+}
+
+async fn confirm_expectation(headers: &HeaderMap, sender: &mut Sender) -> Result<(), ReadEnd> {
+    if !headers.contains_key(EXPECT) {
+        return Ok(());
+    }
+    sender
+        .buffer
+        .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+    sender.flush().await.map_err(|_| ReadEnd::Quiet)
+}
+
+async fn read_body(
+    codec: &mut Codec,
+    receiver: &mut Receiver,
+    most: usize,
+) -> Result<Bytes, ReadEnd> {
+    let mut body = BytesMut::new();
+    loop {
+        match codec.decode(&mut receiver.buffer) {
+            Ok(Some(Message::Chunk(Some(piece)))) => {
+                if body.len() + piece.len() > most {
+                    let reason = "the body of the request is too large";
+                    let refusal = Refusal::plain(StatusCode::PAYLOAD_TOO_LARGE, reason);
+                    return Err(ReadEnd::Refuse(refusal));
+                }
+                body.extend_from_slice(&piece);
+            }
+            Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+            Ok(Some(Message::Item(_))) | Err(_) => {
+                let reason = "the body of the request is not valid";
+                let refusal = Refusal::plain(StatusCode::BAD_REQUEST, reason);
+                return Err(ReadEnd::Refuse(refusal));
+            }
+            Ok(None) => match actix_rt::time::timeout(BODY_TIMEOUT, receiver.fill()).await {
+                Ok(Ok(count)) if count > 0 => {}
+                _ => return Err(ReadEnd::Quiet),
+            },
+        }
+    }
+}
+
+/// Reads what the caller still sends, so that the answer is not lost to a reset.
+async fn linger(receiver: &mut Receiver) {
+    let discarding = async {
+        loop {
+            receiver.buffer.clear();
+            match receiver.fill().await {
+                Ok(count) if count > 0 => {}
+                _ => return,
+            }
+        }
+    };
+    // The end of the time is as good an end as the caller's.
+    let _ = actix_rt::time::timeout(LINGER, discarding).await;
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,35 @@
+//! Settings of a gateway process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use elderworks_types::{NodeId, ZoneId};
+
+/// Settings of a gateway process, as its adapter reads them from the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of this node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its region.
+    pub region: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Where callers connect; absent if this role takes no callers.
+    pub callers: Option<SocketAddr>,
+    /// Where readiness is asked.
+    pub readiness: Option<SocketAddr>,
+    /// Where callers ask for addresses.
+    pub registry: Option<SocketAddr>,
+    /// Where peers connect (TCP) and gossip (UDP).
+    pub peers: SocketAddr,
+    /// Where counters are shown.
+    pub metrics: Option<SocketAddr>,
+    /// Partitions of the ledger.
+    pub partitions: u32,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Longest validity of an answer of the registry.
+    pub longest_ttl: Duration,
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,236 @@
+//! Follows the platform's streams of configurations, workers and nodes.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::nodes::NodeRecord;
+use elderworks_protocol::decode;
+use elderworks_types::{Incarnation, NodeId, Offset};
+
+use crate::gateway::Gateway;
+use crate::ports::{StoreError, StreamRecord};
+
+/// Longest wait of one read for news. Bounds how long a read may hang on a connection that a cut
+/// has silenced.
+const READ_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause between two reads of the workers' stream, which has a record for every heartbeat.
+const WORKERS_PAUSE: Duration = Duration::from_millis(600);
+
+/// Pause after a read that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// One stream to follow and what to do with its records.
+trait Follower {
+    /// Which stream.
+    const STREAM: Stream;
+
+    /// Pause after each read.
+    const PAUSE: Duration;
+
+    /// Takes the newest record of every key.
+    fn take_all(gateway: &Gateway, records: &[StreamRecord]);
+
+    /// Takes one further record.
+    fn take(gateway: &Gateway, record: &StreamRecord);
+
+    /// Called after each read.
+    fn after_read(_gateway: &Gateway) {}
+}
+
+/// Follows the operator's configurations until the process ends.
+pub(crate) async fn follow_configuration(gateway: Rc<Gateway>) {
+    follow::<ConfigurationFollower>(gateway).await;
+}
+
+/// Follows the workers' entries until the process ends.
+pub(crate) async fn follow_workers(gateway: Rc<Gateway>) {
+    follow::<WorkerFollower>(gateway).await;
+}
+
+/// Follows the nodes' entries until the process ends.
+pub(crate) async fn follow_nodes(gateway: Rc<Gateway>) {
+    follow::<NodeFollower>(gateway).await;
+}
+
+async fn follow<F: Follower>(gateway: Rc<Gateway>) {
+    let mut next: Option<Offset> = None;
+    let mut failing = false;
+    loop {
+        let read = match next {
+            None => read_all::<F>(&gateway).await,
+            Some(from) => read_more::<F>(&gateway, from).await,
+        };
+        match read {
+            Ok(end) => {
+                if failing {
+                    log::info!(stream:? = F::STREAM, end = end.0; "stream can be read again");
+                }
+                failing = false;
+                next = Some(end);
+                F::after_read(&gateway);
+                actix_rt::time::sleep(F::PAUSE).await;
+            }
+            Err(StoreError::Gone { first }) => {
+                log::info!(stream:? = F::STREAM, first = first.0; "history is gone; reading anew");
+                next = None;
+            }
+            Err(error) => {
+                if !failing {
+                    log::warn!(stream:? = F::STREAM, error = error.to_string().as_str(); "stream cannot be read");
+                }
+                failing = true;
+                F::after_read(&gateway);
+                actix_rt::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_all<F: Follower>(gateway: &Gateway) -> Result<Offset, StoreError> {
+    let newest = gateway.platform.newest(F::STREAM).await?;
+    F::take_all(gateway, &newest.records);
+    Ok(newest.end)
+}
+
+async fn read_more<F: Follower>(gateway: &Gateway, from: Offset) -> Result<Offset, StoreError> {
+    let batch = gateway.platform.read(F::STREAM, from, READ_WAIT).await?;
+    for record in &batch.records {
+        F::take(gateway, record);
+    }
+    let last = batch.records.last().map(|record| record.offset.next());
+    Ok(last.unwrap_or(from))
+}
+
+struct ConfigurationFollower;
+
+impl Follower for ConfigurationFollower {
+    const STREAM: Stream = Stream::Configuration;
+    const PAUSE: Duration = Duration::ZERO;
+
+    fn take_all(gateway: &Gateway, records: &[StreamRecord]) {
+        for record in records {
+            Self::take(gateway, record);
+        }
+    }
+
+    fn take(gateway: &Gateway, record: &StreamRecord) {
+        let config = match gateway.platform.configuration(record) {
+            Ok(Some(config)) => config,
+            Ok(None) => return,
+            Err(error) => {
+                log::error!(offset = record.offset.0, error = error.to_string().as_str(); "configuration cannot be read");
+                return;
+            }
+        };
+        let version = config.version;
+        let routes = config.routes.len();
+        if gateway.config.borrow_mut().offer(config) {
+            log::info!(version = version, routes = routes, offset = record.offset.0; "configuration in force");
+            let version = i64::try_from(version).unwrap_or(i64::MAX);
+            gateway.metrics.config_version.set(version);
+        }
+    }
+}
+
+struct WorkerFollower;
+
+impl Follower for WorkerFollower {
+    const STREAM: Stream = Stream::Workers;
+    const PAUSE: Duration = WORKERS_PAUSE;
+
+    fn take_all(gateway: &Gateway, records: &[StreamRecord]) {
+        let ids: BTreeSet<String> = records
+            .iter()
+            .filter(|record| !record.value.is_empty())
+            .filter_map(|record| record.key.clone())
+            .collect();
+        for record in records {
+            Self::take(gateway, record);
+        }
+        let now = gateway.now();
+        let missing = gateway
+            .workers
+            .borrow_mut()
+            .mark_all_missing_but(&ids, now);
+        for worker in missing {
+            log::info!(worker = worker.as_str(); "worker is not listed any more");
+        }
+        gateway.workers_read.set(true);
+    }
+
+    fn take(gateway: &Gateway, record: &StreamRecord) {
+        let Some(id) = record.key.as_deref() else {
+            return;
+        };
+        if record.value.is_empty() {
+            let now = gateway.now();
+            if gateway.workers.borrow_mut().mark_missing(id, now) {
+                log::info!(worker = id, offset = record.offset.0; "worker's entry is gone");
+            }
+            return;
+        }
+        match gateway.platform.worker(record) {
+            Ok(worker) => {
+                let draining = worker.draining;
+                let service = worker.service.clone();
+                if gateway.workers.borrow_mut().upsert(worker) {
+                    log::info!(worker = id, service = service.as_str(), draining = draining, offset = record.offset.0; "worker changed");
+                }
+            }
+            Err(error) => {
+                log::error!(worker = id, error = error.to_string().as_str(); "worker's entry cannot be read");
+            }
+        }
+    }
+
+    fn after_read(gateway: &Gateway) {
+        let now = gateway.now();
+        let forgotten = gateway.workers.borrow_mut().forget_missing(now);
+        for worker in forgotten {
+            gateway.pool.forget(&worker);
+        }
+        gateway.pool.close_expired();
+        let count = i64::try_from(gateway.workers.borrow().len()).unwrap_or(i64::MAX);
+        gateway.metrics.workers.set(count);
+    }
+}
+
+struct NodeFollower;
+
+impl Follower for NodeFollower {
+    const STREAM: Stream = Stream::Nodes;
+    const PAUSE: Duration = Duration::ZERO;
+
+    fn take_all(gateway: &Gateway, records: &[StreamRecord]) {
+        for record in records {
+            Self::take(gateway, record);
+        }
+    }
+
+    fn take(gateway: &Gateway, record: &StreamRecord) {
+        let Some(name) = record.key.as_deref() else {
+            return;
+        };
+        let node = NodeId::new(name);
+        let mut nodes = gateway.nodes.borrow_mut();
+        if record.value.is_empty() {
+            nodes.remove(&node);
+            return;
+        }
+        match decode::<NodeRecord>(&record.value) {
+            Ok(content) => {
+                let draining = content.draining;
+                let incarnation = Incarnation(record.offset.0);
+                if nodes.upsert(node, incarnation, content) {
+                    log::info!(node = name, draining = draining, offset = record.offset.0; "node's entry changed");
+                }
+            }
+            Err(error) => {
+                log::error!(node = name, error = error.to_string().as_str(); "node's entry cannot be read");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/ledger.rs
@@ -0,0 +1,143 @@
+//! Records of a partition's ledger on the log, and the requests that nodes make of its owner.
+
+use bytes::Bytes;
+use elderworks_types::PartitionId;
+use serde::{Deserialize, Serialize};
+
+/// A turn of a conversation as it is kept: what it added, not what came before it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptTurn {
+    /// The turn that it goes on from.
+    pub previous: Option<String>,
+    /// Its own input.
+    pub input: Bytes,
+    /// What it generated.
+    pub output: Bytes,
+}
+
+/// One record of a partition's ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerRecord {
+    /// Tokens of a program's budget were set aside for a turn.
+    Reserved {
+        /// The program.
+        program: String,
+        /// The turn, by its request id.
+        turn: String,
+        /// Tokens set aside: the most that the turn generates.
+        tokens: u64,
+    },
+    /// A turn ended; what it did not use returns to the budget.
+    Settled {
+        /// The program.
+        program: String,
+        /// The turn.
+        turn: String,
+        /// Tokens that it generated.
+        used: u64,
+    },
+    /// A turn's input and output are kept.
+    Kept {
+        /// The turn.
+        turn: String,
+        /// What it added.
+        content: KeptTurn,
+    },
+    /// A program's account, written anew before its earlier records leave the log's history.
+    Account {
+        /// The program.
+        program: String,
+        /// Tokens that its ended turns generated.
+        settled: u64,
+        /// Its turns under way with the tokens set aside for each.
+        open: Vec<(String, u64)>,
+    },
+}
+
+/// A request to the owner of a partition.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerRequest {
+    /// May this turn run, and what came before it?
+    Begin(BeginTurn),
+    /// This turn has ended.
+    Finish(FinishTurn),
+    /// What was said up to the end of this turn?
+    Conversation {
+        /// The turn.
+        turn: String,
+    },
+}
+
+/// Asks for leave to run a turn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeginTurn {
+    /// The program.
+    pub program: String,
+    /// The turn.
+    pub turn: String,
+    /// Tokens that the program may generate in all; `None` if it has no budget.
+    pub budget: Option<u64>,
+    /// Tokens that the turn generates at most.
+    pub tokens: u64,
+    /// The kept turn that it goes on from.
+    pub previous: Option<String>,
+    /// The conversation up to `previous`, if that was found in another partition.
+    pub imported: Option<Bytes>,
+}
+
+/// Tells how a turn ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinishTurn {
+    /// The program.
+    pub program: String,
+    /// The turn.
+    pub turn: String,
+    /// Tokens that it generated.
+    pub used: u64,
+    /// Set if the turn ended whole and is to be kept.
+    pub kept: Option<KeptTurn>,
+}
+
+/// An answer to a [`LedgerRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerReply {
+    /// The turn may run; its reservation is durable. Holds the conversation before it.
+    Granted {
+        /// Inputs and outputs of the turns before, in order.
+        conversation: Bytes,
+    },
+    /// The program's budget holds no further turn.
+    BudgetSpent,
+    /// This partition keeps no such turn; the log's end was read to make sure.
+    UnknownTurn,
+    /// The end of the turn is durable.
+    Finished,
+    /// What was said up to the turn's end.
+    Conversation {
+        /// Inputs and outputs in order.
+        conversation: Bytes,
+    },
+    /// The log does not answer; nothing is known to have been done.
+    Unavailable,
+}
+
+/// A frame between nodes: a request or the reply to it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerFrame {
+    /// A request.
+    Request {
+        /// Returned in the reply.
+        id: u64,
+        /// The partition asked.
+        partition: PartitionId,
+        /// What is asked.
+        request: LedgerRequest,
+    },
+    /// A reply.
+    Reply {
+        /// From the request.
+        id: u64,
+        /// What is answered.
+        reply: LedgerReply,
+    },
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod envelope;
 pub mod gossip;
 pub mod journal;
+pub mod ledger;
 pub mod peer;
 pub mod record;
 pub mod sidecar;
--- a/crates/settings/src/logging.rs
+++ b/crates/settings/src/logging.rs
@@ -29,7 +29,17 @@
 /// Sends log lines to standard error. The level is `info`, or what `RUST_LOG` says. A second call
 /// in one process changes nothing.
 pub fn init_logging(format: LogFormat) {
+    init(format, env_logger::Target::Stderr);
+}
+
+/// Like [`init_logging`], with the lines sent to `output`. Each line is one call of `write`.
+pub fn init_logging_to(format: LogFormat, output: Box<dyn Write + Send>) {
+    init(format, env_logger::Target::Pipe(output));
+}
+
+fn init(format: LogFormat, target: env_logger::Target) {
     let mut builder = env_logger::Builder::new();
+    builder.target(target);
     builder.filter_level(LevelFilter::Info);
     builder.parse_default_env();
     if format == LogFormat::Json {
