--- a/crates/cli/src/process.rs
+++ b/crates/cli/src/process.rs
@@ -7,8 +7,8 @@
 use std::rc::Rc;
 
 use elderworks_settings::{
-    LogFormat, LoggingSettings, NodeProcessSettings, Override, ProcessSettings, SidecarProcessSettings,
-    check_file, from_flags, init_logging, init_logging_to, load_with,
+    LogFormat, LoggingSettings, NodeProcessSettings, Override, ProcessSettings,
+    SidecarProcessSettings, check_file, from_flags, init_logging, init_logging_to, load_with,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -47,7 +47,10 @@
 /// Runs a gateway on the platform until it is told to stop.
 pub fn gateway() -> eyre::Result<()> {
     let settings = elderworks_platform::load_settings()?;
-    init_logging_to(LogFormat::Json, Box::new(elderworks_gateway::LogOutput::to_stdout()));
+    init_logging_to(
+        LogFormat::Json,
+        Box::new(elderworks_gateway::LogOutput::to_stdout()),
+    );
     actix_rt::System::new().block_on(async move {
         let platform = elderworks_platform::PlatformAdapter::new(settings.log_address);
         let reload = Box::new(elderworks_platform::reload_settings);
--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -54,13 +54,27 @@
         Some(key) => {
             let crowding = crowding(worker);
             let affinity = xxh3_64_with_seed(id, xxh3_64_with_seed(key.as_bytes(), 0));
-            (tried, ejected, full, crowding, false, std::cmp::Reverse(affinity))
+            (
+                tried,
+                ejected,
+                full,
+                crowding,
+                false,
+                std::cmp::Reverse(affinity),
+            )
         }
         None => {
             let elsewhere = worker.record.zone != query.zone;
             let order = xxh3_64_with_seed(id, query.spread);
             let load = worker.in_flight;
-            (tried, ejected, full, load, elsewhere, std::cmp::Reverse(order))
+            (
+                tried,
+                ejected,
+                full,
+                load,
+                elsewhere,
+                std::cmp::Reverse(order),
+            )
         }
     }
 }
--- a/crates/gateway-core/src/nodes.rs
+++ b/crates/gateway-core/src/nodes.rs
@@ -50,7 +50,13 @@
         {
             return false;
         }
-        self.nodes.insert(node, KnownNode { record, incarnation });
+        self.nodes.insert(
+            node,
+            KnownNode {
+                record,
+                incarnation,
+            },
+        );
         true
     }
 
@@ -87,7 +93,11 @@
             .copied()
             .filter(|record| Some(record.zone.as_str()) == zone)
             .collect();
-        let offered = if nearby.len() >= FEWEST_IN_ZONE { nearby } else { serving };
+        let offered = if nearby.len() >= FEWEST_IN_ZONE {
+            nearby
+        } else {
+            serving
+        };
         offered
             .into_iter()
             .take(MAX_ADDRESSES)
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -101,7 +101,10 @@
         }
     });
     if addresses.is_empty() {
-        return text(StatusCode::SERVICE_UNAVAILABLE, "no node is known to be ready");
+        return text(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no node is known to be ready",
+        );
     }
     let ttl = ANSWER_TTL.min(gateway.settings.longest_ttl);
     EntryAnswer {
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -197,7 +197,9 @@
             priority: self.engine_priority(),
             last_event_id,
         };
-        self.gateway.platform.set_worker_headers(&mut extra, &values);
+        self.gateway
+            .platform
+            .set_worker_headers(&mut extra, &values);
         extra
     }
 
@@ -210,7 +212,11 @@
     fn choose(&self) -> Result<Target, CallError> {
         let query = PlacementQuery {
             service: &self.service,
-            key: self.route.sticky.then(|| self.attributes.placement_key()).flatten(),
+            key: self
+                .route
+                .sticky
+                .then(|| self.attributes.placement_key())
+                .flatten(),
             zone: self.gateway.settings.zone.as_str(),
             tried: &self.tried,
             spread: self.gateway.next_sequence(),
--- a/crates/gateway/src/forward/headers.rs
+++ b/crates/gateway/src/forward/headers.rs
@@ -38,7 +38,9 @@
     for (name, value) in headers {
         let is_hop_by_hop = HOP_BY_HOP.contains(name)
             || HOP_BY_HOP_NAMES.contains(&name.as_str())
-            || named_by_connection.iter().any(|named| named == name.as_str());
+            || named_by_connection
+                .iter()
+                .any(|named| named == name.as_str());
         if !is_hop_by_hop {
             passed.append(name.clone(), value.clone());
         }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -117,11 +117,7 @@
     }
 }
 
-async fn refuse(
-    caller: &mut Caller<'_>,
-    trace: &mut Trace,
-    refusal: &Refusal,
-) -> io::Result<()> {
+async fn refuse(caller: &mut Caller<'_>, trace: &mut Trace, refusal: &Refusal) -> io::Result<()> {
     trace.outcome = refusal.reason;
     caller.send_refusal(refusal).await
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -170,14 +170,17 @@
             Err(broken) => {
                 let worker = running.occupied.worker.clone();
                 self.log_failure(&worker, &broken.to_string());
-                self.history.after_failure(AttemptFailure::Unknown, false, 1);
+                self.history
+                    .after_failure(AttemptFailure::Unknown, false, 1);
                 let reason = "the worker's answer broke off";
                 return Err(CallError::Refused(crate::reply::Refusal::unknown(reason)));
             }
         };
         let head = &running.answer.head;
         let passed_headers = headers::end_to_end(&head.headers);
-        caller.send_whole(head.status, &passed_headers, &body).await?;
+        caller
+            .send_whole(head.status, &passed_headers, &body)
+            .await?;
         Ok(())
     }
 
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -6,9 +6,7 @@
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::ledger::partition_of;
-use elderworks_protocol::ledger::{
-    BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest,
-};
+use elderworks_protocol::ledger::{BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest};
 use elderworks_types::PartitionId;
 
 use super::attempts::Call;
@@ -98,8 +96,7 @@
     /// Obtains leave for a turn of a program; other requests need none.
     pub(super) async fn begin_turn(&mut self) -> Result<(), Refusal> {
         let needs_leave = self.route.keeps_turns || self.attributes.token_budget.is_some();
-        let (Some(program), Some(turn)) =
-            (&self.attributes.program, &self.attributes.request_id)
+        let (Some(program), Some(turn)) = (&self.attributes.program, &self.attributes.request_id)
         else {
             return Ok(());
         };
@@ -181,7 +178,10 @@
             }
             LedgerReply::UnknownTurn => {
                 lease.returned = true;
-                Err(Refusal::plain(StatusCode::NOT_FOUND, "no such turn is kept"))
+                Err(Refusal::plain(
+                    StatusCode::NOT_FOUND,
+                    "no such turn is kept",
+                ))
             }
             // The lease settles a reservation that was made nevertheless.
             _ => Err(Refusal::not_run("the program's ledger cannot be asked now")),
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -47,12 +47,19 @@
     partition: PartitionId,
     request: LedgerRequest,
 ) -> LedgerReply {
-    for node in gateway.peers.candidates(partition).into_iter().take(PEERS_TRIED) {
+    for node in gateway
+        .peers
+        .candidates(partition)
+        .into_iter()
+        .take(PEERS_TRIED)
+    {
         if node == gateway.settings.node {
             break;
         }
         gateway.metrics.ledger_forwarded.inc();
-        let asking = gateway.peers.ask(gateway, &node, partition, request.clone());
+        let asking = gateway
+            .peers
+            .ask(gateway, &node, partition, request.clone());
         match actix_rt::time::timeout(PEER_TIMEOUT, asking).await {
             Ok(Some(LedgerReply::Unavailable)) => {}
             Ok(Some(reply)) => return reply,
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -50,10 +50,7 @@
 }
 
 /// Starts to act for a partition.
-pub(super) fn spawn(
-    gateway: &Rc<Gateway>,
-    partition: PartitionId,
-) -> mpsc::UnboundedSender<Job> {
+pub(super) fn spawn(gateway: &Rc<Gateway>, partition: PartitionId) -> mpsc::UnboundedSender<Job> {
     let (sender, receiver) = mpsc::unbounded_channel();
     let owner = Owner {
         gateway: gateway.clone(),
--- a/crates/gateway/src/log_output.rs
+++ b/crates/gateway/src/log_output.rs
@@ -1,9 +1,9 @@
 //! Log output that never blocks: lines wait in bounded memory for a thread that writes them.
 
 use std::io::{self, Write};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Lines that wait to be written, at most; further ones are dropped and counted.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,7 +86,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
-        registry.register("answers", "Requests by status of their answer", self.answers.clone());
+        registry.register(
+            "answers",
+            "Requests by status of their answer",
+            self.answers.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time from a request's head to the end of its answer",
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -66,7 +66,10 @@
     let gossip_socket = Rc::new(UdpSocket::from_std(gossip_socket)?);
     let peer_listener = socket::listen(settings.peers)?;
     actix_rt::spawn(peers::accept_peers(gateway.clone(), peer_listener));
-    for address in [settings.readiness, settings.registry].into_iter().flatten() {
+    for address in [settings.readiness, settings.registry]
+        .into_iter()
+        .flatten()
+    {
         let listener = socket::listen(address)?;
         actix_rt::spawn(entry::accept(gateway.clone(), listener, Entry::Platform));
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -129,11 +129,7 @@
 }
 
 /// Has a request answered; tells whether the connection stays.
-async fn answer(
-    gateway: &Rc<Gateway>,
-    reader: &mut RequestReader,
-    request: CallerRequest,
-) -> bool {
+async fn answer(gateway: &Rc<Gateway>, reader: &mut RequestReader, request: CallerRequest) -> bool {
     let RequestReader {
         codec,
         receiver,
@@ -247,7 +243,10 @@
 
 fn head_too_large() -> ReadEnd {
     let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-    ReadEnd::Refuse(Refusal::plain(status, "the head of the request is too large"))
+    ReadEnd::Refuse(Refusal::plain(
+        status,
+        "the head of the request is too large",
+    ))
 }
 
 async fn confirm_expectation(headers: &HeaderMap, sender: &mut Sender) -> Result<(), ReadEnd> {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -151,10 +151,7 @@
             Self::take(gateway, record);
         }
         let now = gateway.now();
-        let missing = gateway
-            .workers
-            .borrow_mut()
-            .mark_all_missing_but(&ids, now);
+        let missing = gateway.workers.borrow_mut().mark_all_missing_but(&ids, now);
         for worker in missing {
             log::info!(worker = worker.as_str(); "worker is not listed any more");
         }
