ledger: decide in a state machine without I/O, and keep budgets exactly

Cause: the driver of a partition held the decisions when to read, append and give up, so no test could reach them without sockets.

Ruled out: keeping the lenient rule for late settlements. What makes them late is that records nobody waits for are held back; the owner knows them already.

Change: `PartitionOwner` says what to read and append and takes the outcomes; the driver carries them out. Ends of turns that are held back count at once in what a new turn may take, and are appended ahead of its reservation. A turn is allowed only if the budget holds its most beside the most of all others.

--- a/crates/gateway-core/src/ledger/account.rs
+++ b/crates/gateway-core/src/ledger/account.rs
@@ -17,17 +17,21 @@
         self.settled + self.open.values().sum::<u64>()
     }
 
-    /// Whether a further turn of at most `tokens` may run, while `pending` more tokens are about
-    /// to be set aside.
-    ///
-    /// While turns are under way, their most is an upper bound that is seldom reached. So a turn
-    /// is allowed if the budget holds it on top of what was surely generated and the upper bound
-    /// does not exceed the budget yet. Invariant: what is generated never exceeds the budget by
-    /// more than the most of one turn.
-    pub fn allows(&self, budget: u64, tokens: u64, pending: u64) -> bool {
-        let committed = self.committed() + pending;
-        let fits = committed + tokens <= budget;
-        let fits_if_unused = self.settled + tokens <= budget && committed <= budget;
-        fits || fits_if_unused
+    /// Whether the budget holds a further turn of at most `tokens`, if every turn under way
+    /// generates its most.
+    pub fn allows(&self, budget: u64, tokens: u64) -> bool {
+        self.committed() + tokens <= budget
+    }
+
+    /// Sets the most of a turn aside.
+    pub fn reserve(&mut self, turn: String, tokens: u64) {
+        self.open.insert(turn, tokens);
+    }
+
+    /// Notes what a turn has generated; a turn that is not under way changes nothing.
+    pub fn settle(&mut self, turn: &str, used: u64) {
+        if self.open.remove(turn).is_some() {
+            self.settled += used;
+        }
     }
 }
--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -6,10 +6,14 @@
 //! it changed nothing. Nodes agree on one of them (the owner) only to spare conflicts.
 
 mod account;
+mod owner;
 mod partition;
 mod state;
 
 pub use account::Account;
+pub use owner::{
+    Action, AppendOutcome, FAILURE_PAUSE, HOLD_BACK, PATIENCE, PartitionOwner, ReadOutcome, Ticket,
+};
 pub use partition::{Batch, Evaluation, evaluate};
 pub use state::{LedgerState, RETENTION};
 
--- a/crates/gateway-core/src/ledger/partition.rs
+++ b/crates/gateway-core/src/ledger/partition.rs
@@ -7,7 +7,7 @@
     BeginTurn, FinishTurn, KeptTurn, LedgerRecord, LedgerReply, LedgerRequest,
 };
 
-use super::LedgerState;
+use super::{Account, LedgerState};
 
 /// What is to be done for one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,17 +28,26 @@
     AnswerIfCurrent(LedgerReply),
 }
 
-/// Requests that are decided together and appended in one call.
+/// Requests that are decided together and appended in one call: the accounts as they will be then.
 #[derive(Debug, Default)]
 pub struct Batch {
-    reserved: HashMap<String, u64>,
+    accounts: HashMap<String, Account>,
 }
 
-/// Decides one request on top of those decided before it in the same batch.
+impl Batch {
+    fn account(&mut self, state: &LedgerState, program: &str) -> &mut Account {
+        self.accounts
+            .entry(program.to_owned())
+            .or_insert_with(|| state.account(program).cloned().unwrap_or_default())
+    }
+}
+
+/// Decides one request on top of those decided before it in the same batch. Ends of turns should
+/// come first: what they give back is at hand for the turns that begin.
 pub fn evaluate(state: &LedgerState, batch: &mut Batch, request: &LedgerRequest) -> Evaluation {
     match request {
         LedgerRequest::Begin(begin) => evaluate_begin(state, batch, begin),
-        LedgerRequest::Finish(finish) => evaluate_finish(state, finish),
+        LedgerRequest::Finish(finish) => evaluate_finish(state, batch, finish),
         LedgerRequest::Conversation { turn } => match state.conversation(turn) {
             Some(conversation) => Evaluation::Answer(LedgerReply::Conversation { conversation }),
             None => Evaluation::AnswerIfCurrent(LedgerReply::UnknownTurn),
@@ -56,15 +65,14 @@
     let Some(budget) = begin.budget else {
         return append_or_answer(records, reply);
     };
-    let account = state.account(&begin.program).cloned().unwrap_or_default();
+    let account = batch.account(state, &begin.program);
     if account.open.contains_key(&begin.turn) {
         return append_or_answer(records, reply);
     }
-    let pending = batch.reserved.get(&begin.program).copied().unwrap_or(0);
-    if !account.allows(budget, begin.tokens, pending) {
+    if !account.allows(budget, begin.tokens) {
         return Evaluation::AnswerIfCurrent(LedgerReply::BudgetSpent);
     }
-    *batch.reserved.entry(begin.program.clone()).or_default() += begin.tokens;
+    account.reserve(begin.turn.clone(), begin.tokens);
     records.push(LedgerRecord::Reserved {
         program: begin.program.clone(),
         turn: begin.turn.clone(),
@@ -98,12 +106,11 @@
     Some(imported)
 }
 
-fn evaluate_finish(state: &LedgerState, finish: &FinishTurn) -> Evaluation {
+fn evaluate_finish(state: &LedgerState, batch: &mut Batch, finish: &FinishTurn) -> Evaluation {
     let mut records = Vec::new();
-    let is_open = state
-        .account(&finish.program)
-        .is_some_and(|account| account.open.contains_key(&finish.turn));
-    if is_open {
+    let account = batch.account(state, &finish.program);
+    if account.open.contains_key(&finish.turn) {
+        account.settle(&finish.turn, finish.used);
         records.push(LedgerRecord::Settled {
             program: finish.program.clone(),
             turn: finish.turn.clone(),
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -43,17 +43,14 @@
                 turn,
                 tokens,
             } => {
-                self.account_entry(now, program).open.insert(turn, tokens);
+                self.account_entry(now, program).reserve(turn, tokens);
             }
             LedgerRecord::Settled {
                 program,
                 turn,
                 used,
             } => {
-                let account = self.account_entry(now, program);
-                if account.open.remove(&turn).is_some() {
-                    account.settled += used;
-                }
+                self.account_entry(now, program).settle(&turn, used);
             }
             LedgerRecord::Kept { turn, content } => {
                 let dated = Dated {
--- /dev/null
+++ b/crates/gateway-core/tests/workers.rs
@@ -0,0 +1,170 @@
+//! Placement, and what a node believes of workers.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use elderworks_gateway_core::balancer::{PlacementQuery, choose};
+use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
+use elderworks_types::Timestamp;
+
+const START: Timestamp = Timestamp(1_000_000);
+
+fn record(id: &str, zone: &str) -> WorkerRecord {
+    WorkerRecord {
+        id: id.to_owned(),
+        service: "engines".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 2,
+        draining: false,
+    }
+}
+
+fn directory(ids: &[&str]) -> WorkerDirectory {
+    let mut workers = WorkerDirectory::default();
+    for id in ids {
+        workers.upsert(record(id, "a"));
+    }
+    workers
+}
+
+fn query<'a>(key: Option<&'a str>, tried: &'a [String]) -> PlacementQuery<'a> {
+    PlacementQuery {
+        service: "engines",
+        key,
+        zone: "a",
+        tried,
+        spread: 1,
+    }
+}
+
+fn chosen(workers: &WorkerDirectory, key: Option<&str>, tried: &[String]) -> Option<String> {
+    let query = PlacementQuery {
+        service: "engines",
+        key,
+        zone: "a",
+        tried,
+        spread: 1,
+    };
+    choose(workers, &query, START).map(|worker| worker.record.id.clone())
+}
+
+#[test]
+fn one_program_meets_one_worker_on_every_node() {
+    let one = directory(&["w1", "w2", "w3", "w4"]);
+    let other = directory(&["w4", "w2", "w1", "w3"]);
+    for program in ["p1", "p2", "p3", "p4", "p5"] {
+        assert_eq!(
+            chosen(&one, Some(program), &[]),
+            chosen(&other, Some(program), &[]),
+            "{program}"
+        );
+    }
+}
+
+#[test]
+fn programs_spread_over_the_workers() {
+    let workers = directory(&["w1", "w2", "w3", "w4"]);
+    let met: BTreeSet<String> = (0..64)
+        .filter_map(|number| chosen(&workers, Some(&format!("program-{number}")), &[]))
+        .collect();
+    assert_eq!(met.len(), 4);
+}
+
+#[test]
+fn a_crowded_worker_gives_way_and_comes_back() {
+    let mut workers = directory(&["w1", "w2", "w3"]);
+    let first = chosen(&workers, Some("p"), &[]).expect("a worker");
+    workers.note_start(&first);
+    workers.note_start(&first);
+    assert_ne!(chosen(&workers, Some("p"), &[]), Some(first.clone()));
+    workers.note_end(&first);
+    assert_eq!(chosen(&workers, Some("p"), &[]), Some(first));
+}
+
+#[test]
+fn a_tried_worker_is_taken_only_if_there_is_no_other() {
+    let workers = directory(&["w1", "w2"]);
+    let tried = vec!["w1".to_owned()];
+    assert_eq!(chosen(&workers, None, &tried).as_deref(), Some("w2"));
+    let all = vec!["w1".to_owned(), "w2".to_owned()];
+    assert!(chosen(&workers, None, &all).is_some());
+}
+
+#[test]
+fn the_own_zone_is_preferred_for_requests_without_a_key() {
+    let mut workers = WorkerDirectory::default();
+    workers.upsert(record("far", "b"));
+    workers.upsert(record("near", "a"));
+    for spread in 0..20 {
+        let query = PlacementQuery {
+            spread,
+            ..query(None, &[])
+        };
+        let worker = choose(&workers, &query, START).expect("a worker");
+        assert_eq!(worker.record.id, "near");
+    }
+}
+
+#[test]
+fn a_draining_worker_takes_no_new_work() {
+    let mut workers = directory(&["w1"]);
+    workers.upsert(WorkerRecord {
+        draining: true,
+        ..record("w1", "a")
+    });
+    assert_eq!(chosen(&workers, None, &[]), None);
+}
+
+#[test]
+fn a_missing_worker_is_a_last_resort_and_then_forgotten() {
+    let mut workers = directory(&["w1", "w2"]);
+    assert!(workers.mark_missing("w1", START));
+    assert!(!workers.mark_missing("w1", START), "already missing");
+    assert_eq!(chosen(&workers, None, &[]).as_deref(), Some("w2"));
+    workers.mark_missing("w2", START);
+    assert!(chosen(&workers, None, &[]).is_some(), "both are missing");
+    let later = START + Duration::from_millis(1_500);
+    assert_eq!(workers.forget_missing(later).len(), 2);
+    assert_eq!(chosen(&workers, None, &[]), None);
+}
+
+#[test]
+fn a_record_that_comes_back_ends_the_absence() {
+    let mut workers = directory(&["w1"]);
+    workers.mark_missing("w1", START);
+    assert!(workers.upsert(record("w1", "a")), "believed anew");
+    let later = START + Duration::from_secs(5);
+    assert!(workers.forget_missing(later).is_empty());
+    assert_eq!(chosen(&workers, None, &[]).as_deref(), Some("w1"));
+}
+
+#[test]
+fn reading_the_list_anew_finds_who_is_missing() {
+    let mut workers = directory(&["w1", "w2"]);
+    let listed = BTreeSet::from(["w2".to_owned()]);
+    assert_eq!(workers.mark_all_missing_but(&listed, START), ["w1"]);
+}
+
+#[test]
+fn failures_in_a_row_eject_for_a_doubling_pause() {
+    let mut workers = directory(&["w1"]);
+    assert!(!workers.note_failure("w1", START), "one failure is none");
+    assert!(workers.note_failure("w1", START));
+    let worker = workers.get("w1").expect("known");
+    assert!(worker.is_ejected(START + Duration::from_millis(299)));
+    assert!(!worker.is_ejected(START + Duration::from_millis(300)));
+    workers.note_failure("w1", START);
+    let worker = workers.get("w1").expect("known");
+    assert!(worker.is_ejected(START + Duration::from_millis(599)));
+    workers.note_success("w1");
+    assert!(!workers.get("w1").expect("known").is_ejected(START));
+}
+
+#[test]
+fn an_ejected_worker_serves_if_there_is_no_other() {
+    let mut workers = directory(&["w1"]);
+    workers.note_failure("w1", START);
+    workers.note_failure("w1", START);
+    assert_eq!(chosen(&workers, None, &[]).as_deref(), Some("w1"));
+}
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -82,7 +82,6 @@
     request: LedgerRequest,
 ) -> LedgerReply {
     let (reply, answered) = oneshot::channel();
-    let job = Job::new(request, reply);
     let task = gateway
         .ledger
         .tasks
@@ -90,7 +89,7 @@
         .entry(partition)
         .or_insert_with(|| owner::spawn(gateway, partition))
         .clone();
-    if task.send(job).is_err() {
+    if task.send((request, reply)).is_err() {
         return LedgerReply::Unavailable;
     }
     answered.await.unwrap_or(LedgerReply::Unavailable)
