--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,4 +24,4 @@
 mod watch;
 
 pub use log_output::LogOutput;
-pub use process::{Reload, run};
+pub use process::{Reload, Running, run, start};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,5 +1,6 @@
 //! A gateway process from its start to its end.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,7 @@
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_protocol::encode;
 use elderworks_types::Incarnation;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::entry::{self, Entry};
@@ -37,54 +38,114 @@
     platform: Rc<dyn Platform>,
     reload: Reload,
 ) -> eyre::Result<()> {
-    log::info!(
-        node = settings.node.as_str(), zone = settings.zone.as_str(),
-        partitions = settings.partitions;
-        "starting"
-    );
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let gateway = Gateway::new(settings, platform);
-    let gossip_socket = start_tasks(&gateway)?;
+    let known = settings.clone();
+    let node = start(settings, platform)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hang_up.recv() => note_reload(&gateway, &reload),
+            _ = hang_up.recv() => note_reload(&known, &reload),
         }
     }
-    drain(&gateway, &gossip_socket).await;
-    log::info!(in_flight = gateway.in_flight.get(); "stopped");
+    node.stop().await;
     Ok(())
 }
 
-fn start_tasks(gateway: &Rc<Gateway>) -> eyre::Result<Rc<UdpSocket>> {
-    let settings = &gateway.settings;
-    let gossip_socket = std::net::UdpSocket::bind(settings.peers)?;
-    gossip_socket.set_nonblocking(true)?;
-    let gossip_socket = Rc::new(UdpSocket::from_std(gossip_socket)?);
-    let peer_listener = socket::listen(settings.peers)?;
-    actix_rt::spawn(peers::accept_peers(gateway.clone(), peer_listener));
-    for address in [settings.readiness, settings.registry]
+/// A gateway that takes requests. Its tasks run on when this is dropped.
+pub struct Running {
+    gateway: Rc<Gateway>,
+    gossip_socket: Rc<UdpSocket>,
+}
+
+/// Listens on every address of the settings and starts the gateway's tasks. Must be called within
+/// an actix runtime. A port of 0 is replaced by the one that the system gives.
+pub fn start(mut settings: GatewaySettings, platform: Rc<dyn Platform>) -> eyre::Result<Running> {
+    let listeners = Listeners::bind(&mut settings)?;
+    log::info!(
+        node = settings.node.as_str(), zone = settings.zone.as_str(),
+        partitions = settings.partitions;
+        "starting"
+    );
+    let gateway = Gateway::new(settings, platform);
+    let gossip_socket = Rc::new(UdpSocket::from_std(listeners.gossip)?);
+    actix_rt::spawn(peers::accept_peers(gateway.clone(), listeners.peers));
+    for listener in [listeners.readiness, listeners.registry]
         .into_iter()
         .flatten()
     {
-        let listener = socket::listen(address)?;
         actix_rt::spawn(entry::accept(gateway.clone(), listener, Entry::Platform));
     }
-    if let Some(address) = settings.metrics {
-        let listener = socket::listen(address)?;
+    if let Some(listener) = listeners.metrics {
         actix_rt::spawn(entry::accept(gateway.clone(), listener, Entry::Metrics));
     }
-    if let Some(address) = settings.callers {
-        let listener = socket::listen(address)?;
+    if let Some(listener) = listeners.callers {
         actix_rt::spawn(server::accept_callers(gateway.clone(), listener));
     }
     actix_rt::spawn(watch::follow_configuration(gateway.clone()));
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
-    Ok(gossip_socket)
+    Ok(Running {
+        gateway,
+        gossip_socket,
+    })
+}
+
+impl Running {
+    /// The settings with the ports that the system gave.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.gateway.settings
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.gateway.is_ready()
+    }
+
+    /// Finishes what is under way, lets callers move on to other nodes, and returns.
+    pub async fn stop(&self) {
+        drain(&self.gateway, &self.gossip_socket).await;
+        log::info!(in_flight = self.gateway.in_flight.get(); "stopped");
+    }
+}
+
+/// The sockets of a gateway.
+struct Listeners {
+    callers: Option<TcpListener>,
+    readiness: Option<TcpListener>,
+    registry: Option<TcpListener>,
+    metrics: Option<TcpListener>,
+    peers: TcpListener,
+    gossip: std::net::UdpSocket,
+}
+
+impl Listeners {
+    fn bind(settings: &mut GatewaySettings) -> eyre::Result<Self> {
+        let peers = listen_at(&mut settings.peers)?;
+        let gossip = std::net::UdpSocket::bind(settings.peers)?;
+        gossip.set_nonblocking(true)?;
+        Ok(Self {
+            callers: listen_if_given(&mut settings.callers)?,
+            readiness: listen_if_given(&mut settings.readiness)?,
+            registry: listen_if_given(&mut settings.registry)?,
+            metrics: listen_if_given(&mut settings.metrics)?,
+            peers,
+            gossip,
+        })
+    }
+}
+
+fn listen_if_given(address: &mut Option<SocketAddr>) -> eyre::Result<Option<TcpListener>> {
+    address.as_mut().map(listen_at).transpose()
+}
+
+fn listen_at(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
+    let listener = socket::listen(*address)
+        .map_err(|error| eyre::eyre!("cannot listen at {address}: {error}"))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
 }
 
 /// Writes the node's entry, whose position is its incarnation, and then follows the others.
@@ -168,9 +229,9 @@
     }
 }
 
-fn note_reload(gateway: &Gateway, reload: &Reload) {
+fn note_reload(known: &GatewaySettings, reload: &Reload) {
     match reload() {
-        Ok(settings) if settings == gateway.settings => {
+        Ok(settings) if settings == *known => {
             log::info!("settings read anew: nothing has changed");
         }
         Ok(_) => log::warn!("settings have changed; they take effect at the next start"),
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::ResponseHead;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, MessageType};
-use actix_http::header::HeaderMap;
+use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
 use tokio_util::codec::Decoder;
 
@@ -17,11 +17,11 @@
 pub(crate) struct BrokenAnswer(pub(crate) String);
 
 /// How the end of a body is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
     /// By a length or by chunks.
-    Framed,
-    /// By the end of the connection.
+    Framed(ClientPayloadCodec),
+    /// By the end of the connection. The library's codec takes such an answer for one without a
+    /// body.
     UntilClose,
 }
 
@@ -34,7 +34,6 @@
 
 struct Body {
     connection: WorkerConnection,
-    codec: ClientPayloadCodec,
     framing: Framing,
     home: Home,
 }
@@ -63,24 +62,24 @@
 }
 
 impl Answer {
-    /// An answer whose head has been decoded by `codec` from `connection`.
+    /// An answer to a `method` request whose head has been decoded by `codec` from `connection`.
     pub(crate) fn new(
+        method: &Method,
         head: ResponseHead,
         codec: ClientCodec,
         connection: WorkerConnection,
         home: Home,
     ) -> Self {
-        let framing = match codec.message_type() {
-            MessageType::None => {
-                home.take_back(connection, codec.keep_alive());
-                return Self { head, body: None };
-            }
-            MessageType::Payload => Framing::Framed,
-            MessageType::Stream => Framing::UntilClose,
+        let framing = if method != Method::HEAD && ends_with_connection(&head) {
+            Framing::UntilClose
+        } else if codec.message_type() == MessageType::None {
+            home.take_back(connection, codec.keep_alive());
+            return Self { head, body: None };
+        } else {
+            Framing::Framed(codec.into_payload_codec())
         };
         let body = Body {
             connection,
-            codec: codec.into_payload_codec(),
             framing,
             home,
         };
@@ -96,29 +95,19 @@
             let Some(body) = &mut self.body else {
                 return Ok(None);
             };
-            let decoded = body
-                .codec
-                .decode(&mut body.connection.receiver.buffer)
-                .map_err(|error| BrokenAnswer(error.to_string()))?;
-            match decoded {
-                Some(Some(piece)) if piece.is_empty() => continue,
-                Some(Some(piece)) => return Ok(Some(piece)),
-                Some(None) => {
+            match body.decode_piece()? {
+                Decoded::Piece(piece) => return Ok(Some(piece)),
+                Decoded::End => {
                     self.finish();
                     return Ok(None);
                 }
-                None => {}
+                Decoded::Incomplete => {}
             }
-            let received = body
-                .connection
-                .receiver
-                .fill()
-                .await
-                .map_err(|error| BrokenAnswer(error.to_string()))?;
-            if received > 0 {
+            let received = body.connection.receiver.fill().await;
+            if received.map_err(|error| BrokenAnswer(error.to_string()))? > 0 {
                 continue;
             }
-            let ends_here = body.framing == Framing::UntilClose;
+            let ends_here = matches!(body.framing, Framing::UntilClose);
             self.body = None;
             if ends_here {
                 return Ok(None);
@@ -144,13 +133,54 @@
     }
 
     fn finish(&mut self) {
-        if let Some(body) = self.body.take() {
-            let keeps_alive = body.codec.keep_alive() && body.framing == Framing::Framed;
-            body.home.take_back(body.connection, keeps_alive);
+        if let Some(body) = self.body.take()
+            && let Framing::Framed(codec) = body.framing
+        {
+            body.home.take_back(body.connection, codec.keep_alive());
         }
     }
 }
 
+/// What the bytes received so far hold.
+enum Decoded {
+    Piece(Bytes),
+    End,
+    Incomplete,
+}
+
+impl Body {
+    fn decode_piece(&mut self) -> Result<Decoded, BrokenAnswer> {
+        let buffer = &mut self.connection.receiver.buffer;
+        let codec = match &mut self.framing {
+            Framing::Framed(codec) => codec,
+            Framing::UntilClose if buffer.is_empty() => return Ok(Decoded::Incomplete),
+            Framing::UntilClose => return Ok(Decoded::Piece(buffer.split().freeze())),
+        };
+        loop {
+            let decoded = codec
+                .decode(buffer)
+                .map_err(|error| BrokenAnswer(error.to_string()))?;
+            match decoded {
+                Some(Some(piece)) if piece.is_empty() => {}
+                Some(Some(piece)) => return Ok(Decoded::Piece(piece)),
+                Some(None) => return Ok(Decoded::End),
+                None => return Ok(Decoded::Incomplete),
+            }
+        }
+    }
+}
+
+/// Whether only the end of the connection ends an answer's body.
+pub(crate) fn ends_with_connection(head: &ResponseHead) -> bool {
+    let has_no_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    let is_framed =
+        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    !has_no_body && !is_framed
+}
+
 /// The idle time that a worker names in an answer.
 pub(crate) fn named_idle_time(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -6,12 +6,12 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message, MessageType};
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use prometheus_client::metrics::counter::Counter;
 use tokio_util::codec::{Decoder, Encoder};
 
-use super::answer::{Home, named_idle_time};
+use super::answer::{Home, ends_with_connection, named_idle_time};
 use super::{Answer, Pool, WorkerConnection};
 use crate::buffered;
 use crate::ports::Platform;
@@ -77,13 +77,13 @@
     for _ in 0..=MAX_FOREIGN_ANSWERS {
         let head = transfer.next_head().await?;
         if is_answer_to(context.platform, request, &head) {
-            return Ok(transfer.into_answer(context, target, head));
+            return Ok(transfer.into_answer(context, target, &request.head.method, head));
         }
         log::warn!(
             request = request.request_id.as_deref().unwrap_or_default(), worker = target.worker.as_str();
             "answer to another request passed over"
         );
-        transfer.skip_body(context).await?;
+        transfer.skip_body(context, &head).await?;
     }
     Err(ExchangeError::NoAnswer(
         "answers to other requests".to_owned(),
@@ -187,6 +187,7 @@
         self,
         context: &ExchangeContext<'_>,
         target: &Target,
+        method: &Method,
         head: ResponseHead,
     ) -> Answer {
         let home = Home {
@@ -195,22 +196,25 @@
             reusable: !self.sending,
             idle_time: named_idle_time(&head.headers),
         };
-        Answer::new(head, self.codec, self.connection, home)
+        Answer::new(method, head, self.codec, self.connection, home)
     }
 
     /// Reads to the end of an answer to another request. The connection is not used again after
     /// the right answer: the fresh codec does not vouch for it.
-    async fn skip_body(&mut self, context: &ExchangeContext<'_>) -> Result<(), ExchangeError> {
-        let kind = self.codec.message_type();
+    async fn skip_body(
+        &mut self,
+        context: &ExchangeContext<'_>,
+        head: &ResponseHead,
+    ) -> Result<(), ExchangeError> {
+        if ends_with_connection(head) {
+            let reason = "answer to another request without an end".to_owned();
+            return Err(ExchangeError::NoAnswer(reason));
+        }
+        let has_body = self.codec.message_type() != MessageType::None;
         let fresh = ClientCodec::new(context.http.clone());
         let codec = std::mem::replace(&mut self.codec, fresh);
-        match kind {
-            MessageType::None => return Ok(()),
-            MessageType::Stream => {
-                let reason = "answer to another request without an end".to_owned();
-                return Err(ExchangeError::NoAnswer(reason));
-            }
-            MessageType::Payload => {}
+        if !has_body {
+            return Ok(());
         }
         let mut payload = codec.into_payload_codec();
         loop {
--- a/crates/sidecar/src/http/chat.rs
+++ b/crates/sidecar/src/http/chat.rs
@@ -26,7 +26,7 @@
 /// Position of the call within its run.
 const CALL: &str = "x-elderworks-call";
 /// Milliseconds until the answer stops being useful.
-const DEADLINE: &str = "x-elderworks-deadline-ms";
+const DEADLINE: &str = "x-elderworks-timeout-ms";
 /// Milliseconds until the prefix is expected to be used again.
 const EXPECTED_REUSE: &str = "x-elderworks-expected-reuse-ms";
 /// Key under which a repeat of the request is recognised.
--- a/crates/sidecar/tests/callers/programs.rs
+++ b/crates/sidecar/tests/callers/programs.rs
@@ -209,7 +209,7 @@
         let headers = [
             ("authorization", "Bearer office-token"),
             ("x-elderworks-run", run.as_str()),
-            ("x-elderworks-deadline-ms", "60000"),
+            ("x-elderworks-timeout-ms", "60000"),
             (name, value),
         ];
         let mut calls = Vec::new();
