ledger: fail fast while the log is down, wait for its end where that pays

Cause: while the log was down, a turn waited for its owner's patience (500 ms), then for another node's, then for its own node's: longer than its caller did. Every lost answer cost 1.2 s, whatever the log's usual response time.

Change: an owner takes the log to be down after two failed calls in a row and from then on answers at once; one request at a time finds out whether that still holds. The node that has the caller asks again every 120 ms for up to 0.4 of the turn's time and 1.2 s at most, then refuses and says to come back in 0.9 s. A node without answers from the log itself does not try in the owner's place. Time-outs follow the response times (after RFC 6298, 150 ms to 1.2 s).

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -12,7 +12,8 @@
 
 pub use account::Account;
 pub use owner::{
-    Action, AppendOutcome, FAILURE_PAUSE, HOLD_BACK, PATIENCE, PartitionOwner, ReadOutcome, Ticket,
+    Action, AppendOutcome, DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK,
+    PartitionOwner, ReadOutcome, Ticket,
 };
 pub use partition::{Batch, Evaluation, evaluate};
 pub use state::{LedgerState, RETENTION};
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -10,15 +10,18 @@
 
 use super::{Batch, Evaluation, LedgerState, evaluate};
 
-/// Requests older than this are given up when the log fails.
-pub const PATIENCE: Duration = Duration::from_millis(500);
+/// Calls in a row that must fail before the log is taken to be down.
+pub const FAILURES_BEFORE_DOWN: u32 = 2;
 
 /// Records that nobody waits for are held back this long to be appended with others.
 pub const HOLD_BACK: Duration = Duration::from_millis(400);
 
-/// Pause after a call to the log that failed.
+/// Pause after a first call to the log that failed.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(30);
 
+/// Pause between two calls while the log is down.
+pub const DOWN_PAUSE: Duration = Duration::from_millis(100);
+
 /// Names a request between the driver and the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -105,12 +108,23 @@
     pending: Option<PendingAppend>,
     replies: Vec<(Ticket, LedgerReply)>,
     paused_until: Timestamp,
+    failures_in_a_row: u32,
+    is_calling: bool,
     conflicts: u64,
 }
 
 impl PartitionOwner {
     /// Takes a request; its reply comes from [`Self::take_replies`].
+    ///
+    /// While the log is down, one request at a time waits for a call that finds out whether it
+    /// still is; the others are answered at once, from memory or with "unavailable".
     pub fn submit(&mut self, now: Timestamp, ticket: Ticket, request: LedgerRequest) {
+        let must_not_wait = self.is_calling || now < self.paused_until;
+        if self.is_down() && must_not_wait {
+            let reply = self.reply_from_memory(&request);
+            self.replies.push((ticket, reply));
+            return;
+        }
         self.jobs.push(Job {
             ticket,
             request,
@@ -119,6 +133,18 @@
         });
     }
 
+    /// Whether the log is taken to be down.
+    pub fn is_down(&self) -> bool {
+        self.failures_in_a_row >= FAILURES_BEFORE_DOWN
+    }
+
+    fn reply_from_memory(&self, request: &LedgerRequest) -> LedgerReply {
+        match evaluate(&self.state, &mut Batch::default(), request) {
+            Evaluation::Answer(reply) => reply,
+            Evaluation::Append { .. } | Evaluation::AnswerIfCurrent(_) => LedgerReply::Unavailable,
+        }
+    }
+
     /// Replies that have been decided, each once.
     pub fn take_replies(&mut self) -> Vec<(Ticket, LedgerReply)> {
         std::mem::take(&mut self.replies)
@@ -139,8 +165,8 @@
         self.conflicts
     }
 
-    /// Decides what can be decided, and says what is to be done next. Not to be called while an
-    /// action is under way.
+    /// Decides what can be decided, and says what is to be done next. Not to be called while a read
+    /// or an append is under way; requests may be submitted meanwhile.
     pub fn next_action(&mut self, now: Timestamp) -> Action {
         if self.jobs.is_empty() {
             return Action::Wait { until: None };
@@ -150,10 +176,13 @@
                 until: Some(self.paused_until),
             };
         }
-        if !self.is_synced {
-            return Action::Read { from: self.end };
-        }
-        self.decide(now)
+        let action = if self.is_synced {
+            self.decide(now)
+        } else {
+            Action::Read { from: self.end }
+        };
+        self.is_calling = !matches!(action, Action::Wait { .. });
+        action
     }
 
     fn decide(&mut self, now: Timestamp) -> Action {
@@ -224,12 +253,17 @@
 
     /// Reports how [`Action::Append`] ended.
     pub fn on_append(&mut self, now: Timestamp, outcome: AppendOutcome) {
+        self.is_calling = false;
         let Some(pending) = self.pending.take() else {
             return;
         };
         match outcome {
-            AppendOutcome::Done => self.take_appended(now, pending),
+            AppendOutcome::Done => {
+                self.failures_in_a_row = 0;
+                self.take_appended(now, pending);
+            }
             AppendOutcome::Conflict => {
+                self.failures_in_a_row = 0;
                 self.conflicts += 1;
                 self.is_synced = false;
             }
@@ -260,8 +294,12 @@
 
     /// Reports how [`Action::Read`] ended.
     pub fn on_read(&mut self, now: Timestamp, outcome: ReadOutcome) {
+        self.is_calling = false;
         match outcome {
-            ReadOutcome::Records { records, end } => self.take_records(now, records, end),
+            ReadOutcome::Records { records, end } => {
+                self.failures_in_a_row = 0;
+                self.take_records(now, records, end);
+            }
             ReadOutcome::Gone { first } => {
                 // What is gone is older than anything that is still kept.
                 self.end = first;
@@ -308,22 +346,24 @@
             records: records.clone(),
             evaluations: Vec::new(),
         });
+        self.is_calling = true;
         Some(Action::Append {
             at: self.end,
             records,
         })
     }
 
-    /// After a failure: a pause, and the end of patience for requests that have waited.
+    /// After a failed call: a pause, and no more waiting once the log is taken to be down.
     fn pause(&mut self, now: Timestamp) {
-        self.paused_until = now + FAILURE_PAUSE;
-        let jobs = std::mem::take(&mut self.jobs);
-        for job in jobs {
-            if now.since(job.since) >= PATIENCE {
-                self.replies.push((job.ticket, LedgerReply::Unavailable));
-            } else {
-                self.jobs.push(job);
-            }
+        self.failures_in_a_row += 1;
+        if !self.is_down() {
+            self.paused_until = now + FAILURE_PAUSE;
+            return;
+        }
+        self.paused_until = now + DOWN_PAUSE;
+        for job in std::mem::take(&mut self.jobs) {
+            let reply = self.reply_from_memory(&job.request);
+            self.replies.push((job.ticket, reply));
         }
     }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod events;
 pub mod ledger;
 pub mod nodes;
+pub mod response_time;
 pub mod split;
 pub mod workers;
--- a/crates/gateway-core/tests/ledger.rs
+++ b/crates/gateway-core/tests/ledger.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use elderworks_gateway_core::ledger::{
-    Account, Action, AppendOutcome, HOLD_BACK, LedgerState, PATIENCE, PartitionOwner, ReadOutcome,
-    Ticket, partition_of,
+    Account, Action, AppendOutcome, DOWN_PAUSE, FAILURE_PAUSE, HOLD_BACK, LedgerState,
+    PartitionOwner, ReadOutcome, Ticket, partition_of,
 };
 use elderworks_protocol::ledger::{
     BeginTurn, FinishTurn, KeptTurn, LedgerRecord, LedgerReply, LedgerRequest,
@@ -292,13 +292,71 @@
             Action::Wait { until } => now = until.expect("requests wait"),
         }
         replies.extend(owner.take_replies());
-        assert!(now.since(START) < PATIENCE * 2, "given up in time");
+        assert!(
+            now.since(START) <= FAILURE_PAUSE,
+            "given up after two calls"
+        );
     }
     for (_, reply) in replies {
         assert_eq!(reply, LedgerReply::Unavailable);
     }
 }
 
+/// An owner that takes the log to be down, at the time of its last failed call.
+fn owner_of_a_log_that_is_down() -> PartitionOwner {
+    let mut owner = synced_owner();
+    carry_out(&mut owner, finish("k", 0, Some(kept(None, b"in", b"out"))));
+    owner.submit(START, Ticket(1), begin("t", 100, 10));
+    let mut now = START;
+    while !owner.is_down() {
+        match owner.next_action(now) {
+            Action::Append { .. } => owner.on_append(now, AppendOutcome::Unknown),
+            Action::Read { .. } => owner.on_read(now, ReadOutcome::Failed),
+            Action::Wait { until } => now = until.expect("a request waits"),
+        }
+    }
+    owner.take_replies();
+    owner
+}
+
+#[test]
+fn while_the_log_is_down_requests_are_answered_at_once() {
+    let mut owner = owner_of_a_log_that_is_down();
+    let now = START + FAILURE_PAUSE;
+    owner.submit(now, Ticket(5), begin("u", 100, 10));
+    owner.submit(now, Ticket(6), begin_after("v", "k", None));
+    let conversation = Bytes::from_static(b"inout");
+    assert_eq!(
+        owner.take_replies(),
+        [
+            (Ticket(5), LedgerReply::Unavailable),
+            (Ticket(6), LedgerReply::Granted { conversation }),
+        ]
+    );
+}
+
+#[test]
+fn one_request_at_a_time_finds_out_whether_the_log_is_still_down() {
+    let mut owner = owner_of_a_log_that_is_down();
+    let now = START + FAILURE_PAUSE + DOWN_PAUSE;
+    owner.submit(now, Ticket(5), begin("u", 100, 10));
+    assert!(matches!(owner.next_action(now), Action::Read { .. }));
+    owner.submit(now, Ticket(6), begin("v", 100, 10));
+    assert_eq!(
+        owner.take_replies(),
+        [(Ticket(6), LedgerReply::Unavailable)]
+    );
+    owner.on_read(now, nothing(owner.end().0));
+    assert!(!owner.is_down());
+    assert!(matches!(owner.next_action(now), Action::Append { .. }));
+    owner.on_append(now, AppendOutcome::Done);
+    let replies = owner.take_replies();
+    assert!(matches!(
+        replies[0],
+        (Ticket(5), LedgerReply::Granted { .. })
+    ));
+}
+
 #[test]
 fn the_end_of_a_turn_that_nobody_waits_for_is_held_back() {
     let mut owner = synced_owner();
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -1,7 +1,7 @@
 //! A turn's leave from the ledger, and its return.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
@@ -17,6 +17,17 @@
 /// Times that the end of a turn is reported before it is given up.
 const FINISH_TRIES: u32 = 12;
 
+/// Share of a turn's time for which an outage of the log is waited for.
+const PATIENT_SHARE: f64 = 0.4;
+
+/// Longest wait for an outage of the log to end. Callers give up streams that stay silent for two
+/// seconds.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// When to come back after the ledger could not be asked. An outage of the log lasts seconds
+/// rather than moments; the caller shortens this if it has less time.
+const LEDGER_RETRY: Duration = Duration::from_millis(900);
+
 /// Pause between two reports.
 const FINISH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -134,6 +145,12 @@
         Ok(())
     }
 
+    /// How long an outage of the log is waited for.
+    fn ledger_patience(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left.mul_f64(PATIENT_SHARE).min(LONGEST_PATIENCE)
+    }
+
     fn is_turn(&self) -> bool {
         self.route.kind == elderworks_gateway_core::config::RouteKind::Streaming
     }
@@ -153,7 +170,8 @@
         mut begin: BeginTurn,
     ) -> Result<Bytes, Refusal> {
         let request = LedgerRequest::Begin(begin.clone());
-        let mut reply = ledger::request(self.gateway, partition, request).await;
+        let patience = self.ledger_patience();
+        let mut reply = ledger::request_patiently(self.gateway, partition, request, patience).await;
         if reply == LedgerReply::UnknownTurn
             && let Some(previous) = begin.previous.clone()
         {
@@ -184,7 +202,10 @@
                 ))
             }
             // The lease settles a reservation that was made nevertheless.
-            _ => Err(Refusal::not_run("the program's ledger cannot be asked now")),
+            _ => Err(Refusal::not_run_until(
+                "the program's ledger cannot be asked now",
+                LEDGER_RETRY,
+            )),
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
 use elderworks_gateway_core::nodes::NodeDirectory;
+use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::workers::WorkerDirectory;
 use elderworks_types::Timestamp;
@@ -15,7 +16,7 @@
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::ports::Platform;
+use crate::ports::{Platform, StoreError};
 use crate::settings::GatewaySettings;
 use crate::upstream::Pool;
 
@@ -43,6 +44,10 @@
     pub(crate) peers: Peers,
     pub(crate) pool: Rc<Pool>,
     pub(crate) ledger: Ledger,
+    /// Response times of the log's calls for the ledger.
+    pub(crate) log_timer: RefCell<ResponseTimer>,
+    /// Whether the latest call to the log was answered, for whatever stream.
+    pub(crate) log_answers: Cell<bool>,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     /// Requests under way.
@@ -61,6 +66,8 @@
         Rc::new(Self {
             peers: Peers::new(&settings),
             ledger: Ledger::new(settings.partitions),
+            log_timer: RefCell::default(),
+            log_answers: Cell::new(true),
             settings,
             platform,
             clock: Clock::start(),
@@ -102,6 +109,15 @@
             && self.config.borrow().current().is_some()
     }
 
+    /// Notes how a call to the log ended.
+    pub(crate) fn note_log_call(&self, error: Option<&StoreError>) {
+        let answered = match error {
+            None | Some(StoreError::Conflict { .. } | StoreError::Gone { .. }) => true,
+            Some(StoreError::Unavailable(_) | StoreError::Unknown(_)) => false,
+        };
+        self.log_answers.set(answered);
+    }
+
     /// A number that no other caller of this function gets.
     pub(crate) fn next_sequence(&self) -> u64 {
         let number = self.sequence.get() + 1;
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -5,10 +5,10 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
-use elderworks_types::PartitionId;
+use elderworks_types::{NodeId, PartitionId};
 use futures_util::future::join_all;
 use tokio::sync::{mpsc, oneshot};
 
@@ -18,8 +18,8 @@
 /// Longest wait for another node's reply.
 const PEER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Other nodes asked before this one acts itself.
-const PEERS_TRIED: usize = 2;
+/// Pause before a request that no node could carry out is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
 /// The partitions that this node has acted for.
 #[derive(Debug)]
@@ -40,41 +40,71 @@
 
 /// Makes a request of a partition's ledger.
 ///
-/// Any node can carry it out; the preferred ones are asked first, since they have the state at
-/// hand. [`LedgerReply::Unavailable`] if none could.
+/// Any node can carry it out; the preferred one is asked first, since it has the state at hand.
+/// If it cannot, this node tries, unless it has no answers from the log either.
+/// [`LedgerReply::Unavailable`] if neither could.
 pub(crate) async fn request(
     gateway: &Rc<Gateway>,
     partition: PartitionId,
     request: LedgerRequest,
 ) -> LedgerReply {
-    for node in gateway
-        .peers
-        .candidates(partition)
-        .into_iter()
-        .take(PEERS_TRIED)
+    let preferred = gateway.peers.candidates(partition).into_iter().next();
+    if let Some(node) = preferred
+        && node != gateway.settings.node
     {
-        if node == gateway.settings.node {
-            break;
-        }
-        gateway.metrics.ledger_forwarded.inc();
-        let asking = gateway
-            .peers
-            .ask(gateway, &node, partition, request.clone());
-        match actix_rt::time::timeout(PEER_TIMEOUT, asking).await {
-            Ok(Some(LedgerReply::Unavailable)) => {}
-            Ok(Some(reply)) => return reply,
-            Ok(None) | Err(_) => {
-                log::warn!(
-                    peer = node.as_str(), partition = partition.0;
-                    "peer did not answer for a partition"
-                );
-                gateway.peers.avoid(&node);
+        match ask_peer(gateway, &node, partition, request.clone()).await {
+            Some(LedgerReply::Unavailable) if !gateway.log_answers.get() => {
+                return LedgerReply::Unavailable;
             }
+            // The other node may be cut off from the log alone.
+            Some(LedgerReply::Unavailable) | None => {}
+            Some(reply) => return reply,
         }
     }
     carry_out(gateway, partition, request).await
 }
 
+/// Like [`request`], again and again for up to `patience` while no node can carry it out: an outage
+/// of the log may end in time.
+pub(crate) async fn request_patiently(
+    gateway: &Rc<Gateway>,
+    partition: PartitionId,
+    wanted: LedgerRequest,
+    patience: Duration,
+) -> LedgerReply {
+    let started = Instant::now();
+    loop {
+        let reply = request(gateway, partition, wanted.clone()).await;
+        let is_over = started.elapsed() + RETRY_PAUSE >= patience;
+        if reply != LedgerReply::Unavailable || is_over {
+            return reply;
+        }
+        actix_rt::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Asks another node; `None` if it does not answer.
+async fn ask_peer(
+    gateway: &Rc<Gateway>,
+    node: &NodeId,
+    partition: PartitionId,
+    request: LedgerRequest,
+) -> Option<LedgerReply> {
+    gateway.metrics.ledger_forwarded.inc();
+    let asking = gateway.peers.ask(gateway, node, partition, request);
+    match actix_rt::time::timeout(PEER_TIMEOUT, asking).await {
+        Ok(Some(reply)) => Some(reply),
+        Ok(None) | Err(_) => {
+            log::warn!(
+                peer = node.as_str(), partition = partition.0;
+                "peer did not answer for a partition"
+            );
+            gateway.peers.avoid(node);
+            None
+        }
+    }
+}
+
 /// Carries a request out on this node.
 pub(crate) async fn carry_out(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use elderworks_gateway_core::directory::Stream;
@@ -55,7 +55,7 @@
             let action = self.owner.next_action(self.gateway.now());
             self.hand_on_replies();
             let Action::Wait { until } = action else {
-                self.carry_out(action).await;
+                self.carry_out(action, &mut jobs).await;
                 continue;
             };
             tokio::select! {
@@ -64,7 +64,7 @@
                     None => return,
                 },
                 () = sleep_until(&self.gateway, until) => {}
-                _ = upkeep.tick() => self.keep_up().await,
+                _ = upkeep.tick() => self.keep_up(&mut jobs).await,
             }
         }
     }
@@ -84,14 +84,17 @@
         }
     }
 
-    async fn carry_out(&mut self, action: Action) {
+    /// Carries an action out, and takes requests meanwhile.
+    async fn carry_out(&mut self, action: Action, jobs: &mut mpsc::UnboundedReceiver<Job>) {
         match action {
             Action::Read { from } => {
-                let outcome = self.read(from).await;
+                let call = read(self.gateway.clone(), self.partition, from);
+                let outcome = self.take_jobs_until(call, jobs).await;
                 self.owner.on_read(self.gateway.now(), outcome);
             }
             Action::Append { at, records } => {
-                let outcome = self.append(at, &records).await;
+                let call = append(self.gateway.clone(), self.partition, at, records);
+                let outcome = self.take_jobs_until(call, jobs).await;
                 self.owner.on_append(self.gateway.now(), outcome);
             }
             Action::Wait { .. } => {}
@@ -102,69 +105,28 @@
         self.conflicts_counted = conflicts;
     }
 
-    async fn read(&self, from: Offset) -> ReadOutcome {
-        let stream = Stream::Ledger(self.partition);
-        let platform = &self.gateway.platform;
-        match platform.read(stream, from, Duration::ZERO).await {
-            Ok(batch) => self.decode_records(batch),
-            Err(StoreError::Gone { first }) => ReadOutcome::Gone { first },
-            Err(error) => {
-                self.warn("reading the ledger failed", from, &error);
-                ReadOutcome::Failed
-            }
-        }
-    }
-
-    fn decode_records(&self, batch: ReadBatch) -> ReadOutcome {
-        let mut records = Vec::with_capacity(batch.records.len());
-        for record in batch.records {
-            match decode::<LedgerRecord>(&record.value) {
-                Ok(content) => records.push(Some(content)),
-                Err(error) => {
-                    log::error!(
-                        partition = self.partition.0, offset = record.offset.0,
-                        error = error.to_string().as_str();
-                        "a record of the ledger cannot be read"
-                    );
-                    records.push(None);
-                }
-            }
-        }
-        ReadOutcome::Records {
-            records,
-            end: batch.end,
-        }
-    }
-
-    async fn append(&self, at: Offset, records: &[LedgerRecord]) -> AppendOutcome {
-        let encoded: Vec<Bytes> = records
-            .iter()
-            .map(|record| Bytes::from(encode(record)))
-            .collect();
-        let stream = Stream::Ledger(self.partition);
-        let platform = &self.gateway.platform;
-        match platform.append(stream, Some(at), encoded).await {
-            Ok(_) => AppendOutcome::Done,
-            Err(error) => {
-                self.warn("append to the ledger failed", at, &error);
-                match error {
-                    StoreError::Conflict { .. } => AppendOutcome::Conflict,
-                    StoreError::Unavailable(_) => AppendOutcome::Refused,
-                    StoreError::Unknown(_) | StoreError::Gone { .. } => AppendOutcome::Unknown,
+    /// Waits for a call to the log; requests that come meanwhile are taken, and answered if that
+    /// needs no call.
+    async fn take_jobs_until<T>(
+        &mut self,
+        call: impl Future<Output = T>,
+        jobs: &mut mpsc::UnboundedReceiver<Job>,
+    ) -> T {
+        let mut call = std::pin::pin!(call);
+        loop {
+            tokio::select! {
+                biased;
+                outcome = &mut call => return outcome,
+                Some(job) = jobs.recv() => {
+                    self.submit(job);
+                    self.hand_on_replies();
                 }
             }
         }
     }
 
-    fn warn(&self, what: &str, at: Offset, error: &StoreError) {
-        log::warn!(
-            partition = self.partition.0, at = at.0, error = error.to_string().as_str();
-            "{what}"
-        );
-    }
-
     /// Drops what is no longer kept; the first candidate writes anew what the log would lose.
-    async fn keep_up(&mut self) {
+    async fn keep_up(&mut self, jobs: &mut mpsc::UnboundedReceiver<Job>) {
         let now = self.gateway.now();
         self.owner.expire(now, self.retention());
         let candidates = self.gateway.peers.candidates(self.partition);
@@ -172,7 +134,7 @@
             return;
         }
         if let Some(action) = self.owner.plan_rewrite(now) {
-            self.carry_out(action).await;
+            self.carry_out(action, jobs).await;
         }
     }
 
@@ -191,3 +153,87 @@
         None => std::future::pending().await,
     }
 }
+
+async fn read(gateway: Rc<Gateway>, partition: PartitionId, from: Offset) -> ReadOutcome {
+    let started = Instant::now();
+    let timeout = gateway.log_timer.borrow().timeout();
+    let stream = Stream::Ledger(partition);
+    let platform = &gateway.platform;
+    let read = platform.read(stream, from, Duration::ZERO, timeout).await;
+    note_response(&gateway, started, read.as_ref().err());
+    match read {
+        Ok(batch) => decode_records(partition, batch),
+        Err(StoreError::Gone { first }) => ReadOutcome::Gone { first },
+        Err(error) => {
+            warn("reading the ledger failed", partition, from, &error);
+            ReadOutcome::Failed
+        }
+    }
+}
+
+fn decode_records(partition: PartitionId, batch: ReadBatch) -> ReadOutcome {
+    let mut records = Vec::with_capacity(batch.records.len());
+    for record in batch.records {
+        match decode::<LedgerRecord>(&record.value) {
+            Ok(content) => records.push(Some(content)),
+            Err(error) => {
+                log::error!(
+                    partition = partition.0, offset = record.offset.0,
+                    error = error.to_string().as_str();
+                    "a record of the ledger cannot be read"
+                );
+                records.push(None);
+            }
+        }
+    }
+    ReadOutcome::Records {
+        records,
+        end: batch.end,
+    }
+}
+
+async fn append(
+    gateway: Rc<Gateway>,
+    partition: PartitionId,
+    at: Offset,
+    records: Vec<LedgerRecord>,
+) -> AppendOutcome {
+    let encoded: Vec<Bytes> = records
+        .iter()
+        .map(|record| Bytes::from(encode(record)))
+        .collect();
+    let started = Instant::now();
+    let timeout = gateway.log_timer.borrow().timeout();
+    let stream = Stream::Ledger(partition);
+    let appended = gateway.platform.append(stream, at, encoded, timeout).await;
+    note_response(&gateway, started, appended.as_ref().err());
+    let Err(error) = appended else {
+        return AppendOutcome::Done;
+    };
+    warn("append to the ledger failed", partition, at, &error);
+    match error {
+        StoreError::Conflict { .. } => AppendOutcome::Conflict,
+        StoreError::Unavailable(_) => AppendOutcome::Refused,
+        StoreError::Unknown(_) | StoreError::Gone { .. } => AppendOutcome::Unknown,
+    }
+}
+
+fn note_response(gateway: &Gateway, started: Instant, error: Option<&StoreError>) {
+    gateway.note_log_call(error);
+    let mut timer = gateway.log_timer.borrow_mut();
+    match error {
+        None | Some(StoreError::Conflict { .. } | StoreError::Gone { .. }) => {
+            timer.note_answer(started.elapsed());
+        }
+        Some(StoreError::Unknown(_)) => timer.note_timeout(),
+        // A refusal tells nothing of how long an answer takes.
+        Some(StoreError::Unavailable(_)) => {}
+    }
+}
+
+fn warn(what: &str, partition: PartitionId, at: Offset, error: &StoreError) {
+    log::warn!(
+        partition = partition.0, at = at.0, error = error.to_string().as_str();
+        "{what}"
+    );
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -90,13 +90,14 @@
 
 /// The platform as the gateway sees it.
 pub trait Platform {
-    /// Appends records, all or none; with `at`, only if the stream ends there. Returns the offset
-    /// of the first.
+    /// Appends records, all or none, if the stream ends at `at`. Returns the offset of the first.
+    /// No answer within `timeout` is [`StoreError::Unknown`].
     fn append(
         &self,
         stream: Stream,
-        at: Option<Offset>,
+        at: Offset,
         records: Vec<Bytes>,
+        timeout: Duration,
     ) -> LocalBoxFuture<'_, Result<Offset, StoreError>>;
 
     /// Writes the newest value of a key in a keyed stream. Returns the record's offset.
@@ -107,12 +108,14 @@
         value: Bytes,
     ) -> LocalBoxFuture<'a, Result<Offset, StoreError>>;
 
-    /// Reads records from an offset on, waiting for one to come for up to `wait`.
+    /// Reads records from an offset on, waiting for one to come for up to `wait`. No answer within
+    /// `timeout` beyond that is [`StoreError::Unknown`].
     fn read(
         &self,
         stream: Stream,
         from: Offset,
         wait: Duration,
+        timeout: Duration,
     ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>>;
 
     /// Reads the newest record of each key, and where the stream ended before that.
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -21,11 +21,16 @@
 }
 
 impl Refusal {
-    /// The request has not run and will not; it may be tried again.
+    /// The request has not run and will not; it may be tried again soon.
     pub(crate) const fn not_run(reason: &'static str) -> Self {
+        Self::not_run_until(reason, RETRY_SOON)
+    }
+
+    /// The request has not run and will not; it may be tried again after `pause`.
+    pub(crate) const fn not_run_until(reason: &'static str, pause: Duration) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            retry_after: Some(RETRY_SOON),
+            retry_after: Some(pause),
             reason,
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -16,6 +16,9 @@
 /// has silenced.
 const READ_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest wait for an answer beyond the wait for news.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Pause between two reads of the workers' stream, which has a record for every heartbeat.
 const WORKERS_PAUSE: Duration = Duration::from_millis(600);
 
@@ -63,6 +66,7 @@
             None => read_all::<F>(&gateway).await,
             Some(from) => read_more::<F>(&gateway, from).await,
         };
+        gateway.note_log_call(read.as_ref().err());
         match read {
             Ok(end) => {
                 if failing {
@@ -96,7 +100,10 @@
 }
 
 async fn read_more<F: Follower>(gateway: &Gateway, from: Offset) -> Result<Offset, StoreError> {
-    let batch = gateway.platform.read(F::STREAM, from, READ_WAIT).await?;
+    let batch = gateway
+        .platform
+        .read(F::STREAM, from, READ_WAIT, ANSWER_TIMEOUT)
+        .await?;
     for record in &batch.records {
         F::take(gateway, record);
     }
