ledger: set a program's tokens aside for several turns at once

Ruled out: letting a turn run before its reservation is durable.

Change: an owner reserves an advance (the turn, up to two more, and at most a quarter of what the budget has left) and lets turns draw on it from memory. It counts in full on the log until the owner settles it when idle, so a node that takes the partition over can only be too careful. The end of a turn goes to the node that granted it. A turn given up before its grant draws nothing. Ends and further turns need no call, also while the log is down.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -7,16 +7,18 @@
 
 mod account;
 mod owner;
-mod partition;
+mod plan;
 mod state;
+mod wallet;
+mod wallets;
 
 pub use account::Account;
 pub use owner::{
     Action, AppendOutcome, DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK,
     PartitionOwner, ReadOutcome, Ticket,
 };
-pub use partition::{Batch, Evaluation, evaluate};
 pub use state::{LedgerState, RETENTION};
+pub use wallet::{Advance, IDLE_BEFORE_SETTLING, SpentAdvance, Wallet};
 
 use elderworks_types::PartitionId;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -8,13 +8,16 @@
 use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_types::{Offset, Timestamp};
 
-use super::{Batch, Evaluation, LedgerState, evaluate};
+use super::LedgerState;
+use super::plan::{Plan, Planned, answer_at_once};
+use super::wallet::IDLE_BEFORE_SETTLING;
+use super::wallets::Wallets;
 
 /// Calls in a row that must fail before the log is taken to be down.
 pub const FAILURES_BEFORE_DOWN: u32 = 2;
 
-/// Records that nobody waits for are held back this long to be appended with others.
-pub const HOLD_BACK: Duration = Duration::from_millis(400);
+/// Settlements, which nobody waits for, are held back this long to be appended with others.
+pub const HOLD_BACK: Duration = Duration::from_millis(2_000);
 
 /// Pause after a first call to the log that failed.
 pub const FAILURE_PAUSE: Duration = Duration::from_millis(30);
@@ -85,21 +88,25 @@
 struct Job {
     ticket: Ticket,
     request: LedgerRequest,
-    since: Timestamp,
     /// Whether the state was read anew for this request, so that a negative answer is sure.
     verified: bool,
 }
 
 #[derive(Debug)]
 struct PendingAppend {
-    records: Vec<LedgerRecord>,
-    evaluations: Vec<(Ticket, Evaluation)>,
+    plan: Plan,
+    replies: Vec<(Ticket, LedgerReply)>,
+    /// Turns of the plan that have been reported as ended since, by program.
+    abandoned: Vec<(String, String)>,
 }
 
 /// One partition as this node acts for it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PartitionOwner {
     state: LedgerState,
+    wallets: Wallets,
+    /// Whether other nodes send their requests here.
+    is_preferred: bool,
     /// The offset behind the last record applied.
     end: Offset,
     /// Whether nothing is in doubt since the log was last read to its end.
@@ -114,23 +121,74 @@
 }
 
 impl PartitionOwner {
+    /// An owner that has read nothing. `name` is written to the log; no other owner of the
+    /// partition may ever bear it, nor an earlier start of the same node.
+    pub fn new(name: String) -> Self {
+        Self {
+            state: LedgerState::default(),
+            wallets: Wallets::new(name),
+            is_preferred: true,
+            end: Offset(0),
+            is_synced: false,
+            jobs: Vec::new(),
+            pending: None,
+            replies: Vec::new(),
+            paused_until: Timestamp::default(),
+            failures_in_a_row: 0,
+            is_calling: false,
+            conflicts: 0,
+        }
+    }
+
     /// Takes a request; its reply comes from [`Self::take_replies`].
     ///
     /// While the log is down, one request at a time waits for a call that finds out whether it
     /// still is; the others are answered at once, from memory or with "unavailable".
     pub fn submit(&mut self, now: Timestamp, ticket: Ticket, request: LedgerRequest) {
+        if let LedgerRequest::Finish(finish) = &request {
+            self.abandon(&finish.program, &finish.turn);
+        }
+        let at_once = answer_at_once(&self.state, &mut self.wallets, now, &request);
         let must_not_wait = self.is_calling || now < self.paused_until;
-        if self.is_down() && must_not_wait {
-            let reply = self.reply_from_memory(&request);
-            self.replies.push((ticket, reply));
-            return;
+        let reply = match at_once {
+            Some(reply) => Some(reply),
+            None if self.is_down() && must_not_wait => Some(LedgerReply::Unavailable),
+            None => None,
+        };
+        match reply {
+            Some(reply) => self.replies.push((ticket, reply)),
+            None => self.jobs.push(Job {
+                ticket,
+                request,
+                verified: false,
+            }),
         }
-        self.jobs.push(Job {
-            ticket,
-            request,
-            since: now,
-            verified: false,
-        });
+    }
+
+    /// A turn has ended that may not have been granted yet: whoever asked has given up.
+    fn abandon(&mut self, program: &str, turn: &str) {
+        if let Some(pending) = &mut self.pending {
+            let started = &pending.plan.started;
+            if started.iter().any(|(_, name)| name == turn) {
+                let abandoned = (program.to_owned(), turn.to_owned());
+                pending.abandoned.push(abandoned);
+                return;
+            }
+        }
+        let is_asked_for = |request: &LedgerRequest| matches!(request, LedgerRequest::Begin(begin) if begin.turn == turn);
+        for job in std::mem::take(&mut self.jobs) {
+            if is_asked_for(&job.request) {
+                self.replies.push((job.ticket, LedgerReply::Unavailable));
+            } else {
+                self.jobs.push(job);
+            }
+        }
+    }
+
+    /// Tells whether other nodes send their requests here. One that they do not settles its
+    /// advances without delay.
+    pub fn set_preferred(&mut self, is_preferred: bool) {
+        self.is_preferred = is_preferred;
     }
 
     /// Whether the log is taken to be down.
@@ -138,13 +196,6 @@
         self.failures_in_a_row >= FAILURES_BEFORE_DOWN
     }
 
-    fn reply_from_memory(&self, request: &LedgerRequest) -> LedgerReply {
-        match evaluate(&self.state, &mut Batch::default(), request) {
-            Evaluation::Answer(reply) => reply,
-            Evaluation::Append { .. } | Evaluation::AnswerIfCurrent(_) => LedgerReply::Unavailable,
-        }
-    }
-
     /// Replies that have been decided, each once.
     pub fn take_replies(&mut self) -> Vec<(Ticket, LedgerReply)> {
         std::mem::take(&mut self.replies)
@@ -168,61 +219,86 @@
     /// Decides what can be decided, and says what is to be done next. Not to be called while a read
     /// or an append is under way; requests may be submitted meanwhile.
     pub fn next_action(&mut self, now: Timestamp) -> Action {
-        if self.jobs.is_empty() {
-            return Action::Wait { until: None };
+        self.wallets.close_idle(now, self.idle_time());
+        let action = self.choose_action(now);
+        self.is_calling = !matches!(action, Action::Wait { .. });
+        action
+    }
+
+    fn choose_action(&mut self, now: Timestamp) -> Action {
+        let settles_from = self
+            .wallets
+            .closing_since()
+            .map(|since| since + self.hold_back());
+        let must_settle = settles_from.is_some_and(|from| from <= now);
+        if self.jobs.is_empty() && !must_settle {
+            let idle_from = self
+                .wallets
+                .first_idle()
+                .map(|last| last + self.idle_time());
+            let until = settles_from.into_iter().chain(idle_from).min();
+            return Action::Wait { until };
         }
         if now < self.paused_until {
             return Action::Wait {
                 until: Some(self.paused_until),
             };
         }
-        let action = if self.is_synced {
-            self.decide(now)
-        } else {
-            Action::Read { from: self.end }
-        };
-        self.is_calling = !matches!(action, Action::Wait { .. });
-        action
+        if !self.is_synced {
+            return Action::Read { from: self.end };
+        }
+        self.decide(now, must_settle)
     }
 
-    fn decide(&mut self, now: Timestamp) -> Action {
-        self.jobs.sort_by_key(|job| !job.is_finish());
-        let mut batch = Batch::default();
-        let evaluations: Vec<Evaluation> = self
-            .jobs
-            .iter()
-            .map(|job| evaluate(&self.state, &mut batch, &job.request))
-            .collect();
-        let must_append = self
-            .jobs
-            .iter()
-            .zip(&evaluations)
-            .any(|(job, evaluation)| is_due(job, evaluation, now));
-        if must_append {
-            return self.plan_append(evaluations);
+    fn idle_time(&self) -> Duration {
+        if self.is_preferred {
+            IDLE_BEFORE_SETTLING
+        } else {
+            Duration::ZERO
         }
-        let any_unsure = self.answer_settled(evaluations);
-        if any_unsure {
-            return Action::Read { from: self.end };
+    }
+
+    fn hold_back(&self) -> Duration {
+        if self.is_preferred {
+            HOLD_BACK
+        } else {
+            Duration::ZERO
         }
-        let until = self.jobs.iter().map(|job| job.since + HOLD_BACK).min();
-        Action::Wait { until }
     }
 
-    /// All records are appended together, also those that could still be held back.
-    fn plan_append(&mut self, evaluations: Vec<Evaluation>) -> Action {
-        let records: Vec<LedgerRecord> = evaluations
-            .iter()
-            .filter_map(|evaluation| match evaluation {
-                Evaluation::Append { records, .. } => Some(records.clone()),
-                Evaluation::Answer(_) | Evaluation::AnswerIfCurrent(_) => None,
-            })
-            .flatten()
-            .collect();
-        let tickets = self.jobs.iter().map(|job| job.ticket);
+    fn decide(&mut self, now: Timestamp, must_settle: bool) -> Action {
+        let mut plan = Plan::new(&self.state, self.wallets.settlements());
+        let mut appended = Vec::new();
+        let mut must_verify = false;
+        for job in std::mem::take(&mut self.jobs) {
+            // What another request has brought about may suffice for this one.
+            if let Some(reply) = answer_at_once(&self.state, &mut self.wallets, now, &job.request) {
+                self.replies.push((job.ticket, reply));
+                continue;
+            }
+            match plan.decide(&self.state, &mut self.wallets, now, &job.request) {
+                Planned::Append(reply) => {
+                    appended.push((job.ticket, reply));
+                    self.jobs.push(job);
+                }
+                Planned::AnswerIfCurrent(reply) if job.verified => {
+                    self.replies.push((job.ticket, reply));
+                }
+                Planned::AnswerIfCurrent(_) => {
+                    must_verify = true;
+                    self.jobs.push(job);
+                }
+                Planned::DecideAfterAppend => self.jobs.push(job),
+            }
+        }
+        if appended.is_empty() && !must_settle {
+            return self.verify_or_wait(must_verify);
+        }
+        let records = plan.records.clone();
         self.pending = Some(PendingAppend {
-            records: records.clone(),
-            evaluations: tickets.zip(evaluations).collect(),
+            plan,
+            replies: appended,
+            abandoned: Vec::new(),
         });
         Action::Append {
             at: self.end,
@@ -230,25 +306,17 @@
         }
     }
 
-    /// Answers what needs no append: positive answers, and negative ones that are sure. Tells
-    /// whether a negative one is left that is not.
-    fn answer_settled(&mut self, evaluations: Vec<Evaluation>) -> bool {
-        let mut any_unsure = false;
-        let jobs = std::mem::take(&mut self.jobs);
-        for (job, evaluation) in jobs.into_iter().zip(evaluations) {
-            match evaluation {
-                Evaluation::Answer(reply) => self.replies.push((job.ticket, reply)),
-                Evaluation::AnswerIfCurrent(reply) if job.verified => {
-                    self.replies.push((job.ticket, reply));
-                }
-                Evaluation::AnswerIfCurrent(_) => {
-                    any_unsure = true;
-                    self.jobs.push(job);
-                }
-                Evaluation::Append { .. } => self.jobs.push(job),
-            }
+    fn verify_or_wait(&self, must_verify: bool) -> Action {
+        if must_verify {
+            return Action::Read { from: self.end };
+        }
+        let settles_from = self
+            .wallets
+            .closing_since()
+            .map(|since| since + self.hold_back());
+        Action::Wait {
+            until: settles_from,
         }
-        any_unsure
     }
 
     /// Reports how [`Action::Append`] ended.
@@ -257,11 +325,18 @@
         let Some(pending) = self.pending.take() else {
             return;
         };
-        match outcome {
-            AppendOutcome::Done => {
-                self.failures_in_a_row = 0;
-                self.take_appended(now, pending);
+        if outcome == AppendOutcome::Done {
+            self.failures_in_a_row = 0;
+            self.take_appended(now, pending);
+            return;
+        }
+        for (program, turn) in &pending.plan.started {
+            if let Some(wallet) = self.wallets.get_mut(program) {
+                wallet.cancel(turn);
             }
+        }
+        match outcome {
+            AppendOutcome::Done => {}
             AppendOutcome::Conflict => {
                 self.failures_in_a_row = 0;
                 self.conflicts += 1;
@@ -275,21 +350,29 @@
         }
     }
 
-    /// The log ended where the state did, so negative answers are sure as well.
+    /// The log ended where the state did, so what was decided on the state holds.
     fn take_appended(&mut self, now: Timestamp, pending: PendingAppend) {
-        for record in pending.records {
-            self.state.apply(now, record);
-            self.end = self.end.next();
+        for record in pending.plan.records {
+            self.apply(now, record);
+        }
+        for (program, turn) in &pending.abandoned {
+            if let Some(wallet) = self.wallets.get_mut(program) {
+                wallet.end(now, turn, 0);
+            }
         }
-        for (ticket, evaluation) in pending.evaluations {
+        for (ticket, reply) in pending.replies {
             self.jobs.retain(|job| job.ticket != ticket);
-            let reply = match evaluation {
-                Evaluation::Answer(reply)
-                | Evaluation::AnswerIfCurrent(reply)
-                | Evaluation::Append { reply, .. } => reply,
-            };
             self.replies.push((ticket, reply));
         }
+        for job in &mut self.jobs {
+            job.verified = true;
+        }
+    }
+
+    fn apply(&mut self, now: Timestamp, record: LedgerRecord) {
+        self.wallets.note_record(now, &record);
+        self.state.apply(now, record);
+        self.end = self.end.next();
     }
 
     /// Reports how [`Action::Read`] ended.
@@ -314,10 +397,10 @@
 
     fn take_records(&mut self, now: Timestamp, records: Vec<Option<LedgerRecord>>, end: Offset) {
         for record in records {
-            if let Some(record) = record {
-                self.state.apply(now, record);
+            match record {
+                Some(record) => self.apply(now, record),
+                None => self.end = self.end.next(),
             }
-            self.end = self.end.next();
         }
         self.is_synced = self.end >= end;
         if self.is_synced {
@@ -343,8 +426,9 @@
             return None;
         }
         self.pending = Some(PendingAppend {
-            records: records.clone(),
-            evaluations: Vec::new(),
+            plan: Plan::of_records(records.clone()),
+            replies: Vec::new(),
+            abandoned: Vec::new(),
         });
         self.is_calling = true;
         Some(Action::Append {
@@ -362,21 +446,7 @@
         }
         self.paused_until = now + DOWN_PAUSE;
         for job in std::mem::take(&mut self.jobs) {
-            let reply = self.reply_from_memory(&job.request);
-            self.replies.push((job.ticket, reply));
+            self.submit(now, job.ticket, job.request);
         }
     }
 }
-
-impl Job {
-    fn is_finish(&self) -> bool {
-        matches!(self.request, LedgerRequest::Finish(_))
-    }
-}
-
-fn is_due(job: &Job, evaluation: &Evaluation, now: Timestamp) -> bool {
-    match evaluation {
-        Evaluation::Append { may_wait, .. } => !may_wait || now.since(job.since) >= HOLD_BACK,
-        Evaluation::Answer(_) | Evaluation::AnswerIfCurrent(_) => false,
-    }
-}
--- /dev/null
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -0,0 +1,255 @@
+//! Decides requests to a partition: what can be answered at once, and what must be appended.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use elderworks_protocol::ledger::{
+    BeginTurn, FinishTurn, KeptTurn, LedgerRecord, LedgerReply, LedgerRequest,
+};
+use elderworks_types::Timestamp;
+
+use super::wallets::Wallets;
+use super::{Account, LedgerState};
+
+/// An advance holds at most this many turns beyond the one that it is made for.
+const TURNS_IN_ADVANCE: u64 = 2;
+
+/// An advance takes at most this part of what the budget has left beyond the turn that it is made
+/// for: what is lost with its owner must not matter much to the program.
+const SHARE_IN_ADVANCE: u64 = 4;
+
+/// What is to be done for a request that cannot be answered at once.
+#[derive(Debug)]
+pub(super) enum Planned {
+    /// Answer once the records of the plan are durable.
+    Append(LedgerReply),
+    /// Answer only if the state is as of the log's end.
+    AnswerIfCurrent(LedgerReply),
+    /// Decide anew once it is known whether the records of the plan are durable.
+    DecideAfterAppend,
+}
+
+/// Records to append in one call, and what was drawn on account of them.
+#[derive(Debug, Default)]
+pub(super) struct Plan {
+    pub(super) records: Vec<LedgerRecord>,
+    /// Turns that were started on advances of this plan, by program.
+    pub(super) started: Vec<(String, String)>,
+    accounts: HashMap<String, Account>,
+    advanced: HashMap<String, u64>,
+}
+
+/// Answers a request from memory if that needs no call to the log: positive answers only.
+pub(super) fn answer_at_once(
+    state: &LedgerState,
+    wallets: &mut Wallets,
+    now: Timestamp,
+    request: &LedgerRequest,
+) -> Option<LedgerReply> {
+    match request {
+        LedgerRequest::Begin(begin) => begin_at_once(state, wallets, now, begin),
+        LedgerRequest::Finish(finish) => finish_at_once(state, wallets, now, finish),
+        LedgerRequest::Conversation { turn } => {
+            let conversation = state.conversation(turn)?;
+            Some(LedgerReply::Conversation { conversation })
+        }
+    }
+}
+
+fn begin_at_once(
+    state: &LedgerState,
+    wallets: &mut Wallets,
+    now: Timestamp,
+    begin: &BeginTurn,
+) -> Option<LedgerReply> {
+    let conversation = match &begin.previous {
+        Some(previous) => state.conversation(previous)?,
+        None => Bytes::new(),
+    };
+    if begin.budget.is_some() {
+        let wallet = wallets.get_mut(&begin.program)?;
+        if wallet.is_running(&begin.turn) {
+            // Asked again. A negative balance waits for an advance that is not durable yet.
+            if wallet.free() < 0 {
+                return None;
+            }
+        } else if wallet.free() >= signed(begin.tokens) {
+            wallet.start(now, begin.turn.clone(), begin.tokens);
+        } else {
+            return None;
+        }
+    }
+    Some(LedgerReply::Granted { conversation })
+}
+
+fn finish_at_once(
+    state: &LedgerState,
+    wallets: &mut Wallets,
+    now: Timestamp,
+    finish: &FinishTurn,
+) -> Option<LedgerReply> {
+    if let Some(wallet) = wallets.get_mut(&finish.program) {
+        wallet.end(now, &finish.turn, finish.used);
+    }
+    let is_kept = finish.kept.is_none() || state.has_turn(&finish.turn);
+    is_kept.then_some(LedgerReply::Finished)
+}
+
+impl Plan {
+    /// A plan that only appends records.
+    pub(super) fn of_records(records: Vec<LedgerRecord>) -> Self {
+        Self {
+            records,
+            ..Self::default()
+        }
+    }
+
+    /// A plan that begins with settling what waits for it.
+    pub(super) fn new(state: &LedgerState, settlements: Vec<LedgerRecord>) -> Self {
+        let mut plan = Self::default();
+        for record in settlements {
+            if let LedgerRecord::Settled {
+                program,
+                reservation,
+                used,
+            } = &record
+            {
+                plan.account(state, program).settle(reservation, *used);
+            }
+            plan.records.push(record);
+        }
+        plan
+    }
+
+    /// Decides a request on top of those decided before it.
+    pub(super) fn decide(
+        &mut self,
+        state: &LedgerState,
+        wallets: &mut Wallets,
+        now: Timestamp,
+        request: &LedgerRequest,
+    ) -> Planned {
+        match request {
+            LedgerRequest::Begin(begin) => self.decide_begin(state, wallets, now, begin),
+            LedgerRequest::Finish(finish) => {
+                if let Some(content) = &finish.kept {
+                    self.keep(&finish.turn, content.clone());
+                }
+                Planned::Append(LedgerReply::Finished)
+            }
+            LedgerRequest::Conversation { .. } => {
+                Planned::AnswerIfCurrent(LedgerReply::UnknownTurn)
+            }
+        }
+    }
+
+    fn decide_begin(
+        &mut self,
+        state: &LedgerState,
+        wallets: &mut Wallets,
+        now: Timestamp,
+        begin: &BeginTurn,
+    ) -> Planned {
+        let Some((conversation, import)) = conversation_before(state, begin) else {
+            return Planned::AnswerIfCurrent(LedgerReply::UnknownTurn);
+        };
+        if let Some(budget) = begin.budget
+            && !self.fund(state, wallets, now, begin, budget)
+        {
+            // What another turn of this plan takes may turn out not to be taken.
+            if self.advanced.contains_key(&begin.program) {
+                return Planned::DecideAfterAppend;
+            }
+            return Planned::AnswerIfCurrent(LedgerReply::BudgetSpent);
+        }
+        if let Some((turn, content)) = import {
+            self.keep(&turn, content);
+        }
+        Planned::Append(LedgerReply::Granted { conversation })
+    }
+
+    /// Starts a turn on the program's wallet, with a new advance if it holds too little; `false`
+    /// if the budget does not hold the turn.
+    fn fund(
+        &mut self,
+        state: &LedgerState,
+        wallets: &mut Wallets,
+        now: Timestamp,
+        begin: &BeginTurn,
+        budget: u64,
+    ) -> bool {
+        let program = &begin.program;
+        let wallet = wallets.get(program);
+        if wallet.is_some_and(|wallet| wallet.is_running(&begin.turn)) {
+            return true;
+        }
+        let planned = self.advanced.get(program).copied().unwrap_or(0);
+        let free = wallet.map_or(0, |wallet| wallet.free()) + signed(planned);
+        let missing = u64::try_from(signed(begin.tokens) - free).unwrap_or(0);
+        if missing > 0 {
+            let account = self.account(state, program);
+            if !account.allows(budget, missing) {
+                return false;
+            }
+            let left = budget - account.committed() - missing;
+            let extra = (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE);
+            let reservation = wallets.next_advance_id();
+            self.reserve(state, program, reservation, missing + extra);
+        }
+        wallets
+            .entry(program)
+            .start(now, begin.turn.clone(), begin.tokens);
+        self.started.push((program.clone(), begin.turn.clone()));
+        true
+    }
+
+    fn reserve(&mut self, state: &LedgerState, program: &str, reservation: String, tokens: u64) {
+        self.account(state, program)
+            .reserve(reservation.clone(), tokens);
+        *self.advanced.entry(program.to_owned()).or_default() += tokens;
+        self.records.push(LedgerRecord::Reserved {
+            program: program.to_owned(),
+            reservation,
+            tokens,
+        });
+    }
+
+    fn keep(&mut self, turn: &str, content: KeptTurn) {
+        self.records.push(LedgerRecord::Kept {
+            turn: turn.to_owned(),
+            content,
+        });
+    }
+
+    /// A program's account as it will be once the records so far are durable.
+    fn account(&mut self, state: &LedgerState, program: &str) -> &mut Account {
+        self.accounts
+            .entry(program.to_owned())
+            .or_insert_with(|| state.account(program).cloned().unwrap_or_default())
+    }
+}
+
+/// A turn to be kept on behalf of another partition.
+type Import = Option<(String, KeptTurn)>;
+
+/// The conversation that a turn goes on from, with what is to be kept of it here; `None` if this
+/// partition lacks a part of it.
+fn conversation_before(state: &LedgerState, begin: &BeginTurn) -> Option<(Bytes, Import)> {
+    let Some(previous) = &begin.previous else {
+        return Some((Bytes::new(), None));
+    };
+    if let Some(conversation) = state.conversation(previous) {
+        return Some((conversation, None));
+    }
+    let imported = begin.imported.clone()?;
+    let content = KeptTurn {
+        previous: None,
+        input: imported.clone(),
+        output: Bytes::new(),
+    };
+    Some((imported, Some((previous.clone(), content))))
+}
+
+fn signed(tokens: u64) -> i64 {
+    i64::try_from(tokens).unwrap_or(i64::MAX)
+}
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -40,17 +40,18 @@
         match record {
             LedgerRecord::Reserved {
                 program,
-                turn,
+                reservation,
                 tokens,
             } => {
-                self.account_entry(now, program).reserve(turn, tokens);
+                self.account_entry(now, program)
+                    .reserve(reservation, tokens);
             }
             LedgerRecord::Settled {
                 program,
-                turn,
+                reservation,
                 used,
             } => {
-                self.account_entry(now, program).settle(&turn, used);
+                self.account_entry(now, program).settle(&reservation, used);
             }
             LedgerRecord::Kept { turn, content } => {
                 let dated = Dated {
--- /dev/null
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -0,0 +1,140 @@
+//! Tokens that one owner has set aside for a program, and the turns that draw on them.
+//!
+//! An owner reserves more than one turn needs (an *advance*), so that the next turns of the program
+//! need no call to the log. The reservation counts in full until the owner settles it; whoever
+//! takes the partition over meanwhile can only be too careful. So an advance that is lost with its
+//! owner costs the program tokens, and never gives it any.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use elderworks_types::Timestamp;
+
+/// An advance without running turns is settled after this long without use.
+pub const IDLE_BEFORE_SETTLING: Duration = Duration::from_millis(1_500);
+
+/// A turn that has not been reported as ended for this long counts as run at its most: whoever ran
+/// it is gone.
+const LONGEST_TURN: Duration = Duration::from_secs(90);
+
+/// A reservation on the log that this owner may spend.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advance {
+    /// Its name on the log.
+    pub id: String,
+    /// Its size.
+    pub tokens: u64,
+}
+
+/// What has been spent of an advance that is to be settled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpentAdvance {
+    /// Its name on the log.
+    pub id: String,
+    /// Tokens generated on it.
+    pub used: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RunningTurn {
+    most: u64,
+    since: Timestamp,
+}
+
+/// Advances of one program at one owner.
+#[derive(Debug, Default)]
+pub struct Wallet {
+    advances: Vec<Advance>,
+    consumed: u64,
+    running: BTreeMap<String, RunningTurn>,
+    last_used: Timestamp,
+}
+
+impl Wallet {
+    /// Tokens that further turns may draw; negative while turns wait for an advance that is being
+    /// appended.
+    pub fn free(&self) -> i64 {
+        let advanced: u64 = self.advances.iter().map(|advance| advance.tokens).sum();
+        let running: u64 = self.running.values().map(|turn| turn.most).sum();
+        let spent = self.consumed + running;
+        i64::try_from(advanced).unwrap_or(i64::MAX) - i64::try_from(spent).unwrap_or(i64::MAX)
+    }
+
+    /// Takes an advance in, once.
+    pub fn add(&mut self, now: Timestamp, advance: Advance) {
+        if !self.advances.iter().any(|known| known.id == advance.id) {
+            self.advances.push(advance);
+        }
+        self.last_used = now;
+    }
+
+    /// Whether a turn is running on these advances.
+    pub fn is_running(&self, turn: &str) -> bool {
+        self.running.contains_key(turn)
+    }
+
+    /// Draws the most of a turn.
+    pub fn start(&mut self, now: Timestamp, turn: String, most: u64) {
+        self.running.insert(turn, RunningTurn { most, since: now });
+        self.last_used = now;
+    }
+
+    /// Takes back what [`Self::start`] has drawn for a turn that does not run.
+    pub fn cancel(&mut self, turn: &str) {
+        self.running.remove(turn);
+    }
+
+    /// Notes what a turn has generated. A turn that is not running changes nothing.
+    pub fn end(&mut self, now: Timestamp, turn: &str, used: u64) {
+        if self.running.remove(turn).is_some() {
+            self.consumed += used;
+        }
+        self.last_used = now;
+    }
+
+    /// Counts turns at their most whose end was never reported.
+    pub fn end_lost_turns(&mut self, now: Timestamp) {
+        let lost: Vec<(String, u64)> = self
+            .running
+            .iter()
+            .filter(|(_, turn)| now.since(turn.since) >= LONGEST_TURN)
+            .map(|(name, turn)| (name.clone(), turn.most))
+            .collect();
+        for (turn, most) in lost {
+            self.end(now, &turn, most);
+        }
+    }
+
+    /// Whether no turn is running and none has been for `idle`.
+    pub fn is_idle(&self, now: Timestamp, idle: Duration) -> bool {
+        self.running.is_empty() && now.since(self.last_used) >= idle
+    }
+
+    /// When an idle wallet was last used.
+    pub fn last_used(&self) -> Timestamp {
+        self.last_used
+    }
+
+    /// Ends the wallet: its advances with what was spent of each.
+    pub fn into_spent(self) -> Vec<SpentAdvance> {
+        let mut left = self.consumed;
+        let last = self.advances.len().saturating_sub(1);
+        self.advances
+            .into_iter()
+            .enumerate()
+            .map(|(number, advance)| {
+                // A turn that generated more than its most is charged to the last advance.
+                let used = if number == last {
+                    left
+                } else {
+                    left.min(advance.tokens)
+                };
+                left -= used;
+                SpentAdvance {
+                    id: advance.id,
+                    used,
+                }
+            })
+            .collect()
+    }
+}
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::ledger::partition_of;
 use elderworks_protocol::ledger::{BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest};
-use elderworks_types::PartitionId;
+use elderworks_types::{NodeId, PartitionId};
 
 use super::attempts::Call;
 use crate::gateway::Gateway;
@@ -35,6 +35,8 @@
 pub(super) struct TurnLease {
     gateway: Rc<Gateway>,
     partition: PartitionId,
+    /// The node that granted the turn.
+    granter: NodeId,
     program: String,
     turn: String,
     tokens_per_event: u64,
@@ -66,7 +68,7 @@
             used: self.used,
             kept: Some(content),
         });
-        let finished = report_end(&self.gateway, self.partition, request).await;
+        let finished = report_end(&self.gateway, &self.granter, self.partition, request).await;
         self.returned |= finished;
         finished
     }
@@ -84,17 +86,23 @@
             kept: None,
         });
         let gateway = self.gateway.clone();
+        let granter = self.granter.clone();
         let partition = self.partition;
         actix_rt::spawn(async move {
-            // If it is never durable, the turn counts at its most.
-            report_end(&gateway, partition, request).await;
+            // If nobody takes it, the turn counts at its most.
+            report_end(&gateway, &granter, partition, request).await;
         });
     }
 }
 
-async fn report_end(gateway: &Rc<Gateway>, partition: PartitionId, request: LedgerRequest) -> bool {
+async fn report_end(
+    gateway: &Rc<Gateway>,
+    granter: &NodeId,
+    partition: PartitionId,
+    request: LedgerRequest,
+) -> bool {
     for _ in 0..FINISH_TRIES {
-        let reply = ledger::request(gateway, partition, request.clone()).await;
+        let reply = ledger::request_of(gateway, granter, partition, request.clone()).await;
         if reply == LedgerReply::Finished {
             return true;
         }
@@ -128,6 +136,7 @@
         let lease = TurnLease {
             gateway: self.gateway.clone(),
             partition,
+            granter: self.gateway.settings.node.clone(),
             program: program.clone(),
             turn: turn.clone(),
             tokens_per_event: self.tokens_per_event(),
@@ -171,20 +180,22 @@
     ) -> Result<Bytes, Refusal> {
         let request = LedgerRequest::Begin(begin.clone());
         let patience = self.ledger_patience();
-        let mut reply = ledger::request_patiently(self.gateway, partition, request, patience).await;
-        if reply == LedgerReply::UnknownTurn
+        let mut answered =
+            ledger::request_patiently(self.gateway, partition, request, patience).await;
+        if answered.reply == LedgerReply::UnknownTurn
             && let Some(previous) = begin.previous.clone()
         {
             match ledger::find_conversation(self.gateway, partition, &previous).await {
                 LedgerReply::Conversation { conversation } => {
                     begin.imported = Some(conversation);
                     let request = LedgerRequest::Begin(begin);
-                    reply = ledger::request(self.gateway, partition, request).await;
+                    answered = ledger::request(self.gateway, partition, request).await;
                 }
-                other => reply = other,
+                other => answered.reply = other,
             }
         }
-        match reply {
+        lease.granter = answered.by;
+        match answered.reply {
             LedgerReply::Granted { conversation } => {
                 self.lease = Some(lease);
                 Ok(conversation)
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// A reply and the node that gave it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Answered {
+    /// The reply.
+    pub(crate) reply: LedgerReply,
+    /// The node.
+    pub(crate) by: NodeId,
+}
+
 /// Makes a request of a partition's ledger.
 ///
 /// Any node can carry it out; the preferred one is asked first, since it has the state at hand.
@@ -47,21 +56,40 @@
     gateway: &Rc<Gateway>,
     partition: PartitionId,
     request: LedgerRequest,
-) -> LedgerReply {
+) -> Answered {
+    let own = &gateway.settings.node;
     let preferred = gateway.peers.candidates(partition).into_iter().next();
-    if let Some(node) = preferred
-        && node != gateway.settings.node
+    if let Some(by) = preferred
+        && by != *own
     {
-        match ask_peer(gateway, &node, partition, request.clone()).await {
-            Some(LedgerReply::Unavailable) if !gateway.log_answers.get() => {
-                return LedgerReply::Unavailable;
-            }
+        match ask_peer(gateway, &by, partition, request.clone()).await {
             // The other node may be cut off from the log alone.
-            Some(LedgerReply::Unavailable) | None => {}
-            Some(reply) => return reply,
+            Some(LedgerReply::Unavailable) if gateway.log_answers.get() => {}
+            Some(reply) => return Answered { reply, by },
+            None => {}
         }
     }
-    carry_out(gateway, partition, request).await
+    Answered {
+        reply: carry_out(gateway, partition, request).await,
+        by: own.clone(),
+    }
+}
+
+/// Makes a request of the node that has granted a turn, or else of the one that should own its
+/// partition now.
+pub(crate) async fn request_of(
+    gateway: &Rc<Gateway>,
+    granter: &NodeId,
+    partition: PartitionId,
+    wanted: LedgerRequest,
+) -> LedgerReply {
+    if *granter == gateway.settings.node {
+        return carry_out(gateway, partition, wanted).await;
+    }
+    match ask_peer(gateway, granter, partition, wanted.clone()).await {
+        Some(LedgerReply::Unavailable) | None => request(gateway, partition, wanted).await.reply,
+        Some(reply) => reply,
+    }
 }
 
 /// Like [`request`], again and again for up to `patience` while no node can carry it out: an outage
@@ -71,13 +99,13 @@
     partition: PartitionId,
     wanted: LedgerRequest,
     patience: Duration,
-) -> LedgerReply {
+) -> Answered {
     let started = Instant::now();
     loop {
-        let reply = request(gateway, partition, wanted.clone()).await;
+        let answered = request(gateway, partition, wanted.clone()).await;
         let is_over = started.elapsed() + RETRY_PAUSE >= patience;
-        if reply != LedgerReply::Unavailable || is_over {
-            return reply;
+        if answered.reply != LedgerReply::Unavailable || is_over {
+            return answered;
         }
         actix_rt::time::sleep(RETRY_PAUSE).await;
     }
@@ -142,7 +170,7 @@
         request(gateway, partition, question)
     });
     let mut sure = true;
-    for reply in join_all(asking).await {
+    for Answered { reply, .. } in join_all(asking).await {
         match reply {
             LedgerReply::Conversation { .. } => return reply,
             LedgerReply::UnknownTurn => {}
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -29,7 +29,7 @@
     let driver = Driver {
         gateway: gateway.clone(),
         partition,
-        owner: PartitionOwner::default(),
+        owner: PartitionOwner::new(owner_name(gateway)),
         waiting: HashMap::new(),
         conflicts_counted: 0,
     };
@@ -37,6 +37,11 @@
     sender
 }
 
+/// A name that no other start of a node bears.
+fn owner_name(gateway: &Gateway) -> String {
+    format!("{}#{:016x}", gateway.settings.node, rand::random::<u64>())
+}
+
 struct Driver {
     gateway: Rc<Gateway>,
     partition: PartitionId,
@@ -52,6 +57,7 @@
             while let Ok(job) = jobs.try_recv() {
                 self.submit(job);
             }
+            self.owner.set_preferred(self.is_preferred());
             let action = self.owner.next_action(self.gateway.now());
             self.hand_on_replies();
             let Action::Wait { until } = action else {
@@ -129,8 +135,7 @@
     async fn keep_up(&mut self, jobs: &mut mpsc::UnboundedReceiver<Job>) {
         let now = self.gateway.now();
         self.owner.expire(now, self.retention());
-        let candidates = self.gateway.peers.candidates(self.partition);
-        if candidates.first() != Some(&self.gateway.settings.node) {
+        if !self.is_preferred() {
             return;
         }
         if let Some(action) = self.owner.plan_rewrite(now) {
@@ -138,6 +143,12 @@
         }
     }
 
+    /// Whether the other nodes send their requests for the partition here.
+    fn is_preferred(&self) -> bool {
+        let candidates = self.gateway.peers.candidates(self.partition);
+        candidates.first() == Some(&self.gateway.settings.node)
+    }
+
     fn retention(&self) -> Duration {
         let longest = self.gateway.current_config().and_then(|config| {
             let times = config.routes.iter().map(|route| route.keep_for);
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -18,22 +18,22 @@
 /// One record of a partition's ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerRecord {
-    /// Tokens of a program's budget were set aside for a turn.
+    /// Tokens of a program's budget were set aside for turns that an owner lets run.
     Reserved {
         /// The program.
         program: String,
-        /// The turn, by its request id.
-        turn: String,
-        /// Tokens set aside: the most that the turn generates.
+        /// Names the reservation; begins with the owner's name.
+        reservation: String,
+        /// Tokens set aside.
         tokens: u64,
     },
-    /// A turn ended; what it did not use returns to the budget.
+    /// A reservation ended; what its turns did not use returns to the budget.
     Settled {
         /// The program.
         program: String,
-        /// The turn.
-        turn: String,
-        /// Tokens that it generated.
+        /// Names the reservation.
+        reservation: String,
+        /// Tokens that its turns generated.
         used: u64,
     },
     /// A turn's input and output are kept.
@@ -47,9 +47,9 @@
     Account {
         /// The program.
         program: String,
-        /// Tokens that its ended turns generated.
+        /// Tokens generated on reservations that have ended.
         settled: u64,
-        /// Its turns under way with the tokens set aside for each.
+        /// Its other reservations with the tokens of each.
         open: Vec<(String, u64)>,
     },
 }
@@ -101,7 +101,8 @@
 /// An answer to a [`LedgerRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerReply {
-    /// The turn may run; its reservation is durable. Holds the conversation before it.
+    /// The turn may run; what it may generate is durably set aside. Its end is to be reported to
+    /// the node that gave this reply.
     Granted {
         /// Inputs and outputs of the turns before, in order.
         conversation: Bytes,
