ledger: deny nothing on the word of a call older than the request

Cause: a request that came while a read or an append was under way was marked as verified by that call, although the log may have carried the call out before the request came, and a kept turn may have become durable in between. A node then answered 404 to a turn that goes on from one answered as whole.

Ruled out by the logs: a lost append (the end of the turn was answered whole) and a wrong partition (same program).

Change: a call verifies only requests that were there when it began.

Tests, both failing first: a table for reads and appends under way; and the model test, in which an owner now learns of a call's end later than the log carries it out, and is asked for turns that were answered as kept ("unexpected UnknownTurn").

--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -88,8 +88,11 @@
 struct Job {
     ticket: Ticket,
     request: LedgerRequest,
-    /// Whether the state was read anew for this request, so that a negative answer is sure.
+    /// Whether the state is as of the log's end at some time since the request came, so that a
+    /// negative answer is sure.
     verified: bool,
+    /// Whether it came while a call was under way: what the log says to that call may be older.
+    came_during_call: bool,
 }
 
 #[derive(Debug)]
@@ -161,6 +164,7 @@
                 ticket,
                 request,
                 verified: false,
+                came_during_call: self.is_calling,
             }),
         }
     }
@@ -222,6 +226,11 @@
         self.wallets.close_idle(now, self.idle_time());
         let action = self.choose_action(now);
         self.is_calling = !matches!(action, Action::Wait { .. });
+        if self.is_calling {
+            for job in &mut self.jobs {
+                job.came_during_call = false;
+            }
+        }
         action
     }
 
@@ -364,8 +373,13 @@
             self.jobs.retain(|job| job.ticket != ticket);
             self.replies.push((ticket, reply));
         }
+        self.verify_jobs();
+    }
+
+    /// The call that has just ended has shown the log's end.
+    fn verify_jobs(&mut self) {
         for job in &mut self.jobs {
-            job.verified = true;
+            job.verified |= !job.came_during_call;
         }
     }
 
@@ -404,9 +418,7 @@
         }
         self.is_synced = self.end >= end;
         if self.is_synced {
-            for job in &mut self.jobs {
-                job.verified = true;
-            }
+            self.verify_jobs();
         }
     }
 
--- a/crates/gateway-core/tests/event_streams.rs
+++ b/crates/gateway-core/tests/event_streams.rs
@@ -46,6 +46,7 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(0xe7e7),
+        failure_persistence: None,
         ..ProptestConfig::default()
     })]
 
--- a/crates/gateway-core/tests/ledger.rs
+++ b/crates/gateway-core/tests/ledger.rs
@@ -287,6 +287,31 @@
     }
 }
 
+#[test]
+fn a_call_under_way_makes_no_later_request_sure() {
+    // What the log said to a call may be older than a request that came while it was under way.
+    let question = || LedgerRequest::Conversation {
+        turn: "unknown".to_owned(),
+    };
+    let mut owner = synced_owner();
+    owner.submit(START, Ticket(1), question());
+    assert_eq!(owner.next_action(START), Action::Read { from: Offset(0) });
+    owner.submit(START, Ticket(2), question());
+    owner.on_read(START, nothing(0));
+    assert_eq!(owner.next_action(START), Action::Read { from: Offset(0) });
+    assert_eq!(
+        owner.take_replies(),
+        [(Ticket(1), LedgerReply::UnknownTurn)]
+    );
+
+    let mut owner = synced_owner();
+    owner.submit(START, Ticket(1), begin("t", 100, 10));
+    assert!(matches!(owner.next_action(START), Action::Append { .. }));
+    owner.submit(START, Ticket(2), question());
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(owner.next_action(START), Action::Read { from: Offset(1) });
+}
+
 #[test]
 fn while_the_log_fails_nothing_is_granted_and_nothing_denied() {
     let mut owner = synced_owner();
--- a/crates/gateway-core/tests/ledger_model.rs
+++ b/crates/gateway-core/tests/ledger_model.rs
@@ -102,8 +102,12 @@
         used: u64,
         kept: bool,
     },
-    /// An owner carries out its next action.
+    /// An owner is asked for a turn that was answered as kept.
+    Ask { owner: usize },
+    /// An owner begins its next action, and the log carries it out.
     Act { owner: usize, fate: Fate },
+    /// An owner learns how its action has ended.
+    Learn { owner: usize },
     /// An owner loses its memory.
     Restart { owner: usize },
     /// Requests go to an owner, or no longer.
@@ -127,10 +131,12 @@
         3 => (0..OWNERS).prop_map(|owner| Step::Begin { owner }),
         3 => (prop::option::weighted(0.2, 0..OWNERS), 0..=MOST, any::<bool>())
             .prop_map(|(other, used, kept)| Step::Finish { other, used, kept }),
-        12 => (0..OWNERS, fate()).prop_map(|(owner, fate)| Step::Act { owner, fate }),
+        9 => (0..OWNERS, fate()).prop_map(|(owner, fate)| Step::Act { owner, fate }),
+        9 => (0..OWNERS).prop_map(|owner| Step::Learn { owner }),
         1 => (0..OWNERS).prop_map(|owner| Step::Restart { owner }),
         1 => (0..OWNERS, any::<bool>())
             .prop_map(|(owner, is_preferred)| Step::Prefer { owner, is_preferred }),
+        2 => (0..OWNERS).prop_map(|owner| Step::Ask { owner }),
         1 => Just(Step::Late),
     ]
 }
@@ -149,6 +155,8 @@
 }
 
 enum Asked {
+    /// For a kept turn with this input.
+    Conversation(Bytes),
     Begin {
         turn: String,
         /// Whether the log left no room for the turn at some time since.
@@ -160,9 +168,16 @@
     },
 }
 
+enum Outcome {
+    Append(AppendOutcome),
+    Read(ReadOutcome),
+}
+
 struct World {
     log: Log,
     owners: Vec<PartitionOwner>,
+    /// How each owner's action has ended, which it has not learnt yet.
+    under_way: Vec<Option<Outcome>>,
     now: Timestamp,
     tickets: u64,
     seen: Seen,
@@ -175,6 +190,7 @@
             owners: (0..OWNERS)
                 .map(|owner| PartitionOwner::new(format!("owner-{owner}")))
                 .collect(),
+            under_way: (0..OWNERS).map(|_| None).collect(),
             now: Timestamp(1_000_000),
             tickets: 0,
             seen: Seen::default(),
@@ -191,10 +207,13 @@
         match step {
             Step::Begin { owner } => self.begin(owner),
             Step::Finish { other, used, kept } => self.finish(other, used, kept),
+            Step::Ask { owner } => self.ask(owner),
             Step::Act { owner, fate } => self.act(owner, fate),
+            Step::Learn { owner } => self.learn(owner),
             Step::Restart { owner } => {
                 let name = format!("owner-{owner}-at-{}", self.now.0);
                 self.owners[owner] = PartitionOwner::new(name);
+                self.under_way[owner] = None;
             }
             Step::Prefer {
                 owner,
@@ -253,17 +272,35 @@
         self.seen.asked.insert(ticket, Asked::Finish { turn, kept });
     }
 
+    fn ask(&mut self, owner: usize) {
+        let Some((turn, input)) = self.seen.kept.last_key_value() else {
+            return;
+        };
+        let question = LedgerRequest::Conversation { turn: turn.clone() };
+        let asked = Asked::Conversation(input.clone());
+        let ticket = self.next_ticket();
+        self.owners[owner].submit(self.now, ticket, question);
+        self.seen.asked.insert(ticket, asked);
+    }
+
     fn act(&mut self, owner: usize, fate: Fate) {
-        match self.owners[owner].next_action(self.now) {
+        if self.under_way[owner].is_some() {
+            return;
+        }
+        self.under_way[owner] = match self.owners[owner].next_action(self.now) {
             Action::Append { at, records } => {
-                let outcome = self.log.append(fate, at, records);
-                self.owners[owner].on_append(self.now, outcome);
+                Some(Outcome::Append(self.log.append(fate, at, records)))
             }
-            Action::Read { from } => {
-                let outcome = self.log.read(fate, from);
-                self.owners[owner].on_read(self.now, outcome);
-            }
-            Action::Wait { .. } => {}
+            Action::Read { from } => Some(Outcome::Read(self.log.read(fate, from))),
+            Action::Wait { .. } => None,
+        };
+    }
+
+    fn learn(&mut self, owner: usize) {
+        match self.under_way[owner].take() {
+            Some(Outcome::Append(outcome)) => self.owners[owner].on_append(self.now, outcome),
+            Some(Outcome::Read(outcome)) => self.owners[owner].on_read(self.now, outcome),
+            None => {}
         }
     }
 
@@ -282,6 +319,9 @@
                 (Asked::Finish { turn, kept }, LedgerReply::Finished) => {
                     self.seen.kept.extend(kept.map(|input| (turn, input)));
                 }
+                (Asked::Conversation(input), LedgerReply::Conversation { conversation }) => {
+                    assert_eq!(conversation, input);
+                }
                 (_, LedgerReply::Unavailable) => {}
                 (_, reply) => panic!("unexpected {reply:?}"),
             }
@@ -327,6 +367,7 @@
     #![proptest_config(ProptestConfig {
         cases: 1_500,
         rng_seed: RngSeed::Fixed(0x1ed6e5),
+        failure_persistence: None,
         ..ProptestConfig::default()
     })]
 
@@ -350,6 +391,7 @@
         for _ in 0..60 {
             for owner in 0..OWNERS {
                 world.step(Step::Act { owner, fate: Fate::Works });
+                world.step(Step::Learn { owner });
             }
         }
         prop_assert!(world.seen.asked.is_empty(), "{} unanswered", world.seen.asked.len());
