placement: keep programs within a zone while its workers have ample room

Change: a node keeps to its zone's workers only while the zone's demand, its own smoothed over a second times the nodes of the zone, is under half of their slots. Beyond that, programs spread over all workers as before, which evens out the load without knowing it.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod call;
 pub mod config;
+pub mod demand;
 pub mod directory;
 pub mod events;
 pub mod ledger;
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -6,6 +6,8 @@
 
 use elderworks_types::Timestamp;
 
+use crate::demand::Demand;
+
 /// A worker's own entry in the directory of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerRecord {
@@ -68,6 +70,7 @@
 #[derive(Debug, Default)]
 pub struct WorkerDirectory {
     workers: BTreeMap<String, Worker>,
+    demands: BTreeMap<String, Demand>,
 }
 
 impl WorkerDirectory {
@@ -178,18 +181,31 @@
         self.workers.is_empty()
     }
 
-    /// Notes that a request goes to a worker.
-    pub fn note_start(&mut self, id: &str) {
+    /// Notes that a request goes to a worker of a service.
+    pub fn note_start(&mut self, service: &str, id: &str, now: Timestamp) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight += 1;
         }
+        self.demands
+            .entry(service.to_owned())
+            .or_default()
+            .note_start(now);
     }
 
-    /// Notes that a request no longer occupies a worker.
-    pub fn note_end(&mut self, id: &str) {
+    /// Notes that a request no longer occupies a worker of a service.
+    pub fn note_end(&mut self, service: &str, id: &str, now: Timestamp) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
+        if let Some(demand) = self.demands.get_mut(service) {
+            demand.note_end(now);
+        }
+    }
+
+    /// This node's requests of a service under way, smoothed.
+    pub fn demand(&self, service: &str, now: Timestamp) -> f64 {
+        let demand = self.demands.get(service);
+        demand.map_or(0.0, |demand| demand.smoothed(now))
     }
 
     /// Notes a valid answer.
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
+use elderworks_gateway_core::demand::Demand;
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
 use elderworks_types::Timestamp;
 
@@ -33,6 +34,7 @@
         service: "engines",
         key,
         zone: "a",
+        nodes_in_zone: 1,
         tried,
         spread: 1,
     }
@@ -43,6 +45,7 @@
         service: "engines",
         key,
         zone: "a",
+        nodes_in_zone: 1,
         tried,
         spread: 1,
     };
@@ -75,10 +78,10 @@
 fn a_crowded_worker_gives_way_and_comes_back() {
     let mut workers = directory(&["w1", "w2", "w3"]);
     let first = chosen(&workers, Some("p"), &[]).expect("a worker");
-    workers.note_start(&first);
-    workers.note_start(&first);
+    workers.note_start("engines", &first, START);
+    workers.note_start("engines", &first, START);
     assert_ne!(chosen(&workers, Some("p"), &[]), Some(first.clone()));
-    workers.note_end(&first);
+    workers.note_end("engines", &first, START);
     assert_eq!(chosen(&workers, Some("p"), &[]), Some(first));
 }
 
@@ -106,6 +109,92 @@
     }
 }
 
+#[test]
+fn programs_keep_to_the_zone_until_it_is_crowded() {
+    let mut workers = directory(&["near-1", "near-2"]);
+    workers.upsert(record("far", "b"));
+    for number in 0..32 {
+        let program = format!("program-{number}");
+        let worker = chosen(&workers, Some(&program), &[]).expect("a worker");
+        assert_ne!(worker, "far");
+    }
+    for id in ["near-1", "near-2"] {
+        workers.note_start("engines", id, START);
+        workers.note_start("engines", id, START);
+    }
+    let met: BTreeSet<String> = (0..32)
+        .filter_map(|number| chosen(&workers, Some(&format!("program-{number}")), &[]))
+        .collect();
+    assert_eq!(
+        met,
+        BTreeSet::from(["far".to_owned()]),
+        "the others' slots are taken"
+    );
+}
+
+#[test]
+fn a_zone_whose_demand_is_high_spreads_over_all_workers() {
+    let mut workers = directory(&["near-1", "near-2"]);
+    for id in ["far-1", "far-2", "far-3", "far-4"] {
+        workers.upsert(record(id, "b"));
+    }
+    // Two requests of a node under way for seconds, two such nodes, four slots: full.
+    for id in ["far-1", "far-2"] {
+        workers.note_start("engines", id, START);
+    }
+    let later = START + Duration::from_secs(5);
+    let met = |nodes_in_zone: u32| -> BTreeSet<String> {
+        (0..64)
+            .filter_map(|number| {
+                let program = format!("program-{number}");
+                let query = PlacementQuery {
+                    nodes_in_zone,
+                    ..query(Some(&program), &[])
+                };
+                choose(&workers, &query, later).map(|worker| worker.record.id.clone())
+            })
+            .collect()
+    };
+    assert!(met(2).len() > 2, "spread");
+    let mut calm = directory(&["near-1", "near-2"]);
+    calm.upsert(record("far-1", "b"));
+    let query = query(Some("p"), &[]);
+    let worker = choose(&calm, &query, later).expect("a worker");
+    assert_ne!(worker.record.id, "far-1");
+}
+
+#[test]
+fn demand_is_smoothed() {
+    let mut demand = Demand::default();
+    let mut now = START;
+    demand.note_start(now);
+    assert!(demand.smoothed(now) < 0.1, "a single request shows late");
+    now = now + Duration::from_secs(5);
+    assert!((demand.smoothed(now) - 1.0).abs() < 0.01);
+    demand.note_end(now);
+    assert!((demand.smoothed(now) - 1.0).abs() < 0.01);
+    now = now + Duration::from_secs(5);
+    assert!(demand.smoothed(now) < 0.01);
+}
+
+#[test]
+fn programs_of_a_crowded_zone_spread_over_all_workers() {
+    let mut workers = directory(&["near"]);
+    workers.upsert(record("far", "b"));
+    workers.note_start("engines", "near", START);
+    let met: BTreeSet<String> = (0..32)
+        .filter_map(|number| {
+            let program = format!("program-{number}");
+            let query = PlacementQuery {
+                nodes_in_zone: 4,
+                ..query(Some(&program), &[])
+            };
+            choose(&workers, &query, START).map(|worker| worker.record.id.clone())
+        })
+        .collect();
+    assert_eq!(met.len(), 2, "as evenly as ever");
+}
+
 #[test]
 fn a_draining_worker_takes_no_new_work() {
     let mut workers = directory(&["w1"]);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -46,14 +46,20 @@
 /// A request that occupies a worker.
 pub(super) struct Occupied {
     gateway: Rc<Gateway>,
+    service: String,
     pub(super) worker: String,
 }
 
 impl Occupied {
-    fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
-        gateway.workers.borrow_mut().note_start(worker);
+    fn start(gateway: &Rc<Gateway>, service: &str, worker: &str) -> Self {
+        let now = gateway.now();
+        gateway
+            .workers
+            .borrow_mut()
+            .note_start(service, worker, now);
         Self {
             gateway: gateway.clone(),
+            service: service.to_owned(),
             worker: worker.to_owned(),
         }
     }
@@ -61,7 +67,11 @@
 
 impl Drop for Occupied {
     fn drop(&mut self) {
-        self.gateway.workers.borrow_mut().note_end(&self.worker);
+        let now = self.gateway.now();
+        self.gateway
+            .workers
+            .borrow_mut()
+            .note_end(&self.service, &self.worker, now);
     }
 }
 
@@ -167,7 +177,7 @@
         target: &Target,
         last_event_id: Option<&str>,
     ) -> Result<RunningAnswer, ExchangeError> {
-        let occupied = Occupied::start(self.gateway, &target.worker);
+        let occupied = Occupied::start(self.gateway, &self.service, &target.worker);
         if !self.tried.contains(&target.worker) {
             self.tried.push(target.worker.clone());
         }
@@ -218,6 +228,7 @@
                 .then(|| self.attributes.placement_key())
                 .flatten(),
             zone: self.gateway.settings.zone.as_str(),
+            nodes_in_zone: self.gateway.nodes_in_zone.get(),
             tried: &self.tried,
             spread: self.gateway.next_sequence(),
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,6 +50,8 @@
     pub(crate) log_answers: Cell<bool>,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
+    /// Nodes of this zone that take requests, this one included, as last counted.
+    pub(crate) nodes_in_zone: Cell<u32>,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
     /// Set once the list of workers was read.
@@ -79,6 +81,7 @@
             pool: Rc::default(),
             metrics: Metrics::new(),
             stage,
+            nodes_in_zone: Cell::new(1),
             in_flight: Cell::new(0),
             workers_read: Cell::new(false),
             joined: Cell::new(false),
@@ -118,6 +121,19 @@
         self.log_answers.set(answered);
     }
 
+    /// Counts the nodes of this zone that take requests.
+    pub(crate) fn count_nodes_in_zone(&self) {
+        let own_zone = self.settings.zone.as_str();
+        let nodes = self.nodes.borrow();
+        let others = nodes
+            .iter()
+            .filter(|(_, known)| known.record.zone == own_zone)
+            .filter(|(node, _)| **node != self.settings.node && self.peers.is_alive(node))
+            .count();
+        let count = u32::try_from(others + 1).unwrap_or(u32::MAX);
+        self.nodes_in_zone.set(count);
+    }
+
     /// A number that no other caller of this function gets.
     pub(crate) fn next_sequence(&self) -> u64 {
         let number = self.sequence.get() + 1;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -197,6 +197,7 @@
             gateway.pool.forget(&worker);
         }
         gateway.pool.close_expired();
+        gateway.count_nodes_in_zone();
         let count = i64::try_from(gateway.workers.borrow().len()).unwrap_or(i64::MAX);
         gateway.metrics.workers.set(count);
     }
