peers: say that a request has arrived, so a slow log is no dead peer

Cause: a node took a peer that had not replied within 600 ms for gone and acted for the partition itself.

Ruled out: a longer wait for replies. A frozen or cut peer would then stall its partitions for as long.

Change: a request that is not replied to within 40 ms is said to have arrived. Without that sign a peer is taken for gone after 400 ms; with it, the reply is waited for up to 1.5 s, and the asker does not act in its place.

--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -13,11 +13,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::Gateway;
+use crate::peers::NoReply;
 use owner::Job;
 
-/// Longest wait for another node's reply.
-const PEER_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Pause before a request that no node could carry out is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -111,7 +109,7 @@
     }
 }
 
-/// Asks another node; `None` if it does not answer.
+/// Asks another node; `None` if it shows no sign of life.
 async fn ask_peer(
     gateway: &Rc<Gateway>,
     node: &NodeId,
@@ -119,10 +117,11 @@
     request: LedgerRequest,
 ) -> Option<LedgerReply> {
     gateway.metrics.ledger_forwarded.inc();
-    let asking = gateway.peers.ask(gateway, node, partition, request);
-    match actix_rt::time::timeout(PEER_TIMEOUT, asking).await {
-        Ok(Some(reply)) => Some(reply),
-        Ok(None) | Err(_) => {
+    match gateway.peers.ask(gateway, node, partition, request).await {
+        Ok(reply) => Some(reply),
+        // The log is slow for it; a second node at the same partition would not help.
+        Err(NoReply::TooSlow) => Some(LedgerReply::Unavailable),
+        Err(NoReply::Gone) => {
             log::warn!(
                 peer = node.as_str(), partition = partition.0;
                 "peer did not answer for a partition"
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use elderworks_protocol::{decode, encode, frame, split_frame};
 use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::buffered::{self, Receiver, Sender};
@@ -40,7 +40,31 @@
 /// Pause after a failed receive.
 const RECEIVE_BACKOFF: Duration = Duration::from_millis(50);
 
-type Pending = Rc<RefCell<HashMap<u64, oneshot::Sender<LedgerReply>>>>;
+/// Longest wait for a sign that a request has arrived. A node that shows none is taken for gone.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for the reply to a request that has arrived: the log may be slow.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A request that is not replied to within this time is said to have arrived.
+const SAY_ARRIVED_AFTER: Duration = Duration::from_millis(40);
+
+/// Why a node has not replied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoReply {
+    /// It cannot be reached, or shows no sign of life.
+    Gone,
+    /// The request has arrived, and its reply takes too long.
+    TooSlow,
+}
+
+/// What is heard of a request.
+enum News {
+    Arrived,
+    Replied(LedgerReply),
+}
+
+type Pending = Rc<RefCell<HashMap<u64, mpsc::UnboundedSender<News>>>>;
 
 /// A connection to another node with the requests that wait for its replies.
 #[derive(Clone, Debug)]
@@ -108,25 +132,30 @@
         self.avoided.borrow_mut().insert(node.clone(), until);
     }
 
-    /// Asks another node; `None` if the connection fails.
+    /// Asks another node.
     pub(crate) async fn ask(
         &self,
         gateway: &Rc<Gateway>,
         node: &NodeId,
         partition: PartitionId,
         request: LedgerRequest,
-    ) -> Option<LedgerReply> {
-        let link = self.link_to(gateway, node)?;
+    ) -> Result<LedgerReply, NoReply> {
+        let link = self.link_to(gateway, node).ok_or(NoReply::Gone)?;
         let id = gateway.next_sequence();
-        let (reply, answered) = oneshot::channel();
-        link.pending.borrow_mut().insert(id, reply);
+        let (sender, mut news) = mpsc::unbounded_channel();
+        link.pending.borrow_mut().insert(id, sender);
         let message = LedgerFrame::Request {
             id,
             partition,
             request,
         };
-        link.frames.send(frame(&message)).ok()?;
-        answered.await.ok()
+        let sent = link.frames.send(frame(&message));
+        let replied = match sent {
+            Ok(()) => await_reply(&mut news).await,
+            Err(_) => Err(NoReply::Gone),
+        };
+        link.pending.borrow_mut().remove(&id);
+        replied
     }
 
     fn link_to(&self, gateway: &Rc<Gateway>, node: &NodeId) -> Option<Link> {
@@ -203,6 +232,20 @@
     }
 }
 
+async fn await_reply(news: &mut mpsc::UnboundedReceiver<News>) -> Result<LedgerReply, NoReply> {
+    let first = actix_rt::time::timeout(ARRIVAL_TIMEOUT, news.recv()).await;
+    match first {
+        Ok(Some(News::Replied(reply))) => return Ok(reply),
+        Ok(Some(News::Arrived)) => {}
+        Ok(None) | Err(_) => return Err(NoReply::Gone),
+    }
+    match actix_rt::time::timeout(REPLY_TIMEOUT, news.recv()).await {
+        Ok(Some(News::Replied(reply))) => Ok(reply),
+        Ok(None) => Err(NoReply::Gone),
+        Ok(Some(News::Arrived)) | Err(_) => Err(NoReply::TooSlow),
+    }
+}
+
 /// Probes the others until the process ends.
 pub(crate) async fn gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -243,11 +286,14 @@
     let sending = send_frames(&mut outgoing, &mut sender);
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
-            if let LedgerFrame::Reply { id, reply } = message
-                && let Some(waiting) = pending.borrow_mut().remove(&id)
-            {
+            let (id, news) = match message {
+                LedgerFrame::Arrived { id } => (id, News::Arrived),
+                LedgerFrame::Reply { id, reply } => (id, News::Replied(reply)),
+                LedgerFrame::Request { .. } => break,
+            };
+            if let Some(waiting) = pending.borrow().get(&id) {
                 // Whoever asked may have given up.
-                let _ = waiting.send(reply);
+                let _ = waiting.send(news);
             }
         }
     };
@@ -318,8 +364,17 @@
             let gateway = gateway.clone();
             let replies = replies.clone();
             actix_rt::spawn(async move {
-                let reply = ledger::carry_out(&gateway, partition, request).await;
-                // The peer may have left.
+                let mut carrying_out =
+                    std::pin::pin!(ledger::carry_out(&gateway, partition, request));
+                let soon = actix_rt::time::timeout(SAY_ARRIVED_AFTER, &mut carrying_out).await;
+                let reply = match soon {
+                    Ok(reply) => reply,
+                    Err(_) => {
+                        // The peer may have left, here and below.
+                        let _ = replies.send(frame(&LedgerFrame::Arrived { id }));
+                        carrying_out.await
+                    }
+                };
                 let _ = replies.send(frame(&LedgerFrame::Reply { id, reply }));
             });
         }
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -122,7 +122,7 @@
     Unavailable,
 }
 
-/// A frame between nodes: a request or the reply to it.
+/// A frame between nodes: a request, or what becomes of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerFrame {
     /// A request.
@@ -134,6 +134,11 @@
         /// What is asked.
         request: LedgerRequest,
     },
+    /// The request has arrived; its reply takes longer.
+    Arrived {
+        /// From the request.
+        id: u64,
+    },
     /// A reply.
     Reply {
         /// From the request.
