--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -13,6 +13,7 @@
 
 use super::turn::TurnLease;
 use super::{CallError, headers};
+use crate::body_memory::BodyShare;
 use crate::caller::Caller;
 use crate::gateway::Gateway;
 use crate::ports::WorkerHeaders;
@@ -38,6 +39,8 @@
     pub(super) history: AttemptHistory,
     /// When the request came, until its first event was passed on.
     pub(super) first_event_due: Option<Instant>,
+    /// Counts the body for as long as the call holds it.
+    _memory: BodyShare,
     tried: Vec<String>,
     /// Set while an attempt is under way that may have run.
     sending: bool,
@@ -98,6 +101,7 @@
             attributes,
             head: Rc::new(headers::outgoing_head(&request.head)),
             body: request.body,
+            _memory: request.memory,
             deadline,
             received: request.received,
             service: service.unwrap_or_default(),
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -17,6 +17,9 @@
 /// A stream is taken up again at most this often.
 const MAX_RESUMPTIONS: u32 = 3;
 
+/// Largest event in bytes; a worker that sends more without ending it is taken to be broken.
+const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Largest answer that is no stream, in bytes.
 const MAX_OTHER_ANSWER: usize = 1024 * 1024;
 
@@ -106,6 +109,9 @@
                 }
                 caller.push_piece(event.raw)?;
             }
+            if splitter.pending_bytes() > MAX_EVENT_BYTES {
+                return Ok(PartEnd::Broken("an event never ends".to_owned()));
+            }
             if any {
                 self.note_first_event();
                 caller.flush().await?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use elderworks_types::Timestamp;
 use tokio::sync::watch;
 
+use crate::body_memory::BodyMemory;
 use crate::clock::Clock;
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
@@ -52,6 +53,8 @@
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of this zone that take requests, this one included, as last counted.
     pub(crate) nodes_in_zone: Cell<u32>,
+    /// Bodies of requests under way.
+    pub(crate) body_memory: BodyMemory,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
     /// Set once the list of workers was read.
@@ -82,6 +85,7 @@
             metrics: Metrics::new(),
             stage,
             nodes_in_zone: Cell::new(1),
+            body_memory: BodyMemory::default(),
             in_flight: Cell::new(0),
             workers_read: Cell::new(false),
             joined: Cell::new(false),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Decoder;
 
+use crate::body_memory::BodyShare;
 use crate::buffered::{self, Receiver, Sender};
 use crate::caller::{Caller, Progress};
 use crate::forward;
@@ -36,6 +37,8 @@
     pub(crate) body: Option<Bytes>,
     /// When its head was read.
     pub(crate) received: Instant,
+    /// Keeps count of the body while the request is under way.
+    pub(crate) memory: BodyShare,
 }
 
 /// Accepts callers until the node closes.
@@ -174,18 +177,20 @@
             ReadEnd::Refuse(Refusal::plain(StatusCode::REQUEST_TIMEOUT, reason))
         })??;
     let received = Instant::now();
+    let mut memory = gateway.body_memory.share();
     let body = match codec.message_type() {
         MessageType::None if head.headers.contains_key("content-length") => Some(Bytes::new()),
         MessageType::None => None,
         MessageType::Payload | MessageType::Stream => {
             confirm_expectation(&head.headers, sender).await?;
-            Some(read_body(codec, receiver, limits.body_bytes).await?)
+            Some(read_body(codec, receiver, limits.body_bytes, &mut memory).await?)
         }
     };
     Ok(CallerRequest {
         head,
         body,
         received,
+        memory,
     })
 }
 
@@ -263,6 +268,7 @@
     codec: &mut Codec,
     receiver: &mut Receiver,
     most: usize,
+    memory: &mut BodyShare,
 ) -> Result<Bytes, ReadEnd> {
     let mut body = BytesMut::new();
     loop {
@@ -273,6 +279,10 @@
                     let refusal = Refusal::plain(StatusCode::PAYLOAD_TOO_LARGE, reason);
                     return Err(ReadEnd::Refuse(refusal));
                 }
+                if !memory.grow(piece.len()) {
+                    let reason = "no memory for the body of the request now";
+                    return Err(ReadEnd::Refuse(Refusal::not_run(reason)));
+                }
                 body.extend_from_slice(&piece);
             }
             Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
