execution: one type for a submitted call

Change: the event holds a `SubmittedCall`, which the partition passes on as it is. No behaviour changes; tests only name the type.

--- a/crates/execution/examples/slopes.rs
+++ b/crates/execution/examples/slopes.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use elderworks_execution::event::CallTerms;
-use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
+use elderworks_execution::{Effect, Event, ExecutionSettings, Partition, SubmittedCall};
 use elderworks_protocol::journal::RunLimits;
 use elderworks_protocol::record::{Record, Writer};
 use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
@@ -139,7 +139,7 @@
         messages: vec![Message::new(Role::User, "q".repeat(MESSAGE_BYTES))],
         max_output: Tokens(50),
     });
-    Event::SubmitCall {
+    Event::SubmitCall(SubmittedCall {
         connection: 1,
         tenant: TenantId::new("tenant"),
         run: call.run,
@@ -160,7 +160,7 @@
             per_invocation: Credits(0),
             timeout: Duration::from_secs(60),
         }),
-    }
+    })
 }
 
 fn micros(elapsed: Duration, count: u64) -> f64 {
--- a/crates/execution/src/event.rs
+++ b/crates/execution/src/event.rs
@@ -12,6 +12,29 @@
 /// Names a connection of a sidecar to this node; replies go to it.
 pub type Connection = u64;
 
+/// A call as a caller submits it.
+#[derive(Clone, Debug)]
+pub struct SubmittedCall {
+    /// Where to reply.
+    pub connection: Connection,
+    /// On whose behalf.
+    pub tenant: TenantId,
+    /// The run.
+    pub run: RunId,
+    /// The call.
+    pub spec: CallSpec,
+    /// What the caller already has of the answer.
+    pub delivered: Delivered,
+    /// How many calls directly before it will not be made (any more); those that are not in
+    /// the journal are passed over.
+    pub abandoned_before: u32,
+    /// Which submission of the call this is a copy of.
+    pub submission: SubmissionTag,
+    /// What the call can cost and how its service behaves; the refusal where no service
+    /// offers what it asks for.
+    pub terms: Result<CallTerms, Refusal>,
+}
+
 /// An input of [`crate::Partition::handle`].
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -43,26 +66,7 @@
         limits: Option<RunLimits>,
     },
     /// A caller makes a call, or asks again for its answer.
-    SubmitCall {
-        /// Where to reply.
-        connection: Connection,
-        /// On whose behalf.
-        tenant: TenantId,
-        /// The run.
-        run: RunId,
-        /// The call.
-        spec: CallSpec,
-        /// What the caller already has of the answer.
-        delivered: Delivered,
-        /// How many calls directly before it will not be made (any more); those that are not in
-        /// the journal are passed over.
-        abandoned_before: u32,
-        /// Which submission of the call this is a copy of.
-        submission: SubmissionTag,
-        /// What the call can cost and how its service behaves; the refusal where no service
-        /// offers what it asks for.
-        terms: Result<CallTerms, Refusal>,
-    },
+    SubmitCall(SubmittedCall),
     /// The caller has the whole answer.
     Acknowledge {
         /// Of this call.
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -186,28 +186,7 @@
                 spec,
                 limits,
             } => self.on_start_run(now, connection, spec, limits),
-            Event::SubmitCall {
-                connection,
-                tenant,
-                run,
-                spec,
-                delivered,
-                abandoned_before,
-                submission,
-                terms,
-            } => {
-                let request = intake::CallRequested {
-                    connection,
-                    tenant,
-                    run,
-                    spec,
-                    delivered,
-                    abandoned_before,
-                    submission,
-                    terms,
-                };
-                self.on_submit_call(now, request);
-            }
+            Event::SubmitCall(call) => self.on_submit_call(now, call),
             Event::Acknowledge { .. } => {}
             Event::ReadRun {
                 connection,
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use elderworks_protocol::journal::{CallTerms, JournalBody, RunLimits};
-use elderworks_protocol::sidecar::{Delivered, NodeMessage, SubmissionTag, answer_digest};
+use elderworks_protocol::sidecar::{NodeMessage, answer_digest};
 use elderworks_types::{
     Attempt, CallId, CallNumber, CallSpec, Outcome, Refusal, RefusalReason, RunId, RunPhase,
-    RunSpec, TenantId, Timestamp,
+    RunSpec, Timestamp,
 };
 
 use super::Partition;
-use crate::event::Connection;
+use crate::event::{Connection, SubmittedCall};
 use crate::soft::{Callers, PendingStart, Stage, Submission};
 use crate::state::Inconsistency;
 
@@ -21,18 +21,6 @@
 /// When to come back while the log does not answer.
 pub(super) const LOG_RETRY: Duration = Duration::from_secs(5);
 
-/// A call as it arrived.
-pub(super) struct CallRequested {
-    pub connection: Connection,
-    pub tenant: TenantId,
-    pub run: RunId,
-    pub spec: CallSpec,
-    pub delivered: Delivered,
-    pub abandoned_before: u32,
-    pub submission: SubmissionTag,
-    pub terms: Result<CallTerms, Refusal>,
-}
-
 /// A refusal for `reason`, to be asked again after `retry_after`.
 pub(super) fn refusal(reason: RefusalReason, retry_after: Option<Duration>) -> Refusal {
     Refusal {
@@ -134,7 +122,7 @@
         }
     }
 
-    pub(super) fn on_submit_call(&mut self, now: Timestamp, request: CallRequested) {
+    pub(super) fn on_submit_call(&mut self, now: Timestamp, request: SubmittedCall) {
         let id = CallId {
             run: request.run,
             number: request.spec.number,
@@ -179,7 +167,7 @@
 
     /// Serves a call whose number was used before: its outcome, its stream, or a refusal if it is a
     /// different call. Returns whether that was so.
-    fn answer_known_call(&mut self, now: Timestamp, id: CallId, request: &CallRequested) -> bool {
+    fn answer_known_call(&mut self, now: Timestamp, id: CallId, request: &SubmittedCall) -> bool {
         let known = self.known_spec(id);
         let Some(known) = known else {
             return false;
@@ -225,7 +213,7 @@
     }
 
     /// Adds a connection to a call that has not ended.
-    fn attach(&mut self, now: Timestamp, id: CallId, request: &CallRequested) {
+    fn attach(&mut self, now: Timestamp, id: CallId, request: &SubmittedCall) {
         let connection = request.connection;
         if let Some(waiting) = self.soft.queue.get_mut(id) {
             waiting.callers.attach(connection, Some(0));
@@ -270,7 +258,7 @@
         &self,
         now: Timestamp,
         id: CallId,
-        request: &CallRequested,
+        request: &SubmittedCall,
     ) -> Result<CallTerms, Refusal> {
         if let Some(reason) = self.closed_reason(id.run) {
             return Err(refusal(reason, None));
@@ -314,7 +302,7 @@
         }
     }
 
-    fn enqueue(&mut self, now: Timestamp, id: CallId, request: CallRequested, terms: CallTerms) {
+    fn enqueue(&mut self, now: Timestamp, id: CallId, request: SubmittedCall, terms: CallTerms) {
         let mut callers = Callers::default();
         callers.attach(request.connection, Some(0));
         callers.tag(request.connection, request.submission);
--- a/crates/execution/src/partition/refusals.rs
+++ b/crates/execution/src/partition/refusals.rs
@@ -12,8 +12,9 @@
 use elderworks_types::{CallId, Outcome, Refusal, RefusalReason, Timestamp};
 
 use super::Partition;
-use super::intake::{CallRequested, LOG_RETRY, refusal};
+use super::intake::{LOG_RETRY, refusal};
 use crate::event::Connection;
+use crate::event::SubmittedCall;
 use crate::soft::{Callers, Submission};
 
 /// Refused submissions that a run remembers; later refusals speak for their owner alone.
@@ -133,7 +134,7 @@
 
     /// Answers a copy of a submission that no owner takes any more, or that is about to become one.
     /// Returns whether it is one.
-    pub(super) fn answer_barred(&mut self, id: CallId, request: &CallRequested) -> bool {
+    pub(super) fn answer_barred(&mut self, id: CallId, request: &SubmittedCall) -> bool {
         let submission = request.submission.id;
         if let Some(waiting) = self.soft.refusing.get_mut(&(id, submission)) {
             waiting.insert(request.connection);
--- a/crates/execution/tests/common/build.rs
+++ b/crates/execution/tests/common/build.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use elderworks_execution::Event;
 use elderworks_execution::event::{AttemptFailure, CallTerms};
+use elderworks_execution::{Event, SubmittedCall};
 use elderworks_protocol::journal::RunLimits;
 use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
 use elderworks_types::{
@@ -109,7 +109,7 @@
         CallRequest::Model(_) => model_terms(),
         CallRequest::Tool(_) => tool_terms(),
     };
-    Event::SubmitCall {
+    Event::SubmitCall(SubmittedCall {
         connection,
         tenant: tenant(),
         run,
@@ -118,7 +118,7 @@
         abandoned_before: 0,
         submission: SubmissionTag::default(),
         terms: Ok(terms),
-    }
+    })
 }
 
 pub fn call(run: RunId, number: u32) -> CallId {
--- a/crates/execution/tests/common/chaos.rs
+++ b/crates/execution/tests/common/chaos.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use elderworks_execution::event::AttemptFailure;
-use elderworks_execution::{BackendRequest, Effect, Event, ExecutionSettings};
+use elderworks_execution::{BackendRequest, Effect, Event, ExecutionSettings, SubmittedCall};
 use elderworks_protocol::sidecar::Delivered;
 use elderworks_types::{
     Attempt, CallId, CallNumber, EngineId, Outcome, Refusal, RefusalReason, RunId,
@@ -220,7 +220,7 @@
             let spec = self.callers.calls[&id].spec.clone();
             let connection = node as u64;
             let mut event = submit_on(connection, id.run, spec, Delivered::default());
-            if let Event::SubmitCall { submission, .. } = &mut event {
+            if let Event::SubmitCall(SubmittedCall { submission, .. }) = &mut event {
                 submission.resubmitted = self.callers.calls[&id].maybe_taken;
             }
             self.feed(node, event);
--- a/crates/execution/tests/order.rs
+++ b/crates/execution/tests/order.rs
@@ -6,7 +6,7 @@
 
 use common::World;
 use common::build::*;
-use elderworks_execution::{BackendRequest, Event};
+use elderworks_execution::{BackendRequest, Event, SubmittedCall};
 use elderworks_protocol::sidecar::{Delivered, NodeMessage};
 use elderworks_types::{
     CallNumber, CallSpec, Message, Outcome, RefusalReason, Role, RunId, RunPhase, TenantId,
@@ -71,9 +71,9 @@
 fn numbers_that_their_sidecar_gave_up_are_passed_over() {
     let mut world = started();
     let mut third = submit(RUN, model_call(3, 0, "third"));
-    if let Event::SubmitCall {
+    if let Event::SubmitCall(SubmittedCall {
         abandoned_before, ..
-    } = &mut third
+    }) = &mut third
     {
         *abandoned_before = 1;
     }
@@ -198,7 +198,7 @@
 fn another_tenants_run_is_not_found() {
     let mut world = started();
     let mut event = submit(RUN, model_call(1, 0, "hello"));
-    if let Event::SubmitCall { tenant, .. } = &mut event {
+    if let Event::SubmitCall(SubmittedCall { tenant, .. }) = &mut event {
         *tenant = TenantId::new("someone-else");
     }
     world.event(0, event);
--- a/crates/execution/tests/refusals.rs
+++ b/crates/execution/tests/refusals.rs
@@ -4,7 +4,7 @@
 
 use common::World;
 use common::build::*;
-use elderworks_execution::Event;
+use elderworks_execution::{Event, SubmittedCall};
 use elderworks_protocol::sidecar::{NodeMessage, SubmissionId, SubmissionTag};
 use elderworks_types::{
     CallSpec, Credits, Outcome, Refusal, RefusalReason, RunId, TenantId, Timestamp,
@@ -31,7 +31,7 @@
 
 fn copy(spec: CallSpec, id: SubmissionId, resubmitted: bool) -> Event {
     let mut event = submit_on(8, RUN, spec);
-    if let Event::SubmitCall { submission, .. } = &mut event {
+    if let Event::SubmitCall(SubmittedCall { submission, .. }) = &mut event {
         *submission = SubmissionTag { id, resubmitted };
     }
     event
@@ -42,7 +42,7 @@
 }
 
 fn at_no_cost(mut event: Event) -> Event {
-    if let Event::SubmitCall { terms, .. } = &mut event {
+    if let Event::SubmitCall(SubmittedCall { terms, .. }) = &mut event {
         let mut free = model_terms();
         free.per_prompt_token = Credits::ZERO;
         free.per_output_token = Credits::ZERO;
@@ -52,7 +52,7 @@
 }
 
 fn without_service(mut event: Event, reason: RefusalReason) -> Event {
-    if let Event::SubmitCall { terms, .. } = &mut event {
+    if let Event::SubmitCall(SubmittedCall { terms, .. }) = &mut event {
         *terms = Err(Refusal {
             reason,
             retry_after: None,
@@ -127,7 +127,7 @@
 #[test]
 fn refusals_that_cannot_be_made_binding_are_told_at_once() {
     let stranger = |mut event: Event| {
-        if let Event::SubmitCall { tenant, .. } = &mut event {
+        if let Event::SubmitCall(SubmittedCall { tenant, .. }) = &mut event {
             *tenant = TenantId::new("stranger");
         }
         event
--- a/crates/lab/src/scale/roles/owner.rs
+++ b/crates/lab/src/scale/roles/owner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use elderworks_execution::event::CallTerms;
-use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
+use elderworks_execution::{Effect, Event, ExecutionSettings, Partition, SubmittedCall};
 use elderworks_protocol::journal::{JournalBody, RunLimits};
 use elderworks_protocol::record::{Record, RecordBatch, Writer};
 use elderworks_protocol::sidecar::{Delivered, SubmissionTag};
@@ -228,7 +228,7 @@
         per_invocation: Credits::ZERO,
         timeout: Duration::from_secs(60),
     };
-    Event::SubmitCall {
+    Event::SubmitCall(SubmittedCall {
         connection: 1,
         tenant,
         run: call.run,
@@ -237,7 +237,7 @@
         abandoned_before: 0,
         submission: SubmissionTag::default(),
         terms: Ok(terms),
-    }
+    })
 }
 
 /// Runs under way, each with `turns` ended calls, on one partition.
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -275,7 +275,7 @@
             } => {
                 let program = self.program_of(partition, run);
                 let terms = call_terms(&self.control, program.as_ref(), &spec.request);
-                execution::Event::SubmitCall {
+                execution::Event::SubmitCall(execution::SubmittedCall {
                     connection,
                     tenant,
                     run,
@@ -284,7 +284,7 @@
                     abandoned_before,
                     submission,
                     terms,
-                }
+                })
             }
             SidecarMessage::Acknowledge { call } => execution::Event::Acknowledge { call },
             SidecarMessage::ReadRun { query, tenant, run } => execution::Event::ReadRun {
