gateway: nodes share the connections that a worker keeps open

Cause: each node kept up to 16 connections at rest to each worker, whatever the service's limit and the number of nodes. With 300 nodes they could take a worker's 180 connections from each other, and the worker resets the rest.

Change: three quarters of a service's limit, divided by the nodes that have an entry, at least 1 and at most 16. A table test.

--- a/crates/gateway-core/src/nodes.rs
+++ b/crates/gateway-core/src/nodes.rs
@@ -70,6 +70,11 @@
         self.nodes.get(node)
     }
 
+    /// How many nodes have an entry.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.nodes.len()).unwrap_or(u32::MAX)
+    }
+
     /// Every node with its entry, by name.
     pub fn iter(&self) -> impl Iterator<Item = (&NodeId, &KnownNode)> {
         self.nodes.iter()
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -25,6 +25,20 @@
     pub draining: bool,
 }
 
+/// Most connections at rest that a node keeps to one worker.
+const MOST_IDLE_CONNECTIONS: u32 = 16;
+
+/// Part of a worker's connections that all nodes together keep at rest, in quarters; the rest is
+/// for requests that need a new one.
+const IDLE_QUARTERS: u32 = 3;
+
+/// How many connections at rest a node may keep to a worker that takes `max_connections` from all
+/// callers together, so that the nodes do not take the worker's connections from each other.
+pub fn idle_connections_share(max_connections: u32, nodes: u32) -> u32 {
+    let for_all = max_connections / 4 * IDLE_QUARTERS;
+    (for_all / nodes.max(1)).clamp(1, MOST_IDLE_CONNECTIONS)
+}
+
 /// A worker that failed this often in a row is left alone for a while.
 const FAILURES_BEFORE_EJECTION: u32 = 2;
 
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -5,7 +5,7 @@
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::demand::Demand;
-use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
+use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord, idle_connections_share};
 use elderworks_types::Timestamp;
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -257,3 +257,22 @@
     workers.note_failure("w1", START);
     assert_eq!(chosen(&workers, None, &[]).as_deref(), Some("w1"));
 }
+
+#[test]
+fn nodes_share_the_connections_of_a_worker() {
+    let cases = [
+        (160, 1, 16),
+        (160, 12, 10),
+        (180, 300, 1),
+        (110, 0, 16),
+        (2, 5, 1),
+        (u32::MAX, 12, 16),
+    ];
+    for (max_connections, nodes, expected) in cases {
+        let share = idle_connections_share(max_connections, nodes);
+        assert_eq!(
+            share, expected,
+            "{max_connections} connections, {nodes} nodes"
+        );
+    }
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -10,6 +10,7 @@
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
+use elderworks_gateway_core::workers::idle_connections_share;
 
 use super::turn::TurnLease;
 use super::{CallError, headers};
@@ -196,6 +197,7 @@
             http: &self.gateway.http,
             platform: &*self.gateway.platform,
             connections_made: &self.gateway.metrics.worker_connections,
+            most_idle: self.most_idle_connections(),
         };
         self.gateway.metrics.attempts.inc();
         self.sending = true;
@@ -203,6 +205,13 @@
         Ok(RunningAnswer { answer, occupied })
     }
 
+    fn most_idle_connections(&self) -> usize {
+        let service = self.config.service(&self.service);
+        let max_connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let share = idle_connections_share(max_connections, self.gateway.nodes.borrow().count());
+        usize::try_from(share).unwrap_or(usize::MAX)
+    }
+
     fn worker_headers(&self, target: &Target, last_event_id: Option<&str>) -> HeaderMap {
         let mut extra = HeaderMap::new();
         let values = WorkerHeaders {
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -48,6 +48,8 @@
     pub(crate) reusable: bool,
     /// The idle time that the worker named.
     pub(crate) idle_time: Option<Duration>,
+    /// Most connections at rest that this node may keep to the worker.
+    pub(crate) most_idle: usize,
 }
 
 impl Home {
@@ -56,7 +58,8 @@
         if self.reusable && keeps_alive && is_clean {
             connection.receiver.buffer = bytes::BytesMut::new();
             connection.sender.buffer = bytes::BytesMut::new();
-            self.pool.put(&self.worker, connection, self.idle_time);
+            self.pool
+                .put(&self.worker, connection, self.idle_time, self.most_idle);
         }
     }
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -57,6 +57,8 @@
     pub(crate) http: &'a ServiceConfig,
     pub(crate) platform: &'a dyn Platform,
     pub(crate) connections_made: &'a Counter,
+    /// Most connections at rest that this node may keep to the worker.
+    pub(crate) most_idle: usize,
 }
 
 /// Sends a request and waits for the head of the answer to it.
@@ -195,6 +197,7 @@
             worker: target.worker.clone(),
             reusable: !self.sending,
             idle_time: named_idle_time(&head.headers),
+            most_idle: context.most_idle,
         };
         Answer::new(method, head, self.codec, self.connection, home)
     }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -13,9 +13,6 @@
 /// A worker that names no idle time closes after less than a second.
 const UNNAMED_IDLE_TIME: Duration = Duration::from_millis(350);
 
-/// Most connections at rest for one worker.
-const MAX_IDLE_PER_WORKER: usize = 16;
-
 #[derive(Debug)]
 struct IdleConnection {
     connection: WorkerConnection,
@@ -42,18 +39,20 @@
         None
     }
 
-    /// Keeps a connection for the next request. `idle_time` is what the worker said.
+    /// Keeps a connection for the next request, unless as many as allowed are kept. `idle_time` is
+    /// what the worker said.
     pub(crate) fn put(
         &self,
         worker: &str,
         connection: WorkerConnection,
         idle_time: Option<Duration>,
+        most: usize,
     ) {
         let usable_for = idle_time.map_or(UNNAMED_IDLE_TIME, |time| time.mul_f64(USABLE_SHARE));
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(worker.to_owned()).or_default();
-        if connections.len() >= MAX_IDLE_PER_WORKER {
-            connections.remove(0);
+        if connections.len() >= most {
+            return;
         }
         connections.push(IdleConnection {
             connection,
