workers: weigh failures against successes, and count a worker's own

Cause: a worker was left alone only after two failures in a row without an answer. One that fails two requests in five by 500, by silence or by resets stayed in use, and a program's turns met it again and again.

Change: a failure weighs two, a success takes one back, and at four the worker is left alone for a pause that doubles; so one that fails more than one time in three is found. A worker's own 500 counts, and so does the silence of a worker that is no engine past the route's target when the time is over. Engines may let a request wait, so their silence does not count.

Tests: a table of failure rates (one in 2 is ejected, one in 10 and one in 50 are not), and the pauses as before.

--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -39,10 +39,16 @@
     (for_all / nodes.max(1)).clamp(1, MOST_IDLE_CONNECTIONS)
 }
 
-/// A worker that failed this often in a row is left alone for a while.
-const FAILURES_BEFORE_EJECTION: u32 = 2;
+/// What a failure adds to the suspicion against a worker.
+const FAILURE_WEIGHT: u32 = 2;
 
-/// First pause of a failing worker; doubled with each further failure.
+/// What a success takes away: a worker that fails less often than one time in three stays in use.
+const SUCCESS_WEIGHT: u32 = 1;
+
+/// Suspicion at which a worker is left alone for a while: two failures in a row suffice.
+const EJECTION_THRESHOLD: u32 = 4;
+
+/// First pause of a failing worker; doubled with each further one.
 const FIRST_EJECTION: Duration = Duration::from_millis(300);
 
 /// Longest pause of a failing worker.
@@ -62,7 +68,9 @@
     pub record: WorkerRecord,
     /// Requests that this node is running there.
     pub in_flight: u32,
-    failures_in_a_row: u32,
+    suspicion: u32,
+    /// Ejections without a success since.
+    ejections: u32,
     ejected_until: Timestamp,
     full_until: Timestamp,
     missing_since: Option<Timestamp>,
@@ -99,7 +107,8 @@
         let worker = Worker {
             record,
             in_flight: 0,
-            failures_in_a_row: 0,
+            suspicion: 0,
+            ejections: 0,
             ejected_until: Timestamp::default(),
             full_until: Timestamp::default(),
             missing_since: None,
@@ -225,8 +234,10 @@
     /// Notes a valid answer.
     pub fn note_success(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.failures_in_a_row = 0;
-            worker.ejected_until = Timestamp::default();
+            worker.suspicion = worker.suspicion.saturating_sub(SUCCESS_WEIGHT);
+            if worker.suspicion == 0 {
+                worker.ejections = 0;
+            }
         }
     }
 
@@ -237,21 +248,21 @@
         }
     }
 
-    /// Notes a failure. Failures in a row eject the worker for a pause that doubles; tells
-    /// whether it is ejected now.
+    /// Notes a failure. Failures that outweigh the successes eject the worker for a pause that
+    /// doubles each time; tells whether it is ejected now.
     pub fn note_failure(&mut self, id: &str, now: Timestamp) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
-        worker.failures_in_a_row += 1;
-        let Some(doublings) = worker
-            .failures_in_a_row
-            .checked_sub(FAILURES_BEFORE_EJECTION)
-        else {
+        worker.suspicion += FAILURE_WEIGHT;
+        if worker.suspicion < EJECTION_THRESHOLD {
             return false;
-        };
-        let pause = FIRST_EJECTION * 2u32.pow(doublings.min(4));
+        }
+        let pause = FIRST_EJECTION * 2u32.pow(worker.ejections.min(4));
         worker.ejected_until = now + pause.min(LONGEST_EJECTION);
+        worker.ejections += 1;
+        // One more failure after the pause ejects it again.
+        worker.suspicion = EJECTION_THRESHOLD - FAILURE_WEIGHT;
         true
     }
 }
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -243,11 +243,32 @@
     let worker = workers.get("w1").expect("known");
     assert!(worker.is_ejected(START + Duration::from_millis(299)));
     assert!(!worker.is_ejected(START + Duration::from_millis(300)));
-    workers.note_failure("w1", START);
+    assert!(
+        workers.note_failure("w1", START),
+        "once more after the pause"
+    );
     let worker = workers.get("w1").expect("known");
     assert!(worker.is_ejected(START + Duration::from_millis(599)));
-    workers.note_success("w1");
-    assert!(!workers.get("w1").expect("known").is_ejected(START));
+    for _ in 0..4 {
+        workers.note_success("w1");
+    }
+    assert!(!workers.note_failure("w1", START), "successes restore it");
+}
+
+#[test]
+fn a_worker_that_often_fails_is_ejected_and_one_that_seldom_does_is_not() {
+    for (period, expected) in [(2, true), (10, false), (50, false)] {
+        let mut workers = directory(&["w1"]);
+        let mut ejected = false;
+        for request in 0..100 {
+            if request % period == 0 {
+                ejected |= workers.note_failure("w1", START);
+            } else {
+                workers.note_success("w1");
+            }
+        }
+        assert_eq!(ejected, expected, "one failure in {period}");
+    }
 }
 
 #[test]
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use actix_http::RequestHead;
 use actix_http::header::HeaderMap;
+use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
 use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
@@ -134,7 +134,7 @@
             let mut running = self.next_answer(None, None).await?;
             match running.answer.whole_body(MAX_WHOLE_ANSWER).await {
                 Ok(body) => {
-                    self.note_success(&running.occupied.worker);
+                    self.note_answer(&running.occupied.worker, running.answer.head.status);
                     drop(running.occupied);
                     let head = &running.answer.head;
                     let passed = headers::end_to_end(&head.headers);
@@ -286,13 +286,34 @@
         }
     }
 
-    pub(super) fn note_success(&self, worker: &str) {
-        self.gateway.workers.borrow_mut().note_success(worker);
+    /// Notes a whole answer: one that tells of a failure of the worker speaks against it.
+    pub(super) fn note_answer(&self, worker: &str, status: StatusCode) {
+        let mut workers = self.gateway.workers.borrow_mut();
+        if status == StatusCode::INTERNAL_SERVER_ERROR {
+            workers.note_failure(worker, self.gateway.now());
+        } else {
+            workers.note_success(worker);
+        }
+    }
+
+    /// Notes that the time is over while a worker has shown no answer. Engines may let a request
+    /// wait for its turn; other workers answer sooner.
+    pub(super) fn note_time_over(&self) {
+        let service = self.config.service(&self.service);
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
+        let had_its_time = self.received.elapsed() >= self.route.target;
+        if let Some(worker) = self.tried.last()
+            && self.sending
+            && had_its_time
+            && !is_engine
+        {
+            self.note_worker_failure(worker);
+        }
     }
 
-    fn note_refusal(&self, worker: &str, status: actix_http::StatusCode) {
+    fn note_refusal(&self, worker: &str, status: StatusCode) {
         let now = self.gateway.now();
-        if status == actix_http::StatusCode::MISDIRECTED_REQUEST {
+        if status == StatusCode::MISDIRECTED_REQUEST {
             self.note_worker_failure(worker);
         } else {
             self.gateway.workers.borrow_mut().note_full(worker, now);
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -61,7 +61,10 @@
     let timed = tokio::time::timeout_at(deadline.into(), running).await;
     let result = match timed {
         Ok(result) => result,
-        Err(_) => expire(&call, caller, trace).await,
+        Err(_) => {
+            call.note_time_over();
+            expire(&call, caller, trace).await
+        }
     };
     trace.workers = call.tried_workers();
     result
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -64,7 +64,7 @@
             }
             match self.pass_events(caller, &mut running, &mut passed).await? {
                 PartEnd::Whole => {
-                    self.note_success(&running.occupied.worker);
+                    self.note_answer(&running.occupied.worker, running.answer.head.status);
                     drop(running);
                     return self.end_stream(caller, passed).await;
                 }
@@ -183,6 +183,7 @@
             }
         };
         let head = &running.answer.head;
+        self.note_answer(&running.occupied.worker, head.status);
         let passed_headers = headers::end_to_end(&head.headers);
         caller
             .send_whole(head.status, &passed_headers, &body)
