sidecar: a header name of the product's own, no longer the platform's

Cause: `x-elderworks-program` names the program under way on the users' platform, and the program of a new run on the product's own interface. The names test did not list it, so the clash stood.

--- a/crates/sidecar/src/http/chat.rs
+++ b/crates/sidecar/src/http/chat.rs
@@ -22,7 +22,7 @@
 /// Names the run that the call belongs to.
 const RUN: &str = "x-elderworks-run";
 /// Names the program of a call that belongs to no run.
-const PROGRAM: &str = "x-elderworks-program";
+const PROGRAM: &str = "x-elderworks-run-program";
 /// Position of the call within its run.
 const CALL: &str = "x-elderworks-call";
 /// Milliseconds until the answer stops being useful.
--- a/crates/sidecar/tests/callers/programs.rs
+++ b/crates/sidecar/tests/callers/programs.rs
@@ -94,7 +94,7 @@
     let setup = setup().await;
     let headers = [
         ("authorization", "Bearer office-token"),
-        ("x-elderworks-program", "boundary"),
+        ("x-elderworks-run-program", "boundary"),
     ];
     let body = r#"{"model":"m","messages":[{"role":"user","content":"one"}]}"#;
     let reply = setup
