--- a/crates/gateway/src/log_output.rs
+++ b/crates/gateway/src/log_output.rs
@@ -60,8 +60,7 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let note = format!("{lost} log lines dropped: the output was not read\n");
-            batch.extend_from_slice(note.as_bytes());
+            batch.extend_from_slice(loss_note(lost).as_bytes());
         }
         // Without a reader there is nobody to tell.
         let _ = output.write_all(&batch).and_then(|()| output.flush());
@@ -69,3 +68,9 @@
         std::thread::sleep(BATCH_PAUSE);
     }
 }
+
+/// A line in the form of the others that says how many were lost.
+fn loss_note(lost: u64) -> String {
+    let message = "log lines dropped: the output was not read";
+    format!("{{\"level\":\"WARN\",\"lines\":{lost},\"message\":\"{message}\"}}\n")
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,7 +38,6 @@
     pub(crate) ledger_conflicts: Counter,
     pub(crate) ledger_forwarded: Counter,
     pub(crate) log_calls: Family<LogCallLabel, Counter>,
-    pub(crate) log_lines_dropped: Gauge,
     pub(crate) in_flight: Gauge,
     pub(crate) workers: Gauge,
     pub(crate) config_version: Gauge,
@@ -67,7 +66,6 @@
             ledger_conflicts: Counter::default(),
             ledger_forwarded: Counter::default(),
             log_calls: Family::default(),
-            log_lines_dropped: Gauge::default(),
             in_flight: Gauge::default(),
             workers: Gauge::default(),
             config_version: Gauge::default(),
@@ -137,11 +135,6 @@
             "Calls to the platform's log by call and outcome",
             self.log_calls.clone(),
         );
-        registry.register(
-            "log_lines_dropped",
-            "Log lines dropped because the output was not read",
-            self.log_lines_dropped.clone(),
-        );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register("workers", "Workers known", self.workers.clone());
         registry.register(
