Keep one lost owner from stalling every node: ask in order, read in pages, withdraw turns

Ruled out: a loss of kept turns (the requests got 402, not 404); compaction of the ledger's history.

Change: the nodes that should act for a partition are asked in order, three of them, before a node reads the partition itself; reads come in pages of 128 KB with a time-out of their own; turns that end before they are granted are withdrawn at every node asked; a denial that rests on what another owner has set aside within 4 s is unsure (503) and asked again; owners are ranked by capacity and callers are sent to a zone's large nodes if there are three; bodies take a fifth of the process's memory at most. find_conversation returns with the first partition that has the turn.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -17,6 +17,7 @@
     Action, AppendOutcome, DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK,
     PartitionOwner, ReadOutcome, Ticket,
 };
+pub use plan::OTHERS_PATIENCE;
 pub use state::{LedgerState, RETENTION};
 pub use wallet::{Advance, IDLE_BEFORE_SETTLING, SpentAdvance, Wallet};
 
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -1,6 +1,7 @@
 //! Decides requests to a partition: what can be answered at once, and what must be appended.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use elderworks_protocol::ledger::{
@@ -18,6 +19,11 @@
 /// for: what is lost with its owner must not matter much to the program.
 const SHARE_IN_ADVANCE: u64 = 4;
 
+/// How long a denial waits for what other owners have set aside: an owner that lives and is not
+/// asked any more settles at once, and a turn that it has let run has ended by then. What an owner
+/// that is lost had set aside counts in full afterwards.
+pub const OTHERS_PATIENCE: Duration = Duration::from_secs(4);
+
 /// What is to be done for a request that cannot be answered at once.
 #[derive(Debug)]
 pub(super) enum Planned {
@@ -154,13 +160,16 @@
             return Planned::AnswerIfCurrent(LedgerReply::UnknownTurn);
         };
         if let Some(budget) = begin.budget
-            && !self.fund(state, wallets, now, begin, budget)
+            && let Err(shortage) = self.fund(state, wallets, now, begin, budget)
         {
             // What another turn of this plan takes may turn out not to be taken.
             if self.advanced.contains_key(&begin.program) {
                 return Planned::DecideAfterAppend;
             }
-            return Planned::AnswerIfCurrent(LedgerReply::BudgetSpent);
+            let is_own = |reservation: &str| wallets.is_own(reservation);
+            let others =
+                state.lately_reserved_by_others(&begin.program, now, OTHERS_PATIENCE, is_own);
+            return Planned::AnswerIfCurrent(shortage.reply(others));
         }
         if let Some((turn, content)) = import {
             self.keep(&turn, content);
@@ -168,7 +177,7 @@
         Planned::Append(LedgerReply::Granted { conversation })
     }
 
-    /// Starts a turn on the program's wallet, with a new advance if it holds too little; `false`
+    /// Starts a turn on the program's wallet, with a new advance if it holds too little. An error
     /// if the budget does not hold the turn.
     fn fund(
         &mut self,
@@ -177,11 +186,11 @@
         now: Timestamp,
         begin: &BeginTurn,
         budget: u64,
-    ) -> bool {
+    ) -> Result<(), Shortage> {
         let program = &begin.program;
         let wallet = wallets.get(program);
         if wallet.is_some_and(|wallet| wallet.is_running(&begin.turn)) {
-            return true;
+            return Ok(());
         }
         let planned = self.advanced.get(program).copied().unwrap_or(0);
         let free = wallet.map_or(0, |wallet| wallet.free()) + signed(planned);
@@ -189,7 +198,10 @@
         if missing > 0 {
             let account = self.account(state, program);
             if !account.allows(budget, missing) {
-                return false;
+                let wanted = account.committed() + missing;
+                return Err(Shortage {
+                    tokens: wanted - budget,
+                });
             }
             let left = budget - account.committed() - missing;
             let extra = (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE);
@@ -200,7 +212,7 @@
             .entry(program)
             .start(now, begin.turn.clone(), begin.tokens);
         self.started.push((program.clone(), begin.turn.clone()));
-        true
+        Ok(())
     }
 
     fn reserve(&mut self, state: &LedgerState, program: &str, reservation: String, tokens: u64) {
@@ -229,6 +241,23 @@
     }
 }
 
+/// What a budget lacks for a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Shortage {
+    tokens: u64,
+}
+
+impl Shortage {
+    /// The answer, if others have set `reserved` tokens aside that they may give back.
+    fn reply(self, reserved: u64) -> LedgerReply {
+        if reserved >= self.tokens {
+            LedgerReply::BudgetUnsure
+        } else {
+            LedgerReply::BudgetSpent
+        }
+    }
+}
+
 /// A turn to be kept on behalf of another partition.
 type Import = Option<(String, KeptTurn)>;
 
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -27,10 +27,19 @@
     written: Timestamp,
 }
 
+#[derive(Debug)]
+struct DatedAccount {
+    account: Account,
+    /// When each open reservation was first seen here.
+    reserved: BTreeMap<String, Timestamp>,
+    touched: Timestamp,
+    written: Timestamp,
+}
+
 /// Accounts and kept turns of one partition.
 #[derive(Debug, Default)]
 pub struct LedgerState {
-    accounts: BTreeMap<String, Dated<Account>>,
+    accounts: BTreeMap<String, DatedAccount>,
     turns: BTreeMap<String, Dated<KeptTurn>>,
 }
 
@@ -43,15 +52,18 @@
                 reservation,
                 tokens,
             } => {
-                self.account_entry(now, program)
-                    .reserve(reservation, tokens);
+                let entry = self.account_entry(now, program);
+                entry.reserved.insert(reservation.clone(), now);
+                entry.account.reserve(reservation, tokens);
             }
             LedgerRecord::Settled {
                 program,
                 reservation,
                 used,
             } => {
-                self.account_entry(now, program).settle(&reservation, used);
+                let entry = self.account_entry(now, program);
+                entry.reserved.remove(&reservation);
+                entry.account.settle(&reservation, used);
             }
             LedgerRecord::Kept { turn, content } => {
                 let dated = Dated {
@@ -66,16 +78,43 @@
                 settled,
                 open,
             } => {
-                let account = self.account_entry(now, program);
-                account.settled = settled;
-                account.open = open.into_iter().collect();
+                let entry = self.account_entry(now, program);
+                entry.account.settled = settled;
+                entry.account.open = open.into_iter().collect();
+                let known = std::mem::take(&mut entry.reserved);
+                let seen = |name: &String| known.get(name).copied().unwrap_or(now);
+                let open = entry.account.open.keys();
+                entry.reserved = open.map(|name| (name.clone(), seen(name))).collect();
             }
         }
     }
 
     /// The account of a program, if it has one.
     pub fn account(&self, program: &str) -> Option<&Account> {
-        self.accounts.get(program).map(|dated| &dated.value)
+        self.accounts.get(program).map(|dated| &dated.account)
+    }
+
+    /// Tokens that others have set aside for a program, on reservations seen here for less than
+    /// `patience`. `is_own` tells which reservations are the asker's.
+    pub fn lately_reserved_by_others(
+        &self,
+        program: &str,
+        now: Timestamp,
+        patience: Duration,
+        is_own: impl Fn(&str) -> bool,
+    ) -> u64 {
+        let Some(dated) = self.accounts.get(program) else {
+            return 0;
+        };
+        let others = dated.account.open.iter().filter(|(name, _)| !is_own(name));
+        let is_recent = |name: &str| {
+            let seen = dated.reserved.get(name);
+            seen.is_some_and(|seen| now.since(*seen) < patience)
+        };
+        others
+            .filter(|(name, _)| is_recent(name))
+            .map(|(_, tokens)| tokens)
+            .sum()
     }
 
     /// Whether a turn is kept.
@@ -139,8 +178,8 @@
             .filter(|(_, dated)| now.since(dated.written) >= REWRITE_AFTER)
             .map(|(program, dated)| LedgerRecord::Account {
                 program: program.clone(),
-                settled: dated.value.settled,
-                open: dated.value.open.clone().into_iter().collect(),
+                settled: dated.account.settled,
+                open: dated.account.open.clone().into_iter().collect(),
             });
         let turns = self
             .turns
@@ -163,14 +202,18 @@
         self.len() == 0
     }
 
-    fn account_entry(&mut self, now: Timestamp, program: String) -> &mut Account {
-        let dated = self.accounts.entry(program).or_insert_with(|| Dated {
-            value: Account::default(),
-            touched: now,
-            written: now,
-        });
+    fn account_entry(&mut self, now: Timestamp, program: String) -> &mut DatedAccount {
+        let dated = self
+            .accounts
+            .entry(program)
+            .or_insert_with(|| DatedAccount {
+                account: Account::default(),
+                reserved: BTreeMap::new(),
+                touched: now,
+                written: now,
+            });
         dated.touched = now;
         dated.written = now;
-        &mut dated.value
+        dated
     }
 }
--- a/crates/gateway-core/src/ledger/wallets.rs
+++ b/crates/gateway-core/src/ledger/wallets.rs
@@ -128,7 +128,8 @@
             .min()
     }
 
-    fn is_own(&self, reservation: &str) -> bool {
+    /// Whether a reservation was made by this owner.
+    pub(super) fn is_own(&self, reservation: &str) -> bool {
         reservation
             .strip_prefix(self.owner.as_str())
             .is_some_and(|rest| rest.starts_with('/'))
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod ledger;
 pub mod nodes;
+pub mod ownership;
 pub mod response_time;
 pub mod split;
 pub mod workers;
--- a/crates/gateway-core/src/nodes.rs
+++ b/crates/gateway-core/src/nodes.rs
@@ -17,6 +17,8 @@
     pub zone: String,
     /// Its region.
     pub region: String,
+    /// Its processor capacity in thousandths of a core.
+    pub millicores: u32,
     /// Whether it is leaving in order.
     pub draining: bool,
 }
@@ -36,6 +38,9 @@
 /// Fewest nodes of the caller's own zone that are offered alone; with fewer, all zones are.
 const FEWEST_IN_ZONE: usize = 2;
 
+/// Fewest large nodes that are offered without the small ones beside them.
+const FEWEST_LARGE: usize = 3;
+
 /// Every node that has written an entry.
 #[derive(Debug, Default)]
 pub struct NodeDirectory {
@@ -80,33 +85,61 @@
         self.nodes.iter()
     }
 
-    /// Addresses for a caller in `zone`: those of its own zone if there are enough, else all; of
-    /// nodes that `is_serving` only, and never of one that is leaving.
+    /// Addresses for a caller in `zone`: those of [`Self::offered`].
     pub fn addresses_for(
         &self,
         zone: Option<&str>,
         is_serving: impl Fn(&NodeId) -> bool,
     ) -> Vec<SocketAddr> {
-        let serving: Vec<&NodeRecord> = self
+        self.offered(zone, is_serving)
+            .into_iter()
+            .take(MAX_ADDRESSES)
+            .map(|(_, record)| record.callers_address)
+            .collect()
+    }
+
+    /// The nodes that callers in `zone` are sent to: those of that zone if there are enough, else
+    /// of all zones; of these the large ones if there are enough, since fewer nodes need fewer
+    /// connections to workers, and a large one is the last to be slowed by a burst. Only nodes
+    /// that are `is_serving`, and never one that is leaving.
+    pub fn offered(
+        &self,
+        zone: Option<&str>,
+        is_serving: impl Fn(&NodeId) -> bool,
+    ) -> Vec<(&NodeId, &NodeRecord)> {
+        let serving: Vec<(&NodeId, &NodeRecord)> = self
             .nodes
             .iter()
             .filter(|(node, known)| !known.record.draining && is_serving(node))
-            .map(|(_, known)| &known.record)
+            .map(|(node, known)| (node, &known.record))
             .collect();
-        let nearby: Vec<&NodeRecord> = serving
+        let nearby: Vec<(&NodeId, &NodeRecord)> = serving
             .iter()
             .copied()
-            .filter(|record| Some(record.zone.as_str()) == zone)
+            .filter(|(_, record)| Some(record.zone.as_str()) == zone)
             .collect();
-        let offered = if nearby.len() >= FEWEST_IN_ZONE {
-            nearby
+        if nearby.len() >= FEWEST_IN_ZONE {
+            large_if_enough(nearby)
         } else {
-            serving
-        };
-        offered
-            .into_iter()
-            .take(MAX_ADDRESSES)
-            .map(|record| record.callers_address)
-            .collect()
+            large_if_enough(serving)
+        }
+    }
+}
+
+/// Those with at least half of the largest one's capacity, unless they are too few.
+fn large_if_enough<'a>(
+    nodes: Vec<(&'a NodeId, &'a NodeRecord)>,
+) -> Vec<(&'a NodeId, &'a NodeRecord)> {
+    let largest = nodes.iter().map(|(_, record)| record.millicores).max();
+    let is_large = |record: &NodeRecord| record.millicores >= largest.unwrap_or(0) / 2;
+    let large: Vec<(&NodeId, &NodeRecord)> = nodes
+        .iter()
+        .copied()
+        .filter(|(_, record)| is_large(record))
+        .collect();
+    if large.len() >= FEWEST_LARGE {
+        large
+    } else {
+        nodes
     }
 }
--- a/crates/gateway/src/body_memory.rs
+++ b/crates/gateway/src/body_memory.rs
@@ -3,16 +3,29 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Bytes of all bodies at once. Well under a machine's memory, of which answers take a part too.
+/// Most bytes of all bodies at once, on whatever machine.
 const MAX_BYTES: usize = 64 * 1024 * 1024;
 
+/// Part of the process's memory that bodies may take: a body is held once as it came and once on
+/// its way to a worker, and answers, conversations and the process itself need the rest.
+const SHARE_DIVISOR: usize = 5;
+
 /// Counts the bytes of bodies that are held.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct BodyMemory {
     used: Rc<Cell<usize>>,
+    most: usize,
 }
 
 impl BodyMemory {
+    /// Holds nothing yet. `process_bytes` is the memory at which the process is killed.
+    pub(crate) fn new(process_bytes: usize) -> Self {
+        Self {
+            used: Rc::default(),
+            most: MAX_BYTES.min(process_bytes / SHARE_DIVISOR),
+        }
+    }
+
     /// Room for one body, which holds nothing yet.
     pub(crate) fn share(&self) -> BodyShare {
         BodyShare {
@@ -33,7 +46,7 @@
     /// Takes room for more bytes; `false` if there is none left.
     pub(crate) fn grow(&mut self, bytes: usize) -> bool {
         let used = self.memory.used.get() + bytes;
-        if used > MAX_BYTES {
+        if used > self.memory.most {
             return false;
         }
         self.memory.used.set(used);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -92,14 +92,10 @@
 }
 
 fn resolve(gateway: &Gateway, zone: Option<&str>) -> EntryAnswer {
-    let own = &gateway.settings.node;
-    let addresses = gateway.nodes.borrow().addresses_for(zone, |node| {
-        if node == own {
-            gateway.is_ready()
-        } else {
-            gateway.peers.is_alive(node)
-        }
-    });
+    let addresses = gateway
+        .nodes
+        .borrow()
+        .addresses_for(zone, |node| gateway.is_serving(node));
     if addresses.is_empty() {
         return text(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -208,7 +208,7 @@
     fn most_idle_connections(&self) -> usize {
         let service = self.config.service(&self.service);
         let max_connections = service.map_or(u32::MAX, |service| service.max_connections);
-        let share = idle_connections_share(max_connections, self.gateway.nodes.borrow().count());
+        let share = idle_connections_share(max_connections, self.gateway.nodes_serving.get());
         usize::try_from(share).unwrap_or(usize::MAX)
     }
 
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -11,7 +11,7 @@
 
 use super::attempts::Call;
 use crate::gateway::Gateway;
-use crate::ledger;
+use crate::ledger::{self, AskedNodes};
 use crate::reply::Refusal;
 
 /// Times that the end of a turn is reported before it is given up.
@@ -37,6 +37,8 @@
     partition: PartitionId,
     /// The node that granted the turn.
     granter: NodeId,
+    /// Every node that was asked for the turn.
+    asked: AskedNodes,
     program: String,
     turn: String,
     tokens_per_event: u64,
@@ -69,9 +71,43 @@
             kept: Some(content),
         });
         let finished = report_end(&self.gateway, &self.granter, self.partition, request).await;
-        self.returned |= finished;
+        if finished {
+            self.returned = true;
+            self.withdraw_elsewhere();
+        }
         finished
     }
+
+    /// The granter has denied the turn, so nothing is to be returned to it.
+    fn deny(&mut self) {
+        self.returned = true;
+        self.withdraw_elsewhere();
+    }
+
+    /// Tells the nodes that were asked in vain that the turn does not run on their account: they
+    /// may have set tokens aside for it and not been heard.
+    fn withdraw_elsewhere(&self) {
+        for node in self.asked.list() {
+            if node == self.granter {
+                continue;
+            }
+            let gateway = self.gateway.clone();
+            let partition = self.partition;
+            let request = self.end_report(0);
+            actix_rt::spawn(async move {
+                ledger::withdraw(&gateway, &node, partition, request).await;
+            });
+        }
+    }
+
+    fn end_report(&self, used: u64) -> LedgerRequest {
+        LedgerRequest::Finish(FinishTurn {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            used,
+            kept: None,
+        })
+    }
 }
 
 impl Drop for TurnLease {
@@ -79,12 +115,11 @@
         if self.returned {
             return;
         }
-        let request = LedgerRequest::Finish(FinishTurn {
-            program: std::mem::take(&mut self.program),
-            turn: std::mem::take(&mut self.turn),
-            used: self.used,
-            kept: None,
-        });
+        self.withdraw_elsewhere();
+        if !self.asked.list().contains(&self.granter) {
+            return;
+        }
+        let request = self.end_report(self.used);
         let gateway = self.gateway.clone();
         let granter = self.granter.clone();
         let partition = self.partition;
@@ -137,6 +172,7 @@
             gateway: self.gateway.clone(),
             partition,
             granter: self.gateway.settings.node.clone(),
+            asked: AskedNodes::default(),
             program: program.clone(),
             turn: turn.clone(),
             tokens_per_event: self.tokens_per_event(),
@@ -181,7 +217,8 @@
         let request = LedgerRequest::Begin(begin.clone());
         let patience = self.ledger_patience();
         let mut answered =
-            ledger::request_patiently(self.gateway, partition, request, patience).await;
+            ledger::request_patiently(self.gateway, partition, request, patience, &lease.asked)
+                .await;
         if answered.reply == LedgerReply::UnknownTurn
             && let Some(previous) = begin.previous.clone()
         {
@@ -189,7 +226,8 @@
                 LedgerReply::Conversation { conversation } => {
                     begin.imported = Some(conversation);
                     let request = LedgerRequest::Begin(begin);
-                    answered = ledger::request(self.gateway, partition, request).await;
+                    answered =
+                        ledger::request(self.gateway, partition, request, &lease.asked).await;
                 }
                 other => answered.reply = other,
             }
@@ -201,12 +239,12 @@
                 Ok(conversation)
             }
             LedgerReply::BudgetSpent => {
-                lease.returned = true;
+                lease.deny();
                 let status = StatusCode::PAYMENT_REQUIRED;
                 Err(Refusal::plain(status, "the program's budget is spent"))
             }
             LedgerReply::UnknownTurn => {
-                lease.returned = true;
+                lease.deny();
                 Err(Refusal::plain(
                     StatusCode::NOT_FOUND,
                     "no such turn is kept",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one gateway share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use actix_http::ServiceConfig;
@@ -9,7 +10,7 @@
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::workers::WorkerDirectory;
-use elderworks_types::Timestamp;
+use elderworks_types::{NodeId, Timestamp};
 use tokio::sync::watch;
 
 use crate::body_memory::BodyMemory;
@@ -47,12 +48,16 @@
     pub(crate) ledger: Ledger,
     /// Response times of the log's calls for the ledger.
     pub(crate) log_timer: RefCell<ResponseTimer>,
+    /// Response times of the log's reads for the ledger, which may bring many records.
+    pub(crate) log_read_timer: RefCell<ResponseTimer>,
     /// Whether the latest call to the log was answered, for whatever stream.
     pub(crate) log_answers: Cell<bool>,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
-    /// Nodes of this zone that take requests, this one included, as last counted.
+    /// Nodes of this zone that callers are sent to, this one included, as last counted.
     pub(crate) nodes_in_zone: Cell<u32>,
+    /// Nodes of all zones that callers are sent to, as last counted.
+    pub(crate) nodes_serving: Cell<u32>,
     /// Bodies of requests under way.
     pub(crate) body_memory: BodyMemory,
     /// Requests under way.
@@ -72,7 +77,9 @@
             peers: Peers::new(&settings),
             ledger: Ledger::new(settings.partitions),
             log_timer: RefCell::default(),
+            log_read_timer: RefCell::default(),
             log_answers: Cell::new(true),
+            body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
             platform,
             clock: Clock::start(),
@@ -85,7 +92,7 @@
             metrics: Metrics::new(),
             stage,
             nodes_in_zone: Cell::new(1),
-            body_memory: BodyMemory::default(),
+            nodes_serving: Cell::new(1),
             in_flight: Cell::new(0),
             workers_read: Cell::new(false),
             joined: Cell::new(false),
@@ -125,17 +132,38 @@
         self.log_answers.set(answered);
     }
 
-    /// Counts the nodes of this zone that take requests.
-    pub(crate) fn count_nodes_in_zone(&self) {
+    /// Counts the nodes that callers are sent to.
+    pub(crate) fn count_serving_nodes(&self) {
         let own_zone = self.settings.zone.as_str();
         let nodes = self.nodes.borrow();
-        let others = nodes
+        let is_serving = |node: &NodeId| self.is_serving(node);
+        let nearby = nodes.offered(Some(own_zone), is_serving);
+        // This node may be asked though others are preferred to it.
+        let nearby_count = nearby
             .iter()
-            .filter(|(_, known)| known.record.zone == own_zone)
-            .filter(|(node, _)| **node != self.settings.node && self.peers.is_alive(node))
-            .count();
-        let count = u32::try_from(others + 1).unwrap_or(u32::MAX);
-        self.nodes_in_zone.set(count);
+            .filter(|(node, record)| **node != self.settings.node && record.zone == own_zone)
+            .count()
+            + 1;
+        let zones: BTreeSet<&str> = nodes
+            .iter()
+            .map(|(_, known)| known.record.zone.as_str())
+            .collect();
+        let all: BTreeSet<&NodeId> = zones
+            .into_iter()
+            .flat_map(|zone| nodes.offered(Some(zone), is_serving))
+            .map(|(node, _)| node)
+            .collect();
+        self.nodes_in_zone.set(saturating_u32(nearby_count));
+        self.nodes_serving.set(saturating_u32(all.len().max(1)));
+    }
+
+    /// Whether a node takes requests, as far as this one knows.
+    pub(crate) fn is_serving(&self, node: &NodeId) -> bool {
+        if *node == self.settings.node {
+            self.is_ready()
+        } else {
+            self.peers.is_alive(node)
+        }
     }
 
     /// A number that no other caller of this function gets.
@@ -145,3 +173,7 @@
         number
     }
 }
+
+fn saturating_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -3,13 +3,14 @@
 mod owner;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
 use elderworks_types::{NodeId, PartitionId};
-use futures_util::future::join_all;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::Gateway;
@@ -36,6 +37,22 @@
     }
 }
 
+/// The nodes to which requests for a turn went, whether or not they replied: any of them may have
+/// carried one out.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AskedNodes(Rc<RefCell<BTreeSet<NodeId>>>);
+
+impl AskedNodes {
+    /// Those asked so far.
+    pub(crate) fn list(&self) -> Vec<NodeId> {
+        self.0.borrow().iter().cloned().collect()
+    }
+
+    fn note(&self, node: &NodeId) {
+        self.0.borrow_mut().insert(node.clone());
+    }
+}
+
 /// A reply and the node that gave it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Answered {
@@ -45,21 +62,34 @@
     pub(crate) by: NodeId,
 }
 
+/// Times that a node is told that a turn does not run.
+const WITHDRAW_TRIES: u32 = 5;
+
+/// Pause between two of these.
+const WITHDRAW_PAUSE: Duration = Duration::from_millis(800);
+
+/// Other nodes that are asked for a partition before this one reads the partition itself. Reading
+/// is dear, and all nodes would do it at the same time for a partition whose owner is lost.
+const MOST_PEERS_ASKED: usize = 3;
+
 /// Makes a request of a partition's ledger.
 ///
-/// Any node can carry it out; the preferred one is asked first, since it has the state at hand.
-/// If it cannot, this node tries, unless it has no answers from the log either.
-/// [`LedgerReply::Unavailable`] if neither could.
+/// Any node can carry it out; those that should act for the partition are asked in order, since
+/// the first of them has the state at hand. If none of them can, this node tries, unless it has no
+/// answers from the log either. [`LedgerReply::Unavailable`] if nobody could.
 pub(crate) async fn request(
     gateway: &Rc<Gateway>,
     partition: PartitionId,
     request: LedgerRequest,
+    asked: &AskedNodes,
 ) -> Answered {
     let own = &gateway.settings.node;
-    let preferred = gateway.peers.candidates(partition).into_iter().next();
-    if let Some(by) = preferred
-        && by != *own
-    {
+    let candidates = gateway.peers.candidates(gateway, partition);
+    for by in candidates.into_iter().take(MOST_PEERS_ASKED) {
+        if by == *own {
+            break;
+        }
+        asked.note(&by);
         match ask_peer(gateway, &by, partition, request.clone()).await {
             // The other node may be cut off from the log alone.
             Some(LedgerReply::Unavailable) if gateway.log_answers.get() => {}
@@ -67,6 +97,7 @@
             None => {}
         }
     }
+    asked.note(own);
     Answered {
         reply: carry_out(gateway, partition, request).await,
         by: own.clone(),
@@ -85,24 +116,52 @@
         return carry_out(gateway, partition, wanted).await;
     }
     match ask_peer(gateway, granter, partition, wanted.clone()).await {
-        Some(LedgerReply::Unavailable) | None => request(gateway, partition, wanted).await.reply,
+        Some(LedgerReply::Unavailable) | None => {
+            let asked = AskedNodes::default();
+            request(gateway, partition, wanted, &asked).await.reply
+        }
         Some(reply) => reply,
     }
 }
 
+/// Tells a node that was asked for a turn that the turn does not run, until it has heard.
+pub(crate) async fn withdraw(
+    gateway: &Rc<Gateway>,
+    node: &NodeId,
+    partition: PartitionId,
+    end_of_turn: LedgerRequest,
+) {
+    for _ in 0..WITHDRAW_TRIES {
+        let reply = if *node == gateway.settings.node {
+            Some(carry_out(gateway, partition, end_of_turn.clone()).await)
+        } else {
+            ask_peer(gateway, node, partition, end_of_turn.clone()).await
+        };
+        if reply == Some(LedgerReply::Finished) {
+            return;
+        }
+        actix_rt::time::sleep(WITHDRAW_PAUSE).await;
+    }
+}
+
 /// Like [`request`], again and again for up to `patience` while no node can carry it out: an outage
-/// of the log may end in time.
+/// of the log may end in time, and other owners settle what they have set aside.
 pub(crate) async fn request_patiently(
     gateway: &Rc<Gateway>,
     partition: PartitionId,
     wanted: LedgerRequest,
     patience: Duration,
+    asked: &AskedNodes,
 ) -> Answered {
     let started = Instant::now();
     loop {
-        let answered = request(gateway, partition, wanted.clone()).await;
+        let answered = request(gateway, partition, wanted.clone(), asked).await;
+        let may_change = matches!(
+            answered.reply,
+            LedgerReply::Unavailable | LedgerReply::BudgetUnsure
+        );
         let is_over = started.elapsed() + RETRY_PAUSE >= patience;
-        if answered.reply != LedgerReply::Unavailable || is_over {
+        if !may_change || is_over {
             return answered;
         }
         actix_rt::time::sleep(RETRY_PAUSE).await;
@@ -166,10 +225,14 @@
         let question = LedgerRequest::Conversation {
             turn: turn.to_owned(),
         };
-        request(gateway, partition, question)
+        async move {
+            let asked = AskedNodes::default();
+            request(gateway, partition, question, &asked).await
+        }
     });
+    let mut answers: FuturesUnordered<_> = asking.collect();
     let mut sure = true;
-    for Answered { reply, .. } in join_all(asking).await {
+    while let Some(Answered { reply, .. }) = answers.next().await {
         match reply {
             LedgerReply::Conversation { .. } => return reply,
             LedgerReply::UnknownTurn => {}
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,5 +1,6 @@
 //! Drives one partition's ledger on this node: carries its reads and appends out.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,17 +10,22 @@
 use elderworks_gateway_core::ledger::{
     Action, AppendOutcome, PartitionOwner, RETENTION, ReadOutcome, Ticket,
 };
+use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{Offset, PartitionId, Timestamp};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::Gateway;
-use crate::ports::{ReadBatch, StoreError};
+use crate::ports::{ReadBatch, ReadLimits, StoreError};
 
 /// Interval at which old accounts and turns are dropped or written anew.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Most bytes of one read. Whoever takes a partition over reads it whole; in pages, what has
+/// arrived over a slow link is not read again when the next page takes too long.
+const PAGE_BYTES: usize = 128 * 1024;
+
 /// A request with the way back to whoever made it.
 pub(super) type Job = (LedgerRequest, oneshot::Sender<LedgerReply>);
 
@@ -32,6 +38,7 @@
         owner: PartitionOwner::new(owner_name(gateway)),
         waiting: HashMap::new(),
         conflicts_counted: 0,
+        page_bytes: Some(PAGE_BYTES),
     };
     actix_rt::spawn(driver.run(jobs));
     sender
@@ -48,6 +55,8 @@
     owner: PartitionOwner,
     waiting: HashMap<Ticket, oneshot::Sender<LedgerReply>>,
     conflicts_counted: u64,
+    /// Most bytes of the next read.
+    page_bytes: Option<usize>,
 }
 
 impl Driver {
@@ -94,8 +103,10 @@
     async fn carry_out(&mut self, action: Action, jobs: &mut mpsc::UnboundedReceiver<Job>) {
         match action {
             Action::Read { from } => {
-                let call = read(self.gateway.clone(), self.partition, from);
-                let outcome = self.take_jobs_until(call, jobs).await;
+                let call = read(self.gateway.clone(), self.partition, from, self.page_bytes);
+                let read = self.take_jobs_until(call, jobs).await;
+                self.page_bytes = next_page_bytes(from, &read);
+                let outcome = read_outcome(self.partition, from, read);
                 self.owner.on_read(self.gateway.now(), outcome);
             }
             Action::Append { at, records } => {
@@ -145,7 +156,7 @@
 
     /// Whether the other nodes send their requests for the partition here.
     fn is_preferred(&self) -> bool {
-        let candidates = self.gateway.peers.candidates(self.partition);
+        let candidates = self.gateway.peers.candidates(&self.gateway, self.partition);
         candidates.first() == Some(&self.gateway.settings.node)
     }
 
@@ -158,6 +169,14 @@
     }
 }
 
+/// The size of the next read: a page, unless the last one did not suffice for a single record.
+fn next_page_bytes(from: Offset, read: &Result<ReadBatch, StoreError>) -> Option<usize> {
+    match read {
+        Ok(batch) if batch.records.is_empty() && batch.end > from => None,
+        _ => Some(PAGE_BYTES),
+    }
+}
+
 async fn sleep_until(gateway: &Gateway, until: Option<Timestamp>) {
     match until {
         Some(until) => actix_rt::time::sleep(until.since(gateway.now())).await,
@@ -165,13 +184,34 @@
     }
 }
 
-async fn read(gateway: Rc<Gateway>, partition: PartitionId, from: Offset) -> ReadOutcome {
+async fn read(
+    gateway: Rc<Gateway>,
+    partition: PartitionId,
+    from: Offset,
+    most_bytes: Option<usize>,
+) -> Result<ReadBatch, StoreError> {
     let started = Instant::now();
-    let timeout = gateway.log_timer.borrow().timeout();
+    let limits = ReadLimits {
+        wait: Duration::ZERO,
+        timeout: gateway.log_read_timer.borrow().timeout(),
+        most_bytes,
+    };
     let stream = Stream::Ledger(partition);
-    let platform = &gateway.platform;
-    let read = platform.read(stream, from, Duration::ZERO, timeout).await;
-    note_response(&gateway, started, read.as_ref().err());
+    let read = gateway.platform.read(stream, from, limits).await;
+    note_response(
+        &gateway,
+        &gateway.log_read_timer,
+        started,
+        read.as_ref().err(),
+    );
+    read
+}
+
+fn read_outcome(
+    partition: PartitionId,
+    from: Offset,
+    read: Result<ReadBatch, StoreError>,
+) -> ReadOutcome {
     match read {
         Ok(batch) => decode_records(partition, batch),
         Err(StoreError::Gone { first }) => ReadOutcome::Gone { first },
@@ -217,7 +257,12 @@
     let timeout = gateway.log_timer.borrow().timeout();
     let stream = Stream::Ledger(partition);
     let appended = gateway.platform.append(stream, at, encoded, timeout).await;
-    note_response(&gateway, started, appended.as_ref().err());
+    note_response(
+        &gateway,
+        &gateway.log_timer,
+        started,
+        appended.as_ref().err(),
+    );
     let Err(error) = appended else {
         return AppendOutcome::Done;
     };
@@ -229,9 +274,14 @@
     }
 }
 
-fn note_response(gateway: &Gateway, started: Instant, error: Option<&StoreError>) {
+fn note_response(
+    gateway: &Gateway,
+    timer: &RefCell<ResponseTimer>,
+    started: Instant,
+    error: Option<&StoreError>,
+) {
     gateway.note_log_call(error);
-    let mut timer = gateway.log_timer.borrow_mut();
+    let mut timer = timer.borrow_mut();
     match error {
         None | Some(StoreError::Conflict { .. } | StoreError::Gone { .. }) => {
             timer.note_answer(started.elapsed());
--- /dev/null
+++ b/crates/gateway/src/peers/link.rs
@@ -0,0 +1,164 @@
+//! A connection to another node and the requests that wait for its replies.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use elderworks_protocol::ledger::{LedgerFrame, LedgerReply, LedgerRequest};
+use elderworks_protocol::{frame, split_frame};
+use elderworks_types::PartitionId;
+use tokio::sync::mpsc;
+
+use crate::buffered::{self, Receiver, Sender};
+use crate::socket;
+
+/// Longest wait for a sign that a request has arrived. A node that shows none is taken for gone.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for the reply to a request that has arrived: the log may be slow.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Why a node has not replied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoReply {
+    /// It cannot be reached, or shows no sign of life.
+    Gone,
+    /// The request has arrived, and its reply takes too long.
+    TooSlow,
+}
+
+/// What is heard of a request.
+enum News {
+    Arrived,
+    Replied(LedgerReply),
+}
+
+type Pending = Rc<RefCell<HashMap<u64, mpsc::UnboundedSender<News>>>>;
+
+/// A connection to another node with the requests that wait for its replies.
+#[derive(Clone, Debug)]
+pub(super) struct Link {
+    frames: mpsc::UnboundedSender<Bytes>,
+    pending: Pending,
+}
+
+impl Link {
+    /// Begins to connect.
+    pub(super) fn open(address: SocketAddr) -> Self {
+        let (frames, outgoing) = mpsc::unbounded_channel();
+        let pending = Pending::default();
+        actix_rt::spawn(run_link(address, outgoing, pending.clone()));
+        Self { frames, pending }
+    }
+
+    /// Whether the connection has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.frames.is_closed()
+    }
+
+    /// Makes a request; `id` must differ from those of other requests.
+    pub(super) async fn ask(
+        &self,
+        id: u64,
+        partition: PartitionId,
+        request: LedgerRequest,
+    ) -> Result<LedgerReply, NoReply> {
+        let (sender, mut news) = mpsc::unbounded_channel();
+        self.pending.borrow_mut().insert(id, sender);
+        let message = LedgerFrame::Request {
+            id,
+            partition,
+            request,
+        };
+        let replied = match self.frames.send(frame(&message)) {
+            Ok(()) => await_reply(&mut news).await,
+            Err(_) => Err(NoReply::Gone),
+        };
+        self.pending.borrow_mut().remove(&id);
+        replied
+    }
+}
+
+async fn await_reply(news: &mut mpsc::UnboundedReceiver<News>) -> Result<LedgerReply, NoReply> {
+    let first = actix_rt::time::timeout(ARRIVAL_TIMEOUT, news.recv()).await;
+    match first {
+        Ok(Some(News::Replied(reply))) => return Ok(reply),
+        Ok(Some(News::Arrived)) => {}
+        Ok(None) | Err(_) => return Err(NoReply::Gone),
+    }
+    match actix_rt::time::timeout(REPLY_TIMEOUT, news.recv()).await {
+        Ok(Some(News::Replied(reply))) => Ok(reply),
+        Ok(None) => Err(NoReply::Gone),
+        Ok(Some(News::Arrived)) | Err(_) => Err(NoReply::TooSlow),
+    }
+}
+
+/// Sends requests over one connection and hands replies to those who wait.
+async fn run_link(
+    address: SocketAddr,
+    mut outgoing: mpsc::UnboundedReceiver<Bytes>,
+    pending: Pending,
+) {
+    let Ok(stream) = socket::connect(address).await else {
+        outgoing.close();
+        pending.borrow_mut().clear();
+        return;
+    };
+    let (mut receiver, mut sender) = buffered::split(stream);
+    let sending = send_frames(&mut outgoing, &mut sender);
+    let receiving = async {
+        while let Some(message) = next_frame(&mut receiver).await {
+            let (id, news) = match message {
+                LedgerFrame::Arrived { id } => (id, News::Arrived),
+                LedgerFrame::Reply { id, reply } => (id, News::Replied(reply)),
+                LedgerFrame::Request { .. } => break,
+            };
+            if let Some(waiting) = pending.borrow().get(&id) {
+                // Whoever asked may have given up.
+                let _ = waiting.send(news);
+            }
+        }
+    };
+    tokio::select! {
+        () = sending => {}
+        () = receiving => {}
+    }
+    outgoing.close();
+    pending.borrow_mut().clear();
+}
+
+pub(super) async fn send_frames(
+    outgoing: &mut mpsc::UnboundedReceiver<Bytes>,
+    sender: &mut Sender,
+) {
+    while let Some(message) = outgoing.recv().await {
+        sender.buffer.extend_from_slice(&message);
+        while let Ok(message) = outgoing.try_recv() {
+            sender.buffer.extend_from_slice(&message);
+        }
+        if sender.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The next frame; `None` at the end of the connection or of its sense.
+pub(super) async fn next_frame(receiver: &mut Receiver) -> Option<LedgerFrame> {
+    loop {
+        match split_frame::<LedgerFrame>(&mut receiver.buffer) {
+            Ok(Some(message)) => return Some(message),
+            Ok(None) => {}
+            Err(_) => return None,
+        }
+        if receiver.buffer.is_empty() {
+            receiver.buffer = BytesMut::new();
+        }
+        match receiver.fill().await {
+            Ok(count) if count > 0 => {}
+            _ => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/serve.rs
@@ -0,0 +1,69 @@
+//! Requests of other nodes for partitions that this one acts for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderworks_protocol::frame;
+use elderworks_protocol::ledger::LedgerFrame;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use super::link::{next_frame, send_frames};
+use crate::gateway::Gateway;
+use crate::{buffered, ledger, socket};
+
+/// Pause after a failed accept.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// A request that is not replied to within this time is said to have arrived.
+const SAY_ARRIVED_AFTER: Duration = Duration::from_millis(40);
+
+/// Accepts other nodes until the process ends.
+pub(crate) async fn accept_peers(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_peer(gateway.clone(), stream));
+            }
+            Err(_) => actix_rt::time::sleep(ACCEPT_BACKOFF).await,
+        }
+    }
+}
+
+async fn serve_peer(gateway: Rc<Gateway>, stream: TcpStream) {
+    socket::prepare(&stream);
+    let (mut receiver, mut sender) = buffered::split(stream);
+    let (replies, mut outgoing) = mpsc::unbounded_channel();
+    let receiving = async {
+        while let Some(message) = next_frame(&mut receiver).await {
+            let LedgerFrame::Request {
+                id,
+                partition,
+                request,
+            } = message
+            else {
+                return;
+            };
+            let gateway = gateway.clone();
+            let replies = replies.clone();
+            actix_rt::spawn(async move {
+                let mut carrying_out =
+                    std::pin::pin!(ledger::carry_out(&gateway, partition, request));
+                let soon = actix_rt::time::timeout(SAY_ARRIVED_AFTER, &mut carrying_out).await;
+                let reply = match soon {
+                    Ok(reply) => reply,
+                    Err(_) => {
+                        // The peer may have left, here and below.
+                        let _ = replies.send(frame(&LedgerFrame::Arrived { id }));
+                        carrying_out.await
+                    }
+                };
+                let _ = replies.send(frame(&LedgerFrame::Reply { id, reply }));
+            });
+        }
+    };
+    tokio::select! {
+        () = receiving => {}
+        () = send_frames(&mut outgoing, &mut sender) => {}
+    }
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -36,6 +36,17 @@
     },
 }
 
+/// How long a read may take and how much it may bring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadLimits {
+    /// How long to wait for a record to come.
+    pub wait: Duration,
+    /// No answer within this time beyond the wait is [`StoreError::Unknown`].
+    pub timeout: Duration,
+    /// Most bytes of records, in steps of the platform's; `None` for as many as the platform sends.
+    pub most_bytes: Option<usize>,
+}
+
 /// Records read from one stream.
 #[derive(Clone, Debug, Default)]
 pub struct ReadBatch {
@@ -108,14 +119,12 @@
         value: Bytes,
     ) -> LocalBoxFuture<'a, Result<Offset, StoreError>>;
 
-    /// Reads records from an offset on, waiting for one to come for up to `wait`. No answer within
-    /// `timeout` beyond that is [`StoreError::Unknown`].
+    /// Reads records from an offset on.
     fn read(
         &self,
         stream: Stream,
         from: Offset,
-        wait: Duration,
-        timeout: Duration,
+        limits: ReadLimits,
     ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>>;
 
     /// Reads the newest record of each key, and where the stream ended before that.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -189,6 +189,7 @@
         peer_address: settings.peers,
         zone: settings.zone.as_str().to_owned(),
         region: settings.region.clone(),
+        millicores: settings.millicores,
         draining,
     };
     let value = encode(&record).into();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,10 @@
     pub partitions: u32,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
+    /// Processor capacity in thousandths of a core.
+    pub millicores: u32,
+    /// Memory in bytes beyond which the process is killed.
+    pub memory_bytes: usize,
     /// Longest validity of an answer of the registry.
     pub longest_ttl: Duration,
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,7 +10,7 @@
 use elderworks_types::{Incarnation, NodeId, Offset};
 
 use crate::gateway::Gateway;
-use crate::ports::{StoreError, StreamRecord};
+use crate::ports::{ReadLimits, StoreError, StreamRecord};
 
 /// Longest wait of one read for news. Bounds how long a read may hang on a connection that a cut
 /// has silenced.
@@ -100,10 +100,12 @@
 }
 
 async fn read_more<F: Follower>(gateway: &Gateway, from: Offset) -> Result<Offset, StoreError> {
-    let batch = gateway
-        .platform
-        .read(F::STREAM, from, READ_WAIT, ANSWER_TIMEOUT)
-        .await?;
+    let limits = ReadLimits {
+        wait: READ_WAIT,
+        timeout: ANSWER_TIMEOUT,
+        most_bytes: None,
+    };
+    let batch = gateway.platform.read(F::STREAM, from, limits).await?;
     for record in &batch.records {
         F::take(gateway, record);
     }
@@ -197,7 +199,7 @@
             gateway.pool.forget(&worker);
         }
         gateway.pool.close_expired();
-        gateway.count_nodes_in_zone();
+        gateway.count_serving_nodes();
         let count = i64::try_from(gateway.workers.borrow().len()).unwrap_or(i64::MAX);
         gateway.metrics.workers.set(count);
     }
@@ -220,16 +222,21 @@
             return;
         };
         let node = NodeId::new(name);
-        let mut nodes = gateway.nodes.borrow_mut();
         if record.value.is_empty() {
-            nodes.remove(&node);
+            gateway.nodes.borrow_mut().remove(&node);
+            gateway.peers.note_changes();
             return;
         }
         match decode::<NodeRecord>(&record.value) {
             Ok(content) => {
                 let draining = content.draining;
                 let incarnation = Incarnation(record.offset.0);
-                if nodes.upsert(node, incarnation, content) {
+                let changed = gateway
+                    .nodes
+                    .borrow_mut()
+                    .upsert(node, incarnation, content);
+                if changed {
+                    gateway.peers.note_changes();
                     log::info!(node = name, draining = draining, offset = record.offset.0; "node's entry changed");
                 }
             }
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -120,6 +120,9 @@
     },
     /// The log does not answer; nothing is known to have been done.
     Unavailable,
+    /// Whether the budget holds the turn depends on what another owner has set aside and will soon
+    /// settle; nothing was done.
+    BudgetUnsure,
 }
 
 /// A frame between nodes: a request, or what becomes of it.
