ledger: deny a budget that ended turns have used without asking the log

Cause: a program that loops without end asks again and again after its budget is spent. What ended turns have generated never falls, so a denial that rests on it alone holds whatever the log says; it is now given from memory, also while the log is down. Denials that rest on turns under way, on others' reservations or on a first turn are looked up as before.

--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -45,7 +45,8 @@
     advanced: HashMap<String, u64>,
 }
 
-/// Answers a request from memory if that needs no call to the log: positive answers only.
+/// Answers a request from memory if that needs no call to the log: positive answers, and denials
+/// that no later record can make wrong.
 pub(super) fn answer_at_once(
     state: &LedgerState,
     wallets: &mut Wallets,
@@ -72,7 +73,13 @@
         Some(previous) => state.conversation(previous)?,
         None => Bytes::new(),
     };
-    if begin.budget.is_some() {
+    if let Some(budget) = begin.budget {
+        // Programs that loop ask again and again; the rare denial of a first turn is looked up.
+        let generated = tokens_generated(state, wallets, &begin.program);
+        let is_running = wallets.is_running(&begin.program, &begin.turn);
+        if generated > 0 && generated + begin.tokens > budget && !is_running {
+            return Some(LedgerReply::BudgetSpent);
+        }
         let wallet = wallets.get_mut(&begin.program)?;
         if wallet.is_running(&begin.turn) {
             // Asked again. A negative balance waits for an advance that is not durable yet.
@@ -88,6 +95,13 @@
     Some(LedgerReply::Granted { conversation })
 }
 
+/// Tokens that a program's ended turns have surely generated, as far as known here. This never
+/// falls, unlike what is set aside.
+fn tokens_generated(state: &LedgerState, wallets: &Wallets, program: &str) -> u64 {
+    let settled = state.account(program).map_or(0, |account| account.settled);
+    settled + wallets.unsettled_use(program)
+}
+
 fn finish_at_once(
     state: &LedgerState,
     wallets: &mut Wallets,
--- a/crates/gateway-core/src/ledger/wallet.rs
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -60,6 +60,11 @@
         i64::try_from(advanced).unwrap_or(i64::MAX) - i64::try_from(spent).unwrap_or(i64::MAX)
     }
 
+    /// Tokens that ended turns have generated.
+    pub fn consumed(&self) -> u64 {
+        self.consumed
+    }
+
     /// Takes an advance in, once.
     pub fn add(&mut self, now: Timestamp, advance: Advance) {
         if !self.advances.iter().any(|known| known.id == advance.id) {
--- a/crates/gateway-core/src/ledger/wallets.rs
+++ b/crates/gateway-core/src/ledger/wallets.rs
@@ -51,6 +51,23 @@
         self.wallets.get_mut(program)
     }
 
+    /// Whether a turn is running on a program's wallet.
+    pub(super) fn is_running(&self, program: &str, turn: &str) -> bool {
+        let wallet = self.wallets.get(program);
+        wallet.is_some_and(|wallet| wallet.is_running(turn))
+    }
+
+    /// Tokens generated on this owner's advances to a program that are not settled yet.
+    pub(super) fn unsettled_use(&self, program: &str) -> u64 {
+        let wallet = self.wallets.get(program);
+        let closing = self.closing.iter();
+        let in_closing: u64 = closing
+            .filter(|closing| closing.program == program)
+            .map(|closing| closing.used)
+            .sum();
+        wallet.map_or(0, Wallet::consumed) + in_closing
+    }
+
     /// The wallet of a program, empty if it has none.
     pub(super) fn entry(&mut self, program: &str) -> &mut Wallet {
         self.wallets.entry(program.to_owned()).or_default()
--- a/crates/gateway-core/tests/ledger/budgets.rs
+++ b/crates/gateway-core/tests/ledger/budgets.rs
@@ -332,3 +332,31 @@
         assert_eq!(replies, [(Ticket(2), case.expected)], "{}", case.name);
     }
 }
+
+#[test]
+fn a_budget_that_ended_turns_have_used_is_denied_without_a_call() {
+    let mut owner = synced_owner();
+    carry_out(&mut owner, begin("one", 25, 20));
+    carry_out(&mut owner, finish("one", 20, None));
+    let denied = [(Ticket(2), LedgerReply::BudgetSpent)];
+    owner.submit(START, Ticket(2), begin("two", 25, 6));
+    assert_eq!(owner.take_replies(), denied, "while the advance is open");
+    owner.set_preferred(false);
+    assert!(matches!(owner.next_action(START), Action::Append { .. }));
+    owner.submit(START, Ticket(2), begin("two", 25, 6));
+    assert_eq!(owner.take_replies(), denied, "while it is being settled");
+    owner.on_append(START, AppendOutcome::Done);
+    owner.submit(START, Ticket(2), begin("two", 25, 6));
+    assert_eq!(owner.take_replies(), denied, "once it is settled");
+    let reply = carry_out(&mut owner, begin("three", 25, 5));
+    assert!(matches!(reply, LedgerReply::Granted { .. }), "what is left");
+}
+
+#[test]
+fn a_denial_that_rests_on_turns_under_way_needs_a_call() {
+    let mut owner = synced_owner();
+    carry_out(&mut owner, begin("one", 20, 20));
+    owner.submit(START, Ticket(2), begin("two", 20, 20));
+    assert_eq!(owner.take_replies(), []);
+    assert!(matches!(owner.next_action(START), Action::Read { .. }));
+}
