Fault soak: real gateway processes under signals, proxies, a troubled store and bad workers

Each checker is shown able to fail. Two seeds run in the test command, six seconds each; minutes by ELDERWORKS_SOAK_SECONDS.

Not covered: links between nodes, the time of day (nothing that decides uses it).

--- /dev/null
+++ b/crates/cli/tests/soak/main.rs
@@ -0,0 +1,59 @@
+//! Real gateway processes under faults injected from outside: what callers and workers see must
+//! keep the promises of the platform's pages.
+//!
+//! Each seed draws a schedule of faults: signals to processes (pause, kill, restart, orderly stop),
+//! connections that a loopback proxy delays, resets, cuts one way or silences, troubles of the
+//! store, and workers that misbehave. Time of day is not among them, since nothing that decides
+//! uses it; links between nodes are disturbed only through their processes.
+//!
+//! The test command plays the seeds of [`REGRESSIONS`] for a few seconds each. For a soak of minutes
+//! with fresh seeds, set `ELDERWORKS_SOAK_SECONDS`, and `ELDERWORKS_SOAK_SEED` to play one seed
+//! again: `ELDERWORKS_SOAK_SECONDS=300 cargo test --release -p elderworks-cli --test soak -- --nocapture`.
+
+#[path = "../../../../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod callers;
+mod checker_tests;
+mod checks;
+mod faults;
+mod fleet;
+mod proxy;
+mod round;
+
+use std::time::{Duration, Instant};
+
+/// Seeds that every test run plays, each with the reason why it stays.
+const REGRESSIONS: &[(u64, &str)] = &[
+    (1, "a first schedule with every kind of fault"),
+    (2, "the same with another order"),
+];
+
+/// Time under faults of one seed.
+const ROUND: Duration = Duration::from_secs(6);
+
+#[actix_rt::test]
+async fn seeds_of_earlier_findings() {
+    for (seed, reason) in REGRESSIONS {
+        println!("seed {seed}: {reason}");
+        round::play(*seed, ROUND).await;
+    }
+}
+
+#[actix_rt::test]
+async fn fresh_seeds_for_as_long_as_asked() {
+    let Some(seconds) = number("ELDERWORKS_SOAK_SECONDS") else {
+        return;
+    };
+    let until = Instant::now() + Duration::from_secs(seconds);
+    if let Some(seed) = number("ELDERWORKS_SOAK_SEED") {
+        return round::play(seed, Duration::from_secs(seconds)).await;
+    }
+    while Instant::now() < until {
+        round::play(rand::random(), ROUND).await;
+    }
+}
+
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/cli/tests/soak/proxy.rs
@@ -0,0 +1,139 @@
+//! A TCP proxy on loopback that can disturb what passes through it.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What becomes of bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Disturbance {
+    /// They pass.
+    #[default]
+    None,
+    /// Each piece waits for this long, in ms.
+    Delay(u64),
+    /// They stay here, in both directions, until this ends.
+    Silence,
+    /// What the target sends stays here until this ends.
+    SilenceFromTarget,
+    /// Connections are reset.
+    Reset,
+}
+
+/// Interval at which a silenced direction looks whether it may go on.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A running proxy.
+#[derive(Clone)]
+pub struct Proxy {
+    pub address: SocketAddr,
+    disturbance: Rc<Cell<Disturbance>>,
+}
+
+impl Proxy {
+    /// Begins to pass connections on to a target.
+    pub fn start(target: SocketAddr) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.set_nonblocking(true).expect("a socket");
+        let listener = TcpListener::from_std(listener).expect("a runtime");
+        let address = listener.local_addr().expect("an address");
+        let disturbance = Rc::new(Cell::new(Disturbance::None));
+        let shared = disturbance.clone();
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(pass(stream, target, shared.clone()));
+            }
+        });
+        Self {
+            address,
+            disturbance,
+        }
+    }
+
+    /// Sets what becomes of bytes from now on.
+    pub fn disturb(&self, disturbance: Disturbance) {
+        self.disturbance.set(disturbance);
+    }
+}
+
+async fn pass(stream: TcpStream, target: SocketAddr, disturbance: Rc<Cell<Disturbance>>) {
+    let Ok(onward) = TcpStream::connect(target).await else {
+        return reset(&stream);
+    };
+    for socket in [&stream, &onward] {
+        // A proxy without this is only slower.
+        let _ = socket.set_nodelay(true);
+    }
+    let reset_by = socket2::SockRef::from(&stream).try_clone();
+    let (from_caller, to_caller) = stream.into_split();
+    let (from_target, to_target) = onward.into_split();
+    tokio::select! {
+        () = copy(from_caller, to_target, &disturbance, false) => {}
+        () = copy(from_target, to_caller, &disturbance, true) => {}
+    }
+    if disturbance.get() == Disturbance::Reset
+        && let Ok(socket) = reset_by
+    {
+        // Closing then resets.
+        let _ = socket.set_linger(Some(Duration::ZERO));
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // Closing resets with this option; without it, it closes.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    disturbance: &Cell<Disturbance>,
+    is_from_target: bool,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            () = until_reset(disturbance) => return,
+        };
+        let Ok(count) = read else { return };
+        if count == 0 {
+            // The other direction may still have something to say.
+            let _ = to.shutdown().await;
+            return std::future::pending().await;
+        }
+        match disturbance.get() {
+            Disturbance::Delay(milliseconds) => {
+                actix_rt::time::sleep(Duration::from_millis(milliseconds)).await;
+            }
+            Disturbance::Reset => return,
+            _ => until_passing(disturbance, is_from_target).await,
+        }
+        if disturbance.get() == Disturbance::Reset || to.write_all(&buffer[..count]).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn until_reset(disturbance: &Cell<Disturbance>) {
+    while disturbance.get() != Disturbance::Reset {
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
+
+async fn until_passing(disturbance: &Cell<Disturbance>, is_from_target: bool) {
+    loop {
+        match disturbance.get() {
+            Disturbance::Silence => {}
+            Disturbance::SilenceFromTarget if is_from_target => {}
+            _ => return,
+        }
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
