Workers that fail: probation, ejections shared in a zone, a second send to the only worker

Ruled out: moving such a request to another worker (the route's attempts forbid it); breaking off a stream that stalls (a worker's silence is no reason to end an answer).

Change: worker_health.rs is a circuit breaker: after an ejection a worker gets one repeatable request at a time until it succeeds; ejections are told to the nodes that share the zone's callers (one report halves the evidence needed, two eject); a repeatable request is sent once more to its last worker; the next candidate for a partition is asked whenever one says the log does not answer; a worker silent for 1.5 s until its caller left, or that breaks a stream, is counted as failing.

--- a/crates/gateway-core/src/attempt.rs
+++ b/crates/gateway-core/src/attempt.rs
@@ -28,6 +28,8 @@
 pub enum NextStep {
     /// Try another worker.
     TryAgain,
+    /// Try the same worker once more, on another connection: the route allows no other.
+    TrySameWorker,
     /// Answer that the request has not run and will not.
     AnswerNotRun,
     /// Answer that the outcome is unknown.
@@ -37,8 +39,9 @@
 impl AttemptHistory {
     /// Notes a failed attempt and decides the next step.
     ///
-    /// Invariant: once an attempt may have run, a request that is not repeatable is neither tried
-    /// again nor answered as not run.
+    /// Invariants: once an attempt may have run, a request that is not repeatable is neither tried
+    /// again nor answered as not run. A repeatable one may run at no more than `max_attempts`
+    /// workers, and at the last of them twice.
     pub fn after_failure(
         &mut self,
         failure: AttemptFailure,
@@ -49,9 +52,16 @@
             AttemptFailure::NotSent | AttemptFailure::RefusedByWorker => self.not_run += 1,
             AttemptFailure::Unknown => self.possibly_run += 1,
         }
-        if self.possibly_run > 0 && (!repeatable || self.possibly_run >= max_attempts) {
+        if self.possibly_run > 0 && !repeatable {
             return NextStep::AnswerUnknown;
         }
+        if self.possibly_run >= max_attempts {
+            let is_last_worker = self.possibly_run == max_attempts;
+            return match failure {
+                AttemptFailure::Unknown if is_last_worker => NextStep::TrySameWorker,
+                _ => NextStep::AnswerUnknown,
+            };
+        }
         if self.not_run <= MAX_HARMLESS_FAILURES {
             return NextStep::TryAgain;
         }
--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -23,6 +23,8 @@
     pub zone: &'a str,
     /// Nodes of this zone that take requests, this one included.
     pub nodes_in_zone: u32,
+    /// Whether the request may be repeated.
+    pub repeatable: bool,
     /// Ids of workers that were tried for this request.
     pub tried: &'a [String],
     /// A number that differs between requests, to spread those without a key.
@@ -74,14 +76,14 @@
         .accepting(query.service)
         .filter(|worker| worker.record.zone == query.zone)
         .filter(|worker| !query.tried.contains(&worker.record.id))
-        .filter(|worker| !worker.is_ejected(now) && !worker.is_full(now))
+        .filter(|worker| !worker.is_unfit(now, query.repeatable) && !worker.is_full(now))
         .filter(|worker| !is_crowded(worker, query.nodes_in_zone))
         .min_by_key(|worker| (load(worker, query), order(worker, query)))
 }
 
 /// Order of preference among all zones; the least is best. What this node has under way at a worker
 /// says little of its whole load, so this falls back on spreading programs evenly.
-type Rank = (bool, bool, bool, u32, u32, Reverse<u64>);
+type Rank = (bool, bool, bool, bool, u32, u32, Reverse<u64>);
 
 fn rank(worker: &Worker, query: &PlacementQuery<'_>, now: Timestamp) -> Rank {
     let tried = query.tried.contains(&worker.record.id);
@@ -89,6 +91,7 @@
     (
         tried,
         worker.is_ejected(now),
+        worker.is_unfit(now, query.repeatable),
         worker.is_full(now),
         rounds,
         load(worker, query),
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod ownership;
 pub mod response_time;
 pub mod split;
+pub mod worker_health;
 pub mod workers;
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_types::Timestamp;
+use elderworks_types::{NodeId, Timestamp};
 
 use crate::demand::Demand;
+use crate::worker_health::{Standing, WorkerHealth};
 
 /// A worker's own entry in the directory of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,21 +40,6 @@
     (for_all / nodes.max(1)).clamp(1, MOST_IDLE_CONNECTIONS)
 }
 
-/// What a failure adds to the suspicion against a worker.
-const FAILURE_WEIGHT: u32 = 2;
-
-/// What a success takes away: a worker that fails less often than one time in three stays in use.
-const SUCCESS_WEIGHT: u32 = 1;
-
-/// Suspicion at which a worker is left alone for a while: two failures in a row suffice.
-const EJECTION_THRESHOLD: u32 = 4;
-
-/// First pause of a failing worker; doubled with each further one.
-const FIRST_EJECTION: Duration = Duration::from_millis(300);
-
-/// Longest pause of a failing worker.
-const LONGEST_EJECTION: Duration = Duration::from_secs(3);
-
 /// A worker that refused for lack of room is avoided for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
@@ -68,18 +54,25 @@
     pub record: WorkerRecord,
     /// Requests that this node is running there.
     pub in_flight: u32,
-    suspicion: u32,
-    /// Ejections without a success since.
-    ejections: u32,
-    ejected_until: Timestamp,
+    health: WorkerHealth,
     full_until: Timestamp,
     missing_since: Option<Timestamp>,
 }
 
 impl Worker {
-    /// Whether recent failures speak against it.
+    /// Whether it is ejected for failures.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
-        now < self.ejected_until
+        self.health.standing(now) == Standing::Ejected
+    }
+
+    /// Whether a request is to be kept from it while there are others: it is ejected, or on
+    /// probation and the request is not one to try it with.
+    pub fn is_unfit(&self, now: Timestamp, repeatable: bool) -> bool {
+        match self.health.standing(now) {
+            Standing::Good => false,
+            Standing::OnProbation => !repeatable || self.in_flight > 0,
+            Standing::Ejected => true,
+        }
     }
 
     /// Whether it lately refused for lack of room.
@@ -107,9 +100,7 @@
         let worker = Worker {
             record,
             in_flight: 0,
-            suspicion: 0,
-            ejections: 0,
-            ejected_until: Timestamp::default(),
+            health: WorkerHealth::default(),
             full_until: Timestamp::default(),
             missing_since: None,
         };
@@ -234,10 +225,7 @@
     /// Notes a valid answer.
     pub fn note_success(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.suspicion = worker.suspicion.saturating_sub(SUCCESS_WEIGHT);
-            if worker.suspicion == 0 {
-                worker.ejections = 0;
-            }
+            worker.health.note_success();
         }
     }
 
@@ -248,21 +236,15 @@
         }
     }
 
-    /// Notes a failure. Failures that outweigh the successes eject the worker for a pause that
-    /// doubles each time; tells whether it is ejected now.
+    /// Notes a failure; tells whether the worker is ejected now.
     pub fn note_failure(&mut self, id: &str, now: Timestamp) -> bool {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return false;
-        };
-        worker.suspicion += FAILURE_WEIGHT;
-        if worker.suspicion < EJECTION_THRESHOLD {
-            return false;
-        }
-        let pause = FIRST_EJECTION * 2u32.pow(worker.ejections.min(4));
-        worker.ejected_until = now + pause.min(LONGEST_EJECTION);
-        worker.ejections += 1;
-        // One more failure after the pause ejects it again.
-        worker.suspicion = EJECTION_THRESHOLD - FAILURE_WEIGHT;
-        true
+        let worker = self.workers.get_mut(id);
+        worker.is_some_and(|worker| worker.health.note_failure(now))
+    }
+
+    /// Notes that another node has ejected a worker; tells whether it is ejected here now.
+    pub fn note_report(&mut self, id: &str, now: Timestamp, node: NodeId) -> bool {
+        let worker = self.workers.get_mut(id);
+        worker.is_some_and(|worker| worker.health.note_report(now, node))
     }
 }
--- a/crates/gateway-core/tests/attempts.rs
+++ b/crates/gateway-core/tests/attempts.rs
@@ -3,7 +3,7 @@
 use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
 
 use AttemptFailure::{NotSent, RefusedByWorker, Unknown};
-use NextStep::{AnswerNotRun, AnswerUnknown, TryAgain};
+use NextStep::{AnswerNotRun, AnswerUnknown, TryAgain, TrySameWorker};
 
 struct Case {
     name: &'static str,
@@ -50,10 +50,24 @@
         last_step: TryAgain,
     },
     Case {
-        name: "a repeatable request ends with the route's attempts",
+        name: "a repeatable request goes to no more workers than the route's attempts",
         repeatable: true,
         max_attempts: 2,
         failures: &[Unknown, Unknown],
+        last_step: TrySameWorker,
+    },
+    Case {
+        name: "a repeatable request ends after the second failure at its last worker",
+        repeatable: true,
+        max_attempts: 2,
+        failures: &[Unknown, Unknown, Unknown],
+        last_step: AnswerUnknown,
+    },
+    Case {
+        name: "a repeatable request ends if its last worker does not take it again",
+        repeatable: true,
+        max_attempts: 1,
+        failures: &[Unknown, RefusedByWorker],
         last_step: AnswerUnknown,
     },
     Case {
--- a/crates/gateway-core/tests/ownership.rs
+++ b/crates/gateway-core/tests/ownership.rs
@@ -9,7 +9,7 @@
 
 fn nodes(count: usize) -> Vec<NodeId> {
     (0..count)
-        .map(|number| NodeId::new(&format!("n{number}")))
+        .map(|number| NodeId::new(format!("n{number}")))
         .collect()
 }
 
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -35,6 +35,7 @@
         key,
         zone: "a",
         nodes_in_zone: 1,
+        repeatable: true,
         tried,
         spread: 1,
     }
@@ -46,6 +47,7 @@
         key,
         zone: "a",
         nodes_in_zone: 1,
+        repeatable: true,
         tried,
         spread: 1,
     };
@@ -149,6 +151,7 @@
                 let program = format!("program-{number}");
                 let query = PlacementQuery {
                     nodes_in_zone,
+                    repeatable: true,
                     ..query(Some(&program), &[])
                 };
                 choose(&workers, &query, later).map(|worker| worker.record.id.clone())
@@ -187,6 +190,7 @@
             let program = format!("program-{number}");
             let query = PlacementQuery {
                 nodes_in_zone: 4,
+                repeatable: true,
                 ..query(Some(&program), &[])
             };
             choose(&workers, &query, START).map(|worker| worker.record.id.clone())
@@ -297,3 +301,29 @@
         );
     }
 }
+
+#[test]
+fn a_worker_on_probation_is_tried_with_one_request_that_may_be_repeated() {
+    let mut workers = directory(&["w1", "w2"]);
+    workers.note_failure("w1", START);
+    workers.note_failure("w1", START);
+    let now = START + Duration::from_millis(400);
+    let met = |workers: &WorkerDirectory, repeatable: bool| -> BTreeSet<String> {
+        (0..40)
+            .map(|spread| {
+                let query = PlacementQuery {
+                    repeatable,
+                    spread,
+                    ..query(None, &[])
+                };
+                let chosen = choose(workers, &query, now).expect("a worker");
+                chosen.record.id.clone()
+            })
+            .collect()
+    };
+    assert_eq!(met(&workers, false).len(), 1, "not to be repeated");
+    assert_eq!(met(&workers, true).len(), 2);
+    workers.note_start("s", "w1", now);
+    workers.note_start("s", "w2", now);
+    assert_eq!(met(&workers, true).len(), 1, "one at a time");
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts of one call at workers.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
@@ -45,6 +45,28 @@
     tried: Vec<String>,
     /// Set while an attempt is under way that may have run.
     sending: bool,
+    /// Where the next attempt must go, if the route allows no other worker.
+    retry_at: Option<Target>,
+    /// Since when the worker of the present attempt has shown no sign of life.
+    waiting_since: Option<Instant>,
+}
+
+/// A worker that has been silent for this long is taken to fail, even if it is an engine that lets
+/// requests wait. Callers give a stream up after two seconds of silence.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+impl Drop for Call<'_> {
+    /// The caller may have given up on a silent worker.
+    fn drop(&mut self) {
+        let Some(since) = self.waiting_since else {
+            return;
+        };
+        if since.elapsed() >= SILENCE
+            && let Some(worker) = self.tried.last()
+        {
+            self.note_worker_failure(worker);
+        }
+    }
 }
 
 /// A request that occupies a worker.
@@ -111,6 +133,8 @@
             first_event_due: Some(request.received),
             tried: Vec::new(),
             sending: false,
+            retry_at: None,
+            waiting_since: None,
         }
     }
 
@@ -157,7 +181,7 @@
         mut preferred: Option<Target>,
     ) -> Result<RunningAnswer, CallError> {
         loop {
-            let target = match preferred.take() {
+            let target = match preferred.take().or_else(|| self.retry_at.take()) {
                 Some(target) => target,
                 None => self.choose()?,
             };
@@ -201,6 +225,7 @@
         };
         self.gateway.metrics.attempts.inc();
         self.sending = true;
+        self.note_progress();
         let answer = exchange(&context, target, &request, extra).await?;
         Ok(RunningAnswer { answer, occupied })
     }
@@ -242,6 +267,7 @@
                 .flatten(),
             zone: self.gateway.settings.zone.as_str(),
             nodes_in_zone: self.gateway.nodes_in_zone.get(),
+            repeatable: self.route.is_repeatable(),
             tried: &self.tried,
             spread: self.gateway.next_sequence(),
         };
@@ -264,7 +290,9 @@
     ) -> Result<(), CallError> {
         self.sending = false;
         self.gateway.metrics.attempts_failed.inc();
+        self.waiting_since = None;
         if failure != AttemptFailure::RefusedByWorker {
+            self.gateway.pool.forget(worker);
             self.note_worker_failure(worker);
         }
         let repeatable = self.route.is_repeatable();
@@ -273,32 +301,55 @@
             .after_failure(failure, repeatable, self.route.attempts);
         match step {
             NextStep::TryAgain => Ok(()),
+            NextStep::TrySameWorker => {
+                self.retry_at = self.target_unless_ejected(worker);
+                match self.retry_at {
+                    Some(_) => Ok(()),
+                    None => Err(CallError::Refused(refusal_for(NextStep::AnswerUnknown))),
+                }
+            }
             step => Err(CallError::Refused(refusal_for(step))),
         }
     }
 
+    fn target_unless_ejected(&self, worker: &str) -> Option<Target> {
+        let now = self.gateway.now();
+        let workers = self.gateway.workers.borrow();
+        let known = workers.get(worker)?;
+        let is_open = !known.record.draining && !known.is_ejected(now);
+        is_open.then(|| Target {
+            worker: worker.to_owned(),
+            address: known.record.address,
+        })
+    }
+
     pub(super) fn note_worker_failure(&self, worker: &str) {
         let now = self.gateway.now();
         let ejected = self.gateway.workers.borrow_mut().note_failure(worker, now);
-        self.gateway.pool.forget(worker);
         if ejected {
-            log::warn!(worker = worker; "worker left alone after failures in a row");
+            log::warn!(worker = worker; "worker ejected after failures");
+            self.gateway.peers.report_worker(self.gateway, worker);
         }
     }
 
     /// Notes a whole answer: one that tells of a failure of the worker speaks against it.
-    pub(super) fn note_answer(&self, worker: &str, status: StatusCode) {
-        let mut workers = self.gateway.workers.borrow_mut();
+    pub(super) fn note_answer(&mut self, worker: &str, status: StatusCode) {
+        self.waiting_since = None;
         if status == StatusCode::INTERNAL_SERVER_ERROR {
-            workers.note_failure(worker, self.gateway.now());
+            self.note_worker_failure(worker);
         } else {
-            workers.note_success(worker);
+            self.gateway.workers.borrow_mut().note_success(worker);
         }
     }
 
+    /// Notes that the worker has shown life.
+    pub(super) fn note_progress(&mut self) {
+        self.waiting_since = Some(Instant::now());
+    }
+
     /// Notes that the time is over while a worker has shown no answer. Engines may let a request
     /// wait for its turn; other workers answer sooner.
-    pub(super) fn note_time_over(&self) {
+    pub(super) fn note_time_over(&mut self) {
         let service = self.config.service(&self.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
         let had_its_time = self.received.elapsed() >= self.route.target;
@@ -308,12 +359,14 @@
             && !is_engine
         {
             self.note_worker_failure(worker);
+            self.waiting_since = None;
         }
     }
 
     fn note_refusal(&self, worker: &str, status: StatusCode) {
         let now = self.gateway.now();
         if status == StatusCode::MISDIRECTED_REQUEST {
+            self.gateway.pool.forget(worker);
             self.note_worker_failure(worker);
         } else {
             self.gateway.workers.borrow_mut().note_full(worker, now);
@@ -332,7 +385,9 @@
 
 fn refusal_for(step: NextStep) -> Refusal {
     match step {
-        NextStep::AnswerUnknown => Refusal::unknown("the worker gave no valid answer"),
+        NextStep::AnswerUnknown | NextStep::TrySameWorker => {
+            Refusal::unknown("the worker gave no valid answer")
+        }
         NextStep::TryAgain | NextStep::AnswerNotRun => {
             Refusal::not_run("no worker takes the request now")
         }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -72,6 +72,7 @@
                     let worker = running.occupied.worker.clone();
                     drop(running);
                     self.log_failure(&worker, &reason);
+                    self.note_worker_failure(&worker);
                     preferred = self.plan_resumption(&worker, &mut passed)?;
                 }
             }
@@ -113,6 +114,7 @@
                 return Ok(PartEnd::Broken("an event never ends".to_owned()));
             }
             if any {
+                self.note_progress();
                 self.note_first_event();
                 caller.flush().await?;
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::ports::{Platform, StoreError};
+use crate::ports::Platform;
 use crate::settings::GatewaySettings;
 use crate::upstream::Pool;
 
@@ -50,8 +50,6 @@
     pub(crate) log_timer: RefCell<ResponseTimer>,
     /// Response times of the log's reads for the ledger, which may bring many records.
     pub(crate) log_read_timer: RefCell<ResponseTimer>,
-    /// Whether the latest call to the log was answered, for whatever stream.
-    pub(crate) log_answers: Cell<bool>,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of this zone that callers are sent to, this one included, as last counted.
@@ -78,7 +76,6 @@
             ledger: Ledger::new(settings.partitions),
             log_timer: RefCell::default(),
             log_read_timer: RefCell::default(),
-            log_answers: Cell::new(true),
             body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
             platform,
@@ -123,15 +120,6 @@
             && self.config.borrow().current().is_some()
     }
 
-    /// Notes how a call to the log ended.
-    pub(crate) fn note_log_call(&self, error: Option<&StoreError>) {
-        let answered = match error {
-            None | Some(StoreError::Conflict { .. } | StoreError::Gone { .. }) => true,
-            Some(StoreError::Unavailable(_) | StoreError::Unknown(_)) => false,
-        };
-        self.log_answers.set(answered);
-    }
-
     /// Counts the nodes that callers are sent to.
     pub(crate) fn count_serving_nodes(&self) {
         let own_zone = self.settings.zone.as_str();
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -75,8 +75,8 @@
 /// Makes a request of a partition's ledger.
 ///
 /// Any node can carry it out; those that should act for the partition are asked in order, since
-/// the first of them has the state at hand. If none of them can, this node tries, unless it has no
-/// answers from the log either. [`LedgerReply::Unavailable`] if nobody could.
+/// the first of them has the state at hand. If none of them can, this node tries.
+/// [`LedgerReply::Unavailable`] if nobody could.
 pub(crate) async fn request(
     gateway: &Rc<Gateway>,
     partition: PartitionId,
@@ -91,10 +91,14 @@
         }
         asked.note(&by);
         match ask_peer(gateway, &by, partition, request.clone()).await {
-            // The other node may be cut off from the log alone.
-            Some(LedgerReply::Unavailable) if gateway.log_answers.get() => {}
-            Some(reply) => return Answered { reply, by },
-            None => {}
+            // The log may refuse that node alone.
+            Ok(LedgerReply::Unavailable) | Err(NoReply::Gone) => {}
+            Ok(reply) => return Answered { reply, by },
+            // The log is slow; a second node at the same partition would not help.
+            Err(NoReply::TooSlow) => {
+                let reply = LedgerReply::Unavailable;
+                return Answered { reply, by };
+            }
         }
     }
     asked.note(own);
@@ -116,11 +120,11 @@
         return carry_out(gateway, partition, wanted).await;
     }
     match ask_peer(gateway, granter, partition, wanted.clone()).await {
-        Some(LedgerReply::Unavailable) | None => {
+        Ok(LedgerReply::Unavailable) | Err(_) => {
             let asked = AskedNodes::default();
             request(gateway, partition, wanted, &asked).await.reply
         }
-        Some(reply) => reply,
+        Ok(reply) => reply,
     }
 }
 
@@ -133,11 +137,11 @@
 ) {
     for _ in 0..WITHDRAW_TRIES {
         let reply = if *node == gateway.settings.node {
-            Some(carry_out(gateway, partition, end_of_turn.clone()).await)
+            Ok(carry_out(gateway, partition, end_of_turn.clone()).await)
         } else {
             ask_peer(gateway, node, partition, end_of_turn.clone()).await
         };
-        if reply == Some(LedgerReply::Finished) {
+        if reply == Ok(LedgerReply::Finished) {
             return;
         }
         actix_rt::time::sleep(WITHDRAW_PAUSE).await;
@@ -168,27 +172,23 @@
     }
 }
 
-/// Asks another node; `None` if it shows no sign of life.
+/// Asks another node.
 async fn ask_peer(
     gateway: &Rc<Gateway>,
     node: &NodeId,
     partition: PartitionId,
     request: LedgerRequest,
-) -> Option<LedgerReply> {
+) -> Result<LedgerReply, NoReply> {
     gateway.metrics.ledger_forwarded.inc();
-    match gateway.peers.ask(gateway, node, partition, request).await {
-        Ok(reply) => Some(reply),
-        // The log is slow for it; a second node at the same partition would not help.
-        Err(NoReply::TooSlow) => Some(LedgerReply::Unavailable),
-        Err(NoReply::Gone) => {
-            log::warn!(
-                peer = node.as_str(), partition = partition.0;
-                "peer did not answer for a partition"
-            );
-            gateway.peers.avoid(node);
-            None
-        }
+    let replied = gateway.peers.ask(gateway, node, partition, request).await;
+    if replied == Err(NoReply::Gone) {
+        log::warn!(
+            peer = node.as_str(), partition = partition.0;
+            "peer did not answer for a partition"
+        );
+        gateway.peers.avoid(node);
     }
+    replied
 }
 
 /// Carries a request out on this node.
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -198,12 +198,7 @@
     };
     let stream = Stream::Ledger(partition);
     let read = gateway.platform.read(stream, from, limits).await;
-    note_response(
-        &gateway,
-        &gateway.log_read_timer,
-        started,
-        read.as_ref().err(),
-    );
+    note_response(&gateway.log_read_timer, started, read.as_ref().err());
     read
 }
 
@@ -257,12 +252,7 @@
     let timeout = gateway.log_timer.borrow().timeout();
     let stream = Stream::Ledger(partition);
     let appended = gateway.platform.append(stream, at, encoded, timeout).await;
-    note_response(
-        &gateway,
-        &gateway.log_timer,
-        started,
-        appended.as_ref().err(),
-    );
+    note_response(&gateway.log_timer, started, appended.as_ref().err());
     let Err(error) = appended else {
         return AppendOutcome::Done;
     };
@@ -274,13 +264,7 @@
     }
 }
 
-fn note_response(
-    gateway: &Gateway,
-    timer: &RefCell<ResponseTimer>,
-    started: Instant,
-    error: Option<&StoreError>,
-) {
-    gateway.note_log_call(error);
+fn note_response(timer: &RefCell<ResponseTimer>, started: Instant, error: Option<&StoreError>) {
     let mut timer = timer.borrow_mut();
     match error {
         None | Some(StoreError::Conflict { .. } | StoreError::Gone { .. }) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use elderworks_gateway_core::ownership::rank_owners;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
 use elderworks_protocol::gossip::{Datagram, MemberState};
-use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
 use tokio::net::UdpSocket;
@@ -42,6 +42,9 @@
 /// Most nodes that are told as candidates for a partition: the first that answers is enough.
 const MOST_CANDIDATES: usize = 4;
 
+/// Most nodes that are told of a failing worker.
+const MOST_TOLD: usize = 16;
+
 /// Pause after a failed receive.
 const RECEIVE_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -136,6 +139,29 @@
         link.ask(gateway.next_sequence(), partition, request).await
     }
 
+    /// Tells the nodes that share this zone's callers that a worker fails.
+    pub(crate) fn report_worker(&self, gateway: &Gateway, worker: &str) {
+        let news = GatewayFrame::WorkerEjected {
+            node: self.own.clone(),
+            worker: worker.to_owned(),
+        };
+        let zone = gateway.settings.zone.as_str();
+        let nodes = gateway.nodes.borrow();
+        let offered = nodes.offered(Some(zone), |node| self.is_alive(node));
+        let others: Vec<NodeId> = offered
+            .into_iter()
+            .map(|(node, _)| node.clone())
+            .filter(|node| *node != self.own)
+            .take(MOST_TOLD)
+            .collect();
+        drop(nodes);
+        for node in others {
+            if let Some(link) = self.link_to(gateway, &node) {
+                link.tell(&news);
+            }
+        }
+    }
+
     fn link_to(&self, gateway: &Gateway, node: &NodeId) -> Option<Link> {
         if let Some(link) = self.links.borrow().get(node)
             && !link.is_closed()
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use elderworks_protocol::ledger::{LedgerFrame, LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest};
 use elderworks_protocol::{frame, split_frame};
 use elderworks_types::PartitionId;
 use tokio::sync::mpsc;
@@ -59,6 +59,12 @@
         self.frames.is_closed()
     }
 
+    /// Sends news that asks for no reply.
+    pub(super) fn tell(&self, news: &GatewayFrame) {
+        // Who cannot be reached learns it from its own failures.
+        let _ = self.frames.send(frame(news));
+    }
+
     /// Makes a request; `id` must differ from those of other requests.
     pub(super) async fn ask(
         &self,
@@ -68,7 +74,7 @@
     ) -> Result<LedgerReply, NoReply> {
         let (sender, mut news) = mpsc::unbounded_channel();
         self.pending.borrow_mut().insert(id, sender);
-        let message = LedgerFrame::Request {
+        let message = GatewayFrame::Request {
             id,
             partition,
             request,
@@ -112,9 +118,9 @@
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
             let (id, news) = match message {
-                LedgerFrame::Arrived { id } => (id, News::Arrived),
-                LedgerFrame::Reply { id, reply } => (id, News::Replied(reply)),
-                LedgerFrame::Request { .. } => break,
+                GatewayFrame::Arrived { id } => (id, News::Arrived),
+                GatewayFrame::Reply { id, reply } => (id, News::Replied(reply)),
+                GatewayFrame::Request { .. } | GatewayFrame::WorkerEjected { .. } => break,
             };
             if let Some(waiting) = pending.borrow().get(&id) {
                 // Whoever asked may have given up.
@@ -146,9 +152,9 @@
 }
 
 /// The next frame; `None` at the end of the connection or of its sense.
-pub(super) async fn next_frame(receiver: &mut Receiver) -> Option<LedgerFrame> {
+pub(super) async fn next_frame(receiver: &mut Receiver) -> Option<GatewayFrame> {
     loop {
-        match split_frame::<LedgerFrame>(&mut receiver.buffer) {
+        match split_frame::<GatewayFrame>(&mut receiver.buffer) {
             Ok(Some(message)) => return Some(message),
             Ok(None) => {}
             Err(_) => return None,
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use elderworks_protocol::frame;
-use elderworks_protocol::ledger::LedgerFrame;
+use elderworks_protocol::ledger::GatewayFrame;
+use elderworks_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -36,13 +37,17 @@
     let (replies, mut outgoing) = mpsc::unbounded_channel();
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
-            let LedgerFrame::Request {
-                id,
-                partition,
-                request,
-            } = message
-            else {
-                return;
+            let (id, partition, request) = match message {
+                GatewayFrame::Request {
+                    id,
+                    partition,
+                    request,
+                } => (id, partition, request),
+                GatewayFrame::WorkerEjected { node, worker } => {
+                    take_report(&gateway, node, &worker);
+                    continue;
+                }
+                GatewayFrame::Arrived { .. } | GatewayFrame::Reply { .. } => return,
             };
             let gateway = gateway.clone();
             let replies = replies.clone();
@@ -54,11 +59,11 @@
                     Ok(reply) => reply,
                     Err(_) => {
                         // The peer may have left, here and below.
-                        let _ = replies.send(frame(&LedgerFrame::Arrived { id }));
+                        let _ = replies.send(frame(&GatewayFrame::Arrived { id }));
                         carrying_out.await
                     }
                 };
-                let _ = replies.send(frame(&LedgerFrame::Reply { id, reply }));
+                let _ = replies.send(frame(&GatewayFrame::Reply { id, reply }));
             });
         }
     };
@@ -67,3 +72,12 @@
         () = send_frames(&mut outgoing, &mut sender) => {}
     }
 }
+
+fn take_report(gateway: &Gateway, node: NodeId, worker: &str) {
+    let now = gateway.now();
+    log::info!(worker = worker, node = node.as_str(); "another node has ejected a worker");
+    let ejected = gateway.workers.borrow_mut().note_report(worker, now, node);
+    if ejected {
+        log::warn!(worker = worker; "worker ejected on the word of other nodes");
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -66,7 +66,6 @@
             None => read_all::<F>(&gateway).await,
             Some(from) => read_more::<F>(&gateway, from).await,
         };
-        gateway.note_log_call(read.as_ref().err());
         match read {
             Ok(end) => {
                 if failing {
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Records of a partition's ledger on the log, and the requests that nodes make of its owner.
 
 use bytes::Bytes;
-use elderworks_types::PartitionId;
+use elderworks_types::{NodeId, PartitionId};
 use serde::{Deserialize, Serialize};
 
 /// A turn of a conversation as it is kept: what it added, not what came before it.
@@ -125,9 +125,9 @@
     BudgetUnsure,
 }
 
-/// A frame between nodes: a request, or what becomes of it.
+/// A frame between gateways: a request, what becomes of it, or news that asks for no reply.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LedgerFrame {
+pub enum GatewayFrame {
     /// A request.
     Request {
         /// Returned in the reply.
@@ -149,4 +149,11 @@
         /// What is answered.
         reply: LedgerReply,
     },
+    /// A worker was ejected by the sender after failures.
+    WorkerEjected {
+        /// The sender.
+        node: NodeId,
+        /// The worker's id.
+        worker: String,
+    },
 }
