gateway: a plain worker silent for three targets speaks against itself, and a repeatable call goes on

Now silence of three times the route's target (250 ms at least; 1.5 s for engines, which let requests wait) counts as a failure at once, and a plain request that may be repeated is sent again: to another worker, or once more to the only one allowed.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -51,9 +51,16 @@
     waiting_since: Option<Instant>,
 }
 
-/// A worker that has been silent for this long is taken to fail, even if it is an engine that lets
-/// requests wait. Callers give a stream up after two seconds of silence.
-const SILENCE: Duration = Duration::from_millis(1_500);
+/// An engine that has been silent for this long is taken to fail. Callers give a stream up after
+/// two seconds of silence.
+const ENGINE_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Another worker is taken to fail once it has been silent for this many times the target of the
+/// route, in which an answer has its full value.
+const SILENCE_IN_TARGETS: u32 = 3;
+
+/// Silence that speaks against no worker, however short the target.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(250);
 
 impl Drop for Call<'_> {
     /// The caller may have given up on a silent worker.
@@ -61,7 +68,7 @@
         let Some(since) = self.waiting_since else {
             return;
         };
-        if since.elapsed() >= SILENCE
+        if since.elapsed() >= self.longest_silence()
             && let Some(worker) = self.tried.last()
         {
             self.note_worker_failure(worker);
@@ -226,10 +233,45 @@
         self.gateway.metrics.attempts.inc();
         self.sending = true;
         self.note_progress();
-        let answer = exchange(&context, target, &request, extra).await?;
+        let mut exchanging = std::pin::pin!(exchange(&context, target, &request, extra));
+        let soon = actix_rt::time::timeout(self.longest_silence(), &mut exchanging).await;
+        let answer = match soon {
+            Ok(answer) => answer?,
+            Err(_) if self.should_ask_again() => {
+                let reason = "the worker is silent".to_owned();
+                return Err(ExchangeError::NoAnswer(reason));
+            }
+            Err(_) => {
+                self.note_worker_failure(&target.worker);
+                self.waiting_since = None;
+                exchanging.await?
+            }
+        };
         Ok(RunningAnswer { answer, occupied })
     }
 
+    /// How long a worker may be silent before that speaks against it. Engines let requests wait
+    /// for their turn; other workers answer sooner.
+    fn longest_silence(&self) -> Duration {
+        if self.is_for_engine() {
+            ENGINE_SILENCE
+        } else {
+            (self.route.target * SILENCE_IN_TARGETS).max(SHORTEST_SILENCE)
+        }
+    }
+
+    /// Whether a request that a worker has left without an answer is better sent again than waited
+    /// for.
+    fn should_ask_again(&self) -> bool {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.route.is_repeatable() && !self.is_for_engine() && left >= self.route.target
+    }
+
+    fn is_for_engine(&self) -> bool {
+        let service = self.config.service(&self.service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     fn most_idle_connections(&self) -> usize {
         let service = self.config.service(&self.service);
         let max_connections = service.map_or(u32::MAX, |service| service.max_connections);
@@ -350,13 +392,11 @@
     /// Notes that the time is over while a worker has shown no answer. Engines may let a request
     /// wait for its turn; other workers answer sooner.
     pub(super) fn note_time_over(&mut self) {
-        let service = self.config.service(&self.service);
-        let is_engine = service.is_some_and(|service| service.engine.is_some());
         let had_its_time = self.received.elapsed() >= self.route.target;
         if let Some(worker) = self.tried.last()
-            && self.sending
+            && self.waiting_since.is_some()
             && had_its_time
-            && !is_engine
+            && !self.is_for_engine()
         {
             self.note_worker_failure(worker);
             self.waiting_since = None;
