Nodes that have just started presume listed nodes alive; a refused connection is avoided briefly

Change: for 1.5 s after joining, nodes that the platform lists and gossip has not told of count as alive, for callers and for partitions; whoever does not answer is passed over. The entries are read once at a start, not twice. A peer whose connection is refused is avoided for 250 ms, one that is silent for 1 s.

Test first: a node beside three listed ones told callers of itself alone.

--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -92,7 +92,7 @@
         asked.note(&by);
         match ask_peer(gateway, &by, partition, request.clone()).await {
             // The log may refuse that node alone.
-            Ok(LedgerReply::Unavailable) | Err(NoReply::Gone) => {}
+            Ok(LedgerReply::Unavailable) | Err(NoReply::Unreachable | NoReply::Silent) => {}
             Ok(reply) => return Answered { reply, by },
             // The log is slow; a second node at the same partition would not help.
             Err(NoReply::TooSlow) => {
@@ -181,12 +181,12 @@
 ) -> Result<LedgerReply, NoReply> {
     gateway.metrics.ledger_forwarded.inc();
     let replied = gateway.peers.ask(gateway, node, partition, request).await;
-    if replied == Err(NoReply::Gone) {
+    if let Err(reason) = replied.as_ref() {
         log::warn!(
-            peer = node.as_str(), partition = partition.0;
+            peer = node.as_str(), partition = partition.0, reason:? = reason;
             "peer did not answer for a partition"
         );
-        gateway.peers.avoid(node);
+        gateway.peers.avoid(node, *reason);
     }
     replied
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,12 +3,13 @@
 mod link;
 mod serve;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::ownership::rank_owners;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
 use elderworks_protocol::gossip::{Datagram, MemberState};
@@ -33,12 +34,18 @@
 /// A suspect that has not refuted for this long is dead.
 const SUSPICION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// A node that left a request without a reply is not asked for this long.
-const AVOIDANCE: Duration = Duration::from_secs(1);
+/// A node that shows no sign of life is not asked for this long: each try costs a time-out.
+const SILENT_PAUSE: Duration = Duration::from_secs(1);
+
+/// A node whose connection is refused or ends is not asked for this long: a try costs little.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Largest datagram that UDP carries.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
+/// How long a node that has joined presumes listed nodes to be alive: gossip has spread by then.
+const PRESUMPTION: Duration = Duration::from_millis(1_500);
+
 /// Most nodes that are told as candidates for a partition: the first that answers is enough.
 const MOST_CANDIDATES: usize = 4;
 
@@ -53,6 +60,9 @@
 pub(crate) struct Peers {
     own: NodeId,
     membership: RefCell<Option<Membership>>,
+    /// Until when nodes that are listed count as alive though gossip has not told of them yet: a
+    /// node that has just started knows nobody, and alone it would act for every partition.
+    presumes_until: Cell<Option<Instant>>,
     /// Nodes that answer probes and are not leaving, this one included.
     alive: RefCell<BTreeSet<NodeId>>,
     /// What [`Self::ranking`] has worked out since the last change.
@@ -67,6 +77,7 @@
         Self {
             own: settings.node.clone(),
             membership: RefCell::default(),
+            presumes_until: Cell::default(),
             alive: RefCell::default(),
             rankings: RefCell::default(),
             links: RefCell::default(),
@@ -110,20 +121,44 @@
     }
 
     /// Notes that nodes have come, gone or changed.
-    pub(crate) fn note_changes(&self) {
+    pub(crate) fn note_changes(&self, nodes: &NodeDirectory) {
         self.rankings.borrow_mut().clear();
         let membership = self.membership.borrow();
-        let members = membership.iter().flat_map(Membership::members);
-        *self.alive.borrow_mut() = members
-            .filter(|member| member.update.state == MemberState::Alive)
-            .map(|member| member.update.node.clone())
-            .collect();
+        let mut alive = BTreeSet::new();
+        let mut heard_of = BTreeSet::new();
+        for member in membership.iter().flat_map(Membership::members) {
+            if member.update.state == MemberState::Alive {
+                alive.insert(member.update.node.clone());
+            }
+            heard_of.insert(&member.update.node);
+        }
+        if self.presumes_until.get().is_some() {
+            let listed = nodes.iter().filter(|(_, known)| !known.record.draining);
+            let unheard = listed.filter(|(node, _)| !heard_of.contains(node));
+            alive.extend(unheard.map(|(node, _)| node.clone()));
+        }
+        *self.alive.borrow_mut() = alive;
     }
 
-    /// Asks no ledger requests of a node for a while.
-    pub(crate) fn avoid(&self, node: &NodeId) {
+    /// Ends the time in which listed nodes are presumed alive, once it is over.
+    fn end_presumption(&self, gateway: &Gateway) {
+        let until = self.presumes_until.get();
+        if until.is_some_and(|until| until <= Instant::now()) {
+            self.presumes_until.set(None);
+            self.note_changes(&gateway.nodes.borrow());
+        }
+    }
+
+    /// Asks no ledger requests of a node for a while that depends on why it has not replied.
+    pub(crate) fn avoid(&self, node: &NodeId, reason: NoReply) {
+        let pause = match reason {
+            NoReply::Unreachable => UNREACHABLE_PAUSE,
+            NoReply::Silent => SILENT_PAUSE,
+            // It is alive; what is slow is the log.
+            NoReply::TooSlow => return,
+        };
         self.links.borrow_mut().remove(node);
-        let until = Instant::now() + AVOIDANCE;
+        let until = Instant::now() + pause;
         self.avoided.borrow_mut().insert(node.clone(), until);
     }
 
@@ -135,7 +170,7 @@
         partition: PartitionId,
         request: LedgerRequest,
     ) -> Result<LedgerReply, NoReply> {
-        let link = self.link_to(gateway, node).ok_or(NoReply::Gone)?;
+        let link = self.link_to(gateway, node).ok_or(NoReply::Unreachable)?;
         link.ask(gateway.next_sequence(), partition, request).await
     }
 
@@ -175,12 +210,8 @@
     }
 
     /// Begins to probe the others, of which `seeds` are asked first.
-    pub(crate) fn join(
-        &self,
-        settings: &GatewaySettings,
-        incarnation: Incarnation,
-        seeds: Vec<SocketAddr>,
-    ) {
+    pub(crate) fn join(&self, gateway: &Gateway, incarnation: Incarnation, seeds: Vec<SocketAddr>) {
+        let settings = &gateway.settings;
         let membership = Membership::new(MembershipSettings {
             node: settings.node.clone(),
             incarnation,
@@ -195,7 +226,8 @@
             seed: rand::random(),
         });
         *self.membership.borrow_mut() = Some(membership);
-        self.note_changes();
+        self.presumes_until.set(Some(Instant::now() + PRESUMPTION));
+        self.note_changes(&gateway.nodes.borrow());
     }
 
     fn handle(&self, gateway: &Gateway, event: Event) -> Vec<Effect> {
@@ -208,10 +240,10 @@
     /// Tells the others that this node is leaving.
     pub(crate) fn drain(&self, gateway: &Gateway, socket: &UdpSocket) {
         let effects = self.handle(gateway, Event::Drain);
-        self.carry_out(socket, effects);
+        self.carry_out(gateway, socket, effects);
     }
 
-    fn carry_out(&self, socket: &UdpSocket, effects: Vec<Effect>) {
+    fn carry_out(&self, gateway: &Gateway, socket: &UdpSocket, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
                 // Gossip makes up for datagrams that are lost.
@@ -225,7 +257,7 @@
                     if state == MemberState::Dead {
                         self.links.borrow_mut().remove(&node);
                     }
-                    self.note_changes();
+                    self.note_changes(&gateway.nodes.borrow());
                 }
                 Effect::CellChanged { .. } | Effect::ControlBehind { .. } => {}
             }
@@ -254,6 +286,7 @@
             },
         };
         let effects = gateway.peers.handle(&gateway, event);
-        gateway.peers.carry_out(&socket, effects);
+        gateway.peers.carry_out(&gateway, &socket, effects);
+        gateway.peers.end_presumption(&gateway);
     }
 }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -24,8 +24,10 @@
 /// Why a node has not replied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoReply {
-    /// It cannot be reached, or shows no sign of life.
-    Gone,
+    /// The connection cannot be made or has ended: its process may be starting.
+    Unreachable,
+    /// It shows no sign of life.
+    Silent,
     /// The request has arrived, and its reply takes too long.
     TooSlow,
 }
@@ -81,7 +83,7 @@
         };
         let replied = match self.frames.send(frame(&message)) {
             Ok(()) => await_reply(&mut news).await,
-            Err(_) => Err(NoReply::Gone),
+            Err(_) => Err(NoReply::Unreachable),
         };
         self.pending.borrow_mut().remove(&id);
         replied
@@ -93,11 +95,12 @@
     match first {
         Ok(Some(News::Replied(reply))) => return Ok(reply),
         Ok(Some(News::Arrived)) => {}
-        Ok(None) | Err(_) => return Err(NoReply::Gone),
+        Ok(None) => return Err(NoReply::Unreachable),
+        Err(_) => return Err(NoReply::Silent),
     }
     match actix_rt::time::timeout(REPLY_TIMEOUT, news.recv()).await {
         Ok(Some(News::Replied(reply))) => Ok(reply),
-        Ok(None) => Err(NoReply::Gone),
+        Ok(None) => Err(NoReply::Unreachable),
         Ok(Some(News::Arrived)) | Err(_) => Err(NoReply::TooSlow),
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -159,8 +159,7 @@
             }
         }
     };
-    actix_rt::spawn(watch::follow_nodes(gateway.clone()));
-    let seeds = loop {
+    let newest = loop {
         match gateway.platform.newest(Stream::Nodes).await {
             Ok(newest) => break newest,
             Err(error) => {
@@ -169,14 +168,16 @@
             }
         }
     };
-    let seeds = seeds
-        .records
+    watch::take_nodes(&gateway, &newest.records);
+    actix_rt::spawn(watch::follow_nodes(gateway.clone(), newest.end));
+    let seeds = gateway
+        .nodes
+        .borrow()
         .iter()
-        .filter_map(|record| elderworks_protocol::decode::<NodeRecord>(&record.value).ok())
-        .map(|record| record.peer_address)
+        .map(|(_, known)| known.record.peer_address)
         .filter(|address| *address != gateway.settings.peers)
         .collect();
-    gateway.peers.join(&gateway.settings, incarnation, seeds);
+    gateway.peers.join(&gateway, incarnation, seeds);
     gateway.joined.set(true);
     log::info!(incarnation = incarnation.0; "joined");
     peers::gossip(gateway, gossip_socket).await;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -45,21 +45,27 @@
 
 /// Follows the operator's configurations until the process ends.
 pub(crate) async fn follow_configuration(gateway: Rc<Gateway>) {
-    follow::<ConfigurationFollower>(gateway).await;
+    follow::<ConfigurationFollower>(gateway, None).await;
 }
 
 /// Follows the workers' entries until the process ends.
 pub(crate) async fn follow_workers(gateway: Rc<Gateway>) {
-    follow::<WorkerFollower>(gateway).await;
+    follow::<WorkerFollower>(gateway, None).await;
 }
 
-/// Follows the nodes' entries until the process ends.
-pub(crate) async fn follow_nodes(gateway: Rc<Gateway>) {
-    follow::<NodeFollower>(gateway).await;
+/// Takes the newest entry of every node.
+pub(crate) fn take_nodes(gateway: &Gateway, records: &[StreamRecord]) {
+    NodeFollower::take_all(gateway, records);
 }
 
-async fn follow<F: Follower>(gateway: Rc<Gateway>) {
-    let mut next: Option<Offset> = None;
+/// Follows the nodes' entries from an offset on until the process ends.
+pub(crate) async fn follow_nodes(gateway: Rc<Gateway>, from: Offset) {
+    follow::<NodeFollower>(gateway, Some(from)).await;
+}
+
+/// Follows a stream from an offset on, or else from the newest record of every key on.
+async fn follow<F: Follower>(gateway: Rc<Gateway>, from: Option<Offset>) {
+    let mut next = from;
     let mut failing = false;
     loop {
         let read = match next {
@@ -223,7 +229,7 @@
         let node = NodeId::new(name);
         if record.value.is_empty() {
             gateway.nodes.borrow_mut().remove(&node);
-            gateway.peers.note_changes();
+            gateway.peers.note_changes(&gateway.nodes.borrow());
             return;
         }
         match decode::<NodeRecord>(&record.value) {
@@ -235,7 +241,7 @@
                     .borrow_mut()
                     .upsert(node, incarnation, content);
                 if changed {
-                    gateway.peers.note_changes();
+                    gateway.peers.note_changes(&gateway.nodes.borrow());
                     log::info!(node = name, draining = draining, offset = record.offset.0; "node's entry changed");
                 }
             }
