ledger: keep a conversation's turns as long as one that goes on from them

Cause, found by reading: turns were dropped 75 s after they were written, and the function that was to keep the turns before a running one was called by nobody. A conversation of more than 75 s would have lost its beginning: 404 for a kept turn (LOST). The test (five turns, 50 s apart) failed first. Expiry now keeps what any recent turn goes on from.

--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -1,6 +1,6 @@
 //! What a partition's records add up to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -146,28 +146,33 @@
         Some(text.freeze())
     }
 
-    /// Notes that a conversation went on from `turn`: the turns before it stay as long as it does.
-    pub fn touch_chain(&mut self, now: Timestamp, turn: &str) {
-        let mut next = Some(turn.to_owned());
-        let mut steps = 0;
-        while let Some(name) = next
-            && steps < MAX_CHAIN
-        {
-            let Some(dated) = self.turns.get_mut(&name) else {
-                return;
-            };
-            dated.touched = now;
-            next = dated.value.previous.clone();
-            steps += 1;
-        }
-    }
-
-    /// Drops what was last touched longer ago than `retention`.
+    /// Drops what was last touched longer ago than `retention`. A turn stays as long as one that
+    /// goes on from it, however far up the conversation.
     pub fn expire(&mut self, now: Timestamp, retention: Duration) {
         self.accounts
             .retain(|_, dated| now.since(dated.touched) < retention);
-        self.turns
-            .retain(|_, dated| now.since(dated.touched) < retention);
+        let kept = self.turns_with_ancestors(|dated| now.since(dated.touched) < retention);
+        self.turns.retain(|turn, _| kept.contains(turn));
+    }
+
+    fn turns_with_ancestors(
+        &self,
+        is_recent: impl Fn(&Dated<KeptTurn>) -> bool,
+    ) -> BTreeSet<String> {
+        let mut kept: BTreeSet<String> = BTreeSet::new();
+        for (turn, dated) in &self.turns {
+            if !is_recent(dated) {
+                continue;
+            }
+            let mut next = Some(turn);
+            while let Some(name) = next
+                && let Some(dated) = self.turns.get(name)
+                && kept.insert(name.clone())
+            {
+                next = dated.value.previous.as_ref();
+            }
+        }
+        kept
     }
 
     /// Records to append anew, so that what they say outlasts the log's history.
--- a/crates/gateway-core/tests/ledger/turns.rs
+++ b/crates/gateway-core/tests/ledger/turns.rs
@@ -96,3 +96,27 @@
     owner.expire(START + Duration::from_secs(76), Duration::from_secs(75));
     assert!(owner.state().is_empty());
 }
+
+#[test]
+fn a_turn_is_kept_as_long_as_the_conversation_goes_on() {
+    let retention = Duration::from_secs(75);
+    let mut state = LedgerState::default();
+    let names: Vec<String> = (0..5).map(|number| format!("t{number}")).collect();
+    let mut now = START;
+    for (number, turn) in names.iter().enumerate() {
+        now = START + Duration::from_secs(50) * u32::try_from(number).expect("few turns");
+        let previous = number.checked_sub(1).map(|before| names[before].as_str());
+        let record = LedgerRecord::Kept {
+            turn: turn.clone(),
+            content: kept(previous, b"in ", b"out\n"),
+        };
+        state.apply(now, record);
+        state.expire(now, retention);
+    }
+    assert!(
+        state.conversation("t4").is_some(),
+        "200 s after its first turn"
+    );
+    state.expire(now + Duration::from_secs(76), retention);
+    assert!(state.is_empty(), "nothing goes on from it any more");
+}
