ledger: records and appends within what the log takes

Cause, found by reading: a turn's content went into one record however long, and an append held all that had come meanwhile. The platform takes records of 256 KB and calls of 2 MB; beyond that a turn could never be kept and a conversation never taken over from another partition, and an append that had grown too large in an outage would have been refused for ever. Now content over 192 KB is divided into a chain of turns that reads the same, appends end at 1 MB, and what is written anew goes in several.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod owner;
+mod pieces;
 mod plan;
 mod state;
 mod wallet;
@@ -17,6 +18,7 @@
     Action, AppendOutcome, DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK,
     PartitionOwner, ReadOutcome, Ticket,
 };
+pub use pieces::{MAX_APPEND_BYTES, MAX_CONTENT_BYTES, approximate_bytes, kept_records};
 pub use plan::OTHERS_PATIENCE;
 pub use state::{LedgerState, RETENTION};
 pub use wallet::{Advance, IDLE_BEFORE_SETTLING, SpentAdvance, Wallet};
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -9,6 +9,7 @@
 use elderworks_types::{Offset, Timestamp};
 
 use super::LedgerState;
+use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::plan::{Plan, Planned, answer_at_once};
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
@@ -279,7 +280,10 @@
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
         let mut appended = Vec::new();
         let mut must_verify = false;
-        for job in std::mem::take(&mut self.jobs) {
+        let mut undecided = std::mem::take(&mut self.jobs).into_iter();
+        while !plan.is_full()
+            && let Some(job) = undecided.next()
+        {
             // What another request has brought about may suffice for this one.
             if let Some(reply) = answer_at_once(&self.state, &mut self.wallets, now, &job.request) {
                 self.replies.push((job.ticket, reply));
@@ -300,6 +304,7 @@
                 Planned::DecideAfterAppend => self.jobs.push(job),
             }
         }
+        self.jobs.extend(undecided);
         if appended.is_empty() && !must_settle {
             return self.verify_or_wait(must_verify);
         }
@@ -433,7 +438,7 @@
         if !self.is_synced || self.pending.is_some() || !self.jobs.is_empty() {
             return None;
         }
-        let records = self.state.rewrites(now);
+        let records = first_that_fit(self.state.rewrites(now));
         if records.is_empty() {
             return None;
         }
@@ -462,3 +467,17 @@
         }
     }
 }
+
+/// As many of the records as one append should hold.
+fn first_that_fit(records: Vec<LedgerRecord>) -> Vec<LedgerRecord> {
+    let mut bytes = 0;
+    let mut fitting = Vec::new();
+    for record in records {
+        bytes += approximate_bytes(&record);
+        if bytes > MAX_APPEND_BYTES {
+            break;
+        }
+        fitting.push(record);
+    }
+    fitting
+}
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -9,6 +9,7 @@
 };
 use elderworks_types::Timestamp;
 
+use super::pieces::{MAX_APPEND_BYTES, approximate_bytes, kept_records};
 use super::wallets::Wallets;
 use super::{Account, LedgerState};
 
@@ -141,6 +142,12 @@
         plan
     }
 
+    /// Whether an append of the plan's records is as large as appends should be.
+    pub(super) fn is_full(&self) -> bool {
+        let bytes: usize = self.records.iter().map(approximate_bytes).sum();
+        bytes >= MAX_APPEND_BYTES
+    }
+
     /// Decides a request on top of those decided before it.
     pub(super) fn decide(
         &mut self,
@@ -241,10 +248,7 @@
     }
 
     fn keep(&mut self, turn: &str, content: KeptTurn) {
-        self.records.push(LedgerRecord::Kept {
-            turn: turn.to_owned(),
-            content,
-        });
+        self.records.extend(kept_records(turn, content));
     }
 
     /// A program's account as it will be once the records so far are durable.
--- a/crates/gateway-core/tests/ledger/turns.rs
+++ b/crates/gateway-core/tests/ledger/turns.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use elderworks_gateway_core::ledger::{Action, LedgerState};
-use elderworks_protocol::ledger::{LedgerRecord, LedgerReply};
+use elderworks_gateway_core::ledger::{
+    Action, AppendOutcome, LedgerState, MAX_CONTENT_BYTES, Ticket, approximate_bytes, kept_records,
+};
+use elderworks_protocol::ledger::{KeptTurn, LedgerRecord, LedgerReply};
 
 use crate::fixtures::{START, begin, begin_after, carry_out, finish, kept, synced_owner};
 
@@ -120,3 +122,54 @@
     state.expire(now + Duration::from_secs(76), retention);
     assert!(state.is_empty(), "nothing goes on from it any more");
 }
+
+#[test]
+fn a_turn_too_large_for_a_record_is_kept_in_pieces() {
+    let cases = [
+        (MAX_CONTENT_BYTES, 0, 1),
+        (MAX_CONTENT_BYTES, 1, 2),
+        (2 * MAX_CONTENT_BYTES + 1, 10, 4),
+    ];
+    for (input, output, expected) in cases {
+        let content = KeptTurn {
+            previous: Some("before".to_owned()),
+            input: Bytes::from(vec![b'i'; input]),
+            output: Bytes::from(vec![b'o'; output]),
+        };
+        let records = kept_records("t", content.clone());
+        assert_eq!(records.len(), expected, "{input} and {output} bytes");
+        let mut state = LedgerState::default();
+        let before = kept_records("before", kept(None, b"before ", b""));
+        for record in before.into_iter().chain(records) {
+            assert!(approximate_bytes(&record) < 256 * 1024);
+            state.apply(START, record);
+        }
+        let whole = [&b"before "[..], &content.input, &content.output].concat();
+        assert_eq!(state.conversation("t"), Some(Bytes::from(whole)));
+    }
+}
+
+#[test]
+fn an_append_stays_within_what_the_log_takes() {
+    let mut owner = synced_owner();
+    let turns = 30;
+    for number in 0..turns {
+        let content = KeptTurn {
+            previous: None,
+            input: Bytes::from(vec![b'i'; 100_000]),
+            output: Bytes::new(),
+        };
+        let request = finish(&format!("t{number}"), 0, Some(content));
+        owner.submit(START, Ticket(number), request);
+    }
+    let mut finished = 0;
+    while finished < turns {
+        let Action::Append { records, .. } = owner.next_action(START) else {
+            panic!("turns must be kept");
+        };
+        let bytes: usize = records.iter().map(approximate_bytes).sum();
+        assert!(bytes < 2 * 1024 * 1024, "{bytes} bytes in one append");
+        owner.on_append(START, AppendOutcome::Done);
+        finished += owner.take_replies().len() as u64;
+    }
+}
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -22,6 +22,9 @@
 /// Interval at which old accounts and turns are dropped or written anew.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Most appends in a row of records that are written anew.
+const MAX_REWRITES: u32 = 16;
+
 /// Most bytes of one read. Whoever takes a partition over reads it whole; in pages, what has
 /// arrived over a slow link is not read again when the next page takes too long.
 const PAGE_BYTES: usize = 128 * 1024;
@@ -149,7 +152,10 @@
         if !self.is_preferred() {
             return;
         }
-        if let Some(action) = self.owner.plan_rewrite(now) {
+        for _ in 0..MAX_REWRITES {
+            let Some(action) = self.owner.plan_rewrite(now) else {
+                return;
+            };
             self.carry_out(action, jobs).await;
         }
     }
