Entries of departed nodes are dropped; accounts outlast a program's pause of minutes

Change: the node that acts for the first partition drops entries of nodes that have been absent under the same entry for ten minutes; a node that finds its own entry dropped writes it again. Accounts are held for ten minutes after their last record (some 100 bytes each, written anew every 100 s); turns as before. The test of what is dropped now asks for the account to stay and then to go: stricter in both directions. Tests: departures as a table; a gateway whose entry is dropped.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -20,7 +20,7 @@
 };
 pub use pieces::{MAX_APPEND_BYTES, MAX_CONTENT_BYTES, approximate_bytes, kept_records};
 pub use plan::OTHERS_PATIENCE;
-pub use state::{LedgerState, RETENTION};
+pub use state::{ACCOUNT_RETENTION, LedgerState, RETENTION};
 pub use wallet::{Advance, IDLE_BEFORE_SETTLING, SpentAdvance, Wallet};
 
 use elderworks_types::PartitionId;
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -9,10 +9,14 @@
 
 use super::Account;
 
-/// Accounts and turns are held this long after they were last touched, unless the configuration
-/// keeps turns for longer.
+/// Turns are held this long after they were last touched, unless the configuration keeps them for
+/// longer.
 pub const RETENTION: Duration = Duration::from_secs(75);
 
+/// Accounts are held this long after they were last touched: a program may wait for a tool for
+/// minutes, and must not find its budget whole again. Longer where turns are held longer.
+pub const ACCOUNT_RETENTION: Duration = Duration::from_secs(600);
+
 /// Records older than this are written anew while what they say still counts. Well under the
 /// shortest history that the log keeps.
 const REWRITE_AFTER: Duration = Duration::from_secs(100);
@@ -146,11 +150,13 @@
         Some(text.freeze())
     }
 
-    /// Drops what was last touched longer ago than `retention`. A turn stays as long as one that
-    /// goes on from it, however far up the conversation.
+    /// Drops turns that were last touched longer ago than `retention`, and accounts after
+    /// [`ACCOUNT_RETENTION`]. A turn stays as long as one that goes on from it, however far up the
+    /// conversation.
     pub fn expire(&mut self, now: Timestamp, retention: Duration) {
+        let for_accounts = retention.max(ACCOUNT_RETENTION);
         self.accounts
-            .retain(|_, dated| now.since(dated.touched) < retention);
+            .retain(|_, dated| now.since(dated.touched) < for_accounts);
         let kept = self.turns_with_ancestors(|dated| now.since(dated.touched) < retention);
         self.turns.retain(|turn, _| kept.contains(turn));
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod config;
 pub mod demand;
+pub mod departures;
 pub mod directory;
 pub mod events;
 pub mod ledger;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::workers::WorkerDirectory;
-use elderworks_types::{NodeId, Timestamp};
+use elderworks_types::{Incarnation, NodeId, Timestamp};
 use tokio::sync::watch;
 
 use crate::body_memory::BodyMemory;
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Listed nodes that are neither alive nor this one.
+    pub(crate) fn absent_nodes(&self) -> Vec<(NodeId, Incarnation)> {
+        let nodes = self.nodes.borrow();
+        nodes
+            .iter()
+            .filter(|(node, _)| **node != self.settings.node && !self.peers.is_alive(node))
+            .map(|(node, known)| (node.clone(), known.incarnation))
+            .collect()
+    }
+
     /// A number that no other caller of this function gets.
     pub(crate) fn next_sequence(&self) -> u64 {
         let number = self.sequence.get() + 1;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -159,7 +159,9 @@
         };
         self.links.borrow_mut().remove(node);
         let until = Instant::now() + pause;
-        self.avoided.borrow_mut().insert(node.clone(), until);
+        let mut avoided = self.avoided.borrow_mut();
+        avoided.retain(|_, until| *until > Instant::now());
+        avoided.insert(node.clone(), until);
     }
 
     /// Asks another node.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -4,10 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use elderworks_gateway_core::departures::Departures;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_protocol::encode;
-use elderworks_types::Incarnation;
+use elderworks_types::{Incarnation, PartitionId};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -26,6 +28,9 @@
 /// A draining node takes connections at least this long: callers hold on to their addresses.
 const SHORTEST_DRAIN: Duration = Duration::from_millis(4_500);
 
+/// Interval at which nodes that are gone for good are looked for.
+const DEPARTURE_CHECK: Duration = Duration::from_secs(30);
+
 /// Interval at which a draining node looks whether it is done.
 const DRAIN_CHECK: Duration = Duration::from_millis(100);
 
@@ -180,9 +185,48 @@
     gateway.peers.join(&gateway, incarnation, seeds);
     gateway.joined.set(true);
     log::info!(incarnation = incarnation.0; "joined");
+    actix_rt::spawn(drop_departed_nodes(gateway.clone()));
     peers::gossip(gateway, gossip_socket).await;
 }
 
+/// Drops the entries of nodes that are gone for good, one node for all.
+async fn drop_departed_nodes(gateway: Rc<Gateway>) {
+    let mut departures = Departures::default();
+    loop {
+        actix_rt::time::sleep(DEPARTURE_CHECK).await;
+        let departed = departures.update(gateway.now(), gateway.absent_nodes());
+        // The node that should act for the first partition does this too.
+        let candidates = gateway.peers.candidates(&gateway, PartitionId(0));
+        if candidates.first() != Some(&gateway.settings.node) {
+            continue;
+        }
+        for node in departed {
+            let put = gateway
+                .platform
+                .put(Stream::Nodes, node.as_str(), Bytes::new());
+            match put.await {
+                Ok(_) => log::info!(node = node.as_str(); "entry of a departed node dropped"),
+                Err(error) => {
+                    log::warn!(node = node.as_str(), error = error.to_string().as_str(); "a departed node's entry cannot be dropped");
+                }
+            }
+        }
+    }
+}
+
+/// Writes this node's entry again after another node has dropped it by mistake.
+pub(crate) async fn restore_entry(gateway: Rc<Gateway>) {
+    while gateway.stage() == Stage::Serving {
+        match put_entry(&gateway, false).await {
+            Ok(_) => return,
+            Err(error) => {
+                log::warn!(error = error.as_str(); "the node's entry cannot be restored yet");
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+            }
+        }
+    }
+}
+
 async fn put_entry(gateway: &Gateway, draining: bool) -> Result<Incarnation, String> {
     let settings = &gateway.settings;
     let record = NodeRecord {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::Gateway;
 use crate::ports::{ReadLimits, StoreError, StreamRecord};
+use crate::process;
 
 /// Longest wait of one read for news. Bounds how long a read may hang on a connection that a cut
 /// has silenced.
@@ -34,10 +35,10 @@
     const PAUSE: Duration;
 
     /// Takes the newest record of every key.
-    fn take_all(gateway: &Gateway, records: &[StreamRecord]);
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]);
 
     /// Takes one further record.
-    fn take(gateway: &Gateway, record: &StreamRecord);
+    fn take(gateway: &Rc<Gateway>, record: &StreamRecord);
 
     /// Called after each read.
     fn after_read(_gateway: &Gateway) {}
@@ -54,7 +55,7 @@
 }
 
 /// Takes the newest entry of every node.
-pub(crate) fn take_nodes(gateway: &Gateway, records: &[StreamRecord]) {
+pub(crate) fn take_nodes(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
     NodeFollower::take_all(gateway, records);
 }
 
@@ -98,13 +99,13 @@
     }
 }
 
-async fn read_all<F: Follower>(gateway: &Gateway) -> Result<Offset, StoreError> {
+async fn read_all<F: Follower>(gateway: &Rc<Gateway>) -> Result<Offset, StoreError> {
     let newest = gateway.platform.newest(F::STREAM).await?;
     F::take_all(gateway, &newest.records);
     Ok(newest.end)
 }
 
-async fn read_more<F: Follower>(gateway: &Gateway, from: Offset) -> Result<Offset, StoreError> {
+async fn read_more<F: Follower>(gateway: &Rc<Gateway>, from: Offset) -> Result<Offset, StoreError> {
     let limits = ReadLimits {
         wait: READ_WAIT,
         timeout: ANSWER_TIMEOUT,
@@ -124,13 +125,13 @@
     const STREAM: Stream = Stream::Configuration;
     const PAUSE: Duration = Duration::ZERO;
 
-    fn take_all(gateway: &Gateway, records: &[StreamRecord]) {
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
             Self::take(gateway, record);
         }
     }
 
-    fn take(gateway: &Gateway, record: &StreamRecord) {
+    fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
         let config = match gateway.platform.configuration(record) {
             Ok(Some(config)) => config,
             Ok(None) => return,
@@ -155,7 +156,7 @@
     const STREAM: Stream = Stream::Workers;
     const PAUSE: Duration = WORKERS_PAUSE;
 
-    fn take_all(gateway: &Gateway, records: &[StreamRecord]) {
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         let ids: BTreeSet<String> = records
             .iter()
             .filter(|record| !record.value.is_empty())
@@ -172,7 +173,7 @@
         gateway.workers_read.set(true);
     }
 
-    fn take(gateway: &Gateway, record: &StreamRecord) {
+    fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
         let Some(id) = record.key.as_deref() else {
             return;
         };
@@ -216,18 +217,23 @@
     const STREAM: Stream = Stream::Nodes;
     const PAUSE: Duration = Duration::ZERO;
 
-    fn take_all(gateway: &Gateway, records: &[StreamRecord]) {
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
             Self::take(gateway, record);
         }
     }
 
-    fn take(gateway: &Gateway, record: &StreamRecord) {
+    fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
         let Some(name) = record.key.as_deref() else {
             return;
         };
         let node = NodeId::new(name);
         if record.value.is_empty() {
+            if node == gateway.settings.node {
+                log::warn!(offset = record.offset.0; "this node's entry was dropped; writing it again");
+                actix_rt::spawn(process::restore_entry(gateway.clone()));
+                return;
+            }
             gateway.nodes.borrow_mut().remove(&node);
             gateway.peers.note_changes(&gateway.nodes.borrow());
             return;
