--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     pub millicores: u32,
     /// Memory in bytes beyond which the process is killed.
     pub memory_bytes: usize,
+    /// Time from a worker's word that it is leaving until it must get no new work.
+    pub drain_notice: Duration,
     /// Longest validity of an answer of the registry.
     pub longest_ttl: Duration,
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -17,11 +17,18 @@
 /// has silenced.
 const READ_WAIT: Duration = Duration::from_secs(2);
 
+/// The same for nodes' entries, which gossip makes less urgent.
+const NODES_READ_WAIT: Duration = Duration::from_secs(4);
+
 /// Longest wait for an answer beyond the wait for news.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Pause between two reads of the workers' stream, which has a record for every heartbeat.
-const WORKERS_PAUSE: Duration = Duration::from_millis(600);
+/// Share of the time within which a draining worker must be left alone that passes between two
+/// reads of the workers' stream, which has a record for every heartbeat.
+const WORKERS_PAUSE_SHARE: f64 = 0.3;
+
+/// Longest pause between two reads of the workers' stream, however long workers drain.
+const LONGEST_WORKERS_PAUSE: Duration = Duration::from_secs(1);
 
 /// Pause after a read that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
@@ -31,8 +38,13 @@
     /// Which stream.
     const STREAM: Stream;
 
+    /// Longest wait of one read for news.
+    const WAIT: Duration = READ_WAIT;
+
     /// Pause after each read.
-    const PAUSE: Duration;
+    fn pause(_gateway: &Gateway) -> Duration {
+        Duration::ZERO
+    }
 
     /// Takes the newest record of every key.
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]);
@@ -81,7 +93,7 @@
                 failing = false;
                 next = Some(end);
                 F::after_read(&gateway);
-                actix_rt::time::sleep(F::PAUSE).await;
+                actix_rt::time::sleep(F::pause(&gateway)).await;
             }
             Err(StoreError::Gone { first }) => {
                 log::info!(stream:? = F::STREAM, first = first.0; "history is gone; reading anew");
@@ -107,7 +119,7 @@
 
 async fn read_more<F: Follower>(gateway: &Rc<Gateway>, from: Offset) -> Result<Offset, StoreError> {
     let limits = ReadLimits {
-        wait: READ_WAIT,
+        wait: F::WAIT,
         timeout: ANSWER_TIMEOUT,
         most_bytes: None,
     };
@@ -123,7 +135,6 @@
 
 impl Follower for ConfigurationFollower {
     const STREAM: Stream = Stream::Configuration;
-    const PAUSE: Duration = Duration::ZERO;
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
@@ -154,7 +165,11 @@
 
 impl Follower for WorkerFollower {
     const STREAM: Stream = Stream::Workers;
-    const PAUSE: Duration = WORKERS_PAUSE;
+
+    fn pause(gateway: &Gateway) -> Duration {
+        let share = gateway.settings.drain_notice.mul_f64(WORKERS_PAUSE_SHARE);
+        share.min(LONGEST_WORKERS_PAUSE)
+    }
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         let ids: BTreeSet<String> = records
@@ -215,7 +230,7 @@
 
 impl Follower for NodeFollower {
     const STREAM: Stream = Stream::Nodes;
-    const PAUSE: Duration = Duration::ZERO;
+    const WAIT: Duration = NODES_READ_WAIT;
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
