gateway: refuse a turn without leave while its caller has time for another try

Cause: the patience for the ledger was looked at only between requests, and one request may ask three peers, each for up to 1.9 s. Now leave is waited for 0.45 of the turn's time, 1.2 s at least and 1.5 s at most, whatever is being asked; what was set aside meanwhile is withdrawn.

--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -11,7 +11,7 @@
 
 use super::attempts::Call;
 use crate::gateway::Gateway;
-use crate::ledger::{self, AskedNodes};
+use crate::ledger::{self, Answered, AskedNodes};
 use crate::reply::Refusal;
 
 /// Times that the end of a turn is reported before it is given up.
@@ -24,6 +24,17 @@
 /// seconds.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(1_200);
 
+/// Share of a turn's time after which it is refused if it has no leave, whatever is still being
+/// asked: the rest is for another try.
+const LONGEST_SHARE: f64 = 0.45;
+
+/// Wait for leave of turns that have little time: a slow log that has to be read first takes this
+/// long.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Longest wait for leave. Callers give up streams that stay silent for two seconds.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+
 /// When to come back after the ledger could not be asked. An outage of the log lasts seconds
 /// rather than moments; the caller shortens this if it has less time.
 const LEDGER_RETRY: Duration = Duration::from_millis(900);
@@ -207,31 +218,22 @@
             .map_or(1, |engine| u64::from(engine.tokens_per_event))
     }
 
-    /// Asks the turn's partition, and, for a conversation that it does not keep, all others.
+    /// Obtains leave for the turn, or an answer that refuses it while the caller still has time to
+    /// come back.
     async fn obtain_leave(
         &mut self,
         mut lease: TurnLease,
         partition: PartitionId,
-        mut begin: BeginTurn,
+        begin: BeginTurn,
     ) -> Result<Bytes, Refusal> {
-        let request = LedgerRequest::Begin(begin.clone());
-        let patience = self.ledger_patience();
-        let mut answered =
-            ledger::request_patiently(self.gateway, partition, request, patience, &lease.asked)
-                .await;
-        if answered.reply == LedgerReply::UnknownTurn
-            && let Some(previous) = begin.previous.clone()
-        {
-            match ledger::find_conversation(self.gateway, partition, &previous).await {
-                LedgerReply::Conversation { conversation } => {
-                    begin.imported = Some(conversation);
-                    let request = LedgerRequest::Begin(begin);
-                    answered =
-                        ledger::request(self.gateway, partition, request, &lease.asked).await;
-                }
-                other => answered.reply = other,
-            }
-        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let longest = left
+            .mul_f64(LONGEST_SHARE)
+            .clamp(SHORTEST_WAIT, LONGEST_WAIT);
+        let asking = self.ask_for_leave(partition, begin, &lease.asked);
+        let Ok(answered) = actix_rt::time::timeout(longest, asking).await else {
+            return Err(ledger_unavailable());
+        };
         lease.granter = answered.by;
         match answered.reply {
             LedgerReply::Granted { conversation } => {
@@ -251,10 +253,39 @@
                 ))
             }
             // The lease settles a reservation that was made nevertheless.
-            _ => Err(Refusal::not_run_until(
-                "the program's ledger cannot be asked now",
-                LEDGER_RETRY,
-            )),
+            _ => Err(ledger_unavailable()),
+        }
+    }
+
+    /// Asks the turn's partition, and, for a conversation that it does not keep, all others.
+    async fn ask_for_leave(
+        &self,
+        partition: PartitionId,
+        mut begin: BeginTurn,
+        asked: &AskedNodes,
+    ) -> Answered {
+        let request = LedgerRequest::Begin(begin.clone());
+        let patience = self.ledger_patience();
+        let answered =
+            ledger::request_patiently(self.gateway, partition, request, patience, asked).await;
+        let Some(previous) = begin.previous.clone() else {
+            return answered;
+        };
+        if answered.reply != LedgerReply::UnknownTurn {
+            return answered;
+        }
+        match ledger::find_conversation(self.gateway, partition, &previous).await {
+            LedgerReply::Conversation { conversation } => {
+                begin.imported = Some(conversation);
+                let request = LedgerRequest::Begin(begin);
+                ledger::request(self.gateway, partition, request, asked).await
+            }
+            reply => Answered { reply, ..answered },
         }
     }
 }
+
+fn ledger_unavailable() -> Refusal {
+    let reason = "the program's ledger cannot be asked now";
+    Refusal::not_run_until(reason, LEDGER_RETRY)
+}
