--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -1,6 +1,6 @@
 //! What one node knows of the workers: their records, its own requests there, and their failures.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -43,10 +43,17 @@
 /// A worker that refused for lack of room is avoided for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
-/// A worker whose record is gone is a last resort for this long: a store that was down drops
-/// records of workers that are well, and takes them up again with their next heartbeat.
+/// A worker whose record is gone is a last resort for this long.
 const MISSING_GRACE: Duration = Duration::from_millis(1_000);
 
+/// The same for records that go right after an outage: a store that was down drops those of workers
+/// that are well, and takes them up again with one of their next heartbeats.
+const MISSING_GRACE_AFTER_OUTAGE: Duration = Duration::from_millis(3_500);
+
+/// Records that go within this time after an outage are taken to have gone because of it. Shorter
+/// than the time after which a store counts as stable again.
+const OUTAGE_AFTERMATH: Duration = Duration::from_secs(2);
+
 /// One worker as this node sees it.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -56,7 +63,8 @@
     pub in_flight: u32,
     health: WorkerHealth,
     full_until: Timestamp,
-    missing_since: Option<Timestamp>,
+    /// Set while its record is gone: until when it is a last resort.
+    missing_until: Option<Timestamp>,
 }
 
 impl Worker {
@@ -86,15 +94,17 @@
 pub struct WorkerDirectory {
     workers: BTreeMap<String, Worker>,
     demands: BTreeMap<String, Demand>,
+    /// When the store last answered again after an outage.
+    outage_over: Option<Timestamp>,
 }
 
 impl WorkerDirectory {
     /// Takes a worker's record; tells whether it changes what is believed of it.
     pub fn upsert(&mut self, record: WorkerRecord) -> bool {
         if let Some(known) = self.workers.get_mut(&record.id) {
-            let changed = known.record != record || known.missing_since.is_some();
+            let changed = known.record != record || known.missing_until.is_some();
             known.record = record;
-            known.missing_since = None;
+            known.missing_until = None;
             return changed;
         }
         let worker = Worker {
@@ -102,17 +112,35 @@
             in_flight: 0,
             health: WorkerHealth::default(),
             full_until: Timestamp::default(),
-            missing_since: None,
+            missing_until: None,
         };
         self.workers.insert(worker.record.id.clone(), worker);
         true
     }
 
+    /// Notes that the store answers again after an outage.
+    pub fn note_outage_over(&mut self, now: Timestamp) {
+        self.outage_over = Some(now);
+    }
+
+    /// How long a worker whose record goes now is a last resort.
+    fn grace(&self, now: Timestamp) -> Duration {
+        let after_outage = self
+            .outage_over
+            .is_some_and(|over| now.since(over) < OUTAGE_AFTERMATH);
+        if after_outage {
+            MISSING_GRACE_AFTER_OUTAGE
+        } else {
+            MISSING_GRACE
+        }
+    }
+
     /// Notes that a worker's record is gone; tells whether it was there.
     pub fn mark_missing(&mut self, id: &str, now: Timestamp) -> bool {
+        let until = now + self.grace(now);
         match self.workers.get_mut(id) {
-            Some(worker) if worker.missing_since.is_none() => {
-                worker.missing_since = Some(now);
+            Some(worker) if worker.missing_until.is_none() => {
+                worker.missing_until = Some(until);
                 true
             }
             _ => false,
@@ -121,15 +149,12 @@
 
     /// Notes as missing all workers but those named, after the whole list was read anew; returns
     /// those that were there.
-    pub fn mark_all_missing_but(
-        &mut self,
-        ids: &std::collections::BTreeSet<String>,
-        now: Timestamp,
-    ) -> Vec<String> {
+    pub fn mark_all_missing_but(&mut self, ids: &BTreeSet<String>, now: Timestamp) -> Vec<String> {
+        let until = now + self.grace(now);
         let mut gone = Vec::new();
         for (id, worker) in &mut self.workers {
-            if worker.missing_since.is_none() && !ids.contains(id) {
-                worker.missing_since = Some(now);
+            if worker.missing_until.is_none() && !ids.contains(id) {
+                worker.missing_until = Some(until);
                 gone.push(id.clone());
             }
         }
@@ -138,11 +163,7 @@
 
     /// Forgets workers that have been missing for too long; returns them.
     pub fn forget_missing(&mut self, now: Timestamp) -> Vec<String> {
-        let is_over = |worker: &Worker| {
-            worker
-                .missing_since
-                .is_some_and(|since| now.since(since) >= MISSING_GRACE)
-        };
+        let is_over = |worker: &Worker| worker.missing_until.is_some_and(|until| until <= now);
         let gone: Vec<String> = self
             .workers
             .iter()
@@ -163,7 +184,7 @@
     /// Workers of a service that take new work.
     pub fn accepting<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
         self.of_service(service)
-            .filter(|worker| worker.missing_since.is_none())
+            .filter(|worker| worker.missing_until.is_none())
     }
 
     /// Workers of a service whose records went missing a moment ago.
@@ -172,11 +193,8 @@
         service: &'a str,
         now: Timestamp,
     ) -> impl Iterator<Item = &'a Worker> {
-        self.of_service(service).filter(move |worker| {
-            worker
-                .missing_since
-                .is_some_and(|since| now.since(since) < MISSING_GRACE)
-        })
+        self.of_service(service)
+            .filter(move |worker| worker.missing_until.is_some_and(|until| now < until))
     }
 
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -327,3 +327,24 @@
     workers.note_start("s", "w2", now);
     assert_eq!(met(&workers, true).len(), 1, "one at a time");
 }
+
+#[test]
+fn records_that_go_right_after_an_outage_are_missed_for_longer() {
+    // Milliseconds from the end of the outage to the record's going, and how long it is missed.
+    for (gone_after, missed_for) in [(0, 3_500), (1_900, 3_500), (2_000, 1_000)] {
+        let mut workers = directory(&["w1"]);
+        workers.note_outage_over(START);
+        let gone = START + Duration::from_millis(gone_after);
+        workers.mark_missing("w1", gone);
+        let almost = gone + Duration::from_millis(missed_for - 1);
+        assert_eq!(workers.last_resort("engines", almost).count(), 1);
+        assert!(workers.forget_missing(almost).is_empty());
+        let over = gone + Duration::from_millis(missed_for);
+        assert_eq!(workers.last_resort("engines", over).count(), 0);
+        assert_eq!(
+            workers.forget_missing(over),
+            ["w1"],
+            "{gone_after} ms after"
+        );
+    }
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts of one call at workers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,7 +43,7 @@
     pub(super) first_event_due: Option<Instant>,
     /// Counts the body for as long as the call holds it.
     _memory: BodyShare,
-    tried: Vec<String>,
+    tried: TriedWorkers,
     /// Set while an attempt is under way that may have run.
     sending: bool,
     /// Where the next attempt must go, if the route allows no other worker.
@@ -69,13 +70,16 @@
             return;
         };
         if since.elapsed() >= self.longest_silence()
-            && let Some(worker) = self.tried.last()
+            && let Some(worker) = self.last_tried()
         {
-            self.note_worker_failure(worker);
+            self.note_worker_failure(&worker);
         }
     }
 }
 
+/// Ids of the workers that were tried for a request, in order; shared with its log line.
+pub(super) type TriedWorkers = Rc<RefCell<Vec<String>>>;
+
 /// A request that occupies a worker.
 pub(super) struct Occupied {
     gateway: Rc<Gateway>,
@@ -122,6 +126,7 @@
         attributes: &'a CallAttributes,
         request: CallerRequest,
         deadline: Instant,
+        tried: TriedWorkers,
     ) -> Self {
         let service = gateway.splits.borrow_mut().next_service(route);
         Self {
@@ -138,7 +143,7 @@
             lease: None,
             history: AttemptHistory::default(),
             first_event_due: Some(request.received),
-            tried: Vec::new(),
+            tried,
             sending: false,
             retry_at: None,
             waiting_since: None,
@@ -154,11 +159,6 @@
         self.sending || self.history.possibly_run > 0
     }
 
-    /// Workers tried so far, for the log.
-    pub(super) fn tried_workers(&self) -> String {
-        self.tried.join(",")
-    }
-
     /// Runs a request whose answer is passed on whole.
     pub(super) async fn run_whole(&mut self, caller: &mut Caller<'_>) -> Result<(), CallError> {
         loop {
@@ -214,9 +214,7 @@
         last_event_id: Option<&str>,
     ) -> Result<RunningAnswer, ExchangeError> {
         let occupied = Occupied::start(self.gateway, &self.service, &target.worker);
-        if !self.tried.contains(&target.worker) {
-            self.tried.push(target.worker.clone());
-        }
+        self.note_tried(&target.worker);
         let request = OutgoingRequest {
             head: self.head.clone(),
             body: self.body.clone(),
@@ -272,6 +270,17 @@
         service.is_some_and(|service| service.engine.is_some())
     }
 
+    fn last_tried(&self) -> Option<String> {
+        self.tried.borrow().last().cloned()
+    }
+
+    fn note_tried(&self, worker: &str) {
+        let mut tried = self.tried.borrow_mut();
+        if !tried.iter().any(|known| known == worker) {
+            tried.push(worker.to_owned());
+        }
+    }
+
     fn most_idle_connections(&self) -> usize {
         let service = self.config.service(&self.service);
         let max_connections = service.map_or(u32::MAX, |service| service.max_connections);
@@ -300,6 +309,7 @@
     }
 
     fn choose(&self) -> Result<Target, CallError> {
+        let tried = self.tried.borrow();
         let query = PlacementQuery {
             service: &self.service,
             key: self
@@ -310,7 +320,7 @@
             zone: self.gateway.settings.zone.as_str(),
             nodes_in_zone: self.gateway.nodes_in_zone.get(),
             repeatable: self.route.is_repeatable(),
-            tried: &self.tried,
+            tried: &tried,
             spread: self.gateway.next_sequence(),
         };
         let workers = self.gateway.workers.borrow();
@@ -393,12 +403,12 @@
     /// wait for its turn; other workers answer sooner.
     pub(super) fn note_time_over(&mut self) {
         let had_its_time = self.received.elapsed() >= self.route.target;
-        if let Some(worker) = self.tried.last()
+        if let Some(worker) = self.last_tried()
             && self.waiting_since.is_some()
             && had_its_time
             && !self.is_for_engine()
         {
-            self.note_worker_failure(worker);
+            self.note_worker_failure(&worker);
             self.waiting_since = None;
         }
     }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -19,7 +19,7 @@
 use crate::reply::Refusal;
 use crate::server::CallerRequest;
 
-use attempts::Call;
+use attempts::{Call, TriedWorkers};
 
 /// Answers one request. An error means that the connection is of no further use.
 pub(crate) async fn answer(
@@ -56,18 +56,19 @@
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = request.received + left;
-    let mut call = Call::new(gateway, &config, route, attributes, request, deadline);
+    let tried = trace.tried.clone();
+    let mut call = Call::new(
+        gateway, &config, route, attributes, request, deadline, tried,
+    );
     let running = run(&mut call, caller, trace);
     let timed = tokio::time::timeout_at(deadline.into(), running).await;
-    let result = match timed {
+    match timed {
         Ok(result) => result,
         Err(_) => {
             call.note_time_over();
             expire(&call, caller, trace).await
         }
-    };
-    trace.workers = call.tried_workers();
-    result
+    }
 }
 
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
@@ -146,7 +147,8 @@
     program: String,
     pub(crate) config_version: u64,
     pub(crate) route: String,
-    pub(crate) workers: String,
+    /// Workers tried so far, also of a request whose caller leaves.
+    pub(crate) tried: TriedWorkers,
     pub(crate) outcome: &'static str,
     finished: bool,
 }
@@ -163,7 +165,7 @@
             program: attributes.program.clone().unwrap_or_default(),
             config_version: 0,
             route: String::new(),
-            workers: String::new(),
+            tried: TriedWorkers::default(),
             outcome: "answered",
             finished: false,
         }
@@ -198,7 +200,7 @@
             level,
             request = self.request_id.as_str(), program = self.program.as_str(),
             route = self.route.as_str(), config = self.config_version,
-            workers = self.workers.as_str(), status = status, whole = whole,
+            workers = self.tried.borrow().join(",").as_str(), status = status, whole = whole,
             ms = milliseconds; "{}", self.outcome
         );
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -88,6 +88,8 @@
         match read {
             Ok(end) => {
                 if failing {
+                    let now = gateway.now();
+                    gateway.workers.borrow_mut().note_outage_over(now);
                     log::info!(stream:? = F::STREAM, end = end.0; "stream can be read again");
                 }
                 failing = false;
