forward: what attempts show of workers in a module of its own; a slow caller blames no worker

The second is observations.rs now. Seen while moving it: time in which a caller did not take events counted as the worker's silence; it no longer does.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -2,10 +2,10 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use actix_http::RequestHead;
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
 use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
@@ -49,32 +49,7 @@
     /// Where the next attempt must go, if the route allows no other worker.
     retry_at: Option<Target>,
     /// Since when the worker of the present attempt has shown no sign of life.
-    waiting_since: Option<Instant>,
-}
-
-/// An engine that has been silent for this long is taken to fail. Callers give a stream up after
-/// two seconds of silence.
-const ENGINE_SILENCE: Duration = Duration::from_millis(1_500);
-
-/// Another worker is taken to fail once it has been silent for this many times the target of the
-/// route, in which an answer has its full value.
-const SILENCE_IN_TARGETS: u32 = 3;
-
-/// Silence that speaks against no worker, however short the target.
-const SHORTEST_SILENCE: Duration = Duration::from_millis(250);
-
-impl Drop for Call<'_> {
-    /// The caller may have given up on a silent worker.
-    fn drop(&mut self) {
-        let Some(since) = self.waiting_since else {
-            return;
-        };
-        if since.elapsed() >= self.longest_silence()
-            && let Some(worker) = self.last_tried()
-        {
-            self.note_worker_failure(&worker);
-        }
-    }
+    pub(super) waiting_since: Option<Instant>,
 }
 
 /// Ids of the workers that were tried for a request, in order; shared with its log line.
@@ -248,29 +223,7 @@
         Ok(RunningAnswer { answer, occupied })
     }
 
-    /// How long a worker may be silent before that speaks against it. Engines let requests wait
-    /// for their turn; other workers answer sooner.
-    fn longest_silence(&self) -> Duration {
-        if self.is_for_engine() {
-            ENGINE_SILENCE
-        } else {
-            (self.route.target * SILENCE_IN_TARGETS).max(SHORTEST_SILENCE)
-        }
-    }
-
-    /// Whether a request that a worker has left without an answer is better sent again than waited
-    /// for.
-    fn should_ask_again(&self) -> bool {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        self.route.is_repeatable() && !self.is_for_engine() && left >= self.route.target
-    }
-
-    fn is_for_engine(&self) -> bool {
-        let service = self.config.service(&self.service);
-        service.is_some_and(|service| service.engine.is_some())
-    }
-
-    fn last_tried(&self) -> Option<String> {
+    pub(super) fn last_tried(&self) -> Option<String> {
         self.tried.borrow().last().cloned()
     }
 
@@ -374,63 +327,6 @@
             address: known.record.address,
         })
     }
-
-    pub(super) fn note_worker_failure(&self, worker: &str) {
-        let now = self.gateway.now();
-        let ejected = self.gateway.workers.borrow_mut().note_failure(worker, now);
-        if ejected {
-            log::warn!(worker = worker; "worker ejected after failures");
-            self.gateway.peers.report_worker(self.gateway, worker);
-        }
-    }
-
-    /// Notes a whole answer: one that tells of a failure of the worker speaks against it.
-    pub(super) fn note_answer(&mut self, worker: &str, status: StatusCode) {
-        self.waiting_since = None;
-        if status == StatusCode::INTERNAL_SERVER_ERROR {
-            self.note_worker_failure(worker);
-        } else {
-            self.gateway.workers.borrow_mut().note_success(worker);
-        }
-    }
-
-    /// Notes that the worker has shown life.
-    pub(super) fn note_progress(&mut self) {
-        self.waiting_since = Some(Instant::now());
-    }
-
-    /// Notes that the time is over while a worker has shown no answer. Engines may let a request
-    /// wait for its turn; other workers answer sooner.
-    pub(super) fn note_time_over(&mut self) {
-        let had_its_time = self.received.elapsed() >= self.route.target;
-        if let Some(worker) = self.last_tried()
-            && self.waiting_since.is_some()
-            && had_its_time
-            && !self.is_for_engine()
-        {
-            self.note_worker_failure(&worker);
-            self.waiting_since = None;
-        }
-    }
-
-    fn note_refusal(&self, worker: &str, status: StatusCode) {
-        let now = self.gateway.now();
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            self.gateway.pool.forget(worker);
-            self.note_worker_failure(worker);
-        } else {
-            self.gateway.workers.borrow_mut().note_full(worker, now);
-        }
-    }
-
-    pub(super) fn log_failure(&self, worker: &str, reason: &str) {
-        log::info!(
-            request = self.attributes.request_id.as_deref().unwrap_or_default(),
-            worker = worker, reason = reason,
-            ms = self.received.elapsed().as_millis();
-            "attempt failed"
-        );
-    }
 }
 
 fn refusal_for(step: NextStep) -> Refusal {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod headers;
+mod observations;
 mod stream;
 mod turn;
 
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -114,9 +114,11 @@
                 return Ok(PartEnd::Broken("an event never ends".to_owned()));
             }
             if any {
-                self.note_progress();
                 self.note_first_event();
+                // A caller that reads slowly does not speak against the worker.
+                self.waiting_since = None;
                 caller.flush().await?;
+                self.note_progress();
             }
         }
     }
