--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -42,16 +42,7 @@
 }
 
 fn chosen(workers: &WorkerDirectory, key: Option<&str>, tried: &[String]) -> Option<String> {
-    let query = PlacementQuery {
-        service: "engines",
-        key,
-        zone: "a",
-        nodes_in_zone: 1,
-        repeatable: true,
-        tried,
-        spread: 1,
-    };
-    choose(workers, &query, START).map(|worker| worker.record.id.clone())
+    choose(workers, &query(key, tried), START).map(|worker| worker.record.id.clone())
 }
 
 #[test]
