--- /dev/null
+++ b/crates/gateway-core/src/ledger/fencing.rs
@@ -0,0 +1,86 @@
+//! Overdrafts of owners that no longer act for a partition: were they used?
+//!
+//! The owner that now acts asks the witnesses to fence such an overdraft. A majority that does
+//! proves that it was never used and never will be, so it can be closed. Otherwise it counts until
+//! it is too old to be used.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use elderworks_protocol::ledger::WitnessAnswer;
+use elderworks_types::Timestamp;
+
+use super::LedgerState;
+use super::overdraft::majority;
+
+/// Pause between two rounds of questions about one overdraft.
+const ROUND_PAUSE: Duration = Duration::from_secs(1);
+
+/// What is known of one overdraft of another owner.
+#[derive(Debug, Default)]
+pub(super) struct Fencing {
+    overdraft: String,
+    fenced: BTreeSet<u64>,
+    /// Whether a witness knows that it is used, or was.
+    is_used: bool,
+    asked: Option<Timestamp>,
+}
+
+impl Fencing {
+    /// The overdraft whose witnesses are to be asked now, if any.
+    pub(super) fn next_question(
+        &mut self,
+        now: Timestamp,
+        state: &LedgerState,
+        is_own: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        let (name, _) = state.overdrafts().find(|(name, _)| !is_own(name))?;
+        if self.overdraft != name {
+            *self = Self {
+                overdraft: name.to_owned(),
+                ..Self::default()
+            };
+        }
+        let is_early = self
+            .asked
+            .is_some_and(|asked| now.since(asked) < ROUND_PAUSE);
+        if self.is_used || is_early || self.unused(state).is_some() {
+            return None;
+        }
+        self.asked = Some(now);
+        Some(self.overdraft.clone())
+    }
+
+    /// Takes a witness's answer.
+    pub(super) fn on_answer(&mut self, overdraft: &str, boot: u64, answer: WitnessAnswer) {
+        if overdraft != self.overdraft {
+            return;
+        }
+        match answer {
+            WitnessAnswer::Fenced => {
+                self.fenced.insert(boot);
+            }
+            WitnessAnswer::Activated => self.is_used = true,
+            WitnessAnswer::Unknown => {}
+        }
+    }
+
+    /// An overdraft that the log still holds and that is surely unused.
+    pub(super) fn unused(&self, state: &LedgerState) -> Option<&str> {
+        let (name, overdraft) = state
+            .overdrafts()
+            .find(|(name, _)| *name == self.overdraft)?;
+        let is_listed = |boot: &u64| overdraft.witnesses.iter().any(|w| w.boot == *boot);
+        let fenced = self.fenced.iter().filter(|boot| is_listed(boot)).count();
+        let is_unused = fenced >= majority(overdraft.witnesses.len());
+        is_unused.then_some(name).map(|_| self.overdraft.as_str())
+    }
+
+    /// Whether it may still turn out that another owner's overdraft is unused.
+    pub(super) fn is_undecided(&self, now: Timestamp) -> bool {
+        let is_recent = self
+            .asked
+            .is_some_and(|asked| now.since(asked) < ROUND_PAUSE);
+        is_recent && !self.is_used
+    }
+}
--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -6,22 +6,26 @@
 //! it changed nothing. Nodes agree on one of them (the owner) only to spare conflicts.
 
 mod account;
+mod calls;
+mod fencing;
+mod overdraft;
 mod owner;
 mod pieces;
 mod plan;
 mod state;
 mod wallet;
 mod wallets;
+mod witness;
 
 pub use account::Account;
-pub use owner::{
-    Action, AppendOutcome, DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK,
-    PartitionOwner, ReadOutcome, Ticket,
-};
+pub use calls::{Action, AppendOutcome, Inquiry, ReadOutcome, Ticket};
+pub use overdraft::{FEWEST_WITNESSES, MOST_WITNESSES, OVERDRAFT_SHARE, OverdraftUse, SLOW_CALL};
+pub use owner::{DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK, PartitionOwner};
 pub use pieces::{MAX_APPEND_BYTES, MAX_CONTENT_BYTES, approximate_bytes, kept_records};
 pub use plan::OTHERS_PATIENCE;
-pub use state::{ACCOUNT_RETENTION, LedgerState, RETENTION};
+pub use state::{ACCOUNT_RETENTION, LedgerState, OVERDRAFT_RETENTION, OpenOverdraft, RETENTION};
 pub use wallet::{Advance, IDLE_BEFORE_SETTLING, SpentAdvance, Wallet};
+pub use witness::WitnessMemory;
 
 use elderworks_types::PartitionId;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -3,14 +3,20 @@
 //! A state machine without I/O or clock. Its driver asks [`PartitionOwner::next_action`], carries
 //! the action out, reports the result, and hands on the replies.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{
+    LedgerRecord, LedgerReply, LedgerRequest, Witness, WitnessAnswer, WitnessQuestion, WitnessWish,
+};
 use elderworks_types::{Offset, Timestamp};
 
 use super::LedgerState;
+use super::calls::{Action, AppendOutcome, Inquiry, ReadOutcome, Ticket};
+use super::fencing::Fencing;
+use super::overdraft::{FEWEST_WITNESSES, OVERDRAFT_SHARE, OverdraftUse, OwnOverdraft, majority};
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
-use super::plan::{Plan, Planned, answer_at_once};
+use super::plan::{Credit, Plan, Planned, answer_at_once};
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
 
@@ -26,65 +32,6 @@
 /// Pause between two calls while the log is down.
 pub const DOWN_PAUSE: Duration = Duration::from_millis(100);
 
-/// Names a request between the driver and the owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
-/// What the driver is to do next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Read records from this offset on, without waiting for any to come.
-    Read {
-        /// The first record wanted.
-        from: Offset,
-    },
-    /// Append records if the log ends at `at`.
-    Append {
-        /// Where the log must end.
-        at: Offset,
-        /// In this order.
-        records: Vec<LedgerRecord>,
-    },
-    /// Nothing until the next request, or until this time.
-    Wait {
-        /// When to ask again; `None` if only a request changes anything.
-        until: Option<Timestamp>,
-    },
-}
-
-/// How an append ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AppendOutcome {
-    /// The records are durable.
-    Done,
-    /// The log ended elsewhere; nothing was appended.
-    Conflict,
-    /// Nothing was appended.
-    Refused,
-    /// No answer: the records may be durable, or become so while the condition holds.
-    Unknown,
-}
-
-/// How a read ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReadOutcome {
-    /// Records from the asked offset on, and where the log ended; a record that cannot be decoded
-    /// is `None`.
-    Records {
-        /// In order.
-        records: Vec<Option<LedgerRecord>>,
-        /// Where the log ended.
-        end: Offset,
-    },
-    /// What was asked for is not kept any more.
-    Gone {
-        /// The first offset kept.
-        first: Offset,
-    },
-    /// The log did not answer, or refused.
-    Failed,
-}
-
 #[derive(Debug)]
 struct Job {
     ticket: Ticket,
@@ -121,7 +68,13 @@
     paused_until: Timestamp,
     failures_in_a_row: u32,
     is_calling: bool,
+    call_began: Timestamp,
     conflicts: u64,
+    overdraft: OwnOverdraft,
+    fencing: Fencing,
+    /// Nodes that can witness an overdraft now, the foremost first.
+    witnesses: Rc<[Witness]>,
+    inquiries: Vec<Inquiry>,
 }
 
 impl PartitionOwner {
@@ -140,7 +93,12 @@
             paused_until: Timestamp::default(),
             failures_in_a_row: 0,
             is_calling: false,
+            call_began: Timestamp::default(),
             conflicts: 0,
+            overdraft: OwnOverdraft::new(),
+            fencing: Fencing::default(),
+            witnesses: Rc::default(),
+            inquiries: Vec::new(),
         }
     }
 
@@ -152,8 +110,12 @@
         if let LedgerRequest::Finish(finish) = &request {
             self.abandon(&finish.program, &finish.turn);
         }
-        let at_once = answer_at_once(&self.state, &mut self.wallets, now, &request);
-        let must_not_wait = self.is_calling || now < self.paused_until;
+        let at_once = self.answer_at_once(now, &request);
+        if at_once.is_none() {
+            self.activate_overdraft(now);
+        }
+        let may_wait = self.overdraft.is_activating();
+        let must_not_wait = !may_wait && (self.is_calling || now < self.paused_until);
         let reply = match at_once {
             Some(reply) => Some(reply),
             None if self.is_down() && must_not_wait => Some(LedgerReply::Unavailable),
@@ -170,6 +132,125 @@
         }
     }
 
+    fn answer_at_once(&mut self, now: Timestamp, request: &LedgerRequest) -> Option<LedgerReply> {
+        let credit = self.credit(now);
+        answer_at_once(&self.state, &mut self.wallets, now, credit, request)
+    }
+
+    fn credit(&self, now: Timestamp) -> Credit {
+        if self.overdraft.is_usable(now) {
+            let share = OVERDRAFT_SHARE;
+            Credit::Overdraft { share }
+        } else {
+            Credit::None
+        }
+    }
+
+    /// Notes that the call under way takes longer than [`super::SLOW_CALL`].
+    pub fn note_slow_call(&mut self, now: Timestamp) {
+        self.overdraft.note_trouble();
+        if !self.jobs.is_empty() {
+            self.activate_overdraft(now);
+        }
+        self.answer_jobs(now);
+    }
+
+    /// Asks the witnesses to let the overdraft be used, if the log is in trouble.
+    fn activate_overdraft(&mut self, now: Timestamp) {
+        let witnesses = self.own_witnesses();
+        if let Some(name) = self.overdraft.activate(now, &witnesses) {
+            self.inquire(&name, &witnesses, WitnessWish::Activate);
+        }
+    }
+
+    fn own_witnesses(&self) -> Vec<Witness> {
+        let mut overdrafts = self.state.overdrafts();
+        let own = overdrafts.find(|(name, _)| self.wallets.is_own(name));
+        own.map_or_else(Vec::new, |(_, overdraft)| overdraft.witnesses.clone())
+    }
+
+    fn inquire(&mut self, overdraft: &str, witnesses: &[Witness], wish: WitnessWish) {
+        for witness in witnesses {
+            let question = WitnessQuestion {
+                overdraft: overdraft.to_owned(),
+                boot: witness.boot,
+                wish,
+            };
+            let witness = witness.clone();
+            self.inquiries.push(Inquiry { witness, question });
+        }
+    }
+
+    /// Questions to witnesses, each once.
+    pub fn take_inquiries(&mut self) -> Vec<Inquiry> {
+        std::mem::take(&mut self.inquiries)
+    }
+
+    /// Reports a witness's answer; `None` if it gave none.
+    pub fn on_inquiry(
+        &mut self,
+        now: Timestamp,
+        question: &WitnessQuestion,
+        answer: Option<WitnessAnswer>,
+    ) {
+        let overdraft = question.overdraft.as_str();
+        match question.wish {
+            WitnessWish::Fence => {
+                if let Some(answer) = answer {
+                    self.fencing.on_answer(overdraft, question.boot, answer);
+                }
+            }
+            WitnessWish::Activate => {
+                let has_ended = self
+                    .overdraft
+                    .on_answer(now, overdraft, question.boot, answer);
+                if has_ended {
+                    self.answer_jobs(now);
+                }
+            }
+        }
+    }
+
+    /// Answers those of the waiting requests that need no call any more, and those that wait in
+    /// vain while the log is down.
+    fn answer_jobs(&mut self, now: Timestamp) {
+        let is_hopeless = self.is_down() && !self.overdraft.is_activating();
+        for job in std::mem::take(&mut self.jobs) {
+            let reply = match self.answer_at_once(now, &job.request) {
+                Some(reply) => reply,
+                None if is_hopeless && !self.is_in_append(job.ticket) => LedgerReply::Unavailable,
+                None => {
+                    self.jobs.push(job);
+                    continue;
+                }
+            };
+            self.note_answered(job.ticket, &job.request);
+            self.replies.push((job.ticket, reply));
+        }
+    }
+
+    fn is_in_append(&self, ticket: Ticket) -> bool {
+        let replies = self.pending.iter().flat_map(|pending| &pending.replies);
+        replies.into_iter().any(|(other, _)| *other == ticket)
+    }
+
+    /// What an append under way was to bring a request has been given to it already.
+    fn note_answered(&mut self, ticket: Ticket, request: &LedgerRequest) {
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        pending.replies.retain(|(other, _)| *other != ticket);
+        if let LedgerRequest::Begin(begin) = request {
+            let started = &mut pending.plan.started;
+            started.retain(|(_, turn)| *turn != begin.turn);
+        }
+    }
+
+    /// Tells which nodes can witness an overdraft, the foremost first, without this one.
+    pub fn set_witnesses(&mut self, witnesses: Rc<[Witness]>) {
+        self.witnesses = witnesses;
+    }
+
     /// A turn has ended that may not have been granted yet: whoever asked has given up.
     fn abandon(&mut self, program: &str, turn: &str) {
         if let Some(pending) = &mut self.pending {
@@ -196,6 +277,11 @@
         self.is_preferred = is_preferred;
     }
 
+    /// What the overdraft of this owner is good for.
+    pub fn overdraft_use(&self) -> OverdraftUse {
+        self.overdraft.present_use()
+    }
+
     /// Whether the log is taken to be down.
     pub fn is_down(&self) -> bool {
         self.failures_in_a_row >= FAILURES_BEFORE_DOWN
@@ -228,6 +314,7 @@
         let action = self.choose_action(now);
         self.is_calling = !matches!(action, Action::Wait { .. });
         if self.is_calling {
+            self.call_began = now;
             for job in &mut self.jobs {
                 job.came_during_call = false;
             }
@@ -241,12 +328,15 @@
             .closing_since()
             .map(|since| since + self.hold_back());
         let must_settle = settles_from.is_some_and(|from| from <= now);
-        if self.jobs.is_empty() && !must_settle {
+        let must_append = must_settle || self.must_tend_overdrafts(now);
+        if self.jobs.is_empty() && !must_append {
             let idle_from = self
                 .wallets
                 .first_idle()
                 .map(|last| last + self.idle_time());
-            let until = settles_from.into_iter().chain(idle_from).min();
+            let closes_from = self.overdraft.closes_from();
+            let times = [settles_from, idle_from, closes_from];
+            let until = times.into_iter().flatten().min();
             return Action::Wait { until };
         }
         if now < self.paused_until {
@@ -257,7 +347,75 @@
         if !self.is_synced {
             return Action::Read { from: self.end };
         }
-        self.decide(now, must_settle)
+        self.decide(now, must_append)
+    }
+
+    /// Whether an append should not wait for requests: something was drawn that does not stand in
+    /// the log, or an overdraft is to be closed.
+    fn must_tend_overdrafts(&self, now: Timestamp) -> bool {
+        let is_unwanted = !self.is_preferred;
+        self.wallets.has_overdrawn()
+            || self.overdraft.to_close(now, is_unwanted).is_some()
+            || self.is_preferred && self.fencing.unused(&self.state).is_some()
+    }
+
+    /// Adds what closes and opens overdrafts to an append that stands at the end of the log. Must
+    /// come after everything that has been drawn.
+    fn tend_overdrafts(&mut self, now: Timestamp, plan: &mut Plan) {
+        let is_worn = self.is_overdraft_worn();
+        let is_unwanted = !self.is_preferred || is_worn;
+        let mut left = self.state.overdrafts().count();
+        if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
+            let overdraft = overdraft.to_owned();
+            plan.records
+                .push(LedgerRecord::OverdraftClosed { overdraft });
+            self.overdraft.begin_closing(self.end);
+            left -= 1;
+        }
+        if !self.is_preferred {
+            return;
+        }
+        if let Some(overdraft) = self.fencing.unused(&self.state) {
+            let overdraft = overdraft.to_owned();
+            plan.records
+                .push(LedgerRecord::OverdraftClosed { overdraft });
+            left -= 1;
+        }
+        if left == 0 && self.witnesses.len() >= FEWEST_WITNESSES {
+            plan.records.push(LedgerRecord::Overdraft {
+                overdraft: self.wallets.next_name(),
+                share: OVERDRAFT_SHARE,
+                witnesses: self.witnesses.to_vec(),
+                idle_ms: 0,
+            });
+        }
+    }
+
+    /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
+    /// it from being activated.
+    fn is_overdraft_worn(&self) -> bool {
+        let own = self.own_witnesses();
+        let is_present = |witness: &&Witness| self.witnesses.contains(witness);
+        let present = own.iter().filter(is_present).count();
+        let could_be_better = self.witnesses.len() > present;
+        !own.is_empty() && could_be_better && present <= majority(own.len())
+    }
+
+    /// Asks the witnesses of another owner's overdraft whether it was used.
+    fn fence_others(&mut self, now: Timestamp) {
+        if !self.is_preferred {
+            return;
+        }
+        let is_own = |name: &str| self.wallets.is_own(name);
+        let Some(name) = self.fencing.next_question(now, &self.state, is_own) else {
+            return;
+        };
+        let found = self.state.overdrafts().find(|(other, _)| *other == name);
+        let Some((_, overdraft)) = found else {
+            return;
+        };
+        let witnesses = overdraft.witnesses.clone();
+        self.inquire(&name, &witnesses, WitnessWish::Fence);
     }
 
     fn idle_time(&self) -> Duration {
@@ -276,8 +434,11 @@
         }
     }
 
-    fn decide(&mut self, now: Timestamp, must_settle: bool) -> Action {
+    fn decide(&mut self, now: Timestamp, must_append: bool) -> Action {
+        self.fence_others(now);
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
+        plan.is_fencing = self.fencing.is_undecided(now);
+        plan.cover(&self.state, &mut self.wallets);
         let mut appended = Vec::new();
         let mut must_verify = false;
         let mut undecided = std::mem::take(&mut self.jobs).into_iter();
@@ -285,7 +446,7 @@
             && let Some(job) = undecided.next()
         {
             // What another request has brought about may suffice for this one.
-            if let Some(reply) = answer_at_once(&self.state, &mut self.wallets, now, &job.request) {
+            if let Some(reply) = self.answer_at_once(now, &job.request) {
                 self.replies.push((job.ticket, reply));
                 continue;
             }
@@ -305,9 +466,10 @@
             }
         }
         self.jobs.extend(undecided);
-        if appended.is_empty() && !must_settle {
+        if appended.is_empty() && !must_append {
             return self.verify_or_wait(must_verify);
         }
+        self.tend_overdrafts(now, &mut plan);
         let records = plan.records.clone();
         self.pending = Some(PendingAppend {
             plan,
@@ -340,7 +502,7 @@
             return;
         };
         if outcome == AppendOutcome::Done {
-            self.failures_in_a_row = 0;
+            self.note_answer(now);
             self.take_appended(now, pending);
             return;
         }
@@ -352,11 +514,15 @@
         match outcome {
             AppendOutcome::Done => {}
             AppendOutcome::Conflict => {
-                self.failures_in_a_row = 0;
+                self.note_answer(now);
+                self.overdraft.abort_closing();
                 self.conflicts += 1;
                 self.is_synced = false;
             }
-            AppendOutcome::Refused => self.pause(now),
+            AppendOutcome::Refused => {
+                self.overdraft.abort_closing();
+                self.pause(now);
+            }
             AppendOutcome::Unknown => {
                 self.is_synced = false;
                 self.pause(now);
@@ -378,9 +544,21 @@
             self.jobs.retain(|job| job.ticket != ticket);
             self.replies.push((ticket, reply));
         }
+        self.refresh_overdraft();
         self.verify_jobs();
     }
 
+    fn note_answer(&mut self, now: Timestamp) {
+        self.failures_in_a_row = 0;
+        let took = now.since(self.call_began);
+        self.overdraft.note_answer(now, took);
+    }
+
+    fn refresh_overdraft(&mut self) {
+        let is_own = |name: &str| self.wallets.is_own(name);
+        self.overdraft.refresh(&self.state, self.end, is_own);
+    }
+
     /// The call that has just ended has shown the log's end.
     fn verify_jobs(&mut self) {
         for job in &mut self.jobs {
@@ -399,7 +577,7 @@
         self.is_calling = false;
         match outcome {
             ReadOutcome::Records { records, end } => {
-                self.failures_in_a_row = 0;
+                self.note_answer(now);
                 self.take_records(now, records, end);
             }
             ReadOutcome::Gone { first } => {
@@ -423,6 +601,7 @@
         }
         self.is_synced = self.end >= end;
         if self.is_synced {
+            self.refresh_overdraft();
             self.verify_jobs();
         }
     }
@@ -430,6 +609,7 @@
     /// Drops what was last touched longer ago than `retention`.
     pub fn expire(&mut self, now: Timestamp, retention: Duration) {
         self.state.expire(now, retention);
+        self.refresh_overdraft();
     }
 
     /// Records that should be written anew before the log drops them, as an append to carry out;
@@ -456,6 +636,7 @@
 
     /// After a failed call: a pause, and no more waiting once the log is taken to be down.
     fn pause(&mut self, now: Timestamp) {
+        self.overdraft.note_trouble();
         self.failures_in_a_row += 1;
         if !self.is_down() {
             self.paused_until = now + FAILURE_PAUSE;
--- a/crates/gateway-core/src/ledger/pieces.rs
+++ b/crates/gateway-core/src/ledger/pieces.rs
@@ -21,7 +21,10 @@
     let content = match record {
         LedgerRecord::Kept { content, .. } => content.input.len() + content.output.len(),
         LedgerRecord::Account { open, .. } => open.len() * RECORD_OVERHEAD,
-        LedgerRecord::Reserved { .. } | LedgerRecord::Settled { .. } => 0,
+        LedgerRecord::Overdraft { witnesses, .. } => witnesses.len() * RECORD_OVERHEAD,
+        LedgerRecord::Reserved { .. }
+        | LedgerRecord::Settled { .. }
+        | LedgerRecord::OverdraftClosed { .. } => 0,
     };
     content + RECORD_OVERHEAD
 }
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -10,6 +10,7 @@
 use elderworks_types::Timestamp;
 
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes, kept_records};
+use super::wallet::signed;
 use super::wallets::Wallets;
 use super::{Account, LedgerState};
 
@@ -25,6 +26,18 @@
 /// that is lost had set aside counts in full afterwards.
 pub const OTHERS_PATIENCE: Duration = Duration::from_secs(4);
 
+/// What a turn may draw on beside its program's advances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Credit {
+    /// Nothing.
+    None,
+    /// The owner's overdraft.
+    Overdraft {
+        /// See [`super::overdraft::OVERDRAFT_SHARE`].
+        share: u64,
+    },
+}
+
 /// What is to be done for a request that cannot be answered at once.
 #[derive(Debug)]
 pub(super) enum Planned {
@@ -42,6 +55,8 @@
     pub(super) records: Vec<LedgerRecord>,
     /// Turns that were started on advances of this plan, by program.
     pub(super) started: Vec<(String, String)>,
+    /// Whether another owner's overdraft may soon be closed as unused.
+    pub(super) is_fencing: bool,
     accounts: HashMap<String, Account>,
     advanced: HashMap<String, u64>,
 }
@@ -52,15 +67,18 @@
     state: &LedgerState,
     wallets: &mut Wallets,
     now: Timestamp,
+    credit: Credit,
     request: &LedgerRequest,
 ) -> Option<LedgerReply> {
     match request {
-        LedgerRequest::Begin(begin) => begin_at_once(state, wallets, now, begin),
+        LedgerRequest::Begin(begin) => begin_at_once(state, wallets, now, credit, begin),
         LedgerRequest::Finish(finish) => finish_at_once(state, wallets, now, finish),
         LedgerRequest::Conversation { turn } => {
             let conversation = state.conversation(turn)?;
             Some(LedgerReply::Conversation { conversation })
         }
+        // Witnesses are asked by node, not by partition.
+        LedgerRequest::Witness(_) => Some(LedgerReply::Unavailable),
     }
 }
 
@@ -68,6 +86,7 @@
     state: &LedgerState,
     wallets: &mut Wallets,
     now: Timestamp,
+    credit: Credit,
     begin: &BeginTurn,
 ) -> Option<LedgerReply> {
     let conversation = match &begin.previous {
@@ -81,21 +100,68 @@
         if generated > 0 && generated + begin.tokens > budget && !is_running {
             return Some(LedgerReply::BudgetSpent);
         }
-        let wallet = wallets.get_mut(&begin.program)?;
-        if wallet.is_running(&begin.turn) {
-            // Asked again. A negative balance waits for an advance that is not durable yet.
-            if wallet.free() < 0 {
-                return None;
-            }
-        } else if wallet.free() >= signed(begin.tokens) {
-            wallet.start(now, begin.turn.clone(), begin.tokens);
-        } else {
+        if !draw_advance(wallets, now, begin)
+            && !draw_overdraft(state, wallets, now, credit, begin, budget)
+        {
             return None;
         }
     }
     Some(LedgerReply::Granted { conversation })
 }
 
+/// Whether the program's advances hold the turn.
+fn draw_advance(wallets: &mut Wallets, now: Timestamp, begin: &BeginTurn) -> bool {
+    let Some(wallet) = wallets.get_mut(&begin.program) else {
+        return false;
+    };
+    if wallet.is_running(&begin.turn) {
+        // Asked again. A negative balance waits for an advance that is not durable yet.
+        return wallet.free() >= 0;
+    }
+    let is_held = wallet.free() >= signed(begin.tokens);
+    if is_held {
+        wallet.start(now, begin.turn.clone(), begin.tokens);
+    }
+    is_held
+}
+
+/// Whether the turn may run on the overdraft: the program has drawn no more than its share, and its
+/// budget holds the turn as far as is known here.
+fn draw_overdraft(
+    state: &LedgerState,
+    wallets: &mut Wallets,
+    now: Timestamp,
+    credit: Credit,
+    begin: &BeginTurn,
+    budget: u64,
+) -> bool {
+    let Credit::Overdraft { share } = credit else {
+        return false;
+    };
+    let program = &begin.program;
+    let is_running = wallets.is_running(program, &begin.turn);
+    let with_turn = if is_running {
+        wallets.drawn(program)
+    } else {
+        wallets.drawn(program) + begin.tokens
+    };
+    if with_turn.saturating_sub(begin.tokens) > budget / share.max(1) {
+        return false;
+    }
+    let is_own = |name: &str| wallets.is_own(name);
+    let set_aside = state.reserved(program, is_own);
+    let committed = state.account(program).map_or(0, Account::committed);
+    let others = state.overdrawn_by_others(program, budget, is_own);
+    if committed + others + with_turn.saturating_sub(set_aside) > budget {
+        return false;
+    }
+    if !is_running {
+        let wallet = wallets.entry(program);
+        wallet.start(now, begin.turn.clone(), begin.tokens);
+    }
+    true
+}
+
 /// Tokens that a program's ended turns have surely generated, as far as known here. This never
 /// falls, unlike what is set aside.
 fn tokens_generated(state: &LedgerState, wallets: &Wallets, program: &str) -> u64 {
@@ -167,6 +233,15 @@
             LedgerRequest::Conversation { .. } => {
                 Planned::AnswerIfCurrent(LedgerReply::UnknownTurn)
             }
+            LedgerRequest::Witness(_) => Planned::AnswerIfCurrent(LedgerReply::Unavailable),
+        }
+    }
+
+    /// Sets aside what programs have drawn on the overdraft.
+    pub(super) fn cover(&mut self, state: &LedgerState, wallets: &mut Wallets) {
+        for (program, tokens) in wallets.overdrawn() {
+            let reservation = wallets.next_name();
+            self.reserve(state, &program, reservation, tokens);
         }
     }
 
@@ -188,8 +263,11 @@
                 return Planned::DecideAfterAppend;
             }
             let is_own = |reservation: &str| wallets.is_own(reservation);
-            let others =
-                state.lately_reserved_by_others(&begin.program, now, OTHERS_PATIENCE, is_own);
+            let program = &begin.program;
+            let mut others = state.lately_reserved_by_others(program, now, OTHERS_PATIENCE, is_own);
+            if self.is_fencing {
+                others += state.overdrawn_by_others(program, budget, is_own);
+            }
             return Planned::AnswerIfCurrent(shortage.reply(others));
         }
         if let Some((turn, content)) = import {
@@ -217,16 +295,18 @@
         let free = wallet.map_or(0, |wallet| wallet.free()) + signed(planned);
         let missing = u64::try_from(signed(begin.tokens) - free).unwrap_or(0);
         if missing > 0 {
+            let is_own = |name: &str| wallets.is_own(name);
+            let others = state.overdrawn_by_others(program, budget, is_own);
             let account = self.account(state, program);
-            if !account.allows(budget, missing) {
-                let wanted = account.committed() + missing;
+            let wanted = account.committed() + others + missing;
+            if !account.allows(budget.saturating_sub(others), missing) {
                 return Err(Shortage {
                     tokens: wanted - budget,
                 });
             }
-            let left = budget - account.committed() - missing;
+            let left = budget - wanted;
             let extra = (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE);
-            let reservation = wallets.next_advance_id();
+            let reservation = wallets.next_name();
             self.reserve(state, program, reservation, missing + extra);
         }
         wallets
@@ -296,7 +376,3 @@
     };
     Some((imported, Some((previous.clone(), content))))
 }
-
-fn signed(tokens: u64) -> i64 {
-    i64::try_from(tokens).unwrap_or(i64::MAX)
-}
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use elderworks_protocol::ledger::{KeptTurn, LedgerRecord};
+use elderworks_protocol::ledger::{KeptTurn, LedgerRecord, Witness};
 use elderworks_types::Timestamp;
 
 use super::Account;
+use super::overdraft::owner_of;
 
 /// Turns are held this long after they were last touched, unless the configuration keeps them for
 /// longer.
@@ -17,6 +18,11 @@
 /// minutes, and must not find its budget whole again. Longer where turns are held longer.
 pub const ACCOUNT_RETENTION: Duration = Duration::from_secs(600);
 
+/// An overdraft counts until its owner has given no sign of life in the log for this long: twice as
+/// long as a program that draws on it may rest, and four times as long as an owner may use it
+/// without a call to the log that succeeds.
+pub const OVERDRAFT_RETENTION: Duration = Duration::from_secs(1_200);
+
 /// Records older than this are written anew while what they say still counts. Well under the
 /// shortest history that the log keeps.
 const REWRITE_AFTER: Duration = Duration::from_secs(100);
@@ -40,11 +46,22 @@
     written: Timestamp,
 }
 
-/// Accounts and kept turns of one partition.
+/// An overdraft that has not been closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenOverdraft {
+    /// A turn may begin on it while the program has drawn no more than one part in so many of its
+    /// budget.
+    pub share: u64,
+    /// The nodes that know whether it is used.
+    pub witnesses: Vec<Witness>,
+}
+
+/// Accounts, kept turns and overdrafts of one partition.
 #[derive(Debug, Default)]
 pub struct LedgerState {
     accounts: BTreeMap<String, DatedAccount>,
     turns: BTreeMap<String, Dated<KeptTurn>>,
+    overdrafts: BTreeMap<String, Dated<OpenOverdraft>>,
 }
 
 impl LedgerState {
@@ -56,6 +73,7 @@
                 reservation,
                 tokens,
             } => {
+                self.note_owner(now, &reservation);
                 let entry = self.account_entry(now, program);
                 entry.reserved.insert(reservation.clone(), now);
                 entry.account.reserve(reservation, tokens);
@@ -65,6 +83,7 @@
                 reservation,
                 used,
             } => {
+                self.note_owner(now, &reservation);
                 let entry = self.account_entry(now, program);
                 entry.reserved.remove(&reservation);
                 entry.account.settle(&reservation, used);
@@ -90,9 +109,74 @@
                 let open = entry.account.open.keys();
                 entry.reserved = open.map(|name| (name.clone(), seen(name))).collect();
             }
+            LedgerRecord::Overdraft {
+                overdraft,
+                share,
+                witnesses,
+                idle_ms,
+            } => {
+                let idle = Duration::from_millis(idle_ms);
+                let dated = Dated {
+                    value: OpenOverdraft { share, witnesses },
+                    touched: now - idle,
+                    written: now,
+                };
+                self.overdrafts.insert(overdraft, dated);
+            }
+            LedgerRecord::OverdraftClosed { overdraft } => {
+                self.overdrafts.remove(&overdraft);
+            }
         }
     }
 
+    /// A record shows that its owner lives, so its overdraft may still be used.
+    fn note_owner(&mut self, now: Timestamp, reservation: &str) {
+        let owner = owner_of(reservation);
+        for (name, dated) in &mut self.overdrafts {
+            if owner_of(name) == owner {
+                dated.touched = now;
+            }
+        }
+    }
+
+    /// Overdrafts that have not been closed, by name.
+    pub fn overdrafts(&self) -> impl Iterator<Item = (&str, &OpenOverdraft)> {
+        let open = self.overdrafts.iter();
+        open.map(|(name, dated)| (name.as_str(), &dated.value))
+    }
+
+    /// Tokens that other owners may have let a program generate on their overdrafts, beyond what
+    /// stands in the log. `is_own` tells which overdrafts are the asker's.
+    ///
+    /// An owner lets a turn begin while the program has drawn a share of its budget or less, so it
+    /// can have let it draw that share and one turn. The one turn is not counted: the users'
+    /// rules allow a program to exceed its budget by the most of one turn, and only one overdraft
+    /// is open in a partition.
+    pub fn overdrawn_by_others(
+        &self,
+        program: &str,
+        budget: u64,
+        is_own: impl Fn(&str) -> bool,
+    ) -> u64 {
+        let others = self.overdrafts().filter(|(name, _)| !is_own(name));
+        others
+            .map(|(name, overdraft)| {
+                let owner = owner_of(name);
+                let limit = budget / overdraft.share.max(1);
+                limit.saturating_sub(self.reserved(program, |other| owner_of(other) == owner))
+            })
+            .sum()
+    }
+
+    /// Tokens set aside for a program on reservations that `is_wanted` takes.
+    pub fn reserved(&self, program: &str, is_wanted: impl Fn(&str) -> bool) -> u64 {
+        let Some(account) = self.account(program) else {
+            return 0;
+        };
+        let wanted = account.open.iter().filter(|(name, _)| is_wanted(name));
+        wanted.map(|(_, tokens)| tokens).sum()
+    }
+
     /// The account of a program, if it has one.
     pub fn account(&self, program: &str) -> Option<&Account> {
         self.accounts.get(program).map(|dated| &dated.account)
@@ -157,6 +241,8 @@
         let for_accounts = retention.max(ACCOUNT_RETENTION);
         self.accounts
             .retain(|_, dated| now.since(dated.touched) < for_accounts);
+        self.overdrafts
+            .retain(|_, dated| now.since(dated.touched) < OVERDRAFT_RETENTION);
         let kept = self.turns_with_ancestors(|dated| now.since(dated.touched) < retention);
         self.turns.retain(|turn, _| kept.contains(turn));
     }
@@ -200,7 +286,17 @@
                 turn: turn.clone(),
                 content: dated.value.clone(),
             });
-        accounts.chain(turns).collect()
+        let overdrafts = self
+            .overdrafts
+            .iter()
+            .filter(|(_, dated)| now.since(dated.written) >= REWRITE_AFTER)
+            .map(|(overdraft, dated)| LedgerRecord::Overdraft {
+                overdraft: overdraft.clone(),
+                share: dated.value.share,
+                witnesses: dated.value.witnesses.clone(),
+                idle_ms: u64::try_from(now.since(dated.touched).as_millis()).unwrap_or(u64::MAX),
+            });
+        accounts.chain(turns).chain(overdrafts).collect()
     }
 
     /// How many accounts and turns are held.
--- a/crates/gateway-core/src/ledger/wallet.rs
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -41,6 +41,11 @@
     since: Timestamp,
 }
 
+/// Tokens as a signed number.
+pub(super) fn signed(tokens: u64) -> i64 {
+    i64::try_from(tokens).unwrap_or(i64::MAX)
+}
+
 /// Advances of one program at one owner.
 #[derive(Debug, Default)]
 pub struct Wallet {
@@ -55,9 +60,7 @@
     /// appended.
     pub fn free(&self) -> i64 {
         let advanced: u64 = self.advances.iter().map(|advance| advance.tokens).sum();
-        let running: u64 = self.running.values().map(|turn| turn.most).sum();
-        let spent = self.consumed + running;
-        i64::try_from(advanced).unwrap_or(i64::MAX) - i64::try_from(spent).unwrap_or(i64::MAX)
+        signed(advanced) - signed(self.drawn())
     }
 
     /// Tokens that ended turns have generated.
@@ -65,6 +68,17 @@
         self.consumed
     }
 
+    /// Tokens of ended turns and the most of running ones.
+    pub fn drawn(&self) -> u64 {
+        let running: u64 = self.running.values().map(|turn| turn.most).sum();
+        self.consumed + running
+    }
+
+    /// Tokens drawn beyond what is set aside.
+    pub fn overdrawn(&self) -> u64 {
+        u64::try_from(-self.free()).unwrap_or(0)
+    }
+
     /// Takes an advance in, once.
     pub fn add(&mut self, now: Timestamp, advance: Advance) {
         if !self.advances.iter().any(|known| known.id == advance.id) {
@@ -110,9 +124,11 @@
         }
     }
 
-    /// Whether no turn is running and none has been for `idle`.
+    /// Whether no turn is running and none has been for `idle`. A wallet that is overdrawn is not
+    /// idle: what was drawn is to be set aside first.
     pub fn is_idle(&self, now: Timestamp, idle: Duration) -> bool {
-        self.running.is_empty() && now.since(self.last_used) >= idle
+        let is_resting = self.running.is_empty() && now.since(self.last_used) >= idle;
+        is_resting && self.overdrawn() == 0
     }
 
     /// When an idle wallet was last used.
--- a/crates/gateway-core/src/ledger/wallets.rs
+++ b/crates/gateway-core/src/ledger/wallets.rs
@@ -22,7 +22,7 @@
 pub(super) struct Wallets {
     /// Names this owner on the log; never used by another, nor by an earlier start of it.
     owner: String,
-    advances_made: u64,
+    names_made: u64,
     wallets: BTreeMap<String, Wallet>,
     closing: Vec<Closing>,
 }
@@ -31,16 +31,16 @@
     pub(super) fn new(owner: String) -> Self {
         Self {
             owner,
-            advances_made: 0,
+            names_made: 0,
             wallets: BTreeMap::new(),
             closing: Vec::new(),
         }
     }
 
-    /// A name for a new advance.
-    pub(super) fn next_advance_id(&mut self) -> String {
-        self.advances_made += 1;
-        format!("{}/{}", self.owner, self.advances_made)
+    /// A name for a new advance or overdraft.
+    pub(super) fn next_name(&mut self) -> String {
+        self.names_made += 1;
+        format!("{}/{}", self.owner, self.names_made)
     }
 
     pub(super) fn get(&self, program: &str) -> Option<&Wallet> {
@@ -60,12 +60,36 @@
     /// Tokens generated on this owner's advances to a program that are not settled yet.
     pub(super) fn unsettled_use(&self, program: &str) -> u64 {
         let wallet = self.wallets.get(program);
+        wallet.map_or(0, Wallet::consumed) + self.used_in_closing(program)
+    }
+
+    fn used_in_closing(&self, program: &str) -> u64 {
         let closing = self.closing.iter();
-        let in_closing: u64 = closing
+        closing
             .filter(|closing| closing.program == program)
             .map(|closing| closing.used)
-            .sum();
-        wallet.map_or(0, Wallet::consumed) + in_closing
+            .sum()
+    }
+
+    /// Tokens that turns of a program draw on this owner's advances and overdraft, as far as they
+    /// are not settled yet.
+    pub(super) fn drawn(&self, program: &str) -> u64 {
+        let wallet = self.wallets.get(program);
+        wallet.map_or(0, Wallet::drawn) + self.used_in_closing(program)
+    }
+
+    /// Programs that have drawn more than is set aside for them, with how much.
+    pub(super) fn overdrawn(&self) -> Vec<(String, u64)> {
+        let overdrawn = self.wallets.iter();
+        overdrawn
+            .map(|(program, wallet)| (program.clone(), wallet.overdrawn()))
+            .filter(|(_, tokens)| *tokens > 0)
+            .collect()
+    }
+
+    /// Whether any program has drawn more than is set aside for it.
+    pub(super) fn has_overdrawn(&self) -> bool {
+        self.wallets.values().any(|wallet| wallet.overdrawn() > 0)
     }
 
     /// The wallet of a program, empty if it has none.
--- a/crates/gateway-core/src/nodes.rs
+++ b/crates/gateway-core/src/nodes.rs
@@ -21,6 +21,8 @@
     pub millicores: u32,
     /// Whether it is leaving in order.
     pub draining: bool,
+    /// Names this start of the node, by chance: what it remembered before is gone.
+    pub boot: u64,
 }
 
 /// A record together with its position in the directory, which orders the starts of a node.
--- a/crates/gateway-core/tests/nodes.rs
+++ b/crates/gateway-core/tests/nodes.rs
@@ -21,6 +21,7 @@
             region: "r".to_owned(),
             millicores: *millicores,
             draining: false,
+            boot: 0,
         };
         directory.upsert(NodeId::new(name), Incarnation(1), record);
     }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use elderworks_gateway_core::ledger::WitnessMemory;
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
 use elderworks_types::{NodeId, PartitionId};
 use futures_util::StreamExt;
@@ -25,6 +26,8 @@
 pub(crate) struct Ledger {
     partitions: u32,
     tasks: RefCell<HashMap<PartitionId, mpsc::UnboundedSender<Job>>>,
+    /// What this node witnesses for other owners.
+    witness: RefCell<WitnessMemory>,
 }
 
 impl Ledger {
@@ -33,8 +36,14 @@
         Self {
             partitions,
             tasks: RefCell::default(),
+            witness: RefCell::new(WitnessMemory::new(rand::random())),
         }
     }
+
+    /// Names this start of the node.
+    pub(crate) fn boot(&self) -> u64 {
+        self.witness.borrow().boot()
+    }
 }
 
 /// The nodes to which requests for a turn went, whether or not they replied: any of them may have
@@ -197,6 +206,10 @@
     partition: PartitionId,
     request: LedgerRequest,
 ) -> LedgerReply {
+    if let LedgerRequest::Witness(question) = &request {
+        let mut witness = gateway.ledger.witness.borrow_mut();
+        return LedgerReply::Witness(witness.answer(gateway.now(), question));
+    }
     let (reply, answered) = oneshot::channel();
     let task = gateway
         .ledger
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -8,10 +8,13 @@
 use bytes::Bytes;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::ledger::{
-    Action, AppendOutcome, PartitionOwner, RETENTION, ReadOutcome, Ticket,
+    Action, AppendOutcome, Inquiry, OverdraftUse, PartitionOwner, RETENTION, ReadOutcome,
+    SLOW_CALL, Ticket,
 };
 use elderworks_gateway_core::response_time::ResponseTimer;
-use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{
+    LedgerRecord, LedgerReply, LedgerRequest, WitnessAnswer, WitnessQuestion,
+};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{Offset, PartitionId, Timestamp};
 use tokio::sync::{mpsc, oneshot};
@@ -35,6 +38,7 @@
 /// Starts to act for a partition.
 pub(super) fn spawn(gateway: &Rc<Gateway>, partition: PartitionId) -> mpsc::UnboundedSender<Job> {
     let (sender, jobs) = mpsc::unbounded_channel();
+    let (heard, answers) = mpsc::unbounded_channel();
     let driver = Driver {
         gateway: gateway.clone(),
         partition,
@@ -42,11 +46,22 @@
         waiting: HashMap::new(),
         conflicts_counted: 0,
         page_bytes: Some(PAGE_BYTES),
+        overdraft_use: OverdraftUse::None,
+        heard,
     };
-    actix_rt::spawn(driver.run(jobs));
+    actix_rt::spawn(driver.run(Inbox { jobs, answers }));
     sender
 }
 
+/// What a witness has answered, `None` if nothing came.
+type Heard = (WitnessQuestion, Option<WitnessAnswer>);
+
+/// What comes to an owner.
+struct Inbox {
+    jobs: mpsc::UnboundedReceiver<Job>,
+    answers: mpsc::UnboundedReceiver<Heard>,
+}
+
 /// A name that no other start of a node bears.
 fn owner_name(gateway: &Gateway) -> String {
     format!("{}#{:016x}", gateway.settings.node, rand::random::<u64>())
@@ -60,29 +75,36 @@
     conflicts_counted: u64,
     /// Most bytes of the next read.
     page_bytes: Option<usize>,
+    /// As last logged.
+    overdraft_use: OverdraftUse,
+    /// Where answers of witnesses go.
+    heard: mpsc::UnboundedSender<Heard>,
 }
 
 impl Driver {
-    async fn run(mut self, mut jobs: mpsc::UnboundedReceiver<Job>) {
+    async fn run(mut self, mut inbox: Inbox) {
         let mut upkeep = actix_rt::time::interval(UPKEEP_INTERVAL);
         loop {
-            while let Ok(job) = jobs.try_recv() {
+            while let Ok(job) = inbox.jobs.try_recv() {
                 self.submit(job);
             }
             self.owner.set_preferred(self.is_preferred());
+            let witnesses = self.gateway.peers.witnesses(&self.gateway, self.partition);
+            self.owner.set_witnesses(witnesses);
             let action = self.owner.next_action(self.gateway.now());
-            self.hand_on_replies();
+            self.hand_on();
             let Action::Wait { until } = action else {
-                self.carry_out(action, &mut jobs).await;
+                self.carry_out(action, &mut inbox).await;
                 continue;
             };
             tokio::select! {
-                job = jobs.recv() => match job {
+                job = inbox.jobs.recv() => match job {
                     Some(job) => self.submit(job),
                     None => return,
                 },
+                Some(heard) = inbox.answers.recv() => self.hear(&heard),
                 () = sleep_until(&self.gateway, until) => {}
-                _ = upkeep.tick() => self.keep_up(&mut jobs).await,
+                _ = upkeep.tick() => self.keep_up(&mut inbox).await,
             }
         }
     }
@@ -93,6 +115,40 @@
         self.owner.submit(self.gateway.now(), ticket, request);
     }
 
+    fn hear(&mut self, (question, answer): &Heard) {
+        self.owner.on_inquiry(self.gateway.now(), question, *answer);
+    }
+
+    /// Hands on what the owner has decided: replies, and questions to witnesses.
+    fn hand_on(&mut self) {
+        self.hand_on_replies();
+        for inquiry in self.owner.take_inquiries() {
+            let asking = inquire(self.gateway.clone(), self.partition, inquiry);
+            let heard = self.heard.clone();
+            actix_rt::spawn(async move {
+                // The owner lives as long as the process.
+                let _ = heard.send(asking.await);
+            });
+        }
+        self.log_overdraft();
+    }
+
+    fn log_overdraft(&mut self) {
+        let present = self.owner.overdraft_use();
+        if present == self.overdraft_use {
+            return;
+        }
+        log::info!(
+            partition = self.partition.0, before:? = self.overdraft_use, now:? = present,
+            end = self.owner.end().0;
+            "use of the overdraft changed"
+        );
+        if present == OverdraftUse::Active {
+            self.gateway.metrics.overdrafts_activated.inc();
+        }
+        self.overdraft_use = present;
+    }
+
     fn hand_on_replies(&mut self) {
         for (ticket, reply) in self.owner.take_replies() {
             if let Some(waiting) = self.waiting.remove(&ticket) {
@@ -103,18 +159,18 @@
     }
 
     /// Carries an action out, and takes requests meanwhile.
-    async fn carry_out(&mut self, action: Action, jobs: &mut mpsc::UnboundedReceiver<Job>) {
+    async fn carry_out(&mut self, action: Action, inbox: &mut Inbox) {
         match action {
             Action::Read { from } => {
                 let call = read(self.gateway.clone(), self.partition, from, self.page_bytes);
-                let read = self.take_jobs_until(call, jobs).await;
+                let read = self.attend_until(call, inbox).await;
                 self.page_bytes = next_page_bytes(from, &read);
                 let outcome = read_outcome(self.partition, from, read);
                 self.owner.on_read(self.gateway.now(), outcome);
             }
             Action::Append { at, records } => {
                 let call = append(self.gateway.clone(), self.partition, at, records);
-                let outcome = self.take_jobs_until(call, jobs).await;
+                let outcome = self.attend_until(call, inbox).await;
                 self.owner.on_append(self.gateway.now(), outcome);
             }
             Action::Wait { .. } => {}
@@ -127,26 +183,27 @@
 
     /// Waits for a call to the log; requests that come meanwhile are taken, and answered if that
     /// needs no call.
-    async fn take_jobs_until<T>(
-        &mut self,
-        call: impl Future<Output = T>,
-        jobs: &mut mpsc::UnboundedReceiver<Job>,
-    ) -> T {
+    async fn attend_until<T>(&mut self, call: impl Future<Output = T>, inbox: &mut Inbox) -> T {
         let mut call = std::pin::pin!(call);
+        let mut slow = std::pin::pin!(actix_rt::time::sleep(SLOW_CALL));
+        let mut is_slow = false;
         loop {
             tokio::select! {
                 biased;
                 outcome = &mut call => return outcome,
-                Some(job) = jobs.recv() => {
-                    self.submit(job);
-                    self.hand_on_replies();
+                Some(job) = inbox.jobs.recv() => self.submit(job),
+                Some(heard) = inbox.answers.recv() => self.hear(&heard),
+                () = &mut slow, if !is_slow => {
+                    is_slow = true;
+                    self.owner.note_slow_call(self.gateway.now());
                 }
             }
+            self.hand_on();
         }
     }
 
     /// Drops what is no longer kept; the first candidate writes anew what the log would lose.
-    async fn keep_up(&mut self, jobs: &mut mpsc::UnboundedReceiver<Job>) {
+    async fn keep_up(&mut self, inbox: &mut Inbox) {
         let now = self.gateway.now();
         self.owner.expire(now, self.retention());
         if !self.is_preferred() {
@@ -156,7 +213,7 @@
             let Some(action) = self.owner.plan_rewrite(now) else {
                 return;
             };
-            self.carry_out(action, jobs).await;
+            self.carry_out(action, inbox).await;
         }
     }
 
@@ -175,6 +232,30 @@
     }
 }
 
+/// Puts a question to a witness, which may be this node.
+async fn inquire(gateway: Rc<Gateway>, partition: PartitionId, inquiry: Inquiry) -> Heard {
+    let Inquiry { witness, question } = inquiry;
+    let request = LedgerRequest::Witness(question.clone());
+    let reply = if witness.node == gateway.settings.node {
+        super::carry_out(&gateway, partition, request).await
+    } else {
+        let asked = gateway
+            .peers
+            .ask(&gateway, &witness.node, partition, request);
+        asked.await.unwrap_or(LedgerReply::Unavailable)
+    };
+    let answer = match reply {
+        LedgerReply::Witness(answer) => Some(answer),
+        _ => None,
+    };
+    log::info!(
+        partition = partition.0, overdraft = question.overdraft.as_str(),
+        witness = witness.node.as_str(), wish:? = question.wish, answer:? = answer;
+        "witness asked"
+    );
+    (question, answer)
+}
+
 /// The size of the next read: a page, unless the last one did not suffice for a single record.
 fn next_page_bytes(from: Offset, read: &Result<ReadBatch, StoreError>) -> Option<usize> {
     match read {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     pub(crate) worker_connections: Counter,
     pub(crate) ledger_conflicts: Counter,
     pub(crate) ledger_forwarded: Counter,
+    pub(crate) overdrafts_activated: Counter,
     pub(crate) log_calls: Family<LogCallLabel, Counter>,
     pub(crate) in_flight: Gauge,
     pub(crate) workers: Gauge,
@@ -65,6 +66,7 @@
             worker_connections: Counter::default(),
             ledger_conflicts: Counter::default(),
             ledger_forwarded: Counter::default(),
+            overdrafts_activated: Counter::default(),
             log_calls: Family::default(),
             in_flight: Gauge::default(),
             workers: Gauge::default(),
@@ -120,6 +122,11 @@
             "Connections made to workers",
             self.worker_connections.clone(),
         );
+        registry.register(
+            "overdrafts_activated",
+            "Times that a partition's owner began to let turns run on its overdraft",
+            self.overdrafts_activated.clone(),
+        );
         registry.register(
             "ledger_conflicts",
             "Appends to a partition that another node had appended to",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,11 +9,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use elderworks_gateway_core::ledger::MOST_WITNESSES;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::ownership::rank_owners;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
 use elderworks_protocol::gossip::{Datagram, MemberState};
-use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest, Witness};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
 use tokio::net::UdpSocket;
@@ -67,6 +68,8 @@
     alive: RefCell<BTreeSet<NodeId>>,
     /// What [`Self::ranking`] has worked out since the last change.
     rankings: RefCell<HashMap<PartitionId, Rc<[NodeId]>>>,
+    /// The same for [`Self::witnesses`].
+    witnesses: RefCell<HashMap<PartitionId, Rc<[Witness]>>>,
     links: RefCell<HashMap<NodeId, Link>>,
     avoided: RefCell<HashMap<NodeId, Instant>>,
 }
@@ -80,6 +83,7 @@
             presumes_until: Cell::default(),
             alive: RefCell::default(),
             rankings: RefCell::default(),
+            witnesses: RefCell::default(),
             links: RefCell::default(),
             avoided: RefCell::default(),
         }
@@ -104,6 +108,33 @@
             .collect()
     }
 
+    /// Nodes that can remember something of a partition for this one, the foremost candidates first.
+    pub(crate) fn witnesses(&self, gateway: &Gateway, partition: PartitionId) -> Rc<[Witness]> {
+        if let Some(known) = self.witnesses.borrow().get(&partition) {
+            return known.clone();
+        }
+        let witnesses = self.choose_witnesses(gateway, partition);
+        self.witnesses
+            .borrow_mut()
+            .insert(partition, witnesses.clone());
+        witnesses
+    }
+
+    fn choose_witnesses(&self, gateway: &Gateway, partition: PartitionId) -> Rc<[Witness]> {
+        let ranking = self.ranking(gateway, partition);
+        let nodes = gateway.nodes.borrow();
+        let others = ranking.iter().filter(|node| **node != self.own);
+        let listed = others.filter_map(|node| Some((node, &nodes.get(node)?.record)));
+        listed
+            .filter(|(_, record)| !record.draining)
+            .map(|(node, record)| Witness {
+                node: node.clone(),
+                boot: record.boot,
+            })
+            .take(MOST_WITNESSES)
+            .collect()
+    }
+
     /// The living nodes in the order in which they should act for a partition.
     fn ranking(&self, gateway: &Gateway, partition: PartitionId) -> Rc<[NodeId]> {
         if let Some(known) = self.rankings.borrow().get(&partition) {
@@ -123,6 +154,7 @@
     /// Notes that nodes have come, gone or changed.
     pub(crate) fn note_changes(&self, nodes: &NodeDirectory) {
         self.rankings.borrow_mut().clear();
+        self.witnesses.borrow_mut().clear();
         let membership = self.membership.borrow();
         let mut alive = BTreeSet::new();
         let mut heard_of = BTreeSet::new();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -236,6 +236,7 @@
         region: settings.region.clone(),
         millicores: settings.millicores,
         draining,
+        boot: gateway.ledger.boot(),
     };
     let value = encode(&record).into();
     let offset = gateway
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -52,6 +52,65 @@
         /// Its other reservations with the tokens of each.
         open: Vec<(String, u64)>,
     },
+    /// An owner may let turns run before their tokens are set aside, once a majority of the
+    /// witnesses knows that it does. Until the overdraft is closed, others count on its use.
+    Overdraft {
+        /// Names the overdraft; begins with the owner's name.
+        overdraft: String,
+        /// A turn may begin on it while the program has drawn no more than one part in so many of
+        /// its budget.
+        share: u64,
+        /// The nodes that are told before it is used.
+        witnesses: Vec<Witness>,
+        /// Time since the owner last gave a sign of life in this log, as known to whoever writes
+        /// the record, in milliseconds.
+        idle_ms: u64,
+    },
+    /// An overdraft ended: all that was drawn on it stands in the records before.
+    OverdraftClosed {
+        /// Names the overdraft.
+        overdraft: String,
+    },
+}
+
+/// A start of a node that remembers whether an overdraft is used.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Witness {
+    /// The node.
+    pub node: NodeId,
+    /// Names the start: a node that was restarted remembers nothing of before.
+    pub boot: u64,
+}
+
+/// What a witness is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WitnessWish {
+    /// Remember that the overdraft is used.
+    Activate,
+    /// Let it not be activated any more.
+    Fence,
+}
+
+/// A question to a witness of an overdraft.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessQuestion {
+    /// The overdraft.
+    pub overdraft: String,
+    /// The start of the node that is asked.
+    pub boot: u64,
+    /// What it is asked for.
+    pub wish: WitnessWish,
+}
+
+/// What a witness knows of an overdraft after a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WitnessAnswer {
+    /// It is used.
+    Activated,
+    /// It will not be activated here any more.
+    Fenced,
+    /// The question was for an earlier start, or too long ago.
+    Unknown,
 }
 
 /// A request to the owner of a partition.
@@ -66,6 +125,8 @@
         /// The turn.
         turn: String,
     },
+    /// A question to the node as a witness; it need not act for the partition.
+    Witness(WitnessQuestion),
 }
 
 /// Asks for leave to run a turn.
@@ -123,6 +184,8 @@
     /// Whether the budget holds the turn depends on what another owner has set aside and will soon
     /// settle; nothing was done.
     BudgetUnsure,
+    /// A witness's answer.
+    Witness(WitnessAnswer),
 }
 
 /// A frame between gateways: a request, what becomes of it, or news that asks for no reply.
--- a/crates/types/src/units.rs
+++ b/crates/types/src/units.rs
@@ -30,6 +30,15 @@
     }
 }
 
+impl Sub<Duration> for Timestamp {
+    type Output = Timestamp;
+
+    fn sub(self, duration: Duration) -> Timestamp {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(micros))
+    }
+}
+
 macro_rules! amount_type {
     ($(#[$doc:meta])* $name:ident, $unit:literal) => {
         $(#[$doc])*
