Log lines of requests say when leave and the first event came, and the program's time left; denials are unsure for one round

Change: finish_ms, session, leave_ms, first_ms in the line; a denial that rests on another owner's overdraft is unsure for the first round of questions only.

--- a/crates/gateway-core/src/call.rs
+++ b/crates/gateway-core/src/call.rs
@@ -24,6 +24,8 @@
     pub program: Option<String>,
     /// Line of turns within the program.
     pub session: Option<String>,
+    /// Time left from now before the whole program should be over.
+    pub finish: Option<Duration>,
     /// Tokens that all turns of the program may generate together.
     pub token_budget: Option<u64>,
     /// Tokens that this turn generates at most.
--- a/crates/gateway-core/src/ledger/fencing.rs
+++ b/crates/gateway-core/src/ledger/fencing.rs
@@ -23,7 +23,9 @@
     fenced: BTreeSet<u64>,
     /// Whether a witness knows that it is used, or was.
     is_used: bool,
-    asked: Option<Timestamp>,
+    /// When the witnesses were asked for the first and for the last time.
+    first_asked: Option<Timestamp>,
+    last_asked: Option<Timestamp>,
 }
 
 impl Fencing {
@@ -41,13 +43,12 @@
                 ..Self::default()
             };
         }
-        let is_early = self
-            .asked
-            .is_some_and(|asked| now.since(asked) < ROUND_PAUSE);
+        let is_early = is_recent(now, self.last_asked);
         if self.is_used || is_early || self.unused(state).is_some() {
             return None;
         }
-        self.asked = Some(now);
+        self.first_asked.get_or_insert(now);
+        self.last_asked = Some(now);
         Some(self.overdraft.clone())
     }
 
@@ -76,11 +77,13 @@
         is_unused.then_some(name).map(|_| self.overdraft.as_str())
     }
 
-    /// Whether it may still turn out that another owner's overdraft is unused.
+    /// Whether it may soon turn out that another owner's overdraft is unused. Witnesses that do not
+    /// answer the first questions are taken to be lost, though they are asked again.
     pub(super) fn is_undecided(&self, now: Timestamp) -> bool {
-        let is_recent = self
-            .asked
-            .is_some_and(|asked| now.since(asked) < ROUND_PAUSE);
-        is_recent && !self.is_used
+        is_recent(now, self.first_asked) && !self.is_used
     }
 }
+
+fn is_recent(now: Timestamp, asked: Option<Timestamp>) -> bool {
+    asked.is_some_and(|asked| now.since(asked) < ROUND_PAUSE)
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -14,7 +14,7 @@
 use elderworks_gateway_core::workers::idle_connections_share;
 
 use super::turn::TurnLease;
-use super::{CallError, headers};
+use super::{CallError, Milestones, Trace, headers};
 use crate::body_memory::BodyShare;
 use crate::caller::Caller;
 use crate::gateway::Gateway;
@@ -39,8 +39,7 @@
     pub(super) service: String,
     pub(super) lease: Option<TurnLease>,
     pub(super) history: AttemptHistory,
-    /// When the request came, until its first event was passed on.
-    pub(super) first_event_due: Option<Instant>,
+    pub(super) milestones: Milestones,
     /// Counts the body for as long as the call holds it.
     _memory: BodyShare,
     tried: TriedWorkers,
@@ -101,7 +100,7 @@
         attributes: &'a CallAttributes,
         request: CallerRequest,
         deadline: Instant,
-        tried: TriedWorkers,
+        trace: &Trace,
     ) -> Self {
         let service = gateway.splits.borrow_mut().next_service(route);
         Self {
@@ -117,8 +116,8 @@
             service: service.unwrap_or_default(),
             lease: None,
             history: AttemptHistory::default(),
-            first_event_due: Some(request.received),
-            tried,
+            milestones: trace.milestones.clone(),
+            tried: trace.tried.clone(),
             sending: false,
             retry_at: None,
             waiting_since: None,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod stream;
 mod turn;
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -57,9 +58,8 @@
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = request.received + left;
-    let tried = trace.tried.clone();
     let mut call = Call::new(
-        gateway, &config, route, attributes, request, deadline, tried,
+        gateway, &config, route, attributes, request, deadline, trace,
     );
     let running = run(&mut call, caller, trace);
     let timed = tokio::time::timeout_at(deadline.into(), running).await;
@@ -76,6 +76,7 @@
     if let Err(refusal) = call.begin_turn().await {
         return refuse(caller, trace, &refusal).await;
     }
+    trace.milestones.note_leave(trace.received);
     let result = match call.route().kind {
         RouteKind::Streaming => call.run_stream(caller).await,
         RouteKind::Idempotent | RouteKind::Mutating => call.run_whole(caller).await,
@@ -140,12 +141,46 @@
         .ok_or(Refusal::plain(StatusCode::NOT_FOUND, "no such route"))
 }
 
+/// When a request got how far; shared with its log line.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Milestones {
+    leave: Rc<Cell<Option<Duration>>>,
+    first_event: Rc<Cell<Option<Duration>>>,
+}
+
+impl Milestones {
+    /// The request may run now.
+    fn note_leave(&self, received: Instant) {
+        self.leave.set(Some(received.elapsed()));
+    }
+
+    /// The first event of the answer goes to the caller. Tells whether it is the first.
+    fn note_first_event(&self, received: Instant) -> bool {
+        let is_first = self.first_event.get().is_none();
+        if is_first {
+            self.first_event.set(Some(received.elapsed()));
+        }
+        is_first
+    }
+}
+
+/// Milliseconds for a log line; -1 if it has not come to that.
+fn milliseconds(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| {
+        i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+    })
+}
+
 /// Collects what the log line of a request says.
 pub(crate) struct Trace {
     gateway: Rc<Gateway>,
     received: Instant,
     request_id: String,
     program: String,
+    session: String,
+    /// Time that the program had left when the request came.
+    finish: Option<Duration>,
+    pub(crate) milestones: Milestones,
     pub(crate) config_version: u64,
     pub(crate) route: String,
     /// Workers tried so far, also of a request whose caller leaves.
@@ -164,6 +199,9 @@
             received,
             request_id: attributes.request_id.clone().unwrap_or_default(),
             program: attributes.program.clone().unwrap_or_default(),
+            session: attributes.session.clone().unwrap_or_default(),
+            finish: attributes.finish,
+            milestones: Milestones::default(),
             config_version: 0,
             route: String::new(),
             tried: TriedWorkers::default(),
@@ -191,7 +229,7 @@
             .answers
             .get_or_create(&AnswerLabel { status })
             .inc();
-        let milliseconds = self.received.elapsed().as_millis();
+        let took = self.received.elapsed().as_millis();
         let level = if self.received.elapsed() > SLOW || status >= 500 {
             log::Level::Warn
         } else {
@@ -200,9 +238,12 @@
         log::log!(
             level,
             request = self.request_id.as_str(), program = self.program.as_str(),
+            session = self.session.as_str(), finish_ms = milliseconds(self.finish),
+            leave_ms = milliseconds(self.milestones.leave.get()),
+            first_ms = milliseconds(self.milestones.first_event.get()),
             route = self.route.as_str(), config = self.config_version,
             workers = self.tried.borrow().join(",").as_str(), status = status, whole = whole,
-            ms = milliseconds; "{}", self.outcome
+            ms = took; "{}", self.outcome
         );
     }
 }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -195,12 +195,10 @@
         Ok(())
     }
 
-    fn note_first_event(&mut self) {
-        if let Some(received) = self.first_event_due.take() {
-            self.gateway
-                .metrics
-                .first_event_seconds
-                .observe(received.elapsed().as_secs_f64());
+    fn note_first_event(&self) {
+        if self.milestones.note_first_event(self.received) {
+            let took = self.received.elapsed().as_secs_f64();
+            self.gateway.metrics.first_event_seconds.observe(took);
         }
     }
 }
