placement: nodes tell each other their load on workers; a worker over its share gives way

Ruled out: speed as seen by own streams (a batch of 24 is 30 percent slower than one of 5, a queue only shows when it is there); reports of workers (priced as probes); the least loaded worker (stale loads make a herd). Change: every 100 ms a node tells the nodes of its zone, and every third time others, what it has under way by worker (16 of each at a time); a program goes to the first worker in its own order whose load is at most 1.25 times the mean, or three quarters of its slots; zones keep to their workers up to three quarters of their slots. The estimate by own requests times nodes (demand.rs) is gone, its tests replaced by tests of what was told.

--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -3,7 +3,8 @@
 //! Requests of one program meet the same worker through rendezvous hashing, on whichever node of
 //! its zone they arrive, so that a prompt's prefix is found in that worker's memory. Workers of the
 //! node's own zone come first: they are nearer, and fewer pairs of node and worker need
-//! connections. A worker that is crowded, failing or already tried gives way to the next.
+//! connections. A worker that has more than its share of the load, is failing or was already tried
+//! gives way to the next.
 
 use std::cmp::Reverse;
 
@@ -21,8 +22,6 @@
     pub key: Option<&'a str>,
     /// Zone of this node.
     pub zone: &'a str,
-    /// Nodes of this zone that take requests, this one included.
-    pub nodes_in_zone: u32,
     /// Whether the request may be repeated.
     pub repeatable: bool,
     /// Ids of workers that were tried for this request.
@@ -39,7 +38,7 @@
     query: &PlacementQuery<'a>,
     now: Timestamp,
 ) -> Option<&'a Worker> {
-    choose_nearby(workers, query, now)
+    choose_balanced(workers, query, now)
         .or_else(|| {
             workers
                 .accepting(query.service)
@@ -53,36 +52,80 @@
 }
 
 /// Share of the zone's slots up to which its nodes keep to its workers. Beyond that, programs are
-/// spread over all zones, which evens out the load without knowing it.
-const CALM_SHARE: f64 = 0.5;
+/// spread over all zones.
+const CALM_SHARE: f64 = 0.75;
 
-/// A worker of the own zone against which nothing speaks, while the zone's workers have ample room
-/// for the zone's requests.
-fn choose_nearby<'a>(
+/// A worker is taken for the programs that it is the first choice of while its load is at most
+/// this many times the mean (after Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with
+/// Bounded Loads", 2016).
+const MOST_OVER_MEAN: f64 = 1.25;
+
+/// Share of its slots up to which a worker is taken whatever the others' load: so little slows
+/// nobody, and programs stay where their prompts are.
+const ALWAYS_SHARE: f64 = 0.75;
+
+/// A worker against which nothing speaks and that has its share of the load or less: one of the own
+/// zone while that has ample room.
+fn choose_balanced<'a>(
     workers: &'a WorkerDirectory,
     query: &PlacementQuery<'a>,
     now: Timestamp,
 ) -> Option<&'a Worker> {
-    let slots: u32 = workers
-        .accepting(query.service)
-        .filter(|worker| worker.record.zone == query.zone)
-        .map(|worker| worker.record.slots)
-        .sum();
-    let demand = workers.demand(query.service, now) * f64::from(query.nodes_in_zone.max(1));
-    if demand >= f64::from(slots) * CALM_SHARE {
-        return None;
+    let is_near = |worker: &&Worker| worker.record.zone == query.zone;
+    let is_good = |worker: &&Worker| {
+        !query.tried.contains(&worker.record.id)
+            && !worker.is_unfit(now, query.repeatable)
+            && !worker.is_full(now)
+    };
+    let near = workers.accepting(query.service).filter(is_near);
+    if utilization(workers, near) < CALM_SHARE {
+        let near = workers.accepting(query.service).filter(is_near);
+        if let Some(worker) = within_bound(workers, query, near.filter(is_good)) {
+            return Some(worker);
+        }
     }
-    workers
-        .accepting(query.service)
-        .filter(|worker| worker.record.zone == query.zone)
-        .filter(|worker| !query.tried.contains(&worker.record.id))
-        .filter(|worker| !worker.is_unfit(now, query.repeatable) && !worker.is_full(now))
-        .filter(|worker| !is_crowded(worker, query.nodes_in_zone))
-        .min_by_key(|worker| (load(worker, query), order(worker, query)))
+    let all = workers.accepting(query.service).filter(is_good);
+    within_bound(workers, query, all)
 }
 
-/// Order of preference among all zones; the least is best. What this node has under way at a worker
-/// says little of its whole load, so this falls back on spreading programs evenly.
+/// Requests under way per slot; more than any worker has if there are no slots.
+fn utilization<'a>(workers: &WorkerDirectory, some: impl Iterator<Item = &'a Worker>) -> f64 {
+    let sums = some.fold((0.0, 0.0), |(load, slots), worker| {
+        let own_slots = f64::from(worker.record.slots.max(1));
+        (load + f64::from(workers.load(worker)), slots + own_slots)
+    });
+    match sums {
+        (_, slots) if slots == 0.0 => f64::INFINITY,
+        (load, slots) => load / slots,
+    }
+}
+
+/// The first in the order of preference whose load is within its bound; one always is.
+fn within_bound<'a>(
+    workers: &WorkerDirectory,
+    query: &PlacementQuery<'_>,
+    some: impl Iterator<Item = &'a Worker>,
+) -> Option<&'a Worker> {
+    let candidates: Vec<&Worker> = some.collect();
+    if query.key.is_none() {
+        let least = candidates.iter();
+        return least
+            .min_by_key(|worker| (worker.in_flight, order(worker, query)))
+            .copied();
+    }
+    let mean = utilization(workers, candidates.iter().copied());
+    let bound = (mean * MOST_OVER_MEAN).max(ALWAYS_SHARE);
+    let is_within = |worker: &Worker| {
+        let slots = f64::from(worker.record.slots.max(1));
+        f64::from(workers.load(worker)) <= bound * slots
+    };
+    candidates
+        .into_iter()
+        .filter(|worker| is_within(worker))
+        .min_by_key(|worker| order(worker, query))
+}
+
+/// Order of preference if something speaks against every worker; the least is best.
 type Rank = (bool, bool, bool, bool, u32, u32, Reverse<u64>);
 
 fn rank(worker: &Worker, query: &PlacementQuery<'_>, now: Timestamp) -> Rank {
@@ -116,10 +159,3 @@
     };
     Reverse(xxh3_64_with_seed(worker.record.id.as_bytes(), seed))
 }
-
-/// Whether three quarters of a worker's slots would be taken if every node of the zone had as many
-/// requests there as this one.
-fn is_crowded(worker: &Worker, nodes_in_zone: u32) -> bool {
-    let expected = worker.in_flight * nodes_in_zone.max(1);
-    expected * 4 >= worker.record.slots.max(1) * 3
-}
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -6,7 +6,7 @@
 
 use elderworks_types::{NodeId, Timestamp};
 
-use crate::demand::Demand;
+use crate::peer_loads::{PeerLoads, WorkerKey};
 use crate::worker_health::{Standing, WorkerHealth};
 
 /// A worker's own entry in the directory of workers.
@@ -61,6 +61,7 @@
     pub record: WorkerRecord,
     /// Requests that this node is running there.
     pub in_flight: u32,
+    key: WorkerKey,
     health: WorkerHealth,
     full_until: Timestamp,
     /// Set while its record is gone: until when it is a last resort.
@@ -90,10 +91,10 @@
 }
 
 /// Every worker by id.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct WorkerDirectory {
     workers: BTreeMap<String, Worker>,
-    demands: BTreeMap<String, Demand>,
+    peer_loads: PeerLoads,
     /// When the store last answered again after an outage.
     outage_over: Option<Timestamp>,
 }
@@ -108,6 +109,7 @@
             return changed;
         }
         let worker = Worker {
+            key: WorkerKey::of(&record.id),
             record,
             in_flight: 0,
             health: WorkerHealth::default(),
@@ -213,31 +215,44 @@
         self.workers.is_empty()
     }
 
-    /// Notes that a request goes to a worker of a service.
-    pub fn note_start(&mut self, service: &str, id: &str, now: Timestamp) {
+    /// Notes that a request goes to a worker.
+    pub fn note_start(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight += 1;
         }
-        self.demands
-            .entry(service.to_owned())
-            .or_default()
-            .note_start(now);
     }
 
-    /// Notes that a request no longer occupies a worker of a service.
-    pub fn note_end(&mut self, service: &str, id: &str, now: Timestamp) {
+    /// Notes that a request no longer occupies a worker.
+    pub fn note_end(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
-        if let Some(demand) = self.demands.get_mut(service) {
-            demand.note_end(now);
-        }
     }
 
-    /// This node's requests of a service under way, smoothed.
-    pub fn demand(&self, service: &str, now: Timestamp) -> f64 {
-        let demand = self.demands.get(service);
-        demand.map_or(0.0, |demand| demand.smoothed(now))
+    /// Takes what another node says of its requests under way.
+    pub fn take_peer_load(
+        &mut self,
+        now: Timestamp,
+        node: NodeId,
+        counts: BTreeMap<WorkerKey, u32>,
+    ) {
+        self.peer_loads.take(now, node, counts);
+    }
+
+    /// Drops what other nodes have said too long ago.
+    pub fn drop_old_loads(&mut self, now: Timestamp) {
+        self.peer_loads.drop_old(now);
+    }
+
+    /// What this node has under way, by worker, without those where it has nothing.
+    pub fn own_load(&self) -> BTreeMap<WorkerKey, u32> {
+        let busy = self.workers.values().filter(|worker| worker.in_flight > 0);
+        busy.map(|worker| (worker.key, worker.in_flight)).collect()
+    }
+
+    /// Requests under way at a worker: this node's and those that others have told of.
+    pub fn load(&self, worker: &Worker) -> u32 {
+        worker.in_flight + self.peer_loads.at(worker.key)
     }
 
     /// Notes a valid answer.
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -1,12 +1,12 @@
 //! Placement, and what a node believes of workers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
-use elderworks_gateway_core::demand::Demand;
+use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, WorkerKey};
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord, idle_connections_share};
-use elderworks_types::Timestamp;
+use elderworks_types::{NodeId, Timestamp};
 
 const START: Timestamp = Timestamp(1_000_000);
 
@@ -34,7 +34,6 @@
         service: "engines",
         key,
         zone: "a",
-        nodes_in_zone: 1,
         repeatable: true,
         tried,
         spread: 1,
@@ -71,10 +70,11 @@
 fn a_crowded_worker_gives_way_and_comes_back() {
     let mut workers = directory(&["w1", "w2", "w3"]);
     let first = chosen(&workers, Some("p"), &[]).expect("a worker");
-    workers.note_start("engines", &first, START);
-    workers.note_start("engines", &first, START);
+    workers.note_start(&first);
+    workers.note_start(&first);
     assert_ne!(chosen(&workers, Some("p"), &[]), Some(first.clone()));
-    workers.note_end("engines", &first, START);
+    workers.note_end(&first);
+    workers.note_end(&first);
     assert_eq!(chosen(&workers, Some("p"), &[]), Some(first));
 }
 
@@ -102,92 +102,96 @@
     }
 }
 
+/// Tells a directory what another node has under way.
+fn tell(workers: &mut WorkerDirectory, now: Timestamp, node: &str, counts: &[(&str, u32)]) {
+    let counts = counts.iter().map(|(id, count)| (WorkerKey::of(id), *count));
+    workers.take_peer_load(now, NodeId::new(node), counts.collect());
+}
+
+/// Workers that 64 programs meet.
+fn met_by_programs(workers: &WorkerDirectory) -> BTreeMap<String, u32> {
+    let mut met = BTreeMap::new();
+    for number in 0..64 {
+        let worker = chosen(workers, Some(&format!("program-{number}")), &[]);
+        *met.entry(worker.expect("a worker")).or_default() += 1;
+    }
+    met
+}
+
 #[test]
 fn programs_keep_to_the_zone_until_it_is_crowded() {
     let mut workers = directory(&["near-1", "near-2"]);
     workers.upsert(record("far", "b"));
-    for number in 0..32 {
-        let program = format!("program-{number}");
-        let worker = chosen(&workers, Some(&program), &[]).expect("a worker");
-        assert_ne!(worker, "far");
-    }
+    assert!(!met_by_programs(&workers).contains_key("far"));
     for id in ["near-1", "near-2"] {
-        workers.note_start("engines", id, START);
-        workers.note_start("engines", id, START);
+        workers.note_start(id);
+        workers.note_start(id);
     }
-    let met: BTreeSet<String> = (0..32)
-        .filter_map(|number| chosen(&workers, Some(&format!("program-{number}")), &[]))
-        .collect();
+    let met = met_by_programs(&workers);
     assert_eq!(
-        met,
-        BTreeSet::from(["far".to_owned()]),
+        met.keys().collect::<Vec<_>>(),
+        ["far"],
         "the others' slots are taken"
     );
 }
 
 #[test]
-fn a_zone_whose_demand_is_high_spreads_over_all_workers() {
+fn a_zone_that_other_nodes_have_filled_spreads_over_all_workers() {
     let mut workers = directory(&["near-1", "near-2"]);
     for id in ["far-1", "far-2", "far-3", "far-4"] {
         workers.upsert(record(id, "b"));
     }
-    // Two requests of a node under way for seconds, two such nodes, four slots: full.
-    for id in ["far-1", "far-2"] {
-        workers.note_start("engines", id, START);
-    }
-    let later = START + Duration::from_secs(5);
-    let met = |nodes_in_zone: u32| -> BTreeSet<String> {
-        (0..64)
-            .filter_map(|number| {
-                let program = format!("program-{number}");
-                let query = PlacementQuery {
-                    nodes_in_zone,
-                    repeatable: true,
-                    ..query(Some(&program), &[])
-                };
-                choose(&workers, &query, later).map(|worker| worker.record.id.clone())
-            })
-            .collect()
-    };
-    assert!(met(2).len() > 2, "spread");
-    let mut calm = directory(&["near-1", "near-2"]);
-    calm.upsert(record("far-1", "b"));
-    let query = query(Some("p"), &[]);
-    let worker = choose(&calm, &query, later).expect("a worker");
-    assert_ne!(worker.record.id, "far-1");
+    assert_eq!(met_by_programs(&workers).len(), 2, "the own zone's");
+    tell(&mut workers, START, "n2", &[("near-1", 2), ("near-2", 1)]);
+    assert!(
+        met_by_programs(&workers).len() > 2,
+        "three quarters of the zone's slots are taken"
+    );
 }
 
 #[test]
-fn demand_is_smoothed() {
-    let mut demand = Demand::default();
-    let mut now = START;
-    demand.note_start(now);
-    assert!(demand.smoothed(now) < 0.1, "a single request shows late");
-    now = now + Duration::from_secs(5);
-    assert!((demand.smoothed(now) - 1.0).abs() < 0.01);
-    demand.note_end(now);
-    assert!((demand.smoothed(now) - 1.0).abs() < 0.01);
-    now = now + Duration::from_secs(5);
-    assert!(demand.smoothed(now) < 0.01);
+fn a_worker_with_more_than_its_share_gives_way_to_the_next() {
+    let mut workers = WorkerDirectory::default();
+    for id in ["w1", "w2", "w3", "w4"] {
+        workers.upsert(WorkerRecord {
+            slots: 24,
+            ..record(id, "a")
+        });
+    }
+    let even = met_by_programs(&workers);
+    assert_eq!(even.len(), 4);
+    let loads = [("w1", 20), ("w2", 8), ("w3", 8), ("w4", 8)];
+    tell(&mut workers, START, "n2", &loads);
+    let met = met_by_programs(&workers);
+    assert!(!met.contains_key("w1"), "{met:?}");
+    for id in ["w2", "w3", "w4"] {
+        assert!(met[id] >= even[id], "programs of {id} stay");
+    }
+    // A load that slows nobody moves no program.
+    let mut calm = workers.clone();
+    tell(&mut calm, START, "n2", &[("w1", 6)]);
+    assert_eq!(met_by_programs(&calm), even);
 }
 
 #[test]
-fn programs_of_a_crowded_zone_spread_over_all_workers() {
-    let mut workers = directory(&["near"]);
-    workers.upsert(record("far", "b"));
-    workers.note_start("engines", "near", START);
-    let met: BTreeSet<String> = (0..32)
-        .filter_map(|number| {
-            let program = format!("program-{number}");
-            let query = PlacementQuery {
-                nodes_in_zone: 4,
-                repeatable: true,
-                ..query(Some(&program), &[])
-            };
-            choose(&workers, &query, START).map(|worker| worker.record.id.clone())
-        })
-        .collect();
-    assert_eq!(met.len(), 2, "as evenly as ever");
+fn what_other_nodes_tell_counts_for_a_while() {
+    let mut workers = directory(&["w1"]);
+    let load = |workers: &WorkerDirectory| {
+        let worker = workers.get("w1").expect("the worker");
+        workers.load(worker)
+    };
+    workers.note_start("w1");
+    tell(&mut workers, START, "n2", &[("w1", 3)]);
+    tell(&mut workers, START, "n3", &[("w1", 1), ("w9", 4)]);
+    assert_eq!(load(&workers), 5);
+    tell(&mut workers, START, "n2", &[]);
+    assert_eq!(
+        load(&workers),
+        2,
+        "a report takes the place of the earlier one"
+    );
+    workers.drop_old_loads(START + REPORT_LIFETIME);
+    assert_eq!(load(&workers), 1, "old reports are dropped");
 }
 
 #[test]
@@ -314,8 +318,8 @@
     };
     assert_eq!(met(&workers, false).len(), 1, "not to be repeated");
     assert_eq!(met(&workers, true).len(), 2);
-    workers.note_start("s", "w1", now);
-    workers.note_start("s", "w2", now);
+    workers.note_start("w1");
+    workers.note_start("w2");
     assert_eq!(met(&workers, true).len(), 1, "one at a time");
 }
 
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -57,20 +57,14 @@
 /// A request that occupies a worker.
 pub(super) struct Occupied {
     gateway: Rc<Gateway>,
-    service: String,
     pub(super) worker: String,
 }
 
 impl Occupied {
-    fn start(gateway: &Rc<Gateway>, service: &str, worker: &str) -> Self {
-        let now = gateway.now();
-        gateway
-            .workers
-            .borrow_mut()
-            .note_start(service, worker, now);
+    fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
+        gateway.workers.borrow_mut().note_start(worker);
         Self {
             gateway: gateway.clone(),
-            service: service.to_owned(),
             worker: worker.to_owned(),
         }
     }
@@ -78,11 +72,8 @@
 
 impl Drop for Occupied {
     fn drop(&mut self) {
-        let now = self.gateway.now();
-        self.gateway
-            .workers
-            .borrow_mut()
-            .note_end(&self.service, &self.worker, now);
+        let mut workers = self.gateway.workers.borrow_mut();
+        workers.note_end(&self.worker);
     }
 }
 
@@ -187,7 +178,7 @@
         target: &Target,
         last_event_id: Option<&str>,
     ) -> Result<RunningAnswer, ExchangeError> {
-        let occupied = Occupied::start(self.gateway, &self.service, &target.worker);
+        let occupied = Occupied::start(self.gateway, &target.worker);
         self.note_tried(&target.worker);
         let request = OutgoingRequest {
             head: self.head.clone(),
@@ -270,7 +261,6 @@
                 .then(|| self.attributes.placement_key())
                 .flatten(),
             zone: self.gateway.settings.zone.as_str(),
-            nodes_in_zone: self.gateway.nodes_in_zone.get(),
             repeatable: self.route.is_repeatable(),
             tried: &tried,
             spread: self.gateway.next_sequence(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,8 +52,6 @@
     pub(crate) log_read_timer: RefCell<ResponseTimer>,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
-    /// Nodes of this zone that callers are sent to, this one included, as last counted.
-    pub(crate) nodes_in_zone: Cell<u32>,
     /// Nodes of all zones that callers are sent to, as last counted.
     pub(crate) nodes_serving: Cell<u32>,
     /// Bodies of requests under way.
@@ -88,7 +86,6 @@
             pool: Rc::default(),
             metrics: Metrics::new(),
             stage,
-            nodes_in_zone: Cell::new(1),
             nodes_serving: Cell::new(1),
             in_flight: Cell::new(0),
             workers_read: Cell::new(false),
@@ -122,16 +119,8 @@
 
     /// Counts the nodes that callers are sent to.
     pub(crate) fn count_serving_nodes(&self) {
-        let own_zone = self.settings.zone.as_str();
         let nodes = self.nodes.borrow();
         let is_serving = |node: &NodeId| self.is_serving(node);
-        let nearby = nodes.offered(Some(own_zone), is_serving);
-        // This node may be asked though others are preferred to it.
-        let nearby_count = nearby
-            .iter()
-            .filter(|(node, record)| **node != self.settings.node && record.zone == own_zone)
-            .count()
-            + 1;
         let zones: BTreeSet<&str> = nodes
             .iter()
             .map(|(_, known)| known.record.zone.as_str())
@@ -141,7 +130,6 @@
             .flat_map(|zone| nodes.offered(Some(zone), is_serving))
             .map(|(node, _)| node)
             .collect();
-        self.nodes_in_zone.set(saturating_u32(nearby_count));
         self.nodes_serving.set(saturating_u32(all.len().max(1)));
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other nodes: who seems alive, and connections to ask them for what they own.
 
 mod link;
+mod loads;
 mod serve;
 
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,8 @@
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::ownership::rank_owners;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
-use elderworks_protocol::gossip::{Datagram, MemberState};
+use elderworks_protocol::gateway::GatewayDatagram;
+use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest, Witness};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
@@ -22,6 +24,7 @@
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
 use link::Link;
+use loads::{LOAD_INTERVAL, LoadSender};
 
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
@@ -282,6 +285,7 @@
             match effect {
                 // Gossip makes up for datagrams that are lost.
                 Effect::Send { to, datagram } => {
+                    let datagram = GatewayDatagram::Gossip(datagram);
                     let _ = socket.try_send_to(&encode(&datagram), to);
                 }
                 Effect::MemberChanged { node, state } => {
@@ -304,12 +308,23 @@
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut sender = LoadSender::default();
+    let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
+    load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let event = tokio::select! {
             _ = ticks.tick() => Event::Tick,
+            _ = load_ticks.tick() => {
+                sender.tell(&gateway, &socket);
+                continue;
+            }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => match decode::<Datagram>(&buffer[..length]) {
-                    Ok(datagram) => Event::Received { from, datagram },
+                Ok((length, from)) => match decode(&buffer[..length]) {
+                    Ok(GatewayDatagram::Gossip(datagram)) => Event::Received { from, datagram },
+                    Ok(GatewayDatagram::Load(report)) => {
+                        loads::take(&gateway, report);
+                        continue;
+                    }
                     Err(_) => continue,
                 },
                 Err(_) => {
--- /dev/null
+++ b/crates/gateway/src/peers/loads.rs
@@ -0,0 +1,107 @@
+//! Nodes tell each other what they have under way at workers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, WorkerKey};
+use elderworks_protocol::encode;
+use elderworks_protocol::gateway::{GatewayDatagram, LoadReport};
+use tokio::net::UdpSocket;
+
+use crate::gateway::Gateway;
+
+/// Interval at which the nodes that share this zone's callers are told.
+pub(super) const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Nodes of other zones are told at each so many intervals: they use the same workers only under
+/// load.
+const FAR_INTERVALS: u32 = 3;
+
+/// A load that has not changed is told again after this long.
+const REPEAT_INTERVAL: Duration = REPORT_LIFETIME.checked_div(3).expect("three is not zero");
+
+/// Most nodes of each kind that are told at a time; with more, they take turns.
+const MOST_TOLD: usize = 16;
+
+/// What was told last, and whose turn is next.
+#[derive(Debug, Default)]
+pub(super) struct LoadSender {
+    told: Option<(Instant, BTreeMap<WorkerKey, u32>)>,
+    intervals: u32,
+    next: usize,
+}
+
+impl LoadSender {
+    /// Tells other nodes of this one's load, unless they know it.
+    pub(super) fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+        self.intervals = self.intervals.wrapping_add(1);
+        let counts = {
+            let mut workers = gateway.workers.borrow_mut();
+            workers.drop_old_loads(gateway.now());
+            workers.own_load()
+        };
+        let is_known = |(at, told): &(Instant, BTreeMap<WorkerKey, u32>)| {
+            *told == counts && at.elapsed() < REPEAT_INTERVAL
+        };
+        if self.told.as_ref().is_some_and(is_known) {
+            return;
+        }
+        let was_idle = self.told.as_ref().is_none_or(|(_, told)| told.is_empty());
+        let is_idle = counts.is_empty();
+        let report = LoadReport {
+            node: gateway.settings.node.clone(),
+            counts: counts.iter().map(|(key, count)| (key.0, *count)).collect(),
+        };
+        self.told = Some((Instant::now(), counts));
+        if is_idle && was_idle {
+            return;
+        }
+        let datagram = encode(&GatewayDatagram::Load(report));
+        for to in self.recipients(gateway) {
+            // The next report makes up for one that is lost.
+            let _ = socket.try_send_to(&datagram, to);
+        }
+    }
+
+    fn recipients(&mut self, gateway: &Gateway) -> Vec<SocketAddr> {
+        let own_zone = gateway.settings.zone.as_str();
+        let nodes = gateway.nodes.borrow();
+        let is_far_turn = self.intervals.is_multiple_of(FAR_INTERVALS);
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for (node, known) in nodes.iter() {
+            if !gateway.peers.is_alive(node) || known.record.draining {
+                continue;
+            }
+            let address = known.record.peer_address;
+            if known.record.zone == own_zone {
+                near.push(address);
+            } else if is_far_turn {
+                far.push(address);
+            }
+        }
+        self.next = self.next.wrapping_add(MOST_TOLD);
+        let mut told = some_of(near, self.next);
+        told.extend(some_of(far, self.next));
+        told
+    }
+}
+
+/// As many as are told at a time, beginning at a place that moves on.
+fn some_of(mut all: Vec<SocketAddr>, from: usize) -> Vec<SocketAddr> {
+    if all.len() > MOST_TOLD {
+        let start = from % all.len();
+        all.rotate_left(start);
+        all.truncate(MOST_TOLD);
+    }
+    all
+}
+
+/// Takes another node's report.
+pub(super) fn take(gateway: &Gateway, report: LoadReport) {
+    let counts = report.counts.into_iter();
+    let counts = counts.map(|(key, count)| (WorkerKey(key), count)).collect();
+    let now = gateway.now();
+    let mut workers = gateway.workers.borrow_mut();
+    workers.take_peer_load(now, report.node, counts);
+}
