ledger: owners prepare their partitions before anybody asks

Change: the first candidate reads its partition, fences what a lost owner left and opens an overdraft as soon as gossip has settled or nodes change; questions to witnesses that do not answer come at doubling pauses; while the log is down preparation asks it every 500 ms.

--- a/crates/gateway-core/src/ledger/fencing.rs
+++ b/crates/gateway-core/src/ledger/fencing.rs
@@ -13,9 +13,12 @@
 use super::LedgerState;
 use super::overdraft::majority;
 
-/// Pause between two rounds of questions about one overdraft.
+/// Pause after the first round of questions about one overdraft; doubled with each further one.
 const ROUND_PAUSE: Duration = Duration::from_secs(1);
 
+/// Most doublings of that pause.
+const MOST_DOUBLINGS: u32 = 5;
+
 /// What is known of one overdraft of another owner.
 #[derive(Debug, Default)]
 pub(super) struct Fencing {
@@ -26,6 +29,7 @@
     /// When the witnesses were asked for the first and for the last time.
     first_asked: Option<Timestamp>,
     last_asked: Option<Timestamp>,
+    rounds: u32,
 }
 
 impl Fencing {
@@ -43,15 +47,29 @@
                 ..Self::default()
             };
         }
-        let is_early = is_recent(now, self.last_asked);
-        if self.is_used || is_early || self.unused(state).is_some() {
+        if self.next_round(state).is_none_or(|from| from > now) {
             return None;
         }
         self.first_asked.get_or_insert(now);
         self.last_asked = Some(now);
+        self.rounds += 1;
         Some(self.overdraft.clone())
     }
 
+    /// When the witnesses of the overdraft looked at last are to be asked again; `None` if it is
+    /// known whether it was used, or it is closed.
+    pub(super) fn next_round(&self, state: &LedgerState) -> Option<Timestamp> {
+        let is_open = state.overdrafts().any(|(name, _)| name == self.overdraft);
+        if !is_open || self.is_used || self.unused(state).is_some() {
+            return None;
+        }
+        let Some(last) = self.last_asked else {
+            return Some(Timestamp::default());
+        };
+        let doublings = self.rounds.saturating_sub(1).min(MOST_DOUBLINGS);
+        Some(last + ROUND_PAUSE * 2_u32.pow(doublings))
+    }
+
     /// Takes a witness's answer.
     pub(super) fn on_answer(&mut self, overdraft: &str, boot: u64, answer: WitnessAnswer) {
         if overdraft != self.overdraft {
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -32,6 +32,9 @@
 /// Pause between two calls while the log is down.
 pub const DOWN_PAUSE: Duration = Duration::from_millis(100);
 
+/// What is added to that pause if nobody waits for the call.
+const PREPARATION_PAUSE: Duration = Duration::from_millis(400);
+
 #[derive(Debug)]
 struct Job {
     ticket: Ticket,
@@ -311,6 +314,7 @@
     /// or an append is under way; requests may be submitted meanwhile.
     pub fn next_action(&mut self, now: Timestamp) -> Action {
         self.wallets.close_idle(now, self.idle_time());
+        self.fence_others(now);
         let action = self.choose_action(now);
         self.is_calling = !matches!(action, Action::Wait { .. });
         if self.is_calling {
@@ -329,13 +333,24 @@
             .map(|since| since + self.hold_back());
         let must_settle = settles_from.is_some_and(|from| from <= now);
         let must_append = must_settle || self.must_tend_overdrafts(now);
-        if self.jobs.is_empty() && !must_append {
+        let prepares_from = self.prepares_from();
+        let must_prepare = prepares_from.is_some_and(|from| from <= now);
+        if self.jobs.is_empty() && !must_append && !must_prepare {
             let idle_from = self
                 .wallets
                 .first_idle()
                 .map(|last| last + self.idle_time());
             let closes_from = self.overdraft.closes_from();
-            let times = [settles_from, idle_from, closes_from];
+            let asks_from = self
+                .is_preferred
+                .then(|| self.fencing.next_round(&self.state));
+            let times = [
+                settles_from,
+                idle_from,
+                closes_from,
+                prepares_from,
+                asks_from.flatten(),
+            ];
             let until = times.into_iter().flatten().min();
             return Action::Wait { until };
         }
@@ -347,7 +362,20 @@
         if !self.is_synced {
             return Action::Read { from: self.end };
         }
-        self.decide(now, must_append)
+        self.decide(now, must_append || must_prepare)
+    }
+
+    /// From when on the partition is read and an overdraft opened though nobody asks; `None` if
+    /// that is done or not for this owner to do.
+    fn prepares_from(&self) -> Option<Timestamp> {
+        let is_wanted = self.is_preferred && self.witnesses.len() >= FEWEST_WITNESSES;
+        let is_ready = self.is_synced && self.state.overdrafts().next().is_some();
+        let pause = if self.is_down() {
+            PREPARATION_PAUSE
+        } else {
+            Duration::ZERO
+        };
+        (is_wanted && !is_ready).then(|| self.paused_until + pause)
     }
 
     /// Whether an append should not wait for requests: something was drawn that does not stand in
@@ -435,7 +463,6 @@
     }
 
     fn decide(&mut self, now: Timestamp, must_append: bool) -> Action {
-        self.fence_others(now);
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
         plan.is_fencing = self.fencing.is_undecided(now);
         plan.cover(&self.state, &mut self.wallets);
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -200,6 +200,30 @@
     replied
 }
 
+fn task_of(gateway: &Rc<Gateway>, partition: PartitionId) -> mpsc::UnboundedSender<Job> {
+    let mut tasks = gateway.ledger.tasks.borrow_mut();
+    let task = tasks.entry(partition);
+    task.or_insert_with(|| owner::spawn(gateway, partition))
+        .clone()
+}
+
+/// Begins to act for the partitions that this node should act for, before anybody asks, so that
+/// their state is at hand and an overdraft stands when the log fails.
+pub(crate) async fn prepare_partitions(gateway: Rc<Gateway>) {
+    let mut changes = gateway.peers.changes();
+    while changes.changed().await.is_ok() {
+        if !gateway.peers.is_settled() {
+            continue;
+        }
+        for partition in (0..gateway.ledger.partitions).map(PartitionId) {
+            let candidates = gateway.peers.candidates(&gateway, partition);
+            if candidates.first() == Some(&gateway.settings.node) {
+                task_of(&gateway, partition);
+            }
+        }
+    }
+}
+
 /// Carries a request out on this node.
 pub(crate) async fn carry_out(
     gateway: &Rc<Gateway>,
@@ -211,13 +235,7 @@
         return LedgerReply::Witness(witness.answer(gateway.now(), question));
     }
     let (reply, answered) = oneshot::channel();
-    let task = gateway
-        .ledger
-        .tasks
-        .borrow_mut()
-        .entry(partition)
-        .or_insert_with(|| owner::spawn(gateway, partition))
-        .clone();
+    let task = task_of(gateway, partition);
     if task.send((request, reply)).is_err() {
         return LedgerReply::Unavailable;
     }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -84,6 +84,7 @@
 impl Driver {
     async fn run(mut self, mut inbox: Inbox) {
         let mut upkeep = actix_rt::time::interval(UPKEEP_INTERVAL);
+        let mut peers = self.gateway.peers.changes();
         loop {
             while let Ok(job) = inbox.jobs.try_recv() {
                 self.submit(job);
@@ -103,6 +104,8 @@
                     None => return,
                 },
                 Some(heard) = inbox.answers.recv() => self.hear(&heard),
+                // The sender lives as long as the gateway.
+                _ = peers.changed() => {}
                 () = sleep_until(&self.gateway, until) => {}
                 _ = upkeep.tick() => self.keep_up(&mut inbox).await,
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
@@ -75,6 +76,8 @@
     witnesses: RefCell<HashMap<PartitionId, Rc<[Witness]>>>,
     links: RefCell<HashMap<NodeId, Link>>,
     avoided: RefCell<HashMap<NodeId, Instant>>,
+    /// Tells that nodes have come, gone or changed.
+    changes: watch::Sender<()>,
 }
 
 impl Peers {
@@ -89,6 +92,7 @@
             witnesses: RefCell::default(),
             links: RefCell::default(),
             avoided: RefCell::default(),
+            changes: watch::Sender::new(()),
         }
     }
 
@@ -173,6 +177,17 @@
             alive.extend(unheard.map(|(node, _)| node.clone()));
         }
         *self.alive.borrow_mut() = alive;
+        self.changes.send_replace(());
+    }
+
+    /// Hears when nodes come, go or change.
+    pub(crate) fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
+    /// Whether gossip has had time to spread since this node has joined.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.membership.borrow().is_some() && self.presumes_until.get().is_none()
     }
 
     /// Ends the time in which listed nodes are presumed alive, once it is over.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,7 +17,7 @@
 use crate::gateway::{Gateway, Stage};
 use crate::ports::Platform;
 use crate::settings::GatewaySettings;
-use crate::{peers, server, socket, watch};
+use crate::{ledger, peers, server, socket, watch};
 
 /// Pause between attempts to write the node's entry.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
@@ -91,6 +91,7 @@
     }
     actix_rt::spawn(watch::follow_configuration(gateway.clone()));
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
+    actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
     Ok(Running {
         gateway,
