--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -32,6 +32,8 @@
         }
         /// Run a node on the platform whose settings file the environment names.
         cmd gateway {
+            /// KEY=VALUE of the policy, laid over its defaults; may be repeated.
+            repeated --set setting: Override
         }
         /// Check settings files.
         cmd check {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -21,8 +21,8 @@
             process::sidecar(options.file.as_deref(), &options.set)?;
             return Ok(ExitCode::SUCCESS);
         }
-        ElderworksCmd::Gateway(_) => {
-            process::gateway()?;
+        ElderworksCmd::Gateway(options) => {
+            process::gateway(&options.set)?;
             return Ok(ExitCode::SUCCESS);
         }
         ElderworksCmd::Check(options) => {
--- a/crates/cli/src/process.rs
+++ b/crates/cli/src/process.rs
@@ -6,9 +6,12 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+use elderworks_gateway::settings::GatewaySettings;
+use elderworks_gateway_core::policy::Policy;
 use elderworks_settings::{
     LogFormat, LoggingSettings, NodeProcessSettings, Override, ProcessSettings,
     SidecarProcessSettings, check_file, from_flags, init_logging, init_logging_to, load_with,
+    values_from_flags,
 };
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -45,19 +48,31 @@
 }
 
 /// Runs a gateway on the platform until it is told to stop.
-pub fn gateway() -> eyre::Result<()> {
-    let settings = elderworks_platform::load_settings()?;
+pub fn gateway(overrides: &[Override]) -> eyre::Result<()> {
+    let policy = policy_from(overrides)?;
+    let mut settings = elderworks_platform::load_settings()?;
+    settings.gateway.policy = policy;
     init_logging_to(
         LogFormat::Json,
         Box::new(elderworks_gateway::LogOutput::to_stdout()),
     );
     actix_rt::System::new().block_on(async move {
         let platform = elderworks_platform::PlatformAdapter::new(settings.log_address);
-        let reload = Box::new(elderworks_platform::reload_settings);
+        let reload = Box::new(move || {
+            let settings = elderworks_platform::reload_settings()?;
+            Ok(GatewaySettings { policy, ..settings })
+        });
         elderworks_gateway::run(settings.gateway, Rc::new(platform), reload).await
     })
 }
 
+/// The policy with what the command line says laid over its defaults.
+fn policy_from(overrides: &[Override]) -> eyre::Result<Policy> {
+    let policy: Policy = values_from_flags(overrides)?;
+    policy.check()?;
+    Ok(policy)
+}
+
 /// Prints where the process listens, for whoever started it with port 0.
 fn announce(addresses: &[(&str, SocketAddr)]) -> eyre::Result<()> {
     let words: Vec<String> = addresses
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -39,6 +39,18 @@
     let typing_error = "apiVersion: elderworks/v1\nkind: Budget\nmetadata: {name: b}\n\
                         spec: {tenant: t, limt: 1}\n";
     let cases = [
+        case(
+            &["gateway", "--set", "overdraft=false"],
+            "",
+            1,
+            "unknown key `overdraft`; did you mean `overdrafts`?",
+        ),
+        case(
+            &["gateway", "--set", "load_bound=0.5"],
+            "",
+            1,
+            "`load_bound` must be 1 or more",
+        ),
         case(&["apply", "-f", "-"], budget, 6, "no node could be reached"),
         case(
             &["apply", "-f", "-"],
--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -51,21 +51,13 @@
         })
 }
 
-/// Share of the zone's slots up to which its nodes keep to its workers. Beyond that, programs are
-/// spread over all zones.
-const CALM_SHARE: f64 = 0.75;
-
-/// A worker is taken for the programs that it is the first choice of while its load is at most
-/// this many times the mean (after Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with
-/// Bounded Loads", 2016).
-const MOST_OVER_MEAN: f64 = 1.25;
-
-/// Share of its slots up to which a worker is taken whatever the others' load: so little slows
-/// nobody, and programs stay where their prompts are.
-const ALWAYS_SHARE: f64 = 0.75;
-
 /// A worker against which nothing speaks and that has its share of the load or less: one of the own
-/// zone while that has ample room.
+/// zone while that has room.
+///
+/// A worker is taken for the programs that it is the first choice of while its load is at most
+/// [`Policy::load_bound`](crate::policy::Policy::load_bound) times the mean (after Mirrokni, Thorup
+/// and Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2016), or so small that it slows
+/// nobody.
 fn choose_balanced<'a>(
     workers: &'a WorkerDirectory,
     query: &PlacementQuery<'a>,
@@ -77,8 +69,9 @@
             && !worker.is_unfit(now, query.repeatable)
             && !worker.is_full(now)
     };
+    let policy = workers.policy();
     let near = workers.accepting(query.service).filter(is_near);
-    if utilization(workers, near) < CALM_SHARE {
+    if policy.near_workers && utilization(workers, near) < policy.calm_share {
         let near = workers.accepting(query.service).filter(is_near);
         if let Some(worker) = within_bound(workers, query, near.filter(is_good)) {
             return Some(worker);
@@ -114,7 +107,8 @@
             .copied();
     }
     let mean = utilization(workers, candidates.iter().copied());
-    let bound = (mean * MOST_OVER_MEAN).max(ALWAYS_SHARE);
+    let policy = workers.policy();
+    let bound = (mean * policy.load_bound).max(policy.calm_share);
     let is_within = |worker: &Worker| {
         let slots = f64::from(worker.record.slots.max(1));
         f64::from(workers.load(worker)) <= bound * slots
--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -19,7 +19,7 @@
 
 pub use account::Account;
 pub use calls::{Action, AppendOutcome, Inquiry, ReadOutcome, Ticket};
-pub use overdraft::{FEWEST_WITNESSES, MOST_WITNESSES, OVERDRAFT_SHARE, OverdraftUse, SLOW_CALL};
+pub use overdraft::{FEWEST_WITNESSES, MOST_WITNESSES, OverdraftUse, SLOW_CALL};
 pub use owner::{DOWN_PAUSE, FAILURE_PAUSE, FAILURES_BEFORE_DOWN, HOLD_BACK, PartitionOwner};
 pub use pieces::{MAX_APPEND_BYTES, MAX_CONTENT_BYTES, approximate_bytes, kept_records};
 pub use plan::OTHERS_PATIENCE;
--- a/crates/gateway-core/src/ledger/overdraft.rs
+++ b/crates/gateway-core/src/ledger/overdraft.rs
@@ -15,11 +15,6 @@
 use super::LedgerState;
 use super::state::OVERDRAFT_RETENTION;
 
-/// A turn may begin on an overdraft while its program has drawn no more than one part in so many
-/// of its budget. What is left of a budget then, if the overdraft is lost, holds as many turns as
-/// budgets are commonly made for.
-pub const OVERDRAFT_SHARE: u64 = 3;
-
 /// Most witnesses of one overdraft.
 pub const MOST_WITNESSES: usize = 5;
 
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -14,11 +14,12 @@
 use super::LedgerState;
 use super::calls::{Action, AppendOutcome, Inquiry, ReadOutcome, Ticket};
 use super::fencing::Fencing;
-use super::overdraft::{FEWEST_WITNESSES, OVERDRAFT_SHARE, OverdraftUse, OwnOverdraft, majority};
+use super::overdraft::{FEWEST_WITNESSES, OverdraftUse, OwnOverdraft, majority};
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::plan::{Credit, Plan, Planned, answer_at_once};
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
+use crate::policy::Policy;
 
 /// Calls in a row that must fail before the log is taken to be down.
 pub const FAILURES_BEFORE_DOWN: u32 = 2;
@@ -57,6 +58,7 @@
 /// One partition as this node acts for it.
 #[derive(Debug)]
 pub struct PartitionOwner {
+    policy: Policy,
     state: LedgerState,
     wallets: Wallets,
     /// Whether other nodes send their requests here.
@@ -84,7 +86,13 @@
     /// An owner that has read nothing. `name` is written to the log; no other owner of the
     /// partition may ever bear it, nor an earlier start of the same node.
     pub fn new(name: String) -> Self {
+        Self::with_policy(name, Policy::default())
+    }
+
+    /// The same with other mechanisms in use.
+    pub fn with_policy(name: String, policy: Policy) -> Self {
         Self {
+            policy,
             state: LedgerState::default(),
             wallets: Wallets::new(name),
             is_preferred: true,
@@ -142,7 +150,7 @@
 
     fn credit(&self, now: Timestamp) -> Credit {
         if self.overdraft.is_usable(now) {
-            let share = OVERDRAFT_SHARE;
+            let share = self.policy.overdraft_share;
             Credit::Overdraft { share }
         } else {
             Credit::None
@@ -368,8 +376,9 @@
     /// From when on the partition is read and an overdraft opened though nobody asks; `None` if
     /// that is done or not for this owner to do.
     fn prepares_from(&self) -> Option<Timestamp> {
-        let is_wanted = self.is_preferred && self.witnesses.len() >= FEWEST_WITNESSES;
-        let is_ready = self.is_synced && self.state.overdrafts().next().is_some();
+        let is_wanted = self.policy.preparation && self.is_preferred;
+        let has_overdraft = self.state.overdrafts().next().is_some();
+        let is_ready = self.is_synced && (has_overdraft || !self.can_open_overdraft());
         let pause = if self.is_down() {
             PREPARATION_PAUSE
         } else {
@@ -409,16 +418,20 @@
                 .push(LedgerRecord::OverdraftClosed { overdraft });
             left -= 1;
         }
-        if left == 0 && self.witnesses.len() >= FEWEST_WITNESSES {
+        if left == 0 && self.can_open_overdraft() {
             plan.records.push(LedgerRecord::Overdraft {
                 overdraft: self.wallets.next_name(),
-                share: OVERDRAFT_SHARE,
+                share: self.policy.overdraft_share,
                 witnesses: self.witnesses.to_vec(),
                 idle_ms: 0,
             });
         }
     }
 
+    fn can_open_overdraft(&self) -> bool {
+        self.policy.overdrafts && self.witnesses.len() >= FEWEST_WITNESSES
+    }
+
     /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
     /// it from being activated.
     fn is_overdraft_worn(&self) -> bool {
@@ -465,6 +478,7 @@
     fn decide(&mut self, now: Timestamp, must_append: bool) -> Action {
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
         plan.is_fencing = self.fencing.is_undecided(now);
+        plan.has_extra = self.policy.advances;
         plan.cover(&self.state, &mut self.wallets);
         let mut appended = Vec::new();
         let mut must_verify = false;
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -33,7 +33,7 @@
     None,
     /// The owner's overdraft.
     Overdraft {
-        /// See [`super::overdraft::OVERDRAFT_SHARE`].
+        /// See [`crate::policy::Policy::overdraft_share`].
         share: u64,
     },
 }
@@ -57,6 +57,8 @@
     pub(super) started: Vec<(String, String)>,
     /// Whether another owner's overdraft may soon be closed as unused.
     pub(super) is_fencing: bool,
+    /// Whether advances hold more than the turn that they are made for.
+    pub(super) has_extra: bool,
     accounts: HashMap<String, Account>,
     advanced: HashMap<String, u64>,
 }
@@ -305,7 +307,10 @@
                 });
             }
             let left = budget - wanted;
-            let extra = (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE);
+            let extra = match self.has_extra {
+                true => (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE),
+                false => 0,
+            };
             let reservation = wallets.next_name();
             self.reserve(state, program, reservation, missing + extra);
         }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod nodes;
 pub mod ownership;
 pub mod peer_loads;
+pub mod policy;
 pub mod response_time;
 pub mod split;
 pub mod worker_health;
--- a/crates/gateway-core/src/nodes.rs
+++ b/crates/gateway-core/src/nodes.rs
@@ -6,6 +6,8 @@
 use elderworks_types::{Incarnation, NodeId};
 use serde::{Deserialize, Serialize};
 
+use crate::policy::Policy;
+
 /// A node's own entry, written at its start and when it begins to leave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -44,12 +46,28 @@
 const FEWEST_LARGE: usize = 3;
 
 /// Every node that has written an entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct NodeDirectory {
     nodes: BTreeMap<NodeId, KnownNode>,
+    /// Whether large nodes are offered alone if there are enough.
+    prefers_large: bool,
+}
+
+impl Default for NodeDirectory {
+    fn default() -> Self {
+        Self::new(&Policy::default())
+    }
 }
 
 impl NodeDirectory {
+    /// Knows no node yet.
+    pub fn new(policy: &Policy) -> Self {
+        Self {
+            nodes: BTreeMap::new(),
+            prefers_large: policy.large_nodes,
+        }
+    }
+
     /// Takes an entry unless a later one is known; tells whether it did.
     pub fn upsert(&mut self, node: NodeId, incarnation: Incarnation, record: NodeRecord) -> bool {
         if let Some(known) = self.nodes.get(&node)
@@ -120,10 +138,15 @@
             .copied()
             .filter(|(_, record)| Some(record.zone.as_str()) == zone)
             .collect();
-        if nearby.len() >= FEWEST_IN_ZONE {
-            large_if_enough(nearby)
+        let offered = if nearby.len() >= FEWEST_IN_ZONE {
+            nearby
+        } else {
+            serving
+        };
+        if self.prefers_large {
+            large_if_enough(offered)
         } else {
-            large_if_enough(serving)
+            offered
         }
     }
 }
--- /dev/null
+++ b/crates/gateway-core/src/policy.rs
@@ -0,0 +1,102 @@
+//! Which mechanisms of the gateway are in use, and their figures.
+//!
+//! The defaults are what measurement has kept (docs/DECIDING.md). Switching one off shows what it
+//! is worth; none of them may be needed for a promise to hold.
+
+use serde::{Deserialize, Serialize};
+
+/// Mechanisms and figures; every node of a deployment should have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Owners set tokens aside for several turns of a program at once.
+    pub advances: bool,
+    /// Turns may run before their tokens are set aside while the log is in trouble.
+    pub overdrafts: bool,
+    /// A turn may begin on an overdraft while its program has drawn no more than one part in so
+    /// many of its budget. At least 1.
+    pub overdraft_share: u64,
+    /// Owners read their partitions and open overdrafts before anybody asks.
+    pub preparation: bool,
+    /// Requests without leave wait for an outage of the log to end.
+    pub patience: bool,
+    /// Requests of one program keep to one worker, where their prompt is in memory.
+    pub affinity: bool,
+    /// Workers of the own zone come first while they have room.
+    pub near_workers: bool,
+    /// Nodes tell each other their load on workers.
+    pub shared_load: bool,
+    /// A worker takes the programs that prefer it up to this many times the mean load. At least 1.
+    pub load_bound: f64,
+    /// Share of their slots up to which workers take what comes, whatever the others' load, and
+    /// up to which zones keep to their workers. From 0 to 1.
+    pub calm_share: f64,
+    /// Workers that fail are left alone for a while.
+    pub ejection: bool,
+    /// Nodes tell each other of workers that they leave alone.
+    pub ejection_reports: bool,
+    /// Silence speaks against a worker.
+    pub silence: bool,
+    /// Streams that break off are gone on with, where their route allows it.
+    pub resumption: bool,
+    /// Callers are sent to the larger machines if there are enough.
+    pub large_nodes: bool,
+    /// Nodes that have just started presume listed nodes alive.
+    pub presumption: bool,
+    /// Engines are told the rank of a request's route.
+    pub engine_rank: bool,
+    /// Workers whose records are gone stay a last resort for a moment.
+    pub missing_grace: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            advances: true,
+            overdrafts: true,
+            overdraft_share: 3,
+            preparation: true,
+            patience: true,
+            affinity: true,
+            near_workers: true,
+            shared_load: true,
+            load_bound: 1.25,
+            calm_share: 0.75,
+            ejection: true,
+            ejection_reports: true,
+            silence: true,
+            resumption: true,
+            large_nodes: true,
+            presumption: true,
+            engine_rank: true,
+            missing_grace: true,
+        }
+    }
+}
+
+/// A figure that makes no sense.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{key}` {problem}")]
+pub struct PolicyError {
+    /// The field.
+    pub key: &'static str,
+    /// What is wrong with it.
+    pub problem: &'static str,
+}
+
+impl Policy {
+    /// Checks the figures.
+    pub fn check(&self) -> Result<(), PolicyError> {
+        let error = |key, problem| Err(PolicyError { key, problem });
+        if self.overdraft_share == 0 {
+            return error("overdraft_share", "must be 1 or more");
+        }
+        if !(self.load_bound >= 1.0 && self.load_bound.is_finite()) {
+            return error("load_bound", "must be 1 or more");
+        }
+        if !(0.0..=1.0).contains(&self.calm_share) {
+            return error("calm_share", "must be between 0 and 1");
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -7,6 +7,7 @@
 use elderworks_types::{NodeId, Timestamp};
 
 use crate::peer_loads::{PeerLoads, WorkerKey};
+use crate::policy::Policy;
 use crate::worker_health::{Standing, WorkerHealth};
 
 /// A worker's own entry in the directory of workers.
@@ -93,6 +94,7 @@
 /// Every worker by id.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerDirectory {
+    policy: Policy,
     workers: BTreeMap<String, Worker>,
     peer_loads: PeerLoads,
     /// When the store last answered again after an outage.
@@ -100,6 +102,19 @@
 }
 
 impl WorkerDirectory {
+    /// Knows no worker yet.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
+    /// The mechanisms in use.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
     /// Takes a worker's record; tells whether it changes what is believed of it.
     pub fn upsert(&mut self, record: WorkerRecord) -> bool {
         if let Some(known) = self.workers.get_mut(&record.id) {
@@ -127,6 +142,9 @@
 
     /// How long a worker whose record goes now is a last resort.
     fn grace(&self, now: Timestamp) -> Duration {
+        if !self.policy.missing_grace {
+            return Duration::ZERO;
+        }
         let after_outage = self
             .outage_over
             .is_some_and(|over| now.since(over) < OUTAGE_AFTERMATH);
@@ -271,13 +289,13 @@
 
     /// Notes a failure; tells whether the worker is ejected now.
     pub fn note_failure(&mut self, id: &str, now: Timestamp) -> bool {
-        let worker = self.workers.get_mut(id);
+        let worker = self.workers.get_mut(id).filter(|_| self.policy.ejection);
         worker.is_some_and(|worker| worker.health.note_failure(now))
     }
 
     /// Notes that another node has ejected a worker; tells whether it is ejected here now.
     pub fn note_report(&mut self, id: &str, now: Timestamp, node: NodeId) -> bool {
-        let worker = self.workers.get_mut(id);
+        let worker = self.workers.get_mut(id).filter(|_| self.policy.ejection);
         worker.is_some_and(|worker| worker.health.note_report(now, node))
     }
 }
--- /dev/null
+++ b/crates/gateway-core/tests/policy.rs
@@ -0,0 +1,51 @@
+//! Figures of the policy that make no sense are refused.
+
+use elderworks_gateway_core::policy::Policy;
+
+#[test]
+fn the_defaults_make_sense() {
+    assert_eq!(Policy::default().check(), Ok(()));
+}
+
+#[test]
+fn figures_out_of_range_are_refused_by_name() {
+    struct Case {
+        policy: Policy,
+        key: &'static str,
+    }
+    let default = Policy::default();
+    let cases = [
+        Case {
+            policy: Policy {
+                overdraft_share: 0,
+                ..default
+            },
+            key: "overdraft_share",
+        },
+        Case {
+            policy: Policy {
+                load_bound: 0.9,
+                ..default
+            },
+            key: "load_bound",
+        },
+        Case {
+            policy: Policy {
+                load_bound: f64::NAN,
+                ..default
+            },
+            key: "load_bound",
+        },
+        Case {
+            policy: Policy {
+                calm_share: 1.1,
+                ..default
+            },
+            key: "calm_share",
+        },
+    ];
+    for case in cases {
+        let error = case.policy.check().expect_err(case.key);
+        assert_eq!(error.key, case.key);
+    }
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -248,7 +248,8 @@
     /// Requests for engines carry the rank of their route.
     fn engine_priority(&self) -> Option<u8> {
         let service = self.config.service(&self.service)?;
-        service.engine.as_ref().map(|_| self.route.priority.min(9))
+        let is_told = service.engine.is_some() && self.gateway.settings.policy.engine_rank;
+        is_told.then(|| self.route.priority.min(9))
     }
 
     fn choose(&self) -> Result<Target, CallError> {
@@ -256,10 +257,9 @@
         let query = PlacementQuery {
             service: &self.service,
             key: self
-                .route
-                .sticky
-                .then(|| self.attributes.placement_key())
-                .flatten(),
+                .attributes
+                .placement_key()
+                .filter(|_| self.route.sticky && self.gateway.settings.policy.affinity),
             zone: self.gateway.settings.zone.as_str(),
             repeatable: self.route.is_repeatable(),
             tried: &tried,
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -38,7 +38,9 @@
         let ejected = self.gateway.workers.borrow_mut().note_failure(worker, now);
         if ejected {
             log::warn!(worker = worker; "worker ejected after failures");
-            self.gateway.peers.report_worker(self.gateway, worker);
+            if self.gateway.settings.policy.ejection_reports {
+                self.gateway.peers.report_worker(self.gateway, worker);
+            }
         }
     }
 
@@ -93,6 +95,9 @@
     /// How long a worker may be silent before that speaks against it. Engines let requests wait
     /// for their turn; other workers answer sooner.
     pub(super) fn longest_silence(&self) -> Duration {
+        if !self.gateway.settings.policy.silence {
+            return self.route.timeout;
+        }
         if self.is_for_engine() {
             ENGINE_SILENCE
         } else {
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -130,7 +130,8 @@
         worker: &str,
         passed: &mut Passed,
     ) -> Result<Option<Target>, CallError> {
-        if !self.route.resumable || passed.resumptions >= MAX_RESUMPTIONS {
+        let is_allowed = self.route.resumable && self.gateway.settings.policy.resumption;
+        if !is_allowed || passed.resumptions >= MAX_RESUMPTIONS {
             return Err(CallError::Broken("the worker's stream broke off"));
         }
         passed.resumptions += 1;
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -203,6 +203,9 @@
 
     /// How long an outage of the log is waited for.
     fn ledger_patience(&self) -> Duration {
+        if !self.gateway.settings.policy.patience {
+            return Duration::ZERO;
+        }
         let left = self.deadline.saturating_duration_since(Instant::now());
         left.mul_f64(PATIENT_SHARE).min(LONGEST_PATIENCE)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,6 +69,7 @@
     /// A gateway that knows nothing yet.
     pub(crate) fn new(settings: GatewaySettings, platform: Rc<dyn Platform>) -> Rc<Self> {
         let (stage, _) = watch::channel(Stage::Serving);
+        let policy = settings.policy;
         Rc::new(Self {
             peers: Peers::new(&settings),
             ledger: Ledger::new(settings.partitions),
@@ -80,8 +81,8 @@
             clock: Clock::start(),
             http: ServiceConfig::default(),
             config: RefCell::default(),
-            workers: RefCell::default(),
-            nodes: RefCell::default(),
+            workers: RefCell::new(WorkerDirectory::new(policy)),
+            nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
             pool: Rc::default(),
             metrics: Metrics::new(),
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -211,6 +211,9 @@
 /// their state is at hand and an overdraft stands when the log fails.
 pub(crate) async fn prepare_partitions(gateway: Rc<Gateway>) {
     let mut changes = gateway.peers.changes();
+    if !gateway.settings.policy.preparation {
+        return;
+    }
     while changes.changed().await.is_ok() {
         if !gateway.peers.is_settled() {
             continue;
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -42,7 +42,7 @@
     let driver = Driver {
         gateway: gateway.clone(),
         partition,
-        owner: PartitionOwner::new(owner_name(gateway)),
+        owner: PartitionOwner::with_policy(owner_name(gateway), gateway.settings.policy),
         waiting: HashMap::new(),
         conflicts_counted: 0,
         page_bytes: Some(PAGE_BYTES),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -278,7 +278,11 @@
             seed: rand::random(),
         });
         *self.membership.borrow_mut() = Some(membership);
-        self.presumes_until.set(Some(Instant::now() + PRESUMPTION));
+        let presumption = match settings.policy.presumption {
+            true => PRESUMPTION,
+            false => Duration::ZERO,
+        };
+        self.presumes_until.set(Some(Instant::now() + presumption));
         self.note_changes(&gateway.nodes.borrow());
     }
 
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -35,6 +35,9 @@
 impl LoadSender {
     /// Tells other nodes of this one's load, unless they know it.
     pub(super) fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+        if !gateway.settings.policy.shared_load {
+            return;
+        }
         self.intervals = self.intervals.wrapping_add(1);
         let counts = {
             let mut workers = gateway.workers.borrow_mut();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -71,7 +71,7 @@
     let listeners = Listeners::bind(&mut settings)?;
     log::info!(
         node = settings.node.as_str(), zone = settings.zone.as_str(),
-        partitions = settings.partitions;
+        partitions = settings.partitions, policy:serde = settings.policy;
         "starting"
     );
     let gateway = Gateway::new(settings, platform);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use elderworks_gateway_core::policy::Policy;
 use elderworks_types::{NodeId, ZoneId};
 
 /// Settings of a gateway process, as its adapter reads them from the platform.
@@ -38,4 +39,6 @@
     pub drain_notice: Duration,
     /// Longest validity of an answer of the registry.
     pub longest_ttl: Duration,
+    /// Which mechanisms are in use.
+    pub policy: Policy,
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use error::SettingsError;
 pub use file::{ProcessSettings, SettingsFile};
-pub use load::{check_file, from_flags, load, load_with};
+pub use load::{check_file, from_flags, load, load_with, values_from_flags};
 pub use logging::{LogFormat, LoggingSettings, init_logging, init_logging_to};
 pub use node::{NodeLimits, NodeProcessSettings};
 pub use overrides::Override;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use serde::Deserialize;
-use serde::de::IgnoredAny;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use toml::{Spanned, Table};
 
 use crate::error::SettingsError;
@@ -44,14 +44,8 @@
 
 /// Builds and checks the settings of one process from flags alone.
 pub fn from_flags<T: ProcessSettings>(overrides: &[Override]) -> Result<T, SettingsError> {
-    let mut table = Table::new();
-    for change in overrides {
-        apply(&mut table, T::PROCESS, change)?;
-    }
-    let flag_error = |problem: String| SettingsError::Flag {
-        flag: join_flags(overrides),
-        problem,
-    };
+    let table = table_of(T::PROCESS, overrides)?;
+    let flag_error = |problem: String| flag_error(overrides, problem);
     let file =
         SettingsFile::deserialize(table).map_err(|error| flag_error(describe(error.message())))?;
     let settings = T::from_file(file)
@@ -62,6 +56,32 @@
     Ok(settings)
 }
 
+/// Builds values that are no process's settings from flags alone, over their defaults; the caller
+/// checks them.
+pub fn values_from_flags<T: DeserializeOwned>(overrides: &[Override]) -> Result<T, SettingsError> {
+    let mut table = table_of(VALUES, overrides)?;
+    let values = table.remove(VALUES).unwrap_or_else(|| Table::new().into());
+    T::deserialize(values).map_err(|error| flag_error(overrides, describe(error.message())))
+}
+
+/// Stands for the process's table where there is none.
+const VALUES: &str = "values";
+
+fn table_of(process: &str, overrides: &[Override]) -> Result<Table, SettingsError> {
+    let mut table = Table::new();
+    for change in overrides {
+        apply(&mut table, process, change)?;
+    }
+    Ok(table)
+}
+
+fn flag_error(overrides: &[Override], problem: String) -> SettingsError {
+    SettingsError::Flag {
+        flag: join_flags(overrides),
+        problem,
+    }
+}
+
 /// Reads and checks a file of any process; returns which process it is for.
 pub fn check_file(path: &Path) -> Result<&'static str, SettingsError> {
     let file = parse(path, &read(path)?)?;
