--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -83,13 +83,14 @@
 
 /// Requests under way per slot; more than any worker has if there are no slots.
 fn utilization<'a>(workers: &WorkerDirectory, some: impl Iterator<Item = &'a Worker>) -> f64 {
-    let sums = some.fold((0.0, 0.0), |(load, slots), worker| {
+    let (load, slots) = some.fold((0.0, 0.0), |(load, slots), worker| {
         let own_slots = f64::from(worker.record.slots.max(1));
         (load + f64::from(workers.load(worker)), slots + own_slots)
     });
-    match sums {
-        (_, slots) if slots == 0.0 => f64::INFINITY,
-        (load, slots) => load / slots,
+    if slots > 0.0 {
+        load / slots
+    } else {
+        f64::INFINITY
     }
 }
 
--- a/crates/gateway-core/tests/ledger/main.rs
+++ b/crates/gateway-core/tests/ledger/main.rs
@@ -3,4 +3,5 @@
 mod budgets;
 mod calls;
 mod fixtures;
+mod overdrafts;
 mod turns;
--- /dev/null
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -0,0 +1,418 @@
+//! Overdrafts: when they are opened, used, recorded, closed, and charged to others.
+
+use std::time::Duration;
+
+use elderworks_gateway_core::ledger::{
+    Action, AppendOutcome, Inquiry, LedgerState, OverdraftUse, PartitionOwner, ReadOutcome,
+    SLOW_CALL, Ticket, WitnessMemory,
+};
+use elderworks_gateway_core::policy::Policy;
+use elderworks_protocol::ledger::{
+    LedgerRecord, LedgerReply, Witness, WitnessAnswer, WitnessQuestion, WitnessWish,
+};
+use elderworks_types::{NodeId, Offset, Timestamp};
+
+use crate::fixtures::{START, begin, finish, nothing};
+
+fn witness(boot: u64) -> Witness {
+    Witness {
+        node: NodeId::new(format!("n{boot}")),
+        boot,
+    }
+}
+
+fn witnesses(boots: &[u64]) -> Vec<Witness> {
+    boots.iter().map(|boot| witness(*boot)).collect()
+}
+
+/// An owner with three witnesses that has read an empty log.
+fn owner() -> PartitionOwner {
+    let mut owner = PartitionOwner::new("owner".to_owned());
+    owner.set_witnesses(witnesses(&[1, 2, 3]).into());
+    assert_eq!(owner.next_action(START), Action::Read { from: Offset(0) });
+    owner.on_read(START, nothing(0));
+    owner
+}
+
+/// The records of the owner's next action, which must be an append.
+fn appended(owner: &mut PartitionOwner, now: Timestamp) -> Vec<LedgerRecord> {
+    match owner.next_action(now) {
+        Action::Append { records, .. } => records,
+        action => panic!("an append, not {action:?}"),
+    }
+}
+
+/// An owner whose overdraft stands.
+fn standing() -> PartitionOwner {
+    let mut owner = owner();
+    let records = appended(&mut owner, START);
+    assert!(matches!(records[..], [LedgerRecord::Overdraft { .. }]));
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
+    owner
+}
+
+fn answer(owner: &mut PartitionOwner, now: Timestamp, inquiry: &Inquiry, answer: WitnessAnswer) {
+    owner.on_inquiry(now, &inquiry.question, Some(answer));
+}
+
+/// An owner whose overdraft is active while a call to the log is under way.
+fn active() -> PartitionOwner {
+    let mut owner = standing();
+    owner.submit(START, Ticket(1), begin("one", 90, 10));
+    appended(&mut owner, START);
+    owner.note_slow_call(START);
+    let inquiries = owner.take_inquiries();
+    assert_eq!(inquiries.len(), 3);
+    for inquiry in &inquiries[..2] {
+        answer(&mut owner, START, inquiry, WitnessAnswer::Activated);
+    }
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Active);
+    owner
+}
+
+fn granted(owner: &mut PartitionOwner) -> usize {
+    let replies = owner.take_replies().into_iter();
+    let is_granted = |reply: &LedgerReply| matches!(reply, LedgerReply::Granted { .. });
+    replies.filter(|(_, reply)| is_granted(reply)).count()
+}
+
+#[test]
+fn an_overdraft_is_opened_unasked_where_there_are_witnesses() {
+    struct Case {
+        name: &'static str,
+        boots: &'static [u64],
+        is_preferred: bool,
+        policy: Policy,
+        opens: bool,
+    }
+    let on = Policy::default();
+    let cases = [
+        Case {
+            name: "two witnesses",
+            boots: &[1, 2],
+            is_preferred: true,
+            policy: on,
+            opens: true,
+        },
+        Case {
+            name: "one witness",
+            boots: &[1],
+            is_preferred: true,
+            policy: on,
+            opens: false,
+        },
+        Case {
+            name: "another node should act",
+            boots: &[1, 2, 3],
+            is_preferred: false,
+            policy: on,
+            opens: false,
+        },
+        Case {
+            name: "switched off",
+            boots: &[1, 2, 3],
+            is_preferred: true,
+            policy: Policy {
+                overdrafts: false,
+                ..on
+            },
+            opens: false,
+        },
+    ];
+    for case in cases {
+        let mut owner = PartitionOwner::with_policy("owner".to_owned(), case.policy);
+        owner.set_witnesses(witnesses(case.boots).into());
+        owner.set_preferred(case.is_preferred);
+        if matches!(owner.next_action(START), Action::Read { .. }) {
+            owner.on_read(START, nothing(0));
+        }
+        let action = owner.next_action(START);
+        let opens = matches!(action, Action::Append { .. });
+        assert_eq!(opens, case.opens, "{}", case.name);
+    }
+}
+
+#[test]
+fn while_the_log_is_down_nobody_waits_for_preparation() {
+    let mut owner = PartitionOwner::new("owner".to_owned());
+    owner.set_witnesses(witnesses(&[1, 2]).into());
+    let mut now = START;
+    let mut calls = 0;
+    while now < START + Duration::from_secs(5) {
+        match owner.next_action(now) {
+            Action::Read { .. } => {
+                calls += 1;
+                owner.on_read(now, ReadOutcome::Failed);
+            }
+            Action::Wait { until } => now = until.expect("it tries again"),
+            Action::Append { .. } => panic!("nothing was read"),
+        }
+    }
+    assert!((8..=14).contains(&calls), "{calls} calls in five seconds");
+}
+
+#[test]
+fn turns_begin_on_an_active_overdraft_up_to_its_share() {
+    let mut owner = active();
+    assert_eq!(granted(&mut owner), 1, "the turn that waited for the log");
+    // A third of 90 is 30: a turn may begin while no more than that is drawn.
+    for (number, turn) in ["two", "three", "four", "five"].iter().enumerate() {
+        let ticket = Ticket(10 + number as u64);
+        owner.submit(START, ticket, begin(turn, 90, 10));
+    }
+    assert_eq!(granted(&mut owner), 3, "the fifth finds 40 drawn");
+    owner.submit(START, Ticket(20), finish("one", 3, None));
+    owner.submit(START, Ticket(21), finish("two", 3, None));
+    owner.submit(START, Ticket(22), begin("six", 90, 10));
+    assert_eq!(
+        granted(&mut owner),
+        1,
+        "ended turns count with what they used"
+    );
+}
+
+#[test]
+fn a_minority_of_witnesses_is_not_enough_and_is_asked_again_later() {
+    let mut owner = standing();
+    owner.submit(START, Ticket(1), begin("one", 90, 10));
+    appended(&mut owner, START);
+    owner.note_slow_call(START);
+    let inquiries = owner.take_inquiries();
+    answer(&mut owner, START, &inquiries[0], WitnessAnswer::Activated);
+    answer(&mut owner, START, &inquiries[1], WitnessAnswer::Unknown);
+    owner.on_inquiry(START, &inquiries[2].question, None);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
+    assert_eq!(granted(&mut owner), 0);
+    owner.note_slow_call(START + Duration::from_millis(100));
+    assert_eq!(owner.take_inquiries(), [], "too soon");
+    owner.note_slow_call(START + Duration::from_millis(600));
+    assert_eq!(owner.take_inquiries().len(), 3);
+}
+
+#[test]
+fn a_log_that_answers_fast_again_ends_the_use() {
+    let mut owner = active();
+    owner.on_append(START + SLOW_CALL / 2, AppendOutcome::Refused);
+    // What was drawn is recorded as soon as the log takes it.
+    let mut now = START + Duration::from_millis(200);
+    let records = appended(&mut owner, now);
+    let covered = records
+        .iter()
+        .any(|record| matches!(record, LedgerRecord::Reserved { tokens: 10, .. }));
+    assert!(covered, "{records:?}");
+    owner.on_append(now, AppendOutcome::Done);
+    owner.take_replies();
+    // Turns wait for the log again, and a second later the overdraft is replaced.
+    owner.submit(now, Ticket(5), begin("two", 90, 10));
+    assert_eq!(granted(&mut owner), 0);
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    now = now + Duration::from_secs(2);
+    let records = appended(&mut owner, now);
+    let closed = records
+        .iter()
+        .position(|record| matches!(record, LedgerRecord::OverdraftClosed { .. }));
+    let opened = records
+        .iter()
+        .position(|record| matches!(record, LedgerRecord::Overdraft { .. }));
+    assert!(closed.is_some() && closed < opened, "{records:?}");
+    owner.on_append(now, AppendOutcome::Done);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
+}
+
+#[test]
+fn an_owner_that_is_not_asked_any_more_closes_an_unused_overdraft() {
+    let mut owner = standing();
+    owner.set_preferred(false);
+    let records = appended(&mut owner, START);
+    assert!(matches!(
+        records[..],
+        [LedgerRecord::OverdraftClosed { .. }]
+    ));
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::None);
+    assert!(matches!(owner.next_action(START), Action::Wait { .. }));
+}
+
+#[test]
+fn an_overdraft_whose_witnesses_are_gone_is_replaced_with_the_next_append() {
+    let mut owner = standing();
+    owner.set_witnesses(witnesses(&[1, 4, 5]).into());
+    owner.submit(START, Ticket(1), begin("one", 90, 10));
+    let records = appended(&mut owner, START);
+    let opened = records.iter().find_map(|record| match record {
+        LedgerRecord::Overdraft { witnesses, .. } => Some(witnesses.clone()),
+        _ => None,
+    });
+    assert_eq!(opened, Some(witnesses(&[1, 4, 5])));
+}
+
+/// A log that holds another owner's overdraft with the witnesses 1, 2 and 3.
+fn others_overdraft() -> ReadOutcome {
+    ReadOutcome::Records {
+        records: vec![Some(LedgerRecord::Overdraft {
+            overdraft: "lost/1".to_owned(),
+            share: 3,
+            witnesses: witnesses(&[1, 2, 3]),
+            idle_ms: 0,
+        })],
+        end: Offset(1),
+    }
+}
+
+fn successor() -> PartitionOwner {
+    let mut owner = PartitionOwner::new("successor".to_owned());
+    owner.set_witnesses(witnesses(&[1, 2, 3]).into());
+    owner.next_action(START);
+    owner.on_read(START, others_overdraft());
+    owner
+}
+
+#[test]
+fn a_fenced_overdraft_is_closed_and_its_charge_ends() {
+    let mut owner = successor();
+    // A third of 25 is charged: two turns of 10 do not fit.
+    owner.submit(START, Ticket(1), begin("one", 25, 10));
+    owner.submit(START, Ticket(2), begin("two", 25, 10));
+    owner.next_action(START);
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(granted(&mut owner), 1);
+    let inquiries = owner.take_inquiries();
+    assert!(
+        inquiries
+            .iter()
+            .all(|inquiry| inquiry.question.wish == WitnessWish::Fence)
+    );
+    for inquiry in &inquiries[..2] {
+        answer(&mut owner, START, inquiry, WitnessAnswer::Fenced);
+    }
+    let records = appended(&mut owner, START);
+    assert!(records.contains(&LedgerRecord::OverdraftClosed {
+        overdraft: "lost/1".to_owned()
+    }));
+    owner.on_append(START, AppendOutcome::Done);
+    owner.take_replies();
+    owner.submit(START, Ticket(3), begin("two", 25, 10));
+    owner.next_action(START);
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(granted(&mut owner), 1, "the second turn fits now");
+}
+
+#[test]
+fn a_denial_that_rests_on_anothers_overdraft_is_unsure_for_a_moment() {
+    struct Case {
+        name: &'static str,
+        answer: Option<WitnessAnswer>,
+        after: Duration,
+        reply: LedgerReply,
+    }
+    let cases = [
+        Case {
+            name: "the witnesses have not answered yet",
+            answer: None,
+            after: Duration::ZERO,
+            reply: LedgerReply::BudgetUnsure,
+        },
+        Case {
+            name: "a witness knows that it was used",
+            answer: Some(WitnessAnswer::Activated),
+            after: Duration::ZERO,
+            reply: LedgerReply::BudgetSpent,
+        },
+        Case {
+            name: "the witnesses are gone",
+            answer: None,
+            after: Duration::from_millis(1_100),
+            reply: LedgerReply::BudgetSpent,
+        },
+    ];
+    for case in cases {
+        let mut owner = successor();
+        owner.next_action(START);
+        let inquiries = owner.take_inquiries();
+        if let Some(given) = case.answer {
+            answer(&mut owner, START, &inquiries[0], given);
+        }
+        let now = START + case.after;
+        // Of 12, a third is charged, so that a turn of 10 does not fit.
+        owner.submit(now, Ticket(1), begin("one", 12, 10));
+        let mut replies = Vec::new();
+        for _ in 0..6 {
+            match owner.next_action(now) {
+                Action::Append { .. } => owner.on_append(now, AppendOutcome::Done),
+                Action::Read { from } => owner.on_read(now, nothing(from.0)),
+                Action::Wait { .. } => {}
+            }
+            replies.extend(owner.take_replies());
+        }
+        assert_eq!(replies, [(Ticket(1), case.reply)], "{}", case.name);
+    }
+}
+
+#[test]
+fn what_stands_in_the_log_for_an_owner_is_not_charged_twice() {
+    let mut state = LedgerState::default();
+    let overdraft = |owner: &str| LedgerRecord::Overdraft {
+        overdraft: format!("{owner}/1"),
+        share: 3,
+        witnesses: Vec::new(),
+        idle_ms: 0,
+    };
+    state.apply(START, overdraft("lost"));
+    let charge = |state: &LedgerState| state.overdrawn_by_others("p", 90, |name| name == "own/1");
+    assert_eq!(charge(&state), 30);
+    let reserve = |reservation: &str, tokens| LedgerRecord::Reserved {
+        program: "p".to_owned(),
+        reservation: reservation.to_owned(),
+        tokens,
+    };
+    state.apply(START, reserve("lost/2", 20));
+    assert_eq!(charge(&state), 10, "20 count already");
+    state.apply(START, reserve("other/2", 50));
+    assert_eq!(charge(&state), 10, "another owner's do not matter");
+    state.apply(START, reserve("lost/3", 20));
+    assert_eq!(charge(&state), 0);
+}
+
+#[test]
+fn a_witness_decides_once_and_only_for_its_own_start() {
+    struct Case {
+        name: &'static str,
+        questions: &'static [(u64, WitnessWish)],
+        answers: &'static [WitnessAnswer],
+    }
+    let cases = [
+        Case {
+            name: "activated first",
+            questions: &[(7, WitnessWish::Activate), (7, WitnessWish::Fence)],
+            answers: &[WitnessAnswer::Activated, WitnessAnswer::Activated],
+        },
+        Case {
+            name: "fenced first",
+            questions: &[(7, WitnessWish::Fence), (7, WitnessWish::Activate)],
+            answers: &[WitnessAnswer::Fenced, WitnessAnswer::Fenced],
+        },
+        Case {
+            name: "asked as an earlier start",
+            questions: &[(6, WitnessWish::Fence), (7, WitnessWish::Activate)],
+            answers: &[WitnessAnswer::Unknown, WitnessAnswer::Activated],
+        },
+    ];
+    for case in cases {
+        let mut witness = WitnessMemory::new(7);
+        let answers: Vec<WitnessAnswer> = case
+            .questions
+            .iter()
+            .map(|(boot, wish)| {
+                let question = WitnessQuestion {
+                    overdraft: "o/1".to_owned(),
+                    boot: *boot,
+                    wish: *wish,
+                };
+                witness.answer(START, &question)
+            })
+            .collect();
+        assert_eq!(answers, case.answers, "{}", case.name);
+    }
+}
