placement: requests without a key prefer a worker to which a connection is at rest

Change: among the workers with the least of the node's requests, one with a connection at rest comes first. Ruled out: longer use of idle connections (workers name 10 s, 7 are used).

--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -14,7 +14,7 @@
 use crate::workers::{Worker, WorkerDirectory};
 
 /// What is asked of a worker.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PlacementQuery<'a> {
     /// Service of the route.
     pub service: &'a str,
@@ -28,6 +28,8 @@
     pub tried: &'a [String],
     /// A number that differs between requests, to spread those without a key.
     pub spread: u64,
+    /// Whether this node has a connection at rest to the worker of that id.
+    pub is_connected: &'a dyn Fn(&str) -> bool,
 }
 
 /// The worker to take; `None` if the service has none left that takes work.
@@ -102,10 +104,11 @@
 ) -> Option<&'a Worker> {
     let candidates: Vec<&Worker> = some.collect();
     if query.key.is_none() {
-        let least = candidates.iter();
-        return least
-            .min_by_key(|worker| (worker.in_flight, order(worker, query)))
-            .copied();
+        let rank = |worker: &Worker| {
+            let needs_connection = !(query.is_connected)(&worker.record.id);
+            (worker.in_flight, needs_connection, order(worker, query))
+        };
+        return candidates.into_iter().min_by_key(|worker| rank(worker));
     }
     let mean = utilization(workers, candidates.iter().copied());
     let policy = workers.policy();
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -37,6 +37,7 @@
         repeatable: true,
         tried,
         spread: 1,
+        is_connected: &|_| false,
     }
 }
 
@@ -118,6 +119,25 @@
     met
 }
 
+#[test]
+fn a_request_without_a_key_takes_a_worker_that_needs_no_connection_if_it_is_as_idle() {
+    let mut workers = directory(&["w1", "w2", "w3"]);
+    let met = |workers: &WorkerDirectory| -> BTreeSet<String> {
+        let query = |spread| PlacementQuery {
+            spread,
+            is_connected: &|worker| worker == "w2",
+            ..query(None, &[])
+        };
+        (0..32)
+            .filter_map(|spread| choose(workers, &query(spread), START))
+            .map(|worker| worker.record.id.clone())
+            .collect()
+    };
+    assert_eq!(met(&workers), BTreeSet::from(["w2".to_owned()]));
+    workers.note_start("w2");
+    assert_eq!(met(&workers).len(), 2, "the others are idle");
+}
+
 #[test]
 fn programs_keep_to_the_zone_until_it_is_crowded() {
     let mut workers = directory(&["near-1", "near-2"]);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -264,6 +264,7 @@
             repeatable: self.route.is_repeatable(),
             tried: &tried,
             spread: self.gateway.next_sequence(),
+            is_connected: &|worker| self.gateway.pool.has(worker),
         };
         let workers = self.gateway.workers.borrow();
         let Some(worker) = balancer::choose(&workers, &query, self.gateway.now()) else {
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -39,6 +39,14 @@
         None
     }
 
+    /// Whether a connection to a worker is likely to be at rest.
+    pub(crate) fn has(&self, worker: &str) -> bool {
+        let idle = self.idle.borrow();
+        let connections = idle.get(worker);
+        let now = Instant::now();
+        connections.is_some_and(|all| all.iter().any(|one| one.usable_until > now))
+    }
+
     /// Keeps a connection for the next request, unless as many as allowed are kept. `idle_time` is
     /// what the worker said.
     pub(crate) fn put(
