--- a/crates/lab/benches/decisions/journal.rs
+++ b/crates/lab/benches/decisions/journal.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use crate::fixtures::{start_of_run, submission};
 use criterion::{BenchmarkId, Criterion};
 use elderworks_execution::{Effect, Event, ExecutionSettings, Partition};
-use elderworks_lab::scale::roles::owner::{start_of_run, submission};
 use elderworks_protocol::record::{Record, Writer};
 use elderworks_types::{
     Attempt, CallId, CallNumber, EngineId, Incarnation, NodeId, Offset, PartitionId, RunId,
--- a/crates/lab/benches/decisions/main.rs
+++ b/crates/lab/benches/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Hot decisions over growing sizes.
 
+mod fixtures;
 mod gossip;
 mod journal;
 mod place;
--- a/crates/lab/benches/decisions/place.rs
+++ b/crates/lab/benches/decisions/place.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use crate::fixtures::{call_ready, engine_added, first_ticket, load_of};
 use criterion::{BenchmarkId, Criterion};
-use elderworks_lab::scale::roles::placement::{call_ready, engine_added, first_ticket, load_of};
 use elderworks_placement::event::FinishedResult;
 use elderworks_placement::{Event, Placement, PlacementSettings};
 use elderworks_types::{RunId, Timestamp, Tokens, ZoneId};
--- a/crates/lab/src/command_line.rs
+++ b/crates/lab/src/command_line.rs
@@ -54,16 +54,5 @@
             /// Write the outcome as JSON.
             optional --json file: PathBuf
         }
-        /// Measure state, messages and processor time by role over growing sizes.
-        cmd scale {
-            /// Most nodes.
-            required --nodes count: usize
-            /// Most workers.
-            required --workers count: usize
-            /// Most runs under way.
-            required --runs count: usize
-            /// Write the figures as JSON.
-            optional --json file: PathBuf
-        }
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,6 @@
 mod command_line;
 mod compare;
 mod load;
-pub mod scale;
 mod seeds;
 mod simulate;
 mod workload;
@@ -16,6 +15,5 @@
         LabCommandCmd::Compare(options) => compare::run(options),
         LabCommandCmd::Load(options) => load::run(options),
         LabCommandCmd::Simulate(options) => simulate::run(options),
-        LabCommandCmd::Scale(options) => scale::run(options),
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,4 +1,4 @@
-//! The `elderworks-lab` command: comparison, load, simulation and scale experiments.
+//! The `elderworks-lab` command: comparison, load and simulation.
 
 fn main() -> eyre::Result<std::process::ExitCode> {
     env_logger::init();
