--- a/crates/cli/src/command_line.rs
+++ b/crates/cli/src/command_line.rs
@@ -94,6 +94,13 @@
             /// table, json or yaml.
             optional -o, --output format: OutputFormat
         }
+        /// Explain a request to a gateway from the logs of its nodes.
+        cmd explain-request {
+            /// Id of the request.
+            required id: String
+            /// What a node has written to its standard output; may be repeated.
+            repeated --log file: PathBuf
+        }
         /// Run a sample program of each deployment in one process.
         cmd demo {}
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 use std::process::ExitCode;
 
 use command_line::{Elderworks, ElderworksCmd};
+use elderworks_cli::request_log;
 use operator::Command;
 
 fn main() -> eyre::Result<ExitCode> {
@@ -29,6 +30,10 @@
             let files: Vec<_> = std::iter::once(options.file).chain(options.files).collect();
             return Ok(process::check(&files));
         }
+        ElderworksCmd::ExplainRequest(options) => {
+            print!("{}", request_log::explain(&options.id, &options.log)?);
+            return Ok(ExitCode::SUCCESS);
+        }
         ElderworksCmd::Demo(_) => return demo::run(),
         ElderworksCmd::Apply(options) => Command::Apply(options),
         ElderworksCmd::Get(options) => Command::Get(options),
--- /dev/null
+++ b/crates/cli/tests/explain_request.rs
@@ -0,0 +1,61 @@
+//! `explain-request` on the lines of nodes, as OPERATIONS reads them by hand.
+
+use elderworks_cli::request_log::explain_text;
+
+const REFUSED: &str = r#"
+  1.0347 edge-a-2 {"at":5,"error":"the log refused the call: append: 503","level":"WARN","message":"append to the ledger failed","partition":1,"time":"2026-05-11T23:31:44.034Z"}
+  1.1000 edge-a-9 {"at":5,"error":"another node's","level":"WARN","message":"append to the ledger failed","partition":7,"time":"2026-05-11T23:31:44.100Z"}
+  1.2000 edge-a-2 {"level":"INFO","message":"use of the overdraft changed","before":"Active","now":"None","partition":1,"time":"2026-05-11T23:31:44.200Z"}
+  2.4000 edge-a-2 {"config":4,"finish_ms":1900,"first_ms":-1,"leave_ms":-1,"level":"WARN","message":"the program's ledger cannot be asked now","ms":1200,"program":"p1","request":"r1","route":"r","session":"s","status":503,"time":"2026-05-11T23:31:45.400Z","whole":true,"workers":""}
+  3.0000 edge-a-1 {"config":4,"finish_ms":700,"first_ms":30,"leave_ms":2,"level":"INFO","message":"answered","ms":300,"program":"p1","request":"r2","route":"r","session":"s","status":200,"time":"2026-05-11T23:31:46.000Z","whole":true,"workers":"w1"}
+"#;
+
+const BROKEN: &str = r#"
+{"level":"INFO","message":"attempt failed","ms":4,"reason":"refused with 503","request":"r5","time":"2026-05-11T23:31:48.000Z","worker":"w1"}
+{"level":"INFO","message":"worker changed","draining":true,"offset":3,"service":"s","time":"2026-05-11T23:31:48.010Z","worker":"w1"}
+{"level":"INFO","message":"worker changed","draining":true,"offset":4,"service":"s","time":"2026-05-11T23:31:48.010Z","worker":"w7"}
+{"config":4,"finish_ms":-1,"first_ms":-1,"leave_ms":0,"level":"WARN","message":"no worker takes the request now","ms":20,"program":"","request":"r5","route":"r","session":"","status":503,"time":"2026-05-11T23:31:48.020Z","whole":true,"workers":"w1"}
+{"level":"INFO","message":"attempt failed","ms":4,"reason":"reset","request":"r6","time":"2026-05-11T23:31:49.000Z","worker":"w1"}
+"#;
+
+#[test]
+fn a_refused_turn_is_led_to_its_dependency() {
+    let told = explain_text("r1", REFUSED).expect("an explanation");
+    for wanted in [
+        "request r1 at edge-a-2: status 503, the program's ledger cannot be asked now after 1200 ms",
+        "append to the ledger failed: at=5 error=the log refused the call",
+        "use of the overdraft changed: before=Active now=None partition=1",
+        "r2 at edge-a-1: status 200, answered after 300 ms",
+        "cause: the log did not answer this node, and no overdraft covered the turn",
+    ] {
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+    assert!(
+        !told.contains("another node's"),
+        "lines of other nodes:\n{told}"
+    );
+}
+
+#[test]
+fn attempts_and_the_workers_tried_are_told() {
+    let told = explain_text("r5", BROKEN).expect("an explanation");
+    for wanted in [
+        "attempt failed: ms=4 reason=refused with 503",
+        "worker changed: draining=true offset=3 service=s worker=w1",
+        "cause: every worker tried refused it",
+    ] {
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+    assert!(
+        !told.contains("worker=w7"),
+        "a worker that was not tried:\n{told}"
+    );
+}
+
+#[test]
+fn what_cannot_be_explained_is_said() {
+    let lost = explain_text("r6", BROKEN).expect("it is seen");
+    assert!(lost.contains("no end line"), "{lost}");
+    let unknown = explain_text("r9", BROKEN).expect_err("never seen");
+    assert!(unknown.to_string().contains("no line tells of request r9"));
+}
