--- a/crates/gateway-core/src/ledger/calls.rs
+++ b/crates/gateway-core/src/ledger/calls.rs
@@ -7,6 +7,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// Numbers the calls that an owner has made to the log, in the order in which they began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallNumber(pub u64);
+
+impl CallNumber {
+    /// The call after this one.
+    pub(super) fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// What the driver is to do next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -12,9 +12,9 @@
 use elderworks_types::{Offset, Timestamp};
 
 use super::LedgerState;
-use super::calls::{Action, AppendOutcome, Inquiry, ReadOutcome, Ticket};
+use super::calls::{Action, AppendOutcome, CallNumber, Inquiry, ReadOutcome, Ticket};
 use super::fencing::Fencing;
-use super::overdraft::{FEWEST_WITNESSES, OverdraftUse, OwnOverdraft, majority};
+use super::overdraft::{FEWEST_WITNESSES, OverdraftUse, OwnOverdraft, SLOW_CALL, majority};
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::plan::{Credit, Plan, Planned, answer_at_once};
 use super::wallet::IDLE_BEFORE_SETTLING;
@@ -33,6 +33,14 @@
 /// Pause between two calls while the log is down.
 pub const DOWN_PAUSE: Duration = Duration::from_millis(100);
 
+/// How long a request that asks for it waits for a log that is down, to be carried out as soon as
+/// the log is back: two or three calls to the log end in that time.
+pub const HOLD_WHILE_DOWN: Duration = Duration::from_millis(500);
+
+/// How long after an outage of the log an owner that others do not send their requests to leaves
+/// the partition to the one that they do: both would read and append the same.
+pub const GIVES_WAY_FOR: Duration = Duration::from_secs(1);
+
 /// What is added to that pause if nobody waits for the call.
 const PREPARATION_PAUSE: Duration = Duration::from_millis(400);
 
@@ -43,8 +51,11 @@
     /// Whether the state is as of the log's end at some time since the request came, so that a
     /// negative answer is sure.
     verified: bool,
-    /// Whether it came while a call was under way: what the log says to that call may be older.
-    came_during_call: bool,
+    /// The last call that began before the request came: what the log says to that call or an
+    /// earlier one may be older.
+    came_after: CallNumber,
+    /// Until when the request waits though the log is down.
+    holds_until: Timestamp,
 }
 
 #[derive(Debug)]
@@ -72,7 +83,10 @@
     replies: Vec<(Ticket, LedgerReply)>,
     paused_until: Timestamp,
     failures_in_a_row: u32,
+    /// Until when an owner that is not preferred makes no call for requests.
+    gives_way_until: Timestamp,
     is_calling: bool,
+    last_call: CallNumber,
     call_began: Timestamp,
     conflicts: u64,
     overdraft: OwnOverdraft,
@@ -103,7 +117,9 @@
             replies: Vec::new(),
             paused_until: Timestamp::default(),
             failures_in_a_row: 0,
+            gives_way_until: Timestamp::default(),
             is_calling: false,
+            last_call: CallNumber::default(),
             call_began: Timestamp::default(),
             conflicts: 0,
             overdraft: OwnOverdraft::new(),
@@ -116,8 +132,25 @@
     /// Takes a request; its reply comes from [`Self::take_replies`].
     ///
     /// While the log is down, one request at a time waits for a call that finds out whether it
-    /// still is; the others are answered at once, from memory or with "unavailable".
+    /// still is, and requests that ask for it wait for [`HOLD_WHILE_DOWN`]; the others are answered
+    /// at once, from memory or with "unavailable".
     pub fn submit(&mut self, now: Timestamp, ticket: Ticket, request: LedgerRequest) {
+        let is_held = matches!(&request, LedgerRequest::Finish(finish) if finish.waits);
+        let hold = if is_held {
+            HOLD_WHILE_DOWN
+        } else {
+            Duration::ZERO
+        };
+        self.submit_held(now, ticket, request, now + hold);
+    }
+
+    fn submit_held(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: LedgerRequest,
+        holds_until: Timestamp,
+    ) {
         if let LedgerRequest::Finish(finish) = &request {
             self.abandon(&finish.program, &finish.turn);
         }
@@ -126,10 +159,13 @@
             self.activate_overdraft(now);
         }
         let may_wait = self.overdraft.is_activating();
-        let must_not_wait = !may_wait && (self.is_calling || now < self.paused_until);
+        let is_held = now < holds_until;
+        let is_busy = self.is_calling || now < self.paused_until;
+        let must_not_wait = !may_wait && !is_held && is_busy;
         let reply = match at_once {
             Some(reply) => Some(reply),
             None if self.is_down() && must_not_wait => Some(LedgerReply::Unavailable),
+            None if self.gives_way(now) => Some(LedgerReply::Unavailable),
             None => None,
         };
         match reply {
@@ -138,7 +174,8 @@
                 ticket,
                 request,
                 verified: false,
-                came_during_call: self.is_calling,
+                came_after: self.last_call,
+                holds_until,
             }),
         }
     }
@@ -157,6 +194,11 @@
         }
     }
 
+    /// Whether the partition is left to another owner, since the log has just come back.
+    fn gives_way(&self, now: Timestamp) -> bool {
+        !self.is_preferred && now < self.gives_way_until
+    }
+
     /// Notes that the call under way takes longer than [`super::SLOW_CALL`].
     pub fn note_slow_call(&mut self, now: Timestamp) {
         self.overdraft.note_trouble();
@@ -229,7 +271,7 @@
         for job in std::mem::take(&mut self.jobs) {
             let reply = match self.answer_at_once(now, &job.request) {
                 Some(reply) => reply,
-                None if is_hopeless && !self.is_in_append(job.ticket) => LedgerReply::Unavailable,
+                None if is_hopeless && !self.must_keep(now, &job) => LedgerReply::Unavailable,
                 None => {
                     self.jobs.push(job);
                     continue;
@@ -240,6 +282,12 @@
         }
     }
 
+    /// Whether a request waits though the log is down: an append under way may bring its answer, or
+    /// it asks for that.
+    fn must_keep(&self, now: Timestamp, job: &Job) -> bool {
+        now < job.holds_until || self.is_in_append(job.ticket)
+    }
+
     fn is_in_append(&self, ticket: Ticket) -> bool {
         let replies = self.pending.iter().flat_map(|pending| &pending.replies);
         replies.into_iter().any(|(other, _)| *other == ticket)
@@ -257,6 +305,13 @@
         }
     }
 
+    /// Decides anew which of the waiting requests still wait.
+    fn submit_jobs_anew(&mut self, now: Timestamp) {
+        for job in std::mem::take(&mut self.jobs) {
+            self.submit_held(now, job.ticket, job.request, job.holds_until);
+        }
+    }
+
     /// Tells which nodes can witness an overdraft, the foremost first, without this one.
     pub fn set_witnesses(&mut self, witnesses: Rc<[Witness]>) {
         self.witnesses = witnesses;
@@ -326,14 +381,16 @@
         let action = self.choose_action(now);
         self.is_calling = !matches!(action, Action::Wait { .. });
         if self.is_calling {
-            self.call_began = now;
-            for job in &mut self.jobs {
-                job.came_during_call = false;
-            }
+            self.note_call(now);
         }
         action
     }
 
+    fn note_call(&mut self, now: Timestamp) {
+        self.call_began = now;
+        self.last_call = self.last_call.next();
+    }
+
     fn choose_action(&mut self, now: Timestamp) -> Action {
         let settles_from = self
             .wallets
@@ -586,12 +643,24 @@
             self.replies.push((ticket, reply));
         }
         self.refresh_overdraft();
-        self.verify_jobs();
+        self.verify_jobs(self.last_call);
     }
 
     fn note_answer(&mut self, now: Timestamp) {
+        self.note_answered_call(now, self.last_call);
+    }
+
+    /// The log has answered a call; an earlier one than the last was surely slow.
+    fn note_answered_call(&mut self, now: Timestamp, call: CallNumber) {
+        if self.is_down() {
+            self.gives_way_until = now + GIVES_WAY_FOR;
+        }
         self.failures_in_a_row = 0;
-        let took = now.since(self.call_began);
+        let took = if call == self.last_call {
+            now.since(self.call_began)
+        } else {
+            SLOW_CALL
+        };
         self.overdraft.note_answer(now, took);
     }
 
@@ -600,10 +669,10 @@
         self.overdraft.refresh(&self.state, self.end, is_own);
     }
 
-    /// The call that has just ended has shown the log's end.
-    fn verify_jobs(&mut self) {
+    /// A call has shown where the log ended at some time since it began.
+    fn verify_jobs(&mut self, call: CallNumber) {
         for job in &mut self.jobs {
-            job.verified |= !job.came_during_call;
+            job.verified |= call > job.came_after;
         }
     }
 
@@ -613,13 +682,27 @@
         self.end = self.end.next();
     }
 
+    /// The call under way, or else the last one.
+    pub fn last_call(&self) -> CallNumber {
+        self.last_call
+    }
+
     /// Reports how [`Action::Read`] ended.
     pub fn on_read(&mut self, now: Timestamp, outcome: ReadOutcome) {
+        self.on_answered_read(now, self.last_call, outcome);
+    }
+
+    /// Reports how [`Action::Read`] ended, if it was answered by an earlier call from the same
+    /// offset on, which had been given up already.
+    pub fn on_answered_read(&mut self, now: Timestamp, call: CallNumber, outcome: ReadOutcome) {
         self.is_calling = false;
         match outcome {
             ReadOutcome::Records { records, end } => {
-                self.note_answer(now);
-                self.take_records(now, records, end);
+                self.note_answered_call(now, call);
+                self.take_records(now, call, records, end);
+                if self.gives_way(now) {
+                    self.submit_jobs_anew(now);
+                }
             }
             ReadOutcome::Gone { first } => {
                 // What is gone is older than anything that is still kept.
@@ -633,7 +716,13 @@
         }
     }
 
-    fn take_records(&mut self, now: Timestamp, records: Vec<Option<LedgerRecord>>, end: Offset) {
+    fn take_records(
+        &mut self,
+        now: Timestamp,
+        call: CallNumber,
+        records: Vec<Option<LedgerRecord>>,
+        end: Offset,
+    ) {
         for record in records {
             match record {
                 Some(record) => self.apply(now, record),
@@ -643,7 +732,7 @@
         self.is_synced = self.end >= end;
         if self.is_synced {
             self.refresh_overdraft();
-            self.verify_jobs();
+            self.verify_jobs(call);
         }
     }
 
@@ -669,6 +758,7 @@
             abandoned: Vec::new(),
         });
         self.is_calling = true;
+        self.note_call(now);
         Some(Action::Append {
             at: self.end,
             records,
@@ -684,9 +774,7 @@
             return;
         }
         self.paused_until = now + DOWN_PAUSE;
-        for job in std::mem::take(&mut self.jobs) {
-            self.submit(now, job.ticket, job.request);
-        }
+        self.submit_jobs_anew(now);
     }
 }
 
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod events;
 pub mod ledger;
+pub mod log_reach;
 pub mod nodes;
 pub mod ownership;
 pub mod peer_loads;
--- a/crates/gateway-core/src/response_time.rs
+++ b/crates/gateway-core/src/response_time.rs
@@ -9,14 +9,16 @@
 const LONGEST: Duration = Duration::from_millis(1_200);
 
 /// Time-out before the first answer.
-const INITIAL: Duration = Duration::from_millis(600);
+const INITIAL: Duration = Duration::from_millis(300);
 
-/// A time-out of a few deviations above the smoothed response time, doubled with each time-out in
-/// a row (after RFC 6298, which does the same for retransmissions).
+/// A time-out of a few deviations above the smoothed response time (after RFC 6298).
+///
+/// It does not grow while nothing is answered: calls that were given up go on, and the time of an
+/// answer that comes late counts like any other, so the estimate follows a service that has become
+/// slow.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ResponseTimer {
     estimate: Option<Estimate>,
-    timeouts_in_a_row: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -32,14 +34,11 @@
             Some(estimate) => estimate.smoothed + estimate.deviation * 4,
             None => INITIAL,
         };
-        let doublings = self.timeouts_in_a_row.min(4);
-        let backed_off = base.max(SHORTEST) * 2u32.pow(doublings);
-        backed_off.clamp(SHORTEST, LONGEST)
+        base.clamp(SHORTEST, LONGEST)
     }
 
     /// Notes how long an answer took.
     pub fn note_answer(&mut self, took: Duration) {
-        self.timeouts_in_a_row = 0;
         let estimate = match self.estimate {
             None => Estimate {
                 smoothed: took,
@@ -52,9 +51,4 @@
         };
         self.estimate = Some(estimate);
     }
-
-    /// Notes that no answer came in time.
-    pub fn note_timeout(&mut self) {
-        self.timeouts_in_a_row += 1;
-    }
 }
--- a/crates/gateway-core/tests/ledger/fixtures.rs
+++ b/crates/gateway-core/tests/ledger/fixtures.rs
@@ -35,6 +35,18 @@
         turn: turn.to_owned(),
         used,
         kept,
+        waits: false,
+    })
+}
+
+/// A report that waits while the log is down.
+pub fn finish_waiting(turn: &str, kept: KeptTurn) -> LedgerRequest {
+    LedgerRequest::Finish(FinishTurn {
+        program: "p".to_owned(),
+        turn: turn.to_owned(),
+        used: 0,
+        kept: Some(kept),
+        waits: true,
     })
 }
 
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -75,13 +75,14 @@
         let Some(content) = kept else {
             return true;
         };
-        let request = LedgerRequest::Finish(FinishTurn {
+        let report = FinishTurn {
             program: self.program.clone(),
             turn: self.turn.clone(),
             used: self.used,
             kept: Some(content),
-        });
-        let finished = report_end(&self.gateway, &self.granter, self.partition, request).await;
+            waits: false,
+        };
+        let finished = keep_turn(&self.gateway, &self.granter, self.partition, report).await;
         if finished {
             self.returned = true;
             self.withdraw_elsewhere();
@@ -117,6 +118,7 @@
             turn: self.turn.clone(),
             used,
             kept: None,
+            waits: false,
         })
     }
 }
@@ -141,6 +143,34 @@
     }
 }
 
+/// Has a turn kept, by its granter or whoever can act for its partition. While the log is away, the
+/// report waits where it will be carried out first. Tells whether the turn is kept.
+async fn keep_turn(
+    gateway: &Rc<Gateway>,
+    granter: &NodeId,
+    partition: PartitionId,
+    report: FinishTurn,
+) -> bool {
+    let at_once = LedgerRequest::Finish(report.clone());
+    let on_return = LedgerRequest::Finish(FinishTurn {
+        waits: true,
+        ..report
+    });
+    for _ in 0..FINISH_TRIES {
+        let reply = ledger::request_of(gateway, granter, partition, at_once.clone()).await;
+        if reply == LedgerReply::Finished {
+            return true;
+        }
+        let pause = actix_rt::time::sleep(FINISH_PAUSE);
+        let waiting = ledger::request_on_return(gateway, partition, on_return.clone());
+        if waiting.await == LedgerReply::Finished {
+            return true;
+        }
+        pause.await;
+    }
+    false
+}
+
 async fn report_end(
     gateway: &Rc<Gateway>,
     granter: &NodeId,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
+use elderworks_gateway_core::log_reach::LogReach;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
@@ -50,6 +51,8 @@
     pub(crate) log_timer: RefCell<ResponseTimer>,
     /// Response times of the log's reads for the ledger, which may bring many records.
     pub(crate) log_read_timer: RefCell<ResponseTimer>,
+    /// Whether the log answers this node.
+    pub(crate) log_reach: RefCell<LogReach>,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of all zones that callers are sent to, as last counted.
@@ -75,6 +78,7 @@
             ledger: Ledger::new(settings.partitions),
             log_timer: RefCell::default(),
             log_read_timer: RefCell::default(),
+            log_reach: RefCell::default(),
             body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
             platform,
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! Requests to the ledger: to the node that should own the partition, or carried out here.
 
+mod log_calls;
 mod owner;
 
 use std::cell::RefCell;
@@ -93,11 +94,11 @@
     asked: &AskedNodes,
 ) -> Answered {
     let own = &gateway.settings.node;
-    let candidates = gateway.peers.candidates(gateway, partition);
-    for by in candidates.into_iter().take(MOST_PEERS_ASKED) {
-        if by == *own {
-            break;
-        }
+    let mut candidates = gateway.peers.candidates(gateway, partition);
+    candidates.truncate(MOST_PEERS_ASKED);
+    let is_candidate = candidates.contains(own);
+    let before_own = candidates.into_iter().take_while(|node| node != own);
+    for by in before_own {
         asked.note(&by);
         match ask_peer(gateway, &by, partition, request.clone()).await {
             // The log may refuse that node alone.
@@ -110,10 +111,32 @@
             }
         }
     }
-    asked.note(own);
-    Answered {
-        reply: carry_out(gateway, partition, request).await,
-        by: own.clone(),
+    let may_act = gateway.log_reach.borrow().may_act(is_candidate);
+    let reply = if may_act {
+        asked.note(own);
+        carry_out(gateway, partition, request).await
+    } else {
+        LedgerReply::Unavailable
+    };
+    let by = own.clone();
+    Answered { reply, by }
+}
+
+/// Makes a request, which should say that it waits, of the first node that should act for a
+/// partition and can be reached: it carries the request out as soon as the log is back, or says
+/// after a while that the log is still away.
+pub(crate) async fn request_on_return(
+    gateway: &Rc<Gateway>,
+    partition: PartitionId,
+    request: LedgerRequest,
+) -> LedgerReply {
+    let candidates = gateway.peers.candidates(gateway, partition);
+    let own = &gateway.settings.node;
+    match candidates.first() {
+        Some(first) if first != own => ask_peer(gateway, first, partition, request)
+            .await
+            .unwrap_or(LedgerReply::Unavailable),
+        _ => carry_out(gateway, partition, request).await,
     }
 }
 
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -1,26 +1,18 @@
 //! Drives one partition's ledger on this node: carries its reads and appends out.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::Bytes;
-use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::ledger::{
-    Action, AppendOutcome, Inquiry, OverdraftUse, PartitionOwner, RETENTION, ReadOutcome,
-    SLOW_CALL, Ticket,
+    Action, Inquiry, OverdraftUse, PartitionOwner, RETENTION, SLOW_CALL, Ticket,
 };
-use elderworks_gateway_core::response_time::ResponseTimer;
-use elderworks_protocol::ledger::{
-    LedgerRecord, LedgerReply, LedgerRequest, WitnessAnswer, WitnessQuestion,
-};
-use elderworks_protocol::{decode, encode};
-use elderworks_types::{Offset, PartitionId, Timestamp};
+use elderworks_protocol::ledger::{LedgerReply, LedgerRequest, WitnessAnswer, WitnessQuestion};
+use elderworks_types::{PartitionId, Timestamp};
 use tokio::sync::{mpsc, oneshot};
 
+use super::log_calls::{PartitionReads, append};
 use crate::gateway::Gateway;
-use crate::ports::{ReadBatch, ReadLimits, StoreError};
 
 /// Interval at which old accounts and turns are dropped or written anew.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(10);
@@ -28,10 +20,6 @@
 /// Most appends in a row of records that are written anew.
 const MAX_REWRITES: u32 = 16;
 
-/// Most bytes of one read. Whoever takes a partition over reads it whole; in pages, what has
-/// arrived over a slow link is not read again when the next page takes too long.
-const PAGE_BYTES: usize = 128 * 1024;
-
 /// A request with the way back to whoever made it.
 pub(super) type Job = (LedgerRequest, oneshot::Sender<LedgerReply>);
 
@@ -45,7 +33,7 @@
         owner: PartitionOwner::with_policy(owner_name(gateway), gateway.settings.policy),
         waiting: HashMap::new(),
         conflicts_counted: 0,
-        page_bytes: Some(PAGE_BYTES),
+        reads: Some(PartitionReads::new(gateway, partition)),
         overdraft_use: OverdraftUse::None,
         heard,
     };
@@ -73,8 +61,8 @@
     owner: PartitionOwner,
     waiting: HashMap<Ticket, oneshot::Sender<LedgerReply>>,
     conflicts_counted: u64,
-    /// Most bytes of the next read.
-    page_bytes: Option<usize>,
+    /// Taken while a read is under way.
+    reads: Option<PartitionReads>,
     /// As last logged.
     overdraft_use: OverdraftUse,
     /// Where answers of witnesses go.
@@ -165,15 +153,17 @@
     async fn carry_out(&mut self, action: Action, inbox: &mut Inbox) {
         match action {
             Action::Read { from } => {
-                let call = read(self.gateway.clone(), self.partition, from, self.page_bytes);
-                let read = self.attend_until(call, inbox).await;
-                self.page_bytes = next_page_bytes(from, &read);
-                let outcome = read_outcome(self.partition, from, read);
-                self.owner.on_read(self.gateway.now(), outcome);
+                let mut reads = self.reads.take().expect("one call at a time");
+                let reading = reads.read(self.owner.last_call(), from);
+                let (call, outcome) = self.attend_until(reading, inbox).await;
+                self.reads = Some(reads);
+                let now = self.gateway.now();
+                self.owner.on_answered_read(now, call, outcome);
             }
             Action::Append { at, records } => {
-                let call = append(self.gateway.clone(), self.partition, at, records);
-                let outcome = self.attend_until(call, inbox).await;
+                let gateway = self.gateway.clone();
+                let appending = append(&gateway, self.partition, at, &records);
+                let outcome = self.attend_until(appending, inbox).await;
                 self.owner.on_append(self.gateway.now(), outcome);
             }
             Action::Wait { .. } => {}
@@ -259,116 +249,9 @@
     (question, answer)
 }
 
-/// The size of the next read: a page, unless the last one did not suffice for a single record.
-fn next_page_bytes(from: Offset, read: &Result<ReadBatch, StoreError>) -> Option<usize> {
-    match read {
-        Ok(batch) if batch.records.is_empty() && batch.end > from => None,
-        _ => Some(PAGE_BYTES),
-    }
-}
-
 async fn sleep_until(gateway: &Gateway, until: Option<Timestamp>) {
     match until {
         Some(until) => actix_rt::time::sleep(until.since(gateway.now())).await,
         None => std::future::pending().await,
     }
 }
-
-async fn read(
-    gateway: Rc<Gateway>,
-    partition: PartitionId,
-    from: Offset,
-    most_bytes: Option<usize>,
-) -> Result<ReadBatch, StoreError> {
-    let started = Instant::now();
-    let limits = ReadLimits {
-        wait: Duration::ZERO,
-        timeout: gateway.log_read_timer.borrow().timeout(),
-        most_bytes,
-    };
-    let stream = Stream::Ledger(partition);
-    let read = gateway.platform.read(stream, from, limits).await;
-    note_response(&gateway.log_read_timer, started, read.as_ref().err());
-    read
-}
-
-fn read_outcome(
-    partition: PartitionId,
-    from: Offset,
-    read: Result<ReadBatch, StoreError>,
-) -> ReadOutcome {
-    match read {
-        Ok(batch) => decode_records(partition, batch),
-        Err(StoreError::Gone { first }) => ReadOutcome::Gone { first },
-        Err(error) => {
-            warn("reading the ledger failed", partition, from, &error);
-            ReadOutcome::Failed
-        }
-    }
-}
-
-fn decode_records(partition: PartitionId, batch: ReadBatch) -> ReadOutcome {
-    let mut records = Vec::with_capacity(batch.records.len());
-    for record in batch.records {
-        match decode::<LedgerRecord>(&record.value) {
-            Ok(content) => records.push(Some(content)),
-            Err(error) => {
-                log::error!(
-                    partition = partition.0, offset = record.offset.0,
-                    error = error.to_string().as_str();
-                    "a record of the ledger cannot be read"
-                );
-                records.push(None);
-            }
-        }
-    }
-    ReadOutcome::Records {
-        records,
-        end: batch.end,
-    }
-}
-
-async fn append(
-    gateway: Rc<Gateway>,
-    partition: PartitionId,
-    at: Offset,
-    records: Vec<LedgerRecord>,
-) -> AppendOutcome {
-    let encoded: Vec<Bytes> = records
-        .iter()
-        .map(|record| Bytes::from(encode(record)))
-        .collect();
-    let started = Instant::now();
-    let timeout = gateway.log_timer.borrow().timeout();
-    let stream = Stream::Ledger(partition);
-    let appended = gateway.platform.append(stream, at, encoded, timeout).await;
-    note_response(&gateway.log_timer, started, appended.as_ref().err());
-    let Err(error) = appended else {
-        return AppendOutcome::Done;
-    };
-    warn("append to the ledger failed", partition, at, &error);
-    match error {
-        StoreError::Conflict { .. } => AppendOutcome::Conflict,
-        StoreError::Unavailable(_) => AppendOutcome::Refused,
-        StoreError::Unknown(_) | StoreError::Gone { .. } => AppendOutcome::Unknown,
-    }
-}
-
-fn note_response(timer: &RefCell<ResponseTimer>, started: Instant, error: Option<&StoreError>) {
-    let mut timer = timer.borrow_mut();
-    match error {
-        None | Some(StoreError::Conflict { .. } | StoreError::Gone { .. }) => {
-            timer.note_answer(started.elapsed());
-        }
-        Some(StoreError::Unknown(_)) => timer.note_timeout(),
-        // A refusal tells nothing of how long an answer takes.
-        Some(StoreError::Unavailable(_)) => {}
-    }
-}
-
-fn warn(what: &str, partition: PartitionId, at: Offset, error: &StoreError) {
-    log::warn!(
-        partition = partition.0, at = at.0, error = error.to_string().as_str();
-        "{what}"
-    );
-}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -87,6 +87,7 @@
         };
         match read {
             Ok(end) => {
+                gateway.log_reach.borrow_mut().note_answer();
                 if failing {
                     let now = gateway.now();
                     gateway.workers.borrow_mut().note_outage_over(now);
@@ -106,6 +107,7 @@
                     log::warn!(stream:? = F::STREAM, error = error.to_string().as_str(); "stream cannot be read");
                 }
                 failing = true;
+                gateway.log_reach.borrow_mut().note_failure();
                 F::after_read(&gateway);
                 actix_rt::time::sleep(FAILURE_PAUSE).await;
             }
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -157,6 +157,9 @@
     pub used: u64,
     /// Set if the turn ended whole and is to be kept.
     pub kept: Option<KeptTurn>,
+    /// Whether the owner should let the report wait for a while if the log is down, in place of
+    /// answering at once that it is.
+    pub waits: bool,
 }
 
 /// An answer to a [`LedgerRequest`].
