--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod departures;
 pub mod directory;
+pub mod drain;
 pub mod events;
 pub mod ledger;
 pub mod log_reach;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -37,10 +37,17 @@
     pub ejection_reports: bool,
     /// Silence speaks against a worker.
     pub silence: bool,
+    /// Requests that may be repeated are sent again when their worker stays silent.
+    pub second_send: bool,
+    /// Requests without a key prefer workers to which a connection is at rest.
+    pub resting_connections: bool,
     /// Streams that break off are gone on with, where their route allows it.
     pub resumption: bool,
     /// Callers are sent to the larger machines if there are enough.
     pub large_nodes: bool,
+    /// How long callers may use the addresses that they are told, in milliseconds, unless the
+    /// platform allows less. More than 0.
+    pub addresses_ttl_ms: u64,
     /// Nodes that have just started presume listed nodes alive.
     pub presumption: bool,
     /// Engines are told the rank of a request's route.
@@ -65,8 +72,11 @@
             ejection: true,
             ejection_reports: true,
             silence: true,
+            second_send: true,
+            resting_connections: true,
             resumption: true,
             large_nodes: true,
+            addresses_ttl_ms: 5_000,
             presumption: true,
             engine_rank: true,
             missing_grace: true,
@@ -94,6 +104,9 @@
         if !(self.load_bound >= 1.0 && self.load_bound.is_finite()) {
             return error("load_bound", "must be 1 or more");
         }
+        if self.addresses_ttl_ms == 0 {
+            return error("addresses_ttl_ms", "must be 1 or more");
+        }
         if !(0.0..=1.0).contains(&self.calm_share) {
             return error("calm_share", "must be between 0 and 1");
         }
--- a/crates/gateway-core/tests/policy.rs
+++ b/crates/gateway-core/tests/policy.rs
@@ -36,6 +36,13 @@
             },
             key: "load_bound",
         },
+        Case {
+            policy: Policy {
+                addresses_ttl_ms: 0,
+                ..default
+            },
+            key: "addresses_ttl_ms",
+        },
         Case {
             policy: Policy {
                 calm_share: 1.1,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -15,9 +15,6 @@
 use crate::server::{CallerRequest, RequestReader};
 use crate::socket;
 
-/// How long an answer of the registry is valid, unless the platform allows less.
-const ANSWER_TTL: Duration = Duration::from_secs(2);
-
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -102,7 +99,8 @@
             "no node is known to be ready",
         );
     }
-    let ttl = ANSWER_TTL.min(gateway.settings.longest_ttl);
+    let ttl = Duration::from_millis(gateway.settings.policy.addresses_ttl_ms);
+    let ttl = ttl.min(gateway.settings.longest_ttl);
     EntryAnswer {
         status: StatusCode::OK,
         media_type: "application/json",
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -254,6 +254,7 @@
 
     fn choose(&self) -> Result<Target, CallError> {
         let tried = self.tried.borrow();
+        let prefers_resting = self.gateway.settings.policy.resting_connections;
         let query = PlacementQuery {
             service: &self.service,
             key: self
@@ -264,7 +265,7 @@
             repeatable: self.route.is_repeatable(),
             tried: &tried,
             spread: self.gateway.next_sequence(),
-            is_connected: &|worker| self.gateway.pool.has(worker),
+            is_connected: &|worker| prefers_resting && self.gateway.pool.has(worker),
         };
         let workers = self.gateway.workers.borrow();
         let Some(worker) = balancer::choose(&workers, &query, self.gateway.now()) else {
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -109,7 +109,11 @@
     /// for.
     pub(super) fn should_ask_again(&self) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        self.route.is_repeatable() && !self.is_for_engine() && left >= self.route.target
+        let is_allowed = self.gateway.settings.policy.second_send;
+        is_allowed
+            && self.route.is_repeatable()
+            && !self.is_for_engine()
+            && left >= self.route.target
     }
 
     fn is_for_engine(&self) -> bool {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use elderworks_gateway_core::departures::Departures;
 use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::drain::{DrainPlan, DrainStep};
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_protocol::encode;
 use elderworks_types::{Incarnation, PartitionId};
@@ -22,12 +23,6 @@
 /// Pause between attempts to write the node's entry.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
 
-/// Kept back from the time until the process is killed.
-const GRACE_RESERVE: Duration = Duration::from_millis(1_300);
-
-/// A draining node takes connections at least this long: callers hold on to their addresses.
-const SHORTEST_DRAIN: Duration = Duration::from_millis(4_500);
-
 /// Interval at which nodes that are gone for good are looked for.
 const DEPARTURE_CHECK: Duration = Duration::from_secs(30);
 
@@ -260,21 +255,25 @@
             log::warn!(error = error.as_str(); "the others were not told of the drain");
         }
     });
-    let longest = gateway.settings.grace.saturating_sub(GRACE_RESERVE);
-    let shortest = SHORTEST_DRAIN.min(longest);
-    while started.elapsed() < longest {
-        let idle = gateway.in_flight.get() == 0;
-        if idle && started.elapsed() >= shortest {
-            break;
+    let plan = DrainPlan::new(gateway.settings.grace);
+    loop {
+        match plan.step(started.elapsed(), gateway.in_flight.get()) {
+            DrainStep::TakeRequests => {}
+            DrainStep::Finish => close(gateway),
+            DrainStep::End => break,
         }
         actix_rt::time::sleep(DRAIN_CHECK).await;
     }
-    gateway.stage.send_replace(Stage::Closing);
-    while started.elapsed() + DRAIN_CHECK * 2 < gateway.settings.grace
-        && gateway.in_flight.get() > 0
-    {
-        actix_rt::time::sleep(DRAIN_CHECK).await;
-    }
+    close(gateway);
+}
+
+/// Takes no new connection from now on, and closes those at rest.
+fn close(gateway: &Gateway) {
+    gateway.stage.send_if_modified(|stage| {
+        let is_new = *stage != Stage::Closing;
+        *stage = Stage::Closing;
+        is_new
+    });
 }
 
 fn note_reload(known: &GatewaySettings, reload: &Reload) {
