gateway: tenants, their keys, and keys acted on under a lease of the configuration

A node acts on a key only while a read, counted from when it was sent, has shown its configuration to be the newest less than nine tenths of the operator's bound ago, decided anew before each send; an unknown key is refused for good only on a proof of half the time within which configurations are in force, else 503. Ruled out: counting proofs from the answer (a frozen process, a hanging read), leases by the time of day, comparing keys themselves.

--- /dev/null
+++ b/crates/gateway-core/src/access.rs
@@ -0,0 +1,57 @@
+//! Whether a request may be sent on for the tenant whose key it bears.
+
+use std::time::Duration;
+
+use elderworks_types::Timestamp;
+
+use crate::config::ServingConfig;
+use crate::config_proof::ConfigProof;
+use crate::tenants::{Credential, KeyCheck, Tenant};
+
+/// How old the proof of the configuration may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyLeases {
+    /// For acting on a known key; `None` if keys need not be refused in time by nodes that cannot
+    /// read the log.
+    pub acting: Option<Duration>,
+    /// For refusing an unknown key for good.
+    pub denying: Duration,
+}
+
+/// The decision on one request. It holds for one send: each further one is decided anew.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Access<'a> {
+    /// It may go on, for this tenant or for none.
+    Allowed(Option<&'a Tenant>),
+    /// It bears no key that any configuration in force knows.
+    Denied,
+    /// Its key is unknown here, but may have been added lately.
+    KeyUnsure,
+    /// Its key is known here, but may have been taken away lately.
+    LeaseOver,
+}
+
+/// Decides on a request with `credential` on a route.
+pub fn decide<'a>(
+    config: &'a ServingConfig,
+    proof: &ConfigProof,
+    now: Timestamp,
+    leases: &KeyLeases,
+    credential: Credential,
+    public: bool,
+) -> Access<'a> {
+    match config.tenants.check(credential, public) {
+        KeyCheck::Anonymous => Access::Allowed(None),
+        KeyCheck::Tenant(id) => {
+            let is_over = |lease| !proof.holds(now, lease);
+            if leases.acting.is_some_and(is_over) {
+                return Access::LeaseOver;
+            }
+            Access::Allowed(config.tenants.get(id))
+        }
+        // No later configuration can make a key of it.
+        KeyCheck::Denied if !matches!(credential, Credential::Key(_)) => Access::Denied,
+        KeyCheck::Denied if proof.holds(now, leases.denying) => Access::Denied,
+        KeyCheck::Denied => Access::KeyUnsure,
+    }
+}
--- a/crates/gateway-core/src/call.rs
+++ b/crates/gateway-core/src/call.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::tenants::Credential;
+
 /// A part of a prompt that may be shared with other requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptSegment {
@@ -14,6 +16,8 @@
 /// Attributes of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallAttributes {
+    /// The key that the request bears.
+    pub credential: Credential,
     /// Name of this try of the request; never used twice.
     pub request_id: Option<String>,
     /// How long the caller will wait from now.
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::tenants::TenantTable;
+
 /// How often the requests of a route may run, and what their answers look like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -50,6 +52,8 @@
     pub priority: u8,
     /// Whether workers answer faster for an object or prompt that they have seen.
     pub sticky: bool,
+    /// Whether requests need no key where the configuration has tenants.
+    pub public: bool,
     /// The services that run its requests.
     pub services: Vec<WeightedService>,
 }
@@ -124,6 +128,8 @@
     pub services: BTreeMap<String, Service>,
     /// Limits on what callers send.
     pub limits: RequestLimits,
+    /// Who may send requests; empty if anybody may.
+    pub tenants: TenantTable,
 }
 
 impl ServingConfig {
--- /dev/null
+++ b/crates/gateway-core/src/config_proof.rs
@@ -0,0 +1,116 @@
+//! How long a node may act on the keys of its configuration.
+//!
+//! A key that the operator takes away must be refused everywhere within a bound, also by nodes
+//! that cannot read the log. So a node acts on a key only while it can show that its configuration
+//! was the newest one a short time ago: a lease without a holder. The bound runs from the moment
+//! when the read that showed it was *sent*, so neither slow answers nor a frozen process lengthen
+//! it.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use elderworks_types::Timestamp;
+
+/// Share of the operator's bound that is left for clocks that run apart and for the way to the
+/// worker.
+const MARGIN_SHARE: f64 = 0.1;
+
+/// How long a proof counts, given the operator's bound on the use of a key that was taken away.
+pub fn lease_of(revoke_within: Duration) -> Duration {
+    revoke_within.mul_f64(1.0 - MARGIN_SHARE)
+}
+
+/// An unknown key is refused for good only if the configuration was the newest one so lately: a key
+/// may have been added since. In parts of the time within which a configuration must be in force.
+const DENIAL_PARTS: u32 = 2;
+
+/// How long a proof counts for refusing an unknown key for good, given the time within which
+/// a configuration must be in force.
+pub fn denial_lease_of(apply_within: Duration) -> Duration {
+    apply_within / DENIAL_PARTS
+}
+
+/// What another node's proof comes to here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It is of the configuration in force here, and counts.
+    Counts,
+    /// The other node has a newer configuration: this one is to be replaced.
+    Newer,
+    /// The other node has an older one.
+    Older,
+}
+
+/// When the configuration in force was last known to be the newest one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigProof {
+    version: u64,
+    /// Microseconds on the node's clock; negative if that was before its start.
+    newest_at: Option<i64>,
+    /// Set while a newer configuration is known that cannot be read.
+    is_obscured: bool,
+}
+
+impl ConfigProof {
+    /// A configuration is in force from now on; nothing is known of its age yet.
+    pub fn replace(&mut self, version: u64) {
+        if version != self.version {
+            *self = Self {
+                version,
+                ..Self::default()
+            };
+        }
+    }
+
+    /// There is a newer configuration, and it cannot be read: reads prove nothing until another
+    /// one is in force.
+    pub fn obscure(&mut self) {
+        self.is_obscured = true;
+    }
+
+    /// A read that was sent `at` showed that the configuration in force was the newest one then.
+    pub fn note_read(&mut self, at: Timestamp) {
+        if !self.is_obscured {
+            self.note_at(signed_micros(at));
+        }
+    }
+
+    /// Another node, asked at `asked`, has told of a configuration and of the `age` of its proof
+    /// when it answered. It answered after it was asked, so an age that is counted from the
+    /// question never makes the proof younger than it is, however long the answer took.
+    pub fn note_told(&mut self, version: u64, asked: Timestamp, age: Duration) -> Told {
+        match version.cmp(&self.version) {
+            Ordering::Less => Told::Older,
+            Ordering::Greater => Told::Newer,
+            Ordering::Equal => {
+                let age = i64::try_from(age.as_micros()).unwrap_or(i64::MAX);
+                self.note_at(signed_micros(asked).saturating_sub(age));
+                Told::Counts
+            }
+        }
+    }
+
+    fn note_at(&mut self, at: i64) {
+        self.newest_at = self.newest_at.max(Some(at));
+    }
+
+    /// Version of the configuration in force; 0 if none is.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Time since the configuration in force was known to be the newest; `None` if it never was.
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        let age = signed_micros(now).saturating_sub(self.newest_at?);
+        Some(Duration::from_micros(u64::try_from(age).unwrap_or(0)))
+    }
+
+    /// Whether the configuration in force may be acted on.
+    pub fn holds(&self, now: Timestamp, lease: Duration) -> bool {
+        self.age(now).is_some_and(|age| age < lease)
+    }
+}
+
+fn signed_micros(time: Timestamp) -> i64 {
+    i64::try_from(time.0).unwrap_or(i64::MAX)
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -4,10 +4,12 @@
 //! worker runs it, what becomes of an attempt that failed, whether a program's budget allows a
 //! turn, and which turns a conversation consists of. The driver is `elderworks-gateway`.
 
+pub mod access;
 pub mod attempt;
 pub mod balancer;
 pub mod call;
 pub mod config;
+pub mod config_proof;
 pub mod departures;
 pub mod directory;
 pub mod drain;
@@ -20,5 +22,6 @@
 pub mod policy;
 pub mod response_time;
 pub mod split;
+pub mod tenants;
 pub mod worker_health;
 pub mod workers;
--- a/crates/gateway-core/tests/routes.rs
+++ b/crates/gateway-core/tests/routes.rs
@@ -7,6 +7,7 @@
     ActiveConfig, RequestLimits, Route, RouteKind, ServingConfig, WeightedService,
 };
 use elderworks_gateway_core::split::SplitState;
+use elderworks_gateway_core::tenants::TenantTable;
 
 fn route(name: &str, host: &str, prefix: &str, services: &[(&str, u32)]) -> Route {
     Route {
@@ -22,6 +23,7 @@
         attempts: 1,
         priority: 0,
         sticky: false,
+        public: false,
         services: services
             .iter()
             .map(|(service, weight)| WeightedService {
@@ -38,6 +40,7 @@
         routes,
         services: BTreeMap::new(),
         limits: RequestLimits::default(),
+        tenants: TenantTable::default(),
     }
 }
 
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -13,6 +13,7 @@
 use elderworks_gateway_core::config::{Route, ServingConfig};
 use elderworks_gateway_core::workers::idle_connections_share;
 
+use super::access::Sender;
 use super::turn::TurnLease;
 use super::{CallError, Milestones, Trace, headers};
 use crate::body_memory::BodyShare;
@@ -32,6 +33,7 @@
     pub(super) config: &'a ServingConfig,
     pub(super) route: &'a Route,
     pub(super) attributes: &'a CallAttributes,
+    pub(super) sender: Sender,
     pub(super) head: Rc<RequestHead>,
     pub(super) body: Option<Bytes>,
     pub(super) deadline: Instant,
@@ -84,11 +86,16 @@
 }
 
 impl<'a> Call<'a> {
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "the parts of one call, each named where it is made"
+    )]
     pub(super) fn new(
         gateway: &'a Rc<Gateway>,
         config: &'a ServingConfig,
         route: &'a Route,
         attributes: &'a CallAttributes,
+        sender: Sender,
         request: CallerRequest,
         deadline: Instant,
         trace: &Trace,
@@ -99,7 +106,8 @@
             config,
             route,
             attributes,
-            head: Rc::new(headers::outgoing_head(&request.head)),
+            sender,
+            head: Rc::new(outgoing_head(gateway, config, &request.head)),
             body: request.body,
             _memory: request.memory,
             deadline,
@@ -153,6 +161,7 @@
         mut preferred: Option<Target>,
     ) -> Result<RunningAnswer, CallError> {
         loop {
+            self.check_sender().map_err(CallError::Refused)?;
             let target = match preferred.take().or_else(|| self.retry_at.take()) {
                 Some(target) => target,
                 None => self.choose()?,
@@ -237,6 +246,7 @@
             worker_id: &target.worker,
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             priority: self.engine_priority(),
+            tenant: self.sender.tenant.as_deref(),
             last_event_id,
         };
         self.gateway
@@ -245,11 +255,11 @@
         extra
     }
 
-    /// Requests for engines carry the rank of their route.
+    /// Requests for engines carry the rank of their tenant, or else of their route.
     fn engine_priority(&self) -> Option<u8> {
         let service = self.config.service(&self.service)?;
         let is_told = service.engine.is_some() && self.gateway.settings.policy.engine_rank;
-        is_told.then(|| self.route.priority.min(9))
+        is_told.then(|| self.sender.priority.unwrap_or(self.route.priority).min(9))
     }
 
     fn choose(&self) -> Result<Target, CallError> {
@@ -320,6 +330,16 @@
     }
 }
 
+/// The head of a request as it goes to workers, apart from what depends on the worker.
+fn outgoing_head(gateway: &Gateway, config: &ServingConfig, head: &RequestHead) -> RequestHead {
+    let mut outgoing = headers::outgoing_head(head);
+    let has_tenants = !config.tenants.is_empty();
+    gateway
+        .platform
+        .remove_system_headers(&mut outgoing.headers, has_tenants);
+    outgoing
+}
+
 fn refusal_for(step: NextStep) -> Refusal {
     match step {
         NextStep::AnswerUnknown | NextStep::TrySameWorker => {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! The way of one request: its route, its turn's leave, attempts at workers, its answer.
 
+mod access;
 mod attempts;
 mod headers;
 mod observations;
@@ -11,7 +12,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::StatusCode;
+use actix_http::{RequestHead, StatusCode};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, RouteKind, ServingConfig};
 
@@ -21,8 +22,11 @@
 use crate::reply::Refusal;
 use crate::server::CallerRequest;
 
+use access::Sender;
 use attempts::{Call, TriedWorkers};
 
+pub(crate) use access::refuse_unread;
+
 /// Answers one request. An error means that the connection is of no further use.
 pub(crate) async fn answer(
     gateway: &Rc<Gateway>,
@@ -49,17 +53,22 @@
         return refuse(caller, trace, &refusal).await;
     };
     trace.config_version = config.version;
-    let route = match find_route(&config, &request) {
+    let route = match find_route(&config, &request.head) {
         Ok(route) => route,
         Err(refusal) => return refuse(caller, trace, &refusal).await,
     };
     trace.route.clone_from(&route.name);
+    let sender = match access::identify(gateway, &config, route, attributes) {
+        Ok(sender) => sender,
+        Err(refusal) => return refuse(caller, trace, &refusal).await,
+    };
+    trace.note_sender(&sender);
     let left = attributes
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = request.received + left;
     let mut call = Call::new(
-        gateway, &config, route, attributes, request, deadline, trace,
+        gateway, &config, route, attributes, sender, request, deadline, trace,
     );
     let running = run(&mut call, caller, trace);
     let timed = tokio::time::timeout_at(deadline.into(), running).await;
@@ -128,16 +137,13 @@
     caller.send_refusal(refusal).await
 }
 
-fn find_route<'a>(
-    config: &'a ServingConfig,
-    request: &CallerRequest,
-) -> Result<&'a Route, Refusal> {
-    let host = headers::host(&request.head).ok_or(Refusal::plain(
+fn find_route<'a>(config: &'a ServingConfig, head: &RequestHead) -> Result<&'a Route, Refusal> {
+    let host = headers::host(head).ok_or(Refusal::plain(
         StatusCode::BAD_REQUEST,
         "the request names no host",
     ))?;
     config
-        .route_for(&host, request.head.uri.path())
+        .route_for(&host, head.uri.path())
         .ok_or(Refusal::plain(StatusCode::NOT_FOUND, "no such route"))
 }
 
@@ -183,6 +189,10 @@
     pub(crate) milestones: Milestones,
     pub(crate) config_version: u64,
     pub(crate) route: String,
+    /// The tenant whose key the request bears, if it is known.
+    tenant: String,
+    /// Age of the proof that its configuration was the newest, when the sender was identified.
+    proof_age: Option<Duration>,
     /// Workers tried so far, also of a request whose caller leaves.
     pub(crate) tried: TriedWorkers,
     pub(crate) outcome: &'static str,
@@ -204,12 +214,38 @@
             milestones: Milestones::default(),
             config_version: 0,
             route: String::new(),
+            tenant: String::new(),
+            proof_age: None,
             tried: TriedWorkers::default(),
             outcome: "answered",
             finished: false,
         }
     }
 
+    /// Writes the line of a request that is refused before its body is read.
+    fn note_unread(
+        gateway: &Rc<Gateway>,
+        attributes: &CallAttributes,
+        config: &ServingConfig,
+        route: &Route,
+        refusal: &Refusal,
+    ) {
+        let mut trace = Self::new(gateway, attributes, Instant::now());
+        trace.config_version = config.version;
+        trace.route.clone_from(&route.name);
+        trace.outcome = refusal.reason;
+        trace.finished = true;
+        trace.write(refusal.status.as_u16(), true);
+    }
+
+    fn note_sender(&mut self, sender: &Sender) {
+        let Some(tenant) = &sender.tenant else {
+            return;
+        };
+        self.tenant.clone_from(tenant);
+        self.proof_age = self.gateway.config_proof.borrow().age(self.gateway.now());
+    }
+
     fn finish(&mut self, caller: &Caller<'_>, error: Option<&io::Error>) {
         self.finished = true;
         if let Some(error) = error
@@ -241,7 +277,8 @@
             session = self.session.as_str(), finish_ms = milliseconds(self.finish),
             leave_ms = milliseconds(self.milestones.leave.get()),
             first_ms = milliseconds(self.milestones.first_event.get()),
-            route = self.route.as_str(), config = self.config_version,
+            route = self.route.as_str(), tenant = self.tenant.as_str(), config = self.config_version,
+            proof_ms = milliseconds(self.proof_age),
             workers = self.tried.borrow().join(",").as_str(), status = status, whole = whole,
             ms = took; "{}", self.outcome
         );
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -153,9 +153,10 @@
         caller: &mut Caller<'_>,
         passed: Passed,
     ) -> Result<(), CallError> {
+        let previous = self.previous_turn();
         if let Some(lease) = &mut self.lease {
             let kept = self.route.keeps_turns.then(|| KeptTurn {
-                previous: self.attributes.previous_turn.clone(),
+                previous,
                 input: lease.input(),
                 output: passed.output.freeze(),
             });
@@ -167,6 +168,11 @@
         Ok(())
     }
 
+    fn previous_turn(&self) -> Option<String> {
+        let previous = self.attributes.previous_turn.as_deref();
+        previous.map(|turn| self.in_scope(turn))
+    }
+
     /// An answer that is no stream: a failure, as the worker gave it.
     async fn pass_other_answer(
         &mut self,
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -6,6 +6,7 @@
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::ledger::partition_of;
+use elderworks_gateway_core::tenants::scoped;
 use elderworks_protocol::ledger::{BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest};
 use elderworks_types::{NodeId, PartitionId};
 
@@ -198,8 +199,11 @@
         if !needs_leave || !self.is_turn() {
             return Ok(());
         }
-        let partition = partition_of(program, self.gateway.settings.partitions);
-        let previous = self.attributes.previous_turn.clone();
+        let program = self.in_scope(program);
+        let turn = self.in_scope(turn);
+        let partition = partition_of(&program, self.gateway.settings.partitions);
+        let previous = self.attributes.previous_turn.as_deref();
+        let previous = previous.map(|turn| self.in_scope(turn));
         let begin = BeginTurn {
             program: program.clone(),
             turn: turn.clone(),
@@ -214,8 +218,8 @@
             partition,
             granter: self.gateway.settings.node.clone(),
             asked: AskedNodes::default(),
-            program: program.clone(),
-            turn: turn.clone(),
+            program,
+            turn,
             tokens_per_event: self.tokens_per_event(),
             used: 0,
             input: input.clone(),
@@ -231,6 +235,12 @@
         Ok(())
     }
 
+    /// The name under which the ledger knows a program or a turn of the caller's: tenants cannot
+    /// reach each other's.
+    pub(super) fn in_scope(&self, id: &str) -> String {
+        scoped(self.sender.tenant.as_deref(), id)
+    }
+
     /// How long an outage of the log is waited for.
     fn ledger_patience(&self) -> Duration {
         if !self.gateway.settings.policy.patience {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use actix_http::ServiceConfig;
+use elderworks_gateway_core::access::KeyLeases;
 use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
+use elderworks_gateway_core::config_proof::{ConfigProof, denial_lease_of, lease_of};
 use elderworks_gateway_core::log_reach::LogReach;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::response_time::ResponseTimer;
@@ -41,6 +43,10 @@
     pub(crate) clock: Clock,
     pub(crate) http: ServiceConfig,
     pub(crate) config: RefCell<ActiveConfig>,
+    /// When the configuration in force was last known to be the newest one.
+    pub(crate) config_proof: RefCell<ConfigProof>,
+    /// How old that proof may be.
+    pub(crate) key_leases: KeyLeases,
     pub(crate) workers: RefCell<WorkerDirectory>,
     pub(crate) nodes: RefCell<NodeDirectory>,
     pub(crate) splits: RefCell<SplitState>,
@@ -73,6 +79,10 @@
     pub(crate) fn new(settings: GatewaySettings, platform: Rc<dyn Platform>) -> Rc<Self> {
         let (stage, _) = watch::channel(Stage::Serving);
         let policy = settings.policy;
+        let key_leases = KeyLeases {
+            acting: settings.revoke_within.map(lease_of),
+            denying: denial_lease_of(settings.apply_within),
+        };
         Rc::new(Self {
             peers: Peers::new(&settings),
             ledger: Ledger::new(settings.partitions),
@@ -85,6 +95,8 @@
             clock: Clock::start(),
             http: ServiceConfig::default(),
             config: RefCell::default(),
+            config_proof: RefCell::default(),
+            key_leases,
             workers: RefCell::new(WorkerDirectory::new(policy)),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -81,6 +81,8 @@
     pub time_left: Duration,
     /// Rank among the requests that wait at an engine; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// The tenant whose request it is.
+    pub tenant: Option<&'a str>,
     /// Last event passed on, if the request goes on with a stream.
     pub last_event_id: Option<&'a str>,
 }
@@ -140,6 +142,10 @@
     /// What a request's headers say of it.
     fn call_attributes(&self, headers: &HeaderMap) -> CallAttributes;
 
+    /// Removes what only the system may tell workers, whatever the caller sent, and, where the
+    /// configuration has tenants, the caller's key.
+    fn remove_system_headers(&self, headers: &mut HeaderMap, has_tenants: bool);
+
     /// Sets the headers that a request for a worker bears beyond those of the caller.
     fn set_worker_headers(&self, headers: &mut HeaderMap, values: &WorkerHeaders<'_>);
 
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use bytes::Bytes;
 
 /// How soon callers are asked to come back after a refusal.
@@ -58,6 +58,9 @@
     pub(crate) fn headers(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Some(pause) = self.retry_after {
             let text = format!("{:.3}", pause.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -182,6 +182,7 @@
         MessageType::None if head.headers.contains_key("content-length") => Some(Bytes::new()),
         MessageType::None => None,
         MessageType::Payload | MessageType::Stream => {
+            forward::refuse_unread(gateway, &head).map_err(ReadEnd::Refuse)?;
             confirm_expectation(&head.headers, sender).await?;
             Some(read_body(codec, receiver, limits.body_bytes, &mut memory).await?)
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,6 +39,11 @@
     pub drain_notice: Duration,
     /// Longest validity of an answer of the registry.
     pub longest_ttl: Duration,
+    /// Time within which a configuration must be in force everywhere.
+    pub apply_within: Duration,
+    /// Time within which a key that was taken away must be refused everywhere, also by nodes that
+    /// cannot read the log; `None` if that is not asked for.
+    pub revoke_within: Option<Duration>,
     /// Which mechanisms are in use.
     pub policy: Policy,
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,7 +7,7 @@
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_protocol::decode;
-use elderworks_types::{Incarnation, NodeId, Offset};
+use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 
 use crate::gateway::Gateway;
 use crate::ports::{ReadLimits, StoreError, StreamRecord};
@@ -30,6 +30,9 @@
 /// Longest pause between two reads of the workers' stream, however long workers drain.
 const LONGEST_WORKERS_PAUSE: Duration = Duration::from_secs(1);
 
+/// Reads of the configuration, each of which proves it to be the newest, while such a proof counts.
+const PROOFS_PER_LEASE: u32 = 4;
+
 /// Pause after a read that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -39,7 +42,9 @@
     const STREAM: Stream;
 
     /// Longest wait of one read for news.
-    const WAIT: Duration = READ_WAIT;
+    fn wait(_gateway: &Gateway) -> Duration {
+        READ_WAIT
+    }
 
     /// Pause after each read.
     fn pause(_gateway: &Gateway) -> Duration {
@@ -52,10 +57,21 @@
     /// Takes one further record.
     fn take(gateway: &Rc<Gateway>, record: &StreamRecord);
 
+    /// Called after a read has shown everything that the stream held when the read was sent.
+    fn note_current(_gateway: &Gateway, _sent: Timestamp) {}
+
     /// Called after each read.
     fn after_read(_gateway: &Gateway) {}
 }
 
+/// How far a read has come.
+struct Progress {
+    /// Where the next read begins.
+    next: Offset,
+    /// Whether it reached the end that the stream had.
+    is_complete: bool,
+}
+
 /// Follows the operator's configurations until the process ends.
 pub(crate) async fn follow_configuration(gateway: Rc<Gateway>) {
     follow::<ConfigurationFollower>(gateway, None).await;
@@ -81,20 +97,24 @@
     let mut next = from;
     let mut failing = false;
     loop {
+        let sent = gateway.now();
         let read = match next {
             None => read_all::<F>(&gateway).await,
             Some(from) => read_more::<F>(&gateway, from).await,
         };
         match read {
-            Ok(end) => {
+            Ok(progress) => {
                 gateway.log_reach.borrow_mut().note_answer();
                 if failing {
                     let now = gateway.now();
                     gateway.workers.borrow_mut().note_outage_over(now);
-                    log::info!(stream:? = F::STREAM, end = end.0; "stream can be read again");
+                    log::info!(stream:? = F::STREAM, end = progress.next.0; "stream can be read again");
                 }
                 failing = false;
-                next = Some(end);
+                next = Some(progress.next);
+                if progress.is_complete {
+                    F::note_current(&gateway, sent);
+                }
                 F::after_read(&gateway);
                 actix_rt::time::sleep(F::pause(&gateway)).await;
             }
@@ -115,15 +135,21 @@
     }
 }
 
-async fn read_all<F: Follower>(gateway: &Rc<Gateway>) -> Result<Offset, StoreError> {
+async fn read_all<F: Follower>(gateway: &Rc<Gateway>) -> Result<Progress, StoreError> {
     let newest = gateway.platform.newest(F::STREAM).await?;
     F::take_all(gateway, &newest.records);
-    Ok(newest.end)
+    Ok(Progress {
+        next: newest.end,
+        is_complete: true,
+    })
 }
 
-async fn read_more<F: Follower>(gateway: &Rc<Gateway>, from: Offset) -> Result<Offset, StoreError> {
+async fn read_more<F: Follower>(
+    gateway: &Rc<Gateway>,
+    from: Offset,
+) -> Result<Progress, StoreError> {
     let limits = ReadLimits {
-        wait: F::WAIT,
+        wait: F::wait(gateway),
         timeout: ANSWER_TIMEOUT,
         most_bytes: None,
     };
@@ -132,7 +158,11 @@
         F::take(gateway, record);
     }
     let last = batch.records.last().map(|record| record.offset.next());
-    Ok(last.unwrap_or(from))
+    let next = last.unwrap_or(from);
+    Ok(Progress {
+        next,
+        is_complete: next >= batch.end,
+    })
 }
 
 struct ConfigurationFollower;
@@ -140,6 +170,16 @@
 impl Follower for ConfigurationFollower {
     const STREAM: Stream = Stream::Configuration;
 
+    /// Shorter where keys must be refused in time: each answer proves that they still count.
+    fn wait(gateway: &Gateway) -> Duration {
+        let lease = gateway.key_leases.acting;
+        lease.map_or(READ_WAIT, |lease| READ_WAIT.min(lease / PROOFS_PER_LEASE))
+    }
+
+    fn note_current(gateway: &Gateway, sent: Timestamp) {
+        gateway.config_proof.borrow_mut().note_read(sent);
+    }
+
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
             Self::take(gateway, record);
@@ -152,12 +192,14 @@
             Ok(None) => return,
             Err(error) => {
                 log::error!(offset = record.offset.0, error = error.to_string().as_str(); "configuration cannot be read");
+                gateway.config_proof.borrow_mut().obscure();
                 return;
             }
         };
         let version = config.version;
         let routes = config.routes.len();
         if gateway.config.borrow_mut().offer(config) {
+            gateway.config_proof.borrow_mut().replace(version);
             log::info!(version = version, routes = routes, offset = record.offset.0; "configuration in force");
             let version = i64::try_from(version).unwrap_or(i64::MAX);
             gateway.metrics.config_version.set(version);
@@ -234,7 +276,10 @@
 
 impl Follower for NodeFollower {
     const STREAM: Stream = Stream::Nodes;
-    const WAIT: Duration = NODES_READ_WAIT;
+
+    fn wait(_gateway: &Gateway) -> Duration {
+        NODES_READ_WAIT
+    }
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
