gateway: proofs from peers, quotas told between nodes, programs that begin whole

Change: (1) a node whose proof grows old asks three others by datagram; the age that is told counts from the question. Who tells of a newer version is asked for the record. Refusals say 0.95 s if others answer and know no better, else 0.2 s. (2) Each node counts what it sends on for a tenant, tells the others each 200 ms, and until they have heard of it sends on no more than its part of the demand of what is left. A machine that may have a past counts what it cannot know; one that is cut off lives on two fifths of its even part. Requests count when they are sent, each time. 429 says when one more will fit. Even parts (policy shared_quotas=false) stand beside it for the comparison. A program begins only if its tenant's quota holds all its requests, once half of the quota is used (policy whole_programs). Ruled out: an owner for each tenant with leases of tokens: a lost owner leaves its tenants without tokens until its lease is over.

--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -52,6 +52,12 @@
     pub presumption: bool,
     /// Engines are told the rank of a request's route.
     pub engine_rank: bool,
+    /// Nodes that cannot read the log prove their configuration through others.
+    pub peer_proofs: bool,
+    /// Quotas are divided between nodes by what they tell each other; evenly if not.
+    pub shared_quotas: bool,
+    /// Programs begin only if their tenant's quota holds all their requests.
+    pub whole_programs: bool,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
 }
@@ -79,6 +85,9 @@
             addresses_ttl_ms: 5_000,
             presumption: true,
             engine_rank: true,
+            peer_proofs: true,
+            shared_quotas: true,
+            whole_programs: true,
             missing_grace: true,
         }
     }
--- a/crates/gateway/src/forward/access.rs
+++ b/crates/gateway/src/forward/access.rs
@@ -7,23 +7,43 @@
 use elderworks_gateway_core::access::{self, Access};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
+use elderworks_gateway_core::tenants::{Quota, TenantKey};
 
 use super::attempts::Call;
 use super::{Trace, find_route};
 use crate::gateway::Gateway;
 use crate::reply::Refusal;
 
-/// When to come back to a node that cannot tell whether a key still counts. Other nodes may be able
-/// to; an outage of the log for all lasts seconds, and the caller shortens this if it has less time.
-const KEY_RETRY: Duration = Duration::from_millis(400);
+/// When to come back if this node alone cannot tell whether a key counts: another one can.
+const OTHER_NODE_RETRY: Duration = Duration::from_millis(200);
+
+/// When to come back if no node can tell: an outage of the log lasts seconds, and tries that fail
+/// within it are lost. The caller shortens this if it has less time.
+const OUTAGE_RETRY: Duration = Duration::from_millis(950);
+
+/// Other nodes that answered so lately know no better than this one.
+const ANSWER_LIFETIME: Duration = Duration::from_secs(1);
+
+/// When to come back after the lease for acting on keys is over.
+fn lease_retry(gateway: &Gateway) -> Duration {
+    let now = gateway.now();
+    let is_late = |answered| now.since(answered) < ANSWER_LIFETIME;
+    if gateway.proof_answered.get().is_some_and(is_late) {
+        OUTAGE_RETRY
+    } else {
+        OTHER_NODE_RETRY
+    }
+}
 
 /// The tenant that a request is for.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Sender {
     /// Its name; `None` for requests that need no tenant.
     pub(super) tenant: Option<String>,
     /// Rank of its requests in place of their route's.
     pub(super) priority: Option<u8>,
+    /// Its quota, if it has one.
+    pub(super) quota: Option<(TenantKey, Quota)>,
 }
 
 /// Finds out who sends a request, or why it may not go on.
@@ -45,6 +65,7 @@
         Access::Allowed(tenant) => Ok(Sender {
             tenant: tenant.map(|tenant| tenant.name.clone()),
             priority: tenant.and_then(|tenant| tenant.priority),
+            quota: tenant.and_then(|tenant| Some((tenant.key(), tenant.quota?))),
         }),
         Access::Denied => {
             let status = StatusCode::UNAUTHORIZED;
@@ -52,12 +73,12 @@
         }
         Access::KeyUnsure => {
             let reason = "the key is not known here, and may be new";
-            Err(Refusal::not_run_until(reason, KEY_RETRY))
+            Err(Refusal::not_run_until(reason, OTHER_NODE_RETRY))
         }
         Access::LeaseOver => {
             let reason =
                 "the key may have been taken away: the configuration here is too old to tell";
-            Err(Refusal::not_run_until(reason, KEY_RETRY))
+            Err(Refusal::not_run_until(reason, lease_retry(gateway)))
         }
     }
 }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -14,6 +14,7 @@
 use elderworks_gateway_core::workers::idle_connections_share;
 
 use super::access::Sender;
+use super::quota::Counted;
 use super::turn::TurnLease;
 use super::{CallError, Milestones, Trace, headers};
 use crate::body_memory::BodyShare;
@@ -34,6 +35,7 @@
     pub(super) route: &'a Route,
     pub(super) attributes: &'a CallAttributes,
     pub(super) sender: Sender,
+    pub(super) counted: Option<Counted>,
     pub(super) head: Rc<RequestHead>,
     pub(super) body: Option<Bytes>,
     pub(super) deadline: Instant,
@@ -107,6 +109,7 @@
             route,
             attributes,
             sender,
+            counted: None,
             head: Rc::new(outgoing_head(gateway, config, &request.head)),
             body: request.body,
             _memory: request.memory,
@@ -204,6 +207,9 @@
         };
         self.gateway.metrics.attempts.inc();
         self.sending = true;
+        if let Some(counted) = &mut self.counted {
+            counted.note_send();
+        }
         self.note_progress();
         let mut exchanging = std::pin::pin!(exchange(&context, target, &request, extra));
         let soon = actix_rt::time::timeout(self.longest_silence(), &mut exchanging).await;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod headers;
 mod observations;
+mod quota;
 mod stream;
 mod turn;
 
@@ -82,6 +83,9 @@
 }
 
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
+    if let Err(refusal) = call.take_quota() {
+        return refuse(caller, trace, &refusal).await;
+    }
     if let Err(refusal) = call.begin_turn().await {
         return refuse(caller, trace, &refusal).await;
     }
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -279,8 +279,15 @@
         };
         lease.granter = answered.by;
         match answered.reply {
-            LedgerReply::Granted { conversation } => {
+            LedgerReply::Granted {
+                conversation,
+                is_first,
+            } => {
+                // Dropped with a refusal, the lease returns what was set aside.
                 self.lease = Some(lease);
+                if is_first {
+                    self.begin_program()?;
+                }
                 Ok(conversation)
             }
             LedgerReply::BudgetSpent => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::access::KeyLeases;
@@ -10,6 +11,7 @@
 use elderworks_gateway_core::config_proof::{ConfigProof, denial_lease_of, lease_of};
 use elderworks_gateway_core::log_reach::LogReach;
 use elderworks_gateway_core::nodes::NodeDirectory;
+use elderworks_gateway_core::quota::{Division, Fleet, QuotaBook};
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::workers::WorkerDirectory;
@@ -21,7 +23,7 @@
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::ports::Platform;
+use crate::ports::{Platform, StreamRecord};
 use crate::settings::GatewaySettings;
 use crate::upstream::Pool;
 
@@ -36,6 +38,10 @@
     Closing,
 }
 
+/// A node that has read the configuration this long ago is taken to have no way to the log: reads
+/// wait for news for two seconds at most.
+const LATE_READ: Duration = Duration::from_millis(2_500);
+
 /// Shared by all tasks of the process; they run on one thread.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -45,8 +51,14 @@
     pub(crate) config: RefCell<ActiveConfig>,
     /// When the configuration in force was last known to be the newest one.
     pub(crate) config_proof: RefCell<ConfigProof>,
+    /// The record of that configuration, for nodes that cannot read the log.
+    pub(crate) config_record: RefCell<Option<StreamRecord>>,
+    /// When another node last answered a question for its proof, whatever it had.
+    pub(crate) proof_answered: Cell<Option<Timestamp>>,
     /// How old that proof may be.
     pub(crate) key_leases: KeyLeases,
+    /// What was sent on for tenants, here and elsewhere.
+    pub(crate) quotas: RefCell<QuotaBook>,
     pub(crate) workers: RefCell<WorkerDirectory>,
     pub(crate) nodes: RefCell<NodeDirectory>,
     pub(crate) splits: RefCell<SplitState>,
@@ -83,6 +95,12 @@
             acting: settings.revoke_within.map(lease_of),
             denying: denial_lease_of(settings.apply_within),
         };
+        let clock = Clock::start();
+        let division = match policy.shared_quotas {
+            true => Division::Told,
+            false => Division::Even,
+        };
+        let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now());
         Rc::new(Self {
             peers: Peers::new(&settings),
             ledger: Ledger::new(settings.partitions),
@@ -92,11 +110,14 @@
             body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
             platform,
-            clock: Clock::start(),
+            clock,
             http: ServiceConfig::default(),
             config: RefCell::default(),
             config_proof: RefCell::default(),
+            config_record: RefCell::default(),
+            proof_answered: Cell::default(),
             key_leases,
+            quotas: RefCell::new(quotas),
             workers: RefCell::new(WorkerDirectory::new(policy)),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
@@ -121,6 +142,16 @@
         self.config.borrow().current().cloned()
     }
 
+    /// How long a proof of the configuration counts for acting on keys; `None` if there are none,
+    /// or if they need not be refused in time.
+    pub(crate) fn key_lease(&self) -> Option<Duration> {
+        let config = self.config.borrow();
+        let has_keys = config
+            .current()
+            .is_some_and(|config| !config.tenants.is_empty());
+        self.key_leases.acting.filter(|_| has_keys)
+    }
+
     /// The present stage.
     pub(crate) fn stage(&self) -> Stage {
         *self.stage.borrow()
@@ -134,20 +165,40 @@
             && self.config.borrow().current().is_some()
     }
 
+    /// Notes that nodes have come, gone or changed.
+    pub(crate) fn note_node_changes(&self) {
+        self.peers.note_changes(&self.nodes.borrow());
+        self.count_serving_nodes();
+    }
+
     /// Counts the nodes that callers are sent to.
     pub(crate) fn count_serving_nodes(&self) {
         let nodes = self.nodes.borrow();
+        let count = self.serving_nodes(&nodes).len();
+        self.nodes_serving.set(saturating_u32(count.max(1)));
+    }
+
+    /// The nodes of all zones that callers are sent to.
+    pub(crate) fn serving_nodes<'a>(&self, nodes: &'a NodeDirectory) -> BTreeSet<&'a NodeId> {
         let is_serving = |node: &NodeId| self.is_serving(node);
         let zones: BTreeSet<&str> = nodes
             .iter()
             .map(|(_, known)| known.record.zone.as_str())
             .collect();
-        let all: BTreeSet<&NodeId> = zones
+        zones
             .into_iter()
             .flat_map(|zone| nodes.offered(Some(zone), is_serving))
             .map(|(node, _)| node)
-            .collect();
-        self.nodes_serving.set(saturating_u32(all.len().max(1)));
+            .collect()
+    }
+
+    /// The nodes between which quotas are divided.
+    pub(crate) fn fleet(&self) -> Fleet {
+        let proof_age = self.config_proof.borrow().own_age(self.now());
+        Fleet {
+            nodes: self.nodes_serving.get(),
+            is_cut_off: proof_age.is_none_or(|age| age > LATE_READ),
+        }
     }
 
     /// Whether a node takes requests, as far as this one knows.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) in_flight: Gauge,
     pub(crate) workers: Gauge,
     pub(crate) config_version: Gauge,
+    pub(crate) proofs_told: Counter,
+    pub(crate) over_quota: Counter,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -71,6 +73,8 @@
             in_flight: Gauge::default(),
             workers: Gauge::default(),
             config_version: Gauge::default(),
+            proofs_told: Counter::default(),
+            over_quota: Counter::default(),
         };
         metrics.register();
         metrics
@@ -149,5 +153,15 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "proofs_told",
+            "Proofs of the configuration that other nodes gave",
+            self.proofs_told.clone(),
+        );
+        registry.register(
+            "over_quota",
+            "Requests refused for their tenant's quota",
+            self.over_quota.clone(),
+        );
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,8 @@
 
 mod link;
 mod loads;
+mod proofs;
+mod quotas;
 mod serve;
 
 use std::cell::{Cell, RefCell};
@@ -26,6 +28,8 @@
 use crate::settings::GatewaySettings;
 use link::Link;
 use loads::{LOAD_INTERVAL, LoadSender};
+use proofs::ProofAsker;
+use quotas::QuotaTeller;
 
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
@@ -195,7 +199,7 @@
         let until = self.presumes_until.get();
         if until.is_some_and(|until| until <= Instant::now()) {
             self.presumes_until.set(None);
-            self.note_changes(&gateway.nodes.borrow());
+            gateway.note_node_changes();
         }
     }
 
@@ -249,6 +253,18 @@
         }
     }
 
+    /// Other nodes that answer probes, `most` of them, beginning at a place that `turn` moves on.
+    fn some_alive(&self, turn: usize, most: usize) -> Vec<NodeId> {
+        let alive = self.alive.borrow();
+        let mut others: Vec<&NodeId> = alive.iter().filter(|node| **node != self.own).collect();
+        if others.is_empty() {
+            return Vec::new();
+        }
+        let start = turn % others.len();
+        others.rotate_left(start);
+        others.into_iter().take(most).cloned().collect()
+    }
+
     fn link_to(&self, gateway: &Gateway, node: &NodeId) -> Option<Link> {
         if let Some(link) = self.links.borrow().get(node)
             && !link.is_closed()
@@ -283,7 +299,7 @@
             false => Duration::ZERO,
         };
         self.presumes_until.set(Some(Instant::now() + presumption));
-        self.note_changes(&gateway.nodes.borrow());
+        gateway.note_node_changes();
     }
 
     fn handle(&self, gateway: &Gateway, event: Event) -> Vec<Effect> {
@@ -314,7 +330,7 @@
                     if state == MemberState::Dead {
                         self.links.borrow_mut().remove(&node);
                     }
-                    self.note_changes(&gateway.nodes.borrow());
+                    gateway.note_node_changes();
                 }
                 Effect::CellChanged { .. } | Effect::ControlBehind { .. } => {}
             }
@@ -328,6 +344,8 @@
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sender = LoadSender::default();
+    let mut quota_teller = QuotaTeller::default();
+    let mut proof_asker = ProofAsker::default();
     let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
     load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -335,6 +353,8 @@
             _ = ticks.tick() => Event::Tick,
             _ = load_ticks.tick() => {
                 sender.tell(&gateway, &socket);
+                proof_asker.ask(&gateway, &socket);
+                quota_teller.tell(&gateway, &socket);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -344,6 +364,18 @@
                         loads::take(&gateway, report);
                         continue;
                     }
+                    Ok(GatewayDatagram::Quota(report)) => {
+                        quotas::take(&gateway, report);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::ProofAsked(question)) => {
+                        proofs::tell(&gateway, &socket, from, question);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::ProofTold(answer)) => {
+                        proof_asker.take(&gateway, from, &answer);
+                        continue;
+                    }
                     Err(_) => continue,
                 },
                 Err(_) => {
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -123,7 +123,10 @@
             let (id, news) = match message {
                 GatewayFrame::Arrived { id } => (id, News::Arrived),
                 GatewayFrame::Reply { id, reply } => (id, News::Replied(reply)),
-                GatewayFrame::Request { .. } | GatewayFrame::WorkerEjected { .. } => break,
+                GatewayFrame::Request { .. }
+                | GatewayFrame::WorkerEjected { .. }
+                | GatewayFrame::ConfigurationAsked { .. }
+                | GatewayFrame::Configuration { .. } => break,
             };
             if let Some(waiting) = pending.borrow().get(&id) {
                 // Whoever asked may have given up.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -10,7 +10,9 @@
 use tokio::sync::mpsc;
 
 use super::link::{next_frame, send_frames};
+use super::proofs;
 use crate::gateway::Gateway;
+use crate::ports::StreamRecord;
 use crate::{buffered, ledger, socket};
 
 /// Pause after a failed accept.
@@ -47,6 +49,14 @@
                     take_report(&gateway, node, &worker);
                     continue;
                 }
+                GatewayFrame::ConfigurationAsked { node } => {
+                    proofs::tell_configuration(&gateway, &node);
+                    continue;
+                }
+                GatewayFrame::Configuration { offset, key, value } => {
+                    proofs::take_configuration(&gateway, &StreamRecord { offset, key, value });
+                    continue;
+                }
                 GatewayFrame::Arrived { .. } | GatewayFrame::Reply { .. } => return,
             };
             let gateway = gateway.clone();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -149,27 +149,39 @@
     Ok(listener)
 }
 
-/// Writes the node's entry, whose position is its incarnation, and then follows the others.
+/// Reads the other nodes' entries, writes this one's, whose position is its incarnation, and then
+/// follows the others.
 async fn join(gateway: Rc<Gateway>, gossip_socket: Rc<UdpSocket>) {
-    let incarnation = loop {
-        match put_entry(&gateway, false).await {
-            Ok(incarnation) => break incarnation,
+    let newest = loop {
+        match gateway.platform.newest(Stream::Nodes).await {
+            Ok(newest) => break newest,
             Err(error) => {
-                log::warn!(error = error.as_str(); "the node's entry cannot be written yet");
+                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
                 actix_rt::time::sleep(JOIN_PAUSE).await;
             }
         }
     };
-    let newest = loop {
-        match gateway.platform.newest(Stream::Nodes).await {
-            Ok(newest) => break newest,
+    let own = gateway.settings.node.as_str();
+    if !newest
+        .records
+        .iter()
+        .any(|record| record.key.as_deref() == Some(own))
+    {
+        gateway.quotas.borrow_mut().note_new_machine();
+    }
+    let incarnation = loop {
+        match put_entry(&gateway, false).await {
+            Ok(incarnation) => break incarnation,
             Err(error) => {
-                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
+                log::warn!(error = error.as_str(); "the node's entry cannot be written yet");
                 actix_rt::time::sleep(JOIN_PAUSE).await;
             }
         }
     };
     watch::take_nodes(&gateway, &newest.records);
+    let entry = own_entry(&gateway, false);
+    let own = gateway.settings.node.clone();
+    gateway.nodes.borrow_mut().upsert(own, incarnation, entry);
     actix_rt::spawn(watch::follow_nodes(gateway.clone(), newest.end));
     let seeds = gateway
         .nodes
@@ -223,9 +235,9 @@
     }
 }
 
-async fn put_entry(gateway: &Gateway, draining: bool) -> Result<Incarnation, String> {
+fn own_entry(gateway: &Gateway, draining: bool) -> NodeRecord {
     let settings = &gateway.settings;
-    let record = NodeRecord {
+    NodeRecord {
         callers_address: settings.callers.unwrap_or(settings.peers),
         peer_address: settings.peers,
         zone: settings.zone.as_str().to_owned(),
@@ -233,8 +245,13 @@
         millicores: settings.millicores,
         draining,
         boot: gateway.ledger.boot(),
-    };
-    let value = encode(&record).into();
+    }
+}
+
+/// Writes this node's entry; its position is the node's incarnation.
+async fn put_entry(gateway: &Gateway, draining: bool) -> Result<Incarnation, String> {
+    let settings = &gateway.settings;
+    let value = encode(&own_entry(gateway, draining)).into();
     let offset = gateway
         .platform
         .put(Stream::Nodes, settings.node.as_str(), value)
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -35,6 +35,15 @@
         }
     }
 
+    /// The request has not run and will not; its tenant's quota holds it after `pause`.
+    pub(crate) const fn over_quota(reason: &'static str, pause: Duration) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            retry_after: Some(pause),
+            reason,
+        }
+    }
+
     /// Nothing is known of the request's outcome.
     pub(crate) const fn unknown(reason: &'static str) -> Self {
         Self::plain(StatusCode::BAD_GATEWAY, reason)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::policy::Policy;
+use elderworks_gateway_core::quota::QuotaRules;
 use elderworks_types::{NodeId, ZoneId};
 
 /// Settings of a gateway process, as its adapter reads them from the platform.
@@ -44,6 +45,8 @@
     /// Time within which a key that was taken away must be refused everywhere, also by nodes that
     /// cannot read the log; `None` if that is not asked for.
     pub revoke_within: Option<Duration>,
+    /// How tenants' quotas are measured.
+    pub quotas: QuotaRules,
     /// Which mechanisms are in use.
     pub policy: Policy,
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -172,7 +172,7 @@
 
     /// Shorter where keys must be refused in time: each answer proves that they still count.
     fn wait(gateway: &Gateway) -> Duration {
-        let lease = gateway.key_leases.acting;
+        let lease = gateway.key_lease();
         lease.map_or(READ_WAIT, |lease| READ_WAIT.min(lease / PROOFS_PER_LEASE))
     }
 
@@ -187,24 +187,33 @@
     }
 
     fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
-        let config = match gateway.platform.configuration(record) {
-            Ok(Some(config)) => config,
-            Ok(None) => return,
-            Err(error) => {
-                log::error!(offset = record.offset.0, error = error.to_string().as_str(); "configuration cannot be read");
-                gateway.config_proof.borrow_mut().obscure();
-                return;
-            }
-        };
-        let version = config.version;
-        let routes = config.routes.len();
-        if gateway.config.borrow_mut().offer(config) {
-            gateway.config_proof.borrow_mut().replace(version);
-            log::info!(version = version, routes = routes, offset = record.offset.0; "configuration in force");
-            let version = i64::try_from(version).unwrap_or(i64::MAX);
-            gateway.metrics.config_version.set(version);
+        take_configuration(gateway, record);
+    }
+}
+
+/// Takes a configuration into force, from the log or from another node, unless one of the same or a
+/// later version is.
+pub(crate) fn take_configuration(gateway: &Gateway, record: &StreamRecord) {
+    let config = match gateway.platform.configuration(record) {
+        Ok(Some(config)) => config,
+        Ok(None) => return,
+        Err(error) => {
+            log::error!(offset = record.offset.0, error = error.to_string().as_str(); "configuration cannot be read");
+            gateway.config_proof.borrow_mut().obscure();
+            return;
         }
+    };
+    let version = config.version;
+    let routes = config.routes.len();
+    let tenants = config.tenants.len();
+    if !gateway.config.borrow_mut().offer(config) {
+        return;
     }
+    gateway.config_proof.borrow_mut().replace(version);
+    *gateway.config_record.borrow_mut() = Some(record.clone());
+    log::info!(version = version, routes = routes, tenants = tenants, offset = record.offset.0; "configuration in force");
+    let version = i64::try_from(version).unwrap_or(i64::MAX);
+    gateway.metrics.config_version.set(version);
 }
 
 struct WorkerFollower;
@@ -299,7 +308,7 @@
                 return;
             }
             gateway.nodes.borrow_mut().remove(&node);
-            gateway.peers.note_changes(&gateway.nodes.borrow());
+            gateway.note_node_changes();
             return;
         }
         match decode::<NodeRecord>(&record.value) {
@@ -311,7 +320,7 @@
                     .borrow_mut()
                     .upsert(node, incarnation, content);
                 if changed {
-                    gateway.peers.note_changes(&gateway.nodes.borrow());
+                    gateway.note_node_changes();
                     log::info!(node = name, draining = draining, offset = record.offset.0; "node's entry changed");
                 }
             }
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -12,6 +12,23 @@
     Gossip(Datagram),
     /// The sender's load on workers.
     Load(LoadReport),
+    /// Asks how lately the receiver's configuration was the newest one. Returned in the answer.
+    ProofAsked(u64),
+    /// The answer.
+    ProofTold(ConfigProofAnswer),
+    /// What the sender has sent on for tenants.
+    Quota(QuotaReport),
+}
+
+/// How lately the sender's configuration was the newest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigProofAnswer {
+    /// From the question.
+    pub question: u64,
+    /// Version of the sender's configuration.
+    pub version: u64,
+    /// Age of the sender's proof when it answered, in microseconds.
+    pub age_us: u64,
 }
 
 /// What one node has under way at workers. It takes the place of the node's earlier reports.
@@ -22,3 +39,26 @@
     /// Requests under way by key of the worker; workers without any are left out.
     pub counts: Vec<(u32, u32)>,
 }
+
+/// What one node has sent on for tenants that have a quota. It takes the place of the node's earlier
+/// reports.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaReport {
+    /// The sender.
+    pub node: NodeId,
+    /// By tenant; those with little use are left out.
+    pub uses: Vec<TenantUseReport>,
+}
+
+/// What one node has sent on for one tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantUseReport {
+    /// Stands for the tenant's name.
+    pub tenant: u64,
+    /// Requests sent on in the last window of quotas.
+    pub sent: u32,
+    /// Programs that began in it.
+    pub begun: u32,
+    /// Requests that were asked for in the last second.
+    pub asked: u32,
+}
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Records of a partition's ledger on the log, and the requests that nodes make of its owner.
 
 use bytes::Bytes;
-use elderworks_types::{NodeId, PartitionId};
+use elderworks_types::{NodeId, Offset, PartitionId};
 use serde::{Deserialize, Serialize};
 
 /// A turn of a conversation as it is kept: what it added, not what came before it.
@@ -170,6 +170,8 @@
     Granted {
         /// Inputs and outputs of the turns before, in order.
         conversation: Bytes,
+        /// Whether the program has generated nothing so far: it begins with this turn.
+        is_first: bool,
     },
     /// The program's budget holds no further turn.
     BudgetSpent,
@@ -222,4 +224,18 @@
         /// The worker's id.
         worker: String,
     },
+    /// Asks for the receiver's configuration.
+    ConfigurationAsked {
+        /// The sender, to whom it is told.
+        node: NodeId,
+    },
+    /// The configuration that is in force at the sender, as its record on the log.
+    Configuration {
+        /// Position of the record.
+        offset: Offset,
+        /// Its key.
+        key: Option<String>,
+        /// Its content.
+        value: Bytes,
+    },
 }
