gateway: proofs by reads at once, in turns over the fleet; nodes join in the right order again

Change: (1) any node proves the configuration each 150 ms by a read at once, at exponentially distributed pauses so that restarted nodes do not fall into step; others ask once their proof is 1 s old; reads wait 2 s for news again. After a failure the next read asks at once. (2) Entry first, then the list, as before; whether the machine is new is read before. Ruled out: reads that wait 1.1 s (the proof is as old as two of them, and 58 calls a second in place of 39); uniform pauses (no proof from 2 to 5 s after all nodes had restarted).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::workers::WorkerDirectory;
-use elderworks_types::{Incarnation, NodeId, Timestamp};
+use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 use tokio::sync::watch;
 
 use crate::body_memory::BodyMemory;
@@ -53,6 +53,8 @@
     pub(crate) config_proof: RefCell<ConfigProof>,
     /// The record of that configuration, for nodes that cannot read the log.
     pub(crate) config_record: RefCell<Option<StreamRecord>>,
+    /// Where the stream of configurations ended when it was last read.
+    pub(crate) config_end: Cell<Option<Offset>>,
     /// When another node last answered a question for its proof, whatever it had.
     pub(crate) proof_answered: Cell<Option<Timestamp>>,
     /// How old that proof may be.
@@ -115,6 +117,7 @@
             config: RefCell::default(),
             config_proof: RefCell::default(),
             config_record: RefCell::default(),
+            config_end: Cell::default(),
             proof_answered: Cell::default(),
             key_leases,
             quotas: RefCell::new(quotas),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -85,6 +85,7 @@
         actix_rt::spawn(server::accept_callers(gateway.clone(), listener));
     }
     actix_rt::spawn(watch::follow_configuration(gateway.clone()));
+    actix_rt::spawn(watch::prove_configuration(gateway.clone()));
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
     actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
@@ -149,24 +150,9 @@
     Ok(listener)
 }
 
-/// Reads the other nodes' entries, writes this one's, whose position is its incarnation, and then
-/// follows the others.
+/// Writes the node's entry, whose position is its incarnation, and then follows the others.
 async fn join(gateway: Rc<Gateway>, gossip_socket: Rc<UdpSocket>) {
-    let newest = loop {
-        match gateway.platform.newest(Stream::Nodes).await {
-            Ok(newest) => break newest,
-            Err(error) => {
-                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
-                actix_rt::time::sleep(JOIN_PAUSE).await;
-            }
-        }
-    };
-    let own = gateway.settings.node.as_str();
-    if !newest
-        .records
-        .iter()
-        .any(|record| record.key.as_deref() == Some(own))
-    {
+    if is_new_machine(&gateway).await {
         gateway.quotas.borrow_mut().note_new_machine();
     }
     let incarnation = loop {
@@ -178,10 +164,17 @@
             }
         }
     };
+    // Read after the entry is written: of two nodes that start together, one sees the other.
+    let newest = loop {
+        match gateway.platform.newest(Stream::Nodes).await {
+            Ok(newest) => break newest,
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+            }
+        }
+    };
     watch::take_nodes(&gateway, &newest.records);
-    let entry = own_entry(&gateway, false);
-    let own = gateway.settings.node.clone();
-    gateway.nodes.borrow_mut().upsert(own, incarnation, entry);
     actix_rt::spawn(watch::follow_nodes(gateway.clone(), newest.end));
     let seeds = gateway
         .nodes
@@ -197,6 +190,22 @@
     peers::gossip(gateway, gossip_socket).await;
 }
 
+/// Whether no process of this machine has written an entry before. If that cannot be read, one may
+/// have.
+async fn is_new_machine(gateway: &Gateway) -> bool {
+    let own = gateway.settings.node.as_str();
+    match gateway.platform.newest(Stream::Nodes).await {
+        Ok(newest) => !newest
+            .records
+            .iter()
+            .any(|record| record.key.as_deref() == Some(own)),
+        Err(error) => {
+            log::warn!(error = error.to_string().as_str(); "whether this machine is new is not known");
+            false
+        }
+    }
+}
+
 /// Drops the entries of nodes that are gone for good, one node for all.
 async fn drop_departed_nodes(gateway: Rc<Gateway>) {
     let mut departures = Departures::default();
@@ -235,9 +244,9 @@
     }
 }
 
-fn own_entry(gateway: &Gateway, draining: bool) -> NodeRecord {
+async fn put_entry(gateway: &Gateway, draining: bool) -> Result<Incarnation, String> {
     let settings = &gateway.settings;
-    NodeRecord {
+    let record = NodeRecord {
         callers_address: settings.callers.unwrap_or(settings.peers),
         peer_address: settings.peers,
         zone: settings.zone.as_str().to_owned(),
@@ -245,13 +254,8 @@
         millicores: settings.millicores,
         draining,
         boot: gateway.ledger.boot(),
-    }
-}
-
-/// Writes this node's entry; its position is the node's incarnation.
-async fn put_entry(gateway: &Gateway, draining: bool) -> Result<Incarnation, String> {
-    let settings = &gateway.settings;
-    let value = encode(&own_entry(gateway, draining)).into();
+    };
+    let value = encode(&record).into();
     let offset = gateway
         .platform
         .put(Stream::Nodes, settings.node.as_str(), value)
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderworks_gateway_core::config_proof::proving_pause;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_protocol::decode;
@@ -30,8 +31,11 @@
 /// Longest pause between two reads of the workers' stream, however long workers drain.
 const LONGEST_WORKERS_PAUSE: Duration = Duration::from_secs(1);
 
-/// Reads of the configuration, each of which proves it to be the newest, while such a proof counts.
-const PROOFS_PER_LEASE: u32 = 4;
+/// Longest wait for the answer to a read that only asks for what there is, after a first failure.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A log that answers late is given this many times as long once it has failed again.
+const MOST_PATIENCE: u32 = 2;
 
 /// Pause after a read that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
@@ -42,9 +46,7 @@
     const STREAM: Stream;
 
     /// Longest wait of one read for news.
-    fn wait(_gateway: &Gateway) -> Duration {
-        READ_WAIT
-    }
+    const WAIT: Duration = READ_WAIT;
 
     /// Pause after each read.
     fn pause(_gateway: &Gateway) -> Duration {
@@ -57,8 +59,9 @@
     /// Takes one further record.
     fn take(gateway: &Rc<Gateway>, record: &StreamRecord);
 
-    /// Called after a read has shown everything that the stream held when the read was sent.
-    fn note_current(_gateway: &Gateway, _sent: Timestamp) {}
+    /// Called after a read has shown everything that the stream held when the read was sent; it
+    /// ended at `end`.
+    fn note_current(_gateway: &Gateway, _sent: Timestamp, _end: Offset) {}
 
     /// Called after each read.
     fn after_read(_gateway: &Gateway) {}
@@ -77,6 +80,36 @@
     follow::<ConfigurationFollower>(gateway, None).await;
 }
 
+/// Proves now and then, by reads that don't wait for news, that the configuration is the newest: a
+/// read that waits proves it only for the time at which it was sent. Nodes that don't read just then
+/// ask those that did.
+pub(crate) async fn prove_configuration(gateway: Rc<Gateway>) {
+    loop {
+        let nodes = match gateway.settings.policy.peer_proofs {
+            true => gateway.nodes.borrow().count(),
+            false => 1,
+        };
+        // Exponentially distributed pauses: nodes that start together soon read at any time.
+        let share = -(1.0 - rand::random::<f64>()).ln();
+        actix_rt::time::sleep(proving_pause(nodes).mul_f64(share)).await;
+        let Some(from) = gateway
+            .config_end
+            .get()
+            .filter(|_| gateway.key_lease().is_some())
+        else {
+            continue;
+        };
+        let sent = gateway.now();
+        let limits = limits_at_once(ANSWER_TIMEOUT);
+        // Failures are told by the follower of the configuration.
+        if let Ok(progress) = read_more::<ConfigurationFollower>(&gateway, from, limits).await
+            && progress.is_complete
+        {
+            ConfigurationFollower::note_current(&gateway, sent, progress.next);
+        }
+    }
+}
+
 /// Follows the workers' entries until the process ends.
 pub(crate) async fn follow_workers(gateway: Rc<Gateway>) {
     follow::<WorkerFollower>(gateway, None).await;
@@ -95,25 +128,31 @@
 /// Follows a stream from an offset on, or else from the newest record of every key on.
 async fn follow<F: Follower>(gateway: Rc<Gateway>, from: Option<Offset>) {
     let mut next = from;
-    let mut failing = false;
+    let mut failures = 0u32;
     loop {
         let sent = gateway.now();
         let read = match next {
             None => read_all::<F>(&gateway).await,
-            Some(from) => read_more::<F>(&gateway, from).await,
+            Some(from) => {
+                let limits = match failures {
+                    0 => news_limits::<F>(),
+                    failures => limits_at_once(RECOVERY_TIMEOUT * failures.min(MOST_PATIENCE)),
+                };
+                read_more::<F>(&gateway, from, limits).await
+            }
         };
         match read {
             Ok(progress) => {
                 gateway.log_reach.borrow_mut().note_answer();
-                if failing {
+                if failures > 0 {
                     let now = gateway.now();
                     gateway.workers.borrow_mut().note_outage_over(now);
                     log::info!(stream:? = F::STREAM, end = progress.next.0; "stream can be read again");
                 }
-                failing = false;
+                failures = 0;
                 next = Some(progress.next);
                 if progress.is_complete {
-                    F::note_current(&gateway, sent);
+                    F::note_current(&gateway, sent, progress.next);
                 }
                 F::after_read(&gateway);
                 actix_rt::time::sleep(F::pause(&gateway)).await;
@@ -123,10 +162,10 @@
                 next = None;
             }
             Err(error) => {
-                if !failing {
+                if failures == 0 {
                     log::warn!(stream:? = F::STREAM, error = error.to_string().as_str(); "stream cannot be read");
                 }
-                failing = true;
+                failures = failures.saturating_add(1);
                 gateway.log_reach.borrow_mut().note_failure();
                 F::after_read(&gateway);
                 actix_rt::time::sleep(FAILURE_PAUSE).await;
@@ -144,15 +183,28 @@
     })
 }
 
+fn news_limits<F: Follower>() -> ReadLimits {
+    ReadLimits {
+        wait: F::WAIT,
+        timeout: ANSWER_TIMEOUT,
+        most_bytes: None,
+    }
+}
+
+/// For a read that does not wait for news.
+fn limits_at_once(timeout: Duration) -> ReadLimits {
+    ReadLimits {
+        wait: Duration::ZERO,
+        timeout,
+        most_bytes: None,
+    }
+}
+
 async fn read_more<F: Follower>(
     gateway: &Rc<Gateway>,
     from: Offset,
+    limits: ReadLimits,
 ) -> Result<Progress, StoreError> {
-    let limits = ReadLimits {
-        wait: F::wait(gateway),
-        timeout: ANSWER_TIMEOUT,
-        most_bytes: None,
-    };
     let batch = gateway.platform.read(F::STREAM, from, limits).await?;
     for record in &batch.records {
         F::take(gateway, record);
@@ -170,14 +222,9 @@
 impl Follower for ConfigurationFollower {
     const STREAM: Stream = Stream::Configuration;
 
-    /// Shorter where keys must be refused in time: each answer proves that they still count.
-    fn wait(gateway: &Gateway) -> Duration {
-        let lease = gateway.key_lease();
-        lease.map_or(READ_WAIT, |lease| READ_WAIT.min(lease / PROOFS_PER_LEASE))
-    }
-
-    fn note_current(gateway: &Gateway, sent: Timestamp) {
+    fn note_current(gateway: &Gateway, sent: Timestamp, end: Offset) {
         gateway.config_proof.borrow_mut().note_read(sent);
+        gateway.config_end.set(Some(end));
     }
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
@@ -285,10 +332,7 @@
 
 impl Follower for NodeFollower {
     const STREAM: Stream = Stream::Nodes;
-
-    fn wait(_gateway: &Gateway) -> Duration {
-        NODES_READ_WAIT
-    }
+    const WAIT: Duration = NODES_READ_WAIT;
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
