--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -165,6 +165,14 @@
         end.text("program"),
         end.number("finish_ms"),
     );
+    if !end.text("tenant").is_empty() {
+        let _ = writeln!(
+            told,
+            "  tenant {}, configuration proved {} ms before",
+            end.text("tenant"),
+            end.number("proof_ms"),
+        );
+    }
 }
 
 fn tell_attempts(told: &mut String, lines: &[LogLine], id: &str) {
@@ -250,11 +258,37 @@
              program that were lost"
                 .to_owned()
         }
+        "the request bears no valid key" => {
+            "the configuration of that version knows no such key, and was the newest one a moment \
+             before; look for its `configuration in force`"
+                .to_owned()
+        }
+        "the key is not known here, and may be new" => {
+            "the node had not read the configuration for too long to refuse the key for good"
+                .to_owned()
+        }
+        "the key may have been taken away: the configuration here is too old to tell" => {
+            key_lease_over(&saw)
+        }
+        "the tenant's quota is used up" => {
+            "the tenant has sent as much as its quota holds, as the nodes have told each other"
+                .to_owned()
+        }
         "caller left" | "caller lost" => "the caller's side closed first".to_owned(),
         _ => format!("as the line says: {outcome}"),
     }
 }
 
+fn key_lease_over(saw: &impl Fn(&str) -> bool) -> String {
+    let alone = "neither this node nor one that it asked could show that its configuration is the \
+                 newest";
+    if saw("stream cannot be read") {
+        format!("{alone}; the log did not answer this node")
+    } else {
+        alone.to_owned()
+    }
+}
+
 fn no_leave(saw: &impl Fn(&str) -> bool) -> String {
     let log_failed = saw("append to the ledger failed") || saw("reading the ledger failed");
     if log_failed && saw("peer did not answer for a partition") {
--- a/crates/cli/tests/explain_request.rs
+++ b/crates/cli/tests/explain_request.rs
@@ -59,3 +59,24 @@
     let unknown = explain_text("r9", BROKEN).expect_err("never seen");
     assert!(unknown.to_string().contains("no line tells of request r9"));
 }
+
+const KEYS: &str = r#"
+{"level":"WARN","message":"stream cannot be read","stream":"Configuration","error":"no answer","time":"2026-05-11T23:31:47.000Z"}
+{"config":4,"finish_ms":900,"first_ms":-1,"leave_ms":-1,"level":"WARN","message":"the key may have been taken away: the configuration here is too old to tell","ms":0,"program":"p","proof_ms":-1,"request":"r7","route":"r","session":"","status":503,"tenant":"","time":"2026-05-11T23:31:48.020Z","whole":true,"workers":""}
+{"level":"INFO","message":"over quota","limit":60,"nodes_heard":3,"pause_ms":200,"request":"r8","tenant":"acme","time":"2026-05-11T23:31:49.000Z","used":61}
+{"config":4,"finish_ms":900,"first_ms":-1,"leave_ms":-1,"level":"INFO","message":"the tenant's quota is used up","ms":0,"program":"p","proof_ms":310,"request":"r8","route":"r","session":"","status":429,"tenant":"acme","time":"2026-05-11T23:31:49.000Z","whole":true,"workers":""}
+"#;
+
+#[test]
+fn refusals_for_keys_and_quotas_are_explained() {
+    let told = explain_text("r7", KEYS).expect("an explanation");
+    assert!(told.contains("the log did not answer this node"), "{told}");
+    let told = explain_text("r8", KEYS).expect("an explanation");
+    for wanted in [
+        "tenant acme, configuration proved 310 ms before",
+        "over quota: limit=60 nodes_heard=3 pause_ms=200 request=r8 tenant=acme used=61",
+        "cause: the tenant has sent as much as its quota holds",
+    ] {
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+}
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -95,7 +95,6 @@
         Some(previous) => state.conversation(previous)?,
         None => Bytes::new(),
     };
-    let is_first = is_first_turn(state, wallets, begin);
     if let Some(budget) = begin.budget {
         // Programs that loop ask again and again; the rare denial of a first turn is looked up.
         let generated = tokens_generated(state, wallets, &begin.program);
@@ -109,19 +108,7 @@
             return None;
         }
     }
-    Some(LedgerReply::Granted {
-        conversation,
-        is_first,
-    })
-}
-
-/// Whether a program begins with this turn, as far as is known here.
-fn is_first_turn(state: &LedgerState, wallets: &Wallets, begin: &BeginTurn) -> bool {
-    let is_others = |reservation: &str| !wallets.is_own(reservation);
-    begin.budget.is_some()
-        && begin.previous.is_none()
-        && tokens_generated(state, wallets, &begin.program) == 0
-        && state.reserved(&begin.program, is_others) == 0
+    Some(LedgerReply::Granted { conversation })
 }
 
 /// Whether the program's advances hold the turn.
@@ -270,7 +257,6 @@
         let Some((conversation, import)) = conversation_before(state, begin) else {
             return Planned::AnswerIfCurrent(LedgerReply::UnknownTurn);
         };
-        let is_first = is_first_turn(state, wallets, begin);
         if let Some(budget) = begin.budget
             && let Err(shortage) = self.fund(state, wallets, now, begin, budget)
         {
@@ -289,10 +275,7 @@
         if let Some((turn, content)) = import {
             self.keep(&turn, content);
         }
-        Planned::Append(LedgerReply::Granted {
-            conversation,
-            is_first,
-        })
+        Planned::Append(LedgerReply::Granted { conversation })
     }
 
     /// Starts a turn on the program's wallet, with a new advance if it holds too little. An error
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -50,14 +50,12 @@
     pub addresses_ttl_ms: u64,
     /// Nodes that have just started presume listed nodes alive.
     pub presumption: bool,
-    /// Engines are told the rank of a request's route.
+    /// Engines are told the rank of a request's tenant or route.
     pub engine_rank: bool,
     /// Nodes that cannot read the log prove their configuration through others.
     pub peer_proofs: bool,
     /// Quotas are divided between nodes by what they tell each other; evenly if not.
     pub shared_quotas: bool,
-    /// Programs begin only if their tenant's quota holds all their requests.
-    pub whole_programs: bool,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
 }
@@ -87,7 +85,6 @@
             engine_rank: true,
             peer_proofs: true,
             shared_quotas: true,
-            whole_programs: true,
             missing_grace: true,
         }
     }
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -45,17 +45,6 @@
 /// A node that has started less than this ago may not have heard of the others yet.
 const HEARING_TIME: Duration = Duration::from_secs(1);
 
-/// Share of a quota that must be used before the beginning of programs is held back.
-const TIGHT_SHARE: f64 = 0.5;
-
-/// Requests of a program if none was seen yet, and how many programs that assumption weighs.
-const ASSUMED_REQUESTS: f64 = 8.0;
-const ASSUMED_PROGRAMS: f64 = 10.0;
-
-/// Programs after whose beginnings the count of requests for each is halved, so that it follows
-/// what is asked now.
-const REMEMBERED_PROGRAMS: f64 = 500.0;
-
 /// Shortest and longest time after which a refused caller is asked to come back.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -111,8 +100,6 @@
 pub struct TenantUse {
     /// Requests in the last window.
     pub sent: u32,
-    /// Programs that began in the last window.
-    pub begun: u32,
     /// Requests that were asked for in the last second, refused ones included.
     pub asked: u32,
 }
@@ -121,7 +108,6 @@
 struct Account {
     limit: f64,
     sent: SlidingCount,
-    begun: SlidingCount,
     asked: SlidingCount,
 }
 
@@ -133,10 +119,8 @@
 
 /// What is left of a tenant's quota, and this node's part.
 struct Standing {
-    /// Requests or programs that all nodes may still send on, apart from this node's last ones.
+    /// Requests that all nodes may still send on, apart from this node's last ones.
     free: f64,
-    /// Used of the quota, from 0 to 1 and more.
-    used: f64,
     /// This node's part of the demand, from 0 to 1.
     part: f64,
 }
@@ -154,9 +138,6 @@
     has_past: bool,
     accounts: HashMap<TenantKey, Account>,
     reports: BTreeMap<NodeId, Report>,
-    /// Requests sent on and programs begun here, for their ratio.
-    requests_seen: f64,
-    programs_seen: f64,
 }
 
 impl QuotaBook {
@@ -171,8 +152,6 @@
             has_past: true,
             accounts: HashMap::new(),
             reports: BTreeMap::new(),
-            requests_seen: ASSUMED_REQUESTS * ASSUMED_PROGRAMS,
-            programs_seen: ASSUMED_PROGRAMS,
         }
     }
 
@@ -192,7 +171,7 @@
         let slot = self.slots.at(now);
         let account = self.account(now, tenant, quota);
         account.asked.add(slot);
-        let standing = self.standing(now, tenant, fleet, Counted::Requests);
+        let standing = self.standing(now, tenant, fleet);
         let recent = self.accounts[&tenant]
             .sent
             .since(self.slots.first_within(now, FRESH));
@@ -200,48 +179,15 @@
             let limit = self.accounts[&tenant].limit;
             return Err(self.over_quota(limit * standing.part));
         }
-        self.requests_seen += 1.0;
         let account = self.account(now, tenant, quota);
         account.sent.add(slot);
         Ok(Ticket { tenant, slot })
     }
 
-    /// Decides whether a program whose first request was admitted may begin. Under a quota that is
-    /// nearly used up, only as many programs begin as it holds with all their requests: half a
-    /// program helps nobody.
-    pub fn begin_program(
-        &mut self,
-        now: Timestamp,
-        tenant: TenantKey,
-        quota: Quota,
-        fleet: Fleet,
-    ) -> Result<(), OverQuota> {
-        let requests_each = self.requests_each();
-        let is_tight = self.standing(now, tenant, fleet, Counted::Requests).used >= TIGHT_SHARE;
-        let standing = self.standing(now, tenant, fleet, Counted::Programs { requests_each });
-        let slot = self.slots.at(now);
-        let first = self.slots.first_within(now, FRESH);
-        let rounding = self.rounding(now, tenant);
-        let account = self.account(now, tenant, quota);
-        let recent = account.begun.since(first);
-        if is_tight && f64::from(recent) + 1.0 > standing.free * standing.part + rounding {
-            let limit = account.limit;
-            return Err(self.over_quota(limit * standing.part / requests_each));
-        }
-        account.begun.add(slot);
-        self.programs_seen += 1.0;
-        if self.programs_seen > REMEMBERED_PROGRAMS {
-            self.programs_seen /= 2.0;
-            self.requests_seen /= 2.0;
-        }
-        Ok(())
-    }
-
     /// An admitted request was not sent on after all.
     pub fn give_back(&mut self, ticket: Ticket) {
         if let Some(account) = self.accounts.get_mut(&ticket.tenant) {
             account.sent.take_back(ticket.slot);
-            self.requests_seen = (self.requests_seen - 1.0).max(1.0);
         }
     }
 
@@ -292,7 +238,6 @@
             let unknown = self.unknown_before_start(now, account.limit, fleet);
             let own = TenantUse {
                 sent: account.sent.total() + unknown.ceil() as u32,
-                begun: account.begun.total(),
                 asked: account.asked.total(),
             };
             if f64::from(own.sent) >= untold(account.limit, fleet) {
@@ -324,9 +269,22 @@
         own + told.map(|told| told.sent).sum::<u32>()
     }
 
-    /// Requests that a program makes on average, as seen here.
-    pub fn requests_each(&self) -> f64 {
-        (self.requests_seen / self.programs_seen).max(1.0)
+    /// Requests of a tenant that a window holds, as this node counts.
+    pub fn limit_of(&self, quota: Quota) -> f64 {
+        self.rules.limit(quota)
+    }
+
+    /// The tenants that have used the largest part of their quota here, at most `most` of them,
+    /// each with that part.
+    pub fn most_used(&self, most: usize) -> Vec<(TenantKey, f64)> {
+        let mut used: Vec<(TenantKey, f64)> = self
+            .accounts
+            .iter()
+            .map(|(tenant, account)| (*tenant, f64::from(self.used_by(*tenant)) / account.limit))
+            .collect();
+        used.sort_by(|left, right| right.1.total_cmp(&left.1));
+        used.truncate(most);
+        used
     }
 
     fn account(&mut self, now: Timestamp, tenant: TenantKey, quota: Quota) -> &mut Account {
@@ -336,7 +294,6 @@
         let account = self.accounts.entry(tenant).or_insert_with(|| Account {
             limit,
             sent: SlidingCount::default(),
-            begun: SlidingCount::default(),
             asked: SlidingCount::default(),
         });
         account.limit = limit;
@@ -344,18 +301,12 @@
         account
     }
 
-    fn standing(
-        &self,
-        now: Timestamp,
-        tenant: TenantKey,
-        fleet: Fleet,
-        counted: Counted,
-    ) -> Standing {
+    fn standing(&self, now: Timestamp, tenant: TenantKey, fleet: Fleet) -> Standing {
         let account = &self.accounts[&tenant];
-        let limit = counted.limit(account.limit);
-        let all = counted.own(account);
+        let limit = account.limit;
+        let all = &account.sent;
         let recent = f64::from(all.since(self.slots.first_within(now, FRESH)));
-        let unknown = counted.limit(self.unknown_before_start(now, account.limit, fleet));
+        let unknown = self.unknown_before_start(now, limit, fleet);
         let own = f64::from(all.total()) + unknown;
         let nodes = f64::from(fleet.nodes.max(1));
         if self.division == Division::Even || self.is_alone(now, fleet) {
@@ -365,7 +316,6 @@
             };
             return Standing {
                 free: limit * share - (own - recent) * nodes,
-                used: own * nodes / limit,
                 part: 1.0 / nodes,
             };
         }
@@ -381,14 +331,13 @@
                 continue;
             };
             tellers += 1.0;
-            told += f64::from(counted.told(used));
+            told += f64::from(used.sent);
             // Also of one that has fallen silent: it may be cut off and go on with its part.
             asked += f64::from(used.asked);
         }
         let untold = (nodes - 1.0 - tellers).max(0.0) * untold(limit, fleet);
         Standing {
             free: limit - (own - recent) - told - untold,
-            used: (own + told) / limit,
             part: asked_here / asked,
         }
     }
@@ -435,48 +384,14 @@
     }
 }
 
-/// What a standing is about.
-#[derive(Clone, Copy, Debug)]
-enum Counted {
-    Requests,
-    Programs {
-        /// Requests that each makes.
-        requests_each: f64,
-    },
-}
-
-impl Counted {
-    fn limit(self, requests: f64) -> f64 {
-        match self {
-            Self::Requests => requests,
-            Self::Programs { requests_each } => requests / requests_each,
-        }
-    }
-
-    fn own(self, account: &Account) -> &SlidingCount {
-        match self {
-            Self::Requests => &account.sent,
-            Self::Programs { .. } => &account.begun,
-        }
-    }
-
-    fn told(self, told: &TenantUse) -> u32 {
-        match self {
-            Self::Requests => told.sent,
-            Self::Programs { .. } => told.begun,
-        }
-    }
-}
-
 impl Account {
     fn forget(&mut self, first: Slot, first_asked: Slot) {
         self.sent.forget_before(first);
-        self.begun.forget_before(first);
         self.asked.forget_before(first_asked);
     }
 
     fn is_empty(&self) -> bool {
-        self.sent.total() == 0 && self.asked.total() == 0 && self.begun.total() == 0
+        self.sent.total() == 0 && self.asked.total() == 0
     }
 }
 
--- a/crates/gateway-core/src/tenants.rs
+++ b/crates/gateway-core/src/tenants.rs
@@ -109,6 +109,11 @@
         self.tenants.get(usize::try_from(id.0).ok()?)
     }
 
+    /// Every tenant.
+    pub fn iter(&self) -> impl Iterator<Item = &Tenant> {
+        self.tenants.iter()
+    }
+
     /// Decides on a request's credential. A `public` route takes requests without a known key.
     pub fn check(&self, credential: Credential, public: bool) -> KeyCheck {
         if self.is_empty() {
--- a/crates/gateway-core/tests/ledger/calls.rs
+++ b/crates/gateway-core/tests/ledger/calls.rs
@@ -275,13 +275,7 @@
         owner.take_replies(),
         [
             (Ticket(5), LedgerReply::Unavailable),
-            (
-                Ticket(6),
-                LedgerReply::Granted {
-                    conversation,
-                    is_first: false
-                }
-            ),
+            (Ticket(6), LedgerReply::Granted { conversation }),
         ]
     );
 }
--- a/crates/gateway-core/tests/ledger/turns.rs
+++ b/crates/gateway-core/tests/ledger/turns.rs
@@ -52,13 +52,7 @@
     carry_out(&mut owner, finish("t", 0, Some(content)));
     let reply = carry_out(&mut owner, begin_after("u", "t", None));
     let conversation = Bytes::from_static(b"in out\n");
-    assert_eq!(
-        reply,
-        LedgerReply::Granted {
-            conversation,
-            is_first: false
-        }
-    );
+    assert_eq!(reply, LedgerReply::Granted { conversation });
 }
 
 #[test]
@@ -69,18 +63,11 @@
     assert_eq!(
         reply,
         LedgerReply::Granted {
-            conversation: conversation.clone(),
-            is_first: false,
+            conversation: conversation.clone()
         }
     );
     let reply = carry_out(&mut owner, begin_after("v", "t", None));
-    assert_eq!(
-        reply,
-        LedgerReply::Granted {
-            conversation,
-            is_first: false
-        }
-    );
+    assert_eq!(reply, LedgerReply::Granted { conversation });
 }
 
 #[test]
--- a/crates/gateway-core/tests/quota.rs
+++ b/crates/gateway-core/tests/quota.rs
@@ -40,12 +40,7 @@
 }
 
 fn uses(sent: u32, asked: u32) -> [(TenantKey, TenantUse); 1] {
-    let used = TenantUse {
-        sent,
-        begun: 0,
-        asked,
-    };
-    [(TENANT, used)]
+    [(TENANT, TenantUse { sent, asked })]
 }
 
 /// How many of `count` requests at one moment are admitted.
@@ -218,33 +213,3 @@
     admitted(&mut book, at(0), FOUR, 3);
     assert_eq!(book.report(at(0), FOUR).len(), 1);
 }
-
-#[test]
-fn programs_begin_if_the_quota_holds_them_whole() {
-    let mut book = book(Division::Told);
-    // Ten programs of twelve requests each were seen.
-    let far = Quota {
-        per_second: 1_000.0,
-        burst: 0.0,
-    };
-    for program in 0..200u64 {
-        let now = at(program * 100);
-        for _ in 0..12 {
-            let _ = book.admit(now, TenantKey(9), far, ALONE);
-        }
-        let _ = book.begin_program(now, TenantKey(9), far, ALONE);
-    }
-    let each = book.requests_each();
-    assert!((10.0..13.0).contains(&each), "{each}");
-    let now = at(30_000);
-    // Half of the quota is free: programs begin as they come.
-    assert!(book.admit(now, TENANT, QUOTA, ALONE).is_ok());
-    assert!(book.begin_program(now, TENANT, QUOTA, ALONE).is_ok());
-    // Then as many as it holds whole: five of twelve requests.
-    admitted(&mut book, now, ALONE, 35);
-    let more = (0..20).filter(|_| book.begin_program(now, TENANT, QUOTA, ALONE).is_ok());
-    let more = more.count();
-    assert!((3..=5).contains(&more), "{more}");
-    // Requests of programs that have begun still pass.
-    assert!(book.admit(now, TENANT, QUOTA, ALONE).is_ok());
-}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -10,6 +10,7 @@
 
 use crate::caller::Caller;
 use crate::gateway::{Gateway, Stage};
+use crate::metrics::TenantLabel;
 use crate::ports::EntryCall;
 use crate::reply::Refusal;
 use crate::server::{CallerRequest, RequestReader};
@@ -108,7 +109,34 @@
     }
 }
 
+/// Most tenants that are shown.
+const TENANTS_SHOWN: usize = 20;
+
+/// Brings figures up to date that are worked out when they are asked for.
+fn refresh(gateway: &Gateway) {
+    let age = gateway.config_proof.borrow().age(gateway.now());
+    let age = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    gateway.metrics.proof_age_ms.set(age);
+    let shown = &gateway.metrics.quota_used_percent;
+    shown.clear();
+    let Some(config) = gateway.current_config() else {
+        return;
+    };
+    for (key, used) in gateway.quotas.borrow().most_used(TENANTS_SHOWN) {
+        let Some(tenant) = config.tenants.iter().find(|tenant| tenant.key() == key) else {
+            continue;
+        };
+        let label = TenantLabel {
+            tenant: tenant.name.clone(),
+        };
+        shown
+            .get_or_create(&label)
+            .set((used * 100.0).round() as i64);
+    }
+}
+
 fn metrics(gateway: &Gateway) -> EntryAnswer {
+    refresh(gateway);
     EntryAnswer {
         status: StatusCode::OK,
         media_type: "text/plain",
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -28,6 +28,9 @@
 /// Largest answer that is collected before it is passed on, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 * 1024 * 1024;
 
+/// Least urgent rank that engines know; 0 is the most urgent.
+const LEAST_URGENT: u8 = 9;
+
 /// One request on its way.
 pub(super) struct Call<'a> {
     pub(super) gateway: &'a Rc<Gateway>,
@@ -265,7 +268,8 @@
     fn engine_priority(&self) -> Option<u8> {
         let service = self.config.service(&self.service)?;
         let is_told = service.engine.is_some() && self.gateway.settings.policy.engine_rank;
-        is_told.then(|| self.sender.priority.unwrap_or(self.route.priority).min(9))
+        let rank = self.sender.priority.unwrap_or(self.route.priority);
+        is_told.then(|| rank.min(LEAST_URGENT))
     }
 
     fn choose(&self) -> Result<Target, CallError> {
--- a/crates/gateway/src/forward/quota.rs
+++ b/crates/gateway/src/forward/quota.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use elderworks_gateway_core::quota::{OverQuota, Ticket};
-use elderworks_gateway_core::tenants::{Quota, TenantKey};
 
 use super::attempts::Call;
 use crate::gateway::Gateway;
@@ -12,8 +11,6 @@
 /// A request that counts in its tenant's quota. It is given back if nothing was sent for it.
 pub(super) struct Counted {
     gateway: Rc<Gateway>,
-    tenant: TenantKey,
-    quota: Quota,
     ticket: Ticket,
     is_sent: bool,
 }
@@ -21,12 +18,12 @@
 impl Counted {
     /// Counts a send to a worker.
     pub(super) fn note_send(&mut self) {
+        let now = self.gateway.now();
+        let mut quotas = self.gateway.quotas.borrow_mut();
         if self.is_sent {
-            let now = self.gateway.now();
-            self.gateway
-                .quotas
-                .borrow_mut()
-                .note_further_send(now, self.ticket);
+            quotas.note_further_send(now, self.ticket);
+        } else {
+            quotas.note_send(now, self.ticket);
         }
         self.is_sent = true;
     }
@@ -52,38 +49,27 @@
             .quotas
             .borrow_mut()
             .admit(now, tenant, quota, gateway.fleet());
-        let ticket =
-            admitted.map_err(|over| self.refuse_over(over, "the tenant's quota is used up"))?;
+        let ticket = admitted.map_err(|over| self.refuse_over(over))?;
         self.counted = Some(Counted {
             gateway: gateway.clone(),
-            tenant,
-            quota,
             ticket,
             is_sent: false,
         });
         Ok(())
     }
 
-    /// Lets a program begin, unless its tenant's quota does not hold all its requests.
-    pub(super) fn begin_program(&mut self) -> Result<(), Refusal> {
-        let gateway = self.gateway;
-        if !gateway.settings.policy.whole_programs {
-            return Ok(());
-        }
-        let Some(Counted { tenant, quota, .. }) = &self.counted else {
-            return Ok(());
-        };
-        let now = gateway.now();
-        let mut quotas = gateway.quotas.borrow_mut();
-        let begun = quotas.begin_program(now, *tenant, *quota, gateway.fleet());
-        drop(quotas);
-        begun.map_err(|over| {
-            self.refuse_over(over, "the tenant's quota does not hold another program now")
-        })
-    }
-
-    fn refuse_over(&self, over: OverQuota, reason: &'static str) -> Refusal {
+    fn refuse_over(&self, over: OverQuota) -> Refusal {
         self.gateway.metrics.over_quota.inc();
-        Refusal::over_quota(reason, over.retry_after)
+        if let Some((tenant, quota)) = self.sender.quota {
+            let quotas = self.gateway.quotas.borrow();
+            log::info!(
+                request = self.attributes.request_id.as_deref().unwrap_or_default(),
+                tenant = self.sender.tenant.as_deref().unwrap_or_default(),
+                used = quotas.used_by(tenant), limit = quotas.limit_of(quota).round(),
+                nodes_heard = quotas.tellers().count(), pause_ms = over.retry_after.as_millis();
+                "over quota"
+            );
+        }
+        Refusal::over_quota(over.retry_after)
     }
 }
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -279,15 +279,8 @@
         };
         lease.granter = answered.by;
         match answered.reply {
-            LedgerReply::Granted {
-                conversation,
-                is_first,
-            } => {
-                // Dropped with a refusal, the lease returns what was set aside.
+            LedgerReply::Granted { conversation } => {
                 self.lease = Some(lease);
-                if is_first {
-                    self.begin_program()?;
-                }
                 Ok(conversation)
             }
             LedgerReply::BudgetSpent => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of figures of one tenant.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct TenantLabel {
+    /// Its name.
+    pub(crate) tenant: String,
+}
+
 /// Everything that a gateway counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -44,6 +51,8 @@
     pub(crate) config_version: Gauge,
     pub(crate) proofs_told: Counter,
     pub(crate) over_quota: Counter,
+    pub(crate) quota_used_percent: Family<TenantLabel, Gauge>,
+    pub(crate) proof_age_ms: Gauge,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -75,6 +84,8 @@
             config_version: Gauge::default(),
             proofs_told: Counter::default(),
             over_quota: Counter::default(),
+            quota_used_percent: Family::default(),
+            proof_age_ms: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -163,5 +174,15 @@
             "Requests refused for their tenant's quota",
             self.over_quota.clone(),
         );
+        registry.register(
+            "quota_used_percent",
+            "Part of their quota that the tenants nearest to it have used",
+            self.quota_used_percent.clone(),
+        );
+        registry.register(
+            "proof_age_ms",
+            "Time since the configuration was known to be the newest; -1 if it never was",
+            self.proof_age_ms.clone(),
+        );
     }
 }
--- a/crates/gateway/src/peers/quotas.rs
+++ b/crates/gateway/src/peers/quotas.rs
@@ -43,7 +43,6 @@
         let uses = uses.into_iter().map(|(tenant, used)| TenantUseReport {
             tenant: tenant.0,
             sent: used.sent,
-            begun: used.begun,
             asked: used.asked,
         });
         let report = QuotaReport {
@@ -84,7 +83,6 @@
     let uses = report.uses.into_iter().map(|told| {
         let used = TenantUse {
             sent: told.sent,
-            begun: told.begun,
             asked: told.asked,
         };
         (TenantKey(told.tenant), used)
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -36,11 +36,11 @@
     }
 
     /// The request has not run and will not; its tenant's quota holds it after `pause`.
-    pub(crate) const fn over_quota(reason: &'static str, pause: Duration) -> Self {
+    pub(crate) const fn over_quota(pause: Duration) -> Self {
         Self {
             status: StatusCode::TOO_MANY_REQUESTS,
             retry_after: Some(pause),
-            reason,
+            reason: "the tenant's quota is used up",
         }
     }
 
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -57,8 +57,6 @@
     pub tenant: u64,
     /// Requests sent on in the last window of quotas.
     pub sent: u32,
-    /// Programs that began in it.
-    pub begun: u32,
     /// Requests that were asked for in the last second.
     pub asked: u32,
 }
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -170,8 +170,6 @@
     Granted {
         /// Inputs and outputs of the turns before, in order.
         conversation: Bytes,
-        /// Whether the program has generated nothing so far: it begins with this turn.
-        is_first: bool,
     },
     /// The program's budget holds no further turn.
     BudgetSpent,
