--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use crate::proxy::Proxy;
@@ -15,6 +16,12 @@
 /// Gateway processes.
 const NODES: usize = 4;
 
+/// Fleets of one test process that have addresses of their own.
+const PLACES: usize = 50;
+
+/// Fleets started so far by this test process.
+static FLEETS: AtomicUsize = AtomicUsize::new(0);
+
 /// Workers of each service.
 const WORKERS: usize = 3;
 
@@ -142,6 +149,8 @@
     pub nodes: Vec<Node>,
     pub workers: Vec<ReachedWorker>,
     folder: PathBuf,
+    /// Differs between fleets of one test process that run at the same time.
+    place: usize,
 }
 
 impl Fleet {
@@ -156,6 +165,7 @@
             nodes: Vec::new(),
             folder,
             deployment,
+            place: FLEETS.fetch_add(1, Ordering::Relaxed) % PLACES,
         };
         for service in [ENGINES, TOOLS] {
             for number in 0..WORKERS {
@@ -202,7 +212,8 @@
 
     fn new_node(&self, number: usize) -> Node {
         let process = std::process::id().to_be_bytes();
-        let host = u8::try_from(number + 2).expect("few nodes");
+        let host = 2 + self.place * NODES + number;
+        let host = u8::try_from(host).expect("few nodes in few places");
         let ip = Ipv4Addr::new(127, process[2] | 1, process[3], host);
         let own = OwnAddress {
             ip,
