gateway: lines and counters say how long a read of a stream hung and how old a node's knowledge is; reads decided in the core

Cause: a 404 said nothing of when the node had last read the configuration, and a lost stream nothing of how long its read had hung, so the incident's hypotheses could not be told apart. When the next read is made was decided in the driver, where no test without sockets reaches it. Change: fields config_read_ms, hung_ms, known_ms, dark_ms, failures; counters of streams' reads; a gauge of the last read's age. The decision moves into gateway-core (stream_reads) with the figures it had; no logic changes.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod quota;
 pub mod response_time;
 pub mod split;
+pub mod stream_reads;
 pub mod tenants;
 pub mod worker_health;
 pub mod workers;
--- /dev/null
+++ b/crates/gateway-core/src/stream_reads.rs
@@ -0,0 +1,124 @@
+//! When a follower of a stream reads next, and how long a read may hang.
+//!
+//! A read that waits for news may be lost on the way, and nothing but a time-out shows it. Until
+//! then the follower learns nothing, so this bounds how late a change is learned.
+
+use std::time::Duration;
+
+use crate::directory::Stream;
+
+/// Longest wait of one read for news. Bounds how long a read may hang on a connection that a cut
+/// has silenced.
+const NEWS_WAIT: Duration = Duration::from_secs(2);
+
+/// The same for nodes' entries, which gossip makes less urgent.
+const NODES_WAIT: Duration = Duration::from_secs(4);
+
+/// Longest wait for an answer beyond the wait for news.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Longest wait for the answer to a read that only asks for what there is, after a first failure.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A log that answers late is given this many times as long once it has failed again.
+const MOST_PATIENCE: u32 = 2;
+
+/// Pause after a read that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Share of the time within which a draining worker must be left alone that passes between two
+/// reads of the workers' stream, which has a record for every heartbeat.
+const WORKERS_PAUSE_SHARE: f64 = 0.3;
+
+/// Longest pause between two reads of the workers' stream, however long workers drain.
+const LONGEST_WORKERS_PAUSE: Duration = Duration::from_secs(1);
+
+/// How soon news of the streams must be acted on, from the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewsDeadlines {
+    /// Time within which a configuration must be in force.
+    pub apply: Duration,
+    /// Time within which a draining worker must be left alone.
+    pub drain: Duration,
+}
+
+/// How one read is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadTimes {
+    /// How long the log waits for news before it answers that there are none.
+    pub wait: Duration,
+    /// Longest wait for the answer beyond that.
+    pub answer: Duration,
+}
+
+impl ReadTimes {
+    /// For a read that only asks for what there is.
+    pub fn at_once(answer: Duration) -> Self {
+        Self {
+            wait: Duration::ZERO,
+            answer,
+        }
+    }
+}
+
+/// The reads of one stream's follower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamReads {
+    news: ReadTimes,
+    pause: Duration,
+    failures: u32,
+}
+
+impl StreamReads {
+    /// Nothing was read yet.
+    pub fn new(stream: Stream, deadlines: &NewsDeadlines) -> Self {
+        let wait = match stream {
+            Stream::Nodes => NODES_WAIT,
+            Stream::Configuration | Stream::Workers | Stream::Ledger(_) => NEWS_WAIT,
+        };
+        let pause = match stream {
+            Stream::Workers => workers_pause(deadlines.drain),
+            Stream::Configuration | Stream::Nodes | Stream::Ledger(_) => Duration::ZERO,
+        };
+        Self {
+            news: ReadTimes {
+                wait,
+                answer: ANSWER_TIMEOUT,
+            },
+            pause,
+            failures: 0,
+        }
+    }
+
+    /// How the next read is made.
+    pub fn next_read(&self) -> ReadTimes {
+        match self.failures {
+            0 => self.news,
+            failures => ReadTimes::at_once(RECOVERY_TIMEOUT * failures.min(MOST_PATIENCE)),
+        }
+    }
+
+    /// Notes that a read was answered. Returns how many had failed in a row before it.
+    pub fn note_answer(&mut self) -> u32 {
+        std::mem::take(&mut self.failures)
+    }
+
+    /// Notes that a read was refused or not answered in time. Returns how many have failed in a row.
+    pub fn note_failure(&mut self) -> u32 {
+        self.failures = self.failures.saturating_add(1);
+        self.failures
+    }
+
+    /// Pause before the next read.
+    pub fn pause(&self) -> Duration {
+        match self.failures {
+            0 => self.pause,
+            _ => FAILURE_PAUSE,
+        }
+    }
+}
+
+fn workers_pause(drain: Duration) -> Duration {
+    let share = drain.mul_f64(WORKERS_PAUSE_SHARE);
+    share.min(LONGEST_WORKERS_PAUSE)
+}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's clock.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use elderworks_types::Timestamp;
 
@@ -23,3 +23,10 @@
         Timestamp(1) + self.started.elapsed()
     }
 }
+
+/// Milliseconds for a log line or a figure; -1 if there is no such time.
+pub(crate) fn millis(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| {
+        i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+    })
+}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::caller::Caller;
+use crate::clock::millis;
 use crate::gateway::{Gateway, Stage};
 use crate::metrics::TenantLabel;
 use crate::ports::EntryCall;
@@ -114,9 +115,10 @@
 
 /// Brings figures up to date that are worked out when they are asked for.
 fn refresh(gateway: &Gateway) {
-    let age = gateway.config_proof.borrow().age(gateway.now());
-    let age = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
-    gateway.metrics.proof_age_ms.set(age);
+    let (now, proof) = (gateway.now(), *gateway.config_proof.borrow());
+    gateway.metrics.proof_age_ms.set(millis(proof.age(now)));
+    let read_age = millis(proof.own_age(now));
+    gateway.metrics.config_read_age_ms.set(read_age);
     let shown = &gateway.metrics.quota_used_percent;
     shown.clear();
     let Some(config) = gateway.current_config() else {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -18,6 +18,7 @@
 use elderworks_gateway_core::config::{Route, RouteKind, ServingConfig};
 
 use crate::caller::{Caller, Progress};
+use crate::clock::millis;
 use crate::gateway::Gateway;
 use crate::metrics::AnswerLabel;
 use crate::reply::Refusal;
@@ -53,7 +54,7 @@
         let refusal = Refusal::not_run("no configuration is known yet");
         return refuse(caller, trace, &refusal).await;
     };
-    trace.config_version = config.version;
+    trace.note_config(&config);
     let route = match find_route(&config, &request.head) {
         Ok(route) => route,
         Err(refusal) => return refuse(caller, trace, &refusal).await,
@@ -174,13 +175,6 @@
     }
 }
 
-/// Milliseconds for a log line; -1 if it has not come to that.
-fn milliseconds(time: Option<Duration>) -> i64 {
-    time.map_or(-1, |time| {
-        i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
-    })
-}
-
 /// Collects what the log line of a request says.
 pub(crate) struct Trace {
     gateway: Rc<Gateway>,
@@ -191,7 +185,9 @@
     /// Time that the program had left when the request came.
     finish: Option<Duration>,
     pub(crate) milestones: Milestones,
-    pub(crate) config_version: u64,
+    config_version: u64,
+    /// Age of this node's last read of the configuration's stream, when the route was looked up.
+    config_read: Option<Duration>,
     pub(crate) route: String,
     /// The tenant whose key the request bears, if it is known.
     tenant: String,
@@ -217,6 +213,7 @@
             finish: attributes.finish,
             milestones: Milestones::default(),
             config_version: 0,
+            config_read: None,
             route: String::new(),
             tenant: String::new(),
             proof_age: None,
@@ -235,13 +232,19 @@
         refusal: &Refusal,
     ) {
         let mut trace = Self::new(gateway, attributes, Instant::now());
-        trace.config_version = config.version;
+        trace.note_config(config);
         trace.route.clone_from(&route.name);
         trace.outcome = refusal.reason;
         trace.finished = true;
         trace.write(refusal.status.as_u16(), true);
     }
 
+    fn note_config(&mut self, config: &ServingConfig) {
+        self.config_version = config.version;
+        let now = self.gateway.now();
+        self.config_read = self.gateway.config_proof.borrow().own_age(now);
+    }
+
     fn note_sender(&mut self, sender: &Sender) {
         let Some(tenant) = &sender.tenant else {
             return;
@@ -278,11 +281,11 @@
         log::log!(
             level,
             request = self.request_id.as_str(), program = self.program.as_str(),
-            session = self.session.as_str(), finish_ms = milliseconds(self.finish),
-            leave_ms = milliseconds(self.milestones.leave.get()),
-            first_ms = milliseconds(self.milestones.first_event.get()),
+            session = self.session.as_str(), finish_ms = millis(self.finish),
+            leave_ms = millis(self.milestones.leave.get()),
+            first_ms = millis(self.milestones.first_event.get()),
             route = self.route.as_str(), tenant = self.tenant.as_str(), config = self.config_version,
-            proof_ms = milliseconds(self.proof_age),
+            config_read_ms = millis(self.config_read), proof_ms = millis(self.proof_age),
             workers = self.tried.borrow().join(",").as_str(), status = status, whole = whole,
             ms = took; "{}", self.outcome
         );
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway, in the usual text form.
 
+use elderworks_gateway_core::directory::Stream;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -53,6 +54,7 @@
     pub(crate) over_quota: Counter,
     pub(crate) quota_used_percent: Family<TenantLabel, Gauge>,
     pub(crate) proof_age_ms: Gauge,
+    pub(crate) config_read_age_ms: Gauge,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -86,6 +88,7 @@
             over_quota: Counter::default(),
             quota_used_percent: Family::default(),
             proof_age_ms: Gauge::default(),
+            config_read_age_ms: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -99,6 +102,18 @@
         text
     }
 
+    /// Counts a read of a stream that is followed.
+    pub(crate) fn note_stream_read(&self, stream: Stream, outcome: &'static str) {
+        let call = match stream {
+            Stream::Configuration => "follow_configuration",
+            Stream::Workers => "follow_workers",
+            Stream::Nodes => "follow_nodes",
+            Stream::Ledger(_) => "follow_ledger",
+        };
+        let label = LogCallLabel { call, outcome };
+        self.log_calls.get_or_create(&label).inc();
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -184,5 +199,10 @@
             "Time since the configuration was known to be the newest; -1 if it never was",
             self.proof_age_ms.clone(),
         );
+        registry.register(
+            "config_read_age_ms",
+            "Time since the last read of the configuration's stream that was answered was sent; -1 if none was",
+            self.config_read_age_ms.clone(),
+        );
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::quota::QuotaRules;
+use elderworks_gateway_core::stream_reads::NewsDeadlines;
 use elderworks_types::{NodeId, ZoneId};
 
 /// Settings of a gateway process, as its adapter reads them from the platform.
@@ -50,3 +51,13 @@
     /// Which mechanisms are in use.
     pub policy: Policy,
 }
+
+impl GatewaySettings {
+    /// How soon news of the platform's streams must be acted on.
+    pub(crate) fn news_deadlines(&self) -> NewsDeadlines {
+        NewsDeadlines {
+            apply: self.apply_within,
+            drain: self.drain_notice,
+        }
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,52 +7,24 @@
 use elderworks_gateway_core::config_proof::proving_pause;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::nodes::NodeRecord;
+use elderworks_gateway_core::stream_reads::{ReadTimes, StreamReads};
 use elderworks_protocol::decode;
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 
+use crate::clock::millis;
 use crate::gateway::Gateway;
 use crate::ports::{ReadLimits, StoreError, StreamRecord};
 use crate::process;
 
-/// Longest wait of one read for news. Bounds how long a read may hang on a connection that a cut
-/// has silenced.
-const READ_WAIT: Duration = Duration::from_secs(2);
-
-/// The same for nodes' entries, which gossip makes less urgent.
-const NODES_READ_WAIT: Duration = Duration::from_secs(4);
-
-/// Longest wait for an answer beyond the wait for news.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// Share of the time within which a draining worker must be left alone that passes between two
-/// reads of the workers' stream, which has a record for every heartbeat.
-const WORKERS_PAUSE_SHARE: f64 = 0.3;
-
-/// Longest pause between two reads of the workers' stream, however long workers drain.
-const LONGEST_WORKERS_PAUSE: Duration = Duration::from_secs(1);
-
-/// Longest wait for the answer to a read that only asks for what there is, after a first failure.
-const RECOVERY_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// A log that answers late is given this many times as long once it has failed again.
-const MOST_PATIENCE: u32 = 2;
-
-/// Pause after a read that failed.
-const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait for the answer to a read that proves the configuration: reads of the follower bound
+/// how late news are, this one only how old a proof may be.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// One stream to follow and what to do with its records.
 trait Follower {
     /// Which stream.
     const STREAM: Stream;
 
-    /// Longest wait of one read for news.
-    const WAIT: Duration = READ_WAIT;
-
-    /// Pause after each read.
-    fn pause(_gateway: &Gateway) -> Duration {
-        Duration::ZERO
-    }
-
     /// Takes the newest record of every key.
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]);
 
@@ -100,7 +72,7 @@
             continue;
         };
         let sent = gateway.now();
-        let limits = limits_at_once(ANSWER_TIMEOUT);
+        let limits = limits(ReadTimes::at_once(PROOF_TIMEOUT));
         // Failures are told by the follower of the configuration.
         if let Ok(progress) = read_more::<ConfigurationFollower>(&gateway, from, limits).await
             && progress.is_complete
@@ -128,49 +100,69 @@
 /// Follows a stream from an offset on, or else from the newest record of every key on.
 async fn follow<F: Follower>(gateway: Rc<Gateway>, from: Option<Offset>) {
     let mut next = from;
-    let mut failures = 0u32;
+    let mut reads = StreamReads::new(F::STREAM, &gateway.settings.news_deadlines());
+    let mut known = gateway.now();
     loop {
         let sent = gateway.now();
         let read = match next {
             None => read_all::<F>(&gateway).await,
-            Some(from) => {
-                let limits = match failures {
-                    0 => news_limits::<F>(),
-                    failures => limits_at_once(RECOVERY_TIMEOUT * failures.min(MOST_PATIENCE)),
-                };
-                read_more::<F>(&gateway, from, limits).await
-            }
+            Some(from) => read_more::<F>(&gateway, from, limits(reads.next_read())).await,
         };
         match read {
             Ok(progress) => {
-                gateway.log_reach.borrow_mut().note_answer();
-                if failures > 0 {
-                    let now = gateway.now();
-                    gateway.workers.borrow_mut().note_outage_over(now);
-                    log::info!(stream:? = F::STREAM, end = progress.next.0; "stream can be read again");
-                }
-                failures = 0;
+                let failures = reads.note_answer();
+                note_answer::<F>(&gateway, failures, sent.since(known), progress.next);
+                known = sent;
                 next = Some(progress.next);
                 if progress.is_complete {
                     F::note_current(&gateway, sent, progress.next);
                 }
-                F::after_read(&gateway);
-                actix_rt::time::sleep(F::pause(&gateway)).await;
             }
             Err(StoreError::Gone { first }) => {
                 log::info!(stream:? = F::STREAM, first = first.0; "history is gone; reading anew");
                 next = None;
+                continue;
             }
             Err(error) => {
-                if failures == 0 {
-                    log::warn!(stream:? = F::STREAM, error = error.to_string().as_str(); "stream cannot be read");
-                }
-                failures = failures.saturating_add(1);
-                gateway.log_reach.borrow_mut().note_failure();
-                F::after_read(&gateway);
-                actix_rt::time::sleep(FAILURE_PAUSE).await;
+                let failures = reads.note_failure();
+                note_failure::<F>(&gateway, failures, sent, known, &error);
             }
         }
+        F::after_read(&gateway);
+        actix_rt::time::sleep(reads.pause()).await;
+    }
+}
+
+/// Counts a read that was answered; `dark` is how long nothing was known before it was sent.
+fn note_answer<F: Follower>(gateway: &Gateway, failures: u32, dark: Duration, end: Offset) {
+    gateway.metrics.note_stream_read(F::STREAM, "ok");
+    gateway.log_reach.borrow_mut().note_answer();
+    if failures == 0 {
+        return;
+    }
+    let now = gateway.now();
+    gateway.workers.borrow_mut().note_outage_over(now);
+    log::info!(stream:? = F::STREAM, end = end.0, failures = failures, dark_ms = millis(Some(dark)); "stream can be read again");
+}
+
+/// Counts a read that failed. The first of a row is told, with how long it had hung and how long ago
+/// the last one that was answered had been sent.
+fn note_failure<F: Follower>(
+    gateway: &Gateway,
+    failures: u32,
+    sent: Timestamp,
+    known: Timestamp,
+    error: &StoreError,
+) {
+    let now = gateway.now();
+    gateway.metrics.note_stream_read(F::STREAM, "failed");
+    gateway.log_reach.borrow_mut().note_failure();
+    if failures == 1 {
+        let error = error.to_string();
+        log::warn!(
+            stream:? = F::STREAM, hung_ms = millis(Some(now.since(sent))),
+            known_ms = millis(Some(now.since(known))), error = error.as_str(); "stream cannot be read"
+        );
     }
 }
 
@@ -183,19 +175,10 @@
     })
 }
 
-fn news_limits<F: Follower>() -> ReadLimits {
+fn limits(times: ReadTimes) -> ReadLimits {
     ReadLimits {
-        wait: F::WAIT,
-        timeout: ANSWER_TIMEOUT,
-        most_bytes: None,
-    }
-}
-
-/// For a read that does not wait for news.
-fn limits_at_once(timeout: Duration) -> ReadLimits {
-    ReadLimits {
-        wait: Duration::ZERO,
-        timeout,
+        wait: times.wait,
+        timeout: times.answer,
         most_bytes: None,
     }
 }
@@ -268,11 +251,6 @@
 impl Follower for WorkerFollower {
     const STREAM: Stream = Stream::Workers;
 
-    fn pause(gateway: &Gateway) -> Duration {
-        let share = gateway.settings.drain_notice.mul_f64(WORKERS_PAUSE_SHARE);
-        share.min(LONGEST_WORKERS_PAUSE)
-    }
-
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         let ids: BTreeSet<String> = records
             .iter()
@@ -332,7 +310,6 @@
 
 impl Follower for NodeFollower {
     const STREAM: Stream = Stream::Nodes;
-    const WAIT: Duration = NODES_READ_WAIT;
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
