--- a/crates/gateway-core/src/stream_reads.rs
+++ b/crates/gateway-core/src/stream_reads.rs
@@ -7,22 +7,38 @@
 
 use crate::directory::Stream;
 
-/// Longest wait of one read for news. Bounds how long a read may hang on a connection that a cut
-/// has silenced.
-const NEWS_WAIT: Duration = Duration::from_secs(2);
+/// Share of the time within which news must be acted on for which one read waits for them. With the
+/// next two: a lost read, a pause and a second read that is lost too leave a fifth of that time.
+const WAIT_SHARE: f64 = 0.3;
 
-/// The same for nodes' entries, which gossip makes less urgent.
-const NODES_WAIT: Duration = Duration::from_secs(4);
+/// Share of that time for the answer beyond the wait.
+const ANSWER_SHARE: f64 = 0.2;
 
-/// Longest wait for an answer beyond the wait for news.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// Longest wait for the answer to a read that only asks for what there is, after a first failure.
-const RECOVERY_TIMEOUT: Duration = Duration::from_millis(600);
+/// Share of that time for the answer to a read that only asks for what there is, after a first
+/// failure.
+const RECOVERY_SHARE: f64 = 0.3;
 
 /// A log that answers late is given this many times as long once it has failed again.
 const MOST_PATIENCE: u32 = 2;
 
+/// Longest wait of one read for news, however much time there is.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// Times of a read of the nodes' entries, which gossip makes less urgent.
+const NODES_TIMES: ReadTimes = ReadTimes {
+    wait: Duration::from_secs(4),
+    answer: LONGEST_ANSWER,
+};
+
+/// Longest wait for an answer beyond the wait for news.
+const LONGEST_ANSWER: Duration = Duration::from_millis(1_200);
+
+/// Longest wait for the answer to a read after a first failure.
+const LONGEST_RECOVERY: Duration = Duration::from_millis(600);
+
+/// Shortest of these times, however little time there is: some round trips to a busy log.
+const SHORTEST: Duration = Duration::from_millis(100);
+
 /// Pause after a read that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -65,6 +81,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamReads {
     news: ReadTimes,
+    recovery: Duration,
     pause: Duration,
     failures: u32,
 }
@@ -72,19 +89,18 @@
 impl StreamReads {
     /// Nothing was read yet.
     pub fn new(stream: Stream, deadlines: &NewsDeadlines) -> Self {
-        let wait = match stream {
-            Stream::Nodes => NODES_WAIT,
-            Stream::Configuration | Stream::Workers | Stream::Ledger(_) => NEWS_WAIT,
+        let (news, recovery) = match stream {
+            Stream::Configuration => times_within(deadlines.apply),
+            Stream::Workers => times_within(deadlines.drain),
+            Stream::Nodes | Stream::Ledger(_) => (NODES_TIMES, LONGEST_RECOVERY),
         };
         let pause = match stream {
             Stream::Workers => workers_pause(deadlines.drain),
             Stream::Configuration | Stream::Nodes | Stream::Ledger(_) => Duration::ZERO,
         };
         Self {
-            news: ReadTimes {
-                wait,
-                answer: ANSWER_TIMEOUT,
-            },
+            news,
+            recovery,
             pause,
             failures: 0,
         }
@@ -94,7 +110,7 @@
     pub fn next_read(&self) -> ReadTimes {
         match self.failures {
             0 => self.news,
-            failures => ReadTimes::at_once(RECOVERY_TIMEOUT * failures.min(MOST_PATIENCE)),
+            failures => ReadTimes::at_once(self.recovery * failures.min(MOST_PATIENCE)),
         }
     }
 
@@ -122,3 +138,14 @@
     let share = drain.mul_f64(WORKERS_PAUSE_SHARE);
     share.min(LONGEST_WORKERS_PAUSE)
 }
+
+/// Times of a read that waits for news which must be acted on within `deadline`, and the longest wait
+/// for the answer to a read after a first failure.
+fn times_within(deadline: Duration) -> (ReadTimes, Duration) {
+    let part = |share: f64, longest| deadline.mul_f64(share).clamp(SHORTEST, longest);
+    let news = ReadTimes {
+        wait: part(WAIT_SHARE, LONGEST_WAIT),
+        answer: part(ANSWER_SHARE, LONGEST_ANSWER),
+    };
+    (news, part(RECOVERY_SHARE, LONGEST_RECOVERY))
+}
