--- a/crates/gateway-core/src/access.rs
+++ b/crates/gateway-core/src/access.rs
@@ -1,4 +1,5 @@
-//! Whether a request may be sent on for the tenant whose key it bears.
+//! Whether a request may be sent on for the tenant whose key it bears, and what may be refused for
+//! good.
 
 use std::time::Duration;
 
@@ -14,10 +15,18 @@
     /// For acting on a known key; `None` if keys need not be refused in time by nodes that cannot
     /// read the log.
     pub acting: Option<Duration>,
-    /// For refusing an unknown key for good.
+    /// For refusing an unknown key or route for good.
     pub denying: Duration,
 }
 
+impl KeyLeases {
+    /// Whether what the configuration in force does not know may be refused for good: it may have
+    /// been added since that was last known to be the newest.
+    pub fn may_deny(&self, proof: &ConfigProof, now: Timestamp) -> bool {
+        proof.holds(now, self.denying)
+    }
+}
+
 /// The decision on one request. It holds for one send: each further one is decided anew.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Access<'a> {
@@ -51,7 +60,7 @@
         }
         // No later configuration can make a key of it.
         KeyCheck::Denied if !matches!(credential, Credential::Key(_)) => Access::Denied,
-        KeyCheck::Denied if proof.holds(now, leases.denying) => Access::Denied,
+        KeyCheck::Denied if leases.may_deny(proof, now) => Access::Denied,
         KeyCheck::Denied => Access::KeyUnsure,
     }
 }
--- a/crates/gateway/src/forward/access.rs
+++ b/crates/gateway/src/forward/access.rs
@@ -83,6 +83,17 @@
     }
 }
 
+/// The answer to a request for which the configuration in force has no route.
+pub(super) fn refuse_unknown_route(gateway: &Gateway) -> Refusal {
+    let proof = *gateway.config_proof.borrow();
+    if gateway.key_leases.may_deny(&proof, gateway.now()) {
+        return Refusal::plain(StatusCode::NOT_FOUND, "no such route");
+    }
+    let reason =
+        "no such route is known here, and it may be new: the configuration is too old to tell";
+    Refusal::not_run_until(reason, lease_retry(gateway))
+}
+
 /// Refuses a request whose body has not been read, if its sender may not send it.
 pub(crate) fn refuse_unread(gateway: &Rc<Gateway>, head: &RequestHead) -> Result<(), Refusal> {
     // What else is wrong with the request is told once it was read.
@@ -92,7 +103,7 @@
     if config.tenants.is_empty() {
         return Ok(());
     }
-    let Ok(route) = find_route(&config, head) else {
+    let Ok(Some(route)) = find_route(&config, head) else {
         return Ok(());
     };
     let attributes = gateway.platform.call_attributes(&head.headers);
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -55,7 +55,9 @@
         return refuse(caller, trace, &refusal).await;
     };
     trace.note_config(&config);
-    let route = match find_route(&config, &request.head) {
+    let found = find_route(&config, &request.head);
+    let found = found.and_then(|route| route.ok_or_else(|| access::refuse_unknown_route(gateway)));
+    let route = match found {
         Ok(route) => route,
         Err(refusal) => return refuse(caller, trace, &refusal).await,
     };
@@ -142,14 +144,16 @@
     caller.send_refusal(refusal).await
 }
 
-fn find_route<'a>(config: &'a ServingConfig, head: &RequestHead) -> Result<&'a Route, Refusal> {
+/// The route of a request; `None` if the configuration has none for it.
+fn find_route<'a>(
+    config: &'a ServingConfig,
+    head: &RequestHead,
+) -> Result<Option<&'a Route>, Refusal> {
     let host = headers::host(head).ok_or(Refusal::plain(
         StatusCode::BAD_REQUEST,
         "the request names no host",
     ))?;
-    config
-        .route_for(&host, head.uri.path())
-        .ok_or(Refusal::plain(StatusCode::NOT_FOUND, "no such route"))
+    Ok(config.route_for(&host, head.uri.path()))
 }
 
 /// When a request got how far; shared with its log line.
