--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -72,7 +72,7 @@
 
     /// Sends an answer of the gateway's own.
     pub(crate) async fn send_refusal(&mut self, refusal: &Refusal) -> io::Result<()> {
-        self.send_whole(refusal.status, &refusal.headers(), &refusal.body())
+        self.send_whole(refusal.status(), &refusal.headers(), &refusal.body())
             .await
     }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -13,7 +13,6 @@
 use crate::gateway::{Gateway, Stage};
 use crate::metrics::TenantLabel;
 use crate::ports::EntryCall;
-use crate::reply::Refusal;
 use crate::server::{CallerRequest, RequestReader};
 use crate::socket;
 
@@ -83,10 +82,7 @@
         EntryCall::Ready if gateway.is_ready() => text(StatusCode::OK, "ready"),
         EntryCall::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         EntryCall::Resolve { zone } => resolve(gateway, zone.as_deref()),
-        EntryCall::Unknown => {
-            let refusal = Refusal::plain(StatusCode::NOT_FOUND, "no such call");
-            text(refusal.status, refusal.reason)
-        }
+        EntryCall::Unknown => text(StatusCode::NOT_FOUND, "no such call"),
     }
 }
 
--- a/crates/gateway/src/forward/access.rs
+++ b/crates/gateway/src/forward/access.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{RequestHead, StatusCode};
+use actix_http::RequestHead;
 use elderworks_gateway_core::access::{self, Access};
+use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
 use elderworks_gateway_core::tenants::{Quota, TenantKey};
@@ -12,7 +13,7 @@
 use super::attempts::Call;
 use super::{Trace, find_route};
 use crate::gateway::Gateway;
-use crate::reply::Refusal;
+use crate::reply::{Fault, Refusal};
 
 /// When to come back if this node alone cannot tell whether a key counts: another one can.
 const OTHER_NODE_RETRY: Duration = Duration::from_millis(200);
@@ -46,13 +47,49 @@
     pub(super) quota: Option<(TenantKey, Quota)>,
 }
 
+/// Why a request may not go on for its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Denial {
+    /// No configuration in force knows the key.
+    InvalidKey,
+    /// The key is not known here, but may be new.
+    KeyUnsure,
+    /// The key may have been taken away; when to come back.
+    LeaseOver(Duration),
+    /// The key has become another tenant's.
+    OtherTenant,
+}
+
+impl Denial {
+    /// The answer to a request of which nothing was run.
+    pub(super) fn refusal(self, shown: NotRun) -> Refusal {
+        match self {
+            Self::InvalidKey => {
+                Refusal::fault(Fault::Unauthorized, "the request bears no valid key")
+            }
+            Self::KeyUnsure => {
+                let reason = "the key is not known here, and may be new";
+                Refusal::not_run_until(shown, reason, OTHER_NODE_RETRY)
+            }
+            Self::LeaseOver(pause) => {
+                let reason =
+                    "the key may have been taken away: the configuration here is too old to tell";
+                Refusal::not_run_until(shown, reason, pause)
+            }
+            Self::OtherTenant => {
+                Refusal::fault(Fault::Unauthorized, "the key has become another tenant's")
+            }
+        }
+    }
+}
+
 /// Finds out who sends a request, or why it may not go on.
 pub(super) fn identify(
     gateway: &Gateway,
     config: &ServingConfig,
     route: &Route,
     attributes: &CallAttributes,
-) -> Result<Sender, Refusal> {
+) -> Result<Sender, Denial> {
     let decided = access::decide(
         config,
         &gateway.config_proof.borrow(),
@@ -67,31 +104,22 @@
             priority: tenant.and_then(|tenant| tenant.priority),
             quota: tenant.and_then(|tenant| Some((tenant.key(), tenant.quota?))),
         }),
-        Access::Denied => {
-            let status = StatusCode::UNAUTHORIZED;
-            Err(Refusal::plain(status, "the request bears no valid key"))
-        }
-        Access::KeyUnsure => {
-            let reason = "the key is not known here, and may be new";
-            Err(Refusal::not_run_until(reason, OTHER_NODE_RETRY))
-        }
-        Access::LeaseOver => {
-            let reason =
-                "the key may have been taken away: the configuration here is too old to tell";
-            Err(Refusal::not_run_until(reason, lease_retry(gateway)))
-        }
+        Access::Denied => Err(Denial::InvalidKey),
+        Access::KeyUnsure => Err(Denial::KeyUnsure),
+        Access::LeaseOver => Err(Denial::LeaseOver(lease_retry(gateway))),
     }
 }
 
 /// The answer to a request for which the configuration in force has no route.
 pub(super) fn refuse_unknown_route(gateway: &Gateway) -> Refusal {
+    let shown = NotRun::before_any_attempt();
     let proof = *gateway.config_proof.borrow();
     if gateway.key_leases.may_deny(&proof, gateway.now()) {
-        return Refusal::plain(StatusCode::NOT_FOUND, "no such route");
+        return Refusal::fault(Fault::NotFound, "no such route");
     }
     let reason =
         "no such route is known here, and it may be new: the configuration is too old to tell";
-    Refusal::not_run_until(reason, lease_retry(gateway))
+    Refusal::not_run_until(shown, reason, lease_retry(gateway))
 }
 
 /// Refuses a request whose body has not been read, if its sender may not send it.
@@ -107,10 +135,12 @@
         return Ok(());
     };
     let attributes = gateway.platform.call_attributes(&head.headers);
-    let identified = identify(gateway, &config, route, &attributes);
-    identified.map(|_| ()).inspect_err(|refusal| {
-        Trace::note_unread(gateway, &attributes, &config, route, refusal);
-    })
+    let Err(denial) = identify(gateway, &config, route, &attributes) else {
+        return Ok(());
+    };
+    let refusal = denial.refusal(NotRun::before_any_attempt());
+    Trace::note_unread(gateway, &attributes, &config, route, &refusal);
+    Err(refusal)
 }
 
 impl Call<'_> {
@@ -123,18 +153,14 @@
             return Ok(());
         };
         let identified = identify(self.gateway, &config, self.route, self.attributes);
-        let refusal = match identified {
+        let denial = match identified {
             Ok(sender) if sender.tenant == self.sender.tenant => return Ok(()),
-            Ok(_) => {
-                let reason = "the key has become another tenant's";
-                Refusal::plain(StatusCode::UNAUTHORIZED, reason)
-            }
-            Err(refusal) => refusal,
+            Ok(_) => Denial::OtherTenant,
+            Err(denial) => denial,
         };
-        if self.may_have_run() {
-            let reason = "the key no longer counts, and the request may have run";
-            return Err(Refusal::unknown(reason));
-        }
-        Err(refusal)
+        Err(match self.history.not_run() {
+            Some(shown) => denial.refusal(shown),
+            None => Refusal::unknown("the key no longer counts, and the request may have run"),
+        })
     }
 }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use actix_http::RequestHead;
 use actix_http::header::HeaderMap;
+use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
 use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
@@ -50,8 +50,6 @@
     /// Counts the body for as long as the call holds it.
     _memory: BodyShare,
     tried: TriedWorkers,
-    /// Set while an attempt is under way that may have run.
-    sending: bool,
     /// Where the next attempt must go, if the route allows no other worker.
     retry_at: Option<Target>,
     /// Since when the worker of the present attempt has shown no sign of life.
@@ -123,7 +121,6 @@
             history: AttemptHistory::default(),
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
-            sending: false,
             retry_at: None,
             waiting_since: None,
         }
@@ -133,11 +130,6 @@
         self.route
     }
 
-    /// Whether an attempt so far may have run the request.
-    pub(super) fn may_have_run(&self) -> bool {
-        self.sending || self.history.possibly_run > 0
-    }
-
     /// Runs a request whose answer is passed on whole.
     pub(super) async fn run_whole(&mut self, caller: &mut Caller<'_>) -> Result<(), CallError> {
         loop {
@@ -179,6 +171,11 @@
                     let reason = format!("refused with {}", status.as_u16());
                     (AttemptFailure::RefusedByWorker, reason)
                 }
+                Ok(running) if is_unbacked_promise(running.answer.head.status) => {
+                    let status = running.answer.head.status.as_u16();
+                    let reason = format!("{status} without a word that it was not run");
+                    (AttemptFailure::Unknown, reason)
+                }
                 Ok(running) => return Ok(running),
                 Err(ExchangeError::NotSent(reason)) => (AttemptFailure::NotSent, reason),
                 Err(ExchangeError::NoAnswer(reason)) => (AttemptFailure::Unknown, reason),
@@ -207,9 +204,9 @@
             platform: &*self.gateway.platform,
             connections_made: &self.gateway.metrics.worker_connections,
             most_idle: self.most_idle_connections(),
+            mark: self.history.begin(),
         };
         self.gateway.metrics.attempts.inc();
-        self.sending = true;
         if let Some(counted) = &mut self.counted {
             counted.note_send();
         }
@@ -289,8 +286,7 @@
         };
         let workers = self.gateway.workers.borrow();
         let Some(worker) = balancer::choose(&workers, &query, self.gateway.now()) else {
-            let step = self.history.give_up(self.route.is_repeatable());
-            return Err(CallError::Refused(refusal_for(step)));
+            return Err(self.give_up());
         };
         Ok(Target {
             worker: worker.record.id.clone(),
@@ -304,7 +300,6 @@
         worker: &str,
         failure: AttemptFailure,
     ) -> Result<(), CallError> {
-        self.sending = false;
         self.gateway.metrics.attempts_failed.inc();
         self.waiting_since = None;
         if failure != AttemptFailure::RefusedByWorker {
@@ -321,13 +316,21 @@
                 self.retry_at = self.target_unless_ejected(worker);
                 match self.retry_at {
                     Some(_) => Ok(()),
-                    None => Err(CallError::Refused(refusal_for(NextStep::AnswerUnknown))),
+                    None => Err(self.give_up()),
                 }
             }
-            step => Err(CallError::Refused(refusal_for(step))),
+            NextStep::GiveUp => Err(self.give_up()),
         }
     }
 
+    /// The answer if no further attempt is made.
+    fn give_up(&self) -> CallError {
+        CallError::Refused(match self.history.not_run() {
+            Some(shown) => Refusal::not_run(shown, "no worker takes the request now"),
+            None => Refusal::unknown("no worker gave a valid answer; the request may have run"),
+        })
+    }
+
     fn target_unless_ejected(&self, worker: &str) -> Option<Target> {
         let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
@@ -340,6 +343,19 @@
     }
 }
 
+/// Whether callers take a status for a promise that the request was not run, which a worker that
+/// gives it of its own accord does not make.
+fn is_unbacked_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::PAYMENT_REQUIRED
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// The head of a request as it goes to workers, apart from what depends on the worker.
 fn outgoing_head(gateway: &Gateway, config: &ServingConfig, head: &RequestHead) -> RequestHead {
     let mut outgoing = headers::outgoing_head(head);
@@ -349,14 +365,3 @@
         .remove_system_headers(&mut outgoing.headers, has_tenants);
     outgoing
 }
-
-fn refusal_for(step: NextStep) -> Refusal {
-    match step {
-        NextStep::AnswerUnknown | NextStep::TrySameWorker => {
-            Refusal::unknown("the worker gave no valid answer")
-        }
-        NextStep::TryAgain | NextStep::AnswerNotRun => {
-            Refusal::not_run("no worker takes the request now")
-        }
-    }
-}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -13,7 +13,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::{RequestHead, StatusCode};
+use actix_http::RequestHead;
+use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, RouteKind, ServingConfig};
 
@@ -21,7 +22,7 @@
 use crate::clock::millis;
 use crate::gateway::Gateway;
 use crate::metrics::AnswerLabel;
-use crate::reply::Refusal;
+use crate::reply::{Fault, Refusal};
 use crate::server::CallerRequest;
 
 use access::Sender;
@@ -51,7 +52,8 @@
     trace: &mut Trace,
 ) -> io::Result<()> {
     let Some(config) = gateway.current_config() else {
-        let refusal = Refusal::not_run("no configuration is known yet");
+        let shown = NotRun::before_any_attempt();
+        let refusal = Refusal::not_run(shown, "no configuration is known yet");
         return refuse(caller, trace, &refusal).await;
     };
     trace.note_config(&config);
@@ -64,7 +66,10 @@
     trace.route.clone_from(&route.name);
     let sender = match access::identify(gateway, &config, route, attributes) {
         Ok(sender) => sender,
-        Err(refusal) => return refuse(caller, trace, &refusal).await,
+        Err(denial) => {
+            let refusal = denial.refusal(NotRun::before_any_attempt());
+            return refuse(caller, trace, &refusal).await;
+        }
     };
     trace.note_sender(&sender);
     let left = attributes
@@ -76,13 +81,15 @@
     );
     let running = run(&mut call, caller, trace);
     let timed = tokio::time::timeout_at(deadline.into(), running).await;
-    match timed {
+    let result = match timed {
         Ok(result) => result,
         Err(_) => {
             call.note_time_over();
             expire(&call, caller, trace).await
         }
-    }
+    };
+    trace.may_have_run = call.history.may_have_run();
+    result
 }
 
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
@@ -114,10 +121,9 @@
         trace.outcome = "time is over within the answer";
         return Err(io::ErrorKind::TimedOut.into());
     }
-    let refusal = if call.may_have_run() {
-        Refusal::timed_out("the time of the request is over")
-    } else {
-        Refusal::not_run("the time of the request is over; it was not run")
+    let refusal = match call.history.not_run() {
+        Some(shown) => Refusal::not_run(shown, "the time of the request is over; it was not run"),
+        None => Refusal::timed_out("the time of the request is over"),
     };
     refuse(caller, trace, &refusal).await
 }
@@ -140,7 +146,7 @@
 }
 
 async fn refuse(caller: &mut Caller<'_>, trace: &mut Trace, refusal: &Refusal) -> io::Result<()> {
-    trace.outcome = refusal.reason;
+    trace.note_refusal(refusal);
     caller.send_refusal(refusal).await
 }
 
@@ -149,10 +155,8 @@
     config: &'a ServingConfig,
     head: &RequestHead,
 ) -> Result<Option<&'a Route>, Refusal> {
-    let host = headers::host(head).ok_or(Refusal::plain(
-        StatusCode::BAD_REQUEST,
-        "the request names no host",
-    ))?;
+    let no_host = Refusal::fault(Fault::BadRequest, "the request names no host");
+    let host = headers::host(head).ok_or(no_host)?;
     Ok(config.route_for(&host, head.uri.path()))
 }
 
@@ -200,6 +204,8 @@
     /// Workers tried so far, also of a request whose caller leaves.
     pub(crate) tried: TriedWorkers,
     pub(crate) outcome: &'static str,
+    /// Whether a worker may have run the request.
+    may_have_run: bool,
     finished: bool,
 }
 
@@ -223,6 +229,7 @@
             proof_age: None,
             tried: TriedWorkers::default(),
             outcome: "answered",
+            may_have_run: false,
             finished: false,
         }
     }
@@ -238,9 +245,9 @@
         let mut trace = Self::new(gateway, attributes, Instant::now());
         trace.note_config(config);
         trace.route.clone_from(&route.name);
-        trace.outcome = refusal.reason;
+        trace.note_refusal(refusal);
         trace.finished = true;
-        trace.write(refusal.status.as_u16(), true);
+        trace.write(refusal.status().as_u16(), true);
     }
 
     fn note_config(&mut self, config: &ServingConfig) {
@@ -249,6 +256,11 @@
         self.config_read = self.gateway.config_proof.borrow().own_age(now);
     }
 
+    fn note_refusal(&mut self, refusal: &Refusal) {
+        self.outcome = refusal.reason();
+        self.gateway.metrics.note_refusal(refusal);
+    }
+
     fn note_sender(&mut self, sender: &Sender) {
         let Some(tenant) = &sender.tenant else {
             return;
@@ -290,7 +302,8 @@
             first_ms = millis(self.milestones.first_event.get()),
             route = self.route.as_str(), tenant = self.tenant.as_str(), config = self.config_version,
             config_read_ms = millis(self.config_read), proof_ms = millis(self.proof_age),
-            workers = self.tried.borrow().join(",").as_str(), status = status, whole = whole,
+            workers = self.tried.borrow().join(",").as_str(), may_have_run = self.may_have_run,
+            status = status, whole = whole,
             ms = took; "{}", self.outcome
         );
     }
--- a/crates/gateway/src/forward/quota.rs
+++ b/crates/gateway/src/forward/quota.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::quota::{OverQuota, Ticket};
 
 use super::attempts::Call;
@@ -70,6 +71,7 @@
                 "over quota"
             );
         }
-        Refusal::over_quota(over.retry_after)
+        // The quota is taken before the first attempt.
+        Refusal::over_quota(NotRun::before_any_attempt(), over.retry_after)
     }
 }
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
+use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::ledger::partition_of;
 use elderworks_gateway_core::tenants::scoped;
 use elderworks_protocol::ledger::{BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest};
@@ -13,7 +13,7 @@
 use super::attempts::Call;
 use crate::gateway::Gateway;
 use crate::ledger::{self, Answered, AskedNodes};
-use crate::reply::Refusal;
+use crate::reply::{Fault, Refusal};
 
 /// Times that the end of a turn is reported before it is given up.
 const FINISH_TRIES: u32 = 12;
@@ -285,15 +285,11 @@
             }
             LedgerReply::BudgetSpent => {
                 lease.deny();
-                let status = StatusCode::PAYMENT_REQUIRED;
-                Err(Refusal::plain(status, "the program's budget is spent"))
+                Err(Refusal::budget_spent(NotRun::before_any_attempt()))
             }
             LedgerReply::UnknownTurn => {
                 lease.deny();
-                Err(Refusal::plain(
-                    StatusCode::NOT_FOUND,
-                    "no such turn is kept",
-                ))
+                Err(Refusal::fault(Fault::NotFound, "no such turn is kept"))
             }
             // The lease settles a reservation that was made nevertheless.
             _ => Err(ledger_unavailable()),
@@ -328,7 +324,8 @@
     }
 }
 
+/// Leave is asked for before the first attempt.
 fn ledger_unavailable() -> Refusal {
     let reason = "the program's ledger cannot be asked now";
-    Refusal::not_run_until(reason, LEDGER_RETRY)
+    Refusal::not_run_until(NotRun::before_any_attempt(), reason, LEDGER_RETRY)
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::reply::Refusal;
+
 /// Label of answered requests.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct AnswerLabel {
@@ -24,6 +26,15 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of answers of the gateway's own.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RefusalLabel {
+    /// Whether the answer promises that the request was not run, or leaves that open.
+    pub(crate) not_run: &'static str,
+    /// Why it was given.
+    pub(crate) reason: &'static str,
+}
+
 /// Label of figures of one tenant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -36,6 +47,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) answers: Family<AnswerLabel, Counter>,
+    pub(crate) refusals: Family<RefusalLabel, Counter>,
     pub(crate) request_seconds: Histogram,
     pub(crate) first_event_seconds: Histogram,
     pub(crate) attempts: Counter,
@@ -70,6 +82,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("elderworks_gateway"),
             answers: Family::default(),
+            refusals: Family::default(),
             request_seconds: histogram(),
             first_event_seconds: histogram(),
             attempts: Counter::default(),
@@ -102,6 +115,19 @@
         text
     }
 
+    /// Counts an answer of the gateway's own.
+    pub(crate) fn note_refusal(&self, refusal: &Refusal) {
+        let label = RefusalLabel {
+            not_run: if refusal.is_promise() {
+                "promised"
+            } else {
+                "open"
+            },
+            reason: refusal.reason(),
+        };
+        self.refusals.get_or_create(&label).inc();
+    }
+
     /// Counts a read of a stream that is followed.
     pub(crate) fn note_stream_read(&self, stream: Stream, outcome: &'static str) {
         let call = match stream {
@@ -121,6 +147,11 @@
             "Requests by status of their answer",
             self.answers.clone(),
         );
+        registry.register(
+            "refusals",
+            "Answers of the gateway's own, by whether they promise that nothing was run, and by reason",
+            self.refusals.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time from a request's head to the end of its answer",
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::RequestHead;
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::header::{EXPECT, HeaderMap};
-use actix_http::{RequestHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::config::RequestLimits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Decoder;
@@ -16,7 +17,7 @@
 use crate::caller::{Caller, Progress};
 use crate::forward;
 use crate::gateway::{Gateway, Stage};
-use crate::reply::Refusal;
+use crate::reply::{Fault, Refusal};
 use crate::socket;
 
 /// Longest silence within a body.
@@ -172,10 +173,7 @@
     let reading = read_head(codec, receiver, limits.head_bytes);
     let head = actix_rt::time::timeout(limits.head_timeout, reading)
         .await
-        .map_err(|_| {
-            let reason = "the head of the request took too long";
-            ReadEnd::Refuse(Refusal::plain(StatusCode::REQUEST_TIMEOUT, reason))
-        })??;
+        .map_err(|_| ReadEnd::Refuse(Refusal::head_timeout(NotRun::before_any_attempt())))??;
     let received = Instant::now();
     let mut memory = gateway.body_memory.share();
     let body = match codec.message_type() {
@@ -236,7 +234,7 @@
             Ok(None) => {}
             Err(_) => {
                 let reason = "the request is not valid HTTP";
-                let refusal = Refusal::plain(StatusCode::BAD_REQUEST, reason);
+                let refusal = Refusal::fault(Fault::BadRequest, reason);
                 return Err(ReadEnd::Refuse(refusal));
             }
         }
@@ -248,11 +246,8 @@
 }
 
 fn head_too_large() -> ReadEnd {
-    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-    ReadEnd::Refuse(Refusal::plain(
-        status,
-        "the head of the request is too large",
-    ))
+    let reason = "the head of the request is too large";
+    ReadEnd::Refuse(Refusal::fault(Fault::HeadTooLarge, reason))
 }
 
 async fn confirm_expectation(headers: &HeaderMap, sender: &mut Sender) -> Result<(), ReadEnd> {
@@ -277,19 +272,20 @@
             Ok(Some(Message::Chunk(Some(piece)))) => {
                 if body.len() + piece.len() > most {
                     let reason = "the body of the request is too large";
-                    let refusal = Refusal::plain(StatusCode::PAYLOAD_TOO_LARGE, reason);
+                    let refusal = Refusal::fault(Fault::BodyTooLarge, reason);
                     return Err(ReadEnd::Refuse(refusal));
                 }
                 if !memory.grow(piece.len()) {
                     let reason = "no memory for the body of the request now";
-                    return Err(ReadEnd::Refuse(Refusal::not_run(reason)));
+                    let refusal = Refusal::not_run(NotRun::before_any_attempt(), reason);
+                    return Err(ReadEnd::Refuse(refusal));
                 }
                 body.extend_from_slice(&piece);
             }
             Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
             Ok(Some(Message::Item(_))) | Err(_) => {
                 let reason = "the body of the request is not valid";
-                let refusal = Refusal::plain(StatusCode::BAD_REQUEST, reason);
+                let refusal = Refusal::fault(Fault::BadRequest, reason);
                 return Err(ReadEnd::Refuse(refusal));
             }
             Ok(None) => match actix_rt::time::timeout(BODY_TIMEOUT, receiver.fill()).await {
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -8,6 +8,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
+use elderworks_gateway_core::attempt::SendMark;
 use prometheus_client::metrics::counter::Counter;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -59,6 +60,8 @@
     pub(crate) connections_made: &'a Counter,
     /// Most connections at rest that this node may keep to the worker.
     pub(crate) most_idle: usize,
+    /// Set before the first byte of the request may go out.
+    pub(crate) mark: SendMark,
 }
 
 /// Sends a request and waits for the head of the answer to it.
@@ -76,6 +79,7 @@
         any_sent: false,
     };
     transfer.encode(request, extra_headers)?;
+    context.mark.note_sending();
     for _ in 0..=MAX_FOREIGN_ANSWERS {
         let head = transfer.next_head().await?;
         if is_answer_to(context.platform, request, &head) {
