config proof: what another node proves of a newer configuration counts once that is in force

Change: ConfigProof keeps the latest proof of a version that is not in force yet. The model takes the other node's configuration with the news and still finds each mistake it is given. Test: a_proof_that_came_with_the_news_counts_once_the_news_are_in_force failed first (age unknown in place of 700 ms); 11 tests of the file pass.

--- a/crates/gateway-core/src/config_proof.rs
+++ b/crates/gateway-core/src/config_proof.rs
@@ -83,12 +83,22 @@
     Older,
 }
 
+/// Another node's proof of a newer configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct News {
+    version: u64,
+    /// When that was the newest, in microseconds on this node's clock.
+    newest_at: i64,
+}
+
 /// When the configuration in force was last known to be the newest one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfigProof {
     version: u64,
     /// Microseconds on the node's clock; negative if that was before its start.
     newest_at: Option<i64>,
+    /// What other nodes have proved of a newer version that is not in force here yet.
+    news: Option<News>,
     /// When a read of this node's own last showed anything, on the node's clock.
     read_at: Option<Timestamp>,
     /// Set while a newer configuration is known that cannot be read.
@@ -96,15 +106,20 @@
 }
 
 impl ConfigProof {
-    /// A configuration is in force from now on; nothing is known of its age yet.
+    /// A configuration is in force from now on; of its age is known what other nodes have told with
+    /// the news of it.
     pub fn replace(&mut self, version: u64) {
-        if version != self.version {
-            *self = Self {
-                version,
-                read_at: self.read_at,
-                ..Self::default()
-            };
+        if version == self.version {
+            return;
         }
+        let is_news_of = |other: &News| other.version == version;
+        *self = Self {
+            version,
+            newest_at: self.news.filter(is_news_of).map(|news| news.newest_at),
+            news: self.news.filter(|news| news.version > version),
+            read_at: self.read_at,
+            is_obscured: false,
+        };
     }
 
     /// There is a newer configuration, and it cannot be read: reads prove nothing until another
@@ -125,12 +140,17 @@
     /// when it answered. It answered after it was asked, so an age that is counted from the
     /// question never makes the proof younger than it is, however long the answer took.
     pub fn note_told(&mut self, version: u64, asked: Timestamp, age: Duration) -> Told {
+        let age = i64::try_from(age.as_micros()).unwrap_or(i64::MAX);
+        let newest_at = signed_micros(asked).saturating_sub(age);
         match version.cmp(&self.version) {
             Ordering::Less => Told::Older,
-            Ordering::Greater => Told::Newer,
+            Ordering::Greater => {
+                // Later versions come first, then later proofs of the same.
+                self.news = self.news.max(Some(News { version, newest_at }));
+                Told::Newer
+            }
             Ordering::Equal => {
-                let age = i64::try_from(age.as_micros()).unwrap_or(i64::MAX);
-                self.note_at(signed_micros(asked).saturating_sub(age));
+                self.note_at(newest_at);
                 Told::Counts
             }
         }
--- a/crates/gateway-core/tests/config_proof.rs
+++ b/crates/gateway-core/tests/config_proof.rs
@@ -57,6 +57,55 @@
     assert_eq!(proof.age(at(9_000)), Some(ms(500)));
 }
 
+#[test]
+fn a_proof_that_came_with_the_news_counts_once_the_news_are_in_force() {
+    struct Case {
+        name: &'static str,
+        told: &'static [(u64, u64)],
+        in_force: u64,
+        age: Option<u64>,
+    }
+    let case = |name, told, in_force, age| Case {
+        name,
+        told,
+        in_force,
+        age,
+    };
+    let cases = [
+        case(
+            "it was told of just this version",
+            &[(4, 500)],
+            4,
+            Some(700),
+        ),
+        case("a later one is in force", &[(4, 500)], 5, None),
+        case("an earlier one is in force", &[(5, 500)], 4, None),
+        case(
+            "the youngest counts",
+            &[(4, 500), (4, 100), (4, 300)],
+            4,
+            Some(300),
+        ),
+        case(
+            "the latest version counts",
+            &[(5, 500), (4, 100)],
+            5,
+            Some(700),
+        ),
+    ];
+    for case in cases {
+        let mut proof = ConfigProof::default();
+        proof.replace(3);
+        proof.note_read(at(1_000));
+        for (version, age) in case.told {
+            assert_eq!(proof.note_told(*version, at(9_000), ms(*age)), Told::Newer);
+        }
+        assert_eq!(proof.age(at(9_200)), Some(ms(8_200)), "{}", case.name);
+        proof.replace(case.in_force);
+        assert_eq!(proof.age(at(9_200)), case.age.map(ms), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_proof_may_be_older_than_the_process() {
     let mut proof = ConfigProof::default();
@@ -273,7 +322,10 @@
                         Mistake::FromHearing => heard,
                         _ => sent,
                     };
-                    proof.note_told(version, asked, age);
+                    if proof.note_told(version, asked, age) == Told::Newer {
+                        // The other node tells its configuration too.
+                        proof.replace(version);
+                    }
                 }
             }
         }
