--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -253,6 +253,21 @@
              listed"
                 .to_owned()
         }
+        "no worker gave a valid answer; the request may have run" => {
+            "an attempt broke off after it was sent, and no other worker was left; the attempts say \
+             which"
+                .to_owned()
+        }
+        "no such route" => {
+            "the configuration of that version has no such route, and was the newest one a moment \
+             before"
+                .to_owned()
+        }
+        "no such route is known here, and it may be new: the configuration is too old to tell" => {
+            "the node had not read the configuration for too long (config_read_ms) to refuse the \
+             route for good"
+                .to_owned()
+        }
         "the program's budget is spent" => {
             "what ended turns generated and what is set aside leave no room; look for nodes of the \
              program that were lost"
--- a/crates/cli/tests/explain_request.rs
+++ b/crates/cli/tests/explain_request.rs
@@ -67,6 +67,30 @@
 {"config":4,"finish_ms":900,"first_ms":-1,"leave_ms":-1,"level":"INFO","message":"the tenant's quota is used up","ms":0,"program":"p","proof_ms":310,"request":"r8","route":"r","session":"","status":429,"tenant":"acme","time":"2026-05-11T23:31:49.000Z","whole":true,"workers":""}
 "#;
 
+const ROUTES: &str = r#"
+{"config":4,"config_read_ms":5221,"finish_ms":-1,"first_ms":-1,"leave_ms":-1,"level":"WARN","message":"no such route is known here, and it may be new: the configuration is too old to tell","ms":0,"program":"","request":"r10","route":"","session":"","status":503,"time":"2026-05-11T23:31:48.020Z","whole":true,"workers":""}
+{"config":4,"config_read_ms":90,"finish_ms":-1,"first_ms":-1,"leave_ms":-1,"level":"INFO","message":"no such route","ms":0,"program":"","request":"r11","route":"","session":"","status":404,"time":"2026-05-11T23:31:49.020Z","whole":true,"workers":""}
+{"config":4,"finish_ms":-1,"first_ms":-1,"leave_ms":0,"level":"WARN","may_have_run":true,"message":"no worker gave a valid answer; the request may have run","ms":20,"program":"","request":"r12","route":"r","session":"","status":502,"time":"2026-05-11T23:31:50.020Z","whole":true,"workers":"w1"}
+"#;
+
+#[test]
+fn refusals_on_old_knowledge_and_open_outcomes_are_explained() {
+    for (request, wanted) in [
+        (
+            "r10",
+            "cause: the node had not read the configuration for too long",
+        ),
+        (
+            "r11",
+            "cause: the configuration of that version has no such route",
+        ),
+        ("r12", "cause: an attempt broke off after it was sent"),
+    ] {
+        let told = explain_text(request, ROUTES).expect("an explanation");
+        assert!(told.contains(wanted), "{wanted} in\n{told}");
+    }
+}
+
 #[test]
 fn refusals_for_keys_and_quotas_are_explained() {
     let told = explain_text("r7", KEYS).expect("an explanation");
--- a/crates/gateway-core/src/stream_reads.rs
+++ b/crates/gateway-core/src/stream_reads.rs
@@ -7,8 +7,9 @@
 
 use crate::directory::Stream;
 
-/// Share of the time within which news must be acted on for which one read waits for them. With the
-/// next two: a lost read, a pause and a second read that is lost too leave a fifth of that time.
+/// Share of the time within which news must be acted on for which one read waits for them. A lost
+/// read and a first one after it that is lost too take this and the next two shares, four fifths
+/// together; the rest is for the pauses and for a third read.
 const WAIT_SHARE: f64 = 0.3;
 
 /// Share of that time for the answer beyond the wait.
