sidecar: refuse a start once each copy of it was refused; 504 where no node answered

Cause: a start of a run is sent again after 2 s of silence. A busy node then refuses both copies, and the first refusal was answered no_answer_from_node, since the other copy might have been taken.

Change: copies of a start that are with one node on one connection are counted. A connection keeps its order and a node answers each copy that it does not take, so once all were refused or pointed elsewhere none was taken; a refusal that may pass waits for the other copies' answers. Copies left behind on a connection that ended or at a node that lost its partition leave the start open, as before, and so does a refusal for good beside an open copy, which may be one answer to copies that the node has joined. A request that no node answered gets 504 in place of 503, whose status promised that it had not run.

--- a/crates/sidecar-core/src/core.rs
+++ b/crates/sidecar-core/src/core.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::copies::Copies;
 use crate::delivery::Delivery;
 use crate::directory::Directory;
 use crate::effect::{CallerReply, Effect};
@@ -249,6 +250,7 @@
             body,
             position: Position::Waiting { retry_at: now },
             maybe_taken: false,
+            copies: Copies::default(),
             failures: 0,
             hand_over_by,
             give_up_at,
@@ -272,9 +274,17 @@
     fn disconnected(&mut self, now: Timestamp, address: SocketAddr) {
         self.links.disconnected(now, address, &mut self.random);
         self.directory.forget_node(address);
-        for key in self.open.matching(|request| request.is_with(address)) {
-            if let Some(request) = self.open.get_mut(&key) {
+        let concerned = self
+            .open
+            .matching(|request| request.is_with(address) || request.copies.are_with(address));
+        for key in concerned {
+            let Some(request) = self.open.get_mut(&key) else {
+                continue;
+            };
+            if request.is_with(address) {
                 request.recall(now);
+            } else {
+                request.leave_copies();
             }
         }
     }
--- a/crates/sidecar-core/src/lib.rs
+++ b/crates/sidecar-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Event`]s and carries out [`Effect`]s; the simulator does the same on a virtual clock.
 
 pub mod backoff;
+pub mod copies;
 pub mod core;
 pub mod delivery;
 pub mod directory;
--- a/crates/sidecar-core/src/messages.rs
+++ b/crates/sidecar-core/src/messages.rs
@@ -47,7 +47,7 @@
                 let reply = CallerReply::RunStarted { run };
                 self.end_matching(reply, |request| is_start(request, run));
             }
-            NodeMessage::RunRefused { run, refusal } => self.run_refused(from, run, refusal),
+            NodeMessage::RunRefused { run, refusal } => self.run_refused(now, from, run, &refusal),
             NodeMessage::Chunk(chunk) => self.chunk(now, &chunk),
             NodeMessage::CallEnded {
                 call,
@@ -113,10 +113,13 @@
             None => self.open.matching_others(|request| request.run == run),
         };
         for key in meant {
-            let request = self.open.get_mut(&key);
-            let Some(request) = request.filter(|request| request.is_with(from)) else {
+            let Some(request) = self.open.get_mut(&key) else {
                 continue;
             };
+            request.copies.note_answer(from);
+            if !request.is_with(from) {
+                continue;
+            }
             // A node that already produced part of the answer had taken the call.
             let had_begun = matches!(&request.body, Body::Call(call) if call.delivery.has_begun());
             request.maybe_taken |= had_begun;
@@ -132,14 +135,29 @@
         }
     }
 
-    fn run_refused(&mut self, from: SocketAddr, run: RunId, refusal: Refusal) {
-        let reply = CallerReply::RunRefused { refusal };
-        self.end_matching(reply, |request| {
-            is_start(request, run) && request.is_with(from) && !request.maybe_taken
-        });
-        self.end_matching(CallerReply::Unreachable, |request| {
-            is_start(request, run) && request.is_with(from)
-        });
+    fn run_refused(&mut self, now: Timestamp, from: SocketAddr, run: RunId, refusal: &Refusal) {
+        for key in self.open.matching_others(|request| is_start(request, run)) {
+            let (Some(request), RequestKey::Other(id)) = (self.open.get_mut(&key), key) else {
+                continue;
+            };
+            request.copies.note_answer(from);
+            if !request.is_with(from) {
+                continue;
+            }
+            match refused_start(request, refusal) {
+                RefusedStart::NotTaken => {
+                    let refusal = refusal.clone();
+                    self.end_other(id, CallerReply::RunRefused { refusal });
+                }
+                RefusedStart::Open => self.end_other(id, CallerReply::Unreachable),
+                RefusedStart::AwaitsCopies => {
+                    request.position = Position::Sent {
+                        to: from,
+                        heard: now,
+                    };
+                }
+            }
+        }
     }
 
     fn run_ended(&mut self, run: RunId, phase: RunPhase) {
@@ -301,6 +319,30 @@
     }
 }
 
+/// What a node's refusal says of a run's start.
+enum RefusedStart {
+    /// No node has taken it.
+    NotTaken,
+    /// Its node owes an answer to another copy, which it may take.
+    AwaitsCopies,
+    /// Another copy may have been taken.
+    Open,
+}
+
+fn refused_start(request: &OpenRequest, refusal: &Refusal) -> RefusedStart {
+    if request.maybe_taken {
+        return RefusedStart::Open;
+    }
+    if request.copies.are_answered() {
+        return RefusedStart::NotTaken;
+    }
+    // A refusal for good may be one answer to several copies that the node had taken together.
+    match refusal.reason.may_pass() {
+        true => RefusedStart::AwaitsCopies,
+        false => RefusedStart::Open,
+    }
+}
+
 fn is_start(request: &OpenRequest, run: RunId) -> bool {
     request.run == run && matches!(request.body, Body::StartRun(_))
 }
--- a/crates/sidecar-core/src/request.rs
+++ b/crates/sidecar-core/src/request.rs
@@ -5,6 +5,7 @@
 use elderworks_protocol::sidecar::{SidecarMessage, SubmissionId, SubmissionTag};
 use elderworks_types::{CallId, CallSpec, RunId, RunSpec, TenantId, Timestamp};
 
+use crate::copies::Copies;
 use crate::delivery::Delivery;
 use crate::event::RequestId;
 
@@ -79,6 +80,8 @@
     pub position: Position,
     /// Whether a node that was given the request went silent, so that it may have been taken.
     pub maybe_taken: bool,
+    /// Copies of a run's start that were not answered; other requests are not counted.
+    pub copies: Copies,
     /// Failures in a row.
     pub failures: u32,
     /// When it is refused unless a node has it by then.
@@ -96,15 +99,38 @@
     /// Whether no node can have taken it.
     pub fn surely_not_taken(&self) -> bool {
         let is_here = matches!(self.position, Position::Waiting { .. });
-        is_here && !self.maybe_taken
+        is_here && !self.maybe_taken && self.copies.are_answered()
     }
 
     /// Takes it back from a node that may have taken it.
     pub fn recall(&mut self, now: Timestamp) {
-        self.maybe_taken = true;
+        self.leave_copies();
         self.position = Position::Waiting { retry_at: now };
     }
 
+    /// Gives up the answers to copies that were sent.
+    pub fn leave_copies(&mut self) {
+        self.maybe_taken = true;
+        self.copies = Copies::default();
+    }
+
+    /// Has the request sent again: its node is silent. Copies of a start stay counted, since the
+    /// node will answer each of them.
+    pub fn send_again(&mut self, now: Timestamp) {
+        match self.body {
+            Body::StartRun(_) => self.position = Position::Waiting { retry_at: now },
+            _ => self.recall(now),
+        }
+    }
+
+    /// Notes that it was sent.
+    pub fn note_sent(&mut self, now: Timestamp, to: SocketAddr) {
+        self.position = Position::Sent { to, heard: now };
+        if let Body::StartRun(_) = self.body {
+            self.maybe_taken |= self.copies.note_sent(to);
+        }
+    }
+
     /// The message that carries it; `abandoned_before` is how many calls directly before it were
     /// given up.
     pub fn message(&self, key: RequestKey, abandoned_before: u32) -> SidecarMessage {
--- a/crates/sidecar-core/src/sending.rs
+++ b/crates/sidecar-core/src/sending.rs
@@ -33,7 +33,7 @@
             let silence = now.since(heard);
             let ask_for_owner = silence >= probe_after(request);
             if silence >= resend_after(request) {
-                request.recall(now);
+                request.send_again(now);
             }
             if ask_for_owner && let Some(partition) = self.directory.partition(request.run) {
                 questions.push((partition, to));
@@ -76,7 +76,7 @@
         let Some(request) = self.open.get_mut(&key) else {
             return;
         };
-        request.position = Position::Sent { to, heard: now };
+        request.note_sent(now, to);
         let message = request.message(key, abandoned_before);
         self.send(to, message);
     }
--- a/crates/sidecar-core/tests/core/runs.rs
+++ b/crates/sidecar-core/tests/core/runs.rs
@@ -156,3 +156,112 @@
     );
     assert_eq!(bench.replies, [(6, CallerReply::RunView { view: None })]);
 }
+
+fn log_unavailable() -> Refusal {
+    Refusal {
+        reason: RefusalReason::LogUnavailable,
+        retry_after: Some(Duration::from_secs(5)),
+    }
+}
+
+fn refuse(bench: &mut Bench) {
+    let refusal = log_unavailable();
+    bench.receive(node_a(), NodeMessage::RunRefused { run: RUN, refusal });
+}
+
+fn starts(bench: &Bench) -> usize {
+    let is_start =
+        |(_, message): &&(_, SidecarMessage)| matches!(message, SidecarMessage::StartRun { .. });
+    bench.sent.iter().filter(is_start).count()
+}
+
+/// A node that is busy for longer than the time after which a start is sent again.
+fn start_sent_twice() -> Bench {
+    let mut bench = Bench::located(node_a());
+    start(&mut bench);
+    bench.pass(Duration::from_millis(2_100));
+    assert_eq!(starts(&bench), 2);
+    bench
+}
+
+#[test]
+fn a_start_is_refused_once_each_copy_of_it_was() {
+    let mut bench = start_sent_twice();
+    refuse(&mut bench);
+    assert_eq!(bench.replies, [], "the second copy may still be taken");
+    refuse(&mut bench);
+    let refusal = log_unavailable();
+    assert_eq!(bench.replies, [(1, CallerReply::RunRefused { refusal })]);
+}
+
+#[test]
+fn a_copy_that_is_pointed_elsewhere_was_not_taken() {
+    let mut bench = start_sent_twice();
+    let elsewhere = NodeMessage::NotOwner {
+        run: RUN,
+        number: None,
+        owner: None,
+    };
+    bench.receive(node_a(), elsewhere.clone());
+    bench.receive(node_a(), elsewhere);
+    bench.pass(Duration::from_secs(1));
+    bench.say_located(node_b(), node_b());
+    bench.pass(Duration::from_secs(1));
+    let refusal = log_unavailable();
+    bench.receive(
+        node_b(),
+        NodeMessage::RunRefused {
+            run: RUN,
+            refusal: refusal.clone(),
+        },
+    );
+    assert_eq!(bench.replies, [(1, CallerReply::RunRefused { refusal })]);
+}
+
+#[test]
+fn a_refusal_of_one_copy_does_not_hide_that_another_was_taken() {
+    let mut bench = start_sent_twice();
+    refuse(&mut bench);
+    bench.receive(node_a(), NodeMessage::RunStarted { run: RUN });
+    assert_eq!(bench.replies, [(1, CallerReply::RunStarted { run: RUN })]);
+}
+
+#[test]
+fn a_copy_that_nobody_answers_leaves_the_start_open() {
+    // The connection ends with a copy unanswered: its refusal can no longer come.
+    let mut broken = start_sent_twice();
+    refuse(&mut broken);
+    broken.event(Event::Disconnected { address: node_a() });
+    broken.event(Event::Connected { address: node_a() });
+    broken.pass(Duration::from_secs(1));
+    broken.say_located(node_b(), node_a());
+    refuse(&mut broken);
+    assert_eq!(broken.replies, [(1, CallerReply::Unreachable)]);
+    // Another node owns the partition: the silent one may still take its copies.
+    let mut moved = start_sent_twice();
+    moved.pass(Duration::from_secs(4));
+    moved.say_located(node_b(), node_b());
+    moved.pass(Duration::from_secs(3));
+    let refusal = log_unavailable();
+    moved.receive(node_b(), NodeMessage::RunRefused { run: RUN, refusal });
+    assert_eq!(moved.replies, [(1, CallerReply::Unreachable)]);
+}
+
+#[test]
+fn a_refusal_for_good_with_another_copy_open_says_nothing_of_the_start() {
+    let mut bench = start_sent_twice();
+    let refusal = Refusal {
+        reason: RefusalReason::RunNotFound,
+        retry_after: None,
+    };
+    bench.receive(node_a(), NodeMessage::RunRefused { run: RUN, refusal });
+    assert_eq!(bench.replies, [(1, CallerReply::Unreachable)]);
+}
+
+#[test]
+fn a_copy_without_an_answer_is_waited_for_until_the_time_is_over() {
+    let mut bench = start_sent_twice();
+    refuse(&mut bench);
+    bench.pass(Duration::from_secs(40));
+    assert_eq!(bench.replies, [(1, CallerReply::Unreachable)]);
+}
--- a/crates/sidecar/src/http/error.rs
+++ b/crates/sidecar/src/http/error.rs
@@ -148,7 +148,8 @@
 impl From<Unreachable> for ApiError {
     fn from(_: Unreachable) -> Self {
         Self {
-            status: StatusCode::SERVICE_UNAVAILABLE,
+            // The request may have taken effect, so the status must not promise that it has not.
+            status: StatusCode::GATEWAY_TIMEOUT,
             code: "no_answer_from_node",
             message: "no node answered in time; the request may be repeated".to_owned(),
             run: WasRun::Unknown,
--- a/crates/sidecar/tests/callers/bad_input.rs
+++ b/crates/sidecar/tests/callers/bad_input.rs
@@ -1,9 +1,12 @@
 //! What wrong requests get: a typed error, and the process stays up.
 
+use std::time::Duration;
+
 use awc::http::{Method, StatusCode};
 use serde_json::Value;
 
-use crate::client::{KITCHEN, MAX_BODY_BYTES, OFFICE, Reply, Setup, setup};
+use crate::client::{KITCHEN, MAX_BODY_BYTES, OFFICE, Reply, Setup, setup, setup_with};
+use crate::node::SILENT_PROGRAM;
 
 /// Stands for the id of a run of the first tenant.
 const RUN: &str = "{run}";
@@ -228,3 +231,15 @@
         }
     }
 }
+
+#[actix_rt::test]
+async fn a_start_that_no_node_answers_is_not_said_to_be_refused() {
+    let soon = Duration::from_millis(300);
+    let setup = setup_with(|limits| limits.hand_over_timeout = soon).await;
+    let body = format!(r#"{{"program":"{SILENT_PROGRAM}"}}"#);
+    let reply = setup.send_as(OFFICE, Method::POST, "/v1/runs", &body).await;
+    assert_eq!(reply.status, StatusCode::GATEWAY_TIMEOUT, "{}", reply.body);
+    let error = &reply.json()["error"];
+    assert_eq!(error["code"], "no_answer_from_node");
+    assert_eq!(error["run"], "unknown");
+}
--- a/crates/sidecar/tests/callers/client.rs
+++ b/crates/sidecar/tests/callers/client.rs
@@ -56,8 +56,21 @@
     }
 }
 
+/// Longest wait for an answer; a node that stays silent is given up within it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// Starts everything and waits until the sidecar is ready.
 pub async fn setup() -> Setup {
+    setup_with(|_| {}).await
+}
+
+/// The same with changed limits.
+pub async fn setup_with(change: impl FnOnce(&mut SidecarLimits)) -> Setup {
+    let mut limits = SidecarLimits {
+        max_body_bytes: MAX_BODY_BYTES,
+        ..SidecarLimits::default()
+    };
+    change(&mut limits);
     let node = ScriptedNode::start().await;
     let settings = SidecarProcessSettings {
         listen: "127.0.0.1:0".parse().expect("an address"),
@@ -67,17 +80,14 @@
         tenants: [("office", OFFICE), ("kitchen", KITCHEN)]
             .map(|(tenant, token)| (TenantId::new(tenant), BearerToken::new(token)))
             .into(),
-        limits: SidecarLimits {
-            max_body_bytes: MAX_BODY_BYTES,
-            ..SidecarLimits::default()
-        },
+        limits,
         logging: Default::default(),
     };
     let sidecar = start(settings).expect("a free port");
     let setup = Setup {
         node,
         sidecar,
-        client: awc::Client::default(),
+        client: awc::Client::builder().timeout(PATIENCE).finish(),
     };
     for _ in 0..READY_ATTEMPTS {
         if setup.send(Method::GET, "/readyz", &[], "").await.status == StatusCode::OK {
--- a/crates/sidecar/tests/callers/node.rs
+++ b/crates/sidecar/tests/callers/node.rs
@@ -23,6 +23,9 @@
 /// Bytes of an answer in one chunk.
 const CHUNK_BYTES: usize = 4;
 
+/// The program whose runs' starts are never answered.
+pub const SILENT_PROGRAM: &str = "silent";
+
 /// A scripted node.
 #[derive(Clone)]
 pub struct ScriptedNode {
@@ -75,6 +78,9 @@
                 }),
                 partition_count: 4,
             }],
+            SidecarMessage::StartRun { spec } if spec.program.as_str() == SILENT_PROGRAM => {
+                Vec::new()
+            }
             SidecarMessage::StartRun { spec } => vec![state.start(spec)],
             SidecarMessage::SubmitCall {
                 tenant, run, spec, ..
