gateway: one account of the memory held for callers, workers and peers

Cause: a caller that stops reading held its worker until that cut the stream off; events, whole answers, kept output, conversations and frames for peers were not counted, and no bound of the node was on them together.

Change: gateway-core::pressure decides, as a table: bodies are refused from 25 % of the process's memory on (and beyond 20 % of their own, as before), new streams from 32 %, and at 40 % reading from workers pauses and the stream that holds most for a caller that reads nothing is ended. A stream is read ahead of its caller by 64 KB (Policy::stream_buffer_bytes; 0 has the worker wait as before), so answers that fit free their worker. A worker that waits for a caller that takes nothing for 2 s is let go: a resumable stream goes on once the caller has read, another one ends. Frames that wait for one peer are bounded at 2 MB. Gauges by kind and peak, counters of pauses and of callers given up, a log line for each decision.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ownership;
 pub mod peer_loads;
 pub mod policy;
+pub mod pressure;
 pub mod quota;
 pub mod response_time;
 pub mod split;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -56,6 +56,9 @@
     pub peer_proofs: bool,
     /// Quotas are divided between nodes by what they tell each other; evenly if not.
     pub shared_quotas: bool,
+    /// Bytes that are read of a stream ahead of its caller, so that a slow caller does not hold its
+    /// worker; with 0, the worker waits for the caller.
+    pub stream_buffer_bytes: usize,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
 }
@@ -85,6 +88,7 @@
             engine_rank: true,
             peer_proofs: true,
             shared_quotas: true,
+            stream_buffer_bytes: 64 * 1024,
             missing_grace: true,
         }
     }
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -13,6 +13,9 @@
 /// Bytes taken in ahead while nobody decodes them; more stay in the socket.
 const MAX_READ_AHEAD: usize = 64 * 1024;
 
+/// Room that a buffer keeps for what is sent next, in bytes.
+const MAX_KEPT_CAPACITY: usize = 16 * 1024;
+
 /// The receiving side.
 #[derive(Debug)]
 pub(crate) struct Receiver {
@@ -62,7 +65,18 @@
     /// Sends all encoded bytes.
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
         while !self.buffer.is_empty() {
-            self.half.write_buf(&mut self.buffer).await?;
+            self.send_some().await?;
+        }
+        Ok(())
+    }
+
+    /// Sends as much as the other side takes at once, at least a byte. No byte is lost if the
+    /// future is dropped.
+    pub(crate) async fn send_some(&mut self) -> io::Result<()> {
+        self.half.write_buf(&mut self.buffer).await?;
+        if self.buffer.is_empty() && self.buffer.capacity() > MAX_KEPT_CAPACITY {
+            // A large answer's room is not kept for the small ones that follow.
+            self.buffer = BytesMut::new();
         }
         Ok(())
     }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::Encoder;
 
 use crate::buffered::Sender;
+use crate::memory::Share;
 use crate::reply::Refusal;
 
 /// How far the answer to the present request has come.
@@ -27,17 +28,26 @@
 pub(crate) struct Caller<'a> {
     codec: &'a mut Codec,
     sender: &'a mut Sender,
+    /// Counts what is encoded and not sent.
+    unsent: Share,
     close_after: bool,
     progress: Progress,
     status: Option<StatusCode>,
 }
 
 impl<'a> Caller<'a> {
-    /// For the answer to one request; `close_after` announces the end of the connection.
-    pub(crate) fn new(codec: &'a mut Codec, sender: &'a mut Sender, close_after: bool) -> Self {
+    /// For the answer to one request; `unsent` counts what it holds, and `close_after` announces
+    /// the end of the connection.
+    pub(crate) fn new(
+        codec: &'a mut Codec,
+        sender: &'a mut Sender,
+        unsent: Share,
+        close_after: bool,
+    ) -> Self {
         Self {
             codec,
             sender,
+            unsent,
             close_after,
             progress: Progress::None,
             status: None,
@@ -67,7 +77,7 @@
             self.codec.encode(piece, &mut self.sender.buffer)?;
         }
         self.progress = Progress::Done;
-        self.sender.flush().await
+        self.flush().await
     }
 
     /// Sends an answer of the gateway's own.
@@ -84,26 +94,52 @@
     ) -> io::Result<()> {
         self.encode_head(status, headers, BodySize::Stream)?;
         self.progress = Progress::Streaming;
-        self.sender.flush().await
+        self.flush().await
     }
 
-    /// Encodes a piece of a stream; [`Self::flush`] sends it.
+    /// Encodes a piece of a stream; [`Self::send_some`] sends it.
     pub(crate) fn push_piece(&mut self, piece: Bytes) -> io::Result<()> {
         self.codec
-            .encode(Message::Chunk(Some(piece)), &mut self.sender.buffer)
+            .encode(Message::Chunk(Some(piece)), &mut self.sender.buffer)?;
+        self.count_unsent();
+        Ok(())
     }
 
-    /// Sends what was encoded.
-    pub(crate) async fn flush(&mut self) -> io::Result<()> {
-        self.sender.flush().await
-    }
-
-    /// Ends a stream as whole.
-    pub(crate) async fn end_stream(&mut self) -> io::Result<()> {
+    /// Encodes the end of a whole stream.
+    pub(crate) fn push_end(&mut self) -> io::Result<()> {
         self.codec
             .encode(Message::Chunk(None), &mut self.sender.buffer)?;
+        self.count_unsent();
+        Ok(())
+    }
+
+    /// Notes that a whole stream was sent.
+    pub(crate) fn note_stream_sent(&mut self) {
         self.progress = Progress::Done;
-        self.sender.flush().await
+    }
+
+    /// Bytes that are encoded and not sent.
+    pub(crate) fn unsent(&self) -> usize {
+        self.sender.buffer.len()
+    }
+
+    /// Sends as much as the caller takes at once, at least a byte.
+    pub(crate) async fn send_some(&mut self) -> io::Result<()> {
+        let sent = self.sender.send_some().await;
+        self.count_unsent();
+        sent
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        self.count_unsent();
+        while self.unsent() > 0 {
+            self.send_some().await?;
+        }
+        Ok(())
+    }
+
+    fn count_unsent(&mut self) {
+        self.unsent.set(self.sender.buffer.len());
     }
 
     fn encode_head(
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -6,6 +6,7 @@
 use actix_http::StatusCode;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use bytes::Bytes;
+use elderworks_gateway_core::pressure::HeldFor;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::caller::Caller;
@@ -49,7 +50,8 @@
             Entry::Metrics => metrics(&gateway),
         };
         let close = gateway.stage() == Stage::Closing;
-        let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, close);
+        let share = gateway.memory.share(HeldFor::Callers);
+        let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, share, close);
         let sent = caller
             .send_whole(answer.status, &answer.headers(), &answer.body)
             .await;
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -17,9 +17,9 @@
 use super::quota::Counted;
 use super::turn::TurnLease;
 use super::{CallError, Milestones, Trace, headers};
-use crate::body_memory::BodyShare;
 use crate::caller::Caller;
 use crate::gateway::Gateway;
+use crate::memory::Share;
 use crate::ports::WorkerHeaders;
 use crate::reply::Refusal;
 use crate::server::CallerRequest;
@@ -48,7 +48,7 @@
     pub(super) history: AttemptHistory,
     pub(super) milestones: Milestones,
     /// Counts the body for as long as the call holds it.
-    _memory: BodyShare,
+    _memory: Share,
     tried: TriedWorkers,
     /// Where the next attempt must go, if the route allows no other worker.
     retry_at: Option<Target>,
@@ -201,6 +201,7 @@
         let context = ExchangeContext {
             pool: &self.gateway.pool,
             http: &self.gateway.http,
+            memory: &self.gateway.memory,
             platform: &*self.gateway.platform,
             connections_made: &self.gateway.metrics.worker_connections,
             most_idle: self.most_idle_connections(),
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod attempts;
+mod flow;
 mod headers;
 mod observations;
 mod quota;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -4,11 +4,15 @@
 use bytes::{BufMut, BytesMut};
 use elderworks_gateway_core::attempt::AttemptFailure;
 use elderworks_gateway_core::events::EventSplitter;
+use elderworks_gateway_core::pressure::HeldFor;
 use elderworks_protocol::ledger::KeptTurn;
 
 use super::attempts::{Call, RunningAnswer};
+use super::flow::{Flow, Step};
 use super::{CallError, headers};
 use crate::caller::{Caller, Progress};
+use crate::memory::Share;
+use crate::reply::Refusal;
 use crate::upstream::Target;
 
 /// Media type of event streams.
@@ -24,12 +28,14 @@
 const MAX_OTHER_ANSWER: usize = 1024 * 1024;
 
 /// What has been passed on of a stream.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Passed {
     last_event_id: Option<String>,
     resumptions: u32,
     /// Data of the events so far with a line feed behind each, if the turn is to be kept.
     output: BytesMut,
+    /// Counts the output.
+    held: Share,
 }
 
 /// How a worker's part of a stream ended.
@@ -38,15 +44,22 @@
     Whole,
     /// It broke off.
     Broken(String),
+    /// The worker was let go before the end, since the caller reads nothing.
+    LetGo,
 }
 
 impl Call<'_> {
     /// Runs a request whose answer is a stream.
     pub(super) async fn run_stream(&mut self, caller: &mut Caller<'_>) -> Result<(), CallError> {
+        self.refuse_if_short_of_memory()?;
         let mut passed = Passed {
             last_event_id: self.attributes.last_event_id.clone(),
-            ..Passed::default()
+            resumptions: 0,
+            output: BytesMut::new(),
+            held: self.gateway.memory.share(HeldFor::KeptTurns),
         };
+        let request = self.attributes.request_id.as_deref().unwrap_or_default();
+        let mut flow = Flow::new(self.gateway, request, self.may_resume());
         let mut preferred = None;
         loop {
             let last_event_id = passed.last_event_id.clone();
@@ -62,11 +75,12 @@
                 let passed_headers = headers::end_to_end(&head.headers);
                 caller.start_stream(head.status, &passed_headers).await?;
             }
-            match self.pass_events(caller, &mut running, &mut passed).await? {
+            let part = self.pass_events(caller, &mut flow, &mut running, &mut passed);
+            match part.await? {
                 PartEnd::Whole => {
                     self.note_answer(&running.occupied.worker, running.answer.head.status);
                     drop(running);
-                    return self.end_stream(caller, passed).await;
+                    return self.end_stream(caller, &mut flow, passed).await;
                 }
                 PartEnd::Broken(reason) => {
                     let worker = running.occupied.worker.clone();
@@ -75,6 +89,13 @@
                     self.note_worker_failure(&worker);
                     preferred = self.plan_resumption(&worker, &mut passed)?;
                 }
+                PartEnd::LetGo => {
+                    let worker = running.occupied.worker.clone();
+                    drop(running);
+                    self.waiting_since = None;
+                    flow.drain(caller).await?;
+                    preferred = self.plan_resumption(&worker, &mut passed)?;
+                }
             }
         }
     }
@@ -82,17 +103,22 @@
     async fn pass_events(
         &mut self,
         caller: &mut Caller<'_>,
+        flow: &mut Flow<'_>,
         running: &mut RunningAnswer,
         passed: &mut Passed,
     ) -> Result<PartEnd, CallError> {
         let keeps_output = self.route.keeps_turns;
         let mut splitter = EventSplitter::default();
+        let mut pending = self.gateway.memory.share(HeldFor::Answers);
         loop {
-            let piece = match running.answer.next_piece().await {
-                Ok(Some(piece)) => piece,
-                Ok(None) if splitter.pending_bytes() == 0 => return Ok(PartEnd::Whole),
-                Ok(None) => return Ok(PartEnd::Broken("stream ends within an event".to_owned())),
-                Err(broken) => return Ok(PartEnd::Broken(broken.to_string())),
+            let answer = &mut running.answer;
+            let step = flow.next(caller, answer, &mut self.waiting_since).await?;
+            let piece = match step {
+                Step::Piece(piece) => piece,
+                Step::End if splitter.pending_bytes() == 0 => return Ok(PartEnd::Whole),
+                Step::End => return Ok(PartEnd::Broken("stream ends within an event".to_owned())),
+                Step::Broken(reason) => return Ok(PartEnd::Broken(reason)),
+                Step::LetWorkerGo => return Ok(PartEnd::LetGo),
             };
             splitter.push(&piece);
             let mut any = false;
@@ -104,20 +130,19 @@
                 if keeps_output {
                     passed.output.extend_from_slice(&event.data);
                     passed.output.put_u8(b'\n');
+                    passed.held.set(passed.output.len());
                 }
                 if let Some(lease) = &mut self.lease {
                     lease.note_event();
                 }
-                caller.push_piece(event.raw)?;
+                flow.push(caller, event.raw)?;
             }
+            pending.set(splitter.pending_bytes());
             if splitter.pending_bytes() > MAX_EVENT_BYTES {
                 return Ok(PartEnd::Broken("an event never ends".to_owned()));
             }
             if any {
                 self.note_first_event();
-                // A caller that reads slowly does not speak against the worker.
-                self.waiting_since = None;
-                caller.flush().await?;
                 self.note_progress();
             }
         }
@@ -130,8 +155,7 @@
         worker: &str,
         passed: &mut Passed,
     ) -> Result<Option<Target>, CallError> {
-        let is_allowed = self.route.resumable && self.gateway.settings.policy.resumption;
-        if !is_allowed || passed.resumptions >= MAX_RESUMPTIONS {
+        if !self.may_resume() || passed.resumptions >= MAX_RESUMPTIONS {
             return Err(CallError::Broken("the worker's stream broke off"));
         }
         passed.resumptions += 1;
@@ -151,6 +175,7 @@
     async fn end_stream(
         &mut self,
         caller: &mut Caller<'_>,
+        flow: &mut Flow<'_>,
         passed: Passed,
     ) -> Result<(), CallError> {
         let previous = self.previous_turn();
@@ -164,10 +189,34 @@
                 return Err(CallError::Broken("the end of the turn is not durable"));
             }
         }
-        caller.end_stream().await?;
+        caller.push_end()?;
+        flow.drain(caller).await?;
+        caller.note_stream_sent();
         Ok(())
     }
 
+    fn may_resume(&self) -> bool {
+        self.route.resumable && self.gateway.settings.policy.resumption
+    }
+
+    /// Running streams need what memory is left.
+    fn refuse_if_short_of_memory(&self) -> Result<(), CallError> {
+        let Some(shown) = self.history.not_run() else {
+            return Ok(());
+        };
+        if self.gateway.memory.takes_stream() {
+            return Ok(());
+        }
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            held = self.gateway.memory.held(), pressure:? = self.gateway.memory.pressure();
+            "stream refused for want of memory"
+        );
+        let reason = "no memory for another stream now";
+        let refusal = Refusal::not_run(shown, reason);
+        Err(CallError::Refused(refusal))
+    }
+
     fn previous_turn(&self) -> Option<String> {
         let previous = self.attributes.previous_turn.as_deref();
         previous.map(|turn| self.in_scope(turn))
@@ -190,7 +239,7 @@
                 self.history
                     .after_failure(AttemptFailure::Unknown, false, 1);
                 let reason = "the worker's answer broke off";
-                return Err(CallError::Refused(crate::reply::Refusal::unknown(reason)));
+                return Err(CallError::Refused(Refusal::unknown(reason)));
             }
         };
         let head = &running.answer.head;
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::ledger::partition_of;
+use elderworks_gateway_core::pressure::HeldFor;
 use elderworks_gateway_core::tenants::scoped;
 use elderworks_protocol::ledger::{BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest};
 use elderworks_types::{NodeId, PartitionId};
@@ -13,6 +14,7 @@
 use super::attempts::Call;
 use crate::gateway::Gateway;
 use crate::ledger::{self, Answered, AskedNodes};
+use crate::memory::Share;
 use crate::reply::{Fault, Refusal};
 
 /// Times that the end of a turn is reported before it is given up.
@@ -56,6 +58,8 @@
     tokens_per_event: u64,
     used: u64,
     input: Bytes,
+    /// Counts the body that begins with the turn's conversation.
+    conversation: Share,
     returned: bool,
 }
 
@@ -223,6 +227,7 @@
             tokens_per_event: self.tokens_per_event(),
             used: 0,
             input: input.clone(),
+            conversation: self.gateway.memory.share(HeldFor::Conversations),
             returned: false,
         };
         let conversation = self.obtain_leave(lease, partition, begin).await?;
@@ -230,6 +235,9 @@
             let mut whole = BytesMut::with_capacity(conversation.len() + input.len());
             whole.extend_from_slice(&conversation);
             whole.extend_from_slice(&input);
+            if let Some(lease) = &mut self.lease {
+                lease.conversation.set(whole.len());
+            }
             self.body = Some(whole.freeze());
         }
         Ok(())
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,9 +18,9 @@
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 use tokio::sync::watch;
 
-use crate::body_memory::BodyMemory;
 use crate::clock::Clock;
 use crate::ledger::Ledger;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::ports::{Platform, StreamRecord};
@@ -77,8 +77,8 @@
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of all zones that callers are sent to, as last counted.
     pub(crate) nodes_serving: Cell<u32>,
-    /// Bodies of requests under way.
-    pub(crate) body_memory: BodyMemory,
+    /// What is held for callers, workers and peers.
+    pub(crate) memory: Memory,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
     /// Set once the list of workers was read.
@@ -102,6 +102,7 @@
             true => Division::Told,
             false => Division::Even,
         };
+        let metrics = Metrics::new();
         let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now());
         Rc::new(Self {
             peers: Peers::new(&settings),
@@ -109,7 +110,7 @@
             log_timer: RefCell::default(),
             log_read_timer: RefCell::default(),
             log_reach: RefCell::default(),
-            body_memory: BodyMemory::new(settings.memory_bytes),
+            memory: Memory::new(settings.memory_bytes, &metrics),
             settings,
             platform,
             clock,
@@ -125,7 +126,7 @@
             nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
             pool: Rc::default(),
-            metrics: Metrics::new(),
+            metrics,
             stage,
             nodes_serving: Cell::new(1),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,6 @@
 //! decisions become bytes here; what the platform calls things is known only to the adapter behind
 //! [`ports::Platform`].
 
-mod body_memory;
 mod buffered;
 mod caller;
 mod clock;
@@ -13,6 +12,7 @@
 mod gateway;
 mod ledger;
 mod log_output;
+mod memory;
 mod metrics;
 mod peers;
 pub mod ports;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of a gateway, in the usual text form.
 
 use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::pressure::HeldFor;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -35,6 +36,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of memory by what it is held for.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct HeldLabel {
+    /// What.
+    pub(crate) kind: &'static str,
+}
+
 /// Label of figures of one tenant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -67,6 +75,10 @@
     pub(crate) quota_used_percent: Family<TenantLabel, Gauge>,
     pub(crate) proof_age_ms: Gauge,
     pub(crate) config_read_age_ms: Gauge,
+    held_bytes: Family<HeldLabel, Gauge>,
+    pub(crate) held_peak_bytes: Gauge,
+    pub(crate) streams_paused: Counter,
+    pub(crate) callers_given_up: Counter,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -102,6 +114,10 @@
             quota_used_percent: Family::default(),
             proof_age_ms: Gauge::default(),
             config_read_age_ms: Gauge::default(),
+            held_bytes: Family::default(),
+            held_peak_bytes: Gauge::default(),
+            streams_paused: Counter::default(),
+            callers_given_up: Counter::default(),
         };
         metrics.register();
         metrics
@@ -128,6 +144,12 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// The gauge of memory held for something.
+    pub(crate) fn held_bytes(&self, kind: HeldFor) -> Gauge {
+        let label = HeldLabel { kind: kind.name() };
+        self.held_bytes.get_or_create(&label).clone()
+    }
+
     /// Counts a read of a stream that is followed.
     pub(crate) fn note_stream_read(&self, stream: Stream, outcome: &'static str) {
         let call = match stream {
@@ -235,5 +257,30 @@
             "Time since the last read of the configuration's stream that was answered was sent; -1 if none was",
             self.config_read_age_ms.clone(),
         );
+        self.register_memory();
+    }
+
+    fn register_memory(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "held_bytes",
+            "Memory held for callers, workers and peers, by what it is held for",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "held_peak_bytes",
+            "Most memory that was held at once for callers, workers and peers",
+            self.held_peak_bytes.clone(),
+        );
+        registry.register(
+            "streams_paused",
+            "Times that a worker began to wait for a caller that reads slowly",
+            self.streams_paused.clone(),
+        );
+        registry.register(
+            "callers_given_up",
+            "Streams ended since their caller read nothing",
+            self.callers_given_up.clone(),
+        );
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 mod link;
 mod loads;
 mod proofs;
+mod queue;
 mod quotas;
 mod serve;
 
@@ -272,7 +273,7 @@
             return Some(link.clone());
         }
         let address = gateway.nodes.borrow().get(node)?.record.peer_address;
-        let link = Link::open(address);
+        let link = Link::open(address, &gateway.memory);
         self.links.borrow_mut().insert(node.clone(), link.clone());
         Some(link)
     }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -6,13 +6,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest};
 use elderworks_protocol::{frame, split_frame};
 use elderworks_types::PartitionId;
 use tokio::sync::mpsc;
 
-use crate::buffered::{self, Receiver, Sender};
+use super::queue::{NotQueued, Outgoing, Queue};
+use crate::buffered::{self, Receiver};
+use crate::memory::Memory;
 use crate::socket;
 
 /// Longest wait for a sign that a request has arrived. A node that shows none is taken for gone.
@@ -43,14 +45,14 @@
 /// A connection to another node with the requests that wait for its replies.
 #[derive(Clone, Debug)]
 pub(super) struct Link {
-    frames: mpsc::UnboundedSender<Bytes>,
+    frames: Outgoing,
     pending: Pending,
 }
 
 impl Link {
     /// Begins to connect.
-    pub(super) fn open(address: SocketAddr) -> Self {
-        let (frames, outgoing) = mpsc::unbounded_channel();
+    pub(super) fn open(address: SocketAddr, memory: &Memory) -> Self {
+        let (frames, outgoing) = Outgoing::new(memory);
         let pending = Pending::default();
         actix_rt::spawn(run_link(address, outgoing, pending.clone()));
         Self { frames, pending }
@@ -64,7 +66,7 @@
     /// Sends news that asks for no reply.
     pub(super) fn tell(&self, news: &GatewayFrame) {
         // Who cannot be reached learns it from its own failures.
-        let _ = self.frames.send(frame(news));
+        let _ = self.frames.push(frame(news));
     }
 
     /// Makes a request; `id` must differ from those of other requests.
@@ -81,9 +83,10 @@
             partition,
             request,
         };
-        let replied = match self.frames.send(frame(&message)) {
+        let replied = match self.frames.push(frame(&message)) {
             Ok(()) => await_reply(&mut news).await,
-            Err(_) => Err(NoReply::Unreachable),
+            Err(NotQueued::Closed) => Err(NoReply::Unreachable),
+            Err(NotQueued::Full) => Err(NoReply::Silent),
         };
         self.pending.borrow_mut().remove(&id);
         replied
@@ -106,18 +109,14 @@
 }
 
 /// Sends requests over one connection and hands replies to those who wait.
-async fn run_link(
-    address: SocketAddr,
-    mut outgoing: mpsc::UnboundedReceiver<Bytes>,
-    pending: Pending,
-) {
+async fn run_link(address: SocketAddr, mut outgoing: Queue, pending: Pending) {
     let Ok(stream) = socket::connect(address).await else {
         outgoing.close();
         pending.borrow_mut().clear();
         return;
     };
     let (mut receiver, mut sender) = buffered::split(stream);
-    let sending = send_frames(&mut outgoing, &mut sender);
+    let sending = outgoing.send_to(&mut sender);
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
             let (id, news) = match message {
@@ -142,21 +141,6 @@
     pending.borrow_mut().clear();
 }
 
-pub(super) async fn send_frames(
-    outgoing: &mut mpsc::UnboundedReceiver<Bytes>,
-    sender: &mut Sender,
-) {
-    while let Some(message) = outgoing.recv().await {
-        sender.buffer.extend_from_slice(&message);
-        while let Ok(message) = outgoing.try_recv() {
-            sender.buffer.extend_from_slice(&message);
-        }
-        if sender.flush().await.is_err() {
-            return;
-        }
-    }
-}
-
 /// The next frame; `None` at the end of the connection or of its sense.
 pub(super) async fn next_frame(receiver: &mut Receiver) -> Option<GatewayFrame> {
     loop {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -7,10 +7,10 @@
 use elderworks_protocol::ledger::GatewayFrame;
 use elderworks_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 
-use super::link::{next_frame, send_frames};
+use super::link::next_frame;
 use super::proofs;
+use super::queue::Outgoing;
 use crate::gateway::Gateway;
 use crate::ports::StreamRecord;
 use crate::{buffered, ledger, socket};
@@ -36,7 +36,7 @@
 async fn serve_peer(gateway: Rc<Gateway>, stream: TcpStream) {
     socket::prepare(&stream);
     let (mut receiver, mut sender) = buffered::split(stream);
-    let (replies, mut outgoing) = mpsc::unbounded_channel();
+    let (replies, mut outgoing) = Outgoing::new(&gateway.memory);
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
             let (id, partition, request) = match message {
@@ -69,17 +69,17 @@
                     Ok(reply) => reply,
                     Err(_) => {
                         // The peer may have left, here and below.
-                        let _ = replies.send(frame(&GatewayFrame::Arrived { id }));
+                        let _ = replies.push(frame(&GatewayFrame::Arrived { id }));
                         carrying_out.await
                     }
                 };
-                let _ = replies.send(frame(&GatewayFrame::Reply { id, reply }));
+                let _ = replies.push(frame(&GatewayFrame::Reply { id, reply }));
             });
         }
     };
     tokio::select! {
         () = receiving => {}
-        () = send_frames(&mut outgoing, &mut sender) => {}
+        () = outgoing.send_to(&mut sender) => {}
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,14 +9,15 @@
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::config::RequestLimits;
+use elderworks_gateway_core::pressure::HeldFor;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Decoder;
 
-use crate::body_memory::BodyShare;
 use crate::buffered::{self, Receiver, Sender};
 use crate::caller::{Caller, Progress};
 use crate::forward;
 use crate::gateway::{Gateway, Stage};
+use crate::memory::Share;
 use crate::reply::{Fault, Refusal};
 use crate::socket;
 
@@ -39,7 +40,7 @@
     /// When its head was read.
     pub(crate) received: Instant,
     /// Keeps count of the body while the request is under way.
-    pub(crate) memory: BodyShare,
+    pub(crate) memory: Share,
 }
 
 /// Accepts callers until the node closes.
@@ -113,7 +114,8 @@
             }
             Err(ReadEnd::Quiet) => break,
             Err(ReadEnd::Refuse(refusal)) => {
-                let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, true);
+                let share = gateway.memory.share(HeldFor::Callers);
+                let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, share, true);
                 // The caller may be gone already.
                 let _ = caller.send_refusal(&refusal).await;
                 reader.sender.shut_down().await;
@@ -143,7 +145,8 @@
     let received = request.received;
     gateway.in_flight.set(gateway.in_flight.get() + 1);
     gateway.metrics.in_flight.inc();
-    let mut caller = Caller::new(codec, sender, closing);
+    let share = gateway.memory.share(HeldFor::Callers);
+    let mut caller = Caller::new(codec, sender, share, closing);
     let answered = tokio::select! {
         biased;
         answered = forward::answer(gateway, &mut caller, request) => answered.is_ok(),
@@ -175,14 +178,15 @@
         .await
         .map_err(|_| ReadEnd::Refuse(Refusal::head_timeout(NotRun::before_any_attempt())))??;
     let received = Instant::now();
-    let mut memory = gateway.body_memory.share();
+    let mut memory = gateway.memory.share(HeldFor::Bodies);
     let body = match codec.message_type() {
         MessageType::None if head.headers.contains_key("content-length") => Some(Bytes::new()),
         MessageType::None => None,
         MessageType::Payload | MessageType::Stream => {
             forward::refuse_unread(gateway, &head).map_err(ReadEnd::Refuse)?;
             confirm_expectation(&head.headers, sender).await?;
-            Some(read_body(codec, receiver, limits.body_bytes, &mut memory).await?)
+            let read = read_body(codec, receiver, limits.body_bytes, &mut memory).await;
+            Some(read.inspect_err(|end| note_body_refused(gateway, &head, end))?)
         }
     };
     Ok(CallerRequest {
@@ -264,7 +268,7 @@
     codec: &mut Codec,
     receiver: &mut Receiver,
     most: usize,
-    memory: &mut BodyShare,
+    memory: &mut Share,
 ) -> Result<Bytes, ReadEnd> {
     let mut body = BytesMut::new();
     loop {
@@ -275,7 +279,7 @@
                     let refusal = Refusal::fault(Fault::BodyTooLarge, reason);
                     return Err(ReadEnd::Refuse(refusal));
                 }
-                if !memory.grow(piece.len()) {
+                if !memory.grow_body(piece.len()) {
                     let reason = "no memory for the body of the request now";
                     let refusal = Refusal::not_run(NotRun::before_any_attempt(), reason);
                     return Err(ReadEnd::Refuse(refusal));
@@ -296,6 +300,23 @@
     }
 }
 
+/// Counts and logs a body for which there is no memory.
+fn note_body_refused(gateway: &Gateway, head: &RequestHead, end: &ReadEnd) {
+    let ReadEnd::Refuse(refusal) = end else {
+        return;
+    };
+    if !refusal.is_promise() {
+        return;
+    }
+    gateway.metrics.note_refusal(refusal);
+    let attributes = gateway.platform.call_attributes(&head.headers);
+    log::info!(
+        request = attributes.request_id.as_deref().unwrap_or_default(),
+        held = gateway.memory.held(), pressure:? = gateway.memory.pressure();
+        "{}", refusal.reason()
+    );
+}
+
 /// Reads what the caller still sends, so that the answer is not lost to a reset.
 async fn linger(receiver: &mut Receiver) {
     let discarding = async {
--- a/crates/gateway/src/upstream/answer.rs
+++ b/crates/gateway/src/upstream/answer.rs
@@ -7,9 +7,11 @@
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
+use elderworks_gateway_core::pressure::reads_answer;
 use tokio_util::codec::Decoder;
 
 use super::{Pool, WorkerConnection};
+use crate::memory::Share;
 
 /// An answer that ended before it was whole.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -30,6 +32,8 @@
     /// Status and headers.
     pub(crate) head: ResponseHead,
     body: Option<Body>,
+    /// Counts the bytes collected of it, for as long as the answer is held.
+    collected: Share,
 }
 
 struct Body {
@@ -72,12 +76,17 @@
         codec: ClientCodec,
         connection: WorkerConnection,
         home: Home,
+        collected: Share,
     ) -> Self {
         let framing = if method != Method::HEAD && ends_with_connection(&head) {
             Framing::UntilClose
         } else if codec.message_type() == MessageType::None {
             home.take_back(connection, codec.keep_alive());
-            return Self { head, body: None };
+            return Self {
+                head,
+                body: None,
+                collected,
+            };
         } else {
             Framing::Framed(codec.into_payload_codec())
         };
@@ -89,6 +98,7 @@
         Self {
             head,
             body: Some(body),
+            collected,
         }
     }
 
@@ -126,11 +136,16 @@
             if whole.len() + piece.len() > most {
                 return Err(BrokenAnswer(format!("more than {most} bytes")));
             }
+            self.collected.set(whole.len() + piece.len());
             if whole.is_empty() {
                 whole = bytes::BytesMut::from(&piece[..]);
             } else {
                 whole.extend_from_slice(&piece);
             }
+            let memory = self.collected.memory().clone();
+            if !reads_answer(whole.len(), memory.pressure()) {
+                memory.relieved().await;
+            }
         }
         Ok(whole.freeze())
     }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -9,12 +9,14 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use elderworks_gateway_core::attempt::SendMark;
+use elderworks_gateway_core::pressure::HeldFor;
 use prometheus_client::metrics::counter::Counter;
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::answer::{Home, ends_with_connection, named_idle_time};
 use super::{Answer, Pool, WorkerConnection};
 use crate::buffered;
+use crate::memory::Memory;
 use crate::ports::Platform;
 use crate::socket;
 
@@ -56,6 +58,8 @@
 pub(crate) struct ExchangeContext<'a> {
     pub(crate) pool: &'a Rc<Pool>,
     pub(crate) http: &'a ServiceConfig,
+    /// Counts answers that are collected.
+    pub(crate) memory: &'a Memory,
     pub(crate) platform: &'a dyn Platform,
     pub(crate) connections_made: &'a Counter,
     /// Most connections at rest that this node may keep to the worker.
@@ -203,7 +207,8 @@
             idle_time: named_idle_time(&head.headers),
             most_idle: context.most_idle,
         };
-        Answer::new(method, head, self.codec, self.connection, home)
+        let collected = context.memory.share(HeldFor::Answers);
+        Answer::new(method, head, self.codec, self.connection, home, collected)
     }
 
     /// Reads to the end of an answer to another request. The connection is not used again after
