--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::EVENTS;
 use crate::standin::caller::{Answer, Connection, Request};
-use crate::standin::worker::event;
+use crate::standin::worker::{PADDING_HEADER, event, padding};
 
 /// Tokens that an event stands for in the stand-in's configuration.
 pub const TOKENS_PER_EVENT: u64 = 10;
@@ -23,6 +23,13 @@
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_millis(1_400);
 
+/// Longest time for which a caller that stops reading does so.
+const MOST_UNREAD_MS: u64 = 1_200;
+
+/// What such a caller asks of each event in bytes: a stream is then longer than the system's own
+/// buffers between two sockets.
+const PADDING_BYTES: usize = 1024 * 1024;
+
 /// Tries of one turn or call, each under an id of its own.
 const TRIES: u32 = 4;
 
@@ -123,6 +130,8 @@
     /// Whether it sends one request after the other on a connection until that ends, also to a node
     /// that is stopping.
     pub keeps_connections: bool,
+    /// Whether it asks for long streams and leaves them unread for a while.
+    pub stops_reading: bool,
     /// Its connections at rest, by node.
     pub connections: RefCell<BTreeMap<SocketAddr, Connection>>,
 }
@@ -210,7 +219,14 @@
         // Known before it is sent: a worker may run it before the caller hears of it.
         self.records.requests.borrow_mut().insert(id.clone(), seen);
         let node = *self.nodes.choose(random).expect("some nodes");
-        let answer = self.exchange(&request, node).await;
+        let is_long = self.stops_reading && matches!(kind, Kind::Turn | Kind::TurnOnce);
+        let answer = match is_long {
+            true => {
+                let unread = Duration::from_millis(random.random_range(0..MOST_UNREAD_MS));
+                leave_unread(&request, node, unread).await
+            }
+            false => self.exchange(&request, node).await,
+        };
         let answer = answer.filter(|answer| answer.status != 0);
         if let Some(seen) = self.records.requests.borrow_mut().get_mut(&id) {
             seen.answer.clone_from(&answer);
@@ -234,3 +250,15 @@
         Some(answer)
     }
 }
+
+/// Asks for a long stream and leaves it unread for a while. The answer is judged without what its
+/// events were made longer with; a piece of that which is missing stays to be seen.
+async fn leave_unread(request: &Request, node: SocketAddr, unread: Duration) -> Option<Answer> {
+    let bytes = PADDING_BYTES.to_string();
+    let request = request.clone().header(PADDING_HEADER, &bytes);
+    let answer = request.try_send_unread(node, unread, PATIENCE).await;
+    answer.map(|answer| Answer {
+        body: answer.body.replace(&padding(PADDING_BYTES), ""),
+        ..answer
+    })
+}
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::proxy::Proxy;
+use crate::standin::caller::Request;
 use crate::standin::platform::{
     Deployment, OwnAddress, SETTINGS_VARIABLE, answers_ready, settings_text_at,
 };
@@ -43,6 +44,12 @@
 /// Ports of each process; it has an address of its own, so they meet no other's.
 const FIRST_PORT: u16 = 7_301;
 
+/// Longest wait for a process's counters.
+const METRICS_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The counter of the most memory held.
+const PEAK_HELD: &str = "elderworks_gateway_held_peak_bytes";
+
 /// Interval at which a wait looks again.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -64,6 +71,11 @@
         SocketAddr::from((self.own.ip, self.own.callers))
     }
 
+    /// Where its counters are shown: the last of the ports for what nodes say to each other.
+    fn metrics(&self) -> SocketAddr {
+        SocketAddr::from((self.own.ip, self.own.peers + 2))
+    }
+
     fn readiness(&self) -> SocketAddr {
         SocketAddr::from((self.own.ip, self.own.readiness))
     }
@@ -249,6 +261,20 @@
         }
     }
 
+    /// The most that a process has held for callers, workers and peers since its last start.
+    pub async fn peak_held(&self) -> usize {
+        let mut peak = 0;
+        for node in &self.nodes {
+            let request = Request::new("GET", "/metrics", "m");
+            let answer = request.try_send(node.metrics(), METRICS_PATIENCE).await;
+            let text = answer.expect("counters are shown").body;
+            let line = text.lines().find_map(|line| line.strip_prefix(PEAK_HELD));
+            let held = line.and_then(|value| value.trim().parse().ok());
+            peak = peak.max(held.expect("the peak is among them"));
+        }
+        peak
+    }
+
     /// Waits until every node says that it is ready.
     pub async fn wait_until_ready(&self) {
         for node in &self.nodes {
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -5,7 +5,8 @@
 //! connections that a loopback proxy delays, resets, cuts one way, silences or forgets, troubles of the
 //! store, series of configurations, and workers that misbehave. Several are in force at a time, and
 //! one may begin before another has healed. Half of the callers send one request after the other on a
-//! connection until it ends. Time of day is not among the faults, since nothing that decides uses it;
+//! connection until it ends; some ask for long streams and leave them unread for a while, and the most
+//! memory that a process held is printed. Time of day is not among the faults, since nothing that decides uses it;
 //! links between nodes are disturbed only through their processes.
 //!
 //! The test command plays the seeds of [`REGRESSIONS`] for a few seconds each. For a soak of minutes
--- a/crates/cli/tests/soak/round.rs
+++ b/crates/cli/tests/soak/round.rs
@@ -15,6 +15,9 @@
 /// Callers at work at the same time.
 const CALLERS: u64 = 8;
 
+/// Further ones that stop reading for a while.
+const SLOW_CALLERS: u64 = 3;
+
 /// Most faults in force at the same time.
 const MOST_FAULTS: usize = 6;
 
@@ -64,7 +67,9 @@
             broken.push(promise.what);
         }
     }
+    let peak = fleet.peak_held().await;
     report(seed, fleet.nodes.len(), &records, &schedule);
+    println!("seed {seed}: at most {peak} bytes held by a process");
     assert!(
         broken.is_empty(),
         "seed {seed}, logs in {}:\n{}\nschedule:\n{}",
@@ -90,13 +95,14 @@
     stop: &Rc<Cell<bool>>,
     seed: u64,
 ) -> Vec<actix_rt::task::JoinHandle<()>> {
-    (0..CALLERS)
+    (0..CALLERS + SLOW_CALLERS)
         .map(|number| {
             let task = CallerTask {
                 records: records.clone(),
                 nodes: fleet.nodes.iter().map(|node| node.callers()).collect(),
                 stop: stop.clone(),
                 keeps_connections: number % 2 == 0,
+                stops_reading: number >= CALLERS,
                 connections: RefCell::default(),
                 seed: seed.wrapping_add(number),
             };
