execution: an owner that is to leave refuses at once while the log does not answer

Cause: a partition that is being given back points new calls and starts elsewhere, but with the log down its release cannot be appended and nobody else can claim it, so callers went round for 30 s and were told no_node_reachable.

Change: new work goes elsewhere only while the log answers; otherwise it meets the refusals of any owner in an outage (log_unavailable, come back in 5 s).

Test: an owner told to leave during an outage; failed before the change (the call got no refusal), passes after it, and the partition is left once the log is back. Tests of execution, the model of crashes among them: passed.

--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -57,7 +57,7 @@
             }
             return self.refuse_start(connection, run, RefusalReason::RunNotFound, None);
         }
-        if self.soft.release.is_some() {
+        if self.sends_elsewhere() {
             return self.turn_away([connection], run, None);
         }
         let parent_closed = spec.parent.and_then(|parent| self.closed_reason(parent));
@@ -151,7 +151,7 @@
         if self.answer_barred(id, &request) || self.answer_known_call(now, id, &request) {
             return;
         }
-        if self.soft.release.is_some() {
+        if self.sends_elsewhere() {
             return self.turn_away([request.connection], id.run, Some(id.number));
         }
         match self.admit(now, id, &request) {
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Whether new work goes to the next owner. While the log does not answer, there can be none.
+    fn sends_elsewhere(&self) -> bool {
+        self.soft.release.is_some() && self.log_reachable
+    }
+
     /// Serves a call whose number was used before: its outcome, its stream, or a refusal if it is a
     /// different call. Returns whether that was so.
     fn answer_known_call(&mut self, now: Timestamp, id: CallId, request: &SubmittedCall) -> bool {
--- a/crates/execution/tests/failures.rs
+++ b/crates/execution/tests/failures.rs
@@ -225,6 +225,27 @@
     assert!(matches!(outcomes.as_slice(), [(ended, Outcome::Completed(_))] if *ended == id));
 }
 
+#[test]
+fn an_owner_that_is_to_leave_during_an_outage_refuses_at_once_until_the_log_is_back() {
+    let mut world = started();
+    log_reachable(&mut world, false);
+    world.event(0, Event::Release);
+    world.event(0, submit(RUN, model_call(1, 0, "x")));
+    let outcomes = world.take_outcomes(0);
+    assert!(matches!(outcomes.as_slice(), [(_, outcome)]
+        if ends(outcome) == Some(Ends::Refused(RefusalReason::LogUnavailable))));
+    world.event(0, start(RunId::root(8), 100));
+    let messages = world.take_messages(0);
+    assert!(
+        matches!(messages.as_slice(), [NodeMessage::RunRefused { refusal, .. }]
+            if refusal.reason == RefusalReason::LogUnavailable),
+        "{messages:?}"
+    );
+    log_reachable(&mut world, true);
+    world.pass(Duration::from_millis(100));
+    assert!(world.nodes[0].partition.owned().is_none(), "it has left");
+}
+
 #[test]
 fn a_call_caught_by_an_outage_is_withdrawn_not_sent_late() {
     for spec in [tool_call(1), model_call(1, 0, "x")] {
