gateway: a caller that stops reading for seconds keeps its connection

Change: 10 s on callers' connections; what is held for a caller and the request's deadline give it up sooner. callers_given_up tells by what reason.

--- a/crates/gateway/src/forward/flow.rs
+++ b/crates/gateway/src/forward/flow.rs
@@ -13,6 +13,7 @@
 use crate::caller::Caller;
 use crate::gateway::Gateway;
 use crate::memory::{Memory, StreamEntry};
+use crate::metrics::GivenUpLabel;
 use crate::upstream::Answer;
 
 /// What happens next to a stream.
@@ -141,7 +142,12 @@
     }
 
     fn give_up(&self, unsent: usize, reason: &'static str) -> CallError {
-        self.gateway.metrics.callers_given_up.inc();
+        let label = GivenUpLabel { reason };
+        self.gateway
+            .metrics
+            .callers_given_up
+            .get_or_create(&label)
+            .inc();
         self.log(unsent, reason);
         CallError::Broken(reason)
     }
@@ -155,6 +161,8 @@
     }
 }
 
+/// Why a stream is ended although its worker goes on.
 const MEMORY_FULL: &str = "memory is full and the caller reads nothing";
 
+/// The same while there is memory.
 const STALLED: &str = "the caller reads nothing and its worker waits";
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,13 @@
     pub(crate) kind: &'static str,
 }
 
+/// Label of streams that were ended since their caller read nothing.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct GivenUpLabel {
+    /// What did not allow to wait longer.
+    pub(crate) reason: &'static str,
+}
+
 /// Label of figures of one tenant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -78,7 +85,7 @@
     held_bytes: Family<HeldLabel, Gauge>,
     pub(crate) held_peak_bytes: Gauge,
     pub(crate) streams_paused: Counter,
-    pub(crate) callers_given_up: Counter,
+    pub(crate) callers_given_up: Family<GivenUpLabel, Counter>,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -117,7 +124,7 @@
             held_bytes: Family::default(),
             held_peak_bytes: Gauge::default(),
             streams_paused: Counter::default(),
-            callers_given_up: Counter::default(),
+            callers_given_up: Family::default(),
         };
         metrics.register();
         metrics
@@ -279,7 +286,7 @@
         );
         registry.register(
             "callers_given_up",
-            "Streams ended since their caller read nothing",
+            "Streams ended since their caller read nothing, by what did not allow to wait longer",
             self.callers_given_up.clone(),
         );
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -103,7 +103,7 @@
 }
 
 async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) {
-    socket::prepare(&stream);
+    socket::prepare_caller(&stream);
     let mut reader = RequestReader::new(gateway, stream);
     loop {
         match reader.next(gateway).await {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -12,6 +12,10 @@
 /// A peer that has not acknowledged bytes for this long is taken for dead.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The same for a caller. A caller that stops reading acknowledges nothing either, and is given up
+/// by what is held for it and by its request's deadline; this only ends what those do not.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Longest wait for a connection to come up.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -31,9 +35,18 @@
 
 /// Sets the options that every connection has.
 pub(crate) fn prepare(stream: &TcpStream) {
+    prepare_with(stream, USER_TIMEOUT);
+}
+
+/// Sets the options of a caller's connection.
+pub(crate) fn prepare_caller(stream: &TcpStream) {
+    prepare_with(stream, CALLER_TIMEOUT);
+}
+
+fn prepare_with(stream: &TcpStream, user_timeout: Duration) {
     // A connection without these options works, only slower or longer.
     let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(user_timeout));
 }
 
 /// Connects within [`CONNECT_TIMEOUT`].
