ledger: programs go on after a loss of all machines

Cause: after a loss of all machines the witnesses have forgotten, so the lost overdraft stays open for 20 minutes. And a third of each budget was held back: a program of one turn was denied with 402 until it gave up.

Change: one more overdraft is opened beside a lost one, a second after its witnesses were asked. An overdraft has a floor, the least budget that it serves, three times a usual turn of the partition; smaller budgets draw nothing on it and are held back nothing. A denial that rests on an overdraft of which nobody knows whether it was used is a 503, at once, not a 402. Fencing asks about every open overdraft, not only the first.

--- a/crates/gateway-core/src/ledger/fencing.rs
+++ b/crates/gateway-core/src/ledger/fencing.rs
@@ -1,10 +1,10 @@
 //! Overdrafts of owners that no longer act for a partition: were they used?
 //!
-//! The owner that now acts asks the witnesses to fence such an overdraft. A majority that does
-//! proves that it was never used and never will be, so it can be closed. Otherwise it counts until
-//! it is too old to be used.
+//! The owner that now acts asks the witnesses to fence each of them. A majority that does proves
+//! that the overdraft was never used and never will be, so it can be closed. Otherwise it counts
+//! until it is too old to be used.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use elderworks_protocol::ledger::WitnessAnswer;
@@ -19,10 +19,9 @@
 /// Most doublings of that pause.
 const MOST_DOUBLINGS: u32 = 5;
 
-/// What is known of one overdraft of another owner.
+/// What the witnesses of one overdraft have answered.
 #[derive(Debug, Default)]
-pub(super) struct Fencing {
-    overdraft: String,
+struct Inquest {
     fenced: BTreeSet<u64>,
     /// Whether a witness knows that it is used, or was.
     is_used: bool,
@@ -32,76 +31,115 @@
     rounds: u32,
 }
 
+impl Inquest {
+    /// When the witnesses are to be asked again.
+    fn next_round(&self) -> Timestamp {
+        let Some(last) = self.last_asked else {
+            return Timestamp::default();
+        };
+        let doublings = self.rounds.saturating_sub(1).min(MOST_DOUBLINGS);
+        last + ROUND_PAUSE * 2_u32.pow(doublings)
+    }
+
+    fn note_asked(&mut self, now: Timestamp) {
+        self.first_asked.get_or_insert(now);
+        self.last_asked = Some(now);
+        self.rounds += 1;
+    }
+
+    /// Whether it may soon turn out that the overdraft is unused. Witnesses that do not answer the
+    /// first questions are taken to be lost, though they are asked again.
+    fn is_undecided(&self, now: Timestamp) -> bool {
+        let is_recent = |asked: Timestamp| now.since(asked) < ROUND_PAUSE;
+        !self.is_used && self.first_asked.is_none_or(is_recent)
+    }
+}
+
+/// What is known of the open overdrafts of other owners, by name.
+#[derive(Debug, Default)]
+pub(super) struct Fencing {
+    inquests: BTreeMap<String, Inquest>,
+}
+
 impl Fencing {
-    /// The overdraft whose witnesses are to be asked now, if any.
-    pub(super) fn next_question(
+    /// The overdrafts whose witnesses are to be asked now.
+    pub(super) fn next_questions(
         &mut self,
         now: Timestamp,
         state: &LedgerState,
         is_own: impl Fn(&str) -> bool,
-    ) -> Option<String> {
-        let (name, _) = state.overdrafts().find(|(name, _)| !is_own(name))?;
-        if self.overdraft != name {
-            *self = Self {
-                overdraft: name.to_owned(),
-                ..Self::default()
-            };
-        }
-        if self.next_round(state).is_none_or(|from| from > now) {
-            return None;
+    ) -> Vec<String> {
+        let others = state.overdrafts().map(|(name, _)| name);
+        let others: BTreeSet<&str> = others.filter(|name| !is_own(name)).collect();
+        self.inquests
+            .retain(|name, _| others.contains(name.as_str()));
+        let mut due = Vec::new();
+        for name in others {
+            let inquest = self.inquests.entry(name.to_owned()).or_default();
+            let is_open = !inquest.is_used && !is_unused(state, name, inquest);
+            if is_open && inquest.next_round() <= now {
+                inquest.note_asked(now);
+                due.push(name.to_owned());
+            }
         }
-        self.first_asked.get_or_insert(now);
-        self.last_asked = Some(now);
-        self.rounds += 1;
-        Some(self.overdraft.clone())
+        due
     }
 
-    /// When the witnesses of the overdraft looked at last are to be asked again; `None` if it is
-    /// known whether it was used, or it is closed.
+    /// When witnesses are to be asked again; `None` if it is known of every overdraft whether it
+    /// was used.
     pub(super) fn next_round(&self, state: &LedgerState) -> Option<Timestamp> {
-        let is_open = state.overdrafts().any(|(name, _)| name == self.overdraft);
-        if !is_open || self.is_used || self.unused(state).is_some() {
-            return None;
-        }
-        let Some(last) = self.last_asked else {
-            return Some(Timestamp::default());
-        };
-        let doublings = self.rounds.saturating_sub(1).min(MOST_DOUBLINGS);
-        Some(last + ROUND_PAUSE * 2_u32.pow(doublings))
+        let open = self.inquests.iter();
+        open.filter(|(name, inquest)| is_held(state, name) && !inquest.is_used)
+            .filter(|(name, inquest)| !is_unused(state, name, inquest))
+            .map(|(_, inquest)| inquest.next_round())
+            .min()
     }
 
     /// Takes a witness's answer.
     pub(super) fn on_answer(&mut self, overdraft: &str, boot: u64, answer: WitnessAnswer) {
-        if overdraft != self.overdraft {
+        let Some(inquest) = self.inquests.get_mut(overdraft) else {
             return;
-        }
+        };
         match answer {
             WitnessAnswer::Fenced => {
-                self.fenced.insert(boot);
+                inquest.fenced.insert(boot);
             }
-            WitnessAnswer::Activated => self.is_used = true,
+            WitnessAnswer::Activated => inquest.is_used = true,
             WitnessAnswer::Unknown => {}
         }
     }
 
-    /// An overdraft that the log still holds and that is surely unused.
-    pub(super) fn unused(&self, state: &LedgerState) -> Option<&str> {
-        let (name, overdraft) = state
-            .overdrafts()
-            .find(|(name, _)| *name == self.overdraft)?;
-        let is_listed = |boot: &u64| overdraft.witnesses.iter().any(|w| w.boot == *boot);
-        let fenced = self.fenced.iter().filter(|boot| is_listed(boot)).count();
-        let is_unused = fenced >= majority(overdraft.witnesses.len());
-        is_unused.then_some(name).map(|_| self.overdraft.as_str())
+    /// Overdrafts that the log still holds and that are surely unused.
+    pub(super) fn unused<'a>(&'a self, state: &'a LedgerState) -> impl Iterator<Item = &'a str> {
+        let inquests = self.inquests.iter();
+        inquests
+            .filter(|(name, inquest)| is_unused(state, name, inquest))
+            .map(|(name, _)| name.as_str())
     }
 
-    /// Whether it may soon turn out that another owner's overdraft is unused. Witnesses that do not
-    /// answer the first questions are taken to be lost, though they are asked again.
-    pub(super) fn is_undecided(&self, now: Timestamp) -> bool {
-        is_recent(now, self.first_asked) && !self.is_used
+    /// Whether it may soon turn out that an overdraft is unused.
+    pub(super) fn is_undecided(&self, now: Timestamp, overdraft: &str) -> bool {
+        let inquest = self.inquests.get(overdraft);
+        inquest.is_none_or(|inquest| inquest.is_undecided(now))
     }
+
+    /// Whether a witness knows that an overdraft was used.
+    pub(super) fn is_used(&self, overdraft: &str) -> bool {
+        let inquest = self.inquests.get(overdraft);
+        inquest.is_some_and(|inquest| inquest.is_used)
+    }
+}
+
+fn is_held(state: &LedgerState, overdraft: &str) -> bool {
+    state.overdrafts().any(|(name, _)| name == overdraft)
 }
 
-fn is_recent(now: Timestamp, asked: Option<Timestamp>) -> bool {
-    asked.is_some_and(|asked| now.since(asked) < ROUND_PAUSE)
+/// Whether a majority of an open overdraft's witnesses has fenced it.
+fn is_unused(state: &LedgerState, name: &str, inquest: &Inquest) -> bool {
+    let Some((_, overdraft)) = state.overdrafts().find(|(other, _)| *other == name) else {
+        return false;
+    };
+    let is_listed = |boot: &u64| overdraft.witnesses.iter().any(|w| w.boot == *boot);
+    let fenced = inquest.fenced.iter().filter(|boot| is_listed(boot)).count();
+    fenced >= majority(overdraft.witnesses.len())
 }
--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -13,6 +13,7 @@
 mod pieces;
 mod plan;
 mod state;
+mod turn_size;
 mod wallet;
 mod wallets;
 mod witness;
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -17,6 +17,7 @@
 use super::overdraft::{OwnOverdraft, SLOW_CALL};
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::plan::{Credit, Plan, Planned, answer_at_once};
+use super::turn_size::TypicalTurn;
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
 use crate::policy::Policy;
@@ -91,6 +92,7 @@
     conflicts: u64,
     overdraft: OwnOverdraft,
     fencing: Fencing,
+    typical_turn: TypicalTurn,
     /// Nodes that can witness an overdraft now, the foremost first.
     witnesses: Rc<[Witness]>,
     inquiries: Vec<Inquiry>,
@@ -124,6 +126,7 @@
             conflicts: 0,
             overdraft: OwnOverdraft::new(),
             fencing: Fencing::default(),
+            typical_turn: TypicalTurn::default(),
             witnesses: Rc::default(),
             inquiries: Vec::new(),
         }
@@ -186,11 +189,12 @@
     }
 
     fn credit(&self, now: Timestamp) -> Credit {
-        if self.overdraft.is_usable(now) {
-            let share = self.policy.overdraft_share;
-            Credit::Overdraft { share }
-        } else {
-            Credit::None
+        match self.own_overdraft() {
+            Some(own) if self.overdraft.is_usable(now) => Credit::Overdraft {
+                share: own.share,
+                least_budget: own.least_budget,
+            },
+            _ => Credit::None,
         }
     }
 
@@ -332,7 +336,7 @@
             .map(|since| since + self.hold_back());
         let must_settle = settles_from.is_some_and(|from| from <= now);
         let must_append = must_settle || self.must_tend_overdrafts(now);
-        let prepares_from = self.prepares_from();
+        let prepares_from = self.prepares_from(now);
         let must_prepare = prepares_from.is_some_and(|from| from <= now);
         if self.jobs.is_empty() && !must_append && !must_prepare {
             let idle_from = self
@@ -366,10 +370,9 @@
 
     /// From when on the partition is read and an overdraft opened though nobody asks; `None` if
     /// that is done or not for this owner to do.
-    fn prepares_from(&self) -> Option<Timestamp> {
+    fn prepares_from(&self, now: Timestamp) -> Option<Timestamp> {
         let is_wanted = self.policy.preparation && self.is_preferred;
-        let has_overdraft = self.state.overdrafts().next().is_some();
-        let is_ready = self.is_synced && (has_overdraft || !self.can_open_overdraft());
+        let is_ready = self.is_synced && !self.may_open_overdraft(now, &[]);
         let pause = if self.is_down() {
             PREPARATION_PAUSE
         } else {
@@ -396,7 +399,7 @@
 
     fn decide(&mut self, now: Timestamp, must_append: bool) -> Action {
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
-        plan.is_fencing = self.fencing.is_undecided(now);
+        self.note_doubts(now, &mut plan);
         plan.has_extra = self.policy.advances;
         plan.cover(&self.state, &mut self.wallets);
         let mut appended = Vec::new();
@@ -501,6 +504,7 @@
             }
         }
         for (ticket, reply) in pending.replies {
+            self.note_turn_size(ticket);
             self.jobs.retain(|job| job.ticket != ticket);
             self.replies.push((ticket, reply));
         }
@@ -508,6 +512,16 @@
         self.verify_jobs(self.last_call);
     }
 
+    fn note_turn_size(&mut self, ticket: Ticket) {
+        let job = self.jobs.iter().find(|job| job.ticket == ticket);
+        let Some(LedgerRequest::Begin(begin)) = job.map(|job| &job.request) else {
+            return;
+        };
+        if begin.budget.is_some() {
+            self.typical_turn.note(begin.tokens);
+        }
+    }
+
     fn note_answer(&mut self, now: Timestamp) {
         self.note_answered_call(now, self.last_call);
     }
--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -12,6 +12,15 @@
 use super::super::overdraft::{FEWEST_WITNESSES, OverdraftUse, majority};
 use super::super::plan::Plan;
 use super::PartitionOwner;
+use crate::ledger::OpenOverdraft;
+
+/// An overdraft is opened beside at most this many that were lost: with more, what is kept free for
+/// all of them would leave programs less than a third of their budgets.
+const MOST_LOST_BESIDE: usize = 1;
+
+/// An overdraft is replaced once its floor is off by more than this ratio: seldom enough that
+/// replacing it costs next to nothing.
+const MOST_FLOOR_RATIO: u64 = 2;
 
 impl PartitionOwner {
     /// Asks the witnesses to let the overdraft be used, if the log is in trouble.
@@ -22,10 +31,16 @@
         }
     }
 
-    fn own_witnesses(&self) -> Vec<Witness> {
+    /// This owner's overdraft, if the log holds one.
+    pub(super) fn own_overdraft(&self) -> Option<&OpenOverdraft> {
         let mut overdrafts = self.state.overdrafts();
         let own = overdrafts.find(|(name, _)| self.wallets.is_own(name));
-        own.map_or_else(Vec::new, |(_, overdraft)| overdraft.witnesses.clone())
+        own.map(|(_, overdraft)| overdraft)
+    }
+
+    fn own_witnesses(&self) -> Vec<Witness> {
+        let own = self.own_overdraft();
+        own.map_or_else(Vec::new, |overdraft| overdraft.witnesses.clone())
     }
 
     fn inquire(&mut self, overdraft: &str, witnesses: &[Witness], wish: WitnessWish) {
@@ -83,48 +98,89 @@
     /// Whether an append should not wait for requests: something was drawn that does not stand in
     /// the log, or an overdraft is to be closed.
     pub(super) fn must_tend_overdrafts(&self, now: Timestamp) -> bool {
-        let is_unwanted = !self.is_preferred;
+        let is_unwanted = !self.is_preferred || self.has_unsuited_floor();
         self.wallets.has_overdrawn()
             || self.overdraft.to_close(now, is_unwanted).is_some()
-            || self.is_preferred && self.fencing.unused(&self.state).is_some()
+            || self.is_preferred && self.fencing.unused(&self.state).next().is_some()
     }
 
     /// Adds what closes and opens overdrafts to an append that stands at the end of the log. Must
     /// come after everything that has been drawn.
     pub(super) fn tend_overdrafts(&mut self, now: Timestamp, plan: &mut Plan) {
-        let is_worn = self.is_overdraft_worn();
-        let is_unwanted = !self.is_preferred || is_worn;
-        let mut left = self.state.overdrafts().count();
+        let is_ill_suited = self.is_overdraft_worn() || self.has_unsuited_floor();
+        let is_unwanted = !self.is_preferred || is_ill_suited;
+        let mut closed: Vec<String> = Vec::new();
         if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
-            let overdraft = overdraft.to_owned();
-            plan.records
-                .push(LedgerRecord::OverdraftClosed { overdraft });
+            closed.push(overdraft.to_owned());
             self.overdraft.begin_closing(self.end);
-            left -= 1;
         }
-        if !self.is_preferred {
-            return;
+        if self.is_preferred {
+            let unused = self.fencing.unused(&self.state);
+            closed.extend(unused.map(str::to_owned));
         }
-        if let Some(overdraft) = self.fencing.unused(&self.state) {
-            let overdraft = overdraft.to_owned();
-            plan.records
-                .push(LedgerRecord::OverdraftClosed { overdraft });
-            left -= 1;
+        let may_open = self.may_open_overdraft(now, &closed);
+        let closings = closed.into_iter();
+        plan.records
+            .extend(closings.map(|overdraft| LedgerRecord::OverdraftClosed { overdraft }));
+        if self.is_preferred && may_open {
+            self.open_overdraft(plan);
         }
-        if left == 0 && self.can_open_overdraft() {
-            plan.records.push(LedgerRecord::Overdraft {
-                overdraft: self.wallets.next_name(),
-                share: self.policy.overdraft_share,
-                witnesses: self.witnesses.to_vec(),
-                idle_ms: 0,
+    }
+
+    fn open_overdraft(&mut self, plan: &mut Plan) {
+        let overdraft = self.wallets.next_name();
+        plan.records.push(LedgerRecord::Overdraft {
+            overdraft: overdraft.clone(),
+            share: self.policy.overdraft_share,
+            witnesses: self.witnesses.to_vec(),
+            idle_ms: 0,
+        });
+        let least_budget = self.suitable_floor();
+        if least_budget > 0 {
+            plan.records.push(LedgerRecord::OverdraftFloor {
+                overdraft,
+                least_budget,
             });
         }
     }
 
-    pub(super) fn can_open_overdraft(&self) -> bool {
+    /// Whether an own overdraft can be opened once those named are closed: none is open, and what
+    /// stays open of others is little enough and will not soon be closed.
+    pub(super) fn may_open_overdraft(&self, now: Timestamp, closed: &[String]) -> bool {
+        let open = self.state.overdrafts().map(|(name, _)| name);
+        let left: Vec<&str> = open
+            .filter(|name| !closed.iter().any(|other| other == name))
+            .collect();
+        let is_in_the_way =
+            |name: &&str| self.wallets.is_own(name) || self.fencing.is_undecided(now, name);
+        let is_free = left.len() <= MOST_LOST_BESIDE && !left.iter().any(is_in_the_way);
+        is_free && self.can_open_overdraft()
+    }
+
+    fn can_open_overdraft(&self) -> bool {
         self.policy.overdrafts && self.witnesses.len() >= FEWEST_WITNESSES
     }
 
+    /// The least budget for which an overdraft serves: a turn of the usual size fits into its
+    /// share. Smaller budgets would have no use of it, and would be charged if it is lost.
+    fn suitable_floor(&self) -> u64 {
+        let share = self.policy.overdraft_share;
+        self.typical_turn.tokens().saturating_mul(share)
+    }
+
+    /// Whether the floor of the own overdraft is far from the suitable one.
+    fn has_unsuited_floor(&self) -> bool {
+        let Some(own) = self.own_overdraft().filter(|_| self.can_open_overdraft()) else {
+            return false;
+        };
+        let suitable = self.suitable_floor();
+        let (less, more) = (
+            own.least_budget.min(suitable),
+            own.least_budget.max(suitable),
+        );
+        more > less.saturating_mul(MOST_FLOOR_RATIO)
+    }
+
     /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
     /// it from being activated.
     fn is_overdraft_worn(&self) -> bool {
@@ -135,21 +191,32 @@
         !own.is_empty() && could_be_better && present <= majority(own.len())
     }
 
-    /// Asks the witnesses of another owner's overdraft whether it was used.
+    /// Asks the witnesses of other owners' overdrafts whether they were used.
     pub(super) fn fence_others(&mut self, now: Timestamp) {
         if !self.is_preferred {
             return;
         }
         let is_own = |name: &str| self.wallets.is_own(name);
-        let Some(name) = self.fencing.next_question(now, &self.state, is_own) else {
-            return;
-        };
-        let found = self.state.overdrafts().find(|(other, _)| *other == name);
-        let Some((_, overdraft)) = found else {
-            return;
-        };
-        let witnesses = overdraft.witnesses.clone();
-        self.inquire(&name, &witnesses, WitnessWish::Fence);
+        let due = self.fencing.next_questions(now, &self.state, is_own);
+        for name in due {
+            let found = self.state.overdrafts().find(|(other, _)| *other == name);
+            let Some((_, overdraft)) = found else {
+                continue;
+            };
+            let witnesses = overdraft.witnesses.clone();
+            self.inquire(&name, &witnesses, WitnessWish::Fence);
+        }
+    }
+
+    /// Tells a plan what is known of other owners' overdrafts.
+    pub(super) fn note_doubts(&self, now: Timestamp, plan: &mut Plan) {
+        for (name, _) in self.state.overdrafts() {
+            if self.fencing.is_used(name) {
+                plan.used.insert(name.to_owned());
+            } else if self.fencing.is_undecided(now, name) {
+                plan.undecided.insert(name.to_owned());
+            }
+        }
     }
 
     pub(super) fn refresh_overdraft(&mut self) {
--- a/crates/gateway-core/src/ledger/pieces.rs
+++ b/crates/gateway-core/src/ledger/pieces.rs
@@ -24,7 +24,8 @@
         LedgerRecord::Overdraft { witnesses, .. } => witnesses.len() * RECORD_OVERHEAD,
         LedgerRecord::Reserved { .. }
         | LedgerRecord::Settled { .. }
-        | LedgerRecord::OverdraftClosed { .. } => 0,
+        | LedgerRecord::OverdraftClosed { .. }
+        | LedgerRecord::OverdraftFloor { .. } => 0,
     };
     content + RECORD_OVERHEAD
 }
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -1,6 +1,6 @@
 //! Decides requests to a partition: what can be answered at once, and what must be appended.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +35,8 @@
     Overdraft {
         /// See [`crate::policy::Policy::overdraft_share`].
         share: u64,
+        /// Programs with smaller budgets may not draw on it.
+        least_budget: u64,
     },
 }
 
@@ -55,8 +57,10 @@
     pub(super) records: Vec<LedgerRecord>,
     /// Turns that were started on advances of this plan, by program.
     pub(super) started: Vec<(String, String)>,
-    /// Whether another owner's overdraft may soon be closed as unused.
-    pub(super) is_fencing: bool,
+    /// Overdrafts of other owners that may soon be closed as unused.
+    pub(super) undecided: BTreeSet<String>,
+    /// Overdrafts of other owners that were surely used.
+    pub(super) used: BTreeSet<String>,
     /// Whether advances hold more than the turn that they are made for.
     pub(super) has_extra: bool,
     accounts: HashMap<String, Account>,
@@ -137,9 +141,16 @@
     begin: &BeginTurn,
     budget: u64,
 ) -> bool {
-    let Credit::Overdraft { share } = credit else {
+    let Credit::Overdraft {
+        share,
+        least_budget,
+    } = credit
+    else {
         return false;
     };
+    if budget < least_budget {
+        return false;
+    }
     let program = &begin.program;
     let is_running = wallets.is_running(program, &begin.turn);
     let with_turn = if is_running {
@@ -264,13 +275,8 @@
             if self.advanced.contains_key(&begin.program) {
                 return Planned::DecideAfterAppend;
             }
-            let is_own = |reservation: &str| wallets.is_own(reservation);
-            let program = &begin.program;
-            let mut others = state.lately_reserved_by_others(program, now, OTHERS_PATIENCE, is_own);
-            if self.is_fencing {
-                others += state.overdrawn_by_others(program, budget, is_own);
-            }
-            return Planned::AnswerIfCurrent(shortage.reply(others));
+            let doubt = self.doubt(state, wallets, now, &begin.program, budget);
+            return Planned::AnswerIfCurrent(shortage.reply(doubt));
         }
         if let Some((turn, content)) = import {
             self.keep(&turn, content);
@@ -278,6 +284,29 @@
         Planned::Append(LedgerReply::Granted { conversation })
     }
 
+    /// What of the tokens that are held free of a program for other owners may not be spent.
+    fn doubt(
+        &self,
+        state: &LedgerState,
+        wallets: &Wallets,
+        now: Timestamp,
+        program: &str,
+        budget: u64,
+    ) -> Doubt {
+        let is_own = |name: &str| wallets.is_own(name);
+        let reserved = state.lately_reserved_by_others(program, now, OTHERS_PATIENCE, is_own);
+        let undecided = state.overdrawn_by_others(program, budget, |name| {
+            is_own(name) || !self.undecided.contains(name)
+        });
+        let unknown = state.overdrawn_by_others(program, budget, |name| {
+            is_own(name) || self.used.contains(name)
+        });
+        Doubt {
+            short: reserved + undecided,
+            lasting: reserved + unknown,
+        }
+    }
+
     /// Starts a turn on the program's wallet, with a new advance if it holds too little. An error
     /// if the budget does not hold the turn.
     fn fund(
@@ -350,11 +379,21 @@
     tokens: u64,
 }
 
+/// Tokens of which it is not known whether they are spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// Those of which that will soon be known.
+    short: u64,
+    /// All of them.
+    lasting: u64,
+}
+
 impl Shortage {
-    /// The answer, if others have set `reserved` tokens aside that they may give back.
-    fn reply(self, reserved: u64) -> LedgerReply {
-        if reserved >= self.tokens {
+    fn reply(self, doubt: Doubt) -> LedgerReply {
+        if doubt.short >= self.tokens {
             LedgerReply::BudgetUnsure
+        } else if doubt.lasting >= self.tokens {
+            LedgerReply::BudgetInDoubt
         } else {
             LedgerReply::BudgetSpent
         }
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -52,6 +52,8 @@
     /// A turn may begin on it if, with it, the program draws no more than one part in so many of
     /// its budget.
     pub share: u64,
+    /// Programs with smaller budgets may not draw on it.
+    pub least_budget: u64,
     /// The nodes that know whether it is used.
     pub witnesses: Vec<Witness>,
 }
@@ -116,13 +118,27 @@
                 idle_ms,
             } => {
                 let idle = Duration::from_millis(idle_ms);
+                let known = self.overdrafts.get(&overdraft);
+                let value = OpenOverdraft {
+                    share,
+                    least_budget: known.map_or(0, |known| known.value.least_budget),
+                    witnesses,
+                };
                 let dated = Dated {
-                    value: OpenOverdraft { share, witnesses },
+                    value,
                     touched: now - idle,
                     written: now,
                 };
                 self.overdrafts.insert(overdraft, dated);
             }
+            LedgerRecord::OverdraftFloor {
+                overdraft,
+                least_budget,
+            } => {
+                if let Some(dated) = self.overdrafts.get_mut(&overdraft) {
+                    dated.value.least_budget = least_budget;
+                }
+            }
             LedgerRecord::OverdraftClosed { overdraft } => {
                 self.overdrafts.remove(&overdraft);
             }
@@ -148,6 +164,7 @@
     /// Tokens that other owners may have let a program generate on their overdrafts, beyond what
     /// stands in the log. `is_own` tells which overdrafts are the asker's.
     ///
+    /// A budget below an overdraft's floor cannot have been drawn on it.
     /// An owner lets a turn begin only if what the program then draws at most, beside settled
     /// tokens, stays within a share of its budget. So the charge covers all that it can have
     /// granted unseen, and charges of several open overdrafts add up.
@@ -159,6 +176,7 @@
     ) -> u64 {
         let others = self.overdrafts().filter(|(name, _)| !is_own(name));
         others
+            .filter(|(_, overdraft)| budget >= overdraft.least_budget)
             .map(|(name, overdraft)| {
                 let owner = owner_of(name);
                 let limit = budget / overdraft.share.max(1);
@@ -289,12 +307,7 @@
             .overdrafts
             .iter()
             .filter(|(_, dated)| now.since(dated.written) >= REWRITE_AFTER)
-            .map(|(overdraft, dated)| LedgerRecord::Overdraft {
-                overdraft: overdraft.clone(),
-                share: dated.value.share,
-                witnesses: dated.value.witnesses.clone(),
-                idle_ms: u64::try_from(now.since(dated.touched).as_millis()).unwrap_or(u64::MAX),
-            });
+            .flat_map(|(overdraft, dated)| overdraft_records(now, overdraft, dated));
         accounts.chain(turns).chain(overdrafts).collect()
     }
 
@@ -323,3 +336,24 @@
         dated
     }
 }
+
+/// The records that an open overdraft is written anew with.
+fn overdraft_records(
+    now: Timestamp,
+    overdraft: &str,
+    dated: &Dated<OpenOverdraft>,
+) -> [LedgerRecord; 2] {
+    let idle = now.since(dated.touched).as_millis();
+    [
+        LedgerRecord::Overdraft {
+            overdraft: overdraft.to_owned(),
+            share: dated.value.share,
+            witnesses: dated.value.witnesses.clone(),
+            idle_ms: u64::try_from(idle).unwrap_or(u64::MAX),
+        },
+        LedgerRecord::OverdraftFloor {
+            overdraft: overdraft.to_owned(),
+            least_budget: dated.value.least_budget,
+        },
+    ]
+}
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -71,6 +71,14 @@
         /// Names the overdraft.
         overdraft: String,
     },
+    /// An overdraft, opened by the record before, serves no programs with small budgets; so they
+    /// need not be held back for it.
+    OverdraftFloor {
+        /// Names the overdraft.
+        overdraft: String,
+        /// Programs with smaller budgets may not draw on it.
+        least_budget: u64,
+    },
 }
 
 /// A start of a node that remembers whether an overdraft is used.
@@ -189,6 +197,9 @@
     BudgetUnsure,
     /// A witness's answer.
     Witness(WitnessAnswer),
+    /// Whether the budget holds the turn depends on what a lost owner may have let run, which may
+    /// not become known for long; nothing was done.
+    BudgetInDoubt,
 }
 
 /// A frame between gateways: a request, what becomes of it, or news that asks for no reply.
