ledger: a lost advance leaves room for another turn

Cause: an advance takes up to a quarter of what the budget has left beyond its turn; lost with its owner it counts in full, and a budget that held just one more turn did not hold it any more. Change: what goes beyond the turn leaves room for another turn of its size, if there is any. The table over budgets of 20 to 60 failed first (at 20: no room for the second turn of 10).

--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -335,9 +335,8 @@
                     tokens: wanted - budget,
                 });
             }
-            let left = budget - wanted;
             let extra = match self.has_extra {
-                true => (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE),
+                true => extra_advance(budget - wanted, begin.tokens),
                 false => 0,
             };
             let reservation = wallets.next_name();
@@ -373,6 +372,15 @@
     }
 }
 
+/// What an advance holds beyond its turn of `tokens`, if the budget has `left` beyond the turn. It
+/// leaves room for another such turn, if there is: should the advance be lost with its owner, the
+/// program can go on.
+fn extra_advance(left: u64, tokens: u64) -> u64 {
+    let spare = left.checked_sub(tokens).unwrap_or(left);
+    let small = (left / SHARE_IN_ADVANCE).min(spare);
+    small.min(tokens.saturating_mul(TURNS_IN_ADVANCE))
+}
+
 /// What a budget lacks for a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Shortage {
--- a/crates/gateway-core/tests/ledger/budgets.rs
+++ b/crates/gateway-core/tests/ledger/budgets.rs
@@ -360,3 +360,31 @@
     assert_eq!(owner.take_replies(), []);
     assert!(matches!(owner.next_action(START), Action::Read { .. }));
 }
+
+/// The records of an owner that let one turn of 10 run and was lost.
+fn left_by_a_lost_owner(budget: u64) -> Vec<LedgerRecord> {
+    let mut lost = PartitionOwner::new("lost".to_owned());
+    lost.submit(START, Ticket(1), begin("one", budget, 10));
+    assert!(matches!(lost.next_action(START), Action::Read { .. }));
+    lost.on_read(START, nothing(0));
+    let Action::Append { records, .. } = lost.next_action(START) else {
+        panic!("the turn needs an advance");
+    };
+    records
+}
+
+#[test]
+fn an_advance_that_is_lost_leaves_room_for_a_turn_that_the_budget_held() {
+    for budget in 20..=60 {
+        let records = left_by_a_lost_owner(budget);
+        let end = Offset(records.len() as u64);
+        let mut owner = PartitionOwner::new("next".to_owned());
+        owner.submit(START, Ticket(1), begin("two", budget, 10));
+        assert!(matches!(owner.next_action(START), Action::Read { .. }));
+        let records = records.into_iter().map(Some).collect();
+        owner.on_read(START, ReadOutcome::Records { records, end });
+        let action = owner.next_action(START);
+        let is_funded = matches!(action, Action::Append { .. });
+        assert!(is_funded, "a budget of {budget}: {action:?}");
+    }
+}
