ledger: beside a lost overdraft one for known programs alone, superseded when lost too

Change: an overdraft opened beside another serves programs alone whose account its owner has read in the log, and the next owner appends that it is superseded; programs that begin after that are not held back for it.

Tests: tables; the model test loses owners and all witnesses one after the other and fails if unknown programs may draw; that a superseded overdraft is not drawn on is a table's.

--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -190,10 +190,13 @@
 
     fn credit(&self, now: Timestamp) -> Credit {
         match self.own_overdraft() {
-            Some(own) if self.overdraft.is_usable(now) => Credit::Overdraft {
-                share: own.share,
-                least_budget: own.least_budget,
-            },
+            Some(own) if own.superseded.is_none() && self.overdraft.is_usable(now) => {
+                Credit::Overdraft {
+                    share: own.share,
+                    least_budget: own.least_budget,
+                    known_programs: own.known_programs,
+                }
+            }
             _ => Credit::None,
         }
     }
--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -15,8 +15,8 @@
 use crate::ledger::OpenOverdraft;
 
 /// An overdraft is opened beside at most this many that were lost: with more, what is kept free for
-/// all of them would leave programs less than a third of their budgets.
-const MOST_LOST_BESIDE: usize = 1;
+/// all of them would leave a program that lives through all the losses nothing.
+const MOST_LOST_BESIDE: usize = 2;
 
 /// An overdraft is replaced once its floor is off by more than this ratio: seldom enough that
 /// replacing it costs next to nothing.
@@ -98,17 +98,17 @@
     /// Whether an append should not wait for requests: something was drawn that does not stand in
     /// the log, or an overdraft is to be closed.
     pub(super) fn must_tend_overdrafts(&self, now: Timestamp) -> bool {
-        let is_unwanted = !self.is_preferred || self.has_unsuited_floor();
+        let is_unwanted = !self.is_preferred || self.is_ill_suited();
         self.wallets.has_overdrawn()
             || self.overdraft.to_close(now, is_unwanted).is_some()
             || self.is_preferred && self.fencing.unused(&self.state).next().is_some()
+            || self.is_preferred && !self.to_supersede(now).is_empty()
     }
 
     /// Adds what closes and opens overdrafts to an append that stands at the end of the log. Must
     /// come after everything that has been drawn.
     pub(super) fn tend_overdrafts(&mut self, now: Timestamp, plan: &mut Plan) {
-        let is_ill_suited = self.is_overdraft_worn() || self.has_unsuited_floor();
-        let is_unwanted = !self.is_preferred || is_ill_suited;
+        let is_unwanted = !self.is_preferred || self.is_overdraft_worn() || self.is_ill_suited();
         let mut closed: Vec<String> = Vec::new();
         if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
             closed.push(overdraft.to_owned());
@@ -119,15 +119,35 @@
             closed.extend(unused.map(str::to_owned));
         }
         let may_open = self.may_open_overdraft(now, &closed);
+        if self.is_preferred {
+            let superseded = self.to_supersede(now).into_iter();
+            plan.records.extend(
+                superseded.map(|overdraft| LedgerRecord::OverdraftSuperseded { overdraft }),
+            );
+        }
+        let is_alone = self.state.overdrafts().count() == closed.len();
         let closings = closed.into_iter();
         plan.records
             .extend(closings.map(|overdraft| LedgerRecord::OverdraftClosed { overdraft }));
         if self.is_preferred && may_open {
-            self.open_overdraft(plan);
+            self.open_overdraft(plan, is_alone);
         }
     }
 
-    fn open_overdraft(&mut self, plan: &mut Plan) {
+    /// Overdrafts of other owners that may have been used and are to be drawn on no more, so that
+    /// programs that begin from now on are not held back for them.
+    fn to_supersede(&self, now: Timestamp) -> Vec<String> {
+        let others = self.state.overdrafts();
+        others
+            .filter(|(_, overdraft)| overdraft.known_programs && overdraft.superseded.is_none())
+            .filter(|(name, _)| !self.wallets.is_own(name) && !self.fencing.is_undecided(now, name))
+            .map(|(name, _)| name.to_owned())
+            .collect()
+    }
+
+    /// Opens an overdraft. Beside another it serves known programs alone: should it be lost too,
+    /// programs that begin afterwards are held back for one overdraft only.
+    fn open_overdraft(&mut self, plan: &mut Plan, is_alone: bool) {
         let overdraft = self.wallets.next_name();
         plan.records.push(LedgerRecord::Overdraft {
             overdraft: overdraft.clone(),
@@ -136,10 +156,12 @@
             idle_ms: 0,
         });
         let least_budget = self.suitable_floor();
-        if least_budget > 0 {
-            plan.records.push(LedgerRecord::OverdraftFloor {
+        let known_programs = !is_alone;
+        if least_budget > 0 || known_programs {
+            plan.records.push(LedgerRecord::OverdraftTerms {
                 overdraft,
                 least_budget,
+                known_programs,
             });
         }
     }
@@ -168,17 +190,15 @@
         self.typical_turn.tokens().saturating_mul(share)
     }
 
-    /// Whether the floor of the own overdraft is far from the suitable one.
-    fn has_unsuited_floor(&self) -> bool {
+    /// Whether another overdraft would serve programs better than the own one.
+    fn is_ill_suited(&self) -> bool {
         let Some(own) = self.own_overdraft().filter(|_| self.can_open_overdraft()) else {
             return false;
         };
-        let suitable = self.suitable_floor();
-        let (less, more) = (
-            own.least_budget.min(suitable),
-            own.least_budget.max(suitable),
-        );
-        more > less.saturating_mul(MOST_FLOOR_RATIO)
+        let is_alone = self.state.overdrafts().count() == 1;
+        own.superseded.is_some()
+            || own.known_programs && is_alone
+            || is_far(own.least_budget, self.suitable_floor())
     }
 
     /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
@@ -224,3 +244,8 @@
         self.overdraft.refresh(&self.state, self.end, is_own);
     }
 }
+
+/// Whether a floor is off by more than [`MOST_FLOOR_RATIO`].
+fn is_far(floor: u64, suitable: u64) -> bool {
+    floor.max(suitable) > floor.min(suitable).saturating_mul(MOST_FLOOR_RATIO)
+}
--- a/crates/gateway-core/src/ledger/pieces.rs
+++ b/crates/gateway-core/src/ledger/pieces.rs
@@ -25,7 +25,8 @@
         LedgerRecord::Reserved { .. }
         | LedgerRecord::Settled { .. }
         | LedgerRecord::OverdraftClosed { .. }
-        | LedgerRecord::OverdraftFloor { .. } => 0,
+        | LedgerRecord::OverdraftTerms { .. }
+        | LedgerRecord::OverdraftSuperseded { .. } => 0,
     };
     content + RECORD_OVERHEAD
 }
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -37,6 +37,8 @@
         share: u64,
         /// Programs with smaller budgets may not draw on it.
         least_budget: u64,
+        /// Whether only programs may draw on it that have an account in the log.
+        known_programs: bool,
     },
 }
 
@@ -144,11 +146,13 @@
     let Credit::Overdraft {
         share,
         least_budget,
+        known_programs,
     } = credit
     else {
         return false;
     };
-    if budget < least_budget {
+    let is_known = state.account(&begin.program).is_some();
+    if budget < least_budget || known_programs && !is_known {
         return false;
     }
     let program = &begin.program;
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -54,10 +54,24 @@
     pub share: u64,
     /// Programs with smaller budgets may not draw on it.
     pub least_budget: u64,
+    /// Whether only programs may draw on it whose account its owner has read in the log.
+    pub known_programs: bool,
+    /// Set once its owner may not draw on it any more, as soon as it has read that: the programs
+    /// that had an account then.
+    pub superseded: Option<BTreeSet<String>>,
     /// The nodes that know whether it is used.
     pub witnesses: Vec<Witness>,
 }
 
+impl OpenOverdraft {
+    /// Whether a program can have drawn on it, or can yet.
+    fn may_have_served(&self, program: &str, budget: u64) -> bool {
+        let is_too_new = |known: &BTreeSet<String>| !known.contains(program);
+        let is_spared = self.known_programs && self.superseded.as_ref().is_some_and(is_too_new);
+        budget >= self.least_budget && !is_spared
+    }
+}
+
 /// Accounts, kept turns and overdrafts of one partition.
 #[derive(Debug, Default)]
 pub struct LedgerState {
@@ -103,6 +117,7 @@
                 settled,
                 open,
             } => {
+                self.note_known_before(&program);
                 let entry = self.account_entry(now, program);
                 entry.account.settled = settled;
                 entry.account.open = open.into_iter().collect();
@@ -118,12 +133,18 @@
                 idle_ms,
             } => {
                 let idle = Duration::from_millis(idle_ms);
-                let known = self.overdrafts.get(&overdraft);
-                let value = OpenOverdraft {
+                let mut value = OpenOverdraft {
                     share,
-                    least_budget: known.map_or(0, |known| known.value.least_budget),
+                    least_budget: 0,
+                    known_programs: false,
+                    superseded: None,
                     witnesses,
                 };
+                if let Some(known) = self.overdrafts.remove(&overdraft) {
+                    value.least_budget = known.value.least_budget;
+                    value.known_programs = known.value.known_programs;
+                    value.superseded = known.value.superseded;
+                }
                 let dated = Dated {
                     value,
                     touched: now - idle,
@@ -131,12 +152,23 @@
                 };
                 self.overdrafts.insert(overdraft, dated);
             }
-            LedgerRecord::OverdraftFloor {
+            LedgerRecord::OverdraftTerms {
                 overdraft,
                 least_budget,
+                known_programs,
             } => {
                 if let Some(dated) = self.overdrafts.get_mut(&overdraft) {
                     dated.value.least_budget = least_budget;
+                    dated.value.known_programs = known_programs;
+                }
+            }
+            LedgerRecord::OverdraftSuperseded { overdraft } => {
+                if let Some(dated) = self.overdrafts.get_mut(&overdraft) {
+                    let known = self.accounts.keys().cloned();
+                    dated
+                        .value
+                        .superseded
+                        .get_or_insert_with(|| known.collect());
                 }
             }
             LedgerRecord::OverdraftClosed { overdraft } => {
@@ -145,6 +177,18 @@
         }
     }
 
+    /// A program whose account is written anew may have had one before any record that is kept.
+    fn note_known_before(&mut self, program: &str) {
+        if self.accounts.contains_key(program) {
+            return;
+        }
+        for dated in self.overdrafts.values_mut() {
+            if let Some(known) = &mut dated.value.superseded {
+                known.insert(program.to_owned());
+            }
+        }
+    }
+
     /// A record shows that its owner lives, so its overdraft may still be used.
     fn note_owner(&mut self, now: Timestamp, reservation: &str) {
         let owner = owner_of(reservation);
@@ -164,7 +208,7 @@
     /// Tokens that other owners may have let a program generate on their overdrafts, beyond what
     /// stands in the log. `is_own` tells which overdrafts are the asker's.
     ///
-    /// A budget below an overdraft's floor cannot have been drawn on it.
+    /// Programs that an overdraft does not serve cannot have drawn on it.
     /// An owner lets a turn begin only if what the program then draws at most, beside settled
     /// tokens, stays within a share of its budget. So the charge covers all that it can have
     /// granted unseen, and charges of several open overdrafts add up.
@@ -176,7 +220,7 @@
     ) -> u64 {
         let others = self.overdrafts().filter(|(name, _)| !is_own(name));
         others
-            .filter(|(_, overdraft)| budget >= overdraft.least_budget)
+            .filter(|(_, overdraft)| overdraft.may_have_served(program, budget))
             .map(|(name, overdraft)| {
                 let owner = owner_of(name);
                 let limit = budget / overdraft.share.max(1);
@@ -342,18 +386,26 @@
     now: Timestamp,
     overdraft: &str,
     dated: &Dated<OpenOverdraft>,
-) -> [LedgerRecord; 2] {
+) -> Vec<LedgerRecord> {
     let idle = now.since(dated.touched).as_millis();
-    [
+    let open = &dated.value;
+    let mut records = vec![
         LedgerRecord::Overdraft {
             overdraft: overdraft.to_owned(),
-            share: dated.value.share,
-            witnesses: dated.value.witnesses.clone(),
+            share: open.share,
+            witnesses: open.witnesses.clone(),
             idle_ms: u64::try_from(idle).unwrap_or(u64::MAX),
         },
-        LedgerRecord::OverdraftFloor {
+        LedgerRecord::OverdraftTerms {
             overdraft: overdraft.to_owned(),
-            least_budget: dated.value.least_budget,
+            least_budget: open.least_budget,
+            known_programs: open.known_programs,
         },
-    ]
+    ];
+    if open.superseded.is_some() {
+        records.push(LedgerRecord::OverdraftSuperseded {
+            overdraft: overdraft.to_owned(),
+        });
+    }
+    records
 }
--- a/crates/gateway-core/tests/ledger/fixtures.rs
+++ b/crates/gateway-core/tests/ledger/fixtures.rs
@@ -8,8 +8,12 @@
 pub const START: Timestamp = Timestamp(1_000_000);
 
 pub fn begin(turn: &str, budget: u64, tokens: u64) -> LedgerRequest {
+    begin_of("p", turn, budget, tokens)
+}
+
+pub fn begin_of(program: &str, turn: &str, budget: u64, tokens: u64) -> LedgerRequest {
     LedgerRequest::Begin(BeginTurn {
-        program: "p".to_owned(),
+        program: program.to_owned(),
         turn: turn.to_owned(),
         budget: Some(budget),
         tokens,
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -8,11 +8,11 @@
 };
 use elderworks_gateway_core::policy::Policy;
 use elderworks_protocol::ledger::{
-    LedgerRecord, LedgerReply, LedgerRequest, Witness, WitnessAnswer, WitnessQuestion, WitnessWish,
+    LedgerRecord, LedgerReply, Witness, WitnessAnswer, WitnessQuestion, WitnessWish,
 };
 use elderworks_types::{NodeId, Offset, Timestamp};
 
-use crate::fixtures::{START, begin, finish, nothing};
+use crate::fixtures::{START, begin, begin_of, finish, nothing};
 
 fn witness(boot: u64) -> Witness {
     Witness {
@@ -450,9 +450,10 @@
     let ReadOutcome::Records { mut records, .. } = others_overdraft() else {
         panic!("records");
     };
-    records.push(Some(LedgerRecord::OverdraftFloor {
+    records.push(Some(LedgerRecord::OverdraftTerms {
         overdraft: "lost/1".to_owned(),
         least_budget,
+        known_programs: false,
     }));
     ReadOutcome::Records {
         records,
@@ -484,14 +485,102 @@
     };
     assert_eq!(until, START + FENCING);
     let records = appended(&mut owner, until);
-    assert!(matches!(records[..], [LedgerRecord::Overdraft { .. }]));
+    let [LedgerRecord::Overdraft { .. }, terms] = &records[..] else {
+        panic!("{records:?}");
+    };
+    assert!(
+        matches!(terms, LedgerRecord::OverdraftTerms { known_programs, .. } if *known_programs),
+        "{terms:?}"
+    );
     owner.on_append(until, AppendOutcome::Done);
     assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
     assert!(matches!(owner.next_action(until), Action::Wait { .. }));
 }
 
+/// The programs that an overdraft beside a lost one serves: those that the log knows.
+#[test]
+fn an_overdraft_beside_a_lost_one_serves_known_programs_alone() {
+    let mut owner = owner_after_loss_of_all(0);
+    let now = START + FENCING;
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    owner.submit(now, Ticket(1), begin("one", 90, 10));
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    owner.take_replies();
+    // The first turn's advance holds another; the call for the next one takes long.
+    owner.submit(now, Ticket(2), begin("two", 90, 10));
+    assert_eq!(granted(&mut owner), 1, "on the first turn's advance");
+    owner.submit(now, Ticket(3), begin("three", 90, 10));
+    appended(&mut owner, now);
+    owner.note_slow_call(now);
+    for inquiry in owner.take_inquiries() {
+        answer(&mut owner, now, &inquiry, WitnessAnswer::Activated);
+    }
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Active);
+    assert_eq!(granted(&mut owner), 1, "a third of 90 holds the third turn");
+    owner.submit(now, Ticket(5), begin_of("new", "first", 90, 10));
+    assert_eq!(
+        granted(&mut owner),
+        0,
+        "the log knows nothing of the program"
+    );
+}
+
+/// What a second loss of all machines leaves: the overdraft of the first, and one opened beside it.
 #[test]
-fn no_third_overdraft_is_opened_beside_two_that_were_lost() {
+fn programs_that_begin_after_a_second_loss_are_held_back_for_one_overdraft() {
+    let mut owner = PartitionOwner::new("third".to_owned());
+    owner.set_witnesses(witnesses(&[21, 22, 23]).into());
+    owner.next_action(START);
+    let opened = |name: &str| LedgerRecord::Overdraft {
+        overdraft: name.to_owned(),
+        share: 3,
+        witnesses: witnesses(&[1, 2, 3]),
+        idle_ms: 0,
+    };
+    let known = LedgerRecord::Reserved {
+        program: "known".to_owned(),
+        reservation: "second/2".to_owned(),
+        tokens: 10,
+    };
+    let terms = LedgerRecord::OverdraftTerms {
+        overdraft: "second/1".to_owned(),
+        least_budget: 0,
+        known_programs: true,
+    };
+    let records = vec![opened("lost/1"), opened("second/1"), terms, known];
+    let outcome = ReadOutcome::Records {
+        records: records.into_iter().map(Some).collect(),
+        end: Offset(4),
+    };
+    owner.on_read(START, outcome);
+    owner.next_action(START);
+    let now = START + FENCING;
+    let records = appended(&mut owner, now);
+    let superseded = LedgerRecord::OverdraftSuperseded {
+        overdraft: "second/1".to_owned(),
+    };
+    assert!(records.contains(&superseded), "{records:?}");
+    owner.on_append(now, AppendOutcome::Done);
+    owner.next_action(now);
+    let charge = |program: &str| {
+        owner
+            .state()
+            .overdrawn_by_others(program, 90, |name| name.starts_with("third"))
+    };
+    assert_eq!(charge("new"), 30, "for the first overdraft alone");
+    assert_eq!(
+        charge("known"),
+        50,
+        "for both, less what the log holds of one"
+    );
+}
+
+#[test]
+fn no_fourth_overdraft_is_opened_beside_three_that_were_lost() {
     let mut owner = PartitionOwner::new("successor".to_owned());
     owner.set_witnesses(witnesses(&[11, 12, 13]).into());
     owner.next_action(START);
@@ -504,12 +593,12 @@
         })
     };
     let outcome = ReadOutcome::Records {
-        records: vec![lost("lost/1"), lost("second/1")],
-        end: Offset(2),
+        records: vec![lost("lost/1"), lost("second/1"), lost("third/1")],
+        end: Offset(3),
     };
     owner.on_read(START, outcome);
     owner.next_action(START);
-    assert_eq!(owner.take_inquiries().len(), 6, "the witnesses of both");
+    assert_eq!(owner.take_inquiries().len(), 9, "the witnesses of all");
     let action = owner.next_action(START + FENCING);
     assert!(matches!(action, Action::Wait { .. }), "{action:?}");
 }
@@ -571,7 +660,7 @@
     owner.submit(START, Ticket(2), begin("two", 900, 200));
     let records = appended(&mut owner, START);
     let floor = records.iter().find_map(|record| match record {
-        LedgerRecord::OverdraftFloor { least_budget, .. } => Some(*least_budget),
+        LedgerRecord::OverdraftTerms { least_budget, .. } => Some(*least_budget),
         _ => None,
     });
     assert_eq!(floor, Some(30), "{records:?}");
@@ -585,12 +674,37 @@
     }
     assert_eq!(owner.overdraft_use(), OverdraftUse::Active);
     for (budget, expected) in [(29, 0), (30, 1)] {
-        let LedgerRequest::Begin(mut turn) = begin("small", budget, 5) else {
-            panic!("a turn");
-        };
-        turn.program = format!("of {budget}");
+        let program = format!("of {budget}");
         owner.take_replies();
-        owner.submit(START, Ticket(budget), LedgerRequest::Begin(turn));
+        owner.submit(
+            START,
+            Ticket(budget),
+            begin_of(&program, "small", budget, 5),
+        );
         assert_eq!(granted(&mut owner), expected, "a budget of {budget}");
     }
 }
+
+#[test]
+fn nothing_is_drawn_on_an_overdraft_that_is_known_to_be_superseded() {
+    for is_superseded in [false, true] {
+        let mut owner = active();
+        granted(&mut owner);
+        owner.on_append(START, AppendOutcome::Conflict);
+        owner.next_action(START);
+        let superseded = LedgerRecord::OverdraftSuperseded {
+            overdraft: "owner/1".to_owned(),
+        };
+        let records: Vec<_> = is_superseded
+            .then_some(Some(superseded))
+            .into_iter()
+            .collect();
+        let end = Offset(1 + records.len() as u64);
+        // The log answers, but slowly, so that the overdraft would still be of use.
+        let now = START + SLOW_CALL;
+        owner.on_read(now, ReadOutcome::Records { records, end });
+        owner.submit(now, Ticket(2), begin("two", 90, 10));
+        let expected = usize::from(!is_superseded);
+        assert_eq!(granted(&mut owner), expected, "superseded: {is_superseded}");
+    }
+}
--- a/crates/gateway-core/tests/ledger_model.rs
+++ b/crates/gateway-core/tests/ledger_model.rs
@@ -22,7 +22,7 @@
 const OWNERS: usize = 3;
 /// Nodes that can witness: the owners' own, and others.
 const NODES: usize = 5;
-const PROGRAMS: [&str; 3] = ["a", "b", "c"];
+const PROGRAMS: [&str; 4] = ["a", "b", "c", "d"];
 const MOST: u64 = 10;
 /// The budget of a program: one is too small for a turn on an overdraft.
 fn budget(program: &str) -> u64 {
@@ -573,6 +573,21 @@
         self.step(Step::Slow { owner });
     }
 
+    /// An owner that the log serves does all that it has to do, for two seconds.
+    fn serve(&mut self, owner: usize) {
+        for _ in 0..2 {
+            for _ in 0..4 {
+                self.step(Step::Act {
+                    owner,
+                    fate: Fate::Works,
+                });
+                self.step(Step::Learn { owner });
+                self.hear(vec![(true, true); 8]);
+            }
+            self.step(Step::Pass { steps: 55 });
+        }
+    }
+
     fn hear(&mut self, answers: Vec<(bool, bool)>) {
         for (is_asked, is_heard) in answers {
             self.step(Step::Inquire { is_asked, is_heard });
@@ -791,6 +806,41 @@
         }
     }
 
+    /// Owners act one after the other, each until it loses the log and then perhaps its memory,
+    /// while all witnesses lose theirs. Those that live go on asking and letting run what they can.
+    #[test]
+    fn owners_lost_one_after_the_other_keep_a_budget_together(
+        turns in prop::collection::vec((0..OWNERS, 0..PROGRAMS.len()), 30),
+        lost in prop::collection::vec(any::<bool>(), OWNERS),
+        rounds in 2..6_usize,
+    ) {
+        let mut world = World::with_witnesses();
+        let mut turns = turns.into_iter();
+        for (owner, is_lost) in lost.into_iter().enumerate() {
+            for _ in 0..rounds {
+                world.serve(owner);
+                if let Some((_, program)) = turns.next() {
+                    world.step(Step::Begin { owner, program });
+                }
+            }
+            world.serve(owner);
+            world.cut_off(owner);
+            world.hear(vec![(true, true); 8]);
+            for (drawing, program) in turns.by_ref().take(5) {
+                let owner = drawing.min(owner);
+                world.step(Step::Begin { owner, program });
+                world.step(Step::Slow { owner });
+                world.hear(vec![(true, true); 4]);
+            }
+            for node in OWNERS..NODES {
+                world.restart(node);
+            }
+            if is_lost {
+                world.restart(owner);
+            }
+        }
+    }
+
     /// Once the log works again, every request gets its answer.
     #[test]
     fn every_request_is_answered_in_the_end(steps in prop::collection::vec(step(), 1..100)) {
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -71,13 +71,21 @@
         /// Names the overdraft.
         overdraft: String,
     },
-    /// An overdraft, opened by the record before, serves no programs with small budgets; so they
-    /// need not be held back for it.
-    OverdraftFloor {
+    /// Which programs an overdraft, opened by the record before, serves; the others need not be
+    /// held back for it.
+    OverdraftTerms {
         /// Names the overdraft.
         overdraft: String,
         /// Programs with smaller budgets may not draw on it.
         least_budget: u64,
+        /// Whether only programs may draw on it whose account its owner has read in the log.
+        known_programs: bool,
+    },
+    /// An overdraft may not be drawn on by an owner that has read this. Where it serves known
+    /// programs alone, those that begin after this record need not be held back for it.
+    OverdraftSuperseded {
+        /// Names the overdraft.
+        overdraft: String,
     },
 }
 
