ledger: a close in doubt stays in doubt, overdrafts are used on whole knowledge only

Cause (review): a refused append that held no close took a close in doubt for failed, so an overdraft could be drawn on that was then closed, and a budget passed; expire refreshed the own overdraft in the middle of a read, without its terms; a slow log could keep one in use until its witnesses forget; a 402 took a used overdraft as used by every program; an owner that is not preferred promised a decision that it does not ask for; numbers that callers name could overflow.

--- a/crates/gateway-core/src/ledger/account.rs
+++ b/crates/gateway-core/src/ledger/account.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use super::wallet::total;
+
 /// Tokens that a program has generated and those set aside for turns that may be under way.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Account {
@@ -14,12 +16,12 @@
 impl Account {
     /// Tokens generated if every reservation is used whole.
     pub fn committed(&self) -> u64 {
-        self.settled + self.open.values().sum::<u64>()
+        total(self.open.values().copied()).saturating_add(self.settled)
     }
 
     /// Whether the budget holds `tokens` more, if every reservation is used whole.
     pub fn allows(&self, budget: u64, tokens: u64) -> bool {
-        self.committed() + tokens <= budget
+        self.committed().saturating_add(tokens) <= budget
     }
 
     /// Sets tokens aside.
@@ -30,7 +32,7 @@
     /// Ends a reservation; one that is not open changes nothing.
     pub fn settle(&mut self, reservation: &str, used: u64) {
         if self.open.remove(reservation).is_some() {
-            self.settled += used;
+            self.settled = self.settled.saturating_add(used);
         }
     }
 }
--- a/crates/gateway-core/src/ledger/fencing.rs
+++ b/crates/gateway-core/src/ledger/fencing.rs
@@ -21,7 +21,7 @@
 
 /// What the witnesses of one overdraft have answered.
 #[derive(Debug, Default)]
-struct Inquest {
+struct FencingStatus {
     fenced: BTreeSet<u64>,
     /// Whether a witness knows that it is used, or was.
     is_used: bool,
@@ -31,7 +31,7 @@
     rounds: u32,
 }
 
-impl Inquest {
+impl FencingStatus {
     /// When the witnesses are to be asked again.
     fn next_round(&self) -> Timestamp {
         let Some(last) = self.last_asked else {
@@ -58,7 +58,7 @@
 /// What is known of the open overdrafts of other owners, by name.
 #[derive(Debug, Default)]
 pub(super) struct Fencing {
-    inquests: BTreeMap<String, Inquest>,
+    overdrafts: BTreeMap<String, FencingStatus>,
 }
 
 impl Fencing {
@@ -71,14 +71,14 @@
     ) -> Vec<String> {
         let others = state.overdrafts().map(|(name, _)| name);
         let others: BTreeSet<&str> = others.filter(|name| !is_own(name)).collect();
-        self.inquests
+        self.overdrafts
             .retain(|name, _| others.contains(name.as_str()));
         let mut due = Vec::new();
         for name in others {
-            let inquest = self.inquests.entry(name.to_owned()).or_default();
-            let is_open = !inquest.is_used && !is_unused(state, name, inquest);
-            if is_open && inquest.next_round() <= now {
-                inquest.note_asked(now);
+            let status = self.overdrafts.entry(name.to_owned()).or_default();
+            let is_open = !status.is_used && !is_unused(state, name, status);
+            if is_open && status.next_round() <= now {
+                status.note_asked(now);
                 due.push(name.to_owned());
             }
         }
@@ -88,45 +88,39 @@
     /// When witnesses are to be asked again; `None` if it is known of every overdraft whether it
     /// was used.
     pub(super) fn next_round(&self, state: &LedgerState) -> Option<Timestamp> {
-        let open = self.inquests.iter();
-        open.filter(|(name, inquest)| is_held(state, name) && !inquest.is_used)
-            .filter(|(name, inquest)| !is_unused(state, name, inquest))
-            .map(|(_, inquest)| inquest.next_round())
+        let open = self.overdrafts.iter();
+        open.filter(|(name, status)| is_held(state, name) && !status.is_used)
+            .filter(|(name, status)| !is_unused(state, name, status))
+            .map(|(_, status)| status.next_round())
             .min()
     }
 
     /// Takes a witness's answer.
     pub(super) fn on_answer(&mut self, overdraft: &str, boot: u64, answer: WitnessAnswer) {
-        let Some(inquest) = self.inquests.get_mut(overdraft) else {
+        let Some(status) = self.overdrafts.get_mut(overdraft) else {
             return;
         };
         match answer {
             WitnessAnswer::Fenced => {
-                inquest.fenced.insert(boot);
+                status.fenced.insert(boot);
             }
-            WitnessAnswer::Activated => inquest.is_used = true,
+            WitnessAnswer::Activated => status.is_used = true,
             WitnessAnswer::Unknown => {}
         }
     }
 
     /// Overdrafts that the log still holds and that are surely unused.
     pub(super) fn unused<'a>(&'a self, state: &'a LedgerState) -> impl Iterator<Item = &'a str> {
-        let inquests = self.inquests.iter();
-        inquests
-            .filter(|(name, inquest)| is_unused(state, name, inquest))
+        let overdrafts = self.overdrafts.iter();
+        overdrafts
+            .filter(|(name, status)| is_unused(state, name, status))
             .map(|(name, _)| name.as_str())
     }
 
     /// Whether it may soon turn out that an overdraft is unused.
     pub(super) fn is_undecided(&self, now: Timestamp, overdraft: &str) -> bool {
-        let inquest = self.inquests.get(overdraft);
-        inquest.is_none_or(|inquest| inquest.is_undecided(now))
-    }
-
-    /// Whether a witness knows that an overdraft was used.
-    pub(super) fn is_used(&self, overdraft: &str) -> bool {
-        let inquest = self.inquests.get(overdraft);
-        inquest.is_some_and(|inquest| inquest.is_used)
+        let status = self.overdrafts.get(overdraft);
+        status.is_none_or(|status| status.is_undecided(now))
     }
 }
 
@@ -135,11 +129,11 @@
 }
 
 /// Whether a majority of an open overdraft's witnesses has fenced it.
-fn is_unused(state: &LedgerState, name: &str, inquest: &Inquest) -> bool {
+fn is_unused(state: &LedgerState, name: &str, status: &FencingStatus) -> bool {
     let Some((_, overdraft)) = state.overdrafts().find(|(other, _)| *other == name) else {
         return false;
     };
     let is_listed = |boot: &u64| overdraft.witnesses.iter().any(|w| w.boot == *boot);
-    let fenced = inquest.fenced.iter().filter(|boot| is_listed(boot)).count();
+    let fenced = status.fenced.iter().filter(|boot| is_listed(boot)).count();
     fenced >= majority(overdraft.witnesses.len())
 }
--- a/crates/gateway-core/src/ledger/overdraft.rs
+++ b/crates/gateway-core/src/ledger/overdraft.rs
@@ -91,6 +91,8 @@
     calm_since: Option<Timestamp>,
     last_answer: Timestamp,
     asks_from: Timestamp,
+    /// When witnesses were last asked to activate one.
+    activated: Timestamp,
 }
 
 impl OwnOverdraft {
@@ -101,6 +103,7 @@
             calm_since: None,
             last_answer: Timestamp::default(),
             asks_from: Timestamp::default(),
+            activated: Timestamp::default(),
         }
     }
 
@@ -157,6 +160,11 @@
         self.calm_since = None;
     }
 
+    /// Whether the last calls to the log failed or were slow.
+    pub(super) fn is_in_trouble(&self) -> bool {
+        self.in_trouble
+    }
+
     /// What it is good for.
     pub(super) fn present_use(&self) -> OverdraftUse {
         match self.mode {
@@ -171,7 +179,13 @@
     /// Whether turns may run on it now.
     pub(super) fn is_usable(&self, now: Timestamp) -> bool {
         let is_active = matches!(self.mode, Mode::Active { .. });
-        is_active && self.in_trouble && now.since(self.last_answer) < LONGEST_USE
+        let is_fresh = now.since(self.last_answer) < LONGEST_USE && !self.is_old(now);
+        is_active && self.in_trouble && is_fresh
+    }
+
+    /// Whether its witnesses may soon forget that it was activated.
+    fn is_old(&self, now: Timestamp) -> bool {
+        now.since(self.activated) >= OVERDRAFT_RETENTION
     }
 
     /// Begins to activate it if the log is in trouble; returns its name if its witnesses are to be
@@ -184,6 +198,7 @@
             return None;
         }
         let name = name.clone();
+        self.activated = now;
         self.mode = Mode::Activating {
             name: name.clone(),
             activated: BTreeSet::new(),
@@ -237,7 +252,7 @@
     }
 
     /// The overdraft to close in an append that records all that was drawn, if its time has come:
-    /// it was used and the log is calm again, or `is_unwanted`.
+    /// it was used and the log is calm again or its witnesses may soon forget it, or `is_unwanted`.
     pub(super) fn to_close(&self, now: Timestamp, is_unwanted: bool) -> Option<&str> {
         let is_calm = self
             .calm_since
@@ -245,6 +260,7 @@
         match &self.mode {
             Mode::Standing { name } if is_unwanted => Some(name),
             Mode::Active { name } if is_calm && !self.in_trouble => Some(name),
+            Mode::Active { name } if self.is_old(now) => Some(name),
             _ => None,
         }
     }
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -402,7 +402,7 @@
 
     fn decide(&mut self, now: Timestamp, must_append: bool) -> Action {
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
-        self.note_doubts(now, &mut plan);
+        self.note_undecided(now, &mut plan);
         plan.has_extra = self.policy.advances;
         plan.cover(&self.state, &mut self.wallets);
         let mut appended = Vec::new();
@@ -481,12 +481,12 @@
             AppendOutcome::Done => {}
             AppendOutcome::Conflict => {
                 self.note_answer(now);
-                self.overdraft.abort_closing();
+                self.abort_closing(&pending.plan);
                 self.conflicts += 1;
                 self.is_synced = false;
             }
             AppendOutcome::Refused => {
-                self.overdraft.abort_closing();
+                self.abort_closing(&pending.plan);
                 self.pause(now);
             }
             AppendOutcome::Unknown => {
@@ -613,7 +613,10 @@
     /// Drops what was last touched longer ago than `retention`.
     pub fn expire(&mut self, now: Timestamp, retention: Duration) {
         self.state.expire(now, retention);
-        self.refresh_overdraft();
+        // What was read of an overdraft may lack its terms.
+        if self.is_synced {
+            self.refresh_overdraft();
+        }
     }
 
     /// Records that should be written anew before the log drops them, as an append to carry out;
--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -113,6 +113,7 @@
         if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
             closed.push(overdraft.to_owned());
             self.overdraft.begin_closing(self.end);
+            plan.closes_own = true;
         }
         if self.is_preferred {
             let unused = self.fencing.unused(&self.state);
@@ -196,9 +197,11 @@
             return false;
         };
         let is_alone = self.state.overdrafts().count() == 1;
+        // An overdraft that may be needed at once is not replaced for its terms.
+        let is_calm = !self.overdraft.is_in_trouble();
         own.superseded.is_some()
-            || own.known_programs && is_alone
-            || is_far(own.least_budget, self.suitable_floor())
+            || is_calm && own.known_programs && is_alone
+            || is_calm && is_far(own.least_budget, self.suitable_floor())
     }
 
     /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
@@ -228,14 +231,22 @@
         }
     }
 
-    /// Tells a plan what is known of other owners' overdrafts.
-    pub(super) fn note_doubts(&self, now: Timestamp, plan: &mut Plan) {
-        for (name, _) in self.state.overdrafts() {
-            if self.fencing.is_used(name) {
-                plan.used.insert(name.to_owned());
-            } else if self.fencing.is_undecided(now, name) {
-                plan.undecided.insert(name.to_owned());
-            }
+    /// Tells a plan which of other owners' overdrafts may soon be closed as unused: witnesses are
+    /// asked by the preferred owner alone.
+    pub(super) fn note_undecided(&self, now: Timestamp, plan: &mut Plan) {
+        if !self.is_preferred {
+            return;
+        }
+        let open = self.state.overdrafts().map(|(name, _)| name);
+        let undecided = open.filter(|name| self.fencing.is_undecided(now, name));
+        plan.undecided.extend(undecided.map(str::to_owned));
+    }
+
+    /// An append has surely done nothing. If it was to close the own overdraft, that may be used
+    /// again; another append tells nothing of a close that is in doubt.
+    pub(super) fn abort_closing(&mut self, plan: &Plan) {
+        if plan.closes_own {
+            self.overdraft.abort_closing();
         }
     }
 
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -61,8 +61,8 @@
     pub(super) started: Vec<(String, String)>,
     /// Overdrafts of other owners that may soon be closed as unused.
     pub(super) undecided: BTreeSet<String>,
-    /// Overdrafts of other owners that were surely used.
-    pub(super) used: BTreeSet<String>,
+    /// Whether the own overdraft is closed by the plan's records.
+    pub(super) closes_own: bool,
     /// Whether advances hold more than the turn that they are made for.
     pub(super) has_extra: bool,
     accounts: HashMap<String, Account>,
@@ -105,7 +105,7 @@
         // Programs that loop ask again and again; the rare denial of a first turn is looked up.
         let generated = tokens_generated(state, wallets, &begin.program);
         let is_running = wallets.is_running(&begin.program, &begin.turn);
-        if generated > 0 && generated + begin.tokens > budget && !is_running {
+        if generated > 0 && generated.saturating_add(begin.tokens) > budget && !is_running {
             return Some(LedgerReply::BudgetSpent);
         }
         if !draw_advance(wallets, now, begin)
@@ -160,7 +160,7 @@
     let with_turn = if is_running {
         wallets.drawn(program)
     } else {
-        wallets.drawn(program) + begin.tokens
+        wallets.drawn(program).saturating_add(begin.tokens)
     };
     if with_turn > budget / share.max(1) {
         return false;
@@ -169,7 +169,8 @@
     let set_aside = state.reserved(program, is_own);
     let committed = state.account(program).map_or(0, Account::committed);
     let others = state.overdrawn_by_others(program, budget, is_own);
-    if committed + others + with_turn.saturating_sub(set_aside) > budget {
+    let unrecorded = with_turn.saturating_sub(set_aside);
+    if committed.saturating_add(others).saturating_add(unrecorded) > budget {
         return false;
     }
     if !is_running {
@@ -183,7 +184,7 @@
 /// falls, unlike what is set aside.
 fn tokens_generated(state: &LedgerState, wallets: &Wallets, program: &str) -> u64 {
     let settled = state.account(program).map_or(0, |account| account.settled);
-    settled + wallets.unsettled_use(program)
+    settled.saturating_add(wallets.unsettled_use(program))
 }
 
 fn finish_at_once(
@@ -302,12 +303,10 @@
         let undecided = state.overdrawn_by_others(program, budget, |name| {
             is_own(name) || !self.undecided.contains(name)
         });
-        let unknown = state.overdrawn_by_others(program, budget, |name| {
-            is_own(name) || self.used.contains(name)
-        });
+        let unknown = state.overdrawn_by_others(program, budget, is_own);
         Doubt {
-            short: reserved + undecided,
-            lasting: reserved + unknown,
+            resolves_soon: reserved.saturating_add(undecided),
+            total: reserved.saturating_add(unknown),
         }
     }
 
@@ -327,13 +326,16 @@
             return Ok(());
         }
         let planned = self.advanced.get(program).copied().unwrap_or(0);
-        let free = wallet.map_or(0, |wallet| wallet.free()) + signed(planned);
-        let missing = u64::try_from(signed(begin.tokens) - free).unwrap_or(0);
+        let free = wallet
+            .map_or(0, |wallet| wallet.free())
+            .saturating_add(signed(planned));
+        let missing = u64::try_from(signed(begin.tokens).saturating_sub(free)).unwrap_or(0);
         if missing > 0 {
             let is_own = |name: &str| wallets.is_own(name);
             let others = state.overdrawn_by_others(program, budget, is_own);
             let account = self.account(state, program);
-            let wanted = account.committed() + others + missing;
+            let held = account.committed().saturating_add(others);
+            let wanted = held.saturating_add(missing);
             if !account.allows(budget.saturating_sub(others), missing) {
                 return Err(Shortage {
                     tokens: wanted - budget,
@@ -344,7 +346,7 @@
                 false => 0,
             };
             let reservation = wallets.next_name();
-            self.reserve(state, program, reservation, missing + extra);
+            self.reserve(state, program, reservation, missing.saturating_add(extra));
         }
         wallets
             .entry(program)
@@ -356,7 +358,8 @@
     fn reserve(&mut self, state: &LedgerState, program: &str, reservation: String, tokens: u64) {
         self.account(state, program)
             .reserve(reservation.clone(), tokens);
-        *self.advanced.entry(program.to_owned()).or_default() += tokens;
+        let advanced = self.advanced.entry(program.to_owned()).or_default();
+        *advanced = advanced.saturating_add(tokens);
         self.records.push(LedgerRecord::Reserved {
             program: program.to_owned(),
             reservation,
@@ -395,16 +398,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Doubt {
     /// Those of which that will soon be known.
-    short: u64,
+    resolves_soon: u64,
     /// All of them.
-    lasting: u64,
+    total: u64,
 }
 
 impl Shortage {
     fn reply(self, doubt: Doubt) -> LedgerReply {
-        if doubt.short >= self.tokens {
+        if doubt.resolves_soon >= self.tokens {
             LedgerReply::BudgetUnsure
-        } else if doubt.lasting >= self.tokens {
+        } else if doubt.total >= self.tokens {
             LedgerReply::BudgetInDoubt
         } else {
             LedgerReply::BudgetSpent
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -9,6 +9,7 @@
 
 use super::Account;
 use super::overdraft::owner_of;
+use super::wallet::total;
 
 /// Turns are held this long after they were last touched, unless the configuration keeps them for
 /// longer.
@@ -219,14 +220,14 @@
         is_own: impl Fn(&str) -> bool,
     ) -> u64 {
         let others = self.overdrafts().filter(|(name, _)| !is_own(name));
-        others
+        let charges = others
             .filter(|(_, overdraft)| overdraft.may_have_served(program, budget))
             .map(|(name, overdraft)| {
                 let owner = owner_of(name);
                 let limit = budget / overdraft.share.max(1);
                 limit.saturating_sub(self.reserved(program, |other| owner_of(other) == owner))
-            })
-            .sum()
+            });
+        total(charges)
     }
 
     /// Tokens set aside for a program on reservations that `is_wanted` takes.
@@ -235,7 +236,7 @@
             return 0;
         };
         let wanted = account.open.iter().filter(|(name, _)| is_wanted(name));
-        wanted.map(|(_, tokens)| tokens).sum()
+        total(wanted.map(|(_, tokens)| *tokens))
     }
 
     /// The account of a program, if it has one.
@@ -260,10 +261,8 @@
             let seen = dated.reserved.get(name);
             seen.is_some_and(|seen| now.since(*seen) < patience)
         };
-        others
-            .filter(|(name, _)| is_recent(name))
-            .map(|(_, tokens)| tokens)
-            .sum()
+        let recent = others.filter(|(name, _)| is_recent(name));
+        total(recent.map(|(_, tokens)| *tokens))
     }
 
     /// Whether a turn is kept.
--- a/crates/gateway-core/src/ledger/wallet.rs
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -41,6 +41,11 @@
     since: Timestamp,
 }
 
+/// A sum of tokens. Callers may name any number, so it stops at the largest.
+pub(super) fn total(tokens: impl Iterator<Item = u64>) -> u64 {
+    tokens.fold(0, u64::saturating_add)
+}
+
 /// Tokens as a signed number.
 pub(super) fn signed(tokens: u64) -> i64 {
     i64::try_from(tokens).unwrap_or(i64::MAX)
@@ -59,8 +64,8 @@
     /// Tokens that further turns may draw; negative while turns wait for an advance that is being
     /// appended.
     pub fn free(&self) -> i64 {
-        let advanced: u64 = self.advances.iter().map(|advance| advance.tokens).sum();
-        signed(advanced) - signed(self.drawn())
+        let advanced = total(self.advances.iter().map(|advance| advance.tokens));
+        signed(advanced).saturating_sub(signed(self.drawn()))
     }
 
     /// Tokens that ended turns have generated.
@@ -70,8 +75,8 @@
 
     /// Tokens of ended turns and the most of running ones.
     pub fn drawn(&self) -> u64 {
-        let running: u64 = self.running.values().map(|turn| turn.most).sum();
-        self.consumed + running
+        let running = total(self.running.values().map(|turn| turn.most));
+        self.consumed.saturating_add(running)
     }
 
     /// Tokens drawn beyond what is set aside.
@@ -106,7 +111,7 @@
     /// Notes what a turn has generated. A turn that is not running changes nothing.
     pub fn end(&mut self, now: Timestamp, turn: &str, used: u64) {
         if self.running.remove(turn).is_some() {
-            self.consumed += used;
+            self.consumed = self.consumed.saturating_add(used);
         }
         self.last_used = now;
     }
--- a/crates/gateway-core/src/ledger/wallets.rs
+++ b/crates/gateway-core/src/ledger/wallets.rs
@@ -6,7 +6,7 @@
 use elderworks_protocol::ledger::LedgerRecord;
 use elderworks_types::Timestamp;
 
-use super::wallet::{Advance, Wallet};
+use super::wallet::{Advance, Wallet, total};
 
 /// An advance that is to be settled, with the time since when.
 #[derive(Debug)]
@@ -60,22 +60,22 @@
     /// Tokens generated on this owner's advances to a program that are not settled yet.
     pub(super) fn unsettled_use(&self, program: &str) -> u64 {
         let wallet = self.wallets.get(program);
-        wallet.map_or(0, Wallet::consumed) + self.used_in_closing(program)
+        let consumed = wallet.map_or(0, Wallet::consumed);
+        consumed.saturating_add(self.used_in_closing(program))
     }
 
     fn used_in_closing(&self, program: &str) -> u64 {
         let closing = self.closing.iter();
-        closing
-            .filter(|closing| closing.program == program)
-            .map(|closing| closing.used)
-            .sum()
+        let of_program = closing.filter(|closing| closing.program == program);
+        total(of_program.map(|closing| closing.used))
     }
 
     /// Tokens that turns of a program draw on this owner's advances and overdraft, as far as they
     /// are not settled yet.
     pub(super) fn drawn(&self, program: &str) -> u64 {
         let wallet = self.wallets.get(program);
-        wallet.map_or(0, Wallet::drawn) + self.used_in_closing(program)
+        let drawn = wallet.map_or(0, Wallet::drawn);
+        drawn.saturating_add(self.used_in_closing(program))
     }
 
     /// Programs that have drawn more than is set aside for them, with how much.
