--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -193,7 +193,7 @@
             Some(own) if own.superseded.is_none() && self.overdraft.is_usable(now) => {
                 Credit::Overdraft {
                     share: own.share,
-                    least_budget: own.least_budget,
+                    min_budget: own.min_budget,
                     known_programs: own.known_programs,
                 }
             }
@@ -338,7 +338,7 @@
             .closing_since()
             .map(|since| since + self.hold_back());
         let must_settle = settles_from.is_some_and(|from| from <= now);
-        let must_append = must_settle || self.must_tend_overdrafts(now);
+        let must_append = must_settle || self.must_change_overdrafts(now);
         let prepares_from = self.prepares_from(now);
         let must_prepare = prepares_from.is_some_and(|from| from <= now);
         if self.jobs.is_empty() && !must_append && !must_prepare {
@@ -435,7 +435,7 @@
         if appended.is_empty() && !must_append {
             return self.verify_or_wait(must_verify);
         }
-        self.tend_overdrafts(now, &mut plan);
+        self.plan_overdraft_changes(now, &mut plan);
         let records = plan.records.clone();
         self.pending = Some(PendingAppend {
             plan,
--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -18,9 +18,9 @@
 /// all of them would leave a program that lives through all the losses nothing.
 const MOST_LOST_BESIDE: usize = 2;
 
-/// An overdraft is replaced once its floor is off by more than this ratio: seldom enough that
+/// An overdraft is replaced once its least budget is off by more than this ratio: seldom enough that
 /// replacing it costs next to nothing.
-const MOST_FLOOR_RATIO: u64 = 2;
+const MAX_MIN_BUDGET_RATIO: u64 = 2;
 
 impl PartitionOwner {
     /// Asks the witnesses to let the overdraft be used, if the log is in trouble.
@@ -97,7 +97,7 @@
 
     /// Whether an append should not wait for requests: something was drawn that does not stand in
     /// the log, or an overdraft is to be closed.
-    pub(super) fn must_tend_overdrafts(&self, now: Timestamp) -> bool {
+    pub(super) fn must_change_overdrafts(&self, now: Timestamp) -> bool {
         let is_unwanted = !self.is_preferred || self.is_ill_suited();
         self.wallets.has_overdrawn()
             || self.overdraft.to_close(now, is_unwanted).is_some()
@@ -107,8 +107,23 @@
 
     /// Adds what closes and opens overdrafts to an append that stands at the end of the log. Must
     /// come after everything that has been drawn.
-    pub(super) fn tend_overdrafts(&mut self, now: Timestamp, plan: &mut Plan) {
-        let is_unwanted = !self.is_preferred || self.is_overdraft_worn() || self.is_ill_suited();
+    pub(super) fn plan_overdraft_changes(&mut self, now: Timestamp, plan: &mut Plan) {
+        let closed = self.plan_closings(now, plan);
+        if !self.is_preferred {
+            return;
+        }
+        let superseded = self.to_supersede(now).into_iter();
+        plan.records
+            .extend(superseded.map(|overdraft| LedgerRecord::OverdraftSuperseded { overdraft }));
+        if self.may_open_overdraft(now, &closed) {
+            let is_alone = self.state.overdrafts().count() == closed.len();
+            self.open_overdraft(plan, is_alone);
+        }
+    }
+
+    /// Closes the own overdraft if its time has come, and those of others that are surely unused.
+    fn plan_closings(&mut self, now: Timestamp, plan: &mut Plan) -> Vec<String> {
+        let is_unwanted = !self.is_preferred || self.lacks_witnesses() || self.is_ill_suited();
         let mut closed: Vec<String> = Vec::new();
         if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
             closed.push(overdraft.to_owned());
@@ -119,20 +134,10 @@
             let unused = self.fencing.unused(&self.state);
             closed.extend(unused.map(str::to_owned));
         }
-        let may_open = self.may_open_overdraft(now, &closed);
-        if self.is_preferred {
-            let superseded = self.to_supersede(now).into_iter();
-            plan.records.extend(
-                superseded.map(|overdraft| LedgerRecord::OverdraftSuperseded { overdraft }),
-            );
-        }
-        let is_alone = self.state.overdrafts().count() == closed.len();
-        let closings = closed.into_iter();
+        let closings = closed.iter().cloned();
         plan.records
             .extend(closings.map(|overdraft| LedgerRecord::OverdraftClosed { overdraft }));
-        if self.is_preferred && may_open {
-            self.open_overdraft(plan, is_alone);
-        }
+        closed
     }
 
     /// Overdrafts of other owners that may have been used and are to be drawn on no more, so that
@@ -156,12 +161,12 @@
             witnesses: self.witnesses.to_vec(),
             idle_ms: 0,
         });
-        let least_budget = self.suitable_floor();
+        let min_budget = self.suitable_min_budget();
         let known_programs = !is_alone;
-        if least_budget > 0 || known_programs {
+        if min_budget > 0 || known_programs {
             plan.records.push(LedgerRecord::OverdraftTerms {
                 overdraft,
-                least_budget,
+                min_budget,
                 known_programs,
             });
         }
@@ -186,7 +191,7 @@
 
     /// The least budget for which an overdraft serves: a turn of the usual size fits into its
     /// share. Smaller budgets would have no use of it, and would be charged if it is lost.
-    fn suitable_floor(&self) -> u64 {
+    fn suitable_min_budget(&self) -> u64 {
         let share = self.policy.overdraft_share;
         self.typical_turn.tokens().saturating_mul(share)
     }
@@ -201,12 +206,12 @@
         let is_calm = !self.overdraft.is_in_trouble();
         own.superseded.is_some()
             || is_calm && own.known_programs && is_alone
-            || is_calm && is_far(own.least_budget, self.suitable_floor())
+            || is_calm && is_far(own.min_budget, self.suitable_min_budget())
     }
 
     /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
     /// it from being activated.
-    fn is_overdraft_worn(&self) -> bool {
+    fn lacks_witnesses(&self) -> bool {
         let own = self.own_witnesses();
         let is_present = |witness: &&Witness| self.witnesses.contains(witness);
         let present = own.iter().filter(is_present).count();
@@ -256,7 +261,7 @@
     }
 }
 
-/// Whether a floor is off by more than [`MOST_FLOOR_RATIO`].
-fn is_far(floor: u64, suitable: u64) -> bool {
-    floor.max(suitable) > floor.min(suitable).saturating_mul(MOST_FLOOR_RATIO)
+/// Whether a least budget is off by more than [`MAX_MIN_BUDGET_RATIO`].
+fn is_far(present: u64, suitable: u64) -> bool {
+    present.max(suitable) > present.min(suitable).saturating_mul(MAX_MIN_BUDGET_RATIO)
 }
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -36,7 +36,7 @@
         /// See [`crate::policy::Policy::overdraft_share`].
         share: u64,
         /// Programs with smaller budgets may not draw on it.
-        least_budget: u64,
+        min_budget: u64,
         /// Whether only programs may draw on it that have an account in the log.
         known_programs: bool,
     },
@@ -145,14 +145,14 @@
 ) -> bool {
     let Credit::Overdraft {
         share,
-        least_budget,
+        min_budget,
         known_programs,
     } = credit
     else {
         return false;
     };
     let is_known = state.account(&begin.program).is_some();
-    if budget < least_budget || known_programs && !is_known {
+    if budget < min_budget || known_programs && !is_known {
         return false;
     }
     let program = &begin.program;
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -54,7 +54,7 @@
     /// its budget.
     pub share: u64,
     /// Programs with smaller budgets may not draw on it.
-    pub least_budget: u64,
+    pub min_budget: u64,
     /// Whether only programs may draw on it whose account its owner has read in the log.
     pub known_programs: bool,
     /// Set once its owner may not draw on it any more, as soon as it has read that: the programs
@@ -69,7 +69,7 @@
     fn may_have_served(&self, program: &str, budget: u64) -> bool {
         let is_too_new = |known: &BTreeSet<String>| !known.contains(program);
         let is_spared = self.known_programs && self.superseded.as_ref().is_some_and(is_too_new);
-        budget >= self.least_budget && !is_spared
+        budget >= self.min_budget && !is_spared
     }
 }
 
@@ -136,13 +136,13 @@
                 let idle = Duration::from_millis(idle_ms);
                 let mut value = OpenOverdraft {
                     share,
-                    least_budget: 0,
+                    min_budget: 0,
                     known_programs: false,
                     superseded: None,
                     witnesses,
                 };
                 if let Some(known) = self.overdrafts.remove(&overdraft) {
-                    value.least_budget = known.value.least_budget;
+                    value.min_budget = known.value.min_budget;
                     value.known_programs = known.value.known_programs;
                     value.superseded = known.value.superseded;
                 }
@@ -155,11 +155,11 @@
             }
             LedgerRecord::OverdraftTerms {
                 overdraft,
-                least_budget,
+                min_budget,
                 known_programs,
             } => {
                 if let Some(dated) = self.overdrafts.get_mut(&overdraft) {
-                    dated.value.least_budget = least_budget;
+                    dated.value.min_budget = min_budget;
                     dated.value.known_programs = known_programs;
                 }
             }
@@ -397,7 +397,7 @@
         },
         LedgerRecord::OverdraftTerms {
             overdraft: overdraft.to_owned(),
-            least_budget: open.least_budget,
+            min_budget: open.min_budget,
             known_programs: open.known_programs,
         },
     ];
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -445,14 +445,14 @@
     }
 }
 
-/// What a lost owner's log holds: an overdraft that serves budgets from `least_budget` on.
-fn lost_overdraft(least_budget: u64) -> ReadOutcome {
+/// What a lost owner's log holds: an overdraft that serves budgets from `min_budget` on.
+fn lost_overdraft(min_budget: u64) -> ReadOutcome {
     let ReadOutcome::Records { mut records, .. } = others_overdraft() else {
         panic!("records");
     };
     records.push(Some(LedgerRecord::OverdraftTerms {
         overdraft: "lost/1".to_owned(),
-        least_budget,
+        min_budget,
         known_programs: false,
     }));
     ReadOutcome::Records {
@@ -462,11 +462,11 @@
 }
 
 /// An owner after a loss of all machines: the witnesses of the lost overdraft have forgotten it.
-fn owner_after_loss_of_all(least_budget: u64) -> PartitionOwner {
+fn owner_after_loss_of_all(min_budget: u64) -> PartitionOwner {
     let mut owner = PartitionOwner::new("successor".to_owned());
     owner.set_witnesses(witnesses(&[11, 12, 13]).into());
     owner.next_action(START);
-    owner.on_read(START, lost_overdraft(least_budget));
+    owner.on_read(START, lost_overdraft(min_budget));
     owner.next_action(START);
     for inquiry in owner.take_inquiries() {
         answer(&mut owner, START, &inquiry, WitnessAnswer::Unknown);
@@ -548,7 +548,7 @@
     };
     let terms = LedgerRecord::OverdraftTerms {
         overdraft: "second/1".to_owned(),
-        least_budget: 0,
+        min_budget: 0,
         known_programs: true,
     };
     let records = vec![opened("lost/1"), opened("second/1"), terms, known];
@@ -616,35 +616,35 @@
 }
 
 #[test]
-fn budgets_below_the_floor_of_a_lost_overdraft_are_not_charged_for_it() {
+fn budgets_below_the_least_of_a_lost_overdraft_are_not_charged_for_it() {
     struct Case {
         name: &'static str,
-        least_budget: u64,
+        min_budget: u64,
         budget: u64,
         granted: usize,
     }
     let cases = [
         Case {
-            name: "no floor: a third of 12 is held back, and a turn of 10 does not fit",
-            least_budget: 0,
+            name: "no least budget: a third of 12 is held back, and a turn of 10 does not fit",
+            min_budget: 0,
             budget: 12,
             granted: 0,
         },
         Case {
-            name: "a budget that holds one turn, below the floor",
-            least_budget: 30,
+            name: "a budget that holds one turn, below the least",
+            min_budget: 30,
             budget: 12,
             granted: 1,
         },
         Case {
-            name: "a budget at the floor",
-            least_budget: 30,
+            name: "the least budget",
+            min_budget: 30,
             budget: 30,
             granted: 2,
         },
     ];
     for case in cases {
-        let mut owner = owner_after_loss_of_all(case.least_budget);
+        let mut owner = owner_after_loss_of_all(case.min_budget);
         let granted = granted_of(&mut owner, START + FENCING, case.budget);
         assert_eq!(granted, case.granted, "{}", case.name);
     }
@@ -656,14 +656,14 @@
     owner.submit(START, Ticket(1), begin("one", 900, 10));
     appended(&mut owner, START);
     owner.on_append(START, AppendOutcome::Done);
-    // The next append replaces the overdraft by one with a floor.
+    // The next append replaces the overdraft by one with a least budget.
     owner.submit(START, Ticket(2), begin("two", 900, 200));
     let records = appended(&mut owner, START);
-    let floor = records.iter().find_map(|record| match record {
-        LedgerRecord::OverdraftTerms { least_budget, .. } => Some(*least_budget),
+    let least = records.iter().find_map(|record| match record {
+        LedgerRecord::OverdraftTerms { min_budget, .. } => Some(*min_budget),
         _ => None,
     });
-    assert_eq!(floor, Some(30), "{records:?}");
+    assert_eq!(least, Some(30), "{records:?}");
     owner.on_append(START, AppendOutcome::Done);
     owner.take_replies();
     owner.submit(START, Ticket(3), begin("three", 900, 300));
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -77,7 +77,7 @@
         /// Names the overdraft.
         overdraft: String,
         /// Programs with smaller budgets may not draw on it.
-        least_budget: u64,
+        min_budget: u64,
         /// Whether only programs may draw on it whose account its owner has read in the log.
         known_programs: bool,
     },
