--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -3,20 +3,21 @@
 //! A state machine without I/O or clock. Its driver asks [`PartitionOwner::next_action`], carries
 //! the action out, reports the result, and hands on the replies.
 
+mod overdrafts;
+
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_protocol::ledger::{
-    LedgerRecord, LedgerReply, LedgerRequest, Witness, WitnessAnswer, WitnessQuestion, WitnessWish,
-};
+use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest, Witness};
 use elderworks_types::{Offset, Timestamp};
 
 use super::LedgerState;
 use super::calls::{Action, AppendOutcome, CallNumber, Inquiry, ReadOutcome, Ticket};
 use super::fencing::Fencing;
-use super::overdraft::{FEWEST_WITNESSES, OverdraftUse, OwnOverdraft, SLOW_CALL, majority};
+use super::overdraft::{OwnOverdraft, SLOW_CALL};
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::plan::{Credit, Plan, Planned, answer_at_once};
+use super::turn_size::TypicalTurn;
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
 use crate::policy::Policy;
@@ -91,6 +92,7 @@
     conflicts: u64,
     overdraft: OwnOverdraft,
     fencing: Fencing,
+    typical_turn: TypicalTurn,
     /// Nodes that can witness an overdraft now, the foremost first.
     witnesses: Rc<[Witness]>,
     inquiries: Vec<Inquiry>,
@@ -124,6 +126,7 @@
             conflicts: 0,
             overdraft: OwnOverdraft::new(),
             fencing: Fencing::default(),
+            typical_turn: TypicalTurn::default(),
             witnesses: Rc::default(),
             inquiries: Vec::new(),
         }
@@ -186,11 +189,15 @@
     }
 
     fn credit(&self, now: Timestamp) -> Credit {
-        if self.overdraft.is_usable(now) {
-            let share = self.policy.overdraft_share;
-            Credit::Overdraft { share }
-        } else {
-            Credit::None
+        match self.own_overdraft() {
+            Some(own) if own.superseded.is_none() && self.overdraft.is_usable(now) => {
+                Credit::Overdraft {
+                    share: own.share,
+                    min_budget: own.min_budget,
+                    known_programs: own.known_programs,
+                }
+            }
+            _ => Credit::None,
         }
     }
 
@@ -208,62 +215,6 @@
         self.answer_jobs(now);
     }
 
-    /// Asks the witnesses to let the overdraft be used, if the log is in trouble.
-    fn activate_overdraft(&mut self, now: Timestamp) {
-        let witnesses = self.own_witnesses();
-        if let Some(name) = self.overdraft.activate(now, &witnesses) {
-            self.inquire(&name, &witnesses, WitnessWish::Activate);
-        }
-    }
-
-    fn own_witnesses(&self) -> Vec<Witness> {
-        let mut overdrafts = self.state.overdrafts();
-        let own = overdrafts.find(|(name, _)| self.wallets.is_own(name));
-        own.map_or_else(Vec::new, |(_, overdraft)| overdraft.witnesses.clone())
-    }
-
-    fn inquire(&mut self, overdraft: &str, witnesses: &[Witness], wish: WitnessWish) {
-        for witness in witnesses {
-            let question = WitnessQuestion {
-                overdraft: overdraft.to_owned(),
-                boot: witness.boot,
-                wish,
-            };
-            let witness = witness.clone();
-            self.inquiries.push(Inquiry { witness, question });
-        }
-    }
-
-    /// Questions to witnesses, each once.
-    pub fn take_inquiries(&mut self) -> Vec<Inquiry> {
-        std::mem::take(&mut self.inquiries)
-    }
-
-    /// Reports a witness's answer; `None` if it gave none.
-    pub fn on_inquiry(
-        &mut self,
-        now: Timestamp,
-        question: &WitnessQuestion,
-        answer: Option<WitnessAnswer>,
-    ) {
-        let overdraft = question.overdraft.as_str();
-        match question.wish {
-            WitnessWish::Fence => {
-                if let Some(answer) = answer {
-                    self.fencing.on_answer(overdraft, question.boot, answer);
-                }
-            }
-            WitnessWish::Activate => {
-                let has_ended = self
-                    .overdraft
-                    .on_answer(now, overdraft, question.boot, answer);
-                if has_ended {
-                    self.answer_jobs(now);
-                }
-            }
-        }
-    }
-
     /// Answers those of the waiting requests that need no call any more, and those that wait in
     /// vain while the log is down.
     fn answer_jobs(&mut self, now: Timestamp) {
@@ -312,11 +263,6 @@
         }
     }
 
-    /// Tells which nodes can witness an overdraft, the foremost first, without this one.
-    pub fn set_witnesses(&mut self, witnesses: Rc<[Witness]>) {
-        self.witnesses = witnesses;
-    }
-
     /// A turn has ended that may not have been granted yet: whoever asked has given up.
     fn abandon(&mut self, program: &str, turn: &str) {
         if let Some(pending) = &mut self.pending {
@@ -343,11 +289,6 @@
         self.is_preferred = is_preferred;
     }
 
-    /// What the overdraft of this owner is good for.
-    pub fn overdraft_use(&self) -> OverdraftUse {
-        self.overdraft.present_use()
-    }
-
     /// Whether the log is taken to be down.
     pub fn is_down(&self) -> bool {
         self.failures_in_a_row >= FAILURES_BEFORE_DOWN
@@ -397,8 +338,8 @@
             .closing_since()
             .map(|since| since + self.hold_back());
         let must_settle = settles_from.is_some_and(|from| from <= now);
-        let must_append = must_settle || self.must_tend_overdrafts(now);
-        let prepares_from = self.prepares_from();
+        let must_append = must_settle || self.must_change_overdrafts(now);
+        let prepares_from = self.prepares_from(now);
         let must_prepare = prepares_from.is_some_and(|from| from <= now);
         if self.jobs.is_empty() && !must_append && !must_prepare {
             let idle_from = self
@@ -432,10 +373,9 @@
 
     /// From when on the partition is read and an overdraft opened though nobody asks; `None` if
     /// that is done or not for this owner to do.
-    fn prepares_from(&self) -> Option<Timestamp> {
+    fn prepares_from(&self, now: Timestamp) -> Option<Timestamp> {
         let is_wanted = self.policy.preparation && self.is_preferred;
-        let has_overdraft = self.state.overdrafts().next().is_some();
-        let is_ready = self.is_synced && (has_overdraft || !self.can_open_overdraft());
+        let is_ready = self.is_synced && !self.may_open_overdraft(now, &[]);
         let pause = if self.is_down() {
             PREPARATION_PAUSE
         } else {
@@ -444,78 +384,6 @@
         (is_wanted && !is_ready).then(|| self.paused_until + pause)
     }
 
-    /// Whether an append should not wait for requests: something was drawn that does not stand in
-    /// the log, or an overdraft is to be closed.
-    fn must_tend_overdrafts(&self, now: Timestamp) -> bool {
-        let is_unwanted = !self.is_preferred;
-        self.wallets.has_overdrawn()
-            || self.overdraft.to_close(now, is_unwanted).is_some()
-            || self.is_preferred && self.fencing.unused(&self.state).is_some()
-    }
-
-    /// Adds what closes and opens overdrafts to an append that stands at the end of the log. Must
-    /// come after everything that has been drawn.
-    fn tend_overdrafts(&mut self, now: Timestamp, plan: &mut Plan) {
-        let is_worn = self.is_overdraft_worn();
-        let is_unwanted = !self.is_preferred || is_worn;
-        let mut left = self.state.overdrafts().count();
-        if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
-            let overdraft = overdraft.to_owned();
-            plan.records
-                .push(LedgerRecord::OverdraftClosed { overdraft });
-            self.overdraft.begin_closing(self.end);
-            left -= 1;
-        }
-        if !self.is_preferred {
-            return;
-        }
-        if let Some(overdraft) = self.fencing.unused(&self.state) {
-            let overdraft = overdraft.to_owned();
-            plan.records
-                .push(LedgerRecord::OverdraftClosed { overdraft });
-            left -= 1;
-        }
-        if left == 0 && self.can_open_overdraft() {
-            plan.records.push(LedgerRecord::Overdraft {
-                overdraft: self.wallets.next_name(),
-                share: self.policy.overdraft_share,
-                witnesses: self.witnesses.to_vec(),
-                idle_ms: 0,
-            });
-        }
-    }
-
-    fn can_open_overdraft(&self) -> bool {
-        self.policy.overdrafts && self.witnesses.len() >= FEWEST_WITNESSES
-    }
-
-    /// Whether so many witnesses of the own overdraft are gone that the loss of another would keep
-    /// it from being activated.
-    fn is_overdraft_worn(&self) -> bool {
-        let own = self.own_witnesses();
-        let is_present = |witness: &&Witness| self.witnesses.contains(witness);
-        let present = own.iter().filter(is_present).count();
-        let could_be_better = self.witnesses.len() > present;
-        !own.is_empty() && could_be_better && present <= majority(own.len())
-    }
-
-    /// Asks the witnesses of another owner's overdraft whether it was used.
-    fn fence_others(&mut self, now: Timestamp) {
-        if !self.is_preferred {
-            return;
-        }
-        let is_own = |name: &str| self.wallets.is_own(name);
-        let Some(name) = self.fencing.next_question(now, &self.state, is_own) else {
-            return;
-        };
-        let found = self.state.overdrafts().find(|(other, _)| *other == name);
-        let Some((_, overdraft)) = found else {
-            return;
-        };
-        let witnesses = overdraft.witnesses.clone();
-        self.inquire(&name, &witnesses, WitnessWish::Fence);
-    }
-
     fn idle_time(&self) -> Duration {
         if self.is_preferred {
             IDLE_BEFORE_SETTLING
@@ -534,7 +402,7 @@
 
     fn decide(&mut self, now: Timestamp, must_append: bool) -> Action {
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
-        plan.is_fencing = self.fencing.is_undecided(now);
+        self.note_undecided(now, &mut plan);
         plan.has_extra = self.policy.advances;
         plan.cover(&self.state, &mut self.wallets);
         let mut appended = Vec::new();
@@ -567,7 +435,7 @@
         if appended.is_empty() && !must_append {
             return self.verify_or_wait(must_verify);
         }
-        self.tend_overdrafts(now, &mut plan);
+        self.plan_overdraft_changes(now, &mut plan);
         let records = plan.records.clone();
         self.pending = Some(PendingAppend {
             plan,
@@ -613,12 +481,12 @@
             AppendOutcome::Done => {}
             AppendOutcome::Conflict => {
                 self.note_answer(now);
-                self.overdraft.abort_closing();
+                self.abort_closing(&pending.plan);
                 self.conflicts += 1;
                 self.is_synced = false;
             }
             AppendOutcome::Refused => {
-                self.overdraft.abort_closing();
+                self.abort_closing(&pending.plan);
                 self.pause(now);
             }
             AppendOutcome::Unknown => {
@@ -639,6 +507,7 @@
             }
         }
         for (ticket, reply) in pending.replies {
+            self.note_turn_size(ticket);
             self.jobs.retain(|job| job.ticket != ticket);
             self.replies.push((ticket, reply));
         }
@@ -646,6 +515,16 @@
         self.verify_jobs(self.last_call);
     }
 
+    fn note_turn_size(&mut self, ticket: Ticket) {
+        let job = self.jobs.iter().find(|job| job.ticket == ticket);
+        let Some(LedgerRequest::Begin(begin)) = job.map(|job| &job.request) else {
+            return;
+        };
+        if begin.budget.is_some() {
+            self.typical_turn.note(begin.tokens);
+        }
+    }
+
     fn note_answer(&mut self, now: Timestamp) {
         self.note_answered_call(now, self.last_call);
     }
@@ -664,11 +543,6 @@
         self.overdraft.note_answer(now, took);
     }
 
-    fn refresh_overdraft(&mut self) {
-        let is_own = |name: &str| self.wallets.is_own(name);
-        self.overdraft.refresh(&self.state, self.end, is_own);
-    }
-
     /// A call has shown where the log ended at some time since it began.
     fn verify_jobs(&mut self, call: CallNumber) {
         for job in &mut self.jobs {
@@ -739,7 +613,10 @@
     /// Drops what was last touched longer ago than `retention`.
     pub fn expire(&mut self, now: Timestamp, retention: Duration) {
         self.state.expire(now, retention);
-        self.refresh_overdraft();
+        // What was read of an overdraft may lack its terms.
+        if self.is_synced {
+            self.refresh_overdraft();
+        }
     }
 
     /// Records that should be written anew before the log drops them, as an append to carry out;
--- a/crates/gateway-core/src/ledger/pieces.rs
+++ b/crates/gateway-core/src/ledger/pieces.rs
@@ -24,7 +24,9 @@
         LedgerRecord::Overdraft { witnesses, .. } => witnesses.len() * RECORD_OVERHEAD,
         LedgerRecord::Reserved { .. }
         | LedgerRecord::Settled { .. }
-        | LedgerRecord::OverdraftClosed { .. } => 0,
+        | LedgerRecord::OverdraftClosed { .. }
+        | LedgerRecord::OverdraftTerms { .. }
+        | LedgerRecord::OverdraftSuperseded { .. } => 0,
     };
     content + RECORD_OVERHEAD
 }
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -1,6 +1,6 @@
 //! Decides requests to a partition: what can be answered at once, and what must be appended.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +35,10 @@
     Overdraft {
         /// See [`crate::policy::Policy::overdraft_share`].
         share: u64,
+        /// Programs with smaller budgets may not draw on it.
+        min_budget: u64,
+        /// Whether only programs may draw on it that have an account in the log.
+        known_programs: bool,
     },
 }
 
@@ -55,8 +59,10 @@
     pub(super) records: Vec<LedgerRecord>,
     /// Turns that were started on advances of this plan, by program.
     pub(super) started: Vec<(String, String)>,
-    /// Whether another owner's overdraft may soon be closed as unused.
-    pub(super) is_fencing: bool,
+    /// Overdrafts of other owners that may soon be closed as unused.
+    pub(super) undecided: BTreeSet<String>,
+    /// Whether the own overdraft is closed by the plan's records.
+    pub(super) closes_own: bool,
     /// Whether advances hold more than the turn that they are made for.
     pub(super) has_extra: bool,
     accounts: HashMap<String, Account>,
@@ -99,7 +105,7 @@
         // Programs that loop ask again and again; the rare denial of a first turn is looked up.
         let generated = tokens_generated(state, wallets, &begin.program);
         let is_running = wallets.is_running(&begin.program, &begin.turn);
-        if generated > 0 && generated + begin.tokens > budget && !is_running {
+        if generated > 0 && generated.saturating_add(begin.tokens) > budget && !is_running {
             return Some(LedgerReply::BudgetSpent);
         }
         if !draw_advance(wallets, now, begin)
@@ -127,8 +133,8 @@
     is_held
 }
 
-/// Whether the turn may run on the overdraft: the program has drawn no more than its share, and its
-/// budget holds the turn as far as is known here.
+/// Whether the turn may run on the overdraft: with the turn at its most the program draws no more
+/// than its share, which others keep free, and its budget holds the turn as far as is known here.
 fn draw_overdraft(
     state: &LedgerState,
     wallets: &mut Wallets,
@@ -137,24 +143,34 @@
     begin: &BeginTurn,
     budget: u64,
 ) -> bool {
-    let Credit::Overdraft { share } = credit else {
+    let Credit::Overdraft {
+        share,
+        min_budget,
+        known_programs,
+    } = credit
+    else {
         return false;
     };
+    let is_known = state.account(&begin.program).is_some();
+    if budget < min_budget || known_programs && !is_known {
+        return false;
+    }
     let program = &begin.program;
     let is_running = wallets.is_running(program, &begin.turn);
     let with_turn = if is_running {
         wallets.drawn(program)
     } else {
-        wallets.drawn(program) + begin.tokens
+        wallets.drawn(program).saturating_add(begin.tokens)
     };
-    if with_turn.saturating_sub(begin.tokens) > budget / share.max(1) {
+    if with_turn > budget / share.max(1) {
         return false;
     }
     let is_own = |name: &str| wallets.is_own(name);
     let set_aside = state.reserved(program, is_own);
     let committed = state.account(program).map_or(0, Account::committed);
     let others = state.overdrawn_by_others(program, budget, is_own);
-    if committed + others + with_turn.saturating_sub(set_aside) > budget {
+    let unrecorded = with_turn.saturating_sub(set_aside);
+    if committed.saturating_add(others).saturating_add(unrecorded) > budget {
         return false;
     }
     if !is_running {
@@ -168,7 +184,7 @@
 /// falls, unlike what is set aside.
 fn tokens_generated(state: &LedgerState, wallets: &Wallets, program: &str) -> u64 {
     let settled = state.account(program).map_or(0, |account| account.settled);
-    settled + wallets.unsettled_use(program)
+    settled.saturating_add(wallets.unsettled_use(program))
 }
 
 fn finish_at_once(
@@ -264,13 +280,8 @@
             if self.advanced.contains_key(&begin.program) {
                 return Planned::DecideAfterAppend;
             }
-            let is_own = |reservation: &str| wallets.is_own(reservation);
-            let program = &begin.program;
-            let mut others = state.lately_reserved_by_others(program, now, OTHERS_PATIENCE, is_own);
-            if self.is_fencing {
-                others += state.overdrawn_by_others(program, budget, is_own);
-            }
-            return Planned::AnswerIfCurrent(shortage.reply(others));
+            let doubt = self.doubt(state, wallets, now, &begin.program, budget);
+            return Planned::AnswerIfCurrent(shortage.reply(doubt));
         }
         if let Some((turn, content)) = import {
             self.keep(&turn, content);
@@ -278,6 +289,27 @@
         Planned::Append(LedgerReply::Granted { conversation })
     }
 
+    /// What of the tokens that are held free of a program for other owners may not be spent.
+    fn doubt(
+        &self,
+        state: &LedgerState,
+        wallets: &Wallets,
+        now: Timestamp,
+        program: &str,
+        budget: u64,
+    ) -> Doubt {
+        let is_own = |name: &str| wallets.is_own(name);
+        let reserved = state.lately_reserved_by_others(program, now, OTHERS_PATIENCE, is_own);
+        let undecided = state.overdrawn_by_others(program, budget, |name| {
+            is_own(name) || !self.undecided.contains(name)
+        });
+        let unknown = state.overdrawn_by_others(program, budget, is_own);
+        Doubt {
+            resolves_soon: reserved.saturating_add(undecided),
+            total: reserved.saturating_add(unknown),
+        }
+    }
+
     /// Starts a turn on the program's wallet, with a new advance if it holds too little. An error
     /// if the budget does not hold the turn.
     fn fund(
@@ -294,25 +326,27 @@
             return Ok(());
         }
         let planned = self.advanced.get(program).copied().unwrap_or(0);
-        let free = wallet.map_or(0, |wallet| wallet.free()) + signed(planned);
-        let missing = u64::try_from(signed(begin.tokens) - free).unwrap_or(0);
+        let free = wallet
+            .map_or(0, |wallet| wallet.free())
+            .saturating_add(signed(planned));
+        let missing = u64::try_from(signed(begin.tokens).saturating_sub(free)).unwrap_or(0);
         if missing > 0 {
             let is_own = |name: &str| wallets.is_own(name);
             let others = state.overdrawn_by_others(program, budget, is_own);
             let account = self.account(state, program);
-            let wanted = account.committed() + others + missing;
+            let held = account.committed().saturating_add(others);
+            let wanted = held.saturating_add(missing);
             if !account.allows(budget.saturating_sub(others), missing) {
                 return Err(Shortage {
                     tokens: wanted - budget,
                 });
             }
-            let left = budget - wanted;
             let extra = match self.has_extra {
-                true => (left / SHARE_IN_ADVANCE).min(begin.tokens * TURNS_IN_ADVANCE),
+                true => extra_advance(budget - wanted, begin.tokens),
                 false => 0,
             };
             let reservation = wallets.next_name();
-            self.reserve(state, program, reservation, missing + extra);
+            self.reserve(state, program, reservation, missing.saturating_add(extra));
         }
         wallets
             .entry(program)
@@ -324,7 +358,8 @@
     fn reserve(&mut self, state: &LedgerState, program: &str, reservation: String, tokens: u64) {
         self.account(state, program)
             .reserve(reservation.clone(), tokens);
-        *self.advanced.entry(program.to_owned()).or_default() += tokens;
+        let advanced = self.advanced.entry(program.to_owned()).or_default();
+        *advanced = advanced.saturating_add(tokens);
         self.records.push(LedgerRecord::Reserved {
             program: program.to_owned(),
             reservation,
@@ -344,17 +379,36 @@
     }
 }
 
+/// What an advance holds beyond its turn of `tokens`, if the budget has `left` beyond the turn. It
+/// leaves room for another such turn, if there is: should the advance be lost with its owner, the
+/// program can go on.
+fn extra_advance(left: u64, tokens: u64) -> u64 {
+    let spare = left.checked_sub(tokens).unwrap_or(left);
+    let small = (left / SHARE_IN_ADVANCE).min(spare);
+    small.min(tokens.saturating_mul(TURNS_IN_ADVANCE))
+}
+
 /// What a budget lacks for a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Shortage {
     tokens: u64,
 }
 
+/// Tokens of which it is not known whether they are spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Doubt {
+    /// Those of which that will soon be known.
+    resolves_soon: u64,
+    /// All of them.
+    total: u64,
+}
+
 impl Shortage {
-    /// The answer, if others have set `reserved` tokens aside that they may give back.
-    fn reply(self, reserved: u64) -> LedgerReply {
-        if reserved >= self.tokens {
+    fn reply(self, doubt: Doubt) -> LedgerReply {
+        if doubt.resolves_soon >= self.tokens {
             LedgerReply::BudgetUnsure
+        } else if doubt.total >= self.tokens {
+            LedgerReply::BudgetInDoubt
         } else {
             LedgerReply::BudgetSpent
         }
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -9,6 +9,7 @@
 
 use super::Account;
 use super::overdraft::owner_of;
+use super::wallet::total;
 
 /// Turns are held this long after they were last touched, unless the configuration keeps them for
 /// longer.
@@ -49,13 +50,29 @@
 /// An overdraft that has not been closed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenOverdraft {
-    /// A turn may begin on it while the program has drawn no more than one part in so many of its
-    /// budget.
+    /// A turn may begin on it if, with it, the program draws no more than one part in so many of
+    /// its budget.
     pub share: u64,
+    /// Programs with smaller budgets may not draw on it.
+    pub min_budget: u64,
+    /// Whether only programs may draw on it whose account its owner has read in the log.
+    pub known_programs: bool,
+    /// Set once its owner may not draw on it any more, as soon as it has read that: the programs
+    /// that had an account then.
+    pub superseded: Option<BTreeSet<String>>,
     /// The nodes that know whether it is used.
     pub witnesses: Vec<Witness>,
 }
 
+impl OpenOverdraft {
+    /// Whether a program can have drawn on it, or can yet.
+    fn may_have_served(&self, program: &str, budget: u64) -> bool {
+        let is_too_new = |known: &BTreeSet<String>| !known.contains(program);
+        let is_spared = self.known_programs && self.superseded.as_ref().is_some_and(is_too_new);
+        budget >= self.min_budget && !is_spared
+    }
+}
+
 /// Accounts, kept turns and overdrafts of one partition.
 #[derive(Debug, Default)]
 pub struct LedgerState {
@@ -101,6 +118,7 @@
                 settled,
                 open,
             } => {
+                self.note_known_before(&program);
                 let entry = self.account_entry(now, program);
                 entry.account.settled = settled;
                 entry.account.open = open.into_iter().collect();
@@ -116,19 +134,62 @@
                 idle_ms,
             } => {
                 let idle = Duration::from_millis(idle_ms);
+                let mut value = OpenOverdraft {
+                    share,
+                    min_budget: 0,
+                    known_programs: false,
+                    superseded: None,
+                    witnesses,
+                };
+                if let Some(known) = self.overdrafts.remove(&overdraft) {
+                    value.min_budget = known.value.min_budget;
+                    value.known_programs = known.value.known_programs;
+                    value.superseded = known.value.superseded;
+                }
                 let dated = Dated {
-                    value: OpenOverdraft { share, witnesses },
+                    value,
                     touched: now - idle,
                     written: now,
                 };
                 self.overdrafts.insert(overdraft, dated);
             }
+            LedgerRecord::OverdraftTerms {
+                overdraft,
+                min_budget,
+                known_programs,
+            } => {
+                if let Some(dated) = self.overdrafts.get_mut(&overdraft) {
+                    dated.value.min_budget = min_budget;
+                    dated.value.known_programs = known_programs;
+                }
+            }
+            LedgerRecord::OverdraftSuperseded { overdraft } => {
+                if let Some(dated) = self.overdrafts.get_mut(&overdraft) {
+                    let known = self.accounts.keys().cloned();
+                    dated
+                        .value
+                        .superseded
+                        .get_or_insert_with(|| known.collect());
+                }
+            }
             LedgerRecord::OverdraftClosed { overdraft } => {
                 self.overdrafts.remove(&overdraft);
             }
         }
     }
 
+    /// A program whose account is written anew may have had one before any record that is kept.
+    fn note_known_before(&mut self, program: &str) {
+        if self.accounts.contains_key(program) {
+            return;
+        }
+        for dated in self.overdrafts.values_mut() {
+            if let Some(known) = &mut dated.value.superseded {
+                known.insert(program.to_owned());
+            }
+        }
+    }
+
     /// A record shows that its owner lives, so its overdraft may still be used.
     fn note_owner(&mut self, now: Timestamp, reservation: &str) {
         let owner = owner_of(reservation);
@@ -148,10 +209,10 @@
     /// Tokens that other owners may have let a program generate on their overdrafts, beyond what
     /// stands in the log. `is_own` tells which overdrafts are the asker's.
     ///
-    /// An owner lets a turn begin while the program has drawn a share of its budget or less, so it
-    /// can have let it draw that share and one turn. The one turn is not counted: the users'
-    /// rules allow a program to exceed its budget by the most of one turn, and only one overdraft
-    /// is open in a partition.
+    /// Programs that an overdraft does not serve cannot have drawn on it.
+    /// An owner lets a turn begin only if what the program then draws at most, beside settled
+    /// tokens, stays within a share of its budget. So the charge covers all that it can have
+    /// granted unseen, and charges of several open overdrafts add up.
     pub fn overdrawn_by_others(
         &self,
         program: &str,
@@ -159,13 +220,14 @@
         is_own: impl Fn(&str) -> bool,
     ) -> u64 {
         let others = self.overdrafts().filter(|(name, _)| !is_own(name));
-        others
+        let charges = others
+            .filter(|(_, overdraft)| overdraft.may_have_served(program, budget))
             .map(|(name, overdraft)| {
                 let owner = owner_of(name);
                 let limit = budget / overdraft.share.max(1);
                 limit.saturating_sub(self.reserved(program, |other| owner_of(other) == owner))
-            })
-            .sum()
+            });
+        total(charges)
     }
 
     /// Tokens set aside for a program on reservations that `is_wanted` takes.
@@ -174,7 +236,7 @@
             return 0;
         };
         let wanted = account.open.iter().filter(|(name, _)| is_wanted(name));
-        wanted.map(|(_, tokens)| tokens).sum()
+        total(wanted.map(|(_, tokens)| *tokens))
     }
 
     /// The account of a program, if it has one.
@@ -199,10 +261,8 @@
             let seen = dated.reserved.get(name);
             seen.is_some_and(|seen| now.since(*seen) < patience)
         };
-        others
-            .filter(|(name, _)| is_recent(name))
-            .map(|(_, tokens)| tokens)
-            .sum()
+        let recent = others.filter(|(name, _)| is_recent(name));
+        total(recent.map(|(_, tokens)| *tokens))
     }
 
     /// Whether a turn is kept.
@@ -290,12 +350,7 @@
             .overdrafts
             .iter()
             .filter(|(_, dated)| now.since(dated.written) >= REWRITE_AFTER)
-            .map(|(overdraft, dated)| LedgerRecord::Overdraft {
-                overdraft: overdraft.clone(),
-                share: dated.value.share,
-                witnesses: dated.value.witnesses.clone(),
-                idle_ms: u64::try_from(now.since(dated.touched).as_millis()).unwrap_or(u64::MAX),
-            });
+            .flat_map(|(overdraft, dated)| overdraft_records(now, overdraft, dated));
         accounts.chain(turns).chain(overdrafts).collect()
     }
 
@@ -324,3 +379,32 @@
         dated
     }
 }
+
+/// The records that an open overdraft is written anew with.
+fn overdraft_records(
+    now: Timestamp,
+    overdraft: &str,
+    dated: &Dated<OpenOverdraft>,
+) -> Vec<LedgerRecord> {
+    let idle = now.since(dated.touched).as_millis();
+    let open = &dated.value;
+    let mut records = vec![
+        LedgerRecord::Overdraft {
+            overdraft: overdraft.to_owned(),
+            share: open.share,
+            witnesses: open.witnesses.clone(),
+            idle_ms: u64::try_from(idle).unwrap_or(u64::MAX),
+        },
+        LedgerRecord::OverdraftTerms {
+            overdraft: overdraft.to_owned(),
+            min_budget: open.min_budget,
+            known_programs: open.known_programs,
+        },
+    ];
+    if open.superseded.is_some() {
+        records.push(LedgerRecord::OverdraftSuperseded {
+            overdraft: overdraft.to_owned(),
+        });
+    }
+    records
+}
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::ledger::{
-    Action, AppendOutcome, Inquiry, LedgerState, OverdraftUse, PartitionOwner, ReadOutcome,
-    SLOW_CALL, Ticket, WitnessMemory,
+    Action, AppendOutcome, Inquiry, LedgerState, OVERDRAFT_RETENTION, OverdraftUse, PartitionOwner,
+    ReadOutcome, SLOW_CALL, Ticket, WitnessMemory,
 };
 use elderworks_gateway_core::policy::Policy;
 use elderworks_protocol::ledger::{
@@ -12,7 +12,7 @@
 };
 use elderworks_types::{NodeId, Offset, Timestamp};
 
-use crate::fixtures::{START, begin, finish, nothing};
+use crate::fixtures::{START, begin, begin_of, finish, nothing};
 
 fn witness(boot: u64) -> Witness {
     Witness {
@@ -156,14 +156,20 @@
 fn turns_begin_on_an_active_overdraft_up_to_its_share() {
     let mut owner = active();
     assert_eq!(granted(&mut owner), 1, "the turn that waited for the log");
-    // A third of 90 is 30: a turn may begin while no more than that is drawn.
+    // A third of 90 is 30: a turn may begin if it fits into that whole.
     for (number, turn) in ["two", "three", "four", "five"].iter().enumerate() {
         let ticket = Ticket(10 + number as u64);
         owner.submit(START, ticket, begin(turn, 90, 10));
     }
-    assert_eq!(granted(&mut owner), 3, "the fifth finds 40 drawn");
-    owner.submit(START, Ticket(20), finish("one", 3, None));
-    owner.submit(START, Ticket(21), finish("two", 3, None));
+    assert_eq!(granted(&mut owner), 2, "the fourth would make it 40");
+    owner.submit(START, Ticket(20), finish("one", 5, None));
+    owner.submit(START, Ticket(21), finish("two", 4, None));
+    owner.submit(START, Ticket(23), begin("too large", 90, 12));
+    assert_eq!(
+        granted(&mut owner),
+        0,
+        "19 are drawn, and 12 would make it 31"
+    );
     owner.submit(START, Ticket(22), begin("six", 90, 10));
     assert_eq!(
         granted(&mut owner),
@@ -322,7 +328,7 @@
 }
 
 #[test]
-fn a_denial_that_rests_on_anothers_overdraft_is_unsure_for_a_moment() {
+fn a_denial_that_rests_on_anothers_overdraft_is_never_sure() {
     struct Case {
         name: &'static str,
         answer: Option<WitnessAnswer>,
@@ -337,16 +343,16 @@
             reply: LedgerReply::BudgetUnsure,
         },
         Case {
-            name: "a witness knows that it was used",
+            name: "a witness knows that it was used, though not for which programs",
             answer: Some(WitnessAnswer::Activated),
-            after: Duration::ZERO,
-            reply: LedgerReply::BudgetSpent,
+            after: Duration::from_millis(1_100),
+            reply: LedgerReply::BudgetInDoubt,
         },
         Case {
             name: "the witnesses are gone",
             answer: None,
             after: Duration::from_millis(1_100),
-            reply: LedgerReply::BudgetSpent,
+            reply: LedgerReply::BudgetInDoubt,
         },
     ];
     for case in cases {
@@ -438,3 +444,332 @@
         assert_eq!(answers, case.answers, "{}", case.name);
     }
 }
+
+/// What a lost owner's log holds: an overdraft that serves budgets from `min_budget` on.
+fn lost_overdraft(min_budget: u64) -> ReadOutcome {
+    let ReadOutcome::Records { mut records, .. } = others_overdraft() else {
+        panic!("records");
+    };
+    records.push(Some(LedgerRecord::OverdraftTerms {
+        overdraft: "lost/1".to_owned(),
+        min_budget,
+        known_programs: false,
+    }));
+    ReadOutcome::Records {
+        records,
+        end: Offset(2),
+    }
+}
+
+/// An owner after a loss of all machines: the witnesses of the lost overdraft have forgotten it.
+fn owner_after_loss_of_all(min_budget: u64) -> PartitionOwner {
+    let mut owner = PartitionOwner::new("successor".to_owned());
+    owner.set_witnesses(witnesses(&[11, 12, 13]).into());
+    owner.next_action(START);
+    owner.on_read(START, lost_overdraft(min_budget));
+    owner.next_action(START);
+    for inquiry in owner.take_inquiries() {
+        answer(&mut owner, START, &inquiry, WitnessAnswer::Unknown);
+    }
+    owner
+}
+
+/// Time after which witnesses that have not fenced an overdraft are taken to be lost.
+const FENCING: Duration = Duration::from_secs(1);
+
+#[test]
+fn after_a_loss_of_all_machines_an_overdraft_is_opened_beside_the_lost_one() {
+    let mut owner = owner_after_loss_of_all(0);
+    let Action::Wait { until: Some(until) } = owner.next_action(START) else {
+        panic!("the lost one may yet turn out to be unused");
+    };
+    assert_eq!(until, START + FENCING);
+    let records = appended(&mut owner, until);
+    let [LedgerRecord::Overdraft { .. }, terms] = &records[..] else {
+        panic!("{records:?}");
+    };
+    assert!(
+        matches!(terms, LedgerRecord::OverdraftTerms { known_programs, .. } if *known_programs),
+        "{terms:?}"
+    );
+    owner.on_append(until, AppendOutcome::Done);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
+    assert!(matches!(owner.next_action(until), Action::Wait { .. }));
+}
+
+/// The programs that an overdraft beside a lost one serves: those that the log knows.
+#[test]
+fn an_overdraft_beside_a_lost_one_serves_known_programs_alone() {
+    let mut owner = owner_after_loss_of_all(0);
+    let now = START + FENCING;
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    owner.submit(now, Ticket(1), begin("one", 90, 10));
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    appended(&mut owner, now);
+    owner.on_append(now, AppendOutcome::Done);
+    owner.take_replies();
+    // The first turn's advance holds another; the call for the next one takes long.
+    owner.submit(now, Ticket(2), begin("two", 90, 10));
+    assert_eq!(granted(&mut owner), 1, "on the first turn's advance");
+    owner.submit(now, Ticket(3), begin("three", 90, 10));
+    appended(&mut owner, now);
+    owner.note_slow_call(now);
+    for inquiry in owner.take_inquiries() {
+        answer(&mut owner, now, &inquiry, WitnessAnswer::Activated);
+    }
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Active);
+    assert_eq!(granted(&mut owner), 1, "a third of 90 holds the third turn");
+    owner.submit(now, Ticket(5), begin_of("new", "first", 90, 10));
+    assert_eq!(
+        granted(&mut owner),
+        0,
+        "the log knows nothing of the program"
+    );
+}
+
+/// What a second loss of all machines leaves: the overdraft of the first, and one opened beside it.
+#[test]
+fn programs_that_begin_after_a_second_loss_are_held_back_for_one_overdraft() {
+    let mut owner = PartitionOwner::new("third".to_owned());
+    owner.set_witnesses(witnesses(&[21, 22, 23]).into());
+    owner.next_action(START);
+    let opened = |name: &str| LedgerRecord::Overdraft {
+        overdraft: name.to_owned(),
+        share: 3,
+        witnesses: witnesses(&[1, 2, 3]),
+        idle_ms: 0,
+    };
+    let known = LedgerRecord::Reserved {
+        program: "known".to_owned(),
+        reservation: "second/2".to_owned(),
+        tokens: 10,
+    };
+    let terms = LedgerRecord::OverdraftTerms {
+        overdraft: "second/1".to_owned(),
+        min_budget: 0,
+        known_programs: true,
+    };
+    let records = vec![opened("lost/1"), opened("second/1"), terms, known];
+    let outcome = ReadOutcome::Records {
+        records: records.into_iter().map(Some).collect(),
+        end: Offset(4),
+    };
+    owner.on_read(START, outcome);
+    owner.next_action(START);
+    let now = START + FENCING;
+    let records = appended(&mut owner, now);
+    let superseded = LedgerRecord::OverdraftSuperseded {
+        overdraft: "second/1".to_owned(),
+    };
+    assert!(records.contains(&superseded), "{records:?}");
+    owner.on_append(now, AppendOutcome::Done);
+    owner.next_action(now);
+    let charge = |program: &str| {
+        owner
+            .state()
+            .overdrawn_by_others(program, 90, |name| name.starts_with("third"))
+    };
+    assert_eq!(charge("new"), 30, "for the first overdraft alone");
+    assert_eq!(
+        charge("known"),
+        50,
+        "for both, less what the log holds of one"
+    );
+}
+
+#[test]
+fn no_fourth_overdraft_is_opened_beside_three_that_were_lost() {
+    let mut owner = PartitionOwner::new("successor".to_owned());
+    owner.set_witnesses(witnesses(&[11, 12, 13]).into());
+    owner.next_action(START);
+    let lost = |name: &str| {
+        Some(LedgerRecord::Overdraft {
+            overdraft: name.to_owned(),
+            share: 3,
+            witnesses: witnesses(&[1, 2, 3]),
+            idle_ms: 0,
+        })
+    };
+    let outcome = ReadOutcome::Records {
+        records: vec![lost("lost/1"), lost("second/1"), lost("third/1")],
+        end: Offset(3),
+    };
+    owner.on_read(START, outcome);
+    owner.next_action(START);
+    assert_eq!(owner.take_inquiries().len(), 9, "the witnesses of all");
+    let action = owner.next_action(START + FENCING);
+    assert!(matches!(action, Action::Wait { .. }), "{action:?}");
+}
+
+/// Draws what the owner lets run, until it grants no more.
+fn granted_of(owner: &mut PartitionOwner, now: Timestamp, budget: u64) -> usize {
+    for number in 0..20 {
+        let turn = format!("turn-{number}");
+        owner.submit(now, Ticket(100 + number), begin(&turn, budget, 10));
+        if matches!(owner.next_action(now), Action::Append { .. }) {
+            owner.on_append(now, AppendOutcome::Done);
+        }
+    }
+    granted(owner)
+}
+
+#[test]
+fn budgets_below_the_least_of_a_lost_overdraft_are_not_charged_for_it() {
+    struct Case {
+        name: &'static str,
+        min_budget: u64,
+        budget: u64,
+        granted: usize,
+    }
+    let cases = [
+        Case {
+            name: "no least budget: a third of 12 is held back, and a turn of 10 does not fit",
+            min_budget: 0,
+            budget: 12,
+            granted: 0,
+        },
+        Case {
+            name: "a budget that holds one turn, below the least",
+            min_budget: 30,
+            budget: 12,
+            granted: 1,
+        },
+        Case {
+            name: "the least budget",
+            min_budget: 30,
+            budget: 30,
+            granted: 2,
+        },
+    ];
+    for case in cases {
+        let mut owner = owner_after_loss_of_all(case.min_budget);
+        let granted = granted_of(&mut owner, START + FENCING, case.budget);
+        assert_eq!(granted, case.granted, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_overdraft_serves_only_budgets_whose_share_holds_a_usual_turn() {
+    let mut owner = standing();
+    owner.submit(START, Ticket(1), begin("one", 900, 10));
+    appended(&mut owner, START);
+    owner.on_append(START, AppendOutcome::Done);
+    // The next append replaces the overdraft by one with a least budget.
+    owner.submit(START, Ticket(2), begin("two", 900, 200));
+    let records = appended(&mut owner, START);
+    let least = records.iter().find_map(|record| match record {
+        LedgerRecord::OverdraftTerms { min_budget, .. } => Some(*min_budget),
+        _ => None,
+    });
+    assert_eq!(least, Some(30), "{records:?}");
+    owner.on_append(START, AppendOutcome::Done);
+    owner.take_replies();
+    owner.submit(START, Ticket(3), begin("three", 900, 300));
+    appended(&mut owner, START);
+    owner.note_slow_call(START);
+    for inquiry in owner.take_inquiries() {
+        answer(&mut owner, START, &inquiry, WitnessAnswer::Activated);
+    }
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Active);
+    for (budget, expected) in [(29, 0), (30, 1)] {
+        let program = format!("of {budget}");
+        owner.take_replies();
+        owner.submit(
+            START,
+            Ticket(budget),
+            begin_of(&program, "small", budget, 5),
+        );
+        assert_eq!(granted(&mut owner), expected, "a budget of {budget}");
+    }
+}
+
+#[test]
+fn nothing_is_drawn_on_an_overdraft_that_is_known_to_be_superseded() {
+    for is_superseded in [false, true] {
+        let mut owner = active();
+        granted(&mut owner);
+        owner.on_append(START, AppendOutcome::Conflict);
+        owner.next_action(START);
+        let superseded = LedgerRecord::OverdraftSuperseded {
+            overdraft: "owner/1".to_owned(),
+        };
+        let records: Vec<_> = is_superseded
+            .then_some(Some(superseded))
+            .into_iter()
+            .collect();
+        let end = Offset(1 + records.len() as u64);
+        // The log answers, but slowly, so that the overdraft would still be of use.
+        let now = START + SLOW_CALL;
+        owner.on_read(now, ReadOutcome::Records { records, end });
+        owner.submit(now, Ticket(2), begin("two", 90, 10));
+        let expected = usize::from(!is_superseded);
+        assert_eq!(granted(&mut owner), expected, "superseded: {is_superseded}");
+    }
+}
+
+#[test]
+fn an_overdraft_is_not_used_before_its_terms_are_read() {
+    let mut owner = owner();
+    let records = appended(&mut owner, START);
+    owner.on_append(START, AppendOutcome::Unknown);
+    let now = START + Duration::from_secs(1);
+    owner.next_action(now);
+    // A page that ends before the terms.
+    let page = ReadOutcome::Records {
+        records: records.into_iter().take(1).map(Some).collect(),
+        end: Offset(2),
+    };
+    owner.on_read(now, page);
+    owner.expire(now, Duration::from_secs(75));
+    assert_eq!(owner.overdraft_use(), OverdraftUse::None);
+}
+
+#[test]
+fn an_owner_that_is_not_preferred_does_not_promise_a_decision_soon() {
+    let mut owner = successor();
+    owner.set_preferred(false);
+    owner.submit(START, Ticket(1), begin("one", 12, 10));
+    let mut replies = Vec::new();
+    for _ in 0..6 {
+        match owner.next_action(START) {
+            Action::Append { .. } => owner.on_append(START, AppendOutcome::Done),
+            Action::Read { from } => owner.on_read(START, nothing(from.0)),
+            Action::Wait { .. } => {}
+        }
+        replies.extend(owner.take_replies());
+    }
+    assert_eq!(replies, [(Ticket(1), LedgerReply::BudgetInDoubt)]);
+}
+
+/// Witnesses forget an activation in time, so an overdraft is not used for ever.
+#[test]
+fn an_overdraft_is_closed_before_its_witnesses_forget_it_though_the_log_stays_slow() {
+    let mut owner = active();
+    owner.on_append(START + SLOW_CALL, AppendOutcome::Done);
+    let old = START + OVERDRAFT_RETENTION;
+    let Action::Append { records, .. } = owner.next_action(old) else {
+        panic!("it is to be closed");
+    };
+    let is_close = |record: &LedgerRecord| matches!(record, LedgerRecord::OverdraftClosed { .. });
+    assert!(records.iter().any(is_close), "{records:?}");
+}
+
+#[test]
+fn budgets_and_turns_of_any_size_are_decided() {
+    let mut owner = active();
+    for (number, (budget, tokens)) in [(u64::MAX, u64::MAX), (1, u64::MAX), (u64::MAX, 1)]
+        .into_iter()
+        .enumerate()
+    {
+        let ticket = Ticket(30 + number as u64);
+        owner.submit(START, ticket, begin(&format!("t{number}"), budget, tokens));
+    }
+    owner.on_append(START, AppendOutcome::Done);
+    for _ in 0..4 {
+        if matches!(owner.next_action(START), Action::Append { .. }) {
+            owner.on_append(START, AppendOutcome::Done);
+        }
+    }
+}
--- a/crates/gateway-core/tests/ledger_model.rs
+++ b/crates/gateway-core/tests/ledger_model.rs
@@ -1,8 +1,8 @@
 //! Several owners act for one partition on one log, whose calls are refused, lost or carried out
 //! late, while owners lose their memory. What the ledger promises must hold throughout.
 //!
-//! Without witnesses no owner has an overdraft, and a program never exceeds its budget. With them,
-//! it may exceed it by the most of one turn, as the users' rules allow, and by no more.
+//! Without witnesses no owner has an overdraft. A program never exceeds its budget, with them or
+//! without.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,9 +22,24 @@
 const OWNERS: usize = 3;
 /// Nodes that can witness: the owners' own, and others.
 const NODES: usize = 5;
-const PROGRAMS: [&str; 3] = ["a", "b", "c"];
-const BUDGET: u64 = 50;
+const PROGRAMS: [&str; 4] = ["a", "b", "c", "d"];
 const MOST: u64 = 10;
+/// The budget of a program: one is too small for a turn on an overdraft.
+fn budget(program: &str) -> u64 {
+    match program {
+        "c" => 25,
+        _ => 60,
+    }
+}
+
+/// What a turn generates at most: turns of two sizes take turns.
+fn most(ticket: Ticket) -> u64 {
+    match ticket.0 % 3 {
+        0 => 4,
+        _ => MOST,
+    }
+}
+
 const STEP: Duration = Duration::from_millis(20);
 
 /// A call that the log has not carried out yet and may carry out later.
@@ -187,6 +202,7 @@
     owner: usize,
     program: &'static str,
     turn: String,
+    most: u64,
 }
 
 enum Asked {
@@ -346,13 +362,13 @@
         let request = LedgerRequest::Begin(BeginTurn {
             program: program.to_owned(),
             turn: turn.clone(),
-            budget: Some(BUDGET),
-            tokens: MOST,
+            budget: Some(budget(program)),
+            tokens: most(ticket),
             previous: None,
             imported: None,
         });
         self.owners[owner].submit(self.now, ticket, request);
-        let was_full = self.is_full(program);
+        let was_full = self.is_full(program, most(ticket));
         let asked = Asked::Begin {
             program,
             turn,
@@ -368,6 +384,7 @@
         };
         let owner = other.unwrap_or(granted.owner);
         let (program, turn) = (granted.program, granted.turn);
+        let used = used.min(granted.most);
         // Its tokens have reached the caller, whether or not the ledger learns of it.
         *self.seen.used.entry(program).or_default() += used;
         let ticket = self.next_ticket();
@@ -456,16 +473,19 @@
                         owner,
                         program,
                         turn,
+                        most: most(ticket),
                     });
                 }
                 (
                     Asked::Begin {
                         program, was_full, ..
                     },
-                    LedgerReply::BudgetSpent | LedgerReply::BudgetUnsure,
+                    LedgerReply::BudgetSpent
+                    | LedgerReply::BudgetUnsure
+                    | LedgerReply::BudgetInDoubt,
                 ) => {
                     assert!(
-                        was_full || self.is_full(program),
+                        was_full || self.is_full(program, most(ticket)),
                         "denied while there was room"
                     );
                 }
@@ -482,35 +502,36 @@
     }
 
     /// Whether what is set aside and generated leaves no room for a turn.
-    fn is_full(&self, program: &str) -> bool {
+    fn is_full(&self, program: &str, tokens: u64) -> bool {
+        self.room(program) < tokens
+    }
+
+    /// Tokens of a program's budget that are neither set aside nor generated.
+    fn room(&self, program: &str) -> u64 {
         let state = self.replayed();
         let account = state.account(program);
         let committed = account.map_or(0, |account| account.committed());
-        let overdrawn = state.overdrawn_by_others(program, BUDGET, |_| false);
-        committed + overdrawn + MOST > BUDGET
+        let overdrawn = state.overdrawn_by_others(program, budget(program), |_| false);
+        budget(program).saturating_sub(committed + overdrawn)
     }
 
     fn note_whether_full(&mut self) {
-        let full = PROGRAMS.map(|program| self.is_full(program));
-        for asked in self.seen.asked.values_mut() {
+        let room = PROGRAMS.map(|program| self.room(program));
+        for (ticket, asked) in &mut self.seen.asked {
             if let Asked::Begin {
                 program, was_full, ..
             } = asked
             {
                 let number = PROGRAMS.iter().position(|known| known == program);
-                *was_full |= number.is_some_and(|number| full[number]);
+                *was_full |= number.is_some_and(|number| room[number] < most(*ticket));
             }
         }
     }
 
     fn check(&self) {
-        let allowed = match self.witnesses.is_empty() {
-            true => BUDGET,
-            false => BUDGET + MOST,
-        };
         for program in PROGRAMS {
             let most = self.most_generated(program);
-            assert!(most <= allowed, "{most} tokens may be generated");
+            assert!(most <= budget(program), "{most} tokens may be generated");
         }
         let state = self.replayed();
         for (turn, input) in &self.seen.kept {
@@ -523,7 +544,7 @@
         let used = self.seen.used.get(program).copied().unwrap_or(0);
         let running = self.seen.running.iter();
         let running = running.filter(|granted| granted.program == program);
-        used + running.count() as u64 * MOST
+        used + running.map(|granted| granted.most).sum::<u64>()
     }
 
     fn replayed(&self) -> LedgerState {
@@ -552,6 +573,21 @@
         self.step(Step::Slow { owner });
     }
 
+    /// An owner that the log serves does all that it has to do, for two seconds.
+    fn serve(&mut self, owner: usize) {
+        for _ in 0..2 {
+            for _ in 0..4 {
+                self.step(Step::Act {
+                    owner,
+                    fate: Fate::Works,
+                });
+                self.step(Step::Learn { owner });
+                self.hear(vec![(true, true); 8]);
+            }
+            self.step(Step::Pass { steps: 55 });
+        }
+    }
+
     fn hear(&mut self, answers: Vec<(bool, bool)>) {
         for (is_asked, is_heard) in answers {
             self.step(Step::Inquire { is_asked, is_heard });
@@ -617,11 +653,18 @@
     world.step(Step::Pass { steps: 10 });
     act(&mut world, Fate::Works);
     assert_eq!(world.owners[0].overdraft_use(), OverdraftUse::Closing);
+    // A later append that the log refuses says nothing of the close.
+    world.step(Step::Begin {
+        owner: 0,
+        program: 3,
+    });
+    act(&mut world, Fate::Refused);
+    assert_eq!(world.owners[0].overdraft_use(), OverdraftUse::Closing);
     // The log falls silent, and turns are asked for.
     for _ in 0..6 {
         world.step(Step::Begin {
             owner: 0,
-            program: 2,
+            program: 1,
         });
         act(&mut world, Fate::Lost);
         world.step(Step::Slow { owner: 0 });
@@ -632,7 +675,7 @@
     for _ in 0..6 {
         world.step(Step::Begin {
             owner: 1,
-            program: 2,
+            program: 1,
         });
         for _ in 0..3 {
             world.step(Step::Act {
@@ -701,7 +744,7 @@
     }
 
     #[test]
-    fn overdrafts_exceed_a_budget_by_one_turn_at_most(
+    fn budgets_hold_where_turns_run_on_overdrafts(
         steps in prop::collection::vec(step_with_witnesses(), 1..260),
     ) {
         let mut world = World::with_witnesses();
@@ -714,6 +757,7 @@
     /// while, beside one that the log serves.
     #[test]
     fn an_owner_that_is_cut_off_and_its_successor_keep_a_budget_together(
+        program in 1..PROGRAMS.len(),
         before in prop::collection::vec(step_with_witnesses(), 0..40),
         cut_off in prop::collection::vec((0..10_u8, 0..=MOST), 1..60),
     ) {
@@ -724,8 +768,8 @@
         }
         for (kind, used) in cut_off {
             world.step(match kind {
-                0 | 1 => Step::Begin { owner: 0, program: 1 },
-                2 => Step::Begin { owner: 1, program: 1 },
+                0 | 1 => Step::Begin { owner: 0, program },
+                2 => Step::Begin { owner: 1, program },
                 3 => Step::Finish { other: None, used, kept: false },
                 4 => Step::Act { owner: 0, fate: Fate::Lost },
                 5 => Step::Learn { owner: 0 },
@@ -769,6 +813,41 @@
         }
     }
 
+    /// Owners act one after the other, each until it loses the log and then perhaps its memory,
+    /// while all witnesses lose theirs. Those that live go on asking and letting run what they can.
+    #[test]
+    fn owners_lost_one_after_the_other_keep_a_budget_together(
+        turns in prop::collection::vec((0..OWNERS, 0..PROGRAMS.len()), 30),
+        lost in prop::collection::vec(any::<bool>(), OWNERS),
+        rounds in 2..6_usize,
+    ) {
+        let mut world = World::with_witnesses();
+        let mut turns = turns.into_iter();
+        for (owner, is_lost) in lost.into_iter().enumerate() {
+            for _ in 0..rounds {
+                world.serve(owner);
+                if let Some((_, program)) = turns.next() {
+                    world.step(Step::Begin { owner, program });
+                }
+            }
+            world.serve(owner);
+            world.cut_off(owner);
+            world.hear(vec![(true, true); 8]);
+            for (drawing, program) in turns.by_ref().take(5) {
+                let owner = drawing.min(owner);
+                world.step(Step::Begin { owner, program });
+                world.step(Step::Slow { owner });
+                world.hear(vec![(true, true); 4]);
+            }
+            for node in OWNERS..NODES {
+                world.restart(node);
+            }
+            if is_lost {
+                world.restart(owner);
+            }
+        }
+    }
+
     /// Once the log works again, every request gets its answer.
     #[test]
     fn every_request_is_answered_in_the_end(steps in prop::collection::vec(step(), 1..100)) {
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -57,8 +57,8 @@
     Overdraft {
         /// Names the overdraft; begins with the owner's name.
         overdraft: String,
-        /// A turn may begin on it while the program has drawn no more than one part in so many of
-        /// its budget.
+        /// A turn may begin on it if, with it, the program draws no more than one part in so many
+        /// of its budget.
         share: u64,
         /// The nodes that are told before it is used.
         witnesses: Vec<Witness>,
@@ -71,6 +71,22 @@
         /// Names the overdraft.
         overdraft: String,
     },
+    /// Which programs an overdraft, opened by the record before, serves; the others need not be
+    /// held back for it.
+    OverdraftTerms {
+        /// Names the overdraft.
+        overdraft: String,
+        /// Programs with smaller budgets may not draw on it.
+        min_budget: u64,
+        /// Whether only programs may draw on it whose account its owner has read in the log.
+        known_programs: bool,
+    },
+    /// An overdraft may not be drawn on by an owner that has read this. Where it serves known
+    /// programs alone, those that begin after this record need not be held back for it.
+    OverdraftSuperseded {
+        /// Names the overdraft.
+        overdraft: String,
+    },
 }
 
 /// A start of a node that remembers whether an overdraft is used.
@@ -189,6 +205,9 @@
     BudgetUnsure,
     /// A witness's answer.
     Witness(WitnessAnswer),
+    /// Whether the budget holds the turn depends on what a lost owner may have let run, which may
+    /// not become known for long; nothing was done.
+    BudgetInDoubt,
 }
 
 /// A frame between gateways: a request, what becomes of it, or news that asks for no reply.
