gateway: partitions left to their foremost candidates at a start; changes of nodes in batches; appends apart

Cause: after a start of all nodes no turn was granted for 1.8 s. Not the start itself held them up (ready after 0.20 to 0.47 s): eight to ten nodes read each partition whole. A candidate whose reads took too long said "unavailable", the next ones began to read too, then the asking node itself; a node that had not joined knew no candidate and read at once. All reads share the log's bandwidth.

Change: - acting: for the first moments a candidate that cannot now, or cannot be reached yet, is not passed over; a node that has joined nobody acts for none. A page of a partition that is not known is waited for 0.6 s at least. - change_batch: what follows from nodes that come and go is worked out at once after a rest, else once per 0.1 s, and not at all if the same nodes are alive with the same entries; one log line for what has changed since the last. - A join reads the list of entries once, then what came since; the entries' stream is read again 0.25 s after an answer. - start: ready is said with the last of configuration, workers and joined, with times of each; requests wait for it up to 0.4 s instead of a refusal. - append_pace: appends of a partition begin 30 ms apart, what comes meanwhile goes with the next. log_causes: calls counted by what for.

--- /dev/null
+++ b/crates/gateway-core/src/acting.rs
@@ -0,0 +1,47 @@
+//! Whether a node acts for a partition in place of the candidates before it.
+//!
+//! Acting begins with reading the whole partition, and the log's bandwidth is shared by all reads. A
+//! node that acts too soon makes the foremost candidate slower, so that others pass it over as well:
+//! after a start of all nodes, each would read every partition.
+
+use std::time::Duration;
+
+/// How long after its start a node takes a candidate that it cannot reach to be starting too:
+/// processes that start together listen by then, those of small machines included, and callers of a
+/// single one that starts have time left.
+pub const OTHERS_START: Duration = Duration::from_millis(300);
+
+/// Why a candidate has not carried a request out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PassedOver {
+    /// It says that it cannot now.
+    Unavailable,
+    /// It cannot be reached, or shows no sign of life.
+    Absent,
+}
+
+/// What a node knows of itself when a candidate before it has not carried a request out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Time since its start.
+    pub age: Duration,
+    /// Whether gossip has had time to spread since it joined.
+    pub is_settled: bool,
+}
+
+impl Standing {
+    /// Whether to ask the next candidate, or to act in its place. If not, the request is made again
+    /// after a pause, as long as its caller has time.
+    pub fn may_pass_over(&self, reason: PassedOver) -> bool {
+        match reason {
+            // It reads the partition, as everybody would have to.
+            PassedOver::Unavailable => self.is_settled,
+            PassedOver::Absent => self.is_settled || self.age >= OTHERS_START,
+        }
+    }
+
+    /// Whether to act without any candidate before this node: it may know no other yet.
+    pub fn may_act_alone(&self, has_joined: bool) -> bool {
+        has_joined || self.age >= OTHERS_START
+    }
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -5,9 +5,12 @@
 //! turn, and which turns a conversation consists of. The driver is `elderworks-gateway`.
 
 pub mod access;
+pub mod acting;
+pub mod append_pace;
 pub mod attempt;
 pub mod balancer;
 pub mod call;
+pub mod change_batch;
 pub mod config;
 pub mod config_proof;
 pub mod departures;
@@ -15,6 +18,7 @@
 pub mod drain;
 pub mod events;
 pub mod ledger;
+pub mod log_causes;
 pub mod log_reach;
 pub mod nodes;
 pub mod ownership;
@@ -23,6 +27,7 @@
 pub mod quota;
 pub mod response_time;
 pub mod split;
+pub mod start;
 pub mod stream_reads;
 pub mod tenants;
 pub mod worker_health;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -56,6 +56,15 @@
     pub peer_proofs: bool,
     /// Quotas are divided between nodes by what they tell each other; evenly if not.
     pub shared_quotas: bool,
+    /// Nodes that come, go or change within a short time are acted on together.
+    pub batched_changes: bool,
+    /// Shortest time between two appends of one partition, in milliseconds: what comes meanwhile is
+    /// appended in one call. A few milliseconds are little beside the time of a turn; 0 for none.
+    pub append_pace_ms: u64,
+    /// Requests wait a moment for the rest of their node's start.
+    pub starting_patience: bool,
+    /// Nodes that have just started leave the foremost candidate of a partition time to read it.
+    pub starting_restraint: bool,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
 }
@@ -85,11 +94,18 @@
             engine_rank: true,
             peer_proofs: true,
             shared_quotas: true,
+            batched_changes: true,
+            append_pace_ms: 30,
+            starting_patience: true,
+            starting_restraint: true,
             missing_grace: true,
         }
     }
 }
 
+/// Longest pace of appends that makes sense: the log counts as slow beyond it.
+const LONGEST_APPEND_PACE_MS: u64 = 40;
+
 /// A figure that makes no sense.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("`{key}` {problem}")]
@@ -110,6 +126,9 @@
         if !(self.load_bound >= 1.0 && self.load_bound.is_finite()) {
             return error("load_bound", "must be 1 or more");
         }
+        if self.append_pace_ms > LONGEST_APPEND_PACE_MS {
+            return error("append_pace_ms", "must be 40 or less");
+        }
         if self.addresses_ttl_ms == 0 {
             return error("addresses_ttl_ms", "must be 1 or more");
         }
--- a/crates/gateway-core/src/stream_reads.rs
+++ b/crates/gateway-core/src/stream_reads.rs
@@ -50,6 +50,10 @@
 /// Longest pause between two reads of the workers' stream, however long workers drain.
 const LONGEST_WORKERS_PAUSE: Duration = Duration::from_secs(1);
 
+/// Pause between two reads of the nodes' stream: the entries of nodes that start together come in a few
+/// reads, not in one for each. Who lives is told by gossip meanwhile.
+const NODES_PAUSE: Duration = Duration::from_millis(250);
+
 /// How soon news of the streams must be acted on, from the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewsDeadlines {
@@ -97,7 +101,8 @@
         };
         let pause = match stream {
             Stream::Workers => workers_pause(deadlines.drain),
-            Stream::Configuration | Stream::Nodes | Stream::Ledger(_) => Duration::ZERO,
+            Stream::Nodes => NODES_PAUSE,
+            Stream::Configuration | Stream::Ledger(_) => Duration::ZERO,
         };
         Self {
             news,
--- /dev/null
+++ b/crates/gateway-core/tests/acting.rs
@@ -0,0 +1,86 @@
+//! Who acts for a partition in the first moments of a start, and later.
+
+use std::time::Duration;
+
+use elderworks_gateway_core::acting::{OTHERS_START, PassedOver, Standing};
+
+const MOMENT: Duration = Duration::from_millis(1);
+
+#[test]
+fn a_node_that_starts_leaves_the_others_time_to_start_too() {
+    use PassedOver::{Absent, Unavailable};
+    let before = OTHERS_START - MOMENT;
+    let table = [
+        (before, false, Absent, false),
+        (before, false, Unavailable, false),
+        (OTHERS_START, false, Absent, true),
+        (OTHERS_START, false, Unavailable, false),
+        (before, true, Absent, true),
+        (before, true, Unavailable, true),
+        (OTHERS_START, true, Absent, true),
+        (OTHERS_START, true, Unavailable, true),
+    ];
+    for (age, is_settled, reason, expected) in table {
+        let standing = Standing { age, is_settled };
+        assert_eq!(
+            standing.may_pass_over(reason),
+            expected,
+            "{standing:?} {reason:?}"
+        );
+    }
+}
+
+#[test]
+fn a_node_that_knows_nobody_yet_does_not_act_for_every_partition() {
+    let table = [
+        (Duration::ZERO, false, false),
+        (Duration::ZERO, true, true),
+        (OTHERS_START, false, true),
+    ];
+    for (age, has_joined, expected) in table {
+        let standing = Standing {
+            age,
+            is_settled: false,
+        };
+        assert_eq!(standing.may_act_alone(has_joined), expected, "{standing:?}");
+    }
+}
+
+/// Nodes that start within a short time and get a request each at once for one partition: how many
+/// of them come to act for it. The foremost candidate is the last to be there.
+fn actors(nodes: u64, spread: Duration, reading: Duration, limited: bool) -> usize {
+    let step = Duration::from_millis(20);
+    let starts = |node: u64| spread.mul_f64(node as f64 / nodes as f64);
+    let foremost_there = spread;
+    let foremost_ready = spread + reading;
+    let acts = |node: &u64| {
+        let mut now = starts(*node);
+        while now < foremost_ready {
+            let reason = match now < foremost_there {
+                true => PassedOver::Absent,
+                false => PassedOver::Unavailable,
+            };
+            let standing = Standing {
+                age: now - starts(*node),
+                is_settled: false,
+            };
+            if !limited || standing.may_pass_over(reason) {
+                return true;
+            }
+            now += step;
+        }
+        false
+    };
+    (0..nodes - 1).filter(acts).count() + 1
+}
+
+#[test]
+fn nodes_that_start_together_read_each_partition_once() {
+    let spread = Duration::from_millis(250);
+    let reading = Duration::from_millis(700);
+    for nodes in [16, 61, 78, 295] {
+        assert_eq!(actors(nodes, spread, reading, true), 1, "{nodes} nodes");
+        let unlimited = actors(nodes, spread, reading, false);
+        assert_eq!(unlimited as u64, nodes, "what is spared");
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/tests/log_causes.rs
@@ -0,0 +1,48 @@
+//! What appends are counted as.
+
+use elderworks_gateway_core::log_causes::LogCause;
+use elderworks_protocol::ledger::LedgerRecord;
+
+fn reserved() -> LedgerRecord {
+    LedgerRecord::Reserved {
+        program: "p".to_owned(),
+        reservation: "n#1/1".to_owned(),
+        tokens: 10,
+    }
+}
+
+fn settled() -> LedgerRecord {
+    LedgerRecord::Settled {
+        program: "p".to_owned(),
+        reservation: "n#1/1".to_owned(),
+        used: 3,
+    }
+}
+
+fn account() -> LedgerRecord {
+    LedgerRecord::Account {
+        program: "p".to_owned(),
+        settled: 3,
+        open: Vec::new(),
+    }
+}
+
+fn closed() -> LedgerRecord {
+    LedgerRecord::OverdraftClosed {
+        overdraft: "n#1/2".to_owned(),
+    }
+}
+
+#[test]
+fn an_append_counts_as_what_somebody_waits_for() {
+    let table = [
+        (vec![settled(), reserved()], LogCause::Reserve),
+        (vec![closed(), settled()], LogCause::Overdraft),
+        (vec![settled()], LogCause::Settle),
+        (vec![account()], LogCause::Rewrite),
+        (vec![account(), settled()], LogCause::Settle),
+    ];
+    for (records, expected) in table {
+        assert_eq!(LogCause::of_append(&records), expected, "{records:?}");
+    }
+}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -17,6 +17,7 @@
 use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, RouteKind, ServingConfig};
+use elderworks_gateway_core::start::starting_patience;
 
 use crate::caller::{Caller, Progress};
 use crate::clock::millis;
@@ -51,6 +52,7 @@
     attributes: &CallAttributes,
     trace: &mut Trace,
 ) -> io::Result<()> {
+    await_start(gateway, attributes).await;
     let Some(config) = gateway.current_config() else {
         let shown = NotRun::before_any_attempt();
         let refusal = Refusal::not_run(shown, "no configuration is known yet");
@@ -92,6 +94,16 @@
     result
 }
 
+/// Waits a moment for the rest of this node's start: who comes back after a refusal finds other nodes
+/// that have just started too, and a node that has not joined yet knows no owner of a ledger.
+async fn await_start(gateway: &Gateway, attributes: &CallAttributes) {
+    if gateway.start.is_complete() || !gateway.settings.policy.starting_patience {
+        return;
+    }
+    let longest = starting_patience(attributes.deadline);
+    gateway.start.wait(longest).await;
+}
+
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
     if let Err(refusal) = call.take_quota() {
         return refuse(caller, trace, &refusal).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::access::KeyLeases;
+use elderworks_gateway_core::change_batch::{ChangeBatch, RECOMPUTING_PACE};
 use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
 use elderworks_gateway_core::config_proof::{ConfigProof, denial_lease_of, lease_of};
 use elderworks_gateway_core::log_reach::LogReach;
@@ -25,6 +26,7 @@
 use crate::peers::Peers;
 use crate::ports::{Platform, StreamRecord};
 use crate::settings::GatewaySettings;
+use crate::start::Start;
 use crate::upstream::Pool;
 
 /// Stages of a process's life.
@@ -81,10 +83,10 @@
     pub(crate) body_memory: BodyMemory,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
-    /// Set once the list of workers was read.
-    pub(crate) workers_read: Cell<bool>,
-    /// Set once the node's own entry was written and peers were asked for theirs.
-    pub(crate) joined: Cell<bool>,
+    /// What this node knows already, and what it still needs to serve.
+    pub(crate) start: Start,
+    /// Changes of nodes that wait to be acted on together.
+    node_changes: RefCell<ChangeBatch>,
     sequence: Cell<u64>,
 }
 
@@ -102,6 +104,10 @@
             true => Division::Told,
             false => Division::Even,
         };
+        let pace = match policy.batched_changes {
+            true => RECOMPUTING_PACE,
+            false => Duration::ZERO,
+        };
         let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now());
         Rc::new(Self {
             peers: Peers::new(&settings),
@@ -129,8 +135,8 @@
             stage,
             nodes_serving: Cell::new(1),
             in_flight: Cell::new(0),
-            workers_read: Cell::new(false),
-            joined: Cell::new(false),
+            start: Start::default(),
+            node_changes: RefCell::new(ChangeBatch::new(pace)),
             sequence: Cell::new(0),
         })
     }
@@ -140,6 +146,11 @@
         self.clock.now()
     }
 
+    /// Time since the start.
+    pub(crate) fn age(&self) -> Duration {
+        self.now().since(Timestamp::default())
+    }
+
     /// The configuration in force.
     pub(crate) fn current_config(&self) -> Option<Rc<ServingConfig>> {
         self.config.borrow().current().cloned()
@@ -162,15 +173,34 @@
 
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.stage() == Stage::Serving
-            && self.joined.get()
-            && self.workers_read.get()
-            && self.config.borrow().current().is_some()
+        self.stage() == Stage::Serving && self.start.is_complete()
     }
 
-    /// Notes that nodes have come, gone or changed.
+    /// Notes that nodes have come, gone or changed. What follows from it is worked out now or soon.
     pub(crate) fn note_node_changes(&self) {
-        self.peers.note_changes(&self.nodes.borrow());
+        if self.node_changes.borrow_mut().note(self.now()) {
+            self.recompute_nodes();
+        }
+    }
+
+    /// Acts on changes of nodes that have waited for others.
+    pub(crate) fn act_on_node_changes(&self) {
+        if self.node_changes.borrow_mut().take_due(self.now()) {
+            self.recompute_nodes();
+        }
+    }
+
+    /// Acts on changes of nodes without delay: what follows must not rest on what was known before.
+    pub(crate) fn act_on_node_changes_now(&self) {
+        self.node_changes.borrow_mut().act(self.now());
+        self.recompute_nodes();
+    }
+
+    fn recompute_nodes(&self) {
+        if !self.peers.recompute(&self.nodes.borrow()) {
+            return;
+        }
+        self.metrics.node_recomputations.inc();
         self.count_serving_nodes();
     }
 
--- a/crates/gateway/src/ledger/log_calls.rs
+++ b/crates/gateway/src/ledger/log_calls.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::ledger::{AppendOutcome, CallNumber, ReadOutcome};
+use elderworks_gateway_core::log_causes::LogCause;
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_protocol::ledger::LedgerRecord;
 use elderworks_protocol::{decode, encode};
@@ -32,6 +33,11 @@
 /// arrived over a slow link is not read again when the next page takes too long.
 const PAGE_BYTES: usize = 128 * 1024;
 
+/// Shortest wait for a page while a partition is read that is not known yet: pages of many partitions
+/// share the log's bandwidth and a small machine's link and processor, and one that is read again
+/// takes as much of them once more.
+const PAGE_PATIENCE: Duration = Duration::from_millis(600);
+
 /// The reads of one partition: the present one, and those that were given up.
 pub(super) struct PartitionReads {
     gateway: Rc<Gateway>,
@@ -39,6 +45,8 @@
     under_way: FuturesUnordered<LocalBoxFuture<'static, EndedRead>>,
     /// Most bytes of the next read.
     page_bytes: Option<usize>,
+    /// Whether the next read is expected to bring a whole page.
+    is_behind: bool,
 }
 
 /// How one read has ended.
@@ -56,6 +64,7 @@
             partition,
             under_way: FuturesUnordered::new(),
             page_bytes: Some(PAGE_BYTES),
+            is_behind: true,
         }
     }
 
@@ -69,13 +78,14 @@
         if self.under_way.len() < MOST_READS {
             self.begin(call, from);
         }
-        let patience = self.gateway.log_read_timer.borrow().timeout();
+        let patience = self.patience();
         let answering = actix_rt::time::timeout(patience, self.next_answer(call, from));
         let (answered, read) = answering.await.unwrap_or_else(|_| {
             let reason = "no answer to the read in time".to_owned();
             (call, Err(StoreError::Unknown(reason)))
         });
         self.page_bytes = next_page_bytes(from, &read);
+        self.is_behind = is_behind(from, &read, self.is_behind);
         match &read {
             // What the others bring is older, or the same.
             Ok(_) | Err(StoreError::Gone { .. }) => self.under_way.clear(),
@@ -84,9 +94,22 @@
         (answered, read_outcome(self.partition, from, read))
     }
 
+    /// How long an answer is waited for.
+    fn patience(&self) -> Duration {
+        let usual = self.gateway.log_read_timer.borrow().timeout();
+        match self.is_behind {
+            true => usual.max(PAGE_PATIENCE),
+            false => usual,
+        }
+    }
+
     fn begin(&mut self, call: CallNumber, from: Offset) {
         let gateway = self.gateway.clone();
         let stream = Stream::Ledger(self.partition);
+        let cause = match self.is_behind {
+            true => LogCause::CatchUp,
+            false => LogCause::Verify,
+        };
         let limits = ReadLimits {
             wait: Duration::ZERO,
             timeout: LONGEST_CALL,
@@ -95,6 +118,7 @@
         let reading = async move {
             let started = Instant::now();
             let read = gateway.platform.read(stream, from, limits).await;
+            gateway.metrics.note_log_call(cause, outcome(&read));
             note_response(
                 &gateway,
                 &gateway.log_read_timer,
@@ -135,6 +159,7 @@
         .iter()
         .map(|record| Bytes::from(encode(record)))
         .collect();
+    let cause = LogCause::of_append(records);
     let appending = {
         let gateway = gateway.clone();
         async move {
@@ -142,6 +167,7 @@
             let stream = Stream::Ledger(partition);
             let append = gateway.platform.append(stream, at, encoded, LONGEST_CALL);
             let appended = append.await;
+            gateway.metrics.note_log_call(cause, outcome(&appended));
             note_response(
                 &gateway,
                 &gateway.log_timer,
@@ -168,6 +194,15 @@
     }
 }
 
+/// Whether more is to be read after this.
+fn is_behind(from: Offset, read: &Result<ReadBatch, StoreError>, before: bool) -> bool {
+    match read {
+        Ok(batch) => batch.end.0.saturating_sub(from.0) > batch.records.len() as u64,
+        Err(StoreError::Gone { .. }) => true,
+        Err(_) => before,
+    }
+}
+
 /// The size of the next read: a page, unless the last one did not suffice for a single record.
 fn next_page_bytes(from: Offset, read: &Result<ReadBatch, StoreError>) -> Option<usize> {
     match read {
@@ -212,6 +247,15 @@
     }
 }
 
+/// How a call has ended, for the counters.
+fn outcome<T>(ended: &Result<T, StoreError>) -> &'static str {
+    match ended {
+        Ok(_) => "ok",
+        Err(StoreError::Conflict { .. } | StoreError::Gone { .. }) => "conflict",
+        Err(StoreError::Unavailable(_) | StoreError::Unknown(_)) => "failed",
+    }
+}
+
 /// Notes an answer, also one that came too late for whoever waited.
 fn note_response(
     gateway: &Gateway,
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use elderworks_gateway_core::acting::{PassedOver, Standing};
 use elderworks_gateway_core::ledger::WitnessMemory;
+use elderworks_gateway_core::start::Milestone;
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
 use elderworks_types::{NodeId, PartitionId};
 use futures_util::StreamExt;
@@ -100,18 +102,23 @@
     let before_own = candidates.into_iter().take_while(|node| node != own);
     for by in before_own {
         asked.note(&by);
-        match ask_peer(gateway, &by, partition, request.clone()).await {
+        let reason = match ask_peer(gateway, &by, partition, request.clone()).await {
             // The log may refuse that node alone.
-            Ok(LedgerReply::Unavailable) | Err(NoReply::Unreachable | NoReply::Silent) => {}
+            Ok(LedgerReply::Unavailable) => PassedOver::Unavailable,
             Ok(reply) => return Answered { reply, by },
+            Err(NoReply::Unreachable | NoReply::Silent) => PassedOver::Absent,
             // The log is slow; a second node at the same partition would not help.
             Err(NoReply::TooSlow) => {
                 let reply = LedgerReply::Unavailable;
                 return Answered { reply, by };
             }
+        };
+        if !may_pass_over(gateway, reason) {
+            let reply = LedgerReply::Unavailable;
+            return Answered { reply, by };
         }
     }
-    let may_act = gateway.log_reach.borrow().may_act(is_candidate);
+    let may_act = gateway.log_reach.borrow().may_act(is_candidate) && may_act_alone(gateway);
     let reply = if may_act {
         asked.note(own);
         carry_out(gateway, partition, request).await
@@ -122,6 +129,23 @@
     Answered { reply, by }
 }
 
+fn standing(gateway: &Gateway) -> Standing {
+    Standing {
+        age: gateway.age(),
+        is_settled: gateway.peers.is_settled(),
+    }
+}
+
+/// Whether to go on past a candidate; for a moment after the start, one that is left out stays so.
+fn may_pass_over(gateway: &Gateway, reason: PassedOver) -> bool {
+    !gateway.settings.policy.starting_restraint || standing(gateway).may_pass_over(reason)
+}
+
+fn may_act_alone(gateway: &Gateway) -> bool {
+    let has_joined = gateway.start.has(Milestone::Joined);
+    !gateway.settings.policy.starting_restraint || standing(gateway).may_act_alone(has_joined)
+}
+
 /// Makes a request, which should say that it waits, of the first node that should act for a
 /// partition and can be reached: it carries the request out as soon as the log is back, or says
 /// after a while that the log is still away.
@@ -218,7 +242,10 @@
             peer = node.as_str(), partition = partition.0, reason:? = reason;
             "peer did not answer for a partition"
         );
-        gateway.peers.avoid(node, *reason);
+        // Else the next try would pass it over.
+        if may_pass_over(gateway, PassedOver::Absent) {
+            gateway.peers.avoid(node, *reason);
+        }
     }
     replied
 }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderworks_gateway_core::append_pace::AppendPace;
 use elderworks_gateway_core::ledger::{
     Action, Inquiry, OverdraftUse, PartitionOwner, RETENTION, SLOW_CALL, Ticket,
 };
@@ -36,6 +37,9 @@
         reads: Some(PartitionReads::new(gateway, partition)),
         overdraft_use: OverdraftUse::None,
         heard,
+        pace: AppendPace::new(Duration::from_millis(
+            gateway.settings.policy.append_pace_ms,
+        )),
     };
     actix_rt::spawn(driver.run(Inbox { jobs, answers }));
     sender
@@ -67,6 +71,8 @@
     overdraft_use: OverdraftUse,
     /// Where answers of witnesses go.
     heard: mpsc::UnboundedSender<Heard>,
+    /// When the next append may begin.
+    pace: AppendPace,
 }
 
 impl Driver {
@@ -77,6 +83,7 @@
             while let Ok(job) = inbox.jobs.try_recv() {
                 self.submit(job);
             }
+            self.collect(&mut inbox).await;
             self.owner.set_preferred(self.is_preferred());
             let witnesses = self.gateway.peers.witnesses(&self.gateway, self.partition);
             self.owner.set_witnesses(witnesses);
@@ -100,6 +107,24 @@
         }
     }
 
+    /// While appends follow each other, takes what comes for a few milliseconds, so that one call to
+    /// the log carries it. What needs no call is answered meanwhile.
+    async fn collect(&mut self, inbox: &mut Inbox) {
+        let Some(wait) = self.pace.wait(self.gateway.now()) else {
+            return;
+        };
+        let mut over = std::pin::pin!(actix_rt::time::sleep(wait));
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut over => return,
+                Some(job) = inbox.jobs.recv() => self.submit(job),
+                Some(heard) = inbox.answers.recv() => self.hear(&heard),
+            }
+            self.hand_on();
+        }
+    }
+
     fn submit(&mut self, (request, reply): Job) {
         let ticket = Ticket(self.gateway.next_sequence());
         self.waiting.insert(ticket, reply);
@@ -162,6 +187,7 @@
             }
             Action::Append { at, records } => {
                 let gateway = self.gateway.clone();
+                self.pace.note(gateway.now());
                 let appending = append(&gateway, self.partition, at, &records);
                 let outcome = self.attend_until(appending, inbox).await;
                 self.owner.on_append(self.gateway.now(), outcome);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod server;
 pub mod settings;
 mod socket;
+mod start;
 mod upstream;
 mod watch;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,10 @@
 //! Counters and histograms of a gateway, in the usual text form.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
 use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::log_causes::LogCause;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -42,6 +46,13 @@
     pub(crate) tenant: String,
 }
 
+/// Label of the steps of a start.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct StepLabel {
+    /// Which step.
+    pub(crate) step: &'static str,
+}
+
 /// Everything that a gateway counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -59,6 +70,10 @@
     pub(crate) ledger_forwarded: Counter,
     pub(crate) overdrafts_activated: Counter,
     pub(crate) log_calls: Family<LogCallLabel, Counter>,
+    /// The same for log lines, whatever their outcome.
+    log_calls_by_cause: RefCell<BTreeMap<&'static str, u64>>,
+    pub(crate) start_ms: Family<StepLabel, Gauge>,
+    pub(crate) node_recomputations: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) workers: Gauge,
     pub(crate) config_version: Gauge,
@@ -94,6 +109,9 @@
             ledger_forwarded: Counter::default(),
             overdrafts_activated: Counter::default(),
             log_calls: Family::default(),
+            log_calls_by_cause: RefCell::default(),
+            start_ms: Family::default(),
+            node_recomputations: Counter::default(),
             in_flight: Gauge::default(),
             workers: Gauge::default(),
             config_version: Gauge::default(),
@@ -136,8 +154,27 @@
             Stream::Nodes => "follow_nodes",
             Stream::Ledger(_) => "follow_ledger",
         };
+        self.count_log_call(call, outcome);
+    }
+
+    /// Counts another call to the log.
+    pub(crate) fn note_log_call(&self, cause: LogCause, outcome: &'static str) {
+        self.count_log_call(cause.name(), outcome);
+    }
+
+    fn count_log_call(&self, call: &'static str, outcome: &'static str) {
         let label = LogCallLabel { call, outcome };
         self.log_calls.get_or_create(&label).inc();
+        *self
+            .log_calls_by_cause
+            .borrow_mut()
+            .entry(call)
+            .or_default() += 1;
+    }
+
+    /// How many calls to the log were made so far, by what for.
+    pub(crate) fn log_calls_by_cause(&self) -> BTreeMap<&'static str, u64> {
+        self.log_calls_by_cause.borrow().clone()
     }
 
     fn register(&mut self) {
@@ -203,6 +240,16 @@
             "Calls to the platform's log by call and outcome",
             self.log_calls.clone(),
         );
+        registry.register(
+            "start_ms",
+            "Time from the start to each of its steps",
+            self.start_ms.clone(),
+        );
+        registry.register(
+            "node_recomputations",
+            "Times that owners were worked out anew since nodes had come, gone or changed",
+            self.node_recomputations.clone(),
+        );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register("workers", "Workers known", self.workers.clone());
         registry.register(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 mod serve;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -74,6 +74,10 @@
     presumes_until: Cell<Option<Instant>>,
     /// Nodes that answer probes and are not leaving, this one included.
     alive: RefCell<BTreeSet<NodeId>>,
+    /// Whether something other than who is alive has changed since [`Self::recompute`].
+    is_stale: Cell<bool>,
+    /// Changes of states that have not been logged yet.
+    news: RefCell<BTreeMap<NodeId, MemberState>>,
     /// What [`Self::ranking`] has worked out since the last change.
     rankings: RefCell<HashMap<PartitionId, Rc<[NodeId]>>>,
     /// The same for [`Self::witnesses`].
@@ -92,6 +96,8 @@
             membership: RefCell::default(),
             presumes_until: Cell::default(),
             alive: RefCell::default(),
+            is_stale: Cell::default(),
+            news: RefCell::default(),
             rankings: RefCell::default(),
             witnesses: RefCell::default(),
             links: RefCell::default(),
@@ -162,10 +168,29 @@
         ranking
     }
 
-    /// Notes that nodes have come, gone or changed.
-    pub(crate) fn note_changes(&self, nodes: &NodeDirectory) {
+    /// Notes that entries have changed, or what is presumed.
+    pub(crate) fn note_stale(&self) {
+        self.is_stale.set(true);
+    }
+
+    /// Works out anew who is alive. Tells whether anything has changed for others; if not, what was
+    /// worked out before stands.
+    pub(crate) fn recompute(&self, nodes: &NodeDirectory) -> bool {
+        self.log_news();
+        let alive = self.count_alive(nodes);
+        let is_same = *self.alive.borrow() == alive;
+        if is_same && !self.is_stale.take() {
+            return false;
+        }
+        self.is_stale.set(false);
         self.rankings.borrow_mut().clear();
         self.witnesses.borrow_mut().clear();
+        *self.alive.borrow_mut() = alive;
+        self.changes.send_replace(());
+        true
+    }
+
+    fn count_alive(&self, nodes: &NodeDirectory) -> BTreeSet<NodeId> {
         let membership = self.membership.borrow();
         let mut alive = BTreeSet::new();
         let mut heard_of = BTreeSet::new();
@@ -180,8 +205,24 @@
             let unheard = listed.filter(|(node, _)| !heard_of.contains(node));
             alive.extend(unheard.map(|(node, _)| node.clone()));
         }
-        *self.alive.borrow_mut() = alive;
-        self.changes.send_replace(());
+        alive
+    }
+
+    /// Logs changes of states, those since the last time together.
+    fn log_news(&self) {
+        let news = std::mem::take(&mut *self.news.borrow_mut());
+        if news.is_empty() {
+            return;
+        }
+        let of = |state: MemberState| {
+            let having = news.iter().filter(|(_, other)| **other == state);
+            listing(having.map(|(node, _)| node.as_str()))
+        };
+        log::info!(
+            count = news.len(), alive = of(MemberState::Alive), suspect = of(MemberState::Suspect),
+            draining = of(MemberState::Draining), dead = of(MemberState::Dead);
+            "peers changed"
+        );
     }
 
     /// Hears when nodes come, go or change.
@@ -199,6 +240,7 @@
         let until = self.presumes_until.get();
         if until.is_some_and(|until| until <= Instant::now()) {
             self.presumes_until.set(None);
+            self.note_stale();
             gateway.note_node_changes();
         }
     }
@@ -299,7 +341,8 @@
             false => Duration::ZERO,
         };
         self.presumes_until.set(Some(Instant::now() + presumption));
-        gateway.note_node_changes();
+        self.note_stale();
+        gateway.act_on_node_changes_now();
     }
 
     fn handle(&self, gateway: &Gateway, event: Event) -> Vec<Effect> {
@@ -316,6 +359,7 @@
     }
 
     fn carry_out(&self, gateway: &Gateway, socket: &UdpSocket, effects: Vec<Effect>) {
+        let mut has_changes = false;
         for effect in effects {
             match effect {
                 // Gossip makes up for datagrams that are lost.
@@ -324,17 +368,20 @@
                     let _ = socket.try_send_to(&encode(&datagram), to);
                 }
                 Effect::MemberChanged { node, state } => {
-                    if node != self.own {
-                        log::info!(node = node.as_str(), state:? = state; "peer changed");
-                    }
                     if state == MemberState::Dead {
                         self.links.borrow_mut().remove(&node);
                     }
-                    gateway.note_node_changes();
+                    if node != self.own {
+                        self.news.borrow_mut().insert(node, state);
+                    }
+                    has_changes = true;
                 }
                 Effect::CellChanged { .. } | Effect::ControlBehind { .. } => {}
             }
         }
+        if has_changes {
+            gateway.note_node_changes();
+        }
     }
 }
 
@@ -352,6 +399,7 @@
         let event = tokio::select! {
             _ = ticks.tick() => Event::Tick,
             _ = load_ticks.tick() => {
+                gateway.act_on_node_changes();
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
@@ -388,5 +436,20 @@
         let effects = gateway.peers.handle(&gateway, event);
         gateway.peers.carry_out(&gateway, &socket, effects);
         gateway.peers.end_presumption(&gateway);
+        gateway.act_on_node_changes();
+    }
+}
+
+/// Most names in one line of the log.
+const NAMES_LISTED: usize = 12;
+
+/// Names for a line of the log, and how many more there are.
+pub(crate) fn listing<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let names: Vec<&str> = names.collect();
+    let shown = names.len().min(NAMES_LISTED);
+    let mut text = names[..shown].join(" ");
+    if names.len() > shown {
+        text.push_str(&format!(" and {} more", names.len() - shown));
     }
+    text
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -9,14 +9,15 @@
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::drain::{DrainPlan, DrainStep};
 use elderworks_gateway_core::nodes::NodeRecord;
+use elderworks_gateway_core::start::Milestone;
 use elderworks_protocol::encode;
-use elderworks_types::{Incarnation, PartitionId};
+use elderworks_types::{Incarnation, Offset, PartitionId};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::entry::{self, Entry};
 use crate::gateway::{Gateway, Stage};
-use crate::ports::Platform;
+use crate::ports::{Platform, StoreError};
 use crate::settings::GatewaySettings;
 use crate::{ledger, peers, server, socket, watch};
 
@@ -26,6 +27,9 @@
 /// Interval at which nodes that are gone for good are looked for.
 const DEPARTURE_CHECK: Duration = Duration::from_secs(30);
 
+/// Interval at which calls to the log are told.
+const LOG_CALLS_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Interval at which a draining node looks whether it is done.
 const DRAIN_CHECK: Duration = Duration::from_millis(100);
 
@@ -89,6 +93,7 @@
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
     actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
+    actix_rt::spawn(tell_log_calls(gateway.clone()));
     Ok(Running {
         gateway,
         gossip_socket,
@@ -152,30 +157,11 @@
 
 /// Writes the node's entry, whose position is its incarnation, and then follows the others.
 async fn join(gateway: Rc<Gateway>, gossip_socket: Rc<UdpSocket>) {
-    if is_new_machine(&gateway).await {
-        gateway.quotas.borrow_mut().note_new_machine();
-    }
-    let incarnation = loop {
-        match put_entry(&gateway, false).await {
-            Ok(incarnation) => break incarnation,
-            Err(error) => {
-                log::warn!(error = error.as_str(); "the node's entry cannot be written yet");
-                actix_rt::time::sleep(JOIN_PAUSE).await;
-            }
-        }
-    };
+    let before = read_entries_before(&gateway).await;
+    let incarnation = write_entry(&gateway).await;
     // Read after the entry is written: of two nodes that start together, one sees the other.
-    let newest = loop {
-        match gateway.platform.newest(Stream::Nodes).await {
-            Ok(newest) => break newest,
-            Err(error) => {
-                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
-                actix_rt::time::sleep(JOIN_PAUSE).await;
-            }
-        }
-    };
-    watch::take_nodes(&gateway, &newest.records);
-    actix_rt::spawn(watch::follow_nodes(gateway.clone(), newest.end));
+    let end = read_entries_since(&gateway, before).await;
+    actix_rt::spawn(watch::follow_nodes(gateway.clone(), end));
     let seeds = gateway
         .nodes
         .borrow()
@@ -184,28 +170,66 @@
         .filter(|address| *address != gateway.settings.peers)
         .collect();
     gateway.peers.join(&gateway, incarnation, seeds);
-    gateway.joined.set(true);
     log::info!(incarnation = incarnation.0; "joined");
+    gateway.reach(Milestone::Joined);
     actix_rt::spawn(drop_departed_nodes(gateway.clone()));
     peers::gossip(gateway, gossip_socket).await;
 }
 
-/// Whether no process of this machine has written an entry before. If that cannot be read, one may
-/// have.
-async fn is_new_machine(gateway: &Gateway) -> bool {
-    let own = gateway.settings.node.as_str();
-    match gateway.platform.newest(Stream::Nodes).await {
-        Ok(newest) => !newest
-            .records
-            .iter()
-            .any(|record| record.key.as_deref() == Some(own)),
+/// Takes the entries that stand before this start writes its own, and notes whether there is one of
+/// this machine. Tells where they end, `None` if they cannot be read.
+async fn read_entries_before(gateway: &Rc<Gateway>) -> Option<Offset> {
+    match watch::read_nodes(gateway, None).await {
+        Ok(end) => {
+            let own = &gateway.settings.node;
+            if gateway.nodes.borrow().get(own).is_none() {
+                gateway.quotas.borrow_mut().note_new_machine();
+            }
+            Some(end)
+        }
         Err(error) => {
             log::warn!(error = error.to_string().as_str(); "whether this machine is new is not known");
-            false
+            None
         }
     }
 }
 
+async fn write_entry(gateway: &Gateway) -> Incarnation {
+    loop {
+        match put_entry(gateway, false).await {
+            Ok(incarnation) => return incarnation,
+            Err(error) => {
+                log::warn!(error = error.as_str(); "the node's entry cannot be written yet");
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Takes the entries since an offset, or else the newest of all nodes.
+async fn read_entries_since(gateway: &Rc<Gateway>, mut since: Option<Offset>) -> Offset {
+    loop {
+        match watch::read_nodes(gateway, since).await {
+            Ok(end) => return end,
+            Err(StoreError::Gone { .. }) => since = None,
+            Err(error) => {
+                log::warn!(error = error.to_string().as_str(); "the nodes' entries cannot be read yet");
+                actix_rt::time::sleep(JOIN_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells now and then how many calls to the log were made so far, by what for.
+async fn tell_log_calls(gateway: Rc<Gateway>) {
+    loop {
+        actix_rt::time::sleep(LOG_CALLS_INTERVAL).await;
+        let calls = gateway.metrics.log_calls_by_cause();
+        let total: u64 = calls.values().sum();
+        log::info!(total = total, calls:serde = calls; "calls to the log so far");
+    }
+}
+
 /// Drops the entries of nodes that are gone for good, one node for all.
 async fn drop_departed_nodes(gateway: Rc<Gateway>) {
     let mut departures = Departures::default();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,7 +6,9 @@
 
 use elderworks_gateway_core::config_proof::proving_pause;
 use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::log_causes::LogCause;
 use elderworks_gateway_core::nodes::NodeRecord;
+use elderworks_gateway_core::start::Milestone;
 use elderworks_gateway_core::stream_reads::{ReadTimes, StreamReads};
 use elderworks_protocol::decode;
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
@@ -14,10 +16,10 @@
 use crate::clock::millis;
 use crate::gateway::Gateway;
 use crate::ports::{ReadLimits, StoreError, StreamRecord};
-use crate::process;
+use crate::{peers, process};
 
-/// Longest wait for the answer to a read that proves the configuration: reads of the follower bound
-/// how late news are, this one only how old a proof may be.
+/// Longest wait for the answer to a read that asks only for what there is: reads of the followers
+/// bound how late news are, this one how old a proof may be, or what a start sees.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// One stream to follow and what to do with its records.
@@ -28,8 +30,8 @@
     /// Takes the newest record of every key.
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]);
 
-    /// Takes one further record.
-    fn take(gateway: &Rc<Gateway>, record: &StreamRecord);
+    /// Takes further records, of one read.
+    fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]);
 
     /// Called after a read has shown everything that the stream held when the read was sent; it
     /// ended at `end`.
@@ -74,7 +76,10 @@
         let sent = gateway.now();
         let limits = limits(ReadTimes::at_once(PROOF_TIMEOUT));
         // Failures are told by the follower of the configuration.
-        if let Ok(progress) = read_more::<ConfigurationFollower>(&gateway, from, limits).await
+        let read = read_more::<ConfigurationFollower>(&gateway, from, limits).await;
+        let outcome = if read.is_ok() { "ok" } else { "failed" };
+        gateway.metrics.note_log_call(LogCause::Prove, outcome);
+        if let Ok(progress) = read
             && progress.is_complete
         {
             ConfigurationFollower::note_current(&gateway, sent, progress.next);
@@ -87,9 +92,23 @@
     follow::<WorkerFollower>(gateway, None).await;
 }
 
-/// Takes the newest entry of every node.
-pub(crate) fn take_nodes(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
-    NodeFollower::take_all(gateway, records);
+/// Reads the nodes' entries once, from an offset on or else the newest of each, and tells where they
+/// end.
+pub(crate) async fn read_nodes(
+    gateway: &Rc<Gateway>,
+    from: Option<Offset>,
+) -> Result<Offset, StoreError> {
+    let Some(mut next) = from else {
+        return Ok(read_all::<NodeFollower>(gateway).await?.next);
+    };
+    loop {
+        let limits = limits(ReadTimes::at_once(PROOF_TIMEOUT));
+        let progress = read_more::<NodeFollower>(gateway, next, limits).await?;
+        next = progress.next;
+        if progress.is_complete {
+            return Ok(next);
+        }
+    }
 }
 
 /// Follows the nodes' entries from an offset on until the process ends.
@@ -189,9 +208,7 @@
     limits: ReadLimits,
 ) -> Result<Progress, StoreError> {
     let batch = gateway.platform.read(F::STREAM, from, limits).await?;
-    for record in &batch.records {
-        F::take(gateway, record);
-    }
+    F::take_more(gateway, &batch.records);
     let last = batch.records.last().map(|record| record.offset.next());
     let next = last.unwrap_or(from);
     Ok(Progress {
@@ -211,13 +228,13 @@
     }
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
-        for record in records {
-            Self::take(gateway, record);
-        }
+        Self::take_more(gateway, records);
     }
 
-    fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
-        take_configuration(gateway, record);
+    fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+        for record in records {
+            take_configuration(gateway, record);
+        }
     }
 }
 
@@ -242,6 +259,7 @@
     gateway.config_proof.borrow_mut().replace(version);
     *gateway.config_record.borrow_mut() = Some(record.clone());
     log::info!(version = version, routes = routes, tenants = tenants, offset = record.offset.0; "configuration in force");
+    gateway.reach(Milestone::Configuration);
     let version = i64::try_from(version).unwrap_or(i64::MAX);
     gateway.metrics.config_version.set(version);
 }
@@ -257,39 +275,18 @@
             .filter(|record| !record.value.is_empty())
             .filter_map(|record| record.key.clone())
             .collect();
-        for record in records {
-            Self::take(gateway, record);
-        }
+        Self::take_more(gateway, records);
         let now = gateway.now();
         let missing = gateway.workers.borrow_mut().mark_all_missing_but(&ids, now);
         for worker in missing {
             log::info!(worker = worker.as_str(); "worker is not listed any more");
         }
-        gateway.workers_read.set(true);
+        gateway.reach(Milestone::Workers);
     }
 
-    fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
-        let Some(id) = record.key.as_deref() else {
-            return;
-        };
-        if record.value.is_empty() {
-            let now = gateway.now();
-            if gateway.workers.borrow_mut().mark_missing(id, now) {
-                log::info!(worker = id, offset = record.offset.0; "worker's entry is gone");
-            }
-            return;
-        }
-        match gateway.platform.worker(record) {
-            Ok(worker) => {
-                let draining = worker.draining;
-                let service = worker.service.clone();
-                if gateway.workers.borrow_mut().upsert(worker) {
-                    log::info!(worker = id, service = service.as_str(), draining = draining, offset = record.offset.0; "worker changed");
-                }
-            }
-            Err(error) => {
-                log::error!(worker = id, error = error.to_string().as_str(); "worker's entry cannot be read");
-            }
+    fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+        for record in records {
+            take_worker(gateway, record);
         }
     }
 
@@ -306,48 +303,86 @@
     }
 }
 
+/// Takes the entry of a worker.
+fn take_worker(gateway: &Gateway, record: &StreamRecord) {
+    let Some(id) = record.key.as_deref() else {
+        return;
+    };
+    if record.value.is_empty() {
+        let now = gateway.now();
+        if gateway.workers.borrow_mut().mark_missing(id, now) {
+            log::info!(worker = id, offset = record.offset.0; "worker's entry is gone");
+        }
+        return;
+    }
+    match gateway.platform.worker(record) {
+        Ok(worker) => {
+            let draining = worker.draining;
+            let service = worker.service.clone();
+            if gateway.workers.borrow_mut().upsert(worker) {
+                log::info!(worker = id, service = service.as_str(), draining = draining, offset = record.offset.0; "worker changed");
+            }
+        }
+        Err(error) => {
+            log::error!(worker = id, error = error.to_string().as_str(); "worker's entry cannot be read");
+        }
+    }
+}
+
 struct NodeFollower;
 
 impl Follower for NodeFollower {
     const STREAM: Stream = Stream::Nodes;
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
-        for record in records {
-            Self::take(gateway, record);
-        }
+        Self::take_more(gateway, records);
     }
 
-    fn take(gateway: &Rc<Gateway>, record: &StreamRecord) {
-        let Some(name) = record.key.as_deref() else {
+    /// However many entries have changed, what follows from them is worked out once.
+    fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+        let changed = records.iter().filter(|record| take_node(gateway, record));
+        let changed: Vec<&StreamRecord> = changed.collect();
+        let Some(last) = changed.last() else {
             return;
         };
-        let node = NodeId::new(name);
-        if record.value.is_empty() {
-            if node == gateway.settings.node {
-                log::warn!(offset = record.offset.0; "this node's entry was dropped; writing it again");
-                actix_rt::spawn(process::restore_entry(gateway.clone()));
-                return;
-            }
-            gateway.nodes.borrow_mut().remove(&node);
-            gateway.note_node_changes();
-            return;
+        let names = changed.iter().filter_map(|record| record.key.as_deref());
+        log::info!(
+            count = changed.len(), nodes = peers::listing(names), offset = last.offset.0;
+            "nodes' entries changed"
+        );
+        gateway.peers.note_stale();
+        gateway.note_node_changes();
+    }
+}
+
+/// Takes the entry of a node; tells whether anything has changed.
+fn take_node(gateway: &Rc<Gateway>, record: &StreamRecord) -> bool {
+    let Some(name) = record.key.as_deref() else {
+        return false;
+    };
+    let node = NodeId::new(name);
+    if record.value.is_empty() {
+        return drop_node(gateway, &node, record.offset);
+    }
+    match decode::<NodeRecord>(&record.value) {
+        Ok(content) => {
+            let incarnation = Incarnation(record.offset.0);
+            let mut nodes = gateway.nodes.borrow_mut();
+            nodes.upsert(node, incarnation, content)
         }
-        match decode::<NodeRecord>(&record.value) {
-            Ok(content) => {
-                let draining = content.draining;
-                let incarnation = Incarnation(record.offset.0);
-                let changed = gateway
-                    .nodes
-                    .borrow_mut()
-                    .upsert(node, incarnation, content);
-                if changed {
-                    gateway.note_node_changes();
-                    log::info!(node = name, draining = draining, offset = record.offset.0; "node's entry changed");
-                }
-            }
-            Err(error) => {
-                log::error!(node = name, error = error.to_string().as_str(); "node's entry cannot be read");
-            }
+        Err(error) => {
+            log::error!(node = name, error = error.to_string().as_str(); "node's entry cannot be read");
+            false
         }
     }
 }
+
+/// The entry of a node was dropped; tells whether that changes anything.
+fn drop_node(gateway: &Rc<Gateway>, node: &NodeId, offset: Offset) -> bool {
+    if *node == gateway.settings.node {
+        log::warn!(offset = offset.0; "this node's entry was dropped; writing it again");
+        actix_rt::spawn(process::restore_entry(gateway.clone()));
+        return false;
+    }
+    gateway.nodes.borrow_mut().remove(node)
+}
