--- a/crates/gateway-core/src/append_pace.rs
+++ b/crates/gateway-core/src/append_pace.rs
@@ -1,34 +1,59 @@
-//! Appends of one partition a few milliseconds apart, so that each carries what came meanwhile.
+//! Calls to the log for one partition some milliseconds apart, so that each carries what came
+//! meanwhile.
 //!
-//! An append is one call to the log however many records it holds. After a time of rest one goes at
-//! once; while others follow it, the next collects requests until the pace is over.
+//! An append is one call however many records it holds. After a time of rest one goes at once; while
+//! others follow it, the next collects requests until the pace is over. A turn that waits for leave
+//! has its whole work before it, so it waits less than one whose end waits to be kept: its caller
+//! has everything but the last word already.
 
 use std::time::Duration;
 
 use elderworks_types::Timestamp;
 
-/// When a partition's last append began.
+/// What waits for the next call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// Somebody waits for leave, or for an answer that needs a read.
+    Leave,
+    /// Ends of turns at most.
+    Ends,
+}
+
+/// Shortest times between the begins of two calls, by what waits for the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Paces {
+    /// If somebody waits for leave.
+    pub leave: Duration,
+    /// If only ends wait.
+    pub ends: Duration,
+}
+
+/// When a partition's last call began.
 #[derive(Clone, Copy, Debug)]
 pub struct AppendPace {
-    pace: Duration,
+    paces: Paces,
     began: Option<Timestamp>,
 }
 
 impl AppendPace {
-    /// At least this time from the begin of one append to that of the next.
-    pub fn new(pace: Duration) -> Self {
-        Self { pace, began: None }
+    /// At least these times from the begin of one call to that of the next.
+    pub fn new(paces: Paces) -> Self {
+        Self { paces, began: None }
     }
 
-    /// An append begins.
+    /// A call begins.
     pub fn note(&mut self, now: Timestamp) {
         self.began = Some(now);
     }
 
     /// How long what has come still waits for more; `None` if it does not.
-    pub fn wait(&self, now: Timestamp) -> Option<Duration> {
+    pub fn wait(&self, now: Timestamp, urgency: Urgency) -> Option<Duration> {
         let began = self.began?;
-        let left = self.pace.saturating_sub(now.since(began));
+        let pace = match urgency {
+            Urgency::Leave => self.paces.leave,
+            Urgency::Ends => self.paces.ends,
+        };
+        let left = pace.saturating_sub(now.since(began));
         (!left.is_zero()).then_some(left)
     }
 }
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -58,9 +58,13 @@
     pub shared_quotas: bool,
     /// Nodes that come, go or change within a short time are acted on together.
     pub batched_changes: bool,
-    /// Shortest time between two appends of one partition, in milliseconds: what comes meanwhile is
-    /// appended in one call. A few milliseconds are little beside the time of a turn; 0 for none.
-    pub append_pace_ms: u64,
+    /// Shortest time between two calls to the log for one partition while a turn waits for leave, in
+    /// milliseconds: what comes meanwhile goes in one call. Little beside the time to the first
+    /// event; 0 for none.
+    pub leave_pace_ms: u64,
+    /// The same while only ends of turns wait, whose callers have all but the last word. Little
+    /// beside the time of a turn.
+    pub end_pace_ms: u64,
     /// Requests wait a moment for the rest of their node's start.
     pub starting_patience: bool,
     /// Nodes that have just started leave the foremost candidate of a partition time to read it.
@@ -95,7 +99,8 @@
             peer_proofs: true,
             shared_quotas: true,
             batched_changes: true,
-            append_pace_ms: 30,
+            leave_pace_ms: 20,
+            end_pace_ms: 80,
             starting_patience: true,
             starting_restraint: true,
             missing_grace: true,
@@ -103,8 +108,8 @@
     }
 }
 
-/// Longest pace of appends that makes sense: the log counts as slow beyond it.
-const LONGEST_APPEND_PACE_MS: u64 = 40;
+/// Longest paces of calls in milliseconds: callers notice more.
+const LONGEST_PACE_MS: u64 = 200;
 
 /// A figure that makes no sense.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -126,8 +131,11 @@
         if !(self.load_bound >= 1.0 && self.load_bound.is_finite()) {
             return error("load_bound", "must be 1 or more");
         }
-        if self.append_pace_ms > LONGEST_APPEND_PACE_MS {
-            return error("append_pace_ms", "must be 40 or less");
+        if self.leave_pace_ms > LONGEST_PACE_MS {
+            return error("leave_pace_ms", "must be 200 or less");
+        }
+        if self.end_pace_ms > LONGEST_PACE_MS {
+            return error("end_pace_ms", "must be 200 or less");
         }
         if self.addresses_ttl_ms == 0 {
             return error("addresses_ttl_ms", "must be 1 or more");
--- a/crates/gateway/src/ledger/log_calls.rs
+++ b/crates/gateway/src/ledger/log_calls.rs
@@ -94,6 +94,11 @@
         (answered, read_outcome(self.partition, from, read))
     }
 
+    /// Whether the next read is expected to bring a whole page.
+    pub(super) fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
     /// How long an answer is waited for.
     fn patience(&self) -> Duration {
         let usual = self.gateway.log_read_timer.borrow().timeout();
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_gateway_core::append_pace::AppendPace;
+use elderworks_gateway_core::append_pace::{AppendPace, Paces, Urgency};
 use elderworks_gateway_core::ledger::{
     Action, Inquiry, OverdraftUse, PartitionOwner, RETENTION, SLOW_CALL, Ticket,
 };
+use elderworks_gateway_core::policy::Policy;
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest, WitnessAnswer, WitnessQuestion};
 use elderworks_types::{PartitionId, Timestamp};
 use tokio::sync::{mpsc, oneshot};
@@ -37,14 +38,19 @@
         reads: Some(PartitionReads::new(gateway, partition)),
         overdraft_use: OverdraftUse::None,
         heard,
-        pace: AppendPace::new(Duration::from_millis(
-            gateway.settings.policy.append_pace_ms,
-        )),
+        pace: AppendPace::new(paces(&gateway.settings.policy)),
     };
     actix_rt::spawn(driver.run(Inbox { jobs, answers }));
     sender
 }
 
+fn paces(policy: &Policy) -> Paces {
+    Paces {
+        leave: Duration::from_millis(policy.leave_pace_ms),
+        ends: Duration::from_millis(policy.end_pace_ms),
+    }
+}
+
 /// What a witness has answered, `None` if nothing came.
 type Heard = (WitnessQuestion, Option<WitnessAnswer>);
 
@@ -59,11 +65,17 @@
     format!("{}#{:016x}", gateway.settings.node, rand::random::<u64>())
 }
 
+/// Who waits for a reply.
+struct Waiting {
+    reply: oneshot::Sender<LedgerReply>,
+    urgency: Urgency,
+}
+
 struct Driver {
     gateway: Rc<Gateway>,
     partition: PartitionId,
     owner: PartitionOwner,
-    waiting: HashMap<Ticket, oneshot::Sender<LedgerReply>>,
+    waiting: HashMap<Ticket, Waiting>,
     conflicts_counted: u64,
     /// Taken while a read is under way.
     reads: Option<PartitionReads>,
@@ -107,17 +119,13 @@
         }
     }
 
-    /// While appends follow each other, takes what comes for a few milliseconds, so that one call to
-    /// the log carries it. What needs no call is answered meanwhile.
+    /// While calls follow each other, takes what comes for some milliseconds, so that one call
+    /// carries it. What needs no call is answered meanwhile.
     async fn collect(&mut self, inbox: &mut Inbox) {
-        let Some(wait) = self.pace.wait(self.gateway.now()) else {
-            return;
-        };
-        let mut over = std::pin::pin!(actix_rt::time::sleep(wait));
-        loop {
+        while let Some(wait) = self.pace.wait(self.gateway.now(), self.urgency()) {
             tokio::select! {
                 biased;
-                () = &mut over => return,
+                () = actix_rt::time::sleep(wait) => {}
                 Some(job) = inbox.jobs.recv() => self.submit(job),
                 Some(heard) = inbox.answers.recv() => self.hear(&heard),
             }
@@ -125,9 +133,21 @@
         }
     }
 
+    fn urgency(&self) -> Urgency {
+        let mut waiting = self.waiting.values();
+        match waiting.any(|waiting| waiting.urgency == Urgency::Leave) {
+            true => Urgency::Leave,
+            false => Urgency::Ends,
+        }
+    }
+
     fn submit(&mut self, (request, reply): Job) {
         let ticket = Ticket(self.gateway.next_sequence());
-        self.waiting.insert(ticket, reply);
+        let urgency = match &request {
+            LedgerRequest::Finish(_) => Urgency::Ends,
+            _ => Urgency::Leave,
+        };
+        self.waiting.insert(ticket, Waiting { reply, urgency });
         self.owner.submit(self.gateway.now(), ticket, request);
     }
 
@@ -169,7 +189,7 @@
         for (ticket, reply) in self.owner.take_replies() {
             if let Some(waiting) = self.waiting.remove(&ticket) {
                 // Whoever asked may have given up.
-                let _ = waiting.send(reply);
+                let _ = waiting.reply.send(reply);
             }
         }
     }
@@ -179,6 +199,10 @@
         match action {
             Action::Read { from } => {
                 let mut reads = self.reads.take().expect("one call at a time");
+                // Whoever catches up does so without a pause.
+                if !reads.is_behind() {
+                    self.pace.note(self.gateway.now());
+                }
                 let reading = reads.read(self.owner.last_call(), from);
                 let (call, outcome) = self.attend_until(reading, inbox).await;
                 self.reads = Some(reads);
