gateway: listed nodes count as alive until heard of, silent, or three seconds have passed

Cause: 1.5 s after a join, nodes that gossip had not told of fell out of the candidates and came back: 42 appends met others' in the second after. Meanwhile one listed machine that was gone was asked 167 times. Change: the presumption lasts up to 3 s while some listed node is not heard of; one that does not answer is not presumed any more. Passing over is decided by the own age alone.

--- a/crates/gateway-core/src/acting.rs
+++ b/crates/gateway-core/src/acting.rs
@@ -11,6 +11,10 @@
 /// single one that starts have time left.
 pub const OTHERS_START: Duration = Duration::from_millis(300);
 
+/// How long after its start a node takes a candidate that says "unavailable" to be reading the
+/// partition: some times what that takes on a small machine.
+pub const OTHERS_READ: Duration = Duration::from_millis(1_500);
+
 /// Why a candidate has not carried a request out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PassedOver {
@@ -25,8 +29,6 @@
 pub struct Standing {
     /// Time since its start.
     pub age: Duration,
-    /// Whether gossip has had time to spread since it joined.
-    pub is_settled: bool,
 }
 
 impl Standing {
@@ -35,8 +37,8 @@
     pub fn may_pass_over(&self, reason: PassedOver) -> bool {
         match reason {
             // It reads the partition, as everybody would have to.
-            PassedOver::Unavailable => self.is_settled,
-            PassedOver::Absent => self.is_settled || self.age >= OTHERS_START,
+            PassedOver::Unavailable => self.age >= OTHERS_READ,
+            PassedOver::Absent => self.age >= OTHERS_START,
         }
     }
 
--- a/crates/gateway-core/src/start.rs
+++ b/crates/gateway-core/src/start.rs
@@ -78,6 +78,24 @@
     }
 }
 
+/// How long a node that has joined presumes listed nodes to be alive, in any case: a few rounds of
+/// gossip.
+const SHORTEST_PRESUMPTION: Duration = Duration::from_millis(1_500);
+
+/// Longest time of that: where many small machines start together, some are heard of late, and to
+/// drop them meanwhile would move partitions to others and back.
+const LONGEST_PRESUMPTION: Duration = Duration::from_secs(3);
+
+/// Whether listed nodes that gossip has not told of are presumed alive, given the time since the join
+/// and whether there are any.
+pub fn presumes_alive(since_join: Duration, has_unheard: bool) -> bool {
+    let longest = match has_unheard {
+        true => LONGEST_PRESUMPTION,
+        false => SHORTEST_PRESUMPTION,
+    };
+    since_join < longest
+}
+
 /// How long a request waits for the rest of its node's start, given the time it has left if that is
 /// known.
 pub fn starting_patience(left: Option<Duration>) -> Duration {
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -130,10 +130,7 @@
 }
 
 fn standing(gateway: &Gateway) -> Standing {
-    Standing {
-        age: gateway.age(),
-        is_settled: gateway.peers.is_settled(),
-    }
+    Standing { age: gateway.age() }
 }
 
 /// Whether to go on past a candidate; for a moment after the start, one that is left out stays so.
@@ -245,6 +242,7 @@
         // Else the next try would pass it over.
         if may_pass_over(gateway, PassedOver::Absent) {
             gateway.peers.avoid(node, *reason);
+            gateway.peers.stop_presuming(gateway, node);
         }
     }
     replied
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use elderworks_gateway_core::ledger::MOST_WITNESSES;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::ownership::rank_owners;
+use elderworks_gateway_core::start::presumes_alive;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
 use elderworks_protocol::gateway::GatewayDatagram;
 use elderworks_protocol::gossip::MemberState;
@@ -52,9 +53,6 @@
 /// Largest datagram that UDP carries.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
-/// How long a node that has joined presumes listed nodes to be alive: gossip has spread by then.
-const PRESUMPTION: Duration = Duration::from_millis(1_500);
-
 /// Most nodes that are told as candidates for a partition: the first that answers is enough.
 const MOST_CANDIDATES: usize = 4;
 
@@ -69,9 +67,12 @@
 pub(crate) struct Peers {
     own: NodeId,
     membership: RefCell<Option<Membership>>,
-    /// Until when nodes that are listed count as alive though gossip has not told of them yet: a
-    /// node that has just started knows nobody, and alone it would act for every partition.
-    presumes_until: Cell<Option<Instant>>,
+    /// When this node joined, while nodes that are listed count as alive though gossip has not told
+    /// of them yet: a node that has just started knows nobody, and alone it would act for every
+    /// partition.
+    presumes_since: Cell<Option<Instant>>,
+    /// Listed nodes that have not answered meanwhile.
+    not_presumed: RefCell<BTreeSet<NodeId>>,
     /// Nodes that answer probes and are not leaving, this one included.
     alive: RefCell<BTreeSet<NodeId>>,
     /// Whether something other than who is alive has changed since [`Self::recompute`].
@@ -94,7 +95,8 @@
         Self {
             own: settings.node.clone(),
             membership: RefCell::default(),
-            presumes_until: Cell::default(),
+            presumes_since: Cell::default(),
+            not_presumed: RefCell::default(),
             alive: RefCell::default(),
             is_stale: Cell::default(),
             news: RefCell::default(),
@@ -192,22 +194,39 @@
 
     fn count_alive(&self, nodes: &NodeDirectory) -> BTreeSet<NodeId> {
         let membership = self.membership.borrow();
-        let mut alive = BTreeSet::new();
-        let mut heard_of = BTreeSet::new();
-        for member in membership.iter().flat_map(Membership::members) {
-            if member.update.state == MemberState::Alive {
-                alive.insert(member.update.node.clone());
-            }
-            heard_of.insert(&member.update.node);
-        }
-        if self.presumes_until.get().is_some() {
-            let listed = nodes.iter().filter(|(_, known)| !known.record.draining);
-            let unheard = listed.filter(|(node, _)| !heard_of.contains(node));
-            alive.extend(unheard.map(|(node, _)| node.clone()));
+        let members = membership.iter().flat_map(Membership::members);
+        let mut alive: BTreeSet<NodeId> = members
+            .filter(|member| member.update.state == MemberState::Alive)
+            .map(|member| member.update.node.clone())
+            .collect();
+        if self.presumes_since.get().is_some() {
+            alive.extend(self.unheard(nodes));
         }
         alive
     }
 
+    /// Listed nodes that gossip has not told of, but for those that have not answered.
+    fn unheard(&self, nodes: &NodeDirectory) -> Vec<NodeId> {
+        let membership = self.membership.borrow();
+        let members = membership.iter().flat_map(Membership::members);
+        let heard_of: BTreeSet<&NodeId> = members.map(|member| &member.update.node).collect();
+        let not_presumed = self.not_presumed.borrow();
+        let listed = nodes.iter().filter(|(_, known)| !known.record.draining);
+        listed
+            .map(|(node, _)| node)
+            .filter(|node| !heard_of.contains(node) && !not_presumed.contains(node))
+            .cloned()
+            .collect()
+    }
+
+    /// A node has not answered: until gossip tells of it, it does not count as alive.
+    pub(crate) fn stop_presuming(&self, gateway: &Gateway, node: &NodeId) {
+        let is_presuming = self.presumes_since.get().is_some();
+        if is_presuming && self.not_presumed.borrow_mut().insert(node.clone()) {
+            gateway.note_node_changes();
+        }
+    }
+
     /// Logs changes of states, those since the last time together.
     fn log_news(&self) {
         let news = std::mem::take(&mut *self.news.borrow_mut());
@@ -232,17 +251,24 @@
 
     /// Whether gossip has had time to spread since this node has joined.
     pub(crate) fn is_settled(&self) -> bool {
-        self.membership.borrow().is_some() && self.presumes_until.get().is_none()
+        self.membership.borrow().is_some() && self.presumes_since.get().is_none()
     }
 
     /// Ends the time in which listed nodes are presumed alive, once it is over.
     fn end_presumption(&self, gateway: &Gateway) {
-        let until = self.presumes_until.get();
-        if until.is_some_and(|until| until <= Instant::now()) {
-            self.presumes_until.set(None);
-            self.note_stale();
-            gateway.note_node_changes();
+        let Some(since) = self.presumes_since.get() else {
+            return;
+        };
+        let is_wanted = gateway.settings.policy.presumption;
+        let lasts = |has_unheard| is_wanted && presumes_alive(since.elapsed(), has_unheard);
+        // The second look costs work for each node, so it comes after the first.
+        if lasts(false) || lasts(true) && !self.unheard(&gateway.nodes.borrow()).is_empty() {
+            return;
         }
+        self.presumes_since.set(None);
+        self.not_presumed.borrow_mut().clear();
+        self.note_stale();
+        gateway.note_node_changes();
     }
 
     /// Asks no ledger requests of a node for a while that depends on why it has not replied.
@@ -336,11 +362,7 @@
             seed: rand::random(),
         });
         *self.membership.borrow_mut() = Some(membership);
-        let presumption = match settings.policy.presumption {
-            true => PRESUMPTION,
-            false => Duration::ZERO,
-        };
-        self.presumes_until.set(Some(Instant::now() + presumption));
+        self.presumes_since.set(Some(Instant::now()));
         self.note_stale();
         gateway.act_on_node_changes_now();
     }
