--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -100,7 +100,7 @@
             shared_quotas: true,
             batched_changes: true,
             leave_pace_ms: 20,
-            end_pace_ms: 80,
+            end_pace_ms: 40,
             starting_patience: true,
             starting_restraint: true,
             missing_grace: true,
