--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -59,6 +59,19 @@
     /// Bytes that are read of a stream ahead of its caller, so that a slow caller does not hold its
     /// worker; with 0, the worker waits for the caller.
     pub stream_buffer_bytes: usize,
+    /// Nodes that come, go or change within a short time are acted on together.
+    pub batched_changes: bool,
+    /// Shortest time between two calls to the log for one partition while a turn waits for leave, in
+    /// milliseconds: what comes meanwhile goes in one call. Little beside the time to the first
+    /// event; 0 for none.
+    pub leave_pace_ms: u64,
+    /// The same while only ends of turns wait, whose callers have all but the last word. Little
+    /// beside the time of a turn.
+    pub end_pace_ms: u64,
+    /// Requests wait a moment for the rest of their node's start.
+    pub starting_patience: bool,
+    /// Nodes that have just started leave the foremost candidate of a partition time to read it.
+    pub starting_restraint: bool,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
 }
@@ -89,11 +102,19 @@
             peer_proofs: true,
             shared_quotas: true,
             stream_buffer_bytes: 64 * 1024,
+            batched_changes: true,
+            leave_pace_ms: 20,
+            end_pace_ms: 40,
+            starting_patience: true,
+            starting_restraint: true,
             missing_grace: true,
         }
     }
 }
 
+/// Longest paces of calls in milliseconds: callers notice more.
+const LONGEST_PACE_MS: u64 = 200;
+
 /// A figure that makes no sense.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("`{key}` {problem}")]
@@ -114,6 +135,12 @@
         if !(self.load_bound >= 1.0 && self.load_bound.is_finite()) {
             return error("load_bound", "must be 1 or more");
         }
+        if self.leave_pace_ms > LONGEST_PACE_MS {
+            return error("leave_pace_ms", "must be 200 or less");
+        }
+        if self.end_pace_ms > LONGEST_PACE_MS {
+            return error("end_pace_ms", "must be 200 or less");
+        }
         if self.addresses_ttl_ms == 0 {
             return error("addresses_ttl_ms", "must be 1 or more");
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 mod serve;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,6 +16,7 @@
 use elderworks_gateway_core::ledger::MOST_WITNESSES;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::ownership::rank_owners;
+use elderworks_gateway_core::start::presumes_alive;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
 use elderworks_protocol::gateway::GatewayDatagram;
 use elderworks_protocol::gossip::MemberState;
@@ -53,9 +54,6 @@
 /// Largest datagram that UDP carries.
 const DATAGRAM_BYTES: usize = 64 * 1024;
 
-/// How long a node that has joined presumes listed nodes to be alive: gossip has spread by then.
-const PRESUMPTION: Duration = Duration::from_millis(1_500);
-
 /// Most nodes that are told as candidates for a partition: the first that answers is enough.
 const MOST_CANDIDATES: usize = 4;
 
@@ -70,11 +68,18 @@
 pub(crate) struct Peers {
     own: NodeId,
     membership: RefCell<Option<Membership>>,
-    /// Until when nodes that are listed count as alive though gossip has not told of them yet: a
-    /// node that has just started knows nobody, and alone it would act for every partition.
-    presumes_until: Cell<Option<Instant>>,
+    /// When this node joined, while nodes that are listed count as alive though gossip has not told
+    /// of them yet: a node that has just started knows nobody, and alone it would act for every
+    /// partition.
+    presumes_since: Cell<Option<Instant>>,
+    /// Listed nodes that have not answered meanwhile.
+    not_presumed: RefCell<BTreeSet<NodeId>>,
     /// Nodes that answer probes and are not leaving, this one included.
     alive: RefCell<BTreeSet<NodeId>>,
+    /// Whether something other than who is alive has changed since [`Self::recompute`].
+    is_stale: Cell<bool>,
+    /// Changes of states that have not been logged yet.
+    news: RefCell<BTreeMap<NodeId, MemberState>>,
     /// What [`Self::ranking`] has worked out since the last change.
     rankings: RefCell<HashMap<PartitionId, Rc<[NodeId]>>>,
     /// The same for [`Self::witnesses`].
@@ -91,8 +96,11 @@
         Self {
             own: settings.node.clone(),
             membership: RefCell::default(),
-            presumes_until: Cell::default(),
+            presumes_since: Cell::default(),
+            not_presumed: RefCell::default(),
             alive: RefCell::default(),
+            is_stale: Cell::default(),
+            news: RefCell::default(),
             rankings: RefCell::default(),
             witnesses: RefCell::default(),
             links: RefCell::default(),
@@ -163,26 +171,78 @@
         ranking
     }
 
-    /// Notes that nodes have come, gone or changed.
-    pub(crate) fn note_changes(&self, nodes: &NodeDirectory) {
+    /// Notes that entries have changed, or what is presumed.
+    pub(crate) fn note_stale(&self) {
+        self.is_stale.set(true);
+    }
+
+    /// Works out anew who is alive. Tells whether anything has changed for others; if not, what was
+    /// worked out before stands.
+    pub(crate) fn recompute(&self, nodes: &NodeDirectory) -> bool {
+        self.log_news();
+        let alive = self.count_alive(nodes);
+        let is_same = *self.alive.borrow() == alive;
+        if is_same && !self.is_stale.take() {
+            return false;
+        }
+        self.is_stale.set(false);
         self.rankings.borrow_mut().clear();
         self.witnesses.borrow_mut().clear();
+        *self.alive.borrow_mut() = alive;
+        self.changes.send_replace(());
+        true
+    }
+
+    fn count_alive(&self, nodes: &NodeDirectory) -> BTreeSet<NodeId> {
         let membership = self.membership.borrow();
-        let mut alive = BTreeSet::new();
-        let mut heard_of = BTreeSet::new();
-        for member in membership.iter().flat_map(Membership::members) {
-            if member.update.state == MemberState::Alive {
-                alive.insert(member.update.node.clone());
-            }
-            heard_of.insert(&member.update.node);
+        let members = membership.iter().flat_map(Membership::members);
+        let mut alive: BTreeSet<NodeId> = members
+            .filter(|member| member.update.state == MemberState::Alive)
+            .map(|member| member.update.node.clone())
+            .collect();
+        if self.presumes_since.get().is_some() {
+            alive.extend(self.unheard(nodes));
         }
-        if self.presumes_until.get().is_some() {
-            let listed = nodes.iter().filter(|(_, known)| !known.record.draining);
-            let unheard = listed.filter(|(node, _)| !heard_of.contains(node));
-            alive.extend(unheard.map(|(node, _)| node.clone()));
+        alive
+    }
+
+    /// Listed nodes that gossip has not told of, but for those that have not answered.
+    fn unheard(&self, nodes: &NodeDirectory) -> Vec<NodeId> {
+        let membership = self.membership.borrow();
+        let members = membership.iter().flat_map(Membership::members);
+        let heard_of: BTreeSet<&NodeId> = members.map(|member| &member.update.node).collect();
+        let not_presumed = self.not_presumed.borrow();
+        let listed = nodes.iter().filter(|(_, known)| !known.record.draining);
+        listed
+            .map(|(node, _)| node)
+            .filter(|node| !heard_of.contains(node) && !not_presumed.contains(node))
+            .cloned()
+            .collect()
+    }
+
+    /// A node has not answered: until gossip tells of it, it does not count as alive.
+    pub(crate) fn stop_presuming(&self, gateway: &Gateway, node: &NodeId) {
+        let is_presuming = self.presumes_since.get().is_some();
+        if is_presuming && self.not_presumed.borrow_mut().insert(node.clone()) {
+            gateway.note_node_changes();
         }
-        *self.alive.borrow_mut() = alive;
-        self.changes.send_replace(());
+    }
+
+    /// Logs changes of states, those since the last time together.
+    fn log_news(&self) {
+        let news = std::mem::take(&mut *self.news.borrow_mut());
+        if news.is_empty() {
+            return;
+        }
+        let of = |state: MemberState| {
+            let having = news.iter().filter(|(_, other)| **other == state);
+            listing(having.map(|(node, _)| node.as_str()))
+        };
+        log::info!(
+            count = news.len(), alive = of(MemberState::Alive), suspect = of(MemberState::Suspect),
+            draining = of(MemberState::Draining), dead = of(MemberState::Dead);
+            "peers changed"
+        );
     }
 
     /// Hears when nodes come, go or change.
@@ -192,16 +252,24 @@
 
     /// Whether gossip has had time to spread since this node has joined.
     pub(crate) fn is_settled(&self) -> bool {
-        self.membership.borrow().is_some() && self.presumes_until.get().is_none()
+        self.membership.borrow().is_some() && self.presumes_since.get().is_none()
     }
 
     /// Ends the time in which listed nodes are presumed alive, once it is over.
     fn end_presumption(&self, gateway: &Gateway) {
-        let until = self.presumes_until.get();
-        if until.is_some_and(|until| until <= Instant::now()) {
-            self.presumes_until.set(None);
-            gateway.note_node_changes();
+        let Some(since) = self.presumes_since.get() else {
+            return;
+        };
+        let is_wanted = gateway.settings.policy.presumption;
+        let lasts = |has_unheard| is_wanted && presumes_alive(since.elapsed(), has_unheard);
+        // The second look costs work for each node, so it comes after the first.
+        if lasts(false) || lasts(true) && !self.unheard(&gateway.nodes.borrow()).is_empty() {
+            return;
         }
+        self.presumes_since.set(None);
+        self.not_presumed.borrow_mut().clear();
+        self.note_stale();
+        gateway.note_node_changes();
     }
 
     /// Asks no ledger requests of a node for a while that depends on why it has not replied.
@@ -295,12 +363,9 @@
             seed: rand::random(),
         });
         *self.membership.borrow_mut() = Some(membership);
-        let presumption = match settings.policy.presumption {
-            true => PRESUMPTION,
-            false => Duration::ZERO,
-        };
-        self.presumes_until.set(Some(Instant::now() + presumption));
-        gateway.note_node_changes();
+        self.presumes_since.set(Some(Instant::now()));
+        self.note_stale();
+        gateway.act_on_node_changes_now();
     }
 
     fn handle(&self, gateway: &Gateway, event: Event) -> Vec<Effect> {
@@ -317,6 +382,7 @@
     }
 
     fn carry_out(&self, gateway: &Gateway, socket: &UdpSocket, effects: Vec<Effect>) {
+        let mut has_changes = false;
         for effect in effects {
             match effect {
                 // Gossip makes up for datagrams that are lost.
@@ -325,17 +391,20 @@
                     let _ = socket.try_send_to(&encode(&datagram), to);
                 }
                 Effect::MemberChanged { node, state } => {
-                    if node != self.own {
-                        log::info!(node = node.as_str(), state:? = state; "peer changed");
-                    }
                     if state == MemberState::Dead {
                         self.links.borrow_mut().remove(&node);
                     }
-                    gateway.note_node_changes();
+                    if node != self.own {
+                        self.news.borrow_mut().insert(node, state);
+                    }
+                    has_changes = true;
                 }
                 Effect::CellChanged { .. } | Effect::ControlBehind { .. } => {}
             }
         }
+        if has_changes {
+            gateway.note_node_changes();
+        }
     }
 }
 
@@ -353,6 +422,7 @@
         let event = tokio::select! {
             _ = ticks.tick() => Event::Tick,
             _ = load_ticks.tick() => {
+                gateway.act_on_node_changes();
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
@@ -389,5 +459,20 @@
         let effects = gateway.peers.handle(&gateway, event);
         gateway.peers.carry_out(&gateway, &socket, effects);
         gateway.peers.end_presumption(&gateway);
+        gateway.act_on_node_changes();
+    }
+}
+
+/// Most names in one line of the log.
+const NAMES_LISTED: usize = 12;
+
+/// Names for a line of the log, and how many more there are.
+pub(crate) fn listing<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    let names: Vec<&str> = names.collect();
+    let shown = names.len().min(NAMES_LISTED);
+    let mut text = names[..shown].join(" ");
+    if names.len() > shown {
+        text.push_str(&format!(" and {} more", names.len() - shown));
     }
+    text
 }
