gateway-core: homes of the prompts' first parts by demand, expected finish of turns at engines

Change: nodes count turns by first part, tell the other nodes of their zone once a second, and work out how many engines are home to each part from that demand and from what fits in an engine's memory. Homes are the first engines in the part's rendezvous order. `part_homes` puts homes first, `expected_finish` replaces bound, calm share and zone-first by a cost in milliseconds.

--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -11,6 +11,9 @@
 use elderworks_types::Timestamp;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::placement::demand::{EngineTurn, PartKey};
+use crate::placement::finish::{Candidate, cost_ms};
+use crate::placement::homes::{home_count, place};
 use crate::workers::{Worker, WorkerDirectory};
 
 /// What is asked of a worker.
@@ -26,6 +29,8 @@
     pub repeatable: bool,
     /// Ids of workers that were tried for this request.
     pub tried: &'a [String],
+    /// Set for turns of which an engine reads a prompt that begins with a shared part.
+    pub turn: Option<EngineTurn>,
     /// A number that differs between requests, to spread those without a key.
     pub spread: u64,
     /// Whether this node has a connection at rest to the worker of that id.
@@ -66,21 +71,96 @@
     now: Timestamp,
 ) -> Option<&'a Worker> {
     let is_near = |worker: &&Worker| worker.record.zone == query.zone;
-    let is_good = |worker: &&Worker| {
+    let is_good = |worker: &&'a Worker| {
         !query.tried.contains(&worker.record.id)
             && !worker.is_unfit(now, query.repeatable)
             && !worker.is_full(now)
     };
     let policy = workers.policy();
+    let homes = Homes::of(workers, query);
+    if let Some(turn) = &query.turn
+        && policy.expected_finish
+    {
+        let good = workers.accepting(query.service).filter(is_good);
+        return choose_engine(workers, query, turn, &homes, good);
+    }
     let near = workers.accepting(query.service).filter(is_near);
     if policy.near_workers && utilization(workers, near) < policy.calm_share {
         let near = workers.accepting(query.service).filter(is_near);
-        if let Some(worker) = within_bound(workers, query, near.filter(is_good)) {
+        if let Some(worker) = within_bound(workers, query, &homes, near.filter(is_good)) {
             return Some(worker);
         }
     }
     let all = workers.accepting(query.service).filter(is_good);
-    within_bound(workers, query, all)
+    within_bound(workers, query, &homes, all)
+}
+
+/// Which workers are home to the first part of a turn's prompt; all of them without one.
+struct Homes {
+    part: PartKey,
+    /// Place of the last home in the part's order.
+    last: u64,
+}
+
+impl Homes {
+    fn of(workers: &WorkerDirectory, query: &PlacementQuery<'_>) -> Self {
+        let turn = query.turn.filter(|_| workers.policy().part_homes);
+        let Some(turn) = turn else {
+            return Self {
+                part: PartKey(0),
+                last: u64::MAX,
+            };
+        };
+        let accepting = workers.accepting(query.service);
+        let mut places: Vec<u64> = accepting
+            .map(|worker| place(turn.part, &worker.record.id))
+            .collect();
+        places.sort_unstable();
+        let homes = home_count(workers.home_share(query.service, &turn), places.len());
+        let last = homes.checked_sub(1).and_then(|index| places.get(index));
+        Self {
+            part: turn.part,
+            last: last.copied().unwrap_or(u64::MAX),
+        }
+    }
+
+    fn include(&self, worker: &Worker) -> bool {
+        self.last == u64::MAX || place(self.part, &worker.record.id) <= self.last
+    }
+}
+
+/// The engine at which a turn should end first.
+fn choose_engine<'a>(
+    workers: &WorkerDirectory,
+    query: &PlacementQuery<'_>,
+    turn: &EngineTurn,
+    homes: &Homes,
+    engines: impl Iterator<Item = &'a Worker>,
+) -> Option<&'a Worker> {
+    let is_near = |engine: &Worker| engine.record.zone == query.zone;
+    let mut ranked: Vec<(bool, bool, Reverse<u64>, &Worker)> = engines
+        .map(|engine| {
+            let is_home = homes.include(engine);
+            (!is_home, !is_near(engine), order(engine, query), engine)
+        })
+        .collect();
+    ranked.sort_by_key(|(is_other, is_far, order, _)| (*is_other, *is_far, *order));
+    let costs = ranked
+        .into_iter()
+        .enumerate()
+        .map(|(order, (is_other, is_far, _, engine))| {
+            let candidate = Candidate {
+                is_home: !is_other,
+                is_near: !is_far,
+                order,
+                load: f64::from(workers.load(engine)),
+                slots: f64::from(engine.record.slots),
+            };
+            let cost = cost_ms(&candidate, turn.part_tokens, turn.private_tokens);
+            (cost, engine)
+        });
+    let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
+    best.map(|(_, engine)| engine)
 }
 
 /// Requests under way per slot; more than any worker has if there are no slots.
@@ -100,6 +180,7 @@
 fn within_bound<'a>(
     workers: &WorkerDirectory,
     query: &PlacementQuery<'_>,
+    homes: &Homes,
     some: impl Iterator<Item = &'a Worker>,
 ) -> Option<&'a Worker> {
     let candidates: Vec<&Worker> = some.collect();
@@ -120,7 +201,7 @@
     candidates
         .into_iter()
         .filter(|worker| is_within(worker))
-        .min_by_key(|worker| order(worker, query))
+        .min_by_key(|worker| (!homes.include(worker), order(worker, query)))
 }
 
 /// Order of preference if something speaks against every worker; the least is best.
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod nodes;
 pub mod ownership;
 pub mod peer_loads;
+pub mod placement;
 pub mod policy;
 pub mod quota;
 pub mod response_time;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -31,6 +31,11 @@
     /// Share of their slots up to which workers take what comes, whatever the others' load, and
     /// up to which zones keep to their workers. From 0 to 1.
     pub calm_share: f64,
+    /// Turns for engines go to those that are home to the first part of their prompt.
+    pub part_homes: bool,
+    /// Turns for engines go where they should end first, by what must be read and who runs there;
+    /// takes the place of `load_bound`, `calm_share` and `near_workers` for them.
+    pub expected_finish: bool,
     /// Workers that fail are left alone for a while.
     pub ejection: bool,
     /// Nodes tell each other of workers that they leave alone.
@@ -73,6 +78,8 @@
             shared_load: true,
             load_bound: 1.25,
             calm_share: 0.75,
+            part_homes: true,
+            expected_finish: true,
             ejection: true,
             ejection_reports: true,
             silence: true,
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -36,6 +36,7 @@
         zone: "a",
         repeatable: true,
         tried,
+        turn: None,
         spread: 1,
         is_connected: &|_| false,
     }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -11,6 +11,7 @@
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
+use elderworks_gateway_core::placement::demand::{EngineTurn, PartKey};
 use elderworks_gateway_core::workers::idle_connections_share;
 
 use super::access::Sender;
@@ -281,11 +282,16 @@
             zone: self.gateway.settings.zone.as_str(),
             repeatable: self.route.is_repeatable(),
             tried: &tried,
+            turn: self.engine_turn(),
             spread: self.gateway.next_sequence(),
             is_connected: &|worker| prefers_resting && self.gateway.pool.has(worker),
         };
-        let workers = self.gateway.workers.borrow();
-        let Some(worker) = balancer::choose(&workers, &query, self.gateway.now()) else {
+        let now = self.gateway.now();
+        let mut workers = self.gateway.workers.borrow_mut();
+        if let Some(turn) = query.turn.as_ref().filter(|_| tried.is_empty()) {
+            workers.note_turn(&self.service, turn, now);
+        }
+        let Some(worker) = balancer::choose(&workers, &query, now) else {
             return Err(self.give_up());
         };
         Ok(Target {
@@ -294,6 +300,20 @@
         })
     }
 
+    /// The turn as an engine sees it, if the request is one.
+    fn engine_turn(&self) -> Option<EngineTurn> {
+        let engine = self.config.service(&self.service)?.engine.as_ref()?;
+        let (first, private) = self.attributes.prompt.split_first()?;
+        Some(EngineTurn {
+            part: PartKey::of(&first.id),
+            part_tokens: first.tokens,
+            private_tokens: private.iter().map(|segment| segment.tokens).sum(),
+            answer_tokens: self.attributes.most_tokens,
+            memory_tokens: engine.memory_tokens,
+            slots: engine.slots,
+        })
+    }
+
     /// Notes a failed attempt; an error is the answer if there is to be no other attempt.
     pub(super) fn after_failure(
         &mut self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod link;
 mod loads;
+mod parts;
 mod proofs;
 mod quotas;
 mod serve;
@@ -28,6 +29,7 @@
 use crate::settings::GatewaySettings;
 use link::Link;
 use loads::{LOAD_INTERVAL, LoadSender};
+use parts::DemandTeller;
 use proofs::ProofAsker;
 use quotas::QuotaTeller;
 
@@ -338,12 +340,23 @@
     }
 }
 
+/// As many addresses as are told at a time, beginning at a place that moves on.
+fn some_of(mut all: Vec<SocketAddr>, most: usize, from: usize) -> Vec<SocketAddr> {
+    if all.len() > most {
+        let start = from % all.len();
+        all.rotate_left(start);
+        all.truncate(most);
+    }
+    all
+}
+
 /// Probes the others until the process ends.
 pub(crate) async fn gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sender = LoadSender::default();
+    let mut demand_teller = DemandTeller::default();
     let mut quota_teller = QuotaTeller::default();
     let mut proof_asker = ProofAsker::default();
     let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
@@ -355,6 +368,7 @@
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
+                demand_teller.tell(&gateway, &socket);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -368,6 +382,10 @@
                         quotas::take(&gateway, report);
                         continue;
                     }
+                    Ok(GatewayDatagram::Parts(report)) => {
+                        parts::take(&gateway, report);
+                        continue;
+                    }
                     Ok(GatewayDatagram::ProofAsked(question)) => {
                         proofs::tell(&gateway, &socket, from, question);
                         continue;
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -9,6 +9,7 @@
 use elderworks_protocol::gateway::{GatewayDatagram, LoadReport};
 use tokio::net::UdpSocket;
 
+use super::some_of;
 use crate::gateway::Gateway;
 
 /// Interval at which the nodes that share this zone's callers are told.
@@ -84,22 +85,12 @@
             }
         }
         self.next = self.next.wrapping_add(MOST_TOLD);
-        let mut told = some_of(near, self.next);
-        told.extend(some_of(far, self.next));
+        let mut told = some_of(near, MOST_TOLD, self.next);
+        told.extend(some_of(far, MOST_TOLD, self.next));
         told
     }
 }
 
-/// As many as are told at a time, beginning at a place that moves on.
-fn some_of(mut all: Vec<SocketAddr>, from: usize) -> Vec<SocketAddr> {
-    if all.len() > MOST_TOLD {
-        let start = from % all.len();
-        all.rotate_left(start);
-        all.truncate(MOST_TOLD);
-    }
-    all
-}
-
 /// Takes another node's report.
 pub(super) fn take(gateway: &Gateway, report: LoadReport) {
     let counts = report.counts.into_iter();
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -18,6 +18,8 @@
     ProofTold(ConfigProofAnswer),
     /// What the sender has sent on for tenants.
     Quota(QuotaReport),
+    /// How much the sender's callers ask for first parts of prompts.
+    Parts(PartReport),
 }
 
 /// How lately the sender's configuration was the newest one.
@@ -60,3 +62,26 @@
     /// Requests that were asked for in the last second.
     pub asked: u32,
 }
+
+/// How much one node's callers ask for first parts of prompts. It takes the place of the node's
+/// earlier reports on that service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// The sender.
+    pub node: NodeId,
+    /// The service.
+    pub service: String,
+    /// By part; those with little demand are left out.
+    pub uses: Vec<PartUseReport>,
+}
+
+/// How much one part is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartUseReport {
+    /// Stands for the part's name.
+    pub part: u32,
+    /// Its length in tokens.
+    pub tokens: u64,
+    /// Turns that asked for it lately, in tenths.
+    pub turn_tenths: u32,
+}
