gateway: homes in all zones, own load counted once, far nodes told in turn

Read in the code: a node was among those it told of its load, so it counted its own requests twice, late; and nodes of other zones were skipped for up to 2.7 s, longer than a report counts, since one cursor moved for near and far nodes alike.

Change: `expected_finish` is off, `part_homes` on. Where homes are chosen, zones no longer go first. Reports leave out the own node and drop it when heard; `Rota` gives near and far nodes turns of their own, far ones 32 at a time.

--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -85,7 +85,8 @@
         return choose_engine(workers, query, turn, &homes, good);
     }
     let near = workers.accepting(query.service).filter(is_near);
-    if policy.near_workers && utilization(workers, near) < policy.calm_share {
+    let keeps_zone = policy.near_workers && !homes.are_chosen();
+    if keeps_zone && utilization(workers, near) < policy.calm_share {
         let near = workers.accepting(query.service).filter(is_near);
         if let Some(worker) = within_bound(workers, query, &homes, near.filter(is_good)) {
             return Some(worker);
@@ -124,8 +125,13 @@
         }
     }
 
+    /// Whether homes go before the other workers.
+    fn are_chosen(&self) -> bool {
+        self.last != u64::MAX
+    }
+
     fn include(&self, worker: &Worker) -> bool {
-        self.last == u64::MAX || place(self.part, &worker.record.id) <= self.last
+        !self.are_chosen() || place(self.part, &worker.record.id) <= self.last
     }
 }
 
--- a/crates/gateway-core/src/peer_loads.rs
+++ b/crates/gateway-core/src/peer_loads.rs
@@ -75,3 +75,22 @@
         self.totals.get(&key).copied().unwrap_or(0)
     }
 }
+
+/// Whose turn it is to be told, where not all can be told at a time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rota {
+    next: usize,
+}
+
+impl Rota {
+    /// As many of all as are told at a time, beginning behind those who were told last.
+    pub fn pick<T>(&mut self, mut all: Vec<T>, most: usize) -> Vec<T> {
+        if all.len() > most {
+            let start = self.next % all.len();
+            all.rotate_left(start);
+            all.truncate(most);
+            self.next = start + most;
+        }
+        all
+    }
+}
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -31,7 +31,8 @@
     /// Share of their slots up to which workers take what comes, whatever the others' load, and
     /// up to which zones keep to their workers. From 0 to 1.
     pub calm_share: f64,
-    /// Turns for engines go to those that are home to the first part of their prompt.
+    /// Turns for engines go first to those that are home to the first part of their prompt, in
+    /// whichever zone: a zone of its own has too few homes of a part to spread its load.
     pub part_homes: bool,
     /// Turns for engines go where they should end first, by what must be read and who runs there;
     /// takes the place of `load_bound`, `calm_share` and `near_workers` for them.
@@ -79,7 +80,7 @@
             load_bound: 1.25,
             calm_share: 0.75,
             part_homes: true,
-            expected_finish: true,
+            expected_finish: false,
             ejection: true,
             ejection_reports: true,
             silence: true,
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
+use elderworks_gateway_core::peer_loads::Rota;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartDemand, PartKey};
 use elderworks_gateway_core::placement::finish::{Candidate, cost_ms};
 use elderworks_gateway_core::placement::homes::{PartLoad, home_count, home_shares, place};
@@ -301,3 +302,16 @@
         assert!(f64::from(after.busiest) <= 3.0 * after.mean, "{after:?}");
     }
 }
+
+#[test]
+fn everyone_is_told_in_as_few_turns_as_it_takes() {
+    for (all, most) in [(1, 16), (16, 16), (26, 16), (48, 16), (52, 32), (200, 32)] {
+        let mut rota = Rota::default();
+        let turns = usize::div_ceil(all, most);
+        for round in 0..5 {
+            let told = (0..turns).flat_map(|_| rota.pick((0..all).collect(), most));
+            let told: BTreeSet<usize> = told.collect();
+            assert_eq!(told.len(), all, "{all} by {most}, round {round}");
+        }
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -340,16 +340,6 @@
     }
 }
 
-/// As many addresses as are told at a time, beginning at a place that moves on.
-fn some_of(mut all: Vec<SocketAddr>, most: usize, from: usize) -> Vec<SocketAddr> {
-    if all.len() > most {
-        let start = from % all.len();
-        all.rotate_left(start);
-        all.truncate(most);
-    }
-    all
-}
-
 /// Probes the others until the process ends.
 pub(crate) async fn gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -4,12 +4,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, WorkerKey};
+use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, Rota, WorkerKey};
 use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, LoadReport};
 use tokio::net::UdpSocket;
 
-use super::some_of;
 use crate::gateway::Gateway;
 
 /// Interval at which the nodes that share this zone's callers are told.
@@ -22,15 +21,19 @@
 /// A load that has not changed is told again after this long.
 const REPEAT_INTERVAL: Duration = REPORT_LIFETIME.checked_div(3).expect("three is not zero");
 
-/// Most nodes of each kind that are told at a time; with more, they take turns.
+/// Most nodes of this zone that are told at a time; with more, they take turns.
 const MOST_TOLD: usize = 16;
 
+/// The same for other zones: up to 128 nodes there hear within the lifetime of a report.
+const MOST_FAR_TOLD: usize = 32;
+
 /// What was told last, and whose turn is next.
 #[derive(Debug, Default)]
 pub(super) struct LoadSender {
     told: Option<(Instant, BTreeMap<WorkerKey, u32>)>,
     intervals: u32,
-    next: usize,
+    near: Rota,
+    far: Rota,
 }
 
 impl LoadSender {
@@ -74,7 +77,8 @@
         let is_far_turn = self.intervals.is_multiple_of(FAR_INTERVALS);
         let (mut near, mut far) = (Vec::new(), Vec::new());
         for (node, known) in nodes.iter() {
-            if !gateway.peers.is_alive(node) || known.record.draining {
+            let is_other = *node != gateway.settings.node;
+            if !is_other || !gateway.peers.is_alive(node) || known.record.draining {
                 continue;
             }
             let address = known.record.peer_address;
@@ -84,15 +88,17 @@
                 far.push(address);
             }
         }
-        self.next = self.next.wrapping_add(MOST_TOLD);
-        let mut told = some_of(near, MOST_TOLD, self.next);
-        told.extend(some_of(far, MOST_TOLD, self.next));
+        let mut told = self.near.pick(near, MOST_TOLD);
+        told.extend(self.far.pick(far, MOST_FAR_TOLD));
         told
     }
 }
 
 /// Takes another node's report.
 pub(super) fn take(gateway: &Gateway, report: LoadReport) {
+    if report.node == gateway.settings.node {
+        return;
+    }
     let counts = report.counts.into_iter();
     let counts = counts.map(|(key, count)| (WorkerKey(key), count)).collect();
     let now = gateway.now();
--- a/crates/gateway/src/peers/parts.rs
+++ b/crates/gateway/src/peers/parts.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use elderworks_gateway_core::peer_loads::Rota;
 use elderworks_gateway_core::placement::demand::{PartKey, PartUse};
 use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, PartReport, PartUseReport};
 use elderworks_types::Timestamp;
 use tokio::net::UdpSocket;
 
-use super::some_of;
 use crate::gateway::Gateway;
 
 /// Demand is told at this interval; it changes slowly.
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 pub(super) struct DemandTeller {
     told_at: Option<Timestamp>,
-    next: usize,
+    near: Rota,
 }
 
 impl DemandTeller {
@@ -60,11 +60,13 @@
         let own_zone = gateway.settings.zone.as_str();
         let nodes = gateway.nodes.borrow();
         let near = nodes.iter().filter(|(node, known)| {
-            known.record.zone == own_zone && !known.record.draining && gateway.peers.is_alive(node)
+            *node != &gateway.settings.node
+                && known.record.zone == own_zone
+                && !known.record.draining
+                && gateway.peers.is_alive(node)
         });
         let near = near.map(|(_, known)| known.record.peer_address).collect();
-        self.next = self.next.wrapping_add(MOST_TOLD);
-        some_of(near, MOST_TOLD, self.next)
+        self.near.pick(near, MOST_TOLD)
     }
 }
 
@@ -78,6 +80,9 @@
 
 /// Takes another node's report.
 pub(super) fn take(gateway: &Gateway, report: PartReport) {
+    if report.node == gateway.settings.node {
+        return;
+    }
     let uses = report.uses.iter().map(|told| {
         let used = PartUse {
             tokens: told.tokens,
