--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -58,6 +58,16 @@
         })
 }
 
+/// Whether a worker is home to the first part of the turn's prompt; `None` if no homes are chosen.
+pub fn is_at_home(
+    workers: &WorkerDirectory,
+    query: &PlacementQuery<'_>,
+    worker: &Worker,
+) -> Option<bool> {
+    let homes = Homes::of(workers, query);
+    homes.are_chosen().then(|| homes.include(worker))
+}
+
 /// A worker against which nothing speaks and that has its share of the load or less: one of the own
 /// zone while that has room.
 ///
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use elderworks_gateway_core::balancer::{PlacementQuery, choose};
+use elderworks_gateway_core::balancer::{PlacementQuery, choose, is_at_home};
 use elderworks_gateway_core::peer_loads::Rota;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartDemand, PartKey};
 use elderworks_gateway_core::placement::finish::{Candidate, cost_ms};
@@ -315,3 +315,29 @@
         }
     }
 }
+
+#[test]
+fn plain_requests_have_no_homes() {
+    let mut workers = fleet(Policy::default());
+    for number in 0..200 {
+        workers.note_turn("engines", &turn(skewed_part(number)), START);
+    }
+    let query = |turn| PlacementQuery {
+        service: "engines",
+        key: Some("program"),
+        zone: "a",
+        repeatable: true,
+        tried: &[],
+        turn,
+        spread: 1,
+        is_connected: &|_| false,
+    };
+    let of_turn = choose(&workers, &query(Some(turn(12))), START).expect("an engine");
+    assert_eq!(
+        is_at_home(&workers, &query(Some(turn(12))), of_turn),
+        Some(true)
+    );
+    let plain = choose(&workers, &query(None), START).expect("a worker");
+    assert_eq!(is_at_home(&workers, &query(None), plain), None);
+    assert_eq!(plain.record.zone, "a", "zones go first without homes");
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -294,6 +294,9 @@
         let Some(worker) = balancer::choose(&workers, &query, now) else {
             return Err(self.give_up());
         };
+        if let Some(is_at_home) = balancer::is_at_home(&workers, &query, worker) {
+            self.gateway.metrics.note_placement(is_at_home);
+        }
         Ok(Target {
             worker: worker.record.id.clone(),
             address: worker.record.address,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of turns sent to engines.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct PlacementLabel {
+    /// Whether the engine is home to the first part of the prompt.
+    pub(crate) engine: &'static str,
+}
+
 /// Label of figures of one tenant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -55,6 +62,7 @@
     pub(crate) streams_resumed: Counter,
     pub(crate) caller_left: Counter,
     pub(crate) worker_connections: Counter,
+    pub(crate) placements: Family<PlacementLabel, Counter>,
     pub(crate) ledger_conflicts: Counter,
     pub(crate) ledger_forwarded: Counter,
     pub(crate) overdrafts_activated: Counter,
@@ -90,6 +98,7 @@
             streams_resumed: Counter::default(),
             caller_left: Counter::default(),
             worker_connections: Counter::default(),
+            placements: Family::default(),
             ledger_conflicts: Counter::default(),
             ledger_forwarded: Counter::default(),
             overdrafts_activated: Counter::default(),
@@ -128,6 +137,14 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// Counts a turn sent to an engine.
+    pub(crate) fn note_placement(&self, is_at_home: bool) {
+        let engine = if is_at_home { "home" } else { "other" };
+        self.placements
+            .get_or_create(&PlacementLabel { engine })
+            .inc();
+    }
+
     /// Counts a read of a stream that is followed.
     pub(crate) fn note_stream_read(&self, stream: Stream, outcome: &'static str) {
         let call = match stream {
@@ -183,6 +200,11 @@
             "Connections made to workers",
             self.worker_connections.clone(),
         );
+        registry.register(
+            "placements",
+            "Turns sent to engines that are home to the first part of their prompt, and to others",
+            self.placements.clone(),
+        );
         registry.register(
             "overdrafts_activated",
             "Times that a partition's owner began to let turns run on its overdraft",
