--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod nodes;
 pub mod ownership;
 pub mod peer_loads;
+pub mod placement;
 pub mod policy;
 pub mod pressure;
 pub mod quota;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod link;
 mod loads;
+mod parts;
 mod proofs;
 mod queue;
 mod quotas;
@@ -30,6 +31,7 @@
 use crate::settings::GatewaySettings;
 use link::Link;
 use loads::{LOAD_INTERVAL, LoadSender};
+use parts::DemandTeller;
 use proofs::ProofAsker;
 use quotas::QuotaTeller;
 
@@ -414,6 +416,7 @@
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sender = LoadSender::default();
+    let mut demand_teller = DemandTeller::default();
     let mut quota_teller = QuotaTeller::default();
     let mut proof_asker = ProofAsker::default();
     let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
@@ -426,6 +429,7 @@
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
+                demand_teller.tell(&gateway, &socket);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -439,6 +443,10 @@
                         quotas::take(&gateway, report);
                         continue;
                     }
+                    Ok(GatewayDatagram::Parts(report)) => {
+                        parts::take(&gateway, report);
+                        continue;
+                    }
                     Ok(GatewayDatagram::ProofAsked(question)) => {
                         proofs::tell(&gateway, &socket, from, question);
                         continue;
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, WorkerKey};
+use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, Rota, WorkerKey};
 use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, LoadReport};
 use tokio::net::UdpSocket;
@@ -21,15 +21,19 @@
 /// A load that has not changed is told again after this long.
 const REPEAT_INTERVAL: Duration = REPORT_LIFETIME.checked_div(3).expect("three is not zero");
 
-/// Most nodes of each kind that are told at a time; with more, they take turns.
+/// Most nodes of this zone that are told at a time; with more, they take turns.
 const MOST_TOLD: usize = 16;
 
+/// The same for other zones: up to 128 nodes there hear within the lifetime of a report.
+const MOST_FAR_TOLD: usize = 32;
+
 /// What was told last, and whose turn is next.
 #[derive(Debug, Default)]
 pub(super) struct LoadSender {
     told: Option<(Instant, BTreeMap<WorkerKey, u32>)>,
     intervals: u32,
-    next: usize,
+    near: Rota,
+    far: Rota,
 }
 
 impl LoadSender {
@@ -73,7 +77,8 @@
         let is_far_turn = self.intervals.is_multiple_of(FAR_INTERVALS);
         let (mut near, mut far) = (Vec::new(), Vec::new());
         for (node, known) in nodes.iter() {
-            if !gateway.peers.is_alive(node) || known.record.draining {
+            let is_other = *node != gateway.settings.node;
+            if !is_other || !gateway.peers.is_alive(node) || known.record.draining {
                 continue;
             }
             let address = known.record.peer_address;
@@ -83,25 +88,17 @@
                 far.push(address);
             }
         }
-        self.next = self.next.wrapping_add(MOST_TOLD);
-        let mut told = some_of(near, self.next);
-        told.extend(some_of(far, self.next));
+        let mut told = self.near.pick(near, MOST_TOLD);
+        told.extend(self.far.pick(far, MOST_FAR_TOLD));
         told
     }
 }
 
-/// As many as are told at a time, beginning at a place that moves on.
-fn some_of(mut all: Vec<SocketAddr>, from: usize) -> Vec<SocketAddr> {
-    if all.len() > MOST_TOLD {
-        let start = from % all.len();
-        all.rotate_left(start);
-        all.truncate(MOST_TOLD);
-    }
-    all
-}
-
 /// Takes another node's report.
 pub(super) fn take(gateway: &Gateway, report: LoadReport) {
+    if report.node == gateway.settings.node {
+        return;
+    }
     let counts = report.counts.into_iter();
     let counts = counts.map(|(key, count)| (WorkerKey(key), count)).collect();
     let now = gateway.now();
