gateway: turns wait for places at engines, urgent ones first

Cause: turns went straight to engines, which serve in order of arrival, so in a burst urgent programs were as late as others.

Change: admission (gateway-core, pure) between a turn's leave and its placement. Places of a service are the slots of its workers less what is under way, own and told. Beyond them turns wait at the gateway by urgency, tenant's excess, standing and slack; one in four releases is the floor's. Nodes tell each other what waits (Demand datagram) and hand out free places by it. What cannot be served in time is refused at once.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! turn, and which turns a conversation consists of. The driver is `elderworks-gateway`.
 
 pub mod access;
+pub mod admission;
 pub mod attempt;
 pub mod balancer;
 pub mod call;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::AdmissionMode;
+
 /// Mechanisms and figures; every node of a deployment should have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -58,6 +60,16 @@
     pub shared_quotas: bool,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
+    /// How turns are admitted to engines.
+    pub admission: AdmissionMode,
+    /// Share of their slots up to which engines are given turns while others wait. Above 0, at
+    /// most 1.
+    pub full_share: f64,
+    /// One turn in so many that go to an engine is the one that has waited longest, however urgent
+    /// the others are. At least 2.
+    pub floor_interval: u32,
+    /// Tenants that were served less go first while turns wait.
+    pub fair_share: bool,
 }
 
 impl Default for Policy {
@@ -86,6 +98,10 @@
             peer_proofs: true,
             shared_quotas: true,
             missing_grace: true,
+            admission: AdmissionMode::ToldDemand,
+            full_share: 1.0,
+            floor_interval: 4,
+            fair_share: true,
         }
     }
 }
@@ -116,6 +132,12 @@
         if !(0.0..=1.0).contains(&self.calm_share) {
             return error("calm_share", "must be between 0 and 1");
         }
+        if !(self.full_share > 0.0 && self.full_share <= 1.0) {
+            return error("full_share", "must be above 0 and at most 1");
+        }
+        if self.floor_interval < 2 {
+            return error("floor_interval", "must be 2 or more");
+        }
         Ok(())
     }
 }
--- a/crates/gateway-core/src/tenants.rs
+++ b/crates/gateway-core/src/tenants.rs
@@ -51,7 +51,7 @@
 impl Tenant {
     /// What stands for the tenant where nodes tell each other of it.
     pub fn key(&self) -> TenantKey {
-        TenantKey(xxh3_64(self.name.as_bytes()))
+        TenantKey::of(&self.name)
     }
 }
 
@@ -59,6 +59,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantKey(pub u64);
 
+impl TenantKey {
+    /// The key of a name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
 /// Position of a tenant in the [`TenantTable`] of one configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TenantId(u32);
--- a/crates/gateway-core/tests/policy.rs
+++ b/crates/gateway-core/tests/policy.rs
@@ -50,6 +50,27 @@
             },
             key: "calm_share",
         },
+        Case {
+            policy: Policy {
+                full_share: 0.0,
+                ..default
+            },
+            key: "full_share",
+        },
+        Case {
+            policy: Policy {
+                full_share: f64::NAN,
+                ..default
+            },
+            key: "full_share",
+        },
+        Case {
+            policy: Policy {
+                floor_interval: 1,
+                ..default
+            },
+            key: "floor_interval",
+        },
     ];
     for case in cases {
         let error = case.policy.check().expect_err(case.key);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -17,6 +17,7 @@
 use super::quota::Counted;
 use super::turn::TurnLease;
 use super::{CallError, Milestones, Trace, headers};
+use crate::admission::AdmittedTurn;
 use crate::body_memory::BodyShare;
 use crate::caller::Caller;
 use crate::gateway::Gateway;
@@ -45,6 +46,8 @@
     pub(super) received: Instant,
     pub(super) service: String,
     pub(super) lease: Option<TurnLease>,
+    /// Its place at an engine, while it has one.
+    pub(super) place: Option<AdmittedTurn>,
     pub(super) history: AttemptHistory,
     pub(super) milestones: Milestones,
     /// Counts the body for as long as the call holds it.
@@ -118,6 +121,7 @@
             received: request.received,
             service: service.unwrap_or_default(),
             lease: None,
+            place: None,
             history: AttemptHistory::default(),
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
@@ -138,6 +142,7 @@
                 Ok(body) => {
                     self.note_answer(&running.occupied.worker, running.answer.head.status);
                     drop(running.occupied);
+                    self.leave_place();
                     let head = &running.answer.head;
                     let passed = headers::end_to_end(&head.headers);
                     caller.send_whole(head.status, &passed, &body).await?;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! The way of one request: its route, its turn's leave, attempts at workers, its answer.
 
 mod access;
+mod admission;
 mod attempts;
 mod headers;
 mod observations;
@@ -100,6 +101,9 @@
         return refuse(caller, trace, &refusal).await;
     }
     trace.milestones.note_leave(trace.received);
+    if let Err(refusal) = call.admit().await {
+        return refuse(caller, trace, &refusal).await;
+    }
     let result = match call.route().kind {
         RouteKind::Streaming => call.run_stream(caller).await,
         RouteKind::Idempotent | RouteKind::Mutating => call.run_whole(caller).await,
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -116,7 +116,7 @@
             && left >= self.route.target
     }
 
-    fn is_for_engine(&self) -> bool {
+    pub(super) fn is_for_engine(&self) -> bool {
         let service = self.config.service(&self.service);
         service.is_some_and(|service| service.engine.is_some())
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -66,6 +66,7 @@
                 PartEnd::Whole => {
                     self.note_answer(&running.occupied.worker, running.answer.head.status);
                     drop(running);
+                    self.leave_place();
                     return self.end_stream(caller, passed).await;
                 }
                 PartEnd::Broken(reason) => {
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -65,6 +65,11 @@
         self.used += self.tokens_per_event;
     }
 
+    /// Tokens that have gone to the caller.
+    pub(super) fn used(&self) -> u64 {
+        self.used
+    }
+
     /// The turn's own input.
     pub(super) fn input(&self) -> Bytes {
         self.input.clone()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 use tokio::sync::watch;
 
+use crate::admission::AdmissionDesk;
 use crate::body_memory::BodyMemory;
 use crate::clock::Clock;
 use crate::ledger::Ledger;
@@ -77,6 +78,8 @@
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of all zones that callers are sent to, as last counted.
     pub(crate) nodes_serving: Cell<u32>,
+    /// Turns that wait for places at engines.
+    pub(crate) admission: AdmissionDesk,
     /// Bodies of requests under way.
     pub(crate) body_memory: BodyMemory,
     /// Requests under way.
@@ -109,6 +112,7 @@
             log_timer: RefCell::default(),
             log_read_timer: RefCell::default(),
             log_reach: RefCell::default(),
+            admission: AdmissionDesk::new(&settings),
             body_memory: BodyMemory::new(settings.memory_bytes),
             settings,
             platform,
@@ -223,6 +227,14 @@
             .collect()
     }
 
+    /// Shows how many turns wait.
+    pub(crate) fn note_waiting(&self) {
+        let count = self.admission.core.borrow().waiting_count();
+        self.metrics
+            .admission_waiting
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// A number that no other caller of this function gets.
     pub(crate) fn next_sequence(&self) -> u64 {
         let number = self.sequence.get() + 1;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions become bytes here; what the platform calls things is known only to the adapter behind
 //! [`ports::Platform`].
 
+mod admission;
 mod body_memory;
 mod buffered;
 mod caller;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,38 @@
     pub(crate) tenant: String,
 }
 
+/// Why a turn was refused that asked for a place at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AdmissionRefusal {
+    /// What goes first takes longer than the turn can wait.
+    NoPlaceInTime,
+    /// This node can hold no more waiting turns.
+    QueueFull,
+    /// A more pressing turn took its place in the queue.
+    Displaced,
+    /// It got no place in the time that it could wait.
+    WaitedInVain,
+}
+
+impl AdmissionRefusal {
+    /// For callers, people and logs.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Self::NoPlaceInTime => "no engine will be free in time",
+            Self::QueueFull => "no more turns can wait here now",
+            Self::Displaced => "a more pressing turn waits in its place",
+            Self::WaitedInVain => "no engine became free in time",
+        }
+    }
+}
+
+/// Label of turns that were refused a place at an engine.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct AdmissionLabel {
+    /// Why.
+    pub(crate) reason: &'static str,
+}
+
 /// Everything that a gateway counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -67,6 +99,9 @@
     pub(crate) quota_used_percent: Family<TenantLabel, Gauge>,
     pub(crate) proof_age_ms: Gauge,
     pub(crate) config_read_age_ms: Gauge,
+    pub(crate) admission_wait_seconds: Histogram,
+    pub(crate) admission_waiting: Gauge,
+    pub(crate) admission_refusals: Family<AdmissionLabel, Counter>,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -102,6 +137,9 @@
             quota_used_percent: Family::default(),
             proof_age_ms: Gauge::default(),
             config_read_age_ms: Gauge::default(),
+            admission_wait_seconds: histogram(),
+            admission_waiting: Gauge::default(),
+            admission_refusals: Family::default(),
         };
         metrics.register();
         metrics
@@ -128,6 +166,14 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// Counts a turn that was refused a place at an engine.
+    pub(crate) fn note_admission_refusal(&self, refusal: AdmissionRefusal) {
+        let label = AdmissionLabel {
+            reason: refusal.text(),
+        };
+        self.admission_refusals.get_or_create(&label).inc();
+    }
+
     /// Counts a read of a stream that is followed.
     pub(crate) fn note_stream_read(&self, stream: Stream, outcome: &'static str) {
         let call = match stream {
@@ -235,5 +281,20 @@
             "Time since the last read of the configuration's stream that was answered was sent; -1 if none was",
             self.config_read_age_ms.clone(),
         );
+        registry.register(
+            "admission_wait_seconds",
+            "Time that turns waited for a place at an engine, those that got none included",
+            self.admission_wait_seconds.clone(),
+        );
+        registry.register(
+            "admission_waiting",
+            "Turns that wait for a place at an engine",
+            self.admission_waiting.clone(),
+        );
+        registry.register(
+            "admission_refusals",
+            "Turns that were refused a place at an engine, by reason",
+            self.admission_refusals.clone(),
+        );
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other nodes: who seems alive, and connections to ask them for what they own.
 
+mod demand;
 mod link;
 mod loads;
 mod proofs;
@@ -26,6 +27,7 @@
 
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
+use demand::DemandTeller;
 use link::Link;
 use loads::{LOAD_INTERVAL, LoadSender};
 use proofs::ProofAsker;
@@ -345,6 +347,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sender = LoadSender::default();
     let mut quota_teller = QuotaTeller::default();
+    let mut demand_teller = DemandTeller::default();
     let mut proof_asker = ProofAsker::default();
     let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
     load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -355,6 +358,7 @@
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
+                demand_teller.tell(&gateway, &socket);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -368,6 +372,10 @@
                         quotas::take(&gateway, report);
                         continue;
                     }
+                    Ok(GatewayDatagram::Demand(report)) => {
+                        demand::take(&gateway, report);
+                        continue;
+                    }
                     Ok(GatewayDatagram::ProofAsked(question)) => {
                         proofs::tell(&gateway, &socket, from, question);
                         continue;
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -18,6 +18,8 @@
     ProofTold(ConfigProofAnswer),
     /// What the sender has sent on for tenants.
     Quota(QuotaReport),
+    /// What waits at the sender.
+    Demand(DemandReport),
 }
 
 /// How lately the sender's configuration was the newest one.
@@ -60,3 +62,24 @@
     /// Requests that were asked for in the last second.
     pub asked: u32,
 }
+
+/// What waits at one node for places at engines. It takes the place of the node's earlier reports.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The sender.
+    pub node: NodeId,
+    /// Services at which turns wait; none takes the report before back.
+    pub services: Vec<ServiceDemandReport>,
+    /// Tokens that the sender served lately, by what stands for the tenant's name; those served
+    /// most.
+    pub served: Vec<(u64, u64)>,
+}
+
+/// What waits at one node for one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemandReport {
+    /// Stands for the service's name.
+    pub service: u64,
+    /// Turns that wait, by level of urgency; levels without any are left out.
+    pub waiting: Vec<(u8, u32)>,
+}
