--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -65,6 +65,8 @@
     /// Share of their slots up to which engines are given turns while others wait. Above 0, at
     /// most 1.
     pub full_share: f64,
+    /// Longest wait of a turn for a place at an engine, in milliseconds from its arrival. Above 0.
+    pub longest_wait_ms: u64,
     /// One turn in so many that go to an engine is the one that has waited longest, however urgent
     /// the others are. At least 2.
     pub floor_interval: u32,
@@ -100,6 +102,7 @@
             missing_grace: true,
             admission: AdmissionMode::ToldDemand,
             full_share: 1.0,
+            longest_wait_ms: 1_000,
             floor_interval: 4,
             fair_share: true,
         }
@@ -135,6 +138,9 @@
         if !(self.full_share > 0.0 && self.full_share <= 1.0) {
             return error("full_share", "must be above 0 and at most 1");
         }
+        if self.longest_wait_ms == 0 {
+            return error("longest_wait_ms", "must be 1 or more");
+        }
         if self.floor_interval < 2 {
             return error("floor_interval", "must be 2 or more");
         }
--- a/crates/gateway-core/tests/policy.rs
+++ b/crates/gateway-core/tests/policy.rs
@@ -64,6 +64,13 @@
             },
             key: "full_share",
         },
+        Case {
+            policy: Policy {
+                longest_wait_ms: 0,
+                ..default
+            },
+            key: "longest_wait_ms",
+        },
         Case {
             policy: Policy {
                 floor_interval: 1,
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -12,12 +12,9 @@
 use crate::metrics::AdmissionRefusal;
 use crate::reply::Refusal;
 
-/// Longest wait of a turn, from when it was received. Callers give up streams that stay silent for
-/// two seconds, and the engine needs the rest.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
-
-/// Part of a call's time after which it is refused if it has no place: the rest is for another try.
-const LONGEST_SHARE: f64 = 0.45;
+/// Part of a call's time for which it may wait: the rest is for another try or two, which callers
+/// rather make than wait here for nothing.
+const LONGEST_SHARE: f64 = 0.25;
 
 /// Callers honour a time to come back up to this part of the time that they have left.
 const CALLERS_PART: f64 = 1.0 / 3.0;
@@ -136,7 +133,9 @@
 
     fn latest_start(&self) -> Instant {
         let whole = self.deadline.saturating_duration_since(self.received);
-        self.received + whole.mul_f64(LONGEST_SHARE).min(LONGEST_WAIT)
+        let longest = Duration::from_millis(self.gateway.settings.policy.longest_wait_ms);
+        let useful = self.route.target.min(longest);
+        self.received + whole.mul_f64(LONGEST_SHARE).min(useful)
     }
 
     fn refuse_admission(
