--- a/crates/gateway-core/src/admission/gate.rs
+++ b/crates/gateway-core/src/admission/gate.rs
@@ -285,12 +285,6 @@
         let here = saturating_u32(self.queue.ahead_of(context.now, least_turn, order));
         let more_urgent = self.queue.waiting().more_urgent_than(claim.urgency);
         let elsewhere = context.elsewhere.0;
-        if claim.is_late(context.now, least_turn) {
-            return Ahead {
-                more_urgent: here.saturating_add(elsewhere.total()),
-                alike: 0,
-            };
-        }
         Ahead {
             more_urgent: more_urgent + elsewhere.more_urgent_than(claim.urgency),
             alike: here.saturating_sub(more_urgent) + elsewhere.as_urgent_as(claim.urgency)
--- a/crates/gateway-core/src/admission/turn.rs
+++ b/crates/gateway-core/src/admission/turn.rs
@@ -53,10 +53,10 @@
 
 /// The order among turns that wait; the least goes first.
 ///
-/// A program that can no longer end in time gives way to all that can. Among those, urgency comes
-/// first, then tenants that had less than their share, then programs that have begun, then the one
-/// whose time is over first.
-pub(super) type Order = (bool, u8, u8, Standing, Timestamp, Timestamp);
+/// Urgency comes first. Within it, a program that can no longer end in time gives way to those that
+/// can; then come tenants that had less than their share, then programs that have begun, then the
+/// one whose time is over first.
+pub(super) type Order = (u8, bool, u8, Standing, Timestamp, Timestamp);
 
 impl Claim {
     /// `excess` is by how much its tenant has had more than its share.
@@ -81,8 +81,8 @@
     pub(super) fn order(&self, now: Timestamp, least_turn: Duration) -> Order {
         let due = self.finish.unwrap_or(self.latest_start);
         (
-            self.is_late(now, least_turn),
             self.urgency,
+            self.is_late(now, least_turn),
             self.excess,
             self.standing,
             due,
@@ -91,9 +91,9 @@
     }
 
     /// What sets kinds of turns apart, each of which must get some room.
-    pub(super) fn group(&self, now: Timestamp, least_turn: Duration) -> (bool, u8, u8) {
+    pub(super) fn group(&self, now: Timestamp, least_turn: Duration) -> (u8, bool, u8) {
         let is_late = self.is_late(now, least_turn);
-        (is_late, self.urgency, self.excess)
+        (self.urgency, is_late, self.excess)
     }
 
     /// How much longer it may wait.
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -66,6 +66,8 @@
     /// most 1.
     pub full_share: f64,
     /// Longest wait of a turn for a place at an engine, in milliseconds from its arrival. Above 0.
+    /// The same on all routes: an urgent one with a short target would else be refused where others
+    /// still wait.
     pub longest_wait_ms: u64,
     /// One turn in so many that go to an engine is the one that has waited longest, however urgent
     /// the others are. At least 2.
@@ -102,7 +104,7 @@
             missing_grace: true,
             admission: AdmissionMode::ToldDemand,
             full_share: 1.0,
-            longest_wait_ms: 1_000,
+            longest_wait_ms: 250,
             floor_interval: 4,
             fair_share: true,
         }
--- a/crates/gateway-core/tests/admission.rs
+++ b/crates/gateway-core/tests/admission.rs
@@ -138,8 +138,13 @@
         ),
         (
             "a program that ends late anyhow gives way",
-            with(0, Standing::Begun, finish(20)),
-            with(2, Standing::New, finish(2_000)),
+            with(1, Standing::Begun, finish(20)),
+            with(1, Standing::New, finish(2_000)),
+        ),
+        (
+            "but not to what is less urgent",
+            with(2, Standing::Begun, finish(2_000)),
+            with(0, Standing::New, finish(20)),
         ),
     ];
     for (what, later, first) in cases {
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -134,8 +134,7 @@
     fn latest_start(&self) -> Instant {
         let whole = self.deadline.saturating_duration_since(self.received);
         let longest = Duration::from_millis(self.gateway.settings.policy.longest_wait_ms);
-        let useful = self.route.target.min(longest);
-        self.received + whole.mul_f64(LONGEST_SHARE).min(useful)
+        self.received + whole.mul_f64(LONGEST_SHARE).min(longest)
     }
 
     fn refuse_admission(
