admission: nothing is refused by a pace that is not known, and waits count from leave

one_node_alone_acts_in_place_of_an_owner_that_does_not_answer showed it: a node that had served nothing refused by a guessed pace, and leave that took 400 ms used up the wait. Open: what_cannot_be_served_is_refused_and_never_sent stops while it fills the engine; being traced.

--- a/crates/gateway-core/src/admission/gate.rs
+++ b/crates/gateway-core/src/admission/gate.rs
@@ -151,7 +151,7 @@
                 retry_after: spread_out(wait, claim.spread),
             })
         };
-        if wait > longest_wait(&claim, context.now) {
+        if self.pace.is_known() && wait > longest_wait(&claim, context.now) {
             return Decision::from(refused(false));
         }
         let displaced = self.make_room(context, usage, &claim);
--- a/crates/gateway-core/src/admission/pace.rs
+++ b/crates/gateway-core/src/admission/pace.rs
@@ -13,6 +13,9 @@
 /// Time of a turn before any has ended.
 const FIRST_GUESS: Duration = Duration::from_millis(250);
 
+/// Turns that must have ended before anything is refused by their mean.
+const EVIDENCE: u32 = 8;
+
 /// Part of the mean below which turns hardly ever end.
 const LEAST_PART: f64 = 0.5;
 
@@ -23,19 +26,28 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pace {
     mean: f64,
+    seen: u32,
 }
 
 impl Default for Pace {
     fn default() -> Self {
         Self {
             mean: FIRST_GUESS.as_secs_f64(),
+            seen: 0,
         }
     }
 }
 
 impl Pace {
     pub(super) fn note(&mut self, took: Duration) {
-        self.mean += (took.as_secs_f64() - self.mean) * WEIGHT;
+        self.seen = self.seen.saturating_add(1);
+        let weight = WEIGHT.max(1.0 / f64::from(self.seen));
+        self.mean += (took.as_secs_f64() - self.mean) * weight;
+    }
+
+    /// Whether the mean rests on enough turns to refuse others by it.
+    pub(super) fn is_known(&self) -> bool {
+        self.seen >= EVIDENCE
     }
 
     /// The least time that a turn takes.
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -65,7 +65,8 @@
     /// Share of their slots up to which engines are given turns while others wait. Above 0, at
     /// most 1.
     pub full_share: f64,
-    /// Longest wait of a turn for a place at an engine, in milliseconds from its arrival. Above 0.
+    /// Longest wait of a turn for a place at an engine, in milliseconds from when it has leave.
+    /// Above 0.
     /// The same on all routes: an urgent one with a short target would else be refused where others
     /// still wait.
     pub longest_wait_ms: u64,
--- a/crates/gateway-core/tests/admission.rs
+++ b/crates/gateway-core/tests/admission.rs
@@ -56,6 +56,11 @@
 /// An admission whose places are all taken.
 fn full() -> Admission {
     let mut admission = admission();
+    // The pace is known: turns take 250 ms.
+    for _ in 0..8 {
+        admission.arrive(START, SERVICE, ROOM, turn(9));
+        admission.end(SERVICE, Some(Duration::from_millis(250)));
+    }
     for _ in 0..ROOM.slots {
         let decision = admission.arrive(START, SERVICE, ROOM, turn(9));
         assert_eq!(decision.arrival, Arrival::Go);
@@ -243,6 +248,17 @@
     waits(&mut admission, turn(0));
 }
 
+#[test]
+fn nothing_is_refused_by_a_pace_that_is_not_known() {
+    let mut admission = admission();
+    for _ in 0..ROOM.slots {
+        admission.arrive(START, SERVICE, ROOM, turn(1));
+    }
+    for _ in 0..16 {
+        waits(&mut admission, turn(1));
+    }
+}
+
 #[test]
 fn newcomers_are_refused_before_turns_of_programs_that_have_begun() {
     let mut admission = full();
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -132,9 +132,10 @@
     }
 
     fn latest_start(&self) -> Instant {
-        let whole = self.deadline.saturating_duration_since(self.received);
+        let now = Instant::now();
+        let left = self.deadline.saturating_duration_since(now);
         let longest = Duration::from_millis(self.gateway.settings.policy.longest_wait_ms);
-        self.received + whole.mul_f64(LONGEST_SHARE).min(longest)
+        now + left.mul_f64(LONGEST_SHARE).min(longest)
     }
 
     fn refuse_admission(
