--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod access;
 pub mod acting;
+pub mod admission;
 pub mod append_pace;
 pub mod attempt;
 pub mod balancer;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::AdmissionMode;
+
 /// Mechanisms and figures; every node of a deployment should have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -80,6 +82,21 @@
     pub starting_restraint: bool,
     /// Workers whose records are gone stay a last resort for a moment.
     pub missing_grace: bool,
+    /// How turns are admitted to engines.
+    pub admission: AdmissionMode,
+    /// Share of their slots up to which engines are given turns while others wait. Above 0, at
+    /// most 1.
+    pub full_share: f64,
+    /// Longest wait of a turn for a place at an engine, in milliseconds from when it has leave.
+    /// Above 0.
+    /// The same on all routes: an urgent one with a short target would else be refused where others
+    /// still wait.
+    pub longest_wait_ms: u64,
+    /// One turn in so many that go to an engine is the one that has waited longest, however urgent
+    /// the others are. At least 2.
+    pub floor_interval: u32,
+    /// Tenants that were served less go first while turns wait.
+    pub fair_share: bool,
 }
 
 impl Default for Policy {
@@ -116,6 +133,11 @@
             starting_patience: true,
             starting_restraint: true,
             missing_grace: true,
+            admission: AdmissionMode::ToldDemand,
+            full_share: 1.0,
+            longest_wait_ms: 250,
+            floor_interval: 4,
+            fair_share: true,
         }
     }
 }
@@ -155,6 +177,15 @@
         if !(0.0..=1.0).contains(&self.calm_share) {
             return error("calm_share", "must be between 0 and 1");
         }
+        if !(self.full_share > 0.0 && self.full_share <= 1.0) {
+            return error("full_share", "must be above 0 and at most 1");
+        }
+        if self.longest_wait_ms == 0 {
+            return error("longest_wait_ms", "must be 1 or more");
+        }
+        if self.floor_interval < 2 {
+            return error("floor_interval", "must be 2 or more");
+        }
         Ok(())
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 use tokio::sync::watch;
 
+use crate::admission::AdmissionDesk;
 use crate::clock::Clock;
 use crate::ledger::Ledger;
 use crate::memory::Memory;
@@ -81,6 +82,8 @@
     pub(crate) nodes_serving: Cell<u32>,
     /// What is held for callers, workers and peers.
     pub(crate) memory: Memory,
+    /// Turns that wait for places at engines.
+    pub(crate) admission: AdmissionDesk,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
     /// What this node knows already, and what it still needs to serve.
@@ -117,6 +120,7 @@
             log_read_timer: RefCell::default(),
             log_reach: RefCell::default(),
             memory: Memory::new(settings.memory_bytes, &metrics),
+            admission: AdmissionDesk::new(&settings),
             settings,
             platform,
             clock,
@@ -254,6 +258,14 @@
             .collect()
     }
 
+    /// Shows how many turns wait.
+    pub(crate) fn note_waiting(&self) {
+        let count = self.admission.core.borrow().waiting_count();
+        self.metrics
+            .admission_waiting
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// A number that no other caller of this function gets.
     pub(crate) fn next_sequence(&self) -> u64 {
         let number = self.sequence.get() + 1;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,38 @@
     pub(crate) step: &'static str,
 }
 
+/// Why a turn was refused that asked for a place at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AdmissionRefusal {
+    /// What goes first takes longer than the turn can wait.
+    NoPlaceInTime,
+    /// This node can hold no more waiting turns.
+    QueueFull,
+    /// A more pressing turn took its place in the queue.
+    Displaced,
+    /// It got no place in the time that it could wait.
+    WaitedInVain,
+}
+
+impl AdmissionRefusal {
+    /// For callers, people and logs.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Self::NoPlaceInTime => "no engine will be free in time",
+            Self::QueueFull => "no more turns can wait here now",
+            Self::Displaced => "a more pressing turn waits in its place",
+            Self::WaitedInVain => "no engine became free in time",
+        }
+    }
+}
+
+/// Label of turns that were refused a place at an engine.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct AdmissionLabel {
+    /// Why.
+    pub(crate) reason: &'static str,
+}
+
 /// Everything that a gateway counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -109,6 +141,9 @@
     pub(crate) held_peak_bytes: Gauge,
     pub(crate) streams_paused: Counter,
     pub(crate) callers_given_up: Family<GivenUpLabel, Counter>,
+    pub(crate) admission_wait_seconds: Histogram,
+    pub(crate) admission_waiting: Gauge,
+    pub(crate) admission_refusals: Family<AdmissionLabel, Counter>,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -152,6 +187,9 @@
             held_peak_bytes: Gauge::default(),
             streams_paused: Counter::default(),
             callers_given_up: Family::default(),
+            admission_wait_seconds: histogram(),
+            admission_waiting: Gauge::default(),
+            admission_refusals: Family::default(),
         };
         metrics.register();
         metrics
@@ -192,6 +230,14 @@
             .inc();
     }
 
+    /// Counts a turn that was refused a place at an engine.
+    pub(crate) fn note_admission_refusal(&self, refusal: AdmissionRefusal) {
+        let label = AdmissionLabel {
+            reason: refusal.text(),
+        };
+        self.admission_refusals.get_or_create(&label).inc();
+    }
+
     /// Counts a read of a stream that is followed.
     pub(crate) fn note_stream_read(&self, stream: Stream, outcome: &'static str) {
         let call = match stream {
@@ -333,6 +379,21 @@
             "Time since the last read of the configuration's stream that was answered was sent; -1 if none was",
             self.config_read_age_ms.clone(),
         );
+        registry.register(
+            "admission_wait_seconds",
+            "Time that turns waited for a place at an engine, those that got none included",
+            self.admission_wait_seconds.clone(),
+        );
+        registry.register(
+            "admission_waiting",
+            "Turns that wait for a place at an engine",
+            self.admission_waiting.clone(),
+        );
+        registry.register(
+            "admission_refusals",
+            "Turns that were refused a place at an engine, by reason",
+            self.admission_refusals.clone(),
+        );
         self.register_memory();
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other nodes: who seems alive, and connections to ask them for what they own.
 
+mod demand;
 mod link;
 mod loads;
 mod parts;
@@ -29,9 +30,10 @@
 
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
+use demand::DemandTeller;
 use link::Link;
 use loads::{LOAD_INTERVAL, LoadSender};
-use parts::DemandTeller;
+use parts::PartTeller;
 use proofs::ProofAsker;
 use quotas::QuotaTeller;
 
@@ -416,8 +418,9 @@
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sender = LoadSender::default();
-    let mut demand_teller = DemandTeller::default();
+    let mut part_teller = PartTeller::default();
     let mut quota_teller = QuotaTeller::default();
+    let mut demand_teller = DemandTeller::default();
     let mut proof_asker = ProofAsker::default();
     let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
     load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -430,6 +433,7 @@
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
                 demand_teller.tell(&gateway, &socket);
+                part_teller.tell(&gateway, &socket);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -447,6 +451,10 @@
                         parts::take(&gateway, report);
                         continue;
                     }
+                    Ok(GatewayDatagram::Demand(report)) => {
+                        demand::take(&gateway, report);
+                        continue;
+                    }
                     Ok(GatewayDatagram::ProofAsked(question)) => {
                         proofs::tell(&gateway, &socket, from, question);
                         continue;
--- a/crates/gateway/src/peers/parts.rs
+++ b/crates/gateway/src/peers/parts.rs
@@ -21,12 +21,12 @@
 
 /// When was told last, and whose turn is next.
 #[derive(Debug, Default)]
-pub(super) struct DemandTeller {
+pub(super) struct PartTeller {
     told_at: Option<Timestamp>,
     near: Rota,
 }
 
-impl DemandTeller {
+impl PartTeller {
     /// Tells the other nodes of this zone of the demand here, if it is time. Demand of other zones
     /// has the same shape, and bytes between zones are dear.
     pub(super) fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -20,6 +20,8 @@
     Quota(QuotaReport),
     /// How much the sender's callers ask for first parts of prompts.
     Parts(PartReport),
+    /// What waits at the sender.
+    Demand(DemandReport),
 }
 
 /// How lately the sender's configuration was the newest one.
@@ -85,3 +87,24 @@
     /// Turns that asked for it lately, in tenths.
     pub turn_tenths: u32,
 }
+
+/// What waits at one node for places at engines. It takes the place of the node's earlier reports.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The sender.
+    pub node: NodeId,
+    /// Services at which turns wait; none takes the report before back.
+    pub services: Vec<ServiceDemandReport>,
+    /// Tokens that the sender served lately, by what stands for the tenant's name; those served
+    /// most.
+    pub served: Vec<(u64, u64)>,
+}
+
+/// What waits at one node for one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceDemandReport {
+    /// Stands for the service's name.
+    pub service: u64,
+    /// Turns that wait, by level of urgency; levels without any are left out.
+    pub waiting: Vec<(u8, u32)>,
+}
