peers: a node's own load report is not counted as another's

Cause: the living nodes include this one, so a node told itself its load and counted its requests twice, 100 ms late: in the balancer's bounds and in the places of the admission. what_cannot_be_served_is_refused_and_never_sent stopped on it (one of four places not given) and passes now.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -365,7 +365,10 @@
                 Ok((length, from)) => match decode(&buffer[..length]) {
                     Ok(GatewayDatagram::Gossip(datagram)) => Event::Received { from, datagram },
                     Ok(GatewayDatagram::Load(report)) => {
-                        loads::take(&gateway, report);
+                        // Its own word may come back to it, and would count its requests twice.
+                        if report.node != gateway.settings.node {
+                            loads::take(&gateway, report);
+                        }
                         continue;
                     }
                     Ok(GatewayDatagram::Quota(report)) => {
