gateway-core: expected finish is taken out again

Change: the module, its switch and the test of its cost go; the replay of bursts keeps the way that is built. Behaviour as landed does not change.

--- a/crates/gateway-core/examples/placement_time.rs
+++ b/crates/gateway-core/examples/placement_time.rs
@@ -12,48 +12,42 @@
 const DECISIONS: u32 = 20_000;
 
 fn main() {
-    for expected_finish in [false, true] {
-        let policy = Policy {
-            expected_finish,
-            ..Policy::default()
+    let mut workers = WorkerDirectory::new(Policy::default());
+    for engine in 0..ENGINES {
+        workers.upsert(WorkerRecord {
+            id: format!("engine-{engine}"),
+            service: "engines".to_owned(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: ["a", "b", "c"][engine % 3].to_owned(),
+            slots: 12,
+            draining: false,
+        });
+    }
+    let start = Instant::now();
+    for number in 0..DECISIONS {
+        let now = Timestamp(1) + Duration::from_millis(number.into());
+        let turn = EngineTurn {
+            part: PartKey(number % 16),
+            part_tokens: 12_600,
+            private_tokens: 2_000,
+            answer_tokens: 200,
+            memory_tokens: 280_000,
+            slots: 12,
+        };
+        let program = number.to_string();
+        let query = PlacementQuery {
+            service: "engines",
+            key: Some(&program),
+            zone: "a",
+            repeatable: false,
+            tried: &[],
+            turn: Some(turn),
+            spread: 1,
+            is_connected: &|_| false,
         };
-        let mut workers = WorkerDirectory::new(policy);
-        for engine in 0..ENGINES {
-            workers.upsert(WorkerRecord {
-                id: format!("engine-{engine}"),
-                service: "engines".to_owned(),
-                address: "127.0.0.1:9".parse().expect("an address"),
-                zone: ["a", "b", "c"][engine % 3].to_owned(),
-                slots: 12,
-                draining: false,
-            });
-        }
-        let start = Instant::now();
-        for number in 0..DECISIONS {
-            let now = Timestamp(1) + Duration::from_millis(number.into());
-            let turn = EngineTurn {
-                part: PartKey(number % 16),
-                part_tokens: 12_600,
-                private_tokens: 2_000,
-                answer_tokens: 200,
-                memory_tokens: 280_000,
-                slots: 12,
-            };
-            let program = number.to_string();
-            let query = PlacementQuery {
-                service: "engines",
-                key: Some(&program),
-                zone: "a",
-                repeatable: false,
-                tried: &[],
-                turn: Some(turn),
-                spread: 1,
-                is_connected: &|_| false,
-            };
-            workers.note_turn("engines", &turn, now);
-            std::hint::black_box(choose(&workers, &query, now));
-        }
-        let each = start.elapsed() / DECISIONS;
-        println!("expected finish {expected_finish}: {each:?} a decision");
+        workers.note_turn("engines", &turn, now);
+        std::hint::black_box(choose(&workers, &query, now));
     }
+    let each = start.elapsed() / DECISIONS;
+    println!("{each:?} a decision");
 }
--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -12,7 +12,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::placement::demand::{EngineTurn, PartKey};
-use crate::placement::finish::{Candidate, cost_ms};
 use crate::placement::homes::{home_count, place};
 use crate::workers::{Worker, WorkerDirectory};
 
@@ -88,12 +87,6 @@
     };
     let policy = workers.policy();
     let homes = Homes::of(workers, query);
-    if let Some(turn) = &query.turn
-        && policy.expected_finish
-    {
-        let good = workers.accepting(query.service).filter(is_good);
-        return choose_engine(workers, query, turn, &homes, good);
-    }
     let near = workers.accepting(query.service).filter(is_near);
     let keeps_zone = policy.near_workers && !homes.are_chosen();
     if keeps_zone && utilization(workers, near) < policy.calm_share {
@@ -145,40 +138,6 @@
     }
 }
 
-/// The engine at which a turn should end first.
-fn choose_engine<'a>(
-    workers: &WorkerDirectory,
-    query: &PlacementQuery<'_>,
-    turn: &EngineTurn,
-    homes: &Homes,
-    engines: impl Iterator<Item = &'a Worker>,
-) -> Option<&'a Worker> {
-    let is_near = |engine: &Worker| engine.record.zone == query.zone;
-    let mut ranked: Vec<(bool, bool, Reverse<u64>, &Worker)> = engines
-        .map(|engine| {
-            let is_home = homes.include(engine);
-            (!is_home, !is_near(engine), order(engine, query), engine)
-        })
-        .collect();
-    ranked.sort_by_key(|(is_other, is_far, order, _)| (*is_other, *is_far, *order));
-    let costs = ranked
-        .into_iter()
-        .enumerate()
-        .map(|(order, (is_other, is_far, _, engine))| {
-            let candidate = Candidate {
-                is_home: !is_other,
-                is_near: !is_far,
-                order,
-                load: f64::from(workers.load(engine)),
-                slots: f64::from(engine.record.slots),
-            };
-            let cost = cost_ms(&candidate, turn.part_tokens, turn.private_tokens);
-            (cost, engine)
-        });
-    let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
-    best.map(|(_, engine)| engine)
-}
-
 /// Requests under way per slot; more than any worker has if there are no slots.
 fn utilization<'a>(workers: &WorkerDirectory, some: impl Iterator<Item = &'a Worker>) -> f64 {
     let (load, slots) = some.fold((0.0, 0.0), |(load, slots), worker| {
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -36,9 +36,6 @@
     /// Turns for engines go first to those that are home to the first part of their prompt, in
     /// whichever zone: a zone of its own has too few homes of a part to spread its load.
     pub part_homes: bool,
-    /// Turns for engines go where they should end first, by what must be read and who runs there;
-    /// takes the place of `load_bound`, `calm_share` and `near_workers` for them.
-    pub expected_finish: bool,
     /// Workers that fail are left alone for a while.
     pub ejection: bool,
     /// Nodes tell each other of workers that they leave alone.
@@ -113,7 +110,6 @@
             load_bound: 1.25,
             calm_share: 0.75,
             part_homes: true,
-            expected_finish: false,
             ejection: true,
             ejection_reports: true,
             silence: true,
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -6,7 +6,6 @@
 use elderworks_gateway_core::balancer::{PlacementQuery, choose, is_at_home};
 use elderworks_gateway_core::peer_loads::Rota;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartDemand, PartKey};
-use elderworks_gateway_core::placement::finish::{Candidate, cost_ms};
 use elderworks_gateway_core::placement::homes::{PartLoad, home_count, home_shares, place};
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
@@ -181,24 +180,6 @@
     assert!(demand.len() <= 1_024, "{}", demand.len());
 }
 
-#[test]
-fn load_overrules_holding_smoothly() {
-    let candidate = |is_home, load| Candidate {
-        is_home,
-        is_near: true,
-        order: usize::from(!is_home),
-        load,
-        slots: 8.0,
-    };
-    let cost = |is_home, load| cost_ms(&candidate(is_home, load), PART_TOKENS, PRIVATE_TOKENS);
-    assert!(cost(true, 4.0) < cost(false, 0.0));
-    assert!(cost(true, 16.0) > cost(false, 1.0));
-    for load in 0..20 {
-        let load = f64::from(load);
-        assert!(cost(true, load) <= cost(true, load + 1.0));
-    }
-}
-
 #[test]
 fn a_home_that_fails_or_drains_hands_over() {
     let mut workers = fleet(Policy::default());
@@ -288,19 +269,15 @@
 fn bursts_read_fewer_parts_again_and_crowd_no_engine() {
     let standing = Policy {
         part_homes: false,
-        expected_finish: false,
         ..Policy::default()
     };
     let before = replay(standing);
-    for expected_finish in [false, true] {
-        let after = replay(Policy {
-            part_homes: true,
-            expected_finish,
-            ..standing
-        });
-        assert!(after.read * 2 < before.read, "{after:?} after {before:?}");
-        assert!(f64::from(after.busiest) <= 3.0 * after.mean, "{after:?}");
-    }
+    let after = replay(Policy {
+        part_homes: true,
+        ..standing
+    });
+    assert!(after.read * 2 < before.read, "{after:?} after {before:?}");
+    assert!(f64::from(after.busiest) <= 3.0 * after.mean, "{after:?}");
 }
 
 #[test]
