admission: what runs at leaving workers takes no places; full workers keep their slots; shares begin by chance

Cause (review, read): a node's streams at draining or missing workers counted as taken places of the others, so a service being replaced looked full; workers that had refused lost their slots, and a service of few workers that all had looked as if it had none, which let all go; shares of many nodes grew in step, so no node released for a while and then all did; a node with one turn under way took the others for 670 times as much, and refused what could be served. Change: the room of a service is counted in gateway-core, from every known worker; shares begin with a fraction by chance; the fleet's part is bounded by the nodes; the next turn is never refused.

--- a/crates/gateway-core/src/admission/demand.rs
+++ b/crates/gateway-core/src/admission/demand.rs
@@ -38,10 +38,9 @@
             .fold(0, |sum, count| sum.saturating_add(*count))
     }
 
-    /// Levels that are as urgent as a rank or more.
-    pub(super) fn as_urgent_as(&self, urgency: u8) -> u32 {
-        let levels = self.0.iter().take(level_of(urgency) + 1);
-        levels.fold(0, |sum, count| sum.saturating_add(*count))
+    /// The level of a rank.
+    pub(super) fn alike(&self, urgency: u8) -> u32 {
+        self.0[level_of(urgency)]
     }
 
     /// Levels that are more urgent than a rank.
--- a/crates/gateway-core/src/admission/gate.rs
+++ b/crates/gateway-core/src/admission/gate.rs
@@ -9,6 +9,7 @@
 use super::demand::{Waiting, level_of};
 use super::pace::{Inflow, Pace};
 use super::queue::{Queue, Ticket, Usage};
+use super::room::Room;
 use super::turn::{Claim, Standing};
 use super::{AdmissionMode, AdmissionRules};
 
@@ -32,17 +33,6 @@
 /// return together.
 const SPREAD: f64 = 0.5;
 
-/// Workers of a service and what the other nodes have under way there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Room {
-    /// Slots of the workers that take new work.
-    pub slots: u32,
-    /// Requests of other nodes under way there.
-    pub told: u32,
-    /// Requests of this node under way at the service's other workers, which take no place.
-    pub apart: u32,
-}
-
 /// What becomes of a turn that has arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Arrival {
@@ -151,7 +141,9 @@
                 retry_after: spread_out(wait, claim.spread),
             })
         };
-        if self.pace.is_known() && wait > longest_wait(&claim, context.now) {
+        let is_next = ahead == 0;
+        let comes_late = wait > longest_wait(&claim, context.now);
+        if self.pace.is_known() && !is_next && comes_late {
             return Decision::from(refused(false));
         }
         let displaced = self.make_room(context, usage, &claim);
@@ -161,6 +153,9 @@
                 displaced,
             };
         }
+        if self.queue.len() == 0 {
+            self.begin_allotting(claim.spread);
+        }
         self.queue.push(usage, ticket, claim);
         Decision {
             arrival: Arrival::Wait { ticket, ahead },
@@ -255,6 +250,12 @@
         spread_out(Duration::from_secs_f64(f64::from(ahead) / rate), spread)
     }
 
+    /// Begins with a part of a place by chance: nodes whose shares are small fractions would else
+    /// release nothing for a while, and then all at the same time.
+    fn begin_allotting(&mut self, spread: u64) {
+        self.allotted = fraction(spread);
+    }
+
     /// Hands this node its share of the places that have become free since the last time: those
     /// that turns everywhere have left by the pace at which they end, and part of those that look
     /// free. What is left of less than a place is kept, so that small shares add up.
@@ -286,9 +287,10 @@
         let more_urgent = self.queue.waiting().more_urgent_than(claim.urgency);
         let elsewhere = context.elsewhere.0;
         Ahead {
-            more_urgent: more_urgent + elsewhere.more_urgent_than(claim.urgency),
-            alike: here.saturating_sub(more_urgent) + elsewhere.as_urgent_as(claim.urgency)
-                - elsewhere.more_urgent_than(claim.urgency),
+            more_urgent: more_urgent.saturating_add(elsewhere.more_urgent_than(claim.urgency)),
+            alike: here
+                .saturating_sub(more_urgent)
+                .saturating_add(elsewhere.alike(claim.urgency)),
         }
     }
 
@@ -305,10 +307,12 @@
     }
 
     /// How many times as much as this node all nodes together have under way, and so, about, how
-    /// many times as much they are asked for.
+    /// many times as much they are asked for. A node that has next to nothing under way tells too
+    /// little of the others: it is taken for one that is asked as much as they are.
     fn fleet_factor(&self, room: Room) -> f64 {
         let own = f64::from(self.under_way.max(1));
-        (own + f64::from(room.told)) / own
+        let factor = (own + f64::from(room.told)) / own;
+        factor.min(f64::from(room.nodes.max(1)))
     }
 }
 
@@ -342,8 +346,13 @@
 }
 
 fn spread_out(wait: Duration, spread: u64) -> Duration {
-    let part = xxh3_64(&spread.to_le_bytes()) as f64 / u64::MAX as f64;
-    wait.mul_f64(1.0 + SPREAD * part).max(SHORTEST_RETRY)
+    wait.mul_f64(1.0 + SPREAD * fraction(spread))
+        .max(SHORTEST_RETRY)
+}
+
+/// A number from 0 to 1 that differs from turn to turn.
+fn fraction(spread: u64) -> f64 {
+    xxh3_64(&spread.to_le_bytes()) as f64 / u64::MAX as f64
 }
 
 fn floor_share(rules: &AdmissionRules) -> f64 {
--- a/crates/gateway-core/src/admission/mod.rs
+++ b/crates/gateway-core/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod pace;
 mod queue;
+mod room;
 mod tenant_shares;
 mod turn;
 
@@ -26,8 +27,9 @@
 use crate::tenants::TenantKey;
 
 pub use demand::{LEVELS, ServiceKey, Waiting};
-pub use gate::{Arrival, Decision, Refused, Room};
+pub use gate::{Arrival, Decision, Refused};
 pub use queue::{QueueLimits, Ticket};
+pub use room::Room;
 pub use turn::{Standing, Turn};
 
 use allotment::Elsewhere;
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -210,6 +210,17 @@
             .filter(|worker| worker.missing_until.is_none())
     }
 
+    /// Workers of a service that are known, whatever their state.
+    pub fn known<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
+        let workers = self.workers.values();
+        workers.filter(move |worker| worker.record.service == service)
+    }
+
+    /// Whether a worker takes new work.
+    pub fn is_accepting(&self, worker: &Worker) -> bool {
+        worker.missing_until.is_none() && !worker.record.draining
+    }
+
     /// Workers of a service whose records went missing a moment ago.
     pub fn last_resort<'a>(
         &'a self,
--- a/crates/gateway-core/tests/admission.rs
+++ b/crates/gateway-core/tests/admission.rs
@@ -16,6 +16,7 @@
     slots: 2,
     told: 0,
     apart: 0,
+    nodes: 1,
 };
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
@@ -345,6 +346,7 @@
         slots: 100,
         told: 100,
         apart: 0,
+        nodes: 2,
     };
     let free = Room { told: 0, ..taken };
     let mut admission = Admission::new(AdmissionRules {
--- a/crates/gateway-core/tests/admission_load.rs
+++ b/crates/gateway-core/tests/admission_load.rs
@@ -151,6 +151,7 @@
             slots: SLOTS,
             told: fresh.map(|other| self.told[other].1).sum(),
             apart: 0,
+            nodes: NODES as u32,
         }
     }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -182,20 +182,15 @@
     gateway.note_waiting();
 }
 
-/// Workers of a service that take work, and what is under way there.
+/// The room at a service's workers now.
 pub(crate) fn room_of(gateway: &Gateway, service: &str) -> Room {
-    let now = gateway.now();
     let workers = gateway.workers.borrow();
-    let mut room = Room::default();
-    for worker in workers.accepting(service) {
-        if worker.is_ejected(now) || worker.is_full(now) {
-            room.apart += worker.in_flight;
-            continue;
-        }
-        room.slots += worker.record.slots;
-        room.told += workers.load(worker) - worker.in_flight;
-    }
-    room
+    Room::of(
+        &workers,
+        service,
+        gateway.nodes_serving.get(),
+        gateway.now(),
+    )
 }
 
 /// Looks for places while anything waits.
