--- a/crates/gateway-core/src/admission/allotment.rs
+++ b/crates/gateway-core/src/admission/allotment.rs
@@ -4,9 +4,9 @@
 
 /// What waits for a service at the other nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct Elsewhere(pub(super) Waiting);
+pub(super) struct PeerWaiting(pub(super) Waiting);
 
-impl Elsewhere {
+impl PeerWaiting {
     pub(super) fn is_nothing(&self) -> bool {
         self.0.total() == 0
     }
@@ -16,12 +16,12 @@
 ///
 /// The floor's part goes by all that waits where; the rest by urgency, and within one level by
 /// what waits where. Every node computes the same division, as far as they have heard each other.
-pub(super) fn share_of(free: f64, own: Waiting, elsewhere: Elsewhere, floor_share: f64) -> f64 {
+pub(super) fn share_of(free: f64, own: Waiting, elsewhere: PeerWaiting, floor_share: f64) -> f64 {
     let by_urgency = by_urgency(free * (1.0 - floor_share), own, elsewhere);
     by_urgency + free * floor_share * own_part(own.total(), elsewhere.0.total())
 }
 
-fn by_urgency(free: f64, own: Waiting, elsewhere: Elsewhere) -> f64 {
+fn by_urgency(free: f64, own: Waiting, elsewhere: PeerWaiting) -> f64 {
     let mut left = free;
     let mut share = 0.0;
     for level in 0..LEVELS {
--- a/crates/gateway-core/src/admission/gate.rs
+++ b/crates/gateway-core/src/admission/gate.rs
@@ -5,12 +5,12 @@
 use elderworks_types::Timestamp;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::allotment::{Elsewhere, share_of};
+use super::allotment::{PeerWaiting, share_of};
 use super::demand::{Waiting, level_of};
 use super::pace::{Inflow, Pace};
 use super::queue::{Queue, Ticket, Usage};
 use super::room::Room;
-use super::turn::{Claim, Standing};
+use super::turn::{QueuedTurn, Standing};
 use super::{AdmissionMode, AdmissionRules};
 
 /// Time over which free places are handed out: nodes tell each other of their load as often, so
@@ -83,7 +83,7 @@
     pub(super) now: Timestamp,
     pub(super) rules: &'a AdmissionRules,
     pub(super) room: Room,
-    pub(super) elsewhere: Elsewhere,
+    pub(super) elsewhere: PeerWaiting,
 }
 
 /// The turns of one service that wait or run.
@@ -129,7 +129,7 @@
         context: &GateContext<'_>,
         usage: &mut Usage,
         ticket: Ticket,
-        claim: Claim,
+        claim: QueuedTurn,
     ) -> Decision {
         let ahead = self.ahead_of(context, &claim);
         let wait = self.expected_wait(context, &claim, ahead);
@@ -168,7 +168,7 @@
         &mut self,
         context: &GateContext<'_>,
         usage: &mut Usage,
-        claim: &Claim,
+        claim: &QueuedTurn,
     ) -> Vec<Ticket> {
         let limits = &context.rules.limits;
         let mut displaced = Vec::new();
@@ -242,7 +242,7 @@
         &self,
         rules: &AdmissionRules,
         room: Room,
-        elsewhere: Elsewhere,
+        elsewhere: PeerWaiting,
         spread: u64,
     ) -> Duration {
         let ahead = saturating_u32(self.queue.len()).saturating_add(elsewhere.0.total());
@@ -280,7 +280,7 @@
         places(rules, room) - f64::from(own) - f64::from(room.told)
     }
 
-    fn ahead_of(&self, context: &GateContext<'_>, claim: &Claim) -> Ahead {
+    fn ahead_of(&self, context: &GateContext<'_>, claim: &QueuedTurn) -> Ahead {
         let least_turn = self.pace.least_turn();
         let order = claim.order(context.now, least_turn);
         let here = saturating_u32(self.queue.ahead_of(context.now, least_turn, order));
@@ -296,7 +296,12 @@
 
     /// How long a turn will wait: more urgent ones that wait go first, and those that keep coming
     /// leave only part of the pace to it, but the floor at least.
-    fn expected_wait(&self, context: &GateContext<'_>, claim: &Claim, ahead: Ahead) -> Duration {
+    fn expected_wait(
+        &self,
+        context: &GateContext<'_>,
+        claim: &QueuedTurn,
+        ahead: Ahead,
+    ) -> Duration {
         let rate = self.pace.rate(places(context.rules, context.room));
         let floor = rate * floor_share(context.rules);
         let inflow = self.inflow.more_urgent_than(level_of(claim.urgency));
@@ -337,7 +342,7 @@
 }
 
 /// The longest that a turn may be expected to wait.
-fn longest_wait(claim: &Claim, now: Timestamp) -> Duration {
+fn longest_wait(claim: &QueuedTurn, now: Timestamp) -> Duration {
     let patience = claim.patience(now);
     match claim.standing {
         Standing::Begun => patience,
--- a/crates/gateway-core/src/admission/mod.rs
+++ b/crates/gateway-core/src/admission/mod.rs
@@ -32,12 +32,12 @@
 pub use room::Room;
 pub use turn::{Standing, Turn};
 
-use allotment::Elsewhere;
+use allotment::PeerWaiting;
 use demand::PeerDemand;
 use gate::{Gate, GateContext};
 use queue::Usage;
 use tenant_shares::TenantShares;
-use turn::Claim;
+use turn::QueuedTurn;
 
 /// How turns are admitted to engine services.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -119,7 +119,7 @@
         };
         self.next += 1;
         let ticket = Ticket(self.next);
-        let claim = Claim::of(&turn, excess, now);
+        let claim = QueuedTurn::of(&turn, excess, now);
         let decision = gate.queue_up(&context, &mut self.usage, ticket, claim);
         if let Arrival::Wait { .. } = decision.arrival {
             // Counted before it goes, so that a tenant's later turns stand behind its earlier ones.
@@ -214,10 +214,10 @@
         self.shares.drop_old(now);
     }
 
-    fn elsewhere(&self, service: &str) -> Elsewhere {
+    fn elsewhere(&self, service: &str) -> PeerWaiting {
         match self.rules.mode {
-            AdmissionMode::ToldDemand => Elsewhere(self.peers.waiting(ServiceKey::of(service))),
-            AdmissionMode::Off | AdmissionMode::ToldLoad => Elsewhere::default(),
+            AdmissionMode::ToldDemand => PeerWaiting(self.peers.waiting(ServiceKey::of(service))),
+            AdmissionMode::Off | AdmissionMode::ToldLoad => PeerWaiting::default(),
         }
     }
 }
--- a/crates/gateway-core/src/admission/queue.rs
+++ b/crates/gateway-core/src/admission/queue.rs
@@ -5,7 +5,7 @@
 use elderworks_types::Timestamp;
 
 use super::demand::{LEVELS, Waiting, level_of};
-use super::turn::{Claim, Order};
+use super::turn::{Order, QueuedTurn};
 
 /// Names a turn that asked for a place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,7 +47,7 @@
 /// searched rather than kept in an order that changes with time.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    entries: Vec<(Ticket, Claim)>,
+    entries: Vec<(Ticket, QueuedTurn)>,
 }
 
 impl Queue {
@@ -55,7 +55,7 @@
         self.entries.len()
     }
 
-    pub(super) fn push(&mut self, usage: &mut Usage, ticket: Ticket, claim: Claim) {
+    pub(super) fn push(&mut self, usage: &mut Usage, ticket: Ticket, claim: QueuedTurn) {
         usage.add(claim.bytes);
         self.entries.push((ticket, claim));
     }
--- a/crates/gateway-core/src/admission/turn.rs
+++ b/crates/gateway-core/src/admission/turn.rs
@@ -40,7 +40,7 @@
 
 /// A turn that waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Claim {
+pub struct QueuedTurn {
     pub(super) urgency: u8,
     pub(super) excess: u8,
     pub(super) standing: Standing,
@@ -58,7 +58,7 @@
 /// one whose time is over first.
 pub(super) type Order = (u8, bool, u8, Standing, Timestamp, Timestamp);
 
-impl Claim {
+impl QueuedTurn {
     /// `excess` is by how much its tenant has had more than its share.
     pub(super) fn of(turn: &Turn, excess: u8, now: Timestamp) -> Self {
         Self {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -22,24 +22,24 @@
 /// together may take a fifth.
 const MEMORY_DIVISOR: usize = 12;
 
-/// What a waiting turn hears.
+/// What became of a waiting turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Call {
+pub(crate) enum Verdict {
     /// It may go.
     Go,
     /// It has to make room for a more pressing one.
-    Leave,
+    Evicted,
 }
 
-/// The admission of this node and the tasks that wait for its word.
+/// The admission of this node and the tasks that wait for it.
 #[derive(Debug)]
-pub(crate) struct AdmissionDesk {
+pub(crate) struct AdmissionDriver {
     pub(crate) core: RefCell<Admission>,
-    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Call>>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     is_looking: Cell<bool>,
 }
 
-impl AdmissionDesk {
+impl AdmissionDriver {
     /// Nothing waits yet.
     pub(crate) fn new(settings: &GatewaySettings) -> Self {
         let policy = &settings.policy;
@@ -60,7 +60,7 @@
         }
     }
 
-    fn call(&self, ticket: Ticket, call: Call) -> bool {
+    fn call(&self, ticket: Ticket, call: Verdict) -> bool {
         let waiting = self.waiting.borrow_mut().remove(&ticket);
         waiting.is_some_and(|waiting| waiting.send(call).is_ok())
     }
@@ -71,7 +71,7 @@
     gateway: Rc<Gateway>,
     service: String,
     ticket: Ticket,
-    heard: oneshot::Receiver<Call>,
+    heard: oneshot::Receiver<Verdict>,
     has_heard: bool,
 }
 
@@ -79,10 +79,10 @@
     /// Begins to wait with a ticket that the admission gave.
     pub(crate) fn begin(gateway: &Rc<Gateway>, service: &str, ticket: Ticket) -> Self {
         let (sender, heard) = oneshot::channel();
-        let desk = &gateway.admission;
-        desk.waiting.borrow_mut().insert(ticket, sender);
+        let driver = &gateway.admission;
+        driver.waiting.borrow_mut().insert(ticket, sender);
         gateway.note_waiting();
-        if !desk.is_looking.replace(true) {
+        if !driver.is_looking.replace(true) {
             actix_rt::spawn(look_for_places(gateway.clone()));
         }
         Self {
@@ -95,7 +95,7 @@
     }
 
     /// What it hears until then; `None` if it hears nothing.
-    pub(crate) async fn wait(mut self, until: Instant) -> Option<Call> {
+    pub(crate) async fn wait(mut self, until: Instant) -> Option<Verdict> {
         let heard = tokio::time::timeout_at(until.into(), &mut self.heard).await;
         let heard = heard.ok()?.ok();
         self.has_heard = heard.is_some();
@@ -108,14 +108,14 @@
         if self.has_heard {
             return;
         }
-        let desk = &self.gateway.admission;
-        let was_waiting = desk.waiting.borrow_mut().remove(&self.ticket).is_some();
+        let driver = &self.gateway.admission;
+        let was_waiting = driver.waiting.borrow_mut().remove(&self.ticket).is_some();
         if was_waiting {
-            let mut core = desk.core.borrow_mut();
+            let mut core = driver.core.borrow_mut();
             core.withdraw(&self.service, self.ticket);
-        } else if self.heard.try_recv() == Ok(Call::Go) {
+        } else if self.heard.try_recv() == Ok(Verdict::Go) {
             // It was let go and left at the same moment.
-            desk.core.borrow_mut().end(&self.service, None);
+            driver.core.borrow_mut().end(&self.service, None);
             release(&self.gateway, &self.service);
         }
         self.gateway.note_waiting();
@@ -150,8 +150,8 @@
 impl Drop for AdmittedTurn {
     fn drop(&mut self) {
         let took = self.has_ended.then(|| self.since.elapsed());
-        let desk = &self.gateway.admission;
-        desk.core.borrow_mut().end(&self.service, took);
+        let driver = &self.gateway.admission;
+        driver.core.borrow_mut().end(&self.service, took);
         release(&self.gateway, &self.service);
     }
 }
@@ -159,24 +159,24 @@
 /// Tells turns that made room for others.
 pub(crate) fn displace(gateway: &Gateway, displaced: &[Ticket]) {
     for ticket in displaced {
-        gateway.admission.call(*ticket, Call::Leave);
+        gateway.admission.call(*ticket, Verdict::Evicted);
     }
 }
 
 /// Lets those go for which there are places now.
 pub(crate) fn release(gateway: &Gateway, service: &str) {
-    let desk = &gateway.admission;
-    if desk.core.borrow().waiting_count() == 0 {
+    let driver = &gateway.admission;
+    if driver.core.borrow().waiting_count() == 0 {
         return;
     }
     let room = room_of(gateway, service);
     let released = {
-        let mut core = desk.core.borrow_mut();
+        let mut core = driver.core.borrow_mut();
         core.release(gateway.now(), service, room)
     };
     for ticket in released {
-        if !desk.call(ticket, Call::Go) {
-            desk.core.borrow_mut().end(service, None);
+        if !driver.call(ticket, Verdict::Go) {
+            driver.core.borrow_mut().end(service, None);
         }
     }
     gateway.note_waiting();
--- a/crates/gateway/src/forward/admission.rs
+++ b/crates/gateway/src/forward/admission.rs
@@ -66,12 +66,12 @@
                 let waited = arrived.elapsed().as_secs_f64();
                 gateway.metrics.admission_wait_seconds.observe(waited);
                 let reason = match heard {
-                    Some(admission::Call::Go) => {
+                    Some(admission::Verdict::Go) => {
                         self.place = Some(AdmittedTurn::begin(gateway, &self.service));
                         self.log_admission(&line, ahead, "went", None);
                         return Ok(());
                     }
-                    Some(admission::Call::Leave) => AdmissionRefusal::Displaced,
+                    Some(admission::Verdict::Evicted) => AdmissionRefusal::Displaced,
                     None => AdmissionRefusal::WaitedInVain,
                 };
                 let room = admission::room_of(gateway, &self.service);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 use tokio::sync::watch;
 
-use crate::admission::AdmissionDesk;
+use crate::admission::AdmissionDriver;
 use crate::clock::Clock;
 use crate::ledger::Ledger;
 use crate::memory::Memory;
@@ -83,7 +83,7 @@
     /// What is held for callers, workers and peers.
     pub(crate) memory: Memory,
     /// Turns that wait for places at engines.
-    pub(crate) admission: AdmissionDesk,
+    pub(crate) admission: AdmissionDriver,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
     /// What this node knows already, and what it still needs to serve.
@@ -120,7 +120,7 @@
             log_read_timer: RefCell::default(),
             log_reach: RefCell::default(),
             memory: Memory::new(settings.memory_bytes, &metrics),
-            admission: AdmissionDesk::new(&settings),
+            admission: AdmissionDriver::new(&settings),
             settings,
             platform,
             clock,
