soak: a proxy's connection ends once both sides have closed it

Cause: a direction that had ended waited for ever for the other one, and so did that: both sockets stayed open until the process ended. Change: each direction ends when its sender closes, the passage when both have or one broke. No check changes.

--- a/crates/cli/tests/soak/proxy.rs
+++ b/crates/cli/tests/soak/proxy.rs
@@ -101,10 +101,11 @@
     let reset_by = socket2::SockRef::from(&stream).try_clone();
     let (from_caller, to_caller) = stream.into_split();
     let (from_target, to_target) = onward.into_split();
-    tokio::select! {
-        () = copy(from_caller, to_target, &passage, false) => {}
-        () = copy(from_target, to_caller, &passage, true) => {}
-    }
+    // A direction that was closed leaves the other one open; one that broke ends both.
+    let _ = tokio::try_join!(
+        copy(from_caller, to_target, &passage, false),
+        copy(from_target, to_caller, &passage, true),
+    );
     if passage.disturbance.get() == Disturbance::Reset
         && let Ok(socket) = reset_by
     {
@@ -118,24 +119,30 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Why a connection is of no further use.
+struct Broken;
+
+/// Passes bytes on in one direction until its sender closes it.
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     passage: &Passage,
     is_from_target: bool,
-) {
+) -> Result<(), Broken> {
     let disturbance = &*passage.disturbance;
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let read = tokio::select! {
             read = from.read(&mut buffer) => read,
-            () = until_reset(disturbance) => return,
+            () = until_reset(disturbance) => return Err(Broken),
+        };
+        let Ok(count) = read else {
+            return Err(Broken);
         };
-        let Ok(count) = read else { return };
         if count == 0 {
-            // The other direction may still have something to say.
+            // The other side may be gone too.
             let _ = to.shutdown().await;
-            return std::future::pending().await;
+            return Ok(());
         }
         if passage.is_forgotten() {
             continue;
@@ -144,7 +151,7 @@
             Disturbance::Delay(milliseconds) => {
                 actix_rt::time::sleep(Duration::from_millis(milliseconds)).await;
             }
-            Disturbance::Reset => return,
+            Disturbance::Reset => return Err(Broken),
             _ => until_passing(disturbance, is_from_target).await,
         }
         if passage.is_forgotten() {
@@ -152,7 +159,7 @@
         }
         if disturbance.get() == Disturbance::Reset || to.write_all(&buffer[..count]).await.is_err()
         {
-            return;
+            return Err(Broken);
         }
     }
 }
