workers: emptied zones, cold workers, starts under an old id, foreign entries

Cause: no code read the operator's wish to empty a zone, the time that a worker stays cold, or what names its start; an entry with an unknown phase counted as a draining worker, and one that could not be read left the entry before it in force.

Change: - `evacuations`: the operator's wishes by zone, ordered by offset; read with the configuration, told to nodes that the log turns away with the answer to their question for a proof (a datagram that earlier builds pass over).

--- a/crates/gateway-core/examples/placement_time.rs
+++ b/crates/gateway-core/examples/placement_time.rs
@@ -14,14 +14,19 @@
 fn main() {
     let mut workers = WorkerDirectory::new(Policy::default());
     for engine in 0..ENGINES {
-        workers.upsert(WorkerRecord {
-            id: format!("engine-{engine}"),
-            service: "engines".to_owned(),
-            address: "127.0.0.1:9".parse().expect("an address"),
-            zone: ["a", "b", "c"][engine % 3].to_owned(),
-            slots: 12,
-            draining: false,
-        });
+        workers.upsert(
+            WorkerRecord {
+                id: format!("engine-{engine}"),
+                service: "engines".to_owned(),
+                address: "127.0.0.1:9".parse().expect("an address"),
+                zone: ["a", "b", "c"][engine % 3].to_owned(),
+                slots: 12,
+                draining: false,
+                cold_left: Duration::ZERO,
+                born: 0,
+            },
+            Timestamp(1),
+        );
     }
     let start = Instant::now();
     for number in 0..DECISIONS {
--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -48,11 +48,13 @@
         .or_else(|| {
             workers
                 .accepting(query.service)
+                .filter(|worker| !workers.is_held_back(worker, now))
                 .min_by_key(|worker| rank(worker, query, now))
         })
         .or_else(|| {
             workers
                 .last_resort(query.service, now)
+                .filter(|worker| !workers.is_held_back(worker, now))
                 .min_by_key(|worker| rank(worker, query, now))
         })
 }
@@ -84,6 +86,7 @@
         !query.tried.contains(&worker.record.id)
             && !worker.is_unfit(now, query.repeatable)
             && !worker.is_full(now)
+            && !workers.is_held_back(worker, now)
     };
     let policy = workers.policy();
     let homes = Homes::of(workers, query);
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -89,6 +89,9 @@
     pub name: String,
     /// Most connections that one worker takes from all callers together.
     pub max_connections: u32,
+    /// Requests a second, of all nodes together, that one worker bears while it is cold; `None` if
+    /// it bears as many as a warm one.
+    pub cold_rate: Option<f64>,
     /// Set for services of model engines.
     pub engine: Option<EngineService>,
 }
--- a/crates/gateway-core/src/peer_loads.rs
+++ b/crates/gateway-core/src/peer_loads.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Drops what was told of a worker that has started again.
+    pub fn forget_worker(&mut self, key: WorkerKey) {
+        self.totals.remove(&key);
+        for report in self.reports.values_mut() {
+            report.counts.remove(&key);
+        }
+    }
+
     fn drop_node(&mut self, node: &NodeId) {
         let Some(report) = self.reports.remove(node) else {
             return;
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -6,6 +6,8 @@
 
 use elderworks_types::{NodeId, Timestamp};
 
+use crate::cold::ColdSenders;
+use crate::config::ServingConfig;
 use crate::peer_loads::{PeerLoads, WorkerKey};
 use crate::placement::demand::{EngineTurn, PartDemand, PartKey, PartUse};
 use crate::policy::Policy;
@@ -14,7 +16,7 @@
 /// A worker's own entry in the directory of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerRecord {
-    /// Names one start of a worker; never used twice.
+    /// Names the worker. One that starts again may keep it: see [`Self::born`].
     pub id: String,
     /// Service that it belongs to.
     pub service: String,
@@ -26,6 +28,51 @@
     pub slots: u32,
     /// Whether it is leaving and takes no new work.
     pub draining: bool,
+    /// How much longer it is cold, counted from when the entry was written.
+    pub cold_left: Duration,
+    /// Names the start of the worker together with the id; larger in later ones. 0 where workers do
+    /// not tell.
+    pub born: u64,
+}
+
+impl WorkerRecord {
+    /// Whether two entries say the same of a worker, but for how long it stays cold.
+    fn is_alike(&self, other: &Self) -> bool {
+        let Self {
+            id,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+            cold_left: _,
+            born,
+        } = self;
+        (id, service, address) == (&other.id, &other.service, &other.address)
+            && (zone, slots, draining) == (&other.zone, &other.slots, &other.draining)
+            && *born == other.born
+    }
+}
+
+/// What taking a worker's entry has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Nothing.
+    Known,
+    /// The worker is new, or something of it has changed.
+    Changed,
+    /// The worker has started again: what was known of it holds no more.
+    Reborn,
+    /// Nothing: the entry is of an earlier start than the one that is known.
+    Outdated,
+}
+
+/// A start of a worker at which a request runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerLife {
+    /// The worker.
+    pub id: String,
+    born: u64,
 }
 
 /// Most connections at rest that a node keeps to one worker.
@@ -56,6 +103,10 @@
 /// than the time after which a store counts as stable again.
 const OUTAGE_AFTERMATH: Duration = Duration::from_secs(2);
 
+/// How long workers of a zone that takes work again count as cold unless their entries say otherwise:
+/// they may have turned cold shortly before, and an entry takes about a second to come.
+const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
+
 /// One worker as this node sees it.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -66,6 +117,9 @@
     key: WorkerKey,
     health: WorkerHealth,
     full_until: Timestamp,
+    cold_until: Timestamp,
+    /// When this node may send it the next request while it is cold.
+    next_cold: Timestamp,
     /// Set while its record is gone: until when it is a last resort.
     missing_until: Option<Timestamp>,
 }
@@ -86,6 +140,11 @@
         }
     }
 
+    /// Whether it started a short while ago and bears little.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.cold_until
+    }
+
     /// Whether it lately refused for lack of room.
     pub fn is_full(&self, now: Timestamp) -> bool {
         now < self.full_until
@@ -100,6 +159,10 @@
     peer_loads: PeerLoads,
     /// Demand for first parts of prompts, by service of engines.
     parts: BTreeMap<String, PartDemand>,
+    /// Zones whose workers are to get nothing more.
+    closed_zones: BTreeSet<String>,
+    /// Who may send to cold workers.
+    cold: ColdSenders,
     /// When the store last answered again after an outage.
     outage_over: Option<Timestamp>,
 }
@@ -113,18 +176,35 @@
         }
     }
 
+    /// The same, with who may send to cold workers.
+    pub fn with_cold_senders(mut self, cold: ColdSenders) -> Self {
+        self.cold = cold;
+        self
+    }
+
     /// The mechanisms in use.
     pub fn policy(&self) -> &Policy {
         &self.policy
     }
 
-    /// Takes a worker's record; tells whether it changes what is believed of it.
-    pub fn upsert(&mut self, record: WorkerRecord) -> bool {
+    /// Takes a worker's record.
+    pub fn upsert(&mut self, record: WorkerRecord, now: Timestamp) -> Taken {
+        let cold_until = now + record.cold_left;
         if let Some(known) = self.workers.get_mut(&record.id) {
-            let changed = known.record != record || known.missing_until.is_some();
-            known.record = record;
-            known.missing_until = None;
-            return changed;
+            if record.born < known.record.born {
+                return Taken::Outdated;
+            }
+            if record.born == known.record.born {
+                let is_same = known.record.is_alike(&record) && known.missing_until.is_none();
+                known.record = record;
+                known.missing_until = None;
+                known.cold_until = cold_until;
+                return if is_same {
+                    Taken::Known
+                } else {
+                    Taken::Changed
+                };
+            }
         }
         let worker = Worker {
             key: WorkerKey::of(&record.id),
@@ -132,10 +212,64 @@
             in_flight: 0,
             health: WorkerHealth::default(),
             full_until: Timestamp::default(),
+            cold_until,
+            next_cold: Timestamp::default(),
             missing_until: None,
         };
-        self.workers.insert(worker.record.id.clone(), worker);
-        true
+        let key = worker.key;
+        match self.workers.insert(worker.record.id.clone(), worker) {
+            Some(_) => {
+                self.peer_loads.forget_worker(key);
+                Taken::Reborn
+            }
+            None => Taken::Changed,
+        }
+    }
+
+    /// Notes that a worker's entry was overwritten by something that names no worker; tells whether
+    /// it was there. It is not even a last resort.
+    pub fn mark_unreadable(&mut self, id: &str, now: Timestamp) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        let was_there = worker.missing_until.is_none();
+        worker.missing_until = Some(now);
+        was_there
+    }
+
+    /// Takes the zones whose workers are to get nothing more. Those of a zone that takes work again
+    /// count as cold until their entries say otherwise, where cold ones bear less.
+    pub fn close_zones<'a>(&mut self, zones: impl Iterator<Item = &'a str>, now: Timestamp) {
+        let closed: BTreeSet<String> = zones.map(str::to_owned).collect();
+        let before = std::mem::replace(&mut self.closed_zones, closed);
+        let reopened: Vec<&String> = before.difference(&self.closed_zones).collect();
+        for worker in self.workers.values_mut() {
+            if reopened.contains(&&worker.record.zone) {
+                worker.cold_until = worker.cold_until.max(now + COLD_AFTER_EVACUATION);
+            }
+        }
+    }
+
+    /// Takes what cold workers bear from a configuration.
+    pub fn set_cold_rates(&mut self, config: &ServingConfig) {
+        let services = config.services.iter();
+        let rates = services.filter_map(|(name, service)| Some((name.clone(), service.cold_rate?)));
+        self.cold.set_rates(rates.collect());
+    }
+
+    /// Who may send to cold workers.
+    pub fn cold_senders(&mut self) -> &mut ColdSenders {
+        &mut self.cold
+    }
+
+    /// Whether a worker is cold and must get nothing from this node now.
+    pub fn is_held_back(&self, worker: &Worker, now: Timestamp) -> bool {
+        if !worker.is_cold(now) {
+            return false;
+        }
+        let record = &worker.record;
+        let may_send = self.cold.pause(&record.service, &record.id).is_some();
+        !may_send || now < worker.next_cold
     }
 
     /// Notes that the store answers again after an outage.
@@ -218,7 +352,12 @@
 
     /// Whether a worker takes new work.
     pub fn is_accepting(&self, worker: &Worker) -> bool {
-        worker.missing_until.is_none() && !worker.record.draining
+        worker.missing_until.is_none() && self.is_open(worker)
+    }
+
+    /// Whether nothing that the worker or the operator has said keeps new work from it.
+    pub fn is_open(&self, worker: &Worker) -> bool {
+        !worker.record.draining && !self.closed_zones.contains(&worker.record.zone)
     }
 
     /// Workers of a service whose records went missing a moment ago.
@@ -234,7 +373,7 @@
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
         self.workers
             .values()
-            .filter(move |worker| worker.record.service == service && !worker.record.draining)
+            .filter(move |worker| worker.record.service == service && self.is_open(worker))
     }
 
     /// How many workers are known.
@@ -285,16 +424,29 @@
         parts.map_or(1.0, |parts| parts.share(turn.part))
     }
 
-    /// Notes that a request goes to a worker.
-    pub fn note_start(&mut self, id: &str) {
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.in_flight += 1;
+    /// Notes that a request goes to a worker; the start of it at which the request runs is to be
+    /// named at its end.
+    pub fn note_start(&mut self, id: &str, now: Timestamp) -> WorkerLife {
+        let mut life = WorkerLife {
+            id: id.to_owned(),
+            born: 0,
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return life;
+        };
+        life.born = worker.record.born;
+        worker.in_flight += 1;
+        if worker.is_cold(now) {
+            let pause = self.cold.pause(&worker.record.service, id);
+            worker.next_cold = now + pause.unwrap_or_default();
         }
+        life
     }
 
     /// Notes that a request no longer occupies a worker.
-    pub fn note_end(&mut self, id: &str) {
-        if let Some(worker) = self.workers.get_mut(id) {
+    pub fn note_end(&mut self, life: &WorkerLife) {
+        let worker = self.workers.get_mut(&life.id);
+        if let Some(worker) = worker.filter(|worker| worker.record.born == life.born) {
             worker.in_flight = worker.in_flight.saturating_sub(1);
         }
     }
--- /dev/null
+++ b/crates/gateway-core/tests/cold.rs
@@ -0,0 +1,198 @@
+//! Cold workers: the bound on what all nodes together send them, whatever reaches the nodes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use elderworks_gateway_core::balancer::{PlacementQuery, choose};
+use elderworks_gateway_core::cold::{ColdRules, ColdSenders};
+use elderworks_gateway_core::policy::Policy;
+use elderworks_gateway_core::workers::{Taken, WorkerDirectory, WorkerRecord};
+use elderworks_types::{NodeId, Timestamp};
+use proptest::prelude::*;
+
+const START: Timestamp = Timestamp(1_000_000);
+const SERVICE: &str = "engines";
+
+fn record(id: &str, cold: Duration, born: u64) -> WorkerRecord {
+    WorkerRecord {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "a".to_owned(),
+        slots: 8,
+        draining: false,
+        cold_left: cold,
+        born,
+    }
+}
+
+fn names(count: usize) -> Vec<NodeId> {
+    (0..count)
+        .map(|number| NodeId::new(format!("node-{number}").as_str()))
+        .collect()
+}
+
+/// A node of a fleet that knows cold workers which bear `rate` requests a second.
+fn node(own: &NodeId, nodes: &[NodeId], rules: ColdRules, rate: f64) -> WorkerDirectory {
+    let mut cold = ColdSenders::new(rules, own);
+    cold.set_nodes(nodes.iter());
+    cold.set_rates(BTreeMap::from([(SERVICE.to_owned(), rate)]));
+    WorkerDirectory::new(Policy::default()).with_cold_senders(cold)
+}
+
+fn chosen(workers: &WorkerDirectory, now: Timestamp, spread: u64) -> Option<String> {
+    let query = PlacementQuery {
+        service: SERVICE,
+        key: None,
+        zone: "a",
+        repeatable: true,
+        tried: &[],
+        turn: None,
+        spread,
+        is_connected: &|_| false,
+    };
+    choose(workers, &query, now).map(|worker| worker.record.id.clone())
+}
+
+/// Most requests in one second that one cold worker gets while every node is asked for more than it
+/// may send.
+fn busiest_second(nodes: usize, rules: ColdRules, rate: f64) -> usize {
+    let names = names(nodes);
+    let mut fleet: Vec<WorkerDirectory> = names
+        .iter()
+        .map(|own| node(own, &names, rules, rate))
+        .collect();
+    let mut sent: Vec<u64> = Vec::new();
+    for ms in (0..4_000).step_by(10) {
+        let now = START + Duration::from_millis(ms);
+        for (number, workers) in fleet.iter_mut().enumerate() {
+            if ms == 0 {
+                workers.upsert(record("w", Duration::from_secs(10), 0), now);
+            }
+            if let Some(worker) = chosen(workers, now, ms + number as u64) {
+                workers.note_start(&worker, now);
+                sent.push(ms);
+            }
+        }
+    }
+    let in_second = |from: &u64| {
+        let until = from + 1_000;
+        sent.iter()
+            .filter(|at| (*from..=until).contains(at))
+            .count()
+    };
+    sent.iter().map(in_second).max().unwrap_or(0)
+}
+
+/// Two of the four deployments' sizes lie above the number of nodes that could send one request
+/// each.
+#[test]
+fn all_nodes_together_keep_below_what_a_cold_worker_bears() {
+    let rules = ColdRules {
+        overshoot: 1.5,
+        slack: 5.0,
+    };
+    for (nodes, rate) in [(11, 23.0), (74, 23.0), (295, 23.0), (984, 23.0), (74, 4.0)] {
+        let most = busiest_second(nodes, rules, rate);
+        let bound = rate * rules.overshoot + rules.slack;
+        assert!(most as f64 <= bound, "{nodes} nodes, {rate}: {most}");
+        assert!(most as f64 >= rate / 2.0, "{nodes} nodes, {rate}: {most}");
+    }
+    let strict = ColdRules::default();
+    assert!(busiest_second(74, strict, 23.0) <= 23);
+}
+
+proptest! {
+    #[test]
+    fn the_bound_holds_for_any_rate(
+        nodes in 1usize..40, rate in 1.0f64..60.0, overshoot in 1.0f64..2.0, slack in 0.0f64..20.0,
+    ) {
+        let rules = ColdRules { overshoot, slack };
+        let bound = rate * overshoot + slack;
+        prop_assert!(busiest_second(nodes, rules, rate) as f64 <= bound.max(1.0));
+    }
+}
+
+#[test]
+fn a_worker_is_warm_once_it_says_so_and_turns_cold_at_any_moment() {
+    let names = names(200);
+    // A node that may send to the worker only while it is warm.
+    let not_a_sender = |own: &NodeId| {
+        let mut workers = node(own, &names, ColdRules::default(), 5.0);
+        workers.upsert(record("w", Duration::from_secs(3), 0), START);
+        chosen(&workers, START, 1).is_none()
+    };
+    let own = names.iter().find(|own| not_a_sender(own)).expect("one");
+    let mut workers = node(own, &names, ColdRules::default(), 5.0);
+    workers.upsert(record("w", Duration::from_secs(3), 0), START);
+    assert_eq!(chosen(&workers, START, 1), None);
+    let later = START + Duration::from_millis(3_000);
+    assert_eq!(chosen(&workers, later, 1).as_deref(), Some("w"));
+    workers.upsert(record("w", Duration::from_secs(1), 0), later);
+    assert_eq!(chosen(&workers, later, 1), None, "cold again");
+    workers.upsert(record("w", Duration::ZERO, 0), later);
+    assert_eq!(chosen(&workers, later, 1).as_deref(), Some("w"));
+}
+
+#[test]
+fn a_zone_that_takes_work_again_counts_as_cold_until_its_workers_say_otherwise() {
+    let names = names(200);
+    let mut waiting = 0;
+    for own in &names {
+        let mut workers = node(own, &names, ColdRules::default(), 5.0);
+        workers.upsert(record("w", Duration::ZERO, 0), START);
+        workers.close_zones(["a"].into_iter(), START);
+        workers.close_zones(std::iter::empty(), START);
+        waiting += usize::from(chosen(&workers, START, 1).is_none());
+        workers.upsert(record("w", Duration::ZERO, 0), START);
+        assert!(chosen(&workers, START, 1).is_some());
+    }
+    assert_eq!(waiting, names.len() - 1, "one node may send");
+}
+
+#[test]
+fn a_worker_that_starts_again_has_nothing_of_its_earlier_life() {
+    let mut workers = WorkerDirectory::default();
+    assert_eq!(
+        workers.upsert(record("w", Duration::ZERO, 5), START),
+        Taken::Changed
+    );
+    let earlier = workers.note_start("w", START);
+    let key = workers.own_load().into_keys().next().expect("its key");
+    workers.take_peer_load(START, NodeId::new("n2"), BTreeMap::from([(key, 3)]));
+    workers.note_failure("w", START);
+    workers.note_failure("w", START);
+    assert!(
+        workers
+            .get("w")
+            .is_some_and(|worker| worker.is_ejected(START))
+    );
+    assert_eq!(
+        workers.upsert(record("w", Duration::ZERO, 9), START),
+        Taken::Reborn
+    );
+    let worker = workers.get("w").expect("known");
+    assert_eq!(workers.load(worker), 0, "nothing runs there");
+    assert!(!worker.is_ejected(START));
+    let later = workers.note_start("w", START);
+    workers.note_end(&earlier);
+    assert_eq!(workers.get("w").map(|worker| worker.in_flight), Some(1));
+    assert_eq!(
+        workers.upsert(record("w", Duration::ZERO, 5), START),
+        Taken::Outdated
+    );
+    assert_eq!(workers.get("w").map(|worker| worker.record.born), Some(9));
+    workers.note_end(&later);
+    assert_eq!(workers.get("w").map(|worker| worker.in_flight), Some(0));
+}
+
+#[test]
+fn an_entry_that_was_overwritten_names_no_worker_not_even_as_a_last_resort() {
+    let mut workers = WorkerDirectory::default();
+    workers.upsert(record("w", Duration::ZERO, 1), START);
+    assert!(workers.mark_unreadable("w", START));
+    assert!(!workers.mark_unreadable("w", START), "known");
+    assert_eq!(chosen(&workers, START, 1), None);
+    workers.upsert(record("w", Duration::ZERO, 1), START);
+    assert_eq!(chosen(&workers, START, 1).as_deref(), Some("w"));
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -12,7 +12,7 @@
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartKey};
-use elderworks_gateway_core::workers::idle_connections_share;
+use elderworks_gateway_core::workers::{WorkerLife, idle_connections_share};
 
 use super::access::Sender;
 use super::quota::Counted;
@@ -67,14 +67,17 @@
 pub(super) struct Occupied {
     gateway: Rc<Gateway>,
     pub(super) worker: String,
+    life: WorkerLife,
 }
 
 impl Occupied {
     fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
-        gateway.workers.borrow_mut().note_start(worker);
+        let now = gateway.now();
+        let life = gateway.workers.borrow_mut().note_start(worker, now);
         Self {
             gateway: gateway.clone(),
             worker: worker.to_owned(),
+            life,
         }
     }
 }
@@ -82,7 +85,7 @@
 impl Drop for Occupied {
     fn drop(&mut self) {
         let mut workers = self.gateway.workers.borrow_mut();
-        workers.note_end(&self.worker);
+        workers.note_end(&self.life);
     }
 }
 
@@ -364,8 +367,9 @@
         let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
         let known = workers.get(worker)?;
-        let is_open = !known.record.draining && !known.is_ejected(now);
-        is_open.then(|| Target {
+        let may_get = workers.is_open(known) && !workers.is_held_back(known, now);
+        let is_fit = may_get && !known.is_ejected(now);
+        is_fit.then(|| Target {
             worker: worker.to_owned(),
             address: known.record.address,
         })
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -162,10 +162,11 @@
         passed.resumptions += 1;
         self.gateway.metrics.streams_resumed.inc();
         self.gateway.pool.forget(worker);
+        let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
         let same = workers
             .get(worker)
-            .filter(|known| !known.record.draining)
+            .filter(|known| workers.is_open(known) && !workers.is_held_back(known, now))
             .map(|known| Target {
                 worker: worker.to_owned(),
                 address: known.record.address,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,13 +8,16 @@
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::access::KeyLeases;
 use elderworks_gateway_core::change_batch::{ChangeBatch, RECOMPUTING_PACE};
+use elderworks_gateway_core::cold::ColdSenders;
 use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
-use elderworks_gateway_core::config_proof::{ConfigProof, denial_lease_of, lease_of};
+use elderworks_gateway_core::config_proof::{ConfigProof, asking_age, denial_lease_of, lease_of};
+use elderworks_gateway_core::evacuations::Evacuations;
 use elderworks_gateway_core::log_reach::LogReach;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::quota::{Division, Fleet, QuotaBook};
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
+use elderworks_gateway_core::unreadable::UnreadableKeys;
 use elderworks_gateway_core::workers::WorkerDirectory;
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 use tokio::sync::watch;
@@ -58,6 +61,10 @@
     pub(crate) config_record: RefCell<Option<StreamRecord>>,
     /// Where the stream of configurations ended when it was last read.
     pub(crate) config_end: Cell<Option<Offset>>,
+    /// Zones whose workers are to get nothing more.
+    pub(crate) evacuations: RefCell<Evacuations>,
+    /// Keys of entries that could not be read.
+    pub(crate) unreadable_entries: RefCell<UnreadableKeys>,
     /// When another node last answered a question for its proof, whatever it had.
     pub(crate) proof_answered: Cell<Option<Timestamp>>,
     /// How old that proof may be.
@@ -113,6 +120,8 @@
             false => Duration::ZERO,
         };
         let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now());
+        let cold = ColdSenders::new(settings.cold, &settings.node);
+        let workers = WorkerDirectory::new(policy).with_cold_senders(cold);
         Rc::new(Self {
             peers: Peers::new(&settings),
             ledger: Ledger::new(settings.partitions),
@@ -129,10 +138,12 @@
             config_proof: RefCell::default(),
             config_record: RefCell::default(),
             config_end: Cell::default(),
+            evacuations: RefCell::default(),
+            unreadable_entries: RefCell::default(),
             proof_answered: Cell::default(),
             key_leases,
             quotas: RefCell::new(quotas),
-            workers: RefCell::new(WorkerDirectory::new(policy)),
+            workers: RefCell::new(workers),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
             pool: Rc::default(),
@@ -171,6 +182,11 @@
         self.key_leases.acting.filter(|_| has_keys)
     }
 
+    /// Age of the proof of the configuration at which other nodes are asked for a younger one.
+    pub(crate) fn asking_age(&self) -> Duration {
+        asking_age(self.key_lease(), self.settings.apply_within)
+    }
+
     /// The present stage.
     pub(crate) fn stage(&self) -> Stage {
         *self.stage.borrow()
@@ -212,10 +228,24 @@
     /// Counts the nodes that callers are sent to.
     pub(crate) fn count_serving_nodes(&self) {
         let nodes = self.nodes.borrow();
-        let count = self.serving_nodes(&nodes).len();
+        let serving = self.serving_nodes(&nodes);
+        let count = serving.len();
+        let mut workers = self.workers.borrow_mut();
+        workers.cold_senders().set_nodes(serving.into_iter());
         self.nodes_serving.set(saturating_u32(count.max(1)));
     }
 
+    /// Brings what is believed of workers in line with the zones that are to get nothing more.
+    pub(crate) fn act_on_evacuations(&self) {
+        let evacuations = self.evacuations.borrow();
+        let now = self.now();
+        let mut workers = self.workers.borrow_mut();
+        workers.close_zones(evacuations.zones(), now);
+        let count = evacuations.zones().count();
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.zones_evacuated.set(count);
+    }
+
     /// The nodes of all zones that callers are sent to.
     pub(crate) fn serving_nodes<'a>(&self, nodes: &'a NodeDirectory) -> BTreeSet<&'a NodeId> {
         let is_serving = |node: &NodeId| self.is_serving(node);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -131,6 +131,8 @@
     pub(crate) node_recomputations: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) workers: Gauge,
+    pub(crate) zones_evacuated: Gauge,
+    pub(crate) unreadable_entries: Counter,
     pub(crate) config_version: Gauge,
     pub(crate) proofs_told: Counter,
     pub(crate) over_quota: Counter,
@@ -177,6 +179,8 @@
             node_recomputations: Counter::default(),
             in_flight: Gauge::default(),
             workers: Gauge::default(),
+            zones_evacuated: Gauge::default(),
+            unreadable_entries: Counter::default(),
             config_version: Gauge::default(),
             proofs_told: Counter::default(),
             over_quota: Counter::default(),
@@ -349,6 +353,16 @@
         );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register("workers", "Workers known", self.workers.clone());
+        registry.register(
+            "zones_evacuated",
+            "Zones whose workers get nothing more, as the operator wishes",
+            self.zones_evacuated.clone(),
+        );
+        registry.register(
+            "unreadable_entries",
+            "Workers' entries that could not be read, each time that they were read",
+            self.unreadable_entries.clone(),
+        );
         registry.register(
             "config_version",
             "Version of the configuration in force",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 mod queue;
 mod quotas;
 mod serve;
+mod zones;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -462,6 +463,10 @@
                         proofs::tell(&gateway, &socket, from, question);
                         continue;
                     }
+                    Ok(GatewayDatagram::Zones(reports)) => {
+                        zones::take(&gateway, &reports);
+                        continue;
+                    }
                     Ok(GatewayDatagram::ProofTold(answer)) => {
                         proof_asker.take(&gateway, from, &answer);
                         continue;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -67,6 +67,34 @@
     pub value: Bytes,
 }
 
+/// Some of the newest records of a keyed stream, one of each key, in the order of the keys.
+#[derive(Clone, Debug, Default)]
+pub struct NewestPage {
+    /// Those that can be read.
+    pub records: Vec<StreamRecord>,
+    /// The last key of the page, behind which the next one begins; `None` if this is the last page.
+    pub next_after: Option<String>,
+    /// Where the stream ended before the page was made. What changes while pages are read lies
+    /// behind the first page's end.
+    pub end: Offset,
+}
+
+/// What a record of [`Stream::Configuration`] says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Publication {
+    /// The configuration, whole.
+    Configuration(ServingConfig),
+    /// Whether the workers of a zone are to get nothing more.
+    Evacuation {
+        /// The zone.
+        zone: String,
+        /// Whether they are.
+        is_on: bool,
+    },
+    /// Something that does not concern this system.
+    Other,
+}
+
 /// A published entry that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0}")]
@@ -129,12 +157,15 @@
         limits: ReadLimits,
     ) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>>;
 
-    /// Reads the newest record of each key, and where the stream ended before that.
-    fn newest(&self, stream: Stream) -> LocalBoxFuture<'_, Result<ReadBatch, StoreError>>;
+    /// Reads the newest record of each key behind `after`, or else from the first on.
+    fn newest<'a>(
+        &'a self,
+        stream: Stream,
+        after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<NewestPage, StoreError>>;
 
-    /// The configuration that a record of [`Stream::Configuration`] publishes; `None` for records
-    /// of other things.
-    fn configuration(&self, record: &StreamRecord) -> Result<Option<ServingConfig>, FormatError>;
+    /// What a record of [`Stream::Configuration`] publishes.
+    fn publication(&self, record: &StreamRecord) -> Result<Publication, FormatError>;
 
     /// The worker that a record of [`Stream::Workers`] describes.
     fn worker(&self, record: &StreamRecord) -> Result<WorkerRecord, FormatError>;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use elderworks_gateway_core::cold::ColdRules;
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::quota::QuotaRules;
 use elderworks_gateway_core::stream_reads::NewsDeadlines;
@@ -46,6 +47,8 @@
     /// Time within which a key that was taken away must be refused everywhere, also by nodes that
     /// cannot read the log; `None` if that is not asked for.
     pub revoke_within: Option<Duration>,
+    /// How far the rate that cold workers bear may be passed.
+    pub cold: ColdRules,
     /// How tenants' quotas are measured.
     pub quotas: QuotaRules,
     /// Which mechanisms are in use.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,18 +4,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::config_proof::proving_pause;
 use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::evacuations::ZoneWish;
 use elderworks_gateway_core::log_causes::LogCause;
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_gateway_core::start::Milestone;
 use elderworks_gateway_core::stream_reads::{ReadTimes, StreamReads};
+use elderworks_gateway_core::workers::Taken;
 use elderworks_protocol::decode;
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 
 use crate::clock::millis;
 use crate::gateway::Gateway;
-use crate::ports::{ReadLimits, StoreError, StreamRecord};
+use crate::ports::{Publication, ReadLimits, StoreError, StreamRecord};
 use crate::{peers, process};
 
 /// Longest wait for the answer to a read that asks only for what there is: reads of the followers
@@ -27,8 +30,8 @@
     /// Which stream.
     const STREAM: Stream;
 
-    /// Takes the newest record of every key.
-    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]);
+    /// Takes the newest record of every key, of a stream that ended at `end`.
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], end: Offset);
 
     /// Takes further records, of one read.
     fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]);
@@ -186,10 +189,17 @@
 }
 
 async fn read_all<F: Follower>(gateway: &Rc<Gateway>) -> Result<Progress, StoreError> {
-    let newest = gateway.platform.newest(F::STREAM).await?;
-    F::take_all(gateway, &newest.records);
+    let mut page = gateway.platform.newest(F::STREAM, None).await?;
+    // Later pages are newer: what changes meanwhile lies behind the first page's end.
+    let end = page.end;
+    let mut records = std::mem::take(&mut page.records);
+    while let Some(after) = page.next_after.take() {
+        page = gateway.platform.newest(F::STREAM, Some(&after)).await?;
+        records.append(&mut page.records);
+    }
+    F::take_all(gateway, &records, end);
     Ok(Progress {
-        next: newest.end,
+        next: end,
         is_complete: true,
     })
 }
@@ -227,35 +237,78 @@
         gateway.config_end.set(Some(end));
     }
 
-    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], end: Offset) {
+        let zones: BTreeSet<String> = records
+            .iter()
+            .filter_map(|record| evacuated_zone(gateway, record))
+            .collect();
+        let zones = zones.iter().map(String::as_str).collect();
+        let lifted = gateway.evacuations.borrow_mut().lift_all_but(&zones, end);
+        for zone in &lifted {
+            log::info!(zone = zone.as_str(), offset = end.0, by = "log"; "zone takes work again");
+        }
+        if !lifted.is_empty() {
+            gateway.act_on_evacuations();
+        }
         Self::take_more(gateway, records);
     }
 
     fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
         for record in records {
-            take_configuration(gateway, record);
+            take_publication(gateway, record);
         }
     }
 }
 
-/// Takes a configuration into force, from the log or from another node, unless one of the same or a
-/// later version is.
-pub(crate) fn take_configuration(gateway: &Gateway, record: &StreamRecord) {
-    let config = match gateway.platform.configuration(record) {
-        Ok(Some(config)) => config,
-        Ok(None) => return,
+/// The zone that a record asks to empty, if it asks for that.
+fn evacuated_zone(gateway: &Gateway, record: &StreamRecord) -> Option<String> {
+    match gateway.platform.publication(record) {
+        Ok(Publication::Evacuation { zone, is_on: true }) => Some(zone),
+        _ => None,
+    }
+}
+
+/// Takes what the operator has published.
+pub(crate) fn take_publication(gateway: &Gateway, record: &StreamRecord) {
+    match gateway.platform.publication(record) {
+        Ok(Publication::Configuration(config)) => take_configuration(gateway, record, config),
+        Ok(Publication::Evacuation { zone, is_on }) => {
+            let offset = record.offset;
+            take_zone_wish(gateway, &zone, ZoneWish { offset, is_on }, "log");
+        }
+        Ok(Publication::Other) => {}
         Err(error) => {
             log::error!(offset = record.offset.0, error = error.to_string().as_str(); "configuration cannot be read");
             gateway.config_proof.borrow_mut().obscure();
-            return;
         }
+    }
+}
+
+/// Takes the operator's wish for a zone, whoever has told it, unless it is older than what is known.
+pub(crate) fn take_zone_wish(gateway: &Gateway, zone: &str, wish: ZoneWish, by: &str) {
+    if !gateway.evacuations.borrow_mut().note(zone, wish) {
+        return;
+    }
+    let news = match wish.is_on {
+        true => "zone gets no more work",
+        false => "zone takes work again",
     };
+    log::info!(zone = zone, offset = wish.offset.0, by = by; "{news}");
+    gateway.act_on_evacuations();
+}
+
+/// Takes a configuration into force, from the log or from another node, unless one of the same or a
+/// later version is.
+fn take_configuration(gateway: &Gateway, record: &StreamRecord, config: ServingConfig) {
     let version = config.version;
     let routes = config.routes.len();
     let tenants = config.tenants.len();
     if !gateway.config.borrow_mut().offer(config) {
         return;
     }
+    if let Some(config) = gateway.current_config() {
+        gateway.workers.borrow_mut().set_cold_rates(&config);
+    }
     gateway.config_proof.borrow_mut().replace(version);
     *gateway.config_record.borrow_mut() = Some(record.clone());
     log::info!(version = version, routes = routes, tenants = tenants, offset = record.offset.0; "configuration in force");
@@ -269,7 +322,7 @@
 impl Follower for WorkerFollower {
     const STREAM: Stream = Stream::Workers;
 
-    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], _end: Offset) {
         let ids: BTreeSet<String> = records
             .iter()
             .filter(|record| !record.value.is_empty())
@@ -315,16 +368,32 @@
         }
         return;
     }
+    let now = gateway.now();
     match gateway.platform.worker(record) {
         Ok(worker) => {
             let draining = worker.draining;
             let service = worker.service.clone();
-            if gateway.workers.borrow_mut().upsert(worker) {
-                log::info!(worker = id, service = service.as_str(), draining = draining, offset = record.offset.0; "worker changed");
+            let cold_ms = millis(Some(worker.cold_left));
+            let taken = gateway.workers.borrow_mut().upsert(worker, now);
+            if taken == Taken::Reborn {
+                gateway.pool.forget(id);
+            }
+            if matches!(taken, Taken::Changed | Taken::Reborn) {
+                log::info!(
+                    worker = id, service = service.as_str(), draining = draining, cold_ms = cold_ms,
+                    has_restarted = taken == Taken::Reborn, offset = record.offset.0;
+                    "worker changed"
+                );
             }
         }
         Err(error) => {
-            log::error!(worker = id, error = error.to_string().as_str(); "worker's entry cannot be read");
+            gateway.metrics.unreadable_entries.inc();
+            if gateway.unreadable_entries.borrow_mut().note(id) {
+                log::error!(worker = id, offset = record.offset.0, error = error.to_string().as_str(); "worker's entry cannot be read");
+            }
+            if gateway.workers.borrow_mut().mark_unreadable(id, now) {
+                log::warn!(worker = id, offset = record.offset.0; "worker is not used: its entry was overwritten");
+            }
         }
     }
 }
@@ -334,7 +403,7 @@
 impl Follower for NodeFollower {
     const STREAM: Stream = Stream::Nodes;
 
-    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], _end: Offset) {
         Self::take_more(gateway, records);
     }
 
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -1,6 +1,6 @@
 //! Datagrams between gateways.
 
-use elderworks_types::NodeId;
+use elderworks_types::{NodeId, Offset};
 use serde::{Deserialize, Serialize};
 
 use crate::gossip::Datagram;
@@ -22,6 +22,20 @@
     Parts(PartReport),
     /// What waits at the sender.
     Demand(DemandReport),
+    /// Which zones' workers are to get nothing more, as far as the sender knows. Nodes of versions
+    /// before this message pass it over.
+    Zones(Vec<ZoneReport>),
+}
+
+/// The operator's latest wish for one zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneReport {
+    /// The zone.
+    pub zone: String,
+    /// Position of the record on the log that says so; later wishes have larger ones.
+    pub offset: Offset,
+    /// Whether its workers are to get nothing more.
+    pub is_on: bool,
 }
 
 /// How lately the sender's configuration was the newest one.
