feed: few nodes of a large fleet read the log's streams, and a zone uses few of its workers

Cause: every node read the workers', the nodes' and the configuration's streams itself, and read all pages of a list anew when one failed. With 984 nodes before 10,000 workers that is 12,000 calls a second, most of them refused and repeated; the nodes never knew the workers.

Change: in each zone the first two nodes of an order that all work out alike (large machines, then those listed longest) read; they tell the nodes of their zone every 250 ms how far they have read and how lately, and whoever is behind asks for the configuration, the nodes' entries or the changes of the workers in use. A reader that falls silent, whose reads fail, or whose news grows old is passed over; the next in the order steps in after a fifth of the shortest deadline. Up to 60,000 pairs of node and worker every node reads as before, so nothing changes for the smaller deployments. A zone of a service with more than 256 workers uses three times what its load asks for, 32 at least, and four of each other zone: the same ones on all nodes. Pages of a list are tried again one by one. Load and demand for parts are told to nodes that take callers where not all can be told at a time.

Ways: each node reads for itself (standing; switch `reading_pairs`), readers in each zone.

--- a/crates/gateway-core/src/config_proof.rs
+++ b/crates/gateway-core/src/config_proof.rs
@@ -167,6 +167,17 @@
         }
     }
 
+    /// A node that reads for others has said that its last reads, so long ago, showed this
+    /// configuration. How long its word took is not known, so that it proves nothing for keys; it
+    /// shows that this node is not cut off.
+    pub fn note_heard(&mut self, now: Timestamp, age: Duration) {
+        let at = Timestamp(
+            now.0
+                .saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)),
+        );
+        self.read_at = self.read_at.max(Some(at));
+    }
+
     fn note_at(&mut self, at: i64) {
         self.newest_at = self.newest_at.max(Some(at));
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod drain;
 pub mod evacuations;
 pub mod events;
+pub mod feed;
 pub mod ledger;
 pub mod log_causes;
 pub mod log_reach;
--- a/crates/gateway-core/src/nodes.rs
+++ b/crates/gateway-core/src/nodes.rs
@@ -1,9 +1,9 @@
 //! The nodes' own entries in the shared directory, and the answer to callers who ask for them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use elderworks_types::{Incarnation, NodeId};
+use elderworks_types::{Incarnation, NodeId, Offset};
 use serde::{Deserialize, Serialize};
 
 use crate::policy::Policy;
@@ -45,10 +45,15 @@
 /// Fewest large nodes that are offered without the small ones beside them.
 const FEWEST_LARGE: usize = 3;
 
+/// Dropped entries that are remembered for nodes that hear of them from this one.
+const MOST_DROPPED: usize = 1_024;
+
 /// Every node that has written an entry.
 #[derive(Debug)]
 pub struct NodeDirectory {
     nodes: BTreeMap<NodeId, KnownNode>,
+    /// Where the entries of nodes that are gone for good were dropped, the latest ones.
+    dropped: BTreeMap<NodeId, Offset>,
     /// Whether large nodes are offered alone if there are enough.
     prefers_large: bool,
 }
@@ -64,6 +69,7 @@
     pub fn new(policy: &Policy) -> Self {
         Self {
             nodes: BTreeMap::new(),
+            dropped: BTreeMap::new(),
             prefers_large: policy.large_nodes,
         }
     }
@@ -75,6 +81,7 @@
         {
             return false;
         }
+        self.dropped.remove(&node);
         self.nodes.insert(
             node,
             KnownNode {
@@ -85,11 +92,29 @@
         true
     }
 
-    /// Forgets a node whose entry was dropped.
-    pub fn remove(&mut self, node: &NodeId) -> bool {
+    /// Forgets a node whose entry was dropped by the record at `offset`; tells whether it was known.
+    pub fn remove(&mut self, node: &NodeId, offset: Offset) -> bool {
+        let known = self.nodes.get(node).map(|known| known.incarnation.0);
+        if known.is_some_and(|known| known > offset.0) {
+            return false;
+        }
+        self.dropped.insert(node.clone(), offset);
+        while self.dropped.len() > MOST_DROPPED {
+            let oldest = self.dropped.iter().min_by_key(|(_, offset)| **offset);
+            let Some(oldest) = oldest.map(|(node, _)| node.clone()) else {
+                break;
+            };
+            self.dropped.remove(&oldest);
+        }
         self.nodes.remove(node).is_some()
     }
 
+    /// Nodes whose entries were dropped from an offset on, with where.
+    pub fn dropped_since(&self, since: Offset) -> impl Iterator<Item = (&NodeId, Offset)> {
+        let dropped = self.dropped.iter().map(|(node, offset)| (node, *offset));
+        dropped.filter(move |(_, offset)| *offset >= since)
+    }
+
     /// The entry of a node.
     pub fn get(&self, node: &NodeId) -> Option<&KnownNode> {
         self.nodes.get(node)
@@ -138,15 +163,46 @@
             .copied()
             .filter(|(_, record)| Some(record.zone.as_str()) == zone)
             .collect();
-        let offered = if nearby.len() >= FEWEST_IN_ZONE {
-            nearby
+        if nearby.len() >= FEWEST_IN_ZONE {
+            self.preferred(nearby)
         } else {
-            serving
-        };
-        if self.prefers_large {
-            large_if_enough(offered)
-        } else {
-            offered
+            self.preferred(serving)
+        }
+    }
+
+    /// The nodes that callers of any zone are sent to: those of [`Self::offered`] for all zones that
+    /// have nodes, in one pass over the nodes.
+    pub fn offered_anywhere(&self, is_serving: impl Fn(&NodeId) -> bool) -> BTreeSet<&NodeId> {
+        let mut zones: BTreeMap<&str, Vec<(&NodeId, &NodeRecord)>> = BTreeMap::new();
+        let mut serving = Vec::new();
+        for (node, known) in &self.nodes {
+            let nearby = zones.entry(&known.record.zone).or_default();
+            if !known.record.draining && is_serving(node) {
+                nearby.push((node, &known.record));
+                serving.push((node, &known.record));
+            }
+        }
+        let has_few = zones.values().any(|nearby| nearby.len() < FEWEST_IN_ZONE);
+        let mut offered: BTreeSet<&NodeId> = zones
+            .into_values()
+            .filter(|nearby| nearby.len() >= FEWEST_IN_ZONE)
+            .flat_map(|nearby| self.preferred(nearby))
+            .map(|(node, _)| node)
+            .collect();
+        if has_few {
+            let everywhere = self.preferred(serving);
+            offered.extend(everywhere.into_iter().map(|(node, _)| node));
+        }
+        offered
+    }
+
+    fn preferred<'a>(
+        &self,
+        nodes: Vec<(&'a NodeId, &'a NodeRecord)>,
+    ) -> Vec<(&'a NodeId, &'a NodeRecord)> {
+        match self.prefers_large {
+            true => large_if_enough(nodes),
+            false => nodes,
         }
     }
 }
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::admission::AdmissionMode;
+use crate::feed::roles::MOST_PAIRS;
 
 /// Mechanisms and figures; every node of a deployment should have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -94,6 +95,9 @@
     pub floor_interval: u32,
     /// Tenants that were served less go first while turns wait.
     pub fair_share: bool,
+    /// Pairs of node and worker up to which every node reads the log's streams itself; beyond, a few
+    /// of each zone read for the others. 0: always a few.
+    pub reading_pairs: usize,
 }
 
 impl Default for Policy {
@@ -134,6 +138,7 @@
             longest_wait_ms: 250,
             floor_interval: 4,
             fair_share: true,
+            reading_pairs: MOST_PAIRS,
         }
     }
 }
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers.rs
@@ -344,6 +344,11 @@
             .filter(|worker| worker.missing_until.is_none())
     }
 
+    /// Every worker.
+    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
     /// Workers of a service that are known, whatever their state.
     pub fn known<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
         let workers = self.workers.values();
--- /dev/null
+++ b/crates/gateway/src/feed/catch_up.rs
@@ -0,0 +1,196 @@
+//! A listener asks a reader for what it has missed, and a reader answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderworks_gateway_core::feed::published::Update;
+use elderworks_gateway_core::workers::WorkerRecord;
+use elderworks_protocol::encode;
+use elderworks_protocol::feed::{
+    FeedAnswer, FeedBeat, FeedQuestion, RecordCopy, WorkerCopy, WorkersUpdate,
+};
+use elderworks_types::Offset;
+
+use super::{Source, workers};
+use crate::gateway::Gateway;
+use crate::peers::NoReply;
+use crate::ports::StreamRecord;
+use crate::watch;
+use elderworks_gateway_core::start::Milestone;
+
+/// Asks the reader for whatever its word shows to be missing here, unless a reader is being asked.
+pub(super) fn ask_if_behind(gateway: &Rc<Gateway>, address: SocketAddr, beat: &FeedBeat) {
+    let feed = &gateway.feed;
+    if feed.is_asking.get() || !is_behind(gateway, beat) {
+        return;
+    }
+    feed.is_asking.set(true);
+    let (gateway, beat) = (gateway.clone(), beat.clone());
+    actix_rt::spawn(async move {
+        if let Err(reason) = catch_up(&gateway, address, &beat).await {
+            log::warn!(node = beat.node.as_str(), reason:? = reason; "a reader did not tell its news");
+        }
+        gateway.feed.is_asking.set(false);
+    });
+}
+
+fn is_behind(gateway: &Gateway, beat: &FeedBeat) -> bool {
+    let feed = &gateway.feed;
+    has_newer_configuration(gateway, beat)
+        || feed.nodes_end.get().is_none_or(|end| end < beat.nodes_end)
+        || *feed.source.borrow() != Some(source_of(beat, beat.workers_revision))
+}
+
+fn has_newer_configuration(gateway: &Gateway, beat: &FeedBeat) -> bool {
+    gateway.config_proof.borrow().version() < beat.config_version
+}
+
+fn source_of(beat: &FeedBeat, revision: u64) -> Source {
+    Source {
+        node: beat.node.clone(),
+        boot: beat.boot,
+        revision,
+    }
+}
+
+async fn catch_up(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    beat: &FeedBeat,
+) -> Result<(), NoReply> {
+    let ask = |question| {
+        gateway
+            .peers
+            .ask_feed(gateway, &beat.node, address, question)
+    };
+    if has_newer_configuration(gateway, beat)
+        && let FeedAnswer::Configuration(copy) = ask(FeedQuestion::Configuration).await?
+    {
+        watch::take_publication(gateway, &record_of(copy));
+    }
+    let since = gateway.feed.nodes_end.get().unwrap_or_default();
+    if gateway.feed.nodes_end.get().is_none() || since < beat.nodes_end {
+        take_nodes(gateway, ask(FeedQuestion::Nodes { since }).await?);
+    }
+    let known = gateway.feed.source.borrow().clone();
+    let known = known.filter(|known| (&known.node, known.boot) == (&beat.node, beat.boot));
+    let since = known.map(|known| known.revision);
+    if since != Some(beat.workers_revision) {
+        let answer = ask(FeedQuestion::Workers { since }).await?;
+        take_workers(gateway, beat, answer);
+    }
+    Ok(())
+}
+
+fn record_of(copy: RecordCopy) -> StreamRecord {
+    StreamRecord {
+        offset: copy.offset,
+        key: copy.key,
+        value: copy.value,
+    }
+}
+
+fn take_nodes(gateway: &Rc<Gateway>, answer: FeedAnswer) {
+    let FeedAnswer::Nodes { end, entries } = answer else {
+        return;
+    };
+    let records: Vec<StreamRecord> = entries.into_iter().map(record_of).collect();
+    watch::take_nodes(gateway, &records);
+    gateway.feed.note_nodes_end(end);
+    gateway.feed.nodes_heard.send_replace(true);
+}
+
+fn take_workers(gateway: &Rc<Gateway>, beat: &FeedBeat, answer: FeedAnswer) {
+    let FeedAnswer::Workers(update) = answer else {
+        return;
+    };
+    if !gateway.feed.depends_on_others() {
+        // It reads by itself since it asked.
+        return;
+    }
+    let source = source_of(beat, update.revision);
+    workers::take_update(gateway, update);
+    *gateway.feed.source.borrow_mut() = Some(source);
+    gateway.reach(Milestone::Workers);
+}
+
+/// Answers a listener.
+pub(crate) fn answer(gateway: &Gateway, question: &FeedQuestion) -> FeedAnswer {
+    match question {
+        FeedQuestion::Configuration => {
+            let record = gateway.config_record.borrow().clone();
+            record.map_or(FeedAnswer::Nothing, |record| {
+                FeedAnswer::Configuration(RecordCopy {
+                    offset: record.offset,
+                    key: record.key,
+                    value: record.value,
+                })
+            })
+        }
+        FeedQuestion::Nodes { since } => nodes_since(gateway, *since),
+        FeedQuestion::Workers { since } if gateway.feed.is_counted.get() => {
+            let update = gateway.feed.published.borrow().since(*since);
+            FeedAnswer::Workers(told(update, gateway.feed.workers_offset.get()))
+        }
+        FeedQuestion::Workers { .. } => FeedAnswer::Nothing,
+    }
+}
+
+fn nodes_since(gateway: &Gateway, since: Offset) -> FeedAnswer {
+    let Some(end) = gateway.feed.nodes_end.get() else {
+        return FeedAnswer::Nothing;
+    };
+    let nodes = gateway.nodes.borrow();
+    let listed = nodes
+        .iter()
+        .filter(|(_, known)| known.incarnation.0 >= since.0);
+    let listed = listed.map(|(node, known)| RecordCopy {
+        offset: Offset(known.incarnation.0),
+        key: Some(node.as_str().to_owned()),
+        value: encode(&known.record).into(),
+    });
+    let dropped = nodes.dropped_since(since).map(|(node, offset)| RecordCopy {
+        offset,
+        key: Some(node.as_str().to_owned()),
+        value: bytes::Bytes::new(),
+    });
+    FeedAnswer::Nodes {
+        end,
+        entries: listed.chain(dropped).collect(),
+    }
+}
+
+fn told(update: Update, offset: Offset) -> WorkersUpdate {
+    let copy = |record: WorkerRecord| WorkerCopy {
+        id: record.id,
+        service: record.service,
+        address: record.address,
+        zone: record.zone,
+        slots: record.slots,
+        draining: record.draining,
+        cold_left_ms: u64::try_from(record.cold_left.as_millis()).unwrap_or(u64::MAX),
+        born: record.born,
+    };
+    WorkersUpdate {
+        revision: update.revision,
+        offset,
+        is_whole: update.is_whole,
+        used: update.used.into_iter().map(copy).collect(),
+        dropped: update.dropped,
+    }
+}
+
+/// A worker's entry as a reader tells it.
+pub(super) fn worker_of(copy: WorkerCopy) -> WorkerRecord {
+    WorkerRecord {
+        id: copy.id,
+        service: copy.service,
+        address: copy.address,
+        zone: copy.zone,
+        slots: copy.slots,
+        draining: copy.draining,
+        cold_left: Duration::from_millis(copy.cold_left_ms),
+        born: copy.born,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed/workers.rs
@@ -0,0 +1,144 @@
+//! The workers in use: from a reader's census or from a reader's word to what placement knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use elderworks_gateway_core::feed::census::Change;
+use elderworks_gateway_core::workers::{Taken, WorkerRecord};
+use elderworks_protocol::feed::WorkersUpdate;
+use elderworks_types::Offset;
+
+use super::catch_up::worker_of;
+use crate::clock::millis;
+use crate::gateway::Gateway;
+
+/// Brings what placement knows and what listeners are told in line with the census.
+/// `offset` is that of the last record that the census has taken.
+pub(crate) fn apply(gateway: &Rc<Gateway>, offset: Offset) {
+    let feed = &gateway.feed;
+    if !feed.reads() || !feed.is_counted.get() {
+        return;
+    }
+    feed.workers_offset.set(offset);
+    let changes = {
+        let evacuations = gateway.evacuations.borrow();
+        let mut census = feed.census.borrow_mut();
+        census.changes(gateway.now(), |zone| evacuations.is_on(zone))
+    };
+    feed.published.borrow_mut().take(&changes);
+    for change in changes {
+        match change {
+            Change::Use(record) => upsert(gateway, record, offset),
+            Change::Drop(id) => drop_worker(gateway, &id, offset),
+        }
+    }
+}
+
+/// Takes a reader's update.
+pub(super) fn take_update(gateway: &Rc<Gateway>, update: WorkersUpdate) {
+    let records = update.used.into_iter().map(worker_of);
+    let records: Vec<WorkerRecord> = records.collect();
+    if update.is_whole {
+        let ids = records.iter().map(|record| record.id.clone());
+        keep_only(gateway, &ids.collect());
+    }
+    let offset = update.offset;
+    for record in records {
+        upsert(gateway, record, offset);
+    }
+    for id in update.dropped {
+        drop_worker(gateway, &id, offset);
+    }
+    upkeep(gateway);
+}
+
+/// Brings what placement knows in line with this node's own census, after it has heard of workers from
+/// others.
+pub(super) fn restore(gateway: &Gateway) {
+    let feed = &gateway.feed;
+    if !feed.is_counted.get() {
+        return;
+    }
+    let offset = feed.workers_offset.get();
+    let used: Vec<WorkerRecord> = feed.census.borrow().in_use().cloned().collect();
+    keep_only(
+        gateway,
+        &used.iter().map(|record| record.id.clone()).collect(),
+    );
+    for record in used {
+        upsert(gateway, record, offset);
+    }
+}
+
+/// Drops all workers but those named.
+pub(super) fn keep_only(gateway: &Gateway, ids: &BTreeSet<String>) {
+    let now = gateway.now();
+    let missing = gateway.workers.borrow_mut().mark_all_missing_but(ids, now);
+    for worker in missing {
+        log::info!(worker = worker.as_str(); "worker is not listed or not used any more");
+    }
+}
+
+fn upsert(gateway: &Gateway, record: WorkerRecord, offset: Offset) {
+    let id = record.id.clone();
+    let (service, draining) = (record.service.clone(), record.draining);
+    let cold_ms = millis(Some(record.cold_left));
+    let now = gateway.now();
+    let taken = gateway.workers.borrow_mut().upsert(record, now);
+    if taken == Taken::Reborn {
+        gateway.pool.forget(&id);
+    }
+    if matches!(taken, Taken::Changed | Taken::Reborn) {
+        log::info!(
+            worker = id.as_str(), service = service.as_str(), draining = draining,
+            cold_ms = cold_ms, has_restarted = taken == Taken::Reborn, offset = offset.0;
+            "worker changed"
+        );
+    }
+}
+
+fn drop_worker(gateway: &Gateway, id: &str, offset: Offset) {
+    let now = gateway.now();
+    if gateway.workers.borrow_mut().mark_missing(id, now) {
+        log::info!(worker = id, offset = offset.0; "worker is gone or not used any more");
+    }
+}
+
+/// Forgets workers that are gone, and closes connections that are too old.
+pub(crate) fn upkeep(gateway: &Gateway) {
+    let now = gateway.now();
+    let forgotten = gateway.workers.borrow_mut().forget_missing(now);
+    for worker in forgotten {
+        gateway.pool.forget(&worker);
+    }
+    gateway.pool.close_expired();
+    gateway.count_serving_nodes();
+    let count = i64::try_from(gateway.workers.borrow().len()).unwrap_or(i64::MAX);
+    gateway.metrics.workers.set(count);
+}
+
+/// A reader uses as many workers as the load of its zone asks for.
+pub(super) fn follow_load(gateway: &Rc<Gateway>) {
+    let feed = &gateway.feed;
+    if !feed.reads() {
+        return;
+    }
+    let now = gateway.now();
+    let zone = gateway.settings.zone.as_str();
+    let mut loads: BTreeMap<String, (u32, u32)> = BTreeMap::new();
+    {
+        let workers = gateway.workers.borrow();
+        for worker in workers.iter().filter(|worker| worker.record.zone == zone) {
+            let (running, slots) = loads.entry(worker.record.service.clone()).or_default();
+            *running += workers.load(worker);
+            *slots = (*slots).max(worker.record.slots);
+        }
+    }
+    {
+        let mut census = feed.census.borrow_mut();
+        for (service, (running, slots)) in &loads {
+            census.note_load(now, service, *running, *slots);
+        }
+    }
+    apply(gateway, feed.workers_offset.get());
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 
 use crate::admission::AdmissionDriver;
 use crate::clock::Clock;
+use crate::feed::Feed;
 use crate::ledger::Ledger;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
@@ -71,6 +72,8 @@
     pub(crate) key_leases: KeyLeases,
     /// What was sent on for tenants, here and elsewhere.
     pub(crate) quotas: RefCell<QuotaBook>,
+    /// Whether this node reads the log's streams, and what it hears of them otherwise.
+    pub(crate) feed: Feed,
     pub(crate) workers: RefCell<WorkerDirectory>,
     pub(crate) nodes: RefCell<NodeDirectory>,
     pub(crate) splits: RefCell<SplitState>,
@@ -87,6 +90,8 @@
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of all zones that callers are sent to, as last counted.
     pub(crate) nodes_serving: Cell<u32>,
+    /// Those nodes.
+    pub(crate) serving: RefCell<BTreeSet<NodeId>>,
     /// What is held for callers, workers and peers.
     pub(crate) memory: Memory,
     /// Turns that wait for places at engines.
@@ -124,6 +129,7 @@
         let workers = WorkerDirectory::new(policy).with_cold_senders(cold);
         Rc::new(Self {
             peers: Peers::new(&settings),
+            feed: Feed::new(&settings),
             ledger: Ledger::new(settings.partitions),
             log_timer: RefCell::default(),
             log_read_timer: RefCell::default(),
@@ -150,6 +156,7 @@
             metrics,
             stage,
             nodes_serving: Cell::new(1),
+            serving: RefCell::default(),
             in_flight: Cell::new(0),
             start: Start::default(),
             node_changes: RefCell::new(ChangeBatch::new(pace)),
@@ -222,6 +229,7 @@
             return;
         }
         self.metrics.node_recomputations.inc();
+        self.feed.note_node_changes();
         self.count_serving_nodes();
     }
 
@@ -231,7 +239,9 @@
         let serving = self.serving_nodes(&nodes);
         let count = serving.len();
         let mut workers = self.workers.borrow_mut();
-        workers.cold_senders().set_nodes(serving.into_iter());
+        workers.cold_senders().set_nodes(serving.iter().copied());
+        let serving = serving.into_iter().cloned().collect();
+        *self.serving.borrow_mut() = serving;
         self.nodes_serving.set(saturating_u32(count.max(1)));
     }
 
@@ -241,6 +251,7 @@
         let now = self.now();
         let mut workers = self.workers.borrow_mut();
         workers.close_zones(evacuations.zones(), now);
+        self.feed.note_zones();
         let count = evacuations.zones().count();
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         self.metrics.zones_evacuated.set(count);
@@ -248,16 +259,7 @@
 
     /// The nodes of all zones that callers are sent to.
     pub(crate) fn serving_nodes<'a>(&self, nodes: &'a NodeDirectory) -> BTreeSet<&'a NodeId> {
-        let is_serving = |node: &NodeId| self.is_serving(node);
-        let zones: BTreeSet<&str> = nodes
-            .iter()
-            .map(|(_, known)| known.record.zone.as_str())
-            .collect();
-        zones
-            .into_iter()
-            .flat_map(|zone| nodes.offered(Some(zone), is_serving))
-            .map(|(node, _)| node)
-            .collect()
+        nodes.offered_anywhere(|node| self.is_serving(node))
     }
 
     /// The nodes between which quotas are divided.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clock;
 mod entry;
+mod feed;
 mod forward;
 mod gateway;
 mod ledger;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -131,6 +131,7 @@
     pub(crate) node_recomputations: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) workers: Gauge,
+    pub(crate) reads_streams: Gauge,
     pub(crate) zones_evacuated: Gauge,
     pub(crate) unreadable_entries: Counter,
     pub(crate) config_version: Gauge,
@@ -179,6 +180,7 @@
             node_recomputations: Counter::default(),
             in_flight: Gauge::default(),
             workers: Gauge::default(),
+            reads_streams: Gauge::default(),
             zones_evacuated: Gauge::default(),
             unreadable_entries: Counter::default(),
             config_version: Gauge::default(),
@@ -353,6 +355,11 @@
         );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register("workers", "Workers known", self.workers.clone());
+        registry.register(
+            "reads_streams",
+            "Whether this node reads the log's streams itself (1) or hears of them from others (0)",
+            self.reads_streams.clone(),
+        );
         registry.register(
             "zones_evacuated",
             "Zones whose workers get nothing more, as the operator wishes",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use elderworks_gateway_core::ownership::rank_owners;
 use elderworks_gateway_core::start::presumes_alive;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
+use elderworks_protocol::feed::{FeedAnswer, FeedQuestion};
 use elderworks_protocol::gateway::GatewayDatagram;
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest, Witness};
@@ -29,6 +30,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::feed;
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
 use demand::DemandTeller;
@@ -40,6 +42,7 @@
 
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
+pub(crate) use zones::{reports as zone_reports, take as take_zone_reports};
 
 /// Interval of the failure detector's probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -304,6 +307,19 @@
         link.ask(gateway.next_sequence(), partition, request).await
     }
 
+    /// Asks a reader of the log's streams, at the address from which its word came.
+    pub(crate) async fn ask_feed(
+        &self,
+        gateway: &Rc<Gateway>,
+        node: &NodeId,
+        address: SocketAddr,
+        question: FeedQuestion,
+    ) -> Result<FeedAnswer, NoReply> {
+        let link = self.link_to(gateway, node);
+        let link = link.unwrap_or_else(|| self.open_link(gateway, node, address));
+        link.ask_feed(gateway.next_sequence(), question).await
+    }
+
     /// Tells the nodes that share this zone's callers that a worker fails.
     pub(crate) fn report_worker(&self, gateway: &Gateway, worker: &str) {
         let news = GatewayFrame::WorkerEjected {
@@ -346,9 +362,13 @@
             return Some(link.clone());
         }
         let address = gateway.nodes.borrow().get(node)?.record.peer_address;
+        Some(self.open_link(gateway, node, address))
+    }
+
+    fn open_link(&self, gateway: &Gateway, node: &NodeId, address: SocketAddr) -> Link {
         let link = Link::open(address, &gateway.memory);
         self.links.borrow_mut().insert(node.clone(), link.clone());
-        Some(link)
+        link
     }
 
     /// Begins to probe the others, of which `seeds` are asked first.
@@ -435,6 +455,7 @@
                 quota_teller.tell(&gateway, &socket);
                 demand_teller.tell(&gateway, &socket);
                 part_teller.tell(&gateway, &socket);
+                feed::tick(&gateway, &socket);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -463,6 +484,10 @@
                         proofs::tell(&gateway, &socket, from, question);
                         continue;
                     }
+                    Ok(GatewayDatagram::Beat(beat)) => {
+                        feed::take_beat(&gateway, from, &beat);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Zones(reports)) => {
                         zones::take(&gateway, &reports);
                         continue;
--- a/crates/gateway/src/peers/demand.rs
+++ b/crates/gateway/src/peers/demand.rs
@@ -64,9 +64,9 @@
 /// Only nodes that take callers have turns that wait.
 fn others(gateway: &Gateway) -> Vec<SocketAddr> {
     let nodes = gateway.nodes.borrow();
-    let serving = gateway.serving_nodes(&nodes);
+    let serving = gateway.serving.borrow();
     serving
-        .into_iter()
+        .iter()
         .filter(|node| **node != gateway.settings.node)
         .filter_map(|node| Some(nodes.get(node)?.record.peer_address))
         .collect()
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use elderworks_protocol::feed::{FeedAnswer, FeedQuestion};
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest};
 use elderworks_protocol::{frame, split_frame};
 use elderworks_types::PartitionId;
@@ -23,6 +24,10 @@
 /// Longest wait for the reply to a request that has arrived: the log may be slow.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for news of a reader: at a start, hundreds of nodes ask for some hundred kilobytes each,
+/// and the next word of a reader makes up for an answer that is lost.
+const FEED_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a node has not replied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoReply {
@@ -38,6 +43,7 @@
 enum News {
     Arrived,
     Replied(LedgerReply),
+    Told(FeedAnswer),
 }
 
 type Pending = Rc<RefCell<HashMap<u64, mpsc::UnboundedSender<News>>>>;
@@ -76,21 +82,53 @@
         partition: PartitionId,
         request: LedgerRequest,
     ) -> Result<LedgerReply, NoReply> {
-        let (sender, mut news) = mpsc::unbounded_channel();
-        self.pending.borrow_mut().insert(id, sender);
         let message = GatewayFrame::Request {
             id,
             partition,
             request,
         };
-        let replied = match self.frames.push(frame(&message)) {
-            Ok(()) => await_reply(&mut news).await,
-            Err(NotQueued::Closed) => Err(NoReply::Unreachable),
-            Err(NotQueued::Full) => Err(NoReply::Silent),
-        };
+        let mut news = self.send(id, &message)?;
+        let replied = await_reply(&mut news).await;
         self.pending.borrow_mut().remove(&id);
         replied
     }
+
+    /// Asks for what a reader of the log's streams knows; `id` must differ from those of other
+    /// requests.
+    pub(super) async fn ask_feed(
+        &self,
+        id: u64,
+        question: FeedQuestion,
+    ) -> Result<FeedAnswer, NoReply> {
+        let mut news = self.send(id, &GatewayFrame::FeedAsked { id, question })?;
+        let told = await_told(&mut news).await;
+        self.pending.borrow_mut().remove(&id);
+        told
+    }
+
+    fn send(
+        &self,
+        id: u64,
+        message: &GatewayFrame,
+    ) -> Result<mpsc::UnboundedReceiver<News>, NoReply> {
+        self.frames
+            .push(frame(message))
+            .map_err(|error| match error {
+                NotQueued::Closed => NoReply::Unreachable,
+                NotQueued::Full => NoReply::Silent,
+            })?;
+        let (sender, news) = mpsc::unbounded_channel();
+        self.pending.borrow_mut().insert(id, sender);
+        Ok(news)
+    }
+}
+
+async fn await_told(news: &mut mpsc::UnboundedReceiver<News>) -> Result<FeedAnswer, NoReply> {
+    match actix_rt::time::timeout(FEED_TIMEOUT, news.recv()).await {
+        Ok(Some(News::Told(answer))) => Ok(answer),
+        Ok(_) => Err(NoReply::Unreachable),
+        Err(_) => Err(NoReply::TooSlow),
+    }
 }
 
 async fn await_reply(news: &mut mpsc::UnboundedReceiver<News>) -> Result<LedgerReply, NoReply> {
@@ -98,12 +136,12 @@
     match first {
         Ok(Some(News::Replied(reply))) => return Ok(reply),
         Ok(Some(News::Arrived)) => {}
-        Ok(None) => return Err(NoReply::Unreachable),
+        Ok(Some(News::Told(_)) | None) => return Err(NoReply::Unreachable),
         Err(_) => return Err(NoReply::Silent),
     }
     match actix_rt::time::timeout(REPLY_TIMEOUT, news.recv()).await {
         Ok(Some(News::Replied(reply))) => Ok(reply),
-        Ok(None) => Err(NoReply::Unreachable),
+        Ok(Some(News::Told(_)) | None) => Err(NoReply::Unreachable),
         Ok(Some(News::Arrived)) | Err(_) => Err(NoReply::TooSlow),
     }
 }
@@ -122,7 +160,9 @@
             let (id, news) = match message {
                 GatewayFrame::Arrived { id } => (id, News::Arrived),
                 GatewayFrame::Reply { id, reply } => (id, News::Replied(reply)),
+                GatewayFrame::FeedTold { id, answer } => (id, News::Told(answer)),
                 GatewayFrame::Request { .. }
+                | GatewayFrame::FeedAsked { .. }
                 | GatewayFrame::WorkerEjected { .. }
                 | GatewayFrame::ConfigurationAsked { .. }
                 | GatewayFrame::Configuration { .. } => break,
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -7,6 +7,7 @@
 use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, Rota, WorkerKey};
 use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, LoadReport};
+use elderworks_types::NodeId;
 use tokio::net::UdpSocket;
 
 use crate::gateway::Gateway;
@@ -83,17 +84,41 @@
             }
             let address = known.record.peer_address;
             if known.record.zone == own_zone {
-                near.push(address);
+                near.push((node, address));
             } else if is_far_turn {
-                far.push(address);
+                far.push((node, address));
             }
         }
-        let mut told = self.near.pick(near, MOST_TOLD);
+        let readers = gateway.feed.readers(gateway);
+        let mut told = self
+            .near
+            .pick(serving_if_many(gateway, near, MOST_TOLD), MOST_TOLD);
+        let far = serving_if_many(gateway, far, MOST_FAR_TOLD);
         told.extend(self.far.pick(far, MOST_FAR_TOLD));
+        told.extend(
+            readers
+                .iter()
+                .filter_map(|node| Some(nodes.get(node)?.record.peer_address)),
+        );
         told
     }
 }
 
+/// Where more nodes would have to be told than at a time, only those that callers are sent to are: the
+/// others send hardly anything to workers.
+pub(super) fn serving_if_many(
+    gateway: &Gateway,
+    nodes: Vec<(&NodeId, SocketAddr)>,
+    most: usize,
+) -> Vec<SocketAddr> {
+    let serving = gateway.serving.borrow();
+    let is_many = nodes.len() > most;
+    let told = nodes
+        .into_iter()
+        .filter(|(node, _)| !is_many || serving.contains(*node));
+    told.map(|(_, address)| address).collect()
+}
+
 /// Takes another node's report.
 pub(super) fn take(gateway: &Gateway, report: LoadReport) {
     if report.node == gateway.settings.node {
--- a/crates/gateway/src/peers/parts.rs
+++ b/crates/gateway/src/peers/parts.rs
@@ -11,6 +11,7 @@
 use elderworks_types::Timestamp;
 use tokio::net::UdpSocket;
 
+use super::loads;
 use crate::gateway::Gateway;
 
 /// Demand is told at this interval; it changes slowly.
@@ -65,7 +66,8 @@
                 && !known.record.draining
                 && gateway.peers.is_alive(node)
         });
-        let near = near.map(|(_, known)| known.record.peer_address).collect();
+        let near = near.map(|(node, known)| (node, known.record.peer_address));
+        let near = loads::serving_if_many(gateway, near.collect(), MOST_TOLD);
         self.near.pick(near, MOST_TOLD)
     }
 }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -13,7 +13,7 @@
 use super::queue::Outgoing;
 use crate::gateway::Gateway;
 use crate::ports::StreamRecord;
-use crate::{buffered, ledger, socket};
+use crate::{buffered, feed, ledger, socket};
 
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -57,7 +57,15 @@
                     proofs::take_configuration(&gateway, &StreamRecord { offset, key, value });
                     continue;
                 }
-                GatewayFrame::Arrived { .. } | GatewayFrame::Reply { .. } => return,
+                GatewayFrame::FeedAsked { id, question } => {
+                    let answer = feed::answer(&gateway, &question);
+                    // The peer may have left; else it asks again after the next word.
+                    let _ = replies.push(frame(&GatewayFrame::FeedTold { id, answer }));
+                    continue;
+                }
+                GatewayFrame::Arrived { .. }
+                | GatewayFrame::Reply { .. }
+                | GatewayFrame::FeedTold { .. } => return,
             };
             let gateway = gateway.clone();
             let replies = replies.clone();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -8,6 +8,7 @@
 use elderworks_gateway_core::departures::Departures;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::drain::{DrainPlan, DrainStep};
+use elderworks_gateway_core::feed::roles::EARLY_NODES;
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_gateway_core::start::Milestone;
 use elderworks_protocol::encode;
@@ -92,7 +93,8 @@
     actix_rt::spawn(watch::prove_configuration(gateway.clone()));
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
     actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
-    actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
+    actix_rt::spawn(peers::gossip(gateway.clone(), gossip_socket.clone()));
+    actix_rt::spawn(join(gateway.clone()));
     actix_rt::spawn(tell_log_calls(gateway.clone()));
     Ok(Running {
         gateway,
@@ -156,11 +158,14 @@
 }
 
 /// Writes the node's entry, whose position is its incarnation, and then follows the others.
-async fn join(gateway: Rc<Gateway>, gossip_socket: Rc<UdpSocket>) {
+async fn join(gateway: Rc<Gateway>) {
     let before = read_entries_before(&gateway).await;
     let incarnation = write_entry(&gateway).await;
-    // Read after the entry is written: of two nodes that start together, one sees the other.
-    let end = read_entries_since(&gateway, before).await;
+    let listed = u64::from(gateway.nodes.borrow().count());
+    let written = incarnation.0.saturating_sub(before.map_or(0, |end| end.0));
+    gateway.feed.begin(listed + written <= EARLY_NODES);
+    // Known after the entry is written: of two nodes that start together, one sees the other.
+    let end = await_entries(&gateway, before).await;
     actix_rt::spawn(watch::follow_nodes(gateway.clone(), end));
     let seeds = gateway
         .nodes
@@ -172,8 +177,17 @@
     gateway.peers.join(&gateway, incarnation, seeds);
     log::info!(incarnation = incarnation.0; "joined");
     gateway.reach(Milestone::Joined);
-    actix_rt::spawn(drop_departed_nodes(gateway.clone()));
-    peers::gossip(gateway, gossip_socket).await;
+    drop_departed_nodes(gateway).await;
+}
+
+/// Waits until the entries of the other nodes are known: this node reads them, or hears of them from
+/// one that does. Tells where they end.
+async fn await_entries(gateway: &Rc<Gateway>, before: Option<Offset>) -> Offset {
+    let feed = &gateway.feed;
+    tokio::select! {
+        () = feed.until_nodes_heard() => feed.nodes_end().unwrap_or_default(),
+        _ = feed.until_reading() => read_entries_since(gateway, before).await,
+    }
 }
 
 /// Takes the entries that stand before this start writes its own, and notes whether there is one of
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,19 +12,34 @@
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_gateway_core::start::Milestone;
 use elderworks_gateway_core::stream_reads::{ReadTimes, StreamReads};
-use elderworks_gateway_core::workers::Taken;
+use elderworks_gateway_core::workers::WorkerRecord;
 use elderworks_protocol::decode;
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
 
 use crate::clock::millis;
 use crate::gateway::Gateway;
-use crate::ports::{Publication, ReadLimits, StoreError, StreamRecord};
-use crate::{peers, process};
+use crate::ports::{NewestPage, Publication, ReadLimits, StoreError, StreamRecord};
+use crate::{feed, peers, process};
 
 /// Longest wait for the answer to a read that asks only for what there is: reads of the followers
 /// bound how late news are, this one how old a proof may be, or what a start sees.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Failures of reads in a row after which a node that reads for others says so: one answer may be lost.
+const FAILURES_TOLD: u32 = 2;
+
+/// Tries of one page of the newest records: what the pages before it have brought is not read again.
+const PAGE_TRIES: u32 = 4;
+
+/// Pause between two of them.
+const PAGE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest wait of a node that has just started for its place among the readers.
+const LONGEST_PLACING: Duration = Duration::from_secs(1);
+
+/// Pause between two looks whether it is known.
+const PLACING_LOOK: Duration = Duration::from_millis(20);
+
 /// One stream to follow and what to do with its records.
 trait Follower {
     /// Which stream.
@@ -42,6 +57,18 @@
 
     /// Called after each read.
     fn after_read(_gateway: &Gateway) {}
+
+    /// Where to go on after other nodes have read the stream for a while; `None` to read the newest
+    /// record of every key.
+    fn resume_at(_gateway: &Gateway) -> Option<Offset> {
+        None
+    }
+
+    /// Whether this node reads on where the newest records take several pages; if not, it hears of
+    /// them from others.
+    async fn reads_on(_gateway: &Gateway) -> bool {
+        true
+    }
 }
 
 /// How far a read has come.
@@ -102,13 +129,19 @@
     from: Option<Offset>,
 ) -> Result<Offset, StoreError> {
     let Some(mut next) = from else {
-        return Ok(read_all::<NodeFollower>(gateway).await?.next);
+        let (records, end) = read_newest::<NodeFollower>(gateway)
+            .await?
+            .unwrap_or_default();
+        NodeFollower::take_all(gateway, &records, end);
+        gateway.feed.note_nodes_end(end);
+        return Ok(end);
     };
     loop {
         let limits = limits(ReadTimes::at_once(PROOF_TIMEOUT));
         let progress = read_more::<NodeFollower>(gateway, next, limits).await?;
         next = progress.next;
         if progress.is_complete {
+            gateway.feed.note_nodes_end(next);
             return Ok(next);
         }
     }
@@ -119,15 +152,27 @@
     follow::<NodeFollower>(gateway, Some(from)).await;
 }
 
-/// Follows a stream from an offset on, or else from the newest record of every key on.
+/// Follows a stream from an offset on, or else from the newest record of every key on, while this node
+/// reads the streams.
 async fn follow<F: Follower>(gateway: Rc<Gateway>, from: Option<Offset>) {
     let mut next = from;
     let mut reads = StreamReads::new(F::STREAM, &gateway.settings.news_deadlines());
     let mut known = gateway.now();
+    let mut term = None;
     loop {
+        let present = gateway.feed.until_reading().await;
+        if term.replace(present) != Some(present) {
+            next = F::resume_at(&gateway).or(from);
+            reads = StreamReads::new(F::STREAM, &gateway.settings.news_deadlines());
+            known = gateway.now();
+        }
         let sent = gateway.now();
         let read = match next {
-            None => read_all::<F>(&gateway).await,
+            None => match read_all::<F>(&gateway).await {
+                Ok(Some(progress)) => Ok(progress),
+                Ok(None) => continue,
+                Err(error) => Err(error),
+            },
             Some(from) => read_more::<F>(&gateway, from, limits(reads.next_read())).await,
         };
         match read {
@@ -159,6 +204,7 @@
 fn note_answer<F: Follower>(gateway: &Gateway, failures: u32, dark: Duration, end: Offset) {
     gateway.metrics.note_stream_read(F::STREAM, "ok");
     gateway.log_reach.borrow_mut().note_answer();
+    gateway.feed.note_reads(gateway, F::STREAM, false);
     if failures == 0 {
         return;
     }
@@ -179,6 +225,9 @@
     let now = gateway.now();
     gateway.metrics.note_stream_read(F::STREAM, "failed");
     gateway.log_reach.borrow_mut().note_failure();
+    gateway
+        .feed
+        .note_reads(gateway, F::STREAM, failures >= FAILURES_TOLD);
     if failures == 1 {
         let error = error.to_string();
         log::warn!(
@@ -188,20 +237,52 @@
     }
 }
 
-async fn read_all<F: Follower>(gateway: &Rc<Gateway>) -> Result<Progress, StoreError> {
+/// Reads the newest record of every key; `None` if that is left to other nodes.
+async fn read_all<F: Follower>(gateway: &Rc<Gateway>) -> Result<Option<Progress>, StoreError> {
+    let Some((records, end)) = read_newest::<F>(gateway).await? else {
+        return Ok(None);
+    };
+    F::take_all(gateway, &records, end);
+    Ok(Some(Progress {
+        next: end,
+        is_complete: true,
+    }))
+}
+
+/// All pages of the newest records, and where the stream ended before them: later pages are newer, and
+/// what changes meanwhile lies behind the first page's end.
+async fn read_newest<F: Follower>(
+    gateway: &Rc<Gateway>,
+) -> Result<Option<(Vec<StreamRecord>, Offset)>, StoreError> {
     let mut page = gateway.platform.newest(F::STREAM, None).await?;
-    // Later pages are newer: what changes meanwhile lies behind the first page's end.
     let end = page.end;
     let mut records = std::mem::take(&mut page.records);
+    if page.next_after.is_some() && !F::reads_on(gateway).await {
+        return Ok(None);
+    }
     while let Some(after) = page.next_after.take() {
-        page = gateway.platform.newest(F::STREAM, Some(&after)).await?;
+        page = read_page::<F>(gateway, &after).await?;
         records.append(&mut page.records);
     }
-    F::take_all(gateway, &records, end);
-    Ok(Progress {
-        next: end,
-        is_complete: true,
-    })
+    Ok(Some((records, end)))
+}
+
+async fn read_page<F: Follower>(
+    gateway: &Rc<Gateway>,
+    after: &str,
+) -> Result<NewestPage, StoreError> {
+    let mut tries = 1;
+    loop {
+        let page = gateway.platform.newest(F::STREAM, Some(after)).await;
+        gateway
+            .metrics
+            .note_stream_read(F::STREAM, if page.is_ok() { "page" } else { "failed" });
+        if page.is_ok() || tries == PAGE_TRIES {
+            return page;
+        }
+        tries += 1;
+        actix_rt::time::sleep(PAGE_PAUSE).await;
+    }
 }
 
 fn limits(times: ReadTimes) -> ReadLimits {
@@ -322,37 +403,40 @@
 impl Follower for WorkerFollower {
     const STREAM: Stream = Stream::Workers;
 
-    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], _end: Offset) {
-        let ids: BTreeSet<String> = records
-            .iter()
-            .filter(|record| !record.value.is_empty())
-            .filter_map(|record| record.key.clone())
-            .collect();
-        Self::take_more(gateway, records);
-        let now = gateway.now();
-        let missing = gateway.workers.borrow_mut().mark_all_missing_but(&ids, now);
-        for worker in missing {
-            log::info!(worker = worker.as_str(); "worker is not listed any more");
-        }
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], end: Offset) {
+        let listed = records.iter().filter(|record| !record.value.is_empty());
+        let workers = listed.filter_map(|record| read_worker(gateway, record));
+        gateway.feed.take_workers(gateway, workers.collect(), end);
         gateway.reach(Milestone::Workers);
     }
 
     fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+        let Some(last) = records.last() else {
+            return;
+        };
         for record in records {
             take_worker(gateway, record);
         }
+        feed::apply(gateway, last.offset);
+    }
+
+    fn note_current(gateway: &Gateway, sent: Timestamp, _end: Offset) {
+        gateway.feed.note_workers_read(sent);
     }
 
     fn after_read(gateway: &Gateway) {
-        let now = gateway.now();
-        let forgotten = gateway.workers.borrow_mut().forget_missing(now);
-        for worker in forgotten {
-            gateway.pool.forget(&worker);
-        }
-        gateway.pool.close_expired();
+        feed::upkeep(gateway);
         gateway.count_serving_nodes();
-        let count = i64::try_from(gateway.workers.borrow().len()).unwrap_or(i64::MAX);
-        gateway.metrics.workers.set(count);
+    }
+
+    async fn reads_on(gateway: &Gateway) -> bool {
+        let started = gateway.now();
+        while !gateway.start.has(Milestone::Joined)
+            && gateway.now().since(started) < LONGEST_PLACING
+        {
+            actix_rt::time::sleep(PLACING_LOOK).await;
+        }
+        gateway.feed.reads_on(gateway)
     }
 }
 
@@ -362,38 +446,28 @@
         return;
     };
     if record.value.is_empty() {
-        let now = gateway.now();
-        if gateway.workers.borrow_mut().mark_missing(id, now) {
-            log::info!(worker = id, offset = record.offset.0; "worker's entry is gone");
-        }
-        return;
+        gateway.feed.remove_worker(id);
+    } else if let Some(worker) = read_worker(gateway, record) {
+        gateway.feed.upsert_worker(worker);
     }
-    let now = gateway.now();
+}
+
+/// The worker that an entry names; `None` if it cannot be read, and nobody uses the worker any more.
+fn read_worker(gateway: &Gateway, record: &StreamRecord) -> Option<WorkerRecord> {
+    let id = record.key.as_deref()?;
     match gateway.platform.worker(record) {
-        Ok(worker) => {
-            let draining = worker.draining;
-            let service = worker.service.clone();
-            let cold_ms = millis(Some(worker.cold_left));
-            let taken = gateway.workers.borrow_mut().upsert(worker, now);
-            if taken == Taken::Reborn {
-                gateway.pool.forget(id);
-            }
-            if matches!(taken, Taken::Changed | Taken::Reborn) {
-                log::info!(
-                    worker = id, service = service.as_str(), draining = draining, cold_ms = cold_ms,
-                    has_restarted = taken == Taken::Reborn, offset = record.offset.0;
-                    "worker changed"
-                );
-            }
-        }
+        Ok(worker) => Some(worker),
         Err(error) => {
             gateway.metrics.unreadable_entries.inc();
             if gateway.unreadable_entries.borrow_mut().note(id) {
                 log::error!(worker = id, offset = record.offset.0, error = error.to_string().as_str(); "worker's entry cannot be read");
             }
+            gateway.feed.remove_worker(id);
+            let now = gateway.now();
             if gateway.workers.borrow_mut().mark_unreadable(id, now) {
                 log::warn!(worker = id, offset = record.offset.0; "worker is not used: its entry was overwritten");
             }
+            None
         }
     }
 }
@@ -404,24 +478,36 @@
     const STREAM: Stream = Stream::Nodes;
 
     fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], _end: Offset) {
-        Self::take_more(gateway, records);
+        take_nodes(gateway, records);
     }
 
-    /// However many entries have changed, what follows from them is worked out once.
     fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
-        let changed = records.iter().filter(|record| take_node(gateway, record));
-        let changed: Vec<&StreamRecord> = changed.collect();
-        let Some(last) = changed.last() else {
-            return;
-        };
-        let names = changed.iter().filter_map(|record| record.key.as_deref());
-        log::info!(
-            count = changed.len(), nodes = peers::listing(names), offset = last.offset.0;
-            "nodes' entries changed"
-        );
-        gateway.peers.note_stale();
-        gateway.note_node_changes();
+        take_nodes(gateway, records);
     }
+
+    fn note_current(gateway: &Gateway, _sent: Timestamp, end: Offset) {
+        gateway.feed.note_nodes_end(end);
+    }
+
+    fn resume_at(gateway: &Gateway) -> Option<Offset> {
+        gateway.feed.nodes_end()
+    }
+}
+
+/// Takes entries of nodes. However many have changed, what follows from them is worked out once.
+pub(crate) fn take_nodes(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+    let changed = records.iter().filter(|record| take_node(gateway, record));
+    let changed: Vec<&StreamRecord> = changed.collect();
+    let Some(last) = changed.last() else {
+        return;
+    };
+    let names = changed.iter().filter_map(|record| record.key.as_deref());
+    log::info!(
+        count = changed.len(), nodes = peers::listing(names), offset = last.offset.0;
+        "nodes' entries changed"
+    );
+    gateway.peers.note_stale();
+    gateway.note_node_changes();
 }
 
 /// Takes the entry of a node; tells whether anything has changed.
@@ -453,5 +539,5 @@
         actix_rt::spawn(process::restore_entry(gateway.clone()));
         return false;
     }
-    gateway.nodes.borrow_mut().remove(node)
+    gateway.nodes.borrow_mut().remove(node, offset)
 }
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -3,6 +3,7 @@
 use elderworks_types::{NodeId, Offset};
 use serde::{Deserialize, Serialize};
 
+use crate::feed::FeedBeat;
 use crate::gossip::Datagram;
 
 /// A datagram between gateways.
@@ -25,6 +26,9 @@
     /// Which zones' workers are to get nothing more, as far as the sender knows. Nodes of versions
     /// before this message pass it over.
     Zones(Vec<ZoneReport>),
+    /// How far a reader of the log's streams has read. Passed over by earlier versions as well, which
+    /// so are never asked for news.
+    Beat(FeedBeat),
 }
 
 /// The operator's latest wish for one zone.
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -4,6 +4,8 @@
 use elderworks_types::{NodeId, Offset, PartitionId};
 use serde::{Deserialize, Serialize};
 
+use crate::feed::{FeedAnswer, FeedQuestion};
+
 /// A turn of a conversation as it is kept: what it added, not what came before it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptTurn {
@@ -255,4 +257,19 @@
         /// Its content.
         value: Bytes,
     },
+    /// Asks a reader of the log's streams for what the sender has missed. Only to nodes that have
+    /// told a [`FeedBeat`](crate::feed::FeedBeat): earlier versions close the connection on it.
+    FeedAsked {
+        /// Returned in the answer.
+        id: u64,
+        /// What is asked.
+        question: FeedQuestion,
+    },
+    /// The answer.
+    FeedTold {
+        /// From the question.
+        id: u64,
+        /// What is told.
+        answer: FeedAnswer,
+    },
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! bytes and answer malformed ones with a typed error.
 
 pub mod envelope;
+pub mod feed;
 pub mod gateway;
 pub mod gossip;
 pub mod journal;
