feed: listeners can refuse an unknown route for good

The age of a proof is counted from the question, as before, so a reader's word alone still proves nothing.

Test: a table of the ages at deadlines of 3 to 14 s.

--- a/crates/gateway-core/src/config_proof.rs
+++ b/crates/gateway-core/src/config_proof.rs
@@ -40,13 +40,20 @@
 /// hears in time what the others have read.
 const ASKING_SHARE_AT_REST: f64 = 0.7;
 
+/// The same for a node that does not read the log but hears of it. A reader's proof is under a second old
+/// when it is told, so that a listener's always counts for refusing an unknown route for good.
+const ASKING_SHARE_OF_LISTENERS: f64 = 0.4;
+
 /// Age of its proof at which a node asks others for a younger one, given the lease on keys if there
-/// are any, and the time within which a configuration must be in force.
-pub fn asking_age(lease: Option<Duration>, apply_within: Duration) -> Duration {
-    match lease {
-        Some(lease) => lease.mul_f64(ASKING_SHARE),
-        None => apply_within.mul_f64(ASKING_SHARE_AT_REST),
-    }
+/// are any, the time within which a configuration must be in force, and whether the node reads the
+/// configuration itself.
+pub fn asking_age(lease: Option<Duration>, apply_within: Duration, reads: bool) -> Duration {
+    let share = match reads {
+        true => ASKING_SHARE_AT_REST,
+        false => ASKING_SHARE_OF_LISTENERS,
+    };
+    let at_rest = apply_within.mul_f64(share);
+    lease.map_or(at_rest, |lease| at_rest.min(lease.mul_f64(ASKING_SHARE)))
 }
 
 /// Pause between two rounds of questions to other nodes.
--- a/crates/gateway-core/tests/config_proof.rs
+++ b/crates/gateway-core/tests/config_proof.rs
@@ -129,9 +129,22 @@
     assert_eq!(proof.age(at(9_000)), Some(ms(0)));
 }
 
+/// A reader proves its configuration each 0.8 s on average; whoever asks it is told within a fifth of a
+/// second, two lost questions included twice that.
+#[test]
+fn the_proofs_of_listeners_count_for_refusing_unknown_routes() {
+    for apply in [3_000, 5_000, 14_000] {
+        let asked_at = asking_age(None, ms(apply), false);
+        let answered = asked_at + ms(400);
+        assert!(answered < denial_lease_of(ms(apply)), "{apply}");
+        assert!(asked_at > proving_pause(1), "a question gains something");
+        assert!(asked_at <= asking_age(None, ms(apply), true));
+    }
+}
+
 #[test]
 fn other_nodes_are_asked_once_the_own_proof_grows_old() {
-    let lease = asking_age(Some(ms(4_500)), ms(3_000));
+    let lease = asking_age(Some(ms(4_500)), ms(3_000), true);
     let mut proof = ConfigProof::default();
     proof.replace(3);
     proof.note_read(at(10_000));
@@ -152,7 +165,7 @@
 #[test]
 fn without_keys_nodes_ask_only_when_their_own_reads_are_late() {
     for apply in [2_000, 3_000, 5_000] {
-        let age = asking_age(None, ms(apply));
+        let age = asking_age(None, ms(apply), true);
         let reads = StreamReads::new(
             Stream::Configuration,
             &NewsDeadlines {
--- a/crates/gateway-core/tests/feed_roles.rs
+++ b/crates/gateway-core/tests/feed_roles.rs
@@ -82,7 +82,6 @@
 
 /// A zone whose nodes hear each other at once.
 struct Zone {
-    times: FeedTimes,
     ranking: Vec<NodeId>,
     nodes: Vec<Roles>,
     lives: Vec<bool>,
@@ -94,7 +93,6 @@
     fn new(count: usize) -> Self {
         let times = FeedTimes::within(DEADLINE);
         Self {
-            times,
             ranking: (0..count).map(id).collect(),
             nodes: vec![Roles::new(times); count],
             lives: vec![true; count],
--- a/crates/gateway/src/feed/beats.rs
+++ b/crates/gateway/src/feed/beats.rs
@@ -21,8 +21,7 @@
 /// has changed.
 pub(super) fn tell(gateway: &Rc<Gateway>, socket: &UdpSocket) {
     let feed = &gateway.feed;
-    let zone = feed.zone.borrow();
-    if !feed.reads() || feed.wanted(&zone) == usize::MAX {
+    if !feed.reads_for_others() {
         return;
     }
     let Some(beat) = beat_of(gateway) else {
@@ -41,7 +40,8 @@
     feed.told_at.set(Some(now));
     let datagram = encode(&GatewayDatagram::Beat(beat.clone()));
     *feed.told.borrow_mut() = Some(beat);
-    for to in zone.others.iter() {
+    let others = feed.zone.borrow().others.clone();
+    for to in others.iter() {
         // The next word makes up for one that is lost.
         let _ = socket.try_send_to(&datagram, *to);
     }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -146,6 +146,11 @@
         *self.role.borrow() == Role::Reader
     }
 
+    /// Whether this node reads for others.
+    pub(crate) fn reads_for_others(&self) -> bool {
+        self.reads() && self.wanted(&self.zone.borrow()) != usize::MAX
+    }
+
     /// Whether this node depends on what others have read: it does not read, or the log does not answer
     /// its reads.
     pub(crate) fn depends_on_others(&self) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -191,7 +191,8 @@
 
     /// Age of the proof of the configuration at which other nodes are asked for a younger one.
     pub(crate) fn asking_age(&self) -> Duration {
-        asking_age(self.key_lease(), self.settings.apply_within)
+        let reads = self.feed.reads();
+        asking_age(self.key_lease(), self.settings.apply_within, reads)
     }
 
     /// The present stage.
--- a/crates/gateway/src/peers/proofs.rs
+++ b/crates/gateway/src/peers/proofs.rs
@@ -48,8 +48,12 @@
         if !self.asking.is_due(&proof, now, gateway.asking_age()) {
             return;
         }
-        let nodes = gateway.peers.some_alive(self.turn, ASKED_AT_ONCE);
-        self.turn = self.turn.wrapping_add(ASKED_AT_ONCE);
+        let mut nodes = gateway.feed.readers(gateway);
+        nodes.truncate(ASKED_AT_ONCE);
+        if nodes.is_empty() || gateway.feed.reads() {
+            nodes = gateway.peers.some_alive(self.turn, ASKED_AT_ONCE);
+            self.turn = self.turn.wrapping_add(ASKED_AT_ONCE);
+        }
         for node in nodes {
             let known = gateway.nodes.borrow();
             let Some(address) = known.get(&node).map(|known| known.record.peer_address) else {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -89,7 +89,8 @@
 /// ask those that did.
 pub(crate) async fn prove_configuration(gateway: Rc<Gateway>) {
     loop {
-        let nodes = match gateway.settings.policy.peer_proofs {
+        let asks_others = gateway.settings.policy.peer_proofs && !gateway.feed.reads_for_others();
+        let nodes = match asks_others {
             true => gateway.nodes.borrow().count(),
             false => 1,
         };
@@ -99,7 +100,7 @@
         let Some(from) = gateway
             .config_end
             .get()
-            .filter(|_| gateway.key_lease().is_some())
+            .filter(|_| gateway.key_lease().is_some() || gateway.feed.reads_for_others())
         else {
             continue;
         };
