--- a/crates/gateway-core/src/cold.rs
+++ b/crates/gateway-core/src/cold.rs
@@ -1,7 +1,7 @@
 //! How often a node may send to a worker that has just started and is cold.
 //!
 //! A cold worker bears few requests a second and falls over above that. The bound is for all nodes
-//! together and must hold without a word between them: the first request to a worker that comes back
+//! together and must hold without messages between them: the first request to a worker that comes back
 //! reaches every node at the same moment. So only some nodes send to a cold worker, the same ones in
 //! everybody's eyes, and each of them keeps to its even part of the rate and never sends two at once.
 
@@ -34,7 +34,7 @@
 /// count different senders.
 const SENDERS_SHARE: f64 = 0.5;
 
-/// Shortest pause between two requests that says anything: shorter ones are none.
+/// Longest pause between two requests, where a cold worker bears next to none: it is warm long before.
 const LONGEST_PAUSE: Duration = Duration::from_secs(60);
 
 impl ColdRules {
--- a/crates/gateway-core/src/feed/census.rs
+++ b/crates/gateway-core/src/feed/catalog.rs
@@ -1,4 +1,4 @@
-//! Every worker there is, and which of them a zone uses.
+//! Every worker there is, and which of them a zone uses (deterministic subsetting).
 //!
 //! A fleet whose workers have little to do must not spread it over all of them: each engine that a
 //! prompt meets reads its shared parts anew, and each pair of node and worker needs a connection of
@@ -48,7 +48,7 @@
 
 /// Every worker, and those that one zone uses.
 #[derive(Clone, Debug)]
-pub struct WorkerCensus {
+pub struct WorkerCatalog {
     zone: String,
     workers: BTreeMap<String, WorkerRecord>,
     in_use: BTreeSet<String>,
@@ -69,7 +69,7 @@
     at: Timestamp,
 }
 
-impl WorkerCensus {
+impl WorkerCatalog {
     /// Knows no worker yet.
     pub fn new(zone: &str) -> Self {
         Self {
--- a/crates/gateway-core/src/feed/published.rs
+++ b/crates/gateway-core/src/feed/published.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::feed::census::Change;
+use crate::feed::catalog::Change;
 use crate::workers::WorkerRecord;
 
 /// Changes that are remembered; a listener that missed more hears the whole state.
--- a/crates/gateway-core/src/feed/roles.rs
+++ b/crates/gateway-core/src/feed/roles.rs
@@ -10,11 +10,11 @@
 //!
 //! | step | share | meanwhile |
 //! |---|---|---|
-//! | all readers of a zone are lost | 0.2 | their last word counts |
+//! | all readers of a zone are lost | 0.2 | their last news counts |
 //! | the next in the order waits | 0.2 | another one may come back |
 //! | each further place in the order | 0.02 | not all step in at once |
 //! | its first read | 0.2 | as long as one answer may take |
-//! | its word reaches the others | 0.05 | |
+//! | its heartbeat reaches the others | 0.05 | |
 //!
 //! Three fifths to four fifths in all, if the next two or three in the order live. A reader whose
 //! reads fail says so, and one whose reads hang says how old its news is.
@@ -47,14 +47,14 @@
 }
 
 /// Nodes listed when a node starts up to which it reads the streams at once, in place of waiting for
-/// a reader's word: so many may read a first page of each without harm to the log, and the readers
+/// a reader's heartbeat: so many may read a first page of each without harm to the log, and the readers
 /// are among them.
 pub const EARLY_NODES: u64 = 300;
 
 /// Times of the chain from a reader to its listeners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FeedTimes {
-    /// Pause between two words of a reader.
+    /// Pause between two heartbeats of a reader.
     pub beat: Duration,
     /// A reader that has said nothing for this long is taken for lost.
     pub lifetime: Duration,
@@ -145,7 +145,7 @@
     reads: bool,
 }
 
-/// Decides this node's role from the words of the others.
+/// Decides this node's role from the heartbeats of the others.
 #[derive(Clone, Debug)]
 pub struct Roles {
     times: FeedTimes,
@@ -185,7 +185,7 @@
         self.role = Role::Reader;
     }
 
-    /// Takes a reader's word: the age of its news, and whether its reads are answered.
+    /// Takes a reader's heartbeat: the age of its news, and whether its reads are answered.
     pub fn note_heard(&mut self, now: Timestamp, node: &NodeId, age: Duration, reads: bool) {
         self.heard_any = Some(now);
         self.heard.insert(
--- a/crates/gateway-core/tests/feed_workers.rs
+++ b/crates/gateway-core/tests/feed_workers.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use elderworks_gateway_core::feed::census::{Change, WorkerCensus};
+use elderworks_gateway_core::feed::catalog::{Change, WorkerCatalog};
 use elderworks_gateway_core::feed::published::PublishedWorkers;
 use elderworks_gateway_core::workers::WorkerRecord;
 use elderworks_types::Timestamp;
@@ -26,15 +26,15 @@
     }
 }
 
-fn census(zone: &str, engines: usize) -> WorkerCensus {
-    let mut census = WorkerCensus::new(zone);
-    census.replace_all((0..engines).map(record).collect());
-    census
+fn catalog(zone: &str, engines: usize) -> WorkerCatalog {
+    let mut catalog = WorkerCatalog::new(zone);
+    catalog.replace_all((0..engines).map(record).collect());
+    catalog
 }
 
-fn in_use(census: &mut WorkerCensus) -> BTreeMap<String, String> {
-    census.changes(START, |_| false);
-    let used = census.in_use();
+fn in_use(catalog: &mut WorkerCatalog) -> BTreeMap<String, String> {
+    catalog.changes(START, |_| false);
+    let used = catalog.in_use();
     used.map(|record| (record.id.clone(), record.zone.clone()))
         .collect()
 }
@@ -46,60 +46,60 @@
 #[test]
 fn small_services_are_used_whole() {
     for engines in [1, 15, 122, 256] {
-        assert_eq!(in_use(&mut census("a", engines)).len(), engines);
+        assert_eq!(in_use(&mut catalog("a", engines)).len(), engines);
     }
 }
 
 /// An idle fleet uses some of its own zone and few elsewhere; two readers of a zone the same ones.
 #[test]
 fn a_zone_of_an_idle_fleet_uses_few_workers_and_all_readers_the_same() {
-    let used = in_use(&mut census("a", ENGINES));
+    let used = in_use(&mut catalog("a", ENGINES));
     assert_eq!(count_in(&used, "a"), 32);
     for zone in &ZONES[1..] {
         assert_eq!(count_in(&used, zone), 4, "{zone}");
     }
-    assert_eq!(in_use(&mut census("a", ENGINES)), used);
+    assert_eq!(in_use(&mut catalog("a", ENGINES)), used);
     // At twice the size no more are used.
-    let twice = in_use(&mut census("a", 2 * ENGINES));
+    let twice = in_use(&mut catalog("a", 2 * ENGINES));
     assert_eq!(twice.len(), used.len());
 }
 
 /// A load that begins at once, as told every 200 ms: the zone never uses less than twice what runs.
 #[test]
 fn the_workers_in_use_grow_with_the_load_before_it_queues() {
-    let mut census = census("a", ENGINES);
-    census.changes(START, |_| false);
+    let mut catalog = catalog("a", ENGINES);
+    catalog.changes(START, |_| false);
     for step in 0..40_u32 {
         let now = START + Duration::from_millis(200) * step;
         let running = 60 * step.min(20);
-        census.note_load(now, "engines", running, 6);
-        census.changes(now, |_| false);
-        let used = census.in_use().filter(|record| record.zone == "a").count();
+        catalog.note_load(now, "engines", running, 6);
+        catalog.changes(now, |_| false);
+        let used = catalog.in_use().filter(|record| record.zone == "a").count();
         let slots = 6 * u32::try_from(used).expect("a small number");
         assert!(
             slots >= 3 * running,
             "step {step}: {used} workers for {running} requests"
         );
     }
-    let busy = census.in_use().count();
+    let busy = catalog.in_use().count();
     // It shrinks slowly: a lull of some seconds makes no engine forget what it has read.
     let lull = START + Duration::from_secs(18);
-    census.note_load(lull, "engines", 0, 6);
-    census.changes(lull, |_| false);
-    assert!(census.in_use().count() * 10 > busy * 8);
+    catalog.note_load(lull, "engines", 0, 6);
+    catalog.changes(lull, |_| false);
+    assert!(catalog.in_use().count() * 10 > busy * 8);
     let night = START + Duration::from_secs(3_600);
-    census.note_load(night, "engines", 0, 6);
-    census.changes(night, |_| false);
+    catalog.note_load(night, "engines", 0, 6);
+    catalog.changes(night, |_| false);
     assert_eq!(
-        census.in_use().filter(|record| record.zone == "a").count(),
+        catalog.in_use().filter(|record| record.zone == "a").count(),
         32
     );
 }
 
 #[test]
 fn a_worker_that_leaves_or_goes_is_replaced_and_no_other_one_moves() {
-    let mut census = census("a", ENGINES);
-    let before = in_use(&mut census);
+    let mut catalog = catalog("a", ENGINES);
+    let before = in_use(&mut catalog);
     let leaving = before
         .iter()
         .find(|(_, zone)| *zone == "a")
@@ -107,11 +107,11 @@
         .0
         .clone();
     let number: usize = leaving["engine-".len()..].parse().expect("a number");
-    census.upsert(WorkerRecord {
+    catalog.upsert(WorkerRecord {
         draining: true,
         ..record(number)
     });
-    let changes = census.changes(START, |_| false);
+    let changes = catalog.changes(START, |_| false);
     let told: Vec<&WorkerRecord> = changes
         .iter()
         .filter_map(|change| match change {
@@ -128,58 +128,58 @@
         told.iter()
             .any(|record| record.id == leaving && record.draining)
     );
-    census.remove(&leaving);
+    catalog.remove(&leaving);
     assert_eq!(
-        census.changes(START, |_| false),
+        catalog.changes(START, |_| false),
         [Change::Drop(leaving.clone())]
     );
-    let after: BTreeSet<String> = in_use(&mut census).into_keys().collect();
+    let after: BTreeSet<String> = in_use(&mut catalog).into_keys().collect();
     let kept = before.keys().filter(|id| after.contains(*id)).count();
     assert_eq!(kept, before.len() - 1);
 }
 
 #[test]
 fn heartbeats_that_say_nothing_new_are_no_news() {
-    let mut census = census("a", ENGINES);
-    census.changes(START, |_| false);
+    let mut catalog = catalog("a", ENGINES);
+    catalog.changes(START, |_| false);
     for number in 0..ENGINES {
-        census.upsert(record(number));
+        catalog.upsert(record(number));
     }
-    assert_eq!(census.changes(START, |_| false), []);
+    assert_eq!(catalog.changes(START, |_| false), []);
 }
 
 #[test]
 fn a_zone_that_gets_no_work_or_has_too_few_workers_uses_those_of_others() {
-    let mut census = census("a", ENGINES);
-    census.changes(START, |_| false);
-    census.note_zones();
-    census.changes(START, |zone| zone == "a");
-    let used: Vec<&WorkerRecord> = census.in_use().collect();
+    let mut catalog = catalog("a", ENGINES);
+    catalog.changes(START, |_| false);
+    catalog.note_zones();
+    catalog.changes(START, |zone| zone == "a");
+    let used: Vec<&WorkerRecord> = catalog.in_use().collect();
     assert!(used.iter().all(|record| record.zone != "a"));
     assert!(used.len() >= 32);
-    census.note_zones();
-    census.changes(START, |_| false);
+    catalog.note_zones();
+    catalog.changes(START, |_| false);
     assert_eq!(
-        census.in_use().filter(|record| record.zone == "a").count(),
+        catalog.in_use().filter(|record| record.zone == "a").count(),
         32
     );
 }
 
 #[test]
 fn an_entry_of_an_earlier_start_changes_nothing() {
-    let mut census = census("a", 10);
-    census.changes(START, |_| false);
-    census.upsert(WorkerRecord {
+    let mut catalog = catalog("a", 10);
+    catalog.changes(START, |_| false);
+    catalog.upsert(WorkerRecord {
         born: 5,
         ..record(3)
     });
-    assert_eq!(census.changes(START, |_| false).len(), 1);
-    census.upsert(WorkerRecord {
+    assert_eq!(catalog.changes(START, |_| false).len(), 1);
+    catalog.upsert(WorkerRecord {
         born: 4,
         draining: true,
         ..record(3)
     });
-    assert_eq!(census.changes(START, |_| false), []);
+    assert_eq!(catalog.changes(START, |_| false), []);
 }
 
 proptest! {
@@ -190,23 +190,23 @@
     fn listeners_know_what_the_reader_uses(
         steps in prop::collection::vec((0usize..300, 0u8..4, any::<bool>()), 1..150),
     ) {
-        let mut census = census("a", 300);
+        let mut catalog = catalog("a", 300);
         let mut published = PublishedWorkers::default();
-        published.take(&census.changes(START, |_| false));
+        published.take(&catalog.changes(START, |_| false));
         let mut known: BTreeMap<String, WorkerRecord> = BTreeMap::new();
         let mut revision = None;
         for (number, what, asks) in steps {
             match what {
-                0 => census.upsert(record(number)),
-                1 => census.upsert(WorkerRecord { draining: true, ..record(number) }),
-                2 => census.remove(&record(number).id),
+                0 => catalog.upsert(record(number)),
+                1 => catalog.upsert(WorkerRecord { draining: true, ..record(number) }),
+                2 => catalog.remove(&record(number).id),
                 _ => published.clear(),
             }
             if what == 3 {
-                census.clear();
-                census.replace_all((0..300).map(record).collect());
+                catalog.clear();
+                catalog.replace_all((0..300).map(record).collect());
             }
-            published.take(&census.changes(START, |_| false));
+            published.take(&catalog.changes(START, |_| false));
             if !asks {
                 continue;
             }
@@ -219,7 +219,7 @@
                 known.remove(id);
             }
             revision = Some(update.revision);
-            let used: BTreeMap<String, WorkerRecord> = census
+            let used: BTreeMap<String, WorkerRecord> = catalog
                 .in_use()
                 .map(|record| (record.id.clone(), record.clone()))
                 .collect();
--- a/crates/gateway/src/feed/beats.rs
+++ b/crates/gateway/src/feed/beats.rs
@@ -1,4 +1,4 @@
-//! A reader's word to its zone, and what a listener makes of it.
+//! A reader's heartbeat to its zone, and what a listener makes of it.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,12 +42,12 @@
     *feed.told.borrow_mut() = Some(beat);
     let others = feed.zone.borrow().others.clone();
     for to in others.iter() {
-        // The next word makes up for one that is lost.
+        // The next heartbeat makes up for one that is lost.
         let _ = socket.try_send_to(&datagram, *to);
     }
 }
 
-/// This node's word; `None` before it knows all streams.
+/// This node's heartbeat; `None` before it knows all streams.
 fn beat_of(gateway: &Gateway) -> Option<FeedBeat> {
     let feed = &gateway.feed;
     if !gateway.start.is_complete() {
@@ -70,7 +70,7 @@
     })
 }
 
-/// Whether a word says anything that the one before does not, but for its age.
+/// Whether a heartbeat says anything that the one before does not, but for its age.
 fn is_news(told: &FeedBeat, beat: &FeedBeat) -> bool {
     let same_age = FeedBeat {
         age_us: told.age_us,
@@ -79,7 +79,7 @@
     *told != same_age
 }
 
-/// Takes a reader's word.
+/// Takes a reader's heartbeat.
 pub(crate) fn take(gateway: &Rc<Gateway>, from: SocketAddr, beat: &FeedBeat) {
     let feed = &gateway.feed;
     if beat.node == gateway.settings.node {
--- a/crates/gateway/src/feed/catch_up.rs
+++ b/crates/gateway/src/feed/catch_up.rs
@@ -19,7 +19,7 @@
 use crate::watch;
 use elderworks_gateway_core::start::Milestone;
 
-/// Asks the reader for whatever its word shows to be missing here, unless a reader is being asked.
+/// Asks the reader for whatever its heartbeat shows to be missing here, unless a reader is being asked.
 pub(super) fn ask_if_behind(gateway: &Rc<Gateway>, address: SocketAddr, beat: &FeedBeat) {
     let feed = &gateway.feed;
     if feed.is_asking.get() || !is_behind(gateway, beat) {
@@ -129,7 +129,7 @@
             })
         }
         FeedQuestion::Nodes { since } => nodes_since(gateway, *since),
-        FeedQuestion::Workers { since } if gateway.feed.is_counted.get() => {
+        FeedQuestion::Workers { since } if gateway.feed.is_loaded.get() => {
             let update = gateway.feed.published.borrow().since(*since);
             FeedAnswer::Workers(told(update, gateway.feed.workers_offset.get()))
         }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::directory::Stream;
-use elderworks_gateway_core::feed::census::WorkerCensus;
+use elderworks_gateway_core::feed::catalog::WorkerCatalog;
 use elderworks_gateway_core::feed::published::PublishedWorkers;
 use elderworks_gateway_core::feed::roles::{FeedTimes, Role, Roles, ranking, readers_wanted};
 use elderworks_gateway_core::workers::WorkerRecord;
@@ -79,13 +79,13 @@
     worker_count: Cell<Option<usize>>,
     /// How many times this node began to read.
     term: Cell<u64>,
-    /// Whether the census holds every worker.
-    is_counted: Cell<bool>,
+    /// Whether the catalog holds every worker.
+    is_loaded: Cell<bool>,
     /// Every worker, while this node reads.
-    census: RefCell<WorkerCensus>,
+    catalog: RefCell<WorkerCatalog>,
     /// Those in use, for listeners.
     published: RefCell<PublishedWorkers>,
-    /// Offset of the last record that the census has taken.
+    /// Offset of the last record that the catalog has taken.
     workers_offset: Cell<Offset>,
     /// When the last read was sent that showed all workers.
     workers_read: Cell<Option<Timestamp>>,
@@ -123,8 +123,8 @@
             is_early: Cell::default(),
             worker_count: Cell::default(),
             term: Cell::default(),
-            is_counted: Cell::default(),
-            census: RefCell::new(WorkerCensus::new(settings.zone.as_str())),
+            is_loaded: Cell::default(),
+            catalog: RefCell::new(WorkerCatalog::new(settings.zone.as_str())),
             published: RefCell::default(),
             workers_offset: Cell::default(),
             workers_read: Cell::default(),
@@ -195,7 +195,7 @@
 
     /// Zones that get no work have changed.
     pub(crate) fn note_zones(&self) {
-        self.census.borrow_mut().note_zones();
+        self.catalog.borrow_mut().note_zones();
     }
 
     /// Where the nodes' entries end that are known.
@@ -236,29 +236,29 @@
             return;
         }
         self.worker_count.set(Some(records.len()));
-        self.census.borrow_mut().replace_all(records);
-        self.is_counted.set(true);
+        self.catalog.borrow_mut().replace_all(records);
+        self.is_loaded.set(true);
         apply(gateway, end);
-        let census = self.census.borrow();
-        let ids = census.in_use().map(|record| record.id.clone()).collect();
+        let catalog = self.catalog.borrow();
+        let ids = catalog.in_use().map(|record| record.id.clone()).collect();
         workers::keep_only(gateway, &ids);
     }
 
     /// Takes a worker's entry.
     pub(crate) fn upsert_worker(&self, record: WorkerRecord) {
-        self.census.borrow_mut().upsert(record);
+        self.catalog.borrow_mut().upsert(record);
     }
 
     /// A worker's entry is gone, or names no worker.
     pub(crate) fn remove_worker(&self, id: &str) {
-        self.census.borrow_mut().remove(id);
+        self.catalog.borrow_mut().remove(id);
     }
 
     /// A read that was sent then has shown all there was of the workers.
     pub(crate) fn note_workers_read(&self, sent: Timestamp) {
-        if self.reads() && self.is_counted.get() {
+        if self.reads() && self.is_loaded.get() {
             self.workers_read.set(Some(sent));
-            self.worker_count.set(Some(self.census.borrow().len()));
+            self.worker_count.set(Some(self.catalog.borrow().len()));
         }
     }
 
@@ -340,9 +340,9 @@
             // The next reader that is heard tells its workers whole.
             *self.source.borrow_mut() = None;
             self.workers_read.set(None);
-            self.is_counted.set(false);
+            self.is_loaded.set(false);
             self.published.borrow_mut().clear();
-            self.census.borrow_mut().clear();
+            self.catalog.borrow_mut().clear();
         }
     }
 
--- a/crates/gateway/src/feed/workers.rs
+++ b/crates/gateway/src/feed/workers.rs
@@ -1,9 +1,9 @@
-//! The workers in use: from a reader's census or from a reader's word to what placement knows.
+//! The workers in use: from a reader's catalog or from a reader's update to what placement knows.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use elderworks_gateway_core::feed::census::Change;
+use elderworks_gateway_core::feed::catalog::Change;
 use elderworks_gateway_core::workers::{Taken, WorkerRecord};
 use elderworks_protocol::feed::WorkersUpdate;
 use elderworks_types::Offset;
@@ -12,18 +12,18 @@
 use crate::clock::millis;
 use crate::gateway::Gateway;
 
-/// Brings what placement knows and what listeners are told in line with the census.
-/// `offset` is that of the last record that the census has taken.
+/// Brings what placement knows and what listeners are told in line with the catalog.
+/// `offset` is that of the last record that the catalog has taken.
 pub(crate) fn apply(gateway: &Rc<Gateway>, offset: Offset) {
     let feed = &gateway.feed;
-    if !feed.reads() || !feed.is_counted.get() {
+    if !feed.reads() || !feed.is_loaded.get() {
         return;
     }
     feed.workers_offset.set(offset);
     let changes = {
         let evacuations = gateway.evacuations.borrow();
-        let mut census = feed.census.borrow_mut();
-        census.changes(gateway.now(), |zone| evacuations.is_on(zone))
+        let mut catalog = feed.catalog.borrow_mut();
+        catalog.changes(gateway.now(), |zone| evacuations.is_on(zone))
     };
     feed.published.borrow_mut().take(&changes);
     for change in changes {
@@ -52,15 +52,15 @@
     upkeep(gateway);
 }
 
-/// Brings what placement knows in line with this node's own census, after it has heard of workers from
+/// Brings what placement knows in line with this node's own catalog, after it has heard of workers from
 /// others.
 pub(super) fn restore(gateway: &Gateway) {
     let feed = &gateway.feed;
-    if !feed.is_counted.get() {
+    if !feed.is_loaded.get() {
         return;
     }
     let offset = feed.workers_offset.get();
-    let used: Vec<WorkerRecord> = feed.census.borrow().in_use().cloned().collect();
+    let used: Vec<WorkerRecord> = feed.catalog.borrow().in_use().cloned().collect();
     keep_only(
         gateway,
         &used.iter().map(|record| record.id.clone()).collect(),
@@ -135,9 +135,9 @@
         }
     }
     {
-        let mut census = feed.census.borrow_mut();
+        let mut catalog = feed.catalog.borrow_mut();
         for (service, (running, slots)) in &loads {
-            census.note_load(now, service, *running, *slots);
+            catalog.note_load(now, service, *running, *slots);
         }
     }
     apply(gateway, feed.workers_offset.get());
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -25,7 +25,7 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Longest wait for news of a reader: at a start, hundreds of nodes ask for some hundred kilobytes each,
-/// and the next word of a reader makes up for an answer that is lost.
+/// and the next heartbeat of a reader makes up for an answer that is lost.
 const FEED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a node has not replied.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -59,7 +59,7 @@
                 }
                 GatewayFrame::FeedAsked { id, question } => {
                     let answer = feed::answer(&gateway, &question);
-                    // The peer may have left; else it asks again after the next word.
+                    // The peer may have left; else it asks again after the next heartbeat.
                     let _ = replies.push(frame(&GatewayFrame::FeedTold { id, answer }));
                     continue;
                 }
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -8,7 +8,7 @@
 
 use crate::gateway::ZoneReport;
 
-/// A reader's word, told at a steady pace: how far it has read and how lately. Whoever is behind asks
+/// A reader's heartbeat: how far it has read and how lately. Whoever is behind asks
 /// for the rest.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedBeat {
