feed: a node leaves a list of several pages to others once, not for ever

Cause: a node that is not among the first two of its zone leaves the rest of a list of workers of several pages to them. In a fleet small enough for every node to read, nobody tells it; it stepped in after its patience, read the first page, and left the rest to others again: it was never ready.

Change: only at the start, once.

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -276,10 +276,10 @@
 
     /// Whether this node goes on to read a list of workers that takes several pages.
     pub(crate) fn reads_on(&self, gateway: &Gateway) -> bool {
-        if self.worker_count.get().is_some() || !self.has_begun.get() {
+        // Left to others once, at the start: a node that reads since nobody else does reads all.
+        if self.worker_count.get().is_some() || !self.is_early.replace(false) {
             return true;
         }
-        self.is_early.set(false);
         self.refresh_zone(gateway);
         let zone = self.zone.borrow();
         let wanted = self.wanted(&zone);
