peers: a node that joins asks its seeds at once

Cause: since few nodes read the streams, the loop that probes other nodes runs before a node joins, so that the first question to its seeds waited for the loop's next tick, up to 250 ms, and what needs a settled fleet with it. Ruled out: the number of readers (all nodes of that test read).

Change: the join makes the first tick itself.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -386,7 +386,13 @@
     }
 
     /// Begins to probe the others, of which `seeds` are asked first.
-    pub(crate) fn join(&self, gateway: &Gateway, incarnation: Incarnation, seeds: Vec<SocketAddr>) {
+    pub(crate) fn join(
+        &self,
+        gateway: &Gateway,
+        socket: &UdpSocket,
+        incarnation: Incarnation,
+        seeds: Vec<SocketAddr>,
+    ) {
         let settings = &gateway.settings;
         let membership = Membership::new(MembershipSettings {
             node: settings.node.clone(),
@@ -405,6 +411,9 @@
         self.presumes_since.set(Some(Instant::now()));
         self.note_stale();
         gateway.act_on_node_changes_now();
+        // The probes' next tick may be a whole interval away.
+        let effects = self.handle(gateway, Event::Tick);
+        self.carry_out(gateway, socket, effects);
     }
 
     fn handle(&self, gateway: &Gateway, event: Event) -> Vec<Effect> {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -94,7 +94,7 @@
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
     actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
     actix_rt::spawn(peers::gossip(gateway.clone(), gossip_socket.clone()));
-    actix_rt::spawn(join(gateway.clone()));
+    actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
     actix_rt::spawn(tell_log_calls(gateway.clone()));
     Ok(Running {
         gateway,
@@ -158,7 +158,7 @@
 }
 
 /// Writes the node's entry, whose position is its incarnation, and then follows the others.
-async fn join(gateway: Rc<Gateway>) {
+async fn join(gateway: Rc<Gateway>, gossip_socket: Rc<UdpSocket>) {
     let before = read_entries_before(&gateway).await;
     let incarnation = write_entry(&gateway).await;
     let listed = u64::from(gateway.nodes.borrow().count());
@@ -174,7 +174,8 @@
         .map(|(_, known)| known.record.peer_address)
         .filter(|address| *address != gateway.settings.peers)
         .collect();
-    gateway.peers.join(&gateway, incarnation, seeds);
+    let peers = &gateway.peers;
+    peers.join(&gateway, &gossip_socket, incarnation, seeds);
     log::info!(incarnation = incarnation.0; "joined");
     gateway.reach(Milestone::Joined);
     drop_departed_nodes(gateway).await;
