--- a/crates/gateway-core/src/config_proof.rs
+++ b/crates/gateway-core/src/config_proof.rs
@@ -175,7 +175,7 @@
     }
 
     /// A node that reads for others has said that its last reads, so long ago, showed this
-    /// configuration. How long its word took is not known, so that it proves nothing for keys; it
+    /// configuration. How long its heartbeat took is not known, so that it proves nothing for keys; it
     /// shows that this node is not cut off.
     pub fn note_heard(&mut self, now: Timestamp, age: Duration) {
         let at = Timestamp(
--- a/crates/gateway-core/src/feed/published.rs
+++ b/crates/gateway-core/src/feed/published.rs
@@ -3,25 +3,15 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use elderworks_protocol::feed::WorkersUpdate;
+use elderworks_types::Offset;
+
 use crate::feed::catalog::Change;
 use crate::workers::WorkerRecord;
 
 /// Changes that are remembered; a listener that missed more hears the whole state.
 const MOST_CHANGES: usize = 1_024;
 
-/// What a listener has to hear.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Update {
-    /// Number of the state that it then knows.
-    pub revision: u64,
-    /// Whether `used` is every worker in use, in place of what was known.
-    pub is_whole: bool,
-    /// Workers that are used or whose entries have changed.
-    pub used: Vec<WorkerRecord>,
-    /// Workers that are not used any more.
-    pub dropped: Vec<String>,
-}
-
 /// The workers in use and their latest changes.
 #[derive(Clone, Debug, Default)]
 pub struct PublishedWorkers {
@@ -73,12 +63,14 @@
         self.changes.clear();
     }
 
-    /// What a listener has to hear that knows the state of a number, `None` if it knows none.
-    pub fn since(&self, known: Option<u64>) -> Update {
+    /// What a listener has to hear that knows the state of a number, `None` if it knows none. `offset` is
+    /// that of the last record that this reader has taken.
+    pub fn since(&self, known: Option<u64>, offset: Offset) -> WorkersUpdate {
         let known = known.filter(|known| (self.remembered_from..=self.revision).contains(known));
         let Some(known) = known else {
-            return Update {
+            return WorkersUpdate {
                 revision: self.revision,
+                offset,
                 is_whole: true,
                 used: self.workers.values().cloned().collect(),
                 dropped: Vec::new(),
@@ -90,8 +82,9 @@
         let (used, dropped): (Vec<&String>, Vec<&String>) = ids
             .into_iter()
             .partition(|id| self.workers.contains_key(*id));
-        Update {
+        WorkersUpdate {
             revision: self.revision,
+            offset,
             is_whole: false,
             used: used
                 .into_iter()
--- a/crates/gateway-core/src/feed/roles.rs
+++ b/crates/gateway-core/src/feed/roles.rs
@@ -34,22 +34,46 @@
 /// sends.
 pub const MOST_PAIRS: usize = 60_000;
 
-/// How many nodes of each zone read the streams, if no more than so many pairs of node and worker may
-/// be read; [`usize::MAX`] for all. `workers` is `None` while nobody has said how many there are.
-pub fn readers_wanted(pairs: usize, nodes: usize, zones: usize, workers: Option<usize>) -> usize {
-    let Some(workers) = workers else {
-        return FEWEST_READERS;
-    };
-    if nodes.saturating_mul(workers) <= pairs {
-        return usize::MAX;
+/// What a node knows of the fleet's size.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Nodes listed.
+    pub nodes: usize,
+    /// Their zones.
+    pub zones: usize,
+    /// How many workers there are; `None` while nobody has said.
+    pub workers: Option<usize>,
+    /// Whether the fleet [seemed small](seems_small) when this node started.
+    pub seemed_small: bool,
+}
+
+impl FleetSize {
+    /// How many nodes of each zone read the streams, if no more than so many pairs of node and worker
+    /// may be read; [`usize::MAX`] for all.
+    pub fn readers_wanted(&self, pairs: usize) -> usize {
+        let Some(workers) = self.workers else {
+            return match self.seemed_small {
+                true => usize::MAX,
+                false => FEWEST_READERS,
+            };
+        };
+        if self.nodes.saturating_mul(workers) <= pairs {
+            return usize::MAX;
+        }
+        (pairs / workers.max(1) / self.zones.max(1)).max(FEWEST_READERS)
     }
-    (pairs / workers.max(1) / zones.max(1)).max(FEWEST_READERS)
 }
 
 /// Nodes listed when a node starts up to which it reads the streams at once, in place of waiting for
 /// a reader's heartbeat: so many may read a first page of each without harm to the log, and the readers
 /// are among them.
-pub const EARLY_NODES: u64 = 300;
+const EARLY_NODES: u64 = 300;
+
+/// Whether the fleet seems small to a node that has just written its entry: so many were listed before,
+/// and so many were written since.
+pub fn seems_small(listed: u64, written: u64) -> bool {
+    listed.saturating_add(written) <= EARLY_NODES
+}
 
 /// Times of the chain from a reader to its listeners.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -157,6 +181,10 @@
     short_since: Option<Timestamp>,
     /// Since when there have been enough before this node, which reads.
     enough_since: Option<Timestamp>,
+    /// Whether a reader has worked.
+    has_worked: bool,
+    /// Whether none works, after one has.
+    is_dark: bool,
     /// When anybody was heard last, or else when this node began to listen.
     heard_any: Option<Timestamp>,
 }
@@ -171,6 +199,8 @@
             heard: BTreeMap::new(),
             short_since: None,
             enough_since: None,
+            has_worked: false,
+            is_dark: false,
             heard_any: None,
         }
     }
@@ -214,6 +244,16 @@
         working.next()
     }
 
+    /// Takes whether any reader works; tells whether one does again, after a time in which none did: the
+    /// log was away.
+    pub fn note_return(&mut self, now: Timestamp, ranking: &[NodeId]) -> bool {
+        let works = self.source(now, ranking).is_some();
+        let is_back = works && self.is_dark;
+        self.has_worked |= works;
+        self.is_dark = !works && self.has_worked;
+        is_back
+    }
+
     /// Works out the role anew. `ranking` is the order of the zone, in which this node may be missing,
     /// and `wanted` the number of readers.
     pub fn decide(
--- a/crates/gateway-core/src/workers.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -1,59 +1,20 @@
 //! What one node knows of the workers: their records, its own requests there, and their failures.
 
+mod demand;
+mod restraint;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use elderworks_protocol::feed::WorkerRecord;
 use elderworks_types::{NodeId, Timestamp};
 
 use crate::cold::ColdSenders;
-use crate::config::ServingConfig;
 use crate::peer_loads::{PeerLoads, WorkerKey};
-use crate::placement::demand::{EngineTurn, PartDemand, PartKey, PartUse};
+use crate::placement::demand::PartDemand;
 use crate::policy::Policy;
 use crate::worker_health::{Standing, WorkerHealth};
 
-/// A worker's own entry in the directory of workers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerRecord {
-    /// Names the worker. One that starts again may keep it: see [`Self::born`].
-    pub id: String,
-    /// Service that it belongs to.
-    pub service: String,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is leaving and takes no new work.
-    pub draining: bool,
-    /// How much longer it is cold, counted from when the entry was written.
-    pub cold_left: Duration,
-    /// Names the start of the worker together with the id; larger in later ones. 0 where workers do
-    /// not tell.
-    pub born: u64,
-}
-
-impl WorkerRecord {
-    /// Whether two entries say the same of a worker, but for how long it stays cold.
-    fn is_alike(&self, other: &Self) -> bool {
-        let Self {
-            id,
-            service,
-            address,
-            zone,
-            slots,
-            draining,
-            cold_left: _,
-            born,
-        } = self;
-        (id, service, address) == (&other.id, &other.service, &other.address)
-            && (zone, slots, draining) == (&other.zone, &other.slots, &other.draining)
-            && *born == other.born
-    }
-}
-
 /// What taking a worker's entry has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
@@ -103,10 +64,6 @@
 /// than the time after which a store counts as stable again.
 const OUTAGE_AFTERMATH: Duration = Duration::from_secs(2);
 
-/// How long workers of a zone that takes work again count as cold unless their entries say otherwise:
-/// they may have turned cold shortly before, and an entry takes about a second to come.
-const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(2);
-
 /// One worker as this node sees it.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -237,41 +194,6 @@
         was_there
     }
 
-    /// Takes the zones whose workers are to get nothing more. Those of a zone that takes work again
-    /// count as cold until their entries say otherwise, where cold ones bear less.
-    pub fn close_zones<'a>(&mut self, zones: impl Iterator<Item = &'a str>, now: Timestamp) {
-        let closed: BTreeSet<String> = zones.map(str::to_owned).collect();
-        let before = std::mem::replace(&mut self.closed_zones, closed);
-        let reopened: Vec<&String> = before.difference(&self.closed_zones).collect();
-        for worker in self.workers.values_mut() {
-            if reopened.contains(&&worker.record.zone) {
-                worker.cold_until = worker.cold_until.max(now + COLD_AFTER_EVACUATION);
-            }
-        }
-    }
-
-    /// Takes what cold workers bear from a configuration.
-    pub fn set_cold_rates(&mut self, config: &ServingConfig) {
-        let services = config.services.iter();
-        let rates = services.filter_map(|(name, service)| Some((name.clone(), service.cold_rate?)));
-        self.cold.set_rates(rates.collect());
-    }
-
-    /// Who may send to cold workers.
-    pub fn cold_senders(&mut self) -> &mut ColdSenders {
-        &mut self.cold
-    }
-
-    /// Whether a worker is cold and must get nothing from this node now.
-    pub fn is_held_back(&self, worker: &Worker, now: Timestamp) -> bool {
-        if !worker.is_cold(now) {
-            return false;
-        }
-        let record = &worker.record;
-        let may_send = self.cold.pause(&record.service, &record.id).is_some();
-        !may_send || now < worker.next_cold
-    }
-
     /// Notes that the store answers again after an outage.
     pub fn note_outage_over(&mut self, now: Timestamp) {
         self.outage_over = Some(now);
@@ -391,44 +313,6 @@
         self.workers.is_empty()
     }
 
-    /// Counts the demand of a turn for the first part of its prompt.
-    pub fn note_turn(&mut self, service: &str, turn: &EngineTurn, now: Timestamp) {
-        let engines = self.accepting(service).count();
-        if !self.parts.contains_key(service) {
-            self.parts.insert(service.to_owned(), PartDemand::default());
-        }
-        if let Some(parts) = self.parts.get_mut(service) {
-            parts.note_turn(turn, engines, now);
-        }
-    }
-
-    /// Demand for first parts that other nodes are told of, by service.
-    pub fn own_demand(&self) -> impl Iterator<Item = (&str, Vec<(PartKey, PartUse)>)> {
-        let parts = self.parts.iter();
-        parts.map(|(service, demand)| (service.as_str(), demand.own_demand()))
-    }
-
-    /// Takes what another node tells of its demand; of no more services than have workers here.
-    pub fn take_demand(
-        &mut self,
-        now: Timestamp,
-        node: NodeId,
-        service: &str,
-        uses: Vec<(PartKey, PartUse)>,
-    ) {
-        if self.accepting(service).next().is_none() {
-            return;
-        }
-        let parts = self.parts.entry(service.to_owned()).or_default();
-        parts.take_told(now, node, uses);
-    }
-
-    /// Share of a service's engines that is home to the first part of a turn's prompt.
-    pub fn home_share(&self, service: &str, turn: &EngineTurn) -> f64 {
-        let parts = self.parts.get(service);
-        parts.map_or(1.0, |parts| parts.share(turn.part))
-    }
-
     /// Notes that a request goes to a worker; the start of it at which the request runs is to be
     /// named at its end.
     pub fn note_start(&mut self, id: &str, now: Timestamp) -> WorkerLife {
--- a/crates/gateway-core/tests/admission_room.rs
+++ b/crates/gateway-core/tests/admission_room.rs
@@ -1,5 +1,7 @@
 //! The room of a service: which workers' slots count, and what is taken of them.
 
+mod common;
+
 use std::time::Duration;
 
 use elderworks_gateway_core::admission::{
@@ -16,14 +18,8 @@
 
 fn record(id: &str, draining: bool) -> WorkerRecord {
     WorkerRecord {
-        id: id.to_owned(),
-        service: SERVICE.to_owned(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: "a".to_owned(),
-        slots: 4,
         draining,
-        cold_left: Duration::ZERO,
-        born: 0,
+        ..common::engine(id, "a")
     }
 }
 
--- a/crates/gateway-core/tests/cold.rs
+++ b/crates/gateway-core/tests/cold.rs
@@ -1,5 +1,7 @@
 //! Cold workers: the bound on what all nodes together send them, whatever reaches the nodes.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -15,14 +17,10 @@
 
 fn record(id: &str, cold: Duration, born: u64) -> WorkerRecord {
     WorkerRecord {
-        id: id.to_owned(),
-        service: SERVICE.to_owned(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: "a".to_owned(),
         slots: 8,
-        draining: false,
         cold_left: cold,
         born,
+        ..common::engine(id, "a")
     }
 }
 
--- a/crates/gateway-core/tests/evacuations.rs
+++ b/crates/gateway-core/tests/evacuations.rs
@@ -1,11 +1,13 @@
 //! Zones that get no work: which wish holds, and what placement makes of it.
 
+mod common;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::evacuations::{Evacuations, ZoneWish};
-use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
+use elderworks_gateway_core::workers::WorkerDirectory;
 use elderworks_types::{Offset, Timestamp};
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -68,19 +70,6 @@
     );
 }
 
-fn record(id: &str, zone: &str) -> WorkerRecord {
-    WorkerRecord {
-        id: id.to_owned(),
-        service: "engines".to_owned(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: zone.to_owned(),
-        slots: 4,
-        draining: false,
-        cold_left: Duration::ZERO,
-        born: 0,
-    }
-}
-
 fn query<'a>(key: &'a str, tried: &'a [String]) -> PlacementQuery<'a> {
     PlacementQuery {
         service: "engines",
@@ -108,7 +97,7 @@
 fn a_zone_that_is_emptied_gets_nothing_also_as_a_last_resort() {
     let mut workers = WorkerDirectory::default();
     for id in ["a1", "a2", "b1"] {
-        workers.upsert(record(id, &id[..1]), START);
+        workers.upsert(common::engine(id, &id[..1]), START);
     }
     workers.close_zones(["a"].into_iter(), START);
     assert_eq!(zones_met(&workers), BTreeSet::from(["b".to_owned()]));
@@ -124,8 +113,8 @@
 #[test]
 fn a_request_that_failed_elsewhere_does_not_go_to_a_zone_that_is_emptied() {
     let mut workers = WorkerDirectory::default();
-    workers.upsert(record("a1", "a"), START);
-    workers.upsert(record("b1", "b"), START);
+    workers.upsert(common::engine("a1", "a"), START);
+    workers.upsert(common::engine("b1", "b"), START);
     workers.close_zones(["a"].into_iter(), START);
     let tried = ["b1".to_owned()];
     let again = choose(&workers, &query("p", &tried), START);
--- a/crates/gateway-core/tests/feed_roles.rs
+++ b/crates/gateway-core/tests/feed_roles.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::feed::roles::{
-    FEWEST_READERS, FeedTimes, MOST_PAIRS, Role, Roles, ranking, readers_wanted,
+    FEWEST_READERS, FeedTimes, FleetSize, MOST_PAIRS, Role, Roles, ranking, seems_small,
 };
 use elderworks_gateway_core::nodes::{NodeDirectory, NodeRecord};
 use elderworks_gateway_core::policy::Policy;
@@ -35,24 +35,66 @@
     }
 }
 
+fn size(nodes: usize, zones: usize, workers: Option<usize>) -> FleetSize {
+    FleetSize {
+        nodes,
+        zones,
+        workers,
+        seemed_small: false,
+    }
+}
+
 #[test]
 fn small_fleets_all_read_and_large_ones_have_few_readers() {
     for (nodes, zones, workers) in [(11, 3, 15), (74, 4, 60), (295, 5, 140)] {
-        assert_eq!(
-            readers_wanted(MOST_PAIRS, nodes, zones, Some(workers)),
-            usize::MAX,
-            "{nodes}"
-        );
+        let wanted = size(nodes, zones, Some(workers)).readers_wanted(MOST_PAIRS);
+        assert_eq!(wanted, usize::MAX, "{nodes}");
     }
     for (nodes, zones, workers) in [(300, 5, 3_000), (984, 5, 10_000), (3_200, 28, 10_000)] {
-        let wanted = readers_wanted(MOST_PAIRS, nodes, zones, Some(workers));
+        let wanted = size(nodes, zones, Some(workers)).readers_wanted(MOST_PAIRS);
         assert!((FEWEST_READERS..=4).contains(&wanted), "{nodes}: {wanted}");
     }
+}
+
+/// Before the number of workers is known, a fleet is taken for what it seems from its nodes' entries.
+#[test]
+fn a_node_that_has_just_started_goes_by_the_entries() {
+    assert!(seems_small(0, 12) && seems_small(295, 5));
+    assert!(!seems_small(984, 1) && !seems_small(0, 700));
+    let mut unknown = size(984, 5, None);
+    assert_eq!(unknown.readers_wanted(MOST_PAIRS), FEWEST_READERS);
+    unknown.seemed_small = true;
+    assert_eq!(unknown.readers_wanted(MOST_PAIRS), usize::MAX);
+    unknown.workers = Some(10_000);
     assert_eq!(
-        readers_wanted(MOST_PAIRS, 984, 5, None),
+        unknown.readers_wanted(MOST_PAIRS),
         FEWEST_READERS,
-        "not known yet"
+        "it is not"
+    );
+}
+
+#[test]
+fn the_return_of_a_reader_after_a_time_without_any_is_told_once() {
+    let ranking: Vec<NodeId> = (0..4).map(id).collect();
+    let mut roles = Roles::new(FeedTimes::within(DEADLINE));
+    assert!(!roles.note_return(at(0), &ranking), "nobody was heard yet");
+    roles.note_heard(at(100), &id(0), Duration::ZERO, true);
+    assert!(
+        !roles.note_return(at(200), &ranking),
+        "the first one is no return"
+    );
+    roles.note_heard(at(300), &id(0), Duration::ZERO, false);
+    assert!(!roles.note_return(at(400), &ranking), "it cannot read");
+    roles.note_heard(at(500), &id(1), Duration::ZERO, true);
+    assert!(roles.note_return(at(600), &ranking));
+    roles.note_heard(at(700), &id(0), Duration::ZERO, false);
+    assert!(
+        !roles.note_return(at(800), &ranking),
+        "another one works still"
     );
+    assert!(!roles.note_return(at(9_000), &ranking), "silent");
+    roles.note_heard(at(9_100), &id(1), Duration::ZERO, true);
+    assert!(roles.note_return(at(9_200), &ranking));
 }
 
 #[test]
--- a/crates/gateway-core/tests/feed_workers.rs
+++ b/crates/gateway-core/tests/feed_workers.rs
@@ -1,12 +1,14 @@
 //! Which of thousands of workers a zone uses, and what listeners hear of them.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use elderworks_gateway_core::feed::catalog::{Change, WorkerCatalog};
 use elderworks_gateway_core::feed::published::PublishedWorkers;
 use elderworks_gateway_core::workers::WorkerRecord;
-use elderworks_types::Timestamp;
+use elderworks_types::{Offset, Timestamp};
 use proptest::prelude::*;
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -15,14 +17,9 @@
 
 fn record(number: usize) -> WorkerRecord {
     WorkerRecord {
-        id: format!("engine-{number}"),
-        service: "engines".to_owned(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: ZONES[number % ZONES.len()].to_owned(),
         slots: 6,
-        draining: false,
-        cold_left: Duration::ZERO,
         born: 1,
+        ..common::engine(&format!("engine-{number}"), ZONES[number % ZONES.len()])
     }
 }
 
@@ -210,7 +207,7 @@
             if !asks {
                 continue;
             }
-            let update = published.since(revision);
+            let update = published.since(revision, Offset(0));
             if update.is_whole {
                 known.clear();
             }
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Placement of turns at engines: homes of the prompts' first parts, and a replay of their load.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -32,14 +34,8 @@
 
 fn record(engine: usize) -> WorkerRecord {
     WorkerRecord {
-        id: format!("engine-{engine}"),
-        service: "engines".to_owned(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: ["a", "b", "c"][engine % 3].to_owned(),
         slots: SLOTS,
-        draining: false,
-        cold_left: Duration::ZERO,
-        born: 0,
+        ..common::engine(&format!("engine-{engine}"), ["a", "b", "c"][engine % 3])
     }
 }
 
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -1,5 +1,7 @@
 //! Placement, and what a node believes of workers.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -14,14 +16,8 @@
 
 fn record(id: &str, zone: &str) -> WorkerRecord {
     WorkerRecord {
-        id: id.to_owned(),
-        service: "engines".to_owned(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: zone.to_owned(),
         slots: 2,
-        draining: false,
-        cold_left: Duration::ZERO,
-        born: 0,
+        ..common::engine(id, zone)
     }
 }
 
--- a/crates/gateway/src/feed/beats.rs
+++ b/crates/gateway/src/feed/beats.rs
@@ -14,9 +14,6 @@
 use crate::gateway::Gateway;
 use crate::peers;
 
-/// News of a reader older than this was not followed by younger ones for a while: the log was away.
-const OUTAGE_AGE: Duration = Duration::from_secs(4);
-
 /// Tells the zone how far this node has read, if it reads for others and it is time, or anything else
 /// has changed.
 pub(super) fn tell(gateway: &Rc<Gateway>, socket: &UdpSocket) {
@@ -114,13 +111,8 @@
 
 /// What a listener has heard counts like a read of its own, as old as the reader's was.
 fn note_age(gateway: &Gateway, beat: &FeedBeat, age: Duration) {
-    let now = gateway.now();
     let mut proof = gateway.config_proof.borrow_mut();
     if proof.version() == beat.config_version {
-        proof.note_heard(now, age);
-    }
-    let before = gateway.feed.heard_age.replace(Some(age));
-    if before.is_some_and(|before| before >= OUTAGE_AGE) && age < OUTAGE_AGE {
-        gateway.workers.borrow_mut().note_outage_over(now);
+        proof.note_heard(gateway.now(), age);
     }
 }
--- a/crates/gateway/src/feed/catch_up.rs
+++ b/crates/gateway/src/feed/catch_up.rs
@@ -2,14 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use elderworks_gateway_core::feed::published::Update;
-use elderworks_gateway_core::workers::WorkerRecord;
 use elderworks_protocol::encode;
-use elderworks_protocol::feed::{
-    FeedAnswer, FeedBeat, FeedQuestion, RecordCopy, WorkerCopy, WorkersUpdate,
-};
+use elderworks_protocol::feed::{FeedAnswer, FeedBeat, FeedQuestion, RecordCopy};
 use elderworks_types::Offset;
 
 use super::{Source, workers};
@@ -130,8 +125,8 @@
         }
         FeedQuestion::Nodes { since } => nodes_since(gateway, *since),
         FeedQuestion::Workers { since } if gateway.feed.is_loaded.get() => {
-            let update = gateway.feed.published.borrow().since(*since);
-            FeedAnswer::Workers(told(update, gateway.feed.workers_offset.get()))
+            let offset = gateway.feed.workers_offset.get();
+            FeedAnswer::Workers(gateway.feed.published.borrow().since(*since, offset))
         }
         FeedQuestion::Workers { .. } => FeedAnswer::Nothing,
     }
@@ -160,37 +155,3 @@
         entries: listed.chain(dropped).collect(),
     }
 }
-
-fn told(update: Update, offset: Offset) -> WorkersUpdate {
-    let copy = |record: WorkerRecord| WorkerCopy {
-        id: record.id,
-        service: record.service,
-        address: record.address,
-        zone: record.zone,
-        slots: record.slots,
-        draining: record.draining,
-        cold_left_ms: u64::try_from(record.cold_left.as_millis()).unwrap_or(u64::MAX),
-        born: record.born,
-    };
-    WorkersUpdate {
-        revision: update.revision,
-        offset,
-        is_whole: update.is_whole,
-        used: update.used.into_iter().map(copy).collect(),
-        dropped: update.dropped,
-    }
-}
-
-/// A worker's entry as a reader tells it.
-pub(super) fn worker_of(copy: WorkerCopy) -> WorkerRecord {
-    WorkerRecord {
-        id: copy.id,
-        service: copy.service,
-        address: copy.address,
-        zone: copy.zone,
-        slots: copy.slots,
-        draining: copy.draining,
-        cold_left: Duration::from_millis(copy.cold_left_ms),
-        born: copy.born,
-    }
-}
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -17,7 +17,7 @@
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::feed::catalog::WorkerCatalog;
 use elderworks_gateway_core::feed::published::PublishedWorkers;
-use elderworks_gateway_core::feed::roles::{FeedTimes, Role, Roles, ranking, readers_wanted};
+use elderworks_gateway_core::feed::roles::{FeedTimes, FleetSize, Role, Roles, ranking};
 use elderworks_gateway_core::workers::WorkerRecord;
 use elderworks_protocol::feed::FeedBeat;
 use elderworks_types::{NodeId, Offset, Timestamp};
@@ -74,7 +74,7 @@
     /// Whether this node's entry is written, so that it can tell its place among the others.
     has_begun: Cell<bool>,
     /// Whether the fleet seemed small when this node began.
-    is_early: Cell<bool>,
+    seemed_small: Cell<bool>,
     /// How many workers there are; `None` while that is not known.
     worker_count: Cell<Option<usize>>,
     /// How many times this node began to read.
@@ -98,8 +98,6 @@
     is_asking: Cell<bool>,
     /// Whether a reader's list of nodes is known here.
     nodes_heard: watch::Sender<bool>,
-    /// Age that a reader's news had when it was heard last.
-    heard_age: Cell<Option<Duration>>,
     decided_at: Cell<Option<Timestamp>>,
     told_at: Cell<Option<Timestamp>>,
     kept_up_at: Cell<Option<Timestamp>>,
@@ -120,7 +118,7 @@
             zone: RefCell::default(),
             is_zone_stale: Cell::new(true),
             has_begun: Cell::default(),
-            is_early: Cell::default(),
+            seemed_small: Cell::default(),
             worker_count: Cell::default(),
             term: Cell::default(),
             is_loaded: Cell::default(),
@@ -133,7 +131,6 @@
             source: RefCell::default(),
             is_asking: Cell::default(),
             nodes_heard: watch::Sender::new(false),
-            heard_age: Cell::default(),
             decided_at: Cell::default(),
             told_at: Cell::default(),
             kept_up_at: Cell::default(),
@@ -174,11 +171,11 @@
 
     /// This node's entry is written. In a fleet that seems small it reads at once; in another one it
     /// finds out.
-    pub(crate) fn begin(&self, is_early: bool) {
+    pub(crate) fn begin(&self, seemed_small: bool) {
         self.has_begun.set(true);
-        self.is_early.set(is_early);
+        self.seemed_small.set(seemed_small);
         self.is_zone_stale.set(true);
-        if is_early {
+        if seemed_small {
             self.read();
         }
     }
@@ -277,7 +274,7 @@
     /// Whether this node goes on to read a list of workers that takes several pages.
     pub(crate) fn reads_on(&self, gateway: &Gateway) -> bool {
         // Left to others once, at the start: a node that reads since nobody else does reads all.
-        if self.worker_count.get().is_some() || !self.is_early.replace(false) {
+        if self.worker_count.get().is_some() || !self.seemed_small.replace(false) {
             return true;
         }
         self.refresh_zone(gateway);
@@ -292,11 +289,15 @@
         is_reader
     }
 
+    /// How many nodes of a zone read.
     fn wanted(&self, zone: &Zone) -> usize {
-        match (self.worker_count.get(), self.is_early.get()) {
-            (None, true) => usize::MAX,
-            (count, _) => readers_wanted(self.pairs, zone.nodes, zone.zones, count),
-        }
+        let size = FleetSize {
+            nodes: zone.nodes,
+            zones: zone.zones,
+            workers: self.worker_count.get(),
+            seemed_small: self.seemed_small.get(),
+        };
+        size.readers_wanted(self.pairs)
     }
 
     fn refresh_zone(&self, gateway: &Gateway) {
@@ -360,6 +361,9 @@
         let own = &gateway.settings.node;
         let mut roles = self.roles.borrow_mut();
         let role = roles.decide(now, &zone.ranking, own, wanted);
+        if roles.note_return(now, &zone.ranking) && self.depends_on_others() {
+            gateway.workers.borrow_mut().note_outage_over(now);
+        }
         drop((roles, zone));
         self.set_role(role, "others");
     }
--- a/crates/gateway/src/feed/workers.rs
+++ b/crates/gateway/src/feed/workers.rs
@@ -8,7 +8,6 @@
 use elderworks_protocol::feed::WorkersUpdate;
 use elderworks_types::Offset;
 
-use super::catch_up::worker_of;
 use crate::clock::millis;
 use crate::gateway::Gateway;
 
@@ -36,14 +35,12 @@
 
 /// Takes a reader's update.
 pub(super) fn take_update(gateway: &Rc<Gateway>, update: WorkersUpdate) {
-    let records = update.used.into_iter().map(worker_of);
-    let records: Vec<WorkerRecord> = records.collect();
     if update.is_whole {
-        let ids = records.iter().map(|record| record.id.clone());
+        let ids = update.used.iter().map(|record| record.id.clone());
         keep_only(gateway, &ids.collect());
     }
     let offset = update.offset;
-    for record in records {
+    for record in update.used {
         upsert(gateway, record, offset);
     }
     for id in update.dropped {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,8 +1,10 @@
 //! The other nodes: who seems alive, and connections to ask them for what they own.
 
 mod demand;
+mod gossip;
 mod link;
 mod loads;
+mod owners;
 mod parts;
 mod proofs;
 mod queue;
@@ -16,30 +18,23 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use elderworks_gateway_core::ledger::MOST_WITNESSES;
 use elderworks_gateway_core::nodes::NodeDirectory;
-use elderworks_gateway_core::ownership::{foremost_owner, rank_owners};
 use elderworks_gateway_core::start::presumes_alive;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
+use elderworks_protocol::encode;
 use elderworks_protocol::feed::{FeedAnswer, FeedQuestion};
 use elderworks_protocol::gateway::GatewayDatagram;
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest, Witness};
-use elderworks_protocol::{decode, encode};
 use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
-use crate::feed;
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
-use demand::DemandTeller;
 use link::Link;
-use loads::{LOAD_INTERVAL, LoadSender};
-use parts::PartTeller;
-use proofs::ProofAsker;
-use quotas::QuotaTeller;
 
+pub(crate) use gossip::probe_nodes;
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
 pub(crate) use zones::{reports as zone_reports, take as take_zone_reports};
@@ -59,18 +54,9 @@
 /// A node whose connection is refused or ends is not asked for this long: a try costs little.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Largest datagram that UDP carries.
-const DATAGRAM_BYTES: usize = 64 * 1024;
-
-/// Most nodes that are told as candidates for a partition: the first that answers is enough.
-const MOST_CANDIDATES: usize = 4;
-
 /// Most nodes that are told of a failing worker.
 const MOST_TOLD: usize = 16;
 
-/// Pause after a failed receive.
-const RECEIVE_BACKOFF: Duration = Duration::from_millis(50);
-
 /// The other nodes.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -122,77 +108,6 @@
         self.alive.borrow().contains(node)
     }
 
-    /// Nodes that should act for a partition, the foremost first, without those that left a
-    /// request unanswered a moment ago.
-    pub(crate) fn candidates(&self, gateway: &Gateway, partition: PartitionId) -> Vec<NodeId> {
-        let avoided = self.avoided.borrow();
-        let now = Instant::now();
-        let is_avoided = |node: &NodeId| avoided.get(node).is_some_and(|until| *until > now);
-        self.ranking(gateway, partition)
-            .iter()
-            .filter(|node| !is_avoided(node))
-            .take(MOST_CANDIDATES)
-            .cloned()
-            .collect()
-    }
-
-    /// Whether this node is the first that should act for a partition, of those that have not left a
-    /// request unanswered a moment ago.
-    pub(crate) fn is_foremost(&self, gateway: &Gateway, partition: PartitionId) -> bool {
-        let avoided = self.avoided.borrow();
-        let now = Instant::now();
-        let is_avoided = |node: &NodeId| avoided.get(node).is_some_and(|until| *until > now);
-        let nodes = gateway.nodes.borrow();
-        let capacity = |node: &NodeId| nodes.get(node).map_or(0, |known| known.record.millicores);
-        let alive = self.alive.borrow();
-        let asked = alive.iter().filter(|node| !is_avoided(node));
-        let foremost = foremost_owner(partition, asked.map(|node| (node, capacity(node))));
-        foremost == Some(&self.own)
-    }
-
-    /// Nodes that can remember something of a partition for this one, the foremost candidates first.
-    pub(crate) fn witnesses(&self, gateway: &Gateway, partition: PartitionId) -> Rc<[Witness]> {
-        if let Some(known) = self.witnesses.borrow().get(&partition) {
-            return known.clone();
-        }
-        let witnesses = self.choose_witnesses(gateway, partition);
-        self.witnesses
-            .borrow_mut()
-            .insert(partition, witnesses.clone());
-        witnesses
-    }
-
-    fn choose_witnesses(&self, gateway: &Gateway, partition: PartitionId) -> Rc<[Witness]> {
-        let ranking = self.ranking(gateway, partition);
-        let nodes = gateway.nodes.borrow();
-        let others = ranking.iter().filter(|node| **node != self.own);
-        let listed = others.filter_map(|node| Some((node, &nodes.get(node)?.record)));
-        listed
-            .filter(|(_, record)| !record.draining)
-            .map(|(node, record)| Witness {
-                node: node.clone(),
-                boot: record.boot,
-            })
-            .take(MOST_WITNESSES)
-            .collect()
-    }
-
-    /// The living nodes in the order in which they should act for a partition.
-    fn ranking(&self, gateway: &Gateway, partition: PartitionId) -> Rc<[NodeId]> {
-        if let Some(known) = self.rankings.borrow().get(&partition) {
-            return known.clone();
-        }
-        let nodes = gateway.nodes.borrow();
-        let alive = self.alive.borrow();
-        let capacity = |node: &NodeId| nodes.get(node).map_or(0, |known| known.record.millicores);
-        let ranked = rank_owners(partition, alive.iter().map(|node| (node, capacity(node))));
-        let ranking: Rc<[NodeId]> = ranked.into_iter().cloned().collect();
-        self.rankings
-            .borrow_mut()
-            .insert(partition, ranking.clone());
-        ranking
-    }
-
     /// Notes that entries have changed, or what is presumed.
     pub(crate) fn note_stale(&self) {
         self.is_stale.set(true);
@@ -456,85 +371,6 @@
     }
 }
 
-/// Probes the others until the process ends.
-pub(crate) async fn gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; DATAGRAM_BYTES];
-    let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut sender = LoadSender::default();
-    let mut part_teller = PartTeller::default();
-    let mut quota_teller = QuotaTeller::default();
-    let mut demand_teller = DemandTeller::default();
-    let mut proof_asker = ProofAsker::default();
-    let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
-    load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        let event = tokio::select! {
-            _ = ticks.tick() => Event::Tick,
-            _ = load_ticks.tick() => {
-                gateway.act_on_node_changes();
-                sender.tell(&gateway, &socket);
-                proof_asker.ask(&gateway, &socket);
-                quota_teller.tell(&gateway, &socket);
-                demand_teller.tell(&gateway, &socket);
-                part_teller.tell(&gateway, &socket);
-                feed::tick(&gateway, &socket);
-                continue;
-            }
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => match decode(&buffer[..length]) {
-                    Ok(GatewayDatagram::Gossip(datagram)) => Event::Received { from, datagram },
-                    Ok(GatewayDatagram::Load(report)) => {
-                        // Its own word may come back to it, and would count its requests twice.
-                        if report.node != gateway.settings.node {
-                            loads::take(&gateway, report);
-                        }
-                        continue;
-                    }
-                    Ok(GatewayDatagram::Quota(report)) => {
-                        quotas::take(&gateway, report);
-                        continue;
-                    }
-                    Ok(GatewayDatagram::Parts(report)) => {
-                        parts::take(&gateway, report);
-                        continue;
-                    }
-                    Ok(GatewayDatagram::Demand(report)) => {
-                        demand::take(&gateway, report);
-                        continue;
-                    }
-                    Ok(GatewayDatagram::ProofAsked(question)) => {
-                        proofs::tell(&gateway, &socket, from, question);
-                        continue;
-                    }
-                    Ok(GatewayDatagram::Beat(beat)) => {
-                        feed::take_beat(&gateway, from, &beat);
-                        continue;
-                    }
-                    Ok(GatewayDatagram::Zones(reports)) => {
-                        zones::take(&gateway, &reports);
-                        continue;
-                    }
-                    Ok(GatewayDatagram::ProofTold(answer)) => {
-                        proof_asker.take(&gateway, from, &answer);
-                        continue;
-                    }
-                    Err(_) => continue,
-                },
-                Err(_) => {
-                    // An earlier datagram was answered by "port unreachable", for example.
-                    actix_rt::time::sleep(RECEIVE_BACKOFF).await;
-                    continue;
-                }
-            },
-        };
-        let effects = gateway.peers.handle(&gateway, event);
-        gateway.peers.carry_out(&gateway, &socket, effects);
-        gateway.peers.end_presumption(&gateway);
-        gateway.act_on_node_changes();
-    }
-}
-
 /// Most names in one line of the log.
 const NAMES_LISTED: usize = 12;
 
--- /dev/null
+++ b/crates/gateway/src/peers/gossip.rs
@@ -0,0 +1,103 @@
+//! The loop that probes other nodes, tells them this node's reports and takes theirs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderworks_membership::Event;
+use elderworks_protocol::decode;
+use elderworks_protocol::gateway::GatewayDatagram;
+use tokio::net::UdpSocket;
+
+use super::demand::{self, DemandTeller};
+use super::loads::{self, LOAD_INTERVAL, LoadSender};
+use super::parts::{self, PartTeller};
+use super::proofs::{self, ProofAsker};
+use super::quotas::{self, QuotaTeller};
+use super::{PROBE_INTERVAL, zones};
+use crate::feed;
+use crate::gateway::Gateway;
+
+/// Largest datagram that UDP carries.
+const DATAGRAM_BYTES: usize = 64 * 1024;
+
+/// Pause after a failed receive.
+const RECEIVE_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Probes the others until the process ends.
+pub(crate) async fn probe_nodes(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut sender = LoadSender::default();
+    let mut part_teller = PartTeller::default();
+    let mut quota_teller = QuotaTeller::default();
+    let mut demand_teller = DemandTeller::default();
+    let mut proof_asker = ProofAsker::default();
+    let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
+    load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let event = tokio::select! {
+            _ = ticks.tick() => Event::Tick,
+            _ = load_ticks.tick() => {
+                gateway.act_on_node_changes();
+                sender.tell(&gateway, &socket);
+                proof_asker.ask(&gateway, &socket);
+                quota_teller.tell(&gateway, &socket);
+                demand_teller.tell(&gateway, &socket);
+                part_teller.tell(&gateway, &socket);
+                feed::tick(&gateway, &socket);
+                continue;
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => match decode(&buffer[..length]) {
+                    Ok(GatewayDatagram::Gossip(datagram)) => Event::Received { from, datagram },
+                    Ok(GatewayDatagram::Load(report)) => {
+                        // Its own word may come back to it, and would count its requests twice.
+                        if report.node != gateway.settings.node {
+                            loads::take(&gateway, report);
+                        }
+                        continue;
+                    }
+                    Ok(GatewayDatagram::Quota(report)) => {
+                        quotas::take(&gateway, report);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::Parts(report)) => {
+                        parts::take(&gateway, report);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::Demand(report)) => {
+                        demand::take(&gateway, report);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::ProofAsked(question)) => {
+                        proofs::tell(&gateway, &socket, from, question);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::Beat(beat)) => {
+                        feed::take_beat(&gateway, from, &beat);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::Zones(reports)) => {
+                        zones::take(&gateway, &reports);
+                        continue;
+                    }
+                    Ok(GatewayDatagram::ProofTold(answer)) => {
+                        proof_asker.take(&gateway, from, &answer);
+                        continue;
+                    }
+                    Err(_) => continue,
+                },
+                Err(_) => {
+                    // An earlier datagram was answered by "port unreachable", for example.
+                    actix_rt::time::sleep(RECEIVE_BACKOFF).await;
+                    continue;
+                }
+            },
+        };
+        let effects = gateway.peers.handle(&gateway, event);
+        gateway.peers.carry_out(&gateway, &socket, effects);
+        gateway.peers.end_presumption(&gateway);
+        gateway.act_on_node_changes();
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -8,7 +8,7 @@
 use elderworks_gateway_core::departures::Departures;
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::drain::{DrainPlan, DrainStep};
-use elderworks_gateway_core::feed::roles::EARLY_NODES;
+use elderworks_gateway_core::feed::roles::seems_small;
 use elderworks_gateway_core::nodes::NodeRecord;
 use elderworks_gateway_core::start::Milestone;
 use elderworks_protocol::encode;
@@ -93,7 +93,7 @@
     actix_rt::spawn(watch::prove_configuration(gateway.clone()));
     actix_rt::spawn(watch::follow_workers(gateway.clone()));
     actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
-    actix_rt::spawn(peers::gossip(gateway.clone(), gossip_socket.clone()));
+    actix_rt::spawn(peers::probe_nodes(gateway.clone(), gossip_socket.clone()));
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
     actix_rt::spawn(tell_log_calls(gateway.clone()));
     Ok(Running {
@@ -139,13 +139,24 @@
             callers: listen_if_given(&mut settings.callers)?,
             readiness: listen_if_given(&mut settings.readiness)?,
             registry: listen_if_given(&mut settings.registry)?,
-            metrics: listen_if_given(&mut settings.metrics)?,
+            metrics: listen_for_metrics(settings),
             peers,
             gossip,
         })
     }
 }
 
+/// A process that cannot show its counters serves nevertheless.
+fn listen_for_metrics(settings: &mut GatewaySettings) -> Option<TcpListener> {
+    match listen_if_given(&mut settings.metrics) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(error = error.to_string().as_str(); "counters are not shown");
+            None
+        }
+    }
+}
+
 fn listen_if_given(address: &mut Option<SocketAddr>) -> eyre::Result<Option<TcpListener>> {
     address.as_mut().map(listen_at).transpose()
 }
@@ -163,7 +174,7 @@
     let incarnation = write_entry(&gateway).await;
     let listed = u64::from(gateway.nodes.borrow().count());
     let written = incarnation.0.saturating_sub(before.map_or(0, |end| end.0));
-    gateway.feed.begin(listed + written <= EARLY_NODES);
+    gateway.feed.begin(seems_small(listed, written));
     // Known after the entry is written: of two nodes that start together, one sees the other.
     let end = await_entries(&gateway, before).await;
     actix_rt::spawn(watch::follow_nodes(gateway.clone(), end));
--- /dev/null
+++ b/crates/gateway/src/watch/nodes.rs
@@ -0,0 +1,114 @@
+//! The stream of the nodes' entries.
+
+use std::rc::Rc;
+
+use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::nodes::NodeRecord;
+use elderworks_gateway_core::stream_reads::ReadTimes;
+use elderworks_protocol::decode;
+use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
+
+use super::{Follower, PROOF_TIMEOUT, follow, limits, read_more, read_newest};
+use crate::gateway::Gateway;
+use crate::ports::{StoreError, StreamRecord};
+use crate::{peers, process};
+
+/// Reads the nodes' entries once, from an offset on or else the newest of each, and tells where they
+/// end.
+pub(crate) async fn read_nodes(
+    gateway: &Rc<Gateway>,
+    from: Option<Offset>,
+) -> Result<Offset, StoreError> {
+    let Some(mut next) = from else {
+        let (records, end) = read_newest::<NodeFollower>(gateway)
+            .await?
+            .unwrap_or_default();
+        NodeFollower::take_all(gateway, &records, end);
+        gateway.feed.note_nodes_end(end);
+        return Ok(end);
+    };
+    loop {
+        let limits = limits(ReadTimes::at_once(PROOF_TIMEOUT));
+        let progress = read_more::<NodeFollower>(gateway, next, limits).await?;
+        next = progress.next;
+        if progress.is_complete {
+            gateway.feed.note_nodes_end(next);
+            return Ok(next);
+        }
+    }
+}
+
+/// Follows the nodes' entries from an offset on until the process ends.
+pub(crate) async fn follow_nodes(gateway: Rc<Gateway>, from: Offset) {
+    follow::<NodeFollower>(gateway, Some(from)).await;
+}
+
+struct NodeFollower;
+
+impl Follower for NodeFollower {
+    const STREAM: Stream = Stream::Nodes;
+
+    fn take_all(gateway: &Rc<Gateway>, records: &[StreamRecord], _end: Offset) {
+        take_nodes(gateway, records);
+    }
+
+    fn take_more(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+        take_nodes(gateway, records);
+    }
+
+    fn note_current(gateway: &Gateway, _sent: Timestamp, end: Offset) {
+        gateway.feed.note_nodes_end(end);
+    }
+
+    fn resume_at(gateway: &Gateway) -> Option<Offset> {
+        gateway.feed.nodes_end()
+    }
+}
+
+/// Takes entries of nodes. However many have changed, what follows from them is worked out once.
+pub(crate) fn take_nodes(gateway: &Rc<Gateway>, records: &[StreamRecord]) {
+    let changed = records.iter().filter(|record| take_node(gateway, record));
+    let changed: Vec<&StreamRecord> = changed.collect();
+    let Some(last) = changed.last() else {
+        return;
+    };
+    let names = changed.iter().filter_map(|record| record.key.as_deref());
+    log::info!(
+        count = changed.len(), nodes = peers::listing(names), offset = last.offset.0;
+        "nodes' entries changed"
+    );
+    gateway.peers.note_stale();
+    gateway.note_node_changes();
+}
+
+/// Takes the entry of a node; tells whether anything has changed.
+fn take_node(gateway: &Rc<Gateway>, record: &StreamRecord) -> bool {
+    let Some(name) = record.key.as_deref() else {
+        return false;
+    };
+    let node = NodeId::new(name);
+    if record.value.is_empty() {
+        return drop_node(gateway, &node, record.offset);
+    }
+    match decode::<NodeRecord>(&record.value) {
+        Ok(content) => {
+            let incarnation = Incarnation(record.offset.0);
+            let mut nodes = gateway.nodes.borrow_mut();
+            nodes.upsert(node, incarnation, content)
+        }
+        Err(error) => {
+            log::error!(node = name, error = error.to_string().as_str(); "node's entry cannot be read");
+            false
+        }
+    }
+}
+
+/// The entry of a node was dropped; tells whether that changes anything.
+fn drop_node(gateway: &Rc<Gateway>, node: &NodeId, offset: Offset) -> bool {
+    if *node == gateway.settings.node {
+        log::warn!(offset = offset.0; "this node's entry was dropped; writing it again");
+        actix_rt::spawn(process::restore_entry(gateway.clone()));
+        return false;
+    }
+    gateway.nodes.borrow_mut().remove(node, offset)
+}
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -1,6 +1,7 @@
 //! What nodes that read the log's streams tell the other nodes of their zone.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use elderworks_types::{NodeId, Offset};
@@ -88,17 +89,17 @@
     /// Whether `used` are all workers in use, in place of what was known.
     pub is_whole: bool,
     /// Workers that are used or have changed.
-    pub used: Vec<WorkerCopy>,
+    pub used: Vec<WorkerRecord>,
     /// Workers that are not used any more.
     pub dropped: Vec<String>,
 }
 
-/// A worker's entry.
+/// A worker's own entry in the directory of workers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WorkerCopy {
-    /// Names the worker.
+pub struct WorkerRecord {
+    /// Names the worker. One that starts again may keep it: see [`Self::born`].
     pub id: String,
-    /// Its service.
+    /// Service that it belongs to.
     pub service: String,
     /// Where it takes requests.
     pub address: SocketAddr,
@@ -106,10 +107,20 @@
     pub zone: String,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Whether it is leaving.
+    /// Whether it is leaving and takes no new work.
     pub draining: bool,
-    /// How much longer it is cold, in milliseconds.
-    pub cold_left_ms: u64,
-    /// Names its start, together with the id.
+    /// How much longer it is cold, counted from when the entry was written.
+    pub cold_left: Duration,
+    /// Names the start of the worker together with the id; larger in later ones. 0 where workers do
+    /// not tell.
     pub born: u64,
 }
+
+impl WorkerRecord {
+    /// Whether two entries say the same of a worker, but for how long it stays cold.
+    pub fn is_alike(&self, other: &Self) -> bool {
+        let mut other = other.clone();
+        other.cold_left = self.cold_left;
+        *self == other
+    }
+}
