gateway: interfaces of the parts for two new customers; each reason without leave has its own message

Cause: five parts are to be built side by side (docs/design/new-customers.md), and two of them speak to engines, of which nothing was read so far. One message stood for four reasons for which a turn has no leave, so no operator could tell a log that is away from a budget in doubt.

NoLeave names four reasons, each with its message and so its counter of refusals. No behaviour changes but these messages.

The calls to engines have no test yet; the parts bring them.

--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -247,7 +247,18 @@
         "no configuration is known yet" => {
             "the node had just started or cannot read the log".to_owned()
         }
-        "the program's ledger cannot be asked now" => no_leave(&saw),
+        "the program's ledger cannot be asked now"
+        | "the program's ledger has not answered in time" => no_leave(&saw),
+        "another node has yet to settle the program's budget" => {
+            "what another owner has set aside for the program decides whether the budget holds the \
+             turn; it settles within seconds, or is lost"
+                .to_owned()
+        }
+        "a lost node may have spent the program's budget" => {
+            "an owner that is gone may have let turns run on its overdraft; look for `witness asked` \
+             on the present owner"
+                .to_owned()
+        }
         "no worker takes the request now" => {
             "every worker tried refused it; the attempts say why, none at all means that none was \
              listed"
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -80,6 +80,25 @@
     pub tokens_per_event: u32,
     /// Longest time that an engine pins a finished request's memory.
     pub longest_pin: Duration,
+    /// What engines can do with the memory of each other.
+    pub memory_moves: MemoryMoves,
+}
+
+/// How engines of one service pass memory to each other.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MemoryMoves {
+    /// Bytes of one token in memory; 0 if engines pass nothing on.
+    pub token_bytes: u64,
+    /// Speed of an engine's link in megabits a second.
+    pub link_mbps: f64,
+    /// Whether a run can be moved to another engine.
+    pub moves_runs: bool,
+    /// Whether a run's memory can be copied to another engine while it runs.
+    pub backs_up_runs: bool,
+    /// How long an engine keeps a copy that nobody uses.
+    pub copies_last: Duration,
+    /// Calls for memory events that one engine holds at a time.
+    pub most_event_calls: u32,
 }
 
 /// One service: workers that run the same requests.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -264,6 +264,9 @@
             priority: self.engine_priority(),
             tenant: self.sender.tenant.as_deref(),
             last_event_id,
+            prompt_source: &target.prompt_source,
+            backup_at: target.backup_at,
+            pin: None,
         };
         self.gateway
             .platform
@@ -306,10 +309,7 @@
         if let Some(is_at_home) = balancer::is_at_home(&workers, &query, worker) {
             self.gateway.metrics.note_placement(is_at_home);
         }
-        Ok(Target {
-            worker: worker.record.id.clone(),
-            address: worker.record.address,
-        })
+        Ok(Target::plain(&worker.record))
     }
 
     /// The turn as an engine sees it, if the request is one.
@@ -369,10 +369,7 @@
         let known = workers.get(worker)?;
         let may_get = workers.is_open(known) && !workers.is_held_back(known, now);
         let is_fit = may_get && !known.is_ejected(now);
-        is_fit.then(|| Target {
-            worker: worker.to_owned(),
-            address: known.record.address,
-        })
+        is_fit.then(|| Target::plain(&known.record))
     }
 }
 
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -167,10 +167,7 @@
         let same = workers
             .get(worker)
             .filter(|known| workers.is_open(known) && !workers.is_held_back(known, now))
-            .map(|known| Target {
-                worker: worker.to_owned(),
-                address: known.record.address,
-            });
+            .map(|known| Target::plain(&known.record));
         Ok(same)
     }
 
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -288,7 +288,7 @@
             .clamp(SHORTEST_WAIT, LONGEST_WAIT);
         let asking = self.ask_for_leave(partition, begin, &lease.asked);
         let Ok(answered) = actix_rt::time::timeout(longest, asking).await else {
-            return Err(ledger_unavailable());
+            return Err(NoLeave::TooSlow.refusal());
         };
         lease.granter = answered.by;
         match answered.reply {
@@ -305,7 +305,7 @@
                 Err(Refusal::fault(Fault::NotFound, "no such turn is kept"))
             }
             // The lease settles a reservation that was made nevertheless.
-            _ => Err(ledger_unavailable()),
+            reply => Err(NoLeave::of_reply(&reply).refusal()),
         }
     }
 
@@ -337,8 +337,40 @@
     }
 }
 
-/// Leave is asked for before the first attempt.
-fn ledger_unavailable() -> Refusal {
-    let reason = "the program's ledger cannot be asked now";
-    Refusal::not_run_until(NotRun::before_any_attempt(), reason, LEDGER_RETRY)
+/// Why a turn has no leave yet: it may be asked for again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoLeave {
+    /// No node could carry the request out: the log does not answer them.
+    LogAway,
+    /// No reply came while the caller had time for another try.
+    TooSlow,
+    /// Another owner will soon settle what decides whether the budget holds the turn.
+    BudgetUnsure,
+    /// An owner that is lost may have spent what the budget lacks for the turn.
+    BudgetInDoubt,
+}
+
+impl NoLeave {
+    /// What a reply that grants and denies nothing means.
+    fn of_reply(reply: &LedgerReply) -> Self {
+        match reply {
+            LedgerReply::BudgetUnsure => Self::BudgetUnsure,
+            LedgerReply::BudgetInDoubt => Self::BudgetInDoubt,
+            _ => Self::LogAway,
+        }
+    }
+
+    fn reason(self) -> &'static str {
+        match self {
+            Self::LogAway => "the program's ledger cannot be asked now",
+            Self::TooSlow => "the program's ledger has not answered in time",
+            Self::BudgetUnsure => "another node has yet to settle the program's budget",
+            Self::BudgetInDoubt => "a lost node may have spent the program's budget",
+        }
+    }
+
+    /// Leave is asked for before the first attempt.
+    fn refusal(self) -> Refusal {
+        Refusal::not_run_until(NotRun::before_any_attempt(), self.reason(), LEDGER_RETRY)
+    }
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,6 +9,9 @@
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::directory::Stream;
+use elderworks_gateway_core::engines::{
+    EngineReport, MemoryEvents, MemoryListing, MoveOutcome, PromptSource, RunMove,
+};
 use elderworks_gateway_core::workers::WorkerRecord;
 use elderworks_types::Offset;
 use futures_util::future::LocalBoxFuture;
@@ -113,6 +116,26 @@
     pub tenant: Option<&'a str>,
     /// Last event passed on, if the request goes on with a stream.
     pub last_event_id: Option<&'a str>,
+    /// Where an engine takes the prompt from.
+    pub prompt_source: &'a PromptSource,
+    /// The engine to which the run's memory is copied while it runs.
+    pub backup_at: Option<SocketAddr>,
+    /// How long an engine keeps what the request has read and made from giving way.
+    pub pin: Option<Duration>,
+}
+
+/// Why a call to an engine's own interface has brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EngineError {
+    /// Nothing was done.
+    #[error("the engine refused the call: {0}")]
+    Refused(String),
+    /// No answer came in time: what was asked for may have been done.
+    #[error("no answer from the engine: {0}")]
+    Unknown(String),
+    /// The answer cannot be read.
+    #[error("the engine's answer cannot be read: {0}")]
+    Format(String),
 }
 
 /// A call to the gateway's own addresses.
@@ -191,4 +214,41 @@
 
     /// Body of the answer to [`EntryCall::Resolve`]; JSON.
     fn resolve_answer(&self, addresses: &[SocketAddr], valid_for: Duration) -> Bytes;
+
+    /// What an engine reports of itself.
+    fn engine_report(
+        &self,
+        engine: SocketAddr,
+    ) -> LocalBoxFuture<'_, Result<EngineReport, EngineError>>;
+
+    /// Changes of what an engine keeps, behind those that `since` (the last `next`) names. The
+    /// engine holds the call for up to `wait` until there are any.
+    fn memory_events(
+        &self,
+        engine: SocketAddr,
+        since: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<MemoryEvents, EngineError>>;
+
+    /// Everything that an engine keeps; holds the engine up.
+    fn memory_listing(
+        &self,
+        engine: SocketAddr,
+    ) -> LocalBoxFuture<'_, Result<MemoryListing, EngineError>>;
+
+    /// Has a run's memory copied; answered once the copy is whole. No answer within `timeout` is
+    /// [`EngineError::Unknown`].
+    fn move_run<'a>(
+        &'a self,
+        engine: SocketAddr,
+        wanted: &'a RunMove,
+        timeout: Duration,
+    ) -> LocalBoxFuture<'a, Result<MoveOutcome, EngineError>>;
+
+    /// Frees a copy at the engine that it was made from, and at the one that holds it.
+    fn free_copy<'a>(
+        &'a self,
+        engine: SocketAddr,
+        handle: &'a str,
+    ) -> LocalBoxFuture<'a, Result<(), EngineError>>;
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -9,7 +9,9 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use elderworks_gateway_core::attempt::SendMark;
+use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::pressure::HeldFor;
+use elderworks_gateway_core::workers::WorkerRecord;
 use prometheus_client::metrics::counter::Counter;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -52,6 +54,22 @@
     pub(crate) worker: String,
     /// Its address.
     pub(crate) address: SocketAddr,
+    /// Where an engine takes the prompt from.
+    pub(crate) prompt_source: PromptSource,
+    /// The engine to which the run's memory is copied while it runs.
+    pub(crate) backup_at: Option<SocketAddr>,
+}
+
+impl Target {
+    /// A worker that reads the whole prompt itself.
+    pub(crate) fn plain(record: &WorkerRecord) -> Self {
+        Self {
+            worker: record.id.clone(),
+            address: record.address,
+            prompt_source: PromptSource::Read,
+            backup_at: None,
+        }
+    }
 }
 
 /// What an exchange needs besides the request.
