ledger: no overdraft where every turn is kept; a budget in doubt is asked about seldom

Witnesses are gone with the owners, so a third of each budget is held back for 20 minutes. All of K's turns are kept: none can end while the log is away, so an overdraft lets turns begin in vain, and costs programs that could run. Ruled out: calls to the log that fail (none beside them).

Change: an owner keeps an overdraft open only while the configuration has streams whose turns are not kept; one that stands is closed otherwise. What remains in doubt elsewhere is refused with 30 s to come back in place of 0.9 s. Deployments with other streams are served as before.

--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -67,6 +67,11 @@
             RouteKind::Streaming => self.resumable,
         }
     }
+
+    /// Whether its answers are streams that end without a record of what was said.
+    pub fn is_unkept_stream(&self) -> bool {
+        self.kind == RouteKind::Streaming && !self.keeps_turns
+    }
 }
 
 /// Model engines behind a service.
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -75,6 +75,8 @@
     wallets: Wallets,
     /// Whether other nodes send their requests here.
     is_preferred: bool,
+    /// Whether turns can end while the log is away, so that an overdraft is of use to them.
+    serves_without_log: bool,
     /// The offset behind the last record applied.
     end: Offset,
     /// Whether nothing is in doubt since the log was last read to its end.
@@ -112,6 +114,7 @@
             state: LedgerState::default(),
             wallets: Wallets::new(name),
             is_preferred: true,
+            serves_without_log: true,
             end: Offset(0),
             is_synced: false,
             jobs: Vec::new(),
@@ -289,6 +292,13 @@
         self.is_preferred = is_preferred;
     }
 
+    /// Tells whether any turn that may be asked for can end while the log is away. One that is to be
+    /// kept cannot: whatever it drew on an overdraft would be spent in vain, and a lost overdraft
+    /// holds budgets back.
+    pub fn set_serves_without_log(&mut self, serves: bool) {
+        self.serves_without_log = serves;
+    }
+
     /// Whether the log is taken to be down.
     pub fn is_down(&self) -> bool {
         self.failures_in_a_row >= FAILURES_BEFORE_DOWN
--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -98,7 +98,7 @@
     /// Whether an append should not wait for requests: something was drawn that does not stand in
     /// the log, or an overdraft is to be closed.
     pub(super) fn must_change_overdrafts(&self, now: Timestamp) -> bool {
-        let is_unwanted = !self.is_preferred || self.is_ill_suited();
+        let is_unwanted = !self.is_wanted() || self.is_ill_suited();
         self.wallets.has_overdrawn()
             || self.overdraft.to_close(now, is_unwanted).is_some()
             || self.is_preferred && self.fencing.unused(&self.state).next().is_some()
@@ -123,7 +123,7 @@
 
     /// Closes the own overdraft if its time has come, and those of others that are surely unused.
     fn plan_closings(&mut self, now: Timestamp, plan: &mut Plan) -> Vec<String> {
-        let is_unwanted = !self.is_preferred || self.lacks_witnesses() || self.is_ill_suited();
+        let is_unwanted = !self.is_wanted() || self.lacks_witnesses() || self.is_ill_suited();
         let mut closed: Vec<String> = Vec::new();
         if let Some(overdraft) = self.overdraft.to_close(now, is_unwanted) {
             closed.push(overdraft.to_owned());
@@ -186,7 +186,13 @@
     }
 
     fn can_open_overdraft(&self) -> bool {
-        self.policy.overdrafts && self.witnesses.len() >= FEWEST_WITNESSES
+        let is_of_use = self.policy.overdrafts && self.serves_without_log;
+        is_of_use && self.witnesses.len() >= FEWEST_WITNESSES
+    }
+
+    /// Whether this owner is to keep an overdraft open.
+    fn is_wanted(&self) -> bool {
+        self.is_preferred && self.serves_without_log
     }
 
     /// The least budget for which an overdraft serves: a turn of the usual size fits into its
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -773,3 +773,77 @@
         }
     }
 }
+
+/// An owner of a partition whose turns are all to be kept: none can end while the log is away.
+fn owner_of_kept_turns() -> PartitionOwner {
+    let mut owner = PartitionOwner::new("owner".to_owned());
+    owner.set_witnesses(witnesses(&[1, 2, 3]).into());
+    owner.set_serves_without_log(false);
+    owner.next_action(START);
+    owner.on_read(START, nothing(0));
+    owner
+}
+
+#[test]
+fn no_overdraft_is_opened_where_every_turn_is_kept() {
+    let mut owner = owner_of_kept_turns();
+    assert!(matches!(owner.next_action(START), Action::Wait { .. }));
+    owner.submit(START, Ticket(1), begin("one", 90, 10));
+    let records = appended(&mut owner, START);
+    assert!(
+        matches!(records[..], [LedgerRecord::Reserved { .. }]),
+        "{records:?}"
+    );
+    owner.note_slow_call(START);
+    assert_eq!(owner.take_inquiries(), []);
+    assert_eq!(granted(&mut owner), 0, "the turn waits for the log");
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(granted(&mut owner), 1);
+}
+
+#[test]
+fn an_overdraft_is_closed_once_every_turn_is_kept() {
+    let mut owner = standing();
+    owner.set_serves_without_log(false);
+    let records = appended(&mut owner, START);
+    assert!(
+        matches!(records[..], [LedgerRecord::OverdraftClosed { .. }]),
+        "{records:?}"
+    );
+    owner.on_append(START, AppendOutcome::Done);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::None);
+    assert!(matches!(owner.next_action(START), Action::Wait { .. }));
+}
+
+/// All machines are lost after a program's first turn, of a budget that holds nine; whoever takes the
+/// partition over grants all that is left but for what the lost owner had set aside.
+#[test]
+fn after_a_loss_of_all_kept_turns_are_held_back_for_advances_alone() {
+    let mut lost = owner_of_kept_turns();
+    lost.submit(START, Ticket(1), begin("one", 90, 10));
+    let records = appended(&mut lost, START);
+    let [LedgerRecord::Reserved { tokens, .. }] = &records[..] else {
+        panic!("{records:?}");
+    };
+    let set_aside = *tokens;
+    let mut owner = PartitionOwner::new("successor".to_owned());
+    owner.set_witnesses(witnesses(&[11, 12, 13]).into());
+    owner.set_serves_without_log(false);
+    owner.next_action(START);
+    let end = Offset(records.len() as u64);
+    let records = records.into_iter().map(Some).collect();
+    owner.on_read(START, ReadOutcome::Records { records, end });
+    let mut turns = 0;
+    for number in 0..9 {
+        owner.submit(
+            START,
+            Ticket(number),
+            begin(&format!("turn-{number}"), 90, 10),
+        );
+        if let Action::Append { .. } = owner.next_action(START) {
+            owner.on_append(START, AppendOutcome::Done);
+        }
+        turns += granted(&mut owner) as u64;
+    }
+    assert_eq!(turns, (90 - set_aside) / 10);
+}
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -42,6 +42,10 @@
 /// rather than moments; the caller shortens this if it has less time.
 const LEDGER_RETRY: Duration = Duration::from_millis(900);
 
+/// When to come back while it is in doubt whether a budget is spent: whoever could tell is gone, so
+/// nothing changes soon.
+const DOUBT_RETRY: Duration = Duration::from_secs(30);
+
 /// Pause between two reports.
 const FINISH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -369,8 +373,16 @@
         }
     }
 
+    fn retry_after(self) -> Duration {
+        match self {
+            Self::LogAway | Self::TooSlow | Self::BudgetUnsure => LEDGER_RETRY,
+            Self::BudgetInDoubt => DOUBT_RETRY,
+        }
+    }
+
     /// Leave is asked for before the first attempt.
     fn refusal(self) -> Refusal {
-        Refusal::not_run_until(NotRun::before_any_attempt(), self.reason(), LEDGER_RETRY)
+        let shown = NotRun::before_any_attempt();
+        Refusal::not_run_until(shown, self.reason(), self.retry_after())
     }
 }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::append_pace::{AppendPace, Paces, Urgency};
+use elderworks_gateway_core::config::Route;
 use elderworks_gateway_core::ledger::{
     Action, Inquiry, OverdraftUse, PartitionOwner, RETENTION, SLOW_CALL, Ticket,
 };
@@ -97,6 +98,7 @@
             }
             self.collect(&mut inbox).await;
             self.owner.set_preferred(self.is_preferred());
+            self.owner.set_serves_without_log(self.serves_without_log());
             let witnesses = self.gateway.peers.witnesses(&self.gateway, self.partition);
             self.owner.set_witnesses(witnesses);
             let action = self.owner.next_action(self.gateway.now());
@@ -266,6 +268,13 @@
         candidates.first() == Some(&self.gateway.settings.node)
     }
 
+    /// Whether the configuration has streams whose turns are not kept. Without a configuration nothing
+    /// is served.
+    fn serves_without_log(&self) -> bool {
+        let config = self.gateway.current_config();
+        config.is_some_and(|config| config.routes.iter().any(Route::is_unkept_stream))
+    }
+
     fn retention(&self) -> Duration {
         let longest = self.gateway.current_config().and_then(|config| {
             let times = config.routes.iter().map(|route| route.keep_for);
