gateway-core: what engines keep of prompts: reading, telling, believing, fetching

Cause: nothing that engines say of their memory is read. Change: pure state for the events and lists of an engine, when to call for them, which node does, what others are told, how long it is believed, and whether an engine takes a prompt's first part from another one. Off by default.

--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -101,6 +101,18 @@
     pub most_event_calls: u32,
 }
 
+impl MemoryMoves {
+    /// Engines that pass nothing on and tell nothing.
+    pub const NONE: Self = Self {
+        token_bytes: 0,
+        link_mbps: 0.0,
+        moves_runs: false,
+        backs_up_runs: false,
+        copies_last: Duration::ZERO,
+        most_event_calls: 0,
+    };
+}
+
 /// One service: workers that run the same requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod departures;
 pub mod directory;
 pub mod drain;
+pub mod engine_memory;
 pub mod engines;
 pub mod evacuations;
 pub mod events;
--- a/crates/gateway-core/src/placement/demand.rs
+++ b/crates/gateway-core/src/placement/demand.rs
@@ -143,6 +143,17 @@
         uses
     }
 
+    /// Parts that turns ask for here or elsewhere, those asked for most.
+    pub fn most_wanted(&self, most: usize) -> Vec<PartKey> {
+        if self.shares.len() <= most {
+            return self.shares.keys().copied().collect();
+        }
+        let mut wanted: Vec<(PartKey, PartUse)> = self.all_demand().into_iter().collect();
+        wanted.sort_by(|(_, one), (_, other)| other.turns.total_cmp(&one.turns));
+        wanted.truncate(most);
+        wanted.into_iter().map(|(part, _)| part).collect()
+    }
+
     /// Share of the engines that is home to a part; all of them if nothing is known of it.
     pub fn share(&self, part: PartKey) -> f64 {
         self.shares.get(&part).copied().unwrap_or(1.0)
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -37,6 +37,11 @@
     /// Turns for engines go first to those that are home to the first part of their prompt, in
     /// whichever zone: a zone of its own has too few homes of a part to spread its load.
     pub part_homes: bool,
+    /// What engines keep of prompts is read from them, where they tell it.
+    pub engine_reading: bool,
+    /// Engines that are known to lack the first part of a prompt take it from one that holds it; needs
+    /// [`Self::engine_reading`].
+    pub prompt_fetches: bool,
     /// Workers that fail are left alone for a while.
     pub ejection: bool,
     /// Nodes tell each other of workers that they leave alone.
@@ -114,6 +119,8 @@
             load_bound: 1.25,
             calm_share: 0.75,
             part_homes: true,
+            engine_reading: false,
+            prompt_fetches: false,
             ejection: true,
             ejection_reports: true,
             silence: true,
--- a/crates/gateway-core/src/workers/mod.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -1,6 +1,7 @@
 //! What one node knows of the workers: their records, its own requests there, and their failures.
 
 mod demand;
+mod memory;
 mod restraint;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,6 +11,8 @@
 use elderworks_types::{NodeId, Timestamp};
 
 use crate::cold::ColdSenders;
+use crate::engine_memory::beliefs::EngineMemories;
+use crate::engine_memory::fetching::FetchBook;
 use crate::peer_loads::{PeerLoads, WorkerKey};
 use crate::placement::demand::PartDemand;
 use crate::policy::Policy;
@@ -97,6 +100,11 @@
         }
     }
 
+    /// What stands for its id in reports.
+    pub fn key(&self) -> WorkerKey {
+        self.key
+    }
+
     /// Whether it started a short while ago and bears little.
     pub fn is_cold(&self, now: Timestamp) -> bool {
         now < self.cold_until
@@ -116,6 +124,10 @@
     peer_loads: PeerLoads,
     /// Demand for first parts of prompts, by service of engines.
     parts: BTreeMap<String, PartDemand>,
+    /// What is believed of the engines' memory.
+    memories: EngineMemories,
+    /// Parts that engines were told to take from others of late.
+    fetches: FetchBook,
     /// Zones whose workers are to get nothing more.
     closed_zones: BTreeSet<String>,
     /// Who may send to cold workers.
@@ -177,6 +189,7 @@
         match self.workers.insert(worker.record.id.clone(), worker) {
             Some(_) => {
                 self.peer_loads.forget_worker(key);
+                self.memories.forget(key);
                 Taken::Reborn
             }
             None => Taken::Changed,
@@ -250,7 +263,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.workers.remove(id);
+            if let Some(worker) = self.workers.remove(id) {
+                self.memories.forget(worker.key);
+            }
         }
         gone
     }
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -29,6 +29,31 @@
     /// How far a reader of the log's streams has read. Passed over by earlier versions as well, which
     /// so are never asked for news.
     Beat(FeedBeat),
+    /// What engines that the sender reads keep of prompts. Passed over by earlier versions.
+    Memory(MemoryReport),
+}
+
+/// What engines keep of prompts. It takes the place of earlier reports on the same engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemoryReport {
+    /// The sender.
+    pub node: NodeId,
+    /// By engine.
+    pub engines: Vec<EngineMemoryReport>,
+}
+
+/// What one engine keeps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineMemoryReport {
+    /// Stands for the engine's id.
+    pub engine: u32,
+    /// The start of the engine that this is about.
+    pub born: u64,
+    /// How long before the report the engine was heard, in milliseconds.
+    pub age_ms: u32,
+    /// Tokens kept of parts that turns ask for, by what stands for the part's name; 0 of those that
+    /// are not kept. Nothing is known of parts that are left out.
+    pub parts: Vec<(u32, u64)>,
 }
 
 /// The operator's latest wish for one zone.
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -2,7 +2,9 @@
 //! other must read. The bytes here are those of the version before.
 
 use elderworks_protocol::feed::FeedBeat;
-use elderworks_protocol::gateway::{ConfigProofAnswer, GatewayDatagram, LoadReport};
+use elderworks_protocol::gateway::{
+    ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, LoadReport, MemoryReport,
+};
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{NodeId, Offset, PartitionId};
@@ -98,9 +100,19 @@
         workers_revision: 0,
         zones: Vec::new(),
     };
+    let memory = MemoryReport {
+        node: NodeId::new("n1"),
+        engines: vec![EngineMemoryReport {
+            engine: 1,
+            born: 2,
+            age_ms: 3,
+            parts: vec![(4, 5)],
+        }],
+    };
     for datagram in [
         GatewayDatagram::Zones(Vec::new()),
         GatewayDatagram::Beat(beat),
+        GatewayDatagram::Memory(memory),
     ] {
         assert!(kind(&encode(&datagram)) > LAST_KNOWN_DATAGRAM);
     }
