gateway: engines' events are read by few nodes and told to those that take callers

Change: a task for each engine that is this node's to read, a datagram behind the last kind, the source of a prompt at first attempts, counters, log lines.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -10,7 +10,8 @@
 use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
-use elderworks_gateway_core::config::{Route, ServingConfig};
+use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
+use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartKey};
 use elderworks_gateway_core::workers::{WorkerLife, idle_connections_share};
 
@@ -309,7 +310,25 @@
         if let Some(is_at_home) = balancer::is_at_home(&workers, &query, worker) {
             self.gateway.metrics.note_placement(is_at_home);
         }
-        Ok(Target::plain(&worker.record))
+        let mut target = Target::plain(&worker.record);
+        if let Some(turn) = query.turn.as_ref().filter(|_| tried.is_empty()) {
+            let moves = self.memory_moves();
+            let source = workers.prompt_source(&target.worker, turn, moves, now);
+            if let Some((source, bytes)) = source {
+                target.prompt_source = PromptSource::Engine(source);
+                self.gateway.metrics.note_prompt_fetch(bytes);
+                log::info!(worker = target.worker.as_str(), source = source.to_string().as_str(), tokens = turn.part_tokens; "an engine takes a prompt's part from another one");
+            }
+        }
+        Ok(target)
+    }
+
+    /// What engines of the call's service pass to each other.
+    fn memory_moves(&self) -> &MemoryMoves {
+        const NONE: &MemoryMoves = &MemoryMoves::NONE;
+        let service = self.config.service(&self.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(NONE, |engine| &engine.memory_moves)
     }
 
     /// The turn as an engine sees it, if the request is one.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 
 use crate::admission::AdmissionDriver;
 use crate::clock::Clock;
+use crate::engines::Engines;
 use crate::feed::Feed;
 use crate::ledger::Ledger;
 use crate::memory::Memory;
@@ -74,6 +75,8 @@
     pub(crate) quotas: RefCell<QuotaBook>,
     /// Whether this node reads the log's streams, and what it hears of them otherwise.
     pub(crate) feed: Feed,
+    /// Engines whose memory this node reads.
+    pub(crate) engines: Engines,
     pub(crate) workers: RefCell<WorkerDirectory>,
     pub(crate) nodes: RefCell<NodeDirectory>,
     pub(crate) splits: RefCell<SplitState>,
@@ -149,6 +152,7 @@
             proof_answered: Cell::default(),
             key_leases,
             quotas: RefCell::new(quotas),
+            engines: Engines::default(),
             workers: RefCell::new(workers),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod buffered;
 mod caller;
 mod clock;
+mod engines;
 mod entry;
 mod feed;
 mod forward;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use elderworks_gateway_core::directory::Stream;
 use elderworks_gateway_core::log_causes::LogCause;
@@ -61,6 +62,15 @@
     pub(crate) engine: &'static str,
 }
 
+/// Label of calls to engines for what they keep.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct EngineReadLabel {
+    /// What was called.
+    pub(crate) call: &'static str,
+    /// How it ended.
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of figures of one tenant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -121,6 +131,12 @@
     pub(crate) caller_left: Counter,
     pub(crate) worker_connections: Counter,
     pub(crate) placements: Family<PlacementLabel, Counter>,
+    engine_reads: Family<EngineReadLabel, Counter>,
+    engines_read: Gauge,
+    parts_known: Gauge,
+    belief_age_ms: Gauge,
+    prompt_fetches: Counter,
+    prompt_fetched_bytes: Counter,
     pub(crate) ledger_conflicts: Counter,
     pub(crate) ledger_forwarded: Counter,
     pub(crate) overdrafts_activated: Counter,
@@ -171,6 +187,12 @@
             caller_left: Counter::default(),
             worker_connections: Counter::default(),
             placements: Family::default(),
+            engine_reads: Family::default(),
+            engines_read: Gauge::default(),
+            parts_known: Gauge::default(),
+            belief_age_ms: Gauge::default(),
+            prompt_fetches: Counter::default(),
+            prompt_fetched_bytes: Counter::default(),
             ledger_conflicts: Counter::default(),
             ledger_forwarded: Counter::default(),
             overdrafts_activated: Counter::default(),
@@ -236,6 +258,30 @@
             .inc();
     }
 
+    /// Counts a call to an engine for what it keeps.
+    pub(crate) fn note_engine_read(&self, call: &'static str, outcome: &'static str) {
+        let label = EngineReadLabel { call, outcome };
+        self.engine_reads.get_or_create(&label).inc();
+    }
+
+    /// Shows how many engines this node reads.
+    pub(crate) fn note_engines_read(&self, engines: usize) {
+        self.engines_read.set(gauge_of(engines));
+    }
+
+    /// Shows how many parts are believed to be kept, and the age of the oldest belief.
+    pub(crate) fn note_memories(&self, parts: usize, oldest: Option<Duration>) {
+        self.parts_known.set(gauge_of(parts));
+        let age = oldest.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.belief_age_ms.set(age);
+    }
+
+    /// Counts a part that an engine was told to take from another one.
+    pub(crate) fn note_prompt_fetch(&self, bytes: u64) {
+        self.prompt_fetches.inc();
+        self.prompt_fetched_bytes.inc_by(bytes);
+    }
+
     /// Counts a turn that was refused a place at an engine.
     pub(crate) fn note_admission_refusal(&self, refusal: AdmissionRefusal) {
         let label = AdmissionLabel {
@@ -416,6 +462,41 @@
             self.admission_refusals.clone(),
         );
         self.register_memory();
+        self.register_engines();
+    }
+
+    fn register_engines(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "engine_reads",
+            "Calls to engines for what they keep of prompts, by call and outcome",
+            self.engine_reads.clone(),
+        );
+        registry.register(
+            "engines_read",
+            "Engines whose memory this node reads",
+            self.engines_read.clone(),
+        );
+        registry.register(
+            "parts_known",
+            "Parts of prompts that are believed to be kept, at all engines together",
+            self.parts_known.clone(),
+        );
+        registry.register(
+            "belief_age_ms",
+            "Time since the engine was heard that the oldest belief is about; -1 without any",
+            self.belief_age_ms.clone(),
+        );
+        registry.register(
+            "prompt_fetches",
+            "Parts of prompts that engines were told to take from others",
+            self.prompt_fetches.clone(),
+        );
+        registry.register(
+            "prompt_fetched_bytes",
+            "Bytes of those parts in the engines' memory",
+            self.prompt_fetched_bytes.clone(),
+        );
     }
 
     fn register_memory(&mut self) {
@@ -442,3 +523,7 @@
         );
     }
 }
+
+fn gauge_of(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 mod gossip;
 mod link;
 mod loads;
+mod memories;
 mod owners;
 mod parts;
 mod proofs;
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -10,6 +10,7 @@
 
 use super::demand::{self, DemandTeller};
 use super::loads::{self, LOAD_INTERVAL, LoadSender};
+use super::memories::{self, MemorySender};
 use super::parts::{self, PartTeller};
 use super::proofs::{self, ProofAsker};
 use super::quotas::{self, QuotaTeller};
@@ -30,6 +31,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sender = LoadSender::default();
     let mut part_teller = PartTeller::default();
+    let mut memory_sender = MemorySender::default();
     let mut quota_teller = QuotaTeller::default();
     let mut demand_teller = DemandTeller::default();
     let mut proof_asker = ProofAsker::default();
@@ -45,6 +47,7 @@
                 quota_teller.tell(&gateway, &socket);
                 demand_teller.tell(&gateway, &socket);
                 part_teller.tell(&gateway, &socket);
+                memory_sender.tell(&gateway, &socket);
                 feed::tick(&gateway, &socket);
                 continue;
             }
@@ -78,6 +81,10 @@
                         feed::take_beat(&gateway, from, &beat);
                         continue;
                     }
+                    Ok(GatewayDatagram::Memory(report)) => {
+                        memories::take(&gateway, report);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Zones(reports)) => {
                         zones::take(&gateway, &reports);
                         continue;
--- /dev/null
+++ b/crates/gateway/src/peers/memories.rs
@@ -0,0 +1,110 @@
+//! Readers of engines tell the nodes that take callers what those keep of prompts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use elderworks_gateway_core::engine_memory::beliefs::Belief;
+use elderworks_gateway_core::engine_memory::telling::{MOST_PARTS_TOLD, MemoryTeller};
+use elderworks_gateway_core::peer_loads::{Rota, WorkerKey};
+use elderworks_gateway_core::placement::demand::PartKey;
+use elderworks_protocol::encode;
+use elderworks_protocol::gateway::{EngineMemoryReport, GatewayDatagram, MemoryReport};
+use elderworks_types::Timestamp;
+use tokio::net::UdpSocket;
+
+use crate::gateway::Gateway;
+
+/// Most nodes that are told at a time; with more, they take turns.
+const MOST_TOLD: usize = 64;
+
+/// What was told last, and whose turn is next.
+#[derive(Debug, Default)]
+pub(super) struct MemorySender {
+    teller: MemoryTeller,
+    rota: Rota,
+}
+
+impl MemorySender {
+    /// Takes what this node has read, and tells it to the others where it is news.
+    pub(super) fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+        if !gateway.settings.policy.engine_reading {
+            return;
+        }
+        let now = gateway.now();
+        let present = gateway.engines.beliefs(gateway);
+        note_beliefs(gateway, now, &present);
+        let due = self.teller.due(now, present);
+        if due.is_empty() {
+            return;
+        }
+        let engines = due
+            .into_iter()
+            .map(|(engine, belief)| told(now, engine, belief));
+        let report = MemoryReport {
+            node: gateway.settings.node.clone(),
+            engines: engines.collect(),
+        };
+        let datagram = encode(&GatewayDatagram::Memory(report));
+        for to in self.recipients(gateway) {
+            // The next report makes up for one that is lost.
+            let _ = socket.try_send_to(&datagram, to);
+        }
+    }
+
+    fn recipients(&mut self, gateway: &Gateway) -> Vec<SocketAddr> {
+        let nodes = gateway.nodes.borrow();
+        let serving = gateway.serving.borrow();
+        let others = serving
+            .iter()
+            .filter(|node| **node != gateway.settings.node)
+            .filter_map(|node| Some(nodes.get(node)?.record.peer_address));
+        self.rota.pick(others.collect(), MOST_TOLD)
+    }
+}
+
+fn note_beliefs<'a>(
+    gateway: &Gateway,
+    now: Timestamp,
+    present: impl IntoIterator<Item = (&'a WorkerKey, &'a Belief)>,
+) {
+    let mut workers = gateway.workers.borrow_mut();
+    for (engine, belief) in present {
+        workers.take_memory(*engine, belief.clone());
+    }
+    workers.drop_old_memories(now);
+    let memories = workers.memories();
+    gateway
+        .metrics
+        .note_memories(memories.parts_held(), memories.oldest(now));
+}
+
+fn told(now: Timestamp, engine: WorkerKey, belief: Belief) -> EngineMemoryReport {
+    let age = now.since(belief.heard).as_millis();
+    let parts = belief.parts.into_iter();
+    EngineMemoryReport {
+        engine: engine.0,
+        born: belief.born,
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        parts: parts.map(|(part, tokens)| (part.0, tokens)).collect(),
+    }
+}
+
+/// Takes another node's report.
+pub(super) fn take(gateway: &Gateway, report: MemoryReport) {
+    if report.node == gateway.settings.node || !gateway.settings.policy.engine_reading {
+        return;
+    }
+    let now = gateway.now();
+    let mut workers = gateway.workers.borrow_mut();
+    for told in report.engines {
+        let parts = told.parts.into_iter().take(MOST_PARTS_TOLD);
+        let belief = Belief {
+            born: told.born,
+            heard: now - Duration::from_millis(u64::from(told.age_ms)),
+            parts: parts
+                .map(|(part, tokens)| (PartKey(part), tokens))
+                .collect(),
+        };
+        workers.take_memory(WorkerKey(told.engine), belief);
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -20,7 +20,7 @@
 use crate::gateway::{Gateway, Stage};
 use crate::ports::{Platform, StoreError};
 use crate::settings::GatewaySettings;
-use crate::{ledger, peers, server, socket, watch};
+use crate::{engines, ledger, peers, server, socket, watch};
 
 /// Pause between attempts to write the node's entry.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
@@ -95,6 +95,7 @@
     actix_rt::spawn(ledger::prepare_partitions(gateway.clone()));
     actix_rt::spawn(peers::probe_nodes(gateway.clone(), gossip_socket.clone()));
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
+    actix_rt::spawn(engines::read_engines(gateway.clone()));
     actix_rt::spawn(tell_log_calls(gateway.clone()));
     Ok(Running {
         gateway,
