gateway: runs that may run once go on with a copy of their memory

Engines there stop a run on request and keep or copy its memory. Change: run_moves decides (pure), outliving.rs asks the engine to stop, and goes on with the copy; backups are off by default. Nothing changes where the configuration has no migrations.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pressure;
 pub mod quota;
 pub mod response_time;
+pub mod run_moves;
 pub mod split;
 pub mod start;
 pub mod stream_reads;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -98,6 +98,16 @@
     /// Pairs of node and worker up to which every node reads the log's streams itself; beyond, a few
     /// of each zone read for the others. 0: always a few.
     pub reading_pairs: usize,
+    /// Runs that may run at most once go on with a copy of their memory if their stream breaks off,
+    /// where engines hand runs over.
+    pub run_moves: bool,
+    /// Bytes that a backup of a run may move for each token that the run has yet to generate, where
+    /// engines back runs up. With 0, no run has a backup.
+    pub backup_bytes_per_token: u64,
+    /// Most runs of one node that have a backup at the same time.
+    pub most_backups: u32,
+    /// Bytes a second that the backups of one node may move.
+    pub backup_bytes_per_s: u64,
 }
 
 impl Default for Policy {
@@ -139,6 +149,10 @@
             floor_interval: 4,
             fair_share: true,
             reading_pairs: MOST_PAIRS,
+            run_moves: true,
+            backup_bytes_per_token: 0,
+            most_backups: 32,
+            backup_bytes_per_s: 1_000_000_000,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway-core/src/run_moves/mod.rs
@@ -0,0 +1,422 @@
+//! A run that outlives its engine: it goes on elsewhere with a copy of its memory.
+//!
+//! Two engines must never work on one run for longer than a stop takes, also on routes whose
+//! requests run at most once. So a copy is used only after one of these, and the stream ends broken
+//! in every other case:
+//!
+//! - The engine says that it has stopped the run behind the last event that the caller has, and
+//!   names the copy.
+//! - The engine says that it runs no such request, and the stream had broken off.
+//! - No connection to the engine can be made, and the stream had broken off or gone silent.
+//!
+//! A copy serves one attempt that runs; one that refuses has not run and leaves it to the next. What
+//! is left of copies is handed out for freeing.
+
+pub mod backups;
+pub mod targets;
+
+use std::net::SocketAddr;
+
+use crate::engines::{MoveOutcome, RunCopy};
+
+/// Times that one run goes on at an engine after its first.
+pub const MOST_MOVES: u32 = 2;
+
+/// Times that one run tries to leave an engine whose stream has not broken off.
+pub const MOST_UNFORCED: u32 = 3;
+
+/// Calls that ask one engine to stop a run, if the first is not answered or met another.
+const MOST_STOP_CALLS: u32 = 2;
+
+/// An engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// The worker's id.
+    pub worker: String,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Why a run leaves its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Its stream broke off.
+    Broken,
+    /// Its stream is silent.
+    Silent,
+    /// The engine drains and will end before the run does.
+    Draining,
+    /// The engine is taken away at short notice.
+    TakenSoon,
+    /// The engine has grown slow.
+    Slow,
+}
+
+impl Reason {
+    /// Whether nothing more is expected from the stream.
+    fn has_lost_stream(self) -> bool {
+        matches!(self, Self::Broken | Self::Silent)
+    }
+}
+
+/// Between which engines a copy is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hop {
+    /// Where the run is.
+    pub source: SocketAddr,
+    /// Where the copy goes.
+    pub target: SocketAddr,
+}
+
+/// What is to be done next for a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Have the memory copied while the run goes on.
+    Copy(Hop),
+    /// Have the run stopped behind the last event that went to the caller, and its memory copied.
+    Stop(Hop),
+    /// Send the request with the copy and the last event's id.
+    GoOn {
+        /// To this engine.
+        at: Engine,
+        /// With this copy.
+        copy: RunCopy,
+    },
+    /// Read the stream on.
+    Read,
+    /// End the answer broken.
+    End(EndReason),
+}
+
+/// Why a run does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// It has moved as often as it may.
+    MovedOften,
+    /// No other engine has room.
+    NoTarget,
+    /// The engine may still work on it.
+    InDoubt,
+    /// The engine has stopped or is lost, and there is no copy.
+    NoCopy,
+    /// No engine that has a copy takes the request.
+    NotTaken,
+    /// The route allows no further engine.
+    NoAttemptLeft,
+}
+
+impl EndReason {
+    /// For logs and counters.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::MovedOften => "moved often enough",
+            Self::NoTarget => "no other engine has room",
+            Self::InDoubt => "the engine may still work on it",
+            Self::NoCopy => "there is no copy",
+            Self::NotTaken => "no engine goes on with the copy",
+            Self::NoAttemptLeft => "the route allows no further engine",
+        }
+    }
+}
+
+/// How a call to an engine's own interface ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The engine answered.
+    Answered(MoveOutcome),
+    /// It refused: nothing was done.
+    Refused,
+    /// No connection could be made.
+    NotReached,
+    /// The call was sent and no answer came.
+    Unknown,
+}
+
+/// How the attempt ended that was to go on with a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Its stream has begun.
+    Answered,
+    /// It was surely not run.
+    NotRun,
+    /// It may run.
+    Unknown,
+}
+
+/// Where one run is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Step {
+    /// Its stream is read.
+    Running,
+    /// Its memory is copied, or it is being stopped.
+    Leaving {
+        reason: Reason,
+        target: Engine,
+        stop_calls: u32,
+    },
+    /// An attempt with a copy is under way.
+    GoingOn {
+        at: Engine,
+        copy: RunCopy,
+        /// The engine that stopped the run and keeps its memory, if it was not tried yet.
+        stopped_at: Option<Engine>,
+    },
+    /// Its answer has ended.
+    Ended,
+}
+
+/// One run from its first event to the end of its answer.
+#[derive(Debug)]
+pub struct RunLife {
+    request_id: String,
+    /// Most engines that it may run on; lost ones do not count.
+    most_engines: usize,
+    at: Engine,
+    backup: Option<Engine>,
+    /// Engines that may have run it and are not lost.
+    ran_at: Vec<String>,
+    moves: u32,
+    /// Tries to leave while the stream had not broken off.
+    unforced: u32,
+    step: Step,
+    /// Copies that no attempt has run with.
+    unused: Vec<RunCopy>,
+}
+
+impl RunLife {
+    /// A run whose stream is read from an engine; `ran_at` are all that may have run it so far.
+    /// With `backup`, its memory is sent there as it grows.
+    pub fn new(
+        request_id: String,
+        at: Engine,
+        backup: Option<Engine>,
+        ran_at: Vec<String>,
+        most_engines: u32,
+    ) -> Self {
+        Self {
+            request_id,
+            most_engines: usize::try_from(most_engines).unwrap_or(usize::MAX),
+            at,
+            backup,
+            ran_at,
+            moves: 0,
+            unforced: 0,
+            step: Step::Running,
+            unused: Vec::new(),
+        }
+    }
+
+    /// The engine whose stream is read, or was last.
+    pub fn at(&self) -> &Engine {
+        &self.at
+    }
+
+    /// How often it has gone on at an engine.
+    pub fn moves(&self) -> u32 {
+        self.moves
+    }
+
+    /// Copies that exist and will not be used: to be freed at their source.
+    pub fn take_unused(&mut self) -> Vec<RunCopy> {
+        std::mem::take(&mut self.unused)
+    }
+
+    /// The stream has ended whole, or nobody waits for it.
+    pub fn end(&mut self) {
+        self.step = Step::Ended;
+    }
+
+    /// The run is to leave its engine. `candidate` is another one with room. A stream that breaks
+    /// off while the run leaves for another reason is told here too.
+    pub fn leave(&mut self, reason: Reason, candidate: Option<Engine>) -> Order {
+        let is_unforced = reason != Reason::Broken;
+        if self.moves >= MOST_MOVES || (is_unforced && self.unforced >= MOST_UNFORCED) {
+            return self.fall_back(reason, EndReason::MovedOften);
+        }
+        self.unforced += u32::from(is_unforced);
+        let candidate = candidate.filter(|engine| *engine != self.at);
+        let Some(target) = self.backup.clone().or(candidate) else {
+            return self.fall_back(reason, EndReason::NoTarget);
+        };
+        let hop = self.hop(&target);
+        let stop_calls = 0;
+        self.step = Step::Leaving {
+            reason,
+            target,
+            stop_calls,
+        };
+        match reason {
+            Reason::Broken | Reason::Silent => self.stop(),
+            Reason::Draining | Reason::TakenSoon | Reason::Slow => Order::Copy(hop),
+        }
+    }
+
+    /// [`Order::Copy`] has ended.
+    pub fn after_copy(&mut self, end: CallEnd) -> Order {
+        let CallEnd::Answered(MoveOutcome::Copied { handle, .. }) = end else {
+            self.step = Step::Running;
+            return Order::Read;
+        };
+        self.note_copy(handle);
+        self.stop()
+    }
+
+    /// [`Order::Stop`] has ended.
+    pub fn after_stop(&mut self, end: CallEnd) -> Order {
+        let Step::Leaving {
+            reason,
+            target,
+            stop_calls,
+        } = self.step.clone()
+        else {
+            return Order::End(EndReason::InDoubt);
+        };
+        match end {
+            CallEnd::Answered(MoveOutcome::Copied { handle, .. }) => {
+                let copy = self.note_copy(handle);
+                self.go_on_with(target, copy)
+            }
+            CallEnd::Answered(MoveOutcome::NoRoom {
+                handle: Some(handle),
+            }) => {
+                let copy = self.note_copy(handle);
+                self.go_on(self.at.clone(), copy, None)
+            }
+            CallEnd::Answered(MoveOutcome::NoSuchRun) if reason == Reason::Broken => {
+                self.go_on_with_backup(reason)
+            }
+            CallEnd::NotReached if reason.has_lost_stream() => {
+                let lost = &self.at.worker;
+                self.ran_at.retain(|worker| worker != lost);
+                self.go_on_with_backup(reason)
+            }
+            CallEnd::Answered(MoveOutcome::UnderWay) | CallEnd::Unknown
+                if stop_calls < MOST_STOP_CALLS =>
+            {
+                self.stop()
+            }
+            CallEnd::Answered(_) | CallEnd::Refused | CallEnd::NotReached | CallEnd::Unknown => {
+                self.fall_back(reason, EndReason::InDoubt)
+            }
+        }
+    }
+
+    /// The attempt of [`Order::GoOn`] has ended. `candidate` is another engine with room.
+    pub fn after_attempt(&mut self, end: AttemptEnd, candidate: Option<Engine>) -> Order {
+        let Step::GoingOn {
+            at,
+            copy,
+            stopped_at,
+        } = self.step.clone()
+        else {
+            return Order::End(EndReason::InDoubt);
+        };
+        match end {
+            AttemptEnd::NotRun => match stopped_at {
+                Some(source) => self.go_on(source, copy, None),
+                None => self.end_for(EndReason::NotTaken),
+            },
+            AttemptEnd::Answered => {
+                self.note_runs_at(at, &copy);
+                Order::Read
+            }
+            AttemptEnd::Unknown => {
+                self.note_runs_at(at, &copy);
+                self.leave(Reason::Broken, candidate)
+            }
+        }
+    }
+
+    fn hop(&self, target: &Engine) -> Hop {
+        Hop {
+            source: self.at.address,
+            target: target.address,
+        }
+    }
+
+    fn stop(&mut self) -> Order {
+        let Step::Leaving {
+            target, stop_calls, ..
+        } = &mut self.step
+        else {
+            return Order::End(EndReason::InDoubt);
+        };
+        *stop_calls += 1;
+        let target = target.clone();
+        Order::Stop(self.hop(&target))
+    }
+
+    fn note_copy(&mut self, handle: String) -> RunCopy {
+        let copy = RunCopy {
+            source: self.at.address,
+            handle,
+        };
+        if !self.unused.contains(&copy) {
+            self.unused.push(copy.clone());
+        }
+        copy
+    }
+
+    /// The run has stopped and its copy is whole at the target; its engine keeps the memory too.
+    fn go_on_with(&mut self, target: Engine, copy: RunCopy) -> Order {
+        let source = self.at.clone();
+        match self.may_run_at(&target) {
+            true => self.go_on(target, copy, Some(source)),
+            false => self.go_on(source, copy, None),
+        }
+    }
+
+    fn go_on_with_backup(&mut self, reason: Reason) -> Order {
+        let Some(engine) = self.backup.take() else {
+            return self.fall_back(reason, EndReason::NoCopy);
+        };
+        if !self.may_run_at(&engine) {
+            return self.fall_back(reason, EndReason::NoAttemptLeft);
+        }
+        let copy = RunCopy {
+            source: self.at.address,
+            handle: self.request_id.clone(),
+        };
+        self.go_on(engine, copy, None)
+    }
+
+    fn go_on(&mut self, at: Engine, copy: RunCopy, stopped_at: Option<Engine>) -> Order {
+        self.step = Step::GoingOn {
+            at: at.clone(),
+            copy: copy.clone(),
+            stopped_at,
+        };
+        Order::GoOn { at, copy }
+    }
+
+    fn may_run_at(&self, engine: &Engine) -> bool {
+        self.ran_at.contains(&engine.worker) || self.ran_at.len() < self.most_engines
+    }
+
+    /// An attempt with the copy runs, or may: the copy is used up, and a backup is one of a run
+    /// that is over.
+    fn note_runs_at(&mut self, at: Engine, copy: &RunCopy) {
+        self.unused.retain(|unused| unused != copy);
+        if !self.ran_at.contains(&at.worker) {
+            self.ran_at.push(at.worker.clone());
+        }
+        self.at = at;
+        self.backup = None;
+        self.moves += 1;
+        self.step = Step::Running;
+    }
+
+    /// Without a stream the answer ends; else the stream shows what becomes of the run.
+    fn fall_back(&mut self, reason: Reason, end: EndReason) -> Order {
+        if reason == Reason::Broken {
+            return self.end_for(end);
+        }
+        self.step = Step::Running;
+        Order::Read
+    }
+
+    fn end_for(&mut self, reason: EndReason) -> Order {
+        self.step = Step::Ended;
+        Order::End(reason)
+    }
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts of one call at workers.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -15,6 +16,7 @@
 use elderworks_gateway_core::workers::{WorkerLife, idle_connections_share};
 
 use super::access::Sender;
+use super::outliving::{OutlivingRun, RunBackup};
 use super::quota::Counted;
 use super::turn::TurnLease;
 use super::{CallError, Milestones, Trace, headers};
@@ -56,6 +58,10 @@
     tried: TriedWorkers,
     /// Where the next attempt must go, if the route allows no other worker.
     retry_at: Option<Target>,
+    /// Set once the run has gone on elsewhere.
+    pub(super) run: Option<OutlivingRun>,
+    /// Where the run's memory is sent as it grows.
+    pub(super) backup: Option<RunBackup>,
     /// Since when the worker of the present attempt has shown no sign of life.
     pub(super) waiting_since: Option<Instant>,
 }
@@ -92,6 +98,8 @@
 /// The answer of a worker with the worker that it occupies.
 pub(super) struct RunningAnswer {
     pub(super) answer: Answer,
+    /// Where it runs.
+    pub(super) address: SocketAddr,
     pub(super) occupied: Occupied,
 }
 
@@ -130,6 +138,8 @@
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
             retry_at: None,
+            run: None,
+            backup: None,
             waiting_since: None,
         }
     }
@@ -173,6 +183,7 @@
                 Some(target) => target,
                 None => self.choose()?,
             };
+            let target = self.with_backup(target);
             let (failure, reason) = match self.attempt(&target, last_event_id).await {
                 Ok(running) if self.gateway.platform.was_not_run(&running.answer.head) => {
                     let status = running.answer.head.status;
@@ -194,7 +205,7 @@
         }
     }
 
-    async fn attempt(
+    pub(super) async fn attempt(
         &mut self,
         target: &Target,
         last_event_id: Option<&str>,
@@ -235,7 +246,15 @@
                 exchanging.await?
             }
         };
-        Ok(RunningAnswer { answer, occupied })
+        Ok(RunningAnswer {
+            answer,
+            address: target.address,
+            occupied,
+        })
+    }
+
+    pub(super) fn tried(&self) -> Vec<String> {
+        self.tried.borrow().clone()
     }
 
     pub(super) fn last_tried(&self) -> Option<String> {
@@ -375,7 +394,7 @@
 
 /// Whether callers take a status for a promise that the request was not run, which a worker that
 /// gives it of its own accord does not make.
-fn is_unbacked_promise(status: StatusCode) -> bool {
+pub(super) fn is_unbacked_promise(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::PAYMENT_REQUIRED
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,7 +6,9 @@
 mod flow;
 mod headers;
 mod observations;
+mod outliving;
 mod quota;
+mod resumption;
 mod stream;
 mod turn;
 
--- /dev/null
+++ b/crates/gateway/src/forward/outliving.rs
@@ -0,0 +1,321 @@
+//! Goes on with a run whose stream broke off, at an engine that has a copy of its memory.
+//!
+//! Decisions are `elderworks_gateway_core::run_moves`'s.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use elderworks_gateway_core::config::{MemoryMoves, RouteKind};
+use elderworks_gateway_core::engines::{MoveOutcome, PromptSource, RunCopy, RunMove};
+use elderworks_gateway_core::run_moves::backups::{BackupRules, RunSize};
+use elderworks_gateway_core::run_moves::targets::{self, ZoneWish};
+use elderworks_gateway_core::run_moves::{
+    AttemptEnd, CallEnd, EndReason, Engine, Hop, Order, Reason, RunLife,
+};
+
+use super::CallError;
+use super::attempts::{Call, RunningAnswer, is_unbacked_promise};
+use super::stream::is_event_stream;
+use crate::gateway::Gateway;
+use crate::metrics::RunEndLabel;
+use crate::ports::EngineError;
+use crate::upstream::{ExchangeError, Target};
+
+/// Longest wait for an engine to stop a run and copy its memory. Callers give a stream up after two
+/// seconds of silence.
+const COPY_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// A run that may go on elsewhere. What is left of its copies is freed with it.
+pub(super) struct OutlivingRun {
+    gateway: Rc<Gateway>,
+    request_id: String,
+    life: RunLife,
+}
+
+impl OutlivingRun {
+    fn free_unused(&mut self) {
+        for copy in self.life.take_unused() {
+            let gateway = self.gateway.clone();
+            let request_id = self.request_id.clone();
+            actix_rt::spawn(async move { free(&gateway, &request_id, &copy).await });
+        }
+    }
+}
+
+impl Drop for OutlivingRun {
+    fn drop(&mut self) {
+        self.free_unused();
+    }
+}
+
+/// A copy that is not freed goes after a while by itself.
+async fn free(gateway: &Gateway, request_id: &str, copy: &RunCopy) {
+    let freed = gateway.platform.free_copy(copy.source, &copy.handle).await;
+    match freed {
+        Ok(()) => {
+            gateway.metrics.copies_freed.inc();
+            log::info!(request = request_id, engine:% = copy.source; "copy of a run freed");
+        }
+        Err(error) => {
+            log::info!(request = request_id, engine:% = copy.source, error:% = error; "copy of a run not freed");
+        }
+    }
+}
+
+/// A backup under way; it ends with the call.
+pub(super) struct RunBackup {
+    gateway: Rc<Gateway>,
+    pub(super) engine: Engine,
+}
+
+impl Drop for RunBackup {
+    fn drop(&mut self) {
+        self.gateway.backups.borrow_mut().end();
+    }
+}
+
+impl Call<'_> {
+    /// What the engines of the call's service can do with its run, if it may go on elsewhere. Runs
+    /// that may be repeated go on without a copy.
+    fn memory_moves(&self) -> Option<&MemoryMoves> {
+        let service = self.config.service(&self.service)?;
+        let moves = &service.engine.as_ref()?.memory_moves;
+        let is_allowed = self.gateway.settings.policy.run_moves && moves.moves_runs;
+        let is_nameable = self.attributes.request_id.is_some();
+        let runs_once = self.route.kind == RouteKind::Streaming && !self.route.resumable;
+        (is_allowed && is_nameable && runs_once).then_some(moves)
+    }
+
+    /// Goes on with a run whose stream broke off behind an event.
+    pub(super) async fn go_on(
+        &mut self,
+        from: Engine,
+        last_event_id: Option<&str>,
+    ) -> Result<RunningAnswer, CallError> {
+        let broken = CallError::Broken("the worker's stream broke off");
+        if self.memory_moves().is_none() {
+            return Err(broken);
+        }
+        let Some(last_event_id) = last_event_id else {
+            return Err(broken);
+        };
+        let mut run = self.outliving(from);
+        let candidate = self.candidate(run.life.at());
+        let mut order = run.life.leave(Reason::Broken, candidate);
+        loop {
+            order = match order {
+                Order::Copy(hop) => run.life.after_copy(self.copy(hop, None).await),
+                Order::Stop(hop) => {
+                    let end = self.copy(hop, Some(last_event_id)).await;
+                    run.life.after_stop(end)
+                }
+                Order::GoOn { at, copy } => {
+                    self.check_sender().map_err(CallError::Refused)?;
+                    let end = match self.attempt_with_copy(&at, copy, last_event_id).await {
+                        Ok(running) => {
+                            run.life.after_attempt(AttemptEnd::Answered, None);
+                            run.free_unused();
+                            self.run = Some(run);
+                            return Ok(running);
+                        }
+                        Err(end) => end,
+                    };
+                    let candidate = self.candidate(&at);
+                    run.life.after_attempt(end, candidate)
+                }
+                Order::Read => Order::End(EndReason::InDoubt),
+                Order::End(reason) => {
+                    self.note_run_ended(run.life.at(), reason);
+                    return Err(broken);
+                }
+            };
+        }
+    }
+
+    /// The call's run, which was at `from` last.
+    fn outliving(&mut self, from: Engine) -> OutlivingRun {
+        if let Some(run) = self.run.take() {
+            return run;
+        }
+        let request_id = self.attributes.request_id.clone().unwrap_or_default();
+        let backup = self.backup.as_ref().map(|backup| backup.engine.clone());
+        let backup = backup.filter(|engine| *engine != from);
+        // A request that may not be repeated has been nowhere else.
+        let ran_at = vec![from.worker.clone()];
+        let most_engines = self.route.attempts;
+        OutlivingRun {
+            gateway: self.gateway.clone(),
+            life: RunLife::new(request_id.clone(), from, backup, ran_at, most_engines),
+            request_id,
+        }
+    }
+
+    fn candidate(&self, own: &Engine) -> Option<Engine> {
+        let tried = self.tried();
+        let workers = self.gateway.workers.borrow();
+        let found = targets::choose(
+            &workers,
+            &self.service,
+            &own.worker,
+            &tried,
+            ZoneWish::Same,
+            self.gateway.now(),
+        );
+        found.map(|worker| Engine {
+            worker: worker.record.id.clone(),
+            address: worker.record.address,
+        })
+    }
+
+    async fn copy(&self, hop: Hop, stop_after: Option<&str>) -> CallEnd {
+        let began = Instant::now();
+        let request_id = self.attributes.request_id.clone().unwrap_or_default();
+        let wanted = RunMove {
+            request_id,
+            target: hop.target,
+            stop_after: stop_after.map(str::to_owned),
+        };
+        let platform = &self.gateway.platform;
+        let answered = platform.move_run(hop.source, &wanted, COPY_TIMEOUT).await;
+        log::info!(
+            request = wanted.request_id.as_str(), engine:% = hop.source, target:% = hop.target,
+            last_event = stop_after.unwrap_or_default(), answer:? = answered,
+            ms = began.elapsed().as_millis();
+            "an engine was asked to hand a run over"
+        );
+        match answered {
+            Ok(outcome) => {
+                self.note_copied(&outcome);
+                CallEnd::Answered(outcome)
+            }
+            Err(EngineError::NotReached(_)) => CallEnd::NotReached,
+            Err(EngineError::Refused(_)) => CallEnd::Refused,
+            Err(EngineError::Unknown(_) | EngineError::Format(_)) => CallEnd::Unknown,
+        }
+    }
+
+    async fn attempt_with_copy(
+        &mut self,
+        at: &Engine,
+        copy: RunCopy,
+        last_event_id: &str,
+    ) -> Result<RunningAnswer, AttemptEnd> {
+        let target = Target {
+            worker: at.worker.clone(),
+            address: at.address,
+            prompt_source: PromptSource::Copy(copy),
+            backup_at: None,
+        };
+        let (end, reason) = match self.attempt(&target, Some(last_event_id)).await {
+            Ok(running) if self.gateway.platform.was_not_run(&running.answer.head) => {
+                let status = running.answer.head.status;
+                self.note_refusal(&at.worker, status);
+                (
+                    AttemptEnd::NotRun,
+                    format!("refused with {}", status.as_u16()),
+                )
+            }
+            Ok(running) if is_event_stream(&running) => {
+                self.note_gone_on(at);
+                return Ok(running);
+            }
+            Ok(running) if is_unbacked_promise(running.answer.head.status) => {
+                let status = running.answer.head.status.as_u16();
+                let reason = format!("{status} without a word that it was not run");
+                (AttemptEnd::Unknown, reason)
+            }
+            Ok(running) => {
+                let status = running.answer.head.status.as_u16();
+                (AttemptEnd::Unknown, format!("no stream but {status}"))
+            }
+            Err(ExchangeError::NotSent(reason)) => (AttemptEnd::NotRun, reason),
+            Err(ExchangeError::NoAnswer(reason)) => (AttemptEnd::Unknown, reason),
+        };
+        self.log_failure(&at.worker, &reason);
+        self.gateway.metrics.attempts_failed.inc();
+        self.gateway.pool.forget(&at.worker);
+        Err(end)
+    }
+
+    /// The target of a first attempt, with a backup of the run elsewhere if that pays.
+    pub(super) fn with_backup(&mut self, target: Target) -> Target {
+        let Some(size) = self.run_size(|moves| moves.backs_up_runs) else {
+            return target;
+        };
+        if self.backup.is_none() {
+            self.backup = self.begin_backup(&target, &size);
+        }
+        let backup = self.backup.as_ref().map(|backup| &backup.engine);
+        let backup = backup.filter(|engine| engine.worker != target.worker);
+        let backup_at = backup.map(|engine| engine.address);
+        Target {
+            backup_at,
+            ..target
+        }
+    }
+
+    fn note_copied(&self, outcome: &MoveOutcome) {
+        let MoveOutcome::Copied { .. } = outcome else {
+            return;
+        };
+        let size = self.run_size(|_| true);
+        let bytes = size.map_or(0, |size| size.tokens.saturating_mul(size.token_bytes));
+        self.gateway.metrics.copy_bytes.inc_by(bytes);
+    }
+
+    /// What the call's run takes, if it may go on elsewhere and its engines are able to.
+    fn run_size(&self, are_able: impl Fn(&MemoryMoves) -> bool) -> Option<RunSize> {
+        let moves = self.memory_moves().filter(|moves| are_able(moves))?;
+        let prompt = self.attributes.prompt.iter().map(|segment| segment.tokens);
+        Some(RunSize {
+            tokens: prompt.sum(),
+            left_tokens: self.attributes.most_tokens,
+            token_bytes: moves.token_bytes,
+        })
+    }
+
+    fn begin_backup(&self, target: &Target, size: &RunSize) -> Option<RunBackup> {
+        let now = self.gateway.now();
+        let policy = &self.gateway.settings.policy;
+        let rules = BackupRules {
+            most_bytes_per_token: policy.backup_bytes_per_token,
+            most_at_once: policy.most_backups,
+            bytes_per_s: policy.backup_bytes_per_s,
+        };
+        let workers = self.gateway.workers.borrow();
+        let wish = ZoneWish::Other;
+        let worker = targets::choose(&workers, &self.service, &target.worker, &[], wish, now)?;
+        let bytes = self.gateway.backups.borrow_mut().begin(&rules, size, now)?;
+        self.gateway.metrics.backups.inc();
+        self.gateway.metrics.backup_bytes.inc_by(bytes);
+        Some(RunBackup {
+            gateway: self.gateway.clone(),
+            engine: Engine {
+                worker: worker.record.id.clone(),
+                address: worker.record.address,
+            },
+        })
+    }
+
+    fn note_gone_on(&self, at: &Engine) {
+        self.gateway.metrics.runs_gone_on.inc();
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            worker = at.worker.as_str(), ms = self.received.elapsed().as_millis();
+            "a run goes on with a copy of its memory"
+        );
+    }
+
+    fn note_run_ended(&self, at: &Engine, reason: EndReason) {
+        let label = RunEndLabel {
+            reason: reason.text(),
+        };
+        self.gateway.metrics.runs_ended.get_or_create(&label).inc();
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            worker = at.worker.as_str(), reason = reason.text(),
+            ms = self.received.elapsed().as_millis();
+            "a run ends with its stream"
+        );
+    }
+}
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -5,6 +5,7 @@
 use elderworks_gateway_core::attempt::AttemptFailure;
 use elderworks_gateway_core::events::EventSplitter;
 use elderworks_gateway_core::pressure::HeldFor;
+use elderworks_gateway_core::run_moves::Engine;
 use elderworks_protocol::ledger::KeptTurn;
 
 use super::attempts::{Call, RunningAnswer};
@@ -13,14 +14,10 @@
 use crate::caller::{Caller, Progress};
 use crate::memory::Share;
 use crate::reply::Refusal;
-use crate::upstream::Target;
 
 /// Media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// A stream is taken up again at most this often.
-const MAX_RESUMPTIONS: u32 = 3;
-
 /// Largest event in bytes; a worker that sends more without ending it is taken to be broken.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -29,9 +26,9 @@
 
 /// What has been passed on of a stream.
 #[derive(Debug)]
-struct Passed {
-    last_event_id: Option<String>,
-    resumptions: u32,
+pub(super) struct Passed {
+    pub(super) last_event_id: Option<String>,
+    pub(super) resumptions: u32,
     /// Data of the events so far with a line feed behind each, if the turn is to be kept.
     output: BytesMut,
     /// Counts the output.
@@ -60,13 +57,10 @@
         };
         let request = self.attributes.request_id.as_deref().unwrap_or_default();
         let mut flow = Flow::new(self.gateway, request, self.may_resume());
-        let mut preferred = None;
+        let mut running = self
+            .begin_stream(caller, passed.last_event_id.clone(), None)
+            .await?;
         loop {
-            let last_event_id = passed.last_event_id.clone();
-            let mut running = self
-                .next_answer(last_event_id.as_deref(), preferred.take())
-                .await
-                .map_err(|error| once_streaming(caller, error))?;
             if !is_event_stream(&running) {
                 return self.pass_other_answer(caller, running).await;
             }
@@ -76,7 +70,7 @@
                 caller.start_stream(head.status, &passed_headers).await?;
             }
             let part = self.pass_events(caller, &mut flow, &mut running, &mut passed);
-            match part.await? {
+            running = match part.await? {
                 PartEnd::Whole => {
                     self.note_answer(&running.occupied.worker, running.answer.head.status);
                     drop(running);
@@ -84,20 +78,18 @@
                     return self.end_stream(caller, &mut flow, passed).await;
                 }
                 PartEnd::Broken(reason) => {
-                    let worker = running.occupied.worker.clone();
-                    drop(running);
-                    self.log_failure(&worker, &reason);
-                    self.note_worker_failure(&worker);
-                    preferred = self.plan_resumption(&worker, &mut passed)?;
+                    let engine = engine_of(running);
+                    self.log_failure(&engine.worker, &reason);
+                    self.note_worker_failure(&engine.worker);
+                    self.take_up_again(caller, engine, &mut passed).await?
                 }
                 PartEnd::LetGo => {
-                    let worker = running.occupied.worker.clone();
-                    drop(running);
+                    let worker = engine_of(running).worker;
                     self.waiting_since = None;
                     flow.drain(caller).await?;
-                    preferred = self.plan_resumption(&worker, &mut passed)?;
+                    self.resume(caller, &worker, &mut passed).await?
                 }
-            }
+            };
         }
     }
 
@@ -149,28 +141,6 @@
         }
     }
 
-    /// The worker at which a broken stream goes on: the same one, which holds the prompt and keeps
-    /// within the route's attempts, unless it is gone.
-    fn plan_resumption(
-        &mut self,
-        worker: &str,
-        passed: &mut Passed,
-    ) -> Result<Option<Target>, CallError> {
-        if !self.may_resume() || passed.resumptions >= MAX_RESUMPTIONS {
-            return Err(CallError::Broken("the worker's stream broke off"));
-        }
-        passed.resumptions += 1;
-        self.gateway.metrics.streams_resumed.inc();
-        self.gateway.pool.forget(worker);
-        let now = self.gateway.now();
-        let workers = self.gateway.workers.borrow();
-        let same = workers
-            .get(worker)
-            .filter(|known| workers.is_open(known) && !workers.is_held_back(known, now))
-            .map(|known| Target::plain(&known.record));
-        Ok(same)
-    }
-
     async fn end_stream(
         &mut self,
         caller: &mut Caller<'_>,
@@ -194,10 +164,6 @@
         Ok(())
     }
 
-    fn may_resume(&self) -> bool {
-        self.route.resumable && self.gateway.settings.policy.resumption
-    }
-
     /// Running streams need what memory is left.
     fn refuse_if_short_of_memory(&self) -> Result<(), CallError> {
         let Some(shown) = self.history.not_run() else {
@@ -258,17 +224,15 @@
     }
 }
 
-/// Once the head of a stream was sent, no other answer can be given.
-fn once_streaming(caller: &Caller<'_>, error: CallError) -> CallError {
-    match error {
-        CallError::Refused(_) if caller.progress() != Progress::None => {
-            CallError::Broken("the stream could not be taken up again")
-        }
-        error => error,
+/// The engine of an answer that is given up; its connection is closed.
+fn engine_of(running: RunningAnswer) -> Engine {
+    Engine {
+        worker: running.occupied.worker.clone(),
+        address: running.address,
     }
 }
 
-fn is_event_stream(running: &RunningAnswer) -> bool {
+pub(super) fn is_event_stream(running: &RunningAnswer) -> bool {
     let head = &running.answer.head;
     let media_type = head
         .headers
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::quota::{Division, Fleet, QuotaBook};
 use elderworks_gateway_core::response_time::ResponseTimer;
+use elderworks_gateway_core::run_moves::backups::Backups;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::unreadable::UnreadableKeys;
 use elderworks_gateway_core::workers::WorkerDirectory;
@@ -96,6 +97,8 @@
     pub(crate) memory: Memory,
     /// Turns that wait for places at engines.
     pub(crate) admission: AdmissionDriver,
+    /// Runs of this node that have a backup.
+    pub(crate) backups: RefCell<Backups>,
     /// Requests under way.
     pub(crate) in_flight: Cell<u32>,
     /// What this node knows already, and what it still needs to serve.
@@ -136,6 +139,7 @@
             log_reach: RefCell::default(),
             memory: Memory::new(settings.memory_bytes, &metrics),
             admission: AdmissionDriver::new(&settings),
+            backups: RefCell::default(),
             settings,
             platform,
             clock,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,13 @@
     pub(crate) tenant: String,
 }
 
+/// Label of runs that ended with their stream.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct RunEndLabel {
+    /// Why they did not go on.
+    pub(crate) reason: &'static str,
+}
+
 /// Label of the steps of a start.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct StepLabel {
@@ -147,6 +154,12 @@
     pub(crate) admission_wait_seconds: Histogram,
     pub(crate) admission_waiting: Gauge,
     pub(crate) admission_refusals: Family<AdmissionLabel, Counter>,
+    pub(crate) runs_gone_on: Counter,
+    pub(crate) runs_ended: Family<RunEndLabel, Counter>,
+    pub(crate) copies_freed: Counter,
+    pub(crate) copy_bytes: Counter,
+    pub(crate) backups: Counter,
+    pub(crate) backup_bytes: Counter,
 }
 
 /// Upper bound of the first bucket in seconds; each further one is twice as large.
@@ -196,6 +209,12 @@
             admission_wait_seconds: histogram(),
             admission_waiting: Gauge::default(),
             admission_refusals: Family::default(),
+            runs_gone_on: Counter::default(),
+            runs_ended: Family::default(),
+            copies_freed: Counter::default(),
+            copy_bytes: Counter::default(),
+            backups: Counter::default(),
+            backup_bytes: Counter::default(),
         };
         metrics.register();
         metrics
@@ -415,9 +434,44 @@
             "Turns that were refused a place at an engine, by reason",
             self.admission_refusals.clone(),
         );
+        self.register_runs();
         self.register_memory();
     }
 
+    fn register_runs(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "runs_gone_on",
+            "Runs that went on with a copy of their memory after their stream broke off",
+            self.runs_gone_on.clone(),
+        );
+        registry.register(
+            "runs_ended",
+            "Runs whose stream broke off and that could not go on, by reason",
+            self.runs_ended.clone(),
+        );
+        registry.register(
+            "copies_freed",
+            "Copies of runs that nobody used and their engines freed",
+            self.copies_freed.clone(),
+        );
+        registry.register(
+            "copy_bytes",
+            "Bytes of the copies of runs that engines made, estimated from the length of the prompt",
+            self.copy_bytes.clone(),
+        );
+        registry.register(
+            "backups",
+            "Runs that had a backup of their memory",
+            self.backups.clone(),
+        );
+        registry.register(
+            "backup_bytes",
+            "Bytes that backups move if their runs go to their end, estimated",
+            self.backup_bytes.clone(),
+        );
+    }
+
     fn register_memory(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -130,6 +130,10 @@
     /// Nothing was done.
     #[error("the engine refused the call: {0}")]
     Refused(String),
+    /// No connection could be made: nothing was done, and nobody serves at the address or the way
+    /// there is cut.
+    #[error("the engine cannot be reached: {0}")]
+    NotReached(String),
     /// No answer came in time: what was asked for may have been done.
     #[error("no answer from the engine: {0}")]
     Unknown(String),
