gateway: runs may leave an engine that falls silent behind an event (off)

Change: with leaving_silence_ms, the engine is asked to stop the run and it goes on with the copy; if the engine does not hand it over its stream is read on. Off until measured.

--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -101,6 +101,9 @@
     /// Runs that may run at most once go on with a copy of their memory if their stream breaks off,
     /// where engines hand runs over.
     pub run_moves: bool,
+    /// Such a run leaves an engine that has been silent for so long behind an event, in
+    /// milliseconds; 0 if silence is waited out.
+    pub leaving_silence_ms: u64,
     /// Bytes that a backup of a run may move for each token that the run has yet to generate, where
     /// engines back runs up. With 0, no run has a backup.
     pub backup_bytes_per_token: u64,
@@ -150,6 +153,7 @@
             fair_share: true,
             reading_pairs: MOST_PAIRS,
             run_moves: true,
+            leaving_silence_ms: 0,
             backup_bytes_per_token: 0,
             most_backups: 32,
             backup_bytes_per_s: 1_000_000_000,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -13,6 +13,7 @@
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartKey};
+use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::workers::{WorkerLife, idle_connections_share};
 
 use super::access::Sender;
@@ -103,6 +104,16 @@
     pub(super) occupied: Occupied,
 }
 
+impl RunningAnswer {
+    /// The worker that it runs at.
+    pub(super) fn engine(&self) -> Engine {
+        Engine {
+            worker: self.occupied.worker.clone(),
+            address: self.address,
+        }
+    }
+}
+
 impl<'a> Call<'a> {
     #[allow(
         clippy::too_many_arguments,
--- a/crates/gateway/src/forward/flow.rs
+++ b/crates/gateway/src/forward/flow.rs
@@ -4,7 +4,7 @@
 //! free their worker whatever their caller does; beyond it, the worker waits. Thresholds are
 //! `elderworks_gateway_core::pressure`'s.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use elderworks_gateway_core::pressure::{LONGEST_STALL, StallStep, after_stall, reads_stream};
@@ -24,6 +24,8 @@
     End,
     /// The worker's answer broke off.
     Broken(String),
+    /// Nothing has come for a while.
+    Silent,
     /// The worker is let go until the caller has read what is held for it.
     LetWorkerGo,
 }
@@ -35,6 +37,8 @@
     entry: StreamEntry,
     request: &'a str,
     is_resumable: bool,
+    /// Silence of the worker that is told, if any is.
+    told_silence: Option<Duration>,
     /// When the caller last took bytes, or when there were first some to take.
     stalled_since: Instant,
     is_paused: bool,
@@ -42,7 +46,12 @@
 
 impl<'a> Flow<'a> {
     /// A stream that begins.
-    pub(super) fn new(gateway: &'a Gateway, request: &'a str, is_resumable: bool) -> Self {
+    pub(super) fn new(
+        gateway: &'a Gateway,
+        request: &'a str,
+        is_resumable: bool,
+        told_silence: Option<Duration>,
+    ) -> Self {
         let memory = gateway.memory.clone();
         Self {
             entry: memory.begin_stream(),
@@ -50,6 +59,7 @@
             gateway,
             request,
             is_resumable,
+            told_silence,
             stalled_since: Instant::now(),
             is_paused: false,
         }
@@ -74,6 +84,7 @@
         waiting_since: &mut Option<Instant>,
     ) -> Result<Step, CallError> {
         let buffer = self.gateway.settings.policy.stream_buffer_bytes;
+        let silence_end = self.told_silence.map(|silence| Instant::now() + silence);
         loop {
             let unsent = caller.unsent();
             let reads = reads_stream(unsent, buffer, self.memory.pressure());
@@ -95,6 +106,9 @@
                         Err(broken) => Step::Broken(broken.to_string()),
                     });
                 }
+                () = sleep_until_some(silence_end), if reads && silence_end.is_some() => {
+                    return Ok(Step::Silent);
+                }
                 () = tokio::time::sleep_until(stall_end.into()), if !reads => {
                     match after_stall(self.stalled_since.elapsed(), self.is_resumable) {
                         StallStep::Wait => {}
@@ -161,6 +175,13 @@
     }
 }
 
+async fn sleep_until_some(end: Option<Instant>) {
+    match end {
+        Some(end) => tokio::time::sleep_until(end.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Why a stream is ended although its worker goes on.
 const MEMORY_FULL: &str = "memory is full and the caller reads nothing";
 
--- a/crates/gateway/src/forward/outliving.rs
+++ b/crates/gateway/src/forward/outliving.rs
@@ -25,6 +25,9 @@
 /// seconds of silence.
 const COPY_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Why an answer ends.
+const BROKEN: &str = "the worker's stream broke off";
+
 /// A run that may go on elsewhere. What is left of its copies is freed with it.
 pub(super) struct OutlivingRun {
     gateway: Rc<Gateway>,
@@ -86,22 +89,49 @@
         (is_allowed && is_nameable && runs_once).then_some(moves)
     }
 
+    /// Silence of an engine after which its run is to leave it.
+    pub(super) fn told_silence(&self) -> Option<Duration> {
+        let silence = self.gateway.settings.policy.leaving_silence_ms;
+        let is_on = silence > 0 && self.memory_moves().is_some();
+        is_on.then(|| Duration::from_millis(silence))
+    }
+
+    /// Goes on elsewhere with a run whose engine has been silent; `None` if it stays where it is.
+    pub(super) async fn leave_silent(
+        &mut self,
+        running: &RunningAnswer,
+        last_event_id: Option<&str>,
+    ) -> Result<Option<RunningAnswer>, CallError> {
+        let Some(last_event_id) = last_event_id else {
+            return Ok(None);
+        };
+        self.leave(running.engine(), last_event_id, Reason::Silent)
+            .await
+    }
+
     /// Goes on with a run whose stream broke off behind an event.
     pub(super) async fn go_on(
         &mut self,
         from: Engine,
         last_event_id: Option<&str>,
     ) -> Result<RunningAnswer, CallError> {
-        let broken = CallError::Broken("the worker's stream broke off");
-        if self.memory_moves().is_none() {
-            return Err(broken);
-        }
-        let Some(last_event_id) = last_event_id else {
-            return Err(broken);
+        let (Some(_), Some(last_event_id)) = (self.memory_moves(), last_event_id) else {
+            return Err(CallError::Broken(BROKEN));
         };
+        let gone_on = self.leave(from, last_event_id, Reason::Broken).await?;
+        gone_on.ok_or(CallError::Broken(BROKEN))
+    }
+
+    /// Has a run leave its engine; `None` if its stream is to be read on.
+    async fn leave(
+        &mut self,
+        from: Engine,
+        last_event_id: &str,
+        reason: Reason,
+    ) -> Result<Option<RunningAnswer>, CallError> {
         let mut run = self.outliving(from);
         let candidate = self.candidate(run.life.at());
-        let mut order = run.life.leave(Reason::Broken, candidate);
+        let mut order = run.life.leave(reason, candidate);
         loop {
             order = match order {
                 Order::Copy(hop) => run.life.after_copy(self.copy(hop, None).await),
@@ -116,17 +146,21 @@
                             run.life.after_attempt(AttemptEnd::Answered, None);
                             run.free_unused();
                             self.run = Some(run);
-                            return Ok(running);
+                            return Ok(Some(running));
                         }
                         Err(end) => end,
                     };
                     let candidate = self.candidate(&at);
                     run.life.after_attempt(end, candidate)
                 }
-                Order::Read => Order::End(EndReason::InDoubt),
+                Order::Read => {
+                    run.free_unused();
+                    self.run = Some(run);
+                    return Ok(None);
+                }
                 Order::End(reason) => {
                     self.note_run_ended(run.life.at(), reason);
-                    return Err(broken);
+                    return Err(CallError::Broken(BROKEN));
                 }
             };
         }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -56,7 +56,12 @@
             held: self.gateway.memory.share(HeldFor::KeptTurns),
         };
         let request = self.attributes.request_id.as_deref().unwrap_or_default();
-        let mut flow = Flow::new(self.gateway, request, self.may_resume());
+        let mut flow = Flow::new(
+            self.gateway,
+            request,
+            self.may_resume(),
+            self.told_silence(),
+        );
         let mut running = self
             .begin_stream(caller, passed.last_event_id.clone(), None)
             .await?;
@@ -112,6 +117,14 @@
                 Step::End => return Ok(PartEnd::Broken("stream ends within an event".to_owned())),
                 Step::Broken(reason) => return Ok(PartEnd::Broken(reason)),
                 Step::LetWorkerGo => return Ok(PartEnd::LetGo),
+                Step::Silent => {
+                    let last_event_id = passed.last_event_id.as_deref();
+                    if let Some(next) = self.leave_silent(running, last_event_id).await? {
+                        *running = next;
+                        splitter = EventSplitter::default();
+                    }
+                    continue;
+                }
             };
             splitter.push(&piece);
             let mut any = false;
@@ -226,10 +239,7 @@
 
 /// The engine of an answer that is given up; its connection is closed.
 fn engine_of(running: RunningAnswer) -> Engine {
-    Engine {
-        worker: running.occupied.worker.clone(),
-        address: running.address,
-    }
+    running.engine()
 }
 
 pub(super) fn is_event_stream(running: &RunningAnswer) -> bool {
