--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -187,6 +187,24 @@
     assert_eq!(run.after_stop(copied("h")), expected);
 }
 
+/// An engine whose run was copied elsewhere may refuse to take it up again.
+#[test]
+fn a_run_that_may_go_nowhere_else_does_not_leave_unforced() {
+    for reason in [Reason::Silent, Reason::Draining, Reason::Slow] {
+        let mut run = life(None, 1);
+        assert_eq!(run.leave(reason, Some(target())), Order::Read);
+        let mut run = life(None, 2);
+        run.leave(Reason::Silent, Some(target()));
+        run.after_stop(copied("h"));
+        run.after_attempt(AttemptEnd::Answered, None);
+        assert_eq!(run.leave(reason, Some(backup())), Order::Read);
+        assert!(matches!(
+            run.leave(reason, Some(source())),
+            Order::Stop(_) | Order::Copy(_)
+        ));
+    }
+}
+
 #[test]
 fn a_lost_engine_does_not_count_against_the_route() {
     let mut run = life(Some(backup()), 1);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -1,7 +1,6 @@
 //! Attempts of one call at workers.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -13,10 +12,10 @@
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartKey};
-use elderworks_gateway_core::run_moves::Engine;
-use elderworks_gateway_core::workers::{WorkerLife, idle_connections_share};
+use elderworks_gateway_core::workers::idle_connections_share;
 
 use super::access::Sender;
+use super::occupied::{Occupied, RunningAnswer};
 use super::outliving::{OutlivingRun, RunBackup};
 use super::quota::Counted;
 use super::turn::TurnLease;
@@ -28,7 +27,7 @@
 use crate::ports::WorkerHeaders;
 use crate::reply::Refusal;
 use crate::server::CallerRequest;
-use crate::upstream::{Answer, ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
+use crate::upstream::{ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
 
 /// Largest answer that is collected before it is passed on, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 * 1024 * 1024;
@@ -70,50 +69,6 @@
 /// Ids of the workers that were tried for a request, in order; shared with its log line.
 pub(super) type TriedWorkers = Rc<RefCell<Vec<String>>>;
 
-/// A request that occupies a worker.
-pub(super) struct Occupied {
-    gateway: Rc<Gateway>,
-    pub(super) worker: String,
-    life: WorkerLife,
-}
-
-impl Occupied {
-    fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
-        let now = gateway.now();
-        let life = gateway.workers.borrow_mut().note_start(worker, now);
-        Self {
-            gateway: gateway.clone(),
-            worker: worker.to_owned(),
-            life,
-        }
-    }
-}
-
-impl Drop for Occupied {
-    fn drop(&mut self) {
-        let mut workers = self.gateway.workers.borrow_mut();
-        workers.note_end(&self.life);
-    }
-}
-
-/// The answer of a worker with the worker that it occupies.
-pub(super) struct RunningAnswer {
-    pub(super) answer: Answer,
-    /// Where it runs.
-    pub(super) address: SocketAddr,
-    pub(super) occupied: Occupied,
-}
-
-impl RunningAnswer {
-    /// The worker that it runs at.
-    pub(super) fn engine(&self) -> Engine {
-        Engine {
-            worker: self.occupied.worker.clone(),
-            address: self.address,
-        }
-    }
-}
-
 impl<'a> Call<'a> {
     #[allow(
         clippy::too_many_arguments,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod flow;
 mod headers;
 mod observations;
+mod occupied;
 mod outliving;
 mod quota;
 mod resumption;
--- a/crates/gateway/src/forward/outliving.rs
+++ b/crates/gateway/src/forward/outliving.rs
@@ -14,7 +14,8 @@
 };
 
 use super::CallError;
-use super::attempts::{Call, RunningAnswer, is_unbacked_promise};
+use super::attempts::{Call, is_unbacked_promise};
+use super::occupied::RunningAnswer;
 use super::stream::is_event_stream;
 use crate::gateway::Gateway;
 use crate::metrics::RunEndLabel;
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -4,7 +4,8 @@
 use elderworks_gateway_core::run_moves::Engine;
 
 use super::CallError;
-use super::attempts::{Call, RunningAnswer};
+use super::attempts::Call;
+use super::occupied::RunningAnswer;
 use super::stream::Passed;
 use crate::caller::{Caller, Progress};
 use crate::upstream::Target;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -8,8 +8,9 @@
 use elderworks_gateway_core::run_moves::Engine;
 use elderworks_protocol::ledger::KeptTurn;
 
-use super::attempts::{Call, RunningAnswer};
+use super::attempts::Call;
 use super::flow::{Flow, Step};
+use super::occupied::RunningAnswer;
 use super::{CallError, headers};
 use crate::caller::{Caller, Progress};
 use crate::memory::Share;
