--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -153,7 +153,7 @@
             fair_share: true,
             reading_pairs: MOST_PAIRS,
             run_moves: true,
-            leaving_silence_ms: 200,
+            leaving_silence_ms: 0,
             backup_bytes_per_token: 0,
             most_backups: 32,
             backup_bytes_per_s: 1_000_000_000,
