--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -185,7 +185,9 @@
     let (outcome, label) = match answer {
         Ok(outcome) => (outcome, "answered"),
         Err(EngineError::Refused(_)) => (ReadOutcome::Refused, "refused"),
-        Err(EngineError::Unknown(_)) => (ReadOutcome::Failed, "failed"),
+        Err(EngineError::NotReached(_) | EngineError::Unknown(_)) => {
+            (ReadOutcome::Failed, "failed")
+        }
         Err(EngineError::Format(_)) => (ReadOutcome::Failed, "unreadable"),
     };
     let call = match step {
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -13,9 +13,11 @@
 use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PartKey};
-use elderworks_gateway_core::workers::{WorkerLife, idle_connections_share};
+use elderworks_gateway_core::workers::idle_connections_share;
 
 use super::access::Sender;
+use super::occupied::{Occupied, RunningAnswer};
+use super::outliving::{OutlivingRun, RunBackup};
 use super::quota::Counted;
 use super::turn::TurnLease;
 use super::{CallError, Milestones, Trace, headers};
@@ -26,7 +28,7 @@
 use crate::ports::WorkerHeaders;
 use crate::reply::Refusal;
 use crate::server::CallerRequest;
-use crate::upstream::{Answer, ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
+use crate::upstream::{ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
 
 /// Largest answer that is collected before it is passed on, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 * 1024 * 1024;
@@ -57,6 +59,10 @@
     tried: TriedWorkers,
     /// Where the next attempt must go, if the route allows no other worker.
     retry_at: Option<Target>,
+    /// Set once the run has gone on elsewhere.
+    pub(super) run: Option<OutlivingRun>,
+    /// Where the run's memory is sent as it grows.
+    pub(super) backup: Option<RunBackup>,
     /// Since when the worker of the present attempt has shown no sign of life.
     pub(super) waiting_since: Option<Instant>,
 }
@@ -64,38 +70,6 @@
 /// Ids of the workers that were tried for a request, in order; shared with its log line.
 pub(super) type TriedWorkers = Rc<RefCell<Vec<String>>>;
 
-/// A request that occupies a worker.
-pub(super) struct Occupied {
-    gateway: Rc<Gateway>,
-    pub(super) worker: String,
-    life: WorkerLife,
-}
-
-impl Occupied {
-    fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
-        let now = gateway.now();
-        let life = gateway.workers.borrow_mut().note_start(worker, now);
-        Self {
-            gateway: gateway.clone(),
-            worker: worker.to_owned(),
-            life,
-        }
-    }
-}
-
-impl Drop for Occupied {
-    fn drop(&mut self) {
-        let mut workers = self.gateway.workers.borrow_mut();
-        workers.note_end(&self.life);
-    }
-}
-
-/// The answer of a worker with the worker that it occupies.
-pub(super) struct RunningAnswer {
-    pub(super) answer: Answer,
-    pub(super) occupied: Occupied,
-}
-
 impl<'a> Call<'a> {
     #[allow(
         clippy::too_many_arguments,
@@ -131,6 +105,8 @@
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
             retry_at: None,
+            run: None,
+            backup: None,
             waiting_since: None,
         }
     }
@@ -174,6 +150,7 @@
                 Some(target) => target,
                 None => self.choose()?,
             };
+            let target = self.with_backup(target);
             let (failure, reason) = match self.attempt(&target, last_event_id).await {
                 Ok(running) if self.gateway.platform.was_not_run(&running.answer.head) => {
                     let status = running.answer.head.status;
@@ -195,7 +172,7 @@
         }
     }
 
-    async fn attempt(
+    pub(super) async fn attempt(
         &mut self,
         target: &Target,
         last_event_id: Option<&str>,
@@ -236,7 +213,15 @@
                 exchanging.await?
             }
         };
-        Ok(RunningAnswer { answer, occupied })
+        Ok(RunningAnswer {
+            answer,
+            address: target.address,
+            occupied,
+        })
+    }
+
+    pub(super) fn tried(&self) -> Vec<String> {
+        self.tried.borrow().clone()
     }
 
     pub(super) fn last_tried(&self) -> Option<String> {
@@ -312,7 +297,7 @@
         }
         let mut target = Target::plain(&worker.record);
         if let Some(turn) = query.turn.as_ref().filter(|_| tried.is_empty()) {
-            let moves = self.memory_moves();
+            let moves = self.engine_moves();
             let source = workers.prompt_source(&target.worker, turn, moves, now);
             if let Some((source, bytes)) = source {
                 target.prompt_source = PromptSource::Engine(source);
@@ -324,7 +309,7 @@
     }
 
     /// What engines of the call's service pass to each other.
-    fn memory_moves(&self) -> &MemoryMoves {
+    fn engine_moves(&self) -> &MemoryMoves {
         const NONE: &MemoryMoves = &MemoryMoves::NONE;
         let service = self.config.service(&self.service);
         let engine = service.and_then(|service| service.engine.as_ref());
@@ -394,7 +379,7 @@
 
 /// Whether callers take a status for a promise that the request was not run, which a worker that
 /// gives it of its own accord does not make.
-fn is_unbacked_promise(status: StatusCode) -> bool {
+pub(super) fn is_unbacked_promise(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::PAYMENT_REQUIRED
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -6,7 +6,10 @@
 mod flow;
 mod headers;
 mod observations;
+mod occupied;
+mod outliving;
 mod quota;
+mod resumption;
 mod stream;
 mod turn;
 
