log outages: silence known from one late answer; kept turns wait for it

Cause: while the store is silent, kept turns begin on what was set aside and on overdrafts and cannot end; their callers give them up after 2.4 s, and overdrafts that were activated stay in doubt after a loss.

Change: log_outage.rs tells late and silent from calls under way, words of other nodes (datagram Log, passed over by earlier builds) and answers; a turn to be kept waits for outage_wait_share of its time and is then refused with when to come back; owners activate and draw on no overdraft meanwhile if every turn of the configuration is kept.

--- a/crates/cli/src/request_log.rs
+++ b/crates/cli/src/request_log.rs
@@ -249,6 +249,11 @@
         }
         "the program's ledger cannot be asked now"
         | "the program's ledger has not answered in time" => no_leave(&saw),
+        "the log answers nobody now" => {
+            "the platform's store was silent for all nodes and the turn's end could not be made \
+             durable; look for `the log is silent`"
+                .to_owned()
+        }
         "another node has yet to settle the program's budget" => {
             "what another owner has set aside for the program decides whether the budget holds the \
              turn; it settles within seconds, or is lost"
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -155,6 +155,15 @@
 }
 
 impl ServingConfig {
+    /// Whether the end of every turn has to be durable.
+    pub fn keeps_every_turn(&self) -> bool {
+        let mut streaming = self
+            .routes
+            .iter()
+            .filter(|route| route.kind == RouteKind::Streaming);
+        streaming.all(|route| route.keeps_turns)
+    }
+
     /// The route of a request: of the host's routes the one with the longest prefix of the path.
     pub fn route_for(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -87,6 +87,8 @@
     /// Until when an owner that is not preferred makes no call for requests.
     gives_way_until: Timestamp,
     is_calling: bool,
+    /// Whether turns that run on an overdraft could not end.
+    is_log_silent: bool,
     last_call: CallNumber,
     call_began: Timestamp,
     conflicts: u64,
@@ -121,6 +123,7 @@
             failures_in_a_row: 0,
             gives_way_until: Timestamp::default(),
             is_calling: false,
+            is_log_silent: false,
             last_call: CallNumber::default(),
             call_began: Timestamp::default(),
             conflicts: 0,
@@ -158,7 +161,7 @@
             self.abandon(&finish.program, &finish.turn);
         }
         let at_once = self.answer_at_once(now, &request);
-        if at_once.is_none() {
+        if at_once.is_none() && !self.is_log_silent {
             self.activate_overdraft(now);
         }
         let may_wait = self.overdraft.is_activating();
@@ -190,17 +193,19 @@
 
     fn credit(&self, now: Timestamp) -> Credit {
         match self.own_overdraft() {
-            Some(own) if own.superseded.is_none() && self.overdraft.is_usable(now) => {
-                Credit::Overdraft {
-                    share: own.share,
-                    min_budget: own.min_budget,
-                    known_programs: own.known_programs,
-                }
-            }
+            Some(own) if own.superseded.is_none() && self.may_overdraw(now) => Credit::Overdraft {
+                share: own.share,
+                min_budget: own.min_budget,
+                known_programs: own.known_programs,
+            },
             _ => Credit::None,
         }
     }
 
+    fn may_overdraw(&self, now: Timestamp) -> bool {
+        self.overdraft.is_usable(now) && !self.is_log_silent
+    }
+
     /// Whether the partition is left to another owner, since the log has just come back.
     fn gives_way(&self, now: Timestamp) -> bool {
         !self.is_preferred && now < self.gives_way_until
@@ -209,7 +214,7 @@
     /// Notes that the call under way takes longer than [`super::SLOW_CALL`].
     pub fn note_slow_call(&mut self, now: Timestamp) {
         self.overdraft.note_trouble();
-        if !self.jobs.is_empty() {
+        if !self.jobs.is_empty() && !self.is_log_silent {
             self.activate_overdraft(now);
         }
         self.answer_jobs(now);
@@ -289,6 +294,12 @@
         self.is_preferred = is_preferred;
     }
 
+    /// Tells whether the log answers nobody while every turn has to be durable at its end: none is
+    /// begun on an overdraft then, which would only be in doubt if this owner were lost.
+    pub fn set_log_silent(&mut self, is_log_silent: bool) {
+        self.is_log_silent = is_log_silent;
+    }
+
     /// Whether the log is taken to be down.
     pub fn is_down(&self) -> bool {
         self.failures_in_a_row >= FAILURES_BEFORE_DOWN
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -21,6 +21,11 @@
     pub overdraft_share: u64,
     /// Owners read their partitions and open overdrafts before anybody asks.
     pub preparation: bool,
+    /// Nodes watch whether the log answers, and turns that could not end are not begun while it is
+    /// silent.
+    pub silence_watch: bool,
+    /// Share of its time for which such a turn waits before it is refused. From 0 to 1.
+    pub outage_wait_share: f64,
     /// Requests without leave wait for an outage of the log to end.
     pub patience: bool,
     /// Requests of one program keep to one worker, where their prompt is in memory.
@@ -107,6 +112,8 @@
             overdrafts: true,
             overdraft_share: 3,
             preparation: true,
+            silence_watch: true,
+            outage_wait_share: 0.6,
             patience: true,
             affinity: true,
             near_workers: true,
@@ -178,6 +185,9 @@
         if !(0.0..=1.0).contains(&self.calm_share) {
             return error("calm_share", "must be between 0 and 1");
         }
+        if !(0.0..=1.0).contains(&self.outage_wait_share) {
+            return error("outage_wait_share", "must be between 0 and 1");
+        }
         if !(self.full_share > 0.0 && self.full_share <= 1.0) {
             return error("full_share", "must be above 0 and at most 1");
         }
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -773,3 +773,28 @@
         }
     }
 }
+
+#[test]
+fn no_overdraft_is_activated_or_drawn_on_while_turns_could_not_end() {
+    let mut owner = standing();
+    owner.submit(START, Ticket(1), begin("one", 90, 10));
+    appended(&mut owner, START);
+    owner.set_log_silent(true);
+    owner.note_slow_call(START);
+    owner.submit(START, Ticket(2), begin("two", 90, 10));
+    assert_eq!(owner.take_inquiries(), []);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
+    // The log is slow after all, or turns this node alone away.
+    owner.set_log_silent(false);
+    owner.note_slow_call(START);
+    assert_eq!(owner.take_inquiries().len(), 3);
+    // One that is in use rests meanwhile.
+    let mut owner = active();
+    assert_eq!(granted(&mut owner), 1);
+    owner.set_log_silent(true);
+    owner.submit(START, Ticket(3), begin("three", 90, 10));
+    assert_eq!(granted(&mut owner), 0);
+    owner.set_log_silent(false);
+    owner.submit(START, Ticket(4), begin("four", 90, 10));
+    assert_eq!(granted(&mut owner), 1);
+}
--- a/crates/gateway-core/tests/policy.rs
+++ b/crates/gateway-core/tests/policy.rs
@@ -50,6 +50,13 @@
             },
             key: "calm_share",
         },
+        Case {
+            policy: Policy {
+                outage_wait_share: 1.1,
+                ..default
+            },
+            key: "outage_wait_share",
+        },
         Case {
             policy: Policy {
                 full_share: 0.0,
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::ledger::partition_of;
+use elderworks_gateway_core::outage_wait::{COME_BACK, outage_wait};
 use elderworks_gateway_core::pressure::HeldFor;
 use elderworks_gateway_core::tenants::scoped;
 use elderworks_protocol::ledger::{BeginTurn, FinishTurn, KeptTurn, LedgerReply, LedgerRequest};
@@ -38,10 +39,6 @@
 /// Longest wait for leave. Callers give up streams that stay silent for two seconds.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
 
-/// When to come back after the ledger could not be asked. An outage of the log lasts seconds
-/// rather than moments; the caller shortens this if it has less time.
-const LEDGER_RETRY: Duration = Duration::from_millis(900);
-
 /// Pause between two reports.
 const FINISH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -259,8 +256,9 @@
         if !self.gateway.settings.policy.patience {
             return Duration::ZERO;
         }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        left.mul_f64(PATIENT_SHARE).min(LONGEST_PATIENCE)
+        self.time_left()
+            .mul_f64(PATIENT_SHARE)
+            .min(LONGEST_PATIENCE)
     }
 
     fn is_turn(&self) -> bool {
@@ -282,7 +280,8 @@
         partition: PartitionId,
         begin: BeginTurn,
     ) -> Result<Bytes, Refusal> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.await_log().await?;
+        let left = self.time_left();
         let longest = left
             .mul_f64(LONGEST_SHARE)
             .clamp(SHORTEST_WAIT, LONGEST_WAIT);
@@ -293,6 +292,8 @@
         lease.granter = answered.by;
         match answered.reply {
             LedgerReply::Granted { conversation } => {
+                // It may have fallen silent meanwhile; what was set aside goes back.
+                self.await_log().await?;
                 self.lease = Some(lease);
                 Ok(conversation)
             }
@@ -309,6 +310,27 @@
         }
     }
 
+    /// Waits while the log is silent if the turn is to be kept: its end would not be durable.
+    async fn await_log(&self) -> Result<(), Refusal> {
+        let outage = &self.gateway.log_outage;
+        if !self.route.keeps_turns || !outage.state().is_silent() {
+            return Ok(());
+        }
+        let share = self.gateway.settings.policy.outage_wait_share;
+        let is_back = outage
+            .until_back(outage_wait(self.time_left(), share))
+            .await;
+        self.gateway.metrics.note_outage_wait(is_back);
+        match is_back {
+            true => Ok(()),
+            false => Err(NoLeave::LogSilent.refusal()),
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Asks the turn's partition, and, for a conversation that it does not keep, all others.
     async fn ask_for_leave(
         &self,
@@ -340,6 +362,8 @@
 /// Why a turn has no leave yet: it may be asked for again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NoLeave {
+    /// The log answers nobody.
+    LogSilent,
     /// No node could carry the request out: the log does not answer them.
     LogAway,
     /// No reply came while the caller had time for another try.
@@ -362,6 +386,7 @@
 
     fn reason(self) -> &'static str {
         match self {
+            Self::LogSilent => "the log answers nobody now",
             Self::LogAway => "the program's ledger cannot be asked now",
             Self::TooSlow => "the program's ledger has not answered in time",
             Self::BudgetUnsure => "another node has yet to settle the program's budget",
@@ -371,6 +396,6 @@
 
     /// Leave is asked for before the first attempt.
     fn refusal(self) -> Refusal {
-        Refusal::not_run_until(NotRun::before_any_attempt(), self.reason(), LEDGER_RETRY)
+        Refusal::not_run_until(NotRun::before_any_attempt(), self.reason(), COME_BACK)
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::clock::Clock;
 use crate::feed::Feed;
 use crate::ledger::Ledger;
+use crate::log_outage::LogOutage;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -86,6 +87,8 @@
     pub(crate) log_read_timer: RefCell<ResponseTimer>,
     /// Whether the log answers this node.
     pub(crate) log_reach: RefCell<LogReach>,
+    /// Whether the log answers anybody.
+    pub(crate) log_outage: LogOutage,
     pub(crate) metrics: Metrics,
     pub(crate) stage: watch::Sender<Stage>,
     /// Nodes of all zones that callers are sent to, as last counted.
@@ -134,6 +137,7 @@
             log_timer: RefCell::default(),
             log_read_timer: RefCell::default(),
             log_reach: RefCell::default(),
+            log_outage: LogOutage::default(),
             memory: Memory::new(settings.memory_bytes, &metrics),
             admission: AdmissionDriver::new(&settings),
             settings,
--- a/crates/gateway/src/ledger/log_calls.rs
+++ b/crates/gateway/src/ledger/log_calls.rs
@@ -122,7 +122,12 @@
         };
         let reading = async move {
             let started = Instant::now();
-            let read = gateway.platform.read(stream, from, limits).await;
+            let read = gateway.platform.read(stream, from, limits);
+            let read = match cause {
+                // A page takes as long as its bytes do.
+                LogCause::CatchUp => read.await,
+                _ => gateway.log_outage.observe(&gateway, read).await,
+            };
             gateway.metrics.note_log_call(cause, outcome(&read));
             note_response(
                 &gateway,
@@ -171,7 +176,7 @@
             let started = Instant::now();
             let stream = Stream::Ledger(partition);
             let append = gateway.platform.append(stream, at, encoded, LONGEST_CALL);
-            let appended = append.await;
+            let appended = gateway.log_outage.observe(&gateway, append).await;
             gateway.metrics.note_log_call(cause, outcome(&appended));
             note_response(
                 &gateway,
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -8,6 +8,7 @@
 use elderworks_gateway_core::ledger::{
     Action, Inquiry, OverdraftUse, PartitionOwner, RETENTION, SLOW_CALL, Ticket,
 };
+use elderworks_gateway_core::log_outage::{LOOK_INTERVAL, LogState};
 use elderworks_gateway_core::policy::Policy;
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest, WitnessAnswer, WitnessQuestion};
 use elderworks_types::{PartitionId, Timestamp};
@@ -99,6 +100,7 @@
             self.owner.set_preferred(self.is_preferred());
             let witnesses = self.gateway.peers.witnesses(&self.gateway, self.partition);
             self.owner.set_witnesses(witnesses);
+            self.owner.set_log_silent(self.ends_in_vain());
             let action = self.owner.next_action(self.gateway.now());
             self.hand_on();
             let Action::Wait { until } = action else {
@@ -141,7 +143,15 @@
         }
     }
 
+    /// Whether turns that begin now could not end, as far as is known.
+    fn ends_in_vain(&self) -> bool {
+        let is_late = self.gateway.log_outage.state() != LogState::Usual;
+        let config = self.gateway.current_config();
+        is_late && config.is_some_and(|config| config.keeps_every_turn())
+    }
+
     fn submit(&mut self, (request, reply): Job) {
+        self.owner.set_log_silent(self.ends_in_vain());
         let ticket = Ticket(self.gateway.next_sequence());
         let urgency = match &request {
             LedgerRequest::Finish(_) => Urgency::Ends,
@@ -237,6 +247,13 @@
                 Some(job) = inbox.jobs.recv() => self.submit(job),
                 Some(heard) = inbox.answers.recv() => self.hear(&heard),
                 () = &mut slow, if !is_slow => {
+                    let in_vain = self.ends_in_vain();
+                    self.owner.set_log_silent(in_vain);
+                    if in_vain {
+                        let next = tokio::time::Instant::now() + LOOK_INTERVAL;
+                        slow.as_mut().reset(next);
+                        continue;
+                    }
                     is_slow = true;
                     self.owner.note_slow_call(self.gateway.now());
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod gateway;
 mod ledger;
+mod log_outage;
 mod log_output;
 mod memory;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of turns that have waited for a silent log.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct OutageWaitLabel {
+    /// How the wait ended.
+    pub(crate) end: &'static str,
+}
+
 /// Label of memory by what it is held for.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct HeldLabel {
@@ -124,6 +131,9 @@
     pub(crate) ledger_conflicts: Counter,
     pub(crate) ledger_forwarded: Counter,
     pub(crate) overdrafts_activated: Counter,
+    pub(crate) log_silences: Counter,
+    pub(crate) log_is_silent: Gauge,
+    pub(crate) outage_waits: Family<OutageWaitLabel, Counter>,
     pub(crate) log_calls: Family<LogCallLabel, Counter>,
     /// The same for log lines, whatever their outcome.
     log_calls_by_cause: RefCell<BTreeMap<&'static str, u64>>,
@@ -174,6 +184,9 @@
             ledger_conflicts: Counter::default(),
             ledger_forwarded: Counter::default(),
             overdrafts_activated: Counter::default(),
+            log_silences: Counter::default(),
+            log_is_silent: Gauge::default(),
+            outage_waits: Family::default(),
             log_calls: Family::default(),
             log_calls_by_cause: RefCell::default(),
             start_ms: Family::default(),
@@ -209,6 +222,22 @@
         text
     }
 
+    /// Notes that the log is taken to be silent, or no longer.
+    pub(crate) fn note_log_silence(&self, is_silent: bool) {
+        self.log_is_silent.set(i64::from(is_silent));
+        if is_silent {
+            self.log_silences.inc();
+        }
+    }
+
+    /// Counts a turn that has waited for a silent log.
+    pub(crate) fn note_outage_wait(&self, is_back: bool) {
+        let end = if is_back { "begun" } else { "refused" };
+        self.outage_waits
+            .get_or_create(&OutageWaitLabel { end })
+            .inc();
+    }
+
     /// Counts an answer of the gateway's own.
     pub(crate) fn note_refusal(&self, refusal: &Refusal) {
         let label = RefusalLabel {
@@ -328,6 +357,21 @@
             "Times that a partition's owner began to let turns run on its overdraft",
             self.overdrafts_activated.clone(),
         );
+        registry.register(
+            "log_silences",
+            "Times that the log was taken to answer nobody",
+            self.log_silences.clone(),
+        );
+        registry.register(
+            "log_is_silent",
+            "Whether the log is taken to answer nobody now",
+            self.log_is_silent.clone(),
+        );
+        registry.register(
+            "outage_waits",
+            "Turns that waited for a silent log before they were begun, by how that ended",
+            self.outage_waits.clone(),
+        );
         registry.register(
             "ledger_conflicts",
             "Appends to a partition that another node had appended to",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 mod gossip;
 mod link;
 mod loads;
+mod outages;
 mod owners;
 mod parts;
 mod proofs;
@@ -108,6 +109,12 @@
         self.alive.borrow().contains(node)
     }
 
+    /// How many other nodes answer probes and are not leaving.
+    pub(crate) fn count_others(&self) -> usize {
+        let alive = self.alive.borrow();
+        alive.len() - usize::from(alive.contains(&self.own))
+    }
+
     /// Notes that entries have changed, or what is presumed.
     pub(crate) fn note_stale(&self) {
         self.is_stale.set(true);
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -10,6 +10,7 @@
 
 use super::demand::{self, DemandTeller};
 use super::loads::{self, LOAD_INTERVAL, LoadSender};
+use super::outages::{self, OutageTeller};
 use super::parts::{self, PartTeller};
 use super::proofs::{self, ProofAsker};
 use super::quotas::{self, QuotaTeller};
@@ -33,13 +34,22 @@
     let mut quota_teller = QuotaTeller::default();
     let mut demand_teller = DemandTeller::default();
     let mut proof_asker = ProofAsker::default();
+    let mut outage_teller = OutageTeller::default();
+    let mut log_changes = gateway.log_outage.changes();
     let mut load_ticks = actix_rt::time::interval(LOAD_INTERVAL);
     load_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let event = tokio::select! {
             _ = ticks.tick() => Event::Tick,
+            // The sender lives as long as the gateway.
+            _ = log_changes.changed() => {
+                outage_teller.tell(&gateway, &socket);
+                continue;
+            }
             _ = load_ticks.tick() => {
                 gateway.act_on_node_changes();
+                gateway.log_outage.look(&gateway);
+                outage_teller.tell(&gateway, &socket);
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
@@ -78,6 +88,10 @@
                         feed::take_beat(&gateway, from, &beat);
                         continue;
                     }
+                    Ok(GatewayDatagram::Log(report)) => {
+                        outages::take(&gateway, &socket, from, report);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Zones(reports)) => {
                         zones::take(&gateway, &reports);
                         continue;
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -29,6 +29,24 @@
     /// How far a reader of the log's streams has read. Passed over by earlier versions as well, which
     /// so are never asked for news.
     Beat(FeedBeat),
+    /// Whether the log answers the sender. Passed over by earlier versions.
+    Log(LogReport),
+}
+
+/// What a node knows of the log from its own calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogReport {
+    /// The sender.
+    pub node: NodeId,
+    /// For how long its earliest unanswered call has waited, if that is longer than usual, in
+    /// microseconds.
+    pub waits_us: Option<u64>,
+    /// Time since the latest call began that it knows to have been answered, its own or another
+    /// node's, in microseconds.
+    pub answered_us: Option<u64>,
+    /// Whether it takes the log to be silent. If not, it asks the receiver whether it has been
+    /// answered since.
+    pub is_silent: bool,
 }
 
 /// The operator's latest wish for one zone.
