--- a/crates/gateway-core/tests/log_outage.rs
+++ b/crates/gateway-core/tests/log_outage.rs
@@ -50,7 +50,8 @@
                 continue;
             }
             // A process that was held up looks before it reads its sockets, at worst.
-            if now % LOOK_INTERVAL.as_millis() as u64 == 0 || !runs(now.saturating_sub(1)) {
+            if now.is_multiple_of(LOOK_INTERVAL.as_millis() as u64) || !runs(now.saturating_sub(1))
+            {
                 self.watch.look(at(now));
             }
             let due: Vec<_> = self
@@ -60,7 +61,7 @@
             for (call, began, _) in due {
                 self.watch.answered(at(now), call, ms(now - began));
             }
-            if now % PACE == 0 {
+            if now.is_multiple_of(PACE) {
                 self.next_call += 1;
                 self.watch.begin(at(now), self.next_call);
                 if let Some(takes) = takes(now) {
@@ -199,7 +200,7 @@
     let cases = [
         Case {
             name: "every third answer is lost",
-            takes: |now| (now / PACE % 3 != 0).then_some(USUAL),
+            takes: |now| (!(now / PACE).is_multiple_of(3)).then_some(USUAL),
             runs: always,
         },
         Case {
--- a/crates/gateway/src/forward/access.rs
+++ b/crates/gateway/src/forward/access.rs
@@ -1,13 +1,14 @@
 //! Who a request is from: decided before anything is done for it, and anew before each send.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::RequestHead;
 use elderworks_gateway_core::access::{self, Access};
 use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, ServingConfig};
+use elderworks_gateway_core::outage_wait::outage_wait;
 use elderworks_gateway_core::tenants::{Quota, TenantKey};
 
 use super::attempts::Call;
@@ -25,6 +26,9 @@
 /// Other nodes that answered so lately know no better than this one.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Pause between two looks whether a key's lease counts again.
+const LEASE_PAUSE: Duration = Duration::from_millis(25);
+
 /// When to come back after the lease for acting on keys is over.
 fn lease_retry(gateway: &Gateway) -> Duration {
     let now = gateway.now();
@@ -110,6 +114,41 @@
     }
 }
 
+/// Whether a request waits though its key cannot be proved now: its turn would wait for the log anyway,
+/// and is refused if that shows that the key was taken away.
+fn waits_for_lease(gateway: &Gateway, route: &Route, denial: Denial) -> bool {
+    let is_over = matches!(denial, Denial::LeaseOver(_));
+    is_over && route.keeps_turns && gateway.log_outage.state().is_silent()
+}
+
+/// The same, after a wait for the log if that is silent. What is sent on is decided anew by the
+/// configuration of then.
+pub(super) async fn identify_in_time(
+    gateway: &Gateway,
+    config: &ServingConfig,
+    route: &Route,
+    attributes: &CallAttributes,
+    left: Duration,
+) -> Result<Sender, Denial> {
+    let decided = identify(gateway, config, route, attributes);
+    let denial = match decided {
+        Err(denial) if waits_for_lease(gateway, route, denial) => denial,
+        _ => return decided,
+    };
+    let share = gateway.settings.policy.outage_wait_share;
+    let until = Instant::now() + outage_wait(left, share);
+    while Instant::now() < until {
+        actix_rt::time::sleep(LEASE_PAUSE).await;
+        let decided = identify(gateway, config, route, attributes);
+        if !matches!(decided, Err(Denial::LeaseOver(_))) {
+            gateway.metrics.note_outage_wait(decided.is_ok());
+            return decided;
+        }
+    }
+    gateway.metrics.note_outage_wait(false);
+    Err(denial)
+}
+
 /// The answer to a request for which the configuration in force has no route.
 pub(super) fn refuse_unknown_route(gateway: &Gateway) -> Refusal {
     let shown = NotRun::before_any_attempt();
@@ -138,6 +177,9 @@
     let Err(denial) = identify(gateway, &config, route, &attributes) else {
         return Ok(());
     };
+    if waits_for_lease(gateway, route, denial) {
+        return Ok(());
+    }
     let refusal = denial.refusal(NotRun::before_any_attempt());
     Trace::note_unread(gateway, &attributes, &config, route, &refusal);
     Err(refusal)
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -68,7 +68,11 @@
         Err(refusal) => return refuse(caller, trace, &refusal).await,
     };
     trace.route.clone_from(&route.name);
-    let sender = match access::identify(gateway, &config, route, attributes) {
+    let left = attributes
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let identified = access::identify_in_time(gateway, &config, route, attributes, left).await;
+    let sender = match identified {
         Ok(sender) => sender,
         Err(denial) => {
             let refusal = denial.refusal(NotRun::before_any_attempt());
@@ -76,9 +80,6 @@
         }
     };
     trace.note_sender(&sender);
-    let left = attributes
-        .deadline
-        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = request.received + left;
     let mut call = Call::new(
         gateway, &config, route, attributes, sender, request, deadline, trace,
--- a/crates/gateway/src/peers/outages.rs
+++ b/crates/gateway/src/peers/outages.rs
@@ -46,13 +46,14 @@
                 self.asked = Some(now);
                 send(gateway, socket, word, owners(gateway));
             }
-            LogState::Silent { .. } if word.waits.is_some() => {
-                if !self.was_silent || is_due(self.told, TELLING_INTERVAL) {
-                    self.was_silent = true;
-                    self.told = Some(now);
-                    let others = self.rota.pick(others(gateway), MOST_TOLD);
-                    send(gateway, socket, word, others);
-                }
+            LogState::Silent { .. }
+                if word.waits.is_some()
+                    && (!self.was_silent || is_due(self.told, TELLING_INTERVAL)) =>
+            {
+                self.was_silent = true;
+                self.told = Some(now);
+                let others = self.rota.pick(others(gateway), MOST_TOLD);
+                send(gateway, socket, word, others);
             }
             LogState::Usual if self.was_silent => {
                 self.was_silent = false;
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -2,7 +2,7 @@
 //! other must read. The bytes here are those of the version before.
 
 use elderworks_protocol::feed::FeedBeat;
-use elderworks_protocol::gateway::{ConfigProofAnswer, GatewayDatagram, LoadReport};
+use elderworks_protocol::gateway::{ConfigProofAnswer, GatewayDatagram, LoadReport, LogReport};
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{NodeId, Offset, PartitionId};
@@ -98,9 +98,16 @@
         workers_revision: 0,
         zones: Vec::new(),
     };
+    let log = LogReport {
+        node: NodeId::new("n1"),
+        waits_us: Some(40_000),
+        answered_us: None,
+        is_silent: false,
+    };
     for datagram in [
         GatewayDatagram::Zones(Vec::new()),
         GatewayDatagram::Beat(beat),
+        GatewayDatagram::Log(log),
     ] {
         assert!(kind(&encode(&datagram)) > LAST_KNOWN_DATAGRAM);
     }
