--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod gateway;
 mod ledger;
+mod log_outage;
 mod log_output;
 mod memory;
 mod metrics;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 mod link;
 mod loads;
 mod memories;
+mod outages;
 mod owners;
 mod parts;
 mod proofs;
@@ -109,6 +110,12 @@
         self.alive.borrow().contains(node)
     }
 
+    /// How many other nodes answer probes and are not leaving.
+    pub(crate) fn count_others(&self) -> usize {
+        let alive = self.alive.borrow();
+        alive.len() - usize::from(alive.contains(&self.own))
+    }
+
     /// Notes that entries have changed, or what is presumed.
     pub(crate) fn note_stale(&self) {
         self.is_stale.set(true);
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -3,7 +3,7 @@
 
 use elderworks_protocol::feed::FeedBeat;
 use elderworks_protocol::gateway::{
-    ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, LoadReport, MemoryReport,
+    ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, LoadReport, LogReport, MemoryReport,
 };
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
@@ -109,10 +109,17 @@
             parts: vec![(4, 5)],
         }],
     };
+    let log = LogReport {
+        node: NodeId::new("n1"),
+        waits_us: Some(40_000),
+        answered_us: None,
+        is_silent: false,
+    };
     for datagram in [
         GatewayDatagram::Zones(Vec::new()),
         GatewayDatagram::Beat(beat),
         GatewayDatagram::Memory(memory),
+        GatewayDatagram::Log(log),
     ] {
         assert!(kind(&encode(&datagram)) > LAST_KNOWN_DATAGRAM);
     }
