--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -4,7 +4,7 @@
 //! its zone they arrive, so that a prompt's prefix is found in that worker's memory. Workers of the
 //! node's own zone come first: they are nearer, and fewer pairs of node and worker need
 //! connections. A worker that has more than its share of the load, is failing or was already tried
-//! gives way to the next.
+//! gives way to the next, and those of a zone that seems lost come last.
 
 use std::cmp::Reverse;
 
@@ -49,13 +49,13 @@
             workers
                 .accepting(query.service)
                 .filter(|worker| !workers.is_held_back(worker, now))
-                .min_by_key(|worker| rank(worker, query, now))
+                .min_by_key(|worker| rank(workers, worker, query, now))
         })
         .or_else(|| {
             workers
                 .last_resort(query.service, now)
                 .filter(|worker| !workers.is_held_back(worker, now))
-                .min_by_key(|worker| rank(worker, query, now))
+                .min_by_key(|worker| rank(workers, worker, query, now))
         })
 }
 
@@ -66,7 +66,8 @@
     worker: &Worker,
 ) -> Option<bool> {
     let homes = Homes::of(workers, query);
-    homes.are_chosen().then(|| homes.include(worker))
+    let is_turn = homes != Homes::Unasked;
+    is_turn.then(|| homes.include(worker))
 }
 
 /// A worker against which nothing speaks and that has its share of the load or less: one of the own
@@ -87,12 +88,10 @@
             && !worker.is_unfit(now, query.repeatable)
             && !worker.is_full(now)
             && !workers.is_held_back(worker, now)
+            && !workers.is_doubtful(worker, spread_of(query), now)
     };
-    let policy = workers.policy();
     let homes = Homes::of(workers, query);
-    let near = workers.accepting(query.service).filter(is_near);
-    let keeps_zone = policy.near_workers && !homes.are_chosen();
-    if keeps_zone && utilization(workers, near) < policy.calm_share {
+    if keeps_zone(workers, query, &homes) {
         let near = workers.accepting(query.service).filter(is_near);
         if let Some(worker) = within_bound(workers, query, &homes, near.filter(is_good)) {
             return Some(worker);
@@ -102,21 +101,50 @@
     within_bound(workers, query, &homes, all)
 }
 
-/// Which workers are home to the first part of a turn's prompt; all of them without one.
-struct Homes {
-    part: PartKey,
-    /// Place of the last home in the part's order.
-    last: u64,
+/// Whether to look for a worker in the own zone before all others: it is calm, and no prompt has to
+/// be read there that would be in memory elsewhere.
+fn keeps_zone(workers: &WorkerDirectory, query: &PlacementQuery<'_>, homes: &Homes) -> bool {
+    let policy = workers.policy();
+    if !policy.near_workers {
+        return false;
+    }
+    let all = || workers.accepting(query.service);
+    let near = all().filter(|worker| worker.record.zone == query.zone);
+    let use_of_near = utilization(workers, near);
+    if use_of_near >= policy.calm_share {
+        return false;
+    }
+    match homes {
+        Homes::Unasked => true,
+        Homes::Some { .. } => false,
+        // Each turn slows the others at its engine a little, so load is kept even.
+        Homes::Everywhere => {
+            policy.near_homes && use_of_near <= utilization(workers, all()) + policy.zone_slack
+        }
+    }
+}
+
+/// Which workers are home to the first part of a turn's prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Homes {
+    /// The request is no turn with such a part.
+    Unasked,
+    /// All engines: each has memory for every part that is asked for.
+    Everywhere,
+    /// The first ones in the part's order.
+    Some {
+        /// The part.
+        part: PartKey,
+        /// Place of the last home.
+        last: u64,
+    },
 }
 
 impl Homes {
     fn of(workers: &WorkerDirectory, query: &PlacementQuery<'_>) -> Self {
         let turn = query.turn.filter(|_| workers.policy().part_homes);
         let Some(turn) = turn else {
-            return Self {
-                part: PartKey(0),
-                last: u64::MAX,
-            };
+            return Self::Unasked;
         };
         let accepting = workers.accepting(query.service);
         let mut places: Vec<u64> = accepting
@@ -124,20 +152,21 @@
             .collect();
         places.sort_unstable();
         let homes = home_count(workers.home_share(query.service, &turn), places.len());
+        if homes == places.len() {
+            return Self::Everywhere;
+        }
         let last = homes.checked_sub(1).and_then(|index| places.get(index));
-        Self {
+        Self::Some {
             part: turn.part,
             last: last.copied().unwrap_or(u64::MAX),
         }
     }
 
-    /// Whether homes go before the other workers.
-    fn are_chosen(&self) -> bool {
-        self.last != u64::MAX
-    }
-
     fn include(&self, worker: &Worker) -> bool {
-        !self.are_chosen() || place(self.part, &worker.record.id) <= self.last
+        match self {
+            Self::Unasked | Self::Everywhere => true,
+            Self::Some { part, last } => place(*part, &worker.record.id) <= *last,
+        }
     }
 }
 
@@ -183,13 +212,19 @@
 }
 
 /// Order of preference if something speaks against every worker; the least is best.
-type Rank = (bool, bool, bool, bool, u32, u32, Reverse<u64>);
+type Rank = (bool, bool, bool, bool, bool, u32, u32, Reverse<u64>);
 
-fn rank(worker: &Worker, query: &PlacementQuery<'_>, now: Timestamp) -> Rank {
+fn rank(
+    workers: &WorkerDirectory,
+    worker: &Worker,
+    query: &PlacementQuery<'_>,
+    now: Timestamp,
+) -> Rank {
     let tried = query.tried.contains(&worker.record.id);
     let rounds = worker.in_flight / worker.record.slots.max(1);
     (
         tried,
+        workers.is_doubtful(worker, spread_of(query), now),
         worker.is_ejected(now),
         worker.is_unfit(now, query.repeatable),
         worker.is_full(now),
@@ -210,9 +245,14 @@
 
 /// Rendezvous hashing: the order of the workers for one key.
 fn order(worker: &Worker, query: &PlacementQuery<'_>) -> Reverse<u64> {
-    let seed = match query.key {
+    let seed = spread_of(query);
+    Reverse(xxh3_64_with_seed(worker.record.id.as_bytes(), seed))
+}
+
+/// The same number for all requests of one key, else one that differs between requests.
+fn spread_of(query: &PlacementQuery<'_>) -> u64 {
+    match query.key {
         Some(key) => xxh3_64_with_seed(key.as_bytes(), 0),
         None => query.spread,
-    };
-    Reverse(xxh3_64_with_seed(worker.record.id.as_bytes(), seed))
+    }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -40,3 +40,5 @@
 pub mod unreadable;
 pub mod worker_health;
 pub mod workers;
+pub mod zone_health;
+pub mod zone_spread;
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -37,6 +37,16 @@
     /// Turns for engines go first to those that are home to the first part of their prompt, in
     /// whichever zone: a zone of its own has too few homes of a part to spread its load.
     pub part_homes: bool,
+    /// Turns keep to the engines of their own zone where each engine has memory for every part that
+    /// is asked for.
+    pub near_homes: bool,
+    /// Part of their slots by which engines of the own zone may be busier than all engines together
+    /// before turns go to other zones as well. From 0 to 1.
+    pub zone_slack: f64,
+    /// Witnesses and candidates of partitions are spread over zones.
+    pub zone_spread: bool,
+    /// A zone of which several machines fall silent together is suspected as a whole.
+    pub zone_suspicion: bool,
     /// Workers that fail are left alone for a while.
     pub ejection: bool,
     /// Nodes tell each other of workers that they leave alone.
@@ -114,6 +124,10 @@
             load_bound: 1.25,
             calm_share: 0.75,
             part_homes: true,
+            near_homes: true,
+            zone_slack: 0.25,
+            zone_spread: true,
+            zone_suspicion: true,
             ejection: true,
             ejection_reports: true,
             silence: true,
@@ -178,6 +192,9 @@
         if !(0.0..=1.0).contains(&self.calm_share) {
             return error("calm_share", "must be between 0 and 1");
         }
+        if !(0.0..=1.0).contains(&self.zone_slack) {
+            return error("zone_slack", "must be between 0 and 1");
+        }
         if !(self.full_share > 0.0 && self.full_share <= 1.0) {
             return error("full_share", "must be above 0 and at most 1");
         }
--- a/crates/gateway-core/src/workers/mod.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -2,6 +2,7 @@
 
 mod demand;
 mod restraint;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use crate::placement::demand::PartDemand;
 use crate::policy::Policy;
 use crate::worker_health::{Standing, WorkerHealth};
+use crate::zone_health::ZoneHealth;
 
 /// What taking a worker's entry has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,6 +122,8 @@
     closed_zones: BTreeSet<String>,
     /// Who may send to cold workers.
     cold: ColdSenders,
+    /// Zones that seem lost as a whole.
+    zone_health: ZoneHealth,
     /// When the store last answered again after an outage.
     outage_over: Option<Timestamp>,
 }
@@ -382,6 +386,7 @@
 
     /// Notes a failure; tells whether the worker is ejected now.
     pub fn note_failure(&mut self, id: &str, now: Timestamp) -> bool {
+        self.note_zone_failure(id, now);
         let worker = self.workers.get_mut(id).filter(|_| self.policy.ejection);
         worker.is_some_and(|worker| worker.health.note_failure(now))
     }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -92,7 +92,7 @@
     let addresses = gateway
         .nodes
         .borrow()
-        .addresses_for(zone, |node| gateway.is_serving(node));
+        .addresses_for(zone, |node| gateway.is_offered(node));
     if addresses.is_empty() {
         return text(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -145,6 +145,7 @@
             match running.answer.whole_body(MAX_WHOLE_ANSWER).await {
                 Ok(body) => {
                     self.note_answer(&running.occupied.worker, running.answer.head.status);
+                    self.count_answer(&running.occupied.worker, body.len());
                     drop(running.occupied);
                     self.leave_place();
                     let head = &running.answer.head;
@@ -221,6 +222,7 @@
             counted.note_send();
         }
         self.note_progress();
+        self.count_request(&target.worker);
         let mut exchanging = std::pin::pin!(exchange(&context, target, &request, extra));
         let soon = actix_rt::time::timeout(self.longest_silence(), &mut exchanging).await;
         let answer = match soon {
@@ -235,6 +237,7 @@
                 exchanging.await?
             }
         };
+        self.note_heard(&target.worker);
         Ok(RunningAnswer { answer, occupied })
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod quota;
 mod stream;
 mod turn;
+mod zones;
 
 use std::cell::Cell;
 use std::io;
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -52,6 +52,7 @@
         } else {
             self.gateway.workers.borrow_mut().note_success(worker);
         }
+        self.note_heard(worker);
     }
 
     /// Notes that the worker has shown life.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -121,6 +121,7 @@
                 Step::Broken(reason) => return Ok(PartEnd::Broken(reason)),
                 Step::LetWorkerGo => return Ok(PartEnd::LetGo),
             };
+            self.count_answer(&running.occupied.worker, piece.len());
             splitter.push(&piece);
             let mut any = false;
             while let Some(event) = splitter.next_event() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -126,7 +126,9 @@
         };
         let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now());
         let cold = ColdSenders::new(settings.cold, &settings.node);
-        let workers = WorkerDirectory::new(policy).with_cold_senders(cold);
+        let workers = WorkerDirectory::new(policy)
+            .with_cold_senders(cold)
+            .with_own_zone(settings.zone.as_str());
         Rc::new(Self {
             peers: Peers::new(&settings),
             feed: Feed::new(&settings),
@@ -281,6 +283,11 @@
         }
     }
 
+    /// Whether callers are to be sent to a node, as far as this one knows.
+    pub(crate) fn is_offered(&self, node: &NodeId) -> bool {
+        self.is_serving(node) && !self.peers.is_zone_suspected(self, node)
+    }
+
     /// Listed nodes that are neither alive nor this one.
     pub(crate) fn absent_nodes(&self) -> Vec<(NodeId, Incarnation)> {
         let nodes = self.nodes.borrow();
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -241,7 +241,7 @@
         );
         // Else the next try would pass it over.
         if may_pass_over(gateway, PassedOver::Absent) {
-            gateway.peers.avoid(node, *reason);
+            gateway.peers.avoid(gateway, node, *reason);
             gateway.peers.stop_presuming(gateway, node);
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clock;
 mod entry;
+mod far_bytes;
 mod feed;
 mod forward;
 mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::far_bytes::FarBytes;
 use crate::reply::Refusal;
 
 /// Label of answered requests.
@@ -133,6 +134,11 @@
     pub(crate) workers: Gauge,
     pub(crate) reads_streams: Gauge,
     pub(crate) zones_evacuated: Gauge,
+    /// Times that the workers or the nodes of a zone were suspected together.
+    pub(crate) zones_suspected: Counter,
+    /// How many are now.
+    pub(crate) zones_suspected_now: Gauge,
+    pub(crate) far_bytes: FarBytes,
     pub(crate) unreadable_entries: Counter,
     pub(crate) config_version: Gauge,
     pub(crate) proofs_told: Counter,
@@ -182,6 +188,9 @@
             workers: Gauge::default(),
             reads_streams: Gauge::default(),
             zones_evacuated: Gauge::default(),
+            zones_suspected: Counter::default(),
+            zones_suspected_now: Gauge::default(),
+            far_bytes: FarBytes::default(),
             unreadable_entries: Counter::default(),
             config_version: Gauge::default(),
             proofs_told: Counter::default(),
@@ -365,6 +374,21 @@
             "Zones whose workers get nothing more, as the operator wishes",
             self.zones_evacuated.clone(),
         );
+        registry.register(
+            "zones_suspected",
+            "Times that the workers or the nodes of another zone were suspected together",
+            self.zones_suspected.clone(),
+        );
+        registry.register(
+            "zones_suspected_now",
+            "Other zones whose workers or nodes are suspected together, each kind counted",
+            self.zones_suspected_now.clone(),
+        );
+        registry.register(
+            "far_bytes",
+            "Bytes sent to nodes and workers of other zones, and answers of workers there, by kind",
+            self.far_bytes.family.clone(),
+        );
         registry.register(
             "unreadable_entries",
             "Workers' entries that could not be read, each time that they were read",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other nodes: who seems alive, and connections to ask them for what they own.
 
 mod demand;
+mod far;
 mod gossip;
 mod link;
 mod loads;
@@ -21,19 +22,20 @@
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::start::presumes_alive;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
-use elderworks_protocol::encode;
 use elderworks_protocol::feed::{FeedAnswer, FeedQuestion};
 use elderworks_protocol::gateway::GatewayDatagram;
 use elderworks_protocol::gossip::MemberState;
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest, Witness};
-use elderworks_types::{CellId, Incarnation, NodeId, PartitionId};
+use elderworks_types::{CellId, Incarnation, NodeId, PartitionId, ZoneId};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 use crate::gateway::Gateway;
 use crate::settings::GatewaySettings;
+use far::FarZones;
 use link::Link;
 
+pub(crate) use far::send;
 pub(crate) use gossip::probe_nodes;
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
@@ -61,6 +63,7 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     own: NodeId,
+    own_zone: ZoneId,
     membership: RefCell<Option<Membership>>,
     /// When this node joined, while nodes that are listed count as alive though gossip has not told
     /// of them yet: a node that has just started knows nobody, and alone it would act for every
@@ -78,6 +81,8 @@
     rankings: RefCell<HashMap<PartitionId, Rc<[NodeId]>>>,
     /// The same for [`Self::witnesses`].
     witnesses: RefCell<HashMap<PartitionId, Rc<[Witness]>>>,
+    /// Zones of the nodes of other zones.
+    far_zones: RefCell<FarZones>,
     links: RefCell<HashMap<NodeId, Link>>,
     avoided: RefCell<HashMap<NodeId, Instant>>,
     /// Tells that nodes have come, gone or changed.
@@ -89,6 +94,7 @@
     pub(crate) fn new(settings: &GatewaySettings) -> Self {
         Self {
             own: settings.node.clone(),
+            own_zone: settings.zone.clone(),
             membership: RefCell::default(),
             presumes_since: Cell::default(),
             not_presumed: RefCell::default(),
@@ -97,6 +103,7 @@
             news: RefCell::default(),
             rankings: RefCell::default(),
             witnesses: RefCell::default(),
+            far_zones: RefCell::default(),
             links: RefCell::default(),
             avoided: RefCell::default(),
             changes: watch::Sender::new(()),
@@ -123,6 +130,7 @@
             return false;
         }
         self.is_stale.set(false);
+        self.note_zones(nodes);
         self.rankings.borrow_mut().clear();
         self.witnesses.borrow_mut().clear();
         *self.alive.borrow_mut() = alive;
@@ -210,13 +218,14 @@
     }
 
     /// Asks no ledger requests of a node for a while that depends on why it has not replied.
-    pub(crate) fn avoid(&self, node: &NodeId, reason: NoReply) {
+    pub(crate) fn avoid(&self, gateway: &Gateway, node: &NodeId, reason: NoReply) {
         let pause = match reason {
             NoReply::Unreachable => UNREACHABLE_PAUSE,
             NoReply::Silent => SILENT_PAUSE,
             // It is alive; what is slow is the log.
             NoReply::TooSlow => return,
         };
+        self.note_silent(gateway, node);
         self.links.borrow_mut().remove(node);
         let until = Instant::now() + pause;
         let mut avoided = self.avoided.borrow_mut();
@@ -295,7 +304,8 @@
     }
 
     fn open_link(&self, gateway: &Gateway, node: &NodeId, address: SocketAddr) -> Link {
-        let link = Link::open(address, &gateway.memory);
+        let far = self.counter_for(gateway, node);
+        let link = Link::open(address, &gateway.memory, far);
         self.links.borrow_mut().insert(node.clone(), link.clone());
         link
     }
@@ -351,12 +361,15 @@
                 // Gossip makes up for datagrams that are lost.
                 Effect::Send { to, datagram } => {
                     let datagram = GatewayDatagram::Gossip(datagram);
-                    let _ = socket.try_send_to(&encode(&datagram), to);
+                    send(gateway, socket, &datagram, [to]);
                 }
                 Effect::MemberChanged { node, state } => {
                     if state == MemberState::Dead {
                         self.links.borrow_mut().remove(&node);
                     }
+                    if matches!(state, MemberState::Suspect | MemberState::Dead) {
+                        self.note_silent(gateway, &node);
+                    }
                     if node != self.own {
                         self.news.borrow_mut().insert(node, state);
                     }
--- a/crates/gateway/src/peers/demand.rs
+++ b/crates/gateway/src/peers/demand.rs
@@ -5,7 +5,6 @@
 
 use elderworks_gateway_core::admission::{AdmissionMode, Demand, LEVELS, ServiceKey, Waiting};
 use elderworks_gateway_core::tenants::TenantKey;
-use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{DemandReport, GatewayDatagram, ServiceDemandReport};
 use tokio::net::UdpSocket;
 
@@ -43,11 +42,8 @@
             true => self.to_take_back.saturating_sub(told.max(1)),
             false => others.len(),
         };
-        let datagram = encode(&GatewayDatagram::Demand(report_of(gateway, demand)));
-        for to in self.take_turns(others) {
-            // The next report makes up for one that is lost.
-            let _ = socket.try_send_to(&datagram, to);
-        }
+        let report = GatewayDatagram::Demand(report_of(gateway, demand));
+        super::send(gateway, socket, &report, self.take_turns(others));
     }
 
     fn take_turns(&mut self, mut all: Vec<SocketAddr>) -> Vec<SocketAddr> {
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -1,11 +1,12 @@
 //! The loop that probes other nodes, tells them this node's reports and takes theirs.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use elderworks_membership::Event;
-use elderworks_protocol::decode;
 use elderworks_protocol::gateway::GatewayDatagram;
+use elderworks_protocol::{DecodeError, decode};
 use tokio::net::UdpSocket;
 
 use super::demand::{self, DemandTeller};
@@ -13,7 +14,7 @@
 use super::parts::{self, PartTeller};
 use super::proofs::{self, ProofAsker};
 use super::quotas::{self, QuotaTeller};
-use super::{PROBE_INTERVAL, zones};
+use super::{PROBE_INTERVAL, far, zones};
 use crate::feed;
 use crate::gateway::Gateway;
 
@@ -46,10 +47,11 @@
                 demand_teller.tell(&gateway, &socket);
                 part_teller.tell(&gateway, &socket);
                 feed::tick(&gateway, &socket);
+                far::tell_zone_changes(&gateway);
                 continue;
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => match decode(&buffer[..length]) {
+                Ok((length, from)) => match heard(&gateway, &buffer[..length], from) {
                     Ok(GatewayDatagram::Gossip(datagram)) => Event::Received { from, datagram },
                     Ok(GatewayDatagram::Load(report)) => {
                         // Its own word may come back to it, and would count its requests twice.
@@ -101,3 +103,13 @@
         gateway.act_on_node_changes();
     }
 }
+
+/// Decodes a datagram, which is a sign of life of the sender's zone.
+fn heard(
+    gateway: &Gateway,
+    bytes: &[u8],
+    from: SocketAddr,
+) -> Result<GatewayDatagram, DecodeError> {
+    gateway.peers.note_heard_from(gateway, from);
+    decode(bytes)
+}
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -9,12 +9,13 @@
 use bytes::BytesMut;
 use elderworks_protocol::feed::{FeedAnswer, FeedQuestion};
 use elderworks_protocol::ledger::{GatewayFrame, LedgerReply, LedgerRequest};
-use elderworks_protocol::{frame, split_frame};
+use elderworks_protocol::split_frame;
 use elderworks_types::PartitionId;
 use tokio::sync::mpsc;
 
 use super::queue::{NotQueued, Outgoing, Queue};
 use crate::buffered::{self, Receiver};
+use crate::far_bytes::FarBytes;
 use crate::memory::Memory;
 use crate::socket;
 
@@ -57,8 +58,8 @@
 
 impl Link {
     /// Begins to connect.
-    pub(super) fn open(address: SocketAddr, memory: &Memory) -> Self {
-        let (frames, outgoing) = Outgoing::new(memory);
+    pub(super) fn open(address: SocketAddr, memory: &Memory, far: Option<FarBytes>) -> Self {
+        let (frames, outgoing) = Outgoing::new(memory, far);
         let pending = Pending::default();
         actix_rt::spawn(run_link(address, outgoing, pending.clone()));
         Self { frames, pending }
@@ -72,7 +73,7 @@
     /// Sends news that asks for no reply.
     pub(super) fn tell(&self, news: &GatewayFrame) {
         // Who cannot be reached learns it from its own failures.
-        let _ = self.frames.push(frame(news));
+        let _ = self.frames.push(news);
     }
 
     /// Makes a request; `id` must differ from those of other requests.
@@ -111,12 +112,10 @@
         id: u64,
         message: &GatewayFrame,
     ) -> Result<mpsc::UnboundedReceiver<News>, NoReply> {
-        self.frames
-            .push(frame(message))
-            .map_err(|error| match error {
-                NotQueued::Closed => NoReply::Unreachable,
-                NotQueued::Full => NoReply::Silent,
-            })?;
+        self.frames.push(message).map_err(|error| match error {
+            NotQueued::Closed => NoReply::Unreachable,
+            NotQueued::Full => NoReply::Silent,
+        })?;
         let (sender, news) = mpsc::unbounded_channel();
         self.pending.borrow_mut().insert(id, sender);
         Ok(news)
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, Rota, WorkerKey};
-use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, LoadReport};
 use elderworks_types::NodeId;
 use tokio::net::UdpSocket;
@@ -65,11 +64,8 @@
         if is_idle && was_idle {
             return;
         }
-        let datagram = encode(&GatewayDatagram::Load(report));
-        for to in self.recipients(gateway) {
-            // The next report makes up for one that is lost.
-            let _ = socket.try_send_to(&datagram, to);
-        }
+        let recipients = self.recipients(gateway);
+        super::send(gateway, socket, &GatewayDatagram::Load(report), recipients);
     }
 
     fn recipients(&mut self, gateway: &Gateway) -> Vec<SocketAddr> {
--- a/crates/gateway/src/peers/queue.rs
+++ b/crates/gateway/src/peers/queue.rs
@@ -5,9 +5,12 @@
 
 use bytes::Bytes;
 use elderworks_gateway_core::pressure::HeldFor;
+use elderworks_protocol::frame;
+use elderworks_protocol::ledger::GatewayFrame;
 use tokio::sync::mpsc;
 
 use crate::buffered::Sender;
+use crate::far_bytes::{FarBytes, FarKind};
 use crate::memory::{Memory, Share};
 
 /// Most bytes that wait for one connection. The slowest machines send 22 Mbit/s: what is behind
@@ -41,6 +44,8 @@
 pub(super) struct Outgoing {
     frames: mpsc::UnboundedSender<Bytes>,
     held: Rc<Held>,
+    /// Counts the bytes, if the other side is in another zone.
+    far: Option<FarBytes>,
 }
 
 /// The end of the queue at which frames are sent.
@@ -52,7 +57,7 @@
 
 impl Outgoing {
     /// An empty queue, counted in `memory`.
-    pub(super) fn new(memory: &Memory) -> (Self, Queue) {
+    pub(super) fn new(memory: &Memory, far: Option<FarBytes>) -> (Self, Queue) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let held = Rc::new(Held {
             bytes: Cell::new(0),
@@ -61,13 +66,15 @@
         let outgoing = Self {
             frames: sender,
             held: held.clone(),
+            far,
         };
         let frames = receiver;
         (outgoing, Queue { frames, held })
     }
 
     /// Puts a frame in.
-    pub(super) fn push(&self, frame: Bytes) -> Result<(), NotQueued> {
+    pub(super) fn push(&self, message: &GatewayFrame) -> Result<(), NotQueued> {
+        let frame = frame(message);
         let held = self.held.bytes.get();
         if held > 0 && held + frame.len() > MOST_QUEUED {
             return Err(NotQueued::Full);
@@ -75,6 +82,9 @@
         let length = frame.len();
         self.frames.send(frame).map_err(|_| NotQueued::Closed)?;
         self.held.set(held + length);
+        if let Some(far) = &self.far {
+            far.note(FarKind::of_frame(message), length);
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/peers/quotas.rs
+++ b/crates/gateway/src/peers/quotas.rs
@@ -5,7 +5,6 @@
 
 use elderworks_gateway_core::quota::{REPORT_INTERVAL, TenantUse};
 use elderworks_gateway_core::tenants::TenantKey;
-use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, QuotaReport, TenantUseReport};
 use elderworks_types::{NodeId, Timestamp};
 use tokio::net::UdpSocket;
@@ -49,11 +48,8 @@
             node: gateway.settings.node.clone(),
             uses: uses.collect(),
         };
-        let datagram = encode(&GatewayDatagram::Quota(report));
-        for to in self.recipients(gateway) {
-            // The next report makes up for one that is lost.
-            let _ = socket.try_send_to(&datagram, to);
-        }
+        let recipients = self.recipients(gateway);
+        super::send(gateway, socket, &GatewayDatagram::Quota(report), recipients);
     }
 
     /// The nodes that callers are sent to, and those that have told of requests nevertheless.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_protocol::frame;
 use elderworks_protocol::ledger::GatewayFrame;
 use elderworks_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
@@ -35,8 +34,12 @@
 
 async fn serve_peer(gateway: Rc<Gateway>, stream: TcpStream) {
     socket::prepare(&stream);
+    let far = stream.peer_addr().ok().and_then(|address| {
+        let peers = &gateway.peers;
+        peers.counter_for_address(&gateway, address.ip())
+    });
     let (mut receiver, mut sender) = buffered::split(stream);
-    let (replies, mut outgoing) = Outgoing::new(&gateway.memory);
+    let (replies, mut outgoing) = Outgoing::new(&gateway.memory, far);
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
             let (id, partition, request) = match message {
@@ -60,7 +63,7 @@
                 GatewayFrame::FeedAsked { id, question } => {
                     let answer = feed::answer(&gateway, &question);
                     // The peer may have left; else it asks again after the next heartbeat.
-                    let _ = replies.push(frame(&GatewayFrame::FeedTold { id, answer }));
+                    let _ = replies.push(&GatewayFrame::FeedTold { id, answer });
                     continue;
                 }
                 GatewayFrame::Arrived { .. }
@@ -77,11 +80,11 @@
                     Ok(reply) => reply,
                     Err(_) => {
                         // The peer may have left, here and below.
-                        let _ = replies.push(frame(&GatewayFrame::Arrived { id }));
+                        let _ = replies.push(&GatewayFrame::Arrived { id });
                         carrying_out.await
                     }
                 };
-                let _ = replies.push(frame(&GatewayFrame::Reply { id, reply }));
+                let _ = replies.push(&GatewayFrame::Reply { id, reply });
             });
         }
     };
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -253,6 +253,11 @@
         let calls = gateway.metrics.log_calls_by_cause();
         let total: u64 = calls.values().sum();
         log::info!(total = total, calls:serde = calls; "calls to the log so far");
+        let bytes = gateway.metrics.far_bytes.totals();
+        let total: u64 = bytes.values().sum();
+        if total > 0 {
+            log::info!(total = total, bytes:serde = bytes; "bytes between zones so far");
+        }
     }
 }
 
