--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -47,6 +47,16 @@
     /// Engines that are known to lack the first part of a prompt take it from one that holds it; needs
     /// [`Self::engine_reading`].
     pub prompt_fetches: bool,
+    /// Turns keep to the engines of their own zone where each engine has memory for every part that
+    /// is asked for.
+    pub near_homes: bool,
+    /// Part of their slots by which engines of the own zone may be busier than all engines together
+    /// before turns go to other zones as well. From 0 to 1.
+    pub zone_slack: f64,
+    /// Witnesses and candidates of partitions are spread over zones.
+    pub zone_spread: bool,
+    /// A zone of which several machines fall silent together is suspected as a whole.
+    pub zone_suspicion: bool,
     /// Workers that fail are left alone for a while.
     pub ejection: bool,
     /// Nodes tell each other of workers that they leave alone.
@@ -141,6 +151,10 @@
             part_homes: true,
             engine_reading: false,
             prompt_fetches: false,
+            near_homes: true,
+            zone_slack: 0.25,
+            zone_spread: true,
+            zone_suspicion: true,
             ejection: true,
             ejection_reports: true,
             silence: true,
@@ -213,6 +227,9 @@
         if !(0.0..=1.0).contains(&self.outage_wait_share) {
             return error("outage_wait_share", "must be between 0 and 1");
         }
+        if !(0.0..=1.0).contains(&self.zone_slack) {
+            return error("zone_slack", "must be between 0 and 1");
+        }
         if !(self.full_share > 0.0 && self.full_share <= 1.0) {
             return error("full_share", "must be above 0 and at most 1");
         }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -122,6 +122,7 @@
             match running.answer.whole_body(MAX_WHOLE_ANSWER).await {
                 Ok(body) => {
                     self.note_answer(&running.occupied.worker, running.answer.head.status);
+                    self.count_answer(&running.occupied.worker, body.len());
                     drop(running.occupied);
                     self.leave_place();
                     let head = &running.answer.head;
@@ -199,6 +200,7 @@
             counted.note_send();
         }
         self.note_progress();
+        self.count_request(&target.worker);
         let mut exchanging = std::pin::pin!(exchange(&context, target, &request, extra));
         let soon = actix_rt::time::timeout(self.longest_silence(), &mut exchanging).await;
         let answer = match soon {
@@ -213,6 +215,7 @@
                 exchanging.await?
             }
         };
+        self.note_heard(&target.worker);
         Ok(RunningAnswer {
             answer,
             address: target.address,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod resumption;
 mod stream;
 mod turn;
+mod zones;
 
 use std::cell::Cell;
 use std::io;
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -127,6 +127,7 @@
                     continue;
                 }
             };
+            self.count_answer(&running.occupied.worker, piece.len());
             splitter.push(&piece);
             let mut any = false;
             while let Some(event) = splitter.next_event() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod engines;
 mod entry;
+mod far_bytes;
 mod feed;
 mod forward;
 mod gateway;
