--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -25,6 +25,9 @@
 impl PartitionOwner {
     /// Asks the witnesses to let the overdraft be used, if the log is in trouble.
     pub(super) fn activate_overdraft(&mut self, now: Timestamp) {
+        if !self.serves_without_log {
+            return;
+        }
         let witnesses = self.own_witnesses();
         if let Some(name) = self.overdraft.activate(now, &witnesses) {
             self.inquire(&name, &witnesses, WitnessWish::Activate);
--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -19,6 +19,8 @@
     /// A turn may begin on an overdraft if, with it, its program draws no more than one part in so
     /// many of its budget. At least 1.
     pub overdraft_share: u64,
+    /// Overdrafts are opened also where every turn is kept, so that none can end while the log is away.
+    pub kept_overdrafts: bool,
     /// Owners read their partitions and open overdrafts before anybody asks.
     pub preparation: bool,
     /// Nodes watch whether the log answers, and turns that could not end are not begun while it is
@@ -139,6 +141,7 @@
             advances: true,
             overdrafts: true,
             overdraft_share: 3,
+            kept_overdrafts: false,
             preparation: true,
             silence_watch: true,
             outage_wait_share: 0.6,
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -815,6 +815,47 @@
     assert!(matches!(owner.next_action(START), Action::Wait { .. }));
 }
 
+#[test]
+fn an_overdraft_that_stands_is_not_activated_once_every_turn_is_kept() {
+    let mut owner = standing();
+    owner.submit(START, Ticket(1), begin("one", 90, 10));
+    appended(&mut owner, START);
+    owner.set_serves_without_log(false);
+    owner.note_slow_call(START);
+    assert_eq!(owner.take_inquiries(), []);
+    assert_eq!(owner.overdraft_use(), OverdraftUse::Standing);
+    owner.set_serves_without_log(true);
+    owner.note_slow_call(START);
+    assert_eq!(owner.take_inquiries().len(), 3);
+}
+
+#[test]
+fn an_overdraft_in_use_is_recorded_and_closed_after_every_turn_is_kept() {
+    let mut owner = active();
+    assert_eq!(granted(&mut owner), 1);
+    owner.set_serves_without_log(false);
+    owner.on_append(START, AppendOutcome::Done);
+    let calm = START + SLOW_CALL;
+    let mut records = Vec::new();
+    let mut now = calm;
+    for _ in 0..6 {
+        match owner.next_action(now) {
+            Action::Append { records: some, .. } => {
+                records.extend(some);
+                owner.on_append(now, AppendOutcome::Done);
+            }
+            Action::Wait { until: Some(until) } => now = until,
+            Action::Wait { until: None } => break,
+            action => panic!("{action:?}"),
+        }
+    }
+    let is_closing = |record: &LedgerRecord| matches!(record, LedgerRecord::OverdraftClosed { .. });
+    let is_opening = |record: &LedgerRecord| matches!(record, LedgerRecord::Overdraft { .. });
+    assert!(records.iter().any(is_closing), "{records:?}");
+    assert!(!records.iter().any(is_opening), "{records:?}");
+    assert_eq!(owner.overdraft_use(), OverdraftUse::None);
+}
+
 /// All machines are lost after a program's first turn, of a budget that holds nine; whoever takes the
 /// partition over grants all that is left but for what the lost owner had set aside.
 #[test]
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -39,10 +39,6 @@
 /// Longest wait for leave. Callers give up streams that stay silent for two seconds.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
 
-/// When to come back while it is in doubt whether a budget is spent: whoever could tell is gone, so
-/// nothing changes soon.
-const DOUBT_RETRY: Duration = Duration::from_secs(30);
-
 /// Pause between two reports.
 const FINISH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -398,16 +394,8 @@
         }
     }
 
-    fn retry_after(self) -> Duration {
-        match self {
-            Self::LogSilent | Self::LogAway | Self::TooSlow | Self::BudgetUnsure => COME_BACK,
-            Self::BudgetInDoubt => DOUBT_RETRY,
-        }
-    }
-
     /// Leave is asked for before the first attempt.
     fn refusal(self) -> Refusal {
-        let shown = NotRun::before_any_attempt();
-        Refusal::not_run_until(shown, self.reason(), self.retry_after())
+        Refusal::not_run_until(NotRun::before_any_attempt(), self.reason(), COME_BACK)
     }
 }
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -271,6 +271,9 @@
     /// Whether the configuration has streams whose turns are not kept. Without a configuration nothing
     /// is served.
     fn serves_without_log(&self) -> bool {
+        if self.gateway.settings.policy.kept_overdrafts {
+            return true;
+        }
         let config = self.gateway.current_config();
         config.is_some_and(|config| config.routes.iter().any(Route::is_unkept_stream))
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -203,6 +203,11 @@
         self.changes.subscribe()
     }
 
+    /// Has the owners of partitions look anew at what they are to do, as after a change of nodes.
+    pub(crate) fn wake_owners(&self) {
+        self.changes.send_replace(());
+    }
+
     /// Whether gossip has had time to spread since this node has joined.
     pub(crate) fn is_settled(&self) -> bool {
         self.membership.borrow().is_some() && self.presumes_since.get().is_none()
--- a/crates/gateway/src/watch/configuration.rs
+++ b/crates/gateway/src/watch/configuration.rs
@@ -141,6 +141,7 @@
     *gateway.config_record.borrow_mut() = Some(record.clone());
     log::info!(version = version, routes = routes, tenants = tenants, offset = record.offset.0; "configuration in force");
     gateway.reach(Milestone::Configuration);
+    gateway.peers.wake_owners();
     let version = i64::try_from(version).unwrap_or(i64::MAX);
     gateway.metrics.config_version.set(version);
 }
