quotas: one node a tenant grants what its quota still holds

Cause: told parts leave room for reports on their way; with 74 nodes and some 100 requests in a window, tenants are refused at 68 to 98 of 86 to 117 while all nodes hear each other.

Change: a lessor a tenant (rendezvous among the nodes that take callers) is asked for requests beyond an even part of half the quota; it knows its grants at once and the rest from reports. Told parts remain where no lessor answers, and in a fleet of two versions. While more is asked for than fits, first turns leave a fifth to programs that have begun. What a node has sent counts as unheard for as long as reports take in turns. A node that is cut off keeps to its part of all nodes that there were.

Tests: quota_lessor.rs; quota_model.rs plays both ways, a table of wrong refusals, herds, and schedules by proptest. no_schedule_passes_the_bound is KNOWN-RED: power losses of most nodes pass the bound by a few per cent, with lessors and without.

--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -62,6 +62,12 @@
     pub peer_proofs: bool,
     /// Quotas are divided between nodes by what they tell each other; evenly if not.
     pub shared_quotas: bool,
+    /// One node a tenant grants what its quota still holds, while all nodes grant; if not, or while
+    /// that node does not answer, quotas are divided as `shared_quotas` says.
+    pub quota_lessors: bool,
+    /// While a quota is short, requests that begin programs leave some of it to programs that have
+    /// begun.
+    pub quota_order: bool,
     /// Bytes that are read of a stream ahead of its caller, so that a slow caller does not hold its
     /// worker; with 0, the worker waits for the caller.
     pub stream_buffer_bytes: usize,
@@ -126,6 +132,8 @@
             engine_rank: true,
             peer_proofs: true,
             shared_quotas: true,
+            quota_lessors: true,
+            quota_order: true,
             stream_buffer_bytes: 64 * 1024,
             batched_changes: true,
             leave_pace_ms: 20,
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -1,32 +1,43 @@
 //! Quotas of tenants over all nodes, without a question to anybody before a request.
 //!
 //! Every node counts what it sends on for each tenant and tells the others a few times a second.
-//! What a node may send until the others have heard of it is its part of what the tenant's quota
-//! still leaves: its part of the demand, as all have told it. So the parts of all nodes together
-//! never exceed what is left, however old the reports are, as long as reports arrive within
-//! [`FRESH`]; what may go wrong beyond that is bounded by the operator's tolerance, see decision
-//! 0093.
+//! While all nodes grant, the one that is the tenant's lessor decides on its requests ([`grant`]),
+//! but for the first ones in a quota that is hardly used. Without a lessor, what a node may send
+//! until the others have heard of it is its part of what the tenant's quota still leaves: its part
+//! of the demand, as all have told it. So the parts of all nodes together never exceed what is left
+//! as long as reports arrive in time; what may go wrong beyond that is bounded by the operator's
+//! tolerance, see decisions 0093 and 0098.
+//!
+//! [`grant`]: QuotaBook::grant
 
+mod begun;
+mod lessor;
 mod sliding;
+mod standing;
+mod turns;
+mod widths;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use elderworks_types::{NodeId, Timestamp};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::tenants::{Quota, TenantKey};
 
+use lessor::Grants;
 use sliding::{SlidingCount, Slots};
+use widths::Widths;
 
+pub use begun::BegunPrograms;
+pub use lessor::lessor_of;
 pub use sliding::Slot;
+pub use turns::ReportTurns;
 
 /// Interval at which nodes tell each other what they have sent on.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A report has reached every node within this time, two lost ones included. What a node has sent
-/// on since is not known to all.
-const FRESH: Duration = Duration::from_millis(600);
+/// Most nodes that one report goes to at a time; with more, they take turns.
+pub const TOLD_AT_ONCE: u32 = 64;
 
 /// Time over which demand is counted.
 const DEMAND_SPAN: Duration = Duration::from_secs(1);
@@ -49,6 +60,10 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Share of a quota that requests which begin a program leave to the others while more are
+/// asked for than a window holds.
+const HELD_BACK_SHARE: f64 = 0.2;
+
 /// Most tenants in one report: those nearest to their quotas.
 pub const MOST_TOLD: usize = 1_000;
 
@@ -81,11 +96,49 @@
     Even,
 }
 
+/// Which requests go first while a quota is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// It begins a program.
+    First,
+    /// It goes on with a program that has begun, or belongs to none.
+    Later,
+}
+
+/// What a refusal rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// The tenant's lessor has decided.
+    Lessor,
+    /// This node's part, as the nodes have told each other.
+    Told,
+    /// This node hears too few others, and keeps to a small even part.
+    Alone,
+    /// This node's even part.
+    Even,
+}
+
+impl Basis {
+    /// As it is logged.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Lessor => "lessor",
+            Self::Told => "told",
+            Self::Alone => "alone",
+            Self::Even => "even",
+        }
+    }
+}
+
 /// Why a request is refused: its tenant's quota holds no more now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OverQuota {
     /// When the quota is likely to hold it.
     pub retry_after: Duration,
+    /// Who has decided by what.
+    pub basis: Basis,
+    /// Whether there is room, but only for programs that have begun.
+    pub is_held_back: bool,
 }
 
 /// A request that was counted.
@@ -109,6 +162,8 @@
     limit: f64,
     sent: SlidingCount,
     asked: SlidingCount,
+    /// Refused as lessor in the last second.
+    refused: SlidingCount,
 }
 
 #[derive(Clone, Debug)]
@@ -117,14 +172,6 @@
     uses: HashMap<TenantKey, TenantUse>,
 }
 
-/// What is left of a tenant's quota, and this node's part.
-struct Standing {
-    /// Requests that all nodes may still send on, apart from this node's last ones.
-    free: f64,
-    /// This node's part of the demand, from 0 to 1.
-    part: f64,
-}
-
 /// One node's account of every tenant's quota.
 #[derive(Clone, Debug)]
 pub struct QuotaBook {
@@ -138,6 +185,12 @@
     has_past: bool,
     accounts: HashMap<TenantKey, Account>,
     reports: BTreeMap<NodeId, Report>,
+    /// What this node has granted to others as lessor.
+    grants: Grants,
+    /// Whether requests that begin programs leave some of a short quota to the others.
+    orders: bool,
+    /// How many nodes there were.
+    widths: Widths,
 }
 
 impl QuotaBook {
@@ -152,15 +205,31 @@
             has_past: true,
             accounts: HashMap::new(),
             reports: BTreeMap::new(),
+            grants: Grants::default(),
+            orders: false,
+            widths: Widths::default(),
         }
     }
 
+    /// While a quota is short, requests that begin programs leave some of it to the others.
+    #[must_use]
+    pub fn with_order(mut self, is_on: bool) -> Self {
+        self.orders = is_on;
+        self
+    }
+
     /// Nothing was sent on here before this process: the machine is new.
     pub fn note_new_machine(&mut self) {
         self.has_past = false;
     }
 
-    /// Decides whether a request may be sent on, and counts it if so.
+    /// Notes that a request is asked for.
+    pub fn note_asked(&mut self, now: Timestamp, tenant: TenantKey, quota: Quota) {
+        let slot = self.slots.at(now);
+        self.account(now, tenant, quota).asked.add(slot);
+    }
+
+    /// Decides on a request that goes on with something, without a lessor.
     pub fn admit(
         &mut self,
         now: Timestamp,
@@ -168,20 +237,30 @@
         quota: Quota,
         fleet: Fleet,
     ) -> Result<Ticket, OverQuota> {
-        let slot = self.slots.at(now);
-        let account = self.account(now, tenant, quota);
-        account.asked.add(slot);
-        let standing = self.standing(now, tenant, fleet);
-        let recent = self.accounts[&tenant]
-            .sent
-            .since(self.slots.first_within(now, FRESH));
-        if f64::from(recent) + 1.0 > standing.free * standing.part + self.rounding(now, tenant) {
-            let limit = self.accounts[&tenant].limit;
-            return Err(self.over_quota(limit * standing.part));
+        self.note_asked(now, tenant, quota);
+        self.admit_told(now, tenant, quota, fleet)
+    }
+
+    /// Decides without a lessor whether a request may be sent on, and counts it if so. It was noted
+    /// with [`Self::note_asked`].
+    pub fn admit_told(
+        &mut self,
+        now: Timestamp,
+        tenant: TenantKey,
+        quota: Quota,
+        fleet: Fleet,
+    ) -> Result<Ticket, OverQuota> {
+        let fleet = self.widths.note(now, fleet, self.rules.window);
+        let limit = self.account(now, tenant, quota).limit;
+        let standing = self.standing(now, tenant, fleet, limit);
+        if self.fits(now, tenant, fleet, standing.free * standing.part) {
+            return Ok(self.count(now, tenant));
         }
-        let account = self.account(now, tenant, quota);
-        account.sent.add(slot);
-        Ok(Ticket { tenant, slot })
+        Err(OverQuota {
+            retry_after: self.pause(limit * standing.part),
+            basis: standing.basis,
+            is_held_back: false,
+        })
     }
 
     /// An admitted request was not sent on after all.
@@ -225,8 +304,10 @@
     /// What to tell the others now; also forgets what no longer counts.
     pub fn report(&mut self, now: Timestamp, fleet: Fleet) -> Vec<(TenantKey, TenantUse)> {
         let window = self.rules.window;
+        let fleet = self.widths.note(now, fleet, window);
         self.reports
             .retain(|_, report| now.since(report.at) < window);
+        self.grants.forget(now, window);
         let first = self.slots.first_within(now, window);
         let first_asked = self.slots.first_within(now, DEMAND_SPAN);
         for account in self.accounts.values_mut() {
@@ -240,7 +321,7 @@
                 sent: account.sent.total() + unknown.ceil() as u32,
                 asked: account.asked.total(),
             };
-            if f64::from(own.sent) >= untold(account.limit, fleet) {
+            if f64::from(own.sent) >= standing::untold(account.limit, fleet) {
                 told.push((f64::from(own.sent) / account.limit, *tenant, own));
             }
         }
@@ -295,92 +376,26 @@
             limit,
             sent: SlidingCount::default(),
             asked: SlidingCount::default(),
+            refused: SlidingCount::default(),
         });
         account.limit = limit;
         account.forget(first, first_asked);
         account
     }
 
-    fn standing(&self, now: Timestamp, tenant: TenantKey, fleet: Fleet) -> Standing {
-        let account = &self.accounts[&tenant];
-        let limit = account.limit;
-        let all = &account.sent;
-        let recent = f64::from(all.since(self.slots.first_within(now, FRESH)));
-        let unknown = self.unknown_before_start(now, limit, fleet);
-        let own = f64::from(all.total()) + unknown;
-        let nodes = f64::from(fleet.nodes.max(1));
-        if self.division == Division::Even || self.is_alone(now, fleet) {
-            let share = match self.division {
-                Division::Even => 1.0,
-                Division::Told => ALONE_SHARE,
-            };
-            return Standing {
-                free: limit * share - (own - recent) * nodes,
-                part: 1.0 / nodes,
-            };
-        }
-        let mut told = 0.0;
-        let mut tellers = 0.0;
-        let asked_here = f64::from(account.asked.total()) + 1.0;
-        let mut asked = asked_here;
-        for report in self.reports.values() {
-            if now.since(report.at) >= self.rules.window {
-                continue;
-            }
-            let Some(used) = report.uses.get(&tenant) else {
-                continue;
-            };
-            tellers += 1.0;
-            told += f64::from(used.sent);
-            // Also of one that has fallen silent: it may be cut off and go on with its part.
-            asked += f64::from(used.asked);
-        }
-        let untold = (nodes - 1.0 - tellers).max(0.0) * untold(limit, fleet);
-        Standing {
-            free: limit - (own - recent) - told - untold,
-            part: asked_here / asked,
-        }
-    }
-
-    /// Whether this node hears too few others to go by what they tell: it is cut off, or has only
-    /// just started.
-    fn is_alone(&self, now: Timestamp, fleet: Fleet) -> bool {
-        let may_be = fleet.is_cut_off || now.since(self.started) < HEARING_TIME;
-        if !may_be || fleet.nodes <= 1 {
-            return false;
-        }
-        let heard = self.reports.values();
-        let fresh = heard.filter(|report| now.since(report.at) < FRESH).count();
-        fresh * 2 < usize::try_from(fleet.nodes - 1).unwrap_or(usize::MAX)
-    }
-
-    /// What may have been sent on here before this process started, as if every node had used its
-    /// part of the quota. Becomes nothing over one window.
-    fn unknown_before_start(&self, now: Timestamp, limit: f64, fleet: Fleet) -> f64 {
-        if !self.has_past {
-            return 0.0;
+    fn count(&mut self, now: Timestamp, tenant: TenantKey) -> Ticket {
+        let slot = self.slots.at(now);
+        if let Some(account) = self.accounts.get_mut(&tenant) {
+            account.sent.add(slot);
         }
-        let window = self.rules.window.as_secs_f64();
-        let left = 1.0 - now.since(self.started).as_secs_f64() / window;
-        let known = self.rules.tolerance(limit) * TOLERANCE_USED;
-        (limit - known).max(0.0) * left.max(0.0) / f64::from(fleet.nodes.max(1))
-    }
-
-    /// From 0 to 1: parts of a request add up over nodes and times to what is left.
-    fn rounding(&self, now: Timestamp, tenant: TenantKey) -> f64 {
-        let period = now.0 / u64::try_from(FRESH.as_micros()).unwrap_or(u64::MAX);
-        let hash = xxh3_64_with_seed(&tenant.0.to_le_bytes(), self.seed ^ period);
-        (hash >> 11) as f64 / (1u64 << 53) as f64
+        Ticket { tenant, slot }
     }
 
-    /// Refuses for as long as it takes until one more fits, if `part` fit into a window.
-    fn over_quota(&self, part: f64) -> OverQuota {
+    /// How long it takes until one more fits, if `part` fit into a window.
+    fn pause(&self, part: f64) -> Duration {
         let pause = self.rules.window.as_secs_f64() / part.max(f64::MIN_POSITIVE);
         let longest = LONGEST_PAUSE.as_secs_f64();
-        let pause = Duration::from_secs_f64(pause.min(longest));
-        OverQuota {
-            retry_after: pause.max(SHORTEST_PAUSE),
-        }
+        Duration::from_secs_f64(pause.min(longest)).max(SHORTEST_PAUSE)
     }
 }
 
@@ -388,10 +403,11 @@
     fn forget(&mut self, first: Slot, first_asked: Slot) {
         self.sent.forget_before(first);
         self.asked.forget_before(first_asked);
+        self.refused.forget_before(first_asked);
     }
 
     fn is_empty(&self) -> bool {
-        self.sent.total() == 0 && self.asked.total() == 0
+        self.sent.total() == 0 && self.asked.total() == 0 && self.refused.total() == 0
     }
 }
 
@@ -406,8 +422,3 @@
         limit * self.overshoot + self.slack
     }
 }
-
-/// Requests that a node may have sent on without telling.
-fn untold(limit: f64, fleet: Fleet) -> f64 {
-    limit * UNTOLD_SHARE / f64::from(fleet.nodes.max(1))
-}
--- a/crates/gateway-core/src/tenants.rs
+++ b/crates/gateway-core/src/tenants.rs
@@ -87,6 +87,7 @@
     tenants: Vec<Tenant>,
     /// Hashed with a seed of the process, so how long a look-up takes tells nothing of the keys.
     by_key: HashMap<KeyDigest, TenantId>,
+    by_name: HashMap<TenantKey, TenantId>,
 }
 
 impl TenantTable {
@@ -98,9 +99,16 @@
         for key in keys {
             self.by_key.entry(key).or_insert(TenantId(position));
         }
+        let name = self.by_name.entry(tenant.key());
+        name.or_insert(TenantId(position));
         self.tenants.push(tenant);
     }
 
+    /// The tenant that a key in a report stands for.
+    pub fn find(&self, key: TenantKey) -> Option<&Tenant> {
+        self.get(*self.by_name.get(&key)?)
+    }
+
     /// Whether there is no tenant at all: requests then need no key.
     pub fn is_empty(&self) -> bool {
         self.tenants.is_empty()
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -107,7 +107,7 @@
 }
 
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
-    if let Err(refusal) = call.take_quota() {
+    if let Err(refusal) = call.take_quota().await {
         return refuse(caller, trace, &refusal).await;
     }
     if let Err(refusal) = call.begin_turn().await {
--- a/crates/gateway/src/forward/quota.rs
+++ b/crates/gateway/src/forward/quota.rs
@@ -1,12 +1,16 @@
 //! The count of a request in its tenant's quota.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use elderworks_gateway_core::attempt::NotRun;
-use elderworks_gateway_core::quota::{OverQuota, Ticket};
+use elderworks_gateway_core::quota::{Basis, Order, OverQuota, Ticket};
+use elderworks_gateway_core::tenants::{Quota, TenantKey};
+use elderworks_protocol::gateway::GrantVerdict;
 
 use super::attempts::Call;
 use crate::gateway::Gateway;
+use crate::peers::Lessor;
 use crate::reply::Refusal;
 
 /// A request that counts in its tenant's quota. It is given back if nothing was sent for it.
@@ -40,34 +44,110 @@
 
 impl Call<'_> {
     /// Counts the request in its tenant's quota, or refuses it.
-    pub(super) fn take_quota(&mut self) -> Result<(), Refusal> {
+    pub(super) async fn take_quota(&mut self) -> Result<(), Refusal> {
         let Some((tenant, quota)) = self.sender.quota else {
             return Ok(());
         };
         let gateway = self.gateway;
         let now = gateway.now();
-        let admitted = gateway
-            .quotas
-            .borrow_mut()
-            .admit(now, tenant, quota, gateway.fleet());
-        let ticket = admitted.map_err(|over| self.refuse_over(over))?;
+        gateway.quotas.borrow_mut().note_asked(now, tenant, quota);
+        let order = self.order();
+        let admitted = self.obtain(tenant, quota, order).await;
+        let ticket = admitted.map_err(|over| self.refuse_over(over, order))?;
         self.counted = Some(Counted {
             gateway: gateway.clone(),
             ticket,
             is_sent: false,
         });
+        if let Some(program) = &self.attributes.program {
+            let program = self.in_scope(program);
+            gateway.begun_programs.borrow_mut().note(now, &program);
+        }
         Ok(())
     }
 
-    fn refuse_over(&self, over: OverQuota) -> Refusal {
-        self.gateway.metrics.over_quota.inc();
+    /// What a program has begun goes before new programs while its tenant's quota is short.
+    fn order(&self) -> Order {
+        let Some(program) = &self.attributes.program else {
+            return Order::Later;
+        };
+        let has_begun = !self.is_turn()
+            || self.attributes.previous_turn.is_some()
+            || (self.gateway.begun_programs.borrow()).contains(&self.in_scope(program));
+        if has_begun {
+            Order::Later
+        } else {
+            Order::First
+        }
+    }
+
+    async fn obtain(
+        &self,
+        tenant: TenantKey,
+        quota: Quota,
+        order: Order,
+    ) -> Result<Ticket, OverQuota> {
+        let gateway = self.gateway;
+        let lessor = gateway.lessors.lessor(gateway, tenant);
+        if lessor == Lessor::Absent {
+            return self.admit_told(tenant, quota);
+        }
+        if let Some(ticket) = self.admit_calm(tenant, quota) {
+            return Ok(ticket);
+        }
+        let granted = match lessor {
+            Lessor::Own => {
+                let mut quotas = gateway.quotas.borrow_mut();
+                quotas.grant(gateway.now(), tenant, quota, gateway.fleet(), None, order)
+            }
+            Lessor::Other(node) => {
+                let verdict = gateway.lessors.ask(gateway, &node, tenant, order).await;
+                result_of(verdict)
+            }
+            Lessor::Absent => None,
+        };
+        match granted {
+            Some(Ok(())) => {
+                gateway.metrics.note_quota_grant("granted");
+                let mut quotas = gateway.quotas.borrow_mut();
+                Ok(quotas.take_granted(gateway.now(), tenant, quota))
+            }
+            Some(Err(over)) => {
+                gateway.metrics.note_quota_grant("refused");
+                Err(over)
+            }
+            None => {
+                gateway.metrics.note_quota_grant("unready");
+                self.admit_told(tenant, quota)
+            }
+        }
+    }
+
+    fn admit_calm(&self, tenant: TenantKey, quota: Quota) -> Option<Ticket> {
+        let gateway = self.gateway;
+        let mut quotas = gateway.quotas.borrow_mut();
+        quotas.admit_calm(gateway.now(), tenant, quota, gateway.fleet())
+    }
+
+    fn admit_told(&self, tenant: TenantKey, quota: Quota) -> Result<Ticket, OverQuota> {
+        let gateway = self.gateway;
+        let mut quotas = gateway.quotas.borrow_mut();
+        quotas.admit_told(gateway.now(), tenant, quota, gateway.fleet())
+    }
+
+    fn refuse_over(&self, over: OverQuota, order: Order) -> Refusal {
+        let metrics = &self.gateway.metrics;
+        metrics.over_quota.inc();
+        metrics.note_quota_refusal(over.basis.as_str(), over.is_held_back);
         if let Some((tenant, quota)) = self.sender.quota {
             let quotas = self.gateway.quotas.borrow();
             log::info!(
                 request = self.attributes.request_id.as_deref().unwrap_or_default(),
                 tenant = self.sender.tenant.as_deref().unwrap_or_default(),
                 used = quotas.used_by(tenant), limit = quotas.limit_of(quota).round(),
-                nodes_heard = quotas.tellers().count(), pause_ms = over.retry_after.as_millis();
+                basis = over.basis.as_str(), begins = order == Order::First,
+                held_back = over.is_held_back, nodes_heard = quotas.tellers().count(),
+                pause_ms = over.retry_after.as_millis();
                 "over quota"
             );
         }
@@ -75,3 +155,19 @@
         Refusal::over_quota(NotRun::before_any_attempt(), over.retry_after)
     }
 }
+
+/// `None` if the lessor cannot tell.
+fn result_of(verdict: GrantVerdict) -> Option<Result<(), OverQuota>> {
+    match verdict {
+        GrantVerdict::Granted => Some(Ok(())),
+        GrantVerdict::Refused {
+            pause_ms,
+            is_held_back,
+        } => Some(Err(OverQuota {
+            retry_after: Duration::from_millis(pause_ms.into()),
+            basis: Basis::Lessor,
+            is_held_back,
+        })),
+        GrantVerdict::Unready => None,
+    }
+}
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -263,7 +263,7 @@
         left.mul_f64(PATIENT_SHARE).min(LONGEST_PATIENCE)
     }
 
-    fn is_turn(&self) -> bool {
+    pub(super) fn is_turn(&self) -> bool {
         self.route.kind == elderworks_gateway_core::config::RouteKind::Streaming
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use elderworks_gateway_core::evacuations::Evacuations;
 use elderworks_gateway_core::log_reach::LogReach;
 use elderworks_gateway_core::nodes::NodeDirectory;
-use elderworks_gateway_core::quota::{Division, Fleet, QuotaBook};
+use elderworks_gateway_core::quota::{BegunPrograms, Division, Fleet, QuotaBook};
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::split::SplitState;
 use elderworks_gateway_core::unreadable::UnreadableKeys;
@@ -28,7 +28,7 @@
 use crate::ledger::Ledger;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::peers::{LessorDesk, Peers};
 use crate::ports::{Platform, StreamRecord};
 use crate::settings::GatewaySettings;
 use crate::start::Start;
@@ -72,6 +72,10 @@
     pub(crate) key_leases: KeyLeases,
     /// What was sent on for tenants, here and elsewhere.
     pub(crate) quotas: RefCell<QuotaBook>,
+    /// Who grants requests within quotas.
+    pub(crate) lessors: LessorDesk,
+    /// Programs of tenants with quotas that have begun here.
+    pub(crate) begun_programs: RefCell<BegunPrograms>,
     /// Whether this node reads the log's streams, and what it hears of them otherwise.
     pub(crate) feed: Feed,
     pub(crate) workers: RefCell<WorkerDirectory>,
@@ -124,7 +128,8 @@
             true => RECOMPUTING_PACE,
             false => Duration::ZERO,
         };
-        let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now());
+        let quotas = QuotaBook::new(settings.quotas, division, rand::random(), clock.now())
+            .with_order(policy.quota_order);
         let cold = ColdSenders::new(settings.cold, &settings.node);
         let workers = WorkerDirectory::new(policy).with_cold_senders(cold);
         Rc::new(Self {
@@ -149,6 +154,8 @@
             proof_answered: Cell::default(),
             key_leases,
             quotas: RefCell::new(quotas),
+            lessors: LessorDesk::default(),
+            begun_programs: RefCell::default(),
             workers: RefCell::new(workers),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
             splits: RefCell::new(SplitState::new(rand::random())),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,22 @@
     pub(crate) engine: &'static str,
 }
 
+/// Label of requests refused for their tenant's quota.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct QuotaRefusalLabel {
+    /// What the refusal rests on.
+    pub(crate) basis: &'static str,
+    /// Whether room was left to programs that have begun.
+    pub(crate) held_back: &'static str,
+}
+
+/// Label of questions to lessors of quotas.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct QuotaGrantLabel {
+    /// What came of them.
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of figures of one tenant.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -137,6 +153,8 @@
     pub(crate) config_version: Gauge,
     pub(crate) proofs_told: Counter,
     pub(crate) over_quota: Counter,
+    quota_refusals: Family<QuotaRefusalLabel, Counter>,
+    quota_grants: Family<QuotaGrantLabel, Counter>,
     pub(crate) quota_used_percent: Family<TenantLabel, Gauge>,
     pub(crate) proof_age_ms: Gauge,
     pub(crate) config_read_age_ms: Gauge,
@@ -186,6 +204,8 @@
             config_version: Gauge::default(),
             proofs_told: Counter::default(),
             over_quota: Counter::default(),
+            quota_refusals: Family::default(),
+            quota_grants: Family::default(),
             quota_used_percent: Family::default(),
             proof_age_ms: Gauge::default(),
             config_read_age_ms: Gauge::default(),
@@ -209,6 +229,19 @@
         text
     }
 
+    /// Counts a request refused for its tenant's quota.
+    pub(crate) fn note_quota_refusal(&self, basis: &'static str, is_held_back: bool) {
+        let held_back = if is_held_back { "yes" } else { "no" };
+        let label = QuotaRefusalLabel { basis, held_back };
+        self.quota_refusals.get_or_create(&label).inc();
+    }
+
+    /// Counts a question to a lessor of quotas.
+    pub(crate) fn note_quota_grant(&self, outcome: &'static str) {
+        let label = QuotaGrantLabel { outcome };
+        self.quota_grants.get_or_create(&label).inc();
+    }
+
     /// Counts an answer of the gateway's own.
     pub(crate) fn note_refusal(&self, refusal: &Refusal) {
         let label = RefusalLabel {
@@ -385,6 +418,16 @@
             "Requests refused for their tenant's quota",
             self.over_quota.clone(),
         );
+        registry.register(
+            "quota_refusals",
+            "Requests refused for their tenant's quota by what that rests on",
+            self.quota_refusals.clone(),
+        );
+        registry.register(
+            "quota_grants",
+            "Questions to lessors of quotas by their outcome",
+            self.quota_grants.clone(),
+        );
         registry.register(
             "quota_used_percent",
             "Part of their quota that the tenants nearest to it have used",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod demand;
 mod gossip;
+mod lessors;
 mod link;
 mod loads;
 mod owners;
@@ -35,6 +36,7 @@
 use link::Link;
 
 pub(crate) use gossip::probe_nodes;
+pub(crate) use lessors::{Lessor, LessorDesk};
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
 pub(crate) use zones::{reports as zone_reports, take as take_zone_reports};
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -25,6 +25,7 @@
 
 /// Probes the others until the process ends.
 pub(crate) async fn probe_nodes(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    gateway.lessors.open(&socket);
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -43,6 +44,7 @@
                 sender.tell(&gateway, &socket);
                 proof_asker.ask(&gateway, &socket);
                 quota_teller.tell(&gateway, &socket);
+                gateway.lessors.introduce(&gateway);
                 demand_teller.tell(&gateway, &socket);
                 part_teller.tell(&gateway, &socket);
                 feed::tick(&gateway, &socket);
@@ -62,6 +64,10 @@
                         quotas::take(&gateway, report);
                         continue;
                     }
+                    Ok(GatewayDatagram::Lessor(message)) => {
+                        gateway.lessors.take(&gateway, from, message);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Parts(report)) => {
                         parts::take(&gateway, report);
                         continue;
--- a/crates/gateway/src/peers/quotas.rs
+++ b/crates/gateway/src/peers/quotas.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use elderworks_gateway_core::quota::{REPORT_INTERVAL, TenantUse};
+use elderworks_gateway_core::quota::{REPORT_INTERVAL, ReportTurns, TenantUse};
 use elderworks_gateway_core::tenants::TenantKey;
 use elderworks_protocol::encode;
 use elderworks_protocol::gateway::{GatewayDatagram, QuotaReport, TenantUseReport};
@@ -12,15 +12,12 @@
 
 use crate::gateway::Gateway;
 
-/// Most nodes that are told at a time; with more, they take turns.
-const MOST_TOLD: usize = 64;
-
 /// When was told last, and whose turn is next.
 #[derive(Debug, Default)]
 pub(super) struct QuotaTeller {
     told_at: Option<Timestamp>,
     has_told: bool,
-    next: usize,
+    turns: ReportTurns,
 }
 
 impl QuotaTeller {
@@ -64,17 +61,11 @@
         let serving = gateway.serving_nodes(&nodes);
         told.extend(serving);
         told.remove(&gateway.settings.node);
-        let mut addresses: Vec<SocketAddr> = told
+        let addresses = told
             .into_iter()
             .filter_map(|node| Some(nodes.get(node)?.record.peer_address))
             .collect();
-        if addresses.len() > MOST_TOLD {
-            let start = self.next % addresses.len();
-            addresses.rotate_left(start);
-            addresses.truncate(MOST_TOLD);
-            self.next = self.next.wrapping_add(MOST_TOLD);
-        }
-        addresses
+        self.turns.take(addresses)
     }
 }
 
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -29,6 +29,57 @@
     /// How far a reader of the log's streams has read. Passed over by earlier versions as well, which
     /// so are never asked for news.
     Beat(FeedBeat),
+    /// Between nodes that grant requests within tenants' quotas to each other. Passed over by earlier
+    /// versions, which so never say that they grant.
+    Lessor(LessorMessage),
+}
+
+/// Between nodes that grant requests within tenants' quotas to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LessorMessage {
+    /// The sender grants requests.
+    Introduction {
+        /// The sender.
+        node: NodeId,
+        /// Its boot number.
+        boot: u64,
+        /// Whether the receiver has said the same just now.
+        is_answer: bool,
+    },
+    /// Asks the tenant's lessor for one request.
+    Asked {
+        /// Returned in the answer.
+        question: u64,
+        /// The sender.
+        node: NodeId,
+        /// Stands for the tenant's name.
+        tenant: u64,
+        /// Whether the request begins a program.
+        begins: bool,
+    },
+    /// The answer.
+    Told {
+        /// From the question.
+        question: u64,
+        /// What the lessor has decided.
+        verdict: GrantVerdict,
+    },
+}
+
+/// What a lessor has decided on one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GrantVerdict {
+    /// It may be sent on, and counts.
+    Granted,
+    /// The quota holds no more now.
+    Refused {
+        /// When it is likely to hold the request, in milliseconds.
+        pause_ms: u32,
+        /// Whether there is room, but only for programs that have begun.
+        is_held_back: bool,
+    },
+    /// The sender cannot tell.
+    Unready,
 }
 
 /// The operator's latest wish for one zone.
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -2,7 +2,9 @@
 //! other must read. The bytes here are those of the version before.
 
 use elderworks_protocol::feed::FeedBeat;
-use elderworks_protocol::gateway::{ConfigProofAnswer, GatewayDatagram, LoadReport};
+use elderworks_protocol::gateway::{
+    ConfigProofAnswer, GatewayDatagram, GrantVerdict, LessorMessage, LoadReport,
+};
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
 use elderworks_types::{NodeId, Offset, PartitionId};
@@ -101,6 +103,10 @@
     for datagram in [
         GatewayDatagram::Zones(Vec::new()),
         GatewayDatagram::Beat(beat),
+        GatewayDatagram::Lessor(LessorMessage::Told {
+            question: 1,
+            verdict: GrantVerdict::Granted,
+        }),
     ] {
         assert!(kind(&encode(&datagram)) > LAST_KNOWN_DATAGRAM);
     }
