quotas: first turns are held back only after some did not fit

Cause: a moment's peak asks for more than a window holds while the window has room; first turns were refused at three quarters of the limit. Change: both are needed, more asked for and a refusal for want of room within the last second.

--- a/crates/gateway-core/src/quota/lessor.rs
+++ b/crates/gateway-core/src/quota/lessor.rs
@@ -123,7 +123,7 @@
     }
 
     /// Share of the quota that requests of one order may use: while more are asked for than a window
-    /// holds, what begins a program leaves some to programs that have begun.
+    /// holds and some did not fit, what begins a program leaves some to programs that have begun.
     fn share_of(&self, now: Timestamp, tenant: TenantKey, order: Order) -> f64 {
         let Some(account) = self.accounts.get(&tenant) else {
             return 1.0;
@@ -136,7 +136,8 @@
         let told = fresh.filter_map(|report| report.uses.get(&tenant));
         let asked = account.asked.total() + told.map(|used| used.asked).sum::<u32>();
         let spans = self.rules.window.as_secs_f64() / DEMAND_SPAN.as_secs_f64();
-        if f64::from(asked) * spans > account.limit {
+        let was_full = account.refused.total() > 0;
+        if was_full && f64::from(asked) * spans > account.limit {
             1.0 - HELD_BACK_SHARE
         } else {
             1.0
@@ -182,6 +183,7 @@
     fn refuse(&mut self, now: Timestamp, tenant: TenantKey, is_held_back: bool) -> OverQuota {
         let slot = self.slots.at(now);
         let refused = match self.accounts.get_mut(&tenant) {
+            Some(account) if is_held_back => account.refused.total(),
             Some(account) => {
                 account.refused.add(slot);
                 account.refused.total()
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -162,7 +162,7 @@
     limit: f64,
     sent: SlidingCount,
     asked: SlidingCount,
-    /// Refused as lessor in the last second.
+    /// Refused as lessor in the last second for want of room.
     refused: SlidingCount,
 }
 
