--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -261,7 +261,7 @@
             .min(LONGEST_PATIENCE)
     }
 
-    fn is_turn(&self) -> bool {
+    pub(super) fn is_turn(&self) -> bool {
         self.route.kind == elderworks_gateway_core::config::RouteKind::Streaming
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 mod demand;
 mod far;
 mod gossip;
+mod lessors;
 mod link;
 mod loads;
 mod memories;
@@ -39,6 +40,7 @@
 
 pub(crate) use far::send;
 pub(crate) use gossip::probe_nodes;
+pub(crate) use lessors::{Lessor, LessorDesk};
 pub(crate) use link::NoReply;
 pub(crate) use serve::accept_peers;
 pub(crate) use zones::{reports as zone_reports, take as take_zone_reports};
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -3,7 +3,8 @@
 
 use elderworks_protocol::feed::FeedBeat;
 use elderworks_protocol::gateway::{
-    ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, LoadReport, LogReport, MemoryReport,
+    ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, GrantVerdict, LessorMessage,
+    LoadReport, LogReport, MemoryReport,
 };
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
@@ -120,6 +121,10 @@
         GatewayDatagram::Beat(beat),
         GatewayDatagram::Memory(memory),
         GatewayDatagram::Log(log),
+        GatewayDatagram::Lessor(LessorMessage::Told {
+            question: 1,
+            verdict: GrantVerdict::Granted,
+        }),
     ] {
         assert!(kind(&encode(&datagram)) > LAST_KNOWN_DATAGRAM);
     }
