quotas: grants of a node that starts anew count until they have left the window

Change: a lessor hears of a node's new process by its introduction, and counts what it granted the process before as sent; the others count as they tell.

--- a/crates/gateway-core/src/quota/lessor.rs
+++ b/crates/gateway-core/src/quota/lessor.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Grants {
     by_tenant: HashMap<TenantKey, BTreeMap<NodeId, GrantTimes>>,
+    /// Grants to processes that have ended, which nobody reports.
+    to_ended: HashMap<TenantKey, GrantTimes>,
 }
 
 /// When requests of one tenant were granted to one node, in order.
@@ -50,6 +52,15 @@
         self.0.partition_point(|at| *at <= time)
     }
 
+    /// Drops those that are older; tells whether any is left.
+    fn keep_since(&mut self, now: Timestamp, age: Duration) -> bool {
+        let is_over = |at: &Timestamp| now.since(*at) >= age;
+        while self.0.front().is_some_and(is_over) {
+            self.0.pop_front();
+        }
+        !self.0.is_empty()
+    }
+
     /// How many were granted after one time, and at another or before.
     fn between(&self, after: Timestamp, until: Timestamp) -> usize {
         self.until(until).saturating_sub(self.until(after))
@@ -71,18 +82,32 @@
         self.by_tenant.get(&tenant).into_iter().flatten()
     }
 
+    /// What a node was granted before it started anew is in no report of its own.
+    fn note_restart(&mut self, node: &NodeId) {
+        for (tenant, nodes) in &mut self.by_tenant {
+            let Some(grants) = nodes.remove(node) else {
+                continue;
+            };
+            let ended = self.to_ended.entry(*tenant).or_default();
+            ended.0.extend(grants.0);
+            ended.0.make_contiguous().sort_unstable();
+        }
+    }
+
+    /// Grants after one time and at another or before to processes that have ended.
+    fn to_ended(&self, tenant: TenantKey, after: Timestamp, until: Timestamp) -> usize {
+        let ended = self.to_ended.get(&tenant);
+        ended.map_or(0, |grants| grants.between(after, until))
+    }
+
     /// Forgets grants that are in nobody's report any more.
     pub(super) fn forget(&mut self, now: Timestamp, window: Duration) {
         for nodes in self.by_tenant.values_mut() {
-            for grants in nodes.values_mut() {
-                let is_over = |at: &Timestamp| now.since(*at) >= 2 * window;
-                while grants.0.front().is_some_and(is_over) {
-                    grants.0.pop_front();
-                }
-            }
-            nodes.retain(|_, grants| !grants.0.is_empty());
+            nodes.retain(|_, grants| grants.keep_since(now, 2 * window));
         }
         self.by_tenant.retain(|_, nodes| !nodes.is_empty());
+        self.to_ended
+            .retain(|_, grants| grants.keep_since(now, window));
     }
 }
 
@@ -142,6 +167,11 @@
         Some(Ok(()))
     }
 
+    /// Another node has started anew: it has forgotten what it was granted.
+    pub fn note_restart(&mut self, node: &NodeId) {
+        self.grants.note_restart(node);
+    }
+
     /// Counts a request that the lessor has granted.
     pub fn take_granted(&mut self, now: Timestamp, tenant: TenantKey, quota: Quota) -> Ticket {
         self.account(now, tenant, quota);
@@ -184,26 +214,23 @@
     }
 
     /// What grants add to the reports: those that these do not hold yet, less those that they still
-    /// hold and that have left the window since. A node that has started anew tells less than it was
-    /// granted, since it has forgotten.
+    /// hold and that have left the window since.
     fn grants_beside_reports(&self, now: Timestamp, tenant: TenantKey) -> f64 {
         let window = self.rules.window;
         let begin = now - window;
-        let mut beside = 0.0;
+        let mut untold = self.grants.to_ended(tenant, begin, now);
+        let mut told_past = 0;
         for (node, grants) in self.grants.of(tenant) {
-            let granted = grants.between(begin, now) as f64;
             let report = self.reports.get(node);
             let Some(report) = report.filter(|report| now.since(report.at) < window) else {
-                beside += granted;
+                untold += grants.between(begin, now);
                 continue;
             };
             let told_until = report.at - GRANT_DELAY;
-            let untold = grants.between(begin.max(told_until), now) as f64;
-            let told_past = grants.between(report.at - window, begin.min(told_until)) as f64;
-            let told = report.uses.get(&tenant).map_or(0, |told| told.sent);
-            beside += (untold - told_past).max(granted - f64::from(told));
+            untold += grants.between(begin.max(told_until), now);
+            told_past += grants.between(report.at - window, begin.min(told_until));
         }
-        beside
+        untold as f64 - told_past as f64
     }
 
     /// A refusal, with the time at which the window is likely to have room for this request behind
--- a/crates/gateway-core/tests/quota_model.rs
+++ b/crates/gateway-core/tests/quota_model.rs
@@ -175,6 +175,10 @@
         if now == 11_700 {
             for number in (0..day.nodes).filter(|&number| is_killed(number)) {
                 nodes[number].book = book(number, at(now));
+                let restarted = nodes[number].name.clone();
+                for node in &mut nodes {
+                    node.book.note_restart(&restarted);
+                }
             }
         }
         let count = nodes.iter().filter(|node| node.starts_at <= now).count();
--- a/crates/gateway/src/peers/lessors.rs
+++ b/crates/gateway/src/peers/lessors.rs
@@ -155,7 +155,10 @@
                 boot,
                 is_answer,
             } => {
-                self.granting.borrow_mut().insert(node, boot);
+                let before = self.granting.borrow_mut().insert(node.clone(), boot);
+                if before.is_some_and(|before| before != boot) {
+                    gateway.quotas.borrow_mut().note_restart(&node);
+                }
                 if !is_answer && gateway.settings.policy.quota_lessors {
                     self.send(from, introduction(gateway, true));
                 }
