node: log pauses, expired holds and changes of the log's reachability

Missing to tell apart the explanations of the outage test's failures: whether the process had stood still, which partition took the log for lost and when, and why a held request was given up. Counters held_expired and pauses.

--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -170,9 +170,13 @@
     /// reads that were answered before it ended need not show this. Correctness doesn't depend on the
     /// clock; this only makes late requests less likely.
     fn revalidate_streams_after_pause(&mut self, now: Timestamp) {
-        if now.since(self.now) < PAUSE_THRESHOLD {
+        let pause = now.since(self.now);
+        if pause < PAUSE_THRESHOLD || !self.join.started {
             return;
         }
+        self.counters.pauses += 1;
+        let streams = self.streams.partitions.len();
+        log::info!(pause_ms = pause.as_millis(), streams; "resumed after a pause");
         for stream in self.streams.partitions.values_mut() {
             stream.mark_end_stale(now);
         }
--- a/crates/node-core/src/counters.rs
+++ b/crates/node-core/src/counters.rs
@@ -11,6 +11,11 @@
     pub requests_held: u64,
     /// Requests redirected because too many were already held back; also counted in `not_owner`.
     pub held_overflow: u64,
+    /// Held requests redirected because their partition could not serve them in time; also counted
+    /// in `not_owner`.
+    pub held_expired: u64,
+    /// Pauses of the process that were long enough for other nodes to claim partitions.
+    pub pauses: u64,
     /// Attempts refused because too many were in progress.
     pub attempts_overflow: u64,
     /// Attempts handed to placement or to a tool.
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -277,7 +277,10 @@
                     execution::Event::RecordRead { offset, record }
                 }
                 Delivery::Batch { .. } => continue,
-                Delivery::Reachable(reachable) => execution::Event::LogReachable(reachable),
+                Delivery::Reachable(reachable) => {
+                    log::info!(partition = partition.0, reachable; "log reachability changed");
+                    execution::Event::LogReachable(reachable)
+                }
             };
             self.agenda.partition(partition, event);
         }
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -224,6 +224,12 @@
     /// Redirects the requests that have been held back for [`MAX_HOLD_TIME`].
     pub(crate) fn expire_requests(&mut self) {
         for request in self.requests.take_expired(self.now) {
+            self.counters.held_expired += 1;
+            log::info!(
+                partition = request.partition.0, owned = self.ownership.owns(request.partition),
+                behind = self.is_behind(request.partition), held_ms = MAX_HOLD_TIME.as_millis();
+                "held request expired"
+            );
             self.redirect_request(request.connection, &request.message);
         }
     }
