node: refuse calls at once that would wait for the log's return

Cause: after a gap of a second between two events a node doubts that it has read its streams to their ends and holds requests until a read completes, which none does while the log is down. Held for 8 s, pointed elsewhere without an owner, sent back by the sidecar, until its 30 s were up. The same for a partition that is to be taken over.

Why it works: a node that knows that the log doesn't answer no longer holds what only the log could serve. Nothing was appended for the submission, so 'not run' is true of it; a sidecar that sent it elsewhere as well doesn't take it as final, as before.

Ruled out: partitions that lost their owner (all 16 were owned throughout), and load itself (a pause alone brings it about).

--- a/crates/cli/tests/processes/outages.rs
+++ b/crates/cli/tests/processes/outages.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_rt::task::JoinHandle;
 use awc::http::{Method, StatusCode};
@@ -20,6 +20,9 @@
 /// Number of runs that each make one call to find out whether the nodes have detected the outage.
 const DETECTION_RUNS: usize = 48;
 
+/// Duration for which a node is paused during an outage.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Number of runs whose calls must be refused.
 const REFUSED_RUNS: usize = 12;
 
@@ -56,6 +59,33 @@
     check_refused_runs(&fleet, &caller, &refused).await;
 }
 
+/// Guards against calls that wait for the end of an outage because their node was paused during it.
+#[actix_rt::test]
+async fn nodes_paused_during_an_outage_of_the_log_refuse_calls_at_once() {
+    let mut fleet = Fleet::start().await;
+    let caller = Caller::new(fleet.sidecar_url(0), LUBLIN_TOKEN);
+    let detecting = start_runs(&caller, DETECTION_RUNS).await;
+    let refused = start_runs(&caller, REFUSED_RUNS).await;
+    fleet.set_log_faults(&json!({ "down": true })).await;
+    for name in fleet.node_names() {
+        pause_briefly(&mut fleet, &name).await;
+    }
+    let early = call_until_detected(&fleet, &caller, &detecting).await;
+    for name in fleet.node_names() {
+        pause_briefly(&mut fleet, &name).await;
+        check_refusals(&caller, &refused).await;
+    }
+    fleet.set_log_faults(&json!({})).await;
+    check_early_calls(&fleet, early).await;
+    check_refused_runs(&fleet, &caller, &refused).await;
+}
+
+async fn pause_briefly(fleet: &mut Fleet, name: &str) {
+    let node = fleet.pause_node(name);
+    actix_rt::time::sleep(PAUSE).await;
+    fleet.resume_node(node);
+}
+
 #[actix_rt::test]
 async fn programs_complete_while_the_log_loses_responses() {
     let fleet = Fleet::start().await;
--- a/crates/execution/src/lib.rs
+++ b/crates/execution/src/lib.rs
@@ -19,5 +19,5 @@
 pub use counters::Counters;
 pub use effect::{BackendRequest, Effect};
 pub use event::{Event, SubmittedCall};
-pub use partition::{Partition, RunSummary, tenant_budget_holder};
+pub use partition::{LOG_RETRY_AFTER, Partition, RunSummary, tenant_budget_holder};
 pub use settings::{ExecutionSettings, Faults};
--- a/crates/execution/src/partition.rs
+++ b/crates/execution/src/partition.rs
@@ -17,6 +17,7 @@
 mod timers;
 mod view;
 
+pub use intake::LOG_RETRY_AFTER;
 pub use view::RunSummary;
 
 use std::collections::BTreeMap;
--- a/crates/execution/src/partition/intake.rs
+++ b/crates/execution/src/partition/intake.rs
@@ -19,7 +19,7 @@
 pub(super) const SHORT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Retry delay reported while the log doesn't respond.
-pub(super) const LOG_RETRY_AFTER: Duration = Duration::from_secs(5);
+pub const LOG_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Creates a refusal for `reason`, to be retried after `retry_after`.
 pub(super) fn refusal(reason: RefusalReason, retry_after: Option<Duration>) -> Refusal {
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -326,6 +326,7 @@
         }
         let changes = self.engines.tick(self.now, &self.attempts.engines());
         self.apply_engine_changes(changes);
+        self.refuse_held_during_outage();
         self.expire_requests();
         self.update_readiness();
         self.reconcile_ownership();
--- a/crates/node-core/src/counters.rs
+++ b/crates/node-core/src/counters.rs
@@ -11,6 +11,8 @@
     pub requests_held: u64,
     /// Requests redirected because too many were already held back; also counted in `not_owner`.
     pub held_overflow: u64,
+    /// Requests refused because they would have been held until the log answers again.
+    pub refused_during_outage: u64,
     /// Held requests redirected because their partition could not serve them in time; also counted
     /// in `not_owner`.
     pub held_expired: u64,
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -5,8 +5,11 @@
 
 use elderworks_execution as execution;
 use elderworks_protocol::peer::{FromNode, Hello, ToNode};
-use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage};
-use elderworks_types::{CallNumber, CellId, NodeId, PartitionId, RunId, RunSpec, Timestamp};
+use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage, answer_digest};
+use elderworks_types::{
+    CallId, CallNumber, CellId, NodeId, Outcome, PartitionId, Refusal, RefusalReason, RunId,
+    RunSpec, Timestamp,
+};
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
@@ -143,12 +146,15 @@
             return;
         };
         let partition = run.partition(self.settings.partition_count);
-        let owned = self.ownership.owns(partition);
-        if owned && self.is_behind(partition) {
-            // The state may be outdated.
-            self.hold(partition, connection, message);
-        } else if owned {
-            self.serve(partition, connection, message);
+        if self.is_refused_during_outage(partition, &message) {
+            self.refuse_during_outage(partition, connection, message);
+        } else if self.ownership.owns(partition) {
+            if self.is_behind(partition) {
+                // The state may be outdated.
+                self.hold(partition, connection, message);
+            } else {
+                self.serve(partition, connection, message);
+            }
         } else if matches!(message, SidecarMessage::Acknowledge { .. }) {
             // The chunks that it would release are not stored on this node.
         } else if self.should_hold(partition) {
@@ -158,6 +164,71 @@
         }
     }
 
+    /// Returns whether a request has to be refused because it would be held until the log answers again.
+    /// Only submissions and starts can be refused.
+    fn is_refused_during_outage(&self, partition: PartitionId, message: &SidecarMessage) -> bool {
+        let is_refusable = matches!(
+            message,
+            SidecarMessage::StartRun { .. } | SidecarMessage::SubmitCall { .. }
+        );
+        let would_be_held = match self.ownership.owns(partition) {
+            true => self.is_behind(partition),
+            false => self.should_hold(partition),
+        };
+        is_refusable && would_be_held && !self.streams.is_log_reachable(partition)
+    }
+
+    /// Answers a request for which [`Self::is_refused_during_outage`] holds. An owned partition refuses new
+    /// work itself and answers what it knows. The refusal covers this submission only: if the sidecar has
+    /// sent it to another node as well, it doesn't take this answer as final.
+    fn refuse_during_outage(
+        &mut self,
+        partition: PartitionId,
+        connection: Connection,
+        message: SidecarMessage,
+    ) {
+        self.counters.refused_during_outage += 1;
+        if self.ownership.owns(partition) {
+            return self.serve(partition, connection, message);
+        }
+        let refusal = Refusal {
+            reason: RefusalReason::LogUnavailable,
+            retry_after: Some(execution::LOG_RETRY_AFTER),
+        };
+        let answer = match message {
+            SidecarMessage::StartRun { spec } => NodeMessage::RunRefused {
+                run: spec.id,
+                refusal,
+            },
+            SidecarMessage::SubmitCall { run, spec, .. } => NodeMessage::CallEnded {
+                call: CallId {
+                    run,
+                    number: spec.number,
+                },
+                attempt: None,
+                chunks: 0,
+                digest: answer_digest(""),
+                outcome: Outcome::Refused(refusal),
+                barred: None,
+            },
+            _ => return,
+        };
+        self.send(connection, answer);
+    }
+
+    /// Refuses the held requests that cannot be served until the log answers again.
+    pub(crate) fn refuse_held_during_outage(&mut self) {
+        let (refused, held) = std::mem::take(&mut self.requests.held)
+            .into_iter()
+            .partition(|held: &HeldRequest| {
+                self.is_refused_during_outage(held.partition, &held.message)
+            });
+        self.requests.held = held;
+        for request in Vec::from_iter::<VecDeque<HeldRequest>>(refused) {
+            self.refuse_during_outage(request.partition, request.connection, request.message);
+        }
+    }
+
     fn locate(&mut self, connection: Connection, message: &SidecarMessage) {
         let SidecarMessage::Locate { partition } = message else {
             return;
--- a/crates/node-core/src/streams.rs
+++ b/crates/node-core/src/streams.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Returns whether the log answers requests that concern a partition: according to the partition's
+    /// stream, or to the control stream if the partition's stream is not followed.
+    pub(crate) fn is_log_reachable(&self, partition: PartitionId) -> bool {
+        match self.partitions.get(&partition) {
+            Some(stream) => stream.reachable(),
+            None => self.control.reachable(),
+        }
+    }
+
     /// Removes an append and returns its stream and the token used by the client of that stream.
     pub(crate) fn append_ended(&mut self, token: AppendToken) -> Option<(StreamName, u64)> {
         self.appends.open.remove(&token)
--- a/crates/node-core/tests/node/main.rs
+++ b/crates/node-core/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod drains;
 mod engines;
 mod fixtures;
+mod log_outages;
 mod operators;
 mod ownership;
 mod pace;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -85,6 +85,7 @@
             not_owner => "Requests answered with a pointer to another node",
             requests_held => "Requests held back during a takeover",
             held_overflow => "Requests turned away because too many were held back",
+            refused_during_outage => "Requests refused at once because only the log could have served them",
             held_expired => "Held requests pointed elsewhere after the longest hold",
             pauses => "Pauses of the process that others may have taken for its loss",
             attempts_overflow => "Attempts refused because too many were in progress",
