logstream: a pause of the process is not silence of the log

What callers saw: after a pause of some three seconds a node refused waiting and new calls with log_unavailable, though the log answered all the time.

Cause: the time in which the process itself stood still counted as silence, and the first event after a pause need not be one of the replies that wait.

Evidence: a_pause_of_the_process_does_not_count_as_silence; before, a stream could not be told of a pause, and the first tick after it reported the log unreachable.

Why it works: silence counts from the end of the pause on, unless a request fails. A stream that took the log for unreachable stays so until a reply.

--- a/crates/logstream/src/stream.rs
+++ b/crates/logstream/src/stream.rs
@@ -150,6 +150,9 @@
     /// Expected maximum time from the last reply of a healthy log to the next one.
     max_answer_gap: Duration,
     reachable: bool,
+    /// End of the last pause of the process, unless a request has failed since. Replies that arrived
+    /// during the pause may not have been handled yet, so it doesn't count as silence.
+    resumed: Option<Timestamp>,
 }
 
 impl<B: Clone + Serialize + DeserializeOwned> LogStream<B> {
@@ -171,6 +174,7 @@
             max_answer_gap: max_answer_gap(&settings),
             settings,
             reachable: true,
+            resumed: None,
         }
     }
 
@@ -195,12 +199,19 @@
         self.appender.outstanding()
     }
 
-    /// Marks the known end of the stream as stale, for example after the process was suspended.
-    /// [`Self::caught_up`] returns false until a read that starts from now on completes.
+    /// Marks the known end of the stream as stale. [`Self::caught_up`] returns false until a read that
+    /// starts from now on completes.
     pub fn mark_end_stale(&mut self, now: Timestamp) {
         self.reader.mark_end_stale(now);
     }
 
+    /// Records that the process resumes after a pause, which doesn't count as silence of the log.
+    pub fn note_pause(&mut self, now: Timestamp) {
+        if self.reachable {
+            self.resumed = Some(now);
+        }
+    }
+
     /// Changes the poll interval. A shorter interval also makes the next read due earlier. Has no effect
     /// in [`ReadMode::Follow`].
     pub fn set_poll_interval(&mut self, now: Timestamp, interval: Duration) {
@@ -238,6 +249,7 @@
         effects: &mut Vec<Effect<B>>,
     ) {
         let Ok(offset) = result else {
+            self.record_failure();
             self.appender.append_failed(token, now, &self.settings);
             self.reader.read_immediately(now);
             return;
@@ -262,6 +274,7 @@
         effects: &mut Vec<Effect<B>>,
     ) {
         let Ok(ReadRecords { records, end }) = result else {
+            self.record_failure();
             self.reader.read_failed(now, &self.settings);
             return;
         };
@@ -312,13 +325,12 @@
     /// Updates the reachability of the log. While an append is in flight, only the age of that append
     /// counts: a log that serves reads but accepts no appends is of no use to a writer.
     fn update_reachability(&mut self, now: Timestamp, effects: &mut Vec<Effect<B>>) {
-        let silent_for = match self.appender.in_flight_since() {
-            Some(first_sent) => now.since(first_sent),
-            None => now
-                .since(self.last_answer)
-                .saturating_sub(self.max_answer_gap),
+        let silent_since = match self.appender.in_flight_since() {
+            Some(first_sent) => first_sent,
+            None => self.last_answer + self.max_answer_gap,
         };
-        let reachable = silent_for <= self.settings.unreachable_after;
+        let silent_since = self.resumed.map_or(silent_since, |at| at.max(silent_since));
+        let reachable = now.since(silent_since) <= self.settings.unreachable_after;
         if reachable != self.reachable {
             self.reachable = reachable;
             effects.push(Effect::Reachable(reachable));
@@ -332,6 +344,11 @@
         self.max_answer_gap = max_answer_gap(&self.settings);
     }
 
+    /// Records that a request failed or got no reply in time.
+    fn record_failure(&mut self) {
+        self.resumed = None;
+    }
+
     /// Starts the appends and reads that are due.
     fn start_due_requests(&mut self, now: Timestamp, effects: &mut Vec<Effect<B>>) {
         if let Some((token, bytes)) = self.appender.next_append(now, &self.settings) {
--- a/crates/logstream/tests/reachability.rs
+++ b/crates/logstream/tests/reachability.rs
@@ -92,6 +92,38 @@
     assert_eq!(stream.outstanding(), 0);
 }
 
+/// Guards against a late event loop that is taken for a silent log.
+#[test]
+fn a_pause_of_the_process_does_not_count_as_silence() {
+    for fails in [false, true] {
+        let mut stream = stream();
+        append_of(&stream.handle(at(0), propose(1))).expect("append is sent");
+        stream.note_pause(at(10));
+        assert!(
+            !stream
+                .handle(at(11), Event::Tick)
+                .contains(&Effect::Reachable(false))
+        );
+        let later = if fails {
+            let failed = Event::Read {
+                from: Offset(0),
+                result: Err(NoAnswer),
+            };
+            stream.handle(at(12), failed)
+        } else {
+            stream.handle(at(14), Event::Tick)
+        };
+        assert!(later.contains(&Effect::Reachable(false)), "{fails}");
+        // A pause does not make it reachable again; only a reply does.
+        stream.note_pause(at(20));
+        assert!(
+            !stream
+                .handle(at(20), Event::Tick)
+                .contains(&Effect::Reachable(true))
+        );
+    }
+}
+
 #[test]
 fn waiting_records_share_one_append() {
     let mut stream = stream();
--- a/crates/node-core/src/core.rs
+++ b/crates/node-core/src/core.rs
@@ -154,7 +154,7 @@
 
     /// Handles one event and returns the resulting effects in order.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
-        self.revalidate_streams_after_pause(now);
+        self.note_pause(now);
         self.now = now;
         self.start();
         self.route(event);
@@ -165,11 +165,11 @@
         self.agenda.take_effects()
     }
 
-    /// Marks all streams as possibly outdated after a pause of the process, so that they are read again
-    /// before requests go to back ends. Other nodes may have claimed partitions during the pause, and
-    /// reads that were answered before it ended need not show this. Correctness doesn't depend on the
-    /// clock; this only makes late requests less likely.
-    fn revalidate_streams_after_pause(&mut self, now: Timestamp) {
+    /// Marks all partition streams as possibly outdated after a pause of the process, so that they are
+    /// read again before requests go to back ends. Other nodes may have claimed partitions during the
+    /// pause, and reads that were answered before it ended need not show this. Correctness doesn't depend
+    /// on the clock; this only makes late requests less likely.
+    fn note_pause(&mut self, now: Timestamp) {
         let pause = now.since(self.now);
         if pause < PAUSE_THRESHOLD || !self.join.started {
             return;
@@ -179,7 +179,9 @@
         log::info!(pause_ms = pause.as_millis(), streams; "resumed after a pause");
         for stream in self.streams.partitions.values_mut() {
             stream.mark_end_stale(now);
+            stream.note_pause(now);
         }
+        self.streams.control.note_pause(now);
     }
 
     fn handle_step(&mut self, step: Step) {
--- a/crates/node-core/tests/node/log_outages.rs
+++ b/crates/node-core/tests/node/log_outages.rs
@@ -130,3 +130,20 @@
     let start = refusal(&mut world, 1, start_run(run), TICK_INTERVAL);
     assert_eq!(start, unavailable);
 }
+
+/// Guards against a late event loop that is taken for a silent log.
+#[test]
+fn an_owner_paused_for_long_serves_calls_while_the_log_answers() {
+    let mut world = world(1);
+    let run = start(&mut world, 0, PartitionId(0));
+    world.node(0).paused = true;
+    world.advance(DETECTION_TIME * 3);
+    world.resume(0);
+    world.send(0, tool_call(run, 1, false));
+    world.run_until("the call ends", |world| {
+        let sent = &world.node(0).sent;
+        let is_end = |message: &NodeMessage| matches!(message, NodeMessage::CallEnded { .. });
+        sent.iter().any(|(_, message)| is_end(message))
+    });
+    assert!(is_completed(&mut world, 0, run));
+}
