node: an idle partition learns of an outage from the others

Cause: each partition judged the log by its own stream; one read every 5 s notices the silence up to 8 s late, and one with a young append 3 s after that. A call whose acceptance may be in the log can be neither refused nor run.

Evidence: an_idle_partition_refuses_once_its_node_has_detected_the_outage, in virtual time, failed before.

Why it works: when one stream takes the log for unreachable, the others are read at once and calls to them held until that read has ended; a failed read counts as unreachable there too. An outage of one stream alone costs the others one read.

--- a/crates/logstream/src/stream.rs
+++ b/crates/logstream/src/stream.rs
@@ -153,6 +153,17 @@
     /// End of the last pause of the process, unless a request has failed since. Replies that arrived
     /// during the pause may not have been handled yet, so it doesn't count as silence.
     resumed: Option<Timestamp>,
+    suspicion: Suspicion,
+}
+
+/// Whether another stream's silence suggests that the log is unreachable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Suspicion {
+    None,
+    /// Until the next reply or failed request.
+    Unconfirmed,
+    /// A request of this stream has failed as well.
+    Confirmed,
 }
 
 impl<B: Clone + Serialize + DeserializeOwned> LogStream<B> {
@@ -175,6 +186,7 @@
             settings,
             reachable: true,
             resumed: None,
+            suspicion: Suspicion::None,
         }
     }
 
@@ -212,6 +224,21 @@
         }
     }
 
+    /// Records that the log doesn't answer another stream. This stream is read immediately; if the
+    /// read fails, the log is considered unreachable without waiting for a longer silence.
+    pub fn suspect_outage(&mut self, now: Timestamp) {
+        if self.reachable && self.suspicion == Suspicion::None {
+            self.suspicion = Suspicion::Unconfirmed;
+            self.reader.read_immediately(now);
+        }
+    }
+
+    /// Returns whether the log may be unreachable because it doesn't answer another stream, and this
+    /// stream has got neither a reply nor an error since.
+    pub fn is_outage_suspected(&self) -> bool {
+        self.suspicion == Suspicion::Unconfirmed
+    }
+
     /// Changes the poll interval. A shorter interval also makes the next read due earlier. Has no effect
     /// in [`ReadMode::Follow`].
     pub fn set_poll_interval(&mut self, now: Timestamp, interval: Duration) {
@@ -330,7 +357,8 @@
             None => self.last_answer + self.max_answer_gap,
         };
         let silent_since = self.resumed.map_or(silent_since, |at| at.max(silent_since));
-        let reachable = now.since(silent_since) <= self.settings.unreachable_after;
+        let is_silent = now.since(silent_since) > self.settings.unreachable_after;
+        let reachable = !is_silent && self.suspicion != Suspicion::Confirmed;
         if reachable != self.reachable {
             self.reachable = reachable;
             effects.push(Effect::Reachable(reachable));
@@ -342,11 +370,15 @@
     fn record_answer(&mut self, now: Timestamp) {
         self.last_answer = now;
         self.max_answer_gap = max_answer_gap(&self.settings);
+        self.suspicion = Suspicion::None;
     }
 
     /// Records that a request failed or got no reply in time.
     fn record_failure(&mut self) {
         self.resumed = None;
+        if self.suspicion == Suspicion::Unconfirmed {
+            self.suspicion = Suspicion::Confirmed;
+        }
     }
 
     /// Starts the appends and reads that are due.
--- a/crates/logstream/tests/reachability.rs
+++ b/crates/logstream/tests/reachability.rs
@@ -124,6 +124,34 @@
     }
 }
 
+/// Guards against a stream that is rarely read and accepts records during a known outage.
+#[test]
+fn a_suspected_outage_is_confirmed_by_one_failed_read() {
+    for answers in [false, true] {
+        let mut stream = stream();
+        let read = |end| Event::Read {
+            from: Offset(0),
+            result: end,
+        };
+        let empty = ReadRecords {
+            records: Vec::new(),
+            end: Offset(0),
+        };
+        stream.handle(at(0), Event::Tick);
+        stream.handle(at(0), read(Ok(empty.clone())));
+        stream.suspect_outage(at(4));
+        assert!(stream.is_outage_suspected());
+        let effects = stream.handle(at(4), Event::Tick);
+        let is_read = |effect: &Effect<u32>| matches!(effect, Effect::Read { .. });
+        assert!(effects.iter().any(is_read), "{effects:?}");
+        let result = if answers { Ok(empty) } else { Err(NoAnswer) };
+        let effects = stream.handle(at(4), read(result));
+        assert_eq!(effects.contains(&Effect::Reachable(false)), !answers);
+        assert_eq!(stream.reachable(), answers);
+        assert!(!stream.is_outage_suspected());
+    }
+}
+
 #[test]
 fn waiting_records_share_one_append() {
     let mut stream = stream();
--- a/crates/node-core/src/control_plane.rs
+++ b/crates/node-core/src/control_plane.rs
@@ -117,6 +117,9 @@
                 }
                 Delivery::Batch { offset, bytes } => self.relay.push(offset, bytes),
                 Delivery::Reachable(reachable) => {
+                    if !reachable {
+                        self.streams.suspect_outage(self.now);
+                    }
                     self.agenda.control(control::Event::LogReachable(reachable));
                 }
             }
--- a/crates/node-core/src/ownership.rs
+++ b/crates/node-core/src/ownership.rs
@@ -279,6 +279,9 @@
                 Delivery::Batch { .. } => continue,
                 Delivery::Reachable(reachable) => {
                     log::info!(partition = partition.0, reachable; "log reachability changed");
+                    if !reachable {
+                        self.streams.suspect_outage(self.now);
+                    }
                     execution::Event::LogReachable(reachable)
                 }
             };
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -149,11 +149,10 @@
         if self.is_refused_during_outage(partition, &message) {
             self.refuse_during_outage(partition, connection, message);
         } else if self.ownership.owns(partition) {
-            if self.is_behind(partition) {
-                // The state may be outdated.
-                self.hold(partition, connection, message);
-            } else {
+            if self.is_up_to_date(partition) {
                 self.serve(partition, connection, message);
+            } else {
+                self.hold(partition, connection, message);
             }
         } else if matches!(message, SidecarMessage::Acknowledge { .. }) {
             // The chunks that it would release are not stored on this node.
@@ -164,6 +163,14 @@
         }
     }
 
+    /// Returns whether an owned partition can serve requests: its state covers the stream, and the log is
+    /// not suspected to be down.
+    fn is_up_to_date(&self, partition: PartitionId) -> bool {
+        let stream = self.streams.partitions.get(&partition);
+        let is_suspected = stream.is_some_and(|stream| stream.is_outage_suspected());
+        !is_suspected && !self.is_behind(partition)
+    }
+
     /// Returns whether a request has to be refused because it would be held until the log answers again.
     /// Only submissions and starts can be refused.
     fn is_refused_during_outage(&self, partition: PartitionId, message: &SidecarMessage) -> bool {
@@ -172,7 +179,7 @@
             SidecarMessage::StartRun { .. } | SidecarMessage::SubmitCall { .. }
         );
         let would_be_held = match self.ownership.owns(partition) {
-            true => self.is_behind(partition),
+            true => !self.is_up_to_date(partition),
             false => self.should_hold(partition),
         };
         is_refusable && would_be_held && !self.streams.is_log_reachable(partition)
@@ -277,7 +284,7 @@
     /// Serves the requests held back for an owned partition once its stream has been read to its end.
     pub(crate) fn serve_held_if_caught_up(&mut self, partition: PartitionId) {
         let waiting = self.requests.holds_for(partition);
-        if waiting && self.ownership.owns(partition) && !self.is_behind(partition) {
+        if waiting && self.ownership.owns(partition) && self.is_up_to_date(partition) {
             self.serve_held_requests(partition);
         }
     }
--- a/crates/node-core/src/streams.rs
+++ b/crates/node-core/src/streams.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Makes all partition streams check whether the log answers, after it did not answer another stream.
+    pub(crate) fn suspect_outage(&mut self, now: Timestamp) {
+        for stream in self.partitions.values_mut() {
+            stream.suspect_outage(now);
+        }
+    }
+
     /// Removes an append and returns its stream and the token used by the client of that stream.
     pub(crate) fn append_ended(&mut self, token: AppendToken) -> Option<(StreamName, u64)> {
         self.appends.open.remove(&token)
--- a/crates/node-core/tests/node/log_outages.rs
+++ b/crates/node-core/tests/node/log_outages.rs
@@ -7,7 +7,7 @@
 use elderworks_types::{CallId, CallNumber, Outcome, PartitionId, RefusalReason, RunId};
 
 use crate::fixtures::{program, run_in, start_run, tool_call, tool_service};
-use crate::world::{SIDECAR, World};
+use crate::world::{PARTITIONS, SIDECAR, World};
 
 /// Length of a pause that makes a node doubt that it has read its streams to their ends.
 const PAUSE: Duration = Duration::from_millis(1_500);
@@ -15,6 +15,12 @@
 /// Time within which a node detects that the log doesn't answer a partition in use.
 const DETECTION_TIME: Duration = Duration::from_secs(5);
 
+/// Time within which a node detects that the log doesn't answer an append.
+const APPEND_DETECTION_TIME: Duration = Duration::from_millis(3_200);
+
+/// Time without use after which a partition is read rarely.
+const IDLE_TIME: Duration = Duration::from_secs(12);
+
 /// Returns nodes that own all partitions and know a program with a tool.
 fn world(nodes: usize) -> World {
     let mut world = World::new(nodes);
@@ -115,6 +121,32 @@
     assert_eq!(call, Some(RefusalReason::LogUnavailable));
 }
 
+/// Guards against a call that is accepted by a partition that is rarely read, and then waits for the
+/// end of an outage that its node knows of.
+#[test]
+fn an_idle_partition_refuses_once_its_node_has_detected_the_outage() {
+    let mut world = world(1);
+    let runs: Vec<RunId> = (0..PARTITIONS)
+        .map(|partition| start(&mut world, 0, PartitionId(partition)))
+        .collect();
+    world.advance(IDLE_TIME);
+    // A call keeps the first partition in use.
+    world.send(0, tool_call(runs[0], 1, false));
+    world.run_until("the call completes", |world| {
+        is_completed(world, 0, runs[0])
+    });
+    world.log_up = false;
+    world.send(0, tool_call(runs[0], 2, false));
+    world.advance(APPEND_DETECTION_TIME);
+    let unavailable = Some(RefusalReason::LogUnavailable);
+    let call = refusal(&mut world, 0, tool_call(runs[0], 3, false), TICK_INTERVAL);
+    assert_eq!(call, unavailable);
+    for run in &runs[1..] {
+        let call = refusal(&mut world, 0, tool_call(*run, 1, false), TICK_INTERVAL);
+        assert_eq!(call, unavailable, "{run}");
+    }
+}
+
 /// Guards against requests that are held for a takeover that needs the log.
 #[test]
 fn a_node_refuses_requests_for_partitions_that_it_cannot_take_over() {
