quota: a restarted process counts what others heard from the one before it

The model's restarted nodes ask all others that they reach every 100 ms; messages are lost as others are, nodes of the earlier version neither ask nor answer, and a node that is cut off asks once the cut ends.

--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -65,7 +65,7 @@
     ) -> Allowance {
         let account = &self.accounts[&tenant];
         let unconfirmed = f64::from(self.unconfirmed(now, tenant, fleet));
-        let before_start = self.unknown_before_start(now, account.limit, fleet);
+        let before_start = self.before_start(now, tenant, account.limit, fleet);
         let own = f64::from(account.sent.total()) + before_start;
         let nodes = f64::from(fleet.nodes.max(1));
         Allowance {
@@ -85,7 +85,7 @@
     ) -> Allowance {
         let account = &self.accounts[&tenant];
         let unconfirmed = f64::from(self.unconfirmed(now, tenant, fleet));
-        let before_start = self.unknown_before_start(now, account.limit, fleet);
+        let before_start = self.before_start(now, tenant, account.limit, fleet);
         let own = f64::from(account.sent.total()) + before_start;
         let nodes = f64::from(fleet.nodes.max(1));
         let mut reported = 0.0;
@@ -144,11 +144,17 @@
         received * 2 < usize::try_from(fleet.nodes - 1).unwrap_or(usize::MAX)
     }
 
-    /// Returns an estimate of the requests in the window that an earlier process forwarded on this
-    /// machine: an even share of the quota that decreases to zero over one window.
-    pub(super) fn unknown_before_start(&self, now: Timestamp, limit: f64, fleet: Fleet) -> f64 {
-        if !self.may_have_predecessor {
-            return 0.0;
+    /// Returns the requests in the window that an earlier process forwarded on this machine. While they
+    /// are unknown, an even share of the quota is assumed that decreases to zero over one window.
+    pub(super) fn before_start(
+        &self,
+        now: Timestamp,
+        tenant: TenantKey,
+        limit: f64,
+        fleet: Fleet,
+    ) -> f64 {
+        if let Some(known) = self.predecessor.known(tenant) {
+            return f64::from(known);
         }
         let window = self.rules.window.as_secs_f64();
         let remaining_fraction = 1.0 - now.since(self.started).as_secs_f64() / window;
--- a/crates/gateway-core/src/quota/lessor.rs
+++ b/crates/gateway-core/src/quota/lessor.rs
@@ -13,6 +13,7 @@
 
 use crate::tenants::{Quota, TenantKey};
 
+use super::history::Predecessor;
 use super::{
     Basis, DEMAND_WINDOW, Fleet, LEARNING_TIME, Order, OverQuota, QuotaTracker,
     STARTED_RESERVE_FRACTION, Ticket,
@@ -88,15 +89,16 @@
         self.by_tenant.get(&tenant).into_iter().flatten()
     }
 
-    /// Moves a node's grants to those of ended processes, since its new process does not report
-    /// them.
-    fn note_restart(&mut self, node: &NodeId) {
+    /// Moves a node's grants after `reported_until` to those of ended processes. Its new process does
+    /// not report them: it learns only what the earlier one had reported.
+    fn note_restart(&mut self, node: &NodeId, reported_until: Timestamp) {
         for (tenant, nodes) in &mut self.by_tenant {
-            let Some(grants) = nodes.remove(node) else {
+            let Some(mut grants) = nodes.remove(node) else {
                 continue;
             };
+            let unreported = grants.0.split_off(grants.until(reported_until));
             let ended = self.to_ended_processes.entry(*tenant).or_default();
-            ended.0.extend(grants.0);
+            ended.0.extend(unreported);
             ended.0.make_contiguous().sort_unstable();
         }
     }
@@ -152,10 +154,10 @@
         order: Order,
     ) -> Option<Result<(), OverQuota>> {
         let fleet = self.fleet_sizes.note(now, fleet, self.rules.window);
-        // Usage before the process start is only estimated, and a lessor needs exact counts.
-        let learning_time = match self.may_have_predecessor {
-            true => self.rules.window,
-            false => LEARNING_TIME,
+        // A lessor needs exact counts.
+        let learning_time = match self.predecessor {
+            Predecessor::Unknown => self.rules.window,
+            Predecessor::None | Predecessor::Known(_) => LEARNING_TIME,
         };
         let is_new = now.since(self.started) < learning_time && fleet.nodes > 1;
         let may_be_minority = !self.fleet_sizes.is_majority(fleet);
@@ -179,7 +181,9 @@
 
     /// Records that another node's process restarted and lost its record of received grants.
     pub fn note_restart(&mut self, node: &NodeId) {
-        self.grants.note_restart(node);
+        let report = self.reports.get(node);
+        let reported_until = report.map_or(Timestamp(0), |report| report.at - GRANT_REPORT_DELAY);
+        self.grants.note_restart(node, reported_until);
     }
 
     /// Counts a request that the lessor granted.
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -13,6 +13,7 @@
 
 mod allowance;
 mod fleet_sizes;
+mod history;
 mod lessor;
 mod sliding;
 mod started_programs;
@@ -26,9 +27,11 @@
 use crate::tenants::{Quota, TenantKey};
 
 use fleet_sizes::RecentFleetSizes;
+use history::Predecessor;
 use lessor::Grants;
 use sliding::{SlidingCount, Slots};
 
+pub use history::{AgedCount, UseHistory};
 pub use lessor::lessor_of;
 pub use sliding::Slot;
 pub use started_programs::StartedPrograms;
@@ -179,6 +182,10 @@
     /// Time of receipt.
     at: Timestamp,
     uses: HashMap<TenantKey, TenantUse>,
+    /// The forwarded requests by the time of the report that first included them.
+    history: HashMap<TenantKey, SlidingCount>,
+    /// Times of this report and earlier ones.
+    heard: SlidingCount,
 }
 
 /// One node's view of every tenant's quota usage.
@@ -190,8 +197,8 @@
     /// Seed for rounding. Differs between nodes so that they do not all round the same way.
     seed: u64,
     started: Timestamp,
-    /// Whether an earlier process may have forwarded requests from this machine.
-    may_have_predecessor: bool,
+    /// The earlier process that may have forwarded requests from this machine.
+    predecessor: Predecessor,
     accounts: HashMap<TenantKey, Account>,
     reports: BTreeMap<NodeId, Report>,
     /// Grants that this node made to others as lessor.
@@ -211,7 +218,7 @@
             slots: Slots::of_window(rules.window),
             seed,
             started,
-            may_have_predecessor: true,
+            predecessor: Predecessor::Unknown,
             accounts: HashMap::new(),
             reports: BTreeMap::new(),
             grants: Grants::default(),
@@ -229,7 +236,7 @@
 
     /// Records that no earlier process forwarded requests from this machine.
     pub fn note_new_machine(&mut self) {
-        self.may_have_predecessor = false;
+        self.predecessor = Predecessor::None;
     }
 
     /// Records the demand of one request, whether or not it will be admitted.
@@ -314,8 +321,29 @@
         node: NodeId,
         uses: impl IntoIterator<Item = (TenantKey, TenantUse)>,
     ) {
-        let uses = uses.into_iter().collect();
-        self.reports.insert(node, Report { at: now, uses });
+        let uses: HashMap<TenantKey, TenantUse> = uses.into_iter().collect();
+        let before = self.reports.remove(&node);
+        let (mut history, mut heard) = before
+            .map(|report| (report.history, report.heard))
+            .unwrap_or_default();
+        let slot = self.slots.at(now);
+        heard.add(slot);
+        let first = self.slots.first_within(now, self.rules.window);
+        for (tenant, used) in &uses {
+            let sent: &mut SlidingCount = history.entry(*tenant).or_default();
+            sent.forget_before(first);
+            let new = used.sent.saturating_sub(sent.total());
+            if new > 0 {
+                sent.add_many(slot, new);
+            }
+        }
+        let report = Report {
+            at: now,
+            uses,
+            history,
+            heard,
+        };
+        self.reports.insert(node, report);
     }
 
     /// Drops expired counts and returns this node's report.
@@ -331,9 +359,11 @@
             account.forget(first, first_asked);
         }
         self.accounts.retain(|_, account| !account.is_empty());
+        self.predecessor.forget_before(first);
+        self.forget_histories(first);
         let mut reported: Vec<(f64, TenantKey, TenantUse)> = Vec::new();
         for (tenant, account) in &self.accounts {
-            let before_start = self.unknown_before_start(now, account.limit, fleet);
+            let before_start = self.before_start(now, *tenant, account.limit, fleet);
             let own = TenantUse {
                 sent: account.sent.total() + before_start.ceil() as u32,
                 asked: account.asked.total(),
@@ -342,6 +372,13 @@
                 reported.push((f64::from(own.sent) / account.limit, *tenant, own));
             }
         }
+        let without_account = self.predecessor.counts();
+        let without_account =
+            without_account.filter(|(tenant, _)| !self.accounts.contains_key(tenant));
+        reported.extend(without_account.map(|(tenant, sent)| {
+            // The quota is unknown until a request arrives, so that the fraction cannot be computed.
+            (f64::MAX, tenant, TenantUse { sent, asked: 0 })
+        }));
         reported.sort_by(|left, right| right.0.total_cmp(&left.0));
         reported.truncate(MAX_REPORTED_TENANTS);
         reported
--- a/crates/gateway-core/src/quota/sliding.rs
+++ b/crates/gateway-core/src/quota/sliding.rs
@@ -31,6 +31,11 @@
         Slot(time.0 / self.width)
     }
 
+    /// Returns the time since the end of a slot.
+    pub(super) fn age_of(self, now: Timestamp, slot: Slot) -> Duration {
+        now.since(Timestamp((slot.0 + 1) * self.width))
+    }
+
     /// Returns the first slot that overlaps the `span` before `now`.
     pub(super) fn first_within(self, now: Timestamp, span: Duration) -> Slot {
         self.at(now - span)
@@ -46,10 +51,15 @@
 
 impl SlidingCount {
     pub(super) fn add(&mut self, slot: Slot) {
-        self.total += 1;
+        self.add_many(slot, 1);
+    }
+
+    /// Adds events to a slot, or to the latest one if that is later.
+    pub(super) fn add_many(&mut self, slot: Slot, events: u32) {
+        self.total += events;
         match self.slots.back_mut() {
-            Some((last, count)) if *last >= slot => *count += 1,
-            _ => self.slots.push_back((slot, 1)),
+            Some((last, count)) if *last >= slot => *count += events,
+            _ => self.slots.push_back((slot, events)),
         }
     }
 
@@ -81,6 +91,12 @@
         self.total
     }
 
+    /// Returns the slots from `first` on and their numbers of events, oldest first.
+    pub(super) fn slots_from(&self, first: Slot) -> impl Iterator<Item = (Slot, u32)> {
+        let slots = self.slots.iter().copied();
+        slots.filter(move |(slot, count)| *slot >= first && *count > 0)
+    }
+
     /// Returns the number of events in a slot and all later ones.
     pub(super) fn since(&self, first: Slot) -> u32 {
         let slots = self.slots.iter().rev();
--- a/crates/gateway-core/tests/quota.rs
+++ b/crates/gateway-core/tests/quota.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::quota::{
-    Division, Fleet, QuotaRules, QuotaTracker, TenantUse, Ticket,
+    AgedCount, Division, Fleet, QuotaRules, QuotaTracker, TenantUse, Ticket, UseHistory,
 };
 use elderworks_gateway_core::tenants::{Quota, TenantKey};
 use elderworks_types::{NodeId, Timestamp};
@@ -217,3 +217,91 @@
     admitted(&mut tracker, at(0), FOUR_NODES, 3);
     assert_eq!(tracker.report(at(0), FOUR_NODES).len(), 1);
 }
+
+/// Returns a tracker that started at `started_ms` and may have a predecessor.
+fn restarted(started_ms: u64) -> QuotaTracker {
+    QuotaTracker::new(RULES, Division::Reported, 1, at(started_ms))
+}
+
+fn requests_in(history: &UseHistory) -> Vec<(u128, u32)> {
+    let [(tenant, sent)] = &history.tenants[..] else {
+        return Vec::new();
+    };
+    assert_eq!(*tenant, TENANT);
+    let aged = sent.iter().map(|aged| (aged.age.as_millis(), aged.count));
+    aged.collect()
+}
+
+#[test]
+fn reports_show_when_an_ended_process_forwarded_requests() {
+    let mut other = tracker(Division::Reported);
+    let node = NodeId::new("n1");
+    // Five requests at 0 s and four at 2 s; the first ones leave the window after 5 s.
+    other.take_report(at(0), node.clone(), uses(5, 5));
+    other.take_report(at(1_000), node.clone(), uses(5, 0));
+    other.take_report(at(2_000), node.clone(), uses(9, 4));
+    other.take_report(at(2_200), node.clone(), uses(9, 0));
+    let uptime = Duration::from_millis(500);
+    let history = other.history_of(at(3_000), &node, uptime).expect("known");
+    assert_eq!(requests_in(&history), [(2_750, 5), (750, 4)]);
+    assert!(
+        history.report_age <= Duration::from_millis(800),
+        "{history:?}"
+    );
+    let history = other.history_of(at(5_500), &node, uptime).expect("known");
+    assert_eq!(requests_in(&history), [(3_250, 4)]);
+}
+
+#[test]
+fn only_processes_that_heard_the_earlier_one_know_its_history() {
+    let node = NodeId::new("n1");
+    let ask = |other: &QuotaTracker, uptime_ms| {
+        other.history_of(at(3_000), &node, Duration::from_millis(uptime_ms))
+    };
+    let mut other = tracker(Division::Reported);
+    assert_eq!(ask(&other, 500), None, "it has heard nothing");
+    // The current process has reported, the earlier one has not.
+    other.take_report(at(2_800), node.clone(), uses(5, 5));
+    assert_eq!(ask(&other, 500), None);
+    assert!(ask(&other, 100).is_some());
+    let mut also_restarted = restarted(2_600);
+    also_restarted.take_report(at(2_800), node.clone(), uses(5, 5));
+    assert_eq!(ask(&also_restarted, 500), None);
+}
+
+#[test]
+fn a_restarted_process_counts_what_it_is_told_in_place_of_a_guess() {
+    let told = |report_age_ms, sent: &[(u64, u32)]| UseHistory {
+        report_age: Duration::from_millis(report_age_ms),
+        tenants: vec![(
+            TENANT,
+            sent.iter()
+                .map(|(age_ms, count)| AgedCount {
+                    age: Duration::from_millis(*age_ms),
+                    count: *count,
+                })
+                .collect(),
+        )],
+    };
+    let mut tracker = restarted(0);
+    assert!(tracker.needs_history(at(100)));
+    // Nobody heard the earlier process for two seconds before this one started.
+    tracker.take_history(at(100), &told(2_100, &[(2_000, 1)]));
+    assert!(tracker.needs_history(at(100)));
+    // Of two answers, the one with more requests counts.
+    tracker.take_history(at(100), &told(800, &[(4_000, 10), (1_000, 30)]));
+    tracker.take_history(at(100), &told(1_000, &[(4_000, 10), (1_000, 20)]));
+    assert!(!tracker.needs_history(at(100)));
+    // It reports them also for tenants of which it has received nothing.
+    assert_eq!(tracker.report(at(100), SINGLE_NODE), uses(40, 0));
+    let first = admitted(&mut tracker, at(100), SINGLE_NODE, 100);
+    assert!(is_about(first, 20), "{first}");
+    let second = admitted(&mut tracker, at(1_400), SINGLE_NODE, 100);
+    assert!(
+        is_about(second, 0),
+        "counts until the next report: {second}"
+    );
+    tracker.report(at(1_400), SINGLE_NODE);
+    let second = admitted(&mut tracker, at(1_400), SINGLE_NODE, 100);
+    assert!(is_about(second, 10), "{second}");
+}
--- a/crates/gateway-core/tests/quota_model.rs
+++ b/crates/gateway-core/tests/quota_model.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::quota::{
-    Division, Fleet, Order, QuotaRules, QuotaTracker, REPORT_INTERVAL, ReportTurns, lessor_of,
+    Division, Fleet, Order, QuotaRules, QuotaTracker, REPORT_INTERVAL, ReportTurns, UseHistory,
+    lessor_of,
 };
 use elderworks_gateway_core::tenants::{Quota, TenantKey};
 use elderworks_types::{NodeId, Timestamp};
@@ -130,6 +131,9 @@
 /// Time in milliseconds after which other nodes detect that a node is unreachable.
 const DETECTION_MS: u64 = 1_500;
 
+/// Interval in milliseconds at which a restarted node asks the others what it forwarded before.
+const HISTORY_INTERVAL_MS: u64 = 100;
+
 /// Returns the requests that a quota allows per window.
 fn quota_per_window(quota: Quota) -> f64 {
     quota.per_second * 5.0 + quota.burst
@@ -189,6 +193,16 @@
             }
         }
         let count = nodes.iter().filter(|node| node.starts_at <= now).count();
+        if now % HISTORY_INTERVAL_MS == 0 {
+            let can_exchange = |number: usize| {
+                number >= scenario.without_lessors
+                    && !is_partitioned_now(number)
+                    && !is_down(number)
+                    && !is_paused(number)
+            };
+            let able: Vec<usize> = (0..count).filter(|&number| can_exchange(number)).collect();
+            ask_for_histories(&mut nodes, &able, now, scenario.lost, &mut random);
+        }
         // Joining nodes are detected after 1.5 s.
         let seen = nodes
             .iter()
@@ -338,6 +352,27 @@
     outcome
 }
 
+/// Lets the nodes that have restarted ask all others what they forwarded before.
+fn ask_for_histories(nodes: &mut [Node], able: &[usize], now: u64, lost: f64, random: &mut Random) {
+    for &number in able {
+        if !nodes[number].tracker.needs_history(at(now)) {
+            continue;
+        }
+        let name = nodes[number].name.clone();
+        let uptime = nodes[number].tracker.uptime(at(now));
+        let others = able.iter().filter(|other| **other != number);
+        let histories: Vec<UseHistory> = others
+            .filter_map(|&other| nodes[other].tracker.history_of(at(now), &name, uptime))
+            .collect();
+        for history in histories {
+            // A request and a response.
+            if random.next() < (1.0 - lost).powi(2) {
+                nodes[number].tracker.take_history(at(now), &history);
+            }
+        }
+    }
+}
+
 /// Returns the maximum number of requests per window that the operator tolerates.
 fn tolerated(quota: Quota) -> f64 {
     quota_per_window(quota) * 1.1 + 20.0
