gateway: ask other nodes after a restart what was used of quotas

Cause: the process guessed an even part of the quota that leaves the window evenly, and its first report replaced the exact count that others had.

Why it works: nodes that were running know when the requests in the last reports were sent; what is unknown is one report interval. Old and new versions: an unknown datagram is ignored, so the guess stays.

--- a/crates/gateway/src/cross_zone_bytes.rs
+++ b/crates/gateway/src/cross_zone_bytes.rs
@@ -83,7 +83,7 @@
             GatewayDatagram::Load(_) | GatewayDatagram::Parts(_) | GatewayDatagram::Demand(_) => {
                 Self::Loads
             }
-            GatewayDatagram::Quota(_) => Self::Quotas,
+            GatewayDatagram::Quota(_) | GatewayDatagram::QuotaHistory(_) => Self::Quotas,
             GatewayDatagram::Beat(_) => Self::StreamUpdates,
             _ => Self::Others,
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 mod prefix_usage;
 mod proofs;
 mod queue;
+mod quota_history;
 mod quotas;
 mod serve;
 mod zones;
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -15,6 +15,7 @@
 use super::outages::{self, OutageReporter};
 use super::prefix_usage::{self, PrefixUsageSender};
 use super::proofs::{self, ProofRequester};
+use super::quota_history::{self, HistoryRequester};
 use super::quotas::{self, QuotaSender};
 use super::{PROBE_INTERVAL, cross_zone, zones};
 use crate::feed;
@@ -36,6 +37,7 @@
     let mut prefix_sender = PrefixUsageSender::default();
     let mut memory_sender = MemorySender::default();
     let mut quota_sender = QuotaSender::default();
+    let mut history_requester = HistoryRequester::default();
     let mut demand_sender = DemandSender::default();
     let mut proof_requester = ProofRequester::default();
     let mut outage_reporter = OutageReporter::default();
@@ -56,6 +58,7 @@
                 outage_reporter.send_if_due(&gateway, &socket);
                 load_sender.send_changes(&gateway, &socket);
                 proof_requester.send_if_due(&gateway, &socket);
+                history_requester.ask_if_due(&gateway, &socket);
                 quota_sender.send_if_due(&gateway, &socket);
                 gateway.lessors.introduce(&gateway);
                 demand_sender.send(&gateway, &socket);
@@ -83,6 +86,10 @@
                         gateway.lessors.receive(&gateway, from, message);
                         continue;
                     }
+                    Ok(GatewayDatagram::QuotaHistory(message)) => {
+                        quota_history::receive(&gateway, &socket, from, message);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Parts(report)) => {
                         prefix_usage::receive(&gateway, report);
                         continue;
--- a/crates/gateway/src/peers/lessors.rs
+++ b/crates/gateway/src/peers/lessors.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::quota::{Order, lessor_of};
 use elderworks_gateway_core::tenants::TenantKey;
 use elderworks_protocol::encode;
@@ -15,6 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use super::quotas::has_quotas;
 use crate::gateway::Gateway;
 
 /// Timeout for the answer to a question; covers one round trip to another zone.
@@ -243,9 +243,7 @@
 
 /// Returns whether lessors are enabled and any tenant has a quota.
 fn uses_lessors(gateway: &Gateway) -> bool {
-    let has_quotas = |config: &ServingConfig| config.tenants.iter().any(|one| one.quota.is_some());
-    let config = gateway.current_config();
-    gateway.settings.policy.quota_lessors && config.is_some_and(|config| has_quotas(&config))
+    gateway.settings.policy.quota_lessors && has_quotas(gateway)
 }
 
 fn introduction(gateway: &Gateway, is_answer: bool) -> LessorMessage {
--- a/crates/gateway/src/peers/quotas.rs
+++ b/crates/gateway/src/peers/quotas.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::quota::{REPORT_INTERVAL, ReportTurns, TenantUse};
 use elderworks_gateway_core::tenants::TenantKey;
 use elderworks_protocol::gateway::{GatewayDatagram, QuotaReport, TenantUseReport};
@@ -67,6 +68,23 @@
     }
 }
 
+/// Returns whether any tenant has a quota in the current configuration.
+pub(super) fn has_quotas(gateway: &Gateway) -> bool {
+    let has_quotas = |config: &ServingConfig| config.tenants.iter().any(|one| one.quota.is_some());
+    let config = gateway.current_config();
+    config.is_some_and(|config| has_quotas(&config))
+}
+
+/// Returns the addresses of the other nodes that accept callers.
+pub(super) fn serving_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let nodes = gateway.nodes.borrow();
+    let serving = gateway.serving_nodes(&nodes).into_iter();
+    let others = serving.filter(|node| **node != gateway.settings.node);
+    others
+        .filter_map(|node| Some(nodes.get(node)?.record.peer_address))
+        .collect()
+}
+
 /// Applies another node's report.
 pub(super) fn receive(gateway: &Gateway, report: QuotaReport) {
     let uses = report.uses.into_iter().map(|reported| {
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -39,6 +39,37 @@
     /// A message of the protocol by which lessors grant quota. Ignored by earlier versions, which never
     /// introduce themselves as lessors.
     Lessor(LessorMessage),
+    /// A message by which a process that has started learns what the process before it forwarded.
+    /// Ignored by earlier versions.
+    QuotaHistory(QuotaHistoryMessage),
+}
+
+/// A message about the requests that an earlier process of a node forwarded for tenants with a quota.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuotaHistoryMessage {
+    /// Asks what the receiver has heard from the process that ran before the sender's.
+    Asked {
+        /// The sender.
+        node: NodeId,
+        /// Time since the sender's process started, in milliseconds.
+        uptime_ms: u64,
+    },
+    /// Reply to [`Self::Asked`] of a node that heard from the earlier process.
+    Told {
+        /// Age of the last report of the earlier process, in milliseconds.
+        report_age_ms: u64,
+        /// One entry per reported tenant.
+        tenants: Vec<TenantHistory>,
+    },
+}
+
+/// Requests that an ended process forwarded for one tenant in the last quota window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantHistory {
+    /// Hash of the tenant's name.
+    pub tenant: u64,
+    /// Age in milliseconds and number of requests, oldest first.
+    pub sent: Vec<(u32, u32)>,
 }
 
 /// Prompt prefixes held by engines. Replaces earlier reports about the same engines.
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -4,7 +4,7 @@
 use elderworks_protocol::feed::FeedHeartbeat;
 use elderworks_protocol::gateway::{
     ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, GrantDecision, LessorMessage,
-    LoadReport, LogReport, MemoryReport,
+    LoadReport, LogReport, MemoryReport, QuotaHistoryMessage,
 };
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
@@ -125,6 +125,10 @@
             question: 1,
             verdict: GrantDecision::Granted,
         }),
+        GatewayDatagram::QuotaHistory(QuotaHistoryMessage::Asked {
+            node: NodeId::new("n1"),
+            uptime_ms: 1,
+        }),
     ] {
         assert!(variant_index(&encode(&datagram)) > LAST_DATAGRAM_INDEX);
     }
