quota: a node records the use of a group of tenants; the model's log keeps it

The tenants are in eight groups; the first node in a group's rendezvous order records what all nodes sent in the last window, each second while it is more than a third of the tolerance, earlier after a tenth of a quota. In the model a write takes 100 ms and is lost with its node, nodes that are cut off or of the earlier version write nothing, and nobody reads the record yet: that is the fix.

--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -43,13 +43,10 @@
             return self.even_allowance(now, tenant, fleet, limit, Basis::Even);
         }
         if self.is_isolated(now, fleet) {
-            return self.even_allowance(
-                now,
-                tenant,
-                fleet,
-                limit * ISOLATED_FRACTION,
-                Basis::Isolated,
-            );
+            // A process that has read the records is in contact with the log.
+            let knows_use = self.recorded.is_some() && !fleet.is_cut_off;
+            let fraction = if knows_use { 1.0 } else { ISOLATED_FRACTION };
+            return self.even_allowance(now, tenant, fleet, limit * fraction, Basis::Isolated);
         }
         self.reported_allowance(now, tenant, fleet, limit)
     }
@@ -65,7 +62,9 @@
     ) -> Allowance {
         let account = &self.accounts[&tenant];
         let unconfirmed = f64::from(self.unconfirmed(now, tenant, fleet));
-        let before_start = self.before_start(now, tenant, account.limit, fleet);
+        let before_start = self
+            .recorded_share(tenant, account.limit, fleet)
+            .unwrap_or_else(|| self.before_start(now, tenant, account.limit, fleet));
         let own = f64::from(account.sent.total()) + before_start;
         let nodes = f64::from(fleet.nodes.max(1));
         Allowance {
@@ -145,7 +144,8 @@
     }
 
     /// Returns the requests in the window that an earlier process forwarded on this machine. While they
-    /// are unknown, an even share of the quota is assumed that decreases to zero over one window.
+    /// are unknown, an even part of what was recorded for all nodes is assumed, or else an even share of
+    /// the quota that decreases to zero over one window.
     pub(super) fn before_start(
         &self,
         now: Timestamp,
@@ -158,11 +158,22 @@
         }
         let window = self.rules.window.as_secs_f64();
         let remaining_fraction = 1.0 - now.since(self.started).as_secs_f64() / window;
+        if let Some(share) = self.recorded_share(tenant, limit, fleet) {
+            return share;
+        }
         let unused_tolerance = self.rules.tolerance(limit) * UNUSED_TOLERANCE_FRACTION;
         (limit - unused_tolerance).max(0.0) * remaining_fraction.max(0.0)
             / f64::from(fleet.nodes.max(1))
     }
 
+    /// Returns [`Self::before_start`] as a whole number.
+    pub(super) fn whole_before_start(&self, tenant: TenantKey, before_start: f64) -> u32 {
+        match self.recorded {
+            Some(_) => self.round_share(tenant, before_start),
+            None => before_start.ceil() as u32,
+        }
+    }
+
     /// Returns a pseudo-random number from 0 to 1 that rounds a fractional share up or down. Over
     /// all nodes and periods the rounded shares add up to the remaining quota.
     fn rounding(&self, now: Timestamp, tenant: TenantKey, fleet: Fleet) -> f64 {
--- a/crates/gateway-core/src/quota/history.rs
+++ b/crates/gateway-core/src/quota/history.rs
@@ -71,6 +71,14 @@
         counts.map(|(tenant, count)| (*tenant, count.total()))
     }
 
+    /// Returns the known requests of a tenant by time.
+    pub(super) fn count(&self, tenant: TenantKey) -> Option<&SlidingCount> {
+        match self {
+            Self::Known(counts) => counts.get(&tenant),
+            Self::None | Self::Unknown => None,
+        }
+    }
+
     /// Returns the requests of a tenant if they are known.
     pub(super) fn known(&self, tenant: TenantKey) -> Option<u32> {
         match self {
@@ -83,7 +91,7 @@
 
 /// Groups counts into spans of [`AGE_RESOLUTION`]. Each group gets the lowest age of its span, so that no
 /// request is taken to be older than it is. Expects the oldest first, and returns them so.
-fn group_by_age(counts: impl Iterator<Item = (Duration, u32)>) -> Vec<AgedCount> {
+pub(super) fn group_by_age(counts: impl Iterator<Item = (Duration, u32)>) -> Vec<AgedCount> {
     let mut groups: Vec<AgedCount> = Vec::new();
     for (exact, count) in counts {
         let spans = exact.as_micros() / AGE_RESOLUTION.as_micros();
--- a/crates/gateway-core/src/quota/lessor.rs
+++ b/crates/gateway-core/src/quota/lessor.rs
@@ -156,8 +156,8 @@
         let fleet = self.fleet_sizes.note(now, fleet, self.rules.window);
         // A lessor needs exact counts.
         let learning_time = match self.predecessor {
-            Predecessor::Unknown => self.rules.window,
-            Predecessor::None | Predecessor::Known(_) => LEARNING_TIME,
+            Predecessor::Unknown if self.recorded.is_none() => self.rules.window,
+            _ => LEARNING_TIME,
         };
         let is_new = now.since(self.started) < learning_time && fleet.nodes > 1;
         let may_be_minority = !self.fleet_sizes.is_majority(fleet);
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -15,6 +15,7 @@
 mod fleet_sizes;
 mod history;
 mod lessor;
+mod recorded;
 mod sliding;
 mod started_programs;
 mod turns;
@@ -29,10 +30,12 @@
 use fleet_sizes::RecentFleetSizes;
 use history::Predecessor;
 use lessor::Grants;
+use recorded::{RecordedUse, WrittenRecord};
 use sliding::{SlidingCount, Slots};
 
 pub use history::{AgedCount, UseHistory};
 pub use lessor::lessor_of;
+pub use recorded::{RecordGroup, UseRecord};
 pub use sliding::Slot;
 pub use started_programs::StartedPrograms;
 pub use turns::ReportTurns;
@@ -199,6 +202,10 @@
     started: Timestamp,
     /// The earlier process that may have forwarded requests from this machine.
     predecessor: Predecessor,
+    /// Use by all nodes before this process started; `None` until the records were read.
+    recorded: Option<RecordedUse>,
+    /// Records that this node has written last.
+    written: HashMap<RecordGroup, WrittenRecord>,
     accounts: HashMap<TenantKey, Account>,
     reports: BTreeMap<NodeId, Report>,
     /// Grants that this node made to others as lessor.
@@ -219,6 +226,8 @@
             seed,
             started,
             predecessor: Predecessor::Unknown,
+            recorded: None,
+            written: HashMap::new(),
             accounts: HashMap::new(),
             reports: BTreeMap::new(),
             grants: Grants::default(),
@@ -361,21 +370,21 @@
         self.accounts.retain(|_, account| !account.is_empty());
         self.predecessor.forget_before(first);
         self.forget_histories(first);
+        if let Some(recorded) = &mut self.recorded {
+            recorded.forget_before(first);
+        }
         let mut reported: Vec<(f64, TenantKey, TenantUse)> = Vec::new();
         for (tenant, account) in &self.accounts {
             let before_start = self.before_start(now, *tenant, account.limit, fleet);
             let own = TenantUse {
-                sent: account.sent.total() + before_start.ceil() as u32,
+                sent: account.sent.total() + self.whole_before_start(*tenant, before_start),
                 asked: account.asked.total(),
             };
             if f64::from(own.sent) >= allowance::report_threshold(account.limit, fleet) {
                 reported.push((f64::from(own.sent) / account.limit, *tenant, own));
             }
         }
-        let without_account = self.predecessor.counts();
-        let without_account =
-            without_account.filter(|(tenant, _)| !self.accounts.contains_key(tenant));
-        reported.extend(without_account.map(|(tenant, sent)| {
+        reported.extend(self.used_without_account(fleet).map(|(tenant, sent)| {
             // The quota is unknown until a request arrives, so that the fraction cannot be computed.
             (f64::MAX, tenant, TenantUse { sent, asked: 0 })
         }));
@@ -387,6 +396,17 @@
             .collect()
     }
 
+    /// Returns what an earlier process forwarded for tenants that this one has received no requests of.
+    fn used_without_account(&self, fleet: Fleet) -> impl Iterator<Item = (TenantKey, u32)> {
+        let known = self.predecessor.counts();
+        let known = known.filter(|(tenant, _)| !self.accounts.contains_key(tenant));
+        let recorded = match self.predecessor {
+            Predecessor::Unknown => self.recorded_without_account(fleet),
+            Predecessor::None | Predecessor::Known(_) => Vec::new(),
+        };
+        known.chain(recorded)
+    }
+
     /// Returns the nodes whose reports arrived within the last window.
     pub fn reporting_nodes(&self) -> impl Iterator<Item = &NodeId> {
         self.reports.keys()
--- a/crates/gateway-core/tests/quota_model.rs
+++ b/crates/gateway-core/tests/quota_model.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::quota::{
-    Division, Fleet, Order, QuotaRules, QuotaTracker, REPORT_INTERVAL, ReportTurns, UseHistory,
-    lessor_of,
+    Division, Fleet, Order, QuotaRules, QuotaTracker, REPORT_INTERVAL, RecordGroup, ReportTurns,
+    UseHistory, UseRecord, lessor_of,
 };
 use elderworks_gateway_core::tenants::{Quota, TenantKey};
 use elderworks_types::{NodeId, Timestamp};
@@ -134,6 +134,10 @@
 /// Interval in milliseconds at which a restarted node asks the others what it forwarded before.
 const HISTORY_INTERVAL_MS: u64 = 100;
 
+/// Interval in milliseconds at which a node checks whether it has to record the tenant's use. A write takes
+/// as long.
+const RECORD_CHECK_MS: u64 = 100;
+
 /// Returns the requests that a quota allows per window.
 fn quota_per_window(quota: Quota) -> f64 {
     quota.per_second * 5.0 + quota.burst
@@ -170,6 +174,7 @@
     let mut outcome = Outcome::default();
     let mut reached: Vec<u64> = Vec::new();
     let mut window: VecDeque<u64> = VecDeque::new();
+    let mut log = Log::default();
     let partition_end = 10_000 + scenario.partition_ms;
     for step in 0..DURATION_MS / STEP_MS {
         let now = step * STEP_MS;
@@ -193,7 +198,7 @@
             }
         }
         let count = nodes.iter().filter(|node| node.starts_at <= now).count();
-        if now % HISTORY_INTERVAL_MS == 0 {
+        if now.is_multiple_of(HISTORY_INTERVAL_MS) {
             let can_exchange = |number: usize| {
                 number >= scenario.without_lessors
                     && !is_partitioned_now(number)
@@ -219,7 +224,7 @@
             is_cut_off: is_partitioned_now(number) && now >= 12_500,
         };
         let names: Vec<NodeId> = nodes.iter().map(|node| node.name.clone()).collect();
-        let lessor_seen_by = |number: usize| {
+        let first_seen_by = |number: usize, key: TenantKey| {
             let is_seen = |other: usize| {
                 other == number
                     || (other < scenario.nodes || now >= 9_000 + DETECTION_MS)
@@ -227,9 +232,28 @@
                             && (number < scenario.partitioned || other < scenario.partitioned))
             };
             let seen = (0..names.len()).filter(|&other| is_seen(other));
-            let lessor = lessor_of(TENANT, seen.map(|other| &names[other]));
-            lessor.and_then(|lessor| names.iter().position(|name| name == lessor))
+            let first = lessor_of(key, seen.map(|other| &names[other]));
+            first.and_then(|first| names.iter().position(|name| name == first))
         };
+        let lessor_seen_by = |number: usize| first_seen_by(number, TENANT);
+        if now.is_multiple_of(RECORD_CHECK_MS) {
+            let can_write = |number: usize| {
+                number >= scenario.without_lessors
+                    && !is_partitioned_now(number)
+                    && !is_down(number)
+                    && !is_paused(number)
+            };
+            log.end_write(can_write);
+            let group = TenantKey(RecordGroup::of(TENANT).0);
+            for number in (0..count).filter(|&number| can_write(number)) {
+                if first_seen_by(number, group) == Some(number) {
+                    log.start_write(&mut nodes, number, now, scenario.quota);
+                } else {
+                    let tracker = &mut nodes[number].tracker;
+                    tracker.forget_record(RecordGroup::of(TENANT));
+                }
+            }
+        }
         for number in 0..count {
             if nodes[number].next_report > now || is_down(number) || is_paused(number) {
                 continue;
@@ -352,6 +376,35 @@
     outcome
 }
 
+/// The tenant's record in the platform's log.
+#[derive(Default)]
+struct Log {
+    #[expect(dead_code, reason = "no node reads it yet")]
+    record: Option<UseRecord>,
+    /// A record that is being written, and the node that writes it.
+    pending: Option<(usize, UseRecord)>,
+}
+
+impl Log {
+    /// Completes a write unless its node can no longer write.
+    fn end_write(&mut self, can_write: impl Fn(usize) -> bool) {
+        if let Some((writer, record)) = self.pending.take()
+            && can_write(writer)
+        {
+            self.record = Some(record);
+        }
+    }
+
+    /// Starts to write the record of a node if one is due.
+    fn start_write(&mut self, nodes: &mut [Node], number: usize, now: u64, quota: Quota) {
+        let tracker = &mut nodes[number].tracker;
+        let due = tracker.record_due(at(now), RecordGroup::of(TENANT), |_| Some(quota));
+        if let Some(record) = due {
+            self.pending = Some((number, record));
+        }
+    }
+}
+
 /// Lets the nodes that have restarted ask all others what they forwarded before.
 fn ask_for_histories(nodes: &mut [Node], able: &[usize], now: u64, lost: f64, random: &mut Random) {
     for &number in able {
