quota: after a loss of all nodes, what the log recorded takes the place of the guess

Cause: nobody is left who knows what was sent; a full quota was assumed that leaves the window evenly.

Why it works: a process that starts reads the records (one call, only where a tenant has a quota) and takes an even part of what all nodes together had sent, by its real ages, for the process before it; its reports carry that part, so that the parts add up. What the last record does not cover is taken to be 0.8 s at the rate of its last second. Such a process may share the rest of the quota before it has heard the others, and may be a lessor after 1 s. Without a record of a tenant's group the guess stays.

--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -172,6 +172,11 @@
 }
 
 impl ServingConfig {
+    /// Returns whether any tenant has a quota.
+    pub fn has_quotas(&self) -> bool {
+        self.tenants.iter().any(|tenant| tenant.quota.is_some())
+    }
+
     /// Returns the route of a request: the one with the longest matching path prefix among the
     /// host's routes.
     pub fn route_for(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/gateway-core/src/log_call_purpose.rs
+++ b/crates/gateway-core/src/log_call_purpose.rs
@@ -21,6 +21,10 @@
     Verify,
     /// Verifies that a configuration is the latest one.
     Prove,
+    /// Records the use of tenants' quotas.
+    RecordQuotaUse,
+    /// Reads the recorded use of tenants' quotas.
+    ReadQuotaUse,
 }
 
 impl LogCallPurpose {
@@ -51,6 +55,8 @@
             Self::CatchUp => "read_catch_up",
             Self::Verify => "read_verify",
             Self::Prove => "prove_configuration",
+            Self::RecordQuotaUse => "put_quota_use",
+            Self::ReadQuotaUse => "read_quota_use",
         }
     }
 }
--- a/crates/gateway-core/src/log_streams.rs
+++ b/crates/gateway-core/src/log_streams.rs
@@ -14,4 +14,6 @@
     Nodes,
     /// Budgets and stored turns of the programs of one partition.
     Ledger(PartitionId),
+    /// Recorded use of tenants' quotas, compacted to the newest record per group of tenants.
+    QuotaUse,
 }
--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -44,7 +44,7 @@
         }
         if self.is_isolated(now, fleet) {
             // A process that has read the records is in contact with the log.
-            let knows_use = self.recorded.is_some() && !fleet.is_cut_off;
+            let knows_use = self.has_record_of(tenant) && !fleet.is_cut_off;
             let fraction = if knows_use { 1.0 } else { ISOLATED_FRACTION };
             return self.even_allowance(now, tenant, fleet, limit * fraction, Basis::Isolated);
         }
@@ -168,9 +168,9 @@
 
     /// Returns [`Self::before_start`] as a whole number.
     pub(super) fn whole_before_start(&self, tenant: TenantKey, before_start: f64) -> u32 {
-        match self.recorded {
-            Some(_) => self.round_share(tenant, before_start),
-            None => before_start.ceil() as u32,
+        match self.has_record_of(tenant) {
+            true => self.round_share(tenant, before_start),
+            false => before_start.ceil() as u32,
         }
     }
 
--- a/crates/gateway-core/src/quota/lessor.rs
+++ b/crates/gateway-core/src/quota/lessor.rs
@@ -156,7 +156,7 @@
         let fleet = self.fleet_sizes.note(now, fleet, self.rules.window);
         // A lessor needs exact counts.
         let learning_time = match self.predecessor {
-            Predecessor::Unknown if self.recorded.is_none() => self.rules.window,
+            Predecessor::Unknown if !self.has_record_of(tenant) => self.rules.window,
             _ => LEARNING_TIME,
         };
         let is_new = now.since(self.started) < learning_time && fleet.nodes > 1;
--- a/crates/gateway-core/src/quota/recorded.rs
+++ b/crates/gateway-core/src/quota/recorded.rs
@@ -14,7 +14,7 @@
 
 use super::history::{AgedCount, Predecessor, group_by_age};
 use super::sliding::SlidingCount;
-use super::{Fleet, QuotaTracker, Slot, lessor_of};
+use super::{Fleet, LEARNING_TIME, QuotaTracker, Slot, lessor_of};
 
 /// Number of groups of tenants. Each group is recorded by one node.
 pub const RECORD_GROUPS: u64 = 8;
@@ -73,34 +73,43 @@
 
 /// Use of quotas by all nodes before this process started, as recorded.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RecordedUse(HashMap<TenantKey, SlidingCount>);
+pub(super) struct RecordedUse {
+    /// Groups of which there was a record.
+    groups: BTreeSet<RecordGroup>,
+    sent: HashMap<TenantKey, SlidingCount>,
+}
 
 impl RecordedUse {
     pub(super) fn forget_before(&mut self, first: Slot) {
-        for sent in self.0.values_mut() {
+        for sent in self.sent.values_mut() {
             sent.forget_before(first);
         }
-        self.0.retain(|_, sent| sent.total() > 0);
+        self.sent.retain(|_, sent| sent.total() > 0);
     }
 
-    /// Returns the requests of a tenant.
-    pub(super) fn total(&self, tenant: TenantKey) -> u32 {
-        self.0.get(&tenant).map_or(0, SlidingCount::total)
+    /// Returns the requests of a tenant, or `None` if there was no record of its group.
+    fn total(&self, tenant: TenantKey) -> Option<u32> {
+        let is_covered = self.groups.contains(&RecordGroup::of(tenant));
+        is_covered.then(|| self.sent.get(&tenant).map_or(0, SlidingCount::total))
     }
 
     fn tenants(&self) -> impl Iterator<Item = TenantKey> {
-        self.0.keys().copied()
+        self.sent.keys().copied()
     }
 }
 
 impl QuotaTracker {
-    /// Returns the record of a group that this node should write, if one is due.
+    /// Returns the record of a group that this node should write, if one is due. A new process waits until
+    /// it has heard the other nodes' reports.
     pub fn record_due(
         &mut self,
         now: Timestamp,
         group: RecordGroup,
         quota_of: impl Fn(TenantKey) -> Option<Quota>,
     ) -> Option<UseRecord> {
+        if now.since(self.started) < LEARNING_TIME {
+            return None;
+        }
         let written = self.written.get(&group);
         let since = written.map(|written| now.since(written.at));
         if since.is_some_and(|since| since < MIN_RECORD_INTERVAL) {
@@ -149,13 +158,14 @@
 
     /// Takes over a group's record that was written before this process started. Its age is unknown, so
     /// the requests are not taken to be older than they were when it was written.
-    pub fn take_record(&mut self, now: Timestamp, record: &UseRecord) {
+    pub fn take_record(&mut self, now: Timestamp, group: RecordGroup, record: &UseRecord) {
         if matches!(self.predecessor, Predecessor::None) {
             return;
         }
         let slots = self.slots;
         let start = self.started;
         let recorded = self.recorded.get_or_insert_default();
+        recorded.groups.insert(group);
         for (tenant, counts) in &record.tenants {
             let mut sent = SlidingCount::default();
             for AgedCount { age, count } in counts {
@@ -166,11 +176,17 @@
             let uncovered =
                 f64::from(recent) * UNCOVERED_TIME.as_secs_f64() / RECORD_INTERVAL.as_secs_f64();
             sent.add_many(slots.at(start), uncovered.ceil() as u32);
-            recorded.0.insert(*tenant, sent);
+            recorded.sent.insert(*tenant, sent);
         }
         recorded.forget_before(slots.first_within(now, self.rules.window));
     }
 
+    /// Returns whether this process has read what was recorded of a tenant's use.
+    pub(super) fn has_record_of(&self, tenant: TenantKey) -> bool {
+        let recorded = self.recorded.as_ref();
+        recorded.is_some_and(|recorded| recorded.total(tenant).is_some())
+    }
+
     /// Returns this node's part of what all nodes used of a tenant's quota before it started, or `None`
     /// if no record was read.
     pub(super) fn recorded_share(
@@ -180,7 +196,7 @@
         fleet: Fleet,
     ) -> Option<f64> {
         let recorded = self.recorded.as_ref()?;
-        let total = f64::from(recorded.total(tenant)).min(limit);
+        let total = f64::from(recorded.total(tenant)?).min(limit);
         Some(total / f64::from(fleet.nodes.max(1)))
     }
 
@@ -213,7 +229,10 @@
             .reports
             .values()
             .flat_map(|report| report.history.keys());
-        let recorded = self.recorded.iter().flat_map(|recorded| recorded.0.keys());
+        let recorded = self
+            .recorded
+            .iter()
+            .flat_map(|recorded| recorded.sent.keys());
         let tenants = self.accounts.keys().chain(reported).chain(recorded);
         let tenants: BTreeSet<TenantKey> = tenants.copied().collect();
         let of_group = tenants
@@ -239,7 +258,7 @@
         let reported = reported.filter_map(move |report| report.history.get(&tenant));
         own.into_iter()
             .chain(self.predecessor.count(tenant))
-            .chain(recorded.and_then(|recorded| recorded.0.get(&tenant)))
+            .chain(recorded.and_then(|recorded| recorded.sent.get(&tenant)))
             .chain(reported)
     }
 
--- a/crates/gateway-core/tests/quota_model.rs
+++ b/crates/gateway-core/tests/quota_model.rs
@@ -206,6 +206,7 @@
                     && !is_paused(number)
             };
             let able: Vec<usize> = (0..count).filter(|&number| can_exchange(number)).collect();
+            log.read(&mut nodes, &able, now);
             ask_for_histories(&mut nodes, &able, now, scenario.lost, &mut random);
         }
         // Joining nodes are detected after 1.5 s.
@@ -379,7 +380,6 @@
 /// The tenant's record in the platform's log.
 #[derive(Default)]
 struct Log {
-    #[expect(dead_code, reason = "no node reads it yet")]
     record: Option<UseRecord>,
     /// A record that is being written, and the node that writes it.
     pending: Option<(usize, UseRecord)>,
@@ -403,6 +403,19 @@
             self.pending = Some((number, record));
         }
     }
+
+    /// Lets the nodes that have restarted read the record.
+    fn read(&self, nodes: &mut [Node], able: &[usize], now: u64) {
+        let Some(record) = &self.record else {
+            return;
+        };
+        for &number in able {
+            let tracker = &mut nodes[number].tracker;
+            if tracker.needs_records(at(now)) {
+                tracker.take_record(at(now), RecordGroup::of(TENANT), record);
+            }
+        }
+    }
 }
 
 /// Lets the nodes that have restarted ask all others what they forwarded before.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peers;
 pub mod ports;
 mod process;
+mod quota_records;
 mod reply;
 mod server;
 pub mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -385,6 +385,7 @@
             Stream::Configuration => "follow_configuration",
             Stream::Workers => "follow_workers",
             Stream::Nodes => "follow_nodes",
+            Stream::QuotaUse => "read_quota_use",
             Stream::Ledger(_) => "follow_ledger",
         };
         self.count_log_call(call, outcome);
--- a/crates/gateway/src/peers/quota_history.rs
+++ b/crates/gateway/src/peers/quota_history.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::quota::{AgedCount, ReportTurns, UseHistory};
-use elderworks_gateway_core::tenants::TenantKey;
 use elderworks_protocol::gateway::{GatewayDatagram, QuotaHistoryMessage, TenantHistory};
 use elderworks_types::{NodeId, Timestamp};
 use tokio::net::UdpSocket;
 
 use super::quotas::{has_quotas, serving_addresses};
 use crate::gateway::Gateway;
+use crate::quota_records::{decode_tenant, encode_tenant};
 
 /// Interval between two rounds of questions.
 const ASK_INTERVAL: Duration = Duration::from_millis(150);
@@ -120,22 +120,3 @@
 fn total(sent: &[AgedCount]) -> u32 {
     sent.iter().map(|aged| aged.count).sum()
 }
-
-fn encode_tenant((tenant, sent): (TenantKey, Vec<AgedCount>)) -> TenantHistory {
-    let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-    TenantHistory {
-        tenant: tenant.0,
-        sent: sent
-            .into_iter()
-            .map(|aged| (millis(aged.age), aged.count))
-            .collect(),
-    }
-}
-
-fn decode_tenant(history: TenantHistory) -> (TenantKey, Vec<AgedCount>) {
-    let sent = history.sent.into_iter().map(|(age_ms, count)| AgedCount {
-        age: Duration::from_millis(age_ms.into()),
-        count,
-    });
-    (TenantKey(history.tenant), sent.collect())
-}
--- a/crates/gateway/src/peers/quotas.rs
+++ b/crates/gateway/src/peers/quotas.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::quota::{REPORT_INTERVAL, ReportTurns, TenantUse};
 use elderworks_gateway_core::tenants::TenantKey;
 use elderworks_protocol::gateway::{GatewayDatagram, QuotaReport, TenantUseReport};
@@ -70,9 +69,8 @@
 
 /// Returns whether any tenant has a quota in the current configuration.
 pub(super) fn has_quotas(gateway: &Gateway) -> bool {
-    let has_quotas = |config: &ServingConfig| config.tenants.iter().any(|one| one.quota.is_some());
     let config = gateway.current_config();
-    config.is_some_and(|config| has_quotas(&config))
+    config.is_some_and(|config| config.has_quotas())
 }
 
 /// Returns the addresses of the other nodes that accept callers.
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -63,7 +63,15 @@
     },
 }
 
-/// Requests that an ended process forwarded for one tenant in the last quota window.
+/// Requests that all nodes forwarded in the last quota window for the tenants of a group, as recorded in the
+/// log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaUseRecord {
+    /// One entry per tenant that used more than a small part of its quota.
+    pub tenants: Vec<TenantHistory>,
+}
+
+/// Requests that one or more processes forwarded for one tenant in the last quota window.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TenantHistory {
     /// Hash of the tenant's name.
