quota: a node that has just joined reports all use

What users saw: a fleet of two that grows four- or fivefold lets a tenant far over its quota pass the operator's bound (417 where 393, 753 where 707 are tolerated).

Cause: small use is not reported because the others reserve for it, but they reserve nothing for a node that they have not detected, and its own threshold is a tenth of a part of the old, small fleet.

Why it works: all use is reported for two seconds, longer than others take to detect a node. Ruled out: new nodes that take themselves for the lessor (a longer wait changed nothing).

--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -64,6 +64,10 @@
 /// Time after its start within which a node may not have received the other nodes' reports yet.
 const LEARNING_TIME: Duration = Duration::from_secs(1);
 
+/// Time after its start within which the other nodes may not have detected this node yet. They reserve
+/// nothing for it.
+const JOIN_TIME: Duration = Duration::from_secs(2);
+
 /// Minimum retry delay of a refused request.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -380,7 +384,11 @@
                 sent: account.sent.total() + self.whole_before_start(*tenant, before_start),
                 asked: account.asked.total(),
             };
-            if f64::from(own.sent) >= allowance::report_threshold(account.limit, fleet) {
+            let threshold = match now.since(self.started) < JOIN_TIME {
+                true => 1.0,
+                false => allowance::report_threshold(account.limit, fleet),
+            };
+            if f64::from(own.sent) >= threshold {
                 reported.push((f64::from(own.sent) / account.limit, *tenant, own));
             }
         }
--- a/crates/gateway-core/tests/quota.rs
+++ b/crates/gateway-core/tests/quota.rs
@@ -218,6 +218,18 @@
     assert_eq!(tracker.report(at(0), FOUR_NODES).len(), 1);
 }
 
+/// Guards against nodes that join a small fleet and use a quota together before the others know of them.
+#[test]
+fn a_node_that_has_just_joined_reports_all_use() {
+    let mut joined = restarted(0);
+    joined.note_new_machine();
+    joined.take_report(at(900), NodeId::new("n1"), uses(10, 10));
+    assert_eq!(admitted(&mut joined, at(1_000), SINGLE_NODE, 1), 1);
+    assert_eq!(joined.report(at(1_000), SINGLE_NODE), uses(1, 1));
+    // Six requests are a tenth of an even share.
+    assert_eq!(joined.report(at(3_000), SINGLE_NODE), []);
+}
+
 /// Returns a tracker that started at `started_ms` and may have a predecessor.
 fn restarted(started_ms: u64) -> QuotaTracker {
     QuotaTracker::new(RULES, Division::Reported, 1, at(started_ms))
