--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Basis, Division, Fleet, ISOLATED_FRACTION, LEARNING_TIME, MAX_REPORT_TARGETS, QuotaTracker,
-    REPORT_INTERVAL, Report, UNNOTICED_PARTITION_TIME, UNREPORTED_FRACTION,
+    REPORT_INTERVAL, UNREPORTED_FRACTION,
 };
 
 /// Number of report intervals after which a report has reached a node, assuming at most two lost
@@ -92,15 +92,17 @@
         let asked_here = f64::from(account.asked.total()) + 1.0;
         let mut asked = asked_here;
         for report in self.reports.values() {
-            let weight = self.report_weight(now, report);
-            let Some(used) = report.uses.get(&tenant).filter(|_| weight > 0.0) else {
+            if now.since(report.at) >= self.rules.window {
+                continue;
+            }
+            let Some(used) = report.uses.get(&tenant) else {
                 continue;
             };
             reporting += 1.0;
-            reported += f64::from(used.sent) * weight;
-            // Includes nodes that stopped reporting within the window: they may be partitioned and
-            // still use their share.
-            asked += f64::from(used.asked) * weight.floor();
+            reported += f64::from(used.sent);
+            // Includes nodes that stopped reporting: they may be partitioned and still use their
+            // share.
+            asked += f64::from(used.asked);
         }
         let unreported = (nodes - 1.0 - reporting).max(0.0) * max_unreported(account.limit, fleet);
         Allowance {
@@ -110,17 +112,6 @@
         }
     }
 
-    /// Returns the fraction of the requests in a node's last report that still counts. A node that has
-    /// fallen silent may be partitioned and have forwarded as many as before until it noticed that.
-    fn report_weight(&self, now: Timestamp, report: &Report) -> f64 {
-        let age = now.since(report.at);
-        if age < self.rules.window {
-            return 1.0;
-        }
-        let remaining = (self.rules.window + UNNOTICED_PARTITION_TIME).saturating_sub(age);
-        remaining.as_secs_f64() / self.rules.window.as_secs_f64()
-    }
-
     /// Returns whether one more request, on top of the unconfirmed ones, is within this node's
     /// `share`.
     pub(super) fn fits(&self, now: Timestamp, tenant: TenantKey, fleet: Fleet, share: f64) -> bool {
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -68,9 +68,6 @@
 /// nothing for it.
 const JOIN_TIME: Duration = Duration::from_secs(2);
 
-/// Time within which a partitioned node may not have noticed that it is.
-const UNNOTICED_PARTITION_TIME: Duration = Duration::from_millis(2_500);
-
 /// Minimum retry delay of a refused request.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -367,7 +364,7 @@
         let window = self.rules.window;
         let fleet = self.fleet_sizes.note(now, fleet, window);
         self.reports
-            .retain(|_, report| now.since(report.at) < window + UNNOTICED_PARTITION_TIME);
+            .retain(|_, report| now.since(report.at) < window);
         self.grants.forget(now, window);
         let first = self.slots.first_within(now, window);
         let first_asked = self.slots.first_within(now, DEMAND_WINDOW);
@@ -418,13 +415,12 @@
         known.chain(recorded)
     }
 
-    /// Returns the nodes whose last reports still count.
+    /// Returns the nodes whose reports arrived within the last window.
     pub fn reporting_nodes(&self) -> impl Iterator<Item = &NodeId> {
         self.reports.keys()
     }
 
-    /// Returns a tenant's requests in the last window, summed over this node and all reports that still
-    /// count.
+    /// Returns a tenant's requests in the last window, summed over this node and all reports.
     pub fn used_by(&self, tenant: TenantKey) -> u32 {
         let own = self
             .accounts
