quota: only nodes that take callers have a part of what was recorded

Found before a landing.

Cause: each node divided the recorded use by the nodes that take callers (15) and reported its part, but all 66 nodes did. Evidence: lines 'over quota' of a trial with the fleet's size in them: used 411 of 167, 65 nodes heard, fleet 15.

Change: a node that takes no callers has no part. Besides, what was recorded is a lower bound of what a process counts before it knows what its predecessor sent, since others' reports need not show it, and the records are read as soon as the configuration is known.

--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -105,8 +105,9 @@
             asked += f64::from(used.asked);
         }
         let unreported = (nodes - 1.0 - reporting).max(0.0) * max_unreported(account.limit, fleet);
+        let used = (own + reported + unreported).max(self.min_use(tenant, account.limit));
         Allowance {
-            free: limit - (own - unconfirmed) - reported - unreported,
+            free: limit - (used - unconfirmed),
             share: asked_here / asked,
             basis: Basis::Reported,
         }
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -206,6 +206,8 @@
     started: Timestamp,
     /// The earlier process that may have forwarded requests from this machine.
     predecessor: Predecessor,
+    /// Whether this node accepts callers. Others have no share of a quota.
+    accepts_callers: bool,
     /// Use by all nodes before this process started; `None` until the records were read.
     recorded: Option<RecordedUse>,
     /// Records that this node has written last.
@@ -230,6 +232,7 @@
             seed,
             started,
             predecessor: Predecessor::Unknown,
+            accepts_callers: true,
             recorded: None,
             written: HashMap::new(),
             accounts: HashMap::new(),
@@ -252,6 +255,11 @@
         self.predecessor = Predecessor::None;
     }
 
+    /// Records whether this node accepts callers, as one of [`Fleet::nodes`].
+    pub fn note_accepts_callers(&mut self, accepts: bool) {
+        self.accepts_callers = accepts;
+    }
+
     /// Records the demand of one request, whether or not it will be admitted.
     pub fn note_asked(&mut self, now: Timestamp, tenant: TenantKey, quota: Quota) {
         let slot = self.slots.at(now);
--- a/crates/gateway-core/src/quota/recorded.rs
+++ b/crates/gateway-core/src/quota/recorded.rs
@@ -187,6 +187,22 @@
         recorded.is_some_and(|recorded| recorded.total(tenant).is_some())
     }
 
+    /// Returns the least that all nodes have used of a tenant's quota, by what was recorded and this process
+    /// has forwarded since. Used while other nodes' reports may lack parts of it, because they have restarted
+    /// or do not know what this node forwarded before.
+    pub(super) fn min_use(&self, tenant: TenantKey, limit: f64) -> f64 {
+        let is_unknown = matches!(self.predecessor, Predecessor::Unknown);
+        let recorded = self.recorded.as_ref().filter(|_| is_unknown);
+        let recorded = recorded.and_then(|recorded| recorded.total(tenant));
+        let own = self
+            .accounts
+            .get(&tenant)
+            .map(|account| account.sent.total());
+        recorded.map_or(0.0, |recorded| {
+            f64::from(recorded).min(limit) + f64::from(own.unwrap_or_default())
+        })
+    }
+
     /// Returns this node's part of what all nodes used of a tenant's quota before it started, or `None`
     /// if no record was read.
     pub(super) fn recorded_share(
@@ -197,6 +213,9 @@
     ) -> Option<f64> {
         let recorded = self.recorded.as_ref()?;
         let total = f64::from(recorded.total(tenant)?).min(limit);
+        if !self.accepts_callers {
+            return Some(0.0);
+        }
         Some(total / f64::from(fleet.nodes.max(1)))
     }
 
--- a/crates/gateway-core/tests/quota_records.rs
+++ b/crates/gateway-core/tests/quota_records.rs
@@ -127,6 +127,35 @@
     assert!(guessing <= 1, "{guessing}");
 }
 
+/// Guards against a process that restarts alone, takes an even part for what it had sent, and finds none of
+/// the rest in the others' reports.
+#[test]
+fn what_was_recorded_counts_although_no_report_shows_it() {
+    let mut restarted = tracker(at(0));
+    restarted.take_record(at(100), GROUP, &record(&[(4_500, 60)]));
+    for number in 1..4 {
+        let node = NodeId::new(format!("n{number}"));
+        restarted.take_report(at(150), node, [(TENANT, TenantUse::default())]);
+    }
+    let first = admitted(&mut restarted, 200);
+    assert!(first <= 4, "{first}");
+}
+
+/// Guards against parts that add up to more than was recorded, because nodes that accept no callers take
+/// one too.
+#[test]
+fn only_nodes_that_accept_callers_report_a_part_of_what_was_recorded() {
+    let reported = |accepts_callers| {
+        let mut restarted = tracker(at(0));
+        restarted.take_record(at(100), GROUP, &record(&[(4_500, 40)]));
+        restarted.note_accepts_callers(accepts_callers);
+        let uses = restarted.report(at(100), FOUR_NODES);
+        uses.iter().map(|(_, used)| used.sent).sum::<u32>()
+    };
+    assert_eq!(reported(true), 10);
+    assert_eq!(reported(false), 0);
+}
+
 #[test]
 fn a_record_of_another_group_tells_nothing() {
     let mut restarted = tracker(at(0));
--- a/crates/gateway/src/peers/quotas.rs
+++ b/crates/gateway/src/peers/quotas.rs
@@ -32,7 +32,11 @@
             return;
         }
         self.sent_at = Some(now);
-        let uses = gateway.quotas.borrow_mut().report(now, gateway.fleet());
+        let accepts_callers = gateway.serving.borrow().contains(&gateway.settings.node);
+        let mut quotas = gateway.quotas.borrow_mut();
+        quotas.note_accepts_callers(accepts_callers);
+        let uses = quotas.report(now, gateway.fleet());
+        drop(quotas);
         // A single empty report clears the previous one.
         if uses.is_empty() && !self.has_reported {
             return;
--- a/crates/gateway/src/quota_records.rs
+++ b/crates/gateway/src/quota_records.rs
@@ -14,31 +14,43 @@
 use crate::gateway::Gateway;
 use crate::ports::StoreError;
 
-/// Interval between two checks for records to read or to write.
+/// Interval between two checks for records to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between two attempts to read the records after a start. Until they are read, requests are
+/// decided by a guess.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Reads the records that were written before this process started, and records the use of the groups of
 /// tenants that this node is responsible for. Does nothing while no tenant has a quota.
 pub(crate) async fn keep_quota_records(gateway: Rc<Gateway>) {
-    let mut has_read = false;
-    let mut checks = actix_rt::time::interval(CHECK_INTERVAL);
-    checks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    // What was recorded before must not be replaced before it was read.
+    while !read_if_needed(&gateway).await {
+        actix_rt::time::sleep(READ_INTERVAL).await;
+    }
     loop {
-        checks.tick().await;
-        let config = gateway.current_config();
-        let Some(config) = config.filter(|config| config.has_quotas()) else {
-            continue;
-        };
-        let needs_records = gateway.quotas.borrow().needs_records(gateway.now());
-        if needs_records && !has_read {
-            has_read = read_records(&gateway).await;
-            // What was recorded before must not be replaced before it was read.
-            continue;
-        }
-        for group in RecordGroup::all() {
-            write_if_due(&gateway, &config, group).await;
+        if let Some(config) = config_with_quotas(&gateway) {
+            for group in RecordGroup::all() {
+                write_if_due(&gateway, &config, group).await;
+            }
         }
+        actix_rt::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+fn config_with_quotas(gateway: &Gateway) -> Option<Rc<ServingConfig>> {
+    let config = gateway.current_config();
+    config.filter(|config| config.has_quotas())
+}
+
+/// Reads the records if they may show what an earlier process sent. Returns whether they have been read or
+/// aren't needed.
+async fn read_if_needed(gateway: &Gateway) -> bool {
+    let now = gateway.now();
+    if !gateway.quotas.borrow().needs_records(now) {
+        return true;
     }
+    config_with_quotas(gateway).is_some() && read_records(gateway).await
 }
 
 /// Reads and applies the records. Returns whether that succeeded.
