--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -16,6 +16,7 @@
 mod history;
 mod lessor;
 mod recorded;
+mod reports;
 mod sliding;
 mod started_programs;
 mod turns;
@@ -31,11 +32,13 @@
 use history::Predecessor;
 use lessor::Grants;
 use recorded::{RecordedUse, WrittenRecord};
+use reports::Report;
 use sliding::{SlidingCount, Slots};
 
 pub use history::{AgedCount, UseHistory};
 pub use lessor::lessor_of;
 pub use recorded::{RecordGroup, UseRecord};
+pub use reports::MAX_REPORTED_TENANTS;
 pub use sliding::Slot;
 pub use started_programs::StartedPrograms;
 pub use turns::ReportTurns;
@@ -78,9 +81,6 @@
 /// demand exceeds the quota.
 const STARTED_RESERVE_FRACTION: f64 = 0.2;
 
-/// Maximum number of tenants in one report. Those nearest to their quotas are included first.
-pub const MAX_REPORTED_TENANTS: usize = 1_000;
-
 /// Rules by which the operator measures compliance with quotas.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaRules {
@@ -183,18 +183,6 @@
     refused: SlidingCount,
 }
 
-/// The latest report of another node.
-#[derive(Clone, Debug)]
-struct Report {
-    /// Time of receipt.
-    at: Timestamp,
-    uses: HashMap<TenantKey, TenantUse>,
-    /// The forwarded requests by the time of the report that first included them.
-    history: HashMap<TenantKey, SlidingCount>,
-    /// Times of this report and earlier ones.
-    heard: SlidingCount,
-}
-
 /// One node's view of every tenant's quota usage.
 #[derive(Clone, Debug)]
 pub struct QuotaTracker {
@@ -335,112 +323,6 @@
         }
     }
 
-    /// Replaces another node's report.
-    pub fn take_report(
-        &mut self,
-        now: Timestamp,
-        node: NodeId,
-        uses: impl IntoIterator<Item = (TenantKey, TenantUse)>,
-    ) {
-        let uses: HashMap<TenantKey, TenantUse> = uses.into_iter().collect();
-        let before = self.reports.remove(&node);
-        let (mut history, mut heard) = before
-            .map(|report| (report.history, report.heard))
-            .unwrap_or_default();
-        let slot = self.slots.at(now);
-        heard.add(slot);
-        let first = self.slots.first_within(now, self.rules.window);
-        for (tenant, used) in &uses {
-            let sent: &mut SlidingCount = history.entry(*tenant).or_default();
-            sent.forget_before(first);
-            let new = used.sent.saturating_sub(sent.total());
-            if new > 0 {
-                sent.add_many(slot, new);
-            }
-        }
-        let report = Report {
-            at: now,
-            uses,
-            history,
-            heard,
-        };
-        self.reports.insert(node, report);
-    }
-
-    /// Drops expired counts and returns this node's report.
-    pub fn report(&mut self, now: Timestamp, fleet: Fleet) -> Vec<(TenantKey, TenantUse)> {
-        let window = self.rules.window;
-        let fleet = self.fleet_sizes.note(now, fleet, window);
-        self.reports
-            .retain(|_, report| now.since(report.at) < window);
-        self.grants.forget(now, window);
-        let first = self.slots.first_within(now, window);
-        let first_asked = self.slots.first_within(now, DEMAND_WINDOW);
-        for account in self.accounts.values_mut() {
-            account.forget(first, first_asked);
-        }
-        self.accounts.retain(|_, account| !account.is_empty());
-        self.predecessor.forget_before(first);
-        self.forget_histories(first);
-        if let Some(recorded) = &mut self.recorded {
-            recorded.forget_before(first);
-        }
-        let mut reported: Vec<(f64, TenantKey, TenantUse)> = Vec::new();
-        for (tenant, account) in &self.accounts {
-            let before_start = self.before_start(now, *tenant, account.limit, fleet);
-            let own = TenantUse {
-                sent: account.sent.total() + self.whole_before_start(*tenant, before_start),
-                asked: account.asked.total(),
-            };
-            let threshold = match now.since(self.started) < JOIN_TIME {
-                true => 1.0,
-                false => allowance::report_threshold(account.limit, fleet),
-            };
-            if f64::from(own.sent) >= threshold {
-                reported.push((f64::from(own.sent) / account.limit, *tenant, own));
-            }
-        }
-        reported.extend(self.used_without_account(fleet).map(|(tenant, sent)| {
-            // The quota is unknown until a request arrives, so that the fraction cannot be computed.
-            (f64::MAX, tenant, TenantUse { sent, asked: 0 })
-        }));
-        reported.sort_by(|left, right| right.0.total_cmp(&left.0));
-        reported.truncate(MAX_REPORTED_TENANTS);
-        reported
-            .into_iter()
-            .map(|(_, tenant, own)| (tenant, own))
-            .collect()
-    }
-
-    /// Returns what an earlier process forwarded for tenants that this one has received no requests of.
-    fn used_without_account(&self, fleet: Fleet) -> impl Iterator<Item = (TenantKey, u32)> {
-        let known = self.predecessor.counts();
-        let known = known.filter(|(tenant, _)| !self.accounts.contains_key(tenant));
-        let recorded = match self.predecessor {
-            Predecessor::Unknown => self.recorded_without_account(fleet),
-            Predecessor::None | Predecessor::Known(_) => Vec::new(),
-        };
-        known.chain(recorded)
-    }
-
-    /// Returns the nodes whose reports arrived within the last window.
-    pub fn reporting_nodes(&self) -> impl Iterator<Item = &NodeId> {
-        self.reports.keys()
-    }
-
-    /// Returns a tenant's requests in the last window, summed over this node and all reports.
-    pub fn used_by(&self, tenant: TenantKey) -> u32 {
-        let own = self
-            .accounts
-            .get(&tenant)
-            .map_or(0, |account| account.sent.total());
-        let reported = self
-            .reports
-            .values()
-            .filter_map(|report| report.uses.get(&tenant));
-        own + reported.map(|reported| reported.sent).sum::<u32>()
-    }
-
     /// Returns the requests per window that this node allows for a quota.
     pub fn limit_of(&self, quota: Quota) -> f64 {
         self.rules.limit(quota)
--- a/crates/gateway-core/src/quota/recorded.rs
+++ b/crates/gateway-core/src/quota/recorded.rs
@@ -115,20 +115,8 @@
         if since.is_some_and(|since| since < MIN_RECORD_INTERVAL) {
             return None;
         }
-        let totals = self.recordable(group, &quota_of);
-        let is_due = match (written, since) {
-            (Some(written), Some(since)) => {
-                let is_unchanged = totals.is_empty() && written.totals.is_empty();
-                let has_grown = totals.iter().any(|(tenant, total)| {
-                    let before = written.totals.get(tenant).copied().unwrap_or_default();
-                    let limit = quota_of(*tenant).map_or(0.0, |quota| self.rules.limit(quota));
-                    f64::from(total.saturating_sub(before)) >= limit * EARLY_RECORD_FRACTION
-                });
-                !is_unchanged && (since >= RECORD_INTERVAL || has_grown)
-            }
-            // Replaces what another node recorded before.
-            _ => true,
-        };
+        let totals = self.use_to_record(group, &quota_of);
+        let is_due = self.is_record_due(written, since, &totals, &quota_of);
         if !is_due {
             return None;
         }
@@ -143,9 +131,31 @@
         Some(record)
     }
 
-    /// Records that this node does not record a group at present, or that a write failed. The next record
-    /// is due at once.
-    pub fn forget_record(&mut self, group: RecordGroup) {
+    /// Returns whether use has changed enough since the last record, or it has become too old.
+    fn is_record_due(
+        &self,
+        written: Option<&WrittenRecord>,
+        since: Option<Duration>,
+        totals: &HashMap<TenantKey, u32>,
+        quota_of: &impl Fn(TenantKey) -> Option<Quota>,
+    ) -> bool {
+        let (Some(written), Some(since)) = (written, since) else {
+            // Replaces what another node recorded before.
+            return true;
+        };
+        if totals.is_empty() && written.totals.is_empty() {
+            return false;
+        }
+        let has_grown = totals.iter().any(|(tenant, total)| {
+            let before = written.totals.get(tenant).copied().unwrap_or_default();
+            let limit = quota_of(*tenant).map_or(0.0, |quota| self.rules.limit(quota));
+            f64::from(total.saturating_sub(before)) >= limit * EARLY_RECORD_FRACTION
+        });
+        since >= RECORD_INTERVAL || has_grown
+    }
+
+    /// Records that another node records a group. If this node takes over again, a record is due at once.
+    pub fn stop_recording(&mut self, group: RecordGroup) {
         self.written.remove(&group);
     }
 
@@ -239,7 +249,7 @@
     }
 
     /// Returns the tenants of a group whose use is to be recorded, and their use.
-    fn recordable(
+    fn use_to_record(
         &self,
         group: RecordGroup,
         quota_of: &impl Fn(TenantKey) -> Option<Quota>,
--- a/crates/gateway-core/tests/quota_model.rs
+++ b/crates/gateway-core/tests/quota_model.rs
@@ -254,7 +254,7 @@
                     log.start_write(&mut nodes, number, now, scenario.quota);
                 } else {
                     let tracker = &mut nodes[number].tracker;
-                    tracker.forget_record(RecordGroup::of(TENANT));
+                    tracker.stop_recording(RecordGroup::of(TENANT));
                 }
             }
         }
--- a/crates/gateway-core/tests/quota_records.rs
+++ b/crates/gateway-core/tests/quota_records.rs
@@ -102,7 +102,7 @@
     assert!(due(&mut tracker, 7_500).is_some());
     assert_eq!(due(&mut tracker, 12_600), Some(vec![]), "use has ended");
     assert_eq!(due(&mut tracker, 14_000), None);
-    tracker.forget_record(GROUP);
+    tracker.stop_recording(GROUP);
     assert_eq!(due(&mut tracker, 14_100), Some(vec![]));
 }
 
--- a/crates/gateway/src/quota_records.rs
+++ b/crates/gateway/src/quota_records.rs
@@ -83,7 +83,7 @@
         group.recorder(serving.iter()) == Some(&gateway.settings.node)
     };
     if !is_recorder {
-        gateway.quotas.borrow_mut().forget_record(group);
+        gateway.quotas.borrow_mut().stop_recording(group);
         return;
     }
     let quota_of = |tenant| config.tenants.find(tenant).and_then(|known| known.quota);
--- a/crates/node-core/src/lib.rs
+++ b/crates/node-core/src/lib.rs
@@ -16,6 +16,7 @@
 mod engines;
 pub mod event;
 mod loading;
+mod log_outage;
 mod operator;
 mod ownership;
 pub mod pace;
--- a/crates/node-core/src/sidecars.rs
+++ b/crates/node-core/src/sidecars.rs
@@ -5,11 +5,8 @@
 
 use elderworks_execution as execution;
 use elderworks_protocol::peer::{FromNode, Hello, ToNode};
-use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage, answer_digest};
-use elderworks_types::{
-    CallId, CallNumber, CellId, NodeId, Outcome, PartitionId, Refusal, RefusalReason, RunId,
-    RunSpec, Timestamp,
-};
+use elderworks_protocol::sidecar::{NodeAddress, NodeMessage, SidecarMessage};
+use elderworks_types::{CallNumber, CellId, NodeId, PartitionId, RunId, RunSpec, Timestamp};
 
 use crate::core::NodeCore;
 use crate::effect::Effect;
@@ -32,10 +29,10 @@
 
 /// A request that waits for its partition.
 #[derive(Debug)]
-struct HeldRequest {
-    partition: PartitionId,
-    connection: Connection,
-    message: SidecarMessage,
+pub(crate) struct HeldRequest {
+    pub(crate) partition: PartitionId,
+    pub(crate) connection: Connection,
+    pub(crate) message: SidecarMessage,
     /// Time at which it is redirected if it is still waiting.
     until: Timestamp,
 }
@@ -45,7 +42,7 @@
 pub(crate) struct Requests {
     remotes: BTreeMap<Connection, Remote>,
     /// In order of arrival and therefore of expiry.
-    held: VecDeque<HeldRequest>,
+    pub(crate) held: VecDeque<HeldRequest>,
 }
 
 impl Requests {
@@ -163,79 +160,6 @@
         }
     }
 
-    /// Returns whether an owned partition can serve requests: its state covers the stream, and the log is
-    /// not suspected to be down.
-    fn is_up_to_date(&self, partition: PartitionId) -> bool {
-        let stream = self.streams.partitions.get(&partition);
-        let is_suspected = stream.is_some_and(|stream| stream.is_outage_suspected());
-        !is_suspected && !self.is_behind(partition)
-    }
-
-    /// Returns whether a request has to be refused because it would be held until the log answers again.
-    /// Only submissions and starts can be refused.
-    fn is_refused_during_outage(&self, partition: PartitionId, message: &SidecarMessage) -> bool {
-        let is_refusable = matches!(
-            message,
-            SidecarMessage::StartRun { .. } | SidecarMessage::SubmitCall { .. }
-        );
-        let would_be_held = match self.ownership.owns(partition) {
-            true => !self.is_up_to_date(partition),
-            false => self.should_hold(partition),
-        };
-        is_refusable && would_be_held && !self.streams.is_log_reachable(partition)
-    }
-
-    /// Answers a request for which [`Self::is_refused_during_outage`] holds. An owned partition refuses new
-    /// work itself and answers what it knows. The refusal covers this submission only: if the sidecar has
-    /// sent it to another node as well, it doesn't take this answer as final.
-    fn refuse_during_outage(
-        &mut self,
-        partition: PartitionId,
-        connection: Connection,
-        message: SidecarMessage,
-    ) {
-        self.counters.refused_during_outage += 1;
-        if self.ownership.owns(partition) {
-            return self.serve(partition, connection, message);
-        }
-        let refusal = Refusal {
-            reason: RefusalReason::LogUnavailable,
-            retry_after: Some(execution::LOG_RETRY_AFTER),
-        };
-        let answer = match message {
-            SidecarMessage::StartRun { spec } => NodeMessage::RunRefused {
-                run: spec.id,
-                refusal,
-            },
-            SidecarMessage::SubmitCall { run, spec, .. } => NodeMessage::CallEnded {
-                call: CallId {
-                    run,
-                    number: spec.number,
-                },
-                attempt: None,
-                chunks: 0,
-                digest: answer_digest(""),
-                outcome: Outcome::Refused(refusal),
-                barred: None,
-            },
-            _ => return,
-        };
-        self.send(connection, answer);
-    }
-
-    /// Refuses the held requests that cannot be served until the log answers again.
-    pub(crate) fn refuse_held_during_outage(&mut self) {
-        let (refused, held) = std::mem::take(&mut self.requests.held)
-            .into_iter()
-            .partition(|held: &HeldRequest| {
-                self.is_refused_during_outage(held.partition, &held.message)
-            });
-        self.requests.held = held;
-        for request in Vec::from_iter::<VecDeque<HeldRequest>>(refused) {
-            self.refuse_during_outage(request.partition, request.connection, request.message);
-        }
-    }
-
     fn locate(&mut self, connection: Connection, message: &SidecarMessage) {
         let SidecarMessage::Locate { partition } = message else {
             return;
@@ -250,7 +174,7 @@
 
     /// Returns whether to hold back requests for a partition that this node doesn't own yet: the partition
     /// is assigned to this node or to no known one, and the node isn't draining.
-    fn should_hold(&self, partition: PartitionId) -> bool {
+    pub(crate) fn should_hold(&self, partition: PartitionId) -> bool {
         if self.draining() {
             return false;
         }
@@ -344,7 +268,12 @@
     }
 
     /// Passes a request to its partition.
-    fn serve(&mut self, partition: PartitionId, connection: Connection, message: SidecarMessage) {
+    pub(crate) fn serve(
+        &mut self,
+        partition: PartitionId,
+        connection: Connection,
+        message: SidecarMessage,
+    ) {
         let event = match message {
             SidecarMessage::Locate { .. } => return,
             SidecarMessage::StartRun { spec } => {
