quota: calls for the records that fail neither crowd a refusing log nor leave an old record

Found on reading the change again. (1) A node that starts while the log refuses read the records every 20 ms: 66 nodes together some 3,000 priced calls a second against a store that takes 6,000. Now every 0.5 s; the 20 ms are only for the local check whether a configuration is known. (2) A write that failed counted as done: the one that clears a group's record was not repeated, so that old use would have been counted after a later loss of all. Now it is due again after 1 s.

--- a/crates/gateway-core/src/quota/recorded.rs
+++ b/crates/gateway-core/src/quota/recorded.rs
@@ -69,6 +69,8 @@
 pub(super) struct WrittenRecord {
     at: Timestamp,
     totals: HashMap<TenantKey, u32>,
+    /// Whether the write failed, so that the log may hold an older record.
+    has_failed: bool,
 }
 
 /// Use of quotas by all nodes before this process started, as recorded.
@@ -126,8 +128,12 @@
         let record = UseRecord {
             tenants: tenants.collect(),
         };
-        self.written
-            .insert(group, WrittenRecord { at: now, totals });
+        let written = WrittenRecord {
+            at: now,
+            totals,
+            has_failed: false,
+        };
+        self.written.insert(group, written);
         Some(record)
     }
 
@@ -143,6 +149,9 @@
             // Replaces what another node recorded before.
             return true;
         };
+        if written.has_failed {
+            return since >= RECORD_INTERVAL;
+        }
         if totals.is_empty() && written.totals.is_empty() {
             return false;
         }
@@ -154,6 +163,14 @@
         since >= RECORD_INTERVAL || has_grown
     }
 
+    /// Records that a group's record was not written. It is due again after [`RECORD_INTERVAL`], also if use
+    /// has ended, since the log may hold an older record.
+    pub fn note_record_failed(&mut self, group: RecordGroup) {
+        if let Some(written) = self.written.get_mut(&group) {
+            written.has_failed = true;
+        }
+    }
+
     /// Records that another node records a group. If this node takes over again, a record is due at once.
     pub fn stop_recording(&mut self, group: RecordGroup) {
         self.written.remove(&group);
--- a/crates/gateway-core/tests/quota_records.rs
+++ b/crates/gateway-core/tests/quota_records.rs
@@ -106,6 +106,23 @@
     assert_eq!(due(&mut tracker, 14_100), Some(vec![]));
 }
 
+/// Guards against an old record that stays in the log because the write that was to clear it failed.
+#[test]
+fn a_record_that_was_not_written_is_due_again() {
+    let mut tracker = tracker(Timestamp(1));
+    report(&mut tracker, 0, 30);
+    assert!(due(&mut tracker, 0).is_some());
+    assert_eq!(due(&mut tracker, 6_000), Some(vec![]), "use has ended");
+    tracker.note_record_failed(GROUP);
+    assert_eq!(
+        due(&mut tracker, 6_500),
+        None,
+        "a refusing log is not asked at once"
+    );
+    assert_eq!(due(&mut tracker, 7_000), Some(vec![]));
+    assert_eq!(due(&mut tracker, 9_000), None);
+}
+
 #[test]
 fn a_new_process_does_not_record_before_it_has_heard_the_others() {
     let mut tracker = tracker(at(0));
--- a/crates/gateway/src/quota_records.rs
+++ b/crates/gateway/src/quota_records.rs
@@ -17,17 +17,18 @@
 /// Interval between two checks for records to write.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval between two attempts to read the records after a start. Until they are read, requests are
-/// decided by a guess.
-const READ_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a starting node checks whether it knows a configuration, so that it can read the
+/// records. Until they are read, requests are decided by a guess.
+const CONFIGURATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Pause after a failed read. All nodes may start at once while the log refuses calls.
+const READ_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Reads the records that were written before this process started, and records the use of the groups of
 /// tenants that this node is responsible for. Does nothing while no tenant has a quota.
 pub(crate) async fn keep_quota_records(gateway: Rc<Gateway>) {
     // What was recorded before must not be replaced before it was read.
-    while !read_if_needed(&gateway).await {
-        actix_rt::time::sleep(READ_INTERVAL).await;
-    }
+    read_if_needed(&gateway).await;
     loop {
         if let Some(config) = config_with_quotas(&gateway) {
             for group in RecordGroup::all() {
@@ -43,14 +44,18 @@
     config.filter(|config| config.has_quotas())
 }
 
-/// Reads the records if they may show what an earlier process sent. Returns whether they have been read or
-/// aren't needed.
-async fn read_if_needed(gateway: &Gateway) -> bool {
-    let now = gateway.now();
-    if !gateway.quotas.borrow().needs_records(now) {
-        return true;
+/// Reads the records if they may show what an earlier process sent, once a configuration with quotas is
+/// known. Gives up when that has left the window.
+async fn read_if_needed(gateway: &Gateway) {
+    while gateway.quotas.borrow().needs_records(gateway.now()) {
+        if config_with_quotas(gateway).is_none() {
+            actix_rt::time::sleep(CONFIGURATION_CHECK_INTERVAL).await;
+        } else if read_records(gateway).await {
+            return;
+        } else {
+            actix_rt::time::sleep(READ_RETRY_PAUSE).await;
+        }
     }
-    config_with_quotas(gateway).is_some() && read_records(gateway).await
 }
 
 /// Reads and applies the records. Returns whether that succeeded.
@@ -100,11 +105,11 @@
         .platform
         .put(Stream::QuotaUse, &key, encode(&value).into());
     let result = put.await;
-    note_call(
-        gateway,
-        LogCallPurpose::RecordQuotaUse,
-        result.as_ref().err(),
-    );
+    let error = result.as_ref().err();
+    note_call(gateway, LogCallPurpose::RecordQuotaUse, error);
+    if error.is_some() {
+        gateway.quotas.borrow_mut().note_record_failed(group);
+    }
 }
 
 fn note_call(gateway: &Gateway, purpose: LogCallPurpose, error: Option<&StoreError>) {
