quota: the first report of a restarted node does not hide what it had sent

Change: for a window after a restart was noticed, the requests that the node's reports showed before count as far as its new reports show fewer. Never the sum of both, since the new process's reports include what it is told.

Left: what the new process sends before it is told is hidden behind the earlier count, for some 0.1 s.

--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -91,11 +91,11 @@
         let mut reporting = 0.0;
         let asked_here = f64::from(account.asked.total()) + 1.0;
         let mut asked = asked_here;
-        for report in self.reports.values() {
+        for (node, report) in &self.reports {
             if now.since(report.at) >= self.rules.window {
                 continue;
             }
-            let Some(used) = report.uses.get(&tenant) else {
+            let Some(used) = self.reported_use(now, node, report, tenant) else {
                 continue;
             };
             reporting += 1.0;
--- a/crates/gateway-core/src/quota/lessor.rs
+++ b/crates/gateway-core/src/quota/lessor.rs
@@ -180,7 +180,8 @@
     }
 
     /// Records that another node's process restarted and lost its record of received grants.
-    pub fn note_restart(&mut self, node: &NodeId) {
+    pub fn note_restart(&mut self, now: Timestamp, node: &NodeId) {
+        self.restarted.insert(node.clone(), now);
         let report = self.reports.get(node);
         let reported_until = report.map_or(Timestamp(0), |report| report.at - GRANT_REPORT_DELAY);
         self.grants.note_restart(node, reported_until);
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -202,6 +202,8 @@
     written: HashMap<RecordGroup, WrittenRecord>,
     accounts: HashMap<TenantKey, Account>,
     reports: BTreeMap<NodeId, Report>,
+    /// Other nodes whose process has restarted within the last window, and when that was noticed.
+    restarted: HashMap<NodeId, Timestamp>,
     /// Grants that this node made to others as lessor.
     grants: Grants,
     /// Whether requests of new programs leave part of a short quota to started programs.
@@ -225,6 +227,7 @@
             written: HashMap::new(),
             accounts: HashMap::new(),
             reports: BTreeMap::new(),
+            restarted: HashMap::new(),
             grants: Grants::default(),
             prioritizes_started: false,
             fleet_sizes: RecentFleetSizes::default(),
--- a/crates/gateway-core/src/quota/reports.rs
+++ b/crates/gateway-core/src/quota/reports.rs
@@ -58,12 +58,37 @@
         self.reports.insert(node, report);
     }
 
+    /// Returns a tenant's requests at another node according to its last report, or `None` if it has not
+    /// reported the tenant. For a window after a restart, the reports of the process before count as well:
+    /// the new one may not know yet what that has forwarded.
+    pub(super) fn reported_use(
+        &self,
+        now: Timestamp,
+        node: &NodeId,
+        report: &Report,
+        tenant: TenantKey,
+    ) -> Option<TenantUse> {
+        let used = report.uses.get(&tenant).copied();
+        let noticed = self.restarted.get(node);
+        if noticed.is_none_or(|noticed| now.since(*noticed) >= self.rules.window) {
+            return used;
+        }
+        let history = report.history.get(&tenant).map_or(0, SlidingCount::total);
+        let used = used.or((history > 0).then(TenantUse::default))?;
+        Some(TenantUse {
+            sent: used.sent.max(history),
+            ..used
+        })
+    }
+
     /// Drops expired counts and returns this node's report.
     pub fn report(&mut self, now: Timestamp, fleet: Fleet) -> Vec<(TenantKey, TenantUse)> {
         let window = self.rules.window;
         let fleet = self.fleet_sizes.note(now, fleet, window);
         self.reports
             .retain(|_, report| now.since(report.at) < window);
+        self.restarted
+            .retain(|_, noticed| now.since(*noticed) < window);
         self.grants.forget(now, window);
         let first = self.slots.first_within(now, window);
         let first_asked = self.slots.first_within(now, DEMAND_WINDOW);
--- a/crates/gateway-core/tests/quota_lessor.rs
+++ b/crates/gateway-core/tests/quota_lessor.rs
@@ -255,3 +255,19 @@
     started.note(at(62_000), "r");
     assert!(!started.contains("p"));
 }
+
+/// Guards against a lessor that forgets what a restarted node had sent as soon as the new process, which
+/// doesn't know it yet, reports.
+#[test]
+fn the_report_of_a_restarted_node_does_not_hide_what_it_had_sent() {
+    let mut tracker = lessor();
+    for number in 1..4 {
+        tracker.take_report(at(0), node(number), uses(if number == 1 { 50 } else { 0 }));
+    }
+    tracker.note_restart(at(500), &node(1));
+    tracker.take_report(at(600), node(1), []);
+    assert_eq!(granted(&mut tracker, 610, QUOTA, 100), 10);
+    // The new process was told, and adds the ten to what the earlier one had sent.
+    tracker.take_report(at(800), node(1), uses(60));
+    assert_eq!(granted(&mut tracker, 810, QUOTA, 100), 0);
+}
--- a/crates/gateway-core/tests/quota_model.rs
+++ b/crates/gateway-core/tests/quota_model.rs
@@ -196,7 +196,7 @@
                 nodes[number].tracker = tracker(number, at(now));
                 let restarted = nodes[number].name.clone();
                 for node in &mut nodes {
-                    node.tracker.note_restart(&restarted);
+                    node.tracker.note_restart(at(now), &restarted);
                 }
             }
         }
--- a/crates/gateway/src/peers/lessors.rs
+++ b/crates/gateway/src/peers/lessors.rs
@@ -158,7 +158,8 @@
             } => {
                 let before = self.granting.borrow_mut().insert(node.clone(), boot);
                 if before.is_some_and(|before| before != boot) {
-                    gateway.quotas.borrow_mut().note_restart(&node);
+                    let now = gateway.now();
+                    gateway.quotas.borrow_mut().note_restart(now, &node);
                 }
                 if !is_answer && gateway.settings.policy.quota_lessors {
                     self.send(from, introduction(gateway, true));
