quota: after a restart, only reports from before it count beside the new ones

Cause: the parts of the recorded use in the new processes' reports shrink as they age, but each receiver went on counting the largest it had heard, because the earlier reports' requests that count beside new ones included those of the new process. Evidence: a refusal with free 11 of 216, where the reports add up to 123.

Change: only what was reported before the restart was noticed counts so. what_a_restarted_node_reports_is_replaced_by_its_next_report failed before.

--- a/crates/gateway-core/src/quota/reports.rs
+++ b/crates/gateway-core/src/quota/reports.rs
@@ -70,10 +70,13 @@
     ) -> Option<TenantUse> {
         let used = report.uses.get(&tenant).copied();
         let noticed = self.restarted.get(node);
-        if noticed.is_none_or(|noticed| now.since(*noticed) >= self.rules.window) {
+        let Some(noticed) = noticed.filter(|noticed| now.since(**noticed) < self.rules.window)
+        else {
             return used;
-        }
-        let history = report.history.get(&tenant).map_or(0, SlidingCount::total);
+        };
+        let end = self.slots.at(*noticed);
+        let history = report.history.get(&tenant);
+        let history = history.map_or(0, |sent| sent.before(end));
         let used = used.or((history > 0).then(TenantUse::default))?;
         Some(TenantUse {
             sent: used.sent.max(history),
--- a/crates/gateway-core/src/quota/sliding.rs
+++ b/crates/gateway-core/src/quota/sliding.rs
@@ -97,6 +97,13 @@
         slots.filter(move |(slot, count)| *slot >= first && *count > 0)
     }
 
+    /// Returns the number of events in the slots before `end`.
+    pub(super) fn before(&self, end: Slot) -> u32 {
+        let slots = self.slots.iter();
+        let earlier = slots.take_while(|(slot, _)| *slot < end);
+        earlier.map(|(_, count)| count).sum()
+    }
+
     /// Returns the number of events in a slot and all later ones.
     pub(super) fn since(&self, first: Slot) -> u32 {
         let slots = self.slots.iter().rev();
--- a/crates/gateway-core/tests/quota_lessor.rs
+++ b/crates/gateway-core/tests/quota_lessor.rs
@@ -271,3 +271,17 @@
     tracker.take_report(at(800), node(1), uses(60));
     assert_eq!(granted(&mut tracker, 810, QUOTA, 100), 0);
 }
+
+/// Guards against counting what a restarted node has reported since its restart for longer than a window.
+#[test]
+fn what_a_restarted_node_reports_is_replaced_by_its_next_report() {
+    let mut tracker = lessor();
+    tracker.note_restart(at(0), &node(1));
+    tracker.take_report(at(100), node(1), uses(55));
+    tracker.take_report(at(3_900), node(1), uses(5));
+    for number in 2..4 {
+        tracker.take_report(at(3_900), node(number), uses(0));
+    }
+    // Half of the quota stays reserved for low usage.
+    assert_eq!(granted(&mut tracker, 4_000, QUOTA, 100), 30);
+}
