quota: the schedule of questions after a restart is decided in the core

It stood in the gateway's driver; now HistoryRounds, with a table test. The even allowance names what is confirmed.

--- a/crates/gateway-core/src/quota/allowance.rs
+++ b/crates/gateway-core/src/quota/allowance.rs
@@ -61,14 +61,14 @@
         basis: Basis,
     ) -> Allowance {
         let account = &self.accounts[&tenant];
-        let unconfirmed = f64::from(self.unconfirmed(now, tenant, fleet));
         let before_start = self
             .recorded_share(tenant, account.limit, fleet)
             .unwrap_or_else(|| self.before_start(now, tenant, account.limit, fleet));
-        let own = f64::from(account.sent.total()) + before_start;
+        let unconfirmed = f64::from(self.unconfirmed(now, tenant, fleet));
+        let confirmed = f64::from(account.sent.total()) + before_start - unconfirmed;
         let nodes = f64::from(fleet.nodes.max(1));
         Allowance {
-            free: limit - (own - unconfirmed) * nodes,
+            free: limit - confirmed * nodes,
             share: 1.0 / nodes,
             basis,
         }
--- a/crates/gateway-core/src/quota/history.rs
+++ b/crates/gateway-core/src/quota/history.rs
@@ -17,6 +17,12 @@
 /// longer time it may have been partitioned and have forwarded requests that nobody knows of.
 const MAX_UNHEARD_TIME: Duration = Duration::from_millis(1_500);
 
+/// Interval between two rounds of questions for the history of an earlier process.
+const ASK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Maximum number of rounds. If no node answers, all of them have probably restarted too.
+const MAX_ASK_ROUNDS: u32 = 6;
+
 /// Resolution of the ages of requests in a [`UseHistory`].
 const AGE_RESOLUTION: Duration = Duration::from_millis(250);
 
@@ -38,6 +44,27 @@
     pub tenants: Vec<(TenantKey, Vec<AgedCount>)>,
 }
 
+/// Schedule of the questions for the history of an earlier process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HistoryRounds {
+    asked_at: Option<Timestamp>,
+    rounds: u32,
+}
+
+impl HistoryRounds {
+    /// Returns whether a round of questions is due.
+    pub fn is_due(&self, now: Timestamp) -> bool {
+        let is_early = self.asked_at.is_some_and(|at| now.since(at) < ASK_INTERVAL);
+        !is_early && self.rounds < MAX_ASK_ROUNDS
+    }
+
+    /// Records that a round of questions is sent.
+    pub fn note_asked(&mut self, now: Timestamp) {
+        self.asked_at = Some(now);
+        self.rounds += 1;
+    }
+}
+
 /// Knowledge about the process that ran on this machine before.
 #[derive(Clone, Debug)]
 pub(super) enum Predecessor {
--- a/crates/gateway-core/src/quota/mod.rs
+++ b/crates/gateway-core/src/quota/mod.rs
@@ -35,7 +35,7 @@
 use reports::Report;
 use sliding::{SlidingCount, Slots};
 
-pub use history::{AgedCount, UseHistory};
+pub use history::{AgedCount, HistoryRounds, UseHistory};
 pub use lessor::lessor_of;
 pub use recorded::{RecordGroup, UseRecord};
 pub use reports::MAX_REPORTED_TENANTS;
--- a/crates/gateway-core/tests/quota.rs
+++ b/crates/gateway-core/tests/quota.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::quota::{
-    AgedCount, Division, Fleet, QuotaRules, QuotaTracker, TenantUse, Ticket, UseHistory,
+    AgedCount, Division, Fleet, HistoryRounds, QuotaRules, QuotaTracker, TenantUse, Ticket,
+    UseHistory,
 };
 use elderworks_gateway_core::tenants::{Quota, TenantKey};
 use elderworks_types::{NodeId, Timestamp};
@@ -317,3 +318,16 @@
     let second = admitted(&mut tracker, at(1_400), SINGLE_NODE, 100);
     assert!(is_about(second, 10), "{second}");
 }
+
+#[test]
+fn questions_for_a_history_come_in_a_few_rounds() {
+    let mut rounds = HistoryRounds::default();
+    let mut asked = Vec::new();
+    for ms in (0..2_000).step_by(50) {
+        if rounds.is_due(at(ms)) {
+            rounds.note_asked(at(ms));
+            asked.push(ms);
+        }
+    }
+    assert_eq!(asked, [0, 150, 300, 450, 600, 750]);
+}
--- a/crates/gateway/src/peers/quota_history.rs
+++ b/crates/gateway/src/peers/quota_history.rs
@@ -4,29 +4,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use elderworks_gateway_core::quota::{AgedCount, ReportTurns, UseHistory};
+use elderworks_gateway_core::quota::{AgedCount, HistoryRounds, ReportTurns, UseHistory};
 use elderworks_protocol::gateway::{GatewayDatagram, QuotaHistoryMessage, TenantHistory};
-use elderworks_types::{NodeId, Timestamp};
+use elderworks_types::NodeId;
 use tokio::net::UdpSocket;
 
 use super::quotas::{has_quotas, serving_addresses};
 use crate::gateway::Gateway;
 use crate::quota_records::{decode_tenant, encode_tenant};
 
-/// Interval between two rounds of questions.
-const ASK_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Maximum number of rounds. If no node answers, all of them have probably restarted too.
-const MAX_ROUNDS: u32 = 6;
-
 /// Maximum number of tenants in an answer, so that it fits into a datagram.
 const MAX_TENANTS: usize = 200;
 
 /// Asks other nodes for the history of the earlier process on this machine.
 #[derive(Debug, Default)]
 pub(super) struct HistoryRequester {
-    asked_at: Option<Timestamp>,
-    rounds: u32,
+    rounds: HistoryRounds,
     rotation: ReportTurns,
 }
 
@@ -34,19 +27,15 @@
     /// Sends a round of questions if one is due and the history is still unknown.
     pub(super) fn ask_if_due(&mut self, gateway: &Gateway, socket: &UdpSocket) {
         let now = gateway.now();
-        let is_early = self.asked_at.is_some_and(|at| now.since(at) < ASK_INTERVAL);
-        if is_early || self.rounds >= MAX_ROUNDS || !gateway.quotas.borrow().needs_history(now) {
-            return;
-        }
-        if !has_quotas(gateway) {
+        let needs_history = gateway.quotas.borrow().needs_history(now);
+        if !needs_history || !self.rounds.is_due(now) || !has_quotas(gateway) {
             return;
         }
         let recipients = self.rotation.take(serving_addresses(gateway));
         if recipients.is_empty() {
             return;
         }
-        self.asked_at = Some(now);
-        self.rounds += 1;
+        self.rounds.note_asked(now);
         let uptime = gateway.quotas.borrow().uptime(now);
         let question = QuotaHistoryMessage::Asked {
             node: gateway.settings.node.clone(),
