logs: the version of a worker's software, and the stream that a request takes up again

The output could not tell whether a stream changed its version when its caller took it up at another node or when a node resumed it within the answer: a worker's version was parsed and dropped, and 'Resumes' wasn't read. The line at a request's end now has 'resumes', 'last_event' and 'software' (one version for each worker tried), 'worker changed' has 'software'. No decision looks at either yet.

The version isn't part of a worker record's encoding between nodes, which is by position and which nodes of the previous version read.

--- a/crates/gateway-core/examples/placement_time.rs
+++ b/crates/gateway-core/examples/placement_time.rs
@@ -24,6 +24,7 @@
                 draining: false,
                 cold_left: Duration::ZERO,
                 born: 0,
+                software: None,
             },
             Timestamp(1),
         );
--- a/crates/gateway-core/src/call.rs
+++ b/crates/gateway-core/src/call.rs
@@ -40,6 +40,8 @@
     pub prompt: Vec<PromptSegment>,
     /// Id of the last event of the stream that the caller has received.
     pub last_event_id: Option<String>,
+    /// Id of the caller's attempt that began the stream, if this attempt takes it up again.
+    pub resumes: Option<String>,
 }
 
 impl CallAttributes {
--- a/crates/gateway-core/tests/common/mod.rs
+++ b/crates/gateway-core/tests/common/mod.rs
@@ -15,5 +15,6 @@
         draining: false,
         cold_left: Duration::ZERO,
         born: 0,
+        software: None,
     }
 }
--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -270,6 +270,7 @@
         draining,
         cold_left: Duration::ZERO,
         born: 1,
+        software: None,
     }
 }
 
--- a/crates/gateway/src/feed/workers.rs
+++ b/crates/gateway/src/feed/workers.rs
@@ -79,6 +79,7 @@
 fn upsert(gateway: &Gateway, record: WorkerRecord, offset: Offset) {
     let id = record.id.clone();
     let (service, draining) = (record.service.clone(), record.draining);
+    let software = record.software.clone().unwrap_or_default();
     let cold_ms = millis(Some(record.cold_left));
     let now = gateway.now();
     let taken = gateway.workers.borrow_mut().upsert(record, now);
@@ -87,7 +88,7 @@
     }
     if matches!(taken, UpsertOutcome::Changed | UpsertOutcome::Restarted) {
         log::info!(
-            worker = id.as_str(), service = service.as_str(), draining = draining,
+            worker = id.as_str(), service = service.as_str(), software = software.as_str(), draining = draining,
             cold_ms = cold_ms, has_restarted = taken == UpsertOutcome::Restarted, offset = offset.0;
             "worker changed"
         );
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -220,6 +220,10 @@
     request_id: String,
     program: String,
     session: String,
+    /// Id of the attempt that began the stream, if this one takes it up again.
+    resumes: String,
+    /// The last event that the caller had when it sent the request.
+    last_event: String,
     /// Time left to the program when the request arrived.
     program_time_left: Option<Duration>,
     pub(crate) milestones: Milestones,
@@ -250,6 +254,8 @@
             request_id: attributes.request_id.clone().unwrap_or_default(),
             program: attributes.program.clone().unwrap_or_default(),
             session: attributes.session.clone().unwrap_or_default(),
+            resumes: attributes.resumes.clone().unwrap_or_default(),
+            last_event: attributes.last_event_id.clone().unwrap_or_default(),
             program_time_left: attributes.finish,
             milestones: Milestones::default(),
             config_version: 0,
@@ -312,6 +318,20 @@
         self.write(status, whole);
     }
 
+    /// Returns the software version of each worker that was tried, in the same order.
+    fn software(&self) -> String {
+        let workers = self.gateway.workers.borrow();
+        let tried = self.tried.borrow();
+        let versions = tried.iter().map(|id| {
+            let worker = workers.get(id);
+            worker.and_then(|worker| worker.record.software.as_deref())
+        });
+        versions
+            .map(Option::unwrap_or_default)
+            .collect::<Vec<_>>()
+            .join(",")
+    }
+
     fn write(&self, status: u16, whole: bool) {
         self.gateway
             .metrics
@@ -327,12 +347,14 @@
         log::log!(
             level,
             request = self.request_id.as_str(), program = self.program.as_str(),
-            session = self.session.as_str(), finish_ms = millis(self.program_time_left),
+            session = self.session.as_str(), resumes = self.resumes.as_str(),
+            last_event = self.last_event.as_str(), finish_ms = millis(self.program_time_left),
             leave_ms = millis(self.milestones.permit.get()),
             first_ms = millis(self.milestones.first_event.get()),
             route = self.route.as_str(), tenant = self.tenant.as_str(), config = self.config_version,
             config_read_ms = millis(self.config_read), proof_ms = millis(self.proof_age),
-            workers = self.tried.borrow().join(",").as_str(), may_have_run = self.may_have_run,
+            workers = self.tried.borrow().join(",").as_str(), software = self.software().as_str(),
+            may_have_run = self.may_have_run,
             status = status, whole = whole,
             ms = took; "{}", self.outcome
         );
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -118,6 +118,10 @@
     /// Distinguishes starts of the worker under the same id; larger for later starts. 0 if the worker
     /// does not report it.
     pub born: u64,
+    /// Version of the worker's software; `None` if unknown. Nodes of the previous version can't decode
+    /// further fields, so it isn't part of the encoding: readers send it in a message of its own.
+    #[serde(skip)]
+    pub software: Option<String>,
 }
 
 impl WorkerRecord {
