--- a/crates/cli/tests/soak/checker_tests.rs
+++ b/crates/cli/tests/soak/checker_tests.rs
@@ -38,6 +38,7 @@
         body: body.to_owned(),
         deadline_ms: 1_000,
         last_event_id: None,
+        software: "v1".to_owned(),
         headers: Vec::new(),
         was_cancelled: false,
     }
