gateway: a stream, copy or fetched prompt stays at the software version that began it

Callers got a stream whose events came from two software versions, which don't fit together: after a worker's stream broke off, the rest was asked of any worker, a run was copied or backed up to any engine, and a prompt fetched from any.

Cause: a worker's version was dropped where its record is parsed, so no decision could look at it. Class: state handed from one process to another without checking that both write the same form.

A worker carries its version now. The first event binds a stream to the version of the worker that sent it, and placement, the worker that is tried again, the targets of copies and backups and the sources of prompts keep to it. A version that isn't known binds to nothing else but the same worker. New streams wait a second before they begin at a version that has just appeared while another one serves: by then every node knows of both.

Existing tests of the gateway's streams and runs pass. Workers in the tests of targets and prompt sources have a version now, since an unknown one is no target.

--- a/crates/gateway-core/examples/placement_time.rs
+++ b/crates/gateway-core/examples/placement_time.rs
@@ -5,6 +5,7 @@
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::placement::demand::{EngineTurn, PrefixKey};
 use elderworks_gateway_core::policy::Policy;
+use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
 use elderworks_types::Timestamp;
 
@@ -47,6 +48,7 @@
             zone: "a",
             repeatable: false,
             tried: &[],
+            versions: VersionRule::Any,
             turn: Some(turn),
             seed: 1,
             is_connected: &|_| false,
--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -12,6 +12,7 @@
 
 use crate::placement::demand::{EngineTurn, PrefixKey};
 use crate::placement::homes::{home_count, rendezvous_rank};
+use crate::stream_versions::VersionRule;
 use crate::workers::{Worker, WorkerDirectory};
 
 /// The properties of a request that the choice of its worker depends on.
@@ -27,6 +28,8 @@
     pub repeatable: bool,
     /// Ids of the workers that were already tried for this request.
     pub tried: &'a [String],
+    /// Which workers may run the request, by their software version.
+    pub versions: VersionRule,
     /// Set for turns that run at a model engine.
     pub turn: Option<EngineTurn>,
     /// A number that differs between requests; distributes those without a key.
@@ -42,30 +45,59 @@
     workers: &'a WorkerDirectory,
     query: &PlacementQuery<'a>,
     now: Timestamp,
+) -> Option<&'a Worker> {
+    let chosen = choose_by_rule(workers, query, now);
+    if chosen.is_some() || query.versions != VersionRule::Settled {
+        return chosen;
+    }
+    let any_version = PlacementQuery {
+        versions: VersionRule::Any,
+        ..query.clone()
+    };
+    choose_by_rule(workers, &any_version, now)
+}
+
+fn choose_by_rule<'a>(
+    workers: &'a WorkerDirectory,
+    query: &PlacementQuery<'a>,
+    now: Timestamp,
 ) -> Option<&'a Worker> {
     choose_balanced(workers, query, now)
         .or_else(|| {
-            workers
-                .accepting(query.service)
+            candidates(workers, query, now)
                 .filter(|worker| !workers.is_throttled(worker, now))
                 .min_by_key(|worker| fallback_rank(workers, worker, query, now))
         })
         .or_else(|| {
             workers
                 .last_resort(query.service, now)
+                .filter(|worker| workers.follows(query.versions, worker, now))
                 .filter(|worker| !workers.is_throttled(worker, now))
                 .min_by_key(|worker| fallback_rank(workers, worker, query, now))
         })
 }
 
+/// Returns the workers that accept requests and whose software version may run this one.
+fn candidates<'a>(
+    workers: &'a WorkerDirectory,
+    query: &PlacementQuery<'a>,
+    now: Timestamp,
+) -> impl Iterator<Item = &'a Worker> {
+    let versions = query.versions;
+    workers
+        .accepting(query.service)
+        .filter(move |worker| workers.follows(versions, worker, now))
+}
+
 /// Returns whether a worker is home to the prefix of the turn's prompt, or `None` if the request
 /// has no homes.
 pub fn is_at_home(
     workers: &WorkerDirectory,
     query: &PlacementQuery<'_>,
     worker: &Worker,
+    now: Timestamp,
 ) -> Option<bool> {
-    let homes = Homes::of(workers, query);
+    let homes = Homes::of(workers, query, now);
     let has_homes = homes != Homes::NotApplicable;
     has_homes.then(|| homes.contains(worker))
 }
@@ -90,25 +122,30 @@
             && !workers.is_throttled(worker, now)
             && !workers.is_zone_avoided(worker, seed_of(query), now)
     };
-    let homes = Homes::of(workers, query);
-    if prefers_own_zone(workers, query, &homes) {
-        let near = workers.accepting(query.service).filter(is_in_own_zone);
+    let homes = Homes::of(workers, query, now);
+    if prefers_own_zone(workers, query, &homes, now) {
+        let near = candidates(workers, query, now).filter(is_in_own_zone);
         if let Some(worker) = first_within_bound(workers, query, &homes, near.filter(is_eligible)) {
             return Some(worker);
         }
     }
-    let all = workers.accepting(query.service).filter(is_eligible);
+    let all = candidates(workers, query, now).filter(is_eligible);
     first_within_bound(workers, query, &homes, all)
 }
 
 /// Returns whether workers of the node's own zone are considered first: the zone has capacity, and
 /// its engines don't have to read a prefix that engines of other zones have in memory.
-fn prefers_own_zone(workers: &WorkerDirectory, query: &PlacementQuery<'_>, homes: &Homes) -> bool {
+fn prefers_own_zone(
+    workers: &WorkerDirectory,
+    query: &PlacementQuery<'_>,
+    homes: &Homes,
+    now: Timestamp,
+) -> bool {
     let policy = workers.policy();
     if !policy.near_workers {
         return false;
     }
-    let all = || workers.accepting(query.service);
+    let all = || candidates(workers, query, now);
     let near = all().filter(|worker| worker.record.zone == query.zone);
     let own_zone_utilization = utilization(workers, near);
     if own_zone_utilization >= policy.calm_share {
@@ -142,12 +179,12 @@
 }
 
 impl Homes {
-    fn of(workers: &WorkerDirectory, query: &PlacementQuery<'_>) -> Self {
+    fn of(workers: &WorkerDirectory, query: &PlacementQuery<'_>, now: Timestamp) -> Self {
         let turn = query.turn.filter(|_| workers.policy().part_homes);
         let Some(turn) = turn else {
             return Self::NotApplicable;
         };
-        let accepting = workers.accepting(query.service);
+        let accepting = candidates(workers, query, now);
         let mut ranks: Vec<u64> = accepting
             .map(|worker| rendezvous_rank(turn.prefix, &worker.record.id))
             .collect();
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -5,6 +5,12 @@
 
 use crate::tenants::TenantTable;
 
+/// Factor between the time for which a request is held and that for which its caller may try.
+const STREAM_TRIES: u32 = 2;
+
+/// Minimum time for which the origins of streams are remembered.
+pub const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Repeatability of a route's requests and form of their responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -186,6 +192,15 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns how long a stream can last from its first event to its last, with the tries of its
+    /// caller.
+    pub fn stream_lifetime(&self) -> Duration {
+        let resumable = self.routes.iter().filter(|route| route.resumable);
+        let longest = resumable.map(|route| route.timeout).max();
+        let tries = longest.unwrap_or_default() * STREAM_TRIES;
+        tries.max(MIN_STREAM_LIFETIME)
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/gateway-core/src/feed/catalog.rs
+++ b/crates/gateway-core/src/feed/catalog.rs
@@ -12,6 +12,8 @@
 use elderworks_types::Timestamp;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::stream_versions::SoftwareVersion;
+use crate::stream_versions::history::VersionCounts;
 use crate::workers::WorkerRecord;
 
 /// Maximum number of workers of a service for which all are used. Choosing among this many takes
@@ -61,6 +63,8 @@
     changed: BTreeSet<String>,
     /// Whether the subset must be selected again.
     is_stale: bool,
+    /// Number of workers by service and software version.
+    versions: VersionCounts,
 }
 
 /// Demand for workers of a service, which decays over time.
@@ -82,6 +86,7 @@
             targets: BTreeMap::new(),
             changed: BTreeSet::new(),
             is_stale: false,
+            versions: VersionCounts::new(),
         }
     }
 
@@ -116,12 +121,40 @@
             self.changed.insert(record.id.clone());
         }
         self.is_stale |= affects_selection;
-        self.workers.insert(record.id.clone(), record);
+        self.count(&record);
+        let replaced = self.workers.insert(record.id.clone(), record);
+        if let Some(replaced) = replaced {
+            self.uncount(&replaced);
+        }
+    }
+
+    /// Returns the number of workers by service and software version.
+    pub fn versions(&self) -> &VersionCounts {
+        &self.versions
+    }
+
+    fn count(&mut self, record: &WorkerRecord) {
+        let versions = self.versions.entry(record.service.clone()).or_default();
+        *versions.entry(software_of(record)).or_default() += 1;
+    }
+
+    fn uncount(&mut self, record: &WorkerRecord) {
+        let Some(versions) = self.versions.get_mut(&record.service) else {
+            return;
+        };
+        if let Some(count) = versions.get_mut(&software_of(record)) {
+            *count = count.saturating_sub(1);
+        }
+        versions.retain(|_, count| *count > 0);
     }
 
     /// Removes a worker whose entry was deleted or became invalid.
     pub fn remove(&mut self, id: &str) {
-        self.is_stale |= self.workers.remove(id).is_some();
+        let removed = self.workers.remove(id);
+        self.is_stale |= removed.is_some();
+        if let Some(removed) = removed {
+            self.uncount(&removed);
+        }
     }
 
     /// Replaces all entries.
@@ -253,6 +286,10 @@
     }
 }
 
+fn software_of(record: &WorkerRecord) -> Option<SoftwareVersion> {
+    record.software.as_deref().map(SoftwareVersion::of)
+}
+
 /// Returns the position of a worker in its zone's order, derived from its ID.
 fn place(id: &str) -> u64 {
     xxh3_64(id.as_bytes())
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod split;
 pub mod start;
 pub mod stream_reads;
+pub mod stream_versions;
 pub mod tenants;
 pub mod unreadable;
 pub mod worker_health;
--- a/crates/gateway-core/src/run_moves/targets.rs
+++ b/crates/gateway-core/src/run_moves/targets.rs
@@ -2,6 +2,7 @@
 
 use elderworks_types::Timestamp;
 
+use crate::stream_versions::SoftwareVersion;
 use crate::workers::{Worker, WorkerDirectory};
 
 /// Preferred zone of the target engine.
@@ -15,11 +16,13 @@
 }
 
 /// Returns the least loaded healthy engine of a service with a free slot, excluding the run's `own`
-/// engine and those in `tried`. Engines in the preferred zone come first.
+/// engine and those in `tried`. Only engines of the version `software` can read the run's memory.
+/// Engines in the preferred zone come first.
 pub fn choose<'a>(
     workers: &'a WorkerDirectory,
     service: &str,
     own: &str,
+    software: SoftwareVersion,
     tried: &[String],
     preference: ZonePreference,
     now: Timestamp,
@@ -31,6 +34,7 @@
     };
     let has_room = |worker: &Worker| {
         worker.record.id != own
+            && worker.software == Some(software)
             && !tried.contains(&worker.record.id)
             && workers.load(worker) < worker.record.slots
             && !worker.should_avoid(now, false)
--- /dev/null
+++ b/crates/gateway-core/src/stream_versions/history.rs
@@ -0,0 +1,205 @@
+//! Which software versions the workers of each service have had.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use elderworks_types::Timestamp;
+
+use super::{ServiceVersions, SoftwareVersion, service_key};
+
+/// Number of workers by service and software version; `None` for workers whose version is unknown.
+pub type VersionCounts = BTreeMap<String, BTreeMap<Option<SoftwareVersion>, usize>>;
+
+/// How long workers of a version that was first seen begin no resumable streams if others can. By
+/// then every node that reads the workers' records knows that there are two versions.
+pub const NEW_VERSION_PAUSE: Duration = Duration::from_secs(1);
+
+/// Maximum age of the last read of the workers' records for which a single version counts as
+/// proved. Less than [`NEW_VERSION_PAUSE`], so that no stream of another version can have begun.
+const MAX_READ_AGE: Duration = Duration::from_millis(700);
+
+/// How long a reader's statement on the versions of services is used.
+const STATEMENT_LIFETIME: Duration = Duration::from_secs(2);
+
+/// How long a version without workers is remembered. Longer than any stream lasts.
+const KEPT: Duration = Duration::from_secs(3_600);
+
+/// When workers of a version were seen.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    first: Timestamp,
+    last: Timestamp,
+    is_present: bool,
+}
+
+/// The software versions of the workers of each service over time.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    services: BTreeMap<String, BTreeMap<Option<SoftwareVersion>, Seen>>,
+    /// Time since which no version in use was missed; `None` if none ever was.
+    complete_since: Option<Timestamp>,
+    /// When the last read was sent that reached the end of the records.
+    read_at: Option<Timestamp>,
+    /// Whether only some of the workers are observed, because readers send this node no others.
+    is_partial: bool,
+    /// What a reader has stated on the versions of services, by [`service_key`], and when.
+    stated: BTreeMap<u64, (ServiceVersions, Timestamp)>,
+}
+
+impl VersionHistory {
+    /// Creates the history of a process that starts at `now` and doesn't know what was in use before.
+    pub fn starting(now: Timestamp) -> Self {
+        Self {
+            complete_since: Some(now),
+            ..Self::default()
+        }
+    }
+
+    /// Records that no node ran before this one, so that no stream can have begun.
+    pub fn note_first_start(&mut self) {
+        self.complete_since = None;
+    }
+
+    /// Records that versions may have come and gone unseen until now.
+    pub fn note_gap(&mut self, now: Timestamp) {
+        self.complete_since = Some(now);
+    }
+
+    /// Records that a read of the workers' records sent at `sent` reached their end.
+    pub fn note_read(&mut self, sent: Timestamp) {
+        self.read_at = Some(sent);
+    }
+
+    /// Records what a reader states on the versions of a service.
+    pub fn note_statement(&mut self, now: Timestamp, service: u64, versions: ServiceVersions) {
+        self.stated.insert(service, (versions, now));
+    }
+
+    /// Records all workers that are listed now. Returns whether a service has got a further version.
+    pub fn observe(&mut self, now: Timestamp, counts: &VersionCounts) -> bool {
+        self.is_partial = false;
+        self.record(now, counts)
+    }
+
+    /// Records the workers that readers have sent to this node, which may not be all. Returns whether
+    /// a service has got a further version.
+    pub fn observe_some(&mut self, now: Timestamp, counts: &VersionCounts) -> bool {
+        self.is_partial = true;
+        self.record(now, counts)
+    }
+
+    /// Returns the services that were observed.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
+    fn record(&mut self, now: Timestamp, counts: &VersionCounts) -> bool {
+        for versions in self.services.values_mut() {
+            versions.retain(|_, seen| seen.is_present || now.since(seen.last) < KEPT);
+            for seen in versions.values_mut().filter(|seen| seen.is_present) {
+                seen.last = now;
+                seen.is_present = false;
+            }
+        }
+        let mut has_further = false;
+        for (service, versions) in counts {
+            let known = self.services.entry(service.clone()).or_default();
+            let mut has_new = false;
+            for version in versions.keys() {
+                has_new |= note_present(known, *version, now);
+            }
+            has_further |= has_new && known.len() > 1;
+        }
+        has_further
+    }
+
+    /// Returns the versions at which streams of a service can have begun that last for at most
+    /// `lifetime`, with their callers' retries.
+    pub fn versions(&self, service: &str, now: Timestamp, lifetime: Duration) -> ServiceVersions {
+        let observed = self.observed(service, now, lifetime);
+        if !self.is_partial || observed == ServiceVersions::Several {
+            return observed;
+        }
+        let stated = self.stated.get(&service_key(service));
+        match stated.filter(|(_, at)| now.since(*at) <= STATEMENT_LIFETIME) {
+            Some((stated, _))
+                if observed
+                    .only()
+                    .is_none_or(|seen| stated.only() == Some(seen)) =>
+            {
+                *stated
+            }
+            Some(_) => ServiceVersions::Several,
+            None => observed,
+        }
+    }
+
+    fn observed(&self, service: &str, now: Timestamp, lifetime: Duration) -> ServiceVersions {
+        let recent = self.recent(service, now, lifetime);
+        let version = match recent.as_slice() {
+            [Some(version)] => *version,
+            [] | [None] => return ServiceVersions::Unknown,
+            _ => return ServiceVersions::Several,
+        };
+        let is_complete = !self.is_partial
+            && self
+                .complete_since
+                .is_none_or(|since| now.since(since) >= lifetime);
+        let is_fresh = self
+            .read_at
+            .is_some_and(|read| now.since(read) <= MAX_READ_AGE);
+        match (is_complete, is_fresh) {
+            (true, true) => ServiceVersions::Sole(version),
+            (true, false) => ServiceVersions::Stale(version),
+            (false, _) => ServiceVersions::Recent(version),
+        }
+    }
+
+    /// Returns whether workers of a version were first seen so recently that other nodes may not
+    /// know of them yet, while another version was seen earlier.
+    pub fn is_new(&self, service: &str, version: Option<SoftwareVersion>, now: Timestamp) -> bool {
+        let Some(versions) = self.services.get(service) else {
+            return false;
+        };
+        let Some(seen) = versions.get(&version) else {
+            return false;
+        };
+        let is_recent = now.since(seen.first) < NEW_VERSION_PAUSE;
+        let has_earlier = versions
+            .values()
+            .any(|other| other.is_present && other.first < seen.first);
+        is_recent && has_earlier
+    }
+
+    fn recent(
+        &self,
+        service: &str,
+        now: Timestamp,
+        lifetime: Duration,
+    ) -> Vec<Option<SoftwareVersion>> {
+        let versions = self.services.get(service).into_iter().flatten();
+        let recent =
+            versions.filter(|(_, seen)| seen.is_present || now.since(seen.last) < lifetime);
+        recent.map(|(version, _)| *version).collect()
+    }
+}
+
+/// Records that a version has workers; returns whether it had none until now.
+fn note_present(
+    versions: &mut BTreeMap<Option<SoftwareVersion>, Seen>,
+    version: Option<SoftwareVersion>,
+    now: Timestamp,
+) -> bool {
+    let known = versions.get(&version);
+    // Records may be missing for a moment, as after an outage of the store.
+    let continued = known.filter(|seen| now.since(seen.last) <= NEW_VERSION_PAUSE);
+    let first = continued.map_or(now, |seen| seen.first);
+    let is_new = continued.is_none();
+    let seen = Seen {
+        first,
+        last: now,
+        is_present: true,
+    };
+    versions.insert(version, seen);
+    is_new
+}
--- a/crates/gateway-core/src/workers/memory.rs
+++ b/crates/gateway-core/src/workers/memory.rs
@@ -85,7 +85,7 @@
         is_started.then(|| (address, fetch.bytes(moves)))
     }
 
-    /// Returns the least loaded engine that holds the prefix, in the target's zone if there is one.
+    /// Returns the least loaded engine of the target's software version that holds the prefix, in the target's zone if there is one.
     fn source_for<'a>(
         &'a self,
         target: &'a Worker,
@@ -94,6 +94,8 @@
     ) -> Option<&'a Worker> {
         let holders = self.accepting(&target.record.service).filter(|worker| {
             worker.key != target.key
+                && worker.software.is_some()
+                && worker.software == target.software
                 && !worker.is_ejected(now)
                 && self.holding(worker, turn, now) == Holding::Holds
         });
--- a/crates/gateway-core/src/workers/mod.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -3,6 +3,7 @@
 mod demand;
 mod memory;
 mod throttling;
+mod versions;
 mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,8 @@
 use crate::peer_loads::{PeerLoads, WorkerKey};
 use crate::placement::demand::PrefixDemand;
 use crate::policy::Policy;
+use crate::stream_versions::SoftwareVersion;
+use crate::stream_versions::history::VersionHistory;
 use crate::worker_health::{HealthStatus, WorkerHealth};
 use crate::zone_health::ZoneHealth;
 
@@ -76,6 +79,8 @@
     pub record: WorkerRecord,
     /// This node's requests in flight.
     pub in_flight: u32,
+    /// Version of its software, if known.
+    pub software: Option<SoftwareVersion>,
     key: WorkerKey,
     health: WorkerHealth,
     full_until: Timestamp,
@@ -138,6 +143,8 @@
     zone_health: ZoneHealth,
     /// When the latest outage of the store ended.
     outage_ended: Option<Timestamp>,
+    /// Software versions of the workers over time.
+    versions: VersionHistory,
 }
 
 impl WorkerDirectory {
@@ -161,13 +168,18 @@
     }
 
     /// Adds a worker or updates its record.
-    pub fn upsert(&mut self, record: WorkerRecord, now: Timestamp) -> UpsertOutcome {
+    pub fn upsert(&mut self, mut record: WorkerRecord, now: Timestamp) -> UpsertOutcome {
         let cold_until = now + record.cold_left;
         if let Some(known) = self.workers.get_mut(&record.id) {
             if record.born < known.record.born {
                 return UpsertOutcome::Outdated;
             }
             if record.born == known.record.born {
+                if record.software.is_none() {
+                    // Readers send it separately; it doesn't change while a worker runs.
+                    record.software = known.record.software.take();
+                }
+                known.software = record.software.as_deref().map(SoftwareVersion::of);
                 let is_unchanged =
                     known.record.eq_ignoring_cold_left(&record) && known.missing_until.is_none();
                 known.record = record;
@@ -182,6 +194,7 @@
         }
         let worker = Worker {
             key: WorkerKey::of(&record.id),
+            software: record.software.as_deref().map(SoftwareVersion::of),
             record,
             in_flight: 0,
             health: WorkerHealth::default(),
--- /dev/null
+++ b/crates/gateway-core/src/workers/versions.rs
@@ -0,0 +1,83 @@
+//! Software versions of the workers, and which workers a request may use because of them.
+
+use elderworks_types::Timestamp;
+
+use super::{Worker, WorkerDirectory};
+use crate::peer_loads::WorkerKey;
+use crate::stream_versions::history::{VersionCounts, VersionHistory};
+use crate::stream_versions::{SoftwareVersion, VersionRule};
+
+impl WorkerDirectory {
+    /// Sets the history of software versions, which otherwise begins without any knowledge.
+    pub fn with_versions(mut self, versions: VersionHistory) -> Self {
+        self.versions = versions;
+        self
+    }
+
+    /// Returns the software versions of the workers over time.
+    pub fn versions(&self) -> &VersionHistory {
+        &self.versions
+    }
+
+    /// Returns the software versions of the workers over time, to record what is listed.
+    pub fn versions_mut(&mut self) -> &mut VersionHistory {
+        &mut self.versions
+    }
+
+    /// Returns whether a worker may run a request under a rule.
+    pub fn follows(&self, rule: VersionRule, worker: &Worker, now: Timestamp) -> bool {
+        match rule {
+            VersionRule::Any => true,
+            VersionRule::Settled => {
+                !self
+                    .versions
+                    .is_new(&worker.record.service, worker.software, now)
+            }
+            VersionRule::Only(version) => worker.software == Some(version),
+            VersionRule::None => false,
+        }
+    }
+
+    /// Returns whether a worker of a version accepts requests, or is a last resort for them.
+    pub fn serves_version(&self, service: &str, version: SoftwareVersion, now: Timestamp) -> bool {
+        let mut workers = self
+            .accepting(service)
+            .chain(self.last_resort(service, now));
+        workers.any(|worker| worker.software == Some(version))
+    }
+
+    /// Records the software version of a worker that a reader has told; returns whether it was
+    /// unknown.
+    pub fn set_software(&mut self, key: WorkerKey, name: &str) -> bool {
+        let unknown = self
+            .workers
+            .values_mut()
+            .find(|worker| worker.key == key && worker.software.is_none());
+        let Some(worker) = unknown else {
+            return false;
+        };
+        worker.record.software = Some(name.to_owned());
+        worker.software = Some(SoftwareVersion::of(name));
+        true
+    }
+
+    /// Returns the number of known workers by service and software version.
+    pub fn version_counts(&self) -> VersionCounts {
+        let mut counts = VersionCounts::new();
+        for worker in self.workers.values() {
+            let service = worker.record.service.clone();
+            let versions = counts.entry(service).or_default();
+            *versions.entry(worker.software).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns the workers whose software version isn't known.
+    pub fn without_software(&self) -> impl Iterator<Item = WorkerKey> {
+        let unknown = self
+            .workers
+            .values()
+            .filter(|worker| worker.software.is_none());
+        unknown.map(|worker| worker.key)
+    }
+}
--- a/crates/gateway-core/tests/cold_workers.rs
+++ b/crates/gateway-core/tests/cold_workers.rs
@@ -8,6 +8,7 @@
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::cold_workers::{ColdRules, ColdSenders};
 use elderworks_gateway_core::policy::Policy;
+use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::workers::{UpsertOutcome, WorkerDirectory, WorkerRecord};
 use elderworks_types::{NodeId, Timestamp};
 use proptest::prelude::*;
@@ -45,6 +46,7 @@
         zone: "a",
         repeatable: true,
         tried: &[],
+        versions: VersionRule::Any,
         turn: None,
         seed,
         is_connected: &|_| false,
--- a/crates/gateway-core/tests/common/mod.rs
+++ b/crates/gateway-core/tests/common/mod.rs
@@ -15,6 +15,6 @@
         draining: false,
         cold_left: Duration::ZERO,
         born: 0,
-        software: None,
+        software: Some("v1".to_owned()),
     }
 }
--- a/crates/gateway-core/tests/evacuations.rs
+++ b/crates/gateway-core/tests/evacuations.rs
@@ -7,6 +7,7 @@
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::evacuations::{EvacuationOrder, Evacuations};
+use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::workers::WorkerDirectory;
 use elderworks_types::{Offset, Timestamp};
 
@@ -77,6 +78,7 @@
         zone: "a",
         repeatable: true,
         tried,
+        versions: VersionRule::Any,
         turn: None,
         seed: 1,
         is_connected: &|_| false,
--- a/crates/gateway-core/tests/placement.rs
+++ b/crates/gateway-core/tests/placement.rs
@@ -12,6 +12,7 @@
     PrefixLoad, home_count, home_fractions, rendezvous_rank,
 };
 use elderworks_gateway_core::policy::Policy;
+use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerInstance, WorkerRecord};
 use elderworks_types::{NodeId, Timestamp};
 
@@ -61,6 +62,7 @@
         zone: "a",
         repeatable: false,
         tried: &[],
+        versions: VersionRule::Any,
         turn: Some(turn),
         seed: 1,
         is_connected: &|_| false,
@@ -319,16 +321,17 @@
         zone: "a",
         repeatable: true,
         tried: &[],
+        versions: VersionRule::Any,
         turn,
         seed: 1,
         is_connected: &|_| false,
     };
     let of_turn = choose(&workers, &query(Some(turn(12))), START).expect("an engine");
     assert_eq!(
-        is_at_home(&workers, &query(Some(turn(12))), of_turn),
+        is_at_home(&workers, &query(Some(turn(12))), of_turn, START),
         Some(true)
     );
     let plain = choose(&workers, &query(None), START).expect("a worker");
-    assert_eq!(is_at_home(&workers, &query(None), plain), None);
+    assert_eq!(is_at_home(&workers, &query(None), plain, START), None);
     assert_eq!(plain.record.zone, "a", "the own zone is preferred");
 }
--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -10,6 +10,7 @@
 use elderworks_gateway_core::run_moves::{
     AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction, RunMigration,
 };
+use elderworks_gateway_core::stream_versions::SoftwareVersion;
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerRecord};
 use elderworks_types::Timestamp;
 use proptest::prelude::*;
@@ -270,7 +271,7 @@
         draining,
         cold_left: Duration::ZERO,
         born: 1,
-        software: None,
+        software: Some("v1".to_owned()),
     }
 }
 
@@ -289,7 +290,10 @@
     }
     let chosen = |workers: &WorkerDirectory, excluded: &[&str], preference| {
         let excluded: Vec<String> = excluded.iter().map(|id| (*id).to_owned()).collect();
-        let found = choose(workers, "engines", "w1", &excluded, preference, now);
+        let software = SoftwareVersion::of("v1");
+        let found = choose(
+            workers, "engines", "w1", software, &excluded, preference, now,
+        );
         found.map(|worker| worker.record.id.clone())
     };
     assert_eq!(
@@ -383,3 +387,26 @@
         }
     }
 }
+
+#[test]
+fn an_engine_of_another_version_is_no_target() {
+    let now = Timestamp(1);
+    let mut workers = WorkerDirectory::new(Policy::default());
+    for (id, software) in [("w1", Some("v1")), ("w2", Some("v2")), ("w3", None)] {
+        let software = software.map(str::to_owned);
+        let of_version = WorkerRecord {
+            software,
+            ..record(id, "a", false)
+        };
+        workers.upsert(of_version, now);
+    }
+    let target = |workers: &WorkerDirectory| {
+        let software = SoftwareVersion::of("v1");
+        let preference = ZonePreference::Same;
+        let found = choose(workers, "engines", "w1", software, &[], preference, now);
+        found.map(|worker| worker.record.id.clone())
+    };
+    assert_eq!(target(&workers), None);
+    workers.upsert(record("w4", "b", false), now);
+    assert_eq!(target(&workers).as_deref(), Some("w4"));
+}
--- a/crates/gateway-core/tests/workers.rs
+++ b/crates/gateway-core/tests/workers.rs
@@ -7,6 +7,7 @@
 
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::peer_loads::{REPORT_LIFETIME, WorkerKey};
+use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::workers::{
     UpsertOutcome, WorkerDirectory, WorkerRecord, max_idle_connections,
 };
@@ -36,6 +37,7 @@
         zone: "a",
         repeatable: true,
         tried,
+        versions: VersionRule::Any,
         turn: None,
         seed: 1,
         is_connected: &|_| false,
--- a/crates/gateway-core/tests/zone_placement.rs
+++ b/crates/gateway-core/tests/zone_placement.rs
@@ -7,6 +7,7 @@
 use elderworks_gateway_core::balancer::{PlacementQuery, choose};
 use elderworks_gateway_core::placement::demand::{EngineTurn, PrefixKey};
 use elderworks_gateway_core::policy::Policy;
+use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::workers::{WorkerDirectory, WorkerInstance, WorkerRecord};
 use elderworks_types::Timestamp;
 
@@ -53,6 +54,7 @@
         zone: "a",
         repeatable: false,
         tried: &[],
+        versions: VersionRule::Any,
         turn: Some(turn(prefix)),
         seed: 1,
         is_connected: &|_| false,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -13,6 +13,7 @@
 use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PrefixKey};
+use elderworks_gateway_core::stream_versions::{StreamVersion, VersionRule};
 use elderworks_gateway_core::workers::max_idle_connections;
 
 use super::access::SenderIdentity;
@@ -58,6 +59,8 @@
     /// Accounts for the body's memory while the call holds it.
     _memory: MemoryReservation,
     tried: TriedWorkers,
+    /// The version of the workers that may continue the stream.
+    pub(super) version: StreamVersion,
     /// The worker of the next attempt, if the route allows no other.
     retry_at: Option<Target>,
     /// Set once the run has been moved to another engine.
@@ -105,6 +108,7 @@
             history: AttemptHistory::default(),
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
+            version: StreamVersion::default(),
             retry_at: None,
             run: None,
             backup: None,
@@ -289,6 +293,7 @@
             zone: self.gateway.settings.zone.as_str(),
             repeatable: self.route.is_repeatable(),
             tried: &tried,
+            versions: self.version_rule(),
             turn: self.engine_turn(),
             seed: self.gateway.next_sequence(),
             is_connected: &|worker| prefers_idle && self.gateway.pool.has_idle(worker),
@@ -301,7 +306,7 @@
         let Some(worker) = balancer::choose(&workers, &query, now) else {
             return Err(self.give_up());
         };
-        if let Some(is_at_home) = balancer::is_at_home(&workers, &query, worker) {
+        if let Some(is_at_home) = balancer::is_at_home(&workers, &query, worker, now) {
             self.gateway.metrics.note_placement(is_at_home);
         }
         let mut target = Target::direct(&worker.record);
@@ -317,6 +322,11 @@
         Ok(target)
     }
 
+    /// Returns which workers may run the call, by their software version.
+    pub(super) fn version_rule(&self) -> VersionRule {
+        self.version.rule(self.may_resume())
+    }
+
     /// Returns what engines of the call's service can transfer to each other.
     fn engine_moves(&self) -> &MemoryMoves {
         const NONE: &MemoryMoves = &MemoryMoves::NONE;
@@ -383,7 +393,8 @@
         let workers = self.gateway.workers.borrow();
         let known = workers.get(worker)?;
         let accepts_requests = workers.is_open(known) && !workers.is_throttled(known, now);
-        let is_usable = accepts_requests && !known.is_ejected(now);
+        let may_run = workers.follows(self.version_rule(), known, now);
+        let is_usable = accepts_requests && may_run && !known.is_ejected(now);
         is_usable.then(|| Target::direct(&known.record))
     }
 }
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -14,6 +14,8 @@
     AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction, RunMigration,
 };
 
+use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
+
 use super::CallError;
 use super::attempts::{Call, implies_not_run};
 use super::stream::is_event_stream;
@@ -70,7 +72,9 @@
 /// A backup in progress; ends when dropped.
 pub(super) struct RunBackup {
     gateway: Rc<Gateway>,
-    pub(super) engine: Engine,
+    engine: Engine,
+    /// Version of the engine, which can't read the memory of another one.
+    software: SoftwareVersion,
 }
 
 impl Drop for RunBackup {
@@ -176,7 +180,10 @@
             return run;
         }
         let request_id = self.attributes.request_id.clone().unwrap_or_default();
-        let backup = self.backup.as_ref().map(|backup| backup.engine.clone());
+        let version = self.version;
+        let backup = self.backup.as_ref();
+        let backup = backup.filter(|backup| version == StreamVersion::Bound(backup.software));
+        let backup = backup.map(|backup| backup.engine.clone());
         let backup = backup.filter(|engine| *engine != from);
         // A request that isn't repeatable has run at no other worker.
         let ran_at = vec![from.worker.clone()];
@@ -189,12 +196,16 @@
     }
 
     fn candidate(&self, own: &Engine) -> Option<Engine> {
+        let StreamVersion::Bound(software) = self.version else {
+            return None;
+        };
         let tried = self.tried();
         let workers = self.gateway.workers.borrow();
         let found = targets::choose(
             &workers,
             &self.service,
             &own.worker,
+            software,
             &tried,
             ZonePreference::Same,
             self.gateway.now(),
@@ -286,15 +297,22 @@
         if self.backup.is_none() {
             self.backup = self.start_backup(&target, &size);
         }
-        let backup = self.backup.as_ref().map(|backup| &backup.engine);
-        let backup = backup.filter(|engine| engine.worker != target.worker);
-        let backup_at = backup.map(|engine| engine.address);
+        let software = self.software_of(&target.worker);
+        let backup = self.backup.as_ref();
+        let backup = backup.filter(|backup| {
+            backup.engine.worker != target.worker && software == Some(backup.software)
+        });
+        let backup_at = backup.map(|backup| backup.engine.address);
         Target {
             backup_at,
             ..target
         }
     }
 
+    fn software_of(&self, worker: &str) -> Option<SoftwareVersion> {
+        self.gateway.workers.borrow().get(worker)?.software
+    }
+
     fn note_copied(&self, outcome: &MoveOutcome) {
         let MoveOutcome::Copied { .. } = outcome else {
             return;
@@ -324,12 +342,14 @@
             max_concurrent: policy.most_backups,
             bytes_per_s: policy.backup_bytes_per_s,
         };
+        let software = self.software_of(&target.worker)?;
         let workers = self.gateway.workers.borrow();
         let preference = ZonePreference::Other;
         let worker = targets::choose(
             &workers,
             &self.service,
             &target.worker,
+            software,
             &[],
             preference,
             now,
@@ -343,6 +363,7 @@
                 worker: worker.record.id.clone(),
                 address: worker.record.address,
             },
+            software,
         })
     }
 
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -2,6 +2,7 @@
 //! allows that; otherwise the run is resumed from a copy of its memory.
 
 use elderworks_gateway_core::run_moves::Engine;
+use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
 
 use super::CallError;
 use super::attempts::Call;
@@ -71,13 +72,22 @@
         self.gateway.pool.discard_connections(worker);
         let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
+        let rule = self.version_rule();
         let same = workers
             .get(worker)
             .filter(|known| workers.is_open(known) && !workers.is_throttled(known, now))
+            .filter(|known| workers.follows(rule, known, now))
             .map(|known| Target::direct(&known.record));
         Ok(same)
     }
 
+    /// Binds the stream to the version of the worker that has sent its first event.
+    pub(super) fn note_stream_begun(&mut self, software: Option<SoftwareVersion>) {
+        if self.version == StreamVersion::Open {
+            self.version = StreamVersion::of_first_event(software);
+        }
+    }
+
     pub(super) fn may_resume(&self) -> bool {
         self.route.resumable && self.gateway.settings.policy.resumption
     }
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -150,6 +150,7 @@
                 return Ok(PartEnd::Broken("event is too large".to_owned()));
             }
             if any_event {
+                self.note_stream_begun(running.worker_use.software);
                 self.note_first_event();
                 self.note_progress();
             }
--- a/crates/gateway/src/forward/worker_use.rs
+++ b/crates/gateway/src/forward/worker_use.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use elderworks_gateway_core::run_moves::Engine;
+use elderworks_gateway_core::stream_versions::SoftwareVersion;
 use elderworks_gateway_core::workers::WorkerInstance;
 
 use crate::gateway::Gateway;
@@ -13,16 +14,22 @@
 pub(super) struct WorkerUse {
     gateway: Rc<Gateway>,
     pub(super) worker: String,
+    /// Version of the worker's software when the request was sent, if known.
+    pub(super) software: Option<SoftwareVersion>,
     life: WorkerInstance,
 }
 
 impl WorkerUse {
     pub(super) fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
         let now = gateway.now();
-        let life = gateway.workers.borrow_mut().note_start(worker, now);
+        let mut workers = gateway.workers.borrow_mut();
+        let software = workers.get(worker).and_then(|known| known.software);
+        let life = workers.note_start(worker, now);
+        drop(workers);
         Self {
             gateway: gateway.clone(),
             worker: worker.to_owned(),
+            software,
             life,
         }
     }
