gateway: a stream that its caller takes up at another node goes on at the version that began it

Callers whose gateway was lost got the rest of their streams from any version: the node that knew is gone, and nothing at the other one says which version sent the first events.

The node that begins a stream now tells three others its version, by rendezvous hashing of the request's id, within 5 ms of the first event and in one datagram for each of them. A node at which a caller takes a stream up (Last-Event-Id, Resumes) looks in its own table, then, unless the workers' records prove that a single version was in use for as long as a stream can last, asks six nodes in that order, twice 40 ms at most. A copy decides; without one, a single version proved by a node that has watched for long enough; nothing else. An unknown version is refused with 503 (retry after 150 ms), one without workers with 503 at once. Nothing is reported while a single version is proved; a second one makes each node report its streams in progress. Nodes that don't read the log have the proof from their readers' statements, and workers' versions by a question, so that records keep their encoding. Messages are datagrams of a new kind, which the version before passes over.

--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -440,7 +440,7 @@
 #[test]
 fn the_asked_nodes_include_the_holders_after_changes_of_the_fleet() {
     let nodes: Vec<NodeId> = (0..30)
-        .map(|number| NodeId::new(&format!("n{number}")))
+        .map(|number| NodeId::new(format!("n{number}")))
         .collect();
     let mut missed = 0;
     for stream in 0..500 {
--- a/crates/gateway/src/cross_zone_bytes.rs
+++ b/crates/gateway/src/cross_zone_bytes.rs
@@ -27,6 +27,8 @@
     Loads,
     /// Reports of tenants' quota use.
     Quotas,
+    /// Versions that began streams.
+    StreamOrigins,
     /// Datagrams of the failure detector.
     Gossip,
     /// All other traffic between nodes.
@@ -34,7 +36,7 @@
 }
 
 impl TrafficKind {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 11] = [
         Self::Requests,
         Self::Answers,
         Self::LedgerRequests,
@@ -43,6 +45,7 @@
         Self::StreamUpdates,
         Self::Loads,
         Self::Quotas,
+        Self::StreamOrigins,
         Self::Gossip,
         Self::Others,
     ];
@@ -58,6 +61,7 @@
             Self::StreamUpdates => "news",
             Self::Loads => "loads",
             Self::Quotas => "quotas",
+            Self::StreamOrigins => "stream_origins",
             Self::Gossip => "gossip",
             Self::Others => "others",
         }
@@ -85,6 +89,7 @@
             }
             GatewayDatagram::Quota(_) | GatewayDatagram::QuotaHistory(_) => Self::Quotas,
             GatewayDatagram::Beat(_) => Self::StreamUpdates,
+            GatewayDatagram::Versions(_) => Self::StreamOrigins,
             _ => Self::Others,
         }
     }
--- a/crates/gateway/src/feed/heartbeats.rs
+++ b/crates/gateway/src/feed/heartbeats.rs
@@ -36,11 +36,13 @@
     }
     feed.heartbeat_sent_at.set(Some(now));
     let datagram = encode(&GatewayDatagram::Beat(heartbeat.clone()));
+    let versions = encode(&peers::version_statement(gateway));
     *feed.last_heartbeat.borrow_mut() = Some(heartbeat);
     let others = feed.zone.borrow().others.clone();
     for to in others.iter() {
         // A lost heartbeat is superseded by the next one.
         let _ = socket.try_send_to(&datagram, *to);
+        let _ = socket.try_send_to(&versions, *to);
     }
 }
 
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -29,7 +29,7 @@
 
 pub(crate) use catch_up::answer;
 pub(crate) use heartbeats::receive as receive_heartbeat;
-pub(crate) use workers::{apply, upkeep};
+pub(crate) use workers::{apply, observe_versions, upkeep};
 
 /// Interval at which the role is decided.
 const ROLE_INTERVAL: Duration = Duration::from_millis(200);
@@ -235,6 +235,11 @@
             return;
         }
         self.worker_count.set(Some(records.len()));
+        if self.is_loaded.get() {
+            // Workers may have come and gone since the last record that was read.
+            let now = gateway.now();
+            gateway.workers.borrow_mut().versions_mut().note_gap(now);
+        }
         self.catalog.borrow_mut().replace_all(records);
         self.is_loaded.set(true);
         apply(gateway, end);
@@ -254,13 +259,21 @@
     }
 
     /// Records that a read sent at `sent` reached the end of the workers' stream.
-    pub(crate) fn note_workers_read(&self, sent: Timestamp) {
+    pub(crate) fn note_workers_read(&self, gateway: &Gateway, sent: Timestamp) {
         if self.reads() && self.is_loaded.get() {
+            gateway.workers.borrow_mut().versions_mut().note_read(sent);
             self.workers_read.set(Some(sent));
             self.worker_count.set(Some(self.catalog.borrow().len()));
         }
     }
 
+    /// Returns the peer address of the reader that this node's workers came from.
+    pub(crate) fn source_address(&self, gateway: &Gateway) -> Option<SocketAddr> {
+        let source = self.source.borrow();
+        let nodes = gateway.nodes.borrow();
+        Some(nodes.get(&source.as_ref()?.node)?.record.peer_address)
+    }
+
     /// Returns the working readers of this zone.
     pub(crate) fn readers(&self, gateway: &Gateway) -> Vec<NodeId> {
         let roles = self.roles.borrow();
--- a/crates/gateway/src/feed/workers.rs
+++ b/crates/gateway/src/feed/workers.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::millis;
 use crate::gateway::Gateway;
+use crate::peers;
 
 /// Applies changes of the catalog to placement and to the workers published to listeners. `offset` is
 /// that of the last record in the catalog.
@@ -25,6 +26,7 @@
         catalog.changes(gateway.now(), |zone| evacuations.is_on(zone))
     };
     feed.published.borrow_mut().take(&changes);
+    observe_versions(gateway);
     for change in changes {
         match change {
             Change::Use(record) => upsert(gateway, record, offset),
@@ -33,6 +35,26 @@
     }
 }
 
+/// Records which software versions the known workers have.
+pub(crate) fn observe_versions(gateway: &Rc<Gateway>) {
+    let now = gateway.now();
+    let feed = &gateway.feed;
+    let has_further = {
+        let mut workers = gateway.workers.borrow_mut();
+        if feed.reads() && feed.is_loaded.get() {
+            let catalog = feed.catalog.borrow();
+            workers.versions_mut().observe(now, catalog.versions())
+        } else {
+            let counts = workers.version_counts();
+            workers.versions_mut().observe_some(now, &counts)
+        }
+    };
+    if has_further {
+        log::info!(lifetime_ms = millis(Some(gateway.stream_lifetime())); "a service has workers of a further software version");
+        peers::report_all(gateway);
+    }
+}
+
 /// Applies a reader's update.
 pub(super) fn apply_update(gateway: &Rc<Gateway>, update: WorkersUpdate) {
     if update.is_whole {
@@ -46,6 +68,7 @@
     for id in update.dropped {
         drop_worker(gateway, &id, offset);
     }
+    observe_versions(gateway);
     upkeep(gateway);
 }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -114,6 +114,9 @@
 }
 
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
+    if let Err(refusal) = call.bind_resumed_stream().await {
+        return refuse(caller, trace, &refusal).await;
+    }
     if let Err(refusal) = call.take_quota().await {
         return refuse(caller, trace, &refusal).await;
     }
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -1,19 +1,32 @@
 //! Resumption of a stream that broke off: the request is run again from the last event if its route
 //! allows that; otherwise the run is resumed from a copy of its memory.
 
+use std::time::{Duration, Instant};
+
+use elderworks_gateway_core::attempt::NotRun;
 use elderworks_gateway_core::run_moves::Engine;
-use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
+use elderworks_gateway_core::stream_versions::lookup::{KnownOrigin, ResumptionOutcome};
+use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamKey, StreamVersion};
 
 use super::CallError;
 use super::attempts::Call;
 use super::stream::ForwardedStream;
 use super::worker_use::RunningResponse;
 use crate::caller::{Caller, Progress};
+use crate::clock::millis;
+use crate::peers;
+use crate::reply::Refusal;
 use crate::upstream::Target;
 
 /// Maximum number of times that a stream is resumed.
 const MAX_RESUMPTIONS: u32 = 3;
 
+/// Reason for refusing a stream whose version can't be determined.
+const UNKNOWN_VERSION: &str = "the version that began the stream is not known";
+
+/// Reason for refusing a stream whose version has no workers left.
+const NO_WORKER: &str = "no worker of the version that began the stream serves now";
+
 impl Call<'_> {
     /// Resumes a stream that broke off at an engine.
     pub(super) async fn resume_broken(
@@ -81,10 +94,80 @@
         Ok(same)
     }
 
-    /// Binds the stream to the version of the worker that has sent its first event.
+    /// Binds a stream that its caller takes up again to the version that began it.
+    pub(super) async fn bind_resumed_stream(&mut self) -> Result<(), Refusal> {
+        if !self.route.resumable || self.attributes.last_event_id.is_none() {
+            return Ok(());
+        }
+        let started = Instant::now();
+        let origin = self.find_origin().await;
+        let outcome = self.bind(origin);
+        self.gateway.metrics.note_resumption(outcome.name());
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            resumes = self.attributes.resumes.as_deref().unwrap_or_default(),
+            service = self.service.as_str(),
+            versions:? = self.gateway.service_versions(&self.service),
+            version:? = origin.map(|origin| origin.version.0),
+            known_ms = origin.and_then(|origin| origin.age).map_or(-1, |age| millis(Some(age))),
+            source = origin.map_or("", |origin| origin.source.name()),
+            ms = started.elapsed().as_millis();
+            "stream to be resumed: {}", outcome.name()
+        );
+        match outcome {
+            ResumptionOutcome::Bound(_) => Ok(()),
+            ResumptionOutcome::NoWorker => {
+                let not_run = NotRun::before_any_attempt();
+                // A later attempt meets the same, so the caller had better begin anew at once.
+                let pause = Duration::ZERO;
+                Err(Refusal::not_run_retry_after(not_run, NO_WORKER, pause))
+            }
+            ResumptionOutcome::Unknown => {
+                let not_run = NotRun::before_any_attempt();
+                Err(Refusal::not_run(not_run, UNKNOWN_VERSION))
+            }
+        }
+    }
+
+    async fn find_origin(&self) -> Option<KnownOrigin> {
+        let stream = self.attributes.resumes.as_deref().map(StreamKey::of);
+        peers::find_origin(self.gateway, &self.service, stream).await
+    }
+
+    fn bind(&mut self, origin: Option<KnownOrigin>) -> ResumptionOutcome {
+        let Some(origin) = origin else {
+            return ResumptionOutcome::Unknown;
+        };
+        self.version = StreamVersion::Bound(origin.version);
+        let now = self.gateway.now();
+        let workers = self.gateway.workers.borrow();
+        let serves = |service: &str| workers.serves_version(service, origin.version, now);
+        if serves(&self.service) {
+            return ResumptionOutcome::Bound(origin.source);
+        }
+        // Another service of the route may have begun the stream.
+        let services = self.route.services.iter();
+        let mut others = services.map(|weighted| weighted.service.as_str());
+        match others.find(|service| serves(service)) {
+            Some(service) => {
+                self.service = service.to_owned();
+                ResumptionOutcome::Bound(origin.source)
+            }
+            None => ResumptionOutcome::NoWorker,
+        }
+    }
+
+    /// Binds the stream to the version of the worker that has sent its first event, and reports it
+    /// for the case that another node has to resume the stream.
     pub(super) fn note_stream_begun(&mut self, software: Option<SoftwareVersion>) {
-        if self.version == StreamVersion::Open {
-            self.version = StreamVersion::of_first_event(software);
+        if self.version != StreamVersion::Open {
+            return;
+        }
+        self.version = StreamVersion::of_first_event(software);
+        let request = self.attributes.request_id.as_deref();
+        if let (true, Some(version), Some(request)) = (self.route.resumable, software, request) {
+            let stream = StreamKey::of(request);
+            peers::note_begun(self.gateway, &self.service, stream, version);
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::access::KeyLeases;
 use elderworks_gateway_core::cold_workers::ColdSenders;
-use elderworks_gateway_core::config::{ActiveConfig, ServingConfig};
+use elderworks_gateway_core::config::{ActiveConfig, MIN_STREAM_LIFETIME, ServingConfig};
 use elderworks_gateway_core::config_proof::{
     ConfigProof, denial_lease_of, lease_of, proof_request_age,
 };
@@ -20,6 +20,8 @@
 use elderworks_gateway_core::response_time::ResponseTimer;
 use elderworks_gateway_core::run_moves::backups::Backups;
 use elderworks_gateway_core::split::WeightedRoundRobin;
+use elderworks_gateway_core::stream_versions::history::VersionHistory;
+use elderworks_gateway_core::stream_versions::{ServiceVersions, service_key};
 use elderworks_gateway_core::unreadable::UnreadableKeys;
 use elderworks_gateway_core::workers::WorkerDirectory;
 use elderworks_types::{Incarnation, NodeId, Offset, Timestamp};
@@ -33,7 +35,7 @@
 use crate::log_outage::LogOutage;
 use crate::memory::MemoryTracker;
 use crate::metrics::Metrics;
-use crate::peers::{Lessors, Peers};
+use crate::peers::{Lessors, OriginExchange, Peers};
 use crate::ports::{Platform, StreamRecord};
 use crate::settings::GatewaySettings;
 use crate::start::StartTracker;
@@ -79,6 +81,8 @@
     pub(crate) quotas: RefCell<QuotaTracker>,
     /// State of other nodes as quota lessors, and pending grant requests.
     pub(crate) lessors: Lessors,
+    /// Versions that began streams, at this node and elsewhere.
+    pub(crate) origins: OriginExchange,
     /// Programs started at this node by tenants with quotas.
     pub(crate) started_programs: RefCell<StartedPrograms>,
     /// Whether this node reads the log's streams, and what it receives of them from other nodes.
@@ -142,8 +146,13 @@
         let quotas = QuotaTracker::new(settings.quotas, division, rand::random(), clock.now())
             .with_program_priority(policy.quota_order);
         let cold = ColdSenders::new(settings.cold, &settings.node);
+        let mut versions = VersionHistory::starting(clock.now());
+        if settings.is_first_start {
+            versions.note_first_start();
+        }
         let workers = WorkerDirectory::new(policy)
             .with_cold_senders(cold)
+            .with_versions(versions)
             .with_own_zone(settings.zone.as_str());
         Rc::new(Self {
             peers: Peers::new(&settings),
@@ -171,6 +180,7 @@
             quotas: RefCell::new(quotas),
             engines: Engines::default(),
             lessors: Lessors::default(),
+            origins: OriginExchange::default(),
             started_programs: RefCell::default(),
             workers: RefCell::new(workers),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
@@ -328,6 +338,30 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Returns how long a stream can last, with the tries of its caller.
+    pub(crate) fn stream_lifetime(&self) -> Duration {
+        let config = self.config.borrow();
+        let config = config.current();
+        config.map_or(MIN_STREAM_LIFETIME, |config| config.stream_lifetime())
+    }
+
+    /// Returns the software versions at which a service's streams may have begun.
+    pub(crate) fn service_versions(&self, service: &str) -> ServiceVersions {
+        let workers = self.workers.borrow();
+        let history = workers.versions();
+        history.versions(service, self.now(), self.stream_lifetime())
+    }
+
+    /// Like [`Self::service_versions`], for a service that is given by its key.
+    pub(crate) fn service_versions_by_key(&self, key: u64) -> ServiceVersions {
+        let workers = self.workers.borrow();
+        let mut services = workers.versions().services();
+        let service = services.find(|service| service_key(service) == key);
+        service.map_or(ServiceVersions::Unknown, |service| {
+            self.service_versions(service)
+        })
+    }
+
     /// Returns a number that is unique within the process.
     pub(crate) fn next_sequence(&self) -> u64 {
         let number = self.sequence.get() + 1;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -109,6 +109,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of streams that their callers took up again.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ResumptionLabel {
+    /// Where the version that began the stream was learned, or why the stream was refused.
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of the steps of the startup.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct StepLabel {
@@ -159,6 +166,12 @@
     pub(crate) attempts: Counter,
     pub(crate) attempts_failed: Counter,
     pub(crate) streams_resumed: Counter,
+    /// Streams that their callers took up again.
+    resumptions: Family<ResumptionLabel, Counter>,
+    /// Own streams whose version was reported to other nodes.
+    pub(crate) origins_reported: Counter,
+    /// Streams whose version this node knows.
+    pub(crate) origins_known: Gauge,
     pub(crate) caller_left: Counter,
     pub(crate) worker_connections: Counter,
     pub(crate) placements: Family<PlacementLabel, Counter>,
@@ -230,6 +243,9 @@
             attempts: Counter::default(),
             attempts_failed: Counter::default(),
             streams_resumed: Counter::default(),
+            resumptions: Family::default(),
+            origins_reported: Counter::default(),
+            origins_known: Gauge::default(),
             caller_left: Counter::default(),
             worker_connections: Counter::default(),
             placements: Family::default(),
@@ -339,6 +355,12 @@
         self.held_bytes.get_or_create(&label).clone()
     }
 
+    /// Counts a stream that its caller took up again.
+    pub(crate) fn note_resumption(&self, outcome: &'static str) {
+        let label = ResumptionLabel { outcome };
+        self.resumptions.get_or_create(&label).inc();
+    }
+
     /// Counts a turn sent to an engine.
     pub(crate) fn note_placement(&self, is_at_home: bool) {
         let engine = if is_at_home { "home" } else { "other" };
@@ -444,6 +466,21 @@
             "Streams that a further attempt went on with",
             self.streams_resumed.clone(),
         );
+        registry.register(
+            "resumptions",
+            "Streams that their callers took up again, by where the version that began them was learned, or why they were refused",
+            self.resumptions.clone(),
+        );
+        registry.register(
+            "origins_reported",
+            "Streams whose version was reported to other nodes",
+            self.origins_reported.clone(),
+        );
+        registry.register(
+            "origins_known",
+            "Streams whose version is known here",
+            self.origins_known.clone(),
+        );
         registry.register(
             "caller_left",
             "Requests whose caller closed the connection first",
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -17,7 +17,7 @@
 use super::proofs::{self, ProofRequester};
 use super::quota_history::{self, HistoryRequester};
 use super::quotas::{self, QuotaSender};
-use super::{PROBE_INTERVAL, cross_zone, zones};
+use super::{PROBE_INTERVAL, cross_zone, stream_origins, worker_versions, zones};
 use crate::feed;
 use crate::gateway::Gateway;
 
@@ -30,6 +30,7 @@
 /// Runs the UDP loop until the process ends.
 pub(crate) async fn run_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     gateway.lessors.set_socket(&socket);
+    gateway.origins.set_socket(&socket);
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -65,6 +66,8 @@
                 prefix_sender.send_if_due(&gateway, &socket);
                 memory_sender.send_changes(&gateway, &socket);
                 feed::tick(&gateway, &socket);
+                worker_versions::ask_if_unknown(&gateway, &socket);
+                stream_origins::drop_old(&gateway);
                 cross_zone::report_zone_changes(&gateway);
                 continue;
             }
@@ -90,6 +93,10 @@
                         quota_history::receive(&gateway, &socket, from, message);
                         continue;
                     }
+                    Ok(GatewayDatagram::Versions(message)) => {
+                        worker_versions::receive(&gateway, &socket, from, message);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Parts(report)) => {
                         prefix_usage::receive(&gateway, report);
                         continue;
--- /dev/null
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -0,0 +1,317 @@
+//! Reports between nodes of the software versions that began streams, and questions for them, over UDP.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use elderworks_gateway_core::stream_versions::lookup::{
+    KnownOrigin, LookupStep, OriginAnswer, OriginLookup, OriginSource,
+};
+use elderworks_gateway_core::stream_versions::origins::{
+    ASKED_NODES, COPIES, StreamOrigins, holders,
+};
+use elderworks_gateway_core::stream_versions::{
+    ServiceVersions, SoftwareVersion, StreamKey, service_key,
+};
+use elderworks_protocol::gateway::{GatewayDatagram, VersionMessage, VersionsReport};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::gateway::Gateway;
+
+/// Time for which reports are collected, so that those to the same node share a datagram.
+const REPORT_DELAY: Duration = Duration::from_millis(5);
+
+/// Maximum number of streams in one datagram.
+const MAX_REPORTED_STREAMS: usize = 400;
+
+/// Time to wait for answers before the question is repeated, since datagrams can be lost; covers a
+/// round trip to another zone.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Number of times that nodes are asked for one stream.
+const ASK_ROUNDS: u32 = 2;
+
+/// This node's table of streams, and its questions to other nodes.
+#[derive(Debug, Default)]
+pub(crate) struct OriginExchange {
+    socket: OnceCell<Rc<UdpSocket>>,
+    pub(crate) streams: RefCell<StreamOrigins>,
+    /// Whether a task is about to send reports.
+    is_reporting: Cell<bool>,
+    /// Senders for the answers to open questions, by question number.
+    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<OriginAnswer>>>,
+}
+
+impl OriginExchange {
+    /// Sets the socket that messages are sent from.
+    pub(super) fn set_socket(&self, socket: &Rc<UdpSocket>) {
+        // Called only once, by the loop that receives the answers.
+        let _ = self.socket.set(socket.clone());
+    }
+
+    fn send(
+        &self,
+        gateway: &Gateway,
+        message: VersionMessage,
+        to: impl IntoIterator<Item = SocketAddr>,
+    ) {
+        if let Some(socket) = self.socket.get() {
+            super::send(gateway, socket, &GatewayDatagram::Versions(message), to);
+        }
+    }
+}
+
+/// Records that a worker of `version` sent the first event of a stream, and reports it to other nodes
+/// if the version can't be known without that.
+pub(crate) fn note_begun(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    stream: StreamKey,
+    version: SoftwareVersion,
+) {
+    let now = gateway.now();
+    let needs_report = gateway.service_versions(service).needs_reports();
+    let exchange = &gateway.origins;
+    let mut streams = exchange.streams.borrow_mut();
+    let is_due = streams.note_begun(now, stream, version, needs_report);
+    drop(streams);
+    if is_due {
+        report_soon(gateway);
+    }
+}
+
+/// Reports all own streams, because a service has got a further version.
+pub(crate) fn report_all(gateway: &Rc<Gateway>) {
+    if gateway.origins.streams.borrow_mut().report_all() {
+        report_soon(gateway);
+    }
+}
+
+fn report_soon(gateway: &Rc<Gateway>) {
+    if gateway.origins.is_reporting.replace(true) {
+        return;
+    }
+    let gateway = gateway.clone();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(REPORT_DELAY).await;
+        gateway.origins.is_reporting.set(false);
+        report(&gateway);
+    });
+}
+
+fn report(gateway: &Gateway) {
+    let exchange = &gateway.origins;
+    let due = exchange.streams.borrow_mut().take_unreported();
+    gateway.metrics.origins_reported.inc_by(due.len() as u64);
+    let mut by_node: BTreeMap<SocketAddr, Vec<(u64, u32)>> = BTreeMap::new();
+    {
+        let nodes = gateway.nodes.borrow();
+        let own = &gateway.settings.node;
+        let others = || {
+            let listed = nodes.iter().map(|(node, _)| node);
+            listed.filter(|node| *node != own && gateway.peers.is_alive(node))
+        };
+        for (stream, version) in due {
+            for node in holders(stream, others(), COPIES) {
+                if let Some(known) = nodes.get(node) {
+                    let streams = by_node.entry(known.record.peer_address).or_default();
+                    streams.push((stream.0, version.0));
+                }
+            }
+        }
+    }
+    for (address, streams) in by_node {
+        for part in streams.chunks(MAX_REPORTED_STREAMS) {
+            let streams = part.to_vec();
+            exchange.send(gateway, VersionMessage::Begun { streams }, [address]);
+        }
+    }
+}
+
+/// Returns the version that began a stream; `None` if it can't be determined. A stream whose caller
+/// doesn't name the attempt that began it can only be known if a single version was in use.
+pub(crate) async fn find_origin(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    stream: Option<StreamKey>,
+) -> Option<KnownOrigin> {
+    let now = gateway.now();
+    let own = stream.and_then(|stream| gateway.origins.streams.borrow().get(now, stream));
+    if let Some((version, age)) = own {
+        return Some(KnownOrigin {
+            version,
+            source: OriginSource::Own,
+            age: Some(age),
+        });
+    }
+    let versions = gateway.service_versions(service);
+    let found = match versions {
+        ServiceVersions::Sole(version) => Some(KnownOrigin {
+            version,
+            source: OriginSource::SoleVersion,
+            age: None,
+        }),
+        _ => ask(gateway, service, stream, versions).await,
+    };
+    if let (Some(known), Some(stream)) = (found, stream) {
+        let now = gateway.now();
+        let mut streams = gateway.origins.streams.borrow_mut();
+        streams.note_told(now, stream, known.version);
+    }
+    found
+}
+
+async fn ask(
+    gateway: &Rc<Gateway>,
+    service: &str,
+    stream: Option<StreamKey>,
+    own: ServiceVersions,
+) -> Option<KnownOrigin> {
+    let stream = stream.unwrap_or(StreamKey::NONE);
+    let asked = nodes_to_ask(gateway, stream);
+    let mut lookup = OriginLookup::start(own, asked.len());
+    let mut step = lookup.first_step();
+    let question = gateway.next_sequence();
+    let (sender, mut answers) = mpsc::unbounded_channel();
+    gateway
+        .origins
+        .pending
+        .borrow_mut()
+        .insert(question, sender);
+    let _guard = PendingGuard { gateway, question };
+    for _ in 0..ASK_ROUNDS {
+        if step != LookupStep::Wait {
+            break;
+        }
+        let message = VersionMessage::Asked {
+            question,
+            stream: stream.0,
+            service: service_key(service),
+        };
+        gateway
+            .origins
+            .send(gateway, message, asked.iter().copied());
+        let until = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+        while step == LookupStep::Wait {
+            match tokio::time::timeout_at(until, answers.recv()).await {
+                Ok(Some(answer)) => step = lookup.on_answer(answer),
+                Ok(None) | Err(_) => break,
+            }
+        }
+    }
+    if step == LookupStep::Wait {
+        step = lookup.on_timeout();
+    }
+    match step {
+        LookupStep::Known(known) => Some(known),
+        LookupStep::Wait | LookupStep::Unknown => None,
+    }
+}
+
+/// Returns the addresses of the nodes that may hold a stream's origin, and of the readers of this
+/// zone, which know the versions of all workers.
+fn nodes_to_ask(gateway: &Gateway, stream: StreamKey) -> Vec<SocketAddr> {
+    let nodes = gateway.nodes.borrow();
+    let own = &gateway.settings.node;
+    let others = nodes.iter().map(|(node, _)| node);
+    let others = others.filter(|node| *node != own);
+    let mut asked = holders(stream, others, ASKED_NODES);
+    let readers = match gateway.feed.depends_on_others() {
+        true => gateway.feed.readers(gateway),
+        false => Vec::new(),
+    };
+    let further = readers.iter().filter(|node| *node != own);
+    for reader in further {
+        if !asked.contains(&reader) {
+            asked.push(reader);
+        }
+    }
+    let addresses = asked
+        .into_iter()
+        .filter_map(|node| Some(nodes.get(node)?.record.peer_address));
+    addresses.collect()
+}
+
+/// Removes a question on drop, including when the request is cancelled.
+struct PendingGuard<'a> {
+    gateway: &'a Gateway,
+    question: u64,
+}
+
+impl Drop for PendingGuard<'_> {
+    fn drop(&mut self) {
+        let exchange = &self.gateway.origins;
+        exchange.pending.borrow_mut().remove(&self.question);
+    }
+}
+
+/// Handles another node's report.
+pub(super) fn receive_begun(gateway: &Gateway, streams: Vec<(u64, u32)>) {
+    let now = gateway.now();
+    let mut known = gateway.origins.streams.borrow_mut();
+    for (stream, version) in streams {
+        known.note_told(now, StreamKey(stream), SoftwareVersion(version));
+    }
+}
+
+/// Answers another node's question.
+pub(super) fn answer(gateway: &Gateway, to: SocketAddr, question: u64, stream: u64, service: u64) {
+    let now = gateway.now();
+    let origin = gateway.origins.streams.borrow().get(now, StreamKey(stream));
+    let versions = gateway.service_versions_by_key(service);
+    let told = VersionMessage::Told {
+        question,
+        origin: origin.map(|(version, _)| version.0),
+        versions: encode_versions(versions),
+    };
+    gateway.origins.send(gateway, told, [to]);
+}
+
+/// Passes an answer to the lookup that waits for it, if it still does.
+pub(super) fn receive_answer(
+    gateway: &Gateway,
+    question: u64,
+    origin: Option<u32>,
+    versions: VersionsReport,
+) {
+    if let Some(waiting) = gateway.origins.pending.borrow().get(&question) {
+        let answer = OriginAnswer {
+            origin: origin.map(SoftwareVersion),
+            versions: decode_versions(versions),
+        };
+        // The lookup may have ended.
+        let _ = waiting.send(answer);
+    }
+}
+
+/// Forgets streams that can't be resumed any more.
+pub(super) fn drop_old(gateway: &Gateway) {
+    let (now, lifetime) = (gateway.now(), gateway.stream_lifetime());
+    let mut streams = gateway.origins.streams.borrow_mut();
+    streams.drop_old(now, lifetime);
+    let count = i64::try_from(streams.len()).unwrap_or(i64::MAX);
+    gateway.metrics.origins_known.set(count);
+}
+
+pub(super) fn encode_versions(versions: ServiceVersions) -> VersionsReport {
+    match versions {
+        ServiceVersions::Unknown => VersionsReport::Unknown,
+        ServiceVersions::Recent(version) => VersionsReport::Recent(version.0),
+        ServiceVersions::Stale(version) => VersionsReport::Stale(version.0),
+        ServiceVersions::Sole(version) => VersionsReport::Sole(version.0),
+        ServiceVersions::Several => VersionsReport::Several,
+    }
+}
+
+pub(super) fn decode_versions(versions: VersionsReport) -> ServiceVersions {
+    match versions {
+        VersionsReport::Unknown => ServiceVersions::Unknown,
+        VersionsReport::Recent(version) => ServiceVersions::Recent(SoftwareVersion(version)),
+        VersionsReport::Stale(version) => ServiceVersions::Stale(SoftwareVersion(version)),
+        VersionsReport::Sole(version) => ServiceVersions::Sole(SoftwareVersion(version)),
+        VersionsReport::Several => ServiceVersions::Several,
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -231,6 +231,13 @@
     match watch::read_nodes(gateway, None).await {
         Ok(end) => {
             let own = &gateway.settings.node;
+            if gateway.nodes.borrow().count() == 0 {
+                gateway
+                    .workers
+                    .borrow_mut()
+                    .versions_mut()
+                    .note_first_start();
+            }
             if gateway.nodes.borrow().get(own).is_none() {
                 gateway.quotas.borrow_mut().note_new_machine();
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     pub partitions: u32,
     /// Time between the termination signal and the kill signal.
     pub grace: Duration,
+    /// Whether no node of the system has run before.
+    pub is_first_start: bool,
     /// Processor capacity in thousandths of a core.
     pub millicores: u32,
     /// Memory limit of the process in bytes.
--- a/crates/gateway/src/watch/workers.rs
+++ b/crates/gateway/src/watch/workers.rs
@@ -49,7 +49,7 @@
     }
 
     fn on_current(gateway: &Gateway, sent: Timestamp, _end: Offset) {
-        gateway.feed.note_workers_read(sent);
+        gateway.feed.note_workers_read(gateway, sent);
     }
 
     fn after_read(gateway: &Gateway) {
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -42,6 +42,70 @@
     /// A message by which a process that has started learns what the process before it forwarded.
     /// Ignored by earlier versions.
     QuotaHistory(QuotaHistoryMessage),
+    /// A message about the software versions of workers and of the streams that they began. Ignored by
+    /// earlier versions.
+    Versions(VersionMessage),
+}
+
+/// A message about the software versions of workers and of the streams that they began. Versions,
+/// streams, services and workers are given by their hashes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionMessage {
+    /// Streams that the sender has begun, with the version of the worker that sent the first event.
+    Begun {
+        /// Stream and version.
+        streams: Vec<(u64, u32)>,
+    },
+    /// Asks which version began a stream.
+    Asked {
+        /// Correlation id, repeated in the reply.
+        question: u64,
+        /// The stream.
+        stream: u64,
+        /// The service that is to resume it.
+        service: u64,
+    },
+    /// Reply to [`Self::Asked`].
+    Told {
+        /// Correlation id of the question.
+        question: u64,
+        /// Version that began the stream, if the sender knows it.
+        origin: Option<u32>,
+        /// Versions of the service.
+        versions: VersionsReport,
+    },
+    /// A reader's statement to the nodes that do not read the log.
+    InUse {
+        /// Services and their versions.
+        services: Vec<(u64, VersionsReport)>,
+    },
+    /// Asks a reader for the versions of workers.
+    WorkersAsked {
+        /// The workers.
+        workers: Vec<u32>,
+    },
+    /// Reply to [`Self::WorkersAsked`].
+    WorkersTold {
+        /// Names of versions.
+        versions: Vec<String>,
+        /// Workers and the positions of their versions in `versions`.
+        workers: Vec<(u32, u32)>,
+    },
+}
+
+/// The versions at which a service's streams may have begun, as far as the sender knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionsReport {
+    /// The sender doesn't know.
+    Unknown,
+    /// Only this version was seen, but not for long enough.
+    Recent(u32),
+    /// Only this version was seen for long enough, but the records of workers were not read lately.
+    Stale(u32),
+    /// Every stream that can still be resumed began at this version.
+    Sole(u32),
+    /// Several versions were in use.
+    Several,
 }
 
 /// A message about the requests that an earlier process of a node forwarded for tenants with a quota.
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -4,7 +4,7 @@
 use elderworks_protocol::feed::FeedHeartbeat;
 use elderworks_protocol::gateway::{
     ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, GrantDecision, LessorMessage,
-    LoadReport, LogReport, MemoryReport, QuotaHistoryMessage,
+    LoadReport, LogReport, MemoryReport, QuotaHistoryMessage, VersionMessage,
 };
 use elderworks_protocol::ledger::{GatewayFrame, LedgerRecord, LedgerReply, LedgerRequest};
 use elderworks_protocol::{decode, encode};
@@ -129,6 +129,9 @@
             node: NodeId::new("n1"),
             uptime_ms: 1,
         }),
+        GatewayDatagram::Versions(VersionMessage::Begun {
+            streams: vec![(1, 2)],
+        }),
     ] {
         assert!(variant_index(&encode(&datagram)) > LAST_DATAGRAM_INDEX);
     }
