gateway: the log records which versions of workers are in use, so that one version is known after a loss of all nodes

One node writes a record for each version of a service (keyed.versions) when it appears, and removes it once no stream that it began can be resumed; a process reads them at its start (one call), where a route is resumable. A record for each version rather than one of all: no writer can undo another's.

Left: if the log refuses the write for a second, a loss of all nodes follows and all workers of the new version vanish too, its streams would go on at the old one.

--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -1,6 +1,6 @@
 //! The serving configuration published by the operator: routes, services, tenants and limits.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::tenants::TenantTable;
@@ -201,6 +201,13 @@
         tries.max(MIN_STREAM_LIFETIME)
     }
 
+    /// Returns the services whose streams may be resumed at another node.
+    pub fn resumable_services(&self) -> BTreeSet<&str> {
+        let resumable = self.routes.iter().filter(|route| route.resumable);
+        let services = resumable.flat_map(|route| &route.services);
+        services.map(|weighted| weighted.service.as_str()).collect()
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/gateway-core/src/log_call_purpose.rs
+++ b/crates/gateway-core/src/log_call_purpose.rs
@@ -25,6 +25,10 @@
     RecordQuotaUse,
     /// Reads the recorded use of tenants' quotas.
     ReadQuotaUse,
+    /// Records the software versions in use.
+    RecordVersions,
+    /// Reads the recorded software versions.
+    ReadVersions,
 }
 
 impl LogCallPurpose {
@@ -57,6 +61,8 @@
             Self::Prove => "prove_configuration",
             Self::RecordQuotaUse => "put_quota_use",
             Self::ReadQuotaUse => "read_quota_use",
+            Self::RecordVersions => "put_versions",
+            Self::ReadVersions => "read_versions",
         }
     }
 }
--- a/crates/gateway-core/src/log_streams.rs
+++ b/crates/gateway-core/src/log_streams.rs
@@ -16,4 +16,6 @@
     Ledger(PartitionId),
     /// Recorded use of tenants' quotas, compacted to the newest record per group of tenants.
     QuotaUse,
+    /// Recorded software versions of workers, compacted to one record per service and version.
+    Versions,
 }
--- a/crates/gateway-core/src/stream_versions/history.rs
+++ b/crates/gateway-core/src/stream_versions/history.rs
@@ -1,10 +1,11 @@
 //! Which software versions the workers of each service have had.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use elderworks_types::Timestamp;
 
+use super::records::VersionRecord;
 use super::{ServiceVersions, SoftwareVersion, service_key};
 
 /// Number of workers by service and software version; `None` for workers whose version is unknown.
@@ -44,6 +45,15 @@
     is_partial: bool,
     /// What a reader has stated on the versions of services, by [`service_key`], and when.
     stated: BTreeMap<u64, (ServiceVersions, Timestamp)>,
+    /// What was recorded in the log before this process started.
+    recorded: Option<Recorded>,
+}
+
+/// The versions in use when this process started, as recorded in the log.
+#[derive(Clone, Debug)]
+struct Recorded {
+    read_at: Timestamp,
+    services: BTreeMap<u64, BTreeSet<SoftwareVersion>>,
 }
 
 impl VersionHistory {
@@ -60,8 +70,22 @@
         self.complete_since = None;
     }
 
+    /// Takes over the records of the versions that were in use when this process started.
+    pub fn take_recorded(&mut self, now: Timestamp, records: &[VersionRecord]) {
+        let mut services: BTreeMap<u64, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+        for record in records {
+            let versions = services.entry(record.service).or_default();
+            versions.insert(record.version);
+        }
+        self.recorded = Some(Recorded {
+            read_at: now,
+            services,
+        });
+    }
+
     /// Records that versions may have come and gone unseen until now.
     pub fn note_gap(&mut self, now: Timestamp) {
+        self.recorded = None;
         self.complete_since = Some(now);
     }
 
@@ -134,17 +158,40 @@
         }
     }
 
+    /// Returns the versions that were in use within the last `lifetime`, without unknown ones.
+    pub fn recent_versions(
+        &self,
+        service: &str,
+        now: Timestamp,
+        lifetime: Duration,
+    ) -> BTreeSet<SoftwareVersion> {
+        let recent = self.recent(service, now, lifetime);
+        recent.into_iter().flatten().collect()
+    }
+
+    /// Returns whether no version that was in use within the last `lifetime` can have been missed.
+    pub fn is_complete(&self, service: &str, now: Timestamp, lifetime: Duration) -> bool {
+        if self.is_partial {
+            return false;
+        }
+        let since_start = self.complete_since.map(|since| now.since(since));
+        since_start.is_none_or(|since| since >= lifetime) || self.recorded(service).is_some()
+    }
+
+    fn recorded(&self, service: &str) -> Option<&BTreeSet<SoftwareVersion>> {
+        let recorded = self.recorded.as_ref()?;
+        recorded.services.get(&service_key(service))
+    }
+
     fn observed(&self, service: &str, now: Timestamp, lifetime: Duration) -> ServiceVersions {
         let recent = self.recent(service, now, lifetime);
-        let version = match recent.as_slice() {
-            [Some(version)] => *version,
-            [] | [None] => return ServiceVersions::Unknown,
+        let mut recent = recent.iter();
+        let version = match (recent.next(), recent.next()) {
+            (Some(Some(version)), None) => *version,
+            (None, _) | (Some(None), None) => return ServiceVersions::Unknown,
             _ => return ServiceVersions::Several,
         };
-        let is_complete = !self.is_partial
-            && self
-                .complete_since
-                .is_none_or(|since| now.since(since) >= lifetime);
+        let is_complete = self.is_complete(service, now, lifetime);
         let is_fresh = self
             .read_at
             .is_some_and(|read| now.since(read) <= MAX_READ_AGE);
@@ -176,11 +223,16 @@
         service: &str,
         now: Timestamp,
         lifetime: Duration,
-    ) -> Vec<Option<SoftwareVersion>> {
+    ) -> BTreeSet<Option<SoftwareVersion>> {
         let versions = self.services.get(service).into_iter().flatten();
-        let recent =
-            versions.filter(|(_, seen)| seen.is_present || now.since(seen.last) < lifetime);
-        recent.map(|(version, _)| *version).collect()
+        let seen = versions
+            .filter(|(_, seen)| seen.is_present || now.since(seen.last) < lifetime)
+            .map(|(version, _)| *version);
+        let recorded = self.recorded.as_ref();
+        let recorded = recorded.filter(|recorded| now.since(recorded.read_at) < lifetime);
+        let recorded = recorded.and_then(|recorded| recorded.services.get(&service_key(service)));
+        let recorded = recorded.into_iter().flatten().map(|version| Some(*version));
+        seen.chain(recorded).collect()
     }
 }
 
--- a/crates/gateway-core/src/stream_versions/mod.rs
+++ b/crates/gateway-core/src/stream_versions/mod.rs
@@ -4,11 +4,13 @@
 //! generate doesn't fit together, so a stream may continue only at the version that began it. The
 //! node that begins a stream tells a few others its version ([`origins`]). A node at which a caller
 //! takes a stream up again looks there ([`lookup`]), unless the workers' records prove that a single
-//! version was in use ([`history`]).
+//! version was in use ([`history`]). The versions in use are recorded in the log, so that the proof
+//! doesn't need a node that survived ([`records`]).
 
 pub mod history;
 pub mod lookup;
 pub mod origins;
+pub mod records;
 
 use xxhash_rust::xxh3::xxh3_64;
 
--- /dev/null
+++ b/crates/gateway-core/src/stream_versions/records.rs
@@ -0,0 +1,95 @@
+//! Records of the software versions in use in the platform's log, for the case that all nodes restart.
+//!
+//! There is one record for each version of a service. It is written when the version appears, before
+//! its workers begin streams, and removed once no stream that they began can be resumed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use elderworks_types::Timestamp;
+
+use super::history::VersionHistory;
+use super::{SoftwareVersion, service_key};
+
+/// Identifies the record of one version of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct VersionRecord {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// The version.
+    pub version: SoftwareVersion,
+}
+
+impl VersionRecord {
+    /// Returns the record's key in the log.
+    pub fn key(self) -> String {
+        format!("{:016x}-{:08x}", self.service, self.version.0)
+    }
+
+    /// Parses a key written by [`Self::key`].
+    pub fn parse(key: &str) -> Option<Self> {
+        let (service, version) = key.split_once('-')?;
+        Some(Self {
+            service: u64::from_str_radix(service, 16).ok()?,
+            version: SoftwareVersion(u32::from_str_radix(version, 16).ok()?),
+        })
+    }
+}
+
+/// A change of the records in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordChange {
+    /// Writes a record.
+    Write(VersionRecord),
+    /// Removes a record.
+    Remove(VersionRecord),
+}
+
+/// The records as known to the node that maintains them.
+#[derive(Clone, Debug, Default)]
+pub struct VersionRecords {
+    in_log: BTreeSet<VersionRecord>,
+}
+
+impl VersionRecords {
+    /// Creates the state of a node that has read these records.
+    pub fn new(records: Vec<VersionRecord>) -> Self {
+        Self {
+            in_log: records.into_iter().collect(),
+        }
+    }
+
+    /// Records that a change has taken effect.
+    pub fn note_done(&mut self, change: RecordChange) {
+        match change {
+            RecordChange::Write(record) => self.in_log.insert(record),
+            RecordChange::Remove(record) => self.in_log.remove(&record),
+        };
+    }
+
+    /// Returns the changes that the log needs for these services.
+    pub fn due<'a>(
+        &self,
+        services: impl Iterator<Item = &'a str>,
+        history: &VersionHistory,
+        now: Timestamp,
+        lifetime: Duration,
+    ) -> Vec<RecordChange> {
+        let mut changes = Vec::new();
+        for name in services {
+            let service = service_key(name);
+            let recent = history.recent_versions(name, now, lifetime);
+            let record = |version| VersionRecord { service, version };
+            let missing = recent.iter().map(|version| record(*version));
+            let missing = missing.filter(|record| !self.in_log.contains(record));
+            changes.extend(missing.map(RecordChange::Write));
+            if !history.is_complete(name, now, lifetime) {
+                continue;
+            }
+            let of_service = self.in_log.iter().filter(|known| known.service == service);
+            let outdated = of_service.filter(|known| !recent.contains(&known.version));
+            changes.extend(outdated.map(|record| RecordChange::Remove(*record)));
+        }
+        changes
+    }
+}
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -17,6 +17,9 @@
 use elderworks_gateway_core::stream_versions::origins::{
     ASKED_NODES, COPIES, StreamOrigins, holders,
 };
+use elderworks_gateway_core::stream_versions::records::{
+    RecordChange, VersionRecord, VersionRecords,
+};
 use elderworks_gateway_core::stream_versions::{
     ServiceVersions, SoftwareVersion, StreamKey, StreamVersion, VersionRule, service_key,
 };
@@ -455,3 +458,83 @@
     }
     assert_eq!(missed, 0);
 }
+
+fn record(name: &str) -> VersionRecord {
+    VersionRecord {
+        service: service_key(SERVICE),
+        version: version(name),
+    }
+}
+
+#[test]
+fn recorded_versions_complete_the_history_of_a_process_that_has_just_started() {
+    let v1 = version("v1");
+    for (recorded, seen, expected) in [
+        (&["v1"][..], &["v1"][..], ServiceVersions::Sole(v1)),
+        (&["v1", "v2"], &["v1"], ServiceVersions::Several),
+        (&["v2"], &["v1"], ServiceVersions::Several),
+        (&["v1"], &["v1", "v2"], ServiceVersions::Several),
+        (&[], &["v1"], ServiceVersions::Recent(v1)),
+    ] {
+        let mut history = VersionHistory::starting(START);
+        let records: Vec<VersionRecord> = recorded.iter().map(|name| record(name)).collect();
+        history.take_recorded(START, &records);
+        let history = observed(history, &[(50, seen)]);
+        assert_eq!(
+            versions_at(&history, 50),
+            expected,
+            "{recorded:?}, {seen:?}"
+        );
+        // What was recorded before the start matters no longer than a stream lasts.
+        let history = observed(history, &[(10_000, &["v1"]), (20_100, &["v1"])]);
+        assert_eq!(versions_at(&history, 20_100), ServiceVersions::Sole(v1));
+    }
+}
+
+#[test]
+fn records_follow_the_versions_in_use() {
+    let mut records = VersionRecords::default();
+    let due = |records: &VersionRecords, history: &VersionHistory, at: u64| {
+        records.due([SERVICE].into_iter(), history, after(at), LIFETIME)
+    };
+    let mut history = VersionHistory::default();
+    history.note_first_start();
+    let history = observed(history, &[(0, &["v1"])]);
+    let write = RecordChange::Write(record("v1"));
+    assert_eq!(due(&records, &history, 0), [write]);
+    records.note_done(write);
+    assert!(due(&records, &history, 0).is_empty());
+    let history = observed(history, &[(1_000, &["v1", "v2"])]);
+    let write = RecordChange::Write(record("v2"));
+    assert_eq!(due(&records, &history, 1_000), [write]);
+    records.note_done(write);
+    let history = observed(history, &[(2_000, &["v2"]), (11_900, &["v2"])]);
+    assert!(due(&records, &history, 11_900).is_empty());
+    let history = observed(history, &[(12_000, &["v2"])]);
+    let remove = RecordChange::Remove(record("v1"));
+    assert_eq!(due(&records, &history, 12_000), [remove]);
+    records.note_done(remove);
+    assert!(due(&records, &history, 12_000).is_empty());
+}
+
+/// A node that has just started may not know of streams that a version without workers began.
+#[test]
+fn a_node_that_has_just_started_removes_no_record() {
+    let records = VersionRecords::new(vec![record("v1"), record("v2")]);
+    let history = observed(VersionHistory::starting(START), &[(0, &["v2"])]);
+    let due = |history: &VersionHistory, at| {
+        records.due([SERVICE].into_iter(), history, after(at), LIFETIME)
+    };
+    assert!(due(&history, 0).is_empty());
+    let history = observed(history, &[(10_000, &["v2"])]);
+    assert_eq!(due(&history, 10_000), [RecordChange::Remove(record("v1"))]);
+}
+
+#[test]
+fn a_record_is_its_key() {
+    let known = record("v1");
+    assert_eq!(VersionRecord::parse(&known.key()), Some(known));
+    for foreign in ["", "x-y", "0123", "12-"] {
+        assert_eq!(VersionRecord::parse(foreign), None, "{foreign}");
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -83,6 +83,8 @@
     pub(crate) lessors: Lessors,
     /// Versions that began streams, at this node and elsewhere.
     pub(crate) origins: OriginExchange,
+    /// Whether the versions that were recorded before this process started were read.
+    pub(crate) versions_read: watch::Sender<bool>,
     /// Programs started at this node by tenants with quotas.
     pub(crate) started_programs: RefCell<StartedPrograms>,
     /// Whether this node reads the log's streams, and what it receives of them from other nodes.
@@ -181,6 +183,7 @@
             engines: Engines::default(),
             lessors: Lessors::default(),
             origins: OriginExchange::default(),
+            versions_read: watch::Sender::new(false),
             started_programs: RefCell::default(),
             workers: RefCell::new(workers),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod socket;
 mod start;
 mod upstream;
+mod version_records;
 mod watch;
 
 pub use log_output::LogOutput;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -408,6 +408,7 @@
             Stream::Workers => "follow_workers",
             Stream::Nodes => "follow_nodes",
             Stream::QuotaUse => "read_quota_use",
+            Stream::Versions => "read_versions",
             Stream::Ledger(_) => "follow_ledger",
         };
         self.count_log_call(call, outcome);
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -31,6 +31,10 @@
 /// round trip to another zone.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Maximum time that a resumed stream waits until a node that has just started has read the records of
+/// versions.
+const MAX_RECORDS_WAIT: Duration = Duration::from_millis(100);
+
 /// Number of times that nodes are asked for one stream.
 const ASK_ROUNDS: u32 = 2;
 
@@ -147,6 +151,7 @@
             age: Some(age),
         });
     }
+    wait_for_records(gateway).await;
     let versions = gateway.service_versions(service);
     let found = match versions {
         ServiceVersions::Sole(version) => Some(KnownOrigin {
@@ -164,6 +169,17 @@
     found
 }
 
+/// Waits briefly until a node that has just started has read which versions were in use before.
+async fn wait_for_records(gateway: &Gateway) {
+    if gateway.uptime() >= gateway.stream_lifetime() {
+        return;
+    }
+    let mut read = gateway.versions_read.subscribe();
+    let reading = read.wait_for(|is_read| *is_read);
+    // Without the records, other nodes are asked.
+    let _ = actix_rt::time::timeout(MAX_RECORDS_WAIT, reading).await;
+}
+
 async fn ask(
     gateway: &Rc<Gateway>,
     service: &str,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -20,7 +20,7 @@
 use crate::gateway::{Gateway, Stage};
 use crate::ports::{Platform, StoreError};
 use crate::settings::GatewaySettings;
-use crate::{engines, ledger, peers, quota_records, server, socket, watch};
+use crate::{engines, ledger, peers, quota_records, server, socket, version_records, watch};
 
 /// Pause between attempts to write the node's entry.
 const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -116,6 +116,7 @@
     actix_rt::spawn(join(gateway.clone(), gossip_socket.clone()));
     actix_rt::spawn(engines::read_engines(gateway.clone()));
     actix_rt::spawn(quota_records::keep_quota_records(gateway.clone()));
+    actix_rt::spawn(version_records::keep_version_records(gateway.clone()));
     actix_rt::spawn(log_call_counts(gateway.clone()));
     Ok(RunningGateway {
         gateway,
