soak: engines of three versions come and go, callers take streams up again, and no stream may hold two versions

The soak played one version and its callers began an interrupted turn anew, so that ORDER could not break in it. Engines are now replaced by ones of v1, v2 and v3 (one that leaves stays until the fault heals, and v1 may come back); a caller whose resumable stream breaks off takes it up at any node with Last-Event-Id and Resumes; each event names the version that made it; events of two versions in one stream are a violation, and so is a missing or repeated event across attempts. Streams last 200 ms instead of 75, so that faults meet more of them. The report says how resumptions ended. The checker's own test covers the new checks.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that run programs of turns and tool calls, and record what they receive.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 
 use crate::fleet::EVENTS;
 use crate::standin::caller::{Answer, Connection, Request};
-use crate::standin::worker::{PADDING_HEADER, event, padding};
+use crate::standin::worker::{PADDING_HEADER, SOFTWARE_HEADER, event, padding, split_software};
 
 /// Tokens counted per event, as in the stand-in's configuration.
 pub const TOKENS_PER_EVENT: u64 = 10;
@@ -76,6 +76,12 @@
     pub program: String,
     pub input: String,
     pub previous: Option<String>,
+    /// Id of the first attempt that brought an event of the stream, if this one takes it up again.
+    pub resumes: Option<String>,
+    /// Number of events that the caller had when it sent the request.
+    pub had: u32,
+    /// Software versions of the workers that sent the events of this answer.
+    pub versions: BTreeSet<String>,
     /// `None` if the caller timed out or the connection closed without an answer.
     pub answer: Option<Answer>,
 }
@@ -87,8 +93,8 @@
         answer.is_some_and(|answer| answer.status == 200 && answer.is_whole)
     }
 
-    /// Returns the number of events that the caller received, or `None` if the answer is not a
-    /// prefix of the worker's stream.
+    /// Returns the number of events that the answer brought, or `None` if they don't continue those
+    /// that the caller had.
     pub fn events(&self) -> Option<u32> {
         let Some(answer) = &self.answer else {
             return Some(0);
@@ -97,9 +103,9 @@
             return Some(0);
         }
         let mut expected = String::new();
-        for number in 0..=EVENTS {
+        for number in self.had..=EVENTS {
             if answer.body == expected {
-                return Some(number);
+                return Some(number - self.had);
             }
             expected.push_str(&event(number + 1));
         }
@@ -107,6 +113,38 @@
     }
 }
 
+/// What a caller asks for.
+struct Order<'a> {
+    kind: Kind,
+    program: &'a str,
+    budget: u64,
+    previous: Option<String>,
+    /// The stream that is taken up again.
+    interrupted: Option<Interrupted>,
+}
+
+/// A stream that broke off after some events.
+struct Interrupted {
+    /// Id of the attempt that brought its first event.
+    began: String,
+    input: String,
+    /// Number of events that the caller has.
+    had: u32,
+}
+
+impl Interrupted {
+    /// Returns the stream that an attempt began or went on with; `None` if the caller has no event.
+    fn by(id: &str, record: &RequestRecord) -> Option<Self> {
+        let had = record.had + record.events().unwrap_or(0);
+        let began = record.resumes.clone().unwrap_or_else(|| id.to_owned());
+        (had > 0).then(|| Self {
+            began,
+            input: record.input.clone(),
+            had,
+        })
+    }
+}
+
 /// Requests of all callers by id, and the budget of each program in tokens.
 #[derive(Default)]
 pub struct Records {
@@ -116,6 +154,12 @@
 }
 
 impl Records {
+    /// Records a request, or its answer.
+    fn note(&self, id: &str, record: &RequestRecord) {
+        let mut requests = self.requests.borrow_mut();
+        requests.insert(id.to_owned(), record.clone());
+    }
+
     /// Returns a new number for a program or request.
     fn next_number(&self) -> u64 {
         self.last_number.set(self.last_number.get() + 1);
@@ -148,6 +192,7 @@
     async fn run_program(&self, random: &mut ChaCha8Rng) {
         let program = format!("program-{}", self.records.next_number());
         let kinds = [
+            Kind::Turn,
             Kind::Turn,
             Kind::TurnOnce,
             Kind::StoredTurn,
@@ -171,12 +216,20 @@
             previous = (kind == Kind::StoredTurn).then_some(turn);
             let tool = [Kind::SafeCall, Kind::CallOnce];
             let tool = *tool.choose(random).expect("some kinds");
-            self.send(random, tool, &program, 0, None).await;
+            let order = Order {
+                kind: tool,
+                program: &program,
+                budget: 0,
+                previous: None,
+                interrupted: None,
+            };
+            self.send(random, order).await;
         }
     }
 
     /// Runs a turn in up to [`MAX_ATTEMPTS`] attempts and returns the id of the successful request,
-    /// or `None` if the program cannot continue.
+    /// or `None` if the program cannot continue. A stream that may be resumed is taken up after its
+    /// last event.
     async fn turn(
         &self,
         random: &mut ChaCha8Rng,
@@ -185,50 +238,70 @@
         budget: u64,
         previous: &Option<String>,
     ) -> Option<String> {
+        let mut interrupted: Option<Interrupted> = None;
         for _ in 0..MAX_ATTEMPTS {
-            let previous = previous.clone();
-            let (id, answer) = self.send(random, kind, program, budget, previous).await;
-            match answer {
-                Some(answer) if answer.status == 200 && answer.is_whole => return Some(id),
-                Some(answer) if [402, 404].contains(&answer.status) => return None,
-                _ => actix_rt::time::sleep(RETRY_PAUSE).await,
+            let order = Order {
+                kind,
+                program,
+                budget,
+                previous: previous.clone(),
+                interrupted: interrupted.take(),
+            };
+            let (id, record) = self.send(random, order).await;
+            if record.is_complete_turn() {
+                return Some(id);
+            }
+            let status = record.answer.as_ref().map(|answer| answer.status);
+            if status.is_some_and(|status| [402, 404].contains(&status)) {
+                return None;
             }
+            interrupted = match kind {
+                Kind::Turn => Interrupted::by(&id, &record),
+                _ => None,
+            };
+            actix_rt::time::sleep(RETRY_PAUSE).await;
         }
         None
     }
 
     /// Sends a request to a random node and records it with its answer.
-    async fn send(
-        &self,
-        random: &mut ChaCha8Rng,
-        kind: Kind,
-        program: &str,
-        budget: u64,
-        previous: Option<String>,
-    ) -> (String, Option<Answer>) {
+    async fn send(&self, random: &mut ChaCha8Rng, order: Order<'_>) -> (String, RequestRecord) {
         let id = format!("request-{}", self.records.next_number());
-        let input = format!("input of {id} ");
+        let kind = order.kind;
+        let interrupted = order.interrupted;
+        let input = match &interrupted {
+            Some(interrupted) => interrupted.input.clone(),
+            None => format!("input of {id} "),
+        };
         let mut request = Request::new("POST", kind.path(), &id)
             .deadline(ANSWER_TIMEOUT.as_millis() as u64)
             .body(&input);
         if !matches!(kind, Kind::SafeCall | Kind::CallOnce) {
-            request = request.turn(program, budget, TURN_TOKENS);
+            request = request.turn(order.program, order.budget, TURN_TOKENS);
         }
-        if let Some(previous) = &previous {
+        if matches!(kind, Kind::Turn | Kind::TurnOnce) {
+            request = request.header(SOFTWARE_HEADER, "1");
+        }
+        if let Some(previous) = &order.previous {
             request = request.previous_turn(previous);
         }
-        let record = RequestRecord {
+        if let Some(interrupted) = &interrupted {
+            request = request
+                .header("Last-Event-Id", &interrupted.had.to_string())
+                .header("Resumes", &interrupted.began);
+        }
+        let mut record = RequestRecord {
             kind,
-            program: program.to_owned(),
+            program: order.program.to_owned(),
             input,
-            previous,
+            previous: order.previous,
+            had: interrupted.as_ref().map_or(0, |stream| stream.had),
+            resumes: interrupted.map(|stream| stream.began),
+            versions: BTreeSet::new(),
             answer: None,
         };
         // Recorded before it is sent, since a worker may run it before the answer arrives.
-        self.records
-            .requests
-            .borrow_mut()
-            .insert(id.clone(), record);
+        self.records.note(&id, &record);
         let node = *self.nodes.choose(random).expect("some nodes");
         let is_slow = self.delays_reading && matches!(kind, Kind::Turn | Kind::TurnOnce);
         let answer = match is_slow {
@@ -239,10 +312,13 @@
             false => self.exchange(&request, node).await,
         };
         let answer = answer.filter(|answer| answer.status != 0);
-        if let Some(record) = self.records.requests.borrow_mut().get_mut(&id) {
-            record.answer.clone_from(&answer);
-        }
-        (id, answer)
+        record.answer = answer.map(|answer| {
+            let (body, versions) = split_software(&answer.body);
+            record.versions = versions;
+            Answer { body, ..answer }
+        });
+        self.records.note(&id, &record);
+        (id, record)
     }
 
     /// Sends a request on an idle connection to the node, if there is one, or on a new connection.
--- a/crates/cli/tests/soak/checker_tests.rs
+++ b/crates/cli/tests/soak/checker_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the checks: each check accepts correct observations and detects violations.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::callers::{Kind, RequestRecord, TURN_TOKENS};
 use crate::checks::{Observations, violations};
@@ -27,6 +27,9 @@
         program: "p".to_owned(),
         input: "input ".to_owned(),
         previous: previous.map(str::to_owned),
+        resumes: None,
+        had: 0,
+        versions: BTreeSet::from(["v1".to_owned()]),
         answer,
     }
 }
@@ -206,3 +209,37 @@
         );
     }
 }
+
+/// An attempt that takes up a stream after `had` events and brings the rest from this version.
+fn resumption(had: u32, version: &str) -> RequestRecord {
+    let rest = (had + 1..=EVENTS).map(event).collect::<String>();
+    RequestRecord {
+        resumes: Some("a".to_owned()),
+        had,
+        versions: BTreeSet::from([version.to_owned()]),
+        ..record(Kind::Turn, None, Some(answer(200, &rest, true)))
+    }
+}
+
+#[test]
+fn a_stream_with_events_of_two_versions_is_a_violation() {
+    for (had, version, is_violation) in [(2, "v1", false), (2, "v2", true), (3, "v1", true)] {
+        let began = record(Kind::Turn, None, Some(answer(200, &stream(2), false)));
+        let mut resumed = resumption(had, version);
+        if had == 3 {
+            // The caller had two events: one is missing.
+            resumed.had = 2;
+        }
+        let observations = Observations {
+            requests: BTreeMap::from([("a".to_owned(), began), ("b".to_owned(), resumed)]),
+            budgets: BTreeMap::from([("p".to_owned(), TURN_TOKENS)]),
+            runs: Vec::new(),
+        };
+        let found = violations(&observations);
+        assert_eq!(
+            !found.is_empty(),
+            is_violation,
+            "{had} {version}: {found:?}"
+        );
+    }
+}
--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -1,6 +1,6 @@
 //! Checks of the system's guarantees against what callers and workers observed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::callers::{Kind, RequestRecord, TOKENS_PER_EVENT};
 use crate::fleet::EVENTS;
@@ -40,9 +40,26 @@
         found.extend(runs.filter_map(|run| check_run(id, run, record, requests)));
     }
     found.extend(check_budgets(observations));
+    found.extend(check_versions(requests));
     found
 }
 
+/// Checks that all events of a stream, over its caller's attempts, come from one software version.
+fn check_versions(requests: &BTreeMap<String, RequestRecord>) -> Vec<String> {
+    let mut streams: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for (id, record) in requests {
+        let stream = record.resumes.as_ref().unwrap_or(id);
+        let versions = record.versions.iter().map(String::as_str);
+        streams.entry(stream).or_default().extend(versions);
+    }
+    let mixed = streams
+        .into_iter()
+        .filter(|(_, versions)| versions.len() > 1);
+    mixed
+        .map(|(stream, versions)| format!("{stream}: events of the versions {versions:?}"))
+        .collect()
+}
+
 /// Groups runs by the id of their request.
 fn runs_by_request(runs: &[Run]) -> BTreeMap<&String, Vec<&Run>> {
     let mut by_request: BTreeMap<&String, Vec<&Run>> = BTreeMap::new();
@@ -69,7 +86,7 @@
         }
         Kind::Turn | Kind::TurnOnce | Kind::StoredTurn => match record.events() {
             None => Some("events are missing, repeated or out of order".to_owned()),
-            Some(events) if answer.is_whole && events < EVENTS => {
+            Some(events) if answer.is_whole && record.had + events < EVENTS => {
                 Some("a partial stream ended as complete".to_owned())
             }
             Some(_) => None,
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, VERSIONS};
 use crate::proxy::LinkFault;
 use crate::standin::platform::configuration;
 use crate::standin::store::StoreFault;
@@ -47,6 +48,9 @@
     },
     /// A worker misbehaves.
     Worker { worker: usize, behaviour: Behaviour },
+    /// One engine after another is replaced, at the same time by engines of these versions; healing
+    /// removes those that leave.
+    Release { versions: Vec<&'static str> },
     /// The store compacts the history of configurations, workers and nodes.
     Compact,
     /// `count` new configurations are published in immediate succession.
@@ -66,7 +70,7 @@
 pub fn draw(random: &mut ChaCha8Rng, fleet: &Fleet) -> (Fault, Duration) {
     let node = random.random_range(0..fleet.nodes.len());
     let worker = random.random_range(0..fleet.workers.len());
-    let fault = match random.random_range(0..20) {
+    let fault = match random.random_range(0..23) {
         0 | 1 => Fault::Pause { node },
         2 | 3 => Fault::Kill { node },
         4 => Fault::Stop { node },
@@ -98,6 +102,13 @@
         },
         16 | 17 => Fault::StopWhileStarting { node },
         18 => Fault::BlackholeStoreLink { node },
+        19..=21 => {
+            let count = random.random_range(1..=2);
+            let versions = (0..count).map(|_| *VERSIONS.choose(random).expect("some versions"));
+            Fault::Release {
+                versions: versions.collect(),
+            }
+        }
         _ => Fault::BlackholeWorkerLink { worker },
     };
     (
@@ -196,6 +207,11 @@
                 .worker
                 .set_behaviour(behaviour.clone());
         }
+        Fault::Release { versions } => {
+            for version in versions {
+                fleet.replace_engine(version);
+            }
+        }
         Fault::Compact => fleet.deployment.store.compact_keyed(),
         Fault::Configure { count } => {
             for index in 0..*count {
@@ -231,6 +247,7 @@
             let proxied = &fleet.workers[*worker];
             proxied.worker.set_behaviour(proxied.healthy_behaviour());
         }
+        Fault::Release { .. } => fleet.remove_leaving_engines(),
         Fault::Compact
         | Fault::Configure { .. }
         | Fault::BlackholeStoreLink { .. }
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -32,14 +32,17 @@
 /// Number of fleets started so far by this test process.
 static STARTED_FLEETS: AtomicUsize = AtomicUsize::new(0);
 
-/// Number of workers of each service.
+/// Number of workers of each service at any time.
 const WORKERS: usize = 3;
 
+/// Software versions of engines. The first one may come back after later ones.
+pub const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+
 /// Number of events in each stream.
 pub const EVENTS: u32 = 5;
 
 /// Pause between two events, in milliseconds.
-const EVENT_PAUSE_MS: u64 = 15;
+const EVENT_PAUSE_MS: u64 = 40;
 
 /// First port of each process. Every process has its own address, so the ports do not collide.
 const FIRST_PORT: u16 = 7_301;
@@ -158,6 +161,8 @@
     pub worker: Worker,
     pub service: &'static str,
     pub link: Proxy,
+    /// Whether it has announced that it leaves.
+    leaves: bool,
 }
 
 impl ProxiedWorker {
@@ -204,8 +209,8 @@
             address_slot: STARTED_FLEETS.fetch_add(1, Ordering::Relaxed) % ADDRESS_SLOTS,
         };
         for service in [ENGINES, TOOLS] {
-            for number in 0..WORKERS {
-                fleet.add_worker(service, &format!("{service}-{number}"));
+            for _ in 0..WORKERS {
+                fleet.add_worker(service, VERSIONS[0]);
             }
         }
         for number in 0..node_count(seed) {
@@ -225,13 +230,16 @@
     }
 
     /// Starts a worker behind a proxy and lists it in the store.
-    fn add_worker(&mut self, service: &'static str, id: &str) {
-        let worker = Worker::start(id, &[]);
+    fn add_worker(&mut self, service: &'static str, version: &str) {
+        let id = format!("{service}-{}", self.workers.len());
+        let worker = Worker::start(&id, &[]);
+        worker.set_software(version);
         let link = Proxy::start(worker.address);
         let proxied = ProxiedWorker {
             worker,
             service,
             link,
+            leaves: false,
         };
         proxied.worker.set_behaviour(proxied.healthy_behaviour());
         self.write_record(&proxied, "ready");
@@ -247,6 +255,25 @@
         store.put_worker(&worker.worker.id, &record);
     }
 
+    /// Replaces an engine: starts one of this version, and announces that the oldest one leaves.
+    pub fn replace_engine(&mut self, version: &str) {
+        self.add_worker(ENGINES, version);
+        let stays = |proxied: &ProxiedWorker| proxied.service == ENGINES && !proxied.leaves;
+        let oldest = self.workers.iter().position(stays);
+        let oldest = oldest.expect("one was just added");
+        self.workers[oldest].leaves = true;
+        self.write_record(&self.workers[oldest], "draining");
+    }
+
+    /// Removes the records of the engines that have announced that they leave.
+    pub fn remove_leaving_engines(&self) {
+        let leaving = self.workers.iter().filter(|proxied| proxied.leaves);
+        for proxied in leaving {
+            let store = &self.deployment.store;
+            store.put_worker(&proxied.worker.id, b"");
+        }
+    }
+
     fn new_node(&self, number: usize) -> Node {
         let process = std::process::id().to_be_bytes();
         let host = 2 + self.address_slot * LARGE_ROUND_NODES + number;
--- a/crates/cli/tests/soak/round.rs
+++ b/crates/cli/tests/soak/round.rs
@@ -1,6 +1,7 @@
 //! One round: injects the faults of a seed, then checks that the system recovers.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -168,16 +169,33 @@
     panic!("the system did not recover after the faults");
 }
 
+/// Returns how often streams that callers took up again ended in which way.
+fn resumption_ends(records: &Records) -> BTreeMap<String, usize> {
+    let mut ends = BTreeMap::new();
+    let requests = records.requests.borrow();
+    for record in requests.values().filter(|record| record.resumes.is_some()) {
+        let end = match &record.answer {
+            None => "no answer".to_owned(),
+            Some(answer) if answer.status == 200 && answer.is_whole => "whole".to_owned(),
+            Some(answer) if answer.status == 200 => "broke off".to_owned(),
+            Some(answer) => answer.body.clone(),
+        };
+        *ends.entry(end).or_default() += 1;
+    }
+    ends
+}
+
 /// Prints a summary of the round.
 fn report(seed: u64, nodes: usize, records: &Records, schedule: &[String]) {
     let requests = records.requests.borrow();
     println!(
-        "seed {seed}: {nodes} processes, {} faults, {} requests, {} answered whole",
+        "seed {seed}: {nodes} processes, {} faults, {} requests, {} answered whole, streams taken up again: {:?}",
         schedule.len(),
         requests.len(),
         requests
             .values()
             .filter(|record| record.is_complete_turn())
             .count(),
+        resumption_ends(records),
     );
 }
