--- a/crates/gateway-core/src/stream_versions/records.rs
+++ b/crates/gateway-core/src/stream_versions/records.rs
@@ -6,10 +6,16 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use elderworks_types::Timestamp;
+use elderworks_types::{NodeId, Timestamp};
 
 use super::history::VersionHistory;
-use super::{SoftwareVersion, service_key};
+use super::origins::holders;
+use super::{SoftwareVersion, StreamKey, service_key};
+
+/// Returns the node that maintains the records, of those that serve callers.
+pub fn recorder<'a>(nodes: impl Iterator<Item = &'a NodeId>) -> Option<&'a NodeId> {
+    holders(StreamKey::NONE, nodes, 1).pop()
+}
 
 /// Identifies the record of one version of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 mod quotas;
 mod serve;
 mod stream_origins;
+mod version_messages;
 mod worker_versions;
 mod zones;
 
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -17,7 +17,7 @@
 use super::proofs::{self, ProofRequester};
 use super::quota_history::{self, HistoryRequester};
 use super::quotas::{self, QuotaSender};
-use super::{PROBE_INTERVAL, cross_zone, stream_origins, worker_versions, zones};
+use super::{PROBE_INTERVAL, cross_zone, stream_origins, version_messages, worker_versions, zones};
 use crate::feed;
 use crate::gateway::Gateway;
 
@@ -94,7 +94,7 @@
                         continue;
                     }
                     Ok(GatewayDatagram::Versions(message)) => {
-                        worker_versions::receive(&gateway, &socket, from, message);
+                        version_messages::receive(&gateway, &socket, from, message);
                         continue;
                     }
                     Ok(GatewayDatagram::Parts(report)) => {
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -19,6 +19,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::version_messages;
 use crate::gateway::Gateway;
 
 /// Time for which reports are collected, so that those to the same node share a datagram.
@@ -159,6 +160,8 @@
             source: OriginSource::SoleVersion,
             age: None,
         }),
+        // No node can tell the version of a stream that isn't named.
+        ServiceVersions::Several if stream.is_none() => None,
         _ => ask(gateway, service, stream, versions).await,
     };
     if let (Some(known), Some(stream)) = (found, stream) {
@@ -281,7 +284,7 @@
     let told = VersionMessage::Told {
         question,
         origin: origin.map(|(version, _)| version.0),
-        versions: encode_versions(versions),
+        versions: version_messages::encode_versions(versions),
     };
     gateway.origins.send(gateway, told, [to]);
 }
@@ -296,7 +299,7 @@
     if let Some(waiting) = gateway.origins.pending.borrow().get(&question) {
         let answer = OriginAnswer {
             origin: origin.map(SoftwareVersion),
-            versions: decode_versions(versions),
+            versions: version_messages::decode_versions(versions),
         };
         // The lookup may have ended.
         let _ = waiting.send(answer);
@@ -311,23 +314,3 @@
     let count = i64::try_from(streams.len()).unwrap_or(i64::MAX);
     gateway.metrics.origins_known.set(count);
 }
-
-pub(super) fn encode_versions(versions: ServiceVersions) -> VersionsReport {
-    match versions {
-        ServiceVersions::Unknown => VersionsReport::Unknown,
-        ServiceVersions::Recent(version) => VersionsReport::Recent(version.0),
-        ServiceVersions::Stale(version) => VersionsReport::Stale(version.0),
-        ServiceVersions::Sole(version) => VersionsReport::Sole(version.0),
-        ServiceVersions::Several => VersionsReport::Several,
-    }
-}
-
-pub(super) fn decode_versions(versions: VersionsReport) -> ServiceVersions {
-    match versions {
-        VersionsReport::Unknown => ServiceVersions::Unknown,
-        VersionsReport::Recent(version) => ServiceVersions::Recent(SoftwareVersion(version)),
-        VersionsReport::Stale(version) => ServiceVersions::Stale(SoftwareVersion(version)),
-        VersionsReport::Sole(version) => ServiceVersions::Sole(SoftwareVersion(version)),
-        VersionsReport::Several => ServiceVersions::Several,
-    }
-}
--- a/crates/gateway/src/peers/worker_versions.rs
+++ b/crates/gateway/src/peers/worker_versions.rs
@@ -2,13 +2,14 @@
 //! in use, and tell the versions of single workers when asked.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::stream_versions::service_key;
 use elderworks_protocol::gateway::{GatewayDatagram, VersionMessage, VersionsReport};
 use tokio::net::UdpSocket;
 
-use super::stream_origins;
+use super::version_messages;
 use crate::feed;
 use crate::gateway::Gateway;
 
@@ -23,7 +24,7 @@
     let history = workers.versions();
     let services = history.services().map(|service| {
         let versions = history.versions(service, now, lifetime);
-        let report = stream_origins::encode_versions(versions);
+        let report = version_messages::encode_versions(versions);
         (service_key(service), report)
     });
     GatewayDatagram::Versions(VersionMessage::InUse {
@@ -53,48 +54,23 @@
     super::send(gateway, socket, &asked, [address]);
 }
 
-/// Handles another node's message.
-pub(super) fn receive(
-    gateway: &std::rc::Rc<Gateway>,
-    socket: &UdpSocket,
-    from: SocketAddr,
-    message: VersionMessage,
-) {
-    match message {
-        VersionMessage::Begun { streams } => stream_origins::receive_begun(gateway, streams),
-        VersionMessage::Asked {
-            question,
-            stream,
-            service,
-        } => stream_origins::answer(gateway, from, question, stream, service),
-        VersionMessage::Told {
-            question,
-            origin,
-            versions,
-        } => stream_origins::receive_answer(gateway, question, origin, versions),
-        VersionMessage::InUse { services } => note_statement(gateway, services),
-        VersionMessage::WorkersAsked { workers } => tell_workers(gateway, socket, from, &workers),
-        VersionMessage::WorkersTold { versions, workers } => {
-            take_workers(gateway, &versions, &workers);
-        }
-    }
-}
-
-fn note_statement(gateway: &Gateway, services: Vec<(u64, VersionsReport)>) {
+/// Handles a reader's statement.
+pub(super) fn note_statement(gateway: &Gateway, services: Vec<(u64, VersionsReport)>) {
     if !gateway.feed.depends_on_others() {
         return;
     }
     let now = gateway.now();
     let mut workers = gateway.workers.borrow_mut();
     for (service, versions) in services {
-        let versions = stream_origins::decode_versions(versions);
+        let versions = version_messages::decode_versions(versions);
         workers
             .versions_mut()
             .note_statement(now, service, versions);
     }
 }
 
-fn tell_workers(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, asked: &[u32]) {
+/// Answers a question for the versions of workers.
+pub(super) fn tell_workers(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, asked: &[u32]) {
     let mut versions: Vec<String> = Vec::new();
     let mut told = Vec::new();
     {
@@ -127,7 +103,8 @@
     }
 }
 
-fn take_workers(gateway: &std::rc::Rc<Gateway>, versions: &[String], told: &[(u32, u32)]) {
+/// Handles the answer to such a question.
+pub(super) fn take_workers(gateway: &Rc<Gateway>, versions: &[String], told: &[(u32, u32)]) {
     let mut has_new = false;
     {
         let mut workers = gateway.workers.borrow_mut();
--- a/crates/gateway/src/version_records.rs
+++ b/crates/gateway/src/version_records.rs
@@ -8,10 +8,8 @@
 use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::log_call_purpose::LogCallPurpose;
 use elderworks_gateway_core::log_streams::Stream;
-use elderworks_gateway_core::stream_versions::StreamKey;
-use elderworks_gateway_core::stream_versions::origins::holders;
 use elderworks_gateway_core::stream_versions::records::{
-    RecordChange, VersionRecord, VersionRecords,
+    RecordChange, VersionRecord, VersionRecords, recorder,
 };
 
 use crate::gateway::Gateway;
@@ -65,8 +63,7 @@
 
 fn is_recorder(gateway: &Gateway) -> bool {
     let serving = gateway.serving.borrow();
-    let recorder = holders(StreamKey::NONE, serving.iter(), 1);
-    recorder == [&gateway.settings.node]
+    recorder(serving.iter()) == Some(&gateway.settings.node)
 }
 
 /// Reads the records until that succeeds, or what they say would no longer matter.
