gateway: a stream goes on at a worker that is leaving if no other one of its version is left

They may be used for half of the notice by streams that they alone can continue, if the node learned of it while it read the log without delay (last read at most 0.7 s old), so that no request comes later than the notice allows; new streams and all other requests pass them over as before.

Tables: a_worker_that_leaves_continues_streams_that_no_other_one_of_its_version_can, a_worker_whose_leaving_may_be_old_news_continues_nothing.

--- a/crates/gateway-core/src/balancer.rs
+++ b/crates/gateway-core/src/balancer.rs
@@ -75,6 +75,21 @@
                 .filter(|worker| !workers.is_throttled(worker, now))
                 .min_by_key(|worker| fallback_rank(workers, worker, query, now))
         })
+        .or_else(|| choose_leaving(workers, query, now))
+}
+
+/// Returns a worker that is leaving, for a stream that no other worker may continue.
+fn choose_leaving<'a>(
+    workers: &'a WorkerDirectory,
+    query: &PlacementQuery<'a>,
+    now: Timestamp,
+) -> Option<&'a Worker> {
+    let VersionRule::Only(version) = query.versions else {
+        return None;
+    };
+    workers
+        .leaving(query.service, version, now)
+        .min_by_key(|worker| fallback_rank(workers, worker, query, now))
 }
 
 /// Returns the workers that accept requests and whose software version may run this one.
--- a/crates/gateway-core/src/stream_versions/history.rs
+++ b/crates/gateway-core/src/stream_versions/history.rs
@@ -158,6 +158,12 @@
         }
     }
 
+    /// Returns whether the workers' records were read so recently that what they say is hardly older.
+    pub fn is_fresh(&self, now: Timestamp) -> bool {
+        self.read_at
+            .is_some_and(|read| now.since(read) <= MAX_READ_AGE)
+    }
+
     /// Returns the versions that were in use within the last `lifetime`, without unknown ones.
     pub fn recent_versions(
         &self,
@@ -192,10 +198,7 @@
             _ => return ServiceVersions::Several,
         };
         let is_complete = self.is_complete(service, now, lifetime);
-        let is_fresh = self
-            .read_at
-            .is_some_and(|read| now.since(read) <= MAX_READ_AGE);
-        match (is_complete, is_fresh) {
+        match (is_complete, self.is_fresh(now)) {
             (true, true) => ServiceVersions::Sole(version),
             (true, false) => ServiceVersions::Stale(version),
             (false, _) => ServiceVersions::Recent(version),
--- a/crates/gateway-core/src/workers/mod.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -89,6 +89,8 @@
     next_cold_request: Timestamp,
     /// Set while the record is gone: until when the worker is a last resort.
     missing_until: Option<Timestamp>,
+    /// When this node learned that the worker is draining, if it learned it without delay.
+    draining_since: Option<Timestamp>,
 }
 
 impl Worker {
@@ -145,6 +147,8 @@
     outage_ended: Option<Timestamp>,
     /// Software versions of the workers over time.
     versions: VersionHistory,
+    /// How long a worker that has announced its end continues streams of its version.
+    drain_use: Duration,
 }
 
 impl WorkerDirectory {
@@ -180,6 +184,11 @@
                     record.software = known.record.software.take();
                 }
                 known.software = record.software.as_deref().map(SoftwareVersion::of);
+                known.draining_since = match (known.record.draining, record.draining) {
+                    (false, true) => self.versions.is_fresh(now).then_some(now),
+                    (true, true) => known.draining_since,
+                    (_, false) => None,
+                };
                 let is_unchanged =
                     known.record.eq_ignoring_cold_left(&record) && known.missing_until.is_none();
                 known.record = record;
@@ -202,6 +211,7 @@
             cold_until,
             next_cold_request: Timestamp::default(),
             missing_until: None,
+            draining_since: None,
         };
         let key = worker.key;
         match self.workers.insert(worker.record.id.clone(), worker) {
--- a/crates/gateway-core/src/workers/versions.rs
+++ b/crates/gateway-core/src/workers/versions.rs
@@ -1,5 +1,7 @@
 //! Software versions of the workers, and which workers a request may use because of them.
 
+use std::time::Duration;
+
 use elderworks_types::Timestamp;
 
 use super::{Worker, WorkerDirectory};
@@ -14,6 +16,29 @@
         self
     }
 
+    /// Sets how long a worker that has announced its end continues streams that no other worker of its
+    /// version can; zero for not at all.
+    pub fn with_drain_use(mut self, drain_use: Duration) -> Self {
+        self.drain_use = drain_use;
+        self
+    }
+
+    /// Returns the workers of a version that have announced their end a short time ago.
+    pub fn leaving<'a>(
+        &'a self,
+        service: &'a str,
+        version: SoftwareVersion,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a Worker> {
+        self.known(service).filter(move |worker| {
+            let since = worker.draining_since.map(|since| now.since(since));
+            worker.software == Some(version)
+                && worker.missing_until.is_none()
+                && !self.closed_zones.contains(&worker.record.zone)
+                && since.is_some_and(|since| since < self.drain_use)
+        })
+    }
+
     /// Returns the software versions of the workers over time.
     pub fn versions(&self) -> &VersionHistory {
         &self.versions
@@ -38,12 +63,14 @@
         }
     }
 
-    /// Returns whether a worker of a version accepts requests, or is a last resort for them.
+    /// Returns whether a worker of a version accepts requests, is a last resort for them or may still
+    /// continue streams.
     pub fn serves_version(&self, service: &str, version: SoftwareVersion, now: Timestamp) -> bool {
         let mut workers = self
             .accepting(service)
             .chain(self.last_resort(service, now));
         workers.any(|worker| worker.software == Some(version))
+            || self.leaving(service, version, now).next().is_some()
     }
 
     /// Records the software version of a worker that a reader has told; returns whether it was
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -538,3 +538,48 @@
         assert_eq!(VersionRecord::parse(foreign), None, "{foreign}");
     }
 }
+
+#[test]
+fn a_worker_that_leaves_continues_streams_that_no_other_one_of_its_version_can() {
+    let drain_use = Duration::from_secs(1);
+    let mut workers = directory(&[("w1", "v1"), ("w2", "v2")], START).with_drain_use(drain_use);
+    let bound = StreamVersion::Bound(version("v1")).rule(true);
+    let leaving = |id: &str| WorkerRecord {
+        draining: true,
+        software: Some("v1".to_owned()),
+        ..common::engine(id, "a")
+    };
+    workers.versions_mut().note_read(after(100));
+    workers.upsert(leaving("w1"), after(200));
+    assert_eq!(used(&workers, bound, after(1_100)), ["w1"]);
+    assert!(workers.serves_version(SERVICE, version("v1"), after(1_100)));
+    // New streams go elsewhere, and so do bound ones while another worker accepts them.
+    assert_eq!(used(&workers, VersionRule::Any, after(300)), ["w2"]);
+    let mut with_another = workers.clone();
+    add(&mut with_another, &[("w3", "v1")], after(300));
+    assert_eq!(used(&with_another, bound, after(300)), ["w3"]);
+    // The announcement may be repeated; the time runs from the first one.
+    workers.upsert(leaving("w1"), after(1_000));
+    assert!(used(&workers, bound, after(1_200)).is_empty());
+    assert!(!workers.serves_version(SERVICE, version("v1"), after(1_200)));
+}
+
+#[test]
+fn a_worker_whose_leaving_may_be_old_news_continues_nothing() {
+    let drain_use = Duration::from_secs(1);
+    let bound = StreamVersion::Bound(version("v1")).rule(true);
+    let leaving = WorkerRecord {
+        draining: true,
+        ..common::engine("w1", "a")
+    };
+    // The records were not read for a while.
+    let mut workers = directory(&[("w1", "v1")], START).with_drain_use(drain_use);
+    workers.versions_mut().note_read(START);
+    workers.upsert(leaving.clone(), after(800));
+    assert!(used(&workers, bound, after(800)).is_empty());
+    // The worker is first seen while it leaves.
+    let mut workers = directory(&[("w2", "v2")], START).with_drain_use(drain_use);
+    workers.versions_mut().note_read(START);
+    workers.upsert(leaving, START);
+    assert!(used(&workers, bound, START).is_empty());
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,6 +56,10 @@
 /// waits two seconds for new records.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Divisor of the notice of a worker's end that gives the time for which it continues streams of its
+/// version. The rest covers the time until this node learned of it, and the streams' own.
+const DRAIN_USE_DIVISOR: u32 = 2;
+
 /// State shared by all tasks of the process, which run on one thread.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -155,6 +159,7 @@
         let workers = WorkerDirectory::new(policy)
             .with_cold_senders(cold)
             .with_versions(versions)
+            .with_drain_use(settings.drain_notice / DRAIN_USE_DIVISOR)
             .with_own_zone(settings.zone.as_str());
         Rc::new(Self {
             peers: Peers::new(&settings),
