gateway: a node that answers the question for a stream twice counts once

Found on reading: the question is repeated for nodes that are silent, but all were asked again, and a second answer counted as that of another node, so that the lookup could end as unknown before the node that holds the copy was heard. Only the silent ones are asked again, and an answer counts for the node that it comes from. The question, its answers and its end are a type of their own; the log line of a resumption too has its function.

--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -100,20 +100,11 @@
             return Ok(());
         }
         let started = Instant::now();
-        let origin = self.find_origin().await;
+        let stream = self.attributes.resumes.as_deref().map(StreamKey::of);
+        let origin = peers::find_origin(self.gateway, &self.service, stream).await;
         let outcome = self.bind(origin);
         self.gateway.metrics.note_resumption(outcome.name());
-        log::info!(
-            request = self.attributes.request_id.as_deref().unwrap_or_default(),
-            resumes = self.attributes.resumes.as_deref().unwrap_or_default(),
-            service = self.service.as_str(),
-            versions:? = self.gateway.service_versions(&self.service),
-            version:? = origin.map(|origin| origin.version.0),
-            known_ms = origin.and_then(|origin| origin.age).map_or(-1, |age| millis(Some(age))),
-            source = origin.map_or("", |origin| origin.source.name()),
-            ms = started.elapsed().as_millis();
-            "stream to be resumed: {}", outcome.name()
-        );
+        self.log_resumption(origin, outcome, started.elapsed());
         match outcome {
             ResumptionOutcome::Bound(_) => Ok(()),
             ResumptionOutcome::NoWorker => {
@@ -129,9 +120,23 @@
         }
     }
 
-    async fn find_origin(&self) -> Option<KnownOrigin> {
-        let stream = self.attributes.resumes.as_deref().map(StreamKey::of);
-        peers::find_origin(self.gateway, &self.service, stream).await
+    fn log_resumption(
+        &self,
+        origin: Option<KnownOrigin>,
+        outcome: ResumptionOutcome,
+        took: Duration,
+    ) {
+        let age = origin.and_then(|origin| origin.age);
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            resumes = self.attributes.resumes.as_deref().unwrap_or_default(),
+            service = self.service.as_str(),
+            versions:? = self.gateway.service_versions(&self.service),
+            version:? = origin.map(|origin| origin.version.0),
+            source = origin.map_or("", |origin| origin.source.name()),
+            known_ms = millis(age), ms = took.as_millis();
+            "stream to be resumed: {}", outcome.name()
+        );
     }
 
     fn bind(&mut self, origin: Option<KnownOrigin>) -> ResumptionOutcome {
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -47,7 +47,7 @@
     /// Whether a task is about to send reports.
     is_reporting: Cell<bool>,
     /// Senders for the answers to open questions, by question number.
-    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<OriginAnswer>>>,
+    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, OriginAnswer)>>>,
 }
 
 impl OriginExchange {
@@ -215,36 +215,22 @@
     stream: StreamKey,
     own: ServiceVersions,
 ) -> Option<KnownOrigin> {
-    let asked = nodes_to_ask(gateway, stream);
-    let mut lookup = OriginLookup::start(own, asked.len());
+    let mut silent = nodes_to_ask(gateway, stream);
+    let mut lookup = OriginLookup::start(own, silent.len());
     let mut step = lookup.first_step();
-    let question = gateway.next_sequence();
-    let (sender, mut answers) = mpsc::unbounded_channel();
-    gateway
-        .origins
-        .pending
-        .borrow_mut()
-        .insert(question, sender);
-    let _guard = PendingGuard { gateway, question };
+    let mut question = Question::open(gateway);
     for _ in 0..ASK_ROUNDS {
         if step != LookupStep::Wait {
             break;
         }
         let message = VersionMessage::Asked {
-            question,
+            question: question.id,
             stream: stream.0,
             service: service_key(service),
         };
-        gateway
-            .origins
-            .send(gateway, message, asked.iter().copied());
-        let until = tokio::time::Instant::now() + ANSWER_TIMEOUT;
-        while step == LookupStep::Wait {
-            match tokio::time::timeout_at(until, answers.recv()).await {
-                Ok(Some(answer)) => step = lookup.on_answer(answer),
-                Ok(None) | Err(_) => break,
-            }
-        }
+        let to = silent.iter().copied();
+        gateway.origins.send(gateway, message, to);
+        step = question.take_answers(&mut lookup, &mut silent).await;
     }
     if step == LookupStep::Wait {
         step = lookup.on_timeout();
@@ -255,6 +241,57 @@
     }
 }
 
+/// An open question. Dropping it discards later answers, also when the request is cancelled.
+struct Question<'a> {
+    gateway: &'a Gateway,
+    id: u64,
+    answers: mpsc::UnboundedReceiver<(SocketAddr, OriginAnswer)>,
+}
+
+impl<'a> Question<'a> {
+    fn open(gateway: &'a Gateway) -> Self {
+        let id = gateway.next_sequence();
+        let (sender, answers) = mpsc::unbounded_channel();
+        let pending = &gateway.origins.pending;
+        pending.borrow_mut().insert(id, sender);
+        Self {
+            gateway,
+            id,
+            answers,
+        }
+    }
+
+    /// Passes answers to a lookup until it is decided, all have answered or the time is over. Nodes
+    /// that answer are removed from `silent`, so that a repeated answer doesn't count twice.
+    async fn take_answers(
+        &mut self,
+        lookup: &mut OriginLookup,
+        silent: &mut Vec<SocketAddr>,
+    ) -> LookupStep {
+        let until = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+        while let Ok(Some((from, answer))) =
+            tokio::time::timeout_at(until, self.answers.recv()).await
+        {
+            let Some(position) = silent.iter().position(|node| *node == from) else {
+                continue;
+            };
+            silent.swap_remove(position);
+            let step = lookup.on_answer(answer);
+            if step != LookupStep::Wait {
+                return step;
+            }
+        }
+        LookupStep::Wait
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        let pending = &self.gateway.origins.pending;
+        pending.borrow_mut().remove(&self.id);
+    }
+}
+
 /// Returns the addresses of the nodes that may hold a stream's origin, and of the readers of this
 /// zone, which know the versions of all workers.
 fn nodes_to_ask(gateway: &Gateway, stream: StreamKey) -> Vec<SocketAddr> {
@@ -279,19 +316,6 @@
     addresses.collect()
 }
 
-/// Removes a question on drop, including when the request is cancelled.
-struct PendingGuard<'a> {
-    gateway: &'a Gateway,
-    question: u64,
-}
-
-impl Drop for PendingGuard<'_> {
-    fn drop(&mut self) {
-        let exchange = &self.gateway.origins;
-        exchange.pending.borrow_mut().remove(&self.question);
-    }
-}
-
 /// Handles another node's report.
 pub(super) fn receive_begun(gateway: &Gateway, streams: Vec<(u64, u32)>) {
     let now = gateway.now();
@@ -317,6 +341,7 @@
 /// Passes an answer to the lookup that waits for it, if it still does.
 pub(super) fn receive_answer(
     gateway: &Gateway,
+    from: SocketAddr,
     question: u64,
     origin: Option<u32>,
     versions: VersionsReport,
@@ -327,7 +352,7 @@
             versions: version_messages::decode_versions(versions),
         };
         // The lookup may have ended.
-        let _ = waiting.send(answer);
+        let _ = waiting.send((from, answer));
     }
 }
 
--- a/crates/gateway/src/peers/version_messages.rs
+++ b/crates/gateway/src/peers/version_messages.rs
@@ -28,7 +28,7 @@
             question,
             origin,
             versions,
-        } => stream_origins::receive_answer(gateway, question, origin, versions),
+        } => stream_origins::receive_answer(gateway, from, question, origin, versions),
         VersionMessage::InUse { services } => worker_versions::note_statement(gateway, services),
         VersionMessage::WorkersAsked { workers } => {
             worker_versions::tell_workers(gateway, socket, from, &workers);
