--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -1,7 +1,9 @@
 //! Compatibility with the previous version, which runs side by side with this one during a rolling
 //! upgrade. The expected bytes are those that the previous version writes.
 
-use elderworks_protocol::feed::FeedHeartbeat;
+use std::time::Duration;
+
+use elderworks_protocol::feed::{FeedHeartbeat, WorkerRecord};
 use elderworks_protocol::gateway::{
     ConfigProofAnswer, EngineMemoryReport, GatewayDatagram, GrantDecision, LessorMessage,
     LoadReport, LogReport, MemoryReport, QuotaHistoryMessage, VersionMessage,
@@ -86,6 +88,29 @@
     assert_eq!(decode(&bytes), Ok(record));
 }
 
+/// The software version of a worker isn't part of the encoding, which the previous version can't extend.
+#[test]
+fn worker_records_of_the_previous_version_are_unchanged() {
+    let record = WorkerRecord {
+        id: "w".to_owned(),
+        service: "s".to_owned(),
+        address: ([1, 2, 3, 4], 5).into(),
+        zone: "z".to_owned(),
+        slots: 1,
+        draining: false,
+        cold_left: Duration::ZERO,
+        born: 0,
+        software: Some("v1".to_owned()),
+    };
+    let bytes = encode(&record);
+    assert_eq!(hex(&bytes), "0101770173000102030405017a0100000000");
+    let without_software = WorkerRecord {
+        software: None,
+        ..record
+    };
+    assert_eq!(decode(&bytes), Ok(without_software));
+}
+
 /// The previous version ignores datagrams of unknown kinds, but closes the connection on a frame of an
 /// unknown kind. New frames are therefore sent only to nodes that have sent a new datagram.
 #[test]
