logs: what a request is recognized by over its caller's tries

Change: the line at a request's end has 'content', a hash of what its caller repeats, and 'is_shared'. No decision looks at it.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod stream_versions;
 pub mod tenants;
 pub mod unreadable;
+pub mod worker_ends;
 pub mod worker_health;
 pub mod workers;
 pub mod zone_health;
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -14,6 +14,7 @@
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PrefixKey};
 use elderworks_gateway_core::stream_versions::{StreamVersion, VersionRule};
+use elderworks_gateway_core::worker_ends::identity::{RequestContent, RequestIdentity};
 use elderworks_gateway_core::workers::max_idle_connections;
 
 use super::access::SenderIdentity;
@@ -50,6 +51,8 @@
     pub(super) body: Option<Bytes>,
     pub(super) deadline: Instant,
     pub(super) received: Instant,
+    /// By what the request is recognized in its caller's other tries.
+    pub(super) identity: RequestIdentity,
     pub(super) service: String,
     pub(super) permit: Option<TurnPermit>,
     /// The call's slot at an engine, while it holds one.
@@ -89,6 +92,7 @@
         deadline: Instant,
         trace: &Trace,
     ) -> Self {
+        let identity = identity_of(&request, attributes, &sender);
         let service = gateway.splits.borrow_mut().next_service(route);
         Self {
             gateway,
@@ -102,6 +106,7 @@
             _memory: request.memory,
             deadline,
             received: request.received,
+            identity,
             service: service.unwrap_or_default(),
             permit: None,
             slot: None,
@@ -412,6 +417,24 @@
     )
 }
 
+fn identity_of(
+    request: &CallerRequest,
+    attributes: &CallAttributes,
+    sender: &SenderIdentity,
+) -> RequestIdentity {
+    let host = headers::host(&request.head).unwrap_or_default();
+    let path = request.head.uri.path_and_query();
+    let content = RequestContent {
+        method: request.head.method.as_str(),
+        host: &host,
+        path: path.map_or("", |path| path.as_str()),
+        body: request.body.as_deref().unwrap_or_default(),
+        tenant: sender.tenant.as_deref(),
+        caller: request.caller,
+    };
+    RequestIdentity::of(&content, attributes)
+}
+
 /// Returns the request head sent to any worker, without the headers that depend on the worker.
 fn outgoing_head(gateway: &Gateway, config: &ServingConfig, head: &RequestHead) -> RequestHead {
     let mut outgoing = headers::outgoing_head(head);
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -25,6 +25,7 @@
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{Route, RouteKind, ServingConfig};
 use elderworks_gateway_core::start::start_wait;
+use elderworks_gateway_core::worker_ends::identity::RequestIdentity;
 
 use crate::caller::{Caller, Progress};
 use crate::clock::millis;
@@ -89,6 +90,7 @@
     let mut call = Call::new(
         gateway, &config, route, attributes, sender, request, deadline, trace,
     );
+    trace.identity = Some(call.identity);
     let running = run(&mut call, caller, trace);
     let timed = tokio::time::timeout_at(deadline.into(), running).await;
     let result = match timed {
@@ -243,6 +245,8 @@
     pub(crate) outcome: &'static str,
     /// Whether a worker may have run the request.
     may_have_run: bool,
+    /// By what the request is recognized in its caller's other tries, once it is routed.
+    identity: Option<RequestIdentity>,
     finished: bool,
 }
 
@@ -269,6 +273,7 @@
             tried: TriedWorkers::default(),
             outcome: "answered",
             may_have_run: false,
+            identity: None,
             finished: false,
         }
     }
@@ -358,6 +363,8 @@
             config_read_ms = millis(self.config_read), proof_ms = millis(self.proof_age),
             workers = self.tried.borrow().join(",").as_str(), software = self.software().as_str(),
             may_have_run = self.may_have_run,
+            content:? = self.identity.map(|identity| identity.content.0),
+            is_shared:? = self.identity.map(|identity| identity.is_shared),
             status = status, whole = whole,
             ms = took; "{}", self.outcome
         );
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Serving of callers' connections: reads requests, handles each, then keeps or closes the
 //! connection.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
     pub(crate) body: Option<Bytes>,
     /// When its head was read.
     pub(crate) received: Instant,
+    /// Address of the caller, if its connection is still open.
+    pub(crate) caller: Option<IpAddr>,
     /// Accounts for the body's memory while the request is in progress.
     pub(crate) memory: MemoryReservation,
 }
@@ -78,16 +81,20 @@
     pub(crate) codec: Codec,
     pub(crate) receiver: Receiver,
     pub(crate) sender: Sender,
+    /// Address of the caller, if the connection was still open when it was accepted.
+    caller: Option<IpAddr>,
 }
 
 impl RequestReader {
     /// Creates a reader for an accepted connection.
     pub(crate) fn new(gateway: &Gateway, stream: TcpStream) -> Self {
+        let caller = stream.peer_addr().ok().map(|address| address.ip());
         let (receiver, sender) = buffered::split(stream);
         Self {
             codec: Codec::new(gateway.http.clone()),
             receiver,
             sender,
+            caller,
         }
     }
 
@@ -98,8 +105,11 @@
             codec,
             receiver,
             sender,
+            caller,
         } = self;
-        read_request(gateway, codec, receiver, sender, &limits).await
+        let mut request = read_request(gateway, codec, receiver, sender, &limits).await?;
+        request.caller = *caller;
+        Ok(request)
     }
 }
 
@@ -146,6 +156,7 @@
         codec,
         receiver,
         sender,
+        ..
     } = reader;
     let closing = gateway.stage() != Stage::Serving;
     let received = request.received;
@@ -199,6 +210,7 @@
         head,
         body,
         received,
+        caller: None,
         memory,
     })
 }
