gateway: a request under which three workers ended is sent to no other, over all its tries and at any node

Cause: three counters (failures, resumptions, moves of a run), none of them of workers that ended, and nothing kept beyond one attempt at one node. Change: AttemptHistory decides each send and hands out the permit without which an attempt can't start; copies and resumptions need one, too. A break is investigated (a refused connection, or silence and a lost record, is an end; an accepted one is not). What ended under a request is kept by its content, its try and the try it resumes, told at once to all nodes that callers are sent to, three times again, and asked for by a node that starts. Counters, a log line for each end and each request that is withheld. Answer: 502, since it has run; each repeat is refused at once. Old nodes ignore the new datagrams.

--- a/crates/gateway-core/src/attempt.rs
+++ b/crates/gateway-core/src/attempt.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use crate::worker_ends::{EndCount, MAX_ENDED_WORKERS};
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -38,6 +40,26 @@
     }
 }
 
+/// Permission to send a request to a worker once.
+#[derive(Debug)]
+pub struct SendPermit(());
+
+/// Whether a request may be sent to a worker.
+#[derive(Debug)]
+pub enum SendDecision {
+    /// It may be sent.
+    Permitted(SendPermit),
+    /// It has to be found out first whether workers ended under it.
+    Unsettled,
+    /// As many workers ended under it as may: it is sent to no other, whatever happens.
+    GivenUp,
+    /// One more worker may end under it, but only one is left.
+    LastWorker,
+}
+
+/// Maximum number of times that a stream is resumed within one response.
+const MAX_RESUMPTIONS: u32 = 3;
+
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -50,6 +72,8 @@
     earlier: bool,
     /// Set if the current attempt may have run it.
     current: SendMark,
+    /// Number of times that its stream was resumed.
+    resumptions: u32,
 }
 
 /// Maximum number of failed attempts that did not run the request after which it is retried.
@@ -68,8 +92,34 @@
 }
 
 impl AttemptHistory {
+    /// Decides whether a request may be sent to a worker, the first time or again. `ends` are the ends
+    /// of workers under it, over all tries of its caller, and `workers_left` those that may take it.
+    pub fn decide_send(&self, ends: EndCount, workers_left: usize) -> SendDecision {
+        let possible = ends.ended + ends.unsettled;
+        if ends.ended >= MAX_ENDED_WORKERS {
+            return SendDecision::GivenUp;
+        }
+        if possible >= MAX_ENDED_WORKERS {
+            return SendDecision::Unsettled;
+        }
+        if possible + 1 == MAX_ENDED_WORKERS && workers_left <= 1 {
+            return match ends.unsettled {
+                0 => SendDecision::LastWorker,
+                _ => SendDecision::Unsettled,
+            };
+        }
+        SendDecision::Permitted(SendPermit(()))
+    }
+
+    /// Records that a stream which broke off is to be resumed. Returns whether it may be.
+    pub fn note_resumption(&mut self) -> bool {
+        let is_allowed = self.resumptions < MAX_RESUMPTIONS;
+        self.resumptions += u32::from(is_allowed);
+        is_allowed
+    }
+
     /// Starts an attempt. The sender must set the returned flag before it sends the first byte.
-    pub fn start_attempt(&mut self) -> SendMark {
+    pub fn start_attempt(&mut self, _permit: SendPermit) -> SendMark {
         self.earlier |= self.current.0.get();
         self.current = SendMark::default();
         self.current.clone()
--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -8,6 +8,10 @@
 /// Factor between the time for which a request is held and that for which its caller may try.
 const STREAM_TRIES: u32 = 2;
 
+/// Longest time for which a caller repeats a request, in multiples of the longest route timeout: three
+/// starts with their pauses.
+const REQUEST_TRIES: u32 = 4;
+
 /// Minimum time for which the origins of streams are remembered.
 pub const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(10);
 
@@ -201,6 +205,13 @@
         tries.max(MIN_STREAM_LIFETIME)
     }
 
+    /// Returns how long a caller may repeat a request, with all its tries from the start.
+    pub fn request_lifetime(&self) -> Duration {
+        let longest = self.routes.iter().map(|route| route.timeout).max();
+        let tries = longest.unwrap_or_default() * REQUEST_TRIES;
+        tries.max(MIN_STREAM_LIFETIME)
+    }
+
     /// Returns the services whose streams may be resumed at another node.
     pub fn resumable_services(&self) -> BTreeSet<&str> {
         let resumable = self.routes.iter().filter(|route| route.resumable);
--- a/crates/gateway-core/src/worker_ends/mod.rs
+++ b/crates/gateway-core/src/worker_ends/mod.rs
@@ -1,6 +1,41 @@
 //! Workers that ended while they ran a request.
 //!
 //! A request may be the cause of an end, so that it must not be sent from worker to worker for ever, in
-//! whichever of its caller's tries and at whichever node.
+//! whichever of its caller's tries and at whichever node. This module recognizes a request over its
+//! tries ([`identity`]), finds out whether a worker ended or only a connection ([`investigation`]),
+//! and keeps what is known of requests at this and at other nodes ([`table`]). Whether a request may be sent is decided by
+//! [`AttemptHistory`](crate::attempt::AttemptHistory).
 
 pub mod identity;
+pub mod investigation;
+pub mod table;
+
+/// Number of workers that may end under one request. Then it is sent to no other.
+pub const MAX_ENDED_WORKERS: usize = 3;
+
+/// What is known of the workers at which a request broke off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndCount {
+    /// Workers that ended.
+    pub ended: usize,
+    /// Workers that may have ended.
+    pub unsettled: usize,
+}
+
+impl EndCount {
+    /// Nothing is known of any end.
+    pub const NONE: Self = Self {
+        ended: 0,
+        unsettled: 0,
+    };
+
+    /// Returns whether the request may be the cause of an end.
+    pub fn is_suspect(self) -> bool {
+        self.ended > 0
+    }
+
+    /// Returns whether one more end is the last that may happen.
+    pub fn is_at_last(self) -> bool {
+        self.ended + 1 == MAX_ENDED_WORKERS
+    }
+}
--- a/crates/gateway-core/src/workers/mod.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -320,6 +320,12 @@
         workers.filter(move |worker| worker.record.service == service)
     }
 
+    /// Returns whether a worker's record is present.
+    pub fn is_listed(&self, id: &str) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.missing_until.is_none())
+    }
+
     /// Returns whether a worker accepts new requests.
     pub fn is_accepting(&self, worker: &Worker) -> bool {
         worker.missing_until.is_none() && self.is_open(worker)
--- a/crates/gateway-core/tests/attempts.rs
+++ b/crates/gateway-core/tests/attempts.rs
@@ -1,6 +1,7 @@
 //! Retries after failed attempts, and when the proof is given that a request was not run.
 
-use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
+use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep, SendDecision};
+use elderworks_gateway_core::worker_ends::EndCount;
 
 use proptest::prelude::*;
 
@@ -181,7 +182,11 @@
             match event {
                 Event::Attempt { sent } => {
                     may_have_run |= current_sent;
-                    let mark = history.start_attempt();
+                    let decision = history.decide_send(EndCount::NONE, usize::MAX);
+                    let SendDecision::Permitted(permit) = decision else {
+                        panic!("no worker has ended");
+                    };
+                    let mark = history.start_attempt(permit);
                     if sent {
                         mark.note_sending();
                     }
--- a/crates/gateway/src/cross_zone_bytes.rs
+++ b/crates/gateway/src/cross_zone_bytes.rs
@@ -29,6 +29,8 @@
     Quotas,
     /// Versions that began streams.
     StreamOrigins,
+    /// Requests under which workers ended.
+    WorkerEnds,
     /// Datagrams of the failure detector.
     Gossip,
     /// All other traffic between nodes.
@@ -36,7 +38,7 @@
 }
 
 impl TrafficKind {
-    const ALL: [Self; 11] = [
+    const ALL: [Self; 12] = [
         Self::Requests,
         Self::Answers,
         Self::LedgerRequests,
@@ -46,6 +48,7 @@
         Self::Loads,
         Self::Quotas,
         Self::StreamOrigins,
+        Self::WorkerEnds,
         Self::Gossip,
         Self::Others,
     ];
@@ -62,6 +65,7 @@
             Self::Loads => "loads",
             Self::Quotas => "quotas",
             Self::StreamOrigins => "stream_origins",
+            Self::WorkerEnds => "worker_ends",
             Self::Gossip => "gossip",
             Self::Others => "others",
         }
@@ -90,6 +94,7 @@
             GatewayDatagram::Quota(_) | GatewayDatagram::QuotaHistory(_) => Self::Quotas,
             GatewayDatagram::Beat(_) => Self::StreamUpdates,
             GatewayDatagram::Versions(_) => Self::StreamOrigins,
+            GatewayDatagram::Requests(_) => Self::WorkerEnds,
             _ => Self::Others,
         }
     }
--- a/crates/gateway/src/feed/workers.rs
+++ b/crates/gateway/src/feed/workers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use elderworks_gateway_core::feed::catalog::Change;
+use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::workers::{UpsertOutcome, WorkerRecord};
 use elderworks_protocol::feed::WorkersUpdate;
 use elderworks_types::Offset;
@@ -109,6 +110,10 @@
     if taken == UpsertOutcome::Restarted {
         gateway.pool.discard_connections(&id);
     }
+    if taken == UpsertOutcome::Changed {
+        let key = WorkerKey::of(&id);
+        gateway.requests.ends.borrow_mut().note_back(key);
+    }
     if matches!(taken, UpsertOutcome::Changed | UpsertOutcome::Restarted) {
         log::info!(
             worker = id.as_str(), service = service.as_str(), software = software.as_str(), draining = draining,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -1,17 +1,19 @@
 //! Attempts to get a response to one call from a worker.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Instant;
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
-use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep};
+use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep, SendPermit};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
 use elderworks_gateway_core::engines::PromptSource;
+use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::placement::demand::{EngineTurn, PrefixKey};
 use elderworks_gateway_core::stream_versions::{StreamVersion, VersionRule};
 use elderworks_gateway_core::worker_ends::identity::{RequestContent, RequestIdentity};
@@ -138,6 +140,7 @@
                     self.note_response(&running.worker_use.worker, running.response.head.status);
                     self.count_response_bytes(&running.worker_use.worker, body.len());
                     drop(running.worker_use);
+                    self.note_served();
                     self.release_slot();
                     let head = &running.response.head;
                     let forwarded = headers::end_to_end(&head.headers);
@@ -146,7 +149,9 @@
                 }
                 Err(broken) => {
                     let worker = running.worker_use.worker.clone();
+                    let target = Target::at(&running.engine());
                     self.log_failure(&worker, &broken.to_string());
+                    self.note_break(&target).await;
                     self.after_failure(&worker, AttemptFailure::Unknown)?;
                 }
             }
@@ -163,10 +168,11 @@
             self.check_sender().map_err(CallError::Refused)?;
             let target = match preferred.take().or_else(|| self.retry_at.take()) {
                 Some(target) => target,
-                None => self.choose()?,
+                None => self.choose_target().await?,
             };
             let target = self.with_backup(target);
-            let (failure, reason) = match self.attempt(&target, last_event_id).await {
+            let permit = self.permit_send().await?;
+            let (failure, reason) = match self.attempt(permit, &target, last_event_id).await {
                 Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
                     let status = running.response.head.status;
                     self.note_refusal(&target.worker, status);
@@ -179,8 +185,14 @@
                     (AttemptFailure::Unknown, reason)
                 }
                 Ok(running) => return Ok(running),
-                Err(ExchangeError::NotSent(reason)) => (AttemptFailure::NotSent, reason),
-                Err(ExchangeError::NoResponse(reason)) => (AttemptFailure::Unknown, reason),
+                Err(ExchangeError::NotSent(reason)) => {
+                    self.probe_after_break(&target).await;
+                    (AttemptFailure::NotSent, reason)
+                }
+                Err(ExchangeError::NoResponse(reason)) => {
+                    self.note_break(&target).await;
+                    (AttemptFailure::Unknown, reason)
+                }
             };
             self.log_failure(&target.worker, &reason);
             self.after_failure(&target.worker, failure)?;
@@ -190,6 +202,7 @@
     /// Sends the request to a worker and waits for the head of its response.
     pub(super) async fn attempt(
         &mut self,
+        permit: SendPermit,
         target: &Target,
         last_event_id: Option<&str>,
     ) -> Result<RunningResponse, ExchangeError> {
@@ -208,7 +221,7 @@
             platform: &*self.gateway.platform,
             connections_opened: &self.gateway.metrics.worker_connections,
             max_idle: self.max_idle_connections(),
-            mark: self.history.start_attempt(),
+            mark: self.history.start_attempt(permit),
         };
         self.gateway.metrics.attempts.inc();
         if let Some(counted) = &mut self.counted {
@@ -286,8 +299,10 @@
         sends_priority.then(|| priority.min(LOWEST_PRIORITY))
     }
 
-    fn choose(&self) -> Result<Target, CallError> {
-        let tried = self.tried.borrow();
+    /// Returns the preferred worker; one that was tried or is in `avoided` only if there is no other.
+    pub(super) fn choose(&self, avoided: &BTreeSet<WorkerKey>) -> Result<Target, CallError> {
+        let is_first = self.tried.borrow().is_empty();
+        let tried = self.tried_or_avoided(avoided);
         let prefers_idle = self.gateway.settings.policy.resting_connections;
         let query = PlacementQuery {
             service: &self.service,
@@ -295,6 +310,7 @@
                 .attributes
                 .placement_key()
                 .filter(|_| self.route.sticky && self.gateway.settings.policy.affinity),
+
             zone: self.gateway.settings.zone.as_str(),
             repeatable: self.route.is_repeatable(),
             tried: &tried,
@@ -305,7 +321,7 @@
         };
         let now = self.gateway.now();
         let mut workers = self.gateway.workers.borrow_mut();
-        if let Some(turn) = query.turn.as_ref().filter(|_| tried.is_empty()) {
+        if let Some(turn) = query.turn.as_ref().filter(|_| is_first) {
             workers.note_turn(&self.service, turn, now);
         }
         let Some(worker) = balancer::choose(&workers, &query, now) else {
@@ -315,7 +331,7 @@
             self.gateway.metrics.note_placement(is_at_home);
         }
         let mut target = Target::direct(&worker.record);
-        if let Some(turn) = query.turn.as_ref().filter(|_| tried.is_empty()) {
+        if let Some(turn) = query.turn.as_ref().filter(|_| is_first) {
             let moves = self.engine_moves();
             let source = workers.prompt_source(&target.worker, turn, moves, now);
             if let Some((source, bytes)) = source {
@@ -327,6 +343,17 @@
         Ok(target)
     }
 
+    pub(super) fn tried_or_avoided(&self, avoided: &BTreeSet<WorkerKey>) -> Vec<String> {
+        let mut tried = self.tried();
+        if !avoided.is_empty() {
+            let workers = self.gateway.workers.borrow();
+            let of_service = workers.known(&self.service);
+            let further = of_service.filter(|worker| avoided.contains(&worker.key()));
+            tried.extend(further.map(|worker| worker.record.id.clone()));
+        }
+        tried
+    }
+
     /// Returns which workers may run the call, by their software version.
     pub(super) fn version_rule(&self) -> VersionRule {
         self.version.rule(self.may_resume())
@@ -399,7 +426,8 @@
         let known = workers.get(worker)?;
         let accepts_requests = workers.is_open(known) && !workers.is_throttled(known, now);
         let may_run = workers.follows(self.version_rule(), known, now);
-        let is_usable = accepts_requests && may_run && !known.is_ejected(now);
+        let has_ended = self.gateway.requests.ends.borrow().has_ended(known.key());
+        let is_usable = accepts_requests && may_run && !known.is_ejected(now) && !has_ended;
         is_usable.then(|| Target::direct(&known.record))
     }
 }
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use elderworks_gateway_core::attempt::SendPermit;
 use elderworks_gateway_core::config::{MemoryMoves, RouteKind};
 use elderworks_gateway_core::engines::{MoveOutcome, PromptSource, RunCopy, RunMove};
 use elderworks_gateway_core::run_moves::backups::{BackupRules, RunSize};
@@ -149,7 +150,9 @@
                 }
                 RunAction::Resume { at, copy } => {
                     self.check_sender().map_err(CallError::Refused)?;
-                    let end = match self.attempt_with_copy(&at, copy, last_event_id).await {
+                    let permit = self.permit_send().await?;
+                    let resuming = self.attempt_with_copy(permit, &at, copy, last_event_id);
+                    let end = match resuming.await {
                         Ok(running) => {
                             run.life.after_attempt(AttemptEnd::Answered, None);
                             run.free_unused();
@@ -245,6 +248,7 @@
 
     async fn attempt_with_copy(
         &mut self,
+        permit: SendPermit,
         at: &Engine,
         copy: RunCopy,
         last_event_id: &str,
@@ -255,7 +259,7 @@
             prompt_source: PromptSource::Copy(copy),
             backup_at: None,
         };
-        let (end, reason) = match self.attempt(&target, Some(last_event_id)).await {
+        let (end, reason) = match self.attempt(permit, &target, Some(last_event_id)).await {
             Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
                 let status = running.response.head.status;
                 self.note_refusal(&at.worker, status);
@@ -281,7 +285,10 @@
                 )
             }
             Err(ExchangeError::NotSent(reason)) => (AttemptEnd::NotRun, reason),
-            Err(ExchangeError::NoResponse(reason)) => (AttemptEnd::Unknown, reason),
+            Err(ExchangeError::NoResponse(reason)) => {
+                self.note_break(&target).await;
+                (AttemptEnd::Unknown, reason)
+            }
         };
         self.log_failure(&at.worker, &reason);
         self.gateway.metrics.attempts_failed.inc();
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod observations;
 mod quota;
 mod resumption;
+mod sending;
 mod stream;
 mod turn;
 mod worker_use;
@@ -116,6 +117,9 @@
 }
 
 async fn run(call: &mut Call<'_>, caller: &mut Caller<'_>, trace: &mut Trace) -> io::Result<()> {
+    if let Err(CallError::Refused(refusal)) = call.check_earlier_tries().await {
+        return refuse(caller, trace, &refusal).await;
+    }
     if let Err(refusal) = call.bind_resumed_stream().await {
         return refuse(caller, trace, &refusal).await;
     }
@@ -340,6 +344,13 @@
             .join(",")
     }
 
+    /// Returns the number of workers that ended under the request over its caller's tries.
+    fn count_ends(&self) -> usize {
+        let table = self.gateway.requests.ends.borrow();
+        let identity = self.identity.as_ref();
+        identity.map_or(0, |identity| table.count(identity).ended)
+    }
+
     fn write(&self, status: u16, whole: bool) {
         self.gateway
             .metrics
@@ -364,6 +375,7 @@
             workers = self.tried.borrow().join(",").as_str(), software = self.software().as_str(),
             may_have_run = self.may_have_run,
             content:? = self.identity.map(|identity| identity.content.0),
+            ended = self.count_ends(),
             is_shared:? = self.identity.map(|identity| identity.is_shared),
             status = status, whole = whole,
             ms = took; "{}", self.outcome
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -27,6 +27,7 @@
             && let Some(worker) = self.last_tried()
         {
             self.note_worker_failure(&worker);
+            self.note_silence(&worker);
         }
     }
 }
@@ -73,6 +74,7 @@
             && !self.is_for_engine()
         {
             self.note_worker_failure(&worker);
+            self.note_silence(&worker);
             self.waiting_since = None;
         }
     }
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -18,9 +18,6 @@
 use crate::reply::Refusal;
 use crate::upstream::Target;
 
-/// Maximum number of times that a stream is resumed.
-const MAX_RESUMPTIONS: u32 = 3;
-
 /// Reason for refusing a stream whose version can't be determined.
 const UNKNOWN_VERSION: &str = "the version that began the stream is not known";
 
@@ -33,7 +30,7 @@
         &mut self,
         caller: &Caller<'_>,
         engine: Engine,
-        forwarded: &mut ForwardedStream,
+        forwarded: &ForwardedStream,
     ) -> Result<RunningResponse, CallError> {
         if self.may_resume() {
             return self.resume(caller, &engine.worker, forwarded).await;
@@ -49,9 +46,9 @@
         &mut self,
         caller: &Caller<'_>,
         worker: &str,
-        forwarded: &mut ForwardedStream,
+        forwarded: &ForwardedStream,
     ) -> Result<RunningResponse, CallError> {
-        let preferred = self.plan_resumption(worker, forwarded)?;
+        let preferred = self.plan_resumption(worker)?;
         let last_event_id = forwarded.last_event_id.clone();
         self.open_stream(caller, last_event_id, preferred).await
     }
@@ -72,22 +69,19 @@
     /// Returns the worker at which a broken stream is resumed: the same one unless it is gone,
     /// because it has the prompt cached and doesn't count against the route's maximum number of
     /// workers.
-    fn plan_resumption(
-        &mut self,
-        worker: &str,
-        forwarded: &mut ForwardedStream,
-    ) -> Result<Option<Target>, CallError> {
-        if !self.may_resume() || forwarded.resumptions >= MAX_RESUMPTIONS {
+    fn plan_resumption(&mut self, worker: &str) -> Result<Option<Target>, CallError> {
+        if !self.may_resume() || !self.history.note_resumption() {
             return Err(CallError::Aborted("the worker's stream broke off"));
         }
-        forwarded.resumptions += 1;
         self.gateway.metrics.streams_resumed.inc();
         self.gateway.pool.discard_connections(worker);
         let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
         let rule = self.version_rule();
+        let ends = self.gateway.requests.ends.borrow();
         let same = workers
             .get(worker)
+            .filter(|known| !ends.has_ended(known.key()))
             .filter(|known| workers.is_open(known) && !workers.is_throttled(known, now))
             .filter(|known| workers.follows(rule, known, now))
             .map(|known| Target::direct(&known.record));
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -15,6 +15,7 @@
 use crate::caller::{Caller, Progress};
 use crate::memory::MemoryReservation;
 use crate::reply::Refusal;
+use crate::upstream::Target;
 
 /// Media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -29,7 +30,6 @@
 #[derive(Debug)]
 pub(super) struct ForwardedStream {
     pub(super) last_event_id: Option<String>,
-    pub(super) resumptions: u32,
     /// Data of the events so far, each followed by a line feed, if the turn is stored.
     output: BytesMut,
     /// Accounts for the memory of `output`.
@@ -52,7 +52,6 @@
         self.refuse_if_short_of_memory()?;
         let mut forwarded = ForwardedStream {
             last_event_id: self.attributes.last_event_id.clone(),
-            resumptions: 0,
             output: BytesMut::new(),
             output_memory: self.gateway.memory.reservation(BufferKind::KeptTurns),
         };
@@ -80,6 +79,7 @@
                 PartEnd::Complete => {
                     self.note_response(&running.worker_use.worker, running.response.head.status);
                     drop(running);
+                    self.note_served();
                     self.release_slot();
                     return self.end_stream(caller, &mut flow, forwarded).await;
                 }
@@ -87,13 +87,14 @@
                     let engine = into_engine(running);
                     self.log_failure(&engine.worker, &reason);
                     self.note_worker_failure(&engine.worker);
-                    self.resume_broken(caller, engine, &mut forwarded).await?
+                    self.note_break(&Target::at(&engine)).await;
+                    self.resume_broken(caller, engine, &forwarded).await?
                 }
                 PartEnd::Released => {
                     let worker = into_engine(running).worker;
                     self.waiting_since = None;
                     flow.drain(caller).await?;
-                    self.resume(caller, &worker, &mut forwarded).await?
+                    self.resume(caller, &worker, &forwarded).await?
                 }
             };
         }
@@ -220,6 +221,7 @@
             Err(broken) => {
                 let worker = running.worker_use.worker.clone();
                 self.log_failure(&worker, &broken.to_string());
+                self.note_break(&Target::at(&running.engine())).await;
                 self.history
                     .after_failure(AttemptFailure::Unknown, false, 1);
                 let reason = "the worker's answer broke off";
@@ -228,6 +230,7 @@
         };
         let head = &running.response.head;
         self.note_response(&running.worker_use.worker, head.status);
+        self.note_served();
         let forwarded_headers = headers::end_to_end(&head.headers);
         caller
             .send_whole(head.status, &forwarded_headers, &body)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,12 +35,13 @@
 use crate::log_outage::LogOutage;
 use crate::memory::MemoryTracker;
 use crate::metrics::Metrics;
-use crate::peers::{Lessors, OriginExchange, Peers};
+use crate::peers::{Lessors, Peers, RequestExchange};
 use crate::ports::{Platform, StreamRecord};
 use crate::settings::GatewaySettings;
 use crate::start::StartTracker;
 use crate::upstream::Pool;
 use crate::version_records::RecordsRead;
+use crate::worker_probes::WorkerProbes;
 
 /// Stages of a process's lifecycle, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -86,8 +87,10 @@
     pub(crate) quotas: RefCell<QuotaTracker>,
     /// State of other nodes as quota lessors, and pending grant requests.
     pub(crate) lessors: Lessors,
-    /// Versions that began streams, at this node and elsewhere.
-    pub(crate) origins: OriginExchange,
+    /// What is known of requests that a caller may repeat, from this node and from others.
+    pub(crate) requests: RequestExchange,
+    /// Probes of workers at which requests broke off.
+    pub(crate) worker_probes: WorkerProbes,
     /// Whether the versions that were recorded before this process started were read.
     pub(crate) versions_read: RecordsRead,
     /// Programs started at this node by tenants with quotas.
@@ -188,7 +191,8 @@
             quotas: RefCell::new(quotas),
             engines: Engines::default(),
             lessors: Lessors::default(),
-            origins: OriginExchange::default(),
+            requests: RequestExchange::default(),
+            worker_probes: WorkerProbes::default(),
             versions_read: RecordsRead::default(),
             started_programs: RefCell::default(),
             workers: RefCell::new(workers),
@@ -354,6 +358,13 @@
         config.map_or(MIN_STREAM_LIFETIME, |config| config.stream_lifetime())
     }
 
+    /// Returns how long a caller may repeat a request.
+    pub(crate) fn request_lifetime(&self) -> Duration {
+        let config = self.config.borrow();
+        let config = config.current();
+        config.map_or(MIN_STREAM_LIFETIME, |config| config.request_lifetime())
+    }
+
     /// Returns the software versions at which a service's streams may have begun.
     pub(crate) fn service_versions(&self, service: &str) -> ServiceVersions {
         let workers = self.workers.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod upstream;
 mod version_records;
 mod watch;
+mod worker_probes;
 
 pub use log_output::LogOutput;
 pub use process::{Reload, RunningGateway, run, start};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,12 @@
     pub(crate) origins_reported: Counter,
     /// Streams whose version this node knows.
     pub(crate) origins_known: Gauge,
+    /// Requests under which a worker ended, once for each end.
+    pub(crate) request_ends: Counter,
+    pub(crate) requests_given_up: Family<GivenUpLabel, Counter>,
+    /// Requests and tries under which workers ended that this node knows.
+    pub(crate) ended_requests_known: Gauge,
+    pub(crate) worker_probes: Counter,
     pub(crate) caller_left: Counter,
     pub(crate) worker_connections: Counter,
     pub(crate) placements: Family<PlacementLabel, Counter>,
@@ -111,6 +117,10 @@
             resumptions: Family::default(),
             origins_reported: Counter::default(),
             origins_known: Gauge::default(),
+            request_ends: Counter::default(),
+            requests_given_up: Family::default(),
+            ended_requests_known: Gauge::default(),
+            worker_probes: Counter::default(),
             caller_left: Counter::default(),
             worker_connections: Counter::default(),
             placements: Family::default(),
@@ -347,6 +357,26 @@
             "Streams whose version is known here",
             self.origins_known.clone(),
         );
+        registry.register(
+            "request_ends",
+            "Requests that a worker was running when it ended",
+            self.request_ends.clone(),
+        );
+        registry.register(
+            "requests_given_up",
+            "Requests not sent to a worker because of the workers that ended under them",
+            self.requests_given_up.clone(),
+        );
+        registry.register(
+            "ended_requests_known",
+            "Requests and tries under which workers ended, as known here",
+            self.ended_requests_known.clone(),
+        );
+        registry.register(
+            "worker_probes",
+            "Connections opened to find out whether a worker has ended",
+            self.worker_probes.clone(),
+        );
         registry.register(
             "caller_left",
             "Requests whose caller closed the connection first",
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -94,6 +94,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Label of requests that are not sent to a worker because of the workers that ended under them.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct GivenUpLabel {
+    /// Reason for not sending it.
+    pub(crate) reason: &'static str,
+}
+
 /// Label of streams that their callers took up again.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ResumptionLabel {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,9 +14,11 @@
 mod queue;
 mod quota_history;
 mod quotas;
+mod request_exchange;
 mod serve;
 mod stream_origins;
 mod version_messages;
+mod worker_ends;
 mod worker_versions;
 mod zones;
 
@@ -46,10 +48,10 @@
 pub(crate) use gossip::run_gossip;
 pub(crate) use lessors::{Lessor, Lessors};
 pub(crate) use link::NoReply;
+pub(crate) use request_exchange::RequestExchange;
 pub(crate) use serve::accept_peers;
-pub(crate) use stream_origins::{
-    OriginExchange, find_origin, note_begun, prove_versions, report_all,
-};
+pub(crate) use stream_origins::{find_origin, note_begun, prove_versions, report_all};
+pub(crate) use worker_ends::{catch_up, settle, wait_until_caught_up};
 pub(crate) use worker_versions::statement as version_statement;
 pub(crate) use zones::{receive as receive_zone_reports, reports as zone_reports};
 
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -17,7 +17,10 @@
 use super::proofs::{self, ProofRequester};
 use super::quota_history::{self, HistoryRequester};
 use super::quotas::{self, QuotaSender};
-use super::{PROBE_INTERVAL, cross_zone, stream_origins, version_messages, worker_versions, zones};
+use super::{
+    PROBE_INTERVAL, cross_zone, request_exchange, version_messages, worker_ends, worker_versions,
+    zones,
+};
 use crate::feed;
 use crate::gateway::Gateway;
 
@@ -30,7 +33,7 @@
 /// Runs the UDP loop until the process ends.
 pub(crate) async fn run_gossip(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     gateway.lessors.set_socket(&socket);
-    gateway.origins.set_socket(&socket);
+    gateway.requests.set_socket(&socket);
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut ticks = actix_rt::time::interval(PROBE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -67,7 +70,7 @@
                 memory_sender.send_changes(&gateway, &socket);
                 feed::tick(&gateway, &socket);
                 worker_versions::ask_if_unknown(&gateway, &socket);
-                stream_origins::drop_old(&gateway);
+                request_exchange::upkeep(&gateway);
                 cross_zone::report_zone_changes(&gateway);
                 continue;
             }
@@ -97,6 +100,10 @@
                         version_messages::receive(&gateway, &socket, from, message);
                         continue;
                     }
+                    Ok(GatewayDatagram::Requests(message)) => {
+                        worker_ends::receive(&gateway, from, message);
+                        continue;
+                    }
                     Ok(GatewayDatagram::Parts(report)) => {
                         prefix_usage::receive(&gateway, report);
                         continue;
--- a/crates/gateway/src/peers/stream_origins.rs
+++ b/crates/gateway/src/peers/stream_origins.rs
@@ -1,7 +1,6 @@
 //! Reports between nodes of the software versions that began streams, and questions for them, over UDP.
 
-use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,23 +8,18 @@
 use elderworks_gateway_core::stream_versions::lookup::{
     KnownOrigin, LookupStep, OriginAnswer, OriginLookup, OriginSource,
 };
-use elderworks_gateway_core::stream_versions::origins::{
-    ASKED_NODES, COPIES, StreamOrigins, holders,
-};
+use elderworks_gateway_core::stream_versions::origins::{ASKED_NODES, COPIES, holders};
 use elderworks_gateway_core::stream_versions::{
     ServiceVersions, SoftwareVersion, StreamKey, service_key,
 };
 use elderworks_protocol::gateway::{GatewayDatagram, VersionMessage, VersionsReport};
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::request_exchange::report_soon;
 use super::version_messages;
 use crate::gateway::Gateway;
 use crate::version_records;
 
-/// Time for which reports are collected, so that those to the same node share a datagram.
-const REPORT_DELAY: Duration = Duration::from_millis(5);
-
 /// Maximum number of streams in one datagram.
 const MAX_REPORTED_STREAMS: usize = 400;
 
@@ -39,34 +33,9 @@
 /// Number of times that nodes are asked for one stream.
 const ASK_ROUNDS: u32 = 2;
 
-/// This node's table of streams, and its questions to other nodes.
-#[derive(Debug, Default)]
-pub(crate) struct OriginExchange {
-    socket: OnceCell<Rc<UdpSocket>>,
-    pub(crate) streams: RefCell<StreamOrigins>,
-    /// Whether a task is about to send reports.
-    is_reporting: Cell<bool>,
-    /// Senders for the answers to open questions, by question number.
-    pending: RefCell<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, OriginAnswer)>>>,
-}
-
-impl OriginExchange {
-    /// Sets the socket that messages are sent from.
-    pub(super) fn set_socket(&self, socket: &Rc<UdpSocket>) {
-        // Called only once, by the loop that receives the answers.
-        let _ = self.socket.set(socket.clone());
-    }
-
-    fn send(
-        &self,
-        gateway: &Gateway,
-        message: VersionMessage,
-        to: impl IntoIterator<Item = SocketAddr>,
-    ) {
-        if let Some(socket) = self.socket.get() {
-            super::send(gateway, socket, &GatewayDatagram::Versions(message), to);
-        }
-    }
+fn send(gateway: &Gateway, message: VersionMessage, to: impl IntoIterator<Item = SocketAddr>) {
+    let datagram = GatewayDatagram::Versions(message);
+    gateway.requests.send(gateway, &datagram, to);
 }
 
 /// Records that a worker of `version` sent the first event of a stream, and reports it to other nodes
@@ -79,7 +48,7 @@
 ) {
     let now = gateway.now();
     let needs_report = gateway.service_versions(service).needs_reports();
-    let exchange = &gateway.origins;
+    let exchange = &gateway.requests;
     let mut streams = exchange.streams.borrow_mut();
     let is_due = streams.note_begun(now, stream, version, needs_report);
     drop(streams);
@@ -90,25 +59,14 @@
 
 /// Reports all own streams, because a service has got a further version.
 pub(crate) fn report_all(gateway: &Rc<Gateway>) {
-    if gateway.origins.streams.borrow_mut().report_all() {
+    if gateway.requests.streams.borrow_mut().report_all() {
         report_soon(gateway);
     }
 }
 
-fn report_soon(gateway: &Rc<Gateway>) {
-    if gateway.origins.is_reporting.replace(true) {
-        return;
-    }
-    let gateway = gateway.clone();
-    actix_rt::spawn(async move {
-        actix_rt::time::sleep(REPORT_DELAY).await;
-        gateway.origins.is_reporting.set(false);
-        report(&gateway);
-    });
-}
-
-fn report(gateway: &Gateway) {
-    let exchange = &gateway.origins;
+/// Reports own streams whose version has to be known elsewhere.
+pub(super) fn report(gateway: &Gateway) {
+    let exchange = &gateway.requests;
     let due = exchange.streams.borrow_mut().take_unreported();
     gateway.metrics.origins_reported.inc_by(due.len() as u64);
     let mut by_node: BTreeMap<SocketAddr, Vec<(u64, u32)>> = BTreeMap::new();
@@ -131,7 +89,7 @@
     for (address, streams) in by_node {
         for part in streams.chunks(MAX_REPORTED_STREAMS) {
             let streams = part.to_vec();
-            exchange.send(gateway, VersionMessage::Begun { streams }, [address]);
+            send(gateway, VersionMessage::Begun { streams }, [address]);
         }
     }
 }
@@ -144,7 +102,7 @@
     stream: Option<StreamKey>,
 ) -> Option<KnownOrigin> {
     let now = gateway.now();
-    let own = stream.and_then(|stream| gateway.origins.streams.borrow().get(now, stream));
+    let own = stream.and_then(|stream| gateway.requests.streams.borrow().get(now, stream));
     if let Some((version, age)) = own {
         return Some(KnownOrigin {
             version,
@@ -172,7 +130,7 @@
     };
     if let (Some(known), Some(stream)) = (found, stream) {
         let now = gateway.now();
-        let mut streams = gateway.origins.streams.borrow_mut();
+        let mut streams = gateway.requests.streams.borrow_mut();
         streams.note_told(now, stream, known.version);
     }
     found
@@ -229,7 +187,7 @@
             service: service_key(service),
         };
         let to = silent.iter().copied();
-        gateway.origins.send(gateway, message, to);
+        send(gateway, message, to);
         step = question.take_answers(&mut lookup, &mut silent).await;
     }
     if step == LookupStep::Wait {
@@ -252,7 +210,7 @@
     fn open(gateway: &'a Gateway) -> Self {
         let id = gateway.next_sequence();
         let (sender, answers) = mpsc::unbounded_channel();
-        let pending = &gateway.origins.pending;
+        let pending = &gateway.requests.pending;
         pending.borrow_mut().insert(id, sender);
         Self {
             gateway,
@@ -287,7 +245,7 @@
 
 impl Drop for Question<'_> {
     fn drop(&mut self) {
-        let pending = &self.gateway.origins.pending;
+        let pending = &self.gateway.requests.pending;
         pending.borrow_mut().remove(&self.id);
     }
 }
@@ -319,7 +277,7 @@
 /// Handles another node's report.
 pub(super) fn receive_begun(gateway: &Gateway, streams: Vec<(u64, u32)>) {
     let now = gateway.now();
-    let mut known = gateway.origins.streams.borrow_mut();
+    let mut known = gateway.requests.streams.borrow_mut();
     for (stream, version) in streams {
         known.note_told(now, StreamKey(stream), SoftwareVersion(version));
     }
@@ -328,14 +286,18 @@
 /// Answers another node's question.
 pub(super) fn answer(gateway: &Gateway, to: SocketAddr, question: u64, stream: u64, service: u64) {
     let now = gateway.now();
-    let origin = gateway.origins.streams.borrow().get(now, StreamKey(stream));
+    let origin = gateway
+        .requests
+        .streams
+        .borrow()
+        .get(now, StreamKey(stream));
     let versions = gateway.service_versions_by_key(service);
     let told = VersionMessage::Told {
         question,
         origin: origin.map(|(version, _)| version.0),
         versions: version_messages::encode_versions(versions),
     };
-    gateway.origins.send(gateway, told, [to]);
+    send(gateway, told, [to]);
 }
 
 /// Passes an answer to the lookup that waits for it, if it still does.
@@ -346,7 +308,7 @@
     origin: Option<u32>,
     versions: VersionsReport,
 ) {
-    if let Some(waiting) = gateway.origins.pending.borrow().get(&question) {
+    if let Some(waiting) = gateway.requests.pending.borrow().get(&question) {
         let answer = OriginAnswer {
             origin: origin.map(SoftwareVersion),
             versions: version_messages::decode_versions(versions),
@@ -359,7 +321,7 @@
 /// Forgets streams that can't be resumed any more.
 pub(super) fn drop_old(gateway: &Gateway) {
     let (now, lifetime) = (gateway.now(), gateway.stream_lifetime());
-    let mut streams = gateway.origins.streams.borrow_mut();
+    let mut streams = gateway.requests.streams.borrow_mut();
     streams.drop_old(now, lifetime);
     let count = i64::try_from(streams.len()).unwrap_or(i64::MAX);
     gateway.metrics.origins_known.set(count);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -212,6 +212,7 @@
         .collect();
     let peers = &gateway.peers;
     peers.join(&gateway, &gossip_socket, incarnation, seeds);
+    actix_rt::spawn(peers::catch_up(gateway.clone()));
     log::info!(incarnation = incarnation.0; "joined");
     gateway.reach_milestone(Milestone::Joined);
     remove_departed_nodes(gateway).await;
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use elderworks_gateway_core::attempt::SendMark;
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::pressure::BufferKind;
+use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::workers::WorkerRecord;
 use prometheus_client::metrics::counter::Counter;
 use tokio_util::codec::{Decoder, Encoder};
@@ -61,6 +62,16 @@
 }
 
 impl Target {
+    /// Creates a target for a run at an engine.
+    pub(crate) fn at(engine: &Engine) -> Self {
+        Self {
+            worker: engine.worker.clone(),
+            address: engine.address,
+            prompt_source: PromptSource::Read,
+            backup_at: None,
+        }
+    }
+
     /// Creates a target that processes the whole prompt itself and has no backup.
     pub(crate) fn direct(record: &WorkerRecord) -> Self {
         Self {
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -45,6 +45,51 @@
     /// A message about the software versions of workers and of the streams that they began. Ignored by
     /// earlier versions.
     Versions(VersionMessage),
+    /// A message about requests under which workers ended. Ignored by earlier versions.
+    Requests(RequestMessage),
+}
+
+/// A message about requests under which workers ended. Requests and workers are given by their hashes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestMessage {
+    /// Requests under which workers ended.
+    Ended {
+        /// The requests.
+        requests: Vec<EndedReport>,
+    },
+    /// Asks for everything that the receiver knows; sent by nodes that have started.
+    Asked,
+    /// Reply to [`Self::Asked`], in one or several datagrams.
+    Told {
+        /// Time for which the sender has received reports, in milliseconds.
+        known_ms: u64,
+        /// The requests.
+        requests: Vec<EndedReport>,
+    },
+}
+
+/// The workers that ended under a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedReport {
+    /// The request, or one try of it.
+    pub request: u64,
+    /// What the hash stands for.
+    pub kind: RequestKind,
+    /// Time since the last of the ends, in milliseconds.
+    pub age_ms: u32,
+    /// The workers.
+    pub workers: Vec<u32>,
+}
+
+/// What a hash of a request stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RequestKind {
+    /// One try of a caller.
+    Attempt,
+    /// The content of one request.
+    Content,
+    /// Content that requests of several callers may have.
+    SharedContent,
 }
 
 /// A message about the software versions of workers and of the streams that they began. Versions,
