gateway: requests under which a worker ended are kept apart

Cause: requests that met the same end are placed by the same preferences, so that they meet again, or go on in the zone that is failing. Change: such a request goes to a worker without another of its kind and outside the zones in which workers ended under it, without its affinity key. Before the send that may meet the last end it waits 30 ms for the other nodes' reports, staggered in an order that all share, and goes nowhere where another request with two ends runs; nodes tell each other where these run.

--- a/crates/gateway-core/src/worker_ends/mod.rs
+++ b/crates/gateway-core/src/worker_ends/mod.rs
@@ -3,11 +3,13 @@
 //! A request may be the cause of an end, so that it must not be sent from worker to worker for ever, in
 //! whichever of its caller's tries and at whichever node. This module recognizes a request over its
 //! tries ([`identity`]), finds out whether a worker ended or only a connection ([`investigation`]),
-//! and keeps what is known of requests at this and at other nodes ([`table`]). Whether a request may be sent is decided by
+//! keeps what is known of requests at this and at other nodes ([`table`]), and keeps requests apart that
+//! may be the cause ([`suspects`]). Whether a request may be sent is decided by
 //! [`AttemptHistory`](crate::attempt::AttemptHistory).
 
 pub mod identity;
 pub mod investigation;
+pub mod suspects;
 pub mod table;
 
 /// Number of workers that may end under one request. Then it is sent to no other.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -206,7 +206,8 @@
         target: &Target,
         last_event_id: Option<&str>,
     ) -> Result<RunningResponse, ExchangeError> {
-        let worker_use = WorkerUse::start(self.gateway, &target.worker);
+        let ended = self.ends().ended;
+        let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
         self.note_tried(&target.worker);
         let request = OutgoingRequest {
             head: self.head.clone(),
@@ -302,6 +303,7 @@
     /// Returns the preferred worker; one that was tried or is in `avoided` only if there is no other.
     pub(super) fn choose(&self, avoided: &BTreeSet<WorkerKey>) -> Result<Target, CallError> {
         let is_first = self.tried.borrow().is_empty();
+        let is_suspect = self.ends().is_suspect();
         let tried = self.tried_or_avoided(avoided);
         let prefers_idle = self.gateway.settings.policy.resting_connections;
         let query = PlacementQuery {
@@ -309,8 +311,9 @@
             key: self
                 .attributes
                 .placement_key()
-                .filter(|_| self.route.sticky && self.gateway.settings.policy.affinity),
-
+                .filter(|_| self.route.sticky && self.gateway.settings.policy.affinity)
+                // Requests with the same key would meet again at the same worker.
+                .filter(|_| !is_suspect),
             zone: self.gateway.settings.zone.as_str(),
             repeatable: self.route.is_repeatable(),
             tried: &tried,
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -202,7 +202,8 @@
         let StreamVersion::Bound(software) = self.version else {
             return None;
         };
-        let tried = self.tried();
+        let [_, _, avoided, _] = self.workers_to_avoid();
+        let tried = self.tried_or_avoided(&avoided);
         let workers = self.gateway.workers.borrow();
         let found = targets::choose(
             &workers,
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -18,9 +18,22 @@
 /// Maximum time to wait until it is known whether workers ended.
 const MAX_SETTLE_WAIT: Duration = Duration::from_millis(400);
 
+/// Maximum time to wait for a worker without another request that ended workers repeatedly.
+const MAX_APART_WAIT: Duration = Duration::from_millis(600);
+
 /// Interval at which a waiting request checks again.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Pause before a send that must not meet another end, in which the other nodes' reports of the last
+/// one arrive.
+const LAST_SEND_PAUSE: Duration = Duration::from_millis(30);
+
+/// Pause between requests that met the same ends, so that each learns where those before it went.
+const LAST_SEND_STAGGER: Duration = Duration::from_millis(20);
+
+/// Maximum number of requests for which one waits.
+const MAX_STAGGERED: u32 = 8;
+
 /// Why a request is not sent although a worker may be free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Withheld {
@@ -30,6 +43,8 @@
     Unsettled,
     /// The last worker that may end under it is the last one.
     LastWorker,
+    /// Every worker runs another request that ended workers repeatedly.
+    NoneApart,
 }
 
 impl Withheld {
@@ -39,6 +54,7 @@
             Self::GivenUp => "workers ended while they ran the request; it is sent to no other",
             Self::Unsettled => "workers may have ended while they ran the request",
             Self::LastWorker => "workers ended while they ran the request, and one is left",
+            Self::NoneApart => "no worker can run the request apart from others that end workers",
         }
     }
 }
@@ -79,23 +95,75 @@
         }
     }
 
-    /// Returns the worker for the next send.
+    /// Returns the worker for the next send. A request under which workers ended is kept apart from
+    /// others of that kind.
     pub(super) async fn choose_target(&mut self) -> Result<Target, CallError> {
-        let gone = self.gone_workers();
-        self.choose(&gone)
+        let ends = self.ends();
+        if !ends.is_suspect() {
+            return self.choose(&BTreeSet::new());
+        }
+        if ends.is_at_last() {
+            actix_rt::time::sleep(self.last_send_pause()).await;
+        }
+        let until = Instant::now() + MAX_APART_WAIT;
+        loop {
+            let choices = self.workers_to_avoid();
+            let mut chosen = None;
+            for avoided in &choices {
+                let target = self.choose(avoided)?;
+                if !avoided.contains(&WorkerKey::of(&target.worker)) {
+                    return Ok(target);
+                }
+                chosen = Some(target);
+            }
+            match chosen {
+                Some(target) if !ends.is_at_last() => return Ok(target),
+                _ if Instant::now() >= until => return Err(self.withhold(Withheld::NoneApart)),
+                _ => actix_rt::time::sleep(POLL_INTERVAL).await,
+            }
+        }
     }
 
-    /// Returns the workers of the service that are known to have ended, if any ended under the request.
-    fn gone_workers(&self) -> BTreeSet<WorkerKey> {
-        if !self.ends().is_suspect() {
-            return BTreeSet::new();
-        }
+    /// Returns the workers to avoid, the most preferred choice first. Where a worker ended without a
+    /// cause in the request, others of its zone may end next.
+    pub(super) fn workers_to_avoid(&self) -> [BTreeSet<WorkerKey>; 4] {
+        let now = self.gateway.now();
+        let suspects = self.gateway.requests.suspects.borrow();
+        let shared = suspects.shared_with(now, self.identity.attempt);
         let table = self.gateway.requests.ends.borrow();
+        let own_ended = table.workers(&self.identity);
         let workers = self.gateway.workers.borrow();
-        let of_service = workers.known(&self.service).map(|worker| worker.key());
-        of_service
+        let of_service: Vec<_> = workers.known(&self.service).collect();
+        let gone: BTreeSet<WorkerKey> = of_service
+            .iter()
+            .map(|worker| worker.key())
             .filter(|worker| table.has_ended(*worker))
-            .collect()
+            .collect();
+        let lost_zones: BTreeSet<&str> = of_service
+            .iter()
+            .filter(|worker| own_ended.contains(&worker.key()))
+            .map(|worker| worker.record.zone.as_str())
+            .collect();
+        let in_lost_zones: BTreeSet<WorkerKey> = of_service
+            .iter()
+            .filter(|worker| lost_zones.contains(worker.record.zone.as_str()))
+            .map(|worker| worker.key())
+            .collect();
+        let apart = &shared.any | &gone;
+        let bearable = &shared.repeated | &gone;
+        [
+            &apart | &in_lost_zones,
+            &bearable | &in_lost_zones,
+            apart,
+            bearable,
+        ]
+    }
+
+    fn last_send_pause(&self) -> Duration {
+        let table = self.gateway.requests.ends.borrow();
+        let turn = table.turn_among_alike(&self.identity);
+        let turn = u32::try_from(turn).unwrap_or(u32::MAX).min(MAX_STAGGERED);
+        LAST_SEND_PAUSE + LAST_SEND_STAGGER * turn
     }
 
     /// Returns the number of workers that accept the request and aren't known to have ended.
--- a/crates/gateway/src/forward/worker_use.rs
+++ b/crates/gateway/src/forward/worker_use.rs
@@ -5,9 +5,11 @@
 
 use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::stream_versions::SoftwareVersion;
+use elderworks_gateway_core::worker_ends::identity::RequestIdentity;
 use elderworks_gateway_core::workers::WorkerInstance;
 
 use crate::gateway::Gateway;
+use crate::peers::PlacedSuspect;
 use crate::upstream::WorkerResponse;
 
 /// Counts a request as in progress at a worker until dropped.
@@ -17,20 +19,30 @@
     /// Version of the worker's software when the request was sent, if known.
     pub(super) software: Option<SoftwareVersion>,
     life: WorkerInstance,
+    /// Set if the request may be the cause of the end of a worker.
+    _suspect: Option<PlacedSuspect>,
 }
 
 impl WorkerUse {
-    pub(super) fn start(gateway: &Rc<Gateway>, worker: &str) -> Self {
+    /// Counts a request under which `ended` workers have ended so far.
+    pub(super) fn start(
+        gateway: &Rc<Gateway>,
+        worker: &str,
+        request: &RequestIdentity,
+        ended: usize,
+    ) -> Self {
         let now = gateway.now();
         let mut workers = gateway.workers.borrow_mut();
         let software = workers.get(worker).and_then(|known| known.software);
         let life = workers.note_start(worker, now);
         drop(workers);
+        let is_suspect = ended > 0;
         Self {
             gateway: gateway.clone(),
             worker: worker.to_owned(),
             software,
             life,
+            _suspect: is_suspect.then(|| PlacedSuspect::place(gateway, request, worker, ended)),
         }
     }
 }
--- a/crates/gateway/src/peers/request_exchange.rs
+++ b/crates/gateway/src/peers/request_exchange.rs
@@ -9,6 +9,7 @@
 
 use elderworks_gateway_core::stream_versions::lookup::OriginAnswer;
 use elderworks_gateway_core::stream_versions::origins::StreamOrigins;
+use elderworks_gateway_core::worker_ends::suspects::Suspects;
 use elderworks_gateway_core::worker_ends::table::EndTable;
 use elderworks_protocol::gateway::GatewayDatagram;
 use tokio::net::UdpSocket;
@@ -32,6 +33,8 @@
     pub(super) streams: RefCell<StreamOrigins>,
     /// Requests under which workers ended.
     pub(crate) ends: RefCell<EndTable>,
+    /// Where such requests run.
+    pub(crate) suspects: RefCell<Suspects>,
     /// What this node has learned of them since its start.
     pub(super) catch_up: CatchUp,
     /// Whether a task is about to send reports.
--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -1,4 +1,4 @@
-//! Reports between nodes of requests under which workers ended.
+//! Reports between nodes of requests under which workers ended, and of where such requests run.
 //!
 //! A caller's next try may come to any node that it is sent to, so all of these are told at once. A node
 //! that has started asks the others what they know.
@@ -10,8 +10,9 @@
 
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::start::Milestone;
-use elderworks_gateway_core::worker_ends::identity::RequestKey;
+use elderworks_gateway_core::worker_ends::identity::{RequestIdentity, RequestKey};
 use elderworks_gateway_core::worker_ends::investigation::Fate;
+use elderworks_gateway_core::worker_ends::suspects::Placement;
 use elderworks_gateway_core::worker_ends::table::{EndedRequest, KeyKind};
 use elderworks_protocol::gateway::{EndedReport, GatewayDatagram, RequestKind, RequestMessage};
 use elderworks_types::{NodeId, Timestamp};
@@ -138,12 +139,75 @@
     table.drop_old(now, lifetime);
     let count = i64::try_from(table.len()).unwrap_or(i64::MAX);
     gateway.metrics.ended_requests_known.set(count);
+    gateway.requests.suspects.borrow_mut().drop_old(now);
+}
+
+/// A request that may be the cause of an end, while it is at a worker. Dropping it ends that.
+pub(crate) struct PlacedSuspect {
+    gateway: Rc<Gateway>,
+    placement: Placement,
+}
+
+impl PlacedSuspect {
+    /// Records and reports that a request is sent to a worker.
+    pub(crate) fn place(
+        gateway: &Rc<Gateway>,
+        request: &RequestIdentity,
+        worker: &str,
+        ended: usize,
+    ) -> Self {
+        let placement = Placement {
+            worker: WorkerKey::of(worker),
+            attempt: request.attempt,
+        };
+        let mut suspects = gateway.requests.suspects.borrow_mut();
+        suspects.place(placement, ended);
+        drop(suspects);
+        let message = RequestMessage::Placed {
+            attempt: placement.attempt.0,
+            worker: placement.worker.0,
+            ended: u32::try_from(ended).unwrap_or(u32::MAX),
+        };
+        send(gateway, message, recipients(gateway));
+        Self {
+            gateway: gateway.clone(),
+            placement,
+        }
+    }
+}
+
+impl Drop for PlacedSuspect {
+    fn drop(&mut self) {
+        let placement = self.placement;
+        let mut suspects = self.gateway.requests.suspects.borrow_mut();
+        suspects.release(placement);
+        drop(suspects);
+        let message = RequestMessage::Released {
+            attempt: placement.attempt.0,
+            worker: placement.worker.0,
+        };
+        send(&self.gateway, message, recipients(&self.gateway));
+    }
 }
 
 /// Handles another node's message.
 pub(super) fn receive(gateway: &Gateway, from: SocketAddr, message: RequestMessage) {
+    let now = gateway.now();
     match message {
         RequestMessage::Ended { requests } => note_told(gateway, &requests),
+        RequestMessage::Placed {
+            attempt,
+            worker,
+            ended,
+        } => {
+            let ended = usize::try_from(ended).unwrap_or(usize::MAX);
+            let mut suspects = gateway.requests.suspects.borrow_mut();
+            suspects.note_told(now, placement(attempt, worker), ended);
+        }
+        RequestMessage::Released { attempt, worker } => {
+            let mut suspects = gateway.requests.suspects.borrow_mut();
+            suspects.release(placement(attempt, worker));
+        }
         RequestMessage::Asked => answer(gateway, from),
         RequestMessage::Told { known_ms, requests } => {
             note_told(gateway, &requests);
@@ -152,6 +216,13 @@
     }
 }
 
+fn placement(attempt: u64, worker: u32) -> Placement {
+    Placement {
+        worker: WorkerKey(worker),
+        attempt: RequestKey(attempt),
+    }
+}
+
 fn note_told(gateway: &Gateway, requests: &[EndedReport]) {
     let now = gateway.now();
     let mut table = gateway.requests.ends.borrow_mut();
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -66,6 +66,22 @@
         /// The requests.
         requests: Vec<EndedReport>,
     },
+    /// The sender has sent such a request to a worker.
+    Placed {
+        /// The try of the request.
+        attempt: u64,
+        /// The worker.
+        worker: u32,
+        /// Number of workers that ended under it.
+        ended: u32,
+    },
+    /// A request reported by [`Self::Placed`] no longer runs at the worker.
+    Released {
+        /// The try of the request.
+        attempt: u64,
+        /// The worker.
+        worker: u32,
+    },
 }
 
 /// The workers that ended under a request.
