--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -3,7 +3,8 @@
 //! A caller's next try may come to any node that it is sent to, so all of these are told at once. A node
 //! that has started asks the others what they know.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,6 +56,8 @@
     last_upkeep: Cell<Timestamp>,
     /// Whether another node is back, so that either may have missed reports.
     is_due: Cell<bool>,
+    /// Nodes that were asked and haven't answered.
+    outstanding: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl Default for CatchUp {
@@ -64,6 +67,7 @@
             known_since: Cell::default(),
             last_upkeep: Cell::default(),
             is_due: Cell::default(),
+            outstanding: RefCell::default(),
         }
     }
 }
@@ -86,11 +90,9 @@
         if asked.is_empty() || is_answered {
             break;
         }
-        send(
-            gateway,
-            RequestMessage::Asked,
-            addresses_of(gateway, &asked),
-        );
+        let addresses = addresses_of(gateway, &asked);
+        *state.outstanding.borrow_mut() = addresses.iter().copied().collect();
+        send(gateway, RequestMessage::Asked, addresses);
         actix_rt::time::sleep(ASK_INTERVAL).await;
     }
     state.is_over.send_replace(true);
@@ -277,7 +279,7 @@
         }
         RequestMessage::Told { known_ms, requests } => {
             note_told(gateway, &requests);
-            note_answer(gateway, Duration::from_millis(known_ms));
+            note_answer(gateway, from, Duration::from_millis(known_ms));
         }
     }
 }
@@ -315,13 +317,15 @@
 }
 
 /// Records that a node has answered that has received reports for this long.
-fn note_answer(gateway: &Gateway, known: Duration) {
+fn note_answer(gateway: &Gateway, from: SocketAddr, known: Duration) {
     let now = gateway.now();
     let state = &gateway.requests.catch_up;
     let since = now - known;
     let earliest = state.known_since.get().map_or(since, |own| own.min(since));
     state.known_since.set(Some(earliest));
-    if known >= gateway.request_lifetime() && !state.is_over.send_replace(true) {
+    state.outstanding.borrow_mut().remove(&from);
+    let is_enough = known >= gateway.request_lifetime() || state.outstanding.borrow().is_empty();
+    if is_enough && !state.is_over.send_replace(true) {
         log::info!(known_ms = millis(Some(known)); "learned under which requests workers ended");
     }
 }
