--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -5,24 +5,29 @@
 //! [`PartitionOwner::next_action`], carries the action out, reports the result, and delivers the
 //! replies.
 
+mod appends;
 mod overdrafts;
+mod requests;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest, Witness};
+use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, Witness};
 use elderworks_types::{Offset, Timestamp};
 
 use super::LedgerState;
-use super::calls::{Action, AppendOutcome, CallNumber, ReadOutcome, Ticket, WitnessQuery};
+use super::calls::{Action, CallNumber, ReadOutcome, Ticket, WitnessQuery};
 use super::fencing::Fencing;
 use super::overdraft::{OwnOverdraft, SLOW_CALL_THRESHOLD};
-use super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
-use super::plan::{Credit, Plan, Planned, answer_from_memory};
+use super::plan::{Plan, Planned};
 use super::turn_size::TypicalTurn;
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
 use crate::policy::Policy;
+use appends::PendingAppend;
+use requests::QueuedRequest;
+
+pub use requests::MAX_HOLD_WHILE_DOWN;
 
 /// Number of consecutive failed calls after which the log counts as down.
 pub const FAILURES_BEFORE_DOWN: u32 = 2;
@@ -37,10 +42,6 @@
 /// Delay between two calls while the log is down.
 pub const DOWN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// How long a request that asks for it waits for a log that is down. Long enough for two or three
-/// calls to the log, so that the request is carried out soon after the log has recovered.
-pub const MAX_HOLD_WHILE_DOWN: Duration = Duration::from_millis(500);
-
 /// How long after an outage of the log an owner that is not preferred leaves the partition to the
 /// preferred one. Otherwise both would read and append the same records.
 pub const YIELD_AFTER_OUTAGE: Duration = Duration::from_secs(1);
@@ -48,29 +49,6 @@
 /// Additional delay before a preparatory call while the log is down, since no request waits for it.
 const PREPARATION_DELAY: Duration = Duration::from_millis(400);
 
-#[derive(Debug)]
-struct QueuedRequest {
-    ticket: Ticket,
-    request: LedgerRequest,
-    /// Whether the state has been read to the end of the log since the request arrived. Only then
-    /// is a negative answer final.
-    verified: bool,
-    /// The latest call that started before the request arrived. The answers to it and to earlier
-    /// calls may be older than the request.
-    latest_call_before: CallNumber,
-    /// Until when the request stays queued although the log is down.
-    hold_until: Timestamp,
-}
-
-#[derive(Debug)]
-struct PendingAppend {
-    plan: Plan,
-    replies: Vec<(Ticket, LedgerReply)>,
-    /// Turns of the plan, as (program, turn), that were reported as finished after the append
-    /// started.
-    abandoned_turns: Vec<(String, String)>,
-}
-
 /// Serves requests to one partition on this node.
 #[derive(Debug)]
 pub struct PartitionOwner {
@@ -139,165 +117,6 @@
         }
     }
 
-    /// Submits a request. [`Self::take_replies`] returns its reply.
-    ///
-    /// While the log is down, one request at a time waits for a call that probes the log, and
-    /// requests that ask for it wait for [`MAX_HOLD_WHILE_DOWN`]. All others are answered
-    /// immediately, either from memory or with "unavailable".
-    pub fn submit(&mut self, now: Timestamp, ticket: Ticket, request: LedgerRequest) {
-        let is_held = matches!(&request, LedgerRequest::Finish(finish) if finish.waits);
-        let hold = if is_held {
-            MAX_HOLD_WHILE_DOWN
-        } else {
-            Duration::ZERO
-        };
-        self.submit_with_hold(now, ticket, request, now + hold);
-    }
-
-    fn submit_with_hold(
-        &mut self,
-        now: Timestamp,
-        ticket: Ticket,
-        request: LedgerRequest,
-        hold_until: Timestamp,
-    ) {
-        if let LedgerRequest::Finish(finish) = &request {
-            self.abandon(&finish.program, &finish.turn);
-        }
-        let immediate = self.answer_from_memory(now, &request);
-        if immediate.is_none() {
-            self.activate_overdraft(now);
-        }
-        let is_activating = self.overdraft.is_activating();
-        let is_held = now < hold_until;
-        let is_busy = self.is_call_in_progress || now < self.paused_until;
-        let cannot_wait = !is_activating && !is_held && is_busy;
-        let reply = match immediate {
-            Some(reply) => Some(reply),
-            None if self.is_down() && cannot_wait => Some(LedgerReply::Unavailable),
-            None if self.yields_to_preferred(now) => Some(LedgerReply::Unavailable),
-            None => None,
-        };
-        match reply {
-            Some(reply) => self.replies.push((ticket, reply)),
-            None => self.queue.push(QueuedRequest {
-                ticket,
-                request,
-                verified: false,
-                latest_call_before: self.last_call,
-                hold_until,
-            }),
-        }
-    }
-
-    fn answer_from_memory(
-        &mut self,
-        now: Timestamp,
-        request: &LedgerRequest,
-    ) -> Option<LedgerReply> {
-        let credit = self.credit(now);
-        answer_from_memory(&self.state, &mut self.wallets, now, credit, request)
-    }
-
-    fn credit(&self, now: Timestamp) -> Credit {
-        match self.own_overdraft() {
-            Some(own) if own.superseded.is_none() && self.overdraft.is_usable(now) => {
-                Credit::Overdraft {
-                    share: own.share,
-                    min_budget: own.min_budget,
-                    known_programs: own.known_programs,
-                }
-            }
-            _ => Credit::None,
-        }
-    }
-
-    /// Returns whether the partition is left to the preferred owner because the log has just
-    /// recovered.
-    fn yields_to_preferred(&self, now: Timestamp) -> bool {
-        !self.is_preferred && now < self.yields_until
-    }
-
-    /// Reports that the call in progress takes longer than [`SLOW_CALL_THRESHOLD`].
-    pub fn note_slow_call(&mut self, now: Timestamp) {
-        self.overdraft.record_degraded();
-        if !self.queue.is_empty() {
-            self.activate_overdraft(now);
-        }
-        self.answer_queued(now);
-    }
-
-    /// Answers queued requests that no longer need a call, and refuses those that have to wait for
-    /// a log that is down.
-    fn answer_queued(&mut self, now: Timestamp) {
-        let refuses_waiting = self.is_down() && !self.overdraft.is_activating();
-        for queued in std::mem::take(&mut self.queue) {
-            let reply = match self.answer_from_memory(now, &queued.request) {
-                Some(reply) => reply,
-                None if refuses_waiting && !self.stays_queued(now, &queued) => {
-                    LedgerReply::Unavailable
-                }
-                None => {
-                    self.queue.push(queued);
-                    continue;
-                }
-            };
-            self.drop_pending_reply(queued.ticket, &queued.request);
-            self.replies.push((queued.ticket, reply));
-        }
-    }
-
-    /// Returns whether a request stays queued although the log is down, because an append in
-    /// progress may answer it or because it asked to be held.
-    fn stays_queued(&self, now: Timestamp, queued: &QueuedRequest) -> bool {
-        now < queued.hold_until || self.is_in_append(queued.ticket)
-    }
-
-    fn is_in_append(&self, ticket: Ticket) -> bool {
-        let replies = self.pending.iter().flat_map(|pending| &pending.replies);
-        replies.into_iter().any(|(other, _)| *other == ticket)
-    }
-
-    /// Removes from the append in progress the reply to a request that has been answered already.
-    fn drop_pending_reply(&mut self, ticket: Ticket, request: &LedgerRequest) {
-        let Some(pending) = &mut self.pending else {
-            return;
-        };
-        pending.replies.retain(|(other, _)| *other != ticket);
-        if let LedgerRequest::Begin(begin) = request {
-            let started = &mut pending.plan.started;
-            started.retain(|(_, turn)| *turn != begin.turn);
-        }
-    }
-
-    /// Submits all queued requests again, which refuses those that need not be held any longer.
-    fn resubmit_queued(&mut self, now: Timestamp) {
-        for queued in std::mem::take(&mut self.queue) {
-            self.submit_with_hold(now, queued.ticket, queued.request, queued.hold_until);
-        }
-    }
-
-    /// Handles the end of a turn that may not have been granted yet, which means that its caller
-    /// has given up.
-    fn abandon(&mut self, program: &str, turn: &str) {
-        if let Some(pending) = &mut self.pending {
-            let started = &pending.plan.started;
-            if started.iter().any(|(_, name)| name == turn) {
-                let abandoned = (program.to_owned(), turn.to_owned());
-                pending.abandoned_turns.push(abandoned);
-                return;
-            }
-        }
-        let is_start = |request: &LedgerRequest| matches!(request, LedgerRequest::Begin(begin) if begin.turn == turn);
-        for queued in std::mem::take(&mut self.queue) {
-            if is_start(&queued.request) {
-                self.replies.push((queued.ticket, LedgerReply::Unavailable));
-            } else {
-                self.queue.push(queued);
-            }
-        }
-    }
-
     /// Sets whether other nodes send their requests for the partition to this owner. An owner that
     /// is not preferred settles its advances without delay.
     pub fn set_preferred(&mut self, is_preferred: bool) {
@@ -483,71 +302,6 @@
         }
     }
 
-    /// Reports the result of [`Action::Append`].
-    pub fn on_append(&mut self, now: Timestamp, outcome: AppendOutcome) {
-        self.is_call_in_progress = false;
-        let Some(pending) = self.pending.take() else {
-            return;
-        };
-        if outcome == AppendOutcome::Done {
-            self.record_answer(now);
-            self.apply_append(now, pending);
-            return;
-        }
-        for (program, turn) in &pending.plan.started {
-            if let Some(wallet) = self.wallets.get_mut(program) {
-                wallet.cancel(turn);
-            }
-        }
-        match outcome {
-            AppendOutcome::Done => {}
-            AppendOutcome::Conflict => {
-                self.record_answer(now);
-                self.abort_closing(&pending.plan);
-                self.conflicts += 1;
-                self.is_synced = false;
-            }
-            AppendOutcome::Refused => {
-                self.abort_closing(&pending.plan);
-                self.on_failed_call(now);
-            }
-            AppendOutcome::Unknown => {
-                self.is_synced = false;
-                self.on_failed_call(now);
-            }
-        }
-    }
-
-    /// Applies an append that succeeded. The log ended where the state did, so the decisions made
-    /// on that state hold.
-    fn apply_append(&mut self, now: Timestamp, pending: PendingAppend) {
-        for record in pending.plan.records {
-            self.apply(now, record);
-        }
-        for (program, turn) in &pending.abandoned_turns {
-            if let Some(wallet) = self.wallets.get_mut(program) {
-                wallet.finish(now, turn, 0);
-            }
-        }
-        for (ticket, reply) in pending.replies {
-            self.record_turn_size(ticket);
-            self.queue.retain(|queued| queued.ticket != ticket);
-            self.replies.push((ticket, reply));
-        }
-        self.refresh_overdraft();
-        self.mark_verified(self.last_call);
-    }
-
-    fn record_turn_size(&mut self, ticket: Ticket) {
-        let queued = self.queue.iter().find(|queued| queued.ticket == ticket);
-        let Some(LedgerRequest::Begin(begin)) = queued.map(|queued| &queued.request) else {
-            return;
-        };
-        if begin.budget.is_some() {
-            self.typical_turn.record(begin.tokens);
-        }
-    }
-
     fn record_answer(&mut self, now: Timestamp) {
         self.record_call_answer(now, self.last_call);
     }
@@ -567,14 +321,6 @@
         self.overdraft.record_answer(now, took);
     }
 
-    /// Marks the requests that arrived before `call` started as verified: its answer shows the end
-    /// of the log as of its start or later.
-    fn mark_verified(&mut self, call: CallNumber) {
-        for queued in &mut self.queue {
-            queued.verified |= call > queued.latest_call_before;
-        }
-    }
-
     fn apply(&mut self, now: Timestamp, record: LedgerRecord) {
         self.wallets.on_record(now, &record);
         self.state.apply(now, record);
@@ -644,29 +390,6 @@
         }
     }
 
-    /// Returns an append that writes old records again before the log truncates them; `None` if
-    /// there are none or another action takes precedence.
-    pub fn plan_rewrite(&mut self, now: Timestamp) -> Option<Action> {
-        if !self.is_synced || self.pending.is_some() || !self.queue.is_empty() {
-            return None;
-        }
-        let records = leading_records(self.state.records_to_rewrite(now));
-        if records.is_empty() {
-            return None;
-        }
-        self.pending = Some(PendingAppend {
-            plan: Plan::of_records(records.clone()),
-            replies: Vec::new(),
-            abandoned_turns: Vec::new(),
-        });
-        self.is_call_in_progress = true;
-        self.record_call(now);
-        Some(Action::Append {
-            at: self.end,
-            records,
-        })
-    }
-
     /// Handles a failed call: delays the next one, and refuses queued requests once the log counts
     /// as down.
     fn on_failed_call(&mut self, now: Timestamp) {
@@ -680,17 +403,3 @@
         self.resubmit_queued(now);
     }
 }
-
-/// Returns the leading records that fit into one append.
-fn leading_records(records: Vec<LedgerRecord>) -> Vec<LedgerRecord> {
-    let mut bytes = 0;
-    let mut leading = Vec::new();
-    for record in records {
-        bytes += approximate_bytes(&record);
-        if bytes > MAX_APPEND_BYTES {
-            break;
-        }
-        leading.push(record);
-    }
-    leading
-}
--- /dev/null
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -0,0 +1,198 @@
+//! Requests to [`PartitionOwner`]: takes them in, answers them from memory, and drops starts whose
+//! callers have given up.
+
+use std::time::Duration;
+
+use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
+use elderworks_types::Timestamp;
+
+use super::super::calls::{CallNumber, Ticket};
+use super::super::plan::{Credit, answer_from_memory};
+use super::PartitionOwner;
+
+/// How long a request that asks for it waits for a log that is down. Long enough for two or three
+/// calls to the log, so that the request is carried out soon after the log has recovered.
+pub const MAX_HOLD_WHILE_DOWN: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+pub(super) struct QueuedRequest {
+    pub(super) ticket: Ticket,
+    pub(super) request: LedgerRequest,
+    /// Whether the state has been read to the end of the log since the request arrived. Only then
+    /// is a negative answer final.
+    pub(super) verified: bool,
+    /// The latest call that started before the request arrived. The answers to it and to earlier
+    /// calls may be older than the request.
+    pub(super) latest_call_before: CallNumber,
+    /// Until when the request stays queued although the log is down.
+    pub(super) hold_until: Timestamp,
+}
+
+impl PartitionOwner {
+    /// Submits a request. [`Self::take_replies`] returns its reply.
+    ///
+    /// While the log is down, one request at a time waits for a call that probes the log, and
+    /// requests that ask for it wait for [`MAX_HOLD_WHILE_DOWN`]. All others are answered
+    /// immediately, either from memory or with "unavailable".
+    pub fn submit(&mut self, now: Timestamp, ticket: Ticket, request: LedgerRequest) {
+        let is_held = matches!(&request, LedgerRequest::Finish(finish) if finish.waits);
+        let hold = if is_held {
+            MAX_HOLD_WHILE_DOWN
+        } else {
+            Duration::ZERO
+        };
+        self.submit_with_hold(now, ticket, request, now + hold);
+    }
+
+    fn submit_with_hold(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: LedgerRequest,
+        hold_until: Timestamp,
+    ) {
+        if let LedgerRequest::Finish(finish) = &request {
+            self.abandon(&finish.program, &finish.turn);
+        }
+        let immediate = self.answer_from_memory(now, &request);
+        if immediate.is_none() {
+            self.activate_overdraft(now);
+        }
+        let is_activating = self.overdraft.is_activating();
+        let is_held = now < hold_until;
+        let is_busy = self.is_call_in_progress || now < self.paused_until;
+        let cannot_wait = !is_activating && !is_held && is_busy;
+        let reply = match immediate {
+            Some(reply) => Some(reply),
+            None if self.is_down() && cannot_wait => Some(LedgerReply::Unavailable),
+            None if self.yields_to_preferred(now) => Some(LedgerReply::Unavailable),
+            None => None,
+        };
+        match reply {
+            Some(reply) => self.replies.push((ticket, reply)),
+            None => self.queue.push(QueuedRequest {
+                ticket,
+                request,
+                verified: false,
+                latest_call_before: self.last_call,
+                hold_until,
+            }),
+        }
+    }
+
+    pub(super) fn answer_from_memory(
+        &mut self,
+        now: Timestamp,
+        request: &LedgerRequest,
+    ) -> Option<LedgerReply> {
+        let credit = self.credit(now);
+        answer_from_memory(&self.state, &mut self.wallets, now, credit, request)
+    }
+
+    fn credit(&self, now: Timestamp) -> Credit {
+        match self.own_overdraft() {
+            Some(own) if own.superseded.is_none() && self.overdraft.is_usable(now) => {
+                Credit::Overdraft {
+                    share: own.share,
+                    min_budget: own.min_budget,
+                    known_programs: own.known_programs,
+                }
+            }
+            _ => Credit::None,
+        }
+    }
+
+    /// Returns whether the partition is left to the preferred owner because the log has just
+    /// recovered.
+    pub(super) fn yields_to_preferred(&self, now: Timestamp) -> bool {
+        !self.is_preferred && now < self.yields_until
+    }
+
+    /// Reports that the call in progress takes longer than [`SLOW_CALL_THRESHOLD`](crate::ledger::SLOW_CALL_THRESHOLD).
+    pub fn note_slow_call(&mut self, now: Timestamp) {
+        self.overdraft.record_degraded();
+        if !self.queue.is_empty() {
+            self.activate_overdraft(now);
+        }
+        self.answer_queued(now);
+    }
+
+    /// Answers queued requests that no longer need a call, and refuses those that have to wait for
+    /// a log that is down.
+    pub(super) fn answer_queued(&mut self, now: Timestamp) {
+        let refuses_waiting = self.is_down() && !self.overdraft.is_activating();
+        for queued in std::mem::take(&mut self.queue) {
+            let reply = match self.answer_from_memory(now, &queued.request) {
+                Some(reply) => reply,
+                None if refuses_waiting && !self.stays_queued(now, &queued) => {
+                    LedgerReply::Unavailable
+                }
+                None => {
+                    self.queue.push(queued);
+                    continue;
+                }
+            };
+            self.drop_pending_reply(queued.ticket, &queued.request);
+            self.replies.push((queued.ticket, reply));
+        }
+    }
+
+    /// Returns whether a request stays queued although the log is down, because an append in
+    /// progress may answer it or because it asked to be held.
+    fn stays_queued(&self, now: Timestamp, queued: &QueuedRequest) -> bool {
+        now < queued.hold_until || self.is_in_append(queued.ticket)
+    }
+
+    fn is_in_append(&self, ticket: Ticket) -> bool {
+        let replies = self.pending.iter().flat_map(|pending| &pending.replies);
+        replies.into_iter().any(|(other, _)| *other == ticket)
+    }
+
+    /// Removes from the append in progress the reply to a request that has been answered already.
+    fn drop_pending_reply(&mut self, ticket: Ticket, request: &LedgerRequest) {
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        pending.replies.retain(|(other, _)| *other != ticket);
+        if let LedgerRequest::Begin(begin) = request {
+            let started = &mut pending.plan.started;
+            started.retain(|(_, turn)| *turn != begin.turn);
+        }
+    }
+
+    /// Submits all queued requests again, which refuses those that need not be held any longer.
+    pub(super) fn resubmit_queued(&mut self, now: Timestamp) {
+        for queued in std::mem::take(&mut self.queue) {
+            self.submit_with_hold(now, queued.ticket, queued.request, queued.hold_until);
+        }
+    }
+
+    /// Handles the end of a turn that may not have been granted yet, which means that its caller
+    /// has given up.
+    fn abandon(&mut self, program: &str, turn: &str) {
+        if let Some(pending) = &mut self.pending {
+            let started = &pending.plan.started;
+            if started.iter().any(|(_, name)| name == turn) {
+                let abandoned = (program.to_owned(), turn.to_owned());
+                pending.abandoned_turns.push(abandoned);
+                return;
+            }
+        }
+        let is_start = |request: &LedgerRequest| matches!(request, LedgerRequest::Begin(begin) if begin.turn == turn);
+        for queued in std::mem::take(&mut self.queue) {
+            if is_start(&queued.request) {
+                self.replies.push((queued.ticket, LedgerReply::Unavailable));
+            } else {
+                self.queue.push(queued);
+            }
+        }
+    }
+
+    /// Marks the requests that arrived before `call` started as verified: its answer shows the end
+    /// of the log as of its start or later.
+    pub(super) fn mark_verified(&mut self, call: CallNumber) {
+        for queued in &mut self.queue {
+            queued.verified |= call > queued.latest_call_before;
+        }
+    }
+}
