logs: a refusal for budget names what holds the budget

Which hold refuses a turn, and since when, could not be told from the output: a refused program may be short because of a running turn at this owner, of its own reservations, of other owners' reservations or of overdrafts.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -13,6 +13,7 @@
 mod owner;
 mod pieces;
 mod plan;
+mod refusal;
 mod state;
 mod turn_size;
 mod wallet;
@@ -28,6 +29,7 @@
 };
 pub use pieces::{MAX_APPEND_BYTES, MAX_CONTENT_BYTES, approximate_bytes, kept_records};
 pub use plan::FOREIGN_SETTLEMENT_WAIT;
+pub use refusal::{BudgetHold, BudgetHolder, BudgetRefusal};
 pub use state::{
     ACCOUNT_RETENTION, LedgerState, OVERDRAFT_RETENTION, OpenOverdraft, TURN_RETENTION,
 };
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -20,6 +20,7 @@
 use super::fencing::Fencing;
 use super::overdraft::{OwnOverdraft, SLOW_CALL_THRESHOLD};
 use super::plan::{Plan, Planned};
+use super::refusal::BudgetRefusal;
 use super::turn_size::TypicalTurn;
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
@@ -66,6 +67,7 @@
     queue: Vec<QueuedRequest>,
     pending: Option<PendingAppend>,
     replies: Vec<(Ticket, LedgerReply)>,
+    refusals: Vec<BudgetRefusal>,
     paused_until: Timestamp,
     consecutive_failures: u32,
     /// Until when an owner that is not preferred makes no calls for requests.
@@ -102,6 +104,7 @@
             queue: Vec::new(),
             pending: None,
             replies: Vec::new(),
+            refusals: Vec::new(),
             paused_until: Timestamp::default(),
             consecutive_failures: 0,
             yields_until: Timestamp::default(),
@@ -140,6 +143,11 @@
         std::mem::take(&mut self.replies)
     }
 
+    /// Returns the turns that were refused for their programs' budgets. Each is returned once.
+    pub fn take_refusals(&mut self) -> Vec<BudgetRefusal> {
+        std::mem::take(&mut self.refusals)
+    }
+
     /// Returns the accounts and turns that this owner has read.
     pub fn state(&self) -> &LedgerState {
         &self.state
@@ -254,7 +262,7 @@
         {
             // An earlier request may have enlarged the wallet enough for this one.
             if let Some(reply) = self.answer_from_memory(now, &queued.request) {
-                self.replies.push((queued.ticket, reply));
+                self.reply(now, queued.ticket, &queued.request, reply);
                 continue;
             }
             match plan.decide(&self.state, &mut self.wallets, now, &queued.request) {
@@ -263,7 +271,7 @@
                     self.queue.push(queued);
                 }
                 Planned::AnswerIfCurrent(reply) if queued.verified => {
-                    self.replies.push((queued.ticket, reply));
+                    self.reply(now, queued.ticket, &queued.request, reply);
                 }
                 Planned::AnswerIfCurrent(_) => {
                     needs_verification = true;
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -8,6 +8,7 @@
 
 use super::super::calls::{CallNumber, Ticket};
 use super::super::plan::{Credit, answer_from_memory};
+use super::super::refusal::BudgetRefusal;
 use super::PartitionOwner;
 
 /// How long a request that asks for it waits for a log that is down. Long enough for two or three
@@ -69,7 +70,7 @@
             None => None,
         };
         match reply {
-            Some(reply) => self.replies.push((ticket, reply)),
+            Some(reply) => self.reply(now, ticket, &request, reply),
             None => self.queue.push(QueuedRequest {
                 ticket,
                 request,
@@ -80,6 +81,27 @@
         }
     }
 
+    /// Replies to a request. If it is a turn that its budget does not hold, also records why.
+    pub(super) fn reply(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: &LedgerRequest,
+        reply: LedgerReply,
+    ) {
+        let is_for_budget = matches!(
+            reply,
+            LedgerReply::BudgetSpent | LedgerReply::BudgetUnsure | LedgerReply::BudgetInDoubt
+        );
+        if let LedgerRequest::Begin(begin) = request
+            && is_for_budget
+        {
+            let refusal = BudgetRefusal::new(&self.state, &self.wallets, now, begin);
+            self.refusals.push(refusal);
+        }
+        self.replies.push((ticket, reply));
+    }
+
     pub(super) fn answer_from_memory(
         &mut self,
         now: Timestamp,
@@ -133,7 +155,7 @@
                 }
             };
             self.drop_pending_reply(queued.ticket, &queued.request);
-            self.replies.push((queued.ticket, reply));
+            self.reply(now, queued.ticket, &queued.request, reply);
         }
     }
 
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -221,15 +221,40 @@
         budget: u64,
         is_own: impl Fn(&str) -> bool,
     ) -> u64 {
-        let others = self.overdrafts().filter(|(name, _)| !is_own(name));
-        let charges = others
-            .filter(|(_, overdraft)| overdraft.may_serve(program, budget))
-            .map(|(name, overdraft)| {
+        let charges = self.overdraft_charges(program, budget, is_own);
+        saturating_sum(charges.map(|(_, tokens)| tokens))
+    }
+
+    /// Returns what [`Self::overdrawn_by_others`] adds up: the overdrafts of other owners that may
+    /// serve a program, each with the tokens charged for it.
+    pub(super) fn overdraft_charges(
+        &self,
+        program: &str,
+        budget: u64,
+        is_own: impl Fn(&str) -> bool,
+    ) -> impl Iterator<Item = (&str, u64)> {
+        let others = self.overdrafts().filter(move |(name, _)| !is_own(name));
+        others
+            .filter(move |(_, overdraft)| overdraft.may_serve(program, budget))
+            .map(move |(name, overdraft)| {
                 let owner = owner_of(name);
                 let limit = budget / overdraft.share.max(1);
-                limit.saturating_sub(self.reserved(program, |other| owner_of(other) == owner))
-            });
-        saturating_sum(charges)
+                let reserved = self.reserved(program, |other| owner_of(other) == owner);
+                (name, limit.saturating_sub(reserved))
+            })
+    }
+
+    /// Returns a program's open reservations, each with its tokens and when this node first read
+    /// it.
+    pub(super) fn open_reservations(
+        &self,
+        program: &str,
+    ) -> impl Iterator<Item = (&str, u64, Option<Timestamp>)> {
+        let entry = self.accounts.get(program).into_iter();
+        entry.flat_map(|entry| {
+            let open = entry.account.open.iter();
+            open.map(|(name, tokens)| (name.as_str(), *tokens, entry.reserved.get(name).copied()))
+        })
     }
 
     /// Returns the tokens of a program's open reservations for which `is_wanted` returns true.
--- a/crates/gateway-core/src/ledger/wallet.rs
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -97,6 +97,12 @@
         self.running.contains_key(turn)
     }
 
+    /// Returns the running turns, each with its maximum of tokens and its start.
+    pub fn running(&self) -> impl Iterator<Item = (&str, u64, Timestamp)> {
+        let running = self.running.iter();
+        running.map(|(turn, running)| (turn.as_str(), running.max_tokens, running.since))
+    }
+
     /// Starts a turn and draws its maximum of tokens.
     pub fn start(&mut self, now: Timestamp, turn: String, max_tokens: u64) {
         self.running.insert(
--- a/crates/gateway-core/tests/ledger/budgets.rs
+++ b/crates/gateway-core/tests/ledger/budgets.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::ledger::{
-    Account, Action, Advance, AppendOutcome, FAILURE_RETRY_DELAY, FOREIGN_SETTLEMENT_WAIT,
-    IDLE_BEFORE_SETTLING, PartitionOwner, ReadOutcome, SETTLEMENT_DELAY, Ticket, Wallet,
+    Account, Action, Advance, AppendOutcome, BudgetHolder, FAILURE_RETRY_DELAY,
+    FOREIGN_SETTLEMENT_WAIT, IDLE_BEFORE_SETTLING, PartitionOwner, ReadOutcome, SETTLEMENT_DELAY,
+    Ticket, Wallet,
 };
 use elderworks_protocol::ledger::{LedgerRecord, LedgerReply};
 use elderworks_types::Offset;
@@ -396,3 +397,27 @@
         assert!(is_funded, "a budget of {budget}: {action:?}");
     }
 }
+
+/// Without the holders of a budget, a wrong refusal can't be traced to the node that caused it.
+#[test]
+fn a_refusal_lists_what_holds_the_budget() {
+    let mut owner = synced_owner();
+    carry_out(&mut owner, begin("running", 20, 10));
+    let now = START + Duration::from_secs(3);
+    owner.submit(now, Ticket(1), begin("refused", 20, 15));
+    assert_eq!(owner.next_action(now), Action::Read { from: Offset(1) });
+    owner.on_read(now, no_records(1));
+    owner.next_action(now);
+    let refusals = owner.take_refusals();
+    let [refusal] = refusals.as_slice() else {
+        panic!("one refusal, not {refusals:?}");
+    };
+    assert_eq!((refusal.turn.as_str(), refusal.budget), ("refused", 20));
+    let holders = refusal.holds.iter().map(|hold| hold.holder);
+    let expected = [BudgetHolder::RunningTurn, BudgetHolder::OwnReservation];
+    assert_eq!(holders.collect::<Vec<_>>(), expected);
+    assert_eq!(
+        refusal.holds[0].to_string(),
+        "RunningTurn running 10 3000ms"
+    );
+}
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -168,6 +168,7 @@
     /// Sends the owner's replies and its questions to witnesses.
     fn dispatch_output(&mut self) {
         self.send_replies();
+        self.log_refusals();
         for inquiry in self.owner.take_witness_queries() {
             let asking = ask_witness(self.gateway.clone(), self.partition, inquiry);
             let responses = self.responses.clone();
@@ -195,6 +196,20 @@
         self.overdraft_use = present;
     }
 
+    /// Logs what holds the budgets of refused turns.
+    fn log_refusals(&mut self) {
+        for refusal in self.owner.take_refusals() {
+            let holds: Vec<String> = refusal.holds.iter().map(ToString::to_string).collect();
+            log::info!(
+                partition = self.partition.0, program = refusal.program.as_str(),
+                turn = refusal.turn.as_str(), budget = refusal.budget, tokens = refusal.tokens,
+                settled = refusal.settled, unsettled = refusal.unsettled,
+                holds = holds.join("; "), end = self.owner.end().0;
+                "the budget does not hold a turn"
+            );
+        }
+    }
+
     fn send_replies(&mut self) {
         for (ticket, reply) in self.owner.take_replies() {
             if let Some(request) = self.pending.remove(&ticket) {
