ledger: a start that was given up during its append leaves the owner's queue

Cause: PartitionOwner::abandon noted the end of a turn whose append was in progress in the append and returned; the start stayed queued. After a conflict, a refusal or an unknown outcome the note was dropped with the append and the start was decided again: its tokens were held for a turn that nobody runs, for 90 s, and charged in full after that. A slow log that activates the overdraft granted it as well.

Fix: the end of a turn removes its starts from the queue and from the replies of the append in progress, whatever becomes of the append; the note (abandoned_turns) is gone, so that a start is answered once. What the append reserves goes to the wallet, which is settled when idle. Answers that an active overdraft gives during an append take the same path (PendingAppend::drop_reply).

Test: tables of the moment at which the caller gives up and of what becomes of the append. Before the fix "given up DuringAppend, append Conflict: BudgetSpent" failed.

--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -289,7 +289,6 @@
         self.pending = Some(PendingAppend {
             plan,
             replies: append_replies,
-            abandoned_turns: Vec::new(),
         });
         Action::Append {
             at: self.end,
--- a/crates/gateway-core/src/ledger/owner/appends.rs
+++ b/crates/gateway-core/src/ledger/owner/appends.rs
@@ -13,9 +13,17 @@
 pub(super) struct PendingAppend {
     pub(super) plan: Plan,
     pub(super) replies: Vec<(Ticket, LedgerReply)>,
-    /// Turns of the plan, as (program, turn), that were reported as finished after the append
-    /// started.
-    pub(super) abandoned_turns: Vec<(String, String)>,
+}
+
+impl PendingAppend {
+    /// Removes the reply to a request that is answered before the append completes.
+    pub(super) fn drop_reply(&mut self, ticket: Ticket, request: &LedgerRequest) {
+        self.replies.retain(|(other, _)| *other != ticket);
+        if let LedgerRequest::Begin(begin) = request {
+            let started = &mut self.plan.started;
+            started.retain(|(_, turn)| *turn != begin.turn);
+        }
+    }
 }
 
 impl PartitionOwner {
@@ -60,11 +68,6 @@
         for record in pending.plan.records {
             self.apply(now, record);
         }
-        for (program, turn) in &pending.abandoned_turns {
-            if let Some(wallet) = self.wallets.get_mut(program) {
-                wallet.finish(now, turn, 0);
-            }
-        }
         for (ticket, reply) in pending.replies {
             self.record_turn_size(ticket);
             self.queue.retain(|queued| queued.ticket != ticket);
@@ -97,7 +100,6 @@
         self.pending = Some(PendingAppend {
             plan: Plan::of_records(records.clone()),
             replies: Vec::new(),
-            abandoned_turns: Vec::new(),
         });
         self.is_call_in_progress = true;
         self.record_call(now);
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -53,7 +53,7 @@
         hold_until: Timestamp,
     ) {
         if let LedgerRequest::Finish(finish) = &request {
-            self.abandon(&finish.program, &finish.turn);
+            self.withdraw_starts(&finish.turn);
         }
         let immediate = self.answer_from_memory(now, &request);
         if immediate.is_none() {
@@ -154,7 +154,9 @@
                     continue;
                 }
             };
-            self.drop_pending_reply(queued.ticket, &queued.request);
+            if let Some(pending) = &mut self.pending {
+                pending.drop_reply(queued.ticket, &queued.request);
+            }
             self.reply(now, queued.ticket, &queued.request, reply);
         }
     }
@@ -170,18 +172,6 @@
         replies.into_iter().any(|(other, _)| *other == ticket)
     }
 
-    /// Removes from the append in progress the reply to a request that has been answered already.
-    fn drop_pending_reply(&mut self, ticket: Ticket, request: &LedgerRequest) {
-        let Some(pending) = &mut self.pending else {
-            return;
-        };
-        pending.replies.retain(|(other, _)| *other != ticket);
-        if let LedgerRequest::Begin(begin) = request {
-            let started = &mut pending.plan.started;
-            started.retain(|(_, turn)| *turn != begin.turn);
-        }
-    }
-
     /// Submits all queued requests again, which refuses those that need not be held any longer.
     pub(super) fn resubmit_queued(&mut self, now: Timestamp) {
         for queued in std::mem::take(&mut self.queue) {
@@ -189,24 +179,17 @@
         }
     }
 
-    /// Handles the end of a turn that may not have been granted yet, which means that its caller
-    /// has given up.
-    fn abandon(&mut self, program: &str, turn: &str) {
-        if let Some(pending) = &mut self.pending {
-            let started = &pending.plan.started;
-            if started.iter().any(|(_, name)| name == turn) {
-                let abandoned = (program.to_owned(), turn.to_owned());
-                pending.abandoned_turns.push(abandoned);
-                return;
-            }
-        }
-        let is_start = |request: &LedgerRequest| matches!(request, LedgerRequest::Begin(begin) if begin.turn == turn);
-        for queued in std::mem::take(&mut self.queue) {
-            if is_start(&queued.request) {
-                self.replies.push((queued.ticket, LedgerReply::Unavailable));
-            } else {
-                self.queue.push(queued);
+    /// Drops the starts of a turn whose end was reported, also from the append in progress: their
+    /// caller has given up. Otherwise an append that fails would put them back into the queue, and
+    /// the turn would be started for nobody.
+    fn withdraw_starts(&mut self, turn: &str) {
+        let is_start = |queued: &QueuedRequest| matches!(&queued.request, LedgerRequest::Begin(begin) if begin.turn == turn);
+        for withdrawn in self.queue.extract_if(.., |queued| is_start(queued)) {
+            if let Some(pending) = &mut self.pending {
+                pending.drop_reply(withdrawn.ticket, &withdrawn.request);
             }
+            let reply = (withdrawn.ticket, LedgerReply::Unavailable);
+            self.replies.push(reply);
         }
     }
 
--- a/crates/gateway-core/tests/ledger/main.rs
+++ b/crates/gateway-core/tests/ledger/main.rs
@@ -5,3 +5,4 @@
 mod fixtures;
 mod overdrafts;
 mod turns;
+mod withdrawals;
--- /dev/null
+++ b/crates/gateway-core/tests/ledger/withdrawals.rs
@@ -0,0 +1,230 @@
+//! Tests of starts whose callers give up: whatever becomes of the append in progress, such a turn
+//! holds no tokens once its end has been reported.
+
+use std::time::Duration;
+
+use elderworks_gateway_core::ledger::{
+    Action, AppendOutcome, IDLE_BEFORE_SETTLING, PartitionOwner, ReadOutcome, SETTLEMENT_DELAY,
+    Ticket,
+};
+use elderworks_protocol::ledger::{LedgerRecord, LedgerReply};
+use elderworks_types::{Offset, Timestamp};
+
+use crate::fixtures::{START, begin, finish, synced_owner};
+
+const BUDGET: u64 = 500;
+
+/// A turn that needs more than half of the budget: a second one fits only if the first holds
+/// nothing.
+const TOKENS: u64 = 288;
+
+const GIVEN_UP: Ticket = Ticket(1);
+
+/// Time in which an owner whose log works returns the tokens of a turn that never ran.
+const SETTLES_WITHIN: Duration = IDLE_BEFORE_SETTLING
+    .saturating_add(SETTLEMENT_DELAY)
+    .saturating_add(Duration::from_secs(2));
+
+const STEP: Duration = Duration::from_millis(20);
+
+/// What becomes of the append that reserves the turn's tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Done,
+    Conflict,
+    Refused,
+    /// Not answered and not carried out.
+    Lost,
+    /// Carried out, but not answered.
+    DoneUnanswered,
+    /// Not answered, and carried out after the owner has read the log again.
+    DoneLate,
+}
+
+const FATES: [Fate; 6] = [
+    Fate::Done,
+    Fate::Conflict,
+    Fate::Refused,
+    Fate::Lost,
+    Fate::DoneUnanswered,
+    Fate::DoneLate,
+];
+
+/// When the caller gives up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GivesUp {
+    BeforeAppend,
+    DuringAppend,
+    /// During the append, after the log has been reported as slow.
+    DuringSlowAppend,
+    AfterAppend,
+}
+
+const MOMENTS: [GivesUp; 4] = [
+    GivesUp::BeforeAppend,
+    GivesUp::DuringAppend,
+    GivesUp::DuringSlowAppend,
+    GivesUp::AfterAppend,
+];
+
+/// An owner and its log.
+struct Partition {
+    owner: PartitionOwner,
+    log: Vec<LedgerRecord>,
+    now: Timestamp,
+    replies: Vec<(Ticket, LedgerReply)>,
+}
+
+impl Partition {
+    fn new() -> Self {
+        Self {
+            owner: synced_owner(),
+            log: Vec::new(),
+            now: START,
+            replies: Vec::new(),
+        }
+    }
+
+    fn end(&self) -> Offset {
+        Offset(self.log.len() as u64)
+    }
+
+    fn take_replies(&mut self) {
+        self.replies.extend(self.owner.take_replies());
+    }
+
+    fn report_end(&mut self, ticket: u64) {
+        let end = finish("given-up", 0, None);
+        self.owner.submit(self.now, Ticket(ticket), end);
+        self.take_replies();
+    }
+
+    /// Carries out one action with a working log.
+    fn act(&mut self) {
+        self.now = self.now + STEP;
+        match self.owner.next_action(self.now) {
+            Action::Append { at, records } => {
+                let holds = at == self.end();
+                if holds {
+                    self.log.extend(records);
+                }
+                let outcome = match holds {
+                    true => AppendOutcome::Done,
+                    false => AppendOutcome::Conflict,
+                };
+                self.owner.on_append(self.now, outcome);
+            }
+            Action::Read { from } => {
+                let from = usize::try_from(from.0).expect("a small log");
+                let records = self.log[from..].iter().cloned().map(Some).collect();
+                let end = self.end();
+                let read = ReadOutcome::Records { records, end };
+                self.owner.on_read(self.now, read);
+            }
+            Action::Wait { .. } => {}
+        }
+        self.take_replies();
+    }
+
+    fn act_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.act();
+        }
+    }
+
+    /// Starts the turn that is given up at `moment`, and reports its end then.
+    fn play(&mut self, moment: GivesUp, fate: Fate) {
+        let start = begin("given-up", BUDGET, TOKENS);
+        self.owner.submit(self.now, GIVEN_UP, start);
+        if moment == GivesUp::BeforeAppend {
+            self.report_end(2);
+        }
+        let Action::Append { at, records } = self.owner.next_action(self.now) else {
+            self.take_replies();
+            return;
+        };
+        assert_eq!(at, self.end());
+        match moment {
+            GivesUp::DuringAppend => self.report_end(2),
+            GivesUp::DuringSlowAppend => {
+                self.report_end(2);
+                self.owner.note_slow_call(self.now);
+            }
+            _ => {}
+        }
+        self.now = self.now + STEP;
+        let outcome = match fate {
+            Fate::Done => AppendOutcome::Done,
+            Fate::Conflict => AppendOutcome::Conflict,
+            Fate::Refused => AppendOutcome::Refused,
+            Fate::Lost | Fate::DoneUnanswered | Fate::DoneLate => AppendOutcome::Unknown,
+        };
+        match fate {
+            Fate::Done | Fate::DoneUnanswered => self.log.extend(records.clone()),
+            Fate::Conflict => self.log.push(other_record()),
+            Fate::Refused | Fate::Lost | Fate::DoneLate => {}
+        }
+        self.owner.on_append(self.now, outcome);
+        self.take_replies();
+        if moment == GivesUp::AfterAppend {
+            self.report_end(2);
+        }
+        if fate == Fate::DoneLate {
+            self.act_for(Duration::from_secs(1));
+            if at == self.end() {
+                self.log.extend(records);
+            }
+        }
+    }
+}
+
+/// A record of another owner for another program.
+fn other_record() -> LedgerRecord {
+    LedgerRecord::Reserved {
+        program: "other".to_owned(),
+        reservation: "someone/1".to_owned(),
+        tokens: 1,
+    }
+}
+
+fn cases() -> impl Iterator<Item = (GivesUp, Fate)> {
+    let moments = MOMENTS.into_iter();
+    moments.flat_map(|moment| FATES.into_iter().map(move |fate| (moment, fate)))
+}
+
+/// A start that was given up while its append was in progress used to stay queued, and was started
+/// again for nobody after a conflict or a failure: the caller's next try found the budget spent.
+#[test]
+fn a_turn_that_was_given_up_does_not_hold_the_budget() {
+    for (moment, fate) in cases() {
+        let case = format!("given up {moment:?}, append {fate:?}");
+        let mut partition = Partition::new();
+        partition.play(moment, fate);
+        let retry = begin("retry", BUDGET, TOKENS);
+        let now = partition.now;
+        partition.owner.submit(now, Ticket(3), retry);
+        partition.act_for(Duration::from_secs(1));
+        let of_retry = partition
+            .replies
+            .iter()
+            .find(|(ticket, _)| *ticket == Ticket(3));
+        let granted = matches!(of_retry, Some((_, LedgerReply::Granted { .. })));
+        assert!(granted, "{case}: {of_retry:?}");
+    }
+}
+
+/// The caller has gone, so that a second reply would go to a ticket that no longer exists.
+#[test]
+fn a_turn_that_was_given_up_is_answered_once() {
+    for (moment, fate) in cases() {
+        let mut partition = Partition::new();
+        partition.play(moment, fate);
+        partition.act_for(SETTLES_WITHIN);
+        let answers = partition
+            .replies
+            .iter()
+            .filter(|(ticket, _)| *ticket == GIVEN_UP);
+        assert_eq!(answers.count(), 1, "given up {moment:?}, append {fate:?}");
+    }
+}
