ledger: a start that arrives after the end of its turn is refused

Cause: the owner knew an end only while the start was queued or in an append. A start can arrive after its end: a node that gets no answer replaces its connection (Peers::avoid), so that start and end travel on two; an owner whose process stood still reads both at once, in any order; and a start that is asked for twice can arrive once more after the turn has run.

A caller's next try has an id of its own, so nothing else is refused.

Tests before the fix: "given up BeforeStart, append Done: BudgetSpent"; the repeated start was granted again (Granted, Finished, Granted).

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 
 mod account;
 mod calls;
+mod ended_turns;
 mod fencing;
 mod overdraft;
 mod owner;
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -17,6 +17,7 @@
 
 use super::LedgerState;
 use super::calls::{Action, CallNumber, ReadOutcome, Ticket, WitnessQuery};
+use super::ended_turns::EndedTurns;
 use super::fencing::Fencing;
 use super::overdraft::{OwnOverdraft, SLOW_CALL_THRESHOLD};
 use super::plan::{Plan, Planned};
@@ -68,6 +69,7 @@
     pending: Option<PendingAppend>,
     replies: Vec<(Ticket, LedgerReply)>,
     refusals: Vec<BudgetRefusal>,
+    ended_turns: EndedTurns,
     paused_until: Timestamp,
     consecutive_failures: u32,
     /// Until when an owner that is not preferred makes no calls for requests.
@@ -105,6 +107,7 @@
             pending: None,
             replies: Vec::new(),
             refusals: Vec::new(),
+            ended_turns: EndedTurns::default(),
             paused_until: Timestamp::default(),
             consecutive_failures: 0,
             yields_until: Timestamp::default(),
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -52,8 +52,13 @@
         request: LedgerRequest,
         hold_until: Timestamp,
     ) {
-        if let LedgerRequest::Finish(finish) = &request {
-            self.withdraw_starts(&finish.turn);
+        match &request {
+            LedgerRequest::Finish(finish) => self.withdraw_starts(now, &finish.turn),
+            LedgerRequest::Begin(begin) if self.ended_turns.contains(&begin.turn) => {
+                self.replies.push((ticket, LedgerReply::Unavailable));
+                return;
+            }
+            _ => {}
         }
         let immediate = self.answer_from_memory(now, &request);
         if immediate.is_none() {
@@ -181,8 +186,9 @@
 
     /// Drops the starts of a turn whose end was reported, also from the append in progress: their
     /// caller has given up. Otherwise an append that fails would put them back into the queue, and
-    /// the turn would be started for nobody.
-    fn withdraw_starts(&mut self, turn: &str) {
+    /// the turn would be started for nobody. Starts that arrive later are refused.
+    fn withdraw_starts(&mut self, now: Timestamp, turn: &str) {
+        self.ended_turns.insert(now, turn);
         let is_start = |queued: &QueuedRequest| matches!(&queued.request, LedgerRequest::Begin(begin) if begin.turn == turn);
         for withdrawn in self.queue.extract_if(.., |queued| is_start(queued)) {
             if let Some(pending) = &mut self.pending {
--- a/crates/gateway-core/tests/ledger/withdrawals.rs
+++ b/crates/gateway-core/tests/ledger/withdrawals.rs
@@ -53,6 +53,8 @@
 /// When the caller gives up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum GivesUp {
+    /// The end arrives before the start.
+    BeforeStart,
     BeforeAppend,
     DuringAppend,
     /// During the append, after the log has been reported as slow.
@@ -60,7 +62,8 @@
     AfterAppend,
 }
 
-const MOMENTS: [GivesUp; 4] = [
+const MOMENTS: [GivesUp; 5] = [
+    GivesUp::BeforeStart,
     GivesUp::BeforeAppend,
     GivesUp::DuringAppend,
     GivesUp::DuringSlowAppend,
@@ -135,6 +138,9 @@
 
     /// Starts the turn that is given up at `moment`, and reports its end then.
     fn play(&mut self, moment: GivesUp, fate: Fate) {
+        if moment == GivesUp::BeforeStart {
+            self.report_end(2);
+        }
         let start = begin("given-up", BUDGET, TOKENS);
         self.owner.submit(self.now, GIVEN_UP, start);
         if moment == GivesUp::BeforeAppend {
@@ -228,3 +234,29 @@
         assert_eq!(answers.count(), 1, "given up {moment:?}, append {fate:?}");
     }
 }
+
+/// A start that is asked for twice, on two connections, may arrive once more after its turn has
+/// ended.
+#[test]
+fn a_repeated_start_that_arrives_after_its_end_is_refused() {
+    let mut partition = Partition::new();
+    let start = || begin("repeated", BUDGET, TOKENS);
+    partition.owner.submit(START, Ticket(1), start());
+    partition.act_for(Duration::from_secs(1));
+    let end = finish("repeated", 10, None);
+    partition.owner.submit(partition.now, Ticket(2), end);
+    partition.owner.submit(partition.now, Ticket(3), start());
+    partition.act_for(SETTLES_WITHIN);
+    let replies: Vec<_> = partition.replies.iter().map(|(_, reply)| reply).collect();
+    assert!(
+        matches!(
+            replies.as_slice(),
+            [
+                LedgerReply::Granted { .. },
+                LedgerReply::Finished,
+                LedgerReply::Unavailable
+            ]
+        ),
+        "{replies:?}"
+    );
+}
