ledger: an owner finds out what became of an append without an answer

What callers would see: tokens of a turn that never ran stay reserved in the log; after FOREIGN_SETTLEMENT_WAIT (4 s) other owners count them in full, so that the program is told 402.

Cause: an append without an answer may have been carried out, or be carried out seconds later. Its owner read the log again only for a request or a preparation. If the start was given up and no other request came, an owner that other nodes no longer prefer never did; the preferred one read once and missed what came later.

Fix: the owner keeps the latest append without an answer and reads the log after 1, 2, 4, 4 ... s until the log has moved past it, 30 s at most. Nothing is read where appends are answered.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod state;
 mod turn_size;
+mod unsettled;
 mod wallet;
 mod wallets;
 mod witness;
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -23,6 +23,7 @@
 use super::plan::{Plan, Planned};
 use super::refusal::BudgetRefusal;
 use super::turn_size::TypicalTurn;
+use super::unsettled::UnsettledAppend;
 use super::wallet::IDLE_BEFORE_SETTLING;
 use super::wallets::Wallets;
 use crate::policy::Policy;
@@ -67,6 +68,8 @@
     is_synced: bool,
     queue: Vec<QueuedRequest>,
     pending: Option<PendingAppend>,
+    /// The latest append without an answer, until it is known whether the log has carried it out.
+    unsettled: Option<UnsettledAppend>,
     replies: Vec<(Ticket, LedgerReply)>,
     refusals: Vec<BudgetRefusal>,
     ended_turns: EndedTurns,
@@ -105,6 +108,7 @@
             is_synced: false,
             queue: Vec::new(),
             pending: None,
+            unsettled: None,
             replies: Vec::new(),
             refusals: Vec::new(),
             ended_turns: EndedTurns::default(),
@@ -193,7 +197,11 @@
         let needs_append = needs_settlement || self.needs_overdraft_change(now);
         let preparation_due_at = self.preparation_due_at(now);
         let needs_preparation = preparation_due_at.is_some_and(|from| from <= now);
+        let check_due_at = self.check_due_at(now);
         if self.queue.is_empty() && !needs_append && !needs_preparation {
+            if check_due_at.is_some_and(|from| from <= now) {
+                return self.check_unsettled(now);
+            }
             let idle_at = self
                 .wallets
                 .next_idle_last_used()
@@ -207,6 +215,7 @@
                 idle_at,
                 closing_due_at,
                 preparation_due_at,
+                check_due_at,
                 fencing_due_at.flatten(),
             ];
             let until = times.into_iter().flatten().min();
@@ -236,6 +245,23 @@
         (is_wanted && !is_ready).then(|| self.paused_until + delay)
     }
 
+    /// Returns when to read the log to learn what became of an append without an answer.
+    fn check_due_at(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let end = self.end;
+        let is_synced = self.is_synced;
+        let is_settled = |append: &UnsettledAppend| is_synced && append.is_settled(now, end);
+        self.unsettled = self.unsettled.filter(|append| !is_settled(append));
+        let next_check = self.unsettled.map(|append| append.next_check());
+        next_check.map(|check| check.max(self.paused_until))
+    }
+
+    fn check_unsettled(&mut self, now: Timestamp) -> Action {
+        if let Some(append) = &mut self.unsettled {
+            append.note_check(now);
+        }
+        Action::Read { from: self.end }
+    }
+
     fn idle_time(&self) -> Duration {
         if self.is_preferred {
             IDLE_BEFORE_SETTLING
--- a/crates/gateway-core/src/ledger/owner/appends.rs
+++ b/crates/gateway-core/src/ledger/owner/appends.rs
@@ -7,6 +7,7 @@
 use super::super::calls::{Action, AppendOutcome, Ticket};
 use super::super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::super::plan::Plan;
+use super::super::unsettled::UnsettledAppend;
 use super::PartitionOwner;
 
 #[derive(Debug)]
@@ -57,6 +58,7 @@
             }
             AppendOutcome::Unknown => {
                 self.is_synced = false;
+                self.unsettled = Some(UnsettledAppend::new(now, self.end));
                 self.on_failed_call(now);
             }
         }
--- a/crates/gateway-core/tests/ledger/withdrawals.rs
+++ b/crates/gateway-core/tests/ledger/withdrawals.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::ledger::{
-    Action, AppendOutcome, IDLE_BEFORE_SETTLING, PartitionOwner, ReadOutcome, SETTLEMENT_DELAY,
-    Ticket,
+    Action, AppendOutcome, IDLE_BEFORE_SETTLING, LedgerState, PartitionOwner, ReadOutcome,
+    SETTLEMENT_DELAY, Ticket,
 };
 use elderworks_protocol::ledger::{LedgerRecord, LedgerReply};
 use elderworks_types::{Offset, Timestamp};
@@ -183,6 +183,14 @@
             }
         }
     }
+
+    fn committed(&self) -> u64 {
+        let mut state = LedgerState::default();
+        for record in &self.log {
+            state.apply(self.now, record.clone());
+        }
+        state.account("p").map_or(0, |account| account.committed())
+    }
 }
 
 /// A record of another owner for another program.
@@ -260,3 +268,19 @@
         "{replies:?}"
     );
 }
+
+/// Other owners count the reservation of a turn that never ran until it is settled.
+#[test]
+fn the_reservation_of_a_turn_that_was_given_up_is_returned() {
+    for is_preferred in [true, false] {
+        for (moment, fate) in cases() {
+            let mut partition = Partition::new();
+            partition.owner.set_preferred(is_preferred);
+            partition.play(moment, fate);
+            partition.report_end(4);
+            partition.act_for(SETTLES_WITHIN);
+            let case = format!("preferred {is_preferred}, given up {moment:?}, append {fate:?}");
+            assert_eq!(partition.committed(), 0, "{case}");
+        }
+    }
+}
