ledger: a turn may be started again under the same name after its end

Requests between nodes carry numbers that grow with each request of the sending process (they were only unique before; the high bits now tell processes apart). A start is refused only if the same process has sent the end of its turn later. A node's own requests keep their order in its queue.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 mod pieces;
 mod plan;
 mod refusal;
+mod sent_number;
 mod state;
 mod turn_size;
 mod unsettled;
@@ -32,10 +33,11 @@
 pub use pieces::{MAX_APPEND_BYTES, MAX_CONTENT_BYTES, approximate_bytes, kept_records};
 pub use plan::FOREIGN_SETTLEMENT_WAIT;
 pub use refusal::{BudgetHold, BudgetHolder, BudgetRefusal};
+pub use sent_number::{SentNumber, SentNumbers};
 pub use state::{
     ACCOUNT_RETENTION, LedgerState, OVERDRAFT_RETENTION, OpenOverdraft, TURN_RETENTION,
 };
-pub use wallet::{Advance, IDLE_BEFORE_SETTLING, SpentAdvance, Wallet};
+pub use wallet::{Advance, IDLE_BEFORE_SETTLING, MAX_TURN_DURATION, SpentAdvance, Wallet};
 pub use witness::WitnessMemory;
 
 use elderworks_types::PartitionId;
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -9,6 +9,7 @@
 use super::super::calls::{CallNumber, Ticket};
 use super::super::plan::{Credit, answer_from_memory};
 use super::super::refusal::BudgetRefusal;
+use super::super::sent_number::SentNumber;
 use super::PartitionOwner;
 
 /// How long a request that asks for it waits for a log that is down. Long enough for two or three
@@ -36,6 +37,9 @@
     /// requests that ask for it wait for [`MAX_HOLD_WHILE_DOWN`]. All others are answered
     /// immediately, either from memory or with "unavailable".
     pub fn submit(&mut self, now: Timestamp, ticket: Ticket, request: LedgerRequest) {
+        if let LedgerRequest::Finish(finish) = &request {
+            self.withdraw_starts(&finish.turn);
+        }
         let is_held = matches!(&request, LedgerRequest::Finish(finish) if finish.waits);
         let hold = if is_held {
             MAX_HOLD_WHILE_DOWN
@@ -45,21 +49,33 @@
         self.submit_with_hold(now, ticket, request, now + hold);
     }
 
-    fn submit_with_hold(
+    /// Submits a request of another node, which may arrive after requests that were sent later. The
+    /// start of a turn is refused if its end arrived first.
+    pub fn submit_sent(
         &mut self,
         now: Timestamp,
         ticket: Ticket,
         request: LedgerRequest,
-        hold_until: Timestamp,
+        sent: SentNumber,
     ) {
         match &request {
-            LedgerRequest::Finish(finish) => self.withdraw_starts(now, &finish.turn),
-            LedgerRequest::Begin(begin) if self.ended_turns.contains(&begin.turn) => {
+            LedgerRequest::Finish(finish) => self.ended_turns.insert(now, &finish.turn, sent),
+            LedgerRequest::Begin(begin) if self.ended_turns.contains(&begin.turn, sent) => {
                 self.replies.push((ticket, LedgerReply::Unavailable));
                 return;
             }
             _ => {}
         }
+        self.submit(now, ticket, request);
+    }
+
+    fn submit_with_hold(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        request: LedgerRequest,
+        hold_until: Timestamp,
+    ) {
         let immediate = self.answer_from_memory(now, &request);
         if immediate.is_none() {
             self.activate_overdraft(now);
@@ -186,9 +202,8 @@
 
     /// Drops the starts of a turn whose end was reported, also from the append in progress: their
     /// caller has given up. Otherwise an append that fails would put them back into the queue, and
-    /// the turn would be started for nobody. Starts that arrive later are refused.
-    fn withdraw_starts(&mut self, now: Timestamp, turn: &str) {
-        self.ended_turns.insert(now, turn);
+    /// the turn would be started for nobody.
+    fn withdraw_starts(&mut self, turn: &str) {
         let is_start = |queued: &QueuedRequest| matches!(&queued.request, LedgerRequest::Begin(begin) if begin.turn == turn);
         for withdrawn in self.queue.extract_if(.., |queued| is_start(queued)) {
             if let Some(pending) = &mut self.pending {
--- a/crates/gateway-core/src/ledger/wallet.rs
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -15,7 +15,7 @@
 
 /// Time after which a turn without a reported end counts as finished with its maximum of tokens,
 /// since its node is lost.
-pub(super) const MAX_TURN_DURATION: Duration = Duration::from_secs(90);
+pub const MAX_TURN_DURATION: Duration = Duration::from_secs(90);
 
 /// A reservation in the log that this owner may spend.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use elderworks_gateway_core::ledger::WitnessMemory;
+use elderworks_gateway_core::ledger::{SentNumber, WitnessMemory};
 use elderworks_gateway_core::partition_failover::{SkipReason, StartupGrace};
 use elderworks_gateway_core::start::Milestone;
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
@@ -279,11 +279,30 @@
     }
 }
 
-/// Executes a request on this node.
-pub(crate) async fn execute(
+/// Executes a request of this node on this node.
+async fn execute(
     gateway: &Rc<Gateway>,
     partition: PartitionId,
     request: LedgerRequest,
+) -> LedgerReply {
+    execute_job(gateway, partition, request, None).await
+}
+
+/// Executes a request on this node that another node has sent under this number.
+pub(crate) async fn execute_sent(
+    gateway: &Rc<Gateway>,
+    partition: PartitionId,
+    request: LedgerRequest,
+    sent: SentNumber,
+) -> LedgerReply {
+    execute_job(gateway, partition, request, Some(sent)).await
+}
+
+async fn execute_job(
+    gateway: &Rc<Gateway>,
+    partition: PartitionId,
+    request: LedgerRequest,
+    sent: Option<SentNumber>,
 ) -> LedgerReply {
     if let LedgerRequest::Witness(question) = &request {
         let mut witness = gateway.ledger.witness.borrow_mut();
@@ -291,7 +310,12 @@
     }
     let (reply, answered) = oneshot::channel();
     let task = owner_task(gateway, partition);
-    if task.send((request, reply)).is_err() {
+    let job = Job {
+        request,
+        sent,
+        reply,
+    };
+    if task.send(job).is_err() {
         return LedgerReply::Unavailable;
     }
     answered.await.unwrap_or(LedgerReply::Unavailable)
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -8,8 +8,8 @@
 use elderworks_gateway_core::append_pace::{AppendIntervals, AppendPacer, AppendUrgency};
 use elderworks_gateway_core::config::Route;
 use elderworks_gateway_core::ledger::{
-    Action, OverdraftStatus, PartitionOwner, SLOW_CALL_THRESHOLD, TURN_RETENTION, Ticket,
-    WitnessQuery,
+    Action, OverdraftStatus, PartitionOwner, SLOW_CALL_THRESHOLD, SentNumber, TURN_RETENTION,
+    Ticket, WitnessQuery,
 };
 use elderworks_gateway_core::policy::Policy;
 use elderworks_protocol::ledger::{LedgerReply, LedgerRequest, WitnessAnswer, WitnessRequest};
@@ -25,8 +25,13 @@
 /// Maximum number of consecutive appends that rewrite old records.
 const MAX_REWRITES: u32 = 16;
 
-/// A request and the channel for its reply.
-pub(super) type Job = (LedgerRequest, oneshot::Sender<LedgerReply>);
+/// A request to an owner.
+pub(super) struct Job {
+    pub(super) request: LedgerRequest,
+    /// The number under which another node has sent the request; `None` for this node's own.
+    pub(super) sent: Option<SentNumber>,
+    pub(super) reply: oneshot::Sender<LedgerReply>,
+}
 
 /// Starts the owner of a partition and returns its request queue.
 pub(super) fn spawn(gateway: &Rc<Gateway>, partition: PartitionId) -> mpsc::UnboundedSender<Job> {
@@ -149,7 +154,12 @@
         }
     }
 
-    fn submit(&mut self, (request, reply): Job) {
+    fn submit(&mut self, job: Job) {
+        let Job {
+            request,
+            sent,
+            reply,
+        } = job;
         let ticket = Ticket(self.gateway.next_sequence());
         let urgency = match &request {
             LedgerRequest::Finish(_) => AppendUrgency::Completions,
@@ -157,7 +167,11 @@
         };
         self.pending
             .insert(ticket, PendingRequest { reply, urgency });
-        self.owner.submit(self.gateway.now(), ticket, request);
+        let now = self.gateway.now();
+        match sent {
+            Some(sent) => self.owner.submit_sent(now, ticket, request, sent),
+            None => self.owner.submit(now, ticket, request),
+        }
     }
 
     fn take_response(&mut self, (question, answer): &WitnessResponse) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use elderworks_gateway_core::ledger::SentNumbers;
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::start::presumes_alive;
 use elderworks_membership::{Effect, Event, Membership, MembershipSettings};
@@ -97,6 +98,8 @@
     /// Zones of the nodes in other zones.
     remote_zones: RefCell<RemoteZones>,
     links: RefCell<HashMap<NodeId, Link>>,
+    /// Numbers the requests that are sent over links.
+    request_numbers: RefCell<SentNumbers>,
     /// Nodes that receive no ledger requests, and until when.
     avoided: RefCell<HashMap<NodeId, Instant>>,
     /// Notifies of nodes that were added, removed or changed.
@@ -119,6 +122,7 @@
             witnesses: RefCell::default(),
             remote_zones: RefCell::default(),
             links: RefCell::default(),
+            request_numbers: RefCell::new(SentNumbers::new(rand::random())),
             avoided: RefCell::default(),
             changes: watch::Sender::new(()),
         }
@@ -267,7 +271,8 @@
         request: LedgerRequest,
     ) -> Result<LedgerReply, NoReply> {
         let link = self.link_to(gateway, node).ok_or(NoReply::Unreachable)?;
-        link.ask(gateway.next_sequence(), partition, request).await
+        let number = self.request_numbers.borrow_mut().issue();
+        link.ask(number.0, partition, request).await
     }
 
     /// Asks a reader of the log's streams, at the address from which its heartbeat came.
@@ -280,7 +285,8 @@
     ) -> Result<FeedResponse, NoReply> {
         let link = self.link_to(gateway, node);
         let link = link.unwrap_or_else(|| self.open_link(gateway, node, address));
-        link.ask_feed(gateway.next_sequence(), question).await
+        let number = self.request_numbers.borrow_mut().issue();
+        link.ask_feed(number.0, question).await
     }
 
     /// Notifies the nodes that serve this zone's callers that this node has ejected a worker.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use elderworks_gateway_core::ledger::SentNumber;
 use elderworks_protocol::ledger::GatewayFrame;
 use elderworks_types::NodeId;
 use tokio::net::{TcpListener, TcpStream};
@@ -73,7 +74,9 @@
             let gateway = gateway.clone();
             let replies = replies.clone();
             actix_rt::spawn(async move {
-                let mut executing = std::pin::pin!(ledger::execute(&gateway, partition, request));
+                let sent = SentNumber(id);
+                let executing = ledger::execute_sent(&gateway, partition, request, sent);
+                let mut executing = std::pin::pin!(executing);
                 let fast = actix_rt::time::timeout(ACKNOWLEDGE_AFTER, &mut executing).await;
                 let reply = match fast {
                     Ok(reply) => reply,
