gateway: the end of a turn is reported to its granter until that node confirms it

What callers would see: as before, a program refused for its budget while a node holds tokens for a turn that has ended.

Cause: a report that its granter did not answer went to the partition's other candidates. Any node confirms the end of a turn that it doesn't know, so the granter was never told and held the tokens for 90 s, then charged them in full. Three more ways to the same end: reports ended after 12 tries (about 10 s), withdrawals after 5 (about 6 s), while a granter may stand still or be cut off for longer; the granter was not told of a turn that another node stored for it; and a node that had denied a turn was told nothing, although an earlier start may still have been on its way to it.

Fix: whoever was asked to start a turn is told of its end itself, every 0.25 to 1 s until it confirms, for as long as it may hold the tokens (90 s). TurnHolders says who is told what: the granter what the turn used, all others 0, and these as soon as the permit is granted rather than at the end. Storing a turn still goes to any node.

Tests: tables of TurnHolders and ReportSchedule, which did not exist before. a_granter_that_stood_still_learns_the_ends_of_its_turns with real gateways passes on the code before too: on loopback the granter reads the first report when it runs again. It guards the new path, also for stored turns.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -17,6 +17,7 @@
 mod refusal;
 mod sent_number;
 mod state;
+mod turn_holders;
 mod turn_size;
 mod unsettled;
 mod wallet;
@@ -37,6 +38,7 @@
 pub use state::{
     ACCOUNT_RETENTION, LedgerState, OVERDRAFT_RETENTION, OpenOverdraft, TURN_RETENTION,
 };
+pub use turn_holders::{EndReport, ReportSchedule, TurnHolders};
 pub use wallet::{Advance, IDLE_BEFORE_SETTLING, MAX_TURN_DURATION, SpentAdvance, Wallet};
 pub use witness::WitnessMemory;
 
--- a/crates/gateway-core/tests/ledger/main.rs
+++ b/crates/gateway-core/tests/ledger/main.rs
@@ -4,5 +4,6 @@
 mod calls;
 mod fixtures;
 mod overdrafts;
+mod turn_holders;
 mod turns;
 mod withdrawals;
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -22,7 +22,7 @@
 use super::access::SenderIdentity;
 use super::migration::{MigratableRun, RunBackup};
 use super::quota::CountedRequest;
-use super::turn::TurnPermit;
+use super::turn_permit::TurnPermit;
 use super::worker_use::{RunningResponse, WorkerUse};
 use super::{CallError, Milestones, Trace, headers};
 use crate::admission::AdmittedTurn;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod sending;
 mod stream;
 mod turn;
+mod turn_permit;
 mod worker_use;
 mod zones;
 
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -1,26 +1,21 @@
-//! A turn's permit to run, granted by its program's ledger, and the report of the turn's end.
+//! Obtains a turn's permit to run from its program's ledger.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use elderworks_gateway_core::attempt::NotRun;
-use elderworks_gateway_core::ledger::partition_of;
+use elderworks_gateway_core::ledger::{TurnHolders, partition_of};
 use elderworks_gateway_core::outage_wait::{RETRY_AFTER, outage_wait};
 use elderworks_gateway_core::pressure::BufferKind;
 use elderworks_gateway_core::tenants::scoped;
-use elderworks_protocol::ledger::{BeginTurn, FinishTurn, LedgerReply, LedgerRequest, StoredTurn};
-use elderworks_types::{NodeId, PartitionId};
+use elderworks_protocol::ledger::{BeginTurn, LedgerReply, LedgerRequest};
+use elderworks_types::PartitionId;
 
 use super::attempts::Call;
-use crate::gateway::Gateway;
+use super::turn_permit::TurnPermit;
 use crate::ledger::{self, AskedNodes, LedgerAnswer};
-use crate::memory::MemoryReservation;
 use crate::reply::{ErrorStatus, Refusal};
 
-/// Maximum number of attempts to report the end of a turn.
-const MAX_FINISH_ATTEMPTS: u32 = 12;
-
 /// Fraction of a turn's remaining time for which it waits out a log outage.
 const OUTAGE_WAIT_FRACTION: f64 = 0.4;
 
@@ -39,167 +34,6 @@
 /// Maximum wait for a permit. Callers abandon streams that are silent for two seconds.
 const MAX_PERMIT_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Interval between attempts to report the end of a turn.
-const FINISH_RETRY_INTERVAL: Duration = Duration::from_millis(250);
-
-/// A permit to run a turn. If dropped before the turn's end is reported, the tokens generated so
-/// far are settled.
-pub(super) struct TurnPermit {
-    gateway: Rc<Gateway>,
-    partition: PartitionId,
-    /// The node that granted the permit.
-    granter: NodeId,
-    /// Every node that was asked for the permit.
-    asked: AskedNodes,
-    program: String,
-    turn: String,
-    tokens_per_event: u64,
-    used: u64,
-    input: Bytes,
-    /// Accounts for the memory of the body, which begins with the turn's conversation.
-    conversation: MemoryReservation,
-    /// Whether the granter needs no further report.
-    settled: bool,
-}
-
-impl TurnPermit {
-    /// Records that an event is sent to the caller.
-    pub(super) fn note_event(&mut self) {
-        self.used += self.tokens_per_event;
-    }
-
-    /// Returns the number of tokens sent to the caller.
-    pub(super) fn used(&self) -> u64 {
-        self.used
-    }
-
-    /// Returns the turn's own input.
-    pub(super) fn input(&self) -> Bytes {
-        self.input.clone()
-    }
-
-    /// Reports the end of a complete turn. For a turn that is stored, waits until it is durable and
-    /// returns whether it is.
-    pub(super) async fn finish(&mut self, kept: Option<StoredTurn>) -> bool {
-        let Some(content) = kept else {
-            return true;
-        };
-        let report = FinishTurn {
-            program: self.program.clone(),
-            turn: self.turn.clone(),
-            used: self.used,
-            kept: Some(content),
-            waits: false,
-        };
-        let finished = store_turn(&self.gateway, &self.granter, self.partition, report).await;
-        if finished {
-            self.settled = true;
-            self.withdraw_elsewhere();
-        }
-        finished
-    }
-
-    /// Marks the permit as denied by its granter, so that no end is reported to it.
-    fn mark_denied(&mut self) {
-        self.settled = true;
-        self.withdraw_elsewhere();
-    }
-
-    /// Withdraws the turn at the other nodes that were asked: they may have reserved tokens
-    /// although their reply was lost.
-    fn withdraw_elsewhere(&self) {
-        for node in self.asked.list() {
-            if node == self.granter {
-                continue;
-            }
-            let gateway = self.gateway.clone();
-            let partition = self.partition;
-            let request = self.end_report(0);
-            actix_rt::spawn(async move {
-                ledger::withdraw(&gateway, &node, partition, request).await;
-            });
-        }
-    }
-
-    fn end_report(&self, used: u64) -> LedgerRequest {
-        LedgerRequest::Finish(FinishTurn {
-            program: self.program.clone(),
-            turn: self.turn.clone(),
-            used,
-            kept: None,
-            waits: false,
-        })
-    }
-}
-
-impl Drop for TurnPermit {
-    fn drop(&mut self) {
-        if self.settled {
-            return;
-        }
-        self.withdraw_elsewhere();
-        if !self.asked.list().contains(&self.granter) {
-            return;
-        }
-        let request = self.end_report(self.used);
-        let gateway = self.gateway.clone();
-        let granter = self.granter.clone();
-        let partition = self.partition;
-        actix_rt::spawn(async move {
-            // If this fails, the full reservation is counted as spent.
-            report_end(&gateway, &granter, partition, request).await;
-        });
-    }
-}
-
-/// Stores a turn through its granter, or else through another node that can act for its partition.
-/// During a log outage that node holds the report until the log responds again. Returns whether the
-/// turn is durable.
-async fn store_turn(
-    gateway: &Rc<Gateway>,
-    granter: &NodeId,
-    partition: PartitionId,
-    report: FinishTurn,
-) -> bool {
-    let immediate = LedgerRequest::Finish(report.clone());
-    let deferred = LedgerRequest::Finish(FinishTurn {
-        waits: true,
-        ..report
-    });
-    for _ in 0..MAX_FINISH_ATTEMPTS {
-        let reply =
-            ledger::request_from_granter(gateway, granter, partition, immediate.clone()).await;
-        if reply == LedgerReply::Finished {
-            return true;
-        }
-        let pause = actix_rt::time::sleep(FINISH_RETRY_INTERVAL);
-        let waiting = ledger::request_when_log_returns(gateway, partition, deferred.clone());
-        if waiting.await == LedgerReply::Finished {
-            return true;
-        }
-        pause.await;
-    }
-    false
-}
-
-/// Reports the end of a turn until a node accepts the report. Returns whether one did.
-async fn report_end(
-    gateway: &Rc<Gateway>,
-    granter: &NodeId,
-    partition: PartitionId,
-    request: LedgerRequest,
-) -> bool {
-    for _ in 0..MAX_FINISH_ATTEMPTS {
-        let reply =
-            ledger::request_from_granter(gateway, granter, partition, request.clone()).await;
-        if reply == LedgerReply::Finished {
-            return true;
-        }
-        actix_rt::time::sleep(FINISH_RETRY_INTERVAL).await;
-    }
-    false
-}
-
 impl Call<'_> {
     /// Obtains the permit for a turn of a program; other requests need none.
     pub(super) async fn start_turn(&mut self) -> Result<(), Refusal> {
@@ -228,15 +62,14 @@
         let permit = TurnPermit {
             gateway: self.gateway.clone(),
             partition,
-            granter: self.gateway.settings.node.clone(),
             asked: AskedNodes::default(),
+            holders: TurnHolders::default(),
             program,
             turn,
             tokens_per_event: self.tokens_per_event(),
             used: 0,
             input: input.clone(),
             conversation: self.gateway.memory.reservation(BufferKind::Conversations),
-            settled: false,
         };
         let conversation = self.obtain_permit(permit, partition, begin).await?;
         if !conversation.is_empty() {
@@ -295,26 +128,20 @@
         let Ok(answered) = actix_rt::time::timeout(max_wait, requesting).await else {
             return Err(PermitUnavailable::TooSlow.refusal());
         };
-        permit.granter = answered.node;
         match answered.reply {
             LedgerReply::Granted { conversation } => {
+                permit.note_granted(answered.node);
                 // The log may have failed since; dropping the permit returns the reservation.
                 self.wait_for_log().await?;
                 self.permit = Some(permit);
                 Ok(conversation)
             }
-            LedgerReply::BudgetSpent => {
-                permit.mark_denied();
-                Err(Refusal::budget_spent(NotRun::before_any_attempt()))
-            }
-            LedgerReply::UnknownTurn => {
-                permit.mark_denied();
-                Err(Refusal::error(
-                    ErrorStatus::NotFound,
-                    "no such turn is kept",
-                ))
-            }
-            // Dropping the permit settles a reservation that may have been made.
+            // Dropping the permit returns what any node that was asked may have reserved.
+            LedgerReply::BudgetSpent => Err(Refusal::budget_spent(NotRun::before_any_attempt())),
+            LedgerReply::UnknownTurn => Err(Refusal::error(
+                ErrorStatus::NotFound,
+                "no such turn is kept",
+            )),
             reply => Err(PermitUnavailable::of_reply(&reply).refusal()),
         }
     }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 mod log_calls;
 mod owner;
+mod turn_ends;
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
@@ -21,6 +22,8 @@
 use crate::peers::NoReply;
 use owner::Job;
 
+pub(crate) use turn_ends::report_end;
+
 /// Pause before a request that no node could execute is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -75,12 +78,6 @@
     pub(crate) node: NodeId,
 }
 
-/// Maximum number of attempts to withdraw a turn at a node.
-const MAX_WITHDRAW_ATTEMPTS: u32 = 5;
-
-/// Pause between two attempts to withdraw a turn.
-const WITHDRAW_PAUSE: Duration = Duration::from_millis(800);
-
 /// Maximum number of candidates that are considered before this node acts for a partition itself.
 /// Reading a partition is expensive, and every node would read it at once after the loss of its owner.
 const MAX_CANDIDATES_ASKED: usize = 3;
@@ -154,15 +151,13 @@
     gateway: &Rc<Gateway>,
     partition: PartitionId,
     request: LedgerRequest,
-) -> LedgerReply {
+) -> LedgerAnswer {
     let candidates = gateway.peers.candidates(gateway, partition);
     let own = &gateway.settings.node;
-    match candidates.first() {
-        Some(first) if first != own => ask_peer(gateway, first, partition, request)
-            .await
-            .unwrap_or(LedgerReply::Unavailable),
-        _ => execute(gateway, partition, request).await,
-    }
+    let node = candidates.first().unwrap_or(own).clone();
+    let replied = request_at(gateway, &node, partition, request).await;
+    let reply = replied.unwrap_or(LedgerReply::Unavailable);
+    LedgerAnswer { reply, node }
 }
 
 /// Sends a request to the node that granted a turn, or to the partition's candidates if that node
@@ -172,37 +167,31 @@
     granter: &NodeId,
     partition: PartitionId,
     wanted: LedgerRequest,
-) -> LedgerReply {
-    if *granter == gateway.settings.node {
-        return execute(gateway, partition, wanted).await;
-    }
-    match ask_peer(gateway, granter, partition, wanted.clone()).await {
+) -> LedgerAnswer {
+    let replied = request_at(gateway, granter, partition, wanted.clone()).await;
+    match replied {
         Ok(LedgerReply::Unavailable) | Err(_) => {
             let asked = AskedNodes::default();
-            request(gateway, partition, wanted, &asked).await.reply
+            request(gateway, partition, wanted, &asked).await
+        }
+        Ok(reply) => {
+            let node = granter.clone();
+            LedgerAnswer { reply, node }
         }
-        Ok(reply) => reply,
     }
 }
 
-/// Withdraws a turn at a node that was asked to start it; retries until the node confirms.
-pub(crate) async fn withdraw(
+/// Sends a request to one node, which may be this one.
+async fn request_at(
     gateway: &Rc<Gateway>,
     node: &NodeId,
     partition: PartitionId,
-    finish: LedgerRequest,
-) {
-    for _ in 0..MAX_WITHDRAW_ATTEMPTS {
-        let reply = if *node == gateway.settings.node {
-            Ok(execute(gateway, partition, finish.clone()).await)
-        } else {
-            ask_peer(gateway, node, partition, finish.clone()).await
-        };
-        if reply == Ok(LedgerReply::Finished) {
-            return;
-        }
-        actix_rt::time::sleep(WITHDRAW_PAUSE).await;
+    wanted: LedgerRequest,
+) -> Result<LedgerReply, NoReply> {
+    if *node == gateway.settings.node {
+        return Ok(execute(gateway, partition, wanted).await);
     }
+    ask_peer(gateway, node, partition, wanted).await
 }
 
 /// Like [`request`], but retries for up to `patience` while no node can execute the request: a log
