ledger: a start whose requester has gone is withdrawn

What callers would see: a program whose node is killed while a turn waits for its permit is refused for its budget at all other nodes, although the turn never ran.

Cause: an owner carried a start out although the connection on which it had come was closed, and held its tokens for 90 s: a killed node reports no end.

Fix: when a connection between nodes closes, its requests in progress are dropped; the owner's driver withdraws starts that nobody waits for before each decision. An append in progress is not undone: what it reserves is settled when idle. A start that was asked for once more under the same name, on a new connection, stays. Other requests are carried out all the same.

--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -30,6 +30,12 @@
     pub(super) hold_until: Timestamp,
 }
 
+impl QueuedRequest {
+    fn is_start_of(&self, turn: &str) -> bool {
+        matches!(&self.request, LedgerRequest::Begin(begin) if begin.turn == turn)
+    }
+}
+
 impl PartitionOwner {
     /// Submits a request. [`Self::take_replies`] returns its reply.
     ///
@@ -176,7 +182,7 @@
                 }
             };
             if let Some(pending) = &mut self.pending {
-                pending.drop_reply(queued.ticket, &queued.request);
+                pending.drop_request(queued.ticket, &queued.request);
             }
             self.reply(now, queued.ticket, &queued.request, reply);
         }
@@ -200,14 +206,38 @@
         }
     }
 
+    /// Drops the start of a turn whose requester has gone before it was answered; other requests are
+    /// carried out all the same. The requester may have asked once more on another connection.
+    pub fn withdraw(&mut self, ticket: Ticket) {
+        let is_withdrawn = |queued: &QueuedRequest| queued.ticket == ticket;
+        let Some(index) = self.queue.iter().position(is_withdrawn) else {
+            return;
+        };
+        let LedgerRequest::Begin(begin) = &self.queue[index].request else {
+            return;
+        };
+        let (program, turn) = (begin.program.clone(), begin.turn.clone());
+        self.queue.remove(index);
+        let is_repeated = self.queue.iter().any(|queued| queued.is_start_of(&turn));
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        pending.drop_reply(ticket);
+        if !is_repeated
+            && pending.drop_started(&turn)
+            && let Some(wallet) = self.wallets.get_mut(&program)
+        {
+            wallet.cancel(&turn);
+        }
+    }
+
     /// Drops the starts of a turn whose end was reported, also from the append in progress: their
     /// caller has given up. Otherwise an append that fails would put them back into the queue, and
     /// the turn would be started for nobody.
     fn withdraw_starts(&mut self, turn: &str) {
-        let is_start = |queued: &QueuedRequest| matches!(&queued.request, LedgerRequest::Begin(begin) if begin.turn == turn);
-        for withdrawn in self.queue.extract_if(.., |queued| is_start(queued)) {
+        for withdrawn in self.queue.extract_if(.., |queued| queued.is_start_of(turn)) {
             if let Some(pending) = &mut self.pending {
-                pending.drop_reply(withdrawn.ticket, &withdrawn.request);
+                pending.drop_request(withdrawn.ticket, &withdrawn.request);
             }
             let reply = (withdrawn.ticket, LedgerReply::Unavailable);
             self.replies.push(reply);
--- a/crates/gateway-core/tests/ledger/withdrawals.rs
+++ b/crates/gateway-core/tests/ledger/withdrawals.rs
@@ -166,6 +166,14 @@
             }
             _ => {}
         }
+        self.complete_append(fate, &records);
+        if moment == GivesUp::AfterAppend {
+            self.report_end(2);
+        }
+        self.carry_out_late(fate, at, records);
+    }
+
+    fn complete_append(&mut self, fate: Fate, records: &[LedgerRecord]) {
         self.now = self.now + STEP;
         let outcome = match fate {
             Fate::Done => AppendOutcome::Done,
@@ -174,15 +182,15 @@
             Fate::Lost | Fate::DoneUnanswered | Fate::DoneLate => AppendOutcome::Unknown,
         };
         match fate {
-            Fate::Done | Fate::DoneUnanswered => self.log.extend(records.clone()),
+            Fate::Done | Fate::DoneUnanswered => self.log.extend_from_slice(records),
             Fate::Conflict => self.log.push(other_record()),
             Fate::Refused | Fate::Lost | Fate::DoneLate => {}
         }
         self.owner.on_append(self.now, outcome);
         self.take_replies();
-        if moment == GivesUp::AfterAppend {
-            self.report_end(2);
-        }
+    }
+
+    fn carry_out_late(&mut self, fate: Fate, at: Offset, records: Vec<LedgerRecord>) {
         if fate == Fate::DoneLate {
             self.act_for(Duration::from_secs(1));
             if at == self.end() {
@@ -191,6 +199,20 @@
         }
     }
 
+    /// Returns the reply to the start of another turn of the program.
+    fn start_retry(&mut self) -> Option<LedgerReply> {
+        let retry = begin("retry", BUDGET, TOKENS);
+        self.owner.submit(self.now, Ticket(3), retry);
+        self.act_for(Duration::from_secs(1));
+        self.reply_to(Ticket(3))
+    }
+
+    fn reply_to(&self, ticket: Ticket) -> Option<LedgerReply> {
+        let mut replies = self.replies.iter();
+        let found = replies.find(|(other, _)| *other == ticket);
+        found.map(|(_, reply)| reply.clone())
+    }
+
     fn committed(&self) -> u64 {
         let mut state = LedgerState::default();
         for record in &self.log {
@@ -209,6 +231,10 @@
     }
 }
 
+fn is_granted(reply: &Option<LedgerReply>) -> bool {
+    matches!(reply, Some(LedgerReply::Granted { .. }))
+}
+
 fn cases() -> impl Iterator<Item = (GivesUp, Fate)> {
     let moments = MOMENTS.into_iter();
     moments.flat_map(|moment| FATES.into_iter().map(move |fate| (moment, fate)))
@@ -222,16 +248,53 @@
         let case = format!("given up {moment:?}, append {fate:?}");
         let mut partition = Partition::new();
         partition.play(moment, fate);
-        let retry = begin("retry", BUDGET, TOKENS);
-        let now = partition.now;
-        partition.owner.submit(now, Ticket(3), retry);
+        let of_retry = partition.start_retry();
+        assert!(is_granted(&of_retry), "{case}: {of_retry:?}");
+    }
+}
+
+/// A node that is killed while it waits for a permit reports no end.
+#[test]
+fn a_start_whose_requester_has_gone_does_not_hold_the_budget() {
+    for fate in FATES {
+        let mut partition = Partition::new();
+        let start = begin("given-up", BUDGET, TOKENS);
+        partition.owner.submit(START, GIVEN_UP, start);
+        let Action::Append { at, records } = partition.owner.next_action(START) else {
+            panic!("a reservation must be appended");
+        };
+        partition.owner.withdraw(GIVEN_UP);
+        partition.complete_append(fate, &records);
+        partition.carry_out_late(fate, at, records);
+        assert_eq!(partition.reply_to(GIVEN_UP), None, "{fate:?}");
+        let of_retry = partition.start_retry();
+        assert!(is_granted(&of_retry), "{fate:?}: {of_retry:?}");
+    }
+}
+
+/// The requester may only have replaced its connection and asked once more.
+#[test]
+fn a_start_that_was_asked_for_once_more_is_not_withdrawn() {
+    let again = Ticket(9);
+    for fate in FATES {
+        let mut partition = Partition::new();
+        let start = || begin("given-up", BUDGET, TOKENS);
+        partition.owner.submit(START, GIVEN_UP, start());
+        let Action::Append { at, records } = partition.owner.next_action(START) else {
+            panic!("a reservation must be appended");
+        };
+        partition.owner.submit(START, again, start());
+        partition.owner.withdraw(GIVEN_UP);
+        partition.complete_append(fate, &records);
+        partition.carry_out_late(fate, at, records);
         partition.act_for(Duration::from_secs(1));
-        let of_retry = partition
-            .replies
-            .iter()
-            .find(|(ticket, _)| *ticket == Ticket(3));
-        let granted = matches!(of_retry, Some((_, LedgerReply::Granted { .. })));
-        assert!(granted, "{case}: {of_retry:?}");
+        let of_repeated = partition.reply_to(again);
+        assert!(is_granted(&of_repeated), "{fate:?}: {of_repeated:?}");
+        let of_retry = partition.start_retry();
+        assert!(
+            !is_granted(&of_retry),
+            "{fate:?}: the budget holds one turn"
+        );
     }
 }
 
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -107,6 +107,7 @@
                 self.submit(job);
             }
             self.collect_batch(&mut inbox).await;
+            self.withdraw_abandoned();
             self.owner.set_preferred(self.is_preferred());
             self.owner.set_serves_without_log(self.serves_without_log());
             let witnesses = self.gateway.peers.witnesses(&self.gateway, self.partition);
@@ -174,6 +175,17 @@
         }
     }
 
+    /// Withdraws the requests whose requesters no longer wait: their nodes have given up, or the
+    /// connections on which they asked are closed.
+    fn withdraw_abandoned(&mut self) {
+        let abandoned = self
+            .pending
+            .extract_if(|_, request| request.reply.is_closed());
+        for (ticket, _) in abandoned {
+            self.owner.withdraw(ticket);
+        }
+    }
+
     fn take_response(&mut self, (question, answer): &WitnessResponse) {
         self.owner
             .on_witness_answer(self.gateway.now(), question, *answer);
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::ledger::SentNumber;
-use elderworks_protocol::ledger::GatewayFrame;
-use elderworks_types::NodeId;
+use elderworks_protocol::ledger::{GatewayFrame, LedgerRequest};
+use elderworks_types::{NodeId, PartitionId};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use super::link::next_frame;
 use super::proofs;
@@ -41,6 +42,8 @@
     });
     let (mut receiver, mut sender) = buffered::split(stream);
     let (replies, mut outgoing) = FrameSender::new(&gateway.memory, counter);
+    // Dropped when the connection closes.
+    let (_open, closed) = watch::channel(());
     let receiving = async {
         while let Some(message) = next_frame(&mut receiver).await {
             let (id, partition, request) = match message {
@@ -71,22 +74,15 @@
                 | GatewayFrame::Reply { .. }
                 | GatewayFrame::FeedTold { .. } => return,
             };
-            let gateway = gateway.clone();
-            let replies = replies.clone();
+            let answering = answer(gateway.clone(), replies.clone(), id, partition, request);
+            let mut closed = closed.clone();
             actix_rt::spawn(async move {
-                let sent = SentNumber(id);
-                let executing = ledger::execute_sent(&gateway, partition, request, sent);
-                let mut executing = std::pin::pin!(executing);
-                let fast = actix_rt::time::timeout(ACKNOWLEDGE_AFTER, &mut executing).await;
-                let reply = match fast {
-                    Ok(reply) => reply,
-                    Err(_) => {
-                        // The peer may have disconnected, here and below.
-                        let _ = replies.push(&GatewayFrame::Arrived { id });
-                        executing.await
-                    }
-                };
-                let _ = replies.push(&GatewayFrame::Reply { id, reply });
+                // Once the connection is closed, nobody waits for the reply.
+                tokio::select! {
+                    biased;
+                    () = answering => {}
+                    _ = closed.changed() => {}
+                }
             });
         }
     };
@@ -96,6 +92,28 @@
     }
 }
 
+/// Executes a ledger request and sends its reply, after an acknowledgement if it takes long.
+async fn answer(
+    gateway: Rc<Gateway>,
+    replies: FrameSender,
+    id: u64,
+    partition: PartitionId,
+    request: LedgerRequest,
+) {
+    let executing = ledger::execute_sent(&gateway, partition, request, SentNumber(id));
+    let mut executing = std::pin::pin!(executing);
+    let fast = actix_rt::time::timeout(ACKNOWLEDGE_AFTER, &mut executing).await;
+    let reply = match fast {
+        Ok(reply) => reply,
+        Err(_) => {
+            // The peer may have disconnected, here and below.
+            let _ = replies.push(&GatewayFrame::Arrived { id });
+            executing.await
+        }
+    };
+    let _ = replies.push(&GatewayFrame::Reply { id, reply });
+}
+
 /// Records another node's report that it has ejected a worker.
 fn receive_ejection(gateway: &Gateway, node: NodeId, worker: &str) {
     let now = gateway.now();
