soak: the store slow or rejecting around kills, and callers that give up

A second kind of schedule: the store is slow, rejects calls, loses their answers or carries them out late before processes are killed (mostly all), while they start and for 1.5 to 4 s after that. In all rounds ten callers run programs whose budgets hold one turn (most of them kept), give up after 0.2 to 1.4 s and come back under a new id 1.2 s later. Checked: no program is refused for its budget before any of its turns has run, if every process ran throughout it.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -12,6 +12,7 @@
 
 use crate::deadly::DeadlyRequest;
 use crate::fleet::EVENTS;
+use crate::impatient::ImpatientProgram;
 use crate::standin::caller::{Answer, Connection, Request};
 use crate::standin::worker::{PADDING_HEADER, SOFTWARE_HEADER, event, padding, split_software};
 
@@ -153,6 +154,8 @@
     pub budgets: RefCell<BTreeMap<String, u64>>,
     /// Requests that crash their workers.
     pub deadly: RefCell<Vec<DeadlyRequest>>,
+    /// Programs whose callers give up early.
+    pub impatient: RefCell<Vec<ImpatientProgram>>,
     last_number: Cell<u64>,
 }
 
--- a/crates/cli/tests/soak/checker_tests.rs
+++ b/crates/cli/tests/soak/checker_tests.rs
@@ -1,11 +1,13 @@
 //! Tests of the checks: each check accepts correct observations and detects violations.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
 
 use crate::callers::{Kind, RequestRecord, TURN_TOKENS};
 use crate::checks::{Observations, violations};
 use crate::deadly::ObservedDeadly;
 use crate::fleet::EVENTS;
+use crate::impatient::ImpatientProgram;
 use crate::standin::caller::{Answer, STAMP_HEADER};
 use crate::standin::worker::{Run, event};
 
@@ -68,6 +70,7 @@
             budgets: BTreeMap::from([("p".to_owned(), TURN_TOKENS)]),
             runs: Vec::new(),
             deadly: Vec::new(),
+            impatient: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(!found.is_empty(), is_exceeded, "{turns} turns: {found:?}");
@@ -203,6 +206,7 @@
             budgets: BTreeMap::from([("p".to_owned(), TURN_TOKENS)]),
             runs: case.runs,
             deadly: Vec::new(),
+            impatient: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(
@@ -239,6 +243,7 @@
             budgets: BTreeMap::from([("p".to_owned(), TURN_TOKENS)]),
             runs: Vec::new(),
             deadly: Vec::new(),
+            impatient: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(
@@ -266,6 +271,7 @@
         budgets: BTreeMap::from([("p".to_owned(), TURN_TOKENS)]),
         runs: runs.collect(),
         deadly: vec![ObservedDeadly { ids, is_known }],
+        impatient: Vec::new(),
     }
 }
 
@@ -292,3 +298,33 @@
     let other = answer(502, "no worker gave a valid answer", true);
     assert!(violations(&deadly(0, true, Some(other))).is_empty());
 }
+
+#[test]
+fn refusing_a_program_for_its_budget_before_any_turn_has_run_is_a_violation() {
+    for (has_run, is_refused, is_violation) in [
+        (false, true, true),
+        (true, true, false),
+        (false, false, false),
+    ] {
+        let program = ImpatientProgram {
+            ids: vec!["given-up".to_owned(), "last".to_owned()],
+            is_refused,
+            started: Instant::now(),
+            ended: Instant::now(),
+        };
+        let attempt = || record(Kind::TurnOnce, None, None);
+        let requests = program.ids.iter().map(|id| (id.clone(), attempt()));
+        let observations = Observations {
+            requests: requests.collect(),
+            budgets: BTreeMap::from([("p".to_owned(), TURN_TOKENS)]),
+            runs: match has_run {
+                true => vec![run("given-up", "input ")],
+                false => Vec::new(),
+            },
+            deadly: Vec::new(),
+            impatient: vec![program],
+        };
+        let found = violations(&observations);
+        assert_eq!(!found.is_empty(), is_violation, "{found:?}");
+    }
+}
--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -5,6 +5,7 @@
 use crate::callers::{Kind, RequestRecord, TOKENS_PER_EVENT};
 use crate::deadly::ObservedDeadly;
 use crate::fleet::EVENTS;
+use crate::impatient::ImpatientProgram;
 use crate::standin::worker::Run;
 
 /// Observations of callers and workers in one round.
@@ -17,6 +18,8 @@
     pub runs: Vec<Run>,
     /// Requests that crash their workers.
     pub deadly: Vec<ObservedDeadly>,
+    /// Programs of one turn, each within the running time of all processes.
+    pub impatient: Vec<ImpatientProgram>,
 }
 
 /// Number of workers that may end under one request.
@@ -52,9 +55,28 @@
     found.extend(check_versions(requests));
     found.extend(check_deadly(observations));
     found.extend(check_given_up(observations));
+    found.extend(check_unspent_budgets(observations));
     found
 }
 
+/// Checks that no program is refused for its budget although none of its turns has run.
+fn check_unspent_budgets(observations: &Observations) -> Vec<String> {
+    let ran: BTreeSet<&str> = observations
+        .runs
+        .iter()
+        .map(|run| run.request_id.as_str())
+        .collect();
+    let programs = observations.impatient.iter();
+    let has_run = |program: &ImpatientProgram| {
+        let mut ids = program.ids.iter();
+        ids.any(|id| ran.contains(id.as_str()))
+    };
+    programs
+        .filter(|program| program.is_refused && !has_run(program))
+        .map(|program| format!("{program:?}: refused for its budget, but no turn has run"))
+        .collect()
+}
+
 /// Checks that all events of a stream, over its caller's attempts, come from one software version.
 fn check_versions(requests: &BTreeMap<String, RequestRecord>) -> Vec<String> {
     let mut streams: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -12,7 +12,8 @@
 //!
 //! By default, the seeds of [`REGRESSIONS`] run for a few seconds each. Set
 //! `ELDERWORKS_SOAK_SECONDS` to run random seeds for longer, and also `ELDERWORKS_SOAK_SEED` to
-//! repeat one seed:
+//! repeat one seed; `ELDERWORKS_SOAK_SCHEDULE` restricts the rounds to `mixed` faults or to
+//! `store-and-kills`:
 //!
 //! ```sh
 //! ELDERWORKS_SOAK_SECONDS=300 cargo test --release -p elderworks-cli --test soak -- --nocapture
@@ -27,11 +28,15 @@
 mod deadly;
 mod faults;
 mod fleet;
+mod impatient;
 mod proxy;
 mod round;
+mod store_and_kills;
 
 use std::time::{Duration, Instant};
 
+use round::Schedule;
+
 /// Seeds of every test run, each with the reason for including it.
 const REGRESSIONS: &[(u64, &str)] = &[
     (1, "baseline"),
@@ -42,6 +47,9 @@
     (10, "large round"),
 ];
 
+/// Seeds of [`Schedule::StoreAndKills`] in every test run.
+const STORE_AND_KILLS: &[u64] = &[1, 2];
+
 /// Duration of the fault schedule of one seed.
 const ROUND_DURATION: Duration = Duration::from_secs(6);
 
@@ -49,7 +57,14 @@
 async fn regression_seeds_keep_the_guarantees() {
     for (seed, reason) in REGRESSIONS {
         println!("seed {seed}: {reason}");
-        round::run(*seed, ROUND_DURATION).await;
+        round::run(*seed, Schedule::Mixed, ROUND_DURATION).await;
+    }
+}
+
+#[actix_rt::test]
+async fn programs_keep_their_budgets_when_the_store_is_slow_around_kills() {
+    for seed in STORE_AND_KILLS {
+        round::run(*seed, Schedule::StoreAndKills, ROUND_DURATION).await;
     }
 }
 
@@ -59,11 +74,19 @@
         return;
     };
     let until = Instant::now() + Duration::from_secs(seconds);
+    let schedules = match std::env::var("ELDERWORKS_SOAK_SCHEDULE").as_deref() {
+        Ok("mixed") => &[Schedule::Mixed][..],
+        Ok("store-and-kills") => &[Schedule::StoreAndKills],
+        _ => &[Schedule::Mixed, Schedule::StoreAndKills],
+    };
     if let Some(seed) = number_from_env("ELDERWORKS_SOAK_SEED") {
-        return round::run(seed, Duration::from_secs(seconds)).await;
+        return round::run(seed, schedules[0], Duration::from_secs(seconds)).await;
     }
-    while Instant::now() < until {
-        round::run(rand::random(), ROUND_DURATION).await;
+    for schedule in schedules.iter().cycle() {
+        if Instant::now() >= until {
+            return;
+        }
+        round::run(rand::random(), *schedule, ROUND_DURATION).await;
     }
 }
 
--- a/crates/cli/tests/soak/round.rs
+++ b/crates/cli/tests/soak/round.rs
@@ -13,6 +13,8 @@
 use crate::deadly::DeadlyCaller;
 use crate::faults::{self, Fault};
 use crate::fleet::Fleet;
+use crate::impatient::ImpatientCaller;
+use crate::store_and_kills;
 
 /// Number of concurrent callers that read without delay.
 const CALLERS: u64 = 8;
@@ -20,6 +22,9 @@
 /// Number of additional callers that delay reading their answers.
 const SLOW_CALLERS: u64 = 3;
 
+/// Number of additional callers that give up early.
+const IMPATIENT_CALLERS: u64 = 10;
+
 /// Maximum number of concurrent faults.
 const MAX_ACTIVE_FAULTS: usize = 6;
 
@@ -36,14 +41,26 @@
 /// Number of complete turns after the faults that shows that the system has recovered.
 const RECOVERED_TURNS: usize = 20;
 
+/// The kinds of fault schedules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Schedule {
+    /// All faults, drawn one by one.
+    Mixed,
+    /// See [`store_and_kills`].
+    StoreAndKills,
+}
+
 /// Runs the round of a seed and panics if a guarantee was violated.
-pub async fn run(seed: u64, duration: Duration) {
+pub async fn run(seed: u64, kind: Schedule, duration: Duration) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut fleet = Fleet::start(seed).await;
     let records = Rc::new(Records::default());
     let stop = Rc::new(Cell::new(false));
     let tasks = start_callers(&fleet, &records, &stop, seed);
-    let schedule = inject_faults(&mut random, &mut fleet, duration).await;
+    let schedule = match kind {
+        Schedule::Mixed => inject_faults(&mut random, &mut fleet, duration).await,
+        Schedule::StoreAndKills => store_and_kills::inject(&mut random, &mut fleet, duration).await,
+    };
     fleet.wait_until_ready().await;
     let complete_before = complete_turns(&records);
     wait_until_recovered(&mut fleet, &records, complete_before).await;
@@ -82,6 +99,13 @@
             .iter()
             .map(|sent| sent.observe(fleet))
             .collect(),
+        impatient: records
+            .impatient
+            .borrow()
+            .iter()
+            .filter(|program| program.is_known(fleet))
+            .cloned()
+            .collect(),
     }
 }
 
@@ -98,6 +122,16 @@
         seed,
     };
     let deadly = actix_rt::spawn(deadly.run());
+    let impatient = (0..IMPATIENT_CALLERS).map(|number| {
+        let caller = ImpatientCaller {
+            records: records.clone(),
+            nodes: fleet.nodes.iter().map(|node| node.callers()).collect(),
+            stop: stop.clone(),
+            seed: seed.wrapping_add(number),
+        };
+        actix_rt::spawn(caller.run())
+    });
+    let impatient: Vec<_> = impatient.collect();
     let others = (0..CALLERS + SLOW_CALLERS).map(|number| {
         let task = CallerTask {
             records: records.clone(),
@@ -110,7 +144,7 @@
         };
         actix_rt::spawn(task.run())
     });
-    others.chain([deadly]).collect()
+    others.chain([deadly]).chain(impatient).collect()
 }
 
 /// Injects and heals faults for a duration; returns a log of them with their times.
@@ -218,6 +252,13 @@
             .count(),
         resumption_ends(records),
     );
+    let impatient = records.impatient.borrow();
+    let known = impatient.iter().filter(|program| program.is_known(fleet));
+    println!(
+        "seed {seed}: {} programs whose callers give up, {} of them checked",
+        impatient.len(),
+        known.count(),
+    );
     let deadly = records.deadly.borrow();
     let observed = deadly.iter().map(|sent| sent.observe(fleet));
     println!(
