gateway: repeated reports of a turn's end are not logged one by one

A report to a node that is dead is repeated once a second for 90 s. Each repetition logged "peer did not answer for a partition", avoided the node for another second and counted against its zone. The first report does so; the others only send.

--- a/crates/gateway/src/ledger/turn_ends.rs
+++ b/crates/gateway/src/ledger/turn_ends.rs
@@ -11,8 +11,9 @@
 use elderworks_protocol::ledger::{FinishTurn, LedgerReply, LedgerRequest};
 use elderworks_types::{NodeId, PartitionId};
 
-use super::request_at;
+use super::{execute, request_at};
 use crate::gateway::Gateway;
+use crate::peers::NoReply;
 
 /// Reports the end of a turn to a node until it confirms, or until it has ended the turn by itself.
 pub(crate) async fn report_end(
@@ -22,13 +23,10 @@
     finish: FinishTurn,
 ) {
     let started = Instant::now();
+    let report = || LedgerRequest::Finish(finish.clone());
+    let mut replied = request_at(gateway, node, partition, report()).await;
     let mut schedule = ReportSchedule::default();
-    loop {
-        let report = LedgerRequest::Finish(finish.clone());
-        let replied = request_at(gateway, node, partition, report).await;
-        if replied == Ok(LedgerReply::Finished) {
-            return;
-        }
+    while replied != Ok(LedgerReply::Finished) {
         let Some(pause) = schedule.next_pause(started.elapsed()) else {
             log::warn!(
                 node = node.as_str(), partition = partition.0, program = finish.program.as_str(),
@@ -38,5 +36,19 @@
             return;
         };
         actix_rt::time::sleep(pause).await;
+        replied = repeat(gateway, node, partition, report()).await;
+    }
+}
+
+/// Sends a report once more. That its node doesn't answer was logged and noted the first time.
+async fn repeat(
+    gateway: &Rc<Gateway>,
+    node: &NodeId,
+    partition: PartitionId,
+    report: LedgerRequest,
+) -> Result<LedgerReply, NoReply> {
+    if *node == gateway.settings.node {
+        return Ok(execute(gateway, partition, report).await);
     }
+    gateway.peers.ask(gateway, node, partition, report).await
 }
