ledger: a turn that is granted during an append is not cancelled by it

An append that fails cancels the turns started on it. A start that was asked for once more, and is granted from memory meanwhile, runs: only answers to queued requests took it off that list. One place does so now for all grants. Found by reading; with the limits of overdrafts as they are, no order of events was found that shows it. Withdrawn starts need no entry there: the end of the turn, or the withdrawal, frees the wallet.

--- a/crates/gateway-core/src/ledger/owner/appends.rs
+++ b/crates/gateway-core/src/ledger/owner/appends.rs
@@ -17,20 +17,13 @@
 }
 
 impl PendingAppend {
-    /// Removes a request that is answered before the append completes.
-    pub(super) fn drop_request(&mut self, ticket: Ticket, request: &LedgerRequest) {
-        self.drop_reply(ticket);
-        if let LedgerRequest::Begin(begin) = request {
-            self.drop_started(&begin.turn);
-        }
-    }
-
+    /// Removes the reply to a request that is answered before the append completes.
     pub(super) fn drop_reply(&mut self, ticket: Ticket) {
         self.replies.retain(|(other, _)| *other != ticket);
     }
 
-    /// Removes a turn from those that are cancelled if the append fails. Returns whether it was
-    /// one.
+    /// Removes a turn from those that are cancelled if the append fails, since it is granted or withdrawn.
+    /// Returns whether it was one.
     pub(super) fn drop_started(&mut self, turn: &str) -> bool {
         let started = &mut self.plan.started;
         let count = started.len();
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use elderworks_protocol::ledger::{LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{BeginTurn, LedgerReply, LedgerRequest};
 use elderworks_types::Timestamp;
 
 use super::super::calls::{CallNumber, Ticket};
@@ -116,19 +116,27 @@
         request: &LedgerRequest,
         reply: LedgerReply,
     ) {
-        let is_for_budget = matches!(
-            reply,
-            LedgerReply::BudgetSpent | LedgerReply::BudgetUnsure | LedgerReply::BudgetInDoubt
-        );
-        if let LedgerRequest::Begin(begin) = request
-            && is_for_budget
-        {
-            let refusal = BudgetRefusal::new(&self.state, &self.wallets, now, begin);
-            self.refusals.push(refusal);
+        if let LedgerRequest::Begin(begin) = request {
+            self.note_decision(now, begin, &reply);
         }
         self.replies.push((ticket, reply));
     }
 
+    fn note_decision(&mut self, now: Timestamp, begin: &BeginTurn, reply: &LedgerReply) {
+        match reply {
+            LedgerReply::Granted { .. } => {
+                if let Some(pending) = &mut self.pending {
+                    pending.drop_started(&begin.turn);
+                }
+            }
+            LedgerReply::BudgetSpent | LedgerReply::BudgetUnsure | LedgerReply::BudgetInDoubt => {
+                let refusal = BudgetRefusal::new(&self.state, &self.wallets, now, begin);
+                self.refusals.push(refusal);
+            }
+            _ => {}
+        }
+    }
+
     pub(super) fn answer_from_memory(
         &mut self,
         now: Timestamp,
@@ -182,7 +190,7 @@
                 }
             };
             if let Some(pending) = &mut self.pending {
-                pending.drop_request(queued.ticket, &queued.request);
+                pending.drop_reply(queued.ticket);
             }
             self.reply(now, queued.ticket, &queued.request, reply);
         }
@@ -237,7 +245,7 @@
     fn withdraw_starts(&mut self, turn: &str) {
         for withdrawn in self.queue.extract_if(.., |queued| queued.is_start_of(turn)) {
             if let Some(pending) = &mut self.pending {
-                pending.drop_request(withdrawn.ticket, &withdrawn.request);
+                pending.drop_reply(withdrawn.ticket);
             }
             let reply = (withdrawn.ticket, LedgerReply::Unavailable);
             self.replies.push(reply);
