gateway: the output tells what became of exchanges that broke off or were left

A worker that was found alive after a break left no line, an exchange that was left without an answer neither, and a node that had started did not say what it had learned. Three lines are added; no decision changes.

--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -132,9 +132,11 @@
         breaks.any(|known| known.worker == worker && known.request == *request)
     }
 
-    /// Records that a worker runs: the breaks were of connections.
-    pub fn note_alive(&mut self, worker: WorkerKey) {
+    /// Records that a worker runs: the breaks were of connections. Returns their number.
+    pub fn note_alive(&mut self, worker: WorkerKey) -> usize {
+        let before = self.breaks.len();
         self.breaks.retain(|known| known.worker != worker);
+        before - self.breaks.len()
     }
 
     /// Records that a worker has ended; returns the requests that it was running.
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -23,6 +23,12 @@
         let Some(since) = self.waiting_since else {
             return;
         };
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            worker = self.last_tried().unwrap_or_default().as_str(),
+            silent_ms = since.elapsed().as_millis();
+            "exchange left without an answer"
+        );
         if since.elapsed() >= self.max_silence()
             && let Some(worker) = self.last_tried()
         {
--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -95,6 +95,14 @@
         send(gateway, RequestMessage::Asked, addresses);
         actix_rt::time::sleep(ASK_INTERVAL).await;
     }
+    let known = state
+        .known_since
+        .get()
+        .map(|since| gateway.now().since(since));
+    log::info!(
+        known_ms = millis(known), requests = gateway.requests.ends.borrow().len();
+        "asked other nodes under which requests workers ended"
+    );
     state.is_over.send_replace(true);
 }
 
@@ -159,7 +167,14 @@
     let key = WorkerKey::of(worker);
     let mut table = gateway.requests.ends.borrow_mut();
     let may_return = match fate {
-        Fate::Alive => return table.note_alive(key),
+        Fate::Alive => {
+            let requests = table.note_alive(key);
+            log::info!(
+                worker = worker, evidence = fate.name(), requests = requests;
+                "worker runs after an exchange broke off"
+            );
+            return;
+        }
         Fate::Ended => false,
         Fate::Vanished => true,
     };
