--- a/crates/gateway-core/src/config.rs
+++ b/crates/gateway-core/src/config.rs
@@ -133,6 +133,8 @@
 pub struct Service {
     /// Name given by the operator.
     pub name: String,
+    /// Path at which a worker says who it is.
+    pub health_path: String,
     /// Maximum number of connections that one worker accepts in total.
     pub max_connections: u32,
     /// Maximum requests per second, from all nodes together, that one worker handles while it is
--- a/crates/gateway-core/src/worker_ends/investigation.rs
+++ b/crates/gateway-core/src/worker_ends/investigation.rs
@@ -1,30 +1,30 @@
-//! Finds out whether a worker ended, or only the connection to it, after an exchange broke off.
+//! Finds out whether a worker ended, or only the connection to it, after an exchange was left without
+//! an answer.
 //!
-//! The process of a worker that has crashed refuses connections. One that accepts them still runs: the
-//! connection was reset, cut or spoilt. A worker that doesn't answer at all may be behind a cut; it
-//! counts as ended only if its record disappears too.
+//! Only three things are certain: nothing listens at the worker's address any more, another process
+//! answers there, or the worker itself does. That it did so right after the exchange is not enough, since
+//! a process that ends may close its sockets one after another. A worker that doesn't answer may be
+//! behind a cut: it may have ended for as long as its record is present, and counts as ended without.
 
 use std::time::Duration;
 
 use elderworks_types::Timestamp;
 
-/// Pause before a second probe, since a process that ends closes its sockets one after another.
-const CONFIRMATION_PAUSE: Duration = Duration::from_millis(40);
+/// Time after an exchange from which an answer of the worker shows that it outlived the exchange.
+pub const MAX_END_DELAY: Duration = Duration::from_millis(800);
 
 /// Pause between the probes of a worker that doesn't answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time after which a worker that doesn't answer, but keeps its record, counts as alive behind a cut.
-/// Records disappear after three missed heartbeats.
-const MAX_SILENCE: Duration = Duration::from_secs(8);
-
-/// The result of a probe: an attempt to connect to the worker.
+/// The result of a probe: a question to the process at the worker's address who it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Finding {
-    /// The connection was refused.
+    /// Nothing listens there.
     Refused,
-    /// The connection was accepted.
-    Accepted,
+    /// Another process answered.
+    Replaced,
+    /// The worker answered.
+    Answered,
     /// Nothing came back.
     NoAnswer,
 }
@@ -32,11 +32,13 @@
 /// What became of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fate {
-    /// Its process has ended.
+    /// Nothing listens at its address: its process has ended.
     Ended,
+    /// Another process listens at its address: its own has ended.
+    Replaced,
     /// It doesn't answer and its record is gone. The record comes back if the worker was only cut off.
     Vanished,
-    /// Its process runs.
+    /// Its process outlived the exchange.
     Alive,
 }
 
@@ -44,12 +46,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextProbe {
     /// The worker is to be probed after a pause.
-    After {
-        /// The pause.
-        pause: Duration,
-        /// Whether it answered, so that it runs unless it is about to end.
-        has_answered: bool,
-    },
+    After(Duration),
     /// The worker's fate is settled.
     Settled(Fate),
 }
@@ -57,8 +54,7 @@
 /// An investigation of one worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Investigation {
-    started: Timestamp,
-    was_accepted: bool,
+    broke_off: Timestamp,
 }
 
 impl Fate {
@@ -66,6 +62,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Ended => "refuses connections",
+            Self::Replaced => "another process answers at its address",
             Self::Vanished => "silent, and its record is gone",
             Self::Alive => "runs",
         }
@@ -73,34 +70,29 @@
 }
 
 impl Investigation {
-    /// Starts an investigation, whose first probe is due at once.
-    pub fn start(now: Timestamp) -> Self {
-        Self {
-            started: now,
-            was_accepted: false,
-        }
+    /// Starts the investigation of a worker with which the last exchange broke off at `broke_off`.
+    pub fn of_exchange(broke_off: Timestamp) -> Self {
+        Self { broke_off }
     }
 
-    /// Handles the result of a probe. `is_listed` is whether the worker's record is present.
-    pub fn on_finding(&mut self, now: Timestamp, finding: Finding, is_listed: bool) -> NextProbe {
+    /// Returns whether a worker outlived the exchange, given when it last answered this node.
+    pub fn is_outlived(&self, last_answer: Option<Timestamp>) -> bool {
+        last_answer.is_some_and(|at| at >= self.broke_off + MAX_END_DELAY)
+    }
+
+    /// Returns what follows from the result of a probe. `is_listed` is whether the worker's record is
+    /// present.
+    pub fn on_finding(&self, now: Timestamp, finding: Finding, is_listed: bool) -> NextProbe {
         match finding {
             Finding::Refused => NextProbe::Settled(Fate::Ended),
-            Finding::Accepted if self.was_accepted => NextProbe::Settled(Fate::Alive),
-            Finding::Accepted => {
-                self.was_accepted = true;
-                NextProbe::After {
-                    pause: CONFIRMATION_PAUSE,
-                    has_answered: true,
-                }
+            Finding::Replaced => NextProbe::Settled(Fate::Replaced),
+            Finding::Answered if self.is_outlived(Some(now)) => NextProbe::Settled(Fate::Alive),
+            Finding::Answered => {
+                let elapsed = now.since(self.broke_off);
+                NextProbe::After(MAX_END_DELAY.saturating_sub(elapsed))
             }
             Finding::NoAnswer if !is_listed => NextProbe::Settled(Fate::Vanished),
-            Finding::NoAnswer if now.since(self.started) >= MAX_SILENCE => {
-                NextProbe::Settled(Fate::Alive)
-            }
-            Finding::NoAnswer => NextProbe::After {
-                pause: SILENCE_PAUSE,
-                has_answered: false,
-            },
+            Finding::NoAnswer => NextProbe::After(SILENCE_PAUSE),
         }
     }
 }
--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// The workers that ended under a request.
+/// The workers that ended or may have ended under a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndedRequest {
     /// The request, or one try of it.
@@ -54,26 +54,86 @@
     pub kind: KeyKind,
     /// Time since the last of the ends.
     pub age: Duration,
-    /// The workers.
+    /// The workers that ended.
     pub workers: Vec<WorkerKey>,
+    /// The workers at which it was left without an answer and that aren't known to run.
+    pub possible: Vec<WorkerKey>,
+}
+
+/// A worker at which a request was left without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PossibleEnd {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// When that was, or earlier.
+    pub since: Timestamp,
 }
 
 #[derive(Clone, Debug)]
 struct Entry {
     kind: KeyKind,
     workers: Vec<WorkerKey>,
-    /// When the last of them ended, to this node's knowledge.
+    possible: Vec<PossibleEnd>,
+    /// When the last of them ended or may have ended, to this node's knowledge.
     noted: Timestamp,
     /// Number of reports sent, if this node reports it.
     reports: Option<usize>,
     next_report: Timestamp,
 }
 
-/// A request whose exchange with a worker broke off, so that the worker may have ended.
+impl Entry {
+    fn is_empty(&self) -> bool {
+        self.workers.is_empty() && self.possible.is_empty()
+    }
+
+    /// Adds a possible end; returns whether it is new.
+    fn add_possible(&mut self, end: PossibleEnd) -> bool {
+        let is_known = self.workers.contains(&end.worker)
+            || self.possible.iter().any(|known| known.worker == end.worker);
+        if is_known || self.possible.len() >= MAX_WORKERS {
+            return false;
+        }
+        self.possible.push(end);
+        self.noted = self.noted.max(end.since);
+        true
+    }
+
+    /// Replaces what is known by what another try has met, if that is more. Returns whether it is.
+    fn replace_if_more(&mut self, workers: &[WorkerKey], possible: Vec<PossibleEnd>) -> bool {
+        let mut others: Vec<PossibleEnd> = Vec::new();
+        for end in possible {
+            let is_known = workers.contains(&end.worker)
+                || others.iter().any(|other| other.worker == end.worker);
+            if !is_known {
+                others.push(end);
+            }
+        }
+        let known = self.workers.len() + self.possible.len();
+        let is_more = workers.len() + others.len() > known;
+        if is_more {
+            self.workers = workers.to_vec();
+            self.possible = others;
+        }
+        is_more
+    }
+
+    fn report_from(&mut self, at: Timestamp) {
+        self.reports = Some(0);
+        self.next_report = at;
+    }
+
+    fn remove_possible(&mut self, worker: WorkerKey) {
+        self.possible.retain(|known| known.worker != worker);
+    }
+}
+
+/// A request of this node that was left without an answer at a worker, so that the worker may have
+/// ended.
 #[derive(Clone, Copy, Debug)]
 struct Break {
     worker: WorkerKey,
     request: RequestIdentity,
+    since: Timestamp,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -110,20 +170,80 @@
         if !request.is_shared {
             return;
         }
-        if let Some(known) = self.entries.get(&request.content) {
-            let workers = known.workers.clone();
+        let Some(known) = self.entries.get(&request.content) else {
+            return;
+        };
+        let (workers, possible) = (known.workers.clone(), known.possible.clone());
+        if !workers.is_empty() {
             self.add(now, request.attempt, KeyKind::Attempt, &workers);
         }
+        for end in possible {
+            let entry = self.entry(now, request.attempt, KeyKind::Attempt);
+            entry.add_possible(end);
+        }
     }
 
-    /// Records that an exchange with a worker broke off.
-    pub fn note_break(&mut self, worker: WorkerKey, request: &RequestIdentity) {
+    /// Records that an exchange with a worker broke off, or that a request is sent under which workers
+    /// ended before. The worker counts as one that may have ended until it is known to run. Other nodes
+    /// are told from `report_from` on.
+    pub fn note_break(
+        &mut self,
+        now: Timestamp,
+        worker: WorkerKey,
+        request: &RequestIdentity,
+        report_from: Timestamp,
+    ) {
         self.breaks
             .retain(|known| known.worker != worker || known.request != *request);
         self.breaks.push(Break {
             worker,
             request: *request,
+            since: now,
         });
+        let content = (!request.is_shared).then_some((request.content, KeyKind::Content));
+        let attempts = [Some(request.attempt), request.resumed];
+        let attempts = attempts
+            .into_iter()
+            .flatten()
+            .map(|key| (key, KeyKind::Attempt));
+        let end = PossibleEnd { worker, since: now };
+        for (key, kind) in content.into_iter().chain(attempts) {
+            let entry = self.entry(now, key, kind);
+            if entry.add_possible(end) {
+                entry.report_from(report_from);
+            }
+        }
+        if request.is_shared {
+            self.note_shared_break(now, request, report_from);
+        }
+    }
+
+    /// Lets content that may belong to other callers stand for the try that met the most.
+    fn note_shared_break(
+        &mut self,
+        now: Timestamp,
+        request: &RequestIdentity,
+        report_from: Timestamp,
+    ) {
+        let workers: Vec<WorkerKey> = self.workers(request).into_iter().collect();
+        let possible: Vec<PossibleEnd> = self.possible_ends(request).collect();
+        let entry = self.entry(now, request.content, KeyKind::SharedContent);
+        if entry.replace_if_more(&workers, possible) {
+            entry.noted = now;
+            entry.report_from(report_from);
+        }
+    }
+
+    /// Records that a worker has not run a request that was to be sent to it.
+    pub fn note_not_run(&mut self, worker: WorkerKey, request: &RequestIdentity) {
+        self.breaks
+            .retain(|known| known.worker != worker || known.request != *request);
+        for key in request.keys() {
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.remove_possible(worker);
+            }
+        }
+        self.entries.retain(|_, entry| !entry.is_empty());
     }
 
     /// Returns whether a break at a worker is still being investigated for a request.
@@ -132,10 +252,21 @@
         breaks.any(|known| known.worker == worker && known.request == *request)
     }
 
-    /// Records that a worker runs: the breaks were of connections. Returns their number.
+    /// Returns whether a worker may have ended under any request.
+    pub fn may_have_ended(&self, worker: WorkerKey) -> bool {
+        let mut possible = self.entries.values().flat_map(|entry| &entry.possible);
+        possible.any(|end| end.worker == worker)
+    }
+
+    /// Records that a worker runs and has not ended under any request so far. Returns the number of
+    /// breaks at it.
     pub fn note_alive(&mut self, worker: WorkerKey) -> usize {
         let before = self.breaks.len();
         self.breaks.retain(|known| known.worker != worker);
+        for entry in self.entries.values_mut() {
+            entry.remove_possible(worker);
+        }
+        self.entries.retain(|_, entry| !entry.is_empty());
         before - self.breaks.len()
     }
 
@@ -155,6 +286,7 @@
             .into_iter()
             .partition(|known: &Break| known.worker == worker);
         self.breaks = others;
+        self.end_told(now, worker);
         let of_worker: Vec<Break> = of_worker;
         let requests = of_worker.into_iter().map(|known| known.request);
         requests
@@ -166,6 +298,21 @@
             .collect()
     }
 
+    /// Turns the possible ends of a worker into ends, also those that other nodes reported.
+    fn end_told(&mut self, now: Timestamp, worker: WorkerKey) {
+        let of_worker = self.entries.iter_mut().filter(|(_, entry)| {
+            let mut possible = entry.possible.iter();
+            possible.any(|end| end.worker == worker)
+        });
+        for (_, entry) in of_worker {
+            entry.remove_possible(worker);
+            entry.workers.push(worker);
+            entry.workers.truncate(MAX_WORKERS);
+            entry.noted = entry.noted.max(now);
+            entry.report_from(now);
+        }
+    }
+
     /// Records that the record of a worker which was taken for ended is back.
     pub fn note_back(&mut self, worker: WorkerKey) {
         let known = self.ended_workers.get(&worker);
@@ -187,7 +334,33 @@
             };
             self.ended_workers.entry(*worker).or_insert(ended);
         }
-        self.merge(now - told.age, told.request, told.kind, &told.workers);
+        let noted = now - told.age;
+        if !told.workers.is_empty() {
+            self.merge(noted, told.request, told.kind, &told.workers);
+        }
+        let (ended, possible): (Vec<WorkerKey>, Vec<WorkerKey>) = told
+            .possible
+            .iter()
+            .partition(|worker| self.ended_workers.contains_key(worker));
+        if !ended.is_empty() {
+            self.merge(noted, told.request, told.kind, &ended);
+        }
+        if possible.is_empty() {
+            return;
+        }
+        let since = noted;
+        let possible = possible
+            .into_iter()
+            .map(|worker| PossibleEnd { worker, since });
+        let entry = self.entry(noted, told.request, told.kind);
+        if told.kind == KeyKind::SharedContent {
+            let workers = entry.workers.clone();
+            entry.replace_if_more(&workers, possible.collect());
+            return;
+        }
+        for end in possible {
+            entry.add_possible(end);
+        }
     }
 
     /// Records that a worker has answered a request: it doesn't end its workers.
@@ -201,26 +374,31 @@
     /// Returns how many workers have ended or may have ended under a request.
     pub fn count(&self, request: &RequestIdentity) -> EndCount {
         let ended = self.workers(request);
-        let same = |known: &&Break| {
-            known.request.attempt == request.attempt
-                || !request.is_shared && known.request.content == request.content
-        };
-        let unsettled = self.breaks.iter().filter(same).map(|known| known.worker);
-        let unsettled: BTreeSet<WorkerKey> =
-            unsettled.filter(|worker| !ended.contains(worker)).collect();
+        let possible = self.possible_ends(request);
+        let unsettled: BTreeSet<WorkerKey> = possible.map(|end| end.worker).collect();
         EndCount {
             ended: ended.len(),
-            unsettled: unsettled.len(),
+            unsettled: unsettled.difference(&ended).count(),
         }
     }
 
+    /// Returns the workers that may have ended under a request.
+    pub fn possible_ends(&self, request: &RequestIdentity) -> impl Iterator<Item = PossibleEnd> {
+        let entries = self.entries_of(request);
+        entries.flat_map(|entry| &entry.possible).copied()
+    }
+
     /// Returns the workers that ended under a request.
     pub fn workers(&self, request: &RequestIdentity) -> BTreeSet<WorkerKey> {
+        let entries = self.entries_of(request);
+        entries.flat_map(|entry| &entry.workers).copied().collect()
+    }
+
+    fn entries_of(&self, request: &RequestIdentity) -> impl Iterator<Item = &Entry> {
         let content = (!request.is_shared).then_some(request.content);
         let keys = [content, Some(request.attempt), request.resumed];
-        let entries = keys.into_iter().flatten();
-        let entries = entries.filter_map(|key| self.entries.get(&key));
-        entries.flat_map(|entry| &entry.workers).copied().collect()
+        let keys = keys.into_iter().flatten();
+        keys.filter_map(|key| self.entries.get(&key))
     }
 
     /// Returns the position of a request among those that met as many ends and the same last one, in an
@@ -283,6 +461,8 @@
     pub fn drop_old(&mut self, now: Timestamp, lifetime: Duration) {
         self.ended_workers
             .retain(|_, ended| now.since(ended.noted) <= lifetime);
+        self.breaks
+            .retain(|known| now.since(known.since) <= lifetime);
         while let Some((noted, request)) = self.order.front().copied() {
             if now.since(noted) <= lifetime {
                 break;
@@ -326,8 +506,7 @@
         if self.merge(now, request, kind, workers)
             && let Some(entry) = self.entries.get_mut(&request)
         {
-            entry.reports = Some(0);
-            entry.next_report = now;
+            entry.report_from(now);
         }
     }
 
@@ -340,10 +519,7 @@
         kind: KeyKind,
         workers: &[WorkerKey],
     ) -> bool {
-        let Some(entry) = self.entries.get_mut(&request) else {
-            self.insert(noted, request, kind, workers);
-            return true;
-        };
+        let entry = self.entry(noted, request, kind);
         let before = entry.workers.len();
         if kind != KeyKind::SharedContent {
             for worker in workers {
@@ -355,6 +531,12 @@
             entry.workers = workers.to_vec();
         }
         entry.workers.truncate(MAX_WORKERS);
+        let Entry {
+            workers: ended,
+            possible,
+            ..
+        } = entry;
+        possible.retain(|end| !ended.contains(&end.worker));
         let has_grown = entry.workers.len() > before;
         if has_grown {
             entry.noted = entry.noted.max(noted);
@@ -362,23 +544,24 @@
         has_grown
     }
 
-    fn insert(
-        &mut self,
-        noted: Timestamp,
-        request: RequestKey,
-        kind: KeyKind,
-        workers: &[WorkerKey],
-    ) {
-        let entry = Entry {
+    /// Returns the entry of a key, which is created if there is none.
+    fn entry(&mut self, noted: Timestamp, request: RequestKey, kind: KeyKind) -> &mut Entry {
+        if !self.entries.contains_key(&request) {
+            self.make_room();
+            self.order.push_back((noted, request));
+        }
+        self.entries.entry(request).or_insert_with(|| Entry {
             kind,
-            workers: workers.to_vec(),
+            workers: Vec::new(),
+            possible: Vec::new(),
             noted,
             reports: None,
             next_report: noted,
-        };
-        self.entries.insert(request, entry);
-        self.order.push_back((noted, request));
-        while self.order.len() > MAX_REQUESTS {
+        })
+    }
+
+    fn make_room(&mut self) {
+        while self.order.len() >= MAX_REQUESTS {
             if let Some((_, oldest)) = self.order.pop_front() {
                 self.entries.remove(&oldest);
             }
@@ -392,5 +575,6 @@
         kind: entry.kind,
         age: now.since(entry.noted),
         workers: entry.workers.clone(),
+        possible: entry.possible.iter().map(|end| end.worker).collect(),
     }
 }
--- a/crates/gateway-core/tests/worker_ends.rs
+++ b/crates/gateway-core/tests/worker_ends.rs
@@ -77,7 +77,7 @@
 
 /// Records that a request broke off at a worker, which was found to have ended.
 fn end(table: &mut EndTable, request: &RequestIdentity, number: u32) {
-    table.note_break(worker(number), request);
+    table.note_break(NOW, worker(number), request, NOW);
     table.note_ended(NOW, worker(number), false);
 }
 
@@ -193,59 +193,65 @@
 
 #[test]
 fn evidence_of_an_end() {
-    use Finding::{Accepted, NoAnswer, Refused};
-    let second = Duration::from_secs(1);
-    /// Time since the start, result of the probe, and whether the worker is listed.
+    use Finding::{Answered, NoAnswer, Refused, Replaced};
+    let ms = Duration::from_millis;
+    /// Time since the exchange, result of the probe, and whether the worker is listed.
     type Findings<'a> = &'a [(Duration, Finding, bool)];
-    let cases: [(&str, Findings<'_>, Option<Fate>); 7] = [
+    let cases: [(&str, Findings<'_>, Option<Fate>); 9] = [
         (
-            "a refusal is an end",
-            &[(Duration::ZERO, Refused, true)],
+            "nothing listens",
+            &[(ms(0), Refused, true)],
             Some(Fate::Ended),
         ),
         (
-            "a process that closes its listener late",
-            &[(Duration::ZERO, Accepted, true), (second, Refused, true)],
+            "another process answers at the address, whatever the record says",
+            &[(ms(0), Replaced, true)],
+            Some(Fate::Replaced),
+        ),
+        (
+            "a process that ends after its connections",
+            &[(ms(0), Answered, true), (ms(799), Refused, true)],
             Some(Fate::Ended),
         ),
         (
-            "one acceptance is confirmed",
-            &[(Duration::ZERO, Accepted, true)],
+            "answers right after the exchange, however many",
+            &[(ms(0), Answered, true), (ms(700), Answered, true)],
             None,
         ),
         (
-            "two acceptances",
-            &[(Duration::ZERO, Accepted, true), (second, Accepted, true)],
+            "an answer long after the exchange",
+            &[(ms(0), Answered, true), (ms(800), Answered, true)],
             Some(Fate::Alive),
         ),
         (
             "silence of a listed worker",
-            &[(Duration::ZERO, NoAnswer, true), (second, NoAnswer, true)],
+            &[(ms(0), NoAnswer, true), (ms(1_000), NoAnswer, true)],
             None,
         ),
         (
             "silence and a lost record",
-            &[(Duration::ZERO, NoAnswer, true), (second, NoAnswer, false)],
+            &[(ms(0), NoAnswer, true), (ms(1_000), NoAnswer, false)],
             Some(Fate::Vanished),
         ),
         (
-            "a cut that outlasts all heartbeats",
-            &[
-                (Duration::ZERO, NoAnswer, true),
-                (9 * second, NoAnswer, true),
-            ],
+            "silence is never a sign of life",
+            &[(ms(0), NoAnswer, true), (ms(60_000), NoAnswer, true)],
+            None,
+        ),
+        (
+            "the end of a cut",
+            &[(ms(0), NoAnswer, true), (ms(9_000), Answered, true)],
             Some(Fate::Alive),
         ),
     ];
     for (name, findings, expected) in cases {
-        let mut investigation = Investigation::start(NOW);
+        let investigation = Investigation::of_exchange(NOW);
         let mut fate = None;
         for (after, finding, is_listed) in findings {
-            let next = investigation.on_finding(NOW + *after, *finding, *is_listed);
-            fate = match next {
+            fate = match investigation.on_finding(NOW + *after, *finding, *is_listed) {
                 NextProbe::Settled(fate) => Some(fate),
-                NextProbe::After { has_answered, .. } => {
-                    assert_eq!(has_answered, *finding == Accepted, "{name}");
+                NextProbe::After(pause) => {
+                    assert!(!pause.is_zero(), "{name}");
                     None
                 }
             };
@@ -254,13 +260,21 @@
     }
 }
 
+#[test]
+fn answers_to_other_requests_show_that_a_worker_outlived_an_exchange() {
+    let investigation = Investigation::of_exchange(NOW);
+    assert!(!investigation.is_outlived(None));
+    assert!(!investigation.is_outlived(Some(NOW + Duration::from_millis(700))));
+    assert!(investigation.is_outlived(Some(NOW + Duration::from_millis(900))));
+}
+
 #[test]
 fn an_end_counts_for_all_requests_that_the_worker_ran() {
     let mut table = EndTable::default();
     let (first, second) = (request("r1"), other("r2"));
-    table.note_break(worker(1), &first);
-    table.note_break(worker(1), &second);
-    table.note_break(worker(2), &second);
+    table.note_break(NOW, worker(1), &first, NOW);
+    table.note_break(NOW, worker(1), &second, NOW);
+    table.note_break(NOW, worker(2), &second, NOW);
     let expected = EndCount {
         ended: 0,
         unsettled: 2,
@@ -336,7 +350,7 @@
 #[test]
 fn a_worker_whose_record_comes_back_had_not_ended() {
     let mut table = EndTable::default();
-    table.note_break(worker(1), &request("r1"));
+    table.note_break(NOW, worker(1), &request("r1"), NOW);
     table.note_ended(NOW, worker(1), true);
     end(&mut table, &request("r1"), 2);
     table.note_back(worker(1));
@@ -350,7 +364,7 @@
 fn a_break_stays_unsettled_until_the_worker_is_known_to_run() {
     let mut table = EndTable::default();
     let request = request("r1");
-    table.note_break(worker(1), &request);
+    table.note_break(NOW, worker(1), &request, NOW);
     assert!(table.has_break(worker(1), &request));
     assert_eq!(table.count(&request).unsettled, 1);
     table.note_alive(worker(1));
@@ -387,6 +401,7 @@
         kind: KeyKind::Content,
         age: Duration::ZERO,
         workers: vec![worker(1), worker(2)],
+        possible: Vec::new(),
     };
     let half = NOW + LIFETIME / 2;
     table.note_told(half, &late);
@@ -431,7 +446,7 @@
 }
 
 fn end_at(table: &mut EndTable, request: &RequestIdentity, id: &str) {
-    table.note_break(WorkerKey::of(id), request);
+    table.note_break(NOW, WorkerKey::of(id), request, NOW);
     table.note_ended(NOW, WorkerKey::of(id), false);
 }
 
@@ -497,7 +512,7 @@
     let both = [request("r1"), other("r2")];
     for number in [1, 2] {
         for request in &both {
-            table.note_break(worker(number), request);
+            table.note_break(NOW, worker(number), request, NOW);
         }
         assert_eq!(pause_before_send(&table, &both[0]), Duration::ZERO);
         table.note_ended(NOW, worker(number), false);
@@ -520,3 +535,106 @@
     assert!(known.iter().all(|known| known.workers == [worker(1)]));
     assert!(table.get(NOW, &[RequestKey(5)]).is_empty());
 }
+
+#[test]
+fn possible_ends_are_told_and_count_at_other_nodes() {
+    let mut table = EndTable::default();
+    let mut told = EndTable::default();
+    for number in [1, 2, 3] {
+        table.note_break(NOW, worker(number), &request("r1"), NOW);
+    }
+    for report in table.take_due(NOW) {
+        told.note_told(NOW, &report);
+    }
+    let expected = EndCount {
+        ended: 0,
+        unsettled: 3,
+    };
+    assert_eq!(told.count(&request("r2")), expected);
+    // What the other node finds out itself replaces what it was told.
+    told.note_alive(worker(1));
+    told.note_ended(NOW, worker(2), false);
+    let expected = EndCount {
+        ended: 1,
+        unsettled: 1,
+    };
+    assert_eq!(told.count(&request("r2")), expected);
+    assert!(told.may_have_ended(worker(3)) && !told.may_have_ended(worker(1)));
+    // And it tells the end that it found.
+    let found = told.take_due(NOW);
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|known| known.workers == [worker(2)]));
+}
+
+#[test]
+fn a_possible_end_at_a_worker_that_is_known_to_have_ended_is_an_end() {
+    let mut table = EndTable::default();
+    table.note_ended(NOW, worker(1), false);
+    let told = EndedRequest {
+        request: request("r1").content,
+        kind: KeyKind::Content,
+        age: Duration::ZERO,
+        workers: Vec::new(),
+        possible: vec![worker(1)],
+    };
+    table.note_told(NOW, &told);
+    assert_eq!(table.count(&request("r2")).ended, 1);
+}
+
+#[test]
+fn a_request_that_was_not_run_ends_nothing() {
+    let mut table = EndTable::default();
+    table.note_break(NOW, worker(1), &request("r1"), NOW);
+    table.note_not_run(worker(1), &request("r1"));
+    assert!(table.note_ended(NOW, worker(1), false).is_empty());
+    assert_eq!(table.count(&request("r1")), EndCount::NONE);
+}
+
+#[test]
+fn a_possible_end_is_told_only_from_its_time_on() {
+    let mut table = EndTable::default();
+    let later = NOW + Duration::from_millis(300);
+    table.note_break(NOW, worker(1), &request("r1"), later);
+    assert!(table.take_due(NOW).is_empty());
+    assert!(!table.take_due(later).is_empty());
+}
+
+#[test]
+fn possible_ends_are_forgotten_once_callers_no_longer_come_back() {
+    let mut table = EndTable::default();
+    table.note_break(NOW, worker(1), &request("r1"), NOW);
+    table.drop_old(NOW + LIFETIME + Duration::from_millis(1), LIFETIME);
+    assert!(table.is_empty() && !table.has_break(worker(1), &request("r1")));
+}
+
+/// A caller without a program repeats a request whose workers fall silent; others look alike.
+#[test]
+fn possible_ends_add_up_over_tries_with_shared_content() {
+    let mut table = EndTable::default();
+    for (number, id) in (0..).zip(["a1", "a2", "a3"]) {
+        let request = shared(id);
+        table.begin(NOW, &request);
+        table.note_break(NOW, worker(number), &request, NOW);
+    }
+    let next = shared("a4");
+    table.begin(NOW, &next);
+    assert_eq!(table.count(&next).unsettled, 3);
+    table.note_alive(worker(0));
+    table.note_ended(NOW, worker(1), false);
+    let expected = EndCount {
+        ended: 1,
+        unsettled: 1,
+    };
+    assert_eq!(table.count(&next), expected);
+
+    let mut table = EndTable::default();
+    let callers = ["a1", "b1", "c1"].map(shared);
+    for request in &callers {
+        table.begin(NOW, request);
+    }
+    for (number, request) in (0..).zip(&callers) {
+        table.note_break(NOW, worker(number), request, NOW);
+    }
+    table.begin(NOW, &next);
+    assert_eq!(table.count(&next).unsettled, 1);
+}
--- a/crates/gateway-core/tests/worker_ends_model.rs
+++ b/crates/gateway-core/tests/worker_ends_model.rs
@@ -292,7 +292,8 @@
             request.ended += 1;
             let identity = request.identity;
             let node = &mut self.nodes[request.node];
-            node.table.note_break(key, &identity);
+            node.table
+                .note_break(at(self.now), key, &identity, at(self.now));
         }
         // Each node finds the listener closed.
         for number in hit {
@@ -324,7 +325,7 @@
         let key = WorkerKey::of(&worker);
         let (node, identity) = (self.requests[number].node, self.requests[number].identity);
         let table = &mut self.nodes[node].table;
-        table.note_break(key, &identity);
+        table.note_break(at(self.now), key, &identity, at(self.now));
         table.note_alive(key);
         self.leave_worker(number, &worker);
         self.requests[number].stage = Stage::Sending { until: self.now };
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -74,6 +74,10 @@
     pub(super) backup: Option<RunBackup>,
     /// Time since which the current attempt's worker has been silent.
     pub(super) waiting_since: Option<Instant>,
+    /// The same, if its silence was counted as a failure already.
+    pub(super) silent_since: Option<Instant>,
+    /// The worker that other nodes were told about before the current attempt.
+    pub(super) announced: Option<WorkerKey>,
 }
 
 /// Ids of the workers tried for a request, in order; shared with its log line.
@@ -120,6 +124,8 @@
             run: None,
             backup: None,
             waiting_since: None,
+            silent_since: None,
+            announced: None,
         }
     }
 
@@ -174,6 +180,7 @@
             let permit = self.permit_send().await?;
             let (failure, reason) = match self.attempt(permit, &target, last_event_id).await {
                 Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
+                    self.note_not_run();
                     let status = running.response.head.status;
                     self.note_refusal(&target.worker, status);
                     let reason = format!("refused with {}", status.as_u16());
@@ -207,6 +214,7 @@
         last_event_id: Option<&str>,
     ) -> Result<RunningResponse, ExchangeError> {
         let ended = self.ends().ended;
+        self.note_sending(target);
         let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
         self.note_tried(&target.worker);
         let request = OutgoingRequest {
@@ -240,11 +248,16 @@
             }
             Err(_) => {
                 self.note_worker_failure(&target.worker);
-                self.waiting_since = None;
+                self.silent_since = self.waiting_since.take();
                 exchanging.await?
             }
         };
+        self.silent_since = None;
         self.note_response_start(&target.worker);
+        if response.head.status != StatusCode::MISDIRECTED_REQUEST {
+            let now = self.gateway.now();
+            self.gateway.worker_probes.note_answer(&target.worker, now);
+        }
         Ok(RunningResponse {
             response,
             address: target.address,
@@ -391,6 +404,7 @@
     ) -> Result<(), CallError> {
         self.gateway.metrics.attempts_failed.inc();
         self.waiting_since = None;
+        self.silent_since = None;
         if failure != AttemptFailure::RefusedByWorker {
             self.gateway.pool.discard_connections(worker);
             self.note_worker_failure(worker);
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -3,8 +3,10 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
+use elderworks_gateway_core::worker_ends::investigation::Fate;
 
 use super::attempts::Call;
+use crate::peers;
 
 /// Silence after which an engine counts as failed. Callers abandon a stream after two seconds of
 /// silence.
@@ -18,23 +20,25 @@
 const MIN_SILENCE: Duration = Duration::from_millis(250);
 
 impl Drop for Call<'_> {
-    /// Records a failure if the caller disconnected while a worker was silent for too long.
+    /// Records that the call ended while a worker was silent: a failure if that took too long, and a
+    /// possible end of the worker.
     fn drop(&mut self) {
-        let Some(since) = self.waiting_since else {
+        let Some(since) = self.waiting_since.or(self.silent_since) else {
             return;
         };
+        let Some(worker) = self.last_tried() else {
+            return;
+        };
+        let silence = since.elapsed();
         log::info!(
             request = self.attributes.request_id.as_deref().unwrap_or_default(),
-            worker = self.last_tried().unwrap_or_default().as_str(),
-            silent_ms = since.elapsed().as_millis();
+            worker = worker.as_str(), silent_ms = silence.as_millis();
             "exchange left without an answer"
         );
-        if since.elapsed() >= self.max_silence()
-            && let Some(worker) = self.last_tried()
-        {
+        if self.waiting_since.is_some() && silence >= self.max_silence() {
             self.note_worker_failure(&worker);
-            self.note_silence(&worker);
         }
+        self.note_unanswered(&worker, silence);
     }
 }
 
@@ -57,6 +61,7 @@
     /// Records a complete response; one with status 500 counts as a failure of the worker.
     pub(super) fn note_response(&mut self, worker: &str, status: StatusCode) {
         self.waiting_since = None;
+        self.silent_since = None;
         if status == StatusCode::INTERNAL_SERVER_ERROR {
             self.note_worker_failure(worker);
         } else {
@@ -68,6 +73,7 @@
     /// Records that the worker made progress.
     pub(super) fn note_progress(&mut self) {
         self.waiting_since = Some(Instant::now());
+        self.silent_since = None;
     }
 
     /// Records that the deadline passed without a response from the worker. Engines are exempt:
@@ -75,12 +81,12 @@
     pub(super) fn note_timeout(&mut self) {
         let had_target_time = self.received.elapsed() >= self.route.target;
         if let Some(worker) = self.last_tried()
-            && self.waiting_since.is_some()
+            && let Some(since) = self.waiting_since
             && had_target_time
             && !self.is_for_engine()
         {
             self.note_worker_failure(&worker);
-            self.note_silence(&worker);
+            self.note_unanswered(&worker, since.elapsed());
             self.waiting_since = None;
         }
     }
@@ -90,6 +96,8 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             self.gateway.pool.discard_connections(worker);
             self.note_worker_failure(worker);
+            // Every other process at the worker's address answers like this.
+            peers::settle(self.gateway, worker, Fate::Replaced);
         } else {
             self.gateway.workers.borrow_mut().note_full(worker, now);
         }
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -8,6 +8,7 @@
 use elderworks_gateway_core::worker_ends::placement::{
     AvoidedWorkers, Knowledge, Search, find_apart, pause_before_send, workers_to_avoid,
 };
+use elderworks_gateway_core::worker_ends::table::PossibleEnd;
 
 use super::CallError;
 use super::attempts::Call;
@@ -15,13 +16,25 @@
 use crate::peers;
 use crate::reply::Refusal;
 use crate::upstream::Target;
-use crate::worker_probes;
+use crate::worker_probes::{self, Suspected};
 
 /// Time in which the other nodes' answers about a request arrive.
 const ANSWER_TIME: Duration = Duration::from_millis(20);
 
-/// Maximum time to wait until it is known whether workers ended.
-const MAX_SETTLE_WAIT: Duration = Duration::from_millis(400);
+/// Maximum time to wait until it is known whether workers ended. Longer than
+/// [`MAX_END_DELAY`](elderworks_gateway_core::worker_ends::investigation::MAX_END_DELAY).
+const MAX_SETTLE_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Silence of a worker from which an exchange that is given up counts as left without an answer.
+const MIN_UNANSWERED: Duration = Duration::from_millis(250);
+
+/// Pause before other nodes are told of the first exchange of a request that was given up. Longer than it
+/// takes to find out that the worker runs.
+const UNANSWERED_REPORT_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Pause before a worker is probed whose exchange was given up. It may answer other requests meanwhile,
+/// which shows the same.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(250);
 
 /// Maximum time to wait for a worker without another request that ended workers repeatedly.
 const MAX_APART_WAIT: Duration = Duration::from_millis(600);
@@ -89,11 +102,45 @@
                 SendDecision::Unsettled if Instant::now() >= until => {
                     return Err(self.withhold(Withheld::Unsettled));
                 }
-                SendDecision::Unsettled => actix_rt::time::sleep(POLL_INTERVAL).await,
+                SendDecision::Unsettled => {
+                    self.investigate_possible_ends();
+                    actix_rt::time::sleep(POLL_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Finds out at this node which of the workers have ended that may have.
+    fn investigate_possible_ends(&self) {
+        let ends: Vec<PossibleEnd> = {
+            let table = self.gateway.requests.ends.borrow();
+            table.possible_ends(&self.identity).collect()
+        };
+        for end in ends {
+            match self.suspected_by_key(end.worker) {
+                Some(suspected) => {
+                    let pause = Duration::ZERO;
+                    worker_probes::investigate_after(self.gateway, suspected, end.since, pause);
+                }
+                // A node that is sent only part of the workers can't tell.
+                None if self.gateway.feed.reads() => {
+                    peers::settle_unlisted(self.gateway, end.worker);
+                }
+                None => {}
             }
         }
     }
 
+    fn suspected_by_key(&self, key: WorkerKey) -> Option<Suspected> {
+        let workers = self.gateway.workers.borrow();
+        let known = workers.iter().find(|known| known.key() == key)?;
+        Some(Suspected {
+            worker: known.record.id.clone(),
+            address: known.record.address,
+            service: known.record.service.clone(),
+        })
+    }
+
     /// Returns the worker for the next send. A request under which workers ended is kept apart from
     /// others of that kind.
     pub(super) async fn choose_target(&mut self) -> Result<Target, CallError> {
@@ -147,14 +194,47 @@
 
     /// Records that an exchange with a worker broke off, and finds out whether the worker ended.
     pub(super) async fn note_break(&self, target: &Target) {
+        let now = self.gateway.now();
         let key = WorkerKey::of(&target.worker);
         let table = &self.gateway.requests.ends;
-        table.borrow_mut().note_break(key, &self.identity);
-        worker_probes::investigate_and_wait(self.gateway, &target.worker, target.address).await;
+        table.borrow_mut().note_break(now, key, &self.identity, now);
+        let suspected = Suspected {
+            worker: target.worker.clone(),
+            address: target.address,
+            service: self.service.clone(),
+        };
+        worker_probes::investigate_and_wait(self.gateway, suspected, now).await;
+        peers::report_ends(self.gateway);
+    }
+
+    /// Records that the request is about to be sent, if workers ended under it before: should this node
+    /// be lost, the others know where it ran.
+    pub(super) fn note_sending(&mut self, target: &Target) {
+        let key = WorkerKey::of(&target.worker);
+        let mut table = self.gateway.requests.ends.borrow_mut();
+        let is_suspect = table.count(&self.identity).is_suspect();
+        if !is_suspect || table.has_break(key, &self.identity) {
+            self.announced = None;
+            return;
+        }
+        let now = self.gateway.now();
+        table.note_break(now, key, &self.identity, now);
+        drop(table);
+        self.announced = Some(key);
+        peers::report_ends(self.gateway);
+    }
+
+    /// Records that the worker has not run the request, after [`Self::note_sending`].
+    pub(super) fn note_not_run(&mut self) {
+        if let Some(key) = self.announced.take() {
+            let mut table = self.gateway.requests.ends.borrow_mut();
+            table.note_not_run(key, &self.identity);
+        }
     }
 
     /// Probes a worker again at which the request broke off before and which now can't be reached.
-    pub(super) async fn probe_after_break(&self, target: &Target) {
+    pub(super) async fn probe_after_break(&mut self, target: &Target) {
+        self.note_not_run();
         let key = WorkerKey::of(&target.worker);
         let has_break = {
             let table = self.gateway.requests.ends.borrow();
@@ -165,19 +245,31 @@
         }
     }
 
-    /// Records that the caller's time or patience ended while a worker was silent.
-    pub(super) fn note_silence(&self, worker: &str) {
-        let address = {
-            let workers = self.gateway.workers.borrow();
-            workers.get(worker).map(|known| known.record.address)
-        };
-        let Some(address) = address else {
+    /// Records that the exchange with a worker is given up while the worker is silent, because the
+    /// caller's time or patience is over.
+    pub(super) fn note_unanswered(&self, worker: &str, silence: Duration) {
+        let ends = self.ends();
+        if silence < MIN_UNANSWERED && !ends.is_suspect() {
+            return;
+        }
+        let key = WorkerKey::of(worker);
+        let Some(suspected) = self.suspected_by_key(key) else {
             return;
         };
+        let now = self.gateway.now();
+        // Most of these workers answer another request before the others are told. Tries with shared
+        // content take over only what is known when they begin.
+        let is_first = ends == EndCount::NONE && !self.identity.is_shared;
+        let report_from = match is_first {
+            true => now + UNANSWERED_REPORT_PAUSE,
+            false => now,
+        };
         let table = &self.gateway.requests.ends;
-        let key = WorkerKey::of(worker);
-        table.borrow_mut().note_break(key, &self.identity);
-        worker_probes::investigate(self.gateway, worker, address);
+        table
+            .borrow_mut()
+            .note_break(now, key, &self.identity, report_from);
+        peers::report_ends(self.gateway);
+        worker_probes::investigate_after(self.gateway, suspected, now, UNANSWERED_PAUSE);
     }
 
     /// Records that a worker answered the request.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -93,6 +93,7 @@
                 PartEnd::Released => {
                     let worker = into_engine(running).worker;
                     self.waiting_since = None;
+                    self.silent_since = None;
                     flow.drain(caller).await?;
                     self.resume(caller, &worker, &forwarded).await?
                 }
@@ -154,6 +155,9 @@
                 self.note_stream_begun(running.worker_use.software);
                 self.note_first_event();
                 self.note_progress();
+                let now = self.gateway.now();
+                let worker = &running.worker_use.worker;
+                self.gateway.worker_probes.note_answer(worker, now);
             }
         }
     }
--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -162,9 +162,17 @@
     send(gateway, message, addresses_of(gateway, &asked));
 }
 
+/// Records that a worker which may have ended has no record any more.
+pub(crate) fn settle_unlisted(gateway: &Gateway, worker: WorkerKey) {
+    settle_key(gateway, worker, "", Fate::Vanished);
+}
+
 /// Records what became of a worker at which requests broke off, and reports the ends under them.
 pub(crate) fn settle(gateway: &Gateway, worker: &str, fate: Fate) {
-    let key = WorkerKey::of(worker);
+    settle_key(gateway, WorkerKey::of(worker), worker, fate);
+}
+
+fn settle_key(gateway: &Gateway, key: WorkerKey, worker: &str, fate: Fate) {
     let mut table = gateway.requests.ends.borrow_mut();
     let may_return = match fate {
         Fate::Alive => {
@@ -175,12 +183,12 @@
             );
             return;
         }
-        Fate::Ended => false,
+        Fate::Ended | Fate::Replaced => false,
         Fate::Vanished => true,
     };
     let ends = table.note_ended(gateway.now(), key, may_return);
     drop(table);
-    log::warn!(worker = worker, evidence = fate.name(), requests = ends.len(); "worker ended");
+    log::warn!(worker = worker, key = key.0, evidence = fate.name(), requests = ends.len(); "worker ended");
     for end in &ends {
         gateway.metrics.request_ends.inc();
         log::info!(
@@ -194,18 +202,38 @@
 }
 
 /// Reports that are due to the nodes that callers are sent to.
-pub(super) fn report(gateway: &Gateway) {
+pub(crate) fn report(gateway: &Gateway) {
     let due = gateway.requests.ends.borrow_mut().take_due(gateway.now());
     if due.is_empty() {
         return;
     }
     let to = recipients(gateway);
-    for part in due.chunks(MAX_REPORTED_REQUESTS) {
-        let requests = part.iter().map(encode).collect();
-        send(gateway, RequestMessage::Ended { requests }, to.clone());
+    for message in messages(&due, |requests| RequestMessage::Ended { requests }) {
+        send(gateway, message, to.clone());
     }
 }
 
+/// Returns the messages that tell what is known of requests. `ended` makes those of the ends.
+fn messages(
+    known: &[EndedRequest],
+    ended: impl Fn(Vec<EndedReport>) -> RequestMessage,
+) -> Vec<RequestMessage> {
+    let reports = |workers: fn(&EndedRequest) -> &[WorkerKey]| -> Vec<EndedReport> {
+        let known = known.iter().filter(|known| !workers(known).is_empty());
+        known.map(|known| encode(known, workers(known))).collect()
+    };
+    let ends = reports(|known| &known.workers);
+    let possible = reports(|known| &known.possible);
+    let ends = ends.chunks(MAX_REPORTED_REQUESTS);
+    let possible = possible.chunks(MAX_REPORTED_REQUESTS);
+    let possible = possible.map(|part| RequestMessage::Possible {
+        requests: part.to_vec(),
+    });
+    ends.map(|part| ended(part.to_vec()))
+        .chain(possible)
+        .collect()
+}
+
 /// Forgets requests whose callers don't come back any more.
 pub(super) fn drop_old(gateway: &Gateway) {
     let (now, lifetime) = (gateway.now(), gateway.request_lifetime());
@@ -289,9 +317,11 @@
         RequestMessage::AskedAbout { requests } => {
             let requests: Vec<RequestKey> = requests.into_iter().map(RequestKey).collect();
             let known = gateway.requests.ends.borrow().get(now, &requests);
-            let requests = known.iter().map(encode).collect();
-            send(gateway, RequestMessage::Ended { requests }, [from]);
+            for message in messages(&known, |requests| RequestMessage::Ended { requests }) {
+                send(gateway, message, [from]);
+            }
         }
+        RequestMessage::Possible { requests } => note_possible(gateway, &requests),
         RequestMessage::Told { known_ms, requests } => {
             note_told(gateway, &requests);
             note_answer(gateway, from, Duration::from_millis(known_ms));
@@ -310,10 +340,27 @@
     let now = gateway.now();
     let mut table = gateway.requests.ends.borrow_mut();
     for request in requests {
-        table.note_told(now, &decode(request));
+        let workers = keys(request);
+        table.note_told(now, &decode(request, workers, Vec::new()));
+    }
+}
+
+fn note_possible(gateway: &Gateway, requests: &[EndedReport]) {
+    let now = gateway.now();
+    let mut table = gateway.requests.ends.borrow_mut();
+    for request in requests {
+        let told = decode(request, Vec::new(), keys(request));
+        table.note_told(now, &told);
+        for worker in told.possible {
+            gateway.worker_probes.note_told(worker, now - told.age);
+        }
     }
 }
 
+fn keys(report: &EndedReport) -> Vec<WorkerKey> {
+    report.workers.iter().copied().map(WorkerKey).collect()
+}
+
 /// Tells a node that has started what this one knows.
 fn answer(gateway: &Gateway, to: SocketAddr) {
     let now = gateway.now();
@@ -321,13 +368,14 @@
     let known = since.map_or(Duration::ZERO, |since| now.since(since));
     let known_ms = u64::try_from(known.as_millis()).unwrap_or(u64::MAX);
     let all = gateway.requests.ends.borrow().all(now);
-    let mut parts: Vec<&[EndedRequest]> = all.chunks(MAX_REPORTED_REQUESTS).collect();
-    if parts.is_empty() {
-        parts.push(&[]);
+    let told = |requests| RequestMessage::Told { known_ms, requests };
+    let mut answers = messages(&all, told);
+    let is_told = |message: &RequestMessage| matches!(message, RequestMessage::Told { .. });
+    if !answers.iter().any(is_told) {
+        answers.push(told(Vec::new()));
     }
-    for part in parts {
-        let requests = part.iter().map(encode).collect();
-        send(gateway, RequestMessage::Told { known_ms, requests }, [to]);
+    for message in answers {
+        send(gateway, message, [to]);
     }
 }
 
@@ -377,7 +425,7 @@
     gateway.requests.send(gateway, &datagram, to);
 }
 
-fn encode(known: &EndedRequest) -> EndedReport {
+fn encode(known: &EndedRequest, workers: &[WorkerKey]) -> EndedReport {
     EndedReport {
         request: known.request.0,
         kind: match known.kind {
@@ -386,11 +434,11 @@
             KeyKind::SharedContent => RequestKind::SharedContent,
         },
         age_ms: u32::try_from(known.age.as_millis()).unwrap_or(u32::MAX),
-        workers: known.workers.iter().map(|worker| worker.0).collect(),
+        workers: workers.iter().map(|worker| worker.0).collect(),
     }
 }
 
-fn decode(report: &EndedReport) -> EndedRequest {
+fn decode(report: &EndedReport, workers: Vec<WorkerKey>, possible: Vec<WorkerKey>) -> EndedRequest {
     EndedRequest {
         request: RequestKey(report.request),
         kind: match report.kind {
@@ -399,6 +447,7 @@
             RequestKind::SharedContent => KeyKind::SharedContent,
         },
         age: Duration::from_millis(u64::from(report.age_ms)),
-        workers: report.workers.iter().copied().map(WorkerKey).collect(),
+        workers,
+        possible,
     }
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -12,6 +12,7 @@
     EngineReport, MemoryEvents, MemoryListing, MoveOutcome, PromptSource, RunMove,
 };
 use elderworks_gateway_core::log_streams::Stream;
+use elderworks_gateway_core::worker_ends::investigation::Finding;
 use elderworks_gateway_core::workers::WorkerRecord;
 use elderworks_types::Offset;
 use futures_util::future::LocalBoxFuture;
@@ -143,6 +144,17 @@
     Format(String),
 }
 
+/// The question who listens at a worker's address.
+#[derive(Clone, Copy, Debug)]
+pub struct IdentityProbe<'a> {
+    /// Id of the worker that should listen there.
+    pub worker_id: &'a str,
+    /// The address.
+    pub address: SocketAddr,
+    /// Path that answers without running anything.
+    pub health_path: &'a str,
+}
+
 /// A request to one of the gateway's own endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EndpointRequest {
@@ -224,6 +236,9 @@
     /// Returns the JSON body of the response to [`EndpointRequest::Resolve`].
     fn resolve_response(&self, addresses: &[SocketAddr], valid_for: Duration) -> Bytes;
 
+    /// Finds out whether a worker still listens at its address.
+    fn identify<'a>(&'a self, probe: &'a IdentityProbe<'a>) -> LocalBoxFuture<'a, Finding>;
+
     /// Returns an engine's report of its own state.
     fn engine_report(
         &self,
--- a/crates/gateway/src/worker_probes.rs
+++ b/crates/gateway/src/worker_probes.rs
@@ -1,8 +1,8 @@
-//! Probes of workers at which requests broke off: whether the worker ended or only the connection.
+//! Probes of workers at which requests were left without an answer: whether the worker ended or only the
+//! connection.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,18 +11,27 @@
 use elderworks_gateway_core::worker_ends::investigation::{
     Fate, Finding, Investigation, NextProbe,
 };
-use tokio::net::TcpStream;
+use elderworks_types::Timestamp;
 use tokio::sync::{Notify, watch};
 
 use crate::gateway::Gateway;
 use crate::peers;
-
-/// Timeout of a probe; covers a round trip to another zone.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+use crate::ports::IdentityProbe;
 
 /// Maximum time that a request waits for the first finding.
 const MAX_FINDING_WAIT: Duration = Duration::from_millis(60);
 
+/// A worker that may have ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspected {
+    /// Id of the worker.
+    pub(crate) worker: String,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// Name of its service.
+    pub(crate) service: String,
+}
+
 /// The investigations in progress, by worker.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerProbes {
@@ -30,93 +39,143 @@
 }
 
 /// An investigation in progress.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RunningInvestigation {
     /// Number of findings so far.
     findings: watch::Sender<u64>,
-    /// Whether a further request broke off since the current probe began.
-    is_renewed: Cell<bool>,
-    renewal: Notify,
+    /// When the latest exchange was left without an answer.
+    broke_off: Cell<Timestamp>,
+    /// When the worker last answered a request of this node.
+    last_answer: Cell<Option<Timestamp>>,
+    /// Wakes the investigation when the next finding is wanted early.
+    wake: Notify,
+}
+
+impl WorkerProbes {
+    /// Records that a worker has answered a request. Costs nothing unless it is investigated.
+    pub(crate) fn note_answer(&self, worker: &str, now: Timestamp) {
+        let running = self.running.borrow();
+        if running.is_empty() {
+            return;
+        }
+        if let Some(investigation) = running.get(&WorkerKey::of(worker)) {
+            investigation.last_answer.set(Some(now));
+        }
+    }
+
+    /// Records that another node's request was left without an answer at a worker.
+    pub(crate) fn note_told(&self, worker: WorkerKey, since: Timestamp) {
+        if let Some(investigation) = self.running.borrow().get(&worker) {
+            investigation.note_break(since);
+        }
+    }
 }
 
-/// Starts to find out whether a worker has ended.
-pub(crate) fn investigate(gateway: &Rc<Gateway>, worker: &str, address: SocketAddr) {
-    join(gateway, worker, address);
+impl RunningInvestigation {
+    fn note_break(&self, broke_off: Timestamp) {
+        self.broke_off.set(self.broke_off.get().max(broke_off));
+    }
+}
+
+/// Starts to find out whether a worker has ended, after a pause in which it may answer other requests.
+pub(crate) fn investigate_after(
+    gateway: &Rc<Gateway>,
+    suspected: Suspected,
+    broke_off: Timestamp,
+    pause: Duration,
+) {
+    join(gateway, suspected, broke_off, pause);
 }
 
 /// Finds out whether a worker has ended; waits a limited time for the first finding.
-pub(crate) async fn investigate_and_wait(gateway: &Rc<Gateway>, worker: &str, address: SocketAddr) {
-    let running = join(gateway, worker, address);
+pub(crate) async fn investigate_and_wait(
+    gateway: &Rc<Gateway>,
+    suspected: Suspected,
+    broke_off: Timestamp,
+) {
+    let running = join(gateway, suspected, broke_off, Duration::ZERO);
+    running.wake.notify_one();
     let mut findings = running.findings.subscribe();
     // A worker that doesn't answer in time stays unsettled.
     let _ = actix_rt::time::timeout(MAX_FINDING_WAIT, findings.changed()).await;
 }
 
-/// Joins the investigation of a worker, or starts it.
-fn join(gateway: &Rc<Gateway>, worker: &str, address: SocketAddr) -> Rc<RunningInvestigation> {
-    let key = WorkerKey::of(worker);
+/// Joins the investigation of a worker, or starts it after a pause.
+fn join(
+    gateway: &Rc<Gateway>,
+    suspected: Suspected,
+    broke_off: Timestamp,
+    pause: Duration,
+) -> Rc<RunningInvestigation> {
+    let key = WorkerKey::of(&suspected.worker);
     let mut all = gateway.worker_probes.running.borrow_mut();
     if let Some(running) = all.get(&key) {
-        running.is_renewed.set(true);
-        running.renewal.notify_one();
+        running.note_break(broke_off);
         return running.clone();
     }
-    let running = Rc::new(RunningInvestigation::default());
+    let running = Rc::new(RunningInvestigation {
+        findings: watch::Sender::new(0),
+        broke_off: Cell::new(broke_off),
+        last_answer: Cell::default(),
+        wake: Notify::new(),
+    });
     all.insert(key, running.clone());
     drop(all);
-    let (gateway, worker) = (gateway.clone(), worker.to_owned());
+    let gateway = gateway.clone();
     let task = running.clone();
     actix_rt::spawn(async move {
-        run(&gateway, &worker, address, &task).await;
+        sleep_unless_woken(&task, pause).await;
+        run(&gateway, &suspected, &task).await;
         gateway.worker_probes.running.borrow_mut().remove(&key);
         task.findings.send_modify(|count| *count += 1);
     });
     running
 }
 
-/// Probes a worker until its fate is settled.
-async fn run(
-    gateway: &Rc<Gateway>,
-    worker: &str,
-    address: SocketAddr,
-    running: &RunningInvestigation,
-) {
-    let mut investigation = Investigation::start(gateway.now());
+async fn sleep_unless_woken(running: &RunningInvestigation, pause: Duration) {
+    tokio::select! {
+        () = actix_rt::time::sleep(pause) => {}
+        () = running.wake.notified() => {}
+    }
+}
+
+/// Probes a worker until its fate is settled, or no request is known any more that it left without an
+/// answer.
+async fn run(gateway: &Rc<Gateway>, suspected: &Suspected, running: &RunningInvestigation) {
+    let worker = suspected.worker.as_str();
+    let key = WorkerKey::of(worker);
     loop {
-        running.is_renewed.set(false);
-        let finding = probe(gateway, address).await;
-        let is_listed = gateway.workers.borrow().is_listed(worker);
-        let (pause, has_answered) =
-            match investigation.on_finding(gateway.now(), finding, is_listed) {
-                NextProbe::Settled(Fate::Alive) if running.is_renewed.get() => {
-                    // The probe may have preceded the latest break.
-                    investigation = Investigation::start(gateway.now());
-                    continue;
-                }
-                NextProbe::Settled(fate) => return peers::settle(gateway, worker, fate),
-                NextProbe::After {
-                    pause,
-                    has_answered,
-                } => (pause, has_answered),
-            };
-        if has_answered {
-            running.findings.send_modify(|count| *count += 1);
+        if !gateway.requests.ends.borrow().may_have_ended(key) {
+            return;
+        }
+        let investigation = Investigation::of_exchange(running.broke_off.get());
+        if investigation.is_outlived(running.last_answer.get()) {
+            return peers::settle(gateway, worker, Fate::Alive);
         }
-        tokio::select! {
-            () = actix_rt::time::sleep(pause) => {}
-            () = running.renewal.notified() => {
-                investigation = Investigation::start(gateway.now());
+        let finding = probe(gateway, suspected).await;
+        let is_listed = gateway.workers.borrow().is_listed(worker);
+        // A request may have been left without an answer during the probe.
+        let investigation = Investigation::of_exchange(running.broke_off.get());
+        match investigation.on_finding(gateway.now(), finding, is_listed) {
+            NextProbe::Settled(fate) => return peers::settle(gateway, worker, fate),
+            NextProbe::After(pause) => {
+                running.findings.send_modify(|count| *count += 1);
+                sleep_unless_woken(running, pause).await;
             }
         }
     }
 }
 
-async fn probe(gateway: &Gateway, address: SocketAddr) -> Finding {
+async fn probe(gateway: &Gateway, suspected: &Suspected) -> Finding {
     gateway.metrics.worker_probes.inc();
-    let connecting = TcpStream::connect(address);
-    match actix_rt::time::timeout(PROBE_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => Finding::Accepted,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Finding::Refused,
-        Ok(Err(_)) | Err(_) => Finding::NoAnswer,
-    }
+    let config = gateway.current_config();
+    let service = config
+        .as_ref()
+        .and_then(|config| config.service(&suspected.service));
+    let probe = IdentityProbe {
+        worker_id: &suspected.worker,
+        address: suspected.address,
+        health_path: service.map_or("/", |service| service.health_path.as_str()),
+    };
+    gateway.platform.identify(&probe).await
 }
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -87,6 +87,12 @@
         /// The requests.
         requests: Vec<u64>,
     },
+    /// Requests that were left without an answer at workers which may have ended. Sent beside
+    /// [`Self::Ended`] and [`Self::Told`]; ignored by earlier versions.
+    Possible {
+        /// The requests.
+        requests: Vec<EndedReport>,
+    },
 }
 
 /// The workers that ended under a request.
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -205,7 +205,7 @@
         (
             RequestMessage::Told {
                 known_ms: 9,
-                requests,
+                requests: requests.clone(),
             },
             "010e020901ac0201050207c801".to_owned(),
         ),
@@ -228,6 +228,10 @@
             RequestMessage::AskedAbout { requests: vec![3] },
             "010e050103".to_owned(),
         ),
+        (
+            RequestMessage::Possible { requests },
+            "010e0601ac0201050207c801".to_owned(),
+        ),
     ];
     for (message, recorded) in messages {
         let datagram = GatewayDatagram::Requests(message);
