gateway: which requests ended workers outlives the loss of all nodes

What callers saw: after all gateways were killed, a request ended up to three more workers (4, 9 and 13 ends with one, two and five losses between six tries). Cause: what is known was told to other processes only.

Each node has a record in the log (keyed.ends) of what it noted of requests under which workers ended. It is written beside the first end and awaited from the second on, and before each further send of such a request, so that a send is known although its node is lost. It is read by one call of a process that finds no other which has known all reports for as long as callers come back; a start beside such a node, and the first start of all, read nothing. killed_nodes_serve_again_after_few_requests_to_the_log stays as it was and passes: the read is no listing.

--- a/crates/gateway-core/src/log_call_purpose.rs
+++ b/crates/gateway-core/src/log_call_purpose.rs
@@ -29,6 +29,10 @@
     RecordVersions,
     /// Reads the recorded software versions.
     ReadVersions,
+    /// Records under which requests workers ended.
+    RecordEnds,
+    /// Reads under which requests workers ended.
+    ReadEnds,
 }
 
 impl LogCallPurpose {
@@ -63,6 +67,8 @@
             Self::ReadQuotaUse => "read_quota_use",
             Self::RecordVersions => "put_versions",
             Self::ReadVersions => "read_versions",
+            Self::RecordEnds => "put_request_ends",
+            Self::ReadEnds => "read_request_ends",
         }
     }
 }
--- a/crates/gateway-core/src/log_streams.rs
+++ b/crates/gateway-core/src/log_streams.rs
@@ -18,4 +18,6 @@
     QuotaUse,
     /// Recorded software versions of workers, compacted to one record per service and version.
     Versions,
+    /// Requests under which workers ended, compacted to one record per node that noted them.
+    RequestEnds,
 }
--- a/crates/gateway-core/src/stream_reads.rs
+++ b/crates/gateway-core/src/stream_reads.rs
@@ -97,16 +97,20 @@
         let (updates, recovery) = match stream {
             Stream::Configuration => timeouts_within(deadlines.apply),
             Stream::Workers => timeouts_within(deadlines.drain),
-            Stream::Nodes | Stream::QuotaUse | Stream::Versions | Stream::Ledger(_) => {
-                (NODES_TIMEOUTS, MAX_RECOVERY)
-            }
+            Stream::Nodes
+            | Stream::QuotaUse
+            | Stream::Versions
+            | Stream::RequestEnds
+            | Stream::Ledger(_) => (NODES_TIMEOUTS, MAX_RECOVERY),
         };
         let pause = match stream {
             Stream::Workers => workers_delay(deadlines.drain),
             Stream::Nodes => NODES_DELAY,
-            Stream::Configuration | Stream::QuotaUse | Stream::Versions | Stream::Ledger(_) => {
-                Duration::ZERO
-            }
+            Stream::Configuration
+            | Stream::QuotaUse
+            | Stream::Versions
+            | Stream::RequestEnds
+            | Stream::Ledger(_) => Duration::ZERO,
         };
         Self {
             updates,
--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -17,6 +17,9 @@
 /// if tries of one request run at the same time.
 const MAX_WORKERS: usize = 2 * MAX_ENDED_WORKERS;
 
+/// Maximum number of keys of requests that a node records in the log.
+const MAX_RECORDED: usize = 96;
+
 /// Pauses after which a report is sent again, since datagrams can be lost and nodes cut off for a
 /// moment.
 const REPORT_PAUSES: [Duration; 3] = [
@@ -79,6 +82,8 @@
     /// Number of reports sent, if this node reports it.
     reports: Option<usize>,
     next_report: Timestamp,
+    /// Whether this node noted any of it and keeps it in the log, too.
+    is_own: bool,
 }
 
 impl Entry {
@@ -118,6 +123,7 @@
     }
 
     fn report_from(&mut self, at: Timestamp) {
+        self.is_own = true;
         self.reports = Some(0);
         self.next_report = at;
     }
@@ -449,6 +455,28 @@
             .collect()
     }
 
+    /// Returns what this node has to record in the log: the newest of its requests under which workers
+    /// ended.
+    pub fn to_record(&self, now: Timestamp) -> Vec<EndedRequest> {
+        let own = self.entries.iter();
+        let mut own: Vec<_> = own
+            .filter(|(_, entry)| entry.is_own && !entry.workers.is_empty())
+            .collect();
+        own.sort_by_key(|(key, entry)| (std::cmp::Reverse(entry.noted), **key));
+        own.truncate(MAX_RECORDED);
+        own.into_iter()
+            .map(|(request, entry)| ended_request(now, *request, entry))
+            .collect()
+    }
+
+    /// Takes over what this node's process before this one recorded.
+    pub fn take_own_recorded(&mut self, now: Timestamp, recorded: &EndedRequest) {
+        self.note_told(now, recorded);
+        if let Some(entry) = self.entries.get_mut(&recorded.request) {
+            entry.is_own = true;
+        }
+    }
+
     /// Returns everything that is known.
     pub fn all(&self, now: Timestamp) -> Vec<EndedRequest> {
         let known = self.entries.iter();
@@ -557,6 +585,7 @@
             noted,
             reports: None,
             next_report: noted,
+            is_own: false,
         })
     }
 
--- a/crates/gateway-core/tests/worker_ends.rs
+++ b/crates/gateway-core/tests/worker_ends.rs
@@ -638,3 +638,32 @@
     table.begin(NOW, &next);
     assert_eq!(table.count(&next).unsettled, 1);
 }
+
+#[test]
+fn a_node_records_the_ends_that_it_noted_and_what_may_follow() {
+    let mut table = EndTable::default();
+    table.note_break(NOW, worker(1), &request("r1"), NOW);
+    // A possible end alone is not worth a record.
+    assert!(table.to_record(NOW).is_empty());
+    table.note_ended(NOW, worker(1), false);
+    table.note_break(NOW, worker(2), &request("r1"), NOW);
+    let recorded = table.to_record(NOW);
+    assert!(!recorded.is_empty());
+    let mut restarted = EndTable::default();
+    let mut another = EndTable::default();
+    for known in &recorded {
+        restarted.take_own_recorded(NOW, known);
+        another.note_told(NOW, known);
+    }
+    let expected = EndCount {
+        ended: 1,
+        unsettled: 1,
+    };
+    assert_eq!(restarted.count(&request("r2")), expected);
+    assert_eq!(another.count(&request("r2")), expected);
+    // The process after it keeps its record; other nodes leave it to that.
+    assert_eq!(restarted.to_record(NOW).len(), recorded.len());
+    assert!(another.to_record(NOW).is_empty());
+    restarted.drop_old(NOW + LIFETIME + Duration::from_millis(1), LIFETIME);
+    assert!(restarted.to_record(NOW).is_empty());
+}
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -214,7 +214,7 @@
         last_event_id: Option<&str>,
     ) -> Result<RunningResponse, ExchangeError> {
         let ended = self.ends().ended;
-        self.note_sending(target);
+        self.note_sending(target).await;
         let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
         self.note_tried(&target.worker);
         let request = OutgoingRequest {
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -12,6 +12,7 @@
 
 use super::CallError;
 use super::attempts::Call;
+use crate::end_records;
 use crate::metrics::GivenUpLabel;
 use crate::peers;
 use crate::reply::Refusal;
@@ -205,23 +206,34 @@
         };
         worker_probes::investigate_and_wait(self.gateway, suspected, now).await;
         peers::report_ends(self.gateway);
+        if self.ends().ended > 1 {
+            end_records::wait_until_recorded(self.gateway).await;
+        }
     }
 
     /// Records that the request is about to be sent, if workers ended under it before: should this node
     /// be lost, the others know where it ran.
-    pub(super) fn note_sending(&mut self, target: &Target) {
+    pub(super) async fn note_sending(&mut self, target: &Target) {
+        self.announced = None;
         let key = WorkerKey::of(&target.worker);
-        let mut table = self.gateway.requests.ends.borrow_mut();
-        let is_suspect = table.count(&self.identity).is_suspect();
-        if !is_suspect || table.has_break(key, &self.identity) {
-            self.announced = None;
+        let ends = self.ends();
+        if !ends.is_suspect() || self.has_break(key) {
             return;
         }
         let now = self.gateway.now();
-        table.note_break(now, key, &self.identity, now);
-        drop(table);
+        let table = &self.gateway.requests.ends;
+        table.borrow_mut().note_break(now, key, &self.identity, now);
         self.announced = Some(key);
         peers::report_ends(self.gateway);
+        end_records::record_soon(self.gateway);
+        if ends.is_at_last() {
+            end_records::wait_until_recorded(self.gateway).await;
+        }
+    }
+
+    fn has_break(&self, worker: WorkerKey) -> bool {
+        let table = self.gateway.requests.ends.borrow();
+        table.has_break(worker, &self.identity)
     }
 
     /// Records that the worker has not run the request, after [`Self::note_sending`].
@@ -235,12 +247,7 @@
     /// Probes a worker again at which the request broke off before and which now can't be reached.
     pub(super) async fn probe_after_break(&mut self, target: &Target) {
         self.note_not_run();
-        let key = WorkerKey::of(&target.worker);
-        let has_break = {
-            let table = self.gateway.requests.ends.borrow();
-            table.has_break(key, &self.identity)
-        };
-        if has_break {
+        if self.has_break(WorkerKey::of(&target.worker)) {
             self.note_break(target).await;
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 
 use crate::admission::AdmissionDriver;
 use crate::clock::Clock;
+use crate::end_records::EndRecords;
 use crate::engines::Engines;
 use crate::feed::Feed;
 use crate::ledger::Ledger;
@@ -91,6 +92,8 @@
     pub(crate) requests: RequestExchange,
     /// Probes of workers at which requests broke off.
     pub(crate) worker_probes: WorkerProbes,
+    /// This node's record of requests under which workers ended.
+    pub(crate) end_records: EndRecords,
     /// Whether the versions that were recorded before this process started were read.
     pub(crate) versions_read: RecordsRead,
     /// Programs started at this node by tenants with quotas.
@@ -193,6 +196,7 @@
             lessors: Lessors::default(),
             requests: RequestExchange::default(),
             worker_probes: WorkerProbes::default(),
+            end_records: EndRecords::default(),
             versions_read: RecordsRead::default(),
             started_programs: RefCell::default(),
             workers: RefCell::new(workers),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clock;
 mod cross_zone_bytes;
+mod end_records;
 mod endpoints;
 mod engines;
 mod feed;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -284,6 +284,7 @@
             Stream::Workers => "follow_workers",
             Stream::Nodes => "follow_nodes",
             Stream::QuotaUse => "read_quota_use",
+            Stream::RequestEnds => "read_request_ends",
             Stream::Versions => "read_versions",
             Stream::Ledger(_) => "follow_ledger",
         };
--- a/crates/gateway/src/peers/request_exchange.rs
+++ b/crates/gateway/src/peers/request_exchange.rs
@@ -17,6 +17,7 @@
 
 use super::worker_ends::CatchUp;
 use super::{stream_origins, worker_ends};
+use crate::end_records;
 use crate::gateway::Gateway;
 
 /// Time for which reports are collected, so that those to the same node share a datagram.
@@ -80,4 +81,5 @@
     stream_origins::drop_old(gateway);
     worker_ends::report(gateway);
     worker_ends::drop_old(gateway);
+    end_records::upkeep(gateway);
 }
--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -16,11 +16,14 @@
 use elderworks_gateway_core::worker_ends::investigation::Fate;
 use elderworks_gateway_core::worker_ends::suspects::{Placement, placement_reports};
 use elderworks_gateway_core::worker_ends::table::{EndedRequest, KeyKind};
-use elderworks_protocol::gateway::{EndedReport, GatewayDatagram, RequestKind, RequestMessage};
+use elderworks_protocol::gateway::{
+    EndRecord, EndedReport, GatewayDatagram, RequestKind, RequestMessage,
+};
 use elderworks_types::{NodeId, Timestamp};
 use tokio::sync::watch;
 
 use crate::clock::millis;
+use crate::end_records;
 use crate::gateway::Gateway;
 
 /// Maximum number of nodes that are told. Callers are sent to at most as many.
@@ -41,6 +44,12 @@
 /// Maximum time that a request waits for the answers to a starting node.
 const MAX_CATCH_UP_WAIT: Duration = Duration::from_millis(200);
 
+/// Time for which requests wait for the records in the log, if nobody has been asked who knows.
+const MAX_RECORDS_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause between two reads of the records.
+const RECORDS_RETRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time without upkeep after which a node may have missed reports: its process was paused.
 const MAX_STALL: Duration = Duration::from_secs(1);
 
@@ -56,6 +65,8 @@
     last_upkeep: Cell<Timestamp>,
     /// Whether another node is back, so that either may have missed reports.
     is_due: Cell<bool>,
+    /// Whether enough of the nodes that were asked have answered.
+    is_answered: Cell<bool>,
     /// Nodes that were asked and haven't answered.
     outstanding: RefCell<BTreeSet<SocketAddr>>,
 }
@@ -67,6 +78,7 @@
             known_since: Cell::default(),
             last_upkeep: Cell::default(),
             is_due: Cell::default(),
+            is_answered: Cell::default(),
             outstanding: RefCell::default(),
         }
     }
@@ -79,14 +91,80 @@
     state.known_since.set(Some(now));
     state.last_upkeep.set(now);
     ask_for_all(&gateway).await;
+    if !gateway.settings.is_first_start {
+        read_records_if_needed(&gateway).await;
+    }
+    state.is_over.send_replace(true);
+}
+
+/// Reads what was recorded in the log unless a node has answered that has known all reports for as long
+/// as callers come back.
+async fn read_records_if_needed(gateway: &Rc<Gateway>) {
+    let until = gateway.now() + MAX_RECORDS_WAIT;
+    while known_for(gateway) < gateway.request_lifetime()
+        && !end_records::read_recorded(gateway).await
+    {
+        if gateway.now() >= until {
+            gateway.requests.catch_up.is_over.send_replace(true);
+        }
+        actix_rt::time::sleep(RECORDS_RETRY_PAUSE).await;
+    }
+}
+
+/// Returns for how long this node, or one that has told it what it knows, has received reports.
+fn known_for(gateway: &Gateway) -> Duration {
+    let since = gateway.requests.catch_up.known_since.get();
+    since.map_or(Duration::ZERO, |since| gateway.now().since(since))
+}
+
+/// Takes over what a node recorded in the log before all nodes were lost.
+pub(crate) fn take_recorded(gateway: &Gateway, record: &EndRecord, is_own: bool) {
+    let now = gateway.now();
+    let ended = record
+        .ended
+        .iter()
+        .map(|report| decode(report, keys(report), Vec::new()));
+    let possible = record
+        .possible
+        .iter()
+        .map(|report| decode(report, Vec::new(), keys(report)));
+    let mut table = gateway.requests.ends.borrow_mut();
+    for request in ended.chain(possible) {
+        // How long ago that was isn't known.
+        let request = EndedRequest {
+            age: Duration::ZERO,
+            ..request
+        };
+        match is_own {
+            true => table.take_own_recorded(now, &request),
+            false => table.note_told(now, &request),
+        }
+    }
+}
+
+/// Returns the record of requests in the log.
+pub(crate) fn record_of(known: &[EndedRequest]) -> EndRecord {
+    EndRecord {
+        ended: encode_all(known, |known| &known.workers),
+        possible: encode_all(known, |known| &known.possible),
+    }
+}
+
+fn encode_all(
+    known: &[EndedRequest],
+    workers: impl Fn(&EndedRequest) -> &[WorkerKey],
+) -> Vec<EndedReport> {
+    let known = known.iter().filter(|known| !workers(known).is_empty());
+    known.map(|known| encode(known, workers(known))).collect()
 }
 
 async fn ask_for_all(gateway: &Gateway) {
     let state = &gateway.requests.catch_up;
+    state.is_answered.set(false);
     for round in 0..ASK_ROUNDS {
         let start = rand::random_range(0..usize::MAX);
         let asked = gateway.peers.pick_alive(start, ASKED_NODES);
-        let is_answered = round > 0 && *state.is_over.borrow();
+        let is_answered = round > 0 && state.is_answered.get();
         if asked.is_empty() || is_answered {
             break;
         }
@@ -95,15 +173,10 @@
         send(gateway, RequestMessage::Asked, addresses);
         actix_rt::time::sleep(ASK_INTERVAL).await;
     }
-    let known = state
-        .known_since
-        .get()
-        .map(|since| gateway.now().since(since));
     log::info!(
-        known_ms = millis(known), requests = gateway.requests.ends.borrow().len();
+        known_ms = known_for(gateway).as_millis(), requests = gateway.requests.ends.borrow().len();
         "asked other nodes under which requests workers ended"
     );
-    state.is_over.send_replace(true);
 }
 
 /// Records that another node is back, so that this one may have missed its reports.
@@ -125,7 +198,10 @@
     }
     if state.is_due.replace(false) || was_paused {
         let gateway = gateway.clone();
-        actix_rt::spawn(async move { ask_for_all(&gateway).await });
+        actix_rt::spawn(async move {
+            ask_for_all(&gateway).await;
+            gateway.requests.catch_up.is_over.send_replace(true);
+        });
     }
 }
 
@@ -163,16 +239,16 @@
 }
 
 /// Records that a worker which may have ended has no record any more.
-pub(crate) fn settle_unlisted(gateway: &Gateway, worker: WorkerKey) {
+pub(crate) fn settle_unlisted(gateway: &Rc<Gateway>, worker: WorkerKey) {
     settle_key(gateway, worker, "", Fate::Vanished);
 }
 
 /// Records what became of a worker at which requests broke off, and reports the ends under them.
-pub(crate) fn settle(gateway: &Gateway, worker: &str, fate: Fate) {
+pub(crate) fn settle(gateway: &Rc<Gateway>, worker: &str, fate: Fate) {
     settle_key(gateway, WorkerKey::of(worker), worker, fate);
 }
 
-fn settle_key(gateway: &Gateway, key: WorkerKey, worker: &str, fate: Fate) {
+fn settle_key(gateway: &Rc<Gateway>, key: WorkerKey, worker: &str, fate: Fate) {
     let mut table = gateway.requests.ends.borrow_mut();
     let may_return = match fate {
         Fate::Alive => {
@@ -197,6 +273,9 @@
             "worker ended under a request"
         );
     }
+    if !ends.is_empty() {
+        end_records::record_soon(gateway);
+    }
     // At once: the caller repeats the request as soon as it hears of the end, and this node may be lost.
     report(gateway);
 }
@@ -218,12 +297,8 @@
     known: &[EndedRequest],
     ended: impl Fn(Vec<EndedReport>) -> RequestMessage,
 ) -> Vec<RequestMessage> {
-    let reports = |workers: fn(&EndedRequest) -> &[WorkerKey]| -> Vec<EndedReport> {
-        let known = known.iter().filter(|known| !workers(known).is_empty());
-        known.map(|known| encode(known, workers(known))).collect()
-    };
-    let ends = reports(|known| &known.workers);
-    let possible = reports(|known| &known.possible);
+    let ends = encode_all(known, |known| &known.workers);
+    let possible = encode_all(known, |known| &known.possible);
     let ends = ends.chunks(MAX_REPORTED_REQUESTS);
     let possible = possible.chunks(MAX_REPORTED_REQUESTS);
     let possible = possible.map(|part| RequestMessage::Possible {
@@ -388,9 +463,12 @@
     state.known_since.set(Some(earliest));
     state.outstanding.borrow_mut().remove(&from);
     let is_enough = known >= gateway.request_lifetime() || state.outstanding.borrow().is_empty();
-    if is_enough && !state.is_over.send_replace(true) {
+    if is_enough && !state.is_answered.replace(true) {
         log::info!(known_ms = millis(Some(known)); "learned under which requests workers ended");
     }
+    if known >= gateway.request_lifetime() {
+        state.is_over.send_replace(true);
+    }
 }
 
 /// Returns the addresses of the nodes that callers of this zone are sent to, and of others if these are
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -108,6 +108,15 @@
     pub workers: Vec<u32>,
 }
 
+/// The record in the platform's log of what one node noted of requests under which workers ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndRecord {
+    /// Requests with the workers that ended.
+    pub ended: Vec<EndedReport>,
+    /// Requests with workers that may have ended.
+    pub possible: Vec<EndedReport>,
+}
+
 /// What a hash of a request stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestKind {
