gateway: workers' bytes that never become an answer are not read until the deadline

What callers saw: nothing but a late 504, while the node read at full speed (144 MB in 1.5 s in the test). A worker may send chunk sizes, chunk extensions, trailers, chunks of one byte with long extensions, informational heads, or another request's body without end; the library's decoder consumes these without a limit.

Limits: 16 KiB of chunk framing beyond 16 bytes for each byte of the body, eight informational heads, 1 MiB of a response to another request. The exchange counts as possibly run, the connection is closed, and other workers are preferred afterwards.

bytes_without_end_are_not_read_until_the_deadline (nine forms, two routes) failed and passes.

--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -26,6 +26,12 @@
 /// Maximum number of responses to other requests that are skipped on a connection.
 const MAX_MISMATCHED_RESPONSES: u32 = 2;
 
+/// Maximum number of informational heads before a response.
+const MAX_INFORMATIONAL_HEADS: u32 = 8;
+
+/// Maximum number of bytes received of a response to another request.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
+
 /// The reason why no valid response head was received.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum ExchangeError {
@@ -115,6 +121,7 @@
         connection,
         sending: true,
         any_sent: false,
+        received_bytes: 0,
     };
     transfer.encode(request, extra_headers)?;
     context.mark.note_sending();
@@ -166,6 +173,8 @@
     sending: bool,
     /// Whether any byte of the request was sent.
     any_sent: bool,
+    /// Number of bytes received.
+    received_bytes: usize,
 }
 
 impl Transfer {
@@ -190,10 +199,18 @@
 
     /// Sends the rest of the request while waiting for the head of a response.
     async fn next_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        let mut informational_heads = 0;
         loop {
             let buffer = &mut self.connection.receiver.buffer;
             match self.codec.decode(buffer) {
-                Ok(Some(head)) if head.status.is_informational() => continue,
+                Ok(Some(head)) if head.status.is_informational() => {
+                    informational_heads += 1;
+                    if informational_heads > MAX_INFORMATIONAL_HEADS {
+                        let reason = "too many informational heads".to_owned();
+                        return Err(ExchangeError::NoResponse(reason));
+                    }
+                    continue;
+                }
                 Ok(Some(head)) => return Ok(head),
                 Ok(None) => {}
                 Err(error) => return Err(ExchangeError::NoResponse(error.to_string())),
@@ -223,7 +240,10 @@
                 self.any_sent |= sender.buffer.len() < unsent;
                 match received {
                     Ok(0) => Err(ExchangeError::NoResponse("connection closed".to_owned())),
-                    Ok(_) => Ok(()),
+                    Ok(count) => {
+                        self.received_bytes += count;
+                        Ok(())
+                    }
                     Err(error) => Err(ExchangeError::NoResponse(error.to_string())),
                 }
             }
@@ -273,7 +293,12 @@
             return Ok(());
         }
         let mut payload = codec.into_payload_codec();
+        let received_before = self.received_bytes;
         loop {
+            if self.received_bytes - received_before > MAX_SKIPPED_BYTES {
+                let reason = "a response to another request doesn't end".to_owned();
+                return Err(ExchangeError::NoResponse(reason));
+            }
             let buffer = &mut self.connection.receiver.buffer;
             match payload.decode(buffer) {
                 Ok(Some(Some(_))) => {}
--- a/crates/gateway/src/upstream/response.rs
+++ b/crates/gateway/src/upstream/response.rs
@@ -13,6 +13,13 @@
 use super::{Pool, WorkerConnection};
 use crate::memory::MemoryReservation;
 
+/// Maximum number of bytes of chunk headers and trailers beyond [`MAX_FRAMING_PER_BYTE`].
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
+
+/// Maximum number of bytes of chunk headers for each byte of the body. A chunk of a single byte needs
+/// five.
+const MAX_FRAMING_PER_BYTE: usize = 16;
+
 /// The error of a response that ended before it was complete.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("incomplete response: {0}")]
@@ -38,6 +45,10 @@
 struct Body {
     connection: WorkerConnection,
     framing: Framing,
+    /// Number of bytes received after the head.
+    received_bytes: usize,
+    /// Number of bytes of the body so far.
+    body_bytes: usize,
     pool_return: PoolReturn,
 }
 
@@ -91,6 +102,8 @@
             Framing::Framed(codec.into_payload_codec())
         };
         let body = Body {
+            received_bytes: connection.receiver.buffer.len(),
+            body_bytes: 0,
             connection,
             framing,
             pool_return,
@@ -109,15 +122,21 @@
                 return Ok(None);
             };
             match body.decode_chunk()? {
-                Decoded::Chunk(chunk) => return Ok(Some(chunk)),
+                Decoded::Chunk(chunk) => {
+                    body.body_bytes += chunk.len();
+                    return Ok(Some(chunk));
+                }
                 Decoded::End => {
                     self.finish();
                     return Ok(None);
                 }
                 Decoded::Incomplete => {}
             }
+            body.check_framing()?;
             let received = body.connection.receiver.fill().await;
-            if received.map_err(|error| IncompleteResponse(error.to_string()))? > 0 {
+            let count = received.map_err(|error| IncompleteResponse(error.to_string()))?;
+            body.received_bytes += count;
+            if count > 0 {
                 continue;
             }
             let ends_here = matches!(body.framing, Framing::UntilClose);
@@ -171,6 +190,19 @@
 }
 
 impl Body {
+    /// Checks that the worker doesn't send chunk headers or trailers without end. Must be called when
+    /// everything received was decoded.
+    fn check_framing(&self) -> Result<(), IncompleteResponse> {
+        let framing_bytes = self.received_bytes - self.body_bytes;
+        let max_bytes = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BYTE * self.body_bytes;
+        match framing_bytes <= max_bytes {
+            true => Ok(()),
+            false => Err(IncompleteResponse(
+                "more framing than the body needs".to_owned(),
+            )),
+        }
+    }
+
     fn decode_chunk(&mut self) -> Result<Decoded, IncompleteResponse> {
         let buffer = &mut self.connection.receiver.buffer;
         let codec = match &mut self.framing {
