gateway: callers with long deadlines don't get their streams joined from two versions

What callers saw: a stream of the version before, taken up after all gateways were killed, ended as whole with the rest from the new version (test: 11 s after the restart, a caller that waits 15 s more). After ten seconds, or twice the longest time-out, a process took the only version that it had seen for proved; a caller may come back until its deadline, which may be later. By the same reasoning a configuration with shorter time-outs ended the memory of longer streams.

A stream lasts at least as long as any caller said that it waits (60 s at most) and as any configuration of this process held it. The records of versions in the log stay for 60 s at least, since a process that starts later learns of the deadline only from the take-up.

--- a/crates/gateway-core/src/stream_versions/mod.rs
+++ b/crates/gateway-core/src/stream_versions/mod.rs
@@ -8,6 +8,7 @@
 //! doesn't need a node that survived ([`records`]).
 
 pub mod history;
+pub mod lifetime;
 pub mod lookup;
 pub mod origins;
 pub mod records;
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -11,6 +11,7 @@
 use elderworks_gateway_core::stream_versions::history::{
     NEW_VERSION_PAUSE, VersionCounts, VersionHistory,
 };
+use elderworks_gateway_core::stream_versions::lifetime::{MAX_DEADLINE, StreamLifetime};
 use elderworks_gateway_core::stream_versions::lookup::{
     LookupStep, OriginAnswer, OriginLookup, OriginSource,
 };
@@ -614,3 +615,21 @@
         ServiceVersions::Recent(version("v1"))
     );
 }
+
+#[test]
+fn streams_last_as_long_as_routes_hold_them_or_callers_wait() {
+    let seconds = Duration::from_secs;
+    let mut lifetime = StreamLifetime::default();
+    lifetime.note_routes(seconds(20));
+    // Routes that hold requests for a shorter time now don't end the streams of before.
+    lifetime.note_routes(seconds(10));
+    assert_eq!(lifetime.get(), seconds(20));
+    lifetime.note_deadline(seconds(15));
+    assert_eq!(lifetime.get(), seconds(20));
+    lifetime.note_deadline(seconds(30));
+    assert_eq!(lifetime.get(), seconds(30));
+    lifetime.note_deadline(seconds(100_000));
+    assert_eq!(lifetime.get(), MAX_DEADLINE);
+    lifetime.note_routes(seconds(300));
+    assert_eq!(lifetime.get(), seconds(300));
+}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -88,6 +88,9 @@
         }
     };
     trace.note_sender(&sender);
+    if let Some(deadline) = attributes.deadline.filter(|_| route.resumable) {
+        gateway.note_stream_deadline(deadline);
+    }
     let deadline = request.received + left;
     let mut call = Call::new(
         gateway, &config, route, attributes, sender, request, deadline, trace,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use elderworks_gateway_core::run_moves::backups::Backups;
 use elderworks_gateway_core::split::WeightedRoundRobin;
 use elderworks_gateway_core::stream_versions::history::VersionHistory;
+use elderworks_gateway_core::stream_versions::lifetime::StreamLifetime;
 use elderworks_gateway_core::stream_versions::{ServiceVersions, service_key};
 use elderworks_gateway_core::unreadable::UnreadableKeys;
 use elderworks_gateway_core::workers::WorkerDirectory;
@@ -96,6 +97,8 @@
     pub(crate) end_records: EndRecords,
     /// Whether the versions that were recorded before this process started were read.
     pub(crate) versions_read: RecordsRead,
+    /// The longest time that a stream can last.
+    stream_lifetime: Cell<StreamLifetime>,
     /// Programs started at this node by tenants with quotas.
     pub(crate) started_programs: RefCell<StartedPrograms>,
     /// Whether this node reads the log's streams, and what it receives of them from other nodes.
@@ -198,6 +201,7 @@
             worker_probes: WorkerProbes::default(),
             end_records: EndRecords::default(),
             versions_read: RecordsRead::default(),
+            stream_lifetime: Cell::default(),
             started_programs: RefCell::default(),
             workers: RefCell::new(workers),
             nodes: RefCell::new(NodeDirectory::new(&policy)),
@@ -359,7 +363,18 @@
     pub(crate) fn stream_lifetime(&self) -> Duration {
         let config = self.config.borrow();
         let config = config.current();
-        config.map_or(MIN_STREAM_LIFETIME, |config| config.stream_lifetime())
+        let held = config.map_or(MIN_STREAM_LIFETIME, |config| config.stream_lifetime());
+        let mut lifetime = self.stream_lifetime.get();
+        lifetime.note_routes(held);
+        self.stream_lifetime.set(lifetime);
+        lifetime.get()
+    }
+
+    /// Records how long a caller waits for a stream that it may take up.
+    pub(crate) fn note_stream_deadline(&self, deadline: Duration) {
+        let mut lifetime = self.stream_lifetime.get();
+        lifetime.note_deadline(deadline);
+        self.stream_lifetime.set(lifetime);
     }
 
     /// Returns how long a caller may repeat a request.
--- a/crates/gateway/src/version_records.rs
+++ b/crates/gateway/src/version_records.rs
@@ -9,6 +9,7 @@
 use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::log_call_purpose::LogCallPurpose;
 use elderworks_gateway_core::log_streams::Stream;
+use elderworks_gateway_core::stream_versions::lifetime::MAX_DEADLINE;
 use elderworks_gateway_core::stream_versions::records::{
     RecordChange, VersionRecord, VersionRecords, recorder,
 };
@@ -135,7 +136,9 @@
     config: &ServingConfig,
     known: &mut VersionRecords,
 ) -> Result<(), StoreError> {
-    let (now, lifetime) = (gateway.now(), gateway.stream_lifetime());
+    let now = gateway.now();
+    // Processes that start later may meet callers that have waited for longer.
+    let lifetime = gateway.stream_lifetime().max(MAX_DEADLINE);
     let due = {
         let workers = gateway.workers.borrow();
         let services = config.resumable_services().into_iter();
