--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -189,9 +189,8 @@
         }
     }
 
-    /// Records that an exchange with a worker broke off, or that a request is sent under which workers
-    /// ended before. The worker counts as one that may have ended until it is known to run. Other nodes
-    /// are told from `report_from` on.
+    /// Records that a request was left without an answer at a worker. The worker counts as one that may
+    /// have ended until it is known to run. Other nodes are told from `report_from` on.
     pub fn note_break(
         &mut self,
         now: Timestamp,
@@ -240,18 +239,6 @@
         }
     }
 
-    /// Records that a worker has not run a request that was to be sent to it.
-    pub fn note_not_run(&mut self, worker: WorkerKey, request: &RequestIdentity) {
-        self.breaks
-            .retain(|known| known.worker != worker || known.request != *request);
-        for key in request.keys() {
-            if let Some(entry) = self.entries.get_mut(&key) {
-                entry.remove_possible(worker);
-            }
-        }
-        self.entries.retain(|_, entry| !entry.is_empty());
-    }
-
     /// Returns whether a break at a worker is still being investigated for a request.
     pub fn has_break(&self, worker: WorkerKey, request: &RequestIdentity) -> bool {
         let mut breaks = self.breaks.iter();
--- a/crates/gateway/src/end_records.rs
+++ b/crates/gateway/src/end_records.rs
@@ -2,8 +2,7 @@
 //! restart.
 //!
 //! Each node has one record with what it noted itself. It is written when a worker has ended under a
-//! request, and before such a request is sent again; it is read only by a process that finds no other
-//! which has known all reports for long enough.
+//! request, and read only by a process that finds no other which has known all reports for long enough.
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -76,8 +76,6 @@
     pub(super) waiting_since: Option<Instant>,
     /// The same, if its silence was counted as a failure already.
     pub(super) silent_since: Option<Instant>,
-    /// The worker that other nodes were told about before the current attempt.
-    pub(super) announced: Option<WorkerKey>,
 }
 
 /// Ids of the workers tried for a request, in order; shared with its log line.
@@ -125,7 +123,6 @@
             backup: None,
             waiting_since: None,
             silent_since: None,
-            announced: None,
         }
     }
 
@@ -180,7 +177,6 @@
             let permit = self.permit_send().await?;
             let (failure, reason) = match self.attempt(permit, &target, last_event_id).await {
                 Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
-                    self.note_not_run();
                     let status = running.response.head.status;
                     self.note_refusal(&target.worker, status);
                     let reason = format!("refused with {}", status.as_u16());
@@ -214,7 +210,6 @@
         last_event_id: Option<&str>,
     ) -> Result<RunningResponse, ExchangeError> {
         let ended = self.ends().ended;
-        self.note_sending(target).await;
         let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
         self.note_tried(&target.worker);
         let request = OutgoingRequest {
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -205,42 +205,13 @@
         }
     }
 
-    /// Records that the request is about to be sent, if workers ended under it before: should this node
-    /// be lost, the others know where it ran.
-    pub(super) async fn note_sending(&mut self, target: &Target) {
-        self.announced = None;
-        let key = WorkerKey::of(&target.worker);
-        let ends = self.ends();
-        if !ends.is_suspect() || self.has_break(key) {
-            return;
-        }
-        let now = self.gateway.now();
-        let table = &self.gateway.requests.ends;
-        table.borrow_mut().note_break(now, key, &self.identity, now);
-        self.announced = Some(key);
-        peers::report_ends(self.gateway);
-        end_records::record_soon(self.gateway);
-        if ends.is_at_last() {
-            end_records::wait_until_recorded(self.gateway).await;
-        }
-    }
-
     fn has_break(&self, worker: WorkerKey) -> bool {
         let table = self.gateway.requests.ends.borrow();
         table.has_break(worker, &self.identity)
     }
 
-    /// Records that the worker has not run the request, after [`Self::note_sending`].
-    pub(super) fn note_not_run(&mut self) {
-        if let Some(key) = self.announced.take() {
-            let mut table = self.gateway.requests.ends.borrow_mut();
-            table.note_not_run(key, &self.identity);
-        }
-    }
-
     /// Probes a worker again at which the request broke off before and which now can't be reached.
-    pub(super) async fn probe_after_break(&mut self, target: &Target) {
-        self.note_not_run();
+    pub(super) async fn probe_after_break(&self, target: &Target) {
         if self.has_break(WorkerKey::of(&target.worker)) {
             self.note_break(target).await;
         }
