gateway: the output tells how long requests wait for a partition, and keeps its last lines

Now: 'another node has appended first' (partition, end, whether other nodes send their requests here, starts and ends that wait, age of the oldest), 'previous' on a request's line, and a process waits up to 150 ms for its last lines. No decision changes.

--- a/crates/cli/src/process.rs
+++ b/crates/cli/src/process.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use elderworks_gateway::settings::GatewaySettings;
 use elderworks_gateway_core::policy::Policy;
@@ -15,6 +16,9 @@
 };
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Maximum time for which a gateway that exits waits for its last log lines to be written.
+const MAX_LOG_FLUSH: Duration = Duration::from_millis(150);
+
 /// Runs a node until SIGTERM or SIGINT, then drains it.
 pub fn node(file: Option<&Path>, overrides: &[Override]) -> eyre::Result<()> {
     let settings: NodeProcessSettings = load_settings(file, overrides)?;
@@ -52,18 +56,19 @@
     let policy = policy_with_overrides(overrides)?;
     let mut settings = elderworks_platform::load_settings()?;
     settings.gateway.policy = policy;
-    init_logging_to(
-        LogFormat::Json,
-        Box::new(elderworks_gateway::LogOutput::to_stdout()),
-    );
-    actix_rt::System::new().block_on(async move {
+    let output = elderworks_gateway::LogOutput::to_stdout();
+    let log_flush = output.flush_handle();
+    init_logging_to(LogFormat::Json, Box::new(output));
+    let result = actix_rt::System::new().block_on(async move {
         let platform = elderworks_platform::PlatformAdapter::new(settings.log_address);
         let reload = Box::new(move || {
             let settings = elderworks_platform::reload_settings()?;
             Ok(GatewaySettings { policy, ..settings })
         });
         elderworks_gateway::run(settings.gateway, Rc::new(platform), reload).await
-    })
+    });
+    log_flush.wait(MAX_LOG_FLUSH);
+    result
 }
 
 /// Returns the default policy with the overrides of the command line applied.
--- a/crates/gateway-core/src/ledger/calls.rs
+++ b/crates/gateway-core/src/ledger/calls.rs
@@ -84,3 +84,12 @@
     /// The question to send.
     pub question: WitnessRequest,
 }
+
+/// Numbers of requests that wait for a call to the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WaitingRequests {
+    /// Starts of turns.
+    pub starts: usize,
+    /// Ends of turns.
+    pub ends: usize,
+}
--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -25,7 +25,9 @@
 mod witness;
 
 pub use account::Account;
-pub use calls::{Action, AppendOutcome, CallNumber, ReadOutcome, Ticket, WitnessQuery};
+pub use calls::{
+    Action, AppendOutcome, CallNumber, ReadOutcome, Ticket, WaitingRequests, WitnessQuery,
+};
 pub use overdraft::{MAX_WITNESSES, MIN_WITNESSES, OverdraftStatus, SLOW_CALL_THRESHOLD};
 pub use owner::{
     DOWN_RETRY_DELAY, FAILURE_RETRY_DELAY, FAILURES_BEFORE_DOWN, MAX_HOLD_WHILE_DOWN,
--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -12,11 +12,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, Witness};
+use elderworks_protocol::ledger::{LedgerRecord, LedgerReply, LedgerRequest, Witness};
 use elderworks_types::{Offset, Timestamp};
 
 use super::LedgerState;
-use super::calls::{Action, CallNumber, ReadOutcome, Ticket, WitnessQuery};
+use super::calls::{Action, CallNumber, ReadOutcome, Ticket, WaitingRequests, WitnessQuery};
 use super::ended_turns::EndedTurns;
 use super::fencing::Fencing;
 use super::overdraft::{OwnOverdraft, SLOW_CALL_THRESHOLD};
@@ -170,6 +170,22 @@
         self.conflicts
     }
 
+    /// Returns whether other nodes send their requests for the partition to this owner.
+    pub fn is_preferred(&self) -> bool {
+        self.is_preferred
+    }
+
+    /// Returns the numbers of starts and of ends of turns that wait for an append or a read.
+    pub fn waiting(&self) -> WaitingRequests {
+        let requests = || self.queue.iter().map(|queued| &queued.request);
+        let is_start = |request: &&LedgerRequest| matches!(request, LedgerRequest::Begin(_));
+        let is_end = |request: &&LedgerRequest| matches!(request, LedgerRequest::Finish(_));
+        WaitingRequests {
+            starts: requests().filter(is_start).count(),
+            ends: requests().filter(is_end).count(),
+        }
+    }
+
     /// Decides requests and returns the next action. Must not be called while a read or an append
     /// is in progress; requests may be submitted at any time.
     pub fn next_action(&mut self, now: Timestamp) -> Action {
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -233,6 +233,8 @@
     request_id: String,
     program: String,
     session: String,
+    /// The turn that this one continues.
+    previous: String,
     /// Id of the attempt that began the stream, if this one takes it up again.
     resumes: String,
     /// The last event that the caller had when it sent the request.
@@ -269,6 +271,7 @@
             request_id: attributes.request_id.clone().unwrap_or_default(),
             program: attributes.program.clone().unwrap_or_default(),
             session: attributes.session.clone().unwrap_or_default(),
+            previous: attributes.previous_turn.clone().unwrap_or_default(),
             resumes: attributes.resumes.clone().unwrap_or_default(),
             last_event: attributes.last_event_id.clone().unwrap_or_default(),
             program_time_left: attributes.finish,
@@ -370,7 +373,7 @@
         log::log!(
             level,
             request = self.request_id.as_str(), program = self.program.as_str(),
-            session = self.session.as_str(), resumes = self.resumes.as_str(),
+            session = self.session.as_str(), previous = self.previous.as_str(), resumes = self.resumes.as_str(),
             last_event = self.last_event.as_str(), finish_ms = millis(self.program_time_left),
             leave_ms = millis(self.milestones.permit.get()),
             first_ms = millis(self.milestones.first_event.get()),
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use elderworks_gateway_core::append_pace::{AppendIntervals, AppendPacer, AppendUrgency};
 use elderworks_gateway_core::config::Route;
@@ -17,6 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::log_calls::{PartitionReads, append};
+use crate::clock::millis;
 use crate::gateway::Gateway;
 
 /// Interval at which expired accounts and turns are dropped, and live ones rewritten.
@@ -77,6 +78,7 @@
 struct PendingRequest {
     reply: oneshot::Sender<LedgerReply>,
     urgency: AppendUrgency,
+    submitted: Instant,
 }
 
 /// The owner of one partition with the I/O that it needs.
@@ -166,8 +168,12 @@
             LedgerRequest::Finish(_) => AppendUrgency::Completions,
             _ => AppendUrgency::Permit,
         };
-        self.pending
-            .insert(ticket, PendingRequest { reply, urgency });
+        let pending = PendingRequest {
+            reply,
+            urgency,
+            submitted: Instant::now(),
+        };
+        self.pending.insert(ticket, pending);
         let now = self.gateway.now();
         match sent {
             Some(sent) => self.owner.submit_sent(now, ticket, request, sent),
@@ -269,10 +275,31 @@
             }
             Action::Wait { .. } => {}
         }
+        self.note_conflicts();
+    }
+
+    /// Counts and logs an append that was lost to one of another node.
+    fn note_conflicts(&mut self) {
         let conflicts = self.owner.conflicts();
         let new = conflicts - self.counted_conflicts;
+        if new == 0 {
+            return;
+        }
         self.gateway.metrics.ledger_conflicts.inc_by(new);
         self.counted_conflicts = conflicts;
+        let waiting = self.owner.waiting();
+        log::info!(
+            partition = self.partition.0, end = self.owner.end().0,
+            is_preferred = self.owner.is_preferred(), starts = waiting.starts,
+            ends = waiting.ends, oldest_ms = millis(self.oldest_wait());
+            "another node has appended first"
+        );
+    }
+
+    /// Returns how long the oldest pending request has waited.
+    fn oldest_wait(&self) -> Option<Duration> {
+        let waits = self.pending.values();
+        waits.map(|request| request.submitted.elapsed()).max()
     }
 
     /// Waits for a call to the log. Requests that arrive during the call are accepted, and answered
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,5 +34,5 @@
 mod watch;
 mod worker_probes;
 
-pub use log_output::LogOutput;
+pub use log_output::{LogFlush, LogOutput};
 pub use process::{Reload, RunningGateway, run, start};
