soak and ledger: tests of what is lost in planned work, which fail

Real processes that are stopped in turn, signalled in series, reloaded and configured anew, with nothing else wrong: a request that was accepted may not end without a whole answer. A request accepted 0.6 s after SIGTERM is cut each time.

--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -77,6 +77,16 @@
 /// Number of polls after which a wait fails: half a minute.
 const MAX_POLLS: u32 = 600;
 
+/// Environment variable with the path of another build of the gateway to play instead.
+const PROGRAM_VARIABLE: &str = "ELDERWORKS_SOAK_PROGRAM";
+
+/// Returns the path of the gateway's program.
+fn program() -> PathBuf {
+    let other = std::env::var_os(PROGRAM_VARIABLE);
+    let own = env!("CARGO_BIN_EXE_elderworks");
+    other.map_or_else(|| PathBuf::from(own), PathBuf::from)
+}
+
 /// Gateway process, which may be running or not.
 pub struct Node {
     name: String,
@@ -119,7 +129,7 @@
             .append(true)
             .open(log)
             .expect("the log file can be opened");
-        let child = Command::new(env!("CARGO_BIN_EXE_elderworks"))
+        let child = Command::new(program())
             .arg("gateway")
             .env(SETTINGS_VARIABLE, settings)
             .stdin(Stdio::null())
@@ -138,6 +148,18 @@
             .any(|(start, end)| *start <= from && end.is_none_or(|end| end >= until))
     }
 
+    /// Waits until the process has ended by itself.
+    pub async fn wait_until_ended(&mut self) {
+        for _ in 0..MAX_POLLS {
+            if !self.is_running() {
+                self.child = None;
+                return;
+            }
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("{} did not end", self.name);
+    }
+
     fn note_interrupted(&mut self) {
         for (_, end) in &mut self.running {
             end.get_or_insert_with(Instant::now);
@@ -238,8 +260,14 @@
 }
 
 impl Fleet {
-    /// Starts everything and waits until every node is ready.
+    /// Starts everything and waits until every node is ready. The seed determines the number of
+    /// gateway processes.
     pub async fn start(seed: u64) -> Self {
+        Self::start_with(seed, node_count(seed)).await
+    }
+
+    /// Like [`Self::start`], with this number of gateway processes.
+    pub async fn start_with(seed: u64, nodes: usize) -> Self {
         let number = STARTED_FLEETS.fetch_add(1, Ordering::Relaxed);
         // Tests that run side by side may play the same seed.
         let name = format!("elderworks-soak-{}-{number}-{seed}", std::process::id());
@@ -263,7 +291,7 @@
                 fleet.add_worker(service, VERSIONS[0]);
             }
         }
-        for number in 0..node_count(seed) {
+        for number in 0..nodes {
             let node = fleet.new_node(number);
             fleet.nodes.push(node);
         }
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -30,11 +30,13 @@
 mod fleet;
 mod impatient;
 mod proxy;
+mod restarts;
 mod round;
 mod store_and_kills;
 
 use std::time::{Duration, Instant};
 
+use restarts::PlannedWork;
 use round::Schedule;
 
 /// Seeds of every test run, each with the reason for including it.
@@ -94,6 +96,34 @@
     }
 }
 
+/// Forms of planned work, each with a number of processes.
+const PLANNED_WORK: &[(PlannedWork, usize)] = &[
+    (PlannedWork::StopInTurn { at_a_time: 1 }, 6),
+    (PlannedWork::StopInTurn { at_a_time: 1 }, 4),
+    (PlannedWork::StopInTurn { at_a_time: 2 }, 6),
+    (PlannedWork::SignalsInSeries, 6),
+    (PlannedWork::SignalsInSeries, 4),
+    (PlannedWork::Reload, 6),
+    (PlannedWork::Configure, 4),
+];
+
+/// Environment variable with the duration in seconds of each round of planned work.
+const PLANNED_SECONDS: &str = "ELDERWORKS_SOAK_PLANNED_SECONDS";
+
+#[actix_rt::test]
+async fn no_request_is_lost_in_planned_work() {
+    let duration = number_from_env(PLANNED_SECONDS).map_or(ROUND_DURATION, Duration::from_secs);
+    for (seed, (work, nodes)) in (1..).zip(PLANNED_WORK) {
+        restarts::run(seed, *work, *nodes, duration).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_stopping_process_answers_what_it_accepts() {
+    let lost = restarts::send_while_stopping(1).await;
+    assert!(lost.is_empty(), "cut by the exit:\n{}", lost.join("\n"));
+}
+
 /// Returns the number in an environment variable, or `None` if it is unset or not a number.
 fn number_from_env(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
--- /dev/null
+++ b/crates/cli/tests/soak/restarts.rs
@@ -0,0 +1,386 @@
+//! Rounds of planned work alone: processes that are stopped in turn and started again, reloads and
+//! changes of the configuration, with nothing else wrong. No request may be lost in them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::callers::{Kind, TURN_TOKENS};
+use crate::fleet::{EVENTS, Fleet};
+use crate::standin::caller::{Answer, Connection, Request};
+use crate::standin::platform::configuration;
+use crate::standin::worker::Behaviour;
+
+/// Number of concurrent callers.
+const CALLERS: u64 = 40;
+
+/// Time after which a request's answer is of no use to its caller, as told to the gateway.
+const DEADLINE: Duration = Duration::from_millis(1_200);
+
+/// How long a caller reads on after the deadline, to see how the gateway ends the answer.
+const READ_ON: Duration = Duration::from_millis(800);
+
+/// Time from the last byte of a request after which the process counts as having read it.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
+/// Maximum number of turns of one conversation.
+const MAX_TURNS: u32 = 12;
+
+/// Pause between two planned steps.
+const STEP_PAUSE: Duration = Duration::from_millis(300);
+
+/// Pause between two signals of a series.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Planned work of a round, repeated until its time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlannedWork {
+    /// So many processes at a time are stopped by SIGTERM, end by themselves and are started again.
+    StopInTurn { at_a_time: usize },
+    /// Each process in turn gets SIGTERM, and SIGHUP and SIGTERM while it stops.
+    SignalsInSeries,
+    /// All processes get SIGHUP.
+    Reload,
+    /// Three configurations are published in immediate succession.
+    Configure,
+}
+
+/// One request of a round and how it ended.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    pub id: String,
+    pub kind: Kind,
+    /// The turn that it continues, whose answer was whole.
+    pub previous: Option<String>,
+    pub node: SocketAddr,
+    pub sent: Instant,
+    /// Time from sending it to the end of its answer or connection.
+    pub took: Duration,
+    /// `None` if the connection could not be opened or ended without an answer.
+    pub answer: Option<Answer>,
+}
+
+impl Exchange {
+    /// Returns whether the caller got a complete answer of any status.
+    pub fn is_answered(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_some_and(|answer| answer.is_whole && answer.status != 0)
+    }
+
+    /// Returns a description with the times relative to the start of the round.
+    fn describe(&self, started: Instant) -> String {
+        format!(
+            "{} {:?} at {}, {} ms after the start, ended after {} ms, continues {:?}: {:?}",
+            self.id,
+            self.kind,
+            self.node,
+            self.sent.duration_since(started).as_millis(),
+            self.took.as_millis(),
+            self.previous,
+            self.answer,
+        )
+    }
+
+    fn is_success(&self) -> bool {
+        let answer = self.answer.as_ref();
+        self.is_answered() && answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Returns how the request ended, for the summary.
+    fn outcome(&self) -> String {
+        match &self.answer {
+            Some(answer) if self.is_success() => format!("{} whole", answer.status),
+            Some(answer) if self.is_answered() => {
+                format!("{} {}", answer.status, answer.body.trim())
+            }
+            _ if self.took >= DEADLINE => "cut at the deadline".to_owned(),
+            _ => "cut".to_owned(),
+        }
+    }
+}
+
+/// What is found in a round.
+#[derive(Debug, Default)]
+pub struct Findings {
+    /// Requests that were accepted and ended without a complete answer, although their time was not
+    /// over.
+    pub lost: Vec<String>,
+    /// Turns reported as missing although they were answered whole.
+    pub missing: Vec<String>,
+    /// Requests whose answers were cut since their time was over.
+    pub late: Vec<String>,
+    /// Number of requests by outcome.
+    pub outcomes: BTreeMap<String, usize>,
+}
+
+/// Returns what callers were owed and did not get. `ran` holds the ids of requests that workers ran.
+pub fn findings(exchanges: &[Exchange], ran: &BTreeSet<String>, started: Instant) -> Findings {
+    let mut found = Findings::default();
+    for exchange in exchanges {
+        *found.outcomes.entry(exchange.outcome()).or_default() += 1;
+        let status = exchange.answer.as_ref().map(|answer| answer.status);
+        if exchange.previous.is_some() && matches!(status, Some(404 | 410)) {
+            found.missing.push(exchange.describe(started));
+        }
+        if exchange.is_answered() {
+            continue;
+        }
+        let was_accepted = ran.contains(&exchange.id) || exchange.took > LOSS_SLACK;
+        match exchange.took >= DEADLINE {
+            true => found.late.push(exchange.describe(started)),
+            false if was_accepted => found.lost.push(exchange.describe(started)),
+            false => {}
+        }
+    }
+    found
+}
+
+/// Plays a round and panics if a request was lost.
+pub async fn run(seed: u64, work: PlannedWork, nodes: usize, duration: Duration) {
+    let mut fleet = Fleet::start_with(seed, nodes).await;
+    let exchanges = Rc::new(RefCell::new(Vec::new()));
+    let stop = Rc::new(Cell::new(false));
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let caller = SteadyCaller {
+                name: format!("{seed}-{number}"),
+                nodes: fleet.nodes.iter().map(|node| node.callers()).collect(),
+                stop: stop.clone(),
+                exchanges: exchanges.clone(),
+                connections: BTreeMap::new(),
+                sent: 0,
+                random: ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + number),
+            };
+            actix_rt::spawn(caller.run())
+        })
+        .collect();
+    let started = Instant::now();
+    let mut schedule = Vec::new();
+    let mut step = 0;
+    while started.elapsed() < duration {
+        schedule.push(format!("{} ms: step {step}", started.elapsed().as_millis()));
+        carry_out(&mut fleet, work, step).await;
+        actix_rt::time::sleep(STEP_PAUSE).await;
+        step += 1;
+    }
+    stop.set(true);
+    for task in tasks {
+        task.await.expect("the caller task completes");
+    }
+    let workers = fleet.workers.iter();
+    let runs = workers.flat_map(|proxied| proxied.worker.runs());
+    let ran: BTreeSet<String> = runs.map(|run| run.request_id).collect();
+    let found = findings(&exchanges.borrow(), &ran, started);
+    println!(
+        "seed {seed}: {work:?}, {nodes} processes, {step} steps, {} requests, {} lost, {} late, {:?}",
+        exchanges.borrow().len(),
+        found.lost.len(),
+        found.late.len(),
+        found.outcomes,
+    );
+    let violations = [found.lost, found.missing].concat();
+    if !found.late.is_empty() {
+        println!(
+            "late:\n{}\nlogs in {}",
+            found.late.join("\n"),
+            fleet.folder().display()
+        );
+    }
+    assert!(
+        violations.is_empty(),
+        "seed {seed}, logs in {}:\n{}\nschedule:\n{}",
+        fleet.folder().display(),
+        violations.join("\n"),
+        schedule.join("\n"),
+    );
+    if found.late.is_empty() {
+        std::fs::remove_dir_all(fleet.folder()).expect("the folder of the round can be removed");
+    }
+}
+
+/// Carries out one step of the planned work.
+async fn carry_out(fleet: &mut Fleet, work: PlannedWork, step: usize) {
+    let count = fleet.nodes.len();
+    match work {
+        PlannedWork::StopInTurn { at_a_time } => {
+            let first = step * at_a_time;
+            let stopped: Vec<usize> = (first..first + at_a_time).map(|n| n % count).collect();
+            for node in &stopped {
+                fleet.nodes[*node].signal("-TERM");
+            }
+            restart(fleet, &stopped).await;
+        }
+        PlannedWork::SignalsInSeries => {
+            let node = step % count;
+            for signal in ["-TERM", "-HUP", "-TERM"] {
+                fleet.nodes[node].signal(signal);
+                actix_rt::time::sleep(SIGNAL_PAUSE).await;
+            }
+            restart(fleet, &[node]).await;
+        }
+        PlannedWork::Reload => {
+            for node in &mut fleet.nodes {
+                node.signal("-HUP");
+            }
+        }
+        PlannedWork::Configure => {
+            for number in 0..3 {
+                let version = u64::try_from(step * 3 + number + 2).expect("a small number");
+                fleet.deployment.configure(&configuration(version));
+            }
+        }
+    }
+}
+
+/// Starts processes again once they have ended by themselves.
+async fn restart(fleet: &mut Fleet, stopped: &[usize]) {
+    for node in stopped {
+        fleet.nodes[*node].wait_until_ended().await;
+    }
+    for node in stopped {
+        fleet.nodes[*node].start();
+    }
+    fleet.wait_until_ready().await;
+}
+
+/// Caller that keeps its connections until the server closes them.
+struct SteadyCaller {
+    name: String,
+    nodes: Vec<SocketAddr>,
+    stop: Rc<Cell<bool>>,
+    exchanges: Rc<RefCell<Vec<Exchange>>>,
+    connections: BTreeMap<SocketAddr, Connection>,
+    sent: u64,
+    random: ChaCha8Rng,
+}
+
+impl SteadyCaller {
+    async fn run(mut self) {
+        while !self.stop.get() {
+            self.run_program().await;
+        }
+    }
+
+    /// Runs a conversation of kept turns, each sent as soon as the one before is whole, or one
+    /// request of another kind.
+    async fn run_program(&mut self) {
+        let kinds = [
+            Kind::StoredTurn,
+            Kind::StoredTurn,
+            Kind::Turn,
+            Kind::TurnOnce,
+            Kind::SafeCall,
+            Kind::CallOnce,
+        ];
+        let kind = *kinds.choose(&mut self.random).expect("some kinds");
+        let program = format!("program-{}-{}", self.name, self.sent);
+        let turns = match kind {
+            Kind::StoredTurn => self.random.random_range(1..=MAX_TURNS),
+            _ => 1,
+        };
+        let mut previous = None;
+        for _ in 0..turns {
+            if self.stop.get() {
+                return;
+            }
+            let exchange = self.send(kind, &program, previous.as_ref()).await;
+            let is_success = exchange.is_success();
+            previous = Some(exchange.id.clone());
+            self.exchanges.borrow_mut().push(exchange);
+            if !is_success {
+                return;
+            }
+        }
+    }
+
+    async fn send(&mut self, kind: Kind, program: &str, previous: Option<&String>) -> Exchange {
+        self.sent += 1;
+        let id = format!("request-{}-{}", self.name, self.sent);
+        let deadline = u64::try_from(DEADLINE.as_millis()).expect("a short time");
+        let mut request = Request::new("POST", kind.path(), &id)
+            .deadline(deadline)
+            .body(&format!("input of {id} "));
+        if !matches!(kind, Kind::SafeCall | Kind::CallOnce) {
+            let budget = TURN_TOKENS * u64::from(MAX_TURNS) * 4;
+            request = request.turn(program, budget, TURN_TOKENS);
+        }
+        if let Some(previous) = previous {
+            request = request.previous_turn(previous);
+        }
+        let node = *self.nodes.choose(&mut self.random).expect("some nodes");
+        let kept = self.connections.remove(&node);
+        let sent = Instant::now();
+        let exchanged = request.try_send_on(kept, node, DEADLINE + READ_ON).await;
+        let took = sent.elapsed();
+        let answer = exchanged.map(|(answer, connection)| {
+            let header = answer.header("connection");
+            if answer.is_whole && header.is_none_or(|value| value != "close") {
+                self.connections.insert(node, connection);
+            }
+            answer
+        });
+        Exchange {
+            id,
+            kind,
+            previous: previous.cloned(),
+            node,
+            sent,
+            took,
+            answer: answer.filter(|answer| answer.status != 0),
+        }
+    }
+}
+
+/// Moments after SIGTERM at which requests are sent, in milliseconds. The grace period is 1.6 s.
+const MOMENTS_AFTER_STOP_MS: [u64; 4] = [0, 300, 600, 850];
+
+/// A stream that takes 900 ms.
+const LONG_STREAM: Behaviour = Behaviour::Events {
+    count: EVENTS,
+    pause: 180,
+};
+
+/// Sends requests that take long to a process while it stops. Returns those that it accepted and
+/// did not answer.
+pub async fn send_while_stopping(seed: u64) -> Vec<String> {
+    let mut fleet = Fleet::start_with(seed, 2).await;
+    for engine in &fleet.workers {
+        engine.worker.set_behaviour(LONG_STREAM);
+    }
+    let node = fleet.nodes[0].callers();
+    fleet.nodes[0].signal("-TERM");
+    let stopped = Instant::now();
+    let requests = MOMENTS_AFTER_STOP_MS
+        .iter()
+        .enumerate()
+        .map(|(number, moment)| {
+            let moment = Duration::from_millis(*moment);
+            async move {
+                actix_rt::time::sleep(moment.saturating_sub(stopped.elapsed())).await;
+                let id = format!("stopping-{number}");
+                let deadline = u64::try_from(DEADLINE.as_millis()).expect("a short time");
+                let request = Request::new("POST", Kind::StoredTurn.path(), &id)
+                    .deadline(deadline)
+                    .body("input")
+                    .turn(&id, TURN_TOKENS, TURN_TOKENS);
+                let answer = request.try_send(node, DEADLINE + READ_ON).await;
+                (id, answer)
+            }
+        });
+    let answers = futures_util::future::join_all(requests).await;
+    let workers = fleet.workers.iter();
+    let runs = workers.flat_map(|proxied| proxied.worker.runs());
+    let ran: BTreeSet<String> = runs.map(|run| run.request_id).collect();
+    let is_cut = |answer: &Option<Answer>| !answer.as_ref().is_some_and(|answer| answer.is_whole);
+    let lost = answers
+        .into_iter()
+        .filter(|(id, answer)| is_cut(answer) && ran.contains(id));
+    lost.map(|(id, answer)| format!("{id}: {answer:?}"))
+        .collect()
+}
--- a/crates/gateway-core/tests/ledger/main.rs
+++ b/crates/gateway-core/tests/ledger/main.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod calls;
 mod fixtures;
+mod handover;
 mod overdrafts;
 mod turn_holders;
 mod turns;
