--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -93,10 +93,8 @@
             partition,
             request,
         };
-        let mut responses = self.send(id, &message)?;
-        let replied = await_reply(&mut responses).await;
-        self.pending.borrow_mut().remove(&id);
-        replied
+        let mut waiting = self.send(id, &message)?;
+        await_reply(&mut waiting.responses).await
     }
 
     /// Asks a reader of the log's streams and waits for the answer. `id` must be unique among all
@@ -106,24 +104,36 @@
         id: u64,
         question: FeedRequest,
     ) -> Result<FeedResponse, NoReply> {
-        let mut responses = self.send(id, &GatewayFrame::FeedAsked { id, question })?;
-        let answered = await_feed_answer(&mut responses).await;
-        self.pending.borrow_mut().remove(&id);
-        answered
+        let mut waiting = self.send(id, &GatewayFrame::FeedAsked { id, question })?;
+        await_feed_answer(&mut waiting.responses).await
     }
 
-    fn send(
-        &self,
-        id: u64,
-        message: &GatewayFrame,
-    ) -> Result<mpsc::UnboundedReceiver<Response>, NoReply> {
+    fn send(&self, id: u64, message: &GatewayFrame) -> Result<WaitingRequest, NoReply> {
         self.frames.push(message).map_err(|error| match error {
             PushError::Closed => NoReply::Unreachable,
             PushError::Full => NoReply::Silent,
         })?;
         let (sender, responses) = mpsc::unbounded_channel();
         self.pending.borrow_mut().insert(id, sender);
-        Ok(responses)
+        Ok(WaitingRequest {
+            id,
+            responses,
+            pending: self.pending.clone(),
+        })
+    }
+}
+
+/// A request that waits for its responses. It is forgotten when this is dropped, also if the
+/// requester gives up.
+struct WaitingRequest {
+    id: u64,
+    responses: mpsc::UnboundedReceiver<Response>,
+    pending: Pending,
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.pending.borrow_mut().remove(&self.id);
     }
 }
 
