ledger: the new owner ends a turn if its granter doesn't; handing back reverted

A failed try: let a former owner refuse what waits once its append had lost, so that the asker goes elsewhere. The added output shows why: the nodes learn of a stop 0.2 to 0.7 s apart, so an asker that is refused goes on to its second and third candidate, each begins to act for the partition, loses to the former owner's settlements and refuses in its turn. Four nodes appended to two partitions for 0.9 s.

In its place the asker acts: if the granter hasn't ended the turn within 120 ms and the partition has another owner, that one is sent the same request, and the first reply counts. That a read which catches up delays no append stays.

--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -49,11 +49,6 @@
 /// preferred one. Otherwise both would read and append the same records.
 pub const YIELD_AFTER_OUTAGE: Duration = Duration::from_secs(1);
 
-/// How long an owner that is not preferred leaves the partition to others after one of them has
-/// appended first. The turns that it granted before the partition moved end in this time, and each
-/// end would compete with the other owner's appends.
-pub const YIELD_AFTER_CONFLICT: Duration = Duration::from_millis(500);
-
 /// Additional delay before a preparatory call while the log is down, since no request waits for it.
 const PREPARATION_DELAY: Duration = Duration::from_millis(400);
 
--- a/crates/gateway-core/src/ledger/owner/appends.rs
+++ b/crates/gateway-core/src/ledger/owner/appends.rs
@@ -8,7 +8,7 @@
 use super::super::pieces::{MAX_APPEND_BYTES, approximate_bytes};
 use super::super::plan::Plan;
 use super::super::unsettled::UnsettledAppend;
-use super::{PartitionOwner, YIELD_AFTER_CONFLICT};
+use super::PartitionOwner;
 
 #[derive(Debug)]
 pub(super) struct PendingAppend {
@@ -56,7 +56,6 @@
                 self.abort_closing(&pending.plan);
                 self.conflicts += 1;
                 self.is_synced = false;
-                self.yield_to_other_owner(now);
             }
             AppendOutcome::Refused => {
                 self.abort_closing(&pending.plan);
@@ -70,16 +69,6 @@
         }
     }
 
-    /// Hands the queued requests back after another node has appended first, unless other nodes send
-    /// their requests here: that owner carries them out without competing for the end of the log.
-    fn yield_to_other_owner(&mut self, now: Timestamp) {
-        if self.is_preferred {
-            return;
-        }
-        self.yields_until = self.yields_until.max(now + YIELD_AFTER_CONFLICT);
-        self.resubmit_queued(now);
-    }
-
     /// Applies an append that succeeded. The log ended where the state did, so the decisions made
     /// on that state hold.
     fn apply_append(&mut self, now: Timestamp, pending: PendingAppend) {
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -159,8 +159,8 @@
         }
     }
 
-    /// Returns whether the partition is left to the preferred owner, because the log has just recovered
-    /// or another owner has appended first.
+    /// Returns whether the partition is left to the preferred owner because the log has just
+    /// recovered.
     pub(super) fn yields_to_preferred(&self, now: Timestamp) -> bool {
         !self.is_preferred && now < self.yields_until
     }
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -1,5 +1,6 @@
 //! Ledger requests, which are sent to the partition's preferred owner or executed on this node.
 
+mod handover;
 mod log_calls;
 mod owner;
 mod turn_ends;
@@ -22,6 +23,7 @@
 use crate::peers::NoReply;
 use owner::Job;
 
+pub(crate) use handover::request_from_granter;
 pub(crate) use turn_ends::report_end;
 
 /// Pause before a request that no node could execute is retried.
@@ -160,27 +162,6 @@
     LedgerAnswer { reply, node }
 }
 
-/// Sends a request to the node that granted a turn, or to the partition's candidates if that node
-/// can't execute it.
-pub(crate) async fn request_from_granter(
-    gateway: &Rc<Gateway>,
-    granter: &NodeId,
-    partition: PartitionId,
-    wanted: LedgerRequest,
-) -> LedgerAnswer {
-    let replied = request_at(gateway, granter, partition, wanted.clone()).await;
-    match replied {
-        Ok(LedgerReply::Unavailable) | Err(_) => {
-            let asked = AskedNodes::default();
-            request(gateway, partition, wanted, &asked).await
-        }
-        Ok(reply) => {
-            let node = granter.clone();
-            LedgerAnswer { reply, node }
-        }
-    }
-}
-
 /// Sends a request to one node, which may be this one.
 async fn request_at(
     gateway: &Rc<Gateway>,
