gateway: a process that stops takes no request that it can't finish, and ends none unanswered

Cause: until when requests were accepted and when the process exits were fixed shares of the grace, whatever time a request had. And the count that lets the process exit knew only requests that had been read whole: none that was being read, none on a connection that waits to be accepted, no request of another node to a partition of this one, no settlement of its own reservations, no report of a turn's end.

Change: while it stops, a node refuses at once what could outlast it (503, Retry-After 0, nothing has run). It exits when nothing that it accepted is left, of callers and of other nodes, and has closed its connections for 0.2 s before; connections that wait are accepted first. 0.2 s before the kill, what is left is answered (503 if it was not run, else 502) where no answer has begun; 0.1 s before, it exits.

--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -176,6 +176,12 @@
         self.conflicts
     }
 
+    /// Returns whether there are settlements that are not in the log yet. No other owner can write
+    /// them.
+    pub fn has_settlements(&self) -> bool {
+        self.wallets.oldest_settlement_since().is_some()
+    }
+
     /// Returns whether other nodes send their requests for the partition to this owner.
     pub fn is_preferred(&self) -> bool {
         self.is_preferred
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -13,6 +13,7 @@
 use crate::clock::millis;
 use crate::gateway::{Gateway, Stage};
 use crate::metrics::TenantLabel;
+use crate::open_work::WorkCounter;
 use crate::ports::EndpointRequest;
 use crate::server::{CallerRequest, RequestReader};
 use crate::socket;
@@ -43,13 +44,13 @@
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream, endpoints: Endpoints) {
     socket::set_options(&stream);
-    let mut reader = RequestReader::new(&gateway, stream);
+    let mut reader = RequestReader::new(&gateway, stream, WorkCounter::default());
     while let Ok(request) = reader.next(&gateway).await {
         let response = match endpoints {
             Endpoints::Platform => respond(&gateway, &request),
             Endpoints::Metrics => metrics(&gateway),
         };
-        let close = gateway.stage() == Stage::Closing;
+        let close = gateway.stage() >= Stage::Closing;
         let reservation = gateway.memory.reservation(BufferKind::Callers);
         let mut caller = Caller::new(&mut reader.codec, &mut reader.sender, reservation, close);
         let sent = caller
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -89,7 +89,7 @@
     if !gateway.settings.policy.engine_reading {
         return;
     }
-    while gateway.stage() != Stage::Closing {
+    while gateway.stage() < Stage::Closing {
         actix_rt::time::sleep(ASSIGNMENT_INTERVAL).await;
         let config = gateway.current_config();
         let assigned = config.map_or_else(Vec::new, |config| assigned(&gateway, &config));
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -92,17 +92,31 @@
         gateway.note_stream_deadline(deadline);
     }
     let deadline = request.received + left;
+    if gateway.exits_before(deadline) {
+        let not_run = NotRun::before_any_attempt();
+        let reason = "the node stops before the request's time is over";
+        let refusal = Refusal::not_run_retry_after(not_run, reason, Duration::ZERO);
+        return refuse(caller, trace, &refusal).await;
+    }
     let mut call = Call::new(
         gateway, &config, route, attributes, sender, request, deadline, trace,
     );
     trace.identity = Some(call.identity);
     let running = run(&mut call, caller, trace);
-    let timed = tokio::time::timeout_at(deadline.into(), running).await;
-    let result = match timed {
+    let ended = tokio::select! {
+        biased;
+        timed = tokio::time::timeout_at(deadline.into(), running) => {
+            timed.map_err(|_| EarlyEnd::Deadline)
+        }
+        () = gateway.until_aborting() => Err(EarlyEnd::Exit),
+    };
+    let result = match ended {
         Ok(result) => result,
-        Err(_) => {
-            call.note_timeout();
-            respond_timed_out(&call, caller, trace).await
+        Err(end) => {
+            if end == EarlyEnd::Deadline {
+                call.note_timeout();
+            }
+            respond_early(&call, caller, trace, end).await
         }
     };
     trace.may_have_run = call.history.may_have_run();
@@ -152,22 +166,54 @@
     }
 }
 
-/// Responds to a request whose deadline has passed.
-async fn respond_timed_out(
+/// Why a request is ended before its response is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EarlyEnd {
+    /// Its deadline has passed.
+    Deadline,
+    /// The process is about to exit.
+    Exit,
+}
+
+impl EarlyEnd {
+    /// Returns the outcome of a request whose response has begun.
+    fn within_response(self) -> &'static str {
+        match self {
+            Self::Deadline => "time is over within the answer",
+            Self::Exit => "the process exits within the answer",
+        }
+    }
+
+    /// Returns the response to a request whose response has not begun.
+    fn refusal(self, not_run: Option<NotRun>) -> Refusal {
+        match (self, not_run) {
+            (Self::Deadline, Some(not_run)) => {
+                Refusal::not_run(not_run, "the time of the request is over; it was not run")
+            }
+            (Self::Deadline, None) => Refusal::timed_out("the time of the request is over"),
+            (Self::Exit, Some(not_run)) => {
+                let reason = "the process exits; the request was not run";
+                Refusal::not_run_retry_after(not_run, reason, Duration::ZERO)
+            }
+            (Self::Exit, None) => {
+                Refusal::outcome_unknown("the process exits; the request may have run")
+            }
+        }
+    }
+}
+
+/// Responds to a request that is ended early.
+async fn respond_early(
     call: &Call<'_>,
     caller: &mut Caller<'_>,
     trace: &mut Trace,
+    end: EarlyEnd,
 ) -> io::Result<()> {
     if caller.progress() != Progress::None {
-        trace.outcome = "time is over within the answer";
+        trace.outcome = end.within_response();
         return Err(io::ErrorKind::TimedOut.into());
     }
-    let refusal = match call.history.not_run() {
-        Some(not_run) => {
-            Refusal::not_run(not_run, "the time of the request is over; it was not run")
-        }
-        None => Refusal::timed_out("the time of the request is over"),
-    };
+    let refusal = end.refusal(call.history.not_run());
     refuse(caller, trace, &refusal).await
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
 use elderworks_gateway_core::access::KeyLeases;
@@ -37,6 +37,7 @@
 use crate::log_outage::LogOutage;
 use crate::memory::MemoryTracker;
 use crate::metrics::Metrics;
+use crate::open_work::WorkCounter;
 use crate::peers::{Lessors, Peers, RequestExchange};
 use crate::ports::{Platform, StreamRecord};
 use crate::settings::GatewaySettings;
@@ -54,6 +55,8 @@
     Draining,
     /// Accepts no new connections and closes idle ones.
     Closing,
+    /// Ends the requests in progress, since the process is about to exit.
+    Aborting,
 }
 
 /// Age of the last configuration read beyond which this node counts as cut off from the log: a read
@@ -131,8 +134,10 @@
     pub(crate) admission: AdmissionDriver,
     /// Runs at this node that have a backup.
     pub(crate) backups: RefCell<Backups>,
-    /// Requests in progress.
-    pub(crate) in_flight: Cell<u32>,
+    /// Requests of callers that are being read or are in progress.
+    pub(crate) in_flight: WorkCounter,
+    /// When requests in progress are ended; `None` unless the node is draining.
+    pub(crate) aborts_at: Cell<Option<Instant>>,
     /// Progress of the node's start.
     pub(crate) start: StartTracker,
     /// Node changes that are applied as one batch.
@@ -211,7 +216,8 @@
             stage,
             serving_count: Cell::new(1),
             serving: RefCell::default(),
-            in_flight: Cell::new(0),
+            in_flight: WorkCounter::default(),
+            aborts_at: Cell::default(),
             start: StartTracker::default(),
             node_changes: RefCell::new(RecomputeThrottle::new(pace)),
             sequence: Cell::new(0),
@@ -254,6 +260,27 @@
         *self.stage.borrow()
     }
 
+    /// Waits until the node closes its connections before it exits.
+    pub(crate) async fn until_closing(&self) {
+        self.until_stage(Stage::Closing).await;
+    }
+
+    /// Waits until the requests in progress are ended because the process is about to exit.
+    pub(crate) async fn until_aborting(&self) {
+        self.until_stage(Stage::Aborting).await;
+    }
+
+    async fn until_stage(&self, wanted: Stage) {
+        let mut stage = self.stage.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = stage.wait_for(|stage| *stage >= wanted).await;
+    }
+
+    /// Returns whether the process exits before this time.
+    pub(crate) fn exits_before(&self, time: Instant) -> bool {
+        self.aborts_at.get().is_some_and(|end| end < time)
+    }
+
     /// Returns whether callers should be sent to this node.
     pub(crate) fn is_ready(&self) -> bool {
         self.stage() == Stage::Serving && self.start.is_complete()
--- a/crates/gateway/src/ledger/mod.rs
+++ b/crates/gateway/src/ledger/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::gateway::Gateway;
+use crate::open_work::WorkCounter;
 use crate::peers::NoReply;
 use owner::Job;
 
@@ -37,6 +38,10 @@
     tasks: RefCell<HashMap<PartitionId, mpsc::UnboundedSender<Job>>>,
     /// What this node remembers as a witness for owners on other nodes.
     witness: RefCell<WitnessMemory>,
+    /// Requests to the owners of this node, and first reports of turns' ends to other nodes.
+    requests: WorkCounter,
+    /// Partitions whose owners have settlements to append.
+    unsettled: RefCell<BTreeSet<PartitionId>>,
 }
 
 impl Ledger {
@@ -46,9 +51,27 @@
             partitions,
             tasks: RefCell::default(),
             witness: RefCell::new(WitnessMemory::new(rand::random())),
+            requests: WorkCounter::default(),
+            unsettled: RefCell::default(),
         }
     }
 
+    /// Returns how many requests, reports and partitions are waiting for a call to the log or an
+    /// answer. They are lost if the process exits now.
+    pub(crate) fn work(&self) -> usize {
+        let requests = usize::try_from(self.requests.count()).unwrap_or(usize::MAX);
+        requests.saturating_add(self.unsettled.borrow().len())
+    }
+
+    /// Records whether the owner of a partition has settlements to append.
+    fn note_settlements(&self, partition: PartitionId, has_some: bool) {
+        let mut unsettled = self.unsettled.borrow_mut();
+        match has_some {
+            true => unsettled.insert(partition),
+            false => unsettled.remove(&partition),
+        };
+    }
+
     /// Returns a random number that identifies this process among the starts of the node.
     pub(crate) fn boot(&self) -> u64 {
         self.witness.borrow().boot()
@@ -278,6 +301,7 @@
         let mut witness = gateway.ledger.witness.borrow_mut();
         return LedgerReply::Witness(witness.answer(gateway.now(), question));
     }
+    let _open = gateway.ledger.requests.begin();
     let (reply, answered) = oneshot::channel();
     let task = owner_task(gateway, partition);
     let job = Job {
--- a/crates/gateway/src/ledger/owner.rs
+++ b/crates/gateway/src/ledger/owner.rs
@@ -115,6 +115,9 @@
             let witnesses = self.gateway.peers.witnesses(&self.gateway, self.partition);
             self.owner.set_witnesses(witnesses);
             let action = self.owner.next_action(self.gateway.now());
+            let has_settlements = self.owner.has_settlements();
+            let ledger = &self.gateway.ledger;
+            ledger.note_settlements(self.partition, has_settlements);
             self.dispatch_output();
             let Action::Wait { until } = action else {
                 self.execute(action, &mut inbox).await;
--- a/crates/gateway/src/ledger/turn_ends.rs
+++ b/crates/gateway/src/ledger/turn_ends.rs
@@ -24,7 +24,10 @@
 ) {
     let started = Instant::now();
     let report = || LedgerRequest::Finish(finish.clone());
-    let mut replied = request_at(gateway, node, partition, report()).await;
+    let mut replied = {
+        let _open = gateway.ledger.requests.begin();
+        request_at(gateway, node, partition, report()).await
+    };
     let mut schedule = ReportSchedule::default();
     while replied != Ok(LedgerReply::Finished) {
         let Some(pause) = schedule.next_pause(started.elapsed()) else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod log_output;
 mod memory;
 mod metrics;
+mod open_work;
 mod peers;
 pub mod ports;
 mod process;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -32,7 +32,7 @@
 const LOG_CALLS_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Interval at which a draining node checks its progress.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Reads the settings again. The implementation logs what has changed.
 pub type Reload = Box<dyn Fn() -> eyre::Result<GatewaySettings>>;
@@ -139,7 +139,10 @@
     /// Drains the node: completes requests in progress and lets callers move to other nodes.
     pub async fn stop(&self) {
         drain(&self.gateway, &self.gossip_socket).await;
-        log::info!(in_flight = self.gateway.in_flight.get(); "stopped");
+        log::info!(
+            in_flight = self.gateway.in_flight.count(),
+            of_partitions = self.gateway.ledger.work(); "stopped"
+        );
     }
 }
 
@@ -355,7 +358,9 @@
 /// Completes requests in progress and lets callers move to other nodes.
 async fn drain(gateway: &Rc<Gateway>, gossip_socket: &UdpSocket) {
     let started = Instant::now();
-    log::info!(in_flight = gateway.in_flight.get(); "draining");
+    let plan = DrainPlan::new(gateway.settings.grace);
+    log::info!(in_flight = gateway.in_flight.count(); "draining");
+    gateway.aborts_at.set(Some(started + plan.abort_after()));
     gateway.stage.send_replace(Stage::Draining);
     gateway.peers.drain(gateway, gossip_socket);
     let announcing = gateway.clone();
@@ -364,23 +369,24 @@
             log::warn!(error = error.as_str(); "failed to announce the drain to the other nodes");
         }
     });
-    let plan = DrainPlan::new(gateway.settings.grace);
     loop {
-        match plan.step(started.elapsed(), gateway.in_flight.get()) {
+        let has_work = gateway.in_flight.count() > 0 || gateway.ledger.work() > 0;
+        match plan.step(started.elapsed(), has_work) {
             DrainStep::TakeRequests => {}
-            DrainStep::Finish => close(gateway),
+            DrainStep::Finish => advance_stage(gateway, Stage::Closing),
+            DrainStep::Abort => advance_stage(gateway, Stage::Aborting),
             DrainStep::End => break,
         }
         actix_rt::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    close(gateway);
+    advance_stage(gateway, Stage::Closing);
 }
 
-/// Stops accepting connections and closes idle ones.
-fn close(gateway: &Gateway) {
+/// Moves on to a later stage, or stays in the present one if it is later still.
+fn advance_stage(gateway: &Gateway, next: Stage) {
     gateway.stage.send_if_modified(|stage| {
-        let is_new = *stage != Stage::Closing;
-        *stage = Stage::Closing;
+        let is_new = *stage < next;
+        *stage = next.max(*stage);
         is_new
     });
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Serving of callers' connections: reads requests, handles each, then keeps or closes the
 //! connection.
 
+use std::io;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use crate::forward;
 use crate::gateway::{Gateway, Stage};
 use crate::memory::MemoryReservation;
+use crate::open_work::{WorkCounter, WorkGuard};
 use crate::reply::{ErrorStatus, Refusal};
 use crate::socket;
 
@@ -29,6 +31,10 @@
 /// Time for which the rest of a refused request is discarded before the connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which an idle connection stays open once the node closes its connections, so that a
+/// request that has reached the machine is still read.
+const CLOSE_DELAY: Duration = Duration::from_millis(50);
+
 /// Pause after a failed accept, for example when no file descriptors are available.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -49,23 +55,43 @@
 
 /// Accepts connections of callers until the process is closing.
 pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    let mut stage = gateway.stage.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+            () = gateway.until_closing() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let gateway = gateway.clone();
-                actix_rt::spawn(async move { serve(&gateway, stream).await });
-            }
+            Ok((stream, _)) => spawn_serve(&gateway, stream),
             Err(error) => {
                 log::warn!(error = error.to_string().as_str(); "failed to accept a connection");
                 actix_rt::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
+    if let Err(error) = accept_pending(&gateway, listener) {
+        log::warn!(error = error.to_string().as_str(); "failed to accept the last connections");
+    }
+}
+
+/// Accepts the connections that are already established: closing the listener would reset them,
+/// and with them requests that were sent a while ago.
+fn accept_pending(gateway: &Rc<Gateway>, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                spawn_serve(gateway, TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+fn spawn_serve(gateway: &Rc<Gateway>, stream: TcpStream) {
+    let gateway = gateway.clone();
+    actix_rt::spawn(async move { serve(&gateway, stream).await });
 }
 
 /// The reason why no further request is read from a connection.
@@ -83,11 +109,16 @@
     pub(crate) sender: Sender,
     /// Address of the caller, if the connection was still open when it was accepted.
     caller: Option<IpAddr>,
+    /// Counts the requests in progress.
+    requests: WorkCounter,
+    /// Counts the current request, from its first byte until the next one is awaited or the
+    /// connection is closed.
+    current: Option<WorkGuard>,
 }
 
 impl RequestReader {
-    /// Creates a reader for an accepted connection.
-    pub(crate) fn new(gateway: &Gateway, stream: TcpStream) -> Self {
+    /// Creates a reader for an accepted connection, whose requests are counted by `requests`.
+    pub(crate) fn new(gateway: &Gateway, stream: TcpStream, requests: WorkCounter) -> Self {
         let caller = stream.peer_addr().ok().map(|address| address.ip());
         let (receiver, sender) = buffered::split(stream);
         Self {
@@ -95,6 +126,8 @@
             receiver,
             sender,
             caller,
+            requests,
+            current: None,
         }
     }
 
@@ -106,7 +139,11 @@
             receiver,
             sender,
             caller,
+            ..
         } = self;
+        self.current = None;
+        wait_for_first_byte(gateway, receiver, limits.idle_timeout).await?;
+        self.current = Some(self.requests.begin());
         let mut request = read_request(gateway, codec, receiver, sender, &limits).await?;
         request.caller = *caller;
         Ok(request)
@@ -115,7 +152,7 @@
 
 async fn serve(gateway: &Rc<Gateway>, stream: TcpStream) {
     socket::set_caller_options(&stream);
-    let mut reader = RequestReader::new(gateway, stream);
+    let mut reader = RequestReader::new(gateway, stream, gateway.in_flight.clone());
     loop {
         match reader.next(gateway).await {
             Ok(request) => {
@@ -160,7 +197,6 @@
     } = reader;
     let closing = gateway.stage() != Stage::Serving;
     let received = request.received;
-    gateway.in_flight.set(gateway.in_flight.get() + 1);
     gateway.metrics.in_flight.inc();
     let reservation = gateway.memory.reservation(BufferKind::Callers);
     let mut caller = Caller::new(codec, sender, reservation, closing);
@@ -173,13 +209,12 @@
         }
     };
     let whole = caller.progress() == Progress::Done;
-    gateway.in_flight.set(gateway.in_flight.get() - 1);
     gateway.metrics.in_flight.dec();
     gateway
         .metrics
         .request_seconds
         .observe(received.elapsed().as_secs_f64());
-    handled && whole && codec.keep_alive() && !closing && gateway.stage() != Stage::Closing
+    handled && whole && codec.keep_alive() && !closing && gateway.stage() < Stage::Closing
 }
 
 async fn read_request(
@@ -189,7 +224,6 @@
     sender: &mut Sender,
     limits: &RequestLimits,
 ) -> Result<CallerRequest, ReadEnd> {
-    wait_for_first_byte(gateway, receiver, limits.idle_timeout).await?;
     let reading = read_head(codec, receiver, limits.head_bytes);
     let head = actix_rt::time::timeout(limits.head_timeout, reading)
         .await
@@ -225,11 +259,14 @@
     }
     // Idle connections hold no buffer.
     receiver.buffer = BytesMut::new();
-    let mut stage = gateway.stage.subscribe();
+    let closing = async {
+        gateway.until_closing().await;
+        actix_rt::time::sleep(CLOSE_DELAY).await;
+    };
     let received = tokio::select! {
         biased;
         received = actix_rt::time::timeout(idle_timeout, receiver.fill()) => received,
-        _ = stage.wait_for(|stage| *stage == Stage::Closing) => return Err(ReadEnd::Closed),
+        () = closing => return Err(ReadEnd::Closed),
     };
     match received {
         Ok(Ok(count)) if count > 0 => Ok(()),
