--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod log_output;
 mod memory;
 mod metrics;
+mod open_work;
 mod peers;
 pub mod ports;
 mod process;
@@ -34,5 +35,5 @@
 mod watch;
 mod worker_probes;
 
-pub use log_output::LogOutput;
+pub use log_output::{LogFlush, LogOutput};
 pub use process::{Reload, RunningGateway, run, start};
