--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -12,8 +12,9 @@
 //!
 //! By default, the seeds of [`REGRESSIONS`] run for a few seconds each. Set
 //! `ELDERWORKS_SOAK_SECONDS` to run random seeds for longer, and also `ELDERWORKS_SOAK_SEED` to
-//! repeat one seed; `ELDERWORKS_SOAK_SCHEDULE` restricts the rounds to `mixed` faults or to
-//! `store-and-kills`:
+//! repeat one seed; `ELDERWORKS_SOAK_SCHEDULE` restricts the rounds to `mixed` faults, to
+//! `store-and-kills` or to `planned` work without faults. `ELDERWORKS_SOAK_PROGRAM` names another
+//! build of the gateway to play:
 //!
 //! ```sh
 //! ELDERWORKS_SOAK_SECONDS=300 cargo test --release -p elderworks-cli --test soak -- --nocapture
@@ -36,6 +37,9 @@
 
 use std::time::{Duration, Instant};
 
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use restarts::PlannedWork;
 use round::Schedule;
 
@@ -85,6 +89,9 @@
         Ok("store-and-kills") => &[Schedule::StoreAndKills],
         _ => &[Schedule::Mixed, Schedule::StoreAndKills],
     };
+    if std::env::var("ELDERWORKS_SOAK_SCHEDULE").as_deref() == Ok("planned") {
+        return play_planned_work(until).await;
+    }
     if let Some(seed) = number_from_env("ELDERWORKS_SOAK_SEED") {
         return round::run(seed, schedules[0], Duration::from_secs(seconds)).await;
     }
@@ -103,10 +110,14 @@
     (PlannedWork::StopInTurn { at_a_time: 2 }, 6),
     (PlannedWork::SignalsInSeries, 6),
     (PlannedWork::SignalsInSeries, 4),
+    (PlannedWork::Overlapping, 7),
     (PlannedWork::Reload, 6),
     (PlannedWork::Configure, 4),
 ];
 
+/// Numbers of processes in random rounds of planned work.
+const RANDOM_PLANNED_NODES: std::ops::RangeInclusive<usize> = 2..=24;
+
 /// Environment variable with the duration in seconds of each round of planned work.
 const PLANNED_SECONDS: &str = "ELDERWORKS_SOAK_PLANNED_SECONDS";
 
@@ -120,6 +131,18 @@
     assert!(lost.is_empty(), "{}", lost.join("\n"));
 }
 
+/// Plays rounds of random planned work with random seeds, or all of the seed that is set.
+async fn play_planned_work(until: Instant) {
+    while Instant::now() < until {
+        let seed = number_from_env("ELDERWORKS_SOAK_SEED").unwrap_or_else(rand::random);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (work, _) = PLANNED_WORK.choose(&mut random).expect("some forms");
+        let nodes = random.random_range(RANDOM_PLANNED_NODES);
+        let lost = restarts::run(seed, *work, nodes, ROUND_DURATION * 2).await;
+        assert!(lost.is_empty(), "{}", lost.join("\n"));
+    }
+}
+
 #[actix_rt::test]
 async fn a_stopping_process_answers_what_it_accepts() {
     let lost = restarts::send_while_stopping(1).await;
--- a/crates/cli/tests/soak/restarts.rs
+++ b/crates/cli/tests/soak/restarts.rs
@@ -49,6 +49,8 @@
     StopInTurn { at_a_time: usize },
     /// Each process in turn gets SIGTERM, and SIGHUP and SIGTERM while it stops.
     SignalsInSeries,
+    /// Processes are stopped three at a time while all get SIGHUP and configurations are published.
+    Overlapping,
     /// All processes get SIGHUP.
     Reload,
     /// Three configurations are published in immediate succession.
@@ -227,17 +229,33 @@
             }
             restart(fleet, &[node]).await;
         }
-        PlannedWork::Reload => {
-            for node in &mut fleet.nodes {
-                node.signal("-HUP");
-            }
-        }
-        PlannedWork::Configure => {
-            for number in 0..3 {
-                let version = u64::try_from(step * 3 + number + 2).expect("a small number");
-                fleet.deployment.configure(&configuration(version));
+        PlannedWork::Overlapping => {
+            let stopped: BTreeSet<usize> = (step * 3..step * 3 + 3).map(|n| n % count).collect();
+            for node in &stopped {
+                fleet.nodes[*node].signal("-TERM");
+                actix_rt::time::sleep(SIGNAL_PAUSE).await;
+                reload(fleet);
+                configure(fleet, step);
             }
+            restart(fleet, &Vec::from_iter(stopped)).await;
         }
+        PlannedWork::Reload => reload(fleet),
+        PlannedWork::Configure => configure(fleet, step),
+    }
+}
+
+/// Sends SIGHUP to all processes that run.
+fn reload(fleet: &mut Fleet) {
+    for node in &mut fleet.nodes {
+        node.signal("-HUP");
+    }
+}
+
+/// Publishes three configurations in immediate succession.
+fn configure(fleet: &Fleet, step: usize) {
+    for number in 0..3 {
+        let version = u64::try_from(step * 3 + number + 2).expect("a small number");
+        fleet.deployment.configure(&configuration(version));
     }
 }
 
