--- a/crates/cli/tests/soak/checker_tests.rs
+++ b/crates/cli/tests/soak/checker_tests.rs
@@ -1,13 +1,15 @@
 //! Tests of the checks: each check accepts correct observations and detects violations.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use crate::callers::{Kind, RequestRecord, TURN_TOKENS};
 use crate::checks::{Observations, violations};
 use crate::deadly::ObservedDeadly;
 use crate::fleet::EVENTS;
 use crate::impatient::ImpatientProgram;
+use crate::restarts::{Exchange, Stalls, findings};
 use crate::standin::caller::{Answer, STAMP_HEADER};
 use crate::standin::worker::{Run, event};
 
@@ -328,3 +330,52 @@
         assert_eq!(!found.is_empty(), is_violation, "{found:?}");
     }
 }
+
+/// Returns an exchange that ended after `took` milliseconds, with this status and completeness.
+fn exchange(id: &str, took: u64, answer: Option<(u16, bool)>) -> Exchange {
+    let answer = answer.map(|(status, is_whole)| Answer {
+        status,
+        head: String::new(),
+        body: String::new(),
+        is_whole,
+    });
+    Exchange {
+        id: id.to_owned(),
+        kind: Kind::StoredTurn,
+        previous: Some("before".to_owned()),
+        node: SocketAddr::from(([127, 0, 0, 1], 1)),
+        sent: Instant::now(),
+        took: Duration::from_millis(took),
+        answer,
+    }
+}
+
+#[test]
+fn requests_that_were_accepted_and_not_answered_are_lost() {
+    let exchanges = [
+        exchange("whole", 300, Some((200, true))),
+        exchange("refused", 3, Some((503, true))),
+        exchange("run-and-cut", 100, Some((200, false))),
+        exchange("run-and-closed", 20, None),
+        exchange("read-and-closed", 300, None),
+        exchange("closed-before-it-was-read", 20, None),
+        exchange("cut-at-the-deadline", 1_201, Some((200, false))),
+        exchange("missing", 3, Some((404, true))),
+    ];
+    let ran = [
+        "whole",
+        "run-and-cut",
+        "run-and-closed",
+        "cut-at-the-deadline",
+    ];
+    let ran = ran.map(str::to_owned).into();
+    let found = findings(&exchanges, &ran, &Stalls::default(), Instant::now());
+    let ids = |found: &[String]| -> Vec<String> {
+        let ids = found.iter().filter_map(|text| text.split(' ').next());
+        ids.map(str::to_owned).collect()
+    };
+    let lost = ["run-and-cut", "run-and-closed", "read-and-closed"];
+    assert_eq!(ids(&found.lost), lost);
+    assert_eq!(ids(&found.late), ["cut-at-the-deadline"]);
+    assert_eq!(ids(&found.missing), ["missing"]);
+}
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !self.is_running()
+    }
+
     fn is_running(&mut self) -> bool {
         let has_exited = self.child.as_mut().is_none_or(|child| {
             child
