--- a/crates/gateway-core/tests/ledger/handover.rs
+++ b/crates/gateway-core/tests/ledger/handover.rs
@@ -8,7 +8,7 @@
 
 use crate::fixtures::{START, begin, carry_out, finish, kept, synced_owner};
 
-/// Number of records that the other owner appends between two calls of this one.
+/// Number of appends that the owner loses, each followed by a read.
 const ROUNDS: u64 = 30;
 
 /// Returns a record that another owner appends.
