--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -356,12 +356,15 @@
         }
     }
 
-    /// Records that a worker has answered a request: it doesn't end its workers.
-    pub fn note_served(&mut self, request: &RequestIdentity) {
+    /// Records that a worker has answered a request: it doesn't end its workers. Returns what was known
+    /// of it.
+    pub fn note_served(&mut self, request: &RequestIdentity) -> EndCount {
+        let known = self.count(request);
         for key in request.keys() {
             self.entries.remove(&key);
         }
         self.breaks.retain(|known| known.request != *request);
+        known
     }
 
     /// Returns how many workers have ended or may have ended under a request.
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -247,7 +247,14 @@
     /// Records that a worker answered the request.
     pub(super) fn note_served(&self) {
         let mut table = self.gateway.requests.ends.borrow_mut();
-        table.note_served(&self.identity);
+        let forgotten = table.note_served(&self.identity);
+        if forgotten != EndCount::NONE {
+            log::info!(
+                request = self.attributes.request_id.as_deref().unwrap_or_default(),
+                content = self.identity.content.0, ended = forgotten.ended, unsettled = forgotten.unsettled;
+                "forgot ends of workers under an answered request"
+            );
+        }
     }
 
     /// Returns the response for a request that is not sent. It has run, so that none may claim the
--- a/crates/gateway/src/worker_probes.rs
+++ b/crates/gateway/src/worker_probes.rs
@@ -153,6 +153,11 @@
             return peers::settle(gateway, worker, Fate::Alive);
         }
         let finding = probe(gateway, suspected).await;
+        log::info!(
+            worker = worker, finding:? = finding,
+            after_ms = gateway.now().since(running.broke_off.get()).as_millis();
+            "probed a worker on a new connection"
+        );
         let is_listed = gateway.workers.borrow().is_listed(worker);
         // A request may have been left without an answer during the probe.
         let investigation = Investigation::of_exchange(running.broke_off.get());
