--- a/crates/gateway-core/src/attempt.rs
+++ b/crates/gateway-core/src/attempt.rs
@@ -95,7 +95,7 @@
     /// Decides whether a request may be sent to a worker, the first time or again. `ends` are the ends
     /// of workers under it, over all tries of its caller, and `workers_left` those that may take it.
     pub fn decide_send(&self, ends: EndCount, workers_left: usize) -> SendDecision {
-        let possible = ends.ended + ends.unsettled;
+        let possible = ends.possible();
         if ends.ended >= MAX_ENDED_WORKERS {
             return SendDecision::GivenUp;
         }
--- a/crates/gateway-core/src/worker_ends/investigation.rs
+++ b/crates/gateway-core/src/worker_ends/investigation.rs
@@ -1,17 +1,16 @@
 //! Finds out whether a worker ended, or only the connection to it, after an exchange was left without
 //! an answer.
 //!
-//! Only three things are certain: nothing listens at the worker's address any more, another process
-//! answers there, or the worker itself does. That it did so right after the exchange is not enough, since
-//! a process that ends may close its sockets one after another. A worker that doesn't answer may be
-//! behind a cut: it may have ended for as long as its record is present, and counts as ended without.
+//! Only two things are certain: nothing listens at the worker's address any more, or another process
+//! answers there. An answer under the worker's id comes from the same process or from the next one of that
+//! id, and decides nothing. A worker that doesn't answer may be behind a cut: it may have ended for as long
+//! as its record is present, and counts as ended without.
 
 use std::time::Duration;
 
 use elderworks_types::Timestamp;
 
-/// Time after an exchange from which an answer of the worker shows that it outlived the exchange.
-pub const MAX_END_DELAY: Duration = Duration::from_millis(800);
+use super::exchanges::MAX_END_DELAY;
 
 /// Pause between the probes of a worker that doesn't answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(500);
@@ -23,7 +22,7 @@
     Refused,
     /// Another process answered.
     Replaced,
-    /// The worker answered.
+    /// A process of the worker's id answered.
     Answered,
     /// Nothing came back.
     NoAnswer,
@@ -38,8 +37,8 @@
     Replaced,
     /// It doesn't answer and its record is gone. The record comes back if the worker was only cut off.
     Vanished,
-    /// Its process outlived the exchange.
-    Alive,
+    /// Its record tells that its process started later.
+    Restarted,
 }
 
 /// The next step of an investigation.
@@ -49,6 +48,8 @@
     After(Duration),
     /// The worker's fate is settled.
     Settled(Fate),
+    /// Probes find out nothing more: a process of the worker's id runs.
+    Undecided,
 }
 
 /// An investigation of one worker.
@@ -64,7 +65,7 @@
             Self::Ended => "refuses connections",
             Self::Replaced => "another process answers at its address",
             Self::Vanished => "silent, and its record is gone",
-            Self::Alive => "runs",
+            Self::Restarted => "its record tells of a later start",
         }
     }
 }
@@ -75,21 +76,18 @@
         Self { broke_off }
     }
 
-    /// Returns whether a worker outlived the exchange, given when it last answered this node.
-    pub fn is_outlived(&self, last_answer: Option<Timestamp>) -> bool {
-        last_answer.is_some_and(|at| at >= self.broke_off + MAX_END_DELAY)
-    }
-
     /// Returns what follows from the result of a probe. `is_listed` is whether the worker's record is
     /// present.
     pub fn on_finding(&self, now: Timestamp, finding: Finding, is_listed: bool) -> NextProbe {
         match finding {
             Finding::Refused => NextProbe::Settled(Fate::Ended),
             Finding::Replaced => NextProbe::Settled(Fate::Replaced),
-            Finding::Answered if self.is_outlived(Some(now)) => NextProbe::Settled(Fate::Alive),
             Finding::Answered => {
-                let elapsed = now.since(self.broke_off);
-                NextProbe::After(MAX_END_DELAY.saturating_sub(elapsed))
+                let left = MAX_END_DELAY.saturating_sub(now.since(self.broke_off));
+                match left.is_zero() {
+                    true => NextProbe::Undecided,
+                    false => NextProbe::After(left),
+                }
             }
             Finding::NoAnswer if !is_listed => NextProbe::Settled(Fate::Vanished),
             Finding::NoAnswer => NextProbe::After(SILENCE_PAUSE),
--- a/crates/gateway-core/src/worker_ends/mod.rs
+++ b/crates/gateway-core/src/worker_ends/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! A request may be the cause of an end, so that it must not be sent from worker to worker for ever, in
 //! whichever of its caller's tries and at whichever node. This module recognizes a request over its
-//! tries ([`identity`]), finds out whether a worker ended or only a connection ([`investigation`]),
-//! keeps what is known of requests at this and at other nodes ([`table`]), and keeps requests apart that
+//! tries ([`identity`]), counts exchanges whose worker may have ended ([`exchanges`]), finds out whether a
+//! worker ended or only a connection ([`investigation`]), keeps what is known of requests at this and at other nodes ([`table`]), and keeps requests apart that
 //! may be the cause ([`suspects`], [`placement`]). Whether a request may be sent is decided by
 //! [`AttemptHistory`](crate::attempt::AttemptHistory).
 
+mod entry;
+pub mod exchanges;
 pub mod identity;
 pub mod investigation;
 pub mod placement;
@@ -37,6 +39,11 @@
         self.ended > 0
     }
 
+    /// Returns the number of workers that ended or may have ended.
+    pub fn possible(self) -> usize {
+        self.ended + self.unsettled
+    }
+
     /// Returns whether one more end is the last that may happen.
     pub fn is_at_last(self) -> bool {
         self.ended + 1 == MAX_ENDED_WORKERS
--- a/crates/gateway-core/src/worker_ends/placement.rs
+++ b/crates/gateway-core/src/worker_ends/placement.rs
@@ -7,6 +7,7 @@
 use elderworks_types::Timestamp;
 
 use super::EndCount;
+use super::exchanges::WorkerPart;
 use super::identity::RequestIdentity;
 use super::suspects::Suspects;
 use super::table::EndTable;
@@ -63,14 +64,14 @@
             BTreeSet::new(),
         ];
     }
-    let own_ended = table.workers(request);
+    let own_ended = table.ended_under(request);
     let of_service = || workers.known(service);
     let gone: BTreeSet<WorkerKey> = of_service()
         .map(|worker| worker.key())
         .filter(|worker| table.has_ended(*worker))
         .collect();
     let lost_zones: BTreeSet<&str> = of_service()
-        .filter(|worker| own_ended.contains(&worker.key()))
+        .filter(|worker| own_ended.contains(&WorkerPart::of(worker.key())))
         .map(|worker| worker.record.zone.as_str())
         .collect();
     let in_lost_zones: BTreeSet<WorkerKey> = of_service()
--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -6,142 +6,34 @@
 
 use elderworks_types::Timestamp;
 
+use super::EndCount;
+use super::entry::Entry;
+pub use super::entry::{EndedRequest, KeyKind, PossibleEnd};
+use super::exchanges::{Exchange, ExchangeKey, SignOfLife, WorkerPart};
 use super::identity::{RequestIdentity, RequestKey};
-use super::{EndCount, MAX_ENDED_WORKERS};
 use crate::peer_loads::WorkerKey;
 
-/// Maximum number of requests that are remembered; the oldest are forgotten first.
+/// Maximum number of requests that are remembered; those without an end are forgotten first, then the
+/// oldest.
 const MAX_REQUESTS: usize = 16_384;
 
-/// Maximum number of workers that are remembered for a request. More than [`MAX_ENDED_WORKERS`] can end
-/// if tries of one request run at the same time.
-const MAX_WORKERS: usize = 2 * MAX_ENDED_WORKERS;
-
 /// Maximum number of keys of requests that a node records in the log.
 const MAX_RECORDED: usize = 96;
 
-/// Pauses after which a report is sent again, since datagrams can be lost and nodes cut off for a
-/// moment.
-const REPORT_PAUSES: [Duration; 3] = [
-    Duration::from_millis(60),
-    Duration::from_millis(400),
-    Duration::from_millis(1_500),
-];
-
-/// What a key of a request stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyKind {
-    /// One try.
-    Attempt,
-    /// The content of one request.
-    Content,
-    /// Content that requests of several callers may have.
-    SharedContent,
-}
-
-impl KeyKind {
-    fn of_content(request: &RequestIdentity) -> Self {
-        match request.is_shared {
-            true => Self::SharedContent,
-            false => Self::Content,
-        }
-    }
-}
-
-/// The workers that ended or may have ended under a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EndedRequest {
-    /// The request, or one try of it.
-    pub request: RequestKey,
-    /// What the key stands for.
-    pub kind: KeyKind,
-    /// Time since the last of the ends.
-    pub age: Duration,
-    /// The workers that ended.
-    pub workers: Vec<WorkerKey>,
-    /// The workers at which it was left without an answer and that aren't known to run.
-    pub possible: Vec<WorkerKey>,
-}
-
-/// A worker at which a request was left without an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PossibleEnd {
-    /// The worker.
-    pub worker: WorkerKey,
-    /// When that was, or earlier.
-    pub since: Timestamp,
-}
-
-#[derive(Clone, Debug)]
-struct Entry {
-    kind: KeyKind,
-    workers: Vec<WorkerKey>,
-    possible: Vec<PossibleEnd>,
-    /// When the last of them ended or may have ended, to this node's knowledge.
-    noted: Timestamp,
-    /// Number of reports sent, if this node reports it.
-    reports: Option<usize>,
-    next_report: Timestamp,
-    /// Whether this node noted any of it and keeps it in the log, too.
-    is_own: bool,
-}
-
-impl Entry {
-    fn is_empty(&self) -> bool {
-        self.workers.is_empty() && self.possible.is_empty()
-    }
-
-    /// Adds a possible end; returns whether it is new.
-    fn add_possible(&mut self, end: PossibleEnd) -> bool {
-        let is_known = self.workers.contains(&end.worker)
-            || self.possible.iter().any(|known| known.worker == end.worker);
-        if is_known || self.possible.len() >= MAX_WORKERS {
-            return false;
-        }
-        self.possible.push(end);
-        self.noted = self.noted.max(end.since);
-        true
-    }
-
-    /// Replaces what is known by what another try has met, if that is more. Returns whether it is.
-    fn replace_if_more(&mut self, workers: &[WorkerKey], possible: Vec<PossibleEnd>) -> bool {
-        let mut others: Vec<PossibleEnd> = Vec::new();
-        for end in possible {
-            let is_known = workers.contains(&end.worker)
-                || others.iter().any(|other| other.worker == end.worker);
-            if !is_known {
-                others.push(end);
-            }
-        }
-        let known = self.workers.len() + self.possible.len();
-        let is_more = workers.len() + others.len() > known;
-        if is_more {
-            self.workers = workers.to_vec();
-            self.possible = others;
-        }
-        is_more
-    }
-
-    fn report_from(&mut self, at: Timestamp) {
-        self.is_own = true;
-        self.reports = Some(0);
-        self.next_report = at;
-    }
-
-    fn remove_possible(&mut self, worker: WorkerKey) {
-        self.possible.retain(|known| known.worker != worker);
-    }
-}
-
-/// A request of this node that was left without an answer at a worker, so that the worker may have
-/// ended.
+/// An exchange of this node that was left without an answer, so that the worker may have ended.
 #[derive(Clone, Copy, Debug)]
 struct Break {
-    worker: WorkerKey,
+    exchange: Exchange,
     request: RequestIdentity,
     since: Timestamp,
 }
 
+impl Break {
+    fn key(&self) -> ExchangeKey {
+        ExchangeKey::of(&self.exchange, self.request.attempt)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct EndedWorker {
     noted: Timestamp,
@@ -165,8 +57,8 @@
     /// Requests in the order in which they were first noted.
     order: VecDeque<(Timestamp, RequestKey)>,
     breaks: Vec<Break>,
-    /// Workers that are known to have ended.
-    ended_workers: HashMap<WorkerKey, EndedWorker>,
+    /// Workers of whose ids no process is known to run. Says nothing of the requests that they ran.
+    ended_workers: HashMap<WorkerPart, EndedWorker>,
 }
 
 impl EndTable {
@@ -179,9 +71,9 @@
         let Some(known) = self.entries.get(&request.content) else {
             return;
         };
-        let (workers, possible) = (known.workers.clone(), known.possible.clone());
-        if !workers.is_empty() {
-            self.add(now, request.attempt, KeyKind::Attempt, &workers);
+        let (ended, possible) = (known.ended.clone(), known.possible.clone());
+        if !ended.is_empty() {
+            self.add(now, request.attempt, KeyKind::Attempt, &ended);
         }
         for end in possible {
             let entry = self.entry(now, request.attempt, KeyKind::Attempt);
@@ -189,29 +81,33 @@
         }
     }
 
-    /// Records that a request was left without an answer at a worker. The worker counts as one that may
-    /// have ended until it is known to run. Other nodes are told from `report_from` on.
+    /// Records that an exchange was left without an answer. Its worker counts as one that may have ended
+    /// until it is known to have outlived the exchange. Other nodes are told from `report_from` on.
     pub fn note_break(
         &mut self,
         now: Timestamp,
-        worker: WorkerKey,
+        exchange: Exchange,
         request: &RequestIdentity,
         report_from: Timestamp,
     ) {
-        self.breaks
-            .retain(|known| known.worker != worker || known.request != *request);
-        self.breaks.push(Break {
-            worker,
+        let new = Break {
+            exchange,
             request: *request,
             since: now,
-        });
+        };
+        self.breaks
+            .retain(|known| known.exchange != exchange || known.request != *request);
+        self.breaks.push(new);
         let content = (!request.is_shared).then_some((request.content, KeyKind::Content));
         let attempts = [Some(request.attempt), request.resumed];
         let attempts = attempts
             .into_iter()
             .flatten()
             .map(|key| (key, KeyKind::Attempt));
-        let end = PossibleEnd { worker, since: now };
+        let end = PossibleEnd {
+            exchange: new.key(),
+            since: now,
+        };
         for (key, kind) in content.into_iter().chain(attempts) {
             let entry = self.entry(now, key, kind);
             if entry.add_possible(end) {
@@ -230,37 +126,65 @@
         request: &RequestIdentity,
         report_from: Timestamp,
     ) {
-        let workers: Vec<WorkerKey> = self.workers(request).into_iter().collect();
+        let ended: Vec<ExchangeKey> = self.ended(request).into_iter().collect();
         let possible: Vec<PossibleEnd> = self.possible_ends(request).collect();
         let entry = self.entry(now, request.content, KeyKind::SharedContent);
-        if entry.replace_if_more(&workers, possible) {
+        if entry.replace_if_more(&ended, possible.into_iter()) {
             entry.noted = now;
             entry.report_from(report_from);
         }
     }
 
-    /// Returns whether a break at a worker is still being investigated for a request.
+    /// Returns whether an exchange of a request with a worker is unsettled at this node.
     pub fn has_break(&self, worker: WorkerKey, request: &RequestIdentity) -> bool {
         let mut breaks = self.breaks.iter();
-        breaks.any(|known| known.worker == worker && known.request == *request)
+        breaks.any(|known| known.exchange.worker == worker && known.request == *request)
+    }
+
+    /// Returns whether an answer on a connection to a worker that was open at `opened` may show that the
+    /// worker outlived an exchange of this node.
+    pub fn needs_sign_of_life(&self, worker: WorkerKey, opened: Timestamp) -> bool {
+        let mut breaks = self.breaks.iter();
+        breaks.any(|known| known.exchange.worker == worker && opened <= known.exchange.sent)
     }
 
     /// Returns whether a worker may have ended under any request.
     pub fn may_have_ended(&self, worker: WorkerKey) -> bool {
         let mut possible = self.entries.values().flat_map(|entry| &entry.possible);
-        possible.any(|end| end.worker == worker)
+        possible.any(|end| end.exchange.is_with(worker))
     }
 
-    /// Records that a worker runs and has not ended under any request so far. Returns the number of
-    /// breaks at it.
-    pub fn note_alive(&mut self, worker: WorkerKey) -> usize {
-        let before = self.breaks.len();
-        self.breaks.retain(|known| known.worker != worker);
+    /// Records that the process at a worker's address has answered. Returns the number of exchanges of
+    /// this node that it is now known to have outlived.
+    pub fn note_answer(&mut self, now: Timestamp, sign: &SignOfLife) -> usize {
+        let outlived: Vec<Break> = self
+            .breaks
+            .extract_if(.., |known| sign.outlives(&known.exchange, known.since))
+            .collect();
+        for known in &outlived {
+            let exchange = known.key();
+            for key in known.request.keys() {
+                if let Some(entry) = self.entries.get_mut(&key)
+                    && entry.outlive(exchange)
+                {
+                    entry.report_outlived(now);
+                }
+            }
+        }
+        let shared = outlived.iter().filter(|known| known.request.is_shared);
+        for exchange in shared.map(Break::key) {
+            self.outlive_inherited(exchange);
+        }
+        outlived.len()
+    }
+
+    /// Removes an exchange that was outlived from tries which took it over with shared content.
+    fn outlive_inherited(&mut self, exchange: ExchangeKey) {
         for entry in self.entries.values_mut() {
-            entry.remove_possible(worker);
+            if entry.has_possible(exchange) {
+                entry.outlive(exchange);
+            }
         }
-        self.entries.retain(|_, entry| !entry.is_empty());
-        before - self.breaks.len()
     }
 
     /// Records that a worker has ended; returns the requests that it was running.
@@ -270,73 +194,76 @@
         worker: WorkerKey,
         may_return: bool,
     ) -> Vec<NewEnd> {
+        let part = WorkerPart::of(worker);
         let ended = EndedWorker {
             noted: now,
             may_return,
         };
-        self.ended_workers.insert(worker, ended);
-        let (of_worker, others) = std::mem::take(&mut self.breaks)
-            .into_iter()
-            .partition(|known: &Break| known.worker == worker);
-        self.breaks = others;
-        self.end_told(now, worker);
-        let of_worker: Vec<Break> = of_worker;
-        let requests = of_worker.into_iter().map(|known| known.request);
-        requests
-            .map(|request| {
-                self.add_end(now, &request, worker);
-                let ended = self.count(&request).ended;
-                NewEnd { request, ended }
-            })
-            .collect()
+        self.ended_workers.insert(part, ended);
+        let of_worker: Vec<Break> = self
+            .breaks
+            .extract_if(.., |known| known.exchange.worker == worker)
+            .collect();
+        for entry in self.entries.values_mut() {
+            if entry.end_worker(now, part) {
+                entry.report_from(now);
+            }
+        }
+        let ends = of_worker.iter().map(|known| {
+            let request = known.request;
+            self.add_end(now, &request, known.key());
+            let ended = self.count(&request).ended;
+            NewEnd { request, ended }
+        });
+        ends.collect()
     }
 
-    /// Turns the possible ends of a worker into ends, also those that other nodes reported.
-    fn end_told(&mut self, now: Timestamp, worker: WorkerKey) {
-        let of_worker = self.entries.iter_mut().filter(|(_, entry)| {
-            let mut possible = entry.possible.iter();
-            possible.any(|end| end.worker == worker)
-        });
-        for (_, entry) in of_worker {
-            entry.remove_possible(worker);
-            entry.workers.push(worker);
-            entry.workers.truncate(MAX_WORKERS);
-            entry.noted = entry.noted.max(now);
-            entry.report_from(now);
+    /// Records that a process of a worker's id runs: requests may be sent to it. What ended before is as it
+    /// was.
+    pub fn note_running(&mut self, worker: WorkerKey) {
+        if !self.ended_workers.is_empty() {
+            self.ended_workers.remove(&WorkerPart::of(worker));
         }
     }
 
-    /// Records that the record of a worker which was taken for ended is back.
+    /// Records that the record of a worker which was taken for ended is back: it may have ended.
     pub fn note_back(&mut self, worker: WorkerKey) {
-        let known = self.ended_workers.get(&worker);
+        let part = WorkerPart::of(worker);
+        let known = self.ended_workers.get(&part);
         if !known.is_some_and(|known| known.may_return) {
             return;
         }
-        self.ended_workers.remove(&worker);
+        self.ended_workers.remove(&part);
         for entry in self.entries.values_mut() {
-            entry.workers.retain(|known| *known != worker);
+            entry.reopen_worker(part);
         }
     }
 
     /// Records what another node knows of a request.
     pub fn note_told(&mut self, now: Timestamp, told: &EndedRequest) {
-        for worker in &told.workers {
+        for exchange in &told.ended {
             let ended = EndedWorker {
                 noted: now,
                 may_return: false,
             };
-            self.ended_workers.entry(*worker).or_insert(ended);
+            let worker = self.ended_workers.entry(exchange.worker_part());
+            worker.or_insert(ended);
         }
         let noted = now - told.age;
-        if !told.workers.is_empty() {
-            self.merge(noted, told.request, told.kind, &told.workers);
+        if !told.outlived.is_empty() {
+            self.note_outlived(noted, told);
+        }
+        if !told.ended.is_empty() {
+            let entry = self.entry(noted, told.request, told.kind);
+            entry.add_ended(noted, &told.ended);
         }
-        let (ended, possible): (Vec<WorkerKey>, Vec<WorkerKey>) = told
+        let (ended, possible): (Vec<ExchangeKey>, Vec<ExchangeKey>) = told
             .possible
             .iter()
-            .partition(|worker| self.ended_workers.contains_key(worker));
+            .partition(|exchange| self.ended_workers.contains_key(&exchange.worker_part()));
         if !ended.is_empty() {
-            self.merge(noted, told.request, told.kind, &ended);
+            let entry = self.entry(noted, told.request, told.kind);
+            entry.add_ended(noted, &ended);
         }
         if possible.is_empty() {
             return;
@@ -344,11 +271,11 @@
         let since = noted;
         let possible = possible
             .into_iter()
-            .map(|worker| PossibleEnd { worker, since });
+            .map(|exchange| PossibleEnd { exchange, since });
         let entry = self.entry(noted, told.request, told.kind);
         if told.kind == KeyKind::SharedContent {
-            let workers = entry.workers.clone();
-            entry.replace_if_more(&workers, possible.collect());
+            let ended = entry.ended.clone();
+            entry.replace_if_more(&ended, possible);
             return;
         }
         for end in possible {
@@ -356,38 +283,60 @@
         }
     }
 
-    /// Records that a worker has answered a request: it doesn't end its workers. Returns what was known
-    /// of it.
+    /// Takes over the proof of the node that had the exchanges.
+    fn note_outlived(&mut self, noted: Timestamp, told: &EndedRequest) {
+        let entry = self.entry(noted, told.request, told.kind);
+        for exchange in &told.outlived {
+            entry.outlive(*exchange);
+        }
+        if told.kind == KeyKind::SharedContent {
+            for exchange in &told.outlived {
+                self.outlive_inherited(*exchange);
+            }
+        }
+    }
+
+    /// Records that a caller has received the answer to its request. Content that requests of several
+    /// callers may have isn't the cause of an end then; other content isn't sent again. Returns what was
+    /// known of the content.
     pub fn note_served(&mut self, request: &RequestIdentity) -> EndCount {
-        let known = self.count(request);
-        for key in request.keys() {
-            self.entries.remove(&key);
+        if !request.is_shared {
+            return EndCount::NONE;
         }
-        self.breaks.retain(|known| known.request != *request);
-        known
+        let known = self.entries.remove(&request.content);
+        known.map_or(EndCount::NONE, |known| EndCount {
+            ended: known.ended.len(),
+            unsettled: known.possible.len(),
+        })
     }
 
     /// Returns how many workers have ended or may have ended under a request.
     pub fn count(&self, request: &RequestIdentity) -> EndCount {
-        let ended = self.workers(request);
+        let ended = self.ended(request);
         let possible = self.possible_ends(request);
-        let unsettled: BTreeSet<WorkerKey> = possible.map(|end| end.worker).collect();
+        let unsettled: BTreeSet<ExchangeKey> = possible.map(|end| end.exchange).collect();
         EndCount {
             ended: ended.len(),
             unsettled: unsettled.difference(&ended).count(),
         }
     }
 
-    /// Returns the workers that may have ended under a request.
+    /// Returns the exchanges of a request whose worker may have ended.
     pub fn possible_ends(&self, request: &RequestIdentity) -> impl Iterator<Item = PossibleEnd> {
         let entries = self.entries_of(request);
         entries.flat_map(|entry| &entry.possible).copied()
     }
 
-    /// Returns the workers that ended under a request.
-    pub fn workers(&self, request: &RequestIdentity) -> BTreeSet<WorkerKey> {
+    /// Returns the exchanges of a request whose worker ended.
+    pub fn ended(&self, request: &RequestIdentity) -> BTreeSet<ExchangeKey> {
         let entries = self.entries_of(request);
-        entries.flat_map(|entry| &entry.workers).copied().collect()
+        entries.flat_map(|entry| &entry.ended).copied().collect()
+    }
+
+    /// Returns which workers ended under a request.
+    pub fn ended_under(&self, request: &RequestIdentity) -> BTreeSet<WorkerPart> {
+        let ended = self.ended(request);
+        ended.into_iter().map(ExchangeKey::worker_part).collect()
     }
 
     fn entries_of(&self, request: &RequestIdentity) -> impl Iterator<Item = &Entry> {
@@ -397,42 +346,34 @@
         keys.filter_map(|key| self.entries.get(&key))
     }
 
-    /// Returns the position of a request among those that met as many ends and the same last one, in an
-    /// order that all nodes share.
+    /// Returns the position of a request among those that met ends of the same workers, in an order that
+    /// all nodes share.
     pub fn turn_among_alike(&self, request: &RequestIdentity) -> usize {
-        let own = self.workers(request);
+        let own = self.ended(request);
+        let workers = self.ended_under(request);
         let alike = self.entries.iter().filter(|(key, entry)| {
+            let mut ended = entry.ended.iter();
             entry.kind == KeyKind::Attempt
                 && **key < request.attempt
                 && Some(**key) != request.resumed
-                && entry.workers.len() == own.len()
-                && entry.workers.iter().all(|worker| own.contains(worker))
+                && entry.ended.len() == own.len()
+                && ended.all(|exchange| workers.contains(&exchange.worker_part()))
         });
         alike.count()
     }
 
-    /// Returns whether a worker is known to have ended.
+    /// Returns whether a worker has ended and no process of its id is known to run.
     pub fn has_ended(&self, worker: WorkerKey) -> bool {
-        self.ended_workers.contains_key(&worker)
+        self.ended_workers.contains_key(&WorkerPart::of(worker))
     }
 
     /// Returns the reports that are due, which count as sent from then on.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<EndedRequest> {
-        let mut due = Vec::new();
-        for (request, entry) in &mut self.entries {
-            let Some(reports) = entry.reports.filter(|_| entry.next_report <= now) else {
-                continue;
-            };
-            entry.reports = match REPORT_PAUSES.get(reports) {
-                Some(pause) => {
-                    entry.next_report = now + *pause;
-                    Some(reports + 1)
-                }
-                None => None,
-            };
-            due.push(ended_request(now, *request, entry));
-        }
-        due
+        let due = self.entries.iter_mut().filter_map(|(request, entry)| {
+            let is_due = entry.take_due(now);
+            is_due.then(|| entry.told(now, *request))
+        });
+        due.collect()
     }
 
     /// Returns what is known of some requests.
@@ -441,7 +382,7 @@
             .iter()
             .filter_map(|request| Some((request, self.entries.get(request)?)));
         known
-            .map(|(request, entry)| ended_request(now, *request, entry))
+            .map(|(request, entry)| entry.told(now, *request))
             .collect()
     }
 
@@ -450,12 +391,12 @@
     pub fn to_record(&self, now: Timestamp) -> Vec<EndedRequest> {
         let own = self.entries.iter();
         let mut own: Vec<_> = own
-            .filter(|(_, entry)| entry.is_own && !entry.workers.is_empty())
+            .filter(|(_, entry)| entry.is_own && !entry.ended.is_empty())
             .collect();
         own.sort_by_key(|(key, entry)| (std::cmp::Reverse(entry.noted), **key));
         own.truncate(MAX_RECORDED);
         own.into_iter()
-            .map(|(request, entry)| ended_request(now, *request, entry))
+            .map(|(request, entry)| entry.told(now, *request))
             .collect()
     }
 
@@ -471,7 +412,7 @@
     pub fn all(&self, now: Timestamp) -> Vec<EndedRequest> {
         let known = self.entries.iter();
         known
-            .map(|(request, entry)| ended_request(now, *request, entry))
+            .map(|(request, entry)| entry.told(now, *request))
             .collect()
     }
 
@@ -506,94 +447,46 @@
         self.entries.is_empty()
     }
 
-    fn add_end(&mut self, now: Timestamp, request: &RequestIdentity, worker: WorkerKey) {
-        let known = self.workers(request);
-        let mut workers: Vec<WorkerKey> = known.into_iter().collect();
-        if !workers.contains(&worker) {
-            workers.push(worker);
+    fn add_end(&mut self, now: Timestamp, request: &RequestIdentity, exchange: ExchangeKey) {
+        let mut ended: Vec<ExchangeKey> = self.ended(request).into_iter().collect();
+        if !ended.contains(&exchange) {
+            ended.push(exchange);
         }
-        self.add(now, request.content, KeyKind::of_content(request), &workers);
-        self.add(now, request.attempt, KeyKind::Attempt, &workers);
+        self.add(now, request.content, KeyKind::of_content(request), &ended);
+        self.add(now, request.attempt, KeyKind::Attempt, &ended);
         if let Some(resumed) = request.resumed {
-            self.add(now, resumed, KeyKind::Attempt, &workers);
+            self.add(now, resumed, KeyKind::Attempt, &ended);
         }
     }
 
-    /// Adds workers to a request of this node, which has to be reported then.
-    fn add(&mut self, now: Timestamp, request: RequestKey, kind: KeyKind, workers: &[WorkerKey]) {
-        if self.merge(now, request, kind, workers)
-            && let Some(entry) = self.entries.get_mut(&request)
-        {
+    /// Adds ends to a request of this node, which has to be reported then.
+    fn add(&mut self, now: Timestamp, request: RequestKey, kind: KeyKind, ended: &[ExchangeKey]) {
+        let entry = self.entry(now, request, kind);
+        if entry.add_ended(now, ended) {
             entry.report_from(now);
         }
     }
 
-    /// Adds workers to a request; returns whether that has changed it. A key that may stand for
-    /// several requests keeps the largest number that one of them met.
-    fn merge(
-        &mut self,
-        noted: Timestamp,
-        request: RequestKey,
-        kind: KeyKind,
-        workers: &[WorkerKey],
-    ) -> bool {
-        let entry = self.entry(noted, request, kind);
-        let before = entry.workers.len();
-        if kind != KeyKind::SharedContent {
-            for worker in workers {
-                if !entry.workers.contains(worker) {
-                    entry.workers.push(*worker);
-                }
-            }
-        } else if workers.len() > before {
-            entry.workers = workers.to_vec();
-        }
-        entry.workers.truncate(MAX_WORKERS);
-        let Entry {
-            workers: ended,
-            possible,
-            ..
-        } = entry;
-        possible.retain(|end| !ended.contains(&end.worker));
-        let has_grown = entry.workers.len() > before;
-        if has_grown {
-            entry.noted = entry.noted.max(noted);
-        }
-        has_grown
-    }
-
     /// Returns the entry of a key, which is created if there is none.
     fn entry(&mut self, noted: Timestamp, request: RequestKey, kind: KeyKind) -> &mut Entry {
         if !self.entries.contains_key(&request) {
             self.make_room();
             self.order.push_back((noted, request));
         }
-        self.entries.entry(request).or_insert_with(|| Entry {
-            kind,
-            workers: Vec::new(),
-            possible: Vec::new(),
-            noted,
-            reports: None,
-            next_report: noted,
-            is_own: false,
-        })
+        let new = || Entry::new(kind, noted);
+        self.entries.entry(request).or_insert_with(new)
     }
 
     fn make_room(&mut self) {
         while self.order.len() >= MAX_REQUESTS {
-            if let Some((_, oldest)) = self.order.pop_front() {
-                self.entries.remove(&oldest);
+            let mut oldest = self.order.iter();
+            let without_end = oldest.position(|(_, request)| {
+                let entry = self.entries.get(request);
+                entry.is_none_or(|entry| entry.ended.is_empty())
+            });
+            if let Some((_, request)) = self.order.remove(without_end.unwrap_or(0)) {
+                self.entries.remove(&request);
             }
         }
     }
 }
-
-fn ended_request(now: Timestamp, request: RequestKey, entry: &Entry) -> EndedRequest {
-    EndedRequest {
-        request,
-        kind: entry.kind,
-        age: now.since(entry.noted),
-        workers: entry.workers.clone(),
-        possible: entry.possible.iter().map(|end| end.worker).collect(),
-    }
-}
--- a/crates/gateway-core/tests/worker_ends.rs
+++ b/crates/gateway-core/tests/worker_ends.rs
@@ -12,6 +12,7 @@
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::worker_ends::EndCount;
+use elderworks_gateway_core::worker_ends::exchanges::{Exchange, ExchangeKey, SignOfLife};
 use elderworks_gateway_core::worker_ends::identity::{RequestContent, RequestIdentity, RequestKey};
 use elderworks_gateway_core::worker_ends::investigation::{
     Fate, Finding, Investigation, NextProbe,
@@ -72,15 +73,44 @@
 }
 
 fn worker(number: u32) -> WorkerKey {
-    WorkerKey(number)
+    WorkerKey(number << 20)
+}
+
+/// Returns an exchange with a worker.
+fn with(worker: WorkerKey) -> Exchange {
+    Exchange { worker, sent: NOW }
+}
+
+/// Returns the key of an exchange of a try with a worker.
+fn key(request: &RequestIdentity, worker: WorkerKey) -> ExchangeKey {
+    ExchangeKey::of(&with(worker), request.attempt)
 }
 
 /// Records that a request broke off at a worker, which was found to have ended.
 fn end(table: &mut EndTable, request: &RequestIdentity, number: u32) {
-    table.note_break(NOW, worker(number), request, NOW);
+    table.note_break(NOW, with(worker(number)), request, NOW);
     table.note_ended(NOW, worker(number), false);
 }
 
+/// Records that a worker answers long after [`NOW`] on a connection that was open before.
+fn outlive(table: &mut EndTable, worker: WorkerKey) -> usize {
+    let sign = sign_of_life(worker, Duration::ZERO, Duration::from_secs(1));
+    table.note_answer(NOW, &sign)
+}
+
+/// Returns an answer `answered` after [`NOW`] on a connection that was opened `opened` after it.
+fn sign_of_life(worker: WorkerKey, opened: Duration, answered: Duration) -> SignOfLife {
+    SignOfLife {
+        worker,
+        opened: NOW + opened,
+        answered: NOW + answered,
+    }
+}
+
+fn unsettled(ended: usize, unsettled: usize) -> EndCount {
+    EndCount { ended, unsettled }
+}
+
 #[test]
 fn tries_of_one_request_share_its_content() {
     let first = request("r1");
@@ -197,21 +227,23 @@
     let ms = Duration::from_millis;
     /// Time since the exchange, result of the probe, and whether the worker is listed.
     type Findings<'a> = &'a [(Duration, Finding, bool)];
-    let cases: [(&str, Findings<'_>, Option<Fate>); 9] = [
+    /// The fate, or `None` if probes find out nothing more.
+    type Outcome = Option<Fate>;
+    let cases: [(&str, Findings<'_>, Option<Outcome>); 10] = [
         (
             "nothing listens",
             &[(ms(0), Refused, true)],
-            Some(Fate::Ended),
+            Some(Some(Fate::Ended)),
         ),
         (
             "another process answers at the address, whatever the record says",
             &[(ms(0), Replaced, true)],
-            Some(Fate::Replaced),
+            Some(Some(Fate::Replaced)),
         ),
         (
             "a process that ends after its connections",
             &[(ms(0), Answered, true), (ms(799), Refused, true)],
-            Some(Fate::Ended),
+            Some(Some(Fate::Ended)),
         ),
         (
             "answers right after the exchange, however many",
@@ -219,9 +251,9 @@
             None,
         ),
         (
-            "an answer long after the exchange",
+            "an answer long after the exchange, of this or of the next process of the id",
             &[(ms(0), Answered, true), (ms(800), Answered, true)],
-            Some(Fate::Alive),
+            Some(None),
         ),
         (
             "silence of a listed worker",
@@ -231,7 +263,7 @@
         (
             "silence and a lost record",
             &[(ms(0), NoAnswer, true), (ms(1_000), NoAnswer, false)],
-            Some(Fate::Vanished),
+            Some(Some(Fate::Vanished)),
         ),
         (
             "silence is never a sign of life",
@@ -239,9 +271,14 @@
             None,
         ),
         (
-            "the end of a cut",
+            "the end of a cut, or of a restart",
             &[(ms(0), NoAnswer, true), (ms(9_000), Answered, true)],
-            Some(Fate::Alive),
+            Some(None),
+        ),
+        (
+            "the same without a record",
+            &[(ms(0), NoAnswer, true), (ms(9_000), Answered, false)],
+            Some(None),
         ),
     ];
     for (name, findings, expected) in cases {
@@ -249,7 +286,8 @@
         let mut fate = None;
         for (after, finding, is_listed) in findings {
             fate = match investigation.on_finding(NOW + *after, *finding, *is_listed) {
-                NextProbe::Settled(fate) => Some(fate),
+                NextProbe::Settled(fate) => Some(Some(fate)),
+                NextProbe::Undecided => Some(None),
                 NextProbe::After(pause) => {
                     assert!(!pause.is_zero(), "{name}");
                     None
@@ -260,33 +298,186 @@
     }
 }
 
+/// Neither an answer on a connection that was opened later nor one right after the exchange shows that the
+/// same process runs.
+#[test]
+fn answers_on_earlier_connections_show_that_a_worker_outlived_an_exchange() {
+    let ms = Duration::from_millis;
+    let before = SignOfLife {
+        opened: NOW - ms(5_000),
+        ..sign_of_life(worker(1), ms(0), ms(900))
+    };
+    let cases = [
+        ("opened before", before, true),
+        ("as it began", sign_of_life(worker(1), ms(0), ms(800)), true),
+        ("too early", sign_of_life(worker(1), ms(0), ms(799)), false),
+        (
+            "opened later",
+            sign_of_life(worker(1), ms(1), ms(9_000)),
+            false,
+        ),
+        (
+            "another worker",
+            sign_of_life(worker(2), ms(0), ms(900)),
+            false,
+        ),
+    ];
+    for (name, sign, expected) in cases {
+        let mut table = EndTable::default();
+        table.note_break(NOW, with(worker(1)), &request("r1"), NOW);
+        let outlived = table.note_answer(NOW + ms(900), &sign);
+        assert_eq!(outlived, usize::from(expected), "{name}");
+        let left = usize::from(!expected);
+        assert_eq!(table.count(&request("r2")).unsettled, left, "{name}");
+    }
+}
+
+/// Each process that starts under the id of a worker counts.
 #[test]
-fn answers_to_other_requests_show_that_a_worker_outlived_an_exchange() {
-    let investigation = Investigation::of_exchange(NOW);
-    assert!(!investigation.is_outlived(None));
-    assert!(!investigation.is_outlived(Some(NOW + Duration::from_millis(700))));
-    assert!(investigation.is_outlived(Some(NOW + Duration::from_millis(900))));
+fn exchanges_with_one_worker_count_one_by_one() {
+    let mut table = EndTable::default();
+    for number in 0..4_u32 {
+        let exchange = Exchange {
+            worker: worker(1),
+            sent: NOW + Duration::from_secs(1) * number,
+        };
+        table.note_break(exchange.sent, exchange, &request("r1"), NOW);
+        assert_eq!(table.count(&request("r2")).unsettled, number as usize + 1);
+    }
+    // A process of the id runs and the worker's record is back: that says nothing of those before.
+    table.note_running(worker(1));
+    table.note_back(worker(1));
+    assert_eq!(table.count(&request("r2")).unsettled, 4);
+    assert_eq!(table.note_ended(NOW, worker(1), true).len(), 4);
+    table.note_back(worker(1));
+    assert_eq!(table.count(&request("r2")).possible(), 4);
+}
+
+/// What a worker answers, or another one, doesn't undo an end.
+#[test]
+fn ends_stay_until_callers_no_longer_come_back() {
+    let mut table = EndTable::default();
+    end(&mut table, &request("r1"), 1);
+    end(&mut table, &request("r2"), 2);
+    table.note_served(&request("r3"));
+    table.note_running(worker(1));
+    table.note_back(worker(2));
+    outlive(&mut table, worker(1));
+    assert_eq!(table.count(&request("r4")).ended, 2);
+    table.drop_old(NOW + LIFETIME + Duration::from_millis(1), LIFETIME);
+    assert_eq!(table.count(&request("r4")), EndCount::NONE);
+}
+
+/// More possible ends than a node remembers of a request stay in the count.
+#[test]
+fn possible_ends_beyond_the_maximum_are_not_lost() {
+    let mut table = EndTable::default();
+    for number in 0..20 {
+        table.note_break(NOW, with(worker(number)), &request("r1"), NOW);
+    }
+    for number in 0..17 {
+        outlive(&mut table, worker(number));
+    }
+    assert!(table.count(&request("r2")).possible() >= 3);
+}
+
+/// A storm of exchanges that broke off doesn't push out a request under which workers ended.
+#[test]
+fn requests_without_an_end_are_forgotten_first() {
+    let mut table = EndTable::default();
+    end(&mut table, &request("r1"), 1);
+    for number in 0..20_000 {
+        let attributes = CallAttributes {
+            program: Some(format!("p-{number}")),
+            ..turn(&format!("s-{number}"))
+        };
+        let storm = RequestIdentity::of(&content(), &attributes);
+        table.note_break(NOW, with(worker(2)), &storm, NOW);
+    }
+    assert_eq!(table.count(&request("r2")).ended, 1);
+}
+
+/// The node that had an exchange tells others that its worker outlived it, in whichever order the messages
+/// arrive.
+#[test]
+fn outlived_exchanges_are_told_and_stay_settled() {
+    let mut table = EndTable::default();
+    table.note_break(NOW, with(worker(1)), &request("r1"), NOW);
+    let possible = table.take_due(NOW);
+    assert!(!possible.is_empty());
+    outlive(&mut table, worker(1));
+    let outlived = table.take_due(NOW);
+    assert!(!outlived.is_empty());
+    for reports in [[&possible, &outlived], [&outlived, &possible]] {
+        let mut told = EndTable::default();
+        for report in reports.into_iter().flatten() {
+            told.note_told(NOW, report);
+        }
+        assert_eq!(told.count(&request("r2")), EndCount::NONE);
+    }
+}
+
+/// Tries with shared content take over what is known of it, also what is settled later.
+#[test]
+fn outlived_exchanges_of_shared_content_are_settled_for_later_tries() {
+    let mut table = EndTable::default();
+    table.note_break(NOW, with(worker(1)), &shared("a1"), NOW);
+    let mut told = EndTable::default();
+    for report in table.take_due(NOW) {
+        told.note_told(NOW, &report);
+    }
+    for table in [&mut table, &mut told] {
+        table.begin(NOW, &shared("a2"));
+        assert_eq!(table.count(&shared("a2")).unsettled, 1);
+    }
+    outlive(&mut table, worker(1));
+    for report in table.take_due(NOW) {
+        told.note_told(NOW, &report);
+    }
+    for table in [&table, &told] {
+        assert_eq!(table.count(&shared("a2")), EndCount::NONE);
+    }
+}
+
+/// Nodes of earlier versions name workers by their whole hash.
+#[test]
+fn ends_told_by_nodes_of_earlier_versions_count() {
+    let mut table = EndTable::default();
+    let told = EndedRequest {
+        ended: vec![ExchangeKey(WorkerKey::of("w1").0)],
+        possible: vec![ExchangeKey(WorkerKey::of("w2").0)],
+        ..nothing_known(request("r1").content)
+    };
+    table.note_told(NOW, &told);
+    assert_eq!(table.count(&request("r2")), unsettled(1, 1));
+    assert!(table.has_ended(WorkerKey::of("w1")));
+    assert!(table.may_have_ended(WorkerKey::of("w2")));
+}
+
+fn nothing_known(request: RequestKey) -> EndedRequest {
+    EndedRequest {
+        request,
+        kind: KeyKind::Content,
+        age: Duration::ZERO,
+        ended: Vec::new(),
+        possible: Vec::new(),
+        outlived: Vec::new(),
+    }
 }
 
 #[test]
 fn an_end_counts_for_all_requests_that_the_worker_ran() {
     let mut table = EndTable::default();
     let (first, second) = (request("r1"), other("r2"));
-    table.note_break(NOW, worker(1), &first, NOW);
-    table.note_break(NOW, worker(1), &second, NOW);
-    table.note_break(NOW, worker(2), &second, NOW);
-    let expected = EndCount {
-        ended: 0,
-        unsettled: 2,
-    };
+    table.note_break(NOW, with(worker(1)), &first, NOW);
+    table.note_break(NOW, with(worker(1)), &second, NOW);
+    table.note_break(NOW, with(worker(2)), &second, NOW);
+    let expected = unsettled(0, 2);
     assert_eq!(table.count(&second), expected);
     assert_eq!(table.note_ended(NOW, worker(1), false).len(), 2);
-    table.note_alive(worker(2));
+    outlive(&mut table, worker(2));
     for request in [first, second] {
-        let expected = EndCount {
-            ended: 1,
-            unsettled: 0,
-        };
+        let expected = unsettled(1, 0);
         assert_eq!(table.count(&request), expected);
     }
 }
@@ -297,7 +488,7 @@
     for (number, id) in ["r1", "r2", "r3"].into_iter().enumerate() {
         let number = u32::try_from(number).expect("few tries");
         end(&mut table, &request(id), number);
-        // The same worker again makes no difference.
+        // What is known already makes no difference.
         end(&mut table, &request(id), number);
         let ended = usize::try_from(number).expect("few tries") + 1;
         assert_eq!(table.count(&request("later")).ended, ended);
@@ -350,7 +541,7 @@
 #[test]
 fn a_worker_whose_record_comes_back_had_not_ended() {
     let mut table = EndTable::default();
-    table.note_break(NOW, worker(1), &request("r1"), NOW);
+    table.note_break(NOW, with(worker(1)), &request("r1"), NOW);
     table.note_ended(NOW, worker(1), true);
     end(&mut table, &request("r1"), 2);
     table.note_back(worker(1));
@@ -364,10 +555,10 @@
 fn a_break_stays_unsettled_until_the_worker_is_known_to_run() {
     let mut table = EndTable::default();
     let request = request("r1");
-    table.note_break(NOW, worker(1), &request, NOW);
+    table.note_break(NOW, with(worker(1)), &request, NOW);
     assert!(table.has_break(worker(1), &request));
     assert_eq!(table.count(&request).unsettled, 1);
-    table.note_alive(worker(1));
+    outlive(&mut table, worker(1));
     assert!(!table.has_break(worker(1), &request));
     assert_eq!(table.count(&request), EndCount::NONE);
 }
@@ -396,12 +587,10 @@
 fn requests_are_forgotten_once_their_callers_no_longer_come_back() {
     let mut table = EndTable::default();
     end(&mut table, &request("r1"), 1);
+    let first = request("r1");
     let late = EndedRequest {
-        request: request("r1").content,
-        kind: KeyKind::Content,
-        age: Duration::ZERO,
-        workers: vec![worker(1), worker(2)],
-        possible: Vec::new(),
+        ended: vec![key(&first, worker(1)), key(&first, worker(2))],
+        ..nothing_known(first.content)
     };
     let half = NOW + LIFETIME / 2;
     table.note_told(half, &late);
@@ -446,7 +635,7 @@
 }
 
 fn end_at(table: &mut EndTable, request: &RequestIdentity, id: &str) {
-    table.note_break(NOW, WorkerKey::of(id), request, NOW);
+    table.note_break(NOW, with(WorkerKey::of(id)), request, NOW);
     table.note_ended(NOW, WorkerKey::of(id), false);
 }
 
@@ -512,7 +701,7 @@
     let both = [request("r1"), other("r2")];
     for number in [1, 2] {
         for request in &both {
-            table.note_break(NOW, worker(number), request, NOW);
+            table.note_break(NOW, with(worker(number)), request, NOW);
         }
         assert_eq!(pause_before_send(&table, &both[0]), Duration::ZERO);
         table.note_ended(NOW, worker(number), false);
@@ -532,7 +721,8 @@
     let keys: Vec<RequestKey> = request("r1").keys().collect();
     let known = table.get(NOW, &keys);
     assert_eq!(known.len(), 2);
-    assert!(known.iter().all(|known| known.workers == [worker(1)]));
+    let ended = [key(&request("r1"), worker(1))];
+    assert!(known.iter().all(|known| known.ended == ended));
     assert!(table.get(NOW, &[RequestKey(5)]).is_empty());
 }
 
@@ -541,41 +731,39 @@
     let mut table = EndTable::default();
     let mut told = EndTable::default();
     for number in [1, 2, 3] {
-        table.note_break(NOW, worker(number), &request("r1"), NOW);
+        table.note_break(NOW, with(worker(number)), &request("r1"), NOW);
     }
     for report in table.take_due(NOW) {
         told.note_told(NOW, &report);
     }
-    let expected = EndCount {
-        ended: 0,
-        unsettled: 3,
-    };
+    let expected = unsettled(0, 3);
     assert_eq!(told.count(&request("r2")), expected);
-    // What the other node finds out itself replaces what it was told.
-    told.note_alive(worker(1));
+    // Only the node that had an exchange can show that its worker outlived it.
+    assert_eq!(outlive(&mut told, worker(1)), 0);
+    outlive(&mut table, worker(1));
+    for report in table.take_due(NOW) {
+        told.note_told(NOW, &report);
+    }
+    // That a worker has ended, any node can.
     told.note_ended(NOW, worker(2), false);
-    let expected = EndCount {
-        ended: 1,
-        unsettled: 1,
-    };
+    let expected = unsettled(1, 1);
     assert_eq!(told.count(&request("r2")), expected);
     assert!(told.may_have_ended(worker(3)) && !told.may_have_ended(worker(1)));
     // And it tells the end that it found.
     let found = told.take_due(NOW);
     assert!(!found.is_empty());
-    assert!(found.iter().all(|known| known.workers == [worker(2)]));
+    let ended = [key(&request("r1"), worker(2))];
+    assert!(found.iter().all(|known| known.ended == ended));
 }
 
 #[test]
 fn a_possible_end_at_a_worker_that_is_known_to_have_ended_is_an_end() {
     let mut table = EndTable::default();
     table.note_ended(NOW, worker(1), false);
+    let first = request("r1");
     let told = EndedRequest {
-        request: request("r1").content,
-        kind: KeyKind::Content,
-        age: Duration::ZERO,
-        workers: Vec::new(),
-        possible: vec![worker(1)],
+        possible: vec![key(&first, worker(1))],
+        ..nothing_known(first.content)
     };
     table.note_told(NOW, &told);
     assert_eq!(table.count(&request("r2")).ended, 1);
@@ -585,7 +773,7 @@
 fn a_possible_end_is_told_only_from_its_time_on() {
     let mut table = EndTable::default();
     let later = NOW + Duration::from_millis(300);
-    table.note_break(NOW, worker(1), &request("r1"), later);
+    table.note_break(NOW, with(worker(1)), &request("r1"), later);
     assert!(table.take_due(NOW).is_empty());
     assert!(!table.take_due(later).is_empty());
 }
@@ -593,7 +781,7 @@
 #[test]
 fn possible_ends_are_forgotten_once_callers_no_longer_come_back() {
     let mut table = EndTable::default();
-    table.note_break(NOW, worker(1), &request("r1"), NOW);
+    table.note_break(NOW, with(worker(1)), &request("r1"), NOW);
     table.drop_old(NOW + LIFETIME + Duration::from_millis(1), LIFETIME);
     assert!(table.is_empty() && !table.has_break(worker(1), &request("r1")));
 }
@@ -605,17 +793,14 @@
     for (number, id) in (0..).zip(["a1", "a2", "a3"]) {
         let request = shared(id);
         table.begin(NOW, &request);
-        table.note_break(NOW, worker(number), &request, NOW);
+        table.note_break(NOW, with(worker(number)), &request, NOW);
     }
     let next = shared("a4");
     table.begin(NOW, &next);
     assert_eq!(table.count(&next).unsettled, 3);
-    table.note_alive(worker(0));
+    outlive(&mut table, worker(0));
     table.note_ended(NOW, worker(1), false);
-    let expected = EndCount {
-        ended: 1,
-        unsettled: 1,
-    };
+    let expected = unsettled(1, 1);
     assert_eq!(table.count(&next), expected);
 
     let mut table = EndTable::default();
@@ -624,7 +809,7 @@
         table.begin(NOW, request);
     }
     for (number, request) in (0..).zip(&callers) {
-        table.note_break(NOW, worker(number), request, NOW);
+        table.note_break(NOW, with(worker(number)), request, NOW);
     }
     table.begin(NOW, &next);
     assert_eq!(table.count(&next).unsettled, 1);
@@ -633,11 +818,11 @@
 #[test]
 fn a_node_records_the_ends_that_it_noted_and_what_may_follow() {
     let mut table = EndTable::default();
-    table.note_break(NOW, worker(1), &request("r1"), NOW);
+    table.note_break(NOW, with(worker(1)), &request("r1"), NOW);
     // A possible end alone is not worth a record.
     assert!(table.to_record(NOW).is_empty());
     table.note_ended(NOW, worker(1), false);
-    table.note_break(NOW, worker(2), &request("r1"), NOW);
+    table.note_break(NOW, with(worker(2)), &request("r1"), NOW);
     let recorded = table.to_record(NOW);
     assert!(!recorded.is_empty());
     let mut restarted = EndTable::default();
@@ -646,10 +831,7 @@
         restarted.take_own_recorded(NOW, known);
         another.note_told(NOW, known);
     }
-    let expected = EndCount {
-        ended: 1,
-        unsettled: 1,
-    };
+    let expected = unsettled(1, 1);
     assert_eq!(restarted.count(&request("r2")), expected);
     assert_eq!(another.count(&request("r2")), expected);
     // The process after it keeps its record; other nodes leave it to that.
--- a/crates/gateway-core/tests/worker_ends_model.rs
+++ b/crates/gateway-core/tests/worker_ends_model.rs
@@ -1,13 +1,15 @@
 //! Model of a fleet on a virtual clock with requests that end their workers, beside others, while workers
-//! crash by themselves, connections break, nodes are killed and start again, one by one or all at once,
-//! and messages are lost.
+//! crash by themselves or start again under their ids, fall silent or answer with errors, connections break,
+//! tries run at the same time, nodes are killed and start again, one by one or all at once, and messages are
+//! lost.
 //!
-//! The decisions are the product's own. Whatever a node knows or doesn't, no request may be sent to a
-//! worker after three have ended under it; and no other request may be given up for that of its kind.
+//! The decisions are the product's own. The ends under a request are counted by the environment, one for each
+//! process. Whatever a node knows or doesn't, no request may be sent to a worker after three have ended under
+//! it; and no other request may be given up for that of its kind.
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use elderworks_gateway_core::attempt::{AttemptHistory, SendDecision};
@@ -17,6 +19,7 @@
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::stream_versions::VersionRule;
 use elderworks_gateway_core::worker_ends::MAX_ENDED_WORKERS;
+use elderworks_gateway_core::worker_ends::exchanges::{Exchange, SignOfLife};
 use elderworks_gateway_core::worker_ends::identity::{RequestContent, RequestIdentity};
 use elderworks_gateway_core::worker_ends::placement::{
     Knowledge, Search, find_apart, pause_before_send, workers_to_avoid,
@@ -36,6 +39,9 @@
 const STEP: Duration = Duration::from_millis(5);
 /// Steps of one schedule: 20 seconds.
 const STEPS: u64 = 4_000;
+/// Steps after a schedule in which nothing happens, so that requests can be served that wait until it is known
+/// what their workers outlived.
+const CALM_STEPS: u64 = 1_000;
 const LIFETIME: Duration = Duration::from_secs(12);
 /// Steps after which a worker that has ended is back under a new id.
 const WORKER_RESTART_STEPS: u64 = 300;
@@ -51,6 +57,10 @@
 const ANSWER_STEPS: u64 = 4;
 /// Nodes that are asked.
 const ASKED: usize = 6;
+/// Steps after an exchange in which it is settled, if it can be.
+const SETTLE_STEPS: u64 = 200;
+/// Steps after which callers leave a silent worker.
+const SILENCE_STEPS: u64 = 60;
 /// Number of schedules of each kind.
 const SEEDS: u64 = 60;
 
@@ -65,12 +75,22 @@
     crashes: f64,
     /// Mean number of connections that break.
     resets: f64,
+    /// Mean number of times that all of a node's connections to a worker break.
+    resets_of_all: f64,
     /// Mean number of nodes that are killed.
     kills: f64,
     /// Mean number of times that all nodes are killed at once.
     losses: f64,
     /// Part of the messages that is lost.
     lost: f64,
+    /// Part of the ends after which another process of the worker's id answers before anybody asks.
+    reborn: f64,
+    /// Part of the ends that the nodes see as silence.
+    silent: f64,
+    /// Part of a deadly request's runs that are answered with an error.
+    errors: f64,
+    /// Tries of a deadly request that run at the same time, at one node.
+    at_once: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -90,19 +110,24 @@
     Done,
 }
 
+/// A request, or one of several callers' tries of it that run at the same time.
 struct Request {
     name: usize,
+    /// Tells tries apart that run at the same time.
+    twin: u32,
     is_deadly: bool,
     tries: u32,
     node: usize,
     identity: RequestIdentity,
     stage: Stage,
-    /// Workers that have really ended under it.
-    ended: usize,
+    /// When its current exchange began.
+    sent: u64,
     /// Number of ends after which it has paused before its next send.
     paused_for: usize,
     sent_after_limit: u32,
     was_withheld: bool,
+    /// Whether it was withheld after the ends of three processes under it or right after its exchanges.
+    is_given_up: bool,
     is_served: bool,
 }
 
@@ -127,8 +152,11 @@
     deadly_ends: usize,
     others: usize,
     others_served: usize,
-    /// Requests that end nothing and were withheld at least once.
+    /// Requests that end nothing and were withheld at least once although fewer than three processes ended
+    /// under them or right after their exchanges.
     others_withheld: usize,
+    /// The same after the ends of three.
+    others_given_up: usize,
     most_ends_of_others: usize,
 }
 
@@ -141,6 +169,15 @@
     directory: WorkerDirectory,
     requests: Vec<Request>,
     next_worker: usize,
+    /// Processes that have really ended under each request, by name.
+    ended: BTreeMap<usize, usize>,
+    /// Processes that ended right after an exchange of a request which had broken off, by its name. Whether the
+    /// request is the cause can't be known.
+    ended_after: BTreeMap<usize, usize>,
+    /// Exchanges that broke off: the step, the request's name and the worker.
+    broken: Vec<(u64, usize, String)>,
+    /// Answers that nodes receive later: the step, the node and the answer.
+    answers: Vec<(u64, usize, SignOfLife)>,
     /// The record of each node in the log.
     log: BTreeMap<usize, Vec<EndedRequest>>,
 }
@@ -149,9 +186,9 @@
     Timestamp(1_000_000) + STEP * u32::try_from(step).expect("few steps")
 }
 
-fn identity(name: usize, tries: u32) -> RequestIdentity {
+fn identity(name: usize, twin: u32, tries: u32) -> RequestIdentity {
     let attributes = CallAttributes {
-        request_id: Some(format!("r{name}-{tries}")),
+        request_id: Some(format!("r{name}-{twin}-{tries}")),
         program: Some(format!("p{name}")),
         ..CallAttributes::default()
     };
@@ -183,6 +220,10 @@
             directory: WorkerDirectory::new(Policy::default()),
             requests: Vec::new(),
             next_worker: 0,
+            ended: BTreeMap::new(),
+            ended_after: BTreeMap::new(),
+            broken: Vec::new(),
+            answers: Vec::new(),
             log: BTreeMap::new(),
         };
         for _ in 0..WORKERS {
@@ -203,6 +244,10 @@
         self.workers.insert(id, WorkerState { ended: None });
     }
 
+    fn draws(&mut self, part: f64) -> bool {
+        part > 0.0 && self.random.random_bool(part)
+    }
+
     fn happens(&mut self, mean: f64) -> bool {
         self.random.random_bool((mean / STEPS as f64).min(1.0))
     }
@@ -213,7 +258,7 @@
 
     fn run(mut self) -> Outcome {
         let deadly_from = STEPS / 10;
-        for step in 0..STEPS {
+        for step in 0..STEPS + CALM_STEPS {
             self.now = step;
             if step < STEPS - 1_200 && self.random.random_bool(0.05) {
                 self.add_request(false);
@@ -223,7 +268,11 @@
                     self.add_request(true);
                 }
             }
-            self.trouble();
+            if step < STEPS {
+                self.trouble();
+            }
+            self.restart_workers();
+            self.take_answers();
             self.send_reports();
             for request in 0..self.requests.len() {
                 self.advance(request);
@@ -234,19 +283,57 @@
 
     fn add_request(&mut self, is_deadly: bool) {
         let name = self.requests.len();
-        self.requests.push(Request {
-            name,
-            is_deadly,
-            tries: 0,
-            node: 0,
-            identity: identity(name, 0),
-            stage: Stage::Waiting { until: self.now },
-            ended: 0,
-            paused_for: 0,
-            sent_after_limit: 0,
-            was_withheld: false,
-            is_served: false,
-        });
+        let twins = if is_deadly {
+            self.troubles.at_once.max(1)
+        } else {
+            1
+        };
+        for twin in 0..twins {
+            self.requests.push(Request {
+                name,
+                twin,
+                is_deadly,
+                tries: 0,
+                node: 0,
+                identity: identity(name, twin, 0),
+                stage: Stage::Waiting { until: self.now },
+                sent: 0,
+                paused_for: 0,
+                sent_after_limit: 0,
+                was_withheld: false,
+                is_given_up: false,
+                is_served: false,
+            });
+        }
+    }
+
+    fn ended_under(&self, number: usize) -> usize {
+        let name = self.requests[number].name;
+        self.ended.get(&name).copied().unwrap_or(0)
+    }
+
+    /// Nodes receive answers of workers on their connections.
+    fn take_answers(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .answers
+            .extract_if(.., |(step, ..)| *step <= now)
+            .collect();
+        for (_, node, sign) in due {
+            self.nodes[node].table.note_answer(at(now), &sign);
+        }
+    }
+
+    /// Lets a node receive an answer of the process that listens at a worker's address now, on a connection
+    /// that was open since `opened`.
+    fn answer_later(&mut self, node: usize, worker: WorkerKey, opened: u64) {
+        let step = self.now + SETTLE_STEPS;
+        let sign = SignOfLife {
+            worker,
+            opened: at(opened),
+            answered: at(step),
+        };
+        self.answers.push((step, node, sign));
     }
 
     fn trouble(&mut self) {
@@ -266,8 +353,14 @@
             }
         }
         if self.happens(self.troubles.resets) {
-            self.reset_one();
+            self.reset_one(false);
+        }
+        if self.troubles.resets_of_all > 0.0 && self.happens(self.troubles.resets_of_all) {
+            self.reset_one(true);
         }
+    }
+
+    fn restart_workers(&mut self) {
         let back: Vec<String> = self.ended_since(WORKER_RESTART_STEPS);
         for _ in back {
             self.start_worker();
@@ -295,37 +388,78 @@
     }
 
     fn crash(&mut self, worker: &str) {
-        let state = self.workers.get_mut(worker).expect("a worker");
-        state.ended = Some(self.now);
-        let key = WorkerKey::of(worker);
         let hit: Vec<usize> = (0..self.requests.len())
             .filter(|number| self.runs_at(*number, worker))
             .collect();
+        let names: BTreeSet<usize> = hit.iter().map(|hit| self.requests[*hit].name).collect();
+        for name in names {
+            *self.ended.entry(name).or_default() += 1;
+        }
+        let key = WorkerKey::of(worker);
+        self.answers.retain(|(_, _, sign)| sign.worker != key);
+        let broken = std::mem::take(&mut self.broken);
+        for (step, name, at) in &broken {
+            if at == worker && self.now < step + SETTLE_STEPS {
+                *self.ended_after.entry(*name).or_default() += 1;
+            }
+        }
+        self.broken = broken;
+        self.broken.retain(|(.., at)| at != worker);
+        if self.draws(self.troubles.reborn) {
+            return self.replace_process(&hit, worker);
+        }
+        let state = self.workers.get_mut(worker).expect("a worker");
+        state.ended = Some(self.now);
+        let is_silent = self.draws(self.troubles.silent);
         for number in &hit {
-            let request = &mut self.requests[*number];
-            request.ended += 1;
-            let identity = request.identity;
-            let node = &mut self.nodes[request.node];
-            node.table
-                .note_break(at(self.now), key, &identity, at(self.now));
-        }
-        // Each node finds the listener closed.
+            self.break_off(*number, worker);
+        }
         for number in hit {
             let node = self.requests[number].node;
-            self.nodes[node].table.note_ended(at(self.now), key, false);
-            self.record(node);
+            if !is_silent {
+                // The node finds the listener closed.
+                self.nodes[node].table.note_ended(at(self.now), key, false);
+                self.record(node);
+            }
             self.report_from(node);
-            self.leave_worker(number, worker);
-            self.requests[number].stage = Stage::Sending { until: self.now };
+            let pause = if is_silent { SILENCE_STEPS } else { 0 };
+            let until = self.now + pause;
+            self.requests[number].stage = Stage::Sending { until };
         }
     }
 
+    /// Another process listens at the worker's address under its id before any node asks. It answers on new
+    /// connections.
+    fn replace_process(&mut self, hit: &[usize], worker: &str) {
+        for number in hit {
+            self.break_off(*number, worker);
+            let node = self.requests[*number].node;
+            self.report_from(node);
+            self.answer_later(node, WorkerKey::of(worker), self.now);
+            self.requests[*number].stage = Stage::Sending { until: self.now };
+        }
+    }
+
+    /// The exchange of a request breaks off.
+    fn break_off(&mut self, number: usize, worker: &str) {
+        let request = &self.requests[number];
+        let (node, identity) = (request.node, request.identity);
+        let exchange = Exchange {
+            worker: WorkerKey::of(worker),
+            sent: at(request.sent),
+        };
+        let table = &mut self.nodes[node].table;
+        table.note_break(at(self.now), exchange, &identity, at(self.now));
+        self.leave_worker(number, worker);
+    }
+
     fn runs_at(&self, request: usize, at: &str) -> bool {
         matches!(&self.requests[request].stage, Stage::Running { worker, .. } if worker == at)
     }
 
-    /// A connection breaks; the worker accepts a new one.
-    fn reset_one(&mut self) {
+    /// A connection breaks; the worker answers on others. If `of_all`, the node has none that was open before,
+    /// unless it keeps one for a request that may have ended a worker.
+    fn reset_one(&mut self, of_all: bool) {
         let running = self.requests.iter().enumerate();
         let running: Vec<usize> = running
             .filter(|(_, request)| matches!(request.stage, Stage::Running { .. }))
@@ -337,17 +471,21 @@
         let Stage::Running { worker, .. } = self.requests[number].stage.clone() else {
             return;
         };
-        let key = WorkerKey::of(&worker);
-        let (node, identity) = (self.requests[number].node, self.requests[number].identity);
-        let table = &mut self.nodes[node].table;
-        table.note_break(at(self.now), key, &identity, at(self.now));
-        table.note_alive(key);
-        self.leave_worker(number, &worker);
+        let (node, sent) = (self.requests[number].node, self.requests[number].sent);
+        let table = &self.nodes[node].table;
+        let ends = table.count(&self.requests[number].identity);
+        self.break_off(number, &worker);
+        let name = self.requests[number].name;
+        self.broken.push((self.now, name, worker.clone()));
+        let has_earlier = !of_all || ends.possible() > 0;
+        let opened = if has_earlier { sent } else { self.now };
+        self.answer_later(node, WorkerKey::of(&worker), opened);
         self.requests[number].stage = Stage::Sending { until: self.now };
     }
 
     fn kill(&mut self, number: usize) {
         let runs_from = self.now + NODE_RESTART_STEPS;
+        self.answers.retain(|(_, node, _)| *node != number);
         self.nodes[number] = Node {
             runs_from,
             knows_since: runs_from,
@@ -473,9 +611,15 @@
         };
         let now = self.now;
         let request = &mut self.requests[number];
+        let has_twins = self.troubles.at_once > 1 && request.is_deadly;
+        let node = if has_twins {
+            request.name % NODES
+        } else {
+            node
+        };
         request.node = node;
         request.tries += 1;
-        request.identity = identity(request.name, request.tries);
+        request.identity = identity(request.name, request.twin, request.tries);
         let identity = request.identity;
         let table = &mut self.nodes[node].table;
         table.begin(at(now), &identity);
@@ -508,7 +652,7 @@
         let left = self.workers_left(node);
         match AttemptHistory::default().decide_send(ends, left) {
             SendDecision::Permitted(_) => {}
-            SendDecision::Unsettled => unreachable!("breaks are settled at once"),
+            SendDecision::Unsettled => return self.wait_or_withhold(number),
             SendDecision::GivenUp | SendDecision::LastWorker => return self.withhold(number),
         }
         let pause = pause_before_send(&self.nodes[node].table, &identity);
@@ -536,10 +680,11 @@
             self.requests[number].stage = Stage::Sending { until: self.now };
             return;
         }
-        if self.requests[number].ended >= MAX_ENDED_WORKERS {
+        if self.ended_under(number) >= MAX_ENDED_WORKERS {
             self.requests[number].sent_after_limit += 1;
         }
         self.place(number, &worker, ended);
+        self.requests[number].sent = self.now;
         let steps = match self.requests[number].is_deadly {
             true => self.random.random_range(1..30),
             false => self.random.random_range(20..120),
@@ -548,6 +693,24 @@
         self.requests[number].stage = Stage::Running { worker, until };
     }
 
+    /// Waits as long as more may be known of the exchanges in a moment.
+    fn wait_or_withhold(&mut self, number: usize) {
+        if !self.may_be_settled(number) {
+            return self.withhold(number);
+        }
+        let until = self.now + ANSWER_STEPS;
+        self.requests[number].stage = Stage::Sending { until };
+    }
+
+    fn may_be_settled(&self, number: usize) -> bool {
+        let request = &self.requests[number];
+        let table = &self.nodes[request.node].table;
+        let settle = STEP * u32::try_from(SETTLE_STEPS).expect("a few steps") * 2;
+        let mut possible = table.possible_ends(&request.identity);
+        let is_open = possible.any(|end| at(self.now).since(end.since) < settle);
+        is_open
+    }
+
     fn workers_left(&self, node: usize) -> usize {
         let accepting = self.directory.accepting(SERVICE);
         accepting
@@ -620,25 +783,35 @@
     }
 
     fn end_run(&mut self, number: usize, worker: &str) {
-        if self.requests[number].is_deadly {
+        let is_error = self.draws(self.troubles.errors);
+        if self.requests[number].is_deadly && !is_error {
             let worker = worker.to_owned();
             return self.crash(&worker);
         }
         self.leave_worker(number, worker);
+        let (node, identity) = (self.requests[number].node, self.requests[number].identity);
+        if self.requests[number].is_deadly {
+            return self.fail(number);
+        }
         let request = &mut self.requests[number];
         request.is_served = true;
         request.stage = Stage::Done;
-        let (node, identity) = (request.node, request.identity);
         self.nodes[node].table.note_served(&identity);
     }
 
     fn withhold(&mut self, number: usize) {
+        let name = self.requests[number].name;
+        let ended_after = self.ended_after.get(&name).copied().unwrap_or(0);
+        let ended = self.ended_under(number) + ended_after;
         self.requests[number].was_withheld = true;
+        self.requests[number].is_given_up = ended >= MAX_ENDED_WORKERS;
         self.fail(number);
     }
 
     fn outcome(&self) -> Outcome {
         let deadly = self.requests.iter().filter(|request| request.is_deadly);
+        let deadly = deadly.filter(|request| request.twin == 0);
+        let ended = |request: &Request| self.ended.get(&request.name).copied().unwrap_or(0);
         let others = || self.requests.iter().filter(|request| !request.is_deadly);
         Outcome {
             sent_after_limit: self
@@ -646,11 +819,14 @@
                 .iter()
                 .map(|request| request.sent_after_limit)
                 .sum(),
-            deadly_ends: deadly.map(|request| request.ended).sum(),
+            deadly_ends: deadly.map(ended).sum(),
             others: others().count(),
             others_served: others().filter(|request| request.is_served).count(),
-            others_withheld: others().filter(|request| request.was_withheld).count(),
-            most_ends_of_others: others().map(|request| request.ended).max().unwrap_or(0),
+            others_withheld: others()
+                .filter(|request| request.was_withheld && !request.is_given_up)
+                .count(),
+            others_given_up: others().filter(|request| request.is_given_up).count(),
+            most_ends_of_others: others().map(ended).max().unwrap_or(0),
         }
     }
 }
@@ -665,6 +841,7 @@
         total.others += outcome.others;
         total.others_served += outcome.others_served;
         total.others_withheld += outcome.others_withheld;
+        total.others_given_up += outcome.others_given_up;
         total.most_ends_of_others = total.most_ends_of_others.max(outcome.most_ends_of_others);
     }
     println!("{troubles:?}: {total:?}");
@@ -719,10 +896,9 @@
         lost: 0.02,
         ..Troubles::default()
     });
-    assert_eq!(
-        (total.others_withheld, total.others_served),
-        (0, total.others)
-    );
+    let handled = total.others_served + total.others_given_up;
+    assert_eq!((total.others_withheld, handled), (0, total.others));
+    assert!(total.others_given_up * 200 < total.others, "{total:?}");
 }
 
 #[test]
@@ -737,3 +913,58 @@
         ..Troubles::default()
     });
 }
+
+/// Nothing shows that the worker outlived the first exchange of a request.
+#[test]
+fn resets_of_all_connections_give_up_nobody() {
+    let total = play(Troubles {
+        resets_of_all: 100.0,
+        lost: 0.02,
+        ..Troubles::default()
+    });
+    assert_eq!(
+        (total.others_withheld, total.others_served),
+        (0, total.others)
+    );
+}
+
+#[test]
+fn processes_that_start_again_under_their_ids_let_no_request_end_a_fourth() {
+    play(Troubles {
+        deadly: 4,
+        deadly_steps: 200,
+        reborn: 0.7,
+        silent: 0.3,
+        kills: 6.0,
+        lost: 0.02,
+        ..Troubles::default()
+    });
+}
+
+#[test]
+fn errors_between_ends_let_no_request_end_a_fourth_worker() {
+    play(Troubles {
+        deadly: 4,
+        deadly_steps: 200,
+        errors: 0.5,
+        reborn: 0.3,
+        ..Troubles::default()
+    });
+}
+
+#[test]
+fn all_forms_at_once_let_no_request_end_a_fourth_worker() {
+    play(Troubles {
+        deadly: 6,
+        deadly_steps: 300,
+        crashes: 8.0,
+        resets: 30.0,
+        resets_of_all: 30.0,
+        kills: 4.0,
+        lost: 0.02,
+        reborn: 0.5,
+        silent: 0.3,
+        errors: 0.3,
+        ..Troubles::default()
+    });
+}
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -209,7 +209,7 @@
     }
 
     /// Records that a stream can be read, or that several reads of it in a row have failed.
-    pub(crate) fn set_failing(&self, gateway: &Gateway, stream: Stream, is_failing: bool) {
+    pub(crate) fn set_failing(&self, gateway: &Rc<Gateway>, stream: Stream, is_failing: bool) {
         let mut failing = self.failing.borrow_mut();
         if is_failing {
             failing.insert(stream);
--- a/crates/gateway/src/feed/workers.rs
+++ b/crates/gateway/src/feed/workers.rs
@@ -5,6 +5,7 @@
 
 use elderworks_gateway_core::feed::catalog::Change;
 use elderworks_gateway_core::peer_loads::WorkerKey;
+use elderworks_gateway_core::worker_ends::investigation::Fate;
 use elderworks_gateway_core::workers::{UpsertOutcome, WorkerRecord};
 use elderworks_protocol::feed::WorkersUpdate;
 use elderworks_types::Offset;
@@ -75,7 +76,7 @@
 
 /// Restores the workers known to placement from this node's own catalog, after updates of other readers
 /// were applied.
-pub(super) fn restore(gateway: &Gateway) {
+pub(super) fn restore(gateway: &Rc<Gateway>) {
     let feed = &gateway.feed;
     if !feed.is_loaded.get() {
         return;
@@ -100,7 +101,7 @@
     }
 }
 
-fn upsert(gateway: &Gateway, record: WorkerRecord, offset: Offset) {
+fn upsert(gateway: &Rc<Gateway>, record: WorkerRecord, offset: Offset) {
     let id = record.id.clone();
     let (service, draining) = (record.service.clone(), record.draining);
     let software = record.software.clone().unwrap_or_default();
@@ -109,6 +110,7 @@
     let taken = gateway.workers.borrow_mut().upsert(record, now);
     if taken == UpsertOutcome::Restarted {
         gateway.pool.discard_connections(&id);
+        note_restart(gateway, &id);
     }
     if taken == UpsertOutcome::Changed {
         let key = WorkerKey::of(&id);
@@ -123,6 +125,15 @@
     }
 }
 
+/// Records that a worker's process has ended and another one of its id has started.
+fn note_restart(gateway: &Rc<Gateway>, id: &str) {
+    let key = WorkerKey::of(id);
+    let may_have_ended = gateway.requests.ends.borrow().may_have_ended(key);
+    if may_have_ended {
+        peers::settle(gateway, id, Fate::Restarted);
+    }
+}
+
 fn drop_worker(gateway: &Gateway, id: &str, offset: Offset) {
     let now = gateway.now();
     if gateway.workers.borrow_mut().mark_missing(id, now) {
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -18,6 +18,7 @@
 use elderworks_gateway_core::stream_versions::{StreamVersion, VersionRule};
 use elderworks_gateway_core::worker_ends::identity::{RequestContent, RequestIdentity};
 use elderworks_gateway_core::workers::max_idle_connections;
+use elderworks_types::Timestamp;
 
 use super::access::SenderIdentity;
 use super::migration::{MigratableRun, RunBackup};
@@ -33,6 +34,7 @@
 use crate::reply::Refusal;
 use crate::server::CallerRequest;
 use crate::upstream::{ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
+use crate::worker_witness::Witness;
 
 /// Maximum size in bytes of a response that is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -64,6 +66,10 @@
     /// Accounts for the body's memory while the call holds it.
     _memory: MemoryReservation,
     tried: TriedWorkers,
+    /// When the current attempt began.
+    pub(super) sent: Timestamp,
+    /// A connection to the worker beside that of the current attempt, if the worker's end matters.
+    pub(super) witness: Option<Witness>,
     /// The version of the workers that may continue the stream.
     pub(super) version: StreamVersion,
     /// The worker of the next attempt, if the route allows no other.
@@ -117,6 +123,8 @@
             history: AttemptHistory::default(),
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
+            sent: Timestamp::default(),
+            witness: None,
             version: StreamVersion::default(),
             retry_at: None,
             run: None,
@@ -143,11 +151,13 @@
                     self.note_response(&running.worker_use.worker, running.response.head.status);
                     self.count_response_bytes(&running.worker_use.worker, body.len());
                     drop(running.worker_use);
-                    self.note_served();
                     self.release_slot();
                     let head = &running.response.head;
                     let forwarded = headers::end_to_end(&head.headers);
                     caller.send_whole(head.status, &forwarded, &body).await?;
+                    if head.status.is_success() {
+                        self.note_served();
+                    }
                     return Ok(());
                 }
                 Err(broken) => {
@@ -174,6 +184,7 @@
                 None => self.choose_target().await?,
             };
             let target = self.with_backup(target);
+            self.open_witness(&target).await;
             let permit = self.permit_send().await?;
             let (failure, reason) = match self.attempt(permit, &target, last_event_id).await {
                 Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
@@ -209,6 +220,7 @@
         target: &Target,
         last_event_id: Option<&str>,
     ) -> Result<RunningResponse, ExchangeError> {
+        self.sent = self.gateway.now();
         let ended = self.ends().ended;
         let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
         self.note_tried(&target.worker);
@@ -221,6 +233,7 @@
         let context = ExchangeContext {
             pool: &self.gateway.pool,
             http: &self.gateway.http,
+            clock: self.gateway.clock,
             memory: &self.gateway.memory,
             platform: &*self.gateway.platform,
             connections_opened: &self.gateway.metrics.worker_connections,
@@ -249,9 +262,10 @@
         };
         self.silent_since = None;
         self.note_response_start(&target.worker);
+        self.note_sign_of_life(&target.worker, response.opened);
         if response.head.status != StatusCode::MISDIRECTED_REQUEST {
-            let now = self.gateway.now();
-            self.gateway.worker_probes.note_answer(&target.worker, now);
+            let mut ends = self.gateway.requests.ends.borrow_mut();
+            ends.note_running(WorkerKey::of(&target.worker));
         }
         Ok(RunningResponse {
             response,
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -3,7 +3,10 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
+use elderworks_gateway_core::peer_loads::WorkerKey;
+use elderworks_gateway_core::worker_ends::exchanges::SignOfLife;
 use elderworks_gateway_core::worker_ends::investigation::Fate;
+use elderworks_types::Timestamp;
 
 use super::attempts::Call;
 use crate::peers;
@@ -70,6 +73,16 @@
         self.note_response_start(worker);
     }
 
+    /// Records that the process at a worker's address has answered on a connection.
+    pub(super) fn note_sign_of_life(&self, worker: &str, opened: Timestamp) {
+        let sign = SignOfLife {
+            worker: WorkerKey::of(worker),
+            opened,
+            answered: self.gateway.now(),
+        };
+        peers::note_sign_of_life(self.gateway, worker, &sign);
+    }
+
     /// Records that the worker made progress.
     pub(super) fn note_progress(&mut self) {
         self.waiting_since = Some(Instant::now());
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -5,10 +5,12 @@
 use elderworks_gateway_core::attempt::{SendDecision, SendPermit};
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::worker_ends::EndCount;
+use elderworks_gateway_core::worker_ends::exchanges::{Exchange, ExchangeKey, WorkerPart};
 use elderworks_gateway_core::worker_ends::placement::{
     AvoidedWorkers, Knowledge, Search, find_apart, pause_before_send, workers_to_avoid,
 };
 use elderworks_gateway_core::worker_ends::table::PossibleEnd;
+use elderworks_gateway_core::workers::Worker;
 
 use super::CallError;
 use super::attempts::Call;
@@ -18,13 +20,14 @@
 use crate::reply::Refusal;
 use crate::upstream::Target;
 use crate::worker_probes::{self, Suspected};
+use crate::worker_witness::{self, Witness};
 
 /// Time in which the other nodes' answers about a request arrive.
 const ANSWER_TIME: Duration = Duration::from_millis(20);
 
-/// Maximum time to wait until it is known whether workers ended. Longer than
-/// [`MAX_END_DELAY`](elderworks_gateway_core::worker_ends::investigation::MAX_END_DELAY).
-const MAX_SETTLE_WAIT: Duration = Duration::from_millis(1_000);
+/// Time after an exchange in which it becomes known whether the worker outlived it, if that can be known.
+/// Longer than [`MAX_END_DELAY`](elderworks_gateway_core::worker_ends::exchanges::MAX_END_DELAY).
+const MAX_SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
 /// Silence of a worker from which an exchange that is given up counts as left without an answer.
 const MIN_UNANSWERED: Duration = Duration::from_millis(250);
@@ -89,7 +92,7 @@
 
     /// Waits until the request may be sent to a worker. An error means that it may not.
     pub(super) async fn permit_send(&mut self) -> Result<SendPermit, CallError> {
-        let until = Instant::now() + MAX_SETTLE_WAIT;
+        let mut is_investigated = false;
         loop {
             let ends = self.ends();
             let left = match ends {
@@ -100,17 +103,40 @@
                 SendDecision::Permitted(permit) => return Ok(permit),
                 SendDecision::GivenUp => return Err(self.withhold(Withheld::GivenUp)),
                 SendDecision::LastWorker => return Err(self.withhold(Withheld::LastWorker)),
-                SendDecision::Unsettled if Instant::now() >= until => {
+                SendDecision::Unsettled if !self.may_be_settled_soon() => {
                     return Err(self.withhold(Withheld::Unsettled));
                 }
                 SendDecision::Unsettled => {
-                    self.investigate_possible_ends();
+                    if !is_investigated {
+                        self.investigate_possible_ends();
+                        is_investigated = true;
+                    }
                     actix_rt::time::sleep(POLL_INTERVAL).await;
                 }
             }
         }
     }
 
+    /// Returns whether more may be known in a moment of the workers at which the request broke off.
+    fn may_be_settled_soon(&self) -> bool {
+        if Instant::now() >= self.deadline {
+            return false;
+        }
+        let now = self.gateway.now();
+        let table = self.gateway.requests.ends.borrow();
+        let mut possible = table.possible_ends(&self.identity);
+        possible.any(|end| now.since(end.since) < MAX_SETTLE_TIME)
+    }
+
+    /// Opens a connection that will show whether the worker of the next attempt outlives it, if the request
+    /// may have met an end before.
+    pub(super) async fn open_witness(&mut self, target: &Target) {
+        self.witness = None;
+        if self.ends().possible() > 0 {
+            self.witness = Witness::open(self.gateway, target, &self.service).await;
+        }
+    }
+
     /// Finds out at this node which of the workers have ended that may have.
     fn investigate_possible_ends(&self) {
         let ends: Vec<PossibleEnd> = {
@@ -119,21 +145,17 @@
         };
         for end in ends {
             // A worker without a record may have left in order: nobody can tell any more.
-            if let Some(suspected) = self.suspected_by_key(end.worker) {
+            if let Some(suspected) = self.suspected_by_exchange(end.exchange) {
                 let pause = Duration::ZERO;
                 worker_probes::investigate_after(self.gateway, suspected, end.since, pause);
             }
         }
     }
 
-    fn suspected_by_key(&self, key: WorkerKey) -> Option<Suspected> {
+    fn suspected_by_exchange(&self, exchange: ExchangeKey) -> Option<Suspected> {
         let workers = self.gateway.workers.borrow();
-        let known = workers.iter().find(|known| known.key() == key)?;
-        Some(Suspected {
-            worker: known.record.id.clone(),
-            address: known.record.address,
-            service: known.record.service.clone(),
-        })
+        let known = workers.iter().find(|known| exchange.is_with(known.key()))?;
+        Some(suspected(known))
     }
 
     /// Returns the worker for the next send. A request under which workers ended is kept apart from
@@ -190,9 +212,12 @@
     /// Records that an exchange with a worker broke off, and finds out whether the worker ended.
     pub(super) async fn note_break(&self, target: &Target) {
         let now = self.gateway.now();
-        let key = WorkerKey::of(&target.worker);
+        let exchange = self.exchange_with(&target.worker);
         let table = &self.gateway.requests.ends;
-        table.borrow_mut().note_break(now, key, &self.identity, now);
+        table
+            .borrow_mut()
+            .note_break(now, exchange, &self.identity, now);
+        worker_witness::ask_idle_connection(self.gateway, target, &self.service, exchange.sent);
         let suspected = Suspected {
             worker: target.worker.clone(),
             address: target.address,
@@ -205,6 +230,13 @@
         }
     }
 
+    fn exchange_with(&self, worker: &str) -> Exchange {
+        Exchange {
+            worker: WorkerKey::of(worker),
+            sent: self.sent,
+        }
+    }
+
     fn has_break(&self, worker: WorkerKey) -> bool {
         let table = self.gateway.requests.ends.borrow();
         table.has_break(worker, &self.identity)
@@ -224,10 +256,6 @@
         if silence < MIN_UNANSWERED && !ends.is_suspect() {
             return;
         }
-        let key = WorkerKey::of(worker);
-        let Some(suspected) = self.suspected_by_key(key) else {
-            return;
-        };
         let now = self.gateway.now();
         // Most of these workers answer another request before the others are told. Tries with shared
         // content take over only what is known when they begin.
@@ -236,15 +264,25 @@
             true => now + UNANSWERED_REPORT_PAUSE,
             false => now,
         };
+        let exchange = self.exchange_with(worker);
         let table = &self.gateway.requests.ends;
         table
             .borrow_mut()
-            .note_break(now, key, &self.identity, report_from);
+            .note_break(now, exchange, &self.identity, report_from);
         peers::report_ends(self.gateway);
+        let workers = self.gateway.workers.borrow();
+        let Some((target, suspected)) = workers
+            .get(worker)
+            .map(|known| (Target::direct(&known.record), suspected(known)))
+        else {
+            return;
+        };
+        drop(workers);
+        worker_witness::ask_idle_connection(self.gateway, &target, &self.service, exchange.sent);
         worker_probes::investigate_after(self.gateway, suspected, now, UNANSWERED_PAUSE);
     }
 
-    /// Records that a worker answered the request.
+    /// Records that the caller has received the worker's answer.
     pub(super) fn note_served(&self) {
         let mut table = self.gateway.requests.ends.borrow_mut();
         let forgotten = table.note_served(&self.identity);
@@ -265,11 +303,12 @@
         let given_up = &self.gateway.metrics.requests_given_up;
         given_up.get_or_create(&label).inc();
         let table = self.gateway.requests.ends.borrow();
-        let ended = table.workers(&self.identity);
+        let ended = table.ended(&self.identity);
+        let ended_workers = table.ended_under(&self.identity);
         let workers = self.gateway.workers.borrow();
         let names = workers
             .iter()
-            .filter(|worker| ended.contains(&worker.key()));
+            .filter(|worker| ended_workers.contains(&WorkerPart::of(worker.key())));
         let names: Vec<&str> = names.map(|worker| worker.record.id.as_str()).collect();
         log::warn!(
             request = self.attributes.request_id.as_deref().unwrap_or_default(),
@@ -280,3 +319,11 @@
         CallError::Refused(Refusal::outcome_unknown(reason))
     }
 }
+
+fn suspected(worker: &Worker) -> Suspected {
+    Suspected {
+        worker: worker.record.id.clone(),
+        address: worker.record.address,
+        service: worker.record.service.clone(),
+    }
+}
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -79,9 +79,10 @@
                 PartEnd::Complete => {
                     self.note_response(&running.worker_use.worker, running.response.head.status);
                     drop(running);
-                    self.note_served();
                     self.release_slot();
-                    return self.end_stream(caller, &mut flow, forwarded).await;
+                    self.end_stream(caller, &mut flow, forwarded).await?;
+                    self.note_served();
+                    return Ok(());
                 }
                 PartEnd::Broken(reason) => {
                     let engine = into_engine(running);
@@ -155,9 +156,8 @@
                 self.note_stream_begun(running.worker_use.software);
                 self.note_first_event();
                 self.note_progress();
-                let now = self.gateway.now();
                 let worker = &running.worker_use.worker;
-                self.gateway.worker_probes.note_answer(worker, now);
+                self.note_sign_of_life(worker, running.response.opened);
             }
         }
     }
@@ -234,7 +234,6 @@
         };
         let head = &running.response.head;
         self.note_response(&running.worker_use.worker, head.status);
-        self.note_served();
         let forwarded_headers = headers::end_to_end(&head.headers);
         caller
             .send_whole(head.status, &forwarded_headers, &body)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod version_records;
 mod watch;
 mod worker_probes;
+mod worker_witness;
 
 pub use log_output::{LogFlush, LogOutput};
 pub use process::{Reload, RunningGateway, run, start};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -53,8 +53,8 @@
 pub(crate) use serve::accept_peers;
 pub(crate) use stream_origins::{find_origin, note_begun, prove_versions, report_all};
 pub(crate) use worker_ends::{
-    PlacedSuspect, ask_about, catch_up, record_of, report as report_ends, settle, take_recorded,
-    wait_until_caught_up,
+    PlacedSuspect, ask_about, catch_up, note_sign_of_life, record_of, report as report_ends,
+    settle, take_recorded, wait_until_caught_up,
 };
 pub(crate) use worker_versions::statement as version_statement;
 pub(crate) use zones::{receive as receive_zone_reports, reports as zone_reports};
--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -12,6 +12,7 @@
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::start::Milestone;
+use elderworks_gateway_core::worker_ends::exchanges::{ExchangeKey, SignOfLife};
 use elderworks_gateway_core::worker_ends::identity::{RequestIdentity, RequestKey};
 use elderworks_gateway_core::worker_ends::investigation::Fate;
 use elderworks_gateway_core::worker_ends::suspects::{Placement, placement_reports};
@@ -123,11 +124,11 @@
     let ended = record
         .ended
         .iter()
-        .map(|report| decode(report, keys(report), Vec::new()));
+        .map(|report| decode(report, Exchanges::Ended));
     let possible = record
         .possible
         .iter()
-        .map(|report| decode(report, Vec::new(), keys(report)));
+        .map(|report| decode(report, Exchanges::Possible));
     let mut table = gateway.requests.ends.borrow_mut();
     for request in ended.chain(possible) {
         // How long ago that was isn't known.
@@ -145,17 +146,32 @@
 /// Returns the record of requests in the log.
 pub(crate) fn record_of(known: &[EndedRequest]) -> EndRecord {
     EndRecord {
-        ended: encode_all(known, |known| &known.workers),
-        possible: encode_all(known, |known| &known.possible),
+        ended: encode_all(known, Exchanges::Ended),
+        possible: encode_all(known, Exchanges::Possible),
     }
 }
 
-fn encode_all(
-    known: &[EndedRequest],
-    workers: impl Fn(&EndedRequest) -> &[WorkerKey],
-) -> Vec<EndedReport> {
-    let known = known.iter().filter(|known| !workers(known).is_empty());
-    known.map(|known| encode(known, workers(known))).collect()
+/// Which exchanges of a request a report names.
+#[derive(Clone, Copy, Debug)]
+enum Exchanges {
+    Ended,
+    Possible,
+    Outlived,
+}
+
+impl Exchanges {
+    fn of(self, known: &EndedRequest) -> &[ExchangeKey] {
+        match self {
+            Self::Ended => &known.ended,
+            Self::Possible => &known.possible,
+            Self::Outlived => &known.outlived,
+        }
+    }
+}
+
+fn encode_all(known: &[EndedRequest], which: Exchanges) -> Vec<EndedReport> {
+    let known = known.iter().filter(|known| !which.of(known).is_empty());
+    known.map(|known| encode(known, which.of(known))).collect()
 }
 
 async fn ask_for_all(gateway: &Gateway) {
@@ -241,20 +257,15 @@
 /// Records what became of a worker at which requests broke off, and reports the ends under them.
 pub(crate) fn settle(gateway: &Rc<Gateway>, worker: &str, fate: Fate) {
     let key = WorkerKey::of(worker);
-    let mut table = gateway.requests.ends.borrow_mut();
     let may_return = match fate {
-        Fate::Alive => {
-            let requests = table.note_alive(key);
-            log::info!(
-                worker = worker, evidence = fate.name(), requests = requests;
-                "worker runs after an exchange broke off"
-            );
-            return;
-        }
-        Fate::Ended | Fate::Replaced => false,
+        Fate::Ended | Fate::Replaced | Fate::Restarted => false,
         Fate::Vanished => true,
     };
+    let mut table = gateway.requests.ends.borrow_mut();
     let ends = table.note_ended(gateway.now(), key, may_return);
+    if fate == Fate::Restarted {
+        table.note_running(key);
+    }
     drop(table);
     log::warn!(worker = worker, evidence = fate.name(), requests = ends.len(); "worker ended");
     for end in &ends {
@@ -272,6 +283,20 @@
     report(gateway);
 }
 
+/// Records that the process at a worker's address has answered, which may show that it outlived exchanges.
+pub(crate) fn note_sign_of_life(gateway: &Gateway, worker: &str, sign: &SignOfLife) {
+    let now = gateway.now();
+    let outlived = gateway.requests.ends.borrow_mut().note_answer(now, sign);
+    if outlived == 0 {
+        return;
+    }
+    log::info!(
+        worker = worker, exchanges = outlived, connected_ms = now.since(sign.opened).as_millis();
+        "worker outlived exchanges without an answer"
+    );
+    report(gateway);
+}
+
 /// Reports that are due to the nodes that callers are sent to.
 pub(crate) fn report(gateway: &Gateway) {
     let due = gateway.requests.ends.borrow_mut().take_due(gateway.now());
@@ -289,14 +314,21 @@
     known: &[EndedRequest],
     ended: impl Fn(Vec<EndedReport>) -> RequestMessage,
 ) -> Vec<RequestMessage> {
-    let ends = encode_all(known, |known| &known.workers);
-    let possible = encode_all(known, |known| &known.possible);
+    let ends = encode_all(known, Exchanges::Ended);
+    let possible = encode_all(known, Exchanges::Possible);
+    let outlived = encode_all(known, Exchanges::Outlived);
     let ends = ends.chunks(MAX_REPORTED_REQUESTS);
     let possible = possible.chunks(MAX_REPORTED_REQUESTS);
     let possible = possible.map(|part| RequestMessage::Possible {
         requests: part.to_vec(),
     });
+    let outlived = outlived.chunks(MAX_REPORTED_REQUESTS);
+    let outlived = outlived.map(|part| RequestMessage::Outlived {
+        requests: part.to_vec(),
+    });
+    // Before what is possible, which must not be counted in between.
     ends.map(|part| ended(part.to_vec()))
+        .chain(outlived)
         .chain(possible)
         .collect()
 }
@@ -366,7 +398,7 @@
 pub(super) fn receive(gateway: &Gateway, from: SocketAddr, message: RequestMessage) {
     let now = gateway.now();
     match message {
-        RequestMessage::Ended { requests } => note_told(gateway, &requests),
+        RequestMessage::Ended { requests } => note_told(gateway, &requests, Exchanges::Ended),
         RequestMessage::Placed {
             attempt,
             worker,
@@ -388,9 +420,14 @@
                 send(gateway, message, [from]);
             }
         }
-        RequestMessage::Possible { requests } => note_possible(gateway, &requests),
+        RequestMessage::Possible { requests } => {
+            note_told(gateway, &requests, Exchanges::Possible);
+        }
+        RequestMessage::Outlived { requests } => {
+            note_told(gateway, &requests, Exchanges::Outlived);
+        }
         RequestMessage::Told { known_ms, requests } => {
-            note_told(gateway, &requests);
+            note_told(gateway, &requests, Exchanges::Ended);
             note_answer(gateway, from, Duration::from_millis(known_ms));
         }
     }
@@ -403,31 +440,14 @@
     }
 }
 
-fn note_told(gateway: &Gateway, requests: &[EndedReport]) {
+fn note_told(gateway: &Gateway, requests: &[EndedReport], which: Exchanges) {
     let now = gateway.now();
     let mut table = gateway.requests.ends.borrow_mut();
     for request in requests {
-        let workers = keys(request);
-        table.note_told(now, &decode(request, workers, Vec::new()));
+        table.note_told(now, &decode(request, which));
     }
 }
 
-fn note_possible(gateway: &Gateway, requests: &[EndedReport]) {
-    let now = gateway.now();
-    let mut table = gateway.requests.ends.borrow_mut();
-    for request in requests {
-        let told = decode(request, Vec::new(), keys(request));
-        table.note_told(now, &told);
-        for worker in told.possible {
-            gateway.worker_probes.note_told(worker, now - told.age);
-        }
-    }
-}
-
-fn keys(report: &EndedReport) -> Vec<WorkerKey> {
-    report.workers.iter().copied().map(WorkerKey).collect()
-}
-
 /// Tells a node that has started what this one knows.
 fn answer(gateway: &Gateway, to: SocketAddr) {
     let now = gateway.now();
@@ -495,7 +515,7 @@
     gateway.requests.send(gateway, &datagram, to);
 }
 
-fn encode(known: &EndedRequest, workers: &[WorkerKey]) -> EndedReport {
+fn encode(known: &EndedRequest, exchanges: &[ExchangeKey]) -> EndedReport {
     EndedReport {
         request: known.request.0,
         kind: match known.kind {
@@ -504,12 +524,12 @@
             KeyKind::SharedContent => RequestKind::SharedContent,
         },
         age_ms: u32::try_from(known.age.as_millis()).unwrap_or(u32::MAX),
-        workers: workers.iter().map(|worker| worker.0).collect(),
+        workers: exchanges.iter().map(|exchange| exchange.0).collect(),
     }
 }
 
-fn decode(report: &EndedReport, workers: Vec<WorkerKey>, possible: Vec<WorkerKey>) -> EndedRequest {
-    EndedRequest {
+fn decode(report: &EndedReport, which: Exchanges) -> EndedRequest {
+    let mut request = EndedRequest {
         request: RequestKey(report.request),
         kind: match report.kind {
             RequestKind::Attempt => KeyKind::Attempt,
@@ -517,7 +537,15 @@
             RequestKind::SharedContent => KeyKind::SharedContent,
         },
         age: Duration::from_millis(u64::from(report.age_ms)),
-        workers,
-        possible,
-    }
+        ended: Vec::new(),
+        possible: Vec::new(),
+        outlived: Vec::new(),
+    };
+    let exchanges = match which {
+        Exchanges::Ended => &mut request.ended,
+        Exchanges::Possible => &mut request.possible,
+        Exchanges::Outlived => &mut request.outlived,
+    };
+    *exchanges = report.workers.iter().copied().map(ExchangeKey).collect();
+    request
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -19,6 +19,7 @@
 use super::response::{PoolReturn, ends_on_close, keep_alive_timeout};
 use super::{Pool, WorkerConnection, WorkerResponse};
 use crate::buffered;
+use crate::clock::Clock;
 use crate::memory::MemoryTracker;
 use crate::ports::Platform;
 use crate::socket;
@@ -93,6 +94,7 @@
 pub(crate) struct ExchangeContext<'a> {
     pub(crate) pool: &'a Rc<Pool>,
     pub(crate) http: &'a ServiceConfig,
+    pub(crate) clock: Clock,
     /// Accounts for buffered responses.
     pub(crate) memory: &'a MemoryTracker,
     pub(crate) platform: &'a dyn Platform,
@@ -115,7 +117,21 @@
     request: &OutgoingRequest,
     extra_headers: HeaderMap,
 ) -> Result<WorkerResponse, ExchangeError> {
-    let connection = open(context, target).await?;
+    let connection = match context.pool.take(&target.worker) {
+        Some(connection) => connection,
+        None => connect(context, target.address).await?,
+    };
+    exchange_on(context, connection, target, request, extra_headers).await
+}
+
+/// Like [`exchange`], on this connection.
+pub(crate) async fn exchange_on(
+    context: &ExchangeContext<'_>,
+    connection: WorkerConnection,
+    target: &Target,
+    request: &OutgoingRequest,
+    extra_headers: HeaderMap,
+) -> Result<WorkerResponse, ExchangeError> {
     let mut transfer = Transfer {
         codec: ClientCodec::new(context.http.clone()),
         connection,
@@ -141,19 +157,21 @@
     ))
 }
 
-async fn open(
+/// Opens a connection to a worker.
+pub(crate) async fn connect(
     context: &ExchangeContext<'_>,
-    target: &Target,
+    address: SocketAddr,
 ) -> Result<WorkerConnection, ExchangeError> {
-    if let Some(connection) = context.pool.take(&target.worker) {
-        return Ok(connection);
-    }
-    let stream = socket::connect(target.address)
+    let stream = socket::connect(address)
         .await
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     context.connections_opened.inc();
     let (receiver, sender) = buffered::split(stream);
-    Ok(WorkerConnection { receiver, sender })
+    Ok(WorkerConnection {
+        receiver,
+        sender,
+        opened: context.clock.now(),
+    })
 }
 
 /// Returns whether a response belongs to the request. A process that has taken over the worker's
@@ -221,7 +239,9 @@
 
     /// Sends a part of the request or receives a part of a response, whichever is possible first.
     async fn transfer_some(&mut self) -> Result<(), ExchangeError> {
-        let WorkerConnection { receiver, sender } = &mut self.connection;
+        let WorkerConnection {
+            receiver, sender, ..
+        } = &mut self.connection;
         let unsent = sender.buffer.len();
         tokio::select! {
             sent = sender.flush(), if self.sending => {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,10 +4,14 @@
 mod pool;
 mod response;
 
-pub(crate) use exchange::{ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
+pub(crate) use exchange::{
+    ExchangeContext, ExchangeError, OutgoingRequest, Target, connect, exchange, exchange_on,
+};
 pub(crate) use pool::Pool;
 pub(crate) use response::WorkerResponse;
 
+use elderworks_types::Timestamp;
+
 use crate::buffered::{Receiver, Sender};
 
 /// A connection to a worker, idle or in use.
@@ -15,4 +19,6 @@
 pub(crate) struct WorkerConnection {
     pub(crate) receiver: Receiver,
     pub(crate) sender: Sender,
+    /// When it was open.
+    pub(crate) opened: Timestamp,
 }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use elderworks_types::Timestamp;
+
 use super::WorkerConnection;
 
 /// Fraction of the idle timeout announced by a worker for which a connection is reused. The
@@ -40,6 +42,24 @@
         None
     }
 
+    /// Takes the most recently used connection that is still open and was so at this time.
+    pub(crate) fn take_opened_before(
+        &self,
+        worker: &str,
+        time: Timestamp,
+    ) -> Option<WorkerConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(worker)?;
+        let now = Instant::now();
+        let found = connections.iter_mut().rposition(|candidate| {
+            let connection = &mut candidate.connection;
+            connection.opened <= time
+                && candidate.usable_until > now
+                && connection.receiver.is_idle()
+        })?;
+        Some(connections.remove(found).connection)
+    }
+
     /// Returns whether there is an idle connection to a worker that is probably still open.
     pub(crate) fn has_idle(&self, worker: &str) -> bool {
         let idle = self.idle.borrow();
--- a/crates/gateway/src/upstream/response.rs
+++ b/crates/gateway/src/upstream/response.rs
@@ -8,6 +8,7 @@
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
 use elderworks_gateway_core::pressure::should_read_answer;
+use elderworks_types::Timestamp;
 use tokio_util::codec::Decoder;
 
 use super::{Pool, WorkerConnection};
@@ -37,6 +38,8 @@
 pub(crate) struct WorkerResponse {
     /// Status and headers.
     pub(crate) head: ResponseHead,
+    /// When its connection was open.
+    pub(crate) opened: Timestamp,
     body: Option<Body>,
     /// Accounts for the memory of the body while it is buffered.
     buffered_bytes: MemoryReservation,
@@ -89,12 +92,14 @@
         pool_return: PoolReturn,
         buffered_bytes: MemoryReservation,
     ) -> Self {
+        let opened = connection.opened;
         let framing = if method != Method::HEAD && ends_on_close(&head) {
             Framing::UntilClose
         } else if codec.message_type() == MessageType::None {
             pool_return.return_connection(connection, codec.keep_alive());
             return Self {
                 head,
+                opened,
                 body: None,
                 buffered_bytes,
             };
@@ -110,6 +115,7 @@
         };
         Self {
             head,
+            opened,
             body: Some(body),
             buffered_bytes,
         }
--- a/crates/gateway/src/watch/mod.rs
+++ b/crates/gateway/src/watch/mod.rs
@@ -122,7 +122,7 @@
 }
 
 /// Records a successful read. `dark` is the time between the previous successful read and this one.
-fn record_success<F: Follower>(gateway: &Gateway, failures: u32, dark: Duration, end: Offset) {
+fn record_success<F: Follower>(gateway: &Rc<Gateway>, failures: u32, dark: Duration, end: Offset) {
     gateway.metrics.note_stream_read(F::STREAM, "ok");
     gateway.log_reach.borrow_mut().note_answer();
     gateway.feed.set_failing(gateway, F::STREAM, false);
@@ -137,7 +137,7 @@
 /// Records a failed read that was sent at `sent`; `known` is when the last successful one was sent. Only
 /// the first of several consecutive failures is logged.
 fn record_failure<F: Follower>(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     failures: u32,
     sent: Timestamp,
     known: Timestamp,
--- a/crates/gateway/src/worker_probes.rs
+++ b/crates/gateway/src/worker_probes.rs
@@ -8,9 +8,7 @@
 use std::time::Duration;
 
 use elderworks_gateway_core::peer_loads::WorkerKey;
-use elderworks_gateway_core::worker_ends::investigation::{
-    Fate, Finding, Investigation, NextProbe,
-};
+use elderworks_gateway_core::worker_ends::investigation::{Finding, Investigation, NextProbe};
 use elderworks_types::Timestamp;
 use tokio::sync::{Notify, watch};
 
@@ -45,32 +43,10 @@
     findings: watch::Sender<u64>,
     /// When the latest exchange was left without an answer.
     broke_off: Cell<Timestamp>,
-    /// When the worker last answered a request of this node.
-    last_answer: Cell<Option<Timestamp>>,
     /// Wakes the investigation when the next finding is wanted early.
     wake: Notify,
 }
 
-impl WorkerProbes {
-    /// Records that a worker has answered a request. Costs nothing unless it is investigated.
-    pub(crate) fn note_answer(&self, worker: &str, now: Timestamp) {
-        let running = self.running.borrow();
-        if running.is_empty() {
-            return;
-        }
-        if let Some(investigation) = running.get(&WorkerKey::of(worker)) {
-            investigation.last_answer.set(Some(now));
-        }
-    }
-
-    /// Records that another node's request was left without an answer at a worker.
-    pub(crate) fn note_told(&self, worker: WorkerKey, since: Timestamp) {
-        if let Some(investigation) = self.running.borrow().get(&worker) {
-            investigation.note_break(since);
-        }
-    }
-}
-
 impl RunningInvestigation {
     fn note_break(&self, broke_off: Timestamp) {
         self.broke_off.set(self.broke_off.get().max(broke_off));
@@ -116,7 +92,6 @@
     let running = Rc::new(RunningInvestigation {
         findings: watch::Sender::new(0),
         broke_off: Cell::new(broke_off),
-        last_answer: Cell::default(),
         wake: Notify::new(),
     });
     all.insert(key, running.clone());
@@ -139,8 +114,8 @@
     }
 }
 
-/// Probes a worker until its fate is settled, or no request is known any more that it left without an
-/// answer.
+/// Probes a worker until its fate is settled or a process of its id answers, or no request is known any
+/// more that it left without an answer.
 async fn run(gateway: &Rc<Gateway>, suspected: &Suspected, running: &RunningInvestigation) {
     let worker = suspected.worker.as_str();
     let key = WorkerKey::of(worker);
@@ -148,10 +123,6 @@
         if !gateway.requests.ends.borrow().may_have_ended(key) {
             return;
         }
-        let investigation = Investigation::of_exchange(running.broke_off.get());
-        if investigation.is_outlived(running.last_answer.get()) {
-            return peers::settle(gateway, worker, Fate::Alive);
-        }
         let finding = probe(gateway, suspected).await;
         log::info!(
             worker = worker, finding:? = finding,
@@ -163,6 +134,7 @@
         let investigation = Investigation::of_exchange(running.broke_off.get());
         match investigation.on_finding(gateway.now(), finding, is_listed) {
             NextProbe::Settled(fate) => return peers::settle(gateway, worker, fate),
+            NextProbe::Undecided => return,
             NextProbe::After(pause) => {
                 running.findings.send_modify(|count| *count += 1);
                 sleep_unless_woken(running, pause).await;
--- a/crates/protocol/src/gateway.rs
+++ b/crates/protocol/src/gateway.rs
@@ -93,6 +93,12 @@
         /// The requests.
         requests: Vec<EndedReport>,
     },
+    /// Requests that were left without an answer at workers which outlived that, as the node shows that
+    /// had the exchanges. Sent beside [`Self::Possible`]; ignored by earlier versions.
+    Outlived {
+        /// The requests.
+        requests: Vec<EndedReport>,
+    },
 }
 
 /// The workers that ended under a request.
@@ -104,7 +110,8 @@
     pub kind: RequestKind,
     /// Time since the last of the ends, in milliseconds.
     pub age_ms: u32,
-    /// The workers.
+    /// The exchanges with the workers: of each the upper bits of the worker's hash, and lower bits that
+    /// tell the exchanges with one worker apart. Earlier versions send the worker's whole hash.
     pub workers: Vec<u32>,
 }
 
