worker_ends: sends in progress count for the other tries of their request

Cause: each try passes the check before another one's worker ends. Class: what is decided at a moment is not true when it takes effect.

Change: a node counts its sends in progress by content. Once a request may have met an end, a further try waits while the ends and the other tries together could pass three, until one of them is over. Requests without an end or an unsettled exchange are not held, nor content that several callers may have.

The model now also checks the number of ends, not only the sends after three.

--- a/crates/gateway-core/src/attempt.rs
+++ b/crates/gateway-core/src/attempt.rs
@@ -102,6 +102,10 @@
         if possible >= MAX_ENDED_WORKERS {
             return SendDecision::Unsettled;
         }
+        // Each of the other tries may end its worker, too.
+        if possible > 0 && possible + ends.in_progress >= MAX_ENDED_WORKERS {
+            return SendDecision::Unsettled;
+        }
         if possible + 1 == MAX_ENDED_WORKERS && workers_left <= 1 {
             return match ends.unsettled {
                 0 => SendDecision::LastWorker,
--- a/crates/gateway-core/src/worker_ends/mod.rs
+++ b/crates/gateway-core/src/worker_ends/mod.rs
@@ -25,6 +25,8 @@
     pub ended: usize,
     /// Workers that may have ended.
     pub unsettled: usize,
+    /// Workers at which this node's other tries of the request are in progress.
+    pub in_progress: usize,
 }
 
 impl EndCount {
@@ -32,6 +34,7 @@
     pub const NONE: Self = Self {
         ended: 0,
         unsettled: 0,
+        in_progress: 0,
     };
 
     /// Returns whether the request may be the cause of an end.
--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -59,6 +59,8 @@
     breaks: Vec<Break>,
     /// Workers of whose ids no process is known to run. Says nothing of the requests that they ran.
     ended_workers: HashMap<WorkerPart, EndedWorker>,
+    /// Number of sends in progress, by content.
+    in_progress: HashMap<RequestKey, usize>,
 }
 
 impl EndTable {
@@ -81,6 +83,22 @@
         }
     }
 
+    /// Records that a request is sent to a worker, until [`Self::end_send`].
+    pub fn begin_send(&mut self, request: &RequestIdentity) {
+        *self.in_progress.entry(request.content).or_default() += 1;
+    }
+
+    /// Records that a request is no longer at a worker.
+    pub fn end_send(&mut self, request: &RequestIdentity) {
+        let Some(count) = self.in_progress.get_mut(&request.content) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.in_progress.remove(&request.content);
+        }
+    }
+
     /// Records that an exchange was left without an answer. Its worker counts as one that may have ended
     /// until it is known to have outlived the exchange. Other nodes are told from `report_from` on.
     pub fn note_break(
@@ -307,6 +325,7 @@
         known.map_or(EndCount::NONE, |known| EndCount {
             ended: known.ended.len(),
             unsettled: known.possible.len(),
+            in_progress: 0,
         })
     }
 
@@ -315,9 +334,15 @@
         let ended = self.ended(request);
         let possible = self.possible_ends(request);
         let unsettled: BTreeSet<ExchangeKey> = possible.map(|end| end.exchange).collect();
+        // Others may send the same content.
+        let in_progress = match request.is_shared {
+            true => 0,
+            false => self.in_progress.get(&request.content).copied().unwrap_or(0),
+        };
         EndCount {
             ended: ended.len(),
             unsettled: unsettled.difference(&ended).count(),
+            in_progress,
         }
     }
 
--- a/crates/gateway-core/tests/worker_ends.rs
+++ b/crates/gateway-core/tests/worker_ends.rs
@@ -107,8 +107,12 @@
     }
 }
 
-fn unsettled(ended: usize, unsettled: usize) -> EndCount {
-    EndCount { ended, unsettled }
+fn ends(ended: usize, unsettled: usize) -> EndCount {
+    EndCount {
+        ended,
+        unsettled,
+        in_progress: 0,
+    }
 }
 
 #[test]
@@ -203,7 +207,7 @@
         (4, 2, 9, "given up"),
     ];
     for (ended, unsettled, left, expected) in cases {
-        let ends = EndCount { ended, unsettled };
+        let ends = ends(ended, unsettled);
         let decision = match AttemptHistory::default().decide_send(ends, left) {
             SendDecision::Permitted(_) => "sent",
             SendDecision::Unsettled => "unsettled",
@@ -214,6 +218,29 @@
     }
 }
 
+/// Each of the tries that are in progress may end its worker, too.
+#[test]
+fn decisions_beside_other_tries_of_the_request() {
+    let cases = [
+        (0, 0, 5, true),
+        (1, 0, 1, true),
+        (1, 0, 2, false),
+        (0, 1, 2, false),
+        (2, 0, 1, false),
+        (1, 1, 1, false),
+    ];
+    for (ended, unsettled, in_progress, is_sent) in cases {
+        let ends = EndCount {
+            ended,
+            unsettled,
+            in_progress,
+        };
+        let decision = AttemptHistory::default().decide_send(ends, 9);
+        let was_sent = matches!(decision, SendDecision::Permitted(_));
+        assert_eq!(was_sent, is_sent, "{ends:?}");
+    }
+}
+
 #[test]
 fn streams_are_resumed_three_times_in_one_response() {
     let mut history = AttemptHistory::default();
@@ -449,11 +476,27 @@
         ..nothing_known(request("r1").content)
     };
     table.note_told(NOW, &told);
-    assert_eq!(table.count(&request("r2")), unsettled(1, 1));
+    assert_eq!(table.count(&request("r2")), ends(1, 1));
     assert!(table.has_ended(WorkerKey::of("w1")));
     assert!(table.may_have_ended(WorkerKey::of("w2")));
 }
 
+/// Sends of one request at this node, while they last.
+#[test]
+fn sends_in_progress_count_for_other_tries_of_the_request() {
+    let mut table = EndTable::default();
+    table.begin_send(&request("r1"));
+    table.begin_send(&request("r2"));
+    assert_eq!(table.count(&request("r3")).in_progress, 2);
+    assert_eq!(table.count(&other("r4")).in_progress, 0);
+    table.end_send(&request("r1"));
+    table.end_send(&request("r2"));
+    assert_eq!(table.count(&request("r3")), EndCount::NONE);
+    // Others may send the same content.
+    table.begin_send(&shared("a1"));
+    assert_eq!(table.count(&shared("a2")), EndCount::NONE);
+}
+
 fn nothing_known(request: RequestKey) -> EndedRequest {
     EndedRequest {
         request,
@@ -472,12 +515,12 @@
     table.note_break(NOW, with(worker(1)), &first, NOW);
     table.note_break(NOW, with(worker(1)), &second, NOW);
     table.note_break(NOW, with(worker(2)), &second, NOW);
-    let expected = unsettled(0, 2);
+    let expected = ends(0, 2);
     assert_eq!(table.count(&second), expected);
     assert_eq!(table.note_ended(NOW, worker(1), false).len(), 2);
     outlive(&mut table, worker(2));
     for request in [first, second] {
-        let expected = unsettled(1, 0);
+        let expected = ends(1, 0);
         assert_eq!(table.count(&request), expected);
     }
 }
@@ -736,7 +779,7 @@
     for report in table.take_due(NOW) {
         told.note_told(NOW, &report);
     }
-    let expected = unsettled(0, 3);
+    let expected = ends(0, 3);
     assert_eq!(told.count(&request("r2")), expected);
     // Only the node that had an exchange can show that its worker outlived it.
     assert_eq!(outlive(&mut told, worker(1)), 0);
@@ -746,7 +789,7 @@
     }
     // That a worker has ended, any node can.
     told.note_ended(NOW, worker(2), false);
-    let expected = unsettled(1, 1);
+    let expected = ends(1, 1);
     assert_eq!(told.count(&request("r2")), expected);
     assert!(told.may_have_ended(worker(3)) && !told.may_have_ended(worker(1)));
     // And it tells the end that it found.
@@ -800,7 +843,7 @@
     assert_eq!(table.count(&next).unsettled, 3);
     outlive(&mut table, worker(0));
     table.note_ended(NOW, worker(1), false);
-    let expected = unsettled(1, 1);
+    let expected = ends(1, 1);
     assert_eq!(table.count(&next), expected);
 
     let mut table = EndTable::default();
@@ -831,7 +874,7 @@
         restarted.take_own_recorded(NOW, known);
         another.note_told(NOW, known);
     }
-    let expected = unsettled(1, 1);
+    let expected = ends(1, 1);
     assert_eq!(restarted.count(&request("r2")), expected);
     assert_eq!(another.count(&request("r2")), expected);
     // The process after it keeps its record; other nodes leave it to that.
--- a/crates/gateway-core/tests/worker_ends_model.rs
+++ b/crates/gateway-core/tests/worker_ends_model.rs
@@ -150,6 +150,7 @@
     /// Sends of requests under which three workers had ended.
     sent_after_limit: u32,
     deadly_ends: usize,
+    most_deadly_ends: usize,
     others: usize,
     others_served: usize,
     /// Requests that end nothing and were withheld at least once although fewer than three processes ended
@@ -449,6 +450,7 @@
             sent: at(request.sent),
         };
         let table = &mut self.nodes[node].table;
+        table.end_send(&identity);
         table.note_break(at(self.now), exchange, &identity, at(self.now));
         self.leave_worker(number, worker);
     }
@@ -685,6 +687,7 @@
         }
         self.place(number, &worker, ended);
         self.requests[number].sent = self.now;
+        self.nodes[node].table.begin_send(&identity);
         let steps = match self.requests[number].is_deadly {
             true => self.random.random_range(1..30),
             false => self.random.random_range(20..120),
@@ -708,7 +711,7 @@
         let settle = STEP * u32::try_from(SETTLE_STEPS).expect("a few steps") * 2;
         let mut possible = table.possible_ends(&request.identity);
         let is_open = possible.any(|end| at(self.now).since(end.since) < settle);
-        is_open
+        is_open || table.count(&request.identity).in_progress > 0
     }
 
     fn workers_left(&self, node: usize) -> usize {
@@ -790,6 +793,7 @@
         }
         self.leave_worker(number, worker);
         let (node, identity) = (self.requests[number].node, self.requests[number].identity);
+        self.nodes[node].table.end_send(&identity);
         if self.requests[number].is_deadly {
             return self.fail(number);
         }
@@ -810,7 +814,7 @@
 
     fn outcome(&self) -> Outcome {
         let deadly = self.requests.iter().filter(|request| request.is_deadly);
-        let deadly = deadly.filter(|request| request.twin == 0);
+        let deadly = || deadly.clone().filter(|request| request.twin == 0);
         let ended = |request: &Request| self.ended.get(&request.name).copied().unwrap_or(0);
         let others = || self.requests.iter().filter(|request| !request.is_deadly);
         Outcome {
@@ -819,7 +823,8 @@
                 .iter()
                 .map(|request| request.sent_after_limit)
                 .sum(),
-            deadly_ends: deadly.map(ended).sum(),
+            deadly_ends: deadly().map(ended).sum(),
+            most_deadly_ends: deadly().map(ended).max().unwrap_or(0),
             others: others().count(),
             others_served: others().filter(|request| request.is_served).count(),
             others_withheld: others()
@@ -837,6 +842,8 @@
     for seed in 0..SEEDS {
         let outcome = Model::new(seed, troubles).run();
         assert_eq!(outcome.sent_after_limit, 0, "seed {seed}: {outcome:?}");
+        let most = outcome.most_deadly_ends;
+        assert!(most <= MAX_ENDED_WORKERS, "seed {seed}: {outcome:?}");
         total.deadly_ends += outcome.deadly_ends;
         total.others += outcome.others;
         total.others_served += outcome.others_served;
@@ -952,6 +959,19 @@
     });
 }
 
+#[test]
+fn tries_at_the_same_time_let_no_request_end_a_fourth_worker() {
+    for at_once in [2, 3] {
+        play(Troubles {
+            deadly: 4,
+            deadly_steps: 200,
+            at_once,
+            reborn: 0.3,
+            ..Troubles::default()
+        });
+    }
+}
+
 #[test]
 fn all_forms_at_once_let_no_request_end_a_fourth_worker() {
     play(Troubles {
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -103,7 +103,7 @@
                 SendDecision::Permitted(permit) => return Ok(permit),
                 SendDecision::GivenUp => return Err(self.withhold(Withheld::GivenUp)),
                 SendDecision::LastWorker => return Err(self.withhold(Withheld::LastWorker)),
-                SendDecision::Unsettled if !self.may_be_settled_soon() => {
+                SendDecision::Unsettled if !self.may_be_settled_soon(ends) => {
                     return Err(self.withhold(Withheld::Unsettled));
                 }
                 SendDecision::Unsettled => {
@@ -118,14 +118,14 @@
     }
 
     /// Returns whether more may be known in a moment of the workers at which the request broke off.
-    fn may_be_settled_soon(&self) -> bool {
+    fn may_be_settled_soon(&self, ends: EndCount) -> bool {
         if Instant::now() >= self.deadline {
             return false;
         }
         let now = self.gateway.now();
         let table = self.gateway.requests.ends.borrow();
         let mut possible = table.possible_ends(&self.identity);
-        possible.any(|end| now.since(end.since) < MAX_SETTLE_TIME)
+        ends.in_progress > 0 || possible.any(|end| now.since(end.since) < MAX_SETTLE_TIME)
     }
 
     /// Opens a connection that will show whether the worker of the next attempt outlives it, if the request
--- a/crates/gateway/src/forward/worker_use.rs
+++ b/crates/gateway/src/forward/worker_use.rs
@@ -19,6 +19,7 @@
     /// Version of the worker's software when the request was sent, if known.
     pub(super) software: Option<SoftwareVersion>,
     life: WorkerInstance,
+    request: RequestIdentity,
     /// Set if the request may be the cause of the end of a worker.
     _suspect: Option<PlacedSuspect>,
 }
@@ -36,12 +37,14 @@
         let software = workers.get(worker).and_then(|known| known.software);
         let life = workers.note_start(worker, now);
         drop(workers);
+        gateway.requests.ends.borrow_mut().begin_send(request);
         let is_suspect = ended > 0;
         Self {
             gateway: gateway.clone(),
             worker: worker.to_owned(),
             software,
             life,
+            request: *request,
             _suspect: is_suspect.then(|| PlacedSuspect::place(gateway, request, worker, ended)),
         }
     }
@@ -51,6 +54,8 @@
     fn drop(&mut self) {
         let mut workers = self.gateway.workers.borrow_mut();
         workers.note_completion(&self.life);
+        let mut ends = self.gateway.requests.ends.borrow_mut();
+        ends.end_send(&self.request);
     }
 }
 
