versions: nodes that are out of step together don't prove a version to each other

Cause: a lookup that timed out took a single version for proved if one node confirmed it and one other agreed, also when both read the workers' records late. Two nodes that are cut off from the log and the rest at the same time, and reach each other, are such a pair. Class: agreement of those who may miss the same.

On real gateways it was not played.

Change: without a node that has read the records lately (Sole), all nodes that were asked have to answer and agree. An outage of the whole log is served as before as long as they answer.

Two rows of the table of answers asserted the fault (a late node and one recent one of three; a recent node and one late one of three): now refused.

--- a/crates/gateway-core/src/stream_versions/lookup.rs
+++ b/crates/gateway-core/src/stream_versions/lookup.rs
@@ -95,6 +95,8 @@
     is_ambiguous: bool,
     /// Whether a node that has watched the workers for long enough confirms [`Self::only`].
     is_confirmed: bool,
+    /// Whether such a node has also read the workers' records lately.
+    is_read_lately: bool,
 }
 
 impl OriginLookup {
@@ -109,6 +111,7 @@
             only: None,
             is_ambiguous: false,
             is_confirmed: false,
+            is_read_lately: false,
         };
         lookup.take_versions(own);
         lookup
@@ -153,13 +156,15 @@
         self.is_ambiguous |= self.only.is_some_and(|only| only != version);
         self.only = Some(version);
         self.is_confirmed |= !matches!(versions, ServiceVersions::Recent(_));
+        self.is_read_lately |= matches!(versions, ServiceVersions::Sole(_));
     }
 
-    /// Returns the only version in use if it is proved. A node whose reads of the workers' records
-    /// are late may miss a second version, so that at least one other node has to agree, unless there
-    /// is none.
+    /// Returns the only version in use if it is proved. Nodes whose reads of the workers' records are late
+    /// may all miss a second version, so that without one whose reads are not, all nodes that were asked
+    /// have to agree, unless there is none.
     fn conclude(&self) -> LookupStep {
-        let is_proved = self.is_confirmed && (self.informed_answers > 0 || self.is_alone);
+        let do_all_agree = self.outstanding == 0 && (self.informed_answers > 0 || self.is_alone);
+        let is_proved = self.is_read_lately || (self.is_confirmed && do_all_agree);
         match self.only.filter(|_| is_proved && !self.is_ambiguous) {
             Some(version) => known(version, OriginSource::SoleVersion),
             None => LookupStep::Unknown,
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -363,17 +363,22 @@
         (recent, 0, &[], false),
         (unknown, 0, &[], false),
         (several, 0, &[], false),
-        // A node that reads late needs one that agrees.
+        // A node that reads late needs one that doesn't, or the agreement of all: others that are cut off
+        // with it miss the same.
         (stale, 3, &[], false),
         (stale, 3, &[unknown], false),
-        (stale, 3, &[recent], true),
+        (stale, 3, &[recent], false),
+        (stale, 3, &[stale, stale], false),
+        (stale, 3, &[recent, sole], true),
+        (stale, 3, &[recent, recent, recent], true),
         (stale, 3, &[stale, stale, stale], true),
         (stale, 3, &[stale, several, stale], false),
         // A node that has just started needs one that has seen more.
         (recent, 3, &[], false),
         (recent, 3, &[recent, recent, recent], false),
         (recent, 3, &[sole], true),
-        (recent, 3, &[stale], true),
+        (recent, 3, &[stale], false),
+        (recent, 3, &[stale, recent, unknown], true),
         (recent, 3, &[other], false),
         (unknown, 3, &[sole], true),
         (unknown, 3, &[unknown, unknown, unknown], false),
--- a/crates/gateway-core/tests/stream_versions_model.rs
+++ b/crates/gateway-core/tests/stream_versions_model.rs
@@ -56,8 +56,10 @@
     has_read: bool,
     /// Step at which its process runs; later than now while it is down.
     runs_from: u64,
-    /// Step until which it is cut off from the log and from all other nodes.
+    /// Step until which it is cut off from the log and from other nodes.
     cut_until: u64,
+    /// The cut, which nodes share that still reach each other.
+    cut: u64,
     /// Step of the last hit.
     hit: u64,
     workers: WorkerDirectory,
@@ -99,6 +101,8 @@
     next: u64,
     /// Whether no node is killed or cut off.
     is_calm: bool,
+    /// Number of nodes that are cut off together, at most.
+    most_cut: usize,
     outcome: Outcome,
 }
 
@@ -118,6 +122,7 @@
             streams: Vec::new(),
             next: WORKERS as u64,
             is_calm: false,
+            most_cut: 1,
             outcome: Outcome::default(),
         };
         for number in 0..NODES {
@@ -138,6 +143,7 @@
             has_read: false,
             runs_from: self.now,
             cut_until: 0,
+            cut: 0,
             hit: self.now,
             workers: WorkerDirectory::new(Policy::default()).with_versions(history),
             origins: StreamOrigins::default(),
@@ -161,7 +167,12 @@
 
     /// Returns whether a message between two nodes arrives.
     fn arrives(&mut self, from: usize, to: usize) -> bool {
-        let is_open = self.runs(to) && !self.is_cut(from) && !self.is_cut(to);
+        let is_parted = match (self.is_cut(from), self.is_cut(to)) {
+            (false, false) => false,
+            (true, true) => self.nodes[from].cut != self.nodes[to].cut,
+            _ => true,
+        };
+        let is_open = self.runs(to) && !is_parted;
         is_open && !self.random.random_bool(LOST)
     }
 
@@ -450,10 +461,11 @@
             let is_due = self.nodes[number].runs_from == self.now && self.now > 0;
             if is_due {
                 let hit = self.nodes[number].hit;
-                let cut_until = self.nodes[number].cut_until;
+                let Node { cut_until, cut, .. } = self.nodes[number];
                 self.nodes[number] = Node {
                     hit,
                     cut_until,
+                    cut,
                     ..self.start(number, false)
                 };
             }
@@ -486,11 +498,20 @@
             self.kill(&killed);
         }
         if self.random.random_bool(0.004) {
-            let cut = *all.choose(&mut self.random).expect("some nodes");
+            let count = self.random.random_range(1..=self.most_cut);
+            let cut: Vec<usize> = all
+                .choose_multiple(&mut self.random, count)
+                .copied()
+                .collect();
             let length = self.random.random_range(20..250);
-            self.nodes[cut].cut_until = self.now + length;
-            // Its callers' connections end, and they come back at any node.
-            self.resume_streams_of(cut);
+            for node in &cut {
+                self.nodes[*node].cut_until = self.now + length;
+                self.nodes[*node].cut = self.now;
+            }
+            // Their callers' connections end, and they come back at any node.
+            for node in cut {
+                self.resume_streams_of(node);
+            }
         }
         if self.random.random_bool(0.001) {
             self.lose_all();
@@ -586,3 +607,16 @@
 fn with_three_versions_no_stream_changes_its_version_and_most_go_on() {
     most_go_on(total(&["v1", "v2", "v3"]));
 }
+
+/// Nodes that are cut off together answer each other's questions.
+#[test]
+fn no_stream_goes_on_at_another_version_at_nodes_that_are_out_of_step_together() {
+    for seed in 0..schedules() * 2 {
+        let model = Model {
+            most_cut: 4,
+            ..Model::new(seed)
+        };
+        let outcome = model.run(&["v1", "v2"]);
+        assert_eq!(outcome.mixed, 0, "seed {seed}: {outcome:?}");
+    }
+}
