versions: a reader's statement proves a single version only while it is recent

Class: proofs whose ages add up.

Change: after 250 ms the statement counts as one of a node that reads late, so that a lookup asks. 250 + 700 ms is less than the second.

Figures: table test, failed before. Not played with real processes.

--- a/crates/gateway-core/src/stream_versions/history.rs
+++ b/crates/gateway-core/src/stream_versions/history.rs
@@ -19,6 +19,10 @@
 /// proved. Less than [`NEW_VERSION_PAUSE`], so that no stream of another version can have begun.
 const MAX_READ_AGE: Duration = Duration::from_millis(700);
 
+/// Maximum age of a reader's statement for which a single version counts as proved. With [`MAX_READ_AGE`]
+/// less than [`NEW_VERSION_PAUSE`], so that no stream of another version can have begun.
+const MAX_STATEMENT_AGE: Duration = Duration::from_millis(250);
+
 /// How long a reader's statement on the versions of services is used.
 const STATEMENT_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -159,12 +163,12 @@
         }
         let stated = self.stated.get(&service_key(service));
         match stated.filter(|(_, at)| now.since(*at) <= STATEMENT_LIFETIME) {
-            Some((stated, _))
+            Some((stated, at))
                 if observed
                     .only()
                     .is_none_or(|seen| stated.only() == Some(seen)) =>
             {
-                *stated
+                aged(*stated, now.since(*at))
             }
             Some(_) => ServiceVersions::Several,
             None => observed,
@@ -254,6 +258,16 @@
     }
 }
 
+/// Returns what a reader's statement says some time after it was made.
+fn aged(stated: ServiceVersions, age: Duration) -> ServiceVersions {
+    match stated {
+        ServiceVersions::Sole(version) if age > MAX_STATEMENT_AGE => {
+            ServiceVersions::Stale(version)
+        }
+        _ => stated,
+    }
+}
+
 /// Records that a version has workers; returns whether it had none until now.
 fn note_present(
     versions: &mut BTreeMap<Option<SoftwareVersion>, Seen>,
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -184,6 +184,21 @@
     );
 }
 
+/// Streams of a further version may have begun since a reader stated that there is one.
+#[test]
+fn an_earlier_statement_of_a_reader_does_not_prove_a_single_version() {
+    let mut history = VersionHistory::starting(START);
+    let counts = directory(&[("w1", "v1")], START).version_counts();
+    history.observe_some(START, &counts);
+    let sole = ServiceVersions::Sole(version("v1"));
+    history.note_statement(after(100), service_key(SERVICE), sole);
+    assert_eq!(versions_at(&history, 350), sole);
+    for ms in [400, 1_900] {
+        let expected = ServiceVersions::Stale(version("v1"));
+        assert_eq!(versions_at(&history, ms), expected, "{ms}");
+    }
+}
+
 fn directory(listed: &[(&str, &str)], now: Timestamp) -> WorkerDirectory {
     let mut workers = WorkerDirectory::new(Policy::default());
     add(&mut workers, listed, now);
