--- a/crates/gateway-core/src/admission/room.rs
+++ b/crates/gateway-core/src/admission/room.rs
@@ -30,11 +30,12 @@
         };
         for worker in workers.known(service) {
             if !workers.is_accepting(worker) || worker.is_ejected(now) {
-                room.own_uncounted += worker.in_flight;
+                room.own_uncounted = room.own_uncounted.saturating_add(worker.in_flight);
                 continue;
             }
-            room.slots += worker.record.slots;
-            room.taken_by_others += taken_by_others(workers, worker, now);
+            let taken = taken_by_others(workers, worker, now);
+            room.slots = room.slots.saturating_add(worker.record.slots);
+            room.taken_by_others = room.taken_by_others.saturating_add(taken);
         }
         room
     }
@@ -46,5 +47,5 @@
         true => load.max(worker.record.slots),
         false => load,
     };
-    taken - worker.in_flight
+    taken.saturating_sub(worker.in_flight)
 }
--- a/crates/gateway-core/tests/admission_room.rs
+++ b/crates/gateway-core/tests/admission_room.rs
@@ -207,3 +207,19 @@
         ..turn(1)
     }
 }
+
+/// Numbers of slots that are each in order add up to no less than each of them.
+#[test]
+fn the_room_of_many_slots_does_not_overflow() {
+    let mut workers = WorkerDirectory::new(Policy::default());
+    for id in ["one", "two", "three"] {
+        let many = WorkerRecord {
+            slots: u32::MAX - 5,
+            ..common::engine(id, "a")
+        };
+        workers.upsert(many, NOW);
+        workers.note_full(id, NOW);
+    }
+    let room = Room::of(&workers, SERVICE, NODES, NOW);
+    assert_eq!((room.slots, room.taken_by_others), (u32::MAX, u32::MAX));
+}
