forward: a refused connection is no further exchange, nor a moved run another try

A send that no byte of can have reached the worker, to a worker at which the request broke off before, noted a second possible end there: one crash would have counted twice. Now it only probes again. A run that moves while its silent engine's stream is open counted its own exchange as another try and would have waited for it.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -66,6 +66,8 @@
     /// Accounts for the body's memory while the call holds it.
     _memory: MemoryReservation,
     tried: TriedWorkers,
+    /// Number of this call's own exchanges that are still in progress when the next attempt begins.
+    pub(super) own_sends: usize,
     /// When the current attempt began.
     pub(super) sent: Timestamp,
     /// A connection to the worker beside that of the current attempt, if the worker's end matters.
@@ -123,6 +125,7 @@
             history: AttemptHistory::default(),
             milestones: trace.milestones.clone(),
             tried: trace.tried.clone(),
+            own_sends: 0,
             sent: Timestamp::default(),
             witness: None,
             version: StreamVersion::default(),
@@ -177,6 +180,7 @@
         last_event_id: Option<&str>,
         mut preferred: Option<Target>,
     ) -> Result<RunningResponse, CallError> {
+        self.own_sends = 0;
         loop {
             self.check_sender().map_err(CallError::Refused)?;
             let target = match preferred.take().or_else(|| self.retry_at.take()) {
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -138,6 +138,8 @@
         last_event_id: &str,
         reason: MigrationReason,
     ) -> Result<Option<RunningResponse>, CallError> {
+        // The stream of a silent engine stays open meanwhile.
+        self.own_sends = usize::from(matches!(reason, MigrationReason::Silent));
         let mut run = self.migratable_run(from);
         let candidate = self.candidate(run.life.at());
         let mut order = run.life.migrate(reason, candidate);
--- a/crates/gateway/src/forward/sending.rs
+++ b/crates/gateway/src/forward/sending.rs
@@ -11,6 +11,7 @@
 };
 use elderworks_gateway_core::worker_ends::table::PossibleEnd;
 use elderworks_gateway_core::workers::Worker;
+use elderworks_types::Timestamp;
 
 use super::CallError;
 use super::attempts::Call;
@@ -87,11 +88,14 @@
 
     /// Returns what is known of the workers at which the request broke off.
     pub(super) fn ends(&self) -> EndCount {
-        self.gateway.requests.ends.borrow().count(&self.identity)
+        let mut ends = self.gateway.requests.ends.borrow().count(&self.identity);
+        ends.in_progress = ends.in_progress.saturating_sub(self.own_sends);
+        ends
     }
 
     /// Waits until the request may be sent to a worker. An error means that it may not.
     pub(super) async fn permit_send(&mut self) -> Result<SendPermit, CallError> {
+        let until = self.deadline.min(Instant::now() + MAX_SETTLE_TIME);
         let mut is_investigated = false;
         loop {
             let ends = self.ends();
@@ -103,7 +107,9 @@
                 SendDecision::Permitted(permit) => return Ok(permit),
                 SendDecision::GivenUp => return Err(self.withhold(Withheld::GivenUp)),
                 SendDecision::LastWorker => return Err(self.withhold(Withheld::LastWorker)),
-                SendDecision::Unsettled if !self.may_be_settled_soon(ends) => {
+                SendDecision::Unsettled
+                    if Instant::now() >= until || !self.may_be_settled_soon(ends) =>
+                {
                     return Err(self.withhold(Withheld::Unsettled));
                 }
                 SendDecision::Unsettled => {
@@ -119,9 +125,6 @@
 
     /// Returns whether more may be known in a moment of the workers at which the request broke off.
     fn may_be_settled_soon(&self, ends: EndCount) -> bool {
-        if Instant::now() >= self.deadline {
-            return false;
-        }
         let now = self.gateway.now();
         let table = self.gateway.requests.ends.borrow();
         let mut possible = table.possible_ends(&self.identity);
@@ -218,16 +221,21 @@
             .borrow_mut()
             .note_break(now, exchange, &self.identity, now);
         worker_witness::ask_idle_connection(self.gateway, target, &self.service, exchange.sent);
+        self.probe(target, now).await;
+        if self.ends().ended > 1 {
+            end_records::wait_until_recorded(self.gateway).await;
+        }
+    }
+
+    /// Finds out whether a worker ended with which an exchange broke off at `broke_off`.
+    async fn probe(&self, target: &Target, broke_off: Timestamp) {
         let suspected = Suspected {
             worker: target.worker.clone(),
             address: target.address,
             service: self.service.clone(),
         };
-        worker_probes::investigate_and_wait(self.gateway, suspected, now).await;
+        worker_probes::investigate_and_wait(self.gateway, suspected, broke_off).await;
         peers::report_ends(self.gateway);
-        if self.ends().ended > 1 {
-            end_records::wait_until_recorded(self.gateway).await;
-        }
     }
 
     fn exchange_with(&self, worker: &str) -> Exchange {
@@ -242,10 +250,11 @@
         table.has_break(worker, &self.identity)
     }
 
-    /// Probes a worker again at which the request broke off before and which now can't be reached.
+    /// Probes a worker again at which the request broke off before and which now can't be reached. The
+    /// worker has had no further exchange.
     pub(super) async fn probe_after_break(&self, target: &Target) {
         if self.has_break(WorkerKey::of(&target.worker)) {
-            self.note_break(target).await;
+            self.probe(target, self.gateway.now()).await;
         }
     }
 
