worker_ends: a worker's later end says nothing of exchanges that one of its processes outlasted

Change: once a probe is answered under the worker's id, 0.8 s after the exchange or later, the exchange stays a possible end. Possible ends that other nodes tell are turned into ends only while they are that recent.

The recorded bytes of the new message Outlived are in the compatibility test.

--- a/crates/gateway-core/src/worker_ends/entry.rs
+++ b/crates/gateway-core/src/worker_ends/entry.rs
@@ -67,6 +67,20 @@
     pub exchange: ExchangeKey,
     /// When that was, or earlier.
     pub since: Timestamp,
+    /// Whether a process of the worker's id has answered since, so that an end of the worker says nothing
+    /// of the exchange.
+    pub is_undecided: bool,
+}
+
+impl PossibleEnd {
+    /// Creates a possible end of which nothing more is known.
+    pub fn new(exchange: ExchangeKey, since: Timestamp) -> Self {
+        Self {
+            exchange,
+            since,
+            is_undecided: false,
+        }
+    }
 }
 
 /// What is known under one key.
@@ -160,9 +174,11 @@
         is_more
     }
 
-    /// Turns the possible ends of a worker into ends; returns whether there were any.
+    /// Turns the possible ends of a worker into ends, unless one of its processes has answered since;
+    /// returns whether there were any.
     pub(super) fn end_worker(&mut self, now: Timestamp, worker: WorkerPart) -> bool {
-        let is_of_worker = |end: &PossibleEnd| end.exchange.worker_part() == worker;
+        let is_of_worker =
+            |end: &PossibleEnd| end.exchange.worker_part() == worker && !end.is_undecided;
         let ended: Vec<PossibleEnd> = self
             .possible
             .extract_if(.., |end| is_of_worker(end))
@@ -183,10 +199,17 @@
         let reopened = self
             .ended
             .extract_if(.., |exchange| exchange.worker_part() == worker);
-        let reopened = reopened.map(|exchange| PossibleEnd { exchange, since });
+        let reopened = reopened.map(|exchange| PossibleEnd::new(exchange, since));
         self.possible.extend(reopened);
     }
 
+    /// Records that a process of a worker's id runs, this or the next one.
+    pub(super) fn note_undecided(&mut self, worker: WorkerPart) {
+        for end in &mut self.possible {
+            end.is_undecided |= end.exchange.worker_part() == worker;
+        }
+    }
+
     pub(super) fn has_possible(&self, exchange: ExchangeKey) -> bool {
         self.possible.iter().any(|end| end.exchange == exchange)
     }
--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -9,7 +9,7 @@
 use super::EndCount;
 use super::entry::Entry;
 pub use super::entry::{EndedRequest, KeyKind, PossibleEnd};
-use super::exchanges::{Exchange, ExchangeKey, SignOfLife, WorkerPart};
+use super::exchanges::{Exchange, ExchangeKey, MAX_END_DELAY, SignOfLife, WorkerPart};
 use super::identity::{RequestIdentity, RequestKey};
 use crate::peer_loads::WorkerKey;
 
@@ -26,6 +26,8 @@
     exchange: Exchange,
     request: RequestIdentity,
     since: Timestamp,
+    /// Whether a process of the worker's id has answered since.
+    is_undecided: bool,
 }
 
 impl Break {
@@ -112,6 +114,7 @@
             exchange,
             request: *request,
             since: now,
+            is_undecided: false,
         };
         self.breaks
             .retain(|known| known.exchange != exchange || known.request != *request);
@@ -122,10 +125,7 @@
             .into_iter()
             .flatten()
             .map(|key| (key, KeyKind::Attempt));
-        let end = PossibleEnd {
-            exchange: new.key(),
-            since: now,
-        };
+        let end = PossibleEnd::new(new.key(), now);
         for (key, kind) in content.into_iter().chain(attempts) {
             let entry = self.entry(now, key, kind);
             if entry.add_possible(end) {
@@ -205,6 +205,17 @@
         }
     }
 
+    /// Records that a process of a worker's id answers long after its exchanges, this or the next one. They
+    /// stay possible ends, whatever becomes of that process.
+    pub fn note_undecided(&mut self, worker: WorkerKey) {
+        for known in &mut self.breaks {
+            known.is_undecided |= known.exchange.worker == worker;
+        }
+        for entry in self.entries.values_mut() {
+            entry.note_undecided(WorkerPart::of(worker));
+        }
+    }
+
     /// Records that a worker has ended; returns the requests that it was running.
     pub fn note_ended(
         &mut self,
@@ -220,7 +231,9 @@
         self.ended_workers.insert(part, ended);
         let of_worker: Vec<Break> = self
             .breaks
-            .extract_if(.., |known| known.exchange.worker == worker)
+            .extract_if(.., |known| {
+                known.exchange.worker == worker && !known.is_undecided
+            })
             .collect();
         for entry in self.entries.values_mut() {
             if entry.end_worker(now, part) {
@@ -275,10 +288,11 @@
             let entry = self.entry(noted, told.request, told.kind);
             entry.add_ended(noted, &told.ended);
         }
-        let (ended, possible): (Vec<ExchangeKey>, Vec<ExchangeKey>) = told
-            .possible
-            .iter()
-            .partition(|exchange| self.ended_workers.contains_key(&exchange.worker_part()));
+        let is_recent = told.age <= MAX_END_DELAY;
+        let (ended, possible): (Vec<ExchangeKey>, Vec<ExchangeKey>) =
+            told.possible.iter().partition(|exchange| {
+                is_recent && self.ended_workers.contains_key(&exchange.worker_part())
+            });
         if !ended.is_empty() {
             let entry = self.entry(noted, told.request, told.kind);
             entry.add_ended(noted, &ended);
@@ -287,9 +301,10 @@
             return;
         }
         let since = noted;
-        let possible = possible
-            .into_iter()
-            .map(|exchange| PossibleEnd { exchange, since });
+        let possible = possible.into_iter().map(|exchange| PossibleEnd {
+            is_undecided: !is_recent,
+            ..PossibleEnd::new(exchange, since)
+        });
         let entry = self.entry(noted, told.request, told.kind);
         if told.kind == KeyKind::SharedContent {
             let ended = entry.ended.clone();
--- a/crates/gateway-core/tests/worker_ends.rs
+++ b/crates/gateway-core/tests/worker_ends.rs
@@ -380,6 +380,24 @@
     assert_eq!(table.count(&request("r2")).possible(), 4);
 }
 
+/// A worker that ended long after a request's connection was reset didn't end under the request.
+#[test]
+fn a_later_end_of_a_worker_leaves_earlier_exchanges_undecided() {
+    let mut table = EndTable::default();
+    table.note_break(NOW, with(worker(1)), &request("r1"), NOW);
+    table.note_undecided(worker(1));
+    let later = Exchange {
+        worker: worker(1),
+        sent: NOW + Duration::from_secs(2),
+    };
+    table.note_break(later.sent, later, &request("r2"), NOW);
+    assert_eq!(table.note_ended(later.sent, worker(1), false).len(), 1);
+    assert_eq!(table.count(&request("r3")), ends(1, 1));
+    let answered = sign_of_life(worker(1), Duration::ZERO, Duration::from_secs(1));
+    assert_eq!(table.note_answer(later.sent, &answered), 1);
+    assert_eq!(table.count(&request("r3")), ends(1, 0));
+}
+
 /// What a worker answers, or another one, doesn't undo an end.
 #[test]
 fn ends_stay_until_callers_no_longer_come_back() {
--- a/crates/gateway/src/worker_probes.rs
+++ b/crates/gateway/src/worker_probes.rs
@@ -134,7 +134,10 @@
         let investigation = Investigation::of_exchange(running.broke_off.get());
         match investigation.on_finding(gateway.now(), finding, is_listed) {
             NextProbe::Settled(fate) => return peers::settle(gateway, worker, fate),
-            NextProbe::Undecided => return,
+            NextProbe::Undecided => {
+                gateway.requests.ends.borrow_mut().note_undecided(key);
+                return;
+            }
             NextProbe::After(pause) => {
                 running.findings.send_modify(|count| *count += 1);
                 sleep_unless_woken(running, pause).await;
--- a/crates/protocol/tests/compatibility.rs
+++ b/crates/protocol/tests/compatibility.rs
@@ -229,9 +229,15 @@
             "010e050103".to_owned(),
         ),
         (
-            RequestMessage::Possible { requests },
+            RequestMessage::Possible {
+                requests: requests.clone(),
+            },
             "010e0601ac0201050207c801".to_owned(),
         ),
+        (
+            RequestMessage::Outlived { requests },
+            "010e0701ac0201050207c801".to_owned(),
+        ),
     ];
     for (message, recorded) in messages {
         let datagram = GatewayDatagram::Requests(message);
