--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -259,6 +259,8 @@
     pub deployment: Deployment,
     pub nodes: Vec<Node>,
     pub workers: Vec<ProxiedWorker>,
+    /// Whether the processes of workers that crash start again at once under their ids.
+    pub keeps_ids: bool,
     folder: PathBuf,
     /// Range of addresses; differs between concurrent fleets of one test process.
     address_slot: usize,
@@ -282,6 +284,7 @@
         let mut fleet = Self {
             workers: Vec::new(),
             nodes: Vec::new(),
+            keeps_ids: false,
             folder,
             deployment,
             address_slot: number % ADDRESS_SLOTS,
@@ -315,7 +318,12 @@
     /// Starts a worker behind a proxy and lists it in the store.
     fn add_worker(&mut self, service: &'static str, version: &str) {
         let id = format!("{service}-{}", self.workers.len());
-        let worker = Worker::start(&id, &[]);
+        self.add_process(&id, service, version);
+    }
+
+    /// Starts a process of a worker.
+    fn add_process(&mut self, id: &str, service: &'static str, version: &str) {
+        let worker = Worker::start(id, &[]);
         worker.set_software(version);
         let moment = CRASH_MOMENTS[self.workers.len() % CRASH_MOMENTS.len()];
         worker.crash_on(CRASH_MARK, moment);
@@ -351,12 +359,17 @@
                 continue;
             }
             let crashed = *proxied.crashed.get_or_insert(now);
-            if now - crashed < REPLACEMENT_DELAY {
+            let is_same_id = self.keeps_ids && !proxied.leaves;
+            if !is_same_id && now - crashed < REPLACEMENT_DELAY {
                 continue;
             }
             proxied.is_replaced = true;
             let (id, service) = (proxied.worker.id.clone(), proxied.service);
             let (version, leaves) = (proxied.worker.software(), proxied.leaves);
+            if is_same_id {
+                self.add_process(&id, service, &version);
+                continue;
+            }
             self.deployment.store.put_worker(&id, b"");
             if !leaves {
                 self.add_worker(service, &version);
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -60,6 +60,9 @@
 /// Seeds of [`Schedule::StoreAndKills`] in every test run.
 const STORE_AND_KILLS: &[u64] = &[1, 2];
 
+/// Seeds of [`Schedule::SameIds`] in every test run.
+const SAME_IDS: &[u64] = &[1, 2];
+
 /// Duration of the fault schedule of one seed.
 const ROUND_DURATION: Duration = Duration::from_secs(6);
 
@@ -78,6 +81,13 @@
     }
 }
 
+#[actix_rt::test]
+async fn requests_end_three_processes_at_most_that_start_again_under_their_ids() {
+    for seed in SAME_IDS {
+        round::run(*seed, Schedule::SameIds, ROUND_DURATION).await;
+    }
+}
+
 #[actix_rt::test]
 async fn random_seeds_keep_the_guarantees() {
     let Some(seconds) = number_from_env("ELDERWORKS_SOAK_SECONDS") else {
@@ -87,7 +97,8 @@
     let schedules = match std::env::var("ELDERWORKS_SOAK_SCHEDULE").as_deref() {
         Ok("mixed") => &[Schedule::Mixed][..],
         Ok("store-and-kills") => &[Schedule::StoreAndKills],
-        _ => &[Schedule::Mixed, Schedule::StoreAndKills],
+        Ok("same-ids") => &[Schedule::SameIds],
+        _ => &[Schedule::Mixed, Schedule::StoreAndKills, Schedule::SameIds],
     };
     if std::env::var("ELDERWORKS_SOAK_SCHEDULE").as_deref() == Ok("planned") {
         return play_planned_work(until).await;
--- a/crates/cli/tests/soak/round.rs
+++ b/crates/cli/tests/soak/round.rs
@@ -48,6 +48,9 @@
     Mixed,
     /// See [`store_and_kills`].
     StoreAndKills,
+    /// Like [`Self::Mixed`], while the processes of workers that crash start again at once under their
+    /// ids.
+    SameIds,
 }
 
 /// Runs the round of a seed and panics if a guarantee was violated.
@@ -58,7 +61,10 @@
     let stop = Rc::new(Cell::new(false));
     let tasks = start_callers(&fleet, &records, &stop, seed, kind);
     let schedule = match kind {
-        Schedule::Mixed => inject_faults(&mut random, &mut fleet, duration).await,
+        Schedule::Mixed | Schedule::SameIds => {
+            fleet.keeps_ids = kind == Schedule::SameIds;
+            inject_faults(&mut random, &mut fleet, duration).await
+        }
         Schedule::StoreAndKills => store_and_kills::inject(&mut random, &mut fleet, duration).await,
     };
     fleet.wait_until_ready().await;
@@ -134,7 +140,7 @@
         })
         .collect();
     match kind {
-        Schedule::Mixed => {
+        Schedule::Mixed | Schedule::SameIds => {
             let caller = DeadlyCaller {
                 records: records.clone(),
                 nodes: nodes(),
