worker_witness: one connection to a worker is asked for all exchanges that it can settle

Each exchange without an answer took an idle connection of the pool and asked on it five times a second: up to 16 for a worker whose connections break together. Read, not measured. Now a further one is asked only if none is that was open before the exchange.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,7 @@
 use crate::upstream::Pool;
 use crate::version_records::RecordsRead;
 use crate::worker_probes::WorkerProbes;
+use crate::worker_witness::Watches;
 
 /// Stages of a process's lifecycle, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -96,6 +97,7 @@
     pub(crate) requests: RequestExchange,
     /// Probes of workers at which requests broke off.
     pub(crate) worker_probes: WorkerProbes,
+    pub(crate) watches: Watches,
     /// This node's record of requests under which workers ended.
     pub(crate) end_records: EndRecords,
     /// Whether the versions that were recorded before this process started were read.
@@ -204,6 +206,7 @@
             lessors: Lessors::default(),
             requests: RequestExchange::default(),
             worker_probes: WorkerProbes::default(),
+            watches: Watches::default(),
             end_records: EndRecords::default(),
             versions_read: RecordsRead::default(),
             stream_lifetime: Cell::default(),
--- a/crates/gateway/src/worker_witness.rs
+++ b/crates/gateway/src/worker_witness.rs
@@ -2,6 +2,8 @@
 //! answered, the process that had the exchange runs; a new connection would show only that some process
 //! listens at the worker's address.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -27,6 +29,42 @@
 /// Maximum size in bytes of an answer.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
+/// The connections that are asked, by worker: when each was open.
+#[derive(Debug, Default)]
+pub(crate) struct Watches {
+    opened: RefCell<HashMap<WorkerKey, Vec<Timestamp>>>,
+}
+
+impl Watches {
+    /// Returns whether a connection to a worker is asked that was open at this time.
+    fn has_opened_before(&self, worker: WorkerKey, time: Timestamp) -> bool {
+        let opened = self.opened.borrow();
+        let of_worker = opened.get(&worker);
+        of_worker.is_some_and(|opened| opened.iter().any(|opened| *opened <= time))
+    }
+
+    fn add(&self, worker: WorkerKey, opened: Timestamp) {
+        self.opened
+            .borrow_mut()
+            .entry(worker)
+            .or_default()
+            .push(opened);
+    }
+
+    fn remove(&self, worker: WorkerKey, opened: Timestamp) {
+        let mut all = self.opened.borrow_mut();
+        let Some(of_worker) = all.get_mut(&worker) else {
+            return;
+        };
+        if let Some(position) = of_worker.iter().position(|known| *known == opened) {
+            of_worker.swap_remove(position);
+        }
+        if of_worker.is_empty() {
+            all.remove(&worker);
+        }
+    }
+}
+
 /// Keeps a connection asked while an exchange with the worker is in progress.
 #[derive(Debug)]
 pub(crate) struct Witness {
@@ -63,6 +101,10 @@
     service: &str,
     sent: Timestamp,
 ) {
+    let worker = WorkerKey::of(&target.worker);
+    if gateway.watches.has_opened_before(worker, sent) {
+        return;
+    }
     let connection = gateway.pool.take_opened_before(&target.worker, sent);
     if let Some(connection) = connection {
         watch(gateway, target, service, connection, Weak::new());
@@ -79,8 +121,11 @@
     let config = gateway.current_config();
     let service = config.as_ref().and_then(|config| config.service(service));
     let health_path = service.map_or("/", |service| service.health_path.as_str());
+    let worker = WorkerKey::of(&target.worker);
+    gateway.watches.add(worker, connection.opened);
     let watch = Watch {
         gateway: gateway.clone(),
+        worker,
         target: target.clone(),
         request: question(target, health_path),
         opened: connection.opened,
@@ -92,6 +137,7 @@
 /// A connection that is asked again and again.
 struct Watch {
     gateway: Rc<Gateway>,
+    worker: WorkerKey,
     target: Target,
     request: OutgoingRequest,
     opened: Timestamp,
@@ -99,6 +145,12 @@
     in_use: Weak<()>,
 }
 
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.gateway.watches.remove(self.worker, self.opened);
+    }
+}
+
 impl Watch {
     async fn run(self, connection: WorkerConnection) {
         let mut connection = Some(connection);
@@ -112,7 +164,7 @@
                 &self.gateway,
                 &self.target.worker,
                 &SignOfLife {
-                    worker: WorkerKey::of(&self.target.worker),
+                    worker: self.worker,
                     opened: self.opened,
                     answered: asked,
                 },
@@ -126,9 +178,8 @@
     }
 
     fn is_needed(&self) -> bool {
-        let worker = WorkerKey::of(&self.target.worker);
         let table = self.gateway.requests.ends.borrow();
-        self.in_use.strong_count() > 0 || table.needs_sign_of_life(worker, self.opened)
+        self.in_use.strong_count() > 0 || table.needs_sign_of_life(self.worker, self.opened)
     }
 
     /// Returns `None` without an answer, or else the connection if it can be used again.
