--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -3,6 +3,8 @@
 //! A caller's next try may come to any node that it is sent to, so all of these are told at once. A node
 //! that has started asks the others what they know.
 
+mod messages;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -12,14 +14,12 @@
 use elderworks_gateway_core::nodes::NodeDirectory;
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::start::Milestone;
-use elderworks_gateway_core::worker_ends::exchanges::{ExchangeKey, SignOfLife};
+use elderworks_gateway_core::worker_ends::exchanges::SignOfLife;
 use elderworks_gateway_core::worker_ends::identity::{RequestIdentity, RequestKey};
 use elderworks_gateway_core::worker_ends::investigation::Fate;
 use elderworks_gateway_core::worker_ends::suspects::{Placement, placement_reports};
-use elderworks_gateway_core::worker_ends::table::{EndedRequest, KeyKind};
-use elderworks_protocol::gateway::{
-    EndRecord, EndedReport, GatewayDatagram, RequestKind, RequestMessage,
-};
+use elderworks_gateway_core::worker_ends::table::EndedRequest;
+use elderworks_protocol::gateway::{EndRecord, EndedReport, GatewayDatagram, RequestMessage};
 use elderworks_types::{NodeId, Timestamp};
 use tokio::sync::watch;
 
@@ -27,12 +27,12 @@
 use crate::end_records;
 use crate::gateway::Gateway;
 
+pub(crate) use messages::record_of;
+use messages::{Exchanges, decode, messages};
+
 /// Maximum number of nodes that are told. Callers are sent to at most as many.
 const MAX_TOLD_NODES: usize = 64;
 
-/// Maximum number of requests in one datagram.
-const MAX_REPORTED_REQUESTS: usize = 400;
-
 /// Number of nodes that a starting node asks.
 const ASKED_NODES: usize = 6;
 
@@ -143,37 +143,6 @@
     }
 }
 
-/// Returns the record of requests in the log.
-pub(crate) fn record_of(known: &[EndedRequest]) -> EndRecord {
-    EndRecord {
-        ended: encode_all(known, Exchanges::Ended),
-        possible: encode_all(known, Exchanges::Possible),
-    }
-}
-
-/// Which exchanges of a request a report names.
-#[derive(Clone, Copy, Debug)]
-enum Exchanges {
-    Ended,
-    Possible,
-    Outlived,
-}
-
-impl Exchanges {
-    fn of(self, known: &EndedRequest) -> &[ExchangeKey] {
-        match self {
-            Self::Ended => &known.ended,
-            Self::Possible => &known.possible,
-            Self::Outlived => &known.outlived,
-        }
-    }
-}
-
-fn encode_all(known: &[EndedRequest], which: Exchanges) -> Vec<EndedReport> {
-    let known = known.iter().filter(|known| !which.of(known).is_empty());
-    known.map(|known| encode(known, which.of(known))).collect()
-}
-
 async fn ask_for_all(gateway: &Gateway) {
     let state = &gateway.requests.catch_up;
     state.is_answered.set(false);
@@ -309,30 +278,6 @@
     }
 }
 
-/// Returns the messages that tell what is known of requests. `ended` makes those of the ends.
-fn messages(
-    known: &[EndedRequest],
-    ended: impl Fn(Vec<EndedReport>) -> RequestMessage,
-) -> Vec<RequestMessage> {
-    let ends = encode_all(known, Exchanges::Ended);
-    let possible = encode_all(known, Exchanges::Possible);
-    let outlived = encode_all(known, Exchanges::Outlived);
-    let ends = ends.chunks(MAX_REPORTED_REQUESTS);
-    let possible = possible.chunks(MAX_REPORTED_REQUESTS);
-    let possible = possible.map(|part| RequestMessage::Possible {
-        requests: part.to_vec(),
-    });
-    let outlived = outlived.chunks(MAX_REPORTED_REQUESTS);
-    let outlived = outlived.map(|part| RequestMessage::Outlived {
-        requests: part.to_vec(),
-    });
-    // Before what is possible, which must not be counted in between.
-    ends.map(|part| ended(part.to_vec()))
-        .chain(outlived)
-        .chain(possible)
-        .collect()
-}
-
 /// Forgets requests whose callers don't come back any more.
 pub(super) fn drop_old(gateway: &Gateway) {
     let (now, lifetime) = (gateway.now(), gateway.request_lifetime());
@@ -514,38 +459,3 @@
     let datagram = GatewayDatagram::Requests(message);
     gateway.requests.send(gateway, &datagram, to);
 }
-
-fn encode(known: &EndedRequest, exchanges: &[ExchangeKey]) -> EndedReport {
-    EndedReport {
-        request: known.request.0,
-        kind: match known.kind {
-            KeyKind::Attempt => RequestKind::Attempt,
-            KeyKind::Content => RequestKind::Content,
-            KeyKind::SharedContent => RequestKind::SharedContent,
-        },
-        age_ms: u32::try_from(known.age.as_millis()).unwrap_or(u32::MAX),
-        workers: exchanges.iter().map(|exchange| exchange.0).collect(),
-    }
-}
-
-fn decode(report: &EndedReport, which: Exchanges) -> EndedRequest {
-    let mut request = EndedRequest {
-        request: RequestKey(report.request),
-        kind: match report.kind {
-            RequestKind::Attempt => KeyKind::Attempt,
-            RequestKind::Content => KeyKind::Content,
-            RequestKind::SharedContent => KeyKind::SharedContent,
-        },
-        age: Duration::from_millis(u64::from(report.age_ms)),
-        ended: Vec::new(),
-        possible: Vec::new(),
-        outlived: Vec::new(),
-    };
-    let exchanges = match which {
-        Exchanges::Ended => &mut request.ended,
-        Exchanges::Possible => &mut request.possible,
-        Exchanges::Outlived => &mut request.outlived,
-    };
-    *exchanges = report.workers.iter().copied().map(ExchangeKey).collect();
-    request
-}
