--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -26,6 +26,7 @@
 mod callers;
 mod checker_tests;
 mod checks;
+mod continuations;
 mod deadly;
 mod faults;
 mod fleet;
@@ -37,11 +38,13 @@
 
 use std::time::{Duration, Instant};
 
+use continuations::{Events, Trouble};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use restarts::PlannedWork;
 use round::Schedule;
+use standin::store::StoreFault;
 
 /// Seeds of every test run, each with the reason for including it.
 const REGRESSIONS: &[(u64, &str)] = &[
@@ -164,6 +167,92 @@
     assert!(lost.is_empty(), "cut by the exit:\n{}", lost.join("\n"));
 }
 
+/// Minimum number of turns that continue a stored one in a round of [`continuations`].
+const MIN_CONTINUED: usize = 10;
+
+/// A loss of all processes and nothing else.
+const LOSS_OF_ALL: Events = Events {
+    nodes: 4,
+    killed: 4,
+    trouble: Trouble::None,
+    all_stored: false,
+    imports: false,
+};
+
+/// Plays a round and checks that no turn is stuck and that nine tenths of all turns are served.
+async fn play_continuations(seed: u64, events: Events) {
+    let outcome = continuations::run(seed, events).await;
+    assert!(outcome.stuck.is_empty(), "{}", outcome.stuck.join("\n"));
+    assert!(outcome.continued >= MIN_CONTINUED, "{outcome:?}");
+}
+
+#[actix_rt::test]
+async fn stored_turns_go_on_after_a_loss_of_all_processes() {
+    play_continuations(1, LOSS_OF_ALL).await;
+}
+
+#[actix_rt::test]
+async fn stored_turns_of_earlier_programs_go_on_after_a_loss_of_all_processes() {
+    let events = Events {
+        imports: true,
+        ..LOSS_OF_ALL
+    };
+    play_continuations(2, events).await;
+}
+
+#[actix_rt::test]
+async fn stored_turns_go_on_after_a_loss_of_most_processes() {
+    let events = Events {
+        killed: 3,
+        ..LOSS_OF_ALL
+    };
+    play_continuations(3, events).await;
+}
+
+#[actix_rt::test]
+async fn stored_turns_go_on_after_a_loss_of_one_process_while_the_log_is_silent() {
+    let silence = Duration::from_secs(3);
+    let events = Events {
+        killed: 1,
+        trouble: Trouble::AroundLoss(StoreFault::Silent, silence),
+        ..LOSS_OF_ALL
+    };
+    play_continuations(4, events).await;
+}
+
+#[actix_rt::test]
+async fn stored_turns_go_on_after_the_log_closed_connections_around_a_loss() {
+    let trouble = Duration::from_secs(3);
+    let events = Events {
+        killed: 2,
+        trouble: Trouble::AroundLoss(StoreFault::Reset, trouble),
+        ..LOSS_OF_ALL
+    };
+    play_continuations(5, events).await;
+}
+
+#[actix_rt::test]
+async fn stored_turns_alone_go_on_after_the_log_rejected_calls() {
+    for (seed, fault) in [(6, StoreFault::Busy), (7, StoreFault::Reset)] {
+        let events = Events {
+            trouble: Trouble::AfterLoss(fault, Duration::from_millis(2_500)),
+            all_stored: true,
+            ..LOSS_OF_ALL
+        };
+        play_continuations(seed, events).await;
+    }
+}
+
+#[actix_rt::test]
+async fn stored_turns_go_on_while_the_calls_of_one_process_hang() {
+    let events = Events {
+        killed: 0,
+        trouble: Trouble::OneHangs(Duration::from_secs(12)),
+        ..LOSS_OF_ALL
+    };
+    play_continuations(8, events).await;
+}
+
 /// Returns the number in an environment variable, or `None` if it is unset or not a number.
 fn number_from_env(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
--- a/crates/gateway-core/tests/ledger/main.rs
+++ b/crates/gateway-core/tests/ledger/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod fixtures;
 mod handover;
+mod lost_overdrafts;
 mod overdrafts;
 mod turn_holders;
 mod turns;
