ledger: overdrafts serve no stored turns, and stored turns aren't charged for lost ones

What callers saw: after a loss of a majority of a partition's witnesses, the last stored turn of a program whose budget is tight is refused with 503 for 20 minutes, in every try; first turns are served.

Cause: nobody can tell whether a lost overdraft was used, so a third of each budget is held back, also from turns that it can't have served. A stored turn can't end without the log; what an owner let it draw on an overdraft was of little use to it, and that it might have done so held back a third of every program.

A request for a turn that isn't stored carries a mark in a field that earlier nodes ignore without a previous turn; a turn without mark and without a previous one (a first stored turn, or one that an earlier node asks for) is neither served by an overdraft nor exempted. Only turns that may draw on an overdraft activate it. The switch `kept_overdrafts` keeps the former way.

The ledger's model has a program whose turns are stored, the check that it passes no budget, and that after a loss of all nodes it gets every turn that its budget holds. Tests that ask for turns on overdrafts now mark them as not stored, and two lists of records have the new one: the same checks on requests and records that say more.

--- a/crates/gateway-core/src/ledger/mod.rs
+++ b/crates/gateway-core/src/ledger/mod.rs
@@ -38,7 +38,7 @@
 pub use refusal::{BudgetHold, BudgetHolder, BudgetRefusal};
 pub use sent_number::{SentNumber, SentNumbers};
 pub use state::{
-    ACCOUNT_RETENTION, LedgerState, OVERDRAFT_RETENTION, OpenOverdraft, TURN_RETENTION,
+    ACCOUNT_RETENTION, LedgerState, OVERDRAFT_RETENTION, OpenOverdraft, ProgramTurn, TURN_RETENTION,
 };
 pub use turn_holders::{EndReport, ReportSchedule, TurnHolders};
 pub use wallet::{Advance, IDLE_BEFORE_SETTLING, MAX_TURN_DURATION, SpentAdvance, Wallet};
--- a/crates/gateway-core/src/ledger/owner/overdrafts.rs
+++ b/crates/gateway-core/src/ledger/owner/overdrafts.rs
@@ -175,11 +175,16 @@
         let known_programs = !is_alone;
         if min_budget > 0 || known_programs {
             plan.records.push(LedgerRecord::OverdraftTerms {
-                overdraft,
+                overdraft: overdraft.clone(),
                 min_budget,
                 known_programs,
             });
         }
+        // A stored turn can't end without the log, so that an overdraft is of little use to it.
+        if !self.policy.kept_overdrafts {
+            plan.records
+                .push(LedgerRecord::OverdraftForUnstored { overdraft });
+        }
     }
 
     /// Returns whether an own overdraft can be opened after those named in `closed` are closed: no
--- a/crates/gateway-core/src/ledger/owner/requests.rs
+++ b/crates/gateway-core/src/ledger/owner/requests.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use elderworks_protocol::ledger::{BeginTurn, LedgerReply, LedgerRequest};
+use elderworks_protocol::ledger::{BeginTurn, LedgerReply, LedgerRequest, TurnStorage};
 use elderworks_types::Timestamp;
 
 use super::super::calls::{CallNumber, Ticket};
@@ -83,7 +83,7 @@
         hold_until: Timestamp,
     ) {
         let immediate = self.answer_from_memory(now, &request);
-        if immediate.is_none() {
+        if immediate.is_none() && self.may_draw(&request) {
             self.activate_overdraft(now);
         }
         let is_activating = self.overdraft.is_activating();
@@ -153,6 +153,7 @@
                     share: own.share,
                     min_budget: own.min_budget,
                     known_programs: own.known_programs,
+                    unstored_only: own.unstored_only,
                 }
             }
             _ => Credit::None,
@@ -168,12 +169,26 @@
     /// Reports that the call in progress takes longer than [`SLOW_CALL_THRESHOLD`](crate::ledger::SLOW_CALL_THRESHOLD).
     pub fn note_slow_call(&mut self, now: Timestamp) {
         self.overdraft.record_degraded();
-        if !self.queue.is_empty() {
+        if self
+            .queue
+            .iter()
+            .any(|queued| self.may_draw(&queued.request))
+        {
             self.activate_overdraft(now);
         }
         self.answer_queued(now);
     }
 
+    /// Returns whether a request may draw on the own overdraft once that is active.
+    fn may_draw(&self, request: &LedgerRequest) -> bool {
+        let LedgerRequest::Begin(begin) = request else {
+            return false;
+        };
+        let is_served = begin.storage() == TurnStorage::NotStored;
+        let serves_all = self.own_overdraft().is_some_and(|own| !own.unstored_only);
+        begin.budget.is_some() && (is_served || serves_all)
+    }
+
     /// Answers queued requests that no longer need a call, and refuses those that have to wait for
     /// a log that is down.
     pub(super) fn answer_queued(&mut self, now: Timestamp) {
--- a/crates/gateway-core/src/ledger/pieces.rs
+++ b/crates/gateway-core/src/ledger/pieces.rs
@@ -27,7 +27,8 @@
         | LedgerRecord::Settled { .. }
         | LedgerRecord::OverdraftClosed { .. }
         | LedgerRecord::OverdraftTerms { .. }
-        | LedgerRecord::OverdraftSuperseded { .. } => 0,
+        | LedgerRecord::OverdraftSuperseded { .. }
+        | LedgerRecord::OverdraftForUnstored { .. } => 0,
     };
     content + RECORD_OVERHEAD
 }
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use elderworks_protocol::ledger::{
-    BeginTurn, FinishTurn, LedgerRecord, LedgerReply, LedgerRequest, StoredTurn,
+    BeginTurn, FinishTurn, LedgerRecord, LedgerReply, LedgerRequest, StoredTurn, TurnStorage,
 };
 use elderworks_types::Timestamp;
 
 use super::pieces::{MAX_APPEND_BYTES, approximate_bytes, kept_records};
 use super::wallet::to_signed;
 use super::wallets::Wallets;
-use super::{Account, LedgerState};
+use super::{Account, LedgerState, ProgramTurn};
 
 /// Maximum size of the extra part of an advance, in turns of the size of the one that it is made
 /// for.
@@ -40,6 +40,8 @@
         min_budget: u64,
         /// Whether only programs with an account in the log may draw on it.
         known_programs: bool,
+        /// Whether only turns may draw on it that aren't stored.
+        unstored_only: bool,
     },
 }
 
@@ -150,12 +152,14 @@
         share,
         min_budget,
         known_programs,
+        unstored_only,
     } = credit
     else {
         return false;
     };
     let is_known = state.account(&begin.program).is_some();
-    if budget < min_budget || known_programs && !is_known {
+    let is_served = begin.storage() == TurnStorage::NotStored || !unstored_only;
+    if budget < min_budget || known_programs && !is_known || !is_served {
         return false;
     }
     let program = &begin.program;
@@ -171,7 +175,7 @@
     let is_own = |name: &str| wallets.is_own(name);
     let reserved = state.reserved(program, is_own);
     let committed = state.account(program).map_or(0, Account::committed);
-    let others = state.overdrawn_by_others(program, budget, is_own);
+    let others = state.overdrawn_by_others(program_turn(begin, budget), is_own);
     let unrecorded = with_turn.saturating_sub(reserved);
     if committed.saturating_add(others).saturating_add(unrecorded) > budget {
         return false;
@@ -283,7 +287,8 @@
             if self.advanced.contains_key(&begin.program) {
                 return Planned::DecideAfterAppend;
             }
-            let unsettled = self.unsettled(state, wallets, now, &begin.program, budget);
+            let turn = program_turn(begin, budget);
+            let unsettled = self.unsettled(state, wallets, now, turn);
             return Planned::AnswerIfCurrent(shortage.reply(unsettled));
         }
         if let Some((turn, content)) = import {
@@ -299,16 +304,14 @@
         state: &LedgerState,
         wallets: &Wallets,
         now: Timestamp,
-        program: &str,
-        budget: u64,
+        turn: ProgramTurn<'_>,
     ) -> Unsettled {
         let is_own = |name: &str| wallets.is_own(name);
         let reserved =
-            state.recently_reserved_by_others(program, now, FOREIGN_SETTLEMENT_WAIT, is_own);
-        let undecided = state.overdrawn_by_others(program, budget, |name| {
-            is_own(name) || !self.undecided.contains(name)
-        });
-        let unknown = state.overdrawn_by_others(program, budget, is_own);
+            state.recently_reserved_by_others(turn.program, now, FOREIGN_SETTLEMENT_WAIT, is_own);
+        let undecided =
+            state.overdrawn_by_others(turn, |name| is_own(name) || !self.undecided.contains(name));
+        let unknown = state.overdrawn_by_others(turn, is_own);
         Unsettled {
             resolves_soon: reserved.saturating_add(undecided),
             total: reserved.saturating_add(unknown),
@@ -340,7 +343,7 @@
         let missing = u64::try_from(to_signed(begin.tokens).saturating_sub(available)).unwrap_or(0);
         if missing > 0 {
             let is_own = |name: &str| wallets.is_own(name);
-            let others = state.overdrawn_by_others(program, budget, is_own);
+            let others = state.overdrawn_by_others(program_turn(begin, budget), is_own);
             let account = self.account(state, program);
             let held = account.committed().saturating_add(others);
             let wanted = held.saturating_add(missing);
@@ -387,6 +390,14 @@
     }
 }
 
+fn program_turn(begin: &BeginTurn, budget: u64) -> ProgramTurn<'_> {
+    ProgramTurn {
+        program: &begin.program,
+        budget,
+        storage: begin.storage(),
+    }
+}
+
 /// Returns the extra part of an advance for a turn of `tokens` if `left` tokens of the budget
 /// remain beyond that turn. If possible, it leaves enough for another turn of this size, so that
 /// the program can continue if the advance is lost with its owner.
--- a/crates/gateway-core/src/ledger/refusal.rs
+++ b/crates/gateway-core/src/ledger/refusal.rs
@@ -6,9 +6,9 @@
 use elderworks_protocol::ledger::BeginTurn;
 use elderworks_types::Timestamp;
 
-use super::LedgerState;
 use super::overdraft::owner_of;
 use super::wallets::Wallets;
+use super::{LedgerState, ProgramTurn};
 
 /// Maximum number of holds that a refusal lists.
 const MAX_LISTED_HOLDS: usize = 8;
@@ -70,7 +70,12 @@
         let budget = begin.budget.unwrap_or(u64::MAX);
         let mut holds = running_turns(wallets, now, program);
         holds.extend(reservations(state, wallets, now, program));
-        holds.extend(overdrafts(state, wallets, program, budget));
+        let turn = ProgramTurn {
+            program,
+            budget,
+            storage: begin.storage(),
+        };
+        holds.extend(overdrafts(state, wallets, turn));
         holds.truncate(MAX_LISTED_HOLDS);
         Self {
             program: program.to_owned(),
@@ -115,13 +120,8 @@
     holds.collect()
 }
 
-fn overdrafts(
-    state: &LedgerState,
-    wallets: &Wallets,
-    program: &str,
-    budget: u64,
-) -> Vec<BudgetHold> {
-    let charges = state.overdraft_charges(program, budget, |name| wallets.is_own(name));
+fn overdrafts(state: &LedgerState, wallets: &Wallets, turn: ProgramTurn<'_>) -> Vec<BudgetHold> {
+    let charges = state.overdraft_charges(turn, |name| wallets.is_own(name));
     let holds = charges.map(|(name, tokens)| BudgetHold {
         holder: BudgetHolder::OtherOverdraft,
         name: owner_of(name).to_owned(),
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use elderworks_protocol::ledger::{LedgerRecord, StoredTurn, Witness};
+use elderworks_protocol::ledger::{LedgerRecord, StoredTurn, TurnStorage, Witness};
 use elderworks_types::Timestamp;
 
 use super::Account;
@@ -46,6 +46,17 @@
     last_written: Timestamp,
 }
 
+/// What determines which overdrafts a turn's program may have drawn on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProgramTurn<'a> {
+    /// The program.
+    pub program: &'a str,
+    /// The program's budget, in tokens.
+    pub budget: u64,
+    /// Whether the turn is stored.
+    pub storage: TurnStorage,
+}
+
 /// An overdraft that is open in the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenOverdraft {
@@ -56,6 +67,8 @@
     pub min_budget: u64,
     /// Whether only programs may draw on it whose account its owner has read in the log.
     pub known_programs: bool,
+    /// Whether only turns may draw on it that aren't stored.
+    pub unstored_only: bool,
     /// `Some` once the overdraft is superseded, which forbids its owner to draw on it after reading
     /// that record. Contains the programs that had an account at that point.
     pub superseded: Option<BTreeSet<String>>,
@@ -64,11 +77,13 @@
 }
 
 impl OpenOverdraft {
-    /// Returns whether a program may have drawn on the overdraft or may still do so.
-    fn may_serve(&self, program: &str, budget: u64) -> bool {
-        let is_unknown = |known: &BTreeSet<String>| !known.contains(program);
+    /// Returns whether the program of a turn may have drawn on the overdraft or may still do so.
+    /// The turns of a program are all stored, or none is.
+    fn may_serve(&self, turn: ProgramTurn<'_>) -> bool {
+        let is_unknown = |known: &BTreeSet<String>| !known.contains(turn.program);
         let is_excluded = self.known_programs && self.superseded.as_ref().is_some_and(is_unknown);
-        budget >= self.min_budget && !is_excluded
+        let is_stored = turn.storage == TurnStorage::Stored;
+        turn.budget >= self.min_budget && !is_excluded && !(self.unstored_only && is_stored)
     }
 }
 
@@ -137,12 +152,14 @@
                     share,
                     min_budget: 0,
                     known_programs: false,
+                    unstored_only: false,
                     superseded: None,
                     witnesses,
                 };
                 if let Some(known) = self.overdrafts.remove(&overdraft) {
                     value.min_budget = known.value.min_budget;
                     value.known_programs = known.value.known_programs;
+                    value.unstored_only = known.value.unstored_only;
                     value.superseded = known.value.superseded;
                 }
                 let entry = Timestamped {
@@ -171,6 +188,11 @@
                         .get_or_insert_with(|| known.collect());
                 }
             }
+            LedgerRecord::OverdraftForUnstored { overdraft } => {
+                if let Some(entry) = self.overdrafts.get_mut(&overdraft) {
+                    entry.value.unstored_only = true;
+                }
+            }
             LedgerRecord::OverdraftClosed { overdraft } => {
                 self.overdrafts.remove(&overdraft);
             }
@@ -211,35 +233,29 @@
     /// its reservations in the log. `is_own` returns whether an overdraft belongs to the calling
     /// owner.
     ///
-    /// Programs that an overdraft does not serve are not charged for it. An owner starts a turn on
+    /// Programs and turns that an overdraft does not serve are not charged for it. An owner starts a turn on
     /// its overdraft only if the tokens that the program draws at most, apart from settled ones,
     /// stay within the share of its budget. The charge therefore covers everything that the owner
     /// can have granted without a record, and the charges of several open overdrafts are added.
-    pub fn overdrawn_by_others(
-        &self,
-        program: &str,
-        budget: u64,
-        is_own: impl Fn(&str) -> bool,
-    ) -> u64 {
-        let charges = self.overdraft_charges(program, budget, is_own);
+    pub fn overdrawn_by_others(&self, turn: ProgramTurn<'_>, is_own: impl Fn(&str) -> bool) -> u64 {
+        let charges = self.overdraft_charges(turn, is_own);
         saturating_sum(charges.map(|(_, tokens)| tokens))
     }
 
     /// Returns what [`Self::overdrawn_by_others`] adds up: the overdrafts of other owners that may
-    /// serve a program, each with the tokens charged for it.
+    /// serve a turn's program, each with the tokens charged for it.
     pub(super) fn overdraft_charges(
         &self,
-        program: &str,
-        budget: u64,
+        turn: ProgramTurn<'_>,
         is_own: impl Fn(&str) -> bool,
     ) -> impl Iterator<Item = (&str, u64)> {
         let others = self.overdrafts().filter(move |(name, _)| !is_own(name));
         others
-            .filter(move |(_, overdraft)| overdraft.may_serve(program, budget))
+            .filter(move |(_, overdraft)| overdraft.may_serve(turn))
             .map(move |(name, overdraft)| {
                 let owner = owner_of(name);
-                let limit = budget / overdraft.share.max(1);
-                let reserved = self.reserved(program, |other| owner_of(other) == owner);
+                let limit = turn.budget / overdraft.share.max(1);
+                let reserved = self.reserved(turn.program, |other| owner_of(other) == owner);
                 (name, limit.saturating_sub(reserved))
             })
     }
@@ -430,6 +446,11 @@
             known_programs: open.known_programs,
         },
     ];
+    if open.unstored_only {
+        records.push(LedgerRecord::OverdraftForUnstored {
+            overdraft: overdraft.to_owned(),
+        });
+    }
     if open.superseded.is_some() {
         records.push(LedgerRecord::OverdraftSuperseded {
             overdraft: overdraft.to_owned(),
--- a/crates/gateway-core/src/log_call_purpose.rs
+++ b/crates/gateway-core/src/log_call_purpose.rs
@@ -45,6 +45,7 @@
             LedgerRecord::Overdraft { .. }
             | LedgerRecord::OverdraftTerms { .. }
             | LedgerRecord::OverdraftSuperseded { .. }
+            | LedgerRecord::OverdraftForUnstored { .. }
             | LedgerRecord::OverdraftClosed { .. } => Self::Overdraft,
             LedgerRecord::Settled { .. } => Self::Settle,
             LedgerRecord::Account { .. } => Self::Rewrite,
--- a/crates/gateway-core/tests/ledger/fixtures.rs
+++ b/crates/gateway-core/tests/ledger/fixtures.rs
@@ -11,15 +11,18 @@
     begin_of("p", turn, budget, tokens)
 }
 
+/// Returns the start of a turn that isn't stored.
 pub fn begin_of(program: &str, turn: &str, budget: u64, tokens: u64) -> LedgerRequest {
-    LedgerRequest::Begin(BeginTurn {
+    let mut begin = BeginTurn {
         program: program.to_owned(),
         turn: turn.to_owned(),
         budget: Some(budget),
         tokens,
         previous: None,
         imported: None,
-    })
+    };
+    begin.mark_not_stored();
+    LedgerRequest::Begin(begin)
 }
 
 pub fn begin_after(turn: &str, previous: &str, imported: Option<&'static [u8]>) -> LedgerRequest {
--- a/crates/gateway-core/tests/ledger/overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/overdrafts.rs
@@ -4,11 +4,11 @@
 
 use elderworks_gateway_core::ledger::{
     Action, AppendOutcome, LedgerState, OVERDRAFT_RETENTION, OverdraftStatus, PartitionOwner,
-    ReadOutcome, SLOW_CALL_THRESHOLD, Ticket, WitnessMemory, WitnessQuery,
+    ProgramTurn, ReadOutcome, SLOW_CALL_THRESHOLD, Ticket, WitnessMemory, WitnessQuery,
 };
 use elderworks_gateway_core::policy::Policy;
 use elderworks_protocol::ledger::{
-    LedgerRecord, LedgerReply, Witness, WitnessAction, WitnessAnswer, WitnessRequest,
+    LedgerRecord, LedgerReply, TurnStorage, Witness, WitnessAction, WitnessAnswer, WitnessRequest,
 };
 use elderworks_types::{NodeId, Offset, Timestamp};
 
@@ -46,7 +46,13 @@
 fn with_open_overdraft() -> PartitionOwner {
     let mut owner = owner();
     let records = appended(&mut owner, START);
-    assert!(matches!(records[..], [LedgerRecord::Overdraft { .. }]));
+    assert!(matches!(
+        records[..],
+        [
+            LedgerRecord::Overdraft { .. },
+            LedgerRecord::OverdraftForUnstored { .. }
+        ]
+    ));
     owner.on_append(START, AppendOutcome::Done);
     assert_eq!(owner.overdraft_status(), OverdraftStatus::Standing);
     owner
@@ -76,6 +82,15 @@
     owner
 }
 
+/// Returns a turn that isn't stored.
+fn unstored_turn(program: &str, budget: u64) -> ProgramTurn<'_> {
+    ProgramTurn {
+        program,
+        budget,
+        storage: TurnStorage::NotStored,
+    }
+}
+
 fn granted(owner: &mut PartitionOwner) -> usize {
     let replies = owner.take_replies().into_iter();
     let is_granted = |reply: &LedgerReply| matches!(reply, LedgerReply::Granted { .. });
@@ -396,7 +411,8 @@
         idle_ms: 0,
     };
     state.apply(START, overdraft("lost"));
-    let charge = |state: &LedgerState| state.overdrawn_by_others("p", 90, |name| name == "own/1");
+    let turn = unstored_turn("p", 90);
+    let charge = |state: &LedgerState| state.overdrawn_by_others(turn, |name| name == "own/1");
     assert_eq!(charge(&state), 30);
     let reserve = |reservation: &str, tokens| LedgerRecord::Reserved {
         program: "p".to_owned(),
@@ -498,7 +514,12 @@
     };
     assert_eq!(until, START + FENCING);
     let records = appended(&mut owner, until);
-    let [LedgerRecord::Overdraft { .. }, terms] = &records[..] else {
+    let [
+        LedgerRecord::Overdraft { .. },
+        terms,
+        LedgerRecord::OverdraftForUnstored { .. },
+    ] = &records[..]
+    else {
         panic!("{records:?}");
     };
     assert!(
@@ -591,7 +612,7 @@
     let charge = |program: &str| {
         owner
             .state()
-            .overdrawn_by_others(program, 90, |name| name.starts_with("third"))
+            .overdrawn_by_others(unstored_turn(program, 90), |name| name.starts_with("third"))
     };
     assert_eq!(charge("new"), 30, "for the first overdraft only");
     assert_eq!(
--- a/crates/gateway-core/tests/ledger_model/main.rs
+++ b/crates/gateway-core/tests/ledger_model/main.rs
@@ -11,8 +11,8 @@
 use proptest::test_runner::RngSeed;
 
 use world::{
-    Fate, MAX_TOKENS, NODES, OWNERS, PROGRAMS, Step, World, step, step_with_impatient_callers,
-    step_with_witnesses,
+    Fate, MAX_TOKENS, NODES, OWNERS, PROGRAMS, STORED, Step, World, budget, step,
+    step_with_impatient_callers, step_with_witnesses,
 };
 
 /// Returns whether each of `count` questions reaches its witness, and its answer the owner.
@@ -313,6 +313,42 @@
         }
     }
 
+    /// All nodes are lost, at any moment of any trouble. A program that begins after that, and whose
+    /// turns are stored, gets every turn that its budget holds.
+    #[test]
+    fn a_stored_program_that_begins_after_a_loss_of_all_nodes_gets_its_whole_budget(
+        steps in prop::collection::vec(step_with_witnesses(), 1..120),
+        owner in 0..OWNERS,
+    ) {
+        let mut world = World::with_witnesses();
+        open_overdraft(&mut world);
+        for step in steps {
+            let is_of_stored = |number: usize| PROGRAMS[number] == STORED;
+            match step {
+                Step::Begin { program, .. } if is_of_stored(program) => {}
+                step => world.step(step),
+            }
+        }
+        for node in 0..NODES {
+            world.step(Step::RestartNode { node });
+        }
+        world.step(Step::CarryOutLate);
+        world.seen.asked.clear();
+        let mut refused = 0;
+        while world.max_generated(STORED) + MAX_TOKENS <= budget(STORED) {
+            let before = world.seen.running.len();
+            world.step(Step::Begin { owner, program: PROGRAMS.len() - 1 });
+            world.serve(owner);
+            if world.seen.running.len() == before {
+                refused += 1;
+                prop_assert!(refused < 3, "{} generated", world.max_generated(STORED));
+                continue;
+            }
+            world.step(Step::Finish { other: None, used: MAX_TOKENS, kept: true });
+            world.serve(owner);
+        }
+    }
+
     /// Callers give up at any moment and come back under a new name, their messages arrive in any
     /// order, and the log refuses calls, loses answers or carries calls out late. Once every report
     /// has arrived, turns that never ran hold nothing.
--- a/crates/gateway-core/tests/ledger_model/world.rs
+++ b/crates/gateway-core/tests/ledger_model/world.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use elderworks_gateway_core::ledger::{
-    Action, AppendOutcome, CallNumber, LedgerState, OverdraftStatus, PartitionOwner, ReadOutcome,
-    SentNumber, Ticket, WitnessMemory, WitnessQuery,
+    Action, AppendOutcome, CallNumber, LedgerState, OverdraftStatus, PartitionOwner, ProgramTurn,
+    ReadOutcome, SentNumber, Ticket, WitnessMemory, WitnessQuery,
 };
 use elderworks_protocol::ledger::{
-    BeginTurn, FinishTurn, LedgerRecord, LedgerReply, LedgerRequest, StoredTurn, Witness,
+    BeginTurn, FinishTurn, LedgerRecord, LedgerReply, LedgerRequest, StoredTurn, TurnStorage,
+    Witness,
 };
 use elderworks_types::{NodeId, Offset, Timestamp};
 use proptest::prelude::*;
@@ -17,12 +18,15 @@
 pub const OWNERS: usize = 3;
 /// Number of nodes that can act as witnesses; the owners run on the first ones.
 pub const NODES: usize = 5;
-pub const PROGRAMS: [&str; 4] = ["a", "b", "c", "d"];
+pub const PROGRAMS: [&str; 5] = ["a", "b", "c", "d", STORED];
+/// The program whose turns are all stored.
+pub const STORED: &str = "stored";
 pub const MAX_TOKENS: u64 = 10;
 /// Returns the budget of a program. One of them is too small for a turn on an overdraft.
 pub fn budget(program: &str) -> u64 {
     match program {
         "c" => 25,
+        STORED => 3 * MAX_TOKENS,
         _ => 60,
     }
 }
@@ -212,6 +216,8 @@
     pub used: BTreeMap<&'static str, u64>,
     /// Turns that were confirmed as stored, with their input.
     pub kept: BTreeMap<String, Bytes>,
+    /// The latest of them of [`STORED`].
+    pub latest_stored: Option<String>,
     /// Requests without a reply, by ticket.
     pub asked: BTreeMap<Ticket, Asked>,
 }
@@ -229,6 +235,7 @@
     Conversation(Bytes),
     Begin {
         program: &'static str,
+        storage: TurnStorage,
         turn: String,
         /// Whether the budget had no room for the turn at any time since the request.
         was_full: bool,
@@ -236,6 +243,7 @@
         given_up: bool,
     },
     Finish {
+        program: &'static str,
         turn: String,
         kept: Option<Bytes>,
     },
@@ -410,17 +418,23 @@
     fn ask_to_begin(&mut self, program: &'static str) -> (Ticket, LedgerRequest) {
         let ticket = self.next_ticket();
         let turn = format!("turn-{}", ticket.0);
-        let request = LedgerRequest::Begin(BeginTurn {
+        let mut begin = BeginTurn {
             program: program.to_owned(),
             turn: turn.clone(),
             budget: Some(budget(program)),
             tokens: turn_tokens(ticket),
-            previous: None,
+            previous: self.seen.latest_stored.clone(),
             imported: None,
-        });
-        let was_full = self.is_full(program, turn_tokens(ticket));
+        };
+        if program != STORED {
+            begin.mark_not_stored();
+        }
+        let storage = begin.storage();
+        let request = LedgerRequest::Begin(begin);
+        let was_full = self.is_full(program, storage, turn_tokens(ticket));
         let asked = Asked::Begin {
             program,
+            storage,
             turn,
             was_full,
             given_up: false,
@@ -472,6 +486,7 @@
             });
             let ticket = self.next_ticket();
             let asked = Asked::Finish {
+                program,
                 turn: turn.clone(),
                 kept: None,
             };
@@ -551,7 +566,12 @@
         });
         self.owners[owner].submit(self.now, ticket, request);
         let kept = kept.then_some(input);
-        self.seen.asked.insert(ticket, Asked::Finish { turn, kept });
+        let asked = Asked::Finish {
+            program,
+            turn,
+            kept,
+        };
+        self.seen.asked.insert(ticket, asked);
     }
 
     pub fn query(&mut self, owner: usize) {
@@ -627,18 +647,31 @@
                 }
                 (
                     Asked::Begin {
-                        program, was_full, ..
+                        program,
+                        storage,
+                        was_full,
+                        ..
                     },
                     LedgerReply::BudgetSpent
                     | LedgerReply::BudgetUnsure
                     | LedgerReply::BudgetInDoubt,
                 ) => {
                     assert!(
-                        was_full || self.is_full(program, turn_tokens(ticket)),
+                        was_full || self.is_full(program, storage, turn_tokens(ticket)),
                         "denied although the budget had room"
                     );
                 }
-                (Asked::Finish { turn, kept }, LedgerReply::Finished) => {
+                (
+                    Asked::Finish {
+                        program,
+                        turn,
+                        kept,
+                    },
+                    LedgerReply::Finished,
+                ) => {
+                    if program == STORED && kept.is_some() {
+                        self.seen.latest_stored = Some(turn.clone());
+                    }
                     self.seen.kept.extend(kept.map(|input| (turn, input)));
                 }
                 (Asked::Conversation(input), LedgerReply::Conversation { conversation }) => {
@@ -651,28 +684,21 @@
     }
 
     /// Returns whether reservations and generated tokens leave no room for a turn.
-    pub fn is_full(&self, program: &str, tokens: u64) -> bool {
-        self.available(program) < tokens
-    }
-
-    /// Returns the tokens of a program's budget that are neither reserved nor generated.
-    pub fn available(&self, program: &str) -> u64 {
-        let state = self.replayed();
-        let account = state.account(program);
-        let committed = account.map_or(0, |account| account.committed());
-        let overdrawn = state.overdrawn_by_others(program, budget(program), |_| false);
-        budget(program).saturating_sub(committed + overdrawn)
+    pub fn is_full(&self, program: &str, storage: TurnStorage, tokens: u64) -> bool {
+        available(&self.replayed(), program, storage) < tokens
     }
 
     pub fn record_full_budgets(&mut self) {
-        let available = PROGRAMS.map(|program| self.available(program));
+        let state = self.replayed();
         for (ticket, asked) in &mut self.seen.asked {
             if let Asked::Begin {
-                program, was_full, ..
+                program,
+                storage,
+                was_full,
+                ..
             } = asked
             {
-                let number = PROGRAMS.iter().position(|known| known == program);
-                *was_full |= number.is_some_and(|number| available[number] < turn_tokens(*ticket));
+                *was_full |= available(&state, program, *storage) < turn_tokens(*ticket);
             }
         }
     }
@@ -708,3 +734,17 @@
         state
     }
 }
+
+/// Returns the tokens of a program's budget that are neither reserved nor generated.
+fn available(state: &LedgerState, program: &str, storage: TurnStorage) -> u64 {
+    let budget = budget(program);
+    let account = state.account(program);
+    let committed = account.map_or(0, |account| account.committed());
+    let turn = ProgramTurn {
+        program,
+        budget,
+        storage,
+    };
+    let overdrawn = state.overdrawn_by_others(turn, |_| false);
+    budget.saturating_sub(committed + overdrawn)
+}
--- a/crates/gateway/src/forward/turn.rs
+++ b/crates/gateway/src/forward/turn.rs
@@ -50,7 +50,7 @@
         let partition = partition_of(&program, self.gateway.settings.partitions);
         let previous = self.attributes.previous_turn.as_deref();
         let previous = previous.map(|turn| self.scoped_id(turn));
-        let begin = BeginTurn {
+        let mut begin = BeginTurn {
             program: program.clone(),
             turn: turn.clone(),
             budget: self.attributes.token_budget,
@@ -58,6 +58,9 @@
             previous: previous.filter(|_| self.route.keeps_turns),
             imported: None,
         };
+        if !self.route.keeps_turns {
+            begin.mark_not_stored();
+        }
         let input = self.body.clone().unwrap_or_default();
         let permit = TurnPermit {
             gateway: self.gateway.clone(),
--- a/crates/protocol/src/ledger.rs
+++ b/crates/protocol/src/ledger.rs
@@ -94,6 +94,12 @@
         /// Id of the overdraft.
         overdraft: String,
     },
+    /// Restricts an overdraft opened by an earlier record to turns that aren't stored, whichever
+    /// program they belong to. Owners need not assume that stored turns drew on it.
+    OverdraftForUnstored {
+        /// Id of the overdraft.
+        overdraft: String,
+    },
 }
 
 /// One process start of a node that records whether an overdraft is used.
@@ -166,10 +172,40 @@
     pub tokens: u64,
     /// The stored turn that this turn continues.
     pub previous: Option<String>,
-    /// The conversation up to and including `previous`, if it is stored in another partition.
+    /// The conversation up to and including `previous`, if it is stored in another partition. Empty
+    /// and without a `previous` for a turn that isn't to be stored; see [`Self::storage`].
     pub imported: Option<Bytes>,
 }
 
+/// Whether a turn's input and output are stored once it is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnStorage {
+    /// They are: the turn continues a stored one.
+    Stored,
+    /// They are not.
+    NotStored,
+    /// The first turn of a stored conversation, or any first turn that a node of an earlier version
+    /// requests.
+    Unknown,
+}
+
+impl BeginTurn {
+    /// Returns whether the turn is stored, as far as the request tells.
+    pub fn storage(&self) -> TurnStorage {
+        match (&self.previous, &self.imported) {
+            (Some(_), _) => TurnStorage::Stored,
+            (None, Some(_)) => TurnStorage::NotStored,
+            (None, None) => TurnStorage::Unknown,
+        }
+    }
+
+    /// Marks the turn as one that isn't stored. Nodes of earlier versions ignore the mark.
+    pub fn mark_not_stored(&mut self) {
+        self.previous = None;
+        self.imported = Some(Bytes::new());
+    }
+}
+
 /// Reports that a turn has completed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FinishTurn {
