log outage: calls that the log rejected keep it silent for a limited time only

Cause: a call that was refused or failed stayed unanswered until a later call was answered. A node that takes the log for silent for that reason refuses stored turns, and these were the only calls.

Change: a call that failed counts as unanswered for 0.7 s after its end, as long as another node's report. Calls that fail in series keep the log silent, as before.

New tables: calls that fail after 4, 290 and 1,500 ms; calls that fail in series.

--- a/crates/gateway-core/src/log_outage.rs
+++ b/crates/gateway-core/src/log_outage.rs
@@ -38,6 +38,10 @@
 /// How long the report of another node is valid.
 const REPORT_VALIDITY: Duration = Duration::from_millis(700);
 
+/// How long a call that failed counts as unanswered after its end. While the log is silent, turns
+/// that must be stored make no calls, so that no later one may be answered.
+const FAILED_CALL_VALIDITY: Duration = Duration::from_millis(700);
+
 /// Maximum number of unanswered calls that are tracked. The oldest ones suffice.
 const MAX_TRACKED_CALLS: usize = 64;
 
@@ -86,6 +90,14 @@
     pub is_silent: bool,
 }
 
+/// A call without an answer.
+#[derive(Clone, Copy, Debug)]
+struct UnansweredCall {
+    started: Timestamp,
+    /// When it was refused, failed or given up.
+    failed: Option<Timestamp>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PeerReport {
     since: Timestamp,
@@ -119,9 +131,9 @@
 #[derive(Debug)]
 pub struct LogOutageDetector {
     response_time: Option<ResponseTime>,
-    /// Start times of unanswered calls. Calls that were given up remain until a later call is
-    /// answered.
-    unanswered: BTreeMap<u64, Timestamp>,
+    /// Unanswered calls. Those that failed remain until a later call is answered, but for no longer
+    /// than [`FAILED_CALL_VALIDITY`].
+    unanswered: BTreeMap<u64, UnansweredCall>,
     last_poll: Timestamp,
     /// Start of the latest call, by any node, that is known to have been answered.
     latest_answered: Option<Timestamp>,
@@ -162,7 +174,19 @@
             self.last_poll = now;
         }
         if self.unanswered.len() < MAX_TRACKED_CALLS {
-            self.unanswered.insert(call, now);
+            let unanswered = UnansweredCall {
+                started: now,
+                failed: None,
+            };
+            self.unanswered.insert(call, unanswered);
+        }
+    }
+
+    /// Records that a call was refused or failed, which doesn't show whether the log answers other
+    /// nodes.
+    pub fn call_failed(&mut self, now: Timestamp, call: u64) {
+        if let Some(unanswered) = self.unanswered.get_mut(&call) {
+            unanswered.failed = Some(now);
         }
     }
 
@@ -170,7 +194,8 @@
     /// that started before it are dropped: they were lost or are slow for reasons of their own.
     pub fn call_answered(&mut self, now: Timestamp, call: u64, took: Duration) {
         self.response_time = Some(ResponseTime::update(self.response_time, took));
-        let started = self.unanswered.remove(&call).unwrap_or(now - took);
+        let known = self.unanswered.remove(&call);
+        let started = known.map_or(now - took, |call| call.started);
         self.record_answer(started);
         self.update_state(now);
     }
@@ -182,10 +207,14 @@
         self.last_poll = now;
         if gap > MAX_POLL_GAP {
             let suspended = gap - POLL_INTERVAL;
-            for started in self.unanswered.values_mut() {
-                *started = (*started + suspended).min(now);
+            for call in self.unanswered.values_mut() {
+                call.started = (call.started + suspended).min(now);
             }
         }
+        self.unanswered.retain(|_, call| {
+            let failed = call.failed;
+            failed.is_none_or(|failed| now.since(failed) < FAILED_CALL_VALIDITY)
+        });
         self.peer_reports
             .retain(|_, report| now.since(report.received) < REPORT_VALIDITY);
         self.update_state(now);
@@ -234,7 +263,7 @@
     /// irrelevant.
     fn record_answer(&mut self, at: Timestamp) {
         self.latest_answered = self.latest_answered.max(Some(at));
-        self.unanswered.retain(|_, started| *started > at);
+        self.unanswered.retain(|_, call| call.started > at);
         self.peer_reports.retain(|_, report| report.since > at);
     }
 
@@ -249,7 +278,7 @@
 
     /// Returns the start of the oldest unanswered call if that is late.
     fn late_since(&self, now: Timestamp) -> Option<Timestamp> {
-        let since = self.unanswered.values().min().copied()?;
+        let since = self.unanswered.values().map(|call| call.started).min()?;
         (self.waited(now, since) >= self.late_after()).then_some(since)
     }
 
--- a/crates/gateway-core/tests/log_outage.rs
+++ b/crates/gateway-core/tests/log_outage.rs
@@ -258,3 +258,43 @@
     let (_, silent) = model.simulate(5_000..8_000, |_| None, always);
     assert!(silent.is_some());
 }
+
+/// Turns that must be stored make no calls while the log is silent, so nothing else ends that.
+#[test]
+fn calls_that_the_log_rejected_do_not_keep_it_silent_for_good() {
+    for fails_after in [4, 290, 1_500] {
+        let mut watch = LogOutageDetector::default();
+        watch.call_started(at(0), 1);
+        watch.call_answered(at(USUAL), 1, ms(USUAL));
+        watch.call_started(at(100), 2);
+        let mut was_silent = false;
+        for now in (100..5_000).step_by(10) {
+            if now - 100 >= fails_after {
+                watch.call_failed(at(100 + fails_after), 2);
+            }
+            watch.poll(at(now));
+            was_silent |= watch.state().is_silent();
+        }
+        assert!(was_silent, "failed after {fails_after} ms");
+        assert_eq!(watch.state(), LogState::Normal, "nobody calls it any more");
+    }
+}
+
+/// As long as calls fail, the log stays silent, however long each of them takes.
+#[test]
+fn a_log_that_rejects_every_call_is_silent_until_one_is_answered() {
+    let mut watch = LogOutageDetector::default();
+    watch.call_started(at(0), 0);
+    watch.call_answered(at(USUAL), 0, ms(USUAL));
+    for now in (100..5_000).step_by(10) {
+        if now % 100 == 0 {
+            watch.call_started(at(now), now);
+            watch.call_failed(at(now), now);
+        }
+        watch.poll(at(now));
+        assert!(now < 300 || watch.state().is_silent(), "at {now} ms");
+    }
+    watch.call_started(at(5_000), 9_000);
+    watch.call_answered(at(5_000 + USUAL), 9_000, ms(USUAL));
+    assert_eq!(watch.state(), LogState::Normal);
+}
--- a/crates/gateway/src/log_outage.rs
+++ b/crates/gateway/src/log_outage.rs
@@ -90,13 +90,17 @@
                 () = actix_rt::time::sleep(POLL_INTERVAL) => self.poll(gateway),
             }
         };
-        // A refusal or a failure doesn't show whether the log answers other nodes.
-        if let Ok(_) | Err(StoreError::Conflict { .. } | StoreError::Gone { .. }) = &result {
-            let mut watch = self.watch.borrow_mut();
-            watch.call_answered(gateway.now(), number, started.elapsed());
-            drop(watch);
-            self.publish(gateway);
+        let mut watch = self.watch.borrow_mut();
+        match &result {
+            Ok(_) | Err(StoreError::Conflict { .. } | StoreError::Gone { .. }) => {
+                watch.call_answered(gateway.now(), number, started.elapsed());
+            }
+            Err(StoreError::Unavailable(_) | StoreError::Unknown(_)) => {
+                watch.call_failed(gateway.now(), number);
+            }
         }
+        drop(watch);
+        self.publish(gateway);
         result
     }
 
