ledger: the append that stores a turn settles it where the budget is tight

What callers saw: a program of three stored turns whose budget is three turns at their most, and whose owner is lost after the first one, is refused its third one, with 402 once the reservation is four seconds old.

Cause: an owner reserves up to two turns more than it needs and writes what was used 1.5 s after the last turn or later.

Change: where fewer than four further turns fit into the rest of a budget, a stored turn gets no more than it needs, and the append that stores it settles its reservation. No call more at the end; the next turn of such a program waits for an append at its start. Turns that aren't stored, and programs with more room, keep their advances.

--- a/crates/gateway-core/src/ledger/owner.rs
+++ b/crates/gateway-core/src/ledger/owner.rs
@@ -307,6 +307,7 @@
     }
 
     fn decide(&mut self, now: Timestamp, needs_append: bool) -> Action {
+        self.close_ended_wallets(now);
         let mut plan = Plan::new(&self.state, self.wallets.settlements());
         self.add_undecided(now, &mut plan);
         plan.allows_extra = self.policy.advances;
@@ -353,6 +354,16 @@
         }
     }
 
+    /// Closes the wallets whose advances are to be settled with the turns that are about to be
+    /// stored.
+    fn close_ended_wallets(&mut self, now: Timestamp) {
+        for queued in &self.queue {
+            if let LedgerRequest::Finish(finish) = &queued.request {
+                self.wallets.close_if_ended(now, &finish.program);
+            }
+        }
+    }
+
     fn verify_or_wait(&self, needs_verification: bool) -> Action {
         if needs_verification {
             return Action::Read { from: self.end };
--- a/crates/gateway-core/src/ledger/plan.rs
+++ b/crates/gateway-core/src/ledger/plan.rs
@@ -22,6 +22,10 @@
 /// losing an advance together with its owner costs the program little.
 const EXTRA_DIVISOR: u64 = 4;
 
+/// Number of turns that must fit into the rest of a budget beyond a stored turn. With less, what
+/// the turn leaves unused is settled at its end, since the budget can't bear its loss.
+const TURNS_OF_AMPLE_BUDGET: u64 = 4;
+
 /// How long reservations of other owners can lead to the answer "budget unsure" in place of a
 /// denial. An owner that is alive but no longer receives requests settles its reservations sooner,
 /// and the turns that it permitted finish in that time. After that, its reservations count in full.
@@ -112,7 +116,8 @@
         if generated > 0 && generated.saturating_add(begin.tokens) > budget && !is_running {
             return Some(LedgerReply::BudgetSpent);
         }
-        if !draw_advance(wallets, now, begin)
+        let settles_at_end = settles_at_end(begin, budget, generated);
+        if !draw_advance(wallets, now, begin, settles_at_end)
             && !draw_overdraft(state, wallets, now, credit, begin, budget)
         {
             return None;
@@ -122,7 +127,12 @@
 }
 
 /// Draws the turn from the program's advances. Returns whether they hold it.
-fn draw_advance(wallets: &mut Wallets, now: Timestamp, begin: &BeginTurn) -> bool {
+fn draw_advance(
+    wallets: &mut Wallets,
+    now: Timestamp,
+    begin: &BeginTurn,
+    settles_at_end: bool,
+) -> bool {
     let Some(wallet) = wallets.get_mut(&begin.program) else {
         return false;
     };
@@ -133,6 +143,7 @@
     let is_covered = wallet.available() >= to_signed(begin.tokens);
     if is_covered {
         wallet.start(now, begin.turn.clone(), begin.tokens);
+        wallet.set_settles_at_end(settles_at_end);
     }
     is_covered
 }
@@ -336,6 +347,8 @@
         if wallet.is_some_and(|wallet| wallet.is_running(&begin.turn)) {
             return Ok(());
         }
+        let generated = tokens_generated(state, wallets, program);
+        let settles_at_end = settles_at_end(begin, budget, generated);
         let planned = self.advanced.get(program).copied().unwrap_or(0);
         let available = wallet
             .map_or(0, |wallet| wallet.available())
@@ -352,16 +365,16 @@
                     tokens: wanted - budget,
                 });
             }
-            let extra = match self.allows_extra {
+            let extra = match self.allows_extra && !settles_at_end {
                 true => extra_advance(budget - wanted, begin.tokens),
                 false => 0,
             };
             let reservation = wallets.next_name();
             self.reserve(state, program, reservation, missing.saturating_add(extra));
         }
-        wallets
-            .entry(program)
-            .start(now, begin.turn.clone(), begin.tokens);
+        let wallet = wallets.entry(program);
+        wallet.start(now, begin.turn.clone(), begin.tokens);
+        wallet.set_settles_at_end(settles_at_end);
         self.started.push((program.clone(), begin.turn.clone()));
         Ok(())
     }
@@ -398,6 +411,17 @@
     }
 }
 
+/// Returns whether what a turn leaves unused is to be settled with the append that stores it, given
+/// the tokens that the program has generated so far. An advance that is lost with its owner counts
+/// in full, and a budget with room for a few turns only would lack it for its last one.
+fn settles_at_end(begin: &BeginTurn, budget: u64, generated: u64) -> bool {
+    let left = budget
+        .saturating_sub(generated)
+        .saturating_sub(begin.tokens);
+    let is_ample = left >= begin.tokens.saturating_mul(TURNS_OF_AMPLE_BUDGET);
+    begin.storage() != TurnStorage::NotStored && !is_ample
+}
+
 /// Returns the extra part of an advance for a turn of `tokens` if `left` tokens of the budget
 /// remain beyond that turn. If possible, it leaves enough for another turn of this size, so that
 /// the program can continue if the advance is lost with its owner.
--- a/crates/gateway-core/src/ledger/wallet.rs
+++ b/crates/gateway-core/src/ledger/wallet.rs
@@ -58,6 +58,8 @@
     consumed: u64,
     running: BTreeMap<String, RunningTurn>,
     last_used: Timestamp,
+    /// Whether the advances are to be settled as soon as no turn is running.
+    settles_at_end: bool,
 }
 
 impl Wallet {
@@ -115,6 +117,17 @@
         self.last_used = now;
     }
 
+    /// Sets whether the advances are to be settled as soon as no turn is running, in place of
+    /// serving further turns.
+    pub fn set_settles_at_end(&mut self, settles: bool) {
+        self.settles_at_end = settles;
+    }
+
+    /// Returns whether the advances are to be settled now.
+    pub fn is_ended(&self) -> bool {
+        self.settles_at_end && self.running.is_empty() && self.overdrawn() == 0
+    }
+
     /// Reverts [`Self::start`] for a turn that does not run.
     pub fn cancel(&mut self, turn: &str) {
         self.running.remove(turn);
--- a/crates/gateway-core/src/ledger/wallets.rs
+++ b/crates/gateway-core/src/ledger/wallets.rs
@@ -131,17 +131,28 @@
             })
             .collect();
         for program in programs {
-            let Some(wallet) = self.wallets.remove(&program) else {
-                continue;
-            };
-            for spent in wallet.into_spent() {
-                self.pending.push(PendingSettlement {
-                    program: program.clone(),
-                    id: spent.id,
-                    used: spent.used,
-                    since: now,
-                });
-            }
+            self.close(now, &program);
+        }
+    }
+
+    /// Closes a program's wallet if its advances are to be settled at the end of its turns.
+    pub(super) fn close_if_ended(&mut self, now: Timestamp, program: &str) {
+        if self.get(program).is_some_and(Wallet::is_ended) {
+            self.close(now, program);
+        }
+    }
+
+    fn close(&mut self, now: Timestamp, program: &str) {
+        let Some(wallet) = self.wallets.remove(program) else {
+            return;
+        };
+        for spent in wallet.into_spent() {
+            self.pending.push(PendingSettlement {
+                program: program.to_owned(),
+                id: spent.id,
+                used: spent.used,
+                since: now,
+            });
         }
     }
 
--- a/crates/gateway-core/tests/ledger/lost_overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/lost_overdrafts.rs
@@ -194,3 +194,44 @@
         assert_eq!(owner.take_replies(), [], "continues {previous:?}");
     }
 }
+
+/// Records of the append that stores the first turn of a program with this budget.
+fn records_at_the_end(budget: u64) -> Vec<LedgerRecord> {
+    let mut owner = first_owner();
+    let mut records = Vec::new();
+    work(&mut owner, START, &mut records);
+    owner.submit(START, Ticket(1), begin("p", "one", None, budget));
+    work(&mut owner, START, &mut records);
+    records.clear();
+    let finish = FinishTurn {
+        program: "p".to_owned(),
+        turn: "one".to_owned(),
+        used: 4,
+        kept: Some(kept(None, b"in", b"out")),
+        waits: false,
+    };
+    owner.submit(START, Ticket(2), LedgerRequest::Finish(finish));
+    work(&mut owner, START, &mut records);
+    records
+}
+
+/// A lost owner can't write what its turns used. A budget with room for few turns can't bear that.
+#[test]
+fn the_append_that_stores_a_turn_settles_it_if_the_budget_is_tight() {
+    let is_settled = |budget| {
+        let records = records_at_the_end(budget).into_iter();
+        let used = records.filter_map(|record| match record {
+            LedgerRecord::Settled { used, .. } => Some(used),
+            _ => None,
+        });
+        used.collect::<Vec<_>>()
+    };
+    assert_eq!(is_settled(TOKENS), [4]);
+    assert_eq!(is_settled(3 * TOKENS), [4]);
+    assert_eq!(is_settled(4 * TOKENS), [4]);
+    assert_eq!(
+        is_settled(5 * TOKENS),
+        [],
+        "the advance serves the next turn"
+    );
+}
