--- a/crates/gateway-core/tests/ledger/lost_overdrafts.rs
+++ b/crates/gateway-core/tests/ledger/lost_overdrafts.rs
@@ -7,11 +7,12 @@
     Action, AppendOutcome, PartitionOwner, ReadOutcome, SLOW_CALL_THRESHOLD, Ticket,
 };
 use elderworks_protocol::ledger::{
-    BeginTurn, FinishTurn, LedgerRecord, LedgerReply, LedgerRequest, Witness, WitnessAnswer,
+    BeginTurn, FinishTurn, LedgerRecord, LedgerReply, LedgerRequest, WitnessAnswer,
 };
-use elderworks_types::{NodeId, Offset, Timestamp};
+use elderworks_types::{Offset, Timestamp};
 
 use crate::fixtures::{START, kept, no_records};
+use crate::overdraft_fixtures::witnesses;
 
 /// Maximum tokens of each turn.
 const TOKENS: u64 = 10;
@@ -19,14 +20,6 @@
 /// Time after which the witnesses of a lost overdraft count as lost, too.
 const FENCING: Duration = Duration::from_millis(1_100);
 
-fn witnesses(boots: &[u64]) -> Vec<Witness> {
-    let witness = |boot: &u64| Witness {
-        node: NodeId::new(format!("n{boot}")),
-        boot: *boot,
-    };
-    boots.iter().map(witness).collect()
-}
-
 /// Returns an owner with three witnesses that has read an empty log.
 fn first_owner() -> PartitionOwner {
     let mut owner = PartitionOwner::new("n1#1".to_owned());
