--- a/crates/gateway-core/src/policy.rs
+++ b/crates/gateway-core/src/policy.rs
@@ -19,8 +19,8 @@
     /// A turn may start on an overdraft if the program's overdrafts including this one are at most
     /// its budget divided by this number. At least 1.
     pub overdraft_share: u64,
-    /// Overdrafts are also opened on routes that store every turn, where no turn can complete while
-    /// the log is unavailable.
+    /// Overdrafts are also opened if every route stores its turns, and serve stored turns, although
+    /// these can't complete while the log is unavailable.
     pub kept_overdrafts: bool,
     /// Owners read their partitions and open overdrafts before the first request.
     pub preparation: bool,
