--- a/crates/gateway-core/tests/ledger_model/main.rs
+++ b/crates/gateway-core/tests/ledger_model/main.rs
@@ -313,6 +313,39 @@
         }
     }
 
+    /// An owner that is cut off, or lost with its witnesses, is asked for turns of a program whose
+    /// turns are stored. Its successor grants such turns as if no overdraft had served them.
+    #[test]
+    fn a_cut_off_owner_and_its_successor_keep_the_budget_of_a_stored_program(
+        draws in 0..5_usize,
+        lost in prop::collection::vec(0..NODES, 0..4),
+        turns in 1..8_usize,
+        used in 0..=MAX_TOKENS,
+    ) {
+        let program = PROGRAMS.len() - 1;
+        let mut world = World::with_witnesses();
+        open_overdraft(&mut world);
+        world.isolate(0);
+        world.deliver(vec![(true, true); 4]);
+        for _ in 0..draws {
+            world.step(Step::Begin { owner: 0, program });
+            world.step(Step::Slow { owner: 0 });
+            world.deliver(vec![(true, true); 4]);
+        }
+        for node in lost {
+            world.restart(node);
+        }
+        for _ in 0..turns {
+            let before = world.seen.running.len();
+            world.step(Step::Begin { owner: 1, program });
+            world.serve(1);
+            if world.seen.running.len() > before {
+                world.step(Step::Finish { other: None, used, kept: true });
+                world.serve(1);
+            }
+        }
+    }
+
     /// All nodes are lost, at any moment of any trouble. A program that begins after that, and whose
     /// turns are stored, gets every turn that its budget holds.
     #[test]
