soak: each fleet of a test process has addresses that no other one has

Cause: a fleet took the next of ten ranges of addresses in turn, also while an earlier fleet still had it. Class: a number in turn taken for a free one.

Change: a fleet takes a range that is free, or waits for one, and gives it back once its processes have ended. Programs of a finished round of continuations are ended, so that none calls the next fleet at these addresses. A doc comment of the ledger's state is wrapped.

--- a/crates/cli/tests/soak/continuations.rs
+++ b/crates/cli/tests/soak/continuations.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_rt::task::JoinHandle;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -176,9 +177,12 @@
     let rest = (observed_from + OBSERVED).saturating_duration_since(Instant::now());
     actix_rt::time::sleep(rest).await;
     stop.set(true);
-    starting.await.expect("the programs run");
-    // Turns in progress end within their tries.
+    let programs = starting.await.expect("the programs run");
+    // Most turns in progress end within two tries.
     actix_rt::time::sleep((DEADLINE + RETRY_PAUSE) * 2).await;
+    for program in programs {
+        program.abort();
+    }
     let outcome = evaluate(&records.turns.borrow(), started, observed_from);
     println!(
         "seed {seed}: {events:?}: {} of {} continued turns stuck, {} of {} turns served; logs in {}",
@@ -237,13 +241,15 @@
     }
 }
 
+/// Starts programs until `stop` is set. Returns their tasks.
 async fn start_programs(
     seed: u64,
     events: Events,
     nodes: Vec<SocketAddr>,
     records: Rc<Records>,
     stop: Rc<Cell<bool>>,
-) {
+) -> Vec<JoinHandle<()>> {
+    let mut programs = Vec::new();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut number = 0;
     while !stop.get() {
@@ -260,9 +266,10 @@
             records: records.clone(),
             random: ChaCha8Rng::seed_from_u64(random.random()),
         };
-        actix_rt::spawn(program.run());
+        programs.push(actix_rt::spawn(program.run()));
         actix_rt::time::sleep(PROGRAM_INTERVAL).await;
     }
+    programs
 }
 
 /// A program that takes its turns one after the other.
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,38 @@
 /// Number of fleets of one test process that can run at the same time without sharing addresses.
 const ADDRESS_SLOTS: usize = 10;
 
+/// Which ranges of addresses are in use by fleets of this test process.
+static USED_SLOTS: Mutex<[bool; ADDRESS_SLOTS]> = Mutex::new([false; ADDRESS_SLOTS]);
+
+/// A range of addresses that no other fleet of this test process has.
+struct AddressSlot(usize);
+
+impl AddressSlot {
+    /// Waits until a range is free, which takes at most as long as the rounds of other tests.
+    async fn take() -> Self {
+        loop {
+            if let Some(slot) = Self::take_free() {
+                return slot;
+            }
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn take_free() -> Option<Self> {
+        let mut used = USED_SLOTS.lock().expect("no panic while it is held");
+        let number = used.iter().position(|is_used| !is_used)?;
+        used[number] = true;
+        Some(Self(number))
+    }
+}
+
+impl Drop for AddressSlot {
+    fn drop(&mut self) {
+        let mut used = USED_SLOTS.lock().expect("no panic while it is held");
+        used[self.0] = false;
+    }
+}
+
 /// Number of fleets started so far by this test process.
 static STARTED_FLEETS: AtomicUsize = AtomicUsize::new(0);
 
@@ -267,8 +300,8 @@
     /// Whether the processes of workers that crash start again at once under their ids.
     pub keeps_ids: bool,
     folder: PathBuf,
-    /// Range of addresses; differs between concurrent fleets of one test process.
-    address_slot: usize,
+    /// Released once the processes have ended, since fields are dropped in this order.
+    addresses: AddressSlot,
 }
 
 impl Fleet {
@@ -292,7 +325,7 @@
             keeps_ids: false,
             folder,
             deployment,
-            address_slot: number % ADDRESS_SLOTS,
+            addresses: AddressSlot::take().await,
         };
         for service in [ENGINES, TOOLS] {
             let count = if service == ENGINES {
@@ -405,7 +438,7 @@
 
     fn new_node(&self, number: usize) -> Node {
         let process = std::process::id().to_be_bytes();
-        let host = 2 + self.address_slot * LARGE_ROUND_NODES + number;
+        let host = 2 + self.addresses.0 * LARGE_ROUND_NODES + number;
         let host = u8::try_from(host).expect("all addresses fit into the last byte");
         let ip = Ipv4Addr::new(127, process[2] | 1, process[3], host);
         let endpoints = NodeEndpoints {
--- a/crates/gateway-core/src/ledger/state.rs
+++ b/crates/gateway-core/src/ledger/state.rs
@@ -233,10 +233,10 @@
     /// its reservations in the log. `is_own` returns whether an overdraft belongs to the calling
     /// owner.
     ///
-    /// Programs and turns that an overdraft does not serve are not charged for it. An owner starts a turn on
-    /// its overdraft only if the tokens that the program draws at most, apart from settled ones,
-    /// stay within the share of its budget. The charge therefore covers everything that the owner
-    /// can have granted without a record, and the charges of several open overdrafts are added.
+    /// Programs and turns that an overdraft does not serve are not charged for it. An owner starts a
+    /// turn on its overdraft only if the tokens that the program draws at most, apart from settled
+    /// ones, stay within the share of its budget. The charge therefore covers everything that the
+    /// owner can have granted without a record, and the charges of several open overdrafts are added.
     pub fn overdrawn_by_others(&self, turn: ProgramTurn<'_>, is_own: impl Fn(&str) -> bool) -> u64 {
         let charges = self.overdraft_charges(turn, is_own);
         saturating_sum(charges.map(|(_, tokens)| tokens))
