Upstream: a connection that was reset doesn't end a body, whichever half saw it

Cause: a body without a length ends with its connection. The socket reports a reset once. If the write of the upload takes it, `transfer_some` drops the error (the worker may have answered before), and the next read returns 0 as after an orderly close, which `next_chunk` takes for the end of the body.

Change: the sending half remembers its first error; a body that ends with its connection is whole only if no half of it has failed. It holds for every write before the end of the body, not only for the upload. One error is not a break: EPIPE, which the kernel reports in place of the reset if the worker had closed its direction before, so that all it sent was received.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -59,9 +59,19 @@
     half: OwnedWriteHalf,
     /// Bytes encoded but not sent yet.
     pub(crate) buffer: BytesMut,
+    /// The first error of sending. The socket reports an error once: what is received afterwards ends
+    /// as if the peer had closed the connection.
+    failure: Option<io::ErrorKind>,
 }
 
 impl Sender {
+    /// Returns the error that broke off the connection while bytes were sent, if any. A peer that has
+    /// closed its own direction before it stopped reading (`BrokenPipe`) has sent all that it meant to.
+    pub(crate) fn break_off(&self) -> Option<io::ErrorKind> {
+        self.failure
+            .filter(|failure| *failure != io::ErrorKind::BrokenPipe)
+    }
+
     /// Sends all encoded bytes.
     pub(crate) async fn flush(&mut self) -> io::Result<()> {
         while !self.buffer.is_empty() {
@@ -73,7 +83,10 @@
     /// Sends as much as the socket accepts, at least one byte. Cancel safe: no byte is lost if the
     /// future is dropped.
     pub(crate) async fn send_some(&mut self) -> io::Result<()> {
-        self.half.write_buf(&mut self.buffer).await?;
+        let sent = self.half.write_buf(&mut self.buffer).await;
+        sent.inspect_err(|error| {
+            self.failure.get_or_insert(error.kind());
+        })?;
         if self.buffer.is_empty() && self.buffer.capacity() > MAX_KEPT_CAPACITY {
             // Releases the capacity that a large response needed.
             self.buffer = BytesMut::new();
@@ -98,6 +111,7 @@
     let sender = Sender {
         half: write,
         buffer: BytesMut::new(),
+        failure: None,
     };
     (receiver, sender)
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -252,7 +252,7 @@
                     Err(error) if !self.any_sent => {
                         Err(ExchangeError::NotSent(error.to_string()))
                     }
-                    // The worker may have responded before it closed the connection.
+                    // The worker may have responded before; the sender remembers the error.
                     Err(_) => Ok(()),
                 }
             }
--- a/crates/gateway/src/upstream/response.rs
+++ b/crates/gateway/src/upstream/response.rs
@@ -145,12 +145,9 @@
             if count > 0 {
                 continue;
             }
-            let ends_here = matches!(body.framing, Framing::UntilClose);
+            let end = body.end_of_connection();
             self.body = None;
-            if ends_here {
-                return Ok(None);
-            }
-            return Err(IncompleteResponse("connection closed".to_owned()));
+            return end.map(|()| None);
         }
     }
 
@@ -209,6 +206,17 @@
         }
     }
 
+    /// Returns whether the body is complete when nothing more can be received.
+    fn end_of_connection(&self) -> Result<(), IncompleteResponse> {
+        if let Some(failure) = self.connection.sender.break_off() {
+            return Err(IncompleteResponse(failure.to_string()));
+        }
+        match self.framing {
+            Framing::UntilClose => Ok(()),
+            Framing::Framed(_) => Err(IncompleteResponse("connection closed".to_owned())),
+        }
+    }
+
     fn decode_chunk(&mut self) -> Result<Decoded, IncompleteResponse> {
         let buffer = &mut self.connection.receiver.buffer;
         let codec = match &mut self.framing {
