HTTP client: one decoder says where the body of a worker's answer ends

An answer with chunks and a length was passed on, and a 204 with a length. In builds with debug assertions an informational head with a length ended the task, and the caller's connection with it.

Cause: two opinions on the end of a body. The HTTP library takes an upgrade before a length and gives no body where it sees no framing; `ends_on_close` looked at the headers again and took `identity` for framing. Where they differ, the body is lost.

Change: the crate `http-client` reads responses. `response` (no I/O) parses the head, says once where the body ends (RFC 9112, 6.3) and whether it is whole when the connection ends; a head that contradicts itself is no response. `exchange` sends and receives on a connection, and was the gateway's; the workers' answers, the probes on kept connections and skipped answers all use it. The error of a body stays: the socket reports it once.

Decided: `identity` changes nothing about the body; other codings than `chunked`, chunks beside a length, a repeated length, a coding in HTTP/1.0, a body at 1xx or 204, and 101 (nobody asks for it) are errors (502). A 205 keeps its body and an empty line before the status line is skipped, as before. A connection of an HTTP/1.0 answer isn't kept any more.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use tokio_util::codec::Encoder;
 
-use crate::buffered::Sender;
 use crate::memory::MemoryReservation;
 use crate::reply::Refusal;
+use elderworks_http_client::buffered::Sender;
 
 /// Progress of the response to the current request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 //! are confined to the adapter behind [`ports::Platform`].
 
 mod admission;
-mod buffered;
 mod caller;
 mod clock;
 mod cross_zone_bytes;
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -14,10 +14,10 @@
 use tokio::sync::mpsc;
 
 use super::queue::{FrameReceiver, FrameSender, PushError};
-use crate::buffered::{self, Receiver};
 use crate::cross_zone_bytes::CrossZoneBytes;
 use crate::memory::MemoryTracker;
 use crate::socket;
+use elderworks_http_client::buffered::{self, Receiver};
 
 /// Timeout for the acknowledgement of a request, after which the node counts as unresponsive.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/peers/queue.rs
+++ b/crates/gateway/src/peers/queue.rs
@@ -9,9 +9,9 @@
 use elderworks_protocol::ledger::GatewayFrame;
 use tokio::sync::mpsc;
 
-use crate::buffered::Sender;
 use crate::cross_zone_bytes::{CrossZoneBytes, TrafficKind};
 use crate::memory::{MemoryReservation, MemoryTracker};
+use elderworks_http_client::buffered::Sender;
 
 /// Maximum size of a queue in bytes. The slowest machines send 22 Mbit/s, so frames queued behind this
 /// much data would arrive too late to be useful.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -14,7 +14,9 @@
 use super::queue::FrameSender;
 use crate::gateway::Gateway;
 use crate::ports::StreamRecord;
-use crate::{buffered, feed, ledger, socket};
+use elderworks_http_client::buffered;
+
+use crate::{feed, ledger, socket};
 
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,7 +16,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Decoder;
 
-use crate::buffered::{self, Receiver, Sender};
 use crate::caller::{Caller, Progress};
 use crate::forward;
 use crate::gateway::{Gateway, Stage};
@@ -24,6 +23,7 @@
 use crate::open_work::{WorkCounter, WorkGuard};
 use crate::reply::{ErrorStatus, Refusal};
 use crate::socket;
+use elderworks_http_client::buffered::{self, Receiver, Sender};
 
 /// Maximum time between two reads of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -3,22 +3,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, Message, MessageType};
 use actix_http::header::HeaderMap;
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use elderworks_gateway_core::attempt::SendMark;
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::pressure::BufferKind;
 use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::workers::WorkerRecord;
+use elderworks_http_client::exchange::{self, Connection, Exchange};
 use prometheus_client::metrics::counter::Counter;
-use tokio_util::codec::{Decoder, Encoder};
 
-use super::response::{PoolReturn, ends_on_close, keep_alive_timeout};
+use super::response::{PoolReturn, keep_alive_timeout};
 use super::{Pool, WorkerConnection, WorkerResponse};
-use crate::buffered;
 use crate::clock::Clock;
 use crate::memory::MemoryTracker;
 use crate::ports::Platform;
@@ -27,9 +24,6 @@
 /// Maximum number of responses to other requests that are skipped on a connection.
 const MAX_MISMATCHED_RESPONSES: u32 = 2;
 
-/// Maximum number of informational heads before a response.
-const MAX_INFORMATIONAL_HEADS: u32 = 8;
-
 /// Maximum number of bytes received of a response to another request.
 const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
 
@@ -44,6 +38,15 @@
     NoResponse(String),
 }
 
+impl From<exchange::ExchangeError> for ExchangeError {
+    fn from(error: exchange::ExchangeError) -> Self {
+        match error {
+            exchange::ExchangeError::NotSent(reason) => Self::NotSent(reason),
+            exchange::ExchangeError::NoResponse(error) => Self::NoResponse(error.to_string()),
+        }
+    }
+}
+
 /// A request to a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct OutgoingRequest {
@@ -132,25 +135,29 @@
     request: &OutgoingRequest,
     extra_headers: HeaderMap,
 ) -> Result<WorkerResponse, ExchangeError> {
-    let mut transfer = Transfer {
-        codec: ClientCodec::new(context.http.clone()),
-        connection,
-        sending: true,
-        any_sent: false,
-        received_bytes: 0,
-    };
-    transfer.encode(request, extra_headers)?;
+    let WorkerConnection { connection, opened } = connection;
+    let head = RequestHeadType::Rc(request.head.clone(), Some(extra_headers));
+    let mut exchange = Exchange::new(connection, context.http, head, request.body.as_ref())?;
     context.mark.note_sending();
     for _ in 0..=MAX_MISMATCHED_RESPONSES {
-        let head = transfer.next_head().await?;
-        if is_response_to(context.platform, request, &head) {
-            return Ok(transfer.into_response(context, target, &request.head.method, head));
+        let decoded = exchange.next_head().await?;
+        if is_response_to(context.platform, request, &decoded.head) {
+            let pool_return = PoolReturn {
+                pool: context.pool.clone(),
+                worker: target.worker.clone(),
+                opened,
+                idle_timeout: keep_alive_timeout(&decoded.head.headers),
+                max_idle: context.max_idle,
+            };
+            let (head, body) = exchange.into_body(decoded);
+            let buffered_bytes = context.memory.reservation(BufferKind::Answers);
+            return Ok(WorkerResponse::new(head, body, pool_return, buffered_bytes));
         }
         log::warn!(
             request = request.request_id.as_deref().unwrap_or_default(), worker = target.worker.as_str();
             "skipped a response to another request"
         );
-        transfer.skip_body(context, &head).await?;
+        exchange.skip_body(decoded.body, MAX_SKIPPED_BYTES).await?;
     }
     Err(ExchangeError::NoResponse(
         "only responses to other requests".to_owned(),
@@ -166,10 +173,8 @@
         .await
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     context.connections_opened.inc();
-    let (receiver, sender) = buffered::split(stream);
     Ok(WorkerConnection {
-        receiver,
-        sender,
+        connection: Connection::new(stream),
         opened: context.clock.now(),
     })
 }
@@ -182,150 +187,3 @@
         None => platform.was_not_run(head) || request.request_id.is_none(),
     }
 }
-
-/// An exchange in progress on one connection.
-struct Transfer {
-    codec: ClientCodec,
-    connection: WorkerConnection,
-    /// Whether part of the request remains to be sent.
-    sending: bool,
-    /// Whether any byte of the request was sent.
-    any_sent: bool,
-    /// Number of bytes received.
-    received_bytes: usize,
-}
-
-impl Transfer {
-    fn encode(
-        &mut self,
-        request: &OutgoingRequest,
-        extra_headers: HeaderMap,
-    ) -> Result<(), ExchangeError> {
-        let size = match &request.body {
-            Some(body) => BodySize::Sized(body.len() as u64),
-            None => BodySize::None,
-        };
-        let head = RequestHeadType::Rc(request.head.clone(), Some(extra_headers));
-        let buffer = &mut self.connection.sender.buffer;
-        let encoded = self.codec.encode(Message::Item((head, size)), buffer);
-        encoded.map_err(|error| ExchangeError::NotSent(error.to_string()))?;
-        if let Some(body) = &request.body {
-            buffer.extend_from_slice(body);
-        }
-        Ok(())
-    }
-
-    /// Sends the rest of the request while waiting for the head of a response.
-    async fn next_head(&mut self) -> Result<ResponseHead, ExchangeError> {
-        let mut informational_heads = 0;
-        loop {
-            let buffer = &mut self.connection.receiver.buffer;
-            match self.codec.decode(buffer) {
-                Ok(Some(head)) if head.status.is_informational() => {
-                    informational_heads += 1;
-                    if informational_heads > MAX_INFORMATIONAL_HEADS {
-                        let reason = "too many informational heads".to_owned();
-                        return Err(ExchangeError::NoResponse(reason));
-                    }
-                    continue;
-                }
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) => {}
-                Err(error) => return Err(ExchangeError::NoResponse(error.to_string())),
-            }
-            self.transfer_some().await?;
-        }
-    }
-
-    /// Sends a part of the request or receives a part of a response, whichever is possible first.
-    async fn transfer_some(&mut self) -> Result<(), ExchangeError> {
-        let WorkerConnection {
-            receiver, sender, ..
-        } = &mut self.connection;
-        let unsent = sender.buffer.len();
-        tokio::select! {
-            sent = sender.flush(), if self.sending => {
-                self.any_sent |= sender.buffer.len() < unsent;
-                self.sending = false;
-                match sent {
-                    Ok(()) => Ok(()),
-                    Err(error) if !self.any_sent => {
-                        Err(ExchangeError::NotSent(error.to_string()))
-                    }
-                    // The worker may have responded before; the sender remembers the error.
-                    Err(_) => Ok(()),
-                }
-            }
-            received = receiver.fill() => {
-                self.any_sent |= sender.buffer.len() < unsent;
-                match received {
-                    Ok(0) => Err(ExchangeError::NoResponse("connection closed".to_owned())),
-                    Ok(count) => {
-                        self.received_bytes += count;
-                        Ok(())
-                    }
-                    Err(error) => Err(ExchangeError::NoResponse(error.to_string())),
-                }
-            }
-        }
-    }
-
-    fn into_response(
-        self,
-        context: &ExchangeContext<'_>,
-        target: &Target,
-        method: &Method,
-        head: ResponseHead,
-    ) -> WorkerResponse {
-        let pool_return = PoolReturn {
-            pool: context.pool.clone(),
-            worker: target.worker.clone(),
-            reusable: !self.sending,
-            idle_timeout: keep_alive_timeout(&head.headers),
-            max_idle: context.max_idle,
-        };
-        let buffered_bytes = context.memory.reservation(BufferKind::Answers);
-        WorkerResponse::new(
-            method,
-            head,
-            self.codec,
-            self.connection,
-            pool_return,
-            buffered_bytes,
-        )
-    }
-
-    /// Discards the body of a response to another request. The connection isn't returned to the
-    /// pool afterwards, because the new codec doesn't know whether it can be kept alive.
-    async fn skip_body(
-        &mut self,
-        context: &ExchangeContext<'_>,
-        head: &ResponseHead,
-    ) -> Result<(), ExchangeError> {
-        if ends_on_close(head) {
-            let reason = "response to another request without a length".to_owned();
-            return Err(ExchangeError::NoResponse(reason));
-        }
-        let has_body = self.codec.message_type() != MessageType::None;
-        let fresh = ClientCodec::new(context.http.clone());
-        let codec = std::mem::replace(&mut self.codec, fresh);
-        if !has_body {
-            return Ok(());
-        }
-        let mut payload = codec.into_payload_codec();
-        let received_before = self.received_bytes;
-        loop {
-            if self.received_bytes - received_before > MAX_SKIPPED_BYTES {
-                let reason = "a response to another request doesn't end".to_owned();
-                return Err(ExchangeError::NoResponse(reason));
-            }
-            let buffer = &mut self.connection.receiver.buffer;
-            match payload.decode(buffer) {
-                Ok(Some(Some(_))) => {}
-                Ok(Some(None)) => return Ok(()),
-                Ok(None) => self.transfer_some().await?,
-                Err(error) => return Err(ExchangeError::NoResponse(error.to_string())),
-            }
-        }
-    }
-}
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,15 +10,20 @@
 pub(crate) use pool::Pool;
 pub(crate) use response::WorkerResponse;
 
+use elderworks_http_client::exchange::Connection;
 use elderworks_types::Timestamp;
 
-use crate::buffered::{Receiver, Sender};
-
 /// A connection to a worker, idle or in use.
 #[derive(Debug)]
 pub(crate) struct WorkerConnection {
-    pub(crate) receiver: Receiver,
-    pub(crate) sender: Sender,
+    pub(crate) connection: Connection,
     /// When it was open.
     pub(crate) opened: Timestamp,
 }
+
+impl WorkerConnection {
+    /// Returns whether an idle connection is still open and has no unread bytes.
+    fn is_idle(&mut self) -> bool {
+        self.connection.receiver.is_idle()
+    }
+}
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -35,7 +35,7 @@
         let connections = idle.get_mut(worker)?;
         let now = Instant::now();
         while let Some(mut candidate) = connections.pop() {
-            if candidate.usable_until > now && candidate.connection.receiver.is_idle() {
+            if candidate.usable_until > now && candidate.connection.is_idle() {
                 return Some(candidate.connection);
             }
         }
@@ -53,9 +53,7 @@
         let now = Instant::now();
         let found = connections.iter_mut().rposition(|candidate| {
             let connection = &mut candidate.connection;
-            connection.opened <= time
-                && candidate.usable_until > now
-                && connection.receiver.is_idle()
+            connection.opened <= time && candidate.usable_until > now && connection.is_idle()
         })?;
         Some(connections.remove(found).connection)
     }
--- a/crates/gateway/src/buffered.rs
+++ b/crates/http-client/src/buffered.rs
@@ -18,22 +18,22 @@
 
 /// The receiving half.
 #[derive(Debug)]
-pub(crate) struct Receiver {
+pub struct Receiver {
     half: OwnedReadHalf,
     /// Bytes received but not decoded yet.
-    pub(crate) buffer: BytesMut,
+    pub buffer: BytesMut,
 }
 
 impl Receiver {
     /// Waits for bytes and returns their number; 0 means that the peer has closed the connection.
-    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+    pub async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_BYTES);
         self.half.read_buf(&mut self.buffer).await
     }
 
     /// Waits until the peer closes the connection or it fails, and buffers what the peer sends
     /// until then.
-    pub(crate) async fn closed(&mut self) {
+    pub async fn closed(&mut self) {
         while self.buffer.len() < MAX_READ_AHEAD {
             match self.fill().await {
                 Ok(0) | Err(_) => return,
@@ -44,7 +44,7 @@
     }
 
     /// Returns whether an idle connection is still open and has no unread bytes.
-    pub(crate) fn is_idle(&mut self) -> bool {
+    pub fn is_idle(&mut self) -> bool {
         if !self.buffer.is_empty() {
             return false;
         }
@@ -55,10 +55,10 @@
 
 /// The sending half.
 #[derive(Debug)]
-pub(crate) struct Sender {
+pub struct Sender {
     half: OwnedWriteHalf,
     /// Bytes encoded but not sent yet.
-    pub(crate) buffer: BytesMut,
+    pub buffer: BytesMut,
     /// The first error of sending. The socket reports an error once: what is received afterwards ends
     /// as if the peer had closed the connection.
     failure: Option<io::ErrorKind>,
@@ -67,13 +67,13 @@
 impl Sender {
     /// Returns the error that broke off the connection while bytes were sent, if any. A peer that has
     /// closed its own direction before it stopped reading (`BrokenPipe`) has sent all that it meant to.
-    pub(crate) fn break_off(&self) -> Option<io::ErrorKind> {
+    pub fn break_off(&self) -> Option<io::ErrorKind> {
         self.failure
             .filter(|failure| *failure != io::ErrorKind::BrokenPipe)
     }
 
     /// Sends all encoded bytes.
-    pub(crate) async fn flush(&mut self) -> io::Result<()> {
+    pub async fn flush(&mut self) -> io::Result<()> {
         while !self.buffer.is_empty() {
             self.send_some().await?;
         }
@@ -82,7 +82,7 @@
 
     /// Sends as much as the socket accepts, at least one byte. Cancel safe: no byte is lost if the
     /// future is dropped.
-    pub(crate) async fn send_some(&mut self) -> io::Result<()> {
+    pub async fn send_some(&mut self) -> io::Result<()> {
         let sent = self.half.write_buf(&mut self.buffer).await;
         sent.inspect_err(|error| {
             self.failure.get_or_insert(error.kind());
@@ -95,14 +95,14 @@
     }
 
     /// Closes the sending direction of the connection.
-    pub(crate) async fn shut_down(&mut self) {
+    pub async fn shut_down(&mut self) {
         // Errors are ignored because the connection is being closed anyway.
         let _ = self.half.shutdown().await;
     }
 }
 
 /// Splits a connection into its halves.
-pub(crate) fn split(stream: TcpStream) -> (Receiver, Sender) {
+pub fn split(stream: TcpStream) -> (Receiver, Sender) {
     let (read, write) = stream.into_split();
     let receiver = Receiver {
         half: read,
