HTTP client: a blank before the colon of a header is no response

Cause: the HTTP library parses responses with an option for such blanks that can't be set from outside.

Since every reader goes through `response::HeadDecoder`, the rule holds for all that use it.

--- a/crates/http-client/src/response/head.rs
+++ b/crates/http-client/src/response/head.rs
@@ -76,9 +76,7 @@
 fn parse(buf: &mut BytesMut) -> Result<Option<ResponseHead>, ResponseError> {
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut lines);
-    let mut config = httparse::ParserConfig::default();
-    config.allow_spaces_after_header_name_in_responses(true);
-    let status = config.parse_response(&mut parsed, buf).map_err(malformed)?;
+    let status = parsed.parse(buf).map_err(malformed)?;
     let httparse::Status::Complete(len) = status else {
         return match buf.len() < MAX_HEAD_BYTES {
             true => Ok(None),
--- a/crates/http-client/tests/responses.rs
+++ b/crates/http-client/tests/responses.rs
@@ -101,6 +101,8 @@
 fn names_of_headers() {
     let names = [
         "X Extra",
+        "X-Extra ",
+        "X-Extra\t",
         " X-Extra",
         "\tX-Extra",
         "",
@@ -109,6 +111,7 @@
         "X\rExtra",
         "X\u{7f}Extra",
         "X-\u{e4}",
+        "Content-Length ",
         "X(Extra",
         "X-Extra\u{b}",
     ];
