HTTP client: a status above 599 is no response

What callers saw: 600 and 999 of a worker were passed on as they are. The protocol has no such status (RFC 9110, 15: 100 to 599, a client should treat others as a server's error), and a caller can't tell what it means for its request.

Cause: the status type takes every number of three digits from 100 on. Change: the decoder takes none above 599; the caller gets 502, which promises nothing.

--- a/crates/http-client/src/response/head.rs
+++ b/crates/http-client/src/response/head.rs
@@ -17,6 +17,9 @@
 /// Maximum number of informational heads before a response.
 const MAX_INFORMATIONAL_HEADS: u32 = 8;
 
+/// The greatest status of the protocol (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
+
 /// The head of a response, and the decoder of the body that follows.
 #[derive(Debug)]
 pub struct DecodedHead {
@@ -90,8 +93,10 @@
 
 fn head_of(parsed: &httparse::Response<'_, '_>) -> Result<ResponseHead, ResponseError> {
     let code = parsed.code.unwrap_or_default();
-    let status =
-        StatusCode::from_u16(code).map_err(|_| ResponseError::Head("no status of the protocol"))?;
+    let status = StatusCode::from_u16(code)
+        .ok()
+        .filter(|status| status.as_u16() <= MAX_STATUS)
+        .ok_or(ResponseError::Head("no status of the protocol"))?;
     let mut head = ResponseHead::new(status);
     head.version = match parsed.version {
         Some(1) => Version::HTTP_11,
--- a/crates/http-client/tests/responses.rs
+++ b/crates/http-client/tests/responses.rs
@@ -80,7 +80,7 @@
         assert_eq!(response.expect(status).status.to_string(), status);
     }
     let none = [
-        "000", "001", "020", "099", "20", "2000", "1000", "abc", "", "-20", "2 0",
+        "000", "001", "020", "099", "20", "2000", "1000", "abc", "", "-20", "2 0", "600", "999",
     ];
     for status in none {
         let sent = format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n");
