--- a/crates/http-client/src/exchange.rs
+++ b/crates/http-client/src/exchange.rs
@@ -1,5 +1,9 @@
 //! An exchange of a request and its response on one connection.
 
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{Method, RequestHeadType, ResponseHead, ServiceConfig};
@@ -28,6 +32,21 @@
         Self { receiver, sender }
     }
 
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the error of the socket, and with `TimedOut` after `timeout`.
+    pub async fn open(server: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let connecting = actix_rt::time::timeout(timeout, TcpStream::connect(server));
+        let stream = connecting
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        // The connection works without this option, with worse latency.
+        let _ = stream.set_nodelay(true);
+        Ok(Self::new(stream))
+    }
+
     /// Returns how the connection ended when nothing more can be received.
     fn end(&self) -> ConnectionEnd {
         match self.sender.break_off() {
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -2,5 +2,6 @@
 //! whether bytes are one, where its body ends and whether it is whole.
 
 pub mod buffered;
+pub mod client;
 pub mod exchange;
 pub mod response;
