Back ends: the older path reads answers with the same decoder

What was taken for an answer (node and sidecar, towards log, engines, tools and lists): a page of records in chunks that ended before the last chunk, and one whose head has a blank before a colon. An answer without a length, and one that offers another protocol, lost their bodies. A status of 600 counted as an error that the back end had given.

Cause: as in the platform's clients, another library took the end of the connection for the end of every body.

The row "cut between chunks" expects more than before: that the answer broke off, not that its JSON is malformed.

Change: `Endpoint` sends through `http-client::client`; streams of engines fail with the decoder's errors. A body whose length is beyond the limit is given up at once, as before.

--- a/crates/backend/src/engine/answer.rs
+++ b/crates/backend/src/engine/answer.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::error::PayloadError;
 use actix_rt::time::Instant;
 use bytes::Bytes;
+use elderworks_http_client::response::ResponseError;
 use elderworks_platform_api::engine::{ChatChunk, DONE_MARKER};
 use elderworks_types::{Tokens, Usage, text};
 use eventsource_stream::{Event, EventStreamError, Eventsource};
@@ -15,7 +15,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::{AnswerItem, AnswerStream, Finish};
-use crate::http::{payload_failure, timed_out};
+use crate::http::{response_failure, timed_out};
 use crate::{BackendError, LostReason};
 
 /// Maximum number of bytes between the ends of two consecutive events.
@@ -27,7 +27,7 @@
 /// Decodes a stream of server-sent events whose first chunk must have the number `from`. The stream
 /// fails at `deadline`, and on malformed bytes.
 pub fn decode_answer(
-    bytes: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
+    bytes: impl Stream<Item = Result<Bytes, ResponseError>> + 'static,
     from: u32,
     deadline: Instant,
 ) -> AnswerStream {
@@ -47,7 +47,7 @@
 }
 
 struct AnswerReader {
-    events: LocalBoxStream<'static, Result<Event, EventStreamError<PayloadError>>>,
+    events: LocalBoxStream<'static, Result<Event, EventStreamError<ResponseError>>>,
     /// Number of bytes received since the end of the last event.
     pending_bytes: Rc<Cell<usize>>,
     next_index: u32,
@@ -64,7 +64,7 @@
 
 impl AnswerReader {
     fn new(
-        bytes: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
+        bytes: impl Stream<Item = Result<Bytes, ResponseError>> + 'static,
         from: u32,
         deadline: Instant,
     ) -> Self {
@@ -134,23 +134,23 @@
 /// Makes the stream fail once more than [`MAX_EVENT_BYTES`] bytes have been received since `pending`
 /// was last reset to 0.
 fn limit_pending(
-    bytes: impl Stream<Item = Result<Bytes, PayloadError>> + 'static,
+    bytes: impl Stream<Item = Result<Bytes, ResponseError>> + 'static,
     pending: Rc<Cell<usize>>,
-) -> LocalBoxStream<'static, Result<Bytes, PayloadError>> {
+) -> LocalBoxStream<'static, Result<Bytes, ResponseError>> {
     let limited = bytes.map(move |item| {
         let received = item?;
         pending.set(pending.get().saturating_add(received.len()));
         if pending.get() > MAX_EVENT_BYTES {
-            return Err(PayloadError::Overflow);
+            return Err(ResponseError::TooLarge(MAX_EVENT_BYTES));
         }
         Ok(received)
     });
     limited.boxed_local()
 }
 
-fn event_failure(error: EventStreamError<PayloadError>) -> BackendError {
+fn event_failure(error: EventStreamError<ResponseError>) -> BackendError {
     match error {
-        EventStreamError::Transport(error) => payload_failure(error),
+        EventStreamError::Transport(error) => response_failure(error),
         error => malformed(error),
     }
 }
--- a/crates/backend/src/engine/http.rs
+++ b/crates/backend/src/engine/http.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use actix_http::Method;
 use actix_rt::time::Instant;
-use awc::http::Method;
+use bytes::Bytes;
+use elderworks_http_client::client::Response;
+use elderworks_http_client::response::ResponseError;
 use elderworks_platform_api::engine::{
     CacheEventsQuery, CacheEventsResponse, CancelResponse, ChatRequest, CommandResponse,
     EngineLoad, EngineState, FencedCommand, Holding, HoldingsResponse, ImportResponse, KvExport,
@@ -11,7 +14,8 @@
 };
 use elderworks_platform_api::{headers, paths};
 use elderworks_types::RunId;
-use futures_util::{FutureExt, StreamExt, TryFutureExt};
+use futures_util::stream::try_unfold;
+use futures_util::{FutureExt, Stream, StreamExt, TryFutureExt};
 
 use super::{AnswerStream, EngineClient, EngineFuture, GenerateRequest, decode_answer};
 use crate::http::{self, Body};
@@ -62,8 +66,8 @@
         let http_request = self
             .endpoint
             .request(Method::POST, paths::CHAT_COMPLETIONS)
-            .insert_header((headers::REQUEST_ID, request.request_id.as_str()))
-            .insert_header((headers::RUN_ID, request.run.to_string()));
+            .header(headers::REQUEST_ID, &request.request_id)
+            .header(headers::RUN_ID, &request.run.to_string());
         let body = ChatRequest {
             model: request.model,
             messages: request.messages,
@@ -83,7 +87,7 @@
             .endpoint
             .request(Method::GET, &paths::answer_stream(request_id));
         let answer = async move {
-            let request = http::with_query(request, &ResumeQuery { from })?;
+            let request = request.query(&ResumeQuery { from })?;
             http::open(request, Body::Empty, deadline).await
         };
         read_answer(answer, from, deadline)
@@ -104,7 +108,7 @@
         let deadline = self.endpoint.deadline();
         let request = self.endpoint.request(Method::GET, paths::CACHE_EVENTS);
         async move {
-            let request = http::with_query(request, &CacheEventsQuery { after })?;
+            let request = request.query(&CacheEventsQuery { after })?;
             http::json(request, Body::Empty, deadline).await
         }
         .boxed_local()
@@ -142,10 +146,18 @@
 }
 
 fn read_answer(
-    answer: impl Future<Output = Result<http::Answer, BackendError>> + 'static,
+    answer: impl Future<Output = Result<Response, BackendError>> + 'static,
     from: u32,
     deadline: Instant,
 ) -> AnswerStream {
-    let opened = answer.map_ok(move |answer| decode_answer(answer, from, deadline));
+    let opened = answer.map_ok(move |answer| decode_answer(chunks(answer), from, deadline));
     opened.try_flatten_stream().boxed_local()
 }
+
+/// Returns the body as a stream that fails unless it is whole.
+fn chunks(answer: Response) -> impl Stream<Item = Result<Bytes, ResponseError>> {
+    try_unfold(answer, |mut answer| async move {
+        let chunk = answer.next_chunk().await?;
+        Ok(chunk.map(|chunk| (chunk, answer)))
+    })
+}
--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -1,16 +1,16 @@
-//! HTTP requests shared by all clients: connections, deadlines and classification of errors.
+//! HTTP requests shared by all clients: servers, deadlines and classification of errors.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::error::{ParseError, PayloadError};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead};
 use actix_rt::time::Instant;
-use awc::error::{ConnectError, SendRequestError};
-use awc::http::Method;
-use awc::http::header::CONTENT_LENGTH;
-use awc::{ClientRequest, ClientResponse, Connector};
 use bytes::Bytes;
+use elderworks_http_client::client::{Client, Response};
+use elderworks_http_client::exchange::ExchangeError;
+use elderworks_http_client::response::ResponseError;
 use elderworks_platform_api::headers;
-use futures_util::stream::LocalBoxStream;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout_at;
@@ -20,20 +20,14 @@
 /// Maximum size of a response body that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// Maximum number of open connections; each streamed answer uses one.
-const MAX_CONNECTIONS: usize = 4_096;
-
 /// Timeout of establishing a connection. It is shorter than the timeouts of requests, so that a
 /// request to an unreachable machine is classified as not sent instead of lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A response whose body has not been read yet.
-pub(crate) type Answer = ClientResponse<LocalBoxStream<'static, Result<Bytes, PayloadError>>>;
-
 /// A connection pool shared by the clients of one thread.
 #[derive(Clone)]
 pub struct HttpClient {
-    client: awc::Client,
+    client: Client,
 }
 
 impl Default for HttpClient {
@@ -45,14 +39,9 @@
 impl HttpClient {
     /// Creates a pool without open connections.
     pub fn new() -> Self {
-        let connector = Connector::new()
-            .limit(MAX_CONNECTIONS)
-            .timeout(CONNECT_TIMEOUT);
-        let client = awc::Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .finish();
-        Self { client }
+        Self {
+            client: Client::new(CONNECT_TIMEOUT),
+        }
     }
 }
 
@@ -65,8 +54,8 @@
 }
 
 impl Endpoint {
-    /// Creates an endpoint at `base_url` (`http://IP:port`). `timeout` limits each request without a
-    /// timeout of its own, from connecting to the end of the response.
+    /// Creates an endpoint at `base_url` (`http://IP:port`, optionally with a path). `timeout` limits
+    /// each request without a timeout of its own, from connecting to the end of the response.
     pub fn new(http: HttpClient, base_url: &str, timeout: Duration) -> Self {
         Self {
             http,
@@ -86,9 +75,13 @@
     }
 
     /// Creates a request to `path`.
-    pub(crate) fn request(&self, method: Method, path: &str) -> ClientRequest {
-        let url = format!("{}{path}", self.base_url);
-        self.http.client.request(method, url)
+    pub(crate) fn request(&self, method: Method, path: &str) -> Request {
+        Request {
+            http: self.http.clone(),
+            method,
+            url: format!("{}{path}", self.base_url),
+            headers: Ok(HeaderMap::new()),
+        }
     }
 
     /// Sends a GET request to `path` and decodes the JSON response.
@@ -110,6 +103,60 @@
     }
 }
 
+/// A request without its body.
+pub(crate) struct Request {
+    http: HttpClient,
+    method: Method,
+    url: String,
+    /// An error if a header is invalid.
+    headers: Result<HeaderMap, BackendError>,
+}
+
+impl Request {
+    /// Adds a header.
+    pub(crate) fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers = self.headers.and_then(|mut headers| {
+            let name = HeaderName::from_bytes(name.as_bytes()).map_err(BackendError::not_sent)?;
+            let value = HeaderValue::from_str(value).map_err(BackendError::not_sent)?;
+            headers.insert(name, value);
+            Ok(headers)
+        });
+        self
+    }
+
+    /// Adds a query string.
+    pub(crate) fn query(mut self, query: &impl Serialize) -> Result<Self, BackendError> {
+        let query = serde_urlencoded::to_string(query).map_err(BackendError::not_sent)?;
+        self.url = format!("{}?{query}", self.url);
+        Ok(self)
+    }
+
+    /// Sends the request and waits for the head of its response.
+    async fn send(self, body: Body) -> Result<Response, BackendError> {
+        let (server, path) = split_url(&self.url)?;
+        let mut head = RequestHead::default();
+        head.method = self.method;
+        head.uri = path.parse().map_err(BackendError::not_sent)?;
+        head.headers = self.headers?;
+        if let Body::Json(_) = body {
+            let media_type = HeaderValue::from_static("application/json");
+            head.headers.insert(CONTENT_TYPE, media_type);
+        }
+        let body = body.into_bytes();
+        let sent = self.http.client.send(server, head, &body).await;
+        sent.map_err(send_failure)
+    }
+}
+
+/// Splits `http://IP:port/path` into the server's address and the path.
+fn split_url(url: &str) -> Result<(SocketAddr, &str), BackendError> {
+    let invalid = || BackendError::not_sent(format!("expected http://IP:port, found `{url}`"));
+    let rest = url.strip_prefix("http://").ok_or_else(invalid)?;
+    let (server, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    let server = server.parse().map_err(|_| invalid())?;
+    Ok((server, path))
+}
+
 /// Body of a request.
 pub(crate) enum Body {
     /// No body.
@@ -126,19 +173,19 @@
         let encoded = serde_json::to_vec(value).map_err(BackendError::not_sent)?;
         Ok(Body::Json(encoded))
     }
-}
 
-/// Adds a query string to a request.
-pub(crate) fn with_query(
-    request: ClientRequest,
-    query: &impl Serialize,
-) -> Result<ClientRequest, BackendError> {
-    request.query(query).map_err(BackendError::not_sent)
+    fn into_bytes(self) -> Bytes {
+        match self {
+            Body::Empty => Bytes::new(),
+            Body::Raw(bytes) => bytes,
+            Body::Json(text) => Bytes::from(text),
+        }
+    }
 }
 
 /// Sends a request, reads the complete response and decodes it as JSON.
 pub(crate) async fn json<T: DeserializeOwned>(
-    request: ClientRequest,
+    request: Request,
     body: Body,
     deadline: Instant,
 ) -> Result<T, BackendError> {
@@ -149,27 +196,23 @@
 
 /// Sends a request and returns a successful response whose body has not been read yet.
 pub(crate) async fn open(
-    request: ClientRequest,
+    request: Request,
     body: Body,
     deadline: Instant,
-) -> Result<Answer, BackendError> {
-    let request = request.timeout(deadline.saturating_duration_since(Instant::now()));
-    let sent = match body {
-        Body::Empty => request.send(),
-        Body::Raw(bytes) => request.send_body(bytes),
-        Body::Json(text) => request.content_type("application/json").send_body(text),
-    };
-    let answer = sent.await.map_err(send_failure)?;
-    if answer.status().is_success() {
+) -> Result<Response, BackendError> {
+    let sent = timeout_at(deadline, request.send(body)).await;
+    let answer = sent.map_err(|_| timed_out())??;
+    if answer.head.status.is_success() {
         return Ok(answer);
     }
     Err(decode_error(answer, deadline).await)
 }
 
-async fn decode_error(answer: Answer, deadline: Instant) -> BackendError {
-    let status = answer.status().as_u16();
+async fn decode_error(answer: Response, deadline: Instant) -> BackendError {
+    let status = answer.head.status.as_u16();
     let retry_after = answer
-        .headers()
+        .head
+        .headers
         .get(headers::RETRY_AFTER)
         .and_then(|value| decode::retry_after(value.as_bytes()));
     match read_body(answer, deadline).await {
@@ -178,22 +221,9 @@
     }
 }
 
-async fn read_body(mut answer: Answer, deadline: Instant) -> Result<Bytes, BackendError> {
-    let expected_bytes = content_length(&answer);
-    let body = answer.body().limit(MAX_ANSWER_BYTES);
-    let body = timeout_at(deadline, body).await.map_err(|_| timed_out())?;
-    let body = body.map_err(payload_failure)?;
-    // awc does not report an error if the connection closes before the end of the body.
-    if expected_bytes.is_some_and(|expected| expected != body.len()) {
-        let detail = "connection closed before the end of the answer";
-        return Err(BackendError::lost(LostReason::Broken, detail));
-    }
-    Ok(body)
-}
-
-fn content_length(answer: &Answer) -> Option<usize> {
-    let value = answer.headers().get(CONTENT_LENGTH)?;
-    value.to_str().ok()?.parse().ok()
+async fn read_body(mut answer: Response, deadline: Instant) -> Result<Bytes, BackendError> {
+    let body = timeout_at(deadline, answer.whole_body(MAX_ANSWER_BYTES)).await;
+    body.map_err(|_| timed_out())?.map_err(response_failure)
 }
 
 /// Creates the error of a response that was not completely received in time.
@@ -204,34 +234,22 @@
     )
 }
 
-/// Classifies an error while reading a response body.
-pub(crate) fn payload_failure(error: PayloadError) -> BackendError {
+/// Classifies an error while receiving a response.
+pub(crate) fn response_failure(error: ResponseError) -> BackendError {
     let reason = match error {
-        PayloadError::Overflow | PayloadError::EncodingCorrupted | PayloadError::UnknownLength => {
-            LostReason::Malformed
-        }
-        _ => LostReason::Broken,
+        ResponseError::Incomplete(_) => LostReason::Broken,
+        ResponseError::Head(_)
+        | ResponseError::Framing(_)
+        | ResponseError::Chunks(_)
+        | ResponseError::TooLarge(_) => LostReason::Malformed,
     };
     BackendError::lost(reason, error)
 }
 
-/// Classifies an error while sending a request. Only an error before the connection is established
-/// means that the request was not sent. `awc` also reports a connection that closed before the
-/// response as a `ConnectError`; that request may have run.
-fn send_failure(error: SendRequestError) -> BackendError {
+/// Classifies an error while sending a request.
+fn send_failure(error: ExchangeError) -> BackendError {
     match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => {
-            BackendError::lost(LostReason::Broken, "connection closed before the answer")
-        }
-        SendRequestError::Connect(error) => BackendError::not_sent(error),
-        SendRequestError::Url(error) => BackendError::not_sent(error),
-        // Occurs while building the request, for example for an invalid header value.
-        SendRequestError::Http(error) => BackendError::not_sent(error),
-        SendRequestError::Timeout => timed_out(),
-        SendRequestError::Response(ParseError::Io(error)) => {
-            BackendError::lost(LostReason::Broken, error)
-        }
-        SendRequestError::Response(error) => BackendError::lost(LostReason::Malformed, error),
-        error => BackendError::lost(LostReason::Broken, error),
+        ExchangeError::NotSent(reason) => BackendError::not_sent(reason),
+        ExchangeError::NoResponse(error) => response_failure(error),
     }
 }
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -1,6 +1,6 @@
 //! HTTP clients of engines, tools and the platform, each behind a small trait.
 //!
-//! Callers depend on the traits; the `Http*` types implement them with `awc`. This crate decodes all
+//! Callers depend on the traits; the `Http*` types implement them over HTTP. This crate decodes all
 //! responses, and a malformed response never panics. Errors are classified by whether the request
 //! can have had an effect, see [`BackendError`].
 
--- a/crates/backend/src/log.rs
+++ b/crates/backend/src/log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::http::Method;
+use actix_http::Method;
 use bytes::Bytes;
 use elderworks_platform_api::log::{AppendResponse, ReadQuery, ReadResponse};
 use elderworks_platform_api::paths;
@@ -77,7 +77,7 @@
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         async move {
-            let request = http::with_query(request, &query)?;
+            let request = request.query(&query)?;
             let answer: ReadResponse = http::json(request, Body::Empty, deadline).await?;
             check_offsets(from, &answer)?;
             Ok(answer)
--- a/crates/backend/src/tool.rs
+++ b/crates/backend/src/tool.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
+use actix_http::Method;
 use actix_rt::time::Instant;
-use awc::http::Method;
-use bytes::Bytes;
 use elderworks_platform_api::tool::{InvocationResponse, InvocationStatus};
 use elderworks_platform_api::{headers, paths};
 use elderworks_types::ToolName;
@@ -64,10 +63,9 @@
         let request = self
             .endpoint
             .request(Method::POST, paths::INVOCATIONS)
-            .insert_header((headers::IDEMPOTENCY_KEY, invocation.idempotency_key))
-            .insert_header((headers::TOOL, invocation.tool.as_str()))
-            .content_type("application/json");
-        let body = Body::Raw(Bytes::from(invocation.arguments));
+            .header(headers::IDEMPOTENCY_KEY, &invocation.idempotency_key)
+            .header(headers::TOOL, invocation.tool.as_str());
+        let body = Body::Json(invocation.arguments.into_bytes());
         async move { http::json(request, body, deadline).await }.boxed_local()
     }
 
--- a/crates/backend/tests/answers.rs
+++ b/crates/backend/tests/answers.rs
@@ -13,18 +13,34 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 const PAGE_BYTES: usize = 1 << 20;
 
-/// Starts a server that answers the first request with `answer` and closes the connection. With
-/// `hang`, it waits for the client to close the connection first. Returns the server's URL.
-fn serve_once(answer: Vec<u8>, hang: bool) -> String {
+/// How a server ends the connection after its answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ending {
+    Close,
+    Reset,
+    /// Waits for the client to close it.
+    Hang,
+}
+
+/// Starts a server that answers the first request with `answer` and ends the connection. Returns the
+/// server's URL.
+fn serve_once(answer: Vec<u8>, ending: Ending) -> String {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let address = listener.local_addr().expect("bound");
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a client");
         read_head(&mut stream);
         stream.write_all(&answer).expect("the client reads");
-        if hang {
-            // Returns once the client closes the connection.
-            let _ = stream.read(&mut [0]);
+        match ending {
+            Ending::Close => {}
+            Ending::Reset => {
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).expect("an option");
+            }
+            Ending::Hang => {
+                // Returns once the client closes the connection.
+                let _ = stream.read(&mut [0]);
+            }
         }
     });
     format!("http://{address}")
@@ -81,6 +97,12 @@
     format!("HTTP/1.1 {head}\r\ncontent-length: {length}\r\n\r\n{body}").into_bytes()
 }
 
+/// Returns a response in chunks whose connection closes before the last one.
+fn without_last_chunk(body: &str) -> Vec<u8> {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    format!("{head}{:x}\r\n{body}\r\n", body.len()).into_bytes()
+}
+
 const PAGE: &str = r#"{"records":[{"offset":0,"data":"b25l"}],"end":1}"#;
 const OTHER_PAGE: &str = r#"{"records":[{"offset":7,"data":"b25l"}],"end":8}"#;
 const REFUSAL: &str = r#"{"error":{"code":"queue_full","message":"full"},"run":false}"#;
@@ -88,7 +110,7 @@
 
 #[actix_rt::test]
 async fn a_valid_answer_is_accepted() {
-    let url = serve_once(complete("200 OK", PAGE), false);
+    let url = serve_once(complete("200 OK", PAGE), Ending::Close);
     assert_eq!(read(&url, TEST_TIMEOUT).await, Ok(vec![b"one".to_vec()]));
 }
 
@@ -115,8 +137,39 @@
         ),
         ("cut before the body", truncated("200 OK", ""), broken),
         ("cut in the body", truncated("200 OK", PAGE), broken),
-        // awc reports no error for a truncated chunked body, but the remaining JSON is invalid.
-        ("cut between chunks", chunked.into(), malformed),
+        ("cut between chunks", chunked.into(), broken),
+        (
+            "cut before the last chunk",
+            without_last_chunk(PAGE),
+            broken,
+        ),
+        ("a status of zeros", complete("000 OK", PAGE), malformed),
+        ("an unknown status", complete("600 OK", PAGE), malformed),
+        (
+            "a blank in a name",
+            complete("200 OK\r\nX Extra: 1", PAGE),
+            malformed,
+        ),
+        (
+            "a blank before a colon",
+            complete("200 OK\r\nX-Extra : 1", PAGE),
+            malformed,
+        ),
+        (
+            "a control byte in a name",
+            complete("200 OK\r\nX-\u{1}: 1", PAGE),
+            malformed,
+        ),
+        (
+            "two lengths",
+            complete("200 OK\r\nContent-Length: 48", PAGE),
+            malformed,
+        ),
+        (
+            "an unknown coding",
+            complete("200 OK\r\nTransfer-Encoding: gzip", PAGE),
+            malformed,
+        ),
         (
             "beyond the limit",
             with_length("200 OK", "", 99_999_999),
@@ -142,17 +195,39 @@
             broken,
         ),
     ];
+    let mut wrong = Vec::new();
     for (name, answer, expected) in table {
-        let url = serve_once(answer, false);
-        let error = read(&url, TEST_TIMEOUT).await.expect_err(name);
-        assert_eq!(classify(error), expected, "{name}");
+        let url = serve_once(answer, Ending::Close);
+        let found = read(&url, TEST_TIMEOUT).await.map_err(classify);
+        if found != Err(expected) {
+            wrong.push((name, found));
+        }
     }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
+
+/// Its connection tells where such an answer ends.
+#[actix_rt::test]
+async fn an_answer_without_a_length_is_whole_unless_its_connection_is_reset() {
+    let answer = format!("HTTP/1.1 200 OK\r\n\r\n{PAGE}").into_bytes();
+    let url = serve_once(answer.clone(), Ending::Close);
+    assert_eq!(read(&url, TEST_TIMEOUT).await, Ok(vec![b"one".to_vec()]));
+    let url = serve_once(answer, Ending::Reset);
+    let error = read(&url, TEST_TIMEOUT).await.expect_err("reset");
+    assert_eq!(classify(error), Classified::Lost(LostReason::Broken));
+}
+
+#[actix_rt::test]
+async fn an_offer_of_another_protocol_leaves_the_body() {
+    let answer = complete("200 OK\r\nUpgrade: websocket", PAGE);
+    let url = serve_once(answer, Ending::Hang);
+    assert_eq!(read(&url, TEST_TIMEOUT).await, Ok(vec![b"one".to_vec()]));
 }
 
 #[actix_rt::test]
 async fn an_incomplete_answer_times_out() {
     for answer in [Vec::new(), truncated("200 OK", "{")] {
-        let url = serve_once(answer, true);
+        let url = serve_once(answer, Ending::Hang);
         let error = read(&url, Duration::from_millis(100)).await;
         let error = error.expect_err("the answer is incomplete");
         assert_eq!(classify(error), Classified::Lost(LostReason::TimedOut));
--- a/crates/http-client/src/client.rs
+++ b/crates/http-client/src/client.rs
@@ -145,6 +145,10 @@
     ///
     /// Fails if the body is larger or malformed, or if its connection ends before it.
     pub async fn whole_body(&mut self, max_bytes: usize) -> Result<Bytes, ResponseError> {
+        let remaining = self.body.as_ref().and_then(Body::remaining);
+        if remaining.is_some_and(|bytes| bytes > max_bytes as u64) {
+            return Err(ResponseError::TooLarge(max_bytes));
+        }
         let mut whole = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
             if whole.len() + chunk.len() > max_bytes {
--- a/crates/http-client/src/exchange.rs
+++ b/crates/http-client/src/exchange.rs
@@ -241,6 +241,11 @@
         }
     }
 
+    /// Returns the number of bytes that remain to be received, if a length tells it.
+    pub fn remaining(&self) -> Option<u64> {
+        self.decoder.remaining()
+    }
+
     /// Returns whether nothing remains to be received.
     pub fn is_whole(&self) -> bool {
         self.decoder.is_whole()
--- a/crates/http-client/src/response/body.rs
+++ b/crates/http-client/src/response/body.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Returns the number of bytes that remain, if a length tells it.
+    pub fn remaining(&self) -> Option<u64> {
+        match &self.state {
+            State::Length(left) => Some(*left),
+            State::Chunked(_) | State::UntilClose => None,
+        }
+    }
+
     /// Returns whether only the end of the connection tells the end of the body.
     pub fn ends_with_connection(&self) -> bool {
         matches!(self.state, State::UntilClose)
