Tests: bytes without end, and requests late in the grace of a calm stop

The stop of one process while callers go on has a file of its own (stopping.rs, out of restarts.rs); an exchange of the planned rounds carries its deadline, which was the same for all.

--- a/crates/cli/tests/soak/checker_tests.rs
+++ b/crates/cli/tests/soak/checker_tests.rs
@@ -9,7 +9,7 @@
 use crate::deadly::ObservedDeadly;
 use crate::fleet::EVENTS;
 use crate::impatient::ImpatientProgram;
-use crate::restarts::{Exchange, Stalls, findings};
+use crate::restarts::{DEADLINE, Exchange, Stalls, findings};
 use crate::standin::caller::{Answer, STAMP_HEADER};
 use crate::standin::worker::{Run, event};
 
@@ -346,6 +346,7 @@
         node: SocketAddr::from(([127, 0, 0, 1], 1)),
         sent: Instant::now(),
         took: Duration::from_millis(took),
+        deadline: DEADLINE,
         answer,
     }
 }
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -34,6 +34,7 @@
 mod proxy;
 mod restarts;
 mod round;
+mod stopping;
 mod store_and_kills;
 
 use std::time::{Duration, Instant};
@@ -45,6 +46,7 @@
 use restarts::PlannedWork;
 use round::Schedule;
 use standin::store::StoreFault;
+use stopping::Connections;
 
 /// Seeds of every test run, each with the reason for including it.
 const REGRESSIONS: &[(u64, &str)] = &[
@@ -165,10 +167,27 @@
 
 #[actix_rt::test]
 async fn a_stopping_process_answers_what_it_accepts() {
-    let lost = restarts::send_while_stopping(1).await;
+    let lost = stopping::send_while_stopping(1).await;
     assert!(lost.is_empty(), "cut by the exit:\n{}", lost.join("\n"));
 }
 
+/// Requests late in the grace of a calm stop, on kept and new connections and with slow uploads, at the
+/// only process and at one of three, while a worker sends bytes without end.
+#[actix_rt::test]
+async fn requests_late_in_the_grace_are_answered() {
+    for nodes in [1, 3] {
+        for connections in [
+            Connections::Kept,
+            Connections::New,
+            Connections::NewWithUpload,
+        ] {
+            let found = stopping::send_late_in_grace(1, nodes, connections).await;
+            println!("{nodes} processes, {connections:?}: {:?}", found.outcomes);
+            assert!(found.lost.is_empty(), "cut:\n{}", found.lost.join("\n"));
+        }
+    }
+}
+
 /// Minimum number of turns that continue a stored one in a round of [`continuations`].
 const MIN_CONTINUED: usize = 10;
 
--- a/crates/cli/tests/soak/restarts.rs
+++ b/crates/cli/tests/soak/restarts.rs
@@ -12,19 +12,18 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::callers::{Kind, TURN_TOKENS};
-use crate::fleet::{EVENTS, Fleet};
+use crate::fleet::Fleet;
 use crate::standin::caller::{Answer, Connection, Request};
 use crate::standin::platform::configuration;
-use crate::standin::worker::Behaviour;
 
 /// Number of concurrent callers.
 const CALLERS: u64 = 40;
 
 /// Time after which a request's answer is of no use to its caller, as told to the gateway.
-const DEADLINE: Duration = Duration::from_millis(1_200);
+pub const DEADLINE: Duration = Duration::from_millis(1_200);
 
 /// How long a caller reads on after the deadline, to see how the gateway ends the answer.
-const READ_ON: Duration = Duration::from_millis(800);
+pub const READ_ON: Duration = Duration::from_millis(800);
 
 /// Time from the last byte of a request after which the process counts as having read it.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -80,6 +79,8 @@
     pub sent: Instant,
     /// Time from sending it to the end of its answer or connection.
     pub took: Duration,
+    /// Time after which the answer is of no use to the caller, as told to the gateway.
+    pub deadline: Duration,
     /// `None` if the connection could not be opened or ended without an answer.
     pub answer: Option<Answer>,
 }
@@ -117,7 +118,7 @@
             Some(answer) if self.is_answered() => {
                 format!("{} {}", answer.status, answer.body.trim())
             }
-            _ if self.took >= DEADLINE => "cut at the deadline".to_owned(),
+            _ if self.took >= self.deadline => "cut at the deadline".to_owned(),
             _ => "cut".to_owned(),
         }
     }
@@ -143,7 +144,7 @@
 
 impl Stalls {
     /// Records stalls until `stop` is set.
-    async fn watch(&self, stop: &Cell<bool>) {
+    pub async fn watch(&self, stop: &Cell<bool>) {
         while !stop.get() {
             let before = Instant::now();
             actix_rt::time::sleep(STALL_CHECK_INTERVAL).await;
@@ -183,7 +184,7 @@
         // The process has read what was sent that long ago, unless only the test was late.
         let was_read = exchange.took > LOSS_SLACK && stalls.spare(exchange);
         let was_accepted = ran.contains(&exchange.id) || was_read;
-        match exchange.took >= DEADLINE {
+        match exchange.took >= exchange.deadline {
             true => found.late.push(exchange.describe(started)),
             false if was_accepted => found.lost.push(exchange.describe(started)),
             false => {}
@@ -415,56 +416,8 @@
             node,
             sent,
             took,
+            deadline: DEADLINE,
             answer: answer.filter(|answer| answer.status != 0),
         }
     }
 }
-
-/// Moments after SIGTERM at which requests are sent, in milliseconds. The grace period is 1.6 s.
-const MOMENTS_AFTER_STOP_MS: [u64; 4] = [0, 300, 600, 850];
-
-/// A stream that takes 900 ms.
-const LONG_STREAM: Behaviour = Behaviour::Events {
-    count: EVENTS,
-    pause: 180,
-};
-
-/// Sends requests that take long to a process while it stops. Returns those that it accepted and
-/// did not answer.
-pub async fn send_while_stopping(seed: u64) -> Vec<String> {
-    let mut fleet = Fleet::start_with(seed, 2).await;
-    for engine in &fleet.workers {
-        engine.worker.set_behaviour(LONG_STREAM);
-    }
-    let node = fleet.nodes[0].callers();
-    fleet.nodes[0].signal("-TERM");
-    let stopped = Instant::now();
-    let requests = MOMENTS_AFTER_STOP_MS
-        .iter()
-        .enumerate()
-        .map(|(number, moment)| {
-            let moment = Duration::from_millis(*moment);
-            async move {
-                actix_rt::time::sleep(moment.saturating_sub(stopped.elapsed())).await;
-                let id = format!("stopping-{number}");
-                let deadline = u64::try_from(DEADLINE.as_millis()).expect("a short time");
-                let request = Request::new("POST", Kind::StoredTurn.path(), &id)
-                    .deadline(deadline)
-                    .body("input")
-                    .turn(&id, TURN_TOKENS, TURN_TOKENS);
-                let sent = Instant::now();
-                let answer = request.try_send(node, DEADLINE + READ_ON).await;
-                (id, sent.elapsed(), answer)
-            }
-        });
-    let answers = futures_util::future::join_all(requests).await;
-    let workers = fleet.workers.iter();
-    let runs = workers.flat_map(|proxied| proxied.worker.runs());
-    let ran: BTreeSet<String> = runs.map(|run| run.request_id).collect();
-    let is_cut = |answer: &Option<Answer>| !answer.as_ref().is_some_and(|answer| answer.is_whole);
-    let lost = answers
-        .into_iter()
-        .filter(|(id, took, answer)| is_cut(answer) && *took < DEADLINE && ran.contains(id));
-    lost.map(|(id, took, answer)| format!("{id} after {took:?}: {answer:?}"))
-        .collect()
-}
