HTTP client: the number of exchanges in progress is limited again

A client now has a permit for each exchange, from sending to the end of the response; further ones wait, as before.

--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -20,6 +20,9 @@
 /// Maximum size of a response body that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Maximum number of exchanges in progress; each streamed answer is one.
+const MAX_EXCHANGES: usize = 4_096;
+
 /// Timeout of establishing a connection. It is shorter than the timeouts of requests, so that a
 /// request to an unreachable machine is classified as not sent instead of lost.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -40,7 +43,7 @@
     /// Creates a pool without open connections.
     pub fn new() -> Self {
         Self {
-            client: Client::new(CONNECT_TIMEOUT),
+            client: Client::new(CONNECT_TIMEOUT, MAX_EXCHANGES),
         }
     }
 }
--- a/crates/http-client/src/client.rs
+++ b/crates/http-client/src/client.rs
@@ -5,11 +5,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HOST, HeaderValue};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use crate::exchange::{Body, Connection, Exchange, ExchangeError};
 use crate::response::ResponseError;
@@ -28,16 +30,20 @@
 
 struct Shared {
     connect_timeout: Duration,
+    /// One permit for each exchange that may be in progress.
+    permits: Arc<Semaphore>,
     /// Created at the first request, because it needs a runtime.
     config: OnceCell<ServiceConfig>,
     idle: IdleConnections,
 }
 
 impl Client {
-    /// Creates a client without open connections. Connecting fails after `connect_timeout`.
-    pub fn new(connect_timeout: Duration) -> Self {
+    /// Creates a client without open connections. Connecting fails after `connect_timeout`; further
+    /// requests wait while `max_exchanges` are in progress, from sending to the end of the response.
+    pub fn new(connect_timeout: Duration, max_exchanges: usize) -> Self {
         let shared = Shared {
             connect_timeout,
+            permits: Arc::new(Semaphore::new(max_exchanges)),
             config: OnceCell::new(),
             idle: IdleConnections::new(),
         };
@@ -62,6 +68,7 @@
         head: RequestHead,
         body: &Bytes,
     ) -> Result<Response, ExchangeError> {
+        let permit = self.permit().await;
         let connection = match self.shared.idle.take(server) {
             Some(connection) => connection,
             None => self
@@ -69,7 +76,7 @@
                 .await
                 .map_err(|error| ExchangeError::NotSent(error.to_string()))?,
         };
-        self.send_on(connection, server, head, body).await
+        self.exchange(permit, connection, server, head, body).await
     }
 
     /// Opens a connection to a server.
@@ -90,6 +97,23 @@
         &self,
         connection: Connection,
         server: SocketAddr,
+        head: RequestHead,
+        body: &Bytes,
+    ) -> Result<Response, ExchangeError> {
+        let permit = self.permit().await;
+        self.exchange(permit, connection, server, head, body).await
+    }
+
+    async fn permit(&self) -> OwnedSemaphorePermit {
+        let permit = self.shared.permits.clone().acquire_owned().await;
+        permit.expect("the semaphore is never closed")
+    }
+
+    async fn exchange(
+        &self,
+        permit: OwnedSemaphorePermit,
+        connection: Connection,
+        server: SocketAddr,
         mut head: RequestHead,
         body: &Bytes,
     ) -> Result<Response, ExchangeError> {
@@ -105,6 +129,7 @@
             body: Some(body),
             server,
             client: self.clone(),
+            _permit: permit,
         })
     }
 }
@@ -117,6 +142,7 @@
     body: Option<Body>,
     server: SocketAddr,
     client: Client,
+    _permit: OwnedSemaphorePermit,
 }
 
 impl Response {
