Operators' and callers' clients read answers with the same decoder

What was taken for an answer: by `elderworks get` and the other commands, and by the client of the callers' API (demo, lab), a body shorter than its length, one in chunks without the last chunk, a head with a blank before a colon, a status of 600. Answers without a length, and those that offer another protocol, lost their bodies.

Cause: as in the platform's clients and back ends; here not even the length was compared.

Change: both send through `http-client::client`. Host names of servers are looked up as before (`url`); a table of URLs. A command whose answer breaks off says that it isn't known whether the change was made (`ConnectionLost`), no longer that the answer is unexpected. Only the demo's own questions and tests still use the other library.

--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -10,6 +10,7 @@
 use elderworks_http_client::client::{Client, Response};
 use elderworks_http_client::exchange::ExchangeError;
 use elderworks_http_client::response::ResponseError;
+use elderworks_http_client::url::Url;
 use elderworks_platform_api::headers;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -154,10 +155,9 @@
 /// Splits `http://IP:port/path` into the server's address and the path.
 fn split_url(url: &str) -> Result<(SocketAddr, &str), BackendError> {
     let invalid = || BackendError::not_sent(format!("expected http://IP:port, found `{url}`"));
-    let rest = url.strip_prefix("http://").ok_or_else(invalid)?;
-    let (server, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
-    let server = server.parse().map_err(|_| invalid())?;
-    Ok((server, path))
+    let split = Url::split(url).ok_or_else(invalid)?;
+    let server = split.authority.parse().map_err(|_| invalid())?;
+    Ok((server, split.path))
 }
 
 /// Body of a request.
--- a/crates/cli/src/verbs/client.rs
+++ b/crates/cli/src/verbs/client.rs
@@ -1,13 +1,18 @@
 //! HTTP client for the operator interface of nodes.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::time::Duration;
 
-use actix_http::Method;
-use awc::error::{ConnectError, SendRequestError};
-use awc::{Client, ClientRequest, ClientResponse};
+use actix_http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue, IF_MATCH};
+use actix_http::{Method, RequestHead};
+use actix_rt::time::timeout;
+use bytes::Bytes;
 use elderworks_control::api::{API_PREFIX, ApiError, Collection, ErrorCode, ListDocument};
 use elderworks_control::manifest::Document;
+use elderworks_http_client::client::{Client, Response};
+use elderworks_http_client::exchange::ExchangeError;
+use elderworks_http_client::url::Url;
 use serde::de::DeserializeOwned;
 
 use super::VerbError;
@@ -18,6 +23,12 @@
 /// Timeout of one request.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum time to establish a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum number of exchanges in progress.
+const MAX_EXCHANGES: usize = 100;
+
 /// Maximum size of a response body, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -41,7 +52,7 @@
         Self {
             servers,
             token,
-            http: Client::builder().timeout(ANSWER_TIMEOUT).finish(),
+            http: Client::new(CONNECT_TIMEOUT, MAX_EXCHANGES),
         }
     }
 
@@ -59,8 +70,8 @@
         let mut runs = BTreeMap::new();
         let mut last = Some(no_server_error());
         for server in &self.servers {
-            let request = self.request(Method::GET, server, &path, None);
-            match send(request, server, Vec::new()).await {
+            let request = Request::new(Method::GET, server, &path, None);
+            match self.exchange(&request, Bytes::new()).await {
                 Ok(answer) => {
                     let list: ListDocument = parse(server, &answer)?;
                     let items = list.items.into_iter();
@@ -131,16 +142,17 @@
     }
 
     /// Opens a streaming response, for example a watch.
-    pub(super) async fn stream(&self, path: &str) -> Result<ClientResponse, VerbError> {
+    pub(super) async fn stream(&self, path: &str) -> Result<Response, VerbError> {
         let mut last = no_server_error();
         for server in &self.servers {
-            let request = self.request(Method::GET, server, path, None);
-            match request.send().await {
-                Ok(response) if response.status().is_success() => return Ok(response),
+            let request = Request::new(Method::GET, server, path, None);
+            match self.send(&request, Bytes::new()).await {
+                Ok(response) if response.head.status.is_success() => return Ok(response),
                 Ok(mut response) => {
-                    return Err(parse_error(&response.body().await.unwrap_or_default()));
+                    let body = response.whole_body(MAX_ANSWER_BYTES).await;
+                    return Err(parse_error(&body.unwrap_or_default()));
                 }
-                Err(error) => last = VerbError::Unreachable(format!("{server}: {error}")),
+                Err(error) => last = error,
             }
         }
         Err(last)
@@ -154,9 +166,10 @@
         body: Vec<u8>,
     ) -> Result<T, VerbError> {
         let mut last = no_server_error();
+        let body = Bytes::from(body);
         for server in &self.servers {
-            let request = self.request(method.clone(), server, path, expected);
-            match send(request, server, body.clone()).await {
+            let request = Request::new(method.clone(), server, path, expected);
+            match self.exchange(&request, body.clone()).await {
                 Ok(answer) => return parse(server, &answer),
                 Err(error) if should_try_next_server(&error) => last = error,
                 Err(error) => return Err(error),
@@ -165,40 +178,84 @@
         Err(last)
     }
 
-    fn request(
+    /// Sends a request and returns the complete response body.
+    async fn exchange(&self, request: &Request<'_>, body: Bytes) -> Result<Bytes, VerbError> {
+        let mut response = self.send(request, body).await?;
+        let answer = timeout(ANSWER_TIMEOUT, response.whole_body(MAX_ANSWER_BYTES)).await;
+        let answer = answer
+            .map_err(|error| request.lost(error))?
+            .map_err(|error| request.lost(error))?;
+        match response.head.status.is_success() {
+            true => Ok(answer),
+            false => Err(parse_error(&answer)),
+        }
+    }
+
+    /// Sends a request and waits for the head of its response.
+    async fn send(&self, request: &Request<'_>, body: Bytes) -> Result<Response, VerbError> {
+        let invalid =
+            |error: &dyn Display| VerbError::Usage(format!("{}: {error}", request.server));
+        let url = format!("{}{}", request.server, request.path);
+        let url = Url::split(&url).ok_or_else(|| invalid(&"expected http://HOST:PORT"))?;
+        let head = request
+            .head(url.path, self.token.as_deref())
+            .map_err(|error| invalid(&error))?;
+        let unreachable =
+            |error: &dyn Display| VerbError::Unreachable(format!("{}: {error}", request.server));
+        let server = url.resolve().await.map_err(|error| unreachable(&error))?;
+        let sent = timeout(ANSWER_TIMEOUT, self.http.send(server, head, &body)).await;
+        match sent.map_err(|error| request.lost(error))? {
+            Ok(response) => Ok(response),
+            Err(ExchangeError::NotSent(reason)) => Err(unreachable(&reason)),
+            Err(ExchangeError::NoResponse(error)) => Err(request.lost(error)),
+        }
+    }
+}
+
+/// A request to one server, without its body.
+struct Request<'a> {
+    method: Method,
+    server: &'a str,
+    path: &'a str,
+    /// Revision that the resource must have.
+    expected: Option<u64>,
+}
+
+impl<'a> Request<'a> {
+    fn new(method: Method, server: &'a str, path: &'a str, expected: Option<u64>) -> Self {
+        Self {
+            method,
+            server,
+            path,
+            expected,
+        }
+    }
+
+    fn head(
         &self,
-        method: Method,
-        server: &str,
         path: &str,
-        expected: Option<u64>,
-    ) -> ClientRequest {
-        let mut request = self.http.request(method, format!("{server}{path}"));
-        if let Some(token) = &self.token {
-            request = request.bearer_auth(token);
+        token: Option<&str>,
+    ) -> Result<RequestHead, actix_http::error::HttpError> {
+        let mut head = RequestHead::default();
+        head.method = self.method.clone();
+        head.uri = path.parse()?;
+        let media_type = HeaderValue::from_static("application/json");
+        head.headers.insert(CONTENT_TYPE, media_type);
+        if let Some(token) = token {
+            let bearer = HeaderValue::from_str(&format!("Bearer {token}"))?;
+            head.headers.insert(AUTHORIZATION, bearer);
         }
-        if let Some(expected) = expected {
-            request = request.insert_header(("if-match", format!("\"{expected}\"")));
+        if let Some(expected) = self.expected {
+            let revision = HeaderValue::from_str(&format!("\"{expected}\""))?;
+            head.headers.insert(IF_MATCH, revision);
         }
-        request
+        Ok(head)
     }
-}
 
-/// Sends a request and returns the complete response body.
-async fn send(request: ClientRequest, server: &str, body: Vec<u8>) -> Result<Vec<u8>, VerbError> {
-    let mut response = request
-        .content_type("application/json")
-        .send_body(body)
-        .await
-        .map_err(|error| send_error(server, &error))?;
-    let answer = response
-        .body()
-        .limit(MAX_ANSWER_BYTES)
-        .await
-        .map_err(|error| VerbError::ConnectionLost(format!("{server}: {error}")))?;
-    if response.status().is_success() {
-        return Ok(answer.to_vec());
+    /// Creates the error of a request whose outcome is unknown.
+    fn lost(&self, error: impl Display) -> VerbError {
+        VerbError::ConnectionLost(format!("{}: {error}", self.server))
     }
-    Err(parse_error(&answer))
 }
 
 fn parse<T: DeserializeOwned>(server: &str, answer: &[u8]) -> Result<T, VerbError> {
@@ -206,18 +263,6 @@
         .map_err(|error| VerbError::Unexpected(format!("{server}: {error}")))
 }
 
-fn send_error(server: &str, error: &SendRequestError) -> VerbError {
-    let message = format!("{server}: {error}");
-    match error {
-        SendRequestError::Url(_) => VerbError::Usage(message),
-        // A disconnect leaves open whether the request was sent.
-        SendRequestError::Connect(ConnectError::Disconnected) => VerbError::ConnectionLost(message),
-        // No connection was established, so the request was not sent.
-        SendRequestError::Connect(_) => VerbError::Unreachable(message),
-        _ => VerbError::ConnectionLost(message),
-    }
-}
-
 fn parse_error(body: &[u8]) -> VerbError {
     match serde_json::from_slice::<ApiError>(body) {
         Ok(error) => VerbError::from(error),
--- a/crates/cli/src/verbs/watch.rs
+++ b/crates/cli/src/verbs/watch.rs
@@ -4,11 +4,10 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
-use awc::ClientResponse;
 use bytes::{Buf, Bytes, BytesMut};
 use elderworks_control::api::{API_PREFIX, Collection, ErrorCode, WatchAction, WatchLine};
+use elderworks_http_client::client::Response;
 use elderworks_types::resource::Kind;
-use futures_util::StreamExt;
 use tokio::time::{sleep, timeout};
 
 use super::{ApiClient, OutputFormat, VerbError};
@@ -179,12 +178,12 @@
 
 /// Line reader over a streaming response.
 struct Lines {
-    response: ClientResponse,
+    response: Response,
     buffer: BytesMut,
 }
 
 impl Lines {
-    fn new(response: ClientResponse) -> Self {
+    fn new(response: Response) -> Self {
         Self {
             response,
             buffer: BytesMut::new(),
@@ -202,11 +201,11 @@
                     .map(Some)
                     .map_err(|error| VerbError::Unexpected(error.to_string()));
             }
-            match timeout(SILENCE_LIMIT, self.response.next()).await {
+            match timeout(SILENCE_LIMIT, self.response.next_chunk()).await {
                 Err(_) => return Err(VerbError::ConnectionLost("read timed out".to_owned())),
-                Ok(None) => return Ok(None),
-                Ok(Some(Err(error))) => return Err(VerbError::ConnectionLost(error.to_string())),
-                Ok(Some(Ok(piece))) => self.push(&piece)?,
+                Ok(Ok(None)) => return Ok(None),
+                Ok(Err(error)) => return Err(VerbError::ConnectionLost(error.to_string())),
+                Ok(Ok(Some(piece))) => self.push(&piece)?,
             }
         }
     }
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod client;
 pub mod exchange;
 pub mod response;
+pub mod url;
--- a/crates/http-client/tests/client.rs
+++ b/crates/http-client/tests/client.rs
@@ -10,6 +10,7 @@
 use elderworks_http_client::client::{Client, Response};
 use elderworks_http_client::exchange::ExchangeError;
 use elderworks_http_client::response::ResponseError;
+use elderworks_http_client::url::Url;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -121,3 +122,28 @@
     server.send(&client).await.expect("a response");
     assert_eq!(server.requests.get(), 3);
 }
+
+#[actix_rt::test]
+async fn urls_are_split_and_resolved() {
+    let table = [
+        (
+            "http://127.0.0.1:1/v1/x?y=http://z/",
+            Some(("127.0.0.1:1", "/v1/x?y=http://z/")),
+        ),
+        ("http://node-a:80", Some(("node-a:80", ""))),
+        ("http:///v1", None),
+        ("http://", None),
+        ("https://127.0.0.1:1/", None),
+        ("127.0.0.1:1", None),
+        ("", None),
+    ];
+    for (url, expected) in table {
+        let expected = expected.map(|(authority, path)| Url { authority, path });
+        assert_eq!(Url::split(url), expected, "{url}");
+    }
+    let address = SocketAddr::from(([127, 0, 0, 1], 7_301));
+    let url = Url::split("http://127.0.0.1:7301/v1").expect("a URL");
+    assert_eq!(url.resolve().await.expect("an address"), address);
+    let without_port = Url::split("http://127.0.0.1").expect("a URL");
+    assert!(without_port.resolve().await.is_err());
+}
--- a/crates/sidecar/src/client/mod.rs
+++ b/crates/sidecar/src/client/mod.rs
@@ -4,11 +4,13 @@
 
 use std::time::Duration;
 
-use awc::ClientResponse;
-use awc::http::Method;
+use actix_http::header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue};
+use actix_http::{Method, RequestHead};
+use actix_rt::time::timeout;
 use bytes::Bytes;
+use elderworks_http_client::client::{Client, Response};
+use elderworks_http_client::url::Url;
 use elderworks_types::{Message, RunId, RunPhase};
-use futures_util::{Stream, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -21,6 +23,15 @@
 /// Maximum time to wait for a response.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Maximum time to establish a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum number of exchanges in progress.
+const MAX_EXCHANGES: usize = 100;
+
+/// Maximum size of a response body that is not streamed, in bytes.
+const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
+
 /// Error of a client request.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ClientError {
@@ -55,7 +66,7 @@
 pub struct CallerClient {
     base_url: String,
     bearer: String,
-    client: awc::Client,
+    client: Client,
 }
 
 impl CallerClient {
@@ -64,7 +75,7 @@
         Self {
             base_url: base_url.trim_end_matches('/').to_owned(),
             bearer: format!("Bearer {token}"),
-            client: awc::Client::builder().timeout(ANSWER_TIMEOUT).finish(),
+            client: Client::new(CONNECT_TIMEOUT, MAX_EXCHANGES),
         }
     }
 
@@ -105,8 +116,7 @@
             .request(Method::POST, &path, Some(encode(body)))
             .await?;
         let mut reader = AnswerReader::default();
-        while let Some(bytes) = response.next().await {
-            let bytes = bytes.map_err(|error| ClientError::Connection(error.to_string()))?;
+        while let Some(bytes) = response.next_chunk().await.map_err(failed)? {
             reader.feed(&bytes, &mut on_event)?;
         }
         reader.finish()
@@ -151,9 +161,8 @@
         body: Option<&impl Serialize>,
     ) -> Result<T, ClientError> {
         let mut response = self.request(method, path, body.map(encode)).await?;
-        let bytes = response.body().await;
-        let bytes = bytes.map_err(|error| ClientError::Connection(error.to_string()))?;
-        parse(&bytes)
+        let bytes = response.whole_body(MAX_ANSWER_BYTES).await;
+        parse(&bytes.map_err(failed)?)
     }
 
     async fn request(
@@ -161,31 +170,38 @@
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
-    ) -> Result<ClientResponse<impl Stream<Item = PayloadResult> + Unpin>, ClientError> {
-        let request = self
-            .client
-            .request(method, format!("{}{path}", self.base_url))
-            .insert_header(("authorization", self.bearer.as_str()));
-        let sending = match body {
-            Some(body) => request.content_type("application/json").send_body(body),
-            None => request.send(),
-        };
-        let response = sending.await;
-        let mut response = response.map_err(|error| ClientError::Connection(error.to_string()))?;
-        if response.status().is_success() {
+    ) -> Result<Response, ClientError> {
+        let url = format!("{}{path}", self.base_url);
+        let url = Url::split(&url).ok_or_else(|| failed("the URL is invalid"))?;
+        let server = url.resolve().await.map_err(failed)?;
+        let mut head = RequestHead::default();
+        head.method = method;
+        head.uri = url.path.parse().map_err(failed)?;
+        let bearer = HeaderValue::from_str(&self.bearer).map_err(failed)?;
+        head.headers.insert(AUTHORIZATION, bearer);
+        if body.is_some() {
+            let media_type = HeaderValue::from_static("application/json");
+            head.headers.insert(CONTENT_TYPE, media_type);
+        }
+        let body = Bytes::from(body.unwrap_or_default());
+        let sent = timeout(ANSWER_TIMEOUT, self.client.send(server, head, &body)).await;
+        let mut response = sent.map_err(failed)?.map_err(failed)?;
+        if response.head.status.is_success() {
             return Ok(response);
         }
-        let body = response.body().await.unwrap_or_default();
-        Err(decode_error(&body))
+        let body = response.whole_body(MAX_ANSWER_BYTES).await;
+        Err(decode_error(&body.map_err(failed)?))
     }
 }
 
+fn failed(error: impl ToString) -> ClientError {
+    ClientError::Connection(error.to_string())
+}
+
 fn encode(body: &impl Serialize) -> Vec<u8> {
     serde_json::to_vec(body).expect("requests are plain data")
 }
 
-type PayloadResult = Result<Bytes, awc::error::PayloadError>;
-
 pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ClientError> {
     serde_json::from_slice(body).map_err(|error| ClientError::Unreadable(error.to_string()))
 }
