Log: from which worker a broken stream is resumed, and where

One line for each resumption: the worker, whether the same one is to continue it, whether it has ended, the route's limit and the workers tried. No decision changes.

--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use elderworks_gateway_core::attempt::NotRun;
+use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::stream_versions::lookup::{KnownOrigin, ResumptionOutcome};
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamKey, StreamVersion};
@@ -79,12 +80,20 @@
         let workers = self.gateway.workers.borrow();
         let rule = self.version_rule();
         let ends = self.gateway.requests.ends.borrow();
+        let has_ended = ends.has_ended(WorkerKey::of(worker));
         let same = workers
             .get(worker)
-            .filter(|known| !ends.has_ended(known.key()))
+            .filter(|_| !has_ended)
             .filter(|known| workers.is_open(known) && !workers.is_throttled(known, now))
             .filter(|known| workers.follows(rule, known, now))
             .map(|known| Target::direct(&known.record));
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            worker = worker, is_same = same.is_some(), has_ended = has_ended,
+            attempts = self.route.attempts, tried = self.tried().join(",").as_str(),
+            ms = self.received.elapsed().as_millis();
+            "stream that broke off is to be resumed"
+        );
         Ok(same)
     }
 
