Streams that broke off: a second worker only if the route allows it and the first doesn't work on it

Callers saw nothing, or a stream that ended broken: a stream whose connection was reset was sent to its own worker again, and when that refused it, drained or closed without an answer, to any other, whatever the route's attempts allow. Workers that work on after a reset worked on it beside the second one.

Cause: `resume` recorded nothing of the worker where the stream broke. `AttemptHistory` counts failed attempts before the head of an answer only, so that a refusal of the resumed stream read as 'this request has run nowhere'.

Now the history keeps the workers that may have run the request and whether they may still be at work (`possible_runs`); where it may go follows from that alone, and is checked before each attempt (decision 0107). A second engine needs the proof that the first has stopped, or is lost. 'Lost' is a connection that can't be established for a reason that lies at the other side; it was 'not sent' before, with a local lack of descriptors.

--- a/crates/gateway-core/src/attempt.rs
+++ b/crates/gateway-core/src/attempt.rs
@@ -1,13 +1,21 @@
 //! Retries of a request after failed attempts, and whether a worker may have run it.
 
+mod possible_runs;
+
 use std::cell::Cell;
 use std::rc::Rc;
 
+pub use possible_runs::{Overlap, SendScope};
+
+use possible_runs::PossibleRuns;
+
 use crate::worker_ends::{EndCount, MAX_ENDED_WORKERS};
 
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
+    /// No connection to the worker could be established: it is lost, or cut off from this node.
+    NotReached,
     /// No byte of the request can have reached the worker.
     NotSent,
     /// The worker reported that it did not run the request.
@@ -67,6 +75,10 @@
     possibly_run: u32,
     /// Number of failed attempts that did not run the request.
     not_run: u32,
+    /// Number of failed attempts in a row that did not run the request, at the only worker that may run it.
+    not_run_at_only_worker: u32,
+    /// The workers that may have run it.
+    runs: PossibleRuns,
     /// Whether an earlier attempt without a recorded failure may have run it, such as one whose
     /// stream broke off and is resumed.
     earlier: bool,
@@ -79,13 +91,30 @@
 /// Maximum number of failed attempts that did not run the request after which it is retried.
 const MAX_NOT_RUN_FAILURES: u32 = 4;
 
+/// Maximum number of such attempts after which a stream that broke off is sent again to the only
+/// worker that may continue it. A caller can take the stream up elsewhere once the response has ended.
+const MAX_NOT_RUN_AT_ONLY_WORKER: u32 = 2;
+
+/// What a route allows for requests that may have run.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryRules {
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Maximum number of workers that may run it; lost ones don't count.
+    pub max_workers: u32,
+    /// Whether it may run at two of them at the same time.
+    pub overlap: Overlap,
+}
+
 /// The next step after a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
     /// Retry at another worker.
     Retry,
-    /// Retry once at the same worker on another connection, since the route allows no other worker.
+    /// Retry at the same worker, since the route allows no other worker.
     RetrySameWorker,
+    /// Make sure that the worker no longer runs the request, and then retry at another worker.
+    StopRun,
     /// Respond with an error; [`AttemptHistory::not_run`] returns whether it may state that the
     /// request was not run.
     GiveUp,
@@ -122,6 +151,42 @@
         is_allowed
     }
 
+    /// Records that a worker began to answer the request and that its answer broke off.
+    pub fn note_broken_answer(&mut self, worker: &str) {
+        self.earlier = true;
+        self.not_run_at_only_worker = 0;
+        self.runs.note_run(worker);
+    }
+
+    /// Records that a worker has ended or can't be reached.
+    pub fn note_lost(&mut self, worker: &str) {
+        self.runs.note_lost(worker);
+    }
+
+    /// Records that a worker has confirmed that it doesn't run the request.
+    pub fn note_stopped(&mut self, worker: &str) {
+        self.runs.note_stopped(worker);
+    }
+
+    /// Returns the workers to which the request may be sent.
+    pub fn scope(&self, rules: RetryRules) -> SendScope {
+        self.runs.scope(rules.max_workers, rules.overlap)
+    }
+
+    /// Returns whether the request may be sent to a worker, as far as it depends on where it may have run.
+    pub fn may_send_to(&self, worker: &str, rules: RetryRules) -> bool {
+        match self.scope(rules) {
+            SendScope::Any => true,
+            SendScope::Only(only) => only == worker,
+        }
+    }
+
+    /// Returns whether the request may be sent to any worker once the only one to which it may be sent has
+    /// stopped running it.
+    pub fn may_leave_after_stop(&self, rules: RetryRules) -> bool {
+        self.runs.len() < rules.max_workers as usize
+    }
+
     /// Starts an attempt. The sender must set the returned flag before it sends the first byte.
     pub fn start_attempt(&mut self, _permit: SendPermit) -> SendMark {
         self.earlier |= self.current.0.get();
@@ -129,34 +194,49 @@
         self.current.clone()
     }
 
-    /// Records a failed attempt and returns the next step.
+    /// Records a failed attempt at a worker and returns the next step.
     ///
     /// A request that isn't repeatable is never retried once it may have run. A repeatable one runs
-    /// at no more than `max_attempts` workers, and at most twice at the last of them.
+    /// at no more than [`RetryRules::max_workers`] workers, and at most twice at the last of them.
     pub fn after_failure(
         &mut self,
         failure: AttemptFailure,
-        repeatable: bool,
-        max_attempts: u32,
+        worker: &str,
+        rules: RetryRules,
     ) -> NextStep {
         self.current = SendMark::default();
         match failure {
+            AttemptFailure::NotReached => {
+                self.not_run += 1;
+                self.runs.note_lost(worker);
+            }
             AttemptFailure::NotSent | AttemptFailure::RefusedByWorker => self.not_run += 1,
-            AttemptFailure::Unknown => self.possibly_run += 1,
+            AttemptFailure::Unknown => {
+                self.possibly_run += 1;
+                self.runs.note_run(worker);
+            }
         }
-        if self.possibly_run > 0 && !repeatable {
+        if self.possibly_run > 0 && !rules.repeatable {
             return NextStep::GiveUp;
         }
-        if self.possibly_run >= max_attempts {
-            let is_last_worker = self.possibly_run == max_attempts;
+        if self.possibly_run >= rules.max_workers {
+            let is_last_worker = self.possibly_run == rules.max_workers;
             return match failure {
                 AttemptFailure::Unknown if is_last_worker => NextStep::RetrySameWorker,
                 _ => NextStep::GiveUp,
             };
         }
-        match self.not_run <= MAX_NOT_RUN_FAILURES {
-            true => NextStep::Retry,
-            false => NextStep::GiveUp,
+        if self.not_run > MAX_NOT_RUN_FAILURES {
+            return NextStep::GiveUp;
+        }
+        match self.scope(rules) {
+            SendScope::Any => NextStep::Retry,
+            SendScope::Only(_) if self.may_leave_after_stop(rules) => NextStep::StopRun,
+            SendScope::Only(_) if self.not_run_at_only_worker < MAX_NOT_RUN_AT_ONLY_WORKER => {
+                self.not_run_at_only_worker += 1;
+                NextStep::RetrySameWorker
+            }
+            SendScope::Only(_) => NextStep::GiveUp,
         }
     }
 
--- a/crates/gateway-core/src/run_moves/mod.rs
+++ b/crates/gateway-core/src/run_moves/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod backups;
 mod steps;
+pub mod stop;
 pub mod targets;
 
 pub use steps::{AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction};
--- a/crates/gateway-core/src/workers/versions.rs
+++ b/crates/gateway-core/src/workers/versions.rs
@@ -31,14 +31,22 @@
         now: Timestamp,
     ) -> impl Iterator<Item = &'a Worker> {
         self.known(service).filter(move |worker| {
-            let since = worker.draining_since.map(|since| now.since(since));
-            worker.software == Some(version)
-                && worker.missing_until.is_none()
-                && !self.closed_zones.contains(&worker.record.zone)
-                && since.is_some_and(|since| since < self.drain_use)
+            worker.record.draining
+                && worker.software == Some(version)
+                && self.may_continue_stream(worker, now)
         })
     }
 
+    /// Returns whether a worker may continue a stream that broke off at it. One that drains may for a part
+    /// of its notice.
+    pub fn may_continue_stream(&self, worker: &Worker, now: Timestamp) -> bool {
+        let since = worker.draining_since.map(|since| now.since(since));
+        let may_leave_later =
+            worker.missing_until.is_none() && since.is_some_and(|since| since < self.drain_use);
+        let is_zone_open = !self.closed_zones.contains(&worker.record.zone);
+        self.is_open(worker) || (is_zone_open && may_leave_later)
+    }
+
     /// Returns the software versions of the workers over time.
     pub fn versions(&self) -> &VersionHistory {
         &self.versions
--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -6,6 +6,7 @@
 use elderworks_gateway_core::engines::{MoveOutcome, RunCopy};
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::run_moves::backups::{BURST_S, BackupRules, Backups, RunSize};
+use elderworks_gateway_core::run_moves::stop::{RunStop, StopOutcome, StopStep, left_copy};
 use elderworks_gateway_core::run_moves::targets::{ZonePreference, choose};
 use elderworks_gateway_core::run_moves::{
     AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction, RunMigration,
@@ -54,6 +55,47 @@
     }
 }
 
+#[test]
+fn what_a_call_to_stop_a_run_shows() {
+    use StopOutcome::{Lost, Stopped, Unsure};
+    use StopStep::{AskAgain, Done};
+    let answered = CallEnd::Answered;
+    let no_room = |handle: Option<&str>| MoveOutcome::NoRoom {
+        handle: handle.map(str::to_owned),
+    };
+    let cases = [
+        (copied("h"), Done(Stopped), Done(Stopped), Some(copy("h"))),
+        (
+            answered(no_room(Some("h"))),
+            Done(Stopped),
+            Done(Stopped),
+            Some(copy("h")),
+        ),
+        (
+            answered(MoveOutcome::NoSuchRun),
+            Done(Stopped),
+            Done(Stopped),
+            None,
+        ),
+        (CallEnd::NotReached, Done(Lost), Done(Lost), None),
+        (answered(no_room(None)), Done(Unsure), Done(Unsure), None),
+        (CallEnd::Refused, Done(Unsure), Done(Unsure), None),
+        (
+            answered(MoveOutcome::UnderWay),
+            AskAgain,
+            Done(Unsure),
+            None,
+        ),
+        (CallEnd::Unknown, AskAgain, Done(Unsure), None),
+    ];
+    for (end, first, second, left) in cases {
+        let mut stop = RunStop::default();
+        assert_eq!(stop.after_call(&end), first, "{end:?}");
+        assert_eq!(stop.after_call(&end), second, "{end:?} again");
+        assert_eq!(left_copy(source().address, end.clone()), left, "{end:?}");
+    }
+}
+
 fn stop_at_target() -> RunAction {
     RunAction::Stop(CopyPath {
         source: source().address,
--- a/crates/gateway-core/tests/stream_versions.rs
+++ b/crates/gateway-core/tests/stream_versions.rs
@@ -590,6 +590,25 @@
     assert!(!workers.serves_version(SERVICE, version("v1"), after(1_200)));
 }
 
+#[test]
+fn a_worker_that_leaves_continues_its_own_streams_for_a_part_of_its_notice() {
+    let drain_use = Duration::from_secs(1);
+    let mut workers = directory(&[("w1", "v1"), ("w2", "v1")], START).with_drain_use(drain_use);
+    let may_continue = |workers: &WorkerDirectory, at| {
+        let known = workers.get("w1").expect("a known worker");
+        workers.may_continue_stream(known, at)
+    };
+    assert!(may_continue(&workers, after(100)));
+    workers.versions_mut().note_read(after(100));
+    let leaving = WorkerRecord {
+        draining: true,
+        ..common::engine("w1", "a")
+    };
+    workers.upsert(leaving, after(200));
+    assert!(may_continue(&workers, after(1_100)));
+    assert!(!may_continue(&workers, after(1_200)));
+}
+
 #[test]
 fn a_worker_whose_leaving_may_be_old_news_continues_nothing() {
     let drain_use = Duration::from_secs(1);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -3,12 +3,14 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
-use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep, SendPermit};
+use elderworks_gateway_core::attempt::{
+    AttemptFailure, AttemptHistory, NextStep, Overlap, RetryRules, SendPermit,
+};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
@@ -39,6 +41,9 @@
 /// Maximum size in bytes of a response that is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Pause before a request is sent again to a worker that refused it while no other may run it.
+const PAUSE_AT_ONLY_WORKER: Duration = Duration::from_millis(40);
+
 /// Lowest priority that engines accept; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -164,11 +169,11 @@
                     return Ok(());
                 }
                 Err(broken) => {
-                    let worker = running.worker_use.worker.clone();
                     let target = Target::at(&running.engine());
-                    self.log_failure(&worker, &broken.to_string());
+                    self.log_failure(&target.worker, &broken.to_string());
                     self.note_break(&target).await;
-                    self.after_failure(&worker, AttemptFailure::Unknown)?;
+                    let failure = AttemptFailure::Unknown;
+                    self.after_failure(&target, failure, None).await?;
                 }
             }
         }
@@ -187,6 +192,9 @@
                 Some(target) => target,
                 None => self.choose_target().await?,
             };
+            if !self.history.may_send_to(&target.worker, self.retry_rules()) {
+                return Err(self.give_up());
+            }
             let target = self.with_backup(target);
             self.open_witness(&target).await;
             let permit = self.permit_send().await?;
@@ -203,6 +211,10 @@
                     (AttemptFailure::Unknown, reason)
                 }
                 Ok(running) => return Ok(running),
+                Err(ExchangeError::NotReached(reason)) => {
+                    self.probe_after_break(&target).await;
+                    (AttemptFailure::NotReached, reason)
+                }
                 Err(ExchangeError::NotSent(reason)) => {
                     self.probe_after_break(&target).await;
                     (AttemptFailure::NotSent, reason)
@@ -213,7 +225,7 @@
                 }
             };
             self.log_failure(&target.worker, &reason);
-            self.after_failure(&target.worker, failure)?;
+            self.after_failure(&target, failure, last_event_id).await?;
         }
     }
 
@@ -388,7 +400,7 @@
     }
 
     /// Returns what engines of the call's service can transfer to each other.
-    fn engine_moves(&self) -> &MemoryMoves {
+    pub(super) fn engine_moves(&self) -> &MemoryMoves {
         const NONE: &MemoryMoves = &MemoryMoves::NONE;
         let service = self.config.service(&self.service);
         let engine = service.and_then(|service| service.engine.as_ref());
@@ -410,11 +422,13 @@
     }
 
     /// Records a failed attempt. An error means that no further attempt is made.
-    pub(super) fn after_failure(
+    async fn after_failure(
         &mut self,
-        worker: &str,
+        target: &Target,
         failure: AttemptFailure,
+        last_event_id: Option<&str>,
     ) -> Result<(), CallError> {
+        let worker = target.worker.as_str();
         self.gateway.metrics.attempts_failed.inc();
         self.waiting_since = None;
         self.silent_since = None;
@@ -422,23 +436,49 @@
             self.gateway.pool.discard_connections(worker);
             self.note_worker_failure(worker);
         }
-        let repeatable = self.route.is_repeatable();
         let step = self
             .history
-            .after_failure(failure, repeatable, self.route.attempts);
+            .after_failure(failure, worker, self.retry_rules());
         match step {
             NextStep::Retry => Ok(()),
-            NextStep::RetrySameWorker => {
-                self.retry_at = self.target_unless_ejected(worker);
-                match self.retry_at {
-                    Some(_) => Ok(()),
-                    None => Err(self.give_up()),
-                }
-            }
+            NextStep::RetrySameWorker => self.plan_retry_at(worker, failure).await,
+            NextStep::StopRun => self.stop_run(&target.engine(), last_event_id).await,
             NextStep::GiveUp => Err(self.give_up()),
         }
     }
 
+    /// Returns what the call's route and service allow once the request may have run.
+    pub(super) fn retry_rules(&self) -> RetryRules {
+        let overlap = match self.is_for_engine() {
+            true => Overlap::Excluded,
+            false => Overlap::Allowed,
+        };
+        RetryRules {
+            repeatable: self.route.is_repeatable(),
+            max_workers: self.route.attempts,
+            overlap,
+        }
+    }
+
+    /// Plans the next attempt at the only worker that may run the request.
+    async fn plan_retry_at(
+        &mut self,
+        worker: &str,
+        failure: AttemptFailure,
+    ) -> Result<(), CallError> {
+        self.retry_at = match failure {
+            AttemptFailure::Unknown => self.target_unless_ejected(worker),
+            _ => {
+                actix_rt::time::sleep(PAUSE_AT_ONLY_WORKER).await;
+                self.target_of_broken_stream(worker)
+            }
+        };
+        match self.retry_at {
+            Some(_) => Ok(()),
+            None => Err(self.give_up()),
+        }
+    }
+
     /// Returns the response for a call that makes no further attempt.
     pub(super) fn give_up(&self) -> CallError {
         CallError::Refused(match self.history.not_run() {
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -3,6 +3,7 @@
 //!
 //! The decisions are made by `elderworks_gateway_core::run_moves`.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use elderworks_gateway_core::config::{MemoryMoves, RouteKind};
 use elderworks_gateway_core::engines::{MoveOutcome, PromptSource, RunCopy, RunMove};
 use elderworks_gateway_core::run_moves::backups::{BackupRules, RunSize};
+use elderworks_gateway_core::run_moves::stop::{self, RunStop, StopOutcome, StopStep};
 use elderworks_gateway_core::run_moves::targets::{self, ZonePreference};
 use elderworks_gateway_core::run_moves::{
     AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction, RunMigration,
@@ -19,6 +21,7 @@
 
 use super::CallError;
 use super::attempts::{Call, implies_not_run};
+use super::resumption::STREAM_BROKEN;
 use super::stream::is_event_stream;
 use super::worker_use::RunningResponse;
 use crate::gateway::Gateway;
@@ -30,8 +33,8 @@
 /// seconds of silence.
 const COPY_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Reason for ending a response whose run can't be resumed.
-const STREAM_BROKEN: &str = "the worker's stream broke off";
+/// Id before that of a stream's first event.
+const NO_EVENT: &str = "0";
 
 /// A run that can be resumed at another engine. Dropping it frees its unused copies.
 pub(super) struct MigratableRun {
@@ -249,6 +252,48 @@
         }
     }
 
+    /// Asks an engine to stop the call's run, so that another one may run it after its last event.
+    pub(super) async fn request_stop(
+        &mut self,
+        engine: &Engine,
+        last_event_id: Option<&str>,
+    ) -> StopOutcome {
+        let moves_runs = self.engine_moves().moves_runs;
+        let Some(other) = self.any_other(engine).filter(|_| moves_runs) else {
+            return StopOutcome::Unsure;
+        };
+        let path = CopyPath {
+            source: engine.address,
+            target: other,
+        };
+        let last_event_id = last_event_id.unwrap_or(NO_EVENT);
+        let mut stop = RunStop::default();
+        loop {
+            let end = self.request_copy(path, Some(last_event_id)).await;
+            if let StopStep::Done(outcome) = stop.after_call(&end) {
+                self.free_left_copy(engine, end);
+                return outcome;
+            }
+        }
+    }
+
+    /// Returns the address of another engine of the call's service, which calls to stop a run name.
+    fn any_other(&self, engine: &Engine) -> Option<SocketAddr> {
+        let workers = self.gateway.workers.borrow();
+        let mut others = workers.accepting(&self.service);
+        let other = others.find(|worker| worker.record.id != engine.worker);
+        other.map(|worker| worker.record.address)
+    }
+
+    fn free_left_copy(&self, engine: &Engine, end: CallEnd) {
+        let Some(copy) = stop::left_copy(engine.address, end) else {
+            return;
+        };
+        let gateway = self.gateway.clone();
+        let request_id = self.attributes.request_id.clone().unwrap_or_default();
+        actix_rt::spawn(async move { free(&gateway, &request_id, &copy).await });
+    }
+
     async fn attempt_with_copy(
         &mut self,
         permit: SendPermit,
@@ -287,7 +332,9 @@
                     format!("status {status} instead of an event stream"),
                 )
             }
-            Err(ExchangeError::NotSent(reason)) => (AttemptEnd::NotRun, reason),
+            Err(ExchangeError::NotReached(reason) | ExchangeError::NotSent(reason)) => {
+                (AttemptEnd::NotRun, reason)
+            }
             Err(ExchangeError::NoResponse(reason)) => {
                 self.note_break(&target).await;
                 (AttemptEnd::Unknown, reason)
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -3,9 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use elderworks_gateway_core::attempt::NotRun;
+use elderworks_gateway_core::attempt::{NotRun, SendScope};
 use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::run_moves::Engine;
+use elderworks_gateway_core::run_moves::stop::StopOutcome;
 use elderworks_gateway_core::stream_versions::lookup::{KnownOrigin, ResumptionOutcome};
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamKey, StreamVersion};
 
@@ -19,6 +20,9 @@
 use crate::reply::Refusal;
 use crate::upstream::Target;
 
+/// Reason for ending a response whose stream can't be resumed.
+pub(super) const STREAM_BROKEN: &str = "the worker's stream broke off";
+
 /// Reason for refusing a stream whose version can't be determined.
 const UNKNOWN_VERSION: &str = "the version that began the stream is not known";
 
@@ -34,7 +38,7 @@
         forwarded: &ForwardedStream,
     ) -> Result<RunningResponse, CallError> {
         if self.may_resume() {
-            return self.resume(caller, &engine.worker, forwarded).await;
+            return self.resume(caller, &engine, forwarded).await;
         }
         let resuming = self.resume_migrated(engine, forwarded.last_event_id.as_deref());
         resuming
@@ -46,10 +50,13 @@
     pub(super) async fn resume(
         &mut self,
         caller: &Caller<'_>,
-        worker: &str,
+        engine: &Engine,
         forwarded: &ForwardedStream,
     ) -> Result<RunningResponse, CallError> {
-        let preferred = self.plan_resumption(worker)?;
+        let planning = self.plan_resumption(engine, forwarded.last_event_id.as_deref());
+        let preferred = planning
+            .await
+            .map_err(|error| abort_if_streaming(caller, error))?;
         let last_event_id = forwarded.last_event_id.clone();
         self.open_stream(caller, last_event_id, preferred).await
     }
@@ -67,34 +74,84 @@
             .map_err(|error| abort_if_streaming(caller, error))
     }
 
-    /// Returns the worker at which a broken stream is resumed: the same one unless it is gone,
+    /// Returns the worker at which a broken stream is resumed: the same one while it may be used,
     /// because it has the prompt cached and doesn't count against the route's maximum number of
-    /// workers.
-    fn plan_resumption(&mut self, worker: &str) -> Result<Option<Target>, CallError> {
+    /// workers. `None` if any worker may continue the stream.
+    async fn plan_resumption(
+        &mut self,
+        engine: &Engine,
+        last_event_id: Option<&str>,
+    ) -> Result<Option<Target>, CallError> {
         if !self.may_resume() || !self.history.note_resumption() {
-            return Err(CallError::Aborted("the worker's stream broke off"));
+            return Err(CallError::Aborted(STREAM_BROKEN));
         }
         self.gateway.metrics.streams_resumed.inc();
+        let worker = engine.worker.as_str();
         self.gateway.pool.discard_connections(worker);
+        self.history.note_broken_answer(worker);
+        let has_ended = {
+            let ends = self.gateway.requests.ends.borrow();
+            ends.has_ended(WorkerKey::of(worker))
+        };
+        if has_ended {
+            self.history.note_lost(worker);
+        }
+        let same = match has_ended {
+            true => None,
+            false => self.target_of_broken_stream(worker),
+        };
+        log::info!(
+            request = self.attributes.request_id.as_deref().unwrap_or_default(),
+            worker = worker, is_same = same.is_some(), has_ended = has_ended,
+            attempts = self.route.attempts, tried = self.tried().join(",").as_str(),
+            ms = self.received.elapsed().as_millis();
+            "stream that broke off is to be resumed"
+        );
+        if same.is_none() && self.history.scope(self.retry_rules()) != SendScope::Any {
+            self.stop_run(engine, last_event_id).await?;
+        }
+        Ok(same)
+    }
+
+    /// Returns the worker at which a stream broke off as the target of the next attempt, unless it is gone
+    /// or has been draining for too long.
+    pub(super) fn target_of_broken_stream(&self, worker: &str) -> Option<Target> {
         let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
         let rule = self.version_rule();
         let ends = self.gateway.requests.ends.borrow();
-        let has_ended = ends.has_ended(WorkerKey::of(worker));
-        let same = workers
+        workers
             .get(worker)
-            .filter(|_| !has_ended)
-            .filter(|known| workers.is_open(known) && !workers.is_throttled(known, now))
+            .filter(|known| !ends.has_ended(known.key()))
+            .filter(|known| workers.may_continue_stream(known, now))
             .filter(|known| workers.follows(rule, known, now))
-            .map(|known| Target::direct(&known.record));
+            .map(|known| Target::direct(&known.record))
+    }
+
+    /// Makes sure that an engine no longer runs the request, so that another worker may. An error means
+    /// that it may still run it, or that the route allows no other worker.
+    pub(super) async fn stop_run(
+        &mut self,
+        engine: &Engine,
+        last_event_id: Option<&str>,
+    ) -> Result<(), CallError> {
+        let is_possible = self.history.may_leave_after_stop(self.retry_rules());
+        let outcome = match is_possible {
+            true => self.request_stop(engine, last_event_id).await,
+            false => StopOutcome::Unsure,
+        };
         log::info!(
             request = self.attributes.request_id.as_deref().unwrap_or_default(),
-            worker = worker, is_same = same.is_some(), has_ended = has_ended,
-            attempts = self.route.attempts, tried = self.tried().join(",").as_str(),
-            ms = self.received.elapsed().as_millis();
-            "stream that broke off is to be resumed"
+            worker = engine.worker.as_str(), attempts = self.route.attempts, asked = is_possible,
+            tried = self.tried().join(",").as_str(), ms = self.received.elapsed().as_millis();
+            "run to be left to another worker: {}", outcome.text()
         );
-        Ok(same)
+        match outcome {
+            StopOutcome::Stopped => self.history.note_stopped(&engine.worker),
+            StopOutcome::Lost => self.history.note_lost(&engine.worker),
+            StopOutcome::Unsure => return Err(self.give_up()),
+        }
+        Ok(())
     }
 
     /// Binds a stream that its caller takes up again to the version that began it.
--- a/crates/gateway/src/forward/stream.rs
+++ b/crates/gateway/src/forward/stream.rs
@@ -2,7 +2,6 @@
 
 use actix_http::header::CONTENT_TYPE;
 use bytes::{BufMut, BytesMut};
-use elderworks_gateway_core::attempt::AttemptFailure;
 use elderworks_gateway_core::events::EventSplitter;
 use elderworks_gateway_core::pressure::BufferKind;
 use elderworks_gateway_core::run_moves::Engine;
@@ -92,11 +91,11 @@
                     self.resume_broken(caller, engine, &forwarded).await?
                 }
                 PartEnd::Released => {
-                    let worker = into_engine(running).worker;
+                    let engine = into_engine(running);
                     self.waiting_since = None;
                     self.silent_since = None;
                     flow.drain(caller).await?;
-                    self.resume(caller, &worker, &forwarded).await?
+                    self.resume(caller, &engine, &forwarded).await?
                 }
             };
         }
@@ -223,11 +222,10 @@
         let body = match running.response.buffer_body(MAX_OTHER_RESPONSE_BYTES).await {
             Ok(body) => body,
             Err(broken) => {
-                let worker = running.worker_use.worker.clone();
-                self.log_failure(&worker, &broken.to_string());
-                self.note_break(&Target::at(&running.engine())).await;
-                self.history
-                    .after_failure(AttemptFailure::Unknown, false, 1);
+                let target = Target::at(&running.engine());
+                self.log_failure(&target.worker, &broken.to_string());
+                self.note_break(&target).await;
+                self.history.note_broken_answer(&target.worker);
                 let reason = "the worker's answer broke off";
                 return Err(CallError::Refused(Refusal::outcome_unknown(reason)));
             }
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -1,5 +1,6 @@
 //! Socket creation and options.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,7 +58,19 @@
     let connecting = TcpStream::connect(address);
     let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        .map_err(|_| std::io::Error::from(ErrorKind::TimedOut))??;
     set_options(&stream);
     Ok(stream)
 }
+
+/// Returns whether an error of [`connect`] shows that the peer is lost or cut off. Others, such as a lack
+/// of descriptors, say nothing of the peer.
+pub(crate) fn is_unreachable(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused
+            | ErrorKind::TimedOut
+            | ErrorKind::HostUnreachable
+            | ErrorKind::NetworkUnreachable
+    )
+}
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -30,6 +30,9 @@
 /// The reason why no valid response head was received.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum ExchangeError {
+    /// No connection could be established: nothing listens at the address, or there is no way there.
+    #[error("not reached: {0}")]
+    NotReached(String),
     /// No byte of the request can have reached the worker.
     #[error("not sent: {0}")]
     NotSent(String),
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Returns the worker as an engine.
+    pub(crate) fn engine(&self) -> Engine {
+        Engine {
+            worker: self.worker.clone(),
+            address: self.address,
+        }
+    }
+
     /// Creates a target that processes the whole prompt itself and has no backup.
     pub(crate) fn direct(record: &WorkerRecord) -> Self {
         Self {
@@ -112,8 +123,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`ExchangeError::NotSent`] if no byte of the request can have reached the worker, and
-/// [`ExchangeError::NoResponse`] if the worker may have received it but no valid response came.
+/// Returns [`ExchangeError::NotReached`] without a connection, [`ExchangeError::NotSent`] if no byte of
+/// the request can have reached the worker for another reason, and [`ExchangeError::NoResponse`] if the worker may have received it but no valid response came.
 pub(crate) async fn exchange(
     context: &ExchangeContext<'_>,
     target: &Target,
@@ -169,9 +180,13 @@
     context: &ExchangeContext<'_>,
     address: SocketAddr,
 ) -> Result<WorkerConnection, ExchangeError> {
-    let stream = socket::connect(address)
-        .await
-        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+    let stream = socket::connect(address).await.map_err(|error| {
+        let reason = error.to_string();
+        match socket::is_unreachable(&error) {
+            true => ExchangeError::NotReached(reason),
+            false => ExchangeError::NotSent(reason),
+        }
+    })?;
     context.connections_opened.inc();
     Ok(WorkerConnection {
         connection: Connection::new(stream),
