An engine that resets a new connection is not taken for lost

What callers saw: a run that must run once could go on from its backup at a second engine while the first one, which can be reached, still worked on it (TWICE, second meaning). The first one was dropped from the workers that may have run it, too.

Cause: the client of the engines' interface knew only "no byte was sent" and "no answer". Everything of the first kind counted as "the engine can't be reached", and the migration of runs takes that for the proof that the engine is lost. It also holds for a connection that was accepted and reset before the call (a worker beyond its limit of connections does so), for a process without descriptors, and for a call that can't be encoded. None of these says anything of the engine.

Fix: `http_client::connect` tells two errors of establishing a connection apart: `Unreachable` (refused, timed out, host or network unreachable) and `Failed`. Only the first one is `EngineError::NotReached`; everything else that wasn't sent is `NotSent`. A run that is to be stopped then asks once more, as after no answer, and after that ends (broken stream) or stays where it is (silent engine). Nothing goes on elsewhere without one of the proofs listed in `run_moves`.

--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -7,7 +7,7 @@
 use actix_http::{Method, RequestHead};
 use actix_rt::time::Instant;
 use bytes::Bytes;
-use elderworks_http_client::client::{Client, Response};
+use elderworks_http_client::client::{Client, Response, SendError};
 use elderworks_http_client::exchange::ExchangeError;
 use elderworks_http_client::response::ResponseError;
 use elderworks_http_client::url::Url;
@@ -250,9 +250,10 @@
 }
 
 /// Classifies an error while sending a request.
-fn send_failure(error: ExchangeError) -> BackendError {
+fn send_failure(error: SendError) -> BackendError {
     match error {
-        ExchangeError::NotSent(reason) => BackendError::not_sent(reason),
-        ExchangeError::NoResponse(error) => response_failure(error),
+        SendError::Connect(error) => BackendError::not_sent(error),
+        SendError::Exchange(ExchangeError::NotSent(reason)) => BackendError::not_sent(reason),
+        SendError::Exchange(ExchangeError::NoResponse(error)) => response_failure(error),
     }
 }
--- a/crates/cli/src/verbs/client.rs
+++ b/crates/cli/src/verbs/client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use elderworks_control::api::{API_PREFIX, ApiError, Collection, ErrorCode, ListDocument};
 use elderworks_control::manifest::Document;
-use elderworks_http_client::client::{Client, Response};
+use elderworks_http_client::client::{Client, Response, SendError};
 use elderworks_http_client::exchange::ExchangeError;
 use elderworks_http_client::url::Url;
 use serde::de::DeserializeOwned;
@@ -206,8 +206,9 @@
         let sent = timeout(ANSWER_TIMEOUT, self.http.send(server, head, &body)).await;
         match sent.map_err(|error| request.lost(error))? {
             Ok(response) => Ok(response),
-            Err(ExchangeError::NotSent(reason)) => Err(unreachable(&reason)),
-            Err(ExchangeError::NoResponse(error)) => Err(request.lost(error)),
+            Err(SendError::Connect(error)) => Err(unreachable(error.io())),
+            Err(SendError::Exchange(ExchangeError::NotSent(reason))) => Err(unreachable(&reason)),
+            Err(SendError::Exchange(ExchangeError::NoResponse(error))) => Err(request.lost(error)),
         }
     }
 }
--- a/crates/gateway-core/src/run_moves/mod.rs
+++ b/crates/gateway-core/src/run_moves/mod.rs
@@ -7,7 +7,8 @@
 //! - The engine confirmed that it stopped the run after the last event that the caller received,
 //!   and returned the copy's handle.
 //! - The stream broke off, and the engine reports that it has no such run.
-//! - The stream broke off or is silent, and no connection to the engine can be established.
+//! - The stream broke off or is silent, and no connection to the engine can be established because
+//!   nothing listens there or no path leads there.
 //!
 //! Each copy is used for at most one attempt that runs. An attempt that is refused leaves the copy
 //! to the next one. Unused copies are returned to the driver, which frees them.
@@ -26,8 +27,8 @@
 /// Maximum number of attempts to migrate one run while its stream has not broken off.
 pub const MAX_UNFORCED_ATTEMPTS: u32 = 3;
 
-/// Maximum number of stop calls to one engine. A call is repeated if it was not answered or another
-/// one was in progress.
+/// Maximum number of stop calls to one engine. A call is repeated if it was not sent or not answered, or
+/// if another one was in progress.
 const MAX_STOP_CALLS: u32 = 2;
 
 /// State of one run.
@@ -186,14 +187,16 @@
                 self.ran_at.retain(|worker| worker != lost);
                 self.resume_from_backup(reason)
             }
-            CallEnd::Answered(MoveOutcome::UnderWay) | CallEnd::Unknown
+            CallEnd::Answered(MoveOutcome::UnderWay) | CallEnd::NotSent | CallEnd::Unknown
                 if stop_calls < MAX_STOP_CALLS =>
             {
                 self.stop()
             }
-            CallEnd::Answered(_) | CallEnd::Refused | CallEnd::NotReached | CallEnd::Unknown => {
-                self.fall_back(reason, EndReason::Unsettled)
-            }
+            CallEnd::Answered(_)
+            | CallEnd::Refused
+            | CallEnd::NotReached
+            | CallEnd::NotSent
+            | CallEnd::Unknown => self.fall_back(reason, EndReason::Unsettled),
         }
     }
 
--- a/crates/gateway-core/src/run_moves/steps.rs
+++ b/crates/gateway-core/src/run_moves/steps.rs
@@ -102,8 +102,10 @@
     Answered(MoveOutcome),
     /// The engine refused the call without any effect.
     Refused,
-    /// No connection could be established.
+    /// No connection could be established: the engine is lost or cut off.
     NotReached,
+    /// The call wasn't sent for any other reason: it had no effect, and the engine may be running.
+    NotSent,
     /// The call was sent but not answered, so its effect is unknown.
     Unknown,
 }
--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -63,7 +63,7 @@
 
 #[test]
 fn actions_after_a_broken_stream() {
-    use CallEnd::{Answered, NotReached, Refused, Unknown};
+    use CallEnd::{Answered, NotReached, NotSent, Refused, Unknown};
     let resume = |at: Engine, handle: &str| RunAction::Resume {
         at,
         copy: copy(handle),
@@ -101,6 +101,18 @@
             resume(backup(), "r1"),
             RunAction::End(EndReason::NoCopy),
         ),
+        (
+            vec![NotSent, NotReached],
+            resume(backup(), "r1"),
+            RunAction::End(EndReason::NoCopy),
+        ),
+        (
+            vec![NotSent, copied("h")],
+            resume(backup(), "h"),
+            resume(target(), "h"),
+        ),
+        (vec![NotSent, NotSent], unsettled(), unsettled()),
+        (vec![NotSent, Unknown], unsettled(), unsettled()),
         (vec![Unknown, Unknown], unsettled(), unsettled()),
         (
             vec![
@@ -257,6 +269,12 @@
         "the end of the stream may still arrive"
     );
     run.migrate(MigrationReason::Silent, None);
+    assert!(matches!(
+        run.after_stop(CallEnd::NotSent),
+        RunAction::Stop(_)
+    ));
+    assert_eq!(run.after_stop(CallEnd::NotSent), RunAction::Read);
+    run.migrate(MigrationReason::Silent, None);
     let action = run.after_stop(CallEnd::NotReached);
     assert!(matches!(action, RunAction::Resume { .. }), "{action:?}");
 }
--- a/crates/gateway-core/tests/run_moves_model.rs
+++ b/crates/gateway-core/tests/run_moves_model.rs
@@ -38,6 +38,8 @@
 enum Outcome {
     Success,
     ResponseLost,
+    /// The engine resets the connection before the call or the request is sent.
+    NotSent,
     Refused,
     InProgress,
     NoRoom,
@@ -92,6 +94,7 @@
         }
         match outcome {
             Outcome::Refused => return CallEnd::Refused,
+            Outcome::NotSent => return CallEnd::NotSent,
             Outcome::InProgress => return CallEnd::Answered(MoveOutcome::UnderWay),
             _ => {}
         }
@@ -132,6 +135,7 @@
             Outcome::NoRoom => CallEnd::Answered(MoveOutcome::NoRoom { handle: None }),
             Outcome::InProgress => CallEnd::Answered(MoveOutcome::UnderWay),
             Outcome::Refused => CallEnd::Refused,
+            Outcome::NotSent => CallEnd::NotSent,
             Outcome::Success => CallEnd::Answered(MoveOutcome::NoSuchRun),
         }
     }
@@ -153,7 +157,7 @@
         }
         let is_refused = matches!(
             outcome,
-            Outcome::Refused | Outcome::InProgress | Outcome::NoRoom
+            Outcome::Refused | Outcome::NotSent | Outcome::InProgress | Outcome::NoRoom
         );
         if self.crashed.contains(&at) || is_refused || !self.use_copy(at, copy) {
             return AttemptEnd::NotRun;
@@ -225,6 +229,7 @@
     let outcome = prop_oneof![
         5 => Just(Outcome::Success),
         1 => Just(Outcome::ResponseLost),
+        1 => Just(Outcome::NotSent),
         1 => Just(Outcome::Refused),
         1 => Just(Outcome::InProgress),
         1 => Just(Outcome::NoRoom),
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -187,7 +187,7 @@
     let (outcome, label) = match answer {
         Ok(outcome) => (outcome, "answered"),
         Err(EngineError::Refused(_)) => (ReadOutcome::Refused, "refused"),
-        Err(EngineError::NotReached(_) | EngineError::Unknown(_)) => {
+        Err(EngineError::NotReached(_) | EngineError::NotSent(_) | EngineError::Unknown(_)) => {
             (ReadOutcome::Failed, "failed")
         }
         Err(EngineError::Format(_)) => (ReadOutcome::Failed, "unreadable"),
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -244,6 +244,7 @@
                 CallEnd::Answered(outcome)
             }
             Err(EngineError::NotReached(_)) => CallEnd::NotReached,
+            Err(EngineError::NotSent(_)) => CallEnd::NotSent,
             Err(EngineError::Refused(_)) => CallEnd::Refused,
             Err(EngineError::Unknown(_) | EngineError::Format(_)) => CallEnd::Unknown,
         }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -136,6 +136,9 @@
     /// the network path is interrupted.
     #[error("the engine cannot be reached: {0}")]
     NotReached(String),
+    /// The call wasn't sent for any other reason, so it had no effect. The engine may be running.
+    #[error("the call wasn't sent to the engine: {0}")]
+    NotSent(String),
     /// No response arrived in time: the call may have taken effect.
     #[error("no response from the engine: {0}")]
     Unknown(String),
--- a/crates/http-client/src/client.rs
+++ b/crates/http-client/src/client.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::connect::ConnectError;
 use crate::exchange::{Body, Connection, Exchange, ExchangeError};
 use crate::response::ResponseError;
 
@@ -22,6 +22,17 @@
 /// Interval at which connections idle for longer are closed.
 const CLOSING_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The reason why no valid response head was received.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No connection was established.
+    #[error(transparent)]
+    Connect(#[from] ConnectError),
+    /// The exchange on a connection failed.
+    #[error(transparent)]
+    Exchange(#[from] ExchangeError),
+}
+
 /// Sends requests. Clones share their connections.
 #[derive(Clone)]
 pub struct Client {
@@ -61,22 +72,21 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`ExchangeError::NotSent`] only if no byte of the request can have reached the server.
+    /// Fails with [`SendError::Connect`] or [`ExchangeError::NotSent`] only if no byte of the request can
+    /// have reached the server.
     pub async fn send(
         &self,
         server: SocketAddr,
         head: RequestHead,
         body: &Bytes,
-    ) -> Result<Response, ExchangeError> {
+    ) -> Result<Response, SendError> {
         let permit = self.permit().await;
         let connection = match self.shared.idle.take(server) {
             Some(connection) => connection,
-            None => self
-                .connect(server)
-                .await
-                .map_err(|error| ExchangeError::NotSent(error.to_string()))?,
+            None => self.connect(server).await?,
         };
-        self.exchange(permit, connection, server, head, body).await
+        let exchange = self.exchange(permit, connection, server, head, body);
+        Ok(exchange.await?)
     }
 
     /// Opens a connection to a server.
@@ -84,7 +94,7 @@
     /// # Errors
     ///
     /// Fails with the error of the socket, and with `TimedOut` after the time for connecting.
-    pub async fn connect(&self, server: SocketAddr) -> io::Result<Connection> {
+    pub async fn connect(&self, server: SocketAddr) -> Result<Connection, ConnectError> {
         Connection::open(server, self.shared.connect_timeout).await
     }
 
@@ -92,7 +102,7 @@
     ///
     /// # Errors
     ///
-    /// As [`Self::send`].
+    /// Fails with [`ExchangeError::NotSent`] only if no byte of the request can have reached the server.
     pub async fn send_on(
         &self,
         connection: Connection,
--- a/crates/http-client/src/exchange.rs
+++ b/crates/http-client/src/exchange.rs
@@ -12,6 +12,7 @@
 use tokio_util::codec::Encoder;
 
 use crate::buffered::{self, Receiver, Sender};
+use crate::connect::ConnectError;
 use crate::response::{
     BodyDecoder, BodyPart, ConnectionEnd, DecodedHead, HeadDecoder, ResponseError,
 };
@@ -37,7 +38,7 @@
     /// # Errors
     ///
     /// Fails with the error of the socket, and with `TimedOut` after `timeout`.
-    pub async fn open(server: SocketAddr, timeout: Duration) -> io::Result<Self> {
+    pub async fn open(server: SocketAddr, timeout: Duration) -> Result<Self, ConnectError> {
         let connecting = actix_rt::time::timeout(timeout, TcpStream::connect(server));
         let stream = connecting
             .await
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod buffered;
 pub mod client;
+pub mod connect;
 pub mod exchange;
 pub mod response;
 pub mod url;
--- a/crates/http-client/tests/client.rs
+++ b/crates/http-client/tests/client.rs
@@ -7,8 +7,7 @@
 
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
-use elderworks_http_client::client::{Client, Response};
-use elderworks_http_client::exchange::ExchangeError;
+use elderworks_http_client::client::{Client, Response, SendError};
 use elderworks_http_client::response::ResponseError;
 use elderworks_http_client::url::Url;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,7 +45,7 @@
         server
     }
 
-    async fn send(&self, client: &Client) -> Result<Response, ExchangeError> {
+    async fn send(&self, client: &Client) -> Result<Response, SendError> {
         let mut head = RequestHead::default();
         head.method = Method::GET;
         client.send(self.address, head, &Bytes::new()).await
