Older path: what must run once is not judged by another request's answer

A tool or an engine that sends a surplus answer on a kept connection, late, in the place where the next one is due, was believed in the name of the next request: a refusal there ("run": false) counted as the proof that a generation or an invocation hadn't run, so that it was sent again while the first one ran (a generation under a new id each time; a tool may know its key); a result there counted as the result of another call, and the word on one key as the word on another.

Cause: answers on the older path name no request, and all requests share the kept connections of `http_client::client`.

Fix: generations, their resumption, invocations and questions on keys are sent on a connection of their own (`Client::send_alone`), which is closed after the answer, so that the first answer on it can only be theirs. Polls, cancellations, memory calls and the log keep their connections: none of these answers lets anything run again.

What the added connections cost was not measured.

--- a/crates/backend/src/engine/answer.rs
+++ b/crates/backend/src/engine/answer.rs
@@ -115,8 +115,8 @@
         event.map_err(event_failure)
     }
 
-    /// Reads the rest of the stream so that its connection can be reused. Errors and timeouts are
-    /// ignored because the answer is complete.
+    /// Reads the rest of the stream, so that the engine doesn't see its connection closed before the end.
+    /// Errors and timeouts are ignored because the answer is complete.
     async fn drain(&mut self) {
         let to_end = async { while self.next_event().await.is_ok() {} };
         let _ = timeout(DRAIN_TIMEOUT, to_end).await;
--- a/crates/backend/src/engine/http.rs
+++ b/crates/backend/src/engine/http.rs
@@ -66,6 +66,7 @@
         let http_request = self
             .endpoint
             .request(Method::POST, paths::CHAT_COMPLETIONS)
+            .alone()
             .header(headers::REQUEST_ID, &request.request_id)
             .header(headers::RUN_ID, &request.run.to_string());
         let body = ChatRequest {
@@ -85,7 +86,8 @@
         let deadline = Instant::now() + timeout;
         let request = self
             .endpoint
-            .request(Method::GET, &paths::answer_stream(request_id));
+            .request(Method::GET, &paths::answer_stream(request_id))
+            .alone();
         let answer = async move {
             let request = request.query(&ResumeQuery { from })?;
             http::open(request, Body::Empty, deadline).await
--- a/crates/backend/src/http.rs
+++ b/crates/backend/src/http.rs
@@ -85,6 +85,7 @@
             method,
             url: format!("{}{path}", self.base_url),
             headers: Ok(HeaderMap::new()),
+            is_alone: false,
         }
     }
 
@@ -114,6 +115,8 @@
     url: String,
     /// An error if a header is invalid.
     headers: Result<HeaderMap, BackendError>,
+    /// Whether it gets a connection of its own.
+    is_alone: bool,
 }
 
 impl Request {
@@ -128,6 +131,15 @@
         self
     }
 
+    /// Sends the request on a connection of its own. Required where the response decides whether
+    /// something runs again: on a kept connection, it might be a surplus one to an earlier request.
+    pub(crate) fn alone(self) -> Self {
+        Self {
+            is_alone: true,
+            ..self
+        }
+    }
+
     /// Adds a query string.
     pub(crate) fn query(mut self, query: &impl Serialize) -> Result<Self, BackendError> {
         let query = serde_urlencoded::to_string(query).map_err(BackendError::not_sent)?;
@@ -147,7 +159,11 @@
             head.headers.insert(CONTENT_TYPE, media_type);
         }
         let body = body.into_bytes();
-        let sent = self.http.client.send(server, head, &body).await;
+        let client = &self.http.client;
+        let sent = match self.is_alone {
+            true => client.send_alone(server, head, &body).await,
+            false => client.send(server, head, &body).await,
+        };
         sent.map_err(send_failure)
     }
 }
--- a/crates/backend/src/tool.rs
+++ b/crates/backend/src/tool.rs
@@ -63,6 +63,7 @@
         let request = self
             .endpoint
             .request(Method::POST, paths::INVOCATIONS)
+            .alone()
             .header(headers::IDEMPOTENCY_KEY, &invocation.idempotency_key)
             .header(headers::TOOL, invocation.tool.as_str());
         let body = Body::Json(invocation.arguments.into_bytes());
@@ -73,8 +74,9 @@
         &self,
         idempotency_key: &str,
     ) -> LocalBoxFuture<'static, Result<InvocationStatus, BackendError>> {
-        let endpoint = self.endpoint.clone();
+        let deadline = self.endpoint.deadline();
         let path = paths::invocation(idempotency_key);
-        async move { endpoint.get(&path).await }.boxed_local()
+        let request = self.endpoint.request(Method::GET, &path).alone();
+        async move { http::json(request, Body::Empty, deadline).await }.boxed_local()
     }
 }
--- a/crates/http-client/src/client.rs
+++ b/crates/http-client/src/client.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HOST, HeaderValue};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{ConnectionType, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -86,6 +86,25 @@
             None => self.connect(server).await?,
         };
         let exchange = self.exchange(permit, connection, server, head, body);
+        Ok(exchange.await?.kept_by(self.clone()))
+    }
+
+    /// Like [`Self::send`], on a new connection that is closed afterwards. A server may send more after
+    /// an answer than belongs to it; on a connection of its own, a request gets no answer to another one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_alone(
+        &self,
+        server: SocketAddr,
+        mut head: RequestHead,
+        body: &Bytes,
+    ) -> Result<Response, SendError> {
+        let permit = self.permit().await;
+        let connection = self.connect(server).await?;
+        head.set_connection_type(ConnectionType::Close);
+        let exchange = self.exchange(permit, connection, server, head, body);
         Ok(exchange.await?)
     }
 
@@ -111,7 +130,8 @@
         body: &Bytes,
     ) -> Result<Response, ExchangeError> {
         let permit = self.permit().await;
-        self.exchange(permit, connection, server, head, body).await
+        let exchange = self.exchange(permit, connection, server, head, body);
+        Ok(exchange.await?.kept_by(self.clone()))
     }
 
     async fn permit(&self) -> OwnedSemaphorePermit {
@@ -138,7 +158,7 @@
             head,
             body: Some(body),
             server,
-            client: self.clone(),
+            keeper: None,
             _permit: permit,
         })
     }
@@ -151,11 +171,20 @@
     /// `None` after the end of the body.
     body: Option<Body>,
     server: SocketAddr,
-    client: Client,
+    /// The client that keeps the connection after the body, if it is kept.
+    keeper: Option<Client>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Response {
+    /// Keeps the connection after the body.
+    fn kept_by(self, client: Client) -> Self {
+        Self {
+            keeper: Some(client),
+            ..self
+        }
+    }
+
     /// Returns the next part of the body; `None` once it is whole. Cancel safe.
     ///
     /// # Errors
@@ -168,9 +197,10 @@
         let chunk = body.next_chunk().await?;
         if chunk.is_none()
             && let Some(body) = self.body.take()
+            && let Some(client) = &self.keeper
             && let Some(connection) = body.into_connection()
         {
-            self.client.shared.idle.put(self.server, connection);
+            client.shared.idle.put(self.server, connection);
         }
         Ok(chunk)
     }
--- a/crates/http-client/tests/client.rs
+++ b/crates/http-client/tests/client.rs
@@ -91,6 +91,25 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_request_that_is_sent_alone_shares_its_connection_with_no_other() {
+    let server = Server::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").await;
+    let client = Client::new(CONNECT_TIMEOUT, 1);
+    // The kept connection stays with the requests that aren't sent alone.
+    for (is_alone, connections) in [(false, 1), (true, 2), (true, 3), (false, 3), (true, 4)] {
+        let mut response = match is_alone {
+            true => {
+                let head = RequestHead::default();
+                client.send_alone(server.address, head, &Bytes::new()).await
+            }
+            false => server.send(&client).await,
+        };
+        let response = response.as_mut().expect("a response");
+        response.whole_body(MAX_BYTES).await.expect("whole");
+        assert_eq!(server.connections.get(), connections);
+    }
+}
+
 #[actix_rt::test]
 async fn a_connection_whose_response_is_not_read_is_closed() {
     let server = Server::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").await;
