--- a/crates/http-client/src/client.rs
+++ b/crates/http-client/src/client.rs
@@ -2,17 +2,17 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HOST, HeaderValue};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{ConnectionType, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::connect::ConnectError;
 use crate::exchange::{Body, Connection, Exchange, ExchangeError};
 use crate::response::ResponseError;
 
@@ -22,6 +22,17 @@
 /// Interval at which connections idle for longer are closed.
 const CLOSING_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The reason why no valid response head was received.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No connection was established.
+    #[error(transparent)]
+    Connect(#[from] ConnectError),
+    /// The exchange on a connection failed.
+    #[error(transparent)]
+    Exchange(#[from] ExchangeError),
+}
+
 /// Sends requests. Clones share their connections.
 #[derive(Clone)]
 pub struct Client {
@@ -61,22 +72,40 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`ExchangeError::NotSent`] only if no byte of the request can have reached the server.
+    /// Fails with [`SendError::Connect`] or [`ExchangeError::NotSent`] only if no byte of the request can
+    /// have reached the server.
     pub async fn send(
         &self,
         server: SocketAddr,
         head: RequestHead,
         body: &Bytes,
-    ) -> Result<Response, ExchangeError> {
+    ) -> Result<Response, SendError> {
         let permit = self.permit().await;
         let connection = match self.shared.idle.take(server) {
             Some(connection) => connection,
-            None => self
-                .connect(server)
-                .await
-                .map_err(|error| ExchangeError::NotSent(error.to_string()))?,
+            None => self.connect(server).await?,
         };
-        self.exchange(permit, connection, server, head, body).await
+        let exchange = self.exchange(permit, connection, server, head, body);
+        Ok(exchange.await?.kept_by(self.clone()))
+    }
+
+    /// Like [`Self::send`], on a new connection that is closed afterwards. A server may send more after
+    /// an answer than belongs to it; on a connection of its own, a request gets no answer to another one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_alone(
+        &self,
+        server: SocketAddr,
+        mut head: RequestHead,
+        body: &Bytes,
+    ) -> Result<Response, SendError> {
+        let permit = self.permit().await;
+        let connection = self.connect(server).await?;
+        head.set_connection_type(ConnectionType::Close);
+        let exchange = self.exchange(permit, connection, server, head, body);
+        Ok(exchange.await?)
     }
 
     /// Opens a connection to a server.
@@ -84,7 +113,7 @@
     /// # Errors
     ///
     /// Fails with the error of the socket, and with `TimedOut` after the time for connecting.
-    pub async fn connect(&self, server: SocketAddr) -> io::Result<Connection> {
+    pub async fn connect(&self, server: SocketAddr) -> Result<Connection, ConnectError> {
         Connection::open(server, self.shared.connect_timeout).await
     }
 
@@ -92,7 +121,7 @@
     ///
     /// # Errors
     ///
-    /// As [`Self::send`].
+    /// Fails with [`ExchangeError::NotSent`] only if no byte of the request can have reached the server.
     pub async fn send_on(
         &self,
         connection: Connection,
@@ -101,7 +130,8 @@
         body: &Bytes,
     ) -> Result<Response, ExchangeError> {
         let permit = self.permit().await;
-        self.exchange(permit, connection, server, head, body).await
+        let exchange = self.exchange(permit, connection, server, head, body);
+        Ok(exchange.await?.kept_by(self.clone()))
     }
 
     async fn permit(&self) -> OwnedSemaphorePermit {
@@ -128,7 +158,7 @@
             head,
             body: Some(body),
             server,
-            client: self.clone(),
+            keeper: None,
             _permit: permit,
         })
     }
@@ -141,11 +171,20 @@
     /// `None` after the end of the body.
     body: Option<Body>,
     server: SocketAddr,
-    client: Client,
+    /// The client that keeps the connection after the body, if it is kept.
+    keeper: Option<Client>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Response {
+    /// Keeps the connection after the body.
+    fn kept_by(self, client: Client) -> Self {
+        Self {
+            keeper: Some(client),
+            ..self
+        }
+    }
+
     /// Returns the next part of the body; `None` once it is whole. Cancel safe.
     ///
     /// # Errors
@@ -158,9 +197,10 @@
         let chunk = body.next_chunk().await?;
         if chunk.is_none()
             && let Some(body) = self.body.take()
+            && let Some(client) = &self.keeper
             && let Some(connection) = body.into_connection()
         {
-            self.client.shared.idle.put(self.server, connection);
+            client.shared.idle.put(self.server, connection);
         }
         Ok(chunk)
     }
--- a/crates/http-client/tests/client.rs
+++ b/crates/http-client/tests/client.rs
@@ -7,8 +7,7 @@
 
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
-use elderworks_http_client::client::{Client, Response};
-use elderworks_http_client::exchange::ExchangeError;
+use elderworks_http_client::client::{Client, Response, SendError};
 use elderworks_http_client::response::ResponseError;
 use elderworks_http_client::url::Url;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -46,7 +45,7 @@
         server
     }
 
-    async fn send(&self, client: &Client) -> Result<Response, ExchangeError> {
+    async fn send(&self, client: &Client) -> Result<Response, SendError> {
         let mut head = RequestHead::default();
         head.method = Method::GET;
         client.send(self.address, head, &Bytes::new()).await
@@ -92,6 +91,25 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_request_that_is_sent_alone_shares_its_connection_with_no_other() {
+    let server = Server::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").await;
+    let client = Client::new(CONNECT_TIMEOUT, 1);
+    // The kept connection stays with the requests that aren't sent alone.
+    for (is_alone, connections) in [(false, 1), (true, 2), (true, 3), (false, 3), (true, 4)] {
+        let mut response = match is_alone {
+            true => {
+                let head = RequestHead::default();
+                client.send_alone(server.address, head, &Bytes::new()).await
+            }
+            false => server.send(&client).await,
+        };
+        let response = response.as_mut().expect("a response");
+        response.whole_body(MAX_BYTES).await.expect("whole");
+        assert_eq!(server.connections.get(), connections);
+    }
+}
+
 #[actix_rt::test]
 async fn a_connection_whose_response_is_not_read_is_closed() {
     let server = Server::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").await;
