--- a/crates/gateway-core/src/run_moves/stop.rs
+++ b/crates/gateway-core/src/run_moves/stop.rs
@@ -53,12 +53,14 @@
                 | MoveOutcome::NoRoom { handle: Some(_) },
             ) => StopOutcome::Stopped,
             CallEnd::NotReached => StopOutcome::Lost,
-            CallEnd::Answered(MoveOutcome::UnderWay) | CallEnd::Unknown
+            CallEnd::Answered(MoveOutcome::UnderWay) | CallEnd::NotSent | CallEnd::Unknown
                 if self.calls < MAX_STOP_CALLS =>
             {
                 return StopStep::AskAgain;
             }
-            CallEnd::Answered(_) | CallEnd::Refused | CallEnd::Unknown => StopOutcome::Unsure,
+            CallEnd::Answered(_) | CallEnd::Refused | CallEnd::NotSent | CallEnd::Unknown => {
+                StopOutcome::Unsure
+            }
         };
         StopStep::Done(outcome)
     }
--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -86,6 +86,7 @@
             Done(Unsure),
             None,
         ),
+        (CallEnd::NotSent, AskAgain, Done(Unsure), None),
         (CallEnd::Unknown, AskAgain, Done(Unsure), None),
     ];
     for (end, first, second, left) in cases {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -1,9 +1,9 @@
 //! Socket creation and options.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use elderworks_http_client::connect::ConnectError;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -54,23 +54,15 @@
 }
 
 /// Connects within [`CONNECT_TIMEOUT`].
-pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+///
+/// # Errors
+///
+/// The error tells whether the peer is lost or cut off.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, ConnectError> {
     let connecting = TcpStream::connect(address);
     let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
-        .map_err(|_| std::io::Error::from(ErrorKind::TimedOut))??;
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     set_options(&stream);
     Ok(stream)
 }
-
-/// Returns whether an error of [`connect`] shows that the peer is lost or cut off. Others, such as a lack
-/// of descriptors, say nothing of the peer.
-pub(crate) fn is_unreachable(error: &std::io::Error) -> bool {
-    matches!(
-        error.kind(),
-        ErrorKind::ConnectionRefused
-            | ErrorKind::TimedOut
-            | ErrorKind::HostUnreachable
-            | ErrorKind::NetworkUnreachable
-    )
-}
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use elderworks_gateway_core::pressure::BufferKind;
 use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::workers::WorkerRecord;
+use elderworks_http_client::connect::ConnectError;
 use elderworks_http_client::exchange::{self, Connection, Exchange};
 use prometheus_client::metrics::counter::Counter;
 
@@ -50,6 +51,15 @@
     }
 }
 
+impl From<ConnectError> for ExchangeError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Unreachable(error) => Self::NotReached(error.to_string()),
+            ConnectError::Failed(error) => Self::NotSent(error.to_string()),
+        }
+    }
+}
+
 /// A request to a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct OutgoingRequest {
@@ -180,13 +190,7 @@
     context: &ExchangeContext<'_>,
     address: SocketAddr,
 ) -> Result<WorkerConnection, ExchangeError> {
-    let stream = socket::connect(address).await.map_err(|error| {
-        let reason = error.to_string();
-        match socket::is_unreachable(&error) {
-            true => ExchangeError::NotReached(reason),
-            false => ExchangeError::NotSent(reason),
-        }
-    })?;
+    let stream = socket::connect(address).await?;
     context.connections_opened.inc();
     Ok(WorkerConnection {
         connection: Connection::new(stream),
