Soak: surplus answers, resets under which engines work on, and checks of who works on a request

- No worker sent an answer without a readable request id: `ForeignFirst` and `AnswerTwice` send whole 200s that bear an id, and are drawn for tools only.
So the existing check that a request runs at most once never met the case.
- Every engine dropped a request when its connection closed, a stream lasted 200 ms, runs had no times, and no check compared them.
Two workers could not be seen at work for 400 ms.
- Nothing counted the workers of a request against `attempts`.
- Proxies reset both sides at once and all new connections for 200 ms or more: the worker noticed, and was out of reach when the stream went on elsewhere, which is allowed.

The stand-in worker can now send seven forms of surplus answers on kept connections and refuses some requests; it can work on when its connection closes, and then refuse the request, take it again, or close; asked to stop a run, it stops it and accepts its copy once. Runs have a worker, a start and an end. Proxies reset the open connections on one side only. The schedule `surplus-and-resets` draws these among all other faults, with routes of one and two attempts and two routes whose types change.

The at-most-once check no longer counts a run that goes on from a copy of a stopped run, as PROTOCOL.md says; the stand-in accepts each copy once, and the soak gave out none before. `worker_checker_tests.rs` shows for each new check that it can fail and what it allows.

Not judged: whether a request on a route that changes between `idempotent` and `mutating` runs once; such calls are judged for their answers, promises and attempts.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -51,8 +51,45 @@
     TurnOnce,
     /// A turn that the system stores and that runs at most once.
     StoredTurn,
+    /// A turn whose stream may be resumed, at a second worker too.
+    TurnAtTwo,
+    /// A tool call on a route whose type changes.
+    ChangingCall,
+    /// A turn on a route that changes between types that may and may not be resumed.
+    ChangingTurn,
 }
 
+/// Kinds of turns of [`crate::round::Schedule`]s, with repetitions for their share.
+pub const TURNS: &[Kind] = &[
+    Kind::Turn,
+    Kind::Turn,
+    Kind::TurnOnce,
+    Kind::StoredTurn,
+    Kind::StoredTurn,
+];
+
+/// Kinds of tool calls.
+pub const CALLS: &[Kind] = &[Kind::SafeCall, Kind::CallOnce];
+
+/// Kinds of turns if some routes change.
+pub const CHANGING_TURNS: &[Kind] = &[
+    Kind::Turn,
+    Kind::TurnAtTwo,
+    Kind::TurnOnce,
+    Kind::TurnOnce,
+    Kind::StoredTurn,
+    Kind::StoredTurn,
+    Kind::ChangingTurn,
+];
+
+/// Kinds of tool calls if some routes change.
+pub const CHANGING_CALLS: &[Kind] = &[
+    Kind::SafeCall,
+    Kind::CallOnce,
+    Kind::CallOnce,
+    Kind::ChangingCall,
+];
+
 impl Kind {
     /// Returns the path of the route for requests of this kind.
     pub fn path(self) -> &'static str {
@@ -62,6 +99,28 @@
             Self::Turn => "/stream/x",
             Self::TurnOnce => "/stream-once/x",
             Self::StoredTurn => "/kept/x",
+            Self::TurnAtTwo => "/stream-two/x",
+            Self::ChangingCall => "/changing/x",
+            Self::ChangingTurn => "/changing-stream/x",
+        }
+    }
+
+    /// Returns whether the request is a tool call.
+    pub fn is_call(self) -> bool {
+        matches!(self, Self::SafeCall | Self::CallOnce | Self::ChangingCall)
+    }
+
+    /// Returns whether a caller takes the stream up again.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Turn | Self::TurnAtTwo)
+    }
+
+    /// Returns the largest number of workers that one request may go to in any configuration.
+    pub fn attempts(self) -> usize {
+        match self {
+            Self::SafeCall | Self::CallOnce | Self::ChangingCall => 3,
+            Self::Turn => 1,
+            Self::TurnOnce | Self::StoredTurn | Self::TurnAtTwo | Self::ChangingTurn => 2,
         }
     }
 
@@ -183,6 +242,9 @@
     pub reuses_connections: bool,
     /// Whether it requests long streams and delays reading them.
     pub delays_reading: bool,
+    /// Kinds of its turns and calls.
+    pub turns: &'static [Kind],
+    pub calls: &'static [Kind],
     /// Idle connections by node.
     pub connections: RefCell<BTreeMap<SocketAddr, Connection>>,
 }
@@ -197,14 +259,7 @@
 
     async fn run_program(&self, random: &mut ChaCha8Rng) {
         let program = format!("program-{}", self.records.next_number());
-        let kinds = [
-            Kind::Turn,
-            Kind::Turn,
-            Kind::TurnOnce,
-            Kind::StoredTurn,
-            Kind::StoredTurn,
-        ];
-        let kind = *kinds.choose(random).expect("some kinds");
+        let kind = *self.turns.choose(random).expect("some kinds");
         let turns = random.random_range(1..=5);
         // Some budgets do not cover all turns.
         let budget = TURN_TOKENS * random.random_range(1..=6);
@@ -220,8 +275,7 @@
             let ended = self.turn(random, kind, &program, budget, &previous).await;
             let Some(turn) = ended else { return };
             previous = (kind == Kind::StoredTurn).then_some(turn);
-            let tool = [Kind::SafeCall, Kind::CallOnce];
-            let tool = *tool.choose(random).expect("some kinds");
+            let tool = *self.calls.choose(random).expect("some kinds");
             let order = Order {
                 kind: tool,
                 program: &program,
@@ -261,9 +315,9 @@
             if status.is_some_and(|status| [402, 404].contains(&status)) {
                 return None;
             }
-            interrupted = match kind {
-                Kind::Turn => Interrupted::by(&id, &record),
-                _ => None,
+            interrupted = match kind.is_resumable() {
+                true => Interrupted::by(&id, &record),
+                false => None,
             };
             actix_rt::time::sleep(RETRY_PAUSE).await;
         }
@@ -282,10 +336,10 @@
         let mut request = Request::new("POST", kind.path(), &id)
             .deadline(ANSWER_TIMEOUT.as_millis() as u64)
             .body(&input);
-        if !matches!(kind, Kind::SafeCall | Kind::CallOnce) {
+        if !kind.is_call() {
             request = request.turn(order.program, order.budget, TURN_TOKENS);
         }
-        if matches!(kind, Kind::Turn | Kind::TurnOnce) {
+        if kind.is_resumable() || kind == Kind::TurnOnce {
             request = request.header(SOFTWARE_HEADER, "1");
         }
         if let Some(previous) = &order.previous {
--- a/crates/cli/tests/soak/checker_tests.rs
+++ b/crates/cli/tests/soak/checker_tests.rs
@@ -13,7 +13,7 @@
 use crate::standin::caller::{Answer, STAMP_HEADER};
 use crate::standin::worker::{Run, event};
 
-fn answer(status: u16, body: &str, is_whole: bool) -> Answer {
+pub fn answer(status: u16, body: &str, is_whole: bool) -> Answer {
     Answer {
         status,
         head: format!("{STAMP_HEADER}: s"),
@@ -22,11 +22,11 @@
     }
 }
 
-fn stream(events: u32) -> String {
+pub fn stream(events: u32) -> String {
     (1..=events).map(event).collect()
 }
 
-fn record(kind: Kind, previous: Option<&str>, answer: Option<Answer>) -> RequestRecord {
+pub fn record(kind: Kind, previous: Option<&str>, answer: Option<Answer>) -> RequestRecord {
     RequestRecord {
         kind,
         program: "p".to_owned(),
@@ -39,9 +39,14 @@
     }
 }
 
-fn run(id: &str, body: &str) -> Run {
+pub fn run(id: &str, body: &str) -> Run {
+    let started = Instant::now();
     Run {
         request_id: id.to_owned(),
+        worker: "w".to_owned(),
+        started,
+        ended: Some(started),
+        arrival: 1,
         path: "/x".to_owned(),
         body: body.to_owned(),
         deadline_ms: 1_000,
@@ -73,6 +78,8 @@
             runs: Vec::new(),
             deadly: Vec::new(),
             impatient: Vec::new(),
+            lost: BTreeMap::new(),
+            stalls: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(!found.is_empty(), is_exceeded, "{turns} turns: {found:?}");
@@ -209,6 +216,8 @@
             runs: case.runs,
             deadly: Vec::new(),
             impatient: Vec::new(),
+            lost: BTreeMap::new(),
+            stalls: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(
@@ -246,6 +255,8 @@
             runs: Vec::new(),
             deadly: Vec::new(),
             impatient: Vec::new(),
+            lost: BTreeMap::new(),
+            stalls: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(
@@ -274,6 +285,8 @@
         runs: runs.collect(),
         deadly: vec![ObservedDeadly { ids, is_known }],
         impatient: Vec::new(),
+        lost: BTreeMap::new(),
+        stalls: Vec::new(),
     }
 }
 
@@ -325,6 +338,8 @@
             },
             deadly: Vec::new(),
             impatient: vec![program],
+            lost: BTreeMap::new(),
+            stalls: Vec::new(),
         };
         let found = violations(&observations);
         assert_eq!(!found.is_empty(), is_violation, "{found:?}");
--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::callers::{Kind, RequestRecord, TOKENS_PER_EVENT};
+use crate::callers::{RequestRecord, TOKENS_PER_EVENT};
 use crate::deadly::ObservedDeadly;
 use crate::fleet::EVENTS;
 use crate::impatient::ImpatientProgram;
+use crate::proxy::Period;
 use crate::standin::worker::Run;
+use crate::worker_checks::{self, LostTimes};
 
 /// Observations of callers and workers in one round.
 pub struct Observations {
@@ -20,6 +22,10 @@
     pub deadly: Vec<ObservedDeadly>,
     /// Programs of one turn, each within the running time of all processes.
     pub impatient: Vec<ImpatientProgram>,
+    /// Times in which workers were ended or could not be reached, by id.
+    pub lost: BTreeMap<String, LostTimes>,
+    /// Times in which the test itself did not run, so that it saw the ends of runs late.
+    pub stalls: Vec<Period>,
 }
 
 /// Number of workers that may end under one request.
@@ -56,6 +62,7 @@
     found.extend(check_deadly(observations));
     found.extend(check_given_up(observations));
     found.extend(check_unspent_budgets(observations));
+    found.extend(worker_checks::violations(observations));
     found
 }
 
@@ -156,12 +163,12 @@
     if answer.stamp().is_none() {
         return Some("a successful answer without a worker's stamp".to_owned());
     }
-    match record.kind {
-        Kind::SafeCall | Kind::CallOnce => {
+    match record.kind.is_call() {
+        true => {
             let is_expected = answer.is_whole && answer.body.ends_with(&record.input);
             (answer.is_whole && !is_expected).then(|| "unexpected body".to_owned())
         }
-        Kind::Turn | Kind::TurnOnce | Kind::StoredTurn => match record.events() {
+        false => match record.events() {
             None => Some("events are missing, repeated or out of order".to_owned()),
             Some(events) if answer.is_whole && record.had + events < EVENTS => {
                 Some("a partial stream ended as complete".to_owned())
@@ -174,8 +181,14 @@
 /// Checks how often a request ran: at most once where required, and not at all if the answer says
 /// so.
 fn check_runs(record: &RequestRecord, runs: &[&Run]) -> Option<String> {
-    if record.kind.at_most_once() && runs.len() > 1 {
-        return Some(format!("ran {} times", runs.len()));
+    // A copy of a stopped run counts as the same run; a worker takes each copy once.
+    let own = runs.iter().filter(|run| !run.goes_on_from_copy());
+    let own = own.count();
+    if record.kind.at_most_once() && own > 1 {
+        return Some(format!(
+            "ran {own} times: {}",
+            worker_checks::describe(runs)
+        ));
     }
     let status = record.answer.as_ref()?.status;
     let is_violated = NOT_RUN.contains(&status) && !runs.is_empty();
@@ -230,7 +243,7 @@
 fn check_budgets(observations: &Observations) -> Vec<String> {
     let mut used: BTreeMap<&str, u64> = BTreeMap::new();
     for record in observations.requests.values() {
-        if matches!(record.kind, Kind::SafeCall | Kind::CallOnce) {
+        if record.kind.is_call() {
             continue;
         }
         let events = u64::from(record.events().unwrap_or(0));
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -7,10 +7,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::{Fleet, VERSIONS};
-use crate::proxy::LinkFault;
-use crate::standin::platform::configuration;
+use crate::proxy::{LinkFault, Side};
 use crate::standin::store::StoreFault;
-use crate::standin::worker::Behaviour;
+use crate::standin::worker::{Behaviour, SurplusRate};
 
 /// Fault that is injected for a limited time.
 #[derive(Clone, Debug)]
@@ -53,6 +52,13 @@
     Release { versions: Vec<&'static str> },
     /// The store compacts the history of configurations, workers and nodes.
     Compact,
+    /// The open connections to a worker are reset on one side; new ones work.
+    ResetWorkerLink { worker: usize, side: Side },
+    /// The workers of a service send answers that belong to no request.
+    Surplus {
+        service: &'static str,
+        rate: SurplusRate,
+    },
     /// `count` new configurations are published in immediate succession.
     Configure { count: u64 },
 }
@@ -185,6 +191,10 @@
         Fault::BlackholeStoreLink { node } => {
             fleet.nodes[*node].store_link.blackhole_open_connections()
         }
+        Fault::ResetWorkerLink { worker, side } => {
+            fleet.workers[*worker].link.reset_open_connections(*side);
+        }
+        Fault::Surplus { service, rate } => set_surplus(fleet, service, Some(*rate)),
         Fault::BlackholeWorkerLink { worker } => {
             fleet.workers[*worker].link.blackhole_open_connections()
         }
@@ -215,7 +225,7 @@
         Fault::Compact => fleet.deployment.store.compact_keyed(),
         Fault::Configure { count } => {
             for index in 0..*count {
-                let next = configuration(version * MAX_CONFIGURATIONS + index);
+                let next = fleet.configuration(version * MAX_CONFIGURATIONS + index);
                 fleet.deployment.configure(&next);
             }
         }
@@ -247,14 +257,24 @@
             let proxied = &fleet.workers[*worker];
             proxied.worker.set_behaviour(proxied.healthy_behaviour());
         }
+        Fault::Surplus { service, .. } => set_surplus(fleet, service, None),
         Fault::Release { .. } => fleet.remove_leaving_engines(),
         Fault::Compact
         | Fault::Configure { .. }
+        | Fault::ResetWorkerLink { .. }
         | Fault::BlackholeStoreLink { .. }
         | Fault::BlackholeWorkerLink { .. } => {}
     }
 }
 
+/// Sets how often the workers of a service send answers that belong to no request.
+fn set_surplus(fleet: &Fleet, service: &str, rate: Option<SurplusRate>) {
+    let workers = fleet.workers.iter();
+    for proxied in workers.filter(|proxied| proxied.service == service) {
+        proxied.worker.set_surplus(rate);
+    }
+}
+
 fn restart(fleet: &mut Fleet, node: usize) {
     fleet.nodes[node].kill();
     fleet.nodes[node].start();
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -1,5 +1,6 @@
 //! Gateway processes of one round, with proxies in front of the store and the workers.
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -8,12 +9,16 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
+
 use crate::proxy::Proxy;
 use crate::standin::caller::Request;
 use crate::standin::platform::{
-    Deployment, NodeEndpoints, SETTINGS_VARIABLE, reports_ready, settings_text_at,
+    Deployment, NodeEndpoints, SETTINGS_VARIABLE, configuration, reports_ready, settings_text_at,
 };
 use crate::standin::worker::{Behaviour, CrashMoment, Worker};
+use crate::surplus_and_resets::{self, WorkingOn};
+use crate::worker_checks::LostTimes;
 
 /// Maximum number of gateway processes in a usual round; the seed determines the number.
 const MAX_USUAL_NODES: usize = 7;
@@ -265,6 +270,7 @@
     pub worker: Worker,
     pub service: &'static str,
     pub link: Proxy,
+    pub event_pause_ms: u64,
     /// Whether it has announced that it leaves.
     leaves: bool,
     /// When it was found to have crashed.
@@ -279,7 +285,7 @@
         if self.service == ENGINES {
             Behaviour::Events {
                 count: EVENTS,
-                pause: EVENT_PAUSE_MS,
+                pause: self.event_pause_ms,
             }
         } else {
             Behaviour::Echo
@@ -288,9 +294,9 @@
 }
 
 /// Service whose workers stream events.
-const ENGINES: &str = "engines";
+pub const ENGINES: &str = "engines";
 /// Service whose workers answer with the request.
-const TOOLS: &str = "tools";
+pub const TOOLS: &str = "tools";
 
 /// Store, gateway processes and workers of a round.
 pub struct Fleet {
@@ -299,6 +305,8 @@
     pub workers: Vec<ProxiedWorker>,
     /// Whether the processes of workers that crash start again at once under their ids.
     pub keeps_ids: bool,
+    /// How engines work on when their connections have closed, if they do. The routes change, too.
+    working_on: Option<WorkingOn>,
     folder: PathBuf,
     /// Released once the processes have ended, since fields are dropped in this order.
     addresses: AddressSlot,
@@ -323,6 +331,7 @@
             workers: Vec::new(),
             nodes: Vec::new(),
             keeps_ids: false,
+            working_on: None,
             folder,
             deployment,
             addresses: AddressSlot::take().await,
@@ -348,6 +357,35 @@
         fleet
     }
 
+    /// Lets engines, present and later ones, work on when their connections have closed, and routes
+    /// change from one configuration to the next.
+    pub fn set_working_on(&mut self, working_on: WorkingOn) {
+        for (number, proxied) in self.workers.iter_mut().enumerate() {
+            working_on.apply(proxied, number);
+            proxied.worker.set_behaviour(proxied.healthy_behaviour());
+        }
+        self.working_on = Some(working_on);
+    }
+
+    /// Returns the configuration of a version.
+    pub fn configuration(&self, version: u64) -> Value {
+        match self.working_on {
+            Some(_) => surplus_and_resets::configuration(version),
+            None => configuration(version),
+        }
+    }
+
+    /// Returns when workers were ended or could not be reached, by id.
+    pub fn lost_workers(&self) -> BTreeMap<String, LostTimes> {
+        let mut lost: BTreeMap<String, LostTimes> = BTreeMap::new();
+        for proxied in &self.workers {
+            let of_worker = lost.entry(proxied.worker.id.clone()).or_default();
+            of_worker.unreachable.extend(proxied.link.unreachable());
+            of_worker.ended.extend(proxied.worker.crashed());
+        }
+        lost
+    }
+
     /// Returns the folder with the settings and logs of the processes.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -366,14 +404,18 @@
         let moment = CRASH_MOMENTS[self.workers.len() % CRASH_MOMENTS.len()];
         worker.crash_on(CRASH_MARK, moment);
         let link = Proxy::start_while(worker.address, worker.server_state());
-        let proxied = ProxiedWorker {
+        let mut proxied = ProxiedWorker {
             worker,
             service,
             link,
+            event_pause_ms: EVENT_PAUSE_MS,
             leaves: false,
             crashed: None,
             is_replaced: false,
         };
+        if let Some(working_on) = &self.working_on {
+            working_on.apply(&mut proxied, self.workers.len());
+        }
         proxied.worker.set_behaviour(proxied.healthy_behaviour());
         self.write_record(&proxied, "ready");
         self.workers.push(proxied);
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -3,8 +3,9 @@
 //!
 //! Each seed determines a schedule of overlapping faults: signals to processes (pause, kill,
 //! restart, orderly stop), proxied connections that are delayed, reset, blocked in one or both
-//! directions or dropped silently, store faults, series of configurations, misbehaving workers, and
-//! requests that crash every worker that runs them.
+//! directions or dropped silently, store faults, series of configurations, misbehaving workers,
+//! requests that crash every worker that runs them, and, in a schedule of their own, answers that
+//! belong to no request and resets under which engines work on.
 //! Half of the callers reuse connections until these close; some request long streams and delay
 //! reading them. The peak of buffered bytes is printed. The time of day is not changed, since no
 //! decision depends on it. Connections between nodes are affected only through faults of their
@@ -13,8 +14,9 @@
 //! By default, the seeds of [`REGRESSIONS`] run for a few seconds each. Set
 //! `ELDERWORKS_SOAK_SECONDS` to run random seeds for longer, and also `ELDERWORKS_SOAK_SEED` to
 //! repeat one seed; `ELDERWORKS_SOAK_SCHEDULE` restricts the rounds to `mixed` faults, to
-//! `store-and-kills`, to `planned` work without faults, or to `continuations` of stored turns. `ELDERWORKS_SOAK_PROGRAM` names another
-//! build of the gateway to play, and `ELDERWORKS_SOAK_SECOND_PROGRAM` one for every second process:
+//! `store-and-kills`, to `same-ids`, to `surplus-and-resets`, to `planned` work without faults, or to
+//! `continuations` of stored turns. `ELDERWORKS_SOAK_PROGRAM` names another build of the gateway to
+//! play, and `ELDERWORKS_SOAK_SECOND_PROGRAM` one for every second process:
 //!
 //! ```sh
 //! ELDERWORKS_SOAK_SECONDS=300 cargo test --release -p elderworks-cli --test soak -- --nocapture
@@ -36,6 +38,9 @@
 mod round;
 mod stopping;
 mod store_and_kills;
+mod surplus_and_resets;
+mod worker_checker_tests;
+mod worker_checks;
 
 use std::time::{Duration, Instant};
 
@@ -70,6 +75,9 @@
 /// Seeds of [`Schedule::SameIds`] in every test run.
 const SAME_IDS: &[u64] = &[1, 2];
 
+/// Seed of [`Schedule::SurplusAndResets`] in every test run.
+const SURPLUS_AND_RESETS: u64 = 1;
+
 /// Duration of the fault schedule of one seed.
 const ROUND_DURATION: Duration = Duration::from_secs(6);
 
@@ -100,6 +108,16 @@
     }
 }
 
+#[actix_rt::test]
+async fn no_request_runs_twice_around_surplus_answers_and_resets() {
+    round::run(
+        SURPLUS_AND_RESETS,
+        Schedule::SurplusAndResets,
+        ROUND_DURATION,
+    )
+    .await;
+}
+
 #[actix_rt::test]
 async fn random_seeds_keep_the_guarantees() {
     let Some(seconds) = number_from_env("ELDERWORKS_SOAK_SECONDS") else {
@@ -110,7 +128,13 @@
         Ok("mixed") => &[Schedule::Mixed][..],
         Ok("store-and-kills") => &[Schedule::StoreAndKills],
         Ok("same-ids") => &[Schedule::SameIds],
-        _ => &[Schedule::Mixed, Schedule::StoreAndKills, Schedule::SameIds],
+        Ok("surplus-and-resets") => &[Schedule::SurplusAndResets],
+        _ => &[
+            Schedule::Mixed,
+            Schedule::StoreAndKills,
+            Schedule::SameIds,
+            Schedule::SurplusAndResets,
+        ],
     };
     match std::env::var("ELDERWORKS_SOAK_SCHEDULE").as_deref() {
         Ok("planned") => return play_planned_work(until).await,
--- a/crates/cli/tests/soak/proxy.rs
+++ b/crates/cli/tests/soak/proxy.rs
@@ -1,12 +1,12 @@
 //! A loopback TCP proxy that injects faults into its connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -28,6 +28,26 @@
     Reset,
 }
 
+impl LinkFault {
+    /// Returns whether no request is answered through the proxy.
+    fn separates(self) -> bool {
+        matches!(self, Self::Silence | Self::SilenceFromTarget | Self::Reset)
+    }
+}
+
+/// One side of the connections through a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    Caller,
+    Target,
+}
+
+/// Time for which a connection stays open on the side that was not reset.
+const HALF_OPEN_TIME: Duration = Duration::from_secs(1);
+
+/// A time from one moment until another.
+pub type Period = (Instant, Instant);
+
 /// Interval at which a connection checks whether the fault has changed.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -36,8 +56,12 @@
 pub struct Proxy {
     pub address: SocketAddr,
     fault: Rc<Cell<LinkFault>>,
+    /// Faults with the times at which they began.
+    history: Rc<RefCell<Vec<(Instant, LinkFault)>>>,
     /// Number of calls of [`Proxy::blackhole_open_connections`].
     blackhole_count: Rc<Cell<u64>>,
+    /// Side of the last call of [`Proxy::reset_open_connections`].
+    reset_side: Rc<watch::Sender<Side>>,
 }
 
 /// Fault state of one connection through the proxy.
@@ -77,6 +101,8 @@
         let fault = Rc::new(Cell::new(LinkFault::None));
         let blackhole_count = Rc::new(Cell::new(0));
         let shared = (fault.clone(), blackhole_count.clone());
+        let reset_side = Rc::new(watch::Sender::new(Side::Caller));
+        let resets = reset_side.clone();
         actix_rt::spawn(async move {
             loop {
                 let accepted = tokio::select! {
@@ -90,16 +116,36 @@
                     count_at_open: shared.1.get(),
                     blackhole_count: shared.1.clone(),
                 };
-                actix_rt::spawn(forward(stream, target, state, running.clone()));
+                let resets = resets.subscribe();
+                actix_rt::spawn(forward(stream, target, state, resets, running.clone()));
             }
         });
         Self {
             address,
             fault,
+            history: Rc::default(),
             blackhole_count,
+            reset_side,
         }
     }
 
+    /// Resets the connections that are open on one side. The other side stays open for
+    /// [`HALF_OPEN_TIME`] without carrying data. New connections work.
+    pub fn reset_open_connections(&self, side: Side) {
+        self.reset_side.send_replace(side);
+    }
+
+    /// Returns when the target could not be reached, up to now.
+    pub fn unreachable(&self) -> Vec<Period> {
+        let history = self.history.borrow();
+        let ends = history.iter().skip(1).map(|(began, _)| *began);
+        let periods = history.iter().zip(ends.chain([Instant::now()]));
+        let separating = periods.filter(|((_, fault), _)| fault.separates());
+        separating
+            .map(|((began, _), ended)| (*began, ended))
+            .collect()
+    }
+
     /// Silently drops all further data on the connections that are open, without closing them. New
     /// connections work.
     pub fn blackhole_open_connections(&self) {
@@ -108,43 +154,83 @@
 
     /// Sets the fault of open and new connections.
     pub fn set_fault(&self, fault: LinkFault) {
+        self.history.borrow_mut().push((Instant::now(), fault));
         self.fault.set(fault);
     }
 }
 
 /// Connects to the target and forwards data in both directions until the connection ends.
 async fn forward(
-    stream: TcpStream,
+    mut stream: TcpStream,
     target: SocketAddr,
     state: LinkState,
+    mut resets: watch::Receiver<Side>,
     mut running: watch::Receiver<ServerState>,
 ) {
-    let Ok(target_stream) = TcpStream::connect(target).await else {
+    let Ok(mut target_stream) = TcpStream::connect(target).await else {
         return reset(&stream);
     };
     for socket in [&stream, &target_stream] {
         // Failure only makes the proxy slower.
         let _ = socket.set_nodelay(true);
     }
-    let caller_socket = socket2::SockRef::from(&stream).try_clone();
-    let (from_caller, to_caller) = stream.into_split();
-    let (from_target, to_target) = target_stream.into_split();
+    let (from_caller, to_caller) = stream.split();
+    let (from_target, to_target) = target_stream.split();
     // A closed direction leaves the other one open; a failed direction ends both.
-    let has_crashed = tokio::select! {
+    let end = tokio::select! {
         biased;
-        () = until_crash(&mut running) => true,
+        () = until_crash(&mut running) => End::Crash,
+        side = until_side_reset(&mut resets) => End::Reset(side),
         _ = async {
             tokio::try_join!(
                 copy(from_caller, to_target, &state, false),
                 copy(from_target, to_caller, &state, true),
             )
-        } => false,
+        } => End::Closed,
     };
-    if (has_crashed || state.fault.get() == LinkFault::Reset)
-        && let Ok(socket) = caller_socket
-    {
-        // With zero linger, closing the socket resets the connection.
-        let _ = socket.set_linger(Some(Duration::ZERO));
+    match end {
+        End::Crash => reset(&stream),
+        End::Closed if state.fault.get() == LinkFault::Reset => reset(&stream),
+        End::Closed => {}
+        End::Reset(Side::Caller) => {
+            reset(&stream);
+            drop(stream);
+            hold_open(target_stream, &mut running).await;
+        }
+        End::Reset(Side::Target) => {
+            reset(&target_stream);
+            drop(target_stream);
+            hold_open(stream, &mut running).await;
+        }
+    }
+}
+
+/// How a connection through a proxy ends.
+enum End {
+    /// The target crashed.
+    Crash,
+    /// One side is reset.
+    Reset(Side),
+    /// Both directions have been closed, or one failed.
+    Closed,
+}
+
+/// Waits until one side of the open connections is reset.
+async fn until_side_reset(resets: &mut watch::Receiver<Side>) -> Side {
+    if resets.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    *resets.borrow()
+}
+
+/// Reads from a connection whose other side was reset until it is closed, the target crashes, or
+/// [`HALF_OPEN_TIME`] is over.
+async fn hold_open(mut stream: TcpStream, running: &mut watch::Receiver<ServerState>) {
+    let mut buffer = vec![0; 16 * 1024];
+    let reading = async { while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {} };
+    tokio::select! {
+        () = until_crash(running) => {}
+        _ = actix_rt::time::timeout(HALF_OPEN_TIME, reading) => {}
     }
 }
 
@@ -167,8 +253,8 @@
 
 /// Forwards bytes in one direction until the sender closes it.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     state: &LinkState,
     is_from_target: bool,
 ) -> Result<(), ConnectionFailed> {
--- a/crates/cli/tests/soak/restarts.rs
+++ b/crates/cli/tests/soak/restarts.rs
@@ -13,6 +13,7 @@
 
 use crate::callers::{Kind, TURN_TOKENS};
 use crate::fleet::Fleet;
+use crate::proxy::Period;
 use crate::standin::caller::{Answer, Connection, Request};
 use crate::standin::platform::configuration;
 
@@ -140,7 +141,7 @@
 
 /// Times in which the test itself did not run, so that it saw the ends of connections late.
 #[derive(Debug, Default)]
-pub struct Stalls(RefCell<Vec<(Instant, Instant)>>);
+pub struct Stalls(RefCell<Vec<Period>>);
 
 impl Stalls {
     /// Records stalls until `stop` is set.
@@ -154,6 +155,11 @@
         }
     }
 
+    /// Returns the stalls.
+    pub fn periods(&self) -> Vec<Period> {
+        self.0.borrow().clone()
+    }
+
     /// Returns whether the test ran throughout an exchange.
     fn spare(&self, exchange: &Exchange) -> bool {
         let end = exchange.sent + exchange.took;
@@ -388,7 +394,7 @@
         let mut request = Request::new("POST", kind.path(), &id)
             .deadline(deadline)
             .body(&format!("input of {id} "));
-        if !matches!(kind, Kind::SafeCall | Kind::CallOnce) {
+        if !kind.is_call() {
             let budget = TURN_TOKENS * u64::from(MAX_TURNS) * 4;
             request = request.turn(program, budget, TURN_TOKENS);
         }
--- a/crates/cli/tests/soak/round.rs
+++ b/crates/cli/tests/soak/round.rs
@@ -8,13 +8,15 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::callers::{CallerTask, Records};
+use crate::callers::{CALLS, CHANGING_CALLS, CHANGING_TURNS, CallerTask, Records, TURNS};
 use crate::checks::{Observations, violations};
 use crate::deadly::DeadlyCaller;
 use crate::faults::{self, Fault};
 use crate::fleet::Fleet;
 use crate::impatient::ImpatientCaller;
-use crate::store_and_kills;
+use crate::proxy::Period;
+use crate::restarts::Stalls;
+use crate::{store_and_kills, surplus_and_resets};
 
 /// Number of concurrent callers that read without delay.
 const CALLERS: u64 = 8;
@@ -31,9 +33,6 @@
 /// Interval at which faults are injected and healed, and at which conditions are polled.
 const STEP: Duration = Duration::from_millis(50);
 
-/// Mean time between the injection of two faults.
-const MEAN_FAULT_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Time after the faults in which late effects may appear, such as a delayed append or the run of a
 /// request that was reported as not run.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(3_500);
@@ -51,19 +50,48 @@
     /// Like [`Self::Mixed`], while the processes of workers that crash start again at once under their
     /// ids.
     SameIds,
+    /// See [`surplus_and_resets`].
+    SurplusAndResets,
+}
+
+/// How the faults of a schedule are drawn.
+#[derive(Clone, Copy)]
+struct Drawing {
+    draw: fn(&mut ChaCha8Rng, &Fleet) -> (Fault, Duration),
+    /// Mean time between the injection of two faults.
+    mean_interval: Duration,
 }
 
+const MIXED: Drawing = Drawing {
+    draw: faults::draw,
+    mean_interval: Duration::from_millis(250),
+};
+
+const SURPLUS_AND_RESETS: Drawing = Drawing {
+    draw: surplus_and_resets::draw,
+    mean_interval: Duration::from_millis(100),
+};
+
 /// Runs the round of a seed and panics if a guarantee was violated.
 pub async fn run(seed: u64, kind: Schedule, duration: Duration) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut fleet = Fleet::start(seed).await;
     let records = Rc::new(Records::default());
     let stop = Rc::new(Cell::new(false));
+    if kind == Schedule::SurplusAndResets {
+        surplus_and_resets::prepare(&mut fleet, seed);
+    }
     let tasks = start_callers(&fleet, &records, &stop, seed, kind);
+    let stalls = Rc::new(Stalls::default());
+    let (watched, until) = (stalls.clone(), stop.clone());
+    let watch = actix_rt::spawn(async move { watched.watch(&until).await });
     let schedule = match kind {
         Schedule::Mixed | Schedule::SameIds => {
             fleet.keeps_ids = kind == Schedule::SameIds;
-            inject_faults(&mut random, &mut fleet, duration).await
+            inject_faults(&mut random, &mut fleet, duration, MIXED).await
+        }
+        Schedule::SurplusAndResets => {
+            inject_faults(&mut random, &mut fleet, duration, SURPLUS_AND_RESETS).await
         }
         Schedule::StoreAndKills => store_and_kills::inject(&mut random, &mut fleet, duration).await,
     };
@@ -79,7 +107,8 @@
     for task in tasks {
         task.await.expect("the caller task completes");
     }
-    let violations = violations(&observations(&fleet, &records));
+    watch.await.expect("the watch completes");
+    let violations = violations(&observations(&fleet, &records, stalls.periods()));
     let peak = fleet.peak_held().await;
     report(seed, &fleet, &records, &schedule);
     println!("seed {seed}: at most {peak} bytes held by a process");
@@ -93,7 +122,7 @@
     std::fs::remove_dir_all(fleet.folder()).expect("the folder of the round can be removed");
 }
 
-fn observations(fleet: &Fleet, records: &Records) -> Observations {
+fn observations(fleet: &Fleet, records: &Records, stalls: Vec<Period>) -> Observations {
     let workers = fleet.workers.iter();
     Observations {
         requests: records.requests.borrow().clone(),
@@ -112,6 +141,8 @@
             .filter(|program| program.is_known(fleet))
             .cloned()
             .collect(),
+        lost: fleet.lost_workers(),
+        stalls,
     }
 }
 
@@ -125,6 +156,10 @@
     kind: Schedule,
 ) -> Vec<actix_rt::task::JoinHandle<()>> {
     let nodes = || fleet.nodes.iter().map(|node| node.callers()).collect();
+    let (turns, calls) = match kind {
+        Schedule::SurplusAndResets => (CHANGING_TURNS, CHANGING_CALLS),
+        _ => (TURNS, CALLS),
+    };
     let mut tasks: Vec<_> = (0..CALLERS + SLOW_CALLERS)
         .map(|number| {
             let task = CallerTask {
@@ -133,6 +168,8 @@
                 stop: stop.clone(),
                 reuses_connections: number % 2 == 0,
                 delays_reading: number >= CALLERS,
+                turns,
+                calls,
                 connections: RefCell::default(),
                 seed: seed.wrapping_add(number),
             };
@@ -140,7 +177,7 @@
         })
         .collect();
     match kind {
-        Schedule::Mixed | Schedule::SameIds => {
+        Schedule::Mixed | Schedule::SameIds | Schedule::SurplusAndResets => {
             let caller = DeadlyCaller {
                 records: records.clone(),
                 nodes: nodes(),
@@ -169,6 +206,7 @@
     random: &mut ChaCha8Rng,
     fleet: &mut Fleet,
     duration: Duration,
+    drawing: Drawing,
 ) -> Vec<String> {
     let started = Instant::now();
     let mut schedule = Vec::new();
@@ -178,9 +216,10 @@
         let now = Instant::now();
         heal_due(fleet, &mut active, |until| until <= now);
         fleet.replace_crashed_workers();
-        let inject_now = random.random_bool(STEP.as_secs_f64() / MEAN_FAULT_INTERVAL.as_secs_f64());
+        let inject_now =
+            random.random_bool(STEP.as_secs_f64() / drawing.mean_interval.as_secs_f64());
         if inject_now && active.len() < MAX_ACTIVE_FAULTS {
-            let (fault, fault_duration) = faults::draw(random, fleet);
+            let (fault, fault_duration) = (drawing.draw)(random, fleet);
             version += 1;
             faults::inject(&fault, fleet, version);
             let at = started.elapsed().as_millis();
--- a/crates/cli/tests/soak/stopping.rs
+++ b/crates/cli/tests/soak/stopping.rs
@@ -186,10 +186,8 @@
         .deadline(milliseconds)
         .body(&format!("input of {id} "));
     let request = match kind {
-        Kind::SafeCall | Kind::CallOnce => request,
-        Kind::Turn | Kind::TurnOnce | Kind::StoredTurn => {
-            request.turn(&id, TURN_TOKENS, TURN_TOKENS)
-        }
+        kind if kind.is_call() => request,
+        _ => request.turn(&id, TURN_TOKENS, TURN_TOKENS),
     };
     let sent = Instant::now();
     let timeout = DEADLINE + READ_ON;
