Log to which request a worker's refusal or skipped answer belongs

One line per refusal and per skipped answer now has status, marker, named (own, none, another, unclear), carried (requests sent on the connection before) and skipped. The reading of ids is a pure value in the core; decisions are unchanged.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod access;
 pub mod admission;
+pub mod answers;
 pub mod append_pace;
 pub mod attempt;
 pub mod balancer;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, ResponseHead, Uri};
 use bytes::Bytes;
+use elderworks_gateway_core::answers::AnswerHead;
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::engines::{
@@ -227,6 +228,9 @@
     /// Returns whether a response states that the worker did not run the request.
     fn was_not_run(&self, response: &ResponseHead) -> bool;
 
+    /// Returns what a response's head says about the request that it belongs to.
+    fn answer_head<'a>(&self, response: &'a ResponseHead) -> AnswerHead<'a>;
+
     /// Returns the request id that a response repeats.
     fn response_request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -6,6 +6,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
+use elderworks_gateway_core::answers::AnswerHead;
 use elderworks_gateway_core::attempt::SendMark;
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::pressure::BufferKind;
@@ -135,17 +136,32 @@
     request: &OutgoingRequest,
     extra_headers: HeaderMap,
 ) -> Result<WorkerResponse, ExchangeError> {
-    let WorkerConnection { connection, opened } = connection;
+    let WorkerConnection {
+        connection,
+        opened,
+        carried,
+    } = connection;
     let head = RequestHeadType::Rc(request.head.clone(), Some(extra_headers));
     let mut exchange = Exchange::new(connection, context.http, head, request.body.as_ref())?;
     context.mark.note_sending();
-    for _ in 0..=MAX_MISMATCHED_RESPONSES {
+    for skipped in 0..=MAX_MISMATCHED_RESPONSES {
         let decoded = exchange.next_head().await?;
+        let decision = Decision {
+            worker: &target.worker,
+            request_id: request.request_id.as_deref(),
+            answer: context.platform.answer_head(&decoded.head),
+            carried,
+            skipped,
+        };
         if is_response_to(context.platform, request, &decoded.head) {
+            if context.platform.was_not_run(&decoded.head) {
+                decision.log_refusal();
+            }
             let pool_return = PoolReturn {
                 pool: context.pool.clone(),
                 worker: target.worker.clone(),
                 opened,
+                carried: carried.saturating_add(1),
                 idle_timeout: keep_alive_timeout(&decoded.head.headers),
                 max_idle: context.max_idle,
             };
@@ -153,10 +169,7 @@
             let buffered_bytes = context.memory.reservation(BufferKind::Answers);
             return Ok(WorkerResponse::new(head, body, pool_return, buffered_bytes));
         }
-        log::warn!(
-            request = request.request_id.as_deref().unwrap_or_default(), worker = target.worker.as_str();
-            "skipped a response to another request"
-        );
+        decision.log_skipped();
         exchange.skip_body(decoded.body, MAX_SKIPPED_BYTES).await?;
     }
     Err(ExchangeError::NoResponse(
@@ -176,9 +189,45 @@
     Ok(WorkerConnection {
         connection: Connection::new(stream),
         opened: context.clock.now(),
+        carried: 0,
     })
 }
 
+/// What is known when it is decided whether an answer belongs to a request.
+struct Decision<'a> {
+    worker: &'a str,
+    request_id: Option<&'a str>,
+    answer: AnswerHead<'a>,
+    /// Number of requests that the connection carried before.
+    carried: u32,
+    /// Number of answers skipped before.
+    skipped: u32,
+}
+
+impl Decision<'_> {
+    fn log_refusal(&self) {
+        log::info!(
+            request = self.request_id.unwrap_or_default(), worker = self.worker,
+            status = self.answer.status, marked = self.answer.is_marked, named = self.named(),
+            carried = self.carried, skipped = self.skipped;
+            "worker refused a request"
+        );
+    }
+
+    fn log_skipped(&self) {
+        log::warn!(
+            request = self.request_id.unwrap_or_default(), worker = self.worker,
+            status = self.answer.status, marked = self.answer.is_marked, named = self.named(),
+            carried = self.carried, skipped = self.skipped;
+            "skipped a response to another request"
+        );
+    }
+
+    fn named(&self) -> &'static str {
+        self.answer.named.relation_to(self.request_id).text()
+    }
+}
+
 /// Returns whether a response belongs to the request. A process that has taken over the worker's
 /// address refuses requests without repeating their id.
 fn is_response_to(platform: &dyn Platform, request: &OutgoingRequest, head: &ResponseHead) -> bool {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -19,6 +19,8 @@
     pub(crate) connection: Connection,
     /// When it was open.
     pub(crate) opened: Timestamp,
+    /// Number of requests that were sent on it.
+    pub(crate) carried: u32,
 }
 
 impl WorkerConnection {
--- a/crates/gateway/src/upstream/response.rs
+++ b/crates/gateway/src/upstream/response.rs
@@ -40,6 +40,8 @@
     pub(crate) worker: String,
     /// When the connection was open.
     pub(crate) opened: Timestamp,
+    /// Number of requests that were sent on it.
+    pub(crate) carried: u32,
     /// Idle timeout that the worker announced.
     pub(crate) idle_timeout: Option<Duration>,
     /// Maximum number of idle connections that this node keeps to the worker.
@@ -53,6 +55,7 @@
         let connection = WorkerConnection {
             connection,
             opened: self.opened,
+            carried: self.carried,
         };
         self.pool
             .put(&self.worker, connection, self.idle_timeout, self.max_idle);
