An answer that doesn't belong to a request is no proof that it was not run

The gateway took the first for a refusal and sent the request to another worker.

Cause: `is_response_to` took a marked answer without an id for the request's own on any connection, an id that isn't text counted as none, the first of several ids counted alone, and the marker counted on every status. A request that was refused could also be sent again on the connection of the refusal, where a second copy of the refusal names it.

Now one pure place, `answers` in the core, decides for the exchange and so for attempts and migrations:

- An answer belongs to a request if it names exactly that request.
Without an id it belongs to it only if it is a refusal and the first answer on a connection that has carried no other request, where no other answer can be outstanding: a process that has taken over the address refuses like this.
All others are skipped.
- Only 400, 421, 429 and 503 with the marker, and 421 without, prove that the request was not run.
A marked answer of another status contradicts itself: the outcome is unknown.
- A connection remembers which requests it was refused for (64 at most, then it isn't kept), and doesn't carry them again.
A caller's request without an id is sent only on a new connection.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -8,6 +8,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
+use elderworks_gateway_core::answers::Outcome;
 use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep, SendPermit};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
@@ -21,6 +22,7 @@
 use elderworks_types::Timestamp;
 
 use super::access::SenderIdentity;
+use super::attempt_error::AttemptError;
 use super::migration::{MigratableRun, RunBackup};
 use super::quota::CountedRequest;
 use super::turn_permit::TurnPermit;
@@ -191,23 +193,18 @@
             self.open_witness(&target).await;
             let permit = self.permit_send().await?;
             let (failure, reason) = match self.attempt(permit, &target, last_event_id).await {
-                Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
-                    let status = running.response.head.status;
-                    self.note_refusal(&target.worker, status);
-                    let reason = format!("refused with {}", status.as_u16());
-                    (AttemptFailure::RefusedByWorker, reason)
+                Ok(running) => return Ok(running),
+                Err(error @ AttemptError::Refused(_)) => {
+                    (AttemptFailure::RefusedByWorker, error.to_string())
                 }
-                Ok(running) if implies_not_run(running.response.head.status) => {
-                    let status = running.response.head.status.as_u16();
-                    let reason = format!("status {status}, but not marked as not run");
-                    (AttemptFailure::Unknown, reason)
+                Err(error @ AttemptError::Unproven(_)) => {
+                    (AttemptFailure::Unknown, error.to_string())
                 }
-                Ok(running) => return Ok(running),
-                Err(ExchangeError::NotSent(reason)) => {
+                Err(AttemptError::Exchange(ExchangeError::NotSent(reason))) => {
                     self.probe_after_break(&target).await;
                     (AttemptFailure::NotSent, reason)
                 }
-                Err(ExchangeError::NoResponse(reason)) => {
+                Err(AttemptError::Exchange(ExchangeError::NoResponse(reason))) => {
                     self.note_break(&target).await;
                     (AttemptFailure::Unknown, reason)
                 }
@@ -223,7 +220,7 @@
         permit: SendPermit,
         target: &Target,
         last_event_id: Option<&str>,
-    ) -> Result<RunningResponse, ExchangeError> {
+    ) -> Result<RunningResponse, AttemptError> {
         self.sent = self.gateway.now();
         let ended = self.ends().ended;
         let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
@@ -256,7 +253,7 @@
             Ok(response) => response?,
             Err(_) if self.should_retry_silent() => {
                 let reason = "the worker is silent".to_owned();
-                return Err(ExchangeError::NoResponse(reason));
+                return Err(ExchangeError::NoResponse(reason).into());
             }
             Err(_) => {
                 self.note_worker_failure(&target.worker);
@@ -271,11 +268,19 @@
             let mut ends = self.gateway.requests.ends.borrow_mut();
             ends.note_running(WorkerKey::of(&target.worker));
         }
-        Ok(RunningResponse {
-            response,
-            address: target.address,
-            worker_use,
-        })
+        let status = response.head.status;
+        match response.outcome {
+            Outcome::Answered => Ok(RunningResponse {
+                response,
+                address: target.address,
+                worker_use,
+            }),
+            Outcome::NotRun => {
+                self.note_refusal(&target.worker, status);
+                Err(AttemptError::Refused(status))
+            }
+            Outcome::Unknown => Err(AttemptError::Unproven(status)),
+        }
     }
 
     pub(super) fn tried(&self) -> Vec<String> {
@@ -461,19 +466,6 @@
     }
 }
 
-/// Returns whether callers take a status as a guarantee that the request was not run. From a worker
-/// the status alone is not enough: without the platform's marker, the request may have run.
-pub(super) fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::PAYMENT_REQUIRED
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 fn identity_of(
     request: &CallerRequest,
     attributes: &CallAttributes,
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -18,7 +18,8 @@
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
 
 use super::CallError;
-use super::attempts::{Call, implies_not_run};
+use super::attempt_error::AttemptError;
+use super::attempts::Call;
 use super::stream::is_event_stream;
 use super::worker_use::RunningResponse;
 use crate::gateway::Gateway;
@@ -263,23 +264,10 @@
             backup_at: None,
         };
         let (end, reason) = match self.attempt(permit, &target, Some(last_event_id)).await {
-            Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
-                let status = running.response.head.status;
-                self.note_refusal(&at.worker, status);
-                (
-                    AttemptEnd::NotRun,
-                    format!("refused with {}", status.as_u16()),
-                )
-            }
             Ok(running) if is_event_stream(&running) => {
                 self.note_migrated(at);
                 return Ok(running);
             }
-            Ok(running) if implies_not_run(running.response.head.status) => {
-                let status = running.response.head.status.as_u16();
-                let reason = format!("status {status}, but not marked as not run");
-                (AttemptEnd::Unknown, reason)
-            }
             Ok(running) => {
                 let status = running.response.head.status.as_u16();
                 (
@@ -287,8 +275,12 @@
                     format!("status {status} instead of an event stream"),
                 )
             }
-            Err(ExchangeError::NotSent(reason)) => (AttemptEnd::NotRun, reason),
-            Err(ExchangeError::NoResponse(reason)) => {
+            Err(error @ AttemptError::Refused(_)) => (AttemptEnd::NotRun, error.to_string()),
+            Err(error @ AttemptError::Unproven(_)) => (AttemptEnd::Unknown, error.to_string()),
+            Err(AttemptError::Exchange(ExchangeError::NotSent(reason))) => {
+                (AttemptEnd::NotRun, reason)
+            }
+            Err(AttemptError::Exchange(ExchangeError::NoResponse(reason))) => {
                 self.note_break(&target).await;
                 (AttemptEnd::Unknown, reason)
             }
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod access;
 mod admission;
+mod attempt_error;
 mod attempts;
 mod early_end;
 mod flow;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -225,15 +225,9 @@
     /// Sets the headers that are added to a request for a worker.
     fn set_worker_headers(&self, headers: &mut HeaderMap, values: &WorkerHeaders<'_>);
 
-    /// Returns whether a response states that the worker did not run the request.
-    fn was_not_run(&self, response: &ResponseHead) -> bool;
-
     /// Returns what a response's head says about the request that it belongs to.
     fn answer_head<'a>(&self, response: &'a ResponseHead) -> AnswerHead<'a>;
 
-    /// Returns the request id that a response repeats.
-    fn response_request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
-
     /// Parses a request to one of the gateway's own endpoints.
     fn parse_endpoint_request(&self, method: &Method, uri: &Uri) -> EndpointRequest;
 
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{RequestHead, RequestHeadType, ServiceConfig};
 use bytes::Bytes;
-use elderworks_gateway_core::answers::AnswerHead;
+use elderworks_gateway_core::answers::{AnswerHead, CarriedRequests, Outcome, WaitingRequest};
 use elderworks_gateway_core::attempt::SendMark;
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::pressure::BufferKind;
@@ -121,14 +121,16 @@
     request: &OutgoingRequest,
     extra_headers: HeaderMap,
 ) -> Result<WorkerResponse, ExchangeError> {
-    let connection = match context.pool.take(&target.worker) {
+    let request_id = request.request_id.as_deref();
+    let connection = match context.pool.take_for(&target.worker, request_id) {
         Some(connection) => connection,
         None => connect(context, target.address).await?,
     };
     exchange_on(context, connection, target, request, extra_headers).await
 }
 
-/// Like [`exchange`], on this connection.
+/// Like [`exchange`], on this connection. Without an id, an answer is the request's own unless it names
+/// another one.
 pub(crate) async fn exchange_on(
     context: &ExchangeContext<'_>,
     connection: WorkerConnection,
@@ -139,37 +141,39 @@
     let WorkerConnection {
         connection,
         opened,
-        carried,
+        mut carried,
     } = connection;
     let head = RequestHeadType::Rc(request.head.clone(), Some(extra_headers));
     let mut exchange = Exchange::new(connection, context.http, head, request.body.as_ref())?;
     context.mark.note_sending();
     for skipped in 0..=MAX_MISMATCHED_RESPONSES {
         let decoded = exchange.next_head().await?;
-        let decision = Decision {
-            worker: &target.worker,
-            request_id: request.request_id.as_deref(),
-            answer: context.platform.answer_head(&decoded.head),
-            carried,
+        let waiting = WaitingRequest {
+            id: request.request_id.as_deref(),
+            carried: carried.count(),
             skipped,
         };
-        if is_response_to(context.platform, request, &decoded.head) {
-            if context.platform.was_not_run(&decoded.head) {
-                decision.log_refusal();
+        let answer = context.platform.answer_head(&decoded.head);
+        let outcome = answer.outcome(&waiting);
+        log_outcome(&target.worker, &waiting, &answer, outcome);
+        if let Some(outcome) = outcome {
+            carried.note_sent();
+            if let (Outcome::NotRun, Some(id)) = (outcome, waiting.id) {
+                carried.note_refused(id);
             }
             let pool_return = PoolReturn {
                 pool: context.pool.clone(),
                 worker: target.worker.clone(),
                 opened,
-                carried: carried.saturating_add(1),
+                carried,
                 idle_timeout: keep_alive_timeout(&decoded.head.headers),
                 max_idle: context.max_idle,
             };
             let (head, body) = exchange.into_body(decoded);
             let buffered_bytes = context.memory.reservation(BufferKind::Answers);
-            return Ok(WorkerResponse::new(head, body, pool_return, buffered_bytes));
+            let response = WorkerResponse::new(head, outcome, body, pool_return, buffered_bytes);
+            return Ok(response);
         }
-        decision.log_skipped();
         exchange.skip_body(decoded.body, MAX_SKIPPED_BYTES).await?;
     }
     Err(ExchangeError::NoResponse(
@@ -189,50 +193,27 @@
     Ok(WorkerConnection {
         connection: Connection::new(stream),
         opened: context.clock.now(),
-        carried: 0,
+        carried: CarriedRequests::default(),
     })
 }
 
-/// What is known when it is decided whether an answer belongs to a request.
-struct Decision<'a> {
-    worker: &'a str,
-    request_id: Option<&'a str>,
-    answer: AnswerHead<'a>,
-    /// Number of requests that the connection carried before.
-    carried: u32,
-    /// Number of answers skipped before.
-    skipped: u32,
-}
-
-impl Decision<'_> {
-    fn log_refusal(&self) {
-        log::info!(
-            request = self.request_id.unwrap_or_default(), worker = self.worker,
-            status = self.answer.status, marked = self.answer.is_marked, named = self.named(),
-            carried = self.carried, skipped = self.skipped;
-            "worker refused a request"
-        );
-    }
-
-    fn log_skipped(&self) {
-        log::warn!(
-            request = self.request_id.unwrap_or_default(), worker = self.worker,
-            status = self.answer.status, marked = self.answer.is_marked, named = self.named(),
-            carried = self.carried, skipped = self.skipped;
-            "skipped a response to another request"
-        );
-    }
-
-    fn named(&self) -> &'static str {
-        self.answer.named.relation_to(self.request_id).text()
-    }
-}
-
-/// Returns whether a response belongs to the request. A process that has taken over the worker's
-/// address refuses requests without repeating their id.
-fn is_response_to(platform: &dyn Platform, request: &OutgoingRequest, head: &ResponseHead) -> bool {
-    match platform.response_request_id(&head.headers) {
-        Some(id) => Some(id) == request.request_id.as_deref(),
-        None => platform.was_not_run(head) || request.request_id.is_none(),
-    }
+/// Logs how an answer was judged, unless it is a usual one.
+fn log_outcome(
+    worker: &str,
+    waiting: &WaitingRequest<'_>,
+    answer: &AnswerHead<'_>,
+    outcome: Option<Outcome>,
+) {
+    let message = match outcome {
+        Some(Outcome::Answered) => return,
+        Some(Outcome::NotRun) => "worker refused a request",
+        Some(Outcome::Unknown) => "answer leaves open whether its request was run",
+        None => "skipped a response to another request",
+    };
+    log::info!(
+        request = waiting.id.unwrap_or_default(), worker = worker, status = answer.status,
+        marked = answer.is_marked, named = answer.named.relation_to(waiting.id).text(),
+        carried = waiting.carried, skipped = waiting.skipped;
+        "{message}"
+    );
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) use pool::Pool;
 pub(crate) use response::WorkerResponse;
 
+use elderworks_gateway_core::answers::CarriedRequests;
 use elderworks_http_client::exchange::Connection;
 use elderworks_types::Timestamp;
 
@@ -19,8 +20,8 @@
     pub(crate) connection: Connection,
     /// When it was open.
     pub(crate) opened: Timestamp,
-    /// Number of requests that were sent on it.
-    pub(crate) carried: u32,
+    /// The requests that were sent on it.
+    pub(crate) carried: CarriedRequests,
 }
 
 impl WorkerConnection {
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -31,15 +31,18 @@
 impl Pool {
     /// Takes the most recently used connection that is still open.
     pub(crate) fn take(&self, worker: &str) -> Option<WorkerConnection> {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(worker)?;
-        let now = Instant::now();
-        while let Some(mut candidate) = connections.pop() {
-            if candidate.usable_until > now && candidate.connection.is_idle() {
-                return Some(candidate.connection);
-            }
-        }
-        None
+        self.take_where(worker, |_| true)
+    }
+
+    /// Takes the most recently used connection that is still open and may carry a caller's request.
+    pub(crate) fn take_for(
+        &self,
+        worker: &str,
+        request_id: Option<&str>,
+    ) -> Option<WorkerConnection> {
+        self.take_where(worker, |connection| {
+            connection.carried.may_carry(request_id)
+        })
     }
 
     /// Takes the most recently used connection that is still open and was so at this time.
@@ -47,14 +50,24 @@
         &self,
         worker: &str,
         time: Timestamp,
+    ) -> Option<WorkerConnection> {
+        self.take_where(worker, |connection| connection.opened <= time)
+    }
+
+    /// Takes the most recently used connection that is still open and is suitable.
+    fn take_where(
+        &self,
+        worker: &str,
+        is_suitable: impl Fn(&WorkerConnection) -> bool,
     ) -> Option<WorkerConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(worker)?;
         let now = Instant::now();
-        let found = connections.iter_mut().rposition(|candidate| {
-            let connection = &mut candidate.connection;
-            connection.opened <= time && candidate.usable_until > now && connection.is_idle()
-        })?;
+        connections
+            .retain_mut(|candidate| candidate.usable_until > now && candidate.connection.is_idle());
+        let found = connections
+            .iter()
+            .rposition(|candidate| is_suitable(&candidate.connection))?;
         Some(connections.remove(found).connection)
     }
 
--- a/crates/gateway/src/upstream/response.rs
+++ b/crates/gateway/src/upstream/response.rs
@@ -6,6 +6,7 @@
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
+use elderworks_gateway_core::answers::{CarriedRequests, Outcome};
 use elderworks_gateway_core::pressure::should_read_answer;
 use elderworks_http_client::exchange::{Body, Connection};
 use elderworks_http_client::response::ResponseError;
@@ -18,6 +19,8 @@
 pub(crate) struct WorkerResponse {
     /// Status and headers.
     pub(crate) head: ResponseHead,
+    /// What it tells about its request.
+    pub(crate) outcome: Outcome,
     /// When its connection was open.
     pub(crate) opened: Timestamp,
     /// What remains to be received; `None` after the end of the body.
@@ -40,8 +43,8 @@
     pub(crate) worker: String,
     /// When the connection was open.
     pub(crate) opened: Timestamp,
-    /// Number of requests that were sent on it.
-    pub(crate) carried: u32,
+    /// The requests that were sent on it.
+    pub(crate) carried: CarriedRequests,
     /// Idle timeout that the worker announced.
     pub(crate) idle_timeout: Option<Duration>,
     /// Maximum number of idle connections that this node keeps to the worker.
@@ -50,6 +53,9 @@
 
 impl PoolReturn {
     fn return_connection(self, mut connection: Connection) {
+        if !self.carried.is_reusable() {
+            return;
+        }
         connection.receiver.buffer = bytes::BytesMut::new();
         connection.sender.buffer = bytes::BytesMut::new();
         let connection = WorkerConnection {
@@ -66,6 +72,7 @@
     /// Creates a response whose body follows.
     pub(crate) fn new(
         head: ResponseHead,
+        outcome: Outcome,
         body: Body,
         pool_return: PoolReturn,
         buffered_bytes: MemoryReservation,
@@ -73,6 +80,7 @@
         let is_whole = body.is_whole();
         let mut response = Self {
             head,
+            outcome,
             opened: pool_return.opened,
             rest: Some(Rest { body, pool_return }),
             buffered_bytes,
