--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) use pool::Pool;
 pub(crate) use response::WorkerResponse;
 
+use elderworks_gateway_core::answers::CarriedRequests;
 use elderworks_http_client::exchange::Connection;
 use elderworks_types::Timestamp;
 
@@ -19,6 +20,8 @@
     pub(crate) connection: Connection,
     /// When it was open.
     pub(crate) opened: Timestamp,
+    /// The requests that were sent on it.
+    pub(crate) carried: CarriedRequests,
 }
 
 impl WorkerConnection {
