A worker is lost only if that is proved

- A silent worker whose record is gone counts as ended for requests that end workers (the safe side there), and so it did for streams, though it may be cut off from the store and at work.
Streams now ask for a proved end.
One that was heard meanwhile on another connection isn't lost now.
- The other way round: an engine that a probe found ended before its answer's head, and that can't be asked to stop, kept its request from going elsewhere (attempts 2).
Such a failure is now known as one at an ended worker.

Tables and model of the history have the new failure.

--- a/crates/gateway-core/src/attempt.rs
+++ b/crates/gateway-core/src/attempt.rs
@@ -22,6 +22,8 @@
     RefusedByWorker,
     /// Bytes were sent and no valid response was received; the request may have run.
     Unknown,
+    /// The same, and the worker's process has ended.
+    UnknownAtEndedWorker,
 }
 
 /// Proof that no worker has run or will run a request.
@@ -215,6 +217,10 @@
                 self.possibly_run += 1;
                 self.runs.note_run(worker);
             }
+            AttemptFailure::UnknownAtEndedWorker => {
+                self.possibly_run += 1;
+                self.runs.note_lost(worker);
+            }
         }
         if self.possibly_run > 0 && !rules.repeatable {
             return NextStep::GiveUp;
@@ -222,7 +228,11 @@
         if self.possibly_run >= rules.max_workers {
             let is_last_worker = self.possibly_run == rules.max_workers;
             return match failure {
-                AttemptFailure::Unknown if is_last_worker => NextStep::RetrySameWorker,
+                AttemptFailure::Unknown | AttemptFailure::UnknownAtEndedWorker
+                    if is_last_worker =>
+                {
+                    NextStep::RetrySameWorker
+                }
                 _ => NextStep::GiveUp,
             };
         }
--- a/crates/gateway-core/src/worker_ends/table.rs
+++ b/crates/gateway-core/src/worker_ends/table.rs
@@ -347,6 +347,13 @@
         self.ended_workers.contains_key(&WorkerPart::of(worker))
     }
 
+    /// Returns whether a worker's process is proved to have ended. One that is silent while its record is
+    /// gone counts as ended, but may be cut off.
+    pub fn has_proved_end(&self, worker: WorkerKey) -> bool {
+        let ended = self.ended_workers.get(&WorkerPart::of(worker));
+        ended.is_some_and(|ended| !ended.may_return)
+    }
+
     /// Forgets requests whose last end is longer than `lifetime` ago.
     pub fn drop_old(&mut self, now: Timestamp, lifetime: Duration) {
         self.ended_workers
--- a/crates/gateway-core/src/workers/mod.rs
+++ b/crates/gateway-core/src/workers/mod.rs
@@ -91,6 +91,8 @@
     missing_until: Option<Timestamp>,
     /// When this node learned that the worker is draining, if it learned it without delay.
     draining_since: Option<Timestamp>,
+    /// When this node last received a part of an answer from it.
+    last_heard: Option<Timestamp>,
 }
 
 impl Worker {
@@ -212,6 +214,7 @@
             next_cold_request: Timestamp::default(),
             missing_until: None,
             draining_since: None,
+            last_heard: None,
         };
         let key = worker.key;
         match self.workers.insert(worker.record.id.clone(), worker) {
@@ -415,6 +418,19 @@
         worker.in_flight + self.peer_loads.at(worker.key)
     }
 
+    /// Records that a part of an answer was received from a worker.
+    pub fn note_heard(&mut self, id: &str, now: Timestamp) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.last_heard = Some(now);
+        }
+    }
+
+    /// Returns whether a part of an answer was received from a worker at this time or later.
+    pub fn was_heard_since(&self, id: &str, since: Timestamp) -> bool {
+        let last_heard = self.workers.get(id).and_then(|worker| worker.last_heard);
+        last_heard.is_some_and(|heard| heard >= since)
+    }
+
     /// Records a valid response.
     pub fn note_success(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/gateway-core/tests/attempts.rs
+++ b/crates/gateway-core/tests/attempts.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 
-use AttemptFailure::{NotReached, NotSent, RefusedByWorker, Unknown};
+use AttemptFailure::{NotReached, NotSent, RefusedByWorker, Unknown, UnknownAtEndedWorker};
 use NextStep::{GiveUp, Retry, RetrySameWorker, StopRun};
 
 /// Whether the history proves that the request was not run.
@@ -260,6 +260,13 @@
         next: Some(StopRun),
         only: Some("w1"),
     },
+    EngineCase {
+        name: "the same, but the engine has ended",
+        max_workers: 2,
+        steps: &[Step::Fails("w1", UnknownAtEndedWorker)],
+        next: Some(Retry),
+        only: None,
+    },
     EngineCase {
         name: "a second engine after the first has stopped",
         max_workers: 2,
@@ -341,7 +348,14 @@
 
 fn engine_step() -> impl Strategy<Value = Step> {
     let engine = || prop::sample::select(vec!["w1", "w2", "w3"]);
-    let failure = prop::sample::select(vec![NotReached, NotSent, RefusedByWorker, Unknown]);
+    let failures = vec![
+        NotReached,
+        NotSent,
+        RefusedByWorker,
+        Unknown,
+        UnknownAtEndedWorker,
+    ];
+    let failure = prop::sample::select(failures);
     prop_oneof![
         (engine(), failure).prop_map(|(engine, failure)| Step::Fails(engine, failure)),
         engine().prop_map(Step::Breaks),
@@ -370,7 +384,7 @@
                     history.after_failure(failure, engine, rules);
                     match failure {
                         Unknown => { ran_at.insert(engine, true); }
-                        NotReached => { ran_at.remove(engine); }
+                        NotReached | UnknownAtEndedWorker => { ran_at.remove(engine); }
                         NotSent | RefusedByWorker => {}
                     }
                 }
@@ -411,6 +425,7 @@
         Just(Event::Fails(NotSent)),
         Just(Event::Fails(RefusedByWorker)),
         Just(Event::Fails(Unknown)),
+        Just(Event::Fails(UnknownAtEndedWorker)),
     ]
 }
 
@@ -444,7 +459,7 @@
                 Event::Fails(failure) => {
                     let rules = RetryRules { repeatable, max_workers: max_attempts, overlap };
                     history.after_failure(failure, "w1", rules);
-                    may_have_run |= failure == Unknown;
+                    may_have_run |= matches!(failure, Unknown | UnknownAtEndedWorker);
                     current_sent = false;
                 }
             }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -174,7 +174,7 @@
                     let target = Target::at(&running.engine());
                     self.log_failure(&target.worker, &broken.to_string());
                     self.note_break(&target).await;
-                    let failure = AttemptFailure::Unknown;
+                    let failure = self.failure_without_answer(&target.worker);
                     self.after_failure(&target, failure, None).await?;
                 }
             }
@@ -210,7 +210,7 @@
                 }
                 Err(AttemptError::Exchange(ExchangeError::NotReached(reason))) => {
                     self.probe_after_break(&target).await;
-                    (AttemptFailure::NotReached, reason)
+                    (self.failure_without_connection(&target.worker), reason)
                 }
                 Err(AttemptError::Exchange(ExchangeError::NotSent(reason))) => {
                     self.probe_after_break(&target).await;
@@ -218,7 +218,7 @@
                 }
                 Err(AttemptError::Exchange(ExchangeError::NoResponse(reason))) => {
                     self.note_break(&target).await;
-                    (AttemptFailure::Unknown, reason)
+                    (self.failure_without_answer(&target.worker), reason)
                 }
             };
             self.log_failure(&target.worker, &reason);
@@ -452,6 +452,24 @@
         }
     }
 
+    /// Returns how an attempt failed that got no answer.
+    fn failure_without_answer(&self, worker: &str) -> AttemptFailure {
+        match self.has_proved_end(worker) {
+            true => AttemptFailure::UnknownAtEndedWorker,
+            false => AttemptFailure::Unknown,
+        }
+    }
+
+    /// Returns how an attempt failed for which no connection could be established. A worker that was heard
+    /// meanwhile on another one isn't lost.
+    fn failure_without_connection(&self, worker: &str) -> AttemptFailure {
+        let workers = self.gateway.workers.borrow();
+        match workers.was_heard_since(worker, self.sent) {
+            true => AttemptFailure::NotSent,
+            false => AttemptFailure::NotReached,
+        }
+    }
+
     /// Returns what the call's route and service allow once the request may have run.
     pub(super) fn retry_rules(&self) -> RetryRules {
         let overlap = match self.is_for_engine() {
@@ -472,7 +490,9 @@
         failure: AttemptFailure,
     ) -> Result<(), CallError> {
         self.retry_at = match failure {
-            AttemptFailure::Unknown => self.target_unless_ejected(worker),
+            AttemptFailure::Unknown | AttemptFailure::UnknownAtEndedWorker => {
+                self.target_unless_ejected(worker)
+            }
             _ => {
                 actix_rt::time::sleep(PAUSE_AT_ONLY_WORKER).await;
                 self.target_of_broken_stream(worker)
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -18,6 +18,7 @@
 };
 
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
+use elderworks_types::Timestamp;
 
 use super::CallError;
 use super::attempt_error::AttemptError;
@@ -227,7 +228,7 @@
     }
 
     async fn request_copy(&self, hop: CopyPath, stop_after: Option<&str>) -> CallEnd {
-        let started = Instant::now();
+        let (started, since) = (Instant::now(), self.gateway.now());
         let request_id = self.attributes.request_id.clone().unwrap_or_default();
         let wanted = RunMove {
             request_id,
@@ -247,6 +248,9 @@
                 self.note_copied(&outcome);
                 CallEnd::Answered(outcome)
             }
+            Err(EngineError::NotReached(_)) if self.was_heard_at(hop.source, since) => {
+                CallEnd::NotSent
+            }
             Err(EngineError::NotReached(_)) => CallEnd::NotReached,
             Err(EngineError::NotSent(_)) => CallEnd::NotSent,
             Err(EngineError::Refused(_)) => CallEnd::Refused,
@@ -254,6 +258,15 @@
         }
     }
 
+    /// Returns whether the worker at an address was heard at this time or later, so that it isn't lost.
+    fn was_heard_at(&self, address: SocketAddr, since: Timestamp) -> bool {
+        let workers = self.gateway.workers.borrow();
+        let mut at_address = workers
+            .iter()
+            .filter(|worker| worker.record.address == address);
+        at_address.any(|worker| workers.was_heard_since(&worker.record.id, since))
+    }
+
     /// Asks an engine to stop the call's run, so that another one may run it after its last event.
     pub(super) async fn request_stop(
         &mut self,
--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -75,10 +75,14 @@
 
     /// Records that the process at a worker's address has answered on a connection.
     pub(super) fn note_sign_of_life(&self, worker: &str, opened: Timestamp) {
+        let answered = self.gateway.now();
+        let mut workers = self.gateway.workers.borrow_mut();
+        workers.note_heard(worker, answered);
+        drop(workers);
         let sign = SignOfLife {
             worker: WorkerKey::of(worker),
             opened,
-            answered: self.gateway.now(),
+            answered,
         };
         peers::note_sign_of_life(self.gateway, worker, &sign);
     }
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -89,10 +89,7 @@
         let worker = engine.worker.as_str();
         self.gateway.pool.discard_connections(worker);
         self.history.note_broken_answer(worker);
-        let has_ended = {
-            let ends = self.gateway.requests.ends.borrow();
-            ends.has_ended(WorkerKey::of(worker))
-        };
+        let has_ended = self.has_proved_end(worker);
         if has_ended {
             self.history.note_lost(worker);
         }
@@ -113,16 +110,21 @@
         Ok(same)
     }
 
+    /// Returns whether a worker's process is proved to have ended.
+    pub(super) fn has_proved_end(&self, worker: &str) -> bool {
+        let ends = self.gateway.requests.ends.borrow();
+        ends.has_proved_end(WorkerKey::of(worker))
+    }
+
     /// Returns the worker at which a stream broke off as the target of the next attempt, unless it is gone
     /// or has been draining for too long.
     pub(super) fn target_of_broken_stream(&self, worker: &str) -> Option<Target> {
         let now = self.gateway.now();
         let workers = self.gateway.workers.borrow();
         let rule = self.version_rule();
-        let ends = self.gateway.requests.ends.borrow();
         workers
             .get(worker)
-            .filter(|known| !ends.has_ended(known.key()))
+            .filter(|_| !self.has_proved_end(worker))
             .filter(|known| workers.may_continue_stream(known, now))
             .filter(|known| workers.follows(rule, known, now))
             .map(|known| Target::direct(&known.record))
