--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -259,7 +259,7 @@
     }
 
     /// Returns whether the worker at an address was heard at this time or later, so that it isn't lost.
-    fn was_heard_at(&self, address: SocketAddr, since: Timestamp) -> bool {
+    pub(super) fn was_heard_at(&self, address: SocketAddr, since: Timestamp) -> bool {
         let workers = self.gateway.workers.borrow();
         let mut at_address = workers
             .iter()
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -9,6 +9,7 @@
 use elderworks_gateway_core::run_moves::stop::StopOutcome;
 use elderworks_gateway_core::stream_versions::lookup::{KnownOrigin, ResumptionOutcome};
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamKey, StreamVersion};
+use elderworks_http_client::connect::ConnectError;
 
 use super::CallError;
 use super::attempts::Call;
@@ -18,6 +19,7 @@
 use crate::clock::millis;
 use crate::peers;
 use crate::reply::Refusal;
+use crate::socket;
 use crate::upstream::Target;
 
 /// Reason for ending a response whose stream can't be resumed.
@@ -110,6 +112,14 @@
         Ok(same)
     }
 
+    /// Returns whether no connection to an engine can be established and it isn't heard on another one.
+    async fn is_unreachable(&self, engine: &Engine) -> bool {
+        let since = self.gateway.now();
+        let connected = socket::connect(engine.address).await;
+        let is_unreachable = matches!(connected, Err(ConnectError::Unreachable(_)));
+        is_unreachable && !self.was_heard_at(engine.address, since)
+    }
+
     /// Returns whether a worker's process is proved to have ended.
     pub(super) fn has_proved_end(&self, worker: &str) -> bool {
         let ends = self.gateway.requests.ends.borrow();
@@ -130,18 +140,22 @@
             .map(|known| Target::direct(&known.record))
     }
 
-    /// Makes sure that an engine no longer runs the request, so that another worker may. An error means
-    /// that it may still run it, or that the route allows no other worker.
+    /// Makes sure that an engine no longer runs the request or is lost, so that another worker may run it.
+    /// An error means that it may still run it, or that the route allows no other worker.
     pub(super) async fn stop_run(
         &mut self,
         engine: &Engine,
         last_event_id: Option<&str>,
     ) -> Result<(), CallError> {
         let is_possible = self.history.may_leave_after_stop(self.retry_rules());
-        let outcome = match is_possible {
+        let answered = match is_possible {
             true => self.request_stop(engine, last_event_id).await,
             false => StopOutcome::Unsure,
         };
+        let outcome = match answered {
+            StopOutcome::Unsure if self.is_unreachable(engine).await => StopOutcome::Lost,
+            outcome => outcome,
+        };
         log::info!(
             request = self.attributes.request_id.as_deref().unwrap_or_default(),
             worker = engine.worker.as_str(), attempts = self.route.attempts, asked = is_possible,
