Pool: only the connection to be used is checked

Since every take asked the socket of each idle connection to the worker whether it is open, one system call each. As before that, only candidates are asked now, the latest first. What it costs was not measured apart.

--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -134,8 +134,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`ExchangeError::NotReached`] without a connection, [`ExchangeError::NotSent`] if no byte of
-/// the request can have reached the worker for another reason, and [`ExchangeError::NoResponse`] if the worker may have received it but no valid response came.
+/// Returns [`ExchangeError::NotReached`] if no connection to the worker can be established,
+/// [`ExchangeError::NotSent`] if no byte of the request can have reached it for another reason, and
+/// [`ExchangeError::NoResponse`] if it may have received the request but no valid response came.
 pub(crate) async fn exchange(
     context: &ExchangeContext<'_>,
     target: &Target,
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -63,12 +63,16 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(worker)?;
         let now = Instant::now();
-        connections
-            .retain_mut(|candidate| candidate.usable_until > now && candidate.connection.is_idle());
-        let found = connections
-            .iter()
-            .rposition(|candidate| is_suitable(&candidate.connection))?;
-        Some(connections.remove(found).connection)
+        for index in (0..connections.len()).rev() {
+            if !is_suitable(&connections[index].connection) {
+                continue;
+            }
+            let mut candidate = connections.remove(index);
+            if candidate.usable_until > now && candidate.connection.is_idle() {
+                return Some(candidate.connection);
+            }
+        }
+        None
     }
 
     /// Returns whether there is an idle connection to a worker that is probably still open.
