--- a/crates/gateway/src/forward/observations.rs
+++ b/crates/gateway/src/forward/observations.rs
@@ -75,14 +75,10 @@
 
     /// Records that the process at a worker's address has answered on a connection.
     pub(super) fn note_sign_of_life(&self, worker: &str, opened: Timestamp) {
-        let answered = self.gateway.now();
-        let mut workers = self.gateway.workers.borrow_mut();
-        workers.note_heard(worker, answered);
-        drop(workers);
         let sign = SignOfLife {
             worker: WorkerKey::of(worker),
             opened,
-            answered,
+            answered: self.gateway.now(),
         };
         peers::note_sign_of_life(self.gateway, worker, &sign);
     }
--- a/crates/gateway/src/peers/worker_ends.rs
+++ b/crates/gateway/src/peers/worker_ends.rs
@@ -255,6 +255,7 @@
 /// Records that the process at a worker's address has answered, which may show that it outlived exchanges.
 pub(crate) fn note_sign_of_life(gateway: &Gateway, worker: &str, sign: &SignOfLife) {
     let now = gateway.now();
+    gateway.workers.borrow_mut().note_heard(worker, now);
     let outlived = gateway.requests.ends.borrow_mut().note_answer(now, sign);
     if outlived == 0 {
         return;
--- a/crates/gateway/src/worker_probes.rs
+++ b/crates/gateway/src/worker_probes.rs
@@ -129,6 +129,10 @@
             after_ms = gateway.now().since(running.broke_off.get()).as_millis();
             "probed a worker on a new connection"
         );
+        if finding == Finding::Answered {
+            let now = gateway.now();
+            gateway.workers.borrow_mut().note_heard(worker, now);
+        }
         let is_listed = gateway.workers.borrow().is_listed(worker);
         // A request may have been left without an answer during the probe.
         let investigation = Investigation::of_exchange(running.broke_off.get());
