Soak: proxies listen at addresses of their own process

Proxies now listen at the loopback address of their own process, as the gateways do. No check changes.

--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -11,7 +11,7 @@
 
 use serde_json::Value;
 
-use crate::proxy::Proxy;
+use crate::proxy::{Proxy, own_address};
 use crate::standin::caller::Request;
 use crate::standin::platform::{
     Deployment, NodeEndpoints, SETTINGS_VARIABLE, configuration, reports_ready, settings_text_at,
@@ -479,10 +479,9 @@
     }
 
     fn new_node(&self, number: usize) -> Node {
-        let process = std::process::id().to_be_bytes();
         let host = 2 + self.addresses.0 * LARGE_ROUND_NODES + number;
         let host = u8::try_from(host).expect("all addresses fit into the last byte");
-        let ip = Ipv4Addr::new(127, process[2] | 1, process[3], host);
+        let ip = own_address(host);
         let endpoints = NodeEndpoints {
             ip,
             callers: FIRST_PORT,
--- a/crates/cli/tests/soak/proxy.rs
+++ b/crates/cli/tests/soak/proxy.rs
@@ -1,7 +1,7 @@
 //! A loopback TCP proxy that injects faults into its connections.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -48,6 +48,13 @@
 /// A time from one moment until another.
 pub type Period = (Instant, Instant);
 
+/// Returns a loopback address of this process, so that no other one takes the ports of workers that
+/// have ended. Those of two processes differ unless their ids differ by 256 or multiples of 65,536.
+pub fn own_address(host: u8) -> Ipv4Addr {
+    let process = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, process[2] | 1, process[3], host)
+}
+
 /// Interval at which a connection checks whether the fault has changed.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -92,7 +99,8 @@
     /// Starts a proxy that ends with its target: when the target crashes, connections are refused
     /// and the open ones reset.
     pub fn start_while(target: SocketAddr, mut running: watch::Receiver<ServerState>) -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let any_port = SocketAddr::from((own_address(1), 0));
+        let listener = std::net::TcpListener::bind(any_port).expect("a free port");
         listener
             .set_nonblocking(true)
             .expect("the listener can be non-blocking");
