--- a/crates/gateway-core/tests/run_moves.rs
+++ b/crates/gateway-core/tests/run_moves.rs
@@ -6,6 +6,7 @@
 use elderworks_gateway_core::engines::{MoveOutcome, RunCopy};
 use elderworks_gateway_core::policy::Policy;
 use elderworks_gateway_core::run_moves::backups::{BURST_S, BackupRules, Backups, RunSize};
+use elderworks_gateway_core::run_moves::stop::{RunStop, StopOutcome, StopStep, left_copy};
 use elderworks_gateway_core::run_moves::targets::{ZonePreference, choose};
 use elderworks_gateway_core::run_moves::{
     AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction, RunMigration,
@@ -54,6 +55,48 @@
     }
 }
 
+#[test]
+fn what_a_call_to_stop_a_run_shows() {
+    use StopOutcome::{Lost, Stopped, Unsure};
+    use StopStep::{AskAgain, Done};
+    let answered = CallEnd::Answered;
+    let no_room = |handle: Option<&str>| MoveOutcome::NoRoom {
+        handle: handle.map(str::to_owned),
+    };
+    let cases = [
+        (copied("h"), Done(Stopped), Done(Stopped), Some(copy("h"))),
+        (
+            answered(no_room(Some("h"))),
+            Done(Stopped),
+            Done(Stopped),
+            Some(copy("h")),
+        ),
+        (
+            answered(MoveOutcome::NoSuchRun),
+            Done(Stopped),
+            Done(Stopped),
+            None,
+        ),
+        (CallEnd::NotReached, Done(Lost), Done(Lost), None),
+        (answered(no_room(None)), Done(Unsure), Done(Unsure), None),
+        (CallEnd::Refused, Done(Unsure), Done(Unsure), None),
+        (
+            answered(MoveOutcome::UnderWay),
+            AskAgain,
+            Done(Unsure),
+            None,
+        ),
+        (CallEnd::NotSent, AskAgain, Done(Unsure), None),
+        (CallEnd::Unknown, AskAgain, Done(Unsure), None),
+    ];
+    for (end, first, second, left) in cases {
+        let mut stop = RunStop::default();
+        assert_eq!(stop.after_call(&end), first, "{end:?}");
+        assert_eq!(stop.after_call(&end), second, "{end:?} again");
+        assert_eq!(left_copy(source().address, end.clone()), left, "{end:?}");
+    }
+}
+
 fn stop_at_target() -> RunAction {
     RunAction::Stop(CopyPath {
         source: source().address,
@@ -63,7 +106,7 @@
 
 #[test]
 fn actions_after_a_broken_stream() {
-    use CallEnd::{Answered, NotReached, Refused, Unknown};
+    use CallEnd::{Answered, NotReached, NotSent, Refused, Unknown};
     let resume = |at: Engine, handle: &str| RunAction::Resume {
         at,
         copy: copy(handle),
@@ -101,6 +144,18 @@
             resume(backup(), "r1"),
             RunAction::End(EndReason::NoCopy),
         ),
+        (
+            vec![NotSent, NotReached],
+            resume(backup(), "r1"),
+            RunAction::End(EndReason::NoCopy),
+        ),
+        (
+            vec![NotSent, copied("h")],
+            resume(backup(), "h"),
+            resume(target(), "h"),
+        ),
+        (vec![NotSent, NotSent], unsettled(), unsettled()),
+        (vec![NotSent, Unknown], unsettled(), unsettled()),
         (vec![Unknown, Unknown], unsettled(), unsettled()),
         (
             vec![
@@ -257,6 +312,12 @@
         "the end of the stream may still arrive"
     );
     run.migrate(MigrationReason::Silent, None);
+    assert!(matches!(
+        run.after_stop(CallEnd::NotSent),
+        RunAction::Stop(_)
+    ));
+    assert_eq!(run.after_stop(CallEnd::NotSent), RunAction::Read);
+    run.migrate(MigrationReason::Silent, None);
     let action = run.after_stop(CallEnd::NotReached);
     assert!(matches!(action, RunAction::Resume { .. }), "{action:?}");
 }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -3,12 +3,15 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
-use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, NextStep, SendPermit};
+use elderworks_gateway_core::answers::Outcome;
+use elderworks_gateway_core::attempt::{
+    AttemptFailure, AttemptHistory, NextStep, Overlap, RetryRules, SendPermit,
+};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
@@ -21,6 +24,7 @@
 use elderworks_types::Timestamp;
 
 use super::access::SenderIdentity;
+use super::attempt_error::AttemptError;
 use super::migration::{MigratableRun, RunBackup};
 use super::quota::CountedRequest;
 use super::turn_permit::TurnPermit;
@@ -39,6 +43,9 @@
 /// Maximum size in bytes of a response that is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Pause before a request is sent again to a worker that refused it while no other may run it.
+const PAUSE_AT_ONLY_WORKER: Duration = Duration::from_millis(40);
+
 /// Lowest priority that engines accept; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -164,11 +171,11 @@
                     return Ok(());
                 }
                 Err(broken) => {
-                    let worker = running.worker_use.worker.clone();
                     let target = Target::at(&running.engine());
-                    self.log_failure(&worker, &broken.to_string());
+                    self.log_failure(&target.worker, &broken.to_string());
                     self.note_break(&target).await;
-                    self.after_failure(&worker, AttemptFailure::Unknown)?;
+                    let failure = AttemptFailure::Unknown;
+                    self.after_failure(&target, failure, None).await?;
                 }
             }
         }
@@ -187,33 +194,35 @@
                 Some(target) => target,
                 None => self.choose_target().await?,
             };
+            if !self.history.may_send_to(&target.worker, self.retry_rules()) {
+                return Err(self.give_up());
+            }
             let target = self.with_backup(target);
             self.open_witness(&target).await;
             let permit = self.permit_send().await?;
             let (failure, reason) = match self.attempt(permit, &target, last_event_id).await {
-                Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
-                    let status = running.response.head.status;
-                    self.note_refusal(&target.worker, status);
-                    let reason = format!("refused with {}", status.as_u16());
-                    (AttemptFailure::RefusedByWorker, reason)
+                Ok(running) => return Ok(running),
+                Err(error @ AttemptError::Refused(_)) => {
+                    (AttemptFailure::RefusedByWorker, error.to_string())
                 }
-                Ok(running) if implies_not_run(running.response.head.status) => {
-                    let status = running.response.head.status.as_u16();
-                    let reason = format!("status {status}, but not marked as not run");
-                    (AttemptFailure::Unknown, reason)
+                Err(error @ AttemptError::Unproven(_)) => {
+                    (AttemptFailure::Unknown, error.to_string())
                 }
-                Ok(running) => return Ok(running),
-                Err(ExchangeError::NotSent(reason)) => {
+                Err(AttemptError::Exchange(ExchangeError::NotReached(reason))) => {
+                    self.probe_after_break(&target).await;
+                    (AttemptFailure::NotReached, reason)
+                }
+                Err(AttemptError::Exchange(ExchangeError::NotSent(reason))) => {
                     self.probe_after_break(&target).await;
                     (AttemptFailure::NotSent, reason)
                 }
-                Err(ExchangeError::NoResponse(reason)) => {
+                Err(AttemptError::Exchange(ExchangeError::NoResponse(reason))) => {
                     self.note_break(&target).await;
                     (AttemptFailure::Unknown, reason)
                 }
             };
             self.log_failure(&target.worker, &reason);
-            self.after_failure(&target.worker, failure)?;
+            self.after_failure(&target, failure, last_event_id).await?;
         }
     }
 
@@ -223,7 +232,7 @@
         permit: SendPermit,
         target: &Target,
         last_event_id: Option<&str>,
-    ) -> Result<RunningResponse, ExchangeError> {
+    ) -> Result<RunningResponse, AttemptError> {
         self.sent = self.gateway.now();
         let ended = self.ends().ended;
         let worker_use = WorkerUse::start(self.gateway, &target.worker, &self.identity, ended);
@@ -256,7 +265,7 @@
             Ok(response) => response?,
             Err(_) if self.should_retry_silent() => {
                 let reason = "the worker is silent".to_owned();
-                return Err(ExchangeError::NoResponse(reason));
+                return Err(ExchangeError::NoResponse(reason).into());
             }
             Err(_) => {
                 self.note_worker_failure(&target.worker);
@@ -271,11 +280,19 @@
             let mut ends = self.gateway.requests.ends.borrow_mut();
             ends.note_running(WorkerKey::of(&target.worker));
         }
-        Ok(RunningResponse {
-            response,
-            address: target.address,
-            worker_use,
-        })
+        let status = response.head.status;
+        match response.outcome {
+            Outcome::Answered => Ok(RunningResponse {
+                response,
+                address: target.address,
+                worker_use,
+            }),
+            Outcome::NotRun => {
+                self.note_refusal(&target.worker, status);
+                Err(AttemptError::Refused(status))
+            }
+            Outcome::Unknown => Err(AttemptError::Unproven(status)),
+        }
     }
 
     pub(super) fn tried(&self) -> Vec<String> {
@@ -388,7 +405,7 @@
     }
 
     /// Returns what engines of the call's service can transfer to each other.
-    fn engine_moves(&self) -> &MemoryMoves {
+    pub(super) fn engine_moves(&self) -> &MemoryMoves {
         const NONE: &MemoryMoves = &MemoryMoves::NONE;
         let service = self.config.service(&self.service);
         let engine = service.and_then(|service| service.engine.as_ref());
@@ -410,11 +427,13 @@
     }
 
     /// Records a failed attempt. An error means that no further attempt is made.
-    pub(super) fn after_failure(
+    async fn after_failure(
         &mut self,
-        worker: &str,
+        target: &Target,
         failure: AttemptFailure,
+        last_event_id: Option<&str>,
     ) -> Result<(), CallError> {
+        let worker = target.worker.as_str();
         self.gateway.metrics.attempts_failed.inc();
         self.waiting_since = None;
         self.silent_since = None;
@@ -422,23 +441,49 @@
             self.gateway.pool.discard_connections(worker);
             self.note_worker_failure(worker);
         }
-        let repeatable = self.route.is_repeatable();
         let step = self
             .history
-            .after_failure(failure, repeatable, self.route.attempts);
+            .after_failure(failure, worker, self.retry_rules());
         match step {
             NextStep::Retry => Ok(()),
-            NextStep::RetrySameWorker => {
-                self.retry_at = self.target_unless_ejected(worker);
-                match self.retry_at {
-                    Some(_) => Ok(()),
-                    None => Err(self.give_up()),
-                }
-            }
+            NextStep::RetrySameWorker => self.plan_retry_at(worker, failure).await,
+            NextStep::StopRun => self.stop_run(&target.engine(), last_event_id).await,
             NextStep::GiveUp => Err(self.give_up()),
         }
     }
 
+    /// Returns what the call's route and service allow once the request may have run.
+    pub(super) fn retry_rules(&self) -> RetryRules {
+        let overlap = match self.is_for_engine() {
+            true => Overlap::Excluded,
+            false => Overlap::Allowed,
+        };
+        RetryRules {
+            repeatable: self.route.is_repeatable(),
+            max_workers: self.route.attempts,
+            overlap,
+        }
+    }
+
+    /// Plans the next attempt at the only worker that may run the request.
+    async fn plan_retry_at(
+        &mut self,
+        worker: &str,
+        failure: AttemptFailure,
+    ) -> Result<(), CallError> {
+        self.retry_at = match failure {
+            AttemptFailure::Unknown => self.target_unless_ejected(worker),
+            _ => {
+                actix_rt::time::sleep(PAUSE_AT_ONLY_WORKER).await;
+                self.target_of_broken_stream(worker)
+            }
+        };
+        match self.retry_at {
+            Some(_) => Ok(()),
+            None => Err(self.give_up()),
+        }
+    }
+
     /// Returns the response for a call that makes no further attempt.
     pub(super) fn give_up(&self) -> CallError {
         CallError::Refused(match self.history.not_run() {
@@ -461,19 +506,6 @@
     }
 }
 
-/// Returns whether callers take a status as a guarantee that the request was not run. From a worker
-/// the status alone is not enough: without the platform's marker, the request may have run.
-pub(super) fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::PAYMENT_REQUIRED
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 fn identity_of(
     request: &CallerRequest,
     attributes: &CallAttributes,
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use elderworks_http_client::connect::ConnectError;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -53,7 +54,11 @@
 }
 
 /// Connects within [`CONNECT_TIMEOUT`].
-pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+///
+/// # Errors
+///
+/// The error tells whether the peer is lost or cut off.
+pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, ConnectError> {
     let connecting = TcpStream::connect(address);
     let stream = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
