--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -18,9 +18,11 @@
 };
 
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
+use elderworks_types::Timestamp;
 
 use super::CallError;
-use super::attempts::{Call, implies_not_run};
+use super::attempt_error::AttemptError;
+use super::attempts::Call;
 use super::resumption::STREAM_BROKEN;
 use super::stream::is_event_stream;
 use super::worker_use::RunningResponse;
@@ -226,7 +228,7 @@
     }
 
     async fn request_copy(&self, hop: CopyPath, stop_after: Option<&str>) -> CallEnd {
-        let started = Instant::now();
+        let (started, since) = (Instant::now(), self.gateway.now());
         let request_id = self.attributes.request_id.clone().unwrap_or_default();
         let wanted = RunMove {
             request_id,
@@ -246,12 +248,25 @@
                 self.note_copied(&outcome);
                 CallEnd::Answered(outcome)
             }
+            Err(EngineError::NotReached(_)) if self.was_heard_at(hop.source, since) => {
+                CallEnd::NotSent
+            }
             Err(EngineError::NotReached(_)) => CallEnd::NotReached,
+            Err(EngineError::NotSent(_)) => CallEnd::NotSent,
             Err(EngineError::Refused(_)) => CallEnd::Refused,
             Err(EngineError::Unknown(_) | EngineError::Format(_)) => CallEnd::Unknown,
         }
     }
 
+    /// Returns whether the worker at an address was heard at this time or later, so that it isn't lost.
+    pub(super) fn was_heard_at(&self, address: SocketAddr, since: Timestamp) -> bool {
+        let workers = self.gateway.workers.borrow();
+        let mut at_address = workers
+            .iter()
+            .filter(|worker| worker.record.address == address);
+        at_address.any(|worker| workers.was_heard_since(&worker.record.id, since))
+    }
+
     /// Asks an engine to stop the call's run, so that another one may run it after its last event.
     pub(super) async fn request_stop(
         &mut self,
@@ -308,23 +323,10 @@
             backup_at: None,
         };
         let (end, reason) = match self.attempt(permit, &target, Some(last_event_id)).await {
-            Ok(running) if self.gateway.platform.was_not_run(&running.response.head) => {
-                let status = running.response.head.status;
-                self.note_refusal(&at.worker, status);
-                (
-                    AttemptEnd::NotRun,
-                    format!("refused with {}", status.as_u16()),
-                )
-            }
             Ok(running) if is_event_stream(&running) => {
                 self.note_migrated(at);
                 return Ok(running);
             }
-            Ok(running) if implies_not_run(running.response.head.status) => {
-                let status = running.response.head.status.as_u16();
-                let reason = format!("status {status}, but not marked as not run");
-                (AttemptEnd::Unknown, reason)
-            }
             Ok(running) => {
                 let status = running.response.head.status.as_u16();
                 (
@@ -332,10 +334,12 @@
                     format!("status {status} instead of an event stream"),
                 )
             }
-            Err(ExchangeError::NotReached(reason) | ExchangeError::NotSent(reason)) => {
-                (AttemptEnd::NotRun, reason)
-            }
-            Err(ExchangeError::NoResponse(reason)) => {
+            Err(error @ AttemptError::Refused(_)) => (AttemptEnd::NotRun, error.to_string()),
+            Err(error @ AttemptError::Unproven(_)) => (AttemptEnd::Unknown, error.to_string()),
+            Err(AttemptError::Exchange(
+                ExchangeError::NotReached(reason) | ExchangeError::NotSent(reason),
+            )) => (AttemptEnd::NotRun, reason),
+            Err(AttemptError::Exchange(ExchangeError::NoResponse(reason))) => {
                 self.note_break(&target).await;
                 (AttemptEnd::Unknown, reason)
             }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -6,6 +6,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, ResponseHead, Uri};
 use bytes::Bytes;
+use elderworks_gateway_core::answers::AnswerHead;
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::ServingConfig;
 use elderworks_gateway_core::engines::{
@@ -136,6 +137,9 @@
     /// the network path is interrupted.
     #[error("the engine cannot be reached: {0}")]
     NotReached(String),
+    /// The call wasn't sent for any other reason, so it had no effect. The engine may be running.
+    #[error("the call wasn't sent to the engine: {0}")]
+    NotSent(String),
     /// No response arrived in time: the call may have taken effect.
     #[error("no response from the engine: {0}")]
     Unknown(String),
@@ -224,11 +228,8 @@
     /// Sets the headers that are added to a request for a worker.
     fn set_worker_headers(&self, headers: &mut HeaderMap, values: &WorkerHeaders<'_>);
 
-    /// Returns whether a response states that the worker did not run the request.
-    fn was_not_run(&self, response: &ResponseHead) -> bool;
-
-    /// Returns the request id that a response repeats.
-    fn response_request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
+    /// Returns what a response's head says about the request that it belongs to.
+    fn answer_head<'a>(&self, response: &'a ResponseHead) -> AnswerHead<'a>;
 
     /// Parses a request to one of the gateway's own endpoints.
     fn parse_endpoint_request(&self, method: &Method, uri: &Uri) -> EndpointRequest;
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::{RequestHead, RequestHeadType, ServiceConfig};
 use bytes::Bytes;
+use elderworks_gateway_core::answers::{AnswerHead, CarriedRequests, Outcome, WaitingRequest};
 use elderworks_gateway_core::attempt::SendMark;
 use elderworks_gateway_core::engines::PromptSource;
 use elderworks_gateway_core::pressure::BufferKind;
 use elderworks_gateway_core::run_moves::Engine;
 use elderworks_gateway_core::workers::WorkerRecord;
+use elderworks_http_client::connect::ConnectError;
 use elderworks_http_client::exchange::{self, Connection, Exchange};
 use prometheus_client::metrics::counter::Counter;
 
@@ -50,6 +52,15 @@
     }
 }
 
+impl From<ConnectError> for ExchangeError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Unreachable(error) => Self::NotReached(error.to_string()),
+            ConnectError::Failed(error) => Self::NotSent(error.to_string()),
+        }
+    }
+}
+
 /// A request to a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct OutgoingRequest {
@@ -123,22 +134,25 @@
 ///
 /// # Errors
 ///
-/// Returns [`ExchangeError::NotReached`] without a connection, [`ExchangeError::NotSent`] if no byte of
-/// the request can have reached the worker for another reason, and [`ExchangeError::NoResponse`] if the worker may have received it but no valid response came.
+/// Returns [`ExchangeError::NotReached`] if no connection to the worker can be established,
+/// [`ExchangeError::NotSent`] if no byte of the request can have reached it for another reason, and
+/// [`ExchangeError::NoResponse`] if it may have received the request but no valid response came.
 pub(crate) async fn exchange(
     context: &ExchangeContext<'_>,
     target: &Target,
     request: &OutgoingRequest,
     extra_headers: HeaderMap,
 ) -> Result<WorkerResponse, ExchangeError> {
-    let connection = match context.pool.take(&target.worker) {
+    let request_id = request.request_id.as_deref();
+    let connection = match context.pool.take_for(&target.worker, request_id) {
         Some(connection) => connection,
         None => connect(context, target.address).await?,
     };
     exchange_on(context, connection, target, request, extra_headers).await
 }
 
-/// Like [`exchange`], on this connection.
+/// Like [`exchange`], on this connection. Without an id, an answer is the request's own unless it names
+/// another one.
 pub(crate) async fn exchange_on(
     context: &ExchangeContext<'_>,
     connection: WorkerConnection,
@@ -146,28 +160,42 @@
     request: &OutgoingRequest,
     extra_headers: HeaderMap,
 ) -> Result<WorkerResponse, ExchangeError> {
-    let WorkerConnection { connection, opened } = connection;
+    let WorkerConnection {
+        connection,
+        opened,
+        mut carried,
+    } = connection;
     let head = RequestHeadType::Rc(request.head.clone(), Some(extra_headers));
     let mut exchange = Exchange::new(connection, context.http, head, request.body.as_ref())?;
     context.mark.note_sending();
-    for _ in 0..=MAX_MISMATCHED_RESPONSES {
+    for skipped in 0..=MAX_MISMATCHED_RESPONSES {
         let decoded = exchange.next_head().await?;
-        if is_response_to(context.platform, request, &decoded.head) {
+        let waiting = WaitingRequest {
+            id: request.request_id.as_deref(),
+            carried: carried.count(),
+            skipped,
+        };
+        let answer = context.platform.answer_head(&decoded.head);
+        let outcome = answer.outcome(&waiting);
+        log_outcome(&target.worker, &waiting, &answer, outcome);
+        if let Some(outcome) = outcome {
+            carried.note_sent();
+            if let (Outcome::NotRun, Some(id)) = (outcome, waiting.id) {
+                carried.note_refused(id);
+            }
             let pool_return = PoolReturn {
                 pool: context.pool.clone(),
                 worker: target.worker.clone(),
                 opened,
+                carried,
                 idle_timeout: keep_alive_timeout(&decoded.head.headers),
                 max_idle: context.max_idle,
             };
             let (head, body) = exchange.into_body(decoded);
             let buffered_bytes = context.memory.reservation(BufferKind::Answers);
-            return Ok(WorkerResponse::new(head, body, pool_return, buffered_bytes));
+            let response = WorkerResponse::new(head, outcome, body, pool_return, buffered_bytes);
+            return Ok(response);
         }
-        log::warn!(
-            request = request.request_id.as_deref().unwrap_or_default(), worker = target.worker.as_str();
-            "skipped a response to another request"
-        );
         exchange.skip_body(decoded.body, MAX_SKIPPED_BYTES).await?;
     }
     Err(ExchangeError::NoResponse(
@@ -180,25 +208,32 @@
     context: &ExchangeContext<'_>,
     address: SocketAddr,
 ) -> Result<WorkerConnection, ExchangeError> {
-    let stream = socket::connect(address).await.map_err(|error| {
-        let reason = error.to_string();
-        match socket::is_unreachable(&error) {
-            true => ExchangeError::NotReached(reason),
-            false => ExchangeError::NotSent(reason),
-        }
-    })?;
+    let stream = socket::connect(address).await?;
     context.connections_opened.inc();
     Ok(WorkerConnection {
         connection: Connection::new(stream),
         opened: context.clock.now(),
+        carried: CarriedRequests::default(),
     })
 }
 
-/// Returns whether a response belongs to the request. A process that has taken over the worker's
-/// address refuses requests without repeating their id.
-fn is_response_to(platform: &dyn Platform, request: &OutgoingRequest, head: &ResponseHead) -> bool {
-    match platform.response_request_id(&head.headers) {
-        Some(id) => Some(id) == request.request_id.as_deref(),
-        None => platform.was_not_run(head) || request.request_id.is_none(),
-    }
+/// Logs how an answer was judged, unless it is a usual one.
+fn log_outcome(
+    worker: &str,
+    waiting: &WaitingRequest<'_>,
+    answer: &AnswerHead<'_>,
+    outcome: Option<Outcome>,
+) {
+    let message = match outcome {
+        Some(Outcome::Answered) => return,
+        Some(Outcome::NotRun) => "worker refused a request",
+        Some(Outcome::Unknown) => "answer leaves open whether its request was run",
+        None => "skipped a response to another request",
+    };
+    log::info!(
+        request = waiting.id.unwrap_or_default(), worker = worker, status = answer.status,
+        marked = answer.is_marked, named = answer.named.relation_to(waiting.id).text(),
+        carried = waiting.carried, skipped = waiting.skipped;
+        "{message}"
+    );
 }
