--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -3,15 +3,13 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
 use elderworks_gateway_core::answers::Outcome;
-use elderworks_gateway_core::attempt::{
-    AttemptFailure, AttemptHistory, NextStep, Overlap, RetryRules, SendPermit,
-};
+use elderworks_gateway_core::attempt::{AttemptFailure, AttemptHistory, SendPermit};
 use elderworks_gateway_core::balancer::{self, PlacementQuery};
 use elderworks_gateway_core::call::CallAttributes;
 use elderworks_gateway_core::config::{MemoryMoves, Route, ServingConfig};
@@ -35,7 +33,6 @@
 use crate::gateway::Gateway;
 use crate::memory::MemoryReservation;
 use crate::ports::WorkerHeaders;
-use crate::reply::Refusal;
 use crate::server::CallerRequest;
 use crate::upstream::{ExchangeContext, ExchangeError, OutgoingRequest, Target, exchange};
 use crate::worker_witness::Witness;
@@ -43,9 +40,6 @@
 /// Maximum size in bytes of a response that is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Pause before a request is sent again to a worker that refused it while no other may run it.
-const PAUSE_AT_ONLY_WORKER: Duration = Duration::from_millis(40);
-
 /// Lowest priority that engines accept; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -82,7 +76,7 @@
     /// The version of the workers that may continue the stream.
     pub(super) version: StreamVersion,
     /// The worker of the next attempt, if the route allows no other.
-    retry_at: Option<Target>,
+    pub(super) retry_at: Option<Target>,
     /// Set once the run has been moved to another engine.
     pub(super) run: Option<MigratableRun>,
     /// The engine to which the run's memory is copied as it grows.
@@ -425,105 +419,6 @@
             slots: engine.slots,
         })
     }
-
-    /// Records a failed attempt. An error means that no further attempt is made.
-    async fn after_failure(
-        &mut self,
-        target: &Target,
-        failure: AttemptFailure,
-        last_event_id: Option<&str>,
-    ) -> Result<(), CallError> {
-        let worker = target.worker.as_str();
-        self.gateway.metrics.attempts_failed.inc();
-        self.waiting_since = None;
-        self.silent_since = None;
-        if failure != AttemptFailure::RefusedByWorker {
-            self.gateway.pool.discard_connections(worker);
-            self.note_worker_failure(worker);
-        }
-        let step = self
-            .history
-            .after_failure(failure, worker, self.retry_rules());
-        match step {
-            NextStep::Retry => Ok(()),
-            NextStep::RetrySameWorker => self.plan_retry_at(worker, failure).await,
-            NextStep::StopRun => self.stop_run(&target.engine(), last_event_id).await,
-            NextStep::GiveUp => Err(self.give_up()),
-        }
-    }
-
-    /// Returns how an attempt failed that got no answer.
-    fn failure_without_answer(&self, worker: &str) -> AttemptFailure {
-        match self.has_proved_end(worker) {
-            true => AttemptFailure::UnknownAtEndedWorker,
-            false => AttemptFailure::Unknown,
-        }
-    }
-
-    /// Returns how an attempt failed for which no connection could be established. A worker that was heard
-    /// meanwhile on another one isn't lost.
-    fn failure_without_connection(&self, worker: &str) -> AttemptFailure {
-        let workers = self.gateway.workers.borrow();
-        match workers.was_heard_since(worker, self.sent) {
-            true => AttemptFailure::NotSent,
-            false => AttemptFailure::NotReached,
-        }
-    }
-
-    /// Returns what the call's route and service allow once the request may have run.
-    pub(super) fn retry_rules(&self) -> RetryRules {
-        let overlap = match self.is_for_engine() {
-            true => Overlap::Excluded,
-            false => Overlap::Allowed,
-        };
-        RetryRules {
-            repeatable: self.route.is_repeatable(),
-            max_workers: self.route.attempts,
-            overlap,
-        }
-    }
-
-    /// Plans the next attempt at the only worker that may run the request.
-    async fn plan_retry_at(
-        &mut self,
-        worker: &str,
-        failure: AttemptFailure,
-    ) -> Result<(), CallError> {
-        self.retry_at = match failure {
-            AttemptFailure::Unknown | AttemptFailure::UnknownAtEndedWorker => {
-                self.target_unless_ejected(worker)
-            }
-            _ => {
-                actix_rt::time::sleep(PAUSE_AT_ONLY_WORKER).await;
-                self.target_of_broken_stream(worker)
-            }
-        };
-        match self.retry_at {
-            Some(_) => Ok(()),
-            None => Err(self.give_up()),
-        }
-    }
-
-    /// Returns the response for a call that makes no further attempt.
-    pub(super) fn give_up(&self) -> CallError {
-        CallError::Refused(match self.history.not_run() {
-            Some(not_run) => Refusal::not_run(not_run, "no worker takes the request now"),
-            None => {
-                Refusal::outcome_unknown("no worker gave a valid answer; the request may have run")
-            }
-        })
-    }
-
-    fn target_unless_ejected(&self, worker: &str) -> Option<Target> {
-        let now = self.gateway.now();
-        let workers = self.gateway.workers.borrow();
-        let known = workers.get(worker)?;
-        let accepts_requests = workers.is_open(known) && !workers.is_throttled(known, now);
-        let may_run = workers.follows(self.version_rule(), known, now);
-        let has_ended = self.gateway.requests.ends.borrow().has_ended(known.key());
-        let is_usable = accepts_requests && may_run && !known.is_ejected(now) && !has_ended;
-        is_usable.then(|| Target::direct(&known.record))
-    }
 }
 
 fn identity_of(
--- a/crates/gateway/src/forward/migration.rs
+++ b/crates/gateway/src/forward/migration.rs
@@ -3,7 +3,6 @@
 //!
 //! The decisions are made by `elderworks_gateway_core::run_moves`.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,14 +10,12 @@
 use elderworks_gateway_core::config::{MemoryMoves, RouteKind};
 use elderworks_gateway_core::engines::{MoveOutcome, PromptSource, RunCopy, RunMove};
 use elderworks_gateway_core::run_moves::backups::{BackupRules, RunSize};
-use elderworks_gateway_core::run_moves::stop::{self, RunStop, StopOutcome, StopStep};
 use elderworks_gateway_core::run_moves::targets::{self, ZonePreference};
 use elderworks_gateway_core::run_moves::{
     AttemptEnd, CallEnd, CopyPath, EndReason, Engine, MigrationReason, RunAction, RunMigration,
 };
 
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamVersion};
-use elderworks_types::Timestamp;
 
 use super::CallError;
 use super::attempt_error::AttemptError;
@@ -35,9 +32,6 @@
 /// seconds of silence.
 const COPY_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Id before that of a stream's first event.
-const NO_EVENT: &str = "0";
-
 /// A run that can be resumed at another engine. Dropping it frees its unused copies.
 pub(super) struct MigratableRun {
     gateway: Rc<Gateway>,
@@ -62,7 +56,7 @@
 }
 
 /// Frees a copy. If that fails, the copy expires later.
-async fn free(gateway: &Gateway, request_id: &str, copy: &RunCopy) {
+pub(super) async fn free(gateway: &Gateway, request_id: &str, copy: &RunCopy) {
     let freed = gateway.platform.free_copy(copy.source, &copy.handle).await;
     match freed {
         Ok(()) => {
@@ -227,7 +221,7 @@
         })
     }
 
-    async fn request_copy(&self, hop: CopyPath, stop_after: Option<&str>) -> CallEnd {
+    pub(super) async fn request_copy(&self, hop: CopyPath, stop_after: Option<&str>) -> CallEnd {
         let (started, since) = (Instant::now(), self.gateway.now());
         let request_id = self.attributes.request_id.clone().unwrap_or_default();
         let wanted = RunMove {
@@ -258,57 +252,6 @@
         }
     }
 
-    /// Returns whether the worker at an address was heard at this time or later, so that it isn't lost.
-    pub(super) fn was_heard_at(&self, address: SocketAddr, since: Timestamp) -> bool {
-        let workers = self.gateway.workers.borrow();
-        let mut at_address = workers
-            .iter()
-            .filter(|worker| worker.record.address == address);
-        at_address.any(|worker| workers.was_heard_since(&worker.record.id, since))
-    }
-
-    /// Asks an engine to stop the call's run, so that another one may run it after its last event.
-    pub(super) async fn request_stop(
-        &mut self,
-        engine: &Engine,
-        last_event_id: Option<&str>,
-    ) -> StopOutcome {
-        let moves_runs = self.engine_moves().moves_runs;
-        let Some(other) = self.any_other(engine).filter(|_| moves_runs) else {
-            return StopOutcome::Unsure;
-        };
-        let path = CopyPath {
-            source: engine.address,
-            target: other,
-        };
-        let last_event_id = last_event_id.unwrap_or(NO_EVENT);
-        let mut stop = RunStop::default();
-        loop {
-            let end = self.request_copy(path, Some(last_event_id)).await;
-            if let StopStep::Done(outcome) = stop.after_call(&end) {
-                self.free_left_copy(engine, end);
-                return outcome;
-            }
-        }
-    }
-
-    /// Returns the address of another engine of the call's service, which calls to stop a run name.
-    fn any_other(&self, engine: &Engine) -> Option<SocketAddr> {
-        let workers = self.gateway.workers.borrow();
-        let mut others = workers.accepting(&self.service);
-        let other = others.find(|worker| worker.record.id != engine.worker);
-        other.map(|worker| worker.record.address)
-    }
-
-    fn free_left_copy(&self, engine: &Engine, end: CallEnd) {
-        let Some(copy) = stop::left_copy(engine.address, end) else {
-            return;
-        };
-        let gateway = self.gateway.clone();
-        let request_id = self.attributes.request_id.clone().unwrap_or_default();
-        actix_rt::spawn(async move { free(&gateway, &request_id, &copy).await });
-    }
-
     async fn attempt_with_copy(
         &mut self,
         permit: SendPermit,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -12,6 +12,8 @@
 mod observations;
 mod quota;
 mod resumption;
+mod retries;
+mod run_stop;
 mod sending;
 mod stream;
 mod trace;
--- a/crates/gateway/src/forward/resumption.rs
+++ b/crates/gateway/src/forward/resumption.rs
@@ -4,12 +4,9 @@
 use std::time::{Duration, Instant};
 
 use elderworks_gateway_core::attempt::{NotRun, SendScope};
-use elderworks_gateway_core::peer_loads::WorkerKey;
 use elderworks_gateway_core::run_moves::Engine;
-use elderworks_gateway_core::run_moves::stop::StopOutcome;
 use elderworks_gateway_core::stream_versions::lookup::{KnownOrigin, ResumptionOutcome};
 use elderworks_gateway_core::stream_versions::{SoftwareVersion, StreamKey, StreamVersion};
-use elderworks_http_client::connect::ConnectError;
 
 use super::CallError;
 use super::attempts::Call;
@@ -19,7 +16,6 @@
 use crate::clock::millis;
 use crate::peers;
 use crate::reply::Refusal;
-use crate::socket;
 use crate::upstream::Target;
 
 /// Reason for ending a response whose stream can't be resumed.
@@ -112,64 +108,6 @@
         Ok(same)
     }
 
-    /// Returns whether no connection to an engine can be established and it isn't heard on another one.
-    async fn is_unreachable(&self, engine: &Engine) -> bool {
-        let since = self.gateway.now();
-        let connected = socket::connect(engine.address).await;
-        let is_unreachable = matches!(connected, Err(ConnectError::Unreachable(_)));
-        is_unreachable && !self.was_heard_at(engine.address, since)
-    }
-
-    /// Returns whether a worker's process is proved to have ended.
-    pub(super) fn has_proved_end(&self, worker: &str) -> bool {
-        let ends = self.gateway.requests.ends.borrow();
-        ends.has_proved_end(WorkerKey::of(worker))
-    }
-
-    /// Returns the worker at which a stream broke off as the target of the next attempt, unless it is gone
-    /// or has been draining for too long.
-    pub(super) fn target_of_broken_stream(&self, worker: &str) -> Option<Target> {
-        let now = self.gateway.now();
-        let workers = self.gateway.workers.borrow();
-        let rule = self.version_rule();
-        workers
-            .get(worker)
-            .filter(|_| !self.has_proved_end(worker))
-            .filter(|known| workers.may_continue_stream(known, now))
-            .filter(|known| workers.follows(rule, known, now))
-            .map(|known| Target::direct(&known.record))
-    }
-
-    /// Makes sure that an engine no longer runs the request or is lost, so that another worker may run it.
-    /// An error means that it may still run it, or that the route allows no other worker.
-    pub(super) async fn stop_run(
-        &mut self,
-        engine: &Engine,
-        last_event_id: Option<&str>,
-    ) -> Result<(), CallError> {
-        let is_possible = self.history.may_leave_after_stop(self.retry_rules());
-        let answered = match is_possible {
-            true => self.request_stop(engine, last_event_id).await,
-            false => StopOutcome::Unsure,
-        };
-        let outcome = match answered {
-            StopOutcome::Unsure if self.is_unreachable(engine).await => StopOutcome::Lost,
-            outcome => outcome,
-        };
-        log::info!(
-            request = self.attributes.request_id.as_deref().unwrap_or_default(),
-            worker = engine.worker.as_str(), attempts = self.route.attempts, asked = is_possible,
-            tried = self.tried().join(",").as_str(), ms = self.received.elapsed().as_millis();
-            "run to be left to another worker: {}", outcome.text()
-        );
-        match outcome {
-            StopOutcome::Stopped => self.history.note_stopped(&engine.worker),
-            StopOutcome::Lost => self.history.note_lost(&engine.worker),
-            StopOutcome::Unsure => return Err(self.give_up()),
-        }
-        Ok(())
-    }
-
     /// Binds a stream that its caller takes up again to the version that began it.
     pub(super) async fn bind_resumed_stream(&mut self) -> Result<(), Refusal> {
         if !self.route.resumable || self.attributes.last_event_id.is_none() {
