--- a/crates/cli/tests/soak/surplus_and_resets.rs
+++ b/crates/cli/tests/soak/surplus_and_resets.rs
@@ -73,10 +73,8 @@
     let copy_of = |name: &str, new_name: &str| {
         let mut routes = routes.iter();
         let found = routes.find(|route| route["name"] == name);
-        let mut route = found.expect("a route of the default configuration").clone();
-        route["name"] = json!(new_name);
-        route["path-prefix"] = json!(format!("/{new_name}/"));
-        route
+        let route = found.expect("a route of the default configuration");
+        platform::renamed_route(route, new_name)
     };
     let mut two = copy_of("stream", "stream-two");
     two["attempts"] = json!(2);
--- a/crates/cli/tests/soak/worker_checker_tests.rs
+++ b/crates/cli/tests/soak/worker_checker_tests.rs
@@ -8,7 +8,7 @@
 use crate::checker_tests::{record, run};
 use crate::checks::{Observations, violations};
 use crate::proxy::Period;
-use crate::standin::worker::Run;
+use crate::standin::worker::{COPY_HEADER, Run};
 use crate::worker_checks::LostTimes;
 
 /// Start of the observations.
@@ -39,7 +39,7 @@
 
     /// Returns a run that goes on from a copy.
     fn copy(&self, worker: &str, from: u64, until: u64) -> Run {
-        let header = ("kv-from".to_owned(), "127.0.0.1:1/h".to_owned());
+        let header = (COPY_HEADER.to_owned(), "127.0.0.1:1/h".to_owned());
         Run {
             headers: vec![header],
             ..self.run(worker, from, until)
