--- a/crates/gateway-core/src/peer_loads.rs
+++ b/crates/gateway-core/src/peer_loads.rs
@@ -14,7 +14,8 @@
 pub struct WorkerKey(pub u32);
 
 impl WorkerKey {
-    /// Returns the key of a worker. Collisions only make the load of two workers less accurate.
+    /// Returns the key of a worker. Collisions make the load of two workers less
+    /// accurate, and the end of one look like that of the other.
     pub fn of(id: &str) -> Self {
         let hash = xxh3_64(id.as_bytes());
         Self(u32::try_from(hash >> 32).expect("the upper half of 64 bits"))
--- a/crates/gateway-core/src/worker_ends/exchanges.rs
+++ b/crates/gateway-core/src/worker_ends/exchanges.rs
@@ -34,7 +34,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ExchangeKey(pub u32);
 
-/// The part of a worker's key that [`ExchangeKey`] holds. Collisions let a request avoid a further worker.
+/// The part of a worker's key that [`ExchangeKey`] holds. Collisions let a request
+/// avoid a further worker, or take a worker for one that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerPart(u32);
 
